--- /dev/null
+++ b/daemons/ctl.c
@@ -0,0 +1,435 @@
+/* ctl.c -- walnutgatectl: the table as a spreadsheet, replicas, status and dumps */
+#include <argtable2.h>
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/random.h>
+
+#include "wg_http.h"
+#include "wg_net.h"
+#include "wg_table.h"
+#include "wg_version.h"
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+enum {
+    EXIT_REFUSED = 1, /* the system said no: conflict, invalid, not found */
+    EXIT_USAGE = 2,   /* nothing was asked: bad command line or unreadable file */
+    EXIT_NO_ANSWER = 3,
+    ANSWER_SECONDS = 5,
+    TRIES = 40, /* rounds over all controls until one leads */
+    TRY_GAP_MS = 250
+};
+
+typedef struct {
+    char** controls; /* ip:port of operators' pages */
+    char* key;
+    bool csv;
+} options_t;
+
+typedef struct {
+    struct event_base* base;
+    int status; /* 0: no answer */
+    GString* body;
+} answer_t;
+
+/* ---- HTTP ---------------------------------------------------------------------------------- */
+
+static void on_done(struct evhttp_request* request, void* user_data) {
+    answer_t* answer = user_data;
+    if (request) {
+        answer->status = evhttp_request_get_response_code(request);
+        struct evbuffer* body = evhttp_request_get_input_buffer(request);
+        size_t size = evbuffer_get_length(body);
+        if (size > 0) {
+            g_string_append_len(answer->body, (const char*)evbuffer_pullup(body, -1), (gssize)size);
+        }
+    }
+    event_base_loopbreak(answer->base);
+}
+
+/* One request to one address; the answer's body is released by the caller. */
+static answer_t ask(const char* address, const char* key, const char* path, const char* body) {
+    answer_t answer = {.base = event_base_new(), .body = g_string_new(NULL)};
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    if (wgn_split_address(address, ip, &port)) {
+        struct evhttp_connection* connection =
+            evhttp_connection_base_new(answer.base, NULL, ip, port);
+        evhttp_connection_set_timeout(connection, ANSWER_SECONDS);
+        struct evhttp_request* request = evhttp_request_new(on_done, &answer);
+        struct evkeyvalq* headers = evhttp_request_get_output_headers(request);
+        char* bearer = g_strdup_printf("Bearer %s", key);
+        evhttp_add_header(headers, "Authorization", bearer);
+        evhttp_add_header(headers, "Host", address);
+        g_free(bearer);
+        if (body) {
+            evbuffer_add(evhttp_request_get_output_buffer(request), body, strlen(body));
+        }
+        enum evhttp_cmd_type method = body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
+        if (evhttp_make_request(connection, request, method, path) == 0) {
+            event_base_dispatch(answer.base);
+        }
+        evhttp_connection_free(connection);
+    }
+    event_base_free(answer.base);
+    answer.base = NULL;
+    return answer;
+}
+
+/* Ask the controls in turn until one that leads answers. Safe to repeat: edits carry an id. */
+static answer_t ask_leader(const options_t* options, const char* path, const char* body) {
+    answer_t answer = {0};
+    for (int i = 0; i < TRIES; i++) {
+        for (int c = 0; options->controls[c]; c++) {
+            answer = ask(options->controls[c], options->key, path, body);
+            bool try_others = answer.status == 0 || answer.status == 421 || answer.status == 503;
+            if (!try_others) {
+                return answer;
+            }
+            g_string_free(answer.body, TRUE);
+        }
+        g_usleep(TRY_GAP_MS * 1000);
+    }
+    answer.status = 0;
+    answer.body = g_string_new(NULL);
+    return answer;
+}
+
+/* Print the answer as it came and turn its status into ours. */
+static int print_answer(answer_t* answer) {
+    int result = answer->status == 200 ? EXIT_SUCCESS
+                 : answer->status == 0 ? EXIT_NO_ANSWER
+                                       : EXIT_REFUSED;
+    if (answer->status == 0) {
+        fprintf(stderr, "walnutgatectl: no control that leads has answered\n");
+    } else {
+        FILE* out = result == EXIT_SUCCESS ? stdout : stderr;
+        fprintf(out, "%s%s", answer->body->str,
+                g_str_has_suffix(answer->body->str, "\n") ? "" : "\n");
+    }
+    g_string_free(answer->body, TRUE);
+    return result;
+}
+
+/* ---- table --------------------------------------------------------------------------------- */
+
+static int usage(const char* message) {
+    fprintf(stderr, "walnutgatectl: %s\n", message);
+    return EXIT_USAGE;
+}
+
+static int table_get(const options_t* options, const char* kind) {
+    char* path = g_strdup_printf("/v1/table/%s?format=%s", kind, options->csv ? "csv" : "json");
+    answer_t answer = ask_leader(options, path, NULL);
+    g_free(path);
+    return print_answer(&answer);
+}
+
+/* Present rows by name; NULL (and the reason printed) when they cannot be had. */
+static json_t* present_rows(const options_t* options, const char* kind, int* result) {
+    char* path = g_strdup_printf("/v1/table/%s?format=json", kind);
+    answer_t answer = ask_leader(options, path, NULL);
+    g_free(path);
+    if (answer.status != 200) {
+        *result = print_answer(&answer);
+        return NULL;
+    }
+    json_t* json = json_loads(answer.body->str, 0, NULL);
+    g_string_free(answer.body, TRUE);
+    json_t* rows = json_object();
+    size_t i;
+    json_t* row;
+    json_array_foreach(json_object_get(json, "rows"), i, row) {
+        json_object_set(rows, json_string_value(json_object_get(row, "name")), row);
+    }
+    json_decref(json);
+    return rows;
+}
+
+static int send_edit(const options_t* options, json_t* rows) {
+    uint8_t id[WGT_EDIT_ID_SIZE];
+    if (getrandom(id, sizeof id, 0) != (ssize_t)sizeof id) {
+        json_decref(rows);
+        return usage("no random bytes");
+    }
+    char hex[2 * WGT_EDIT_ID_SIZE + 1];
+    for (size_t i = 0; i < sizeof id; i++) {
+        g_snprintf(hex + 2 * i, 3, "%02x", id[i]);
+    }
+    const char* user = g_get_user_name();
+    json_t* edit =
+        json_pack("{s:s,s:s,s:o}", "edit_id", hex, "editor", user ? user : "", "rows", rows);
+    char* text = json_dumps(edit, JSON_COMPACT);
+    answer_t answer = ask_leader(options, "/v1/table/edit", text);
+    free(text);
+    json_decref(edit);
+    return print_answer(&answer);
+}
+
+static void add_edit_row(json_t* rows, const char* kind, json_t* row) {
+    json_object_set_new(row, "kind_of_row", json_string(kind));
+    json_array_append_new(rows, row);
+}
+
+static int table_put(const options_t* options, const char* kind_name, const char* file) {
+    wgt_kind kind = wgt_kind_parse(kind_name);
+    char* text = NULL;
+    gsize size;
+    GError* error = NULL;
+    GArray* rows = NULL;
+    if (!g_file_get_contents(file, &text, &size, &error) ||
+        !wgt_csv_read(text, size, kind, &rows, &error)) {
+        fprintf(stderr, "walnutgatectl: %s: %s\n", file, error->message);
+        g_error_free(error);
+        g_free(text);
+        return EXIT_USAGE;
+    }
+    g_free(text);
+    int result = EXIT_SUCCESS;
+    json_t* present = present_rows(options, kind_name, &result);
+    if (!present) {
+        g_array_unref(rows);
+        return result;
+    }
+    json_t* changed = json_array();
+    for (guint i = 0; i < rows->len; i++) {
+        const wgt_row* row = &g_array_index(rows, wgt_row, i);
+        json_t* json = wgt_row_to_json(row);
+        /* Rows that the editor left as they are do not count as edited. */
+        if (json_equal(json, json_object_get(present, row->name))) {
+            json_decref(json);
+        } else {
+            add_edit_row(changed, wgt_kind_name(kind), json);
+        }
+    }
+    json_decref(present);
+    g_array_unref(rows);
+    if (json_array_size(changed) == 0) {
+        json_decref(changed);
+        printf("nothing changed\n");
+        return EXIT_SUCCESS;
+    }
+    return send_edit(options, changed);
+}
+
+static bool set_column(json_t* row, wgt_kind kind, const char* assignment) {
+    const char* equals = strchr(assignment, '=');
+    if (!equals) {
+        return false;
+    }
+    char* name = g_strndup(assignment, (gsize)(equals - assignment));
+    int num;
+    const wgt_column* columns = wgt_columns(kind, &num);
+    bool known = false;
+    for (int i = 0; i < num; i++) {
+        if (strcmp(columns[i].name, name) != 0) {
+            continue;
+        }
+        gint64 number;
+        known = true;
+        if (columns[i].type == WGT_COLUMN_TEXT) {
+            json_object_set_new(row, name, json_string(equals + 1));
+        } else if (g_ascii_string_to_signed(equals + 1, 10, INT64_MIN, INT64_MAX, &number, NULL)) {
+            json_object_set_new(row, name, json_integer(number));
+        } else {
+            known = false;
+        }
+    }
+    g_free(name);
+    return known;
+}
+
+/* Change columns of one row (made if it is not there), or delete it. */
+static int table_change(const options_t* options, const char* kind_name, const char* name,
+                        const char** assignments, int num, bool delete) {
+    wgt_kind kind = wgt_kind_parse(kind_name);
+    int result = EXIT_SUCCESS;
+    json_t* present = present_rows(options, kind_name, &result);
+    if (!present) {
+        return result;
+    }
+    json_t* row = json_copy(json_object_get(present, name));
+    json_decref(present);
+    if (!row) {
+        wgt_row fresh;
+        wgt_row_init(&fresh, kind, name);
+        row = wgt_row_to_json(&fresh);
+    }
+    for (int i = 0; i < num; i++) {
+        if (!set_column(row, kind, assignments[i])) {
+            fprintf(stderr, "walnutgatectl: \"%s\" is not column=value\n", assignments[i]);
+            json_decref(row);
+            return EXIT_USAGE;
+        }
+    }
+    if (delete) {
+        json_object_set_new(row, "deleted", json_true());
+    }
+    json_t* rows = json_array();
+    add_edit_row(rows, wgt_kind_name(kind), row);
+    return send_edit(options, rows);
+}
+
+static int table_command(const options_t* options, const char** words, int num) {
+    const char* verb = num > 0 ? words[0] : "";
+    if (num < 2 || wgt_kind_parse(words[1]) == WGT_KIND_DEFAULT) {
+        return usage("table get|put|set|delete workspaces|services|targets ...");
+    }
+    if (strcmp(verb, "get") == 0 && num == 2) {
+        return table_get(options, words[1]);
+    }
+    if (strcmp(verb, "put") == 0 && num == 3) {
+        return table_put(options, words[1], words[2]);
+    }
+    if (strcmp(verb, "set") == 0 && num >= 3) {
+        return table_change(options, words[1], words[2], words + 3, num - 3, false);
+    }
+    if (strcmp(verb, "delete") == 0 && num == 3) {
+        return table_change(options, words[1], words[2], NULL, 0, true);
+    }
+    return usage("table get <kind> | put <kind> <file.csv> | set <kind> <name> column=value ... | "
+                 "delete <kind> <name>");
+}
+
+/* ---- other commands ------------------------------------------------------------------------- */
+
+static int dump_one(const options_t* options, const char* address) {
+    answer_t answer = ask(address, options->key, "/debug/state", NULL);
+    if (answer.status != 200) {
+        fprintf(stderr, "walnutgatectl: %s: no state (status %d)\n", address, answer.status);
+        g_string_free(answer.body, TRUE);
+        return EXIT_NO_ANSWER;
+    }
+    json_t* json = json_loads(answer.body->str, 0, NULL);
+    g_string_free(answer.body, TRUE);
+    json_dumpf(json, stdout, JSON_INDENT(2));
+    printf("\n");
+    json_decref(json);
+    return EXIT_SUCCESS;
+}
+
+static int status(const options_t* options) {
+    int result = EXIT_SUCCESS;
+    for (int c = 0; options->controls[c]; c++) {
+        answer_t answer = ask(options->controls[c], options->key, "/debug/state", NULL);
+        json_t* json = json_loads(answer.body->str, 0, NULL);
+        if (answer.status != 200 || !json) {
+            printf("%-22s no answer\n", options->controls[c]);
+            result = EXIT_NO_ANSWER;
+        } else {
+            json_t* log = json_object_get(json, "log");
+            json_t* table = json_object_get(json, "table");
+            printf("%-22s %-10s %-8s term=%" JSON_INTEGER_FORMAT " commit=%" JSON_INTEGER_FORMAT
+                   " table=%" JSON_INTEGER_FORMAT " replicas=%zu routers=%zu\n",
+                   options->controls[c], json_string_value(json_object_get(json, "name")),
+                   json_is_true(json_object_get(json, "leads")) ? "leads" : "follows",
+                   json_integer_value(json_object_get(log, "term")),
+                   json_integer_value(json_object_get(log, "commit")),
+                   json_integer_value(json_object_get(table, "version")),
+                   json_array_size(json_object_get(json, "replicas")),
+                   json_array_size(json_object_get(json, "routers")));
+        }
+        json_decref(json);
+        g_string_free(answer.body, TRUE);
+    }
+    return result;
+}
+
+static int replica_command(const options_t* options, const char* action, const char* name) {
+    json_t* json = json_pack("{s:s,s:s}", "action", action, "name", name);
+    char* text = json_dumps(json, JSON_COMPACT);
+    answer_t answer = ask_leader(options, "/v1/replicas", text);
+    free(text);
+    json_decref(json);
+    return print_answer(&answer);
+}
+
+static int key_hash(const char* key) {
+    uint8_t hash[WG_KEY_HASH_SIZE];
+    wg_key_hash(key, hash);
+    for (size_t i = 0; i < sizeof hash; i++) {
+        printf("%02x", hash[i]);
+    }
+    printf("\n");
+    return EXIT_SUCCESS;
+}
+
+static int run(const options_t* options, const char** words, int num) {
+    const char* command = num > 0 ? words[0] : "";
+    if (strcmp(command, "key-hash") == 0 && num == 2) {
+        return key_hash(words[1]);
+    }
+    if (!options->key) {
+        return usage("--key-file is needed, and must name a readable file");
+    }
+    if (strcmp(command, "table") == 0) {
+        return table_command(options, words + 1, num - 1);
+    }
+    if ((strcmp(command, "services") == 0 || strcmp(command, "targets") == 0) && num == 1) {
+        return table_get(options, command);
+    }
+    if (strcmp(command, "status") == 0 && num == 1) {
+        return status(options);
+    }
+    if (strcmp(command, "dump") == 0 && num == 2) {
+        return dump_one(options, words[1]);
+    }
+    if (strcmp(command, "replica") == 0 && num == 3) {
+        return replica_command(options, words[1], words[2]);
+    }
+    return usage("unknown command; see --help");
+}
+
+static void print_help(void** table) {
+    printf("Usage: walnutgatectl");
+    arg_print_syntax(stdout, table, "\n");
+    arg_print_glossary(stdout, table, "  %-26s %s\n");
+    printf("\nCommands:\n"
+           "  table get <kind>                    rows of workspaces, services or targets\n"
+           "  table put <kind> <file.csv>         send the rows of a CSV file that differ\n"
+           "  table set <kind> <name> col=value   change columns of one row, or make it\n"
+           "  table delete <kind> <name>          delete one row\n"
+           "  services | targets                  the same as table get\n"
+           "  status                              a line for each control\n"
+           "  dump <ip:port>                      state of any daemon by its operators' address\n"
+           "  replica replace <name>              a control with a new data folder joins\n"
+           "  replica remove <name>               take a control out of the set\n"
+           "  key-hash <key>                      hash of a workspace key, as the table holds it\n"
+           "\nExit status: 0 done, 1 refused, 2 bad usage, 3 no answer.\n");
+}
+
+int main(int argc, char** argv) {
+    struct arg_str* controls =
+        arg_str0("c", "controls", "<ip:port,...>", "operators' addresses of the controls");
+    struct arg_file* key = arg_file0("k", "key-file", "<file>", "file with the operators' key");
+    struct arg_lit* csv = arg_lit0(NULL, "csv", "print tables as CSV");
+    struct arg_lit* help = arg_lit0("h", "help", "print this help");
+    struct arg_lit* version = arg_lit0(NULL, "version", "print the version");
+    struct arg_str* words = arg_strn(NULL, NULL, "<command>", 0, 32, "see below");
+    struct arg_end* end = arg_end(8);
+    void* table[] = {controls, key, csv, help, version, words, end};
+    int errors = arg_parse(argc, argv, table);
+    int result = EXIT_SUCCESS;
+    if (help->count) {
+        print_help(table);
+    } else if (version->count) {
+        printf("walnutgatectl %s\n", WG_VERSION);
+    } else if (errors > 0) {
+        arg_print_errors(stderr, end, "walnutgatectl");
+        result = EXIT_USAGE;
+    } else {
+        const char* list = controls->count ? controls->sval[0] : "127.0.0.1:7200";
+        options_t options = {.controls = g_strsplit(list, ",", -1), .csv = csv->count > 0};
+        if (key->count && g_file_get_contents(key->filename[0], &options.key, NULL, NULL)) {
+            options.key[strcspn(options.key, "\r\n")] = 0;
+        }
+        result = run(&options, words->sval, words->count);
+        g_strfreev(options.controls);
+        g_free(options.key);
+    }
+    arg_freetable(table, G_N_ELEMENTS(table));
+    return result;
+}
--- /dev/null
+++ b/daemons/wg_daemon.c
@@ -0,0 +1,161 @@
+/* wg_daemon.c -- see wg_daemon.h */
+#include "wg_daemon.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#include "wg_version.h"
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+enum {
+    _WGD_EXIT_FAILED = 1,
+    _WGD_EXIT_NOT_STARTED = 2
+};
+
+typedef struct {
+    const char* settings;
+    bool check;
+    bool print;
+    bool init;
+    int status; /* >= 0: leave with it at once */
+} _wgd_options_t;
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static _wgd_options_t _wgd_parse(const wgd_desc* desc, int argc, char** argv) {
+    struct arg_file* settings = arg_file0("s", "settings", "<file>", "settings in INI form");
+    struct arg_lit* check = arg_lit0(NULL, "check-settings", "check the settings and leave");
+    struct arg_lit* print =
+        arg_lit0(NULL, "print-settings", "print the settings in force and leave");
+    struct arg_lit* keys = arg_lit0(NULL, "list-settings", "print all keys as a Markdown table");
+    struct arg_lit* init = arg_lit0(NULL, "init", "begin a new cluster in the empty data folder");
+    struct arg_lit* help = arg_lit0("h", "help", "print this help");
+    struct arg_lit* version = arg_lit0(NULL, "version", "print the version");
+    struct arg_end* end = arg_end(8);
+    void* table[] = {settings, check, print, keys, help, version, init, end};
+    if (!desc->can_init) {
+        table[6] = end;
+    }
+    _wgd_options_t options = {.status = -1};
+    int errors = arg_parse(argc, argv, table);
+    if (help->count) {
+        printf("Usage: %s", desc->name);
+        arg_print_syntax(stdout, table, "\n");
+        arg_print_glossary(stdout, table, "  %-28s %s\n");
+        options.status = EXIT_SUCCESS;
+    } else if (version->count) {
+        printf("%s %s\n", desc->name, WG_VERSION);
+        options.status = EXIT_SUCCESS;
+    } else if (keys->count) {
+        wgi_print_help(desc->keys, desc->keys_num);
+        options.status = EXIT_SUCCESS;
+    } else if (errors > 0 || settings->count == 0) {
+        arg_print_errors(stderr, end, desc->name);
+        fprintf(stderr, "%s: --settings <file> is needed; see --help\n", desc->name);
+        options.status = _WGD_EXIT_NOT_STARTED;
+    }
+    if (options.status < 0) {
+        options.settings = g_strdup(settings->filename[0]);
+        options.check = check->count > 0;
+        options.print = print->count > 0;
+        options.init = desc->can_init && init->count > 0;
+    }
+    void* to_free[] = {settings, check, print, keys, help, version, init, end};
+    arg_freetable(to_free, G_N_ELEMENTS(to_free));
+    return options;
+}
+
+static int _wgd_not_started(const wgd_desc* desc, GError* error) {
+    fprintf(stderr, "%s: %s\n", desc->name, error ? error->message : "cannot start");
+    g_clear_error(&error);
+    return _WGD_EXIT_NOT_STARTED;
+}
+
+static void _wgd_on_stop(evutil_socket_t signal, short what, void* user_data) {
+    (void)signal;
+    (void)what;
+    ((const wgd_desc*)user_data)->stop();
+}
+
+static void _wgd_on_dump(evutil_socket_t signal, short what, void* user_data) {
+    (void)signal;
+    (void)what;
+    json_t* json = ((const wgd_desc*)user_data)->dump();
+    char* text = json_dumps(json, JSON_COMPACT);
+    wg_log(WG_EVENT_STATE_DUMP, "%s", text);
+    free(text);
+    json_decref(json);
+}
+
+/* As many open files as the system lets us have: each caller and target connection is one. */
+static void _wgd_raise_file_limit(void) {
+    struct rlimit limit;
+    if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+        limit.rlim_cur = limit.rlim_max;
+        setrlimit(RLIMIT_NOFILE, &limit);
+    }
+}
+
+static int _wgd_run(const wgd_desc* desc) {
+    GError* error = NULL;
+    struct event_config* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    struct event_base* base = event_base_new_with_config(config);
+    event_config_free(config);
+    if (!desc->start(base, &error)) {
+        event_base_free(base);
+        return _wgd_not_started(desc, error);
+    }
+    const struct {
+        int signal;
+        event_callback_fn callback;
+    } signals[] = {{SIGTERM, _wgd_on_stop}, {SIGINT, _wgd_on_stop}, {SIGUSR1, _wgd_on_dump}};
+    struct event* events[G_N_ELEMENTS(signals)];
+    for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+        events[i] = evsignal_new(base, signals[i].signal, signals[i].callback, (void*)desc);
+        event_add(events[i], NULL);
+    }
+    wg_log(WG_EVENT_STARTED, "program=%s version=%s", desc->name, WG_VERSION);
+    event_base_dispatch(base);
+    bool good = desc->end();
+    wg_log(WG_EVENT_STOPPED, "%s", "");
+    for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
+        event_free(events[i]);
+    }
+    event_base_free(base);
+    return good ? EXIT_SUCCESS : _WGD_EXIT_FAILED;
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+int wgd_main(const wgd_desc* desc, int argc, char** argv) {
+    signal(SIGPIPE, SIG_IGN);
+    _wgd_options_t options = _wgd_parse(desc, argc, argv);
+    if (options.status >= 0) {
+        return options.status;
+    }
+    GError* error = NULL;
+    if (!wgi_load(options.settings, desc->keys, desc->keys_num, desc->settings, &error)) {
+        return _wgd_not_started(desc, error);
+    }
+    int status = EXIT_SUCCESS;
+    if (options.print) {
+        wgi_print(desc->keys, desc->keys_num, desc->settings);
+    } else if (options.check) {
+        printf("%s: settings are good\n", options.settings);
+    } else if (!wg_log_setup(*desc->log_level, *desc->log_target, &error)) {
+        status = _wgd_not_started(desc, error);
+    } else if (options.init) {
+        status = desc->init(&error) ? EXIT_SUCCESS : _wgd_not_started(desc, error);
+    } else {
+        _wgd_raise_file_limit();
+        status = _wgd_run(desc);
+    }
+    wgi_clear(desc->keys, desc->keys_num, desc->settings);
+    g_free((char*)options.settings);
+    return status;
+}
--- /dev/null
+++ b/lib/base/wg_events.h
@@ -0,0 +1,46 @@
+#pragma once
+/*
+    wg_events.h -- the numbered log events of walnutgate, as one X-macro list
+
+    Each row is: number, name, level, text. Numbers are never reused. Levels are DEBUG, INFO, WARN
+    and ERROR. docs/EVENTS.md is generated from this list (`make events`) and checked in CI.
+
+    Ranges: 1000 process, 2000 requests and targets, 3000 control links, 4000 replication and
+    storage, 5000 table and membership, 6000 capacity leases.
+*/
+#define WG_EVENT_LIST(X)                                                                           \
+    X(1001, STARTED, INFO, "process started")                                                      \
+    X(1002, STOPPED, INFO, "process stopped")                                                      \
+    X(1003, STOP_BEGUN, INFO, "planned stop begun, no new work is invited")                        \
+    X(1004, STOP_HURRIED, WARN, "second stop signal, remaining work is cut off")                   \
+    X(1005, STATE_DUMP, INFO, "state dump")                                                        \
+    X(1006, SETTINGS_BAD, ERROR, "settings refused")                                               \
+    X(1007, LISTEN_FAILED, ERROR, "cannot listen")                                                 \
+    X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
+    X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
+    X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
+    X(2003, TARGET_ASIDE, WARN, "target put aside after failures")                                 \
+    X(2004, TARGET_BACK, INFO, "target takes work again")                                          \
+    X(2005, TARGET_LEAVING, INFO, "target is leaving")                                             \
+    X(2006, CALLER_LEFT, DEBUG, "caller closed its connection, work is cancelled")                 \
+    X(2007, STREAM_RESUMED, INFO, "broken stream resumed at another target")                       \
+    X(2008, HOST_LIST_LOST, WARN, "host list of the platform cannot be read")                      \
+    X(3001, LINK_UP, INFO, "link to a fleet process is up")                                        \
+    X(3002, LINK_DOWN, WARN, "link to a fleet process is down")                                    \
+    X(3003, LINK_REFUSED, WARN, "peer failed the proof of the fleet key")                          \
+    X(3004, FRAME_BAD, WARN, "bad frame, link closed")                                             \
+    X(3005, TABLE_LEASE_LOST, WARN, "table lease ended, new work is refused")                      \
+    X(3006, TABLE_LEASE_HELD, INFO, "table lease held, new work is taken")                         \
+    X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
+    X(4002, STORE_FAILED, ERROR, "storage failed, process ends")                                   \
+    X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log removed")                                  \
+    X(4004, SNAPSHOT_SAVED, INFO, "snapshot saved")                                                \
+    X(4005, SNAPSHOT_TAKEN, INFO, "snapshot taken over from the leader")                           \
+    X(4006, REPLICA_CHANGE, INFO, "replica set changed")                                           \
+    X(4007, STORE_OPENED, INFO, "data folder opened")                                              \
+    X(5001, EDIT_ACCEPTED, INFO, "table edit accepted")                                            \
+    X(5002, EDIT_REFUSED, INFO, "table edit refused")                                              \
+    X(5003, MEMBER_UP, INFO, "router is a member")                                                 \
+    X(5004, MEMBER_GONE, WARN, "router taken as gone")                                             \
+    X(5005, MEMBER_LEAVING, INFO, "router is leaving")                                             \
+    X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- /dev/null
+++ b/lib/control/wg_control.c
@@ -0,0 +1,414 @@
+/* wg_control.c -- set-up, links, tick and planned stop; see wg_control.h */
+#include "wg_control_internal.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+/* ---- settings ------------------------------------------------------------------------------ */
+
+#define _NUMBER(group, field, def, min, max, unit, help)                                           \
+    WGI_NUMBER(wgco_settings, group, field, def, min, max, unit, help)
+#define _TEXT(kind, group, field, def, help) WGI_TEXT(wgco_settings, kind, group, field, def, help)
+
+const wgi_key wgco_keys[] = {
+    _TEXT(TEXT, "control", name, NULL, "name of this control, one in the fleet"),
+    _TEXT(TEXT, "control", data_centre, "", "data centre it stands in"),
+    _TEXT(ADDRESS, "control", fleet_listen, NULL, "where fleet processes connect"),
+    _TEXT(ADDRESS, "control", operators_listen, "127.0.0.1:7200", "where operators connect"),
+    _TEXT(TEXT, "control", data_folder, NULL, "folder on a disk, of this control alone"),
+    _TEXT(LIST, "control", controls, NULL, "all controls as name@ip:port, this one too"),
+    _TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
+    _TEXT(SECRET, "keys", operator_key, NULL, "file with the operators' key"),
+    _TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
+    _TEXT(TEXT, "log", log_target, "stderr", "stderr or a file"),
+    _NUMBER("timing", election_min_ms, "900", 100, 60000, "ms", "shortest wait before an election"),
+    _NUMBER("timing", election_max_ms, "1500", 200, 120000, "ms",
+            "longest wait before an election"),
+    _NUMBER("timing", heartbeat_ms, "150", 10, 10000, "ms",
+            "leader's heartbeat, at most a third of election_min_ms"),
+    _NUMBER("timing", table_lease_ms, "4000", 500, 60000, "ms",
+            "how long a router's table stays in force without word; bounds 'in force everywhere'"),
+    _NUMBER("timing", slot_lease_ms, "2000", 200, 60000, "ms", "how long leased slots hold"),
+    _NUMBER("timing", router_gone_ms, "3000", 500, 600000, "ms",
+            "silence after which a router counts as gone"),
+    _NUMBER("timing", plan_ms, "5", 1, 1000, "ms", "shortest time between two capacity plans"),
+    _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
+            "log entries between two snapshots"),
+    _NUMBER("state", claims_max, "65536", 16, 1000000, "claims", "run-once claims kept at most"),
+    _NUMBER("state", claim_keep_s, "86400", 1, 31536000, "s", "how long a claim is kept"),
+};
+const int wgco_keys_num = G_N_ELEMENTS(wgco_keys);
+
+/* ---- helpers: peers ------------------------------------------------------------------------ */
+
+static bool _wgco_parse_controls(wgco_control* c, GError** error) {
+    bool self_listed = false;
+    for (int i = 0; c->settings->controls[i]; i++) {
+        char** parts = g_strsplit(c->settings->controls[i], "@", 2);
+        struct sockaddr_storage storage;
+        int size;
+        bool good = parts[0] && parts[1] && wgn_parse_address(parts[1], &storage, &size) &&
+                    c->peers_num < _WGCO_PEERS_MAX;
+        _wgco_peer_t* peer = &c->peers[c->peers_num];
+        good = good && wg_copy_name(peer->name, sizeof peer->name, parts[0]) &&
+               wg_copy_name(peer->address, sizeof peer->address, parts[1]);
+        g_strfreev(parts);
+        if (!good) {
+            g_set_error(
+                error, WG_ERROR, WG_ERROR_INVALID,
+                "[control] controls: \"%s\" is not name@ip:port, or more than %d are listed",
+                c->settings->controls[i], _WGCO_PEERS_MAX);
+            return false;
+        }
+        if (strcmp(peer->name, c->settings->name) == 0) {
+            self_listed = true;
+        } else {
+            c->peers_num++;
+        }
+    }
+    if (!self_listed) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID,
+                    "[control] controls: this control (%s) is not listed", c->settings->name);
+    }
+    return self_listed;
+}
+
+static _wgco_peer_t* _wgco_peer_of_link(wgco_control* c, wgn_link link) {
+    for (int i = 0; i < c->peers_num; i++) {
+        if (c->peers[i].link.id == link.id) {
+            return &c->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static void _wgco_dial_peers(wgco_control* c, wg_time now) {
+    for (int i = 0; i < c->peers_num; i++) {
+        _wgco_peer_t* peer = &c->peers[i];
+        if (peer->link.id == 0 && now >= peer->dial_at) {
+            peer->dial_at = now + 300 * WG_USEC_PER_MSEC;
+            peer->link = wgn_dial(c->net, peer->address);
+        }
+    }
+}
+
+/* A control that knows no cluster yet takes the one it is first in touch with. */
+static bool _wgco_join_cluster(wgco_control* c, const wgn_peer* peer) {
+    uint64_t own = wgs_query_content(c->store)->cluster;
+    if (peer->cluster == 0 || own == peer->cluster) {
+        return true;
+    }
+    if (own != 0) {
+        return false;
+    }
+    GError* error = NULL;
+    if (!wgs_save_cluster(c->store, peer->cluster, &error)) {
+        _wgco_die(c, error);
+        return false;
+    }
+    wgn_set_cluster(c->net, peer->cluster);
+    return true;
+}
+
+/* As leader: a listed control whose name was never in the set is added without being asked. */
+static void _wgco_add_new_controls(wgco_control* c, wg_time now) {
+    const wgr_set* set = wgr_query_set(c->node);
+    for (int i = 0; i < c->peers_num; i++) {
+        const _wgco_peer_t* peer = &c->peers[i];
+        bool known = !peer->up || peer->identity == 0;
+        for (int j = 0; j < set->num && !known; j++) {
+            known = strcmp(set->replicas[j].name, peer->name) == 0;
+        }
+        if (known) {
+            continue;
+        }
+        wgr_replica replica = {.id = peer->identity};
+        wg_copy_name(replica.name, sizeof replica.name, peer->name);
+        wg_copy_name(replica.address, sizeof replica.address, peer->address);
+        if (wgr_add(c->node, now, &replica, NULL)) {
+            wg_log(WG_EVENT_REPLICA_CHANGE, "added=%s", peer->name);
+        }
+        return;
+    }
+}
+
+/* ---- callbacks of links -------------------------------------------------------------------- */
+
+static void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    wgco_control* c = user_data;
+    if (peer->role == WGW_ROLE_ROUTER) {
+        _wgco_router_up(c, link, peer);
+        return;
+    }
+    if (!_wgco_join_cluster(c, peer)) {
+        wg_log(WG_EVENT_LINK_REFUSED, "peer=%s reason=another-cluster", peer->name);
+        wgn_close(c->net, link);
+        return;
+    }
+    _wgco_peer_t* known = _wgco_peer_of_link(c, link);
+    if (known) {
+        known->up = true;
+        known->identity = peer->identity;
+    }
+    wg_log(WG_EVENT_LINK_UP, "peer=%s", peer->name);
+}
+
+static void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    wgco_control* c = user_data;
+    _wgco_peer_t* known = _wgco_peer_of_link(c, link);
+    if (known) {
+        known->link = (wgn_link){0};
+        known->up = false;
+    } else if (peer && peer->role == WGW_ROLE_ROUTER) {
+        _wgco_router_down(c, link);
+    }
+    if (peer) {
+        wg_log(WG_EVENT_LINK_DOWN, "peer=%s", peer->name);
+    }
+}
+
+static void _wgco_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    wgco_control* c = user_data;
+    const wgn_peer* peer = wgn_query_peer(c->net, link);
+    bool control = peer && peer->role == WGW_ROLE_CONTROL;
+    bool router = peer && peer->role == WGW_ROLE_ROUTER;
+    if (control && frame->type == WGW_TYPE_QUORUM) {
+        _wgco_take_quorum(c, frame);
+    } else if (router && frame->type == WGW_TYPE_REPORT) {
+        _wgco_take_report(c, link, frame);
+    } else if (router && frame->type == WGW_TYPE_ROW_QUERY) {
+        _wgco_take_row_query(c, link, frame);
+    } else if (router && frame->type == WGW_TYPE_CLAIM_ASK) {
+        _wgco_take_claim(c, link, frame);
+    } else {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=type-not-for-this-role");
+        wgn_close(c->net, link);
+    }
+}
+
+/* ---- tick ---------------------------------------------------------------------------------- */
+
+static void _wgco_log_role(wgco_control* c, wg_time now) {
+    wgr_stats stats = wgr_query_stats(c->node, now);
+    bool quiet = stats.role == WGR_ROLE_PRE_CANDIDATE || stats.role == WGR_ROLE_CANDIDATE;
+    if (stats.role != c->role_logged && !quiet) {
+        c->role_logged = stats.role;
+        wg_log(WG_EVENT_ROLE_CHANGED, "role=%s term=%" G_GUINT64_FORMAT,
+               stats.role == WGR_ROLE_LEADER ? "leader" : "follower", stats.term);
+    }
+}
+
+static void _wgco_follow_leadership(wgco_control* c, wg_time now) {
+    bool leads = wgr_leads(c->node, now);
+    if (leads && !c->leads) {
+        _wgco_lead_begin(c, now);
+    } else if (!leads && c->leads) {
+        _wgco_lead_end(c);
+    }
+}
+
+static void _wgco_on_tick(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wgco_control* c = user_data;
+    wg_time now = wg_now();
+    wgr_tick(c->node, now);
+    _wgco_pump(c);
+    if (c->failed) {
+        return;
+    }
+    _wgco_follow_leadership(c, now);
+    _wgco_log_role(c, now);
+    _wgco_dial_peers(c, now);
+    if (c->leads) {
+        _wgco_add_new_controls(c, now);
+        _wgco_routers_tick(c, now);
+        _wgco_pump(c);
+    }
+}
+
+static void _wgco_on_plan(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    _wgco_plan(user_data);
+}
+
+static void _wgco_on_stop(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wgco_control* c = user_data;
+    wgr_stats stats = wgr_query_stats(c->node, wg_now());
+    if (stats.role != WGR_ROLE_LEADER) {
+        wg_log(WG_EVENT_STOP_DRAINED, "%s", "");
+        event_base_loopbreak(c->base);
+    }
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+static uint64_t _wgco_random(void) {
+    uint64_t value = 0;
+    while (value == 0) {
+        if (getrandom(&value, sizeof value, 0) != (ssize_t)sizeof value) {
+            wg_assert_failed("getrandom", __FILE__, __LINE__);
+        }
+    }
+    return value;
+}
+
+bool wgco_init_folder(const wgco_settings* settings, GError** error) {
+    wgs_store* store = wgs_open(&(wgs_desc){.folder = settings->data_folder,
+                                            .fresh_identity = _wgco_random(),
+                                            .fresh_cluster = _wgco_random()},
+                                error);
+    if (!store) {
+        return false;
+    }
+    bool good = wgs_query_content(store)->fresh;
+    if (!good) {
+        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
+                    "%s is in use already; a new cluster starts "
+                    "from an empty folder",
+                    settings->data_folder);
+    } else {
+        wgr_set set = {.num = 1};
+        set.replicas[0].id = wgs_query_content(store)->identity;
+        set.replicas[0].voter = true;
+        wg_copy_name(set.replicas[0].name, WG_NAME_MAX, settings->name);
+        wg_copy_name(set.replicas[0].address, WG_ADDRESS_MAX, settings->fleet_listen);
+        GBytes* state = g_bytes_new(NULL, 0);
+        good = wgs_save_hard_state(store, 1, 0, error) &&
+               wgs_save_snapshot(store, 1, 1, &set, state, false, error);
+        g_bytes_unref(state);
+    }
+    wgs_close(store);
+    return good;
+}
+
+static bool _wgco_open_state(wgco_control* c, GError** error) {
+    const wgco_settings* s = c->settings;
+    c->store =
+        wgs_open(&(wgs_desc){.folder = s->data_folder, .fresh_identity = _wgco_random()}, error);
+    if (!c->store) {
+        return false;
+    }
+    const wgs_content* content = wgs_query_content(c->store);
+    wg_log(WG_EVENT_STORE_OPENED, "identity=%016" G_GINT64_MODIFIER "x entries=%d fresh=%d",
+           content->identity, content->restored.entries_num, content->fresh);
+    if (content->tail_cut) {
+        wg_log(WG_EVENT_STORE_TAIL_CUT, "%s", "");
+    }
+    c->table = wgt_setup(&(wgt_desc){0}, error);
+    c->claims = wgk_setup(
+        &(wgk_desc){.claims_max = (int)s->claims_max, .keep_seconds = (int)s->claim_keep_s}, error);
+    c->applied = content->restored.snapshot_index;
+    if (content->restored.snapshot && !_wgco_load_state(c, content->restored.snapshot)) {
+        g_set_error(error, WG_ERROR, WG_ERROR_CORRUPT, "the snapshot's state cannot be read");
+        return false;
+    }
+    c->node = wgr_setup(&(wgr_desc){.self = content->identity,
+                                    .seed = _wgco_random(),
+                                    .now = wg_now(),
+                                    .restored = &content->restored,
+                                    .election_min = s->election_min_ms * WG_USEC_PER_MSEC,
+                                    .election_max = s->election_max_ms * WG_USEC_PER_MSEC,
+                                    .heartbeat = s->heartbeat_ms * WG_USEC_PER_MSEC},
+                        error);
+    wgs_forget_content(c->store);
+    return c->node != NULL;
+}
+
+static bool _wgco_open_links(wgco_control* c, GError** error) {
+    const wgco_settings* s = c->settings;
+    wgn_peer self = {.role = WGW_ROLE_CONTROL};
+    self.identity = wgs_query_content(c->store)->identity;
+    self.cluster = wgs_query_content(c->store)->cluster;
+    self.incarnation = _wgco_random();
+    bool fits = wg_copy_name(self.name, sizeof self.name, s->name) &&
+                wg_copy_name(self.address, sizeof self.address, s->fleet_listen) &&
+                wg_copy_name(self.data_centre, sizeof self.data_centre, s->data_centre);
+    if (!fits) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] a name is too long");
+        return false;
+    }
+    c->net = wgn_setup(&(wgn_desc){.base = c->base,
+                                   .fleet_key = s->fleet_key,
+                                   .self = self,
+                                   .on_up = _wgco_on_up,
+                                   .on_frame = _wgco_on_frame,
+                                   .on_down = _wgco_on_down,
+                                   .user_data = c},
+                       error);
+    return c->net && wgn_listen(c->net, s->fleet_listen, error) && _wgco_http_setup(c, error);
+}
+
+wgco_control* wgco_setup(const wgco_desc* desc, GError** error) {
+    wgco_control* c = g_new0(wgco_control, 1);
+    c->desc = *desc;
+    c->settings = desc->settings;
+    c->base = desc->base;
+    c->started_at = wg_now();
+    c->sessions = g_new0(_wgco_session_t, _WGCO_ROUTERS_MAX);
+    g_queue_init(&c->waiters);
+    if (!_wgco_parse_controls(c, error) || !_wgco_open_state(c, error) ||
+        !_wgco_open_links(c, error)) {
+        wgco_shutdown(c);
+        return NULL;
+    }
+    c->tick = event_new(c->base, -1, EV_PERSIST, _wgco_on_tick, c);
+    c->plan_event = evtimer_new(c->base, _wgco_on_plan, c);
+    c->stop_event = event_new(c->base, -1, EV_PERSIST, _wgco_on_stop, c);
+    struct timeval period = {.tv_usec = 10 * WG_USEC_PER_MSEC};
+    event_add(c->tick, &period);
+    return c;
+}
+
+void wgco_shutdown(wgco_control* c) {
+    if (c->leads) {
+        _wgco_lead_end(c);
+    }
+    _wgco_fail_waiters(c);
+    if (c->http) {
+        evhttp_free(c->http);
+    }
+    if (c->net) {
+        wgn_shutdown(c->net);
+    }
+    if (c->tick) {
+        event_free(c->tick);
+        event_free(c->plan_event);
+        event_free(c->stop_event);
+    }
+    if (c->node) {
+        wgr_shutdown(c->node);
+    }
+    if (c->table) {
+        wgt_shutdown(c->table);
+    }
+    if (c->claims) {
+        wgk_shutdown(c->claims);
+    }
+    if (c->store) {
+        wgs_close(c->store);
+    }
+    g_free(c->sessions);
+    g_free(c);
+}
+
+void wgco_stop(wgco_control* c) {
+    if (c->stopping) {
+        wg_log(WG_EVENT_STOP_HURRIED, "%s", "");
+        event_base_loopbreak(c->base);
+        return;
+    }
+    c->stopping = true;
+    wg_log(WG_EVENT_STOP_BEGUN, "%s", "");
+    wgr_hand_over(c->node, wg_now());
+    _wgco_pump(c);
+    struct timeval period = {.tv_usec = 20 * WG_USEC_PER_MSEC};
+    event_add(c->stop_event, &period);
+}
+
+bool wgco_failed(const wgco_control* c) {
+    return c->failed;
+}
--- /dev/null
+++ b/lib/control/wg_control.h
@@ -0,0 +1,79 @@
+#pragma once
+/*
+    wg_control.h -- a control: replicated state, the leader's work, and the operators' pages
+
+    WHAT IT DOES
+        Runs one replica of the log over the data folder, applies it to the table and the claims,
+   and while it leads: answers routers, plans capacity, and takes operators' edits.
+
+    FEATURES
+        - persists before it sends; a failed write or sync ends the process
+        - table leases: a router's copy is in force only while a leader with a majority renews it
+        - a control with an empty folder waits to be added; a listed name that was never in the set
+   is added by the leader, a known name with a new folder only by an operator's command
+        - operators' pages: table, edits, replicas, status, state dump, metrics, health
+
+    USE
+        1. wgi_load(path, wgco_keys, wgco_keys_num, &settings, &error);
+        2. wgco_control* c = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
+        3. event_base_dispatch(base);
+        4. wgco_stop(c) hands leadership over and leaves the loop when done; wgco_shutdown(c);
+
+    THE CALLER OWNS
+        base and settings, for as long as the control lives.
+*/
+#include "wg_claim.h"
+#include "wg_http.h"
+#include "wg_member.h"
+#include "wg_net.h"
+#include "wg_quorum.h"
+#include "wg_settings.h"
+#include "wg_share.h"
+#include "wg_store.h"
+#include "wg_table.h"
+
+typedef struct {
+    char* name;
+    char* data_centre;
+    char* fleet_listen;
+    char* operators_listen;
+    char* data_folder;
+    char** controls;
+    char* fleet_key;
+    char* operator_key;
+    char* log_level;
+    char* log_target;
+    int64_t election_min_ms;
+    int64_t election_max_ms;
+    int64_t heartbeat_ms;
+    int64_t table_lease_ms;
+    int64_t slot_lease_ms;
+    int64_t router_gone_ms;
+    int64_t plan_ms;
+    int64_t snapshot_entries;
+    int64_t claims_max;
+    int64_t claim_keep_s;
+} wgco_settings;
+
+extern const wgi_key wgco_keys[];
+extern const int wgco_keys_num;
+
+typedef struct {
+    struct event_base* base;
+    const wgco_settings* settings;
+    bool init; /* the folder is empty: begin a new cluster with this replica alone */
+} wgco_desc;
+
+typedef struct wgco_control wgco_control;
+
+/* NULL with the reason when the folder, the ports or the settings do not allow a start. */
+wgco_control* wgco_setup(const wgco_desc* desc, GError** error);
+void wgco_shutdown(wgco_control* control);
+/* Planned stop: hand over, then leave the loop. A second call leaves it at once. */
+void wgco_stop(wgco_control* control);
+/* State dump; the caller releases it. */
+json_t* wgco_dump(wgco_control* control);
+/* Create a data folder for a new cluster; the folder must be empty. */
+bool wgco_init_folder(const wgco_settings* settings, GError** error);
+/* True when the loop was left because storage failed. */
+bool wgco_failed(const wgco_control* control);
--- /dev/null
+++ b/lib/http/wg_http.c
@@ -0,0 +1,176 @@
+/* wg_http.c -- see wg_http.h */
+#include "wg_http.h"
+
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static bool _wgh_split(const char* address, char* ip, size_t size, uint16_t* port) {
+    const char* colon = strrchr(address, ':');
+    guint64 number;
+    if (!colon || (size_t)(colon - address) >= size ||
+        !g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL)) {
+        return false;
+    }
+    memcpy(ip, address, (size_t)(colon - address));
+    ip[colon - address] = 0;
+    *port = (uint16_t)number;
+    return true;
+}
+
+static void _wgh_send(struct evhttp_request* request, int status, const char* type,
+                      const char* text) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type", type);
+    struct evbuffer* body = evbuffer_new();
+    evbuffer_add(body, text, strlen(text));
+    evhttp_send_reply(request, status, wgh_reason(status), body);
+    evbuffer_free(body);
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+struct evhttp* wgh_listen(struct event_base* base, const char* address, const wgh_limits* limits,
+                          GError** error) {
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    struct evhttp* http = evhttp_new(base);
+    if (!_wgh_split(address, ip, sizeof ip, &port) || evhttp_bind_socket(http, ip, port) != 0) {
+        g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot listen on %s: %s", address,
+                    g_strerror(errno));
+        evhttp_free(http);
+        return NULL;
+    }
+    int64_t head_max = limits->head_max ? limits->head_max : WGH_HEAD_MAX_DEFAULT;
+    int64_t body_max = limits->body_max ? limits->body_max : WGH_BODY_MAX_DEFAULT;
+    int64_t idle = limits->idle_seconds ? limits->idle_seconds : WGH_IDLE_SECONDS_DEFAULT;
+    evhttp_set_max_headers_size(http, head_max);
+    evhttp_set_max_body_size(http, body_max);
+    evhttp_set_timeout(http, (int)idle);
+    evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
+    return http;
+}
+
+void wgh_reply_json(struct evhttp_request* request, int status, json_t* json) {
+    char* text = json_dumps(json, JSON_COMPACT);
+    _wgh_send(request, status, "application/json", text ? text : "{}");
+    free(text);
+    json_decref(json);
+}
+
+void wgh_reply_text(struct evhttp_request* request, int status, const char* type,
+                    const char* text) {
+    _wgh_send(request, status, type, text);
+}
+
+void wgh_reply_error(struct evhttp_request* request, const wgh_error* error) {
+    json_t* json = error->more ? error->more : json_object();
+    json_object_set_new(json, "code", json_string(error->code));
+    json_object_set_new(json, "verdict", json_string(wg_verdict_name(error->verdict)));
+    json_object_set_new(json, "message", json_string(error->message ? error->message : ""));
+    struct evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, WGH_HEADER_VERDICT, wg_verdict_name(error->verdict));
+    if (error->retry_after > 0) {
+        json_object_set_new(json, "retry_after_ms",
+                            json_integer((error->retry_after + 999) / WG_USEC_PER_MSEC));
+        char seconds[24];
+        wg_time whole = (error->retry_after + WG_USEC_PER_SEC - 1) / WG_USEC_PER_SEC;
+        g_snprintf(seconds, sizeof seconds, "%" G_GINT64_FORMAT, whole);
+        evhttp_add_header(headers, "Retry-After", seconds);
+    }
+    json_t* outer = json_object();
+    json_object_set_new(outer, "error", json);
+    wgh_reply_json(request, error->status, outer);
+}
+
+const char* wgh_bearer(struct evhttp_request* request) {
+    static const char prefix[] = "Bearer ";
+    const char* value =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Authorization");
+    if (!value || g_ascii_strncasecmp(value, prefix, sizeof prefix - 1) != 0) {
+        return NULL;
+    }
+    return value + sizeof prefix - 1;
+}
+
+void wgh_path(struct evhttp_request* request, char* path, size_t size) {
+    const char* uri = evhttp_request_get_uri(request);
+    size_t length = strcspn(uri, "?#");
+    g_strlcpy(path, uri, MIN(size, length + 1));
+}
+
+char* wgh_query(struct evhttp_request* request, const char* name) {
+    const char* uri = evhttp_request_get_uri(request);
+    struct evkeyvalq params;
+    if (evhttp_parse_query_str(strchr(uri, '?') ? strchr(uri, '?') + 1 : "", &params) != 0) {
+        return NULL;
+    }
+    char* value = g_strdup(evhttp_find_header(&params, name));
+    evhttp_clear_headers(&params);
+    return value;
+}
+
+const char* wgh_method(struct evhttp_request* request) {
+    switch (evhttp_request_get_command(request)) {
+    case EVHTTP_REQ_GET:
+        return "GET";
+    case EVHTTP_REQ_POST:
+        return "POST";
+    case EVHTTP_REQ_HEAD:
+        return "HEAD";
+    case EVHTTP_REQ_PUT:
+        return "PUT";
+    case EVHTTP_REQ_DELETE:
+        return "DELETE";
+    case EVHTTP_REQ_PATCH:
+        return "PATCH";
+    default:
+        return "OTHER";
+    }
+}
+
+json_t* wgh_body_json(struct evhttp_request* request, char* message, size_t size) {
+    struct evbuffer* body = evhttp_request_get_input_buffer(request);
+    size_t length = evbuffer_get_length(body);
+    const char* text = (const char*)evbuffer_pullup(body, -1);
+    json_error_t error;
+    json_t* json = json_loadb(text ? text : "", length, JSON_REJECT_DUPLICATES, &error);
+    if (!json) {
+        g_snprintf(message, size, "body is not JSON: %s (line %d)", error.text, error.line);
+    }
+    return json;
+}
+
+void wgh_request_lost(struct evhttp_request* request) {
+    if (request && !evhttp_request_get_connection(request)) {
+        evhttp_request_free(request);
+    }
+}
+
+const char* wgh_reason(int status) {
+    static const struct {
+        int status;
+        const char* reason;
+    } reasons[] = {{200, "OK"},
+                   {400, "Bad Request"},
+                   {401, "Unauthorized"},
+                   {403, "Forbidden"},
+                   {404, "Not Found"},
+                   {405, "Method Not Allowed"},
+                   {409, "Conflict"},
+                   {413, "Content Too Large"},
+                   {421, "Misdirected Request"},
+                   {429, "Too Many Requests"},
+                   {502, "Bad Gateway"},
+                   {503, "Service Unavailable"},
+                   {504, "Gateway Timeout"}};
+    for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+        if (reasons[i].status == status) {
+            return reasons[i].reason;
+        }
+    }
+    return "Other";
+}
--- /dev/null
+++ b/lib/net/wg_net.c
@@ -0,0 +1,432 @@
+/* wg_net.c -- see wg_net.h */
+#include "wg_net.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <event2/util.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/random.h>
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+typedef struct {
+    wgn_net* net;
+    wg_handle handle;
+    struct bufferevent* bev;
+    bool dialer;
+    bool up;
+    bool closing;
+    wg_time opened_at;
+    wg_time heard_at;
+    wg_time sent_at;
+    wgn_peer peer;
+    GByteArray* own_hello;
+    GByteArray* peer_hello;
+} _wgn_link_t;
+
+struct wgn_net {
+    wgn_desc desc;
+    wg_pool pool;
+    _wgn_link_t* links;
+    struct evconnlistener* listener;
+    struct event* tick;
+    wgn_stats stats;
+};
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static wgn_desc _wgn_desc_def(const wgn_desc* desc) {
+    wgn_desc d = *desc;
+    d.links_max = d.links_max ? d.links_max : WGN_LINKS_DEFAULT;
+    d.frame_max = d.frame_max ? d.frame_max : WGW_FRAME_MAX_DEFAULT;
+    d.unsent_max = d.unsent_max ? d.unsent_max : WGN_UNSENT_MAX_DEFAULT;
+    d.proof_deadline = d.proof_deadline ? d.proof_deadline : WGN_PROOF_DEADLINE_DEFAULT;
+    d.silence_deadline = d.silence_deadline ? d.silence_deadline : WGN_SILENCE_DEADLINE_DEFAULT;
+    d.ping_interval = d.ping_interval ? d.ping_interval : WGN_PING_INTERVAL_DEFAULT;
+    return d;
+}
+
+static bool _wgn_desc_check(const wgn_desc* desc, GError** error) {
+    const char* field = NULL;
+    if (!desc->base) {
+        field = "base";
+    } else if (!desc->fleet_key || !desc->fleet_key[0]) {
+        field = "fleet_key";
+    } else if (!desc->on_up || !desc->on_frame || !desc->on_down) {
+        field = "on_up/on_frame/on_down";
+    } else if (desc->self.role <= WGW_ROLE_DEFAULT || desc->self.role >= WGW_ROLE_NUM) {
+        field = "self.role";
+    }
+    if (field) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgn_desc.%s is missing or wrong", field);
+    }
+    return field == NULL;
+}
+
+static _wgn_link_t* _wgn_find(const wgn_net* net, wgn_link link) {
+    int slot = wg_pool_slot(&net->pool, (wg_handle){link.id});
+    return slot < 0 ? NULL : &net->links[slot];
+}
+
+static wgn_link _wgn_id(const _wgn_link_t* l) {
+    return (wgn_link){l->handle.id};
+}
+
+static void _wgn_drop(_wgn_link_t* l) {
+    if (l->closing) {
+        return;
+    }
+    l->closing = true;
+    wgn_net* net = l->net;
+    net->desc.on_down(_wgn_id(l), l->up ? &l->peer : NULL, net->desc.user_data);
+    bufferevent_free(l->bev);
+    g_byte_array_unref(l->own_hello);
+    if (l->peer_hello) {
+        g_byte_array_unref(l->peer_hello);
+    }
+    wg_pool_free(&net->pool, l->handle);
+    net->stats.links--;
+}
+
+static void _wgn_write(_wgn_link_t* l, wgw_type type, const uint8_t* payload, size_t size) {
+    uint8_t head[WGW_HEAD_SIZE];
+    wgw_frame_head_pack(head, type, size);
+    struct evbuffer* out = bufferevent_get_output(l->bev);
+    evbuffer_add(out, head, sizeof head);
+    evbuffer_add(out, payload, size);
+    l->sent_at = wg_now();
+    l->net->stats.bytes_sent += sizeof head + size;
+    l->net->stats.frames_sent++;
+}
+
+static void _wgn_send_hello(_wgn_link_t* l) {
+    const wgn_peer* self = &l->net->desc.self;
+    uint8_t nonce[WGW_NONCE_SIZE];
+    if (getrandom(nonce, sizeof nonce, 0) != (ssize_t)sizeof nonce) {
+        wg_assert_failed("getrandom", __FILE__, __LINE__);
+    }
+    Wgpb__Hello hello = WGPB__HELLO__INIT;
+    hello.name = (char*)self->name;
+    hello.role = self->role;
+    hello.cluster = self->cluster;
+    hello.identity = self->identity;
+    hello.incarnation = self->incarnation;
+    hello.nonce = (ProtobufCBinaryData){sizeof nonce, nonce};
+    hello.address = (char*)self->address;
+    hello.data_centre = (char*)self->data_centre;
+    l->own_hello = wgw_pack(&hello.base);
+    _wgn_write(l, WGW_TYPE_HELLO, l->own_hello->data, l->own_hello->len);
+}
+
+/* Proof of one side; `dialer_side` tells whose. */
+static void _wgn_make_proof(const _wgn_link_t* l, bool dialer_side, uint8_t out[WGW_MAC_SIZE]) {
+    const GByteArray* dialer = l->dialer ? l->own_hello : l->peer_hello;
+    const GByteArray* acceptor = l->dialer ? l->peer_hello : l->own_hello;
+    wgw_proof(l->net->desc.fleet_key, dialer_side ? "dialer" : "acceptor", dialer->data,
+              dialer->len, acceptor->data, acceptor->len, out);
+}
+
+static bool _wgn_take_hello(_wgn_link_t* l, const wgw_frame* frame) {
+    Wgpb__Hello* hello = wgpb__hello__unpack(NULL, frame->size, frame->payload);
+    if (!hello) {
+        return false;
+    }
+    bool good = hello->nonce.len == WGW_NONCE_SIZE && hello->role > WGW_ROLE_DEFAULT &&
+                hello->role < WGW_ROLE_NUM &&
+                wg_copy_name(l->peer.name, sizeof l->peer.name, hello->name) &&
+                wg_copy_name(l->peer.address, sizeof l->peer.address, hello->address) &&
+                wg_copy_name(l->peer.data_centre, sizeof l->peer.data_centre, hello->data_centre);
+    l->peer.role = (wgw_role)hello->role;
+    l->peer.cluster = hello->cluster;
+    l->peer.identity = hello->identity;
+    l->peer.incarnation = hello->incarnation;
+    wgpb__hello__free_unpacked(hello, NULL);
+    if (!good) {
+        return false;
+    }
+    l->peer_hello = g_byte_array_new();
+    g_byte_array_append(l->peer_hello, frame->payload, (guint)frame->size);
+    uint8_t mac[WGW_MAC_SIZE];
+    _wgn_make_proof(l, l->dialer, mac);
+    Wgpb__Proof proof = WGPB__PROOF__INIT;
+    proof.mac = (ProtobufCBinaryData){sizeof mac, mac};
+    GByteArray* packed = wgw_pack(&proof.base);
+    _wgn_write(l, WGW_TYPE_PROOF, packed->data, packed->len);
+    g_byte_array_unref(packed);
+    return true;
+}
+
+static bool _wgn_take_proof(_wgn_link_t* l, const wgw_frame* frame) {
+    Wgpb__Proof* proof = wgpb__proof__unpack(NULL, frame->size, frame->payload);
+    if (!proof) {
+        return false;
+    }
+    uint8_t expected[WGW_MAC_SIZE];
+    _wgn_make_proof(l, !l->dialer, expected);
+    bool good = proof->mac.len == WGW_MAC_SIZE && wgw_proof_equal(proof->mac.data, expected);
+    wgpb__proof__free_unpacked(proof, NULL);
+    if (!good) {
+        l->net->stats.proofs_bad++;
+        wg_log(WG_EVENT_LINK_REFUSED, "peer=%s", l->peer.name);
+        return false;
+    }
+    l->up = true;
+    l->net->desc.on_up(_wgn_id(l), &l->peer, l->net->desc.user_data);
+    return true;
+}
+
+/* Handle one frame; false closes the link. */
+static bool _wgn_take_frame(_wgn_link_t* l, const wgw_frame* frame) {
+    l->net->stats.frames_received++;
+    if (l->up) {
+        bool early = frame->type == WGW_TYPE_HELLO || frame->type == WGW_TYPE_PROOF;
+        if (!early && frame->type != WGW_TYPE_PING) {
+            l->net->desc.on_frame(_wgn_id(l), frame, l->net->desc.user_data);
+        }
+        return !early;
+    }
+    if (frame->type == WGW_TYPE_HELLO && !l->peer_hello) {
+        return _wgn_take_hello(l, frame);
+    }
+    if (frame->type == WGW_TYPE_PROOF && l->peer_hello) {
+        return _wgn_take_proof(l, frame);
+    }
+    return false;
+}
+
+static void _wgn_on_read(struct bufferevent* bev, void* user_data) {
+    _wgn_link_t* l = user_data;
+    wgn_net* net = l->net;
+    wg_handle handle = l->handle;
+    struct evbuffer* in = bufferevent_get_input(bev);
+    l->heard_at = wg_now();
+    for (;;) {
+        size_t size = evbuffer_get_length(in);
+        uint8_t head[WGW_HEAD_SIZE];
+        if (size < sizeof head) {
+            return;
+        }
+        evbuffer_copyout(in, head, sizeof head);
+        wgw_frame frame;
+        /* Before the proof a peer may only send small frames. */
+        size_t max = l->up ? net->desc.frame_max : 1024;
+        wgw_parse parse = wgw_frame_parse(head, sizeof head, max, &frame);
+        size_t whole = WGW_HEAD_SIZE + frame.size;
+        if (parse == WGW_PARSE_MORE && size < whole) {
+            return;
+        }
+        if (parse != WGW_PARSE_BAD) {
+            parse = wgw_frame_parse(evbuffer_pullup(in, (ev_ssize_t)whole), whole, max, &frame);
+        }
+        if (parse == WGW_PARSE_BAD) {
+            net->stats.frames_bad++;
+            wg_log(WG_EVENT_FRAME_BAD, "peer=%s reason=%s", l->peer.name, frame.reason);
+            _wgn_drop(l);
+            return;
+        }
+        net->stats.bytes_received += whole;
+        bool keep = _wgn_take_frame(l, &frame);
+        if (wg_pool_slot(&net->pool, handle) < 0) {
+            return; /* closed by the callback */
+        }
+        if (!keep) {
+            net->stats.frames_bad++;
+            _wgn_drop(l);
+            return;
+        }
+        evbuffer_drain(in, whole);
+    }
+}
+
+static void _wgn_on_event(struct bufferevent* bev, short what, void* user_data) {
+    (void)bev;
+    if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT)) {
+        _wgn_drop(user_data);
+    }
+}
+
+static _wgn_link_t* _wgn_open(wgn_net* net, evutil_socket_t fd, bool dialer) {
+    wg_handle handle = wg_pool_alloc(&net->pool);
+    if (handle.id == 0) {
+        return NULL;
+    }
+    _wgn_link_t* l = &net->links[wg_pool_slot(&net->pool, handle)];
+    *l = (_wgn_link_t){.net = net, .handle = handle, .dialer = dialer};
+    l->opened_at = l->heard_at = l->sent_at = wg_now();
+    l->bev =
+        bufferevent_socket_new(net->desc.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(l->bev, _wgn_on_read, NULL, _wgn_on_event, l);
+    bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+    net->stats.links++;
+    _wgn_send_hello(l);
+    return l;
+}
+
+static void _wgn_no_delay(evutil_socket_t fd) {
+    int one = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+}
+
+static void _wgn_on_accept(struct evconnlistener* listener, evutil_socket_t fd,
+                           struct sockaddr* address, int size, void* user_data) {
+    (void)listener;
+    (void)address;
+    (void)size;
+    _wgn_no_delay(fd);
+    if (!_wgn_open(user_data, fd, false)) {
+        evutil_closesocket(fd);
+    }
+}
+
+static void _wgn_on_tick(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wgn_net* net = user_data;
+    wg_time now = wg_now();
+    for (int i = 0; i < net->pool.capacity; i++) {
+        if (!net->pool.taken[i]) {
+            continue;
+        }
+        _wgn_link_t* l = &net->links[i];
+        bool late = !l->up && now - l->opened_at > net->desc.proof_deadline;
+        bool silent = now - l->heard_at > net->desc.silence_deadline;
+        size_t unsent = evbuffer_get_length(bufferevent_get_output(l->bev));
+        if (late || silent || unsent > net->desc.unsent_max) {
+            _wgn_drop(l);
+        } else if (l->up && now - l->sent_at >= net->desc.ping_interval) {
+            _wgn_write(l, WGW_TYPE_PING, NULL, 0);
+        }
+    }
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+wgn_net* wgn_setup(const wgn_desc* desc, GError** error) {
+    if (!_wgn_desc_check(desc, error)) {
+        return NULL;
+    }
+    wgn_net* net = g_new0(wgn_net, 1);
+    net->desc = _wgn_desc_def(desc);
+    wg_pool_setup(&net->pool, &(wg_pool_desc){.capacity = net->desc.links_max});
+    net->links = g_new0(_wgn_link_t, net->desc.links_max);
+    net->tick = event_new(net->desc.base, -1, EV_PERSIST, _wgn_on_tick, net);
+    struct timeval period = {.tv_usec = 250 * WG_USEC_PER_MSEC};
+    event_add(net->tick, &period);
+    return net;
+}
+
+void wgn_shutdown(wgn_net* net) {
+    for (int i = 0; i < net->pool.capacity; i++) {
+        if (net->pool.taken[i]) {
+            _wgn_drop(&net->links[i]);
+        }
+    }
+    if (net->listener) {
+        evconnlistener_free(net->listener);
+    }
+    event_free(net->tick);
+    wg_pool_shutdown(&net->pool);
+    g_free(net->links);
+    g_free(net);
+}
+
+bool wgn_parse_address(const char* text, struct sockaddr_storage* out, int* out_size) {
+    *out_size = sizeof *out;
+    memset(out, 0, sizeof *out);
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    if (!wgn_split_address(text, ip, &port)) {
+        return false;
+    }
+    return evutil_parse_sockaddr_port(text, (struct sockaddr*)out, out_size) == 0;
+}
+
+bool wgn_split_address(const char* text, char* ip, uint16_t* port) {
+    const char* colon = text ? strrchr(text, ':') : NULL;
+    if (!colon || colon == text || (size_t)(colon - text) >= WG_ADDRESS_MAX) {
+        return false;
+    }
+    guint64 number = 0;
+    if (!g_ascii_string_to_unsigned(colon + 1, 10, 1, 65535, &number, NULL)) {
+        return false;
+    }
+    memcpy(ip, text, (size_t)(colon - text));
+    ip[colon - text] = 0;
+    *port = (uint16_t)number;
+    struct sockaddr_storage storage;
+    int size = sizeof storage;
+    return evutil_parse_sockaddr_port(text, (struct sockaddr*)&storage, &size) == 0;
+}
+
+bool wgn_listen(wgn_net* net, const char* address, GError** error) {
+    struct sockaddr_storage storage;
+    int size;
+    if (!wgn_parse_address(address, &storage, &size)) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "malformed address \"%s\"", address);
+        return false;
+    }
+    net->listener = evconnlistener_new_bind(net->desc.base, _wgn_on_accept, net,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 256,
+                                            (struct sockaddr*)&storage, size);
+    if (!net->listener) {
+        g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot listen on %s: %s", address,
+                    g_strerror(errno));
+        return false;
+    }
+    return true;
+}
+
+wgn_link wgn_dial(wgn_net* net, const char* address) {
+    struct sockaddr_storage storage;
+    int size;
+    if (!wgn_parse_address(address, &storage, &size)) {
+        return (wgn_link){0};
+    }
+    _wgn_link_t* l = _wgn_open(net, -1, true);
+    if (!l) {
+        return (wgn_link){0};
+    }
+    wgn_link link = _wgn_id(l);
+    if (bufferevent_socket_connect(l->bev, (struct sockaddr*)&storage, size) < 0) {
+        _wgn_drop(l);
+        return (wgn_link){0};
+    }
+    _wgn_no_delay(bufferevent_getfd(l->bev));
+    return link;
+}
+
+bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message) {
+    _wgn_link_t* l = _wgn_find(net, link);
+    if (!l || !l->up || l->closing) {
+        return false;
+    }
+    GByteArray* packed = wgw_pack(message);
+    _wgn_write(l, type, packed->data, packed->len);
+    g_byte_array_unref(packed);
+    return true;
+}
+
+void wgn_close(wgn_net* net, wgn_link link) {
+    _wgn_link_t* l = _wgn_find(net, link);
+    if (l) {
+        _wgn_drop(l);
+    }
+}
+
+const wgn_peer* wgn_query_peer(const wgn_net* net, wgn_link link) {
+    _wgn_link_t* l = _wgn_find(net, link);
+    return l && l->up ? &l->peer : NULL;
+}
+
+wgn_stats wgn_query_stats(const wgn_net* net) {
+    return net->stats;
+}
+
+void wgn_set_cluster(wgn_net* net, uint64_t cluster) {
+    net->desc.self.cluster = cluster;
+}
--- /dev/null
+++ b/lib/net/wg_net.h
@@ -0,0 +1,106 @@
+#pragma once
+/*
+    wg_net.h -- framed links between walnutgate's own processes, over libevent
+
+    WHAT IT DOES
+        Keeps TCP links that carry frames of lib/wire. Both ends prove that they hold the fleet key
+        before any other frame is taken.
+
+    FEATURES
+        - dial and accept, one proof each way, deadline on the proof
+        - a quiet link sends a ping each second; silence past the deadline closes the link, so a
+          silent cut is noticed without a TCP reset
+        - a peer that does not read is cut off at a limit of unsent bytes
+        - byte counters per link role, which the control budget is held to
+
+    USE
+        1. wgn_setup(&net, &(wgn_desc){.base = base, .fleet_key = key, .self = {...}, .on_up =
+   ...});
+        2. wgn_listen(&net, "127.0.0.1:7100", &error);
+        3. wgn_link link = wgn_dial(&net, "127.0.0.1:7101");
+        4. wgn_send(&net, link, WGW_TYPE_PING, NULL);
+        5. wgn_shutdown(&net);
+
+    THE CALLER OWNS
+        the event base and whatever user_data points at. Peers returned by wgn_query_peer() are
+   valid until the link closes. Callbacks may call wgn_close() and wgn_send().
+*/
+#include "wg_wire.h"
+
+#include <event2/event.h>
+
+enum {
+    WGN_LINKS_DEFAULT = 1024,
+    WGN_PROOF_DEADLINE_DEFAULT = 2 * WG_USEC_PER_SEC,
+    WGN_SILENCE_DEADLINE_DEFAULT = 4 * WG_USEC_PER_SEC,
+    WGN_PING_INTERVAL_DEFAULT = 1 * WG_USEC_PER_SEC,
+    WGN_UNSENT_MAX_DEFAULT = 32 << 20
+};
+
+/* A link; id 0 is none. */
+typedef struct {
+    uint32_t id;
+} wgn_link;
+
+/* What each end says of itself. */
+typedef struct {
+    char name[WG_NAME_MAX];
+    wgw_role role;
+    uint64_t cluster;     /* 0 while unknown */
+    uint64_t identity;    /* replica identity; 0 for routers */
+    uint64_t incarnation; /* differs at each start */
+    char address[WG_ADDRESS_MAX];
+    char data_centre[WG_NAME_MAX];
+} wgn_peer;
+
+typedef struct wgn_net wgn_net;
+
+typedef struct {
+    struct event_base* base; /* required */
+    const char* fleet_key;   /* required, kept by reference */
+    wgn_peer self;
+    int links_max;            /* default WGN_LINKS_DEFAULT */
+    size_t frame_max;         /* bytes, default WGW_FRAME_MAX_DEFAULT */
+    size_t unsent_max;        /* bytes, default WGN_UNSENT_MAX_DEFAULT */
+    wg_time proof_deadline;   /* default WGN_PROOF_DEADLINE_DEFAULT */
+    wg_time silence_deadline; /* default WGN_SILENCE_DEADLINE_DEFAULT */
+    wg_time ping_interval;    /* default WGN_PING_INTERVAL_DEFAULT */
+    /* The proof of the other end was right; the link carries frames from now on. */
+    void (*on_up)(wgn_link link, const wgn_peer* peer, void* user_data);
+    void (*on_frame)(wgn_link link, const wgw_frame* frame, void* user_data);
+    /* The link ended, also one that never came up. */
+    void (*on_down)(wgn_link link, const wgn_peer* peer, void* user_data);
+    void* user_data;
+} wgn_desc;
+
+typedef struct {
+    uint64_t bytes_sent;
+    uint64_t bytes_received;
+    uint64_t frames_sent;
+    uint64_t frames_received;
+    uint64_t frames_bad;
+    uint64_t proofs_bad;
+    int links;
+} wgn_stats;
+
+/* Returns NULL with an error when the desc is wrong. */
+wgn_net* wgn_setup(const wgn_desc* desc, GError** error);
+void wgn_shutdown(wgn_net* net);
+/* Accept links on "ip:port". */
+bool wgn_listen(wgn_net* net, const char* address, GError** error);
+/* Begin a link; id 0 when the address is malformed or no slot is free. */
+wgn_link wgn_dial(wgn_net* net, const char* address);
+/* Send one message; false when the link is gone or not up yet. */
+bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message);
+/* Close at once; on_down is called before this returns. */
+void wgn_close(wgn_net* net, wgn_link link);
+/* The other end, or NULL while the link is not up. */
+const wgn_peer* wgn_query_peer(const wgn_net* net, wgn_link link);
+wgn_stats wgn_query_stats(const wgn_net* net);
+/* Change what later hellos say (the cluster becomes known after the first contact). */
+void wgn_set_cluster(wgn_net* net, uint64_t cluster);
+
+/* Parse "ip:port" ("[v6]:port" too) into a socket address; false when malformed. */
+bool wgn_parse_address(const char* text, struct sockaddr_storage* out, int* out_size);
+/* Split "ip:port" into its parts; `ip` has WG_ADDRESS_MAX bytes. */
+bool wgn_split_address(const char* text, char* ip, uint16_t* port);
--- /dev/null
+++ b/lib/place/wg_place.c
@@ -0,0 +1,435 @@
+/* wg_place.c -- see wg_place.h */
+#include "wg_place.h"
+
+#include <string.h>
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+typedef struct {
+    wgp_target_info info;
+    bool live;
+    bool seen;
+    bool row_leaving;
+    bool said_leaving;           /* by its own answers, or by a host list */
+    uint64_t leaving_at_version; /* of the host list that said so */
+    uint64_t row_version;
+    int sent_since_report;
+    int urgent_over; /* requests in the reserve */
+    int failures_in_row;
+    int aside_times;
+    bool probing; /* one request is out to see whether it is well */
+} _wgp_target_t;
+
+typedef struct {
+    uint64_t prefix;
+    uint32_t target;
+} _wgp_prefix_t;
+
+struct wgp_place {
+    wgp_desc desc;
+    _wgp_target_t* targets;
+    int targets_num;
+    GHashTable* by_id;
+    _wgp_prefix_t* prefixes; /* direct-mapped by hash: a newer prefix takes an older one's place */
+    wg_time lease_until;
+    uint64_t counter;
+    wgp_stats stats;
+};
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static wgp_desc _wgp_desc_def(const wgp_desc* desc) {
+    wgp_desc d = *desc;
+    d.targets_max = d.targets_max ? d.targets_max : WGP_TARGETS_DEFAULT;
+    d.prefixes_max = d.prefixes_max ? d.prefixes_max : WGP_PREFIXES_DEFAULT;
+    d.failures = d.failures ? d.failures : WGP_FAILURES_DEFAULT;
+    d.aside_min = d.aside_min ? d.aside_min : WGP_ASIDE_MIN_DEFAULT;
+    d.aside_max = d.aside_max ? d.aside_max : WGP_ASIDE_MAX_DEFAULT;
+    d.reserve = d.reserve ? d.reserve : WGP_RESERVE_DEFAULT;
+    return d;
+}
+
+static _wgp_target_t* _wgp_find(const wgp_place* p, uint32_t id) {
+    int i = GPOINTER_TO_INT(g_hash_table_lookup(p->by_id, GUINT_TO_POINTER(id))) - 1;
+    return i < 0 ? NULL : &p->targets[i];
+}
+
+static bool _wgp_is_leaving(const _wgp_target_t* t) {
+    return t->row_leaving || t->said_leaving;
+}
+
+static bool _wgp_usable(const _wgp_target_t* t, wg_time now) {
+    if (!t->live || _wgp_is_leaving(t)) {
+        return false;
+    }
+    if (t->info.aside_until == 0) {
+        return true;
+    }
+    return now >= t->info.aside_until && !t->probing;
+}
+
+static bool _wgp_lease_holds(const wgp_place* p, wg_time now) {
+    return now < p->lease_until;
+}
+
+static bool _wgp_has_slot(const _wgp_target_t* t) {
+    return t->info.in_use < t->info.limit;
+}
+
+/* Requests it likely works on, per mille of its slots: its last word plus what was sent since. */
+static int _wgp_load(const _wgp_target_t* t) {
+    int known = MAX(t->info.reported + t->sent_since_report, t->info.in_use);
+    return known * 1000 / MAX(t->info.slots, 1);
+}
+
+static int _wgp_reserve_used(const wgp_place* p, uint32_t service) {
+    int num = 0;
+    for (int i = 0; i < p->targets_num; i++) {
+        const _wgp_target_t* t = &p->targets[i];
+        if (t->info.service == service) {
+            num += MAX(t->info.in_use - t->info.limit, 0);
+        }
+    }
+    return num;
+}
+
+static bool _wgp_reserve_free(const wgp_place* p, uint32_t service) {
+    return _wgp_reserve_used(p, service) < p->desc.reserve;
+}
+
+static _wgp_prefix_t* _wgp_prefix_place(const wgp_place* p, uint64_t prefix) {
+    return &p->prefixes[prefix % (uint64_t)p->desc.prefixes_max];
+}
+
+/* The target that may have the prefix cached, if it may take the request. */
+static _wgp_target_t* _wgp_cached(wgp_place* p, wg_time now, const wgp_request* request,
+                                  bool over) {
+    const _wgp_prefix_t* entry = _wgp_prefix_place(p, request->prefix);
+    if (request->prefix == 0 || entry->prefix != request->prefix) {
+        return NULL;
+    }
+    _wgp_target_t* t = _wgp_find(p, entry->target);
+    bool fits = t && _wgp_usable(t, now) && (over || _wgp_has_slot(t)) &&
+                t->info.service == request->service && t->info.id != request->not_target;
+    if (!fits) {
+        p->stats.prefix_overruled++;
+    }
+    return fits ? t : NULL;
+}
+
+/* Smaller is better: load, then the own data centre, then chance. */
+static int64_t _wgp_score(const wgp_place* p, const _wgp_target_t* t, uint32_t not_target) {
+    int64_t score = (int64_t)_wgp_load(t) * 16;
+    if (strcmp(t->info.data_centre, p->desc.data_centre) != 0) {
+        score += 16 * 20;
+    }
+    if (t->info.id == not_target) {
+        score += 16 * 100000; /* only when there is no other */
+    }
+    return score;
+}
+
+static _wgp_target_t* _wgp_least_loaded(wgp_place* p, wg_time now, const wgp_request* request,
+                                        bool over) {
+    _wgp_target_t* best = NULL;
+    int64_t best_score = 0;
+    int ties = 0;
+    for (int i = 0; i < p->targets_num; i++) {
+        _wgp_target_t* t = &p->targets[i];
+        bool fits = t->info.service == request->service && _wgp_usable(t, now) &&
+                    (over || _wgp_has_slot(t));
+        if (!fits) {
+            continue;
+        }
+        int64_t score = _wgp_score(p, t, request->not_target);
+        ties = best && score == best_score ? ties + 1 : 1;
+        bool wins_tie = wg_jitter(p->desc.seed, p->counter + (uint64_t)i) % (uint64_t)ties == 0;
+        if (!best || score < best_score || (score == best_score && wins_tie)) {
+            best = t;
+            best_score = score;
+        }
+    }
+    p->counter += 1;
+    return best;
+}
+
+static wgp_event _wgp_say_leaving(_wgp_target_t* t) {
+    bool news = !_wgp_is_leaving(t);
+    t->said_leaving = true;
+    return news ? WGP_EVENT_LEAVING : WGP_EVENT_DEFAULT;
+}
+
+static wgp_event _wgp_put_aside(wgp_place* p, wg_time now, _wgp_target_t* t) {
+    int shift = MIN(t->aside_times, 16);
+    wg_time wait = MIN(p->desc.aside_min << shift, p->desc.aside_max);
+    t->aside_times++;
+    t->info.aside_until =
+        now + wait / 2 + wg_jitter_range(p->desc.seed, p->counter++, 0, MAX(wait / 2, 1));
+    return WGP_EVENT_ASIDE;
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+wgp_place* wgp_setup(const wgp_desc* desc, GError** error) {
+    if (desc->targets_max < 0 || desc->prefixes_max < 0 || desc->aside_min < 0 ||
+        desc->aside_max < 0 || desc->failures < 0 || desc->reserve < 0) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgp_desc: a value is negative");
+        return NULL;
+    }
+    wgp_place* p = g_new0(wgp_place, 1);
+    p->desc = _wgp_desc_def(desc);
+    p->targets = g_new0(_wgp_target_t, p->desc.targets_max);
+    p->prefixes = g_new0(_wgp_prefix_t, p->desc.prefixes_max);
+    p->by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
+    return p;
+}
+
+void wgp_shutdown(wgp_place* p) {
+    g_hash_table_unref(p->by_id);
+    g_free(p->targets);
+    g_free(p->prefixes);
+    g_free(p);
+}
+
+void wgp_config_begin(wgp_place* p) {
+    for (int i = 0; i < p->targets_num; i++) {
+        p->targets[i].seen = false;
+    }
+}
+
+static _wgp_target_t* _wgp_add(wgp_place* p, uint32_t id) {
+    int place = -1;
+    WG_ASSERT(p->targets != NULL);
+    for (int i = 0; i < p->targets_num && place < 0; i++) {
+        bool unused = !p->targets[i].live && p->targets[i].info.in_use == 0;
+        place = unused ? i : -1;
+    }
+    if (place < 0) {
+        if (p->targets_num == p->desc.targets_max) {
+            return NULL;
+        }
+        place = p->targets_num++;
+    }
+    g_hash_table_remove(p->by_id, GUINT_TO_POINTER(p->targets[place].info.id));
+    p->targets[place] = (_wgp_target_t){.info.id = id};
+    g_hash_table_insert(p->by_id, GUINT_TO_POINTER(id), GINT_TO_POINTER(place + 1));
+    return &p->targets[place];
+}
+
+bool wgp_config_target(wgp_place* p, uint32_t id, uint32_t service, const char* name,
+                       const char* address, const char* data_centre, int slots, bool leaving,
+                       uint64_t version) {
+    _wgp_target_t* t = _wgp_find(p, id);
+    if (!t) {
+        t = _wgp_add(p, id);
+    }
+    if (!t) {
+        return false;
+    }
+    bool edited = version > t->row_version;
+    bool taken_back = t->row_leaving && !leaving;
+    if (edited && taken_back) {
+        t->said_leaving = false; /* an operator said that it stays */
+    }
+    t->live = t->seen = true;
+    t->row_version = version;
+    t->row_leaving = leaving;
+    t->info.service = service;
+    t->info.slots = slots;
+    wg_copy_name(t->info.name, sizeof t->info.name, name);
+    wg_copy_name(t->info.address, sizeof t->info.address, address);
+    wg_copy_name(t->info.data_centre, sizeof t->info.data_centre, data_centre);
+    return true;
+}
+
+void wgp_config_end(wgp_place* p) {
+    for (int i = 0; i < p->targets_num; i++) {
+        p->targets[i].live = p->targets[i].live && p->targets[i].seen;
+    }
+}
+
+void wgp_set_limit(wgp_place* p, uint32_t target, int limit) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (t) {
+        t->info.limit = limit;
+    }
+}
+
+void wgp_set_lease(wgp_place* p, wg_time until) {
+    p->lease_until = until;
+}
+
+void wgp_clear_limits(wgp_place* p) {
+    for (int i = 0; i < p->targets_num; i++) {
+        p->targets[i].info.limit = 0;
+    }
+    p->lease_until = 0;
+}
+
+bool wgp_has_room(const wgp_place* p, wg_time now, uint32_t service, bool reserve) {
+    if (!_wgp_lease_holds(p, now)) {
+        return false;
+    }
+    bool over = reserve && _wgp_reserve_free(p, service);
+    for (int i = 0; i < p->targets_num; i++) {
+        const _wgp_target_t* t = &p->targets[i];
+        if (t->info.service == service && _wgp_usable(t, now) && (over || _wgp_has_slot(t))) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool wgp_pick(wgp_place* p, wg_time now, const wgp_request* request, uint32_t* target) {
+    if (!_wgp_lease_holds(p, now)) {
+        return false;
+    }
+    _wgp_target_t* best = _wgp_least_loaded(p, now, request, false);
+    bool over = !best && request->urgent && _wgp_reserve_free(p, request->service);
+    if (over) {
+        best = _wgp_least_loaded(p, now, request, true);
+    }
+    if (!best) {
+        return false;
+    }
+    _wgp_target_t* cached = _wgp_cached(p, now, request, over);
+    if (cached && _wgp_load(cached) <= _wgp_load(best) + WGP_TOLERANCE_PERCENT * 10) {
+        p->stats.prefix_hits++;
+        best = cached;
+    } else if (cached) {
+        p->stats.prefix_overruled++;
+    }
+    p->stats.picks++;
+    p->stats.reserve_picks += over ? 1 : 0;
+    *target = best->info.id;
+    return true;
+}
+
+void wgp_sent(wgp_place* p, uint32_t target) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (t) {
+        t->info.in_use++;
+        t->sent_since_report++;
+        t->info.requests++;
+        t->probing = t->info.aside_until != 0;
+    }
+}
+
+wgp_event wgp_done(wgp_place* p, wg_time now, uint32_t target, wgp_result result) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (!t) {
+        return WGP_EVENT_DEFAULT;
+    }
+    WG_ASSERT(t->info.in_use > 0);
+    t->info.in_use--;
+    t->sent_since_report = MAX(t->sent_since_report - 1, 0);
+    bool was_probing = t->probing;
+    t->probing = false;
+    if (result == WGP_RESULT_CANCELLED) {
+        return WGP_EVENT_DEFAULT;
+    }
+    if (result == WGP_RESULT_GOOD) {
+        bool was_aside = t->info.aside_until != 0;
+        t->failures_in_row = 0;
+        t->info.aside_until = 0;
+        t->aside_times = was_aside ? t->aside_times : 0;
+        return was_aside ? WGP_EVENT_BACK : WGP_EVENT_DEFAULT;
+    }
+    t->info.failures++;
+    t->failures_in_row++;
+    bool aside_now = t->info.aside_until > now;
+    if (was_probing || (t->failures_in_row >= p->desc.failures && !aside_now)) {
+        return _wgp_put_aside(p, now, t);
+    }
+    return WGP_EVENT_DEFAULT;
+}
+
+void wgp_note_load(wgp_place* p, uint32_t target, int running) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (t) {
+        t->info.reported = running;
+        t->sent_since_report = 0;
+    }
+}
+
+wgp_event wgp_note_leaving(wgp_place* p, uint32_t target) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    return t ? _wgp_say_leaving(t) : WGP_EVENT_DEFAULT;
+}
+
+wgp_event wgp_note_host(wgp_place* p, const char* address, bool leaving, uint64_t list_version) {
+    wgp_event event = WGP_EVENT_DEFAULT;
+    for (int i = 0; i < p->targets_num; i++) {
+        _wgp_target_t* t = &p->targets[i];
+        if (strcmp(t->info.address, address) != 0) {
+            continue;
+        }
+        if (leaving) {
+            event = _wgp_say_leaving(t);
+            t->leaving_at_version = MAX(t->leaving_at_version, list_version);
+        } else if (t->said_leaving && t->leaving_at_version > 0 &&
+                   list_version > t->leaving_at_version) {
+            t->said_leaving = false;
+            t->leaving_at_version = 0;
+        }
+    }
+    return event;
+}
+
+void wgp_note_prefix(wgp_place* p, uint64_t prefix, uint32_t target) {
+    if (prefix != 0) {
+        *_wgp_prefix_place(p, prefix) = (_wgp_prefix_t){.prefix = prefix, .target = target};
+    }
+}
+
+void wgp_forget_prefix(wgp_place* p, uint64_t prefix, uint32_t target) {
+    _wgp_prefix_t* entry = _wgp_prefix_place(p, prefix);
+    if (entry->prefix == prefix && entry->target == target) {
+        *entry = (_wgp_prefix_t){0};
+    }
+}
+
+bool wgp_is_usable(const wgp_place* p, wg_time now, uint32_t target) {
+    const _wgp_target_t* t = _wgp_find(p, target);
+    return t && _wgp_usable(t, now);
+}
+
+static void _wgp_fill_info(const _wgp_target_t* t, wgp_target_info* info) {
+    *info = t->info;
+    info->leaving = _wgp_is_leaving(t);
+}
+
+bool wgp_query_target(const wgp_place* p, int i, wgp_target_info* info) {
+    if (i < 0 || i >= p->targets_num) {
+        return false;
+    }
+    _wgp_fill_info(&p->targets[i], info);
+    return true;
+}
+
+bool wgp_query_target_id(const wgp_place* p, uint32_t id, wgp_target_info* info) {
+    const _wgp_target_t* t = _wgp_find(p, id);
+    if (t) {
+        _wgp_fill_info(t, info);
+    }
+    return t != NULL;
+}
+
+int wgp_query_free(const wgp_place* p, wg_time now, uint32_t service) {
+    int num = 0;
+    for (int i = 0; i < p->targets_num && _wgp_lease_holds(p, now); i++) {
+        const _wgp_target_t* t = &p->targets[i];
+        if (t->info.service == service && _wgp_usable(t, now)) {
+            num += MAX(t->info.limit - t->info.in_use, 0);
+        }
+    }
+    return num;
+}
+
+wgp_stats wgp_query_stats(const wgp_place* p) {
+    wgp_stats stats = p->stats;
+    for (int i = 0; i < p->targets_num; i++) {
+        stats.targets += p->targets[i].live ? 1 : 0;
+    }
+    return stats;
+}
--- /dev/null
+++ b/lib/quorum/wg_quorum_internal.h
@@ -0,0 +1,110 @@
+#pragma once
+/* wg_quorum_internal.h -- state shared by the files of lib/quorum; not installed */
+#include "wg_quorum.h"
+
+/* Time of an acknowledgement that never came; far in the past without overflow in sums. */
+#define _WGR_NEVER_ACKED (INT64_MIN / 4)
+
+/* How the leader feeds one other replica. */
+typedef enum {
+    _WGR_FEED_DEFAULT = 0,
+    _WGR_FEED_PROBE,    /* match unknown: one message at a time */
+    _WGR_FEED_STREAM,   /* match known: entries leave as they come */
+    _WGR_FEED_SNAPSHOT, /* too far behind the log: snapshot chunks, one at a time */
+    _WGR_FEED_NUM
+} _wgr_feed;
+
+typedef struct {
+    uint64_t id;
+    _wgr_feed feed;
+    uint64_t match;
+    uint64_t next;
+    uint64_t snapshot_index; /* of the snapshot being fed */
+    uint64_t offset;
+    wg_time sent_at;  /* last message */
+    wg_time acked_at; /* own time echoed by the newest reply in this term */
+} _wgr_peer_t;
+
+struct wgr_node {
+    wgr_desc desc;
+    wg_time lease; /* length */
+
+    uint64_t term;
+    uint64_t voted_for;
+    wgr_role role;
+    uint64_t leader;
+
+    /* log: entries[i].index == first_index + i; what came before stands in the snapshot */
+    GArray* entries;
+    uint64_t first_index;
+    uint64_t snapshot_index;
+    uint64_t snapshot_term;
+    wgr_set snapshot_set;
+    GBytes* snapshot;
+    uint64_t commit;
+    uint64_t handed_out; /* entries up to here went out to be applied */
+    uint64_t stable;     /* entries up to here are synced */
+    wgr_set set;         /* newest in the log, committed or not */
+    uint64_t set_index;
+
+    /* pending output */
+    GArray* messages;
+    uint64_t truncate_from;
+    bool hard_state_dirty;
+    GBytes* install; /* snapshot to store */
+    bool output_open;
+    uint64_t output_last;
+    guint output_messages;
+
+    /* elections */
+    uint64_t jitter_counter;
+    wg_time election_at;
+    wg_time heard_leader_at;
+    uint64_t votes[WGR_REPLICAS_MAX];
+    int votes_num;
+
+    /* leader */
+    _wgr_peer_t peers[WGR_REPLICAS_MAX];
+    int peers_num;
+    wg_time heartbeat_at;
+    wg_time led_since;
+    uint64_t term_start; /* index of the empty entry of this term */
+    bool handing_over;
+    wg_time handing_over_until;
+
+    /* snapshot being received */
+    GByteArray* incoming;
+    uint64_t incoming_index;
+    uint64_t incoming_from;
+
+    uint64_t elections;
+    uint64_t votes_refused;
+};
+
+/* log */
+void _wgr_log_setup(wgr_node* n, const wgr_restored* restored);
+uint64_t _wgr_last_index(const wgr_node* n);
+/* Term of an entry; 0 when it is not known. */
+uint64_t _wgr_term_at(const wgr_node* n, uint64_t index);
+const wgr_entry* _wgr_entry_at(const wgr_node* n, uint64_t index);
+void _wgr_log_append(wgr_node* n, uint64_t term, wgr_entry_kind kind, GBytes* data);
+void _wgr_log_truncate(wgr_node* n, uint64_t from);
+void _wgr_log_reset(wgr_node* n, uint64_t index, uint64_t term, const wgr_set* set, GBytes* state);
+void _wgr_commit_to(wgr_node* n, uint64_t index);
+bool _wgr_is_voter(const wgr_node* n, uint64_t id);
+int _wgr_voters(const wgr_node* n);
+
+/* messages */
+wgr_message* _wgr_send(wgr_node* n, wgr_message_type type, uint64_t to);
+void _wgr_become_follower(wgr_node* n, wg_time now, uint64_t term, uint64_t leader);
+void _wgr_campaign(wgr_node* n, wg_time now, bool pre, bool forced);
+
+/* leader */
+void _wgr_become_leader(wgr_node* n, wg_time now);
+void _wgr_leader_tick(wgr_node* n, wg_time now);
+void _wgr_leader_set_changed(wgr_node* n);
+void _wgr_on_append_reply(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_on_snapshot_reply(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_feed_all(wgr_node* n, wg_time now);
+void _wgr_advance_commit(wgr_node* n, wg_time now);
+wg_time _wgr_lease_until(const wgr_node* n);
--- /dev/null
+++ b/lib/quorum/wg_quorum_leader.c
@@ -0,0 +1,390 @@
+/* wg_quorum_leader.c -- what only a leader does: feeding, commit, lease, set changes */
+#include "wg_quorum_internal.h"
+
+#include <string.h>
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static _wgr_peer_t* _wgr_peer(wgr_node* n, uint64_t id) {
+    for (int i = 0; i < n->peers_num; i++) {
+        if (n->peers[i].id == id) {
+            return &n->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static void _wgr_feed_snapshot(wgr_node* n, wg_time now, _wgr_peer_t* peer) {
+    if (!n->snapshot) {
+        return;
+    }
+    if (peer->feed != _WGR_FEED_SNAPSHOT || peer->snapshot_index != n->snapshot_index) {
+        peer->feed = _WGR_FEED_SNAPSHOT;
+        peer->snapshot_index = n->snapshot_index;
+        peer->offset = 0;
+    }
+    gsize total = g_bytes_get_size(n->snapshot);
+    gsize size = MIN((gsize)n->desc.message_bytes, total - peer->offset);
+    wgr_message* m = _wgr_send(n, WGR_MESSAGE_SNAPSHOT, peer->id);
+    m->snapshot_index = n->snapshot_index;
+    m->snapshot_term = n->snapshot_term;
+    m->set = n->snapshot_set;
+    m->offset = peer->offset;
+    m->total = total;
+    m->chunk = g_bytes_new_from_bytes(n->snapshot, peer->offset, size);
+    m->echo = now;
+    peer->sent_at = now;
+}
+
+static void _wgr_feed_entries(wgr_node* n, wg_time now, _wgr_peer_t* peer) {
+    wgr_message* m = _wgr_send(n, WGR_MESSAGE_APPEND, peer->id);
+    m->log_index = peer->next - 1;
+    m->log_term = _wgr_term_at(n, peer->next - 1);
+    m->commit = n->commit;
+    m->echo = now;
+    uint64_t last = _wgr_last_index(n);
+    size_t bytes = 0;
+    uint64_t end = peer->next;
+    while (end <= last && bytes < (size_t)n->desc.message_bytes) {
+        const wgr_entry* entry = _wgr_entry_at(n, end);
+        bytes += 32 + (entry->data ? g_bytes_get_size(entry->data) : 0);
+        end++;
+    }
+    m->entries_num = (int)(end - peer->next);
+    m->entries = g_new0(wgr_entry, MAX(m->entries_num, 1));
+    for (int i = 0; i < m->entries_num; i++) {
+        m->entries[i] = *_wgr_entry_at(n, peer->next + (uint64_t)i);
+        if (m->entries[i].data) {
+            g_bytes_ref(m->entries[i].data);
+        }
+    }
+    if (peer->feed == _WGR_FEED_STREAM) {
+        peer->next = end;
+    }
+    peer->sent_at = now;
+}
+
+static void _wgr_feed_one(wgr_node* n, wg_time now, _wgr_peer_t* peer) {
+    bool known = peer->next - 1 == 0 || _wgr_term_at(n, peer->next - 1) != 0;
+    if (!known || peer->next < n->first_index) {
+        _wgr_feed_snapshot(n, now, peer);
+    } else {
+        _wgr_feed_entries(n, now, peer);
+    }
+}
+
+static int _wgr_compare_descending(const void* a, const void* b) {
+    int64_t left = *(const int64_t*)a;
+    int64_t right = *(const int64_t*)b;
+    return left < right ? 1 : left > right ? -1 : 0;
+}
+
+/* Value that a majority of voters has reached; `own` stands for this replica. */
+static int64_t _wgr_majority(const wgr_node* n, int64_t own, int64_t (*value)(const _wgr_peer_t*)) {
+    int64_t values[WGR_REPLICAS_MAX];
+    int num = 0;
+    for (int i = 0; i < n->peers_num; i++) {
+        if (_wgr_is_voter(n, n->peers[i].id)) {
+            values[num++] = value(&n->peers[i]);
+        }
+    }
+    if (_wgr_is_voter(n, n->desc.self)) {
+        values[num++] = own;
+    }
+    if (num == 0) {
+        return 0;
+    }
+    qsort(values, (size_t)num, sizeof values[0], _wgr_compare_descending);
+    return values[num / 2];
+}
+
+static int64_t _wgr_peer_acked(const _wgr_peer_t* peer) {
+    return peer->acked_at;
+}
+
+static int64_t _wgr_peer_match(const _wgr_peer_t* peer) {
+    return (int64_t)peer->match;
+}
+
+static uint64_t _wgr_propose_set(wgr_node* n, wg_time now, const wgr_set* set) {
+    GBytes* data = wgr_set_pack(set);
+    _wgr_log_append(n, n->term, WGR_ENTRY_REPLICAS, data);
+    g_bytes_unref(data);
+    _wgr_leader_set_changed(n);
+    _wgr_feed_all(n, now);
+    return _wgr_last_index(n);
+}
+
+/* One change at a time, and only after an entry of this term is committed. */
+static bool _wgr_may_change_set(const wgr_node* n) {
+    return n->role == WGR_ROLE_LEADER && n->commit >= n->term_start && n->set_index <= n->commit;
+}
+
+static void _wgr_set_take_out(wgr_set* set, uint64_t id) {
+    int kept = 0;
+    for (int i = 0; i < set->num; i++) {
+        if (set->replicas[i].id != id) {
+            set->replicas[kept++] = set->replicas[i];
+        }
+    }
+    set->num = kept;
+}
+
+/* Carry on with additions: a caught-up learner first displaces its former self, then votes. */
+static void _wgr_carry_on_change(wgr_node* n, wg_time now) {
+    if (!_wgr_may_change_set(n) || n->handing_over) {
+        return;
+    }
+    for (int i = 0; i < n->set.num; i++) {
+        const wgr_replica* learner = &n->set.replicas[i];
+        const _wgr_peer_t* peer = _wgr_peer(n, learner->id);
+        bool caught_up = peer && peer->feed == _WGR_FEED_STREAM && peer->match >= n->commit &&
+                         now - peer->acked_at < n->desc.election_min;
+        if (learner->voter || !caught_up) {
+            continue;
+        }
+        wgr_set next = n->set;
+        for (int j = 0; j < n->set.num; j++) {
+            const wgr_replica* other = &n->set.replicas[j];
+            if (other->voter && strcmp(other->name, learner->name) == 0) {
+                _wgr_set_take_out(&next, other->id);
+                _wgr_propose_set(n, now, &next);
+                return;
+            }
+        }
+        next.replicas[i].voter = true;
+        _wgr_propose_set(n, now, &next);
+        return;
+    }
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+void _wgr_become_leader(wgr_node* n, wg_time now) {
+    WG_ASSERT(_wgr_is_voter(n, n->desc.self));
+    n->role = WGR_ROLE_LEADER;
+    n->leader = n->desc.self;
+    n->handing_over = false;
+    n->led_since = now;
+    n->peers_num = 0;
+    _wgr_leader_set_changed(n);
+    _wgr_log_append(n, n->term, WGR_ENTRY_EMPTY, NULL);
+    n->term_start = _wgr_last_index(n);
+    _wgr_feed_all(n, now);
+}
+
+void _wgr_leader_set_changed(wgr_node* n) {
+    _wgr_peer_t old[WGR_REPLICAS_MAX];
+    int old_num = n->peers_num;
+    memcpy(old, n->peers, sizeof old);
+    n->peers_num = 0;
+    for (int i = 0; i < n->set.num; i++) {
+        uint64_t id = n->set.replicas[i].id;
+        if (id == n->desc.self) {
+            continue;
+        }
+        _wgr_peer_t* peer = &n->peers[n->peers_num++];
+        *peer = (_wgr_peer_t){.id = id, .feed = _WGR_FEED_PROBE, .next = _wgr_last_index(n) + 1};
+        peer->acked_at = _WGR_NEVER_ACKED;
+        peer->sent_at = _WGR_NEVER_ACKED;
+        for (int j = 0; j < old_num; j++) {
+            if (old[j].id == id) {
+                *peer = old[j];
+            }
+        }
+    }
+}
+
+void _wgr_feed_all(wgr_node* n, wg_time now) {
+    n->heartbeat_at = now + n->desc.heartbeat;
+    for (int i = 0; i < n->peers_num; i++) {
+        _wgr_peer_t* peer = &n->peers[i];
+        bool waiting =
+            peer->feed == _WGR_FEED_SNAPSHOT && now - peer->sent_at < n->desc.election_min;
+        if (waiting) {
+            /* A chunk is on its way; still let the replica hear its leader. */
+            wgr_message* m = _wgr_send(n, WGR_MESSAGE_SNAPSHOT, peer->id);
+            m->snapshot_index = peer->snapshot_index;
+            m->offset = UINT64_MAX;
+            m->echo = now;
+        } else {
+            _wgr_feed_one(n, now, peer);
+        }
+    }
+}
+
+wg_time _wgr_lease_until(const wgr_node* n) {
+    if (n->role != WGR_ROLE_LEADER || n->handing_over) {
+        return 0;
+    }
+    wg_time confirmed = _wgr_majority(n, WG_TIME_NEVER / 2, _wgr_peer_acked);
+    return confirmed + n->lease;
+}
+
+void _wgr_leader_tick(wgr_node* n, wg_time now) {
+    if (n->handing_over && now >= n->handing_over_until) {
+        /* Never lease again in this term: a late request to stand may still arrive somewhere. */
+        _wgr_become_follower(n, now, n->term, 0);
+        return;
+    }
+    wg_time confirmed = _wgr_majority(n, WG_TIME_NEVER / 2, _wgr_peer_acked);
+    if (MAX(confirmed, n->led_since) + n->desc.election_max < now) {
+        _wgr_become_follower(n, now, n->term, 0);
+        return;
+    }
+    if (now >= n->heartbeat_at) {
+        _wgr_feed_all(n, now);
+    }
+    _wgr_carry_on_change(n, now);
+}
+
+void _wgr_advance_commit(wgr_node* n, wg_time now) {
+    if (n->role != WGR_ROLE_LEADER) {
+        return;
+    }
+    uint64_t index = (uint64_t)_wgr_majority(n, (int64_t)n->stable, _wgr_peer_match);
+    if (index <= n->commit || _wgr_term_at(n, index) != n->term) {
+        return;
+    }
+    _wgr_commit_to(n, index);
+    if (!_wgr_is_voter(n, n->desc.self) && n->set_index <= n->commit) {
+        _wgr_become_follower(n, now, n->term, 0);
+        return;
+    }
+    _wgr_feed_all(n, now);
+}
+
+void _wgr_on_append_reply(wgr_node* n, wg_time now, const wgr_message* m) {
+    _wgr_peer_t* peer = n->role == WGR_ROLE_LEADER ? _wgr_peer(n, m->from) : NULL;
+    if (!peer) {
+        return;
+    }
+    peer->acked_at = MAX(peer->acked_at, m->echo);
+    if (m->reject) {
+        if (m->log_index <= peer->match) {
+            return; /* an old refusal, overtaken by a match */
+        }
+        uint64_t next = MIN(m->log_index, m->hint + 1);
+        peer->next = MAX(MIN(peer->next, next), peer->match + 1);
+        peer->feed = _WGR_FEED_PROBE;
+        _wgr_feed_one(n, now, peer);
+        return;
+    }
+    WG_ASSERT(m->log_index <= _wgr_last_index(n));
+    peer->match = MAX(peer->match, m->log_index);
+    peer->next = MAX(peer->next, peer->match + 1);
+    peer->feed = _WGR_FEED_STREAM;
+    _wgr_advance_commit(n, now);
+    if (n->role == WGR_ROLE_LEADER && peer->next <= _wgr_last_index(n)) {
+        _wgr_feed_one(n, now, peer);
+    }
+}
+
+void _wgr_on_snapshot_reply(wgr_node* n, wg_time now, const wgr_message* m) {
+    _wgr_peer_t* peer = n->role == WGR_ROLE_LEADER ? _wgr_peer(n, m->from) : NULL;
+    if (!peer) {
+        return;
+    }
+    peer->acked_at = MAX(peer->acked_at, m->echo);
+    bool awaited = peer->feed == _WGR_FEED_SNAPSHOT && m->snapshot_index == peer->snapshot_index;
+    if (!awaited || m->offset == UINT64_MAX) {
+        return;
+    }
+    peer->offset = m->offset;
+    if (m->offset < m->total) {
+        _wgr_feed_snapshot(n, now, peer);
+        return;
+    }
+    peer->match = MAX(peer->match, m->log_index);
+    peer->next = peer->match + 1;
+    peer->feed = _WGR_FEED_PROBE;
+    _wgr_feed_one(n, now, peer);
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+uint64_t wgr_propose(wgr_node* n, wg_time now, const void* data, size_t size) {
+    if (n->role != WGR_ROLE_LEADER || n->handing_over) {
+        return 0;
+    }
+    GBytes* bytes = g_bytes_new(data, size);
+    _wgr_log_append(n, n->term, WGR_ENTRY_DATA, bytes);
+    g_bytes_unref(bytes);
+    _wgr_feed_all(n, now);
+    return _wgr_last_index(n);
+}
+
+bool wgr_add(wgr_node* n, wg_time now, const wgr_replica* replica, GError** error) {
+    if (!_wgr_may_change_set(n)) {
+        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
+                    "not leading, or another change is under way");
+        return false;
+    }
+    if (replica->id == 0 || !replica->name[0] || wgr_set_find(&n->set, replica->id)) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID,
+                    "replica has no name or is in the set already");
+        return false;
+    }
+    wgr_set next = n->set;
+    for (int i = 0; i < n->set.num; i++) {
+        const wgr_replica* other = &n->set.replicas[i];
+        bool same_name = strcmp(other->name, replica->name) == 0;
+        if (same_name && other->id == n->desc.self) {
+            g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "the leader cannot replace itself");
+            return false;
+        }
+        if (same_name && !other->voter) {
+            _wgr_set_take_out(&next, other->id); /* an older addition that never finished */
+        }
+    }
+    if (next.num == WGR_REPLICAS_MAX) {
+        g_set_error(error, WG_ERROR, WG_ERROR_FULL, "at most %d replicas", WGR_REPLICAS_MAX);
+        return false;
+    }
+    next.replicas[next.num] = *replica;
+    next.replicas[next.num++].voter = false;
+    _wgr_propose_set(n, now, &next);
+    return true;
+}
+
+bool wgr_remove(wgr_node* n, wg_time now, uint64_t id, GError** error) {
+    const wgr_replica* replica = wgr_set_find(&n->set, id);
+    bool last_voter = replica && replica->voter && _wgr_voters(n) == 1;
+    if (!_wgr_may_change_set(n) || !replica || last_voter) {
+        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
+                    "not leading, another change is under way, or not a removable replica");
+        return false;
+    }
+    wgr_set next = n->set;
+    _wgr_set_take_out(&next, id);
+    _wgr_propose_set(n, now, &next);
+    return true;
+}
+
+void wgr_hand_over(wgr_node* n, wg_time now) {
+    if (n->role != WGR_ROLE_LEADER || n->handing_over) {
+        return;
+    }
+    const _wgr_peer_t* best = NULL;
+    for (int i = 0; i < n->peers_num; i++) {
+        const _wgr_peer_t* peer = &n->peers[i];
+        bool alive = now - peer->acked_at < n->desc.election_min;
+        if (_wgr_is_voter(n, peer->id) && alive && (!best || peer->match > best->match)) {
+            best = peer;
+        }
+    }
+    if (!best) {
+        return;
+    }
+    n->handing_over = true;
+    n->handing_over_until = now + n->desc.election_max;
+    _wgr_send(n, WGR_MESSAGE_TIMEOUT_NOW, best->id);
+}
+
+uint64_t wgr_query_match(const wgr_node* n, uint64_t id) {
+    if (id == n->desc.self) {
+        return n->stable;
+    }
+    const _wgr_peer_t* peer = _wgr_peer((wgr_node*)n, id);
+    return peer ? peer->match : 0;
+}
--- /dev/null
+++ b/lib/router/wg_router.h
@@ -0,0 +1,77 @@
+#pragma once
+/*
+    wg_router.h -- a router: callers' requests in, targets' answers out
+
+    WHAT IT DOES
+        Takes callers' HTTP requests, queues them fairly, chooses targets, relays answers, and says
+        which entry hosts to use. Works under leases of a leader: the table and the slots.
+
+    FEATURES
+        - each request is a wgc_call; each service has its wgq_queue and retry budget
+        - streams are relayed event by event with bounded memory; a broken one is resumed elsewhere
+        - reports to the leader are sparse, sent on change and held to a byte budget
+        - planned stop: says that it leaves, serves until no caller can hold an answer naming it
+
+    USE
+        1. wgi_load(path, wgro_keys, wgro_keys_num, &settings, &error);
+        2. wgro_router* r = wgro_setup(&(wgro_desc){.base = base, .settings = &settings}, &error);
+        3. event_base_dispatch(base);
+        4. wgro_stop(r) leaves the loop when all is finished; wgro_shutdown(r);
+
+    THE CALLER OWNS
+        base and settings, for as long as the router lives.
+*/
+#include "wg_call.h"
+#include "wg_http.h"
+#include "wg_member.h"
+#include "wg_net.h"
+#include "wg_place.h"
+#include "wg_queue.h"
+#include "wg_settings.h"
+#include "wg_table.h"
+
+typedef struct {
+    char* name;
+    char* data_centre;
+    char* callers_listen;
+    char* callers_address;
+    char* operators_listen;
+    char** controls;
+    char* fleet_key;
+    char* operator_key;
+    char* log_level;
+    char* log_target;
+    char* rows;
+    char* lease_lost;
+    char* hosts_url;
+    int64_t hosts_ms;
+    int64_t calls_max;
+    int64_t head_max;
+    int64_t body_max;
+    int64_t idle_s;
+    int64_t report_ms;
+    int64_t report_gap_ms;
+    int64_t budget_bytes;
+    int64_t entry_keep_ms;
+    int64_t claim_wait_ms;
+    int64_t stop_wait_ms;
+    int64_t urgent_reserve;
+    int64_t high_water;
+} wgro_settings;
+
+extern const wgi_key wgro_keys[];
+extern const int wgro_keys_num;
+
+typedef struct {
+    struct event_base* base;
+    const wgro_settings* settings;
+} wgro_desc;
+
+typedef struct wgro_router wgro_router;
+
+wgro_router* wgro_setup(const wgro_desc* desc, GError** error);
+void wgro_shutdown(wgro_router* router);
+/* Planned stop. A second call cuts off what still runs and leaves the loop. */
+void wgro_stop(wgro_router* router);
+/* State dump; the caller releases it. */
+json_t* wgro_dump(wgro_router* router);
--- /dev/null
+++ b/lib/router/wg_router_attempt.c
@@ -0,0 +1,419 @@
+/* wg_router_attempt.c -- attempts at targets over evhttp, and relaying their answers */
+#include "wg_router_internal.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* ---- headers ------------------------------------------------------------------------------- */
+
+/* Headers of one connection (RFC 9110, section 7.6.1), and those that evhttp writes itself. */
+bool _wgro_is_hop_header(const char* name) {
+    static const char* hop[] = {
+        "Connection", "Keep-Alive", "Proxy-Authenticate", "Transfer-Encoding",   "TE",
+        "Trailer",    "Upgrade",    "Proxy-Connection",   "Proxy-Authorization", "Content-Length",
+        "Host",       "Expect"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hop); i++) {
+        if (g_ascii_strcasecmp(name, hop[i]) == 0) {
+            return true;
+        }
+    }
+    /* What speaks for the system, or between target and router, is not passed on. */
+    return g_ascii_strncasecmp(name, WGH_HEADER_PREFIX, strlen(WGH_HEADER_PREFIX)) == 0 ||
+           g_ascii_strncasecmp(name, "Target-", 7) == 0;
+}
+
+static void _wgro_add_headers(_wgro_call_t* call, _wgro_attempt_t* attempt, int64_t resume_from) {
+    struct evkeyvalq* out = evhttp_request_get_output_headers(attempt->request);
+    struct evkeyvalq* in = evhttp_request_get_input_headers(call->request);
+    for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
+        bool key = g_ascii_strcasecmp(h->key, "Authorization") == 0;
+        bool resume = g_ascii_strcasecmp(h->key, "Last-Event-ID") == 0;
+        if (!key && !resume && !_wgro_is_hop_header(h->key)) {
+            evhttp_add_header(out, h->key, h->value);
+        }
+    }
+    wgp_target_info info;
+    wgp_query_target_id(call->router->place, call->target, &info);
+    evhttp_add_header(out, "Host", info.address);
+    const wgt_row* workspace = wgt_find_id(call->router->table, call->workspace);
+    evhttp_add_header(out, "Walnutgate-Workspace", workspace ? workspace->name : "");
+    char text[32];
+    g_snprintf(text, sizeof text, "%d", attempt->number);
+    evhttp_add_header(out, "Walnutgate-Attempt", text);
+    if (call->prefix) {
+        g_snprintf(text, sizeof text, "%016" G_GINT64_MODIFIER "x", call->prefix);
+        evhttp_add_header(out, "Walnutgate-Prefix", text);
+    }
+    if (resume_from > 0) {
+        g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, resume_from);
+        evhttp_add_header(out, "Last-Event-ID", text);
+    }
+}
+
+/* ---- connections --------------------------------------------------------------------------- */
+
+static void _wgro_conn_free_later(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    _wgro_conn_t* conn = user_data;
+    evhttp_connection_free(conn->http);
+    g_free(conn);
+}
+
+/* Connections are freed outside of their own callbacks. */
+static void _wgro_conn_close(_wgro_conn_t* conn) {
+    struct timeval soon = {0};
+    conn->attempt = NULL;
+    event_base_once(conn->router->base, -1, EV_TIMEOUT, _wgro_conn_free_later, conn, &soon);
+}
+
+static GQueue* _wgro_idle_conns(wgro_router* r, uint32_t target) {
+    GQueue* idle = g_hash_table_lookup(r->conns, GUINT_TO_POINTER(target));
+    if (!idle) {
+        idle = g_queue_new();
+        g_hash_table_insert(r->conns, GUINT_TO_POINTER(target), idle);
+    }
+    return idle;
+}
+
+static void _wgro_conn_put_back(_wgro_conn_t* conn) {
+    GQueue* idle = _wgro_idle_conns(conn->router, conn->target);
+    conn->attempt = NULL;
+    if (idle->length >= _WGRO_CONNS_PER_TARGET) {
+        _wgro_conn_close(conn);
+    } else {
+        g_queue_push_head(idle, conn);
+    }
+}
+
+/* Bytes that leave the buffer have gone to the kernel: from then on the target may act on them. */
+static void _wgro_on_written(struct evbuffer* buffer, const struct evbuffer_cb_info* info,
+                             void* user_data) {
+    (void)buffer;
+    _wgro_conn_t* conn = user_data;
+    if (info->n_deleted == 0 || !conn->attempt) {
+        return;
+    }
+    _wgro_attempt_t* attempt = conn->attempt;
+    _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
+    if (call) {
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_WRITTEN, .attempt = attempt->number});
+    }
+}
+
+static _wgro_conn_t* _wgro_conn_open(wgro_router* r, uint32_t target, bool fresh) {
+    GQueue* idle = _wgro_idle_conns(r, target);
+    if (!fresh && idle->length > 0) {
+        return g_queue_pop_head(idle);
+    }
+    wgp_target_info info;
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    if (!wgp_query_target_id(r->place, target, &info) ||
+        !wgn_split_address(info.address, ip, &port)) {
+        return NULL;
+    }
+    _wgro_conn_t* conn = g_new0(_wgro_conn_t, 1);
+    conn->router = r;
+    conn->target = target;
+    conn->http = evhttp_connection_base_new(r->base, NULL, ip, port);
+    evhttp_connection_set_retries(conn->http, 0);
+    struct bufferevent* bev = evhttp_connection_get_bufferevent(conn->http);
+    evbuffer_add_cb(bufferevent_get_output(bev), _wgro_on_written, conn);
+    return conn;
+}
+
+/* ---- relaying ------------------------------------------------------------------------------ */
+
+static void _wgro_resume_reading(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    _wgro_call_t* call = user_data;
+    if (call->attempt && call->attempt->paused && call->attempt->conn) {
+        call->attempt->paused = false;
+        bufferevent_enable(evhttp_connection_get_bufferevent(call->attempt->conn->http), EV_READ);
+    }
+}
+
+static void _wgro_start_head(_wgro_call_t* call) {
+    struct evkeyvalq* in = evhttp_request_get_input_headers(call->attempt->request);
+    struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
+    for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
+        bool length = g_ascii_strcasecmp(h->key, "Content-Length") == 0 && !call->attempt->stream;
+        if (length || !_wgro_is_hop_header(h->key)) {
+            evhttp_add_header(out, h->key, h->value);
+        }
+    }
+    evhttp_send_reply_start(call->request, call->attempt->status,
+                            wgh_reason(call->attempt->status));
+    call->head_sent = true;
+}
+
+void _wgro_relay(_wgro_call_t* call) {
+    _wgro_attempt_t* attempt = call->attempt;
+    if (!call->request || !attempt) {
+        return;
+    }
+    if (!call->head_sent) {
+        _wgro_start_head(call);
+    }
+    struct evbuffer* ready = attempt->stream ? attempt->ready : attempt->held;
+    if (evbuffer_get_length(ready) == 0) {
+        return;
+    }
+    evhttp_send_reply_chunk_with_cb(call->request, ready, _wgro_resume_reading, call);
+    /* A slow caller: stop reading from the target until what was sent has left. */
+    struct evhttp_connection* caller = evhttp_request_get_connection(call->request);
+    struct evbuffer* unsent = bufferevent_get_output(evhttp_connection_get_bufferevent(caller));
+    bool over = evbuffer_get_length(unsent) > (size_t)call->router->settings->high_water;
+    if (over && !attempt->paused && attempt->conn) {
+        attempt->paused = true;
+        bufferevent_disable(evhttp_connection_get_bufferevent(attempt->conn->http), EV_READ);
+    }
+}
+
+/* ---- answers of targets --------------------------------------------------------------------- */
+
+static void _wgro_note_target_headers(wgro_router* r, _wgro_attempt_t* attempt) {
+    struct evkeyvalq* in = evhttp_request_get_input_headers(attempt->request);
+    const char* running = evhttp_find_header(in, "Target-Running");
+    guint64 number;
+    if (running && g_ascii_string_to_unsigned(running, 10, 0, 1000000, &number, NULL)) {
+        wgp_note_load(r->place, attempt->target, (int)number);
+    }
+    if (evhttp_find_header(in, "Target-Leaving") &&
+        wgp_note_leaving(r->place, attempt->target) == WGP_EVENT_LEAVING) {
+        wg_log(WG_EVENT_TARGET_LEAVING, "source=answer");
+    }
+    const char* dropped = evhttp_find_header(in, "Target-Dropped-Prefix");
+    if (dropped && g_ascii_string_to_unsigned(dropped, 16, 1, UINT64_MAX, &number, NULL)) {
+        wgp_forget_prefix(r->place, number, attempt->target);
+    }
+    attempt->said_not_run = evhttp_find_header(in, "Target-Not-Run") != NULL;
+}
+
+static int _wgro_on_head(struct evhttp_request* request, void* user_data) {
+    _wgro_attempt_t* attempt = user_data;
+    struct evkeyvalq* in = evhttp_request_get_input_headers(request);
+    const char* type = evhttp_find_header(in, "Content-Type");
+    const char* coding = evhttp_find_header(in, "Transfer-Encoding");
+    attempt->status = evhttp_request_get_response_code(request);
+    attempt->stream = type && g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
+    attempt->length_known = evhttp_find_header(in, "Content-Length") ||
+                            (coding && g_ascii_strcasecmp(coding, "chunked") == 0);
+    _wgro_note_target_headers(attempt->router, attempt);
+    return 0;
+}
+
+static void _wgro_fail_attempt(_wgro_attempt_t* attempt) {
+    _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
+    if (call) {
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_FAILED, .attempt = attempt->number});
+    }
+}
+
+/* Move whole events on. False when the stream is not what it should be. */
+static bool _wgro_take_events(_wgro_call_t* call, _wgro_attempt_t* attempt) {
+    for (;;) {
+        struct evbuffer* out = evbuffer_new();
+        wgx_sse_event event;
+        wgx_sse_result result = wgx_sse_next(attempt->held, out, &event);
+        if (result != WGX_SSE_EVENT) {
+            evbuffer_free(out);
+            return result == WGX_SSE_MORE;
+        }
+        bool token = event.data && !event.done;
+        int64_t id = event.id >= 0 ? event.id : call->tokens + 1;
+        bool repeated = token && id <= call->tokens;
+        bool gap = token && id > call->tokens + 1;
+        attempt->usage = event.usage ? event.cost : attempt->usage;
+        attempt->done_seen = attempt->done_seen || event.done;
+        if (token && !repeated && !gap) {
+            call->tokens = id;
+        }
+        if (!repeated && !gap) {
+            evbuffer_add_buffer(attempt->ready, out);
+        }
+        evbuffer_free(out);
+        if (gap) {
+            return false;
+        }
+    }
+}
+
+static void _wgro_on_stream_data(_wgro_call_t* call, _wgro_attempt_t* attempt) {
+    bool good = _wgro_take_events(call, attempt);
+    if (evbuffer_get_length(attempt->ready) > 0) {
+        if (call->machine.head_relayed) {
+            _wgro_relay(call);
+        } else {
+            _wgro_call_event(call,
+                             &(wgc_event){.type = WGC_EVENT_HEAD, .attempt = attempt->number});
+        }
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_PROGRESS,
+                                            .attempt = attempt->number,
+                                            .tokens = call->tokens});
+        wgq_charge(call->router->services[call->service].queue, call->queued, call->tokens);
+    }
+    if (!good) {
+        _wgro_fail_attempt(attempt);
+    }
+}
+
+static void _wgro_on_chunk(struct evhttp_request* request, void* user_data) {
+    _wgro_attempt_t* attempt = user_data;
+    _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
+    struct evbuffer* in = evhttp_request_get_input_buffer(request);
+    if (!call) {
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    evbuffer_add_buffer(attempt->held, in);
+    if (attempt->stream) {
+        _wgro_on_stream_data(call, attempt);
+    } else if (evbuffer_get_length(attempt->held) > _WGRO_HELD_WHOLE || call->head_sent) {
+        if (call->machine.head_relayed) {
+            _wgro_relay(call);
+        } else {
+            _wgro_call_event(call,
+                             &(wgc_event){.type = WGC_EVENT_HEAD, .attempt = attempt->number});
+        }
+    }
+}
+
+static bool _wgro_is_whole(const _wgro_attempt_t* attempt) {
+    if (attempt->stream) {
+        return attempt->done_seen && evbuffer_get_length(attempt->held) == 0;
+    }
+    return attempt->length_known;
+}
+
+static void _wgro_take_usage(_wgro_call_t* call, _wgro_attempt_t* attempt) {
+    bool model = strcmp(call->router->services[call->service].row.service.kind, "model") == 0;
+    if (model && !attempt->stream && !call->head_sent) {
+        size_t size = evbuffer_get_length(attempt->held);
+        const char* text = (const char*)evbuffer_pullup(attempt->held, -1);
+        attempt->usage = text ? wgx_usage_cost(text, size) : -1;
+    }
+}
+
+static void _wgro_attempt_free(_wgro_attempt_t* attempt) {
+    evbuffer_free(attempt->held);
+    evbuffer_free(attempt->ready);
+    g_free(attempt);
+}
+
+/* The whole exchange is over; `request` is NULL or has no status when it failed. */
+static void _wgro_on_done(struct evhttp_request* request, void* user_data) {
+    _wgro_attempt_t* attempt = user_data;
+    if (attempt->aborted) {
+        return; /* connection and attempt are freed outside of this callback */
+    }
+    wgro_router* r = attempt->router;
+    _wgro_call_t* call = _wgro_call_find(r, attempt->call);
+    bool answered = request && evhttp_request_get_response_code(request) != 0;
+    bool whole = answered && _wgro_is_whole(attempt);
+    _wgro_conn_t* conn = attempt->conn;
+    attempt->conn = NULL;
+    /* The connection is idle again, or it will be closed; nothing of this attempt is on it. */
+    if (answered && whole) {
+        conn->attempt = NULL;
+    }
+    if (call) {
+        wgc_event event = {.type = WGC_EVENT_FAILED, .attempt = attempt->number};
+        if (answered && attempt->said_not_run) {
+            event.type = WGC_EVENT_NOT_RUN_SAID;
+        } else if (whole) {
+            event.type = WGC_EVENT_WHOLE;
+            _wgro_take_usage(call, attempt);
+            wgp_note_prefix(r->place, call->prefix, attempt->target);
+        }
+        _wgro_call_event(call, &event);
+    }
+    if (whole) {
+        _wgro_conn_put_back(conn);
+    } else {
+        _wgro_conn_close(conn);
+    }
+    _wgro_attempt_free(attempt);
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+bool _wgro_attempt_begin(_wgro_call_t* call, int number, int64_t resume_from) {
+    wgro_router* r = call->router;
+    /* A kept connection may just have been closed by the target; what may not be repeated gets a
+       fresh one, so that this cannot leave its verdict open. */
+    bool fresh = !call->machine.desc.repeatable;
+    _wgro_conn_t* conn = _wgro_conn_open(r, call->target, fresh);
+    if (!conn || !call->request) {
+        if (conn) {
+            _wgro_conn_put_back(conn);
+        }
+        return false;
+    }
+    _wgro_attempt_t* attempt = g_new0(_wgro_attempt_t, 1);
+    attempt->router = r;
+    attempt->call = call->handle;
+    attempt->number = number;
+    attempt->target = call->target;
+    attempt->conn = conn;
+    attempt->usage = -1;
+    attempt->held = evbuffer_new();
+    attempt->ready = evbuffer_new();
+    attempt->request = evhttp_request_new(_wgro_on_done, attempt);
+    evhttp_request_set_chunked_cb(attempt->request, _wgro_on_chunk);
+    evhttp_request_set_header_cb(attempt->request, _wgro_on_head);
+    _wgro_add_headers(call, attempt, resume_from);
+    evbuffer_add_buffer_reference(evhttp_request_get_output_buffer(attempt->request), call->body);
+    wg_time left = MAX(call->deadline - wg_now(), WG_USEC_PER_MSEC) + WG_USEC_PER_SEC;
+    struct timeval timeout = {.tv_sec = left / WG_USEC_PER_SEC, .tv_usec = left % WG_USEC_PER_SEC};
+    evhttp_connection_set_timeout_tv(conn->http, &timeout);
+    conn->attempt = attempt;
+    call->attempt = attempt;
+    enum evhttp_cmd_type command = evhttp_request_get_command(call->request);
+    if (evhttp_make_request(conn->http, attempt->request, command, call->uri) != 0) {
+        /* evhttp has released the request and calls nobody back. */
+        conn->attempt = NULL;
+        call->attempt = NULL;
+        _wgro_conn_close(conn);
+        _wgro_attempt_free(attempt);
+        return false;
+    }
+    return true;
+}
+
+static void _wgro_abort_later(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    _wgro_attempt_t* attempt = user_data;
+    evhttp_connection_free(attempt->conn->http);
+    g_free(attempt->conn);
+    _wgro_attempt_free(attempt);
+}
+
+void _wgro_attempt_abort(_wgro_attempt_t* attempt) {
+    attempt->call = (wg_handle){0};
+    if (!attempt->conn || attempt->aborted) {
+        return; /* it is in its last callback, which frees it */
+    }
+    /* Closing the connection is what tells the target to stop. */
+    struct timeval soon = {0};
+    attempt->aborted = true;
+    attempt->conn->attempt = NULL;
+    event_base_once(attempt->router->base, -1, EV_TIMEOUT, _wgro_abort_later, attempt, &soon);
+}
+
+void _wgro_conns_shutdown(wgro_router* r) {
+    GHashTableIter iter;
+    gpointer idle;
+    g_hash_table_iter_init(&iter, r->conns);
+    while (g_hash_table_iter_next(&iter, NULL, &idle)) {
+        _wgro_conn_t* conn;
+        while ((conn = g_queue_pop_head(idle))) {
+            evhttp_connection_free(conn->http);
+            g_free(conn);
+        }
+        g_queue_free(idle);
+    }
+    g_hash_table_unref(r->conns);
+}
--- /dev/null
+++ b/lib/router/wg_router_call.c
@@ -0,0 +1,581 @@
+/* wg_router_call.c -- calls: admission to the queue, dispatch to slots, actions of the machine */
+#include "wg_router_internal.h"
+
+#include <string.h>
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+/* Admissions refused by the queue, as callers see them. */
+static const struct {
+    int status;
+    const char* code;
+    const char* message;
+} _wgro_refusals[WGQ_REFUSAL_NUM] = {
+    [WGQ_REFUSAL_RATE] = {429, "rate_limit", "requests per second are used up"},
+    [WGQ_REFUSAL_IN_FLIGHT] = {429, "in_flight_limit", "too many requests at work and waiting"},
+    [WGQ_REFUSAL_QUEUE] = {429, "queue_limit", "the workspace's queue is full"},
+    [WGQ_REFUSAL_TOKENS] = {429, "token_limit", "tokens per minute are used up"},
+    [WGQ_REFUSAL_FULL] = {503, "no_capacity", "this router has no room for more requests"},
+    [WGQ_REFUSAL_LATE] = {503, "no_capacity", "cannot be served in time"},
+};
+
+/* ---- helpers: ends of a call --------------------------------------------------------------- */
+
+static _wgro_service_t* _wgro_service_of(_wgro_call_t* call) {
+    return &call->router->services[call->service];
+}
+
+static void _wgro_detach_caller(_wgro_call_t* call) {
+    if (call->request) {
+        struct evhttp_connection* connection = evhttp_request_get_connection(call->request);
+        evhttp_connection_set_closecb(connection, NULL, NULL);
+        evhttp_connection_set_timeout(connection, (int)call->router->settings->idle_s);
+    }
+}
+
+static void _wgro_free_call(_wgro_call_t* call) {
+    wgro_router* r = call->router;
+    if (call->attempt) {
+        call->attempt->call = (wg_handle){0};
+    }
+    event_del(call->timer);
+    evbuffer_free(call->body);
+    g_free(call->uri);
+    call->body = NULL;
+    call->uri = NULL;
+    call->request = NULL;
+    call->attempt = NULL;
+    wg_pool_free(&r->calls_pool, call->handle);
+}
+
+/* Give back slot and place in the queue. `cost` settles what the request took. */
+static void _wgro_release(_wgro_call_t* call, int64_t cost, wgp_result result) {
+    wgro_router* r = call->router;
+    wg_time now = wg_now();
+    if (call->target) {
+        wgp_event event = wgp_done(r->place, now, call->target, result);
+        if (event == WGP_EVENT_ASIDE || event == WGP_EVENT_BACK) {
+            wgp_target_info info;
+            wgp_query_target_id(r->place, call->target, &info);
+            wg_log(event == WGP_EVENT_ASIDE ? WG_EVENT_TARGET_ASIDE : WG_EVENT_TARGET_BACK,
+                   "target=%s", info.name);
+        }
+        call->last_target = call->target;
+        call->target = 0;
+    }
+    if (call->queued.id) {
+        wgq_finish(_wgro_service_of(call)->queue, now, call->queued, cost);
+        wgq_drop(_wgro_service_of(call)->queue, call->queued);
+        call->queued = (wgq_handle){0};
+    }
+}
+
+/* What the call cost so far: tokens, or milliseconds at the target. */
+static int64_t _wgro_cost(const _wgro_call_t* call) {
+    const _wgro_service_t* service = &call->router->services[call->service];
+    if (strcmp(service->row.service.kind, "model") != 0) {
+        return call->picked_at ? MAX((wg_now() - call->picked_at) / WG_USEC_PER_MSEC, 1) : 0;
+    }
+    int64_t usage = call->attempt ? call->attempt->usage : -1;
+    return MAX(usage, call->tokens);
+}
+
+static wgp_result _wgro_result_of(const wgc_action* action, const _wgro_call_t* call) {
+    if (action->type == WGC_ACTION_CANCEL || !call->attempt) {
+        return WGP_RESULT_CANCELLED;
+    }
+    if (action->type == WGC_ACTION_FINISH && call->attempt->status < 500) {
+        return WGP_RESULT_GOOD;
+    }
+    return call->attempt->said_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_BAD;
+}
+
+static wg_time _wgro_retry_after(_wgro_call_t* call) {
+    wg_time wait = wgq_expected_wait(_wgro_service_of(call)->queue, wg_now(), call->workspace);
+    return MAX(wait, 200 * WG_USEC_PER_MSEC);
+}
+
+static void _wgro_answer_error(_wgro_call_t* call, const wgc_action* action) {
+    static const char* messages[WGC_CODE_NUM] = {
+        "",
+        "the target failed",
+        "the deadline passed",
+        "no capacity came free in time",
+        "the claim for this key could not be made; nothing was run",
+        "an earlier request with this key has not ended, it may have run",
+    };
+    call->router->counters.failed++;
+    _wgro_detach_caller(call);
+    wgh_reply_error(call->request, &(wgh_error){.status = wgc_code_status(action->code),
+                                                .code = wgc_code_name(action->code),
+                                                .verdict = action->verdict,
+                                                .retry_after = _wgro_retry_after(call),
+                                                .message = messages[action->code]});
+}
+
+/* A caller's connection that is to be closed outside of its own callbacks. */
+typedef struct {
+    struct evhttp_connection* connection; /* NULL once it is gone */
+} _wgro_doomed_t;
+
+static void _wgro_doomed_gone(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    ((_wgro_doomed_t*)user_data)->connection = NULL;
+}
+
+static void _wgro_close_doomed(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    _wgro_doomed_t* doomed = user_data;
+    if (doomed->connection) {
+        evhttp_connection_set_closecb(doomed->connection, NULL, NULL);
+        evhttp_connection_free(doomed->connection);
+    }
+    g_free(doomed);
+}
+
+/* Part of an answer has left. A stream gets an error event and no end marker; any other answer is
+   broken off by closing the connection, so that it cannot pass for whole. */
+static void _wgro_cut(_wgro_call_t* call, const wgc_action* action) {
+    call->router->counters.cut++;
+    _wgro_detach_caller(call);
+    if (call->attempt && call->attempt->stream) {
+        struct evbuffer* last = evbuffer_new();
+        evbuffer_add_printf(
+            last, "event: error\ndata: {\"error\":{\"code\":\"%s\",\"verdict\":\"%s\"}}\n\n",
+            wgc_code_name(action->code), wg_verdict_name(action->verdict));
+        evhttp_send_reply_chunk(call->request, last);
+        evhttp_send_reply_end(call->request);
+        evbuffer_free(last);
+        return;
+    }
+    struct timeval soon = {0};
+    _wgro_doomed_t* doomed = g_new0(_wgro_doomed_t, 1);
+    doomed->connection = evhttp_request_get_connection(call->request);
+    evhttp_connection_set_closecb(doomed->connection, _wgro_doomed_gone, doomed);
+    event_base_once(call->router->base, -1, EV_TIMEOUT, _wgro_close_doomed, doomed, &soon);
+}
+
+static void _wgro_copy_headers(_wgro_call_t* call) {
+    struct evkeyvalq* in = evhttp_request_get_input_headers(call->attempt->request);
+    struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
+    for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
+        if (!_wgro_is_hop_header(h->key)) {
+            evhttp_add_header(out, h->key, h->value);
+        }
+    }
+    char attempts[16];
+    g_snprintf(attempts, sizeof attempts, "%d", call->machine.attempt);
+    evhttp_add_header(out, WGH_HEADER_ATTEMPTS, attempts);
+}
+
+static void _wgro_finish(_wgro_call_t* call) {
+    wgro_router* r = call->router;
+    r->counters.whole++;
+    _wgro_detach_caller(call);
+    if (call->head_sent) {
+        _wgro_relay(call);
+        evhttp_send_reply_end(call->request);
+    } else {
+        _wgro_copy_headers(call);
+        struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
+        evhttp_add_header(out, WGH_HEADER_VERDICT, wg_verdict_name(WG_VERDICT_RAN));
+        evhttp_send_reply(call->request, call->attempt->status, wgh_reason(call->attempt->status),
+                          call->attempt->held);
+    }
+    wg_hist_add(&_wgro_service_of(call)->total_time, wg_now() - call->started);
+}
+
+static void _wgro_end_claim_by(_wgro_call_t* call, const wgc_action* action) {
+    if (!action->end_claim) {
+        return;
+    }
+    const char* type = NULL;
+    struct evbuffer* body = NULL;
+    int status = 0;
+    if (action->verdict == WG_VERDICT_RAN && call->attempt) {
+        status = call->attempt->status;
+        type = evhttp_find_header(evhttp_request_get_input_headers(call->attempt->request),
+                                  "Content-Type");
+        body = call->head_sent ? NULL : call->attempt->held;
+    }
+    _wgro_end_claim(call->router, call, action->verdict, status, type, body);
+}
+
+/* ---- helpers: actions ---------------------------------------------------------------------- */
+
+static void _wgro_arm(_wgro_call_t* call, wg_time at, wgc_event_type event) {
+    wg_time wait = MAX(at - wg_now(), 0);
+    struct timeval tv = {.tv_sec = wait / WG_USEC_PER_SEC, .tv_usec = wait % WG_USEC_PER_SEC};
+    call->timer_event = event;
+    event_add(call->timer, &tv);
+}
+
+static void _wgro_on_timer(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    _wgro_call_t* call = user_data;
+    _wgro_call_event(call, &(wgc_event){.type = call->timer_event});
+}
+
+static bool _wgro_push(_wgro_call_t* call, bool again, wgq_refusal* refusal) {
+    _wgro_service_t* service = _wgro_service_of(call);
+    wg_time now = wg_now();
+    wg_time wait_until = now + service->row.service.queue_ms * WG_USEC_PER_MSEC;
+    call->queued = wgq_push(service->queue, now,
+                            &(wgq_request){.workspace = call->workspace,
+                                           .limits = call->limits,
+                                           .urgent = call->urgent,
+                                           .again = again,
+                                           .wait_until = MIN(wait_until, call->deadline),
+                                           .deadline = call->deadline,
+                                           .user_data = call},
+                            refusal);
+    return call->queued.id != 0;
+}
+
+static void _wgro_abort_attempt(_wgro_call_t* call) {
+    if (call->attempt) {
+        _wgro_attempt_abort(call->attempt);
+        call->attempt = NULL;
+    }
+}
+
+static void _wgro_do_send(_wgro_call_t* call, const wgc_action* action) {
+    if (action->attempt > 1 && action->resume_from > 0) {
+        call->router->counters.resumes++;
+        wg_log(WG_EVENT_STREAM_RESUMED, "token=%" G_GINT64_FORMAT, action->resume_from);
+    }
+    _wgro_arm(call, call->deadline, WGC_EVENT_DEADLINE);
+    if (!_wgro_attempt_begin(call, action->attempt, action->resume_from)) {
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_FAILED, .attempt = action->attempt});
+    }
+}
+
+static void _wgro_do_wait(_wgro_call_t* call, const wgc_action* action) {
+    call->router->counters.retries++;
+    wg_log(WG_EVENT_ATTEMPT_FAILED, "attempt=%d wait_us=%" G_GINT64_FORMAT, action->attempt,
+           action->wait);
+    wgp_result result =
+        call->attempt && call->attempt->said_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_BAD;
+    _wgro_release(call, _wgro_cost(call), result);
+    _wgro_abort_attempt(call);
+    _wgro_arm(call, wg_now() + action->wait, WGC_EVENT_WAITED);
+}
+
+static void _wgro_do_queue(_wgro_call_t* call) {
+    wgq_refusal refusal;
+    _wgro_arm(call, call->deadline, WGC_EVENT_DEADLINE);
+    if (!_wgro_push(call, true, &refusal)) {
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_DEADLINE});
+        return;
+    }
+    _wgro_dispatch(call->router);
+}
+
+static void _wgro_do_claim(_wgro_call_t* call) {
+    wgro_router* r = call->router;
+    call->claim_ticket = ++r->counter;
+    call->claim_attempt = wg_jitter(r->incarnation, call->claim_ticket);
+    wg_time until = wg_now() + r->settings->claim_wait_ms * WG_USEC_PER_MSEC;
+    _wgro_arm(call, MIN(until, call->deadline), WGC_EVENT_CLAIM_REFUSED);
+    _wgro_ask_claim(r, call); /* without a link it is asked again when one is up */
+}
+
+/* The last action of a call: answer as it says, then let go of everything. */
+static void _wgro_do_end(_wgro_call_t* call, const wgc_action* action) {
+    wgro_router* r = call->router;
+    int64_t cost = _wgro_cost(call);
+    wgp_result result = _wgro_result_of(action, call);
+    _wgro_end_claim_by(call, action);
+    if (call->request && action->type == WGC_ACTION_FINISH) {
+        _wgro_finish(call);
+    } else if (call->request && action->type == WGC_ACTION_ANSWER) {
+        _wgro_answer_error(call, action);
+    } else if (call->request && action->type == WGC_ACTION_CUT) {
+        _wgro_cut(call, action);
+    } else if (action->type == WGC_ACTION_CANCEL) {
+        r->counters.callers_left++;
+        wg_log(WG_EVENT_CALLER_LEFT, "%s", "");
+    }
+    _wgro_abort_attempt(call);
+    _wgro_release(call, cost, result);
+    _wgro_free_call(call);
+    _wgro_dispatch(r);
+}
+
+static void _wgro_act(_wgro_call_t* call, const wgc_action* action) {
+    switch (action->type) {
+    case WGC_ACTION_CLAIM:
+        _wgro_do_claim(call);
+        return;
+    case WGC_ACTION_SEND:
+        _wgro_do_send(call, action);
+        return;
+    case WGC_ACTION_RELAY:
+        _wgro_relay(call);
+        return;
+    case WGC_ACTION_WAIT:
+        _wgro_do_wait(call, action);
+        _wgro_dispatch(call->router);
+        return;
+    case WGC_ACTION_QUEUE:
+        _wgro_do_queue(call);
+        return;
+    case WGC_ACTION_FINISH:
+    case WGC_ACTION_ANSWER:
+    case WGC_ACTION_CUT:
+    case WGC_ACTION_CANCEL:
+        _wgro_do_end(call, action);
+        return;
+    default:
+        return;
+    }
+}
+
+/* ---- helpers: callers ---------------------------------------------------------------------- */
+
+static void _wgro_caller_left(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    _wgro_call_t* call = user_data;
+    wgh_request_lost(call->request);
+    call->request = NULL;
+    _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_CALLER_GONE});
+}
+
+/* Learn when the caller leaves. While a request is worked on, evhttp does not expect data: bytes of
+   a next request stay unread in the buffer, up to a limit. */
+static void _wgro_watch_caller(_wgro_call_t* call) {
+    struct evhttp_connection* connection = evhttp_request_get_connection(call->request);
+    wg_time whole = _wgro_service_of(call)->row.service.deadline_ms / 1000;
+    evhttp_connection_set_closecb(connection, _wgro_caller_left, call);
+    evhttp_connection_set_timeout(connection, (int)whole + (int)call->router->settings->idle_s);
+    struct bufferevent* bev = evhttp_connection_get_bufferevent(connection);
+    bufferevent_data_cb read_cb;
+    bufferevent_data_cb write_cb;
+    bufferevent_event_cb event_cb;
+    void* arg;
+    bufferevent_getcb(bev, &read_cb, &write_cb, &event_cb, &arg);
+    bufferevent_setcb(bev, NULL, write_cb, event_cb, arg);
+    bufferevent_enable(bev, EV_READ);
+}
+
+static void _wgro_take_key(_wgro_call_t* call) {
+    const char* key =
+        evhttp_find_header(evhttp_request_get_input_headers(call->request), "Idempotency-Key");
+    if (!key || !key[0]) {
+        return;
+    }
+    uint8_t hash[WG_KEY_HASH_SIZE];
+    wg_key_hash(key, hash);
+    memcpy(call->key, hash, sizeof call->key);
+    call->keyed = true;
+}
+
+static wgq_limits _wgro_limits(const wgt_workspace* w) {
+    return (wgq_limits){.weight = w->weight,
+                        .rate = w->rate,
+                        .burst = w->burst,
+                        .in_flight = w->in_flight,
+                        .queue = w->queue,
+                        .tokens_per_minute = w->tokens_per_minute,
+                        .urgent_percent = w->urgent_percent};
+}
+
+static void _wgro_refuse_call(_wgro_call_t* call, const wgq_refusal* refusal) {
+    wgro_router* r = call->router;
+    r->counters.refused++;
+    wg_log(WG_EVENT_REQUEST_REFUSED, "code=%s", _wgro_refusals[refusal->code].code);
+    wgh_reply_error(call->request, &(wgh_error){.status = _wgro_refusals[refusal->code].status,
+                                                .code = _wgro_refusals[refusal->code].code,
+                                                .verdict = WG_VERDICT_NOT_RUN,
+                                                .retry_after = refusal->retry_after,
+                                                .message = _wgro_refusals[refusal->code].message});
+    _wgro_free_call(call);
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+_wgro_call_t* _wgro_call_find(wgro_router* r, wg_handle handle) {
+    int slot = wg_pool_slot(&r->calls_pool, handle);
+    return slot < 0 ? NULL : &r->calls[slot];
+}
+
+void _wgro_call_event(_wgro_call_t* call, const wgc_event* event) {
+    wgc_action action = wgc_step(&call->machine, wg_now(), event);
+    _wgro_act(call, &action);
+}
+
+void _wgro_call_begin(wgro_router* r, const _wgro_call_desc* desc) {
+    wg_handle handle = wg_pool_alloc(&r->calls_pool);
+    if (handle.id == 0) {
+        g_free(desc->uri);
+        r->counters.refused++;
+        wgh_reply_error(desc->request, &(wgh_error){.status = 503,
+                                                    .code = "no_capacity",
+                                                    .verdict = WG_VERDICT_NOT_RUN,
+                                                    .retry_after = WG_USEC_PER_SEC,
+                                                    .message = "this router is full"});
+        return;
+    }
+    _wgro_call_t* call = _wgro_call_find(r, handle);
+    struct event* timer = call->timer ? call->timer : evtimer_new(r->base, _wgro_on_timer, call);
+    wg_time now = wg_now();
+    const wgt_service* service = &r->services[desc->service].row.service;
+    *call = (_wgro_call_t){.router = r,
+                           .handle = handle,
+                           .request = desc->request,
+                           .service = desc->service,
+                           .workspace = desc->workspace->id,
+                           .limits = _wgro_limits(&desc->workspace->workspace),
+                           .uri = desc->uri,
+                           .urgent = desc->urgent,
+                           .prefix = desc->prefix,
+                           .started = now,
+                           .deadline = now + service->deadline_ms * WG_USEC_PER_MSEC,
+                           .timer = timer};
+    call->body = evbuffer_new();
+    evbuffer_add_buffer(call->body, evhttp_request_get_input_buffer(desc->request));
+    if (!desc->repeatable) {
+        _wgro_take_key(call);
+    }
+    wgc_begin(&call->machine, &(wgc_desc){.deadline = call->deadline,
+                                          .repeatable = desc->repeatable,
+                                          .keyed = call->keyed,
+                                          .resumable = service->resume != 0,
+                                          .retry_percent = service->retry_percent,
+                                          .seed = wg_jitter(r->seed, ++r->counter),
+                                          .budget = &r->services[desc->service].budget});
+    wgq_refusal refusal;
+    if (!_wgro_push(call, false, &refusal)) {
+        _wgro_refuse_call(call, &refusal);
+        return;
+    }
+    _wgro_watch_caller(call);
+    _wgro_arm(call, call->deadline, WGC_EVENT_DEADLINE);
+    _wgro_dispatch(r);
+}
+
+/* Start one waiting request of a service if a slot is free; false when there is none. */
+static bool _wgro_dispatch_one(wgro_router* r, _wgro_service_t* service, wg_time now) {
+    bool room = wgp_has_room(r->place, now, service->row.id, false);
+    bool reserve = !room && wgp_has_room(r->place, now, service->row.id, true);
+    wgq_handle picked;
+    if ((!room && !reserve) || !wgq_pick(service->queue, now, reserve, &picked)) {
+        return false;
+    }
+    _wgro_call_t* call = wgq_user_data(service->queue, picked);
+    bool placed = wgp_pick(r->place, now,
+                           &(wgp_request){.service = service->row.id,
+                                          .urgent = reserve,
+                                          .prefix = call->prefix,
+                                          .not_target = call->last_target},
+                           &call->target);
+    WG_ASSERT(placed);
+    wgp_sent(r->place, call->target);
+    call->picked_at = now;
+    wg_hist_add(&service->wait_time, now - call->started);
+    _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_SLOT});
+    return true;
+}
+
+/* Requests wait without a slot, or slots are free that others may want: the leader should know. */
+static void _wgro_tell_change(wgro_router* r, _wgro_service_t* service, wg_time now) {
+    bool waiting = wgq_query_stats(service->queue).queued > 0;
+    bool idle = wgp_query_free(r->place, now, service->row.id) > 0;
+    if (waiting != service->reported_waiting && (waiting || idle)) {
+        _wgro_report_soon(r);
+    }
+}
+
+void _wgro_dispatch(wgro_router* r) {
+    wg_time now = wg_now();
+    for (int i = 0; i < r->services_num; i++) {
+        _wgro_service_t* service = &r->services[i];
+        if (!service->live) {
+            continue;
+        }
+        while (wgq_query_stats(service->queue).queued > 0 && _wgro_dispatch_one(r, service, now)) {
+        }
+        _wgro_tell_change(r, service, now);
+    }
+}
+
+void _wgro_expire(wgro_router* r, wg_time now) {
+    for (int i = 0; i < r->services_num; i++) {
+        wgq_handle expired;
+        while (r->services[i].queue && wgq_expire(r->services[i].queue, now, &expired)) {
+            _wgro_call_t* call = wgq_user_data(r->services[i].queue, expired);
+            _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_DEADLINE});
+        }
+    }
+}
+
+static void _wgro_give_earlier(_wgro_call_t* call, const Wgpb__ClaimEnd* end) {
+    call->router->counters.whole++;
+    _wgro_detach_caller(call);
+    bool ran = end && end->verdict == WG_VERDICT_RAN;
+    if (!ran || end->body.len == 0) {
+        wgh_reply_error(call->request,
+                        &(wgh_error){.status = 409,
+                                     .code = ran ? "already_ran" : "may_have_run",
+                                     .verdict = ran ? WG_VERDICT_RAN : WG_VERDICT_MAY_HAVE_RUN,
+                                     .message =
+                                         "an earlier request with this key ended; its answer "
+                                         "is not kept"});
+        return;
+    }
+    struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
+    evhttp_add_header(out, WGH_HEADER_VERDICT, wg_verdict_name(WG_VERDICT_RAN));
+    evhttp_add_header(out, "Walnutgate-Earlier", "1");
+    if (end->content_type[0]) {
+        evhttp_add_header(out, "Content-Type", end->content_type);
+    }
+    struct evbuffer* body = evbuffer_new();
+    evbuffer_add(body, end->body.data, end->body.len);
+    evhttp_send_reply(call->request, (int)end->status, wgh_reason((int)end->status), body);
+    evbuffer_free(body);
+}
+
+void _wgro_claim_answered(wgro_router* r, uint64_t ticket, int outcome, const Wgpb__ClaimEnd* end) {
+    _wgro_call_t* call = NULL;
+    for (int i = 0; i < r->calls_pool.capacity && !call; i++) {
+        bool match = r->calls_pool.taken[i] && r->calls[i].claim_ticket == ticket &&
+                     r->calls[i].machine.state == WGC_STATE_CLAIMING;
+        call = match ? &r->calls[i] : NULL;
+    }
+    if (!call) {
+        return;
+    }
+    static const wgc_event_type events[WGK_OUTCOME_NUM] = {
+        [WGK_OUTCOME_GRANTED] = WGC_EVENT_CLAIMED,
+        [WGK_OUTCOME_ENDED] = WGC_EVENT_CLAIM_ENDED,
+        [WGK_OUTCOME_RUNNING] = WGC_EVENT_CLAIM_RUNNING,
+        [WGK_OUTCOME_FULL] = WGC_EVENT_CLAIM_REFUSED,
+    };
+    if (outcome == WGK_OUTCOME_NO_LEADER || outcome <= 0 || outcome >= WGK_OUTCOME_NUM) {
+        return; /* the next link's leader is asked again, until the wait is over */
+    }
+    if (outcome == WGK_OUTCOME_ENDED) {
+        wgc_step(&call->machine, wg_now(), &(wgc_event){.type = WGC_EVENT_CLAIM_ENDED});
+        if (call->request) {
+            _wgro_give_earlier(call, end);
+        }
+        _wgro_release(call, 0, WGP_RESULT_CANCELLED);
+        _wgro_free_call(call);
+        _wgro_dispatch(r);
+        return;
+    }
+    _wgro_call_event(call, &(wgc_event){.type = events[outcome]});
+}
+
+void _wgro_cut_off_all(wgro_router* r) {
+    int num = 0;
+    for (int i = 0; i < r->calls_pool.capacity; i++) {
+        if (r->calls_pool.taken[i]) {
+            num++;
+            _wgro_call_event(&r->calls[i], &(wgc_event){.type = WGC_EVENT_DEADLINE});
+        }
+    }
+    wg_log(WG_EVENT_STOP_HURRIED, "cut_off=%d", num);
+}
--- /dev/null
+++ b/lib/router/wg_router_internal.h
@@ -0,0 +1,231 @@
+#pragma once
+/* wg_router_internal.h -- state shared by the files of lib/router; not installed */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/keyvalq_struct.h>
+
+#include "wg_claim.h"
+#include "wg_router.h"
+#include "wg_sse.h"
+
+enum {
+    _WGRO_SERVICES_MAX = 32,
+    _WGRO_CONTROLS_MAX = 8,
+    _WGRO_HELD_WHOLE = 64 * 1024, /* answers up to this size are relayed only when whole */
+    _WGRO_CONNS_PER_TARGET = 64,  /* idle connections kept */
+    _WGRO_UNKNOWN_KEYS = 1024     /* remembered keys that are not in the table */
+};
+
+typedef struct _wgro_call_t _wgro_call_t;
+typedef struct _wgro_attempt_t _wgro_attempt_t;
+
+/* A connection to a target. */
+typedef struct {
+    wgro_router* router;
+    uint32_t target;
+    struct evhttp_connection* http;
+    _wgro_attempt_t* attempt; /* NULL while idle */
+} _wgro_conn_t;
+
+/* One send of a call. Lives until its connection is idle again or closed. */
+struct _wgro_attempt_t {
+    wgro_router* router;
+    wg_handle call; /* may be stale: then nothing of it counts any more */
+    int number;
+    uint32_t target;
+    _wgro_conn_t* conn;
+    struct evhttp_request* request;
+    struct evbuffer* held;  /* answer not relayed yet */
+    struct evbuffer* ready; /* whole events to relay */
+    int status;
+    bool stream;       /* server-sent events */
+    bool length_known; /* the end of the answer can be told from a cut */
+    bool done_seen;
+    bool said_not_run;
+    bool aborted;
+    bool paused;   /* reading from the target is stopped */
+    int64_t usage; /* tokens that the target counted, -1 unknown */
+};
+
+struct _wgro_call_t {
+    wgro_router* router;
+    wg_handle handle;
+    wgc_call machine;
+    struct evhttp_request* request; /* NULL when the caller left */
+    int service;
+    uint32_t workspace;
+    wgq_limits limits;
+    wgq_handle queued;
+    uint32_t target; /* whose slot it has; 0 none */
+    uint32_t last_target;
+    _wgro_attempt_t* attempt;
+    struct evbuffer* body;
+    char* uri;
+    bool urgent;
+    bool keyed;
+    uint8_t key[WGK_KEY_SIZE];
+    uint64_t claim_attempt;
+    uint64_t claim_ticket;
+    uint64_t prefix;
+    bool head_sent;
+    int64_t tokens;
+    wg_time started;
+    wg_time deadline;
+    wg_time picked_at;
+    struct event* timer;
+    wgc_event_type timer_event;
+};
+
+/* A call that waits for the row of its workspace. */
+typedef struct {
+    uint64_t ticket;
+    struct evhttp_request* request;
+    uint8_t key_hash[WG_KEY_HASH_SIZE];
+    wg_time until;
+} _wgro_parked_t;
+
+typedef struct {
+    bool live;
+    wgt_row row;
+    wgq_queue* queue;
+    wgc_budget budget;
+    bool reported_waiting; /* what the leader was last told */
+    wg_hist wait_time;     /* microseconds in the queue */
+    wg_hist total_time;    /* microseconds from request to answer */
+} _wgro_service_t;
+
+typedef struct {
+    char address[WG_ADDRESS_MAX];
+} _wgro_control_t;
+
+typedef struct {
+    uint64_t requests;
+    uint64_t whole;
+    uint64_t refused;
+    uint64_t failed;
+    uint64_t cut;
+    uint64_t retries;
+    uint64_t resumes;
+    uint64_t callers_left;
+    uint64_t unknown_keys;
+    uint64_t lease_refusals;
+    uint64_t reports;
+    uint64_t reports_held_back;
+    uint64_t row_queries;
+} _wgro_counters_t;
+
+struct wgro_router {
+    const wgro_settings* settings;
+    struct event_base* base;
+    uint64_t seed;
+    uint64_t incarnation;
+    uint64_t counter; /* of tickets and jitter */
+    wg_time started_at;
+
+    struct evhttp* callers_http;
+    struct evhttp* operators_http;
+    struct event* tick;
+    wgn_net* net;
+    char callers_address[WG_ADDRESS_MAX];
+
+    /* link to the leader */
+    _wgro_control_t controls[_WGRO_CONTROLS_MAX];
+    int controls_num;
+    int control_next;
+    wgn_link link;
+    bool link_up;
+    wg_time link_since;
+    wg_time dial_at;
+    char dial_address[WG_ADDRESS_MAX]; /* as a control named the leader; "" none */
+    uint64_t term;
+    bool leader_known;
+    uint64_t report_seq;
+    uint64_t applied;
+    bool report_full;
+    bool report_wanted;
+    wg_time report_sent_at;
+    wg_time reply_at;
+    double budget; /* bytes that may be spent */
+    wg_time budget_at;
+    uint64_t budget_spent; /* bytes of the link at the last look */
+    wg_time table_lease_until;
+    bool table_in_force;
+    GHashTable* claim_ends; /* ticket -> packed ClaimAsk, until confirmed */
+
+    wgt_table* table;
+    bool table_complete;
+    wgm_members* members;
+    wgp_place* place;
+    _wgro_service_t services[_WGRO_SERVICES_MAX];
+    int services_num;
+    uint64_t configured_version;
+    GHashTable* held_reported; /* target -> limit << 16 | in_use as last reported */
+
+    wg_pool calls_pool;
+    _wgro_call_t* calls;
+    GHashTable* conns; /* target -> GQueue of idle _wgro_conn_t* */
+    GQueue parked;
+    struct {
+        uint8_t hash[WG_KEY_HASH_SIZE];
+        uint64_t version;
+    } unknown_keys[_WGRO_UNKNOWN_KEYS];
+
+    struct evhttp_connection* hosts_conn;
+    wg_time hosts_at;
+    bool hosts_good;
+    bool hosts_asked;
+
+    bool stopping;
+    wg_time stop_at;
+    _wgro_counters_t counters;
+};
+
+/* wg_router.c */
+void _wgro_configure(wgro_router* r);
+int _wgro_find_service(const wgro_router* r, const char* name);
+bool _wgro_in_force(wgro_router* r, wg_time now);
+
+/* wg_router_link.c */
+bool _wgro_link_setup(wgro_router* r, GError** error);
+void _wgro_link_tick(wgro_router* r, wg_time now);
+void _wgro_report_soon(wgro_router* r);
+bool _wgro_ask_row(wgro_router* r, uint64_t ticket, const uint8_t* key_hash);
+bool _wgro_ask_claim(wgro_router* r, _wgro_call_t* call);
+void _wgro_end_claim(wgro_router* r, _wgro_call_t* call, wg_verdict verdict, int status,
+                     const char* type, struct evbuffer* body);
+
+/* wg_router_door.c */
+bool _wgro_door_setup(wgro_router* r, GError** error);
+void _wgro_row_came(wgro_router* r, uint64_t ticket, int outcome);
+void _wgro_parked_tick(wgro_router* r, wg_time now);
+
+/* wg_router_call.c */
+typedef struct {
+    struct evhttp_request* request;
+    const wgt_row* workspace;
+    int service;
+    char* uri; /* taken over */
+    bool repeatable;
+    bool urgent;
+    uint64_t prefix;
+} _wgro_call_desc;
+void _wgro_call_begin(wgro_router* r, const _wgro_call_desc* desc);
+void _wgro_call_event(_wgro_call_t* call, const wgc_event* event);
+_wgro_call_t* _wgro_call_find(wgro_router* r, wg_handle handle);
+void _wgro_claim_answered(wgro_router* r, uint64_t ticket, int outcome, const Wgpb__ClaimEnd* end);
+void _wgro_dispatch(wgro_router* r);
+void _wgro_expire(wgro_router* r, wg_time now);
+void _wgro_cut_off_all(wgro_router* r);
+
+/* wg_router_attempt.c */
+bool _wgro_attempt_begin(_wgro_call_t* call, int number, int64_t resume_from);
+void _wgro_attempt_abort(_wgro_attempt_t* attempt);
+void _wgro_conns_shutdown(wgro_router* r);
+/* Relay what the attempt has ready; starts the answer's head when it has not left yet. */
+void _wgro_relay(_wgro_call_t* call);
+bool _wgro_is_hop_header(const char* name);
+
+/* wg_router_pages.c */
+bool _wgro_pages_setup(wgro_router* r, GError** error);
+void _wgro_hosts_tick(wgro_router* r, wg_time now);
--- /dev/null
+++ b/lib/router/wg_router_pages.c
@@ -0,0 +1,216 @@
+/* wg_router_pages.c -- operators' pages of a router, and the platform's host list */
+#include "wg_router_internal.h"
+
+#include <event2/http.h>
+#include <string.h>
+
+/* ---- state dump ---------------------------------------------------------------------------- */
+
+static json_t* _wgro_dump_services(wgro_router* r) {
+    json_t* list = json_array();
+    wg_time now = wg_now();
+    for (int i = 0; i < r->services_num; i++) {
+        _wgro_service_t* s = &r->services[i];
+        if (!s->live) {
+            continue;
+        }
+        wgq_stats q = wgq_query_stats(s->queue);
+        json_array_append_new(
+            list,
+            json_pack("{s:s,s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "name", s->row.name,
+                      "queued", q.queued, "running", q.running, "workspaces", q.flows, "free_slots",
+                      wgp_query_free(r->place, now, s->row.id), "picked", (json_int_t)q.picked,
+                      "served", (json_int_t)q.served, "expired", (json_int_t)q.expired, "retries",
+                      (json_int_t)s->budget.retries, "retries_refused",
+                      (json_int_t)s->budget.refused, "wait_us_p50",
+                      (json_int_t)wg_hist_quantile(&s->wait_time, 0.5), "wait_us_p99",
+                      (json_int_t)wg_hist_quantile(&s->wait_time, 0.99)));
+    }
+    return list;
+}
+
+static json_t* _wgro_dump_targets(wgro_router* r) {
+    json_t* list = json_array();
+    wg_time now = wg_now();
+    wgp_target_info t;
+    for (int i = 0; wgp_query_target(r->place, i, &t); i++) {
+        json_array_append_new(
+            list, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:I,s:I}", "name", t.name, "address",
+                            t.address, "slots", t.slots, "leased", t.limit, "in_use", t.in_use,
+                            "reported", t.reported, "leaving", (int)t.leaving, "aside",
+                            (int)(t.aside_until > now), "requests", (json_int_t)t.requests,
+                            "failures", (json_int_t)t.failures));
+    }
+    return list;
+}
+
+json_t* wgro_dump(wgro_router* r) {
+    wg_time now = wg_now();
+    wgn_stats n = wgn_query_stats(r->net);
+    wgt_stats t = wgt_query_stats(r->table);
+    wgm_stats m = wgm_query_stats(r->members);
+    const _wgro_counters_t* c = &r->counters;
+    json_t* json = json_pack(
+        "{s:s,s:b,s:b,s:I,s:I,s:{s:b,s:I,s:I,s:I,s:I,s:I},s:{s:i,s:i,s:i},s:{s:i,s:i,s:i}}", "name",
+        r->settings->name, "table_in_force", (int)_wgro_in_force(r, now), "stopping",
+        (int)r->stopping, "table_version", (json_int_t)t.version, "term", (json_int_t)r->term,
+        "link", "up", (int)(r->link_up && r->leader_known), "bytes_sent", (json_int_t)n.bytes_sent,
+        "bytes_received", (json_int_t)n.bytes_received, "reports", (json_int_t)c->reports,
+        "held_back", (json_int_t)c->reports_held_back, "row_queries", (json_int_t)c->row_queries,
+        "table", "workspaces", t.workspaces, "services", t.services, "targets", t.targets,
+        "routers", "up", m.up, "leaving", m.leaving, "gone", m.gone);
+    json_object_set_new(json, "requests",
+                        json_pack("{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:i}", "taken",
+                                  (json_int_t)c->requests, "whole", (json_int_t)c->whole, "refused",
+                                  (json_int_t)c->refused, "failed", (json_int_t)c->failed, "cut",
+                                  (json_int_t)c->cut, "retries", (json_int_t)c->retries, "resumes",
+                                  (json_int_t)c->resumes, "callers_left",
+                                  (json_int_t)c->callers_left, "at_work", r->calls_pool.used));
+    json_object_set_new(json, "services", _wgro_dump_services(r));
+    json_object_set_new(json, "targets", _wgro_dump_targets(r));
+    return json;
+}
+
+/* ---- pages --------------------------------------------------------------------------------- */
+
+static void _wgro_get_metrics(wgro_router* r, struct evhttp_request* request) {
+    const _wgro_counters_t* c = &r->counters;
+    wgn_stats n = wgn_query_stats(r->net);
+    const struct {
+        const char* name;
+        uint64_t value;
+    } counters[] = {{"walnutgate_requests_total", c->requests},
+                    {"walnutgate_answers_whole_total", c->whole},
+                    {"walnutgate_refused_total", c->refused},
+                    {"walnutgate_failed_total", c->failed},
+                    {"walnutgate_cut_total", c->cut},
+                    {"walnutgate_retries_total", c->retries},
+                    {"walnutgate_resumes_total", c->resumes},
+                    {"walnutgate_callers_left_total", c->callers_left},
+                    {"walnutgate_lease_refusals_total", c->lease_refusals},
+                    {"walnutgate_reports_total", c->reports},
+                    {"walnutgate_reports_held_back_total", c->reports_held_back},
+                    {"walnutgate_control_bytes_sent_total", n.bytes_sent},
+                    {"walnutgate_control_bytes_received_total", n.bytes_received},
+                    {"walnutgate_table_version", wgt_version(r->table)},
+                    {"walnutgate_table_in_force", _wgro_in_force(r, wg_now())},
+                    {"walnutgate_calls", (uint64_t)r->calls_pool.used}};
+    GString* out = g_string_new(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
+        g_string_append_printf(out, "%s %" G_GUINT64_FORMAT "\n", counters[i].name,
+                               counters[i].value);
+    }
+    for (int i = 0; i < r->services_num; i++) {
+        char label[WG_NAME_MAX + 16];
+        g_snprintf(label, sizeof label, "service=\"%s\"", r->services[i].row.name);
+        wg_hist_print(&r->services[i].wait_time, "walnutgate_wait_seconds", label, 1e6, out);
+        wg_hist_print(&r->services[i].total_time, "walnutgate_request_seconds", label, 1e6, out);
+    }
+    wgh_reply_text(request, 200, "text/plain; version=0.0.4", out->str);
+    g_string_free(out, TRUE);
+}
+
+static bool _wgro_is_operator(wgro_router* r, struct evhttp_request* request) {
+    const char* key = wgh_bearer(request);
+    uint8_t given[WG_KEY_HASH_SIZE];
+    uint8_t right[WG_KEY_HASH_SIZE];
+    wg_key_hash(key ? key : "", given);
+    wg_key_hash(r->settings->operator_key, right);
+    return key && wgw_proof_equal(given, right);
+}
+
+static void _wgro_on_page(struct evhttp_request* request, void* user_data) {
+    wgro_router* r = user_data;
+    char path[128];
+    wgh_path(request, path, sizeof path);
+    bool ready = _wgro_in_force(r, wg_now()) && !r->stopping;
+    if (strcmp(path, "/healthz") == 0) {
+        wgh_reply_text(request, 200, "text/plain", "ok\n");
+    } else if (strcmp(path, "/readyz") == 0) {
+        wgh_reply_text(request, ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+    } else if (strcmp(path, "/metrics") == 0) {
+        _wgro_get_metrics(r, request);
+    } else if (!_wgro_is_operator(r, request)) {
+        wgh_reply_error(request, &(wgh_error){.status = 401,
+                                              .code = "operator_key",
+                                              .verdict = WG_VERDICT_NOT_RUN,
+                                              .message = "the operators' key is missing or wrong"});
+    } else if (strcmp(path, "/debug/state") == 0) {
+        wgh_reply_json(request, 200, wgro_dump(r));
+    } else {
+        wgh_reply_error(request, &(wgh_error){.status = 404,
+                                              .code = "unknown_page",
+                                              .verdict = WG_VERDICT_NOT_RUN,
+                                              .message = "no such page"});
+    }
+}
+
+bool _wgro_pages_setup(wgro_router* r, GError** error) {
+    r->operators_http = wgh_listen(r->base, r->settings->operators_listen, &(wgh_limits){0}, error);
+    if (r->operators_http) {
+        evhttp_set_gencb(r->operators_http, _wgro_on_page, r);
+    }
+    return r->operators_http != NULL;
+}
+
+/* ---- host list ------------------------------------------------------------------------------ */
+
+static void _wgro_take_hosts(wgro_router* r, const json_t* json) {
+    uint64_t version = (uint64_t)json_integer_value(json_object_get(json, "version"));
+    size_t i;
+    json_t* host;
+    json_array_foreach(json_object_get(json, "hosts"), i, host) {
+        const char* address = json_string_value(json_object_get(host, "address"));
+        const char* state = json_string_value(json_object_get(host, "state"));
+        if (!address || !state) {
+            continue;
+        }
+        bool leaving = strcmp(state, "leaving") == 0;
+        if (wgp_note_host(r->place, address, leaving, version) == WGP_EVENT_LEAVING) {
+            wg_log(WG_EVENT_TARGET_LEAVING, "address=%s source=host-list", address);
+        }
+    }
+}
+
+static void _wgro_on_hosts(struct evhttp_request* request, void* user_data) {
+    wgro_router* r = user_data;
+    r->hosts_asked = false;
+    json_t* json = NULL;
+    char message[128];
+    if (request && evhttp_request_get_response_code(request) == 200) {
+        json = wgh_body_json(request, message, sizeof message);
+    }
+    if (json) {
+        _wgro_take_hosts(r, json);
+        json_decref(json);
+        r->hosts_good = true;
+    } else if (r->hosts_good) {
+        r->hosts_good = false;
+        wg_log(WG_EVENT_HOST_LIST_LOST, "%s", "");
+    }
+}
+
+void _wgro_hosts_tick(wgro_router* r, wg_time now) {
+    if (!r->settings->hosts_url[0] || now < r->hosts_at || r->hosts_asked) {
+        return;
+    }
+    r->hosts_at = now + r->settings->hosts_ms * WG_USEC_PER_MSEC;
+    struct evhttp_uri* uri = evhttp_uri_parse(r->settings->hosts_url);
+    if (!uri || !evhttp_uri_get_host(uri)) {
+        return;
+    }
+    if (!r->hosts_conn) {
+        int port = evhttp_uri_get_port(uri);
+        r->hosts_conn = evhttp_connection_base_new(r->base, NULL, evhttp_uri_get_host(uri),
+                                                   (uint16_t)(port > 0 ? port : 80));
+        evhttp_connection_set_timeout(r->hosts_conn, 1);
+    }
+    struct evhttp_request* request = evhttp_request_new(_wgro_on_hosts, r);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", evhttp_uri_get_host(uri));
+    const char* path = evhttp_uri_get_path(uri);
+    r->hosts_asked = true;
+    if (evhttp_make_request(r->hosts_conn, request, EVHTTP_REQ_GET, path && path[0] ? path : "/")) {
+        r->hosts_asked = false;
+    }
+    evhttp_uri_free(uri);
+}
--- /dev/null
+++ b/lib/share/wg_share.c
@@ -0,0 +1,510 @@
+/* wg_share.c -- accounts, routers and configuration; the plan stands in wg_share_plan.c */
+#include "wg_share_internal.h"
+
+#include <string.h>
+
+/* ---- helpers: slots ------------------------------------------------------------------------ */
+
+_wgf_slot_t* _wgf_slot(const wgf_share* s, int router, int target) {
+    return &s->slots[(size_t)router * (size_t)s->desc.targets_max + (size_t)target];
+}
+
+void _wgf_recount(wgf_share* s, int router, int target) {
+    _wgf_slot_t* slot = _wgf_slot(s, router, target);
+    uint16_t counted = MAX(MAX(slot->limit, slot->high), slot->in_use);
+    s->targets[target].counted += counted - slot->counted;
+    s->stats.leased += counted - slot->counted;
+    slot->counted = counted;
+    WG_ASSERT(s->targets[target].counted >= 0);
+}
+
+void _wgf_set_limit(wgf_share* s, int router, int target, int limit) {
+    _wgf_slot_t* slot = _wgf_slot(s, router, target);
+    slot->limit = (uint16_t)limit;
+    if (slot->limit != slot->sent) {
+        s->routers[router].slots_changed = true;
+    }
+    _wgf_recount(s, router, target);
+}
+
+void _wgf_clear_router_slots(wgf_share* s, int router) {
+    for (int t = 0; t < s->targets_num; t++) {
+        *_wgf_slot(s, router, t) = (_wgf_slot_t){.counted = _wgf_slot(s, router, t)->counted};
+        _wgf_recount(s, router, t);
+    }
+    s->routers[router].slots_changed = false;
+}
+
+int _wgf_capacity(const wgf_share* s, const _wgf_target_t* target) {
+    if (!target->live || target->leaving) {
+        return 0;
+    }
+    return target->slots * (100 + s->services[target->service].over_percent) / 100;
+}
+
+/* ---- helpers: flows and accounts ----------------------------------------------------------- */
+
+int64_t _wgf_effective_time(const _wgf_flow_t* f) {
+    return f->virtual_time + f->pending * WGF_SCALE / f->weight;
+}
+
+static int _wgf_find_service(const wgf_share* s, uint32_t id) {
+    for (int i = 0; i < s->services_num; i++) {
+        if (s->services[i].live && s->services[i].id == id) {
+            return i;
+        }
+    }
+    return -1;
+}
+
+static int64_t _wgf_weight(const wgf_share* s, uint32_t workspace) {
+    gpointer weight = g_hash_table_lookup(s->weights, GUINT_TO_POINTER(workspace));
+    return weight ? GPOINTER_TO_INT(weight) : 100;
+}
+
+static gint64 _wgf_flow_key(int service, uint32_t workspace) {
+    return ((gint64)service << 32) | workspace;
+}
+
+static int _wgf_find_flow(const wgf_share* s, int service, uint32_t workspace) {
+    gint64 key = _wgf_flow_key(service, workspace);
+    return GPOINTER_TO_INT(g_hash_table_lookup(s->flow_by_key, &key)) - 1;
+}
+
+static int _wgf_get_flow(wgf_share* s, int service, uint32_t workspace) {
+    int flow = _wgf_find_flow(s, service, workspace);
+    if (flow >= 0 || s->flows_num == s->desc.flows_max) {
+        return flow;
+    }
+    flow = s->flows_num++;
+    _wgf_flow_t* f = &s->flows[flow];
+    *f = (_wgf_flow_t){.key = _wgf_flow_key(service, workspace),
+                       .service = service,
+                       .workspace = workspace,
+                       .weight = _wgf_weight(s, workspace),
+                       .first_account = -1,
+                       .active_place = -1};
+    f->virtual_time = s->services[service].fleet_time;
+    g_hash_table_insert(s->flow_by_key, &f->key, GINT_TO_POINTER(flow + 1));
+    return flow;
+}
+
+/* Keep the service's list of flows with demand. */
+static void _wgf_update_active(wgf_share* s, int flow) {
+    _wgf_flow_t* f = &s->flows[flow];
+    _wgf_service_t* service = &s->services[f->service];
+    bool demand = f->queued + f->running > 0;
+    if (demand && f->active_place < 0) {
+        f->active_place = service->active_num;
+        service->active[service->active_num++] = flow;
+    } else if (!demand && f->active_place >= 0) {
+        int last = service->active[--service->active_num];
+        service->active[f->active_place] = last;
+        s->flows[last].active_place = f->active_place;
+        f->active_place = -1;
+    }
+}
+
+static int _wgf_find_account(const wgf_share* s, int flow, int router) {
+    gint64 key = ((gint64)flow << 16) | router;
+    return GPOINTER_TO_INT(g_hash_table_lookup(s->account_by_key, &key)) - 1;
+}
+
+static int _wgf_add_account(wgf_share* s, int flow, int router) {
+    int account = s->free_account;
+    if (account >= 0) {
+        s->free_account = s->accounts[account].next_of_flow;
+    } else if (s->accounts_num < s->desc.accounts_max) {
+        account = s->accounts_num++;
+    } else {
+        return -1;
+    }
+    _wgf_account_t* a = &s->accounts[account];
+    *a = (_wgf_account_t){.flow = flow, .router = router, .key = ((gint64)flow << 16) | router};
+    a->next_of_flow = s->flows[flow].first_account;
+    s->flows[flow].first_account = account;
+    a->next_of_router = s->routers[router].first_account;
+    s->routers[router].first_account = account;
+    g_hash_table_insert(s->account_by_key, &a->key, GINT_TO_POINTER(account + 1));
+    s->stats.accounts++;
+    return account;
+}
+
+/* Demand of an account ends; what it was served stays in the flow's virtual time. */
+static void _wgf_clear_demand(wgf_share* s, _wgf_account_t* a) {
+    _wgf_flow_t* f = &s->flows[a->flow];
+    f->queued -= a->queued;
+    f->running -= a->running;
+    f->pending -= a->pending;
+    a->queued = a->running = a->pending = 0;
+    _wgf_update_active(s, a->flow);
+}
+
+void _wgf_clear_router_demand(wgf_share* s, int router) {
+    for (int a = s->routers[router].first_account; a >= 0; a = s->accounts[a].next_of_router) {
+        _wgf_clear_demand(s, &s->accounts[a]);
+    }
+}
+
+static void _wgf_remove_accounts(wgf_share* s, int router) {
+    int account = s->routers[router].first_account;
+    while (account >= 0) {
+        _wgf_account_t* a = &s->accounts[account];
+        int next = a->next_of_router;
+        _wgf_clear_demand(s, a);
+        int* link = &s->flows[a->flow].first_account;
+        while (*link != account) {
+            link = &s->accounts[*link].next_of_flow;
+        }
+        *link = a->next_of_flow;
+        g_hash_table_remove(s->account_by_key, &a->key);
+        a->next_of_flow = s->free_account;
+        s->free_account = account;
+        s->stats.accounts--;
+        account = next;
+    }
+    s->routers[router].first_account = -1;
+}
+
+static void _wgf_merge_demand(wgf_share* s, _wgf_account_t* a, const wgf_account* in) {
+    _wgf_flow_t* f = &s->flows[a->flow];
+    bool was_waiting = f->queued > 0;
+    f->queued += (int64_t)in->queued - a->queued;
+    f->running += (int64_t)in->running - a->running;
+    f->pending += (int64_t)in->pending - a->pending;
+    a->queued = in->queued;
+    a->running = in->running;
+    a->pending = in->pending;
+    WG_ASSERT(f->queued >= 0 && f->running >= 0 && f->pending >= 0);
+    if (!was_waiting && f->queued > 0) {
+        f->virtual_time = MAX(f->virtual_time, s->services[f->service].fleet_time);
+    }
+    _wgf_update_active(s, a->flow);
+}
+
+static void _wgf_merge_account(wgf_share* s, int router, const wgf_account* in, bool full) {
+    int service = _wgf_find_service(s, in->service);
+    int flow = service < 0 ? -1 : _wgf_get_flow(s, service, in->workspace);
+    if (flow < 0) {
+        return;
+    }
+    _wgf_flow_t* f = &s->flows[flow];
+    int account = _wgf_find_account(s, flow, router);
+    bool first_sight = account < 0;
+    if (first_sight) {
+        account = _wgf_add_account(s, flow, router);
+        if (account < 0) {
+            return;
+        }
+        /* A router serves only under a leader, so what it served before stands in the virtual time
+           that it knew; a report that is not full comes from a router known since its start. */
+        s->accounts[account].served = full ? in->served : 0;
+        if (full) {
+            f->virtual_time = MAX(f->virtual_time, (int64_t)in->virtual_time);
+        }
+    }
+    _wgf_account_t* a = &s->accounts[account];
+    if (in->served > a->served) {
+        f->virtual_time += (int64_t)(in->served - a->served) * WGF_SCALE / f->weight;
+        a->served = in->served;
+    }
+    _wgf_merge_demand(s, a, in);
+}
+
+static int _wgf_find_target(const wgf_share* s, uint32_t id) {
+    return GPOINTER_TO_INT(g_hash_table_lookup(s->target_by_id, GUINT_TO_POINTER(id))) - 1;
+}
+
+/* ---- public functions: set-up and configuration -------------------------------------------- */
+
+wgf_share* wgf_setup(const wgf_desc* desc, GError** error) {
+    bool negative = desc->routers_max < 0 || desc->targets_max < 0 || desc->flows_max < 0 ||
+                    desc->accounts_max < 0 || desc->slot_term < 0;
+    if (negative || desc->routers_max > 32767) {
+        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgf_desc: a size or term is out of range");
+        return NULL;
+    }
+    wgf_share* s = g_new0(wgf_share, 1);
+    wgf_desc* d = &s->desc;
+    *d = *desc;
+    d->routers_max = d->routers_max ? d->routers_max : WGF_ROUTERS_DEFAULT;
+    d->targets_max = d->targets_max ? d->targets_max : WGF_TARGETS_DEFAULT;
+    d->flows_max = d->flows_max ? d->flows_max : WGF_FLOWS_DEFAULT;
+    d->accounts_max = d->accounts_max ? d->accounts_max : WGF_ACCOUNTS_DEFAULT;
+    d->slot_term = d->slot_term ? d->slot_term : WGF_SLOT_TERM_DEFAULT;
+    s->may_grant_at = d->now + d->slot_term;
+    wg_pool_setup(&s->routers_pool, &(wg_pool_desc){.capacity = d->routers_max});
+    s->routers = g_new0(_wgf_router_t, d->routers_max);
+    s->targets = g_new0(_wgf_target_t, d->targets_max);
+    s->flows = g_new0(_wgf_flow_t, d->flows_max);
+    s->shares = g_new0(double, d->flows_max);
+    s->accounts = g_new0(_wgf_account_t, d->accounts_max);
+    s->slots = g_new0(_wgf_slot_t, (size_t)d->routers_max * (size_t)d->targets_max);
+    s->free_account = -1;
+    s->target_by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
+    s->weights = g_hash_table_new(g_direct_hash, g_direct_equal);
+    s->flow_by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+    s->account_by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
+    return s;
+}
+
+void wgf_shutdown(wgf_share* s) {
+    wg_pool_shutdown(&s->routers_pool);
+    for (int i = 0; i < s->services_num; i++) {
+        g_free(s->services[i].active);
+    }
+    g_hash_table_unref(s->target_by_id);
+    g_hash_table_unref(s->weights);
+    g_hash_table_unref(s->flow_by_key);
+    g_hash_table_unref(s->account_by_key);
+    g_free(s->routers);
+    g_free(s->targets);
+    g_free(s->flows);
+    g_free(s->shares);
+    g_free(s->accounts);
+    g_free(s->slots);
+    g_free(s);
+}
+
+void wgf_config_begin(wgf_share* s) {
+    for (int i = 0; i < s->services_num; i++) {
+        s->services[i].seen = false;
+    }
+    for (int t = 0; t < s->targets_num; t++) {
+        s->targets[t].seen = false;
+    }
+}
+
+bool wgf_config_service(wgf_share* s, uint32_t id, int over_percent, int64_t first_cost) {
+    int i = _wgf_find_service(s, id);
+    if (i < 0) {
+        if (s->services_num == WGF_SERVICES_MAX) {
+            return false;
+        }
+        i = s->services_num++;
+        s->services[i].active = g_new0(int, s->desc.flows_max);
+    }
+    _wgf_service_t* service = &s->services[i];
+    service->id = id;
+    service->live = service->seen = true;
+    service->over_percent = over_percent;
+    service->first_cost = first_cost;
+    return true;
+}
+
+bool wgf_config_target(wgf_share* s, uint32_t id, uint32_t service_id, int slots, bool leaving,
+                       const char* data_centre) {
+    int service = _wgf_find_service(s, service_id);
+    int t = _wgf_find_target(s, id);
+    if (service < 0) {
+        return false;
+    }
+    if (t < 0) {
+        /* A place of a target that is forgotten and free of leases serves again. */
+        for (int i = 0; i < s->targets_num && t < 0; i++) {
+            t = !s->targets[i].live && s->targets[i].counted == 0 ? i : -1;
+        }
+        if (t < 0 && s->targets_num == s->desc.targets_max) {
+            return false;
+        }
+        t = t < 0 ? s->targets_num++ : t;
+        s->targets[t] = (_wgf_target_t){.id = id};
+        g_hash_table_insert(s->target_by_id, GUINT_TO_POINTER(id), GINT_TO_POINTER(t + 1));
+    }
+    _wgf_target_t* target = &s->targets[t];
+    target->live = target->seen = true;
+    target->service = service;
+    target->slots = slots;
+    target->leaving = leaving;
+    wg_copy_name(target->data_centre, sizeof target->data_centre, data_centre);
+    return true;
+}
+
+void wgf_config_end(wgf_share* s) {
+    for (int t = 0; t < s->targets_num; t++) {
+        _wgf_target_t* target = &s->targets[t];
+        if (target->live && !target->seen) {
+            target->live = false;
+            g_hash_table_remove(s->target_by_id, GUINT_TO_POINTER(target->id));
+            for (int r = 0; r < s->desc.routers_max; r++) {
+                *_wgf_slot(s, r, t) = (_wgf_slot_t){.counted = _wgf_slot(s, r, t)->counted};
+                _wgf_recount(s, r, t);
+            }
+        }
+    }
+    for (int i = 0; i < s->services_num; i++) {
+        s->services[i].live = s->services[i].seen;
+    }
+}
+
+void wgf_set_weight(wgf_share* s, uint32_t workspace, int64_t weight) {
+    WG_ASSERT(weight > 0);
+    g_hash_table_insert(s->weights, GUINT_TO_POINTER(workspace), GINT_TO_POINTER((int)weight));
+    for (int i = 0; i < s->services_num; i++) {
+        int flow = _wgf_find_flow(s, i, workspace);
+        if (flow >= 0) {
+            s->flows[flow].weight = weight;
+        }
+    }
+}
+
+/* ---- public functions: routers ------------------------------------------------------------- */
+
+wgf_router wgf_router_up(wgf_share* s, wg_time now, const char* name, uint64_t incarnation,
+                         const char* data_centre) {
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        _wgf_router_t* router = &s->routers[r];
+        if (!router->live || strcmp(router->name, name) != 0) {
+            continue;
+        }
+        if (router->incarnation == incarnation) {
+            router->heard_at = now;
+            return (wgf_router){wg_pool_handle_at(&s->routers_pool, r).id};
+        }
+        wgf_router_gone(s, (wgf_router){wg_pool_handle_at(&s->routers_pool, r).id});
+    }
+    wg_handle handle = wg_pool_alloc(&s->routers_pool);
+    if (handle.id == 0) {
+        return (wgf_router){0};
+    }
+    _wgf_router_t* router = &s->routers[wg_pool_slot(&s->routers_pool, handle)];
+    *router = (_wgf_router_t){.live = true, .incarnation = incarnation, .heard_at = now};
+    router->first_account = -1;
+    wg_copy_name(router->name, sizeof router->name, name);
+    wg_copy_name(router->data_centre, sizeof router->data_centre, data_centre);
+    return (wgf_router){handle.id};
+}
+
+void wgf_router_gone(wgf_share* s, wgf_router handle) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    if (r < 0) {
+        return;
+    }
+    _wgf_remove_accounts(s, r);
+    _wgf_clear_router_slots(s, r);
+    s->routers[r] = (_wgf_router_t){0};
+    wg_pool_free(&s->routers_pool, (wg_handle){handle.id});
+}
+
+static void _wgf_take_held(wgf_share* s, int r, const wgf_report_desc* report) {
+    for (int i = 0; i < report->held_num; i++) {
+        int t = _wgf_find_target(s, report->held[i].target);
+        if (t < 0) {
+            continue;
+        }
+        _wgf_slot_t* slot = _wgf_slot(s, r, t);
+        slot->in_use = (uint16_t)report->held[i].in_use;
+        if (report->full) {
+            slot->limit = slot->sent = slot->high = (uint16_t)report->held[i].limit;
+        }
+        _wgf_recount(s, r, t);
+    }
+}
+
+/* The router has applied all that was sent: older, larger limits are out of use. */
+static void _wgf_confirm(wgf_share* s, int r) {
+    for (int t = 0; t < s->targets_num; t++) {
+        _wgf_slot_t* slot = _wgf_slot(s, r, t);
+        if (slot->high != slot->sent) {
+            slot->high = slot->sent;
+            _wgf_recount(s, r, t);
+        }
+    }
+}
+
+void wgf_report(wgf_share* s, wg_time now, wgf_router handle, const wgf_report_desc* report) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    if (r < 0) {
+        s->stats.stale_reports++;
+        return;
+    }
+    _wgf_router_t* router = &s->routers[r];
+    router->heard_at = now;
+    router->leaving = report->leaving;
+    router->lapsed = false;
+    if (report->full) {
+        _wgf_clear_router_slots(s, r);
+        _wgf_clear_router_demand(s, r);
+        router->reported = true;
+        router->last_seq = 0;
+    }
+    _wgf_take_held(s, r, report);
+    if (report->applied >= router->last_seq) {
+        _wgf_confirm(s, r);
+    }
+    for (int i = 0; i < report->accounts_num; i++) {
+        _wgf_merge_account(s, r, &report->accounts[i], report->full);
+    }
+}
+
+int wgf_take_slots(wgf_share* s, wgf_router handle, uint64_t seq, wgf_slot* slots, int max) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    if (r < 0 || !s->routers[r].slots_changed) {
+        return 0;
+    }
+    int num = 0;
+    for (int t = 0; t < s->targets_num && num < max; t++) {
+        _wgf_slot_t* slot = _wgf_slot(s, r, t);
+        if (slot->limit != slot->sent) {
+            slots[num++] = (wgf_slot){.target = s->targets[t].id, .limit = slot->limit};
+            slot->high = MAX(slot->high, slot->limit);
+            slot->sent = slot->limit;
+        }
+    }
+    s->routers[r].slots_changed = num == max;
+    s->routers[r].last_seq = seq;
+    return num;
+}
+
+bool wgf_has_slots_to_take(const wgf_share* s, wgf_router handle) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    return r >= 0 && s->routers[r].slots_changed;
+}
+
+int wgf_take_fairs(wgf_share* s, wgf_router handle, wgf_fair* fairs, int max) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    int num = 0;
+    int account = r < 0 ? -1 : s->routers[r].first_account;
+    for (; account >= 0 && num < max; account = s->accounts[account].next_of_router) {
+        const _wgf_account_t* a = &s->accounts[account];
+        if (a->queued + a->running == 0) {
+            continue;
+        }
+        const _wgf_flow_t* f = &s->flows[a->flow];
+        int64_t others = (f->pending - a->pending) * WGF_SCALE / f->weight;
+        fairs[num++] = (wgf_fair){.service = s->services[f->service].id,
+                                  .workspace = f->workspace,
+                                  .virtual_time = (uint64_t)(f->virtual_time + others),
+                                  .acked = a->served};
+    }
+    return num;
+}
+
+/* ---- public functions: queries ------------------------------------------------------------- */
+
+uint64_t wgf_query_fleet_time(const wgf_share* s, uint32_t id) {
+    int service = _wgf_find_service(s, id);
+    return service < 0 ? 0 : (uint64_t)s->services[service].fleet_time;
+}
+
+uint64_t wgf_query_virtual_time(const wgf_share* s, uint32_t id, uint32_t workspace) {
+    int service = _wgf_find_service(s, id);
+    int flow = service < 0 ? -1 : _wgf_find_flow(s, service, workspace);
+    return flow < 0 ? 0 : (uint64_t)s->flows[flow].virtual_time;
+}
+
+int wgf_query_leased(const wgf_share* s, uint32_t id) {
+    int t = _wgf_find_target(s, id);
+    return t < 0 ? 0 : s->targets[t].counted;
+}
+
+wgf_stats wgf_query_stats(const wgf_share* s) {
+    wgf_stats stats = s->stats;
+    stats.routers = s->routers_pool.used;
+    stats.flows = s->flows_num;
+    for (int t = 0; t < s->targets_num; t++) {
+        stats.targets += s->targets[t].live ? 1 : 0;
+        stats.slots += s->targets[t].live && !s->targets[t].leaving ? s->targets[t].slots : 0;
+    }
+    return stats;
+}
--- /dev/null
+++ b/lib/share/wg_share_internal.h
@@ -0,0 +1,113 @@
+#pragma once
+/* wg_share_internal.h -- state shared by the files of lib/share; not installed */
+#include "wg_share.h"
+
+/* Per router and target. */
+typedef struct {
+    uint16_t limit;   /* wanted by the last plan */
+    uint16_t sent;    /* last limit that left for the router */
+    uint16_t high;    /* largest limit the router may still act on */
+    uint16_t in_use;  /* as last reported */
+    uint16_t counted; /* what the target's capacity is charged with */
+} _wgf_slot_t;
+
+/* One service's use by one workspace at one router. */
+typedef struct {
+    int flow;
+    int router;
+    int next_of_flow; /* -1 ends */
+    int next_of_router;
+    gint64 key;
+    uint64_t served;
+    uint32_t pending;
+    uint32_t queued;
+    uint32_t running;
+} _wgf_account_t;
+
+/* One service's use by one workspace. */
+typedef struct {
+    gint64 key;
+    int service;
+    uint32_t workspace;
+    int64_t weight;
+    int64_t virtual_time; /* settled */
+    int64_t pending;
+    int64_t queued;
+    int64_t running;
+    int first_account;
+    int active_place; /* in the service's list of flows with demand; -1 */
+} _wgf_flow_t;
+
+typedef struct {
+    uint32_t id;
+    bool live;
+    bool seen; /* by the configuration under way */
+    int over_percent;
+    int64_t first_cost;
+    int64_t fleet_time;
+    int* active; /* flows with demand */
+    int active_num;
+} _wgf_service_t;
+
+typedef struct {
+    uint32_t id;
+    bool live;
+    bool seen;
+    bool leaving;
+    int service;
+    int slots;
+    int counted; /* over all routers */
+    char data_centre[WG_NAME_MAX];
+} _wgf_target_t;
+
+typedef struct {
+    bool live;
+    uint64_t incarnation;
+    char name[WG_NAME_MAX];
+    char data_centre[WG_NAME_MAX];
+    wg_time heard_at;
+    bool reported;
+    bool leaving;
+    bool lapsed;
+    uint64_t last_seq;
+    int first_account;
+    bool slots_changed;
+    /* scratch of a plan */
+    double quota;
+    int64_t demand;
+    int want;
+    int holds;
+} _wgf_router_t;
+
+struct wgf_share {
+    wgf_desc desc;
+    wg_time may_grant_at; /* end of a new leader's wait */
+    wg_pool routers_pool;
+    _wgf_router_t* routers;
+    _wgf_target_t* targets;
+    int targets_num; /* places used so far */
+    GHashTable* target_by_id;
+    _wgf_service_t services[WGF_SERVICES_MAX];
+    int services_num;
+    _wgf_flow_t* flows;
+    int flows_num;
+    GHashTable* flow_by_key;
+    GHashTable* weights;
+    _wgf_account_t* accounts;
+    int accounts_num;
+    int free_account; /* chain through next_of_flow */
+    GHashTable* account_by_key;
+    _wgf_slot_t* slots; /* [router * targets_max + target] */
+    double* shares;     /* scratch: slots per flow in a plan */
+    wgf_stats stats;
+};
+
+_wgf_slot_t* _wgf_slot(const wgf_share* s, int router, int target);
+/* Set the wanted limit; keeps the counts right. */
+void _wgf_set_limit(wgf_share* s, int router, int target, int limit);
+void _wgf_recount(wgf_share* s, int router, int target);
+void _wgf_clear_router_slots(wgf_share* s, int router);
+/* A router's waiting and running requests count no longer. */
+void _wgf_clear_router_demand(wgf_share* s, int router);
+int _wgf_capacity(const wgf_share* s, const _wgf_target_t* target);
+int64_t _wgf_effective_time(const _wgf_flow_t* flow);
