--- /dev/null
+++ b/lib/share/wg_share_plan.c
@@ -0,0 +1,356 @@
+/*
+    wg_share_plan.c -- who may use which slots; see wg_share.h
+
+    For each service: shares of workspaces (weighted max-min with a correction by virtual time),
+   then quotas of routers (each workspace's share, split by where its demand is), then limits per
+   target (take back no more than is needed elsewhere, grant from what is free).
+   docs/design/fairness.md gives the reasons.
+*/
+#include "wg_share_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+enum {
+    _WGF_FILL_ROUNDS = 40, /* bisection steps when the shares are worked out */
+    _WGF_FORGET_TERMS = 30 /* slot terms of silence after which a router's accounts go */
+};
+
+/* Bounds of the correction: a workspace behind gets up to 4 times its weight, one ahead a quarter.
+ */
+static const double _WGF_BOOST_MIN = 0.25;
+static const double _WGF_BOOST_MAX = 4.0;
+
+/* ---- helpers: fleet time ------------------------------------------------------------------- */
+
+static void _wgf_advance_fleet_time(wgf_share* s, _wgf_service_t* service) {
+    int64_t least = INT64_MAX;
+    for (int i = 0; i < service->active_num; i++) {
+        const _wgf_flow_t* f = &s->flows[service->active[i]];
+        if (f->queued > 0) {
+            least = MIN(least, f->virtual_time);
+        }
+    }
+    if (least != INT64_MAX) {
+        service->fleet_time = MAX(service->fleet_time, least);
+    }
+}
+
+/* ---- helpers: shares of workspaces --------------------------------------------------------- */
+
+static double _wgf_demand(const _wgf_flow_t* f) {
+    return (double)(f->queued + f->running);
+}
+
+/* How far the virtual time moves while every slot completes one request: the unit of correction. */
+static double _wgf_round(const wgf_share* s, const _wgf_service_t* service, double slots) {
+    int64_t pending = 0;
+    int64_t running = 0;
+    double weights = 0;
+    for (int i = 0; i < service->active_num; i++) {
+        const _wgf_flow_t* f = &s->flows[service->active[i]];
+        pending += f->pending;
+        running += f->running;
+        weights += (double)f->weight;
+    }
+    double cost = running > 0 && pending > 0 ? 2.0 * (double)pending / (double)running
+                                             : (double)service->first_cost;
+    return MAX(1.0, slots * cost * WGF_SCALE / MAX(weights, 1.0));
+}
+
+static double _wgf_mean_time(const wgf_share* s, const _wgf_service_t* service) {
+    double sum = 0;
+    double weights = 0;
+    for (int i = 0; i < service->active_num; i++) {
+        const _wgf_flow_t* f = &s->flows[service->active[i]];
+        if (f->queued > 0) {
+            sum += (double)_wgf_effective_time(f) * (double)f->weight;
+            weights += (double)f->weight;
+        }
+    }
+    return weights > 0 ? sum / weights : 0;
+}
+
+/* Weights corrected by how far each workspace is from the mean virtual time. */
+static void _wgf_corrected_weights(wgf_share* s, const _wgf_service_t* service, double slots) {
+    double round = _wgf_round(s, service, slots);
+    double mean = _wgf_mean_time(s, service);
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        const _wgf_flow_t* f = &s->flows[flow];
+        double behind = (mean - (double)_wgf_effective_time(f)) / round;
+        double boost = CLAMP(1.0 + behind, _WGF_BOOST_MIN, _WGF_BOOST_MAX);
+        s->shares[flow] = (double)f->weight * boost;
+    }
+}
+
+static double _wgf_filled(const wgf_share* s, const _wgf_service_t* service, double level) {
+    double sum = 0;
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        sum += MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * level);
+    }
+    return sum;
+}
+
+/* Turn corrected weights into slots: the same level for all, but nobody above its demand. */
+static void _wgf_fill_shares(wgf_share* s, const _wgf_service_t* service, double slots) {
+    double low = 0;
+    double high = slots;
+    for (int i = 0; i < _WGF_FILL_ROUNDS; i++) {
+        double level = (low + high) / 2;
+        if (_wgf_filled(s, service, level) < slots) {
+            low = level;
+        } else {
+            high = level;
+        }
+    }
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        s->shares[flow] = MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * high);
+    }
+}
+
+/* ---- helpers: quotas of routers ------------------------------------------------------------ */
+
+static bool _wgf_takes_slots(const _wgf_router_t* router) {
+    return router->live && router->reported && !router->lapsed;
+}
+
+static void _wgf_count_demand(wgf_share* s, const _wgf_service_t* service) {
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        s->routers[r].quota = 0;
+        s->routers[r].demand = 0;
+    }
+    for (int i = 0; i < service->active_num; i++) {
+        const _wgf_flow_t* f = &s->flows[service->active[i]];
+        for (int a = f->first_account; a >= 0; a = s->accounts[a].next_of_flow) {
+            s->routers[s->accounts[a].router].demand +=
+                s->accounts[a].queued + s->accounts[a].running;
+        }
+    }
+}
+
+/* More demand than slots: each workspace's share goes where its demand is. */
+static void _wgf_quotas_contended(wgf_share* s, const _wgf_service_t* service, double slots) {
+    _wgf_corrected_weights(s, service, slots);
+    _wgf_fill_shares(s, service, slots);
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        const _wgf_flow_t* f = &s->flows[flow];
+        for (int a = f->first_account; a >= 0; a = s->accounts[a].next_of_flow) {
+            double demand = s->accounts[a].queued + s->accounts[a].running;
+            s->routers[s->accounts[a].router].quota += s->shares[flow] * demand / _wgf_demand(f);
+        }
+    }
+}
+
+/* Enough for all: demand is met, most of the rest is spread evenly. */
+static void _wgf_quotas_spare(wgf_share* s, double slots, double demand, int routers) {
+    double spread = (slots - demand) * (100 - WGF_SPARE_KEPT_PERCENT) / 100.0 / MAX(routers, 1);
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        if (_wgf_takes_slots(&s->routers[r])) {
+            bool invites = !s->routers[r].leaving;
+            s->routers[r].quota = (double)s->routers[r].demand + (invites ? spread : 0);
+        }
+    }
+}
+
+/* Whole slots out of quotas: the fractions go to the largest, in order of routers. */
+static void _wgf_round_quotas(wgf_share* s) {
+    double carry = 0;
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        _wgf_router_t* router = &s->routers[r];
+        if (!_wgf_takes_slots(router)) {
+            router->want = 0;
+            continue;
+        }
+        double exact = router->quota + carry;
+        router->want = (int)floor(exact + 1e-6);
+        carry = exact - router->want;
+    }
+}
+
+/* ---- helpers: limits per target ------------------------------------------------------------ */
+
+static bool _wgf_serves(const _wgf_target_t* target, int service) {
+    return target->live && target->service == service;
+}
+
+static void _wgf_count_holdings(wgf_share* s, int service) {
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        _wgf_router_t* router = &s->routers[r];
+        router->holds = 0;
+        if (!router->live) {
+            continue;
+        }
+        for (int t = 0; t < s->targets_num; t++) {
+            if (_wgf_serves(&s->targets[t], service)) {
+                router->holds += _wgf_slot(s, r, t)->limit;
+            }
+        }
+    }
+}
+
+/* Take back up to `num` slots of a router, idle ones first. */
+static void _wgf_take_back(wgf_share* s, int r, int service, int num) {
+    for (int pass = 0; pass < 2 && num > 0; pass++) {
+        for (int t = 0; t < s->targets_num && num > 0; t++) {
+            _wgf_slot_t* slot = _wgf_slot(s, r, t);
+            if (!_wgf_serves(&s->targets[t], service) || slot->limit == 0) {
+                continue;
+            }
+            int idle = MAX(slot->limit - slot->in_use, 0);
+            int take = MIN(num, pass == 0 ? idle : slot->limit);
+            if (take > 0) {
+                _wgf_set_limit(s, r, t, slot->limit - take);
+                num -= take;
+                s->routers[r].holds -= take;
+            }
+        }
+    }
+}
+
+/* Limits on targets that take no work, or that lost slots by an edit. */
+static void _wgf_shrink_targets(wgf_share* s) {
+    for (int t = 0; t < s->targets_num; t++) {
+        int capacity = _wgf_capacity(s, &s->targets[t]);
+        int sum = 0;
+        for (int r = 0; r < s->desc.routers_max; r++) {
+            sum += _wgf_slot(s, r, t)->limit;
+        }
+        for (int r = 0; r < s->desc.routers_max && sum > capacity; r++) {
+            int limit = _wgf_slot(s, r, t)->limit;
+            int take = MIN(limit, sum - capacity);
+            if (take > 0) {
+                _wgf_set_limit(s, r, t, limit - take);
+                sum -= take;
+            }
+        }
+    }
+}
+
+static int _wgf_free_slots(const wgf_share* s, int service) {
+    int num = 0;
+    for (int t = 0; t < s->targets_num; t++) {
+        if (_wgf_serves(&s->targets[t], service)) {
+            num += MAX(_wgf_capacity(s, &s->targets[t]) - s->targets[t].counted, 0);
+        }
+    }
+    return num;
+}
+
+/* Target to grant from: most free slots, the router's own data centre counting a little more. */
+static int _wgf_best_target(const wgf_share* s, int r, int service) {
+    int best = -1;
+    int best_score = 0;
+    for (int t = 0; t < s->targets_num; t++) {
+        const _wgf_target_t* target = &s->targets[t];
+        if (!_wgf_serves(target, service)) {
+            continue;
+        }
+        int score = 4 * (_wgf_capacity(s, target) - target->counted);
+        bool near = strcmp(target->data_centre, s->routers[r].data_centre) == 0;
+        if (score > 0 && score + (near ? 3 : 0) > best_score) {
+            best = t;
+            best_score = score + (near ? 3 : 0);
+        }
+    }
+    return best;
+}
+
+static void _wgf_grant(wgf_share* s, int r, int service, int num) {
+    while (num > 0) {
+        int t = _wgf_best_target(s, r, service);
+        if (t < 0) {
+            return;
+        }
+        int left = _wgf_capacity(s, &s->targets[t]) - s->targets[t].counted;
+        int give = MIN(num, MAX(1, left / 4));
+        _wgf_slot_t* slot = _wgf_slot(s, r, t);
+        _wgf_set_limit(s, r, t, slot->limit + give);
+        WG_ASSERT(s->targets[t].counted <= _wgf_capacity(s, &s->targets[t]));
+        num -= give;
+        s->routers[r].holds += give;
+    }
+}
+
+static void _wgf_move_slots(wgf_share* s, int service, wg_time now) {
+    _wgf_count_holdings(s, service);
+    int shortage = 0;
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        shortage += MAX(s->routers[r].want - s->routers[r].holds, 0);
+    }
+    int to_free = shortage - _wgf_free_slots(s, service);
+    for (int r = 0; r < s->desc.routers_max && to_free > 0; r++) {
+        int surplus = MIN(s->routers[r].holds - s->routers[r].want, to_free);
+        if (surplus > 0) {
+            _wgf_take_back(s, r, service, surplus);
+            to_free -= surplus;
+        }
+    }
+    if (now < s->may_grant_at) {
+        return;
+    }
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        if (_wgf_takes_slots(&s->routers[r]) && s->routers[r].want > s->routers[r].holds) {
+            _wgf_grant(s, r, service, s->routers[r].want - s->routers[r].holds);
+        }
+    }
+}
+
+static void _wgf_plan_service(wgf_share* s, int i, wg_time now) {
+    _wgf_service_t* service = &s->services[i];
+    _wgf_advance_fleet_time(s, service);
+    _wgf_count_demand(s, service);
+    double slots = 0;
+    for (int t = 0; t < s->targets_num; t++) {
+        if (_wgf_serves(&s->targets[t], i)) {
+            slots += _wgf_capacity(s, &s->targets[t]);
+        }
+    }
+    double demand = 0;
+    int routers = 0;
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        demand += (double)s->routers[r].demand;
+        routers += _wgf_takes_slots(&s->routers[r]) && !s->routers[r].leaving ? 1 : 0;
+    }
+    if (demand > slots) {
+        _wgf_quotas_contended(s, service, slots);
+    } else {
+        _wgf_quotas_spare(s, slots, demand, routers);
+    }
+    _wgf_round_quotas(s);
+    _wgf_move_slots(s, i, now);
+}
+
+/* Silent routers lose their leases; long silent ones are forgotten. */
+static void _wgf_end_leases(wgf_share* s, wg_time now) {
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        _wgf_router_t* router = &s->routers[r];
+        wg_time silence = router->live ? now - router->heard_at : 0;
+        if (silence > _WGF_FORGET_TERMS * s->desc.slot_term) {
+            wgf_router_gone(s, (wgf_router){wg_pool_handle_at(&s->routers_pool, r).id});
+        } else if (silence > s->desc.slot_term && !router->lapsed) {
+            router->lapsed = true;
+            s->stats.lapsed++;
+            _wgf_clear_router_slots(s, r);
+            _wgf_clear_router_demand(s, r);
+        }
+    }
+}
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+void wgf_plan(wgf_share* s, wg_time now) {
+    s->stats.plans++;
+    _wgf_end_leases(s, now);
+    _wgf_shrink_targets(s);
+    for (int i = 0; i < s->services_num; i++) {
+        if (s->services[i].live) {
+            _wgf_plan_service(s, i, now);
+        }
+    }
+}
--- /dev/null
+++ b/lib/store/wg_store_file.h
@@ -0,0 +1,27 @@
+#pragma once
+/* wg_store_file.h -- whole files and records with checksums; private to lib/store */
+#include "wg_base.h"
+
+/* Record head: length (4 bytes, little endian) and checksum (8 bytes) of the payload. */
+enum {
+    _WGS_RECORD_HEAD = 12
+};
+
+typedef enum {
+    _WGS_RECORD_DEFAULT = 0,
+    _WGS_RECORD_WHOLE,
+    _WGS_RECORD_SHORT,   /* the bytes end before the record does */
+    _WGS_RECORD_DAMAGED, /* length or checksum is wrong */
+    _WGS_RECORD_NUM
+} _wgs_record;
+
+void _wgs_record_append(GByteArray* out, const uint8_t* payload, size_t size);
+_wgs_record _wgs_record_parse(const uint8_t* bytes, size_t size, const uint8_t** payload,
+                              size_t* payload_size);
+/* Write `name` in a folder so that after a crash the old or the new content stands there. */
+bool _wgs_replace_file(int folder_fd, const char* name, const GByteArray* content, GError** error);
+/* NULL without an error when the file does not exist. */
+GByteArray* _wgs_read_file(int folder_fd, const char* name, GError** error);
+bool _wgs_sync_folder(int folder_fd, GError** error);
+bool _wgs_write_all(int fd, const uint8_t* data, size_t size, GError** error);
+bool _wgs_fail(GError** error, const char* what, const char* name);
--- /dev/null
+++ b/lib/wire/wg_wire.c
@@ -0,0 +1,73 @@
+/* wg_wire.c -- see wg_wire.h */
+#include "wg_wire.h"
+
+#include <string.h>
+
+/* ---- public functions --------------------------------------------------------------------- */
+
+void wgw_frame_head_pack(uint8_t head[WGW_HEAD_SIZE], wgw_type type, size_t payload_size) {
+    head[0] = (uint8_t)(payload_size >> 24);
+    head[1] = (uint8_t)(payload_size >> 16);
+    head[2] = (uint8_t)(payload_size >> 8);
+    head[3] = (uint8_t)payload_size;
+    head[4] = WGW_MAGIC;
+    head[5] = WGW_VERSION;
+    head[6] = (uint8_t)type;
+    head[7] = 0;
+}
+
+wgw_parse wgw_frame_parse(const uint8_t* bytes, size_t size, size_t max, wgw_frame* frame) {
+    *frame = (wgw_frame){0};
+    if (size < WGW_HEAD_SIZE) {
+        return WGW_PARSE_MORE;
+    }
+    size_t length = ((size_t)bytes[0] << 24) | ((size_t)bytes[1] << 16) | ((size_t)bytes[2] << 8) |
+                    (size_t)bytes[3];
+    if (bytes[4] != WGW_MAGIC) {
+        frame->reason = "wrong magic";
+    } else if (bytes[5] != WGW_VERSION) {
+        frame->reason = "wrong version";
+    } else if (bytes[6] == WGW_TYPE_DEFAULT || bytes[6] >= WGW_TYPE_NUM || bytes[7] != 0) {
+        frame->reason = "wrong type";
+    } else if (length > (max ? max : WGW_FRAME_MAX_DEFAULT)) {
+        frame->reason = "payload too long";
+    }
+    if (frame->reason) {
+        return WGW_PARSE_BAD;
+    }
+    if (size - WGW_HEAD_SIZE < length) {
+        frame->size = length;
+        return WGW_PARSE_MORE;
+    }
+    frame->type = (wgw_type)bytes[6];
+    frame->payload = bytes + WGW_HEAD_SIZE;
+    frame->size = length;
+    return WGW_PARSE_WHOLE;
+}
+
+void wgw_proof(const char* fleet_key, const char* label, const uint8_t* dialer_hello,
+               size_t dialer_size, const uint8_t* acceptor_hello, size_t acceptor_size,
+               uint8_t out[WGW_MAC_SIZE]) {
+    GHmac* hmac = g_hmac_new(G_CHECKSUM_SHA256, (const guchar*)fleet_key, strlen(fleet_key));
+    gsize size = WGW_MAC_SIZE;
+    g_hmac_update(hmac, (const guchar*)label, (gssize)strlen(label));
+    g_hmac_update(hmac, dialer_hello, (gssize)dialer_size);
+    g_hmac_update(hmac, acceptor_hello, (gssize)acceptor_size);
+    g_hmac_get_digest(hmac, out, &size);
+    g_hmac_unref(hmac);
+}
+
+bool wgw_proof_equal(const uint8_t* a, const uint8_t* b) {
+    uint8_t difference = 0;
+    for (int i = 0; i < WGW_MAC_SIZE; i++) {
+        difference |= (uint8_t)(a[i] ^ b[i]);
+    }
+    return difference == 0;
+}
+
+GByteArray* wgw_pack(const ProtobufCMessage* message) {
+    GByteArray* bytes = g_byte_array_new();
+    g_byte_array_set_size(bytes, (guint)protobuf_c_message_get_packed_size(message));
+    protobuf_c_message_pack(message, bytes->data);
+    return bytes;
+}
--- /dev/null
+++ b/tests/fakes/fake.h
@@ -0,0 +1,121 @@
+#pragma once
+/*
+    fake.h -- what both target stand-ins share: arguments, faults, journal
+
+    Arguments: address=ip:port and further key=value pairs; see docs/TARGET-PROTOCOL.md. Faults can
+   be set at the start or by POST /fake/set?key=value. The journal of runs is at GET /fake/journal.
+*/
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "wg_http.h"
+
+typedef struct {
+    int64_t slots;
+    int64_t pace_us;   /* between two tokens */
+    int64_t work_us;   /* of one application call */
+    int64_t refuse;    /* percent of requests refused as not run */
+    int64_t fail;      /* percent of requests that run, then answer 500 */
+    int64_t cut;       /* percent of answers cut off in the middle */
+    int64_t stall;     /* 1: no answer any more */
+    int64_t late_us;   /* wait before the first byte of an answer */
+    int64_t no_marker; /* percent of streams that end without their end marker */
+    int64_t leaving;   /* 1: answers say so */
+    int64_t seed;
+} fake_faults;
+
+static fake_faults fake = {.slots = 8, .pace_us = 20000, .work_us = 2000, .seed = 1};
+static const char* fake_address = "127.0.0.1:9000";
+static uint64_t fake_counter;
+
+static int64_t* fake_field(const char* name) {
+    static const struct {
+        const char* name;
+        int64_t* field;
+    } fields[] = {
+        {"slots", &fake.slots},     {"pace_us", &fake.pace_us}, {"work_us", &fake.work_us},
+        {"refuse", &fake.refuse},   {"fail", &fake.fail},       {"cut", &fake.cut},
+        {"stall", &fake.stall},     {"late_us", &fake.late_us}, {"no_marker", &fake.no_marker},
+        {"leaving", &fake.leaving}, {"seed", &fake.seed}};
+    for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
+        if (strcmp(fields[i].name, name) == 0) {
+            return fields[i].field;
+        }
+    }
+    return NULL;
+}
+
+static bool fake_set(const char* name, const char* value) {
+    int64_t* field = fake_field(name);
+    if (field) {
+        *field = g_ascii_strtoll(value, NULL, 10);
+    }
+    return field != NULL;
+}
+
+static void fake_parse_arguments(int argc, char** argv) {
+    for (int i = 1; i < argc; i++) {
+        char** parts = g_strsplit(argv[i], "=", 2);
+        if (parts[0] && parts[1] && strcmp(parts[0], "address") == 0) {
+            fake_address = g_strdup(parts[1]);
+        } else if (!parts[1] || !fake_set(parts[0], parts[1])) {
+            fprintf(stderr, "unknown argument %s\n", argv[i]);
+            exit(2);
+        }
+        g_strfreev(parts);
+    }
+}
+
+/* Whether a fault of so many percent strikes now; the same seed gives the same sequence. */
+static bool fake_strikes(int64_t percent) {
+    return (int64_t)(wg_jitter((uint64_t)fake.seed, ++fake_counter) % 100) < percent;
+}
+
+/* POST /fake/set?name=value&... */
+static void fake_on_set(struct evhttp_request* request) {
+    const char* uri = evhttp_request_get_uri(request);
+    struct evkeyvalq params;
+    bool good = evhttp_parse_query_str(strchr(uri, '?') ? strchr(uri, '?') + 1 : "", &params) == 0;
+    for (struct evkeyval* p = good ? params.tqh_first : NULL; p; p = p->next.tqe_next) {
+        good = fake_set(p->key, p->value) && good;
+    }
+    evhttp_clear_headers(&params);
+    wgh_reply_text(request, good ? 200 : 400, "text/plain", good ? "set\n" : "unknown name\n");
+}
+
+static void fake_on_stop(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    event_base_loopbreak(user_data);
+}
+
+static int fake_main(int argc, char** argv, void (*setup)(struct event_base* base),
+                     void (*on_request)(struct evhttp_request*, void*)) {
+    signal(SIGPIPE, SIG_IGN);
+    fake_parse_arguments(argc, argv);
+    struct event_base* base = event_base_new();
+    GError* error = NULL;
+    struct evhttp* http =
+        wgh_listen(base, fake_address, &(wgh_limits){.body_max = 64 << 20}, &error);
+    if (!http) {
+        fprintf(stderr, "%s\n", error->message);
+        return 2;
+    }
+    setup(base);
+    evhttp_set_gencb(http, on_request, NULL);
+    struct event* stop = evsignal_new(base, SIGTERM, fake_on_stop, base);
+    event_add(stop, NULL);
+    event_base_dispatch(base);
+    event_free(stop);
+    evhttp_free(http);
+    event_base_free(base);
+    return 0;
+}
--- /dev/null
+++ b/tests/sim/sim_quorum.h
@@ -0,0 +1,76 @@
+#pragma once
+/*
+    sim_quorum.h -- randomised run of lib/quorum, lib/table and lib/claim over a fake network and disk
+
+    Virtual time, one seed, no threads: the same seed gives the same run, event for event. Faults:
+    messages lost, doubled, delayed and out of order; links cut one way and both ways; crashes before,
+    between and after syncing and sending; freezes; lost disks and replacement; clocks that drift.
+
+    Asserted at every step: equal entries at equal indexes on all replicas, equal tables and claims,
+    at most one replica that believes to lead, and that one has everything that was ever answered.
+*/
+#include "wg_claim.h"
+#include "wg_quorum.h"
+#include "wg_table.h"
+
+enum { SIM_NODES_MAX = 8 };
+
+/* How often each kind of fault struck. */
+typedef struct {
+    uint64_t lost;
+    uint64_t doubled;
+    uint64_t cuts;
+    uint64_t crashes;
+    uint64_t freezes;
+    uint64_t disks_lost;
+    uint64_t replaced;
+    uint64_t hand_overs;
+    uint64_t snapshots_sent;
+    uint64_t elections;
+    uint64_t edits_accepted;
+    uint64_t edits_conflict;
+    uint64_t edits_resent;
+    uint64_t claims_granted;
+    uint64_t claims_repeated;
+    uint64_t committed;
+    wg_time longest_without_leader;
+} simq_counts;
+
+typedef struct {
+    uint64_t seed;
+    int replicas;      /* 1, 3 or 5 */
+    uint64_t steps;
+    bool faults;       /* false: a quiet network */
+    bool print;
+} simq_desc;
+
+typedef struct simq_run simq_run;
+
+simq_run* simq_setup(const simq_desc* desc);
+void simq_shutdown(simq_run* run);
+/* Go on for so many steps of the desc's faults. */
+void simq_steps(simq_run* run, uint64_t steps);
+/* Heal everything and assert that a leader comes and all replicas agree within `within`. */
+void simq_settle(simq_run* run, wg_time within);
+simq_counts simq_query_counts(const simq_run* run);
+/* Hash of everything that happened; equal for equal seeds. */
+uint64_t simq_query_trace(const simq_run* run);
+
+/* For focused tests. */
+int simq_leader(simq_run* run); /* slot of the replica that leads, or -1 */
+void simq_run_for(simq_run* run, wg_time duration); /* no new faults */
+void simq_cut(simq_run* run, int from, int to, bool cut);
+void simq_crash(simq_run* run, int slot);
+void simq_restart(simq_run* run, int slot);
+void simq_freeze(simq_run* run, int slot, wg_time duration);
+void simq_lose_disk(simq_run* run, int slot);
+bool simq_replace(simq_run* run, int slot);
+/* Propose an edit at the leader; its index or 0. */
+uint64_t simq_edit(simq_run* run, const char* workspace, int64_t weight, uint64_t base_version,
+                   uint64_t edit_number);
+/* Highest index that was answered to an operator. */
+uint64_t simq_answered(const simq_run* run);
+wgt_table* simq_table(simq_run* run, int slot);
+const wgr_set* simq_set(simq_run* run, int slot);
+bool simq_believes_to_lead(simq_run* run, int slot);
+wg_time simq_now(const simq_run* run);
