--- a/lib/claim/wg_claim.c
+++ b/lib/claim/wg_claim.c
@@ -151,6 +151,11 @@
     wgpb__claim_record__free_unpacked(with_end, NULL);
 }
 
+const Wgpb__ClaimEnd* wgk_find_end(const wgk_claims* c, const Wgpb__ClaimEnd* like) {
+    const _wgk_claim_t* known = _wgk_find(c, like->workspace, like->key);
+    return known ? known->record->end : NULL;
+}
+
 wgk_stats wgk_query_stats(const wgk_claims* c) {
     wgk_stats stats = c->stats;
     stats.claims = (int)c->order.length;
--- a/lib/claim/wg_claim.h
+++ b/lib/claim/wg_claim.h
@@ -62,6 +62,8 @@
 wgk_outcome wgk_claim(wgk_claims* claims, const Wgpb__Claim* claim, const Wgpb__ClaimEnd** end);
 /* The end of a claim's request. NOT_RUN takes the claim back. Ignored for another attempt. */
 void wgk_end(wgk_claims* claims, const Wgpb__ClaimEnd* end);
+/* The end that is kept for a claim of this workspace and key, or NULL. */
+const Wgpb__ClaimEnd* wgk_find_end(const wgk_claims* claims, const Wgpb__ClaimEnd* like);
 wgk_stats wgk_query_stats(const wgk_claims* claims);
 /* Snapshot form; freed by wgpb__claim_state__free_unpacked(). */
 Wgpb__ClaimState* wgk_dump(const wgk_claims* claims);
--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -68,9 +68,11 @@
     Wgpb__Fair* fair_list[_WGCO_FAIRS_MAX];
     Wgpb__Fair fleet_items[WGF_SERVICES_MAX];
     Wgpb__Fair* fleet_list[WGF_SERVICES_MAX];
-    wgf_slot slots[WGF_TARGETS_DEFAULT];
-    Wgpb__Slot slot_items[WGF_TARGETS_DEFAULT];
-    Wgpb__Slot* slot_list[WGF_TARGETS_DEFAULT];
+    wgf_orders orders;
+    Wgpb__Grant grant_items[WGF_GRANTS_MAX];
+    Wgpb__Grant* grant_list[WGF_GRANTS_MAX];
+    Wgpb__Quota quota_items[WGF_SERVICES_MAX];
+    Wgpb__Quota* quota_list[WGF_SERVICES_MAX];
 } _wgco_reply_t;
 
 static _wgco_reply_t* _wgco_scratch(void) {
@@ -165,16 +167,25 @@
     }
 }
 
-static void _wgco_fill_slots(wgco_control* c, _wgco_session_t* s, Wgpb__Reply* reply) {
+static void _wgco_fill_orders(wgco_control* c, _wgco_session_t* s, Wgpb__Reply* reply) {
     _wgco_reply_t* scratch = _wgco_scratch();
-    int num = wgf_take_slots(c->share, s->share, reply->seq, scratch->slots, WGF_TARGETS_DEFAULT);
-    reply->slots = scratch->slot_list;
-    for (int i = 0; i < num; i++) {
-        Wgpb__Slot* out = &scratch->slot_items[i];
-        wgpb__slot__init(out);
-        out->target = scratch->slots[i].target;
-        out->limit = scratch->slots[i].limit;
-        scratch->slot_list[reply->n_slots++] = out;
+    const wgf_orders* orders = &scratch->orders;
+    wgf_take_orders(c->share, s->share, reply->seq, &scratch->orders);
+    reply->grants = scratch->grant_list;
+    for (int i = 0; i < orders->grants_num; i++) {
+        Wgpb__Grant* out = &scratch->grant_items[i];
+        wgpb__grant__init(out);
+        out->target = orders->grants[i].target;
+        out->add = orders->grants[i].add;
+        scratch->grant_list[reply->n_grants++] = out;
+    }
+    reply->quotas = scratch->quota_list;
+    for (int i = 0; i < orders->quotas_num; i++) {
+        Wgpb__Quota* out = &scratch->quota_items[i];
+        wgpb__quota__init(out);
+        out->service = orders->quotas[i].service;
+        out->most = orders->quotas[i].most;
+        scratch->quota_list[reply->n_quotas++] = out;
     }
 }
 
@@ -193,7 +204,7 @@
         reply.slot_lease = c->settings->slot_lease_ms * WG_USEC_PER_MSEC;
         _wgco_fill_rows(c, s, &reply);
         _wgco_fill_members(c, s, &reply);
-        _wgco_fill_slots(c, s, &reply);
+        _wgco_fill_orders(c, s, &reply);
         if (with_fairs) {
             _wgco_fill_fairs(c, s, &reply);
         }
@@ -235,7 +246,7 @@
                                     .virtual_time = a->virtual_time};
     }
     for (size_t i = 0; i < in->n_held; i++) {
-        held[i] = (wgf_held){in->held[i]->target, in->held[i]->limit, in->held[i]->in_use};
+        held[i] = (wgf_held){in->held[i]->target, in->held[i]->slots};
     }
     wgf_report(c->share, now, s->share,
                &(wgf_report_desc){.full = in->full,
@@ -324,7 +335,7 @@
     wgf_plan(c->share, begin);
     for (int i = 0; i < _WGCO_ROUTERS_MAX; i++) {
         _wgco_session_t* s = &c->sessions[i];
-        if (s->live && s->report_seq > 0 && wgf_has_slots_to_take(c->share, s->share)) {
+        if (s->live && s->report_seq > 0 && wgf_has_orders(c->share, s->share)) {
             _wgco_send_reply(c, s, false);
         }
     }
--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -14,7 +14,7 @@
     uint64_t leaving_at_version; /* of the host list that said so */
     uint64_t row_version;
     int sent_since_report;
-    int urgent_over; /* requests in the reserve */
+    int in_reserve; /* of its requests, those beyond the leased slots */
     int failures_in_row;
     int aside_times;
     bool probing; /* one request is out to see whether it is well */
@@ -32,6 +32,12 @@
     GHashTable* by_id;
     _wgp_prefix_t* prefixes; /* direct-mapped by hash: a newer prefix takes an older one's place */
     wg_time lease_until;
+    struct {
+        uint32_t service;
+        uint32_t most;
+    } quotas[WGP_SERVICES_MAX];
+    int quotas_num;
+    bool given_back;
     uint64_t counter;
     wgp_stats stats;
 };
@@ -73,7 +79,7 @@
 }
 
 static bool _wgp_has_slot(const _wgp_target_t* t) {
-    return t->info.in_use < t->info.limit;
+    return t->info.in_use < t->info.leased;
 }
 
 /* Requests it likely works on, per mille of its slots: its last word plus what was sent since. */
@@ -82,12 +88,12 @@
     return known * 1000 / MAX(t->info.slots, 1);
 }
 
+/* Requests started as a reserve. A limit that was lowered below what runs does not count as one. */
 static int _wgp_reserve_used(const wgp_place* p, uint32_t service) {
     int num = 0;
     for (int i = 0; i < p->targets_num; i++) {
-        const _wgp_target_t* t = &p->targets[i];
-        if (t->info.service == service) {
-            num += MAX(t->info.in_use - t->info.limit, 0);
+        if (p->targets[i].info.service == service) {
+            num += p->targets[i].in_reserve;
         }
     }
     return num;
@@ -153,9 +159,60 @@
     return best;
 }
 
-static wgp_event _wgp_say_leaving(_wgp_target_t* t) {
+static int64_t _wgp_quota(const wgp_place* p, uint32_t service) {
+    for (int i = 0; i < p->quotas_num; i++) {
+        if (p->quotas[i].service == service) {
+            return p->quotas[i].most;
+        }
+    }
+    return INT64_MAX;
+}
+
+static int _wgp_idle(const _wgp_target_t* t) {
+    return MAX(t->info.leased - t->info.in_use, 0);
+}
+
+static void _wgp_give_one(wgp_place* p, _wgp_target_t* t, int num) {
+    t->info.leased -= num;
+    p->given_back = true;
+    WG_ASSERT(t->info.leased >= 0);
+}
+
+/* Give back idle slots: all of targets that take no work, and those beyond the quota. */
+static void _wgp_give_back(wgp_place* p, uint32_t service) {
+    int64_t held = 0;
+    for (int i = 0; i < p->targets_num; i++) {
+        _wgp_target_t* t = &p->targets[i];
+        if (t->info.service != service) {
+            continue;
+        }
+        if ((!t->live || _wgp_is_leaving(t)) && _wgp_idle(t) > 0) {
+            _wgp_give_one(p, t, _wgp_idle(t));
+        }
+        held += t->info.leased;
+    }
+    int64_t quota = _wgp_quota(p, service);
+    while (held > quota) {
+        _wgp_target_t* most = NULL;
+        for (int i = 0; i < p->targets_num; i++) {
+            _wgp_target_t* t = &p->targets[i];
+            bool fits = t->info.service == service && _wgp_idle(t) > 0;
+            if (fits && (!most || _wgp_idle(t) > _wgp_idle(most))) {
+                most = t;
+            }
+        }
+        if (!most) {
+            return; /* the next that falls idle goes back */
+        }
+        _wgp_give_one(p, most, 1);
+        held--;
+    }
+}
+
+static wgp_event _wgp_say_leaving(wgp_place* p, _wgp_target_t* t) {
     bool news = !_wgp_is_leaving(t);
     t->said_leaving = true;
+    _wgp_give_back(p, t->info.service);
     return news ? WGP_EVENT_LEAVING : WGP_EVENT_DEFAULT;
 }
 
@@ -245,27 +302,50 @@
 void wgp_config_end(wgp_place* p) {
     for (int i = 0; i < p->targets_num; i++) {
         p->targets[i].live = p->targets[i].live && p->targets[i].seen;
+        _wgp_give_back(p, p->targets[i].info.service);
     }
 }
 
-void wgp_set_limit(wgp_place* p, uint32_t target, int limit) {
+void wgp_add_slots(wgp_place* p, uint32_t target, int num) {
     _wgp_target_t* t = _wgp_find(p, target);
     if (t) {
-        t->info.limit = limit;
+        t->info.leased += num;
+        _wgp_give_back(p, t->info.service);
     }
 }
 
+void wgp_set_quota(wgp_place* p, uint32_t service, uint32_t most) {
+    int i = 0;
+    while (i < p->quotas_num && p->quotas[i].service != service) {
+        i++;
+    }
+    if (i == WGP_SERVICES_MAX) {
+        return;
+    }
+    p->quotas_num = MAX(p->quotas_num, i + 1);
+    p->quotas[i].service = service;
+    p->quotas[i].most = most;
+    _wgp_give_back(p, service);
+}
+
 void wgp_set_lease(wgp_place* p, wg_time until) {
     p->lease_until = until;
 }
 
-void wgp_clear_limits(wgp_place* p) {
+void wgp_clear_slots(wgp_place* p) {
     for (int i = 0; i < p->targets_num; i++) {
-        p->targets[i].info.limit = 0;
+        p->targets[i].info.leased = 0;
     }
+    p->quotas_num = 0;
     p->lease_until = 0;
 }
 
+bool wgp_take_given_back(wgp_place* p) {
+    bool given_back = p->given_back;
+    p->given_back = false;
+    return given_back;
+}
+
 bool wgp_has_room(const wgp_place* p, wg_time now, uint32_t service, bool reserve) {
     if (!_wgp_lease_holds(p, now)) {
         return false;
@@ -280,7 +360,7 @@
     return false;
 }
 
-bool wgp_pick(wgp_place* p, wg_time now, const wgp_request* request, uint32_t* target) {
+bool wgp_pick(wgp_place* p, wg_time now, const wgp_request* request, wgp_choice* choice) {
     if (!_wgp_lease_holds(p, now)) {
         return false;
     }
@@ -301,27 +381,30 @@
     }
     p->stats.picks++;
     p->stats.reserve_picks += over ? 1 : 0;
-    *target = best->info.id;
+    *choice = (wgp_choice){.target = best->info.id, .reserve = over};
     return true;
 }
 
-void wgp_sent(wgp_place* p, uint32_t target) {
-    _wgp_target_t* t = _wgp_find(p, target);
+void wgp_sent(wgp_place* p, const wgp_choice* choice) {
+    _wgp_target_t* t = _wgp_find(p, choice->target);
     if (t) {
         t->info.in_use++;
+        t->in_reserve += choice->reserve ? 1 : 0;
         t->sent_since_report++;
         t->info.requests++;
         t->probing = t->info.aside_until != 0;
     }
 }
 
-wgp_event wgp_done(wgp_place* p, wg_time now, uint32_t target, wgp_result result) {
-    _wgp_target_t* t = _wgp_find(p, target);
+wgp_event wgp_done(wgp_place* p, wg_time now, const wgp_choice* choice, wgp_result result) {
+    _wgp_target_t* t = _wgp_find(p, choice->target);
     if (!t) {
         return WGP_EVENT_DEFAULT;
     }
-    WG_ASSERT(t->info.in_use > 0);
     t->info.in_use--;
+    t->in_reserve -= choice->reserve ? 1 : 0;
+    WG_ASSERT(t->info.in_use >= 0 && t->in_reserve >= 0);
+    _wgp_give_back(p, t->info.service);
     t->sent_since_report = MAX(t->sent_since_report - 1, 0);
     bool was_probing = t->probing;
     t->probing = false;
@@ -354,7 +437,7 @@
 
 wgp_event wgp_note_leaving(wgp_place* p, uint32_t target) {
     _wgp_target_t* t = _wgp_find(p, target);
-    return t ? _wgp_say_leaving(t) : WGP_EVENT_DEFAULT;
+    return t ? _wgp_say_leaving(p, t) : WGP_EVENT_DEFAULT;
 }
 
 wgp_event wgp_note_host(wgp_place* p, const char* address, bool leaving, uint64_t list_version) {
@@ -365,7 +448,7 @@
             continue;
         }
         if (leaving) {
-            event = _wgp_say_leaving(t);
+            event = _wgp_say_leaving(p, t);
             t->leaving_at_version = MAX(t->leaving_at_version, list_version);
         } else if (t->said_leaving && t->leaving_at_version > 0 &&
                    list_version > t->leaving_at_version) {
@@ -420,7 +503,7 @@
     for (int i = 0; i < p->targets_num && _wgp_lease_holds(p, now); i++) {
         const _wgp_target_t* t = &p->targets[i];
         if (t->info.service == service && _wgp_usable(t, now)) {
-            num += MAX(t->info.limit - t->info.in_use, 0);
+            num += MAX(t->info.leased - t->info.in_use, 0);
         }
     }
     return num;
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -19,9 +19,9 @@
     USE
         1. wgp_place* p = wgp_setup(&(wgp_desc){.seed = s}, &error);
         2. wgp_config_begin(p); wgp_config_target(...); wgp_config_end(p);
-        3. wgp_set_limit(p, target, limit); wgp_set_lease(p, until);
-        4. if (wgp_pick(p, now, &(wgp_request){.service = id}, &target)) wgp_sent(p, now, target);
-        5. wgp_done(p, now, target, WGP_RESULT_GOOD);
+        3. wgp_add_slots(p, target, num); wgp_set_quota(p, service, most); wgp_set_lease(p, until);
+        4. if (wgp_pick(p, now, &(wgp_request){.service = id}, &choice)) wgp_sent(p, &choice);
+        5. wgp_done(p, now, &choice, WGP_RESULT_GOOD);
         6. wgp_shutdown(p);
 
     THE CALLER OWNS
@@ -35,7 +35,8 @@
     WGP_FAILURES_DEFAULT = 3, /* failures in a row that put a target aside */
     WGP_ASIDE_MIN_DEFAULT = 500 * WG_USEC_PER_MSEC,
     WGP_ASIDE_MAX_DEFAULT = 30 * WG_USEC_PER_SEC,
-    WGP_RESERVE_DEFAULT = 1,   /* urgent requests beyond the leases, per service */
+    WGP_RESERVE_DEFAULT = 1, /* urgent requests beyond the leases, per service */
+    WGP_SERVICES_MAX = 32,
     WGP_TOLERANCE_PERCENT = 25 /* load that a cached prefix may cost, percent of slots */
 };
 
@@ -57,6 +58,12 @@
     uint32_t not_target; /* where the last attempt failed; 0: none */
 } wgp_request;
 
+/* Where a request goes. */
+typedef struct {
+    uint32_t target; /* 0: none */
+    bool reserve;    /* beyond the leased slots */
+} wgp_choice;
+
 typedef enum {
     WGP_RESULT_DEFAULT = 0,
     WGP_RESULT_GOOD,
@@ -78,7 +85,7 @@
     uint32_t id;
     uint32_t service;
     int slots;
-    int limit;
+    int leased;
     int in_use;
     int reported; /* its own count when it last said */
     bool leaving;
@@ -110,18 +117,22 @@
                        uint64_t version);
 void wgp_config_end(wgp_place* place);
 
-/* Leased slots of a target, and until when all leases of this router hold. */
-void wgp_set_limit(wgp_place* place, uint32_t target, int limit);
+/* More leased slots of a target, and until when all leases of this router hold. */
+void wgp_add_slots(wgp_place* place, uint32_t target, int num);
 void wgp_set_lease(wgp_place* place, wg_time until);
-/* All limits to 0: the leader that gave them is not there any more. */
-void wgp_clear_limits(wgp_place* place);
+/* Slots of a service held beyond `most` are given back as they fall idle. */
+void wgp_set_quota(wgp_place* place, uint32_t service, uint32_t most);
+/* All leases ended. */
+void wgp_clear_slots(wgp_place* place);
+/* Whether slots were given back since this was last asked. */
+bool wgp_take_given_back(wgp_place* place);
 
 /* Whether a request of the service could start now. `reserve`: as an urgent one. */
 bool wgp_has_room(const wgp_place* place, wg_time now, uint32_t service, bool reserve);
-bool wgp_pick(wgp_place* place, wg_time now, const wgp_request* request, uint32_t* target);
+bool wgp_pick(wgp_place* place, wg_time now, const wgp_request* request, wgp_choice* choice);
 /* A request went to the target; every wgp_sent() is followed by one wgp_done(). */
-void wgp_sent(wgp_place* place, uint32_t target);
-wgp_event wgp_done(wgp_place* place, wg_time now, uint32_t target, wgp_result result);
+void wgp_sent(wgp_place* place, const wgp_choice* choice);
+wgp_event wgp_done(wgp_place* place, wg_time now, const wgp_choice* choice, wgp_result result);
 /* The target said how much it works on (its own count, all routers). */
 void wgp_note_load(wgp_place* place, uint32_t target, int running);
 /* The target said that it leaves (in an answer of its own). */
--- a/lib/queue/wg_queue.c
+++ b/lib/queue/wg_queue.c
@@ -47,6 +47,7 @@
     int64_t all_cost;
     bool changed; /* since accounts were last taken; it stands in `dirty` */
     int64_t average_cost;
+    int64_t average_given; /* estimates that came with finished requests */
     wg_time average_run;
     wg_time average_interval; /* between picks while requests waited */
     wg_time last_pick;
@@ -72,6 +73,7 @@
     int64_t fleet_time;
     bool fleet_known;
     int64_t local_time; /* virtual time of the flow picked last; stands in while no leader speaks */
+    int64_t average_cost; /* over all workspaces */
     wgq_stats stats;
 };
 
@@ -202,10 +204,16 @@
 }
 
 static int64_t _wgq_estimate(const wgq_queue* q, const _wgq_flow_t* f, const wgq_request* request) {
-    if (request->estimate > 0) {
-        return request->estimate;
+    if (request->estimate > 0 && f->average_given > 0) {
+        /* Corrected by how far this workspace's estimates have been off. */
+        return MAX(request->estimate * f->average_cost / f->average_given, 1);
     }
-    return f->average_cost > 0 ? f->average_cost : q->desc.first_cost;
+    if (f->average_cost > 0) {
+        return f->average_cost;
+    }
+    /* No history: what others cost here. An estimate that was given is not trusted yet, or a wrong
+       one would let its workspace take, or lose, a whole round of slots. */
+    return q->average_cost > 0 ? q->average_cost : q->desc.first_cost;
 }
 
 static wg_time _wgq_flow_wait(const _wgq_flow_t* f, wg_time now) {
@@ -440,7 +448,10 @@
     f->pending -= MAX(r->estimate - r->charged, 0);
     f->running--;
     if (cost > 0) {
+        q->average_cost = q->average_cost ? (q->average_cost * 31 + cost + 16) / 32 : cost;
         f->average_cost = f->average_cost ? (f->average_cost * 7 + cost + 4) / 8 : cost;
+        int64_t given = r->desc.estimate > 0 ? r->desc.estimate : cost;
+        f->average_given = f->average_given ? (f->average_given * 7 + given + 4) / 8 : given;
         wg_time run = now - r->picked_at;
         f->average_run = f->average_run ? (f->average_run * 7 + run) / 8 : run;
     }
@@ -490,6 +501,11 @@
     return flow < 0 ? 0 : _wgq_flow_wait(&q->flows[flow], now);
 }
 
+int wgq_query_waiting(const wgq_queue* q, uint32_t workspace) {
+    int flow = _wgq_find_flow(q, workspace);
+    return flow < 0 ? 0 : _wgq_queued(&q->flows[flow]);
+}
+
 void wgq_sync(wgq_queue* q, uint32_t workspace, uint64_t virtual_time, uint64_t acked) {
     int flow = _wgq_find_flow(q, workspace);
     if (flow < 0) {
--- a/lib/queue/wg_queue.h
+++ b/lib/queue/wg_queue.h
@@ -133,6 +133,9 @@
 /* How long a request of this workspace would wait now, by the measured drain. */
 wg_time wgq_expected_wait(const wgq_queue* queue, wg_time now, uint32_t workspace);
 
+/* Waiting requests of one workspace. */
+int wgq_query_waiting(const wgq_queue* queue, uint32_t workspace);
+
 /* What the fleet knows of a workspace, others' running requests included: its virtual time when
    this router's account stood at `acked` served. */
 void wgq_sync(wgq_queue* queue, uint32_t workspace, uint64_t virtual_time, uint64_t acked);
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -35,7 +35,7 @@
     _NUMBER("limits", high_water, "262144", 4096, 67108864, "bytes",
             "unsent answer at which reading from the target stops"),
     _NUMBER("control", report_ms, "200", 20, 1000, "ms", "time between two reports to the leader"),
-    _NUMBER("control", report_gap_ms, "10", 1, 1000, "ms", "shortest time between two reports"),
+    _NUMBER("control", report_gap_ms, "20", 1, 1000, "ms", "shortest time between two reports"),
     _NUMBER("control", budget_bytes, "6000", 500, 100000000, "bytes/s",
             "control traffic of this router, both ways"),
     _NUMBER("control", entry_keep_ms, "5000", 100, 3600000, "ms",
@@ -216,7 +216,11 @@
     r->incarnation = _wgro_random();
     r->counter = r->incarnation >> 16;
     r->started_at = wg_now();
-    r->budget_at = r->started_at;
+    wgf_pacer_setup(&r->pacer,
+                    &(wgf_pacer_desc){.now = r->started_at,
+                                      .interval = r->settings->report_ms * WG_USEC_PER_MSEC,
+                                      .gap = r->settings->report_gap_ms * WG_USEC_PER_MSEC,
+                                      .budget = r->settings->budget_bytes});
     if (!_wgro_setup_parts(r, error) || !_wgro_door_setup(r, error) ||
         !_wgro_pages_setup(r, error) || !_wgro_link_setup(r, error)) {
         wgro_shutdown(r);
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -33,7 +33,7 @@
         }
     }
     wgp_target_info info;
-    wgp_query_target_id(call->router->place, call->target, &info);
+    wgp_query_target_id(call->router->place, call->choice.target, &info);
     evhttp_add_header(out, "Host", info.address);
     const wgt_row* workspace = wgt_find_id(call->router->table, call->workspace);
     evhttp_add_header(out, "Walnutgate-Workspace", workspace ? workspace->name : "");
@@ -344,7 +344,7 @@
     /* A kept connection may just have been closed by the target; what may not be repeated gets a
        fresh one, so that this cannot leave its verdict open. */
     bool fresh = !call->machine.desc.repeatable;
-    _wgro_conn_t* conn = _wgro_conn_open(r, call->target, fresh);
+    _wgro_conn_t* conn = _wgro_conn_open(r, call->choice.target, fresh);
     if (!conn || !call->request) {
         if (conn) {
             _wgro_conn_put_back(conn);
@@ -355,7 +355,7 @@
     attempt->router = r;
     attempt->call = call->handle;
     attempt->number = number;
-    attempt->target = call->target;
+    attempt->target = call->choice.target;
     attempt->conn = conn;
     attempt->usage = -1;
     attempt->held = evbuffer_new();
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -52,16 +52,16 @@
 static void _wgro_release(_wgro_call_t* call, int64_t cost, wgp_result result) {
     wgro_router* r = call->router;
     wg_time now = wg_now();
-    if (call->target) {
-        wgp_event event = wgp_done(r->place, now, call->target, result);
+    if (call->choice.target) {
+        wgp_event event = wgp_done(r->place, now, &call->choice, result);
         if (event == WGP_EVENT_ASIDE || event == WGP_EVENT_BACK) {
             wgp_target_info info;
-            wgp_query_target_id(r->place, call->target, &info);
+            wgp_query_target_id(r->place, call->choice.target, &info);
             wg_log(event == WGP_EVENT_ASIDE ? WG_EVENT_TARGET_ASIDE : WG_EVENT_TARGET_BACK,
                    "target=%s", info.name);
         }
-        call->last_target = call->target;
-        call->target = 0;
+        call->last_target = call->choice.target;
+        call->choice = (wgp_choice){0};
     }
     if (call->queued.id) {
         wgq_finish(_wgro_service_of(call)->queue, now, call->queued, cost);
@@ -453,7 +453,12 @@
     }
     _wgro_watch_caller(call);
     _wgro_arm(call, call->deadline, WGC_EVENT_DEADLINE);
+    wgq_queue* queue = _wgro_service_of(call)->queue;
+    uint32_t workspace = call->workspace;
     _wgro_dispatch(r);
+    if (wgq_query_waiting(queue, workspace) == 1) {
+        _wgro_report_soon(r); /* it begins to wait here */
+    }
 }
 
 /* Start one waiting request of a service if a slot is free; false when there is none. */
@@ -470,26 +475,19 @@
                                           .urgent = reserve,
                                           .prefix = call->prefix,
                                           .not_target = call->last_target},
-                           &call->target);
+                           &call->choice);
     WG_ASSERT(placed);
-    wgp_sent(r->place, call->target);
+    wgp_sent(r->place, &call->choice);
     call->picked_at = now;
     wg_hist_add(&service->wait_time, now - call->started);
     _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_SLOT});
     return true;
 }
 
-/* Requests wait without a slot, or slots are free that others may want: the leader should know. */
-static void _wgro_tell_change(wgro_router* r, _wgro_service_t* service, wg_time now) {
-    bool waiting = wgq_query_stats(service->queue).queued > 0;
-    bool idle = wgp_query_free(r->place, now, service->row.id) > 0;
-    if (waiting != service->reported_waiting && (waiting || idle)) {
-        _wgro_report_soon(r);
-    }
-}
-
 void _wgro_dispatch(wgro_router* r) {
     wg_time now = wg_now();
+    bool waiting = false;
+    bool idle = false;
     for (int i = 0; i < r->services_num; i++) {
         _wgro_service_t* service = &r->services[i];
         if (!service->live) {
@@ -497,7 +495,15 @@
         }
         while (wgq_query_stats(service->queue).queued > 0 && _wgro_dispatch_one(r, service, now)) {
         }
-        _wgro_tell_change(r, service, now);
+        waiting = waiting || wgq_query_stats(service->queue).queued > 0;
+        idle = idle || wgp_query_free(r->place, now, service->row.id) > 0;
+    }
+    wgf_pacer_state(&r->pacer, waiting, idle);
+    if (wgp_take_given_back(r->place)) {
+        wgf_pacer_want(&r->pacer);
+    }
+    if (r->pacer.wanted) {
+        _wgro_report_soon(r);
     }
 }
 
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -6,6 +6,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include "wg_claim.h"
+#include "wg_pacer.h"
 #include "wg_router.h"
 #include "wg_sse.h"
 
@@ -57,7 +58,7 @@
     uint32_t workspace;
     wgq_limits limits;
     wgq_handle queued;
-    uint32_t target; /* whose slot it has; 0 none */
+    wgp_choice choice; /* whose slot it has; target 0 none */
     uint32_t last_target;
     _wgro_attempt_t* attempt;
     struct evbuffer* body;
@@ -90,9 +91,8 @@
     wgt_row row;
     wgq_queue* queue;
     wgc_budget budget;
-    bool reported_waiting; /* what the leader was last told */
-    wg_hist wait_time;     /* microseconds in the queue */
-    wg_hist total_time;    /* microseconds from request to answer */
+    wg_hist wait_time;  /* microseconds in the queue */
+    wg_hist total_time; /* microseconds from request to answer */
 } _wgro_service_t;
 
 typedef struct {
@@ -111,7 +111,6 @@
     uint64_t unknown_keys;
     uint64_t lease_refusals;
     uint64_t reports;
-    uint64_t reports_held_back;
     uint64_t row_queries;
 } _wgro_counters_t;
 
@@ -143,12 +142,9 @@
     uint64_t report_seq;
     uint64_t applied;
     bool report_full;
-    bool report_wanted;
-    wg_time report_sent_at;
+    wgf_pacer pacer;
     wg_time reply_at;
-    double budget; /* bytes that may be spent */
-    wg_time budget_at;
-    uint64_t budget_spent; /* bytes of the link at the last look */
+    wg_time slot_lease_until; /* 0: no slots are held */
     wg_time table_lease_until;
     bool table_in_force;
     GHashTable* claim_ends; /* ticket -> packed ClaimAsk, until confirmed */
@@ -160,7 +156,7 @@
     _wgro_service_t services[_WGRO_SERVICES_MAX];
     int services_num;
     uint64_t configured_version;
-    GHashTable* held_reported; /* target -> limit << 16 | in_use as last reported */
+    GHashTable* held_reported; /* target -> leased slots as last reported */
 
     wg_pool calls_pool;
     _wgro_call_t* calls;
--- a/lib/router/wg_router_link.c
+++ b/lib/router/wg_router_link.c
@@ -9,24 +9,25 @@
     _WGRO_ACCOUNTS_MAX = 1024, /* in one report */
     _WGRO_REPLY_DEADLINE = 1500 * WG_USEC_PER_MSEC,
     _WGRO_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
-    _WGRO_BUDGET_SECONDS = 10, /* unspent bytes may be saved up for this long */
-    _WGRO_FRAME_OVERHEAD = 60  /* IP and TCP heads of a small frame, bytes */
+    _WGRO_FRAME_OVERHEAD = 60 /* IP and TCP heads of a small frame, bytes */
 };
 
 /* ---- helpers: budget ----------------------------------------------------------------------- */
 
-/* Charge what the link carried since the last look; true while there is something left. */
-static bool _wgro_budget_left(wgro_router* r, wg_time now) {
+/* What the links carried since the start, heads of the lower layers included. */
+static uint64_t _wgro_link_bytes(const wgro_router* r) {
     wgn_stats stats = wgn_query_stats(r->net);
     uint64_t frames = stats.frames_sent + stats.frames_received;
-    uint64_t bytes = stats.bytes_sent + stats.bytes_received + frames * _WGRO_FRAME_OVERHEAD;
-    double per_second = (double)r->settings->budget_bytes;
-    double earned = per_second * (double)(now - r->budget_at) / WG_USEC_PER_SEC;
-    double most = per_second * _WGRO_BUDGET_SECONDS;
-    r->budget = MIN(most, r->budget + earned) - (double)(bytes - r->budget_spent);
-    r->budget_at = now;
-    r->budget_spent = bytes;
-    return r->budget > 0;
+    return stats.bytes_sent + stats.bytes_received + frames * _WGRO_FRAME_OVERHEAD;
+}
+
+static bool _wgro_any_waiting(const wgro_router* r) {
+    for (int i = 0; i < r->services_num; i++) {
+        if (r->services[i].live && wgq_query_stats(r->services[i].queue).queued > 0) {
+            return true;
+        }
+    }
+    return false;
 }
 
 /* ---- helpers: report ----------------------------------------------------------------------- */
@@ -64,7 +65,6 @@
             }
             out->account_list[out->report.n_accounts++] = account;
         }
-        service->reported_waiting = wgq_query_stats(service->queue).queued > 0;
     }
 }
 
@@ -77,7 +77,7 @@
     wgp_target_info info;
     for (int i = 0; wgp_query_target(r->place, i, &info) && i < WGP_TARGETS_DEFAULT; i++) {
         gpointer id = GUINT_TO_POINTER(info.id);
-        guint now = ((guint)info.limit << 16) | (guint)info.in_use;
+        guint now = (guint)info.leased;
         if (GPOINTER_TO_UINT(g_hash_table_lookup(r->held_reported, id)) == now) {
             continue;
         }
@@ -85,8 +85,7 @@
         Wgpb__Held* held = &out->held[out->report.n_held];
         wgpb__held__init(held);
         held->target = info.id;
-        held->limit = (uint32_t)info.limit;
-        held->in_use = (uint32_t)info.in_use;
+        held->slots = (uint32_t)info.leased;
         out->held_list[out->report.n_held++] = held;
     }
 }
@@ -109,8 +108,7 @@
     _wgro_fill_held(r, out);
     wgn_send(r->net, r->link, WGW_TYPE_REPORT, &out->report.base);
     r->report_full = false;
-    r->report_wanted = false;
-    r->report_sent_at = now;
+    wgf_pacer_sent(&r->pacer, now, _wgro_any_waiting(r));
     r->counters.reports++;
 }
 
@@ -213,10 +211,17 @@
     _wgro_take_rows(r, reply);
     _wgro_take_members(r, reply);
     _wgro_take_fairs(r, reply);
-    for (size_t i = 0; i < reply->n_slots; i++) {
-        wgp_set_limit(r->place, reply->slots[i]->target, (int)reply->slots[i]->limit);
+    for (size_t i = 0; i < reply->n_quotas; i++) {
+        wgp_set_quota(r->place, reply->quotas[i]->service, reply->quotas[i]->most);
+    }
+    for (size_t i = 0; i < reply->n_grants; i++) {
+        wgp_add_slots(r->place, reply->grants[i]->target, (int)reply->grants[i]->add);
+        /* The next report says what came of it, even if it was given back at once. */
+        g_hash_table_insert(r->held_reported, GUINT_TO_POINTER(reply->grants[i]->target),
+                            GUINT_TO_POINTER(G_MAXUINT));
     }
-    wgp_set_lease(r->place, reply->echo + reply->slot_lease);
+    r->slot_lease_until = reply->echo + reply->slot_lease;
+    wgp_set_lease(r->place, r->slot_lease_until);
     if (r->table_complete) {
         r->table_lease_until = MAX(r->table_lease_until, reply->echo + reply->table_lease);
     } else {
@@ -367,6 +372,13 @@
 }
 
 void _wgro_link_tick(wgro_router* r, wg_time now) {
+    if (r->slot_lease_until > 0 && now >= r->slot_lease_until) {
+        /* The leader has given these slots away by now, or soon will. */
+        r->slot_lease_until = 0;
+        wgp_clear_slots(r->place);
+        r->report_full = true;
+        wg_log(WG_EVENT_LEASES_LAPSED, "%s", "");
+    }
     if (r->link.id == 0) {
         if (now >= r->dial_at) {
             _wgro_dial(r, now);
@@ -381,26 +393,15 @@
     if (!r->link_up) {
         return;
     }
-    wg_time since = now - r->report_sent_at;
-    bool due = since >= r->settings->report_ms * WG_USEC_PER_MSEC;
-    bool wanted = r->report_wanted && since >= r->settings->report_gap_ms * WG_USEC_PER_MSEC;
-    if (!due && !wanted) {
-        return;
-    }
-    /* Over the budget only what keeps the leases alive is sent. */
-    bool vital = since >= _WGRO_REPLY_DEADLINE / 3;
-    if (_wgro_budget_left(r, now) || vital || r->report_full) {
+    if (r->report_full || wgf_pacer_due(&r->pacer, now, _wgro_link_bytes(r))) {
         _wgro_send_report(r, now);
-    } else {
-        r->counters.reports_held_back++;
     }
 }
 
 void _wgro_report_soon(wgro_router* r) {
-    r->report_wanted = true;
-    wg_time now = wg_now();
+    wgf_pacer_want(&r->pacer);
     if (r->link_up) {
-        _wgro_link_tick(r, now);
+        _wgro_link_tick(r, wg_now());
     }
 }
 
--- a/lib/share/wg_share.c
+++ b/lib/share/wg_share.c
@@ -9,30 +9,24 @@
     return &s->slots[(size_t)router * (size_t)s->desc.targets_max + (size_t)target];
 }
 
-void _wgf_recount(wgf_share* s, int router, int target) {
-    _wgf_slot_t* slot = _wgf_slot(s, router, target);
-    uint16_t counted = MAX(MAX(slot->limit, slot->high), slot->in_use);
-    s->targets[target].counted += counted - slot->counted;
-    s->stats.leased += counted - slot->counted;
-    slot->counted = counted;
-    WG_ASSERT(s->targets[target].counted >= 0);
+int _wgf_slot_sum(const _wgf_slot_t* slot) {
+    return slot->held + slot->sent + slot->fresh;
 }
 
-void _wgf_set_limit(wgf_share* s, int router, int target, int limit) {
-    _wgf_slot_t* slot = _wgf_slot(s, router, target);
-    slot->limit = (uint16_t)limit;
-    if (slot->limit != slot->sent) {
-        s->routers[router].slots_changed = true;
-    }
-    _wgf_recount(s, router, target);
+void _wgf_set_slot(wgf_share* s, int router, int target, _wgf_slot_t slot) {
+    _wgf_slot_t* place = _wgf_slot(s, router, target);
+    int more = _wgf_slot_sum(&slot) - _wgf_slot_sum(place);
+    s->targets[target].counted += more;
+    s->stats.leased += more;
+    *place = slot;
+    WG_ASSERT(s->targets[target].counted >= 0);
 }
 
 void _wgf_clear_router_slots(wgf_share* s, int router) {
     for (int t = 0; t < s->targets_num; t++) {
-        *_wgf_slot(s, router, t) = (_wgf_slot_t){.counted = _wgf_slot(s, router, t)->counted};
-        _wgf_recount(s, router, t);
+        _wgf_set_slot(s, router, t, (_wgf_slot_t){0});
     }
-    s->routers[router].slots_changed = false;
+    s->routers[router].has_orders = false;
 }
 
 int _wgf_capacity(const wgf_share* s, const _wgf_target_t* target) {
@@ -327,8 +321,7 @@
             target->live = false;
             g_hash_table_remove(s->target_by_id, GUINT_TO_POINTER(target->id));
             for (int r = 0; r < s->desc.routers_max; r++) {
-                *_wgf_slot(s, r, t) = (_wgf_slot_t){.counted = _wgf_slot(s, r, t)->counted};
-                _wgf_recount(s, r, t);
+                _wgf_set_slot(s, r, t, (_wgf_slot_t){0});
             }
         }
     }
@@ -370,6 +363,8 @@
     _wgf_router_t* router = &s->routers[wg_pool_slot(&s->routers_pool, handle)];
     *router = (_wgf_router_t){.live = true, .incarnation = incarnation, .heard_at = now};
     router->first_account = -1;
+    memset(router->quota, 0xff, sizeof router->quota);
+    memset(router->quota_sent, 0xff, sizeof router->quota_sent);
     wg_copy_name(router->name, sizeof router->name, name);
     wg_copy_name(router->data_centre, sizeof router->data_centre, data_centre);
     return (wgf_router){handle.id};
@@ -386,28 +381,23 @@
     wg_pool_free(&s->routers_pool, (wg_handle){handle.id});
 }
 
+/* What the router says that it holds. With all orders applied, nothing is on its way any more. */
 static void _wgf_take_held(wgf_share* s, int r, const wgf_report_desc* report) {
-    for (int i = 0; i < report->held_num; i++) {
-        int t = _wgf_find_target(s, report->held[i].target);
-        if (t < 0) {
-            continue;
-        }
-        _wgf_slot_t* slot = _wgf_slot(s, r, t);
-        slot->in_use = (uint16_t)report->held[i].in_use;
-        if (report->full) {
-            slot->limit = slot->sent = slot->high = (uint16_t)report->held[i].limit;
+    bool applied_all = report->applied >= s->routers[r].last_seq;
+    for (int t = 0; applied_all && t < s->targets_num; t++) {
+        _wgf_slot_t slot = *_wgf_slot(s, r, t);
+        if (slot.sent > 0) {
+            slot.held += slot.sent; /* said otherwise below, if it differs */
+            slot.sent = 0;
+            _wgf_set_slot(s, r, t, slot);
         }
-        _wgf_recount(s, r, t);
     }
-}
-
-/* The router has applied all that was sent: older, larger limits are out of use. */
-static void _wgf_confirm(wgf_share* s, int r) {
-    for (int t = 0; t < s->targets_num; t++) {
-        _wgf_slot_t* slot = _wgf_slot(s, r, t);
-        if (slot->high != slot->sent) {
-            slot->high = slot->sent;
-            _wgf_recount(s, r, t);
+    for (int i = 0; i < report->held_num; i++) {
+        int t = _wgf_find_target(s, report->held[i].target);
+        if (t >= 0) {
+            _wgf_slot_t slot = *_wgf_slot(s, r, t);
+            slot.held = (uint16_t)report->held[i].slots;
+            _wgf_set_slot(s, r, t, slot);
         }
     }
 }
@@ -419,6 +409,10 @@
         return;
     }
     _wgf_router_t* router = &s->routers[r];
+    if (!report->full && (router->lapsed || !router->reported)) {
+        s->stats.stale_reports++; /* its leases ended; it has to say everything first */
+        return;
+    }
     router->heard_at = now;
     router->leaving = report->leaving;
     router->lapsed = false;
@@ -427,38 +421,49 @@
         _wgf_clear_router_demand(s, r);
         router->reported = true;
         router->last_seq = 0;
+        memset(router->quota_sent, 0xff, sizeof router->quota_sent);
     }
     _wgf_take_held(s, r, report);
-    if (report->applied >= router->last_seq) {
-        _wgf_confirm(s, r);
-    }
     for (int i = 0; i < report->accounts_num; i++) {
         _wgf_merge_account(s, r, &report->accounts[i], report->full);
     }
 }
 
-int wgf_take_slots(wgf_share* s, wgf_router handle, uint64_t seq, wgf_slot* slots, int max) {
+bool wgf_take_orders(wgf_share* s, wgf_router handle, uint64_t seq, wgf_orders* orders) {
+    orders->grants_num = orders->quotas_num = 0;
     int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
-    if (r < 0 || !s->routers[r].slots_changed) {
-        return 0;
+    if (r < 0 || !s->routers[r].has_orders) {
+        return false;
     }
-    int num = 0;
-    for (int t = 0; t < s->targets_num && num < max; t++) {
-        _wgf_slot_t* slot = _wgf_slot(s, r, t);
-        if (slot->limit != slot->sent) {
-            slots[num++] = (wgf_slot){.target = s->targets[t].id, .limit = slot->limit};
-            slot->high = MAX(slot->high, slot->limit);
-            slot->sent = slot->limit;
+    _wgf_router_t* router = &s->routers[r];
+    router->last_seq = seq;
+    router->has_orders = false;
+    for (int t = 0; t < s->targets_num; t++) {
+        _wgf_slot_t slot = *_wgf_slot(s, r, t);
+        if (slot.fresh == 0) {
+            continue;
         }
+        if (orders->grants_num == WGF_GRANTS_MAX) {
+            router->has_orders = true;
+            break;
+        }
+        orders->grants[orders->grants_num++] = (wgf_grant){s->targets[t].id, slot.fresh};
+        slot.sent += slot.fresh;
+        slot.fresh = 0;
+        _wgf_set_slot(s, r, t, slot);
     }
-    s->routers[r].slots_changed = num == max;
-    s->routers[r].last_seq = seq;
-    return num;
+    for (int i = 0; i < s->services_num; i++) {
+        if (router->quota[i] != router->quota_sent[i]) {
+            orders->quotas[orders->quotas_num++] = (wgf_quota){s->services[i].id, router->quota[i]};
+            router->quota_sent[i] = router->quota[i];
+        }
+    }
+    return true;
 }
 
-bool wgf_has_slots_to_take(const wgf_share* s, wgf_router handle) {
+bool wgf_has_orders(const wgf_share* s, wgf_router handle) {
     int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
-    return r >= 0 && s->routers[r].slots_changed;
+    return r >= 0 && s->routers[r].has_orders;
 }
 
 int wgf_take_fairs(wgf_share* s, wgf_router handle, wgf_fair* fairs, int max) {
--- a/lib/share/wg_share.h
+++ b/lib/share/wg_share.h
@@ -16,8 +16,9 @@
           time more; each router gets the part of its workspaces' shares that it has the demand for
         - slots that nobody needs are spread over the routers, and some stay with the leader, so
    that a new request starts without asking
-        - a slot counts as used until its router has confirmed that it let go, or its lease ended: a
-          target is never leased twice
+        - the leader only adds slots, the router only gives them back: what the leader counts is
+   never less than what the router holds, so that a target is never leased twice
+        - slots are asked back by a quota; the router gives back whichever falls idle first
         - a new leader first learns what routers hold before it grants anything
 
     USE
@@ -25,7 +26,7 @@
         2. wgf_config_begin(s); wgf_config_service(); wgf_config_target(); wgf_config_end(s);
         3. r = wgf_router_up(s, now, "r1", incarnation, "plateau");  wgf_report(s, now, r, &report);
         4. wgf_plan(s, now);
-        5. num = wgf_take_slots(s, r, seq, slots, max); num = wgf_take_fairs(s, r, fairs, max);
+        5. wgf_take_orders(s, r, seq, &orders); num = wgf_take_fairs(s, r, fairs, max);
         6. wgf_shutdown(s);
 
     THE CALLER OWNS
@@ -41,9 +42,12 @@
     WGF_ACCOUNTS_DEFAULT = 262144,
     WGF_SLOT_TERM_DEFAULT = 2 * WG_USEC_PER_SEC,
     WGF_SPARE_KEPT_PERCENT = 25, /* of slots nobody needs, kept by the leader */
+    WGF_GRANTS_MAX = 256,        /* in one set of orders; the rest goes with the next */
     WGF_SCALE = 1000000          /* virtual time is cost * WGF_SCALE / weight */
 };
 
+#define WGF_NO_QUOTA UINT32_MAX
+
 typedef struct {
     uint32_t id;
 } wgf_router;
@@ -58,26 +62,39 @@
     uint64_t virtual_time; /* as the router last knew it; only looked at in full reports */
 } wgf_account;
 
+/* Slots that a router holds at a target. */
 typedef struct {
     uint32_t target;
-    uint32_t limit;  /* full reports: what the router holds */
-    uint32_t in_use; /* requests of the router at the target */
+    uint32_t slots;
 } wgf_held;
 
 typedef struct {
     bool full;        /* first report on a link: replaces what is known of the router */
-    uint64_t applied; /* newest seq of wgf_take_slots() that the router has applied */
+    uint64_t applied; /* newest seq of wgf_take_orders() that the router has applied */
     bool leaving;
     const wgf_account* accounts;
     int accounts_num;
-    const wgf_held* held;
+    const wgf_held* held; /* those that changed; full reports: all */
     int held_num;
 } wgf_report_desc;
 
 typedef struct {
     uint32_t target;
-    uint32_t limit;
-} wgf_slot;
+    uint32_t add;
+} wgf_grant;
+
+typedef struct {
+    uint32_t service;
+    uint32_t most; /* WGF_NO_QUOTA: keep what there is */
+} wgf_quota;
+
+/* What leaves for a router after a plan. */
+typedef struct {
+    wgf_grant grants[WGF_GRANTS_MAX];
+    int grants_num;
+    wgf_quota quotas[WGF_SERVICES_MAX];
+    int quotas_num;
+} wgf_orders;
 
 typedef struct {
     uint32_t service;
@@ -129,15 +146,16 @@
 void wgf_report(wgf_share* share, wg_time now, wgf_router router, const wgf_report_desc* report);
 /* Work out anew who may use which slots; also ends the leases of silent routers. */
 void wgf_plan(wgf_share* share, wg_time now);
-/* Limits that changed for this router since they were last taken; they leave with `seq`. */
-int wgf_take_slots(wgf_share* share, wgf_router router, uint64_t seq, wgf_slot* slots, int max);
-bool wgf_has_slots_to_take(const wgf_share* share, wgf_router router);
+/* Grants and quotas that are new for this router; they leave with `seq`. False when there are none.
+ */
+bool wgf_take_orders(wgf_share* share, wgf_router router, uint64_t seq, wgf_orders* orders);
+bool wgf_has_orders(const wgf_share* share, wgf_router router);
 /* Virtual times of the workspaces that this router has waiting or running. */
 int wgf_take_fairs(wgf_share* share, wgf_router router, wgf_fair* fairs, int max);
 /* Virtual time at which a workspace starts that comes back from idle. */
 uint64_t wgf_query_fleet_time(const wgf_share* share, uint32_t service);
 /* Virtual time of one workspace; 0 when unknown. */
 uint64_t wgf_query_virtual_time(const wgf_share* share, uint32_t service, uint32_t workspace);
-/* Slots counted as leased on one target, over all routers. */
+/* Slots counted as held on one target, over all routers. */
 int wgf_query_leased(const wgf_share* share, uint32_t target);
 wgf_stats wgf_query_stats(const wgf_share* share);
--- a/lib/share/wg_share_internal.h
+++ b/lib/share/wg_share_internal.h
@@ -2,13 +2,11 @@
 /* wg_share_internal.h -- state shared by the files of lib/share; not installed */
 #include "wg_share.h"
 
-/* Per router and target. */
+/* Slots of a target at a router. All of them count against the target. */
 typedef struct {
-    uint16_t limit;   /* wanted by the last plan */
-    uint16_t sent;    /* last limit that left for the router */
-    uint16_t high;    /* largest limit the router may still act on */
-    uint16_t in_use;  /* as last reported */
-    uint16_t counted; /* what the target's capacity is charged with */
+    uint16_t held;  /* as the router last said */
+    uint16_t sent;  /* added since; the router may not have them yet */
+    uint16_t fresh; /* to be added with the next orders */
 } _wgf_slot_t;
 
 /* One service's use by one workspace at one router. */
@@ -71,12 +69,15 @@
     bool lapsed;
     uint64_t last_seq;
     int first_account;
-    bool slots_changed;
+    bool has_orders;
+    uint32_t quota[WGF_SERVICES_MAX];      /* wanted */
+    uint32_t quota_sent[WGF_SERVICES_MAX]; /* as last ordered */
     /* scratch of a plan */
-    double quota;
+    double exact;
     int64_t demand;
     int want;
     int holds;
+    int asked;
 } _wgf_router_t;
 
 struct wgf_share {
@@ -103,9 +104,9 @@
 };
 
 _wgf_slot_t* _wgf_slot(const wgf_share* s, int router, int target);
-/* Set the wanted limit; keeps the counts right. */
-void _wgf_set_limit(wgf_share* s, int router, int target, int limit);
-void _wgf_recount(wgf_share* s, int router, int target);
+/* Replace a slot's counts; keeps the target's sum right. */
+void _wgf_set_slot(wgf_share* s, int router, int target, _wgf_slot_t slot);
+int _wgf_slot_sum(const _wgf_slot_t* slot);
 void _wgf_clear_router_slots(wgf_share* s, int router);
 /* A router's waiting and running requests count no longer. */
 void _wgf_clear_router_demand(wgf_share* s, int router);
--- a/lib/share/wg_share_plan.c
+++ b/lib/share/wg_share_plan.c
@@ -121,7 +121,7 @@
 
 static void _wgf_count_demand(wgf_share* s, const _wgf_service_t* service) {
     for (int r = 0; r < s->desc.routers_max; r++) {
-        s->routers[r].quota = 0;
+        s->routers[r].exact = 0;
         s->routers[r].demand = 0;
     }
     for (int i = 0; i < service->active_num; i++) {
@@ -142,7 +142,7 @@
         const _wgf_flow_t* f = &s->flows[flow];
         for (int a = f->first_account; a >= 0; a = s->accounts[a].next_of_flow) {
             double demand = s->accounts[a].queued + s->accounts[a].running;
-            s->routers[s->accounts[a].router].quota += s->shares[flow] * demand / _wgf_demand(f);
+            s->routers[s->accounts[a].router].exact += s->shares[flow] * demand / _wgf_demand(f);
         }
     }
 }
@@ -153,7 +153,7 @@
     for (int r = 0; r < s->desc.routers_max; r++) {
         if (_wgf_takes_slots(&s->routers[r])) {
             bool invites = !s->routers[r].leaving;
-            s->routers[r].quota = (double)s->routers[r].demand + (invites ? spread : 0);
+            s->routers[r].exact = (double)s->routers[r].demand + (invites ? spread : 0);
         }
     }
 }
@@ -167,7 +167,7 @@
             router->want = 0;
             continue;
         }
-        double exact = router->quota + carry;
+        double exact = router->exact + carry;
         router->want = (int)floor(exact + 1e-6);
         carry = exact - router->want;
     }
@@ -183,52 +183,57 @@
     for (int r = 0; r < s->desc.routers_max; r++) {
         _wgf_router_t* router = &s->routers[r];
         router->holds = 0;
-        if (!router->live) {
-            continue;
-        }
-        for (int t = 0; t < s->targets_num; t++) {
-            if (_wgf_serves(&s->targets[t], service)) {
-                router->holds += _wgf_slot(s, r, t)->limit;
+        for (int t = 0; router->live && t < s->targets_num; t++) {
+            /* Slots of a leaving target are of no use to anybody. */
+            if (_wgf_serves(&s->targets[t], service) && !s->targets[t].leaving) {
+                router->holds += _wgf_slot_sum(_wgf_slot(s, r, t));
             }
         }
     }
 }
 
-/* Take back up to `num` slots of a router, idle ones first. */
-static void _wgf_take_back(wgf_share* s, int r, int service, int num) {
-    for (int pass = 0; pass < 2 && num > 0; pass++) {
-        for (int t = 0; t < s->targets_num && num > 0; t++) {
-            _wgf_slot_t* slot = _wgf_slot(s, r, t);
-            if (!_wgf_serves(&s->targets[t], service) || slot->limit == 0) {
-                continue;
-            }
-            int idle = MAX(slot->limit - slot->in_use, 0);
-            int take = MIN(num, pass == 0 ? idle : slot->limit);
-            if (take > 0) {
-                _wgf_set_limit(s, r, t, slot->limit - take);
-                num -= take;
-                s->routers[r].holds -= take;
-            }
-        }
+static void _wgf_set_quota(wgf_share* s, int r, int service, uint32_t quota) {
+    _wgf_router_t* router = &s->routers[r];
+    router->quota[service] = quota;
+    if (quota != router->quota_sent[service]) {
+        router->has_orders = true;
     }
 }
 
-/* Limits on targets that take no work, or that lost slots by an edit. */
-static void _wgf_shrink_targets(wgf_share* s) {
-    for (int t = 0; t < s->targets_num; t++) {
-        int capacity = _wgf_capacity(s, &s->targets[t]);
-        int sum = 0;
-        for (int r = 0; r < s->desc.routers_max; r++) {
-            sum += _wgf_slot(s, r, t)->limit;
+/* Ask back what others lack, from the largest surplus down; nobody else is held to a quota. */
+static void _wgf_ask_back(wgf_share* s, int service, int needed) {
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        if (s->routers[r].live) {
+            s->routers[r].asked = 0;
         }
-        for (int r = 0; r < s->desc.routers_max && sum > capacity; r++) {
-            int limit = _wgf_slot(s, r, t)->limit;
-            int take = MIN(limit, sum - capacity);
-            if (take > 0) {
-                _wgf_set_limit(s, r, t, limit - take);
-                sum -= take;
+    }
+    while (needed > 0) {
+        int most = -1;
+        for (int r = 0; r < s->desc.routers_max; r++) {
+            const _wgf_router_t* router = &s->routers[r];
+            int surplus = router->live ? router->holds - router->want - router->asked : 0;
+            if (surplus > 0 &&
+                (most < 0 || surplus > s->routers[most].holds - s->routers[most].want -
+                                           s->routers[most].asked)) {
+                most = r;
             }
         }
+        if (most < 0) {
+            break;
+        }
+        int part =
+            MAX(1, (s->routers[most].holds - s->routers[most].want - s->routers[most].asked) / 2);
+        part = MIN(part, needed);
+        s->routers[most].asked += part;
+        needed -= part;
+    }
+    for (int r = 0; r < s->desc.routers_max; r++) {
+        const _wgf_router_t* router = &s->routers[r];
+        if (router->live) {
+            uint32_t quota =
+                router->asked > 0 ? (uint32_t)(router->holds - router->asked) : WGF_NO_QUOTA;
+            _wgf_set_quota(s, r, service, quota);
+        }
     }
 }
 
@@ -269,8 +274,10 @@
         }
         int left = _wgf_capacity(s, &s->targets[t]) - s->targets[t].counted;
         int give = MIN(num, MAX(1, left / 4));
-        _wgf_slot_t* slot = _wgf_slot(s, r, t);
-        _wgf_set_limit(s, r, t, slot->limit + give);
+        _wgf_slot_t slot = *_wgf_slot(s, r, t);
+        slot.fresh += (uint16_t)give;
+        _wgf_set_slot(s, r, t, slot);
+        s->routers[r].has_orders = true;
         WG_ASSERT(s->targets[t].counted <= _wgf_capacity(s, &s->targets[t]));
         num -= give;
         s->routers[r].holds += give;
@@ -283,14 +290,7 @@
     for (int r = 0; r < s->desc.routers_max; r++) {
         shortage += MAX(s->routers[r].want - s->routers[r].holds, 0);
     }
-    int to_free = shortage - _wgf_free_slots(s, service);
-    for (int r = 0; r < s->desc.routers_max && to_free > 0; r++) {
-        int surplus = MIN(s->routers[r].holds - s->routers[r].want, to_free);
-        if (surplus > 0) {
-            _wgf_take_back(s, r, service, surplus);
-            to_free -= surplus;
-        }
-    }
+    _wgf_ask_back(s, service, shortage - _wgf_free_slots(s, service));
     if (now < s->may_grant_at) {
         return;
     }
@@ -347,7 +347,6 @@
 void wgf_plan(wgf_share* s, wg_time now) {
     s->stats.plans++;
     _wgf_end_leases(s, now);
-    _wgf_shrink_targets(s);
     for (int i = 0; i < s->services_num; i++) {
         if (s->services[i].live) {
             _wgf_plan_service(s, i, now);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -1042,49 +1042,94 @@
   assert(message->base.descriptor == &wgpb__fair__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-void   wgpb__slot__init
-                     (Wgpb__Slot         *message)
+void   wgpb__grant__init
+                     (Wgpb__Grant         *message)
 {
-  static const Wgpb__Slot init_value = WGPB__SLOT__INIT;
+  static const Wgpb__Grant init_value = WGPB__GRANT__INIT;
   *message = init_value;
 }
-size_t wgpb__slot__get_packed_size
-                     (const Wgpb__Slot *message)
+size_t wgpb__grant__get_packed_size
+                     (const Wgpb__Grant *message)
 {
-  assert(message->base.descriptor == &wgpb__slot__descriptor);
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
   return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
 }
-size_t wgpb__slot__pack
-                     (const Wgpb__Slot *message,
+size_t wgpb__grant__pack
+                     (const Wgpb__Grant *message,
                       uint8_t       *out)
 {
-  assert(message->base.descriptor == &wgpb__slot__descriptor);
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
   return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
 }
-size_t wgpb__slot__pack_to_buffer
-                     (const Wgpb__Slot *message,
+size_t wgpb__grant__pack_to_buffer
+                     (const Wgpb__Grant *message,
                       ProtobufCBuffer *buffer)
 {
-  assert(message->base.descriptor == &wgpb__slot__descriptor);
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
   return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
 }
-Wgpb__Slot *
-       wgpb__slot__unpack
+Wgpb__Grant *
+       wgpb__grant__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data)
 {
-  return (Wgpb__Slot *)
-     protobuf_c_message_unpack (&wgpb__slot__descriptor,
+  return (Wgpb__Grant *)
+     protobuf_c_message_unpack (&wgpb__grant__descriptor,
                                 allocator, len, data);
 }
-void   wgpb__slot__free_unpacked
-                     (Wgpb__Slot *message,
+void   wgpb__grant__free_unpacked
+                     (Wgpb__Grant *message,
                       ProtobufCAllocator *allocator)
 {
   if(!message)
     return;
-  assert(message->base.descriptor == &wgpb__slot__descriptor);
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__quota__init
+                     (Wgpb__Quota         *message)
+{
+  static const Wgpb__Quota init_value = WGPB__QUOTA__INIT;
+  *message = init_value;
+}
+size_t wgpb__quota__get_packed_size
+                     (const Wgpb__Quota *message)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__quota__pack
+                     (const Wgpb__Quota *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__quota__pack_to_buffer
+                     (const Wgpb__Quota *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Quota *
+       wgpb__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Quota *)
+     protobuf_c_message_unpack (&wgpb__quota__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__quota__free_unpacked
+                     (Wgpb__Quota *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
 void   wgpb__member__init
@@ -3040,7 +3085,7 @@
   (ProtobufCMessageInit) wgpb__account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[2] =
 {
   {
     "target",
@@ -3055,24 +3100,12 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit",
+    "slots",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Held, limit),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "in_use",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Held, in_use),
+    offsetof(Wgpb__Held, slots),
     NULL,
     NULL,
     0,             /* flags */
@@ -3080,14 +3113,13 @@
   },
 };
 static const unsigned wgpb__held__field_indices_by_name[] = {
-  2,   /* field[2] = in_use */
-  1,   /* field[1] = limit */
+  1,   /* field[1] = slots */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
 const ProtobufCMessageDescriptor wgpb__held__descriptor =
 {
@@ -3097,7 +3129,7 @@
   "Wgpb__Held",
   "wgpb",
   sizeof(Wgpb__Held),
-  3,
+  2,
   wgpb__held__field_descriptors,
   wgpb__held__field_indices_by_name,
   1,  wgpb__held__number_ranges,
@@ -3349,7 +3381,7 @@
   (ProtobufCMessageInit) wgpb__fair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__slot__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__grant__field_descriptors[2] =
 {
   {
     "target",
@@ -3357,47 +3389,98 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Slot, target),
+    offsetof(Wgpb__Grant, target),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "limit",
+    "add",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Slot, limit),
+    offsetof(Wgpb__Grant, add),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__slot__field_indices_by_name[] = {
-  1,   /* field[1] = limit */
+static const unsigned wgpb__grant__field_indices_by_name[] = {
+  1,   /* field[1] = add */
   0,   /* field[0] = target */
 };
-static const ProtobufCIntRange wgpb__slot__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Grant",
+  "Grant",
+  "Wgpb__Grant",
+  "wgpb",
+  sizeof(Wgpb__Grant),
+  2,
+  wgpb__grant__field_descriptors,
+  wgpb__grant__field_indices_by_name,
+  1,  wgpb__grant__number_ranges,
+  (ProtobufCMessageInit) wgpb__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quota__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quota, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "most",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quota, most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__quota__field_indices_by_name[] = {
+  1,   /* field[1] = most */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange wgpb__quota__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor wgpb__slot__descriptor =
+const ProtobufCMessageDescriptor wgpb__quota__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Slot",
-  "Slot",
-  "Wgpb__Slot",
+  "wgpb.Quota",
+  "Quota",
+  "Wgpb__Quota",
   "wgpb",
-  sizeof(Wgpb__Slot),
+  sizeof(Wgpb__Quota),
   2,
-  wgpb__slot__field_descriptors,
-  wgpb__slot__field_indices_by_name,
-  1,  wgpb__slot__number_ranges,
-  (ProtobufCMessageInit) wgpb__slot__init,
+  wgpb__quota__field_descriptors,
+  wgpb__quota__field_indices_by_name,
+  1,  wgpb__quota__number_ranges,
+  (ProtobufCMessageInit) wgpb__quota__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
 static const ProtobufCFieldDescriptor wgpb__member__field_descriptors[7] =
@@ -3516,7 +3599,7 @@
   (ProtobufCMessageInit) wgpb__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[19] =
 {
   {
     "seq",
@@ -3687,13 +3770,13 @@
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "grants",
     15,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_slots),
-    offsetof(Wgpb__Reply, slots),
-    &wgpb__slot__descriptor,
+    offsetof(Wgpb__Reply, n_grants),
+    offsetof(Wgpb__Reply, grants),
+    &wgpb__grant__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
@@ -3734,23 +3817,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "quotas",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_quotas),
+    offsetof(Wgpb__Reply, quotas),
+    &wgpb__quota__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__reply__field_indices_by_name[] = {
   2,   /* field[2] = echo */
   12,   /* field[12] = fairs */
   13,   /* field[13] = fleet */
+  14,   /* field[14] = grants */
   5,   /* field[5] = leader_address */
   4,   /* field[4] = leads */
   16,   /* field[16] = member_version */
   15,   /* field[15] = members */
   17,   /* field[17] = members_reset */
   11,   /* field[11] = more_rows */
+  18,   /* field[18] = quotas */
   1,   /* field[1] = report_seq */
   8,   /* field[8] = reset */
   10,   /* field[10] = rows */
   0,   /* field[0] = seq */
   7,   /* field[7] = slot_lease */
-  14,   /* field[14] = slots */
   6,   /* field[6] = table_lease */
   9,   /* field[9] = table_version */
   3,   /* field[3] = term */
@@ -3758,7 +3854,7 @@
 static const ProtobufCIntRange wgpb__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wgpb__reply__descriptor =
 {
@@ -3768,7 +3864,7 @@
   "Wgpb__Reply",
   "wgpb",
   sizeof(Wgpb__Reply),
-  18,
+  19,
   wgpb__reply__field_descriptors,
   wgpb__reply__field_indices_by_name,
   1,  wgpb__reply__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -38,7 +38,8 @@
 typedef struct Wgpb__Held Wgpb__Held;
 typedef struct Wgpb__Report Wgpb__Report;
 typedef struct Wgpb__Fair Wgpb__Fair;
-typedef struct Wgpb__Slot Wgpb__Slot;
+typedef struct Wgpb__Grant Wgpb__Grant;
+typedef struct Wgpb__Quota Wgpb__Quota;
 typedef struct Wgpb__Member Wgpb__Member;
 typedef struct Wgpb__Reply Wgpb__Reply;
 typedef struct Wgpb__RowQuery Wgpb__RowQuery;
@@ -356,16 +357,18 @@
     , 0, 0, 0, 0, 0, 0, 0 }
 
 
+/*
+ * Slots that a router holds at a target; the router alone lowers them.
+ */
 struct  Wgpb__Held
 {
   ProtobufCMessage base;
   uint32_t target;
-  uint32_t limit;
-  uint32_t in_use;
+  uint32_t slots;
 };
 #define WGPB__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__held__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0 }
 
 
 struct  Wgpb__Report
@@ -403,14 +406,31 @@
     , 0, 0, 0, 0 }
 
 
-struct  Wgpb__Slot
+/*
+ * Slots that the leader adds.
+ */
+struct  Wgpb__Grant
 {
   ProtobufCMessage base;
   uint32_t target;
-  uint32_t limit;
+  uint32_t add;
 };
-#define WGPB__SLOT__INIT \
- { PROTOBUF_C_MESSAGE_INIT (&wgpb__slot__descriptor) \
+#define WGPB__GRANT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__grant__descriptor) \
+    , 0, 0 }
+
+
+/*
+ * A router gives back what it holds of a service beyond this, as it falls idle.
+ */
+struct  Wgpb__Quota
+{
+  ProtobufCMessage base;
+  uint32_t service;
+  uint32_t most;
+};
+#define WGPB__QUOTA__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__quota__descriptor) \
     , 0, 0 }
 
 
@@ -450,16 +470,18 @@
   Wgpb__Fair **fairs;
   size_t n_fleet;
   Wgpb__Fair **fleet;
-  size_t n_slots;
-  Wgpb__Slot **slots;
+  size_t n_grants;
+  Wgpb__Grant **grants;
   size_t n_members;
   Wgpb__Member **members;
   uint64_t member_version;
   protobuf_c_boolean members_reset;
+  size_t n_quotas;
+  Wgpb__Quota **quotas;
 };
 #define WGPB__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__reply__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Wgpb__RowQuery
@@ -947,24 +969,43 @@
 void   wgpb__fair__free_unpacked
                      (Wgpb__Fair *message,
                       ProtobufCAllocator *allocator);
-/* Wgpb__Slot methods */
-void   wgpb__slot__init
-                     (Wgpb__Slot         *message);
-size_t wgpb__slot__get_packed_size
-                     (const Wgpb__Slot   *message);
-size_t wgpb__slot__pack
-                     (const Wgpb__Slot   *message,
+/* Wgpb__Grant methods */
+void   wgpb__grant__init
+                     (Wgpb__Grant         *message);
+size_t wgpb__grant__get_packed_size
+                     (const Wgpb__Grant   *message);
+size_t wgpb__grant__pack
+                     (const Wgpb__Grant   *message,
+                      uint8_t             *out);
+size_t wgpb__grant__pack_to_buffer
+                     (const Wgpb__Grant   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__Grant *
+       wgpb__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__grant__free_unpacked
+                     (Wgpb__Grant *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__Quota methods */
+void   wgpb__quota__init
+                     (Wgpb__Quota         *message);
+size_t wgpb__quota__get_packed_size
+                     (const Wgpb__Quota   *message);
+size_t wgpb__quota__pack
+                     (const Wgpb__Quota   *message,
                       uint8_t             *out);
-size_t wgpb__slot__pack_to_buffer
-                     (const Wgpb__Slot   *message,
+size_t wgpb__quota__pack_to_buffer
+                     (const Wgpb__Quota   *message,
                       ProtobufCBuffer     *buffer);
-Wgpb__Slot *
-       wgpb__slot__unpack
+Wgpb__Quota *
+       wgpb__quota__unpack
                      (ProtobufCAllocator  *allocator,
                       size_t               len,
                       const uint8_t       *data);
-void   wgpb__slot__free_unpacked
-                     (Wgpb__Slot *message,
+void   wgpb__quota__free_unpacked
+                     (Wgpb__Quota *message,
                       ProtobufCAllocator *allocator);
 /* Wgpb__Member methods */
 void   wgpb__member__init
@@ -1151,8 +1192,11 @@
 typedef void (*Wgpb__Fair_Closure)
                  (const Wgpb__Fair *message,
                   void *closure_data);
-typedef void (*Wgpb__Slot_Closure)
-                 (const Wgpb__Slot *message,
+typedef void (*Wgpb__Grant_Closure)
+                 (const Wgpb__Grant *message,
+                  void *closure_data);
+typedef void (*Wgpb__Quota_Closure)
+                 (const Wgpb__Quota *message,
                   void *closure_data);
 typedef void (*Wgpb__Member_Closure)
                  (const Wgpb__Member *message,
@@ -1201,7 +1245,8 @@
 extern const ProtobufCMessageDescriptor wgpb__held__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__report__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__fair__descriptor;
-extern const ProtobufCMessageDescriptor wgpb__slot__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__grant__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__quota__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__member__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__reply__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__row_query__descriptor;
--- a/tests/sim/sim_quorum.c
+++ b/tests/sim/sim_quorum.c
@@ -62,6 +62,8 @@
     uint64_t next_edit;
     uint64_t next_identity;
     uint64_t last_edit_number;
+    GHashTable* outcomes;  /* edit number -> outcome and version of its first answer */
+    uint64_t holders[256]; /* attempt that was granted each claim key, 0 none */
 };
 
 /* ---- helpers: chance and time --------------------------------------------------------------- */
@@ -192,7 +194,8 @@
 
 static void node_start(simq_run* s, node_t* n) {
     GError* error = NULL;
-    n->table = wgt_setup(&(wgt_desc){.rows_max = 64, .results_max = 64, .tombstones_max = 8}, &error);
+    n->table =
+        wgt_setup(&(wgt_desc){.rows_max = 64, .results_max = 64, .tombstones_max = 8}, &error);
     n->claims = wgk_setup(&(wgk_desc){.claims_max = 16, .keep_seconds = 1000}, &error);
     if (n->disk.snapshot && g_bytes_get_size(n->disk.snapshot) > 0) {
         load_state(n, n->disk.snapshot);
@@ -207,13 +210,16 @@
                              .snapshot = n->disk.snapshot,
                              .entries = (const wgr_entry*)(void*)n->disk.entries->data,
                              .entries_num = (int)n->disk.entries->len};
-    n->node = wgr_setup(&(wgr_desc){.self = n->disk.identity,
-                                    .seed = chance(s),
-                                    .now = local_time(s, n),
-                                    .restored = &restored,
-                                    .message_bytes = 600,
-                                    .log_keep = LOG_KEEP},
-                        &error);
+    n->node = wgr_setup(
+        &(wgr_desc){.self = n->disk.identity,
+                    .seed = chance(s),
+                    .now = local_time(s, n),
+                    .restored = &restored,
+                    .message_bytes = 600,
+                    /* Every other seed: waits so alike that elections collide. */
+                    .election_max = s->desc.seed % 2 ? 0 : WGR_ELECTION_MIN_DEFAULT + TICK,
+                    .log_keep = LOG_KEEP},
+        &error);
     WG_ASSERT(n->node && n->table && n->claims);
     n->up = true;
     n->crash_at = 0;
@@ -267,6 +273,34 @@
     }
 }
 
+/* An edit has one answer, whoever gives it and however often it is sent. */
+static void check_outcome(simq_run* s, const wgt_edit* edit, const wgt_result* result) {
+    uint64_t halves[2];
+    memcpy(halves, edit->id, sizeof halves);
+    gpointer number = GUINT_TO_POINTER(halves[1]);
+    gpointer answer =
+        GUINT_TO_POINTER(result->version * WGT_OUTCOME_NUM + (uint64_t)result->outcome);
+    gpointer known = g_hash_table_lookup(s->outcomes, number);
+    WG_ASSERT(known == NULL || known == answer);
+    g_hash_table_insert(s->outcomes, number, answer);
+}
+
+/* A key is granted to one attempt until that attempt says that it did not run. */
+static void check_claim(simq_run* s, const Wgpb__Claim* claim, wgk_outcome outcome) {
+    uint64_t* holder = &s->holders[claim->key.data[0]];
+    if (outcome == WGK_OUTCOME_GRANTED) {
+        WG_ASSERT(*holder == 0 || *holder == claim->attempt);
+        *holder = claim->attempt;
+    }
+}
+
+static void check_claim_end(simq_run* s, const Wgpb__ClaimEnd* end, bool ended_before) {
+    uint64_t* holder = &s->holders[end->key.data[0]];
+    if (end->verdict == WG_VERDICT_NOT_RUN && *holder == end->attempt && !ended_before) {
+        *holder = 0;
+    }
+}
+
 static void apply_command(simq_run* s, node_t* n, const wgr_entry* entry) {
     gsize size;
     const uint8_t* data = g_bytes_get_data(entry->data, &size);
@@ -281,17 +315,27 @@
         memcpy(edit.id, command->edit->edit_id.data, sizeof edit.id);
         wgt_result result;
         wgt_apply(n->table, &edit, entry->index, &result);
+        check_outcome(s, &edit, &result);
         s->counts.edits_resent += first && result.resent;
-        s->counts.edits_accepted += first && !result.resent && result.outcome == WGT_OUTCOME_ACCEPTED;
-        s->counts.edits_conflict += first && !result.resent && result.outcome == WGT_OUTCOME_CONFLICT;
+        s->counts.edits_accepted +=
+            first && !result.resent && result.outcome == WGT_OUTCOME_ACCEPTED;
+        s->counts.edits_conflict +=
+            first && !result.resent && result.outcome == WGT_OUTCOME_CONFLICT;
     }
     if (command->claim) {
         const Wgpb__ClaimEnd* end;
         wgk_outcome outcome = wgk_claim(n->claims, command->claim, &end);
+        if (first) {
+            check_claim(s, command->claim, outcome);
+        }
         s->counts.claims_granted += first && outcome == WGK_OUTCOME_GRANTED;
         s->counts.claims_repeated += first && outcome == WGK_OUTCOME_RUNNING;
     }
     if (command->claim_end) {
+        const Wgpb__ClaimEnd* known = wgk_find_end(n->claims, command->claim_end);
+        if (first) {
+            check_claim_end(s, command->claim_end, known != NULL);
+        }
         wgk_end(n->claims, command->claim_end);
     }
     wgpb__command__free_unpacked(command, NULL);
@@ -506,7 +550,15 @@
 static void random_fault(simq_run* s) {
     int a = (int)(chance(s) % (uint64_t)s->desc.replicas);
     int b = (int)(chance(s) % (uint64_t)s->desc.replicas);
-    switch (chance(s) % 16) {
+    switch (chance(s) % 20) {
+    case 16:
+    case 17:
+    case 18:
+    case 19: /* back at once, while promises of the former run still count */
+        simq_crash(s, a);
+        simq_restart(s, a);
+        s->counts.crashes++;
+        break;
     case 0:
     case 1:
         s->cut[a][b] = a != b;
@@ -566,6 +618,7 @@
     s->flights = g_array_new(FALSE, TRUE, sizeof(flight_t));
     s->committed = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     s->states = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    s->outcomes = g_hash_table_new(g_direct_hash, g_direct_equal);
     wgr_set set = {.num = desc->replicas};
     for (int i = 0; i < desc->replicas; i++) {
         wgr_replica* replica = &set.replicas[i];
@@ -600,6 +653,7 @@
     g_array_unref(s->flights);
     g_array_unref(s->committed);
     g_array_unref(s->states);
+    g_hash_table_unref(s->outcomes);
     g_free(s);
 }
 
@@ -709,7 +763,8 @@
 bool simq_replace(simq_run* s, int slot) {
     int leader = simq_leader(s);
     node_t* n = &s->nodes[slot];
-    if (leader < 0 || !n->up || wgr_set_find(wgr_query_set(s->nodes[leader].node), n->disk.identity)) {
+    if (leader < 0 || !n->up ||
+        wgr_set_find(wgr_query_set(s->nodes[leader].node), n->disk.identity)) {
         return false;
     }
     wgr_replica replica = {.id = n->disk.identity};
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -1,10 +1,12 @@
 #pragma once
 /*
-    sim_quorum.h -- randomised run of lib/quorum, lib/table and lib/claim over a fake network and disk
+    sim_quorum.h -- randomised run of lib/quorum, lib/table and lib/claim over a fake network and
+   disk
 
     Virtual time, one seed, no threads: the same seed gives the same run, event for event. Faults:
-    messages lost, doubled, delayed and out of order; links cut one way and both ways; crashes before,
-    between and after syncing and sending; freezes; lost disks and replacement; clocks that drift.
+    messages lost, doubled, delayed and out of order; links cut one way and both ways; crashes
+   before, between and after syncing and sending; freezes; lost disks and replacement; clocks that
+   drift.
 
     Asserted at every step: equal entries at equal indexes on all replicas, equal tables and claims,
     at most one replica that believes to lead, and that one has everything that was ever answered.
@@ -13,7 +15,9 @@
 #include "wg_quorum.h"
 #include "wg_table.h"
 
-enum { SIM_NODES_MAX = 8 };
+enum {
+    SIM_NODES_MAX = 8
+};
 
 /* How often each kind of fault struck. */
 typedef struct {
@@ -38,9 +42,9 @@
 
 typedef struct {
     uint64_t seed;
-    int replicas;      /* 1, 3 or 5 */
+    int replicas; /* 1, 3 or 5 */
     uint64_t steps;
-    bool faults;       /* false: a quiet network */
+    bool faults; /* false: a quiet network */
     bool print;
 } simq_desc;
 
@@ -57,7 +61,7 @@
 uint64_t simq_query_trace(const simq_run* run);
 
 /* For focused tests. */
-int simq_leader(simq_run* run); /* slot of the replica that leads, or -1 */
+int simq_leader(simq_run* run);                     /* slot of the replica that leads, or -1 */
 void simq_run_for(simq_run* run, wg_time duration); /* no new faults */
 void simq_cut(simq_run* run, int from, int to, bool cut);
 void simq_crash(simq_run* run, int slot);
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -17,20 +17,23 @@
 }
 
 static void run_quorum(uint64_t seed, int replicas, uint64_t steps) {
-    g_snprintf(failure_note, sizeof failure_note, "soak: failed with seed %" G_GUINT64_FORMAT
-               ", quorum of %d, %" G_GUINT64_FORMAT " steps\n", seed, replicas, steps);
-    simq_run* run =
-        simq_setup(&(simq_desc){.seed = seed, .replicas = replicas, .steps = steps, .faults = true});
+    g_snprintf(failure_note, sizeof failure_note,
+               "soak: failed with seed %" G_GUINT64_FORMAT ", quorum of %d, %" G_GUINT64_FORMAT
+               " steps\n",
+               seed, replicas, steps);
+    simq_run* run = simq_setup(
+        &(simq_desc){.seed = seed, .replicas = replicas, .steps = steps, .faults = true});
     simq_steps(run, steps);
     simq_settle(run, 30 * (wg_time)WG_USEC_PER_SEC);
     simq_counts c = simq_query_counts(run);
     printf("quorum of %d, seed %" G_GUINT64_FORMAT ": %" G_GUINT64_FORMAT
            " steps, trace %016" G_GINT64_MODIFIER "x\n",
            replicas, seed, steps, simq_query_trace(run));
-    printf("  committed %lu, edits accepted %lu conflict %lu resent %lu, claims granted %lu repeated "
-           "%lu\n",
-           c.committed, c.edits_accepted, c.edits_conflict, c.edits_resent, c.claims_granted,
-           c.claims_repeated);
+    printf(
+        "  committed %lu, edits accepted %lu conflict %lu resent %lu, claims granted %lu repeated "
+        "%lu\n",
+        c.committed, c.edits_accepted, c.edits_conflict, c.edits_resent, c.claims_granted,
+        c.claims_repeated);
     printf("  faults: lost %lu doubled %lu cuts %lu crashes %lu freezes %lu disks %lu replaced %lu "
            "hand-overs %lu snapshots %lu\n",
            c.lost, c.doubled, c.cuts, c.crashes, c.freezes, c.disks_lost, c.replaced, c.hand_overs,
