--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -72,6 +72,11 @@
 /* Propose an edit at the leader; its index or 0. */
 uint64_t simq_edit(simq_run* run, const char* workspace, int64_t weight, uint64_t base_version,
                    uint64_t edit_number);
+/* Propose `size` bytes at a replica, whether or not it can commit them. */
+uint64_t simq_propose_bytes(simq_run* run, int slot, size_t size);
+void simq_tick(simq_run* run);
+wgr_stats simq_stats(simq_run* run, int slot);
+void simq_hand_over(simq_run* run, int slot);
 /* Highest index that was answered to an operator. */
 uint64_t simq_answered(const simq_run* run);
 wgt_table* simq_table(simq_run* run, int slot);
--- /dev/null
+++ b/tests/test_quorum.c
@@ -0,0 +1,327 @@
+/* test_quorum.c -- the replicated log: elections, leases, lost disks, hand-over, random runs */
+#include "sim_quorum.h"
+#include "wg_test.h"
+
+static simq_run* quiet(int replicas) {
+    return simq_setup(&(simq_desc){.seed = 7, .replicas = replicas});
+}
+
+static int wait_leader(simq_run* run) {
+    for (int i = 0; i < 1000 && simq_leader(run) < 0; i++) {
+        simq_tick(run);
+    }
+    ck_assert_int_ge(simq_leader(run), 0);
+    return simq_leader(run);
+}
+
+/* The n-th replica that is not the leader. */
+static int other(int leader, int n, int replicas) {
+    return (leader + 1 + n) % replicas;
+}
+
+static void isolate(simq_run* run, int slot, int replicas, bool cut) {
+    for (int i = 0; i < replicas; i++) {
+        simq_cut(run, i, slot, cut && i != slot);
+        simq_cut(run, slot, i, cut && i != slot);
+    }
+}
+
+START_TEST(one_replica_leads_itself) {
+    simq_run* run = quiet(1);
+    wait_leader(run);
+    uint64_t index = simq_edit(run, "w", 5, 0, 1);
+    simq_run_for(run, SECOND / 10);
+    ck_assert_uint_ge(simq_answered(run), index);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(five_replicas_survive_any_two) {
+    simq_run* run = quiet(5);
+    int leader = wait_leader(run);
+    simq_edit(run, "w", 5, 0, 1);
+    simq_run_for(run, SECOND);
+    simq_crash(run, leader);
+    simq_crash(run, other(leader, 0, 5));
+    simq_run_for(run, 4 * SECOND);
+    int next = wait_leader(run);
+    ck_assert_int_ne(next, leader);
+    ck_assert_ptr_nonnull(wgt_find(simq_table(run, next), WGT_KIND_WORKSPACE, "w"));
+    simq_settle(run, 20 * SECOND);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(no_majority_no_leader) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    simq_crash(run, other(leader, 0, 3));
+    simq_crash(run, other(leader, 1, 3));
+    simq_run_for(run, 2 * SECOND);
+    ck_assert_int_eq(simq_leader(run), -1);
+    simq_shutdown(run);
+}
+END_TEST
+
+/* A leader's lease outlives a silent cut. Its follower's promise keeps others from leading. */
+START_TEST(promise_to_a_leader_is_kept) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    int keeps = other(leader, 0, 3);
+    int outside = other(leader, 1, 3);
+    simq_run_for(run, SECOND);
+    simq_cut(run, leader, outside, true);
+    simq_cut(run, outside, leader, true);
+    /* `outside` would stand again and again; the moment `keeps` cannot warn the leader, a vote by
+       it would make two leaders. simq_tick asserts that there never are. */
+    for (int i = 0; i < 400; i++) {
+        simq_cut(run, keeps, leader, i % 40 >= 20);
+        simq_tick(run);
+    }
+    simq_settle(run, 20 * SECOND);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(promise_survives_a_restart) {
+    for (int after = 0; after < 150; after++) {
+        simq_run* run = quiet(3);
+        int leader = wait_leader(run);
+        int keeps = other(leader, 0, 3);
+        int outside = other(leader, 1, 3);
+        simq_run_for(run, SECOND);
+        simq_cut(run, leader, outside, true);
+        simq_cut(run, outside, leader, true);
+        simq_run_for(run, SECOND + after * 10 * MSEC);
+        simq_crash(run, keeps);
+        simq_restart(run, keeps);
+        simq_cut(run, keeps, leader, true);
+        simq_cut(run, leader, keeps, true);
+        simq_run_for(run, SECOND);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+START_TEST(hand_over_ends_the_lease_first) {
+    for (int seed = 0; seed < 10; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
+        int leader = wait_leader(run);
+        simq_run_for(run, SECOND);
+        simq_hand_over(run, leader);
+        ck_assert(!simq_believes_to_lead(run, leader));
+        /* The old leader does not hear of its successor. */
+        simq_cut(run, other(leader, 0, 3), leader, true);
+        simq_cut(run, other(leader, 1, 3), leader, true);
+        simq_run_for(run, 200 * MSEC);
+        ck_assert_int_ge(simq_leader(run), 0);
+        ck_assert_int_ne(simq_leader(run), leader);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+START_TEST(frozen_leader_does_not_lead_when_it_wakes) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    simq_freeze(run, leader, 3 * SECOND);
+    simq_run_for(run, 3 * SECOND - 10 * MSEC);
+    ck_assert_int_ge(simq_leader(run), 0);
+    ck_assert_int_ne(simq_leader(run), leader);
+    simq_run_for(run, 20 * MSEC);
+    ck_assert(!simq_believes_to_lead(run, leader));
+    simq_settle(run, 10 * SECOND);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(cut_off_replica_does_not_unseat_the_leader) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    int cut = other(leader, 0, 3);
+    uint64_t term = simq_stats(run, leader).term;
+    isolate(run, cut, 3, true);
+    simq_run_for(run, 10 * SECOND);
+    isolate(run, cut, 3, false);
+    simq_run_for(run, 3 * SECOND);
+    ck_assert_int_eq(simq_leader(run), leader);
+    ck_assert_uint_eq(simq_stats(run, leader).term, term);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(one_way_cut_of_a_leader_ends_its_lease) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    /* It still sends, but hears nobody. */
+    simq_cut(run, other(leader, 0, 3), leader, true);
+    simq_cut(run, other(leader, 1, 3), leader, true);
+    simq_run_for(run, 2 * SECOND);
+    ck_assert(!simq_believes_to_lead(run, leader));
+    simq_run_for(run, 4 * SECOND);
+    ck_assert_int_ge(simq_leader(run), 0);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(lost_disk_votes_only_after_replacement) {
+    simq_run* run = quiet(3);
+    int leader = wait_leader(run);
+    int lost = other(leader, 0, 3);
+    int third = other(leader, 1, 3);
+    for (uint64_t i = 0; i < 100; i++) {
+        simq_edit(run, "w", (int64_t)i + 1, simq_answered(run), i + 1);
+        simq_run_for(run, 20 * MSEC);
+    }
+    uint64_t answered = simq_answered(run);
+    simq_lose_disk(run, lost);
+    simq_run_for(run, 3 * SECOND);
+    /* With the third away, an empty replica must not make a majority. */
+    simq_crash(run, third);
+    simq_run_for(run, 3 * SECOND);
+    ck_assert_int_eq(simq_leader(run), -1);
+    simq_restart(run, third);
+    simq_run_for(run, 3 * SECOND);
+    wait_leader(run);
+    ck_assert(simq_replace(run, lost));
+    simq_run_for(run, 5 * SECOND);
+    leader = wait_leader(run);
+    ck_assert_int_eq(simq_set(run, leader)->num, 3);
+    /* A second failure right after the repair loses nothing that was accepted. */
+    simq_crash(run, third);
+    simq_run_for(run, 5 * SECOND);
+    leader = wait_leader(run);
+    ck_assert_uint_ge(simq_stats(run, leader).commit, answered);
+    simq_settle(run, 20 * SECOND);
+    simq_shutdown(run);
+}
+END_TEST
+
+/* Raft's figure 8: an entry of an older term on a majority may still be overwritten. */
+START_TEST(older_terms_are_not_committed_by_counting) {
+    simq_run* run = quiet(5);
+    int a = wait_leader(run);
+    int b = other(a, 0, 5);
+    simq_run_for(run, SECOND);
+    for (int i = 1; i < 4; i++) {
+        simq_cut(run, a, other(a, i, 5), true);
+        simq_cut(run, other(a, i, 5), a, true);
+        simq_cut(run, b, other(a, i, 5), true);
+        simq_cut(run, other(a, i, 5), b, true);
+    }
+    uint64_t index = simq_propose_bytes(run, a, 900);
+    simq_run_for(run, 50 * MSEC);
+    simq_crash(run, a);
+    simq_crash(run, b);
+    /* One of the three others is elected, but its first entry reaches nobody. */
+    int x = -1;
+    for (int t = 0; t < 1000 && x < 0; t++) {
+        simq_tick(run);
+        for (int i = 1; i < 4; i++) {
+            if (simq_stats(run, other(a, i, 5)).role == WGR_ROLE_CANDIDATE) {
+                x = other(a, i, 5);
+            }
+        }
+    }
+    ck_assert_int_ge(x, 0);
+    simq_tick(run);
+    for (int i = 0; i < 5; i++) {
+        simq_cut(run, x, i, i != x);
+    }
+    simq_run_for(run, 30 * MSEC);
+    ck_assert_int_eq(simq_stats(run, x).role, WGR_ROLE_LEADER);
+    ck_assert_uint_eq(simq_stats(run, x).last_index, index);
+    simq_crash(run, x);
+    /* The first two come back and feed their entry to the rest, one entry a message. */
+    for (int i = 0; i < 5; i++) {
+        for (int j = 0; j < 5; j++) {
+            simq_cut(run, i, j, false);
+        }
+    }
+    simq_restart(run, a);
+    simq_restart(run, b);
+    bool fed = false;
+    for (int t = 0; t < 1000 && !fed; t++) {
+        simq_tick(run);
+        for (int i = 1; i < 4; i++) {
+            int c = other(a, i, 5);
+            fed = fed || (c != x && simq_stats(run, c).last_index == index);
+        }
+    }
+    ck_assert(fed);
+    /* They still hear that it arrived, but send nothing more. */
+    for (int i = 1; i < 4; i++) {
+        simq_cut(run, a, other(a, i, 5), true);
+        simq_cut(run, b, other(a, i, 5), true);
+    }
+    simq_tick(run);
+    simq_crash(run, a);
+    simq_crash(run, b);
+    simq_restart(run, x);
+    simq_run_for(run, 6 * SECOND); /* asserts one entry at one index */
+    simq_settle(run, 20 * SECOND);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(two_editors_one_wins_and_a_resend_gets_the_first_answer) {
+    simq_run* run = quiet(3);
+    wait_leader(run);
+    simq_edit(run, "w", 5, 0, 1);
+    simq_edit(run, "w", 6, 0, 2);
+    simq_edit(run, "w", 5, 0, 1);
+    simq_run_for(run, SECOND);
+    simq_counts counts = simq_query_counts(run);
+    ck_assert_uint_eq(counts.edits_accepted, 1);
+    ck_assert_uint_eq(counts.edits_conflict, 1);
+    ck_assert_uint_eq(counts.edits_resent, 1);
+    /* Also from another leader, after snapshots. */
+    for (uint64_t i = 10; i < 60; i++) {
+        simq_edit(run, "v", (int64_t)i, 0, i);
+        simq_run_for(run, 20 * MSEC);
+    }
+    int leader = simq_leader(run);
+    simq_hand_over(run, leader);
+    simq_run_for(run, SECOND);
+    ck_assert_int_ne(wait_leader(run), leader);
+    simq_edit(run, "w", 5, 0, 1);
+    simq_run_for(run, SECOND);
+    ck_assert_uint_eq(simq_query_counts(run).edits_resent, 2);
+    simq_shutdown(run);
+}
+END_TEST
+
+START_TEST(random_runs_hold_and_replay) {
+    for (uint64_t seed = 100; seed < 106; seed++) {
+        uint64_t traces[2];
+        for (int again = 0; again < 2; again++) {
+            simq_run* run = simq_setup(
+                &(simq_desc){.seed = seed, .replicas = seed % 2 ? 3 : 5, .faults = true});
+            simq_steps(run, 6000);
+            simq_settle(run, 30 * SECOND);
+            traces[again] = simq_query_trace(run);
+            simq_shutdown(run);
+        }
+        ck_assert_uint_eq(traces[0], traces[1]);
+    }
+}
+END_TEST
+
+START_TEST(bad_descs_name_the_field) {
+    GError* error = NULL;
+    ck_assert_ptr_null(wgr_setup(&(wgr_desc){0}, &error));
+    ck_assert_ptr_nonnull(strstr(error->message, "self"));
+    g_clear_error(&error);
+    ck_assert_ptr_null(wgr_setup(&(wgr_desc){.self = 1, .heartbeat = SECOND}, &error));
+    ck_assert_ptr_nonnull(strstr(error->message, "heartbeat"));
+    g_clear_error(&error);
+}
+END_TEST
+
+WG_TEST_MAIN("quorum", one_replica_leads_itself, five_replicas_survive_any_two,
+             no_majority_no_leader, promise_to_a_leader_is_kept, promise_survives_a_restart,
+             hand_over_ends_the_lease_first, frozen_leader_does_not_lead_when_it_wakes,
+             cut_off_replica_does_not_unseat_the_leader, one_way_cut_of_a_leader_ends_its_lease,
+             lost_disk_votes_only_after_replacement, older_terms_are_not_committed_by_counting,
+             two_editors_one_wins_and_a_resend_gets_the_first_answer, random_runs_hold_and_replay,
+             bad_descs_name_the_field)
