--- a/bench/bench_fair.c
+++ b/bench/bench_fair.c
@@ -49,13 +49,14 @@
             best_tokens = r.tokens;
         }
         printf("  %-10s %8.0f %8.0f %8.0f %8.3f %7.4f %8.4f %7.4f %8.2f %8.2f %8.0f %8.2f\n",
-               simf_way_name(ways[i]), r.gap_median, r.gap_p99, r.gap_worst, r.gap_over_bound, r.busy,
-               r.tokens / best_tokens, r.wasted, r.wait_p99, r.urgent_wait_worst, r.control_bytes,
-               r.recovery);
-        fprintf(csv, "%s,%s,%.1f,%.1f,%.1f,%.4f,%.5f,%.5f,%.5f,%.3f,%.3f,%.3f,%.5f,%.1f,%.1f,%.2f\n",
-                trace.name, simf_way_name(ways[i]), r.gap_median, r.gap_p99, r.gap_worst,
-                r.gap_over_bound, r.busy, r.tokens / best_tokens, r.wasted, r.wait_p99, r.wait_worst,
-                r.urgent_wait_worst, r.refused, r.control_bytes, r.leader_bytes, r.recovery);
+               simf_way_name(ways[i]), r.gap_median, r.gap_p99, r.gap_worst, r.gap_over_bound,
+               r.busy, r.tokens / best_tokens, r.wasted, r.wait_p99, r.urgent_wait_worst,
+               r.control_bytes, r.recovery);
+        fprintf(
+            csv, "%s,%s,%.1f,%.1f,%.1f,%.4f,%.5f,%.5f,%.5f,%.3f,%.3f,%.3f,%.5f,%.1f,%.1f,%.2f\n",
+            trace.name, simf_way_name(ways[i]), r.gap_median, r.gap_p99, r.gap_worst,
+            r.gap_over_bound, r.busy, r.tokens / best_tokens, r.wasted, r.wait_p99, r.wait_worst,
+            r.urgent_wait_worst, r.refused, r.control_bytes, r.leader_bytes, r.recovery);
         if (ways[i] == SIMF_WAY_LEASED) {
             failed += check_expects(&trace, &r, best_tokens);
         }
--- a/lib/share/wg_pacer.h
+++ b/lib/share/wg_pacer.h
@@ -10,7 +10,8 @@
     USE
         1. wgf_pacer_setup(&pacer, &(wgf_pacer_desc){.now = now});
         2. wgf_pacer_want(&pacer); wgf_pacer_state(&pacer, waiting, idle);
-        3. if (wgf_pacer_due(&pacer, now, bytes_so_far)) { send; wgf_pacer_sent(&pacer, now, waiting); }
+        3. if (wgf_pacer_due(&pacer, now, bytes_so_far)) { send; wgf_pacer_sent(&pacer, now,
+   waiting); }
 
     THE CALLER OWNS
         the pacer struct (plain data).
--- a/lib/table/wg_table_csv.c
+++ b/lib/table/wg_table_csv.c
@@ -34,6 +34,9 @@
         _wgt_csv_fail(csv, "too many columns");
         return;
     }
+    if (data && memchr(data, 0, size)) {
+        _wgt_csv_fail(csv, "a cell holds a zero byte");
+    }
     g_ptr_array_add(csv->fields, g_strndup(data ? data : "", size));
 }
 
--- a/tests/sim/sim_fleet.c
+++ b/tests/sim/sim_fleet.c
@@ -33,8 +33,8 @@
     wg_time deadline;
     wgp_choice choice;
     wgq_handle handle;
-    bool running;  /* at a target */
-    bool in_slot;  /* of that target */
+    bool running; /* at a target */
+    bool in_slot; /* of that target */
 } request_t;
 
 typedef enum {
@@ -227,8 +227,8 @@
     r->held_told = told;
     wgf_pacer_setup(&r->pacer, &(wgf_pacer_desc){.now = s->now, .interval = t->report});
     r->queue = wgq_setup(&(wgq_desc){.flows_max = 256, .requests_max = 60000}, NULL);
-    r->place = wgp_setup(&(wgp_desc){.seed = chance(s), .targets_max = t->targets, .prefixes_max = 64},
-                         NULL);
+    r->place = wgp_setup(
+        &(wgp_desc){.seed = chance(s), .targets_max = t->targets, .prefixes_max = 64}, NULL);
     wgp_config_begin(r->place);
     for (int g = 0; g < t->targets; g++) {
         uint32_t id = TARGET_ID_FIRST + (uint32_t)g;
@@ -504,8 +504,8 @@
     s->finished++;
     g_ptr_array_remove_fast(s->running, q);
     wgp_target_info info;
-    if (wgq_user_data(r->queue, q->handle) == q && wgp_query_target_id(r->place, q->choice.target, &info) &&
-        info.in_use > 0) {
+    if (wgq_user_data(r->queue, q->handle) == q &&
+        wgp_query_target_id(r->place, q->choice.target, &info) && info.in_use > 0) {
         wgq_finish(r->queue, s->now, q->handle, q->tokens);
         wgp_done(r->place, s->now, &q->choice, WGP_RESULT_GOOD);
     }
@@ -531,14 +531,14 @@
     wgq_account accounts[SIMF_WORKSPACES_MAX];
     out->accounts_num = wgq_accounts(r->queue, r->report_full, accounts, SIMF_WORKSPACES_MAX);
     for (int i = 0; i < out->accounts_num; i++) {
-        out->accounts[i] = (wgf_account){
-            .service = SERVICE_ID,
-            .workspace = accounts[i].workspace,
-            .served = accounts[i].served,
-            .pending = accounts[i].pending,
-            .queued = accounts[i].queued,
-            .running = accounts[i].running,
-            .virtual_time = wgq_query_virtual_time(r->queue, accounts[i].workspace)};
+        out->accounts[i] =
+            (wgf_account){.service = SERVICE_ID,
+                          .workspace = accounts[i].workspace,
+                          .served = accounts[i].served,
+                          .pending = accounts[i].pending,
+                          .queued = accounts[i].queued,
+                          .running = accounts[i].running,
+                          .virtual_time = wgq_query_virtual_time(r->queue, accounts[i].workspace)};
     }
     out->held = g_new(wgf_held, s->trace->targets);
     wgp_target_info info;
@@ -546,8 +546,7 @@
         uint32_t now = (uint32_t)info.leased;
         if (r->report_full || r->held_told[g] != now) {
             r->held_told[g] = now;
-            out->held[out->held_num++] =
-                (wgf_held){info.id, (uint32_t)info.leased};
+            out->held[out->held_num++] = (wgf_held){info.id, (uint32_t)info.leased};
         }
     }
 }
@@ -745,8 +744,8 @@
     for (int i = 0; i < s->trace->routers; i++) {
         wgp_config_begin(s->routers[i].place);
         for (int g = 0; g < s->trace->targets; g++) {
-            wgp_config_target(s->routers[i].place, TARGET_ID_FIRST + (uint32_t)g, SERVICE_ID, "", "",
-                              "", s->trace->slots, s->targets[g].gone, 1);
+            wgp_config_target(s->routers[i].place, TARGET_ID_FIRST + (uint32_t)g, SERVICE_ID, "",
+                              "", "", s->trace->slots, s->targets[g].gone, 1);
         }
         wgp_config_end(s->routers[i].place);
     }
--- a/tests/sim/sim_fleet.h
+++ b/tests/sim/sim_fleet.h
@@ -2,12 +2,11 @@
 /*
     sim_fleet.h -- replay of traces over lib/queue, lib/place and lib/share in virtual time
 
-    Routers, targets with slots and a token pace, and a leader, with message delays; no sockets. Ways
-    of sharing capacity can be compared on one trace:
-        alone      each router by itself, with a fixed part of each target's slots
-        arbiter    one queue for the fleet; each request is granted by a message
-        leased     what walnutgate does: accounts to the leader, slot leases back
-        omniscient the arbiter without delay: what could be had at best
+    Routers, targets with slots and a token pace, and a leader, with message delays; no sockets.
+   Ways of sharing capacity can be compared on one trace: alone      each router by itself, with a
+   fixed part of each target's slots arbiter    one queue for the fleet; each request is granted by
+   a message leased     what walnutgate does: accounts to the leader, slot leases back omniscient
+   the arbiter without delay: what could be had at best
 
     Trace format: docs/TRACES.md.
 */
@@ -55,11 +54,11 @@
 
 typedef enum {
     SIMF_FAULT_DEFAULT = 0,
-    SIMF_FAULT_CUT_ROUTER,    /* a: router; no message to or from the leader */
+    SIMF_FAULT_CUT_ROUTER,     /* a: router; no message to or from the leader */
     SIMF_FAULT_RESTART_ROUTER, /* a: router; loses all state */
-    SIMF_FAULT_LOSE_LEADER,   /* a new one without state comes at `to` */
-    SIMF_FAULT_LOSE_TARGETS,  /* a..b: first and last target */
-    SIMF_FAULT_SET_WEIGHT,    /* a: workspace, b: weight */
+    SIMF_FAULT_LOSE_LEADER,    /* a new one without state comes at `to` */
+    SIMF_FAULT_LOSE_TARGETS,   /* a..b: first and last target */
+    SIMF_FAULT_SET_WEIGHT,     /* a: workspace, b: weight */
     SIMF_FAULT_NUM
 } simf_fault_type;
 
@@ -84,10 +83,10 @@
     int routers;
     int targets;
     int slots;
-    wg_time pace;      /* between two tokens of a request */
+    wg_time pace; /* between two tokens of a request */
     wg_time duration;
-    wg_time delay;     /* of a message, one way */
-    wg_time report;    /* time between two reports of a router */
+    wg_time delay;  /* of a message, one way */
+    wg_time report; /* time between two reports of a router */
     wg_time queue_wait;
     wg_time deadline;
     int over_percent;
@@ -107,16 +106,16 @@
     double gap_p99;
     double gap_worst;
     double gap_over_bound; /* largest gap over the bound of its pair */
-    double busy;      /* part of slot time used while requests waited */
-    double tokens;    /* delivered within deadlines */
-    double wasted;    /* part of the tokens that went to requests that missed their deadline */
-    double wait_p99;  /* seconds */
+    double busy;           /* part of slot time used while requests waited */
+    double tokens;         /* delivered within deadlines */
+    double wasted;         /* part of the tokens that went to requests that missed their deadline */
+    double wait_p99;       /* seconds */
     double wait_worst;
     double urgent_wait_worst;
-    double refused; /* part of the requests */
+    double refused;       /* part of the requests */
     double control_bytes; /* per router and second */
     double leader_bytes;  /* per second */
-    double recovery; /* seconds from the last fault's end until gaps stay in their bound */
+    double recovery;      /* seconds from the last fault's end until gaps stay in their bound */
     uint64_t finished;
     uint64_t requests;
 } simf_result;
--- /dev/null
+++ b/tests/test_queue.c
@@ -0,0 +1,267 @@
+/* test_queue.c -- the weighted fair queue of one router */
+#include "wg_queue.h"
+#include "wg_test.h"
+
+static wgq_handle push(wgq_queue* q, wg_time now, uint32_t workspace, int64_t weight, bool urgent) {
+    wgq_refusal refusal;
+    return wgq_push(q, now,
+                    &(wgq_request){.workspace = workspace,
+                                   .limits = {.weight = weight, .urgent_percent = 20},
+                                   .urgent = urgent,
+                                   .wait_until = WG_TIME_NEVER,
+                                   .deadline = WG_TIME_NEVER,
+                                   .user_data = GUINT_TO_POINTER(workspace)},
+                    &refusal);
+}
+
+static uint32_t pick(wgq_queue* q, wg_time now, wgq_handle* picked) {
+    return wgq_pick(q, now, false, picked) ? GPOINTER_TO_UINT(wgq_user_data(q, *picked)) : 0;
+}
+
+START_TEST(service_follows_weights) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    int64_t served[4] = {0};
+    for (int i = 0; i < 2000; i++) {
+        for (uint32_t w = 1; w <= 3; w++) {
+            push(q, i, w, w * 100, false);
+        }
+    }
+    for (int i = 0; i < 1200; i++) {
+        wgq_handle picked;
+        uint32_t w = pick(q, SECOND + i, &picked);
+        int64_t cost = 50 + (int64_t)(wg_jitter(1, (uint64_t)i) % 100);
+        wgq_finish(q, SECOND + i, picked, cost);
+        served[w] += cost;
+    }
+    for (uint32_t w = 1; w <= 3; w++) {
+        double part = (double)served[w] / (double)(served[1] + served[2] + served[3]);
+        ck_assert_double_eq_tol(part, w / 6.0, 0.01);
+    }
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(nobody_starves_under_a_flood) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){.requests_max = 20000}, NULL);
+    for (int i = 0; i < 10000; i++) {
+        push(q, 0, 1, 100, false);
+    }
+    int waited = 0;
+    for (int i = 0; i < 500; i++) {
+        wgq_handle picked;
+        if (i % 10 == 0) {
+            push(q, i, 2, 100, false);
+            waited = 0;
+        }
+        uint32_t w = pick(q, i, &picked);
+        wgq_finish(q, i, picked, 100);
+        waited++;
+        if (w == 2) {
+            ck_assert_int_le(waited, 3);
+        }
+    }
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(idle_time_banks_no_credit) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_handle picked;
+    for (int i = 0; i < 1000; i++) {
+        push(q, i, 1, 100, false);
+        pick(q, i, &picked);
+        wgq_finish(q, i, picked, 1000);
+    }
+    for (int i = 0; i < 100; i++) {
+        push(q, 2000, 1, 100, false);
+        push(q, 2000, 2, 100, false);
+    }
+    int second = 0;
+    for (int i = 0; i < 40; i++) {
+        second += pick(q, 2000, &picked) == 2;
+        wgq_finish(q, 2000, picked, 1000);
+    }
+    ck_assert_int_ge(second, 19);
+    ck_assert_int_le(second, 23);
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(fleet_time_counts_what_others_served) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_handle picked;
+    for (int i = 0; i < 10; i++) {
+        push(q, 0, 1, 100, false);
+        push(q, 0, 2, 100, false);
+    }
+    /* Elsewhere workspace 1 has already had 10,000 tokens. */
+    wgq_sync(q, 1, 10000ull * WGQ_SCALE / 100, 0);
+    for (int i = 0; i < 10; i++) {
+        ck_assert_uint_eq(pick(q, 1, &picked), 2);
+        wgq_finish(q, 1, picked, 100);
+    }
+    ck_assert_uint_eq(pick(q, 1, &picked), 1);
+    /* A sync that is older than what was served here since does not undo it. */
+    wgq_finish(q, 1, picked, 500);
+    uint64_t before = wgq_query_virtual_time(q, 1);
+    wgq_sync(q, 1, 10000ull * WGQ_SCALE / 100, 0);
+    ck_assert_uint_eq(wgq_query_virtual_time(q, 1), before);
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(accounts_only_rise) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    uint64_t last = 0;
+    for (uint64_t i = 0; i < 300; i++) {
+        wgq_handle picked;
+        wgq_account account;
+        push(q, (wg_time)i, 1, 100, false);
+        pick(q, (wg_time)i, &picked);
+        wgq_charge(q, picked, (int64_t)(wg_jitter(3, i) % 500));
+        ck_assert_int_eq(wgq_accounts(q, false, &account, 1), 1);
+        ck_assert_uint_ge(account.served, last);
+        last = account.served;
+        wgq_finish(q, (wg_time)i, picked, (int64_t)(wg_jitter(4, i) % 500));
+    }
+    wgq_account account;
+    ck_assert_int_eq(wgq_accounts(q, false, &account, 1), 1);
+    ck_assert_uint_eq(account.pending, 0);
+    ck_assert_uint_eq(account.running, 0);
+    ck_assert_int_eq(wgq_accounts(q, false, &account, 1), 0);
+    wgq_shutdown(q);
+}
+END_TEST
+
+static wgq_refusal_code refused(wgq_queue* q, wg_time now, const wgq_limits* limits,
+                                wg_time* retry_after) {
+    wgq_refusal refusal = {0};
+    wgq_push(q, now,
+             &(wgq_request){.workspace = 9,
+                            .limits = *limits,
+                            .wait_until = now + SECOND,
+                            .deadline = now + 60 * SECOND},
+             &refusal);
+    *retry_after = refusal.retry_after;
+    return refusal.code;
+}
+
+START_TEST(limits_refuse_with_when_to_come_back) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wg_time after;
+    wgq_limits rate = {.weight = 1, .rate = 2, .burst = 2};
+    ck_assert_int_eq(refused(q, SECOND, &rate, &after), WGQ_REFUSAL_DEFAULT);
+    ck_assert_int_eq(refused(q, SECOND, &rate, &after), WGQ_REFUSAL_DEFAULT);
+    ck_assert_int_eq(refused(q, SECOND, &rate, &after), WGQ_REFUSAL_RATE);
+    ck_assert_int_ge(after, 400 * MSEC);
+    ck_assert_int_le(after, 600 * MSEC);
+    ck_assert_int_eq(refused(q, SECOND + after, &rate, &after), WGQ_REFUSAL_DEFAULT);
+    wgq_shutdown(q);
+
+    q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_limits queue = {.weight = 1, .queue = 2};
+    refused(q, 0, &queue, &after);
+    refused(q, 0, &queue, &after);
+    ck_assert_int_eq(refused(q, 0, &queue, &after), WGQ_REFUSAL_QUEUE);
+    wgq_shutdown(q);
+
+    q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_limits flight = {.weight = 1, .in_flight = 1, .queue = 1};
+    wgq_handle picked;
+    refused(q, 0, &flight, &after);
+    ck_assert(wgq_pick(q, 0, false, &picked));
+    refused(q, 0, &flight, &after);
+    wgq_handle none;
+    ck_assert(!wgq_pick(q, 0, false, &none));
+    ck_assert_int_eq(refused(q, 0, &flight, &after), WGQ_REFUSAL_IN_FLIGHT);
+    wgq_finish(q, 0, picked, 1);
+    ck_assert(wgq_pick(q, 0, false, &picked));
+    wgq_shutdown(q);
+
+    q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_limits tokens = {.weight = 1, .tokens_per_minute = 600};
+    refused(q, 0, &tokens, &after);
+    wgq_pick(q, 0, false, &picked);
+    wgq_finish(q, 0, picked, 900);
+    ck_assert_int_eq(refused(q, 0, &tokens, &after), WGQ_REFUSAL_TOKENS);
+    ck_assert_int_ge(after, 30 * SECOND);
+    ck_assert_int_le(after, 31 * SECOND);
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(what_cannot_be_served_in_time_is_refused) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_limits limits = {.weight = 1};
+    wg_time after;
+    wgq_handle picked;
+    /* One a second drains; a second of patience is not enough behind three others. */
+    for (int i = 0; i < 8; i++) {
+        push(q, i * SECOND, 9, 1, false);
+        push(q, i * SECOND, 9, 1, false);
+        pick(q, i * SECOND, &picked);
+        wgq_finish(q, (i + 1) * SECOND, picked, 10);
+    }
+    ck_assert_int_eq(refused(q, 8 * SECOND, &limits, &after), WGQ_REFUSAL_LATE);
+    ck_assert_int_ge(after, SECOND);
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(urgent_goes_first_within_its_own_share) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_handle picked;
+    for (int i = 0; i < 50; i++) {
+        push(q, 0, 1, 100, false);
+        push(q, 0, 1, 100, true);
+        push(q, 0, 2, 100, false);
+    }
+    int first = 0;
+    for (int i = 0; i < 40; i++) {
+        first += pick(q, 0, &picked) == 1;
+        wgq_finish(q, 0, picked, 100);
+    }
+    ck_assert_int_ge(first, 19);
+    ck_assert_int_le(first, 21);
+    /* The reserve is for urgent requests alone. */
+    wgq_queue* calm = wgq_setup(&(wgq_desc){0}, NULL);
+    push(calm, 0, 1, 100, false);
+    ck_assert(!wgq_pick(calm, 0, true, &picked));
+    push(calm, 0, 2, 100, true);
+    ck_assert(wgq_pick(calm, 0, true, &picked));
+    wgq_shutdown(calm);
+    wgq_shutdown(q);
+}
+END_TEST
+
+START_TEST(expired_and_stale_handles) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){.requests_max = 4}, NULL);
+    wgq_refusal refusal;
+    wgq_handle handle = wgq_push(
+        q, 0,
+        &(wgq_request){
+            .workspace = 1, .limits = {.weight = 1}, .wait_until = SECOND, .deadline = 2 * SECOND},
+        &refusal);
+    wgq_handle expired;
+    ck_assert(!wgq_expire(q, SECOND - 1, &expired));
+    ck_assert_int_eq(wgq_next_expiry(q), SECOND);
+    ck_assert(wgq_expire(q, SECOND, &expired));
+    ck_assert_uint_eq(expired.id, handle.id);
+    wgq_drop(q, expired);
+    ck_assert(!wgq_expire(q, SECOND, &expired));
+    wgq_finish(q, SECOND, handle, 5);
+    wgq_drop(q, handle);
+    ck_assert_ptr_null(wgq_user_data(q, handle));
+    ck_assert_int_eq(wgq_query_stats(q).running, 0);
+    for (int i = 0; i < 4; i++) {
+        ck_assert_uint_ne(push(q, 0, 1, 1, false).id, 0);
+    }
+    ck_assert_uint_eq(push(q, 0, 1, 1, false).id, 0);
+    wgq_shutdown(q);
+}
+END_TEST
+
+WG_TEST_MAIN("queue", service_follows_weights, nobody_starves_under_a_flood,
+             idle_time_banks_no_credit, fleet_time_counts_what_others_served, accounts_only_rise,
+             limits_refuse_with_when_to_come_back, what_cannot_be_served_in_time_is_refused,
+             urgent_goes_first_within_its_own_share, expired_and_stale_handles)
--- /dev/null
+++ b/tests/test_share.c
@@ -0,0 +1,240 @@
+/* test_share.c -- accounts and leases of the leader, pacing of reports, the sample traces */
+#include "sim_fleet.h"
+#include "wg_test.h"
+
+enum {
+    SERVICE = 1,
+    TARGET = 10,
+    TARGETS = 4,
+    SLOTS = 8
+};
+
+static wgf_share* share_with_targets(void) {
+    wgf_share* s = wgf_setup(&(wgf_desc){.now = SECOND,
+                                         .routers_max = 8,
+                                         .targets_max = 16,
+                                         .flows_max = 64,
+                                         .accounts_max = 256},
+                             NULL);
+    wgf_config_begin(s);
+    wgf_config_service(s, SERVICE, 0, 100);
+    for (uint32_t t = 0; t < TARGETS; t++) {
+        wgf_config_target(s, TARGET + t, SERVICE, SLOTS, false, "dc");
+    }
+    wgf_config_end(s);
+    return s;
+}
+
+static void report(wgf_share* s, wg_time now, wgf_router r, bool full, uint64_t applied,
+                   uint32_t workspace, uint64_t served, uint32_t queued) {
+    wgf_account account = {
+        .service = SERVICE, .workspace = workspace, .served = served, .queued = queued};
+    wgf_report(s, now, r,
+               &(wgf_report_desc){
+                   .full = full, .applied = applied, .accounts = &account, .accounts_num = 1});
+}
+
+static int granted(const wgf_orders* orders) {
+    int sum = 0;
+    for (int i = 0; i < orders->grants_num; i++) {
+        sum += (int)orders->grants[i].add;
+    }
+    return sum;
+}
+
+START_TEST(repeated_and_late_reports_count_once) {
+    wgf_share* s = share_with_targets();
+    wgf_router r = wgf_router_up(s, SECOND, "r1", 5, "dc");
+    report(s, SECOND, r, true, 0, 1, 0, 1);
+    report(s, SECOND, r, false, 0, 1, 500, 1);
+    uint64_t once = wgf_query_virtual_time(s, SERVICE, 1);
+    ck_assert_uint_eq(once, 500ull * WGF_SCALE / 100);
+    report(s, SECOND, r, false, 0, 1, 500, 1);
+    report(s, SECOND, r, false, 0, 1, 300, 1);
+    ck_assert_uint_eq(wgf_query_virtual_time(s, SERVICE, 1), once);
+    /* The same incarnation on a new link says all of it again. */
+    r = wgf_router_up(s, SECOND, "r1", 5, "dc");
+    report(s, SECOND, r, true, 0, 1, 500, 1);
+    ck_assert_uint_eq(wgf_query_virtual_time(s, SERVICE, 1), once);
+    /* A restarted one begins at nothing, and takes nothing away. */
+    r = wgf_router_up(s, SECOND, "r1", 6, "dc");
+    report(s, SECOND, r, true, 0, 1, 0, 1);
+    report(s, SECOND, r, false, 0, 1, 40, 1);
+    ck_assert_uint_eq(wgf_query_virtual_time(s, SERVICE, 1), 540ull * WGF_SCALE / 100);
+    wgf_shutdown(s);
+}
+END_TEST
+
+START_TEST(new_leader_grants_only_after_old_leases_ended) {
+    wgf_share* s = share_with_targets();
+    wgf_router r = wgf_router_up(s, SECOND, "r1", 5, "dc");
+    static wgf_orders orders;
+    report(s, SECOND, r, true, 0, 1, 0, 9);
+    wgf_plan(s, SECOND + MSEC);
+    wgf_take_orders(s, r, 1, &orders);
+    ck_assert_int_eq(granted(&orders), 0);
+    report(s, 3 * SECOND, r, false, 0, 1, 0, 9);
+    wgf_plan(s, 3 * SECOND);
+    ck_assert(wgf_take_orders(s, r, 2, &orders));
+    ck_assert_int_ge(granted(&orders), 9);
+    wgf_shutdown(s);
+}
+END_TEST
+
+START_TEST(silent_router_loses_its_slots_after_the_term) {
+    wgf_share* s = share_with_targets();
+    static wgf_orders orders;
+    wgf_router a = wgf_router_up(s, SECOND, "a", 1, "dc");
+    wgf_router b = wgf_router_up(s, SECOND, "b", 2, "dc");
+    wg_time now = 4 * SECOND;
+    report(s, now, a, true, 0, 1, 0, 100);
+    report(s, now, b, true, 0, 2, 0, 0);
+    wgf_plan(s, now);
+    wgf_take_orders(s, a, 1, &orders);
+    ck_assert_int_eq(granted(&orders), TARGETS * SLOTS);
+    /* Without a word from a, b gets nothing until a's term is over. */
+    report(s, now + SECOND, b, false, 0, 2, 0, 100);
+    wgf_plan(s, now + SECOND);
+    wgf_take_orders(s, b, 1, &orders);
+    ck_assert_int_eq(granted(&orders), 0);
+    report(s, now + 2 * SECOND + 1, b, false, 1, 2, 0, 100);
+    wgf_plan(s, now + 2 * SECOND + 1);
+    ck_assert(wgf_take_orders(s, b, 2, &orders));
+    ck_assert_int_eq(granted(&orders), TARGETS * SLOTS);
+    /* What a says now, as if nothing had happened, is not believed. */
+    report(s, now + 2 * SECOND + 2, a, false, 1, 1, 0, 100);
+    ck_assert_uint_eq(wgf_query_stats(s).stale_reports, 1);
+    wgf_shutdown(s);
+}
+END_TEST
+
+START_TEST(leaving_target_is_not_leased) {
+    wgf_share* s = share_with_targets();
+    static wgf_orders orders;
+    wgf_router a = wgf_router_up(s, SECOND, "a", 1, "dc");
+    wgf_config_begin(s);
+    wgf_config_service(s, SERVICE, 0, 100);
+    wgf_config_target(s, TARGET, SERVICE, SLOTS, true, "dc");
+    wgf_config_target(s, TARGET + 1, SERVICE, SLOTS, false, "dc");
+    wgf_config_end(s);
+    report(s, 4 * SECOND, a, true, 0, 1, 0, 100);
+    wgf_plan(s, 4 * SECOND);
+    wgf_take_orders(s, a, 1, &orders);
+    ck_assert_int_eq(orders.grants_num, 1);
+    ck_assert_uint_eq(orders.grants[0].target, TARGET + 1);
+    ck_assert_int_eq(granted(&orders), SLOTS);
+    wgf_shutdown(s);
+}
+END_TEST
+
+START_TEST(shares_follow_weights_and_demand) {
+    wgf_share* s = share_with_targets();
+    static wgf_orders orders;
+    wgf_router a = wgf_router_up(s, SECOND, "a", 1, "dc");
+    wgf_router b = wgf_router_up(s, SECOND, "b", 2, "dc");
+    wgf_set_weight(s, 1, 300);
+    report(s, 4 * SECOND, a, true, 0, 1, 0, 100);
+    report(s, 4 * SECOND, b, true, 0, 2, 0, 100);
+    wgf_plan(s, 4 * SECOND);
+    wgf_take_orders(s, a, 1, &orders);
+    ck_assert_int_eq(granted(&orders), 24);
+    wgf_take_orders(s, b, 1, &orders);
+    ck_assert_int_eq(granted(&orders), 8);
+    wgf_shutdown(s);
+}
+END_TEST
+
+START_TEST(pacer_holds_to_its_budget) {
+    wgf_pacer pacer;
+    wgf_pacer_setup(&pacer, &(wgf_pacer_desc){.now = 0, .budget = 1000});
+    uint64_t bytes = 0;
+    for (wg_time now = 0; now < 100 * SECOND; now += 10 * MSEC) {
+        wgf_pacer_want(&pacer);
+        if (wgf_pacer_due(&pacer, now, bytes)) {
+            bytes += 200;
+            wgf_pacer_sent(&pacer, now, true);
+        }
+    }
+    ck_assert_uint_le(bytes, 101 * 1000 + 200);
+    ck_assert_uint_ge(bytes, 95 * 1000);
+    ck_assert_uint_gt(pacer.held_back, 0);
+    /* Reports that keep the leases alive leave whatever the budget says. */
+    wgf_pacer_setup(&pacer, &(wgf_pacer_desc){.now = 0, .budget = 1});
+    ck_assert(!wgf_pacer_due(&pacer, 300 * MSEC, 1000000));
+    ck_assert(wgf_pacer_due(&pacer, 500 * MSEC, 1000000));
+}
+END_TEST
+
+/* The stated outcomes of each sample trace, over the code that the daemons run. */
+START_TEST(sample_traces_have_their_outcomes) {
+    static const char* names[] = {"contest-weekend", "storm-night", "ordinary-day",
+                                  "one-router",      "uneven",      "overload"};
+    for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+        static simf_trace trace;
+        char* path = g_strdup_printf("samples/traces/%s.trace", names[i]);
+        GError* error = NULL;
+        ck_assert_msg(simf_trace_read(path, &trace, &error), "%s", error ? error->message : "");
+        g_free(path);
+        simf_result best = simf_run(&trace, SIMF_WAY_OMNISCIENT);
+        simf_result result = simf_run(&trace, SIMF_WAY_LEASED);
+        for (int e = 0; e < trace.expects_num; e++) {
+            double value = 0;
+            ck_assert(simf_metric(&result, trace.expects[e].metric, &value));
+            if (strcmp(trace.expects[e].metric, "tokens") == 0) {
+                value /= best.tokens;
+            }
+            bool good = trace.expects[e].op == '<' ? value < trace.expects[e].value
+                                                   : value > trace.expects[e].value;
+            ck_assert_msg(good, "%s: %s is %g", names[i], trace.expects[e].metric, value);
+        }
+    }
+}
+END_TEST
+
+START_TEST(bad_traces_name_the_line) {
+    static simf_trace trace;
+    GError* error = NULL;
+    ck_assert(!simf_trace_parse("fleet\nload nobody rate=1\n", &trace, &error));
+    ck_assert_ptr_nonnull(strstr(error->message, "line 2"));
+    g_clear_error(&error);
+    ck_assert(!simf_trace_parse("expect joy > 1\n", &trace, &error));
+    g_clear_error(&error);
+}
+END_TEST
+
+/* Random loads and faults; the simulation asserts that no target is leased twice. */
+START_TEST(random_fleets_keep_the_bound) {
+    for (uint64_t seed = 1; seed <= 12; seed++) {
+        GString* text = g_string_new(NULL);
+        g_string_append_printf(text, "fleet seed=%d routers=%d targets=%d slots=4 duration_s=60\n",
+                               (int)seed, 2 + (int)(wg_jitter(seed, 1) % 9),
+                               4 + (int)(wg_jitter(seed, 2) % 12));
+        for (int w = 0; w < 6; w++) {
+            g_string_append_printf(text, "workspace w%d %d\n", w,
+                                   50 + (int)(wg_jitter(seed, 10 + (uint64_t)w) % 300));
+            g_string_append_printf(text,
+                                   "load w%d rate=%d tokens_min=20 tokens_max=%d routers=%d-%d\n",
+                                   w, 2 + (int)(wg_jitter(seed, 20 + (uint64_t)w) % 30),
+                                   100 + (int)(wg_jitter(seed, 30 + (uint64_t)w) % 200),
+                                   (int)(wg_jitter(seed, 40 + (uint64_t)w) % 2), w);
+        }
+        g_string_append(text, "fault cut_router router=1 from_s=15 to_s=22\n"
+                              "fault lose_leader from_s=30 to_s=31.5\n"
+                              "fault restart_router router=0 from_s=40\n");
+        static simf_trace trace;
+        ck_assert(simf_trace_parse(text->str, &trace, NULL));
+        simf_result result = simf_run(&trace, SIMF_WAY_LEASED);
+        ck_assert_msg(result.gap_over_bound < 1, "seed %d: gap is %g of its bound", (int)seed,
+                      result.gap_over_bound);
+        ck_assert_double_lt(result.control_bytes, 6000);
+        g_string_free(text, TRUE);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("share", repeated_and_late_reports_count_once,
+             new_leader_grants_only_after_old_leases_ended,
+             silent_router_loses_its_slots_after_the_term, leaving_target_is_not_leased,
+             shares_follow_weights_and_demand, pacer_holds_to_its_budget,
+             sample_traces_have_their_outcomes, bad_traces_name_the_line,
+             random_fleets_keep_the_bound)
--- /dev/null
+++ b/tests/test_store.c
@@ -0,0 +1,322 @@
+/* test_store.c -- the data folder: cut and flipped bytes, torn tails, snapshots, truncation */
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include "wg_store.h"
+#include "wg_test.h"
+
+static char folder[64];
+
+static void fresh_folder(void) {
+    g_strlcpy(folder, "/tmp/wgs-XXXXXX", sizeof folder);
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+}
+
+static void remove_folder(void) {
+    GDir* dir = g_dir_open(folder, 0, NULL);
+    const char* name;
+    while (dir && (name = g_dir_read_name(dir))) {
+        char* path = g_build_filename(folder, name, NULL);
+        g_unlink(path);
+        g_free(path);
+    }
+    if (dir) {
+        g_dir_close(dir);
+    }
+    g_rmdir(folder);
+}
+
+static wgs_store* open_store(GError** error) {
+    return wgs_open(
+        &(wgs_desc){.folder = folder, .fresh_identity = 42, .segment_bytes = 512, .log_keep = 5},
+        error);
+}
+
+static void append(wgs_store* store, uint64_t first, int num, uint64_t term) {
+    for (int i = 0; i < num; i++) {
+        char text[40];
+        g_snprintf(text, sizeof text, "entry %d of term %d", (int)first + i, (int)term);
+        wgr_entry entry = {.index = first + (uint64_t)i, .term = term, .kind = WGR_ENTRY_DATA};
+        entry.data = g_bytes_new(text, strlen(text));
+        GError* error = NULL;
+        ck_assert(wgs_append(store, &entry, 1, &error));
+        g_bytes_unref(entry.data);
+    }
+}
+
+static char* last_log(void) {
+    GDir* dir = g_dir_open(folder, 0, NULL);
+    char* best = NULL;
+    const char* name;
+    while ((name = g_dir_read_name(dir))) {
+        if (g_str_has_prefix(name, "log-") && (!best || strcmp(name, best) > 0)) {
+            g_free(best);
+            best = g_strdup(name);
+        }
+    }
+    g_dir_close(dir);
+    char* path = g_build_filename(folder, best, NULL);
+    g_free(best);
+    return path;
+}
+
+static int entries_found(GError** error) {
+    wgs_store* store = open_store(error);
+    if (!store) {
+        return -1;
+    }
+    int num = wgs_query_content(store)->restored.entries_num;
+    wgs_close(store);
+    return num;
+}
+
+START_TEST(what_was_synced_is_there_again) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    ck_assert(wgs_query_content(store)->fresh);
+    append(store, 1, 40, 3);
+    ck_assert(wgs_save_hard_state(store, 7, 99, &error));
+    wgs_close(store);
+    store = open_store(&error);
+    const wgs_content* content = wgs_query_content(store);
+    ck_assert(!content->fresh);
+    ck_assert_uint_eq(content->identity, 42);
+    ck_assert_int_eq(content->restored.entries_num, 40);
+    ck_assert_uint_eq(content->restored.term, 7);
+    ck_assert_uint_eq(content->restored.voted_for, 99);
+    ck_assert_uint_eq(content->restored.entries[39].index, 40);
+    wgs_close(store);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(two_processes_cannot_share_a_folder) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    ck_assert_ptr_null(open_store(&error));
+    ck_assert_ptr_nonnull(strstr(error->message, "another process"));
+    g_clear_error(&error);
+    wgs_close(store);
+    remove_folder();
+}
+END_TEST
+
+/* A synced record that lost bytes, or has a bit flipped, stops the start with the reason. */
+START_TEST(damage_to_a_synced_record_is_found) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 3, 1);
+    wgs_close(store);
+    char* path = last_log();
+    char* good;
+    gsize size;
+    ck_assert(g_file_get_contents(path, &good, &size, NULL));
+    gsize record = size / 3;
+    for (gsize cut = 1; cut <= record; cut++) {
+        ck_assert(g_file_set_contents(path, good, (gssize)(size - cut), NULL));
+        ck_assert_int_eq(entries_found(&error), -1);
+        ck_assert_ptr_nonnull(error);
+        g_clear_error(&error);
+    }
+    for (gsize bit = 0; bit < record * 8; bit++) {
+        char* bad = g_memdup2(good, size);
+        bad[size - record + bit / 8] ^= (char)(1 << (bit % 8));
+        ck_assert(g_file_set_contents(path, bad, (gssize)size, NULL));
+        ck_assert_int_eq(entries_found(&error), -1);
+        g_clear_error(&error);
+        g_free(bad);
+    }
+    ck_assert(g_file_set_contents(path, good, (gssize)size, NULL));
+    ck_assert_int_eq(entries_found(&error), 3);
+    g_free(good);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+/* A record that was being written at a crash, any part of it, is cut off. */
+START_TEST(torn_tail_is_cut) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 2, 1);
+    char* path = last_log();
+    char* synced_path = g_build_filename(folder, "synced", NULL);
+    char* synced;
+    gsize synced_size;
+    ck_assert(g_file_get_contents(synced_path, &synced, &synced_size, NULL));
+    struct stat before;
+    ck_assert_int_eq(g_stat(path, &before), 0);
+    append(store, 3, 1, 1);
+    wgs_close(store);
+    char* log;
+    gsize size;
+    ck_assert(g_file_get_contents(path, &log, &size, NULL));
+    for (gsize kept = (gsize)before.st_size; kept < size; kept++) {
+        ck_assert(g_file_set_contents(path, log, (gssize)kept, NULL));
+        ck_assert(g_file_set_contents(synced_path, synced, (gssize)synced_size, NULL));
+        ck_assert_int_eq(entries_found(&error), 2);
+        struct stat after;
+        ck_assert_int_eq(g_stat(path, &after), 0);
+        ck_assert_int_eq(after.st_size, before.st_size);
+    }
+    g_free(log);
+    g_free(synced);
+    g_free(synced_path);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(damage_before_the_tail_stops_the_start) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 30, 1);
+    wgs_close(store);
+    char* path = g_build_filename(folder, "log-00000000000000000001", NULL);
+    char* log;
+    gsize size;
+    ck_assert(g_file_get_contents(path, &log, &size, NULL));
+    log[size / 2] ^= 4;
+    ck_assert(g_file_set_contents(path, log, (gssize)size, NULL));
+    ck_assert_int_eq(entries_found(&error), -1);
+    ck_assert_int_eq(error->code, WG_ERROR_CORRUPT);
+    g_clear_error(&error);
+    g_unlink(path);
+    ck_assert_int_eq(entries_found(&error), -1);
+    g_clear_error(&error);
+    g_free(log);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(damaged_small_files_stop_the_start) {
+    static const char* names[] = {"state", "synced"};
+    for (size_t n = 0; n < G_N_ELEMENTS(names); n++) {
+        fresh_folder();
+        GError* error = NULL;
+        wgs_store* store = open_store(&error);
+        append(store, 1, 3, 1);
+        wgs_close(store);
+        char* path = g_build_filename(folder, names[n], NULL);
+        char* content;
+        gsize size;
+        ck_assert(g_file_get_contents(path, &content, &size, NULL));
+        for (gsize i = 0; i < size; i++) {
+            content[i] ^= 1;
+        }
+        ck_assert(g_file_set_contents(path, content, (gssize)size, NULL));
+        ck_assert_int_eq(entries_found(&error), -1);
+        g_clear_error(&error);
+        g_free(content);
+        g_free(path);
+        remove_folder();
+    }
+    /* Without its identity a folder with a log must not pass for a new one. */
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 3, 1);
+    wgs_close(store);
+    char* path = g_build_filename(folder, "state", NULL);
+    g_unlink(path);
+    ck_assert_int_eq(entries_found(&error), -1);
+    g_clear_error(&error);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(truncation_and_new_entries) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 40, 1);
+    ck_assert(wgs_truncate(store, 11, &error));
+    append(store, 11, 3, 2);
+    wgs_close(store);
+    store = open_store(&error);
+    const wgr_restored* r = &wgs_query_content(store)->restored;
+    ck_assert_int_eq(r->entries_num, 13);
+    ck_assert_uint_eq(r->entries[12].term, 2);
+    wgs_close(store);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(snapshot_bounds_the_log) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    wgr_set set = {.num = 1, .replicas = {{.id = 42, .name = "c1", .voter = true}}};
+    uint64_t largest = 0;
+    for (uint64_t round = 0; round < 30; round++) {
+        append(store, round * 20 + 1, 20, 1);
+        GBytes* state = g_bytes_new("state", 5);
+        ck_assert(wgs_save_snapshot(store, round * 20 + 20, 1, &set, state, false, &error));
+        g_bytes_unref(state);
+        largest = MAX(largest, wgs_query_stats(store).log_bytes);
+    }
+    ck_assert_uint_lt(largest, 60 * 60);
+    wgs_close(store);
+    store = open_store(&error);
+    const wgr_restored* r = &wgs_query_content(store)->restored;
+    ck_assert_uint_eq(r->snapshot_index, 600);
+    ck_assert_uint_eq(g_bytes_get_size(r->snapshot), 5);
+    ck_assert_int_eq(r->set.num, 1);
+    wgs_close(store);
+    /* A damaged snapshot cannot be replaced by the log that was dropped. */
+    char* path = g_build_filename(folder, "snapshot-00000000000000000600", NULL);
+    ck_assert(g_file_set_contents(path, "damaged", -1, NULL));
+    ck_assert_int_eq(entries_found(&error), -1);
+    g_clear_error(&error);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(snapshot_from_the_leader_replaces_the_log) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 10, 1);
+    wgr_set set = {.num = 1, .replicas = {{.id = 42, .name = "c1", .voter = true}}};
+    GBytes* state = g_bytes_new("far", 3);
+    ck_assert(wgs_save_snapshot(store, 100, 5, &set, state, true, &error));
+    g_bytes_unref(state);
+    append(store, 101, 4, 5);
+    wgs_close(store);
+    store = open_store(&error);
+    const wgr_restored* r = &wgs_query_content(store)->restored;
+    ck_assert_int_eq(r->entries_num, 4);
+    ck_assert_uint_eq(r->entries[0].index, 101);
+    ck_assert_uint_eq(r->snapshot_index, 100);
+    wgs_close(store);
+    remove_folder();
+}
+END_TEST
+
+START_TEST(full_disk_is_an_error) {
+    /* A folder that cannot be written stands for a full disk. */
+    GError* error = NULL;
+    ck_assert_ptr_null(wgs_open(&(wgs_desc){.folder = "/proc/none", .fresh_identity = 1}, &error));
+    ck_assert_int_eq(error->code, WG_ERROR_IO);
+    g_clear_error(&error);
+    ck_assert_ptr_null(wgs_open(&(wgs_desc){.folder = "/tmp/x"}, &error));
+    ck_assert_ptr_nonnull(strstr(error->message, "fresh_identity"));
+    g_clear_error(&error);
+}
+END_TEST
+
+WG_TEST_MAIN("store", what_was_synced_is_there_again, two_processes_cannot_share_a_folder,
+             damage_to_a_synced_record_is_found, torn_tail_is_cut,
+             damage_before_the_tail_stops_the_start, damaged_small_files_stop_the_start,
+             truncation_and_new_entries, snapshot_bounds_the_log,
+             snapshot_from_the_leader_replaces_the_log, full_disk_is_an_error)
