--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -238,7 +238,8 @@
     (void)what;
     wgco_control* c = user_data;
     wgr_stats stats = wgr_query_stats(c->node, wg_now());
-    if (stats.role != WGR_ROLE_LEADER) {
+    /* A leader that is alone has nobody to wait for. */
+    if (stats.role != WGR_ROLE_LEADER || !c->handing_over) {
         wg_log(WG_EVENT_STOP_DRAINED, "%s", "");
         event_base_loopbreak(c->base);
     }
@@ -403,7 +404,7 @@
     }
     c->stopping = true;
     wg_log(WG_EVENT_STOP_BEGUN, "%s", "");
-    wgr_hand_over(c->node, wg_now());
+    c->handing_over = wgr_hand_over(c->node, wg_now());
     _wgco_pump(c);
     struct timeval period = {.tv_usec = 20 * WG_USEC_PER_MSEC};
     event_add(c->stop_event, &period);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -68,6 +68,7 @@
     bool pumping;
     bool failed;
     bool stopping;
+    bool handing_over; /* to a successor, in a planned stop */
 
     /* while this control leads */
     bool leads;
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -183,8 +183,9 @@
 bool wgr_add(wgr_node* node, wg_time now, const wgr_replica* replica, GError** error);
 /* Take a replica out of the set. */
 bool wgr_remove(wgr_node* node, wg_time now, uint64_t id, GError** error);
-/* Planned stop of a leader: end the lease, let the most advanced voter take over. */
-void wgr_hand_over(wgr_node* node, wg_time now);
+/* Planned stop of a leader: end the lease, let the most advanced voter take over. False when this
+   replica does not lead, or no other voter was heard of lately: then nothing changes. */
+bool wgr_hand_over(wgr_node* node, wg_time now);
 
 /* Fill in the next batch of work; false when there is none. */
 bool wgr_output_next(wgr_node* node, wgr_output* output);
--- a/lib/quorum/wg_quorum_leader.c
+++ b/lib/quorum/wg_quorum_leader.c
@@ -361,9 +361,9 @@
     return true;
 }
 
-void wgr_hand_over(wgr_node* n, wg_time now) {
+bool wgr_hand_over(wgr_node* n, wg_time now) {
     if (n->role != WGR_ROLE_LEADER || n->handing_over) {
-        return;
+        return false;
     }
     const _wgr_peer_t* best = NULL;
     for (int i = 0; i < n->peers_num; i++) {
@@ -374,11 +374,12 @@
         }
     }
     if (!best) {
-        return;
+        return false;
     }
     n->handing_over = true;
     n->handing_over_until = now + n->desc.election_max;
     _wgr_send(n, WGR_MESSAGE_TIMEOUT_NOW, best->id);
+    return true;
 }
 
 uint64_t wgr_query_match(const wgr_node* n, uint64_t id) {
