--- /dev/null
+++ b/bench/bench.h
@@ -0,0 +1,76 @@
+#pragma once
+/* bench.h -- one line a figure: name, value, unit */
+#include <stdio.h>
+#include <time.h>
+#include <unistd.h>
+
+#include "wg_base.h"
+
+static inline void bench_print(const char* name, double value, const char* unit) {
+    printf("%-52s %14.3f %s\n", name, value, unit);
+    fflush(stdout);
+}
+
+/* Processor time of this process, microseconds. */
+static inline double bench_cpu_us(void) {
+    struct timespec ts;
+    clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &ts);
+    return (double)ts.tv_sec * 1e6 + (double)ts.tv_nsec / 1e3;
+}
+
+/* Resident memory of a process (0: this one), bytes. */
+static inline double bench_rss(int pid) {
+    char path[48];
+    long pages = 0;
+    long resident = 0;
+    g_snprintf(path, sizeof path, pid ? "/proc/%d/statm" : "/proc/self/statm", pid);
+    FILE* file = fopen(path, "r");
+    if (file) {
+        if (fscanf(file, "%ld %ld", &pages, &resident) != 2) {
+            resident = 0;
+        }
+        fclose(file);
+    }
+    return (double)resident * (double)sysconf(_SC_PAGESIZE);
+}
+
+/* Processor time of another process, microseconds. */
+static inline double bench_process_cpu_us(int pid) {
+    char path[48];
+    unsigned long user = 0;
+    unsigned long system = 0;
+    g_snprintf(path, sizeof path, "/proc/%d/stat", pid);
+    FILE* file = fopen(path, "r");
+    if (file) {
+        if (fscanf(file, "%*d %*s %*c %*d %*d %*d %*d %*d %*u %*u %*u %*u %*u %lu %lu", &user,
+                   &system) != 2) {
+            user = system = 0;
+        }
+        fclose(file);
+    }
+    return (double)(user + system) * 1e6 / (double)sysconf(_SC_CLK_TCK);
+}
+
+/* Least-squares line through (x, y): prints intercept and slope. */
+static inline void bench_fit(const char* name, const double* x, const double* y, int num,
+                             const char* unit) {
+    double sx = 0;
+    double sy = 0;
+    double sxx = 0;
+    double sxy = 0;
+    for (int i = 0; i < num; i++) {
+        sx += x[i];
+        sy += y[i];
+        sxx += x[i] * x[i];
+        sxy += x[i] * y[i];
+    }
+    double slope = (num * sxy - sx * sy) / (num * sxx - sx * sx);
+    double intercept = (sy - slope * sx) / num;
+    double worst = 0;
+    for (int i = 0; i < num; i++) {
+        double error = y[i] != 0 ? (intercept + slope * x[i] - y[i]) / y[i] : 0;
+        worst = error > worst ? error : -error > worst ? -error : worst;
+    }
+    printf("%-52s %14.6g + %.6g x  %s (fit off by %.0f%% at most)\n", name, intercept, slope, unit,
+           worst * 100);
+}
--- /dev/null
+++ b/bench/bench_capacity.c
@@ -0,0 +1,384 @@
+/* bench_capacity.c -- `make bench-capacity`: slopes for docs/CAPACITY.md, each at three sizes or more */
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <string.h>
+
+#include "bench.h"
+#include "proc.h"
+#include "wg_claim.h"
+#include "wg_share.h"
+#include "wg_store.h"
+#include "wg_table.h"
+
+/* ---- the leader's plan ---------------------------------------------------------------------- */
+
+enum { PLAN_TARGETS = 700, PLAN_SERVICES = 3, PLAN_WORKSPACES = 2500, ROUTERS_OF_WORKSPACE = 4 };
+
+static wgf_share* plan_setup(int routers, int workspaces, wgf_router* handles) {
+    wgf_share* s = wgf_setup(&(wgf_desc){.now = WG_USEC_PER_SEC}, NULL);
+    wgf_config_begin(s);
+    for (uint32_t i = 1; i <= PLAN_SERVICES; i++) {
+        wgf_config_service(s, i, 0, 400);
+    }
+    for (uint32_t t = 0; t < PLAN_TARGETS; t++) {
+        wgf_config_target(s, 100 + t, 1 + t % PLAN_SERVICES, 163, false, "dc");
+    }
+    wgf_config_end(s);
+    for (int r = 0; r < routers; r++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "r%d", r);
+        handles[r] = wgf_router_up(s, WG_USEC_PER_SEC, name, (uint64_t)r + 1, "dc");
+        wgf_report(s, 4 * (wg_time)WG_USEC_PER_SEC, handles[r], &(wgf_report_desc){.full = true});
+    }
+    for (int w = 0; w < workspaces; w++) {
+        for (int i = 0; i < ROUTERS_OF_WORKSPACE; i++) {
+            int r = (int)(wg_jitter((uint64_t)w, (uint64_t)i) % (uint64_t)routers);
+            wgf_account account = {.service = 1 + (uint32_t)w % PLAN_SERVICES,
+                                   .workspace = (uint32_t)w + 1,
+                                   .queued = 10,
+                                   .running = 12,
+                                   .pending = 3000};
+            wgf_report(s, 4 * (wg_time)WG_USEC_PER_SEC, handles[r],
+                       &(wgf_report_desc){.accounts = &account, .accounts_num = 1});
+        }
+    }
+    return s;
+}
+
+static void take_all_orders(wgf_share* s, const wgf_router* handles, int routers) {
+    static wgf_orders orders;
+    for (int r = 0; r < routers; r++) {
+        while (wgf_take_orders(s, handles[r], 1, &orders)) {
+        }
+    }
+}
+
+static void plan_slopes(void) {
+    static const int sizes[] = {40, 80, 160, 320};
+    static wgf_router handles[512];
+    double x[4];
+    double plan[4];
+    double merge[4];
+    double memory[4];
+    for (int i = 0; i < 4; i++) {
+        double before = bench_rss(0);
+        wgf_share* s = plan_setup(sizes[i], PLAN_WORKSPACES, handles);
+        wg_time now = 4 * (wg_time)WG_USEC_PER_SEC;
+        wgf_plan(s, now);
+        take_all_orders(s, handles, sizes[i]);
+        double begin = bench_cpu_us();
+        enum { PLANS = 20 };
+        for (int p = 0; p < PLANS; p++) {
+            /* Demand moves a little between plans. */
+            for (int r = 0; r < sizes[i]; r++) {
+                wgf_account account = {.service = 1, .workspace = (uint32_t)(r % 50) * 3 + 1,
+                                       .queued = (uint32_t)(p % 5), .running = 12};
+                wgf_report(s, now, handles[r],
+                           &(wgf_report_desc){.applied = 1, .accounts = &account, .accounts_num = 1});
+            }
+            wgf_plan(s, now);
+            take_all_orders(s, handles, sizes[i]);
+        }
+        x[i] = sizes[i];
+        plan[i] = (bench_cpu_us() - begin) / PLANS;
+        memory[i] = bench_rss(0) - before;
+        wgf_account accounts[40];
+        for (uint32_t a = 0; a < 40; a++) {
+            accounts[a] = (wgf_account){.service = 1, .workspace = a * 3 + 1, .queued = 5};
+        }
+        begin = bench_cpu_us();
+        enum { REPORTS = 20000 };
+        for (int p = 0; p < REPORTS; p++) {
+            accounts[p % 40].served = (uint64_t)p;
+            wgf_report(s, now, handles[p % sizes[i]],
+                       &(wgf_report_desc){.applied = 1, .accounts = accounts, .accounts_num = 40});
+        }
+        merge[i] = (bench_cpu_us() - begin) / REPORTS;
+        char line[80];
+        g_snprintf(line, sizeof line, "leader: one plan, %d routers, 700 targets, 2,500 waiting",
+                   sizes[i]);
+        bench_print(line, plan[i], "us");
+        g_snprintf(line, sizeof line, "leader: merging a report of 40 accounts, %d routers", sizes[i]);
+        bench_print(line, merge[i], "us");
+        g_snprintf(line, sizeof line, "leader: memory of accounts and slots, %d routers", sizes[i]);
+        bench_print(line, memory[i] / 1048576, "MiB");
+        wgf_shutdown(s);
+    }
+    bench_fit("fit: plan, x = routers", x, plan, 4, "us");
+    bench_fit("fit: merge, x = routers", x, merge, 4, "us");
+}
+
+static void plan_by_workspaces(void) {
+    static const int sizes[] = {250, 1000, 2500};
+    static wgf_router handles[512];
+    double x[3];
+    double y[3];
+    for (int i = 0; i < 3; i++) {
+        wgf_share* s = plan_setup(320, sizes[i], handles);
+        wg_time now = 4 * (wg_time)WG_USEC_PER_SEC;
+        wgf_plan(s, now);
+        take_all_orders(s, handles, 320);
+        double begin = bench_cpu_us();
+        for (int p = 0; p < 20; p++) {
+            wgf_plan(s, now);
+        }
+        x[i] = sizes[i];
+        y[i] = (bench_cpu_us() - begin) / 20;
+        char line[80];
+        g_snprintf(line, sizeof line, "leader: one plan, 320 routers, %d workspaces waiting", sizes[i]);
+        bench_print(line, y[i], "us");
+        wgf_shutdown(s);
+    }
+    bench_fit("fit: plan, x = waiting workspaces", x, y, 3, "us");
+}
+
+/* ---- bytes of messages ----------------------------------------------------------------------- */
+
+static double report_bytes(int accounts) {
+    Wgpb__Report report = WGPB__REPORT__INIT;
+    Wgpb__Account* items = g_new0(Wgpb__Account, accounts + 1);
+    Wgpb__Account** list = g_new0(Wgpb__Account*, accounts + 1);
+    report.seq = 100000;
+    report.sent_at = 1000000000000;
+    report.applied = 100000;
+    report.table_version = 1000000;
+    report.member_version = 1000;
+    for (int i = 0; i < accounts; i++) {
+        wgpb__account__init(&items[i]);
+        items[i].service = 2;
+        items[i].workspace = 20000;
+        items[i].served = 100000000;
+        items[i].queued = 10;
+        items[i].running = 12;
+        items[i].pending = 3000;
+        list[i] = &items[i];
+    }
+    report.accounts = list;
+    report.n_accounts = (size_t)accounts;
+    double size = (double)wgpb__report__get_packed_size(&report) + WGW_HEAD_SIZE + 60;
+    g_free(items);
+    g_free(list);
+    return size;
+}
+
+static double reply_bytes(int fairs) {
+    Wgpb__Reply reply = WGPB__REPLY__INIT;
+    Wgpb__Fair* items = g_new0(Wgpb__Fair, fairs + 3);
+    Wgpb__Fair** list = g_new0(Wgpb__Fair*, fairs + 3);
+    reply.seq = reply.report_seq = 100000;
+    reply.echo = 1000000000000;
+    reply.term = 100;
+    reply.leads = true;
+    reply.leader_address = (char*)"10.20.30.40:7100";
+    reply.table_lease = 4000000;
+    reply.slot_lease = 2000000;
+    reply.table_version = 1000000;
+    reply.member_version = 1000;
+    for (int i = 0; i < fairs + 3; i++) {
+        wgpb__fair__init(&items[i]);
+        items[i].service = 2;
+        items[i].workspace = i < fairs ? 20000 : 0;
+        items[i].virtual_time = 100000000000000;
+        items[i].acked = i < fairs ? 100000000 : 0;
+        list[i] = &items[i];
+    }
+    reply.fairs = list;
+    reply.n_fairs = (size_t)fairs;
+    reply.fleet = list + fairs;
+    reply.n_fleet = 3;
+    double size = (double)wgpb__reply__get_packed_size(&reply) + WGW_HEAD_SIZE + 60;
+    g_free(items);
+    g_free(list);
+    return size;
+}
+
+static void message_slopes(void) {
+    static const int sizes[] = {0, 10, 40, 120};
+    double x[4];
+    double report[4];
+    double reply[4];
+    for (int i = 0; i < 4; i++) {
+        x[i] = sizes[i];
+        report[i] = report_bytes(sizes[i]);
+        reply[i] = reply_bytes(sizes[i]);
+        char line[64];
+        g_snprintf(line, sizeof line, "report with %d accounts, heads of all layers", sizes[i]);
+        bench_print(line, report[i], "bytes");
+        g_snprintf(line, sizeof line, "reply with %d virtual times, heads of all layers", sizes[i]);
+        bench_print(line, reply[i], "bytes");
+    }
+    bench_fit("fit: report, x = accounts", x, report, 4, "bytes");
+    bench_fit("fit: reply, x = virtual times", x, reply, 4, "bytes");
+}
+
+/* ---- table, snapshot, log -------------------------------------------------------------------- */
+
+static void table_slopes(void) {
+    static const int sizes[] = {1000, 5000, 25000};
+    double x[3];
+    double memory[3];
+    double bytes[3];
+    double dump[3];
+    for (int i = 0; i < 3; i++) {
+        double before = bench_rss(0);
+        wgt_table* t = wgt_setup(&(wgt_desc){0}, NULL);
+        uint64_t index = 0;
+        for (int w = 0; w < sizes[i]; w++) {
+            wgt_edit_row row = {0};
+            char name[32];
+            g_snprintf(name, sizeof name, "workspace-%d", w);
+            wgt_row_init(&row.row, WGT_KIND_WORKSPACE, name);
+            for (int k = 0; k < 64; k++) {
+                uint64_t nibble = wg_jitter((uint64_t)w, (uint64_t)k) % 16;
+                row.row.workspace.keys[k] = "0123456789abcdef"[nibble];
+            }
+            wgt_edit edit = {.rows = &row, .rows_num = 1};
+            index++;
+            memcpy(edit.id, &index, sizeof index);
+            wgt_result result;
+            wgt_apply(t, &edit, index, &result);
+        }
+        x[i] = sizes[i];
+        memory[i] = bench_rss(0) - before;
+        double begin = bench_cpu_us();
+        Wgpb__TableState* state = wgt_dump(t);
+        bytes[i] = (double)wgpb__table_state__get_packed_size(state);
+        dump[i] = bench_cpu_us() - begin;
+        wgpb__table_state__free_unpacked(state, NULL);
+        char line[64];
+        g_snprintf(line, sizeof line, "table: memory, %d workspaces", sizes[i]);
+        bench_print(line, memory[i] / 1048576, "MiB");
+        g_snprintf(line, sizeof line, "table: snapshot, %d workspaces", sizes[i]);
+        bench_print(line, bytes[i], "bytes");
+        g_snprintf(line, sizeof line, "table: time to make it, %d workspaces", sizes[i]);
+        bench_print(line, dump[i] / 1000, "ms");
+        wgt_shutdown(t);
+    }
+    bench_fit("fit: snapshot, x = workspaces", x, bytes, 3, "bytes");
+    bench_fit("fit: time of a snapshot, x = workspaces", x, dump, 3, "us");
+}
+
+static void log_slopes(void) {
+    static const int sizes[] = {1, 8, 64};
+    char folder[] = "/tmp/wg-bench-XXXXXX";
+    if (!mkdtemp(folder)) {
+        return;
+    }
+    wgs_store* store = wgs_open(&(wgs_desc){.folder = folder, .fresh_identity = 1}, NULL);
+    uint64_t index = 0;
+    for (int i = 0; i < 3; i++) {
+        wgr_entry entries[64] = {0};
+        GBytes* data = g_bytes_new(folder, sizeof folder);
+        enum { BATCHES = 200 };
+        gint64 begin = g_get_monotonic_time();
+        for (int b = 0; b < BATCHES; b++) {
+            for (int e = 0; e < sizes[i]; e++) {
+                entries[e] = (wgr_entry){.index = ++index, .term = 1, .kind = WGR_ENTRY_DATA,
+                                         .data = data};
+            }
+            wgs_append(store, entries, sizes[i], NULL);
+        }
+        char line[64];
+        g_snprintf(line, sizeof line, "log: append and sync %d entries", sizes[i]);
+        bench_print(line, (double)(g_get_monotonic_time() - begin) / BATCHES, "us");
+        g_bytes_unref(data);
+    }
+    wgs_close(store);
+    GDir* dir = g_dir_open(folder, 0, NULL);
+    const char* name;
+    while ((name = g_dir_read_name(dir))) {
+        char* path = g_build_filename(folder, name, NULL);
+        g_unlink(path);
+        g_free(path);
+    }
+    g_dir_close(dir);
+    g_rmdir(folder);
+}
+
+/* ---- real fleets ----------------------------------------------------------------------------- */
+
+static bool all_hold(proc_fleet* fleet, int64_t version) {
+    for (int i = 0; i < fleet->num; i++) {
+        proc_process* p = &fleet->processes[i];
+        if (p->name[0] == 'r' && proc_state(fleet, p, "table_version") < version) {
+            return false;
+        }
+    }
+    return true;
+}
+
+static void fleet_slopes(void) {
+    static const int sizes[] = {8, 32, 96};
+    double x[3];
+    double leader_cpu[3];
+    double leader_bytes[3];
+    double router_bytes[3];
+    for (int i = 0; i < 3; i++) {
+        static proc_fleet fleet;
+        proc_fleet_start(&fleet, &(proc_desc){.controls = 3, .routers = sizes[i], .engines = 4,
+                                              .services = 1});
+        proc_process* leader = proc_leader(&fleet);
+        proc_process* router = proc_find(&fleet, "r1");
+        proc_sleep(3000);
+        enum { SECONDS = 6 };
+        double cpu = bench_process_cpu_us(leader->pid);
+        double router_cpu = bench_process_cpu_us(router->pid);
+        int64_t bytes = proc_state(&fleet, leader, "links.bytes_sent") +
+                        proc_state(&fleet, leader, "links.bytes_received");
+        int64_t own = proc_state(&fleet, router, "link.bytes_sent") +
+                      proc_state(&fleet, router, "link.bytes_received");
+        proc_sleep(SECONDS * 1000);
+        x[i] = sizes[i];
+        leader_cpu[i] = (bench_process_cpu_us(leader->pid) - cpu) / SECONDS / 1e4;
+        router_cpu = (bench_process_cpu_us(router->pid) - router_cpu) / SECONDS / 1e4;
+        leader_bytes[i] = (double)(proc_state(&fleet, leader, "links.bytes_sent") +
+                                   proc_state(&fleet, leader, "links.bytes_received") - bytes) /
+                          SECONDS;
+        router_bytes[i] = (double)(proc_state(&fleet, router, "link.bytes_sent") +
+                                   proc_state(&fleet, router, "link.bytes_received") - own) /
+                          SECONDS;
+        char line[80];
+        g_snprintf(line, sizeof line, "real fleet of %d routers, idle: leader's processor", sizes[i]);
+        bench_print(line, leader_cpu[i], "% of a core");
+        g_snprintf(line, sizeof line, "real fleet of %d routers, idle: leader's payload", sizes[i]);
+        bench_print(line, leader_bytes[i], "bytes/s");
+        g_snprintf(line, sizeof line, "real fleet of %d routers, idle: leader's memory", sizes[i]);
+        bench_print(line, bench_rss(leader->pid) / 1048576, "MiB");
+        g_snprintf(line, sizeof line, "real fleet of %d routers, idle: a router's payload", sizes[i]);
+        bench_print(line, router_bytes[i], "bytes/s");
+        g_snprintf(line, sizeof line, "real fleet of %d routers, idle: a router's processor", sizes[i]);
+        bench_print(line, router_cpu, "% of a core");
+        g_snprintf(line, sizeof line, "real fleet of %d routers: a router's memory", sizes[i]);
+        bench_print(line, bench_rss(router->pid) / 1048576, "MiB");
+        wg_hist in_force = {0};
+        for (int e = 0; e < 5; e++) {
+            char weight[32];
+            char* out = NULL;
+            g_snprintf(weight, sizeof weight, "weight=%d", 300 + e);
+            proc_ctl(&fleet, &out, "table", "set", "workspaces", "w1", weight, NULL);
+            gint64 begin = g_get_monotonic_time();
+            int64_t version = proc_number(out, "version");
+            while (!all_hold(&fleet, version)) {
+            }
+            wg_hist_add(&in_force, g_get_monotonic_time() - begin);
+            g_free(out);
+        }
+        g_snprintf(line, sizeof line, "real fleet of %d routers: edit in force, looking included",
+                   sizes[i]);
+        bench_print(line, (double)wg_hist_quantile(&in_force, 0.5) / 1000, "ms (median of 5)");
+        proc_fleet_kill(&fleet);
+    }
+    bench_fit("fit: leader's processor, x = routers", x, leader_cpu, 3, "% of a core");
+    bench_fit("fit: leader's payload, x = routers", x, leader_bytes, 3, "bytes/s");
+    bench_fit("fit: a router's payload, x = routers", x, router_bytes, 3, "bytes/s");
+}
+
+int main(void) {
+    plan_slopes();
+    plan_by_workspaces();
+    message_slopes();
+    table_slopes();
+    log_slopes();
+    fleet_slopes();
+    return 0;
+}
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -130,17 +130,18 @@
                           "text/event-stream");
         evhttp_send_reply_start(job->request, 200, "OK");
     }
-    job->sent++;
-    tokens_made++;
+    bool resumed_at_end = job->sent >= job->total;
+    job->sent += resumed_at_end ? 0 : 1;
+    tokens_made += resumed_at_end ? 0 : 1;
     char text[160];
-    if (job->stream) {
+    if (job->stream && !resumed_at_end) {
         g_snprintf(text, sizeof text,
                    "id: %" G_GINT64_FORMAT
                    "\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":"
                    "\"t%" G_GINT64_FORMAT " \"}}]}\n\n",
                    job->sent, job->sent);
         send_event(job, text);
-    } else {
+    } else if (!job->stream) {
         g_string_append_printf(job->whole, "t%" G_GINT64_FORMAT " ", job->sent);
     }
     if (job->cut && job->sent >= (job->total + 1) / 2) {
--- a/tests/sim/load.h
+++ b/tests/sim/load.h
@@ -10,7 +10,9 @@
 
 #include "wg_base.h"
 
-enum { LOAD_HOSTS_MAX = 64 };
+enum {
+    LOAD_HOSTS_MAX = 64
+};
 
 typedef enum {
     LOAD_KIND_DEFAULT = 0, /* GET /v1/app/app/... */
@@ -28,8 +30,8 @@
     const char* key;
     load_kind kind;
     int callers;
-    int tokens;        /* of a stream */
-    int tries;         /* of one request before it counts as failed; default 5 */
+    int tokens; /* of a stream */
+    int tries;  /* of one request before it counts as failed; default 5 */
     wg_time duration;
     uint64_t requests; /* stop after so many, 0: by duration */
     uint64_t seed;
@@ -40,15 +42,15 @@
 
 typedef struct {
     uint64_t whole;
-    uint64_t failed;     /* not whole after all tries, or refused for good */
-    uint64_t broken;     /* connection ended without a whole answer */
+    uint64_t failed; /* not whole after all tries, or refused for good */
+    uint64_t broken; /* connection ended without a whole answer */
     uint64_t retried;
-    uint64_t wrong;      /* an answer that was not the one asked for: must be 0 */
-    uint64_t doubled;    /* token twice or lost in a stream that said it was whole: must be 0 */
+    uint64_t wrong;   /* an answer that was not the one asked for: must be 0 */
+    uint64_t doubled; /* token twice or lost in a stream that said it was whole: must be 0 */
     uint64_t by_status[600];
     uint64_t refused_connections;
-    wg_hist latency;     /* microseconds, whole answers */
-    wg_hist first_token; /* microseconds */
+    wg_hist latency;        /* microseconds, whole answers */
+    wg_hist first_token;    /* microseconds */
     GPtrArray* not_run_ids; /* ids of actions told not-run for good */
     GPtrArray* sent_ids;
     wg_time longest_gap; /* without any whole answer */
--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -180,7 +180,8 @@
     char* argv[6] = {program, NULL};
     if (is_kind(p, "engine") || is_kind(p, "service")) {
         bool engine = is_kind(p, "engine");
-        g_snprintf(program, sizeof program, "%s/%s", f->bin, engine ? "fake_engine" : "fake_service");
+        g_snprintf(program, sizeof program, "%s/%s", f->bin,
+                   engine ? "fake_engine" : "fake_service");
         g_snprintf(address, sizeof address, "address=%s", p->address);
         g_snprintf(pace, sizeof pace, "pace_us=%d", f->desc.engine_pace_us);
         g_snprintf(slots, sizeof slots, "slots=%d", f->desc.engine_slots);
@@ -498,8 +499,7 @@
 }
 
 int64_t proc_state(proc_fleet* f, proc_process* p, const char* path) {
-    proc_answer answer =
-        proc_ask(p->operators, "GET", "/debug/state", f->operator_key, NULL, NULL);
+    proc_answer answer = proc_ask(p->operators, "GET", "/debug/state", f->operator_key, NULL, NULL);
     int64_t value = proc_number(answer.body, path);
     proc_answer_clear(&answer);
     return value;
--- a/tests/sim/proc.h
+++ b/tests/sim/proc.h
@@ -11,16 +11,19 @@
 
 #include "wg_base.h"
 
-enum { PROC_MAX = 160, PROC_CONTROLS_MAX = 5 };
+enum {
+    PROC_MAX = 160,
+    PROC_CONTROLS_MAX = 5
+};
 
 typedef struct {
     int controls;
     int routers;
     int engines;
     int services;
-    int engine_slots;    /* default 8 */
-    int engine_pace_us;  /* default 2000 */
-    const char* router_extra;  /* lines of further settings, each with its group */
+    int engine_slots;         /* default 8 */
+    int engine_pace_us;       /* default 2000 */
+    const char* router_extra; /* lines of further settings, each with its group */
     const char* control_extra;
     int workspaces; /* w0.. with keys key-w0.. ; default 3 */
     int over_percent;
@@ -28,8 +31,8 @@
 
 typedef struct {
     char name[32];
-    pid_t pid; /* 0: not running */
-    char address[64];   /* callers' (router), target's, fleet's (control) */
+    pid_t pid;        /* 0: not running */
+    char address[64]; /* callers' (router), target's, fleet's (control) */
     char operators[64];
     char settings[128];
 } proc_process;
--- a/tests/test_fleet.c
+++ b/tests/test_fleet.c
@@ -23,8 +23,13 @@
 }
 
 static load_desc callers(load_kind kind, int num, wg_time duration) {
-    load_desc desc = {.kind = kind, .callers = num, .duration = duration, .key = "key-w0",
-                      .tokens = 20, .seed = 1, .follow_entry = true};
+    load_desc desc = {.kind = kind,
+                      .callers = num,
+                      .duration = duration,
+                      .key = "key-w0",
+                      .tokens = 20,
+                      .seed = 1,
+                      .follow_entry = true};
     for (int i = 0; i < fleet.num; i++) {
         if (fleet.processes[i].name[0] == 'r') {
             desc.hosts[desc.hosts_num++] = fleet.processes[i].address;
@@ -49,7 +54,8 @@
         }
         ck_assert_int_le(proc_journal(p, "most_runs"), 1);
         for (guint n = 0; n < result->not_run_ids->len; n++) {
-            char* path = g_strdup_printf("runs.%s", (char*)g_ptr_array_index(result->not_run_ids, n));
+            char* path =
+                g_strdup_printf("runs.%s", (char*)g_ptr_array_index(result->not_run_ids, n));
             ck_assert_int_eq(proc_journal(p, path), -1);
             g_free(path);
         }
@@ -57,7 +63,10 @@
 }
 
 START_TEST(answers_and_refusals) {
-    start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 1,
+    start(&(proc_desc){.controls = 1,
+                       .routers = 1,
+                       .engines = 1,
+                       .services = 1,
                        .router_extra = "[limits]\nbody_max=2048\nhead_max=4096\n"});
     load_desc desc = callers(LOAD_KIND_STREAM, 4, SECOND);
     load_result result;
@@ -88,9 +97,8 @@
     ck_assert_str_eq(answer.verdict, "ran");
     proc_answer_clear(&answer);
     /* Over a limit: 429 with when to come back. */
-    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "workspaces", "w1", "rate=1", "burst=1",
-                              NULL),
-                     0);
+    ck_assert_int_eq(
+        proc_ctl(&fleet, NULL, "table", "set", "workspaces", "w1", "rate=1", "burst=1", NULL), 0);
     int limited = 0;
     for (int i = 0; i < 20; i++) {
         answer = proc_ask(proc_find(&fleet, "r1")->address, "GET", app, "key-w1", NULL, NULL);
@@ -109,7 +117,10 @@
 START_TEST(malformed_bytes_leave_the_daemons_up) {
     start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 1});
     static const char* requests[] = {
-        "\r\n\r\n", "GET\r\n\r\n", "GET / HTTP/9.9\r\n\r\n", "\x00\xff\x00\xff",
+        "\r\n\r\n",
+        "GET\r\n\r\n",
+        "GET / HTTP/9.9\r\n\r\n",
+        "\x00\xff\x00\xff",
         "POST /v1/app/app/x HTTP/1.1\r\nContent-Length: -5\r\n\r\n",
         "POST /v1/app/app/x HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n",
         "POST /v1/app/app/x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
@@ -177,7 +188,8 @@
         char weight[32];
         char* out = NULL;
         g_snprintf(weight, sizeof weight, "weight=%d", 200 + round);
-        ck_assert_int_eq(proc_ctl(&fleet, &out, "table", "set", "workspaces", "w1", weight, NULL), 0);
+        ck_assert_int_eq(proc_ctl(&fleet, &out, "table", "set", "workspaces", "w1", weight, NULL),
+                         0);
         int64_t version = proc_number(out, "version");
         ck_assert_int_gt(version, edits.accepted);
         edits.accepted = version;
@@ -240,7 +252,8 @@
     }
     proc_kill(lost);
     proc_wipe(&fleet, lost);
-    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "workspaces", "w1", "weight=7", NULL), 0);
+    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "workspaces", "w1", "weight=7", NULL),
+                     0);
     proc_start(&fleet, lost);
     /* Its empty folder does not count: without the third there is no majority. */
     proc_kill(third);
@@ -268,8 +281,8 @@
 
 START_TEST(folder_of_another_cluster_is_refused) {
     start(&(proc_desc){.controls = 3, .routers = 1, .services = 1, .engines = 1});
-    proc_process* one = proc_leader(&fleet) == &fleet.processes[0] ? &fleet.processes[1]
-                                                                     : &fleet.processes[0];
+    proc_process* one =
+        proc_leader(&fleet) == &fleet.processes[0] ? &fleet.processes[1] : &fleet.processes[0];
     proc_kill(one);
     proc_wipe(&fleet, one);
     /* An operator who begins a new cluster by mistake must not bring the old one down. */
@@ -337,8 +350,9 @@
 
 static gpointer resend_thread(gpointer data) {
     resend* r = data;
-    proc_answer answer = proc_ask(proc_find(&fleet, r->router)->address, "POST", "/v1/app/app/act",
-                                  "key-w0", "Idempotency-Key: same\r\nX-Request-Id: same\r\n", "go");
+    proc_answer answer =
+        proc_ask(proc_find(&fleet, r->router)->address, "POST", "/v1/app/app/act", "key-w0",
+                 "Idempotency-Key: same\r\nX-Request-Id: same\r\n", "go");
     r->status = answer.status;
     g_strlcpy(r->verdict, answer.verdict, sizeof r->verdict);
     proc_answer_clear(&answer);
@@ -375,13 +389,16 @@
 END_TEST
 
 START_TEST(without_a_majority_actions_are_refused_as_not_run) {
-    start(&(proc_desc){.controls = 3, .routers = 1, .services = 1, .engines = 1,
-                       .router_extra = "[table]\nlease_lost=serve\n[control]\nclaim_wait_ms=500\n"});
+    start(
+        &(proc_desc){.controls = 3,
+                     .routers = 1,
+                     .services = 1,
+                     .engines = 1,
+                     .router_extra = "[table]\nlease_lost=serve\n[control]\nclaim_wait_ms=500\n"});
     proc_kill(&fleet.processes[0]);
     proc_kill(&fleet.processes[1]);
-    proc_answer answer =
-        proc_ask(proc_find(&fleet, "r1")->address, "POST", "/v1/app/app/act", "key-w0",
-                 "Idempotency-Key: k\r\nX-Request-Id: k\r\n", "go");
+    proc_answer answer = proc_ask(proc_find(&fleet, "r1")->address, "POST", "/v1/app/app/act",
+                                  "key-w0", "Idempotency-Key: k\r\nX-Request-Id: k\r\n", "go");
     ck_assert_int_eq(answer.status, 503);
     ck_assert_str_eq(answer.verdict, "not-run");
     ck_assert_int_ge(answer.retry_after, 1);
@@ -444,8 +461,8 @@
 
 START_TEST(leaving_target_gets_no_new_work) {
     start(&(proc_desc){.controls = 1, .routers = 2, .services = 2, .engines = 1});
-    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "targets", "service1", "leaving=1", NULL),
-                     0);
+    ck_assert_int_eq(
+        proc_ctl(&fleet, NULL, "table", "set", "targets", "service1", "leaving=1", NULL), 0);
     proc_sleep(3000);
     int64_t before = proc_journal(proc_find(&fleet, "service1"), "lookups");
     load_desc desc = callers(LOAD_KIND_DEFAULT, 8, SECOND);
@@ -510,15 +527,16 @@
 END_TEST
 
 START_TEST(caller_who_leaves_cancels_the_work) {
-    start(&(proc_desc){.controls = 1, .routers = 1, .services = 1, .engines = 1,
-                       .engine_pace_us = 50000});
-    const char* request = "POST /v1/chat/completions HTTP/1.1\r\nAuthorization: Bearer key-w0\r\n"
-                          "Content-Length: 72\r\n\r\n"
-                          "{\"model\":\"model\",\"stream\":true,\"max_tokens\":10000,\"messages\":[],"
-                          "\"x\":1234}";
+    start(&(proc_desc){
+        .controls = 1, .routers = 1, .services = 1, .engines = 1, .engine_pace_us = 50000});
+    const char* body = "{\"model\":\"model\",\"stream\":true,\"max_tokens\":10000,\"messages\":[]}";
+    char* request = g_strdup_printf("POST /v1/chat/completions HTTP/1.1\r\n"
+                                    "Authorization: Bearer key-w0\r\nContent-Length: %zu\r\n\r\n%s",
+                                    strlen(body), body);
     for (int i = 0; i < 5; i++) {
         g_free(proc_raw(proc_find(&fleet, "r1")->address, request, strlen(request), 300, NULL));
     }
+    g_free(request);
     for (int i = 0; i < 200 && proc_journal(proc_find(&fleet, "engine1"), "running") > 0; i++) {
         proc_sleep(20);
     }
--- /dev/null
+++ b/tools/bench.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# The speed figures: one line each, name, value, unit. Not run in CI.
+set -eu
+build=${1:-build}
+"$build/bench_queue"
+"$build/bench_router"
