--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# make demo | demo-up | demo-down | test | bench | bench-fair | bench-capacity | soak | lint | install
+# make demo | demo-up | demo-down | test | bench | bench-fair | bench-faults | bench-capacity |
+#      soak | mutants | fuzz | lint | docs | install
 BUILD ?= build
 PREFIX ?= /usr/local
 PACKAGES = gcc cmake ninja-build pkg-config libevent-dev libglib2.0-dev libprotobuf-c-dev \
 	libjansson-dev libxxhash-dev libargtable2-dev libcsv-dev check curl clang-format clang-tidy
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v pb-c)
 
-.PHONY: all deps demo demo-up demo-down test bench bench-fair bench-capacity soak lint format \
+.PHONY: all deps demo demo-up demo-down test bench bench-fair bench-capacity bench-faults mutants soak lint format \
 	docs install fuzz
 
 all: deps
@@ -40,12 +41,21 @@
 bench-fair: all
 	$(BUILD)/bench_fair samples/traces bench-fair.csv
 
+# Times and losses for each kind of fault, with real processes; some minutes.
+bench-faults: all
+	$(BUILD)/bench_faults
+
+# Break one rule at a time in a scratch copy: the proofs have to notice.
+mutants: all
+	tools/mutants.sh
+
 bench-capacity: all
 	$(BUILD)/bench_capacity
 
 lint: all
 	clang-format --dry-run -Werror $(SOURCES)
 	tools/lint.sh $(BUILD)
+	tools/make-docs.sh $(BUILD) --check
 
 format:
 	clang-format -i $(SOURCES)
@@ -59,5 +69,5 @@
 
 fuzz:
 	CC=clang cmake -S . -B build-fuzz -G Ninja -DWG_FUZZ=ON >/dev/null
-	ninja -C build-fuzz
+	ninja -C build-fuzz fuzz_frame fuzz_csv fuzz_settings fuzz_sse
 	tools/fuzz.sh build-fuzz
--- a/bench/bench.h
+++ b/bench/bench.h
@@ -1,6 +1,7 @@
 #pragma once
 /* bench.h -- one line a figure: name, value, unit */
 #include <stdio.h>
+#include <sys/wait.h>
 #include <time.h>
 #include <unistd.h>
 
@@ -34,6 +35,30 @@
     return (double)resident * (double)sysconf(_SC_PAGESIZE);
 }
 
+/* Resident memory that `work` adds, bytes; measured in a child of its own, where nothing is reused. */
+static inline double bench_memory(void (*work)(int size), int size) {
+    int pipe_fds[2];
+    double added = 0;
+    if (pipe(pipe_fds) != 0) {
+        return 0;
+    }
+    pid_t child = fork();
+    if (child == 0) {
+        double before = bench_rss(0);
+        work(size);
+        added = bench_rss(0) - before;
+        ssize_t written = write(pipe_fds[1], &added, sizeof added);
+        _exit(written == (ssize_t)sizeof added ? 0 : 1);
+    }
+    close(pipe_fds[1]);
+    if (read(pipe_fds[0], &added, sizeof added) != (ssize_t)sizeof added) {
+        added = 0;
+    }
+    close(pipe_fds[0]);
+    waitpid(child, NULL, 0);
+    return added;
+}
+
 /* Processor time of another process, microseconds. */
 static inline double bench_process_cpu_us(int pid) {
     char path[48];
--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -53,6 +53,12 @@
     }
 }
 
+static void plan_memory(int routers) {
+    static wgf_router handles[512];
+    wgf_share* s = plan_setup(routers, PLAN_WORKSPACES, handles);
+    wgf_plan(s, 4 * (wg_time)WG_USEC_PER_SEC);
+}
+
 static void plan_slopes(void) {
     static const int sizes[] = {40, 80, 160, 320};
     static wgf_router handles[512];
@@ -61,7 +67,7 @@
     double merge[4];
     double memory[4];
     for (int i = 0; i < 4; i++) {
-        double before = bench_rss(0);
+        memory[i] = bench_memory(plan_memory, sizes[i]);
         wgf_share* s = plan_setup(sizes[i], PLAN_WORKSPACES, handles);
         wg_time now = 4 * (wg_time)WG_USEC_PER_SEC;
         wgf_plan(s, now);
@@ -81,7 +87,6 @@
         }
         x[i] = sizes[i];
         plan[i] = (bench_cpu_us() - begin) / PLANS;
-        memory[i] = bench_rss(0) - before;
         wgf_account accounts[40];
         for (uint32_t a = 0; a < 40; a++) {
             accounts[a] = (wgf_account){.service = 1, .workspace = a * 3 + 1, .queued = 5};
@@ -213,6 +218,30 @@
 
 /* ---- table, snapshot, log -------------------------------------------------------------------- */
 
+static wgt_table* fill_table(int workspaces) {
+    wgt_table* t = wgt_setup(&(wgt_desc){0}, NULL);
+    for (int w = 0; w < workspaces; w++) {
+        wgt_edit_row row = {0};
+        char name[32];
+        g_snprintf(name, sizeof name, "workspace-%d", w);
+        wgt_row_init(&row.row, WGT_KIND_WORKSPACE, name);
+        for (int k = 0; k < 64; k++) {
+            uint64_t nibble = wg_jitter((uint64_t)w, (uint64_t)k) % 16;
+            row.row.workspace.keys[k] = "0123456789abcdef"[nibble];
+        }
+        wgt_edit edit = {.rows = &row, .rows_num = 1};
+        uint64_t index = (uint64_t)w + 1;
+        memcpy(edit.id, &index, sizeof index);
+        wgt_result result;
+        wgt_apply(t, &edit, index, &result);
+    }
+    return t;
+}
+
+static void table_memory(int workspaces) {
+    fill_table(workspaces);
+}
+
 static void table_slopes(void) {
     static const int sizes[] = {1000, 5000, 25000};
     double x[3];
@@ -220,26 +249,9 @@
     double bytes[3];
     double dump[3];
     for (int i = 0; i < 3; i++) {
-        double before = bench_rss(0);
-        wgt_table* t = wgt_setup(&(wgt_desc){0}, NULL);
-        uint64_t index = 0;
-        for (int w = 0; w < sizes[i]; w++) {
-            wgt_edit_row row = {0};
-            char name[32];
-            g_snprintf(name, sizeof name, "workspace-%d", w);
-            wgt_row_init(&row.row, WGT_KIND_WORKSPACE, name);
-            for (int k = 0; k < 64; k++) {
-                uint64_t nibble = wg_jitter((uint64_t)w, (uint64_t)k) % 16;
-                row.row.workspace.keys[k] = "0123456789abcdef"[nibble];
-            }
-            wgt_edit edit = {.rows = &row, .rows_num = 1};
-            index++;
-            memcpy(edit.id, &index, sizeof index);
-            wgt_result result;
-            wgt_apply(t, &edit, index, &result);
-        }
+        memory[i] = bench_memory(table_memory, sizes[i]);
+        wgt_table* t = fill_table(sizes[i]);
         x[i] = sizes[i];
-        memory[i] = bench_rss(0) - before;
         double begin = bench_cpu_us();
         Wgpb__TableState* state = wgt_dump(t);
         bytes[i] = (double)wgpb__table_state__get_packed_size(state);
@@ -254,6 +266,7 @@
         bench_print(line, dump[i] / 1000, "ms");
         wgt_shutdown(t);
     }
+    bench_fit("fit: table's memory, x = workspaces", x, memory, 3, "bytes");
     bench_fit("fit: snapshot, x = workspaces", x, bytes, 3, "bytes");
     bench_fit("fit: time of a snapshot, x = workspaces", x, dump, 3, "us");
 }
