Correction by virtual time among limited workspaces only

Ruled out: rounding of quotas; the pace of reports; each workspace taken out in turn (only without w6, w2 or w7 the gap stayed small: the runaway pair).

Change: workspaces that want no more than their fair share get what they want; the rest is shared among the limited ones, whose own mean is the reference. A router that loses its table lease gives up what waits there at once. The soak runs random fleets; its bound holds but for faults and 5 s after each.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -35,7 +35,8 @@
     return (double)resident * (double)sysconf(_SC_PAGESIZE);
 }
 
-/* Resident memory that `work` adds, bytes; measured in a child of its own, where nothing is reused. */
+/* Resident memory that `work` adds, bytes; measured in a child of its own, where nothing is reused.
+ */
 static inline double bench_memory(void (*work)(int size), int size) {
     int pipe_fds[2];
     double added = 0;
--- a/bench/bench_queue.c
+++ b/bench/bench_queue.c
@@ -4,7 +4,9 @@
 #include "wg_queue.h"
 #include "wg_table.h"
 
-enum { ROUNDS = 400000 };
+enum {
+    ROUNDS = 400000
+};
 
 static void queue_cost(int workspaces, const char* name) {
     double before = bench_rss(0);
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -138,6 +138,9 @@
         r->table_in_force = in_force;
         wg_log(in_force ? WG_EVENT_TABLE_LEASE_HELD : WG_EVENT_TABLE_LEASE_LOST,
                "version=%" G_GUINT64_FORMAT, wgt_version(r->table));
+        if (!in_force) {
+            _wgro_give_up_queued(r);
+        }
     }
 }
 
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -517,6 +517,14 @@
     }
 }
 
+void _wgro_give_up_queued(wgro_router* r) {
+    for (int i = 0; i < r->calls_pool.capacity; i++) {
+        if (r->calls_pool.taken[i] && r->calls[i].machine.state == WGC_STATE_QUEUED) {
+            _wgro_call_event(&r->calls[i], &(wgc_event){.type = WGC_EVENT_DEADLINE});
+        }
+    }
+}
+
 static void _wgro_give_earlier(_wgro_call_t* call, const Wgpb__ClaimEnd* end) {
     call->router->counters.whole++;
     _wgro_detach_caller(call);
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -212,6 +212,8 @@
 void _wgro_claim_answered(wgro_router* r, uint64_t ticket, int outcome, const Wgpb__ClaimEnd* end);
 void _wgro_dispatch(wgro_router* r);
 void _wgro_expire(wgro_router* r, wg_time now);
+/* Answer all waiting requests with a refusal: another entry host can serve them. */
+void _wgro_give_up_queued(wgro_router* r);
 void _wgro_cut_off_all(wgro_router* r);
 
 /* wg_router_attempt.c */
--- a/lib/share/wg_share_internal.h
+++ b/lib/share/wg_share_internal.h
@@ -4,9 +4,9 @@
 
 /* Slots of a target at a router. All of them count against the target. */
 typedef struct {
-    uint16_t held;  /* as the router last said */
-    uint16_t sent;  /* added since; the router may not have them yet */
-    uint16_t fresh; /* to be added with the next orders */
+    uint16_t held;     /* as the router last said */
+    uint16_t sent;     /* added since; the router may not have them yet */
+    uint16_t fresh;    /* to be added with the next orders */
     uint32_t sent_seq; /* of the last orders that added some */
 } _wgf_slot_t;
 
@@ -35,6 +35,7 @@
     int64_t running;
     int first_account;
     int active_place; /* in the service's list of flows with demand; -1 */
+    bool limited;     /* scratch of a plan: wants more than its fair share */
 } _wgf_flow_t;
 
 typedef struct {
--- a/lib/share/wg_share_plan.c
+++ b/lib/share/wg_share_plan.c
@@ -44,72 +44,97 @@
     return (double)(f->queued + f->running);
 }
 
-/* How far the virtual time moves while every slot completes one request: the unit of correction. */
-static double _wgf_round(const wgf_share* s, const _wgf_service_t* service, double slots) {
-    int64_t pending = 0;
-    int64_t running = 0;
-    double weights = 0;
+static double _wgf_filled(const wgf_share* s, const _wgf_service_t* service, double level) {
+    double sum = 0;
     for (int i = 0; i < service->active_num; i++) {
-        const _wgf_flow_t* f = &s->flows[service->active[i]];
-        pending += f->pending;
-        running += f->running;
-        weights += (double)f->weight;
+        int flow = service->active[i];
+        if (s->flows[flow].limited) {
+            sum += MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * level);
+        }
     }
-    double cost = running > 0 && pending > 0 ? 2.0 * (double)pending / (double)running
-                                             : (double)service->first_cost;
-    return MAX(1.0, slots * cost * WGF_SCALE / MAX(weights, 1.0));
+    return sum;
 }
 
-static double _wgf_mean_time(const wgf_share* s, const _wgf_service_t* service) {
-    double sum = 0;
-    double weights = 0;
-    for (int i = 0; i < service->active_num; i++) {
-        const _wgf_flow_t* f = &s->flows[service->active[i]];
-        if (f->queued > 0) {
-            sum += (double)_wgf_effective_time(f) * (double)f->weight;
-            weights += (double)f->weight;
+/* Level at which the limited workspaces' weights, as they stand in `shares`, fill the slots. */
+static double _wgf_fill_level(const wgf_share* s, const _wgf_service_t* service, double slots) {
+    double low = 0;
+    double high = MAX(slots, 0);
+    for (int i = 0; i < _WGF_FILL_ROUNDS; i++) {
+        double level = (low + high) / 2;
+        if (_wgf_filled(s, service, level) < slots) {
+            low = level;
+        } else {
+            high = level;
         }
     }
-    return weights > 0 ? sum / weights : 0;
+    return high;
 }
 
-/* Weights corrected by how far each workspace is from the mean virtual time. */
-static void _wgf_corrected_weights(wgf_share* s, const _wgf_service_t* service, double slots) {
-    double round = _wgf_round(s, service, slots);
-    double mean = _wgf_mean_time(s, service);
+/* Workspaces that want no more than their fair share get what they want. The others are limited and
+   share the rest, whose number of slots is returned. */
+static double _wgf_find_limited(wgf_share* s, const _wgf_service_t* service, double slots) {
     for (int i = 0; i < service->active_num; i++) {
         int flow = service->active[i];
-        const _wgf_flow_t* f = &s->flows[flow];
-        double behind = (mean - (double)_wgf_effective_time(f)) / round;
-        double boost = CLAMP(1.0 + behind, _WGF_BOOST_MIN, _WGF_BOOST_MAX);
-        s->shares[flow] = (double)f->weight * boost;
+        s->flows[flow].limited = true;
+        s->shares[flow] = (double)s->flows[flow].weight;
     }
+    double level = _wgf_fill_level(s, service, slots);
+    double left = slots;
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        _wgf_flow_t* f = &s->flows[flow];
+        f->limited = _wgf_demand(f) > s->shares[flow] * level;
+        if (!f->limited) {
+            s->shares[flow] = _wgf_demand(f);
+            left -= _wgf_demand(f);
+        }
+    }
+    return left;
 }
 
-static double _wgf_filled(const wgf_share* s, const _wgf_service_t* service, double level) {
+/* Mean virtual time of the limited workspaces, and how far it moves while each of their slots
+   completes one request: the unit of the correction. */
+static void _wgf_mean_time(const wgf_share* s, const _wgf_service_t* service, double slots,
+                           double* mean, double* round) {
     double sum = 0;
+    double weights = 0;
+    double pending = 0;
+    double running = 0;
     for (int i = 0; i < service->active_num; i++) {
-        int flow = service->active[i];
-        sum += MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * level);
+        const _wgf_flow_t* f = &s->flows[service->active[i]];
+        if (f->limited) {
+            sum += (double)_wgf_effective_time(f) * (double)f->weight;
+            weights += (double)f->weight;
+            pending += (double)f->pending;
+            running += (double)f->running;
+        }
     }
-    return sum;
+    double cost =
+        running > 0 && pending > 0 ? 2.0 * pending / running : (double)service->first_cost;
+    *mean = weights > 0 ? sum / weights : 0;
+    *round = MAX(1.0, slots * cost * WGF_SCALE / MAX(weights, 1.0));
 }
 
-/* Turn corrected weights into slots: the same level for all, but nobody above its demand. */
-static void _wgf_fill_shares(wgf_share* s, const _wgf_service_t* service, double slots) {
-    double low = 0;
-    double high = slots;
-    for (int i = 0; i < _WGF_FILL_ROUNDS; i++) {
-        double level = (low + high) / 2;
-        if (_wgf_filled(s, service, level) < slots) {
-            low = level;
-        } else {
-            high = level;
+/* Share the slots among the limited workspaces: by weight, corrected by virtual time. */
+static void _wgf_share_limited(wgf_share* s, const _wgf_service_t* service, double slots) {
+    double mean;
+    double round;
+    _wgf_mean_time(s, service, slots, &mean, &round);
+    for (int i = 0; i < service->active_num; i++) {
+        int flow = service->active[i];
+        const _wgf_flow_t* f = &s->flows[flow];
+        if (f->limited) {
+            double behind = (mean - (double)_wgf_effective_time(f)) / round;
+            double boost = CLAMP(1.0 + behind, _WGF_BOOST_MIN, _WGF_BOOST_MAX);
+            s->shares[flow] = (double)f->weight * boost;
         }
     }
+    double level = _wgf_fill_level(s, service, slots);
     for (int i = 0; i < service->active_num; i++) {
         int flow = service->active[i];
-        s->shares[flow] = MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * high);
+        if (s->flows[flow].limited) {
+            s->shares[flow] = MIN(_wgf_demand(&s->flows[flow]), s->shares[flow] * level);
+        }
     }
 }
 
@@ -135,8 +160,8 @@
 
 /* More demand than slots: each workspace's share goes where its demand is. */
 static void _wgf_quotas_contended(wgf_share* s, const _wgf_service_t* service, double slots) {
-    _wgf_corrected_weights(s, service, slots);
-    _wgf_fill_shares(s, service, slots);
+    double left = _wgf_find_limited(s, service, slots);
+    _wgf_share_limited(s, service, left);
     for (int i = 0; i < service->active_num; i++) {
         int flow = service->active[i];
         const _wgf_flow_t* f = &s->flows[flow];
--- a/tests/sim/sim_fleet.h
+++ b/tests/sim/sim_fleet.h
@@ -105,11 +105,12 @@
     double gap_median; /* tokens per 100 of weight, between any two backlogged workspaces */
     double gap_p99;
     double gap_worst;
-    double gap_over_bound; /* largest gap over the bound of its pair */
-    double busy;           /* part of slot time used while requests waited */
-    double tokens;         /* delivered within deadlines */
-    double wasted;         /* part of the tokens that went to requests that missed their deadline */
-    double wait_p99;       /* seconds */
+    double gap_over_bound;      /* largest gap over the bound of its pair */
+    double gap_over_bound_calm; /* the same, but for faults and 5 s after each */
+    double busy;                /* part of slot time used while requests waited */
+    double tokens;              /* delivered within deadlines */
+    double wasted;   /* part of the tokens that went to requests that missed their deadline */
+    double wait_p99; /* seconds */
     double wait_worst;
     double urgent_wait_worst;
     double refused;       /* part of the requests */
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include "sim_fleet.h"
 #include "sim_quorum.h"
 
 static char failure_note[128];
@@ -41,6 +42,54 @@
     simq_shutdown(run);
 }
 
+/* A fleet under random load and faults; the replay asserts leases, this the bound of the gap. */
+static void run_fleet(uint64_t seed, int seconds) {
+    g_snprintf(failure_note, sizeof failure_note,
+               "soak: failed with seed %" G_GUINT64_FORMAT ", fleet for %d s\n", seed, seconds);
+    int routers = 2 + (int)(wg_jitter(seed, 1) % 12);
+    int targets = 4 + (int)(wg_jitter(seed, 2) % 20);
+    GString* text = g_string_new(NULL);
+    g_string_append_printf(text, "fleet seed=%d routers=%d targets=%d slots=%d duration_s=%d\n",
+                           (int)seed, routers, targets, 2 + (int)(wg_jitter(seed, 3) % 8), seconds);
+    for (uint64_t w = 0; w < 8; w++) {
+        int first = (int)(wg_jitter(seed, 40 + w) % (uint64_t)routers);
+        int last = first + (int)(wg_jitter(seed, 50 + w) % (uint64_t)(routers - first));
+        g_string_append_printf(text, "workspace w%d %d\n", (int)w,
+                               30 + (int)(wg_jitter(seed, 10 + w) % 400));
+        g_string_append_printf(text, "load w%d rate=%d tokens_min=10 tokens_max=%d routers=%d-%d\n",
+                               (int)w, 1 + (int)(wg_jitter(seed, 20 + w) % 40),
+                               50 + (int)(wg_jitter(seed, 30 + w) % 400), first, last);
+    }
+    for (int at = 10; at < seconds - 10; at += 15) {
+        uint64_t kind = wg_jitter(seed, 1000 + (uint64_t)at);
+        int router = (int)(kind / 8 % (uint64_t)routers);
+        if (kind % 4 == 0) {
+            g_string_append_printf(text, "fault cut_router router=%d from_s=%d to_s=%d\n", router,
+                                   at, at + 6);
+        } else if (kind % 4 == 1) {
+            g_string_append_printf(text, "fault lose_leader from_s=%d to_s=%d.5\n", at, at + 1);
+        } else if (kind % 4 == 2) {
+            g_string_append_printf(text, "fault restart_router router=%d from_s=%d\n", router, at);
+        } else {
+            g_string_append_printf(text, "fault lose_targets first=0 last=%d from_s=%d to_s=%d\n",
+                                   targets / 10, at, at + 8);
+        }
+    }
+    static simf_trace trace;
+    bool good = simf_trace_parse(text->str, &trace, NULL);
+    WG_ASSERT(good);
+    simf_result result = simf_run(&trace, SIMF_WAY_LEASED);
+    printf("fleet, seed %" G_GUINT64_FORMAT ": %d routers, %d targets, %d s, %" G_GUINT64_FORMAT
+           " requests, gap %.3f of its bound between faults, busy %.4f\n",
+           seed, routers, targets, seconds, result.requests, result.gap_over_bound_calm,
+           result.busy);
+    if (result.gap_over_bound_calm >= 1) {
+        fprintf(stderr, "%s", text->str); /* a trace that bench_fair can replay */
+    }
+    WG_ASSERT(result.gap_over_bound_calm < 1);
+    g_string_free(text, TRUE);
+}
+
 int main(int argc, char** argv) {
     struct arg_int* seed = arg_int0(NULL, "seed", "<n>", "first seed");
     struct arg_int* seeds = arg_int0(NULL, "seeds", "<n>", "how many seeds, default 1");
@@ -58,6 +107,7 @@
     for (uint64_t s = first; s < first + num; s++) {
         run_quorum(s, 3, length);
         run_quorum(s, 5, length);
+        run_fleet(s, (int)CLAMP(length / 100, 60, 3600));
     }
     arg_freetable(table, G_N_ELEMENTS(table));
     return 0;
