--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -494,6 +494,10 @@
     if (argc > 1 && strcmp(argv[1], "memory") == 0) {
         return 0;
     }
+    if (argc > 1 && strcmp(argv[1], "fleets") == 0) {
+        fleet_slopes();
+        return 0;
+    }
     plan_slopes();
     exchange_slopes();
     plan_by_workspaces();
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -8,7 +8,8 @@
     _WGCO_ROUTERS_MAX = 512,
     _WGCO_PEERS_MAX = 8,
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
-    _WGCO_FAIRS_MAX = 2048
+    _WGCO_FAIRS_MAX = 2048,
+    _WGCO_PLAN_AT_LEAST = 200 * WG_USEC_PER_MSEC /* time between plans when nothing changes */
 };
 
 /* Another control, as the settings name it. */
@@ -77,6 +78,7 @@
     _wgco_session_t* sessions;
     bool plan_due;
     wg_time plan_cost;
+    wg_time planned_at;
 
     /* counters */
     uint64_t edits;
--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -246,7 +246,7 @@
                                     .virtual_time = a->virtual_time};
     }
     for (size_t i = 0; i < in->n_held; i++) {
-        held[i] = (wgf_held){in->held[i]->target, in->held[i]->slots};
+        held[i] = (wgf_held){in->held[i]->target, in->held[i]->slots, in->held[i]->aside};
     }
     wgf_report(c->share, now, s->share,
                &(wgf_report_desc){.full = in->full,
@@ -339,7 +339,8 @@
             _wgco_send_reply(c, s, false);
         }
     }
-    c->plan_cost = wg_now() - begin;
+    c->planned_at = wg_now();
+    c->plan_cost = c->planned_at - begin;
 }
 
 void _wgco_routers_tick(wgco_control* c, wg_time now) {
@@ -347,8 +348,10 @@
     while ((gone = wgm_tick(c->members, now))) {
         wg_log(WG_EVENT_MEMBER_GONE, "router=%s", gone->name);
     }
-    /* Leases also end, and spare slots move, when nobody reports anything new. */
-    _wgco_schedule_plan(c);
+    /* Leases also end when nobody reports anything new. */
+    if (now - c->planned_at >= _WGCO_PLAN_AT_LEAST) {
+        _wgco_schedule_plan(c);
+    }
 }
 
 /* ---- functions of the library: links -------------------------------------------------------- */
@@ -400,7 +403,9 @@
         } else {
             _wgco_merge_report(c, s, in, now);
             _wgco_hear_member(c, s, in->leaving, now);
-            _wgco_schedule_plan(c);
+            if (in->full || in->n_accounts > 0 || in->n_held > 0) {
+                _wgco_schedule_plan(c);
+            }
         }
     }
     wgpb__report__free_unpacked(in, NULL);
--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -1,6 +1,7 @@
 /* wg_place.c -- see wg_place.h */
 #include "wg_place.h"
 
+#include <limits.h>
 #include <string.h>
 
 /* ---- types -------------------------------------------------------------------------------- */
@@ -178,7 +179,7 @@
     WG_ASSERT(t->info.leased >= 0);
 }
 
-/* Give back idle slots: all of targets that take no work, and those beyond the quota. */
+/* Give back idle slots: those of targets that take no work, and those beyond the quota. */
 static void _wgp_give_back(wgp_place* p, uint32_t service) {
     int64_t held = 0;
     for (int i = 0; i < p->targets_num; i++) {
@@ -186,8 +187,10 @@
         if (t->info.service != service) {
             continue;
         }
-        if ((!t->live || _wgp_is_leaving(t)) && _wgp_idle(t) > 0) {
-            _wgp_give_one(p, t, _wgp_idle(t));
+        /* One slot stays for the request that will find out whether the target is well again. */
+        int kept = !t->live || _wgp_is_leaving(t) ? 0 : t->info.aside_until != 0 ? 1 : INT_MAX;
+        if (_wgp_idle(t) > kept) {
+            _wgp_give_one(p, t, _wgp_idle(t) - kept);
         }
         held += t->info.leased;
     }
@@ -222,6 +225,8 @@
     t->aside_times++;
     t->info.aside_until =
         now + wait / 2 + wg_jitter_range(p->desc.seed, p->counter++, 0, MAX(wait / 2, 1));
+    p->given_back = true; /* worth a report, even if it held nothing idle */
+    _wgp_give_back(p, t->info.service);
     return WGP_EVENT_ASIDE;
 }
 
@@ -413,6 +418,7 @@
     }
     if (result == WGP_RESULT_GOOD) {
         bool was_aside = t->info.aside_until != 0;
+        p->given_back = p->given_back || was_aside;
         t->failures_in_row = 0;
         t->info.aside_until = 0;
         t->aside_times = was_aside ? t->aside_times : 0;
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -124,7 +124,7 @@
 void wgp_set_quota(wgp_place* place, uint32_t service, uint32_t most);
 /* All leases ended. */
 void wgp_clear_slots(wgp_place* place);
-/* Whether slots were given back since this was last asked. */
+/* Whether slots were given back, or a target put aside or taken back, since this was last asked. */
 bool wgp_take_given_back(wgp_place* place);
 
 /* Whether a request of the service could start now. `reserve`: as an urgent one. */
--- a/lib/queue/wg_queue.c
+++ b/lib/queue/wg_queue.c
@@ -496,6 +496,13 @@
     return slot < 0 ? NULL : q->requests[slot].desc.user_data;
 }
 
+void wgq_set_user_data(wgq_queue* q, wgq_handle handle, void* user_data) {
+    int slot = wg_pool_slot(&q->requests_pool, (wg_handle){handle.id});
+    if (slot >= 0) {
+        q->requests[slot].desc.user_data = user_data;
+    }
+}
+
 wg_time wgq_expected_wait(const wgq_queue* q, wg_time now, uint32_t workspace) {
     int flow = _wgq_find_flow(q, workspace);
     return flow < 0 ? 0 : _wgq_flow_wait(&q->flows[flow], now);
--- a/lib/queue/wg_queue.h
+++ b/lib/queue/wg_queue.h
@@ -130,6 +130,7 @@
 /* When wgq_expire() has to be looked at next; WG_TIME_NEVER when nothing waits. */
 wg_time wgq_next_expiry(const wgq_queue* queue);
 void* wgq_user_data(const wgq_queue* queue, wgq_handle handle);
+void wgq_set_user_data(wgq_queue* queue, wgq_handle handle, void* user_data);
 /* How long a request of this workspace would wait now, by the measured drain. */
 wg_time wgq_expected_wait(const wgq_queue* queue, wg_time now, uint32_t workspace);
 
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -486,8 +486,7 @@
 
 void _wgro_dispatch(wgro_router* r) {
     wg_time now = wg_now();
-    bool waiting = false;
-    bool idle = false;
+    wgf_pacer_news news = {0};
     for (int i = 0; i < r->services_num; i++) {
         _wgro_service_t* service = &r->services[i];
         if (!service->live) {
@@ -495,10 +494,12 @@
         }
         while (wgq_query_stats(service->queue).queued > 0 && _wgro_dispatch_one(r, service, now)) {
         }
-        waiting = waiting || wgq_query_stats(service->queue).queued > 0;
-        idle = idle || wgp_query_free(r->place, now, service->row.id) > 0;
+        wgq_stats stats = wgq_query_stats(service->queue);
+        news.at_work = news.at_work || stats.queued + stats.running > 0;
+        news.waiting = news.waiting || stats.queued > 0;
+        news.idle = news.idle || wgp_query_free(r->place, now, service->row.id) > 0;
     }
-    wgf_pacer_state(&r->pacer, waiting, idle);
+    wgf_pacer_state(&r->pacer, &news);
     if (wgp_take_given_back(r->place)) {
         wgf_pacer_want(&r->pacer);
     }
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -156,7 +156,7 @@
     _wgro_service_t services[_WGRO_SERVICES_MAX];
     int services_num;
     uint64_t configured_version;
-    GHashTable* held_reported; /* target -> leased slots as last reported */
+    GHashTable* held_reported; /* target -> leased slots and health as last reported */
 
     wg_pool calls_pool;
     _wgro_call_t* calls;
--- a/lib/share/wg_pacer.c
+++ b/lib/share/wg_pacer.c
@@ -6,6 +6,7 @@
 static wgf_pacer_desc _wgf_pacer_desc_def(const wgf_pacer_desc* desc) {
     wgf_pacer_desc d = *desc;
     d.interval = d.interval ? d.interval : WGF_PACER_INTERVAL_DEFAULT;
+    d.quiet = d.quiet ? d.quiet : MAX(WGF_PACER_QUIET_DEFAULT, d.interval);
     d.gap = d.gap ? d.gap : WGF_PACER_GAP_DEFAULT;
     d.vital = d.vital ? d.vital : WGF_PACER_VITAL_DEFAULT;
     d.budget = d.budget ? d.budget : WGF_PACER_BUDGET_DEFAULT;
@@ -34,9 +35,10 @@
     p->wanted = true;
 }
 
-void wgf_pacer_state(wgf_pacer* p, bool waiting, bool idle) {
-    bool begins = waiting && !p->waiting_told;
-    bool ends = !waiting && p->waiting_told && idle;
+void wgf_pacer_state(wgf_pacer* p, const wgf_pacer_news* news) {
+    bool begins = news->waiting && !p->waiting_told;
+    bool ends = !news->waiting && p->waiting_told && news->idle;
+    p->at_work = news->at_work;
     p->wanted = p->wanted || begins || ends;
 }
 
@@ -57,5 +59,8 @@
 }
 
 wg_time wgf_pacer_next(const wgf_pacer* p) {
-    return p->sent_at + (p->wanted ? p->desc.gap : p->desc.interval);
+    if (p->wanted) {
+        return p->sent_at + p->desc.gap;
+    }
+    return p->sent_at + (p->at_work ? p->desc.interval : p->desc.quiet);
 }
--- a/lib/share/wg_share.c
+++ b/lib/share/wg_share.c
@@ -13,9 +13,15 @@
     return slot->held + slot->sent + slot->fresh;
 }
 
+static int _wgf_is_holder(const _wgf_slot_t* slot) {
+    return _wgf_slot_sum(slot) > 0 && !slot->aside ? 1 : 0;
+}
+
 void _wgf_set_slot(wgf_share* s, int router, int target, _wgf_slot_t slot) {
     _wgf_slot_t* place = _wgf_slot(s, router, target);
     int more = _wgf_slot_sum(&slot) - _wgf_slot_sum(place);
+    s->targets[target].aside += slot.aside - place->aside;
+    s->targets[target].holders += _wgf_is_holder(&slot) - _wgf_is_holder(place);
     s->targets[target].counted += more;
     s->stats.leased += more;
     *place = slot;
@@ -30,7 +36,8 @@
 }
 
 int _wgf_capacity(const wgf_share* s, const _wgf_target_t* target) {
-    if (!target->live || target->leaving) {
+    bool failed_for_all = target->aside > 0 && target->holders == 0;
+    if (!target->live || target->leaving || failed_for_all) {
         return 0;
     }
     return target->slots * (100 + s->services[target->service].over_percent) / 100;
@@ -391,6 +398,7 @@
         }
         _wgf_slot_t slot = *_wgf_slot(s, r, t);
         slot.held = (uint16_t)report->held[i].slots;
+        slot.aside = report->held[i].aside;
         if (report->applied >= slot.sent_seq) {
             slot.sent = 0;
         }
--- a/lib/share/wg_share.h
+++ b/lib/share/wg_share.h
@@ -14,6 +14,8 @@
    banks no credit; one that took more than its share pays for it
         - slots follow demand: weighted max-min over backlogged workspaces, those behind in virtual
           time more; each router gets the part of its workspaces' shares that it has the demand for
+        - a target that has failed for every router that tried it is not counted on until one router
+          says that it works again
         - slots that nobody needs are spread over the routers, and some stay with the leader, so
    that a new request starts without asking
         - the leader only adds slots, the router only gives them back: what the leader counts is
@@ -66,6 +68,7 @@
 typedef struct {
     uint32_t target;
     uint32_t slots;
+    bool aside; /* the target failed for this router, which gives it no work for now */
 } wgf_held;
 
 typedef struct {
--- a/lib/share/wg_share_internal.h
+++ b/lib/share/wg_share_internal.h
@@ -8,6 +8,7 @@
     uint16_t sent;     /* added since; the router may not have them yet */
     uint16_t fresh;    /* to be added with the next orders */
     uint32_t sent_seq; /* of the last orders that added some */
+    bool aside;        /* it failed for this router */
 } _wgf_slot_t;
 
 /* One service's use by one workspace at one router. */
@@ -57,6 +58,8 @@
     int service;
     int slots;
     int counted; /* over all routers */
+    int aside;   /* routers for which it failed */
+    int holders; /* routers that hold slots and for which it has not failed */
     char data_centre[WG_NAME_MAX];
 } _wgf_target_t;
 
--- a/lib/share/wg_share_plan.c
+++ b/lib/share/wg_share_plan.c
@@ -209,8 +209,8 @@
         _wgf_router_t* router = &s->routers[r];
         router->holds = 0;
         for (int t = 0; router->live && t < s->targets_num; t++) {
-            /* Slots of a leaving target are of no use to anybody. */
-            if (_wgf_serves(&s->targets[t], service) && !s->targets[t].leaving) {
+            /* Slots of a target that leaves or has failed are of no use to anybody. */
+            if (_wgf_serves(&s->targets[t], service) && _wgf_capacity(s, &s->targets[t]) > 0) {
                 router->holds += _wgf_slot_sum(_wgf_slot(s, r, t));
             }
         }
@@ -278,7 +278,7 @@
     int best_score = 0;
     for (int t = 0; t < s->targets_num; t++) {
         const _wgf_target_t* target = &s->targets[t];
-        if (!_wgf_serves(target, service)) {
+        if (!_wgf_serves(target, service) || _wgf_slot(s, r, t)->aside) {
             continue;
         }
         int score = 4 * (_wgf_capacity(s, target) - target->counted);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -3085,7 +3085,7 @@
   (ProtobufCMessageInit) wgpb__account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] =
 {
   {
     "target",
@@ -3111,15 +3111,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "aside",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Held, aside),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__held__field_indices_by_name[] = {
+  2,   /* field[2] = aside */
   1,   /* field[1] = slots */
   0,   /* field[0] = target */
 };
 static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wgpb__held__descriptor =
 {
@@ -3129,7 +3142,7 @@
   "Wgpb__Held",
   "wgpb",
   sizeof(Wgpb__Held),
-  2,
+  3,
   wgpb__held__field_descriptors,
   wgpb__held__field_indices_by_name,
   1,  wgpb__held__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -365,10 +365,14 @@
   ProtobufCMessage base;
   uint32_t target;
   uint32_t slots;
+  /*
+   * it failed for this router, which gives it no work for now
+   */
+  protobuf_c_boolean aside;
 };
 #define WGPB__HELD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__held__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Wgpb__Report
--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -101,7 +101,11 @@
                      void (*on_request)(struct evhttp_request*, void*)) {
     signal(SIGPIPE, SIG_IGN);
     fake_parse_arguments(argc, argv);
-    struct event_base* base = event_base_new();
+    /* Without this flag timers are as coarse as 4 ms. */
+    struct event_config* config = event_config_new();
+    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
+    struct event_base* base = event_base_new_with_config(config);
+    event_config_free(config);
     GError* error = NULL;
     wgh_server server;
     if (!wgh_listen(&server, base, fake_address, &(wgh_limits){.body_max = 64 << 20}, &error)) {
--- a/tests/sim/sim_fleet.c
+++ b/tests/sim/sim_fleet.c
@@ -46,6 +46,7 @@
     EVENT_PLAN,
     EVENT_AT_ROUTER,
     EVENT_GRANTED, /* arbiter's grant reaches the router */
+    EVENT_REFUSED, /* the router learns that a target refused a request */
     EVENT_SAMPLE,
     EVENT_FAULT
 } event_type;
@@ -107,6 +108,7 @@
     int64_t slot_limit;
     GQueue waiting; /* request_t* beyond its slots */
     bool gone;
+    bool dead; /* refuses connections, and nobody is told */
 } target_t;
 
 /* Service of a pair of workspaces since both have been backlogged. */
@@ -349,7 +351,7 @@
     }
     double span = (double)(until - s->now);
     for (int g = 0; g < s->trace->targets; g++) {
-        if (!s->targets[g].gone) {
+        if (!s->targets[g].gone && !s->targets[g].dead) {
             s->slot_time += span * s->trace->slots;
             s->busy_time += span * MIN(s->targets[g].in_slots, s->trace->slots);
         }
@@ -374,6 +376,10 @@
 
 static void target_take(run_t* s, request_t* q) {
     target_t* target = target_of(s, q);
+    if (target->dead) {
+        post(s, s->now + s->trace->delay, EVENT_REFUSED, 0, q);
+        return;
+    }
     q->running = true;
     g_ptr_array_add(s->running, q);
     if (q->urgent) {
@@ -439,14 +445,48 @@
         }
         start_request(s, router, picked);
     }
-    bool waiting = wgq_query_stats(r->queue).queued > 0;
+    wgq_stats stats = wgq_query_stats(r->queue);
     if (wgp_take_given_back(r->place)) {
         wgf_pacer_want(&r->pacer);
     }
-    wgf_pacer_state(&r->pacer, waiting, wgp_query_free(r->place, s->now, SERVICE_ID) > 0);
+    wgf_pacer_state(&r->pacer,
+                    &(wgf_pacer_news){.at_work = stats.queued + stats.running > 0,
+                                      .waiting = stats.queued > 0,
+                                      .idle = wgp_query_free(r->place, s->now, SERVICE_ID) > 0});
     plan_report(s, router);
 }
 
+/* Its target refused it: it goes back to the head of its queue. */
+static void refused_by_target(run_t* s, request_t* q) {
+    int router = queue_router(s, q->router);
+    router_t* r = &s->routers[router];
+    if (wgq_user_data(r->queue, q->handle) != q) {
+        g_free(q); /* its router restarted meanwhile */
+        return;
+    }
+    wgq_finish(r->queue, s->now, q->handle, 0);
+    wgp_done(r->place, s->now, &q->choice, WGP_RESULT_BAD);
+    wgq_refusal refusal;
+    q->handle = wgq_push(r->queue, s->now,
+                         &(wgq_request){.workspace = (uint32_t)q->workspace + 1,
+                                        .limits = {.weight = s->weights[q->workspace],
+                                                   .queue = s->trace->queue_limit,
+                                                   .urgent_percent = 20},
+                                        .urgent = q->urgent,
+                                        .again = true,
+                                        .wait_until = s->now + s->trace->queue_wait,
+                                        .deadline = q->deadline,
+                                        .user_data = q},
+                         &refusal);
+    if (q->handle.id == 0) {
+        s->refused++;
+        g_free(q);
+    } else {
+        s->queued[q->workspace]++;
+    }
+    dispatch(s, router);
+}
+
 static void give_up(run_t* s, request_t* q, bool was_queued) {
     s->refused++;
     if (was_queued) {
@@ -563,7 +603,8 @@
     out->held = g_new(wgf_held, s->trace->targets);
     wgp_target_info info;
     for (int g = 0; wgp_query_target(r->place, g, &info); g++) {
-        uint32_t now = (uint32_t)info.leased;
+        bool aside = info.aside_until != 0;
+        uint32_t now = (uint32_t)info.leased << 1 | (aside ? 1 : 0);
         if (r->report_full || r->held_told[g] != now) {
             r->held_told[g] = now;
             out->held[out->held_num++] = (wgf_held){info.id, (uint32_t)info.leased};
@@ -797,6 +838,29 @@
     }
 }
 
+/* Requests at work there fail too, and go back to their queues. */
+static void kill_targets(run_t* s, const simf_fault* f, bool begin) {
+    for (int g = f->a; g <= f->b && g < s->trace->targets; g++) {
+        s->targets[g].dead = begin;
+        for (guint i = 0; begin && i < s->running->len;) {
+            request_t* q = g_ptr_array_index(s->running, i);
+            if (target_of(s, q) != &s->targets[g]) {
+                i++;
+                continue;
+            }
+            bool waited = g_queue_remove(&s->targets[g].waiting, q);
+            request_t* again = waited ? q : g_memdup2(q, sizeof *q);
+            end_request(s, q); /* the finish event of one that ran frees it */
+            if (!waited) {
+                wgq_set_user_data(s->routers[queue_router(s, q->router)].queue, q->handle, again);
+                again->in_slot = again->running = false;
+                again->started = 0;
+            }
+            post(s, s->now + s->trace->delay, EVENT_REFUSED, 0, again);
+        }
+    }
+}
+
 static void fault(run_t* s, const simf_fault* f, bool begin) {
     switch (f->type) {
     case SIMF_FAULT_CUT_ROUTER:
@@ -819,6 +883,9 @@
     case SIMF_FAULT_LOSE_TARGETS:
         lose_targets(s, f, begin);
         break;
+    case SIMF_FAULT_KILL_TARGETS:
+        kill_targets(s, f, begin);
+        break;
     case SIMF_FAULT_SET_WEIGHT:
         if (begin) {
             s->weights[f->a] = f->b;
@@ -881,6 +948,9 @@
     case EVENT_GRANTED:
         target_take(s, event->data);
         break;
+    case EVENT_REFUSED:
+        refused_by_target(s, event->data);
+        break;
     case EVENT_SAMPLE:
         take_sample(s);
         if (central(s)) {
--- a/tests/sim/sim_fleet.h
+++ b/tests/sim/sim_fleet.h
@@ -21,7 +21,7 @@
     SIMF_WORKSPACES_MAX = 64,
     SIMF_LOADS_MAX = 4096,
     SIMF_EXPECTS_MAX = 32,
-    SIMF_FAULTS_MAX = 64
+    SIMF_FAULTS_MAX = 512
 };
 
 typedef enum {
@@ -59,6 +59,7 @@
     SIMF_FAULT_LOSE_LEADER,    /* a new one without state comes at `to` */
     SIMF_FAULT_LOSE_TARGETS,   /* a..b: first and last target */
     SIMF_FAULT_SET_WEIGHT,     /* a: workspace, b: weight */
+    SIMF_FAULT_KILL_TARGETS,   /* a..b; nobody is told: requests there fail */
     SIMF_FAULT_NUM
 } simf_fault_type;
 
--- a/tests/sim/sim_trace.c
+++ b/tests/sim/sim_trace.c
@@ -90,7 +90,8 @@
 
 static bool take_fault(simf_trace* t, char** words, int line, GError** error) {
     static const char* names[SIMF_FAULT_NUM] = {
-        "", "cut_router", "restart_router", "lose_leader", "lose_targets", "set_weight"};
+        "",           "cut_router",  "restart_router", "lose_leader", "lose_targets",
+        "set_weight", "kill_targets"};
     simf_fault fault = {.from = seconds(words, "from_s", 0), .to = seconds(words, "to_s", 0)};
     for (int i = 1; i < SIMF_FAULT_NUM; i++) {
         if (words[1] && strcmp(words[1], names[i]) == 0) {
--- a/tests/test_fleet_control.c
+++ b/tests/test_fleet_control.c
@@ -351,4 +351,9 @@
 }
 END_TEST
 
-WG_TEST_MAIN("fleet control", wrong_fleet_key_is_kept_out, accepted_edits_survive_leader_kills, lost_disk_is_replaced_by_one_command, folder_of_another_cluster_is_refused, without_a_majority_actions_are_refused_as_not_run, router_without_a_leader_stops_taking_work, leaving_target_gets_no_new_work, daemons_say_why_they_do_not_start, full_disk_ends_a_control_and_no_more, rows_on_demand, host_list_that_steps_back_or_vanishes)
+WG_TEST_MAIN("fleet control", wrong_fleet_key_is_kept_out, accepted_edits_survive_leader_kills,
+             lost_disk_is_replaced_by_one_command, folder_of_another_cluster_is_refused,
+             without_a_majority_actions_are_refused_as_not_run,
+             router_without_a_leader_stops_taking_work, leaving_target_gets_no_new_work,
+             daemons_say_why_they_do_not_start, full_disk_ends_a_control_and_no_more,
+             rows_on_demand, host_list_that_steps_back_or_vanishes)
--- a/tests/test_fleet_requests.c
+++ b/tests/test_fleet_requests.c
@@ -362,4 +362,8 @@
 }
 END_TEST
 
-WG_TEST_MAIN("fleet requests", answers_and_refusals, malformed_bytes_leave_the_daemons_up, actions_run_at_most_once, one_key_through_three_routers_runs_once, every_caller_gets_its_own_whole_answer_or_an_error, killed_target_fails_no_lookup, rolling_restart_fails_no_request, caller_who_leaves_cancels_the_work, slow_caller_does_not_fill_memory, slow_senders_are_closed)
+WG_TEST_MAIN("fleet requests", answers_and_refusals, malformed_bytes_leave_the_daemons_up,
+             actions_run_at_most_once, one_key_through_three_routers_runs_once,
+             every_caller_gets_its_own_whole_answer_or_an_error, killed_target_fails_no_lookup,
+             rolling_restart_fails_no_request, caller_who_leaves_cancels_the_work,
+             slow_caller_does_not_fill_memory, slow_senders_are_closed)
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -196,6 +196,13 @@
     ck_assert_uint_le(bytes, 101 * 1000 + 200);
     ck_assert_uint_ge(bytes, 95 * 1000);
     ck_assert_uint_gt(pacer.held_back, 0);
+    /* Nothing at work: reports are rare, but a request that begins to wait is told soon. */
+    wgf_pacer_setup(&pacer, &(wgf_pacer_desc){.now = 0});
+    ck_assert(!wgf_pacer_due(&pacer, 499 * MSEC, 0));
+    wgf_pacer_state(&pacer, &(wgf_pacer_news){.at_work = true});
+    ck_assert(wgf_pacer_due(&pacer, 200 * MSEC, 0));
+    wgf_pacer_state(&pacer, &(wgf_pacer_news){.at_work = true, .waiting = true});
+    ck_assert(wgf_pacer_due(&pacer, 20 * MSEC, 0));
     /* Reports that keep the leases alive leave whatever the budget says. */
     wgf_pacer_setup(&pacer, &(wgf_pacer_desc){.now = 0, .budget = 1});
     ck_assert(!wgf_pacer_due(&pacer, 300 * MSEC, 1000000));
@@ -205,8 +212,9 @@
 
 /* The stated outcomes of each sample trace, over the code that the daemons run. */
 START_TEST(sample_traces_have_their_outcomes) {
-    static const char* names[] = {"contest-weekend", "storm-night", "ordinary-day",    "one-router",
-                                  "uneven",          "overload",    "data-centre-gone"};
+    static const char* names[] = {"contest-weekend",  "storm-night", "ordinary-day",
+                                  "one-router",       "uneven",      "overload",
+                                  "data-centre-gone", "targets-die"};
     for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
         static simf_trace trace;
         char* path = g_strdup_printf("samples/traces/%s.trace", names[i]);
