Address sanitizer over all tests: leaks of the replay and of a stand-in

Cause: a build with -DWG_SANITIZE=ON showed 4.5 MB leaked by test_share and 128 bytes by the engine stand-in.

Ruled out: the libraries (the objects were the replay's own requests that still waited at the end) and the daemons (none reported anything).

Change: the replay frees what waits; the stand-in its timer.

--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -35,6 +35,7 @@
 static fake_faults fake = {.slots = 8, .pace_us = 20000, .work_us = 2000, .seed = 1};
 static const char* fake_address = "127.0.0.1:9000";
 static uint64_t fake_counter;
+static struct event* fake_timer; /* of the stand-in's own, released at the end */
 
 static int64_t* fake_field(const char* name) {
     static const struct {
@@ -118,6 +119,9 @@
     event_add(stop, NULL);
     event_base_dispatch(base);
     event_free(stop);
+    if (fake_timer) {
+        event_free(fake_timer);
+    }
     wgh_close(&server);
     event_base_free(base);
     return 0;
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -262,7 +262,8 @@
 static void setup(struct event_base* base) {
     engine_base = base;
     struct timeval lag = {.tv_usec = 500000};
-    event_add(event_new(base, -1, EV_PERSIST, on_report, NULL), &lag);
+    fake_timer = event_new(base, -1, EV_PERSIST, on_report, NULL);
+    event_add(fake_timer, &lag);
 }
 
 static void on_request(struct evhttp_request* request, void* user_data) {
--- a/tests/sim/sim_fleet.c
+++ b/tests/sim/sim_fleet.c
@@ -230,10 +230,19 @@
     return central(s) ? t->slots : t->slots / t->routers + (extra ? 1 : 0);
 }
 
+static void free_waiting(router_t* r) {
+    wgq_handle handle;
+    while (wgq_expire(r->queue, WG_TIME_NEVER, &handle)) {
+        g_free(wgq_user_data(r->queue, handle));
+        wgq_drop(r->queue, handle);
+    }
+}
+
 static void router_start(run_t* s, int i) {
     const simf_trace* t = s->trace;
     router_t* r = &s->routers[i];
     if (r->queue) {
+        free_waiting(r);
         wgq_shutdown(r->queue);
         wgp_shutdown(r->place);
     }
@@ -1044,6 +1053,7 @@
         }
     }
     for (int i = 0; i < s->trace->routers; i++) {
+        free_waiting(&s->routers[i]);
         wgq_shutdown(s->routers[i].queue);
         wgp_shutdown(s->routers[i].place);
         g_free(s->routers[i].held_told);
@@ -1052,7 +1062,7 @@
         wgf_shutdown(s->share);
     }
     for (int g = 0; g < s->trace->targets; g++) {
-        g_queue_clear(&s->targets[g].waiting);
+        g_queue_clear_full(&s->targets[g].waiting, g_free);
     }
     g_array_unref(s->heap);
     g_array_unref(s->gaps);
