A cut at each byte of a request that may not be repeated

Change: a target of the test reads 0 to 329 bytes of a request and resets the connection; each time the router must send once, say may-have-run, and tell a resend of the key the same without sending.

--- a/tests/test_fleet_requests.c
+++ b/tests/test_fleet_requests.c
@@ -362,8 +362,113 @@
 }
 END_TEST
 
-WG_TEST_MAIN("fleet requests", answers_and_refusals, malformed_bytes_leave_the_daemons_up,
-             actions_run_at_most_once, one_key_through_three_routers_runs_once,
+/* A target that reads so many bytes of a request and then resets the connection. Odd connections
+   are answered well, so that the router does not put it aside. */
+typedef struct {
+    int listener;
+    int connections;
+    int read_bytes;
+    bool over;
+} cutting_target;
+
+static void cut_after(int fd, int bytes) {
+    char byte;
+    struct timeval patience = {.tv_usec = 50000}; /* when the whole request has been read */
+    setsockopt(fd, SOL_SOCKET, SO_RCVTIMEO, &patience, sizeof patience);
+    for (int i = 0; i < bytes && recv(fd, &byte, 1, 0) == 1; i++) {
+    }
+    struct linger reset = {.l_onoff = 1};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
+static void answer_well(int fd) {
+    char block[4096];
+    if (recv(fd, block, sizeof block, 0) > 0) {
+        const char* answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok";
+        ssize_t sent = send(fd, answer, strlen(answer), MSG_NOSIGNAL);
+        (void)sent;
+    }
+}
+
+static gpointer cutting_thread(gpointer data) {
+    cutting_target* t = data;
+    while (!t->over) {
+        int fd = accept(t->listener, NULL, NULL);
+        if (fd < 0) {
+            continue;
+        }
+        if (t->connections++ % 2 == 0) {
+            cut_after(fd, t->read_bytes);
+        } else {
+            answer_well(fd);
+        }
+        close(fd);
+    }
+    return NULL;
+}
+
+static void open_cutting_target(cutting_target* t, char address[64]) {
+    struct sockaddr_in in = {.sin_family = AF_INET, .sin_port = htons(9000)};
+    char ip[32];
+    g_snprintf(ip, sizeof ip, "127.%d.9.1", fleet.host);
+    g_snprintf(address, 64, "%s:9000", ip);
+    inet_pton(AF_INET, ip, &in.sin_addr);
+    t->listener = socket(AF_INET, SOCK_STREAM, 0);
+    int one = 1;
+    setsockopt(t->listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    ck_assert_int_eq(bind(t->listener, (struct sockaddr*)&in, sizeof in), 0);
+    ck_assert_int_eq(listen(t->listener, 16), 0);
+}
+
+/* The target's link is cut after each byte of a request that may not be repeated: it is never sent
+   again, and never said not to have run. */
+START_TEST(a_cut_at_any_byte_is_not_sent_again) {
+    enum {
+        REQUEST_BYTES = 330
+    };
+    start(&(proc_desc){.controls = 1, .routers = 1, .services = 1, .engines = 1});
+    cutting_target target = {0};
+    char address[64] = "address=";
+    open_cutting_target(&target, address);
+    char* column = g_strdup_printf("address=%s", address);
+    GThread* thread = g_thread_new("target", cutting_thread, &target);
+    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "services", "raw", "kind=app",
+                              "repeatable=GET", NULL),
+                     0);
+    ck_assert_int_eq(proc_ctl(&fleet, NULL, "table", "set", "targets", "raw1", "service=raw",
+                              column, "slots=8", NULL),
+                     0);
+    const char* router = proc_find(&fleet, "r1")->address;
+    proc_sleep(500);
+    for (target.read_bytes = 0; target.read_bytes < REQUEST_BYTES; target.read_bytes++) {
+        int before = target.connections;
+        char key[64];
+        g_snprintf(key, sizeof key, "Idempotency-Key: byte-%d\r\n", target.read_bytes);
+        proc_answer answer = proc_ask(router, "POST", "/v1/app/raw/act", "key-w0", key, "go");
+        ck_assert_int_eq(answer.status, 502);
+        ck_assert_str_eq(answer.verdict, "may-have-run");
+        proc_answer_clear(&answer);
+        ck_assert_int_eq(target.connections - before, 1);
+        /* A resend of the key is told the same, and reaches no target. */
+        answer = proc_ask(router, "POST", "/v1/app/raw/act", "key-w0", key, "go");
+        ck_assert_int_eq(answer.status, 409);
+        ck_assert_str_eq(answer.verdict, "may-have-run");
+        proc_answer_clear(&answer);
+        ck_assert_int_eq(target.connections - before, 1);
+        ck_assert_int_eq(ask_status("r1", "POST", "/v1/app/raw/act", "key-w0", NULL, "go"), 200);
+    }
+    target.over = true;
+    g_free(proc_raw(address, "x", 1, 100, NULL));
+    g_thread_join(thread);
+    close(target.listener);
+    g_free(column);
+    proc_fleet_stop(&fleet);
+}
+END_TEST
+
+WG_TEST_MAIN("fleet requests", a_cut_at_any_byte_is_not_sent_again, answers_and_refusals,
+             malformed_bytes_leave_the_daemons_up, actions_run_at_most_once,
+             one_key_through_three_routers_runs_once,
              every_caller_gets_its_own_whole_answer_or_an_error, killed_target_fails_no_lookup,
              rolling_restart_fails_no_request, caller_who_leaves_cancels_the_work,
              slow_caller_does_not_fill_memory, slow_senders_are_closed)
