Silent requests count while they run; the demo shows service over weight

Cause: in make demo, 3 s after 300 requests of ten workspaces began, service over weight lay between 3.0 and 12.1. Requests that are not streamed say nothing of their cost until they end; where the estimate is far too small (5 tokens learnt, 100 taken) a workspace takes slots that cost it nothing yet.

Change: wgq_refresh raises the estimate of what has been at work for longer than its estimate stands for, by the service's usual cost per second; routers call it before each report. walnutgatectl fairness prints what each workspace took; the demo shows it.

--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -338,6 +338,39 @@
     return result;
 }
 
+static void print_shares(const json_t* state) {
+    printf("%-20s %-20s %8s %12s %16s\n", "service", "workspace", "weight", "cost", "cost/weight");
+    size_t i;
+    json_t* share;
+    json_array_foreach(json_object_get(state, "shares"), i, share) {
+        json_int_t cost = json_integer_value(json_object_get(share, "cost"));
+        json_int_t weight = json_integer_value(json_object_get(share, "weight"));
+        printf("%-20s %-20s %8" JSON_INTEGER_FORMAT " %12" JSON_INTEGER_FORMAT " %16.2f\n",
+               json_string_value(json_object_get(share, "service")),
+               json_string_value(json_object_get(share, "workspace")), weight, cost,
+               (double)cost / (double)weight);
+    }
+}
+
+/* What each workspace took, as the leader's accounts have it. */
+static int fairness(const options_t* options) {
+    for (int c = 0; options->controls[c]; c++) {
+        answer_t answer = ask(options->controls[c], options->key, "/debug/state", NULL);
+        json_t* json = json_loads(answer.body->str, 0, NULL);
+        bool leads = json_is_true(json_object_get(json, "leads"));
+        if (leads) {
+            print_shares(json);
+        }
+        json_decref(json);
+        g_string_free(answer.body, TRUE);
+        if (leads) {
+            return EXIT_SUCCESS;
+        }
+    }
+    fprintf(stderr, "walnutgatectl: no control that leads has answered\n");
+    return EXIT_NO_ANSWER;
+}
+
 static int replica_command(const options_t* options, const char* action, const char* name) {
     json_t* json = json_pack("{s:s,s:s}", "action", action, "name", name);
     char* text = json_dumps(json, JSON_COMPACT);
@@ -374,6 +407,9 @@
     if (strcmp(command, "status") == 0 && num == 1) {
         return status(options);
     }
+    if (strcmp(command, "fairness") == 0 && num == 1) {
+        return fairness(options);
+    }
     if (strcmp(command, "dump") == 0 && num == 2) {
         return dump_one(options, words[1]);
     }
@@ -394,6 +430,7 @@
            "  table delete <kind> <name>          delete one row\n"
            "  services | targets                  the same as table get\n"
            "  status                              a line for each control\n"
+           "  fairness                            what each workspace took, over its weight\n"
            "  dump <ip:port>                      state of any daemon by its operators' address\n"
            "  replica replace <name>              a control with a new data folder joins\n"
            "  replica remove <name>               take a control out of the set\n"
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -320,6 +320,27 @@
     return list;
 }
 
+/* What each workspace took of each service since this leader began; the first ones where there are
+   many. */
+static json_t* _wgco_dump_shares(wgco_control* c) {
+    json_t* list = json_array();
+    int service_at = -1;
+    for (const wgt_row* service; (service = wgt_next(c->table, WGT_KIND_SERVICE, &service_at));) {
+        int at = -1;
+        for (const wgt_row* row; (row = wgt_next(c->table, WGT_KIND_WORKSPACE, &at));) {
+            uint64_t served = wgf_query_served(c->share, service->id, row->id);
+            if (served == 0 || json_array_size(list) >= _WGCO_SHARES_DUMPED) {
+                continue;
+            }
+            json_array_append_new(list, json_pack("{s:s,s:s,s:I,s:I}", "service", service->name,
+                                                  "workspace", row->name, "weight",
+                                                  (json_int_t)row->workspace.weight, "cost",
+                                                  (json_int_t)served));
+        }
+    }
+    return list;
+}
+
 json_t* wgco_dump(wgco_control* c) {
     wg_time now = wg_now();
     wgr_stats q = wgr_query_stats(c->node, now);
@@ -345,6 +366,7 @@
     json_object_set_new(json, "replicas", _wgco_dump_replicas(c));
     json_object_set_new(json, "routers", _wgco_dump_members(c));
     if (c->share) {
+        json_object_set_new(json, "shares", _wgco_dump_shares(c));
         wgf_stats f = wgf_query_stats(c->share);
         json_object_set_new(json, "capacity",
                             json_pack("{s:i,s:i,s:i,s:i,s:I,s:I,s:I,s:I}", "routers", f.routers,
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -9,6 +9,7 @@
     _WGCO_PEERS_MAX = 8,
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
     _WGCO_FAIRS_MAX = 2048,
+    _WGCO_SHARES_DUMPED = 200,
     _WGCO_PLAN_AT_LEAST = 200 * WG_USEC_PER_MSEC /* time between plans when nothing changes */
 };
 
--- a/lib/queue/wg_queue.c
+++ b/lib/queue/wg_queue.c
@@ -74,6 +74,7 @@
     bool fleet_known;
     int64_t local_time; /* virtual time of the flow picked last; stands in while no leader speaks */
     int64_t average_cost; /* over all workspaces */
+    wg_time average_run;
     wgq_stats stats;
 };
 
@@ -438,6 +439,25 @@
     }
 }
 
+void wgq_refresh(wgq_queue* q, wg_time now) {
+    if (q->average_run <= 0 || q->stats.running == 0) {
+        return;
+    }
+    for (int slot = 0; slot < q->desc.requests_max; slot++) {
+        _wgq_request_t* r = &q->requests[slot];
+        if (r->state != _WGQ_RUNNING) {
+            continue;
+        }
+        int64_t expected = (now - r->picked_at) * q->average_cost / q->average_run;
+        int64_t covered = MAX(r->estimate, r->charged);
+        if (expected > covered) {
+            q->flows[r->flow].pending += expected - covered;
+            r->estimate = expected;
+            _wgq_place(q, r->flow);
+        }
+    }
+}
+
 void wgq_finish(wgq_queue* q, wg_time now, wgq_handle handle, int64_t cost) {
     _wgq_request_t* r = _wgq_find(q, handle, _WGQ_RUNNING);
     if (!r) {
@@ -448,6 +468,8 @@
     f->pending -= MAX(r->estimate - r->charged, 0);
     f->running--;
     if (cost > 0) {
+        wg_time took = now - r->picked_at;
+        q->average_run = q->average_run ? (q->average_run * 31 + took + 16) / 32 : took;
         q->average_cost = q->average_cost ? (q->average_cost * 31 + cost + 16) / 32 : cost;
         f->average_cost = f->average_cost ? (f->average_cost * 7 + cost + 4) / 8 : cost;
         int64_t given = r->desc.estimate > 0 ? r->desc.estimate : cost;
--- a/lib/queue/wg_queue.h
+++ b/lib/queue/wg_queue.h
@@ -22,7 +22,7 @@
         1. wgq_queue* q = wgq_setup(&(wgq_desc){.requests_max = 4096}, &error);
         2. r = wgq_push(q, now, &(wgq_request){.workspace = id, .limits = ...}, &refusal);
         3. while (a slot is free && wgq_pick(q, now, false, &r)) start(r);
-        4. wgq_charge(q, r, tokens);  wgq_finish(q, now, r, cost);
+        4. wgq_charge(q, r, tokens);  wgq_refresh(q, now);  wgq_finish(q, now, r, cost);
         5. while (wgq_expire(q, now, &r)) answer "too late" and wgq_drop(q, r);
         6. wgq_sync() with what the leader says of the fleet; wgq_accounts() to tell it.
         7. wgq_shutdown(q);
@@ -121,6 +121,9 @@
 bool wgq_pick(wgq_queue* queue, wg_time now, bool urgent_only, wgq_handle* picked);
 /* A running request has cost this much so far. */
 void wgq_charge(wgq_queue* queue, wgq_handle handle, int64_t cost_so_far);
+/* Raise the estimates of running requests that have been at work for longer than their estimate
+   stands for, by the service's usual cost per second. */
+void wgq_refresh(wgq_queue* queue, wg_time now);
 /* A running request ended and cost this much in all. */
 void wgq_finish(wgq_queue* queue, wg_time now, wgq_handle handle, int64_t cost);
 /* A waiting request that has to be given up now, or false. It stays until wgq_drop(). */
--- a/lib/router/wg_router_link.c
+++ b/lib/router/wg_router_link.c
@@ -40,7 +40,7 @@
     Wgpb__Held* held_list[WGP_TARGETS_DEFAULT];
 } _wgro_report_t;
 
-static void _wgro_fill_accounts(wgro_router* r, _wgro_report_t* out) {
+static void _wgro_fill_accounts(wgro_router* r, wg_time now, _wgro_report_t* out) {
     wgq_account accounts[_WGRO_ACCOUNTS_MAX];
     out->report.accounts = out->account_list;
     for (int i = 0; i < r->services_num; i++) {
@@ -49,6 +49,7 @@
         if (!service->live) {
             continue;
         }
+        wgq_refresh(service->queue, now);
         int num = wgq_accounts(service->queue, r->report_full, accounts, room);
         for (int a = 0; a < num; a++) {
             Wgpb__Account* account = &out->accounts[out->report.n_accounts];
@@ -106,7 +107,7 @@
     out->report.leaving = r->stopping;
     out->report.full = r->report_full;
     out->report.all_rows = strcmp(r->settings->rows, "all") == 0;
-    _wgro_fill_accounts(r, out);
+    _wgro_fill_accounts(r, now, out);
     _wgro_fill_held(r, out);
     wgn_send(r->net, r->link, WGW_TYPE_REPORT, &out->report.base);
     r->report_full = false;
--- a/lib/share/wg_share.c
+++ b/lib/share/wg_share.c
@@ -207,6 +207,7 @@
     _wgf_account_t* a = &s->accounts[account];
     if (in->served > a->served) {
         f->virtual_time += (int64_t)(in->served - a->served) * WGF_SCALE / f->weight;
+        f->served += in->served - a->served;
         a->served = in->served;
     }
     _wgf_merge_demand(s, a, in);
@@ -501,6 +502,12 @@
     return flow < 0 ? 0 : (uint64_t)s->flows[flow].virtual_time;
 }
 
+uint64_t wgf_query_served(const wgf_share* s, uint32_t id, uint32_t workspace) {
+    int service = _wgf_find_service(s, id);
+    int flow = service < 0 ? -1 : _wgf_find_flow(s, service, workspace);
+    return flow < 0 ? 0 : s->flows[flow].served;
+}
+
 int wgf_query_leased(const wgf_share* s, uint32_t id) {
     int t = _wgf_find_target(s, id);
     return t < 0 ? 0 : s->targets[t].counted;
--- a/lib/share/wg_share.h
+++ b/lib/share/wg_share.h
@@ -159,6 +159,8 @@
 uint64_t wgf_query_fleet_time(const wgf_share* share, uint32_t service);
 /* Virtual time of one workspace; 0 when unknown. */
 uint64_t wgf_query_virtual_time(const wgf_share* share, uint32_t service, uint32_t workspace);
+/* Cost that a workspace took of a service since this leader began; 0 when unknown. */
+uint64_t wgf_query_served(const wgf_share* share, uint32_t service, uint32_t workspace);
 /* Slots counted as held on one target, over all routers. */
 int wgf_query_leased(const wgf_share* share, uint32_t target);
 wgf_stats wgf_query_stats(const wgf_share* share);
--- a/lib/share/wg_share_internal.h
+++ b/lib/share/wg_share_internal.h
@@ -31,6 +31,7 @@
     uint32_t workspace;
     int64_t weight;
     int64_t virtual_time; /* settled */
+    uint64_t served;      /* since this leader began */
     int64_t pending;
     int64_t queued;
     int64_t running;
--- a/tests/test_queue.c
+++ b/tests/test_queue.c
@@ -317,8 +317,38 @@
 }
 END_TEST
 
-WG_TEST_MAIN("queue", wait_of_a_head_is_bounded, flood_does_not_lengthen_others_waits,
-             service_follows_weights, nobody_starves_under_a_flood, idle_time_banks_no_credit,
+/* A request that says nothing of its cost until its end, and takes longer than usual, counts for
+   more and more while it runs; what it really cost settles it. */
+START_TEST(long_silent_requests_count_while_they_run) {
+    wgq_queue* q = wgq_setup(&(wgq_desc){0}, NULL);
+    wgq_handle picked;
+    for (int i = 0; i < 40; i++) {
+        push(q, 0, 1, 100, false);
+        pick(q, 0, &picked);
+        wgq_finish(q, SECOND, picked, 100); /* 100 a second */
+    }
+    push(q, 10 * SECOND, 1, 100, false);
+    pick(q, 10 * SECOND, &picked);
+    wgq_account account;
+    wgq_refresh(q, 10 * SECOND + SECOND / 2);
+    wgq_accounts(q, true, &account, 1);
+    ck_assert_uint_le(account.pending, 101);
+    wgq_refresh(q, 15 * SECOND);
+    wgq_accounts(q, true, &account, 1);
+    ck_assert_uint_ge(account.pending, 450);
+    ck_assert_uint_le(account.pending, 550);
+    uint64_t served = account.served;
+    wgq_finish(q, 16 * SECOND, picked, 300); /* it was slow, not large */
+    wgq_accounts(q, true, &account, 1);
+    ck_assert_uint_eq(account.pending, 0);
+    ck_assert_uint_eq(account.served, served + 300);
+    wgq_shutdown(q);
+}
+END_TEST
+
+WG_TEST_MAIN("queue", long_silent_requests_count_while_they_run, wait_of_a_head_is_bounded,
+             flood_does_not_lengthen_others_waits, service_follows_weights,
+             nobody_starves_under_a_flood, idle_time_banks_no_credit,
              fleet_time_counts_what_others_served, accounts_only_rise,
              limits_refuse_with_when_to_come_back, what_cannot_be_served_in_time_is_refused,
              urgent_goes_first_within_its_own_share, expired_and_stale_handles)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -129,6 +129,13 @@
         ck_assert(g_file_set_contents(path, bad, (gssize)size, NULL));
         ck_assert_int_eq(entries_found(&error), -1);
         g_clear_error(&error);
+        /* A start that refuses leaves the file as it was, for whoever looks into it. */
+        char* after;
+        gsize after_size;
+        ck_assert(g_file_get_contents(path, &after, &after_size, NULL));
+        ck_assert_uint_eq(after_size, size);
+        ck_assert_int_eq(memcmp(after, bad, size), 0);
+        g_free(after);
         g_free(bad);
     }
     ck_assert(g_file_set_contents(path, good, (gssize)size, NULL));
--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -94,28 +94,25 @@
     for i in 1 2 3; do [[ $(version_at $i) -ge $1 ]] || return 1; done
 }
 
-# Each workspace's part of the tokens while all are busy.
+# All workspaces busy at once, through all routers; what each got in 3 s, over its weight.
 fairness() {
-    local name keys i n
-    keys=$(cut -d, -f1,3 "$top/samples/workspaces.csv" | tail -n +2)
-    for entry in $keys; do
-        name=${entry%%,*}
-        for n in $(seq 12); do
-            i=$((n % 3 + 1))
-            curl -s -o /dev/null -H "Authorization: Bearer demo-key-$name" \
-                -d '{"model":"logbook-assistant","max_tokens":20,"messages":[]}' \
-                "http://127.0.2.$i:800$i/v1/chat/completions" &
+    local name i load=()
+    "${ctl[@]}" fairness | grep logbook-assistant >"$run/before.txt" || true
+    for name in $(cut -d, -f1 "$top/samples/workspaces.csv" | tail -n +2); do
+        for i in 1 2 3; do
+            curl -sf -Z --no-progress-meter --parallel-immediate -o /dev/null -H "Authorization: Bearer demo-key-$name" \
+                -d '{"model":"logbook-assistant","max_tokens":100,"messages":[]}' \
+                "http://127.0.2.$i:800$i/v1/chat/completions?n=[1-10]" &
             load+=($!)
         done
     done
-    sleep 0.5
-    printf '%-20s %8s\n' router "at work"
-    for i in 1 2 3; do
-        printf '%-20s %8s\n' "r$i" "$(curl -sf "http://127.0.2.$i:730$i/metrics" |
-            awk '$1 == "walnutgate_calls" {print $2}')"
-    done
-    wait "${load[@]}"
-    "${ctl[@]}" dump 127.0.2.1:7301 | grep -A 12 '"services"' | grep -E 'name|picked|served|wait'
+    sleep 3.2
+    "${ctl[@]}" fairness | grep logbook-assistant >"$run/after.txt"
+    awk 'FILENAME ~ /before/ {before[$2] = $4; next}
+         {printf "%-20s weight %4d  tokens %5d  over weight %5.2f\n", $2, $3, $4 - before[$2], ($4 - before[$2]) / $3}' \
+        "$run/before.txt" "$run/after.txt"
+    for i in "${load[@]}"; do wait "$i" || fail "a request of the load failed"; done
+    [[ $(wc -l <"$run/after.txt") == 10 ]] || fail "not all workspaces were served"
 }
 
 run_all() {
@@ -153,8 +150,7 @@
     [[ $(curl -s -o /dev/null -w '%{http_code}' -H "Authorization: Bearer demo-key-referees" \
         http://127.0.2.1:8001/v1/app/nothing/x) == 404 ]] || fail "unknown service was not 404"
     echo "401 and 404, as they should be"
-    say "120 requests of 10 workspaces at once"
-    load=()
+    say "300 requests of 10 workspaces at once: service after 3 s"
     fairness
     say "state of a control"
     "${ctl[@]}" dump 127.0.1.1:7201 | head -40
