A router whose leases the leader ended is asked for everything

Cause: found while reading wg_share.c as a newcomer. A leader that ended a router's leases ignores its reports until a full one comes, and left it to the router's own clock to send one. With a clock a little slow the router's next report leaves before its lease ends, the reply renews it, and it would hold no slots for ever. A grant that left before a full report could also be added to what that report had counted.

Ruled out: nothing; test router_whose_leases_ended_is_asked_for_everything could not be written before (there was no such question to the leader).

Change: wgf_wants_full, want_full in the reply; a router ignores orders older than its last full report.

--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -205,6 +205,7 @@
         _wgco_fill_rows(c, s, &reply);
         _wgco_fill_members(c, s, &reply);
         _wgco_fill_orders(c, s, &reply);
+        reply.want_full = wgf_wants_full(c->share, s->share);
         if (with_fairs) {
             _wgco_fill_fairs(c, s, &reply);
         }
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -142,6 +142,7 @@
     uint64_t report_seq;
     uint64_t applied;
     bool report_full;
+    uint64_t full_seq; /* of the last full report */
     wgf_pacer pacer;
     wg_time reply_at;
     wg_time slot_lease_until; /* 0: no slots are held */
--- a/lib/router/wg_router_link.c
+++ b/lib/router/wg_router_link.c
@@ -106,6 +106,7 @@
     out->report.member_version = wgm_version(r->members);
     out->report.leaving = r->stopping;
     out->report.full = r->report_full;
+    r->full_seq = r->report_full ? r->report_seq : r->full_seq;
     out->report.all_rows = strcmp(r->settings->rows, "all") == 0;
     _wgro_fill_accounts(r, now, out);
     _wgro_fill_held(r, out);
@@ -191,6 +192,28 @@
     wgn_close(r->net, r->link);
 }
 
+/* Slots added and asked back. Orders that left before the leader had our last full report do not
+   count: it has counted anew since. */
+static void _wgro_take_orders(wgro_router* r, const Wgpb__Reply* reply) {
+    for (size_t i = 0; i < reply->n_quotas; i++) {
+        wgp_set_quota(r->place, reply->quotas[i]->service, reply->quotas[i]->most);
+    }
+    for (size_t i = 0; i < reply->n_grants; i++) {
+        wgp_add_slots(r->place, reply->grants[i]->target, (int)reply->grants[i]->add);
+        /* The next report says what came of it, even if it was given back at once. */
+        g_hash_table_insert(r->held_reported, GUINT_TO_POINTER(reply->grants[i]->target),
+                            GUINT_TO_POINTER(G_MAXUINT));
+    }
+}
+
+/* The leader has given the slots away by now, or soon will. */
+static void _wgro_end_slot_leases(wgro_router* r) {
+    r->slot_lease_until = 0;
+    wgp_clear_slots(r->place);
+    r->report_full = true;
+    wg_log(WG_EVENT_LEASES_LAPSED, "%s", "");
+}
+
 static void _wgro_take_reply(wgro_router* r, const Wgpb__Reply* reply) {
     wg_time now = wg_now();
     r->reply_at = now;
@@ -214,14 +237,13 @@
     _wgro_take_rows(r, reply);
     _wgro_take_members(r, reply);
     _wgro_take_fairs(r, reply);
-    for (size_t i = 0; i < reply->n_quotas; i++) {
-        wgp_set_quota(r->place, reply->quotas[i]->service, reply->quotas[i]->most);
+    if (reply->report_seq >= r->full_seq) {
+        _wgro_take_orders(r, reply);
     }
-    for (size_t i = 0; i < reply->n_grants; i++) {
-        wgp_add_slots(r->place, reply->grants[i]->target, (int)reply->grants[i]->add);
-        /* The next report says what came of it, even if it was given back at once. */
-        g_hash_table_insert(r->held_reported, GUINT_TO_POINTER(reply->grants[i]->target),
-                            GUINT_TO_POINTER(G_MAXUINT));
+    if (reply->want_full) {
+        _wgro_end_slot_leases(r);
+        _wgro_report_soon(r);
+        return;
     }
     r->slot_lease_until = reply->echo + reply->slot_lease;
     wgp_set_lease(r->place, r->slot_lease_until);
@@ -376,11 +398,7 @@
 
 void _wgro_link_tick(wgro_router* r, wg_time now) {
     if (r->slot_lease_until > 0 && now >= r->slot_lease_until) {
-        /* The leader has given these slots away by now, or soon will. */
-        r->slot_lease_until = 0;
-        wgp_clear_slots(r->place);
-        r->report_full = true;
-        wg_log(WG_EVENT_LEASES_LAPSED, "%s", "");
+        _wgro_end_slot_leases(r);
     }
     if (r->link.id == 0) {
         if (now >= r->dial_at) {
--- a/lib/share/wg_share.c
+++ b/lib/share/wg_share.c
@@ -414,8 +414,8 @@
         return;
     }
     _wgf_router_t* router = &s->routers[r];
-    if (!report->full && (router->lapsed || !router->reported)) {
-        s->stats.stale_reports++; /* its leases ended; it has to say everything first */
+    if (!report->full && wgf_wants_full(s, handle)) {
+        s->stats.stale_reports++;
         return;
     }
     router->heard_at = now;
@@ -433,6 +433,11 @@
     }
 }
 
+bool wgf_wants_full(const wgf_share* s, wgf_router handle) {
+    int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
+    return r >= 0 && (s->routers[r].lapsed || !s->routers[r].reported);
+}
+
 bool wgf_take_orders(wgf_share* s, wgf_router handle, uint64_t seq, wgf_orders* orders) {
     orders->grants_num = orders->quotas_num = 0;
     int r = wg_pool_slot(&s->routers_pool, (wg_handle){handle.id});
--- a/lib/share/wg_share.h
+++ b/lib/share/wg_share.h
@@ -147,6 +147,8 @@
 /* A router stopped in the planned way and holds nothing any more. */
 void wgf_router_gone(wgf_share* share, wgf_router router);
 void wgf_report(wgf_share* share, wg_time now, wgf_router router, const wgf_report_desc* report);
+/* The leader does not know what this router holds: it has to send a full report. */
+bool wgf_wants_full(const wgf_share* share, wgf_router router);
 /* Work out anew who may use which slots; also ends the leases of silent routers. */
 void wgf_plan(wgf_share* share, wg_time now);
 /* Grants and quotas that are new for this router; they leave with `seq`. False when there are none.
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -3612,7 +3612,7 @@
   (ProtobufCMessageInit) wgpb__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[19] =
+static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[20] =
 {
   {
     "seq",
@@ -3842,6 +3842,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "want_full",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, want_full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__reply__field_indices_by_name[] = {
   2,   /* field[2] = echo */
@@ -3863,11 +3875,12 @@
   6,   /* field[6] = table_lease */
   9,   /* field[9] = table_version */
   3,   /* field[3] = term */
+  19,   /* field[19] = want_full */
 };
 static const ProtobufCIntRange wgpb__reply__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wgpb__reply__descriptor =
 {
@@ -3877,7 +3890,7 @@
   "Wgpb__Reply",
   "wgpb",
   sizeof(Wgpb__Reply),
-  19,
+  20,
   wgpb__reply__field_descriptors,
   wgpb__reply__field_indices_by_name,
   1,  wgpb__reply__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -482,10 +482,14 @@
   protobuf_c_boolean members_reset;
   size_t n_quotas;
   Wgpb__Quota **quotas;
+  /*
+   * the leases of this router ended: it has to report everything
+   */
+  protobuf_c_boolean want_full;
 };
 #define WGPB__REPLY__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__reply__descriptor) \
-    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL }
+    , 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0,NULL, 0, 0,NULL, 0,NULL, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 struct  Wgpb__RowQuery
--- a/tests/test_share.c
+++ b/tests/test_share.c
@@ -144,6 +144,28 @@
 }
 END_TEST
 
+/* A clock that runs a little slow: the leader ended a router's leases, and the router's next report
+   does not know it. The leader asks for a full one. */
+START_TEST(router_whose_leases_ended_is_asked_for_everything) {
+    wgf_share* s = share_with_targets();
+    static wgf_orders orders;
+    wgf_router a = wgf_router_up(s, SECOND, "a", 1, "dc");
+    ck_assert(wgf_wants_full(s, a));
+    report(s, 4 * SECOND, a, true, 0, 1, 0, 9);
+    ck_assert(!wgf_wants_full(s, a));
+    wgf_plan(s, 4 * SECOND);
+    wgf_take_orders(s, a, 1, &orders);
+    wgf_plan(s, 6 * SECOND + 10 * MSEC);
+    report(s, 6 * SECOND + 20 * MSEC, a, false, 1, 1, 0, 9);
+    ck_assert(wgf_wants_full(s, a));
+    report(s, 6 * SECOND + 40 * MSEC, a, true, 1, 1, 0, 9);
+    wgf_plan(s, 6 * SECOND + 50 * MSEC);
+    ck_assert(wgf_take_orders(s, a, 2, &orders));
+    ck_assert_int_ge(granted(&orders), 9);
+    wgf_shutdown(s);
+}
+END_TEST
+
 /* Orders and reports cross: what the leader counts comes to what the router holds. */
 START_TEST(crossing_grants_are_counted_once) {
     wgf_share* s = share_with_targets();
@@ -281,6 +303,7 @@
 WG_TEST_MAIN("share", repeated_and_late_reports_count_once,
              new_leader_grants_only_after_old_leases_ended,
              silent_router_loses_its_slots_after_the_term, leaving_target_is_not_leased,
-             shares_follow_weights_and_demand, crossing_grants_are_counted_once,
-             pacer_holds_to_its_budget, sample_traces_have_their_outcomes, bad_traces_name_the_line,
+             shares_follow_weights_and_demand, router_whose_leases_ended_is_asked_for_everything,
+             crossing_grants_are_counted_once, pacer_holds_to_its_budget,
+             sample_traces_have_their_outcomes, bad_traces_name_the_line,
              random_fleets_keep_the_bound)
