tests: split the two large replay files; drop two events nothing emits

Cause: read as a newcomer, the fleet replay (about 1,100 lines) and the quorum replay (863 lines) each held several jobs in one file, and the event catalogue listed two numbers (settings bad, listen failed) that no code writes, so an operator could have waited for a line that never comes. Three fields of the replay descriptions were set and never read.

Ruled out: emitting the two events instead. Both failures happen before logging is set up and already end the program with a clear error on standard error, which is where an operator starting it by hand looks.

Change: the fleet replay is now the fleet itself, its faults and its measurements, sharing one internal header; the quorum replay's disk that tears, loses and rots writes is a file of its own.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -14,8 +14,6 @@
     X(1003, STOP_BEGUN, INFO, "planned stop begun, no new work is invited")                        \
     X(1004, STOP_HURRIED, WARN, "second stop signal, remaining work is cut off")                   \
     X(1005, STATE_DUMP, INFO, "state dump")                                                        \
-    X(1006, SETTINGS_BAD, ERROR, "settings refused")                                               \
-    X(1007, LISTEN_FAILED, ERROR, "cannot listen")                                                 \
     X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
--- /dev/null
+++ b/tests/sim/sim_disk.h
@@ -0,0 +1,28 @@
+#pragma once
+/* sim_disk.h -- what a replica of the replay has on its disk; a crash leaves it as it stands */
+#include "wg_quorum.h"
+
+enum {
+    SIMD_LOG_KEEP = 10 /* entries kept behind a snapshot */
+};
+
+/* What survives a crash. */
+typedef struct {
+    uint64_t identity;
+    uint64_t term;
+    uint64_t voted_for;
+    uint64_t snapshot_index;
+    uint64_t snapshot_term;
+    wgr_set set;
+    GBytes* snapshot;
+    GArray* entries;
+} simd_disk;
+
+/* Empty it; also its first set-up. */
+void simd_reset(simd_disk* disk);
+/* Index of the first entry that is kept, or would be. */
+uint64_t simd_first(const simd_disk* disk);
+void simd_truncate(simd_disk* disk, uint64_t from);
+void simd_append(simd_disk* disk, const wgr_entry* entries, int num);
+void simd_snapshot(simd_disk* disk, uint64_t index, uint64_t term, const wgr_set* set,
+                   GBytes* state, bool reset);
--- a/tests/sim/sim_fleet.c
+++ b/tests/sim/sim_fleet.c
@@ -1,165 +1,8 @@
 /* sim_fleet.c -- see sim_fleet.h */
-#include "sim_fleet.h"
-
 #include <math.h>
 #include <string.h>
 
-/* ---- types -------------------------------------------------------------------------------- */
-
-enum {
-    SERVICE_ID = 1,
-    TARGET_ID_FIRST = 10000,
-    SAMPLE = 100 * WG_USEC_PER_MSEC,
-    PLAN_GAP = 5 * WG_USEC_PER_MSEC,
-    SLOT_TERM = 2 * WG_USEC_PER_SEC,
-    SETTLE = 5 * WG_USEC_PER_SEC, /* after a fault, until gaps have to be in their bounds again */
-    /* Bytes of messages, protobuf and framing and TCP/IP heads; checked against real processes. */
-    REPORT_BYTES = 90,
-    REPLY_BYTES = 105,
-    ACCOUNT_BYTES = 16,
-    HELD_BYTES = 8,
-    FAIR_BYTES = 16,
-    SLOT_BYTES = 6,
-    GRANT_BYTES = 90,
-    ITEMS_MAX = 2048
-};
-
-typedef struct {
-    int workspace;
-    int router;
-    int64_t tokens;
-    bool urgent;
-    wg_time arrived;
-    wg_time started; /* tokens flow from here on; 0 not yet */
-    wg_time deadline;
-    wgp_choice choice;
-    wgq_handle handle;
-    bool running; /* at a target */
-    bool in_slot; /* of that target */
-} request_t;
-
-typedef enum {
-    EVENT_ARRIVAL,
-    EVENT_FINISH,
-    EVENT_REPORT, /* a router looks whether to report */
-    EVENT_AT_LEADER,
-    EVENT_PLAN,
-    EVENT_AT_ROUTER,
-    EVENT_GRANTED, /* arbiter's grant reaches the router */
-    EVENT_REFUSED, /* the router learns that a target refused a request */
-    EVENT_SAMPLE,
-    EVENT_FAULT
-} event_type;
-
-typedef struct {
-    wg_time at;
-    uint64_t order;
-    event_type type;
-    int a;
-    void* data;
-} event_t;
-
-/* A report on its way. */
-typedef struct {
-    int router;
-    uint64_t incarnation;
-    wg_time sent_at;
-    bool full;
-    uint64_t applied;
-    int accounts_num;
-    int held_num;
-    wgf_account accounts[SIMF_WORKSPACES_MAX];
-    wgf_held* held;
-} report_t;
-
-/* A reply on its way. */
-typedef struct {
-    int router;
-    uint64_t incarnation;
-    uint64_t leader;
-    uint64_t seq;
-    wg_time echo;
-    uint64_t fleet_time;
-    int fairs_num;
-    wgf_fair fairs[SIMF_WORKSPACES_MAX];
-    wgf_orders orders;
-} reply_t;
-
-typedef struct {
-    wgq_queue* queue;
-    wgp_place* place;
-    uint64_t incarnation;
-    bool cut;
-    bool report_full;
-    bool report_planned; /* an event will look whether to report */
-    wgf_pacer pacer;
-    wg_time lease_until;
-    uint64_t applied;
-    uint64_t leader; /* whose reply it applied last */
-    uint32_t* held_told;
-    /* at the leader */
-    wgf_router at_leader;
-    uint64_t seq;
-    uint64_t bytes;
-} router_t;
-
-typedef struct {
-    int in_slots;
-    int64_t slot_limit;
-    GQueue waiting; /* request_t* beyond its slots */
-    bool gone;
-    bool dead; /* refuses connections, and nobody is told */
-} target_t;
-
-/* Service of a pair of workspaces since both have been backlogged. */
-typedef struct {
-    bool joint;
-    double base_a;
-    double base_b;
-} pair_t;
-
-typedef struct {
-    const simf_trace* trace;
-    simf_way way;
-    wg_time now;
-    uint64_t order;
-    uint64_t counter;
-    GArray* heap;
-    router_t* routers;
-    target_t* targets;
-    wgf_share* share;
-    uint64_t leader; /* number of the present one, 0 none */
-    wg_time counts_from;
-    bool plan_due;
-    GPtrArray* running; /* request_t* */
-    int64_t weights[SIMF_WORKSPACES_MAX];
-    double delivered[SIMF_WORKSPACES_MAX]; /* tokens of finished requests */
-    double normal[SIMF_WORKSPACES_MAX];    /* tokens over weight, as of the last sample */
-    double last_tokens[SIMF_WORKSPACES_MAX];
-    int queued[SIMF_WORKSPACES_MAX];
-    bool emptied[SIMF_WORKSPACES_MAX]; /* nothing waited at some moment since the last sample */
-    pair_t pairs[SIMF_WORKSPACES_MAX][SIMF_WORKSPACES_MAX];
-    GArray* gaps;
-    wg_hist wait;
-    wg_time urgent_wait;
-    double slot_time;
-    double busy_time;
-    double good_tokens;
-    double bad_tokens;
-    double largest;
-    uint64_t refused;
-    uint64_t requests;
-    uint64_t finished;
-    uint64_t leader_bytes;
-    wg_time faults_end;
-    wg_time out_of_bound_at;
-    double over_bound; /* largest gap over the bound of its pair */
-    double over_bound_calm;
-    wg_time calm_from; /* a while after the last fault's end; pairs begin anew there */
-} run_t;
-
-static void dispatch(run_t* s, int router);
-static double pair_bound(const run_t* s, int a, int b);
+#include "sim_fleet_internal.h"
 
 /* ---- helpers: events ------------------------------------------------------------------------ */
 
@@ -177,7 +20,7 @@
     *event_at(s, b) = keep;
 }
 
-static void post(run_t* s, wg_time at, event_type type, int a, void* data) {
+void _simf_post(run_t* s, wg_time at, event_type type, int a, void* data) {
     event_t event = {.at = at, .order = ++s->order, .type = type, .a = a, .data = data};
     g_array_append_val(s->heap, event);
     guint i = s->heap->len - 1;
@@ -215,19 +58,19 @@
 
 /* ---- helpers: set-up ------------------------------------------------------------------------ */
 
-static bool central(const run_t* s) {
+bool _simf_central(const run_t* s) {
     return s->way == SIMF_WAY_ARBITER || s->way == SIMF_WAY_OMNISCIENT;
 }
 
 /* Slots that a router has of a target without any leases: all for the one queue, a whole part each
    when routers are alone. */
-static int fixed_slots(const run_t* s, int router, int target) {
+int _simf_fixed_slots(const run_t* s, int router, int target) {
     const simf_trace* t = s->trace;
     if (s->way == SIMF_WAY_LEASED) {
         return 0;
     }
     bool extra = (target + router) % t->routers < t->slots % t->routers;
-    return central(s) ? t->slots : t->slots / t->routers + (extra ? 1 : 0);
+    return _simf_central(s) ? t->slots : t->slots / t->routers + (extra ? 1 : 0);
 }
 
 static void free_waiting(router_t* r) {
@@ -238,7 +81,7 @@
     }
 }
 
-static void router_start(run_t* s, int i) {
+void _simf_router_start(run_t* s, int i) {
     const simf_trace* t = s->trace;
     router_t* r = &s->routers[i];
     if (r->queue) {
@@ -259,13 +102,13 @@
     for (int g = 0; g < t->targets; g++) {
         uint32_t id = TARGET_ID_FIRST + (uint32_t)g;
         wgp_config_target(r->place, id, SERVICE_ID, "", "", "", t->slots, s->targets[g].gone, 1);
-        wgp_add_slots(r->place, id, fixed_slots(s, i, g));
+        wgp_add_slots(r->place, id, _simf_fixed_slots(s, i, g));
     }
     wgp_config_end(r->place);
     wgp_set_lease(r->place, s->way == SIMF_WAY_LEASED ? 0 : WG_TIME_NEVER);
 }
 
-static void share_config(run_t* s) {
+void _simf_share_config(run_t* s) {
     const simf_trace* t = s->trace;
     wgf_config_begin(s->share);
     wgf_config_service(s->share, SERVICE_ID, t->over_percent, 200);
@@ -279,7 +122,7 @@
     }
 }
 
-static void leader_start(run_t* s) {
+void _simf_leader_start(run_t* s) {
     s->share = wgf_setup(&(wgf_desc){.now = s->now,
                                      .routers_max = s->trace->routers,
                                      .targets_max = s->trace->targets,
@@ -290,103 +133,33 @@
     s->leader++;
     /* A new leader learns in its first term what is held. */
     s->counts_from = s->now + SLOT_TERM;
-    share_config(s);
+    _simf_share_config(s);
     for (int i = 0; i < s->trace->routers; i++) {
         s->routers[i].at_leader = (wgf_router){0};
         s->routers[i].report_full = true;
     }
 }
 
-/* ---- helpers: service given ------------------------------------------------------------------ */
-
-static double tokens_so_far(const run_t* s, const request_t* q) {
-    if (!q->started || s->now <= q->started) {
-        return 0;
-    }
-    double tokens = (double)(s->now - q->started) / (double)s->trace->pace;
-    return MIN(tokens, (double)q->tokens);
-}
-
-static void take_sample(run_t* s) {
-    int num = s->trace->workspaces_num;
-    double tokens[SIMF_WORKSPACES_MAX];
-    memcpy(tokens, s->delivered, sizeof tokens);
-    for (guint i = 0; i < s->running->len; i++) {
-        const request_t* q = g_ptr_array_index(s->running, i);
-        tokens[q->workspace] += tokens_so_far(s, q);
-    }
-    for (int w = 0; w < num; w++) {
-        s->normal[w] += (tokens[w] - s->last_tokens[w]) * 100.0 / (double)s->weights[w];
-        s->last_tokens[w] = tokens[w];
-    }
-    double widest = 0;
-    for (int a = 0; a < num; a++) {
-        for (int b = a + 1; b < num; b++) {
-            pair_t* pair = &s->pairs[a][b];
-            bool joint = !s->emptied[a] && !s->emptied[b] && s->now != s->calm_from;
-            if (joint && !pair->joint) {
-                pair->base_a = s->normal[a];
-                pair->base_b = s->normal[b];
-            }
-            pair->joint = joint;
-            if (joint) {
-                double gap = fabs((s->normal[a] - pair->base_a) - (s->normal[b] - pair->base_b));
-                g_array_append_val(s->gaps, gap);
-                double over = gap / pair_bound(s, a, b);
-                widest = MAX(widest, over);
-            }
-        }
-    }
-    for (int w = 0; w < num; w++) {
-        s->emptied[w] = s->queued[w] == 0;
-    }
-    s->over_bound = MAX(s->over_bound, widest);
-    if (s->now > s->calm_from) {
-        s->over_bound_calm = MAX(s->over_bound_calm, widest);
-    }
-    if (widest > 1 && s->faults_end > 0) {
-        s->out_of_bound_at = s->now;
-    }
-}
-
-/* Slot time while requests wait anywhere: used against available. */
-static void account_time(run_t* s, wg_time until) {
-    int waiting = 0;
-    for (int w = 0; w < s->trace->workspaces_num; w++) {
-        waiting += s->queued[w];
-    }
-    if (waiting == 0 || until <= s->now) {
-        return;
-    }
-    double span = (double)(until - s->now);
-    for (int g = 0; g < s->trace->targets; g++) {
-        if (!s->targets[g].gone && !s->targets[g].dead) {
-            s->slot_time += span * s->trace->slots;
-            s->busy_time += span * MIN(s->targets[g].in_slots, s->trace->slots);
-        }
-    }
-}
-
 /* ---- helpers: targets ------------------------------------------------------------------------ */
 
-static void target_start_next(run_t* s, target_t* target) {
+void _simf_target_start_next(run_t* s, target_t* target) {
     while (target->in_slots < s->trace->slots && target->waiting.length > 0) {
         request_t* q = g_queue_pop_head(&target->waiting);
         target->in_slots++;
         q->in_slot = true;
         q->started = s->now;
-        post(s, s->now + q->tokens * s->trace->pace, EVENT_FINISH, 0, q);
+        _simf_post(s, s->now + q->tokens * s->trace->pace, EVENT_FINISH, 0, q);
     }
 }
 
-static target_t* target_of(run_t* s, const request_t* q) {
+target_t* _simf_target_of(run_t* s, const request_t* q) {
     return &s->targets[q->choice.target - TARGET_ID_FIRST];
 }
 
 static void target_take(run_t* s, request_t* q) {
-    target_t* target = target_of(s, q);
+    target_t* target = _simf_target_of(s, q);
     if (target->dead) {
-        post(s, s->now + s->trace->delay, EVENT_REFUSED, 0, q);
+        _simf_post(s, s->now + s->trace->delay, EVENT_REFUSED, 0, q);
         return;
     }
     q->running = true;
@@ -396,20 +169,20 @@
     } else {
         g_queue_push_tail(&target->waiting, q);
     }
-    target_start_next(s, target);
+    _simf_target_start_next(s, target);
 }
 
 /* ---- helpers: routers ------------------------------------------------------------------------ */
 
-static int queue_router(const run_t* s, int router) {
-    return central(s) ? 0 : router;
+int _simf_queue_router(const run_t* s, int router) {
+    return _simf_central(s) ? 0 : router;
 }
 
-static void plan_report(run_t* s, int router) {
+void _simf_plan_report(run_t* s, int router) {
     router_t* r = &s->routers[router];
     if (s->way == SIMF_WAY_LEASED && r->pacer.wanted && !r->report_planned) {
         r->report_planned = true;
-        post(s, MAX(s->now, wgf_pacer_next(&r->pacer)), EVENT_REPORT, router, NULL);
+        _simf_post(s, MAX(s->now, wgf_pacer_next(&r->pacer)), EVENT_REPORT, router, NULL);
     }
 }
 
@@ -434,13 +207,13 @@
         /* Request and grant travel; the slot is taken meanwhile. */
         s->routers[q->router].bytes += 2 * GRANT_BYTES;
         s->leader_bytes += 2 * GRANT_BYTES;
-        post(s, s->now + 2 * s->trace->delay, EVENT_GRANTED, 0, q);
+        _simf_post(s, s->now + 2 * s->trace->delay, EVENT_GRANTED, 0, q);
     } else {
         target_take(s, q);
     }
 }
 
-static void dispatch(run_t* s, int router) {
+void _simf_dispatch(run_t* s, int router) {
     router_t* r = &s->routers[router];
     wgq_handle picked;
     for (;;) {
@@ -462,12 +235,12 @@
                     &(wgf_pacer_news){.at_work = stats.queued + stats.running > 0,
                                       .waiting = stats.queued > 0,
                                       .idle = wgp_query_free(r->place, s->now, SERVICE_ID) > 0});
-    plan_report(s, router);
+    _simf_plan_report(s, router);
 }
 
 /* Its target refused it: it goes back to the head of its queue. */
 static void refused_by_target(run_t* s, request_t* q) {
-    int router = queue_router(s, q->router);
+    int router = _simf_queue_router(s, q->router);
     router_t* r = &s->routers[router];
     if (wgq_user_data(r->queue, q->handle) != q) {
         g_free(q); /* its router restarted meanwhile */
@@ -493,7 +266,7 @@
     } else {
         s->queued[q->workspace]++;
     }
-    dispatch(s, router);
+    _simf_dispatch(s, router);
 }
 
 static void give_up(run_t* s, request_t* q, bool was_queued) {
@@ -531,7 +304,7 @@
         q->arrived = s->now;
         q->deadline = s->now + t->deadline;
         s->requests++;
-        int router = queue_router(s, q->router);
+        int router = _simf_queue_router(s, q->router);
         wgq_refusal refusal;
         q->handle = wgq_push(s->routers[router].queue, s->now,
                              &(wgq_request){.workspace = (uint32_t)q->workspace + 1,
@@ -548,16 +321,16 @@
             give_up(s, q, false);
         } else {
             s->queued[q->workspace]++;
-            dispatch(s, router);
+            _simf_dispatch(s, router);
             if (wgq_query_waiting(s->routers[router].queue, (uint32_t)load->workspace + 1) == 1) {
                 wgf_pacer_want(&s->routers[router].pacer);
-                plan_report(s, router);
+                _simf_plan_report(s, router);
             }
         }
     }
     wg_time wait = (wg_time)(-log(uniform(s)) / load->rate * WG_USEC_PER_SEC);
     if (s->now + wait < load->to) {
-        post(s, MAX(s->now + wait, load->from), EVENT_ARRIVAL, load_index, NULL);
+        _simf_post(s, MAX(s->now + wait, load->from), EVENT_ARRIVAL, load_index, NULL);
     }
 }
 
@@ -565,8 +338,8 @@
     if (!q->in_slot) {
         return; /* its target went away; that ended it already */
     }
-    router_t* r = &s->routers[queue_router(s, q->router)];
-    target_t* target = target_of(s, q);
+    router_t* r = &s->routers[_simf_queue_router(s, q->router)];
+    target_t* target = _simf_target_of(s, q);
     target->in_slots--;
     s->delivered[q->workspace] += (double)q->tokens;
     *(s->now <= q->deadline ? &s->good_tokens : &s->bad_tokens) += (double)q->tokens;
@@ -578,10 +351,10 @@
         wgq_finish(r->queue, s->now, q->handle, q->tokens);
         wgp_done(r->place, s->now, &q->choice, WGP_RESULT_GOOD);
     }
-    int router = queue_router(s, q->router);
+    int router = _simf_queue_router(s, q->router);
     g_free(q);
-    target_start_next(s, target);
-    dispatch(s, router);
+    _simf_target_start_next(s, target);
+    _simf_dispatch(s, router);
 }
 
 /* ---- helpers: reports and replies ------------------------------------------------------------ */
@@ -589,8 +362,8 @@
 static void charge_running(run_t* s, int router) {
     for (guint i = 0; i < s->running->len; i++) {
         const request_t* q = g_ptr_array_index(s->running, i);
-        if (queue_router(s, q->router) == router) {
-            wgq_charge(s->routers[router].queue, q->handle, (int64_t)tokens_so_far(s, q));
+        if (_simf_queue_router(s, q->router) == router) {
+            wgq_charge(s->routers[router].queue, q->handle, (int64_t)_simf_tokens_so_far(s, q));
         }
     }
 }
@@ -641,7 +414,7 @@
                      (uint64_t)out->held_num * HELD_BYTES;
     r->bytes += bytes;
     s->leader_bytes += bytes;
-    post(s, s->now + s->trace->delay, EVENT_AT_LEADER, 0, out);
+    _simf_post(s, s->now + s->trace->delay, EVENT_AT_LEADER, 0, out);
 }
 
 static void send_reply(run_t* s, int router, wg_time echo, bool fairs) {
@@ -665,13 +438,13 @@
         g_free(out);
         return;
     }
-    post(s, s->now + s->trace->delay, EVENT_AT_ROUTER, 0, out);
+    _simf_post(s, s->now + s->trace->delay, EVENT_AT_ROUTER, 0, out);
 }
 
-static void schedule_plan(run_t* s) {
+void _simf_schedule_plan(run_t* s) {
     if (!s->plan_due) {
         s->plan_due = true;
-        post(s, s->now + PLAN_GAP, EVENT_PLAN, 0, NULL);
+        _simf_post(s, s->now + PLAN_GAP, EVENT_PLAN, 0, NULL);
     }
 }
 
@@ -693,7 +466,7 @@
                                       .accounts_num = in->accounts_num,
                                       .held = in->held,
                                       .held_num = in->held_num});
-        schedule_plan(s);
+        _simf_schedule_plan(s);
         send_reply(s, in->router, in->sent_at, true);
     }
     g_free(in->held);
@@ -753,168 +526,11 @@
         }
         r->lease_until = in->echo + SLOT_TERM;
         wgp_set_lease(r->place, r->lease_until);
-        dispatch(s, in->router);
+        _simf_dispatch(s, in->router);
     }
     g_free(in);
 }
 
-/* ---- helpers: faults ------------------------------------------------------------------------- */
-
-static void end_request(run_t* s, request_t* q) {
-    g_ptr_array_remove_fast(s->running, q);
-    if (q->in_slot) {
-        target_of(s, q)->in_slots--;
-        q->in_slot = false; /* its finish event frees it */
-    }
-}
-
-/* A request at work ends without an answer. */
-static void give_up_running(run_t* s, const request_t* q) {
-    router_t* r = &s->routers[queue_router(s, q->router)];
-    wgq_finish(r->queue, s->now, q->handle, (int64_t)tokens_so_far(s, q));
-    wgp_done(r->place, s->now, &q->choice, WGP_RESULT_CANCELLED);
-}
-
-static void restart_router(run_t* s, int router) {
-    for (guint i = 0; i < s->running->len;) {
-        request_t* q = g_ptr_array_index(s->running, i);
-        if (q->router != router) {
-            i++;
-            continue;
-        }
-        target_t* target = target_of(s, q);
-        bool waited = g_queue_remove(&target->waiting, q);
-        end_request(s, q);
-        if (central(s)) {
-            give_up_running(s, q); /* the one queue goes on, without this router's requests */
-        }
-        if (waited) {
-            g_free(q);
-        }
-        target_start_next(s, target);
-    }
-    if (central(s)) {
-        dispatch(s, 0);
-        return;
-    }
-    for (int w = 0; w < s->trace->workspaces_num; w++) {
-        wgq_account accounts[SIMF_WORKSPACES_MAX];
-        int num = wgq_accounts(s->routers[router].queue, true, accounts, SIMF_WORKSPACES_MAX);
-        for (int i = 0; i < num && w == 0; i++) {
-            s->queued[accounts[i].workspace - 1] -= (int)accounts[i].queued;
-        }
-    }
-    router_start(s, router);
-    wgf_pacer_want(&s->routers[router].pacer);
-    plan_report(s, router);
-}
-
-static void lose_targets(run_t* s, const simf_fault* fault, bool begin) {
-    for (int g = fault->a; g <= fault->b && g < s->trace->targets; g++) {
-        s->targets[g].gone = begin;
-        for (guint i = 0; begin && i < s->running->len;) {
-            request_t* q = g_ptr_array_index(s->running, i);
-            if (target_of(s, q) != &s->targets[g]) {
-                i++;
-                continue;
-            }
-            bool waited = g_queue_remove(&s->targets[g].waiting, q);
-            end_request(s, q);
-            give_up_running(s, q);
-            if (waited) {
-                g_free(q);
-            }
-        }
-    }
-    for (int i = 0; i < s->trace->routers; i++) {
-        wgp_config_begin(s->routers[i].place);
-        for (int g = 0; g < s->trace->targets; g++) {
-            wgp_config_target(s->routers[i].place, TARGET_ID_FIRST + (uint32_t)g, SERVICE_ID, "",
-                              "", "", s->trace->slots, s->targets[g].gone, 1);
-        }
-        wgp_config_end(s->routers[i].place);
-        for (int g = fault->a; !begin && g <= fault->b && g < s->trace->targets; g++) {
-            /* A target that left took its slots with it. */
-            wgp_target_info info;
-            wgp_query_target(s->routers[i].place, g, &info);
-            wgp_add_slots(s->routers[i].place, info.id, MAX(fixed_slots(s, i, g) - info.leased, 0));
-        }
-        dispatch(s, i);
-    }
-    if (s->share) {
-        share_config(s);
-        schedule_plan(s);
-    }
-}
-
-/* Requests at work there fail too, and go back to their queues. */
-static void kill_targets(run_t* s, const simf_fault* f, bool begin) {
-    for (int g = f->a; g <= f->b && g < s->trace->targets; g++) {
-        s->targets[g].dead = begin;
-        for (guint i = 0; begin && i < s->running->len;) {
-            request_t* q = g_ptr_array_index(s->running, i);
-            if (target_of(s, q) != &s->targets[g]) {
-                i++;
-                continue;
-            }
-            bool waited = g_queue_remove(&s->targets[g].waiting, q);
-            request_t* again = waited ? q : g_memdup2(q, sizeof *q);
-            end_request(s, q); /* the finish event of one that ran frees it */
-            if (!waited) {
-                wgq_set_user_data(s->routers[queue_router(s, q->router)].queue, q->handle, again);
-                again->in_slot = again->running = false;
-                again->started = 0;
-            }
-            post(s, s->now + s->trace->delay, EVENT_REFUSED, 0, again);
-        }
-    }
-}
-
-static void fault(run_t* s, const simf_fault* f, bool begin) {
-    switch (f->type) {
-    case SIMF_FAULT_CUT_ROUTER:
-        s->routers[f->a].cut = begin;
-        s->routers[f->a].report_full = true;
-        break;
-    case SIMF_FAULT_RESTART_ROUTER:
-        if (begin) {
-            restart_router(s, f->a);
-        }
-        break;
-    case SIMF_FAULT_LOSE_LEADER:
-        if (begin && s->share) {
-            wgf_shutdown(s->share);
-            s->share = NULL;
-        } else if (!begin && s->way == SIMF_WAY_LEASED) {
-            leader_start(s);
-        }
-        break;
-    case SIMF_FAULT_LOSE_TARGETS:
-        lose_targets(s, f, begin);
-        break;
-    case SIMF_FAULT_KILL_TARGETS:
-        kill_targets(s, f, begin);
-        break;
-    case SIMF_FAULT_SET_WEIGHT:
-        if (begin) {
-            s->weights[f->a] = f->b;
-            for (int i = 0; i < s->trace->routers; i++) {
-                wgq_set_weight(s->routers[i].queue, (uint32_t)f->a + 1, f->b);
-            }
-            if (s->share) {
-                wgf_set_weight(s->share, (uint32_t)f->a + 1, f->b);
-            }
-        }
-        break;
-    default:
-        break;
-    }
-    s->faults_end = s->now;
-    s->out_of_bound_at = s->now;
-    wg_time settled = MAX(s->now, f->to) + SETTLE;
-    s->calm_from = MAX(s->calm_from, (settled + SAMPLE - 1) / SAMPLE * SAMPLE);
-}
-
 /* ---- helpers: the run ------------------------------------------------------------------------ */
 
 static void report_if_due(run_t* s, int router) {
@@ -961,8 +577,8 @@
         refused_by_target(s, event->data);
         break;
     case EVENT_SAMPLE:
-        take_sample(s);
-        if (central(s)) {
+        _simf_take_sample(s);
+        if (_simf_central(s)) {
             charge_running(s, 0);
         }
         for (int i = 0; i < s->trace->routers; i++) {
@@ -971,77 +587,14 @@
                 report_if_due(s, i);
             }
         }
-        post(s, s->now + SAMPLE, EVENT_SAMPLE, 0, NULL);
+        _simf_post(s, s->now + SAMPLE, EVENT_SAMPLE, 0, NULL);
         break;
     case EVENT_FAULT:
-        fault(s, event->data, event->a != 0);
+        _simf_fault(s, event->data, event->a != 0);
         break;
     }
 }
 
-static gint compare_doubles(gconstpointer a, gconstpointer b) {
-    double left = *(const double*)a;
-    double right = *(const double*)b;
-    return left < right ? -1 : left > right;
-}
-
-static double quantile(const GArray* sorted, double part) {
-    if (sorted->len == 0) {
-        return 0;
-    }
-    guint i = (guint)((double)(sorted->len - 1) * part);
-    return g_array_index(sorted, double, i);
-}
-
-/* The stated bound for a pair of workspaces, in tokens per 100 of weight: one round of requests in
-   all slots, what is served within two exchanges with the leader, and two requests, which cannot be
-   split. docs/design/fairness.md derives it. */
-static double pair_bound(const run_t* s, int a, int b) {
-    const simf_trace* t = s->trace;
-    double slots = (double)t->targets * t->slots * (100 + t->over_percent) / 100;
-    double capacity = slots * 1e6 / (double)t->pace; /* tokens per second */
-    double exchange = (double)(t->report + 2 * t->delay + PLAN_GAP) / WG_USEC_PER_SEC;
-    double both = (double)(s->weights[a] + s->weights[b]);
-    double lighter = (double)MIN(s->weights[a], s->weights[b]);
-    double round = slots * s->largest;
-    return (round + 2 * capacity * exchange) * 100 / both + 2 * s->largest * 100 / lighter;
-}
-
-static simf_result collect(run_t* s) {
-    const simf_trace* t = s->trace;
-    double seconds = (double)t->duration / WG_USEC_PER_SEC;
-    g_array_sort(s->gaps, compare_doubles);
-    uint64_t bytes = 0;
-    for (int i = 0; i < t->routers; i++) {
-        bytes += s->routers[i].bytes;
-    }
-    double all = s->good_tokens + s->bad_tokens;
-    simf_result result = {.gap_median = quantile(s->gaps, 0.5),
-                          .gap_p99 = quantile(s->gaps, 0.99),
-                          .gap_worst = quantile(s->gaps, 1.0),
-                          .gap_over_bound = s->over_bound,
-                          .gap_over_bound_calm = s->over_bound_calm,
-                          .busy = s->slot_time > 0 ? s->busy_time / s->slot_time : 1,
-                          .tokens = s->good_tokens,
-                          .wasted = all > 0 ? s->bad_tokens / all : 0,
-                          .wait_p99 = (double)wg_hist_quantile(&s->wait, 0.99) / 1e6,
-                          .wait_worst = (double)s->wait.max / 1e6,
-                          .urgent_wait_worst = (double)s->urgent_wait / 1e6,
-                          .refused = s->requests ? (double)s->refused / (double)s->requests : 0,
-                          .control_bytes = (double)bytes / t->routers / seconds,
-                          .leader_bytes = (double)s->leader_bytes / seconds,
-                          .finished = s->finished,
-                          .requests = s->requests};
-    if (s->faults_end > 0) {
-        result.recovery = (double)(s->out_of_bound_at - s->faults_end) / 1e6;
-    }
-    /* Tokens of requests still at work at the end count too: ways are compared at one moment. */
-    for (guint i = 0; i < s->running->len; i++) {
-        result.tokens += tokens_so_far(s, g_ptr_array_index(s->running, i));
-    }
-    return result;
-}
-
 static void clear(run_t* s) {
     while (s->heap->len > 0) {
         event_t event = next_event(s);
@@ -1091,30 +644,30 @@
     /* Leaders wait one term before they grant; the load begins after it. */
     s->now = -2 * SLOT_TERM;
     for (int i = 0; i < trace->routers; i++) {
-        router_start(s, i);
+        _simf_router_start(s, i);
         s->routers[i].pacer.sent_at -= (wg_time)(chance(s) % (uint64_t)trace->report);
     }
     if (way == SIMF_WAY_LEASED) {
-        leader_start(s);
+        _simf_leader_start(s);
     }
-    post(s, s->now, EVENT_SAMPLE, 0, NULL);
+    _simf_post(s, s->now, EVENT_SAMPLE, 0, NULL);
     for (int i = 0; i < trace->loads_num; i++) {
-        post(s, trace->loads[i].from, EVENT_ARRIVAL, i, NULL);
+        _simf_post(s, trace->loads[i].from, EVENT_ARRIVAL, i, NULL);
     }
     for (int i = 0; i < trace->faults_num; i++) {
-        post(s, trace->faults[i].from, EVENT_FAULT, 1, (void*)&trace->faults[i]);
+        _simf_post(s, trace->faults[i].from, EVENT_FAULT, 1, (void*)&trace->faults[i]);
         if (trace->faults[i].to > 0) {
-            post(s, trace->faults[i].to, EVENT_FAULT, 0, (void*)&trace->faults[i]);
+            _simf_post(s, trace->faults[i].to, EVENT_FAULT, 0, (void*)&trace->faults[i]);
         }
     }
     while (event_at(s, 0)->at < trace->duration) {
         event_t event = next_event(s);
-        account_time(s, event.at);
+        _simf_account_time(s, event.at);
         s->now = event.at;
         handle(s, &event);
     }
     s->now = trace->duration;
-    simf_result result = collect(s);
+    simf_result result = _simf_collect(s);
     clear(s);
     g_free(s);
     return result;
@@ -1124,31 +677,3 @@
     static const char* names[SIMF_WAY_NUM] = {"", "alone", "arbiter", "leased", "omniscient"};
     return names[way];
 }
-
-bool simf_metric(const simf_result* result, const char* name, double* value) {
-    const struct {
-        const char* name;
-        double value;
-    } metrics[] = {{"gap_median", result->gap_median},
-                   {"gap_p99", result->gap_p99},
-                   {"gap_worst", result->gap_worst},
-                   {"gap_over_bound", result->gap_over_bound},
-                   {"gap_over_bound_calm", result->gap_over_bound_calm},
-                   {"busy", result->busy},
-                   {"tokens", result->tokens},
-                   {"wasted", result->wasted},
-                   {"wait_p99", result->wait_p99},
-                   {"wait_worst", result->wait_worst},
-                   {"urgent_wait_worst", result->urgent_wait_worst},
-                   {"refused", result->refused},
-                   {"control_bytes", result->control_bytes},
-                   {"leader_bytes", result->leader_bytes},
-                   {"recovery", result->recovery}};
-    for (size_t i = 0; i < G_N_ELEMENTS(metrics); i++) {
-        if (strcmp(metrics[i].name, name) == 0) {
-            *value = metrics[i].value;
-            return true;
-        }
-    }
-    return false;
-}
--- /dev/null
+++ b/tests/sim/sim_fleet_internal.h
@@ -0,0 +1,174 @@
+#pragma once
+/* sim_fleet_internal.h -- state of a replay, shared by the files sim_fleet*.c */
+#include "sim_fleet.h"
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+enum {
+    SERVICE_ID = 1,
+    TARGET_ID_FIRST = 10000,
+    SAMPLE = 100 * WG_USEC_PER_MSEC,
+    PLAN_GAP = 5 * WG_USEC_PER_MSEC,
+    SLOT_TERM = 2 * WG_USEC_PER_SEC,
+    SETTLE = 5 * WG_USEC_PER_SEC, /* after a fault, until gaps have to be in their bounds again */
+    /* Bytes of messages, protobuf and framing and TCP/IP heads; checked against real processes. */
+    REPORT_BYTES = 90,
+    REPLY_BYTES = 105,
+    ACCOUNT_BYTES = 16,
+    HELD_BYTES = 8,
+    FAIR_BYTES = 16,
+    SLOT_BYTES = 6,
+    GRANT_BYTES = 90
+};
+
+typedef struct {
+    int workspace;
+    int router;
+    int64_t tokens;
+    bool urgent;
+    wg_time arrived;
+    wg_time started; /* tokens flow from here on; 0 not yet */
+    wg_time deadline;
+    wgp_choice choice;
+    wgq_handle handle;
+    bool running; /* at a target */
+    bool in_slot; /* of that target */
+} request_t;
+
+typedef enum {
+    EVENT_ARRIVAL,
+    EVENT_FINISH,
+    EVENT_REPORT, /* a router looks whether to report */
+    EVENT_AT_LEADER,
+    EVENT_PLAN,
+    EVENT_AT_ROUTER,
+    EVENT_GRANTED, /* arbiter's grant reaches the router */
+    EVENT_REFUSED, /* the router learns that a target refused a request */
+    EVENT_SAMPLE,
+    EVENT_FAULT
+} event_type;
+
+typedef struct {
+    wg_time at;
+    uint64_t order;
+    event_type type;
+    int a;
+    void* data;
+} event_t;
+
+/* A report on its way. */
+typedef struct {
+    int router;
+    uint64_t incarnation;
+    wg_time sent_at;
+    bool full;
+    uint64_t applied;
+    int accounts_num;
+    int held_num;
+    wgf_account accounts[SIMF_WORKSPACES_MAX];
+    wgf_held* held;
+} report_t;
+
+/* A reply on its way. */
+typedef struct {
+    int router;
+    uint64_t incarnation;
+    uint64_t leader;
+    uint64_t seq;
+    wg_time echo;
+    uint64_t fleet_time;
+    int fairs_num;
+    wgf_fair fairs[SIMF_WORKSPACES_MAX];
+    wgf_orders orders;
+} reply_t;
+
+typedef struct {
+    wgq_queue* queue;
+    wgp_place* place;
+    uint64_t incarnation;
+    bool cut;
+    bool report_full;
+    bool report_planned; /* an event will look whether to report */
+    wgf_pacer pacer;
+    wg_time lease_until;
+    uint64_t applied;
+    uint64_t leader; /* whose reply it applied last */
+    uint32_t* held_told;
+    /* at the leader */
+    wgf_router at_leader;
+    uint64_t seq;
+    uint64_t bytes;
+} router_t;
+
+typedef struct {
+    int in_slots;
+    GQueue waiting; /* request_t* beyond its slots */
+    bool gone;
+    bool dead; /* refuses connections, and nobody is told */
+} target_t;
+
+/* Service of a pair of workspaces since both have been backlogged. */
+typedef struct {
+    bool joint;
+    double base_a;
+    double base_b;
+} pair_t;
+
+typedef struct {
+    const simf_trace* trace;
+    simf_way way;
+    wg_time now;
+    uint64_t order;
+    uint64_t counter;
+    GArray* heap;
+    router_t* routers;
+    target_t* targets;
+    wgf_share* share;
+    uint64_t leader; /* number of the present one, 0 none */
+    wg_time counts_from;
+    bool plan_due;
+    GPtrArray* running; /* request_t* */
+    int64_t weights[SIMF_WORKSPACES_MAX];
+    double delivered[SIMF_WORKSPACES_MAX]; /* tokens of finished requests */
+    double normal[SIMF_WORKSPACES_MAX];    /* tokens over weight, as of the last sample */
+    double last_tokens[SIMF_WORKSPACES_MAX];
+    int queued[SIMF_WORKSPACES_MAX];
+    bool emptied[SIMF_WORKSPACES_MAX]; /* nothing waited at some moment since the last sample */
+    pair_t pairs[SIMF_WORKSPACES_MAX][SIMF_WORKSPACES_MAX];
+    GArray* gaps;
+    wg_hist wait;
+    wg_time urgent_wait;
+    double slot_time;
+    double busy_time;
+    double good_tokens;
+    double bad_tokens;
+    double largest;
+    uint64_t refused;
+    uint64_t requests;
+    uint64_t finished;
+    uint64_t leader_bytes;
+    wg_time faults_end;
+    wg_time out_of_bound_at;
+    double over_bound; /* largest gap over the bound of its pair */
+    double over_bound_calm;
+    wg_time calm_from; /* a while after the last fault's end; pairs begin anew there */
+} run_t;
+
+/* functions that the files share */
+double _simf_tokens_so_far(const run_t* s, const request_t* q);
+void _simf_take_sample(run_t* s);
+void _simf_account_time(run_t* s, wg_time until);
+simf_result _simf_collect(run_t* s);
+void _simf_fault(run_t* s, const simf_fault* f, bool begin);
+void _simf_post(run_t* s, wg_time at, event_type type, int a, void* data);
+bool _simf_central(const run_t* s);
+int _simf_fixed_slots(const run_t* s, int router, int target);
+void _simf_router_start(run_t* s, int i);
+void _simf_share_config(run_t* s);
+void _simf_leader_start(run_t* s);
+void _simf_target_start_next(run_t* s, target_t* target);
+target_t* _simf_target_of(run_t* s, const request_t* q);
+int _simf_queue_router(const run_t* s, int router);
+void _simf_plan_report(run_t* s, int router);
+void _simf_dispatch(run_t* s, int router);
+void _simf_schedule_plan(run_t* s);
--- a/tests/sim/sim_quorum.c
+++ b/tests/sim/sim_quorum.c
@@ -4,30 +4,19 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "sim_disk.h"
+
 /* ---- types -------------------------------------------------------------------------------- */
 
 enum {
     TICK = 10 * WG_USEC_PER_MSEC,
     MESSAGES_MAX = 20000,
-    COMPACT_AFTER = 40,
-    LOG_KEEP = 10
+    COMPACT_AFTER = 40
 };
 
-/* What survives a crash. */
-typedef struct {
-    uint64_t identity;
-    uint64_t term;
-    uint64_t voted_for;
-    uint64_t snapshot_index;
-    uint64_t snapshot_term;
-    wgr_set set;
-    GBytes* snapshot;
-    GArray* entries;
-} disk_t;
-
 typedef struct {
     wgr_node* node;
-    disk_t disk;
+    simd_disk disk;
     bool up;
     wg_time frozen_until;
     wg_time offset;     /* of its clock */
@@ -93,67 +82,6 @@
     return n->up && s->now >= n->frozen_until;
 }
 
-/* ---- helpers: disk -------------------------------------------------------------------------- */
-
-static void entry_clear(gpointer data) {
-    wgr_entry* entry = data;
-    if (entry->data) {
-        g_bytes_unref(entry->data);
-    }
-}
-
-static void disk_reset(disk_t* disk) {
-    if (disk->entries) {
-        g_array_unref(disk->entries);
-    }
-    if (disk->snapshot) {
-        g_bytes_unref(disk->snapshot);
-    }
-    *disk = (disk_t){0};
-    disk->entries = g_array_new(FALSE, TRUE, sizeof(wgr_entry));
-    g_array_set_clear_func(disk->entries, entry_clear);
-}
-
-static uint64_t disk_first(const disk_t* disk) {
-    return disk->entries->len ? g_array_index(disk->entries, wgr_entry, 0).index
-                              : disk->snapshot_index + 1;
-}
-
-static void disk_truncate(disk_t* disk, uint64_t from) {
-    uint64_t first = disk_first(disk);
-    if (from < first + disk->entries->len) {
-        g_array_set_size(disk->entries, (guint)(from > first ? from - first : 0));
-    }
-}
-
-static void disk_append(disk_t* disk, const wgr_entry* entries, int num) {
-    for (int i = 0; i < num; i++) {
-        wgr_entry copy = entries[i];
-        copy.data = copy.data ? g_bytes_ref(copy.data) : NULL;
-        WG_ASSERT(copy.index == disk_first(disk) + disk->entries->len);
-        g_array_append_val(disk->entries, copy);
-    }
-}
-
-static void disk_snapshot(disk_t* disk, uint64_t index, uint64_t term, const wgr_set* set,
-                          GBytes* state, bool reset) {
-    if (disk->snapshot) {
-        g_bytes_unref(disk->snapshot);
-    }
-    disk->snapshot = g_bytes_ref(state);
-    disk->snapshot_index = index;
-    disk->snapshot_term = term;
-    disk->set = *set;
-    if (reset) {
-        g_array_set_size(disk->entries, 0);
-        return;
-    }
-    uint64_t first = disk_first(disk);
-    if (index > LOG_KEEP && first < index - LOG_KEEP) {
-        g_array_remove_range(disk->entries, 0, (guint)(index - LOG_KEEP - first));
-    }
-}
-
 /* ---- helpers: state ------------------------------------------------------------------------- */
 
 static GBytes* pack_state(const node_t* n) {
@@ -218,7 +146,7 @@
                     .message_bytes = 600,
                     /* Every other seed: waits so alike that elections collide. */
                     .election_max = s->desc.seed % 2 ? 0 : WGR_ELECTION_MIN_DEFAULT + TICK,
-                    .log_keep = LOG_KEEP},
+                    .log_keep = SIMD_LOG_KEEP},
         &error);
     WG_ASSERT(n->node && n->table && n->claims);
     n->up = true;
@@ -368,16 +296,16 @@
 
 static void persist(node_t* n, const wgr_output* out) {
     if (out->snapshot) {
-        disk_snapshot(&n->disk, out->snapshot_index, out->snapshot_term, &out->snapshot_set,
+        simd_snapshot(&n->disk, out->snapshot_index, out->snapshot_term, &out->snapshot_set,
                       out->snapshot, true);
         load_state(n, out->snapshot);
         n->applied = out->snapshot_index;
         n->applied_term = out->snapshot_term;
     }
     if (out->truncate_from) {
-        disk_truncate(&n->disk, out->truncate_from);
+        simd_truncate(&n->disk, out->truncate_from);
     }
-    disk_append(&n->disk, out->entries, out->entries_num);
+    simd_append(&n->disk, out->entries, out->entries_num);
     if (out->hard_state) {
         WG_ASSERT(out->term > n->disk.term || n->disk.voted_for == 0 ||
                   n->disk.voted_for == out->voted_for);
@@ -393,7 +321,7 @@
     GBytes* state = pack_state(n);
     wgr_compact(n->node, n->applied, state);
     wgr_set set = *wgr_query_snapshot_set(n->node);
-    disk_snapshot(&n->disk, n->applied, n->applied_term, &set, state, false);
+    simd_snapshot(&n->disk, n->applied, n->applied_term, &set, state, false);
     g_bytes_unref(state);
 }
 
@@ -631,10 +559,10 @@
     GBytes* empty = g_bytes_new(NULL, 0);
     for (int i = 0; i < desc->replicas; i++) {
         node_t* n = &s->nodes[i];
-        disk_reset(&n->disk);
+        simd_reset(&n->disk);
         n->disk.identity = set.replicas[i].id;
         n->disk.term = 1;
-        disk_snapshot(&n->disk, 1, 1, &set, empty, true);
+        simd_snapshot(&n->disk, 1, 1, &set, empty, true);
         n->offset = (wg_time)(chance(s) % (uint64_t)(1000 * (wg_time)WG_USEC_PER_SEC));
         n->drift_per_mill = (int)(chance(s) % 11) - 5;
         node_start(s, n);
@@ -646,7 +574,7 @@
 void simq_shutdown(simq_run* s) {
     for (int i = 0; i < s->desc.replicas; i++) {
         node_stop(&s->nodes[i]);
-        disk_reset(&s->nodes[i].disk);
+        simd_reset(&s->nodes[i].disk);
         g_array_unref(s->nodes[i].disk.entries);
     }
     for (guint i = 0; i < s->flights->len; i++) {
@@ -756,7 +684,7 @@
 void simq_lose_disk(simq_run* s, int slot) {
     node_t* n = &s->nodes[slot];
     node_stop(n);
-    disk_reset(&n->disk);
+    simd_reset(&n->disk);
     n->disk.identity = ++s->next_identity;
     node_start(s, n);
     s->counts.disks_lost++;
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -43,9 +43,7 @@
 typedef struct {
     uint64_t seed;
     int replicas; /* 1, 3 or 5 */
-    uint64_t steps;
-    bool faults; /* false: a quiet network */
-    bool print;
+    bool faults;  /* false: a quiet network */
 } simq_desc;
 
 typedef struct simq_run simq_run;
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -22,8 +22,7 @@
                "soak: failed with seed %" G_GUINT64_FORMAT ", quorum of %d, %" G_GUINT64_FORMAT
                " steps\n",
                seed, replicas, steps);
-    simq_run* run = simq_setup(
-        &(simq_desc){.seed = seed, .replicas = replicas, .steps = steps, .faults = true});
+    simq_run* run = simq_setup(&(simq_desc){.seed = seed, .replicas = replicas, .faults = true});
     simq_steps(run, steps);
     simq_settle(run, 30 * (wg_time)WG_USEC_PER_SEC);
     simq_counts c = simq_query_counts(run);
