--- a/tools/make-docs.sh
+++ b/tools/make-docs.sh
@@ -1,8 +1,23 @@
 #!/usr/bin/env bash
-# Make the pages that come out of the code. With --check: fail when they are not up to date.
+# Make the pages that come out of the code. With --check: fail when they are not up to date, or when
+# a table in any page has rows of unequal length.
 set -eu
 build=${1:-build}
 check=${2:-}
+
+check_tables() {
+    git ls-files '*.md' | xargs awk -F '|' '
+        FNR == 1 || !/^[|]/ { columns = 0 }
+        /^[|]/ {
+            if (columns && NF != columns) {
+                print FILENAME ":" FNR ": a table row with " NF - 2 " columns, not " columns - 2
+                bad = 1
+            }
+            columns = NF
+        }
+        END { exit bad }'
+}
+
 events=$(mktemp) settings=$(mktemp)
 trap 'rm -f "$events" "$settings"' EXIT
 {
@@ -29,7 +44,8 @@
     done
 } >"$settings"
 if [[ $check == --check ]]; then
-    diff -u docs/EVENTS.md "$events" && diff -u docs/SETTINGS.md "$settings" && echo "docs: up to date"
+    diff -u docs/EVENTS.md "$events" && diff -u docs/SETTINGS.md "$settings" && check_tables &&
+        echo "docs: up to date"
 else
     cp "$events" docs/EVENTS.md
     cp "$settings" docs/SETTINGS.md
