tests: split the quorum replay by its three jobs

The disk's prefix simd_ reads as the processor instructions of that name.

Ruled out: a file for the public functions alone; they are thin wrappers of the state beside them.

Change: sim_quorum_apply.c and sim_quorum_random.c, with one internal header; the disk's names are sim_disk_*. No check was touched.

--- a/tests/sim/sim_disk.c
+++ b/tests/sim/sim_disk.c
@@ -8,41 +8,41 @@
     }
 }
 
-void simd_reset(simd_disk* disk) {
+void sim_disk_reset(sim_disk* disk) {
     if (disk->entries) {
         g_array_unref(disk->entries);
     }
     if (disk->snapshot) {
         g_bytes_unref(disk->snapshot);
     }
-    *disk = (simd_disk){0};
+    *disk = (sim_disk){0};
     disk->entries = g_array_new(FALSE, TRUE, sizeof(wgr_entry));
     g_array_set_clear_func(disk->entries, entry_clear);
 }
 
-uint64_t simd_first(const simd_disk* disk) {
+uint64_t sim_disk_first(const sim_disk* disk) {
     return disk->entries->len ? g_array_index(disk->entries, wgr_entry, 0).index
                               : disk->snapshot_index + 1;
 }
 
-void simd_truncate(simd_disk* disk, uint64_t from) {
-    uint64_t first = simd_first(disk);
+void sim_disk_truncate(sim_disk* disk, uint64_t from) {
+    uint64_t first = sim_disk_first(disk);
     if (from < first + disk->entries->len) {
         g_array_set_size(disk->entries, (guint)(from > first ? from - first : 0));
     }
 }
 
-void simd_append(simd_disk* disk, const wgr_entry* entries, int num) {
+void sim_disk_append(sim_disk* disk, const wgr_entry* entries, int num) {
     for (int i = 0; i < num; i++) {
         wgr_entry copy = entries[i];
         copy.data = copy.data ? g_bytes_ref(copy.data) : NULL;
-        WG_ASSERT(copy.index == simd_first(disk) + disk->entries->len);
+        WG_ASSERT(copy.index == sim_disk_first(disk) + disk->entries->len);
         g_array_append_val(disk->entries, copy);
     }
 }
 
-void simd_snapshot(simd_disk* disk, uint64_t index, uint64_t term, const wgr_set* set,
-                   GBytes* state, bool reset) {
+void sim_disk_snapshot(sim_disk* disk, uint64_t index, uint64_t term, const wgr_set* set,
+                       GBytes* state, bool reset) {
     if (disk->snapshot) {
         g_bytes_unref(disk->snapshot);
     }
@@ -54,8 +54,8 @@
         g_array_set_size(disk->entries, 0);
         return;
     }
-    uint64_t first = simd_first(disk);
-    if (index > SIMD_LOG_KEEP && first < index - SIMD_LOG_KEEP) {
-        g_array_remove_range(disk->entries, 0, (guint)(index - SIMD_LOG_KEEP - first));
+    uint64_t first = sim_disk_first(disk);
+    if (index > SIM_DISK_LOG_KEEP && first < index - SIM_DISK_LOG_KEEP) {
+        g_array_remove_range(disk->entries, 0, (guint)(index - SIM_DISK_LOG_KEEP - first));
     }
 }
--- a/tests/sim/sim_disk.h
+++ b/tests/sim/sim_disk.h
@@ -3,7 +3,7 @@
 #include "wg_quorum.h"
 
 enum {
-    SIMD_LOG_KEEP = 10 /* entries kept behind a snapshot */
+    SIM_DISK_LOG_KEEP = 10 /* entries kept behind a snapshot */
 };
 
 /* What survives a crash. */
@@ -16,13 +16,13 @@
     wgr_set set;
     GBytes* snapshot;
     GArray* entries;
-} simd_disk;
+} sim_disk;
 
 /* Empty it; also its first set-up. */
-void simd_reset(simd_disk* disk);
+void sim_disk_reset(sim_disk* disk);
 /* Index of the first entry that is kept, or would be. */
-uint64_t simd_first(const simd_disk* disk);
-void simd_truncate(simd_disk* disk, uint64_t from);
-void simd_append(simd_disk* disk, const wgr_entry* entries, int num);
-void simd_snapshot(simd_disk* disk, uint64_t index, uint64_t term, const wgr_set* set,
-                   GBytes* state, bool reset);
+uint64_t sim_disk_first(const sim_disk* disk);
+void sim_disk_truncate(sim_disk* disk, uint64_t from);
+void sim_disk_append(sim_disk* disk, const wgr_entry* entries, int num);
+void sim_disk_snapshot(sim_disk* disk, uint64_t index, uint64_t term, const wgr_set* set,
+                       GBytes* state, bool reset);
--- /dev/null
+++ b/tests/sim/sim_quorum_internal.h
@@ -0,0 +1,73 @@
+#pragma once
+/* sim_quorum_internal.h -- state of a run, shared by the files sim_quorum*.c */
+#include "sim_disk.h"
+#include "sim_quorum.h"
+
+/* ---- types -------------------------------------------------------------------------------- */
+
+enum {
+    TICK = 10 * WG_USEC_PER_MSEC,
+    MESSAGES_MAX = 20000,
+    COMPACT_AFTER = 40
+};
+
+typedef struct {
+    wgr_node* node;
+    sim_disk disk;
+    bool up;
+    wg_time frozen_until;
+    wg_time offset;     /* of its clock */
+    int drift_per_mill; /* its clock runs faster or slower */
+    uint64_t applied;
+    uint64_t applied_term;
+    wgt_table* table;
+    wgk_claims* claims;
+    int crash_at; /* 1: before it syncs, 2: before it sends, 3: amid sending */
+} node_t;
+
+typedef struct {
+    wg_time at;
+    int to;
+    int from;
+    wgr_message message;
+} flight_t;
+
+struct simq_run {
+    simq_desc desc;
+    wg_time now;
+    uint64_t counter;
+    uint64_t trace;
+    node_t nodes[SIM_NODES_MAX];
+    bool cut[SIM_NODES_MAX][SIM_NODES_MAX];
+    GArray* flights;
+    GArray* committed; /* uint64_t: hash of the entry at each index */
+    GArray* states;    /* uint64_t: hash of table and claims after each index, 0 unknown */
+    uint64_t answered;
+    wg_time led_at;
+    simq_counts counts;
+    uint64_t next_edit;
+    uint64_t next_identity;
+    uint64_t last_edit_number;
+    GHashTable* outcomes;  /* edit number -> outcome and version of its first answer */
+    uint64_t holders[256]; /* attempt that was granted each claim key, 0 none */
+};
+
+/* ---- sim_quorum.c --------------------------------------------------------------------------- */
+
+/* The run's next random number; it depends on the seed and on nothing else. */
+uint64_t _simq_chance(simq_run* s);
+bool _simq_one_in(simq_run* s, uint64_t num);
+/* What the replica's own clock, which is off and drifts, shows. */
+wg_time _simq_local_time(const simq_run* s, const node_t* n);
+/* Slot of the replica that has this identity now, -1 none. */
+int _simq_slot_of(const simq_run* s, uint64_t identity);
+/* Index of the proposed entry, 0 when it was refused. */
+uint64_t _simq_propose(simq_run* s, int slot, const ProtobufCMessage* command);
+int _simq_voters(const wgr_set* set);
+
+/* ---- sim_quorum_apply.c --------------------------------------------------------------------- */
+
+GBytes* _simq_pack_state(const node_t* n);
+void _simq_load_state(node_t* n, GBytes* bytes);
+/* Apply a committed entry; asserts that every replica applies the same and answers the same. */
+void _simq_apply(simq_run* s, node_t* n, const wgr_entry* entry);
