--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -78,6 +78,7 @@
     WG_ERROR_CORRUPT,  /* stored data fails its checksum */
     WG_ERROR_NUM
 } wg_error_code;
+/* Domain of WG_ERROR; use the macro. */
 GQuark wg_error_quark(void);
 
 /* Log events: WG_EVENT_STARTED and so on. */
@@ -131,6 +132,7 @@
     uint8_t* taken;
 } wg_pool;
 
+/* Aborts when the capacity is out of range. */
 void wg_pool_setup(wg_pool* pool, const wg_pool_desc* desc);
 void wg_pool_shutdown(wg_pool* pool);
 /* A fresh handle, or id 0 when the pool is full. */
@@ -155,6 +157,7 @@
     uint64_t max;
 } wg_hist;
 
+/* Count one value, in the unit that the caller chose; a negative one counts as 0. */
 void wg_hist_add(wg_hist* hist, int64_t value);
 /* Value below which `quantile` (0..1) of all values lie; 0 when empty. */
 uint64_t wg_hist_quantile(const wg_hist* hist, double quantile);
--- a/lib/call/wg_call.h
+++ b/lib/call/wg_call.h
@@ -136,8 +136,11 @@
     int64_t tokens; /* whole tokens relayed */
 } wgc_call;
 
+/* Make `call` that of a new request; what it held before is forgotten. */
 void wgc_begin(wgc_call* call, const wgc_desc* desc);
+/* Take one event; says what the caller of the library has to do next. */
 wgc_action wgc_step(wgc_call* call, wg_time now, const wgc_event* event);
+/* The code as it stands in an error body; static text. */
 const char* wgc_code_name(wgc_code code);
 /* HTTP status that goes with a code. */
 int wgc_code_status(wgc_code code);
--- a/lib/claim/wg_claim.h
+++ b/lib/claim/wg_claim.h
@@ -56,6 +56,7 @@
 
 typedef struct wgk_claims wgk_claims;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgk_claims* wgk_setup(const wgk_desc* desc, GError** error);
 void wgk_shutdown(wgk_claims* claims);
 /* A claim comes out of the log. *end borrows the end of an earlier claim, or is NULL. */
--- a/lib/member/wg_member.h
+++ b/lib/member/wg_member.h
@@ -74,6 +74,7 @@
 
 typedef struct wgm_members wgm_members;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgm_members* wgm_setup(const wgm_desc* desc, GError** error);
 void wgm_shutdown(wgm_members* members);
 /* Leader: a router was heard. Uses name, address, data_centre, incarnation and state. */
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -107,9 +107,11 @@
 
 typedef struct wgp_place wgp_place;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgp_place* wgp_setup(const wgp_desc* desc, GError** error);
 void wgp_shutdown(wgp_place* place);
 
+/* Begin a new list of targets; one that is not named until wgp_config_end() is dropped. */
 void wgp_config_begin(wgp_place* place);
 /* `version`: of the table row; a newer one may end "leaving". */
 bool wgp_config_target(wgp_place* place, uint32_t id, uint32_t service, const char* name,
--- a/lib/queue/wg_queue.h
+++ b/lib/queue/wg_queue.h
@@ -111,6 +111,7 @@
 
 typedef struct wgq_queue wgq_queue;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgq_queue* wgq_setup(const wgq_desc* desc, GError** error);
 void wgq_shutdown(wgq_queue* queue);
 
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -171,10 +171,13 @@
 
 typedef struct wgr_node wgr_node;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgr_node* wgr_setup(const wgr_desc* desc, GError** error);
 void wgr_shutdown(wgr_node* node);
 
+/* Let time pass, every few milliseconds: elections, heartbeats, resends. `now` in microseconds. */
 void wgr_tick(wgr_node* node, wg_time now);
+/* Take a message of another replica. */
 void wgr_step(wgr_node* node, wg_time now, const wgr_message* message);
 /* Append an entry as leader; its index, or 0 when this replica does not lead or hands over. */
 uint64_t wgr_propose(wgr_node* node, wg_time now, const void* data, size_t size);
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -227,7 +227,7 @@
                                       .interval = r->settings->report_ms * WG_USEC_PER_MSEC,
                                       .gap = r->settings->report_gap_ms * WG_USEC_PER_MSEC,
                                       .budget = r->settings->budget_bytes});
-    if (!_wgro_setup_parts(r, error) || !_wgro_door_setup(r, error) ||
+    if (!_wgro_setup_parts(r, error) || !_wgro_accept_setup(r, error) ||
         !_wgro_pages_setup(r, error) || !_wgro_link_setup(r, error)) {
         wgro_shutdown(r);
         return NULL;
--- a/lib/router/wg_router_door.c
+++ b/lib/router/wg_router_accept.c
@@ -1,4 +1,4 @@
-/* wg_router_door.c -- what callers may ask: entry hosts, model and application services */
+/* wg_router_accept.c -- what callers may ask: entry hosts, model and application services */
 #include "wg_router_internal.h"
 
 #include <stdlib.h>
@@ -260,7 +260,7 @@
 
 /* ---- functions of the library -------------------------------------------------------------- */
 
-bool _wgro_door_setup(wgro_router* r, GError** error) {
+bool _wgro_accept_setup(wgro_router* r, GError** error) {
     const wgro_settings* s = r->settings;
     wgh_limits limits = {
         .head_max = s->head_max, .body_max = s->body_max, .idle_seconds = s->idle_s};
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -192,8 +192,8 @@
 void _wgro_end_claim(wgro_router* r, _wgro_call_t* call, wg_verdict verdict, int status,
                      const char* type, struct evbuffer* body);
 
-/* wg_router_door.c */
-bool _wgro_door_setup(wgro_router* r, GError** error);
+/* wg_router_accept.c */
+bool _wgro_accept_setup(wgro_router* r, GError** error);
 void _wgro_row_came(wgro_router* r, uint64_t ticket, int outcome);
 void _wgro_parked_tick(wgro_router* r, wg_time now);
 
--- a/lib/share/wg_pacer.h
+++ b/lib/share/wg_pacer.h
@@ -56,6 +56,7 @@
     bool idle;    /* leased slots are idle */
 } wgf_pacer_news;
 
+/* Begin with no report sent; zero fields of `desc` take their defaults. */
 void wgf_pacer_setup(wgf_pacer* pacer, const wgf_pacer_desc* desc);
 /* Something happened that the leader should know soon. */
 void wgf_pacer_want(wgf_pacer* pacer);
--- a/lib/share/wg_share.h
+++ b/lib/share/wg_share.h
@@ -129,6 +129,7 @@
 
 typedef struct wgf_share wgf_share;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgf_share* wgf_setup(const wgf_desc* desc, GError** error);
 void wgf_shutdown(wgf_share* share);
 
--- a/lib/table/wg_table.h
+++ b/lib/table/wg_table.h
@@ -158,6 +158,7 @@
 
 typedef struct wgt_table wgt_table;
 
+/* NULL with an error (WG_ERROR_INVALID) when a field of `desc` is wrong. */
 wgt_table* wgt_setup(const wgt_desc* desc, GError** error);
 void wgt_shutdown(wgt_table* table);
 
@@ -203,7 +204,9 @@
     int64_t numbers[8];
     char* texts[4];
 } wgt_row_scratch;
+/* Message form of a row; `out` points into `row` and `scratch`, which have to outlive it. */
 void wgt_row_pack(const wgt_row* row, Wgpb__Row* out, wgt_row_scratch* scratch);
+/* False when the message is not a row that the table could hold. */
 bool wgt_row_unpack(const Wgpb__Row* in, wgt_row* row);
 /* Snapshot form; the caller frees with wgpb__table_state__free_unpacked(). */
 Wgpb__TableState* wgt_dump(const wgt_table* table);
--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -1,6 +1,8 @@
 /* proc.c -- see proc.h */
 #include "proc.h"
 
+#include "folder.h"
+
 #include <arpa/inet.h>
 #include <errno.h>
 #include <fcntl.h>
@@ -240,16 +242,7 @@
 
 void proc_wipe(proc_fleet* f, proc_process* p) {
     char* folder = g_strdup_printf("%s/data-%s", f->folder, p->name);
-    GDir* dir = g_dir_open(folder, 0, NULL);
-    const char* name;
-    while (dir && (name = g_dir_read_name(dir))) {
-        char* path = g_build_filename(folder, name, NULL);
-        g_unlink(path);
-        g_free(path);
-    }
-    if (dir) {
-        g_dir_close(dir);
-    }
+    folder_wipe(folder);
     g_free(folder);
 }
 
--- a/tests/sim/sim_fleet_faults.c
+++ b/tests/sim/sim_fleet_faults.c
@@ -18,6 +18,17 @@
     wgp_done(r->place, s->now, &q->choice, WGP_RESULT_CANCELLED);
 }
 
+/* The first request that runs or waits at the target, NULL none. */
+static request_t* request_at(run_t* s, const target_t* target) {
+    for (guint i = 0; i < s->running->len; i++) {
+        request_t* q = g_ptr_array_index(s->running, i);
+        if (_simf_target_of(s, q) == target) {
+            return q;
+        }
+    }
+    return NULL;
+}
+
 static void restart_router(run_t* s, int router) {
     for (guint i = 0; i < s->running->len;) {
         request_t* q = g_ptr_array_index(s->running, i);
@@ -40,12 +51,10 @@
         _simf_dispatch(s, 0);
         return;
     }
-    for (int w = 0; w < s->trace->workspaces_num; w++) {
-        wgq_account accounts[SIMF_WORKSPACES_MAX];
-        int num = wgq_accounts(s->routers[router].queue, true, accounts, SIMF_WORKSPACES_MAX);
-        for (int i = 0; i < num && w == 0; i++) {
-            s->queued[accounts[i].workspace - 1] -= (int)accounts[i].queued;
-        }
+    wgq_account accounts[SIMF_WORKSPACES_MAX];
+    int num = wgq_accounts(s->routers[router].queue, true, accounts, SIMF_WORKSPACES_MAX);
+    for (int i = 0; i < num; i++) {
+        s->queued[accounts[i].workspace - 1] -= (int)accounts[i].queued;
     }
     _simf_router_start(s, router);
     wgf_pacer_want(&s->routers[router].pacer);
@@ -55,12 +64,8 @@
 static void lose_targets(run_t* s, const simf_fault* fault, bool begin) {
     for (int g = fault->a; g <= fault->b && g < s->trace->targets; g++) {
         s->targets[g].gone = begin;
-        for (guint i = 0; begin && i < s->running->len;) {
-            request_t* q = g_ptr_array_index(s->running, i);
-            if (_simf_target_of(s, q) != &s->targets[g]) {
-                i++;
-                continue;
-            }
+        request_t* q;
+        while (begin && (q = request_at(s, &s->targets[g]))) {
             bool waited = g_queue_remove(&s->targets[g].waiting, q);
             end_request(s, q);
             give_up_running(s, q);
@@ -95,12 +100,8 @@
 static void kill_targets(run_t* s, const simf_fault* f, bool begin) {
     for (int g = f->a; g <= f->b && g < s->trace->targets; g++) {
         s->targets[g].dead = begin;
-        for (guint i = 0; begin && i < s->running->len;) {
-            request_t* q = g_ptr_array_index(s->running, i);
-            if (_simf_target_of(s, q) != &s->targets[g]) {
-                i++;
-                continue;
-            }
+        request_t* q;
+        while (begin && (q = request_at(s, &s->targets[g]))) {
             bool waited = g_queue_remove(&s->targets[g].waiting, q);
             request_t* again = waited ? q : g_memdup2(q, sizeof *q);
             end_request(s, q); /* the finish event of one that ran frees it */
--- a/tests/test_fleet_control.c
+++ b/tests/test_fleet_control.c
@@ -204,18 +204,23 @@
 }
 END_TEST
 
-START_TEST(leaving_target_gets_no_new_work) {
-    start(&(proc_desc){.controls = 1, .routers = 2, .services = 2, .engines = 1});
-    ck_assert_int_eq(
-        proc_ctl(&fleet, NULL, "table", "set", "targets", "service1", "leaving=1", NULL), 0);
-    proc_sleep(3000);
-    int64_t before = proc_journal(proc_find(&fleet, "service1"), "lookups");
+/* Lookups that come to the service while callers send through the fleet for a second. */
+static int64_t lookups_at(const char* service) {
+    int64_t before = proc_journal(proc_find(&fleet, service), "lookups");
     load_desc desc = callers(LOAD_KIND_DEFAULT, 8, SECOND);
     load_result result;
     load_run(&desc, &result);
     ck_clean(&result);
     load_clear(&result);
-    ck_assert_int_eq(proc_journal(proc_find(&fleet, "service1"), "lookups"), before);
+    return proc_journal(proc_find(&fleet, service), "lookups") - before;
+}
+
+START_TEST(leaving_target_gets_no_new_work) {
+    start(&(proc_desc){.controls = 1, .routers = 2, .services = 2, .engines = 1});
+    ck_assert_int_eq(
+        proc_ctl(&fleet, NULL, "table", "set", "targets", "service1", "leaving=1", NULL), 0);
+    proc_sleep(3000);
+    ck_assert_int_eq(lookups_at("service1"), 0);
     proc_fleet_stop(&fleet);
 }
 END_TEST
@@ -320,16 +325,6 @@
     proc_sleep(2000);
 }
 
-static int64_t lookups_at_second(void) {
-    int64_t before = proc_journal(proc_find(&fleet, "service2"), "lookups");
-    load_desc desc = callers(LOAD_KIND_DEFAULT, 8, SECOND);
-    load_result result;
-    load_run(&desc, &result);
-    ck_clean(&result);
-    load_clear(&result);
-    return proc_journal(proc_find(&fleet, "service2"), "lookups") - before;
-}
-
 START_TEST(host_list_that_steps_back_or_vanishes) {
     start(&(proc_desc){.controls = 1,
                        .routers = 1,
@@ -338,15 +333,15 @@
                        .router_extra = "[platform]\nhosts_ms=200\n"
                                        "hosts_url=http://127.%d.4.1:9000/fake/hosts\n"});
     set_hosts(5, "live");
-    ck_assert_int_gt(lookups_at_second(), 0);
+    ck_assert_int_gt(lookups_at("service2"), 0);
     set_hosts(6, "leaving");
-    ck_assert_int_eq(lookups_at_second(), 0);
+    ck_assert_int_eq(lookups_at("service2"), 0);
     set_hosts(4, "live"); /* an older list */
-    ck_assert_int_eq(lookups_at_second(), 0);
+    ck_assert_int_eq(lookups_at("service2"), 0);
     set_hosts(6, "live"); /* the same version cannot take it back */
-    ck_assert_int_eq(lookups_at_second(), 0);
+    ck_assert_int_eq(lookups_at("service2"), 0);
     set_hosts(7, "live");
-    ck_assert_int_gt(lookups_at_second(), 0);
+    ck_assert_int_gt(lookups_at("service2"), 0);
     proc_fleet_stop(&fleet);
 }
 END_TEST
--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -19,10 +19,14 @@
     return (leader + 1 + n) % replicas;
 }
 
+static void cut_both(simq_run* run, int a, int b, bool cut) {
+    simq_cut(run, a, b, cut);
+    simq_cut(run, b, a, cut);
+}
+
 static void isolate(simq_run* run, int slot, int replicas, bool cut) {
     for (int i = 0; i < replicas; i++) {
-        simq_cut(run, i, slot, cut && i != slot);
-        simq_cut(run, slot, i, cut && i != slot);
+        cut_both(run, i, slot, cut && i != slot);
     }
 }
 
@@ -70,8 +74,7 @@
     int keeps = other(leader, 0, 3);
     int outside = other(leader, 1, 3);
     simq_run_for(run, SECOND);
-    simq_cut(run, leader, outside, true);
-    simq_cut(run, outside, leader, true);
+    cut_both(run, leader, outside, true);
     /* `outside` would stand again and again; the moment `keeps` cannot warn the leader, a vote by
        it would make two leaders. simq_tick asserts that there never are. */
     for (int i = 0; i < 400; i++) {
@@ -90,13 +93,11 @@
         int keeps = other(leader, 0, 3);
         int outside = other(leader, 1, 3);
         simq_run_for(run, SECOND);
-        simq_cut(run, leader, outside, true);
-        simq_cut(run, outside, leader, true);
+        cut_both(run, leader, outside, true);
         simq_run_for(run, SECOND + after * 10 * MSEC);
         simq_crash(run, keeps);
         simq_restart(run, keeps);
-        simq_cut(run, keeps, leader, true);
-        simq_cut(run, leader, keeps, true);
+        cut_both(run, keeps, leader, true);
         simq_run_for(run, SECOND);
         simq_shutdown(run);
     }
@@ -204,10 +205,8 @@
     int b = other(a, 0, 5);
     simq_run_for(run, SECOND);
     for (int i = 1; i < 4; i++) {
-        simq_cut(run, a, other(a, i, 5), true);
-        simq_cut(run, other(a, i, 5), a, true);
-        simq_cut(run, b, other(a, i, 5), true);
-        simq_cut(run, other(a, i, 5), b, true);
+        cut_both(run, a, other(a, i, 5), true);
+        cut_both(run, b, other(a, i, 5), true);
     }
     uint64_t index = simq_propose_bytes(run, a, 900);
     simq_run_for(run, 50 * MSEC);
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -4,6 +4,7 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include "folder.h"
 #include "wg_store.h"
 #include "wg_test.h"
 
@@ -15,16 +16,7 @@
 }
 
 static void remove_folder(void) {
-    GDir* dir = g_dir_open(folder, 0, NULL);
-    const char* name;
-    while (dir && (name = g_dir_read_name(dir))) {
-        char* path = g_build_filename(folder, name, NULL);
-        g_unlink(path);
-        g_free(path);
-    }
-    if (dir) {
-        g_dir_close(dir);
-    }
+    folder_wipe(folder);
     g_rmdir(folder);
 }
 
