Every library says which field of a desc is wrong

Cause: six libraries refused a bad desc with "a value is negative" and did not say which; only the replicated log named the field. Found while the set-up functions got their comments.

Ruled out: a check in each library of its own; the six would differ again.

Before: bad_descs_name_the_field in test_parts failed on the first desc.

--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -179,6 +179,19 @@
 
 /* pool: free_slots is a stack; a handle is (generation << 16) | (slot + 1). */
 
+bool wg_desc_check(const wg_desc_field* fields, int num, GError** error) {
+    for (int i = 0; i < num; i++) {
+        int64_t max = fields[i].max ? fields[i].max : INT64_MAX;
+        if (fields[i].value < 0 || fields[i].value > max) {
+            g_set_error(error, WG_ERROR, WG_ERROR_INVALID,
+                        "%s is %" G_GINT64_FORMAT ", not from 0 to %" G_GINT64_FORMAT,
+                        fields[i].name, fields[i].value, max);
+            return false;
+        }
+    }
+    return true;
+}
+
 void wg_pool_setup(wg_pool* pool, const wg_pool_desc* desc) {
     int capacity = desc->capacity ? desc->capacity : 256;
     WG_ASSERT(capacity > 0 && capacity < 65535);
--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -81,6 +81,17 @@
 /* Domain of WG_ERROR; use the macro. */
 GQuark wg_error_quark(void);
 
+/* One number of a desc and the range it may have. */
+typedef struct {
+    const char* name; /* "library_desc.field" */
+    int64_t value;
+    int64_t max; /* 0: any that is not negative */
+} wg_desc_field;
+
+/* True when all fields are in their ranges, from 0 (the default) to `max`; else an error
+   (WG_ERROR_INVALID) that names the first one that is not, and its range. */
+bool wg_desc_check(const wg_desc_field* fields, int num, GError** error);
+
 /* Log events: WG_EVENT_STARTED and so on. */
 typedef enum {
     WG_EVENT_DEFAULT = 0,
--- a/lib/claim/wg_claim.c
+++ b/lib/claim/wg_claim.c
@@ -92,8 +92,11 @@
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgk_claims* wgk_setup(const wgk_desc* desc, GError** error) {
-    if (desc->claims_max < 0 || desc->keep_seconds < 0) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgk_desc: a value is negative");
+    const wg_desc_field fields[] = {
+        {"wgk_desc.claims_max", desc->claims_max, 0},
+        {"wgk_desc.keep_seconds", desc->keep_seconds, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgk_claims* c = g_new0(wgk_claims, 1);
--- a/lib/member/wg_member.c
+++ b/lib/member/wg_member.c
@@ -70,8 +70,11 @@
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgm_members* wgm_setup(const wgm_desc* desc, GError** error) {
-    if (desc->members_max < 0 || desc->gone_after < 0) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgm_desc: a value is negative");
+    const wg_desc_field fields[] = {
+        {"wgm_desc.members_max", desc->members_max, 0},
+        {"wgm_desc.gone_after", desc->gone_after, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgm_members* m = g_new0(wgm_members, 1);
--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -233,9 +233,15 @@
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgp_place* wgp_setup(const wgp_desc* desc, GError** error) {
-    if (desc->targets_max < 0 || desc->prefixes_max < 0 || desc->aside_min < 0 ||
-        desc->aside_max < 0 || desc->failures < 0 || desc->reserve < 0) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgp_desc: a value is negative");
+    const wg_desc_field fields[] = {
+        {"wgp_desc.targets_max", desc->targets_max, 0},
+        {"wgp_desc.prefixes_max", desc->prefixes_max, 0},
+        {"wgp_desc.aside_min", desc->aside_min, 0},
+        {"wgp_desc.aside_max", desc->aside_max, 0},
+        {"wgp_desc.failures", desc->failures, 0},
+        {"wgp_desc.reserve", desc->reserve, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgp_place* p = g_new0(wgp_place, 1);
--- a/lib/queue/wg_queue.c
+++ b/lib/queue/wg_queue.c
@@ -5,6 +5,10 @@
 
 /* ---- types -------------------------------------------------------------------------------- */
 
+enum {
+    _WGQ_REQUESTS_LIMIT = 65000 /* fits the 16 bits of a slot in a handle */
+};
+
 typedef enum {
     _WGQ_FREE = 0,
     _WGQ_WAITING,
@@ -352,10 +356,12 @@
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgq_queue* wgq_setup(const wgq_desc* desc, GError** error) {
-    if (desc->flows_max < 0 || desc->requests_max < 0 || desc->requests_max > 65000 ||
-        desc->first_cost < 0) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID,
-                    "wgq_desc: flows_max, requests_max (at most 65000) or first_cost is wrong");
+    const wg_desc_field fields[] = {
+        {"wgq_desc.flows_max", desc->flows_max, 0},
+        {"wgq_desc.requests_max", desc->requests_max, _WGQ_REQUESTS_LIMIT},
+        {"wgq_desc.first_cost", desc->first_cost, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgq_queue* q = g_new0(wgq_queue, 1);
--- a/lib/share/wg_share.c
+++ b/lib/share/wg_share.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+enum {
+    _WGF_ROUTERS_LIMIT = 32767 /* fits the 16 bits of a slot in a handle */
+};
+
 /* ---- helpers: slots ------------------------------------------------------------------------ */
 
 _wgf_slot_t* _wgf_slot(const wgf_share* s, int router, int target) {
@@ -220,10 +224,14 @@
 /* ---- public functions: set-up and configuration -------------------------------------------- */
 
 wgf_share* wgf_setup(const wgf_desc* desc, GError** error) {
-    bool negative = desc->routers_max < 0 || desc->targets_max < 0 || desc->flows_max < 0 ||
-                    desc->accounts_max < 0 || desc->slot_term < 0;
-    if (negative || desc->routers_max > 32767) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgf_desc: a size or term is out of range");
+    const wg_desc_field fields[] = {
+        {"wgf_desc.routers_max", desc->routers_max, _WGF_ROUTERS_LIMIT},
+        {"wgf_desc.targets_max", desc->targets_max, 0},
+        {"wgf_desc.flows_max", desc->flows_max, 0},
+        {"wgf_desc.accounts_max", desc->accounts_max, 0},
+        {"wgf_desc.slot_term", desc->slot_term, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgf_share* s = g_new0(wgf_share, 1);
--- a/lib/table/wg_table.c
+++ b/lib/table/wg_table.c
@@ -351,8 +351,12 @@
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgt_table* wgt_setup(const wgt_desc* desc, GError** error) {
-    if (desc->rows_max < 0 || desc->results_max < 0 || desc->tombstones_max < 0) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgt_desc: a size is negative");
+    const wg_desc_field fields[] = {
+        {"wgt_desc.rows_max", desc->rows_max, 0},
+        {"wgt_desc.results_max", desc->results_max, 0},
+        {"wgt_desc.tombstones_max", desc->tombstones_max, 0},
+    };
+    if (!wg_desc_check(fields, G_N_ELEMENTS(fields), error)) {
         return NULL;
     }
     wgt_table* t = g_new0(wgt_table, 1);
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -5,6 +5,9 @@
 #include "wg_member.h"
 #include "wg_place.h"
 #include "wg_settings.h"
+#include "wg_queue.h"
+#include "wg_share.h"
+#include "wg_table.h"
 #include "wg_test.h"
 #include "wg_wire.h"
 
@@ -360,9 +363,33 @@
 }
 END_TEST
 
+/* The error of a refused desc has to hold "library_desc.field". */
+static void ck_refused(const void* made, GError* error, const char* field) {
+    ck_assert_ptr_null(made);
+    ck_assert_ptr_nonnull(strstr(error->message, field));
+    g_error_free(error);
+}
+
+START_TEST(bad_descs_name_the_field) {
+    GError* error = NULL;
+    void* made = wgk_setup(&(wgk_desc){.keep_seconds = -1}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgk_desc.keep_seconds");
+    made = wgm_setup(&(wgm_desc){.gone_after = -1}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgm_desc.gone_after");
+    made = wgp_setup(&(wgp_desc){.reserve = -1}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgp_desc.reserve");
+    made = wgq_setup(&(wgq_desc){.requests_max = 65001}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgq_desc.requests_max");
+    made = wgf_setup(&(wgf_desc){.routers_max = 32768}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgf_desc.routers_max");
+    made = wgt_setup(&(wgt_desc){.tombstones_max = -1}, &error);
+    ck_refused(made, g_steal_pointer(&error), "wgt_desc.tombstones_max");
+}
+END_TEST
+
 WG_TEST_MAIN("parts", stale_handles_are_found_out, histogram_quantiles_are_close,
              bad_frames_are_refused, proof_depends_on_key_label_and_hellos,
              bad_settings_name_file_group_and_key, claims_are_granted_once, members_come_and_go,
              entry_hosts_are_few_near_and_steady, only_leased_slots_are_used,
              leaving_is_not_unseen_by_an_older_list, failing_target_is_put_aside_and_probed,
-             prefix_is_a_hint_that_gives_way)
+             prefix_is_a_hint_that_gives_way, bad_descs_name_the_field)
