--- /dev/null
+++ b/daemons/entryd.h
@@ -0,0 +1,13 @@
+#pragma once
+/*
+    entryd.h -- walnutgate-entryd: a thin main over lib/entry
+
+    USE
+        return wg_entryd_main("walnutgate-entryd", NULL, argc, argv);
+
+    THE CALLER OWNS
+        the names of header fields, NULL for those of this project.
+*/
+#include "wg_entry.h"
+
+int wg_entryd_main(const char* program, const wg_entry_names* names, int argc, char** argv);
--- /dev/null
+++ b/lib/balance/wg_balance.c
@@ -0,0 +1,324 @@
+/* wg_balance.c -- see wg_balance.h */
+#include "wg_balance.h"
+
+#include <string.h>
+
+/* ---- types and constants ------------------------------------------------------------------- */
+
+enum {
+    WG_CACHED_TIME = 8 * WG_USEC_PER_SEC, /* how long a part that was sent counts as cached */
+    WG_CACHED_MAX = 8192,                 /* parts remembered for one target */
+    WG_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
+    WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
+    WG_FAILURES_BEFORE_ASIDE = 2,
+    WG_FAR_TOKENS = 150, /* what another data centre costs, in tokens to read */
+    WG_RUNNING_TOKENS = 60, /* what each running request costs the next */
+    WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
+};
+
+/* Tokens read in a microsecond, until a target shows its own speed. */
+static const double WG_SPEED_DEFAULT = 0.030;
+static const double WG_SPEED_MIN = 0.002;
+static const double WG_SPEED_MAX = 0.080;
+static const double WG_SPEED_WEIGHT = 0.08; /* of a new sample */
+
+typedef struct {
+    uint32_t number;
+    uint64_t id_hash;
+    char service[WG_NAME_MAX];
+    bool ready;
+    bool near;
+    uint32_t slots;
+    uint32_t own_unread;
+    uint32_t own_running;
+    uint32_t other_unread;
+    uint32_t other_running;
+    double speed;
+    int failures;
+    wg_time aside_until;
+    GHashTable* cached; /* part -> wg_time* when it was last sent there */
+} wg_balance_target;
+
+struct wg_balance {
+    wg_balance_desc desc;
+    GHashTable* targets; /* number -> wg_balance_target* */
+    uint64_t counter;
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static void wg_balance_target_free(void* data) {
+    wg_balance_target* t = data;
+    g_hash_table_unref(t->cached);
+    g_free(t);
+}
+
+static wg_balance_target* wg_balance_find(const wg_balance* b, uint32_t number) {
+    return g_hash_table_lookup(b->targets, GUINT_TO_POINTER(number));
+}
+
+static bool wg_balance_is_cached(const wg_balance_target* t, wg_time now, uint64_t part) {
+    const wg_time* sent = g_hash_table_lookup(t->cached, &part);
+    return sent && now - *sent < WG_CACHED_TIME;
+}
+
+static void wg_balance_note_part(wg_balance_target* t, wg_time now, uint64_t part) {
+    wg_time* sent = g_hash_table_lookup(t->cached, &part);
+    if (sent) {
+        *sent = now;
+        return;
+    }
+    if (g_hash_table_size(t->cached) >= WG_CACHED_MAX) {
+        g_hash_table_remove_all(t->cached);
+    }
+    uint64_t* pair = g_new(uint64_t, 2);
+    pair[0] = part;
+    pair[1] = (uint64_t)now;
+    g_hash_table_insert(t->cached, pair, (wg_time*)(pair + 1));
+}
+
+static bool wg_need_tried(const wg_need* need, uint32_t number) {
+    for (int i = 0; i < need->tried_num; i++) {
+        if (need->tried[i] == number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Tokens of the prompt that are not expected to be cached at the target. */
+static uint32_t wg_balance_unread(const wg_balance_target* t, wg_time now, const wg_prompt* prompt,
+                                  bool home) {
+    uint32_t cached = 0;
+    for (int i = 0; i + 1 < prompt->num; i++) {
+        if (!home && !wg_balance_is_cached(t, now, prompt->parts[i])) {
+            break;
+        }
+        cached += prompt->sizes[i];
+    }
+    return prompt->tokens > cached ? prompt->tokens - cached : 0;
+}
+
+static uint64_t wg_balance_rank(uint64_t part, const wg_balance_target* t) {
+    return wg_hash(&part, sizeof part, t->id_hash);
+}
+
+static bool wg_balance_takes(const wg_balance_target* t, const wg_need* need) {
+    return t->ready && strcmp(t->service, need->service) == 0 && !wg_need_tried(need, t->number);
+}
+
+/* The target of highest rank among those that are up: home of a prefix. */
+static const wg_balance_target* wg_balance_home(const wg_balance* b, wg_time now,
+                                                const wg_need* need, uint64_t part) {
+    const wg_balance_target* best = NULL;
+    uint64_t best_rank = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_balance_target* t = value;
+        if (!wg_balance_takes(t, need) || now < t->aside_until) {
+            continue;
+        }
+        uint64_t rank = wg_balance_rank(part, t);
+        if (!best || rank > best_rank) {
+            best = t;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+static wg_choice wg_balance_estimate(const wg_balance_target* t, wg_time now, const wg_need* need,
+                                     bool home) {
+    wg_choice c = {.target = t->number};
+    uint32_t running = t->own_running + t->other_running;
+    if (need->prompt) {
+        c.unread = wg_balance_unread(t, now, need->prompt, home);
+        c.ahead = t->own_unread + t->other_unread;
+        uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
+        c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
+    } else {
+        uint32_t slots = t->slots ? t->slots : 1;
+        c.wait = (wg_time)running * WG_USEC_PER_MSEC * 10 / slots;
+    }
+    return c;
+}
+
+/* ---- public functions ---------------------------------------------------------------------- */
+
+wg_balance* wg_balance_setup(const wg_balance_desc* desc) {
+    wg_balance* b = g_new0(wg_balance, 1);
+    b->desc = *desc;
+    b->targets = g_hash_table_new_full(NULL, NULL, NULL, wg_balance_target_free);
+    return b;
+}
+
+void wg_balance_shutdown(wg_balance* b) {
+    g_hash_table_unref(b->targets);
+    g_free(b);
+}
+
+static gboolean wg_balance_is_unknown(gpointer key, gpointer value, gpointer registry) {
+    (void)value;
+    const wg_target* target = wg_registry_find(registry, GPOINTER_TO_UINT(key));
+    return !target || target->state == WG_TARGET_GONE;
+}
+
+void wg_balance_sync(wg_balance* b, wg_time now, const wg_registry* registry) {
+    (void)now;
+    g_hash_table_foreach_remove(b->targets, wg_balance_is_unknown, (gpointer)registry);
+    const wg_target* record = NULL;
+    while ((record = wg_registry_next(registry, record ? record->number : 0))) {
+        if (record->state == WG_TARGET_GONE) {
+            continue;
+        }
+        wg_balance_target* t = wg_balance_find(b, record->number);
+        if (!t) {
+            t = g_new0(wg_balance_target, 1);
+            t->number = record->number;
+            t->id_hash = wg_hash(record->id, strlen(record->id), 0);
+            t->speed = WG_SPEED_DEFAULT;
+            t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+            g_hash_table_insert(b->targets, GUINT_TO_POINTER(t->number), t);
+        }
+        wg_copy_name(t->service, sizeof t->service, record->service);
+        t->near = strcmp(record->data_centre, b->desc.data_centre) == 0;
+        t->ready = record->state == WG_TARGET_READY;
+        t->slots = record->slots;
+    }
+}
+
+void wg_balance_clear_others(wg_balance* b) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_balance_target* t = value;
+        t->other_unread = 0;
+        t->other_running = 0;
+    }
+}
+
+void wg_balance_set_others(wg_balance* b, uint32_t target, uint32_t unread, uint32_t running) {
+    wg_balance_target* t = wg_balance_find(b, target);
+    if (t) {
+        t->other_unread = unread;
+        t->other_running = running;
+    }
+}
+
+wg_choice wg_balance_choose(wg_balance* b, wg_time now, const wg_need* need) {
+    const wg_prompt* prompt = need->prompt;
+    uint64_t part = prompt && prompt->num > 1 ? prompt->parts[prompt->num - 2] : 0;
+    const wg_balance_target* home = part ? wg_balance_home(b, now, need, part) : NULL;
+    wg_choice best = {0};
+    int64_t best_cost = INT64_MAX;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_balance_target* t = value;
+        uint32_t slots = t->slots ? t->slots : (uint32_t)need->slots;
+        if (!wg_balance_takes(t, need) || (slots && t->own_running + t->other_running >= slots)) {
+            continue;
+        }
+        wg_choice c = wg_balance_estimate(t, now, need, t == home);
+        c.home = part;
+        int64_t cost = c.wait + (t->near ? 0 : (int64_t)(WG_FAR_TOKENS / t->speed));
+        if (now < t->aside_until) {
+            cost += WG_ASIDE_MAX; /* only when there is nothing else */
+        }
+        cost = cost * 64 + (int64_t)(wg_jitter(b->desc.seed, ++b->counter) % 64);
+        if (cost < best_cost) {
+            best = c;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+void wg_balance_begin(wg_balance* b, wg_time now, wg_choice* choice) {
+    wg_balance_target* t = wg_balance_find(b, choice->target);
+    choice->begun = now;
+    if (t) {
+        t->own_unread += choice->unread;
+        t->own_running++;
+    }
+}
+
+static void wg_balance_take_read(wg_balance_target* t, wg_choice* choice) {
+    WG_ASSERT(t->own_unread >= choice->unread);
+    t->own_unread -= choice->unread;
+    choice->unread = 0;
+}
+
+void wg_balance_note_prompt(wg_balance* b, wg_time now, uint32_t target, const wg_prompt* prompt) {
+    wg_balance_target* t = wg_balance_find(b, target);
+    for (int i = 0; t && i + 1 < prompt->num; i++) {
+        wg_balance_note_part(t, now, prompt->parts[i]);
+    }
+}
+
+void wg_balance_read(wg_balance* b, wg_time now, wg_choice* choice) {
+    wg_balance_target* t = wg_balance_find(b, choice->target);
+    wg_time took = now - choice->begun;
+    if (!t) {
+        return;
+    }
+    enum {
+        TOKENS_TOLD = 1500 /* fewer say little of the speed */
+    };
+    uint32_t tokens = choice->ahead + choice->unread;
+    if (tokens >= TOKENS_TOLD && took > WG_FIRST_EVENT_MIN) {
+        double sample = tokens / (double)(took - WG_FIRST_EVENT_MIN / 2);
+        sample = CLAMP(sample, WG_SPEED_MIN, WG_SPEED_MAX);
+        t->speed += WG_SPEED_WEIGHT * (sample - t->speed);
+    }
+    wg_balance_take_read(t, choice);
+}
+
+void wg_balance_end(wg_balance* b, wg_time now, wg_choice* choice, wg_result result) {
+    wg_balance_target* t = wg_balance_find(b, choice->target);
+    if (!t) {
+        return;
+    }
+    wg_balance_take_read(t, choice);
+    WG_ASSERT(t->own_running > 0);
+    t->own_running--;
+    if (result == WG_RESULT_GOOD) {
+        t->failures = 0;
+        t->aside_until = 0;
+    } else if (result == WG_RESULT_FAILED && ++t->failures >= WG_FAILURES_BEFORE_ASIDE) {
+        wg_time most = MIN((wg_time)WG_ASIDE_MIN << MIN(t->failures, 6), (wg_time)WG_ASIDE_MAX);
+        t->aside_until =
+            now + wg_jitter_range(b->desc.seed, ++b->counter, most / 2, most);
+    }
+}
+
+int wg_balance_loads(const wg_balance* b, wg_balance_load* loads, int max) {
+    int num = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (num < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_balance_target* t = value;
+        if (t->own_unread || t->own_running) {
+            loads[num++] = (wg_balance_load){t->number, t->own_unread, t->own_running};
+        }
+    }
+    return num;
+}
+
+bool wg_balance_has_target(const wg_balance* b, const char* service) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_balance_target* t = value;
+        if (t->ready && strcmp(t->service, service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/lib/balance/wg_balance.h
@@ -0,0 +1,101 @@
+#pragma once
+/*
+    wg_balance.h -- which target a routed request goes to, as a pure state machine
+
+    WHAT IT DOES
+        Estimates for each target of a service how long a request would wait for its first event
+        there: prompt tokens sent and not yet read, by this host and by all others, and the tokens
+        of the request itself that are not cached there. The shortest wait wins.
+
+    FEATURES
+        - a shared prefix has a home: the target that rendezvous hashing gives it, the same on every
+          host without a message; a loaded home spills over to its second
+        - the speed of each target is learnt from first events; a target that fails is put aside
+          for growing, jittered times
+        - one request, one account: begin, read (first event), end
+
+    USE
+        1. wg_balance* b = wg_balance_setup(&(wg_balance_desc){.data_centre = dc, .seed = s});
+        2. wg_balance_sync(b, now, registry);            // after each change
+        3. wg_balance_set_others(b, now, number, unread, running);
+        4. wg_choice c = wg_balance_choose(b, now, &need);
+        5. wg_balance_begin(b, now, &c); wg_balance_read(b, now, &c); wg_balance_end(b, now, &c, r);
+
+    THE CALLER OWNS
+        the registry and the prompt. Choices are plain values.
+*/
+#include "wg_registry.h"
+
+enum {
+    WG_PROMPT_PARTS_MAX = 16,
+    WG_TRIED_MAX = 16
+};
+
+/* Parts of a prompt in their order, as the caller named them. */
+typedef struct {
+    uint64_t parts[WG_PROMPT_PARTS_MAX]; /* ids */
+    uint32_t sizes[WG_PROMPT_PARTS_MAX]; /* tokens */
+    int num;
+    uint32_t tokens; /* of the whole prompt */
+    uint32_t answer; /* tokens made at most */
+} wg_prompt;
+
+/* What a request needs. */
+typedef struct {
+    const char* service;
+    const wg_prompt* prompt; /* NULL for plain services */
+    int slots;               /* of one target, when it told none */
+    uint32_t tried[WG_TRIED_MAX];
+    int tried_num;
+} wg_need;
+
+typedef struct {
+    uint32_t target; /* number in the registry; 0: none can take it */
+    uint32_t unread; /* tokens that the target has to read for it */
+    uint32_t ahead;  /* tokens that it reads before */
+    wg_time wait;    /* estimate, to the first event */
+    wg_time begun;
+    uint64_t home;   /* last shared part, 0 none */
+} wg_choice;
+
+typedef enum {
+    WG_RESULT_DEFAULT = 0,
+    WG_RESULT_GOOD,
+    WG_RESULT_FAILED,  /* broke off, hung, or answered with an error of its own */
+    WG_RESULT_REFUSED, /* did not take the request */
+    WG_RESULT_LEFT     /* the caller left: says nothing of the target */
+} wg_result;
+
+typedef struct {
+    const char* data_centre; /* of this host; kept by reference */
+    uint64_t seed;
+} wg_balance_desc;
+
+/* What this host has under way at a target. */
+typedef struct {
+    uint32_t target;
+    uint32_t unread;
+    uint32_t running;
+} wg_balance_load;
+
+typedef struct wg_balance wg_balance;
+
+wg_balance* wg_balance_setup(const wg_balance_desc* desc);
+void wg_balance_shutdown(wg_balance* balance);
+void wg_balance_sync(wg_balance* balance, wg_time now, const wg_registry* registry);
+/* Loads of all other hosts: those not set since wg_balance_clear_others() count as 0. */
+void wg_balance_clear_others(wg_balance* balance);
+void wg_balance_set_others(wg_balance* balance, uint32_t target, uint32_t unread,
+                           uint32_t running);
+wg_choice wg_balance_choose(wg_balance* balance, wg_time now, const wg_need* need);
+/* The prompt was sent to the target: its shared parts count as cached there for a while. */
+void wg_balance_note_prompt(wg_balance* balance, wg_time now, uint32_t target,
+                            const wg_prompt* prompt);
+void wg_balance_begin(wg_balance* balance, wg_time now, wg_choice* choice);
+/* The first event came: the prompt is read. */
+void wg_balance_read(wg_balance* balance, wg_time now, wg_choice* choice);
+void wg_balance_end(wg_balance* balance, wg_time now, wg_choice* choice, wg_result result);
+/* Own loads that are not 0; at most `max`. */
+int wg_balance_loads(const wg_balance* balance, wg_balance_load* loads, int max);
+/* Does any target of the service take work? */
+bool wg_balance_has_target(const wg_balance* balance, const char* service);
--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -1,10 +1,12 @@
 /* wg_base.c -- see wg_base.h */
 #include "wg_base.h"
 
+#include <fcntl.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -123,7 +125,12 @@
         g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "unknown log level \"%s\"", level);
         return false;
     }
-    if (strcmp(target, "stderr") != 0) {
+    if (strcmp(target, "stdout") == 0) {
+        /* Whoever reads the log never holds the process up: what does not fit is left out. */
+        fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
+        setvbuf(stdout, NULL, _IOLBF, 0);
+        _wg_log_file = stdout;
+    } else if (strcmp(target, "stderr") != 0) {
         _wg_log_file = fopen(target, "a");
         if (!_wg_log_file) {
             g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot open log file \"%s\"", target);
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -41,4 +41,14 @@
     X(5003, MEMBER_UP, INFO, "router is a member")                                                 \
     X(5004, MEMBER_GONE, WARN, "router taken as gone")                                             \
     X(5005, MEMBER_LEAVING, INFO, "router is leaving")                                             \
+    X(5006, CONFIGURATION_AGREED, INFO, "configuration agreed on")                                 \
+    X(5007, CONFIGURATION_IN_FORCE, INFO, "configuration in force at this entry host")             \
+    X(5008, CONFIGURATION_REFUSED, WARN, "configuration refused")                                  \
+    X(5009, TARGET_AGREED, INFO, "target registered or changed")                                   \
+    X(5010, ORDER_ANSWERED, DEBUG, "order of an operator or a target answered")                    \
+    X(2009, REQUEST_ENDED, INFO, "request of a route ended")                                       \
+    X(2010, ATTEMPT_ENDED, INFO, "attempt of a routed request failed")                             \
+    X(2011, STREAM_CONTINUED, INFO, "broken stream goes on at another target")                     \
+    X(2012, CONNECTION_REFUSED, INFO, "request refused before it was routed")                      \
+    X(2013, LOG_SHORTENED, WARN, "log lines were left out")                                        \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -15,8 +15,14 @@
     _TEXT(TEXT, "control", data_centre, "", "data centre it stands in"),
     _TEXT(ADDRESS, "control", fleet_listen, NULL, "where fleet processes connect"),
     _TEXT(ADDRESS, "control", operators_listen, "127.0.0.1:7200", "where operators connect"),
-    _TEXT(TEXT, "control", data_folder, NULL, "folder on a disk, of this control alone"),
-    _TEXT(LIST, "control", controls, NULL, "all controls as name@ip:port, this one too"),
+    _TEXT(TEXT, "control", data_folder, NULL,
+          "folder on a disk, of this control alone; empty: it never votes"),
+    _TEXT(LIST, "control", controls, "", "all controls as name@ip:port, this one too"),
+    _TEXT(LIST, "control", seeds, "",
+          "instead of controls: ip:port of some of them; only the ip counts, with fleet_port"),
+    _NUMBER("control", fleet_port, "7100", 1, 65535, "", "with seeds: port of fleet_listen on all"),
+    _TEXT(TEXT, "control", first_start, "false",
+          "with seeds: true when the whole fleet starts for the first time"),
     _TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
     _TEXT(SECRET, "keys", operator_key, NULL, "file with the operators' key"),
     _TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
@@ -32,6 +38,15 @@
     _NUMBER("timing", router_gone_ms, "3000", 500, 600000, "ms",
             "silence after which a router counts as gone"),
     _NUMBER("timing", plan_ms, "5", 1, 1000, "ms", "shortest time between two capacity plans"),
+    _NUMBER("timing", replica_gone_ms, "8000", 500, 3600000, "ms",
+            "with seeds: silence after which a replica is taken out, when enough others are up"),
+    _NUMBER("timing", target_silent_ms, "6000", 500, 600000, "ms",
+            "silence after which a target that registers itself gets no more work"),
+    _NUMBER("timing", tick_ms, "10", 1, 100, "ms", "how often timers are looked at"),
+    _NUMBER("timing", link_silence_ms, "4000", 300, 60000, "ms",
+            "silence after which a link between fleet processes is closed"),
+    _NUMBER("state", log_keep, "1000", 4, 1000000, "entries",
+            "log entries kept behind a snapshot for replicas that lag a little"),
     _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
             "log entries between two snapshots"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims", "run-once claims kept at most"),
@@ -43,6 +58,9 @@
 
 static bool _wgco_parse_controls(wgco_control* c, GError** error) {
     bool self_listed = false;
+    if (c->discovers) {
+        return wg_control_discovery_setup(c, error);
+    }
     for (int i = 0; c->settings->controls[i]; i++) {
         char** parts = g_strsplit(c->settings->controls[i], "@", 2);
         struct sockaddr_storage storage;
@@ -117,7 +135,9 @@
         const _wgco_peer_t* peer = &c->peers[i];
         bool known = !peer->up || peer->identity == 0;
         for (int j = 0; j < set->num && !known; j++) {
-            known = strcmp(set->replicas[j].name, peer->name) == 0;
+            /* Found by itself, an emptied replica takes the place of its former self unasked. */
+            known = c->discovers ? set->replicas[j].id == peer->identity
+                                 : strcmp(set->replicas[j].name, peer->name) == 0;
         }
         if (known) {
             continue;
@@ -127,8 +147,8 @@
         wg_copy_name(replica.address, sizeof replica.address, peer->address);
         if (wgr_add(c->node, now, &replica, NULL)) {
             wg_log(WG_EVENT_REPLICA_CHANGE, "added=%s", peer->name);
+            return;
         }
-        return;
     }
 }
 
@@ -140,6 +160,10 @@
         _wgco_router_up(c, link, peer);
         return;
     }
+    if (peer->role == WGW_ROLE_ENTRY) {
+        wg_control_entry_up(c, link, peer);
+        return;
+    }
     if (!_wgco_join_cluster(c, peer)) {
         wg_log(WG_EVENT_LINK_REFUSED, "peer=%s reason=another-cluster", peer->name);
         wgn_close(c->net, link);
@@ -149,6 +173,9 @@
     if (known) {
         known->up = true;
         known->identity = peer->identity;
+        known->seen_at = wg_now();
+    } else if (c->discovers) {
+        wg_control_discovery_learn(c, peer->name, peer->address);
     }
     wg_log(WG_EVENT_LINK_UP, "peer=%s", peer->name);
 }
@@ -158,7 +185,10 @@
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
         known->link = (wgn_link){0};
+        known->seen_at = known->up ? wg_now() : known->seen_at;
         known->up = false;
+    } else if (peer && peer->role == WGW_ROLE_ENTRY) {
+        wg_control_entry_down(c, link);
     } else if (peer && peer->role == WGW_ROLE_ROUTER) {
         _wgco_router_down(c, link);
     }
@@ -172,8 +202,13 @@
     const wgn_peer* peer = wgn_query_peer(c->net, link);
     bool control = peer && peer->role == WGW_ROLE_CONTROL;
     bool router = peer && peer->role == WGW_ROLE_ROUTER;
+    bool entry = peer && peer->role == WGW_ROLE_ENTRY;
     if (control && frame->type == WGW_TYPE_QUORUM) {
         _wgco_take_quorum(c, frame);
+    } else if (entry && frame->type == WGW_TYPE_ENTRY_REPORT) {
+        wg_control_entry_take_report(c, link, frame);
+    } else if (entry && frame->type == WGW_TYPE_ORDER) {
+        wg_control_entry_take_order(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_REPORT) {
         _wgco_take_report(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_ROW_QUERY) {
@@ -223,6 +258,8 @@
     if (c->leads) {
         _wgco_add_new_controls(c, now);
         _wgco_routers_tick(c, now);
+        wg_control_entry_tick(c, now);
+        wg_control_discovery_tick(c, now);
         _wgco_pump(c);
     }
 }
@@ -289,7 +326,10 @@
 static bool _wgco_open_state(wgco_control* c, GError** error) {
     const wgco_settings* s = c->settings;
     c->store =
-        wgs_open(&(wgs_desc){.folder = s->data_folder, .fresh_identity = _wgco_random()}, error);
+        wgs_open(&(wgs_desc){.folder = s->data_folder,
+                             .fresh_identity = _wgco_random(),
+                             .log_keep = (int)s->log_keep},
+                 error);
     if (!c->store) {
         return false;
     }
@@ -299,6 +339,7 @@
     if (content->tail_cut) {
         wg_log(WG_EVENT_STORE_TAIL_CUT, "%s", "");
     }
+    c->registry = wg_registry_setup(&(wg_registry_desc){0});
     c->table = wgt_setup(&(wgt_desc){0}, error);
     c->claims = wgk_setup(
         &(wgk_desc){.claims_max = (int)s->claims_max, .keep_seconds = (int)s->claim_keep_s}, error);
@@ -313,7 +354,8 @@
                                     .restored = &content->restored,
                                     .election_min = s->election_min_ms * WG_USEC_PER_MSEC,
                                     .election_max = s->election_max_ms * WG_USEC_PER_MSEC,
-                                    .heartbeat = s->heartbeat_ms * WG_USEC_PER_MSEC},
+                                    .heartbeat = s->heartbeat_ms * WG_USEC_PER_MSEC,
+                                    .log_keep = (int)s->log_keep},
                         error);
     wgs_forget_content(c->store);
     return c->node != NULL;
@@ -335,6 +377,8 @@
     c->net = wgn_setup(&(wgn_desc){.base = c->base,
                                    .fleet_key = s->fleet_key,
                                    .self = self,
+                                   .silence_deadline = s->link_silence_ms * WG_USEC_PER_MSEC,
+                                   .ping_interval = s->link_silence_ms * WG_USEC_PER_MSEC / 4,
                                    .on_up = _wgco_on_up,
                                    .on_frame = _wgco_on_frame,
                                    .on_down = _wgco_on_down,
@@ -350,8 +394,15 @@
     c->base = desc->base;
     c->started_at = wg_now();
     c->sessions = g_new0(_wgco_session_t, _WGCO_ROUTERS_MAX);
+    c->discovers = c->settings->seeds[0] != NULL;
+    c->observer = c->discovers && !c->settings->data_folder[0];
     g_queue_init(&c->waiters);
-    if (!_wgco_parse_controls(c, error) || !_wgco_open_state(c, error) ||
+    wg_control_entry_setup(c);
+    if (c->observer) {
+        return c;
+    }
+    if (!_wgco_parse_controls(c, error) ||
+        (c->discovers && !wg_control_discovery_form(c, error)) || !_wgco_open_state(c, error) ||
         !_wgco_open_links(c, error)) {
         wgco_shutdown(c);
         return NULL;
@@ -359,7 +410,7 @@
     c->tick = event_new(c->base, -1, EV_PERSIST, _wgco_on_tick, c);
     c->plan_event = evtimer_new(c->base, _wgco_on_plan, c);
     c->stop_event = event_new(c->base, -1, EV_PERSIST, _wgco_on_stop, c);
-    struct timeval period = {.tv_usec = 10 * WG_USEC_PER_MSEC};
+    struct timeval period = {.tv_usec = c->settings->tick_ms * WG_USEC_PER_MSEC};
     event_add(c->tick, &period);
     return c;
 }
@@ -369,7 +420,9 @@
         _wgco_lead_end(c);
     }
     _wgco_fail_waiters(c);
-    wgh_close(&c->http);
+    if (!c->observer) {
+        wgh_close(&c->http);
+    }
     if (c->net) {
         wgn_shutdown(c->net);
     }
@@ -387,6 +440,7 @@
     if (c->claims) {
         wgk_shutdown(c->claims);
     }
+    wg_control_entry_shutdown(c);
     if (c->store) {
         wgs_close(c->store);
     }
@@ -402,6 +456,10 @@
     }
     c->stopping = true;
     wg_log(WG_EVENT_STOP_BEGUN, "%s", "");
+    if (c->observer) {
+        event_base_loopbreak(c->base);
+        return;
+    }
     c->handing_over = wgr_hand_over(c->node, wg_now());
     _wgco_pump(c);
     struct timeval period = {.tv_usec = 20 * WG_USEC_PER_MSEC};
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -27,6 +27,7 @@
 #include "wg_member.h"
 #include "wg_net.h"
 #include "wg_quorum.h"
+#include "wg_registry.h"
 #include "wg_settings.h"
 #include "wg_share.h"
 #include "wg_store.h"
@@ -39,6 +40,14 @@
     char* operators_listen;
     char* data_folder;
     char** controls;
+    char** seeds;
+    char* first_start;
+    int64_t fleet_port;
+    int64_t replica_gone_ms;
+    int64_t target_silent_ms;
+    int64_t tick_ms;
+    int64_t link_silence_ms;
+    int64_t log_keep;
     char* fleet_key;
     char* operator_key;
     char* log_level;
--- /dev/null
+++ b/lib/control/wg_control_discovery.c
@@ -0,0 +1,159 @@
+/* wg_control_discovery.c -- controls that find each other through seeds, and replace lost ones
+
+   The first set of replicas is the seeds of the first start: every seed with a disk derives the
+   same set and the same identities from the same list, so that no negotiation is needed. Whoever
+   comes later has an identity of its own and is added by the leader, one change at a time. */
+#include "wg_control_internal.h"
+
+#include <string.h>
+
+enum {
+    /* Replicas that have to be up, beside those taken out. */
+    WG_REPLICAS_KEPT = 3
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+/* "ip:port" of a seed as the fleet address of that host; its ip is its name. */
+static bool wg_control_seed(const wgco_control* c, const char* seed, char name[WG_NAME_MAX],
+                            char address[WG_ADDRESS_MAX]) {
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    if (!wgn_split_address(seed, ip, &port) || !wg_copy_name(name, WG_NAME_MAX, ip)) {
+        return false;
+    }
+    g_snprintf(address, WG_ADDRESS_MAX, "%s:%d", ip, (int)c->settings->fleet_port);
+    return true;
+}
+
+static uint64_t wg_control_seed_identity(const char* name) {
+    return wg_hash(name, strlen(name), 1) | 1;
+}
+
+static _wgco_peer_t* wg_control_find_peer(wgco_control* c, const char* name) {
+    for (int i = 0; i < c->peers_num; i++) {
+        if (strcmp(c->peers[i].name, name) == 0) {
+            return &c->peers[i];
+        }
+    }
+    return NULL;
+}
+
+static bool wg_control_in_set(const wgco_control* c, const char* name) {
+    const wgr_set* set = c->node ? wgr_query_set(c->node) : NULL;
+    for (int i = 0; set && i < set->num; i++) {
+        if (strcmp(set->replicas[i].name, name) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* A place in the list of peers: a free one, or that of one that is down and not in the set. */
+static _wgco_peer_t* wg_control_peer_place(wgco_control* c) {
+    if (c->peers_num < _WGCO_PEERS_MAX) {
+        return &c->peers[c->peers_num++];
+    }
+    for (int i = 0; i < c->peers_num; i++) {
+        _wgco_peer_t* peer = &c->peers[i];
+        if (!peer->up && peer->link.id == 0 && !wg_control_in_set(c, peer->name)) {
+            return peer;
+        }
+    }
+    return NULL;
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+void wg_control_discovery_learn(wgco_control* c, const char* name, const char* address) {
+    if (strcmp(name, c->settings->name) == 0 || wg_control_find_peer(c, name)) {
+        return;
+    }
+    _wgco_peer_t* peer = wg_control_peer_place(c);
+    if (peer) {
+        *peer = (_wgco_peer_t){.seen_at = wg_now()};
+        wg_copy_name(peer->name, sizeof peer->name, name);
+        wg_copy_name(peer->address, sizeof peer->address, address);
+    }
+}
+
+bool wg_control_discovery_setup(wgco_control* c, GError** error) {
+    for (int i = 0; c->settings->seeds[i]; i++) {
+        char name[WG_NAME_MAX];
+        char address[WG_ADDRESS_MAX];
+        if (!wg_control_seed(c, c->settings->seeds[i], name, address)) {
+            g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] seeds: \"%s\" is not ip:port",
+                        c->settings->seeds[i]);
+            return false;
+        }
+        wg_control_discovery_learn(c, name, address);
+    }
+    return true;
+}
+
+static bool wg_control_first_set(const wgco_control* c, wgr_set* set) {
+    bool self = false;
+    *set = (wgr_set){0};
+    for (int i = 0; c->settings->seeds[i] && set->num < WGR_REPLICAS_MAX; i++) {
+        wgr_replica* replica = &set->replicas[set->num++];
+        wg_control_seed(c, c->settings->seeds[i], replica->name, replica->address);
+        replica->id = wg_control_seed_identity(replica->name);
+        replica->voter = true;
+        self = self || strcmp(replica->name, c->settings->name) == 0;
+    }
+    return self;
+}
+
+bool wg_control_discovery_form(wgco_control* c, GError** error) {
+    wgr_set set;
+    if (strcmp(c->settings->first_start, "true") != 0 || !wg_control_first_set(c, &set)) {
+        return true;
+    }
+    uint64_t cluster = 0;
+    for (int i = 0; i < set.num; i++) {
+        cluster ^= set.replicas[i].id;
+    }
+    wgs_store* store =
+        wgs_open(&(wgs_desc){.folder = c->settings->data_folder,
+                             .fresh_identity = wg_control_seed_identity(c->settings->name),
+                             .fresh_cluster = cluster | 1},
+                 error);
+    if (!store) {
+        return false;
+    }
+    bool good = true;
+    if (wgs_query_content(store)->fresh) {
+        GBytes* state = g_bytes_new(NULL, 0);
+        good = wgs_save_hard_state(store, 1, 0, error) &&
+               wgs_save_snapshot(store, 1, 1, &set, state, false, error);
+        g_bytes_unref(state);
+    }
+    wgs_close(store);
+    return good;
+}
+
+void wg_control_discovery_tick(wgco_control* c, wg_time now) {
+    if (!c->discovers) {
+        return;
+    }
+    const wgr_set* set = wgr_query_set(c->node);
+    int up = 1;
+    const wgr_replica* gone = NULL;
+    for (int i = 0; i < set->num; i++) {
+        const wgr_replica* replica = &set->replicas[i];
+        if (strcmp(replica->name, c->settings->name) == 0) {
+            continue;
+        }
+        wg_control_discovery_learn(c, replica->name, replica->address);
+        const _wgco_peer_t* peer = wg_control_find_peer(c, replica->name);
+        if (peer && peer->up) {
+            up += replica->voter && peer->identity == replica->id;
+        } else if (peer && now - MAX(peer->seen_at, c->led_since) >
+                               c->settings->replica_gone_ms * WG_USEC_PER_MSEC) {
+            gone = replica;
+        }
+    }
+    if (gone && up >= WG_REPLICAS_KEPT && wgr_remove(c->node, now, gone->id, NULL)) {
+        wg_log(WG_EVENT_REPLICA_CHANGE, "removed up=%d", up);
+    }
+}
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -6,7 +6,7 @@
 
 enum {
     _WGCO_ROUTERS_MAX = 512,
-    _WGCO_PEERS_MAX = 8,
+    _WGCO_PEERS_MAX = 16,
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
     _WGCO_FAIRS_MAX = 2048,
     _WGCO_SHARES_DUMPED = 200,
@@ -21,6 +21,7 @@
     bool up;
     uint64_t identity; /* 0 unknown */
     wg_time dial_at;
+    wg_time seen_at; /* when its link was last up */
 } _wgco_peer_t;
 
 /* A router's link to this control. */
@@ -46,8 +47,39 @@
     struct evhttp_request* request; /* an operator's edit; NULL when the operator left */
     wgn_link link;                  /* a router's claim */
     uint64_t ticket;
+    bool order; /* of an entry host, not a claim */
 } _wgco_waiter_t;
 
+/* A link of an entry host, and what it last said. */
+typedef struct {
+    wgn_link link;
+    char name[WG_NAME_MAX];
+    char address[WG_ADDRESS_MAX]; /* where callers connect */
+    char data_centre[WG_NAME_MAX];
+    uint64_t configuration_version;
+    uint64_t registry_change;
+    uint64_t members_change;
+    bool reported;
+    bool ready;
+    bool leaving;
+    GHashTable* loads; /* target number -> Wgpb__TargetLoad* */
+    GHashTable* usage; /* hash of a workspace -> tokens as last reported */
+} wg_control_entry;
+
+/* An entry host as callers may be told of it. */
+typedef struct {
+    char name[WG_NAME_MAX];
+    char address[WG_ADDRESS_MAX];
+    char data_centre[WG_NAME_MAX];
+    wg_time heard_at;
+} wg_control_member;
+
+/* Tokens that the fleet served a workspace lately, halved every WG_USAGE_HALF_LIFE. */
+typedef struct {
+    uint64_t workspace;
+    double tokens;
+} wg_control_usage;
+
 struct wgco_control {
     wgco_desc desc;
     const wgco_settings* settings;
@@ -72,6 +104,20 @@
     bool stopping;
     bool handing_over; /* to a successor, in a planned stop */
 
+    /* entry hosts that serve routes (wg_control_entry.c) */
+    uint64_t configuration_version;
+    GBytes* configuration; /* NULL: none yet */
+    wg_registry* registry;
+    GHashTable* entries; /* link id -> wg_control_entry* */
+    GPtrArray* members_listed; /* wg_control_member* */
+    uint64_t members_change;
+    GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
+    GHashTable* usage;       /* hash of a workspace -> wg_control_usage* */
+    wg_time usage_at;
+    wg_time led_since;
+    bool discovers; /* other controls are found through seeds */
+    bool observer;  /* has no data folder: does nothing, never votes */
+
     /* while this control leads */
     bool leads;
     wgf_share* share;
@@ -114,6 +160,31 @@
 void _wgco_routers_tick(wgco_control* c, wg_time now);
 void _wgco_plan(wgco_control* c);
 
+/* entry hosts (wg_control_entry.c) */
+void wg_control_entry_setup(wgco_control* c);
+void wg_control_entry_shutdown(wgco_control* c);
+void wg_control_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer);
+void wg_control_entry_down(wgco_control* c, wgn_link link);
+void wg_control_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame);
+void wg_control_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
+void wg_control_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
+void wg_control_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
+void wg_control_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
+void wg_control_entry_lead_begin(wgco_control* c, wg_time now);
+void wg_control_entry_lead_end(wgco_control* c);
+void wg_control_entry_tick(wgco_control* c, wg_time now);
+/* Send every entry host what it lacks. */
+void wg_control_entry_push(wgco_control* c);
+
+/* discovery of other controls (wg_control_discovery.c) */
+bool wg_control_discovery_setup(wgco_control* c, GError** error);
+/* On the first start of a fleet, the seeds form the first set of replicas, each for itself. */
+bool wg_control_discovery_form(wgco_control* c, GError** error);
+/* A control that connected, or that stands in the set, is one to be dialled. */
+void wg_control_discovery_learn(wgco_control* c, const char* name, const char* address);
+/* As leader: take out replicas that are gone for good, once enough others are up. */
+void wg_control_discovery_tick(wgco_control* c, wg_time now);
+
 /* operators (wg_control_http.c) */
 bool _wgco_http_setup(wgco_control* c, GError** error);
 void _wgco_answer_edit(wgco_control* c, struct evhttp_request* request, const wgt_result* result);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -107,9 +107,17 @@
     Wgpb__State state = WGPB__STATE__INIT;
     state.table = wgt_dump(c->table);
     state.claims = wgk_dump(c->claims);
+    state.registry = wg_registry_dump(c->registry);
+    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
+    if (c->configuration) {
+        configuration.version = c->configuration_version;
+        configuration.document = _wgco_borrow(c->configuration);
+        state.configuration = &configuration;
+    }
     GBytes* bytes = g_byte_array_free_to_bytes(wgw_pack(&state.base));
     wgpb__table_state__free_unpacked(state.table, NULL);
     wgpb__claim_state__free_unpacked(state.claims, NULL);
+    wgpb__registry_state__free_unpacked(state.registry, NULL);
     return bytes;
 }
 
@@ -121,7 +129,11 @@
         return false;
     }
     bool good = (!state->table || wgt_load(c->table, state->table)) &&
-                (!state->claims || wgk_load(c->claims, state->claims));
+                (!state->claims || wgk_load(c->claims, state->claims)) &&
+                (!state->registry || wg_registry_load(c->registry, state->registry));
+    if (good && state->configuration) {
+        wg_control_entry_apply_configuration(c, state->configuration);
+    }
     wgpb__state__free_unpacked(state, NULL);
     return good;
 }
@@ -188,6 +200,15 @@
             _wgco_answer_claim(c, waiter->link, waiter->ticket, WGK_OUTCOME_ENDED, NULL);
         }
     }
+    if (command->configuration) {
+        wg_control_entry_apply_configuration(c, command->configuration);
+    }
+    if (command->target) {
+        wg_control_entry_apply_target(c, command->target);
+    }
+    if (waiter && waiter->order) {
+        wg_control_entry_answer(c, waiter, true);
+    }
     wgpb__command__free_unpacked(command, NULL);
 }
 
@@ -201,6 +222,9 @@
         if (waiter->request) {
             _wgco_answer_unknown(waiter->request);
         }
+        if (waiter->order) {
+            wg_control_entry_answer(c, waiter, false);
+        }
         g_free(waiter);
         waiter = NULL;
     }
@@ -331,6 +355,9 @@
         if (waiter->request) {
             _wgco_answer_unknown(waiter->request);
         }
+        if (waiter->order) {
+            wg_control_entry_answer(c, waiter, false);
+        }
         g_free(waiter);
     }
 }
--- /dev/null
+++ b/lib/entry/wg_entry.c
@@ -0,0 +1,191 @@
+/* wg_entry.c -- set-up, tick and planned stop; see wg_entry.h */
+#include "wg_entry_internal.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+/* ---- settings ------------------------------------------------------------------------------- */
+
+#define WG_NUMBER(group, field, def, min, max, unit, help)                                         \
+    WGI_NUMBER(wg_entry_settings, group, field, def, min, max, unit, help)
+#define WG_TEXT(kind, group, field, def, help) WGI_TEXT(wg_entry_settings, kind, group, field, def, help)
+
+const wgi_key wg_entry_keys[] = {
+    WG_TEXT(TEXT, "entry", name, NULL, "name of this entry host, one in the fleet"),
+    WG_TEXT(TEXT, "entry", data_centre, "", "data centre it stands in"),
+    WG_TEXT(ADDRESS, "entry", callers_listen, NULL, "where callers connect"),
+    WG_TEXT(ADDRESS, "entry", ready_listen, NULL, "where it says whether it is ready, and metrics"),
+    WG_TEXT(ADDRESS, "entry", entry_listen, NULL, "where callers ask which entry hosts to use"),
+    WG_TEXT(ADDRESS, "entry", orders_listen, NULL, "where operators and targets send their orders"),
+    WG_TEXT(LIST, "entry", seeds, NULL, "ip:port of some controls; only the ip counts"),
+    WG_NUMBER("entry", fleet_port, "7100", 1, 65535, "", "port of fleet_listen on all controls"),
+    WG_TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
+    WG_TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
+    WG_TEXT(TEXT, "log", log_target, "stderr", "stderr, stdout or a file"),
+    WG_NUMBER("timing", entry_keep_s, "1", 1, 3600, "s", "how long callers keep an entry answer"),
+    WG_NUMBER("timing", stop_ms, "6500", 0, 3600000, "ms", "longest planned stop"),
+    WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
+              "silence after which the link to a control is closed"),
+    WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms", "wait for the leader's answer to an order"),
+    WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
+              "of first sends that the fleet may send again"),
+    WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends", "beyond, of the fleet in a window"),
+    WG_NUMBER("retry", retry_window_ms, "10000", 100, 600000, "ms", "window of the retry budget"),
+    WG_NUMBER("limits", callers_max, "3000", 1, 1000000, "", "connections of callers at once"),
+};
+const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
+
+static const wg_entry_names wg_own_names = {.request_id = "Walnutgate-Request",
+                                            .key = "Walnutgate-Key",
+                                            .deadline = "Walnutgate-Deadline-Ms",
+                                            .prompt_parts = "Walnutgate-Prompt-Parts",
+                                            .prompt_tokens = "Walnutgate-Prompt-Tokens",
+                                            .last_event = "Last-Event-ID",
+                                            .workspace = "Walnutgate-Workspace",
+                                            .expect = "Walnutgate-Expect-Target",
+                                            .not_run = "Target-Not-Run",
+                                            .query_place = "data_centre"};
+
+enum {
+    WG_TICK = 50 * WG_USEC_PER_MSEC,
+    WG_LOG_LINES_MAX = 200, /* about requests, in one second */
+    WG_LATE_CLOSE = 300 * WG_USEC_PER_MSEC
+};
+
+/* ---- helpers -------------------------------------------------------------------------------- */
+
+bool wg_entry_is_ready(const wg_entry* e) {
+    return e->config && e->registry_known && !e->stopping;
+}
+
+bool wg_entry_may_log(wg_entry* e, wg_time now) {
+    if (now - e->log_second >= WG_USEC_PER_SEC) {
+        if (e->log_lines > WG_LOG_LINES_MAX) {
+            wg_log(WG_EVENT_LOG_SHORTENED, "left_out=%d", e->log_lines - WG_LOG_LINES_MAX);
+        }
+        e->log_second = now;
+        e->log_lines = 0;
+    }
+    bool may = ++e->log_lines <= WG_LOG_LINES_MAX;
+    e->counters.lines_left_out += !may;
+    return may;
+}
+
+static void wg_entry_pass_retries(wg_entry* e) {
+    wg_retry_rules rules = {.percent = e->settings->retry_percent,
+                            .slack = e->settings->retry_slack,
+                            .window = e->settings->retry_window_ms * WG_USEC_PER_MSEC,
+                            .hosts = MAX(e->members_num, 3)};
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->retries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_retry_pass(value, WG_TICK, &rules);
+    }
+}
+
+/* Leave when nobody is served and no caller can still hold an answer that names this host. */
+static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
+    wg_time most = e->settings->stop_ms * WG_USEC_PER_MSEC;
+    wg_time least = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_LATE_CLOSE;
+    wg_time since = now - e->stop_at;
+    bool over = since >= most || (since >= least && e->calls_num == 0);
+    if (!over) {
+        return;
+    }
+    wg_log(WG_EVENT_STOP_DRAINED, "calls=%d callers=%u after_ms=%" G_GINT64_FORMAT, e->calls_num,
+           e->clients->len, since / WG_USEC_PER_MSEC);
+    event_base_loopbreak(e->base);
+}
+
+static void wg_entry_on_tick(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wg_entry* e = user_data;
+    wg_time now = wg_now();
+    wg_entry_link_tick(e, now);
+    wg_client_tick(e, now);
+    wg_upstream_tick(e, now);
+    wg_entry_pass_retries(e);
+    wg_call_queue_run(e);
+    if (e->stopping) {
+        wg_entry_stop_tick(e, now);
+    }
+}
+
+static uint64_t wg_entry_random(void) {
+    uint64_t value = 0;
+    if (getrandom(&value, sizeof value, 0) != (ssize_t)sizeof value) {
+        wg_assert_failed("getrandom", __FILE__, __LINE__);
+    }
+    return value;
+}
+
+/* ---- public functions ----------------------------------------------------------------------- */
+
+wg_entry* wg_entry_setup(const wg_entry_desc* desc, GError** error) {
+    wg_entry* e = g_new0(wg_entry, 1);
+    e->settings = desc->settings;
+    e->base = desc->base;
+    e->names = desc->names ? desc->names : &wg_own_names;
+    e->seed = wg_entry_random();
+    e->clients = g_ptr_array_new();
+    e->idle = g_hash_table_new(NULL, NULL);
+    e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
+    e->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+    e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    e->registry = wg_registry_setup(&(wg_registry_desc){0});
+    e->balance = wg_balance_setup(
+        &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
+    g_queue_init(&e->orders);
+    if (!wg_entry_link_setup(e, error) || !wg_entry_pages_setup(e, error) ||
+        !wg_client_listen(e, error)) {
+        wg_entry_shutdown(e);
+        return NULL;
+    }
+    e->tick = event_new(e->base, -1, EV_PERSIST, wg_entry_on_tick, e);
+    struct timeval period = {.tv_usec = WG_TICK};
+    event_add(e->tick, &period);
+    return e;
+}
+
+void wg_entry_stop(wg_entry* e) {
+    wg_time now = wg_now();
+    if (e->stopping) {
+        wg_log(WG_EVENT_STOP_HURRIED, "cut_off=%d", e->calls_num);
+        event_base_loopbreak(e->base);
+        return;
+    }
+    e->stopping = true;
+    e->stop_at = now;
+    wg_log(WG_EVENT_STOP_BEGUN, "calls=%d", e->calls_num);
+    wg_entry_report(e, now);
+}
+
+void wg_entry_shutdown(wg_entry* e) {
+    wg_call_cut_all(e);
+    if (e->tick) {
+        event_free(e->tick);
+    }
+    if (e->listener) {
+        evconnlistener_free(e->listener);
+    }
+    wg_entry_orders_drop(e);
+    wg_upstream_shutdown(e);
+    wgh_close(&e->ready_server);
+    wgh_close(&e->entry_server);
+    wgh_close(&e->orders_server);
+    if (e->net) {
+        wgn_shutdown(e->net);
+    }
+    wg_balance_shutdown(e->balance);
+    wg_registry_shutdown(e->registry);
+    wg_config_unref(e->config);
+    g_ptr_array_unref(e->clients);
+    g_hash_table_unref(e->queues);
+    g_hash_table_unref(e->retries);
+    g_hash_table_unref(e->usage_own);
+    g_hash_table_unref(e->usage_fleet);
+    g_free(e);
+}
--- /dev/null
+++ b/lib/entry/wg_entry_client.c
@@ -0,0 +1,308 @@
+/* wg_entry_client.c -- callers' connections: strict heads, bodies, limits, idle time */
+#include "wg_entry_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum {
+    WG_HEAD_TIME_START = 3 * WG_USEC_PER_SEC,  /* while there is no configuration */
+    WG_IDLE_TIME_START = 15 * WG_USEC_PER_SEC, /* the same */
+    WG_ENDING_TIME = 2 * WG_USEC_PER_SEC,      /* for the last answer to leave */
+    WG_LISTEN_BACKLOG = 512
+};
+
+static void wg_client_next(wg_client* client);
+
+/* ---- helpers -------------------------------------------------------------------------------- */
+
+void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes) {
+    struct evbuffer* out = bufferevent_get_output(bev);
+    evutil_socket_t fd = bufferevent_getfd(bev);
+    if (evbuffer_get_length(out) == 0 && fd >= 0) {
+        while (evbuffer_get_length(bytes) > 0 && evbuffer_write(bytes, fd) > 0) {
+        }
+    }
+    if (evbuffer_get_length(bytes) > 0) {
+        evbuffer_add_buffer(out, bytes); /* an error shows when the loop writes it */
+    }
+}
+
+static void wg_client_free(wg_client* client) {
+    GPtrArray* clients = client->entry->clients;
+    wg_client* last = clients->pdata[clients->len - 1];
+    last->at = client->at;
+    g_ptr_array_remove_index_fast(clients, client->at);
+    bufferevent_free(client->bev);
+    g_free(client->head_bytes);
+    if (client->body_bytes) {
+        evbuffer_free(client->body_bytes);
+    }
+    g_free(client);
+}
+
+void wg_client_close(wg_client* client) {
+    if (client->call) {
+        wg_call* call = client->call;
+        client->call = NULL;
+        call->client = NULL;
+        wg_call_caller_left(call);
+    }
+    wg_client_free(client);
+}
+
+static void wg_client_enter(wg_client* client, wg_client_state state) {
+    client->state = state;
+    client->since = wg_now();
+    client->begun = false;
+}
+
+/* Close once what was written has left. */
+static void wg_client_end(wg_client* client) {
+    wg_client_enter(client, WG_CLIENT_ENDING);
+    if (evbuffer_get_length(bufferevent_get_output(client->bev)) == 0) {
+        shutdown(bufferevent_getfd(client->bev), SHUT_WR);
+    }
+}
+
+void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
+                      bool keep) {
+    wg_entry* e = client->entry;
+    struct evbuffer* out = evbuffer_new();
+    char body[128];
+    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", code,
+                          wg_verdict_name(WG_VERDICT_NOT_RUN));
+    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
+                        wgh_reason(status));
+    if (retry_after > 0) {
+        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
+    }
+    evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
+                        keep ? "" : "Connection: close\r\n", body);
+    e->counters.refused++;
+    wg_socket_write(client->bev, out);
+    evbuffer_free(out);
+}
+
+static void wg_client_reject(wg_client* client, int status, const char* code) {
+    if (wg_entry_may_log(client->entry, wg_now())) {
+        wg_log(WG_EVENT_CONNECTION_REFUSED, "status=%d code=%s", status, code);
+    }
+    wg_client_refuse(client, status, code, 0, false);
+    wg_client_end(client);
+}
+
+/* ---- reading -------------------------------------------------------------------------------- */
+
+static size_t wg_client_head_max(const wg_entry* e) {
+    return e->config ? (size_t)e->config->limits.head_bytes : WG_HEAD_BYTES_START;
+}
+
+static int64_t wg_client_body_max(const wg_entry* e) {
+    return e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
+}
+
+static void wg_client_start_call(wg_client* client) {
+    char* bytes = client->head_bytes;
+    size_t size = client->head_size;
+    struct evbuffer* body = client->body_bytes;
+    client->head_bytes = NULL;
+    client->body_bytes = NULL;
+    wg_client_enter(client, WG_CLIENT_BUSY);
+    wg_call_begin(client, bytes, size, body);
+}
+
+/* False when the body is not whole yet, or was refused. */
+static bool wg_client_read_body(wg_client* client) {
+    wg_body_state state =
+        wg_body_read(&client->body, bufferevent_get_input(client->bev), client->body_bytes);
+    if (state == WG_BODY_BAD) {
+        wg_client_reject(client, 400, "body_malformed");
+        return false;
+    }
+    if (client->body.taken > wg_client_body_max(client->entry)) {
+        wg_client_reject(client, 413, "body_too_large");
+        return false;
+    }
+    return state == WG_BODY_WHOLE;
+}
+
+static void wg_client_begin_body(wg_client* client, const wg_message_head* head) {
+    wg_body_begin(&client->body, head);
+    client->body_bytes = evbuffer_new();
+    client->keep = head->keep_alive;
+    if (wg_text_is(wg_message_field(head, "Expect"), "100-continue")) {
+        struct evbuffer* out = evbuffer_new();
+        evbuffer_add_printf(out, "HTTP/1.1 100 Continue\r\n\r\n");
+        wg_socket_write(client->bev, out);
+        evbuffer_free(out);
+    }
+    wg_client_enter(client, WG_CLIENT_BODY);
+}
+
+/* False when there is no whole head yet, or it was refused. */
+static bool wg_client_read_head(wg_client* client) {
+    struct evbuffer* in = bufferevent_get_input(client->bev);
+    size_t max = wg_client_head_max(client->entry);
+    size_t have = evbuffer_get_length(in);
+    if (have == 0) {
+        return false;
+    }
+    if (!client->begun) {
+        client->begun = true;
+        client->since = wg_now();
+    }
+    size_t look = MIN(have, max + 1);
+    const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
+    size_t size = wg_message_head_size(bytes, look);
+    if (size == 0 || size > max) {
+        if (have > max) {
+            wg_client_reject(client, 431, "head_too_large");
+        }
+        return false;
+    }
+    g_free(client->head_bytes);
+    client->head_bytes = g_malloc(size);
+    client->head_size = size;
+    evbuffer_remove(in, client->head_bytes, size);
+    wg_message_head head;
+    int status = wg_message_parse_request(client->head_bytes, size, &head);
+    if (status) {
+        wg_client_reject(client, status, "head_malformed");
+        return false;
+    }
+    if (head.framing == WG_FRAMING_LENGTH && head.length > wg_client_body_max(client->entry)) {
+        wg_client_reject(client, 413, "body_too_large");
+        return false;
+    }
+    wg_client_begin_body(client, &head);
+    return true;
+}
+
+/* Take the next step with what has come. */
+static void wg_client_next(wg_client* client) {
+    if (client->state == WG_CLIENT_ENDING) {
+        struct evbuffer* in = bufferevent_get_input(client->bev);
+        evbuffer_drain(in, evbuffer_get_length(in));
+        return;
+    }
+    if (client->state == WG_CLIENT_HEAD && !wg_client_read_head(client)) {
+        return;
+    }
+    if (client->state == WG_CLIENT_BODY && wg_client_read_body(client)) {
+        wg_client_start_call(client);
+    }
+}
+
+static void wg_client_on_read(struct bufferevent* bev, void* user_data) {
+    (void)bev;
+    wg_client_next(user_data);
+}
+
+static void wg_client_on_write(struct bufferevent* bev, void* user_data) {
+    (void)bev;
+    wg_client* client = user_data;
+    if (client->state == WG_CLIENT_ENDING) {
+        shutdown(bufferevent_getfd(client->bev), SHUT_WR);
+    } else if (client->call && client->call->upstream) {
+        wg_upstream_resume(client->call->upstream);
+    }
+}
+
+static void wg_client_on_event(struct bufferevent* bev, short what, void* user_data) {
+    (void)bev;
+    (void)what;
+    wg_client_close(user_data);
+}
+
+/* ---- functions of the library --------------------------------------------------------------- */
+
+void wg_client_call_over(wg_client* client, bool keep) {
+    client->call = NULL;
+    client->answered = true;
+    if (!keep) {
+        wg_client_end(client);
+        return;
+    }
+    wg_client_enter(client, WG_CLIENT_HEAD);
+    if (evbuffer_get_length(bufferevent_get_input(client->bev)) > 0) {
+        bufferevent_trigger(client->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+    }
+}
+
+static void wg_client_accept(struct evconnlistener* listener, evutil_socket_t fd,
+                             struct sockaddr* address, int size, void* user_data) {
+    (void)listener;
+    (void)address;
+    (void)size;
+    wg_entry* e = user_data;
+    if (e->clients->len >= (guint)e->settings->callers_max) {
+        evutil_closesocket(fd);
+        return;
+    }
+    int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+    wg_client* client = g_new0(wg_client, 1);
+    client->entry = e;
+    client->bev = bufferevent_socket_new(e->base, fd,
+                                         BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(client->bev, wg_client_on_read, wg_client_on_write, wg_client_on_event,
+                      client);
+    client->at = e->clients->len;
+    g_ptr_array_add(e->clients, client);
+    wg_client_enter(client, WG_CLIENT_HEAD);
+    bufferevent_enable(client->bev, EV_READ | EV_WRITE);
+}
+
+bool wg_client_listen(wg_entry* e, GError** error) {
+    struct sockaddr_storage address;
+    int size;
+    const char* text = e->settings->callers_listen;
+    if (wgn_parse_address(text, &address, &size)) {
+        e->listener = evconnlistener_new_bind(
+            e->base, wg_client_accept, e, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+            WG_LISTEN_BACKLOG, (struct sockaddr*)&address, size);
+    }
+    if (!e->listener) {
+        g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot listen on %s: %s", text,
+                    g_strerror(errno));
+    }
+    return e->listener != NULL;
+}
+
+/* Time that a connection may spend in its state; 0: as long as its call. */
+static wg_time wg_client_limit(const wg_client* client) {
+    const wg_config* config = client->entry->config;
+    wg_time head = config ? config->limits.head_time : WG_HEAD_TIME_START;
+    wg_time idle = config ? config->limits.idle_time : WG_IDLE_TIME_START;
+    switch (client->state) {
+    case WG_CLIENT_HEAD:
+        return client->begun ? head : idle;
+    case WG_CLIENT_BODY:
+        return idle;
+    case WG_CLIENT_ENDING:
+        return WG_ENDING_TIME;
+    case WG_CLIENT_BUSY:
+        break;
+    }
+    return 0;
+}
+
+void wg_client_tick(wg_entry* e, wg_time now) {
+    for (guint i = e->clients->len; i > 0; i--) {
+        wg_client* client = e->clients->pdata[i - 1];
+        wg_time limit = wg_client_limit(client);
+        if (limit == 0 || now - client->since < limit) {
+            continue;
+        }
+        bool late = client->state == WG_CLIENT_BODY ||
+                    (client->state == WG_CLIENT_HEAD && client->begun);
+        if (late) {
+            wg_client_reject(client, 408, "request_too_slow");
+        } else {
+            wg_client_close(client);
+        }
+    }
+}
--- /dev/null
+++ b/lib/entry/wg_entry_internal.h
@@ -0,0 +1,258 @@
+#pragma once
+/* wg_entry_internal.h -- state shared by the files of lib/entry; not installed */
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+
+#include "wg_balance.h"
+#include "wg_config.h"
+#include "wg_entry.h"
+#include "wg_event_stream.h"
+#include "wg_retry.h"
+
+enum {
+    WG_CONTROLS_MAX = 24,
+    WG_HEAD_BYTES_START = 16 * 1024, /* limit of a head while there is no configuration */
+    WG_WHOLE_MAX = 64 * 1024,        /* answers up to this size are relayed only when whole */
+    WG_OUTPUT_HIGH = 256 * 1024,     /* unsent bytes at which reading from a target pauses */
+    WG_EVENT_ID_MAX = 32,
+    WG_MEMBERS_MAX = 1024,
+    WG_ANSWERED_MAX = 64 /* entry hosts in one answer */
+};
+
+typedef struct wg_call wg_call;
+typedef struct wg_client wg_client;
+typedef struct wg_upstream wg_upstream;
+
+typedef enum {
+    WG_CLIENT_HEAD = 0, /* waits for a request */
+    WG_CLIENT_BODY,     /* reads its body */
+    WG_CLIENT_BUSY,     /* it has a call */
+    WG_CLIENT_ENDING    /* the last answer is on its way out, then it closes */
+} wg_client_state;
+
+/* A caller's connection. */
+struct wg_client {
+    wg_entry* entry;
+    struct bufferevent* bev;
+    wg_client_state state;
+    wg_call* call;
+    wg_body body;
+    char* head_bytes; /* of the request that is being read */
+    size_t head_size;
+    struct evbuffer* body_bytes;
+    bool keep;     /* the connection may be used again after the present answer */
+    bool answered; /* it has had an answer before */
+    wg_time since; /* start of the present state, or first byte of a head */
+    bool begun;    /* some bytes of a head came */
+    guint at;      /* place in entry->clients */
+};
+
+/* Why a call ended, as its last log line says. */
+typedef struct {
+    int status;
+    wg_verdict verdict;
+    const char* reason;
+} wg_call_end;
+
+/* One request of a caller. */
+struct wg_call {
+    wg_entry* entry;
+    wg_client* client; /* NULL when the caller left */
+    wg_config* config;
+    const wg_route* route;
+    const wg_workspace* workspace; /* NULL on open routes */
+    int service;
+    char* bytes; /* of the head */
+    wg_message_head head;
+    struct evbuffer* body;
+    char id[WG_NAME_MAX];
+    bool head_only; /* a HEAD request */
+    wg_time started;
+    wg_time until;    /* final answer at the latest */
+    wg_time deadline; /* of the caller, WG_TIME_NEVER when it named none */
+    wg_prompt prompt;
+    bool has_prompt;
+    wg_need need;
+    wg_choice choice;
+    wg_upstream* upstream;
+    int attempts;
+    bool may_have_run;
+    bool was_offered;
+    bool queued;
+    wg_time queued_until;
+    wg_time first_event_at;
+    wg_time retry_at; /* of a next attempt that waits; 0 none */
+    bool head_sent;
+    bool chunked;                 /* the answer goes out in chunks */
+    char last_event[WG_EVENT_ID_MAX]; /* last whole event that was passed on; "" none */
+    int64_t events;
+    struct event* timer;
+    GList queue_link;
+};
+
+typedef enum {
+    WG_UPSTREAM_CONNECTING = 0,
+    WG_UPSTREAM_HEAD, /* the request was written, or is being */
+    WG_UPSTREAM_BODY,
+    WG_UPSTREAM_IDLE
+} wg_upstream_state;
+
+/* A connection to a target. */
+struct wg_upstream {
+    wg_entry* entry;
+    uint32_t target;
+    struct bufferevent* bev;
+    wg_upstream_state state;
+    wg_call* call;
+    bool used;    /* it served a request before */
+    bool written; /* a byte of the present request may have left */
+    char* bytes;  /* of the answer's head */
+    wg_message_head head;
+    wg_body body;
+    struct evbuffer* content; /* of the answer, not passed on yet */
+    bool events;              /* the answer is a stream of events */
+    bool paused;
+    wg_time idle_since;
+    wg_time idle_limit;
+    GList idle_link;
+};
+
+/* Another entry host. */
+typedef struct {
+    char name[WG_NAME_MAX];
+    char address[WG_ADDRESS_MAX];
+    char data_centre[WG_NAME_MAX];
+} wg_entry_member;
+
+/* An order that waits for the leader's answer. */
+typedef struct {
+    uint64_t ticket;
+    struct evhttp_request* request; /* NULL when its sender left */
+    GByteArray* packed;             /* Order */
+    bool sent;
+    bool read;
+    wg_time until;
+} wg_entry_order;
+
+typedef struct {
+    uint64_t requests;
+    uint64_t whole;
+    uint64_t refused;
+    uint64_t failed;
+    uint64_t cut;
+    uint64_t left;
+    uint64_t retries;
+    uint64_t resumes;
+    uint64_t connects;
+    uint64_t lines_left_out;
+} wg_entry_counters;
+
+struct wg_entry {
+    const wg_entry_settings* settings;
+    const wg_entry_names* names;
+    struct event_base* base;
+    struct event* tick;
+    uint64_t seed;
+    uint64_t counter;
+    bool stopping;
+    wg_time stop_at;
+
+    struct evconnlistener* listener;
+    GPtrArray* clients;
+    GHashTable* idle; /* target -> GQueue of wg_upstream */
+    GHashTable* queues; /* name of a service -> GQueue of wg_call */
+    int calls_num;
+
+    /* what this host believes */
+    wg_config* config;
+    wg_registry* registry;
+    bool registry_known;
+    wg_balance* balance;
+    GHashTable* retries; /* name of a service -> wg_retry* */
+    wg_entry_member members[WG_MEMBERS_MAX];
+    int members_num;
+    uint64_t members_change;
+    GHashTable* usage_own;   /* hash of a workspace -> tokens so far */
+    GHashTable* usage_fleet; /* hash of a workspace -> tokens lately */
+    double usage_mean;
+
+    /* link to the leader */
+    wgn_net* net;
+    wgn_link link;
+    bool link_up;
+    bool leader_known;
+    char controls[WG_CONTROLS_MAX][WG_ADDRESS_MAX];
+    int controls_num;
+    int control_next;
+    char dial_address[WG_ADDRESS_MAX];
+    wg_time dial_at;
+    wg_time report_at;
+    wg_time state_at; /* last word of a leader */
+    wg_time report_gap;
+    uint64_t report_seq;
+    GQueue orders; /* wg_entry_order* */
+
+    wgh_server ready_server;
+    wgh_server entry_server;
+    wgh_server orders_server;
+
+    wg_entry_counters counters;
+    wg_hist first_time; /* microseconds to the first byte of an answer */
+    wg_hist total_time;
+    wg_time log_second;
+    int log_lines;
+};
+
+/* wg_entry.c */
+bool wg_entry_is_ready(const wg_entry* e);
+/* May another line about a request be logged this second? */
+bool wg_entry_may_log(wg_entry* e, wg_time now);
+
+/* wg_entry_link.c */
+bool wg_entry_link_setup(wg_entry* e, GError** error);
+void wg_entry_link_tick(wg_entry* e, wg_time now);
+void wg_entry_report(wg_entry* e, wg_time now);
+void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
+void wg_entry_orders_drop(wg_entry* e);
+void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
+                           const Wgpb__Configuration* configuration);
+
+/* wg_entry_pages.c */
+bool wg_entry_pages_setup(wg_entry* e, GError** error);
+
+/* wg_entry_client.c */
+bool wg_client_listen(wg_entry* e, GError** error);
+void wg_client_tick(wg_entry* e, wg_time now);
+/* The call of the connection is over; `keep` false: close once all is written. */
+void wg_client_call_over(wg_client* client, bool keep);
+/* Close at once, also in the middle of an answer. */
+void wg_client_close(wg_client* client);
+/* Write as much as the socket takes now; the rest follows. Empties `bytes`. */
+void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
+
+/* wg_entry_call.c */
+/* Takes over `bytes` and `body`. */
+void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body);
+void wg_call_caller_left(wg_call* call);
+void wg_call_answer_head(wg_call* call, wg_upstream* up);
+void wg_call_answer_data(wg_call* call, wg_upstream* up);
+void wg_call_answer_whole(wg_call* call, wg_upstream* up);
+/* The attempt is over without a whole answer. */
+void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason);
+void wg_call_queue_run(wg_entry* e);
+void wg_call_cut_all(wg_entry* e);
+/* A refusal of ours, before there is a call. */
+void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
+                      bool keep);
+
+/* wg_entry_upstream.c */
+wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh);
+void wg_upstream_send(wg_upstream* up, wg_call* call);
+void wg_upstream_close(wg_upstream* up);
+void wg_upstream_release(wg_upstream* up);
+void wg_upstream_tick(wg_entry* e, wg_time now);
+void wg_upstream_resume(wg_upstream* up);
+void wg_upstream_forget(wg_entry* e);
+void wg_upstream_shutdown(wg_entry* e);
--- /dev/null
+++ b/lib/entry/wg_entry_link.c
@@ -0,0 +1,388 @@
+/* wg_entry_link.c -- the link to the leader: what this host believes, reports, and orders */
+#include "wg_entry_internal.h"
+
+#include <string.h>
+
+enum {
+    WG_DIAL_GAP = 150 * WG_USEC_PER_MSEC,
+    WG_PROVE_TIME = 500 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
+    WG_LOADS_MAX = 2048,
+    WG_ORDERS_MAX = 1024
+};
+
+/* ---- helpers: controls ----------------------------------------------------------------------- */
+
+static void wg_entry_learn_control(wg_entry* e, const char* address) {
+    for (int i = 0; i < e->controls_num; i++) {
+        if (strcmp(e->controls[i], address) == 0) {
+            return;
+        }
+    }
+    int at = e->controls_num < WG_CONTROLS_MAX ? e->controls_num++
+                                               : (int)(++e->counter % WG_CONTROLS_MAX);
+    wg_copy_name(e->controls[at], WG_ADDRESS_MAX, address);
+}
+
+static bool wg_entry_learn_seeds(wg_entry* e, GError** error) {
+    for (int i = 0; e->settings->seeds[i]; i++) {
+        char ip[WG_ADDRESS_MAX];
+        char address[WG_ADDRESS_MAX + 8];
+        uint16_t port;
+        if (!wgn_split_address(e->settings->seeds[i], ip, &port)) {
+            g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[entry] seeds: \"%s\" is not ip:port",
+                        e->settings->seeds[i]);
+            return false;
+        }
+        g_snprintf(address, sizeof address, "%s:%d", ip, (int)e->settings->fleet_port);
+        wg_entry_learn_control(e, address);
+    }
+    return true;
+}
+
+static void wg_entry_dial(wg_entry* e, wg_time now) {
+    if (e->link.id || now < e->dial_at || e->controls_num == 0) {
+        return;
+    }
+    const char* address = e->dial_address;
+    if (!address[0]) {
+        address = e->controls[e->control_next++ % e->controls_num];
+    }
+    e->link = wgn_dial(e->net, address);
+    e->dial_address[0] = 0;
+    e->dial_at = now + WG_DIAL_GAP;
+    e->state_at = now;
+}
+
+/* ---- helpers: what the leader says ----------------------------------------------------------- */
+
+static void wg_entry_take_configuration(wg_entry* e, const Wgpb__Configuration* in) {
+    if (e->config && in->version <= e->config->version) {
+        return;
+    }
+    GError* error = NULL;
+    wg_config* config = wg_config_parse(in->document.data, in->document.len, &error);
+    if (!config) {
+        wg_log(WG_EVENT_CONFIGURATION_REFUSED, "version=%" G_GUINT64_FORMAT " %s", in->version,
+               error->message);
+        g_error_free(error);
+        return;
+    }
+    wg_config_unref(e->config);
+    e->config = config;
+    wg_log(WG_EVENT_CONFIGURATION_IN_FORCE, "version=%" G_GUINT64_FORMAT " routes=%d",
+           config->version, config->routes_num);
+}
+
+static void wg_entry_take_targets(wg_entry* e, const Wgpb__EntryState* in) {
+    if (e->registry_known && in->registry_change == wg_registry_change(e->registry)) {
+        return;
+    }
+    if (in->registry_reset) {
+        wg_registry_clear(e->registry);
+    }
+    for (size_t i = 0; i < in->n_targets; i++) {
+        wg_registry_merge(e->registry, in->targets[i]);
+    }
+    wg_registry_set_change(e->registry, in->registry_change);
+    e->registry_known = true;
+    wg_balance_sync(e->balance, wg_now(), e->registry);
+    wg_upstream_forget(e);
+}
+
+static void wg_entry_take_members(wg_entry* e, const Wgpb__EntryState* in) {
+    if (in->members_change == e->members_change) {
+        return;
+    }
+    e->members_change = in->members_change;
+    e->members_num = 0;
+    for (size_t i = 0; i < in->n_members && e->members_num < WG_MEMBERS_MAX; i++) {
+        wg_entry_member* member = &e->members[e->members_num];
+        const Wgpb__EntryMember* from = in->members[i];
+        e->members_num += wg_copy_name(member->name, sizeof member->name, from->name) &&
+                          wg_copy_name(member->address, sizeof member->address, from->address) &&
+                          wg_copy_name(member->data_centre, sizeof member->data_centre,
+                                       from->data_centre);
+    }
+}
+
+static void wg_entry_take_usage(wg_entry* e, const Wgpb__EntryState* in) {
+    double sum = 0;
+    g_hash_table_remove_all(e->usage_fleet);
+    for (size_t i = 0; i < in->n_usage; i++) {
+        uint64_t* pair = g_new(uint64_t, 2);
+        pair[0] = in->usage[i]->workspace;
+        pair[1] = in->usage[i]->tokens;
+        sum += (double)in->usage[i]->tokens;
+        g_hash_table_insert(e->usage_fleet, pair, pair + 1);
+    }
+    e->usage_mean = in->n_usage ? sum / (double)in->n_usage : 0;
+}
+
+static void wg_entry_take_loads(wg_entry* e, const Wgpb__EntryState* in) {
+    wg_balance_clear_others(e->balance);
+    for (size_t i = 0; i < in->n_loads; i++) {
+        wg_balance_set_others(e->balance, in->loads[i]->target, in->loads[i]->unread,
+                              in->loads[i]->running);
+    }
+}
+
+static void wg_entry_relink(wg_entry* e, const char* address) {
+    wg_copy_name(e->dial_address, sizeof e->dial_address, address);
+    e->dial_at = wg_now() + (address[0] ? 0 : WG_DIAL_GAP);
+    wgn_close(e->net, e->link);
+}
+
+static void wg_entry_send_orders(wg_entry* e);
+
+static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
+    wg_time now = wg_now();
+    for (size_t i = 0; i < in->n_controls; i++) {
+        wg_entry_learn_control(e, in->controls[i]);
+    }
+    if (!in->leads) {
+        e->leader_known = false;
+        const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+        bool itself = peer && strcmp(peer->address, in->leader_address) == 0;
+        wg_entry_relink(e, itself ? "" : in->leader_address);
+        return;
+    }
+    e->state_at = now;
+    e->report_gap = in->report_ms * WG_USEC_PER_MSEC;
+    if (in->configuration) {
+        wg_entry_take_configuration(e, in->configuration);
+    }
+    wg_entry_take_targets(e, in);
+    wg_entry_take_members(e, in);
+    if (in->n_controls > 0) {
+        wg_entry_take_loads(e, in);
+        wg_entry_take_usage(e, in);
+        wg_call_queue_run(e);
+    }
+    if (!e->leader_known) {
+        e->leader_known = true;
+        wg_log(WG_EVENT_LINK_UP, "leader term=%" G_GUINT64_FORMAT, in->term);
+        wg_entry_send_orders(e);
+    }
+}
+
+/* ---- orders ---------------------------------------------------------------------------------- */
+
+static void wg_entry_order_free(wg_entry_order* order) {
+    g_byte_array_unref(order->packed);
+    g_free(order);
+}
+
+static void wg_entry_order_forget(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    wg_entry_order* order = user_data;
+    wgh_request_lost(order->request);
+    order->request = NULL;
+}
+
+static void wg_entry_send_order(wg_entry* e, wg_entry_order* order) {
+    if (!e->link_up || !e->leader_known) {
+        return;
+    }
+    Wgpb__Order* message = wgpb__order__unpack(NULL, order->packed->len, order->packed->data);
+    order->sent = wgn_send(e->net, e->link, WGW_TYPE_ORDER, &message->base);
+    wgpb__order__free_unpacked(message, NULL);
+}
+
+static void wg_entry_send_orders(wg_entry* e) {
+    for (GList* at = e->orders.head; at; at = at->next) {
+        wg_entry_send_order(e, at->data);
+    }
+}
+
+void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* desc) {
+    if (e->orders.length >= WG_ORDERS_MAX) {
+        wg_entry_order_answer(request, WG_ORDER_NOT_LEADER, NULL);
+        return;
+    }
+    Wgpb__Order message = *desc;
+    wg_entry_order* order = g_new0(wg_entry_order, 1);
+    message.ticket = ++e->counter;
+    order->ticket = message.ticket;
+    order->request = request;
+    order->read = desc->read_configuration;
+    order->packed = wgw_pack(&message.base);
+    order->until = wg_now() + e->settings->order_ms * WG_USEC_PER_MSEC;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), wg_entry_order_forget,
+                                  order);
+    g_queue_push_tail(&e->orders, order);
+    wg_entry_send_order(e, order);
+}
+
+static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome,
+                               const Wgpb__Configuration* configuration) {
+    wg_entry_order* order = at->data;
+    g_queue_delete_link(&e->orders, at);
+    if (order->request) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
+        wg_entry_order_answer(order->request, outcome, configuration);
+    }
+    wg_entry_order_free(order);
+}
+
+static void wg_entry_take_answer(wg_entry* e, const Wgpb__OrderAnswer* in) {
+    for (GList* at = e->orders.head; at; at = at->next) {
+        wg_entry_order* order = at->data;
+        if (order->ticket != in->ticket) {
+            continue;
+        }
+        if (in->outcome == WG_ORDER_NOT_LEADER || in->outcome == WG_ORDER_UNKNOWN) {
+            order->sent = false; /* the next leader is asked, until the time is over */
+        } else {
+            wg_entry_order_end(e, at, (wg_order_outcome)in->outcome, in->configuration);
+        }
+        return;
+    }
+}
+
+static void wg_entry_orders_tick(wg_entry* e, wg_time now) {
+    GList* next;
+    for (GList* at = e->orders.head; at; at = next) {
+        next = at->next;
+        if (now >= ((wg_entry_order*)at->data)->until) {
+            wg_entry_order_end(e, at, WG_ORDER_UNKNOWN, NULL);
+        }
+    }
+}
+
+void wg_entry_orders_drop(wg_entry* e) {
+    while (e->orders.head) {
+        wg_entry_order_end(e, e->orders.head, WG_ORDER_UNKNOWN, NULL);
+    }
+}
+
+/* ---- reports --------------------------------------------------------------------------------- */
+
+void wg_entry_report(wg_entry* e, wg_time now) {
+    if (!e->link_up) {
+        return;
+    }
+    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
+    wg_balance_load* loads = g_new(wg_balance_load, WG_LOADS_MAX);
+    int loads_num = wg_balance_loads(e->balance, loads, WG_LOADS_MAX);
+    Wgpb__TargetLoad* load_items = g_new(Wgpb__TargetLoad, loads_num + 1);
+    guint usage_num = g_hash_table_size(e->usage_own);
+    Wgpb__WorkspaceUsage* usage_items = g_new(Wgpb__WorkspaceUsage, usage_num + 1);
+    report.loads = g_new(Wgpb__TargetLoad*, loads_num + 1);
+    report.usage = g_new(Wgpb__WorkspaceUsage*, usage_num + 1);
+    report.seq = ++e->report_seq;
+    report.configuration_version = e->config ? e->config->version : 0;
+    report.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
+    report.members_change = e->members_change;
+    report.leaving = e->stopping;
+    report.ready = wg_entry_is_ready(e);
+    for (int i = 0; i < loads_num; i++) {
+        wgpb__target_load__init(&load_items[i]);
+        load_items[i].target = loads[i].target;
+        load_items[i].unread = loads[i].unread;
+        load_items[i].running = loads[i].running;
+        report.loads[report.n_loads++] = &load_items[i];
+    }
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->usage_own);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        Wgpb__WorkspaceUsage* item = &usage_items[report.n_usage];
+        wgpb__workspace_usage__init(item);
+        item->workspace = *(uint64_t*)key;
+        item->tokens = *(uint64_t*)value;
+        report.usage[report.n_usage++] = item;
+    }
+    wgn_send(e->net, e->link, WGW_TYPE_ENTRY_REPORT, &report.base);
+    e->report_at = now + e->report_gap;
+    g_free(report.loads);
+    g_free(report.usage);
+    g_free(load_items);
+    g_free(usage_items);
+    g_free(loads);
+}
+
+/* ---- links ----------------------------------------------------------------------------------- */
+
+static void wg_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    wg_entry* e = user_data;
+    (void)link;
+    (void)peer;
+    e->link_up = true;
+    e->state_at = wg_now();
+    wg_entry_report(e, e->state_at);
+}
+
+static void wg_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    wg_entry* e = user_data;
+    if (link.id != e->link.id) {
+        return;
+    }
+    if (peer && e->leader_known) {
+        wg_log(WG_EVENT_LINK_DOWN, "leader=%s state_age_ms=%" G_GINT64_FORMAT, peer->name,
+               (wg_now() - e->state_at) / WG_USEC_PER_MSEC);
+    }
+    e->link = (wgn_link){0};
+    e->link_up = false;
+    e->leader_known = false;
+    for (GList* at = e->orders.head; at; at = at->next) {
+        ((wg_entry_order*)at->data)->sent = false;
+    }
+}
+
+static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    wg_entry* e = user_data;
+    if (frame->type == WGW_TYPE_ENTRY_STATE) {
+        Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
+        if (in) {
+            wg_entry_take_state(e, in);
+            wgpb__entry_state__free_unpacked(in, NULL);
+            return;
+        }
+    } else if (frame->type == WGW_TYPE_ORDER_ANSWER) {
+        Wgpb__OrderAnswer* in = wgpb__order_answer__unpack(NULL, frame->size, frame->payload);
+        if (in) {
+            wg_entry_take_answer(e, in);
+            wgpb__order_answer__free_unpacked(in, NULL);
+            return;
+        }
+    }
+    wg_log(WG_EVENT_FRAME_BAD, "reason=not-for-an-entry-host");
+    wgn_close(e->net, link);
+}
+
+bool wg_entry_link_setup(wg_entry* e, GError** error) {
+    wgn_peer self = {.role = WGW_ROLE_ENTRY, .incarnation = e->seed};
+    wg_copy_name(self.name, sizeof self.name, e->settings->name);
+    wg_copy_name(self.address, sizeof self.address, e->settings->callers_listen);
+    wg_copy_name(self.data_centre, sizeof self.data_centre, e->settings->data_centre);
+    e->report_gap = WG_PROVE_TIME;
+    e->net = wgn_setup(&(wgn_desc){.base = e->base,
+                                   .fleet_key = e->settings->fleet_key,
+                                   .self = self,
+                                   .links_max = 8,
+                                   .proof_deadline = WG_PROVE_TIME,
+                                   .silence_deadline =
+                                       e->settings->link_silence_ms * WG_USEC_PER_MSEC,
+                                   .ping_interval =
+                                       e->settings->link_silence_ms * WG_USEC_PER_MSEC / 4,
+                                   .on_up = wg_entry_on_up,
+                                   .on_frame = wg_entry_on_frame,
+                                   .on_down = wg_entry_on_down,
+                                   .user_data = e},
+                       error);
+    return e->net && wg_entry_learn_seeds(e, error);
+}
+
+void wg_entry_link_tick(wg_entry* e, wg_time now) {
+    wg_entry_orders_tick(e, now);
+    wg_entry_dial(e, now);
+    wg_time quiet = now - e->state_at;
+    if (e->link.id && quiet > e->settings->link_silence_ms * WG_USEC_PER_MSEC) {
+        wg_entry_relink(e, "");
+        return;
+    }
+    if (e->link_up && now >= e->report_at) {
+        wg_entry_report(e, now);
+    }
+}
--- /dev/null
+++ b/lib/entry/wg_entry_pages.c
@@ -0,0 +1,244 @@
+/* wg_entry_pages.c -- pages of an entry host: ready, entry answers, orders, metrics, state */
+#include "wg_entry_internal.h"
+
+#include <string.h>
+
+enum {
+    WG_ORDER_BODY_MAX = 16 << 20
+};
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static void wg_pages_error(struct evhttp_request* request, int status, const char* code,
+                           const char* message) {
+    wgh_reply_error(request,
+                    &(wgh_error){.status = status,
+                                 .code = code,
+                                 .verdict = WG_VERDICT_NOT_RUN,
+                                 .retry_after = status == 503 ? WG_USEC_PER_SEC / 2 : 0,
+                                 .message = message});
+}
+
+void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
+                           const Wgpb__Configuration* configuration) {
+    if (outcome == WG_ORDER_DONE && configuration) {
+        struct evbuffer* body = evbuffer_new();
+        evbuffer_add(body, configuration->document.data, configuration->document.len);
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
+                          "application/json");
+        evhttp_send_reply(request, 200, wgh_reason(200), body);
+        evbuffer_free(body);
+    } else if (outcome == WG_ORDER_DONE) {
+        wgh_reply_json(request, 200, json_object());
+    } else if (outcome == WG_ORDER_INVALID) {
+        wg_pages_error(request, 400, "bad_request", "the order is malformed");
+    } else if (outcome == WG_ORDER_NOTHING) {
+        wg_pages_error(request, 503, "no_configuration", "there is no configuration yet");
+    } else {
+        wg_pages_error(request, 503, "no_leader", "no leader answered in time; send it again");
+    }
+}
+
+/* ---- ready, metrics, state -------------------------------------------------------------------- */
+
+json_t* wg_entry_dump(wg_entry* e) {
+    wg_time now = wg_now();
+    return json_pack(
+        "{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name, "ready",
+        (int)wg_entry_is_ready(e), "stopping", (int)e->stopping, "configuration",
+        (json_int_t)(e->config ? e->config->version : 0), "registry",
+        (json_int_t)wg_registry_change(e->registry), "members", e->members_num, "calls",
+        e->calls_num, "callers", (int)e->clients->len, "leader_known", (int)e->leader_known,
+        "state_age_ms", (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
+}
+
+static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
+    const wg_entry_counters* c = &e->counters;
+    const struct {
+        const char* name;
+        uint64_t value;
+    } counters[] = {{"requests", c->requests}, {"whole", c->whole},
+                    {"refused", c->refused},   {"failed", c->failed},
+                    {"cut", c->cut},           {"caller_left", c->left},
+                    {"retries", c->retries},   {"resumes", c->resumes},
+                    {"connects", c->connects}, {"log_lines_left_out", c->lines_left_out}};
+    GString* out = g_string_new(NULL);
+    for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
+        g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
+                               counters[i].name, counters[i].value);
+    }
+    g_string_append_printf(out, "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n",
+                           e->calls_num, e->clients->len);
+    wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
+    wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
+    wgh_reply_text(request, 200, "text/plain", out->str);
+    g_string_free(out, TRUE);
+}
+
+/* ---- entry answers ---------------------------------------------------------------------------- */
+
+static void wg_pages_add_members(wg_entry* e, json_t* list, const char* place, bool near) {
+    for (int i = 0; i < e->members_num; i++) {
+        const wg_entry_member* member = &e->members[i];
+        bool is_near = strcmp(member->data_centre, place) == 0;
+        bool is_self = strcmp(member->name, e->settings->name) == 0;
+        if (is_near == near && json_array_size(list) < WG_ANSWERED_MAX &&
+            !(is_self && e->stopping)) {
+            json_array_append_new(list, json_string(member->address));
+        }
+    }
+}
+
+static void wg_pages_entry(wg_entry* e, struct evhttp_request* request) {
+    enum {
+        NEAR_ENOUGH = 2 /* entry hosts in the caller's data centre */
+    };
+    char* place = wgh_query(request, e->names->query_place);
+    json_t* list = json_array();
+    wg_pages_add_members(e, list, place ? place : "", true);
+    if (json_array_size(list) < NEAR_ENOUGH) {
+        wg_pages_add_members(e, list, place ? place : "", false);
+    }
+    if (json_array_size(list) == 0 && wg_entry_is_ready(e)) {
+        json_array_append_new(list, json_string(e->settings->callers_listen));
+    }
+    g_free(place);
+    if (json_array_size(list) == 0) {
+        json_decref(list);
+        wg_pages_error(request, 503, "no_entry_host", "no entry host is known to be ready");
+        return;
+    }
+    json_t* json = json_object();
+    json_object_set_new(json, "addresses", list);
+    json_object_set_new(json, "keep_s", json_integer(e->settings->entry_keep_s));
+    wgh_reply_json(request, 200, json);
+}
+
+/* ---- orders ------------------------------------------------------------------------------------ */
+
+static void wg_pages_put_configuration(wg_entry* e, struct evhttp_request* request) {
+    struct evbuffer* in = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(in);
+    uint8_t* bytes = evbuffer_pullup(in, -1);
+    GError* error = NULL;
+    wg_config* config = wg_config_parse(bytes ? bytes : (uint8_t*)"", size, &error);
+    if (!config) {
+        wg_log(WG_EVENT_CONFIGURATION_REFUSED, "%s", error->message);
+        wg_pages_error(request, 400, "bad_configuration", error->message);
+        g_error_free(error);
+        return;
+    }
+    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
+    configuration.version = config->version;
+    configuration.document = (ProtobufCBinaryData){size, bytes};
+    wg_config_unref(config);
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    order.configuration = &configuration;
+    wg_entry_order_begin(e, request, &order);
+}
+
+static void wg_pages_get_configuration(wg_entry* e, struct evhttp_request* request) {
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    order.read_configuration = true;
+    wg_entry_order_begin(e, request, &order);
+}
+
+static bool wg_pages_read_target(const json_t* json, const char* id, wg_target* target) {
+    const char* state = json_string_value(json_object_get(json, "state"));
+    const char* service = json_string_value(json_object_get(json, "service"));
+    const char* address = json_string_value(json_object_get(json, "address"));
+    const char* place = json_string_value(json_object_get(json, "data_centre"));
+    struct sockaddr_storage storage;
+    int size;
+    *target = (wg_target){.state = state && strcmp(state, "draining") == 0 ? WG_TARGET_DRAINING
+                                                                           : WG_TARGET_READY};
+    target->slots = (uint32_t)json_integer_value(json_object_get(json, "slots"));
+    target->sequence = (uint64_t)json_integer_value(json_object_get(json, "sequence"));
+    return id[0] && service && address && wgn_parse_address(address, &storage, &size) &&
+           wg_copy_name(target->id, sizeof target->id, id) &&
+           wg_copy_name(target->service, sizeof target->service, service) &&
+           wg_copy_name(target->address, sizeof target->address, address) &&
+           wg_copy_name(target->data_centre, sizeof target->data_centre, place ? place : "");
+}
+
+static void wg_pages_put_target(wg_entry* e, struct evhttp_request* request, const char* id) {
+    char message[160] = "";
+    json_t* json = wgh_body_json(request, message, sizeof message);
+    wg_target target;
+    bool good = json && wg_pages_read_target(json, id, &target);
+    json_decref(json);
+    if (!good) {
+        wg_pages_error(request, 400, "bad_request", message[0] ? message : "a field is wrong");
+        return;
+    }
+    Wgpb__TargetRecord record;
+    wg_target_pack(&target, &record);
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    order.target = &record;
+    wg_entry_order_begin(e, request, &order);
+}
+
+static void wg_pages_delete_target(wg_entry* e, struct evhttp_request* request, const char* id) {
+    wg_target target = {.state = WG_TARGET_GONE};
+    if (!wg_copy_name(target.id, sizeof target.id, id)) {
+        wg_pages_error(request, 400, "bad_request", "the id is too long");
+        return;
+    }
+    Wgpb__TargetRecord record;
+    wg_target_pack(&target, &record);
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    order.target = &record;
+    wg_entry_order_begin(e, request, &order);
+}
+
+/* ---- set-up ------------------------------------------------------------------------------------ */
+
+static void wg_pages_on_request(struct evhttp_request* request, void* user_data) {
+    static const char targets[] = "/v1/targets/";
+    wg_entry* e = user_data;
+    char path[256];
+    wgh_path(request, path, sizeof path);
+    const char* method = wgh_method(request);
+    bool get = strcmp(method, "GET") == 0;
+    bool put = strcmp(method, "PUT") == 0 || strcmp(method, "POST") == 0;
+    bool target = g_str_has_prefix(path, targets);
+    const char* id = path + sizeof targets - 1;
+    if (get && strcmp(path, "/v1/ready") == 0) {
+        wgh_reply_text(request, wg_entry_is_ready(e) ? 200 : 503, "text/plain", "\n");
+    } else if (get && strcmp(path, "/v1/entry") == 0) {
+        wg_pages_entry(e, request);
+    } else if (get && strcmp(path, "/v1/configuration") == 0) {
+        wg_pages_get_configuration(e, request);
+    } else if (put && strcmp(path, "/v1/configuration") == 0) {
+        wg_pages_put_configuration(e, request);
+    } else if (put && target) {
+        wg_pages_put_target(e, request, id);
+    } else if (strcmp(method, "DELETE") == 0 && target) {
+        wg_pages_delete_target(e, request, id);
+    } else if (get && strcmp(path, "/metrics") == 0) {
+        wg_pages_metrics(e, request);
+    } else if (get && strcmp(path, "/v1/state") == 0) {
+        wgh_reply_json(request, 200, wg_entry_dump(e));
+    } else {
+        wg_pages_error(request, 404, "not_found", "no such page");
+    }
+}
+
+static bool wg_pages_listen(wg_entry* e, wgh_server* server, const char* address,
+                            GError** error) {
+    wgh_limits limits = {.body_max = WG_ORDER_BODY_MAX};
+    if (!wgh_listen(server, e->base, address, &limits, error)) {
+        return false;
+    }
+    evhttp_set_allowed_methods(server->http,
+                               EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST |
+                                   EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(server->http, wg_pages_on_request, e);
+    return true;
+}
+
+bool wg_entry_pages_setup(wg_entry* e, GError** error) {
+    return wg_pages_listen(e, &e->ready_server, e->settings->ready_listen, error) &&
+           wg_pages_listen(e, &e->entry_server, e->settings->entry_listen, error) &&
+           wg_pages_listen(e, &e->orders_server, e->settings->orders_listen, error);
+}
--- /dev/null
+++ b/lib/entry/wg_entry_upstream.c
@@ -0,0 +1,336 @@
+/* wg_entry_upstream.c -- connections to targets and the answers that come on them */
+#include "wg_entry_internal.h"
+
+#include <errno.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+
+enum {
+    WG_CONNECT_TIME = 600 * WG_USEC_PER_MSEC,
+    WG_IDLE_TIME = 4 * WG_USEC_PER_SEC,    /* when the target tells none */
+    WG_IDLE_MARGIN = 700 * WG_USEC_PER_MSEC /* before the time that it tells */
+};
+
+static void wg_upstream_on_read(struct bufferevent* bev, void* user_data);
+static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data);
+
+/* ---- helpers: idle connections -------------------------------------------------------------- */
+
+static GQueue* wg_upstream_idle(wg_entry* e, uint32_t target) {
+    GQueue* queue = g_hash_table_lookup(e->idle, GUINT_TO_POINTER(target));
+    if (!queue) {
+        queue = g_queue_new();
+        g_hash_table_insert(e->idle, GUINT_TO_POINTER(target), queue);
+    }
+    return queue;
+}
+
+static void wg_upstream_clear_answer(wg_upstream* up) {
+    g_free(up->bytes);
+    up->bytes = NULL;
+    up->events = false;
+    up->paused = false;
+    evbuffer_drain(up->content, evbuffer_get_length(up->content));
+}
+
+void wg_upstream_close(wg_upstream* up) {
+    if (up->state == WG_UPSTREAM_IDLE) {
+        g_queue_unlink(wg_upstream_idle(up->entry, up->target), &up->idle_link);
+    }
+    if (up->call) {
+        up->call->upstream = NULL;
+    }
+    bufferevent_free(up->bev);
+    evbuffer_free(up->content);
+    g_free(up->bytes);
+    g_free(up);
+}
+
+void wg_upstream_release(wg_upstream* up) {
+    wg_time now = wg_now();
+    struct evbuffer* in = bufferevent_get_input(up->bev);
+    const wg_target* target = wg_registry_find(up->entry->registry, up->target);
+    bool reusable = up->head.keep_alive && evbuffer_get_length(in) == 0 &&
+                    evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 && target &&
+                    target->state == WG_TARGET_READY && !up->entry->stopping;
+    wg_time limit = up->head.keep_time >= 0
+                        ? up->head.keep_time * WG_USEC_PER_SEC - WG_IDLE_MARGIN
+                        : WG_IDLE_TIME;
+    up->call = NULL;
+    if (!reusable || limit <= 0) {
+        wg_upstream_close(up);
+        return;
+    }
+    wg_upstream_clear_answer(up);
+    up->state = WG_UPSTREAM_IDLE;
+    up->used = true;
+    up->written = false;
+    up->idle_since = now;
+    up->idle_limit = limit;
+    bufferevent_enable(up->bev, EV_READ);
+    up->idle_link = (GList){.data = up};
+    g_queue_push_head_link(wg_upstream_idle(up->entry, up->target), &up->idle_link);
+}
+
+static void wg_upstream_close_queue(GQueue* queue) {
+    while (queue->head) {
+        wg_upstream_close(queue->head->data);
+    }
+}
+
+void wg_upstream_tick(wg_entry* e, wg_time now) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->idle);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GQueue* queue = value;
+        while (queue->tail) {
+            wg_upstream* up = queue->tail->data;
+            if (now - up->idle_since < up->idle_limit) {
+                break;
+            }
+            wg_upstream_close(up);
+        }
+    }
+}
+
+/* Targets that take no more work need no idle connections. */
+void wg_upstream_forget(wg_entry* e) {
+    GHashTableIter iter;
+    gpointer key;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->idle);
+    while (g_hash_table_iter_next(&iter, &key, &value)) {
+        const wg_target* target = wg_registry_find(e->registry, GPOINTER_TO_UINT(key));
+        if (!target || target->state != WG_TARGET_READY) {
+            wg_upstream_close_queue(value);
+        }
+        if (!target || target->state == WG_TARGET_GONE) {
+            g_queue_free(value);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+void wg_upstream_shutdown(wg_entry* e) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->idle);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_upstream_close_queue(value);
+        g_queue_free(value);
+    }
+    g_hash_table_unref(e->idle);
+}
+
+/* ---- helpers: requests ---------------------------------------------------------------------- */
+
+static bool wg_upstream_drops(const wg_entry* e, const wg_call* call, wg_text name) {
+    const wg_entry_names* n = e->names;
+    bool resumes = call->last_event[0] != 0;
+    return wg_message_is_hop_field(&call->head, name) || wg_text_is(name, n->key) ||
+           wg_text_is(name, n->deadline) || wg_text_is(name, n->workspace) ||
+           wg_text_is(name, n->expect) || (resumes && wg_text_is(name, n->last_event));
+}
+
+static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
+    wg_entry* e = up->entry;
+    const wg_message_head* head = &call->head;
+    struct evbuffer* out = evbuffer_new();
+    evbuffer_add_printf(out, "%.*s %.*s HTTP/1.1\r\n", (int)head->method.size, head->method.text,
+                        (int)head->target.size, head->target.text);
+    for (int i = 0; i < head->fields_num; i++) {
+        const wg_message_pair* f = &head->fields[i];
+        if (!wg_upstream_drops(e, call, f->name)) {
+            evbuffer_add_printf(out, "%.*s: %.*s\r\n", (int)f->name.size, f->name.text,
+                                (int)f->value.size, f->value.text);
+        }
+    }
+    wg_time left = MIN(call->until, call->deadline) - wg_now();
+    evbuffer_add_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", e->names->deadline,
+                        MAX(left / WG_USEC_PER_MSEC, 1));
+    evbuffer_add_printf(out, "%s: %s\r\n", e->names->expect, target->id);
+    if (call->workspace) {
+        evbuffer_add_printf(out, "%s: %s\r\n", e->names->workspace, call->workspace->name);
+    }
+    if (call->last_event[0]) {
+        evbuffer_add_printf(out, "%s: %s\r\n", e->names->last_event, call->last_event);
+    }
+    if (head->framing != WG_FRAMING_NONE) {
+        evbuffer_add_printf(out, "Content-Length: %zu\r\n", evbuffer_get_length(call->body));
+    }
+    evbuffer_add(out, "\r\n", 2);
+    evbuffer_add_buffer_reference(out, call->body);
+    up->written = true;
+    wg_socket_write(up->bev, out);
+    evbuffer_free(out);
+}
+
+void wg_upstream_send(wg_upstream* up, wg_call* call) {
+    up->call = call;
+    call->upstream = up;
+    if (up->state == WG_UPSTREAM_CONNECTING) {
+        return; /* sent once the connection is up */
+    }
+    const wg_target* target = wg_registry_find(up->entry->registry, up->target);
+    up->state = WG_UPSTREAM_HEAD;
+    wg_upstream_write_request(up, call, target);
+}
+
+/* ---- helpers: answers ----------------------------------------------------------------------- */
+
+static void wg_upstream_fail(wg_upstream* up, const char* reason) {
+    wg_call* call = up->call;
+    if (!call) {
+        wg_upstream_close(up);
+        return;
+    }
+    wg_call_attempt_failed(call, up, reason);
+}
+
+/* The target has to echo the id of the request; another one belongs to an earlier request. */
+static bool wg_upstream_is_for_call(const wg_upstream* up) {
+    wg_text echoed = wg_message_field(&up->head, up->entry->names->request_id);
+    return !echoed.text || !up->call->id[0] ||
+           (echoed.size == strlen(up->call->id) &&
+            memcmp(echoed.text, up->call->id, echoed.size) == 0);
+}
+
+/* False when there is no whole head yet, or the connection is gone. */
+static bool wg_upstream_read_head(wg_upstream* up) {
+    struct evbuffer* in = bufferevent_get_input(up->bev);
+    for (;;) {
+        size_t have = evbuffer_get_length(in);
+        const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)have);
+        size_t size = bytes ? wg_message_head_size(bytes, have) : 0;
+        if (size == 0) {
+            if (have > WG_HEAD_BYTES_START) {
+                wg_upstream_fail(up, "answer-head-too-long");
+            }
+            return false;
+        }
+        g_free(up->bytes);
+        up->bytes = g_malloc(size);
+        evbuffer_remove(in, up->bytes, size);
+        if (!wg_message_parse_answer(up->bytes, size, up->call->head_only, &up->head)) {
+            wg_upstream_fail(up, "answer-malformed");
+            return false;
+        }
+        if (up->head.status >= 200) {
+            break;
+        }
+    }
+    if (!wg_upstream_is_for_call(up)) {
+        wg_upstream_fail(up, "answer-of-another-request");
+        return false;
+    }
+    wg_text type = wg_message_field(&up->head, "Content-Type");
+    static const char event_stream[] = "text/event-stream";
+    up->events = type.size >= sizeof event_stream - 1 &&
+                 g_ascii_strncasecmp(type.text, event_stream, sizeof event_stream - 1) == 0;
+    wg_body_begin(&up->body, &up->head);
+    up->state = WG_UPSTREAM_BODY;
+    return true;
+}
+
+static void wg_upstream_on_read(struct bufferevent* bev, void* user_data) {
+    (void)bev;
+    wg_upstream* up = user_data;
+    if (up->state == WG_UPSTREAM_IDLE || !up->call) {
+        wg_upstream_close(up); /* bytes that belong to no request */
+        return;
+    }
+    if (up->state == WG_UPSTREAM_HEAD) {
+        if (!wg_upstream_read_head(up)) {
+            return;
+        }
+        wg_call* call = up->call;
+        wg_call_answer_head(call, up);
+        if (call->upstream != up) {
+            return; /* the call went elsewhere, this connection is closed or idle */
+        }
+    }
+    if (up->state != WG_UPSTREAM_BODY) {
+        return;
+    }
+    wg_body_state state = wg_body_read(&up->body, bufferevent_get_input(up->bev), up->content);
+    wg_call* call = up->call;
+    if (state == WG_BODY_BAD) {
+        wg_upstream_fail(up, "answer-body-malformed");
+        return;
+    }
+    if (state == WG_BODY_WHOLE) {
+        wg_call_answer_whole(call, up);
+        return;
+    }
+    if (evbuffer_get_length(up->content) > 0) {
+        wg_call_answer_data(call, up);
+    }
+}
+
+static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data) {
+    (void)bev;
+    wg_upstream* up = user_data;
+    if (what & BEV_EVENT_CONNECTED) {
+        int on = 1;
+        setsockopt(bufferevent_getfd(up->bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        bufferevent_set_timeouts(up->bev, NULL, NULL);
+        const wg_target* target = wg_registry_find(up->entry->registry, up->target);
+        if (!up->call || !target || target->state != WG_TARGET_READY) {
+            wg_upstream_fail(up, "target-left-while-connecting");
+            return;
+        }
+        up->state = WG_UPSTREAM_HEAD;
+        wg_upstream_write_request(up, up->call, target);
+        return;
+    }
+    if ((what & BEV_EVENT_EOF) && up->state == WG_UPSTREAM_BODY && up->call &&
+        up->body.framing == WG_FRAMING_CLOSE) {
+        wg_call_answer_whole(up->call, up);
+        return;
+    }
+    wg_upstream_fail(up, up->state == WG_UPSTREAM_CONNECTING ? "no-connection"
+                         : (what & BEV_EVENT_EOF)            ? "connection-closed"
+                                                             : "connection-reset");
+}
+
+/* ---- functions of the library --------------------------------------------------------------- */
+
+void wg_upstream_resume(wg_upstream* up) {
+    if (up->paused) {
+        up->paused = false;
+        bufferevent_enable(up->bev, EV_READ);
+    }
+}
+
+wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh) {
+    GQueue* queue = wg_upstream_idle(e, target->number);
+    if (!fresh && queue->head) {
+        wg_upstream* up = queue->head->data;
+        g_queue_unlink(queue, &up->idle_link);
+        up->state = WG_UPSTREAM_HEAD;
+        return up;
+    }
+    struct sockaddr_storage address;
+    int size;
+    if (!wgn_parse_address(target->address, &address, &size)) {
+        return NULL;
+    }
+    wg_upstream* up = g_new0(wg_upstream, 1);
+    up->entry = e;
+    up->target = target->number;
+    up->content = evbuffer_new();
+    up->bev = bufferevent_socket_new(e->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_setcb(up->bev, wg_upstream_on_read, NULL, wg_upstream_on_event, up);
+    bufferevent_enable(up->bev, EV_READ | EV_WRITE);
+    struct timeval limit = {.tv_usec = WG_CONNECT_TIME};
+    bufferevent_set_timeouts(up->bev, &limit, &limit);
+    e->counters.connects++;
+    if (bufferevent_socket_connect(up->bev, (struct sockaddr*)&address, size) != 0) {
+        wg_upstream_close(up);
+        return NULL;
+    }
+    return up;
+}
--- /dev/null
+++ b/lib/message/wg_event_stream.c
@@ -0,0 +1,56 @@
+/* wg_event_stream.c -- see wg_event_stream.h */
+#include "wg_event_stream.h"
+
+#include <string.h>
+
+/* Bytes up to and with the blank line that ends the first event; 0 when it is not whole. */
+static size_t wg_event_size(const char* bytes, size_t size) {
+    size_t line = 0;
+    for (size_t i = 0; i < size; i++) {
+        if (bytes[i] != '\n') {
+            continue;
+        }
+        bool blank = i == line || (i == line + 1 && bytes[line] == '\r');
+        if (blank && i > 1) {
+            return i + 1;
+        }
+        line = i + 1;
+    }
+    return 0;
+}
+
+static void wg_event_find_id(const char* bytes, size_t size, char* id, size_t id_size) {
+    const char* at = bytes;
+    const char* end = bytes + size;
+    while (at < end) {
+        const char* stop = memchr(at, '\n', (size_t)(end - at));
+        size_t length = (size_t)(stop - at);
+        if (length > 0 && at[length - 1] == '\r') {
+            length--;
+        }
+        if (length > 3 && memcmp(at, "id:", 3) == 0) {
+            size_t skip = at[3] == ' ' ? 4 : 3;
+            if (length - skip < id_size) {
+                memcpy(id, at + skip, length - skip);
+                id[length - skip] = 0;
+            }
+        }
+        at = stop + 1;
+    }
+}
+
+wg_event_stream_result wg_event_stream_next(struct evbuffer* in, struct evbuffer* out, char* id,
+                                            size_t id_size) {
+    size_t have = evbuffer_get_length(in);
+    if (have == 0) {
+        return WG_EVENT_STREAM_MORE;
+    }
+    const char* bytes = (const char*)evbuffer_pullup(in, -1);
+    size_t size = wg_event_size(bytes, have);
+    if (size == 0) {
+        return have > WG_EVENT_BYTES_MAX ? WG_EVENT_STREAM_BAD : WG_EVENT_STREAM_MORE;
+    }
+    wg_event_find_id(bytes, size, id, id_size);
+    evbuffer_remove_buffer(in, out, size);
+    return WG_EVENT_STREAM_EVENT;
+}
--- /dev/null
+++ b/lib/message/wg_message.c
@@ -0,0 +1,411 @@
+/* wg_message.c -- see wg_message.h */
+#include "wg_message.h"
+
+#include <string.h>
+
+/* ---- texts --------------------------------------------------------------------------------- */
+
+bool wg_text_is(wg_text text, const char* word) {
+    return text.text && text.size == strlen(word) &&
+           g_ascii_strncasecmp(text.text, word, text.size) == 0;
+}
+
+bool wg_text_number(wg_text text, int64_t* number) {
+    enum {
+        DIGITS_MAX = 15
+    };
+    if (!text.text || text.size == 0 || text.size > DIGITS_MAX) {
+        return false;
+    }
+    int64_t value = 0;
+    for (size_t i = 0; i < text.size; i++) {
+        if (!g_ascii_isdigit(text.text[i])) {
+            return false;
+        }
+        value = value * 10 + (text.text[i] - '0');
+    }
+    *number = value;
+    return true;
+}
+
+char* wg_text_dup(wg_text text) {
+    return text.text ? g_strndup(text.text, text.size) : NULL;
+}
+
+static wg_text wg_text_trim(wg_text text) {
+    while (text.size && (text.text[0] == ' ' || text.text[0] == '\t')) {
+        text.text++;
+        text.size--;
+    }
+    while (text.size &&
+           (text.text[text.size - 1] == ' ' || text.text[text.size - 1] == '\t')) {
+        text.size--;
+    }
+    return text;
+}
+
+/* Next item of a comma-separated list; false at its end. */
+static bool wg_text_next_item(wg_text* list, wg_text* item) {
+    if (list->size == 0) {
+        return false;
+    }
+    const char* comma = memchr(list->text, ',', list->size);
+    size_t size = comma ? (size_t)(comma - list->text) : list->size;
+    *item = wg_text_trim((wg_text){list->text, size});
+    size_t step = comma ? size + 1 : size;
+    list->text += step;
+    list->size -= step;
+    return true;
+}
+
+/* ---- characters ---------------------------------------------------------------------------- */
+
+/* Characters of a token (RFC 9110, 5.6.2). */
+static bool wg_is_token_char(char c) {
+    return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+}
+
+static bool wg_is_token(wg_text text) {
+    for (size_t i = 0; i < text.size; i++) {
+        if (!wg_is_token_char(text.text[i])) {
+            return false;
+        }
+    }
+    return text.size > 0;
+}
+
+static bool wg_is_value(wg_text text) {
+    for (size_t i = 0; i < text.size; i++) {
+        unsigned char c = (unsigned char)text.text[i];
+        if ((c < 0x20 && c != '\t') || c == 0x7f) {
+            return false;
+        }
+    }
+    return true;
+}
+
+/* ---- heads --------------------------------------------------------------------------------- */
+
+size_t wg_message_head_size(const char* bytes, size_t size) {
+    const char* end = size >= 4 ? memmem(bytes, size, "\r\n\r\n", 4) : NULL;
+    return end ? (size_t)(end - bytes) + 4 : 0;
+}
+
+wg_text wg_message_field(const wg_message_head* head, const char* name) {
+    for (int i = 0; i < head->fields_num; i++) {
+        if (wg_text_is(head->fields[i].name, name)) {
+            return head->fields[i].value;
+        }
+    }
+    return (wg_text){0};
+}
+
+int wg_message_field_num(const wg_message_head* head, const char* name) {
+    int num = 0;
+    for (int i = 0; i < head->fields_num; i++) {
+        num += wg_text_is(head->fields[i].name, name);
+    }
+    return num;
+}
+
+/* One line up to its CR LF; false when there is none or a bare CR or LF stands in it. */
+static bool wg_next_line(const char** at, const char* end, wg_text* line) {
+    const char* stop = memchr(*at, '\n', (size_t)(end - *at));
+    if (!stop || stop == *at || stop[-1] != '\r') {
+        return false;
+    }
+    *line = (wg_text){*at, (size_t)(stop - 1 - *at)};
+    *at = stop + 1;
+    return memchr(line->text, '\r', line->size) == NULL;
+}
+
+/* 0 when good, else the status that refuses the head. */
+static int wg_parse_fields(const char* at, const char* end, wg_message_head* head) {
+    for (;;) {
+        wg_text line;
+        if (!wg_next_line(&at, end, &line)) {
+            return 400;
+        }
+        if (line.size == 0) {
+            return 0;
+        }
+        const char* colon = memchr(line.text, ':', line.size);
+        if (!colon) {
+            return 400;
+        }
+        wg_text name = {line.text, (size_t)(colon - line.text)};
+        wg_text value = {colon + 1, line.size - name.size - 1};
+        value = wg_text_trim(value);
+        if (!wg_is_token(name) || !wg_is_value(value)) {
+            return 400;
+        }
+        if (head->fields_num == WG_MESSAGE_FIELDS_MAX) {
+            return 431;
+        }
+        head->fields[head->fields_num++] = (wg_message_pair){name, value};
+    }
+}
+
+static bool wg_has_item(const wg_message_head* head, const char* field, const char* word) {
+    for (int i = 0; i < head->fields_num; i++) {
+        if (!wg_text_is(head->fields[i].name, field)) {
+            continue;
+        }
+        wg_text list = head->fields[i].value;
+        wg_text item;
+        while (wg_text_next_item(&list, &item)) {
+            if (wg_text_is(item, word)) {
+                return true;
+            }
+        }
+    }
+    return false;
+}
+
+static void wg_parse_keep_alive(wg_message_head* head) {
+    head->keep_alive = head->minor >= 1 ? !wg_has_item(head, "Connection", "close")
+                                        : wg_has_item(head, "Connection", "keep-alive");
+    head->keep_time = -1;
+    wg_text list = wg_message_field(head, "Keep-Alive");
+    wg_text item;
+    while (list.text && wg_text_next_item(&list, &item)) {
+        static const char key[] = "timeout=";
+        size_t skip = sizeof key - 1;
+        if (item.size > skip && g_ascii_strncasecmp(item.text, key, skip) == 0) {
+            wg_text_number((wg_text){item.text + skip, item.size - skip}, &head->keep_time);
+        }
+    }
+}
+
+/* Lengths and codings of a message; false when they contradict each other. */
+static bool wg_parse_framing(wg_message_head* head) {
+    int lengths = wg_message_field_num(head, "Content-Length");
+    int codings = wg_message_field_num(head, "Transfer-Encoding");
+    head->framing = WG_FRAMING_NONE;
+    if (lengths > 1 || codings > 1 || (lengths && codings)) {
+        return false;
+    }
+    if (codings) {
+        head->framing = WG_FRAMING_CHUNKED;
+        return head->minor >= 1 &&
+               wg_text_is(wg_message_field(head, "Transfer-Encoding"), "chunked");
+    }
+    if (lengths) {
+        head->framing = WG_FRAMING_LENGTH;
+        return wg_text_number(wg_message_field(head, "Content-Length"), &head->length);
+    }
+    return true;
+}
+
+static bool wg_parse_version(wg_text text, wg_message_head* head) {
+    static const char prefix[] = "HTTP/1.";
+    size_t skip = sizeof prefix - 1;
+    if (text.size != skip + 1 || memcmp(text.text, prefix, skip) != 0 ||
+        !g_ascii_isdigit(text.text[skip])) {
+        return false;
+    }
+    head->minor = text.text[skip] - '0';
+    return true;
+}
+
+static bool wg_split_word(wg_text* line, wg_text* word) {
+    const char* blank = memchr(line->text, ' ', line->size);
+    if (!blank || blank == line->text) {
+        return false;
+    }
+    *word = (wg_text){line->text, (size_t)(blank - line->text)};
+    line->text = blank + 1;
+    line->size -= word->size + 1;
+    return true;
+}
+
+static bool wg_is_target(wg_text target) {
+    for (size_t i = 0; i < target.size; i++) {
+        unsigned char c = (unsigned char)target.text[i];
+        if (c <= 0x20 || c >= 0x7f) {
+            return false;
+        }
+    }
+    return target.size > 0 && (target.text[0] == '/' || wg_text_is(target, "*"));
+}
+
+int wg_message_parse_request(const char* bytes, size_t size, wg_message_head* head) {
+    const char* at = bytes;
+    wg_text line;
+    *head = (wg_message_head){.keep_time = -1};
+    if (!wg_next_line(&at, bytes + size, &line) || !wg_split_word(&line, &head->method) ||
+        !wg_split_word(&line, &head->target)) {
+        return 400;
+    }
+    if (!wg_is_token(head->method) || !wg_is_target(head->target)) {
+        return 400;
+    }
+    if (!wg_parse_version(line, head)) {
+        return line.size > 5 && memcmp(line.text, "HTTP/", 5) == 0 ? 505 : 400;
+    }
+    int status = wg_parse_fields(at, bytes + size, head);
+    if (status) {
+        return status;
+    }
+    int hosts = wg_message_field_num(head, "Host");
+    if (hosts > 1 || (hosts == 0 && head->minor >= 1) || !wg_parse_framing(head)) {
+        return 400;
+    }
+    wg_parse_keep_alive(head);
+    return 0;
+}
+
+bool wg_message_parse_answer(const char* bytes, size_t size, bool bodiless, wg_message_head* head) {
+    const char* at = bytes;
+    wg_text line;
+    wg_text version;
+    int64_t status;
+    *head = (wg_message_head){.keep_time = -1};
+    if (!wg_next_line(&at, bytes + size, &line) || !wg_split_word(&line, &version) ||
+        !wg_parse_version(version, head) || line.size < 3 ||
+        !wg_text_number((wg_text){line.text, 3}, &status) || (line.size > 3 && line.text[3] != ' ')) {
+        return false;
+    }
+    head->status = (int)status;
+    if (status < 100 || status > 599 || wg_parse_fields(at, bytes + size, head) != 0 ||
+        !wg_parse_framing(head)) {
+        return false;
+    }
+    wg_parse_keep_alive(head);
+    if (bodiless || status < 200 || status == 204 || status == 304) {
+        head->framing = WG_FRAMING_NONE;
+    } else if (head->framing == WG_FRAMING_NONE) {
+        head->framing = WG_FRAMING_CLOSE;
+        head->keep_alive = false;
+    }
+    return true;
+}
+
+bool wg_message_is_hop_field(const wg_message_head* head, wg_text name) {
+    static const char* const hop[] = {
+        "Connection", "Keep-Alive",       "Proxy-Authenticate",  "Transfer-Encoding", "TE",
+        "Trailer",    "Proxy-Connection", "Proxy-Authorization", "Upgrade",           "Content-Length",
+        "Expect"};
+    for (size_t i = 0; i < G_N_ELEMENTS(hop); i++) {
+        if (wg_text_is(name, hop[i])) {
+            return true;
+        }
+    }
+    char word[WG_NAME_MAX];
+    if (name.size >= sizeof word) {
+        return false;
+    }
+    memcpy(word, name.text, name.size);
+    word[name.size] = 0;
+    return wg_has_item(head, "Connection", word);
+}
+
+/* ---- bodies -------------------------------------------------------------------------------- */
+
+enum {
+    WG_CHUNK_SIZE_LINE = 0,
+    WG_CHUNK_DATA,
+    WG_CHUNK_DATA_END,
+    WG_CHUNK_TRAILER
+};
+
+void wg_body_begin(wg_body* body, const wg_message_head* head) {
+    *body = (wg_body){.framing = head->framing, .left = head->length};
+}
+
+static void wg_body_move(wg_body* body, struct evbuffer* in, struct evbuffer* out) {
+    size_t have = evbuffer_get_length(in);
+    size_t take = body->framing == WG_FRAMING_CLOSE ? have : (size_t)MIN((int64_t)have, body->left);
+    if (take == have && evbuffer_get_length(out) == 0) {
+        evbuffer_add_buffer(out, in);
+    } else {
+        evbuffer_remove_buffer(in, out, take);
+    }
+    body->taken += (int64_t)take;
+    if (body->framing != WG_FRAMING_CLOSE) {
+        body->left -= (int64_t)take;
+    }
+}
+
+/* Size of the chunk that a line opens, -1 when malformed. */
+static int64_t wg_chunk_size(const char* line, size_t size) {
+    enum {
+        HEX_DIGITS_MAX = 8
+    };
+    int64_t value = 0;
+    size_t i = 0;
+    for (; i < size && g_ascii_isxdigit(line[i]); i++) {
+        if (i == HEX_DIGITS_MAX) {
+            return -1;
+        }
+        value = value * 16 + g_ascii_xdigit_value(line[i]);
+    }
+    bool ends = i == size || line[i] == ';';
+    return i > 0 && ends ? value : -1;
+}
+
+/* Read one line of a chunked body; 1 a line, 0 more bytes needed, -1 malformed. */
+static int wg_chunk_line(struct evbuffer* in, char* line, size_t* size) {
+    struct evbuffer_ptr end = evbuffer_search_eol(in, NULL, size, EVBUFFER_EOL_CRLF_STRICT);
+    if (end.pos < 0) {
+        return evbuffer_get_length(in) > WG_CHUNK_LINE_MAX ? -1 : 0;
+    }
+    if (end.pos >= WG_CHUNK_LINE_MAX) {
+        return -1;
+    }
+    evbuffer_remove(in, line, (size_t)end.pos);
+    evbuffer_drain(in, 2);
+    *size = (size_t)end.pos;
+    return 1;
+}
+
+static wg_body_state wg_body_read_chunked(wg_body* body, struct evbuffer* in,
+                                          struct evbuffer* out) {
+    char line[WG_CHUNK_LINE_MAX];
+    size_t size;
+    for (;;) {
+        if (body->step == WG_CHUNK_DATA) {
+            wg_body_move(body, in, out);
+            if (body->left > 0) {
+                return WG_BODY_MORE;
+            }
+            body->step = WG_CHUNK_DATA_END;
+        }
+        int got = wg_chunk_line(in, line, &size);
+        if (got <= 0) {
+            return got < 0 ? WG_BODY_BAD : WG_BODY_MORE;
+        }
+        if (body->step == WG_CHUNK_DATA_END) {
+            if (size != 0) {
+                return WG_BODY_BAD;
+            }
+            body->step = WG_CHUNK_SIZE_LINE;
+        } else if (body->step == WG_CHUNK_TRAILER) {
+            if (size == 0) {
+                return WG_BODY_WHOLE;
+            }
+        } else {
+            body->left = wg_chunk_size(line, size);
+            if (body->left < 0) {
+                return WG_BODY_BAD;
+            }
+            body->step = body->left == 0 ? WG_CHUNK_TRAILER : WG_CHUNK_DATA;
+        }
+    }
+}
+
+wg_body_state wg_body_read(wg_body* body, struct evbuffer* in, struct evbuffer* out) {
+    switch (body->framing) {
+    case WG_FRAMING_NONE:
+        return WG_BODY_WHOLE;
+    case WG_FRAMING_LENGTH:
+        wg_body_move(body, in, out);
+        return body->left == 0 ? WG_BODY_WHOLE : WG_BODY_MORE;
+    case WG_FRAMING_CHUNKED:
+        return wg_body_read_chunked(body, in, out);
+    case WG_FRAMING_CLOSE:
+        wg_body_move(body, in, out);
+        return WG_BODY_MORE;
+    }
+    return WG_BODY_BAD;
+}
--- /dev/null
+++ b/lib/registry/wg_registry.c
@@ -0,0 +1,327 @@
+/* wg_registry.c -- see wg_registry.h */
+#include "wg_registry.h"
+
+#include <string.h>
+
+struct wg_registry {
+    int ended_max;
+    GPtrArray* records; /* wg_target*, by number, rising */
+    GHashTable* by_id;
+    uint64_t change;
+    uint64_t floor; /* copies older than this lack a record that was dropped */
+    uint32_t next_number;
+    int ended;
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static bool wg_target_ended(const wg_target* target) {
+    return target->state == WG_TARGET_GONE;
+}
+
+static void wg_registry_note_change(wg_registry* r, wg_target* target) {
+    target->change = ++r->change;
+}
+
+static void wg_registry_end(wg_registry* r, wg_target* target) {
+    if (!wg_target_ended(target)) {
+        target->state = WG_TARGET_GONE;
+        r->ended++;
+        wg_registry_note_change(r, target);
+    }
+}
+
+/* Drop the longest ended records beyond the limit. */
+static void wg_registry_prune(wg_registry* r) {
+    while (r->ended > r->ended_max) {
+        guint oldest = G_MAXUINT;
+        for (guint i = 0; i < r->records->len; i++) {
+            const wg_target* target = r->records->pdata[i];
+            bool older = oldest == G_MAXUINT ||
+                         target->change < ((wg_target*)r->records->pdata[oldest])->change;
+            if (wg_target_ended(target) && older) {
+                oldest = i;
+            }
+        }
+        WG_ASSERT(oldest != G_MAXUINT);
+        wg_target* target = r->records->pdata[oldest];
+        r->floor = MAX(r->floor, target->change);
+        g_hash_table_remove(r->by_id, target->id);
+        g_ptr_array_remove_index(r->records, oldest);
+        r->ended--;
+    }
+}
+
+static wg_target* wg_registry_add(wg_registry* r, const wg_target* record) {
+    wg_target* target = g_new(wg_target, 1);
+    *target = *record;
+    g_ptr_array_add(r->records, target);
+    g_hash_table_insert(r->by_id, target->id, target);
+    return target;
+}
+
+/* An address has one holder. */
+static void wg_registry_free_address(wg_registry* r, const wg_target* holder) {
+    for (guint i = 0; i < r->records->len; i++) {
+        wg_target* other = r->records->pdata[i];
+        if (other != holder && strcmp(other->address, holder->address) == 0) {
+            wg_registry_end(r, other);
+        }
+    }
+}
+
+static bool wg_target_says_the_same(const wg_target* a, const wg_target* b) {
+    return a->state == b->state && a->slots == b->slots && strcmp(a->service, b->service) == 0 &&
+           strcmp(a->address, b->address) == 0 && strcmp(a->data_centre, b->data_centre) == 0;
+}
+
+/* ---- public functions ---------------------------------------------------------------------- */
+
+wg_registry* wg_registry_setup(const wg_registry_desc* desc) {
+    wg_registry* r = g_new0(wg_registry, 1);
+    r->ended_max = desc->ended_max ? desc->ended_max : WG_REGISTRY_ENDED_DEFAULT;
+    r->records = g_ptr_array_new_with_free_func(g_free);
+    r->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    r->next_number = 1;
+    return r;
+}
+
+void wg_registry_shutdown(wg_registry* r) {
+    g_hash_table_unref(r->by_id);
+    g_ptr_array_unref(r->records);
+    g_free(r);
+}
+
+wg_heard wg_registry_hear(wg_registry* r, wg_time now, const wg_target* heard) {
+    wg_target* target = g_hash_table_lookup(r->by_id, heard->id);
+    if (!target) {
+        return WG_HEARD_CHANGE;
+    }
+    if (wg_target_ended(target)) {
+        return WG_HEARD_OLD;
+    }
+    bool leave = heard->state == WG_TARGET_GONE;
+    uint64_t newest = MAX(target->sequence, target->heard_sequence);
+    if (!leave && heard->sequence <= newest && newest > 0) {
+        return WG_HEARD_OLD;
+    }
+    target->heard_at = now;
+    bool went_back = target->state == WG_TARGET_DRAINING && heard->state == WG_TARGET_READY;
+    if (!went_back && (leave || !wg_target_says_the_same(target, heard))) {
+        return WG_HEARD_CHANGE; /* its sequence counts once it is agreed on */
+    }
+    target->heard_sequence = heard->sequence;
+    return WG_HEARD_SAME;
+}
+
+void wg_registry_apply(wg_registry* r, wg_time now, const wg_target* record) {
+    wg_target* target = g_hash_table_lookup(r->by_id, record->id);
+    if (!target) {
+        target = wg_registry_add(r, record);
+        target->number = r->next_number++;
+        target->heard_at = now;
+        target->heard_sequence = record->sequence;
+        r->ended += wg_target_ended(target);
+        wg_registry_note_change(r, target);
+        if (!wg_target_ended(target)) {
+            wg_registry_free_address(r, target);
+        }
+        wg_registry_prune(r);
+        return;
+    }
+    if (wg_target_ended(target)) {
+        return;
+    }
+    if (record->state == WG_TARGET_GONE) {
+        wg_registry_end(r, target);
+        wg_registry_prune(r);
+        return;
+    }
+    if (record->state == WG_TARGET_SILENT) {
+        /* Meant for the target as it stood: a heartbeat agreed on in between wins. */
+        if (record->sequence == target->sequence && target->state != WG_TARGET_SILENT) {
+            bool draining = target->state == WG_TARGET_DRAINING;
+            if (draining) {
+                wg_registry_end(r, target);
+            } else {
+                target->state = WG_TARGET_SILENT;
+                wg_registry_note_change(r, target);
+            }
+        }
+        return;
+    }
+    if (record->sequence <= target->sequence && record->state != WG_TARGET_DRAINING) {
+        return;
+    }
+    wg_target_state state =
+        target->state == WG_TARGET_DRAINING ? WG_TARGET_DRAINING : record->state;
+    wg_copy_name(target->service, sizeof target->service, record->service);
+    wg_copy_name(target->address, sizeof target->address, record->address);
+    wg_copy_name(target->data_centre, sizeof target->data_centre, record->data_centre);
+    target->slots = record->slots;
+    target->state = state;
+    target->sequence = MAX(target->sequence, record->sequence);
+    target->heard_sequence = MAX(target->heard_sequence, target->sequence);
+    target->heard_at = now;
+    wg_registry_note_change(r, target);
+    wg_registry_free_address(r, target);
+    wg_registry_prune(r);
+}
+
+void wg_registry_hear_all(wg_registry* r, wg_time now) {
+    for (guint i = 0; i < r->records->len; i++) {
+        ((wg_target*)r->records->pdata[i])->heard_at = now;
+    }
+}
+
+const wg_target* wg_registry_silent(const wg_registry* r, wg_time now, wg_time limit) {
+    for (guint i = 0; i < r->records->len; i++) {
+        const wg_target* target = r->records->pdata[i];
+        bool live = target->state == WG_TARGET_READY || target->state == WG_TARGET_DRAINING;
+        if (live && now - target->heard_at > limit) {
+            return target;
+        }
+    }
+    return NULL;
+}
+
+void wg_registry_note_asked(wg_registry* r, uint32_t number, wg_time now) {
+    wg_target* target = (wg_target*)wg_registry_find(r, number);
+    if (target) {
+        target->heard_at = now;
+    }
+}
+
+const wg_target* wg_registry_next(const wg_registry* r, uint32_t after) {
+    guint low = 0;
+    guint high = r->records->len;
+    while (low < high) {
+        guint middle = (low + high) / 2;
+        if (((wg_target*)r->records->pdata[middle])->number <= after) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low < r->records->len ? r->records->pdata[low] : NULL;
+}
+
+const wg_target* wg_registry_find(const wg_registry* r, uint32_t number) {
+    const wg_target* target = number ? wg_registry_next(r, number - 1) : NULL;
+    return target && target->number == number ? target : NULL;
+}
+
+uint64_t wg_registry_change(const wg_registry* r) {
+    return r->change;
+}
+
+GPtrArray* wg_registry_changes(const wg_registry* r, uint64_t since, bool* reset) {
+    *reset = since < r->floor || since > r->change;
+    GPtrArray* list = g_ptr_array_new();
+    for (guint i = 0; i < r->records->len; i++) {
+        wg_target* target = r->records->pdata[i];
+        if (*reset ? !wg_target_ended(target) : target->change > since) {
+            g_ptr_array_add(list, target);
+        }
+    }
+    return list;
+}
+
+/* ---- copies -------------------------------------------------------------------------------- */
+
+void wg_registry_clear(wg_registry* r) {
+    g_hash_table_remove_all(r->by_id);
+    g_ptr_array_set_size(r->records, 0);
+    r->ended = 0;
+}
+
+static int wg_compare_numbers(const void* a, const void* b) {
+    uint32_t first = (*(wg_target* const*)a)->number;
+    uint32_t second = (*(wg_target* const*)b)->number;
+    return first < second ? -1 : first > second;
+}
+
+bool wg_registry_merge(wg_registry* r, const Wgpb__TargetRecord* record) {
+    wg_target in = {0};
+    if (!wg_target_unpack(record, &in) || in.number == 0) {
+        return false;
+    }
+    wg_target* target = g_hash_table_lookup(r->by_id, in.id);
+    if (target) {
+        if (in.change > target->change) {
+            r->ended += wg_target_ended(&in) - wg_target_ended(target);
+            *target = in;
+        }
+    } else {
+        wg_registry_add(r, &in);
+        r->ended += wg_target_ended(&in);
+        g_ptr_array_sort(r->records, wg_compare_numbers);
+    }
+    wg_registry_prune(r);
+    return true;
+}
+
+void wg_registry_set_change(wg_registry* r, uint64_t change) {
+    r->change = change;
+}
+
+/* ---- messages ------------------------------------------------------------------------------ */
+
+void wg_target_pack(const wg_target* target, Wgpb__TargetRecord* out) {
+    wgpb__target_record__init(out);
+    out->id = (char*)target->id;
+    out->service = (char*)target->service;
+    out->address = (char*)target->address;
+    out->data_centre = (char*)target->data_centre;
+    out->slots = target->slots;
+    out->state = target->state;
+    out->sequence = target->sequence;
+    out->number = target->number;
+    out->change = target->change;
+}
+
+bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_target* target) {
+    *target = (wg_target){.slots = in->slots,
+                          .state = (wg_target_state)in->state,
+                          .sequence = in->sequence,
+                          .number = in->number,
+                          .change = in->change};
+    return in->id[0] && in->state > WG_TARGET_DEFAULT && in->state <= WG_TARGET_GONE &&
+           wg_copy_name(target->id, sizeof target->id, in->id) &&
+           wg_copy_name(target->service, sizeof target->service, in->service) &&
+           wg_copy_name(target->address, sizeof target->address, in->address) &&
+           wg_copy_name(target->data_centre, sizeof target->data_centre, in->data_centre);
+}
+
+Wgpb__RegistryState* wg_registry_dump(const wg_registry* r) {
+    Wgpb__RegistryState state = WGPB__REGISTRY_STATE__INIT;
+    Wgpb__TargetRecord* items = g_new(Wgpb__TargetRecord, r->records->len + 1);
+    state.targets = g_new(Wgpb__TargetRecord*, r->records->len + 1);
+    for (guint i = 0; i < r->records->len; i++) {
+        wg_target_pack(r->records->pdata[i], &items[i]);
+        state.targets[state.n_targets++] = &items[i];
+    }
+    state.change = r->change;
+    state.next_number = r->next_number;
+    size_t size = wgpb__registry_state__get_packed_size(&state);
+    uint8_t* bytes = g_malloc(size + 1);
+    wgpb__registry_state__pack(&state, bytes);
+    Wgpb__RegistryState* out = wgpb__registry_state__unpack(NULL, size, bytes);
+    g_free(bytes);
+    g_free(state.targets);
+    g_free(items);
+    return out;
+}
+
+bool wg_registry_load(wg_registry* r, const Wgpb__RegistryState* state) {
+    wg_registry_clear(r);
+    for (size_t i = 0; i < state->n_targets; i++) {
+        if (!wg_registry_merge(r, state->targets[i])) {
+            return false;
+        }
+    }
+    r->change = state->change;
+    r->floor = state->change; /* what was dropped before is not known */
+    r->next_number = MAX(state->next_number, 1);
+    return true;
+}
--- /dev/null
+++ b/lib/registry/wg_registry.h
@@ -0,0 +1,101 @@
+#pragma once
+/*
+    wg_registry.h -- targets that register themselves, as replicated state
+
+    WHAT IT DOES
+        Keeps one record for each incarnation of a target: where it is, what it serves, and whether
+        it is ready, draining, silent or gone. Every change raises a number, so that a copy of the
+        registry can be brought up to date by what changed since.
+
+    FEATURES
+        - heartbeats carry a sequence of the target's own: an older one changes nothing
+        - draining and gone are final for an incarnation; only a silent one comes back
+        - a new incarnation at an address ends the one that had it before
+        - a bounded number of ended records is kept, so that late heartbeats revive none of them
+
+    USE
+        1. wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+        2. if (wg_registry_hear(r, now, &record) == WG_HEARD_CHANGE) { agree on it, then }
+           wg_registry_apply(r, now, &record);
+        3. wg_registry_silent(r, now, limit)   // whom nobody has heard of
+        4. wg_registry_changes(r, since, ...)  // for copies; wg_registry_merge() at the copy
+
+    THE CALLER OWNS
+        records passed in. Pointers into the registry hold until its next change.
+*/
+#include "wg_base.h"
+#include "walnutgate.pb-c.h"
+
+enum {
+    WG_REGISTRY_ENDED_DEFAULT = 512 /* ended records kept */
+};
+
+typedef enum {
+    WG_TARGET_DEFAULT = 0,
+    WG_TARGET_READY,
+    WG_TARGET_DRAINING,
+    WG_TARGET_SILENT, /* no heartbeat for too long; a newer one brings it back */
+    WG_TARGET_GONE
+} wg_target_state;
+
+/* One incarnation of a target. */
+typedef struct {
+    char id[WG_NAME_MAX];
+    char service[WG_NAME_MAX];
+    char address[WG_ADDRESS_MAX];
+    char data_centre[WG_NAME_MAX];
+    uint32_t slots;
+    wg_target_state state;
+    uint64_t sequence;
+    uint32_t number; /* short for id, never 0 */
+    uint64_t change; /* of the registry, when this record last changed */
+    wg_time heard_at;        /* on this host's clock, not replicated */
+    uint64_t heard_sequence; /* not replicated */
+} wg_target;
+
+typedef enum {
+    WG_HEARD_OLD = 0, /* an earlier heartbeat, or of an ended incarnation: acknowledge, no more */
+    WG_HEARD_SAME,    /* fresh, and nothing new */
+    WG_HEARD_CHANGE   /* to be agreed on before it is acknowledged */
+} wg_heard;
+
+typedef struct {
+    int ended_max; /* default WG_REGISTRY_ENDED_DEFAULT */
+} wg_registry_desc;
+
+typedef struct wg_registry wg_registry;
+
+wg_registry* wg_registry_setup(const wg_registry_desc* desc);
+void wg_registry_shutdown(wg_registry* registry);
+/* What a heartbeat or a leave means. Notes that the target was heard of. */
+wg_heard wg_registry_hear(wg_registry* registry, wg_time now, const wg_target* heard);
+/* Take an agreed change; the same on every replica. */
+void wg_registry_apply(wg_registry* registry, wg_time now, const wg_target* record);
+/* Count every target as heard of at `now`: a new leader has not listened before. */
+void wg_registry_hear_all(wg_registry* registry, wg_time now);
+/* A ready or draining target not heard of for `limit` microseconds, or NULL. */
+const wg_target* wg_registry_silent(const wg_registry* registry, wg_time now, wg_time limit);
+/* Ask about a silent target again only after another `limit`. */
+void wg_registry_note_asked(wg_registry* registry, uint32_t number, wg_time now);
+/* Next record, in the order of their numbers, after number `after` (0: the first); or NULL. */
+const wg_target* wg_registry_next(const wg_registry* registry, uint32_t after);
+const wg_target* wg_registry_find(const wg_registry* registry, uint32_t number);
+uint64_t wg_registry_change(const wg_registry* registry);
+/* Records that changed after `since`; `reset` is set when a copy at `since` has to be emptied
+   first. The caller frees the array, not what it points to. */
+GPtrArray* wg_registry_changes(const wg_registry* registry, uint64_t since, bool* reset);
+
+/* ---- copies ---- */
+void wg_registry_clear(wg_registry* registry);
+/* Take a record as it stands in the registry that is copied. False when malformed. */
+bool wg_registry_merge(wg_registry* registry, const Wgpb__TargetRecord* record);
+void wg_registry_set_change(wg_registry* registry, uint64_t change);
+
+/* ---- messages ---- */
+/* The packed record borrows the texts of `target`. */
+void wg_target_pack(const wg_target* target, Wgpb__TargetRecord* out);
+/* False when a text does not fit. */
+bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_target* target);
+/* For snapshots; freed with wgpb__registry_state__free_unpacked(). */
+Wgpb__RegistryState* wg_registry_dump(const wg_registry* registry);
+bool wg_registry_load(wg_registry* registry, const Wgpb__RegistryState* state);
--- /dev/null
+++ b/lib/retry/wg_retry.c
@@ -0,0 +1,47 @@
+/* wg_retry.c -- see wg_retry.h
+
+   A bucket that holds at most `cap` sends. In any window a host sends again at most what the bucket
+   held at its start, plus what first sends and time put in; the three parts are chosen so that
+   their sum over all hosts stays within the budget. */
+#include "wg_retry.h"
+
+/* Parts of the budget that the bucket may use. */
+static const double WG_RETRY_SHARE = 0.8;  /* of the percentage */
+static const double WG_RETRY_CAP = 0.45;   /* of the slack, held at once */
+static const double WG_RETRY_RETURN = 0.35; /* of the slack, in one window */
+
+static double wg_retry_cap(const wg_retry_rules* rules) {
+    double cap = WG_RETRY_CAP * (double)rules->slack / MAX(rules->hosts, 1);
+    return MAX(cap, 1.0);
+}
+
+static void wg_retry_begin(wg_retry* r, const wg_retry_rules* rules) {
+    if (!r->begun) {
+        r->begun = true;
+        r->tokens = wg_retry_cap(rules) / 2;
+    }
+}
+
+static void wg_retry_add(wg_retry* r, double tokens, const wg_retry_rules* rules) {
+    r->tokens = MIN(r->tokens + tokens, wg_retry_cap(rules));
+}
+
+void wg_retry_first(wg_retry* r, const wg_retry_rules* rules) {
+    wg_retry_begin(r, rules);
+    wg_retry_add(r, WG_RETRY_SHARE * (double)rules->percent / 100, rules);
+}
+
+void wg_retry_pass(wg_retry* r, wg_time time, const wg_retry_rules* rules) {
+    wg_retry_begin(r, rules);
+    double part = WG_RETRY_RETURN * (double)rules->slack / MAX(rules->hosts, 1);
+    wg_retry_add(r, part * (double)time / (double)rules->window, rules);
+}
+
+bool wg_retry_take(wg_retry* r, const wg_retry_rules* rules) {
+    wg_retry_begin(r, rules);
+    if (r->tokens < 1) {
+        return false;
+    }
+    r->tokens -= 1;
+    return true;
+}
