--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -772,6 +772,141 @@
   assert(message->base.descriptor == &wgpb__claim_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__configuration__init
+                     (Wgpb__Configuration         *message)
+{
+  static const Wgpb__Configuration init_value = WGPB__CONFIGURATION__INIT;
+  *message = init_value;
+}
+size_t wgpb__configuration__get_packed_size
+                     (const Wgpb__Configuration *message)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__configuration__pack
+                     (const Wgpb__Configuration *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__configuration__pack_to_buffer
+                     (const Wgpb__Configuration *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Configuration *
+       wgpb__configuration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Configuration *)
+     protobuf_c_message_unpack (&wgpb__configuration__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__configuration__free_unpacked
+                     (Wgpb__Configuration *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__target_record__init
+                     (Wgpb__TargetRecord         *message)
+{
+  static const Wgpb__TargetRecord init_value = WGPB__TARGET_RECORD__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_record__get_packed_size
+                     (const Wgpb__TargetRecord *message)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_record__pack
+                     (const Wgpb__TargetRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_record__pack_to_buffer
+                     (const Wgpb__TargetRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetRecord *
+       wgpb__target_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TargetRecord *)
+     protobuf_c_message_unpack (&wgpb__target_record__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_record__free_unpacked
+                     (Wgpb__TargetRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__registry_state__init
+                     (Wgpb__RegistryState         *message)
+{
+  static const Wgpb__RegistryState init_value = WGPB__REGISTRY_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__registry_state__get_packed_size
+                     (const Wgpb__RegistryState *message)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__registry_state__pack
+                     (const Wgpb__RegistryState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__registry_state__pack_to_buffer
+                     (const Wgpb__RegistryState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__RegistryState *
+       wgpb__registry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__RegistryState *)
+     protobuf_c_message_unpack (&wgpb__registry_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__registry_state__free_unpacked
+                     (Wgpb__RegistryState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wgpb__command__init
                      (Wgpb__Command         *message)
 {
@@ -1402,1786 +1537,2945 @@
   assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
-static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] =
+void   wgpb__target_load__init
+                     (Wgpb__TargetLoad         *message)
 {
-  {
-    "name",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "role",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, role),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "cluster",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, cluster),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "identity",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, identity),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "incarnation",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, incarnation),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "nonce",
-    6,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, nonce),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, address),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Hello, data_centre),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wgpb__hello__field_indices_by_name[] = {
-  6,   /* field[6] = address */
-  2,   /* field[2] = cluster */
-  7,   /* field[7] = data_centre */
-  3,   /* field[3] = identity */
-  4,   /* field[4] = incarnation */
-  0,   /* field[0] = name */
-  5,   /* field[5] = nonce */
-  1,   /* field[1] = role */
-};
-static const ProtobufCIntRange wgpb__hello__number_ranges[1 + 1] =
+  static const Wgpb__TargetLoad init_value = WGPB__TARGET_LOAD__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_load__get_packed_size
+                     (const Wgpb__TargetLoad *message)
 {
-  { 1, 0 },
-  { 0, 8 }
-};
-const ProtobufCMessageDescriptor wgpb__hello__descriptor =
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_load__pack
+                     (const Wgpb__TargetLoad *message,
+                      uint8_t       *out)
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Hello",
-  "Hello",
-  "Wgpb__Hello",
-  "wgpb",
-  sizeof(Wgpb__Hello),
-  8,
-  wgpb__hello__field_descriptors,
-  wgpb__hello__field_indices_by_name,
-  1,  wgpb__hello__number_ranges,
-  (ProtobufCMessageInit) wgpb__hello__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__proof__field_descriptors[1] =
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_load__pack_to_buffer
+                     (const Wgpb__TargetLoad *message,
+                      ProtobufCBuffer *buffer)
 {
-  {
-    "mac",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Proof, mac),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-};
-static const unsigned wgpb__proof__field_indices_by_name[] = {
-  0,   /* field[0] = mac */
-};
-static const ProtobufCIntRange wgpb__proof__number_ranges[1 + 1] =
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetLoad *
+       wgpb__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
 {
-  { 1, 0 },
-  { 0, 1 }
-};
-const ProtobufCMessageDescriptor wgpb__proof__descriptor =
+  return (Wgpb__TargetLoad *)
+     protobuf_c_message_unpack (&wgpb__target_load__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_load__free_unpacked
+                     (Wgpb__TargetLoad *message,
+                      ProtobufCAllocator *allocator)
 {
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Proof",
-  "Proof",
-  "Wgpb__Proof",
-  "wgpb",
-  sizeof(Wgpb__Proof),
-  1,
-  wgpb__proof__field_descriptors,
-  wgpb__proof__field_indices_by_name,
-  1,  wgpb__proof__number_ranges,
-  (ProtobufCMessageInit) wgpb__proof__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__replica__field_descriptors[4] =
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__workspace_usage__init
+                     (Wgpb__WorkspaceUsage         *message)
+{
+  static const Wgpb__WorkspaceUsage init_value = WGPB__WORKSPACE_USAGE__INIT;
+  *message = init_value;
+}
+size_t wgpb__workspace_usage__get_packed_size
+                     (const Wgpb__WorkspaceUsage *message)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__workspace_usage__pack
+                     (const Wgpb__WorkspaceUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__workspace_usage__pack_to_buffer
+                     (const Wgpb__WorkspaceUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__WorkspaceUsage *
+       wgpb__workspace_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__WorkspaceUsage *)
+     protobuf_c_message_unpack (&wgpb__workspace_usage__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__workspace_usage__free_unpacked
+                     (Wgpb__WorkspaceUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_report__init
+                     (Wgpb__EntryReport         *message)
+{
+  static const Wgpb__EntryReport init_value = WGPB__ENTRY_REPORT__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_report__get_packed_size
+                     (const Wgpb__EntryReport *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_report__pack
+                     (const Wgpb__EntryReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_report__pack_to_buffer
+                     (const Wgpb__EntryReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryReport *
+       wgpb__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryReport *)
+     protobuf_c_message_unpack (&wgpb__entry_report__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_report__free_unpacked
+                     (Wgpb__EntryReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_member__init
+                     (Wgpb__EntryMember         *message)
+{
+  static const Wgpb__EntryMember init_value = WGPB__ENTRY_MEMBER__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_member__get_packed_size
+                     (const Wgpb__EntryMember *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_member__pack
+                     (const Wgpb__EntryMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_member__pack_to_buffer
+                     (const Wgpb__EntryMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryMember *
+       wgpb__entry_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryMember *)
+     protobuf_c_message_unpack (&wgpb__entry_member__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_member__free_unpacked
+                     (Wgpb__EntryMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_state__init
+                     (Wgpb__EntryState         *message)
+{
+  static const Wgpb__EntryState init_value = WGPB__ENTRY_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_state__get_packed_size
+                     (const Wgpb__EntryState *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_state__pack
+                     (const Wgpb__EntryState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_state__pack_to_buffer
+                     (const Wgpb__EntryState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryState *
+       wgpb__entry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryState *)
+     protobuf_c_message_unpack (&wgpb__entry_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_state__free_unpacked
+                     (Wgpb__EntryState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__order__init
+                     (Wgpb__Order         *message)
+{
+  static const Wgpb__Order init_value = WGPB__ORDER__INIT;
+  *message = init_value;
+}
+size_t wgpb__order__get_packed_size
+                     (const Wgpb__Order *message)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__order__pack
+                     (const Wgpb__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__order__pack_to_buffer
+                     (const Wgpb__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Order *
+       wgpb__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Order *)
+     protobuf_c_message_unpack (&wgpb__order__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__order__free_unpacked
+                     (Wgpb__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__order_answer__init
+                     (Wgpb__OrderAnswer         *message)
+{
+  static const Wgpb__OrderAnswer init_value = WGPB__ORDER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__order_answer__get_packed_size
+                     (const Wgpb__OrderAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__order_answer__pack
+                     (const Wgpb__OrderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__order_answer__pack_to_buffer
+                     (const Wgpb__OrderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OrderAnswer *
+       wgpb__order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OrderAnswer *)
+     protobuf_c_message_unpack (&wgpb__order_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__order_answer__free_unpacked
+                     (Wgpb__OrderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cluster",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, cluster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__hello__field_indices_by_name[] = {
+  6,   /* field[6] = address */
+  2,   /* field[2] = cluster */
+  7,   /* field[7] = data_centre */
+  3,   /* field[3] = identity */
+  4,   /* field[4] = incarnation */
+  0,   /* field[0] = name */
+  5,   /* field[5] = nonce */
+  1,   /* field[1] = role */
+};
+static const ProtobufCIntRange wgpb__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wgpb__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Hello",
+  "Hello",
+  "Wgpb__Hello",
+  "wgpb",
+  sizeof(Wgpb__Hello),
+  8,
+  wgpb__hello__field_descriptors,
+  wgpb__hello__field_indices_by_name,
+  1,  wgpb__hello__number_ranges,
+  (ProtobufCMessageInit) wgpb__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__proof__field_descriptors[1] =
+{
+  {
+    "mac",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Proof, mac),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__proof__field_indices_by_name[] = {
+  0,   /* field[0] = mac */
+};
+static const ProtobufCIntRange wgpb__proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Proof",
+  "Proof",
+  "Wgpb__Proof",
+  "wgpb",
+  sizeof(Wgpb__Proof),
+  1,
+  wgpb__proof__field_descriptors,
+  wgpb__proof__field_indices_by_name,
+  1,  wgpb__proof__number_ranges,
+  (ProtobufCMessageInit) wgpb__proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__replica__field_descriptors[4] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, voter),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__replica__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  0,   /* field[0] = id */
+  1,   /* field[1] = name */
+  3,   /* field[3] = voter */
+};
+static const ProtobufCIntRange wgpb__replica__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__replica__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Replica",
+  "Replica",
+  "Wgpb__Replica",
+  "wgpb",
+  sizeof(Wgpb__Replica),
+  4,
+  wgpb__replica__field_descriptors,
+  wgpb__replica__field_indices_by_name,
+  1,  wgpb__replica__number_ranges,
+  (ProtobufCMessageInit) wgpb__replica__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__replica_set__field_descriptors[1] =
+{
+  {
+    "replicas",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__ReplicaSet, n_replicas),
+    offsetof(Wgpb__ReplicaSet, replicas),
+    &wgpb__replica__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__replica_set__field_indices_by_name[] = {
+  0,   /* field[0] = replicas */
+};
+static const ProtobufCIntRange wgpb__replica_set__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__replica_set__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ReplicaSet",
+  "ReplicaSet",
+  "Wgpb__ReplicaSet",
+  "wgpb",
+  sizeof(Wgpb__ReplicaSet),
+  1,
+  wgpb__replica_set__field_descriptors,
+  wgpb__replica_set__field_indices_by_name,
+  1,  wgpb__replica_set__number_ranges,
+  (ProtobufCMessageInit) wgpb__replica_set__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__log_entry__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__log_entry__field_indices_by_name[] = {
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wgpb__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.LogEntry",
+  "LogEntry",
+  "Wgpb__LogEntry",
+  "wgpb",
+  sizeof(Wgpb__LogEntry),
+  4,
+  wgpb__log_entry__field_descriptors,
+  wgpb__log_entry__field_indices_by_name,
+  1,  wgpb__log_entry__number_ranges,
+  (ProtobufCMessageInit) wgpb__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[17] =
+{
+  {
+    "type",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, log_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reject",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, reject),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Quorum, n_entries),
+    offsetof(Wgpb__Quorum, entries),
+    &wgpb__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_index",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, snapshot_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_term",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, snapshot_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, chunk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, replicas),
+    &wgpb__replica_set__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__quorum__field_indices_by_name[] = {
+  15,   /* field[15] = chunk */
+  6,   /* field[6] = commit */
+  9,   /* field[9] = echo */
+  10,   /* field[10] = entries */
+  1,   /* field[1] = from */
+  8,   /* field[8] = hint */
+  4,   /* field[4] = log_index */
+  5,   /* field[5] = log_term */
+  13,   /* field[13] = offset */
+  7,   /* field[7] = reject */
+  16,   /* field[16] = replicas */
+  11,   /* field[11] = snapshot_index */
+  12,   /* field[12] = snapshot_term */
+  3,   /* field[3] = term */
+  2,   /* field[2] = to */
+  14,   /* field[14] = total */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 17 }
+};
+const ProtobufCMessageDescriptor wgpb__quorum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Quorum",
+  "Quorum",
+  "Wgpb__Quorum",
+  "wgpb",
+  sizeof(Wgpb__Quorum),
+  17,
+  wgpb__quorum__field_descriptors,
+  wgpb__quorum__field_indices_by_name,
+  1,  wgpb__quorum__number_ranges,
+  (ProtobufCMessageInit) wgpb__quorum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[4] =
+{
+  {
+    "cluster",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, cluster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voted_for",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, voted_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__hard_state__field_indices_by_name[] = {
+  0,   /* field[0] = cluster */
+  1,   /* field[1] = identity */
+  2,   /* field[2] = term */
+  3,   /* field[3] = voted_for */
+};
+static const ProtobufCIntRange wgpb__hard_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__hard_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.HardState",
+  "HardState",
+  "Wgpb__HardState",
+  "wgpb",
+  sizeof(Wgpb__HardState),
+  4,
+  wgpb__hard_state__field_descriptors,
+  wgpb__hard_state__field_indices_by_name,
+  1,  wgpb__hard_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__hard_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__snapshot_file__field_descriptors[4] =
+{
+  {
+    "index",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, replicas),
+    &wgpb__replica_set__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__snapshot_file__field_indices_by_name[] = {
+  0,   /* field[0] = index */
+  2,   /* field[2] = replicas */
+  3,   /* field[3] = state */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wgpb__snapshot_file__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__snapshot_file__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.SnapshotFile",
+  "SnapshotFile",
+  "Wgpb__SnapshotFile",
+  "wgpb",
+  sizeof(Wgpb__SnapshotFile),
+  4,
+  wgpb__snapshot_file__field_descriptors,
+  wgpb__snapshot_file__field_indices_by_name,
+  1,  wgpb__snapshot_file__number_ranges,
+  (ProtobufCMessageInit) wgpb__snapshot_file__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__row__field_descriptors[7] =
+{
+  {
+    "kind",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Wgpb__Row, n_numbers),
+    offsetof(Wgpb__Row, numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "texts",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__Row, n_texts),
+    offsetof(Wgpb__Row, texts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__row__field_indices_by_name[] = {
+  3,   /* field[3] = deleted */
+  4,   /* field[4] = id */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = name */
+  5,   /* field[5] = numbers */
+  6,   /* field[6] = texts */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wgpb__row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Row",
+  "Row",
+  "Wgpb__Row",
+  "wgpb",
+  sizeof(Wgpb__Row),
+  7,
+  wgpb__row__field_descriptors,
+  wgpb__row__field_indices_by_name,
+  1,  wgpb__row__number_ranges,
+  (ProtobufCMessageInit) wgpb__row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit_row__field_descriptors[2] =
 {
   {
-    "id",
+    "row",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditRow, row),
+    &wgpb__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditRow, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__edit_row__field_indices_by_name[] = {
+  1,   /* field[1] = base_version */
+  0,   /* field[0] = row */
+};
+static const ProtobufCIntRange wgpb__edit_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__edit_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EditRow",
+  "EditRow",
+  "Wgpb__EditRow",
+  "wgpb",
+  sizeof(Wgpb__EditRow),
+  2,
+  wgpb__edit_row__field_descriptors,
+  wgpb__edit_row__field_indices_by_name,
+  1,  wgpb__edit_row__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit__field_descriptors[3] =
+{
+  {
+    "edit_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Edit, edit_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "editor",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Edit, editor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Edit, n_rows),
+    offsetof(Wgpb__Edit, rows),
+    &wgpb__edit_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__edit__field_indices_by_name[] = {
+  0,   /* field[0] = edit_id */
+  1,   /* field[1] = editor */
+  2,   /* field[2] = rows */
+};
+static const ProtobufCIntRange wgpb__edit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__edit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Edit",
+  "Edit",
+  "Wgpb__Edit",
+  "wgpb",
+  sizeof(Wgpb__Edit),
+  3,
+  wgpb__edit__field_descriptors,
+  wgpb__edit__field_indices_by_name,
+  1,  wgpb__edit__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit_result__field_descriptors[4] =
+{
+  {
+    "edit_id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, edit_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__edit_result__field_indices_by_name[] = {
+  0,   /* field[0] = edit_id */
+  2,   /* field[2] = outcome */
+  3,   /* field[3] = reason */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange wgpb__edit_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__edit_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EditResult",
+  "EditResult",
+  "Wgpb__EditResult",
+  "wgpb",
+  sizeof(Wgpb__EditResult),
+  4,
+  wgpb__edit_result__field_descriptors,
+  wgpb__edit_result__field_indices_by_name,
+  1,  wgpb__edit_result__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__table_state__field_descriptors[5] =
+{
+  {
+    "rows",
     1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Replica, id),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__TableState, n_rows),
+    offsetof(Wgpb__TableState, rows),
+    &wgpb__row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "results",
     2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Replica, name),
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__TableState, n_results),
+    offsetof(Wgpb__TableState, results),
+    &wgpb__edit_result__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "address",
+    "version",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Replica, address),
+    offsetof(Wgpb__TableState, version),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voter",
+    "next_id",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Replica, voter),
+    offsetof(Wgpb__TableState, next_id),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__replica__field_indices_by_name[] = {
-  2,   /* field[2] = address */
-  0,   /* field[0] = id */
-  1,   /* field[1] = name */
-  3,   /* field[3] = voter */
-};
-static const ProtobufCIntRange wgpb__replica__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wgpb__replica__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Replica",
-  "Replica",
-  "Wgpb__Replica",
-  "wgpb",
-  sizeof(Wgpb__Replica),
-  4,
-  wgpb__replica__field_descriptors,
-  wgpb__replica__field_indices_by_name,
-  1,  wgpb__replica__number_ranges,
-  (ProtobufCMessageInit) wgpb__replica__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__replica_set__field_descriptors[1] =
-{
   {
-    "replicas",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__ReplicaSet, n_replicas),
-    offsetof(Wgpb__ReplicaSet, replicas),
-    &wgpb__replica__descriptor,
+    "tombstone_floor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TableState, tombstone_floor),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__replica_set__field_indices_by_name[] = {
-  0,   /* field[0] = replicas */
+static const unsigned wgpb__table_state__field_indices_by_name[] = {
+  3,   /* field[3] = next_id */
+  1,   /* field[1] = results */
+  0,   /* field[0] = rows */
+  4,   /* field[4] = tombstone_floor */
+  2,   /* field[2] = version */
 };
-static const ProtobufCIntRange wgpb__replica_set__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__table_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 1 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wgpb__replica_set__descriptor =
+const ProtobufCMessageDescriptor wgpb__table_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ReplicaSet",
-  "ReplicaSet",
-  "Wgpb__ReplicaSet",
+  "wgpb.TableState",
+  "TableState",
+  "Wgpb__TableState",
   "wgpb",
-  sizeof(Wgpb__ReplicaSet),
-  1,
-  wgpb__replica_set__field_descriptors,
-  wgpb__replica_set__field_indices_by_name,
-  1,  wgpb__replica_set__number_ranges,
-  (ProtobufCMessageInit) wgpb__replica_set__init,
+  sizeof(Wgpb__TableState),
+  5,
+  wgpb__table_state__field_descriptors,
+  wgpb__table_state__field_indices_by_name,
+  1,  wgpb__table_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__table_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__log_entry__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wgpb__claim__field_descriptors[4] =
 {
   {
-    "index",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__LogEntry, index),
-    NULL,
+    offsetof(Wgpb__Claim, workspace),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__LogEntry, term),
+    offsetof(Wgpb__Claim, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "kind",
+    "attempt",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__LogEntry, kind),
+    offsetof(Wgpb__Claim, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "data",
+    "now_seconds",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__LogEntry, data),
+    offsetof(Wgpb__Claim, now_seconds),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__log_entry__field_indices_by_name[] = {
-  3,   /* field[3] = data */
-  0,   /* field[0] = index */
-  2,   /* field[2] = kind */
-  1,   /* field[1] = term */
+static const unsigned wgpb__claim__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  1,   /* field[1] = key */
+  3,   /* field[3] = now_seconds */
+  0,   /* field[0] = workspace */
 };
-static const ProtobufCIntRange wgpb__log_entry__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__claim__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor wgpb__log_entry__descriptor =
+const ProtobufCMessageDescriptor wgpb__claim__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.LogEntry",
-  "LogEntry",
-  "Wgpb__LogEntry",
+  "wgpb.Claim",
+  "Claim",
+  "Wgpb__Claim",
   "wgpb",
-  sizeof(Wgpb__LogEntry),
+  sizeof(Wgpb__Claim),
   4,
-  wgpb__log_entry__field_descriptors,
-  wgpb__log_entry__field_indices_by_name,
-  1,  wgpb__log_entry__number_ranges,
-  (ProtobufCMessageInit) wgpb__log_entry__init,
+  wgpb__claim__field_descriptors,
+  wgpb__claim__field_indices_by_name,
+  1,  wgpb__claim__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[17] =
+static const ProtobufCFieldDescriptor wgpb__claim_end__field_descriptors[7] =
 {
   {
-    "type",
+    "workspace",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, type),
-    NULL,
+    offsetof(Wgpb__ClaimEnd, workspace),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "from",
+    "key",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, from),
+    offsetof(Wgpb__ClaimEnd, key),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "to",
+    "attempt",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, to),
+    offsetof(Wgpb__ClaimEnd, attempt),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "verdict",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, term),
+    offsetof(Wgpb__ClaimEnd, verdict),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_index",
+    "status",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, log_index),
+    offsetof(Wgpb__ClaimEnd, status),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "log_term",
+    "content_type",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, log_term),
-    NULL,
+    offsetof(Wgpb__ClaimEnd, content_type),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "commit",
+    "body",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, commit),
+    offsetof(Wgpb__ClaimEnd, body),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__claim_end__field_indices_by_name[] = {
+  2,   /* field[2] = attempt */
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  1,   /* field[1] = key */
+  4,   /* field[4] = status */
+  3,   /* field[3] = verdict */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange wgpb__claim_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimEnd",
+  "ClaimEnd",
+  "Wgpb__ClaimEnd",
+  "wgpb",
+  sizeof(Wgpb__ClaimEnd),
+  7,
+  wgpb__claim_end__field_descriptors,
+  wgpb__claim_end__field_indices_by_name,
+  1,  wgpb__claim_end__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_record__field_descriptors[2] =
+{
+  {
+    "claim",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimRecord, claim),
+    &wgpb__claim__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reject",
-    8,
+    "end",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, reject),
-    NULL,
+    offsetof(Wgpb__ClaimRecord, end),
+    &wgpb__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__claim_record__field_indices_by_name[] = {
+  0,   /* field[0] = claim */
+  1,   /* field[1] = end */
+};
+static const ProtobufCIntRange wgpb__claim_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimRecord",
+  "ClaimRecord",
+  "Wgpb__ClaimRecord",
+  "wgpb",
+  sizeof(Wgpb__ClaimRecord),
+  2,
+  wgpb__claim_record__field_descriptors,
+  wgpb__claim_record__field_indices_by_name,
+  1,  wgpb__claim_record__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_state__field_descriptors[2] =
+{
   {
-    "hint",
-    9,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, hint),
-    NULL,
+    "records",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__ClaimState, n_records),
+    offsetof(Wgpb__ClaimState, records),
+    &wgpb__claim_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "echo",
-    10,
+    "now_seconds",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, echo),
+    offsetof(Wgpb__ClaimState, now_seconds),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__claim_state__field_indices_by_name[] = {
+  1,   /* field[1] = now_seconds */
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange wgpb__claim_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimState",
+  "ClaimState",
+  "Wgpb__ClaimState",
+  "wgpb",
+  sizeof(Wgpb__ClaimState),
+  2,
+  wgpb__claim_state__field_descriptors,
+  wgpb__claim_state__field_indices_by_name,
+  1,  wgpb__claim_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__configuration__field_descriptors[2] =
+{
   {
-    "entries",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Quorum, n_entries),
-    offsetof(Wgpb__Quorum, entries),
-    &wgpb__log_entry__descriptor,
+    "version",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, version),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "snapshot_index",
-    12,
+    "document",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, snapshot_index),
+    offsetof(Wgpb__Configuration, document),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__configuration__field_indices_by_name[] = {
+  1,   /* field[1] = document */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange wgpb__configuration__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__configuration__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Configuration",
+  "Configuration",
+  "Wgpb__Configuration",
+  "wgpb",
+  sizeof(Wgpb__Configuration),
+  2,
+  wgpb__configuration__field_descriptors,
+  wgpb__configuration__field_indices_by_name,
+  1,  wgpb__configuration__number_ranges,
+  (ProtobufCMessageInit) wgpb__configuration__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[9] =
+{
   {
-    "snapshot_term",
-    13,
+    "id",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, snapshot_term),
-    NULL,
+    offsetof(Wgpb__TargetRecord, id),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "offset",
-    14,
+    "service",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, offset),
-    NULL,
+    offsetof(Wgpb__TargetRecord, service),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "total",
-    15,
+    "address",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, total),
-    NULL,
+    offsetof(Wgpb__TargetRecord, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "chunk",
-    16,
+    "data_centre",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, chunk),
-    NULL,
+    offsetof(Wgpb__TargetRecord, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "replicas",
-    17,
+    "slots",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quorum, replicas),
-    &wgpb__replica_set__descriptor,
+    offsetof(Wgpb__TargetRecord, slots),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__quorum__field_indices_by_name[] = {
-  15,   /* field[15] = chunk */
-  6,   /* field[6] = commit */
-  9,   /* field[9] = echo */
-  10,   /* field[10] = entries */
-  1,   /* field[1] = from */
-  8,   /* field[8] = hint */
-  4,   /* field[4] = log_index */
-  5,   /* field[5] = log_term */
-  13,   /* field[13] = offset */
-  7,   /* field[7] = reject */
-  16,   /* field[16] = replicas */
-  11,   /* field[11] = snapshot_index */
-  12,   /* field[12] = snapshot_term */
-  3,   /* field[3] = term */
-  2,   /* field[2] = to */
-  14,   /* field[14] = total */
-  0,   /* field[0] = type */
-};
-static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 17 }
-};
-const ProtobufCMessageDescriptor wgpb__quorum__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Quorum",
-  "Quorum",
-  "Wgpb__Quorum",
-  "wgpb",
-  sizeof(Wgpb__Quorum),
-  17,
-  wgpb__quorum__field_descriptors,
-  wgpb__quorum__field_indices_by_name,
-  1,  wgpb__quorum__number_ranges,
-  (ProtobufCMessageInit) wgpb__quorum__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[4] =
-{
   {
-    "cluster",
-    1,
+    "state",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__HardState, cluster),
+    offsetof(Wgpb__TargetRecord, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "identity",
-    2,
+    "sequence",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__HardState, identity),
+    offsetof(Wgpb__TargetRecord, sequence),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
-    3,
+    "number",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__HardState, term),
+    offsetof(Wgpb__TargetRecord, number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "voted_for",
-    4,
+    "change",
+    9,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__HardState, voted_for),
+    offsetof(Wgpb__TargetRecord, change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__hard_state__field_indices_by_name[] = {
-  0,   /* field[0] = cluster */
-  1,   /* field[1] = identity */
-  2,   /* field[2] = term */
-  3,   /* field[3] = voted_for */
+static const unsigned wgpb__target_record__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  8,   /* field[8] = change */
+  3,   /* field[3] = data_centre */
+  0,   /* field[0] = id */
+  7,   /* field[7] = number */
+  6,   /* field[6] = sequence */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+  5,   /* field[5] = state */
 };
-static const ProtobufCIntRange wgpb__hard_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 9 }
 };
-const ProtobufCMessageDescriptor wgpb__hard_state__descriptor =
+const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.HardState",
-  "HardState",
-  "Wgpb__HardState",
+  "wgpb.TargetRecord",
+  "TargetRecord",
+  "Wgpb__TargetRecord",
   "wgpb",
-  sizeof(Wgpb__HardState),
-  4,
-  wgpb__hard_state__field_descriptors,
-  wgpb__hard_state__field_indices_by_name,
-  1,  wgpb__hard_state__number_ranges,
-  (ProtobufCMessageInit) wgpb__hard_state__init,
+  sizeof(Wgpb__TargetRecord),
+  9,
+  wgpb__target_record__field_descriptors,
+  wgpb__target_record__field_indices_by_name,
+  1,  wgpb__target_record__number_ranges,
+  (ProtobufCMessageInit) wgpb__target_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__snapshot_file__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wgpb__registry_state__field_descriptors[3] =
 {
-  {
-    "index",
-    1,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__SnapshotFile, index),
-    NULL,
+  {
+    "targets",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__RegistryState, n_targets),
+    offsetof(Wgpb__RegistryState, targets),
+    &wgpb__target_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "change",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__SnapshotFile, term),
+    offsetof(Wgpb__RegistryState, change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "replicas",
+    "next_number",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__SnapshotFile, replicas),
-    &wgpb__replica_set__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "state",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__SnapshotFile, state),
+    offsetof(Wgpb__RegistryState, next_number),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__snapshot_file__field_indices_by_name[] = {
-  0,   /* field[0] = index */
-  2,   /* field[2] = replicas */
-  3,   /* field[3] = state */
-  1,   /* field[1] = term */
+static const unsigned wgpb__registry_state__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  2,   /* field[2] = next_number */
+  0,   /* field[0] = targets */
 };
-static const ProtobufCIntRange wgpb__snapshot_file__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__registry_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wgpb__snapshot_file__descriptor =
+const ProtobufCMessageDescriptor wgpb__registry_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.SnapshotFile",
-  "SnapshotFile",
-  "Wgpb__SnapshotFile",
+  "wgpb.RegistryState",
+  "RegistryState",
+  "Wgpb__RegistryState",
   "wgpb",
-  sizeof(Wgpb__SnapshotFile),
-  4,
-  wgpb__snapshot_file__field_descriptors,
-  wgpb__snapshot_file__field_indices_by_name,
-  1,  wgpb__snapshot_file__number_ranges,
-  (ProtobufCMessageInit) wgpb__snapshot_file__init,
+  sizeof(Wgpb__RegistryState),
+  3,
+  wgpb__registry_state__field_descriptors,
+  wgpb__registry_state__field_indices_by_name,
+  1,  wgpb__registry_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__registry_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__row__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wgpb__command__field_descriptors[5] =
 {
   {
-    "kind",
+    "edit",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Row, kind),
-    NULL,
+    offsetof(Wgpb__Command, edit),
+    &wgpb__edit__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "name",
+    "claim",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Row, name),
+    offsetof(Wgpb__Command, claim),
+    &wgpb__claim__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
+    "claim_end",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Row, version),
-    NULL,
+    offsetof(Wgpb__Command, claim_end),
+    &wgpb__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "deleted",
+    "configuration",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Row, deleted),
-    NULL,
+    offsetof(Wgpb__Command, configuration),
+    &wgpb__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "id",
+    "target",
     5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Row, id),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "numbers",
-    6,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_SINT64,
-    offsetof(Wgpb__Row, n_numbers),
-    offsetof(Wgpb__Row, numbers),
-    NULL,
-    NULL,
-    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "texts",
-    7,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_STRING,
-    offsetof(Wgpb__Row, n_texts),
-    offsetof(Wgpb__Row, texts),
+    offsetof(Wgpb__Command, target),
+    &wgpb__target_record__descriptor,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__row__field_indices_by_name[] = {
-  3,   /* field[3] = deleted */
-  4,   /* field[4] = id */
-  0,   /* field[0] = kind */
-  1,   /* field[1] = name */
-  5,   /* field[5] = numbers */
-  6,   /* field[6] = texts */
-  2,   /* field[2] = version */
+static const unsigned wgpb__command__field_indices_by_name[] = {
+  1,   /* field[1] = claim */
+  2,   /* field[2] = claim_end */
+  3,   /* field[3] = configuration */
+  0,   /* field[0] = edit */
+  4,   /* field[4] = target */
 };
-static const ProtobufCIntRange wgpb__row__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__command__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 5 }
 };
-const ProtobufCMessageDescriptor wgpb__row__descriptor =
+const ProtobufCMessageDescriptor wgpb__command__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Row",
-  "Row",
-  "Wgpb__Row",
+  "wgpb.Command",
+  "Command",
+  "Wgpb__Command",
   "wgpb",
-  sizeof(Wgpb__Row),
-  7,
-  wgpb__row__field_descriptors,
-  wgpb__row__field_indices_by_name,
-  1,  wgpb__row__number_ranges,
-  (ProtobufCMessageInit) wgpb__row__init,
+  sizeof(Wgpb__Command),
+  5,
+  wgpb__command__field_descriptors,
+  wgpb__command__field_indices_by_name,
+  1,  wgpb__command__number_ranges,
+  (ProtobufCMessageInit) wgpb__command__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__edit_row__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__state__field_descriptors[4] =
 {
   {
-    "row",
+    "table",
     1,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditRow, row),
-    &wgpb__row__descriptor,
+    offsetof(Wgpb__State, table),
+    &wgpb__table_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "base_version",
+    "claims",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditRow, base_version),
+    offsetof(Wgpb__State, claims),
+    &wgpb__claim_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, configuration),
+    &wgpb__configuration__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, registry),
+    &wgpb__registry_state__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__edit_row__field_indices_by_name[] = {
-  1,   /* field[1] = base_version */
-  0,   /* field[0] = row */
+static const unsigned wgpb__state__field_indices_by_name[] = {
+  1,   /* field[1] = claims */
+  2,   /* field[2] = configuration */
+  3,   /* field[3] = registry */
+  0,   /* field[0] = table */
 };
-static const ProtobufCIntRange wgpb__edit_row__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor wgpb__edit_row__descriptor =
+const ProtobufCMessageDescriptor wgpb__state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.EditRow",
-  "EditRow",
-  "Wgpb__EditRow",
+  "wgpb.State",
+  "State",
+  "Wgpb__State",
   "wgpb",
-  sizeof(Wgpb__EditRow),
-  2,
-  wgpb__edit_row__field_descriptors,
-  wgpb__edit_row__field_indices_by_name,
-  1,  wgpb__edit_row__number_ranges,
-  (ProtobufCMessageInit) wgpb__edit_row__init,
+  sizeof(Wgpb__State),
+  4,
+  wgpb__state__field_descriptors,
+  wgpb__state__field_indices_by_name,
+  1,  wgpb__state__number_ranges,
+  (ProtobufCMessageInit) wgpb__state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__edit__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__account__field_descriptors[7] =
 {
   {
-    "edit_id",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Edit, edit_id),
+    offsetof(Wgpb__Account, service),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "editor",
+    "workspace",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Edit, editor),
+    offsetof(Wgpb__Account, workspace),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "rows",
+    "served",
     3,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Edit, n_rows),
-    offsetof(Wgpb__Edit, rows),
-    &wgpb__edit_row__descriptor,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, served),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__edit__field_indices_by_name[] = {
-  0,   /* field[0] = edit_id */
-  1,   /* field[1] = editor */
-  2,   /* field[2] = rows */
-};
-static const ProtobufCIntRange wgpb__edit__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wgpb__edit__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Edit",
-  "Edit",
-  "Wgpb__Edit",
-  "wgpb",
-  sizeof(Wgpb__Edit),
-  3,
-  wgpb__edit__field_descriptors,
-  wgpb__edit__field_indices_by_name,
-  1,  wgpb__edit__number_ranges,
-  (ProtobufCMessageInit) wgpb__edit__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__edit_result__field_descriptors[4] =
-{
   {
-    "edit_id",
-    1,
+    "queued",
+    4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditResult, edit_id),
+    offsetof(Wgpb__Account, queued),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "version",
-    2,
+    "running",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditResult, version),
+    offsetof(Wgpb__Account, running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    3,
+    "pending",
+    6,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditResult, outcome),
+    offsetof(Wgpb__Account, pending),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "reason",
-    4,
+    "virtual_time",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__EditResult, reason),
+    offsetof(Wgpb__Account, virtual_time),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__edit_result__field_indices_by_name[] = {
-  0,   /* field[0] = edit_id */
-  2,   /* field[2] = outcome */
-  3,   /* field[3] = reason */
-  1,   /* field[1] = version */
+static const unsigned wgpb__account__field_indices_by_name[] = {
+  5,   /* field[5] = pending */
+  3,   /* field[3] = queued */
+  4,   /* field[4] = running */
+  2,   /* field[2] = served */
+  0,   /* field[0] = service */
+  6,   /* field[6] = virtual_time */
+  1,   /* field[1] = workspace */
 };
-static const ProtobufCIntRange wgpb__edit_result__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__account__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 7 }
 };
-const ProtobufCMessageDescriptor wgpb__edit_result__descriptor =
+const ProtobufCMessageDescriptor wgpb__account__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.EditResult",
-  "EditResult",
-  "Wgpb__EditResult",
+  "wgpb.Account",
+  "Account",
+  "Wgpb__Account",
   "wgpb",
-  sizeof(Wgpb__EditResult),
-  4,
-  wgpb__edit_result__field_descriptors,
-  wgpb__edit_result__field_indices_by_name,
-  1,  wgpb__edit_result__number_ranges,
-  (ProtobufCMessageInit) wgpb__edit_result__init,
+  sizeof(Wgpb__Account),
+  7,
+  wgpb__account__field_descriptors,
+  wgpb__account__field_indices_by_name,
+  1,  wgpb__account__number_ranges,
+  (ProtobufCMessageInit) wgpb__account__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__table_state__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] =
 {
   {
-    "rows",
+    "target",
     1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__TableState, n_rows),
-    offsetof(Wgpb__TableState, rows),
-    &wgpb__row__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "results",
-    2,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__TableState, n_results),
-    offsetof(Wgpb__TableState, results),
-    &wgpb__edit_result__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "version",
-    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__TableState, version),
+    offsetof(Wgpb__Held, target),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "next_id",
-    4,
+    "slots",
+    2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__TableState, next_id),
+    offsetof(Wgpb__Held, slots),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "tombstone_floor",
-    5,
+    "aside",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__TableState, tombstone_floor),
+    offsetof(Wgpb__Held, aside),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__table_state__field_indices_by_name[] = {
-  3,   /* field[3] = next_id */
-  1,   /* field[1] = results */
-  0,   /* field[0] = rows */
-  4,   /* field[4] = tombstone_floor */
-  2,   /* field[2] = version */
+static const unsigned wgpb__held__field_indices_by_name[] = {
+  2,   /* field[2] = aside */
+  1,   /* field[1] = slots */
+  0,   /* field[0] = target */
 };
-static const ProtobufCIntRange wgpb__table_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wgpb__table_state__descriptor =
+const ProtobufCMessageDescriptor wgpb__held__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.TableState",
-  "TableState",
-  "Wgpb__TableState",
+  "wgpb.Held",
+  "Held",
+  "Wgpb__Held",
   "wgpb",
-  sizeof(Wgpb__TableState),
-  5,
-  wgpb__table_state__field_descriptors,
-  wgpb__table_state__field_indices_by_name,
-  1,  wgpb__table_state__number_ranges,
-  (ProtobufCMessageInit) wgpb__table_state__init,
+  sizeof(Wgpb__Held),
+  3,
+  wgpb__held__field_descriptors,
+  wgpb__held__field_indices_by_name,
+  1,  wgpb__held__number_ranges,
+  (ProtobufCMessageInit) wgpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__claim__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[11] =
 {
   {
-    "workspace",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Claim, workspace),
+    offsetof(Wgpb__Report, seq),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
+    "sent_at",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Claim, key),
+    offsetof(Wgpb__Report, sent_at),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
+    "applied",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Claim, attempt),
+    offsetof(Wgpb__Report, applied),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "now_seconds",
+    "table_version",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Claim, now_seconds),
+    offsetof(Wgpb__Report, table_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__claim__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  1,   /* field[1] = key */
-  3,   /* field[3] = now_seconds */
-  0,   /* field[0] = workspace */
-};
-static const ProtobufCIntRange wgpb__claim__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 4 }
-};
-const ProtobufCMessageDescriptor wgpb__claim__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Claim",
-  "Claim",
-  "Wgpb__Claim",
-  "wgpb",
-  sizeof(Wgpb__Claim),
-  4,
-  wgpb__claim__field_descriptors,
-  wgpb__claim__field_indices_by_name,
-  1,  wgpb__claim__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim_end__field_descriptors[7] =
-{
   {
-    "workspace",
-    1,
+    "member_version",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, workspace),
+    offsetof(Wgpb__Report, member_version),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key",
-    2,
+    "leaving",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, key),
+    offsetof(Wgpb__Report, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "attempt",
-    3,
+    "full",
+    7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, attempt),
+    offsetof(Wgpb__Report, full),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "verdict",
-    4,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, verdict),
-    NULL,
+    "accounts",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Report, n_accounts),
+    offsetof(Wgpb__Report, accounts),
+    &wgpb__account__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "status",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, status),
-    NULL,
+    "held",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Report, n_held),
+    offsetof(Wgpb__Report, held),
+    &wgpb__held__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "content_type",
-    6,
+    "load_permille",
+    10,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, content_type),
+    offsetof(Wgpb__Report, load_permille),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "body",
-    7,
+    "all_rows",
+    11,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimEnd, body),
+    offsetof(Wgpb__Report, all_rows),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__claim_end__field_indices_by_name[] = {
-  2,   /* field[2] = attempt */
-  6,   /* field[6] = body */
-  5,   /* field[5] = content_type */
-  1,   /* field[1] = key */
-  4,   /* field[4] = status */
-  3,   /* field[3] = verdict */
-  0,   /* field[0] = workspace */
+static const unsigned wgpb__report__field_indices_by_name[] = {
+  7,   /* field[7] = accounts */
+  10,   /* field[10] = all_rows */
+  2,   /* field[2] = applied */
+  6,   /* field[6] = full */
+  8,   /* field[8] = held */
+  5,   /* field[5] = leaving */
+  9,   /* field[9] = load_permille */
+  4,   /* field[4] = member_version */
+  1,   /* field[1] = sent_at */
+  0,   /* field[0] = seq */
+  3,   /* field[3] = table_version */
 };
-static const ProtobufCIntRange wgpb__claim_end__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 11 }
 };
-const ProtobufCMessageDescriptor wgpb__claim_end__descriptor =
+const ProtobufCMessageDescriptor wgpb__report__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ClaimEnd",
-  "ClaimEnd",
-  "Wgpb__ClaimEnd",
+  "wgpb.Report",
+  "Report",
+  "Wgpb__Report",
   "wgpb",
-  sizeof(Wgpb__ClaimEnd),
-  7,
-  wgpb__claim_end__field_descriptors,
-  wgpb__claim_end__field_indices_by_name,
-  1,  wgpb__claim_end__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim_end__init,
+  sizeof(Wgpb__Report),
+  11,
+  wgpb__report__field_descriptors,
+  wgpb__report__field_indices_by_name,
+  1,  wgpb__report__number_ranges,
+  (ProtobufCMessageInit) wgpb__report__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__claim_record__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__fair__field_descriptors[4] =
 {
   {
-    "claim",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimRecord, claim),
-    &wgpb__claim__descriptor,
+    offsetof(Wgpb__Fair, service),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "end",
+    "workspace",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimRecord, end),
-    &wgpb__claim_end__descriptor,
+    offsetof(Wgpb__Fair, workspace),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__claim_record__field_indices_by_name[] = {
-  0,   /* field[0] = claim */
-  1,   /* field[1] = end */
-};
-static const ProtobufCIntRange wgpb__claim_record__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wgpb__claim_record__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ClaimRecord",
-  "ClaimRecord",
-  "Wgpb__ClaimRecord",
-  "wgpb",
-  sizeof(Wgpb__ClaimRecord),
-  2,
-  wgpb__claim_record__field_descriptors,
-  wgpb__claim_record__field_indices_by_name,
-  1,  wgpb__claim_record__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim_record__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim_state__field_descriptors[2] =
-{
   {
-    "records",
-    1,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__ClaimState, n_records),
-    offsetof(Wgpb__ClaimState, records),
-    &wgpb__claim_record__descriptor,
+    "virtual_time",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Fair, virtual_time),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "now_seconds",
-    2,
+    "acked",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimState, now_seconds),
+    offsetof(Wgpb__Fair, acked),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__claim_state__field_indices_by_name[] = {
-  1,   /* field[1] = now_seconds */
-  0,   /* field[0] = records */
+static const unsigned wgpb__fair__field_indices_by_name[] = {
+  3,   /* field[3] = acked */
+  0,   /* field[0] = service */
+  2,   /* field[2] = virtual_time */
+  1,   /* field[1] = workspace */
 };
-static const ProtobufCIntRange wgpb__claim_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__fair__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor wgpb__claim_state__descriptor =
+const ProtobufCMessageDescriptor wgpb__fair__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ClaimState",
-  "ClaimState",
-  "Wgpb__ClaimState",
+  "wgpb.Fair",
+  "Fair",
+  "Wgpb__Fair",
   "wgpb",
-  sizeof(Wgpb__ClaimState),
-  2,
-  wgpb__claim_state__field_descriptors,
-  wgpb__claim_state__field_indices_by_name,
-  1,  wgpb__claim_state__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim_state__init,
+  sizeof(Wgpb__Fair),
+  4,
+  wgpb__fair__field_descriptors,
+  wgpb__fair__field_indices_by_name,
+  1,  wgpb__fair__number_ranges,
+  (ProtobufCMessageInit) wgpb__fair__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__command__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__grant__field_descriptors[2] =
 {
   {
-    "edit",
+    "target",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Command, edit),
-    &wgpb__edit__descriptor,
+    offsetof(Wgpb__Grant, target),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
+    "add",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Command, claim),
-    &wgpb__claim__descriptor,
+    offsetof(Wgpb__Grant, add),
     NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "claim_end",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Command, claim_end),
-    &wgpb__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__command__field_indices_by_name[] = {
-  1,   /* field[1] = claim */
-  2,   /* field[2] = claim_end */
-  0,   /* field[0] = edit */
+static const unsigned wgpb__grant__field_indices_by_name[] = {
+  1,   /* field[1] = add */
+  0,   /* field[0] = target */
 };
-static const ProtobufCIntRange wgpb__command__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__grant__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wgpb__command__descriptor =
+const ProtobufCMessageDescriptor wgpb__grant__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Command",
-  "Command",
-  "Wgpb__Command",
+  "wgpb.Grant",
+  "Grant",
+  "Wgpb__Grant",
   "wgpb",
-  sizeof(Wgpb__Command),
-  3,
-  wgpb__command__field_descriptors,
-  wgpb__command__field_indices_by_name,
-  1,  wgpb__command__number_ranges,
-  (ProtobufCMessageInit) wgpb__command__init,
+  sizeof(Wgpb__Grant),
+  2,
+  wgpb__grant__field_descriptors,
+  wgpb__grant__field_indices_by_name,
+  1,  wgpb__grant__number_ranges,
+  (ProtobufCMessageInit) wgpb__grant__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__state__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__quota__field_descriptors[2] =
 {
   {
-    "table",
+    "service",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__State, table),
-    &wgpb__table_state__descriptor,
+    offsetof(Wgpb__Quota, service),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claims",
+    "most",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__State, claims),
-    &wgpb__claim_state__descriptor,
+    offsetof(Wgpb__Quota, most),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__state__field_indices_by_name[] = {
-  1,   /* field[1] = claims */
-  0,   /* field[0] = table */
+static const unsigned wgpb__quota__field_indices_by_name[] = {
+  1,   /* field[1] = most */
+  0,   /* field[0] = service */
 };
-static const ProtobufCIntRange wgpb__state__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__quota__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 2 }
 };
-const ProtobufCMessageDescriptor wgpb__state__descriptor =
+const ProtobufCMessageDescriptor wgpb__quota__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.State",
-  "State",
-  "Wgpb__State",
+  "wgpb.Quota",
+  "Quota",
+  "Wgpb__Quota",
   "wgpb",
-  sizeof(Wgpb__State),
+  sizeof(Wgpb__Quota),
   2,
-  wgpb__state__field_descriptors,
-  wgpb__state__field_indices_by_name,
-  1,  wgpb__state__number_ranges,
-  (ProtobufCMessageInit) wgpb__state__init,
+  wgpb__quota__field_descriptors,
+  wgpb__quota__field_indices_by_name,
+  1,  wgpb__quota__number_ranges,
+  (ProtobufCMessageInit) wgpb__quota__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__account__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wgpb__member__field_descriptors[7] =
 {
   {
-    "service",
+    "name",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, service),
-    NULL,
+    offsetof(Wgpb__Member, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "workspace",
+    "address",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, workspace),
-    NULL,
+    offsetof(Wgpb__Member, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "served",
+    "data_centre",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, served),
-    NULL,
+    offsetof(Wgpb__Member, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "queued",
+    "incarnation",
     4,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, queued),
+    offsetof(Wgpb__Member, incarnation),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "running",
+    "state",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, running),
+    offsetof(Wgpb__Member, state),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "pending",
+    "version",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, pending),
+    offsetof(Wgpb__Member, version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "virtual_time",
+    "load_permille",
     7,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Account, virtual_time),
+    offsetof(Wgpb__Member, load_permille),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__account__field_indices_by_name[] = {
-  5,   /* field[5] = pending */
-  3,   /* field[3] = queued */
-  4,   /* field[4] = running */
-  2,   /* field[2] = served */
-  0,   /* field[0] = service */
-  6,   /* field[6] = virtual_time */
-  1,   /* field[1] = workspace */
+static const unsigned wgpb__member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = data_centre */
+  3,   /* field[3] = incarnation */
+  6,   /* field[6] = load_permille */
+  0,   /* field[0] = name */
+  4,   /* field[4] = state */
+  5,   /* field[5] = version */
 };
-static const ProtobufCIntRange wgpb__account__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__member__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 7 }
 };
-const ProtobufCMessageDescriptor wgpb__account__descriptor =
+const ProtobufCMessageDescriptor wgpb__member__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Account",
-  "Account",
-  "Wgpb__Account",
+  "wgpb.Member",
+  "Member",
+  "Wgpb__Member",
   "wgpb",
-  sizeof(Wgpb__Account),
+  sizeof(Wgpb__Member),
   7,
-  wgpb__account__field_descriptors,
-  wgpb__account__field_indices_by_name,
-  1,  wgpb__account__number_ranges,
-  (ProtobufCMessageInit) wgpb__account__init,
+  wgpb__member__field_descriptors,
+  wgpb__member__field_indices_by_name,
+  1,  wgpb__member__number_ranges,
+  (ProtobufCMessageInit) wgpb__member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[20] =
 {
   {
-    "target",
+    "seq",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Held, target),
+    offsetof(Wgpb__Reply, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slots",
+    "report_seq",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Held, slots),
+    offsetof(Wgpb__Reply, report_seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "aside",
+    "echo",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Held, aside),
+    offsetof(Wgpb__Reply, echo),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__held__field_indices_by_name[] = {
-  2,   /* field[2] = aside */
-  1,   /* field[1] = slots */
-  0,   /* field[0] = target */
-};
-static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 3 }
-};
-const ProtobufCMessageDescriptor wgpb__held__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Held",
-  "Held",
-  "Wgpb__Held",
-  "wgpb",
-  sizeof(Wgpb__Held),
-  3,
-  wgpb__held__field_descriptors,
-  wgpb__held__field_indices_by_name,
-  1,  wgpb__held__number_ranges,
-  (ProtobufCMessageInit) wgpb__held__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[11] =
-{
   {
-    "seq",
-    1,
+    "term",
+    4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, seq),
+    offsetof(Wgpb__Reply, term),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "sent_at",
-    2,
+    "leads",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, leader_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_lease",
+    7,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, sent_at),
+    offsetof(Wgpb__Reply, table_lease),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "applied",
-    3,
+    "slot_lease",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_INT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, applied),
+    offsetof(Wgpb__Reply, slot_lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, reset),
     NULL,
     NULL,
     0,             /* flags */
@@ -3189,430 +4483,551 @@
   },
   {
     "table_version",
-    4,
+    10,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, table_version),
+    offsetof(Wgpb__Reply, table_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_version",
-    5,
+    "rows",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_rows),
+    offsetof(Wgpb__Reply, rows),
+    &wgpb__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_rows",
+    12,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, member_version),
+    offsetof(Wgpb__Reply, more_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fairs",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_fairs),
+    offsetof(Wgpb__Reply, fairs),
+    &wgpb__fair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_fleet),
+    offsetof(Wgpb__Reply, fleet),
+    &wgpb__fair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_grants),
+    offsetof(Wgpb__Reply, grants),
+    &wgpb__grant__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_members),
+    offsetof(Wgpb__Reply, members),
+    &wgpb__member__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leaving",
-    6,
+    "member_version",
+    17,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, leaving),
+    offsetof(Wgpb__Reply, member_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "full",
-    7,
+    "members_reset",
+    18,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, full),
+    offsetof(Wgpb__Reply, members_reset),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "accounts",
-    8,
+    "quotas",
+    19,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Report, n_accounts),
-    offsetof(Wgpb__Report, accounts),
-    &wgpb__account__descriptor,
+    offsetof(Wgpb__Reply, n_quotas),
+    offsetof(Wgpb__Reply, quotas),
+    &wgpb__quota__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "held",
-    9,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Report, n_held),
-    offsetof(Wgpb__Report, held),
-    &wgpb__held__descriptor,
+    "want_full",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, want_full),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__reply__field_indices_by_name[] = {
+  2,   /* field[2] = echo */
+  12,   /* field[12] = fairs */
+  13,   /* field[13] = fleet */
+  14,   /* field[14] = grants */
+  5,   /* field[5] = leader_address */
+  4,   /* field[4] = leads */
+  16,   /* field[16] = member_version */
+  15,   /* field[15] = members */
+  17,   /* field[17] = members_reset */
+  11,   /* field[11] = more_rows */
+  18,   /* field[18] = quotas */
+  1,   /* field[1] = report_seq */
+  8,   /* field[8] = reset */
+  10,   /* field[10] = rows */
+  0,   /* field[0] = seq */
+  7,   /* field[7] = slot_lease */
+  6,   /* field[6] = table_lease */
+  9,   /* field[9] = table_version */
+  3,   /* field[3] = term */
+  19,   /* field[19] = want_full */
+};
+static const ProtobufCIntRange wgpb__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 20 }
+};
+const ProtobufCMessageDescriptor wgpb__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Reply",
+  "Reply",
+  "Wgpb__Reply",
+  "wgpb",
+  sizeof(Wgpb__Reply),
+  20,
+  wgpb__reply__field_descriptors,
+  wgpb__reply__field_indices_by_name,
+  1,  wgpb__reply__number_ranges,
+  (ProtobufCMessageInit) wgpb__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__row_query__field_descriptors[2] =
+{
   {
-    "load_permille",
-    10,
+    "ticket",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, load_permille),
+    offsetof(Wgpb__RowQuery, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "all_rows",
-    11,
+    "key_hash",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_BYTES,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Report, all_rows),
+    offsetof(Wgpb__RowQuery, key_hash),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__report__field_indices_by_name[] = {
-  7,   /* field[7] = accounts */
-  10,   /* field[10] = all_rows */
-  2,   /* field[2] = applied */
-  6,   /* field[6] = full */
-  8,   /* field[8] = held */
-  5,   /* field[5] = leaving */
-  9,   /* field[9] = load_permille */
-  4,   /* field[4] = member_version */
-  1,   /* field[1] = sent_at */
-  0,   /* field[0] = seq */
-  3,   /* field[3] = table_version */
+static const unsigned wgpb__row_query__field_indices_by_name[] = {
+  1,   /* field[1] = key_hash */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__report__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__row_query__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wgpb__report__descriptor =
+const ProtobufCMessageDescriptor wgpb__row_query__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Report",
-  "Report",
-  "Wgpb__Report",
+  "wgpb.RowQuery",
+  "RowQuery",
+  "Wgpb__RowQuery",
   "wgpb",
-  sizeof(Wgpb__Report),
-  11,
-  wgpb__report__field_descriptors,
-  wgpb__report__field_indices_by_name,
-  1,  wgpb__report__number_ranges,
-  (ProtobufCMessageInit) wgpb__report__init,
+  sizeof(Wgpb__RowQuery),
+  2,
+  wgpb__row_query__field_descriptors,
+  wgpb__row_query__field_indices_by_name,
+  1,  wgpb__row_query__number_ranges,
+  (ProtobufCMessageInit) wgpb__row_query__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__fair__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wgpb__row_answer__field_descriptors[4] =
 {
   {
-    "service",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Fair, service),
+    offsetof(Wgpb__RowAnswer, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "workspace",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Fair, workspace),
+    offsetof(Wgpb__RowAnswer, outcome),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "virtual_time",
+    "row",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Fair, virtual_time),
-    NULL,
+    offsetof(Wgpb__RowAnswer, row),
+    &wgpb__row__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "acked",
+    "table_version",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Fair, acked),
+    offsetof(Wgpb__RowAnswer, table_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__fair__field_indices_by_name[] = {
-  3,   /* field[3] = acked */
-  0,   /* field[0] = service */
-  2,   /* field[2] = virtual_time */
-  1,   /* field[1] = workspace */
+static const unsigned wgpb__row_answer__field_indices_by_name[] = {
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = row */
+  3,   /* field[3] = table_version */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__fair__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__row_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 4 }
 };
-const ProtobufCMessageDescriptor wgpb__fair__descriptor =
+const ProtobufCMessageDescriptor wgpb__row_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Fair",
-  "Fair",
-  "Wgpb__Fair",
+  "wgpb.RowAnswer",
+  "RowAnswer",
+  "Wgpb__RowAnswer",
   "wgpb",
-  sizeof(Wgpb__Fair),
+  sizeof(Wgpb__RowAnswer),
   4,
-  wgpb__fair__field_descriptors,
-  wgpb__fair__field_indices_by_name,
-  1,  wgpb__fair__number_ranges,
-  (ProtobufCMessageInit) wgpb__fair__init,
+  wgpb__row_answer__field_descriptors,
+  wgpb__row_answer__field_indices_by_name,
+  1,  wgpb__row_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__row_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__grant__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__claim_ask__field_descriptors[3] =
 {
   {
-    "target",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Grant, target),
+    offsetof(Wgpb__ClaimAsk, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "add",
+    "claim",
     2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Grant, add),
+    offsetof(Wgpb__ClaimAsk, claim),
+    &wgpb__claim__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAsk, end),
+    &wgpb__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__grant__field_indices_by_name[] = {
-  1,   /* field[1] = add */
-  0,   /* field[0] = target */
+static const unsigned wgpb__claim_ask__field_indices_by_name[] = {
+  1,   /* field[1] = claim */
+  2,   /* field[2] = end */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__grant__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__claim_ask__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wgpb__grant__descriptor =
+const ProtobufCMessageDescriptor wgpb__claim_ask__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Grant",
-  "Grant",
-  "Wgpb__Grant",
+  "wgpb.ClaimAsk",
+  "ClaimAsk",
+  "Wgpb__ClaimAsk",
   "wgpb",
-  sizeof(Wgpb__Grant),
-  2,
-  wgpb__grant__field_descriptors,
-  wgpb__grant__field_indices_by_name,
-  1,  wgpb__grant__number_ranges,
-  (ProtobufCMessageInit) wgpb__grant__init,
+  sizeof(Wgpb__ClaimAsk),
+  3,
+  wgpb__claim_ask__field_descriptors,
+  wgpb__claim_ask__field_indices_by_name,
+  1,  wgpb__claim_ask__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__quota__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__claim_answer__field_descriptors[3] =
 {
   {
-    "service",
+    "ticket",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quota, service),
+    offsetof(Wgpb__ClaimAnswer, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "most",
+    "outcome",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Quota, most),
+    offsetof(Wgpb__ClaimAnswer, outcome),
+    NULL,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAnswer, end),
+    &wgpb__claim_end__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__quota__field_indices_by_name[] = {
-  1,   /* field[1] = most */
-  0,   /* field[0] = service */
+static const unsigned wgpb__claim_answer__field_indices_by_name[] = {
+  2,   /* field[2] = end */
+  1,   /* field[1] = outcome */
+  0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__quota__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__claim_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
-const ProtobufCMessageDescriptor wgpb__quota__descriptor =
+const ProtobufCMessageDescriptor wgpb__claim_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Quota",
-  "Quota",
-  "Wgpb__Quota",
+  "wgpb.ClaimAnswer",
+  "ClaimAnswer",
+  "Wgpb__ClaimAnswer",
   "wgpb",
-  sizeof(Wgpb__Quota),
-  2,
-  wgpb__quota__field_descriptors,
-  wgpb__quota__field_indices_by_name,
-  1,  wgpb__quota__number_ranges,
-  (ProtobufCMessageInit) wgpb__quota__init,
+  sizeof(Wgpb__ClaimAnswer),
+  3,
+  wgpb__claim_answer__field_descriptors,
+  wgpb__claim_answer__field_indices_by_name,
+  1,  wgpb__claim_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__member__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wgpb__target_load__field_descriptors[3] =
 {
   {
-    "name",
+    "target",
     1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, name),
-    NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "address",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, address),
+    offsetof(Wgpb__TargetLoad, target),
     NULL,
-    &protobuf_c_empty_string,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "data_centre",
-    3,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, data_centre),
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "incarnation",
-    4,
+    "unread",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, incarnation),
+    offsetof(Wgpb__TargetLoad, unread),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "state",
-    5,
+    "running",
+    3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, state),
+    offsetof(Wgpb__TargetLoad, running),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__target_load__field_indices_by_name[] = {
+  2,   /* field[2] = running */
+  0,   /* field[0] = target */
+  1,   /* field[1] = unread */
+};
+static const ProtobufCIntRange wgpb__target_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__target_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.TargetLoad",
+  "TargetLoad",
+  "Wgpb__TargetLoad",
+  "wgpb",
+  sizeof(Wgpb__TargetLoad),
+  3,
+  wgpb__target_load__field_descriptors,
+  wgpb__target_load__field_indices_by_name,
+  1,  wgpb__target_load__number_ranges,
+  (ProtobufCMessageInit) wgpb__target_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__workspace_usage__field_descriptors[2] =
+{
   {
-    "version",
-    6,
+    "workspace",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_FIXED64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, version),
+    offsetof(Wgpb__WorkspaceUsage, workspace),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "load_permille",
-    7,
+    "tokens",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT32,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Member, load_permille),
+    offsetof(Wgpb__WorkspaceUsage, tokens),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__member__field_indices_by_name[] = {
-  1,   /* field[1] = address */
-  2,   /* field[2] = data_centre */
-  3,   /* field[3] = incarnation */
-  6,   /* field[6] = load_permille */
-  0,   /* field[0] = name */
-  4,   /* field[4] = state */
-  5,   /* field[5] = version */
+static const unsigned wgpb__workspace_usage__field_indices_by_name[] = {
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
 };
-static const ProtobufCIntRange wgpb__member__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__workspace_usage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 2 }
 };
-const ProtobufCMessageDescriptor wgpb__member__descriptor =
+const ProtobufCMessageDescriptor wgpb__workspace_usage__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Member",
-  "Member",
-  "Wgpb__Member",
+  "wgpb.WorkspaceUsage",
+  "WorkspaceUsage",
+  "Wgpb__WorkspaceUsage",
   "wgpb",
-  sizeof(Wgpb__Member),
-  7,
-  wgpb__member__field_descriptors,
-  wgpb__member__field_indices_by_name,
-  1,  wgpb__member__number_ranges,
-  (ProtobufCMessageInit) wgpb__member__init,
+  sizeof(Wgpb__WorkspaceUsage),
+  2,
+  wgpb__workspace_usage__field_descriptors,
+  wgpb__workspace_usage__field_indices_by_name,
+  1,  wgpb__workspace_usage__number_ranges,
+  (ProtobufCMessageInit) wgpb__workspace_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[8] =
 {
   {
     "seq",
@@ -3620,412 +5035,412 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, seq),
+    offsetof(Wgpb__EntryReport, seq),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "report_seq",
+    "configuration_version",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, report_seq),
+    offsetof(Wgpb__EntryReport, configuration_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "echo",
+    "registry_change",
     3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, echo),
+    offsetof(Wgpb__EntryReport, registry_change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "term",
+    "members_change",
     4,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, term),
+    offsetof(Wgpb__EntryReport, members_change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leads",
+    "leaving",
     5,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, leads),
+    offsetof(Wgpb__EntryReport, leaving),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "leader_address",
+    "ready",
     6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_STRING,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, leader_address),
+    offsetof(Wgpb__EntryReport, ready),
+    NULL,
     NULL,
-    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_lease",
+    "loads",
     7,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, table_lease),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_loads),
+    offsetof(Wgpb__EntryReport, loads),
+    &wgpb__target_load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "slot_lease",
+    "usage",
     8,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_INT64,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, slot_lease),
-    NULL,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_usage),
+    offsetof(Wgpb__EntryReport, usage),
+    &wgpb__workspace_usage__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__entry_report__field_indices_by_name[] = {
+  1,   /* field[1] = configuration_version */
+  4,   /* field[4] = leaving */
+  6,   /* field[6] = loads */
+  3,   /* field[3] = members_change */
+  5,   /* field[5] = ready */
+  2,   /* field[2] = registry_change */
+  0,   /* field[0] = seq */
+  7,   /* field[7] = usage */
+};
+static const ProtobufCIntRange wgpb__entry_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wgpb__entry_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EntryReport",
+  "EntryReport",
+  "Wgpb__EntryReport",
+  "wgpb",
+  sizeof(Wgpb__EntryReport),
+  8,
+  wgpb__entry_report__field_descriptors,
+  wgpb__entry_report__field_indices_by_name,
+  1,  wgpb__entry_report__number_ranges,
+  (ProtobufCMessageInit) wgpb__entry_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__entry_member__field_descriptors[3] =
+{
   {
-    "reset",
-    9,
+    "name",
+    1,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, reset),
-    NULL,
+    offsetof(Wgpb__EntryMember, name),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
-    10,
+    "address",
+    2,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, table_version),
-    NULL,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
-  {
-    "rows",
-    11,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_rows),
-    offsetof(Wgpb__Reply, rows),
-    &wgpb__row__descriptor,
+    offsetof(Wgpb__EntryMember, address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "more_rows",
-    12,
+    "data_centre",
+    3,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_STRING,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, more_rows),
-    NULL,
+    offsetof(Wgpb__EntryMember, data_centre),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+};
+static const unsigned wgpb__entry_member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = data_centre */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange wgpb__entry_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__entry_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EntryMember",
+  "EntryMember",
+  "Wgpb__EntryMember",
+  "wgpb",
+  sizeof(Wgpb__EntryMember),
+  3,
+  wgpb__entry_member__field_descriptors,
+  wgpb__entry_member__field_indices_by_name,
+  1,  wgpb__entry_member__number_ranges,
+  (ProtobufCMessageInit) wgpb__entry_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[15] =
+{
   {
-    "fairs",
-    13,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_fairs),
-    offsetof(Wgpb__Reply, fairs),
-    &wgpb__fair__descriptor,
+    "leads",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, leads),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "fleet",
-    14,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_fleet),
-    offsetof(Wgpb__Reply, fleet),
-    &wgpb__fair__descriptor,
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, term),
+    NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "grants",
-    15,
-    PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_grants),
-    offsetof(Wgpb__Reply, grants),
-    &wgpb__grant__descriptor,
+    "leader_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, leader_address),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members",
-    16,
+    "controls",
+    4,
     PROTOBUF_C_LABEL_REPEATED,
-    PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_members),
-    offsetof(Wgpb__Reply, members),
-    &wgpb__member__descriptor,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryState, n_controls),
+    offsetof(Wgpb__EntryState, controls),
     NULL,
+    &protobuf_c_empty_string,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "member_version",
-    17,
+    "configuration",
+    5,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, member_version),
-    NULL,
+    offsetof(Wgpb__EntryState, configuration),
+    &wgpb__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "members_reset",
-    18,
+    "configuration_version",
+    6,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, members_reset),
+    offsetof(Wgpb__EntryState, configuration_version),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "quotas",
-    19,
+    "targets",
+    7,
     PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    offsetof(Wgpb__Reply, n_quotas),
-    offsetof(Wgpb__Reply, quotas),
-    &wgpb__quota__descriptor,
+    offsetof(Wgpb__EntryState, n_targets),
+    offsetof(Wgpb__EntryState, targets),
+    &wgpb__target_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "want_full",
-    20,
+    "registry_change",
+    8,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BOOL,
+    PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__Reply, want_full),
+    offsetof(Wgpb__EntryState, registry_change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__reply__field_indices_by_name[] = {
-  2,   /* field[2] = echo */
-  12,   /* field[12] = fairs */
-  13,   /* field[13] = fleet */
-  14,   /* field[14] = grants */
-  5,   /* field[5] = leader_address */
-  4,   /* field[4] = leads */
-  16,   /* field[16] = member_version */
-  15,   /* field[15] = members */
-  17,   /* field[17] = members_reset */
-  11,   /* field[11] = more_rows */
-  18,   /* field[18] = quotas */
-  1,   /* field[1] = report_seq */
-  8,   /* field[8] = reset */
-  10,   /* field[10] = rows */
-  0,   /* field[0] = seq */
-  7,   /* field[7] = slot_lease */
-  6,   /* field[6] = table_lease */
-  9,   /* field[9] = table_version */
-  3,   /* field[3] = term */
-  19,   /* field[19] = want_full */
-};
-static const ProtobufCIntRange wgpb__reply__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 20 }
-};
-const ProtobufCMessageDescriptor wgpb__reply__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.Reply",
-  "Reply",
-  "Wgpb__Reply",
-  "wgpb",
-  sizeof(Wgpb__Reply),
-  20,
-  wgpb__reply__field_descriptors,
-  wgpb__reply__field_indices_by_name,
-  1,  wgpb__reply__number_ranges,
-  (ProtobufCMessageInit) wgpb__reply__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__row_query__field_descriptors[2] =
-{
   {
-    "ticket",
-    1,
+    "registry_reset",
+    9,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_BOOL,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__RowQuery, ticket),
+    offsetof(Wgpb__EntryState, registry_reset),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "key_hash",
-    2,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_BYTES,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__RowQuery, key_hash),
-    NULL,
+    "members",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_members),
+    offsetof(Wgpb__EntryState, members),
+    &wgpb__entry_member__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-};
-static const unsigned wgpb__row_query__field_indices_by_name[] = {
-  1,   /* field[1] = key_hash */
-  0,   /* field[0] = ticket */
-};
-static const ProtobufCIntRange wgpb__row_query__number_ranges[1 + 1] =
-{
-  { 1, 0 },
-  { 0, 2 }
-};
-const ProtobufCMessageDescriptor wgpb__row_query__descriptor =
-{
-  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.RowQuery",
-  "RowQuery",
-  "Wgpb__RowQuery",
-  "wgpb",
-  sizeof(Wgpb__RowQuery),
-  2,
-  wgpb__row_query__field_descriptors,
-  wgpb__row_query__field_indices_by_name,
-  1,  wgpb__row_query__number_ranges,
-  (ProtobufCMessageInit) wgpb__row_query__init,
-  NULL,NULL,NULL    /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__row_answer__field_descriptors[4] =
-{
   {
-    "ticket",
-    1,
+    "members_change",
+    11,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__RowAnswer, ticket),
+    offsetof(Wgpb__EntryState, members_change),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "outcome",
-    2,
+    "members_num",
+    12,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__RowAnswer, outcome),
+    offsetof(Wgpb__EntryState, members_num),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "row",
-    3,
-    PROTOBUF_C_LABEL_NONE,
+    "loads",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
     PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__RowAnswer, row),
-    &wgpb__row__descriptor,
+    offsetof(Wgpb__EntryState, n_loads),
+    offsetof(Wgpb__EntryState, loads),
+    &wgpb__target_load__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "table_version",
-    4,
+    "usage",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_usage),
+    offsetof(Wgpb__EntryState, usage),
+    &wgpb__workspace_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_ms",
+    15,
     PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_UINT64,
+    PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__RowAnswer, table_version),
+    offsetof(Wgpb__EntryState, report_ms),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__row_answer__field_indices_by_name[] = {
-  1,   /* field[1] = outcome */
-  2,   /* field[2] = row */
-  3,   /* field[3] = table_version */
-  0,   /* field[0] = ticket */
+static const unsigned wgpb__entry_state__field_indices_by_name[] = {
+  4,   /* field[4] = configuration */
+  5,   /* field[5] = configuration_version */
+  3,   /* field[3] = controls */
+  2,   /* field[2] = leader_address */
+  0,   /* field[0] = leads */
+  12,   /* field[12] = loads */
+  9,   /* field[9] = members */
+  10,   /* field[10] = members_change */
+  11,   /* field[11] = members_num */
+  7,   /* field[7] = registry_change */
+  8,   /* field[8] = registry_reset */
+  14,   /* field[14] = report_ms */
+  6,   /* field[6] = targets */
+  1,   /* field[1] = term */
+  13,   /* field[13] = usage */
 };
-static const ProtobufCIntRange wgpb__row_answer__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__entry_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 15 }
 };
-const ProtobufCMessageDescriptor wgpb__row_answer__descriptor =
+const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.RowAnswer",
-  "RowAnswer",
-  "Wgpb__RowAnswer",
+  "wgpb.EntryState",
+  "EntryState",
+  "Wgpb__EntryState",
   "wgpb",
-  sizeof(Wgpb__RowAnswer),
-  4,
-  wgpb__row_answer__field_descriptors,
-  wgpb__row_answer__field_indices_by_name,
-  1,  wgpb__row_answer__number_ranges,
-  (ProtobufCMessageInit) wgpb__row_answer__init,
+  sizeof(Wgpb__EntryState),
+  15,
+  wgpb__entry_state__field_descriptors,
+  wgpb__entry_state__field_indices_by_name,
+  1,  wgpb__entry_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__entry_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__claim_ask__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__order__field_descriptors[4] =
 {
   {
     "ticket",
@@ -4033,63 +5448,76 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAsk, ticket),
+    offsetof(Wgpb__Order, ticket),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "claim",
+    "configuration",
     2,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAsk, claim),
-    &wgpb__claim__descriptor,
+    offsetof(Wgpb__Order, configuration),
+    &wgpb__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "end",
+    "read_configuration",
     3,
     PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Order, read_configuration),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAsk, end),
-    &wgpb__claim_end__descriptor,
+    offsetof(Wgpb__Order, target),
+    &wgpb__target_record__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__claim_ask__field_indices_by_name[] = {
-  1,   /* field[1] = claim */
-  2,   /* field[2] = end */
+static const unsigned wgpb__order__field_indices_by_name[] = {
+  1,   /* field[1] = configuration */
+  2,   /* field[2] = read_configuration */
+  3,   /* field[3] = target */
   0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__claim_ask__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__order__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
-const ProtobufCMessageDescriptor wgpb__claim_ask__descriptor =
+const ProtobufCMessageDescriptor wgpb__order__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ClaimAsk",
-  "ClaimAsk",
-  "Wgpb__ClaimAsk",
+  "wgpb.Order",
+  "Order",
+  "Wgpb__Order",
   "wgpb",
-  sizeof(Wgpb__ClaimAsk),
-  3,
-  wgpb__claim_ask__field_descriptors,
-  wgpb__claim_ask__field_indices_by_name,
-  1,  wgpb__claim_ask__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim_ask__init,
+  sizeof(Wgpb__Order),
+  4,
+  wgpb__order__field_descriptors,
+  wgpb__order__field_indices_by_name,
+  1,  wgpb__order__number_ranges,
+  (ProtobufCMessageInit) wgpb__order__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__claim_answer__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__order_answer__field_descriptors[3] =
 {
   {
     "ticket",
@@ -4097,7 +5525,7 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT64,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAnswer, ticket),
+    offsetof(Wgpb__OrderAnswer, ticket),
     NULL,
     NULL,
     0,             /* flags */
@@ -4109,47 +5537,47 @@
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_UINT32,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAnswer, outcome),
+    offsetof(Wgpb__OrderAnswer, outcome),
     NULL,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
   {
-    "end",
+    "configuration",
     3,
     PROTOBUF_C_LABEL_NONE,
     PROTOBUF_C_TYPE_MESSAGE,
     0,   /* quantifier_offset */
-    offsetof(Wgpb__ClaimAnswer, end),
-    &wgpb__claim_end__descriptor,
+    offsetof(Wgpb__OrderAnswer, configuration),
+    &wgpb__configuration__descriptor,
     NULL,
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
 };
-static const unsigned wgpb__claim_answer__field_indices_by_name[] = {
-  2,   /* field[2] = end */
+static const unsigned wgpb__order_answer__field_indices_by_name[] = {
+  2,   /* field[2] = configuration */
   1,   /* field[1] = outcome */
   0,   /* field[0] = ticket */
 };
-static const ProtobufCIntRange wgpb__claim_answer__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__order_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
   { 0, 3 }
 };
-const ProtobufCMessageDescriptor wgpb__claim_answer__descriptor =
+const ProtobufCMessageDescriptor wgpb__order_answer__descriptor =
 {
   PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-  "wgpb.ClaimAnswer",
-  "ClaimAnswer",
-  "Wgpb__ClaimAnswer",
+  "wgpb.OrderAnswer",
+  "OrderAnswer",
+  "Wgpb__OrderAnswer",
   "wgpb",
-  sizeof(Wgpb__ClaimAnswer),
+  sizeof(Wgpb__OrderAnswer),
   3,
-  wgpb__claim_answer__field_descriptors,
-  wgpb__claim_answer__field_indices_by_name,
-  1,  wgpb__claim_answer__number_ranges,
-  (ProtobufCMessageInit) wgpb__claim_answer__init,
+  wgpb__order_answer__field_descriptors,
+  wgpb__order_answer__field_indices_by_name,
+  1,  wgpb__order_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -32,6 +32,9 @@
 typedef struct Wgpb__ClaimEnd Wgpb__ClaimEnd;
 typedef struct Wgpb__ClaimRecord Wgpb__ClaimRecord;
 typedef struct Wgpb__ClaimState Wgpb__ClaimState;
+typedef struct Wgpb__Configuration Wgpb__Configuration;
+typedef struct Wgpb__TargetRecord Wgpb__TargetRecord;
+typedef struct Wgpb__RegistryState Wgpb__RegistryState;
 typedef struct Wgpb__Command Wgpb__Command;
 typedef struct Wgpb__State Wgpb__State;
 typedef struct Wgpb__Account Wgpb__Account;
@@ -46,6 +49,13 @@
 typedef struct Wgpb__RowAnswer Wgpb__RowAnswer;
 typedef struct Wgpb__ClaimAsk Wgpb__ClaimAsk;
 typedef struct Wgpb__ClaimAnswer Wgpb__ClaimAnswer;
+typedef struct Wgpb__TargetLoad Wgpb__TargetLoad;
+typedef struct Wgpb__WorkspaceUsage Wgpb__WorkspaceUsage;
+typedef struct Wgpb__EntryReport Wgpb__EntryReport;
+typedef struct Wgpb__EntryMember Wgpb__EntryMember;
+typedef struct Wgpb__EntryState Wgpb__EntryState;
+typedef struct Wgpb__Order Wgpb__Order;
+typedef struct Wgpb__OrderAnswer Wgpb__OrderAnswer;
 
 
 /* --- enums --- */
@@ -312,16 +322,76 @@
     , 0,NULL, 0 }
 
 
+/*
+ * ---- whole configurations, and targets that register themselves ----
+ * A document of the operator's, kept and read back byte for byte; the highest version holds.
+ */
+struct  Wgpb__Configuration
+{
+  ProtobufCMessage base;
+  uint64_t version;
+  ProtobufCBinaryData document;
+};
+#define WGPB__CONFIGURATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__configuration__descriptor) \
+    , 0, {0,NULL} }
+
+
+/*
+ * One incarnation of a target, as it last said of itself.
+ */
+struct  Wgpb__TargetRecord
+{
+  ProtobufCMessage base;
+  char *id;
+  char *service;
+  char *address;
+  char *data_centre;
+  uint32_t slots;
+  uint32_t state;
+  /*
+   * of the target's own heartbeats
+   */
+  uint64_t sequence;
+  /*
+   * given by the registry, short for `id`
+   */
+  uint32_t number;
+  /*
+   * of the registry, at which this record last changed
+   */
+  uint64_t change;
+};
+#define WGPB__TARGET_RECORD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+
+
+struct  Wgpb__RegistryState
+{
+  ProtobufCMessage base;
+  size_t n_targets;
+  Wgpb__TargetRecord **targets;
+  uint64_t change;
+  uint32_t next_number;
+};
+#define WGPB__REGISTRY_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__registry_state__descriptor) \
+    , 0,NULL, 0, 0 }
+
+
 struct  Wgpb__Command
 {
   ProtobufCMessage base;
   Wgpb__Edit *edit;
   Wgpb__Claim *claim;
   Wgpb__ClaimEnd *claim_end;
+  Wgpb__Configuration *configuration;
+  Wgpb__TargetRecord *target;
 };
 #define WGPB__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__command__descriptor) \
-    , NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Wgpb__State
@@ -329,10 +399,12 @@
   ProtobufCMessage base;
   Wgpb__TableState *table;
   Wgpb__ClaimState *claims;
+  Wgpb__Configuration *configuration;
+  Wgpb__RegistryState *registry;
 };
 #define WGPB__STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__state__descriptor) \
-    , NULL, NULL }
+    , NULL, NULL, NULL, NULL }
 
 
 /*
@@ -540,6 +612,151 @@
     , 0, 0, NULL }
 
 
+/*
+ * ---- entry hosts that serve routes, and the leader ----
+ * What an entry host has under way at a target.
+ */
+struct  Wgpb__TargetLoad
+{
+  ProtobufCMessage base;
+  /*
+   * number in the registry
+   */
+  uint32_t target;
+  /*
+   * prompt tokens sent to it and not yet read
+   */
+  uint32_t unread;
+  /*
+   * requests under way
+   */
+  uint32_t running;
+};
+#define WGPB__TARGET_LOAD__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_load__descriptor) \
+    , 0, 0, 0 }
+
+
+/*
+ * Tokens that a workspace was served, a running total since the entry host's start.
+ */
+struct  Wgpb__WorkspaceUsage
+{
+  ProtobufCMessage base;
+  /*
+   * hash of its name
+   */
+  uint64_t workspace;
+  uint64_t tokens;
+};
+#define WGPB__WORKSPACE_USAGE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__workspace_usage__descriptor) \
+    , 0, 0 }
+
+
+struct  Wgpb__EntryReport
+{
+  ProtobufCMessage base;
+  uint64_t seq;
+  uint64_t configuration_version;
+  uint64_t registry_change;
+  uint64_t members_change;
+  protobuf_c_boolean leaving;
+  protobuf_c_boolean ready;
+  size_t n_loads;
+  Wgpb__TargetLoad **loads;
+  size_t n_usage;
+  Wgpb__WorkspaceUsage **usage;
+};
+#define WGPB__ENTRY_REPORT__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_report__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+
+
+struct  Wgpb__EntryMember
+{
+  ProtobufCMessage base;
+  char *name;
+  /*
+   * where callers connect
+   */
+  char *address;
+  char *data_centre;
+};
+#define WGPB__ENTRY_MEMBER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_member__descriptor) \
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string }
+
+
+struct  Wgpb__EntryState
+{
+  ProtobufCMessage base;
+  protobuf_c_boolean leads;
+  uint64_t term;
+  char *leader_address;
+  /*
+   * addresses of all replicas
+   */
+  size_t n_controls;
+  char **controls;
+  Wgpb__Configuration *configuration;
+  uint64_t configuration_version;
+  size_t n_targets;
+  Wgpb__TargetRecord **targets;
+  uint64_t registry_change;
+  /*
+   * `targets` is all there is
+   */
+  protobuf_c_boolean registry_reset;
+  size_t n_members;
+  Wgpb__EntryMember **members;
+  uint64_t members_change;
+  uint32_t members_num;
+  /*
+   * of all other entry hosts together
+   */
+  size_t n_loads;
+  Wgpb__TargetLoad **loads;
+  /*
+   * tokens lately served by the whole fleet
+   */
+  size_t n_usage;
+  Wgpb__WorkspaceUsage **usage;
+  uint32_t report_ms;
+};
+#define WGPB__ENTRY_STATE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+
+
+/*
+ * An order for the leader, taken by any entry host.
+ */
+struct  Wgpb__Order
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  Wgpb__Configuration *configuration;
+  protobuf_c_boolean read_configuration;
+  Wgpb__TargetRecord *target;
+};
+#define WGPB__ORDER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__order__descriptor) \
+    , 0, NULL, 0, NULL }
+
+
+struct  Wgpb__OrderAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  uint32_t outcome;
+  Wgpb__Configuration *configuration;
+};
+#define WGPB__ORDER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__order_answer__descriptor) \
+    , 0, 0, NULL }
+
+
 /* Wgpb__Hello methods */
 void   wgpb__hello__init
                      (Wgpb__Hello         *message);
@@ -863,6 +1080,63 @@
 void   wgpb__claim_state__free_unpacked
                      (Wgpb__ClaimState *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__Configuration methods */
+void   wgpb__configuration__init
+                     (Wgpb__Configuration         *message);
+size_t wgpb__configuration__get_packed_size
+                     (const Wgpb__Configuration   *message);
+size_t wgpb__configuration__pack
+                     (const Wgpb__Configuration   *message,
+                      uint8_t             *out);
+size_t wgpb__configuration__pack_to_buffer
+                     (const Wgpb__Configuration   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__Configuration *
+       wgpb__configuration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__configuration__free_unpacked
+                     (Wgpb__Configuration *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__TargetRecord methods */
+void   wgpb__target_record__init
+                     (Wgpb__TargetRecord         *message);
+size_t wgpb__target_record__get_packed_size
+                     (const Wgpb__TargetRecord   *message);
+size_t wgpb__target_record__pack
+                     (const Wgpb__TargetRecord   *message,
+                      uint8_t             *out);
+size_t wgpb__target_record__pack_to_buffer
+                     (const Wgpb__TargetRecord   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__TargetRecord *
+       wgpb__target_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__target_record__free_unpacked
+                     (Wgpb__TargetRecord *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__RegistryState methods */
+void   wgpb__registry_state__init
+                     (Wgpb__RegistryState         *message);
+size_t wgpb__registry_state__get_packed_size
+                     (const Wgpb__RegistryState   *message);
+size_t wgpb__registry_state__pack
+                     (const Wgpb__RegistryState   *message,
+                      uint8_t             *out);
+size_t wgpb__registry_state__pack_to_buffer
+                     (const Wgpb__RegistryState   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__RegistryState *
+       wgpb__registry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__registry_state__free_unpacked
+                     (Wgpb__RegistryState *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__Command methods */
 void   wgpb__command__init
                      (Wgpb__Command         *message);
@@ -1129,6 +1403,139 @@
 void   wgpb__claim_answer__free_unpacked
                      (Wgpb__ClaimAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__TargetLoad methods */
+void   wgpb__target_load__init
+                     (Wgpb__TargetLoad         *message);
+size_t wgpb__target_load__get_packed_size
+                     (const Wgpb__TargetLoad   *message);
+size_t wgpb__target_load__pack
+                     (const Wgpb__TargetLoad   *message,
+                      uint8_t             *out);
+size_t wgpb__target_load__pack_to_buffer
+                     (const Wgpb__TargetLoad   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__TargetLoad *
+       wgpb__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__target_load__free_unpacked
+                     (Wgpb__TargetLoad *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__WorkspaceUsage methods */
+void   wgpb__workspace_usage__init
+                     (Wgpb__WorkspaceUsage         *message);
+size_t wgpb__workspace_usage__get_packed_size
+                     (const Wgpb__WorkspaceUsage   *message);
+size_t wgpb__workspace_usage__pack
+                     (const Wgpb__WorkspaceUsage   *message,
+                      uint8_t             *out);
+size_t wgpb__workspace_usage__pack_to_buffer
+                     (const Wgpb__WorkspaceUsage   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__WorkspaceUsage *
+       wgpb__workspace_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__workspace_usage__free_unpacked
+                     (Wgpb__WorkspaceUsage *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__EntryReport methods */
+void   wgpb__entry_report__init
+                     (Wgpb__EntryReport         *message);
+size_t wgpb__entry_report__get_packed_size
+                     (const Wgpb__EntryReport   *message);
+size_t wgpb__entry_report__pack
+                     (const Wgpb__EntryReport   *message,
+                      uint8_t             *out);
+size_t wgpb__entry_report__pack_to_buffer
+                     (const Wgpb__EntryReport   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__EntryReport *
+       wgpb__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__entry_report__free_unpacked
+                     (Wgpb__EntryReport *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__EntryMember methods */
+void   wgpb__entry_member__init
+                     (Wgpb__EntryMember         *message);
+size_t wgpb__entry_member__get_packed_size
+                     (const Wgpb__EntryMember   *message);
+size_t wgpb__entry_member__pack
+                     (const Wgpb__EntryMember   *message,
+                      uint8_t             *out);
+size_t wgpb__entry_member__pack_to_buffer
+                     (const Wgpb__EntryMember   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__EntryMember *
+       wgpb__entry_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__entry_member__free_unpacked
+                     (Wgpb__EntryMember *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__EntryState methods */
+void   wgpb__entry_state__init
+                     (Wgpb__EntryState         *message);
+size_t wgpb__entry_state__get_packed_size
+                     (const Wgpb__EntryState   *message);
+size_t wgpb__entry_state__pack
+                     (const Wgpb__EntryState   *message,
+                      uint8_t             *out);
+size_t wgpb__entry_state__pack_to_buffer
+                     (const Wgpb__EntryState   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__EntryState *
+       wgpb__entry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__entry_state__free_unpacked
+                     (Wgpb__EntryState *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__Order methods */
+void   wgpb__order__init
+                     (Wgpb__Order         *message);
+size_t wgpb__order__get_packed_size
+                     (const Wgpb__Order   *message);
+size_t wgpb__order__pack
+                     (const Wgpb__Order   *message,
+                      uint8_t             *out);
+size_t wgpb__order__pack_to_buffer
+                     (const Wgpb__Order   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__Order *
+       wgpb__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__order__free_unpacked
+                     (Wgpb__Order *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__OrderAnswer methods */
+void   wgpb__order_answer__init
+                     (Wgpb__OrderAnswer         *message);
+size_t wgpb__order_answer__get_packed_size
+                     (const Wgpb__OrderAnswer   *message);
+size_t wgpb__order_answer__pack
+                     (const Wgpb__OrderAnswer   *message,
+                      uint8_t             *out);
+size_t wgpb__order_answer__pack_to_buffer
+                     (const Wgpb__OrderAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__OrderAnswer *
+       wgpb__order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__order_answer__free_unpacked
+                     (Wgpb__OrderAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wgpb__Hello_Closure)
@@ -1182,6 +1589,15 @@
 typedef void (*Wgpb__ClaimState_Closure)
                  (const Wgpb__ClaimState *message,
                   void *closure_data);
+typedef void (*Wgpb__Configuration_Closure)
+                 (const Wgpb__Configuration *message,
+                  void *closure_data);
+typedef void (*Wgpb__TargetRecord_Closure)
+                 (const Wgpb__TargetRecord *message,
+                  void *closure_data);
+typedef void (*Wgpb__RegistryState_Closure)
+                 (const Wgpb__RegistryState *message,
+                  void *closure_data);
 typedef void (*Wgpb__Command_Closure)
                  (const Wgpb__Command *message,
                   void *closure_data);
@@ -1224,6 +1640,27 @@
 typedef void (*Wgpb__ClaimAnswer_Closure)
                  (const Wgpb__ClaimAnswer *message,
                   void *closure_data);
+typedef void (*Wgpb__TargetLoad_Closure)
+                 (const Wgpb__TargetLoad *message,
+                  void *closure_data);
+typedef void (*Wgpb__WorkspaceUsage_Closure)
+                 (const Wgpb__WorkspaceUsage *message,
+                  void *closure_data);
+typedef void (*Wgpb__EntryReport_Closure)
+                 (const Wgpb__EntryReport *message,
+                  void *closure_data);
+typedef void (*Wgpb__EntryMember_Closure)
+                 (const Wgpb__EntryMember *message,
+                  void *closure_data);
+typedef void (*Wgpb__EntryState_Closure)
+                 (const Wgpb__EntryState *message,
+                  void *closure_data);
+typedef void (*Wgpb__Order_Closure)
+                 (const Wgpb__Order *message,
+                  void *closure_data);
+typedef void (*Wgpb__OrderAnswer_Closure)
+                 (const Wgpb__OrderAnswer *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1247,6 +1684,9 @@
 extern const ProtobufCMessageDescriptor wgpb__claim_end__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__claim_record__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__claim_state__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__configuration__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__target_record__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__registry_state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__command__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__account__descriptor;
@@ -1261,6 +1701,13 @@
 extern const ProtobufCMessageDescriptor wgpb__row_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__claim_ask__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__claim_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__target_load__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__workspace_usage__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__entry_report__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__entry_member__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__entry_state__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__order__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__order_answer__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -43,14 +43,30 @@
     WGW_TYPE_ROW_ANSWER,
     WGW_TYPE_CLAIM_ASK,
     WGW_TYPE_CLAIM_ANSWER,
+    WGW_TYPE_ENTRY_REPORT,
+    WGW_TYPE_ENTRY_STATE,
+    WGW_TYPE_ORDER,
+    WGW_TYPE_ORDER_ANSWER,
     WGW_TYPE_NUM
 } wgw_type;
 
+/* What became of an order. */
+typedef enum {
+    WG_ORDER_DEFAULT = 0,
+    WG_ORDER_DONE,
+    WG_ORDER_NOT_LEADER, /* ask another control; nothing was done */
+    WG_ORDER_UNKNOWN,    /* may or may not be agreed on */
+    WG_ORDER_INVALID,
+    WG_ORDER_NOTHING, /* there is no configuration yet */
+    WG_ORDER_NUM
+} wg_order_outcome;
+
 /* Who is at the other end of a link. */
 typedef enum {
     WGW_ROLE_DEFAULT = 0,
     WGW_ROLE_CONTROL,
     WGW_ROLE_ROUTER,
+    WGW_ROLE_ENTRY, /* an entry host that serves routes */
     WGW_ROLE_NUM
 } wgw_role;
 
