--- a/daemons/controld.c
+++ b/daemons/controld.c
@@ -22,6 +22,10 @@
     return wgco_dump(control);
 }
 
+static void reload(const void* changed) {
+    wgco_reload(control, changed);
+}
+
 static bool end(void) {
     bool good = !wgco_failed(control);
     wgco_shutdown(control);
@@ -40,6 +44,8 @@
                                 .start = start,
                                 .stop = stop,
                                 .dump = dump,
+                                .reload = reload,
+                                .settings_size = sizeof settings,
                                 .end = end},
                     argc, argv);
 }
--- a/daemons/wg_daemon.c
+++ b/daemons/wg_daemon.c
@@ -24,6 +24,8 @@
     int status; /* >= 0: leave with it at once */
 } _wgd_options_t;
 
+static const char* _wgd_settings_path;
+
 /* ---- helpers ------------------------------------------------------------------------------ */
 
 static _wgd_options_t _wgd_parse(const wgd_desc* desc, int argc, char** argv) {
@@ -91,6 +93,26 @@
     json_decref(json);
 }
 
+/* The settings as they stand in the file now; a wrong file changes nothing. */
+static void _wgd_on_reload(evutil_socket_t signal, short what, void* user_data) {
+    (void)signal;
+    (void)what;
+    const wgd_desc* desc = user_data;
+    GError* error = NULL;
+    void* settings = g_malloc0(desc->settings_size + 1);
+    if (!desc->reload) {
+        wg_log(WG_EVENT_RELOADED, "taken_over=nothing");
+    } else if (wgi_load(_wgd_settings_path, desc->keys, desc->keys_num, settings, &error)) {
+        desc->reload(settings);
+        wg_log(WG_EVENT_RELOADED, "file=%s", _wgd_settings_path);
+        wgi_clear(desc->keys, desc->keys_num, settings);
+    } else {
+        wg_log(WG_EVENT_RELOAD_REFUSED, "%s", error->message);
+        g_error_free(error);
+    }
+    g_free(settings);
+}
+
 /* As many open files as the system lets us have: each caller and target connection is one. */
 static void _wgd_raise_file_limit(void) {
     struct rlimit limit;
@@ -113,7 +135,10 @@
     const struct {
         int signal;
         event_callback_fn callback;
-    } signals[] = {{SIGTERM, _wgd_on_stop}, {SIGINT, _wgd_on_stop}, {SIGUSR1, _wgd_on_dump}};
+    } signals[] = {{SIGTERM, _wgd_on_stop},
+                   {SIGINT, _wgd_on_stop},
+                   {SIGHUP, _wgd_on_reload},
+                   {SIGUSR1, _wgd_on_dump}};
     struct event* events[G_N_ELEMENTS(signals)];
     for (size_t i = 0; i < G_N_ELEMENTS(signals); i++) {
         events[i] = evsignal_new(base, signals[i].signal, signals[i].callback, (void*)desc);
@@ -134,12 +159,14 @@
 
 int wgd_main(const wgd_desc* desc, int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
+    signal(SIGHUP, SIG_IGN); /* until the loop runs */
     signal(SIGXFSZ, SIG_IGN); /* a write beyond a file size limit fails like one on a full disk */
     _wgd_options_t options = _wgd_parse(desc, argc, argv);
     if (options.status >= 0) {
         return options.status;
     }
     GError* error = NULL;
+    _wgd_settings_path = options.settings;
     if (!wgi_load(options.settings, desc->keys, desc->keys_num, desc->settings, &error)) {
         return _wgd_not_started(desc, error);
     }
--- a/daemons/wg_daemon.h
+++ b/daemons/wg_daemon.h
@@ -5,7 +5,7 @@
     WHAT IT DOES
         Parses the command line, loads and checks the settings, sets the log up, runs the loop, and
         turns signals into calls: SIGTERM and SIGINT a planned stop (a second one hurries it),
-   SIGUSR1 a state dump to the log.
+        SIGHUP the settings again, SIGUSR1 a state dump to the log.
 
     USE
         fill a wgd_desc and return wgd_main(&desc, argc, argv) from main().
@@ -30,6 +30,10 @@
     bool (*start)(struct event_base* base, GError** error);
     void (*stop)(void);
     json_t* (*dump)(void);
+    /* SIGHUP: settings were read again into a struct of their own. What can change while the
+       daemon runs is taken over; NULL when nothing can. */
+    void (*reload)(const void* settings);
+    size_t settings_size;
     /* After the loop: false when the daemon failed. */
     bool (*end)(void);
 } wgd_desc;
--- a/daemons/wg_entryd.c
+++ b/daemons/wg_entryd.c
@@ -20,6 +20,10 @@
     return wg_entry_dump(entry);
 }
 
+static void reload(const void* changed) {
+    wg_entry_reload(entry, changed);
+}
+
 static bool end(void) {
     wg_entry_shutdown(entry);
     return true;
@@ -36,6 +40,8 @@
                                 .start = start,
                                 .stop = stop,
                                 .dump = dump,
+                                .reload = reload,
+                                .settings_size = sizeof settings,
                                 .end = end},
                     argc, argv);
 }
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -14,6 +14,8 @@
     X(1003, STOP_BEGUN, INFO, "planned stop begun, no new work is invited")                        \
     X(1004, STOP_HURRIED, WARN, "second stop signal, remaining work is cut off")                   \
     X(1005, STATE_DUMP, INFO, "state dump")                                                        \
+    X(1006, RELOADED, INFO, "settings read again")                                                 \
+    X(1007, RELOAD_REFUSED, WARN, "settings are wrong, the earlier ones stay")                     \
     X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -59,7 +59,7 @@
 static bool _wgco_parse_controls(wgco_control* c, GError** error) {
     bool self_listed = false;
     if (c->discovers) {
-        return wg_control_discovery_setup(c, error);
+        return wg_control_discovery_seeds(c, c->settings, error);
     }
     for (int i = 0; c->settings->controls[i]; i++) {
         char** parts = g_strsplit(c->settings->controls[i], "@", 2);
@@ -466,6 +466,12 @@
     event_add(c->stop_event, &period);
 }
 
+void wgco_reload(wgco_control* c, const wgco_settings* settings) {
+    if (c->discovers && !c->observer) {
+        wg_control_discovery_seeds(c, settings, NULL);
+    }
+}
+
 bool wgco_failed(const wgco_control* c) {
     return c->failed;
 }
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -80,6 +80,8 @@
 void wgco_shutdown(wgco_control* control);
 /* Planned stop: hand over, then leave the loop. A second call leaves it at once. */
 void wgco_stop(wgco_control* control);
+/* Take over seeds that were not known before. */
+void wgco_reload(wgco_control* control, const wgco_settings* settings);
 /* State dump; the caller releases it. */
 json_t* wgco_dump(wgco_control* control);
 /* Create a data folder for a new cluster; the folder must be empty. */
--- a/lib/control/wg_control_discovery.c
+++ b/lib/control/wg_control_discovery.c
@@ -77,13 +77,13 @@
     }
 }
 
-bool wg_control_discovery_setup(wgco_control* c, GError** error) {
-    for (int i = 0; c->settings->seeds[i]; i++) {
+bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error) {
+    for (int i = 0; settings->seeds[i]; i++) {
         char name[WG_NAME_MAX];
         char address[WG_ADDRESS_MAX];
-        if (!wg_control_seed(c, c->settings->seeds[i], name, address)) {
+        if (!wg_control_seed(c, settings->seeds[i], name, address)) {
             g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] seeds: \"%s\" is not ip:port",
-                        c->settings->seeds[i]);
+                        settings->seeds[i]);
             return false;
         }
         wg_control_discovery_learn(c, name, address);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -177,7 +177,7 @@
 void wg_control_entry_push(wgco_control* c);
 
 /* discovery of other controls (wg_control_discovery.c) */
-bool wg_control_discovery_setup(wgco_control* c, GError** error);
+bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error);
 /* On the first start of a fleet, the seeds form the first set of replicas, each for itself. */
 bool wg_control_discovery_form(wgco_control* c, GError** error);
 /* A control that connected, or that stands in the set, is one to be dialled. */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -23,7 +23,8 @@
     WG_TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
     WG_TEXT(TEXT, "log", log_target, "stderr", "stderr, stdout or a file"),
     WG_NUMBER("timing", entry_keep_s, "1", 1, 3600, "s", "how long callers keep an entry answer"),
-    WG_NUMBER("timing", stop_ms, "6500", 0, 3600000, "ms", "longest planned stop"),
+    WG_NUMBER("timing", grace_s, "8", 1, 3600, "s",
+              "longest planned stop: what still runs shortly before is cut off"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "silence after which the link to a control is closed"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms", "wait for the leader's answer to an order"),
@@ -49,7 +50,8 @@
 enum {
     WG_TICK = 50 * WG_USEC_PER_MSEC,
     WG_LOG_LINES_MAX = 200, /* about requests, in one second */
-    WG_LATE_CLOSE = 300 * WG_USEC_PER_MSEC
+    WG_LATE_CLOSE = 300 * WG_USEC_PER_MSEC,
+    WG_STOP_MARGIN = 400 * WG_USEC_PER_MSEC /* to end by itself before it is killed */
 };
 
 /* ---- helpers -------------------------------------------------------------------------------- */
@@ -86,7 +88,7 @@
 
 /* Leave when nobody is served and no caller can still hold an answer that names this host. */
 static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
-    wg_time most = e->settings->stop_ms * WG_USEC_PER_MSEC;
+    wg_time most = e->settings->grace_s * WG_USEC_PER_SEC - WG_STOP_MARGIN;
     wg_time least = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_LATE_CLOSE;
     wg_time since = now - e->stop_at;
     bool over = since >= most || (since >= least && e->calls_num == 0);
@@ -150,6 +152,10 @@
     return e;
 }
 
+void wg_entry_reload(wg_entry* e, const wg_entry_settings* settings) {
+    wg_entry_learn_seeds(e, settings, NULL);
+}
+
 void wg_entry_stop(wg_entry* e) {
     wg_time now = wg_now();
     if (e->stopping) {
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -42,7 +42,7 @@
     char* log_level;
     char* log_target;
     int64_t entry_keep_s;
-    int64_t stop_ms;
+    int64_t grace_s;
     int64_t link_silence_ms;
     int64_t order_ms;
     int64_t retry_percent;
@@ -81,5 +81,7 @@
 void wg_entry_shutdown(wg_entry* entry);
 /* Planned stop; a second call hurries it. */
 void wg_entry_stop(wg_entry* entry);
+/* Take over what may change while it runs: seeds that were not known before. */
+void wg_entry_reload(wg_entry* entry, const wg_entry_settings* settings);
 /* State dump; the caller releases it. */
 json_t* wg_entry_dump(wg_entry* entry);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -211,6 +211,7 @@
 bool wg_entry_may_log(wg_entry* e, wg_time now);
 
 /* wg_entry_link.c */
+bool wg_entry_learn_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error);
 bool wg_entry_link_setup(wg_entry* e, GError** error);
 void wg_entry_link_tick(wg_entry* e, wg_time now);
 void wg_entry_report(wg_entry* e, wg_time now);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -23,14 +23,14 @@
     wg_copy_name(e->controls[at], WG_ADDRESS_MAX, address);
 }
 
-static bool wg_entry_learn_seeds(wg_entry* e, GError** error) {
-    for (int i = 0; e->settings->seeds[i]; i++) {
+bool wg_entry_learn_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error) {
+    for (int i = 0; settings->seeds[i]; i++) {
         char ip[WG_ADDRESS_MAX];
         char address[WG_ADDRESS_MAX + 8];
         uint16_t port;
-        if (!wgn_split_address(e->settings->seeds[i], ip, &port)) {
+        if (!wgn_split_address(settings->seeds[i], ip, &port)) {
             g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[entry] seeds: \"%s\" is not ip:port",
-                        e->settings->seeds[i]);
+                        settings->seeds[i]);
             return false;
         }
         g_snprintf(address, sizeof address, "%s:%d", ip, (int)e->settings->fleet_port);
@@ -371,7 +371,7 @@
                                    .on_down = wg_entry_on_down,
                                    .user_data = e},
                        error);
-    return e->net && wg_entry_learn_seeds(e, error);
+    return e->net && wg_entry_learn_seeds(e, e->settings, error);
 }
 
 void wg_entry_link_tick(wg_entry* e, wg_time now) {
--- a/lib/store/wg_store.c
+++ b/lib/store/wg_store.c
@@ -16,6 +16,7 @@
 
 enum {
     _WGS_SYNCED_SLOT = 32,
+    _WGS_SYNCED_SLOTS = 4, /* two written without a sync, then two that are synced */
     _WGS_NAME_SIZE = 40
 };
 
@@ -33,6 +34,7 @@
     int lock_fd;
     int synced_fd;
     uint64_t synced_seq;
+    uint64_t synced_syncs; /* of the marker */
     uint64_t synced_index;
     uint64_t term;
     uint64_t voted_for;
@@ -140,13 +142,14 @@
 }
 
 /* The marker is written after the log is synced, without a sync of its own: a process that is
-   killed leaves it exact; after a power cut it may lag, which only makes the tail count as torn. */
+   killed leaves it exact; after a power cut it may lag, which only makes the tail count as torn.
+   A power cut may spoil both unsynced slots; of the two synced ones, one is always whole. */
 static bool _wgs_write_synced(wgs_store* s, uint64_t index, bool sync, GError** error) {
     s->synced_seq++;
     s->synced_index = index;
     uint64_t slot[4] = {GUINT64_TO_LE(s->synced_seq), GUINT64_TO_LE(index), 0, 0};
     slot[3] = GUINT64_TO_LE(wg_hash(slot, 24, 1));
-    off_t at = (off_t)(s->synced_seq % 2) * _WGS_SYNCED_SLOT;
+    off_t at = (off_t)(sync ? 2 + s->synced_syncs++ % 2 : s->synced_seq % 2) * _WGS_SYNCED_SLOT;
     if (pwrite(s->synced_fd, slot, sizeof slot, at) != (ssize_t)sizeof slot) {
         return _wgs_fail(error, "cannot write", "synced");
     }
@@ -162,7 +165,7 @@
         return _wgs_fail(error, "cannot open", "synced");
     }
     int damaged = 0;
-    for (int i = 0; i < 2; i++) {
+    for (int i = 0; i < _WGS_SYNCED_SLOTS; i++) {
         static const uint64_t never_written[4] = {0};
         uint64_t slot[4] = {0};
         ssize_t got = pread(s->synced_fd, slot, sizeof slot, i * _WGS_SYNCED_SLOT);
@@ -177,12 +180,14 @@
         } else if (GUINT64_FROM_LE(slot[0]) > s->synced_seq) {
             s->synced_seq = GUINT64_FROM_LE(slot[0]);
             s->synced_index = GUINT64_FROM_LE(slot[1]);
+            s->synced_syncs = i < 2 ? 0 : (uint64_t)i - 1; /* the other one is written next */
         }
     }
     if (damaged > 0 && s->synced_seq == 0) {
         return _wgs_corrupt(error, "synced", "no slot is whole");
     }
-    return true;
+    return _wgs_write_synced(s, s->synced_index, true, error) &&
+           _wgs_sync_folder(s->folder_fd, error);
 }
 
 /* ---- helpers: segments --------------------------------------------------------------------- */
@@ -356,6 +361,17 @@
     return good || _wgs_corrupt(error, name, "damaged");
 }
 
+/* Remove all segments read so far. */
+static bool _wgs_forget_log(wgs_store* s, GError** error) {
+    g_array_set_size(s->entries, 0);
+    while (s->segments->len > 0) {
+        if (!_wgs_remove_segment(s, s->segments->len - 1, error)) {
+            return false;
+        }
+    }
+    return _wgs_sync_folder(s->folder_fd, error);
+}
+
 /* Drop a log that does not join the snapshot: left over from before the leader's snapshot came. */
 static bool _wgs_match_log(wgs_store* s, GError** error) {
     const wgr_restored* r = &s->content.restored;
@@ -364,25 +380,17 @@
     }
     const wgr_entry* first = &g_array_index(s->entries, wgr_entry, 0);
     uint64_t last = first->index + s->entries->len - 1;
-    if (first->index > r->snapshot_index + 1) {
+    if (first->index > r->snapshot_index + 1 && s->synced_index > r->snapshot_index) {
         return _wgs_corrupt(error, "log", "entries between the snapshot and the log are missing");
     }
-    bool joins = last >= r->snapshot_index;
+    /* Else: left over from a log that the leader's snapshot replaced. */
+    bool joins = first->index <= r->snapshot_index + 1 && last >= r->snapshot_index;
     if (joins && r->snapshot_index >= first->index) {
         const wgr_entry* at =
             &g_array_index(s->entries, wgr_entry, r->snapshot_index - first->index);
         joins = at->term == r->snapshot_term;
     }
-    if (joins) {
-        return true;
-    }
-    g_array_set_size(s->entries, 0);
-    while (s->segments->len > 0) {
-        if (!_wgs_remove_segment(s, s->segments->len - 1, error)) {
-            return false;
-        }
-    }
-    return _wgs_sync_folder(s->folder_fd, error);
+    return joins || _wgs_forget_log(s, error);
 }
 
 static bool _wgs_read_log(wgs_store* s, GError** error) {
@@ -391,11 +399,13 @@
     for (guint i = 0; i < found->len && good; i++) {
         uint64_t first = g_array_index(found, uint64_t, i);
         const _wgs_segment_t* before = _wgs_last_segment(s);
-        if (before && first != _wgs_last_index(before) + 1) {
+        bool gap = before && first != _wgs_last_index(before) + 1;
+        if (gap && _wgs_last_index(before) <= s->snapshot_index) {
+            good = _wgs_forget_log(s, error); /* removed before, but not for good */
+        } else if (gap) {
             good = _wgs_corrupt(error, "log", "a segment is missing");
-        } else {
-            good = _wgs_read_segment(s, first, i + 1 == found->len, error);
         }
+        good = good && _wgs_read_segment(s, first, i + 1 == found->len, error);
     }
     g_array_unref(found);
     if (!good || !_wgs_match_log(s, error)) {
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -233,6 +233,59 @@
 }
 END_TEST
 
+/* A power cut may spoil every slot of the marker that was not synced, and nothing else. */
+START_TEST(a_power_cut_may_spoil_the_whole_marker) {
+    enum {
+        UNSYNCED_SLOTS = 64 /* bytes of the slots that are written without a sync */
+    };
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 4, 1);
+    wgs_close(store);
+    char* path = g_build_filename(folder, "synced", NULL);
+    char* content;
+    gsize size;
+    ck_assert(g_file_get_contents(path, &content, &size, NULL));
+    for (gsize i = 0; i < MIN(size, UNSYNCED_SLOTS); i++) {
+        content[i] ^= 1;
+    }
+    ck_assert(g_file_set_contents(path, content, (gssize)size, NULL));
+    ck_assert_int_eq(entries_found(&error), 4);
+    ck_assert_int_eq(entries_found(&error), 4);
+    g_free(content);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
+/* Removals that no sync of the folder followed may be kept or lost each by itself. */
+START_TEST(a_power_cut_may_bring_a_removed_segment_back) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    append(store, 1, 40, 1);
+    char* path = g_build_filename(folder, "log-00000000000000000001", NULL);
+    char* log;
+    gsize size;
+    ck_assert(g_file_get_contents(path, &log, &size, NULL));
+    wgr_set set = {.num = 1, .replicas = {{.id = 42, .voter = true}}};
+    GBytes* state = g_bytes_new("state", 5);
+    ck_assert(wgs_save_snapshot(store, 36, 1, &set, state, false, &error));
+    wgs_close(store);
+    int before = entries_found(&error);
+    ck_assert_int_gt(before, 0);
+    ck_assert(!g_file_test(path, G_FILE_TEST_EXISTS));
+    ck_assert(g_file_set_contents(path, log, (gssize)size, NULL));
+    ck_assert_int_eq(entries_found(&error), before);
+    ck_assert(!g_file_test(path, G_FILE_TEST_EXISTS));
+    g_bytes_unref(state);
+    g_free(log);
+    g_free(path);
+    remove_folder();
+}
+END_TEST
+
 START_TEST(truncation_and_new_entries) {
     fresh_folder();
     GError* error = NULL;
@@ -316,6 +369,7 @@
 
 WG_TEST_MAIN("store", what_was_synced_is_there_again, two_processes_cannot_share_a_folder,
              damage_to_a_synced_record_is_found, torn_tail_is_cut,
+             a_power_cut_may_spoil_the_whole_marker, a_power_cut_may_bring_a_removed_segment_back,
              damage_before_the_tail_stops_the_start, damaged_small_files_stop_the_start,
              truncation_and_new_entries, snapshot_bounds_the_log,
              snapshot_from_the_leader_replaces_the_log, full_disk_is_an_error)
