--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -12,7 +12,9 @@
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_FAILURES_BEFORE_ASIDE = 2,
     WG_FAR_TOKENS = 150, /* what another data centre costs, in tokens to read */
-    WG_RUNNING_TOKENS = 60, /* what each running request costs the next */
+    WG_RUNNING_TOKENS = 20, /* what each running request costs the next */
+    WG_SECOND_HOME_TOKENS = 400, /* what the second home has to be better by */
+    WG_READ_AGAIN_FACTOR = 2, /* what a shared token read again counts beside its own reading */
     WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
 };
 
@@ -107,26 +109,40 @@
     return t->ready && strcmp(t->service, need->service) == 0 && !wg_need_tried(need, t->number);
 }
 
-/* The target of highest rank among those that are up: home of a prefix. */
-static const wg_balance_target* wg_balance_home(const wg_balance* b, wg_time now,
-                                                const wg_need* need, uint64_t part) {
-    const wg_balance_target* best = NULL;
-    uint64_t best_rank = 0;
+/* Homes of a prefix: the two targets of highest rank among those that are up. */
+typedef struct {
+    const wg_balance_target* first;
+    const wg_balance_target* second;
+    uint64_t first_rank;
+    uint64_t second_rank;
+} wg_balance_homes;
+
+static void wg_balance_rank_home(wg_balance_homes* homes, const wg_balance_target* t,
+                                 uint64_t rank) {
+    if (!homes->first || rank > homes->first_rank) {
+        homes->second = homes->first;
+        homes->second_rank = homes->first_rank;
+        homes->first = t;
+        homes->first_rank = rank;
+    } else if (!homes->second || rank > homes->second_rank) {
+        homes->second = t;
+        homes->second_rank = rank;
+    }
+}
+
+static wg_balance_homes wg_balance_find_homes(const wg_balance* b, wg_time now,
+                                              const wg_need* need, uint64_t part) {
+    wg_balance_homes homes = {0};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, b->targets);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (part && g_hash_table_iter_next(&iter, NULL, &value)) {
         const wg_balance_target* t = value;
-        if (!wg_balance_takes(t, need) || now < t->aside_until) {
-            continue;
-        }
-        uint64_t rank = wg_balance_rank(part, t);
-        if (!best || rank > best_rank) {
-            best = t;
-            best_rank = rank;
+        if (wg_balance_takes(t, need) && now >= t->aside_until) {
+            wg_balance_rank_home(&homes, t, wg_balance_rank(part, t));
         }
     }
-    return best;
+    return homes;
 }
 
 static wg_choice wg_balance_estimate(const wg_balance_target* t, wg_time now, const wg_need* need,
@@ -138,6 +154,7 @@
         c.ahead = t->own_unread + t->other_unread;
         uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
         c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
+        c.wait_ahead = WG_FIRST_EVENT_MIN + (wg_time)(c.ahead / t->speed);
     } else {
         uint32_t slots = t->slots ? t->slots : 1;
         c.wait = (wg_time)running * WG_USEC_PER_MSEC * 10 / slots;
@@ -208,10 +225,25 @@
     }
 }
 
+/* What a choice costs beside its wait, in tokens. */
+static uint32_t wg_balance_extra(const wg_balance_target* t, const wg_balance_homes* homes,
+                                 const wg_choice* choice, const wg_need* need) {
+    uint32_t extra = t->near ? 0 : WG_FAR_TOKENS;
+    if (!need->prompt || !homes->first) {
+        return extra;
+    }
+    if (t == homes->second) {
+        return extra + WG_SECOND_HOME_TOKENS;
+    }
+    uint32_t own = need->prompt->sizes[need->prompt->num - 1];
+    uint32_t again = choice->unread > own ? choice->unread - own : 0;
+    return extra + (t == homes->first ? 0 : WG_READ_AGAIN_FACTOR * again);
+}
+
 wg_choice wg_balance_choose(wg_balance* b, wg_time now, const wg_need* need) {
     const wg_prompt* prompt = need->prompt;
     uint64_t part = prompt && prompt->num > 1 ? prompt->parts[prompt->num - 2] : 0;
-    const wg_balance_target* home = part ? wg_balance_home(b, now, need, part) : NULL;
+    wg_balance_homes homes = wg_balance_find_homes(b, now, need, part);
     wg_choice best = {0};
     int64_t best_cost = INT64_MAX;
     GHashTableIter iter;
@@ -223,9 +255,10 @@
         if (!wg_balance_takes(t, need) || (slots && t->own_running + t->other_running >= slots)) {
             continue;
         }
-        wg_choice c = wg_balance_estimate(t, now, need, t == home);
+        bool home = t == homes.first || t == homes.second;
+        wg_choice c = wg_balance_estimate(t, now, need, home);
         c.home = part;
-        int64_t cost = c.wait + (t->near ? 0 : (int64_t)(WG_FAR_TOKENS / t->speed));
+        int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, &homes, &c, need) / t->speed);
         if (now < t->aside_until) {
             cost += WG_ASIDE_MAX; /* only when there is nothing else */
         }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -8,8 +8,8 @@
         of the request itself that are not cached there. The shortest wait wins.
 
     FEATURES
-        - a shared prefix has a home: the target that rendezvous hashing gives it, the same on every
-          host without a message; a loaded home spills over to its second
+        - a shared prefix has two homes: the targets that rendezvous hashing gives it, the same on
+          every host without a message; a long prefix goes elsewhere only at a price
         - the speed of each target is learnt from first events; a target that fails is put aside
           for growing, jittered times
         - one request, one account: begin, read (first event), end
@@ -54,6 +54,7 @@
     uint32_t unread; /* tokens that the target has to read for it */
     uint32_t ahead;  /* tokens that it reads before */
     wg_time wait;    /* estimate, to the first event */
+    wg_time wait_ahead; /* the part of it that is others' prompts */
     wg_time begun;
     uint64_t home;   /* last shared part, 0 none */
 } wg_choice;
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -39,6 +39,7 @@
         return wg_config_fail(error, "service", name, "has no name");
     }
     service->name = g_strdup(name);
+    service->tightest = WG_TIME_NEVER;
     service->connections = (int)wg_json_number(json, "connections", WG_CONNECTIONS_DEFAULT);
     const json_t* engine = json_object_get(json, "engine");
     service->engine = json_is_object(engine);
@@ -86,6 +87,10 @@
     }
     route->splits[route->splits_num++] = (wg_split){index, (int)weight};
     route->weight_sum += (int)weight;
+    if (weight > 0) {
+        wg_service* serves = &c->services[index];
+        serves->tightest = MIN(serves->tightest, route->objective);
+    }
     return true;
 }
 
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -21,6 +21,8 @@
     _TEXT(LIST, "control", seeds, "",
           "instead of controls: ip:port of some of them; only the ip counts, with fleet_port"),
     _NUMBER("control", fleet_port, "7100", 1, 65535, "", "with seeds: port of fleet_listen on all"),
+    _NUMBER("control", entry_port, "7101", 1, 65535, "",
+            "with seeds: port where entry hosts take the word of controls"),
     _TEXT(TEXT, "control", first_start, "false",
           "with seeds: true when the whole fleet starts for the first time"),
     _TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
@@ -160,6 +162,9 @@
         _wgco_router_up(c, link, peer);
         return;
     }
+    if (peer->role == WGW_ROLE_ENTRY && wg_control_discovery_is_word(c, link)) {
+        return;
+    }
     if (peer->role == WGW_ROLE_ENTRY) {
         wg_control_entry_up(c, link, peer);
         return;
@@ -203,6 +208,10 @@
     bool control = peer && peer->role == WGW_ROLE_CONTROL;
     bool router = peer && peer->role == WGW_ROLE_ROUTER;
     bool entry = peer && peer->role == WGW_ROLE_ENTRY;
+    if (entry && frame->type == WGW_TYPE_ENTRY_STATE) {
+        wg_control_discovery_take_word(c, frame);
+        return;
+    }
     if (control && frame->type == WGW_TYPE_QUORUM) {
         _wgco_take_quorum(c, frame);
     } else if (entry && frame->type == WGW_TYPE_ENTRY_REPORT) {
@@ -254,12 +263,13 @@
     }
     _wgco_follow_leadership(c, now);
     _wgco_log_role(c, now);
+    wg_control_discovery_tick(c, now);
     _wgco_dial_peers(c, now);
     if (c->leads) {
         _wgco_add_new_controls(c, now);
         _wgco_routers_tick(c, now);
         wg_control_entry_tick(c, now);
-        wg_control_discovery_tick(c, now);
+        wg_control_discovery_prune(c, now);
         _wgco_pump(c);
     }
 }
--- a/lib/control/wg_control_discovery.c
+++ b/lib/control/wg_control_discovery.c
@@ -8,6 +8,8 @@
 #include <string.h>
 
 enum {
+    /* How often one of the seeds is given word of this control. */
+    WG_WORD_GAP = 400 * WG_USEC_PER_MSEC,
     /* Replicas that have to be up, beside those taken out. */
     WG_REPLICAS_KEPT = 3
 };
@@ -78,6 +80,7 @@
 }
 
 bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error) {
+    c->word_seeds_num = 0;
     for (int i = 0; settings->seeds[i]; i++) {
         char name[WG_NAME_MAX];
         char address[WG_ADDRESS_MAX];
@@ -87,6 +90,9 @@
             return false;
         }
         wg_control_discovery_learn(c, name, address);
+        if (c->word_seeds_num < WG_CONTROL_SEEDS_MAX) {
+            wg_copy_name(c->word_seeds[c->word_seeds_num++], WG_NAME_MAX, name);
+        }
     }
     return true;
 }
@@ -132,7 +138,57 @@
     return good;
 }
 
+/* A seed need not have a disk. Whoever starts anew knows only the seeds, so each control tells the
+   entry hosts there where it is, and learns of others from them. */
+static void wg_control_give_word(wgco_control* c, wg_time now) {
+    if (now < c->word_at || c->word_seeds_num == 0) {
+        return;
+    }
+    c->word_at = now + WG_WORD_GAP;
+    if (c->word_link.id) {
+        wgn_close(c->net, c->word_link);
+        c->word_link = (wgn_link){0};
+    }
+    const char* seed = c->word_seeds[c->word_next++ % c->word_seeds_num];
+    const wgr_set* set = wgr_query_set(c->node);
+    if (set->num > 0 && wg_control_in_set(c, seed)) {
+        return; /* a replica answers for itself */
+    }
+    char address[WG_ADDRESS_MAX];
+    g_snprintf(address, sizeof address, "%.40s:%d", seed, (int)c->settings->entry_port);
+    c->word_link = wgn_dial(c->net, address);
+}
+
+bool wg_control_discovery_is_word(const wgco_control* c, wgn_link link) {
+    return c->word_link.id == link.id;
+}
+
+void wg_control_discovery_take_word(wgco_control* c, const wgw_frame* frame) {
+    Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
+    for (size_t i = 0; in && i < in->n_controls; i++) {
+        char ip[WG_ADDRESS_MAX];
+        uint16_t port;
+        if (wgn_split_address(in->controls[i], ip, &port)) {
+            wg_control_discovery_learn(c, ip, in->controls[i]);
+        }
+    }
+    if (in) {
+        wgpb__entry_state__free_unpacked(in, NULL);
+    }
+}
+
 void wg_control_discovery_tick(wgco_control* c, wg_time now) {
+    if (!c->discovers) {
+        return;
+    }
+    const wgr_set* set = wgr_query_set(c->node);
+    for (int i = 0; i < set->num; i++) {
+        wg_control_discovery_learn(c, set->replicas[i].name, set->replicas[i].address);
+    }
+    wg_control_give_word(c, now);
+}
+
+void wg_control_discovery_prune(wgco_control* c, wg_time now) {
     if (!c->discovers) {
         return;
     }
@@ -141,10 +197,6 @@
     const wgr_replica* gone = NULL;
     for (int i = 0; i < set->num; i++) {
         const wgr_replica* replica = &set->replicas[i];
-        if (strcmp(replica->name, c->settings->name) == 0) {
-            continue;
-        }
-        wg_control_discovery_learn(c, replica->name, replica->address);
         const _wgco_peer_t* peer = wg_control_find_peer(c, replica->name);
         if (peer && peer->up) {
             up += replica->voter && peer->identity == replica->id;
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -5,6 +5,7 @@
 #include "wg_control.h"
 
 enum {
+    WG_CONTROL_SEEDS_MAX = 8,
     _WGCO_ROUTERS_MAX = 512,
     _WGCO_PEERS_MAX = 16,
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
@@ -115,6 +116,11 @@
     GHashTable* usage;       /* hash of a workspace -> wg_control_usage* */
     wg_time usage_at;
     wg_time led_since;
+    wgn_link word_link; /* to the entry host at a seed */
+    int word_next;      /* seed whose turn it is */
+    wg_time word_at;
+    char word_seeds[WG_CONTROL_SEEDS_MAX][WG_NAME_MAX]; /* ips */
+    int word_seeds_num;
     bool discovers; /* other controls are found through seeds */
     bool observer;  /* has no data folder: does nothing, never votes */
 
@@ -182,8 +188,14 @@
 bool wg_control_discovery_form(wgco_control* c, GError** error);
 /* A control that connected, or that stands in the set, is one to be dialled. */
 void wg_control_discovery_learn(wgco_control* c, const char* name, const char* address);
-/* As leader: take out replicas that are gone for good, once enough others are up. */
+/* Know the replicas of the set; give the entry hosts at the seeds word of this control. */
 void wg_control_discovery_tick(wgco_control* c, wg_time now);
+/* As leader: take out replicas that are gone for good, once enough others are up. */
+void wg_control_discovery_prune(wgco_control* c, wg_time now);
+/* Is this a link on which word is given to a seed? */
+bool wg_control_discovery_is_word(const wgco_control* c, wgn_link link);
+/* An entry host tells of the controls that it knows. */
+void wg_control_discovery_take_word(wgco_control* c, const wgw_frame* frame);
 
 /* operators (wg_control_http.c) */
 bool _wgco_http_setup(wgco_control* c, GError** error);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -19,6 +19,8 @@
     WG_TEXT(ADDRESS, "entry", orders_listen, NULL, "where operators and targets send their orders"),
     WG_TEXT(LIST, "entry", seeds, NULL, "ip:port of some controls; only the ip counts"),
     WG_NUMBER("entry", fleet_port, "7100", 1, 65535, "", "port of fleet_listen on all controls"),
+    WG_TEXT(ADDRESS, "entry", fleet_listen, NULL,
+            "where other fleet processes ask for controls; the port is the same on all entry hosts"),
     WG_TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
     WG_TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
     WG_TEXT(TEXT, "log", log_target, "stderr", "stderr, stdout or a file"),
@@ -51,6 +53,7 @@
     WG_TICK = 50 * WG_USEC_PER_MSEC,
     WG_LOG_LINES_MAX = 200, /* about requests, in one second */
     WG_LATE_CLOSE = 300 * WG_USEC_PER_MSEC,
+    WG_STOP_REFUSES = 2800 * WG_USEC_PER_MSEC,
     WG_STOP_MARGIN = 400 * WG_USEC_PER_MSEC /* to end by itself before it is killed */
 };
 
@@ -60,6 +63,10 @@
     return e->config && e->registry_known && !e->stopping;
 }
 
+bool wg_entry_refuses_new(const wg_entry* e) {
+    return e->stopping && wg_now() - e->stop_at > WG_STOP_REFUSES;
+}
+
 bool wg_entry_may_log(wg_entry* e, wg_time now) {
     if (now - e->log_second >= WG_USEC_PER_SEC) {
         if (e->log_lines > WG_LOG_LINES_MAX) {
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -38,6 +38,7 @@
     char* orders_listen;
     char** seeds;
     int64_t fleet_port;
+    char* fleet_listen;
     char* fleet_key;
     char* log_level;
     char* log_target;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -7,14 +7,14 @@
 enum {
     WG_WAIT_PERCENT = 18,  /* of the objective that a request may wait here before it is refused */
     WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
-    WG_HEAVY_PERCENT = 150, /* of the mean usage: beyond, a workspace gives way first */
     WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
     WG_ANSWER_TOKENS_FACTOR = 2 /* a token made counts as two that are read */
 };
 
 /* Share of the objective that the first event may be expected to take, for a send now. */
-static const double WG_LIMIT_LIGHT = 1.0;
-static const double WG_LIMIT_HEAVY = 0.6;
+static const double WG_LIMIT = 0.95;
+/* Share of it that others' prompts may take before that of a request too large to be in time. */
+static const double WG_LIMIT_LARGE = 0.3;
 
 static void wg_call_try(wg_call* call);
 
@@ -110,10 +110,16 @@
     wg_call_free(call);
 }
 
+/* May a target have begun to work on the request, as far as this host knows? */
+static bool wg_call_may_have_run(const wg_call* call) {
+    return call->may_have_run || (call->upstream && call->upstream->written);
+}
+
 /* A final answer of ours, at once. */
 static void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after) {
     wg_client* client = call->client;
-    wg_verdict verdict = call->may_have_run ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN;
+    bool may_have_run = wg_call_may_have_run(call);
+    wg_verdict verdict = may_have_run ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN;
     wg_call_end end = {status, verdict, reason};
     if (client && call->head_sent) {
         call->entry->counters.cut++;
@@ -131,7 +137,7 @@
         if (call->id[0]) {
             evbuffer_add_printf(out, "%s: %s\r\n", call->entry->names->request_id, call->id);
         }
-        if (retry_after > 0 && !call->may_have_run) {
+        if (retry_after > 0 && !may_have_run) {
             evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
         }
         evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
@@ -229,11 +235,6 @@
     *tokens += wg_call_tokens(call);
 }
 
-static bool wg_call_is_heavy(const wg_call* call) {
-    return call->workspace &&
-           wg_call_usage(call) * 100 > call->entry->usage_mean * WG_HEAVY_PERCENT;
-}
-
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
 /* Seconds after which a refused request may come back. */
@@ -253,13 +254,22 @@
     wg_call_set_timer(call, now);
 }
 
+/* The tightest objective of the service: nobody may fill targets beyond it. */
+static wg_time wg_call_tightest(const wg_call* call) {
+    return MIN(call->config->services[call->service].tightest, call->route->objective);
+}
+
 static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
     }
-    double limit = wg_call_is_heavy(call) ? WG_LIMIT_HEAVY : WG_LIMIT_LIGHT;
-    wg_time left = call->started + call->route->objective - now;
-    return (double)choice->wait <= limit * (double)left;
+    double patience =
+        call->workspace ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level) : 1;
+    double tightest = (double)wg_call_tightest(call);
+    double left = (double)(call->started + call->route->objective - now);
+    double limit = patience * WG_LIMIT * MIN(left, tightest);
+    return (double)choice->wait <= limit ||
+           (double)choice->wait_ahead <= patience * WG_LIMIT_LARGE * tightest;
 }
 
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
@@ -314,7 +324,7 @@
     wg_call* call = user_data;
     wg_time now = wg_now();
     if (now >= call->until) {
-        if (call->may_have_run || call->head_sent) {
+        if (wg_call_may_have_run(call) || call->head_sent) {
             wg_call_refuse(call, 504, "timeout", 0);
         } else {
             wg_call_refuse(call, 503, "timeout_not_run", wg_call_retry_after(call));
@@ -354,10 +364,8 @@
 
 /* The answer says that the request did not run: try elsewhere, or refuse. */
 static void wg_call_take_refusal(wg_call* call, wg_upstream* up) {
-    bool ran_before = call->may_have_run && call->attempts > 1;
     wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=refused status=%d", call->id, up->target,
            up->head.status);
-    call->may_have_run = ran_before;
     call->upstream = NULL;
     up->call = NULL;
     wg_upstream_close(up);
@@ -443,10 +451,11 @@
 }
 
 void wg_call_answer_head(wg_call* call, wg_upstream* up) {
-    call->may_have_run = true;
     if (wg_call_was_not_run(call, up)) {
         wg_call_take_refusal(call, up);
+        return;
     }
+    call->may_have_run = true;
 }
 
 void wg_call_answer_data(wg_call* call, wg_upstream* up) {
@@ -579,6 +588,10 @@
         wg_call_deny(client, bytes, body, 503, "no_configuration_yet");
         return;
     }
+    if (wg_entry_refuses_new(e)) {
+        wg_call_deny(client, bytes, body, 503, "stopping");
+        return;
+    }
     const wg_route* route = wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
     if (!route) {
         wg_call_deny(client, bytes, body, 404, "no_route");
@@ -621,7 +634,7 @@
 
 void wg_call_caller_left(wg_call* call) {
     wg_entry* e = call->entry;
-    wg_call_end end = {0, call->may_have_run ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN,
+    wg_call_end end = {0, wg_call_may_have_run(call) ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN,
                        "caller-left"};
     e->counters.left++;
     wg_call_ended(call, &end);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -9,6 +9,7 @@
 #include "wg_config.h"
 #include "wg_entry.h"
 #include "wg_event_stream.h"
+#include "wg_fair.h"
 #include "wg_retry.h"
 
 enum {
@@ -176,7 +177,7 @@
     uint64_t members_change;
     GHashTable* usage_own;   /* hash of a workspace -> tokens so far */
     GHashTable* usage_fleet; /* hash of a workspace -> tokens lately */
-    double usage_mean;
+    double usage_level; /* tokens up to which all are treated alike, see wg_fair.h */
 
     /* link to the leader */
     wgn_net* net;
@@ -207,6 +208,8 @@
 
 /* wg_entry.c */
 bool wg_entry_is_ready(const wg_entry* e);
+/* A planned stop is so far on that callers have long had newer entry answers. */
+bool wg_entry_refuses_new(const wg_entry* e);
 /* May another line about a request be logged this second? */
 bool wg_entry_may_log(wg_entry* e, wg_time now);
 
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -24,6 +24,9 @@
 }
 
 bool wg_entry_learn_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error) {
+    char own_ip[WG_ADDRESS_MAX];
+    uint16_t entry_port = 0;
+    wgn_split_address(settings->fleet_listen, own_ip, &entry_port);
     for (int i = 0; settings->seeds[i]; i++) {
         char ip[WG_ADDRESS_MAX];
         char address[WG_ADDRESS_MAX + 8];
@@ -35,6 +38,11 @@
         }
         g_snprintf(address, sizeof address, "%s:%d", ip, (int)e->settings->fleet_port);
         wg_entry_learn_control(e, address);
+        /* The entry host at the seed knows controls too, where the seed has none. */
+        g_snprintf(address, sizeof address, "%s:%d", ip, entry_port);
+        if (strcmp(address, settings->fleet_listen) != 0) {
+            wg_entry_learn_control(e, address);
+        }
     }
     return true;
 }
@@ -106,16 +114,17 @@
 }
 
 static void wg_entry_take_usage(wg_entry* e, const Wgpb__EntryState* in) {
-    double sum = 0;
+    double* used = g_new(double, in->n_usage + 1);
     g_hash_table_remove_all(e->usage_fleet);
     for (size_t i = 0; i < in->n_usage; i++) {
         uint64_t* pair = g_new(uint64_t, 2);
         pair[0] = in->usage[i]->workspace;
         pair[1] = in->usage[i]->tokens;
-        sum += (double)in->usage[i]->tokens;
+        used[i] = (double)in->usage[i]->tokens;
         g_hash_table_insert(e->usage_fleet, pair, pair + 1);
     }
-    e->usage_mean = in->n_usage ? sum / (double)in->n_usage : 0;
+    e->usage_level = wg_fair_level(used, (int)in->n_usage);
+    g_free(used);
 }
 
 static void wg_entry_take_loads(wg_entry* e, const Wgpb__EntryState* in) {
@@ -304,10 +313,27 @@
 
 /* ---- links ----------------------------------------------------------------------------------- */
 
+/* Another process asks which controls this host knows; a control also says where it is. */
+static void wg_entry_tell_controls(wg_entry* e, wgn_link link, const wgn_peer* peer) {
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    char* controls[WG_CONTROLS_MAX];
+    if (peer->role == WGW_ROLE_CONTROL) {
+        wg_entry_learn_control(e, peer->address);
+    }
+    for (int i = 0; i < e->controls_num; i++) {
+        controls[i] = e->controls[i];
+    }
+    state.controls = controls;
+    state.n_controls = (size_t)e->controls_num;
+    wgn_send(e->net, link, WGW_TYPE_ENTRY_STATE, &state.base);
+}
+
 static void wg_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
-    (void)link;
-    (void)peer;
+    if (link.id != e->link.id) {
+        wg_entry_tell_controls(e, link, peer);
+        return;
+    }
     e->link_up = true;
     e->state_at = wg_now();
     wg_entry_report(e, e->state_at);
@@ -332,6 +358,9 @@
 
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
+    if (link.id != e->link.id) {
+        return; /* whoever asks for controls has nothing else to say */
+    }
     if (frame->type == WGW_TYPE_ENTRY_STATE) {
         Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
         if (in) {
@@ -360,7 +389,7 @@
     e->net = wgn_setup(&(wgn_desc){.base = e->base,
                                    .fleet_key = e->settings->fleet_key,
                                    .self = self,
-                                   .links_max = 8,
+                                   .links_max = 256,
                                    .proof_deadline = WG_PROVE_TIME,
                                    .silence_deadline =
                                        e->settings->link_silence_ms * WG_USEC_PER_MSEC,
@@ -371,7 +400,8 @@
                                    .on_down = wg_entry_on_down,
                                    .user_data = e},
                        error);
-    return e->net && wg_entry_learn_seeds(e, e->settings, error);
+    return e->net && wgn_listen(e->net, e->settings->fleet_listen, error) &&
+           wg_entry_learn_seeds(e, e->settings, error);
 }
 
 void wg_entry_link_tick(wg_entry* e, wg_time now) {
