--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -54,7 +54,7 @@
     WG_LOG_LINES_MAX = 200, /* about requests, in one second */
     WG_LATE_CLOSE = 300 * WG_USEC_PER_MSEC,
     WG_STOP_REFUSES = 2800 * WG_USEC_PER_MSEC,
-    WG_STOP_MARGIN = 400 * WG_USEC_PER_MSEC /* to end by itself before it is killed */
+    WG_STOP_MARGIN = 250 * WG_USEC_PER_MSEC /* to end by itself before it is killed */
 };
 
 /* ---- helpers -------------------------------------------------------------------------------- */
@@ -63,8 +63,13 @@
     return e->config && e->registry_known && !e->stopping;
 }
 
-bool wg_entry_refuses_new(const wg_entry* e) {
-    return e->stopping && wg_now() - e->stop_at > WG_STOP_REFUSES;
+static wg_time wg_entry_stop_time(const wg_entry* e) {
+    return e->settings->grace_s * WG_USEC_PER_SEC - WG_STOP_MARGIN;
+}
+
+bool wg_entry_refuses_new(const wg_entry* e, wg_time takes) {
+    wg_time since = wg_now() - e->stop_at;
+    return e->stopping && (since > WG_STOP_REFUSES || since + takes > wg_entry_stop_time(e));
 }
 
 bool wg_entry_may_log(wg_entry* e, wg_time now) {
@@ -95,7 +100,7 @@
 
 /* Leave when nobody is served and no caller can still hold an answer that names this host. */
 static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
-    wg_time most = e->settings->grace_s * WG_USEC_PER_SEC - WG_STOP_MARGIN;
+    wg_time most = wg_entry_stop_time(e);
     wg_time least = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_LATE_CLOSE;
     wg_time since = now - e->stop_at;
     bool over = since >= most || (since >= least && e->calls_num == 0);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -8,6 +8,7 @@
     WG_WAIT_PERCENT = 18,  /* of the objective that a request may wait here before it is refused */
     WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
     WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
+    WG_ANSWER_TOKEN_TIME = 12 * WG_USEC_PER_MSEC, /* to make one, on the safe side */
     WG_ANSWER_TOKENS_FACTOR = 2 /* a token made counts as two that are read */
 };
 
@@ -16,6 +17,9 @@
 /* Share of it that others' prompts may take before that of a request too large to be in time. */
 static const double WG_LIMIT_LARGE = 0.3;
 
+/* Seconds; other entry hosts take the request at once. */
+static const double WG_STOPPING_RETRY_AFTER = 0.02;
+
 static void wg_call_try(wg_call* call);
 
 /* ---- helpers: the end of a call -------------------------------------------------------------- */
@@ -588,10 +592,6 @@
         wg_call_deny(client, bytes, body, 503, "no_configuration_yet");
         return;
     }
-    if (wg_entry_refuses_new(e)) {
-        wg_call_deny(client, bytes, body, 503, "stopping");
-        return;
-    }
     const wg_route* route = wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
     if (!route) {
         wg_call_deny(client, bytes, body, 404, "no_route");
@@ -628,6 +628,10 @@
     wg_call_read_times(call);
     call->timer = evtimer_new(e->base, wg_call_on_timer, call);
     e->calls_num++;
+    if (wg_entry_refuses_new(e, WG_ANSWER_TOKEN_TIME * call->prompt.answer)) {
+        wg_call_refuse(call, 503, "stopping", WG_STOPPING_RETRY_AFTER);
+        return;
+    }
     wg_call_set_timer(call, call->started);
     wg_call_try(call);
 }
