--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -10,6 +10,7 @@
     WG_CACHED_MAX = 8192,                 /* parts remembered for one target */
     WG_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
+    WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
     WG_FAILURES_BEFORE_ASIDE = 2,
     WG_FAR_TOKENS = 150, /* what another data centre costs, in tokens to read */
     WG_RUNNING_TOKENS = 20, /* what each running request costs the next */
@@ -262,6 +263,9 @@
         if (now < t->aside_until) {
             cost += WG_ASIDE_MAX; /* only when there is nothing else */
         }
+        if (need->limit && c.wait > need->limit) {
+            cost += WG_OVER_LIMIT;
+        }
         cost = cost * 64 + (int64_t)(wg_jitter(b->desc.seed, ++b->counter) % 64);
         if (cost < best_cost) {
             best = c;
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -45,6 +45,7 @@
     const char* service;
     const wg_prompt* prompt; /* NULL for plain services */
     int slots;               /* of one target, when it told none */
+    wg_time limit;           /* a target with a longer wait is chosen last; 0 or never: none */
     uint32_t tried[WG_TRIED_MAX];
     int tried_num;
 } wg_need;
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -85,13 +85,15 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wg_control_usage* usage = value;
         usage->tokens *= keep;
-        if (usage->tokens < 1) {
+        usage->asked *= keep;
+        if (usage->asked < 1) {
             g_hash_table_iter_remove(&iter);
         }
     }
 }
 
-static void wg_control_add_usage(wgco_control* c, uint64_t workspace, uint64_t tokens) {
+static void wg_control_add_usage(wgco_control* c, uint64_t workspace, uint64_t tokens,
+                                 uint64_t asked) {
     wg_control_usage* usage = g_hash_table_lookup(c->usage, &workspace);
     if (!usage) {
         usage = g_new0(wg_control_usage, 1);
@@ -99,24 +101,26 @@
         g_hash_table_insert(c->usage, &usage->workspace, usage);
     }
     usage->tokens += (double)tokens;
+    usage->asked += (double)asked;
 }
 
 static void wg_control_take_usage(wgco_control* c, wg_control_entry* e,
                                   const Wgpb__EntryReport* in) {
     for (size_t i = 0; i < in->n_usage; i++) {
-        uint64_t workspace = in->usage[i]->workspace;
-        uint64_t tokens = in->usage[i]->tokens;
-        uint64_t* before = g_hash_table_lookup(e->usage, &workspace);
+        const Wgpb__WorkspaceUsage* now = in->usage[i];
+        uint64_t workspace = now->workspace;
+        wg_control_reported* before = g_hash_table_lookup(e->usage, &workspace);
         if (!before) {
             /* What it served before it came to this leader is past. */
-            uint64_t* pair = g_new(uint64_t, 2);
-            pair[0] = workspace;
-            pair[1] = tokens;
-            g_hash_table_insert(e->usage, pair, pair + 1);
-        } else if (tokens > *before) {
-            wg_control_add_usage(c, workspace, tokens - *before);
-            *before = tokens;
+            before = g_new0(wg_control_reported, 1);
+            before->workspace = workspace;
+            g_hash_table_insert(e->usage, &before->workspace, before);
+        } else if (now->tokens >= before->tokens && now->asked >= before->asked) {
+            wg_control_add_usage(c, workspace, now->tokens - before->tokens,
+                                 now->asked - before->asked);
         }
+        before->tokens = now->tokens;
+        before->asked = now->asked;
     }
 }
 
@@ -274,6 +278,7 @@
         wgpb__workspace_usage__init(out);
         out->workspace = usage->workspace;
         out->tokens = (uint64_t)usage->tokens;
+        out->asked = (uint64_t)usage->asked;
         s->message.usage[s->message.n_usage++] = out;
     }
 }
@@ -357,7 +362,7 @@
     wg_copy_name(e->address, sizeof e->address, peer->address);
     wg_copy_name(e->data_centre, sizeof e->data_centre, peer->data_centre);
     e->loads = g_hash_table_new_full(NULL, NULL, NULL, g_free);
-    e->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    e->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     g_hash_table_insert(c->entries, GUINT_TO_POINTER(link.id), e);
 }
 
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -64,9 +64,16 @@
     bool ready;
     bool leaving;
     GHashTable* loads; /* target number -> Wgpb__TargetLoad* */
-    GHashTable* usage; /* hash of a workspace -> tokens as last reported */
+    GHashTable* usage; /* hash of a workspace -> wg_control_reported* */
 } wg_control_entry;
 
+/* Totals of a workspace as an entry host last reported them. */
+typedef struct {
+    uint64_t workspace;
+    uint64_t tokens;
+    uint64_t asked;
+} wg_control_reported;
+
 /* An entry host as callers may be told of it. */
 typedef struct {
     char name[WG_NAME_MAX];
@@ -79,6 +86,7 @@
 typedef struct {
     uint64_t workspace;
     double tokens;
+    double asked;
 } wg_control_usage;
 
 struct wgco_control {
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -147,8 +147,8 @@
     e->idle = g_hash_table_new(NULL, NULL);
     e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
     e->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-    e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->balance = wg_balance_setup(
         &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -219,24 +219,30 @@
 }
 
 static double wg_call_usage(const wg_call* call) {
-    const uint64_t* tokens =
+    const wg_entry_usage* usage =
         g_hash_table_lookup(call->entry->usage_fleet, &call->workspace->hash);
-    return tokens ? (double)*tokens : 0;
+    return usage ? (double)usage->tokens : 0;
 }
 
-static void wg_call_charge(wg_call* call) {
-    if (!call->workspace || !call->has_prompt) {
-        return;
-    }
+static wg_entry_usage* wg_call_own_usage(const wg_call* call) {
     GHashTable* own = call->entry->usage_own;
-    uint64_t* tokens = g_hash_table_lookup(own, &call->workspace->hash);
-    if (!tokens) {
-        uint64_t* pair = g_new0(uint64_t, 2);
-        pair[0] = call->workspace->hash;
-        tokens = pair + 1;
-        g_hash_table_insert(own, pair, tokens);
+    wg_entry_usage* usage = g_hash_table_lookup(own, &call->workspace->hash);
+    if (!usage) {
+        usage = g_new0(wg_entry_usage, 1);
+        usage->workspace = call->workspace->hash;
+        g_hash_table_insert(own, &usage->workspace, usage);
     }
-    *tokens += wg_call_tokens(call);
+    return usage;
+}
+
+static bool wg_call_counts(const wg_call* call) {
+    return call->workspace && call->has_prompt;
+}
+
+static double wg_call_patience(const wg_call* call) {
+    return wg_call_counts(call)
+               ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level)
+               : 1;
 }
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
@@ -263,17 +269,25 @@
     return MIN(call->config->services[call->service].tightest, call->route->objective);
 }
 
+/* Longest expected wait for the first event at which the request is sent. */
+static wg_time wg_call_limit(const wg_call* call, wg_time now) {
+    wg_time left = call->started + call->route->objective - now;
+    return (wg_time)(wg_call_patience(call) * WG_LIMIT *
+                     (double)MIN(left, wg_call_tightest(call)));
+}
+
+/* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
+static bool wg_call_may_spill(const wg_call* call) {
+    return wg_call_counts(call) && wg_call_patience(call) >= 1;
+}
+
 static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
     }
-    double patience =
-        call->workspace ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level) : 1;
-    double tightest = (double)wg_call_tightest(call);
-    double left = (double)(call->started + call->route->objective - now);
-    double limit = patience * WG_LIMIT * MIN(left, tightest);
-    return (double)choice->wait <= limit ||
-           (double)choice->wait_ahead <= patience * WG_LIMIT_LARGE * tightest;
+    wg_time large =
+        (wg_time)(wg_call_patience(call) * WG_LIMIT_LARGE * (double)wg_call_tightest(call));
+    return choice->wait <= wg_call_limit(call, now) || choice->wait_ahead <= large;
 }
 
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
@@ -281,7 +295,9 @@
     wg_retry_rules rules = wg_call_retry_rules(e);
     if (call->attempts == 0) {
         wg_retry_first(wg_call_retry(call), &rules);
-        wg_call_charge(call);
+        if (wg_call_counts(call)) {
+            wg_call_own_usage(call)->tokens += wg_call_tokens(call);
+        }
     }
     call->attempts++;
     if (call->need.tried_num < WG_TRIED_MAX) {
@@ -306,6 +322,7 @@
     wg_entry* e = call->entry;
     wg_time now = wg_now();
     call->retry_at = 0;
+    call->need.limit = wg_call_may_spill(call) ? wg_call_limit(call, now) : WG_TIME_NEVER;
     wg_choice choice = wg_balance_choose(e->balance, now, &call->need);
     if (!choice.target || (call->attempts == 0 && !wg_call_fits(call, &choice, now))) {
         wg_call_enqueue(call, now);
@@ -626,6 +643,9 @@
                            .prompt = call->has_prompt ? &call->prompt : NULL,
                            .slots = service->slots};
     wg_call_read_times(call);
+    if (wg_call_counts(call)) {
+        wg_call_own_usage(call)->asked += wg_call_tokens(call);
+    }
     call->timer = evtimer_new(e->base, wg_call_on_timer, call);
     e->calls_num++;
     if (wg_entry_refuses_new(e, WG_ANSWER_TOKEN_TIME * call->prompt.answer)) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -137,6 +137,13 @@
     wg_time until;
 } wg_entry_order;
 
+/* Tokens of a workspace: served, and asked for. */
+typedef struct {
+    uint64_t workspace;
+    uint64_t tokens;
+    uint64_t asked;
+} wg_entry_usage;
+
 typedef struct {
     uint64_t requests;
     uint64_t whole;
@@ -175,8 +182,8 @@
     wg_entry_member members[WG_MEMBERS_MAX];
     int members_num;
     uint64_t members_change;
-    GHashTable* usage_own;   /* hash of a workspace -> tokens so far */
-    GHashTable* usage_fleet; /* hash of a workspace -> tokens lately */
+    GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
+    GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
     double usage_level; /* tokens up to which all are treated alike, see wg_fair.h */
 
     /* link to the leader */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -114,17 +114,20 @@
 }
 
 static void wg_entry_take_usage(wg_entry* e, const Wgpb__EntryState* in) {
-    double* used = g_new(double, in->n_usage + 1);
+    double* asked = g_new(double, in->n_usage + 1);
+    double served = 0;
     g_hash_table_remove_all(e->usage_fleet);
     for (size_t i = 0; i < in->n_usage; i++) {
-        uint64_t* pair = g_new(uint64_t, 2);
-        pair[0] = in->usage[i]->workspace;
-        pair[1] = in->usage[i]->tokens;
-        used[i] = (double)in->usage[i]->tokens;
-        g_hash_table_insert(e->usage_fleet, pair, pair + 1);
-    }
-    e->usage_level = wg_fair_level(used, (int)in->n_usage);
-    g_free(used);
+        wg_entry_usage* usage = g_new(wg_entry_usage, 1);
+        usage->workspace = in->usage[i]->workspace;
+        usage->tokens = in->usage[i]->tokens;
+        usage->asked = in->usage[i]->asked;
+        asked[i] = (double)MAX(usage->asked, usage->tokens);
+        served += (double)usage->tokens;
+        g_hash_table_insert(e->usage_fleet, &usage->workspace, usage);
+    }
+    e->usage_level = wg_fair_level(asked, (int)in->n_usage, served);
+    g_free(asked);
 }
 
 static void wg_entry_take_loads(wg_entry* e, const Wgpb__EntryState* in) {
@@ -292,14 +295,15 @@
         report.loads[report.n_loads++] = &load_items[i];
     }
     GHashTableIter iter;
-    gpointer key;
     gpointer value;
     g_hash_table_iter_init(&iter, e->usage_own);
-    while (g_hash_table_iter_next(&iter, &key, &value)) {
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_entry_usage* usage = value;
         Wgpb__WorkspaceUsage* item = &usage_items[report.n_usage];
         wgpb__workspace_usage__init(item);
-        item->workspace = *(uint64_t*)key;
-        item->tokens = *(uint64_t*)value;
+        item->workspace = usage->workspace;
+        item->tokens = usage->tokens;
+        item->asked = usage->asked;
         report.usage[report.n_usage++] = item;
     }
     wgn_send(e->net, e->link, WGW_TYPE_ENTRY_REPORT, &report.base);
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -4,12 +4,11 @@
 #include <stdlib.h>
 #include <string.h>
 
-static const double WG_FAIR_FILL = 0.9;
 /* Up to this many times the level a workspace waits as long as any. */
-static const double WG_FAIR_FULL_AT = 1.1;
+static const double WG_FAIR_FULL_AT = 1.05;
 /* From this many times the level on it has the least patience. */
-static const double WG_FAIR_LEAST_AT = 1.5;
-static const double WG_FAIR_LEAST = 0.08;
+static const double WG_FAIR_LEAST_AT = 1.4;
+static const double WG_FAIR_LEAST = 0.1;
 
 static int wg_fair_compare(const void* a, const void* b) {
     double first = *(const double*)a;
@@ -17,22 +16,18 @@
     return first < second ? -1 : first > second;
 }
 
-double wg_fair_level(const double* used, int num) {
+double wg_fair_level(const double* asked, int num, double served) {
     if (num == 0) {
         return 0;
     }
     double* sorted = g_new(double, num);
-    memcpy(sorted, used, sizeof *sorted * (size_t)num);
+    memcpy(sorted, asked, sizeof *sorted * (size_t)num);
     qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
-    double sum = 0;
-    for (int i = 0; i < num; i++) {
-        sum += sorted[i];
-    }
-    double left = WG_FAIR_FILL * sum;
+    double left = served;
     double level = sorted[num - 1];
     for (int i = 0; i < num; i++) {
         double even = left / (num - i);
-        if (sorted[i] >= even) {
+        if (sorted[i] > even) {
             level = even;
             break;
         }
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -4976,7 +4976,7 @@
   (ProtobufCMessageInit) wgpb__target_load__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__workspace_usage__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__workspace_usage__field_descriptors[3] =
 {
   {
     "workspace",
@@ -5002,15 +5002,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__WorkspaceUsage, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__workspace_usage__field_indices_by_name[] = {
+  2,   /* field[2] = asked */
   1,   /* field[1] = tokens */
   0,   /* field[0] = workspace */
 };
 static const ProtobufCIntRange wgpb__workspace_usage__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wgpb__workspace_usage__descriptor =
 {
@@ -5020,7 +5033,7 @@
   "Wgpb__WorkspaceUsage",
   "wgpb",
   sizeof(Wgpb__WorkspaceUsage),
-  2,
+  3,
   wgpb__workspace_usage__field_descriptors,
   wgpb__workspace_usage__field_indices_by_name,
   1,  wgpb__workspace_usage__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -648,10 +648,14 @@
    */
   uint64_t workspace;
   uint64_t tokens;
+  /*
+   * the same, of all that it asked for, refused or not
+   */
+  uint64_t asked;
 };
 #define WGPB__WORKSPACE_USAGE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__workspace_usage__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 struct  Wgpb__EntryReport
