--- a/daemons/wg_daemon.c
+++ b/daemons/wg_daemon.c
@@ -159,7 +159,7 @@
 
 int wgd_main(const wgd_desc* desc, int argc, char** argv) {
     signal(SIGPIPE, SIG_IGN);
-    signal(SIGHUP, SIG_IGN); /* until the loop runs */
+    signal(SIGHUP, SIG_IGN);  /* until the loop runs */
     signal(SIGXFSZ, SIG_IGN); /* a write beyond a file size limit fails like one on a full disk */
     _wgd_options_t options = _wgd_parse(desc, argc, argv);
     if (options.status >= 0) {
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -12,10 +12,10 @@
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
     WG_FAILURES_BEFORE_ASIDE = 2,
-    WG_FAR_TOKENS = 150, /* what another data centre costs, in tokens to read */
-    WG_RUNNING_TOKENS = 20, /* what each running request costs the next */
+    WG_FAR_TOKENS = 150,         /* what another data centre costs, in tokens to read */
+    WG_RUNNING_TOKENS = 20,      /* what each running request costs the next */
     WG_SECOND_HOME_TOKENS = 400, /* what the second home has to be better by */
-    WG_READ_AGAIN_FACTOR = 2, /* what a shared token read again counts beside its own reading */
+    WG_READ_AGAIN_FACTOR = 2,    /* what a shared token read again counts beside its own reading */
     WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
 };
 
@@ -131,8 +131,8 @@
     }
 }
 
-static wg_balance_homes wg_balance_find_homes(const wg_balance* b, wg_time now,
-                                              const wg_need* need, uint64_t part) {
+static wg_balance_homes wg_balance_find_homes(const wg_balance* b, wg_time now, const wg_need* need,
+                                              uint64_t part) {
     wg_balance_homes homes = {0};
     GHashTableIter iter;
     gpointer value;
@@ -308,7 +308,7 @@
     };
     uint32_t tokens = choice->ahead + choice->unread;
     if (tokens >= TOKENS_TOLD && took > WG_FIRST_EVENT_MIN) {
-        double sample = tokens / (double)(took - WG_FIRST_EVENT_MIN / 2);
+        double sample = tokens / ((double)took - WG_FIRST_EVENT_MIN / 2.0);
         sample = CLAMP(sample, WG_SPEED_MIN, WG_SPEED_MAX);
         t->speed += WG_SPEED_WEIGHT * (sample - t->speed);
     }
@@ -328,8 +328,7 @@
         t->aside_until = 0;
     } else if (result == WG_RESULT_FAILED && ++t->failures >= WG_FAILURES_BEFORE_ASIDE) {
         wg_time most = MIN((wg_time)WG_ASIDE_MIN << MIN(t->failures, 6), (wg_time)WG_ASIDE_MAX);
-        t->aside_until =
-            now + wg_jitter_range(b->desc.seed, ++b->counter, most / 2, most);
+        t->aside_until = now + wg_jitter_range(b->desc.seed, ++b->counter, most / 2, most);
     }
 }
 
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -51,13 +51,13 @@
 } wg_need;
 
 typedef struct {
-    uint32_t target; /* number in the registry; 0: none can take it */
-    uint32_t unread; /* tokens that the target has to read for it */
-    uint32_t ahead;  /* tokens that it reads before */
-    wg_time wait;    /* estimate, to the first event */
+    uint32_t target;    /* number in the registry; 0: none can take it */
+    uint32_t unread;    /* tokens that the target has to read for it */
+    uint32_t ahead;     /* tokens that it reads before */
+    wg_time wait;       /* estimate, to the first event */
     wg_time wait_ahead; /* the part of it that is others' prompts */
     wg_time begun;
-    uint64_t home;   /* last shared part, 0 none */
+    uint64_t home; /* last shared part, 0 none */
 } wg_choice;
 
 typedef enum {
@@ -87,8 +87,7 @@
 void wg_balance_sync(wg_balance* balance, wg_time now, const wg_registry* registry);
 /* Loads of all other hosts: those not set since wg_balance_clear_others() count as 0. */
 void wg_balance_clear_others(wg_balance* balance);
-void wg_balance_set_others(wg_balance* balance, uint32_t target, uint32_t unread,
-                           uint32_t running);
+void wg_balance_set_others(wg_balance* balance, uint32_t target, uint32_t unread, uint32_t running);
 wg_choice wg_balance_choose(wg_balance* balance, wg_time now, const wg_need* need);
 /* The prompt was sent to the target: its shared parts count as cached there for a while. */
 void wg_balance_note_prompt(wg_balance* balance, wg_time now, uint32_t target,
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -162,7 +162,7 @@
     const wg_route* second = *(wg_route* const*)b;
     size_t first_size = strlen(first->prefix);
     size_t second_size = strlen(second->prefix);
-    return first_size == second_size ? strcmp(first->prefix, second->prefix)
+    return first_size == second_size  ? strcmp(first->prefix, second->prefix)
            : first_size > second_size ? -1
                                       : 1;
 }
@@ -276,8 +276,8 @@
     }
     wg_config* c = g_new0(wg_config, 1);
     c->references = 1;
-    c->hosts = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-                                     (GDestroyNotify)g_ptr_array_unref);
+    c->hosts =
+        g_hash_table_new_full(g_str_hash, g_str_equal, NULL, (GDestroyNotify)g_ptr_array_unref);
     c->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     const json_t* version = json_object_get(json, "version");
     bool good = json_is_integer(version) && json_integer_value(version) > 0;
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -335,11 +335,10 @@
 
 static bool _wgco_open_state(wgco_control* c, GError** error) {
     const wgco_settings* s = c->settings;
-    c->store =
-        wgs_open(&(wgs_desc){.folder = s->data_folder,
-                             .fresh_identity = _wgco_random(),
-                             .log_keep = (int)s->log_keep},
-                 error);
+    c->store = wgs_open(&(wgs_desc){.folder = s->data_folder,
+                                    .fresh_identity = _wgco_random(),
+                                    .log_keep = (int)s->log_keep},
+                        error);
     if (!c->store) {
         return false;
     }
@@ -411,9 +410,8 @@
     if (c->observer) {
         return c;
     }
-    if (!_wgco_parse_controls(c, error) ||
-        (c->discovers && !wg_control_discovery_form(c, error)) || !_wgco_open_state(c, error) ||
-        !_wgco_open_links(c, error)) {
+    if (!_wgco_parse_controls(c, error) || (c->discovers && !wg_control_discovery_form(c, error)) ||
+        !_wgco_open_state(c, error) || !_wgco_open_links(c, error)) {
         wgco_shutdown(c);
         return NULL;
     }
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -241,8 +241,7 @@
 }
 
 /* Loads of all others: what the host itself reported is taken off. */
-static void wg_control_fill_loads(wgco_control* c, const wg_control_entry* e,
-                                  wg_control_state* s) {
+static void wg_control_fill_loads(wgco_control* c, const wg_control_entry* e, wg_control_state* s) {
     guint num = g_hash_table_size(c->load_totals);
     s->loads = g_new(Wgpb__TargetLoad, num + 1);
     s->message.loads = g_new(Wgpb__TargetLoad*, num + 1);
@@ -307,8 +306,8 @@
     s.message.term = stats.term;
     s.message.leader_address = (char*)_wgco_leader_address(c);
     s.message.leads = c->leads && wgr_leads(c->node, now);
-    s.message.report_ms = MAX(WG_REPORT_MS_MIN,
-                              WG_REPORT_MS_PER_ENTRY * g_hash_table_size(c->entries));
+    s.message.report_ms =
+        MAX(WG_REPORT_MS_MIN, WG_REPORT_MS_PER_ENTRY * g_hash_table_size(c->entries));
     if (!e->reported || !s.message.leads) {
         for (int i = 0; i < set->num; i++) {
             controls[s.message.n_controls++] = (char*)set->replicas[i].address;
@@ -551,8 +550,8 @@
 
 void wg_control_entry_tick(wgco_control* c, wg_time now) {
     wg_control_drop_silent_members(c, now);
-    const wg_target* silent = wg_registry_silent(
-        c->registry, now, c->settings->target_silent_ms * WG_USEC_PER_MSEC);
+    const wg_target* silent =
+        wg_registry_silent(c->registry, now, c->settings->target_silent_ms * WG_USEC_PER_MSEC);
     if (!silent) {
         return;
     }
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -117,7 +117,7 @@
     uint64_t configuration_version;
     GBytes* configuration; /* NULL: none yet */
     wg_registry* registry;
-    GHashTable* entries; /* link id -> wg_control_entry* */
+    GHashTable* entries;       /* link id -> wg_control_entry* */
     GPtrArray* members_listed; /* wg_control_member* */
     uint64_t members_change;
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -8,7 +8,8 @@
 
 #define WG_NUMBER(group, field, def, min, max, unit, help)                                         \
     WGI_NUMBER(wg_entry_settings, group, field, def, min, max, unit, help)
-#define WG_TEXT(kind, group, field, def, help) WGI_TEXT(wg_entry_settings, kind, group, field, def, help)
+#define WG_TEXT(kind, group, field, def, help)                                                     \
+    WGI_TEXT(wg_entry_settings, kind, group, field, def, help)
 
 const wgi_key wg_entry_keys[] = {
     WG_TEXT(TEXT, "entry", name, NULL, "name of this entry host, one in the fleet"),
@@ -19,8 +20,9 @@
     WG_TEXT(ADDRESS, "entry", orders_listen, NULL, "where operators and targets send their orders"),
     WG_TEXT(LIST, "entry", seeds, NULL, "ip:port of some controls; only the ip counts"),
     WG_NUMBER("entry", fleet_port, "7100", 1, 65535, "", "port of fleet_listen on all controls"),
-    WG_TEXT(ADDRESS, "entry", fleet_listen, NULL,
-            "where other fleet processes ask for controls; the port is the same on all entry hosts"),
+    WG_TEXT(
+        ADDRESS, "entry", fleet_listen, NULL,
+        "where other fleet processes ask for controls; the port is the same on all entry hosts"),
     WG_TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
     WG_TEXT(TEXT, "log", log_level, "info", "debug, info, warn or error"),
     WG_TEXT(TEXT, "log", log_target, "stderr", "stderr, stdout or a file"),
@@ -29,7 +31,8 @@
               "longest planned stop: what still runs shortly before is cut off"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "silence after which the link to a control is closed"),
-    WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms", "wait for the leader's answer to an order"),
+    WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
+              "wait for the leader's answer to an order"),
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "of first sends that the fleet may send again"),
     WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends", "beyond, of the fleet in a window"),
@@ -145,7 +148,8 @@
     e->seed = wg_entry_random();
     e->clients = g_ptr_array_new();
     e->idle = g_hash_table_new(NULL, NULL);
-    e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
+    e->queues =
+        g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
     e->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -5,11 +5,11 @@
 #include <string.h>
 
 enum {
-    WG_WAIT_PERCENT = 18,  /* of the objective that a request may wait here before it is refused */
+    WG_WAIT_PERCENT = 18, /* of the objective that a request may wait here before it is refused */
     WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
     WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
     WG_ANSWER_TOKEN_TIME = 12 * WG_USEC_PER_MSEC, /* to make one, on the safe side */
-    WG_ANSWER_TOKENS_FACTOR = 2 /* a token made counts as two that are read */
+    WG_ANSWER_TOKENS_FACTOR = 2                   /* a token made counts as two that are read */
 };
 
 /* Share of the objective that the first event may be expected to take, for a send now. */
@@ -145,8 +145,7 @@
             evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
         }
         evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                            keep ? "" : "Connection: close\r\n",
-                            call->head_only ? "" : body);
+                            keep ? "" : "Connection: close\r\n", call->head_only ? "" : body);
         wg_socket_write(client->bev, out);
         evbuffer_free(out);
         call->entry->counters.refused += status == 503 || status == 429;
@@ -240,9 +239,8 @@
 }
 
 static double wg_call_patience(const wg_call* call) {
-    return wg_call_counts(call)
-               ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level)
-               : 1;
+    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level)
+                                : 1;
 }
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
@@ -272,8 +270,7 @@
 /* Longest expected wait for the first event at which the request is sent. */
 static wg_time wg_call_limit(const wg_call* call, wg_time now) {
     wg_time left = call->started + call->route->objective - now;
-    return (wg_time)(wg_call_patience(call) * WG_LIMIT *
-                     (double)MIN(left, wg_call_tightest(call)));
+    return (wg_time)(wg_call_patience(call) * WG_LIMIT * (double)MIN(left, wg_call_tightest(call)));
 }
 
 /* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
@@ -609,7 +606,8 @@
         wg_call_deny(client, bytes, body, 503, "no_configuration_yet");
         return;
     }
-    const wg_route* route = wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
+    const wg_route* route =
+        wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
     if (!route) {
         wg_call_deny(client, bytes, body, 404, "no_route");
         return;
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -246,8 +246,8 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     wg_client* client = g_new0(wg_client, 1);
     client->entry = e;
-    client->bev = bufferevent_socket_new(e->base, fd,
-                                         BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    client->bev =
+        bufferevent_socket_new(e->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(client->bev, wg_client_on_read, wg_client_on_write, wg_client_on_event,
                       client);
     client->at = e->clients->len;
@@ -261,9 +261,9 @@
     int size;
     const char* text = e->settings->callers_listen;
     if (wgn_parse_address(text, &address, &size)) {
-        e->listener = evconnlistener_new_bind(
-            e->base, wg_client_accept, e, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
-            WG_LISTEN_BACKLOG, (struct sockaddr*)&address, size);
+        e->listener = evconnlistener_new_bind(e->base, wg_client_accept, e,
+                                              LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+                                              WG_LISTEN_BACKLOG, (struct sockaddr*)&address, size);
     }
     if (!e->listener) {
         g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot listen on %s: %s", text,
@@ -297,8 +297,8 @@
         if (limit == 0 || now - client->since < limit) {
             continue;
         }
-        bool late = client->state == WG_CLIENT_BODY ||
-                    (client->state == WG_CLIENT_HEAD && client->begun);
+        bool late =
+            client->state == WG_CLIENT_BODY || (client->state == WG_CLIENT_HEAD && client->begun);
         if (late) {
             wg_client_reject(client, 408, "request_too_slow");
         } else {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -86,7 +86,7 @@
     wg_time first_event_at;
     wg_time retry_at; /* of a next attempt that waits; 0 none */
     bool head_sent;
-    bool chunked;                 /* the answer goes out in chunks */
+    bool chunked;                     /* the answer goes out in chunks */
     char last_event[WG_EVENT_ID_MAX]; /* last whole event that was passed on; "" none */
     int64_t events;
     struct event* timer;
@@ -169,7 +169,7 @@
 
     struct evconnlistener* listener;
     GPtrArray* clients;
-    GHashTable* idle; /* target -> GQueue of wg_upstream */
+    GHashTable* idle;   /* target -> GQueue of wg_upstream */
     GHashTable* queues; /* name of a service -> GQueue of wg_call */
     int calls_num;
 
@@ -184,7 +184,7 @@
     uint64_t members_change;
     GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
     GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
-    double usage_level; /* tokens up to which all are treated alike, see wg_fair.h */
+    double usage_level;      /* tokens up to which all are treated alike, see wg_fair.h */
 
     /* link to the leader */
     wgn_net* net;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -106,10 +106,10 @@
     for (size_t i = 0; i < in->n_members && e->members_num < WG_MEMBERS_MAX; i++) {
         wg_entry_member* member = &e->members[e->members_num];
         const Wgpb__EntryMember* from = in->members[i];
-        e->members_num += wg_copy_name(member->name, sizeof member->name, from->name) &&
-                          wg_copy_name(member->address, sizeof member->address, from->address) &&
-                          wg_copy_name(member->data_centre, sizeof member->data_centre,
-                                       from->data_centre);
+        e->members_num +=
+            wg_copy_name(member->name, sizeof member->name, from->name) &&
+            wg_copy_name(member->address, sizeof member->address, from->address) &&
+            wg_copy_name(member->data_centre, sizeof member->data_centre, from->data_centre);
     }
 }
 
@@ -390,20 +390,19 @@
     wg_copy_name(self.address, sizeof self.address, e->settings->callers_listen);
     wg_copy_name(self.data_centre, sizeof self.data_centre, e->settings->data_centre);
     e->report_gap = WG_PROVE_TIME;
-    e->net = wgn_setup(&(wgn_desc){.base = e->base,
-                                   .fleet_key = e->settings->fleet_key,
-                                   .self = self,
-                                   .links_max = 256,
-                                   .proof_deadline = WG_PROVE_TIME,
-                                   .silence_deadline =
-                                       e->settings->link_silence_ms * WG_USEC_PER_MSEC,
-                                   .ping_interval =
-                                       e->settings->link_silence_ms * WG_USEC_PER_MSEC / 4,
-                                   .on_up = wg_entry_on_up,
-                                   .on_frame = wg_entry_on_frame,
-                                   .on_down = wg_entry_on_down,
-                                   .user_data = e},
-                       error);
+    e->net =
+        wgn_setup(&(wgn_desc){.base = e->base,
+                              .fleet_key = e->settings->fleet_key,
+                              .self = self,
+                              .links_max = 256,
+                              .proof_deadline = WG_PROVE_TIME,
+                              .silence_deadline = e->settings->link_silence_ms * WG_USEC_PER_MSEC,
+                              .ping_interval = e->settings->link_silence_ms * WG_USEC_PER_MSEC / 4,
+                              .on_up = wg_entry_on_up,
+                              .on_frame = wg_entry_on_frame,
+                              .on_down = wg_entry_on_down,
+                              .user_data = e},
+                  error);
     return e->net && wgn_listen(e->net, e->settings->fleet_listen, error) &&
            wg_entry_learn_seeds(e, e->settings, error);
 }
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -11,12 +11,11 @@
 
 static void wg_pages_error(struct evhttp_request* request, int status, const char* code,
                            const char* message) {
-    wgh_reply_error(request,
-                    &(wgh_error){.status = status,
-                                 .code = code,
-                                 .verdict = WG_VERDICT_NOT_RUN,
-                                 .retry_after = status == 503 ? WG_USEC_PER_SEC / 2 : 0,
-                                 .message = message});
+    wgh_reply_error(request, &(wgh_error){.status = status,
+                                          .code = code,
+                                          .verdict = WG_VERDICT_NOT_RUN,
+                                          .retry_after = status == 503 ? WG_USEC_PER_SEC / 2 : 0,
+                                          .message = message});
 }
 
 void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
@@ -39,17 +38,18 @@
     }
 }
 
-/* ---- ready, metrics, state -------------------------------------------------------------------- */
+/* ---- ready, metrics, state --------------------------------------------------------------------
+ */
 
 json_t* wg_entry_dump(wg_entry* e) {
     wg_time now = wg_now();
-    return json_pack(
-        "{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name, "ready",
-        (int)wg_entry_is_ready(e), "stopping", (int)e->stopping, "configuration",
-        (json_int_t)(e->config ? e->config->version : 0), "registry",
-        (json_int_t)wg_registry_change(e->registry), "members", e->members_num, "calls",
-        e->calls_num, "callers", (int)e->clients->len, "leader_known", (int)e->leader_known,
-        "state_age_ms", (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
+    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name,
+                     "ready", (int)wg_entry_is_ready(e), "stopping", (int)e->stopping,
+                     "configuration", (json_int_t)(e->config ? e->config->version : 0), "registry",
+                     (json_int_t)wg_registry_change(e->registry), "members", e->members_num,
+                     "calls", e->calls_num, "callers", (int)e->clients->len, "leader_known",
+                     (int)e->leader_known, "state_age_ms",
+                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
 }
 
 static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
@@ -75,7 +75,8 @@
     g_string_free(out, TRUE);
 }
 
-/* ---- entry answers ---------------------------------------------------------------------------- */
+/* ---- entry answers ----------------------------------------------------------------------------
+ */
 
 static void wg_pages_add_members(wg_entry* e, json_t* list, const char* place, bool near) {
     for (int i = 0; i < e->members_num; i++) {
@@ -114,7 +115,8 @@
     wgh_reply_json(request, 200, json);
 }
 
-/* ---- orders ------------------------------------------------------------------------------------ */
+/* ---- orders ------------------------------------------------------------------------------------
+ */
 
 static void wg_pages_put_configuration(wg_entry* e, struct evhttp_request* request) {
     struct evbuffer* in = evhttp_request_get_input_buffer(request);
@@ -191,7 +193,8 @@
     wg_entry_order_begin(e, request, &order);
 }
 
-/* ---- set-up ------------------------------------------------------------------------------------ */
+/* ---- set-up ------------------------------------------------------------------------------------
+ */
 
 static void wg_pages_on_request(struct evhttp_request* request, void* user_data) {
     static const char targets[] = "/v1/targets/";
@@ -224,15 +227,13 @@
     }
 }
 
-static bool wg_pages_listen(wg_entry* e, wgh_server* server, const char* address,
-                            GError** error) {
+static bool wg_pages_listen(wg_entry* e, wgh_server* server, const char* address, GError** error) {
     wgh_limits limits = {.body_max = WG_ORDER_BODY_MAX};
     if (!wgh_listen(server, e->base, address, &limits, error)) {
         return false;
     }
-    evhttp_set_allowed_methods(server->http,
-                               EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST |
-                                   EVHTTP_REQ_DELETE);
+    evhttp_set_allowed_methods(server->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST |
+                                                 EVHTTP_REQ_DELETE);
     evhttp_set_gencb(server->http, wg_pages_on_request, e);
     return true;
 }
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -9,7 +9,7 @@
 
 enum {
     WG_CONNECT_TIME = 600 * WG_USEC_PER_MSEC,
-    WG_IDLE_TIME = 4 * WG_USEC_PER_SEC,    /* when the target tells none */
+    WG_IDLE_TIME = 4 * WG_USEC_PER_SEC,     /* when the target tells none */
     WG_IDLE_MARGIN = 700 * WG_USEC_PER_MSEC /* before the time that it tells */
 };
 
@@ -55,9 +55,8 @@
     bool reusable = up->head.keep_alive && evbuffer_get_length(in) == 0 &&
                     evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 && target &&
                     target->state == WG_TARGET_READY && !up->entry->stopping;
-    wg_time limit = up->head.keep_time >= 0
-                        ? up->head.keep_time * WG_USEC_PER_SEC - WG_IDLE_MARGIN
-                        : WG_IDLE_TIME;
+    wg_time limit = up->head.keep_time >= 0 ? up->head.keep_time * WG_USEC_PER_SEC - WG_IDLE_MARGIN
+                                            : WG_IDLE_TIME;
     up->call = NULL;
     if (!reusable || limit <= 0) {
         wg_upstream_close(up);
@@ -74,24 +73,35 @@
     g_queue_push_head_link(wg_upstream_idle(up->entry, up->target), &up->idle_link);
 }
 
+/* Take the connection that was idle longest out of its queue; NULL when there is none. */
+static wg_upstream* wg_upstream_take_oldest(GQueue* queue) {
+    GList* link = g_queue_pop_tail_link(queue);
+    wg_upstream* up = link ? link->data : NULL;
+    if (up) {
+        up->state = WG_UPSTREAM_HEAD;
+    }
+    return up;
+}
+
 static void wg_upstream_close_queue(GQueue* queue) {
-    while (queue->head) {
-        wg_upstream_close(queue->head->data);
+    for (wg_upstream* up; (up = wg_upstream_take_oldest(queue));) {
+        wg_upstream_close(up);
     }
 }
 
+static bool wg_upstream_is_stale(const GQueue* queue, wg_time now) {
+    const wg_upstream* up = queue->tail ? queue->tail->data : NULL;
+    return up && now - up->idle_since >= up->idle_limit;
+}
+
 void wg_upstream_tick(wg_entry* e, wg_time now) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, e->idle);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         GQueue* queue = value;
-        while (queue->tail) {
-            wg_upstream* up = queue->tail->data;
-            if (now - up->idle_since < up->idle_limit) {
-                break;
-            }
-            wg_upstream_close(up);
+        while (wg_upstream_is_stale(queue, now)) {
+            wg_upstream_close(wg_upstream_take_oldest(queue));
         }
     }
 }
--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -37,8 +37,7 @@
         text.text++;
         text.size--;
     }
-    while (text.size &&
-           (text.text[text.size - 1] == ' ' || text.text[text.size - 1] == '\t')) {
+    while (text.size && (text.text[text.size - 1] == ' ' || text.text[text.size - 1] == '\t')) {
         text.size--;
     }
     return text;
@@ -263,7 +262,8 @@
     *head = (wg_message_head){.keep_time = -1};
     if (!wg_next_line(&at, bytes + size, &line) || !wg_split_word(&line, &version) ||
         !wg_parse_version(version, head) || line.size < 3 ||
-        !wg_text_number((wg_text){line.text, 3}, &status) || (line.size > 3 && line.text[3] != ' ')) {
+        !wg_text_number((wg_text){line.text, 3}, &status) ||
+        (line.size > 3 && line.text[3] != ' ')) {
         return false;
     }
     head->status = (int)status;
@@ -282,10 +282,17 @@
 }
 
 bool wg_message_is_hop_field(const wg_message_head* head, wg_text name) {
-    static const char* const hop[] = {
-        "Connection", "Keep-Alive",       "Proxy-Authenticate",  "Transfer-Encoding", "TE",
-        "Trailer",    "Proxy-Connection", "Proxy-Authorization", "Upgrade",           "Content-Length",
-        "Expect"};
+    static const char* const hop[] = {"Connection",
+                                      "Keep-Alive",
+                                      "Proxy-Authenticate",
+                                      "Transfer-Encoding",
+                                      "TE",
+                                      "Trailer",
+                                      "Proxy-Connection",
+                                      "Proxy-Authorization",
+                                      "Upgrade",
+                                      "Content-Length",
+                                      "Expect"};
     for (size_t i = 0; i < G_N_ELEMENTS(hop); i++) {
         if (wg_text_is(name, hop[i])) {
             return true;
--- a/lib/message/wg_message.h
+++ b/lib/message/wg_message.h
@@ -74,9 +74,9 @@
 /* True for fields that concern one connection only (RFC 9110, 7.6.1), those that `Connection`
    names included, and for the lengths. */
 bool wg_message_is_hop_field(const wg_message_head* head, wg_text name);
-bool wg_text_is(wg_text text, const char* word);      /* the same, in any case of letters */
-bool wg_text_number(wg_text text, int64_t* number);   /* decimal digits only */
-char* wg_text_dup(wg_text text);                      /* freed with g_free() */
+bool wg_text_is(wg_text text, const char* word);    /* the same, in any case of letters */
+bool wg_text_number(wg_text text, int64_t* number); /* decimal digits only */
+char* wg_text_dup(wg_text text);                    /* freed with g_free() */
 
 typedef enum {
     WG_BODY_MORE = 0,
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -47,8 +47,8 @@
     uint32_t slots;
     wg_target_state state;
     uint64_t sequence;
-    uint32_t number; /* short for id, never 0 */
-    uint64_t change; /* of the registry, when this record last changed */
+    uint32_t number;         /* short for id, never 0 */
+    uint64_t change;         /* of the registry, when this record last changed */
     wg_time heard_at;        /* on this host's clock, not replicated */
     uint64_t heard_sequence; /* not replicated */
 } wg_target;
--- a/lib/retry/wg_retry.c
+++ b/lib/retry/wg_retry.c
@@ -6,8 +6,8 @@
 #include "wg_retry.h"
 
 /* Parts of the budget that the bucket may use. */
-static const double WG_RETRY_SHARE = 0.8;  /* of the percentage */
-static const double WG_RETRY_CAP = 0.45;   /* of the slack, held at once */
+static const double WG_RETRY_SHARE = 0.8;   /* of the percentage */
+static const double WG_RETRY_CAP = 0.45;    /* of the slack, held at once */
 static const double WG_RETRY_RETURN = 0.35; /* of the slack, in one window */
 
 static double wg_retry_cap(const wg_retry_rules* rules) {
--- /dev/null
+++ b/tests/test_balance.c
@@ -0,0 +1,254 @@
+/* test_balance.c -- where requests go, who gives way, and how often they are sent again */
+#include <math.h>
+
+#include "wg_balance.h"
+#include "wg_fair.h"
+#include "wg_retry.h"
+#include "wg_test.h"
+
+static wg_registry* registry;
+static wg_balance* balance;
+
+static void begin(int targets) {
+    registry = wg_registry_setup(&(wg_registry_desc){0});
+    for (int i = 1; i <= targets; i++) {
+        wg_target t = {.state = WG_TARGET_READY, .sequence = 1, .slots = 64};
+        g_snprintf(t.id, sizeof t.id, "target-%d", i);
+        g_snprintf(t.address, sizeof t.address, "10.0.0.%d:1", i);
+        g_snprintf(t.service, sizeof t.service, "m");
+        wg_registry_apply(registry, 0, &t);
+    }
+    balance = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 3});
+    wg_balance_sync(balance, 0, registry);
+}
+
+static void end(void) {
+    wg_balance_shutdown(balance);
+    wg_registry_shutdown(registry);
+}
+
+static wg_prompt prompt(uint64_t shared, uint64_t own) {
+    return (wg_prompt){.parts = {1, shared, own},
+                       .sizes = {2500, 3800, 2900},
+                       .num = 3,
+                       .tokens = 9200,
+                       .answer = 50};
+}
+
+static wg_choice choose(const wg_prompt* p, wg_time now) {
+    wg_need need = {.service = "m", .prompt = p, .slots = 64};
+    return wg_balance_choose(balance, now, &need);
+}
+
+/* Hosts that never spoke to each other send a prefix to the same targets. */
+START_TEST(a_prefix_has_its_homes_on_every_host) {
+    begin(18);
+    wg_balance* other = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 99});
+    wg_balance_sync(other, 0, registry);
+    int used[19] = {0};
+    for (uint64_t part = 1000; part < 1300; part++) {
+        wg_prompt p = prompt(part, part + 5000);
+        wg_need need = {.service = "m", .prompt = &p, .slots = 64};
+        wg_choice a = wg_balance_choose(balance, 0, &need);
+        wg_choice b = wg_balance_choose(other, 0, &need);
+        ck_assert_uint_eq(a.target, b.target);
+        ck_assert_uint_eq(a.unread, 2900);
+        used[a.target]++;
+    }
+    for (int i = 1; i <= 18; i++) {
+        ck_assert_int_gt(used[i], 4);
+        ck_assert_int_lt(used[i], 40);
+    }
+    wg_balance_shutdown(other);
+    end();
+}
+END_TEST
+
+START_TEST(a_loaded_home_spills_to_the_second) {
+    begin(18);
+    wg_prompt p = prompt(77, 78);
+    uint32_t first = choose(&p, 0).target;
+    uint32_t second = 0;
+    for (int i = 0; i < 4; i++) {
+        wg_choice c = choose(&p, 0);
+        wg_balance_begin(balance, 0, &c);
+        if (c.target != first) {
+            ck_assert(second == 0 || second == c.target);
+            second = c.target;
+        }
+    }
+    ck_assert_uint_ne(second, 0);
+    end();
+}
+END_TEST
+
+START_TEST(a_lost_target_moves_only_its_own_prefixes) {
+    begin(18);
+    uint32_t before[200];
+    for (uint64_t i = 0; i < G_N_ELEMENTS(before); i++) {
+        wg_prompt p = prompt(i + 1, i + 9000);
+        before[i] = choose(&p, 0).target;
+    }
+    wg_target gone = *wg_registry_find(registry, 7);
+    gone.state = WG_TARGET_GONE;
+    wg_registry_apply(registry, 1, &gone);
+    wg_balance_sync(balance, 1, registry);
+    for (uint64_t i = 0; i < G_N_ELEMENTS(before); i++) {
+        wg_prompt p = prompt(i + 1, i + 9000);
+        uint32_t now = choose(&p, 1).target;
+        ck_assert(before[i] == 7 ? now != 7 : now == before[i]);
+    }
+    end();
+}
+END_TEST
+
+START_TEST(draining_targets_get_nothing) {
+    begin(2);
+    wg_target drain = *wg_registry_find(registry, 1);
+    drain.state = WG_TARGET_DRAINING;
+    drain.sequence++;
+    wg_registry_apply(registry, 1, &drain);
+    wg_balance_sync(balance, 1, registry);
+    for (uint64_t i = 0; i < 50; i++) {
+        wg_prompt p = prompt(i + 1, i + 100);
+        ck_assert_uint_eq(choose(&p, 1).target, 2);
+    }
+    wg_need tried = {.service = "m", .slots = 64, .tried = {2}, .tried_num = 1};
+    ck_assert_uint_eq(wg_balance_choose(balance, 1, &tried).target, 0);
+    end();
+}
+END_TEST
+
+/* Whatever comes, in any order, the accounts end at nothing. */
+START_TEST(accounts_come_out_even) {
+    for (uint64_t seed = 1; seed <= 30; seed++) {
+        begin(5);
+        wg_choice open[40] = {0};
+        for (uint64_t step = 0; step < 2000; step++) {
+            uint64_t random = wg_jitter(seed, step);
+            wg_time now = (wg_time)step * 3000;
+            wg_choice* c = &open[random % G_N_ELEMENTS(open)];
+            if (c->target == 0) {
+                wg_prompt p = prompt(random / 64 % 20, step + 100);
+                *c = choose(&p, now);
+                wg_balance_begin(balance, now, c);
+            } else if (random / 64 % 3 == 0) {
+                wg_balance_read(balance, now, c);
+            } else {
+                wg_balance_end(balance, now, c, (wg_result)(1 + random / 256 % 4));
+                *c = (wg_choice){0};
+            }
+        }
+        for (size_t i = 0; i < G_N_ELEMENTS(open); i++) {
+            if (open[i].target) {
+                wg_balance_end(balance, 7 * SECOND, &open[i], WG_RESULT_LEFT);
+            }
+        }
+        wg_balance_load loads[8];
+        ck_assert_int_eq(wg_balance_loads(balance, loads, 8), 0);
+        end();
+    }
+}
+END_TEST
+
+START_TEST(failing_targets_are_put_aside_and_come_back) {
+    begin(3);
+    wg_need need = {.service = "m", .slots = 64};
+    wg_time now = 0;
+    for (int i = 0; i < 2; i++) {
+        wg_choice c = {.target = 1};
+        wg_balance_begin(balance, now, &c);
+        wg_balance_end(balance, now, &c, WG_RESULT_FAILED);
+    }
+    for (int i = 0; i < 100; i++) {
+        ck_assert_uint_ne(wg_balance_choose(balance, now, &need).target, 1);
+    }
+    now = 5 * SECOND;
+    bool back = false;
+    for (int i = 0; i < 100; i++) {
+        back = back || wg_balance_choose(balance, now, &need).target == 1;
+    }
+    ck_assert(back);
+    /* With nothing else, one that failed is better than none. */
+    need.tried_num = 2;
+    need.tried[0] = 2;
+    need.tried[1] = 3;
+    ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).target, 1);
+    end();
+}
+END_TEST
+
+START_TEST(the_level_is_max_min) {
+    ck_assert(fabs(wg_fair_level((double[]){10, 20, 90}, 3, 90) - 60) < 1e-9);
+    ck_assert(fabs(wg_fair_level((double[]){50, 50, 50}, 3, 90) - 30) < 1e-9);
+    ck_assert(fabs(wg_fair_level((double[]){10, 20, 30}, 3, 60) - 30) < 1e-9);
+    ck_assert(wg_fair_level(NULL, 0, 0) == 0);
+    for (uint64_t seed = 1; seed <= 200; seed++) {
+        double asked[12];
+        double sum = 0;
+        for (int i = 0; i < 12; i++) {
+            asked[i] = (double)(wg_jitter(seed, (uint64_t)i) % 1000);
+            sum += asked[i];
+        }
+        double served = sum * (double)(wg_jitter(seed, 50) % 100) / 100;
+        double level = wg_fair_level(asked, 12, served);
+        double given = 0;
+        for (int i = 0; i < 12; i++) {
+            given += MIN(asked[i], level);
+        }
+        ck_assert(fabs(given - served) < 1e-6);
+    }
+    ck_assert(wg_fair_patience(99, 100) == 1);
+    ck_assert(wg_fair_patience(1000, 100) < wg_fair_patience(120, 100));
+    ck_assert(wg_fair_patience(1000, 100) > 0);
+}
+END_TEST
+
+/* In every window, hosts that come and go and see refusals of everything stay within the budget. */
+START_TEST(the_fleet_keeps_its_retry_budget) {
+    enum {
+        STEPS = 6000, /* of 10 ms */
+        HOSTS = 11
+    };
+    const wg_retry_rules rules = {
+        .percent = 20, .slack = 58, .window = 10 * SECOND, .hosts = HOSTS};
+    for (uint64_t seed = 1; seed <= 12; seed++) {
+        wg_retry hosts[HOSTS] = {0};
+        static int firsts[STEPS];
+        static int agains[STEPS];
+        memset(firsts, 0, sizeof firsts);
+        memset(agains, 0, sizeof agains);
+        for (int step = 0; step < STEPS; step++) {
+            bool busy = step / 700 % 2 == 0;
+            for (int h = 0; h < HOSTS; h++) {
+                uint64_t random = wg_jitter(seed, (uint64_t)(step * HOSTS + h));
+                if (random % 4000 == 0) {
+                    hosts[h] = (wg_retry){0}; /* started again */
+                }
+                wg_retry_pass(&hosts[h], 10 * MSEC, &rules);
+                int requests = busy ? (int)(random / 4000 % 3) : random / 4000 % 30 == 0;
+                for (int i = 0; i < requests; i++) {
+                    wg_retry_first(&hosts[h], &rules);
+                    firsts[step]++;
+                    agains[step] += wg_retry_take(&hosts[h], &rules);
+                }
+            }
+        }
+        for (int from = 0; from + 1000 <= STEPS; from += 10) {
+            int first = 0;
+            int again = 0;
+            for (int i = from; i < from + 1000; i++) {
+                first += firsts[i];
+                again += agains[i];
+            }
+            ck_assert_msg(again <= first * 20 / 100 + 58, "seed %d: %d of %d", (int)seed, again,
+                          first);
+        }
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("balance", a_prefix_has_its_homes_on_every_host, a_loaded_home_spills_to_the_second,
+             a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
+             the_level_is_max_min, the_fleet_keeps_its_retry_budget)
--- /dev/null
+++ b/tests/test_config.c
@@ -0,0 +1,139 @@
+/* test_config.c -- whole configurations: what is valid, what is refused, which route is found */
+#include <stdio.h>
+
+#include "wg_config.h"
+#include "wg_test.h"
+
+#define SERVICES                                                                                   \
+    "\"services\":[{\"name\":\"m\",\"connections\":9,\"engine\":{\"slots\":64,"                    \
+    "\"memory_tokens\":1000,\"event_tokens\":3}},{\"name\":\"p\"}]"
+#define ROUTE(extra)                                                                               \
+    "{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/x/\",\"kind\":\"stream\","          \
+    "\"timeout_ms\":6000,\"objective_ms\":600,\"resumable\":true" extra "}"
+
+static wg_config* parse(const char* text, char* why, size_t size) {
+    GError* error = NULL;
+    wg_config* config = wg_config_parse(text, strlen(text), &error);
+    ck_assert((config == NULL) == (error != NULL));
+    if (error) {
+        g_strlcpy(why, error->message, size);
+        g_error_free(error);
+    }
+    return config;
+}
+
+static wg_text text_of(const char* text) {
+    return (wg_text){text, strlen(text)};
+}
+
+static const char* const whole =
+    "{\"version\":7,\"unknown\":1," SERVICES ",\"routes\":["
+    "{\"name\":\"long\",\"host\":\"a.example\",\"path_prefix\":\"/x/y/\",\"kind\":\"safe\","
+    "\"timeout_ms\":800,\"service\":\"p\",\"attempts\":2,\"open\":true},"
+    "{\"name\":\"short\",\"host\":\"a.example\",\"path_prefix\":\"/x/\",\"kind\":\"stream\","
+    "\"timeout_ms\":6000,\"objective_ms\":600,\"pause_ms\":250,\"split\":[{\"service\":\"m\","
+    "\"weight\":90},{\"service\":\"p\",\"weight\":10}],\"resumable\":true}],"
+    "\"limits\":{\"head_bytes\":99,\"idle_ms\":15000,\"tokens_per_second\":440000},"
+    "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k1\",\"k2\"],\"priority\":1},"
+    "{\"name\":\"v\",\"keys\":[\"k3\"]}]}";
+
+START_TEST(a_whole_configuration_is_read) {
+    char why[200];
+    wg_config* c = parse(whole, why, sizeof why);
+    ck_assert_ptr_nonnull(c);
+    ck_assert_uint_eq(c->version, 7);
+    ck_assert_int_eq(c->limits.head_bytes, 99);
+    ck_assert_int_eq(c->limits.idle_time, 15 * SECOND);
+    ck_assert_int_eq(c->services[0].slots, 64);
+    ck_assert_int_eq(c->services[0].tightest, 600 * MSEC);
+    ck_assert(c->services[0].engine && !c->services[1].engine);
+    const wg_route* r = wg_config_route(c, text_of("A.EXAMPLE:8080"), text_of("/x/y/z?q=/"));
+    ck_assert_str_eq(r->name, "long");
+    ck_assert(wg_route_is_repeatable(r));
+    r = wg_config_route(c, text_of("a.example"), text_of("/x/yy"));
+    ck_assert_str_eq(r->name, "short");
+    ck_assert_int_eq(r->pause, 250 * MSEC);
+    ck_assert_ptr_null(wg_config_route(c, text_of("a.example"), text_of("/x")));
+    ck_assert_ptr_null(wg_config_route(c, text_of("b.example"), text_of("/x/")));
+    /* A prefix that only the query holds is no prefix of the path. */
+    ck_assert_ptr_null(wg_config_route(c, text_of("a.example"), text_of("/?/x/")));
+    ck_assert_str_eq(wg_config_workspace(c, text_of("k2"))->name, "w");
+    ck_assert_ptr_null(wg_config_workspace(c, text_of("k")));
+    ck_assert_ptr_null(wg_config_workspace(c, (wg_text){0}));
+    wg_config_unref(c);
+}
+END_TEST
+
+START_TEST(weights_split_requests) {
+    char why[200];
+    wg_config* c = parse(whole, why, sizeof why);
+    const wg_route* r = wg_config_route(c, text_of("a.example"), text_of("/x/"));
+    int first = 0;
+    for (uint64_t i = 0; i < 1000; i++) {
+        first += wg_route_pick(r, wg_jitter(5, i)) == 0;
+    }
+    ck_assert_int_gt(first, 870);
+    ck_assert_int_lt(first, 930);
+    wg_config_unref(c);
+}
+END_TEST
+
+START_TEST(invalid_configurations_are_refused_with_the_reason) {
+    static const struct {
+        const char* text;
+        const char* why;
+    } bad[] = {
+        {"", "cannot be read"},
+        {"[]", "not an object"},
+        {"{\"version\":1", "cannot be read"},
+        {"{\"version\":1} x", "cannot be read"},
+        {"{" SERVICES ",\"routes\":[]}", "version"},
+        {"{\"version\":0," SERVICES ",\"routes\":[]}", "version"},
+        {"{\"version\":\"1\"," SERVICES ",\"routes\":[]}", "version"},
+        {"{\"version\":1,\"routes\":[]}", "services"},
+        {"{\"version\":1," SERVICES "}", "routes"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE("") "]}", "unknown service"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(",\"service\":\"q\"") "]}",
+         "unknown service"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
+             ",\"split\":[{\"service\":\"m\",\"weight\":1},{\"service\":\"q\",\"weight\":0}]") "]}",
+         "unknown service"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
+             ",\"split\":[{\"service\":\"m\",\"weight\":0}]") "]}",
+         "add up to 0"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
+             ",\"split\":[{\"service\":\"m\",\"weight\":-1}]") "]}",
+         "wrong weight"},
+        {"{\"version\":1," SERVICES ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+         "\"path_prefix\":\"/\",\"kind\":\"safe\",\"timeout_ms\":0,\"service\":\"p\"}]}",
+         "timeout_ms"},
+        {"{\"version\":1," SERVICES ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+         "\"path_prefix\":\"/\",\"kind\":\"other\",\"timeout_ms\":5,\"service\":\"p\"}]}",
+         "kind"},
+        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(",\"service\":\"m\"") "," ROUTE(
+             ",\"service\":\"p\"") "]}",
+         "shares host and prefix"},
+        {"{\"version\":1," SERVICES ",\"routes\":[],\"workspaces\":[{\"name\":\"a\",\"keys\":"
+         "[\"k\"]},{\"name\":\"b\",\"keys\":[\"k\"]}]}",
+         "shares a key"},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        char why[200] = "";
+        ck_assert_msg(parse(bad[i].text, why, sizeof why) == NULL, "%s", bad[i].text);
+        ck_assert_msg(strstr(why, bad[i].why) != NULL, "%s: %s", bad[i].text, why);
+    }
+}
+END_TEST
+
+/* Cut at any place, a document is never half in force. */
+START_TEST(a_cut_document_is_refused) {
+    for (size_t size = 0; size < strlen(whole); size++) {
+        GError* error = NULL;
+        ck_assert_ptr_null(wg_config_parse(whole, size, &error));
+        g_clear_error(&error);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("config", a_whole_configuration_is_read, weights_split_requests,
+             invalid_configurations_are_refused_with_the_reason, a_cut_document_is_refused)
--- /dev/null
+++ b/tests/test_registry.c
@@ -0,0 +1,173 @@
+/* test_registry.c -- targets that register themselves: late heartbeats, drains, reused addresses */
+#include <stdio.h>
+
+#include "wg_registry.h"
+#include "wg_test.h"
+
+static wg_target record(const char* id, wg_target_state state, uint64_t sequence,
+                        const char* address) {
+    wg_target t = {.slots = 6, .state = state, .sequence = sequence};
+    wg_copy_name(t.id, sizeof t.id, id);
+    wg_copy_name(t.service, sizeof t.service, "app");
+    wg_copy_name(t.address, sizeof t.address, address);
+    return t;
+}
+
+static wg_heard hear(wg_registry* r, wg_time now, const char* id, wg_target_state state,
+                     uint64_t sequence) {
+    wg_target t = record(id, state, sequence, "10.0.0.1:1");
+    wg_heard heard = wg_registry_hear(r, now, &t);
+    if (heard == WG_HEARD_CHANGE) {
+        wg_registry_apply(r, now, &t);
+    }
+    return heard;
+}
+
+static wg_target_state state_of(const wg_registry* r, const char* id) {
+    const wg_target* t = NULL;
+    while ((t = wg_registry_next(r, t ? t->number : 0))) {
+        if (strcmp(t->id, id) == 0) {
+            return t->state;
+        }
+    }
+    return WG_TARGET_DEFAULT;
+}
+
+START_TEST(heartbeats_that_say_nothing_new_change_nothing) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    ck_assert_int_eq(hear(r, 0, "a", WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+    uint64_t change = wg_registry_change(r);
+    ck_assert_int_eq(hear(r, 1, "a", WG_TARGET_READY, 2), WG_HEARD_SAME);
+    ck_assert_int_eq(hear(r, 2, "a", WG_TARGET_READY, 2), WG_HEARD_OLD);
+    ck_assert_uint_eq(wg_registry_change(r), change);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* A heartbeat sent before the drain and come after it must not bring the target back. */
+START_TEST(a_late_heartbeat_revives_nobody) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "a", WG_TARGET_READY, 1);
+    ck_assert_int_eq(hear(r, 1, "a", WG_TARGET_DRAINING, 5), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear(r, 2, "a", WG_TARGET_READY, 4), WG_HEARD_OLD);
+    ck_assert_int_eq(hear(r, 3, "a", WG_TARGET_READY, 6), WG_HEARD_SAME);
+    ck_assert_int_eq(state_of(r, "a"), WG_TARGET_DRAINING);
+    ck_assert_int_eq(hear(r, 4, "a", WG_TARGET_GONE, 0), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear(r, 5, "a", WG_TARGET_READY, 99), WG_HEARD_OLD);
+    ck_assert_int_eq(state_of(r, "a"), WG_TARGET_GONE);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* A change that was heard and never agreed on has to be asked for again, not acknowledged. */
+START_TEST(what_was_not_agreed_on_is_no_old_heartbeat) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "a", WG_TARGET_READY, 1);
+    wg_target drain = record("a", WG_TARGET_DRAINING, 2, "10.0.0.1:1");
+    ck_assert_int_eq(wg_registry_hear(r, 1, &drain), WG_HEARD_CHANGE);
+    ck_assert_int_eq(wg_registry_hear(r, 2, &drain), WG_HEARD_CHANGE);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_leave_without_a_record_is_remembered) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    ck_assert_int_eq(hear(r, 0, "a", WG_TARGET_GONE, 0), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear(r, 1, "a", WG_TARGET_READY, 7), WG_HEARD_OLD);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_new_incarnation_ends_the_one_at_its_address) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "a", WG_TARGET_READY, 1);
+    hear(r, 1, "b", WG_TARGET_READY, 1);
+    ck_assert_int_eq(state_of(r, "a"), WG_TARGET_GONE);
+    ck_assert_int_eq(state_of(r, "b"), WG_TARGET_READY);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(silent_ones_come_back_by_a_newer_heartbeat_only) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "a", WG_TARGET_READY, 3);
+    ck_assert_ptr_null(wg_registry_silent(r, 5 * SECOND, 5 * SECOND));
+    const wg_target* silent = wg_registry_silent(r, 5 * SECOND + 1, 5 * SECOND);
+    ck_assert_ptr_nonnull(silent);
+    wg_target gone = *silent;
+    gone.state = WG_TARGET_SILENT;
+    wg_registry_apply(r, 6 * SECOND, &gone);
+    ck_assert_int_eq(state_of(r, "a"), WG_TARGET_SILENT);
+    ck_assert_int_eq(hear(r, 7 * SECOND, "a", WG_TARGET_READY, 3), WG_HEARD_OLD);
+    ck_assert_int_eq(hear(r, 8 * SECOND, "a", WG_TARGET_READY, 4), WG_HEARD_CHANGE);
+    ck_assert_int_eq(state_of(r, "a"), WG_TARGET_READY);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+static void copy_changes(const wg_registry* from, wg_registry* to, uint64_t since) {
+    bool reset = false;
+    GPtrArray* changes = wg_registry_changes(from, since, &reset);
+    if (reset) {
+        wg_registry_clear(to);
+    }
+    for (guint i = 0; i < changes->len; i++) {
+        Wgpb__TargetRecord packed;
+        wg_target_pack(changes->pdata[i], &packed);
+        ck_assert(wg_registry_merge(to, &packed));
+    }
+    wg_registry_set_change(to, wg_registry_change(from));
+    g_ptr_array_unref(changes);
+}
+
+/* Copies that follow now and then, and one made from a snapshot, say the same as the original,
+   also past the number of ended records that are kept. */
+START_TEST(copies_follow_past_the_kept_records) {
+    for (uint64_t seed = 1; seed <= 20; seed++) {
+        wg_registry* r = wg_registry_setup(&(wg_registry_desc){.ended_max = 8});
+        wg_registry* copy = wg_registry_setup(&(wg_registry_desc){.ended_max = 8});
+        uint64_t since = 0;
+        for (uint64_t step = 1; step <= 600; step++) {
+            uint64_t random = wg_jitter(seed, step);
+            char id[16];
+            char address[24];
+            g_snprintf(id, sizeof id, "i%d", (int)(random % 60));
+            g_snprintf(address, sizeof address, "10.0.0.%d:1", (int)(random / 60 % 12));
+            wg_target t =
+                record(id, (wg_target_state)(1 + random / 720 % 4), step / 3, address);
+            if (wg_registry_hear(r, (wg_time)step, &t) == WG_HEARD_CHANGE) {
+                wg_registry_apply(r, (wg_time)step, &t);
+            }
+            if (random % 17 == 0) {
+                copy_changes(r, copy, since);
+                since = wg_registry_change(r);
+                const wg_target* mine = NULL;
+                while ((mine = wg_registry_next(r, mine ? mine->number : 0))) {
+                    bool ended = mine->state == WG_TARGET_GONE;
+                    const wg_target* theirs = wg_registry_find(copy, mine->number);
+                    ck_assert(theirs ? theirs->state == mine->state : ended);
+                }
+                const wg_target* theirs = NULL;
+                while ((theirs = wg_registry_next(copy, theirs ? theirs->number : 0))) {
+                    ck_assert(theirs->state == WG_TARGET_GONE ||
+                              wg_registry_find(r, theirs->number) != NULL);
+                }
+            }
+        }
+        Wgpb__RegistryState* state = wg_registry_dump(r);
+        wg_registry* loaded = wg_registry_setup(&(wg_registry_desc){.ended_max = 8});
+        ck_assert(wg_registry_load(loaded, state));
+        ck_assert_uint_eq(wg_registry_change(loaded), wg_registry_change(r));
+        wgpb__registry_state__free_unpacked(state, NULL);
+        wg_registry_shutdown(loaded);
+        wg_registry_shutdown(copy);
+        wg_registry_shutdown(r);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("registry", heartbeats_that_say_nothing_new_change_nothing,
+             a_late_heartbeat_revives_nobody, what_was_not_agreed_on_is_no_old_heartbeat,
+             a_leave_without_a_record_is_remembered,
+             a_new_incarnation_ends_the_one_at_its_address,
+             silent_ones_come_back_by_a_newer_heartbeat_only, copies_follow_past_the_kept_records)
