--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -21,6 +21,8 @@
 static const double WG_STOPPING_RETRY_AFTER = 0.02;
 
 static void wg_call_try(wg_call* call);
+static uint32_t wg_call_tokens(const wg_call* call);
+static double wg_call_usage(const wg_call* call);
 
 /* ---- helpers: the end of a call -------------------------------------------------------------- */
 
@@ -75,12 +77,17 @@
     wg_log(WG_EVENT_REQUEST_ENDED,
            "id=%s status=%d verdict=%s reason=%s route=%s version=%" G_GUINT64_FORMAT
            " workspace=%s target=%u attempts=%d first_ms=%" G_GINT64_FORMAT
-           " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT,
+           " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT
+           " tokens=%u expected_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
+           " used=%.0f level=%.0f owed=%.0f state_age_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->need.tried_num ? call->need.tried[call->need.tried_num - 1] : 0, call->attempts,
            call->first_event_at ? (call->first_event_at - call->started) / WG_USEC_PER_MSEC : -1,
-           (now - call->started) / WG_USEC_PER_MSEC, call->events);
+           (now - call->started) / WG_USEC_PER_MSEC, call->events,
+           call->has_prompt ? wg_call_tokens(call) : 0, call->expected / WG_USEC_PER_MSEC,
+           call->limit / WG_USEC_PER_MSEC, call->workspace ? wg_call_usage(call) : 0,
+           call->entry->levels.served, call->entry->levels.owed, (now - call->entry->state_at) / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -239,7 +246,7 @@
 }
 
 static double wg_call_patience(const wg_call* call) {
-    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), call->entry->usage_level)
+    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), &call->entry->levels)
                                 : 1;
 }
 
@@ -270,7 +277,7 @@
 /* Longest expected wait for the first event at which the request is sent. */
 static wg_time wg_call_limit(const wg_call* call, wg_time now) {
     wg_time left = call->started + call->route->objective - now;
-    return (wg_time)(wg_call_patience(call) * WG_LIMIT * (double)MIN(left, wg_call_tightest(call)));
+    return (wg_time)(WG_LIMIT * (double)MIN(left, wg_call_tightest(call)));
 }
 
 /* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
@@ -282,9 +289,12 @@
     if (!call->has_prompt) {
         return true;
     }
-    wg_time large =
-        (wg_time)(wg_call_patience(call) * WG_LIMIT_LARGE * (double)wg_call_tightest(call));
-    return choice->wait <= wg_call_limit(call, now) || choice->wait_ahead <= large;
+    wg_time limit = wg_call_limit(call, now);
+    wg_time own = choice->wait - choice->wait_ahead;
+    bool too_large = own > limit;
+    double ahead = too_large ? WG_LIMIT_LARGE * (double)wg_call_tightest(call) : (double)limit;
+    return (too_large || choice->wait <= limit) &&
+           (double)choice->wait_ahead <= wg_call_patience(call) * ahead;
 }
 
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
@@ -319,8 +329,10 @@
     wg_entry* e = call->entry;
     wg_time now = wg_now();
     call->retry_at = 0;
-    call->need.limit = wg_call_may_spill(call) ? wg_call_limit(call, now) : WG_TIME_NEVER;
+    call->limit = wg_call_limit(call, now);
+    call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
     wg_choice choice = wg_balance_choose(e->balance, now, &call->need);
+    call->expected = choice.wait;
     if (!choice.target || (call->attempts == 0 && !wg_call_fits(call, &choice, now))) {
         wg_call_enqueue(call, now);
         return;
@@ -474,6 +486,10 @@
         return;
     }
     call->may_have_run = true;
+    if (call->head_sent && !wg_call_is_stream(call, up)) {
+        /* Only events may follow events, whatever this target says. */
+        wg_call_attempt_failed(call, up, "resume-failed");
+    }
 }
 
 void wg_call_answer_data(wg_call* call, wg_upstream* up) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -77,6 +77,8 @@
     bool has_prompt;
     wg_need need;
     wg_choice choice;
+    wg_time expected; /* wait for the first event, as of the last choice */
+    wg_time limit;    /* the longest at which it would have been sent */
     wg_upstream* upstream;
     int attempts;
     bool may_have_run;
@@ -184,7 +186,7 @@
     uint64_t members_change;
     GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
     GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
-    double usage_level;      /* tokens up to which all are treated alike, see wg_fair.h */
+    wg_fair_levels levels;   /* of usage_fleet */
 
     /* link to the leader */
     wgn_net* net;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -3,6 +3,9 @@
 
 #include <string.h>
 
+/* Usage is halved every two seconds: a steady rate stands there as so many seconds of it. */
+static const double WG_USAGE_SECONDS = 2.885;
+
 enum {
     WG_DIAL_GAP = 150 * WG_USEC_PER_MSEC,
     WG_PROVE_TIME = 500 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
@@ -126,7 +129,9 @@
         served += (double)usage->tokens;
         g_hash_table_insert(e->usage_fleet, &usage->workspace, usage);
     }
-    e->usage_level = wg_fair_level(asked, (int)in->n_usage, served);
+    double owed = e->config ? (double)e->config->limits.tokens_per_second * WG_USAGE_SECONDS : 0;
+    e->levels.served = wg_fair_level(asked, (int)in->n_usage, served);
+    e->levels.owed = owed > 0 ? wg_fair_level(asked, (int)in->n_usage, owed) : 0;
     g_free(asked);
 }
 
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -4,11 +4,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* Up to this many times the level a workspace waits as long as any. */
-static const double WG_FAIR_FULL_AT = 1.05;
-/* From this many times the level on it has the least patience. */
-static const double WG_FAIR_LEAST_AT = 1.4;
-static const double WG_FAIR_LEAST = 0.1;
+/* How patience falls with what a workspace has, in times of the level. */
+typedef struct {
+    double full_at;  /* up to here it is 1 */
+    double least_at; /* from here on it is `least` */
+    double least;
+    double none_at; /* from here on it is 0 */
+} wg_fair_slope;
+
+static const wg_fair_slope WG_FAIR_OWED = {
+    .full_at = 1.05, .least_at = 1.5, .least = 0.25, .none_at = 1e9};
+static const wg_fair_slope WG_FAIR_SERVED = {
+    .full_at = 1.05, .least_at = 1.4, .least = 0.06, .none_at = 1.75};
 
 static int wg_fair_compare(const void* a, const void* b) {
     double first = *(const double*)a;
@@ -37,10 +44,17 @@
     return level;
 }
 
-double wg_fair_patience(double used, double level) {
-    if (level <= 0 || used <= level * WG_FAIR_FULL_AT) {
-        return 1;
+static double wg_fair_fall(const wg_fair_slope* slope, double used, double level) {
+    double times = level > 0 ? used / level : 0;
+    if (times >= slope->none_at) {
+        return 0;
     }
-    double above = (used / level - WG_FAIR_FULL_AT) / (WG_FAIR_LEAST_AT - WG_FAIR_FULL_AT);
-    return MAX(1 - above * (1 - WG_FAIR_LEAST), WG_FAIR_LEAST);
+    double part = (times - slope->full_at) / (slope->least_at - slope->full_at);
+    return 1 - CLAMP(part, 0, 1) * (1 - slope->least);
+}
+
+double wg_fair_patience(double used, const wg_fair_levels* levels) {
+    double owed = wg_fair_fall(&WG_FAIR_OWED, used, levels->owed);
+    double served = wg_fair_fall(&WG_FAIR_SERVED, used, levels->served);
+    return MIN(owed, served);
 }
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -7,13 +7,23 @@
         max-min level: whoever asked for less has all of it, the others the level. Whoever is above
         gives way first; nobody gives way while there is room.
 
+    FEATURES
+        - two levels: of what the targets make together, as the operator says (beyond it nobody is
+          owed anything), and of what they really served (beyond it others are held back)
+
     USE
-        1. wg_fair_level(asked, num, served) once a report
-        2. wg_fair_patience(used_by_one, level) with each request
+        1. wg_fair_level(asked, num, served) once a report, for both
+        2. wg_fair_patience(used_by_one, &levels) with each request
 */
 #include "wg_base.h"
 
 /* Level at which the sum of min(asked, level) is `served`; the most asked for when all of it is. */
 double wg_fair_level(const double* asked, int num, double served);
-/* Share of its objective that a request of a workspace may be expected to wait, 0..1. */
-double wg_fair_patience(double used, double level);
+typedef struct {
+    double owed;   /* level of what is owed, 0: not known */
+    double served; /* level of what was served, 0: not known */
+} wg_fair_levels;
+
+/* Share of its objective that a request of a workspace may wait behind others, 0..1. At 0 it is not
+   sent: the workspace has far more than others that are refused. */
+double wg_fair_patience(double used, const wg_fair_levels* levels);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -198,9 +198,17 @@
         }
         ck_assert(fabs(given - served) < 1e-6);
     }
-    ck_assert(wg_fair_patience(99, 100) == 1);
-    ck_assert(wg_fair_patience(1000, 100) < wg_fair_patience(120, 100));
-    ck_assert(wg_fair_patience(1000, 100) > 0);
+    const wg_fair_levels served = {.served = 100};
+    const wg_fair_levels owed = {.owed = 100};
+    const wg_fair_levels both = {.served = 100, .owed = 100};
+    ck_assert(wg_fair_patience(99, &both) == 1);
+    ck_assert(wg_fair_patience(99, &(wg_fair_levels){0}) == 1);
+    ck_assert(wg_fair_patience(140, &served) < wg_fair_patience(120, &served));
+    /* Beyond what is owed it still has what nobody else wants. */
+    ck_assert(wg_fair_patience(9000, &owed) > 0);
+    /* Far beyond others that are refused it has to give way. */
+    ck_assert(wg_fair_patience(200, &served) == 0);
+    ck_assert(wg_fair_patience(200, &both) == 0);
 }
 END_TEST
 
