--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 	libjansson-dev libxxhash-dev libargtable2-dev libcsv-dev check curl clang-format clang-tidy
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v pb-c)
 
-.PHONY: all deps demo demo-up demo-down test bench bench-fair bench-capacity bench-faults mutants soak lint format \
+.PHONY: all deps demo demo-up demo-down test bench bench-fair bench-capacity bench-faults mutants soak soak-hosts lint format \
 	docs install fuzz
 
 all: deps
@@ -35,6 +35,10 @@
 soak: all
 	$(BUILD)/soak --seed $(or $(SEED),1) --steps $(or $(STEPS),100000)
 
+# The fault soak: real processes, faults from outside; SEEDS=50 or more by hand.
+soak-hosts: all
+	$(BUILD)/soak_hosts --seeds $(or $(SEEDS),10) $(if $(SEED),--seed $(SEED))
+
 bench: all
 	tools/bench.sh $(BUILD)
 
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -14,6 +14,8 @@
     _TEXT(TEXT, "control", name, NULL, "name of this control, one in the fleet"),
     _TEXT(TEXT, "control", data_centre, "", "data centre it stands in"),
     _TEXT(ADDRESS, "control", fleet_listen, NULL, "where fleet processes connect"),
+    _TEXT(TEXT, "control", fleet_address, "",
+          "ip:port at which other fleet processes reach fleet_listen; empty: the same"),
     _TEXT(ADDRESS, "control", operators_listen, "127.0.0.1:7200", "where operators connect"),
     _TEXT(TEXT, "control", data_folder, NULL,
           "folder on a disk, of this control alone; empty: it never votes"),
@@ -377,7 +379,8 @@
     self.cluster = wgs_query_content(c->store)->cluster;
     self.incarnation = _wgco_random();
     bool fits = wg_copy_name(self.name, sizeof self.name, s->name) &&
-                wg_copy_name(self.address, sizeof self.address, s->fleet_listen) &&
+                wg_copy_name(self.address, sizeof self.address,
+                             s->fleet_address[0] ? s->fleet_address : s->fleet_listen) &&
                 wg_copy_name(self.data_centre, sizeof self.data_centre, s->data_centre);
     if (!fits) {
         g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] a name is too long");
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -37,6 +37,7 @@
     char* name;
     char* data_centre;
     char* fleet_listen;
+    char* fleet_address;
     char* operators_listen;
     char* data_folder;
     char** controls;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -87,7 +87,8 @@
            (now - call->started) / WG_USEC_PER_MSEC, call->events,
            call->has_prompt ? wg_call_tokens(call) : 0, call->expected / WG_USEC_PER_MSEC,
            call->limit / WG_USEC_PER_MSEC, call->workspace ? wg_call_usage(call) : 0,
-           call->entry->levels.served, call->entry->levels.owed, (now - call->entry->state_at) / WG_USEC_PER_MSEC);
+           call->entry->levels.served, call->entry->levels.owed,
+           (now - call->entry->state_at) / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -246,8 +247,7 @@
 }
 
 static double wg_call_patience(const wg_call* call) {
-    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), &call->entry->levels)
-                                : 1;
+    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), &call->entry->levels) : 1;
 }
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
--- /dev/null
+++ b/tests/fakes/fake_target.c
@@ -0,0 +1,253 @@
+/* fake_target.c -- stand-in for a target that registers itself: plain calls and event streams
+
+   Arguments: address=ip:port id=NAME service=NAME orders=ip:port,... runs=FILE and the faults of
+   fake.h. Each run is one line "run ID" in the file, each acknowledged drain "drained", so that
+   whoever watches knows what ran even after this process was killed. SIGHUP drains it. */
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "fake.h"
+
+enum {
+    HEARTBEAT_US = 400 * 1000,
+    DRAIN_SERVES_US = 3000 * 1000,
+    DRAIN_BOUND_US = 2000 * 1000 /* no entry host in touch sends anything later than this */
+};
+
+typedef struct {
+    struct evhttp_request* request;
+    struct event* timer;
+    int64_t next; /* id of the next event */
+    int64_t last;
+    bool fails;
+} job_t;
+
+static struct event_base* target_base;
+static const char* target_id = "t";
+static const char* target_service = "app";
+static const char* advertised; /* where callers of it connect, when not fake_address */
+static char** orders;
+static int runs_fd = -1;
+static int64_t sequence;
+static guint orders_next;
+static bool draining;
+static bool drain_acked;
+static wg_time drain_acked_at;
+static struct event* heartbeat;
+
+static void note(const char* what, const char* id) {
+    char line[160];
+    int size = g_snprintf(line, sizeof line, "%s %s\n", what, id);
+    if (write(runs_fd, line, (size_t)size) != size) {
+        exit(3);
+    }
+}
+
+/* ---- heartbeats ------------------------------------------------------------------------------- */
+
+static void beat(void);
+
+static void on_beat_done(struct evhttp_request* request, void* user_data) {
+    bool drain = user_data != NULL;
+    bool good = request && evhttp_request_get_response_code(request) == 200;
+    if (!good) {
+        orders_next++;
+    } else if (drain && !drain_acked) {
+        drain_acked = true;
+        drain_acked_at = wg_now();
+        note("drained", target_id);
+        struct timeval wait = {.tv_sec = DRAIN_SERVES_US / 1000000,
+                               .tv_usec = DRAIN_SERVES_US % 1000000};
+        event_base_loopexit(target_base, &wait);
+    }
+}
+
+static void beat(void) {
+    char ip[64];
+    g_strlcpy(ip, orders[orders_next % g_strv_length(orders)], sizeof ip);
+    char* colon = strchr(ip, ':');
+    *colon = 0;
+    struct evhttp_connection* connection =
+        evhttp_connection_base_new(target_base, NULL, ip, (ev_uint16_t)atoi(colon + 1));
+    evhttp_connection_set_timeout(connection, 1);
+    evhttp_connection_free_on_completion(connection);
+    struct evhttp_request* request =
+        evhttp_request_new(on_beat_done, draining ? &draining : NULL);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
+    evbuffer_add_printf(evhttp_request_get_output_buffer(request),
+                        "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"dc\",\"slots\":%d,"
+                        "\"state\":\"%s\",\"sequence\":%d}",
+                        target_service, advertised ? advertised : fake_address, (int)fake.slots,
+                        draining ? "draining" : "ready", (int)++sequence);
+    char path[96];
+    g_snprintf(path, sizeof path, "/v1/targets/%s", target_id);
+    evhttp_make_request(connection, request, EVHTTP_REQ_PUT, path);
+}
+
+static void on_heartbeat(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    (void)user_data;
+    beat();
+}
+
+static void on_drain(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    (void)user_data;
+    draining = true;
+    beat();
+}
+
+/* ---- requests ---------------------------------------------------------------------------------- */
+
+static void job_end(job_t* job) {
+    event_free(job->timer);
+    g_free(job);
+}
+
+static void on_left(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    job_t* job = user_data;
+    wgh_request_lost(job->request);
+    job->request = NULL;
+}
+
+static const char* field(struct evhttp_request* request, const char* name) {
+    const char* value = evhttp_find_header(evhttp_request_get_input_headers(request), name);
+    return value ? value : "";
+}
+
+static void cut_off(job_t* job) {
+    struct evhttp_connection* connection = evhttp_request_get_connection(job->request);
+    evhttp_connection_set_closecb(connection, NULL, NULL);
+    evhttp_connection_free(connection);
+    job_end(job);
+}
+
+static void send_event(job_t* job) {
+    struct evbuffer* out = evbuffer_new();
+    evbuffer_add_printf(out, "id: %d\ndata: %s-%d\n\n", (int)job->next,
+                        field(job->request, "Walnutgate-Request"), (int)job->next);
+    job->next++;
+    evhttp_send_reply_chunk(job->request, out);
+    evbuffer_free(out);
+}
+
+static void on_job(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    job_t* job = user_data;
+    if (!job->request) {
+        job_end(job);
+        return;
+    }
+    if (fake_strikes(fake.cut)) {
+        cut_off(job);
+        return;
+    }
+    if (job->last == 0) {
+        bool fails = job->fails || fake_strikes(fake.fail);
+        evhttp_connection_set_closecb(evhttp_request_get_connection(job->request), NULL, NULL);
+        struct evbuffer* out = evbuffer_new();
+        evbuffer_add_printf(out, "whole %s", field(job->request, "Walnutgate-Request"));
+        evhttp_send_reply(job->request, fails ? 500 : 200, fails ? "Error" : "OK", out);
+        evbuffer_free(out);
+        job_end(job);
+        return;
+    }
+    if (job->next <= job->last) {
+        send_event(job);
+        struct timeval wait = {.tv_usec = fake.pace_us};
+        event_add(job->timer, &wait);
+        return;
+    }
+    evhttp_connection_set_closecb(evhttp_request_get_connection(job->request), NULL, NULL);
+    evhttp_send_reply_end(job->request);
+    job_end(job);
+}
+
+static void refuse(struct evhttp_request* request, int status) {
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Not-Run", "1");
+    evhttp_send_reply(request, status, "Not run", NULL);
+}
+
+static void on_request(struct evhttp_request* request, void* user_data) {
+    (void)user_data;
+    const char* uri = evhttp_request_get_uri(request);
+    const char* id = field(request, "Walnutgate-Request");
+    const char* expected = field(request, "Walnutgate-Expect-Target");
+    if (g_str_has_prefix(uri, "/fake/set")) {
+        fake_on_set(request);
+        return;
+    }
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Walnutgate-Request", id);
+    if (expected[0] && strcmp(expected, target_id) != 0) {
+        refuse(request, 421);
+        return;
+    }
+    if (fake_strikes(fake.refuse)) {
+        refuse(request, 503);
+        return;
+    }
+    note("run", id);
+    if (drain_acked && wg_now() - drain_acked_at > DRAIN_BOUND_US) {
+        char at[24];
+        g_snprintf(at, sizeof at, "%" G_GINT64_FORMAT, wg_now());
+        note("late", at);
+    }
+    job_t* job = g_new0(job_t, 1);
+    job->request = request;
+    job->timer = evtimer_new(target_base, on_job, job);
+    job->fails = strstr(uri, "/stream/") && fake_strikes(fake.fail);
+    if (strstr(uri, "/stream/") && !job->fails) {
+        job->next = 1 + atoi(field(request, "Last-Event-ID"));
+        job->last = atoi(strstr(uri, "/stream/") + strlen("/stream/"));
+        evhttp_add_header(out, "Content-Type", "text/event-stream");
+        evhttp_send_reply_start(request, 200, "OK");
+    }
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), on_left, job);
+    struct timeval wait = {.tv_usec = fake.work_us};
+    event_add(job->timer, &wait);
+}
+
+static void setup(struct event_base* base) {
+    target_base = base;
+    heartbeat = event_new(base, -1, EV_PERSIST, on_heartbeat, NULL);
+    struct timeval period = {.tv_usec = HEARTBEAT_US};
+    event_add(heartbeat, &period);
+    fake_timer = evsignal_new(base, SIGHUP, on_drain, NULL);
+    event_add(fake_timer, NULL);
+    beat();
+}
+
+/* Take out what fake.h does not know; the rest stays for it. */
+static int own_arguments(int argc, char** argv) {
+    int kept = 1;
+    for (int i = 1; i < argc; i++) {
+        if (g_str_has_prefix(argv[i], "id=")) {
+            target_id = argv[i] + 3;
+        } else if (g_str_has_prefix(argv[i], "service=")) {
+            target_service = argv[i] + 8;
+        } else if (g_str_has_prefix(argv[i], "orders=")) {
+            orders = g_strsplit(argv[i] + 7, ",", 0);
+        } else if (g_str_has_prefix(argv[i], "advertise=")) {
+            advertised = argv[i] + strlen("advertise=");
+        } else if (g_str_has_prefix(argv[i], "runs=")) {
+            runs_fd = open(argv[i] + 5, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
+        } else {
+            argv[kept++] = argv[i];
+        }
+    }
+    return kept;
+}
+
+int main(int argc, char** argv) {
+    argc = own_arguments(argc, argv);
+    if (runs_fd < 0 || !orders) {
+        fprintf(stderr, "fake_target: orders= and runs= are needed\n");
+        return 2;
+    }
+    return fake_main(argc, argv, setup, on_request);
+}
--- /dev/null
+++ b/tests/sim/hosts.c
@@ -0,0 +1,260 @@
+/* hosts.c -- see hosts.h */
+#include "hosts.h"
+
+#include "folder.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <glib/gstdio.h>
+#include <signal.h>
+#include <spawn.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/file.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+extern char** environ;
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static void write_file(const hosts* h, const char* name, const char* text) {
+    char* path = g_build_filename(h->folder, name, NULL);
+    WG_ASSERT(g_file_set_contents(path, text, -1, NULL));
+    g_free(path);
+}
+
+static int take_part(void) {
+    for (int i = 0; i < 240; i++) {
+        int part = 2 + (getpid() + i) % 240;
+        char path[48];
+        g_snprintf(path, sizeof path, "/tmp/wg-fleet-host-%d.lock", part);
+        int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) {
+            return part;
+        }
+        close(fd);
+    }
+    wg_assert_failed("a free part of the loopback addresses", __FILE__, __LINE__);
+}
+
+static void find_programs(hosts* h) {
+    char self[256] = "";
+    WG_ASSERT(readlink("/proc/self/exe", self, sizeof self - 1) > 0);
+    char* folder = g_path_get_dirname(self);
+    g_strlcpy(h->bin, folder, sizeof h->bin);
+    g_free(folder);
+}
+
+static pid_t start(const hosts* h, const char* program, const char* log, char** arguments) {
+    char path[320];
+    char* argv[16] = {path};
+    g_snprintf(path, sizeof path, "%s/%s", h->bin, program);
+    for (int i = 0; arguments[i]; i++) {
+        argv[i + 1] = arguments[i];
+    }
+    char* out = g_build_filename(h->folder, log, NULL);
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 1, out, O_CREAT | O_WRONLY | O_APPEND, 0600);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    posix_spawn_file_actions_addchdir_np(&actions, h->folder);
+    pid_t pid = 0;
+    int failed = posix_spawn(&pid, path, &actions, NULL, argv, environ);
+    posix_spawn_file_actions_destroy(&actions);
+    g_free(out);
+    WG_ASSERT(failed == 0);
+    return pid;
+}
+
+static char* seeds(const hosts* h) {
+    GString* list = g_string_new(NULL);
+    for (int i = 0; i < h->num && i < 3; i++) {
+        g_string_append_printf(list, "%s127.%d.1.%d:7200", i ? "," : "", h->part, i + 1);
+    }
+    return g_string_free(list, FALSE);
+}
+
+/* ---- functions -------------------------------------------------------------------------------- */
+
+void hosts_setup(hosts* h, struct event_base* base, int num, int disks, int targets) {
+    *h = (hosts){.base = base, .num = num, .targets_num = targets};
+    WG_ASSERT(num <= HOSTS_MAX && targets <= HOST_TARGETS_MAX);
+    h->part = take_part();
+    find_programs(h);
+    g_strlcpy(h->folder, "/tmp/wg-hosts-XXXXXX", sizeof h->folder);
+    WG_ASSERT(mkdtemp(h->folder) != NULL);
+    write_file(h, "fleet.key", "fleet-key-of-the-soak\n");
+    write_file(h, "operator.key", "operator-key-of-the-soak\n");
+    for (int i = 0; i < num; i++) {
+        host* w = &h->hosts[i];
+        w->number = i + 1;
+        w->disk = i < disks;
+        g_snprintf(w->callers, sizeof w->callers, "127.%d.1.%d:8000", h->part, i + 1);
+        g_snprintf(w->ready, sizeof w->ready, "127.%d.1.%d:8001", h->part, i + 1);
+        g_snprintf(w->entries, sizeof w->entries, "127.%d.1.%d:8002", h->part, i + 1);
+        g_snprintf(w->orders, sizeof w->orders, "127.%d.1.%d:7200", h->part, i + 1);
+        if (w->disk) {
+            char near[WG_ADDRESS_MAX];
+            char far[WG_ADDRESS_MAX];
+            g_snprintf(near, sizeof near, "127.%d.1.%d:7100", h->part, i + 1);
+            g_snprintf(far, sizeof far, "127.%d.9.%d:7100", h->part, i + 1);
+            w->links = proxy_start(base, near, far);
+        }
+    }
+    for (int i = 0; i < targets; i++) {
+        host_target* t = &h->targets[i];
+        char near[WG_ADDRESS_MAX];
+        char far[WG_ADDRESS_MAX];
+        t->number = i + 1;
+        t->service = i % 2 ? "engine" : "app";
+        g_snprintf(near, sizeof near, "127.%d.5.%d:9000", h->part, i + 1);
+        g_snprintf(far, sizeof far, "127.%d.6.%d:9000", h->part, i + 1);
+        t->links = proxy_start(base, near, far);
+    }
+}
+
+void hosts_start_entry(hosts* h, host* w) {
+    char name[32];
+    char log[32];
+    char* list = seeds(h);
+    char* text = g_strdup_printf(
+        "[entry]\nname=127.%d.1.%d\ndata_centre=dc\ncallers_listen=%s\nready_listen=%s\n"
+        "entry_listen=%s\norders_listen=%s\nseeds=%s\nfleet_port=7100\n"
+        "fleet_listen=127.%d.1.%d:7101\n[keys]\nfleet_key=fleet.key\n[log]\nlog_target=stdout\n"
+        "[timing]\ngrace_s=8\n",
+        h->part, w->number, w->callers, w->ready, w->entries, w->orders, list, h->part, w->number);
+    g_snprintf(name, sizeof name, "entry-%d.ini", w->number);
+    g_snprintf(log, sizeof log, "entry-%d.log", w->number);
+    write_file(h, name, text);
+    char* arguments[] = {(char*)"--settings", name, NULL};
+    w->entry = start(h, "walnutgate-entryd", log, arguments);
+    g_free(text);
+    g_free(list);
+}
+
+void hosts_start_replica(hosts* h, host* w) {
+    char name[32];
+    char log[32];
+    char* list = seeds(h);
+    char* text = g_strdup_printf(
+        "[control]\nname=127.%d.1.%d\nfleet_listen=127.%d.9.%d:7100\n"
+        "fleet_address=127.%d.1.%d:7100\noperators_listen=127.%d.9.%d:7300\n"
+        "data_folder=data-%d\nseeds=%s\nfleet_port=7100\nentry_port=7101\nfirst_start=%s\n"
+        "[keys]\nfleet_key=fleet.key\noperator_key=operator.key\n[log]\nlog_target=stdout\n"
+        "[timing]\ntick_ms=20\nlink_silence_ms=1200\n"
+        "[state]\nsnapshot_entries=20\nlog_keep=8\nclaims_max=1024\n",
+        h->part, w->number, h->part, w->number, h->part, w->number, h->part, w->number, w->number,
+        list, h->started_before ? "false" : "true");
+    g_snprintf(name, sizeof name, "replica-%d.ini", w->number);
+    g_snprintf(log, sizeof log, "replica-%d.log", w->number);
+    write_file(h, name, text);
+    char* arguments[] = {(char*)"--settings", name, NULL};
+    w->replica = start(h, "walnutgate-controld", log, arguments);
+    g_free(text);
+    g_free(list);
+}
+
+void hosts_start_target(hosts* h, host_target* t) {
+    char address[64];
+    char id[48];
+    char service[32];
+    char runs[48];
+    char log[32];
+    GString* list = g_string_new("orders=");
+    t->incarnation++;
+    for (int i = 0; i < h->num; i++) {
+        const host* w = &h->hosts[(i + t->number) % h->num];
+        g_string_append_printf(list, "%s%s", i ? "," : "", w->orders);
+    }
+    g_snprintf(address, sizeof address, "address=127.%d.6.%d:9000", h->part, t->number);
+    g_snprintf(id, sizeof id, "id=target-%d-%d", t->number, t->incarnation);
+    g_snprintf(service, sizeof service, "service=%s", t->service);
+    g_snprintf(runs, sizeof runs, "runs=runs-%d", t->number);
+    g_snprintf(log, sizeof log, "target-%d.log", t->number);
+    char advertised[64];
+    g_snprintf(advertised, sizeof advertised, "advertise=127.%d.5.%d:9000", h->part, t->number);
+    char* arguments[] = {address,
+                         advertised,
+                         id,
+                         service,
+                         runs,
+                         list->str,
+                         (char*)"slots=16",
+                         (char*)"work_us=3000",
+                         (char*)"pace_us=4000",
+                         h->spoiled ? (char*)"cut=2" : NULL,
+                         (char*)"fail=10",
+                         (char*)"refuse=6",
+                         NULL};
+    t->pid = start(h, "fake_target", log, arguments);
+    g_string_free(list, TRUE);
+}
+
+void hosts_wipe(hosts* h, host* w) {
+    char* folder = g_strdup_printf("%s/data-%d", h->folder, w->number);
+    WG_ASSERT(w->replica == 0);
+    folder_wipe(folder);
+    g_free(folder);
+}
+
+static void end_process(pid_t* pid) {
+    if (*pid > 0) {
+        kill(*pid, SIGKILL);
+        while (waitpid(*pid, NULL, 0) < 0 && errno == EINTR) {
+        }
+        *pid = 0;
+    }
+}
+
+void hosts_end(hosts* h, bool keep) {
+    for (int i = 0; i < h->num; i++) {
+        end_process(&h->hosts[i].entry);
+        end_process(&h->hosts[i].replica);
+        if (h->hosts[i].links) {
+            proxy_stop(h->hosts[i].links);
+        }
+    }
+    for (int i = 0; i < h->targets_num; i++) {
+        end_process(&h->targets[i].pid);
+        proxy_stop(h->targets[i].links);
+    }
+    if (keep) {
+        return;
+    }
+    for (int i = 0; i < h->num; i++) {
+        if (h->hosts[i].disk) {
+            char* data = g_strdup_printf("%s/data-%d", h->folder, i + 1);
+            folder_wipe(data);
+            g_rmdir(data);
+            g_free(data);
+        }
+    }
+    folder_wipe(h->folder);
+    g_rmdir(h->folder);
+}
+
+GHashTable* hosts_runs(const hosts* h, GArray* late) {
+    GHashTable* runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+    for (int i = 0; i < h->targets_num; i++) {
+        char* path = g_strdup_printf("%s/runs-%d", h->folder, i + 1);
+        char* text = NULL;
+        g_file_get_contents(path, &text, NULL, NULL);
+        char** lines = g_strsplit(text ? text : "", "\n", 0);
+        for (int l = 0; lines[l]; l++) {
+            if (g_str_has_prefix(lines[l], "run ")) {
+                const char* id = lines[l] + 4;
+                int num = GPOINTER_TO_INT(g_hash_table_lookup(runs, id));
+                g_hash_table_insert(runs, g_strdup(id), GINT_TO_POINTER(num + 1));
+            } else if (g_str_has_prefix(lines[l], "late ")) {
+                wg_time at = g_ascii_strtoll(lines[l] + 5, NULL, 10);
+                g_array_append_val(late, at);
+            }
+        }
+        g_strfreev(lines);
+        g_free(text);
+        g_free(path);
+    }
+    return runs;
+}
--- /dev/null
+++ b/tests/sim/hosts.h
@@ -0,0 +1,61 @@
+#pragma once
+/*
+    hosts.h -- hosts with a replica and an entry host each, and targets, as real processes
+
+    All stand on loopback addresses of this fleet's own, 127.H.x.y. Links between fleet processes
+    and from entry hosts to targets go through proxies (proxy.h).
+*/
+#include <sys/types.h>
+
+#include "proxy.h"
+#include "wg_base.h"
+
+enum {
+    HOSTS_MAX = 12,
+    HOST_TARGETS_MAX = 12
+};
+
+typedef struct {
+    int number; /* from 1 */
+    bool disk;
+    pid_t entry;   /* 0: not running */
+    pid_t replica; /* 0: not running, or no replica there */
+    proxy* links;  /* of all who connect to the replica */
+    char callers[WG_ADDRESS_MAX];
+    char orders[WG_ADDRESS_MAX];
+    char ready[WG_ADDRESS_MAX];
+    char entries[WG_ADDRESS_MAX];
+} host;
+
+typedef struct {
+    int number;
+    int incarnation;
+    pid_t pid;
+    proxy* links;
+    const char* service;
+} host_target;
+
+typedef struct {
+    struct event_base* base;
+    int part; /* of the loopback addresses */
+    char folder[64];
+    char bin[256];
+    host hosts[HOSTS_MAX];
+    int num;
+    host_target targets[HOST_TARGETS_MAX];
+    int targets_num;
+    bool started_before;
+    bool spoiled; /* targets cut, fail and refuse a part of their requests */
+} hosts;
+
+/* Fill in addresses and proxies; nothing is started. The first `disks` hosts have a disk. */
+void hosts_setup(hosts* h, struct event_base* base, int num, int disks, int targets);
+void hosts_start_entry(hosts* h, host* which);
+void hosts_start_replica(hosts* h, host* which);
+void hosts_start_target(hosts* h, host_target* which);
+/* Remove the data folder of a replica that is not running. */
+void hosts_wipe(hosts* h, host* which);
+/* End everything that was started, by its id, and remove the folder unless `keep`. */
+void hosts_end(hosts* h, bool keep);
+/* Ids that targets ran, id -> number of runs; and times of runs later than a drain allows. */
+GHashTable* hosts_runs(const hosts* h, GArray* late);
--- /dev/null
+++ b/tests/sim/soak_run.h
@@ -0,0 +1,41 @@
+#pragma once
+/*
+    soak_run.h -- one run of the fault soak: real processes, faults from outside, promises checked
+
+    What callers, operators and targets see is checked:
+        - a request that may not be repeated runs at most once; one that was refused with 429 or 503
+          never runs
+        - an answer is whole and belongs to its request; a stream that ends as whole has every event
+          once, in order
+        - an acknowledged configuration is never lost: no later read is older, and each version
+          reads back as it was sent
+        - no request reaches a target two seconds after its acknowledged drain, while no fault is
+          near
+        - soon after the last fault every entry host serves again
+*/
+#include "wg_base.h"
+
+typedef struct {
+    uint64_t seed;
+    int seconds; /* of faults, default 12 */
+    int hosts;   /* default 4 */
+    int disks;   /* of them, default 3 */
+    bool calm;   /* no faults at all */
+    bool spoiled; /* targets cut off, fail and refuse a part of their requests */
+    bool keep;   /* the folder with the logs, also after a good run */
+} soak_desc;
+
+typedef struct {
+    bool good;
+    char reason[400]; /* of the first broken promise */
+    char folder[64];
+    int requests;
+    int whole;
+    int refused;
+    int failed;
+    int faults;
+    int acknowledged; /* configurations */
+    wg_time back;     /* from the last fault until all served again */
+} soak_result;
+
+soak_result soak_run(const soak_desc* desc);
--- /dev/null
+++ b/tests/soak_hosts.c
@@ -0,0 +1,55 @@
+/* soak_hosts.c -- the fault soak by hand: many seeds, each with its own fleet of processes */
+#include <argtable2.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <sys/random.h>
+
+#include "soak_run.h"
+
+static uint64_t fresh_seed(void) {
+    uint64_t seed = 0;
+    if (getrandom(&seed, sizeof seed, 0) != (ssize_t)sizeof seed) {
+        abort();
+    }
+    return seed % 1000000000;
+}
+
+int main(int argc, char** argv) {
+    struct arg_int* seed = arg_int0(NULL, "seed", "<n>", "first seed; a fresh one without it");
+    struct arg_int* seeds = arg_int0(NULL, "seeds", "<n>", "number of runs, default 1");
+    struct arg_int* seconds = arg_int0(NULL, "seconds", "<n>", "of faults in a run, default 12");
+    struct arg_int* hosts = arg_int0(NULL, "hosts", "<n>", "default 4");
+    struct arg_int* disks = arg_int0(NULL, "disks", "<n>", "hosts with a disk, default 3");
+    struct arg_lit* calm = arg_lit0(NULL, "calm", "no faults");
+    struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
+    struct arg_end* end = arg_end(8);
+    void* table[] = {seed, seeds, seconds, hosts, disks, calm, keep, end};
+    if (arg_parse(argc, argv, table) > 0) {
+        arg_print_errors(stderr, end, argv[0]);
+        arg_print_glossary(stderr, table, "  %-20s %s\n");
+        return 2;
+    }
+    int failed = 0;
+    int runs = seeds->count ? seeds->ival[0] : 1;
+    for (int i = 0; i < runs; i++) {
+        soak_desc desc = {.seed = seed->count ? (uint64_t)seed->ival[0] + (uint64_t)i
+                                              : fresh_seed(),
+                          .seconds = seconds->count ? seconds->ival[0] : 0,
+                          .hosts = hosts->count ? hosts->ival[0] : 0,
+                          .disks = disks->count ? disks->ival[0] : 0,
+                          .calm = calm->count > 0,
+                          .spoiled = i % 2 == 1,
+                          .keep = keep->count > 0};
+        soak_result r = soak_run(&desc);
+        failed += !r.good;
+        printf("seed %" G_GUINT64_FORMAT ": %s%s%s; %d requests, %d whole, %d refused, %d failed, "
+               "%d faults, %d configurations, back after %.1f s%s%s\n",
+               desc.seed, r.good ? "good" : "BROKEN: ", r.good ? "" : r.reason,
+               "", r.requests, r.whole, r.refused, r.failed, r.faults, r.acknowledged,
+               (double)r.back / WG_USEC_PER_SEC, r.good ? "" : ", logs in ",
+               r.good ? "" : r.folder);
+        fflush(stdout);
+    }
+    printf("%d runs, %d broken\n", runs, failed);
+    return failed ? 1 : 0;
+}
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -98,11 +98,11 @@
         {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
              ",\"split\":[{\"service\":\"m\",\"weight\":1},{\"service\":\"q\",\"weight\":0}]") "]}",
          "unknown service"},
-        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
-             ",\"split\":[{\"service\":\"m\",\"weight\":0}]") "]}",
+        {"{\"version\":1," SERVICES
+         ",\"routes\":[" ROUTE(",\"split\":[{\"service\":\"m\",\"weight\":0}]") "]}",
          "add up to 0"},
-        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(
-             ",\"split\":[{\"service\":\"m\",\"weight\":-1}]") "]}",
+        {"{\"version\":1," SERVICES
+         ",\"routes\":[" ROUTE(",\"split\":[{\"service\":\"m\",\"weight\":-1}]") "]}",
          "wrong weight"},
         {"{\"version\":1," SERVICES ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","
          "\"path_prefix\":\"/\",\"kind\":\"safe\",\"timeout_ms\":0,\"service\":\"p\"}]}",
@@ -110,8 +110,8 @@
         {"{\"version\":1," SERVICES ",\"routes\":[{\"name\":\"r\",\"host\":\"h\","
          "\"path_prefix\":\"/\",\"kind\":\"other\",\"timeout_ms\":5,\"service\":\"p\"}]}",
          "kind"},
-        {"{\"version\":1," SERVICES ",\"routes\":[" ROUTE(",\"service\":\"m\"") "," ROUTE(
-             ",\"service\":\"p\"") "]}",
+        {"{\"version\":1," SERVICES
+         ",\"routes\":[" ROUTE(",\"service\":\"m\"") "," ROUTE(",\"service\":\"p\"") "]}",
          "shares host and prefix"},
         {"{\"version\":1," SERVICES ",\"routes\":[],\"workspaces\":[{\"name\":\"a\",\"keys\":"
          "[\"k\"]},{\"name\":\"b\",\"keys\":[\"k\"]}]}",
--- /dev/null
+++ b/tests/test_hosts.c
@@ -0,0 +1,41 @@
+/* test_hosts.c -- short seeded runs of the fault soak, and each seed that ever failed */
+#include "soak_run.h"
+#include "wg_test.h"
+
+static void run(uint64_t seed, int seconds, int hosts, int disks) {
+    soak_result r = soak_run(
+        &(soak_desc){.seed = seed, .seconds = seconds, .hosts = hosts, .disks = disks});
+    ck_assert_msg(r.good, "seed %d: %s; logs in %s", (int)seed, r.reason, r.folder);
+    ck_assert_int_gt(r.whole, 100);
+    ck_assert_int_gt(r.acknowledged, 0);
+}
+
+START_TEST(a_calm_fleet_serves_all) {
+    soak_result r = soak_run(&(soak_desc){.seed = 1, .seconds = 4, .calm = true});
+    ck_assert_msg(r.good, "%s; logs in %s", r.reason, r.folder);
+    ck_assert_int_eq(r.refused, 0);
+    ck_assert_int_eq(r.failed, 0);
+}
+END_TEST
+
+/* Streams that break off go on at targets that answer 500, refuse, or break off again. */
+START_TEST(promises_hold_while_targets_fail) {
+    soak_result r = soak_run(&(soak_desc){.seed = 3, .seconds = 5, .calm = true, .spoiled = true});
+    ck_assert_msg(r.good, "%s; logs in %s", r.reason, r.folder);
+    ck_assert_int_gt(r.failed, 0);
+    ck_assert_int_gt(r.whole, r.failed);
+}
+END_TEST
+
+START_TEST(promises_hold_under_faults) {
+    run(7, 10, 4, 3);
+}
+END_TEST
+
+START_TEST(promises_hold_with_an_even_core) {
+    run(8, 10, 4, 4);
+}
+END_TEST
+
+WG_TEST_MAIN("hosts", a_calm_fleet_serves_all, promises_hold_while_targets_fail,
+             promises_hold_under_faults, promises_hold_with_an_even_core)
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -57,13 +57,11 @@
         ck_assert_msg(status == 400, "%s gave %d", bad[i], status);
         g_free(text);
     }
-    static const char* const lines[] = {"GET / HTTP/1.1\nHost: a\r\n\r\n",
-                                        "GET  / HTTP/1.1\r\nHost: a\r\n\r\n",
-                                        "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n",
-                                        "GET a HTTP/1.1\r\nHost: a\r\n\r\n",
-                                        "G(T / HTTP/1.1\r\nHost: a\r\n\r\n",
-                                        "GET / HTTP/1.1\r\n\r\n",
-                                        "GET / FTP/1.1\r\nHost: a\r\n\r\n"};
+    static const char* const lines[] = {
+        "GET / HTTP/1.1\nHost: a\r\n\r\n",      "GET  / HTTP/1.1\r\nHost: a\r\n\r\n",
+        "GET /a b HTTP/1.1\r\nHost: a\r\n\r\n", "GET a HTTP/1.1\r\nHost: a\r\n\r\n",
+        "G(T / HTTP/1.1\r\nHost: a\r\n\r\n",    "GET / HTTP/1.1\r\n\r\n",
+        "GET / FTP/1.1\r\nHost: a\r\n\r\n"};
     for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
         wg_message_head head;
         int status = wg_message_parse_request(lines[i], strlen(lines[i]), &head);
@@ -157,8 +155,9 @@
 END_TEST
 
 START_TEST(malformed_chunks_are_found) {
-    static const char* const bad[] = {"g\r\n",        "-1\r\n",  "+4\r\nwall\r\n", "4 \r\nwall\r\n",
-                                      "4\r\nwallx\r\n", "\r\n",    "123456789\r\n"};
+    static const char* const bad[] = {"g\r\n",          "-1\r\n",         "+4\r\nwall\r\n",
+                                      "4 \r\nwall\r\n", "4\r\nwallx\r\n", "\r\n",
+                                      "123456789\r\n"};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         struct evbuffer* in = evbuffer_new();
         struct evbuffer* out = evbuffer_new();
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -133,8 +133,7 @@
             char address[24];
             g_snprintf(id, sizeof id, "i%d", (int)(random % 60));
             g_snprintf(address, sizeof address, "10.0.0.%d:1", (int)(random / 60 % 12));
-            wg_target t =
-                record(id, (wg_target_state)(1 + random / 720 % 4), step / 3, address);
+            wg_target t = record(id, (wg_target_state)(1 + random / 720 % 4), step / 3, address);
             if (wg_registry_hear(r, (wg_time)step, &t) == WG_HEARD_CHANGE) {
                 wg_registry_apply(r, (wg_time)step, &t);
             }
@@ -168,6 +167,5 @@
 
 WG_TEST_MAIN("registry", heartbeats_that_say_nothing_new_change_nothing,
              a_late_heartbeat_revives_nobody, what_was_not_agreed_on_is_no_old_heartbeat,
-             a_leave_without_a_record_is_remembered,
-             a_new_incarnation_ends_the_one_at_its_address,
+             a_leave_without_a_record_is_remembered, a_new_incarnation_ends_the_one_at_its_address,
              silent_ones_come_back_by_a_newer_heartbeat_only, copies_follow_past_the_kept_records)
