--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -12,10 +12,10 @@
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
     WG_FAILURES_BEFORE_ASIDE = 2,
-    WG_FAR_TOKENS = 150,         /* what another data centre costs, in tokens to read */
+    WG_FAR_TOKENS = 400,         /* what another data centre costs, in tokens to read */
     WG_RUNNING_TOKENS = 20,      /* what each running request costs the next */
     WG_SECOND_HOME_TOKENS = 400, /* what the second home has to be better by */
-    WG_READ_AGAIN_FACTOR = 2,    /* what a shared token read again counts beside its own reading */
+    WG_READ_AGAIN_FACTOR = 6,    /* what a shared token read again counts beside its own reading */
     WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
 };
 
