--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -6,8 +6,9 @@
 /* ---- types and constants ------------------------------------------------------------------- */
 
 enum {
-    WG_CACHED_TIME = 8 * WG_USEC_PER_SEC, /* how long a part that was sent counts as cached */
-    WG_CACHED_MAX = 8192,                 /* parts remembered for one target */
+    WG_CACHED_TIME = 8 * WG_USEC_PER_SEC,   /* how long a part that was sent counts as cached */
+    WG_WARM_TIME = 2500 * WG_USEC_PER_MSEC, /* after the first prompt, homes hold their parts */
+    WG_CACHED_MAX = 8192,                   /* parts remembered for one target */
     WG_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
@@ -30,6 +31,8 @@
     uint64_t id_hash;
     char service[WG_NAME_MAX];
     bool ready;
+    bool moved;      /* another incarnation answers at its address */
+    uint64_t change; /* of its record */
     bool near;
     uint32_t slots;
     uint32_t own_unread;
@@ -45,6 +48,7 @@
 struct wg_balance {
     wg_balance_desc desc;
     GHashTable* targets; /* number -> wg_balance_target* */
+    wg_time warm_at;     /* from when on homes count as holding their parts; 0: nothing was sent */
     uint64_t counter;
 };
 
@@ -60,24 +64,25 @@
     return g_hash_table_lookup(b->targets, GUINT_TO_POINTER(number));
 }
 
-static bool wg_balance_is_cached(const wg_balance_target* t, wg_time now, uint64_t part) {
-    const wg_time* sent = g_hash_table_lookup(t->cached, &part);
-    return sent && now - *sent < WG_CACHED_TIME;
+/* Was a part noted in the table within `time`? */
+static bool wg_parts_have(GHashTable* parts, wg_time now, uint64_t part, wg_time time) {
+    const wg_time* sent = g_hash_table_lookup(parts, &part);
+    return sent && now - *sent < time;
 }
 
-static void wg_balance_note_part(wg_balance_target* t, wg_time now, uint64_t part) {
-    wg_time* sent = g_hash_table_lookup(t->cached, &part);
+static void wg_parts_note(GHashTable* parts, wg_time now, uint64_t part) {
+    wg_time* sent = g_hash_table_lookup(parts, &part);
     if (sent) {
         *sent = now;
         return;
     }
-    if (g_hash_table_size(t->cached) >= WG_CACHED_MAX) {
-        g_hash_table_remove_all(t->cached);
+    if (g_hash_table_size(parts) >= WG_CACHED_MAX) {
+        g_hash_table_remove_all(parts);
     }
     uint64_t* pair = g_new(uint64_t, 2);
     pair[0] = part;
     pair[1] = (uint64_t)now;
-    g_hash_table_insert(t->cached, pair, (wg_time*)(pair + 1));
+    g_hash_table_insert(parts, pair, (wg_time*)(pair + 1));
 }
 
 static bool wg_need_tried(const wg_need* need, uint32_t number) {
@@ -90,11 +95,13 @@
 }
 
 /* Tokens of the prompt that are not expected to be cached at the target. */
-static uint32_t wg_balance_unread(const wg_balance_target* t, wg_time now, const wg_prompt* prompt,
-                                  bool home) {
+static uint32_t wg_balance_unread(const wg_balance* b, const wg_balance_target* t, wg_time now,
+                                  const wg_prompt* prompt, bool home) {
     uint32_t cached = 0;
     for (int i = 0; i + 1 < prompt->num; i++) {
-        if (!home && !wg_balance_is_cached(t, now, prompt->parts[i])) {
+        uint64_t part = prompt->parts[i];
+        bool warm = home && b->warm_at > 0 && now >= b->warm_at;
+        if (!warm && !wg_parts_have(t->cached, now, part, WG_CACHED_TIME)) {
             break;
         }
         cached += prompt->sizes[i];
@@ -107,7 +114,8 @@
 }
 
 static bool wg_balance_takes(const wg_balance_target* t, const wg_need* need) {
-    return t->ready && strcmp(t->service, need->service) == 0 && !wg_need_tried(need, t->number);
+    return t->ready && !t->moved && strcmp(t->service, need->service) == 0 &&
+           !wg_need_tried(need, t->number);
 }
 
 /* Homes of a prefix: the two targets of highest rank among those that are up. */
@@ -146,12 +154,12 @@
     return homes;
 }
 
-static wg_choice wg_balance_estimate(const wg_balance_target* t, wg_time now, const wg_need* need,
-                                     bool home) {
+static wg_choice wg_balance_estimate(const wg_balance* b, const wg_balance_target* t, wg_time now,
+                                     const wg_need* need, bool home) {
     wg_choice c = {.target = t->number};
     uint32_t running = t->own_running + t->other_running;
     if (need->prompt) {
-        c.unread = wg_balance_unread(t, now, need->prompt, home);
+        c.unread = wg_balance_unread(b, t, now, need->prompt, home);
         c.ahead = t->own_unread + t->other_unread;
         uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
         c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
@@ -203,6 +211,8 @@
         wg_copy_name(t->service, sizeof t->service, record->service);
         t->near = strcmp(record->data_centre, b->desc.data_centre) == 0;
         t->ready = record->state == WG_TARGET_READY;
+        t->moved = t->moved && t->change == record->change;
+        t->change = record->change;
         t->slots = record->slots;
     }
 }
@@ -257,7 +267,7 @@
             continue;
         }
         bool home = t == homes.first || t == homes.second;
-        wg_choice c = wg_balance_estimate(t, now, need, home);
+        wg_choice c = wg_balance_estimate(b, t, now, need, home);
         c.home = part;
         int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, &homes, &c, need) / t->speed);
         if (now < t->aside_until) {
@@ -291,9 +301,12 @@
 }
 
 void wg_balance_note_prompt(wg_balance* b, wg_time now, uint32_t target, const wg_prompt* prompt) {
+    if (b->warm_at == 0) {
+        b->warm_at = now + WG_WARM_TIME;
+    }
     wg_balance_target* t = wg_balance_find(b, target);
     for (int i = 0; t && i + 1 < prompt->num; i++) {
-        wg_balance_note_part(t, now, prompt->parts[i]);
+        wg_parts_note(t->cached, now, prompt->parts[i]);
     }
 }
 
@@ -323,6 +336,7 @@
     wg_balance_take_read(t, choice);
     WG_ASSERT(t->own_running > 0);
     t->own_running--;
+    t->moved = t->moved || result == WG_RESULT_MOVED;
     if (result == WG_RESULT_GOOD) {
         t->failures = 0;
         t->aside_until = 0;
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -10,6 +10,8 @@
     FEATURES
         - a shared prefix has two homes: the targets that rendezvous hashing gives it, the same on
           every host without a message; a long prefix goes elsewhere only at a price
+        - a prefix counts as cached at its homes some time after the first prompt was sent; a fleet
+          that starts cold is not filled as if it were warm
         - the speed of each target is learnt from first events; a target that fails is put aside
           for growing, jittered times
         - one request, one account: begin, read (first event), end
@@ -65,6 +67,7 @@
     WG_RESULT_GOOD,
     WG_RESULT_FAILED,  /* broke off, hung, or answered with an error of its own */
     WG_RESULT_REFUSED, /* did not take the request */
+    WG_RESULT_MOVED,   /* another incarnation answers at its address: it is gone */
     WG_RESULT_LEFT     /* the caller left: says nothing of the target */
 } wg_result;
 
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -394,12 +394,13 @@
 
 /* The answer says that the request did not run: try elsewhere, or refuse. */
 static void wg_call_take_refusal(wg_call* call, wg_upstream* up) {
+    int status = up->head.status;
     wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=refused status=%d", call->id, up->target,
            up->head.status);
     call->upstream = NULL;
     up->call = NULL;
     wg_upstream_close(up);
-    wg_call_settle(call, WG_RESULT_REFUSED);
+    wg_call_settle(call, status == 421 ? WG_RESULT_MOVED : WG_RESULT_REFUSED);
     if (!wg_call_again(call)) {
         wg_call_refuse(call, call->may_have_run ? 502 : 503, "targets_refused",
                        wg_call_retry_after(call));
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -17,12 +17,12 @@
 
 typedef struct {
     uint64_t seed;
-    int seconds; /* of faults, default 12 */
-    int hosts;   /* default 4 */
-    int disks;   /* of them, default 3 */
-    bool calm;   /* no faults at all */
+    int seconds;  /* of faults, default 12 */
+    int hosts;    /* default 4 */
+    int disks;    /* of them, default 3 */
+    bool calm;    /* no faults at all */
     bool spoiled; /* targets cut off, fail and refuse a part of their requests */
-    bool keep;   /* the folder with the logs, also after a good run */
+    bool keep;    /* the folder with the logs, also after a good run */
 } soak_desc;
 
 typedef struct {
