--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -14,6 +14,8 @@
 
 /* Share of the objective that the first event may be expected to take, for a send now. */
 static const double WG_LIMIT = 0.95;
+/* Part of that share which is left while estimates cannot be trusted at all. */
+static const double WG_LIMIT_TRUSTLESS = 0.6;
 /* Share of it that others' prompts may take before that of a request too large to be in time. */
 static const double WG_LIMIT_LARGE = 0.3;
 
@@ -247,7 +249,11 @@
 }
 
 static double wg_call_patience(const wg_call* call) {
-    return wg_call_counts(call) ? wg_fair_patience(wg_call_usage(call), &call->entry->levels) : 1;
+    if (!wg_call_counts(call)) {
+        return 1;
+    }
+    double patience = wg_fair_patience(wg_call_usage(call), &call->entry->levels);
+    return patience < 1 ? patience * wg_fair_trust(&call->entry->margin) : 1;
 }
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
@@ -277,7 +283,9 @@
 /* Longest expected wait for the first event at which the request is sent. */
 static wg_time wg_call_limit(const wg_call* call, wg_time now) {
     wg_time left = call->started + call->route->objective - now;
-    return (wg_time)(WG_LIMIT * (double)MIN(left, wg_call_tightest(call)));
+    double trust = wg_fair_trust(&call->entry->margin);
+    double limit = WG_LIMIT * (WG_LIMIT_TRUSTLESS + (1 - WG_LIMIT_TRUSTLESS) * trust);
+    return (wg_time)(limit * (double)MIN(left, wg_call_tightest(call)));
 }
 
 /* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
@@ -450,6 +458,10 @@
     if (!call->first_event_at) {
         call->first_event_at = wg_now();
         wg_hist_add(&call->entry->first_time, call->first_event_at - call->started);
+        if (call->has_prompt && call->expected <= call->limit) {
+            wg_fair_learn(&call->entry->margin,
+                          call->first_event_at - call->started <= call->route->objective);
+        }
     }
     wg_balance_read(call->entry->balance, wg_now(), &call->choice);
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -187,6 +187,7 @@
     GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
     GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
     wg_fair_levels levels;   /* of usage_fleet */
+    wg_fair_margin margin;
 
     /* link to the leader */
     wgn_net* net;
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -58,3 +58,20 @@
     double served = wg_fair_fall(&WG_FAIR_SERVED, used, levels->served);
     return MIN(owed, served);
 }
+
+/* ---- margin --------------------------------------------------------------------------------- */
+
+/* The margin rests where about one in eleven comes late. */
+static const double WG_MARGIN_LOSS = 0.04; /* part of it, for one that is late */
+static const double WG_MARGIN_GAIN = 0.004;
+static const double WG_MARGIN_LEAST = 0.12;
+
+double wg_fair_trust(const wg_fair_margin* margin) {
+    return margin->value > 0 ? margin->value : 1;
+}
+
+void wg_fair_learn(wg_fair_margin* margin, bool in_time) {
+    double value = wg_fair_trust(margin);
+    value = in_time ? value + WG_MARGIN_GAIN : value * (1 - WG_MARGIN_LOSS);
+    margin->value = CLAMP(value, WG_MARGIN_LEAST, 1);
+}
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -8,6 +8,8 @@
         gives way first; nobody gives way while there is room.
 
     FEATURES
+        - a margin that shrinks while first events come late, whatever the estimates said, so that
+          many hosts that decide at once on old loads leave room for those who are owed it
         - two levels: of what the targets make together, as the operator says (beyond it nobody is
           owed anything), and of what they really served (beyond it others are held back)
 
@@ -19,6 +21,15 @@
 
 /* Level at which the sum of min(asked, level) is `served`; the most asked for when all of it is. */
 double wg_fair_level(const double* asked, int num, double served);
+/* How far estimates of waits can be trusted, learnt from what really came: 1 fully. */
+typedef struct {
+    double value; /* 0: not begun, counts as 1 */
+} wg_fair_margin;
+
+/* A first event came, in time or not. */
+void wg_fair_learn(wg_fair_margin* margin, bool in_time);
+double wg_fair_trust(const wg_fair_margin* margin);
+
 typedef struct {
     double owed;   /* level of what is owed, 0: not known */
     double served; /* level of what was served, 0: not known */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -249,6 +249,20 @@
 }
 END_TEST
 
+START_TEST(the_margin_follows_what_came) {
+    wg_fair_margin margin = {0};
+    ck_assert(wg_fair_trust(&margin) == 1);
+    for (int i = 0; i < 200; i++) {
+        wg_fair_learn(&margin, false);
+    }
+    ck_assert(wg_fair_trust(&margin) > 0.05 && wg_fair_trust(&margin) < 0.2);
+    for (int i = 0; i < 400; i++) {
+        wg_fair_learn(&margin, true);
+    }
+    ck_assert(wg_fair_trust(&margin) == 1);
+}
+END_TEST
+
 /* In every window, hosts that come and go and see refusals of everything stay within the budget. */
 START_TEST(the_fleet_keeps_its_retry_budget) {
     enum {
@@ -298,4 +312,4 @@
              accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
              a_cold_fleet_is_not_taken_for_a_warm_one, the_level_is_max_min,
-             the_fleet_keeps_its_retry_budget)
+             the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
