--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -1,6 +1,7 @@
 /* wg_balance.c -- see wg_balance.h */
 #include "wg_balance.h"
 
+#include <math.h>
 #include <string.h>
 
 /* ---- types and constants ------------------------------------------------------------------- */
@@ -12,6 +13,8 @@
     WG_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
+    WG_DRAWN_LEAST = 3,
+    WG_DRAWN_HOSTS = 6, /* of every so many hosts one weighs a given target */
     WG_FAILURES_BEFORE_ASIDE = 2,
     WG_FAR_TOKENS = 400,         /* what another data centre costs, in tokens to read */
     WG_RUNNING_TOKENS = 20,      /* what each running request costs the next */
@@ -26,6 +29,9 @@
 static const double WG_SPEED_MAX = 0.080;
 static const double WG_SPEED_WEIGHT = 0.08; /* of a new sample */
 
+/* Of so many hosts each keeps 1/e of what others had from one report to the next. */
+static const double WG_FADE_HOSTS = 24;
+
 typedef struct {
     uint32_t number;
     uint64_t id_hash;
@@ -39,6 +45,7 @@
     uint32_t own_running;
     uint32_t other_unread;
     uint32_t other_running;
+    uint32_t lately_unread; /* of others, fading */
     double speed;
     int failures;
     wg_time aside_until;
@@ -49,6 +56,8 @@
     wg_balance_desc desc;
     GHashTable* targets; /* number -> wg_balance_target* */
     wg_time warm_at;     /* from when on homes count as holding their parts; 0: nothing was sent */
+    int hosts;           /* that decide on the same loads */
+    GPtrArray* takers;   /* wg_balance_target*, of the present choice */
     uint64_t counter;
 };
 
@@ -160,7 +169,7 @@
     uint32_t running = t->own_running + t->other_running;
     if (need->prompt) {
         c.unread = wg_balance_unread(b, t, now, need->prompt, home);
-        c.ahead = t->own_unread + t->other_unread;
+        c.ahead = t->own_unread + MAX(t->other_unread, t->lately_unread);
         uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
         c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
         c.wait_ahead = WG_FIRST_EVENT_MIN + (wg_time)(c.ahead / t->speed);
@@ -177,11 +186,14 @@
     wg_balance* b = g_new0(wg_balance, 1);
     b->desc = *desc;
     b->targets = g_hash_table_new_full(NULL, NULL, NULL, wg_balance_target_free);
+    b->takers = g_ptr_array_new();
+    b->hosts = 1;
     return b;
 }
 
 void wg_balance_shutdown(wg_balance* b) {
     g_hash_table_unref(b->targets);
+    g_ptr_array_unref(b->takers);
     g_free(b);
 }
 
@@ -218,16 +230,22 @@
 }
 
 void wg_balance_clear_others(wg_balance* b) {
+    double keep = exp(-WG_FADE_HOSTS / b->hosts);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, b->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         wg_balance_target* t = value;
+        t->lately_unread = (uint32_t)(MAX(t->lately_unread, t->other_unread) * keep);
         t->other_unread = 0;
         t->other_running = 0;
     }
 }
 
+void wg_balance_set_hosts(wg_balance* b, int hosts) {
+    b->hosts = MAX(hosts, 1);
+}
+
 void wg_balance_set_others(wg_balance* b, uint32_t target, uint32_t unread, uint32_t running) {
     wg_balance_target* t = wg_balance_find(b, target);
     if (t) {
@@ -236,6 +254,14 @@
     }
 }
 
+/* Are the slots taken that the request may have? What others send meanwhile is not known yet, so
+   some are left for those who are owed them. */
+static bool wg_balance_is_full(const wg_balance_target* t, const wg_need* need) {
+    double slots = t->slots ? (double)t->slots : (double)need->slots;
+    double share = need->slots_share > 0 ? need->slots_share : 1;
+    return slots > 0 && t->own_running + t->other_running >= slots * share;
+}
+
 /* What a choice costs beside its wait, in tokens. */
 static uint32_t wg_balance_extra(const wg_balance_target* t, const wg_balance_homes* homes,
                                  const wg_choice* choice, const wg_need* need) {
@@ -251,38 +277,64 @@
     return extra + (t == homes->first ? 0 : WG_READ_AGAIN_FACTOR * again);
 }
 
-wg_choice wg_balance_choose(wg_balance* b, wg_time now, const wg_need* need) {
-    const wg_prompt* prompt = need->prompt;
-    uint64_t part = prompt && prompt->num > 1 ? prompt->parts[prompt->num - 2] : 0;
-    wg_balance_homes homes = wg_balance_find_homes(b, now, need, part);
-    wg_choice best = {0};
-    int64_t best_cost = INT64_MAX;
+/* A choice and what it costs; lower is better. */
+typedef struct {
+    wg_choice choice;
+    int64_t cost;
+} wg_candidate;
+
+static void wg_balance_weigh(wg_balance* b, const wg_balance_target* t, wg_time now,
+                             const wg_need* need, const wg_balance_homes* homes,
+                             wg_candidate* best) {
+    bool home = t == homes->first || t == homes->second;
+    wg_choice c = wg_balance_estimate(b, t, now, need, home);
+    int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, homes, &c, need) / t->speed);
+    if (now < t->aside_until) {
+        cost += WG_ASIDE_MAX; /* only when there is nothing else */
+    }
+    if (need->limit && c.wait > need->limit) {
+        cost += WG_OVER_LIMIT;
+    }
+    if (best->choice.target == 0 || cost < best->cost) {
+        *best = (wg_candidate){c, cost};
+    }
+}
+
+/* Targets that can take the request now. */
+static void wg_balance_list_takers(wg_balance* b, const wg_need* need) {
+    g_ptr_array_set_size(b->takers, 0);
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, b->targets);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wg_balance_target* t = value;
-        uint32_t slots = t->slots ? t->slots : (uint32_t)need->slots;
-        if (!wg_balance_takes(t, need) || (slots && t->own_running + t->other_running >= slots)) {
-            continue;
-        }
-        bool home = t == homes.first || t == homes.second;
-        wg_choice c = wg_balance_estimate(b, t, now, need, home);
-        c.home = part;
-        int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, &homes, &c, need) / t->speed);
-        if (now < t->aside_until) {
-            cost += WG_ASIDE_MAX; /* only when there is nothing else */
-        }
-        if (need->limit && c.wait > need->limit) {
-            cost += WG_OVER_LIMIT;
-        }
-        cost = cost * 64 + (int64_t)(wg_jitter(b->desc.seed, ++b->counter) % 64);
-        if (cost < best_cost) {
-            best = c;
-            best_cost = cost;
+        if (wg_balance_takes(value, need) && !wg_balance_is_full(value, need)) {
+            g_ptr_array_add(b->takers, value);
         }
     }
-    return best;
+}
+
+/* The homes are weighed, and a few others drawn by lot: many hosts that all took the least loaded
+   by the same old report would fill it at once. */
+wg_choice wg_balance_choose(wg_balance* b, wg_time now, const wg_need* need) {
+    const wg_prompt* prompt = need->prompt;
+    uint64_t part = prompt && prompt->num > 1 ? prompt->parts[prompt->num - 2] : 0;
+    wg_balance_homes homes = wg_balance_find_homes(b, now, need, part);
+    wg_candidate best = {0};
+    wg_balance_list_takers(b, need);
+    if (homes.first && !wg_balance_is_full(homes.first, need)) {
+        wg_balance_weigh(b, homes.first, now, need, &homes, &best);
+    }
+    if (homes.second && !wg_balance_is_full(homes.second, need)) {
+        wg_balance_weigh(b, homes.second, now, need, &homes, &best);
+    }
+    int draws = MAX(WG_DRAWN_LEAST, (int)b->takers->len * WG_DRAWN_HOSTS / b->hosts);
+    for (int drawn = 0; drawn < draws && b->takers->len > 0; drawn++) {
+        guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % b->takers->len);
+        wg_balance_weigh(b, b->takers->pdata[at], now, need, &homes, &best);
+        g_ptr_array_remove_index_fast(b->takers, at);
+    }
+    best.choice.home = part;
+    return best.choice;
 }
 
 void wg_balance_begin(wg_balance* b, wg_time now, wg_choice* choice) {
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -12,6 +12,9 @@
           every host without a message; a long prefix goes elsewhere only at a price
         - a prefix counts as cached at its homes some time after the first prompt was sent; a fleet
           that starts cold is not filled as if it were warm
+        - the more hosts decide at once on the same old loads, the fewer targets each weighs beside
+          the homes, drawn by lot, so that they do not all take the same one, and the longer what
+          others had at a target counts on: one that was flooded a moment ago is about to be again
         - the speed of each target is learnt from first events; a target that fails is put aside
           for growing, jittered times
         - one request, one account: begin, read (first event), end
@@ -47,6 +50,7 @@
     const char* service;
     const wg_prompt* prompt; /* NULL for plain services */
     int slots;               /* of one target, when it told none */
+    double slots_share;      /* part of a target's slots that may be taken before; 0: all */
     wg_time limit;           /* a target with a longer wait is chosen last; 0 or never: none */
     uint32_t tried[WG_TRIED_MAX];
     int tried_num;
@@ -90,6 +94,8 @@
 void wg_balance_sync(wg_balance* balance, wg_time now, const wg_registry* registry);
 /* Loads of all other hosts: those not set since wg_balance_clear_others() count as 0. */
 void wg_balance_clear_others(wg_balance* balance);
+/* How many hosts decide on the same loads at once, this one too; 1 until told. */
+void wg_balance_set_hosts(wg_balance* balance, int hosts);
 void wg_balance_set_others(wg_balance* balance, uint32_t target, uint32_t unread, uint32_t running);
 wg_choice wg_balance_choose(wg_balance* balance, wg_time now, const wg_need* need);
 /* The prompt was sent to the target: its shared parts count as cached there for a while. */
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -10,7 +10,7 @@
 
 enum {
     WG_REPORT_MS_MIN = 100,
-    WG_REPORT_MS_PER_ENTRY = 3, /* more entry hosts report less often */
+    WG_REPORT_MS_PER_ENTRY = 2, /* more entry hosts report less often */
     /* A new leader tells of members only once all that are up could report to it. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC,
     WG_MEMBER_GONE = 1500 * WG_USEC_PER_MSEC,
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -16,6 +16,9 @@
 static const double WG_LIMIT = 0.95;
 /* Part of that share which is left while estimates cannot be trusted at all. */
 static const double WG_LIMIT_TRUSTLESS = 0.6;
+/* Part of a target's slots for those who have more than they are owed, by their patience. */
+static const double WG_SLOTS_LEAST = 0.55;
+static const double WG_SLOTS_SPAN = 0.35;
 /* Share of it that others' prompts may take before that of a request too large to be in time. */
 static const double WG_LIMIT_LARGE = 0.3;
 
@@ -288,6 +291,12 @@
     return (wg_time)(limit * (double)MIN(left, wg_call_tightest(call)));
 }
 
+/* Part of a target's slots that may be taken before this request: less without patience. */
+static double wg_call_slots_share(const wg_call* call) {
+    double patience = wg_call_patience(call);
+    return call->has_prompt && patience < 1 ? WG_SLOTS_LEAST + WG_SLOTS_SPAN * patience : 1;
+}
+
 /* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
 static bool wg_call_may_spill(const wg_call* call) {
     return wg_call_counts(call) && wg_call_patience(call) >= 1;
@@ -339,6 +348,7 @@
     call->retry_at = 0;
     call->limit = wg_call_limit(call, now);
     call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
+    call->need.slots_share = wg_call_slots_share(call);
     wg_choice choice = wg_balance_choose(e->balance, now, &call->need);
     call->expected = choice.wait;
     if (!choice.target || (call->attempts == 0 && !wg_call_fits(call, &choice, now))) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -122,6 +122,12 @@
     GList idle_link;
 };
 
+/* Addresses of processes that may know the leader. */
+typedef struct {
+    char list[WG_CONTROLS_MAX][WG_ADDRESS_MAX];
+    int num;
+} wg_addresses;
+
 /* Another entry host. */
 typedef struct {
     char name[WG_NAME_MAX];
@@ -194,9 +200,10 @@
     wgn_link link;
     bool link_up;
     bool leader_known;
-    char controls[WG_CONTROLS_MAX][WG_ADDRESS_MAX];
-    int controls_num;
+    wg_addresses controls; /* replicas, as a leader or a follower named them */
+    wg_addresses others;   /* seeds, and the entry hosts there: asked now and then */
     int control_next;
+    int other_next;
     char dial_address[WG_ADDRESS_MAX];
     wg_time dial_at;
     wg_time report_at;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -7,23 +7,26 @@
 static const double WG_USAGE_SECONDS = 2.885;
 
 enum {
-    WG_DIAL_GAP = 150 * WG_USEC_PER_MSEC,
-    WG_PROVE_TIME = 500 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
+    WG_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
+    WG_PROVE_TIME = 350 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
     WG_LOADS_MAX = 2048,
     WG_ORDERS_MAX = 1024
 };
 
 /* ---- helpers: controls ----------------------------------------------------------------------- */
 
-static void wg_entry_learn_control(wg_entry* e, const char* address) {
-    for (int i = 0; i < e->controls_num; i++) {
-        if (strcmp(e->controls[i], address) == 0) {
+static void wg_addresses_add(wg_addresses* addresses, const char* address, uint64_t random) {
+    for (int i = 0; i < addresses->num; i++) {
+        if (strcmp(addresses->list[i], address) == 0) {
             return;
         }
     }
-    int at = e->controls_num < WG_CONTROLS_MAX ? e->controls_num++
-                                               : (int)(++e->counter % WG_CONTROLS_MAX);
-    wg_copy_name(e->controls[at], WG_ADDRESS_MAX, address);
+    int at = addresses->num < WG_CONTROLS_MAX ? addresses->num++ : (int)(random % WG_CONTROLS_MAX);
+    wg_copy_name(addresses->list[at], WG_ADDRESS_MAX, address);
+}
+
+static void wg_entry_learn_control(wg_entry* e, const char* address) {
+    wg_addresses_add(&e->controls, address, ++e->counter);
 }
 
 bool wg_entry_learn_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error) {
@@ -40,23 +43,35 @@
             return false;
         }
         g_snprintf(address, sizeof address, "%s:%d", ip, (int)e->settings->fleet_port);
-        wg_entry_learn_control(e, address);
+        wg_addresses_add(&e->others, address, ++e->counter);
         /* The entry host at the seed knows controls too, where the seed has none. */
         g_snprintf(address, sizeof address, "%s:%d", ip, entry_port);
         if (strcmp(address, settings->fleet_listen) != 0) {
-            wg_entry_learn_control(e, address);
+            wg_addresses_add(&e->others, address, ++e->counter);
         }
     }
     return true;
 }
 
+/* Whom to ask next: replicas in turn, and every few times somebody at a seed, in case all of the
+   replicas that are known are gone. */
+static const char* wg_entry_next_address(wg_entry* e) {
+    enum {
+        OTHERS_EVERY = 4
+    };
+    int turn = e->control_next++;
+    bool ask_others = e->controls.num == 0 || (e->others.num > 0 && turn % OTHERS_EVERY == 3);
+    const wg_addresses* from = ask_others ? &e->others : &e->controls;
+    return from->num ? from->list[(ask_others ? e->other_next++ : turn) % from->num] : NULL;
+}
+
 static void wg_entry_dial(wg_entry* e, wg_time now) {
-    if (e->link.id || now < e->dial_at || e->controls_num == 0) {
+    if (e->link.id || now < e->dial_at) {
         return;
     }
-    const char* address = e->dial_address;
-    if (!address[0]) {
-        address = e->controls[e->control_next++ % e->controls_num];
+    const char* address = e->dial_address[0] ? e->dial_address : wg_entry_next_address(e);
+    if (!address) {
+        return;
     }
     e->link = wgn_dial(e->net, address);
     e->dial_address[0] = 0;
@@ -143,6 +158,13 @@
     }
 }
 
+/* members_num counts also when the list itself did not come. */
+static void wg_entry_note_hosts(wg_entry* e, const Wgpb__EntryState* in) {
+    if (in->members_num > 0) {
+        wg_balance_set_hosts(e->balance, (int)in->members_num);
+    }
+}
+
 static void wg_entry_relink(wg_entry* e, const char* address) {
     wg_copy_name(e->dial_address, sizeof e->dial_address, address);
     e->dial_at = wg_now() + (address[0] ? 0 : WG_DIAL_GAP);
@@ -153,6 +175,9 @@
 
 static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
+    if (in->leads && in->n_controls > 0) {
+        e->controls.num = 0; /* the leader knows all that there are */
+    }
     for (size_t i = 0; i < in->n_controls; i++) {
         wg_entry_learn_control(e, in->controls[i]);
     }
@@ -170,6 +195,7 @@
     }
     wg_entry_take_targets(e, in);
     wg_entry_take_members(e, in);
+    wg_entry_note_hosts(e, in);
     if (in->n_controls > 0) {
         wg_entry_take_loads(e, in);
         wg_entry_take_usage(e, in);
@@ -329,11 +355,11 @@
     if (peer->role == WGW_ROLE_CONTROL) {
         wg_entry_learn_control(e, peer->address);
     }
-    for (int i = 0; i < e->controls_num; i++) {
-        controls[i] = e->controls[i];
+    for (int i = 0; i < e->controls.num; i++) {
+        controls[i] = e->controls.list[i];
     }
     state.controls = controls;
-    state.n_controls = (size_t)e->controls_num;
+    state.n_controls = (size_t)e->controls.num;
     wgn_send(e->net, link, WGW_TYPE_ENTRY_STATE, &state.base);
 }
 
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -102,6 +102,53 @@
 }
 END_TEST
 
+/* Many hosts with the same old loads, of which one target has the least. */
+START_TEST(hosts_do_not_all_take_the_least_loaded) {
+    begin(90);
+    int sent[91] = {0};
+    for (uint64_t h = 0; h < 69; h++) {
+        wg_balance* other = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = h + 7});
+        wg_balance_sync(other, 0, registry);
+        wg_balance_set_hosts(other, 69);
+        for (uint32_t t = 1; t <= 90; t++) {
+            wg_balance_set_others(other, t, 3000 + 40 * t, 5);
+        }
+        wg_prompt p = {.parts = {h + 1000}, .sizes = {1800}, .num = 1, .tokens = 1800};
+        wg_need need = {.service = "m", .prompt = &p, .slots = 64};
+        sent[wg_balance_choose(other, 0, &need).target]++;
+        wg_balance_shutdown(other);
+    }
+    for (int i = 1; i <= 90; i++) {
+        ck_assert_int_lt(sent[i], 15);
+    }
+    end();
+}
+END_TEST
+
+static wg_time wait_after_flood(int hosts, int reports) {
+    begin(1);
+    wg_prompt p = prompt(77, 78);
+    wg_balance_set_hosts(balance, hosts);
+    wg_balance_clear_others(balance);
+    wg_balance_set_others(balance, 1, 60000, 3);
+    for (int i = 0; i < reports; i++) {
+        wg_balance_clear_others(balance);
+    }
+    wg_time wait = choose(&p, 0).wait;
+    end();
+    return wait;
+}
+
+START_TEST(what_others_had_fades) {
+    wg_time flooded = wait_after_flood(69, 0);
+    ck_assert(wait_after_flood(69, 1) > flooded / 2);
+    ck_assert(wait_after_flood(69, 1) < flooded);
+    ck_assert(wait_after_flood(69, 20) < flooded / 4);
+    ck_assert(wait_after_flood(9, 1) < flooded / 4);
+    ck_assert_int_eq(wait_after_flood(1, 0), flooded);
+}
+END_TEST
+
 START_TEST(draining_targets_get_nothing) {
     begin(2);
     wg_target drain = *wg_registry_find(registry, 1);
@@ -215,6 +262,20 @@
 }
 END_TEST
 
+START_TEST(slots_are_left_for_those_who_are_owed_them) {
+    begin(1);
+    for (int i = 0; i < 32; i++) {
+        wg_choice c = {.target = 1};
+        wg_balance_begin(balance, 0, &c);
+    }
+    wg_need owed = {.service = "m", .slots = 64};
+    wg_need beyond = {.service = "m", .slots = 64, .slots_share = 0.5};
+    ck_assert_uint_eq(wg_balance_choose(balance, 0, &owed).target, 1);
+    ck_assert_uint_eq(wg_balance_choose(balance, 0, &beyond).target, 0);
+    end();
+}
+END_TEST
+
 START_TEST(the_level_is_max_min) {
     ck_assert(fabs(wg_fair_level((double[]){10, 20, 90}, 3, 90) - 60) < 1e-9);
     ck_assert(fabs(wg_fair_level((double[]){50, 50, 50}, 3, 90) - 30) < 1e-9);
@@ -308,8 +369,9 @@
 END_TEST
 
 WG_TEST_MAIN("balance", a_prefix_has_its_homes_on_every_host, a_loaded_home_spills_to_the_second,
+             what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
              a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
              accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
-             a_cold_fleet_is_not_taken_for_a_warm_one, the_level_is_max_min,
-             the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
+             slots_are_left_for_those_who_are_owed_them, a_cold_fleet_is_not_taken_for_a_warm_one,
+             the_level_is_max_min, the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
