--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -14,7 +14,7 @@
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
     WG_DRAWN_LEAST = 3,
-    WG_DRAWN_HOSTS = 6, /* of every so many hosts one weighs a given target */
+    WG_DRAWN_HOSTS = 11, /* of every so many hosts one weighs a given target */
     WG_FAILURES_BEFORE_ASIDE = 2,
     WG_FAR_TOKENS = 400,         /* what another data centre costs, in tokens to read */
     WG_RUNNING_TOKENS = 20,      /* what each running request costs the next */
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -16,6 +16,8 @@
 static const double WG_LIMIT = 0.95;
 /* Part of that share which is left while estimates cannot be trusted at all. */
 static const double WG_LIMIT_TRUSTLESS = 0.6;
+/* How much longer than the limit a modest workspace's request may be expected to take. */
+static const double WG_MODEST_FACTOR = 2;
 /* Part of a target's slots for those who have more than they are owed, by their patience. */
 static const double WG_SLOTS_LEAST = 0.55;
 static const double WG_SLOTS_SPAN = 0.35;
@@ -302,6 +304,11 @@
     return wg_call_counts(call) && wg_call_patience(call) >= 1;
 }
 
+/* Rather late than refused, for whoever has far less than others. */
+static bool wg_call_is_modest(const wg_call* call) {
+    return wg_call_counts(call) && wg_fair_is_modest(wg_call_usage(call), &call->entry->levels);
+}
+
 static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
@@ -310,6 +317,10 @@
     wg_time own = choice->wait - choice->wait_ahead;
     bool too_large = own > limit;
     double ahead = too_large ? WG_LIMIT_LARGE * (double)wg_call_tightest(call) : (double)limit;
+    if (wg_call_is_modest(call)) {
+        limit = (wg_time)(WG_MODEST_FACTOR * (double)limit);
+        ahead *= WG_MODEST_FACTOR;
+    }
     return (too_large || choice->wait <= limit) &&
            (double)choice->wait_ahead <= wg_call_patience(call) * ahead;
 }
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -59,6 +59,14 @@
     return MIN(owed, served);
 }
 
+/* Part of the level below which a workspace counts as modest. */
+static const double WG_FAIR_MODEST = 0.5;
+
+bool wg_fair_is_modest(double used, const wg_fair_levels* levels) {
+    double level = levels->owed > 0 ? MIN(levels->owed, levels->served) : levels->served;
+    return used < WG_FAIR_MODEST * level;
+}
+
 /* ---- margin --------------------------------------------------------------------------------- */
 
 /* The margin rests where about one in eleven comes late. */
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -21,6 +21,14 @@
 
 /* Level at which the sum of min(asked, level) is `served`; the most asked for when all of it is. */
 double wg_fair_level(const double* asked, int num, double served);
+typedef struct {
+    double owed;   /* level of what is owed, 0: not known */
+    double served; /* level of what was served, 0: not known */
+} wg_fair_levels;
+
+/* Has a workspace so little that it is sent though it may come late, rather than refused? */
+bool wg_fair_is_modest(double used, const wg_fair_levels* levels);
+
 /* How far estimates of waits can be trusted, learnt from what really came: 1 fully. */
 typedef struct {
     double value; /* 0: not begun, counts as 1 */
@@ -30,11 +38,6 @@
 void wg_fair_learn(wg_fair_margin* margin, bool in_time);
 double wg_fair_trust(const wg_fair_margin* margin);
 
-typedef struct {
-    double owed;   /* level of what is owed, 0: not known */
-    double served; /* level of what was served, 0: not known */
-} wg_fair_levels;
-
 /* Share of its objective that a request of a workspace may wait behind others, 0..1. At 0 it is not
    sent: the workspace has far more than others that are refused. */
 double wg_fair_patience(double used, const wg_fair_levels* levels);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -302,6 +302,8 @@
     ck_assert(wg_fair_patience(99, &both) == 1);
     ck_assert(wg_fair_patience(99, &(wg_fair_levels){0}) == 1);
     ck_assert(wg_fair_patience(140, &served) < wg_fair_patience(120, &served));
+    ck_assert(wg_fair_is_modest(40, &both) && !wg_fair_is_modest(60, &both));
+    ck_assert(!wg_fair_is_modest(0, &(wg_fair_levels){0}));
     /* Beyond what is owed it still has what nobody else wants. */
     ck_assert(wg_fair_patience(9000, &owed) > 0);
     /* Far beyond others that are refused it has to give way. */
