--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -286,6 +286,7 @@
 static void wg_balance_weigh(wg_balance* b, const wg_balance_target* t, wg_time now,
                              const wg_need* need, const wg_balance_homes* homes,
                              wg_candidate* best) {
+    WG_ASSERT(t != NULL);
     bool home = t == homes->first || t == homes->second;
     wg_choice c = wg_balance_estimate(b, t, now, need, home);
     int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, homes, &c, need) / t->speed);
--- a/lib/http/wg_http.c
+++ b/lib/http/wg_http.c
@@ -117,6 +117,27 @@
     wgh_reply_json(request, error->status, outer);
 }
 
+bool wgh_is_ambiguous(struct evhttp_request* request) {
+    const struct evkeyvalq* in = evhttp_request_get_input_headers(request);
+    int lengths = 0;
+    int codings = 0;
+    for (const struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
+        if (strpbrk(h->key, " \t")) {
+            return true;
+        }
+        bool length = g_ascii_strcasecmp(h->key, "Content-Length") == 0;
+        bool coding = g_ascii_strcasecmp(h->key, "Transfer-Encoding") == 0;
+        lengths += length;
+        codings += coding;
+        bool digits = strspn(h->value, "0123456789") == strlen(h->value) && h->value[0];
+        bool chunked = g_ascii_strcasecmp(h->value, "chunked") == 0;
+        if ((length && !digits) || (coding && !chunked)) {
+            return true;
+        }
+    }
+    return lengths + codings > 1;
+}
+
 const char* wgh_bearer(struct evhttp_request* request) {
     static const char prefix[] = "Bearer ";
     const char* value =
--- a/lib/http/wg_http.h
+++ b/lib/http/wg_http.h
@@ -66,6 +66,9 @@
 void wgh_reply_json(struct evhttp_request* request, int status, json_t* json);
 void wgh_reply_text(struct evhttp_request* request, int status, const char* type, const char* text);
 void wgh_reply_error(struct evhttp_request* request, const wgh_error* error);
+/* Could another reader understand the request's length otherwise than evhttp did (RFC 9112, 6.3)?
+   Such a request has to get 400, and its connection closed: what follows may be smuggled. */
+bool wgh_is_ambiguous(struct evhttp_request* request);
 /* The key of "Authorization: Bearer <key>", or NULL. */
 const char* wgh_bearer(struct evhttp_request* request);
 /* Path of the request without its query; at most `size` bytes. */
--- a/lib/router/wg_router_accept.c
+++ b/lib/router/wg_router_accept.c
@@ -246,6 +246,11 @@
     if (r->stopping) {
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     }
+    if (wgh_is_ambiguous(request)) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        _wgro_refuse(r, request, 400, "ambiguous_length", 0, "the length can be read in two ways");
+        return;
+    }
     if (strcmp(path, "/v1/entry") == 0) {
         _wgro_entry(r, request);
     } else if (strcmp(path, "/healthz") == 0) {
--- a/tests/sim/sim_quorum_internal.h
+++ b/tests/sim/sim_quorum_internal.h
@@ -11,6 +11,10 @@
     COMPACT_AFTER = 40
 };
 
+enum {
+    SIMQ_CLAIM_KEEP_SECONDS = 1000 /* of the replicated clock */
+};
+
 typedef struct {
     wgr_node* node;
     sim_disk disk;
@@ -48,8 +52,10 @@
     uint64_t next_edit;
     uint64_t next_identity;
     uint64_t last_edit_number;
-    GHashTable* outcomes;  /* edit number -> outcome and version of its first answer */
-    uint64_t holders[256]; /* attempt that was granted each claim key, 0 none */
+    GHashTable* outcomes;     /* edit number -> outcome and version of its first answer */
+    uint64_t holders[256];    /* attempt that was granted each claim key, 0 none */
+    uint64_t held_since[256]; /* replicated seconds of that grant */
+    uint64_t claims_now;      /* newest replicated seconds */
 };
 
 /* ---- sim_quorum.c --------------------------------------------------------------------------- */
--- a/tools/make-docs.sh
+++ b/tools/make-docs.sh
@@ -36,7 +36,7 @@
     echo "Made by \`make docs\` from the programs' own lists (\`--list-settings\`). An unknown key, a bad"
     echo "value or a missing file is an error that names file, group and key; nothing is started then"
     echo "(exit status 2). \`--check-settings\` only checks, \`--print-settings\` prints what is in force."
-    for program in routerd controld; do
+    for program in routerd controld entryd; do
         echo
         echo "## walnutgate-$program"
         echo
