--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -13,7 +13,7 @@
 } wg_fair_slope;
 
 static const wg_fair_slope WG_FAIR_OWED = {
-    .full_at = 1.05, .least_at = 1.5, .least = 0.25, .none_at = 1e9};
+    .full_at = 1.05, .least_at = 1.5, .least = 0.12, .none_at = 1e9};
 static const wg_fair_slope WG_FAIR_SERVED = {
     .full_at = 1.03, .least_at = 1.25, .least = 0.06, .none_at = 1.45};
 
@@ -56,7 +56,8 @@
 double wg_fair_patience(double used, const wg_fair_levels* levels) {
     double owed = wg_fair_fall(&WG_FAIR_OWED, used, levels->owed);
     double served = wg_fair_fall(&WG_FAIR_SERVED, used, levels->served);
-    return MIN(owed, served);
+    /* Of two that both have more than they are owed, the one with more gives way. */
+    return owed * served;
 }
 
 /* Part of the level below which a workspace counts as modest. */
@@ -70,8 +71,8 @@
 /* ---- margin --------------------------------------------------------------------------------- */
 
 /* The margin rests where about one in eleven comes late. */
-static const double WG_MARGIN_LOSS = 0.04; /* part of it, for one that is late */
-static const double WG_MARGIN_GAIN = 0.004;
+static const double WG_MARGIN_LOSS = 0.06; /* part of it, for one that is late */
+static const double WG_MARGIN_GAIN = 0.006;
 static const double WG_MARGIN_LEAST = 0.12;
 
 double wg_fair_trust(const wg_fair_margin* margin) {
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -306,6 +306,8 @@
     ck_assert(!wg_fair_is_modest(0, &(wg_fair_levels){0}));
     /* Beyond what is owed it still has what nobody else wants. */
     ck_assert(wg_fair_patience(9000, &owed) > 0);
+    const wg_fair_levels crowded = {.served = 100, .owed = 40};
+    ck_assert(wg_fair_patience(130, &crowded) < wg_fair_patience(95, &crowded));
     /* Far beyond others that are refused it has to give way. */
     ck_assert(wg_fair_patience(200, &served) == 0);
     ck_assert(wg_fair_patience(200, &both) == 0);
