--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -14,7 +14,7 @@
     /* A new leader tells of members only once all that are up could report to it. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC,
     WG_MEMBER_GONE = 1500 * WG_USEC_PER_MSEC,
-    WG_USAGE_HALF_LIFE = 2 * WG_USEC_PER_SEC
+    WG_USAGE_HALF_LIFE = 1200 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-/* Usage is halved every two seconds: a steady rate stands there as so many seconds of it. */
-static const double WG_USAGE_SECONDS = 2.885;
+/* The leader halves usage every 1.2 s: a steady rate stands there as so many seconds of it. */
+static const double WG_USAGE_SECONDS = 1.731;
 
 enum {
     WG_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -15,7 +15,7 @@
 static const wg_fair_slope WG_FAIR_OWED = {
     .full_at = 1.05, .least_at = 1.5, .least = 0.12, .none_at = 1e9};
 static const wg_fair_slope WG_FAIR_SERVED = {
-    .full_at = 1.03, .least_at = 1.25, .least = 0.06, .none_at = 1.45};
+    .full_at = 1.0, .least_at = 1.15, .least = 0.05, .none_at = 1.3};
 
 static int wg_fair_compare(const void* a, const void* b) {
     double first = *(const double*)a;
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -161,6 +161,11 @@
     return true;
 }
 
+/* The other end is owed our proof too: what is written may still wait when the link is dropped. */
+static void _wgn_send_rest(const _wgn_link_t* l) {
+    evbuffer_write(bufferevent_get_output(l->bev), bufferevent_getfd(l->bev));
+}
+
 static bool _wgn_take_proof(_wgn_link_t* l, const wgw_frame* frame) {
     Wgpb__Proof* proof = wgpb__proof__unpack(NULL, frame->size, frame->payload);
     if (!proof) {
@@ -172,6 +177,7 @@
     wgpb__proof__free_unpacked(proof, NULL);
     if (!good) {
         l->net->stats.proofs_bad++;
+        _wgn_send_rest(l);
         wg_log(WG_EVENT_LINK_REFUSED, "peer=%s", l->peer.name);
         return false;
     }
