--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -37,7 +37,10 @@
               "of first sends that the fleet may send again"),
     WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends", "beyond, of the fleet in a window"),
     WG_NUMBER("retry", retry_window_ms, "10000", 100, 600000, "ms", "window of the retry budget"),
-    WG_NUMBER("limits", callers_max, "3000", 1, 1000000, "", "connections of callers at once"),
+    WG_NUMBER("limits", callers_max, "3000", 1, 1000000, "",
+              "connections of callers at once; the longest idle one gives way to a new one"),
+    WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
+              "that the process may have open; bounds callers_max; 0: not told"),
 };
 const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
 
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -50,6 +50,7 @@
     int64_t retry_slack;
     int64_t retry_window_ms;
     int64_t callers_max;
+    int64_t descriptors;
 } wg_entry_settings;
 
 extern const wgi_key wg_entry_keys[];
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -30,7 +30,22 @@
     }
 }
 
+static void wg_client_leave_idle(wg_client* client) {
+    if (client->idle) {
+        g_queue_unlink(&client->entry->idle_clients, &client->idle_link);
+        client->idle = false;
+    }
+}
+
+static void wg_client_enter_idle(wg_client* client) {
+    wg_client_leave_idle(client);
+    client->idle = true;
+    client->idle_link = (GList){.data = client};
+    g_queue_push_tail_link(&client->entry->idle_clients, &client->idle_link);
+}
+
 static void wg_client_free(wg_client* client) {
+    wg_client_leave_idle(client);
     GPtrArray* clients = client->entry->clients;
     wg_client* last = clients->pdata[clients->len - 1];
     last->at = client->at;
@@ -57,6 +72,11 @@
     client->state = state;
     client->since = wg_now();
     client->begun = false;
+    if (state == WG_CLIENT_HEAD) {
+        wg_client_enter_idle(client);
+    } else {
+        wg_client_leave_idle(client);
+    }
 }
 
 /* Close once what was written has left. */
@@ -153,6 +173,7 @@
     if (!client->begun) {
         client->begun = true;
         client->since = wg_now();
+        wg_client_leave_idle(client);
     }
     size_t look = MIN(have, max + 1);
     const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
@@ -232,13 +253,45 @@
     }
 }
 
+/* How many connections of callers there may be: the rest of the descriptors is for targets. */
+static guint wg_client_most(const wg_entry* e) {
+    enum {
+        CALLERS_PERCENT = 70
+    };
+    int64_t most = e->settings->callers_max;
+    if (e->settings->descriptors > 0) {
+        most = MIN(most, e->settings->descriptors * CALLERS_PERCENT / 100);
+    }
+    return (guint)MAX(most, 1);
+}
+
+/* Room for one more: the connection that was idle longest gives way, as it would at the end of its
+   idle time. False when none rests. */
+static bool wg_client_make_room(wg_entry* e) {
+    if (e->clients->len < wg_client_most(e)) {
+        return true;
+    }
+    wg_client* oldest = g_queue_peek_head(&e->idle_clients);
+    if (!oldest || evbuffer_get_length(bufferevent_get_input(oldest->bev)) > 0) {
+        e->counters.callers_turned_away++;
+        return false;
+    }
+    e->counters.callers_replaced++;
+    wg_client_close(oldest);
+    return true;
+}
+
 static void wg_client_accept(struct evconnlistener* listener, evutil_socket_t fd,
                              struct sockaddr* address, int size, void* user_data) {
     (void)listener;
     (void)address;
     (void)size;
     wg_entry* e = user_data;
-    if (e->clients->len >= (guint)e->settings->callers_max) {
+    if (!wg_client_make_room(e)) {
+        if (wg_entry_may_log(e, wg_now())) {
+            wg_log(WG_EVENT_CONNECTION_REFUSED, "code=too_many_callers callers=%u",
+                   e->clients->len);
+        }
         evutil_closesocket(fd);
         return;
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -48,6 +48,8 @@
     wg_time since; /* start of the present state, or first byte of a head */
     bool begun;    /* some bytes of a head came */
     guint at;      /* place in entry->clients */
+    bool idle;     /* it stands in entry->idle_clients */
+    GList idle_link;
 };
 
 /* Why a call ended, as its last log line says. */
@@ -162,6 +164,8 @@
     uint64_t retries;
     uint64_t resumes;
     uint64_t connects;
+    uint64_t callers_replaced;    /* idle ones closed to make room */
+    uint64_t callers_turned_away; /* closed at once: none was idle */
     uint64_t lines_left_out;
 } wg_entry_counters;
 
@@ -177,8 +181,9 @@
 
     struct evconnlistener* listener;
     GPtrArray* clients;
-    GHashTable* idle;   /* target -> GQueue of wg_upstream */
-    GHashTable* queues; /* name of a service -> GQueue of wg_call */
+    GQueue idle_clients; /* wg_client that wait for a request; the longest idle is first */
+    GHashTable* idle;    /* target -> GQueue of wg_upstream */
+    GHashTable* queues;  /* name of a service -> GQueue of wg_call */
     int calls_num;
 
     /* what this host believes */
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -57,11 +57,18 @@
     const struct {
         const char* name;
         uint64_t value;
-    } counters[] = {{"requests", c->requests}, {"whole", c->whole},
-                    {"refused", c->refused},   {"failed", c->failed},
-                    {"cut", c->cut},           {"caller_left", c->left},
-                    {"retries", c->retries},   {"resumes", c->resumes},
-                    {"connects", c->connects}, {"log_lines_left_out", c->lines_left_out}};
+    } counters[] = {{"requests", c->requests},
+                    {"whole", c->whole},
+                    {"refused", c->refused},
+                    {"failed", c->failed},
+                    {"cut", c->cut},
+                    {"caller_left", c->left},
+                    {"retries", c->retries},
+                    {"resumes", c->resumes},
+                    {"connects", c->connects},
+                    {"callers_replaced", c->callers_replaced},
+                    {"callers_turned_away", c->callers_turned_away},
+                    {"log_lines_left_out", c->lines_left_out}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
--- /dev/null
+++ b/tests/test_entry.c
@@ -0,0 +1,169 @@
+/* test_entry.c -- connections of callers at one entry host that runs within the test */
+#include <arpa/inet.h>
+#include <errno.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "wg_entry.h"
+#include "wg_test.h"
+
+enum {
+    CALLERS_MAX = 8,
+    TURNS = 400 /* of the loop, a millisecond each, before an answer counts as missing */
+};
+
+static struct event_base* base;
+static wg_entry* entry;
+static uint16_t port;
+
+static char* address(int number) {
+    return g_strdup_printf("127.77.%d.%d:%d", getpid() % 250 + 1, number, 18000 + getpid() % 9000);
+}
+
+static void begin(int64_t callers_max, int64_t descriptors) {
+    static char* seeds[] = {"127.77.0.1:1", NULL};
+    wg_entry_settings settings = {.name = "here",
+                                  .data_centre = "dc",
+                                  .callers_listen = address(1),
+                                  .ready_listen = address(2),
+                                  .entry_listen = address(3),
+                                  .orders_listen = address(4),
+                                  .fleet_listen = address(5),
+                                  .seeds = seeds,
+                                  .fleet_port = 1,
+                                  .fleet_key = "a key for the fleet",
+                                  .entry_keep_s = 1,
+                                  .grace_s = 8,
+                                  .link_silence_ms = 1200,
+                                  .order_ms = 900,
+                                  .retry_window_ms = 10000,
+                                  .callers_max = callers_max,
+                                  .descriptors = descriptors};
+    static wg_entry_settings kept;
+    kept = settings;
+    GError* error = NULL;
+    base = event_base_new();
+    entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &kept}, &error);
+    ck_assert_msg(entry != NULL, "%s", error ? error->message : "");
+    port = (uint16_t)(18000 + getpid() % 9000);
+}
+
+static void end(void) {
+    wg_entry_shutdown(entry);
+    event_base_free(base);
+}
+
+static void turn(void) {
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    g_usleep(1000);
+}
+
+static int caller(void) {
+    char* text = address(1);
+    *strchr(text, ':') = 0;
+    struct sockaddr_in to = {.sin_family = AF_INET, .sin_port = htons(port)};
+    ck_assert_int_eq(inet_pton(AF_INET, text, &to.sin_addr), 1);
+    g_free(text);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ck_assert(connect(fd, (struct sockaddr*)&to, sizeof to) == 0 || errno == EINPROGRESS);
+    turn();
+    return fd;
+}
+
+/* Status of the answer to one request; 0 when the connection ended without one. */
+static int ask(int fd) {
+    static const char request[] = "GET /x/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    char answer[512] = "";
+    ssize_t sent = -1;
+    for (int i = 0; i < TURNS && sent < 0; i++) {
+        turn();
+        sent = send(fd, request, sizeof request - 1, MSG_NOSIGNAL);
+        if (sent < 0 && errno != EAGAIN && errno != ENOTCONN) {
+            return 0;
+        }
+    }
+    for (int i = 0; i < TURNS; i++) {
+        turn();
+        ssize_t got = recv(fd, answer, sizeof answer - 1, 0);
+        if (got > 0) {
+            return (int)strtol(answer + strlen("HTTP/1.1 "), NULL, 10);
+        }
+        if (got == 0 || errno != EAGAIN) {
+            return 0;
+        }
+    }
+    return 0;
+}
+
+static bool is_closed(int fd) {
+    char byte;
+    for (int i = 0; i < 20; i++) {
+        turn();
+    }
+    return recv(fd, &byte, 1, MSG_PEEK) == 0;
+}
+
+/* Callers that try again do so on new connections; the ones they left rest. */
+START_TEST(the_longest_idle_caller_gives_way) {
+    int callers[CALLERS_MAX + 3];
+    begin(CALLERS_MAX, 0);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        callers[i] = caller();
+        ck_assert_int_eq(ask(callers[i]), 503);
+    }
+    ck_assert_int_eq(ask(callers[0]), 503); /* the second one is now idle for longest */
+    callers[CALLERS_MAX] = caller();
+    ck_assert_int_eq(ask(callers[CALLERS_MAX]), 503);
+    ck_assert(is_closed(callers[1]));
+    ck_assert(!is_closed(callers[0]));
+    ck_assert(!is_closed(callers[2]));
+    for (int i = 0; i <= CALLERS_MAX; i++) {
+        close(callers[i]);
+    }
+    end();
+}
+END_TEST
+
+/* A caller in the middle of a request does not give way. */
+START_TEST(a_caller_that_sends_does_not_give_way) {
+    int callers[CALLERS_MAX];
+    begin(CALLERS_MAX, 0);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        callers[i] = caller();
+        ck_assert_int_eq(send(callers[i], "GET ", 4, MSG_NOSIGNAL), 4);
+        turn();
+    }
+    int late = caller();
+    ck_assert_int_eq(ask(late), 0);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        ck_assert(!is_closed(callers[i]));
+        close(callers[i]);
+    }
+    close(late);
+    end();
+}
+END_TEST
+
+START_TEST(descriptors_bound_the_callers) {
+    int first;
+    begin(1000, 10); /* seven for callers */
+    first = caller();
+    ck_assert_int_eq(ask(first), 503);
+    int others[7];
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        others[i] = caller();
+        ck_assert_int_eq(ask(others[i]), 503);
+    }
+    ck_assert(is_closed(first));
+    for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+        close(others[i]);
+    }
+    close(first);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry", the_longest_idle_caller_gives_way, a_caller_that_sends_does_not_give_way,
+             descriptors_bound_the_callers)
