A target that is no home copies what a home holds of the prompt

Each spill from a crowded home read the whole prefix at the other target.

Change: the send names the home that should hold it, where the configuration says that engines copy ("copies"). The header that callers could send themselves is dropped. Estimates don't count on the copy: whether the home still holds it is not known. Test: tests/test_balance.c what_a_home_holds_is_copied.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -103,19 +103,18 @@
     return false;
 }
 
-/* Tokens of the prompt that are not expected to be cached at the target. */
-static uint32_t wg_balance_unread(const wg_balance* b, const wg_balance_target* t, wg_time now,
+/* Tokens of the prompt's shared parts that are expected to be cached at the target. */
+static uint32_t wg_balance_cached(const wg_balance* b, const wg_balance_target* t, wg_time now,
                                   const wg_prompt* prompt, bool home) {
+    bool warm = home && b->warm_at > 0 && now >= b->warm_at;
     uint32_t cached = 0;
     for (int i = 0; i + 1 < prompt->num; i++) {
-        uint64_t part = prompt->parts[i];
-        bool warm = home && b->warm_at > 0 && now >= b->warm_at;
-        if (!warm && !wg_parts_have(t->cached, now, part, WG_CACHED_TIME)) {
+        if (!warm && !wg_parts_have(t->cached, now, prompt->parts[i], WG_CACHED_TIME)) {
             break;
         }
         cached += prompt->sizes[i];
     }
-    return prompt->tokens > cached ? prompt->tokens - cached : 0;
+    return MIN(cached, prompt->tokens);
 }
 
 static uint64_t wg_balance_rank(uint64_t part, const wg_balance_target* t) {
@@ -163,21 +162,53 @@
     return homes;
 }
 
-static wg_choice wg_balance_estimate(const wg_balance* b, const wg_balance_target* t, wg_time now,
-                                     const wg_need* need, bool home) {
-    wg_choice c = {.target = t->number};
+/* The home that should hold most of the prompt, when it is more than the target itself holds. The
+   target copies what it lacks from there. Whether the home still holds it is not known, so a copy
+   shortens no estimate. */
+static uint32_t wg_balance_source(const wg_balance* b, const wg_balance_target* t, wg_time now,
+                                  const wg_need* need, const wg_balance_homes* homes,
+                                  uint32_t cached) {
+    const wg_balance_target* candidates[] = {homes->first, homes->second};
+    uint32_t source = 0;
+    uint32_t most = cached;
+    for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
+        if (!candidates[i] || candidates[i] == t) {
+            continue;
+        }
+        uint32_t held = wg_balance_cached(b, candidates[i], now, need->prompt, true);
+        if (held > most) {
+            source = candidates[i]->number;
+            most = held;
+        }
+    }
+    return source;
+}
+
+static wg_choice wg_balance_estimate_prompt(const wg_balance* b, const wg_balance_target* t,
+                                            wg_time now, const wg_need* need,
+                                            const wg_balance_homes* homes) {
+    bool home = t == homes->first || t == homes->second;
     uint32_t running = t->own_running + t->other_running;
+    uint32_t cached = wg_balance_cached(b, t, now, need->prompt, home);
+    wg_choice c = {.target = t->number};
+    c.source = need->copies ? wg_balance_source(b, t, now, need, homes, cached) : 0;
+    c.unread = need->prompt->tokens - cached;
+    c.ahead = t->own_unread + MAX(t->other_unread, t->lately_unread);
+    uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
+    c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
+    c.wait_ahead = WG_FIRST_EVENT_MIN + (wg_time)(c.ahead / t->speed);
+    return c;
+}
+
+static wg_choice wg_balance_estimate(const wg_balance* b, const wg_balance_target* t, wg_time now,
+                                     const wg_need* need, const wg_balance_homes* homes) {
     if (need->prompt) {
-        c.unread = wg_balance_unread(b, t, now, need->prompt, home);
-        c.ahead = t->own_unread + MAX(t->other_unread, t->lately_unread);
-        uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
-        c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
-        c.wait_ahead = WG_FIRST_EVENT_MIN + (wg_time)(c.ahead / t->speed);
-    } else {
-        uint32_t slots = t->slots ? t->slots : 1;
-        c.wait = (wg_time)running * WG_USEC_PER_MSEC * 10 / slots;
+        return wg_balance_estimate_prompt(b, t, now, need, homes);
     }
-    return c;
+    uint32_t running = t->own_running + t->other_running;
+    uint32_t slots = t->slots ? t->slots : 1;
+    return (wg_choice){.target = t->number,
+                       .wait = (wg_time)running * WG_USEC_PER_MSEC * 10 / slots};
 }
 
 /* ---- public functions ---------------------------------------------------------------------- */
@@ -287,8 +318,7 @@
                              const wg_need* need, const wg_balance_homes* homes,
                              wg_candidate* best) {
     WG_ASSERT(t != NULL);
-    bool home = t == homes->first || t == homes->second;
-    wg_choice c = wg_balance_estimate(b, t, now, need, home);
+    wg_choice c = wg_balance_estimate(b, t, now, need, homes);
     int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, homes, &c, need) / t->speed);
     if (now < t->aside_until) {
         cost += WG_ASIDE_MAX; /* only when there is nothing else */
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -10,6 +10,8 @@
     FEATURES
         - a shared prefix has two homes: the targets that rendezvous hashing gives it, the same on
           every host without a message; a long prefix goes elsewhere only at a price
+        - a target that is no home copies what a home holds of the prompt, where engines can do
+          that: far less work than reading it again
         - a prefix counts as cached at its homes some time after the first prompt was sent; a fleet
           that starts cold is not filled as if it were warm
         - the more hosts decide at once on the same old loads, the fewer targets each weighs beside
@@ -50,6 +52,7 @@
     const char* service;
     const wg_prompt* prompt; /* NULL for plain services */
     int slots;               /* of one target, when it told none */
+    bool copies;             /* targets can copy what they hold of a prompt to each other */
     double slots_share;      /* part of a target's slots that may be taken before; 0: all */
     wg_time limit;           /* a target with a longer wait is chosen last; 0 or never: none */
     uint32_t tried[WG_TRIED_MAX];
@@ -60,6 +63,7 @@
     uint32_t target;    /* number in the registry; 0: none can take it */
     uint32_t unread;    /* tokens that the target has to read for it */
     uint32_t ahead;     /* tokens that it reads before */
+    uint32_t source;    /* number of the target that it copies the rest from; 0: none */
     wg_time wait;       /* estimate, to the first event */
     wg_time wait_ahead; /* the part of it that is others' prompts */
     wg_time begun;
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -46,6 +46,7 @@
     if (service->engine) {
         service->slots = (int)wg_json_number(engine, "slots", 0);
         service->memory_tokens = wg_json_number(engine, "memory_tokens", 0);
+        service->copies = json_is_true(json_object_get(engine, "copies"));
         service->event_tokens =
             (int)wg_json_number(engine, "event_tokens", WG_EVENT_TOKENS_DEFAULT);
         service->event_calls = (int)wg_json_number(engine, "event_calls", 0);
--- a/lib/config/wg_config.h
+++ b/lib/config/wg_config.h
@@ -42,6 +42,7 @@
     bool engine;     /* a model engine, with the members below */
     int slots;
     int64_t memory_tokens;
+    bool copies;      /* engines copy what they hold of prompts to each other */
     wg_time tightest; /* objective of its routes, WG_TIME_NEVER when it has none */
     int event_tokens; /* tokens in one event of a stream */
     int event_calls;  /* waiting calls for cache events that one engine takes */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -52,6 +52,7 @@
                                             .last_event = "Last-Event-ID",
                                             .workspace = "Walnutgate-Workspace",
                                             .expect = "Walnutgate-Expect-Target",
+                                            .copy_from = "Walnutgate-Copy-From",
                                             .not_run = "Target-Not-Run",
                                             .query_place = "data_centre"};
 
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -66,6 +66,7 @@
     const char* last_event;    /* id of the last event that the caller has */
     const char* workspace;     /* name, told to targets */
     const char* expect;        /* id of the target that is meant */
+    const char* copy_from;     /* ip:port of the target that holds a part of the prompt */
     const char* not_run;       /* of a target that did not run a request */
     const char* query_place;   /* data centre of a caller that asks for entry hosts */
 } wg_entry_names;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -689,6 +689,7 @@
         wg_parse_prompt(parts, wg_message_field(&head, e->names->prompt_tokens), &call->prompt);
     call->need = (wg_need){.service = service->name,
                            .prompt = call->has_prompt ? &call->prompt : NULL,
+                           .copies = service->copies,
                            .slots = service->slots};
     wg_call_read_times(call);
     if (wg_call_counts(call)) {
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -142,7 +142,8 @@
     bool resumes = call->last_event[0] != 0;
     return wg_message_is_hop_field(&call->head, name) || wg_text_is(name, n->key) ||
            wg_text_is(name, n->deadline) || wg_text_is(name, n->workspace) ||
-           wg_text_is(name, n->expect) || (resumes && wg_text_is(name, n->last_event));
+           wg_text_is(name, n->expect) || wg_text_is(name, n->copy_from) ||
+           (resumes && wg_text_is(name, n->last_event));
 }
 
 static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
@@ -165,6 +166,11 @@
     if (call->workspace) {
         evbuffer_add_printf(out, "%s: %s\r\n", e->names->workspace, call->workspace->name);
     }
+    const wg_target* source =
+        call->choice.source ? wg_registry_find(e->registry, call->choice.source) : NULL;
+    if (source) {
+        evbuffer_add_printf(out, "%s: %s\r\n", e->names->copy_from, source->address);
+    }
     if (call->last_event[0]) {
         evbuffer_add_printf(out, "%s: %s\r\n", e->names->last_event, call->last_event);
     }
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -82,6 +82,31 @@
 }
 END_TEST
 
+/* A target that is no home takes from a home what it lacks; a home that holds all takes nothing. */
+START_TEST(what_a_home_holds_is_copied) {
+    begin(18);
+    wg_prompt p = prompt(77, 78);
+    wg_need need = {.service = "m", .prompt = &p, .slots = 64, .copies = true};
+    uint32_t home = wg_balance_choose(balance, 0, &need).target;
+    ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).source, 0); /* nobody holds it */
+    wg_balance_note_prompt(balance, 0, home, &p);
+    wg_choice again = wg_balance_choose(balance, 1, &need);
+    ck_assert_uint_eq(again.target, home);
+    ck_assert_uint_eq(again.source, 0);
+    need.tried[need.tried_num++] = home; /* no longer a home: its successors are */
+    ck_assert_uint_eq(wg_balance_choose(balance, 1, &need).source, 0);
+    need.tried_num = 0;
+    wg_balance_set_others(balance, home, 500000, 3);
+    wg_choice elsewhere = wg_balance_choose(balance, 1, &need);
+    ck_assert_uint_ne(elsewhere.target, home);
+    ck_assert_uint_eq(elsewhere.source, home);
+    ck_assert_uint_eq(elsewhere.unread, 9200);
+    need.copies = false;
+    ck_assert_uint_eq(wg_balance_choose(balance, 1, &need).source, 0);
+    end();
+}
+END_TEST
+
 START_TEST(a_lost_target_moves_only_its_own_prefixes) {
     begin(18);
     uint32_t before[200];
@@ -373,9 +398,10 @@
 END_TEST
 
 WG_TEST_MAIN("balance", a_prefix_has_its_homes_on_every_host, a_loaded_home_spills_to_the_second,
-             what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
-             a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
-             accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
+             what_a_home_holds_is_copied, what_others_had_fades,
+             hosts_do_not_all_take_the_least_loaded, a_lost_target_moves_only_its_own_prefixes,
+             draining_targets_get_nothing, accounts_come_out_even,
+             failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
              slots_are_left_for_those_who_are_owed_them, a_cold_fleet_is_not_taken_for_a_warm_one,
              the_level_is_max_min, the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
