--- /dev/null
+++ b/lib/admit/wg_admit.c
@@ -0,0 +1,274 @@
+/* wg_admit.c -- see wg_admit.h */
+#include "wg_admit.h"
+
+#include <string.h>
+
+/* ---- types and constants ------------------------------------------------------------------- */
+
+enum {
+    WG_ADMIT_FRESH_TIME = 1500 * WG_USEC_PER_MSEC, /* an account this young may miss admissions */
+    WG_ADMIT_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC,
+    WG_ADMIT_RUNNING_TOKENS = 20, /* what each running request costs the next */
+    WG_ADMIT_TOLD_TOKENS = 1500,  /* fewer say little of the speed */
+    WG_ADMIT_PARTS_HELD_MAX = 8192,
+    WG_ADMIT_MEMORY_DEFAULT = 200000
+};
+
+/* Part of a target's memory that is taken to hold what was last used; running ones need the rest.
+ */
+static const double WG_ADMIT_MEMORY_PART = 0.7;
+
+/* Tokens read in a microsecond, until a target shows its own speed. */
+static const double WG_ADMIT_SPEED_DEFAULT = 0.030;
+static const double WG_ADMIT_SPEED_MIN = 0.002;
+static const double WG_ADMIT_SPEED_MAX = 0.080;
+static const double WG_ADMIT_SPEED_WEIGHT = 0.05; /* of a new sample */
+
+/* What the fleet has under way at one target. */
+typedef struct {
+    uint32_t number;
+    wg_time begun_at;
+    uint64_t unread;
+    uint32_t running;
+    uint64_t admitted; /* tokens so far: the clock by which parts are given up */
+    double speed;
+    GHashTable* parts; /* part -> uint64_t* value of `admitted` at its last use */
+} wg_admit_account;
+
+typedef struct {
+    uint64_t holder;
+    uint64_t ticket;
+} wg_admit_key;
+
+/* One request that was granted. */
+typedef struct {
+    wg_admit_key key;
+    uint32_t target;
+    uint32_t unread;   /* 0 once it is read */
+    uint32_t expected; /* tokens to be read until its first event, when it was granted */
+    wg_time granted_at;
+} wg_admission;
+
+struct wg_admit {
+    wg_admit_desc desc;
+    GHashTable* accounts;   /* number of a target -> wg_admit_account* */
+    GHashTable* admissions; /* wg_admit_key* -> wg_admission* */
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static guint wg_admit_key_hash(gconstpointer key) {
+    return (guint)wg_hash(key, sizeof(wg_admit_key), 0);
+}
+
+static gboolean wg_admit_key_equal(gconstpointer a, gconstpointer b) {
+    return memcmp(a, b, sizeof(wg_admit_key)) == 0;
+}
+
+static void wg_admit_account_free(void* data) {
+    wg_admit_account* account = data;
+    g_hash_table_unref(account->parts);
+    g_free(account);
+}
+
+static wg_admit_account* wg_admit_find(const wg_admit* a, uint32_t target) {
+    return g_hash_table_lookup(a->accounts, GUINT_TO_POINTER(target));
+}
+
+static gboolean wg_admit_is_unused(gpointer key, gpointer value, gpointer user_data) {
+    (void)key;
+    (void)user_data;
+    return ((wg_admit_account*)value)->running == 0;
+}
+
+static wg_admit_account* wg_admit_account_of(wg_admit* a, wg_time now, uint32_t target) {
+    wg_admit_account* account = wg_admit_find(a, target);
+    if (account) {
+        return account;
+    }
+    if (g_hash_table_size(a->accounts) >= (guint)a->desc.targets_max) {
+        g_hash_table_foreach_remove(a->accounts, wg_admit_is_unused, NULL);
+    }
+    account = g_new0(wg_admit_account, 1);
+    account->number = target;
+    account->begun_at = now;
+    account->speed = WG_ADMIT_SPEED_DEFAULT;
+    account->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    g_hash_table_insert(a->accounts, GUINT_TO_POINTER(target), account);
+    return account;
+}
+
+/* Tokens from the start of the prompt that the target should still hold. */
+static uint32_t wg_admit_held(const wg_admit_account* account, const wg_admit_request* request) {
+    double memory = request->memory > 0 ? (double)request->memory : WG_ADMIT_MEMORY_DEFAULT;
+    uint64_t lasts = (uint64_t)(memory * WG_ADMIT_MEMORY_PART);
+    uint32_t held = 0;
+    for (int i = 0; i < request->parts_num; i++) {
+        const uint64_t* used_at = g_hash_table_lookup(account->parts, &request->parts[i]);
+        if (!used_at || account->admitted - *used_at > lasts) {
+            break;
+        }
+        held += request->sizes[i];
+    }
+    return MIN(held, request->tokens);
+}
+
+static void wg_admit_note_parts(wg_admit_account* account, const wg_admit_request* request) {
+    for (int i = 0; i < request->parts_num; i++) {
+        uint64_t* used_at = g_hash_table_lookup(account->parts, &request->parts[i]);
+        if (!used_at) {
+            if (g_hash_table_size(account->parts) >= WG_ADMIT_PARTS_HELD_MAX) {
+                g_hash_table_remove_all(account->parts);
+            }
+            uint64_t* pair = g_new(uint64_t, 2);
+            pair[0] = request->parts[i];
+            used_at = pair + 1;
+            g_hash_table_insert(account->parts, pair, used_at);
+        }
+        *used_at = account->admitted;
+    }
+}
+
+/* Tokens of the shared parts beyond those that are held or copied. */
+static uint32_t wg_admit_lacking(const wg_admit_request* request, uint32_t spared) {
+    uint32_t shared = 0;
+    for (int i = 0; i < request->parts_num; i++) {
+        shared += request->sizes[i];
+    }
+    return shared > spared ? shared - spared : 0;
+}
+
+static wg_admit_answer wg_admit_estimate(const wg_admit_account* account, wg_time now,
+                                         const wg_admit_request* request) {
+    bool fresh = now - account->begun_at < WG_ADMIT_FRESH_TIME;
+    wg_admit_answer answer = {.ahead = (uint32_t)account->unread, .running = account->running};
+    if (fresh) {
+        answer.ahead = MAX(answer.ahead, request->floor_unread);
+        answer.running = MAX(answer.running, request->floor_running);
+    }
+    answer.held = wg_admit_held(account, request);
+    uint32_t spared = MIN(MAX(answer.held, request->copied), request->tokens);
+    answer.unread = request->tokens - spared;
+    uint32_t tokens = answer.ahead + answer.unread + answer.running * WG_ADMIT_RUNNING_TOKENS;
+    answer.wait = WG_ADMIT_FIRST_EVENT_MIN + (wg_time)(tokens / account->speed);
+    uint32_t before = answer.ahead;
+    if (request->limits.spares_shared) {
+        before += wg_admit_lacking(request, spared);
+    }
+    answer.wait_ahead = (wg_time)(before / account->speed);
+    return answer;
+}
+
+static void wg_admit_grant(wg_admit* a, wg_admit_account* account, wg_time now,
+                           const wg_admit_request* request, const wg_admit_answer* answer) {
+    wg_admission* admission = g_new0(wg_admission, 1);
+    admission->key = (wg_admit_key){request->holder, request->ticket};
+    admission->target = request->target;
+    admission->unread = answer->unread;
+    admission->expected = answer->ahead + answer->unread;
+    admission->granted_at = now;
+    account->unread += answer->unread;
+    account->running++;
+    account->admitted += answer->unread + request->answer;
+    wg_admit_note_parts(account, request);
+    g_hash_table_insert(a->admissions, &admission->key, admission);
+}
+
+/* The tokens of an admission are no longer to be read. */
+static void wg_admit_settle_read(wg_admit* a, wg_admission* admission) {
+    wg_admit_account* account = wg_admit_find(a, admission->target);
+    WG_ASSERT(account && account->unread >= admission->unread);
+    account->unread -= admission->unread;
+    admission->unread = 0;
+}
+
+static void wg_admit_settle(wg_admit* a, wg_admission* admission) {
+    wg_admit_settle_read(a, admission);
+    wg_admit_account* account = wg_admit_find(a, admission->target);
+    WG_ASSERT(account->running > 0);
+    account->running--;
+}
+
+static wg_admission* wg_admit_admission(const wg_admit* a, uint64_t holder, uint64_t ticket) {
+    wg_admit_key key = {holder, ticket};
+    return g_hash_table_lookup(a->admissions, &key);
+}
+
+/* ---- public functions ---------------------------------------------------------------------- */
+
+bool wg_admit_fits(const wg_admit_limits* limits, wg_time wait, wg_time wait_ahead) {
+    bool large = wait - wait_ahead > limits->whole;
+    if (large) {
+        return wait_ahead <= limits->ahead_large;
+    }
+    return wait <= limits->whole && wait_ahead <= limits->ahead;
+}
+
+wg_admit* wg_admit_setup(const wg_admit_desc* desc) {
+    wg_admit* a = g_new0(wg_admit, 1);
+    a->desc = *desc;
+    a->desc.targets_max = desc->targets_max ? desc->targets_max : WG_ADMIT_TARGETS_MAX_DEFAULT;
+    a->accounts = g_hash_table_new_full(NULL, NULL, NULL, wg_admit_account_free);
+    a->admissions = g_hash_table_new_full(wg_admit_key_hash, wg_admit_key_equal, NULL, g_free);
+    return a;
+}
+
+void wg_admit_shutdown(wg_admit* a) {
+    g_hash_table_unref(a->admissions);
+    g_hash_table_unref(a->accounts);
+    g_free(a);
+}
+
+wg_admit_answer wg_admit_ask(wg_admit* a, wg_time now, const wg_admit_request* request) {
+    wg_admit_account* account = wg_admit_account_of(a, now, request->target);
+    wg_admit_answer answer = wg_admit_estimate(account, now, request);
+    bool full = request->running_most > 0 && answer.running >= request->running_most;
+    bool known = wg_admit_admission(a, request->holder, request->ticket) != NULL;
+    answer.granted =
+        !full && !known && wg_admit_fits(&request->limits, answer.wait, answer.wait_ahead);
+    if (answer.granted) {
+        wg_admit_grant(a, account, now, request, &answer);
+    }
+    return answer;
+}
+
+void wg_admit_read(wg_admit* a, wg_time now, uint64_t holder, uint64_t ticket) {
+    wg_admission* admission = wg_admit_admission(a, holder, ticket);
+    if (!admission) {
+        return;
+    }
+    wg_admit_account* account = wg_admit_find(a, admission->target);
+    wg_time took = now - admission->granted_at - WG_ADMIT_FIRST_EVENT_MIN / 2;
+    if (admission->expected >= WG_ADMIT_TOLD_TOKENS && took > WG_ADMIT_FIRST_EVENT_MIN / 2) {
+        double sample = admission->expected / (double)took;
+        sample = CLAMP(sample, WG_ADMIT_SPEED_MIN, WG_ADMIT_SPEED_MAX);
+        account->speed += WG_ADMIT_SPEED_WEIGHT * (sample - account->speed);
+    }
+    admission->expected = 0;
+    wg_admit_settle_read(a, admission);
+}
+
+void wg_admit_end(wg_admit* a, uint64_t holder, uint64_t ticket) {
+    wg_admission* admission = wg_admit_admission(a, holder, ticket);
+    if (admission) {
+        wg_admit_settle(a, admission);
+        g_hash_table_remove(a->admissions, &admission->key);
+    }
+}
+
+void wg_admit_drop_holder(wg_admit* a, uint64_t holder) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->admissions);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_admission* admission = value;
+        if (admission->key.holder == holder) {
+            wg_admit_settle(a, admission);
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+int wg_admit_num(const wg_admit* a) {
+    return (int)g_hash_table_size(a->admissions);
+}
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -12,6 +12,7 @@
     WG_CACHED_MAX = 8192,                   /* parts remembered for one target */
     WG_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ASIDE_MAX = 4 * WG_USEC_PER_SEC,
+    WG_FRESH_TIME = 25 * WG_USEC_PER_MSEC, /* word of a coordinator */
     WG_OVER_LIMIT = 10 * WG_USEC_PER_SEC,
     WG_DRAWN_LEAST = 3,
     WG_DRAWN_HOSTS = 11, /* of every so many hosts one weighs a given target */
@@ -46,6 +47,7 @@
     uint32_t other_unread;
     uint32_t other_running;
     uint32_t lately_unread; /* of others, fading */
+    wg_time told_at;        /* loads were told by the target's coordinator; 0: never */
     double speed;
     int failures;
     wg_time aside_until;
@@ -117,6 +119,15 @@
     return MIN(cached, prompt->tokens);
 }
 
+static bool wg_need_denied(const wg_need* need, uint32_t number) {
+    for (int i = 0; i < need->denied_num; i++) {
+        if (need->denied[i] == number) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static uint64_t wg_balance_rank(uint64_t part, const wg_balance_target* t) {
     return wg_hash(&part, sizeof part, t->id_hash);
 }
@@ -191,12 +202,18 @@
     uint32_t running = t->own_running + t->other_running;
     uint32_t cached = wg_balance_cached(b, t, now, need->prompt, home);
     wg_choice c = {.target = t->number};
-    c.source = need->copies ? wg_balance_source(b, t, now, need, homes, cached) : 0;
-    c.unread = need->prompt->tokens - cached;
+    c.is_fresh = t->told_at > 0 && now - t->told_at < WG_FRESH_TIME;
+    if (need->copies && need->source_tokens > cached && need->source != t->number) {
+        c.source = need->source;
+        c.copied = MIN(need->source_tokens, need->prompt->tokens);
+    } else if (need->copies) {
+        c.source = wg_balance_source(b, t, now, need, homes, cached);
+    }
+    c.unread = need->prompt->tokens - MAX(cached, c.copied);
     c.ahead = t->own_unread + MAX(t->other_unread, t->lately_unread);
     uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_TOKENS;
     c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
-    c.wait_ahead = WG_FIRST_EVENT_MIN + (wg_time)(c.ahead / t->speed);
+    c.wait_ahead = (wg_time)(c.ahead / t->speed);
     return c;
 }
 
@@ -285,11 +302,14 @@
     }
 }
 
-/* Are the slots taken that the request may have? What others send meanwhile is not known yet, so
-   some are left for those who are owed them. */
+/* Is there no place for the request, or are the slots taken that it may have? What others send
+   meanwhile is not known yet, so some are left for those who are owed them. */
 static bool wg_balance_is_full(const wg_balance_target* t, const wg_need* need) {
     double slots = t->slots ? (double)t->slots : (double)need->slots;
     double share = need->slots_share > 0 ? need->slots_share : 1;
+    if (wg_need_denied(need, t->number)) {
+        return true;
+    }
     return slots > 0 && t->own_running + t->other_running >= slots * share;
 }
 
@@ -429,6 +449,23 @@
     }
 }
 
+void wg_balance_load_of(const wg_balance* b, uint32_t target, uint32_t* unread, uint32_t* running) {
+    const wg_balance_target* t = wg_balance_find(b, target);
+    *unread = t ? t->own_unread + t->other_unread : 0;
+    *running = t ? t->own_running + t->other_running : 0;
+}
+
+void wg_balance_note_load(wg_balance* b, wg_time now, uint32_t target, uint32_t unread,
+                          uint32_t running) {
+    wg_balance_target* t = wg_balance_find(b, target);
+    if (t) {
+        t->other_unread = unread > t->own_unread ? unread - t->own_unread : 0;
+        t->other_running = running > t->own_running ? running - t->own_running : 0;
+        t->lately_unread = 0;
+        t->told_at = now;
+    }
+}
+
 int wg_balance_loads(const wg_balance* b, wg_balance_load* loads, int max) {
     int num = 0;
     GHashTableIter iter;
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -35,7 +35,8 @@
 
 enum {
     WG_PROMPT_PARTS_MAX = 16,
-    WG_TRIED_MAX = 16
+    WG_TRIED_MAX = 16,
+    WG_DENIED_MAX = 8
 };
 
 /* Parts of a prompt in their order, as the caller named them. */
@@ -57,6 +58,10 @@
     wg_time limit;           /* a target with a longer wait is chosen last; 0 or never: none */
     uint32_t tried[WG_TRIED_MAX];
     int tried_num;
+    uint32_t denied[WG_DENIED_MAX]; /* not now; they stay homes */
+    int denied_num;
+    uint32_t source;        /* a target that is known to hold the start of the prompt; 0: none */
+    uint32_t source_tokens; /* so many */
 } wg_need;
 
 typedef struct {
@@ -64,6 +69,8 @@
     uint32_t unread;    /* tokens that the target has to read for it */
     uint32_t ahead;     /* tokens that it reads before */
     uint32_t source;    /* number of the target that it copies the rest from; 0: none */
+    bool is_fresh;      /* loads are as its coordinator told them a moment ago */
+    uint32_t copied;    /* tokens from the start of the prompt that are sure to be there */
     wg_time wait;       /* estimate, to the first event */
     wg_time wait_ahead; /* the part of it that is others' prompts */
     wg_time begun;
@@ -101,6 +108,12 @@
 /* How many hosts decide on the same loads at once, this one too; 1 until told. */
 void wg_balance_set_hosts(wg_balance* balance, int hosts);
 void wg_balance_set_others(wg_balance* balance, uint32_t target, uint32_t unread, uint32_t running);
+/* All that is known to be under way at a target: tokens to be read, requests. */
+void wg_balance_load_of(const wg_balance* balance, uint32_t target, uint32_t* unread,
+                        uint32_t* running);
+/* Newer word of the same, of all hosts together. */
+void wg_balance_note_load(wg_balance* balance, wg_time now, uint32_t target, uint32_t unread,
+                          uint32_t running);
 wg_choice wg_balance_choose(wg_balance* balance, wg_time now, const wg_need* need);
 /* The prompt was sent to the target: its shared parts count as cached there for a while. */
 void wg_balance_note_prompt(wg_balance* balance, wg_time now, uint32_t target,
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -53,4 +53,5 @@
     X(2011, STREAM_CONTINUED, INFO, "broken stream goes on at another target")                     \
     X(2012, CONNECTION_REFUSED, INFO, "request refused before it was routed")                      \
     X(2013, LOG_SHORTENED, WARN, "log lines were left out")                                        \
+    X(2014, COORDINATOR_SILENT, WARN, "coordinator does not answer, this host decides alone")      \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -125,6 +125,7 @@
     wg_entry* e = user_data;
     wg_time now = wg_now();
     wg_entry_link_tick(e, now);
+    wg_entry_admit_tick(e, now);
     wg_client_tick(e, now);
     wg_upstream_tick(e, now);
     wg_entry_pass_retries(e);
@@ -160,6 +161,8 @@
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->balance = wg_balance_setup(
         &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
+    e->admit = wg_admit_setup(&(wg_admit_desc){0});
+    e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_pages_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -205,6 +208,8 @@
     if (e->net) {
         wgn_shutdown(e->net);
     }
+    wg_admit_shutdown(e->admit);
+    g_hash_table_unref(e->asks);
     wg_balance_shutdown(e->balance);
     wg_registry_shutdown(e->registry);
     wg_config_unref(e->config);
--- /dev/null
+++ b/lib/entry/wg_entry_admit.c
@@ -0,0 +1,404 @@
+/* wg_entry_admit.c -- coordinators of targets: who they are, what they are asked, what they answer
+
+   A few entry hosts, the same ones on all, share the targets out among themselves by rendezvous
+   hashing. Each admits prompts to its targets for the whole fleet (lib/admit). What they say is
+   advice: where no answer comes in time, the host that has the request decides by itself. */
+#include "wg_entry_internal.h"
+
+#include <string.h>
+
+enum {
+    WG_ASK_TIME = 30 * WG_USEC_PER_MSEC, /* for an answer */
+    WG_ASK_MISSED_MAX = 2,               /* answers missed in a row, then it counts as silent */
+    WG_ASK_SILENT_TIME = 500 * WG_USEC_PER_MSEC,
+    WG_COORDINATOR_DIAL_GAP = 400 * WG_USEC_PER_MSEC,
+    WG_COORDINATOR_PING = 2 * WG_USEC_PER_SEC,
+    WG_COORDINATOR_SILENCE = 7 * WG_USEC_PER_SEC
+};
+
+/* ---- helpers: who coordinates ---------------------------------------------------------------- */
+
+static uint64_t wg_member_rank(const wg_entry_member* member) {
+    return wg_hash(member->name, strlen(member->name), 0);
+}
+
+static wg_coordinator* wg_coordinator_by_rank(wg_entry* e, uint64_t rank) {
+    for (int i = 0; i < e->coordinators_num; i++) {
+        if (e->coordinators[i].rank == rank) {
+            return &e->coordinators[i];
+        }
+    }
+    return NULL;
+}
+
+static wg_coordinator* wg_coordinator_by_link(wg_entry* e, wgn_link link) {
+    for (int i = 0; i < e->coordinators_num; i++) {
+        if (link.id && e->coordinators[i].link.id == link.id) {
+            return &e->coordinators[i];
+        }
+    }
+    return NULL;
+}
+
+/* Rendezvous hashing: a coordinator that comes or goes moves only its own targets. */
+static wg_coordinator* wg_coordinator_of(wg_entry* e, uint32_t target) {
+    wg_coordinator* best = NULL;
+    uint64_t best_rank = 0;
+    for (int i = 0; i < e->coordinators_num; i++) {
+        uint64_t rank = wg_hash(&target, sizeof target, e->coordinators[i].rank);
+        if (!best || rank > best_rank) {
+            best = &e->coordinators[i];
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+static wg_coordinator wg_coordinator_new(const wg_entry* e, const wg_entry_member* member) {
+    wg_coordinator c = {.rank = wg_member_rank(member),
+                        .self = strcmp(member->name, e->settings->name) == 0};
+    char ip[WG_ADDRESS_MAX];
+    char own_ip[WG_ADDRESS_MAX];
+    uint16_t port = 0;
+    uint16_t fleet_port = 0;
+    wg_copy_name(c.name, sizeof c.name, member->name);
+    if (wgn_split_address(member->address, ip, &port) &&
+        wgn_split_address(e->settings->fleet_listen, own_ip, &fleet_port)) {
+        g_snprintf(c.address, sizeof c.address, "%s:%d", ip, (int)fleet_port);
+    }
+    return c;
+}
+
+/* Keep the entry hosts of the highest rank, with the links that there are. */
+static int wg_coordinators_pick(wg_entry* e, wg_coordinator* picked) {
+    int num = 0;
+    for (int i = 0; i < e->members_num; i++) {
+        uint64_t rank = wg_member_rank(&e->members[i]);
+        int at = num;
+        while (at > 0 && picked[at - 1].rank < rank) {
+            at--;
+        }
+        if (at == WG_COORDINATORS_MAX) {
+            continue;
+        }
+        num = MIN(num + 1, WG_COORDINATORS_MAX);
+        memmove(&picked[at + 1], &picked[at], sizeof *picked * (size_t)(num - 1 - at));
+        const wg_coordinator* known = wg_coordinator_by_rank(e, rank);
+        picked[at] = known ? *known : wg_coordinator_new(e, &e->members[i]);
+    }
+    return num;
+}
+
+static bool wg_coordinator_is_among(const wg_coordinator* list, int num, uint64_t rank) {
+    for (int i = 0; i < num; i++) {
+        if (list[i].rank == rank) {
+            return true;
+        }
+    }
+    return false;
+}
+
+void wg_entry_admit_members(wg_entry* e) {
+    wg_coordinator picked[WG_COORDINATORS_MAX + 1];
+    wgn_link dropped[WG_COORDINATORS_MAX];
+    int dropped_num = 0;
+    int num = wg_coordinators_pick(e, picked);
+    for (int i = 0; i < e->coordinators_num; i++) {
+        const wg_coordinator* c = &e->coordinators[i];
+        if (c->link.id && !wg_coordinator_is_among(picked, num, c->rank)) {
+            dropped[dropped_num++] = c->link;
+        }
+    }
+    memcpy(e->coordinators, picked, sizeof *picked * (size_t)num);
+    e->coordinators_num = num;
+    for (int i = 0; i < dropped_num; i++) {
+        wgn_close(e->net, dropped[i]);
+    }
+}
+
+void wg_entry_admit_tick(wg_entry* e, wg_time now) {
+    for (int i = 0; i < e->coordinators_num; i++) {
+        wg_coordinator* c = &e->coordinators[i];
+        if (c->self || c->link.id || now < c->dial_at) {
+            continue;
+        }
+        c->dial_at = now + wg_jitter_range(e->seed, ++e->counter, WG_COORDINATOR_DIAL_GAP,
+                                           2 * WG_COORDINATOR_DIAL_GAP);
+        c->link = wgn_dial(e->net, c->address);
+    }
+}
+
+/* ---- helpers: questions ---------------------------------------------------------------------- */
+
+static wg_admit_request wg_call_admit_request(const wg_call* call, const wg_admit_limits* limits,
+                                              uint64_t ticket) {
+    const wg_prompt* prompt = &call->prompt;
+    const wg_service* service = &call->config->services[call->service];
+    const wg_need* need = &call->need;
+    wg_admit_request r = {.ticket = ticket,
+                          .target = call->proposed.target,
+                          .tokens = prompt->tokens,
+                          .answer = prompt->answer,
+                          .copied = call->proposed.copied,
+                          .memory = service->memory_tokens,
+                          .limits = *limits};
+    const wg_target* target = wg_registry_find(call->entry->registry, r.target);
+    uint32_t slots = target && target->slots ? target->slots : (uint32_t)MAX(need->slots, 0);
+    double share = need->slots_share > 0 ? need->slots_share : 1;
+    r.running_most = slots ? MAX((uint32_t)(slots * share), 1) : 0;
+    r.parts_num = MIN(prompt->num - 1, WG_ADMIT_PARTS_MAX);
+    for (int i = 0; i < r.parts_num; i++) {
+        r.parts[i] = prompt->parts[i];
+        r.sizes[i] = prompt->sizes[i];
+    }
+    return r;
+}
+
+/* Decide on a request of any host, this one (holder 0) too. */
+static wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request) {
+    wg_balance_load_of(e->balance, request->target, &request->floor_unread,
+                       &request->floor_running);
+    return wg_admit_ask(e->admit, wg_now(), request);
+}
+
+static bool wg_coordinator_send_ask(wg_entry* e, const wg_coordinator* c,
+                                    wg_admit_request* request) {
+    Wgpb__AdmitAsk ask = WGPB__ADMIT_ASK__INIT;
+    ask.ticket = request->ticket;
+    ask.target = request->target;
+    ask.parts = request->parts;
+    ask.n_parts = (size_t)request->parts_num;
+    ask.sizes = request->sizes;
+    ask.n_sizes = (size_t)request->parts_num;
+    ask.tokens = request->tokens;
+    ask.answer = request->answer;
+    ask.copied = request->copied;
+    ask.running_most = request->running_most;
+    ask.whole_us = (uint64_t)request->limits.whole;
+    ask.ahead_us = (uint64_t)request->limits.ahead;
+    ask.ahead_large_us = (uint64_t)request->limits.ahead_large;
+    ask.spares_shared = request->limits.spares_shared;
+    return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
+}
+
+static void wg_call_take_admission(wg_call* call, const wg_coordinator* c, uint64_t ticket,
+                                   const wg_admit_answer* answer) {
+    if (answer->granted) {
+        call->admitted = ticket;
+        call->admitted_by = c->rank;
+    }
+    wg_call_admit_answered(call, answer);
+}
+
+void wg_entry_admit_ask(wg_call* call, const wg_admit_limits* limits, wg_time now) {
+    wg_entry* e = call->entry;
+    wg_coordinator* c = wg_coordinator_of(e, call->proposed.target);
+    uint64_t ticket = ++e->counter;
+    wg_admit_request request = wg_call_admit_request(call, limits, ticket);
+    if (c && c->self) {
+        wg_admit_answer answer = wg_entry_admit_decide(e, &request);
+        wg_call_take_admission(call, c, ticket, &answer);
+        return;
+    }
+    if (!c || !c->up || now < c->silent_until || !wg_coordinator_send_ask(e, c, &request)) {
+        wg_call_admit_unanswered(call, now);
+        return;
+    }
+    call->asked = ticket;
+    call->asked_until = now + WG_ASK_TIME;
+    call->admitted_by = c->rank;
+    g_hash_table_insert(e->asks, &call->asked, call);
+    wg_call_set_timer(call, now);
+}
+
+static void wg_call_ask_over(wg_call* call) {
+    g_hash_table_remove(call->entry->asks, &call->asked);
+    call->asked = 0;
+}
+
+void wg_entry_admit_unanswered(wg_call* call, wg_time now) {
+    wg_entry* e = call->entry;
+    wg_coordinator* c = wg_coordinator_by_rank(e, call->admitted_by);
+    wg_call_ask_over(call);
+    if (c && ++c->missed >= WG_ASK_MISSED_MAX) {
+        c->missed = 0;
+        c->silent_until = now + WG_ASK_SILENT_TIME;
+        wg_log(WG_EVENT_COORDINATOR_SILENT, "coordinator=%s target=%u id=%s", c->name,
+               call->proposed.target, call->id);
+    }
+    wg_call_admit_unanswered(call, now);
+}
+
+/* ---- helpers: notes -------------------------------------------------------------------------- */
+
+static void wg_coordinator_note(wg_entry* e, uint64_t rank, uint64_t ticket, bool ended) {
+    const wg_coordinator* c = wg_coordinator_by_rank(e, rank);
+    if (!c) {
+        return;
+    }
+    if (c->self && ended) {
+        wg_admit_end(e->admit, 0, ticket);
+    } else if (c->self) {
+        wg_admit_read(e->admit, wg_now(), 0, ticket);
+    } else {
+        Wgpb__AdmitNote note = WGPB__ADMIT_NOTE__INIT;
+        note.ticket = ticket;
+        note.ended = ended;
+        wgn_send(e->net, c->link, WGW_TYPE_ADMIT_NOTE, &note.base);
+    }
+}
+
+void wg_entry_admit_read(wg_call* call) {
+    if (call->admitted && !call->admitted_read) {
+        call->admitted_read = true;
+        wg_coordinator_note(call->entry, call->admitted_by, call->admitted, false);
+    }
+}
+
+void wg_entry_admit_end(wg_call* call) {
+    if (call->admitted) {
+        wg_coordinator_note(call->entry, call->admitted_by, call->admitted, true);
+        call->admitted = 0;
+        call->admitted_read = false;
+    }
+}
+
+void wg_entry_admit_forget(wg_call* call) {
+    if (call->asked) {
+        wg_call_ask_over(call);
+    }
+    wg_entry_admit_end(call);
+}
+
+/* ---- links ----------------------------------------------------------------------------------- */
+
+bool wg_entry_admit_on_up(wg_entry* e, wgn_link link) {
+    wg_coordinator* c = wg_coordinator_by_link(e, link);
+    if (!c) {
+        return false;
+    }
+    c->up = true;
+    c->missed = 0;
+    wgn_set_pace(e->net, link, WG_COORDINATOR_PING, WG_COORDINATOR_SILENCE);
+    wg_log(WG_EVENT_LINK_UP, "coordinator=%s", c->name);
+    return true;
+}
+
+void wg_entry_admit_on_asker(wg_entry* e, wgn_link link, const wgn_peer* peer) {
+    if (peer->role == WGW_ROLE_ENTRY) {
+        wgn_set_pace(e->net, link, WG_COORDINATOR_PING, WG_COORDINATOR_SILENCE);
+    }
+}
+
+void wg_entry_admit_on_down(wg_entry* e, wgn_link link) {
+    wg_coordinator* c = wg_coordinator_by_link(e, link);
+    wg_admit_drop_holder(e->admit, link.id);
+    if (!c) {
+        return;
+    }
+    if (c->up) {
+        wg_log(WG_EVENT_LINK_DOWN, "coordinator=%s", c->name);
+    }
+    c->link = (wgn_link){0};
+    c->up = false;
+}
+
+/* A question of another host. False when it is malformed. */
+static bool wg_entry_admit_take_ask(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    Wgpb__AdmitAsk* in = wgpb__admit_ask__unpack(NULL, frame->size, frame->payload);
+    if (!in || in->n_parts > WG_ADMIT_PARTS_MAX || in->n_parts != in->n_sizes) {
+        wgpb__admit_ask__free_unpacked(in, NULL);
+        return false;
+    }
+    const wg_target* target = wg_registry_find(e->registry, in->target);
+    int service = target && e->config ? wg_config_service(e->config, target->service) : -1;
+    wg_admit_request r = {.holder = link.id,
+                          .ticket = in->ticket,
+                          .target = in->target,
+                          .parts_num = (int)in->n_parts,
+                          .tokens = in->tokens,
+                          .answer = in->answer,
+                          .copied = in->copied,
+                          .running_most = in->running_most,
+                          .memory = service >= 0 ? e->config->services[service].memory_tokens : 0,
+                          .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
+                                     (wg_time)in->ahead_large_us, in->spares_shared}};
+    memcpy(r.parts, in->parts, sizeof *in->parts * in->n_parts);
+    memcpy(r.sizes, in->sizes, sizeof *in->sizes * in->n_sizes);
+    wgpb__admit_ask__free_unpacked(in, NULL);
+    wg_admit_answer answer = wg_entry_admit_decide(e, &r);
+    Wgpb__AdmitAnswer out = WGPB__ADMIT_ANSWER__INIT;
+    out.ticket = r.ticket;
+    out.granted = answer.granted;
+    out.wait_us = (uint64_t)answer.wait;
+    out.wait_ahead_us = (uint64_t)answer.wait_ahead;
+    out.unread = answer.unread;
+    out.held = answer.held;
+    out.ahead = answer.ahead;
+    out.running = answer.running;
+    wgn_send(e->net, link, WGW_TYPE_ADMIT_ANSWER, &out.base);
+    return true;
+}
+
+static bool wg_entry_admit_take_note(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    Wgpb__AdmitNote* in = wgpb__admit_note__unpack(NULL, frame->size, frame->payload);
+    if (!in) {
+        return false;
+    }
+    if (in->ended) {
+        wg_admit_end(e->admit, link.id, in->ticket);
+    } else {
+        wg_admit_read(e->admit, wg_now(), link.id, in->ticket);
+    }
+    wgpb__admit_note__free_unpacked(in, NULL);
+    return true;
+}
+
+static bool wg_entry_admit_take_answer(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    wg_coordinator* c = wg_coordinator_by_link(e, link);
+    Wgpb__AdmitAnswer* in = wgpb__admit_answer__unpack(NULL, frame->size, frame->payload);
+    if (!in || !c) {
+        wgpb__admit_answer__free_unpacked(in, NULL);
+        return in != NULL;
+    }
+    uint64_t ticket = in->ticket;
+    wg_admit_answer answer = {.granted = in->granted,
+                              .wait = (wg_time)in->wait_us,
+                              .wait_ahead = (wg_time)in->wait_ahead_us,
+                              .unread = in->unread,
+                              .held = in->held,
+                              .ahead = in->ahead,
+                              .running = in->running};
+    wgpb__admit_answer__free_unpacked(in, NULL);
+    wg_call* call = g_hash_table_lookup(e->asks, &ticket);
+    c->missed = 0;
+    if (call) {
+        wg_call_ask_over(call);
+        wg_call_take_admission(call, c, ticket, &answer);
+    } else if (answer.granted) {
+        wg_coordinator_note(e, c->rank, ticket, true); /* it came too late */
+    }
+    return true;
+}
+
+bool wg_entry_admit_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    bool good = true;
+    switch (frame->type) {
+    case WGW_TYPE_ADMIT_ASK:
+        good = wg_entry_admit_take_ask(e, link, frame);
+        break;
+    case WGW_TYPE_ADMIT_NOTE:
+        good = wg_entry_admit_take_note(e, link, frame);
+        break;
+    case WGW_TYPE_ADMIT_ANSWER:
+        good = wg_entry_admit_take_answer(e, link, frame);
+        break;
+    default:
+        return false;
+    }
+    if (!good) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=admission-malformed");
+        wgn_close(e->net, link);
+    }
+    return true;
+}
--- /dev/null
+++ b/lib/entry/wg_entry_attempt.c
@@ -0,0 +1,376 @@
+/* wg_entry_attempt.c -- where and when a request is sent: limits, the queue, targets, retries */
+#include "wg_entry_internal.h"
+
+enum {
+    WG_WAIT_PERCENT = 18, /* of the objective that a request may wait here before it is refused */
+    WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
+    WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
+    WG_ANSWER_TOKENS_FACTOR = 2, /* a token made counts as two that are read */
+    WG_ASKS_MAX = 3,             /* coordinators asked for one try */
+    WG_CHOICES_MAX = 6           /* targets looked at for one try */
+};
+
+/* Share of the objective that the first event may be expected to take, for a send now. */
+static const double WG_LIMIT = 0.95;
+/* Part of that share which is left while estimates cannot be trusted at all. */
+static const double WG_LIMIT_TRUSTLESS = 0.6;
+/* How much longer than the limit a modest workspace's request may be expected to take. */
+static const double WG_MODEST_FACTOR = 2;
+/* Part of a target's slots for those who have more than they are owed, by their patience. */
+static const double WG_SLOTS_LEAST = 0.55;
+static const double WG_SLOTS_SPAN = 0.35;
+/* Share of it that others' prompts may take before that of a request too large to be in time. */
+static const double WG_LIMIT_LARGE = 0.3;
+
+static void wg_call_choose(wg_call* call, wg_time now);
+
+/* ---- helpers: retries ------------------------------------------------------------------------ */
+
+static wg_retry_rules wg_call_retry_rules(const wg_entry* e) {
+    return (wg_retry_rules){.percent = e->settings->retry_percent,
+                            .slack = e->settings->retry_slack,
+                            .window = e->settings->retry_window_ms * WG_USEC_PER_MSEC,
+                            .hosts = MAX(e->members_num, 3)};
+}
+
+static wg_retry* wg_call_retry(const wg_call* call) {
+    wg_entry* e = call->entry;
+    const char* name = call->config->services[call->service].name;
+    wg_retry* retry = g_hash_table_lookup(e->retries, name);
+    if (!retry) {
+        retry = g_new0(wg_retry, 1);
+        g_hash_table_insert(e->retries, g_strdup(name), retry);
+    }
+    return retry;
+}
+
+/* ---- helpers: the queue ---------------------------------------------------------------------- */
+
+static GQueue* wg_call_queue(const wg_call* call) {
+    wg_entry* e = call->entry;
+    const char* name = call->config->services[call->service].name;
+    GQueue* queue = g_hash_table_lookup(e->queues, name);
+    if (!queue) {
+        queue = g_queue_new();
+        g_hash_table_insert(e->queues, g_strdup(name), queue);
+    }
+    return queue;
+}
+
+void wg_call_unqueue(wg_call* call) {
+    if (call->queued) {
+        g_queue_unlink(wg_call_queue(call), &call->queue_link);
+        call->queued = false;
+    }
+}
+
+/* ---- helpers: usage of workspaces ------------------------------------------------------------ */
+
+uint32_t wg_call_tokens(const wg_call* call) {
+    return call->prompt.tokens + WG_ANSWER_TOKENS_FACTOR * call->prompt.answer;
+}
+
+double wg_call_usage(const wg_call* call) {
+    const wg_entry_usage* usage =
+        g_hash_table_lookup(call->entry->usage_fleet, &call->workspace->hash);
+    return usage ? (double)usage->tokens : 0;
+}
+
+wg_entry_usage* wg_call_own_usage(const wg_call* call) {
+    GHashTable* own = call->entry->usage_own;
+    wg_entry_usage* usage = g_hash_table_lookup(own, &call->workspace->hash);
+    if (!usage) {
+        usage = g_new0(wg_entry_usage, 1);
+        usage->workspace = call->workspace->hash;
+        g_hash_table_insert(own, &usage->workspace, usage);
+    }
+    return usage;
+}
+
+bool wg_call_counts(const wg_call* call) {
+    return call->workspace && call->has_prompt;
+}
+
+static double wg_call_patience(const wg_call* call) {
+    if (!wg_call_counts(call)) {
+        return 1;
+    }
+    double patience = wg_fair_patience(wg_call_usage(call), &call->entry->levels);
+    return patience < 1 ? patience * wg_fair_trust(&call->entry->margin) : 1;
+}
+
+/* ---- helpers: attempts ----------------------------------------------------------------------- */
+
+/* Seconds after which a refused request may come back. */
+double wg_call_retry_after(const wg_call* call) {
+    wg_entry* e = call->entry;
+    return (double)wg_jitter_range(e->seed, ++e->counter, 250, 700) / 1000;
+}
+
+static void wg_call_enqueue(wg_call* call, wg_time now) {
+    if (!call->queued) {
+        wg_time wait = MAX(call->route->objective * WG_WAIT_PERCENT / 100, WG_WAIT_MIN);
+        call->queued = true;
+        call->queued_until = call->started + wait;
+        call->queue_link = (GList){.data = call};
+        g_queue_push_tail_link(wg_call_queue(call), &call->queue_link);
+    }
+    wg_call_set_timer(call, now);
+}
+
+/* The tightest objective of the service: nobody may fill targets beyond it. */
+static wg_time wg_call_tightest(const wg_call* call) {
+    return MIN(call->config->services[call->service].tightest, call->route->objective);
+}
+
+/* Longest expected wait for the first event at which the request is sent. */
+static wg_time wg_call_limit(const wg_call* call, wg_time now) {
+    wg_time left = call->started + call->route->objective - now;
+    double trust = wg_fair_trust(&call->entry->margin);
+    double limit = WG_LIMIT * (WG_LIMIT_TRUSTLESS + (1 - WG_LIMIT_TRUSTLESS) * trust);
+    return (wg_time)(limit * (double)MIN(left, wg_call_tightest(call)));
+}
+
+/* Part of a target's slots that may be taken before this request: less without patience. */
+static double wg_call_slots_share(const wg_call* call) {
+    double patience = wg_call_patience(call);
+    return call->has_prompt && patience < 1 ? WG_SLOTS_LEAST + WG_SLOTS_SPAN * patience : 1;
+}
+
+/* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
+static bool wg_call_may_spill(const wg_call* call) {
+    return wg_call_counts(call) && wg_call_patience(call) >= 1;
+}
+
+/* Rather late than refused, for whoever has far less than others. */
+static bool wg_call_is_modest(const wg_call* call) {
+    return wg_call_counts(call) && wg_fair_is_modest(wg_call_usage(call), &call->entry->levels);
+}
+
+static wg_admit_limits wg_call_limits(const wg_call* call, wg_time now) {
+    wg_time whole = wg_call_limit(call, now);
+    double patience = wg_call_patience(call);
+    double factor = wg_call_is_modest(call) ? WG_MODEST_FACTOR : 1;
+    double large = WG_LIMIT_LARGE * (double)wg_call_tightest(call);
+    return (wg_admit_limits){.whole = (wg_time)(factor * (double)whole),
+                             .ahead = (wg_time)(factor * patience * (double)whole),
+                             .ahead_large = (wg_time)(factor * patience * large),
+                             .spares_shared = patience < 1};
+}
+
+static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
+    if (!call->has_prompt) {
+        return true;
+    }
+    wg_admit_limits limits = wg_call_limits(call, now);
+    return wg_admit_fits(&limits, choice->wait, choice->wait_ahead);
+}
+
+static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
+    wg_entry* e = call->entry;
+    wg_retry_rules rules = wg_call_retry_rules(e);
+    if (call->attempts == 0) {
+        wg_retry_first(wg_call_retry(call), &rules);
+        if (wg_call_counts(call)) {
+            wg_call_own_usage(call)->tokens += wg_call_tokens(call);
+        }
+    }
+    call->attempts++;
+    if (call->need.tried_num < WG_TRIED_MAX) {
+        call->need.tried[call->need.tried_num++] = target->number;
+    }
+    wg_balance_begin(e->balance, now, &call->choice);
+    if (call->has_prompt) {
+        wg_balance_note_prompt(e->balance, now, target->number, &call->prompt);
+    }
+    bool careful = !wg_route_is_repeatable(call->route);
+    wg_upstream* up = wg_upstream_open(e, target, careful && call->attempts > 1);
+    if (!up) {
+        wg_call_attempt_failed(call, NULL, "no-connection");
+        return;
+    }
+    wg_call_set_timer(call, now);
+    wg_upstream_send(up, call);
+}
+
+/* Send to the target that was chosen, if it still takes work. */
+static void wg_call_go(wg_call* call, wg_time now) {
+    wg_entry* e = call->entry;
+    const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
+    if (!target || target->state != WG_TARGET_READY) {
+        wg_entry_admit_end(call);
+        wg_call_choose(call, now);
+        return;
+    }
+    bool waited = call->queued;
+    wg_call_unqueue(call);
+    call->choice = call->proposed;
+    wg_call_send(call, target, now);
+    if (waited) {
+        wg_call_queue_run(e); /* there may be room for the next one too */
+    }
+}
+
+/* The coordinator's answer counts for more than this host's estimate. */
+static void wg_call_take_answer(wg_call* call, const wg_admit_answer* answer) {
+    wg_choice* choice = &call->proposed;
+    wg_balance_note_load(call->entry->balance, wg_now(), choice->target, answer->ahead,
+                         answer->running);
+    choice->unread = answer->unread;
+    choice->ahead = answer->ahead;
+    choice->wait = answer->wait;
+    choice->wait_ahead = answer->wait_ahead;
+    call->expected = answer->wait;
+}
+
+/* Tokens of the prompt that other requests share. */
+static uint32_t wg_call_shared(const wg_call* call) {
+    uint32_t own = call->prompt.num > 0 ? call->prompt.sizes[call->prompt.num - 1] : 0;
+    return call->prompt.tokens > own ? call->prompt.tokens - own : 0;
+}
+
+/* Denied: the next target, but for those who have more than others only one that needs not read the
+   shared parts again. */
+static void wg_call_denied(wg_call* call, const wg_admit_answer* answer, wg_time now) {
+    wg_need* need = &call->need;
+    if (answer->held > need->source_tokens) {
+        need->source = call->proposed.target;
+        need->source_tokens = answer->held;
+    }
+    if (need->denied_num < WG_DENIED_MAX) {
+        need->denied[need->denied_num++] = call->proposed.target;
+    }
+    if (!wg_call_may_spill(call) && need->source_tokens < wg_call_shared(call) / 2) {
+        wg_call_enqueue(call, now);
+        return;
+    }
+    wg_call_choose(call, now);
+}
+
+void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer) {
+    wg_time now = wg_now();
+    wg_call_take_answer(call, answer);
+    if (answer->granted) {
+        call->was_admitted = true;
+        wg_call_go(call, now);
+    } else {
+        wg_call_denied(call, answer, now);
+    }
+}
+
+/* Nobody coordinates the target, or the answer did not come in time: this host decides alone. */
+void wg_call_admit_unanswered(wg_call* call, wg_time now) {
+    if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
+        wg_call_enqueue(call, now);
+    } else {
+        wg_call_go(call, now);
+    }
+}
+
+static void wg_call_ask(wg_call* call, wg_time now) {
+    bool first = call->attempts == 0;
+    wg_admit_limits any = {WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
+    wg_admit_limits limits = first ? wg_call_limits(call, now) : any;
+    call->asks++;
+    call->asks_all++;
+    wg_entry_admit_ask(call, &limits, now);
+}
+
+/* Choose among targets that were not denied; one that was told to be full a moment ago is not asked
+   again. */
+static wg_choice wg_call_next_choice(wg_call* call, wg_time now) {
+    wg_need* need = &call->need;
+    while (need->denied_num < WG_CHOICES_MAX) {
+        wg_choice choice = wg_balance_choose(call->entry->balance, now, need);
+        if (!choice.target || !choice.is_fresh || call->attempts > 0 ||
+            wg_call_fits(call, &choice, now)) {
+            return choice;
+        }
+        call->expected = choice.wait;
+        need->denied[need->denied_num++] = choice.target;
+    }
+    return (wg_choice){0};
+}
+
+/* Choose a target and send, or ask its coordinator first, or wait for another one. */
+static void wg_call_choose(wg_call* call, wg_time now) {
+    wg_choice choice = {0};
+    if (call->asks < WG_ASKS_MAX) {
+        choice = wg_call_next_choice(call, now);
+    }
+    if (!choice.target) {
+        wg_call_enqueue(call, now);
+        return;
+    }
+    call->expected = choice.wait;
+    call->proposed = choice;
+    if (call->has_prompt) {
+        wg_call_ask(call, now);
+    } else {
+        wg_call_go(call, now);
+    }
+}
+
+void wg_call_try(wg_call* call) {
+    wg_time now = wg_now();
+    call->retry_at = 0;
+    if (call->asked) {
+        return;
+    }
+    call->limit = wg_call_limit(call, now);
+    call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
+    call->need.slots_share = wg_call_slots_share(call);
+    call->asks = 0;
+    call->need.denied_num = 0;
+    call->need.source = 0;
+    call->need.source_tokens = 0;
+    wg_call_choose(call, now);
+}
+
+bool wg_call_again(wg_call* call) {
+    wg_entry* e = call->entry;
+    wg_time now = wg_now();
+    wg_retry_rules rules = wg_call_retry_rules(e);
+    bool may = !call->may_have_run || wg_route_is_repeatable(call->route);
+    if (!may || call->attempts >= call->route->attempts || now + WG_RETRY_WAIT >= call->until ||
+        !wg_retry_take(wg_call_retry(call), &rules)) {
+        return false;
+    }
+    e->counters.retries++;
+    e->counters.resumes += call->head_sent;
+    call->retry_at = now + 1;
+    wg_call_set_timer(call, now);
+    return true;
+}
+
+/* The lightest workspace's oldest request goes first. */
+static wg_call* wg_call_queue_first(GQueue* queue) {
+    wg_call* best = NULL;
+    double best_usage = 0;
+    for (GList* at = queue->head; at; at = at->next) {
+        wg_call* call = at->data;
+        if (call->asked) {
+            continue;
+        }
+        double usage = call->workspace ? wg_call_usage(call) : 0;
+        if (!best || usage < best_usage) {
+            best = call;
+            best_usage = usage;
+        }
+    }
+    return best;
+}
+
+void wg_call_queue_run(wg_entry* e) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->queues);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        GQueue* queue = value;
+        wg_call* call = wg_call_queue_first(queue);
+        if (call && !call->retry_at) {
+            call->retry_at = wg_now(); /* tried from the loop, not from within another call */
+            wg_call_set_timer(call, call->retry_at);
+        }
+    }
+}
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -5,76 +5,21 @@
 #include <string.h>
 
 enum {
-    WG_WAIT_PERCENT = 18, /* of the objective that a request may wait here before it is refused */
-    WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
-    WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
-    WG_ANSWER_TOKEN_TIME = 12 * WG_USEC_PER_MSEC, /* to make one, on the safe side */
-    WG_ANSWER_TOKENS_FACTOR = 2                   /* a token made counts as two that are read */
+    WG_ANSWER_TOKEN_TIME = 12 * WG_USEC_PER_MSEC /* to make one, on the safe side */
 };
 
-/* Share of the objective that the first event may be expected to take, for a send now. */
-static const double WG_LIMIT = 0.95;
-/* Part of that share which is left while estimates cannot be trusted at all. */
-static const double WG_LIMIT_TRUSTLESS = 0.6;
-/* How much longer than the limit a modest workspace's request may be expected to take. */
-static const double WG_MODEST_FACTOR = 2;
-/* Part of a target's slots for those who have more than they are owed, by their patience. */
-static const double WG_SLOTS_LEAST = 0.55;
-static const double WG_SLOTS_SPAN = 0.35;
-/* Share of it that others' prompts may take before that of a request too large to be in time. */
-static const double WG_LIMIT_LARGE = 0.3;
-
 /* Seconds; other entry hosts take the request at once. */
 static const double WG_STOPPING_RETRY_AFTER = 0.02;
 
-static void wg_call_try(wg_call* call);
-static uint32_t wg_call_tokens(const wg_call* call);
-static double wg_call_usage(const wg_call* call);
-
 /* ---- helpers: the end of a call -------------------------------------------------------------- */
 
-static wg_retry_rules wg_call_retry_rules(const wg_entry* e) {
-    return (wg_retry_rules){.percent = e->settings->retry_percent,
-                            .slack = e->settings->retry_slack,
-                            .window = e->settings->retry_window_ms * WG_USEC_PER_MSEC,
-                            .hosts = MAX(e->members_num, 3)};
-}
-
-static wg_retry* wg_call_retry(const wg_call* call) {
-    wg_entry* e = call->entry;
-    const char* name = call->config->services[call->service].name;
-    wg_retry* retry = g_hash_table_lookup(e->retries, name);
-    if (!retry) {
-        retry = g_new0(wg_retry, 1);
-        g_hash_table_insert(e->retries, g_strdup(name), retry);
-    }
-    return retry;
-}
-
-static GQueue* wg_call_queue(const wg_call* call) {
-    wg_entry* e = call->entry;
-    const char* name = call->config->services[call->service].name;
-    GQueue* queue = g_hash_table_lookup(e->queues, name);
-    if (!queue) {
-        queue = g_queue_new();
-        g_hash_table_insert(e->queues, g_strdup(name), queue);
-    }
-    return queue;
-}
-
-static void wg_call_unqueue(wg_call* call) {
-    if (call->queued) {
-        g_queue_unlink(wg_call_queue(call), &call->queue_link);
-        call->queued = false;
-    }
-}
-
 /* Give the target's account back. */
 static void wg_call_settle(wg_call* call, wg_result result) {
     if (call->choice.target) {
         wg_balance_end(call->entry->balance, wg_now(), &call->choice, result);
         call->choice = (wg_choice){0};
     }
+    wg_entry_admit_end(call);
 }
 
 static void wg_call_log_end(const wg_call* call, const wg_call_end* end, wg_time now) {
@@ -86,21 +31,23 @@
            " workspace=%s target=%u attempts=%d first_ms=%" G_GINT64_FORMAT
            " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
-           " used=%.0f level=%.0f owed=%.0f state_age_ms=%" G_GINT64_FORMAT,
+           " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
+           " state_age_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->need.tried_num ? call->need.tried[call->need.tried_num - 1] : 0, call->attempts,
            call->first_event_at ? (call->first_event_at - call->started) / WG_USEC_PER_MSEC : -1,
            (now - call->started) / WG_USEC_PER_MSEC, call->events,
            call->has_prompt ? wg_call_tokens(call) : 0, call->expected / WG_USEC_PER_MSEC,
-           call->limit / WG_USEC_PER_MSEC, call->workspace ? wg_call_usage(call) : 0,
-           call->entry->levels.served, call->entry->levels.owed,
-           (now - call->entry->state_at) / WG_USEC_PER_MSEC);
+           call->limit / WG_USEC_PER_MSEC, call->asks_all, (int)call->was_admitted,
+           call->workspace ? wg_call_usage(call) : 0, call->entry->levels.served,
+           call->entry->levels.owed, (now - call->entry->state_at) / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
     wg_entry* e = call->entry;
     wg_call_unqueue(call);
+    wg_entry_admit_forget(call);
     wg_call_settle(call, WG_RESULT_LEFT);
     if (call->upstream) {
         wg_upstream_close(call->upstream);
@@ -134,8 +81,7 @@
     return call->may_have_run || (call->upstream && call->upstream->written);
 }
 
-/* A final answer of ours, at once. */
-static void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after) {
+void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after) {
     wg_client* client = call->client;
     bool may_have_run = wg_call_may_have_run(call);
     wg_verdict verdict = may_have_run ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN;
@@ -213,8 +159,11 @@
     call->until = MIN(call->started + call->route->timeout, call->deadline);
 }
 
-static void wg_call_set_timer(wg_call* call, wg_time now) {
+void wg_call_set_timer(wg_call* call, wg_time now) {
     wg_time at = call->until;
+    if (call->asked) {
+        at = MIN(at, call->asked_until);
+    }
     if (call->queued) {
         at = MIN(at, call->queued_until);
     }
@@ -226,157 +175,8 @@
     event_add(call->timer, &tv);
 }
 
-/* ---- helpers: usage of workspaces ------------------------------------------------------------ */
-
-static uint32_t wg_call_tokens(const wg_call* call) {
-    return call->prompt.tokens + WG_ANSWER_TOKENS_FACTOR * call->prompt.answer;
-}
-
-static double wg_call_usage(const wg_call* call) {
-    const wg_entry_usage* usage =
-        g_hash_table_lookup(call->entry->usage_fleet, &call->workspace->hash);
-    return usage ? (double)usage->tokens : 0;
-}
-
-static wg_entry_usage* wg_call_own_usage(const wg_call* call) {
-    GHashTable* own = call->entry->usage_own;
-    wg_entry_usage* usage = g_hash_table_lookup(own, &call->workspace->hash);
-    if (!usage) {
-        usage = g_new0(wg_entry_usage, 1);
-        usage->workspace = call->workspace->hash;
-        g_hash_table_insert(own, &usage->workspace, usage);
-    }
-    return usage;
-}
-
-static bool wg_call_counts(const wg_call* call) {
-    return call->workspace && call->has_prompt;
-}
-
-static double wg_call_patience(const wg_call* call) {
-    if (!wg_call_counts(call)) {
-        return 1;
-    }
-    double patience = wg_fair_patience(wg_call_usage(call), &call->entry->levels);
-    return patience < 1 ? patience * wg_fair_trust(&call->entry->margin) : 1;
-}
-
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
-/* Seconds after which a refused request may come back. */
-static double wg_call_retry_after(const wg_call* call) {
-    wg_entry* e = call->entry;
-    return (double)wg_jitter_range(e->seed, ++e->counter, 250, 700) / 1000;
-}
-
-static void wg_call_enqueue(wg_call* call, wg_time now) {
-    if (!call->queued) {
-        wg_time wait = MAX(call->route->objective * WG_WAIT_PERCENT / 100, WG_WAIT_MIN);
-        call->queued = true;
-        call->queued_until = call->started + wait;
-        call->queue_link = (GList){.data = call};
-        g_queue_push_tail_link(wg_call_queue(call), &call->queue_link);
-    }
-    wg_call_set_timer(call, now);
-}
-
-/* The tightest objective of the service: nobody may fill targets beyond it. */
-static wg_time wg_call_tightest(const wg_call* call) {
-    return MIN(call->config->services[call->service].tightest, call->route->objective);
-}
-
-/* Longest expected wait for the first event at which the request is sent. */
-static wg_time wg_call_limit(const wg_call* call, wg_time now) {
-    wg_time left = call->started + call->route->objective - now;
-    double trust = wg_fair_trust(&call->entry->margin);
-    double limit = WG_LIMIT * (WG_LIMIT_TRUSTLESS + (1 - WG_LIMIT_TRUSTLESS) * trust);
-    return (wg_time)(limit * (double)MIN(left, wg_call_tightest(call)));
-}
-
-/* Part of a target's slots that may be taken before this request: less without patience. */
-static double wg_call_slots_share(const wg_call* call) {
-    double patience = wg_call_patience(call);
-    return call->has_prompt && patience < 1 ? WG_SLOTS_LEAST + WG_SLOTS_SPAN * patience : 1;
-}
-
-/* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
-static bool wg_call_may_spill(const wg_call* call) {
-    return wg_call_counts(call) && wg_call_patience(call) >= 1;
-}
-
-/* Rather late than refused, for whoever has far less than others. */
-static bool wg_call_is_modest(const wg_call* call) {
-    return wg_call_counts(call) && wg_fair_is_modest(wg_call_usage(call), &call->entry->levels);
-}
-
-static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
-    if (!call->has_prompt) {
-        return true;
-    }
-    wg_time limit = wg_call_limit(call, now);
-    wg_time own = choice->wait - choice->wait_ahead;
-    bool too_large = own > limit;
-    double ahead = too_large ? WG_LIMIT_LARGE * (double)wg_call_tightest(call) : (double)limit;
-    if (wg_call_is_modest(call)) {
-        limit = (wg_time)(WG_MODEST_FACTOR * (double)limit);
-        ahead *= WG_MODEST_FACTOR;
-    }
-    return (too_large || choice->wait <= limit) &&
-           (double)choice->wait_ahead <= wg_call_patience(call) * ahead;
-}
-
-static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
-    wg_entry* e = call->entry;
-    wg_retry_rules rules = wg_call_retry_rules(e);
-    if (call->attempts == 0) {
-        wg_retry_first(wg_call_retry(call), &rules);
-        if (wg_call_counts(call)) {
-            wg_call_own_usage(call)->tokens += wg_call_tokens(call);
-        }
-    }
-    call->attempts++;
-    if (call->need.tried_num < WG_TRIED_MAX) {
-        call->need.tried[call->need.tried_num++] = target->number;
-    }
-    wg_balance_begin(e->balance, now, &call->choice);
-    if (call->has_prompt) {
-        wg_balance_note_prompt(e->balance, now, target->number, &call->prompt);
-    }
-    bool careful = !wg_route_is_repeatable(call->route);
-    wg_upstream* up = wg_upstream_open(e, target, careful && call->attempts > 1);
-    if (!up) {
-        wg_call_attempt_failed(call, NULL, "no-connection");
-        return;
-    }
-    wg_call_set_timer(call, now);
-    wg_upstream_send(up, call);
-}
-
-/* Choose a target and send, or wait for one. */
-static void wg_call_try(wg_call* call) {
-    wg_entry* e = call->entry;
-    wg_time now = wg_now();
-    call->retry_at = 0;
-    call->limit = wg_call_limit(call, now);
-    call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
-    call->need.slots_share = wg_call_slots_share(call);
-    wg_choice choice = wg_balance_choose(e->balance, now, &call->need);
-    call->expected = choice.wait;
-    if (!choice.target || (call->attempts == 0 && !wg_call_fits(call, &choice, now))) {
-        wg_call_enqueue(call, now);
-        return;
-    }
-    const wg_target* target = wg_registry_find(e->registry, choice.target);
-    WG_ASSERT(target != NULL);
-    bool waited = call->queued;
-    wg_call_unqueue(call);
-    call->choice = choice;
-    wg_call_send(call, target, now);
-    if (waited) {
-        wg_call_queue_run(e); /* there may be room for the next one too */
-    }
-}
-
 static void wg_call_on_timer(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
@@ -388,32 +188,17 @@
         } else {
             wg_call_refuse(call, 503, "timeout_not_run", wg_call_retry_after(call));
         }
+    } else if (call->asked && now >= call->asked_until) {
+        wg_entry_admit_unanswered(call, now);
     } else if (call->retry_at && now >= call->retry_at) {
         wg_call_try(call);
-    } else if (call->queued && now >= call->queued_until) {
+    } else if (call->queued && !call->asked && now >= call->queued_until) {
         wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
     } else {
         wg_call_set_timer(call, now);
     }
 }
 
-/* Another attempt, when the rules and the budget allow it. False: the call has to end. */
-static bool wg_call_again(wg_call* call) {
-    wg_entry* e = call->entry;
-    wg_time now = wg_now();
-    wg_retry_rules rules = wg_call_retry_rules(e);
-    bool may = !call->may_have_run || wg_route_is_repeatable(call->route);
-    if (!may || call->attempts >= call->route->attempts || now + WG_RETRY_WAIT >= call->until ||
-        !wg_retry_take(wg_call_retry(call), &rules)) {
-        return false;
-    }
-    e->counters.retries++;
-    e->counters.resumes += call->head_sent;
-    call->retry_at = now + 1;
-    wg_call_set_timer(call, now);
-    return true;
-}
-
 /* ---- answers --------------------------------------------------------------------------------- */
 
 static bool wg_call_was_not_run(const wg_call* call, const wg_upstream* up) {
@@ -485,6 +270,7 @@
         }
     }
     wg_balance_read(call->entry->balance, wg_now(), &call->choice);
+    wg_entry_admit_read(call);
 }
 
 /* Pass whole events on. False when the stream is malformed. */
@@ -714,35 +500,6 @@
     wg_call_queue_run(e);
 }
 
-/* The lightest workspace's oldest request goes first. */
-static wg_call* wg_call_queue_first(GQueue* queue) {
-    wg_call* best = NULL;
-    double best_usage = 0;
-    for (GList* at = queue->head; at; at = at->next) {
-        wg_call* call = at->data;
-        double usage = call->workspace ? wg_call_usage(call) : 0;
-        if (!best || usage < best_usage) {
-            best = call;
-            best_usage = usage;
-        }
-    }
-    return best;
-}
-
-void wg_call_queue_run(wg_entry* e) {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, e->queues);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        GQueue* queue = value;
-        wg_call* call = wg_call_queue_first(queue);
-        if (call && !call->retry_at) {
-            call->retry_at = wg_now(); /* tried from the loop, not from within another call */
-            wg_call_set_timer(call, call->retry_at);
-        }
-    }
-}
-
 void wg_call_cut_all(wg_entry* e) {
     for (guint i = e->clients->len; i > 0; i--) {
         wg_client_close(e->clients->pdata[i - 1]);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -5,6 +5,7 @@
 #include <event2/event.h>
 #include <event2/listener.h>
 
+#include "wg_admit.h"
 #include "wg_balance.h"
 #include "wg_config.h"
 #include "wg_entry.h"
@@ -19,7 +20,8 @@
     WG_OUTPUT_HIGH = 256 * 1024,     /* unsent bytes at which reading from a target pauses */
     WG_EVENT_ID_MAX = 32,
     WG_MEMBERS_MAX = 1024,
-    WG_ANSWERED_MAX = 64 /* entry hosts in one answer */
+    WG_ANSWERED_MAX = 64, /* entry hosts in one answer */
+    WG_COORDINATORS_MAX = 16
 };
 
 typedef struct wg_call wg_call;
@@ -79,6 +81,15 @@
     bool has_prompt;
     wg_need need;
     wg_choice choice;
+    wg_choice proposed;   /* asked for, not sent yet */
+    uint64_t asked;       /* ticket of a question to a coordinator; 0: none waits */
+    wg_time asked_until;  /* then this host decides alone */
+    uint64_t admitted;    /* ticket of the admission that is held; 0: none */
+    bool admitted_read;   /* its prompt was read */
+    uint64_t admitted_by; /* rank of the coordinator that gave it */
+    int asks;             /* questions of the present try */
+    int asks_all;         /* questions so far */
+    bool was_admitted;
     wg_time expected; /* wait for the first event, as of the last choice */
     wg_time limit;    /* the longest at which it would have been sent */
     wg_upstream* upstream;
@@ -137,6 +148,19 @@
     char data_centre[WG_NAME_MAX];
 } wg_entry_member;
 
+/* The entry host that admits prompts to some targets, for all. */
+typedef struct {
+    char name[WG_NAME_MAX];
+    char address[WG_ADDRESS_MAX]; /* of its fleet port */
+    uint64_t rank;                /* hash of its name */
+    bool self;
+    wgn_link link;
+    bool up;
+    wg_time dial_at;
+    int missed; /* answers in a row that did not come in time */
+    wg_time silent_until;
+} wg_coordinator;
+
 /* An order that waits for the leader's answer. */
 typedef struct {
     uint64_t ticket;
@@ -217,6 +241,12 @@
     uint64_t report_seq;
     GQueue orders; /* wg_entry_order* */
 
+    /* admission: wg_entry_admit.c */
+    wg_admit* admit;                                  /* to targets that this host coordinates */
+    wg_coordinator coordinators[WG_COORDINATORS_MAX]; /* highest rank first */
+    int coordinators_num;
+    GHashTable* asks; /* ticket -> wg_call* */
+
     wgh_server ready_server;
     wgh_server entry_server;
     wgh_server orders_server;
@@ -246,6 +276,44 @@
 void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
                            const Wgpb__Configuration* configuration);
 
+/* wg_entry_admit.c */
+/* The list of entry hosts has changed. */
+void wg_entry_admit_members(wg_entry* e);
+void wg_entry_admit_tick(wg_entry* e, wg_time now);
+/* Ask who coordinates call->proposed.target; the answer comes through wg_call_admit_answered() or
+   wg_call_admit_unanswered(), also before this returns. */
+void wg_entry_admit_ask(wg_call* call, const wg_admit_limits* limits, wg_time now);
+/* No answer came in time. */
+void wg_entry_admit_unanswered(wg_call* call, wg_time now);
+/* The prompt of the call's admission is read; its request is over; the call itself is. */
+void wg_entry_admit_read(wg_call* call);
+void wg_entry_admit_end(wg_call* call);
+void wg_entry_admit_forget(wg_call* call);
+/* False when the link or the frame is none of admission. */
+bool wg_entry_admit_on_up(wg_entry* e, wgn_link link);
+/* Another process has come, perhaps to ask for admissions. */
+void wg_entry_admit_on_asker(wg_entry* e, wgn_link link, const wgn_peer* peer);
+void wg_entry_admit_on_down(wg_entry* e, wgn_link link);
+bool wg_entry_admit_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
+
+/* wg_entry_attempt.c */
+/* Choose a target and send, or wait for one. */
+void wg_call_try(wg_call* call);
+void wg_call_unqueue(wg_call* call);
+/* Another attempt, when the rules and the budget allow it. False: the call has to end. */
+bool wg_call_again(wg_call* call);
+/* Seconds after which a refused request may come back. */
+double wg_call_retry_after(const wg_call* call);
+/* Prompt tokens, and those that may be made, as workspaces are charged for them. */
+uint32_t wg_call_tokens(const wg_call* call);
+/* Tokens that the call's workspace lately had in the whole fleet. */
+double wg_call_usage(const wg_call* call);
+wg_entry_usage* wg_call_own_usage(const wg_call* call);
+/* Is the request charged to a workspace? */
+bool wg_call_counts(const wg_call* call);
+void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer);
+void wg_call_admit_unanswered(wg_call* call, wg_time now);
+
 /* wg_entry_pages.c */
 bool wg_entry_pages_setup(wg_entry* e, GError** error);
 
@@ -269,6 +337,9 @@
 /* The attempt is over without a whole answer. */
 void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason);
 void wg_call_queue_run(wg_entry* e);
+void wg_call_set_timer(wg_call* call, wg_time now);
+/* A final answer of ours, at once. */
+void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after);
 void wg_call_cut_all(wg_entry* e);
 /* A refusal of ours, before there is a call. */
 void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -9,6 +9,7 @@
 enum {
     WG_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
     WG_PROVE_TIME = 350 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
+    WG_LINKS_MAX = 1024,                    /* every entry host may ask this one */
     WG_LOADS_MAX = 2048,
     WG_ORDERS_MAX = 1024
 };
@@ -129,6 +130,7 @@
             wg_copy_name(member->address, sizeof member->address, from->address) &&
             wg_copy_name(member->data_centre, sizeof member->data_centre, from->data_centre);
     }
+    wg_entry_admit_members(e);
 }
 
 static void wg_entry_take_usage(wg_entry* e, const Wgpb__EntryState* in) {
@@ -365,7 +367,11 @@
 
 static void wg_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
+    if (wg_entry_admit_on_up(e, link)) {
+        return;
+    }
     if (link.id != e->link.id) {
+        wg_entry_admit_on_asker(e, link, peer);
         wg_entry_tell_controls(e, link, peer);
         return;
     }
@@ -376,6 +382,7 @@
 
 static void wg_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
+    wg_entry_admit_on_down(e, link);
     if (link.id != e->link.id) {
         return;
     }
@@ -393,6 +400,9 @@
 
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
+    if (wg_entry_admit_on_frame(e, link, frame)) {
+        return;
+    }
     if (link.id != e->link.id) {
         return; /* whoever asks for controls has nothing else to say */
     }
@@ -425,7 +435,7 @@
         wgn_setup(&(wgn_desc){.base = e->base,
                               .fleet_key = e->settings->fleet_key,
                               .self = self,
-                              .links_max = 256,
+                              .links_max = WG_LINKS_MAX,
                               .proof_deadline = WG_PROVE_TIME,
                               .silence_deadline = e->settings->link_silence_ms * WG_USEC_PER_MSEC,
                               .ping_interval = e->settings->link_silence_ms * WG_USEC_PER_MSEC / 4,
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -13,7 +13,7 @@
 } wg_fair_slope;
 
 static const wg_fair_slope WG_FAIR_OWED = {
-    .full_at = 1.05, .least_at = 1.5, .least = 0.12, .none_at = 1e9};
+    .full_at = 1.0, .least_at = 1.2, .least = 0.05, .none_at = 1e9};
 static const wg_fair_slope WG_FAIR_SERVED = {
     .full_at = 1.0, .least_at = 1.15, .least = 0.05, .none_at = 1.3};
 
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -24,6 +24,8 @@
     wg_time opened_at;
     wg_time heard_at;
     wg_time sent_at;
+    wg_time silence_deadline;
+    wg_time ping_interval;
     wgn_peer peer;
     GByteArray* own_hello;
     GByteArray* peer_hello;
@@ -262,7 +264,11 @@
         return NULL;
     }
     _wgn_link_t* l = &net->links[wg_pool_slot(&net->pool, handle)];
-    *l = (_wgn_link_t){.net = net, .handle = handle, .dialer = dialer};
+    *l = (_wgn_link_t){.net = net,
+                       .handle = handle,
+                       .dialer = dialer,
+                       .silence_deadline = net->desc.silence_deadline,
+                       .ping_interval = net->desc.ping_interval};
     l->opened_at = l->heard_at = l->sent_at = wg_now();
     l->bev =
         bufferevent_socket_new(net->desc.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
@@ -300,11 +306,11 @@
         }
         _wgn_link_t* l = &net->links[i];
         bool late = !l->up && now - l->opened_at > net->desc.proof_deadline;
-        bool silent = now - l->heard_at > net->desc.silence_deadline;
+        bool silent = now - l->heard_at > l->silence_deadline;
         size_t unsent = evbuffer_get_length(bufferevent_get_output(l->bev));
         if (late || silent || unsent > net->desc.unsent_max) {
             _wgn_drop(l);
-        } else if (l->up && now - l->sent_at >= net->desc.ping_interval) {
+        } else if (l->up && now - l->sent_at >= l->ping_interval) {
             _wgn_write(l, WGW_TYPE_PING, NULL, 0);
         }
     }
@@ -417,6 +423,14 @@
     return true;
 }
 
+void wgn_set_pace(wgn_net* net, wgn_link link, wg_time ping_interval, wg_time silence_deadline) {
+    _wgn_link_t* l = _wgn_find(net, link);
+    if (l) {
+        l->ping_interval = ping_interval;
+        l->silence_deadline = silence_deadline;
+    }
+}
+
 void wgn_close(wgn_net* net, wgn_link link) {
     _wgn_link_t* l = _wgn_find(net, link);
     if (l) {
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -92,6 +92,8 @@
 wgn_link wgn_dial(wgn_net* net, const char* address);
 /* Send one message; false when the link is gone or not up yet. */
 bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message);
+/* A link that matters less than others: pings and silence of its own, at both ends alike. */
+void wgn_set_pace(wgn_net* net, wgn_link link, wg_time ping_interval, wg_time silence_deadline);
 /* Close at once; on_down is called before this returns. */
 void wgn_close(wgn_net* net, wgn_link link);
 /* The other end, or NULL while the link is not up. */
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -1852,6 +1852,141 @@
   assert(message->base.descriptor == &wgpb__order_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__admit_ask__init
+                     (Wgpb__AdmitAsk         *message)
+{
+  static const Wgpb__AdmitAsk init_value = WGPB__ADMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_ask__get_packed_size
+                     (const Wgpb__AdmitAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_ask__pack
+                     (const Wgpb__AdmitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_ask__pack_to_buffer
+                     (const Wgpb__AdmitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitAsk *
+       wgpb__admit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitAsk *)
+     protobuf_c_message_unpack (&wgpb__admit_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_ask__free_unpacked
+                     (Wgpb__AdmitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__admit_answer__init
+                     (Wgpb__AdmitAnswer         *message)
+{
+  static const Wgpb__AdmitAnswer init_value = WGPB__ADMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_answer__get_packed_size
+                     (const Wgpb__AdmitAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_answer__pack
+                     (const Wgpb__AdmitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_answer__pack_to_buffer
+                     (const Wgpb__AdmitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitAnswer *
+       wgpb__admit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitAnswer *)
+     protobuf_c_message_unpack (&wgpb__admit_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_answer__free_unpacked
+                     (Wgpb__AdmitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__admit_note__init
+                     (Wgpb__AdmitNote         *message)
+{
+  static const Wgpb__AdmitNote init_value = WGPB__ADMIT_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_note__get_packed_size
+                     (const Wgpb__AdmitNote *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_note__pack
+                     (const Wgpb__AdmitNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_note__pack_to_buffer
+                     (const Wgpb__AdmitNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitNote *
+       wgpb__admit_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitNote *)
+     protobuf_c_message_unpack (&wgpb__admit_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_note__free_unpacked
+                     (Wgpb__AdmitNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] =
 {
   {
@@ -5594,3 +5729,364 @@
   (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[12] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "parts",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wgpb__AdmitAsk, n_parts),
+    offsetof(Wgpb__AdmitAsk, parts),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sizes",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_UINT32,
+    offsetof(Wgpb__AdmitAsk, n_sizes),
+    offsetof(Wgpb__AdmitAsk, sizes),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "answer",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, answer),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "copied",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, copied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running_most",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, running_most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "whole_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, whole_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, ahead_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead_large_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, ahead_large_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "spares_shared",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, spares_shared),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__admit_ask__field_indices_by_name[] = {
+  10,   /* field[10] = ahead_large_us */
+  9,   /* field[9] = ahead_us */
+  5,   /* field[5] = answer */
+  6,   /* field[6] = copied */
+  2,   /* field[2] = parts */
+  7,   /* field[7] = running_most */
+  3,   /* field[3] = sizes */
+  11,   /* field[11] = spares_shared */
+  1,   /* field[1] = target */
+  0,   /* field[0] = ticket */
+  4,   /* field[4] = tokens */
+  8,   /* field[8] = whole_us */
+};
+static const ProtobufCIntRange wgpb__admit_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.AdmitAsk",
+  "AdmitAsk",
+  "Wgpb__AdmitAsk",
+  "wgpb",
+  sizeof(Wgpb__AdmitAsk),
+  12,
+  wgpb__admit_ask__field_descriptors,
+  wgpb__admit_ask__field_indices_by_name,
+  1,  wgpb__admit_ask__number_ranges,
+  (ProtobufCMessageInit) wgpb__admit_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__admit_answer__field_descriptors[8] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "granted",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, granted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, wait_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "wait_ahead_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, wait_ahead_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, held),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ahead",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, ahead),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__admit_answer__field_indices_by_name[] = {
+  6,   /* field[6] = ahead */
+  1,   /* field[1] = granted */
+  5,   /* field[5] = held */
+  7,   /* field[7] = running */
+  0,   /* field[0] = ticket */
+  4,   /* field[4] = unread */
+  3,   /* field[3] = wait_ahead_us */
+  2,   /* field[2] = wait_us */
+};
+static const ProtobufCIntRange wgpb__admit_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wgpb__admit_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.AdmitAnswer",
+  "AdmitAnswer",
+  "Wgpb__AdmitAnswer",
+  "wgpb",
+  sizeof(Wgpb__AdmitAnswer),
+  8,
+  wgpb__admit_answer__field_descriptors,
+  wgpb__admit_answer__field_indices_by_name,
+  1,  wgpb__admit_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__admit_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__admit_note__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitNote, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitNote, ended),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__admit_note__field_indices_by_name[] = {
+  1,   /* field[1] = ended */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__admit_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__admit_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.AdmitNote",
+  "AdmitNote",
+  "Wgpb__AdmitNote",
+  "wgpb",
+  sizeof(Wgpb__AdmitNote),
+  2,
+  wgpb__admit_note__field_descriptors,
+  wgpb__admit_note__field_indices_by_name,
+  1,  wgpb__admit_note__number_ranges,
+  (ProtobufCMessageInit) wgpb__admit_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -56,6 +56,9 @@
 typedef struct Wgpb__EntryState Wgpb__EntryState;
 typedef struct Wgpb__Order Wgpb__Order;
 typedef struct Wgpb__OrderAnswer Wgpb__OrderAnswer;
+typedef struct Wgpb__AdmitAsk Wgpb__AdmitAsk;
+typedef struct Wgpb__AdmitAnswer Wgpb__AdmitAnswer;
+typedef struct Wgpb__AdmitNote Wgpb__AdmitNote;
 
 
 /* --- enums --- */
@@ -761,6 +764,78 @@
     , 0, 0, NULL }
 
 
+/*
+ * ---- between entry hosts: the coordinator of a target admits prompts to it ----
+ */
+struct  Wgpb__AdmitAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  /*
+   * number in the registry
+   */
+  uint32_t target;
+  /*
+   * ids of the shared parts, in order
+   */
+  size_t n_parts;
+  uint64_t *parts;
+  /*
+   * tokens of each
+   */
+  size_t n_sizes;
+  uint32_t *sizes;
+  /*
+   * of the whole prompt
+   */
+  uint32_t tokens;
+  uint32_t answer;
+  uint32_t copied;
+  uint32_t running_most;
+  /*
+   * limits of waits, microseconds
+   */
+  uint64_t whole_us;
+  uint64_t ahead_us;
+  uint64_t ahead_large_us;
+  protobuf_c_boolean spares_shared;
+};
+#define WGPB__ADMIT_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_ask__descriptor) \
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+struct  Wgpb__AdmitAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  protobuf_c_boolean granted;
+  uint64_t wait_us;
+  uint64_t wait_ahead_us;
+  uint32_t unread;
+  uint32_t held;
+  uint32_t ahead;
+  uint32_t running;
+};
+#define WGPB__ADMIT_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_answer__descriptor) \
+    , 0, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * The prompt of an admission was read, or the request is over.
+ */
+struct  Wgpb__AdmitNote
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  protobuf_c_boolean ended;
+};
+#define WGPB__ADMIT_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_note__descriptor) \
+    , 0, 0 }
+
+
 /* Wgpb__Hello methods */
 void   wgpb__hello__init
                      (Wgpb__Hello         *message);
@@ -1540,6 +1615,63 @@
 void   wgpb__order_answer__free_unpacked
                      (Wgpb__OrderAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__AdmitAsk methods */
+void   wgpb__admit_ask__init
+                     (Wgpb__AdmitAsk         *message);
+size_t wgpb__admit_ask__get_packed_size
+                     (const Wgpb__AdmitAsk   *message);
+size_t wgpb__admit_ask__pack
+                     (const Wgpb__AdmitAsk   *message,
+                      uint8_t             *out);
+size_t wgpb__admit_ask__pack_to_buffer
+                     (const Wgpb__AdmitAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__AdmitAsk *
+       wgpb__admit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__admit_ask__free_unpacked
+                     (Wgpb__AdmitAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__AdmitAnswer methods */
+void   wgpb__admit_answer__init
+                     (Wgpb__AdmitAnswer         *message);
+size_t wgpb__admit_answer__get_packed_size
+                     (const Wgpb__AdmitAnswer   *message);
+size_t wgpb__admit_answer__pack
+                     (const Wgpb__AdmitAnswer   *message,
+                      uint8_t             *out);
+size_t wgpb__admit_answer__pack_to_buffer
+                     (const Wgpb__AdmitAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__AdmitAnswer *
+       wgpb__admit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__admit_answer__free_unpacked
+                     (Wgpb__AdmitAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__AdmitNote methods */
+void   wgpb__admit_note__init
+                     (Wgpb__AdmitNote         *message);
+size_t wgpb__admit_note__get_packed_size
+                     (const Wgpb__AdmitNote   *message);
+size_t wgpb__admit_note__pack
+                     (const Wgpb__AdmitNote   *message,
+                      uint8_t             *out);
+size_t wgpb__admit_note__pack_to_buffer
+                     (const Wgpb__AdmitNote   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__AdmitNote *
+       wgpb__admit_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__admit_note__free_unpacked
+                     (Wgpb__AdmitNote *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wgpb__Hello_Closure)
@@ -1665,6 +1797,15 @@
 typedef void (*Wgpb__OrderAnswer_Closure)
                  (const Wgpb__OrderAnswer *message,
                   void *closure_data);
+typedef void (*Wgpb__AdmitAsk_Closure)
+                 (const Wgpb__AdmitAsk *message,
+                  void *closure_data);
+typedef void (*Wgpb__AdmitAnswer_Closure)
+                 (const Wgpb__AdmitAnswer *message,
+                  void *closure_data);
+typedef void (*Wgpb__AdmitNote_Closure)
+                 (const Wgpb__AdmitNote *message,
+                  void *closure_data);
 
 /* --- services --- */
 
@@ -1712,6 +1853,9 @@
 extern const ProtobufCMessageDescriptor wgpb__entry_state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__admit_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__admit_note__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -23,6 +23,7 @@
     CALLERS = 16,
     VERSIONS_MAX = 400,
     STREAM_EVENTS = 25,
+    PROMPT_PARTS = 12, /* shared between streams */
     DISTURBANCES_MAX = 1000,
     CALL_TIME = 4 * WG_USEC_PER_SEC,
     CALM_TIME = 5 * WG_USEC_PER_SEC,   /* after a fault, before bounds in time hold again */
@@ -298,11 +299,19 @@
     if (c->kind == CALL_UNSAFE) {
         g_hash_table_add(s->unsafe_ids, g_strdup(c->id));
     }
+    char prompt[160] = "";
+    if (c->kind == CALL_STREAM) {
+        /* Entry hosts admit prompts for each other; a few of the parts are shared. */
+        g_snprintf(
+            prompt, sizeof prompt,
+            "Walnutgate-Prompt-Parts: %d:800,%s:200\r\nWalnutgate-Prompt-Tokens: 1000,%d\r\n",
+            (int)draw(s, PROMPT_PARTS), c->id, STREAM_EVENTS);
+    }
     evbuffer_add_printf(bufferevent_get_output(c->bev),
                         "%s HTTP/1.1\r\nHost: soak\r\nWalnutgate-Request: %s\r\n"
                         "Walnutgate-Key: key\r\nWalnutgate-Deadline-Ms: 3000\r\n"
-                        "Content-Length: 0\r\n\r\n",
-                        lines[c->kind], c->id);
+                        "%sContent-Length: 0\r\n\r\n",
+                        lines[c->kind], c->id, prompt);
     struct timeval wait = {.tv_sec = CALL_TIME / WG_USEC_PER_SEC};
     event_add(c->timer, &wait);
 }
@@ -324,7 +333,8 @@
 static char* document(int version) {
     return g_strdup_printf(
         "{\"version\":%d,\"note\":\"made-as-%d\",\"services\":[{\"name\":\"app\"},"
-        "{\"name\":\"engine\"}],\"routes\":["
+        "{\"name\":\"engine\",\"engine\":{\"slots\":64,\"memory_tokens\":200000,"
+        "\"copies\":true}}],\"routes\":["
         "{\"name\":\"u\",\"host\":\"soak\",\"path_prefix\":\"/unsafe/\",\"kind\":\"unsafe\","
         "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":2,\"service\":\"app\"},"
         "{\"name\":\"s\",\"host\":\"soak\",\"path_prefix\":\"/safe/\",\"kind\":\"safe\","
--- /dev/null
+++ b/tests/test_admit.c
@@ -0,0 +1,215 @@
+/* test_admit.c -- one host admits prompts to a target for the whole fleet */
+#include "wg_admit.h"
+#include "wg_test.h"
+
+static const wg_admit_limits in_time = {570 * MSEC, 570 * MSEC, 180 * MSEC};
+
+static wg_admit_request request(uint64_t holder, uint64_t ticket, uint32_t own) {
+    return (wg_admit_request){.holder = holder,
+                              .ticket = ticket,
+                              .target = 7,
+                              .parts = {100, 200},
+                              .sizes = {2500, 3800},
+                              .parts_num = 2,
+                              .tokens = 6300 + own,
+                              .answer = 50,
+                              .memory = 200000,
+                              .limits = in_time};
+}
+
+static wg_admit* admit;
+
+static wg_admit_answer ask(wg_time now, uint64_t holder, uint64_t ticket) {
+    wg_admit_request r = request(holder, ticket, 2900);
+    return wg_admit_ask(admit, now, &r);
+}
+
+/* However many hosts ask at once, no more is sent than can be read in time. */
+START_TEST(many_hosts_do_not_fill_a_target) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    int granted = 0;
+    uint64_t unread = 0;
+    for (uint64_t holder = 1; holder <= 69; holder++) {
+        wg_admit_answer answer = ask(0, holder, 1);
+        granted += answer.granted;
+        unread += answer.granted ? answer.unread : 0;
+    }
+    ck_assert_int_ge(granted, 3);
+    ck_assert_uint_le(unread, 17100); /* 570 ms at 30 tokens a ms */
+    ck_assert_int_eq(wg_admit_num(admit), granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(shared_parts_are_read_once) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    ck_assert_uint_eq(ask(0, 1, 1).unread, 9200);
+    wg_admit_answer second = ask(1, 2, 1);
+    ck_assert_uint_eq(second.unread, 2900);
+    ck_assert_uint_eq(second.held, 6300);
+    ck_assert_uint_eq(second.ahead, 9200);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* Engines give up what was unused for longest. */
+START_TEST(parts_are_given_up_for_newer_ones) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    ask(0, 1, 1);
+    wg_admit_read(admit, SECOND, 1, 1);
+    for (uint64_t i = 2; i < 30; i++) {
+        wg_admit_request other = request(1, i, 6000);
+        other.parts[0] = 1000 + i;
+        other.parts_num = 1;
+        other.limits = (wg_admit_limits){WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER};
+        ck_assert(wg_admit_ask(admit, SECOND, &other).granted);
+        wg_admit_end(admit, 1, i);
+    }
+    ck_assert_uint_eq(ask(2 * SECOND, 2, 1).held, 0);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(what_is_copied_is_not_read) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_admit_request r = request(1, 1, 2900);
+    r.copied = 6300;
+    ck_assert_uint_eq(wg_admit_ask(admit, 0, &r).unread, 2900);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(a_refusal_takes_nothing) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    ck_assert(ask(0, 9, 9).granted);
+    wg_admit_request r = request(1, 1, 2900);
+    r.parts[0] = 300;
+    r.limits.ahead = r.limits.whole = r.limits.ahead_large = 1;
+    ck_assert(!wg_admit_ask(admit, 0, &r).granted);
+    ck_assert_int_eq(wg_admit_num(admit), 1);
+    r.limits = in_time;
+    wg_admit_answer next = wg_admit_ask(admit, 0, &r);
+    ck_assert_uint_eq(next.ahead, 9200);
+    ck_assert_uint_eq(next.held, 0);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* Whoever has more than others gets no room for shared parts that would be read again. */
+START_TEST(shared_parts_can_count_as_ahead) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_admit_request r = request(1, 1, 2900);
+    r.limits.ahead = 30 * MSEC;
+    r.limits.spares_shared = true;
+    ck_assert(!wg_admit_ask(admit, 0, &r).granted); /* 6300 tokens to read first */
+    r.copied = 6300;
+    ck_assert(wg_admit_ask(admit, 0, &r).granted);
+    wg_admit_end(admit, 1, 1);
+    r.copied = 0; /* they are held now */
+    ck_assert(wg_admit_ask(admit, 0, &r).granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* One too large to be in time still goes, where little is before it. */
+START_TEST(large_prompts_have_a_limit_of_their_own) {
+    ck_assert(wg_admit_fits(&in_time, 2000 * MSEC, 100 * MSEC));
+    ck_assert(!wg_admit_fits(&in_time, 2000 * MSEC, 200 * MSEC));
+    ck_assert(wg_admit_fits(&in_time, 560 * MSEC, 500 * MSEC));
+    ck_assert(!wg_admit_fits(&in_time, 600 * MSEC, 500 * MSEC));
+}
+END_TEST
+
+START_TEST(slots_bound_what_runs) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_admit_request r = request(1, 1, 10);
+    r.running_most = 1;
+    ck_assert(wg_admit_ask(admit, 0, &r).granted);
+    r.ticket = 2;
+    ck_assert(!wg_admit_ask(admit, 0, &r).granted);
+    wg_admit_end(admit, 1, 1);
+    ck_assert(wg_admit_ask(admit, 0, &r).granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A coordinator that has just begun does not know what its predecessor admitted. */
+START_TEST(a_fresh_account_counts_what_is_known_otherwise) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_admit_request r = request(1, 1, 2900);
+    r.floor_unread = 4000;
+    ck_assert_uint_eq(wg_admit_ask(admit, 0, &r).ahead, 4000);
+    r.ticket = 2;
+    ck_assert_uint_eq(wg_admit_ask(admit, 2 * SECOND, &r).ahead, 9200);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(the_speed_is_learnt) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_time before = ask(0, 1, 1000).wait;
+    wg_admit_end(admit, 1, 1000);
+    for (uint64_t i = 1; i < 200; i++) {
+        wg_admit_request r = request(1, i, 2900);
+        r.parts_num = 0;
+        wg_admit_ask(admit, (wg_time)i * SECOND, &r);
+        wg_admit_read(admit, (wg_time)i * SECOND + 920 * MSEC, 1, i); /* 10 tokens a ms */
+        wg_admit_end(admit, 1, i);
+    }
+    wg_admit_request r = request(1, 1000, 2900);
+    r.parts_num = 0;
+    ck_assert(wg_admit_ask(admit, 300 * SECOND, &r).wait > 2 * before);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* Random series of questions, ends and lost links: accounts are what is under way, no more. */
+START_TEST(accounts_come_out_even) {
+    for (uint64_t seed = 1; seed <= 50; seed++) {
+        admit = wg_admit_setup(&(wg_admit_desc){0});
+        uint64_t counter = 0;
+        for (int step = 0; step < 3000; step++) {
+            uint64_t holder = wg_jitter(seed, ++counter) % 9 + 1;
+            uint64_t ticket = wg_jitter(seed, ++counter) % 40;
+            wg_admit_request r = request(holder, ticket, wg_jitter(seed, ++counter) % 9000);
+            r.target = wg_jitter(seed, ++counter) % 5 + 1;
+            r.parts[1] = wg_jitter(seed, ++counter) % 60;
+            switch (wg_jitter(seed, ++counter) % 8) {
+            case 0:
+                wg_admit_drop_holder(admit, holder);
+                break;
+            case 1:
+            case 2:
+                wg_admit_read(admit, step * 10 * MSEC, holder, ticket);
+                break;
+            case 3:
+            case 4:
+                wg_admit_end(admit, holder, ticket);
+                break;
+            default:
+                wg_admit_ask(admit, step * 10 * MSEC, &r);
+                break;
+            }
+        }
+        for (uint64_t holder = 1; holder <= 9; holder++) {
+            wg_admit_drop_holder(admit, holder);
+        }
+        ck_assert_int_eq(wg_admit_num(admit), 0);
+        for (uint32_t target = 1; target <= 5; target++) {
+            wg_admit_request r = request(1, 1, 2900);
+            r.target = target;
+            wg_admit_answer answer = wg_admit_ask(admit, 100 * SECOND, &r);
+            ck_assert_uint_eq(answer.ahead, 0);
+            ck_assert_uint_eq(answer.running, 0);
+            wg_admit_end(admit, 1, 1);
+        }
+        wg_admit_shutdown(admit);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("admit", many_hosts_do_not_fill_a_target, shared_parts_are_read_once,
+             parts_are_given_up_for_newer_ones, what_is_copied_is_not_read, a_refusal_takes_nothing,
+             shared_parts_can_count_as_ahead, large_prompts_have_a_limit_of_their_own,
+             slots_bound_what_runs, a_fresh_account_counts_what_is_known_otherwise,
+             the_speed_is_learnt, accounts_come_out_even)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -107,6 +107,45 @@
 }
 END_TEST
 
+/* A home that has no room now is still the home: it is copied from, if it is known to hold all. */
+START_TEST(a_denied_home_is_copied_from) {
+    begin(18);
+    wg_prompt p = prompt(77, 78);
+    wg_need need = {.service = "m", .prompt = &p, .slots = 64, .copies = true};
+    uint32_t home = wg_balance_choose(balance, 0, &need).target;
+    need.denied[need.denied_num++] = home;
+    need.source = home;
+    need.source_tokens = 6300;
+    wg_choice c = wg_balance_choose(balance, 0, &need);
+    ck_assert_uint_ne(c.target, home);
+    ck_assert_uint_ne(c.target, 0);
+    ck_assert_uint_eq(c.source, home);
+    ck_assert_uint_eq(c.copied, 6300);
+    ck_assert_uint_eq(c.unread, 2900);
+    end();
+}
+END_TEST
+
+/* A coordinator's word replaces what the leader said, for a moment. */
+START_TEST(newer_loads_count) {
+    begin(1);
+    wg_prompt p = prompt(77, 78);
+    uint32_t unread = 0;
+    uint32_t running = 0;
+    wg_balance_set_others(balance, 1, 60000, 9);
+    ck_assert(!choose(&p, SECOND).is_fresh);
+    wg_balance_note_load(balance, SECOND, 1, 1000, 2);
+    wg_balance_load_of(balance, 1, &unread, &running);
+    ck_assert_uint_eq(unread, 1000);
+    ck_assert_uint_eq(running, 2);
+    wg_choice c = choose(&p, SECOND);
+    ck_assert(c.is_fresh);
+    ck_assert_uint_eq(c.ahead, 1000);
+    ck_assert(!choose(&p, 2 * SECOND).is_fresh);
+    end();
+}
+END_TEST
+
 START_TEST(a_lost_target_moves_only_its_own_prefixes) {
     begin(18);
     uint32_t before[200];
@@ -398,10 +437,10 @@
 END_TEST
 
 WG_TEST_MAIN("balance", a_prefix_has_its_homes_on_every_host, a_loaded_home_spills_to_the_second,
-             what_a_home_holds_is_copied, what_others_had_fades,
-             hosts_do_not_all_take_the_least_loaded, a_lost_target_moves_only_its_own_prefixes,
-             draining_targets_get_nothing, accounts_come_out_even,
-             failing_targets_are_put_aside_and_come_back,
+             what_a_home_holds_is_copied, a_denied_home_is_copied_from, newer_loads_count,
+             what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
+             a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
              slots_are_left_for_those_who_are_owed_them, a_cold_fleet_is_not_taken_for_a_warm_one,
              the_level_is_max_min, the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
