Attempts that reach no target are free; failing targets are known to all at once

Targets had crashed; each of 69 hosts found out by itself, and a route with one attempt had spent it on a connection that never came up. 3.6% came late: a modest workspace's request went to a crowded home (746 ms expected, limit 569) while other targets were idle, since it may be late from the first question on.

Change: an attempt of which no byte left counts neither as one nor against the fleet's retry budget, up to four a request; connecting takes 250 ms at most instead of 600. The note that ends an admission says whether the target failed; after three in a row, of all hosts, its coordinator denies it for 0.3 s and more, unless half of its targets fail. A modest request is asked for in time first, and late only when all denied it. Tests: test_admit.c a_target_that_fails_is_put_aside, where_all_fail_none_is_put_aside.

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -10,6 +10,9 @@
     WG_ADMIT_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC,
     WG_ADMIT_RUNNING_TOKENS = 20, /* what each running request costs the next */
     WG_ADMIT_TOLD_TOKENS = 1500,  /* fewer say little of the speed */
+    WG_ADMIT_FAILURES = 3,        /* in a row, of all hosts, before a target is put aside */
+    WG_ADMIT_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
+    WG_ADMIT_ASIDE_DOUBLINGS = 4,
     WG_ADMIT_PARTS_HELD_MAX = 8192,
     WG_ADMIT_MEMORY_DEFAULT = 200000
 };
@@ -31,6 +34,8 @@
     uint64_t unread;
     uint32_t running;
     uint64_t admitted; /* tokens so far: the clock by which parts are given up */
+    int failures;      /* in a row */
+    wg_time aside_until;
     double speed;
     GHashTable* parts; /* part -> uint64_t* value of `admitted` at its last use */
 } wg_admit_account;
@@ -189,6 +194,29 @@
     account->running--;
 }
 
+static void wg_admit_note_failure(wg_admit_account* account, wg_time now) {
+    if (++account->failures < WG_ADMIT_FAILURES) {
+        return;
+    }
+    int doublings = MIN(account->failures - WG_ADMIT_FAILURES, WG_ADMIT_ASIDE_DOUBLINGS);
+    account->aside_until = now + ((wg_time)WG_ADMIT_ASIDE_MIN << doublings);
+}
+
+/* Put aside, and most others are not: where half of all fail, the fault lies elsewhere. */
+static bool wg_admit_is_aside(const wg_admit* a, const wg_admit_account* account, wg_time now) {
+    if (now >= account->aside_until) {
+        return false;
+    }
+    guint aside = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        aside += now < ((const wg_admit_account*)value)->aside_until;
+    }
+    return aside * 2 <= g_hash_table_size(a->accounts);
+}
+
 static wg_admission* wg_admit_admission(const wg_admit* a, uint64_t holder, uint64_t ticket) {
     wg_admit_key key = {holder, ticket};
     return g_hash_table_lookup(a->admissions, &key);
@@ -224,8 +252,9 @@
     wg_admit_answer answer = wg_admit_estimate(account, now, request);
     bool full = request->running_most > 0 && answer.running >= request->running_most;
     bool known = wg_admit_admission(a, request->holder, request->ticket) != NULL;
-    answer.granted =
-        !full && !known && wg_admit_fits(&request->limits, answer.wait, answer.wait_ahead);
+    bool aside = wg_admit_is_aside(a, account, now);
+    answer.granted = !full && !known && !aside &&
+                     wg_admit_fits(&request->limits, answer.wait, answer.wait_ahead);
     if (answer.granted) {
         wg_admit_grant(a, account, now, request, &answer);
     }
@@ -245,12 +274,17 @@
         account->speed += WG_ADMIT_SPEED_WEIGHT * (sample - account->speed);
     }
     admission->expected = 0;
+    account->failures = 0;
+    account->aside_until = 0;
     wg_admit_settle_read(a, admission);
 }
 
-void wg_admit_end(wg_admit* a, uint64_t holder, uint64_t ticket) {
+void wg_admit_end(wg_admit* a, wg_time now, uint64_t holder, uint64_t ticket, bool failed) {
     wg_admission* admission = wg_admit_admission(a, holder, ticket);
     if (admission) {
+        if (failed) {
+            wg_admit_note_failure(wg_admit_find(a, admission->target), now);
+        }
         wg_admit_settle(a, admission);
         g_hash_table_remove(a->admissions, &admission->key);
     }
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -12,7 +12,9 @@
         - which shared parts a target still holds, by the tokens that were admitted after them:
           engines give up those that were unused for longest
         - the speed of a target, learnt from when prompts were read
-        - an answer only advises: whoever gets none in time decides by itself
+        - a target that fails several hosts in a row gets nothing for growing times, unless half of
+   all do
+    - an answer only advises: whoever gets none in time decides by itself
         - all that a host holds is given back when its link ends
 
     USE
@@ -81,8 +83,9 @@
 wg_admit_answer wg_admit_ask(wg_admit* admit, wg_time now, const wg_admit_request* request);
 /* The first event came: the prompt is read. An unknown admission is passed over. */
 void wg_admit_read(wg_admit* admit, wg_time now, uint64_t holder, uint64_t ticket);
-/* The request is over, or was never sent. */
-void wg_admit_end(wg_admit* admit, uint64_t holder, uint64_t ticket);
+/* The request is over, or was never sent. `failed`: the target broke off or could not be reached.
+ */
+void wg_admit_end(wg_admit* admit, wg_time now, uint64_t holder, uint64_t ticket, bool failed);
 /* Give back all that the holder was granted. */
 void wg_admit_drop_holder(wg_admit* admit, uint64_t holder);
 /* Admissions that have not ended. */
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -231,19 +231,28 @@
 
 /* ---- helpers: notes -------------------------------------------------------------------------- */
 
-static void wg_coordinator_note(wg_entry* e, uint64_t rank, uint64_t ticket, bool ended) {
+typedef enum {
+    WG_NOTE_READ = 0,
+    WG_NOTE_ENDED,
+    WG_NOTE_FAILED /* ended by the target's fault */
+} wg_admit_note;
+
+static void wg_coordinator_note(wg_entry* e, uint64_t rank, uint64_t ticket, wg_admit_note what) {
     const wg_coordinator* c = wg_coordinator_by_rank(e, rank);
     if (!c) {
         return;
     }
+    bool ended = what != WG_NOTE_READ;
+    bool failed = what == WG_NOTE_FAILED;
     if (c->self && ended) {
-        wg_admit_end(e->admit, 0, ticket);
+        wg_admit_end(e->admit, wg_now(), 0, ticket, failed);
     } else if (c->self) {
         wg_admit_read(e->admit, wg_now(), 0, ticket);
     } else {
         Wgpb__AdmitNote note = WGPB__ADMIT_NOTE__INIT;
         note.ticket = ticket;
         note.ended = ended;
+        note.failed = failed;
         wgn_send(e->net, c->link, WGW_TYPE_ADMIT_NOTE, &note.base);
     }
 }
@@ -251,13 +260,14 @@
 void wg_entry_admit_read(wg_call* call) {
     if (call->admitted && !call->admitted_read) {
         call->admitted_read = true;
-        wg_coordinator_note(call->entry, call->admitted_by, call->admitted, false);
+        wg_coordinator_note(call->entry, call->admitted_by, call->admitted, WG_NOTE_READ);
     }
 }
 
-void wg_entry_admit_end(wg_call* call) {
+void wg_entry_admit_end(wg_call* call, bool failed) {
     if (call->admitted) {
-        wg_coordinator_note(call->entry, call->admitted_by, call->admitted, true);
+        wg_coordinator_note(call->entry, call->admitted_by, call->admitted,
+                            failed ? WG_NOTE_FAILED : WG_NOTE_ENDED);
         call->admitted = 0;
         call->admitted_read = false;
     }
@@ -267,7 +277,7 @@
     if (call->asked) {
         wg_call_ask_over(call);
     }
-    wg_entry_admit_end(call);
+    wg_entry_admit_end(call, false);
 }
 
 /* ---- links ----------------------------------------------------------------------------------- */
@@ -346,7 +356,7 @@
         return false;
     }
     if (in->ended) {
-        wg_admit_end(e->admit, link.id, in->ticket);
+        wg_admit_end(e->admit, wg_now(), link.id, in->ticket, in->failed);
     } else {
         wg_admit_read(e->admit, wg_now(), link.id, in->ticket);
     }
@@ -376,7 +386,7 @@
         wg_call_ask_over(call);
         wg_call_take_admission(call, c, ticket, &answer);
     } else if (answer.granted) {
-        wg_coordinator_note(e, c->rank, ticket, true); /* it came too late */
+        wg_coordinator_note(e, c->rank, ticket, WG_NOTE_ENDED); /* it came too late */
     }
     return true;
 }
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -7,7 +7,8 @@
     WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
     WG_ANSWER_TOKENS_FACTOR = 2, /* a token made counts as two that are read */
     WG_ASKS_MAX = 3,             /* coordinators asked for one try */
-    WG_CHOICES_MAX = 6           /* targets looked at for one try */
+    WG_CHOICES_MAX = 6,          /* targets looked at for one try */
+    WG_UNSENT_MAX = 4            /* attempts of one request that reached no target */
 };
 
 /* Share of the objective that the first event may be expected to take, for a send now. */
@@ -150,7 +151,7 @@
 static wg_admit_limits wg_call_limits(const wg_call* call, wg_time now) {
     wg_time whole = wg_call_limit(call, now);
     double patience = wg_call_patience(call);
-    double factor = wg_call_is_modest(call) ? WG_MODEST_FACTOR : 1;
+    double factor = call->relaxed ? WG_MODEST_FACTOR : 1;
     double large = WG_LIMIT_LARGE * (double)wg_call_tightest(call);
     return (wg_admit_limits){.whole = (wg_time)(factor * (double)whole),
                              .ahead = (wg_time)(factor * patience * (double)whole),
@@ -198,7 +199,7 @@
     wg_entry* e = call->entry;
     const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
     if (!target || target->state != WG_TARGET_READY) {
-        wg_entry_admit_end(call);
+        wg_entry_admit_end(call, false);
         wg_call_choose(call, now);
         return;
     }
@@ -292,12 +293,24 @@
     return (wg_choice){0};
 }
 
+/* No target would answer in time: once more, for one that answers late. */
+static void wg_call_relax(wg_call* call, wg_time now) {
+    call->relaxed = true;
+    call->asks = 0;
+    call->need.denied_num = 0;
+    wg_call_choose(call, now);
+}
+
 /* Choose a target and send, or ask its coordinator first, or wait for another one. */
 static void wg_call_choose(wg_call* call, wg_time now) {
     wg_choice choice = {0};
     if (call->asks < WG_ASKS_MAX) {
         choice = wg_call_next_choice(call, now);
     }
+    if (!choice.target && !call->relaxed && wg_call_is_modest(call)) {
+        wg_call_relax(call, now);
+        return;
+    }
     if (!choice.target) {
         wg_call_enqueue(call, now);
         return;
@@ -321,19 +334,28 @@
     call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
     call->need.slots_share = wg_call_slots_share(call);
     call->asks = 0;
+    call->relaxed = false;
     call->need.denied_num = 0;
     call->need.source = 0;
     call->need.source_tokens = 0;
     wg_call_choose(call, now);
 }
 
-bool wg_call_again(wg_call* call) {
+/* An attempt that reached no target counts neither as one nor against the fleet's budget. */
+static bool wg_call_may_attempt(const wg_call* call, bool unsent) {
+    if (unsent) {
+        return call->unsent <= WG_UNSENT_MAX;
+    }
+    wg_retry_rules rules = wg_call_retry_rules(call->entry);
+    return call->attempts - call->unsent < call->route->attempts &&
+           wg_retry_take(wg_call_retry(call), &rules);
+}
+
+bool wg_call_again(wg_call* call, bool unsent) {
     wg_entry* e = call->entry;
     wg_time now = wg_now();
-    wg_retry_rules rules = wg_call_retry_rules(e);
     bool may = !call->may_have_run || wg_route_is_repeatable(call->route);
-    if (!may || call->attempts >= call->route->attempts || now + WG_RETRY_WAIT >= call->until ||
-        !wg_retry_take(wg_call_retry(call), &rules)) {
+    if (!may || now + WG_RETRY_WAIT >= call->until || !wg_call_may_attempt(call, unsent)) {
         return false;
     }
     e->counters.retries++;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -19,7 +19,7 @@
         wg_balance_end(call->entry->balance, wg_now(), &call->choice, result);
         call->choice = (wg_choice){0};
     }
-    wg_entry_admit_end(call);
+    wg_entry_admit_end(call, result == WG_RESULT_FAILED);
 }
 
 static void wg_call_log_end(const wg_call* call, const wg_call_end* end, wg_time now) {
@@ -215,7 +215,7 @@
     up->call = NULL;
     wg_upstream_close(up);
     wg_call_settle(call, status == 421 ? WG_RESULT_MOVED : WG_RESULT_REFUSED);
-    if (!wg_call_again(call)) {
+    if (!wg_call_again(call, false)) {
         wg_call_refuse(call, call->may_have_run ? 502 : 503, "targets_refused",
                        wg_call_retry_after(call));
     }
@@ -385,7 +385,7 @@
         wg_call_attempt_failed(call, up, "event-too-long");
         return;
     }
-    if (wg_call_may_replace(call, up) && wg_call_again(call)) {
+    if (wg_call_may_replace(call, up) && wg_call_again(call, false)) {
         wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=target-error status=%d", call->id,
                up->target, up->head.status);
         call->upstream = NULL;
@@ -400,6 +400,7 @@
     bool written = up && up->written;
     uint32_t target = call->choice.target;
     call->may_have_run = call->may_have_run || written;
+    call->unsent += !written;
     call->upstream = NULL;
     if (up) {
         up->call = NULL;
@@ -410,7 +411,7 @@
            call->id, target, reason, written, call->events);
     bool can_resume = !call->head_sent || (call->chunked && call->route->resumable &&
                                            call->last_event[0] && call->events > 0);
-    if (can_resume && wg_call_again(call)) {
+    if (can_resume && wg_call_again(call, !written)) {
         return;
     }
     wg_call_refuse(call, call->may_have_run ? 502 : 503, reason, wg_call_retry_after(call));
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -94,6 +94,8 @@
     wg_time limit;    /* the longest at which it would have been sent */
     wg_upstream* upstream;
     int attempts;
+    int unsent;   /* of them, no byte left this host */
+    bool relaxed; /* no target would answer in time: rather late than refused */
     bool may_have_run;
     bool was_offered;
     bool queued;
@@ -287,7 +289,7 @@
 void wg_entry_admit_unanswered(wg_call* call, wg_time now);
 /* The prompt of the call's admission is read; its request is over; the call itself is. */
 void wg_entry_admit_read(wg_call* call);
-void wg_entry_admit_end(wg_call* call);
+void wg_entry_admit_end(wg_call* call, bool failed);
 void wg_entry_admit_forget(wg_call* call);
 /* False when the link or the frame is none of admission. */
 bool wg_entry_admit_on_up(wg_entry* e, wgn_link link);
@@ -300,8 +302,9 @@
 /* Choose a target and send, or wait for one. */
 void wg_call_try(wg_call* call);
 void wg_call_unqueue(wg_call* call);
-/* Another attempt, when the rules and the budget allow it. False: the call has to end. */
-bool wg_call_again(wg_call* call);
+/* Another attempt, when the rules and the budget allow it; `unsent`: no byte of the last one left.
+   False: the call has to end. */
+bool wg_call_again(wg_call* call, bool unsent);
 /* Seconds after which a refused request may come back. */
 double wg_call_retry_after(const wg_call* call);
 /* Prompt tokens, and those that may be made, as workspaces are charged for them. */
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -8,7 +8,7 @@
 #include <sys/socket.h>
 
 enum {
-    WG_CONNECT_TIME = 600 * WG_USEC_PER_MSEC,
+    WG_CONNECT_TIME = 250 * WG_USEC_PER_MSEC,
     WG_IDLE_TIME = 4 * WG_USEC_PER_SEC,     /* when the target tells none */
     WG_IDLE_MARGIN = 700 * WG_USEC_PER_MSEC /* before the time that it tells */
 };
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -6039,7 +6039,7 @@
   (ProtobufCMessageInit) wgpb__admit_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__admit_note__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__admit_note__field_descriptors[3] =
 {
   {
     "ticket",
@@ -6065,15 +6065,28 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "failed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitNote, failed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__admit_note__field_indices_by_name[] = {
   1,   /* field[1] = ended */
+  2,   /* field[2] = failed */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange wgpb__admit_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 3 }
 };
 const ProtobufCMessageDescriptor wgpb__admit_note__descriptor =
 {
@@ -6083,7 +6096,7 @@
   "Wgpb__AdmitNote",
   "wgpb",
   sizeof(Wgpb__AdmitNote),
-  2,
+  3,
   wgpb__admit_note__field_descriptors,
   wgpb__admit_note__field_indices_by_name,
   1,  wgpb__admit_note__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -830,10 +830,14 @@
   ProtobufCMessage base;
   uint64_t ticket;
   protobuf_c_boolean ended;
+  /*
+   * the target broke off or could not be reached
+   */
+  protobuf_c_boolean failed;
 };
 #define WGPB__ADMIT_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_note__descriptor) \
-    , 0, 0 }
+    , 0, 0, 0 }
 
 
 /* Wgpb__Hello methods */
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -63,7 +63,7 @@
         other.parts_num = 1;
         other.limits = (wg_admit_limits){WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER};
         ck_assert(wg_admit_ask(admit, SECOND, &other).granted);
-        wg_admit_end(admit, 1, i);
+        wg_admit_end(admit, SECOND, 1, i, false);
     }
     ck_assert_uint_eq(ask(2 * SECOND, 2, 1).held, 0);
     wg_admit_shutdown(admit);
@@ -104,7 +104,7 @@
     ck_assert(!wg_admit_ask(admit, 0, &r).granted); /* 6300 tokens to read first */
     r.copied = 6300;
     ck_assert(wg_admit_ask(admit, 0, &r).granted);
-    wg_admit_end(admit, 1, 1);
+    wg_admit_end(admit, 0, 1, 1, false);
     r.copied = 0; /* they are held now */
     ck_assert(wg_admit_ask(admit, 0, &r).granted);
     wg_admit_shutdown(admit);
@@ -120,6 +120,47 @@
 }
 END_TEST
 
+/* Each host would have to find out by itself; the coordinator knows after three. */
+START_TEST(a_target_that_fails_is_put_aside) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    for (uint32_t target = 1; target <= 7; target++) {
+        wg_admit_request r = request(9, target, 100);
+        r.target = target;
+        ck_assert(wg_admit_ask(admit, 0, &r).granted);
+    }
+    for (uint64_t holder = 1; holder <= 3; holder++) {
+        ck_assert(ask(0, holder, 1).granted);
+        wg_admit_end(admit, 0, holder, 1, true);
+    }
+    ck_assert(!ask(100 * MSEC, 4, 1).granted);
+    ck_assert(ask(400 * MSEC, 4, 1).granted); /* let back */
+    wg_admit_end(admit, 400 * MSEC, 4, 1, true);
+    ck_assert(!ask(900 * MSEC, 4, 2).granted); /* for longer now */
+    ck_assert(ask(1100 * MSEC, 4, 2).granted);
+    wg_admit_read(admit, 1200 * MSEC, 4, 2);
+    wg_admit_end(admit, 1200 * MSEC, 4, 2, true); /* it had answered: begins anew */
+    ck_assert(ask(1210 * MSEC, 4, 3).granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(where_all_fail_none_is_put_aside) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    for (uint32_t target = 1; target <= 4; target++) {
+        for (uint64_t ticket = 1; ticket <= 3; ticket++) {
+            wg_admit_request r = request(1, ticket, 100);
+            r.target = target;
+            wg_admit_ask(admit, 0, &r);
+            wg_admit_end(admit, 0, 1, ticket, true);
+        }
+    }
+    wg_admit_request r = request(1, 9, 100);
+    r.target = 1;
+    ck_assert(wg_admit_ask(admit, 1, &r).granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
 START_TEST(slots_bound_what_runs) {
     admit = wg_admit_setup(&(wg_admit_desc){0});
     wg_admit_request r = request(1, 1, 10);
@@ -127,7 +168,7 @@
     ck_assert(wg_admit_ask(admit, 0, &r).granted);
     r.ticket = 2;
     ck_assert(!wg_admit_ask(admit, 0, &r).granted);
-    wg_admit_end(admit, 1, 1);
+    wg_admit_end(admit, 0, 1, 1, false);
     ck_assert(wg_admit_ask(admit, 0, &r).granted);
     wg_admit_shutdown(admit);
 }
@@ -148,13 +189,13 @@
 START_TEST(the_speed_is_learnt) {
     admit = wg_admit_setup(&(wg_admit_desc){0});
     wg_time before = ask(0, 1, 1000).wait;
-    wg_admit_end(admit, 1, 1000);
+    wg_admit_end(admit, 0, 1, 1000, false);
     for (uint64_t i = 1; i < 200; i++) {
         wg_admit_request r = request(1, i, 2900);
         r.parts_num = 0;
         wg_admit_ask(admit, (wg_time)i * SECOND, &r);
         wg_admit_read(admit, (wg_time)i * SECOND + 920 * MSEC, 1, i); /* 10 tokens a ms */
-        wg_admit_end(admit, 1, i);
+        wg_admit_end(admit, SECOND, 1, i, false);
     }
     wg_admit_request r = request(1, 1000, 2900);
     r.parts_num = 0;
@@ -184,7 +225,7 @@
                 break;
             case 3:
             case 4:
-                wg_admit_end(admit, holder, ticket);
+                wg_admit_end(admit, step * 10 * MSEC, holder, ticket, false);
                 break;
             default:
                 wg_admit_ask(admit, step * 10 * MSEC, &r);
@@ -201,7 +242,7 @@
             wg_admit_answer answer = wg_admit_ask(admit, 100 * SECOND, &r);
             ck_assert_uint_eq(answer.ahead, 0);
             ck_assert_uint_eq(answer.running, 0);
-            wg_admit_end(admit, 1, 1);
+            wg_admit_end(admit, 0, 1, 1, false);
         }
         wg_admit_shutdown(admit);
     }
@@ -211,5 +252,6 @@
 WG_TEST_MAIN("admit", many_hosts_do_not_fill_a_target, shared_parts_are_read_once,
              parts_are_given_up_for_newer_ones, what_is_copied_is_not_read, a_refusal_takes_nothing,
              shared_parts_can_count_as_ahead, large_prompts_have_a_limit_of_their_own,
+             a_target_that_fails_is_put_aside, where_all_fail_none_is_put_aside,
              slots_bound_what_runs, a_fresh_account_counts_what_is_known_otherwise,
              the_speed_is_learnt, accounts_come_out_even)
