A workspace that others left behind catches up, though it has more than it is owed

Both had the least patience beyond what is owed, and where targets are idle patience decides nothing: the first one's shared parts had been given up and it was allowed no reading of them.

Change: patience rises again below 0.75 of the served level, and below 0.55 shared parts to be read count as ahead no longer. Test: test_balance.c the_level_is_max_min.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -143,6 +143,10 @@
     return wg_call_counts(call) && wg_call_patience(call) >= 1;
 }
 
+static bool wg_call_is_behind(const wg_call* call) {
+    return wg_call_counts(call) && wg_fair_is_behind(wg_call_usage(call), &call->entry->levels);
+}
+
 /* Rather late than refused, for whoever has far less than others. */
 static bool wg_call_is_modest(const wg_call* call) {
     return wg_call_counts(call) && wg_fair_is_modest(wg_call_usage(call), &call->entry->levels);
@@ -156,7 +160,7 @@
     return (wg_admit_limits){.whole = (wg_time)(factor * (double)whole),
                              .ahead = (wg_time)(factor * patience * (double)whole),
                              .ahead_large = (wg_time)(factor * patience * large),
-                             .spares_shared = patience < 1};
+                             .spares_shared = patience < 1 && !wg_call_is_behind(call)};
 }
 
 static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -53,8 +53,24 @@
     return 1 - CLAMP(part, 0, 1) * (1 - slope->least);
 }
 
+/* Parts of the served level: below the first a workspace is behind others, at the second it has
+   caught up. */
+static const double WG_FAIR_BEHIND = 0.55;
+static const double WG_FAIR_CAUGHT_UP = 0.75;
+
+bool wg_fair_is_behind(double used, const wg_fair_levels* levels) {
+    return used < WG_FAIR_BEHIND * levels->served;
+}
+
+/* Patience of one that has less than others: 1 with nothing, 0 where it has caught up. */
+static double wg_fair_catch_up(double used, const wg_fair_levels* levels) {
+    double enough = WG_FAIR_CAUGHT_UP * levels->served;
+    return used < enough ? 1 - used / enough : 0;
+}
+
 double wg_fair_patience(double used, const wg_fair_levels* levels) {
     double owed = wg_fair_fall(&WG_FAIR_OWED, used, levels->owed);
+    owed = MAX(owed, wg_fair_catch_up(used, levels));
     double served = wg_fair_fall(&WG_FAIR_SERVED, used, levels->served);
     /* Of two that both have more than they are owed, the one with more gives way. */
     return owed * served;
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -10,6 +10,8 @@
     FEATURES
         - a margin that shrinks while first events come late, whatever the estimates said, so that
           many hosts that decide at once on old loads leave room for those who are owed it
+        - whoever has more than is owed, but clearly less than others are served, catches up with
+   them
         - two levels: of what the targets make together, as the operator says (beyond it nobody is
           owed anything), and of what they really served (beyond it others are held back)
 
@@ -26,6 +28,10 @@
     double served; /* level of what was served, 0: not known */
 } wg_fair_levels;
 
+/* Has a workspace, though it may have more than it is owed, about half of what others are served,
+   or less? */
+bool wg_fair_is_behind(double used, const wg_fair_levels* levels);
+
 /* Has a workspace so little that it is sent though it may come late, rather than refused? */
 bool wg_fair_is_modest(double used, const wg_fair_levels* levels);
 
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -372,6 +372,11 @@
     ck_assert(wg_fair_patience(9000, &owed) > 0);
     const wg_fair_levels crowded = {.served = 100, .owed = 40};
     ck_assert(wg_fair_patience(130, &crowded) < wg_fair_patience(95, &crowded));
+    /* Of two that have more than they are owed, the one that others left behind goes first. */
+    const wg_fair_levels roomy = {.served = 400, .owed = 100};
+    ck_assert(wg_fair_is_behind(194, &roomy) && !wg_fair_is_behind(390, &roomy));
+    ck_assert(wg_fair_patience(194, &roomy) > 3 * wg_fair_patience(390, &roomy));
+    ck_assert(!wg_fair_is_behind(99, &both));
     /* Far beyond others that are refused it has to give way. */
     ck_assert(wg_fair_patience(200, &served) == 0);
     ck_assert(wg_fair_patience(200, &both) == 0);
