A home copies what its former home holds

Cause: when a target drains or a new one comes, the prefixes that hash to the new home are read there again, though the former home still holds them.

Change: a first home is told to copy from the home that is leaving, if there is one that ranks above it, else from the second home, where engines copy. The check that a home names no source fell with it: what_a_home_holds_is_copied now asks that it names another one. Test: test_balance.c a_new_home_copies_from_the_former.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -38,6 +38,7 @@
     uint64_t id_hash;
     char service[WG_NAME_MAX];
     bool ready;
+    bool draining;
     bool moved;      /* another incarnation answers at its address */
     uint64_t change; /* of its record */
     bool near;
@@ -137,12 +138,15 @@
            !wg_need_tried(need, t->number);
 }
 
-/* Homes of a prefix: the two targets of highest rank among those that are up. */
+/* Homes of a prefix: the two targets of highest rank among those that are up, and one that drains,
+   whose rank is highest. */
 typedef struct {
     const wg_balance_target* first;
     const wg_balance_target* second;
+    const wg_balance_target* leaving;
     uint64_t first_rank;
     uint64_t second_rank;
+    uint64_t leaving_rank;
 } wg_balance_homes;
 
 static void wg_balance_rank_home(wg_balance_homes* homes, const wg_balance_target* t,
@@ -166,13 +170,28 @@
     g_hash_table_iter_init(&iter, b->targets);
     while (part && g_hash_table_iter_next(&iter, NULL, &value)) {
         const wg_balance_target* t = value;
+        uint64_t rank = wg_balance_rank(part, t);
         if (wg_balance_takes(t, need) && now >= t->aside_until) {
-            wg_balance_rank_home(&homes, t, wg_balance_rank(part, t));
+            wg_balance_rank_home(&homes, t, rank);
+        } else if (t->draining && rank > homes.leaving_rank &&
+                   strcmp(t->service, need->service) == 0) {
+            homes.leaving = t;
+            homes.leaving_rank = rank;
         }
     }
+    if (homes.leaving_rank < homes.first_rank) {
+        homes.leaving = NULL; /* it was no home before */
+    }
     return homes;
 }
 
+/* Where a new home finds what was read before it became one: at the home that is leaving, or at the
+   one that is second now. */
+static uint32_t wg_balance_former_home(const wg_balance_homes* homes) {
+    const wg_balance_target* former = homes->leaving ? homes->leaving : homes->second;
+    return former ? former->number : 0;
+}
+
 /* The home that should hold most of the prompt, when it is more than the target itself holds. The
    target copies what it lacks from there. Whether the home still holds it is not known, so a copy
    shortens no estimate. */
@@ -180,6 +199,9 @@
                                   const wg_need* need, const wg_balance_homes* homes,
                                   uint32_t cached) {
     const wg_balance_target* candidates[] = {homes->first, homes->second};
+    if (t == homes->first) {
+        return wg_balance_former_home(homes);
+    }
     uint32_t source = 0;
     uint32_t most = cached;
     for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
@@ -271,6 +293,7 @@
         wg_copy_name(t->service, sizeof t->service, record->service);
         t->near = strcmp(record->data_centre, b->desc.data_centre) == 0;
         t->ready = record->state == WG_TARGET_READY;
+        t->draining = record->state == WG_TARGET_DRAINING;
         t->moved = t->moved && t->change == record->change;
         t->change = record->change;
         t->slots = record->slots;
