Who has more than it is owed tries a few times, however idle its host

Where targets are nearly idle, each question is another chance. Ruled out: used was as the fleet counts it (1,231 k and 1,302 k, level 1,055 k).

Change: tries of one waiting request are 60 ms apart while its workspace has more than it is owed.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -334,6 +334,7 @@
     if (call->asked) {
         return;
     }
+    call->next_try_at = now + wg_fair_try_gap(wg_call_patience(call));
     call->limit = wg_call_limit(call, now);
     call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
     call->need.slots_share = wg_call_slots_share(call);
@@ -373,9 +374,10 @@
 static wg_call* wg_call_queue_first(GQueue* queue) {
     wg_call* best = NULL;
     double best_usage = 0;
+    wg_time now = wg_now();
     for (GList* at = queue->head; at; at = at->next) {
         wg_call* call = at->data;
-        if (call->asked) {
+        if (call->asked || now < call->next_try_at) {
             continue;
         }
         double usage = call->workspace ? wg_call_usage(call) : 0;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -94,8 +94,9 @@
     wg_time limit;    /* the longest at which it would have been sent */
     wg_upstream* upstream;
     int attempts;
-    int unsent;   /* of them, no byte left this host */
-    bool relaxed; /* no target would answer in time: rather late than refused */
+    int unsent;          /* of them, no byte left this host */
+    wg_time next_try_at; /* not earlier, while it waits in the queue */
+    bool relaxed;        /* no target would answer in time: rather late than refused */
     bool may_have_run;
     bool was_offered;
     bool queued;
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -76,6 +76,13 @@
     return owed * served;
 }
 
+wg_time wg_fair_try_gap(double patience) {
+    enum {
+        TRY_GAP = 60 * WG_USEC_PER_MSEC
+    };
+    return patience < 1 ? TRY_GAP : 0;
+}
+
 /* Part of the level below which a workspace counts as modest. */
 static const double WG_FAIR_MODEST = 0.5;
 
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -47,3 +47,7 @@
 /* Share of its objective that a request of a workspace may wait behind others, 0..1. At 0 it is not
    sent: the workspace has far more than others that are refused. */
 double wg_fair_patience(double used, const wg_fair_levels* levels);
+
+/* Microseconds between two tries of one request that waits. Whoever has more than it is owed tries
+   seldom: otherwise what it gets depends on how many others its host has to try for. */
+wg_time wg_fair_try_gap(double patience);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -395,6 +395,9 @@
     ck_assert(wg_fair_patience(9000, &owed) > 0);
     const wg_fair_levels crowded = {.served = 100, .owed = 40};
     ck_assert(wg_fair_patience(130, &crowded) < wg_fair_patience(95, &crowded));
+    /* A patient host's calls are tried whenever there is room, others a few times at most. */
+    ck_assert_int_eq(wg_fair_try_gap(1), 0);
+    ck_assert_int_ge(wg_fair_try_gap(0.99), 50 * MSEC);
     /* Of two that have more than they are owed, the one that others left behind goes first. */
     const wg_fair_levels roomy = {.served = 400, .owed = 100};
     ck_assert(wg_fair_is_behind(194, &roomy) && !wg_fair_is_behind(390, &roomy));
