Without patience nothing is sent; fewer questions above the level

Also, since the wait ahead had lost its least time, a workspace without any patience was sent wherever nothing was ahead.

Change: limits without a wait ahead admit nothing (test_admit.c large_prompts_have_a_limit_of_their_own); a workspace without full patience asks two coordinators for a try, one without any asks none.

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -225,6 +225,9 @@
 /* ---- public functions ---------------------------------------------------------------------- */
 
 bool wg_admit_fits(const wg_admit_limits* limits, wg_time wait, wg_time wait_ahead) {
+    if (limits->ahead <= 0) {
+        return false;
+    }
     bool large = wait - wait_ahead > limits->whole;
     if (large) {
         return wait_ahead <= limits->ahead_large;
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -36,7 +36,7 @@
 /* Longest waits at which a request is sent, in microseconds. */
 typedef struct {
     wg_time whole;       /* to the first event */
-    wg_time ahead;       /* the part of it that is others' prompts */
+    wg_time ahead;       /* the part of it that is others' prompts; 0: not sent at all */
     wg_time ahead_large; /* the same, when its own prompt alone takes longer than `whole` */
     bool spares_shared;  /* shared parts that the target lacks count as others' prompts */
 } wg_admit_limits;
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -7,6 +7,7 @@
     WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
     WG_ANSWER_TOKENS_FACTOR = 2, /* a token made counts as two that are read */
     WG_ASKS_MAX = 3,             /* coordinators asked for one try */
+    WG_ASKS_IMPATIENT = 2,       /* the same, of a workspace without full patience */
     WG_CHOICES_MAX = 6,          /* targets looked at for one try */
     WG_UNSENT_MAX = 4            /* attempts of one request that reached no target */
 };
@@ -305,10 +306,20 @@
     wg_call_choose(call, now);
 }
 
+/* Questions for one try: fewer for those who have more than others, of whom there are most when a
+   host is flooded; none for who has so much that it is not sent. */
+static int wg_call_asks_max(const wg_call* call) {
+    double patience = call->attempts > 0 ? 1 : wg_call_patience(call);
+    if (patience <= 0) {
+        return 0;
+    }
+    return patience < 1 ? WG_ASKS_IMPATIENT : WG_ASKS_MAX;
+}
+
 /* Choose a target and send, or ask its coordinator first, or wait for another one. */
 static void wg_call_choose(wg_call* call, wg_time now) {
     wg_choice choice = {0};
-    if (call->asks < WG_ASKS_MAX) {
+    if (call->asks < wg_call_asks_max(call)) {
         choice = wg_call_next_choice(call, now);
     }
     if (!choice.target && !call->relaxed && wg_call_is_modest(call)) {
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -117,6 +117,8 @@
     ck_assert(!wg_admit_fits(&in_time, 2000 * MSEC, 200 * MSEC));
     ck_assert(wg_admit_fits(&in_time, 560 * MSEC, 500 * MSEC));
     ck_assert(!wg_admit_fits(&in_time, 600 * MSEC, 500 * MSEC));
+    const wg_admit_limits none = {.whole = 570 * MSEC};
+    ck_assert(!wg_admit_fits(&none, 100 * MSEC, 0)); /* without patience nothing is sent */
 }
 END_TEST
 
