Links between fleet processes go before callers' traffic

On a host whose processor is spent a round of the event loop serves every ready caller (up to 2,870) before the leader's link is looked at again: 2.7 s from a configuration's agreement until it was in force, more than configApplyMs.

Connecting sets a bufferevent's priority back, so it is set once more.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -170,6 +170,7 @@
         return NULL;
     }
     e->tick = event_new(e->base, -1, EV_PERSIST, wg_entry_on_tick, e);
+    event_priority_set(e->tick, WGN_PRIORITY);
     struct timeval period = {.tv_usec = WG_TICK};
     event_add(e->tick, &period);
     return e;
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -272,6 +272,7 @@
     l->opened_at = l->heard_at = l->sent_at = wg_now();
     l->bev =
         bufferevent_socket_new(net->desc.base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    bufferevent_priority_set(l->bev, WGN_PRIORITY);
     bufferevent_setcb(l->bev, _wgn_on_read, NULL, _wgn_on_event, l);
     bufferevent_enable(l->bev, EV_READ | EV_WRITE);
     net->stats.links++;
@@ -327,6 +328,7 @@
     wg_pool_setup(&net->pool, &(wg_pool_desc){.capacity = net->desc.links_max});
     net->links = g_new0(_wgn_link_t, net->desc.links_max);
     net->tick = event_new(net->desc.base, -1, EV_PERSIST, _wgn_on_tick, net);
+    event_priority_set(net->tick, WGN_PRIORITY);
     struct timeval period = {.tv_usec = 250 * WG_USEC_PER_MSEC};
     event_add(net->tick, &period);
     return net;
@@ -408,6 +410,7 @@
         _wgn_drop(l);
         return (wgn_link){0};
     }
+    bufferevent_priority_set(l->bev, WGN_PRIORITY); /* connecting has set it back */
     _wgn_no_delay(bufferevent_getfd(l->bev));
     return link;
 }
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -11,6 +11,8 @@
         - a quiet link sends a ping each second; silence past the deadline closes the link, so a
           silent cut is noticed without a TCP reset
         - a peer that does not read is cut off at a limit of unsent bytes
+        - links go before other events where the base has priorities: a host that is flooded by
+          callers still hears the leader
         - byte counters per link role, which the control budget is held to
 
     USE
@@ -30,6 +32,8 @@
 #include <event2/event.h>
 
 enum {
+    WGN_PRIORITY = 0,   /* of links in the event loop: before all else */
+    WGN_PRIORITIES = 2, /* for event_base_priority_init(); other events take the last one */
     WGN_LINKS_DEFAULT = 1024,
     WGN_PROOF_DEADLINE_DEFAULT = 2 * WG_USEC_PER_SEC,
     WGN_SILENCE_DEADLINE_DEFAULT = 4 * WG_USEC_PER_SEC,
