The soak's callers begin once the fleet serves everywhere

Callers began 2.5 s after the programs were started, formed or not.

Change: callers and faults begin when every host has answered a page of both services (60 s at most, else the run is broken); the end asks for both services too. The check is as strict: a calm fleet refuses nothing.

--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -26,8 +26,10 @@
     PROMPT_PARTS = 12, /* shared between streams */
     DISTURBANCES_MAX = 1000,
     CALL_TIME = 4 * WG_USEC_PER_SEC,
-    CALM_TIME = 5 * WG_USEC_PER_SEC,   /* after a fault, before bounds in time hold again */
-    SETTLE_TIME = 20 * WG_USEC_PER_SEC /* after the last fault, to serve everywhere */
+    CALM_TIME = 5 * WG_USEC_PER_SEC,        /* after a fault, before bounds in time hold again */
+    FAULTS_AFTER = 1500 * WG_USEC_PER_MSEC, /* of the callers' begin */
+    FORM_TIME = 60 * WG_USEC_PER_SEC,       /* for the fleet to serve for the first time */
+    SETTLE_TIME = 20 * WG_USEC_PER_SEC      /* after the last fault, to serve everywhere */
 };
 
 typedef enum {
@@ -76,7 +78,8 @@
     hosts h;
     uint64_t counter;
     caller callers[CALLERS];
-    bool quiet; /* faults are over */
+    bool formed; /* the fleet has served everywhere */
+    bool quiet;  /* faults are over */
     bool ended;
     GHashTable* promised;   /* ids that were refused as not run */
     GHashTable* unsafe_ids; /* ids of requests that may not be repeated */
@@ -612,29 +615,32 @@
 /* ---- the end ------------------------------------------------------------------------------------
  */
 
+/* Each host is asked for a page of each service. */
+static const char* const probe_paths[] = {"/safe/probe", "/stream/1"};
+
 typedef struct {
     soak* s;
-    int host;
+    uint32_t bit;
 } probe;
 
 static void on_probe(struct evhttp_request* request, void* user_data) {
     probe* p = user_data;
     if (request && evhttp_request_get_response_code(request) == 200) {
-        p->s->served_hosts |= 1u << p->host;
+        p->s->served_hosts |= p->bit;
     }
     g_free(p);
 }
 
 static void probe_hosts(soak* s) {
-    for (int i = 0; i < s->h.num; i++) {
+    for (int i = 0; i < s->h.num * (int)G_N_ELEMENTS(probe_paths); i++) {
         char ip[WG_ADDRESS_MAX];
         uint16_t port;
         if (s->served_hosts & (1u << i)) {
             continue;
         }
         probe* p = g_new(probe, 1);
-        *p = (probe){s, i};
-        wgn_split_address(s->h.hosts[i].callers, ip, &port);
+        *p = (probe){s, 1u << i};
+        wgn_split_address(s->h.hosts[i % s->h.num].callers, ip, &port);
         struct evhttp_connection* connection = evhttp_connection_base_new(s->base, NULL, ip, port);
         evhttp_connection_set_timeout(connection, 1);
         evhttp_connection_free_on_completion(connection);
@@ -642,12 +648,35 @@
         struct evkeyvalq* out = evhttp_request_get_output_headers(request);
         evhttp_add_header(out, "Host", "soak");
         evhttp_add_header(out, "Walnutgate-Key", "key");
-        evhttp_make_request(connection, request, EVHTTP_REQ_GET, "/safe/probe");
+        evhttp_make_request(connection, request, EVHTTP_REQ_GET, probe_paths[i / s->h.num]);
     }
 }
 
 static bool all_served(const soak* s) {
-    return s->served_hosts == (1u << s->h.num) - 1 && s->acknowledged == s->version;
+    uint32_t all = (1u << (s->h.num * (int)G_N_ELEMENTS(probe_paths))) - 1;
+    return s->served_hosts == all && s->acknowledged > 0 && s->acknowledged == s->version;
+}
+
+static void start_callers(soak* s) {
+    for (int i = 0; i < CALLERS; i++) {
+        caller_next(&s->callers[i], i * 20);
+    }
+}
+
+/* Callers and faults begin once the fleet serves everywhere, however long the machine takes. */
+static void await_fleet(soak* s, wg_time now) {
+    probe_hosts(s);
+    if (all_served(s)) {
+        s->formed = true;
+        s->served_hosts = 0;
+        s->last_fault = now;
+        s->fault_at = now + FAULTS_AFTER;
+        s->faults_until = s->fault_at + (wg_time)s->desc.seconds * WG_USEC_PER_SEC;
+        start_callers(s);
+    } else if (now - s->last_fault > FORM_TIME) {
+        broken(s, "the fleet never served: %x of %d", s->served_hosts, s->h.num);
+        event_base_loopbreak(s->base);
+    }
 }
 
 static void on_tick(evutil_socket_t fd, short what, void* user_data) {
@@ -657,6 +686,10 @@
     wg_time now = wg_now();
     run_repairs(s, now);
     operate(s, now);
+    if (!s->formed) {
+        await_fleet(s, now);
+        return;
+    }
     if (!s->quiet) {
         strike(s, now);
         s->quiet = now >= s->faults_until;
@@ -714,14 +747,13 @@
     }
 }
 
-static void start_callers(soak* s) {
+static void make_callers(soak* s) {
     for (int i = 0; i < CALLERS; i++) {
         caller* c = &s->callers[i];
         c->s = s;
         c->number = i;
         c->content = evbuffer_new();
         c->timer = evtimer_new(s->base, caller_on_timer, c);
-        caller_next(c, 2500 + i * 20); /* the fleet forms meanwhile, and gets a configuration */
     }
 }
 
@@ -753,13 +785,11 @@
     g_strlcpy(s->result.folder, s->h.folder, sizeof s->result.folder);
     s->h.spoiled = desc->spoiled;
     start_all(s);
-    start_callers(s);
+    make_callers(s);
     wg_time now = wg_now();
     s->wiped_at = now;
     s->last_fault = now;
-    s->fault_at = now + 4 * WG_USEC_PER_SEC;
     s->operator_at = now + WG_USEC_PER_SEC;
-    s->faults_until = s->fault_at + (wg_time)s->desc.seconds * WG_USEC_PER_SEC;
     s->tick = event_new(s->base, -1, EV_PERSIST, on_tick, s);
     struct timeval period = {.tv_usec = 20 * 1000};
     event_add(s->tick, &period);
