Callers' fields that are the system's to set are not handed on

Ruled out: chunked trailers (read and dropped before, now with a test); fields named by Connection (dropped before).

Change: the adapter lists the names, platform_names.c, with what each means; the entry host withholds them in any case of letters and however often they come. Writing a target's head is a pure function of its own (wg_forward), tested without sockets: tests/test_forward.c fails for each name taken off the list. A field that asks for a version of the weights is on the list too: a target that has another answers as if it had moved, so one caller could take every target out of an entry host's view.

--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -69,6 +69,9 @@
     const char* copy_from;     /* ip:port of the target that holds a part of the prompt */
     const char* not_run;       /* of a target that did not run a request */
     const char* query_place;   /* data centre of a caller that asks for entry hosts */
+    /* Further fields that only this system may set, NULL at the end; NULL: none. Callers' are not
+       passed on. */
+    const char* const* withheld;
 } wg_entry_names;
 
 typedef struct {
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -1,5 +1,6 @@
 /* wg_entry_upstream.c -- connections to targets and the answers that come on them */
 #include "wg_entry_internal.h"
+#include "wg_forward.h"
 
 #include <errno.h>
 #include <netinet/in.h>
@@ -137,47 +138,20 @@
 
 /* ---- helpers: requests ---------------------------------------------------------------------- */
 
-static bool wg_upstream_drops(const wg_entry* e, const wg_call* call, wg_text name) {
-    const wg_entry_names* n = e->names;
-    bool resumes = call->last_event[0] != 0;
-    return wg_message_is_hop_field(&call->head, name) || wg_text_is(name, n->key) ||
-           wg_text_is(name, n->deadline) || wg_text_is(name, n->workspace) ||
-           wg_text_is(name, n->expect) || wg_text_is(name, n->copy_from) ||
-           (resumes && wg_text_is(name, n->last_event));
-}
-
 static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
     wg_entry* e = up->entry;
-    const wg_message_head* head = &call->head;
-    struct evbuffer* out = evbuffer_new();
-    evbuffer_add_printf(out, "%.*s %.*s HTTP/1.1\r\n", (int)head->method.size, head->method.text,
-                        (int)head->target.size, head->target.text);
-    for (int i = 0; i < head->fields_num; i++) {
-        const wg_message_pair* f = &head->fields[i];
-        if (!wg_upstream_drops(e, call, f->name)) {
-            evbuffer_add_printf(out, "%.*s: %.*s\r\n", (int)f->name.size, f->name.text,
-                                (int)f->value.size, f->value.text);
-        }
-    }
-    wg_time left = MIN(call->until, call->deadline) - wg_now();
-    evbuffer_add_printf(out, "%s: %" G_GINT64_FORMAT "\r\n", e->names->deadline,
-                        MAX(left / WG_USEC_PER_MSEC, 1));
-    evbuffer_add_printf(out, "%s: %s\r\n", e->names->expect, target->id);
-    if (call->workspace) {
-        evbuffer_add_printf(out, "%s: %s\r\n", e->names->workspace, call->workspace->name);
-    }
     const wg_target* source =
         call->choice.source ? wg_registry_find(e->registry, call->choice.source) : NULL;
-    if (source) {
-        evbuffer_add_printf(out, "%s: %s\r\n", e->names->copy_from, source->address);
-    }
-    if (call->last_event[0]) {
-        evbuffer_add_printf(out, "%s: %s\r\n", e->names->last_event, call->last_event);
-    }
-    if (head->framing != WG_FRAMING_NONE) {
-        evbuffer_add_printf(out, "Content-Length: %zu\r\n", evbuffer_get_length(call->body));
-    }
-    evbuffer_add(out, "\r\n", 2);
+    wg_time left = MIN(call->until, call->deadline) - wg_now();
+    wg_forward forward = {.head = &call->head,
+                          .deadline_ms = MAX(left / WG_USEC_PER_MSEC, 1),
+                          .target_id = target->id,
+                          .workspace = call->workspace ? call->workspace->name : NULL,
+                          .copy_from = source ? source->address : NULL,
+                          .last_event = call->last_event,
+                          .body_size = evbuffer_get_length(call->body)};
+    struct evbuffer* out = evbuffer_new();
+    wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
     wg_socket_write(up->bev, out);
