When every replica has just started, one is elected at once

Cause: after all processes have ended the fleet answered 503 until a leader was elected, 0.9 to 1.5 s after the start: a restarted replica keeps the promise of silence that it may have given a leader before.

Ruled out: reading the disk (5 ms), links (40 ms), targets (in the log).

Change: a replica that has heard no leader in this life asks all voters, in rounds, whether they have. When all answered a round that was asked after all their lives were known, no lease can exist, and the one with the newest log stands; voters give their votes only in the life that it knows.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -156,6 +156,17 @@
     }
 }
 
+/* Another identity answers at the address of a replica: the folder of the former one is lost. */
+static void _wgco_note_gone(wgco_control* c, const _wgco_peer_t* peer) {
+    const wgr_set* set = wgr_query_set(c->node);
+    for (int i = 0; i < set->num; i++) {
+        const wgr_replica* replica = &set->replicas[i];
+        if (strcmp(replica->name, peer->name) == 0 && replica->id != peer->identity) {
+            wgr_note_gone(c->node, replica->id);
+        }
+    }
+}
+
 /* ---- callbacks of links -------------------------------------------------------------------- */
 
 static void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -181,6 +192,7 @@
         known->up = true;
         known->identity = peer->identity;
         known->seen_at = wg_now();
+        _wgco_note_gone(c, known);
     } else if (c->discovers) {
         wg_control_discovery_learn(c, peer->name, peer->address);
     }
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -41,6 +41,7 @@
     out.reject = m->reject;
     out.hint = m->hint;
     out.echo = m->echo;
+    out.life = m->life;
     out.snapshot_index = m->snapshot_index;
     out.snapshot_term = m->snapshot_term;
     out.offset = m->offset;
@@ -78,6 +79,7 @@
                        .reject = in->reject,
                        .hint = in->hint,
                        .echo = in->echo,
+                       .life = in->life,
                        .snapshot_index = in->snapshot_index,
                        .snapshot_term = in->snapshot_term,
                        .offset = in->offset,
--- a/lib/entry/wg_forward.c
+++ b/lib/entry/wg_forward.c
@@ -15,8 +15,7 @@
     return wg_message_is_hop_field(head, name) || wg_text_is(name, names->key) ||
            wg_text_is(name, names->deadline) || wg_text_is(name, names->workspace) ||
            wg_text_is(name, names->expect) || wg_text_is(name, names->copy_from) ||
-           (resumes && wg_text_is(name, names->last_event)) ||
-           _wg_forward_is_withheld(names, name);
+           (resumes && wg_text_is(name, names->last_event)) || _wg_forward_is_withheld(names, name);
 }
 
 static void _wg_forward_fields(const wg_entry_names* names, const wg_forward* f,
--- a/lib/quorum/wg_quorum.c
+++ b/lib/quorum/wg_quorum.c
@@ -75,7 +75,8 @@
     _wgr_reset_election(n, now);
 }
 
-void _wgr_campaign(wgr_node* n, wg_time now, bool pre, bool forced) {
+void _wgr_campaign(wgr_node* n, wg_time now, _wgr_campaign_kind kind) {
+    bool pre = kind == WGR_CAMPAIGN_PRE;
     _wgr_reset_election(n, now);
     if (!_wgr_is_voter(n, n->desc.self)) {
         return;
@@ -94,7 +95,7 @@
     }
     if (_wgr_majority_of_votes(n)) {
         if (pre) {
-            _wgr_campaign(n, now, false, false);
+            _wgr_campaign(n, now, WGR_CAMPAIGN_VOTE);
         } else {
             _wgr_become_leader(n, now);
         }
@@ -109,7 +110,8 @@
         m->term = pre ? n->term + 1 : n->term;
         m->log_index = _wgr_last_index(n);
         m->log_term = _wgr_term_at(n, m->log_index);
-        m->hint = forced ? 1 : 0;
+        m->hint = kind == WGR_CAMPAIGN_FORCED ? 1 : 0;
+        m->life = kind == WGR_CAMPAIGN_START ? _wgr_start_life(n, replica->id) : 0;
     }
 }
 
@@ -123,7 +125,8 @@
 
 static void _wgr_on_vote(wgr_node* n, wg_time now, const wgr_message* m) {
     bool forced = m->hint == 1;
-    if (!forced && _wgr_leader_is_fresh(n, now)) {
+    bool just_started = m->life == n->life && !n->promised;
+    if (!forced && !just_started && _wgr_leader_is_fresh(n, now)) {
         n->votes_refused++;
         return; /* does not even take over the term: a cut-off replica must not unseat a leader */
     }
@@ -160,7 +163,7 @@
         return;
     }
     if (pre) {
-        _wgr_campaign(n, now, false, false);
+        _wgr_campaign(n, now, WGR_CAMPAIGN_VOTE);
     } else {
         _wgr_become_leader(n, now);
     }
@@ -178,6 +181,7 @@
         _wgr_become_follower(n, now, m->term, m->from);
     }
     n->heard_leader_at = now;
+    n->promised = true;
     _wgr_reset_election(n, now);
     return true;
 }
@@ -287,7 +291,7 @@
 
 static void _wgr_on_timeout_now(wgr_node* n, wg_time now, const wgr_message* m) {
     if (m->term == n->term && n->role == WGR_ROLE_FOLLOWER) {
-        _wgr_campaign(n, now, false, true);
+        _wgr_campaign(n, now, WGR_CAMPAIGN_FORCED);
     }
 }
 
@@ -319,6 +323,7 @@
     n->desc = d;
     n->lease = d.election_min * WGR_LEASE_PERCENT / 100;
     n->role = WGR_ROLE_FOLLOWER;
+    n->life = wg_hash(&d.seed, sizeof d.seed, d.self) | 1; /* never 0 */
     n->messages = g_array_new(FALSE, TRUE, sizeof(wgr_message));
     g_array_set_clear_func(n->messages, _wgr_message_free_parts);
     _wgr_log_setup(n, d.restored);
@@ -348,7 +353,9 @@
         _wgr_leader_tick(n, now);
     } else if (now >= n->election_at) {
         /* A voter that is alone has nobody whose promise it could break. */
-        _wgr_campaign(n, now, true, false);
+        _wgr_campaign(n, now, WGR_CAMPAIGN_PRE);
+    } else {
+        _wgr_start_tick(n, now);
     }
 }
 
@@ -378,6 +385,12 @@
     case WGR_MESSAGE_TIMEOUT_NOW:
         _wgr_on_timeout_now(n, now, m);
         return;
+    case WGR_MESSAGE_START_ASK:
+        _wgr_on_start_ask(n, m);
+        return;
+    case WGR_MESSAGE_START_REPLY:
+        _wgr_on_start_reply(n, now, m);
+        return;
     default:
         break;
     }
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -17,6 +17,8 @@
           from when a heartbeat was sent and is shorter than the shortest election wait, so that a
           frozen leader that wakes finds it ended.
         - leadership can be handed over in a planned stop; the lease ends first
+        - when every voter has just started nobody holds a lease: an election at once
+          (wg_quorum_start.c)
 
     USE
         1. wgr_node* n = wgr_setup(&(wgr_desc){.self = id, .seed = s, .now = now, .restored = &r},
@@ -64,13 +66,15 @@
     WGR_MESSAGE_DEFAULT = 0,
     WGR_MESSAGE_PRE_VOTE,
     WGR_MESSAGE_PRE_VOTE_REPLY,
-    WGR_MESSAGE_VOTE, /* hint 1: asked for by a leader that hands over */
+    WGR_MESSAGE_VOTE, /* hint 1: asked for by a leader that hands over; `life`: see below */
     WGR_MESSAGE_VOTE_REPLY,
     WGR_MESSAGE_APPEND,
     WGR_MESSAGE_APPEND_REPLY,
     WGR_MESSAGE_SNAPSHOT,
     WGR_MESSAGE_SNAPSHOT_REPLY,
     WGR_MESSAGE_TIMEOUT_NOW, /* the leader asks this replica to stand at once */
+    WGR_MESSAGE_START_ASK,   /* has this replica heard a leader since it started? */
+    WGR_MESSAGE_START_REPLY, /* refused: it has */
     WGR_MESSAGE_NUM
 } wgr_message_type;
 
@@ -103,7 +107,9 @@
     uint64_t commit;
     bool reject;
     uint64_t hint; /* APPEND_REPLY refused: last index of the follower */
-    wg_time echo;  /* time of the sender of a heartbeat, handed back in the reply */
+    wg_time echo;  /* time of the sender of a heartbeat, or its round, handed back in the reply */
+    uint64_t life; /* START_REPLY: of the sender; VOTE: the life of the receiver in which it may
+                      vote at once, 0 none */
     wgr_entry* entries;
     int entries_num;
     uint64_t snapshot_index;
@@ -190,6 +196,10 @@
    replica does not lead, or no other voter was heard of lately: then nothing changes. */
 bool wgr_hand_over(wgr_node* node, wg_time now);
 
+/* The data folder of a replica is lost for good: another identity runs in its place, so whatever it
+   promised or led is over. */
+void wgr_note_gone(wgr_node* node, uint64_t id);
+
 /* Fill in the next batch of work; false when there is none. */
 bool wgr_output_next(wgr_node* node, wgr_output* output);
 void wgr_output_done(wgr_node* node, wg_time now);
--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -25,6 +25,25 @@
     wg_time acked_at; /* own time echoed by the newest reply in this term */
 } _wgr_peer_t;
 
+/* What a replica answered while this one asks whether all have just started. */
+typedef struct {
+    uint64_t id;
+    uint64_t life;    /* 0: no answer yet */
+    wg_time known_in; /* round under way when this life was first heard of */
+    wg_time answered; /* newest round that it answered */
+    uint64_t log_index;
+    uint64_t log_term;
+} _wgr_start_t;
+
+/* Why a replica stands. */
+typedef enum {
+    WGR_CAMPAIGN_DEFAULT = 0,
+    WGR_CAMPAIGN_PRE,    /* asks whether it would be elected */
+    WGR_CAMPAIGN_VOTE,   /* it would be */
+    WGR_CAMPAIGN_FORCED, /* the leader hands over */
+    WGR_CAMPAIGN_START   /* every voter has just started: nobody holds a lease */
+} _wgr_campaign_kind;
+
 struct wgr_node {
     wgr_desc desc;
     wg_time lease; /* length */
@@ -63,6 +82,17 @@
     uint64_t votes[WGR_REPLICAS_MAX];
     int votes_num;
 
+    /* start: wg_quorum_start.c */
+    uint64_t life;   /* random, of this run of the process */
+    bool promised;   /* it has heard a leader, or been one, in this life */
+    bool start_over; /* it asks no more whether all have just started */
+    wg_time start_at;
+    wg_time start_round;
+    _wgr_start_t starts[2 * WGR_REPLICAS_MAX]; /* of the set and that of the snapshot */
+    int starts_num;
+    uint64_t gone[4 * WGR_REPLICAS_MAX]; /* identities whose data folder is lost */
+    int gone_num;
+
     /* leader */
     _wgr_peer_t peers[WGR_REPLICAS_MAX];
     int peers_num;
@@ -97,7 +127,14 @@
 /* messages */
 wgr_message* _wgr_send(wgr_node* n, wgr_message_type type, uint64_t to);
 void _wgr_become_follower(wgr_node* n, wg_time now, uint64_t term, uint64_t leader);
-void _wgr_campaign(wgr_node* n, wg_time now, bool pre, bool forced);
+void _wgr_campaign(wgr_node* n, wg_time now, _wgr_campaign_kind kind);
+
+/* start */
+void _wgr_start_tick(wgr_node* n, wg_time now);
+void _wgr_on_start_ask(wgr_node* n, const wgr_message* m);
+void _wgr_on_start_reply(wgr_node* n, wg_time now, const wgr_message* m);
+/* The life in which a replica last answered; 0 when it did not. */
+uint64_t _wgr_start_life(const wgr_node* n, uint64_t id);
 
 /* leader */
 void _wgr_become_leader(wgr_node* n, wg_time now);
--- a/lib/quorum/wg_quorum_leader.c
+++ b/lib/quorum/wg_quorum_leader.c
@@ -163,6 +163,7 @@
 void _wgr_become_leader(wgr_node* n, wg_time now) {
     WG_ASSERT(_wgr_is_voter(n, n->desc.self));
     n->role = WGR_ROLE_LEADER;
+    n->promised = true;
     n->leader = n->desc.self;
     n->handing_over = false;
     n->led_since = now;
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -2346,7 +2346,7 @@
   (ProtobufCMessageInit) wgpb__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[17] =
+static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[18] =
 {
   {
     "type",
@@ -2552,6 +2552,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "life",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__quorum__field_indices_by_name[] = {
   15,   /* field[15] = chunk */
@@ -2560,6 +2572,7 @@
   10,   /* field[10] = entries */
   1,   /* field[1] = from */
   8,   /* field[8] = hint */
+  17,   /* field[17] = life */
   4,   /* field[4] = log_index */
   5,   /* field[5] = log_term */
   13,   /* field[13] = offset */
@@ -2575,7 +2588,7 @@
 static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 17 }
+  { 0, 18 }
 };
 const ProtobufCMessageDescriptor wgpb__quorum__descriptor =
 {
@@ -2585,7 +2598,7 @@
   "Wgpb__Quorum",
   "wgpb",
   sizeof(Wgpb__Quorum),
-  17,
+  18,
   wgpb__quorum__field_descriptors,
   wgpb__quorum__field_indices_by_name,
   1,  wgpb__quorum__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -160,10 +160,11 @@
   uint64_t total;
   ProtobufCBinaryData chunk;
   Wgpb__ReplicaSet *replicas;
+  uint64_t life;
 };
 #define WGPB__QUORUM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__quorum__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, NULL }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, NULL, 0 }
 
 
 /*
--- a/tests/sim/sim_quorum.c
+++ b/tests/sim/sim_quorum.c
@@ -63,6 +63,9 @@
                     .log_keep = SIM_DISK_LOG_KEEP},
         &error);
     WG_ASSERT(n->node && n->table && n->claims);
+    for (guint i = 0; i < s->gone->len; i++) {
+        wgr_note_gone(n->node, g_array_index(s->gone, uint64_t, i));
+    }
     n->up = true;
     n->crash_at = 0;
 }
@@ -257,6 +260,7 @@
     s->flights = g_array_new(FALSE, TRUE, sizeof(flight_t));
     s->committed = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     s->states = g_array_new(FALSE, TRUE, sizeof(uint64_t));
+    s->gone = g_array_new(FALSE, TRUE, sizeof(uint64_t));
     s->outcomes = g_hash_table_new(g_direct_hash, g_direct_equal);
     wgr_set set = {.num = desc->replicas};
     for (int i = 0; i < desc->replicas; i++) {
@@ -292,6 +296,7 @@
     g_array_unref(s->flights);
     g_array_unref(s->committed);
     g_array_unref(s->states);
+    g_array_unref(s->gone);
     g_hash_table_unref(s->outcomes);
     g_free(s);
 }
@@ -373,9 +378,26 @@
     s->counts.freezes++;
 }
 
+/* Its links tell the others, sooner or later. */
+static void note_gone(simq_run* s, uint64_t identity) {
+    g_array_append_val(s->gone, identity);
+    for (int i = 0; i < s->desc.replicas; i++) {
+        if (s->nodes[i].up) {
+            wgr_note_gone(s->nodes[i].node, identity);
+        }
+    }
+}
+
+void simq_crash_all(simq_run* s) {
+    for (int i = 0; i < s->desc.replicas; i++) {
+        simq_crash(s, i);
+    }
+}
+
 void simq_lose_disk(simq_run* s, int slot) {
     node_t* n = &s->nodes[slot];
     node_stop(n);
+    note_gone(s, n->disk.identity);
     sim_disk_reset(&n->disk);
     n->disk.identity = ++s->next_identity;
     node_start(s, n);
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -63,6 +63,7 @@
 void simq_run_for(simq_run* run, wg_time duration); /* no new faults */
 void simq_cut(simq_run* run, int from, int to, bool cut);
 void simq_crash(simq_run* run, int slot);
+void simq_crash_all(simq_run* run);
 void simq_restart(simq_run* run, int slot);
 void simq_freeze(simq_run* run, int slot, wg_time duration);
 void simq_lose_disk(simq_run* run, int slot);
--- a/tests/sim/sim_quorum_internal.h
+++ b/tests/sim/sim_quorum_internal.h
@@ -51,6 +51,7 @@
     simq_counts counts;
     uint64_t next_edit;
     uint64_t next_identity;
+    GArray* gone; /* uint64_t: identities whose disk was lost */
     uint64_t last_edit_number;
     GHashTable* outcomes;     /* edit number -> outcome and version of its first answer */
     uint64_t holders[256];    /* attempt that was granted each claim key, 0 none */
--- a/tests/sim/sim_quorum_random.c
+++ b/tests/sim/sim_quorum_random.c
@@ -62,7 +62,20 @@
 static void random_fault(simq_run* s) {
     int a = (int)(_simq_chance(s) % (uint64_t)s->desc.replicas);
     int b = (int)(_simq_chance(s) % (uint64_t)s->desc.replicas);
-    switch (_simq_chance(s) % 20) {
+    switch (_simq_chance(s) % 22) {
+    case 20: /* all at once, and back one after the other */
+        simq_crash_all(s);
+        s->counts.crashes += (uint64_t)s->desc.replicas;
+        break;
+    case 21: /* all at once and back at once, one perhaps later */
+        simq_crash_all(s);
+        for (int i = 0; i < s->desc.replicas; i++) {
+            if (i != a || a == b) {
+                simq_restart(s, i);
+            }
+        }
+        s->counts.crashes += (uint64_t)s->desc.replicas;
+        break;
     case 16:
     case 17:
     case 18:
--- a/tests/test_forward.c
+++ b/tests/test_forward.c
@@ -6,8 +6,8 @@
 #include "wg_test.h"
 
 static char* forward(const char* fields, const char* last_event) {
-    char* text = g_strdup_printf("POST /p/x?y=1 HTTP/1.1\r\nHost: h\r\n%sContent-Length: 3\r\n\r\n",
-                                 fields);
+    char* text =
+        g_strdup_printf("POST /p/x?y=1 HTTP/1.1\r\nHost: h\r\n%sContent-Length: 3\r\n\r\n", fields);
     wg_message_head head;
     ck_assert_int_eq(wg_message_parse_request(text, strlen(text), &head), 0);
     struct evbuffer* out = evbuffer_new();
@@ -90,7 +90,8 @@
 
 /* Fields behind a chunked body belong to no head: they are read and left out. */
 START_TEST(trailers_are_not_handed_on) {
-    static const char head_text[] = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static const char head_text[] =
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
     wg_message_head head;
     ck_assert_int_eq(wg_message_parse_request(head_text, sizeof head_text - 1, &head), 0);
     wg_body body = {0};
@@ -106,5 +107,6 @@
 }
 END_TEST
 
-WG_TEST_MAIN("forward", fields_that_the_system_sets_are_withheld, what_the_system_sets_is_there_once,
-             the_last_event_is_the_newest, trailers_are_not_handed_on)
+WG_TEST_MAIN("forward", fields_that_the_system_sets_are_withheld,
+             what_the_system_sets_is_there_once, the_last_event_is_the_newest,
+             trailers_are_not_handed_on)
--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -104,6 +104,70 @@
 }
 END_TEST
 
+/* When every voter has just started, nobody can hold a lease: no wait for one. */
+START_TEST(all_that_start_at_once_elect_at_once) {
+    for (int seed = 0; seed < 20; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
+        wait_leader(run);
+        uint64_t index = simq_edit(run, "w", 5, 0, 1);
+        simq_run_for(run, SECOND);
+        ck_assert_uint_ge(simq_answered(run), index);
+        simq_crash_all(run);
+        for (int i = 0; i < 3; i++) {
+            simq_restart(run, i);
+        }
+        simq_run_for(run, 120 * MSEC);
+        ck_assert_int_ge(simq_leader(run), 0);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* One of them with an empty disk: its former self is gone, so its promises are. */
+START_TEST(all_that_start_with_a_disk_lost_elect_at_once) {
+    for (int seed = 0; seed < 20; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
+        wait_leader(run);
+        uint64_t index = simq_edit(run, "w", 5, 0, 1);
+        simq_run_for(run, SECOND);
+        simq_crash_all(run);
+        for (int i = 0; i < 3; i++) {
+            simq_restart(run, i);
+        }
+        simq_lose_disk(run, seed % 3);
+        simq_run_for(run, 120 * MSEC);
+        ck_assert_int_ge(simq_leader(run), 0);
+        ck_assert_uint_ge(simq_answered(run), index);
+        simq_settle(run, 20 * SECOND);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* One that has not started may be a leader that still holds its lease: the usual waits hold. */
+START_TEST(one_that_kept_running_is_waited_for) {
+    for (int seed = 0; seed < 20; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
+        int leader = wait_leader(run);
+        simq_run_for(run, SECOND);
+        isolate(run, leader, 3, true);
+        for (int i = 0; i < 3; i++) {
+            if (i != leader) {
+                simq_crash(run, i);
+                simq_restart(run, i);
+            }
+        }
+        for (int i = 0; i < 60; i++) { /* that there are never two is asserted by each tick */
+            simq_tick(run);
+            ck_assert(simq_leader(run) < 0 || simq_leader(run) == leader);
+        }
+        simq_run_for(run, SECOND); /* the lease is over */
+        ck_assert_int_ne(wait_leader(run), leader);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
 START_TEST(hand_over_ends_the_lease_first) {
     for (int seed = 0; seed < 10; seed++) {
         simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
@@ -328,8 +392,10 @@
 
 WG_TEST_MAIN("quorum", one_replica_leads_itself, five_replicas_survive_any_two,
              no_majority_no_leader, promise_to_a_leader_is_kept, promise_survives_a_restart,
-             hand_over_ends_the_lease_first, frozen_leader_does_not_lead_when_it_wakes,
-             cut_off_replica_does_not_unseat_the_leader, one_way_cut_of_a_leader_ends_its_lease,
-             lost_disk_votes_only_after_replacement, older_terms_are_not_committed_by_counting,
+             all_that_start_at_once_elect_at_once, all_that_start_with_a_disk_lost_elect_at_once,
+             one_that_kept_running_is_waited_for, hand_over_ends_the_lease_first,
+             frozen_leader_does_not_lead_when_it_wakes, cut_off_replica_does_not_unseat_the_leader,
+             one_way_cut_of_a_leader_ends_its_lease, lost_disk_votes_only_after_replacement,
+             older_terms_are_not_committed_by_counting,
              two_editors_one_wins_and_a_resend_gets_the_first_answer, random_runs_hold_and_replay,
              random_runs_hold_past_the_keeping_time_of_claims, bad_descs_name_the_field)
--- /dev/null
+++ b/tests/test_quorum_start.c
@@ -0,0 +1,251 @@
+/* test_quorum_start.c -- an election at once when all have just started, message by message */
+#include <string.h>
+
+#include "wg_quorum.h"
+#include "wg_test.h"
+
+enum {
+    SELF = 10, /* the replica under test */
+    OTHER = 20,
+    THIRD = 30,
+    ROUND_GAP = 25 * WG_USEC_PER_MSEC /* a little more than that between two rounds */
+};
+
+static wg_time now;
+static wgr_node* node;
+
+/* A replica of three whose log ends with `entries` entries of term 1. */
+static void start(uint64_t seed, int entries) {
+    wgr_set set = {.num = 3};
+    const uint64_t ids[] = {SELF, OTHER, THIRD};
+    for (int i = 0; i < 3; i++) {
+        set.replicas[i].id = ids[i];
+        set.replicas[i].voter = true;
+        g_snprintf(set.replicas[i].name, sizeof set.replicas[i].name, "c%d", i);
+    }
+    wgr_entry log[8];
+    GBytes* data = g_bytes_new_static("x", 1);
+    for (int i = 0; i < entries; i++) {
+        log[i] =
+            (wgr_entry){.index = 2 + (uint64_t)i, .term = 1, .kind = WGR_ENTRY_DATA, .data = data};
+    }
+    wgr_restored restored = {.term = 1,
+                             .snapshot_index = 1,
+                             .snapshot_term = 1,
+                             .set = set,
+                             .entries = log,
+                             .entries_num = entries};
+    now = 1000 * SECOND;
+    node =
+        wgr_setup(&(wgr_desc){.self = SELF, .seed = seed, .now = now, .restored = &restored}, NULL);
+    ck_assert_ptr_nonnull(node);
+    g_bytes_unref(data);
+}
+
+static void end(void) {
+    wgr_shutdown(node);
+}
+
+/* Messages that the node sends, of one type; the last one is kept. */
+static int sent(wgr_message_type type, wgr_message* last) {
+    wgr_output out;
+    int num = 0;
+    while (wgr_output_next(node, &out)) {
+        for (int i = 0; i < out.messages_num; i++) {
+            if (out.messages[i].type == type) {
+                num++;
+                *last = out.messages[i];
+                last->entries = NULL;
+                last->chunk = NULL;
+            }
+        }
+        wgr_output_done(node, now);
+    }
+    return num;
+}
+
+/* The newest round that it asks in; 0 when it asks nobody. */
+static wg_time ask_round(void) {
+    wgr_message ask = {0};
+    now += ROUND_GAP;
+    wgr_tick(node, now);
+    return sent(WGR_MESSAGE_START_ASK, &ask) ? ask.echo : 0;
+}
+
+static void answer(uint64_t from, wg_time round, uint64_t life, uint64_t log_index) {
+    wgr_message m = {.type = WGR_MESSAGE_START_REPLY,
+                     .from = from,
+                     .to = SELF,
+                     .term = 1,
+                     .echo = round,
+                     .life = life,
+                     .log_index = log_index,
+                     .log_term = 1};
+    wgr_step(node, now, &m);
+}
+
+static int votes_asked(wgr_message* last) {
+    return sent(WGR_MESSAGE_VOTE, last);
+}
+
+static wgr_message ask_node(void) {
+    wgr_message m = {.type = WGR_MESSAGE_START_ASK, .from = OTHER, .to = SELF, .echo = 5};
+    wgr_message reply = {0};
+    wgr_step(node, now, &m);
+    ck_assert_int_eq(sent(WGR_MESSAGE_START_REPLY, &reply), 1);
+    return reply;
+}
+
+/* Is the node's vote given to one that knows it in this life? */
+static bool votes_at_once(uint64_t life) {
+    wgr_message m = {.type = WGR_MESSAGE_VOTE,
+                     .from = OTHER,
+                     .to = SELF,
+                     .term = 9,
+                     .log_index = 50,
+                     .log_term = 8,
+                     .life = life};
+    wgr_message reply = {0};
+    wgr_step(node, now, &m);
+    return sent(WGR_MESSAGE_VOTE_REPLY, &reply) == 1 && !reply.reject;
+}
+
+static void hear_leader(void) {
+    wgr_message m = {.type = WGR_MESSAGE_APPEND,
+                     .from = THIRD,
+                     .to = SELF,
+                     .term = 2,
+                     .log_index = 1,
+                     .log_term = 1};
+    wgr_message reply = {0};
+    wgr_step(node, now, &m);
+    ck_assert_int_eq(sent(WGR_MESSAGE_APPEND_REPLY, &reply), 1);
+    ck_assert(!reply.reject);
+}
+
+START_TEST(it_stands_after_a_second_round_of_all) {
+    start(1, 3);
+    wg_time first = ask_round();
+    ck_assert_int_gt(first, 0);
+    wgr_message vote = {0};
+    answer(OTHER, first, 7, 2);
+    answer(THIRD, first, 8, 2);
+    ck_assert_int_eq(votes_asked(&vote), 0);
+    wg_time second = ask_round();
+    ck_assert_int_gt(second, first);
+    answer(OTHER, second, 7, 2);
+    ck_assert_int_eq(votes_asked(&vote), 0);
+    answer(THIRD, second, 8, 2);
+    ck_assert_int_eq(votes_asked(&vote), 2);
+    ck_assert_uint_eq(vote.life, vote.to == OTHER ? 7 : 8);
+    end();
+}
+END_TEST
+
+/* An answer to the first round that comes late proves nothing of the second. */
+START_TEST(late_answers_of_the_first_round_do_not_count) {
+    start(1, 3);
+    wgr_message vote = {0};
+    wg_time first = ask_round();
+    answer(OTHER, first, 7, 2);
+    answer(THIRD, first, 8, 2);
+    answer(OTHER, first, 7, 2);
+    answer(THIRD, first, 8, 2);
+    ck_assert_int_eq(votes_asked(&vote), 0);
+    end();
+}
+END_TEST
+
+START_TEST(one_that_restarts_between_the_rounds_is_asked_again) {
+    start(1, 3);
+    wgr_message vote = {0};
+    wg_time first = ask_round();
+    answer(OTHER, first, 7, 2);
+    answer(THIRD, first, 8, 2);
+    wg_time second = ask_round();
+    answer(OTHER, second, 7, 2);
+    answer(THIRD, second, 99, 2); /* another life */
+    ck_assert_int_eq(votes_asked(&vote), 0);
+    wg_time third = ask_round();
+    answer(OTHER, third, 7, 2);
+    answer(THIRD, third, 99, 2);
+    ck_assert_int_eq(votes_asked(&vote), 2);
+    end();
+}
+END_TEST
+
+START_TEST(the_newest_log_goes_first) {
+    wgr_message vote = {0};
+    for (uint64_t theirs = 3; theirs <= 5; theirs++) { /* its own ends at 4 */
+        int votes = 0;
+        start(1, 3);
+        for (int i = 0; i < 2; i++) {
+            wg_time round = ask_round();
+            answer(OTHER, round, 7, theirs);
+            answer(THIRD, round, 8, 2);
+            votes += votes_asked(&vote);
+        }
+        ck_assert_int_eq(votes, theirs == 5 ? 0 : 2);
+        end();
+    }
+}
+END_TEST
+
+START_TEST(who_heard_a_leader_ends_the_questions) {
+    start(1, 3);
+    wgr_message vote = {0};
+    wg_time first = ask_round();
+    answer(OTHER, first, 7, 2);
+    wgr_message refusal = {
+        .type = WGR_MESSAGE_START_REPLY, .from = THIRD, .to = SELF, .echo = first, .reject = true};
+    wgr_step(node, now, &refusal);
+    ck_assert_int_eq(ask_round(), 0);
+    answer(OTHER, first + 1, 7, 2);
+    answer(THIRD, first + 1, 8, 2);
+    ck_assert_int_eq(votes_asked(&vote), 0);
+    end();
+}
+END_TEST
+
+START_TEST(a_promise_is_told_and_kept) {
+    start(1, 0);
+    wgr_message before = ask_node();
+    ck_assert(!before.reject);
+    ck_assert_uint_ne(before.life, 0);
+    hear_leader();
+    ck_assert(ask_node().reject);
+    ck_assert(!votes_at_once(before.life));
+    end();
+}
+END_TEST
+
+START_TEST(a_vote_is_given_in_the_life_that_was_told) {
+    start(1, 0);
+    uint64_t life = ask_node().life;
+    ck_assert(votes_at_once(life));
+    end();
+    start(2, 0); /* it has restarted since */
+    ck_assert(!votes_at_once(life));
+    ck_assert(!votes_at_once(0));
+    ck_assert(votes_at_once(ask_node().life));
+    end();
+}
+END_TEST
+
+START_TEST(one_whose_disk_is_lost_need_not_answer) {
+    start(1, 3);
+    wgr_message vote = {0};
+    wgr_note_gone(node, THIRD);
+    for (int i = 0; i < 2; i++) {
+        answer(OTHER, ask_round(), 7, 2);
+    }
+    ck_assert_int_eq(votes_asked(&vote), 2);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("quorum start", it_stands_after_a_second_round_of_all,
+             late_answers_of_the_first_round_do_not_count,
+             one_that_restarts_between_the_rounds_is_asked_again, the_newest_log_goes_first,
+             who_heard_a_leader_ends_the_questions, a_promise_is_told_and_kept,
+             a_vote_is_given_in_the_life_that_was_told, one_whose_disk_is_lost_need_not_answer)
