Entry hosts wait at a follower for word of the leader, and learn of each other at once

Cause: with a leader 65 ms after a restart of everything, configurations came into force 255 ms after it: an entry host that asked a follower before there was a leader closed the link and asked the next control 100 ms later. Hosts reported themselves ready with their next report, 400 ms later, and a new leader named members only after 1.5 s, so coordinators were missing until then.

Ruled out: the cost of the links themselves (5 ms each).

Change: the host stays for 300 ms, and a follower that hears of a leader tells all hosts at once. A host that becomes ready says so at once. A new leader tells hosts that know no list of members what it has and what comes; hosts that have a list wait for the whole one as before, since a short one sends callers away.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -256,6 +256,17 @@
     }
 }
 
+/* Entry hosts that wait at this follower go to the leader as soon as one is known. */
+static void _wgco_tell_leader(wgco_control* c, wg_time now) {
+    uint64_t leader = wgr_query_stats(c->node, now).leader;
+    if (leader != c->leader_told) {
+        c->leader_told = leader;
+        if (leader && !c->leads) {
+            wg_control_entry_redirect(c);
+        }
+    }
+}
+
 static void _wgco_follow_leadership(wgco_control* c, wg_time now) {
     bool leads = wgr_leads(c->node, now);
     if (leads && !c->leads) {
@@ -263,6 +274,7 @@
     } else if (!leads && c->leads) {
         _wgco_lead_end(c);
     }
+    _wgco_tell_leader(c, now);
 }
 
 static void _wgco_on_tick(evutil_socket_t fd, short what, void* user_data) {
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -221,9 +221,10 @@
 
 static void wg_control_fill_members(wgco_control* c, wg_control_entry* e, wg_control_state* s,
                                     wg_time now) {
+    bool settling = now - c->led_since < WG_MEMBERS_SETTLE;
     s->message.members_num = c->members_listed->len;
     s->message.members_change = e->members_change;
-    if (e->members_change == c->members_change || now - c->led_since < WG_MEMBERS_SETTLE) {
+    if (e->members_change == c->members_change || (settling && !e->knows_no_members)) {
         return;
     }
     s->members = g_new(Wgpb__EntryMember, c->members_listed->len + 1);
@@ -373,6 +374,20 @@
     }
 }
 
+/* A host has come: those that started with it wait for it. */
+static void wg_control_push_members(wgco_control* c, const wg_control_entry* but) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, c->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_control_entry* e = value;
+        bool settling = wg_now() - c->led_since < WG_MEMBERS_SETTLE;
+        if (e != but && e->reported && e->knows_no_members && settling) {
+            wg_control_send_state(c, e, false);
+        }
+    }
+}
+
 void wg_control_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame) {
     wg_control_entry* e = wg_control_entry_of(c, link);
     Wgpb__EntryReport* in =
@@ -381,6 +396,7 @@
         wg_log(WG_EVENT_FRAME_BAD, "reason=entry-report");
         return;
     }
+    e->knows_no_members = e->knows_no_members || (!e->reported && in->members_change == 0);
     e->reported = true;
     e->configuration_version = in->configuration_version;
     e->registry_change = in->registry_change;
@@ -389,17 +405,18 @@
     e->leaving = in->leaving;
     wg_control_take_loads(c, e, in);
     wg_control_take_usage(c, e, in);
+    uint64_t members_before = c->members_change;
     if (c->leads) {
         wg_control_hear_member(c, e, wg_now());
     }
     wgpb__entry_report__free_unpacked(in, NULL);
     wg_control_send_state(c, e, true);
+    if (c->members_change != members_before) {
+        wg_control_push_members(c, e);
+    }
 }
 
-void wg_control_entry_push(wgco_control* c) {
-    if (!c->leads) {
-        return;
-    }
+static void wg_control_send_states(wgco_control* c) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->entries);
@@ -411,6 +428,16 @@
     }
 }
 
+void wg_control_entry_push(wgco_control* c) {
+    if (c->leads) {
+        wg_control_send_states(c);
+    }
+}
+
+void wg_control_entry_redirect(wgco_control* c) {
+    wg_control_send_states(c);
+}
+
 /* ---- functions of the library: orders ------------------------------------------------------ */
 
 static void wg_control_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -60,6 +60,7 @@
     uint64_t configuration_version;
     uint64_t registry_change;
     uint64_t members_change;
+    bool knows_no_members; /* as it came to this leader: any list is better than none */
     bool reported;
     bool ready;
     bool leaving;
@@ -124,8 +125,9 @@
     GHashTable* usage;       /* hash of a workspace -> wg_control_usage* */
     wg_time usage_at;
     wg_time led_since;
-    wgn_link word_link; /* to the entry host at a seed */
-    int word_next;      /* seed whose turn it is */
+    uint64_t leader_told; /* identity of the leader that entry hosts were last told of */
+    wgn_link word_link;   /* to the entry host at a seed */
+    int word_next;        /* seed whose turn it is */
     wg_time word_at;
     char word_seeds[WG_CONTROL_SEEDS_MAX][WG_NAME_MAX]; /* ips */
     int word_seeds_num;
@@ -189,6 +191,8 @@
 void wg_control_entry_tick(wgco_control* c, wg_time now);
 /* Send every entry host what it lacks. */
 void wg_control_entry_push(wgco_control* c);
+/* As a follower: tell every entry host here where the leader is. */
+void wg_control_entry_redirect(wgco_control* c);
 
 /* discovery of other controls (wg_control_discovery.c) */
 bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -239,7 +239,8 @@
     char dial_address[WG_ADDRESS_MAX];
     wg_time dial_at;
     wg_time report_at;
-    wg_time state_at; /* last word of a leader */
+    wg_time state_at;      /* last word of a leader */
+    wg_time leaderless_at; /* the control at the other end knew no leader first then; 0: it does */
     wg_time report_gap;
     uint64_t report_seq;
     GQueue orders; /* wg_entry_order* */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -9,7 +9,10 @@
 enum {
     WG_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
     WG_PROVE_TIME = 350 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
-    WG_LINKS_MAX = 1024,                    /* every entry host may ask this one */
+    /* For a control that knows no leader to hear of one; then another control is asked. Shorter
+       than an election wait: the control may be cut off from the others. */
+    WG_LEADERLESS_TIME = 300 * WG_USEC_PER_MSEC,
+    WG_LINKS_MAX = 1024, /* every entry host may ask this one */
     WG_LOADS_MAX = 2048,
     WG_ORDERS_MAX = 1024
 };
@@ -171,6 +174,19 @@
     wg_copy_name(e->dial_address, sizeof e->dial_address, address);
     e->dial_at = wg_now() + (address[0] ? 0 : WG_DIAL_GAP);
     wgn_close(e->net, e->link);
+    wg_entry_dial(e, wg_now());
+}
+
+/* The control does not lead: go where it says, or wait here until it knows. It tells at once. */
+static void wg_entry_take_redirect(wg_entry* e, const char* leader_address, wg_time now) {
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    bool elsewhere = leader_address[0] && !(peer && strcmp(peer->address, leader_address) == 0);
+    e->leader_known = false;
+    if (elsewhere) {
+        wg_entry_relink(e, leader_address);
+    } else if (!e->leaderless_at) {
+        e->leaderless_at = now;
+    }
 }
 
 static void wg_entry_send_orders(wg_entry* e);
@@ -184,13 +200,12 @@
         wg_entry_learn_control(e, in->controls[i]);
     }
     if (!in->leads) {
-        e->leader_known = false;
-        const wgn_peer* peer = wgn_query_peer(e->net, e->link);
-        bool itself = peer && strcmp(peer->address, in->leader_address) == 0;
-        wg_entry_relink(e, itself ? "" : in->leader_address);
+        wg_entry_take_redirect(e, in->leader_address, now);
         return;
     }
+    bool was_ready = wg_entry_is_ready(e);
     e->state_at = now;
+    e->leaderless_at = 0;
     e->report_gap = in->report_ms * WG_USEC_PER_MSEC;
     if (in->configuration) {
         wg_entry_take_configuration(e, in->configuration);
@@ -208,6 +223,9 @@
         wg_log(WG_EVENT_LINK_UP, "leader term=%" G_GUINT64_FORMAT, in->term);
         wg_entry_send_orders(e);
     }
+    if (wg_entry_is_ready(e) && !was_ready) {
+        wg_entry_report(e, now); /* others are told of this host */
+    }
 }
 
 /* ---- orders ---------------------------------------------------------------------------------- */
@@ -392,6 +410,7 @@
     }
     e->link = (wgn_link){0};
     e->link_up = false;
+    e->leaderless_at = 0;
     e->leader_known = false;
     for (GList* at = e->orders.head; at; at = at->next) {
         ((wg_entry_order*)at->data)->sent = false;
@@ -452,7 +471,8 @@
     wg_entry_orders_tick(e, now);
     wg_entry_dial(e, now);
     wg_time quiet = now - e->state_at;
-    if (e->link.id && quiet > e->settings->link_silence_ms * WG_USEC_PER_MSEC) {
+    bool leaderless = e->leaderless_at && now - e->leaderless_at > WG_LEADERLESS_TIME;
+    if (e->link.id && (leaderless || quiet > e->settings->link_silence_ms * WG_USEC_PER_MSEC)) {
         wg_entry_relink(e, "");
         return;
     }
