--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -76,6 +76,7 @@
     WG_ERROR_FULL,     /* a fixed capacity is used up */
     WG_ERROR_IO,       /* the operating system refused a read, write or sync */
     WG_ERROR_CORRUPT,  /* stored data fails its checksum */
+    WG_ERROR_DISK, /* the disk takes no writes now: full, read-only, or it fails; it may again */
     WG_ERROR_NUM
 } wg_error_code;
 /* Domain of WG_ERROR; use the macro. */
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -38,6 +38,9 @@
     X(4005, SNAPSHOT_TAKEN, INFO, "snapshot taken over from the leader")                           \
     X(4006, REPLICA_CHANGE, INFO, "replica set changed")                                           \
     X(4007, STORE_OPENED, INFO, "data folder opened")                                              \
+    X(4008, STORE_SUSPENDED, WARN,                                                                 \
+      "disk takes no writes, this replica stands aside until it does")                             \
+    X(4009, STORE_RESUMED, INFO, "disk takes writes again, this replica takes part again")         \
     X(5001, EDIT_ACCEPTED, INFO, "table edit accepted")                                            \
     X(5002, EDIT_REFUSED, INFO, "table edit refused")                                              \
     X(5003, MEMBER_UP, INFO, "router is a member")                                                 \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -2,7 +2,6 @@
 #include "wg_control_internal.h"
 
 #include <string.h>
-#include <sys/random.h>
 
 /* ---- settings ------------------------------------------------------------------------------ */
 
@@ -125,7 +124,7 @@
     }
     GError* error = NULL;
     if (!wgs_save_cluster(c->store, peer->cluster, &error)) {
-        _wgco_die(c, error);
+        wg_control_storage_failed(c, error);
         return false;
     }
     wgn_set_cluster(c->net, peer->cluster);
@@ -169,7 +168,7 @@
 
 /* ---- callbacks of links -------------------------------------------------------------------- */
 
-static void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+void wg_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wgco_control* c = user_data;
     if (peer->role == WGW_ROLE_ROUTER) {
         _wgco_router_up(c, link, peer);
@@ -199,7 +198,7 @@
     wg_log(WG_EVENT_LINK_UP, "peer=%s", peer->name);
 }
 
-static void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+void wg_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wgco_control* c = user_data;
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
@@ -216,7 +215,7 @@
     }
 }
 
-static void _wgco_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+void wg_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wgco_control* c = user_data;
     const wgn_peer* peer = wgn_query_peer(c->net, link);
     bool control = peer && peer->role == WGW_ROLE_CONTROL;
@@ -282,6 +281,9 @@
     (void)what;
     wgco_control* c = user_data;
     wg_time now = wg_now();
+    if (!c->node) {
+        return; /* it waits for its disk */
+    }
     wgr_tick(c->node, now);
     _wgco_pump(c);
     if (c->failed) {
@@ -310,7 +312,7 @@
     (void)fd;
     (void)what;
     wgco_control* c = user_data;
-    wgr_stats stats = wgr_query_stats(c->node, wg_now());
+    wgr_stats stats = c->node ? wgr_query_stats(c->node, wg_now()) : (wgr_stats){0};
     /* A leader that is alone has nobody to wait for. */
     if (stats.role != WGR_ROLE_LEADER || !c->handing_over) {
         wg_log(WG_EVENT_STOP_DRAINED, "%s", "");
@@ -320,109 +322,6 @@
 
 /* ---- public functions --------------------------------------------------------------------- */
 
-static uint64_t _wgco_random(void) {
-    uint64_t value = 0;
-    while (value == 0) {
-        if (getrandom(&value, sizeof value, 0) != (ssize_t)sizeof value) {
-            wg_assert_failed("getrandom", __FILE__, __LINE__);
-        }
-    }
-    return value;
-}
-
-bool wgco_init_folder(const wgco_settings* settings, GError** error) {
-    wgs_store* store = wgs_open(&(wgs_desc){.folder = settings->data_folder,
-                                            .fresh_identity = _wgco_random(),
-                                            .fresh_cluster = _wgco_random()},
-                                error);
-    if (!store) {
-        return false;
-    }
-    bool good = wgs_query_content(store)->fresh;
-    if (!good) {
-        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
-                    "%s is in use already; a new cluster starts "
-                    "from an empty folder",
-                    settings->data_folder);
-    } else {
-        wgr_set set = {.num = 1};
-        set.replicas[0].id = wgs_query_content(store)->identity;
-        set.replicas[0].voter = true;
-        wg_copy_name(set.replicas[0].name, WG_NAME_MAX, settings->name);
-        wg_copy_name(set.replicas[0].address, WG_ADDRESS_MAX, settings->fleet_listen);
-        GBytes* state = g_bytes_new(NULL, 0);
-        good = wgs_save_hard_state(store, 1, 0, error) &&
-               wgs_save_snapshot(store, 1, 1, &set, state, false, error);
-        g_bytes_unref(state);
-    }
-    wgs_close(store);
-    return good;
-}
-
-static bool _wgco_open_state(wgco_control* c, GError** error) {
-    const wgco_settings* s = c->settings;
-    c->store = wgs_open(&(wgs_desc){.folder = s->data_folder,
-                                    .fresh_identity = _wgco_random(),
-                                    .log_keep = (int)s->log_keep},
-                        error);
-    if (!c->store) {
-        return false;
-    }
-    const wgs_content* content = wgs_query_content(c->store);
-    wg_log(WG_EVENT_STORE_OPENED, "identity=%016" G_GINT64_MODIFIER "x entries=%d fresh=%d",
-           content->identity, content->restored.entries_num, content->fresh);
-    if (content->tail_cut) {
-        wg_log(WG_EVENT_STORE_TAIL_CUT, "%s", "");
-    }
-    c->registry = wg_registry_setup(&(wg_registry_desc){0});
-    c->table = wgt_setup(&(wgt_desc){0}, error);
-    c->claims = wgk_setup(
-        &(wgk_desc){.claims_max = (int)s->claims_max, .keep_seconds = (int)s->claim_keep_s}, error);
-    c->applied = content->restored.snapshot_index;
-    if (content->restored.snapshot && !_wgco_load_state(c, content->restored.snapshot)) {
-        g_set_error(error, WG_ERROR, WG_ERROR_CORRUPT, "the snapshot's state cannot be read");
-        return false;
-    }
-    c->node = wgr_setup(&(wgr_desc){.self = content->identity,
-                                    .seed = _wgco_random(),
-                                    .now = wg_now(),
-                                    .restored = &content->restored,
-                                    .election_min = s->election_min_ms * WG_USEC_PER_MSEC,
-                                    .election_max = s->election_max_ms * WG_USEC_PER_MSEC,
-                                    .heartbeat = s->heartbeat_ms * WG_USEC_PER_MSEC,
-                                    .log_keep = (int)s->log_keep},
-                        error);
-    wgs_forget_content(c->store);
-    return c->node != NULL;
-}
-
-static bool _wgco_open_links(wgco_control* c, GError** error) {
-    const wgco_settings* s = c->settings;
-    wgn_peer self = {.role = WGW_ROLE_CONTROL};
-    self.identity = wgs_query_content(c->store)->identity;
-    self.cluster = wgs_query_content(c->store)->cluster;
-    self.incarnation = _wgco_random();
-    bool fits = wg_copy_name(self.name, sizeof self.name, s->name) &&
-                wg_copy_name(self.address, sizeof self.address,
-                             s->fleet_address[0] ? s->fleet_address : s->fleet_listen) &&
-                wg_copy_name(self.data_centre, sizeof self.data_centre, s->data_centre);
-    if (!fits) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] a name is too long");
-        return false;
-    }
-    c->net = wgn_setup(&(wgn_desc){.base = c->base,
-                                   .fleet_key = s->fleet_key,
-                                   .self = self,
-                                   .silence_deadline = s->link_silence_ms * WG_USEC_PER_MSEC,
-                                   .ping_interval = s->link_silence_ms * WG_USEC_PER_MSEC / 4,
-                                   .on_up = _wgco_on_up,
-                                   .on_frame = _wgco_on_frame,
-                                   .on_down = _wgco_on_down,
-                                   .user_data = c},
-                       error);
-    return c->net && wgn_listen(c->net, s->fleet_listen, error) && _wgco_http_setup(c, error);
-}
-
 wgco_control* wgco_setup(const wgco_desc* desc, GError** error) {
     wgco_control* c = g_new0(wgco_control, 1);
     c->desc = *desc;
@@ -433,52 +332,28 @@
     c->discovers = c->settings->seeds[0] != NULL;
     c->observer = c->discovers && !c->settings->data_folder[0];
     g_queue_init(&c->waiters);
-    wg_control_entry_setup(c);
     if (c->observer) {
         return c;
     }
-    if (!_wgco_parse_controls(c, error) || (c->discovers && !wg_control_discovery_form(c, error)) ||
-        !_wgco_open_state(c, error) || !_wgco_open_links(c, error)) {
-        wgco_shutdown(c);
-        return NULL;
-    }
     c->tick = event_new(c->base, -1, EV_PERSIST, _wgco_on_tick, c);
     c->plan_event = evtimer_new(c->base, _wgco_on_plan, c);
     c->stop_event = event_new(c->base, -1, EV_PERSIST, _wgco_on_stop, c);
     struct timeval period = {.tv_usec = c->settings->tick_ms * WG_USEC_PER_MSEC};
     event_add(c->tick, &period);
+    if (!_wgco_parse_controls(c, error) || !wg_control_start(c, error)) {
+        wgco_shutdown(c);
+        return NULL;
+    }
     return c;
 }
 
 void wgco_shutdown(wgco_control* c) {
-    if (c->leads) {
-        _wgco_lead_end(c);
-    }
-    _wgco_fail_waiters(c);
-    if (!c->observer) {
-        wgh_close(&c->http);
-    }
-    if (c->net) {
-        wgn_shutdown(c->net);
-    }
+    wg_control_end(c);
     if (c->tick) {
         event_free(c->tick);
         event_free(c->plan_event);
         event_free(c->stop_event);
     }
-    if (c->node) {
-        wgr_shutdown(c->node);
-    }
-    if (c->table) {
-        wgt_shutdown(c->table);
-    }
-    if (c->claims) {
-        wgk_shutdown(c->claims);
-    }
-    wg_control_entry_shutdown(c);
-    if (c->store) {
-        wgs_close(c->store);
-    }
     g_free(c->sessions);
     g_free(c);
 }
@@ -491,7 +366,7 @@
     }
     c->stopping = true;
     wg_log(WG_EVENT_STOP_BEGUN, "%s", "");
-    if (c->observer) {
+    if (!c->node) {
         event_base_loopbreak(c->base);
         return;
     }
@@ -508,5 +383,5 @@
 }
 
 bool wgco_failed(const wgco_control* c) {
-    return c->failed;
+    return c->broken;
 }
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -7,7 +7,8 @@
    and while it leads: answers routers, plans capacity, and takes operators' edits.
 
     FEATURES
-        - persists before it sends; a failed write or sync ends the process
+        - persists before it sends; while the disk takes no writes the replica stands aside, and
+          starts again from its folder once it does; damaged data ends the process
         - table leases: a router's copy is in force only while a leader with a majority renews it
         - a control with an empty folder waits to be added; a listed name that was never in the set
    is added by the leader, a known name with a new folder only by an operator's command
@@ -88,5 +89,5 @@
 json_t* wgco_dump(wgco_control* control);
 /* Create a data folder for a new cluster; the folder must be empty. */
 bool wgco_init_folder(const wgco_settings* settings, GError** error);
-/* True when the loop was left because storage failed. */
+/* True when the loop was left because the data folder cannot be used. */
 bool wgco_failed(const wgco_control* control);
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -343,16 +343,13 @@
 }
 
 void wg_control_entry_shutdown(wgco_control* c) {
-    g_hash_table_unref(c->entries);
-    g_ptr_array_unref(c->members_listed);
-    g_hash_table_unref(c->load_totals);
-    g_hash_table_unref(c->usage);
-    if (c->registry) {
-        wg_registry_shutdown(c->registry);
-    }
-    if (c->configuration) {
-        g_bytes_unref(c->configuration);
-    }
+    g_clear_pointer(&c->entries, g_hash_table_unref);
+    g_clear_pointer(&c->members_listed, g_ptr_array_unref);
+    g_clear_pointer(&c->load_totals, g_hash_table_unref);
+    g_clear_pointer(&c->usage, g_hash_table_unref);
+    g_clear_pointer(&c->registry, wg_registry_shutdown);
+    g_clear_pointer(&c->configuration, g_bytes_unref);
+    c->configuration_version = 0;
 }
 
 void wg_control_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer) {
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -110,7 +110,10 @@
     uint64_t applied_term;
     wgr_role role_logged;
     bool pumping;
-    bool failed;
+    bool failed;          /* something could not be written: this start of the replica is over */
+    bool broken;          /* and the process has to end */
+    wg_time suspended_at; /* since when the disk takes no writes; 0: it does */
+    struct event* disk_event; /* then: the next try */
     bool stopping;
     bool handing_over; /* to a successor, in a planned stop */
 
@@ -152,6 +155,19 @@
     wg_time started_at;
 };
 
+/* start and pause (wg_control_start.c) */
+/* Open the data folder and take part. A disk that takes no writes now is waited for; false with the
+   reason when waiting would not help. */
+bool wg_control_start(wgco_control* c, GError** error);
+void wg_control_end(wgco_control* c);
+/* Something could not be stored; takes over `error`. */
+void wg_control_storage_failed(wgco_control* c, GError* error);
+
+/* links (wg_control.c) */
+void wg_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data);
+void wg_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data);
+void wg_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data);
+
 /* replication (wg_control_log.c) */
 void _wgco_pump(wgco_control* c);
 void _wgco_take_quorum(wgco_control* c, const wgw_frame* frame);
@@ -160,7 +176,6 @@
 bool _wgco_load_state(wgco_control* c, GBytes* state);
 GBytes* _wgco_pack_state(const wgco_control* c);
 const char* _wgco_leader_address(const wgco_control* c);
-void _wgco_die(wgco_control* c, GError* error);
 
 /* routers (wg_control_routers.c) */
 void _wgco_lead_begin(wgco_control* c, wg_time now);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -276,7 +276,7 @@
     wgr_compact(c->node, c->applied, state);
     wgr_set set = *wgr_query_snapshot_set(c->node);
     if (!wgs_save_snapshot(c->store, c->applied, c->applied_term, &set, state, false, &error)) {
-        _wgco_die(c, error);
+        wg_control_storage_failed(c, error);
     } else {
         wg_log(WG_EVENT_SNAPSHOT_SAVED, "index=%" G_GUINT64_FORMAT " bytes=%zu", c->applied,
                g_bytes_get_size(state));
@@ -286,15 +286,6 @@
 
 /* ---- functions of the library -------------------------------------------------------------- */
 
-void _wgco_die(wgco_control* c, GError* error) {
-    if (!c->failed) {
-        wg_log(WG_EVENT_STORE_FAILED, "%s", error->message);
-        c->failed = true;
-        event_base_loopbreak(c->base);
-    }
-    g_error_free(error);
-}
-
 void _wgco_pump(wgco_control* c) {
     if (c->pumping || c->failed) {
         return;
@@ -304,7 +295,7 @@
     while (!c->failed && wgr_output_next(c->node, &out)) {
         GError* error = NULL;
         if (!_wgco_persist(c, &out, &error)) {
-            _wgco_die(c, error);
+            wg_control_storage_failed(c, error);
             break;
         }
         for (int i = 0; i < out.messages_num; i++) {
--- a/lib/quorum/wg_quorum_start.c
+++ b/lib/quorum/wg_quorum_start.c
@@ -117,8 +117,13 @@
 }
 
 void _wgr_start_tick(wgr_node* n, wg_time now) {
-    if (_wgr_start_may_ask(n) && now >= n->start_at) {
-        _wgr_start_ask(n, now);
+    if (!_wgr_start_may_ask(n) || now < n->start_at) {
+        return;
+    }
+    _wgr_start_ask(n, now);
+    if (n->starts_num == 0) {
+        n->start_over = true; /* it is alone: nobody else can hold a lease */
+        _wgr_campaign(n, now, WGR_CAMPAIGN_START);
     }
 }
 
--- a/lib/store/wg_store.c
+++ b/lib/store/wg_store.c
@@ -150,17 +150,19 @@
     uint64_t slot[4] = {GUINT64_TO_LE(s->synced_seq), GUINT64_TO_LE(index), 0, 0};
     slot[3] = GUINT64_TO_LE(wg_hash(slot, 24, 1));
     off_t at = (off_t)(sync ? 2 + s->synced_syncs++ % 2 : s->synced_seq % 2) * _WGS_SYNCED_SLOT;
-    if (pwrite(s->synced_fd, slot, sizeof slot, at) != (ssize_t)sizeof slot) {
+    ssize_t written = _wgs_pwrite(s->synced_fd, slot, sizeof slot, at);
+    if (written != (ssize_t)sizeof slot) {
+        errno = written < 0 ? errno : ENOSPC; /* a part only: there is no room */
         return _wgs_fail(error, "cannot write", "synced");
     }
-    if (sync && fdatasync(s->synced_fd) != 0) {
+    if (sync && _wgs_sync_data(s->synced_fd) != 0) {
         return _wgs_fail(error, "cannot sync", "synced");
     }
     return true;
 }
 
 static bool _wgs_read_synced(wgs_store* s, GError** error) {
-    s->synced_fd = openat(s->folder_fd, "synced", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+    s->synced_fd = _wgs_create(s->folder_fd, "synced", O_RDWR);
     if (s->synced_fd < 0) {
         return _wgs_fail(error, "cannot open", "synced");
     }
@@ -223,8 +225,9 @@
                                          GError** error) {
     char name[_WGS_NAME_SIZE];
     _wgs_segment_name(first, name);
-    int flags = O_RDWR | O_APPEND | O_CLOEXEC | (create ? O_CREAT | O_EXCL : 0);
-    int fd = openat(s->folder_fd, name, flags, 0600);
+    int flags = O_RDWR | O_APPEND;
+    int fd = create ? _wgs_create(s->folder_fd, name, flags | O_EXCL)
+                    : openat(s->folder_fd, name, flags | O_CLOEXEC);
     if (fd < 0) {
         _wgs_fail(error, "cannot open", name);
         return NULL;
@@ -245,7 +248,7 @@
 static bool _wgs_remove_segment(wgs_store* s, guint i, GError** error) {
     char name[_WGS_NAME_SIZE];
     _wgs_segment_name(_wgs_segment_at(s, i)->first, name);
-    if (unlinkat(s->folder_fd, name, 0) != 0) {
+    if (_wgs_remove(s->folder_fd, name) != 0) {
         return _wgs_fail(error, "cannot remove", name);
     }
     s->stats.log_bytes -= _wgs_segment_at(s, i)->size;
@@ -301,7 +304,8 @@
                 break;
             }
             s->content.tail_cut = true;
-            if (ftruncate(segment->fd, (off_t)at) != 0 || fdatasync(segment->fd) != 0) {
+            if (_wgs_truncate_file(segment->fd, (off_t)at) != 0 ||
+                _wgs_sync_data(segment->fd) != 0) {
                 good = _wgs_fail(error, "cannot cut the tail of", name);
             }
             break;
@@ -427,8 +431,11 @@
     if (s->folder_fd < 0) {
         return _wgs_fail(error, "cannot open", s->desc.folder);
     }
-    s->lock_fd = openat(s->folder_fd, "lock", O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-    if (s->lock_fd < 0 || flock(s->lock_fd, LOCK_EX | LOCK_NB) != 0) {
+    s->lock_fd = _wgs_create(s->folder_fd, "lock", O_RDWR);
+    if (s->lock_fd < 0) {
+        return _wgs_fail(error, "cannot open", "lock");
+    }
+    if (flock(s->lock_fd, LOCK_EX | LOCK_NB) != 0) {
         return _wgs_fail(error, "another process uses", s->desc.folder);
     }
     return true;
@@ -535,7 +542,7 @@
         g_byte_array_unref(packed);
     }
     bool good = _wgs_write_all(segment->fd, out->data, out->len, error);
-    if (good && fdatasync(segment->fd) != 0) {
+    if (good && _wgs_sync_data(segment->fd) != 0) {
         good = _wgs_fail(error, "cannot sync", "log");
     }
     segment->size += out->len;
@@ -558,7 +565,7 @@
     _wgs_segment_t* segment = _wgs_last_segment(s);
     if (segment && _wgs_last_index(segment) >= from) {
         uint64_t at = g_array_index(segment->offsets, uint64_t, from - segment->first);
-        if (ftruncate(segment->fd, (off_t)at) != 0 || fdatasync(segment->fd) != 0) {
+        if (_wgs_truncate_file(segment->fd, (off_t)at) != 0 || _wgs_sync_data(segment->fd) != 0) {
             return _wgs_fail(error, "cannot truncate", "log");
         }
         g_array_set_size(segment->offsets, (guint)(from - segment->first));
@@ -626,7 +633,7 @@
     }
     if (old > 0 && old != index) {
         _wgs_snapshot_name(old, name);
-        if (unlinkat(s->folder_fd, name, 0) != 0) {
+        if (_wgs_remove(s->folder_fd, name) != 0) {
             return _wgs_fail(error, "cannot remove", name);
         }
     }
--- a/lib/store/wg_store.h
+++ b/lib/store/wg_store.h
@@ -14,7 +14,9 @@
         - a record that was being written at a crash (a torn tail) is cut off; a record that was
           synced and is now short or damaged stops the start with the reason
         - folders are synced after renames and removals
-        - any failed write or sync is final: the caller ends the process
+        - after a failed write or sync the store is only closed: what the folder holds is then the
+          same as after a crash, and opening it again finds all that was synced. WG_ERROR_DISK says
+          that the disk takes no writes now and may later
 
     USE
         1. wgs_store* s = wgs_open(&(wgs_desc){.folder = f, .fresh_identity = random}, &error);
--- a/lib/store/wg_store_file.c
+++ b/lib/store/wg_store_file.c
@@ -10,8 +10,60 @@
 
 #include "wg_store.h"
 
+static int (*_wgs_fault)(void* user_data);
+static void* _wgs_fault_data;
+
+void _wgs_set_fault(int (*fault)(void* user_data), void* user_data) {
+    _wgs_fault = fault;
+    _wgs_fault_data = user_data;
+}
+
+static bool _wgs_is_let_fail(void) {
+    int failure = _wgs_fault ? _wgs_fault(_wgs_fault_data) : 0;
+    if (failure) {
+        errno = failure;
+    }
+    return failure != 0;
+}
+
+ssize_t _wgs_write(int fd, const void* data, size_t size) {
+    return _wgs_is_let_fail() ? -1 : write(fd, data, size);
+}
+
+ssize_t _wgs_pwrite(int fd, const void* data, size_t size, off_t at) {
+    return _wgs_is_let_fail() ? -1 : pwrite(fd, data, size, at);
+}
+
+int _wgs_truncate_file(int fd, off_t size) {
+    return _wgs_is_let_fail() ? -1 : ftruncate(fd, size);
+}
+
+int _wgs_sync_data(int fd) {
+    return _wgs_is_let_fail() ? -1 : fdatasync(fd);
+}
+
+int _wgs_sync(int fd) {
+    return _wgs_is_let_fail() ? -1 : fsync(fd);
+}
+
+int _wgs_create(int folder_fd, const char* name, int flags) {
+    return _wgs_is_let_fail() ? -1 : openat(folder_fd, name, flags | O_CREAT | O_CLOEXEC, 0600);
+}
+
+int _wgs_rename(int folder_fd, const char* from, const char* to) {
+    return _wgs_is_let_fail() ? -1 : renameat(folder_fd, from, folder_fd, to);
+}
+
+int _wgs_remove(int folder_fd, const char* name) {
+    return _wgs_is_let_fail() ? -1 : unlinkat(folder_fd, name, 0);
+}
+
 bool _wgs_fail(GError** error, const char* what, const char* name) {
-    g_set_error(error, WG_ERROR, WG_ERROR_IO, "%s %s: %s", what, name, g_strerror(errno));
+    int reason = errno;
+    bool passing = reason == ENOSPC || reason == EDQUOT || reason == EFBIG || reason == EIO ||
+                   reason == EROFS;
+    g_set_error(error, WG_ERROR, passing ? WG_ERROR_DISK : WG_ERROR_IO, "%s %s: %s", what, name,
+                g_strerror(reason));
     return false;
 }
 
@@ -50,11 +102,12 @@
 
 bool _wgs_write_all(int fd, const uint8_t* data, size_t size, GError** error) {
     while (size > 0) {
-        ssize_t written = write(fd, data, size);
+        ssize_t written = _wgs_write(fd, data, size);
         if (written < 0 && errno == EINTR) {
             continue;
         }
         if (written <= 0) {
+            errno = written < 0 ? errno : ENOSPC;
             return _wgs_fail(error, "cannot write", "data file");
         }
         data += written;
@@ -64,7 +117,7 @@
 }
 
 bool _wgs_sync_folder(int folder_fd, GError** error) {
-    if (fsync(folder_fd) != 0) {
+    if (_wgs_sync(folder_fd) != 0) {
         return _wgs_fail(error, "cannot sync", "data folder");
     }
     return true;
@@ -73,16 +126,16 @@
 bool _wgs_replace_file(int folder_fd, const char* name, const GByteArray* content, GError** error) {
     char temporary[80];
     g_snprintf(temporary, sizeof temporary, "%s.new", name);
-    int fd = openat(folder_fd, temporary, O_CREAT | O_TRUNC | O_WRONLY | O_CLOEXEC, 0600);
+    int fd = _wgs_create(folder_fd, temporary, O_TRUNC | O_WRONLY);
     if (fd < 0) {
         return _wgs_fail(error, "cannot create", temporary);
     }
     bool good = _wgs_write_all(fd, content->data, content->len, error);
-    if (good && fsync(fd) != 0) {
+    if (good && _wgs_sync(fd) != 0) {
         good = _wgs_fail(error, "cannot sync", temporary);
     }
     close(fd);
-    if (good && renameat(folder_fd, temporary, folder_fd, name) != 0) {
+    if (good && _wgs_rename(folder_fd, temporary, name) != 0) {
         good = _wgs_fail(error, "cannot rename", temporary);
     }
     return good && _wgs_sync_folder(folder_fd, error);
--- a/lib/store/wg_store_file.h
+++ b/lib/store/wg_store_file.h
@@ -1,5 +1,7 @@
 #pragma once
 /* wg_store_file.h -- whole files and records with checksums; private to lib/store */
+#include <sys/types.h>
+
 #include "wg_base.h"
 
 /* Record head: length (4 bytes, little endian) and checksum (8 bytes) of the payload. */
@@ -24,4 +26,19 @@
 GByteArray* _wgs_read_file(int folder_fd, const char* name, GError** error);
 bool _wgs_sync_folder(int folder_fd, GError** error);
 bool _wgs_write_all(int fd, const uint8_t* data, size_t size, GError** error);
+/* Set an error from errno: WG_ERROR_DISK when the disk may take writes later, else WG_ERROR_IO. */
 bool _wgs_fail(GError** error, const char* what, const char* name);
+
+/* Each call below that changes the disk goes through one of these, so that tests can let any of
+   them fail. They return what the system call of that name returns, with errno. */
+ssize_t _wgs_write(int fd, const void* data, size_t size);
+ssize_t _wgs_pwrite(int fd, const void* data, size_t size, off_t at);
+int _wgs_truncate_file(int fd, off_t size);
+int _wgs_sync_data(int fd);
+int _wgs_sync(int fd);
+int _wgs_create(int folder_fd, const char* name, int flags);
+int _wgs_rename(int folder_fd, const char* from, const char* to);
+int _wgs_remove(int folder_fd, const char* name);
+/* For tests: called before each of these; returns 0, or the errno with which it is to fail. NULL:
+   none fails. */
+void _wgs_set_fault(int (*fault)(void* user_data), void* user_data);
--- /dev/null
+++ b/tests/local_control.h
@@ -0,0 +1,153 @@
+#pragma once
+/* local_control.h -- a control of one replica that runs within a test, and entry hosts that only
+   speak to it */
+#include <string.h>
+#include <unistd.h>
+
+#include <event2/event.h>
+
+#include "wg_control.h"
+#include "wg_test.h"
+
+enum {
+    LOCAL_FLEET_PORT = 17000
+};
+
+static inline struct event_base* local_base(void) {
+    struct event_base* base = event_base_new();
+    event_base_priority_init(base, WGN_PRIORITY + 2); /* as the daemons do */
+    return base;
+}
+
+/* One millisecond of the loop. */
+static inline void local_turn(struct event_base* base) {
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    g_usleep(1000);
+}
+
+/* A loopback address of this process's own. */
+static inline char* local_address(int number, int port) {
+    return g_strdup_printf("127.78.%d.%d:%d", getpid() % 250 + 1, number, port);
+}
+
+/* Settings of a control that is the only seed of a first start; returns where it listens. */
+static inline const char* local_control_settings(wgco_settings* settings, char* folder) {
+    static char* seeds[2];
+    static char* none[1];
+    static char name[WG_ADDRESS_MAX];
+    uint16_t port;
+    seeds[0] = local_address(21, LOCAL_FLEET_PORT);
+    wgn_split_address(seeds[0], name, &port);
+    *settings = (wgco_settings){.name = name,
+                                .data_centre = (char*)"dc",
+                                .fleet_listen = seeds[0],
+                                .fleet_address = (char*)"",
+                                .operators_listen = local_address(21, 18006),
+                                .data_folder = folder,
+                                .controls = none,
+                                .seeds = seeds,
+                                .first_start = (char*)"true",
+                                .fleet_port = LOCAL_FLEET_PORT,
+                                .entry_port = 18005,
+                                .fleet_key = (char*)"a key for the fleet",
+                                .operator_key = (char*)"another",
+                                .replica_gone_ms = 8000,
+                                .target_silent_ms = 6000,
+                                .tick_ms = 10,
+                                .link_silence_ms = 4000,
+                                .log_keep = 16,
+                                .election_min_ms = 900,
+                                .election_max_ms = 1500,
+                                .heartbeat_ms = 150,
+                                .table_lease_ms = 4000,
+                                .slot_lease_ms = 2000,
+                                .router_gone_ms = 3000,
+                                .plan_ms = 5,
+                                .snapshot_entries = 48,
+                                .claims_max = 16,
+                                .claim_keep_s = 10};
+    return seeds[0];
+}
+
+/* An entry host that reports, sends orders, and notes what the control says. */
+typedef struct {
+    struct event_base* base;
+    wgn_net* net;
+    wgn_link link;
+    bool up;
+    uint64_t members_change;
+    int members; /* of the last list that came; -1 none */
+    uint64_t configuration_version;
+    bool leads;            /* as the control last said */
+    int outcome;           /* of the last order that was answered; -1 none */
+    uint64_t read_version; /* that the answer to a read held */
+} local_entry;
+
+static inline void local_entry_report(local_entry* f) {
+    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
+    report.seq = 1;
+    report.ready = true;
+    report.members_change = f->members_change;
+    report.configuration_version = f->configuration_version;
+    wgn_send(f->net, f->link, WGW_TYPE_ENTRY_REPORT, &report.base);
+}
+
+static inline void local_entry_take_state(local_entry* f, const Wgpb__EntryState* in) {
+    f->leads = in->leads;
+    if (in->leads && in->members_change != f->members_change) {
+        f->members_change = in->members_change;
+        f->members = (int)in->n_members;
+    }
+    if (in->configuration) {
+        f->configuration_version = in->configuration->version;
+    }
+}
+
+static inline void local_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    (void)link;
+    local_entry* f = user_data;
+    if (frame->type == WGW_TYPE_ENTRY_STATE) {
+        Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
+        local_entry_take_state(f, in);
+        wgpb__entry_state__free_unpacked(in, NULL);
+    } else if (frame->type == WGW_TYPE_ORDER_ANSWER) {
+        Wgpb__OrderAnswer* in = wgpb__order_answer__unpack(NULL, frame->size, frame->payload);
+        f->outcome = (int)in->outcome;
+        f->read_version = in->configuration ? in->configuration->version : 0;
+        wgpb__order_answer__free_unpacked(in, NULL);
+    }
+}
+
+static inline void local_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    local_entry* f = user_data;
+    f->up = true;
+    local_entry_report(f);
+}
+
+static inline void local_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    local_entry* f = user_data;
+    f->up = false;
+    f->leads = false;
+    f->link = (wgn_link){0};
+}
+
+static inline void local_entry_begin(local_entry* f, int number, const char* control) {
+    wgn_peer self = {.role = WGW_ROLE_ENTRY};
+    f->members = -1;
+    f->outcome = -1;
+    g_snprintf(self.name, sizeof self.name, "e%d", number);
+    wg_copy_name(self.address, sizeof self.address, "127.0.0.1:1");
+    f->net = wgn_setup(&(wgn_desc){.base = f->base,
+                                   .fleet_key = "a key for the fleet",
+                                   .self = self,
+                                   .on_up = local_entry_on_up,
+                                   .on_frame = local_entry_on_frame,
+                                   .on_down = local_entry_on_down,
+                                   .user_data = f},
+                       NULL);
+    f->link = wgn_dial(f->net, control);
+}
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -11,6 +11,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 
 #include "hosts.h"
@@ -104,6 +105,7 @@
     REPAIR_TARGET,
     REPAIR_CONTINUE_ENTRY, /* after SIGSTOP */
     REPAIR_CONTINUE_REPLICA,
+    REPAIR_DISK,
     REPAIR_LINKS
 } repair_kind;
 
@@ -437,6 +439,15 @@
     }
 }
 
+/* No file of the replica can grow or be written: to it, a full disk. */
+static void set_disk_full(const host* w, bool full) {
+    struct rlimit limit;
+    if (w->replica > 0 && prlimit(w->replica, RLIMIT_FSIZE, NULL, &limit) == 0) {
+        limit.rlim_cur = full ? 0 : limit.rlim_max;
+        prlimit(w->replica, RLIMIT_FSIZE, &limit, NULL);
+    }
+}
+
 static void plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at) {
     repair* r = g_new(repair, 1);
     *r = (repair){.at = wg_now() + (wg_time)ms * WG_USEC_PER_MSEC,
@@ -469,6 +480,9 @@
     case REPAIR_CONTINUE_REPLICA:
         kill(w->replica, SIGCONT);
         break;
+    case REPAIR_DISK:
+        set_disk_full(w, false);
+        break;
     case REPAIR_LINKS:
         proxy_set(r->target ? t->links : w->links, PROXY_PASS);
         break;
@@ -557,6 +571,19 @@
     }
 }
 
+static void fault_disk(soak* s, int number) {
+    set_disk_full(&s->h.hosts[number], true);
+    plan_repair(s, REPAIR_DISK, number, false, 300 + (int)draw(s, 3500), disturb(s));
+}
+
+static void fault_all_disks(soak* s) {
+    for (int i = 0; i < s->h.num; i++) {
+        if (s->h.hosts[i].disk && !is_repairing(s, i, false)) {
+            fault_disk(s, i);
+        }
+    }
+}
+
 static void fault_links(soak* s, int number, bool target) {
     proxy* links = target ? s->h.targets[number].links : s->h.hosts[number].links;
     int at = disturb(s);
@@ -596,9 +623,13 @@
         }
         return;
     }
-    uint64_t kind = draw(s, 10);
+    uint64_t kind = draw(s, 12);
     if (kind == 0) {
         fault_all_replicas(s);
+    } else if (kind == 10 && draw(s, 4) == 0) {
+        fault_all_disks(s);
+    } else if (kind >= 10 && s->h.hosts[number].disk && !is_repairing(s, number, false)) {
+        fault_disk(s, number);
     } else if (kind < 4 && !is_repairing(s, number, false)) {
         fault_entry(s, number);
     } else if (kind < 6 && s->h.hosts[number].disk && !is_repairing(s, number, false)) {
--- /dev/null
+++ b/tests/test_control_disk.c
@@ -0,0 +1,191 @@
+/* test_control_disk.c -- a replica whose disk takes no writes stands aside and comes back, with a
+   control that runs within the test */
+#include <errno.h>
+#include <glib/gstdio.h>
+#include <stdlib.h>
+
+#include "folder.h"
+#include "local_control.h"
+#include "wg_registry.h"
+#include "wg_store_file.h"
+
+enum {
+    TURNS = 4000, /* of the loop, a millisecond each, before something counts as missing */
+    ORDER_EVERY = 50
+};
+
+static struct event_base* base;
+static char folder[40];
+static wgco_settings settings;
+static const char* listen_at;
+static wgco_control* control;
+static local_entry entry;
+
+static int failure; /* errno of all writes; 0: they work */
+static int passes;  /* so many of them work before */
+
+static int refuse(void* user_data) {
+    (void)user_data;
+    return passes-- > 0 ? 0 : failure;
+}
+
+static void fail_with(int error, int after) {
+    failure = error;
+    passes = after;
+    _wgs_set_fault(error ? refuse : NULL, NULL);
+}
+
+static void begin(void) {
+    g_strlcpy(folder, "/tmp/wg-disk-XXXXXX", sizeof folder);
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+    base = local_base();
+    listen_at = local_control_settings(&settings, folder);
+    GError* error = NULL;
+    control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
+    ck_assert_msg(control != NULL, "%s", error ? error->message : "");
+}
+
+static void end(void) {
+    wgn_shutdown(entry.net);
+    wgco_shutdown(control);
+    event_base_free(base);
+    folder_wipe(folder);
+    g_rmdir(folder);
+}
+
+/* Turn the loop, connected, until the control leads; false when it does not. */
+static bool lead(void) {
+    for (int i = 0; i < TURNS && !entry.leads; i++) {
+        if (!entry.link.id && i % ORDER_EVERY == 0) {
+            entry.link = wgn_dial(entry.net, listen_at);
+        }
+        if (entry.up && i % ORDER_EVERY == 0) {
+            local_entry_report(&entry);
+        }
+        local_turn(base);
+    }
+    return entry.leads;
+}
+
+static void begin_led(void) {
+    begin();
+    entry = (local_entry){.base = base};
+    local_entry_begin(&entry, 1, listen_at);
+    ck_assert(lead());
+}
+
+static void order(uint64_t version, bool read) {
+    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
+    Wgpb__Order message = WGPB__ORDER__INIT;
+    configuration.version = version;
+    configuration.document = (ProtobufCBinaryData){2, (uint8_t*)"{}"};
+    message.ticket = version;
+    message.configuration = read ? NULL : &configuration;
+    message.read_configuration = read;
+    entry.outcome = -1;
+    wgn_send(entry.net, entry.link, WGW_TYPE_ORDER, &message.base);
+}
+
+static int outcome_within(int turns) {
+    for (int i = 0; i < turns && entry.outcome < 0; i++) {
+        local_turn(base);
+    }
+    return entry.outcome;
+}
+
+static void put(uint64_t version) {
+    order(version, false);
+    ck_assert_int_eq(outcome_within(TURNS), WG_ORDER_DONE);
+}
+
+static uint64_t read_version(void) {
+    order(1, true);
+    ck_assert_int_eq(outcome_within(TURNS), WG_ORDER_DONE);
+    return entry.read_version;
+}
+
+/* Whatever write fails, and however: nothing is acknowledged that is not on the disk, the process
+   goes on, and what was acknowledged is there when the disk takes writes again. */
+START_TEST(it_stands_aside_while_the_disk_takes_no_writes) {
+    static const int failures[] = {ENOSPC, EIO, EROFS};
+    for (size_t kind = 0; kind < G_N_ELEMENTS(failures); kind++) {
+        for (int after = 0; after < 4; after++) {
+            begin_led();
+            put(10);
+            fail_with(failures[kind], after);
+            order(20, false);
+            bool done = outcome_within(200) == WG_ORDER_DONE; /* it may just have come through */
+            order(21, false);
+            ck_assert_int_ne(outcome_within(200), WG_ORDER_DONE);
+            ck_assert(!wgco_failed(control));
+            for (int i = 0; i < 300; i++) {
+                local_turn(base); /* some tries to start again fail */
+            }
+            ck_assert(!wgco_failed(control));
+            ck_assert(!entry.leads);
+            fail_with(0, 0);
+            ck_assert(lead());
+            uint64_t version = read_version();
+            ck_assert(version >= (done ? 20 : 10) && version <= 21);
+            put(30);
+            ck_assert_uint_eq(read_version(), 30);
+            end();
+        }
+    }
+}
+END_TEST
+
+START_TEST(it_starts_once_the_disk_takes_writes) {
+    fail_with(ENOSPC, 0);
+    begin();
+    entry = (local_entry){.base = base};
+    local_entry_begin(&entry, 1, listen_at);
+    for (int i = 0; i < 300; i++) {
+        local_turn(base);
+    }
+    ck_assert(!wgco_failed(control));
+    ck_assert(!entry.leads);
+    json_t* dump = wgco_dump(control);
+    ck_assert(json_object_get(dump, "disk_takes_no_writes_for_ms") != NULL);
+    json_decref(dump);
+    fail_with(0, 0);
+    ck_assert(lead());
+    put(10);
+    end();
+}
+END_TEST
+
+/* A planned stop does not wait for the disk. */
+START_TEST(it_can_be_stopped_meanwhile) {
+    fail_with(EROFS, 0);
+    begin();
+    wgco_stop(control);
+    event_base_dispatch(base);
+    ck_assert(!wgco_failed(control));
+    fail_with(0, 0);
+    entry = (local_entry){.base = base};
+    local_entry_begin(&entry, 1, listen_at);
+    end();
+}
+END_TEST
+
+/* Damage is not waited for. */
+START_TEST(a_damaged_folder_ends_the_process) {
+    begin_led();
+    put(10);
+    fail_with(EIO, 0);
+    order(20, false);
+    outcome_within(100);
+    char* path = g_build_filename(folder, "state", NULL);
+    ck_assert(g_file_set_contents(path, "damaged", -1, NULL));
+    g_free(path);
+    fail_with(0, 0);
+    event_base_dispatch(base);
+    ck_assert(wgco_failed(control));
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("control disk", it_stands_aside_while_the_disk_takes_no_writes,
+             it_starts_once_the_disk_takes_writes, it_can_be_stopped_meanwhile,
+             a_damaged_folder_ends_the_process)
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -7,31 +7,23 @@
 #include <event2/event.h>
 
 #include "folder.h"
-#include "wg_control.h"
+#include "local_control.h"
 #include "wg_entry.h"
 #include "wg_test.h"
 
 enum {
     TURNS = 2000, /* of the loop, a millisecond each, before something counts as missing */
-    FLEET_PORT = 17000,
     SETTLE_TIME = 1500 * WG_USEC_PER_MSEC /* of a new leader, for all to report to it */
 };
 
 static struct event_base* base;
 
 static void begin(void) {
-    base = event_base_new();
-    /* As the daemons do: links go before callers. */
-    event_base_priority_init(base, WGN_PRIORITY + 2);
+    base = local_base();
 }
 
 static void turn(void) {
-    event_base_loop(base, EVLOOP_NONBLOCK);
-    g_usleep(1000);
-}
-
-static char* address(int number, int port) {
-    return g_strdup_printf("127.78.%d.%d:%d", getpid() % 250 + 1, number, port);
+    local_turn(base);
 }
 
 /* ---- a control that only says what it is told to ----------------------------------------------
@@ -65,7 +57,7 @@
 }
 
 static void fake_begin(fake_control* f, int number) {
-    *f = (fake_control){.address = address(number, FLEET_PORT)};
+    *f = (fake_control){.address = local_address(number, LOCAL_FLEET_PORT)};
     wgn_peer self = {.role = WGW_ROLE_CONTROL, .identity = (uint64_t)number, .cluster = 1};
     g_snprintf(self.name, sizeof self.name, "c%d", number);
     wg_copy_name(self.address, sizeof self.address, f->address);
@@ -96,13 +88,13 @@
     static wg_entry_settings settings;
     settings = (wg_entry_settings){.name = "here",
                                    .data_centre = "dc",
-                                   .callers_listen = address(11, 18001),
-                                   .ready_listen = address(11, 18002),
-                                   .entry_listen = address(11, 18003),
-                                   .orders_listen = address(11, 18004),
-                                   .fleet_listen = address(11, 18005),
+                                   .callers_listen = local_address(11, 18001),
+                                   .ready_listen = local_address(11, 18002),
+                                   .entry_listen = local_address(11, 18003),
+                                   .orders_listen = local_address(11, 18004),
+                                   .fleet_listen = local_address(11, 18005),
                                    .seeds = seeds,
-                                   .fleet_port = FLEET_PORT,
+                                   .fleet_port = LOCAL_FLEET_PORT,
                                    .fleet_key = "a key for the fleet",
                                    .entry_keep_s = 1,
                                    .grace_s = 8,
@@ -169,125 +161,30 @@
 }
 END_TEST
 
-/* ---- an entry host that only reports ----------------------------------------------------------
- */
-
-typedef struct {
-    wgn_net* net;
-    wgn_link link;
-    char name[8];
-    uint64_t members_change;
-    int members;
-} fake_entry;
-
-static void fake_entry_report(fake_entry* f) {
-    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
-    report.seq = 1;
-    report.ready = true;
-    report.members_change = f->members_change;
-    wgn_send(f->net, f->link, WGW_TYPE_ENTRY_REPORT, &report.base);
-}
-
-static void on_entry_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
-    (void)link;
-    fake_entry* f = user_data;
-    if (frame->type != WGW_TYPE_ENTRY_STATE) {
-        return;
-    }
-    Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
-    if (in->leads && in->members_change != f->members_change) {
-        f->members_change = in->members_change;
-        f->members = (int)in->n_members;
-    }
-    wgpb__entry_state__free_unpacked(in, NULL);
-}
-
-static void on_entry_up(wgn_link link, const wgn_peer* peer, void* user_data) {
-    (void)link;
-    (void)peer;
-    fake_entry_report(user_data);
-}
-
-static void on_entry_down(wgn_link link, const wgn_peer* peer, void* user_data) {
-    (void)link;
-    (void)peer;
-    (void)user_data;
-}
-
-static void fake_entry_begin(fake_entry* f, int number, uint64_t members_change,
-                             const char* control) {
-    *f = (fake_entry){.members_change = members_change, .members = -1};
-    g_snprintf(f->name, sizeof f->name, "e%d", number);
-    wgn_peer self = {.role = WGW_ROLE_ENTRY};
-    wg_copy_name(self.name, sizeof self.name, f->name);
-    wg_copy_name(self.address, sizeof self.address, "127.0.0.1:1");
-    f->net = wgn_setup(&(wgn_desc){.base = base,
-                                   .fleet_key = "a key for the fleet",
-                                   .self = self,
-                                   .on_up = on_entry_up,
-                                   .on_frame = on_entry_frame,
-                                   .on_down = on_entry_down,
-                                   .user_data = f},
-                       NULL);
-    f->link = wgn_dial(f->net, control);
-}
-
 /* After a restart of the whole fleet hosts learn of each other as they come. One that knows a list
    is told of a new leader's only once all could report: a short one would send callers away. */
 START_TEST(hosts_that_know_no_others_are_told_at_once) {
     char folder[] = "/tmp/wg-links-XXXXXX";
     ck_assert_ptr_nonnull(mkdtemp(folder));
-    char* listen = address(21, FLEET_PORT);
-    char* seeds[] = {listen, NULL};
-    char* none[] = {NULL};
-    char name[WG_ADDRESS_MAX];
-    uint16_t port;
-    wgn_split_address(listen, name, &port);
-    wgco_settings settings = {.name = name,
-                              .data_centre = "dc",
-                              .fleet_listen = listen,
-                              .fleet_address = (char*)"",
-                              .operators_listen = address(21, 18006),
-                              .data_folder = folder,
-                              .controls = none,
-                              .seeds = seeds,
-                              .first_start = (char*)"true",
-                              .fleet_port = FLEET_PORT,
-                              .entry_port = 18005,
-                              .fleet_key = (char*)"a key for the fleet",
-                              .operator_key = (char*)"another",
-                              .replica_gone_ms = 8000,
-                              .target_silent_ms = 6000,
-                              .tick_ms = 10,
-                              .link_silence_ms = 4000,
-                              .log_keep = 16,
-                              .election_min_ms = 900,
-                              .election_max_ms = 1500,
-                              .heartbeat_ms = 150,
-                              .table_lease_ms = 4000,
-                              .slot_lease_ms = 2000,
-                              .router_gone_ms = 3000,
-                              .plan_ms = 5,
-                              .snapshot_entries = 48,
-                              .claims_max = 16,
-                              .claim_keep_s = 10};
+    wgco_settings settings;
+    const char* listen = local_control_settings(&settings, folder);
     GError* error = NULL;
     begin();
     wgco_control* control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
     ck_assert_msg(control != NULL, "%s", error ? error->message : "");
-    fake_entry first;
-    fake_entry second;
-    fake_entry third;
-    fake_entry_begin(&first, 1, 0, listen);
-    fake_entry_begin(&second, 2, 0, listen);
-    fake_entry_begin(&third, 3, 77, listen); /* it has a list of a former leader */
+    local_entry first = {.base = base};
+    local_entry second = {.base = base};
+    local_entry third = {.base = base, .members_change = 77}; /* it has a list of a former leader */
+    local_entry_begin(&first, 1, listen);
+    local_entry_begin(&second, 2, listen);
+    local_entry_begin(&third, 3, listen);
     wg_time begun = wg_now();
     for (int i = 0; i < TURNS && (first.members < 3 || second.members < 3); i++) {
         turn();
         if (i % 100 == 99) {
-            fake_entry_report(&first);
-            fake_entry_report(&second);
-            fake_entry_report(&third);
+            local_entry_report(&first);
+            local_entry_report(&second);
+            local_entry_report(&third);
         }
     }
     ck_assert_int_eq(first.members, 3);
@@ -297,9 +194,9 @@
     for (int i = 0; i < 2 * TURNS && third.members < 3; i++) {
         turn();
         if (i % 100 == 99) {
-            fake_entry_report(&first);
-            fake_entry_report(&second);
-            fake_entry_report(&third);
+            local_entry_report(&first);
+            local_entry_report(&second);
+            local_entry_report(&third);
         }
     }
     ck_assert_int_eq(third.members, 3);
--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -40,6 +40,18 @@
 }
 END_TEST
 
+START_TEST(one_replica_leads_itself_at_once_after_a_restart) {
+    simq_run* run = quiet(1);
+    wait_leader(run);
+    simq_run_for(run, SECOND);
+    simq_crash(run, 0);
+    simq_restart(run, 0);
+    simq_run_for(run, 50 * MSEC);
+    ck_assert_int_eq(simq_leader(run), 0);
+    simq_shutdown(run);
+}
+END_TEST
+
 START_TEST(five_replicas_survive_any_two) {
     simq_run* run = quiet(5);
     int leader = wait_leader(run);
@@ -390,12 +402,12 @@
 }
 END_TEST
 
-WG_TEST_MAIN("quorum", one_replica_leads_itself, five_replicas_survive_any_two,
-             no_majority_no_leader, promise_to_a_leader_is_kept, promise_survives_a_restart,
-             all_that_start_at_once_elect_at_once, all_that_start_with_a_disk_lost_elect_at_once,
-             one_that_kept_running_is_waited_for, hand_over_ends_the_lease_first,
-             frozen_leader_does_not_lead_when_it_wakes, cut_off_replica_does_not_unseat_the_leader,
-             one_way_cut_of_a_leader_ends_its_lease, lost_disk_votes_only_after_replacement,
-             older_terms_are_not_committed_by_counting,
+WG_TEST_MAIN("quorum", one_replica_leads_itself, one_replica_leads_itself_at_once_after_a_restart,
+             five_replicas_survive_any_two, no_majority_no_leader, promise_to_a_leader_is_kept,
+             promise_survives_a_restart, all_that_start_at_once_elect_at_once,
+             all_that_start_with_a_disk_lost_elect_at_once, one_that_kept_running_is_waited_for,
+             hand_over_ends_the_lease_first, frozen_leader_does_not_lead_when_it_wakes,
+             cut_off_replica_does_not_unseat_the_leader, one_way_cut_of_a_leader_ends_its_lease,
+             lost_disk_votes_only_after_replacement, older_terms_are_not_committed_by_counting,
              two_editors_one_wins_and_a_resend_gets_the_first_answer, random_runs_hold_and_replay,
              random_runs_hold_past_the_keeping_time_of_claims, bad_descs_name_the_field)
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -4,8 +4,11 @@
 #include <sys/stat.h>
 #include <unistd.h>
 
+#include <errno.h>
+
 #include "folder.h"
 #include "wg_store.h"
+#include "wg_store_file.h"
 #include "wg_test.h"
 
 static char folder[64];
@@ -367,9 +370,146 @@
 }
 END_TEST
 
+/* ---- disks that refuse ------------------------------------------------------------------------
+ */
+
+typedef struct {
+    int ops;     /* writes, syncs, renames and so on so far */
+    int fail_at; /* the one that fails, 0 none */
+    int num;     /* so many in a row */
+    int failure; /* errno */
+} refusal;
+
+static int refuse(void* user_data) {
+    refusal* r = user_data;
+    r->ops++;
+    return r->fail_at && r->ops >= r->fail_at && r->ops < r->fail_at + r->num ? r->failure : 0;
+}
+
+/* What a run of the store has been told that it holds. */
+typedef struct {
+    uint64_t index; /* last entry */
+    uint64_t least; /* last entry that no truncation under way can have taken away */
+    uint64_t term;
+    uint64_t snapshot;
+} acknowledged;
+
+static bool append_one(wgs_store* store, acknowledged* a, GError** error) {
+    wgr_entry entry = {.index = a->index + 1, .term = a->term, .kind = WGR_ENTRY_DATA};
+    entry.data = g_bytes_new_static("some bytes of an entry", 22);
+    bool good = wgs_append(store, &entry, 1, error);
+    g_bytes_unref(entry.data);
+    a->index += good;
+    a->least = a->index;
+    return good;
+}
+
+static bool truncate_to(wgs_store* store, acknowledged* a, uint64_t last, GError** error) {
+    a->least = last;
+    bool good = wgs_truncate(store, last + 1, error);
+    a->index = good ? last : a->index;
+    return good;
+}
+
+static bool save_snapshot(wgs_store* store, acknowledged* a, GError** error) {
+    wgr_set set = {.num = 1, .replicas = {{.id = 42, .name = "c1", .voter = true}}};
+    GBytes* state = g_bytes_new("state", 5);
+    bool good = wgs_save_snapshot(store, a->index, a->term, &set, state, false, error);
+    g_bytes_unref(state);
+    a->snapshot = good ? a->index : a->snapshot;
+    return good;
+}
+
+static bool save_term(wgs_store* store, acknowledged* a, GError** error) {
+    bool good = wgs_save_hard_state(store, a->term + 1, 7, error);
+    a->term += good;
+    return good;
+}
+
+/* Everything that a replica does to its folder; stops at the first failure. */
+static bool use_store(acknowledged* a, GError** error) {
+    wgs_store* store = open_store(error);
+    bool good = store != NULL;
+    for (int i = 0; i < 14 && good; i++) {
+        good = append_one(store, a, error);
+    }
+    good = good && save_term(store, a, error) && truncate_to(store, a, a->index - 3, error);
+    for (int i = 0; i < 6 && good; i++) {
+        good = append_one(store, a, error);
+    }
+    good = good && save_snapshot(store, a, error) && append_one(store, a, error) &&
+           save_term(store, a, error);
+    for (int i = 0; i < 9 && good; i++) {
+        good = append_one(store, a, error);
+    }
+    good = good && save_snapshot(store, a, error) && append_one(store, a, error);
+    if (store) {
+        wgs_close(store);
+    }
+    return good;
+}
+
+/* Each write, sync, rename and removal fails once, or again and again: the error says that the disk
+   may come back, and all that was acknowledged is there when it does. */
+START_TEST(what_was_acknowledged_survives_each_refusal) {
+    static const int failures[] = {ENOSPC, EDQUOT, EIO, EROFS};
+    refusal counted = {0};
+    acknowledged all = {.term = 1};
+    fresh_folder();
+    _wgs_set_fault(refuse, &counted);
+    ck_assert(use_store(&all, NULL));
+    remove_folder();
+    ck_assert_int_gt(counted.ops, 60);
+    for (int at = 1; at <= counted.ops; at++) {
+        for (int kind = 0; kind < 8; kind++) {
+            refusal r = {.fail_at = at, .num = kind % 2 ? 1 : 3, .failure = failures[kind / 2]};
+            acknowledged a = {.term = 1};
+            GError* error = NULL;
+            fresh_folder();
+            _wgs_set_fault(refuse, &r);
+            ck_assert(!use_store(&a, &error));
+            ck_assert_msg(error->code == WG_ERROR_DISK, "at %d: %s", at, error->message);
+            g_clear_error(&error);
+            _wgs_set_fault(NULL, NULL);
+            wgs_store* store = open_store(&error);
+            ck_assert_msg(store != NULL, "at %d: %s", at, error ? error->message : "");
+            const wgs_content* content = wgs_query_content(store);
+            const wgr_restored* found = &content->restored;
+            uint64_t last = found->entries_num ? found->entries[found->entries_num - 1].index
+                                               : found->snapshot_index;
+            ck_assert_uint_eq(content->identity, 42);
+            ck_assert_uint_ge(MAX(last, found->snapshot_index), a.least);
+            ck_assert_uint_ge(found->term + 1, a.term);
+            ck_assert_uint_ge(found->snapshot_index, a.snapshot);
+            /* It goes on from there. */
+            uint64_t next = MAX(last, found->snapshot_index) + 1;
+            wgs_forget_content(store);
+            append(store, next, 3, a.term + 1);
+            wgs_close(store);
+            ck_assert_int_ge(entries_found(&error), 3);
+            remove_folder();
+        }
+    }
+}
+END_TEST
+
+/* Another process at the folder is no passing trouble of the disk. */
+START_TEST(a_folder_in_use_is_not_waited_for) {
+    fresh_folder();
+    GError* error = NULL;
+    wgs_store* store = open_store(&error);
+    ck_assert_ptr_null(open_store(&error));
+    ck_assert_int_eq(error->code, WG_ERROR_IO);
+    g_clear_error(&error);
+    wgs_close(store);
+    remove_folder();
+}
+END_TEST
+
 WG_TEST_MAIN("store", what_was_synced_is_there_again, two_processes_cannot_share_a_folder,
              damage_to_a_synced_record_is_found, torn_tail_is_cut,
              a_power_cut_may_spoil_the_whole_marker, a_power_cut_may_bring_a_removed_segment_back,
              damage_before_the_tail_stops_the_start, damaged_small_files_stop_the_start,
              truncation_and_new_entries, snapshot_bounds_the_log,
-             snapshot_from_the_leader_replaces_the_log, full_disk_is_an_error)
+             snapshot_from_the_leader_replaces_the_log, full_disk_is_an_error,
+             what_was_acknowledged_survives_each_refusal, a_folder_in_use_is_not_waited_for)
