--- a/tests/sim/sim_quorum.c
+++ b/tests/sim/sim_quorum.c
@@ -33,6 +33,14 @@
 
 /* ---- helpers: nodes ------------------------------------------------------------------------- */
 
+/* Every other seed: waits so alike that elections collide. */
+static wg_time election_max(const simq_desc* desc) {
+    if (desc->election_max) {
+        return desc->election_max;
+    }
+    return desc->seed % 2 ? 0 : WGR_ELECTION_MIN_DEFAULT + TICK;
+}
+
 static void node_start(simq_run* s, node_t* n) {
     GError* error = NULL;
     n->table =
@@ -52,16 +60,16 @@
                              .snapshot = n->disk.snapshot,
                              .entries = (const wgr_entry*)(void*)n->disk.entries->data,
                              .entries_num = (int)n->disk.entries->len};
-    n->node = wgr_setup(
-        &(wgr_desc){.self = n->disk.identity,
-                    .seed = _simq_chance(s),
-                    .now = _simq_local_time(s, n),
-                    .restored = &restored,
-                    .message_bytes = 600,
-                    /* Every other seed: waits so alike that elections collide. */
-                    .election_max = s->desc.seed % 2 ? 0 : WGR_ELECTION_MIN_DEFAULT + TICK,
-                    .log_keep = SIM_DISK_LOG_KEEP},
-        &error);
+    n->node = wgr_setup(&(wgr_desc){.self = n->disk.identity,
+                                    .seed = _simq_chance(s),
+                                    .now = _simq_local_time(s, n),
+                                    .restored = &restored,
+                                    .message_bytes = 600,
+                                    .election_min = s->desc.election_min,
+                                    .election_max = election_max(&s->desc),
+                                    .heartbeat = s->desc.heartbeat,
+                                    .log_keep = SIM_DISK_LOG_KEEP},
+                        &error);
     WG_ASSERT(n->node && n->table && n->claims);
     for (guint i = 0; i < s->gone->len; i++) {
         wgr_note_gone(n->node, g_array_index(s->gone, uint64_t, i));
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -42,8 +42,11 @@
 
 typedef struct {
     uint64_t seed;
-    int replicas; /* 1, 3 or 5 */
-    bool faults;  /* false: a quiet network */
+    int replicas;         /* 1, 3 or 5 */
+    bool faults;          /* false: a quiet network */
+    wg_time election_min; /* 0: the library's waits */
+    wg_time election_max;
+    wg_time heartbeat;
 } simq_desc;
 
 typedef struct simq_run simq_run;
--- a/tests/test_quorum.c
+++ b/tests/test_quorum.c
@@ -180,6 +180,45 @@
 }
 END_TEST
 
+/* The waits of deploy/replica.ini on a network that loses one message in fifty and delays one in a
+   hundred by 0.4 s, longer than the shortest wait: nobody unseats a leader that is alive. */
+START_TEST(short_waits_keep_a_leader_on_a_bad_network) {
+    uint64_t elections = 0;
+    for (int seed = 0; seed < 20; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed,
+                                                .replicas = 3,
+                                                .faults = true,
+                                                .election_min = 300 * MSEC,
+                                                .election_max = 500 * MSEC,
+                                                .heartbeat = 60 * MSEC});
+        wait_leader(run);
+        uint64_t before = simq_query_counts(run).elections;
+        simq_run_for(run, 60 * SECOND);
+        elections += simq_query_counts(run).elections - before;
+        simq_shutdown(run);
+    }
+    ck_assert_uint_eq(elections, 0);
+}
+END_TEST
+
+/* And a leader that is lost has a successor within two of the longest waits. */
+START_TEST(short_waits_replace_a_lost_leader_soon) {
+    for (int seed = 0; seed < 20; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed,
+                                                .replicas = 3,
+                                                .election_min = 300 * MSEC,
+                                                .election_max = 500 * MSEC,
+                                                .heartbeat = 60 * MSEC});
+        int leader = wait_leader(run);
+        simq_run_for(run, SECOND);
+        simq_crash(run, leader);
+        simq_run_for(run, SECOND);
+        ck_assert_int_ge(simq_leader(run), 0);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
 START_TEST(hand_over_ends_the_lease_first) {
     for (int seed = 0; seed < 10; seed++) {
         simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed, .replicas = 3});
@@ -406,6 +445,7 @@
              five_replicas_survive_any_two, no_majority_no_leader, promise_to_a_leader_is_kept,
              promise_survives_a_restart, all_that_start_at_once_elect_at_once,
              all_that_start_with_a_disk_lost_elect_at_once, one_that_kept_running_is_waited_for,
+             short_waits_keep_a_leader_on_a_bad_network, short_waits_replace_a_lost_leader_soon,
              hand_over_ends_the_lease_first, frozen_leader_does_not_lead_when_it_wakes,
              cut_off_replica_does_not_unseat_the_leader, one_way_cut_of_a_leader_ends_its_lease,
              lost_disk_votes_only_after_replacement, older_terms_are_not_committed_by_counting,
