Who begins to coordinate a target asks it what it holds

Cause: after a restart, and when targets move between coordinators as hosts come and go, a coordinator takes every target for empty. Prompts then count as to be read whole: those of workspaces above their level are refused wherever shared parts count as others' prompts, and others go where they are read again.

Ruled out: taking homes for warm at once (after a start of the targets too it would be wrong); a log of what was admitted (more traffic than the question).

A target that offers no list is not asked again.

Tests: test_leader_links (asked once, again after a failure; lists read strictly), test_admit (a fresh account knows what it was told).

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -118,19 +118,23 @@
     return MIN(held, request->tokens);
 }
 
+static void wg_admit_note_part(wg_admit_account* account, uint64_t part) {
+    uint64_t* used_at = g_hash_table_lookup(account->parts, &part);
+    if (!used_at) {
+        if (g_hash_table_size(account->parts) >= WG_ADMIT_PARTS_HELD_MAX) {
+            g_hash_table_remove_all(account->parts);
+        }
+        uint64_t* pair = g_new(uint64_t, 2);
+        pair[0] = part;
+        used_at = pair + 1;
+        g_hash_table_insert(account->parts, pair, used_at);
+    }
+    *used_at = account->admitted;
+}
+
 static void wg_admit_note_parts(wg_admit_account* account, const wg_admit_request* request) {
     for (int i = 0; i < request->parts_num; i++) {
-        uint64_t* used_at = g_hash_table_lookup(account->parts, &request->parts[i]);
-        if (!used_at) {
-            if (g_hash_table_size(account->parts) >= WG_ADMIT_PARTS_HELD_MAX) {
-                g_hash_table_remove_all(account->parts);
-            }
-            uint64_t* pair = g_new(uint64_t, 2);
-            pair[0] = request->parts[i];
-            used_at = pair + 1;
-            g_hash_table_insert(account->parts, pair, used_at);
-        }
-        *used_at = account->admitted;
+        wg_admit_note_part(account, request->parts[i]);
     }
 }
 
@@ -293,6 +297,13 @@
     }
 }
 
+void wg_admit_learn(wg_admit* a, wg_time now, uint32_t target, const uint64_t* parts, int num) {
+    wg_admit_account* account = wg_admit_account_of(a, now, target);
+    for (int i = 0; i < num; i++) {
+        wg_admit_note_part(account, parts[i]);
+    }
+}
+
 void wg_admit_drop_holder(wg_admit* a, uint64_t holder) {
     GHashTableIter iter;
     gpointer value;
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -86,6 +86,8 @@
 /* The request is over, or was never sent. `failed`: the target broke off or could not be reached.
  */
 void wg_admit_end(wg_admit* admit, wg_time now, uint64_t holder, uint64_t ticket, bool failed);
+/* The target says that it holds these parts; others that are known stay. */
+void wg_admit_learn(wg_admit* admit, wg_time now, uint32_t target, const uint64_t* parts, int num);
 /* Give back all that the holder was granted. */
 void wg_admit_drop_holder(wg_admit* admit, uint64_t holder);
 /* Admissions that have not ended. */
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -57,4 +57,6 @@
     X(2012, CONNECTION_REFUSED, INFO, "request refused before it was routed")                      \
     X(2013, LOG_SHORTENED, WARN, "log lines were left out")                                        \
     X(2014, COORDINATOR_SILENT, WARN, "coordinator does not answer, this host decides alone")      \
+    X(2015, CACHE_KNOWN, INFO, "target told which prompt parts it holds")                          \
+    X(2016, CACHE_UNKNOWN, WARN, "target did not tell which prompt parts it holds")                \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -344,10 +344,9 @@
 json_t* wgco_dump(wgco_control* c) {
     wg_time now = wg_now();
     if (!c->node) {
-        return json_pack("{s:s,s:b,s:I}", "name", c->settings->name, "leads", 0,
-                         "disk_takes_no_writes_for_ms",
-                         (json_int_t)(c->suspended_at ? (now - c->suspended_at) / WG_USEC_PER_MSEC
-                                                      : 0));
+        return json_pack(
+            "{s:s,s:b,s:I}", "name", c->settings->name, "leads", 0, "disk_takes_no_writes_for_ms",
+            (json_int_t)(c->suspended_at ? (now - c->suspended_at) / WG_USEC_PER_MSEC : 0));
     }
     wgr_stats q = wgr_query_stats(c->node, now);
     wgt_stats t = wgt_query_stats(c->table);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -54,6 +54,7 @@
                                             .expect = "Walnutgate-Expect-Target",
                                             .copy_from = "Walnutgate-Copy-From",
                                             .not_run = "Target-Not-Run",
+                                            .cache_list = "/v1/cache",
                                             .query_place = "data_centre"};
 
 enum {
@@ -126,6 +127,7 @@
     wg_time now = wg_now();
     wg_entry_link_tick(e, now);
     wg_entry_admit_tick(e, now);
+    wg_entry_cache_tick(e, now);
     wg_client_tick(e, now);
     wg_upstream_tick(e, now);
     wg_entry_pass_retries(e);
@@ -163,6 +165,7 @@
         &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
     e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
+    wg_entry_cache_setup(e);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_pages_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -209,6 +212,7 @@
     if (e->net) {
         wgn_shutdown(e->net);
     }
+    wg_entry_cache_shutdown(e);
     wg_admit_shutdown(e->admit);
     g_hash_table_unref(e->asks);
     wg_balance_shutdown(e->balance);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -54,6 +54,11 @@
     return best;
 }
 
+bool wg_entry_admit_coordinates(wg_entry* e, uint32_t target) {
+    const wg_coordinator* c = wg_coordinator_of(e, target);
+    return c && c->self;
+}
+
 static wg_coordinator wg_coordinator_new(const wg_entry* e, const wg_entry_member* member) {
     wg_coordinator c = {.rank = wg_member_rank(member),
                         .self = strcmp(member->name, e->settings->name) == 0};
--- /dev/null
+++ b/lib/entry/wg_entry_cache.c
@@ -0,0 +1,146 @@
+/* wg_entry_cache.c -- what a target holds, asked of it once by the host that begins to coordinate
+   it
+
+   A coordinator knows what a target holds from what it admitted there. After a restart, and when
+   targets move between coordinators, it knows nothing: prompts would count as to be read whole, and
+   be refused or sent elsewhere to be read again. The target itself still knows. */
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "wg_cache_list.h"
+#include "wg_entry_internal.h"
+
+enum {
+    WG_CACHE_ASKS_MAX = 4, /* under way at once: a list may be some tens of kilobytes */
+    WG_CACHE_TIME_S = 1,   /* for an answer */
+    WG_CACHE_TRIES = 3,
+    WG_CACHE_RETRY = 500 * WG_USEC_PER_MSEC,
+    WG_CACHE_BYTES_MAX = 1 << 20
+};
+
+/* A target that this host coordinates. */
+typedef struct {
+    wg_entry* entry;
+    uint32_t target;
+    struct evhttp_connection* connection; /* while it is asked */
+    bool known;
+    int tries;
+    wg_time next_at;
+} wg_cache_ask;
+
+static void wg_cache_ask_free(void* data) {
+    wg_cache_ask* ask = data;
+    if (ask->connection) {
+        evhttp_connection_free(ask->connection);
+    }
+    g_free(ask);
+}
+
+static int wg_cache_asks_under_way(const wg_entry* e) {
+    int num = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->cache_asks);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        num += ((wg_cache_ask*)value)->connection != NULL;
+    }
+    return num;
+}
+
+static void wg_cache_take(wg_cache_ask* ask, struct evhttp_request* request) {
+    struct evbuffer* in = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(in);
+    GArray* parts = wg_cache_list_parse((const char*)evbuffer_pullup(in, -1), size);
+    if (!parts) {
+        wg_log(WG_EVENT_CACHE_UNKNOWN, "target=%u reason=malformed bytes=%zu", ask->target, size);
+        return;
+    }
+    ask->known = true;
+    wg_admit_learn(ask->entry->admit, wg_now(), ask->target, (const uint64_t*)(void*)parts->data,
+                   (int)parts->len);
+    wg_log(WG_EVENT_CACHE_KNOWN, "target=%u parts=%u bytes=%zu", ask->target, parts->len, size);
+    g_array_unref(parts);
+}
+
+static void wg_cache_on_answer(struct evhttp_request* request, void* user_data) {
+    wg_cache_ask* ask = user_data;
+    int status = request ? evhttp_request_get_response_code(request) : 0;
+    ask->connection = NULL; /* it frees itself */
+    if (status == HTTP_OK) {
+        wg_cache_take(ask, request);
+    } else if (status == HTTP_NOTFOUND) {
+        ask->known = true; /* it tells no lists */
+    } else {
+        wg_log(WG_EVENT_CACHE_UNKNOWN, "target=%u status=%d try=%d", ask->target, status,
+               ask->tries);
+    }
+}
+
+static void wg_cache_send(wg_cache_ask* ask, const wg_target* target, wg_time now) {
+    wg_entry* e = ask->entry;
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    ask->tries++;
+    ask->next_at = now + WG_CACHE_RETRY;
+    if (!wgn_split_address(target->address, ip, &port)) {
+        return;
+    }
+    ask->connection = evhttp_connection_base_new(e->base, NULL, ip, port);
+    evhttp_connection_set_timeout(ask->connection, WG_CACHE_TIME_S);
+    evhttp_connection_set_max_body_size(ask->connection, WG_CACHE_BYTES_MAX);
+    evhttp_connection_free_on_completion(ask->connection);
+    struct evhttp_request* request = evhttp_request_new(wg_cache_on_answer, ask);
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Host", target->address);
+    evhttp_add_header(out, "Connection", "close");
+    evhttp_add_header(out, e->names->expect, target->id);
+    if (evhttp_make_request(ask->connection, request, EVHTTP_REQ_GET, e->names->cache_list) != 0) {
+        evhttp_connection_free(ask->connection);
+        ask->connection = NULL;
+    }
+}
+
+static bool wg_cache_is_engine(const wg_entry* e, const wg_target* target) {
+    int service = wg_config_service(e->config, target->service);
+    return service >= 0 && e->config->services[service].engine;
+}
+
+static void wg_cache_look_at(wg_entry* e, const wg_target* target, wg_time now) {
+    gpointer key = GUINT_TO_POINTER(target->number);
+    wg_cache_ask* ask = g_hash_table_lookup(e->cache_asks, key);
+    if (target->state != WG_TARGET_READY || !wg_entry_admit_coordinates(e, target->number)) {
+        g_hash_table_remove(e->cache_asks, key);
+        return;
+    }
+    if (!ask) {
+        ask = g_new0(wg_cache_ask, 1);
+        ask->entry = e;
+        ask->target = target->number;
+        g_hash_table_insert(e->cache_asks, key, ask);
+    }
+    bool due =
+        !ask->known && !ask->connection && ask->tries < WG_CACHE_TRIES && now >= ask->next_at;
+    if (due && wg_cache_asks_under_way(e) < WG_CACHE_ASKS_MAX && wg_cache_is_engine(e, target)) {
+        wg_cache_send(ask, target, now);
+    }
+}
+
+/* ---- functions of the library ---------------------------------------------------------------- */
+
+void wg_entry_cache_setup(wg_entry* e) {
+    e->cache_asks = g_hash_table_new_full(NULL, NULL, NULL, wg_cache_ask_free);
+}
+
+void wg_entry_cache_shutdown(wg_entry* e) {
+    g_hash_table_unref(e->cache_asks);
+}
+
+void wg_entry_cache_tick(wg_entry* e, wg_time now) {
+    if (!e->names->cache_list || !e->config) {
+        return;
+    }
+    const wg_target* target = NULL;
+    while ((target = wg_registry_next(e->registry, target ? target->number : 0))) {
+        wg_cache_look_at(e, target, now);
+    }
+}
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -249,7 +249,8 @@
     wg_admit* admit;                                  /* to targets that this host coordinates */
     wg_coordinator coordinators[WG_COORDINATORS_MAX]; /* highest rank first */
     int coordinators_num;
-    GHashTable* asks; /* ticket -> wg_call* */
+    GHashTable* asks;       /* ticket -> wg_call* */
+    GHashTable* cache_asks; /* target -> what wg_entry_cache.c knows of its list */
 
     wgh_server ready_server;
     wgh_server entry_server;
@@ -300,6 +301,14 @@
 void wg_entry_admit_on_down(wg_entry* e, wgn_link link);
 bool wg_entry_admit_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
 
+/* Does this host coordinate the target? */
+bool wg_entry_admit_coordinates(wg_entry* e, uint32_t target);
+
+/* wg_entry_cache.c */
+void wg_entry_cache_setup(wg_entry* e);
+void wg_entry_cache_shutdown(wg_entry* e);
+void wg_entry_cache_tick(wg_entry* e, wg_time now);
+
 /* wg_entry_attempt.c */
 /* Choose a target and send, or wait for one. */
 void wg_call_try(wg_call* call);
--- a/lib/store/wg_store_file.c
+++ b/lib/store/wg_store_file.c
@@ -60,8 +60,8 @@
 
 bool _wgs_fail(GError** error, const char* what, const char* name) {
     int reason = errno;
-    bool passing = reason == ENOSPC || reason == EDQUOT || reason == EFBIG || reason == EIO ||
-                   reason == EROFS;
+    bool passing =
+        reason == ENOSPC || reason == EDQUOT || reason == EFBIG || reason == EIO || reason == EROFS;
     g_set_error(error, WG_ERROR, passing ? WG_ERROR_DISK : WG_ERROR_IO, "%s %s: %s", what, name,
                 g_strerror(reason));
     return false;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -52,6 +52,23 @@
 }
 END_TEST
 
+/* A host that begins to coordinate a target learns from it what earlier admissions left there. */
+START_TEST(a_fresh_account_knows_what_the_target_tells) {
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    const uint64_t first_only[] = {100, 999};
+    wg_admit_learn(admit, 0, 7, first_only, 2);
+    ck_assert_uint_eq(ask(0, 1, 1).held, 2500);
+    const uint64_t both[] = {100, 200};
+    wg_admit_learn(admit, 0, 8, both, 2);
+    wg_admit_request r = request(1, 2, 2900);
+    r.target = 8;
+    wg_admit_answer answer = wg_admit_ask(admit, 0, &r);
+    ck_assert_uint_eq(answer.held, 6300);
+    ck_assert_uint_eq(answer.unread, 2900);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
 /* Engines give up what was unused for longest. */
 START_TEST(parts_are_given_up_for_newer_ones) {
     admit = wg_admit_setup(&(wg_admit_desc){0});
@@ -251,9 +268,10 @@
 }
 END_TEST
 
-WG_TEST_MAIN("admit", many_hosts_do_not_fill_a_target, shared_parts_are_read_once,
-             parts_are_given_up_for_newer_ones, what_is_copied_is_not_read, a_refusal_takes_nothing,
-             shared_parts_can_count_as_ahead, large_prompts_have_a_limit_of_their_own,
-             a_target_that_fails_is_put_aside, where_all_fail_none_is_put_aside,
-             slots_bound_what_runs, a_fresh_account_counts_what_is_known_otherwise,
-             the_speed_is_learnt, accounts_come_out_even)
+WG_TEST_MAIN("admit", a_fresh_account_knows_what_the_target_tells, many_hosts_do_not_fill_a_target,
+             shared_parts_are_read_once, parts_are_given_up_for_newer_ones,
+             what_is_copied_is_not_read, a_refusal_takes_nothing, shared_parts_can_count_as_ahead,
+             large_prompts_have_a_limit_of_their_own, a_target_that_fails_is_put_aside,
+             where_all_fail_none_is_put_aside, slots_bound_what_runs,
+             a_fresh_account_counts_what_is_known_otherwise, the_speed_is_learnt,
+             accounts_come_out_even)
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -4,10 +4,13 @@
 #include <stdlib.h>
 #include <unistd.h>
 
+#include <event2/buffer.h>
 #include <event2/event.h>
+#include <event2/http.h>
 
 #include "folder.h"
 #include "local_control.h"
+#include "wg_cache_list.h"
 #include "wg_entry.h"
 #include "wg_test.h"
 
@@ -161,6 +164,126 @@
 }
 END_TEST
 
+/* ---- what targets hold -------------------------------------------------------------------------
+ */
+
+enum {
+    LISTS_FAILED_FIRST = 1 /* answers with an error before the list is told */
+};
+
+static int lists_asked;
+
+static void on_list(struct evhttp_request* request, void* user_data) {
+    (void)user_data;
+    lists_asked++;
+    const char* expected =
+        evhttp_find_header(evhttp_request_get_input_headers(request), "Walnutgate-Expect-Target");
+    ck_assert_str_eq(expected ? expected : "", "t-1");
+    if (lists_asked <= LISTS_FAILED_FIRST) {
+        evhttp_send_reply(request, 503, "busy", NULL);
+        return;
+    }
+    struct evbuffer* out = evbuffer_new();
+    evbuffer_add_printf(out, "{\"epoch\":1,\"held\":[[\"\",\"5c1e\",800,\"m\"]]}");
+    evhttp_send_reply(request, 200, "OK", out);
+    evbuffer_free(out);
+}
+
+/* The leader's word: one engine, and this host the only one, so it coordinates it. */
+static void fake_leads(fake_control* f, const char* target) {
+    static const char document[] =
+        "{\"version\":1,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,"
+        "\"memory_tokens\":1000}}],\"routes\":[],\"limits\":{},\"workspaces\":[]}";
+    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
+    Wgpb__EntryMember member = WGPB__ENTRY_MEMBER__INIT;
+    Wgpb__TargetRecord* records[] = {&record};
+    Wgpb__EntryMember* members[] = {&member};
+    char* callers = local_address(11, 18001);
+    record.id = (char*)"t-1";
+    record.service = (char*)"e";
+    record.address = (char*)target;
+    record.data_centre = (char*)"dc";
+    record.state = WG_TARGET_READY;
+    record.number = 1;
+    record.change = 1;
+    member.name = (char*)"here";
+    member.address = callers;
+    member.data_centre = (char*)"dc";
+    configuration.version = 1;
+    configuration.document = (ProtobufCBinaryData){sizeof document - 1, (uint8_t*)document};
+    state.leads = true;
+    state.term = 1;
+    state.leader_address = f->address;
+    state.configuration = &configuration;
+    state.targets = records;
+    state.n_targets = 1;
+    state.registry_change = 1;
+    state.registry_reset = true;
+    state.members = members;
+    state.n_members = 1;
+    state.members_change = 1;
+    state.members_num = 1;
+    state.report_ms = 100;
+    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
+    g_free(callers);
+}
+
+/* Who begins to coordinate a target asks it what it holds: once, and again when that fails. */
+START_TEST(a_coordinator_asks_its_targets_what_they_hold) {
+    fake_control leader;
+    begin();
+    fake_begin(&leader, 1);
+    char* target = local_address(31, 18007);
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    wgn_split_address(target, ip, &port);
+    struct evhttp* http = evhttp_new(base);
+    ck_assert_int_eq(evhttp_bind_socket(http, ip, port), 0);
+    evhttp_set_cb(http, "/v1/cache", on_list, NULL);
+    char* seeds[] = {leader.address, NULL};
+    lists_asked = 0;
+    wg_entry* entry = entry_begin(seeds);
+    for (int i = 0; i < TURNS && lists_asked <= LISTS_FAILED_FIRST; i++) {
+        turn();
+        if (leader.ups > 0 && i % 100 == 0) {
+            fake_leads(&leader, target);
+        }
+    }
+    ck_assert_int_eq(lists_asked, LISTS_FAILED_FIRST + 1);
+    for (int i = 0; i < 900; i++) {
+        turn();
+        if (i % 100 == 0) {
+            fake_leads(&leader, target);
+        }
+    }
+    ck_assert_int_eq(lists_asked, LISTS_FAILED_FIRST + 1);
+    wg_entry_shutdown(entry);
+    evhttp_free(http);
+    fake_end(&leader);
+    event_base_free(base);
+    g_free(target);
+}
+END_TEST
+
+START_TEST(lists_of_what_is_held_are_read_strictly) {
+    static const char good[] =
+        "{\"epoch\":3,\"held\":[[\"\",\"5c1e\",800,\"m\"],[\"\",\"aa\",0,\"m\"],[\"\",7,5],"
+        "[],3,[\"\",\"91bd\",1,\"m\"]]}";
+    GArray* parts = wg_cache_list_parse(good, sizeof good - 1);
+    ck_assert_ptr_nonnull(parts);
+    ck_assert_uint_eq(parts->len, 2);
+    ck_assert_uint_eq(g_array_index(parts, uint64_t, 0), wg_hash("5c1e", 4, 0));
+    ck_assert_uint_eq(g_array_index(parts, uint64_t, 1), wg_hash("91bd", 4, 0));
+    g_array_unref(parts);
+    static const char* const bad[] = {"", "{", "[]", "{}", "{\"held\":{}}", "{\"held\":3}"};
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        ck_assert_ptr_null(wg_cache_list_parse(bad[i], strlen(bad[i])));
+    }
+}
+END_TEST
+
 /* After a restart of the whole fleet hosts learn of each other as they come. One that knows a list
    is told of a new leader's only once all could report: a short one would send callers away. */
 START_TEST(hosts_that_know_no_others_are_told_at_once) {
@@ -211,5 +334,7 @@
 }
 END_TEST
 
-WG_TEST_MAIN("leader links", an_entry_host_waits_where_no_leader_is_known_yet,
+WG_TEST_MAIN("leader links", a_coordinator_asks_its_targets_what_they_hold,
+             lists_of_what_is_held_are_read_strictly,
+             an_entry_host_waits_where_no_leader_is_known_yet,
              a_control_that_hears_of_no_leader_is_left, hosts_that_know_no_others_are_told_at_once)
