Every target but the first home is told to copy from the first home

Ruled out: copying from whoever held most by this host's own sends (it sees a part of the requests only).

Change: a source is named whatever the target should hold; what it holds is not copied. The choice of a source loses its walk over candidates.

Test: test_balance, the_second_home_copies_what_it_lacks, fails before.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -192,29 +192,15 @@
     return former ? former->number : 0;
 }
 
-/* The home that should hold most of the prompt, when it is more than the target itself holds. The
-   target copies what it lacks from there. Whether the home still holds it is not known, so a copy
-   shortens no estimate. */
-static uint32_t wg_balance_source(const wg_balance* b, const wg_balance_target* t, wg_time now,
-                                  const wg_need* need, const wg_balance_homes* homes,
-                                  uint32_t cached) {
-    const wg_balance_target* candidates[] = {homes->first, homes->second};
+/* Where a target finds what it lacks of the shared parts: at the first home. It is named also when
+   the target should hold all of them, as the second home should, since only the target knows, and
+   what it holds is not copied. Whether the home still holds it is not known, so a copy shortens no
+   estimate. */
+static uint32_t wg_balance_source(const wg_balance_target* t, const wg_balance_homes* homes) {
     if (t == homes->first) {
         return wg_balance_former_home(homes);
     }
-    uint32_t source = 0;
-    uint32_t most = cached;
-    for (size_t i = 0; i < G_N_ELEMENTS(candidates); i++) {
-        if (!candidates[i] || candidates[i] == t) {
-            continue;
-        }
-        uint32_t held = wg_balance_cached(b, candidates[i], now, need->prompt, true);
-        if (held > most) {
-            source = candidates[i]->number;
-            most = held;
-        }
-    }
-    return source;
+    return homes->first ? homes->first->number : 0;
 }
 
 static wg_choice wg_balance_estimate_prompt(const wg_balance* b, const wg_balance_target* t,
@@ -229,7 +215,7 @@
         c.source = need->source;
         c.copied = MIN(need->source_tokens, need->prompt->tokens);
     } else if (need->copies) {
-        c.source = wg_balance_source(b, t, now, need, homes, cached);
+        c.source = wg_balance_source(t, homes);
     }
     c.unread = need->prompt->tokens - MAX(cached, c.copied);
     c.ahead = t->own_unread + MAX(t->other_unread, t->lately_unread);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -104,6 +104,23 @@
 }
 END_TEST
 
+/* The second home counts as holding the parts, long after the first prompt, but may have given them
+   up: it names the first home all the same. */
+START_TEST(the_second_home_copies_what_it_lacks) {
+    begin(18);
+    wg_prompt p = prompt(77, 78);
+    wg_need need = {.service = "m", .prompt = &p, .slots = 64, .copies = true};
+    uint32_t home = wg_balance_choose(balance, 0, &need).target;
+    wg_balance_note_prompt(balance, 0, home, &p);
+    wg_balance_set_others(balance, home, 500000, 3);
+    wg_choice second = wg_balance_choose(balance, 5 * SECOND, &need);
+    ck_assert_uint_ne(second.target, home);
+    ck_assert_uint_eq(second.unread, 2900); /* it counts as holding them */
+    ck_assert_uint_eq(second.source, home);
+    end();
+}
+END_TEST
+
 /* A prefix moves with its home: the new one copies what the former one read. */
 START_TEST(a_new_home_copies_from_the_former) {
     begin(18);
@@ -468,11 +485,11 @@
 END_TEST
 
 WG_TEST_MAIN("balance", a_prefix_has_its_homes_on_every_host, a_loaded_home_spills_to_the_second,
-             what_a_home_holds_is_copied, a_new_home_copies_from_the_former,
-             a_denied_home_is_copied_from, newer_loads_count, what_others_had_fades,
-             hosts_do_not_all_take_the_least_loaded, a_lost_target_moves_only_its_own_prefixes,
-             draining_targets_get_nothing, accounts_come_out_even,
-             failing_targets_are_put_aside_and_come_back,
+             what_a_home_holds_is_copied, the_second_home_copies_what_it_lacks,
+             a_new_home_copies_from_the_former, a_denied_home_is_copied_from, newer_loads_count,
+             what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
+             a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
              slots_are_left_for_those_who_are_owed_them, a_cold_fleet_is_not_taken_for_a_warm_one,
              the_level_is_max_min, the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
