Entry hosts wait for word of the leader at controls only, and dial sooner

Cause: found in the log of the same closing: the host beside the leader came to serve 560 ms after its start, the others after 63 ms. Its first dial came before the replica beside it listened; the second went to another entry host, which knows no leader and never will, and there it now waited 300 ms.

Change: wait at controls only; 30 ms between dials in place of 100.

Test: an_entry_host_does_not_wait_at_another_one fails before.

--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -7,7 +7,9 @@
 static const double WG_USAGE_SECONDS = 1.731;
 
 enum {
-    WG_DIAL_GAP = 100 * WG_USEC_PER_MSEC,
+    /* Between two tries to reach a control. A replica listens some 40 ms after its start, and the loop
+       looks each 50 ms. */
+    WG_DIAL_GAP = 30 * WG_USEC_PER_MSEC,
     WG_PROVE_TIME = 350 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
     /* For a control that knows no leader to hear of one; then another control is asked. Shorter
        than an election wait: the control may be cut off from the others. */
@@ -177,13 +179,16 @@
     wg_entry_dial(e, wg_now());
 }
 
-/* The control does not lead: go where it says, or wait here until it knows. It tells at once. */
+/* The process does not lead: go where it says. A control that knows no leader tells as soon as it
+   does, so wait here; an entry host has named controls, so ask one. */
 static void wg_entry_take_redirect(wg_entry* e, const char* leader_address, wg_time now) {
     const wgn_peer* peer = wgn_query_peer(e->net, e->link);
     bool elsewhere = leader_address[0] && !(peer && strcmp(peer->address, leader_address) == 0);
     e->leader_known = false;
     if (elsewhere) {
         wg_entry_relink(e, leader_address);
+    } else if (!peer || peer->role != WGW_ROLE_CONTROL) {
+        wg_entry_relink(e, "");
     } else if (!e->leaderless_at) {
         e->leaderless_at = now;
     }
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -59,9 +59,9 @@
     ((fake_control*)user_data)->downs += peer != NULL;
 }
 
-static void fake_begin(fake_control* f, int number) {
+static void fake_begin_as(fake_control* f, int number, wgw_role role) {
     *f = (fake_control){.address = local_address(number, LOCAL_FLEET_PORT)};
-    wgn_peer self = {.role = WGW_ROLE_CONTROL, .identity = (uint64_t)number, .cluster = 1};
+    wgn_peer self = {.role = role, .identity = (uint64_t)number, .cluster = 1};
     g_snprintf(self.name, sizeof self.name, "c%d", number);
     wg_copy_name(self.address, sizeof self.address, f->address);
     f->net = wgn_setup(&(wgn_desc){.base = base,
@@ -75,6 +75,10 @@
     ck_assert(wgn_listen(f->net, f->address, NULL));
 }
 
+static void fake_begin(fake_control* f, int number) {
+    fake_begin_as(f, number, WGW_ROLE_CONTROL);
+}
+
 static void fake_end(fake_control* f) {
     wgn_shutdown(f->net);
     g_free(f->address);
@@ -144,6 +148,27 @@
 }
 END_TEST
 
+/* An entry host at a seed names controls and will never lead: nothing is waited for there. */
+START_TEST(an_entry_host_does_not_wait_at_another_one) {
+    fake_control other;
+    begin();
+    fake_begin_as(&other, 1, WGW_ROLE_ENTRY);
+    char* seeds[] = {other.address, NULL};
+    wg_entry* entry = entry_begin(seeds);
+    for (int i = 0; i < TURNS && other.ups == 0; i++) {
+        turn();
+    }
+    fake_says(&other, NULL);
+    for (int i = 0; i < 100 && other.downs == 0; i++) {
+        turn();
+    }
+    ck_assert_int_eq(other.downs, 1);
+    wg_entry_shutdown(entry);
+    fake_end(&other);
+    event_base_free(base);
+}
+END_TEST
+
 /* It may be cut off from the others: after a while another one is asked. */
 START_TEST(a_control_that_hears_of_no_leader_is_left) {
     fake_control follower;
@@ -337,4 +362,5 @@
 WG_TEST_MAIN("leader links", a_coordinator_asks_its_targets_what_they_hold,
              lists_of_what_is_held_are_read_strictly,
              an_entry_host_waits_where_no_leader_is_known_yet,
-             a_control_that_hears_of_no_leader_is_left, hosts_that_know_no_others_are_told_at_once)
+             an_entry_host_does_not_wait_at_another_one, a_control_that_hears_of_no_leader_is_left,
+             hosts_that_know_no_others_are_told_at_once)
