A replica that is reached by another one dials it at once

Two replicas had dialled the last one while it was dark; the opening packet is sent again only after a second, so their links hung while the late one had reached them long before. Its answers to the start's questions had no way back, and the leader came by the usual election, 700 ms after the last start.

Ruled out: using the accepted link both ways (two links a pair stay, with their own proofs, and one would have to be chosen at both ends).

Change: a link that comes in from a control closes the one that hangs to it and dials anew.

Test: who_reaches_a_control_is_dialled_at_once fails before.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -166,6 +166,18 @@
     }
 }
 
+/* A control has just reached this one: what was dialled to it before it was up may hang, as the
+   opening packet is sent again only after a second. */
+static void _wgco_redial(wgco_control* c, const char* name) {
+    for (int i = 0; i < c->peers_num; i++) {
+        _wgco_peer_t* peer = &c->peers[i];
+        if (strcmp(peer->name, name) == 0 && !peer->up) {
+            wgn_close(c->net, peer->link);
+            peer->dial_at = wg_now();
+        }
+    }
+}
+
 /* ---- callbacks of links -------------------------------------------------------------------- */
 
 void wg_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -192,8 +204,11 @@
         known->identity = peer->identity;
         known->seen_at = wg_now();
         _wgco_note_gone(c, known);
-    } else if (c->discovers) {
-        wg_control_discovery_learn(c, peer->name, peer->address);
+    } else {
+        if (c->discovers) {
+            wg_control_discovery_learn(c, peer->name, peer->address);
+        }
+        _wgco_redial(c, peer->name);
     }
     wg_log(WG_EVENT_LINK_UP, "peer=%s", peer->name);
 }
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -32,7 +32,7 @@
 
 /* Settings of a control that is the only seed of a first start; returns where it listens. */
 static inline const char* local_control_settings(wgco_settings* settings, char* folder) {
-    static char* seeds[2];
+    static char* seeds[3]; /* room for one more */
     static char* none[1];
     static char name[WG_ADDRESS_MAX];
     uint16_t port;
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -2,6 +2,7 @@
    entry host or a control that runs within the test */
 #include <glib/gstdio.h>
 #include <stdlib.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <event2/buffer.h>
@@ -359,8 +360,69 @@
 }
 END_TEST
 
-WG_TEST_MAIN("leader links", a_coordinator_asks_its_targets_what_they_hold,
-             lists_of_what_is_held_are_read_strictly,
+/* Somebody who takes connections and says nothing, as a host that is just starting. */
+static int mute_listener(const char* where) {
+    struct sockaddr_storage at;
+    int size;
+    int on = 1;
+    ck_assert(wgn_parse_address(where, &at, &size));
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    ck_assert_int_eq(bind(fd, (struct sockaddr*)&at, (socklen_t)size), 0);
+    ck_assert_int_eq(listen(fd, 8), 0);
+    return fd;
+}
+
+static int accepted_within(int fd, int turns) {
+    int num = 0;
+    for (int i = 0; i < turns && num == 0; i++) {
+        turn();
+        num += accept(fd, NULL, NULL) >= 0;
+    }
+    return num;
+}
+
+/* A replica that dialled another one too early dials again when that one has come up. */
+START_TEST(who_reaches_a_control_is_dialled_at_once) {
+    char folder[] = "/tmp/wg-links-XXXXXX";
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+    wgco_settings settings;
+    const char* listen_at = local_control_settings(&settings, folder);
+    char* other = local_address(22, LOCAL_FLEET_PORT);
+    settings.seeds[1] = other;
+    begin();
+    int mute = mute_listener(other);
+    wgco_control* control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, NULL);
+    ck_assert_ptr_nonnull(control);
+    ck_assert_int_eq(accepted_within(mute, 300), 1);
+    ck_assert_int_eq(accepted_within(mute, 300), 0); /* it waits for an answer */
+    fake_control starting = {0};
+    wgn_peer self = {.role = WGW_ROLE_CONTROL, .identity = 5};
+    uint16_t port;
+    wgn_split_address(other, self.name, &port);
+    wg_copy_name(self.address, sizeof self.address, other);
+    starting.net = wgn_setup(&(wgn_desc){.base = base,
+                                         .fleet_key = "a key for the fleet",
+                                         .self = self,
+                                         .on_up = on_up,
+                                         .on_frame = on_frame,
+                                         .on_down = on_down,
+                                         .user_data = &starting},
+                             NULL);
+    wgn_dial(starting.net, listen_at);
+    ck_assert_int_eq(accepted_within(mute, 300), 1);
+    wgn_shutdown(starting.net);
+    wgco_shutdown(control);
+    close(mute);
+    event_base_free(base);
+    folder_wipe(folder);
+    g_rmdir(folder);
+    g_free(other);
+}
+END_TEST
+
+WG_TEST_MAIN("leader links", who_reaches_a_control_is_dialled_at_once,
+             a_coordinator_asks_its_targets_what_they_hold, lists_of_what_is_held_are_read_strictly,
              an_entry_host_waits_where_no_leader_is_known_yet,
              an_entry_host_does_not_wait_at_another_one, a_control_that_hears_of_no_leader_is_left,
              hosts_that_know_no_others_are_told_at_once)
