--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -11,7 +11,7 @@
     WG_ASK_TIME = 30 * WG_USEC_PER_MSEC, /* for an answer */
     WG_ASK_MISSED_MAX = 2,               /* answers missed in a row, then it counts as silent */
     WG_ASK_SILENT_TIME = 500 * WG_USEC_PER_MSEC,
-    WG_COORDINATOR_DIAL_GAP = 400 * WG_USEC_PER_MSEC,
+    WG_COORDINATOR_DIAL_GAP = 60 * WG_USEC_PER_MSEC,
     WG_COORDINATOR_PING = 2 * WG_USEC_PER_SEC,
     WG_COORDINATOR_SILENCE = 7 * WG_USEC_PER_SEC
 };
