Server-sent events are cut in one place

wg_sse and wg_event_stream both found the end of an event and its lines; the former now reads what an event costs only, over the latter.

--- a/lib/message/wg_event_stream.c
+++ b/lib/message/wg_event_stream.c
@@ -3,8 +3,7 @@
 
 #include <string.h>
 
-/* Bytes up to and with the blank line that ends the first event; 0 when it is not whole. */
-static size_t wg_event_size(const char* bytes, size_t size) {
+size_t wg_event_size(const char* bytes, size_t size) {
     size_t line = 0;
     for (size_t i = 0; i < size; i++) {
         if (bytes[i] != '\n') {
@@ -19,23 +18,33 @@
     return 0;
 }
 
+bool wg_event_line(const char** at, const char* end, const char** line, size_t* size) {
+    if (*at >= end) {
+        return false;
+    }
+    const char* stop = memchr(*at, '\n', (size_t)(end - *at));
+    *line = *at;
+    *size = (size_t)((stop ? stop : end) - *at);
+    *at = stop ? stop + 1 : end;
+    if (*size > 0 && (*line)[*size - 1] == '\r') {
+        (*size)--;
+    }
+    return true;
+}
+
 static void wg_event_find_id(const char* bytes, size_t size, char* id, size_t id_size) {
     const char* at = bytes;
-    const char* end = bytes + size;
-    while (at < end) {
-        const char* stop = memchr(at, '\n', (size_t)(end - at));
-        size_t length = (size_t)(stop - at);
-        if (length > 0 && at[length - 1] == '\r') {
-            length--;
+    const char* line;
+    size_t length;
+    while (wg_event_line(&at, bytes + size, &line, &length)) {
+        if (length <= 3 || memcmp(line, "id:", 3) != 0) {
+            continue;
         }
-        if (length > 3 && memcmp(at, "id:", 3) == 0) {
-            size_t skip = at[3] == ' ' ? 4 : 3;
-            if (length - skip < id_size) {
-                memcpy(id, at + skip, length - skip);
-                id[length - skip] = 0;
-            }
+        size_t skip = line[3] == ' ' ? 4 : 3;
+        if (length - skip < id_size) {
+            memcpy(id, line + skip, length - skip);
+            id[length - skip] = 0;
         }
-        at = stop + 1;
     }
 }
 
--- a/lib/router/wg_sse.c
+++ b/lib/router/wg_sse.c
@@ -4,6 +4,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "wg_event_stream.h"
+
 /* ---- helpers ------------------------------------------------------------------------------ */
 
 static void _wgx_take_line(const char* line, size_t size, wgx_sse_event* event) {
@@ -32,37 +34,24 @@
 }
 
 static void _wgx_take_lines(const char* text, size_t size, wgx_sse_event* event) {
+    const char* at = text;
+    const char* line;
+    size_t length;
     *event = (wgx_sse_event){.id = -1};
-    while (size > 0) {
-        const char* end = memchr(text, '\n', size);
-        size_t length = end ? (size_t)(end - text) : size;
-        size_t bare = length > 0 && text[length - 1] == '\r' ? length - 1 : length;
-        _wgx_take_line(text, bare, event);
-        size_t step = MIN(length + 1, size);
-        text += step;
-        size -= step;
-    }
-}
-
-/* Length of the first event with its blank line, or 0. */
-static size_t _wgx_event_length(struct evbuffer* in) {
-    struct evbuffer_ptr lf = evbuffer_search(in, "\n\n", 2, NULL);
-    struct evbuffer_ptr crlf = evbuffer_search(in, "\r\n\r\n", 4, NULL);
-    bool crlf_first = crlf.pos >= 0 && (lf.pos < 0 || crlf.pos < lf.pos);
-    if (crlf_first) {
-        return (size_t)crlf.pos + 4;
+    while (wg_event_line(&at, text + size, &line, &length)) {
+        _wgx_take_line(line, length, event);
     }
-    return lf.pos >= 0 ? (size_t)lf.pos + 2 : 0;
 }
 
 /* ---- public functions --------------------------------------------------------------------- */
 
 wgx_sse_result wgx_sse_next(struct evbuffer* in, struct evbuffer* out, wgx_sse_event* event) {
-    size_t length = _wgx_event_length(in);
+    size_t have = evbuffer_get_length(in);
+    const char* text = (const char*)evbuffer_pullup(in, -1);
+    size_t length = have ? wg_event_size(text, have) : 0;
     if (length == 0) {
-        return evbuffer_get_length(in) > WGX_EVENT_MAX ? WGX_SSE_TOO_LONG : WGX_SSE_MORE;
+        return have > WG_EVENT_BYTES_MAX ? WGX_SSE_TOO_LONG : WGX_SSE_MORE;
     }
-    const char* text = (const char*)evbuffer_pullup(in, (ev_ssize_t)length);
     _wgx_take_lines(text, length, event);
     evbuffer_remove_buffer(in, out, length);
     return WGX_SSE_EVENT;
--- a/lib/router/wg_sse.h
+++ b/lib/router/wg_sse.h
@@ -2,22 +2,18 @@
 /*
     wg_sse.h -- server-sent events, cut out of a stream (WHATWG HTML, section 9.2); private
 
-    Only whole events leave: a stream that breaks in the middle of one loses nothing and shows no
-    half event. Counts tokens by the event's id where there is one, else by events with data.
+    Cut by wg_event_stream.h; this reads what an event costs. Counts tokens by the event's id where
+   there is one, else by events with data.
 */
 #include "wg_base.h"
 
 #include <event2/buffer.h>
 
-enum {
-    WGX_EVENT_MAX = 1 << 20 /* bytes of one event */
-};
-
 typedef enum {
     WGX_SSE_DEFAULT = 0,
     WGX_SSE_MORE,     /* no whole event yet */
     WGX_SSE_EVENT,    /* one event moved out */
-    WGX_SSE_TOO_LONG, /* the event exceeds WGX_EVENT_MAX */
+    WGX_SSE_TOO_LONG, /* the event exceeds WG_EVENT_BYTES_MAX */
     WGX_SSE_NUM
 } wgx_sse_result;
 
