--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -17,6 +17,7 @@
     X(1006, RELOADED, INFO, "settings read again")                                                 \
     X(1007, RELOAD_REFUSED, WARN, "settings are wrong, the earlier ones stay")                     \
     X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
+    X(1009, FIRST_SERVED, INFO, "first request served since the start")                            \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
     X(2003, TARGET_ASIDE, WARN, "target put aside after failures")                                 \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -271,13 +271,14 @@
 }
 
 /* Entry hosts that wait at this follower go to the leader as soon as one is known. */
-static void _wgco_tell_leader(wgco_control* c, wg_time now) {
-    uint64_t leader = wgr_query_stats(c->node, now).leader;
-    if (leader != c->leader_told) {
-        c->leader_told = leader;
-        if (leader && !c->leads) {
-            wg_control_entry_redirect(c);
-        }
+static void _wgco_tell_leader(wgco_control* c) {
+    const char* leader = _wgco_leader_address(c); /* "" too while only its identity is known */
+    if (strcmp(leader, c->leader_told) == 0) {
+        return;
+    }
+    wg_copy_name(c->leader_told, sizeof c->leader_told, leader);
+    if (leader[0] && !c->leads) {
+        wg_control_entry_redirect(c);
     }
 }
 
@@ -288,7 +289,7 @@
     } else if (!leads && c->leads) {
         _wgco_lead_end(c);
     }
-    _wgco_tell_leader(c, now);
+    _wgco_tell_leader(c);
 }
 
 static void _wgco_on_tick(evutil_socket_t fd, short what, void* user_data) {
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -128,9 +128,9 @@
     GHashTable* usage;       /* hash of a workspace -> wg_control_usage* */
     wg_time usage_at;
     wg_time led_since;
-    uint64_t leader_told; /* identity of the leader that entry hosts were last told of */
-    wgn_link word_link;   /* to the entry host at a seed */
-    int word_next;        /* seed whose turn it is */
+    char leader_told[WG_ADDRESS_MAX]; /* address that entry hosts were last told; "" none */
+    wgn_link word_link;               /* to the entry host at a seed */
+    int word_next;                    /* seed whose turn it is */
     wg_time word_at;
     char word_seeds[WG_CONTROL_SEEDS_MAX][WG_NAME_MAX]; /* ips */
     int word_seeds_num;
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -146,7 +146,7 @@
     }
     c->word_link = (wgn_link){0};
     c->role_logged = WGR_ROLE_DEFAULT;
-    c->leader_told = 0;
+    c->leader_told[0] = 0;
     c->failed = false;
 }
 
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -153,6 +153,7 @@
     e->base = desc->base;
     e->names = desc->names ? desc->names : &wg_own_names;
     e->seed = wg_entry_random();
+    e->started_at = wg_now();
     e->clients = g_ptr_array_new();
     e->idle = g_hash_table_new(NULL, NULL);
     e->queues =
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -343,6 +343,14 @@
     return up->head.status >= 500 && !call->head_sent && wg_route_is_repeatable(call->route);
 }
 
+static void wg_call_note_served(wg_entry* e) {
+    if (!e->served) {
+        e->served = true;
+        wg_log(WG_EVENT_FIRST_SERVED, "after_ms=%" G_GINT64_FORMAT,
+               (wg_now() - e->started_at) / WG_USEC_PER_MSEC);
+    }
+}
+
 static void wg_call_finish(wg_call* call, wg_upstream* up) {
     struct evbuffer* out = evbuffer_new();
     wg_client* client = call->client;
@@ -369,6 +377,9 @@
     wg_socket_write(client->bev, out);
     evbuffer_free(out);
     call->entry->counters.whole += good;
+    if (good) {
+        wg_call_note_served(call->entry);
+    }
     call->entry->counters.failed += !good;
     call->upstream = NULL;
     wg_call_settle(call, good ? WG_RESULT_GOOD : WG_RESULT_FAILED);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -203,6 +203,8 @@
     struct event* tick;
     uint64_t seed;
     uint64_t counter;
+    wg_time started_at;
+    bool served; /* a request, since the start */
     bool stopping;
     wg_time stop_at;
 
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -78,9 +78,10 @@
     uint64_t members_change;
     int members; /* of the last list that came; -1 none */
     uint64_t configuration_version;
-    bool leads;            /* as the control last said */
-    int outcome;           /* of the last order that was answered; -1 none */
-    uint64_t read_version; /* that the answer to a read held */
+    bool leads;                  /* as the control last said */
+    char leader[WG_ADDRESS_MAX]; /* the same */
+    int outcome;                 /* of the last order that was answered; -1 none */
+    uint64_t read_version;       /* that the answer to a read held */
 } local_entry;
 
 static inline void local_entry_report(local_entry* f) {
@@ -94,6 +95,7 @@
 
 static inline void local_entry_take_state(local_entry* f, const Wgpb__EntryState* in) {
     f->leads = in->leads;
+    wg_copy_name(f->leader, sizeof f->leader, in->leader_address);
     if (in->leads && in->members_change != f->members_change) {
         f->members_change = in->members_change;
         f->members = (int)in->n_members;
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -421,7 +421,93 @@
 }
 END_TEST
 
-WG_TEST_MAIN("leader links", who_reaches_a_control_is_dialled_at_once,
+/* ---- a leader that only sends what it is told to ------------------------------------------------
+ */
+
+enum {
+    LEADER_ID = 5
+};
+
+static uint64_t control_id; /* of the control that was reached */
+
+static void on_control_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)user_data;
+    control_id = peer->identity;
+}
+
+static void send_quorum(wgn_net* net, wgn_link link, wgr_message_type type, const char* leader) {
+    Wgpb__Quorum out = WGPB__QUORUM__INIT;
+    Wgpb__Replica replica = WGPB__REPLICA__INIT;
+    Wgpb__Replica* replicas[] = {&replica};
+    Wgpb__ReplicaSet set = WGPB__REPLICA_SET__INIT;
+    out.type = type;
+    out.from = LEADER_ID;
+    out.to = control_id;
+    out.term = 2;
+    out.log_index = 7;
+    out.log_term = 1;
+    out.snapshot_index = 7;
+    out.snapshot_term = 1;
+    replica.id = LEADER_ID;
+    replica.name = (char*)"leader";
+    replica.address = (char*)leader;
+    replica.voter = true;
+    set.replicas = replicas;
+    set.n_replicas = 1;
+    out.replicas = type == WGR_MESSAGE_SNAPSHOT ? &set : NULL;
+    ck_assert(wgn_send(net, link, WGW_TYPE_QUORUM, &out.base));
+}
+
+/* A replica whose disk was lost hears of a leader before it knows where that is. */
+START_TEST(hosts_are_told_where_the_leader_is_once_that_is_known) {
+    static const char leader[] = "10.9.8.7:17000";
+    char folder[] = "/tmp/wg-links-XXXXXX";
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+    wgco_settings settings;
+    const char* listen_at = local_control_settings(&settings, folder);
+    settings.first_start = (char*)"false";
+    begin();
+    wgco_control* control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, NULL);
+    ck_assert_ptr_nonnull(control);
+    wgn_peer self = {
+        .role = WGW_ROLE_CONTROL, .identity = LEADER_ID, .cluster = 3, .name = "leader"};
+    wgn_net* net = wgn_setup(&(wgn_desc){.base = base,
+                                         .fleet_key = "a key for the fleet",
+                                         .self = self,
+                                         .on_up = on_control_up,
+                                         .on_frame = local_entry_on_frame,
+                                         .on_down = local_entry_on_down,
+                                         .user_data = &(local_entry){0}},
+                             NULL);
+    wgn_link link = wgn_dial(net, listen_at);
+    local_entry host = {.base = base};
+    local_entry_begin(&host, 1, listen_at);
+    control_id = 0;
+    for (int i = 0; i < TURNS && (!control_id || !host.up); i++) {
+        turn();
+    }
+    send_quorum(net, link, WGR_MESSAGE_APPEND, "");
+    for (int i = 0; i < 60; i++) {
+        turn();
+    }
+    ck_assert_str_eq(host.leader, "");
+    send_quorum(net, link, WGR_MESSAGE_SNAPSHOT, leader);
+    for (int i = 0; i < 200 && !host.leader[0]; i++) {
+        turn();
+    }
+    ck_assert_str_eq(host.leader, leader);
+    wgn_shutdown(host.net);
+    wgn_shutdown(net);
+    wgco_shutdown(control);
+    event_base_free(base);
+    folder_wipe(folder);
+    g_rmdir(folder);
+}
+END_TEST
+
+WG_TEST_MAIN("leader links", hosts_are_told_where_the_leader_is_once_that_is_known,
+             who_reaches_a_control_is_dialled_at_once,
              a_coordinator_asks_its_targets_what_they_hold, lists_of_what_is_held_are_read_strictly,
              an_entry_host_waits_where_no_leader_is_known_yet,
              an_entry_host_does_not_wait_at_another_one, a_control_that_hears_of_no_leader_is_left,
