--- /dev/null
+++ b/tests/fake_control.h
@@ -0,0 +1,137 @@
+#pragma once
+/* fake_control.h -- a control that only says what it is told to, and an entry host that obeys it;
+   both run within the test */
+#include <string.h>
+
+#include "local_control.h"
+#include "wg_entry.h"
+
+typedef struct {
+    wgn_net* net;
+    char* address;
+    wgn_link link; /* of the entry host */
+    int ups;
+    int downs;
+    int reports;
+} fake_control;
+
+static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    fake_control* f = user_data;
+    if (peer->role == WGW_ROLE_ENTRY) {
+        f->link = link;
+        f->ups++;
+    }
+}
+
+static inline void fake_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    (void)link;
+    ((fake_control*)user_data)->reports += frame->type == WGW_TYPE_ENTRY_REPORT;
+}
+
+static inline void fake_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    ((fake_control*)user_data)->downs += peer != NULL;
+}
+
+static inline void fake_control_begin_as(struct event_base* base, fake_control* f, int number,
+                                         wgw_role role) {
+    *f = (fake_control){.address = local_address(number, LOCAL_FLEET_PORT)};
+    wgn_peer self = {.role = role, .identity = (uint64_t)number, .cluster = 1};
+    g_snprintf(self.name, sizeof self.name, "c%d", number);
+    wg_copy_name(self.address, sizeof self.address, f->address);
+    f->net = wgn_setup(&(wgn_desc){.base = base,
+                                   .fleet_key = "a key for the fleet",
+                                   .self = self,
+                                   .on_up = fake_control_on_up,
+                                   .on_frame = fake_control_on_frame,
+                                   .on_down = fake_control_on_down,
+                                   .user_data = f},
+                       NULL);
+    ck_assert(wgn_listen(f->net, f->address, NULL));
+}
+
+static inline void fake_control_begin(struct event_base* base, fake_control* f, int number) {
+    fake_control_begin_as(base, f, number, WGW_ROLE_CONTROL);
+}
+
+static inline void fake_control_end(fake_control* f) {
+    wgn_shutdown(f->net);
+    g_free(f->address);
+}
+
+/* It does not lead; `leader` NULL: it knows of none. */
+static inline void fake_control_says(fake_control* f, const char* leader) {
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    state.leader_address = (char*)(leader ? leader : "");
+    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
+}
+
+/* An entry host that knows these seeds. */
+static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
+    static wg_entry_settings settings;
+    settings = (wg_entry_settings){.name = "here",
+                                   .data_centre = "dc",
+                                   .callers_listen = local_address(11, 18001),
+                                   .ready_listen = local_address(11, 18002),
+                                   .entry_listen = local_address(11, 18003),
+                                   .orders_listen = local_address(11, 18004),
+                                   .fleet_listen = local_address(11, 18005),
+                                   .seeds = seeds,
+                                   .fleet_port = LOCAL_FLEET_PORT,
+                                   .fleet_key = "a key for the fleet",
+                                   .entry_keep_s = 1,
+                                   .grace_s = 8,
+                                   .link_silence_ms = 1200,
+                                   .order_ms = 900,
+                                   .retry_window_ms = 10000,
+                                   .callers_max = 10};
+    GError* error = NULL;
+    wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
+    ck_assert_msg(entry != NULL, "%s", error ? error->message : "");
+    return entry;
+}
+
+/* What a leader says: a configuration, one target of service "e", this host the only one. */
+typedef struct {
+    uint64_t version;
+    const char* document;
+    const char* target; /* ip:port */
+} fake_word;
+
+static inline void fake_control_leads(fake_control* f, const fake_word* word) {
+    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
+    Wgpb__EntryMember member = WGPB__ENTRY_MEMBER__INIT;
+    Wgpb__TargetRecord* records[] = {&record};
+    Wgpb__EntryMember* members[] = {&member};
+    char* callers = local_address(11, 18001);
+    record.id = (char*)"t-1";
+    record.service = (char*)"e";
+    record.address = (char*)word->target;
+    record.data_centre = (char*)"dc";
+    record.state = WG_TARGET_READY;
+    record.number = 1;
+    record.change = 1;
+    member.name = (char*)"here";
+    member.address = callers;
+    member.data_centre = (char*)"dc";
+    configuration.version = word->version;
+    configuration.document =
+        (ProtobufCBinaryData){strlen(word->document), (uint8_t*)word->document};
+    state.leads = true;
+    state.term = 1;
+    state.leader_address = f->address;
+    state.configuration = &configuration;
+    state.targets = records;
+    state.n_targets = 1;
+    state.registry_change = 1;
+    state.registry_reset = true;
+    state.members = members;
+    state.n_members = 1;
+    state.members_change = 1;
+    state.members_num = 1;
+    state.report_ms = 100;
+    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
+    g_free(callers);
+}
--- /dev/null
+++ b/tests/test_entry_promises.c
@@ -0,0 +1,272 @@
+/* test_entry_promises.c -- promises of one entry host to callers and targets, with a leader and a
+   target that run within the test */
+#include <errno.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <event2/listener.h>
+#include <stdlib.h>
+#include <sys/socket.h>
+
+#include "fake_control.h"
+
+enum {
+    TURNS = 3000, /* of the loop, a millisecond each, before something counts as missing */
+    TIMEOUT_MS = 2000
+};
+
+static struct event_base* base;
+static fake_control leader;
+static wg_entry* entry;
+static char* target_at;
+static struct evconnlistener* listener;
+
+/* What the target was last sent, and the connection on which it came. */
+static GString* asked;
+static struct bufferevent* asked_on;
+static bool hung_up;
+
+static void turns(int num) {
+    for (int i = 0; i < num; i++) {
+        local_turn(base);
+    }
+}
+
+/* ---- the target -------------------------------------------------------------------------------
+ */
+
+static void target_on_read(struct bufferevent* bev, void* user_data) {
+    (void)user_data;
+    char bytes[2048];
+    size_t got = bufferevent_read(bev, bytes, sizeof bytes);
+    g_string_append_len(asked, bytes, (gssize)got);
+    asked_on = bev;
+}
+
+static void target_on_event(struct bufferevent* bev, short what, void* user_data) {
+    (void)what;
+    (void)user_data;
+    hung_up = true;
+    bufferevent_free(bev);
+}
+
+static void target_accept(struct evconnlistener* l, evutil_socket_t fd, struct sockaddr* from,
+                          int size, void* user_data) {
+    (void)l;
+    (void)from;
+    (void)size;
+    (void)user_data;
+    struct bufferevent* bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent_setcb(bev, target_on_read, NULL, target_on_event, NULL);
+    bufferevent_enable(bev, EV_READ | EV_WRITE);
+}
+
+static void target_answer(const char* body) {
+    struct evbuffer* out = bufferevent_get_output(asked_on);
+    evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n%s", strlen(body),
+                        body);
+}
+
+static bool target_was_asked(void) {
+    for (int i = 0; i < TURNS && !strstr(asked->str, "\r\n\r\n"); i++) {
+        local_turn(base);
+    }
+    return strstr(asked->str, "\r\n\r\n") != NULL;
+}
+
+/* ---- set-up -----------------------------------------------------------------------------------
+ */
+
+/* A configuration with one route, to service "e". */
+static void lead(uint64_t version, const char* prefix) {
+    char* document = g_strdup_printf(
+        "{\"version\":%d,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":"
+        "\"h\","
+        "\"path_prefix\":\"%s\",\"kind\":\"safe\",\"timeout_ms\":%d,\"objective_ms\":500,"
+        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{},\"workspaces\":[]}",
+        (int)version, prefix, TIMEOUT_MS);
+    fake_control_leads(&leader,
+                       &(fake_word){.version = version, .document = document, .target = target_at});
+    g_free(document);
+    turns(20);
+}
+
+static void begin(void) {
+    struct sockaddr_storage at;
+    int size;
+    base = local_base();
+    asked = g_string_new(NULL);
+    asked_on = NULL;
+    hung_up = false;
+    target_at = local_address(31, 18007);
+    ck_assert(wgn_parse_address(target_at, &at, &size));
+    listener = evconnlistener_new_bind(base, target_accept, NULL,
+                                       LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, 16,
+                                       (struct sockaddr*)&at, size);
+    ck_assert_ptr_nonnull(listener);
+    fake_control_begin(base, &leader, 1);
+    char* seeds[] = {leader.address, NULL};
+    entry = fake_control_entry(base, seeds);
+    for (int i = 0; i < TURNS && leader.ups == 0; i++) {
+        local_turn(base);
+    }
+    lead(5, "/a/");
+}
+
+static void end(void) {
+    wg_entry_shutdown(entry);
+    fake_control_end(&leader);
+    evconnlistener_free(listener);
+    event_base_free(base);
+    g_string_free(asked, TRUE);
+    g_free(target_at);
+}
+
+/* ---- the caller -------------------------------------------------------------------------------
+ */
+
+static int caller_to(const char* address, const char* path, const char* fields) {
+    struct sockaddr_storage to;
+    int size;
+    ck_assert(wgn_parse_address(address, &to, &size));
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
+    turns(2);
+    char* request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, fields);
+    ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL), (ssize_t)strlen(request));
+    g_free(request);
+    return fd;
+}
+
+static int caller(const char* path, const char* fields) {
+    char* callers = local_address(11, 18001);
+    int fd = caller_to(callers, path, fields);
+    g_free(callers);
+    return fd;
+}
+
+/* Status of the answer, 0 when none comes; its text in `answer`. */
+static int status_of(int fd, char answer[1024]) {
+    answer[0] = 0;
+    for (int i = 0; i < TURNS; i++) {
+        local_turn(base);
+        ssize_t got = recv(fd, answer, 1023, 0);
+        if (got > 0) {
+            answer[got] = 0;
+            return (int)strtol(answer + strlen("HTTP/1.1 "), NULL, 10);
+        }
+    }
+    return 0;
+}
+
+/* ---- promises ---------------------------------------------------------------------------------
+ */
+
+/* A target is told the time that is left: of the caller, of the route, and after waiting here. */
+START_TEST(no_more_time_is_handed_on_than_is_left) {
+    static const struct {
+        const char* fields;
+        int64_t most;
+    } cases[] = {{"Walnutgate-Deadline-Ms: 700\r\n", 700},
+                 {"Walnutgate-Deadline-Ms: 90000\r\n", TIMEOUT_MS},
+                 {"", TIMEOUT_MS}};
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        char answer[1024];
+        begin();
+        int fd = caller("/a/x", cases[i].fields);
+        ck_assert(target_was_asked());
+        const char* told = strstr(asked->str, "Walnutgate-Deadline-Ms: ");
+        ck_assert_ptr_nonnull(told);
+        int64_t ms = strtol(told + strlen("Walnutgate-Deadline-Ms: "), NULL, 10);
+        ck_assert_int_le(ms, cases[i].most);
+        ck_assert_int_gt(ms, cases[i].most - 500);
+        target_answer("whole");
+        ck_assert_int_eq(status_of(fd, answer), 200);
+        close(fd);
+        end();
+    }
+}
+END_TEST
+
+START_TEST(a_request_ends_at_the_timeout_of_its_route) {
+    char answer[1024];
+    begin();
+    wg_time since = wg_now();
+    int fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    ck_assert_int_eq(status_of(fd, answer), 504); /* it may have run: no 503 */
+    ck_assert_int_lt(wg_now() - since, (TIMEOUT_MS + 500) * (wg_time)WG_USEC_PER_MSEC);
+    close(fd);
+    end();
+}
+END_TEST
+
+/* Work for a caller that has left is stopped at once. */
+START_TEST(a_caller_that_leaves_stops_its_work) {
+    begin();
+    int fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    ck_assert(!hung_up);
+    close(fd);
+    turns(100);
+    ck_assert(hung_up);
+    end();
+}
+END_TEST
+
+/* A planned stop: not ready at once, what runs is answered, its connection closes, new requests on
+   open connections are still taken. */
+START_TEST(a_planned_stop_cuts_nothing_off) {
+    char answer[1024];
+    char* ready = local_address(11, 18002);
+    begin();
+    int probe = caller_to(ready, "/v1/ready", "");
+    ck_assert_int_eq(status_of(probe, answer), 200);
+    close(probe);
+    int fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    wg_entry_stop(entry);
+    probe = caller_to(ready, "/v1/ready", "");
+    ck_assert_int_ne(status_of(probe, answer), 200);
+    close(probe);
+    target_answer("whole");
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    ck_assert_ptr_nonnull(strstr(answer, "Connection: close"));
+    ck_assert_ptr_nonnull(strstr(answer, "whole"));
+    close(fd);
+    g_string_truncate(asked, 0);
+    fd = caller("/a/y", "");
+    ck_assert(target_was_asked());
+    target_answer("too");
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    close(fd);
+    end();
+    g_free(ready);
+}
+END_TEST
+
+/* An older word, of a leader that lost touch or by another way, changes nothing. */
+START_TEST(a_configuration_only_moves_forward) {
+    char answer[1024];
+    begin();
+    lead(4, "/old/");
+    int fd = caller("/old/x", "");
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    close(fd);
+    fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    target_answer("whole");
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    close(fd);
+    lead(6, "/new/");
+    fd = caller("/a/x", "");
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    close(fd);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry promises", no_more_time_is_handed_on_than_is_left,
+             a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
+             a_planned_stop_cuts_nothing_off, a_configuration_only_moves_forward)
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -10,6 +10,7 @@
 #include <event2/http.h>
 
 #include "folder.h"
+#include "fake_control.h"
 #include "local_control.h"
 #include "wg_cache_list.h"
 #include "wg_entry.h"
@@ -30,112 +31,26 @@
     local_turn(base);
 }
 
-/* ---- a control that only says what it is told to ----------------------------------------------
- */
-
-typedef struct {
-    wgn_net* net;
-    char* address;
-    wgn_link link; /* of the entry host */
-    int ups;
-    int downs;
-    int reports;
-} fake_control;
-
-static void on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
-    fake_control* f = user_data;
-    if (peer->role == WGW_ROLE_ENTRY) {
-        f->link = link;
-        f->ups++;
-    }
-}
-
-static void on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
-    (void)link;
-    ((fake_control*)user_data)->reports += frame->type == WGW_TYPE_ENTRY_REPORT;
-}
-
-static void on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
-    (void)link;
-    ((fake_control*)user_data)->downs += peer != NULL;
-}
-
-static void fake_begin_as(fake_control* f, int number, wgw_role role) {
-    *f = (fake_control){.address = local_address(number, LOCAL_FLEET_PORT)};
-    wgn_peer self = {.role = role, .identity = (uint64_t)number, .cluster = 1};
-    g_snprintf(self.name, sizeof self.name, "c%d", number);
-    wg_copy_name(self.address, sizeof self.address, f->address);
-    f->net = wgn_setup(&(wgn_desc){.base = base,
-                                   .fleet_key = "a key for the fleet",
-                                   .self = self,
-                                   .on_up = on_up,
-                                   .on_frame = on_frame,
-                                   .on_down = on_down,
-                                   .user_data = f},
-                       NULL);
-    ck_assert(wgn_listen(f->net, f->address, NULL));
-}
-
-static void fake_begin(fake_control* f, int number) {
-    fake_begin_as(f, number, WGW_ROLE_CONTROL);
-}
-
-static void fake_end(fake_control* f) {
-    wgn_shutdown(f->net);
-    g_free(f->address);
-}
-
-/* It does not lead; `leader` NULL: it knows of none. */
-static void fake_says(fake_control* f, const char* leader) {
-    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
-    state.leader_address = (char*)(leader ? leader : "");
-    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
-}
-
-static wg_entry* entry_begin(char** seeds) {
-    static wg_entry_settings settings;
-    settings = (wg_entry_settings){.name = "here",
-                                   .data_centre = "dc",
-                                   .callers_listen = local_address(11, 18001),
-                                   .ready_listen = local_address(11, 18002),
-                                   .entry_listen = local_address(11, 18003),
-                                   .orders_listen = local_address(11, 18004),
-                                   .fleet_listen = local_address(11, 18005),
-                                   .seeds = seeds,
-                                   .fleet_port = LOCAL_FLEET_PORT,
-                                   .fleet_key = "a key for the fleet",
-                                   .entry_keep_s = 1,
-                                   .grace_s = 8,
-                                   .link_silence_ms = 1200,
-                                   .order_ms = 900,
-                                   .retry_window_ms = 10000,
-                                   .callers_max = 10};
-    GError* error = NULL;
-    wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
-    ck_assert_msg(entry != NULL, "%s", error ? error->message : "");
-    return entry;
-}
-
 /* A control that knows no leader yet hears of one sooner than the host finds one by asking others
    in turn. */
 START_TEST(an_entry_host_waits_where_no_leader_is_known_yet) {
     fake_control follower;
     fake_control leader;
     begin();
-    fake_begin(&follower, 1);
-    fake_begin(&leader, 2);
+    fake_control_begin(base, &follower, 1);
+    fake_control_begin(base, &leader, 2);
     char* seeds[] = {follower.address, NULL};
-    wg_entry* entry = entry_begin(seeds);
+    wg_entry* entry = fake_control_entry(base, seeds);
     for (int i = 0; i < TURNS && follower.ups == 0; i++) {
         turn();
     }
     ck_assert_int_eq(follower.ups, 1);
-    fake_says(&follower, NULL);
+    fake_control_says(&follower, NULL);
     for (int i = 0; i < 100; i++) {
         turn();
     }
     ck_assert_int_eq(follower.downs, 0);
-    fake_says(&follower, leader.address);
+    fake_control_says(&follower, leader.address);
     for (int i = 0; i < TURNS && leader.reports == 0; i++) {
         turn();
     }
@@ -143,8 +58,8 @@
     ck_assert_int_eq(leader.ups, 1);
     ck_assert_int_gt(leader.reports, 0);
     wg_entry_shutdown(entry);
-    fake_end(&follower);
-    fake_end(&leader);
+    fake_control_end(&follower);
+    fake_control_end(&leader);
     event_base_free(base);
 }
 END_TEST
@@ -153,19 +68,19 @@
 START_TEST(an_entry_host_does_not_wait_at_another_one) {
     fake_control other;
     begin();
-    fake_begin_as(&other, 1, WGW_ROLE_ENTRY);
+    fake_control_begin_as(base, &other, 1, WGW_ROLE_ENTRY);
     char* seeds[] = {other.address, NULL};
-    wg_entry* entry = entry_begin(seeds);
+    wg_entry* entry = fake_control_entry(base, seeds);
     for (int i = 0; i < TURNS && other.ups == 0; i++) {
         turn();
     }
-    fake_says(&other, NULL);
+    fake_control_says(&other, NULL);
     for (int i = 0; i < 100 && other.downs == 0; i++) {
         turn();
     }
     ck_assert_int_eq(other.downs, 1);
     wg_entry_shutdown(entry);
-    fake_end(&other);
+    fake_control_end(&other);
     event_base_free(base);
 }
 END_TEST
@@ -174,18 +89,18 @@
 START_TEST(a_control_that_hears_of_no_leader_is_left) {
     fake_control follower;
     begin();
-    fake_begin(&follower, 1);
+    fake_control_begin(base, &follower, 1);
     char* seeds[] = {follower.address, NULL};
-    wg_entry* entry = entry_begin(seeds);
+    wg_entry* entry = fake_control_entry(base, seeds);
     for (int i = 0; i < TURNS && follower.downs == 0; i++) {
         turn();
         if (follower.ups > 0 && follower.downs == 0) {
-            fake_says(&follower, NULL);
+            fake_control_says(&follower, NULL);
         }
     }
     ck_assert_int_eq(follower.downs, 1);
     wg_entry_shutdown(entry);
-    fake_end(&follower);
+    fake_control_end(&follower);
     event_base_free(base);
 }
 END_TEST
@@ -215,52 +130,19 @@
     evbuffer_free(out);
 }
 
-/* The leader's word: one engine, and this host the only one, so it coordinates it. */
+static const char one_engine[] =
+    "{\"version\":1,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,"
+    "\"memory_tokens\":1000}}],\"routes\":[],\"limits\":{},\"workspaces\":[]}";
+
 static void fake_leads(fake_control* f, const char* target) {
-    static const char document[] =
-        "{\"version\":1,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,"
-        "\"memory_tokens\":1000}}],\"routes\":[],\"limits\":{},\"workspaces\":[]}";
-    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
-    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
-    Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
-    Wgpb__EntryMember member = WGPB__ENTRY_MEMBER__INIT;
-    Wgpb__TargetRecord* records[] = {&record};
-    Wgpb__EntryMember* members[] = {&member};
-    char* callers = local_address(11, 18001);
-    record.id = (char*)"t-1";
-    record.service = (char*)"e";
-    record.address = (char*)target;
-    record.data_centre = (char*)"dc";
-    record.state = WG_TARGET_READY;
-    record.number = 1;
-    record.change = 1;
-    member.name = (char*)"here";
-    member.address = callers;
-    member.data_centre = (char*)"dc";
-    configuration.version = 1;
-    configuration.document = (ProtobufCBinaryData){sizeof document - 1, (uint8_t*)document};
-    state.leads = true;
-    state.term = 1;
-    state.leader_address = f->address;
-    state.configuration = &configuration;
-    state.targets = records;
-    state.n_targets = 1;
-    state.registry_change = 1;
-    state.registry_reset = true;
-    state.members = members;
-    state.n_members = 1;
-    state.members_change = 1;
-    state.members_num = 1;
-    state.report_ms = 100;
-    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
-    g_free(callers);
+    fake_control_leads(f, &(fake_word){.version = 1, .document = one_engine, .target = target});
 }
 
 /* Who begins to coordinate a target asks it what it holds: once, and again when that fails. */
 START_TEST(a_coordinator_asks_its_targets_what_they_hold) {
     fake_control leader;
     begin();
-    fake_begin(&leader, 1);
+    fake_control_begin(base, &leader, 1);
     char* target = local_address(31, 18007);
     char ip[WG_ADDRESS_MAX];
     uint16_t port;
@@ -270,7 +152,7 @@
     evhttp_set_cb(http, "/v1/cache", on_list, NULL);
     char* seeds[] = {leader.address, NULL};
     lists_asked = 0;
-    wg_entry* entry = entry_begin(seeds);
+    wg_entry* entry = fake_control_entry(base, seeds);
     for (int i = 0; i < TURNS && lists_asked <= LISTS_FAILED_FIRST; i++) {
         turn();
         if (leader.ups > 0 && i % 100 == 0) {
@@ -287,7 +169,7 @@
     ck_assert_int_eq(lists_asked, LISTS_FAILED_FIRST + 1);
     wg_entry_shutdown(entry);
     evhttp_free(http);
-    fake_end(&leader);
+    fake_control_end(&leader);
     event_base_free(base);
     g_free(target);
 }
@@ -404,9 +286,9 @@
     starting.net = wgn_setup(&(wgn_desc){.base = base,
                                          .fleet_key = "a key for the fleet",
                                          .self = self,
-                                         .on_up = on_up,
-                                         .on_frame = on_frame,
-                                         .on_down = on_down,
+                                         .on_up = fake_control_on_up,
+                                         .on_frame = fake_control_on_frame,
+                                         .on_down = fake_control_on_down,
                                          .user_data = &starting},
                              NULL);
     wgn_dial(starting.net, listen_at);
