--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -2,28 +2,12 @@
 #include "wg_entry_internal.h"
 
 enum {
-    WG_WAIT_PERCENT = 18, /* of the objective that a request may wait here before it is refused */
-    WG_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
-    WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC,
-    WG_ANSWER_TOKENS_FACTOR = 2, /* a token made counts as two that are read */
-    WG_ASKS_MAX = 3,             /* coordinators asked for one try */
-    WG_ASKS_IMPATIENT = 2,       /* the same, of a workspace without full patience */
-    WG_CHOICES_MAX = 6,          /* targets looked at for one try */
-    WG_UNSENT_MAX = 4            /* attempts of one request that reached no target */
+    WG_RETRY_WAIT = 15 * WG_USEC_PER_MSEC, /* a request with less time left is not sent again */
+    WG_ANSWER_TOKENS_FACTOR = 2,           /* a token made counts as two that are read */
+    WG_CHOICES_MAX = 6,                    /* targets looked at for one try */
+    WG_UNSENT_MAX = 4                      /* attempts of one request that reached no target */
 };
 
-/* Share of the objective that the first event may be expected to take, for a send now. */
-static const double WG_LIMIT = 0.95;
-/* Part of that share which is left while estimates cannot be trusted at all. */
-static const double WG_LIMIT_TRUSTLESS = 0.6;
-/* How much longer than the limit a modest workspace's request may be expected to take. */
-static const double WG_MODEST_FACTOR = 2;
-/* Part of a target's slots for those who have more than they are owed, by their patience. */
-static const double WG_SLOTS_LEAST = 0.55;
-static const double WG_SLOTS_SPAN = 0.35;
-/* Share of it that others' prompts may take before that of a request too large to be in time. */
-static const double WG_LIMIT_LARGE = 0.3;
-
 static void wg_call_choose(wg_call* call, wg_time now);
 
 /* ---- helpers: retries ------------------------------------------------------------------------ */
@@ -93,12 +77,21 @@
     return call->workspace && call->has_prompt;
 }
 
-static double wg_call_patience(const wg_call* call) {
-    if (!wg_call_counts(call)) {
-        return 1;
-    }
-    double patience = wg_fair_patience(wg_call_usage(call), &call->entry->levels);
-    return patience < 1 ? patience * wg_fair_trust(&call->entry->margin) : 1;
+static wg_policy_terms wg_call_terms(const wg_call* call) {
+    const wg_entry* e = call->entry;
+    bool counts = wg_call_counts(call);
+    wg_time objective = call->route->objective;
+    return (wg_policy_terms){.counts = counts,
+                             .used = counts ? wg_call_usage(call) : 0,
+                             .levels = &e->levels,
+                             .margin = &e->margin,
+                             .has_prompt = call->has_prompt,
+                             .sent_before = call->attempts > 0,
+                             .relaxed = call->relaxed,
+                             .started = call->started,
+                             .objective = objective,
+                             .tightest =
+                                 MIN(call->config->services[call->service].tightest, objective)};
 }
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
@@ -111,64 +104,20 @@
 
 static void wg_call_enqueue(wg_call* call, wg_time now) {
     if (!call->queued) {
-        wg_time wait = MAX(call->route->objective * WG_WAIT_PERCENT / 100, WG_WAIT_MIN);
         call->queued = true;
-        call->queued_until = call->started + wait;
+        call->queued_until = call->started + wg_policy_wait(call->route->objective);
         call->queue_link = (GList){.data = call};
         g_queue_push_tail_link(wg_call_queue(call), &call->queue_link);
     }
     wg_call_set_timer(call, now);
 }
 
-/* The tightest objective of the service: nobody may fill targets beyond it. */
-static wg_time wg_call_tightest(const wg_call* call) {
-    return MIN(call->config->services[call->service].tightest, call->route->objective);
-}
-
-/* Longest expected wait for the first event at which the request is sent. */
-static wg_time wg_call_limit(const wg_call* call, wg_time now) {
-    wg_time left = call->started + call->route->objective - now;
-    double trust = wg_fair_trust(&call->entry->margin);
-    double limit = WG_LIMIT * (WG_LIMIT_TRUSTLESS + (1 - WG_LIMIT_TRUSTLESS) * trust);
-    return (wg_time)(limit * (double)MIN(left, wg_call_tightest(call)));
-}
-
-/* Part of a target's slots that may be taken before this request: less without patience. */
-static double wg_call_slots_share(const wg_call* call) {
-    double patience = wg_call_patience(call);
-    return call->has_prompt && patience < 1 ? WG_SLOTS_LEAST + WG_SLOTS_SPAN * patience : 1;
-}
-
-/* Shared parts may be read again elsewhere rather than refuse a workspace below its level. */
-static bool wg_call_may_spill(const wg_call* call) {
-    return wg_call_counts(call) && wg_call_patience(call) >= 1;
-}
-
-static bool wg_call_is_behind(const wg_call* call) {
-    return wg_call_counts(call) && wg_fair_is_behind(wg_call_usage(call), &call->entry->levels);
-}
-
-/* Rather late than refused, for whoever has far less than others. */
-static bool wg_call_is_modest(const wg_call* call) {
-    return wg_call_counts(call) && wg_fair_is_modest(wg_call_usage(call), &call->entry->levels);
-}
-
-static wg_admit_limits wg_call_limits(const wg_call* call, wg_time now) {
-    wg_time whole = wg_call_limit(call, now);
-    double patience = wg_call_patience(call);
-    double factor = call->relaxed ? WG_MODEST_FACTOR : 1;
-    double large = WG_LIMIT_LARGE * (double)wg_call_tightest(call);
-    return (wg_admit_limits){.whole = (wg_time)(factor * (double)whole),
-                             .ahead = (wg_time)(factor * patience * (double)whole),
-                             .ahead_large = (wg_time)(factor * patience * large),
-                             .spares_shared = patience < 1 && !wg_call_is_behind(call)};
-}
-
 static bool wg_call_fits(const wg_call* call, const wg_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
     }
-    wg_admit_limits limits = wg_call_limits(call, now);
+    wg_policy_terms terms = wg_call_terms(call);
+    wg_admit_limits limits = wg_policy_limits(&terms, now);
     return wg_admit_fits(&limits, choice->wait, choice->wait_ahead);
 }
 
@@ -246,7 +195,8 @@
     if (need->denied_num < WG_DENIED_MAX) {
         need->denied[need->denied_num++] = call->proposed.target;
     }
-    if (!wg_call_may_spill(call) && need->source_tokens < wg_call_shared(call) / 2) {
+    wg_policy_terms terms = wg_call_terms(call);
+    if (!wg_policy_may_spill(&terms) && need->source_tokens < wg_call_shared(call) / 2) {
         wg_call_enqueue(call, now);
         return;
     }
@@ -276,7 +226,8 @@
 static void wg_call_ask(wg_call* call, wg_time now) {
     bool first = call->attempts == 0;
     wg_admit_limits any = {WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
-    wg_admit_limits limits = first ? wg_call_limits(call, now) : any;
+    wg_policy_terms terms = wg_call_terms(call);
+    wg_admit_limits limits = first ? wg_policy_limits(&terms, now) : any;
     call->asks++;
     call->asks_all++;
     wg_entry_admit_ask(call, &limits, now);
@@ -306,23 +257,14 @@
     wg_call_choose(call, now);
 }
 
-/* Questions for one try: fewer for those who have more than others, of whom there are most when a
-   host is flooded; none for who has so much that it is not sent. */
-static int wg_call_asks_max(const wg_call* call) {
-    double patience = call->attempts > 0 ? 1 : wg_call_patience(call);
-    if (patience <= 0) {
-        return 0;
-    }
-    return patience < 1 ? WG_ASKS_IMPATIENT : WG_ASKS_MAX;
-}
-
 /* Choose a target and send, or ask its coordinator first, or wait for another one. */
 static void wg_call_choose(wg_call* call, wg_time now) {
     wg_choice choice = {0};
-    if (call->asks < wg_call_asks_max(call)) {
+    wg_policy_terms terms = wg_call_terms(call);
+    if (call->asks < wg_policy_asks_max(&terms)) {
         choice = wg_call_next_choice(call, now);
     }
-    if (!choice.target && !call->relaxed && wg_call_is_modest(call)) {
+    if (!choice.target && !call->relaxed && wg_policy_is_modest(&terms)) {
         wg_call_relax(call, now);
         return;
     }
@@ -345,10 +287,11 @@
     if (call->asked) {
         return;
     }
-    call->next_try_at = now + wg_fair_try_gap(wg_call_patience(call));
-    call->limit = wg_call_limit(call, now);
-    call->need.limit = wg_call_may_spill(call) ? call->limit : WG_TIME_NEVER;
-    call->need.slots_share = wg_call_slots_share(call);
+    wg_policy_terms terms = wg_call_terms(call);
+    call->next_try_at = now + wg_policy_try_gap(&terms);
+    call->limit = wg_policy_limit(&terms, now);
+    call->need.limit = wg_policy_may_spill(&terms) ? call->limit : WG_TIME_NEVER;
+    call->need.slots_share = wg_policy_slots_share(&terms);
     call->asks = 0;
     call->relaxed = false;
     call->need.denied_num = 0;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -11,6 +11,7 @@
 #include "wg_entry.h"
 #include "wg_event_stream.h"
 #include "wg_fair.h"
+#include "wg_policy.h"
 #include "wg_retry.h"
 
 enum {
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -7,8 +7,8 @@
 static const double WG_USAGE_SECONDS = 1.731;
 
 enum {
-    /* Between two tries to reach a control. A replica listens some 40 ms after its start, and the loop
-       looks each 50 ms. */
+    /* Between two tries to reach a control. A replica listens some 40 ms after its start, and the
+       loop looks each 50 ms. */
     WG_DIAL_GAP = 30 * WG_USEC_PER_MSEC,
     WG_PROVE_TIME = 350 * WG_USEC_PER_MSEC, /* for a control to say that it leads */
     /* For a control that knows no leader to hear of one; then another control is asked. Shorter
--- /dev/null
+++ b/lib/policy/wg_policy.c
@@ -0,0 +1,84 @@
+/* wg_policy.c -- see wg_policy.h
+
+   The figures were found by trials on the users' deployments (docs/PLATFORM.md, docs/DECISIONS.md);
+   those beside them measured worse. */
+#include "wg_policy.h"
+
+enum {
+    /* Percent of the objective that a request may wait here before it is refused: within a quarter
+       a caller that comes back can still be served in time. */
+    _WG_POLICY_WAIT_PERCENT = 18,
+    _WG_POLICY_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
+    _WG_POLICY_ASKS = 3,
+    _WG_POLICY_ASKS_IMPATIENT = 2 /* the same, of a workspace without full patience */
+};
+
+/* Share of the objective that the first event may be expected to take, for a send now. */
+static const double _WG_POLICY_LIMIT = 0.95;
+/* Part of that share which is left while estimates cannot be trusted at all. */
+static const double _WG_POLICY_TRUSTLESS = 0.6;
+/* How much longer than the limit a modest workspace's request may be expected to take. */
+static const double _WG_POLICY_MODEST_FACTOR = 2;
+/* Part of a target's slots for those who have more than they are owed, by their patience. */
+static const double _WG_POLICY_SLOTS_LEAST = 0.55;
+static const double _WG_POLICY_SLOTS_SPAN = 0.35;
+/* Share of the objective that others' prompts may take before that of a request too large to be in
+   time. */
+static const double _WG_POLICY_LARGE = 0.3;
+
+static double _wg_policy_patience(const wg_policy_terms* t) {
+    if (!t->counts) {
+        return 1;
+    }
+    double patience = wg_fair_patience(t->used, t->levels);
+    return patience < 1 ? patience * wg_fair_trust(t->margin) : 1;
+}
+
+wg_time wg_policy_wait(wg_time objective) {
+    return MAX(objective * _WG_POLICY_WAIT_PERCENT / 100, _WG_POLICY_WAIT_MIN);
+}
+
+wg_time wg_policy_limit(const wg_policy_terms* t, wg_time now) {
+    wg_time left = t->started + t->objective - now;
+    double trust = wg_fair_trust(t->margin);
+    double limit = _WG_POLICY_LIMIT * (_WG_POLICY_TRUSTLESS + (1 - _WG_POLICY_TRUSTLESS) * trust);
+    return (wg_time)(limit * (double)MIN(left, t->tightest));
+}
+
+wg_admit_limits wg_policy_limits(const wg_policy_terms* t, wg_time now) {
+    double whole = (double)wg_policy_limit(t, now);
+    double patience = _wg_policy_patience(t);
+    double factor = t->relaxed ? _WG_POLICY_MODEST_FACTOR : 1;
+    double large = _WG_POLICY_LARGE * (double)t->tightest;
+    bool behind = t->counts && wg_fair_is_behind(t->used, t->levels);
+    return (wg_admit_limits){.whole = (wg_time)(factor * whole),
+                             .ahead = (wg_time)(factor * patience * whole),
+                             .ahead_large = (wg_time)(factor * patience * large),
+                             .spares_shared = patience < 1 && !behind};
+}
+
+double wg_policy_slots_share(const wg_policy_terms* t) {
+    double patience = _wg_policy_patience(t);
+    bool all = !t->has_prompt || patience >= 1;
+    return all ? 1 : _WG_POLICY_SLOTS_LEAST + _WG_POLICY_SLOTS_SPAN * patience;
+}
+
+bool wg_policy_may_spill(const wg_policy_terms* t) {
+    return t->counts && _wg_policy_patience(t) >= 1;
+}
+
+bool wg_policy_is_modest(const wg_policy_terms* t) {
+    return t->counts && wg_fair_is_modest(t->used, t->levels);
+}
+
+int wg_policy_asks_max(const wg_policy_terms* t) {
+    double patience = t->sent_before ? 1 : _wg_policy_patience(t);
+    if (patience <= 0) {
+        return 0;
+    }
+    return patience < 1 ? _WG_POLICY_ASKS_IMPATIENT : _WG_POLICY_ASKS;
+}
+
+wg_time wg_policy_try_gap(const wg_policy_terms* t) {
+    return wg_fair_try_gap(_wg_policy_patience(t));
+}
--- /dev/null
+++ b/tests/test_policy.c
@@ -0,0 +1,93 @@
+/* test_policy.c -- how long requests may wait, and for what */
+#include "wg_policy.h"
+#include "wg_test.h"
+
+static const wg_fair_levels levels = {.owed = 1000, .served = 1000};
+static const wg_fair_margin trusted = {.value = 1};
+
+static wg_policy_terms terms(double used) {
+    return (wg_policy_terms){.counts = true,
+                             .used = used,
+                             .levels = &levels,
+                             .margin = &trusted,
+                             .has_prompt = true,
+                             .objective = 800 * MSEC,
+                             .tightest = 400 * MSEC};
+}
+
+START_TEST(the_tightest_objective_bounds_all) {
+    wg_policy_terms t = terms(0);
+    ck_assert_int_eq(wg_policy_limit(&t, 0), 380 * MSEC);
+    ck_assert_int_eq(wg_policy_limit(&t, 600 * MSEC), 190 * MSEC); /* of the 200 ms left */
+    wg_fair_margin doubtful = {.value = 0.12};
+    t.margin = &doubtful;
+    ck_assert_int_lt(wg_policy_limit(&t, 0), 250 * MSEC);
+    ck_assert_int_gt(wg_policy_limit(&t, 0), 220 * MSEC);
+}
+END_TEST
+
+/* From full patience below the level to none far above it. */
+START_TEST(whoever_has_more_gives_way) {
+    wg_policy_terms below = terms(900);
+    wg_policy_terms above = terms(1100);
+    wg_policy_terms far = terms(1400);
+    wg_admit_limits b = wg_policy_limits(&below, 0);
+    wg_admit_limits a = wg_policy_limits(&above, 0);
+    wg_admit_limits f = wg_policy_limits(&far, 0);
+    ck_assert_int_eq(b.ahead, b.whole);
+    ck_assert_int_lt(a.ahead, b.ahead);
+    ck_assert_int_eq(f.ahead, 0);
+    ck_assert(!b.spares_shared);
+    ck_assert(a.spares_shared);
+    ck_assert(wg_policy_may_spill(&below));
+    ck_assert(!wg_policy_may_spill(&above));
+    ck_assert_int_eq(wg_policy_asks_max(&below), 3);
+    ck_assert_int_eq(wg_policy_asks_max(&above), 2);
+    ck_assert_int_eq(wg_policy_asks_max(&far), 0);
+    ck_assert_int_eq(wg_policy_try_gap(&below), 0);
+    ck_assert_int_gt(wg_policy_try_gap(&above), 0);
+    ck_assert_double_eq(wg_policy_slots_share(&below), 1);
+    ck_assert(wg_policy_slots_share(&above) < 1);
+    ck_assert(wg_policy_slots_share(&above) > wg_policy_slots_share(&far));
+}
+END_TEST
+
+/* An attempt that went out and failed is repeated whatever its workspace has. */
+START_TEST(a_second_attempt_is_tried_in_full) {
+    wg_policy_terms far = terms(5000);
+    far.sent_before = true;
+    ck_assert_int_eq(wg_policy_asks_max(&far), 3);
+}
+END_TEST
+
+START_TEST(the_modest_are_sent_late_rather_than_refused) {
+    wg_policy_terms t = terms(400);
+    ck_assert(wg_policy_is_modest(&t));
+    wg_time before = wg_policy_limits(&t, 0).whole;
+    t.relaxed = true;
+    ck_assert_int_eq(wg_policy_limits(&t, 0).whole, 2 * before);
+    t.used = 600;
+    ck_assert(!wg_policy_is_modest(&t));
+}
+END_TEST
+
+/* One that is charged to nobody has full patience, and no shared parts. */
+START_TEST(open_routes_wait_like_anybody) {
+    wg_policy_terms t = terms(5000);
+    t.counts = false;
+    ck_assert_int_eq(wg_policy_limits(&t, 0).ahead, wg_policy_limits(&t, 0).whole);
+    ck_assert(!wg_policy_may_spill(&t));
+    ck_assert(!wg_policy_is_modest(&t));
+    ck_assert_double_eq(wg_policy_slots_share(&t), 1);
+}
+END_TEST
+
+START_TEST(a_refusal_comes_within_a_quarter_of_the_objective) {
+    ck_assert_int_eq(wg_policy_wait(1000 * MSEC), 180 * MSEC);
+    ck_assert_int_eq(wg_policy_wait(10 * MSEC), 5 * MSEC);
+}
+END_TEST
+
+WG_TEST_MAIN("policy", the_tightest_objective_bounds_all, whoever_has_more_gives_way,
+             a_second_attempt_is_tried_in_full, the_modest_are_sent_late_rather_than_refused,
+             open_routes_wait_like_anybody, a_refusal_comes_within_a_quarter_of_the_objective)
