Who asks for more than it is owed waits behind a little more; reading again weighs more

Change: least patience beyond what is owed 0.05 -> 0.11, weight of a shared token read again 6 -> 12.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -22,7 +22,7 @@
     WG_FAR_TOKENS = 400,    /* what another data centre costs, in tokens to read */
     WG_RUNNING_TOKENS = 20, /* what each running request costs the next */
     WG_SECOND_HOME_TOKENS = 400, /* what the second home has to be better by */
-    WG_READ_AGAIN_FACTOR = 6,    /* what a shared token read again counts beside its own reading */
+    WG_READ_AGAIN_FACTOR = 12,   /* what a shared token read again counts beside its own reading */
     WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
 };
 
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -12,8 +12,10 @@
     double none_at; /* from here on it is 0 */
 } wg_fair_slope;
 
+/* Targets have room for some of what nobody is owed; with 0.25 shared parts are read again for it
+   and others wait (docs/DECISIONS.md). */
 static const wg_fair_slope WG_FAIR_OWED = {
-    .full_at = 1.0, .least_at = 1.2, .least = 0.05, .none_at = 1e9};
+    .full_at = 1.0, .least_at = 1.2, .least = 0.11, .none_at = 1e9};
 static const wg_fair_slope WG_FAIR_SERVED = {
     .full_at = 1.0, .least_at = 1.15, .least = 0.05, .none_at = 1.3};
 
