--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -62,7 +62,7 @@
 static bool _wgco_parse_controls(wgco_control* c, GError** error) {
     bool self_listed = false;
     if (c->discovers) {
-        return wg_control_discovery_seeds(c, c->settings, error);
+        return _wgco_discovery_seeds(c, c->settings, error);
     }
     for (int i = 0; c->settings->controls[i]; i++) {
         char** parts = g_strsplit(c->settings->controls[i], "@", 2);
@@ -124,7 +124,7 @@
     }
     GError* error = NULL;
     if (!wgs_save_cluster(c->store, peer->cluster, &error)) {
-        wg_control_storage_failed(c, error);
+        _wgco_storage_failed(c, error);
         return false;
     }
     wgn_set_cluster(c->net, peer->cluster);
@@ -180,17 +180,17 @@
 
 /* ---- callbacks of links -------------------------------------------------------------------- */
 
-void wg_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wgco_control* c = user_data;
     if (peer->role == WGW_ROLE_ROUTER) {
         _wgco_router_up(c, link, peer);
         return;
     }
-    if (peer->role == WGW_ROLE_ENTRY && wg_control_discovery_is_word(c, link)) {
+    if (peer->role == WGW_ROLE_ENTRY && _wgco_discovery_is_word(c, link)) {
         return;
     }
     if (peer->role == WGW_ROLE_ENTRY) {
-        wg_control_entry_up(c, link, peer);
+        _wgco_entry_up(c, link, peer);
         return;
     }
     if (!_wgco_join_cluster(c, peer)) {
@@ -206,14 +206,14 @@
         _wgco_note_gone(c, known);
     } else {
         if (c->discovers) {
-            wg_control_discovery_learn(c, peer->name, peer->address);
+            _wgco_discovery_learn(c, peer->name, peer->address);
         }
         _wgco_redial(c, peer->name);
     }
     wg_log(WG_EVENT_LINK_UP, "peer=%s", peer->name);
 }
 
-void wg_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wgco_control* c = user_data;
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
@@ -221,7 +221,7 @@
         known->seen_at = known->up ? wg_now() : known->seen_at;
         known->up = false;
     } else if (peer && peer->role == WGW_ROLE_ENTRY) {
-        wg_control_entry_down(c, link);
+        _wgco_entry_down(c, link);
     } else if (peer && peer->role == WGW_ROLE_ROUTER) {
         _wgco_router_down(c, link);
     }
@@ -230,22 +230,22 @@
     }
 }
 
-void wg_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+void _wgco_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wgco_control* c = user_data;
     const wgn_peer* peer = wgn_query_peer(c->net, link);
     bool control = peer && peer->role == WGW_ROLE_CONTROL;
     bool router = peer && peer->role == WGW_ROLE_ROUTER;
     bool entry = peer && peer->role == WGW_ROLE_ENTRY;
     if (entry && frame->type == WGW_TYPE_ENTRY_STATE) {
-        wg_control_discovery_take_word(c, frame);
+        _wgco_discovery_take_word(c, frame);
         return;
     }
     if (control && frame->type == WGW_TYPE_QUORUM) {
         _wgco_take_quorum(c, frame);
     } else if (entry && frame->type == WGW_TYPE_ENTRY_REPORT) {
-        wg_control_entry_take_report(c, link, frame);
+        _wgco_entry_take_report(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORDER) {
-        wg_control_entry_take_order(c, link, frame);
+        _wgco_entry_take_order(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_REPORT) {
         _wgco_take_report(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_ROW_QUERY) {
@@ -278,7 +278,7 @@
     }
     wg_copy_name(c->leader_told, sizeof c->leader_told, leader);
     if (leader[0] && !c->leads) {
-        wg_control_entry_redirect(c);
+        _wgco_entry_redirect(c);
     }
 }
 
@@ -307,13 +307,13 @@
     }
     _wgco_follow_leadership(c, now);
     _wgco_log_role(c, now);
-    wg_control_discovery_tick(c, now);
+    _wgco_discovery_tick(c, now);
     _wgco_dial_peers(c, now);
     if (c->leads) {
         _wgco_add_new_controls(c, now);
         _wgco_routers_tick(c, now);
-        wg_control_entry_tick(c, now);
-        wg_control_discovery_prune(c, now);
+        _wgco_entry_tick(c, now);
+        _wgco_discovery_prune(c, now);
         _wgco_pump(c);
     }
 }
@@ -356,7 +356,7 @@
     c->stop_event = event_new(c->base, -1, EV_PERSIST, _wgco_on_stop, c);
     struct timeval period = {.tv_usec = c->settings->tick_ms * WG_USEC_PER_MSEC};
     event_add(c->tick, &period);
-    if (!_wgco_parse_controls(c, error) || !wg_control_start(c, error)) {
+    if (!_wgco_parse_controls(c, error) || !_wgco_start(c, error)) {
         wgco_shutdown(c);
         return NULL;
     }
@@ -364,7 +364,7 @@
 }
 
 void wgco_shutdown(wgco_control* c) {
-    wg_control_end(c);
+    _wgco_end(c);
     if (c->tick) {
         event_free(c->tick);
         event_free(c->plan_event);
@@ -394,7 +394,7 @@
 
 void wgco_reload(wgco_control* c, const wgco_settings* settings) {
     if (c->discovers && !c->observer) {
-        wg_control_discovery_seeds(c, settings, NULL);
+        _wgco_discovery_seeds(c, settings, NULL);
     }
 }
 
--- a/lib/control/wg_control_discovery.c
+++ b/lib/control/wg_control_discovery.c
@@ -17,8 +17,8 @@
 /* ---- helpers ------------------------------------------------------------------------------- */
 
 /* "ip:port" of a seed as the fleet address of that host; its ip is its name. */
-static bool wg_control_seed(const wgco_control* c, const char* seed, char name[WG_NAME_MAX],
-                            char address[WG_ADDRESS_MAX]) {
+static bool _wgco_seed(const wgco_control* c, const char* seed, char name[WG_NAME_MAX],
+                       char address[WG_ADDRESS_MAX]) {
     char ip[WG_ADDRESS_MAX];
     uint16_t port;
     if (!wgn_split_address(seed, ip, &port) || !wg_copy_name(name, WG_NAME_MAX, ip)) {
@@ -28,11 +28,11 @@
     return true;
 }
 
-static uint64_t wg_control_seed_identity(const char* name) {
+static uint64_t _wgco_seed_identity(const char* name) {
     return wg_hash(name, strlen(name), 1) | 1;
 }
 
-static _wgco_peer_t* wg_control_find_peer(wgco_control* c, const char* name) {
+static _wgco_peer_t* _wgco_find_peer(wgco_control* c, const char* name) {
     for (int i = 0; i < c->peers_num; i++) {
         if (strcmp(c->peers[i].name, name) == 0) {
             return &c->peers[i];
@@ -41,7 +41,7 @@
     return NULL;
 }
 
-static bool wg_control_in_set(const wgco_control* c, const char* name) {
+static bool _wgco_in_set(const wgco_control* c, const char* name) {
     const wgr_set* set = c->node ? wgr_query_set(c->node) : NULL;
     for (int i = 0; set && i < set->num; i++) {
         if (strcmp(set->replicas[i].name, name) == 0) {
@@ -52,13 +52,13 @@
 }
 
 /* A place in the list of peers: a free one, or that of one that is down and not in the set. */
-static _wgco_peer_t* wg_control_peer_place(wgco_control* c) {
+static _wgco_peer_t* _wgco_peer_place(wgco_control* c) {
     if (c->peers_num < _WGCO_PEERS_MAX) {
         return &c->peers[c->peers_num++];
     }
     for (int i = 0; i < c->peers_num; i++) {
         _wgco_peer_t* peer = &c->peers[i];
-        if (!peer->up && peer->link.id == 0 && !wg_control_in_set(c, peer->name)) {
+        if (!peer->up && peer->link.id == 0 && !_wgco_in_set(c, peer->name)) {
             return peer;
         }
     }
@@ -67,11 +67,11 @@
 
 /* ---- functions of the library -------------------------------------------------------------- */
 
-void wg_control_discovery_learn(wgco_control* c, const char* name, const char* address) {
-    if (strcmp(name, c->settings->name) == 0 || wg_control_find_peer(c, name)) {
+void _wgco_discovery_learn(wgco_control* c, const char* name, const char* address) {
+    if (strcmp(name, c->settings->name) == 0 || _wgco_find_peer(c, name)) {
         return;
     }
-    _wgco_peer_t* peer = wg_control_peer_place(c);
+    _wgco_peer_t* peer = _wgco_peer_place(c);
     if (peer) {
         *peer = (_wgco_peer_t){.seen_at = wg_now()};
         wg_copy_name(peer->name, sizeof peer->name, name);
@@ -79,17 +79,17 @@
     }
 }
 
-bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error) {
+bool _wgco_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error) {
     c->word_seeds_num = 0;
     for (int i = 0; settings->seeds[i]; i++) {
         char name[WG_NAME_MAX];
         char address[WG_ADDRESS_MAX];
-        if (!wg_control_seed(c, settings->seeds[i], name, address)) {
+        if (!_wgco_seed(c, settings->seeds[i], name, address)) {
             g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "[control] seeds: \"%s\" is not ip:port",
                         settings->seeds[i]);
             return false;
         }
-        wg_control_discovery_learn(c, name, address);
+        _wgco_discovery_learn(c, name, address);
         if (c->word_seeds_num < WG_CONTROL_SEEDS_MAX) {
             wg_copy_name(c->word_seeds[c->word_seeds_num++], WG_NAME_MAX, name);
         }
@@ -97,22 +97,22 @@
     return true;
 }
 
-static bool wg_control_first_set(const wgco_control* c, wgr_set* set) {
+static bool _wgco_first_set(const wgco_control* c, wgr_set* set) {
     bool self = false;
     *set = (wgr_set){0};
     for (int i = 0; c->settings->seeds[i] && set->num < WGR_REPLICAS_MAX; i++) {
         wgr_replica* replica = &set->replicas[set->num++];
-        wg_control_seed(c, c->settings->seeds[i], replica->name, replica->address);
-        replica->id = wg_control_seed_identity(replica->name);
+        _wgco_seed(c, c->settings->seeds[i], replica->name, replica->address);
+        replica->id = _wgco_seed_identity(replica->name);
         replica->voter = true;
         self = self || strcmp(replica->name, c->settings->name) == 0;
     }
     return self;
 }
 
-bool wg_control_discovery_form(wgco_control* c, GError** error) {
+bool _wgco_discovery_form(wgco_control* c, GError** error) {
     wgr_set set;
-    if (strcmp(c->settings->first_start, "true") != 0 || !wg_control_first_set(c, &set)) {
+    if (strcmp(c->settings->first_start, "true") != 0 || !_wgco_first_set(c, &set)) {
         return true;
     }
     uint64_t cluster = 0;
@@ -121,7 +121,7 @@
     }
     wgs_store* store =
         wgs_open(&(wgs_desc){.folder = c->settings->data_folder,
-                             .fresh_identity = wg_control_seed_identity(c->settings->name),
+                             .fresh_identity = _wgco_seed_identity(c->settings->name),
                              .fresh_cluster = cluster | 1},
                  error);
     if (!store) {
@@ -140,7 +140,7 @@
 
 /* A seed need not have a disk. Whoever starts anew knows only the seeds, so each control tells the
    entry hosts there where it is, and learns of others from them. */
-static void wg_control_give_word(wgco_control* c, wg_time now) {
+static void _wgco_give_word(wgco_control* c, wg_time now) {
     if (now < c->word_at || c->word_seeds_num == 0) {
         return;
     }
@@ -151,7 +151,7 @@
     }
     const char* seed = c->word_seeds[c->word_next++ % c->word_seeds_num];
     const wgr_set* set = wgr_query_set(c->node);
-    if (set->num > 0 && wg_control_in_set(c, seed)) {
+    if (set->num > 0 && _wgco_in_set(c, seed)) {
         return; /* a replica answers for itself */
     }
     char address[WG_ADDRESS_MAX];
@@ -159,17 +159,17 @@
     c->word_link = wgn_dial(c->net, address);
 }
 
-bool wg_control_discovery_is_word(const wgco_control* c, wgn_link link) {
+bool _wgco_discovery_is_word(const wgco_control* c, wgn_link link) {
     return c->word_link.id == link.id;
 }
 
-void wg_control_discovery_take_word(wgco_control* c, const wgw_frame* frame) {
+void _wgco_discovery_take_word(wgco_control* c, const wgw_frame* frame) {
     Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
     for (size_t i = 0; in && i < in->n_controls; i++) {
         char ip[WG_ADDRESS_MAX];
         uint16_t port;
         if (wgn_split_address(in->controls[i], ip, &port)) {
-            wg_control_discovery_learn(c, ip, in->controls[i]);
+            _wgco_discovery_learn(c, ip, in->controls[i]);
         }
     }
     if (in) {
@@ -177,18 +177,18 @@
     }
 }
 
-void wg_control_discovery_tick(wgco_control* c, wg_time now) {
+void _wgco_discovery_tick(wgco_control* c, wg_time now) {
     if (!c->discovers) {
         return;
     }
     const wgr_set* set = wgr_query_set(c->node);
     for (int i = 0; i < set->num; i++) {
-        wg_control_discovery_learn(c, set->replicas[i].name, set->replicas[i].address);
+        _wgco_discovery_learn(c, set->replicas[i].name, set->replicas[i].address);
     }
-    wg_control_give_word(c, now);
+    _wgco_give_word(c, now);
 }
 
-void wg_control_discovery_prune(wgco_control* c, wg_time now) {
+void _wgco_discovery_prune(wgco_control* c, wg_time now) {
     if (!c->discovers) {
         return;
     }
@@ -197,7 +197,7 @@
     const wgr_replica* gone = NULL;
     for (int i = 0; i < set->num; i++) {
         const wgr_replica* replica = &set->replicas[i];
-        const _wgco_peer_t* peer = wg_control_find_peer(c, replica->name);
+        const _wgco_peer_t* peer = _wgco_find_peer(c, replica->name);
         if (peer && peer->up) {
             up += replica->voter && peer->identity == replica->id;
         } else if (peer && now - MAX(peer->seen_at, c->led_since) >
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -19,18 +19,18 @@
 
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
 
-static void wg_control_entry_free(void* data) {
-    wg_control_entry* e = data;
+static void _wgco_entry_free(void* data) {
+    _wgco_entry_t* e = data;
     g_hash_table_unref(e->loads);
     g_hash_table_unref(e->usage);
     g_free(e);
 }
 
-static wg_control_entry* wg_control_entry_of(const wgco_control* c, wgn_link link) {
+static _wgco_entry_t* _wgco_entry_of(const wgco_control* c, wgn_link link) {
     return g_hash_table_lookup(c->entries, GUINT_TO_POINTER(link.id));
 }
 
-static void wg_control_add_load(wgco_control* c, const Wgpb__TargetLoad* load, int sign) {
+static void _wgco_add_load(wgco_control* c, const Wgpb__TargetLoad* load, int sign) {
     Wgpb__TargetLoad* total = g_hash_table_lookup(c->load_totals, GUINT_TO_POINTER(load->target));
     if (!total) {
         total = g_new(Wgpb__TargetLoad, 1);
@@ -46,19 +46,18 @@
     }
 }
 
-static void wg_control_forget_loads(wgco_control* c, wg_control_entry* e) {
+static void _wgco_forget_loads(wgco_control* c, _wgco_entry_t* e) {
     GHashTableIter iter;
     gpointer load;
     g_hash_table_iter_init(&iter, e->loads);
     while (g_hash_table_iter_next(&iter, NULL, &load)) {
-        wg_control_add_load(c, load, -1);
+        _wgco_add_load(c, load, -1);
     }
     g_hash_table_remove_all(e->loads);
 }
 
-static void wg_control_take_loads(wgco_control* c, wg_control_entry* e,
-                                  const Wgpb__EntryReport* in) {
-    wg_control_forget_loads(c, e);
+static void _wgco_take_loads(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in) {
+    _wgco_forget_loads(c, e);
     for (size_t i = 0; i < in->n_loads; i++) {
         gpointer key = GUINT_TO_POINTER(in->loads[i]->target);
         if (g_hash_table_contains(e->loads, key)) {
@@ -70,20 +69,20 @@
         load->unread = in->loads[i]->unread;
         load->running = in->loads[i]->running;
         g_hash_table_insert(e->loads, key, load);
-        wg_control_add_load(c, load, 1);
+        _wgco_add_load(c, load, 1);
     }
 }
 
 /* ---- helpers: usage ------------------------------------------------------------------------ */
 
-static void wg_control_decay_usage(wgco_control* c, wg_time now) {
+static void _wgco_decay_usage(wgco_control* c, wg_time now) {
     double keep = exp2(-(double)(now - c->usage_at) / WG_USAGE_HALF_LIFE);
     c->usage_at = now;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->usage);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wg_control_usage* usage = value;
+        _wgco_usage_t* usage = value;
         usage->tokens *= keep;
         usage->asked *= keep;
         if (usage->asked < 1) {
@@ -92,11 +91,10 @@
     }
 }
 
-static void wg_control_add_usage(wgco_control* c, uint64_t workspace, uint64_t tokens,
-                                 uint64_t asked) {
-    wg_control_usage* usage = g_hash_table_lookup(c->usage, &workspace);
+static void _wgco_add_usage(wgco_control* c, uint64_t workspace, uint64_t tokens, uint64_t asked) {
+    _wgco_usage_t* usage = g_hash_table_lookup(c->usage, &workspace);
     if (!usage) {
-        usage = g_new0(wg_control_usage, 1);
+        usage = g_new0(_wgco_usage_t, 1);
         usage->workspace = workspace;
         g_hash_table_insert(c->usage, &usage->workspace, usage);
     }
@@ -104,20 +102,18 @@
     usage->asked += (double)asked;
 }
 
-static void wg_control_take_usage(wgco_control* c, wg_control_entry* e,
-                                  const Wgpb__EntryReport* in) {
+static void _wgco_take_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in) {
     for (size_t i = 0; i < in->n_usage; i++) {
         const Wgpb__WorkspaceUsage* now = in->usage[i];
         uint64_t workspace = now->workspace;
-        wg_control_reported* before = g_hash_table_lookup(e->usage, &workspace);
+        _wgco_reported_t* before = g_hash_table_lookup(e->usage, &workspace);
         if (!before) {
             /* What it served before it came to this leader is past. */
-            before = g_new0(wg_control_reported, 1);
+            before = g_new0(_wgco_reported_t, 1);
             before->workspace = workspace;
             g_hash_table_insert(e->usage, &before->workspace, before);
         } else if (now->tokens >= before->tokens && now->asked >= before->asked) {
-            wg_control_add_usage(c, workspace, now->tokens - before->tokens,
-                                 now->asked - before->asked);
+            _wgco_add_usage(c, workspace, now->tokens - before->tokens, now->asked - before->asked);
         }
         before->tokens = now->tokens;
         before->asked = now->asked;
@@ -126,10 +122,9 @@
 
 /* ---- helpers: members ---------------------------------------------------------------------- */
 
-static wg_control_member* wg_control_member_find(const wgco_control* c, const char* name,
-                                                 guint* at) {
+static _wgco_member_t* _wgco_member_find(const wgco_control* c, const char* name, guint* at) {
     for (guint i = 0; i < c->members_listed->len; i++) {
-        wg_control_member* member = c->members_listed->pdata[i];
+        _wgco_member_t* member = c->members_listed->pdata[i];
         if (strcmp(member->name, name) == 0) {
             *at = i;
             return member;
@@ -138,23 +133,23 @@
     return NULL;
 }
 
-static void wg_control_member_drop(wgco_control* c, guint at, wg_event event) {
-    const wg_control_member* member = c->members_listed->pdata[at];
+static void _wgco_member_drop(wgco_control* c, guint at, wg_event event) {
+    const _wgco_member_t* member = c->members_listed->pdata[at];
     wg_log(event, "entry=%s", member->name);
     g_ptr_array_remove_index(c->members_listed, at);
     c->members_change++;
 }
 
-static void wg_control_hear_member(wgco_control* c, const wg_control_entry* e, wg_time now) {
+static void _wgco_entry_hear_member(wgco_control* c, const _wgco_entry_t* e, wg_time now) {
     guint at = 0;
-    wg_control_member* member = wg_control_member_find(c, e->name, &at);
+    _wgco_member_t* member = _wgco_member_find(c, e->name, &at);
     bool listed = e->ready && !e->leaving;
     if (member && !listed) {
-        wg_control_member_drop(c, at, WG_EVENT_MEMBER_LEAVING);
+        _wgco_member_drop(c, at, WG_EVENT_MEMBER_LEAVING);
     } else if (member) {
         member->heard_at = now;
     } else if (listed) {
-        member = g_new0(wg_control_member, 1);
+        member = g_new0(_wgco_member_t, 1);
         wg_copy_name(member->name, sizeof member->name, e->name);
         wg_copy_name(member->address, sizeof member->address, e->address);
         wg_copy_name(member->data_centre, sizeof member->data_centre, e->data_centre);
@@ -165,11 +160,11 @@
     }
 }
 
-static void wg_control_drop_silent_members(wgco_control* c, wg_time now) {
+static void _wgco_drop_silent_members(wgco_control* c, wg_time now) {
     for (guint i = c->members_listed->len; i > 0; i--) {
-        const wg_control_member* member = c->members_listed->pdata[i - 1];
+        const _wgco_member_t* member = c->members_listed->pdata[i - 1];
         if (now - member->heard_at > WG_MEMBER_GONE) {
-            wg_control_member_drop(c, i - 1, WG_EVENT_MEMBER_GONE);
+            _wgco_member_drop(c, i - 1, WG_EVENT_MEMBER_GONE);
         }
     }
 }
@@ -185,10 +180,9 @@
     Wgpb__EntryMember* members;
     Wgpb__TargetLoad* loads;
     Wgpb__WorkspaceUsage* usage;
-} wg_control_state;
+} _wgco_state_t;
 
-static void wg_control_fill_configuration(wgco_control* c, wg_control_entry* e,
-                                          wg_control_state* s) {
+static void _wgco_fill_configuration(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s) {
     s->message.configuration_version = c->configuration_version;
     if (!c->configuration || e->configuration_version >= c->configuration_version) {
         return;
@@ -202,7 +196,7 @@
     e->configuration_version = c->configuration_version;
 }
 
-static void wg_control_fill_targets(wgco_control* c, wg_control_entry* e, wg_control_state* s) {
+static void _wgco_fill_targets(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s) {
     bool reset = false;
     s->message.registry_change = wg_registry_change(c->registry);
     if (e->registry_change == s->message.registry_change) {
@@ -219,8 +213,8 @@
     e->registry_change = s->message.registry_change;
 }
 
-static void wg_control_fill_members(wgco_control* c, wg_control_entry* e, wg_control_state* s,
-                                    wg_time now) {
+static void _wgco_entry_fill_members(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s,
+                                     wg_time now) {
     bool settling = now - c->led_since < WG_MEMBERS_SETTLE;
     s->message.members_num = c->members_listed->len;
     s->message.members_change = e->members_change;
@@ -230,7 +224,7 @@
     s->members = g_new(Wgpb__EntryMember, c->members_listed->len + 1);
     s->message.members = g_new(Wgpb__EntryMember*, c->members_listed->len + 1);
     for (guint i = 0; i < c->members_listed->len; i++) {
-        wg_control_member* member = c->members_listed->pdata[i];
+        _wgco_member_t* member = c->members_listed->pdata[i];
         wgpb__entry_member__init(&s->members[i]);
         s->members[i].name = member->name;
         s->members[i].address = member->address;
@@ -242,7 +236,7 @@
 }
 
 /* Loads of all others: what the host itself reported is taken off. */
-static void wg_control_fill_loads(wgco_control* c, const wg_control_entry* e, wg_control_state* s) {
+static void _wgco_fill_loads(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
     guint num = g_hash_table_size(c->load_totals);
     s->loads = g_new(Wgpb__TargetLoad, num + 1);
     s->message.loads = g_new(Wgpb__TargetLoad*, num + 1);
@@ -264,8 +258,8 @@
     }
 }
 
-static void wg_control_fill_usage(wgco_control* c, wg_control_state* s, wg_time now) {
-    wg_control_decay_usage(c, now);
+static void _wgco_fill_usage(wgco_control* c, _wgco_state_t* s, wg_time now) {
+    _wgco_decay_usage(c, now);
     guint num = g_hash_table_size(c->usage);
     s->usage = g_new(Wgpb__WorkspaceUsage, num + 1);
     s->message.usage = g_new(Wgpb__WorkspaceUsage*, num + 1);
@@ -273,7 +267,7 @@
     gpointer value;
     g_hash_table_iter_init(&iter, c->usage);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wg_control_usage* usage = value;
+        const _wgco_usage_t* usage = value;
         Wgpb__WorkspaceUsage* out = &s->usage[s->message.n_usage];
         wgpb__workspace_usage__init(out);
         out->workspace = usage->workspace;
@@ -283,7 +277,7 @@
     }
 }
 
-static void wg_control_state_clear(wg_control_state* s) {
+static void _wgco_state_clear(_wgco_state_t* s) {
     if (s->targets) {
         g_ptr_array_unref(s->targets);
     }
@@ -297,9 +291,9 @@
     g_free(s->message.usage);
 }
 
-static void wg_control_send_state(wgco_control* c, wg_control_entry* e, bool with_loads) {
+static void _wgco_send_state(wgco_control* c, _wgco_entry_t* e, bool with_loads) {
     wg_time now = wg_now();
-    wg_control_state s = {0};
+    _wgco_state_t s = {0};
     wgpb__entry_state__init(&s.message);
     wgr_stats stats = wgr_query_stats(c->node, now);
     const wgr_set* set = wgr_query_set(c->node);
@@ -316,12 +310,12 @@
         s.message.controls = controls;
     }
     if (s.message.leads && e->reported) {
-        wg_control_fill_configuration(c, e, &s);
-        wg_control_fill_targets(c, e, &s);
-        wg_control_fill_members(c, e, &s, now);
+        _wgco_fill_configuration(c, e, &s);
+        _wgco_fill_targets(c, e, &s);
+        _wgco_entry_fill_members(c, e, &s, now);
         if (with_loads) {
-            wg_control_fill_loads(c, e, &s);
-            wg_control_fill_usage(c, &s, now);
+            _wgco_fill_loads(c, e, &s);
+            _wgco_fill_usage(c, &s, now);
             for (int i = 0; i < set->num; i++) {
                 controls[i] = (char*)set->replicas[i].address;
             }
@@ -330,19 +324,19 @@
         }
     }
     wgn_send(c->net, e->link, WGW_TYPE_ENTRY_STATE, &s.message.base);
-    wg_control_state_clear(&s);
+    _wgco_state_clear(&s);
 }
 
 /* ---- functions of the library: links ------------------------------------------------------- */
 
-void wg_control_entry_setup(wgco_control* c) {
-    c->entries = g_hash_table_new_full(NULL, NULL, NULL, wg_control_entry_free);
+void _wgco_entry_setup(wgco_control* c) {
+    c->entries = g_hash_table_new_full(NULL, NULL, NULL, _wgco_entry_free);
     c->members_listed = g_ptr_array_new_with_free_func(g_free);
     c->load_totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     c->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
-void wg_control_entry_shutdown(wgco_control* c) {
+void _wgco_entry_shutdown(wgco_control* c) {
     g_clear_pointer(&c->entries, g_hash_table_unref);
     g_clear_pointer(&c->members_listed, g_ptr_array_unref);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
@@ -352,8 +346,8 @@
     c->configuration_version = 0;
 }
 
-void wg_control_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer) {
-    wg_control_entry* e = g_new0(wg_control_entry, 1);
+void _wgco_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer) {
+    _wgco_entry_t* e = g_new0(_wgco_entry_t, 1);
     e->link = link;
     wg_copy_name(e->name, sizeof e->name, peer->name);
     wg_copy_name(e->address, sizeof e->address, peer->address);
@@ -363,30 +357,30 @@
     g_hash_table_insert(c->entries, GUINT_TO_POINTER(link.id), e);
 }
 
-void wg_control_entry_down(wgco_control* c, wgn_link link) {
-    wg_control_entry* e = wg_control_entry_of(c, link);
+void _wgco_entry_down(wgco_control* c, wgn_link link) {
+    _wgco_entry_t* e = _wgco_entry_of(c, link);
     if (e) {
-        wg_control_forget_loads(c, e);
+        _wgco_forget_loads(c, e);
         g_hash_table_remove(c->entries, GUINT_TO_POINTER(link.id));
     }
 }
 
 /* A host has come: those that started with it wait for it. */
-static void wg_control_push_members(wgco_control* c, const wg_control_entry* but) {
+static void _wgco_push_members(wgco_control* c, const _wgco_entry_t* but) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wg_control_entry* e = value;
+        _wgco_entry_t* e = value;
         bool settling = wg_now() - c->led_since < WG_MEMBERS_SETTLE;
         if (e != but && e->reported && e->knows_no_members && settling) {
-            wg_control_send_state(c, e, false);
+            _wgco_send_state(c, e, false);
         }
     }
 }
 
-void wg_control_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame) {
-    wg_control_entry* e = wg_control_entry_of(c, link);
+void _wgco_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame) {
+    _wgco_entry_t* e = _wgco_entry_of(c, link);
     Wgpb__EntryReport* in =
         e ? wgpb__entry_report__unpack(NULL, frame->size, frame->payload) : NULL;
     if (!in) {
@@ -400,54 +394,54 @@
     e->members_change = in->members_change;
     e->ready = in->ready;
     e->leaving = in->leaving;
-    wg_control_take_loads(c, e, in);
-    wg_control_take_usage(c, e, in);
+    _wgco_take_loads(c, e, in);
+    _wgco_take_usage(c, e, in);
     uint64_t members_before = c->members_change;
     if (c->leads) {
-        wg_control_hear_member(c, e, wg_now());
+        _wgco_entry_hear_member(c, e, wg_now());
     }
     wgpb__entry_report__free_unpacked(in, NULL);
-    wg_control_send_state(c, e, true);
+    _wgco_send_state(c, e, true);
     if (c->members_change != members_before) {
-        wg_control_push_members(c, e);
+        _wgco_push_members(c, e);
     }
 }
 
-static void wg_control_send_states(wgco_control* c) {
+static void _wgco_send_states(wgco_control* c) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wg_control_entry* e = value;
+        _wgco_entry_t* e = value;
         if (e->reported) {
-            wg_control_send_state(c, e, false);
+            _wgco_send_state(c, e, false);
         }
     }
 }
 
-void wg_control_entry_push(wgco_control* c) {
+void _wgco_entry_push(wgco_control* c) {
     if (c->leads) {
-        wg_control_send_states(c);
+        _wgco_send_states(c);
     }
 }
 
-void wg_control_entry_redirect(wgco_control* c) {
-    wg_control_send_states(c);
+void _wgco_entry_redirect(wgco_control* c) {
+    _wgco_send_states(c);
 }
 
 /* ---- functions of the library: orders ------------------------------------------------------ */
 
-static void wg_control_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
-                                    wg_order_outcome outcome) {
+static void _wgco_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
+                               wg_order_outcome outcome) {
     Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
     answer.ticket = ticket;
     answer.outcome = outcome;
     wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
 }
 
-static void wg_control_answer_read(wgco_control* c, wgn_link link, uint64_t ticket) {
+static void _wgco_answer_read(wgco_control* c, wgn_link link, uint64_t ticket) {
     if (!c->configuration) {
-        wg_control_answer_order(c, link, ticket, WG_ORDER_NOTHING);
+        _wgco_answer_order(c, link, ticket, WG_ORDER_NOTHING);
         return;
     }
     gsize size;
@@ -462,68 +456,67 @@
     wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
 }
 
-static void wg_control_propose_order(wgco_control* c, wgn_link link, uint64_t ticket,
-                                     const Wgpb__Command* command) {
+static void _wgco_propose_order(wgco_control* c, wgn_link link, uint64_t ticket,
+                                const Wgpb__Command* command) {
     _wgco_waiter_t* waiter = g_new0(_wgco_waiter_t, 1);
     waiter->link = link;
     waiter->ticket = ticket;
     waiter->order = true;
     if (!_wgco_propose(c, &command->base, waiter)) {
-        wg_control_answer_order(c, link, ticket, WG_ORDER_NOT_LEADER);
+        _wgco_answer_order(c, link, ticket, WG_ORDER_NOT_LEADER);
     }
 }
 
-static void wg_control_order_configuration(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
+static void _wgco_order_configuration(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
     if (in->configuration->version <= c->configuration_version) {
-        wg_control_answer_order(c, link, in->ticket, WG_ORDER_DONE);
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
         return;
     }
     Wgpb__Command command = WGPB__COMMAND__INIT;
     command.configuration = in->configuration;
-    wg_control_propose_order(c, link, in->ticket, &command);
+    _wgco_propose_order(c, link, in->ticket, &command);
 }
 
-static void wg_control_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
+static void _wgco_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
     wg_target heard;
     if (!wg_target_unpack(in->target, &heard)) {
-        wg_control_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
         return;
     }
     if (wg_registry_hear(c->registry, wg_now(), &heard) != WG_HEARD_CHANGE) {
-        wg_control_answer_order(c, link, in->ticket, WG_ORDER_DONE);
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
         return;
     }
     Wgpb__Command command = WGPB__COMMAND__INIT;
     command.target = in->target;
-    wg_control_propose_order(c, link, in->ticket, &command);
+    _wgco_propose_order(c, link, in->ticket, &command);
 }
 
-void wg_control_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame) {
+void _wgco_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame) {
     Wgpb__Order* in = wgpb__order__unpack(NULL, frame->size, frame->payload);
     if (!in) {
         wg_log(WG_EVENT_FRAME_BAD, "reason=order");
         return;
     }
     if (!c->leads || !wgr_leads(c->node, wg_now())) {
-        wg_control_answer_order(c, link, in->ticket, WG_ORDER_NOT_LEADER);
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_NOT_LEADER);
     } else if (in->read_configuration) {
-        wg_control_answer_read(c, link, in->ticket);
+        _wgco_answer_read(c, link, in->ticket);
     } else if (in->configuration) {
-        wg_control_order_configuration(c, link, in);
+        _wgco_order_configuration(c, link, in);
     } else if (in->target) {
-        wg_control_order_target(c, link, in);
+        _wgco_order_target(c, link, in);
     } else {
-        wg_control_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
     }
     wgpb__order__free_unpacked(in, NULL);
 }
 
-void wg_control_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed) {
-    wg_control_answer_order(c, waiter->link, waiter->ticket,
-                            agreed ? WG_ORDER_DONE : WG_ORDER_UNKNOWN);
+void _wgco_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed) {
+    _wgco_answer_order(c, waiter->link, waiter->ticket, agreed ? WG_ORDER_DONE : WG_ORDER_UNKNOWN);
 }
 
-void wg_control_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in) {
+void _wgco_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in) {
     if (in->version <= c->configuration_version) {
         return;
     }
@@ -534,10 +527,10 @@
     c->configuration_version = in->version;
     wg_log(WG_EVENT_CONFIGURATION_AGREED, "version=%" G_GUINT64_FORMAT " bytes=%zu", in->version,
            in->document.len);
-    wg_control_entry_push(c);
+    _wgco_entry_push(c);
 }
 
-void wg_control_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in) {
+void _wgco_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in) {
     wg_target record;
     uint64_t before = wg_registry_change(c->registry);
     if (!wg_target_unpack(in, &record)) {
@@ -547,33 +540,33 @@
     if (wg_registry_change(c->registry) != before) {
         wg_log(WG_EVENT_TARGET_AGREED, "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT,
                record.id, record.address, record.state, record.sequence);
-        wg_control_entry_push(c);
+        _wgco_entry_push(c);
     }
 }
 
 /* ---- functions of the library: leadership -------------------------------------------------- */
 
-void wg_control_entry_lead_begin(wgco_control* c, wg_time now) {
+void _wgco_entry_lead_begin(wgco_control* c, wg_time now) {
     c->led_since = now;
     c->usage_at = now;
     c->members_change += 1 + (uint64_t)(now & 0xffff); /* no copy of another leader's is current */
     g_ptr_array_set_size(c->members_listed, 0);
     g_hash_table_remove_all(c->usage);
     wg_registry_hear_all(c->registry, now);
-    wg_control_entry_push(c);
+    _wgco_entry_push(c);
 }
 
-void wg_control_entry_lead_end(wgco_control* c) {
+void _wgco_entry_lead_end(wgco_control* c) {
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        wg_control_send_state(c, value, false);
+        _wgco_send_state(c, value, false);
     }
 }
 
-void wg_control_entry_tick(wgco_control* c, wg_time now) {
-    wg_control_drop_silent_members(c, now);
+void _wgco_entry_tick(wgco_control* c, wg_time now) {
+    _wgco_drop_silent_members(c, now);
     const wg_target* silent =
         wg_registry_silent(c->registry, now, c->settings->target_silent_ms * WG_USEC_PER_MSEC);
     if (!silent) {
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -65,15 +65,15 @@
     bool ready;
     bool leaving;
     GHashTable* loads; /* target number -> Wgpb__TargetLoad* */
-    GHashTable* usage; /* hash of a workspace -> wg_control_reported* */
-} wg_control_entry;
+    GHashTable* usage; /* hash of a workspace -> _wgco_reported_t* */
+} _wgco_entry_t;
 
 /* Totals of a workspace as an entry host last reported them. */
 typedef struct {
     uint64_t workspace;
     uint64_t tokens;
     uint64_t asked;
-} wg_control_reported;
+} _wgco_reported_t;
 
 /* An entry host as callers may be told of it. */
 typedef struct {
@@ -81,14 +81,14 @@
     char address[WG_ADDRESS_MAX];
     char data_centre[WG_NAME_MAX];
     wg_time heard_at;
-} wg_control_member;
+} _wgco_member_t;
 
 /* Tokens that the fleet served a workspace lately, halved every WG_USAGE_HALF_LIFE. */
 typedef struct {
     uint64_t workspace;
     double tokens;
     double asked;
-} wg_control_usage;
+} _wgco_usage_t;
 
 struct wgco_control {
     wgco_desc desc;
@@ -121,11 +121,11 @@
     uint64_t configuration_version;
     GBytes* configuration; /* NULL: none yet */
     wg_registry* registry;
-    GHashTable* entries;       /* link id -> wg_control_entry* */
-    GPtrArray* members_listed; /* wg_control_member* */
+    GHashTable* entries;       /* link id -> _wgco_entry_t* */
+    GPtrArray* members_listed; /* _wgco_member_t* */
     uint64_t members_change;
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
-    GHashTable* usage;       /* hash of a workspace -> wg_control_usage* */
+    GHashTable* usage;       /* hash of a workspace -> _wgco_usage_t* */
     wg_time usage_at;
     wg_time led_since;
     char leader_told[WG_ADDRESS_MAX]; /* address that entry hosts were last told; "" none */
@@ -158,15 +158,15 @@
 /* start and pause (wg_control_start.c) */
 /* Open the data folder and take part. A disk that takes no writes now is waited for; false with the
    reason when waiting would not help. */
-bool wg_control_start(wgco_control* c, GError** error);
-void wg_control_end(wgco_control* c);
+bool _wgco_start(wgco_control* c, GError** error);
+void _wgco_end(wgco_control* c);
 /* Something could not be stored; takes over `error`. */
-void wg_control_storage_failed(wgco_control* c, GError* error);
+void _wgco_storage_failed(wgco_control* c, GError* error);
 
 /* links (wg_control.c) */
-void wg_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data);
-void wg_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data);
-void wg_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data);
+void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data);
+void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data);
+void _wgco_on_frame(wgn_link link, const wgw_frame* frame, void* user_data);
 
 /* replication (wg_control_log.c) */
 void _wgco_pump(wgco_control* c);
@@ -192,37 +192,37 @@
 void _wgco_plan(wgco_control* c);
 
 /* entry hosts (wg_control_entry.c) */
-void wg_control_entry_setup(wgco_control* c);
-void wg_control_entry_shutdown(wgco_control* c);
-void wg_control_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer);
-void wg_control_entry_down(wgco_control* c, wgn_link link);
-void wg_control_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame);
-void wg_control_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
-void wg_control_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
-void wg_control_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
-void wg_control_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
-void wg_control_entry_lead_begin(wgco_control* c, wg_time now);
-void wg_control_entry_lead_end(wgco_control* c);
-void wg_control_entry_tick(wgco_control* c, wg_time now);
+void _wgco_entry_setup(wgco_control* c);
+void _wgco_entry_shutdown(wgco_control* c);
+void _wgco_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer);
+void _wgco_entry_down(wgco_control* c, wgn_link link);
+void _wgco_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame);
+void _wgco_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
+void _wgco_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
+void _wgco_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
+void _wgco_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
+void _wgco_entry_lead_begin(wgco_control* c, wg_time now);
+void _wgco_entry_lead_end(wgco_control* c);
+void _wgco_entry_tick(wgco_control* c, wg_time now);
 /* Send every entry host what it lacks. */
-void wg_control_entry_push(wgco_control* c);
+void _wgco_entry_push(wgco_control* c);
 /* As a follower: tell every entry host here where the leader is. */
-void wg_control_entry_redirect(wgco_control* c);
+void _wgco_entry_redirect(wgco_control* c);
 
 /* discovery of other controls (wg_control_discovery.c) */
-bool wg_control_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error);
+bool _wgco_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error);
 /* On the first start of a fleet, the seeds form the first set of replicas, each for itself. */
-bool wg_control_discovery_form(wgco_control* c, GError** error);
+bool _wgco_discovery_form(wgco_control* c, GError** error);
 /* A control that connected, or that stands in the set, is one to be dialled. */
-void wg_control_discovery_learn(wgco_control* c, const char* name, const char* address);
+void _wgco_discovery_learn(wgco_control* c, const char* name, const char* address);
 /* Know the replicas of the set; give the entry hosts at the seeds word of this control. */
-void wg_control_discovery_tick(wgco_control* c, wg_time now);
+void _wgco_discovery_tick(wgco_control* c, wg_time now);
 /* As leader: take out replicas that are gone for good, once enough others are up. */
-void wg_control_discovery_prune(wgco_control* c, wg_time now);
+void _wgco_discovery_prune(wgco_control* c, wg_time now);
 /* Is this a link on which word is given to a seed? */
-bool wg_control_discovery_is_word(const wgco_control* c, wgn_link link);
+bool _wgco_discovery_is_word(const wgco_control* c, wgn_link link);
 /* An entry host tells of the controls that it knows. */
-void wg_control_discovery_take_word(wgco_control* c, const wgw_frame* frame);
+void _wgco_discovery_take_word(wgco_control* c, const wgw_frame* frame);
 
 /* operators (wg_control_http.c) */
 bool _wgco_http_setup(wgco_control* c, GError** error);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -134,7 +134,7 @@
                 (!state->claims || wgk_load(c->claims, state->claims)) &&
                 (!state->registry || wg_registry_load(c->registry, state->registry));
     if (good && state->configuration) {
-        wg_control_entry_apply_configuration(c, state->configuration);
+        _wgco_entry_apply_configuration(c, state->configuration);
     }
     wgpb__state__free_unpacked(state, NULL);
     return good;
@@ -203,13 +203,13 @@
         }
     }
     if (command->configuration) {
-        wg_control_entry_apply_configuration(c, command->configuration);
+        _wgco_entry_apply_configuration(c, command->configuration);
     }
     if (command->target) {
-        wg_control_entry_apply_target(c, command->target);
+        _wgco_entry_apply_target(c, command->target);
     }
     if (waiter && waiter->order) {
-        wg_control_entry_answer(c, waiter, true);
+        _wgco_entry_answer(c, waiter, true);
     }
     wgpb__command__free_unpacked(command, NULL);
 }
@@ -225,7 +225,7 @@
             _wgco_answer_unknown(waiter->request);
         }
         if (waiter->order) {
-            wg_control_entry_answer(c, waiter, false);
+            _wgco_entry_answer(c, waiter, false);
         }
         g_free(waiter);
         waiter = NULL;
@@ -276,7 +276,7 @@
     wgr_compact(c->node, c->applied, state);
     wgr_set set = *wgr_query_snapshot_set(c->node);
     if (!wgs_save_snapshot(c->store, c->applied, c->applied_term, &set, state, false, &error)) {
-        wg_control_storage_failed(c, error);
+        _wgco_storage_failed(c, error);
     } else {
         wg_log(WG_EVENT_SNAPSHOT_SAVED, "index=%" G_GUINT64_FORMAT " bytes=%zu", c->applied,
                g_bytes_get_size(state));
@@ -295,7 +295,7 @@
     while (!c->failed && wgr_output_next(c->node, &out)) {
         GError* error = NULL;
         if (!_wgco_persist(c, &out, &error)) {
-            wg_control_storage_failed(c, error);
+            _wgco_storage_failed(c, error);
             break;
         }
         for (int i = 0; i < out.messages_num; i++) {
@@ -349,7 +349,7 @@
             _wgco_answer_unknown(waiter->request);
         }
         if (waiter->order) {
-            wg_control_entry_answer(c, waiter, false);
+            _wgco_entry_answer(c, waiter, false);
         }
         g_free(waiter);
     }
--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -283,7 +283,7 @@
         &(wgm_desc){.gone_after = c->settings->router_gone_ms * WG_USEC_PER_MSEC}, &error);
     WG_ASSERT(c->share && c->members);
     c->leads = true;
-    wg_control_entry_lead_begin(c, now);
+    _wgco_entry_lead_begin(c, now);
     _wgco_share_config(c);
     _wgco_share_weights(c, 0);
     for (int i = 0; i < _WGCO_ROUTERS_MAX; i++) {
@@ -307,7 +307,7 @@
     event_del(c->plan_event);
     c->plan_due = false;
     _wgco_fail_waiters(c);
-    wg_control_entry_lead_end(c);
+    _wgco_entry_lead_end(c);
     for (int i = 0; i < _WGCO_ROUTERS_MAX; i++) {
         if (c->sessions[i].live) {
             _wgco_send_reply(c, &c->sessions[i], false);
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -111,9 +111,9 @@
                                    .self = self,
                                    .silence_deadline = s->link_silence_ms * WG_USEC_PER_MSEC,
                                    .ping_interval = s->link_silence_ms * WG_USEC_PER_MSEC / 4,
-                                   .on_up = wg_control_on_up,
-                                   .on_frame = wg_control_on_frame,
-                                   .on_down = wg_control_on_down,
+                                   .on_up = _wgco_on_up,
+                                   .on_frame = _wgco_on_frame,
+                                   .on_down = _wgco_on_down,
                                    .user_data = c},
                        error);
     return c->net && wgn_listen(c->net, s->fleet_listen, error) && _wgco_http_setup(c, error);
@@ -122,13 +122,13 @@
 /* ---- functions of the library -------------------------------------------------------------- */
 
 /* Everything that stands on the data folder. */
-static bool wg_control_open(wgco_control* c, GError** error) {
-    wg_control_entry_setup(c);
-    return (!c->discovers || wg_control_discovery_form(c, error)) && _wgco_open_state(c, error) &&
+static bool _wgco_open(wgco_control* c, GError** error) {
+    _wgco_entry_setup(c);
+    return (!c->discovers || _wgco_discovery_form(c, error)) && _wgco_open_state(c, error) &&
            _wgco_open_links(c, error);
 }
 
-static void wg_control_close(wgco_control* c) {
+static void _wgco_close(wgco_control* c) {
     if (c->leads) {
         _wgco_lead_end(c);
     }
@@ -138,7 +138,7 @@
     g_clear_pointer(&c->node, wgr_shutdown);
     g_clear_pointer(&c->table, wgt_shutdown);
     g_clear_pointer(&c->claims, wgk_shutdown);
-    wg_control_entry_shutdown(c);
+    _wgco_entry_shutdown(c);
     g_clear_pointer(&c->store, wgs_close);
     for (int i = 0; i < c->peers_num; i++) {
         c->peers[i].link = (wgn_link){0};
@@ -150,22 +150,22 @@
     c->failed = false;
 }
 
-static void wg_control_retry_later(wgco_control* c) {
+static void _wgco_retry_later(wgco_control* c) {
     struct timeval wait = {.tv_usec = WG_DISK_RETRY};
     event_add(c->disk_event, &wait);
 }
 
-static void wg_control_on_disk(evutil_socket_t fd, short what, void* user_data) {
+static void _wgco_on_disk(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
     wgco_control* c = user_data;
-    wg_control_close(c);
+    _wgco_close(c);
     if (c->stopping) {
         event_base_loopbreak(c->base);
         return;
     }
     GError* error = NULL;
-    if (wg_control_open(c, &error)) {
+    if (_wgco_open(c, &error)) {
         wg_log(WG_EVENT_STORE_RESUMED, "after_ms=%" G_GINT64_FORMAT,
                (wg_now() - c->suspended_at) / WG_USEC_PER_MSEC);
         c->suspended_at = 0;
@@ -176,50 +176,50 @@
         c->broken = true;
         event_base_loopbreak(c->base);
     } else {
-        wg_control_retry_later(c);
+        _wgco_retry_later(c);
     }
     g_error_free(error);
 }
 
-static void wg_control_suspend(wgco_control* c, const GError* error) {
+static void _wgco_suspend(wgco_control* c, const GError* error) {
     wg_log(WG_EVENT_STORE_SUSPENDED, "%s", error->message);
     c->failed = true;
     c->suspended_at = wg_now();
 }
 
-bool wg_control_start(wgco_control* c, GError** error) {
+bool _wgco_start(wgco_control* c, GError** error) {
     GError* failure = NULL;
-    c->disk_event = evtimer_new(c->base, wg_control_on_disk, c);
-    if (wg_control_open(c, &failure)) {
+    c->disk_event = evtimer_new(c->base, _wgco_on_disk, c);
+    if (_wgco_open(c, &failure)) {
         return true;
     }
     if (!g_error_matches(failure, WG_ERROR, WG_ERROR_DISK)) {
         g_propagate_error(error, failure);
         return false;
     }
-    wg_control_close(c);
-    wg_control_suspend(c, failure);
+    _wgco_close(c);
+    _wgco_suspend(c, failure);
     g_error_free(failure);
-    wg_control_retry_later(c);
+    _wgco_retry_later(c);
     return true;
 }
 
-void wg_control_end(wgco_control* c) {
-    wg_control_close(c);
+void _wgco_end(wgco_control* c) {
+    _wgco_close(c);
     if (c->disk_event) {
         event_free(c->disk_event);
         c->disk_event = NULL;
     }
 }
 
-void wg_control_storage_failed(wgco_control* c, GError* error) {
+void _wgco_storage_failed(wgco_control* c, GError* error) {
     if (c->failed) {
         g_error_free(error);
         return;
     }
     if (g_error_matches(error, WG_ERROR, WG_ERROR_DISK)) {
         struct timeval at_once = {0};
-        wg_control_suspend(c, error);
+        _wgco_suspend(c, error);
         event_add(c->disk_event, &at_once); /* from the loop: a link's callback may be under way */
     } else {
         wg_log(WG_EVENT_STORE_FAILED, "%s", error->message);
