Tests of a full disk and of a wrong key say what holds now

In its place: the control falls behind for good while there is no room, does not end, the others take 60 edits, and the same process takes part again when there is room: more than before, where it was started anew.

It waits for the refused proof now, 20 s at most, and then checks for 1.5 s that the router takes no work: nothing is checked less.

--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -16,7 +16,6 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/file.h>
-#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -208,14 +207,7 @@
     }
     char out[48];
     g_snprintf(out, sizeof out, "%s.out", p->name);
-    struct rlimit limit;
-    getrlimit(RLIMIT_FSIZE, &limit);
-    struct rlimit less = {.rlim_cur = (rlim_t)f->file_limit * 512, .rlim_max = limit.rlim_max};
-    if (f->file_limit && is_kind(p, "c")) {
-        setrlimit(RLIMIT_FSIZE, &less);
-    }
     p->pid = spawn(f, out, argv);
-    setrlimit(RLIMIT_FSIZE, &limit);
 }
 
 void proc_signal(proc_process* p, int signal) {
--- a/tests/sim/proc.h
+++ b/tests/sim/proc.h
@@ -46,7 +46,6 @@
     int host; /* part of the loopback addresses */
     proc_process processes[PROC_MAX];
     int num;
-    int file_limit; /* of controls that are started from now on, 512-byte blocks; 0 none */
     bool keep;      /* the folder, for a look after a failure */
 } proc_fleet;
 
--- a/tests/test_fleet_control.c
+++ b/tests/test_fleet_control.c
@@ -1,6 +1,14 @@
 /* test_fleet_control.c -- real processes: controls, table, leases, membership under failure */
+#include <sys/resource.h>
+#include <sys/wait.h>
+
 #include "fleet_common.h"
 
+static bool proof_was_refused(void* user_data) {
+    (void)user_data;
+    return proc_state(&fleet, proc_find(&fleet, "c1"), "links.proofs_bad") >= 1;
+}
+
 START_TEST(wrong_fleet_key_is_kept_out) {
     start(&(proc_desc){.controls = 1, .routers = 1, .services = 1, .engines = 1});
     proc_process* router = proc_find(&fleet, "r1");
@@ -10,12 +18,12 @@
     ck_assert(g_file_set_contents(path, "another-key-altogether\n", -1, NULL));
     g_free(path);
     proc_start(&fleet, router);
+    ck_assert(proc_until(proof_was_refused, NULL, 20));
     proc_sleep(1500);
     proc_answer answer = proc_ask(router->address, "GET", "/v1/app/app/x", "key-w0", NULL, NULL);
     ck_assert_int_eq(answer.status, 503);
     ck_assert_str_eq(answer.verdict, "not-run");
     proc_answer_clear(&answer);
-    ck_assert_int_ge(proc_state(&fleet, proc_find(&fleet, "c1"), "links.proofs_bad"), 1);
     proc_fleet_kill(&fleet);
 }
 END_TEST
@@ -247,24 +255,41 @@
 }
 END_TEST
 
-START_TEST(full_disk_ends_a_control_and_no_more) {
+/* It has not what the leader has: it stands aside, or tries again and fails. */
+static bool is_behind(void* user_data) {
+    int64_t commit = proc_state(&fleet, proc_leader(&fleet), "log.commit");
+    return proc_state(&fleet, user_data, "log.commit") < commit;
+}
+
+static void limit_files(const proc_process* control, rlim_t bytes) {
+    struct rlimit limit;
+    ck_assert_int_eq(prlimit(control->pid, RLIMIT_FSIZE, NULL, &limit), 0);
+    limit.rlim_cur = MIN(bytes, limit.rlim_max);
+    ck_assert_int_eq(prlimit(control->pid, RLIMIT_FSIZE, &limit, NULL), 0);
+}
+
+/* A control whose disk is full stands aside, the others go on, and it takes part again when there
+   is room, in the same process. */
+START_TEST(full_disk_stops_a_control_and_no_more) {
     start(&(proc_desc){.controls = 3, .routers = 1, .services = 1, .engines = 1});
     proc_process* leader = proc_leader(&fleet);
     proc_process* full = &fleet.processes[leader == &fleet.processes[0] ? 1 : 0];
-    proc_signal(full, SIGTERM);
-    ck_assert_int_eq(proc_wait(full), 0);
-    fleet.file_limit = 8; /* a file of more than 4 KiB cannot be written */
-    proc_start(&fleet, full);
+    pid_t pid = full->pid;
+    limit_files(full, 4096); /* a file of more cannot be written */
     for (int i = 0; i < 60; i++) {
         char name[16];
         g_snprintf(name, sizeof name, "more%d", i);
         ck_assert_int_eq(
             proc_ctl(&fleet, NULL, "table", "set", "workspaces", name, "weight=5", NULL), 0);
     }
-    ck_assert_int_eq(proc_wait(full), 1); /* a failed write is final */
-    fleet.file_limit = 0;
-    proc_start(&fleet, full);
+    ck_assert(proc_until(is_behind, full, 30));
+    proc_sleep(1000);
+    ck_assert(is_behind(full));                       /* for good, while there is no room */
+    ck_assert_int_eq(waitpid(pid, NULL, WNOHANG), 0); /* a failed write ends nothing */
+    limit_files(full, RLIM_INFINITY);
     ck_assert(proc_until(three_voters, NULL, 30));
+    ck_assert_int_eq(full->pid, pid);
+    ck_assert_int_eq(waitpid(pid, NULL, WNOHANG), 0);
     int64_t commit = proc_state(&fleet, proc_leader(&fleet), "log.commit");
     for (int i = 0; i < 400 && proc_state(&fleet, full, "log.commit") < commit; i++) {
         proc_sleep(20);
@@ -350,5 +375,5 @@
              lost_disk_is_replaced_by_one_command, folder_of_another_cluster_is_refused,
              without_a_majority_actions_are_refused_as_not_run,
              router_without_a_leader_stops_taking_work, leaving_target_gets_no_new_work,
-             daemons_say_why_they_do_not_start, full_disk_ends_a_control_and_no_more,
+             daemons_say_why_they_do_not_start, full_disk_stops_a_control_and_no_more,
              rows_on_demand, host_list_that_steps_back_or_vanishes)
