--- a/tests/sim/proc.h
+++ b/tests/sim/proc.h
@@ -46,7 +46,7 @@
     int host; /* part of the loopback addresses */
     proc_process processes[PROC_MAX];
     int num;
-    bool keep;      /* the folder, for a look after a failure */
+    bool keep; /* the folder, for a look after a failure */
 } proc_fleet;
 
 typedef struct {
