--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -10,8 +10,8 @@
     FEATURES
         - a shared prefix has two homes: the targets that rendezvous hashing gives it, the same on
           every host without a message; a long prefix goes elsewhere only at a price
-        - a target that is no home copies what a home holds of the prompt, where engines can do
-          that: far less work than reading it again
+        - every target but the first home copies what it lacks of the prompt from there, where
+          engines can do that: far less work than reading it again
         - a prefix counts as cached at its homes some time after the first prompt was sent; a fleet
           that starts cold is not filled as if it were warm
         - the more hosts decide at once on the same old loads, the fewer targets each weighs beside
