--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BUILD ?= build
 PREFIX ?= /usr/local
 PACKAGES = gcc cmake ninja-build pkg-config libevent-dev libglib2.0-dev libprotobuf-c-dev \
-	libjansson-dev libxxhash-dev libargtable2-dev libcsv-dev check curl clang-format clang-tidy
+	libjansson-dev libxxhash-dev libzstd-dev libargtable2-dev libcsv-dev check curl clang-format clang-tidy
 SOURCES = $(shell git ls-files '*.c' '*.h' | grep -v pb-c)
 
 .PHONY: all deps demo demo-up demo-down test bench bench-fair bench-capacity bench-faults mutants soak soak-hosts lint format \
