--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -32,6 +32,7 @@
     X(3004, FRAME_BAD, WARN, "bad frame, link closed")                                             \
     X(3005, TABLE_LEASE_LOST, WARN, "table lease ended, new work is refused")                      \
     X(3006, TABLE_LEASE_HELD, INFO, "table lease held, new work is taken")                         \
+    X(3007, LINK_SLOW, WARN, "peer does not take what is sent, link closed")                       \
     X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
     X(4002, STORE_FAILED, ERROR, "storage failed, process ends")                                   \
     X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log removed")                                  \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -52,6 +52,8 @@
             "log entries kept behind a snapshot for replicas that lag a little"),
     _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
             "log entries between two snapshots"),
+    _NUMBER("limits", memory_mb, "0", 0, 1000000, "MB",
+            "that the process may take; bounds what waits on links; 0: not told"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims", "run-once claims kept at most"),
     _NUMBER("state", claim_keep_s, "86400", 1, 31536000, "s", "how long a claim is kept"),
 };
@@ -245,7 +247,7 @@
     } else if (entry && frame->type == WGW_TYPE_ENTRY_REPORT) {
         _wgco_entry_take_report(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORDER) {
-        _wgco_entry_take_order(c, link, frame);
+        _wgco_take_order(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_REPORT) {
         _wgco_take_report(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_ROW_QUERY) {
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -29,6 +29,7 @@
 #include "wg_net.h"
 #include "wg_quorum.h"
 #include "wg_registry.h"
+#include "wg_roster.h"
 #include "wg_settings.h"
 #include "wg_share.h"
 #include "wg_store.h"
@@ -63,6 +64,7 @@
     int64_t router_gone_ms;
     int64_t plan_ms;
     int64_t snapshot_entries;
+    int64_t memory_mb;
     int64_t claims_max;
     int64_t claim_keep_s;
 } wgco_settings;
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -1,8 +1,11 @@
 /* wg_control_entry.c -- the leader's work for entry hosts that serve routes
 
    Configurations and changes of targets are agreed on in the replicated log and pushed to every
-   entry host as they are applied. Loads, usage and the list of entry hosts are the leader's own,
-   put together again from their reports by each new leader. */
+   entry host soon after they are applied. Loads, usage and the list of entry hosts are the leader's
+   own, put together again from their reports by each new leader.
+
+   A host is told what changed since what it has. What was sent on a link counts as had: links keep
+   the order, and a host that cannot use what came leaves the link and comes back. */
 #include "wg_control_internal.h"
 
 #include <math.h>
@@ -11,6 +14,9 @@
 enum {
     WG_REPORT_MS_MIN = 100,
     WG_REPORT_MS_PER_ENTRY = 2, /* more entry hosts report less often */
+    /* Between two pushes, for each host that is told: changes of one moment go out together. At 300
+       hosts 30 ms, short beside the seconds within which a change has to be in force. */
+    WG_PUSH_GAP_PER_ENTRY = 100, /* microseconds */
     /* A new leader tells of members only once all that are up could report to it. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC,
     WG_MEMBER_GONE = 1500 * WG_USEC_PER_MSEC,
@@ -122,50 +128,29 @@
 
 /* ---- helpers: members ---------------------------------------------------------------------- */
 
-static _wgco_member_t* _wgco_member_find(const wgco_control* c, const char* name, guint* at) {
-    for (guint i = 0; i < c->members_listed->len; i++) {
-        _wgco_member_t* member = c->members_listed->pdata[i];
-        if (strcmp(member->name, name) == 0) {
-            *at = i;
-            return member;
+static void _wgco_hear_member(wgco_control* c, const _wgco_entry_t* e, wg_time now) {
+    if (!e->ready || e->leaving) {
+        if (wg_roster_leave(c->roster, e->name)) {
+            wg_log(WG_EVENT_MEMBER_LEAVING, "entry=%s", e->name);
+            _wgco_entry_push_soon(c);
         }
+        return;
     }
-    return NULL;
-}
-
-static void _wgco_member_drop(wgco_control* c, guint at, wg_event event) {
-    const _wgco_member_t* member = c->members_listed->pdata[at];
-    wg_log(event, "entry=%s", member->name);
-    g_ptr_array_remove_index(c->members_listed, at);
-    c->members_change++;
-}
-
-static void _wgco_entry_hear_member(wgco_control* c, const _wgco_entry_t* e, wg_time now) {
-    guint at = 0;
-    _wgco_member_t* member = _wgco_member_find(c, e->name, &at);
-    bool listed = e->ready && !e->leaving;
-    if (member && !listed) {
-        _wgco_member_drop(c, at, WG_EVENT_MEMBER_LEAVING);
-    } else if (member) {
-        member->heard_at = now;
-    } else if (listed) {
-        member = g_new0(_wgco_member_t, 1);
-        wg_copy_name(member->name, sizeof member->name, e->name);
-        wg_copy_name(member->address, sizeof member->address, e->address);
-        wg_copy_name(member->data_centre, sizeof member->data_centre, e->data_centre);
-        member->heard_at = now;
-        g_ptr_array_add(c->members_listed, member);
-        c->members_change++;
+    wg_roster_host host = {0};
+    wg_copy_name(host.name, sizeof host.name, e->name);
+    wg_copy_name(host.address, sizeof host.address, e->address);
+    wg_copy_name(host.data_centre, sizeof host.data_centre, e->data_centre);
+    if (wg_roster_hear(c->roster, now, &host)) {
         wg_log(WG_EVENT_MEMBER_UP, "entry=%s", e->name);
+        _wgco_entry_push_soon(c);
     }
 }
 
 static void _wgco_drop_silent_members(wgco_control* c, wg_time now) {
-    for (guint i = c->members_listed->len; i > 0; i--) {
-        const _wgco_member_t* member = c->members_listed->pdata[i - 1];
-        if (now - member->heard_at > WG_MEMBER_GONE) {
-            _wgco_member_drop(c, i - 1, WG_EVENT_MEMBER_GONE);
-        }
+    char name[WG_NAME_MAX];
+    while (wg_roster_drop_silent(c->roster, now, WG_MEMBER_GONE, name)) {
+        wg_log(WG_EVENT_MEMBER_GONE, "entry=%s", name);
+        _wgco_entry_push_soon(c);
     }
 }
 
@@ -174,29 +159,15 @@
 /* Everything that an EntryState points to; freed as one after it was sent. */
 typedef struct {
     Wgpb__EntryState message;
-    Wgpb__Configuration configuration;
     GPtrArray* targets; /* wg_target*, borrowed */
     Wgpb__TargetRecord* records;
+    wg_roster_difference roster;
     Wgpb__EntryMember* members;
     Wgpb__TargetLoad* loads;
     Wgpb__WorkspaceUsage* usage;
 } _wgco_state_t;
 
-static void _wgco_fill_configuration(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s) {
-    s->message.configuration_version = c->configuration_version;
-    if (!c->configuration || e->configuration_version >= c->configuration_version) {
-        return;
-    }
-    gsize size;
-    const void* data = g_bytes_get_data(c->configuration, &size);
-    wgpb__configuration__init(&s->configuration);
-    s->configuration.version = c->configuration_version;
-    s->configuration.document = (ProtobufCBinaryData){size, (uint8_t*)data};
-    s->message.configuration = &s->configuration;
-    e->configuration_version = c->configuration_version;
-}
-
-static void _wgco_fill_targets(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s) {
+static void _wgco_fill_targets(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
     bool reset = false;
     s->message.registry_change = wg_registry_change(c->registry);
     if (e->registry_change == s->message.registry_change) {
@@ -210,29 +181,37 @@
         wg_target_pack(s->targets->pdata[i], &s->records[i]);
         s->message.targets[s->message.n_targets++] = &s->records[i];
     }
-    e->registry_change = s->message.registry_change;
 }
 
-static void _wgco_entry_fill_members(wgco_control* c, _wgco_entry_t* e, _wgco_state_t* s,
-                                     wg_time now) {
+/* Is the host to be told of members that it does not know? A list that is not whole yet would send
+   callers away from hosts that are up. */
+static bool _wgco_tells_members(const wgco_control* c, const _wgco_entry_t* e, wg_time now) {
     bool settling = now - c->led_since < WG_MEMBERS_SETTLE;
-    s->message.members_num = c->members_listed->len;
-    s->message.members_change = e->members_change;
-    if (e->members_change == c->members_change || (settling && !e->knows_no_members)) {
+    return e->roster_change != wg_roster_change(c->roster) && (!settling || e->knows_no_members);
+}
+
+static void _wgco_fill_members(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
+                               wg_time now) {
+    s->message.members_num = (uint32_t)wg_roster_num(c->roster);
+    s->message.members_change = e->roster_change;
+    if (!_wgco_tells_members(c, e, now)) {
         return;
     }
-    s->members = g_new(Wgpb__EntryMember, c->members_listed->len + 1);
-    s->message.members = g_new(Wgpb__EntryMember*, c->members_listed->len + 1);
-    for (guint i = 0; i < c->members_listed->len; i++) {
-        _wgco_member_t* member = c->members_listed->pdata[i];
+    s->roster = wg_roster_since(c->roster, e->roster_change);
+    s->members = g_new(Wgpb__EntryMember, s->roster.came->len + 1);
+    s->message.members = g_new(Wgpb__EntryMember*, s->roster.came->len + 1);
+    for (guint i = 0; i < s->roster.came->len; i++) {
+        const wg_roster_host* host = s->roster.came->pdata[i];
         wgpb__entry_member__init(&s->members[i]);
-        s->members[i].name = member->name;
-        s->members[i].address = member->address;
-        s->members[i].data_centre = member->data_centre;
+        s->members[i].name = (char*)host->name;
+        s->members[i].address = (char*)host->address;
+        s->members[i].data_centre = (char*)host->data_centre;
         s->message.members[s->message.n_members++] = &s->members[i];
     }
-    e->members_change = c->members_change;
-    s->message.members_change = c->members_change;
+    s->message.members_left = (char**)s->roster.left->pdata;
+    s->message.n_members_left = s->roster.left->len;
+    s->message.members_reset = s->roster.reset;
+    s->message.members_change = s->roster.change;
 }
 
 /* Loads of all others: what the host itself reported is taken off. */
@@ -283,6 +262,7 @@
     }
     g_free(s->records);
     g_free(s->message.targets);
+    wg_roster_difference_clear(&s->roster);
     g_free(s->members);
     g_free(s->message.members);
     g_free(s->loads);
@@ -291,59 +271,144 @@
     g_free(s->message.usage);
 }
 
-static void _wgco_send_state(wgco_control* c, _wgco_entry_t* e, bool with_loads) {
-    wg_time now = wg_now();
+static void _wgco_fill_controls(_wgco_state_t* s, const wgr_set* set) {
+    s->message.controls = g_new(char*, WGR_REPLICAS_MAX);
+    for (int i = 0; i < set->num; i++) {
+        s->message.controls[s->message.n_controls++] = (char*)set->replicas[i].address;
+    }
+}
+
+/* The state that `e` lacks, packed. */
+static wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, bool with_loads,
+                                         wg_time now) {
     _wgco_state_t s = {0};
     wgpb__entry_state__init(&s.message);
-    wgr_stats stats = wgr_query_stats(c->node, now);
-    const wgr_set* set = wgr_query_set(c->node);
-    char* controls[WGR_REPLICAS_MAX];
-    s.message.term = stats.term;
+    s.message.seq = c->state_seq;
+    s.message.term = wgr_query_stats(c->node, now).term;
     s.message.leader_address = (char*)_wgco_leader_address(c);
     s.message.leads = c->leads && wgr_leads(c->node, now);
     s.message.report_ms =
         MAX(WG_REPORT_MS_MIN, WG_REPORT_MS_PER_ENTRY * g_hash_table_size(c->entries));
-    if (!e->reported || !s.message.leads) {
-        for (int i = 0; i < set->num; i++) {
-            controls[s.message.n_controls++] = (char*)set->replicas[i].address;
-        }
-        s.message.controls = controls;
+    if (!e->reported || !s.message.leads || with_loads) {
+        _wgco_fill_controls(&s, wgr_query_set(c->node));
     }
     if (s.message.leads && e->reported) {
-        _wgco_fill_configuration(c, e, &s);
+        s.message.configuration_version = c->documents.version;
         _wgco_fill_targets(c, e, &s);
-        _wgco_entry_fill_members(c, e, &s, now);
+        _wgco_fill_members(c, e, &s, now);
         if (with_loads) {
             _wgco_fill_loads(c, e, &s);
             _wgco_fill_usage(c, &s, now);
-            for (int i = 0; i < set->num; i++) {
-                controls[i] = (char*)set->replicas[i].address;
-            }
-            s.message.controls = controls;
-            s.message.n_controls = (size_t)set->num;
         }
     }
-    wgn_send(c->net, e->link, WGW_TYPE_ENTRY_STATE, &s.message.base);
+    wgn_frame* frame = wgn_frame_pack(WGW_TYPE_ENTRY_STATE, &s.message.base);
     _wgco_state_clear(&s);
+    return frame;
+}
+
+static void _wgco_send_configuration(wgco_control* c, _wgco_entry_t* e) {
+    wgn_frame* frame = _wgco_documents_frame(&c->documents, e->configuration_version);
+    if (frame && wgn_send_frame(c->net, e->link, frame)) {
+        e->configuration_version = c->documents.version;
+    }
+}
+
+/* Send a state and note what the host has then. */
+static void _wgco_send_frame(wgco_control* c, _wgco_entry_t* e, wgn_frame* state, wg_time now) {
+    bool leads = c->leads && wgr_leads(c->node, now) && e->reported;
+    if (leads) {
+        _wgco_send_configuration(c, e);
+    }
+    if (!wgn_send_frame(c->net, e->link, state)) {
+        return;
+    }
+    e->state_seq = c->state_seq;
+    if (leads) {
+        e->registry_change = wg_registry_change(c->registry);
+    }
+    if (leads && _wgco_tells_members(c, e, now)) {
+        e->roster_change = wg_roster_change(c->roster);
+    }
+}
+
+static void _wgco_answer_report(wgco_control* c, _wgco_entry_t* e) {
+    wg_time now = wg_now();
+    c->state_seq++;
+    wgn_frame* state = _wgco_pack_entry_state(c, e, true, now);
+    _wgco_send_frame(c, e, state, now);
+    wgn_frame_unref(state);
+}
+
+/* ---- helpers: pushes ----------------------------------------------------------------------- */
+
+/* A state that was packed for one host, for others that lack the same. */
+typedef struct {
+    wgn_frame* state; /* NULL: none yet */
+    uint64_t registry_change;
+    uint64_t roster_change;
+    bool knows_no_members;
+} _wgco_shared_t;
+
+static bool _wgco_lacks_the_same(const _wgco_shared_t* shared, const _wgco_entry_t* e) {
+    return shared->state && shared->registry_change == e->registry_change &&
+           shared->roster_change == e->roster_change &&
+           shared->knows_no_members == e->knows_no_members;
+}
+
+static bool _wgco_lacks_something(const wgco_control* c, const _wgco_entry_t* e, wg_time now) {
+    return e->configuration_version < c->documents.version ||
+           e->registry_change != wg_registry_change(c->registry) || _wgco_tells_members(c, e, now);
+}
+
+/* Tell the entry hosts what they lack; `all`: also those that lack nothing, who leads. */
+static void _wgco_push(wgco_control* c, bool all) {
+    wg_time now = wg_now();
+    _wgco_shared_t shared = {0};
+    GHashTableIter iter;
+    gpointer value;
+    c->push_due = false;
+    c->pushed_at = now;
+    c->state_seq++;
+    g_hash_table_iter_init(&iter, c->entries);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _wgco_entry_t* e = value;
+        if (!e->reported || (!all && !_wgco_lacks_something(c, e, now))) {
+            continue;
+        }
+        if (!_wgco_lacks_the_same(&shared, e)) {
+            wgn_frame_unref(shared.state);
+            shared = (_wgco_shared_t){_wgco_pack_entry_state(c, e, false, now), e->registry_change,
+                                      e->roster_change, e->knows_no_members};
+        }
+        _wgco_send_frame(c, e, shared.state, now);
+    }
+    wgn_frame_unref(shared.state);
+}
+
+static void _wgco_push_if_due(wgco_control* c, wg_time now) {
+    wg_time gap = WG_PUSH_GAP_PER_ENTRY * (wg_time)g_hash_table_size(c->entries);
+    if (c->push_due && now >= c->pushed_at + gap) {
+        _wgco_push(c, false);
+    }
 }
 
 /* ---- functions of the library: links ------------------------------------------------------- */
 
 void _wgco_entry_setup(wgco_control* c) {
     c->entries = g_hash_table_new_full(NULL, NULL, NULL, _wgco_entry_free);
-    c->members_listed = g_ptr_array_new_with_free_func(g_free);
+    c->roster = wg_roster_setup();
+    _wgco_documents_setup(&c->documents);
     c->load_totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     c->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
 void _wgco_entry_shutdown(wgco_control* c) {
     g_clear_pointer(&c->entries, g_hash_table_unref);
-    g_clear_pointer(&c->members_listed, g_ptr_array_unref);
+    g_clear_pointer(&c->roster, wg_roster_shutdown);
+    _wgco_documents_clear(&c->documents);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
     g_clear_pointer(&c->usage, g_hash_table_unref);
     g_clear_pointer(&c->registry, wg_registry_shutdown);
-    g_clear_pointer(&c->configuration, g_bytes_unref);
-    c->configuration_version = 0;
 }
 
 void _wgco_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer) {
@@ -365,20 +430,6 @@
     }
 }
 
-/* A host has come: those that started with it wait for it. */
-static void _wgco_push_members(wgco_control* c, const _wgco_entry_t* but) {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, c->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        _wgco_entry_t* e = value;
-        bool settling = wg_now() - c->led_since < WG_MEMBERS_SETTLE;
-        if (e != but && e->reported && e->knows_no_members && settling) {
-            _wgco_send_state(c, e, false);
-        }
-    }
-}
-
 void _wgco_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame) {
     _wgco_entry_t* e = _wgco_entry_of(c, link);
     Wgpb__EntryReport* in =
@@ -389,159 +440,28 @@
     }
     e->knows_no_members = e->knows_no_members || (!e->reported && in->members_change == 0);
     e->reported = true;
-    e->configuration_version = in->configuration_version;
-    e->registry_change = in->registry_change;
-    e->members_change = in->members_change;
+    if (in->state_seen == e->state_seq) { /* else something is on its way to it */
+        e->configuration_version = in->configuration_version;
+        e->registry_change = in->registry_change;
+        e->roster_change = in->members_change;
+    }
     e->ready = in->ready;
     e->leaving = in->leaving;
     _wgco_take_loads(c, e, in);
     _wgco_take_usage(c, e, in);
-    uint64_t members_before = c->members_change;
     if (c->leads) {
-        _wgco_entry_hear_member(c, e, wg_now());
+        _wgco_hear_member(c, e, wg_now());
     }
     wgpb__entry_report__free_unpacked(in, NULL);
-    _wgco_send_state(c, e, true);
-    if (c->members_change != members_before) {
-        _wgco_push_members(c, e);
-    }
+    _wgco_answer_report(c, e);
 }
 
-static void _wgco_send_states(wgco_control* c) {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, c->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        _wgco_entry_t* e = value;
-        if (e->reported) {
-            _wgco_send_state(c, e, false);
-        }
-    }
-}
-
-void _wgco_entry_push(wgco_control* c) {
-    if (c->leads) {
-        _wgco_send_states(c);
-    }
+void _wgco_entry_push_soon(wgco_control* c) {
+    c->push_due = true;
 }
 
 void _wgco_entry_redirect(wgco_control* c) {
-    _wgco_send_states(c);
-}
-
-/* ---- functions of the library: orders ------------------------------------------------------ */
-
-static void _wgco_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
-                               wg_order_outcome outcome) {
-    Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
-    answer.ticket = ticket;
-    answer.outcome = outcome;
-    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
-}
-
-static void _wgco_answer_read(wgco_control* c, wgn_link link, uint64_t ticket) {
-    if (!c->configuration) {
-        _wgco_answer_order(c, link, ticket, WG_ORDER_NOTHING);
-        return;
-    }
-    gsize size;
-    const void* data = g_bytes_get_data(c->configuration, &size);
-    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
-    Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
-    configuration.version = c->configuration_version;
-    configuration.document = (ProtobufCBinaryData){size, (uint8_t*)data};
-    answer.ticket = ticket;
-    answer.outcome = WG_ORDER_DONE;
-    answer.configuration = &configuration;
-    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
-}
-
-static void _wgco_propose_order(wgco_control* c, wgn_link link, uint64_t ticket,
-                                const Wgpb__Command* command) {
-    _wgco_waiter_t* waiter = g_new0(_wgco_waiter_t, 1);
-    waiter->link = link;
-    waiter->ticket = ticket;
-    waiter->order = true;
-    if (!_wgco_propose(c, &command->base, waiter)) {
-        _wgco_answer_order(c, link, ticket, WG_ORDER_NOT_LEADER);
-    }
-}
-
-static void _wgco_order_configuration(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
-    if (in->configuration->version <= c->configuration_version) {
-        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
-        return;
-    }
-    Wgpb__Command command = WGPB__COMMAND__INIT;
-    command.configuration = in->configuration;
-    _wgco_propose_order(c, link, in->ticket, &command);
-}
-
-static void _wgco_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
-    wg_target heard;
-    if (!wg_target_unpack(in->target, &heard)) {
-        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
-        return;
-    }
-    if (wg_registry_hear(c->registry, wg_now(), &heard) != WG_HEARD_CHANGE) {
-        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
-        return;
-    }
-    Wgpb__Command command = WGPB__COMMAND__INIT;
-    command.target = in->target;
-    _wgco_propose_order(c, link, in->ticket, &command);
-}
-
-void _wgco_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame) {
-    Wgpb__Order* in = wgpb__order__unpack(NULL, frame->size, frame->payload);
-    if (!in) {
-        wg_log(WG_EVENT_FRAME_BAD, "reason=order");
-        return;
-    }
-    if (!c->leads || !wgr_leads(c->node, wg_now())) {
-        _wgco_answer_order(c, link, in->ticket, WG_ORDER_NOT_LEADER);
-    } else if (in->read_configuration) {
-        _wgco_answer_read(c, link, in->ticket);
-    } else if (in->configuration) {
-        _wgco_order_configuration(c, link, in);
-    } else if (in->target) {
-        _wgco_order_target(c, link, in);
-    } else {
-        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
-    }
-    wgpb__order__free_unpacked(in, NULL);
-}
-
-void _wgco_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed) {
-    _wgco_answer_order(c, waiter->link, waiter->ticket, agreed ? WG_ORDER_DONE : WG_ORDER_UNKNOWN);
-}
-
-void _wgco_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in) {
-    if (in->version <= c->configuration_version) {
-        return;
-    }
-    if (c->configuration) {
-        g_bytes_unref(c->configuration);
-    }
-    c->configuration = g_bytes_new(in->document.data, in->document.len);
-    c->configuration_version = in->version;
-    wg_log(WG_EVENT_CONFIGURATION_AGREED, "version=%" G_GUINT64_FORMAT " bytes=%zu", in->version,
-           in->document.len);
-    _wgco_entry_push(c);
-}
-
-void _wgco_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in) {
-    wg_target record;
-    uint64_t before = wg_registry_change(c->registry);
-    if (!wg_target_unpack(in, &record)) {
-        return;
-    }
-    wg_registry_apply(c->registry, wg_now(), &record);
-    if (wg_registry_change(c->registry) != before) {
-        wg_log(WG_EVENT_TARGET_AGREED, "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT,
-               record.id, record.address, record.state, record.sequence);
-        _wgco_entry_push(c);
-    }
+    _wgco_push(c, true);
 }
 
 /* ---- functions of the library: leadership -------------------------------------------------- */
@@ -549,24 +469,19 @@
 void _wgco_entry_lead_begin(wgco_control* c, wg_time now) {
     c->led_since = now;
     c->usage_at = now;
-    c->members_change += 1 + (uint64_t)(now & 0xffff); /* no copy of another leader's is current */
-    g_ptr_array_set_size(c->members_listed, 0);
+    wg_roster_begin(c->roster, wgr_query_stats(c->node, now).term);
     g_hash_table_remove_all(c->usage);
     wg_registry_hear_all(c->registry, now);
-    _wgco_entry_push(c);
+    _wgco_push(c, true);
 }
 
 void _wgco_entry_lead_end(wgco_control* c) {
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, c->entries);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        _wgco_send_state(c, value, false);
-    }
+    _wgco_push(c, true);
 }
 
 void _wgco_entry_tick(wgco_control* c, wg_time now) {
     _wgco_drop_silent_members(c, now);
+    _wgco_push_if_due(c, now);
     const wg_target* silent =
         wg_registry_silent(c->registry, now, c->settings->target_silent_ms * WG_USEC_PER_MSEC);
     if (!silent) {
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -410,6 +410,7 @@
         g_string_append_printf(out, "%s %" G_GUINT64_FORMAT "\n", counters[i].name,
                                counters[i].value);
     }
+    wgn_print_metrics(c->net, out);
     wgh_reply_text(request, 200, "text/plain; version=0.0.4", out->str);
     g_string_free(out, TRUE);
 }
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -57,10 +57,11 @@
     char name[WG_NAME_MAX];
     char address[WG_ADDRESS_MAX]; /* where callers connect */
     char data_centre[WG_NAME_MAX];
-    uint64_t configuration_version;
-    uint64_t registry_change;
-    uint64_t members_change;
-    bool knows_no_members; /* as it came to this leader: any list is better than none */
+    uint64_t configuration_version; /* that it has, or will have once it reads what was sent */
+    uint64_t registry_change;       /* the same */
+    uint64_t roster_change;         /* the same */
+    uint64_t state_seq;             /* of the last state that was sent to it */
+    bool knows_no_members;          /* as it came to this leader: any list is better than none */
     bool reported;
     bool ready;
     bool leaving;
@@ -75,13 +76,21 @@
     uint64_t asked;
 } _wgco_reported_t;
 
-/* An entry host as callers may be told of it. */
+/* A configuration that hosts may still hold, as the base of a difference. */
 typedef struct {
-    char name[WG_NAME_MAX];
-    char address[WG_ADDRESS_MAX];
-    char data_centre[WG_NAME_MAX];
-    wg_time heard_at;
-} _wgco_member_t;
+    uint64_t version;
+    GBytes* document;
+    wgn_frame* difference; /* to the newest one; NULL until a host needs it */
+} _wgco_base_t;
+
+/* The newest configuration and those before it (wg_control_document.c). */
+typedef struct {
+    uint64_t version; /* 0: none yet */
+    GBytes* document; /* NULL: none yet */
+    GBytes* packed;   /* the same, as it stands in log and snapshot */
+    wgn_frame* whole; /* for hosts that hold no base; NULL until one needs it */
+    GPtrArray* bases; /* _wgco_base_t*, newest first */
+} _wgco_documents_t;
 
 /* Tokens that the fleet served a workspace lately, halved every WG_USAGE_HALF_LIFE. */
 typedef struct {
@@ -118,12 +127,13 @@
     bool handing_over; /* to a successor, in a planned stop */
 
     /* entry hosts that serve routes (wg_control_entry.c) */
-    uint64_t configuration_version;
-    GBytes* configuration; /* NULL: none yet */
+    _wgco_documents_t documents;
     wg_registry* registry;
-    GHashTable* entries;       /* link id -> _wgco_entry_t* */
-    GPtrArray* members_listed; /* _wgco_member_t* */
-    uint64_t members_change;
+    wg_roster* roster;
+    GHashTable* entries; /* link id -> _wgco_entry_t* */
+    uint64_t state_seq;  /* of the last state that was sent to any */
+    bool push_due;       /* something changed that entry hosts are not told yet */
+    wg_time pushed_at;
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
     GHashTable* usage;       /* hash of a workspace -> _wgco_usage_t* */
     wg_time usage_at;
@@ -197,18 +207,31 @@
 void _wgco_entry_up(wgco_control* c, wgn_link link, const wgn_peer* peer);
 void _wgco_entry_down(wgco_control* c, wgn_link link);
 void _wgco_entry_take_report(wgco_control* c, wgn_link link, const wgw_frame* frame);
-void _wgco_entry_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
-void _wgco_entry_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
-void _wgco_entry_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
-void _wgco_entry_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
 void _wgco_entry_lead_begin(wgco_control* c, wg_time now);
 void _wgco_entry_lead_end(wgco_control* c);
 void _wgco_entry_tick(wgco_control* c, wg_time now);
-/* Send every entry host what it lacks. */
-void _wgco_entry_push(wgco_control* c);
+/* Something changed: entry hosts are told with the next push. */
+void _wgco_entry_push_soon(wgco_control* c);
 /* As a follower: tell every entry host here where the leader is. */
 void _wgco_entry_redirect(wgco_control* c);
 
+/* orders of entry hosts, and what became of them (wg_control_orders.c) */
+void _wgco_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
+void _wgco_order_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
+void _wgco_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
+void _wgco_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
+
+/* the configuration (wg_control_document.c) */
+void _wgco_documents_setup(_wgco_documents_t* d);
+void _wgco_documents_clear(_wgco_documents_t* d);
+/* Take a configuration over when it is newer. False: it is not, or its bytes are no document
+   (error set). */
+bool _wgco_documents_apply(_wgco_documents_t* d, const Wgpb__Configuration* in, GError** error);
+/* What a host with this version lacks, borrowed; NULL: nothing. */
+wgn_frame* _wgco_documents_frame(_wgco_documents_t* d, uint64_t version);
+/* The newest one as a message that borrows its bytes; false: there is none. */
+bool _wgco_documents_fill(const _wgco_documents_t* d, Wgpb__Configuration* out);
+
 /* discovery of other controls (wg_control_discovery.c) */
 bool _wgco_discovery_seeds(wgco_control* c, const wgco_settings* settings, GError** error);
 /* On the first start of a fleet, the seeds form the first set of replicas, each for itself. */
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -110,10 +110,8 @@
     state.table = wgt_dump(c->table);
     state.claims = wgk_dump(c->claims);
     state.registry = wg_registry_dump(c->registry);
-    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
-    if (c->configuration) {
-        configuration.version = c->configuration_version;
-        configuration.document = _wgco_borrow(c->configuration);
+    Wgpb__Configuration configuration;
+    if (_wgco_documents_fill(&c->documents, &configuration)) {
         state.configuration = &configuration;
     }
     GBytes* bytes = g_byte_array_free_to_bytes(wgw_pack(&state.base));
@@ -134,7 +132,7 @@
                 (!state->claims || wgk_load(c->claims, state->claims)) &&
                 (!state->registry || wg_registry_load(c->registry, state->registry));
     if (good && state->configuration) {
-        _wgco_entry_apply_configuration(c, state->configuration);
+        _wgco_apply_configuration(c, state->configuration);
     }
     wgpb__state__free_unpacked(state, NULL);
     return good;
@@ -203,13 +201,13 @@
         }
     }
     if (command->configuration) {
-        _wgco_entry_apply_configuration(c, command->configuration);
+        _wgco_apply_configuration(c, command->configuration);
     }
     if (command->target) {
-        _wgco_entry_apply_target(c, command->target);
+        _wgco_apply_target(c, command->target);
     }
     if (waiter && waiter->order) {
-        _wgco_entry_answer(c, waiter, true);
+        _wgco_order_answer(c, waiter, true);
     }
     wgpb__command__free_unpacked(command, NULL);
 }
@@ -225,7 +223,7 @@
             _wgco_answer_unknown(waiter->request);
         }
         if (waiter->order) {
-            _wgco_entry_answer(c, waiter, false);
+            _wgco_order_answer(c, waiter, false);
         }
         g_free(waiter);
         waiter = NULL;
@@ -349,7 +347,7 @@
             _wgco_answer_unknown(waiter->request);
         }
         if (waiter->order) {
-            _wgco_entry_answer(c, waiter, false);
+            _wgco_order_answer(c, waiter, false);
         }
         g_free(waiter);
     }
--- /dev/null
+++ b/lib/control/wg_control_orders.c
@@ -0,0 +1,126 @@
+/* wg_control_orders.c -- orders that entry hosts pass on from operators and targets
+
+   A configuration or a change of a target becomes an entry of the log and is acknowledged once it
+   is applied; a heartbeat that says nothing new is acknowledged at once. */
+#include "wg_document.h"
+
+#include "wg_control_internal.h"
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static void _wgco_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
+                               wg_order_outcome outcome) {
+    Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
+    answer.ticket = ticket;
+    answer.outcome = outcome;
+    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+}
+
+static void _wgco_answer_read(wgco_control* c, wgn_link link, uint64_t ticket) {
+    Wgpb__Configuration configuration;
+    if (!_wgco_documents_fill(&c->documents, &configuration)) {
+        _wgco_answer_order(c, link, ticket, WG_ORDER_NOTHING);
+        return;
+    }
+    Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
+    answer.ticket = ticket;
+    answer.outcome = WG_ORDER_DONE;
+    answer.configuration = &configuration;
+    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+}
+
+static void _wgco_propose_order(wgco_control* c, wgn_link link, uint64_t ticket,
+                                const Wgpb__Command* command) {
+    _wgco_waiter_t* waiter = g_new0(_wgco_waiter_t, 1);
+    waiter->link = link;
+    waiter->ticket = ticket;
+    waiter->order = true;
+    if (!_wgco_propose(c, &command->base, waiter)) {
+        _wgco_answer_order(c, link, ticket, WG_ORDER_NOT_LEADER);
+    }
+}
+
+static void _wgco_order_configuration(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
+    if (in->configuration->version <= c->documents.version) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
+        return;
+    }
+    GBytes* document = wg_document_read(in->configuration, NULL, NULL);
+    if (!document) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+        return;
+    }
+    g_bytes_unref(document);
+    Wgpb__Command command = WGPB__COMMAND__INIT;
+    command.configuration = in->configuration;
+    _wgco_propose_order(c, link, in->ticket, &command);
+}
+
+static void _wgco_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
+    wg_target heard;
+    if (!wg_target_unpack(in->target, &heard)) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+        return;
+    }
+    if (wg_registry_hear(c->registry, wg_now(), &heard) != WG_HEARD_CHANGE) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
+        return;
+    }
+    Wgpb__Command command = WGPB__COMMAND__INIT;
+    command.target = in->target;
+    _wgco_propose_order(c, link, in->ticket, &command);
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+void _wgco_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame) {
+    Wgpb__Order* in = wgpb__order__unpack(NULL, frame->size, frame->payload);
+    if (!in) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=order");
+        return;
+    }
+    if (!c->leads || !wgr_leads(c->node, wg_now())) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_NOT_LEADER);
+    } else if (in->read_configuration) {
+        _wgco_answer_read(c, link, in->ticket);
+    } else if (in->configuration) {
+        _wgco_order_configuration(c, link, in);
+    } else if (in->target) {
+        _wgco_order_target(c, link, in);
+    } else {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+    }
+    wgpb__order__free_unpacked(in, NULL);
+}
+
+void _wgco_order_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed) {
+    _wgco_answer_order(c, waiter->link, waiter->ticket, agreed ? WG_ORDER_DONE : WG_ORDER_UNKNOWN);
+}
+
+void _wgco_apply_configuration(wgco_control* c, const Wgpb__Configuration* in) {
+    GError* error = NULL;
+    if (_wgco_documents_apply(&c->documents, in, &error)) {
+        wg_log(WG_EVENT_CONFIGURATION_AGREED, "version=%" G_GUINT64_FORMAT " bytes=%zu packed=%zu",
+               in->version, g_bytes_get_size(c->documents.document),
+               g_bytes_get_size(c->documents.packed));
+        _wgco_entry_push_soon(c);
+    } else if (error) {
+        wg_log(WG_EVENT_CONFIGURATION_REFUSED, "version=%" G_GUINT64_FORMAT " %s", in->version,
+               error->message);
+        g_error_free(error);
+    }
+}
+
+void _wgco_apply_target(wgco_control* c, const Wgpb__TargetRecord* in) {
+    wg_target record;
+    uint64_t before = wg_registry_change(c->registry);
+    if (!wg_target_unpack(in, &record)) {
+        return;
+    }
+    wg_registry_apply(c->registry, wg_now(), &record);
+    if (wg_registry_change(c->registry) != before) {
+        wg_log(WG_EVENT_TARGET_AGREED, "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT,
+               record.id, record.address, record.state, record.sequence);
+        _wgco_entry_push_soon(c);
+    }
+}
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -41,6 +41,8 @@
               "connections of callers at once; the longest idle one gives way to a new one"),
     WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
               "that the process may have open; bounds callers_max; 0: not told"),
+    WG_NUMBER("limits", memory_mb, "0", 0, 1000000, "MB",
+              "that the process may take; bounds what waits on links; 0: not told"),
 };
 const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
 
@@ -97,7 +99,7 @@
     wg_retry_rules rules = {.percent = e->settings->retry_percent,
                             .slack = e->settings->retry_slack,
                             .window = e->settings->retry_window_ms * WG_USEC_PER_MSEC,
-                            .hosts = MAX(e->members_num, 3)};
+                            .hosts = MAX(wg_roster_num(e->roster), 3)};
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, e->retries);
@@ -162,6 +164,7 @@
     e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
+    e->roster = wg_roster_setup();
     e->balance = wg_balance_setup(
         &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
@@ -218,7 +221,9 @@
     g_hash_table_unref(e->asks);
     wg_balance_shutdown(e->balance);
     wg_registry_shutdown(e->registry);
+    wg_roster_shutdown(e->roster);
     wg_config_unref(e->config);
+    g_clear_pointer(&e->document, g_bytes_unref);
     g_ptr_array_unref(e->clients);
     g_hash_table_unref(e->queues);
     g_hash_table_unref(e->retries);
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -51,6 +51,7 @@
     int64_t retry_window_ms;
     int64_t callers_max;
     int64_t descriptors;
+    int64_t memory_mb;
 } wg_entry_settings;
 
 extern const wgi_key wg_entry_keys[];
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -18,7 +18,7 @@
 
 /* ---- helpers: who coordinates ---------------------------------------------------------------- */
 
-static uint64_t wg_member_rank(const wg_entry_member* member) {
+static uint64_t wg_member_rank(const wg_roster_host* member) {
     return wg_hash(member->name, strlen(member->name), 0);
 }
 
@@ -59,7 +59,7 @@
     return c && c->self;
 }
 
-static wg_coordinator wg_coordinator_new(const wg_entry* e, const wg_entry_member* member) {
+static wg_coordinator wg_coordinator_new(const wg_entry* e, const wg_roster_host* member) {
     wg_coordinator c = {.rank = wg_member_rank(member),
                         .self = strcmp(member->name, e->settings->name) == 0};
     char ip[WG_ADDRESS_MAX];
@@ -77,8 +77,9 @@
 /* Keep the entry hosts of the highest rank, with the links that there are. */
 static int wg_coordinators_pick(wg_entry* e, wg_coordinator* picked) {
     int num = 0;
-    for (int i = 0; i < e->members_num; i++) {
-        uint64_t rank = wg_member_rank(&e->members[i]);
+    for (int i = 0; i < wg_roster_num(e->roster); i++) {
+        const wg_roster_host* member = wg_roster_at(e->roster, i);
+        uint64_t rank = wg_member_rank(member);
         int at = num;
         while (at > 0 && picked[at - 1].rank < rank) {
             at--;
@@ -89,7 +90,7 @@
         num = MIN(num + 1, WG_COORDINATORS_MAX);
         memmove(&picked[at + 1], &picked[at], sizeof *picked * (size_t)(num - 1 - at));
         const wg_coordinator* known = wg_coordinator_by_rank(e, rank);
-        picked[at] = known ? *known : wg_coordinator_new(e, &e->members[i]);
+        picked[at] = known ? *known : wg_coordinator_new(e, member);
     }
     return num;
 }
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -16,7 +16,7 @@
     return (wg_retry_rules){.percent = e->settings->retry_percent,
                             .slack = e->settings->retry_slack,
                             .window = e->settings->retry_window_ms * WG_USEC_PER_MSEC,
-                            .hosts = MAX(e->members_num, 3)};
+                            .hosts = MAX(wg_roster_num(e->roster), 3)};
 }
 
 static wg_retry* wg_call_retry(const wg_call* call) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -13,6 +13,7 @@
 #include "wg_fair.h"
 #include "wg_policy.h"
 #include "wg_retry.h"
+#include "wg_roster.h"
 
 enum {
     WG_CONTROLS_MAX = 24,
@@ -20,7 +21,6 @@
     WG_WHOLE_MAX = 64 * 1024,        /* answers up to this size are relayed only when whole */
     WG_OUTPUT_HIGH = 256 * 1024,     /* unsent bytes at which reading from a target pauses */
     WG_EVENT_ID_MAX = 32,
-    WG_MEMBERS_MAX = 1024,
     WG_ANSWERED_MAX = 64, /* entry hosts in one answer */
     WG_COORDINATORS_MAX = 16
 };
@@ -145,13 +145,6 @@
     int num;
 } wg_addresses;
 
-/* Another entry host. */
-typedef struct {
-    char name[WG_NAME_MAX];
-    char address[WG_ADDRESS_MAX];
-    char data_centre[WG_NAME_MAX];
-} wg_entry_member;
-
 /* The entry host that admits prompts to some targets, for all. */
 typedef struct {
     char name[WG_NAME_MAX];
@@ -218,13 +211,12 @@
 
     /* what this host believes */
     wg_config* config;
+    GBytes* document; /* of the configuration: the next one may come as what changed since */
     wg_registry* registry;
     bool registry_known;
     wg_balance* balance;
     GHashTable* retries; /* name of a service -> wg_retry* */
-    wg_entry_member members[WG_MEMBERS_MAX];
-    int members_num;
-    uint64_t members_change;
+    wg_roster* roster;
     GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
     GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
     wg_fair_levels levels;   /* of usage_fleet */
@@ -246,7 +238,8 @@
     wg_time leaderless_at; /* the control at the other end knew no leader first then; 0: it does */
     wg_time report_gap;
     uint64_t report_seq;
-    GQueue orders; /* wg_entry_order* */
+    uint64_t state_seen; /* seq of the last state on this link */
+    GQueue orders;       /* wg_entry_order* */
 
     /* admission: wg_entry_admit.c */
     wg_admit* admit;                                  /* to targets that this host coordinates */
@@ -281,8 +274,9 @@
 void wg_entry_report(wg_entry* e, wg_time now);
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
 void wg_entry_orders_drop(wg_entry* e);
+/* `document` NULL: none is part of the answer. */
 void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
-                           const Wgpb__Configuration* configuration);
+                           GBytes* document);
 
 /* wg_entry_admit.c */
 /* The list of entry hosts has changed. */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -1,4 +1,6 @@
 /* wg_entry_link.c -- the link to the leader: what this host believes, reports, and orders */
+#include "wg_document.h"
+
 #include "wg_entry_internal.h"
 
 #include <string.h>
@@ -87,22 +89,48 @@
 
 /* ---- helpers: what the leader says ----------------------------------------------------------- */
 
-static void wg_entry_take_configuration(wg_entry* e, const Wgpb__Configuration* in) {
-    if (e->config && in->version <= e->config->version) {
-        return;
-    }
+static void wg_entry_refuse_configuration(const wg_entry* e, const Wgpb__Configuration* in,
+                                          GError* error) {
+    wg_log(WG_EVENT_CONFIGURATION_REFUSED,
+           "version=%" G_GUINT64_FORMAT " base=%" G_GUINT64_FORMAT " held=%" G_GUINT64_FORMAT " %s",
+           in->version, in->base_version, e->config ? e->config->version : 0, error->message);
+    g_error_free(error);
+}
+
+/* Put a document in force; it is refused when it cannot be read as a configuration. */
+static void wg_entry_use_document(wg_entry* e, const Wgpb__Configuration* in, GBytes* document) {
     GError* error = NULL;
-    wg_config* config = wg_config_parse(in->document.data, in->document.len, &error);
+    gsize size;
+    const void* data = g_bytes_get_data(document, &size);
+    wg_config* config = wg_config_parse(data, size, &error);
     if (!config) {
-        wg_log(WG_EVENT_CONFIGURATION_REFUSED, "version=%" G_GUINT64_FORMAT " %s", in->version,
-               error->message);
-        g_error_free(error);
+        wg_entry_refuse_configuration(e, in, error);
         return;
     }
     wg_config_unref(e->config);
+    g_clear_pointer(&e->document, g_bytes_unref);
     e->config = config;
-    wg_log(WG_EVENT_CONFIGURATION_IN_FORCE, "version=%" G_GUINT64_FORMAT " routes=%d",
-           config->version, config->routes_num);
+    e->document = g_bytes_ref(document);
+    wg_log(WG_EVENT_CONFIGURATION_IN_FORCE, "version=%" G_GUINT64_FORMAT " routes=%d bytes=%zu",
+           config->version, config->routes_num, in->packed.len);
+}
+
+/* False: what came does not fit what this host has, and has to be sent anew. */
+static bool wg_entry_take_configuration(wg_entry* e, const Wgpb__Configuration* in) {
+    uint64_t held = e->config ? e->config->version : 0;
+    if (in->version <= held) {
+        return true;
+    }
+    GError* error = NULL;
+    GBytes* base = in->base_version && in->base_version == held ? e->document : NULL;
+    GBytes* document = wg_document_read(in, base, &error);
+    if (!document) {
+        wg_entry_refuse_configuration(e, in, error);
+        return false;
+    }
+    wg_entry_use_document(e, in, document);
+    g_bytes_unref(document);
+    return true;
 }
 
 static void wg_entry_take_targets(wg_entry* e, const Wgpb__EntryState* in) {
@@ -121,20 +149,29 @@
     wg_upstream_forget(e);
 }
 
+static void wg_entry_take_member(wg_entry* e, const Wgpb__EntryMember* in) {
+    wg_roster_host host = {0};
+    if (wg_copy_name(host.name, sizeof host.name, in->name) &&
+        wg_copy_name(host.address, sizeof host.address, in->address) &&
+        wg_copy_name(host.data_centre, sizeof host.data_centre, in->data_centre)) {
+        wg_roster_copy_add(e->roster, &host);
+    }
+}
+
 static void wg_entry_take_members(wg_entry* e, const Wgpb__EntryState* in) {
-    if (in->members_change == e->members_change) {
+    if (in->members_change == wg_roster_change(e->roster)) {
         return;
     }
-    e->members_change = in->members_change;
-    e->members_num = 0;
-    for (size_t i = 0; i < in->n_members && e->members_num < WG_MEMBERS_MAX; i++) {
-        wg_entry_member* member = &e->members[e->members_num];
-        const Wgpb__EntryMember* from = in->members[i];
-        e->members_num +=
-            wg_copy_name(member->name, sizeof member->name, from->name) &&
-            wg_copy_name(member->address, sizeof member->address, from->address) &&
-            wg_copy_name(member->data_centre, sizeof member->data_centre, from->data_centre);
+    if (in->members_reset) {
+        wg_roster_copy_reset(e->roster);
     }
+    for (size_t i = 0; i < in->n_members_left; i++) {
+        wg_roster_copy_remove(e->roster, in->members_left[i]);
+    }
+    for (size_t i = 0; i < in->n_members; i++) {
+        wg_entry_take_member(e, in->members[i]);
+    }
+    wg_roster_copy_set_change(e->roster, in->members_change);
     wg_entry_admit_members(e);
 }
 
@@ -194,6 +231,13 @@
     }
 }
 
+/* Others are told of this host as soon as it takes callers. */
+static void wg_entry_report_if_ready_now(wg_entry* e, bool was_ready, wg_time now) {
+    if (wg_entry_is_ready(e) && !was_ready) {
+        wg_entry_report(e, now);
+    }
+}
+
 static void wg_entry_send_orders(wg_entry* e);
 
 static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
@@ -212,9 +256,7 @@
     e->state_at = now;
     e->leaderless_at = 0;
     e->report_gap = in->report_ms * WG_USEC_PER_MSEC;
-    if (in->configuration) {
-        wg_entry_take_configuration(e, in->configuration);
-    }
+    e->state_seen = in->seq;
     wg_entry_take_targets(e, in);
     wg_entry_take_members(e, in);
     wg_entry_note_hosts(e, in);
@@ -228,8 +270,16 @@
         wg_log(WG_EVENT_LINK_UP, "leader term=%" G_GUINT64_FORMAT, in->term);
         wg_entry_send_orders(e);
     }
-    if (wg_entry_is_ready(e) && !was_ready) {
-        wg_entry_report(e, now); /* others are told of this host */
+    wg_entry_report_if_ready_now(e, was_ready, now);
+}
+
+/* A new link, or another control, is told everything anew. */
+static void wg_entry_take_configuration_frame(wg_entry* e, const Wgpb__Configuration* in) {
+    bool was_ready = wg_entry_is_ready(e);
+    if (wg_entry_take_configuration(e, in)) {
+        wg_entry_report_if_ready_now(e, was_ready, wg_now());
+    } else {
+        wg_entry_relink(e, "");
     }
 }
 
@@ -281,17 +331,28 @@
     wg_entry_send_order(e, order);
 }
 
-static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome,
-                               const Wgpb__Configuration* configuration) {
+static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome, GBytes* document) {
     wg_entry_order* order = at->data;
     g_queue_delete_link(&e->orders, at);
     if (order->request) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
-        wg_entry_order_answer(order->request, outcome, configuration);
+        wg_entry_order_answer(order->request, outcome, document);
     }
     wg_entry_order_free(order);
 }
 
+static void wg_entry_take_outcome(wg_entry* e, GList* at, const Wgpb__OrderAnswer* in) {
+    GError* error = NULL;
+    GBytes* document = in->configuration ? wg_document_read(in->configuration, NULL, &error) : NULL;
+    wg_order_outcome outcome = error ? WG_ORDER_UNKNOWN : (wg_order_outcome)in->outcome;
+    if (error) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=%s", error->message);
+        g_error_free(error);
+    }
+    wg_entry_order_end(e, at, outcome, document);
+    g_clear_pointer(&document, g_bytes_unref);
+}
+
 static void wg_entry_take_answer(wg_entry* e, const Wgpb__OrderAnswer* in) {
     for (GList* at = e->orders.head; at; at = at->next) {
         wg_entry_order* order = at->data;
@@ -301,7 +362,7 @@
         if (in->outcome == WG_ORDER_NOT_LEADER || in->outcome == WG_ORDER_UNKNOWN) {
             order->sent = false; /* the next leader is asked, until the time is over */
         } else {
-            wg_entry_order_end(e, at, (wg_order_outcome)in->outcome, in->configuration);
+            wg_entry_take_outcome(e, at, in);
         }
         return;
     }
@@ -340,7 +401,8 @@
     report.seq = ++e->report_seq;
     report.configuration_version = e->config ? e->config->version : 0;
     report.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
-    report.members_change = e->members_change;
+    report.members_change = wg_roster_change(e->roster);
+    report.state_seen = e->state_seen;
     report.leaving = e->stopping;
     report.ready = wg_entry_is_ready(e);
     for (int i = 0; i < loads_num; i++) {
@@ -417,6 +479,7 @@
     e->link_up = false;
     e->leaderless_at = 0;
     e->leader_known = false;
+    e->state_seen = 0;
     for (GList* at = e->orders.head; at; at = at->next) {
         ((wg_entry_order*)at->data)->sent = false;
     }
@@ -437,6 +500,13 @@
             wgpb__entry_state__free_unpacked(in, NULL);
             return;
         }
+    } else if (frame->type == WGW_TYPE_CONFIGURATION) {
+        Wgpb__Configuration* in = wgpb__configuration__unpack(NULL, frame->size, frame->payload);
+        if (in) {
+            wg_entry_take_configuration_frame(e, in);
+            wgpb__configuration__free_unpacked(in, NULL);
+            return;
+        }
     } else if (frame->type == WGW_TYPE_ORDER_ANSWER) {
         Wgpb__OrderAnswer* in = wgpb__order_answer__unpack(NULL, frame->size, frame->payload);
         if (in) {
@@ -460,6 +530,7 @@
                               .fleet_key = e->settings->fleet_key,
                               .self = self,
                               .links_max = WG_LINKS_MAX,
+                              .waiting_max = wgn_waiting_max(e->settings->memory_mb),
                               .proof_deadline = WG_PROVE_TIME,
                               .silence_deadline = e->settings->link_silence_ms * WG_USEC_PER_MSEC,
                               .ping_interval = e->settings->link_silence_ms * WG_USEC_PER_MSEC / 4,
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -1,4 +1,6 @@
 /* wg_entry_pages.c -- pages of an entry host: ready, entry answers, orders, metrics, state */
+#include "wg_document.h"
+
 #include "wg_entry_internal.h"
 
 #include <string.h>
@@ -19,10 +21,10 @@
 }
 
 void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
-                           const Wgpb__Configuration* configuration) {
-    if (outcome == WG_ORDER_DONE && configuration) {
+                           GBytes* document) {
+    if (outcome == WG_ORDER_DONE && document) {
         struct evbuffer* body = evbuffer_new();
-        evbuffer_add(body, configuration->document.data, configuration->document.len);
+        evbuffer_add(body, g_bytes_get_data(document, NULL), g_bytes_get_size(document));
         evhttp_add_header(evhttp_request_get_output_headers(request), "Content-Type",
                           "application/json");
         evhttp_send_reply(request, 200, wgh_reason(200), body);
@@ -46,9 +48,9 @@
     return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name,
                      "ready", (int)wg_entry_is_ready(e), "stopping", (int)e->stopping,
                      "configuration", (json_int_t)(e->config ? e->config->version : 0), "registry",
-                     (json_int_t)wg_registry_change(e->registry), "members", e->members_num,
-                     "calls", e->calls_num, "callers", (int)e->clients->len, "leader_known",
-                     (int)e->leader_known, "state_age_ms",
+                     (json_int_t)wg_registry_change(e->registry), "members",
+                     wg_roster_num(e->roster), "calls", e->calls_num, "callers",
+                     (int)e->clients->len, "leader_known", (int)e->leader_known, "state_age_ms",
                      (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
 }
 
@@ -76,6 +78,7 @@
     }
     g_string_append_printf(out, "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n",
                            e->calls_num, e->clients->len);
+    wgn_print_metrics(e->net, out);
     wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
     wgh_reply_text(request, 200, "text/plain", out->str);
@@ -86,8 +89,8 @@
  */
 
 static void wg_pages_add_members(wg_entry* e, json_t* list, const char* place, bool near) {
-    for (int i = 0; i < e->members_num; i++) {
-        const wg_entry_member* member = &e->members[i];
+    for (int i = 0; i < wg_roster_num(e->roster); i++) {
+        const wg_roster_host* member = wg_roster_at(e->roster, i);
         bool is_near = strcmp(member->data_centre, place) == 0;
         bool is_self = strcmp(member->name, e->settings->name) == 0;
         if (is_near == near && json_array_size(list) < WG_ANSWERED_MAX &&
@@ -137,13 +140,16 @@
         g_error_free(error);
         return;
     }
-    Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
-    configuration.version = config->version;
-    configuration.document = (ProtobufCBinaryData){size, bytes};
+    GBytes* document = g_bytes_new_static(bytes, size);
+    GBytes* packed = wg_document_pack(document, NULL);
+    Wgpb__Configuration configuration;
+    wg_document_fill(&configuration, config->version, packed);
     wg_config_unref(config);
     Wgpb__Order order = WGPB__ORDER__INIT;
     order.configuration = &configuration;
     wg_entry_order_begin(e, request, &order);
+    g_bytes_unref(packed);
+    g_bytes_unref(document);
 }
 
 static void wg_pages_get_configuration(wg_entry* e, struct evhttp_request* request) {
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -1,5 +1,5 @@
 /* wg_net.c -- see wg_net.h */
-#include "wg_net.h"
+#include "wg_net_internal.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -21,6 +21,7 @@
     bool dialer;
     bool up;
     bool closing;
+    bool slow; /* it does not take what is sent; the next tick closes it */
     wg_time opened_at;
     wg_time heard_at;
     wg_time sent_at;
@@ -37,9 +38,16 @@
     _wgn_link_t* links;
     struct evconnlistener* listener;
     struct event* tick;
+    _wgn_budget budget;
     wgn_stats stats;
 };
 
+enum {
+    /* Payloads from this size on are shared by reference: a copy of fewer bytes costs less than the
+       chain and the frame that a reference takes. */
+    _WGN_SHARED_MIN = 1024
+};
+
 /* ---- helpers ------------------------------------------------------------------------------ */
 
 static wgn_desc _wgn_desc_def(const wgn_desc* desc) {
@@ -47,6 +55,7 @@
     d.links_max = d.links_max ? d.links_max : WGN_LINKS_DEFAULT;
     d.frame_max = d.frame_max ? d.frame_max : WGW_FRAME_MAX_DEFAULT;
     d.unsent_max = d.unsent_max ? d.unsent_max : WGN_UNSENT_MAX_DEFAULT;
+    d.waiting_max = d.waiting_max ? d.waiting_max : WGN_WAITING_MAX_DEFAULT;
     d.proof_deadline = d.proof_deadline ? d.proof_deadline : WGN_PROOF_DEADLINE_DEFAULT;
     d.silence_deadline = d.silence_deadline ? d.silence_deadline : WGN_SILENCE_DEADLINE_DEFAULT;
     d.ping_interval = d.ping_interval ? d.ping_interval : WGN_PING_INTERVAL_DEFAULT;
@@ -79,6 +88,14 @@
     return (wgn_link){l->handle.id};
 }
 
+/* Forget what is unsent: the bufferevent may live on for a turn of the loop, longer than the net.
+ */
+static void _wgn_forget_unsent(_wgn_link_t* l) {
+    struct evbuffer* out = bufferevent_get_output(l->bev);
+    evbuffer_unfreeze(out, 1); /* bufferevents hold the front of their output */
+    evbuffer_drain(out, evbuffer_get_length(out));
+}
+
 static void _wgn_drop(_wgn_link_t* l) {
     if (l->closing) {
         return;
@@ -86,6 +103,7 @@
     l->closing = true;
     wgn_net* net = l->net;
     net->desc.on_down(_wgn_id(l), l->up ? &l->peer : NULL, net->desc.user_data);
+    _wgn_forget_unsent(l);
     bufferevent_free(l->bev);
     g_byte_array_unref(l->own_hello);
     if (l->peer_hello) {
@@ -95,15 +113,40 @@
     net->stats.links--;
 }
 
-static void _wgn_write(_wgn_link_t* l, wgw_type type, const uint8_t* payload, size_t size) {
+/* The head of a frame, and the counts. */
+static struct evbuffer* _wgn_write_head(_wgn_link_t* l, wgw_type type, size_t size) {
     uint8_t head[WGW_HEAD_SIZE];
+    wgn_stats* stats = &l->net->stats;
     wgw_frame_head_pack(head, type, size);
     struct evbuffer* out = bufferevent_get_output(l->bev);
     evbuffer_add(out, head, sizeof head);
-    evbuffer_add(out, payload, size);
     l->sent_at = wg_now();
-    l->net->stats.bytes_sent += sizeof head + size;
-    l->net->stats.frames_sent++;
+    stats->bytes_sent += sizeof head + size;
+    stats->frames_sent++;
+    stats->sent[type].bytes += sizeof head + size;
+    stats->sent[type].frames++;
+    return out;
+}
+
+static void _wgn_write(_wgn_link_t* l, wgw_type type, const uint8_t* payload, size_t size) {
+    evbuffer_add(_wgn_write_head(l, type, size), payload, size);
+}
+
+/* May so many bytes more wait? A link that has not taken what was sent before is given up where
+   they would be too many; the peer comes back and is told what it lacks then. */
+static bool _wgn_has_room(_wgn_link_t* l, size_t size) {
+    wgn_net* net = l->net;
+    size_t unsent = evbuffer_get_length(bufferevent_get_output(l->bev));
+    bool beyond_all = net->budget.waiting + size > net->desc.waiting_max && unsent > 0;
+    if (!beyond_all && unsent + size <= net->desc.unsent_max) {
+        return true;
+    }
+    l->slow = true;
+    net->stats.links_slow++;
+    wg_log(WG_EVENT_LINK_SLOW, "peer=%s unsent=%zu waiting=%zu frame=%zu", l->peer.name, unsent,
+           net->budget.waiting, size);
+    event_active(net->tick, EV_TIMEOUT, 1);
+    return false;
 }
 
 static void _wgn_send_hello(_wgn_link_t* l) {
@@ -308,8 +351,7 @@
         _wgn_link_t* l = &net->links[i];
         bool late = !l->up && now - l->opened_at > net->desc.proof_deadline;
         bool silent = now - l->heard_at > l->silence_deadline;
-        size_t unsent = evbuffer_get_length(bufferevent_get_output(l->bev));
-        if (late || silent || unsent > net->desc.unsent_max) {
+        if (late || silent || l->slow) {
             _wgn_drop(l);
         } else if (l->up && now - l->sent_at >= l->ping_interval) {
             _wgn_write(l, WGW_TYPE_PING, NULL, 0);
@@ -415,14 +457,30 @@
     return link;
 }
 
-bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message) {
+/* The link when a frame of this size may be sent on it now, else NULL. */
+static _wgn_link_t* _wgn_to_send(const wgn_net* net, wgn_link link, size_t size) {
     _wgn_link_t* l = _wgn_find(net, link);
-    if (!l || !l->up || l->closing) {
+    bool takes = l && l->up && !l->closing && !l->slow;
+    return takes && _wgn_has_room(l, size) ? l : NULL;
+}
+
+bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message) {
+    wgn_frame* frame = wgn_frame_pack(type, message);
+    bool sent = wgn_send_frame(net, link, frame);
+    wgn_frame_unref(frame);
+    return sent;
+}
+
+bool wgn_send_frame(wgn_net* net, wgn_link link, wgn_frame* frame) {
+    _wgn_link_t* l = _wgn_to_send(net, link, frame->size);
+    if (!l) {
         return false;
     }
-    GByteArray* packed = wgw_pack(message);
-    _wgn_write(l, type, packed->data, packed->len);
-    g_byte_array_unref(packed);
+    if (frame->size < _WGN_SHARED_MIN) {
+        _wgn_write(l, frame->type, frame->payload, frame->size);
+    } else {
+        _wgn_frame_append(frame, _wgn_write_head(l, frame->type, frame->size), &net->budget);
+    }
     return true;
 }
 
@@ -447,9 +505,31 @@
 }
 
 wgn_stats wgn_query_stats(const wgn_net* net) {
-    return net->stats;
+    wgn_stats stats = net->stats;
+    stats.waiting = net->budget.waiting;
+    return stats;
 }
 
 void wgn_set_cluster(wgn_net* net, uint64_t cluster) {
     net->desc.self.cluster = cluster;
 }
+
+void wgn_print_metrics(const wgn_net* net, GString* out) {
+    wgn_stats stats = wgn_query_stats(net);
+    for (int type = WGW_TYPE_DEFAULT + 1; type < WGW_TYPE_NUM; type++) {
+        const wgn_type_stats* sent = &stats.sent[type];
+        if (sent->frames > 0) {
+            const char* name = wgw_type_name((wgw_type)type);
+            g_string_append_printf(out,
+                                   "walnutgate_link_frames_total{type=\"%s\"} %" G_GUINT64_FORMAT
+                                   "\nwalnutgate_link_bytes_total{type=\"%s\"} %" G_GUINT64_FORMAT
+                                   "\n",
+                                   name, sent->frames, name, sent->bytes);
+        }
+    }
+    g_string_append_printf(out,
+                           "walnutgate_link_waiting_bytes %" G_GUINT64_FORMAT
+                           "\nwalnutgate_links_slow_total %" G_GUINT64_FORMAT
+                           "\nwalnutgate_links %d\n",
+                           stats.waiting, stats.links_slow, stats.links);
+}
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -3452,7 +3452,7 @@
   (ProtobufCMessageInit) wgpb__claim_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__configuration__field_descriptors[2] =
+static const ProtobufCFieldDescriptor wgpb__configuration__field_descriptors[4] =
 {
   {
     "version",
@@ -3478,15 +3478,41 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "packed",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__configuration__field_indices_by_name[] = {
+  3,   /* field[3] = base_version */
   1,   /* field[1] = document */
+  2,   /* field[2] = packed */
   0,   /* field[0] = version */
 };
 static const ProtobufCIntRange wgpb__configuration__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 2 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wgpb__configuration__descriptor =
 {
@@ -3496,7 +3522,7 @@
   "Wgpb__Configuration",
   "wgpb",
   sizeof(Wgpb__Configuration),
-  2,
+  4,
   wgpb__configuration__field_descriptors,
   wgpb__configuration__field_indices_by_name,
   1,  wgpb__configuration__number_ranges,
@@ -5188,7 +5214,7 @@
   (ProtobufCMessageInit) wgpb__workspace_usage__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[9] =
 {
   {
     "seq",
@@ -5286,6 +5312,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "state_seen",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, state_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_report__field_indices_by_name[] = {
   1,   /* field[1] = configuration_version */
@@ -5295,12 +5333,13 @@
   5,   /* field[5] = ready */
   2,   /* field[2] = registry_change */
   0,   /* field[0] = seq */
+  8,   /* field[8] = state_seen */
   7,   /* field[7] = usage */
 };
 static const ProtobufCIntRange wgpb__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_report__descriptor =
 {
@@ -5310,7 +5349,7 @@
   "Wgpb__EntryReport",
   "wgpb",
   sizeof(Wgpb__EntryReport),
-  8,
+  9,
   wgpb__entry_report__field_descriptors,
   wgpb__entry_report__field_indices_by_name,
   1,  wgpb__entry_report__number_ranges,
@@ -5381,7 +5420,7 @@
   (ProtobufCMessageInit) wgpb__entry_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[15] =
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[17] =
 {
   {
     "leads",
@@ -5431,18 +5470,6 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
-  {
-    "configuration",
-    5,
-    PROTOBUF_C_LABEL_NONE,
-    PROTOBUF_C_TYPE_MESSAGE,
-    0,   /* quantifier_offset */
-    offsetof(Wgpb__EntryState, configuration),
-    &wgpb__configuration__descriptor,
-    NULL,
-    0,             /* flags */
-    0,NULL,NULL    /* reserved1,reserved2, etc */
-  },
   {
     "configuration_version",
     6,
@@ -5563,28 +5590,67 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "seq",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_left",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryState, n_members_left),
+    offsetof(Wgpb__EntryState, members_left),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_reset",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, members_reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_state__field_indices_by_name[] = {
-  4,   /* field[4] = configuration */
-  5,   /* field[5] = configuration_version */
+  4,   /* field[4] = configuration_version */
   3,   /* field[3] = controls */
   2,   /* field[2] = leader_address */
   0,   /* field[0] = leads */
-  12,   /* field[12] = loads */
-  9,   /* field[9] = members */
-  10,   /* field[10] = members_change */
-  11,   /* field[11] = members_num */
-  7,   /* field[7] = registry_change */
-  8,   /* field[8] = registry_reset */
-  14,   /* field[14] = report_ms */
-  6,   /* field[6] = targets */
+  11,   /* field[11] = loads */
+  8,   /* field[8] = members */
+  9,   /* field[9] = members_change */
+  15,   /* field[15] = members_left */
+  10,   /* field[10] = members_num */
+  16,   /* field[16] = members_reset */
+  6,   /* field[6] = registry_change */
+  7,   /* field[7] = registry_reset */
+  13,   /* field[13] = report_ms */
+  14,   /* field[14] = seq */
+  5,   /* field[5] = targets */
   1,   /* field[1] = term */
-  13,   /* field[13] = usage */
+  12,   /* field[12] = usage */
 };
-static const ProtobufCIntRange wgpb__entry_state__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__entry_state__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 15 }
+  { 6, 4 },
+  { 0, 17 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
@@ -5594,10 +5660,10 @@
   "Wgpb__EntryState",
   "wgpb",
   sizeof(Wgpb__EntryState),
-  15,
+  17,
   wgpb__entry_state__field_descriptors,
   wgpb__entry_state__field_indices_by_name,
-  1,  wgpb__entry_state__number_ranges,
+  2,  wgpb__entry_state__number_ranges,
   (ProtobufCMessageInit) wgpb__entry_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -334,11 +334,22 @@
 {
   ProtobufCMessage base;
   uint64_t version;
+  /*
+   * as it is: in logs and snapshots of earlier releases only
+   */
   ProtobufCBinaryData document;
+  /*
+   * of lib/document, in place of `document`
+   */
+  ProtobufCBinaryData packed;
+  /*
+   * of the document that `packed` is the difference to; 0: none
+   */
+  uint64_t base_version;
 };
 #define WGPB__CONFIGURATION__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__configuration__descriptor) \
-    , 0, {0,NULL} }
+    , 0, {0,NULL}, {0,NULL}, 0 }
 
 
 /*
@@ -675,10 +686,14 @@
   Wgpb__TargetLoad **loads;
   size_t n_usage;
   Wgpb__WorkspaceUsage **usage;
+  /*
+   * seq of the last EntryState on this link
+   */
+  uint64_t state_seen;
 };
 #define WGPB__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0 }
 
 
 struct  Wgpb__EntryMember
@@ -707,7 +722,6 @@
    */
   size_t n_controls;
   char **controls;
-  Wgpb__Configuration *configuration;
   uint64_t configuration_version;
   size_t n_targets;
   Wgpb__TargetRecord **targets;
@@ -716,6 +730,9 @@
    * `targets` is all there is
    */
   protobuf_c_boolean registry_reset;
+  /*
+   * that came or changed
+   */
   size_t n_members;
   Wgpb__EntryMember **members;
   uint64_t members_change;
@@ -731,10 +748,23 @@
   size_t n_usage;
   Wgpb__WorkspaceUsage **usage;
   uint32_t report_ms;
+  /*
+   * of the states on this link
+   */
+  uint64_t seq;
+  /*
+   * names
+   */
+  size_t n_members_left;
+  char **members_left;
+  /*
+   * `members` is all there are
+   */
+  protobuf_c_boolean members_reset;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -16,6 +16,30 @@
     head[7] = 0;
 }
 
+const char* wgw_type_name(wgw_type type) {
+    static const char* const names[WGW_TYPE_NUM] = {[WGW_TYPE_DEFAULT] = "none",
+                                                    [WGW_TYPE_HELLO] = "hello",
+                                                    [WGW_TYPE_PROOF] = "proof",
+                                                    [WGW_TYPE_PING] = "ping",
+                                                    [WGW_TYPE_QUORUM] = "quorum",
+                                                    [WGW_TYPE_REPORT] = "report",
+                                                    [WGW_TYPE_REPLY] = "reply",
+                                                    [WGW_TYPE_ROW_QUERY] = "row_query",
+                                                    [WGW_TYPE_ROW_ANSWER] = "row_answer",
+                                                    [WGW_TYPE_CLAIM_ASK] = "claim_ask",
+                                                    [WGW_TYPE_CLAIM_ANSWER] = "claim_answer",
+                                                    [WGW_TYPE_ENTRY_REPORT] = "entry_report",
+                                                    [WGW_TYPE_ENTRY_STATE] = "entry_state",
+                                                    [WGW_TYPE_ORDER] = "order",
+                                                    [WGW_TYPE_ORDER_ANSWER] = "order_answer",
+                                                    [WGW_TYPE_ADMIT_ASK] = "admit_ask",
+                                                    [WGW_TYPE_ADMIT_ANSWER] = "admit_answer",
+                                                    [WGW_TYPE_ADMIT_NOTE] = "admit_note",
+                                                    [WGW_TYPE_CONFIGURATION] = "configuration"};
+    WG_ASSERT(type >= 0 && type < WGW_TYPE_NUM);
+    return names[type];
+}
+
 wgw_parse wgw_frame_parse(const uint8_t* bytes, size_t size, size_t max, wgw_frame* frame) {
     *frame = (wgw_frame){0};
     if (size < WGW_HEAD_SIZE) {
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -50,9 +50,13 @@
     WGW_TYPE_ADMIT_ASK,
     WGW_TYPE_ADMIT_ANSWER,
     WGW_TYPE_ADMIT_NOTE,
+    WGW_TYPE_CONFIGURATION, /* of the leader, whole or as what changed */
     WGW_TYPE_NUM
 } wgw_type;
 
+/* Name of a frame's type, as metrics show it. */
+const char* wgw_type_name(wgw_type type);
+
 /* What became of an order. */
 typedef enum {
     WG_ORDER_DEFAULT = 0,
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -122,7 +122,6 @@
     state.leads = true;
     state.term = 1;
     state.leader_address = f->address;
-    state.configuration = &configuration;
     state.targets = records;
     state.n_targets = 1;
     state.registry_change = 1;
@@ -130,8 +129,10 @@
     state.members = members;
     state.n_members = 1;
     state.members_change = 1;
+    state.members_reset = true;
     state.members_num = 1;
     state.report_ms = 100;
+    ck_assert(wgn_send(f->net, f->link, WGW_TYPE_CONFIGURATION, &configuration.base));
     ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
     g_free(callers);
 }
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -78,6 +78,11 @@
     uint64_t members_change;
     int members; /* of the last list that came; -1 none */
     uint64_t configuration_version;
+    uint64_t configuration_base; /* of the last one that came; 0: it was whole */
+    size_t configuration_bytes;  /* of the same, packed */
+    uint64_t state_seen;
+    int states;                  /* that came */
+    int targets;                 /* records of targets that came */
     bool leads;                  /* as the control last said */
     char leader[WG_ADDRESS_MAX]; /* the same */
     int outcome;                 /* of the last order that was answered; -1 none */
@@ -90,6 +95,7 @@
     report.ready = true;
     report.members_change = f->members_change;
     report.configuration_version = f->configuration_version;
+    report.state_seen = f->state_seen;
     wgn_send(f->net, f->link, WGW_TYPE_ENTRY_REPORT, &report.base);
 }
 
@@ -98,11 +104,18 @@
     wg_copy_name(f->leader, sizeof f->leader, in->leader_address);
     if (in->leads && in->members_change != f->members_change) {
         f->members_change = in->members_change;
-        f->members = (int)in->n_members;
-    }
-    if (in->configuration) {
-        f->configuration_version = in->configuration->version;
+        f->members = in->members_reset ? 0 : MAX(f->members, 0);
+        f->members += (int)in->n_members - (int)in->n_members_left;
     }
+    f->state_seen = in->seq;
+    f->states++;
+    f->targets += (int)in->n_targets;
+}
+
+static inline void local_entry_take_configuration(local_entry* f, const Wgpb__Configuration* in) {
+    f->configuration_version = in->version;
+    f->configuration_base = in->base_version;
+    f->configuration_bytes = in->packed.len;
 }
 
 static inline void local_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
@@ -112,6 +125,10 @@
         Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
         local_entry_take_state(f, in);
         wgpb__entry_state__free_unpacked(in, NULL);
+    } else if (frame->type == WGW_TYPE_CONFIGURATION) {
+        Wgpb__Configuration* in = wgpb__configuration__unpack(NULL, frame->size, frame->payload);
+        local_entry_take_configuration(f, in);
+        wgpb__configuration__free_unpacked(in, NULL);
     } else if (frame->type == WGW_TYPE_ORDER_ANSWER) {
         Wgpb__OrderAnswer* in = wgpb__order_answer__unpack(NULL, frame->size, frame->payload);
         f->outcome = (int)in->outcome;
@@ -133,6 +150,7 @@
     (void)peer;
     local_entry* f = user_data;
     f->up = false;
+    f->state_seen = 0;
     f->leads = false;
     f->link = (wgn_link){0};
 }
--- /dev/null
+++ b/tests/test_leader_states.c
@@ -0,0 +1,194 @@
+/* test_leader_states.c -- what a leader sends its entry hosts: what changed, once, together; with a
+   control that runs within the test and hosts that only listen */
+#include <glib/gstdio.h>
+#include <stdlib.h>
+
+#include <event2/event.h>
+
+#include "folder.h"
+#include "local_control.h"
+#include "wg_document.h"
+#include "wg_test.h"
+
+enum {
+    TURNS = 2000,  /* of the loop, a millisecond each, before something counts as missing */
+    ROUTES = 1400, /* of a configuration of some 200 KB */
+    TARGETS = 40
+};
+
+static struct event_base* base;
+static wgco_control* control;
+static char folder[32];
+static const char* listen_at;
+
+static void turns(int num) {
+    for (int i = 0; i < num; i++) {
+        local_turn(base);
+    }
+}
+
+static void begin(void) {
+    static wgco_settings settings;
+    g_strlcpy(folder, "/tmp/wg-states-XXXXXX", sizeof folder);
+    ck_assert_ptr_nonnull(mkdtemp(folder));
+    listen_at = local_control_settings(&settings, folder);
+    base = local_base();
+    GError* error = NULL;
+    control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
+    ck_assert_msg(control != NULL, "%s", error ? error->message : "");
+}
+
+static void end(void) {
+    wgco_shutdown(control);
+    event_base_free(base);
+    folder_wipe(folder);
+    g_rmdir(folder);
+}
+
+/* A host that has a leader. */
+static void host_begin(local_entry* host, int number) {
+    *host = (local_entry){.base = base};
+    local_entry_begin(host, number, listen_at);
+    for (int i = 0; i < TURNS && !host->leads; i++) {
+        local_turn(base);
+        if (i % 100 == 99) {
+            local_entry_report(host);
+        }
+    }
+    ck_assert(host->leads);
+}
+
+static GBytes* document(int version, int changed) {
+    GString* out = g_string_new(NULL);
+    g_string_append_printf(out, "{\"version\":%d,\"routes\":[", version);
+    for (int i = 0; i < ROUTES; i++) {
+        g_string_append_printf(out,
+                               "%s{\"name\":\"r-%08" G_GINT64_MODIFIER "x\",\"time_out\":%d,"
+                               "\"host\":\"h%d\",\"prefix\":\"/p%08" G_GINT64_MODIFIER "x/\"}",
+                               i ? "," : "", wg_jitter(1, (uint64_t)i) >> 32,
+                               i == changed ? 77 : 800, i % 7, wg_jitter(2, (uint64_t)i) >> 32);
+    }
+    g_string_append(out, "]}");
+    return g_string_free_to_bytes(out);
+}
+
+static void order_configuration(local_entry* host, int version, int changed) {
+    GBytes* whole = document(version, changed);
+    GBytes* packed = wg_document_pack(whole, NULL);
+    Wgpb__Configuration configuration;
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    wg_document_fill(&configuration, (uint64_t)version, packed);
+    order.ticket = (uint64_t)version;
+    order.configuration = &configuration;
+    host->outcome = -1;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ORDER, &order.base));
+    g_bytes_unref(packed);
+    g_bytes_unref(whole);
+}
+
+static void expect_version(local_entry* host, uint64_t version) {
+    for (int i = 0; i < TURNS && host->configuration_version < version; i++) {
+        local_turn(base);
+    }
+    ck_assert_uint_eq(host->configuration_version, version);
+}
+
+/* 200 KB whole; a changed time-out takes a hundredth of it, for who has the version before. */
+START_TEST(a_configuration_goes_out_as_what_changed) {
+    begin();
+    local_entry host;
+    host_begin(&host, 1);
+    order_configuration(&host, 1, -1);
+    expect_version(&host, 1);
+    ck_assert_int_eq(host.outcome, WG_ORDER_DONE);
+    ck_assert_uint_eq(host.configuration_base, 0);
+    order_configuration(&host, 2, 700);
+    expect_version(&host, 2);
+    ck_assert_uint_eq(host.configuration_base, 1);
+    ck_assert_uint_lt(host.configuration_bytes, 1000);
+    /* Who comes with an older one that is remembered, and with none. */
+    local_entry others[2];
+    uint64_t held[] = {1, 0};
+    uint64_t expected[] = {1, 0};
+    for (int i = 0; i < 2; i++) {
+        others[i] = (local_entry){.base = base, .configuration_version = held[i]};
+        local_entry_begin(&others[i], 2 + i, listen_at);
+        expect_version(&others[i], 2);
+        ck_assert_uint_eq(others[i].configuration_base, expected[i]);
+        wgn_shutdown(others[i].net);
+    }
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
+/* A report that was on its way when something was sent does not have it sent again. */
+START_TEST(what_is_on_its_way_is_not_sent_again) {
+    begin();
+    local_entry host;
+    host_begin(&host, 1);
+    turns(50);
+    order_configuration(&host, 1, -1);
+    expect_version(&host, 1);
+    turns(50);
+    uint64_t seen = host.state_seen;
+    order_configuration(&host, 2, 3);
+    expect_version(&host, 2);
+    turns(50);
+    host.configuration_version = 1; /* as if the report had left before */
+    host.state_seen = seen;
+    local_entry_report(&host);
+    turns(100);
+    ck_assert_uint_eq(host.configuration_version, 1);
+    host.configuration_version = 1; /* now it has read everything and still lacks it */
+    local_entry_report(&host);
+    expect_version(&host, 2);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
+static void order_target(local_entry* host, int number, uint64_t sequence) {
+    char id[16];
+    char address[32];
+    Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    g_snprintf(id, sizeof id, "t-%d", number);
+    g_snprintf(address, sizeof address, "10.9.0.%d:80", number);
+    record.id = id;
+    record.service = (char*)"s";
+    record.address = address;
+    record.data_centre = (char*)"dc";
+    record.state = WG_TARGET_READY;
+    record.sequence = sequence;
+    order.ticket = (uint64_t)number;
+    order.target = &record;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ORDER, &order.base));
+}
+
+/* Forty targets that register at one moment: a state each for all hosts would be 40 frames a host.
+   Before, each change was one. */
+START_TEST(changes_of_one_moment_go_out_together) {
+    begin();
+    local_entry host;
+    local_entry other;
+    host_begin(&host, 1);
+    host_begin(&other, 2);
+    turns(100);
+    int before = other.states;
+    for (int i = 1; i <= TARGETS; i++) {
+        order_target(&host, i, 1);
+    }
+    for (int i = 0; i < TURNS && other.targets < TARGETS; i++) {
+        local_turn(base);
+    }
+    ck_assert_int_eq(other.targets, TARGETS);
+    ck_assert_int_le(other.states - before, TARGETS / 4);
+    wgn_shutdown(host.net);
+    wgn_shutdown(other.net);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("leader states", a_configuration_goes_out_as_what_changed,
+             what_is_on_its_way_is_not_sent_again, changes_of_one_moment_go_out_together)
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -104,4 +104,130 @@
 }
 END_TEST
 
-WG_TEST_MAIN("net", links_go_before_a_flood)
+/* ---- links that do not read -------------------------------------------------------------------
+ */
+
+enum {
+    READERS = 60,
+    FRAME_SIZE = 1 << 20,
+    WAITING_MAX = 8 << 20 /* bytes, of the sender */
+};
+
+static struct event_base* far_base;
+static wgn_link links[READERS];
+static int links_num;
+static int links_closed;
+static int documents;
+
+static void on_reader_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)peer;
+    if (user_data == &near_net) {
+        links[links_num++] = link;
+    }
+}
+
+static void on_reader_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    (void)link;
+    (void)user_data;
+    documents += frame->type == WGW_TYPE_CONFIGURATION && frame->size > FRAME_SIZE;
+}
+
+static void on_reader_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    links_closed += user_data == &near_net;
+}
+
+static wgn_net* reader_net(struct event_base* of, wgn_net** which) {
+    return wgn_setup(&(wgn_desc){.base = of,
+                                 .fleet_key = "key",
+                                 .self = {.name = "n", .role = WGW_ROLE_ENTRY},
+                                 .waiting_max = WAITING_MAX,
+                                 .on_up = on_reader_up,
+                                 .on_frame = on_reader_frame,
+                                 .on_down = on_reader_down,
+                                 .user_data = which},
+                     NULL);
+}
+
+static void readers_begin(void) {
+    base = event_base_new();
+    far_base = event_base_new();
+    event_base_priority_init(base, WGN_PRIORITIES);
+    event_base_priority_init(far_base, WGN_PRIORITIES);
+    near_net = reader_net(base, &near_net);
+    far_net = reader_net(far_base, &far_net);
+    links_num = links_closed = documents = 0;
+    char* address = g_strdup_printf("127.78.%d.2:%d", getpid() % 250 + 1, 18000 + getpid() % 9000);
+    ck_assert(wgn_listen(far_net, address, NULL));
+    for (int i = 0; i < READERS; i++) {
+        ck_assert_uint_ne(wgn_dial(near_net, address).id, 0);
+    }
+    for (int i = 0; i < 3000 && links_num < READERS; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        event_base_loop(far_base, EVLOOP_NONBLOCK);
+    }
+    ck_assert_int_eq(links_num, READERS);
+    g_free(address);
+}
+
+static void readers_end(void) {
+    wgn_shutdown(near_net);
+    wgn_shutdown(far_net);
+    event_base_free(base);
+    event_base_free(far_base);
+}
+
+static wgn_frame* large_frame(int seed) {
+    static uint8_t bytes[FRAME_SIZE];
+    Wgpb__Configuration message = WGPB__CONFIGURATION__INIT;
+    message.version = (uint64_t)seed;
+    message.document = (ProtobufCBinaryData){sizeof bytes, bytes};
+    return wgn_frame_pack(WGW_TYPE_CONFIGURATION, &message.base);
+}
+
+static void send_to_all(wgn_frame* frame) {
+    for (int i = 0; i < READERS; i++) {
+        wgn_send_frame(near_net, links[i], frame);
+    }
+}
+
+/* One message for all takes the memory of one, and comes to all. */
+START_TEST(a_frame_for_many_links_is_held_once) {
+    readers_begin();
+    wgn_frame* frame = large_frame(1);
+    send_to_all(frame);
+    wgn_frame_unref(frame);
+    event_base_loop(base, EVLOOP_NONBLOCK);
+    ck_assert_uint_lt(wgn_query_stats(near_net).waiting, FRAME_SIZE + 100);
+    ck_assert_uint_eq(wgn_query_stats(near_net).sent[WGW_TYPE_CONFIGURATION].frames, READERS);
+    for (int i = 0; i < 20000 && documents < READERS; i++) {
+        event_base_loop(base, EVLOOP_NONBLOCK);
+        event_base_loop(far_base, EVLOOP_NONBLOCK);
+    }
+    ck_assert_int_eq(documents, READERS);
+    ck_assert_uint_eq(wgn_query_stats(near_net).waiting, 0);
+    ck_assert_int_eq(links_closed, 0);
+    readers_end();
+}
+END_TEST
+
+/* Links that do not read cannot take more memory than the process allows for all of them. */
+START_TEST(links_that_do_not_read_are_closed_at_the_limit) {
+    readers_begin();
+    for (int i = 0; i < 30; i++) {
+        wgn_frame* frame = large_frame(i);
+        send_to_all(frame);
+        wgn_frame_unref(frame);
+        ck_assert_uint_lt(wgn_query_stats(near_net).waiting, WAITING_MAX + FRAME_SIZE + 100);
+        event_base_loop(base, EVLOOP_NONBLOCK);
+    }
+    ck_assert_int_eq(links_closed, READERS);
+    ck_assert_uint_eq(wgn_query_stats(near_net).links_slow, READERS);
+    ck_assert_uint_eq(wgn_query_stats(near_net).waiting, 0);
+    readers_end();
+}
+END_TEST
+
+WG_TEST_MAIN("net", links_go_before_a_flood, a_frame_for_many_links_is_held_once,
+             links_that_do_not_read_are_closed_at_the_limit)
