Each caller is named its own few entry hosts

Every caller was named all hosts of its data centre, and what decides among them is the same for all callers of a workspace.

Ruled out: hosts that are flooded and left out of answers: the workspace comes to the next host whole. Answers drawn anew each time: callers drop open connections to hosts that a new answer lacks.

Change: lib/roster picks about the square root of the data centre's hosts for a caller, by rendezvous hashing with its address: 8 of 60, all where there are four or fewer.

Figures: of callers that all prefer one host, the part that comes to it 1.0 -> less than 0.2 (test_roster; 8 in 60 expected).

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -21,7 +21,6 @@
     WG_WHOLE_MAX = 64 * 1024,        /* answers up to this size are relayed only when whole */
     WG_OUTPUT_HIGH = 256 * 1024,     /* unsent bytes at which reading from a target pauses */
     WG_EVENT_ID_MAX = 32,
-    WG_ANSWERED_MAX = 64, /* entry hosts in one answer */
     WG_COORDINATORS_MAX = 16
 };
 
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -88,32 +88,35 @@
 /* ---- entry answers ----------------------------------------------------------------------------
  */
 
-static void wg_pages_add_members(wg_entry* e, json_t* list, const char* place, bool near) {
-    for (int i = 0; i < wg_roster_num(e->roster); i++) {
-        const wg_roster_host* member = wg_roster_at(e->roster, i);
-        bool is_near = strcmp(member->data_centre, place) == 0;
-        bool is_self = strcmp(member->name, e->settings->name) == 0;
-        if (is_near == near && json_array_size(list) < WG_ANSWERED_MAX &&
-            !(is_self && e->stopping)) {
-            json_array_append_new(list, json_string(member->address));
-        }
-    }
+/* Who asks, by the address that it comes from. */
+static uint64_t wg_pages_caller(struct evhttp_request* request) {
+    char* address = NULL;
+    ev_uint16_t port = 0;
+    evhttp_connection_get_peer(evhttp_request_get_connection(request), &address, &port);
+    return address ? wg_hash(address, strlen(address), 0) : 0;
 }
 
-static void wg_pages_entry(wg_entry* e, struct evhttp_request* request) {
-    enum {
-        NEAR_ENOUGH = 2 /* entry hosts in the caller's data centre */
-    };
+static json_t* wg_pages_named(wg_entry* e, struct evhttp_request* request) {
     char* place = wgh_query(request, e->names->query_place);
+    wg_roster_query query = {.data_centre = place ? place : "",
+                             .caller = wg_pages_caller(request),
+                             .without = e->stopping ? e->settings->name : NULL};
+    GPtrArray* hosts = wg_roster_pick(e->roster, &query);
     json_t* list = json_array();
-    wg_pages_add_members(e, list, place ? place : "", true);
-    if (json_array_size(list) < NEAR_ENOUGH) {
-        wg_pages_add_members(e, list, place ? place : "", false);
+    for (guint i = 0; i < hosts->len; i++) {
+        const wg_roster_host* host = hosts->pdata[i];
+        json_array_append_new(list, json_string(host->address));
     }
+    g_ptr_array_unref(hosts);
+    g_free(place);
+    return list;
+}
+
+static void wg_pages_entry(wg_entry* e, struct evhttp_request* request) {
+    json_t* list = wg_pages_named(e, request);
     if (json_array_size(list) == 0 && wg_entry_is_ready(e)) {
         json_array_append_new(list, json_string(e->settings->callers_listen));
     }
-    g_free(place);
     if (json_array_size(list) == 0) {
         json_decref(list);
         wg_pages_error(request, 503, "no_entry_host", "no entry host is known to be ready");
--- a/lib/roster/wg_roster.h
+++ b/lib/roster/wg_roster.h
@@ -11,6 +11,8 @@
     FEATURES
         - bytes for one change do not grow with the number of hosts
         - numbers of different leaders never meet: each begins at its term
+        - each caller is named its own few hosts, the same from answer to answer: callers that all
+          prefer one host do not all come to it
         - pure: no clock, socket or file of its own
 
     USE
@@ -24,6 +26,14 @@
 */
 #include "wg_base.h"
 
+enum {
+    /* A caller can do without all but one of them; with three, two may fail within the time that an
+       answer is kept. */
+    WG_ROSTER_NAMED_MIN = 4,
+    WG_ROSTER_NAMED_MAX = 64,
+    WG_ROSTER_NEAR_ENOUGH = 2
+};
+
 typedef struct {
     char name[WG_NAME_MAX];
     char address[WG_ADDRESS_MAX]; /* where callers connect */
@@ -70,3 +80,15 @@
 void wg_roster_copy_add(wg_roster* copy, const wg_roster_host* host);
 void wg_roster_copy_remove(wg_roster* copy, const char* name);
 void wg_roster_copy_set_change(wg_roster* copy, uint64_t change);
+
+/* What a caller is named. */
+typedef struct {
+    const char* data_centre; /* the caller's; "" or unknown: none is near */
+    uint64_t caller;         /* hash of who asks; the same caller is named the same hosts */
+    const char* without;     /* name of a host that is not named; NULL: none */
+} wg_roster_query;
+
+/* Hosts for a caller, const wg_roster_host*, borrowed; the caller of the function unrefs the list.
+   Of the n hosts in the caller's data centre about the square root of n, at least
+   WG_ROSTER_NAMED_MIN; of all other hosts too when fewer than WG_ROSTER_NEAR_ENOUGH are near. */
+GPtrArray* wg_roster_pick(const wg_roster* roster, const wg_roster_query* query);
--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -111,4 +111,109 @@
 }
 END_TEST
 
-WG_TEST_MAIN("roster", one_change_is_told_alone, copies_always_come_to_the_same_list)
+enum {
+    PLACES = 5,
+    CALLERS = 600
+};
+
+/* The host of those named to the caller that every caller of the workspace prefers. */
+static const wg_roster_host* preferred(const wg_roster* r, uint64_t caller, uint64_t workspace) {
+    wg_roster_query query = {.data_centre = "dc1", .caller = caller};
+    GPtrArray* named = wg_roster_pick(r, &query);
+    const wg_roster_host* best = NULL;
+    uint64_t best_rank = 0;
+    for (guint i = 0; i < named->len; i++) {
+        const wg_roster_host* h = named->pdata[i];
+        uint64_t rank = wg_hash(h->name, strlen(h->name), workspace);
+        if (!best || rank > best_rank) {
+            best = h;
+            best_rank = rank;
+        }
+    }
+    g_ptr_array_unref(named);
+    return best;
+}
+
+/* The largest part of the callers that comes to one host. */
+static double largest_part(const wg_roster* r, uint64_t workspace) {
+    int counts[HOSTS] = {0};
+    int most = 0;
+    for (int i = 0; i < CALLERS; i++) {
+        int at = atoi(preferred(r, wg_jitter(77, (uint64_t)i), workspace)->name + 1);
+        counts[at]++;
+        most = MAX(most, counts[at]);
+    }
+    return (double)most / CALLERS;
+}
+
+static wg_roster* roster_of(int hosts) {
+    wg_roster* r = wg_roster_setup();
+    wg_roster_begin(r, 1);
+    for (int i = 0; i < hosts; i++) {
+        wg_roster_host h = host(i, 0);
+        wg_roster_hear(r, SECOND, &h);
+    }
+    return r;
+}
+
+/* All callers of a workspace prefer one host of a data centre's sixty. When all sixty were named to
+   each of them, all came to it: 1.0. */
+START_TEST(callers_that_prefer_one_host_are_spread) {
+    wg_roster* r = roster_of(HOSTS);
+    for (uint64_t workspace = 1; workspace <= 10; workspace++) {
+        ck_assert(largest_part(r, workspace) < 0.2);
+    }
+    wg_roster_shutdown(r);
+}
+END_TEST
+
+/* A host that leaves changes only the answers that named it, by one host each. */
+START_TEST(a_caller_is_named_the_same_hosts_again) {
+    wg_roster* r = roster_of(HOSTS);
+    int changed = 0;
+    for (int i = 0; i < CALLERS; i++) {
+        wg_roster_query all = {.data_centre = "dc1", .caller = wg_jitter(3, (uint64_t)i)};
+        wg_roster_query less = all;
+        less.without = "h6";
+        GPtrArray* before = wg_roster_pick(r, &all);
+        GPtrArray* after = wg_roster_pick(r, &less);
+        ck_assert_uint_eq(before->len, 8);
+        ck_assert_uint_eq(after->len, 8);
+        int kept = 0;
+        for (guint k = 0; k < after->len; k++) {
+            kept += g_ptr_array_find(before, after->pdata[k], NULL);
+            ck_assert_str_eq(((wg_roster_host*)after->pdata[k])->data_centre, "dc1");
+        }
+        ck_assert_int_ge(kept, 7);
+        changed += kept == 7;
+        g_ptr_array_unref(before);
+        g_ptr_array_unref(after);
+    }
+    ck_assert_int_gt(changed, CALLERS / 16);
+    ck_assert_int_lt(changed, CALLERS / 4);
+    wg_roster_shutdown(r);
+}
+END_TEST
+
+START_TEST(few_hosts_are_all_named_and_far_ones_where_none_is_near) {
+    wg_roster* r = roster_of(3 * PLACES);
+    wg_roster_query query = {.data_centre = "dc1", .caller = 5};
+    GPtrArray* named = wg_roster_pick(r, &query);
+    ck_assert_uint_eq(named->len, 3);
+    g_ptr_array_unref(named);
+    wg_roster_leave(r, "h1");
+    wg_roster_leave(r, "h6");
+    named = wg_roster_pick(r, &query); /* one is near, and some of the twelve others */
+    ck_assert_uint_eq(named->len, 1 + WG_ROSTER_NAMED_MIN);
+    g_ptr_array_unref(named);
+    query.data_centre = "";
+    named = wg_roster_pick(r, &query);
+    ck_assert_uint_eq(named->len, WG_ROSTER_NAMED_MIN);
+    g_ptr_array_unref(named);
+    wg_roster_shutdown(r);
+}
+END_TEST
+
+WG_TEST_MAIN("roster", one_change_is_told_alone, copies_always_come_to_the_same_list,
+             callers_that_prefer_one_host_are_spread, a_caller_is_named_the_same_hosts_again,
+             few_hosts_are_all_named_and_far_ones_where_none_is_near)
