--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -127,7 +127,6 @@
     (void)what;
     wg_entry* e = user_data;
     wg_time now = wg_now();
-    wg_entry_delay_tick(e, now);
     wg_entry_link_tick(e, now);
     wg_entry_admit_tick(e, now);
     wg_entry_cache_tick(e, now);
@@ -172,8 +171,8 @@
     e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
     g_queue_init(&e->orders);
-    if (!wg_entry_delay_setup(e) || !wg_entry_link_setup(e, error) ||
-        !wg_entry_pages_setup(e, error) || !wg_client_listen(e, error)) {
+    if (!wg_entry_link_setup(e, error) || !wg_entry_pages_setup(e, error) ||
+        !wg_client_listen(e, error)) {
         wg_entry_shutdown(e);
         return NULL;
     }
@@ -206,7 +205,6 @@
     if (e->tick) {
         event_free(e->tick);
     }
-    wg_entry_delay_shutdown(e);
     if (e->listener) {
         evconnlistener_free(e->listener);
     }
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -281,11 +281,6 @@
     }
 }
 
-bool wg_call_is_shed(const wg_call* call, wg_time now) {
-    wg_policy_terms terms = wg_call_terms(call);
-    return wg_policy_sheds(&terms, wg_entry_delay(call->entry, now));
-}
-
 void wg_call_try(wg_call* call) {
     wg_time now = wg_now();
     call->retry_at = 0;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -499,10 +499,6 @@
         wg_call_refuse(call, 503, "stopping", WG_STOPPING_RETRY_AFTER);
         return;
     }
-    if (wg_call_is_shed(call, call->started)) {
-        wg_call_refuse(call, 503, "host_busy", wg_call_retry_after(call));
-        return;
-    }
     wg_call_set_timer(call, call->started);
     wg_call_try(call);
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -194,9 +194,6 @@
     const wg_entry_names* names;
     struct event_base* base;
     struct event* tick;
-    struct event* delay_probe; /* wg_entry_delay.c */
-    wg_time delay_since;       /* the probe waits since then; 0: it does not */
-    wg_time delay;             /* of the last probe that ran */
     uint64_t seed;
     uint64_t counter;
     wg_time started_at;
@@ -269,13 +266,6 @@
 /* May another line about a request be logged this second? */
 bool wg_entry_may_log(wg_entry* e, wg_time now);
 
-/* wg_entry_delay.c */
-bool wg_entry_delay_setup(wg_entry* e);
-void wg_entry_delay_shutdown(wg_entry* e);
-void wg_entry_delay_tick(wg_entry* e, wg_time now);
-/* Microseconds that an event of a caller's connection waits for its turn now. */
-wg_time wg_entry_delay(const wg_entry* e, wg_time now);
-
 /* wg_entry_link.c */
 bool wg_entry_learn_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error);
 bool wg_entry_link_setup(wg_entry* e, GError** error);
@@ -319,8 +309,6 @@
 /* Choose a target and send, or wait for one. */
 void wg_call_try(wg_call* call);
 void wg_call_unqueue(wg_call* call);
-/* Is this host too busy to try the request? */
-bool wg_call_is_shed(const wg_call* call, wg_time now);
 /* Another attempt, when the rules and the budget allow it; `unsent`: no byte of the last one left.
    False: the call has to end. */
 bool wg_call_again(wg_call* call, bool unsent);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -45,14 +45,13 @@
 
 json_t* wg_entry_dump(wg_entry* e) {
     wg_time now = wg_now();
-    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I,s:I}", "name", e->settings->name,
+    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name,
                      "ready", (int)wg_entry_is_ready(e), "stopping", (int)e->stopping,
                      "configuration", (json_int_t)(e->config ? e->config->version : 0), "registry",
                      (json_int_t)wg_registry_change(e->registry), "members",
                      wg_roster_num(e->roster), "calls", e->calls_num, "callers",
                      (int)e->clients->len, "leader_known", (int)e->leader_known, "state_age_ms",
-                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC), "delay_us",
-                     (json_int_t)wg_entry_delay(e, now));
+                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
 }
 
 static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
@@ -77,11 +76,8 @@
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
                                counters[i].name, counters[i].value);
     }
-    g_string_append_printf(out,
-                           "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n"
-                           "walnutgate_entry_delay_seconds %.6f\n",
-                           e->calls_num, e->clients->len,
-                           (double)wg_entry_delay(e, wg_now()) / WG_USEC_PER_SEC);
+    g_string_append_printf(out, "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n",
+                           e->calls_num, e->clients->len);
     wgn_print_metrics(e->net, out);
     wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -9,10 +9,6 @@
        a caller that comes back can still be served in time. */
     _WG_POLICY_WAIT_PERCENT = 18,
     _WG_POLICY_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
-    /* One part in so many of that wait is what callers may stand in line at a host before requests
-       of a workspace without full patience are refused untried. One workspace's callers may all
-       come to one host; what it asks beyond its share then takes the time of all others there. */
-    _WG_POLICY_SHED_PART = 4,
     _WG_POLICY_ASKS = 3,
     _WG_POLICY_ASKS_IMPATIENT = 2 /* the same, of a workspace without full patience */
 };
@@ -86,11 +82,3 @@
 wg_time wg_policy_try_gap(const wg_policy_terms* t) {
     return wg_fair_try_gap(_wg_policy_patience(t));
 }
-
-bool wg_policy_sheds(const wg_policy_terms* t, wg_time delay) {
-    wg_time most = wg_policy_wait(t->objective);
-    if (_wg_policy_patience(t) < 1) {
-        most /= _WG_POLICY_SHED_PART;
-    }
-    return t->has_prompt && delay > most;
-}
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -8,8 +8,6 @@
         has left, it gives the limits within which a target may be given the request.
 
     FEATURES
-        - a host that is asked for more than it can do refuses first whoever has more than others,
-          before it spends time on them
         - nobody fills targets beyond the tightest objective of the service
         - whoever has more than others gives way: it waits behind less, takes fewer slots, is tried
           less often, and has no shared parts read again for it
@@ -52,8 +50,5 @@
 bool wg_policy_is_modest(const wg_policy_terms* terms);
 /* Coordinators that may be asked in one try; 0: it is not sent. */
 int wg_policy_asks_max(const wg_policy_terms* terms);
-/* Is it refused before anything is tried, since events of callers wait `delay` for their turn at
-   this host? Requests without a prompt are not: to answer them takes no longer than to refuse. */
-bool wg_policy_sheds(const wg_policy_terms* terms, wg_time delay);
 /* Microseconds between two tries of a request that waits. */
 wg_time wg_policy_try_gap(const wg_policy_terms* terms);
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -92,20 +92,10 @@
     turns(20);
 }
 
-/* The loop looks for new events after so many callbacks, as in the daemons. */
-static struct event_base* base_in_turns(int callbacks) {
-    struct event_config* config = event_config_new();
-    event_config_set_max_dispatch_interval(config, NULL, callbacks, WGN_PRIORITY + 1);
-    struct event_base* of = event_base_new_with_config(config);
-    event_config_free(config);
-    event_base_priority_init(of, WGN_PRIORITIES);
-    return of;
-}
-
 static void begin(void) {
     struct sockaddr_storage at;
     int size;
-    base = base_in_turns(32);
+    base = local_base();
     asked = g_string_new(NULL);
     asked_on = NULL;
     hung_up = false;
@@ -136,25 +126,13 @@
 /* ---- the caller -------------------------------------------------------------------------------
  */
 
-static int connected_to(const char* address) {
+static int caller_to(const char* address, const char* path, const char* fields) {
     struct sockaddr_storage to;
     int size;
     ck_assert(wgn_parse_address(address, &to, &size));
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
     turns(2);
-    return fd;
-}
-
-static int caller_connected(void) {
-    char* callers = local_address(11, 18001);
-    int fd = connected_to(callers);
-    g_free(callers);
-    return fd;
-}
-
-static int caller_to(const char* address, const char* path, const char* fields) {
-    int fd = connected_to(address);
     char* request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, fields);
     ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL), (ssize_t)strlen(request));
     g_free(request);
@@ -289,75 +267,6 @@
 }
 END_TEST
 
-enum {
-    FLOOD = 500,   /* events of other callers that are always ready */
-    WORK_US = 400, /* each takes; one round takes 200 ms */
-    FLOOD_TIME = 1500 * WG_USEC_PER_MSEC,
-    ASK_AFTER_MS = 700
-};
-
-static wg_time flood_until;
-
-static void on_flood(evutil_socket_t fd, short what, void* user_data) {
-    (void)fd;
-    (void)what;
-    wg_time until = wg_now() + WORK_US;
-    while (wg_now() < until) {
-    }
-    if (wg_now() < flood_until) {
-        event_active(*(struct event**)user_data, EV_TIMEOUT, 1);
-    }
-}
-
-static void ask_now(evutil_socket_t fd, short what, void* user_data) {
-    static const char request[] = "GET /a/x HTTP/1.1\r\nHost: h\r\n"
-                                  "Walnutgate-Prompt-Parts: 5c1e:800,91bd:410\r\n"
-                                  "Walnutgate-Prompt-Tokens: 1210,80\r\n\r\n";
-    (void)fd;
-    (void)what;
-    ck_assert_int_gt(send(*(int*)user_data, request, sizeof request - 1, MSG_NOSIGNAL), 0);
-}
-
-/* A host whose callers wait in line for longer than a request may wait says so at once, and spends
-   nothing on it. Before, it was tried until its time was over. */
-START_TEST(a_busy_host_refuses_untried) {
-    static struct event* flood[FLOOD];
-    char answer[1024];
-    begin();
-    char* document =
-        g_strdup("{\"version\":9,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,"
-                 "\"memory_tokens\":100000}}],\"routes\":[{\"name\":\"r\",\"host\":"
-                 "\"h\",\"path_prefix\":\"/a/\",\"kind\":\"stream\",\"timeout_ms\":2000,"
-                 "\"objective_ms\":500,\"attempts\":1,\"service\":\"e\",\"affinity\":true}],"
-                 "\"limits\":{},\"workspaces\":[]}");
-    fake_control_leads(&leader,
-                       &(fake_word){.version = 9, .document = document, .target = target_at});
-    turns(20);
-    int fd = caller_connected();
-    struct event* ask = event_new(base, -1, EV_TIMEOUT, ask_now, &fd);
-    struct timeval after = {.tv_usec = ASK_AFTER_MS * WG_USEC_PER_MSEC};
-    event_priority_set(ask, WGN_PRIORITY);
-    event_add(ask, &after);
-    flood_until = wg_now() + FLOOD_TIME;
-    for (int i = 0; i < FLOOD; i++) {
-        flood[i] = event_new(base, -1, EV_PERSIST, on_flood, &flood[i]);
-        event_active(flood[i], EV_TIMEOUT, 1);
-    }
-    ck_assert_int_eq(status_of(fd, answer), 503);
-    ck_assert_ptr_nonnull(strstr(answer, "host_busy"));
-    ck_assert_ptr_nonnull(strstr(answer, "not-run"));
-    ck_assert_ptr_nonnull(strstr(answer, "Retry-After"));
-    ck_assert_ptr_null(strstr(asked->str, "GET /a/x"));
-    for (int i = 0; i < FLOOD; i++) {
-        event_free(flood[i]);
-    }
-    event_free(ask);
-    close(fd);
-    end();
-    g_free(document);
-}
-END_TEST
-
-WG_TEST_MAIN("entry promises", a_busy_host_refuses_untried, no_more_time_is_handed_on_than_is_left,
+WG_TEST_MAIN("entry promises", no_more_time_is_handed_on_than_is_left,
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_planned_stop_cuts_nothing_off, a_configuration_only_moves_forward)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -82,29 +82,12 @@
 }
 END_TEST
 
-/* At a busy host whoever has more than others is refused first, then whoever would wait too long.
- */
-START_TEST(a_busy_host_refuses_whoever_has_more_first) {
-    wg_policy_terms below = terms(900);
-    wg_policy_terms above = terms(1100);
-    wg_time wait = wg_policy_wait(below.objective);
-    ck_assert(!wg_policy_sheds(&above, 0));
-    ck_assert(!wg_policy_sheds(&above, wait / 4));
-    ck_assert(wg_policy_sheds(&above, wait / 4 + MSEC));
-    ck_assert(!wg_policy_sheds(&below, wait));
-    ck_assert(wg_policy_sheds(&below, wait + MSEC));
-    below.has_prompt = false;
-    ck_assert(!wg_policy_sheds(&below, 100 * wait));
-}
-END_TEST
-
 START_TEST(a_refusal_comes_within_a_quarter_of_the_objective) {
     ck_assert_int_eq(wg_policy_wait(1000 * MSEC), 180 * MSEC);
     ck_assert_int_eq(wg_policy_wait(10 * MSEC), 5 * MSEC);
 }
 END_TEST
 
-WG_TEST_MAIN("policy", a_busy_host_refuses_whoever_has_more_first,
-             the_tightest_objective_bounds_all, whoever_has_more_gives_way,
+WG_TEST_MAIN("policy", the_tightest_objective_bounds_all, whoever_has_more_gives_way,
              a_second_attempt_is_tried_in_full, the_modest_are_sent_late_rather_than_refused,
              open_routes_wait_like_anybody, a_refusal_comes_within_a_quarter_of_the_objective)
