--- a/lib/roster/wg_roster.h
+++ b/lib/roster/wg_roster.h
@@ -11,8 +11,7 @@
     FEATURES
         - bytes for one change do not grow with the number of hosts
         - numbers of different leaders never meet: each begins at its term
-        - each caller is named its own few hosts, the same from answer to answer: callers that all
-          prefer one host do not all come to it
+        - a caller is named the same hosts from answer to answer
         - pure: no clock, socket or file of its own
 
     USE
@@ -27,11 +26,8 @@
 #include "wg_base.h"
 
 enum {
-    /* A caller can do without all but one of them; with three, two may fail within the time that an
-       answer is kept. */
-    WG_ROSTER_NAMED_MIN = 4,
-    WG_ROSTER_NAMED_MAX = 64,
-    WG_ROSTER_NEAR_ENOUGH = 2
+    WG_ROSTER_NAMED_MAX = 64, /* hosts in one answer */
+    WG_ROSTER_NEAR_ENOUGH = 2 /* of the caller's data centre; with fewer, others are named too */
 };
 
 typedef struct {
@@ -89,6 +85,6 @@
 } wg_roster_query;
 
 /* Hosts for a caller, const wg_roster_host*, borrowed; the caller of the function unrefs the list.
-   Of the n hosts in the caller's data centre about the square root of n, at least
-   WG_ROSTER_NAMED_MIN; of all other hosts too when fewer than WG_ROSTER_NEAR_ENOUGH are near. */
+   At most WG_ROSTER_NAMED_MAX: those of the caller's data centre, and others too when fewer than
+   WG_ROSTER_NEAR_ENOUGH are near. */
 GPtrArray* wg_roster_pick(const wg_roster* roster, const wg_roster_query* query);
--- a/lib/roster/wg_roster_pick.c
+++ b/lib/roster/wg_roster_pick.c
@@ -1,9 +1,8 @@
 /* wg_roster_pick.c -- which entry hosts a caller is named
 
-   Callers of one workspace may all prefer the same one of the hosts that they are named, whatever
-   the reason: then a workspace that floods the fleet would flood one host of it. So each caller is
-   named its own few, by rendezvous hashing: of 60 hosts that all prefer alike, the first gets 8 in
-   60 of the callers instead of all, and a host that comes or goes changes few answers. */
+   All of its data centre. Where these are more than one answer holds, each caller is named its own
+   part of them, by rendezvous hashing: no host is left out of all answers, and one that comes or
+   goes changes few. */
 #include <string.h>
 
 #include "wg_roster.h"
@@ -19,15 +18,6 @@
     return first > second ? -1 : first < second;
 }
 
-/* How many of `num` hosts one caller is named. */
-static guint wg_roster_named(guint num) {
-    guint root = 0;
-    while (root * root < num) {
-        root++;
-    }
-    return MIN(CLAMP(root, WG_ROSTER_NAMED_MIN, WG_ROSTER_NAMED_MAX), num);
-}
-
 /* Add the caller's hosts of its own data centre, or of all others. */
 static void wg_roster_add_ranked(const wg_roster* r, const wg_roster_query* q, bool near,
                                  GPtrArray* list) {
@@ -42,7 +32,8 @@
         }
     }
     g_array_sort(ranked, wg_roster_compare);
-    for (guint i = 0; i < wg_roster_named(ranked->len); i++) {
+    guint num = MIN(ranked->len, WG_ROSTER_NAMED_MAX - list->len);
+    for (guint i = 0; i < num; i++) {
         g_ptr_array_add(list, (gpointer)g_array_index(ranked, wg_roster_ranked, i).host);
     }
     g_array_unref(ranked);
