Events of streams try no waiting requests; descriptors that are in use leave fewer callers

(1) Each event that was relayed ran the queue: with hundreds of requests waiting, each event of each stream looked at all of them, and tried one again, two questions to coordinators included. (2) Callers may take 70% of the descriptors whatever targets and links have; 4,345 of 4,100 were in use, then no caller can be accepted and no target reached.

Ruled out: that these tries find room: an event after the first one says nothing of it.

Change: the queue runs when a prompt is read, a request ends, at the tick and at the leader's word. Callers may have what others leave. Tries are counted in the metrics.

Tests failed before: 167 tries of one waiting request during 150 events, now at most 45; a host out of descriptors.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -287,6 +287,7 @@
     if (call->asked) {
         return;
     }
+    call->entry->counters.tries++;
     wg_policy_terms terms = wg_call_terms(call);
     call->next_try_at = now + wg_policy_try_gap(&terms);
     call->limit = wg_policy_limit(&terms, now);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -261,7 +261,8 @@
 }
 
 static void wg_call_note_first(wg_call* call) {
-    if (!call->first_event_at) {
+    bool first = !call->first_event_at;
+    if (first) {
         call->first_event_at = wg_now();
         wg_hist_add(&call->entry->first_time, call->first_event_at - call->started);
         if (call->has_prompt && call->expected <= call->limit) {
@@ -271,6 +272,9 @@
     }
     wg_balance_read(call->entry->balance, wg_now(), &call->choice);
     wg_entry_admit_read(call);
+    if (first) {
+        wg_call_queue_run(call->entry); /* its prompt is read: there may be room for another one */
+    }
 }
 
 /* Pass whole events on. False when the stream is malformed. */
@@ -290,7 +294,6 @@
         wg_call_add_chunk(out, data);
         wg_call_write(call, out);
         evbuffer_free(out);
-        wg_call_queue_run(call->entry);
     }
     evbuffer_free(data);
     return result != WG_EVENT_STREAM_BAD;
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -253,14 +253,21 @@
     }
 }
 
-/* How many connections of callers there may be: the rest of the descriptors is for targets. */
+/* How many connections of callers there may be: some descriptors are left for targets, and what
+   targets and other hosts have already is taken off. Without descriptors a new caller cannot be
+   taken off the listener's queue, which then wakes the loop again and again. */
 static guint wg_client_most(const wg_entry* e) {
     enum {
-        CALLERS_PERCENT = 70
+        CALLERS_PERCENT = 70,
+        ALL_PERCENT =
+            95 /* the rest is for pages, their callers, and connections that are closing */
     };
     int64_t most = e->settings->callers_max;
-    if (e->settings->descriptors > 0) {
-        most = MIN(most, e->settings->descriptors * CALLERS_PERCENT / 100);
+    int64_t descriptors = e->settings->descriptors;
+    if (descriptors > 0) {
+        int64_t others = e->upstreams_num + wgn_query_stats(e->net).links;
+        most = MIN(most, descriptors * CALLERS_PERCENT / 100);
+        most = MIN(most, descriptors * ALL_PERCENT / 100 - others);
     }
     return (guint)MAX(most, 1);
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -181,6 +181,7 @@
     uint64_t failed;
     uint64_t cut;
     uint64_t left;
+    uint64_t tries; /* choices of a target for a request, also those that came to nothing */
     uint64_t retries;
     uint64_t resumes;
     uint64_t connects;
@@ -207,6 +208,7 @@
     GHashTable* idle;    /* target -> GQueue of wg_upstream */
     GHashTable* queues;  /* name of a service -> GQueue of wg_call */
     int calls_num;
+    int upstreams_num;
 
     /* what this host believes */
     wg_config* config;
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -45,13 +45,14 @@
 
 json_t* wg_entry_dump(wg_entry* e) {
     wg_time now = wg_now();
-    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I}", "name", e->settings->name,
+    return json_pack("{s:s,s:b,s:b,s:I,s:I,s:i,s:i,s:i,s:b,s:I,s:I}", "name", e->settings->name,
                      "ready", (int)wg_entry_is_ready(e), "stopping", (int)e->stopping,
                      "configuration", (json_int_t)(e->config ? e->config->version : 0), "registry",
                      (json_int_t)wg_registry_change(e->registry), "members",
                      wg_roster_num(e->roster), "calls", e->calls_num, "callers",
                      (int)e->clients->len, "leader_known", (int)e->leader_known, "state_age_ms",
-                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC));
+                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC), "tries",
+                     (json_int_t)e->counters.tries);
 }
 
 static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
@@ -65,6 +66,7 @@
                     {"failed", c->failed},
                     {"cut", c->cut},
                     {"caller_left", c->left},
+                    {"tries", c->tries},
                     {"retries", c->retries},
                     {"resumes", c->resumes},
                     {"connects", c->connects},
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -43,6 +43,7 @@
     if (up->call) {
         up->call->upstream = NULL;
     }
+    up->entry->upstreams_num--;
     bufferevent_free(up->bev);
     evbuffer_free(up->content);
     g_free(up->bytes);
@@ -318,6 +319,7 @@
     struct timeval limit = {.tv_usec = WG_CONNECT_TIME};
     bufferevent_set_timeouts(up->bev, &limit, &limit);
     e->counters.connects++;
+    e->upstreams_num++;
     if (bufferevent_socket_connect(up->bev, (struct sockaddr*)&address, size) != 0) {
         wg_upstream_close(up);
         return NULL;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -66,6 +66,9 @@
     ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
 }
 
+/* Descriptors of the next entry host; 0: not told. */
+static int64_t fake_entry_descriptors;
+
 /* An entry host that knows these seeds. */
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
@@ -84,7 +87,8 @@
                                    .link_silence_ms = 1200,
                                    .order_ms = 900,
                                    .retry_window_ms = 10000,
-                                   .callers_max = 10};
+                                   .descriptors = fake_entry_descriptors,
+                                   .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
     ck_assert_msg(entry != NULL, "%s", error ? error->message : "");
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -267,6 +267,112 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry promises", no_more_time_is_handed_on_than_is_left,
+/* ---- descriptors ------------------------------------------------------------------------------
+ */
+
+static bool is_closed(int fd) {
+    char byte;
+    turns(5);
+    return recv(fd, &byte, 1, MSG_PEEK) == 0;
+}
+
+/* What connections to targets take is not there for callers. */
+START_TEST(connections_to_targets_leave_fewer_for_callers) {
+    enum {
+        DESCRIPTORS = 40,
+        BUSY = 15, /* callers whose requests are at a target */
+        IDLE = 12  /* with them fewer than 28, but 15 connections to targets are open too */
+    };
+    int busy[BUSY];
+    int idle[IDLE];
+    fake_entry_descriptors = DESCRIPTORS;
+    begin();
+    for (int i = 0; i < BUSY; i++) {
+        busy[i] = caller("/a/x", "");
+        ck_assert(target_was_asked());
+        g_string_truncate(asked, 0);
+    }
+    for (int i = 0; i < IDLE; i++) {
+        char answer[1024];
+        idle[i] = caller("/none/", "");
+        ck_assert_int_eq(status_of(idle[i], answer), 404);
+    }
+    ck_assert(is_closed(idle[0]));
+    ck_assert(!is_closed(idle[IDLE - 1]));
+    for (int i = 0; i < BUSY; i++) {
+        ck_assert(!is_closed(busy[i]));
+        close(busy[i]);
+    }
+    for (int i = 0; i < IDLE; i++) {
+        close(idle[i]);
+    }
+    end();
+    fake_entry_descriptors = 0;
+}
+END_TEST
+
+/* ---- what a waiting request costs ---------------------------------------------------------------
+ */
+
+enum {
+    EVENTS = 150, /* of a stream, a few milliseconds apart */
+    TRIES_MOST = 45
+};
+
+/* A configuration with one route to engines of one slot. */
+static void lead_engine(uint64_t version) {
+    char* document = g_strdup_printf(
+        "{\"version\":%d,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":1,"
+        "\"memory_tokens\":100000}}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"path_prefix\":\"/a/\",\"kind\":\"stream\",\"timeout_ms\":%d,\"objective_ms\":10000,"
+        "\"attempts\":1,\"service\":\"e\",\"affinity\":true}],\"limits\":{},"
+        "\"workspaces\":[]}",
+        (int)version, TIMEOUT_MS);
+    fake_control_leads(&leader,
+                       &(fake_word){.version = version, .document = document, .target = target_at});
+    g_free(document);
+    turns(20);
+}
+
+static int64_t tries(void) {
+    json_t* state = wg_entry_dump(entry);
+    int64_t num = json_integer_value(json_object_get(state, "tries"));
+    json_decref(state);
+    return num;
+}
+
+/* A request that waits for a slot is tried when there may be room, at the tick, and when the leader
+   tells loads; an event of a stream that runs makes no room. Tried at each of them it took 150
+   tries and more here, and what it asks coordinators with each is a busy host's time. */
+START_TEST(events_of_streams_do_not_try_waiting_requests) {
+    static const char prompt[] = "Walnutgate-Prompt-Parts: 5c1e:800,91bd:410\r\n"
+                                 "Walnutgate-Prompt-Tokens: 1210,80\r\n";
+    begin();
+    lead_engine(9);
+    int running = caller("/a/x", prompt);
+    for (int i = 0; i < TURNS && !strstr(asked->str, "GET /a/x"); i++) {
+        local_turn(base);
+    }
+    ck_assert_ptr_nonnull(strstr(asked->str, "GET /a/x"));
+    struct evbuffer* out = bufferevent_get_output(asked_on);
+    evbuffer_add_printf(out, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+                             "Content-Length: 100000\r\n\r\nid: 0\ndata: x\n\n");
+    turns(50);
+    int waiting = caller("/a/y", prompt);
+    int64_t before = tries();
+    for (int i = 1; i <= EVENTS; i++) {
+        evbuffer_add_printf(out, "id: %d\ndata: x\n\n", i);
+        turns(5);
+    }
+    ck_assert_int_ge(tries() - before, 1);
+    ck_assert_int_le(tries() - before, TRIES_MOST);
+    close(running);
+    close(waiting);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry promises", connections_to_targets_leave_fewer_for_callers,
+             events_of_streams_do_not_try_waiting_requests, no_more_time_is_handed_on_than_is_left,
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_planned_stop_cuts_nothing_off, a_configuration_only_moves_forward)
