A request whose caller has left before it was read is not sent

The loop reads the request, sends it on an open connection to a target, and only then, a turn later, sees the end.

Ruled out: a late cancel (it follows within a turn of the loop); on connections that have to be opened first the end is seen before anything is sent (the test passed there).

The test failed before: the target was sent the request.

--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -126,13 +126,25 @@
 /* ---- the caller -------------------------------------------------------------------------------
  */
 
-static int caller_to(const char* address, const char* path, const char* fields) {
+static int connected_to(const char* address) {
     struct sockaddr_storage to;
     int size;
     ck_assert(wgn_parse_address(address, &to, &size));
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
     ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
     turns(2);
+    return fd;
+}
+
+static int caller_connected(void) {
+    char* callers = local_address(11, 18001);
+    int fd = connected_to(callers);
+    g_free(callers);
+    return fd;
+}
+
+static int caller_to(const char* address, const char* path, const char* fields) {
+    int fd = connected_to(address);
     char* request = g_strdup_printf("GET %s HTTP/1.1\r\nHost: h\r\n%s\r\n", path, fields);
     ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL), (ssize_t)strlen(request));
     g_free(request);
@@ -215,6 +227,27 @@
 }
 END_TEST
 
+/* A request whose caller has left before this host came to read it reaches no target: before, it
+   did, and its work was stopped afterwards. */
+START_TEST(a_request_of_a_caller_that_has_left_is_not_sent) {
+    static const char request[] = "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n";
+    char answer[1024];
+    begin();
+    int fd = caller("/a/x", ""); /* leaves an open connection to the target */
+    ck_assert(target_was_asked());
+    target_answer("whole");
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    close(fd);
+    g_string_truncate(asked, 0);
+    fd = caller_connected();
+    ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
+    close(fd);
+    turns(200);
+    ck_assert_uint_eq(asked->len, 0);
+    end();
+}
+END_TEST
+
 /* A planned stop: not ready at once, what runs is answered, its connection closes, new requests on
    open connections are still taken. */
 START_TEST(a_planned_stop_cuts_nothing_off) {
@@ -375,4 +408,5 @@
 WG_TEST_MAIN("entry promises", connections_to_targets_leave_fewer_for_callers,
              events_of_streams_do_not_try_waiting_requests, no_more_time_is_handed_on_than_is_left,
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
-             a_planned_stop_cuts_nothing_off, a_configuration_only_moves_forward)
+             a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
+             a_configuration_only_moves_forward)
