--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -273,7 +273,15 @@
 bool wg_entry_link_setup(wg_entry* e, GError** error);
 void wg_entry_link_tick(wg_entry* e, wg_time now);
 void wg_entry_report(wg_entry* e, wg_time now);
+
+/* wg_entry_orders.c */
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
+/* A leader is known: send all that waits. */
+void wg_entry_orders_send(wg_entry* e);
+void wg_entry_orders_take_answer(wg_entry* e, const Wgpb__OrderAnswer* answer);
+/* What was sent has to be sent again. */
+void wg_entry_orders_link_lost(wg_entry* e);
+void wg_entry_orders_tick(wg_entry* e, wg_time now);
 void wg_entry_orders_drop(wg_entry* e);
 /* `document` NULL: none is part of the answer. */
 void wg_entry_order_answer(struct evhttp_request* request, wg_order_outcome outcome,
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -17,8 +17,7 @@
        than an election wait: the control may be cut off from the others. */
     WG_LEADERLESS_TIME = 300 * WG_USEC_PER_MSEC,
     WG_LINKS_MAX = 1024, /* every entry host may ask this one */
-    WG_LOADS_MAX = 2048,
-    WG_ORDERS_MAX = 1024
+    WG_LOADS_MAX = 2048
 };
 
 /* ---- helpers: controls ----------------------------------------------------------------------- */
@@ -238,8 +237,6 @@
     }
 }
 
-static void wg_entry_send_orders(wg_entry* e);
-
 static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
     if (in->leads && in->n_controls > 0) {
@@ -268,7 +265,7 @@
     if (!e->leader_known) {
         e->leader_known = true;
         wg_log(WG_EVENT_LINK_UP, "leader term=%" G_GUINT64_FORMAT, in->term);
-        wg_entry_send_orders(e);
+        wg_entry_orders_send(e);
     }
     wg_entry_report_if_ready_now(e, was_ready, now);
 }
@@ -283,107 +280,6 @@
     }
 }
 
-/* ---- orders ---------------------------------------------------------------------------------- */
-
-static void wg_entry_order_free(wg_entry_order* order) {
-    g_byte_array_unref(order->packed);
-    g_free(order);
-}
-
-static void wg_entry_order_forget(struct evhttp_connection* connection, void* user_data) {
-    (void)connection;
-    wg_entry_order* order = user_data;
-    wgh_request_lost(order->request);
-    order->request = NULL;
-}
-
-static void wg_entry_send_order(wg_entry* e, wg_entry_order* order) {
-    if (!e->link_up || !e->leader_known) {
-        return;
-    }
-    Wgpb__Order* message = wgpb__order__unpack(NULL, order->packed->len, order->packed->data);
-    order->sent = wgn_send(e->net, e->link, WGW_TYPE_ORDER, &message->base);
-    wgpb__order__free_unpacked(message, NULL);
-}
-
-static void wg_entry_send_orders(wg_entry* e) {
-    for (GList* at = e->orders.head; at; at = at->next) {
-        wg_entry_send_order(e, at->data);
-    }
-}
-
-void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* desc) {
-    if (e->orders.length >= WG_ORDERS_MAX) {
-        wg_entry_order_answer(request, WG_ORDER_NOT_LEADER, NULL);
-        return;
-    }
-    Wgpb__Order message = *desc;
-    wg_entry_order* order = g_new0(wg_entry_order, 1);
-    message.ticket = ++e->counter;
-    order->ticket = message.ticket;
-    order->request = request;
-    order->read = desc->read_configuration;
-    order->packed = wgw_pack(&message.base);
-    order->until = wg_now() + e->settings->order_ms * WG_USEC_PER_MSEC;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), wg_entry_order_forget,
-                                  order);
-    g_queue_push_tail(&e->orders, order);
-    wg_entry_send_order(e, order);
-}
-
-static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome, GBytes* document) {
-    wg_entry_order* order = at->data;
-    g_queue_delete_link(&e->orders, at);
-    if (order->request) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
-        wg_entry_order_answer(order->request, outcome, document);
-    }
-    wg_entry_order_free(order);
-}
-
-static void wg_entry_take_outcome(wg_entry* e, GList* at, const Wgpb__OrderAnswer* in) {
-    GError* error = NULL;
-    GBytes* document = in->configuration ? wg_document_read(in->configuration, NULL, &error) : NULL;
-    wg_order_outcome outcome = error ? WG_ORDER_UNKNOWN : (wg_order_outcome)in->outcome;
-    if (error) {
-        wg_log(WG_EVENT_FRAME_BAD, "reason=%s", error->message);
-        g_error_free(error);
-    }
-    wg_entry_order_end(e, at, outcome, document);
-    g_clear_pointer(&document, g_bytes_unref);
-}
-
-static void wg_entry_take_answer(wg_entry* e, const Wgpb__OrderAnswer* in) {
-    for (GList* at = e->orders.head; at; at = at->next) {
-        wg_entry_order* order = at->data;
-        if (order->ticket != in->ticket) {
-            continue;
-        }
-        if (in->outcome == WG_ORDER_NOT_LEADER || in->outcome == WG_ORDER_UNKNOWN) {
-            order->sent = false; /* the next leader is asked, until the time is over */
-        } else {
-            wg_entry_take_outcome(e, at, in);
-        }
-        return;
-    }
-}
-
-static void wg_entry_orders_tick(wg_entry* e, wg_time now) {
-    GList* next;
-    for (GList* at = e->orders.head; at; at = next) {
-        next = at->next;
-        if (now >= ((wg_entry_order*)at->data)->until) {
-            wg_entry_order_end(e, at, WG_ORDER_UNKNOWN, NULL);
-        }
-    }
-}
-
-void wg_entry_orders_drop(wg_entry* e) {
-    while (e->orders.head) {
-        wg_entry_order_end(e, e->orders.head, WG_ORDER_UNKNOWN, NULL);
-    }
-}
-
 /* ---- reports --------------------------------------------------------------------------------- */
 
 void wg_entry_report(wg_entry* e, wg_time now) {
@@ -480,9 +376,7 @@
     e->leaderless_at = 0;
     e->leader_known = false;
     e->state_seen = 0;
-    for (GList* at = e->orders.head; at; at = at->next) {
-        ((wg_entry_order*)at->data)->sent = false;
-    }
+    wg_entry_orders_link_lost(e);
 }
 
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
@@ -510,7 +404,7 @@
     } else if (frame->type == WGW_TYPE_ORDER_ANSWER) {
         Wgpb__OrderAnswer* in = wgpb__order_answer__unpack(NULL, frame->size, frame->payload);
         if (in) {
-            wg_entry_take_answer(e, in);
+            wg_entry_orders_take_answer(e, in);
             wgpb__order_answer__free_unpacked(in, NULL);
             return;
         }
--- /dev/null
+++ b/lib/entry/wg_entry_orders.c
@@ -0,0 +1,116 @@
+/* wg_entry_orders.c -- orders of operators and targets on their way to the leader
+
+   An order waits until a leader answers it or its time is over; a lost link or another leader has it
+   sent again. */
+#include "wg_document.h"
+
+#include "wg_entry_internal.h"
+
+enum {
+    WG_ORDERS_MAX = 1024
+};
+
+static void wg_entry_order_free(wg_entry_order* order) {
+    g_byte_array_unref(order->packed);
+    g_free(order);
+}
+
+static void wg_entry_order_forget(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    wg_entry_order* order = user_data;
+    wgh_request_lost(order->request);
+    order->request = NULL;
+}
+
+static void wg_entry_send_order(wg_entry* e, wg_entry_order* order) {
+    if (!e->link_up || !e->leader_known) {
+        return;
+    }
+    Wgpb__Order* message = wgpb__order__unpack(NULL, order->packed->len, order->packed->data);
+    order->sent = wgn_send(e->net, e->link, WGW_TYPE_ORDER, &message->base);
+    wgpb__order__free_unpacked(message, NULL);
+}
+
+void wg_entry_orders_send(wg_entry* e) {
+    for (GList* at = e->orders.head; at; at = at->next) {
+        wg_entry_send_order(e, at->data);
+    }
+}
+
+void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* desc) {
+    if (e->orders.length >= WG_ORDERS_MAX) {
+        wg_entry_order_answer(request, WG_ORDER_NOT_LEADER, NULL);
+        return;
+    }
+    Wgpb__Order message = *desc;
+    wg_entry_order* order = g_new0(wg_entry_order, 1);
+    message.ticket = ++e->counter;
+    order->ticket = message.ticket;
+    order->request = request;
+    order->read = desc->read_configuration;
+    order->packed = wgw_pack(&message.base);
+    order->until = wg_now() + e->settings->order_ms * WG_USEC_PER_MSEC;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), wg_entry_order_forget,
+                                  order);
+    g_queue_push_tail(&e->orders, order);
+    wg_entry_send_order(e, order);
+}
+
+static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome, GBytes* document) {
+    wg_entry_order* order = at->data;
+    g_queue_delete_link(&e->orders, at);
+    if (order->request) {
+        evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
+        wg_entry_order_answer(order->request, outcome, document);
+    }
+    wg_entry_order_free(order);
+}
+
+static void wg_entry_take_outcome(wg_entry* e, GList* at, const Wgpb__OrderAnswer* in) {
+    GError* error = NULL;
+    GBytes* document = in->configuration ? wg_document_read(in->configuration, NULL, &error) : NULL;
+    wg_order_outcome outcome = error ? WG_ORDER_UNKNOWN : (wg_order_outcome)in->outcome;
+    if (error) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=%s", error->message);
+        g_error_free(error);
+    }
+    wg_entry_order_end(e, at, outcome, document);
+    g_clear_pointer(&document, g_bytes_unref);
+}
+
+void wg_entry_orders_take_answer(wg_entry* e, const Wgpb__OrderAnswer* in) {
+    for (GList* at = e->orders.head; at; at = at->next) {
+        wg_entry_order* order = at->data;
+        if (order->ticket != in->ticket) {
+            continue;
+        }
+        if (in->outcome == WG_ORDER_NOT_LEADER || in->outcome == WG_ORDER_UNKNOWN) {
+            order->sent = false; /* the next leader is asked, until the time is over */
+        } else {
+            wg_entry_take_outcome(e, at, in);
+        }
+        return;
+    }
+}
+
+void wg_entry_orders_tick(wg_entry* e, wg_time now) {
+    GList* next;
+    for (GList* at = e->orders.head; at; at = next) {
+        next = at->next;
+        if (now >= ((wg_entry_order*)at->data)->until) {
+            wg_entry_order_end(e, at, WG_ORDER_UNKNOWN, NULL);
+        }
+    }
+}
+
+void wg_entry_orders_link_lost(wg_entry* e) {
+    for (GList* at = e->orders.head; at; at = at->next) {
+        ((wg_entry_order*)at->data)->sent = false;
+    }
+}
+
+void wg_entry_orders_drop(wg_entry* e) {
+    while (e->orders.head) {
+        wg_entry_order_end(e, e->orders.head, WG_ORDER_UNKNOWN, NULL);
+    }
+}
