A state's list of controls is released; formatting

Found by reading the diff, shown by the address sanitizer on test_leader_states without forks: 848 bytes in 16 blocks leaked before, now the 80 that the test itself keeps.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -263,6 +263,7 @@
     g_free(s->records);
     g_free(s->message.targets);
     wg_roster_difference_clear(&s->roster);
+    g_free(s->message.controls);
     g_free(s->members);
     g_free(s->message.members);
     g_free(s->loads);
--- a/lib/entry/wg_entry_orders.c
+++ b/lib/entry/wg_entry_orders.c
@@ -1,7 +1,7 @@
 /* wg_entry_orders.c -- orders of operators and targets on their way to the leader
 
-   An order waits until a leader answers it or its time is over; a lost link or another leader has it
-   sent again. */
+   An order waits until a leader answers it or its time is over; a lost link or another leader has
+   it sent again. */
 #include "wg_document.h"
 
 #include "wg_entry_internal.h"
