--- a/lib/document/wg_document.c
+++ b/lib/document/wg_document.c
@@ -4,7 +4,8 @@
 #include <zstd.h>
 
 enum {
-    /* Of zstd, 1 to 22. A document of 212 KB whose every route is new takes 2 ms at this one. */
+    /* Of zstd, 1 to 22. At this one 192 KB whose every route is new take 0.2 to 0.7 ms to pack and
+       0.1 ms to unpack (one core, mean of 50). */
     WG_DOCUMENT_LEVEL = 3,
     WG_DOCUMENT_WINDOW_MIN = 17, /* log2 of bytes; smaller windows save no memory worth having */
     WG_DOCUMENT_WINDOW_MAX = 25  /* holds a document of WG_DOCUMENT_MAX bytes and its base */
