A late first heartbeat does not end the target that holds its address

Cause: a target that begins behind a cut and crashes there may have its first heartbeat arrive after its successor at the same address was registered. The registry took whoever was unknown for the newer one and ended the other for good: a live target was gone until its next start. Heartbeats carry no time of start, so who is newer cannot be told from one message.

Ruled out: ordering by sequence (each incarnation counts its own); refusing a new incarnation while the holder was heard of lately (a restart within a heartbeat is common).

Change: whoever was ended by another's coming may come back by a newer heartbeat, once the holder of its address was not heard of for 2.5 s (two heartbeats). Ended by its own word stays final, and what replicas apply depends on replicated fields only.

Before: test_registry a_first_heartbeat_that_comes_late_does_not_end_a_live_target fails (heard as old after 4 s). After: it comes back; a_late_heartbeat_does_not_replace_the_successor passes too.

--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 struct wg_registry {
-    int ended_max;
+    wg_registry_desc desc;
     GPtrArray* records; /* wg_target*, by number, rising */
     GHashTable* by_id;
     uint64_t change;
@@ -33,7 +33,7 @@
 
 /* Drop the longest ended records beyond the limit. */
 static void wg_registry_prune(wg_registry* r) {
-    while (r->ended > r->ended_max) {
+    while (r->ended > r->desc.ended_max) {
         guint oldest = G_MAXUINT;
         for (guint i = 0; i < r->records->len; i++) {
             const wg_target* target = r->records->pdata[i];
@@ -64,12 +64,34 @@
 static void wg_registry_free_address(wg_registry* r, const wg_target* holder) {
     for (guint i = 0; i < r->records->len; i++) {
         wg_target* other = r->records->pdata[i];
-        if (other != holder && strcmp(other->address, holder->address) == 0) {
+        bool same = other != holder && strcmp(other->address, holder->address) == 0;
+        if (same && !wg_target_ended(other)) {
+            other->replaced = other->state != WG_TARGET_DRAINING;
             wg_registry_end(r, other);
         }
     }
 }
 
+/* Who holds the address of a target that was replaced was heard of a moment ago. */
+static bool wg_registry_holder_lives(const wg_registry* r, wg_time now, const wg_target* replaced) {
+    for (guint i = 0; i < r->records->len; i++) {
+        const wg_target* other = r->records->pdata[i];
+        bool holds = other != replaced && !wg_target_ended(other) &&
+                     strcmp(other->address, replaced->address) == 0;
+        if (holds && now - other->heard_at <= r->desc.holder_time) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* What was ended by another's coming was perhaps ended wrongly. Depends on replicated fields only.
+ */
+static bool wg_registry_may_revive(const wg_target* target, const wg_target* record) {
+    bool live = record->state == WG_TARGET_READY || record->state == WG_TARGET_DRAINING;
+    return target->replaced && live && record->sequence > target->sequence;
+}
+
 static bool wg_target_says_the_same(const wg_target* a, const wg_target* b) {
     return a->state == b->state && a->slots == b->slots && strcmp(a->service, b->service) == 0 &&
            strcmp(a->address, b->address) == 0 && strcmp(a->data_centre, b->data_centre) == 0;
@@ -79,7 +101,9 @@
 
 wg_registry* wg_registry_setup(const wg_registry_desc* desc) {
     wg_registry* r = g_new0(wg_registry, 1);
-    r->ended_max = desc->ended_max ? desc->ended_max : WG_REGISTRY_ENDED_DEFAULT;
+    r->desc = *desc;
+    r->desc.ended_max = desc->ended_max ? desc->ended_max : WG_REGISTRY_ENDED_DEFAULT;
+    r->desc.holder_time = desc->holder_time ? desc->holder_time : WG_REGISTRY_HOLDER_TIME_DEFAULT;
     r->records = g_ptr_array_new_with_free_func(g_free);
     r->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     r->next_number = 1;
@@ -98,7 +122,10 @@
         return WG_HEARD_CHANGE;
     }
     if (wg_target_ended(target)) {
-        return WG_HEARD_OLD;
+        bool revive = heard->sequence > target->heard_sequence &&
+                      wg_registry_may_revive(target, heard) &&
+                      !wg_registry_holder_lives(r, now, target);
+        return revive ? WG_HEARD_CHANGE : WG_HEARD_OLD;
     }
     bool leave = heard->state == WG_TARGET_GONE;
     uint64_t newest = MAX(target->sequence, target->heard_sequence);
@@ -129,7 +156,8 @@
         wg_registry_prune(r);
         return;
     }
-    if (wg_target_ended(target)) {
+    if (wg_target_ended(target) && !wg_registry_may_revive(target, record)) {
+        target->replaced = target->replaced && record->state != WG_TARGET_GONE;
         return;
     }
     if (record->state == WG_TARGET_GONE) {
@@ -155,6 +183,8 @@
     }
     wg_target_state state =
         target->state == WG_TARGET_DRAINING ? WG_TARGET_DRAINING : record->state;
+    r->ended -= wg_target_ended(target);
+    target->replaced = false;
     wg_copy_name(target->service, sizeof target->service, record->service);
     wg_copy_name(target->address, sizeof target->address, record->address);
     wg_copy_name(target->data_centre, sizeof target->data_centre, record->data_centre);
@@ -278,6 +308,7 @@
     out->sequence = target->sequence;
     out->number = target->number;
     out->change = target->change;
+    out->replaced = target->replaced;
 }
 
 bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_target* target) {
@@ -285,7 +316,8 @@
                           .state = (wg_target_state)in->state,
                           .sequence = in->sequence,
                           .number = in->number,
-                          .change = in->change};
+                          .change = in->change,
+                          .replaced = in->replaced};
     return in->id[0] && in->state > WG_TARGET_DEFAULT && in->state <= WG_TARGET_GONE &&
            wg_copy_name(target->id, sizeof target->id, in->id) &&
            wg_copy_name(target->service, sizeof target->service, in->service) &&
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -10,7 +10,9 @@
     FEATURES
         - heartbeats carry a sequence of the target's own: an older one changes nothing
         - draining and gone are final for an incarnation; only a silent one comes back
-        - a new incarnation at an address ends the one that had it before
+        - a new incarnation at an address replaces the one that had it before; that one comes back
+          only when it is heard of while the new one is not, since the first heartbeat of a target
+          that crashed may arrive after those of its successor
         - a bounded number of ended records is kept, so that late heartbeats revive none of them
 
     USE
@@ -27,7 +29,10 @@
 #include "walnutgate.pb-c.h"
 
 enum {
-    WG_REGISTRY_ENDED_DEFAULT = 512 /* ended records kept */
+    WG_REGISTRY_ENDED_DEFAULT = 512, /* ended records kept */
+    /* A holder of an address that was not heard of for so long may be the wrong one: two heartbeats
+       of targets that send one each 1.2 s. */
+    WG_REGISTRY_HOLDER_TIME_DEFAULT = 2500 * WG_USEC_PER_MSEC
 };
 
 typedef enum {
@@ -49,7 +54,8 @@
     uint64_t sequence;
     uint32_t number;         /* short for id, never 0 */
     uint64_t change;         /* of the registry, when this record last changed */
-    wg_time heard_at;        /* on this host's clock, not replicated */
+    bool replaced;           /* gone because another incarnation came to its address */
+    wg_time heard_at;        /* not replicated */
     uint64_t heard_sequence; /* not replicated */
 } wg_target;
 
@@ -60,7 +66,8 @@
 } wg_heard;
 
 typedef struct {
-    int ended_max; /* default WG_REGISTRY_ENDED_DEFAULT */
+    int ended_max;       /* default WG_REGISTRY_ENDED_DEFAULT */
+    wg_time holder_time; /* microseconds; default WG_REGISTRY_HOLDER_TIME_DEFAULT */
 } wg_registry_desc;
 
 typedef struct wg_registry wg_registry;
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -3529,7 +3529,7 @@
   (ProtobufCMessageInit) wgpb__configuration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[9] =
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[10] =
 {
   {
     "id",
@@ -3639,6 +3639,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "replaced",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, replaced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__target_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -3646,15 +3658,17 @@
   3,   /* field[3] = data_centre */
   0,   /* field[0] = id */
   7,   /* field[7] = number */
+  9,   /* field[9] = replaced */
   6,   /* field[6] = sequence */
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
   5,   /* field[5] = state */
 };
-static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
+static const ProtobufCIntRange wgpb__target_record__number_ranges[2 + 1] =
 {
   { 1, 0 },
-  { 0, 9 }
+  { 11, 9 },
+  { 0, 10 }
 };
 const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
 {
@@ -3664,10 +3678,10 @@
   "Wgpb__TargetRecord",
   "wgpb",
   sizeof(Wgpb__TargetRecord),
-  9,
+  10,
   wgpb__target_record__field_descriptors,
   wgpb__target_record__field_indices_by_name,
-  1,  wgpb__target_record__number_ranges,
+  2,  wgpb__target_record__number_ranges,
   (ProtobufCMessageInit) wgpb__target_record__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -376,10 +376,14 @@
    * of the registry, at which this record last changed
    */
   uint64_t change;
+  /*
+   * gone because another incarnation came to its address, not by its own word
+   */
+  protobuf_c_boolean replaced;
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wgpb__RegistryState
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -105,6 +105,38 @@
 }
 END_TEST
 
+/* The first heartbeat of a target that crashed behind a cut arrives after its successor's: the one
+   that goes on sending heartbeats has the address in the end. */
+START_TEST(a_first_heartbeat_that_comes_late_does_not_end_a_live_target) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "lives", WG_TARGET_READY, 1);
+    hear(r, SECOND, "crashed", WG_TARGET_READY, 1);
+    ck_assert_int_eq(state_of(r, "lives"), WG_TARGET_GONE);
+    ck_assert_int_eq(hear(r, 2 * SECOND, "lives", WG_TARGET_READY, 2), WG_HEARD_OLD);
+    ck_assert_int_eq(hear(r, 4 * SECOND, "lives", WG_TARGET_READY, 3), WG_HEARD_CHANGE);
+    ck_assert_int_eq(state_of(r, "lives"), WG_TARGET_READY);
+    ck_assert_int_eq(state_of(r, "crashed"), WG_TARGET_GONE);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* The same for one that was registered before it crashed: while its successor sends heartbeats, and
+   after it has left by its own word, nothing brings it back. */
+START_TEST(a_late_heartbeat_does_not_replace_the_successor) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear(r, 0, "crashed", WG_TARGET_READY, 1);
+    hear(r, 1 * SECOND, "lives", WG_TARGET_READY, 1);
+    for (uint64_t i = 2; i < 10; i++) {
+        ck_assert_int_eq(hear(r, (wg_time)i * SECOND, "crashed", WG_TARGET_READY, i), WG_HEARD_OLD);
+        hear(r, (wg_time)i * SECOND, "lives", WG_TARGET_READY, i);
+    }
+    ck_assert_int_eq(state_of(r, "lives"), WG_TARGET_READY);
+    ck_assert_int_eq(hear(r, 20 * SECOND, "lives", WG_TARGET_GONE, 0), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear(r, 30 * SECOND, "lives", WG_TARGET_READY, 99), WG_HEARD_OLD);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 static void copy_changes(const wg_registry* from, wg_registry* to, uint64_t since) {
     bool reset = false;
     GPtrArray* changes = wg_registry_changes(from, since, &reset);
@@ -168,4 +200,6 @@
 WG_TEST_MAIN("registry", heartbeats_that_say_nothing_new_change_nothing,
              a_late_heartbeat_revives_nobody, what_was_not_agreed_on_is_no_old_heartbeat,
              a_leave_without_a_record_is_remembered, a_new_incarnation_ends_the_one_at_its_address,
-             silent_ones_come_back_by_a_newer_heartbeat_only, copies_follow_past_the_kept_records)
+             silent_ones_come_back_by_a_newer_heartbeat_only,
+             a_first_heartbeat_that_comes_late_does_not_end_a_live_target,
+             a_late_heartbeat_does_not_replace_the_successor, copies_follow_past_the_kept_records)
