--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -14,7 +14,9 @@
     WG_ADMIT_ASIDE_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ADMIT_ASIDE_DOUBLINGS = 4,
     WG_ADMIT_PARTS_HELD_MAX = 8192,
-    WG_ADMIT_MEMORY_DEFAULT = 200000
+    WG_ADMIT_MEMORY_DEFAULT = 200000,
+    WG_ADMIT_RATE_WINDOW = WG_USEC_PER_SEC, /* in any such time a cold target's rate holds */
+    WG_ADMIT_RATE_MAX = 4096                /* a higher rate is no limit */
 };
 
 /* Part of a target's memory that is taken to hold what was last used; running ones need the rest.
@@ -37,6 +39,9 @@
     int failures;      /* in a row */
     wg_time aside_until;
     double speed;
+    wg_time* lately; /* when the last `lately_num` requests were granted, as a ring */
+    int lately_num;
+    int lately_at;     /* the oldest of them */
     GHashTable* parts; /* part -> uint64_t* value of `admitted` at its last use */
 } wg_admit_account;
 
@@ -73,6 +78,7 @@
 static void wg_admit_account_free(void* data) {
     wg_admit_account* account = data;
     g_hash_table_unref(account->parts);
+    g_free(account->lately);
     g_free(account);
 }
 
@@ -221,6 +227,30 @@
     return aside * 2 <= g_hash_table_size(a->accounts);
 }
 
+/* Has a cold target had as many requests as it bears in a second? */
+static bool wg_admit_is_over_rate(wg_admit_account* account, wg_time now, double rate) {
+    if (rate <= 0 || rate > WG_ADMIT_RATE_MAX) {
+        return false;
+    }
+    int most = MAX((int)rate, 1);
+    if (account->lately_num != most) {
+        account->lately = g_renew(wg_time, account->lately, most);
+        account->lately_num = most;
+        account->lately_at = 0;
+        for (int i = 0; i < most; i++) {
+            account->lately[i] = -WG_ADMIT_RATE_WINDOW;
+        }
+    }
+    return now - account->lately[account->lately_at] <= WG_ADMIT_RATE_WINDOW;
+}
+
+static void wg_admit_note_rate(wg_admit_account* account, wg_time now) {
+    if (account->lately_num > 0) {
+        account->lately[account->lately_at] = now;
+        account->lately_at = (account->lately_at + 1) % account->lately_num;
+    }
+}
+
 static wg_admission* wg_admit_admission(const wg_admit* a, uint64_t holder, uint64_t ticket) {
     wg_admit_key key = {holder, ticket};
     return g_hash_table_lookup(a->admissions, &key);
@@ -260,9 +290,11 @@
     bool full = request->running_most > 0 && answer.running >= request->running_most;
     bool known = wg_admit_admission(a, request->holder, request->ticket) != NULL;
     bool aside = wg_admit_is_aside(a, account, now);
-    answer.granted = !full && !known && !aside &&
+    bool cold = wg_admit_is_over_rate(account, now, request->rate_most);
+    answer.granted = !full && !known && !aside && !cold &&
                      wg_admit_fits(&request->limits, answer.wait, answer.wait_ahead);
     if (answer.granted) {
+        wg_admit_note_rate(account, now);
         wg_admit_grant(a, account, now, request, &answer);
     }
     return answer;
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -11,10 +11,11 @@
         - an account of each target: prompt tokens to be read, requests under way
         - which shared parts a target still holds, by the tokens that were admitted after them:
           engines give up those that were unused for longest
+        - a target that is cold gets no more requests in any second than it bears
         - the speed of a target, learnt from when prompts were read
         - a target that fails several hosts in a row gets nothing for growing times, unless half of
-   all do
-    - an answer only advises: whoever gets none in time decides by itself
+          all do
+        - an answer only advises, but for a cold target: whoever gets none in time decides by itself
         - all that a host holds is given back when its link ends
 
     USE
@@ -53,6 +54,7 @@
     uint32_t copied;       /* from the start of the prompt, taken from another target */
     uint32_t running_most; /* requests that the target may have under way before; 0: any */
     int64_t memory;        /* tokens that the target can hold, 0: not known */
+    double rate_most;      /* admissions a second, for a target that is cold; 0: any */
     wg_admit_limits limits;
     uint32_t floor_unread;  /* what a fresh account of the target counts at least */
     uint32_t floor_running; /* the same, requests */
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -326,7 +326,7 @@
         }
         wg_copy_name(t->service, sizeof t->service, record->service);
         t->near = strcmp(record->data_centre, b->desc.data_centre) == 0;
-        t->ready = record->state == WG_TARGET_READY;
+        t->ready = wg_registry_takes(registry, record);
         t->draining = record->state == WG_TARGET_DRAINING;
         t->moved = t->moved && t->change == record->change;
         t->change = record->change;
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -53,6 +53,8 @@
     X(5008, CONFIGURATION_REFUSED, WARN, "configuration refused")                                  \
     X(5009, TARGET_AGREED, INFO, "target registered or changed")                                   \
     X(5010, ORDER_ANSWERED, DEBUG, "order of an operator or a target answered")                    \
+    X(5011, EVACUATION_AGREED, INFO, "evacuation of a data centre begun or ended")                 \
+    X(5012, EVACUATION_IN_FORCE, INFO, "evacuated data centres as this entry host has them")       \
     X(2009, REQUEST_ENDED, INFO, "request of a route ended")                                       \
     X(2010, ATTEMPT_ENDED, INFO, "attempt of a routed request failed")                             \
     X(2011, STREAM_CONTINUED, INFO, "broken stream goes on at another target")                     \
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -14,7 +14,8 @@
     WG_PAUSE_MS_DEFAULT = 200,
     WG_EVENT_TOKENS_DEFAULT = 1,
     WG_CONNECTIONS_DEFAULT = 256,
-    WG_PRIORITY_DEFAULT = 1
+    WG_PRIORITY_DEFAULT = 1,
+    WG_COLD_SECONDS_MAX = 300 /* a longer cold time is taken for a mistake */
 };
 
 static bool wg_config_fail(GError** error, const char* where, const char* name, const char* what) {
@@ -33,6 +34,17 @@
 
 /* ---- services ------------------------------------------------------------------------------ */
 
+static bool wg_parse_cold(const json_t* json, wg_service* service, GError** error) {
+    double seconds = json_number_value(json_object_get(json, "cold_s"));
+    double rate = json_number_value(json_object_get(json, "cold_per_second"));
+    if (!(seconds >= 0 && seconds <= WG_COLD_SECONDS_MAX) || !(rate >= 0)) {
+        return wg_config_fail(error, "service", service->name, "has a wrong cold time or rate");
+    }
+    service->cold_time = (wg_time)(seconds * WG_USEC_PER_SEC);
+    service->cold_rate = rate;
+    return true;
+}
+
 static bool wg_parse_service(const json_t* json, wg_service* service, GError** error) {
     const char* name = wg_json_text(json, "name");
     if (!name || !name[0]) {
@@ -41,6 +53,9 @@
     service->name = g_strdup(name);
     service->tightest = WG_TIME_NEVER;
     service->connections = (int)wg_json_number(json, "connections", WG_CONNECTIONS_DEFAULT);
+    if (!wg_parse_cold(json, service, error)) {
+        return false;
+    }
     const json_t* engine = json_object_get(json, "engine");
     service->engine = json_is_object(engine);
     if (service->engine) {
@@ -367,6 +382,14 @@
     return -1;
 }
 
+wg_time wg_config_cold_time(const wg_config* c) {
+    wg_time longest = 0;
+    for (int i = 0; i < c->services_num; i++) {
+        longest = MAX(longest, c->services[i].cold_time);
+    }
+    return longest;
+}
+
 int wg_route_pick(const wg_route* route, uint64_t random) {
     int at = (int)(random % (uint64_t)route->weight_sum);
     for (int i = 0; i < route->splits_num; i++) {
--- a/lib/config/wg_config.h
+++ b/lib/config/wg_config.h
@@ -42,10 +42,12 @@
     bool engine;     /* a model engine, with the members below */
     int slots;
     int64_t memory_tokens;
-    bool copies;      /* engines copy what they hold of prompts to each other */
-    wg_time tightest; /* objective of its routes, WG_TIME_NEVER when it has none */
-    int event_tokens; /* tokens in one event of a stream */
-    int event_calls;  /* waiting calls for cache events that one engine takes */
+    bool copies;       /* engines copy what they hold of prompts to each other */
+    wg_time tightest;  /* objective of its routes, WG_TIME_NEVER when it has none */
+    int event_tokens;  /* tokens in one event of a stream */
+    int event_calls;   /* waiting calls for cache events that one engine takes */
+    wg_time cold_time; /* for so long after a start a target is cold; 0: never */
+    double cold_rate;  /* requests a second that a cold target bears; 0: as many as any other */
 } wg_service;
 
 typedef struct {
@@ -109,6 +111,8 @@
 const wg_workspace* wg_config_workspace(const wg_config* config, wg_text key);
 /* Index of a service of this name, or -1. */
 int wg_config_service(const wg_config* config, const char* name);
+/* The longest cold time of all services. */
+wg_time wg_config_cold_time(const wg_config* config);
 /* Service of one request, by its route's weights and a random number. */
 int wg_route_pick(const wg_route* route, uint64_t random);
 /* May a request on the route run again although it may have run before? */
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -167,7 +167,8 @@
     Wgpb__WorkspaceUsage* usage;
 } _wgco_state_t;
 
-static void _wgco_fill_targets(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
+static void _wgco_fill_targets(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
+                               wg_time now) {
     bool reset = false;
     s->message.registry_change = wg_registry_change(c->registry);
     if (e->registry_change == s->message.registry_change) {
@@ -178,9 +179,12 @@
     s->records = g_new(Wgpb__TargetRecord, s->targets->len + 1);
     s->message.targets = g_new(Wgpb__TargetRecord*, s->targets->len + 1);
     for (guint i = 0; i < s->targets->len; i++) {
-        wg_target_pack(s->targets->pdata[i], &s->records[i]);
+        wg_target_pack(s->targets->pdata[i], now, &s->records[i]);
         s->message.targets[s->message.n_targets++] = &s->records[i];
     }
+    const GPtrArray* evacuated = wg_registry_evacuated(c->registry);
+    s->message.evacuated = (char**)evacuated->pdata;
+    s->message.n_evacuated = evacuated->len;
 }
 
 /* Is the host to be told of members that it does not know? A list that is not whole yet would send
@@ -295,7 +299,7 @@
     }
     if (s.message.leads && e->reported) {
         s.message.configuration_version = c->documents.version;
-        _wgco_fill_targets(c, e, &s);
+        _wgco_fill_targets(c, e, &s, now);
         _wgco_fill_members(c, e, &s, now);
         if (with_loads) {
             _wgco_fill_loads(c, e, &s);
@@ -492,7 +496,7 @@
     Wgpb__TargetRecord record;
     wg_target copy = *silent;
     copy.state = WG_TARGET_SILENT;
-    wg_target_pack(&copy, &record);
+    wg_target_pack(&copy, now, &record);
     command.target = &record;
     wg_registry_note_asked(c->registry, copy.number, now);
     _wgco_propose(c, &command.base, NULL);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -220,6 +220,7 @@
 void _wgco_order_answer(wgco_control* c, const _wgco_waiter_t* waiter, bool agreed);
 void _wgco_apply_configuration(wgco_control* c, const Wgpb__Configuration* in);
 void _wgco_apply_target(wgco_control* c, const Wgpb__TargetRecord* in);
+void _wgco_apply_evacuation(wgco_control* c, const Wgpb__Evacuation* in);
 
 /* the configuration (wg_control_document.c) */
 void _wgco_documents_setup(_wgco_documents_t* d);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -109,7 +109,7 @@
     Wgpb__State state = WGPB__STATE__INIT;
     state.table = wgt_dump(c->table);
     state.claims = wgk_dump(c->claims);
-    state.registry = wg_registry_dump(c->registry);
+    state.registry = wg_registry_dump(c->registry, wg_now());
     Wgpb__Configuration configuration;
     if (_wgco_documents_fill(&c->documents, &configuration)) {
         state.configuration = &configuration;
@@ -130,7 +130,7 @@
     }
     bool good = (!state->table || wgt_load(c->table, state->table)) &&
                 (!state->claims || wgk_load(c->claims, state->claims)) &&
-                (!state->registry || wg_registry_load(c->registry, state->registry));
+                (!state->registry || wg_registry_load(c->registry, wg_now(), state->registry));
     if (good && state->configuration) {
         _wgco_apply_configuration(c, state->configuration);
     }
@@ -206,6 +206,9 @@
     if (command->target) {
         _wgco_apply_target(c, command->target);
     }
+    if (command->evacuation) {
+        _wgco_apply_evacuation(c, command->evacuation);
+    }
     if (waiter && waiter->order) {
         _wgco_order_answer(c, waiter, true);
     }
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -1,11 +1,13 @@
 /* wg_control_orders.c -- orders that entry hosts pass on from operators and targets
 
-   A configuration or a change of a target becomes an entry of the log and is acknowledged once it
-   is applied; a heartbeat that says nothing new is acknowledged at once. */
+   A configuration, an evacuation or a change of a target becomes an entry of the log and is
+   acknowledged once it is applied; a heartbeat that says nothing new is acknowledged at once. */
 #include "wg_document.h"
 
 #include "wg_control_internal.h"
 
+#include <string.h>
+
 /* ---- helpers ------------------------------------------------------------------------------- */
 
 static void _wgco_answer_order(wgco_control* c, wgn_link link, uint64_t ticket,
@@ -58,7 +60,7 @@
 
 static void _wgco_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
     wg_target heard;
-    if (!wg_target_unpack(in->target, &heard)) {
+    if (!wg_target_unpack(in->target, wg_now(), &heard)) {
         _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
         return;
     }
@@ -71,6 +73,22 @@
     _wgco_propose_order(c, link, in->ticket, &command);
 }
 
+static bool _wgco_is_name(const char* text) {
+    return text[0] && strlen(text) < WG_NAME_MAX;
+}
+
+/* Also what seems to hold already goes through the log: an earlier order of the other kind may be
+   on its way there. */
+static void _wgco_order_evacuation(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
+    if (!_wgco_is_name(in->evacuation->data_centre)) {
+        _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
+        return;
+    }
+    Wgpb__Command command = WGPB__COMMAND__INIT;
+    command.evacuation = in->evacuation;
+    _wgco_propose_order(c, link, in->ticket, &command);
+}
+
 /* ---- functions of the library -------------------------------------------------------------- */
 
 void _wgco_take_order(wgco_control* c, wgn_link link, const wgw_frame* frame) {
@@ -87,6 +105,8 @@
         _wgco_order_configuration(c, link, in);
     } else if (in->target) {
         _wgco_order_target(c, link, in);
+    } else if (in->evacuation) {
+        _wgco_order_evacuation(c, link, in);
     } else {
         _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
     }
@@ -114,13 +134,27 @@
 void _wgco_apply_target(wgco_control* c, const Wgpb__TargetRecord* in) {
     wg_target record;
     uint64_t before = wg_registry_change(c->registry);
-    if (!wg_target_unpack(in, &record)) {
+    if (!wg_target_unpack(in, wg_now(), &record)) {
         return;
     }
     wg_registry_apply(c->registry, wg_now(), &record);
     if (wg_registry_change(c->registry) != before) {
-        wg_log(WG_EVENT_TARGET_AGREED, "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT,
-               record.id, record.address, record.state, record.sequence);
+        wg_log(WG_EVENT_TARGET_AGREED,
+               "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT
+               " cold_ms=%" G_GUINT64_FORMAT,
+               record.id, record.address, record.state, record.sequence,
+               in->cold_us / WG_USEC_PER_MSEC);
+        _wgco_entry_push_soon(c);
+    }
+}
+
+void _wgco_apply_evacuation(wgco_control* c, const Wgpb__Evacuation* in) {
+    wg_evacuation evacuation = {.data_centre = in->data_centre,
+                                .begins = in->begins,
+                                .cold_time = (wg_time)MIN(in->cold_us, WG_TARGET_COLD_MAX)};
+    if (wg_registry_evacuate(c->registry, wg_now(), &evacuation)) {
+        wg_log(WG_EVENT_EVACUATION_AGREED, "data_centre=%s begins=%d cold_ms=%" G_GUINT64_FORMAT,
+               in->data_centre, in->begins, in->cold_us / WG_USEC_PER_MSEC);
         _wgco_entry_push_soon(c);
     }
 }
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -134,6 +134,24 @@
     }
 }
 
+/* ---- helpers: cold targets ------------------------------------------------------------------- */
+
+/* Of a target, as the configuration in force has it; NULL when either is not known. */
+static const wg_service* wg_entry_service_of(const wg_entry* e, uint32_t number) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    int service = target && e->config ? wg_config_service(e->config, target->service) : -1;
+    return service >= 0 ? &e->config->services[service] : NULL;
+}
+
+double wg_entry_cold_rate(const wg_entry* e, uint32_t number) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    if (!target || wg_now() >= target->cold_until) {
+        return 0;
+    }
+    const wg_service* service = wg_entry_service_of(e, number);
+    return service ? service->cold_rate : 0;
+}
+
 /* ---- helpers: questions ---------------------------------------------------------------------- */
 
 static wg_admit_request wg_call_admit_request(const wg_call* call, const wg_admit_limits* limits,
@@ -152,7 +170,8 @@
     uint32_t slots = target && target->slots ? target->slots : (uint32_t)MAX(need->slots, 0);
     double share = need->slots_share > 0 ? need->slots_share : 1;
     r.running_most = slots ? MAX((uint32_t)(slots * share), 1) : 0;
-    r.parts_num = MIN(prompt->num - 1, WG_ADMIT_PARTS_MAX);
+    r.parts_num = CLAMP(prompt->num - 1, 0, WG_ADMIT_PARTS_MAX);
+    r.rate_most = wg_entry_cold_rate(call->entry, r.target);
     for (int i = 0; i < r.parts_num; i++) {
         r.parts[i] = prompt->parts[i];
         r.sizes[i] = prompt->sizes[i];
@@ -184,6 +203,7 @@
     ask.ahead_us = (uint64_t)request->limits.ahead;
     ask.ahead_large_us = (uint64_t)request->limits.ahead_large;
     ask.spares_shared = request->limits.spares_shared;
+    ask.cold = request->rate_most > 0;
     return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
 }
 
@@ -326,8 +346,7 @@
         wgpb__admit_ask__free_unpacked(in, NULL);
         return false;
     }
-    const wg_target* target = wg_registry_find(e->registry, in->target);
-    int service = target && e->config ? wg_config_service(e->config, target->service) : -1;
+    const wg_service* service = wg_entry_service_of(e, in->target);
     wg_admit_request r = {.holder = link.id,
                           .ticket = in->ticket,
                           .target = in->target,
@@ -336,7 +355,9 @@
                           .answer = in->answer,
                           .copied = in->copied,
                           .running_most = in->running_most,
-                          .memory = service >= 0 ? e->config->services[service].memory_tokens : 0,
+                          .memory = service ? service->memory_tokens : 0,
+                          .rate_most = in->cold && service ? service->cold_rate
+                                                           : wg_entry_cold_rate(e, in->target),
                           .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
                                      (wg_time)in->ahead_large_us, in->spares_shared}};
     memcpy(r.parts, in->parts, sizeof *in->parts * in->n_parts);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -152,7 +152,7 @@
 static void wg_call_go(wg_call* call, wg_time now) {
     wg_entry* e = call->entry;
     const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
-    if (!target || target->state != WG_TARGET_READY) {
+    if (!target || !wg_registry_takes(e->registry, target)) {
         wg_entry_admit_end(call, false);
         wg_call_choose(call, now);
         return;
@@ -188,6 +188,8 @@
    shared parts again. */
 static void wg_call_denied(wg_call* call, const wg_admit_answer* answer, wg_time now) {
     wg_need* need = &call->need;
+    call->entry->counters.cold_denials +=
+        wg_entry_cold_rate(call->entry, call->proposed.target) > 0;
     if (answer->held > need->source_tokens) {
         need->source = call->proposed.target;
         need->source_tokens = answer->held;
@@ -214,9 +216,12 @@
     }
 }
 
-/* Nobody coordinates the target, or the answer did not come in time: this host decides alone. */
+/* Nobody coordinates the target, or the answer did not come in time: this host decides alone. Not
+   about a cold target: all hosts together may send it no more than it bears. */
 void wg_call_admit_unanswered(wg_call* call, wg_time now) {
-    if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
+    if (wg_entry_cold_rate(call->entry, call->proposed.target) > 0) {
+        wg_call_denied(call, &(wg_admit_answer){0}, now);
+    } else if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
         wg_call_enqueue(call, now);
     } else {
         wg_call_go(call, now);
@@ -274,7 +279,7 @@
     }
     call->expected = choice.wait;
     call->proposed = choice;
-    if (call->has_prompt) {
+    if (call->has_prompt || wg_entry_cold_rate(call->entry, choice.target) > 0) {
         wg_call_ask(call, now);
     } else {
         wg_call_go(call, now);
--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -108,7 +108,7 @@
 static void wg_cache_look_at(wg_entry* e, const wg_target* target, wg_time now) {
     gpointer key = GUINT_TO_POINTER(target->number);
     wg_cache_ask* ask = g_hash_table_lookup(e->cache_asks, key);
-    if (target->state != WG_TARGET_READY || !wg_entry_admit_coordinates(e, target->number)) {
+    if (!wg_registry_takes(e->registry, target) || !wg_entry_admit_coordinates(e, target->number)) {
         g_hash_table_remove(e->cache_asks, key);
         return;
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -185,6 +185,7 @@
     uint64_t retries;
     uint64_t resumes;
     uint64_t connects;
+    uint64_t cold_denials;        /* requests that a cold target was not given */
     uint64_t callers_replaced;    /* idle ones closed to make room */
     uint64_t callers_turned_away; /* closed at once: none was idle */
     uint64_t lines_left_out;
@@ -307,6 +308,8 @@
 void wg_entry_admit_on_down(wg_entry* e, wgn_link link);
 bool wg_entry_admit_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
 
+/* Requests a second that the target bears now, of all hosts together; 0: any, it is not cold. */
+double wg_entry_cold_rate(const wg_entry* e, uint32_t target);
 /* Does this host coordinate the target? */
 bool wg_entry_admit_coordinates(wg_entry* e, uint32_t target);
 
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -132,6 +132,26 @@
     return true;
 }
 
+static void wg_entry_take_evacuated(wg_entry* e, const Wgpb__EntryState* in) {
+    const GPtrArray* before = wg_registry_evacuated(e->registry);
+    bool same = before->len == in->n_evacuated;
+    for (size_t i = 0; same && i < in->n_evacuated; i++) {
+        same = strcmp(before->pdata[i], in->evacuated[i]) == 0;
+    }
+    if (same) {
+        return;
+    }
+    wg_registry_set_evacuated(e->registry, in->evacuated, in->n_evacuated);
+    for (size_t i = 0; i < in->n_evacuated; i++) {
+        wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centre=%s registry=%" G_GUINT64_FORMAT,
+               in->evacuated[i], in->registry_change);
+    }
+    if (in->n_evacuated == 0) {
+        wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centre=- registry=%" G_GUINT64_FORMAT,
+               in->registry_change);
+    }
+}
+
 static void wg_entry_take_targets(wg_entry* e, const Wgpb__EntryState* in) {
     if (e->registry_known && in->registry_change == wg_registry_change(e->registry)) {
         return;
@@ -140,8 +160,9 @@
         wg_registry_clear(e->registry);
     }
     for (size_t i = 0; i < in->n_targets; i++) {
-        wg_registry_merge(e->registry, in->targets[i]);
+        wg_registry_merge(e->registry, wg_now(), in->targets[i]);
     }
+    wg_entry_take_evacuated(e, in);
     wg_registry_set_change(e->registry, in->registry_change);
     e->registry_known = true;
     wg_balance_sync(e->balance, wg_now(), e->registry);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -3,6 +3,7 @@
 
 #include "wg_entry_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -70,6 +71,7 @@
                     {"retries", c->retries},
                     {"resumes", c->resumes},
                     {"connects", c->connects},
+                    {"cold_denials", c->cold_denials},
                     {"callers_replaced", c->callers_replaced},
                     {"callers_turned_away", c->callers_turned_away},
                     {"log_lines_left_out", c->lines_left_out}};
@@ -78,8 +80,10 @@
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
                                counters[i].name, counters[i].value);
     }
-    g_string_append_printf(out, "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n",
-                           e->calls_num, e->clients->len);
+    g_string_append_printf(out,
+                           "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n"
+                           "walnutgate_entry_evacuated_data_centres %u\n",
+                           e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len);
     wgn_print_metrics(e->net, out);
     wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
@@ -174,6 +178,11 @@
                                                                            : WG_TARGET_READY};
     target->slots = (uint32_t)json_integer_value(json_object_get(json, "slots"));
     target->sequence = (uint64_t)json_integer_value(json_object_get(json, "sequence"));
+    double cold_ms = json_number_value(json_object_get(json, "cold_ms"));
+    if (cold_ms > 0) {
+        wg_time cold = (wg_time)MIN(cold_ms * WG_USEC_PER_MSEC, (double)WG_TARGET_COLD_MAX);
+        target->cold_until = wg_now() + cold;
+    }
     return id[0] && service && address && wgn_parse_address(address, &storage, &size) &&
            wg_copy_name(target->id, sizeof target->id, id) &&
            wg_copy_name(target->service, sizeof target->service, service) &&
@@ -192,7 +201,7 @@
         return;
     }
     Wgpb__TargetRecord record;
-    wg_target_pack(&target, &record);
+    wg_target_pack(&target, wg_now(), &record);
     Wgpb__Order order = WGPB__ORDER__INIT;
     order.target = &record;
     wg_entry_order_begin(e, request, &order);
@@ -205,17 +214,37 @@
         return;
     }
     Wgpb__TargetRecord record;
-    wg_target_pack(&target, &record);
+    wg_target_pack(&target, wg_now(), &record);
     Wgpb__Order order = WGPB__ORDER__INIT;
     order.target = &record;
     wg_entry_order_begin(e, request, &order);
 }
 
+/* Begin or end the evacuation of a data centre. */
+static void wg_pages_evacuate(wg_entry* e, struct evhttp_request* request, const char* path,
+                              bool begins) {
+    char* name = evhttp_uridecode(path, 0, NULL);
+    if (!name || !name[0] || strlen(name) >= WG_NAME_MAX || strchr(name, '/')) {
+        wg_pages_error(request, 400, "bad_request", "that is not the name of a data centre");
+        free(name);
+        return;
+    }
+    Wgpb__Evacuation evacuation = WGPB__EVACUATION__INIT;
+    evacuation.data_centre = name;
+    evacuation.begins = begins;
+    evacuation.cold_us = (uint64_t)(e->config ? wg_config_cold_time(e->config) : 0);
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    order.evacuation = &evacuation;
+    wg_entry_order_begin(e, request, &order);
+    free(name);
+}
+
 /* ---- set-up ------------------------------------------------------------------------------------
  */
 
 static void wg_pages_on_request(struct evhttp_request* request, void* user_data) {
     static const char targets[] = "/v1/targets/";
+    static const char evacuations[] = "/v1/evacuations/";
     wg_entry* e = user_data;
     char path[256];
     wgh_path(request, path, sizeof path);
@@ -223,6 +252,7 @@
     bool get = strcmp(method, "GET") == 0;
     bool put = strcmp(method, "PUT") == 0 || strcmp(method, "POST") == 0;
     bool target = g_str_has_prefix(path, targets);
+    bool remove = strcmp(method, "DELETE") == 0;
     const char* id = path + sizeof targets - 1;
     if (get && strcmp(path, "/v1/ready") == 0) {
         wgh_reply_text(request, wg_entry_is_ready(e) ? 200 : 503, "text/plain", "\n");
@@ -234,8 +264,10 @@
         wg_pages_put_configuration(e, request);
     } else if (put && target) {
         wg_pages_put_target(e, request, id);
-    } else if (strcmp(method, "DELETE") == 0 && target) {
+    } else if (remove && target) {
         wg_pages_delete_target(e, request, id);
+    } else if ((put || remove) && g_str_has_prefix(path, evacuations)) {
+        wg_pages_evacuate(e, request, path + sizeof evacuations - 1, put);
     } else if (get && strcmp(path, "/metrics") == 0) {
         wg_pages_metrics(e, request);
     } else if (get && strcmp(path, "/v1/state") == 0) {
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -56,7 +56,7 @@
     const wg_target* target = wg_registry_find(up->entry->registry, up->target);
     bool reusable = up->head.keep_alive && evbuffer_get_length(in) == 0 &&
                     evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 && target &&
-                    target->state == WG_TARGET_READY && !up->entry->stopping;
+                    wg_registry_takes(up->entry->registry, target) && !up->entry->stopping;
     wg_time limit = up->head.keep_time >= 0 ? up->head.keep_time * WG_USEC_PER_SEC - WG_IDLE_MARGIN
                                             : WG_IDLE_TIME;
     up->call = NULL;
@@ -116,7 +116,7 @@
     g_hash_table_iter_init(&iter, e->idle);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const wg_target* target = wg_registry_find(e->registry, GPOINTER_TO_UINT(key));
-        if (!target || target->state != WG_TARGET_READY) {
+        if (!target || !wg_registry_takes(e->registry, target)) {
             wg_upstream_close_queue(value);
         }
         if (!target || target->state == WG_TARGET_GONE) {
@@ -269,7 +269,7 @@
         setsockopt(bufferevent_getfd(up->bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         bufferevent_set_timeouts(up->bev, NULL, NULL);
         const wg_target* target = wg_registry_find(up->entry->registry, up->target);
-        if (!up->call || !target || target->state != WG_TARGET_READY) {
+        if (!up->call || !target || !wg_registry_takes(up->entry->registry, target)) {
             wg_upstream_fail(up, "target-left-while-connecting");
             return;
         }
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -3,9 +3,15 @@
 
 #include <string.h>
 
+enum {
+    /* A heartbeat that was held up says that the target is cold for longer than it is. */
+    WG_COLD_TOLERANCE = 100 * WG_USEC_PER_MSEC
+};
+
 struct wg_registry {
     wg_registry_desc desc;
-    GPtrArray* records; /* wg_target*, by number, rising */
+    GPtrArray* evacuated; /* char*, names of data centres */
+    GPtrArray* records;   /* wg_target*, by number, rising */
     GHashTable* by_id;
     uint64_t change;
     uint64_t floor; /* copies older than this lack a record that was dropped */
@@ -92,6 +98,10 @@
     return target->replaced && live && record->sequence > target->sequence;
 }
 
+static bool wg_target_turned_cold(const wg_target* known, const wg_target* heard, wg_time now) {
+    return heard->cold_until > MAX(known->cold_until, now) + WG_COLD_TOLERANCE;
+}
+
 static bool wg_target_says_the_same(const wg_target* a, const wg_target* b) {
     return a->state == b->state && a->slots == b->slots && strcmp(a->service, b->service) == 0 &&
            strcmp(a->address, b->address) == 0 && strcmp(a->data_centre, b->data_centre) == 0;
@@ -104,6 +114,7 @@
     r->desc = *desc;
     r->desc.ended_max = desc->ended_max ? desc->ended_max : WG_REGISTRY_ENDED_DEFAULT;
     r->desc.holder_time = desc->holder_time ? desc->holder_time : WG_REGISTRY_HOLDER_TIME_DEFAULT;
+    r->evacuated = g_ptr_array_new_with_free_func(g_free);
     r->records = g_ptr_array_new_with_free_func(g_free);
     r->by_id = g_hash_table_new(g_str_hash, g_str_equal);
     r->next_number = 1;
@@ -113,6 +124,7 @@
 void wg_registry_shutdown(wg_registry* r) {
     g_hash_table_unref(r->by_id);
     g_ptr_array_unref(r->records);
+    g_ptr_array_unref(r->evacuated);
     g_free(r);
 }
 
@@ -134,7 +146,9 @@
     }
     target->heard_at = now;
     bool went_back = target->state == WG_TARGET_DRAINING && heard->state == WG_TARGET_READY;
-    if (!went_back && (leave || !wg_target_says_the_same(target, heard))) {
+    bool news =
+        !wg_target_says_the_same(target, heard) || wg_target_turned_cold(target, heard, now);
+    if (leave || (!went_back && news)) {
         return WG_HEARD_CHANGE; /* its sequence counts once it is agreed on */
     }
     target->heard_sequence = heard->sequence;
@@ -189,6 +203,7 @@
     wg_copy_name(target->address, sizeof target->address, record->address);
     wg_copy_name(target->data_centre, sizeof target->data_centre, record->data_centre);
     target->slots = record->slots;
+    target->cold_until = MAX(target->cold_until, record->cold_until);
     target->state = state;
     target->sequence = MAX(target->sequence, record->sequence);
     target->heard_sequence = MAX(target->heard_sequence, target->sequence);
@@ -198,6 +213,57 @@
     wg_registry_prune(r);
 }
 
+/* The data centre's targets may have been emptied or started anew meanwhile. */
+static void wg_registry_chill(wg_registry* r, wg_time now, const wg_evacuation* evacuation) {
+    for (guint i = 0; i < r->records->len; i++) {
+        wg_target* target = r->records->pdata[i];
+        bool there = strcmp(target->data_centre, evacuation->data_centre) == 0;
+        if (there && !wg_target_ended(target) && evacuation->cold_time > 0) {
+            target->cold_until = MAX(target->cold_until, now + evacuation->cold_time);
+            wg_registry_note_change(r, target);
+        }
+    }
+}
+
+static bool wg_registry_find_evacuated(const wg_registry* r, const char* data_centre, guint* at) {
+    for (guint i = 0; i < r->evacuated->len; i++) {
+        if (strcmp(r->evacuated->pdata[i], data_centre) == 0) {
+            *at = i;
+            return true;
+        }
+    }
+    return false;
+}
+
+bool wg_registry_evacuate(wg_registry* r, wg_time now, const wg_evacuation* evacuation) {
+    guint at;
+    bool is = wg_registry_find_evacuated(r, evacuation->data_centre, &at);
+    if (is == evacuation->begins || (!is && r->evacuated->len >= WG_REGISTRY_EVACUATED_MAX)) {
+        return false;
+    }
+    if (evacuation->begins) {
+        g_ptr_array_add(r->evacuated, g_strdup(evacuation->data_centre));
+    } else {
+        wg_registry_chill(r, now, evacuation);
+        g_ptr_array_remove_index(r->evacuated, at);
+    }
+    r->change++;
+    return true;
+}
+
+bool wg_registry_is_evacuated(const wg_registry* r, const char* data_centre) {
+    guint at;
+    return wg_registry_find_evacuated(r, data_centre, &at);
+}
+
+const GPtrArray* wg_registry_evacuated(const wg_registry* r) {
+    return r->evacuated;
+}
+
+bool wg_registry_takes(const wg_registry* r, const wg_target* target) {
+    return target->state == WG_TARGET_READY && !wg_registry_is_evacuated(r, target->data_centre);
+}
+
 void wg_registry_hear_all(wg_registry* r, wg_time now) {
     for (guint i = 0; i < r->records->len; i++) {
         ((wg_target*)r->records->pdata[i])->heard_at = now;
@@ -271,9 +337,9 @@
     return first < second ? -1 : first > second;
 }
 
-bool wg_registry_merge(wg_registry* r, const Wgpb__TargetRecord* record) {
+bool wg_registry_merge(wg_registry* r, wg_time now, const Wgpb__TargetRecord* record) {
     wg_target in = {0};
-    if (!wg_target_unpack(record, &in) || in.number == 0) {
+    if (!wg_target_unpack(record, now, &in) || in.number == 0) {
         return false;
     }
     wg_target* target = g_hash_table_lookup(r->by_id, in.id);
@@ -295,9 +361,16 @@
     r->change = change;
 }
 
+void wg_registry_set_evacuated(wg_registry* r, char* const* names, size_t num) {
+    g_ptr_array_set_size(r->evacuated, 0);
+    for (size_t i = 0; i < MIN(num, (size_t)WG_REGISTRY_EVACUATED_MAX); i++) {
+        g_ptr_array_add(r->evacuated, g_strdup(names[i]));
+    }
+}
+
 /* ---- messages ------------------------------------------------------------------------------ */
 
-void wg_target_pack(const wg_target* target, Wgpb__TargetRecord* out) {
+void wg_target_pack(const wg_target* target, wg_time now, Wgpb__TargetRecord* out) {
     wgpb__target_record__init(out);
     out->id = (char*)target->id;
     out->service = (char*)target->service;
@@ -308,15 +381,18 @@
     out->sequence = target->sequence;
     out->number = target->number;
     out->change = target->change;
+    out->cold_us = (uint64_t)MAX(target->cold_until - now, 0);
     out->replaced = target->replaced;
 }
 
-bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_target* target) {
+bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_time now, wg_target* target) {
+    wg_time cold = (wg_time)MIN(in->cold_us, (uint64_t)WG_TARGET_COLD_MAX);
     *target = (wg_target){.slots = in->slots,
                           .state = (wg_target_state)in->state,
                           .sequence = in->sequence,
                           .number = in->number,
                           .change = in->change,
+                          .cold_until = cold > 0 ? now + cold : 0,
                           .replaced = in->replaced};
     return in->id[0] && in->state > WG_TARGET_DEFAULT && in->state <= WG_TARGET_GONE &&
            wg_copy_name(target->id, sizeof target->id, in->id) &&
@@ -325,16 +401,18 @@
            wg_copy_name(target->data_centre, sizeof target->data_centre, in->data_centre);
 }
 
-Wgpb__RegistryState* wg_registry_dump(const wg_registry* r) {
+Wgpb__RegistryState* wg_registry_dump(const wg_registry* r, wg_time now) {
     Wgpb__RegistryState state = WGPB__REGISTRY_STATE__INIT;
     Wgpb__TargetRecord* items = g_new(Wgpb__TargetRecord, r->records->len + 1);
     state.targets = g_new(Wgpb__TargetRecord*, r->records->len + 1);
     for (guint i = 0; i < r->records->len; i++) {
-        wg_target_pack(r->records->pdata[i], &items[i]);
+        wg_target_pack(r->records->pdata[i], now, &items[i]);
         state.targets[state.n_targets++] = &items[i];
     }
     state.change = r->change;
     state.next_number = r->next_number;
+    state.evacuated = (char**)r->evacuated->pdata;
+    state.n_evacuated = r->evacuated->len;
     size_t size = wgpb__registry_state__get_packed_size(&state);
     uint8_t* bytes = g_malloc(size + 1);
     wgpb__registry_state__pack(&state, bytes);
@@ -345,15 +423,16 @@
     return out;
 }
 
-bool wg_registry_load(wg_registry* r, const Wgpb__RegistryState* state) {
+bool wg_registry_load(wg_registry* r, wg_time now, const Wgpb__RegistryState* state) {
     wg_registry_clear(r);
     for (size_t i = 0; i < state->n_targets; i++) {
-        if (!wg_registry_merge(r, state->targets[i])) {
+        if (!wg_registry_merge(r, now, state->targets[i])) {
             return false;
         }
     }
     r->change = state->change;
     r->floor = state->change; /* what was dropped before is not known */
     r->next_number = MAX(state->next_number, 1);
+    wg_registry_set_evacuated(r, state->evacuated, state->n_evacuated);
     return true;
 }
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -3,9 +3,10 @@
     wg_registry.h -- targets that register themselves, as replicated state
 
     WHAT IT DOES
-        Keeps one record for each incarnation of a target: where it is, what it serves, and whether
-        it is ready, draining, silent or gone. Every change raises a number, so that a copy of the
-        registry can be brought up to date by what changed since.
+        Keeps one record for each incarnation of a target: where it is, what it serves, whether it
+        is ready, draining, silent or gone, and for how long it is cold. Keeps which data centres
+   are evacuated. Every change raises a number, so that a copy of the registry can be brought up to
+        date by what changed since.
 
     FEATURES
         - heartbeats carry a sequence of the target's own: an older one changes nothing
@@ -13,6 +14,8 @@
         - a new incarnation at an address replaces the one that had it before; that one comes back
           only when it is heard of while the new one is not, since the first heartbeat of a target
           that crashed may arrive after those of its successor
+        - targets of an evacuated data centre take no work; when the evacuation ends they count as
+          cold, since they may have been emptied meanwhile
         - a bounded number of ended records is kept, so that late heartbeats revive none of them
 
     USE
@@ -24,6 +27,9 @@
 
     THE CALLER OWNS
         records passed in. Pointers into the registry hold until its next change.
+
+    CLOCKS
+        Times in a registry are those of one process. In messages stands what is left of them.
 */
 #include "wg_base.h"
 #include "walnutgate.pb-c.h"
@@ -32,7 +38,10 @@
     WG_REGISTRY_ENDED_DEFAULT = 512, /* ended records kept */
     /* A holder of an address that was not heard of for so long may be the wrong one: two heartbeats
        of targets that send one each 1.2 s. */
-    WG_REGISTRY_HOLDER_TIME_DEFAULT = 2500 * WG_USEC_PER_MSEC
+    WG_REGISTRY_HOLDER_TIME_DEFAULT = 2500 * WG_USEC_PER_MSEC,
+    WG_REGISTRY_EVACUATED_MAX = 64, /* data centres */
+    /* Longest cold time that is believed. */
+    WG_TARGET_COLD_MAX = 300 * WG_USEC_PER_SEC
 };
 
 typedef enum {
@@ -54,6 +63,7 @@
     uint64_t sequence;
     uint32_t number;         /* short for id, never 0 */
     uint64_t change;         /* of the registry, when this record last changed */
+    wg_time cold_until;      /* until then it bears less work than usual; 0: it is not cold */
     bool replaced;           /* gone because another incarnation came to its address */
     wg_time heard_at;        /* not replicated */
     uint64_t heard_sequence; /* not replicated */
@@ -70,6 +80,13 @@
     wg_time holder_time; /* microseconds; default WG_REGISTRY_HOLDER_TIME_DEFAULT */
 } wg_registry_desc;
 
+/* Nothing more is to be sent to the targets of a data centre, or it may be sent again. */
+typedef struct {
+    const char* data_centre;
+    bool begins;
+    wg_time cold_time; /* microseconds for which its targets count as cold at the end */
+} wg_evacuation;
+
 typedef struct wg_registry wg_registry;
 
 wg_registry* wg_registry_setup(const wg_registry_desc* desc);
@@ -78,6 +95,13 @@
 wg_heard wg_registry_hear(wg_registry* registry, wg_time now, const wg_target* heard);
 /* Take an agreed change; the same on every replica. */
 void wg_registry_apply(wg_registry* registry, wg_time now, const wg_target* record);
+/* Take an agreed evacuation; false when it changes nothing, or would be one too many. */
+bool wg_registry_evacuate(wg_registry* registry, wg_time now, const wg_evacuation* evacuation);
+bool wg_registry_is_evacuated(const wg_registry* registry, const char* data_centre);
+/* Names of the evacuated data centres; belongs to the registry. */
+const GPtrArray* wg_registry_evacuated(const wg_registry* registry);
+/* May work be sent to the target? It is ready, and its data centre is not evacuated. */
+bool wg_registry_takes(const wg_registry* registry, const wg_target* target);
 /* Count every target as heard of at `now`: a new leader has not listened before. */
 void wg_registry_hear_all(wg_registry* registry, wg_time now);
 /* A ready or draining target not heard of for `limit` microseconds, or NULL. */
@@ -95,14 +119,18 @@
 /* ---- copies ---- */
 void wg_registry_clear(wg_registry* registry);
 /* Take a record as it stands in the registry that is copied. False when malformed. */
-bool wg_registry_merge(wg_registry* registry, const Wgpb__TargetRecord* record);
+bool wg_registry_merge(wg_registry* registry, wg_time now, const Wgpb__TargetRecord* record);
 void wg_registry_set_change(wg_registry* registry, uint64_t change);
+/* Take the evacuated data centres of the registry that is copied, all of them. */
+void wg_registry_set_evacuated(wg_registry* registry, char* const* names, size_t num);
 
 /* ---- messages ---- */
-/* The packed record borrows the texts of `target`. */
-void wg_target_pack(const wg_target* target, Wgpb__TargetRecord* out);
+/* The packed record borrows the texts of `target`; of its cold time it says what is left at `now`.
+ */
+void wg_target_pack(const wg_target* target, wg_time now, Wgpb__TargetRecord* out);
 /* False when a text does not fit. */
-bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_target* target);
+bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_time now, wg_target* target);
 /* For snapshots; freed with wgpb__registry_state__free_unpacked(). */
-Wgpb__RegistryState* wg_registry_dump(const wg_registry* registry);
-bool wg_registry_load(wg_registry* registry, const Wgpb__RegistryState* state);
+Wgpb__RegistryState* wg_registry_dump(const wg_registry* registry, wg_time now);
+/* Whoever was cold when the snapshot was made counts as cold for as long again. */
+bool wg_registry_load(wg_registry* registry, wg_time now, const Wgpb__RegistryState* state);
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -34,6 +34,7 @@
 typedef struct Wgpb__ClaimState Wgpb__ClaimState;
 typedef struct Wgpb__Configuration Wgpb__Configuration;
 typedef struct Wgpb__TargetRecord Wgpb__TargetRecord;
+typedef struct Wgpb__Evacuation Wgpb__Evacuation;
 typedef struct Wgpb__RegistryState Wgpb__RegistryState;
 typedef struct Wgpb__Command Wgpb__Command;
 typedef struct Wgpb__State Wgpb__State;
@@ -376,6 +377,10 @@
    * of the registry, at which this record last changed
    */
   uint64_t change;
+  /*
+   * for so long from when this was sent it is cold
+   */
+  uint64_t cold_us;
   /*
    * gone because another incarnation came to its address, not by its own word
    */
@@ -383,7 +388,25 @@
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+
+
+/*
+ * Nothing more is to be sent to the targets of a data centre, or it may be sent again.
+ */
+struct  Wgpb__Evacuation
+{
+  ProtobufCMessage base;
+  char *data_centre;
+  protobuf_c_boolean begins;
+  /*
+   * at its end its targets count as cold for so long
+   */
+  uint64_t cold_us;
+};
+#define WGPB__EVACUATION__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__evacuation__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 struct  Wgpb__RegistryState
@@ -393,10 +416,15 @@
   Wgpb__TargetRecord **targets;
   uint64_t change;
   uint32_t next_number;
+  /*
+   * data centres
+   */
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define WGPB__REGISTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__registry_state__descriptor) \
-    , 0,NULL, 0, 0 }
+    , 0,NULL, 0, 0, 0,NULL }
 
 
 struct  Wgpb__Command
@@ -407,10 +435,11 @@
   Wgpb__ClaimEnd *claim_end;
   Wgpb__Configuration *configuration;
   Wgpb__TargetRecord *target;
+  Wgpb__Evacuation *evacuation;
 };
 #define WGPB__COMMAND__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__command__descriptor) \
-    , NULL, NULL, NULL, NULL, NULL }
+    , NULL, NULL, NULL, NULL, NULL, NULL }
 
 
 struct  Wgpb__State
@@ -765,10 +794,15 @@
    * `members` is all there are
    */
   protobuf_c_boolean members_reset;
+  /*
+   * data centres, as of `registry_change`
+   */
+  size_t n_evacuated;
+  char **evacuated;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL }
 
 
 /*
@@ -781,10 +815,11 @@
   Wgpb__Configuration *configuration;
   protobuf_c_boolean read_configuration;
   Wgpb__TargetRecord *target;
+  Wgpb__Evacuation *evacuation;
 };
 #define WGPB__ORDER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__order__descriptor) \
-    , 0, NULL, 0, NULL }
+    , 0, NULL, 0, NULL, NULL }
 
 
 struct  Wgpb__OrderAnswer
@@ -834,10 +869,14 @@
   uint64_t ahead_us;
   uint64_t ahead_large_us;
   protobuf_c_boolean spares_shared;
+  /*
+   * the target is, as far as the asker knows
+   */
+  protobuf_c_boolean cold;
 };
 #define WGPB__ADMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_ask__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wgpb__AdmitAnswer
@@ -1236,6 +1275,25 @@
 void   wgpb__target_record__free_unpacked
                      (Wgpb__TargetRecord *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__Evacuation methods */
+void   wgpb__evacuation__init
+                     (Wgpb__Evacuation         *message);
+size_t wgpb__evacuation__get_packed_size
+                     (const Wgpb__Evacuation   *message);
+size_t wgpb__evacuation__pack
+                     (const Wgpb__Evacuation   *message,
+                      uint8_t             *out);
+size_t wgpb__evacuation__pack_to_buffer
+                     (const Wgpb__Evacuation   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__Evacuation *
+       wgpb__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__evacuation__free_unpacked
+                     (Wgpb__Evacuation *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__RegistryState methods */
 void   wgpb__registry_state__init
                      (Wgpb__RegistryState         *message);
@@ -1770,6 +1828,9 @@
 typedef void (*Wgpb__TargetRecord_Closure)
                  (const Wgpb__TargetRecord *message,
                   void *closure_data);
+typedef void (*Wgpb__Evacuation_Closure)
+                 (const Wgpb__Evacuation *message,
+                  void *closure_data);
 typedef void (*Wgpb__RegistryState_Closure)
                  (const Wgpb__RegistryState *message,
                   void *closure_data);
@@ -1870,6 +1931,7 @@
 extern const ProtobufCMessageDescriptor wgpb__claim_state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__configuration__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__target_record__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__evacuation__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__registry_state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__command__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__state__descriptor;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -69,6 +69,35 @@
 }
 END_TEST
 
+/* In no second does a cold target get more than it bears, however many ask and however they come.
+ */
+START_TEST(a_cold_target_gets_what_it_bears) {
+    enum {
+        HOSTS = 90,
+        STEPS = 4000 /* milliseconds */
+    };
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_time grants[STEPS];
+    int num = 0;
+    for (int ms = 0; ms < STEPS; ms++) {
+        wg_admit_request r = request((uint64_t)ms % HOSTS, (uint64_t)ms, 10);
+        r.limits = (wg_admit_limits){WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
+        r.rate_most = 9.8;
+        if (wg_jitter(5, (uint64_t)ms) % 3 && wg_admit_ask(admit, ms * MSEC, &r).granted) {
+            grants[num++] = ms * MSEC;
+        }
+    }
+    for (int i = 9; i < num; i++) {
+        ck_assert_int_gt(grants[i] - grants[i - 9], SECOND);
+    }
+    ck_assert_int_ge(num, 9 * STEPS / 1000);
+    wg_admit_request warm = request(1, STEPS, 10);
+    warm.limits = (wg_admit_limits){WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
+    ck_assert(wg_admit_ask(admit, STEPS * MSEC, &warm).granted);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
 /* Engines give up what was unused for longest. */
 START_TEST(parts_are_given_up_for_newer_ones) {
     admit = wg_admit_setup(&(wg_admit_desc){0});
@@ -269,9 +298,9 @@
 END_TEST
 
 WG_TEST_MAIN("admit", a_fresh_account_knows_what_the_target_tells, many_hosts_do_not_fill_a_target,
-             shared_parts_are_read_once, parts_are_given_up_for_newer_ones,
-             what_is_copied_is_not_read, a_refusal_takes_nothing, shared_parts_can_count_as_ahead,
-             large_prompts_have_a_limit_of_their_own, a_target_that_fails_is_put_aside,
-             where_all_fail_none_is_put_aside, slots_bound_what_runs,
-             a_fresh_account_counts_what_is_known_otherwise, the_speed_is_learnt,
-             accounts_come_out_even)
+             a_cold_target_gets_what_it_bears, shared_parts_are_read_once,
+             parts_are_given_up_for_newer_ones, what_is_copied_is_not_read, a_refusal_takes_nothing,
+             shared_parts_can_count_as_ahead, large_prompts_have_a_limit_of_their_own,
+             a_target_that_fails_is_put_aside, where_all_fail_none_is_put_aside,
+             slots_bound_what_runs, a_fresh_account_counts_what_is_known_otherwise,
+             the_speed_is_learnt, accounts_come_out_even)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -270,6 +270,30 @@
 }
 END_TEST
 
+START_TEST(targets_of_an_evacuated_data_centre_get_nothing) {
+    begin(2);
+    wg_target moved = *wg_registry_find(registry, 1);
+    wg_copy_name(moved.data_centre, sizeof moved.data_centre, "left");
+    moved.sequence++;
+    wg_registry_apply(registry, 1, &moved);
+    wg_registry_evacuate(registry, 1, &(wg_evacuation){.data_centre = "left", .begins = true});
+    wg_balance_sync(balance, 1, registry);
+    for (uint64_t i = 0; i < 50; i++) {
+        wg_prompt p = prompt(i + 1, i + 100);
+        ck_assert_uint_eq(choose(&p, 1).target, 2);
+    }
+    wg_registry_evacuate(registry, 2, &(wg_evacuation){.data_centre = "left"});
+    wg_balance_sync(balance, 2, registry);
+    bool used = false;
+    for (uint64_t i = 0; i < 50; i++) {
+        wg_prompt p = prompt(i + 1, i + 100);
+        used = used || choose(&p, 2).target == 1;
+    }
+    ck_assert(used);
+    end();
+}
+END_TEST
+
 /* Whatever comes, in any order, the accounts end at nothing. */
 START_TEST(accounts_come_out_even) {
     for (uint64_t seed = 1; seed <= 30; seed++) {
@@ -489,7 +513,8 @@
              a_new_home_copies_from_the_former, a_denied_home_is_copied_from, newer_loads_count,
              what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
              a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
-             accounts_come_out_even, failing_targets_are_put_aside_and_come_back,
+             targets_of_an_evacuated_data_centre_get_nothing, accounts_come_out_even,
+             failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
              slots_are_left_for_those_who_are_owed_them, a_cold_fleet_is_not_taken_for_a_warm_one,
              the_level_is_max_min, the_margin_follows_what_came, the_fleet_keeps_its_retry_budget)
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -6,7 +6,8 @@
 
 #define SERVICES                                                                                   \
     "\"services\":[{\"name\":\"m\",\"connections\":9,\"engine\":{\"slots\":64,"                    \
-    "\"memory_tokens\":1000,\"event_tokens\":3}},{\"name\":\"p\"}]"
+    "\"memory_tokens\":1000,\"event_tokens\":3},\"cold_s\":3.5,\"cold_per_second\":9.8},"          \
+    "{\"name\":\"p\"}]"
 #define ROUTE(extra)                                                                               \
     "{\"name\":\"r\",\"host\":\"A.example\",\"path_prefix\":\"/x/\",\"kind\":\"stream\","          \
     "\"timeout_ms\":6000,\"objective_ms\":600,\"resumable\":true" extra "}"
@@ -47,6 +48,10 @@
     ck_assert_int_eq(c->services[0].slots, 64);
     ck_assert_int_eq(c->services[0].tightest, 600 * MSEC);
     ck_assert(c->services[0].engine && !c->services[1].engine);
+    ck_assert_int_eq(c->services[0].cold_time, 3500 * MSEC);
+    ck_assert_double_eq(c->services[0].cold_rate, 9.8);
+    ck_assert_double_eq(c->services[1].cold_rate, 0);
+    ck_assert_int_eq(wg_config_cold_time(c), 3500 * MSEC);
     const wg_route* r = wg_config_route(c, text_of("A.EXAMPLE:8080"), text_of("/x/y/z?q=/"));
     ck_assert_str_eq(r->name, "long");
     ck_assert(wg_route_is_repeatable(r));
@@ -113,6 +118,9 @@
         {"{\"version\":1," SERVICES
          ",\"routes\":[" ROUTE(",\"service\":\"m\"") "," ROUTE(",\"service\":\"p\"") "]}",
          "shares host and prefix"},
+        {"{\"version\":1,\"services\":[{\"name\":\"m\",\"cold_s\":-1}],\"routes\":[]}", "cold"},
+        {"{\"version\":1,\"services\":[{\"name\":\"m\",\"cold_per_second\":-1}],\"routes\":[]}",
+         "cold"},
         {"{\"version\":1," SERVICES ",\"routes\":[],\"workspaces\":[{\"name\":\"a\",\"keys\":"
          "[\"k\"]},{\"name\":\"b\",\"keys\":[\"k\"]}]}",
          "shares a key"},
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -137,6 +137,70 @@
 }
 END_TEST
 
+static wg_heard hear_cold(wg_registry* r, wg_time now, uint64_t sequence, wg_time cold) {
+    wg_target t = record("a", WG_TARGET_READY, sequence, "10.0.0.1:1");
+    t.cold_until = cold ? now + cold : 0;
+    wg_heard heard = wg_registry_hear(r, now, &t);
+    if (heard == WG_HEARD_CHANGE) {
+        wg_registry_apply(r, now, &t);
+    }
+    return heard;
+}
+
+/* That a target has turned cold is told to all; that it still is, is nothing new. */
+START_TEST(a_target_that_turns_cold_has_changed) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear_cold(r, 0, 1, 3 * SECOND);
+    ck_assert_int_eq(wg_registry_find(r, 1)->cold_until, 3 * SECOND);
+    ck_assert_int_eq(hear_cold(r, 1 * SECOND, 2, 2 * SECOND), WG_HEARD_SAME);
+    ck_assert_int_eq(hear_cold(r, 5 * SECOND, 3, 0), WG_HEARD_SAME);
+    ck_assert_int_eq(hear_cold(r, 6 * SECOND, 4, 2 * SECOND), WG_HEARD_CHANGE);
+    ck_assert_int_eq(wg_registry_find(r, 1)->cold_until, 8 * SECOND);
+    Wgpb__TargetRecord packed;
+    wg_target at_another;
+    wg_target_pack(wg_registry_find(r, 1), 7 * SECOND, &packed);
+    ck_assert(wg_target_unpack(&packed, 100 * SECOND, &at_another));
+    ck_assert_int_eq(at_another.cold_until, 101 * SECOND);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+static void evacuate(wg_registry* r, wg_time now, bool begins, bool changes) {
+    wg_evacuation evacuation = {.data_centre = "dc", .begins = begins, .cold_time = 3 * SECOND};
+    ck_assert_int_eq(wg_registry_evacuate(r, now, &evacuation), changes);
+}
+
+/* Orders may come twice; what was agreed on outlives the process; at the end targets are cold. */
+START_TEST(targets_of_an_evacuated_data_centre_take_nothing) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    wg_target t = record("a", WG_TARGET_READY, 1, "10.0.0.1:1");
+    wg_copy_name(t.data_centre, sizeof t.data_centre, "dc");
+    wg_registry_apply(r, 0, &t);
+    wg_target other = record("b", WG_TARGET_READY, 1, "10.0.0.2:1");
+    wg_registry_apply(r, 0, &other);
+    uint64_t change = wg_registry_change(r);
+    evacuate(r, 1, true, true);
+    evacuate(r, 2, true, false);
+    ck_assert_uint_eq(wg_registry_change(r), change + 1);
+    ck_assert(!wg_registry_takes(r, wg_registry_find(r, 1)));
+    ck_assert(wg_registry_takes(r, wg_registry_find(r, 2)));
+
+    Wgpb__RegistryState* state = wg_registry_dump(r, 3);
+    wg_registry* loaded = wg_registry_setup(&(wg_registry_desc){0});
+    ck_assert(wg_registry_load(loaded, 3, state));
+    ck_assert(wg_registry_is_evacuated(loaded, "dc"));
+    wgpb__registry_state__free_unpacked(state, NULL);
+    wg_registry_shutdown(loaded);
+
+    evacuate(r, 10 * SECOND, false, true);
+    evacuate(r, 11 * SECOND, false, false);
+    ck_assert(wg_registry_takes(r, wg_registry_find(r, 1)));
+    ck_assert_int_eq(wg_registry_find(r, 1)->cold_until, 13 * SECOND);
+    ck_assert_int_eq(wg_registry_find(r, 2)->cold_until, 0);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 static void copy_changes(const wg_registry* from, wg_registry* to, uint64_t since) {
     bool reset = false;
     GPtrArray* changes = wg_registry_changes(from, since, &reset);
@@ -145,8 +209,8 @@
     }
     for (guint i = 0; i < changes->len; i++) {
         Wgpb__TargetRecord packed;
-        wg_target_pack(changes->pdata[i], &packed);
-        ck_assert(wg_registry_merge(to, &packed));
+        wg_target_pack(changes->pdata[i], 0, &packed);
+        ck_assert(wg_registry_merge(to, 0, &packed));
     }
     wg_registry_set_change(to, wg_registry_change(from));
     g_ptr_array_unref(changes);
@@ -185,9 +249,9 @@
                 }
             }
         }
-        Wgpb__RegistryState* state = wg_registry_dump(r);
+        Wgpb__RegistryState* state = wg_registry_dump(r, 0);
         wg_registry* loaded = wg_registry_setup(&(wg_registry_desc){.ended_max = 8});
-        ck_assert(wg_registry_load(loaded, state));
+        ck_assert(wg_registry_load(loaded, 0, state));
         ck_assert_uint_eq(wg_registry_change(loaded), wg_registry_change(r));
         wgpb__registry_state__free_unpacked(state, NULL);
         wg_registry_shutdown(loaded);
@@ -202,4 +266,5 @@
              a_leave_without_a_record_is_remembered, a_new_incarnation_ends_the_one_at_its_address,
              silent_ones_come_back_by_a_newer_heartbeat_only,
              a_first_heartbeat_that_comes_late_does_not_end_a_live_target,
-             a_late_heartbeat_does_not_replace_the_successor, copies_follow_past_the_kept_records)
+             a_late_heartbeat_does_not_replace_the_successor, a_target_that_turns_cold_has_changed,
+             targets_of_an_evacuated_data_centre_take_nothing, copies_follow_past_the_kept_records)
