Evacuations of a data centre; hosts know which targets are cold

An order that seems to hold already goes through the log as well, since one of the other kind may be on its way there. At the end the data centre's targets count as cold for the longest cold time of the configuration: they may have been emptied. That a target has turned cold is a change of its record, so all hosts hear of it; its rate comes from the configuration. A cold target gets only what its coordinator admits, also requests without a prompt; a host that gets no answer does not send.

Tests that fail before: test_registry targets_of_an_evacuated_data_centre_take_nothing and a_target_that_turns_cold_has_changed, test_balance targets_of_an_evacuated_data_centre_get_nothing, test_leader_states an_evacuation_outlives_its_leader, test_entry_promises an_evacuated_data_centre_gets_no_request, a_cold_target_gets_no_more_than_it_bears, an_evacuation_is_passed_to_the_leader (404).

--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -132,24 +132,27 @@
     return true;
 }
 
-static void wg_entry_take_evacuated(wg_entry* e, const Wgpb__EntryState* in) {
-    const GPtrArray* before = wg_registry_evacuated(e->registry);
-    bool same = before->len == in->n_evacuated;
+static bool wg_entry_has_evacuated(const wg_entry* e, const Wgpb__EntryState* in) {
+    const GPtrArray* held = wg_registry_evacuated(e->registry);
+    bool same = held->len == in->n_evacuated;
     for (size_t i = 0; same && i < in->n_evacuated; i++) {
-        same = strcmp(before->pdata[i], in->evacuated[i]) == 0;
+        same = strcmp(held->pdata[i], in->evacuated[i]) == 0;
     }
-    if (same) {
+    return same;
+}
+
+static void wg_entry_take_evacuated(wg_entry* e, const Wgpb__EntryState* in) {
+    if (wg_entry_has_evacuated(e, in)) {
         return;
     }
     wg_registry_set_evacuated(e->registry, in->evacuated, in->n_evacuated);
+    GString* names = g_string_new(NULL);
     for (size_t i = 0; i < in->n_evacuated; i++) {
-        wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centre=%s registry=%" G_GUINT64_FORMAT,
-               in->evacuated[i], in->registry_change);
-    }
-    if (in->n_evacuated == 0) {
-        wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centre=- registry=%" G_GUINT64_FORMAT,
-               in->registry_change);
+        g_string_append_printf(names, "%s%s", i ? "," : "", in->evacuated[i]);
     }
+    wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centres=%s registry=%" G_GUINT64_FORMAT,
+           names->len ? names->str : "-", in->registry_change);
+    g_string_free(names, TRUE);
 }
 
 static void wg_entry_take_targets(wg_entry* e, const Wgpb__EntryState* in) {
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -5,8 +5,8 @@
     WHAT IT DOES
         Keeps one record for each incarnation of a target: where it is, what it serves, whether it
         is ready, draining, silent or gone, and for how long it is cold. Keeps which data centres
-   are evacuated. Every change raises a number, so that a copy of the registry can be brought up to
-        date by what changed since.
+        are evacuated. Every change raises a number, so that a copy of the registry can be brought
+        up to date by what changed since.
 
     FEATURES
         - heartbeats carry a sequence of the target's own: an older one changes nothing
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -13,6 +13,10 @@
     int ups;
     int downs;
     int reports;
+    int evacuations;             /* orders to begin or end one */
+    char evacuated[WG_NAME_MAX]; /* of the last one: the data centre */
+    bool evacuation_begins;
+    uint64_t evacuation_cold_us;
 } fake_control;
 
 static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -23,9 +27,28 @@
     }
 }
 
+/* An order to evacuate is noted and acknowledged. */
+static inline void fake_control_take_order(fake_control* f, wgn_link link, const wgw_frame* frame) {
+    Wgpb__Order* in = wgpb__order__unpack(NULL, frame->size, frame->payload);
+    Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
+    if (in && in->evacuation) {
+        f->evacuations++;
+        wg_copy_name(f->evacuated, sizeof f->evacuated, in->evacuation->data_centre);
+        f->evacuation_begins = in->evacuation->begins;
+        f->evacuation_cold_us = in->evacuation->cold_us;
+        answer.ticket = in->ticket;
+        answer.outcome = WG_ORDER_DONE;
+        wgn_send(f->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+    }
+    wgpb__order__free_unpacked(in, NULL);
+}
+
 static inline void fake_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
-    (void)link;
-    ((fake_control*)user_data)->reports += frame->type == WGW_TYPE_ENTRY_REPORT;
+    fake_control* f = user_data;
+    f->reports += frame->type == WGW_TYPE_ENTRY_REPORT;
+    if (frame->type == WGW_TYPE_ORDER) {
+        fake_control_take_order(f, link, frame);
+    }
 }
 
 static inline void fake_control_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -99,7 +122,10 @@
 typedef struct {
     uint64_t version;
     const char* document;
-    const char* target; /* ip:port */
+    const char* target;    /* ip:port */
+    const char* evacuated; /* a data centre, NULL none; the target stands in "dc" */
+    uint64_t cold_us;      /* for so long the target is cold */
+    uint64_t change;       /* of the registry; 0 counts as 1 */
 } fake_word;
 
 static inline void fake_control_leads(fake_control* f, const fake_word* word) {
@@ -116,7 +142,8 @@
     record.data_centre = (char*)"dc";
     record.state = WG_TARGET_READY;
     record.number = 1;
-    record.change = 1;
+    record.change = MAX(word->change, 1);
+    record.cold_us = word->cold_us;
     member.name = (char*)"here";
     member.address = callers;
     member.data_centre = (char*)"dc";
@@ -128,8 +155,10 @@
     state.leader_address = f->address;
     state.targets = records;
     state.n_targets = 1;
-    state.registry_change = 1;
+    state.registry_change = MAX(word->change, 1);
     state.registry_reset = true;
+    state.evacuated = (char**)&word->evacuated;
+    state.n_evacuated = word->evacuated ? 1 : 0;
     state.members = members;
     state.n_members = 1;
     state.members_change = 1;
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -83,6 +83,9 @@
     uint64_t state_seen;
     int states;                  /* that came */
     int targets;                 /* records of targets that came */
+    int evacuated;               /* data centres, as the control last said */
+    uint64_t registry_change;    /* the same */
+    bool cold;                   /* a target was told as cold */
     bool leads;                  /* as the control last said */
     char leader[WG_ADDRESS_MAX]; /* the same */
     int outcome;                 /* of the last order that was answered; -1 none */
@@ -95,6 +98,7 @@
     report.ready = true;
     report.members_change = f->members_change;
     report.configuration_version = f->configuration_version;
+    report.registry_change = f->registry_change;
     report.state_seen = f->state_seen;
     wgn_send(f->net, f->link, WGW_TYPE_ENTRY_REPORT, &report.base);
 }
@@ -110,6 +114,13 @@
     f->state_seen = in->seq;
     f->states++;
     f->targets += (int)in->n_targets;
+    for (size_t i = 0; i < in->n_targets; i++) {
+        f->cold = f->cold || in->targets[i]->cold_us > 0;
+    }
+    if (in->registry_change != f->registry_change) {
+        f->registry_change = in->registry_change;
+        f->evacuated = (int)in->n_evacuated;
+    }
 }
 
 static inline void local_entry_take_configuration(local_entry* f, const Wgpb__Configuration* in) {
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -300,6 +300,106 @@
 }
 END_TEST
 
+/* ---- evacuations and cold targets --------------------------------------------------------------
+ */
+
+enum {
+    COLD_RATE = 3, /* requests a second */
+    COLD_CALLS = 12
+};
+
+/* A configuration whose targets bear COLD_RATE while they are cold. */
+static void lead_targets(const char* evacuated, uint64_t cold_us, uint64_t change) {
+    static const char document[] =
+        "{\"version\":9,\"services\":[{\"name\":\"e\",\"cold_s\":3,\"cold_per_second\":3}],"
+        "\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/a/\",\"kind\":\"safe\","
+        "\"timeout_ms\":2000,\"objective_ms\":500,\"attempts\":1,\"service\":\"e\"}],\"limits\":{},"
+        "\"workspaces\":[]}";
+    fake_control_leads(&leader, &(fake_word){.version = 9,
+                                             .document = document,
+                                             .target = target_at,
+                                             .evacuated = evacuated,
+                                             .cold_us = cold_us,
+                                             .change = change});
+    turns(20);
+}
+
+static int requests_at_target(void) {
+    int num = 0;
+    for (const char* at = asked->str; (at = strstr(at, "GET /a/")); at++) {
+        num++;
+    }
+    return num;
+}
+
+START_TEST(an_evacuated_data_centre_gets_no_request) {
+    char answer[1024];
+    begin();
+    lead_targets("dc", 0, 2);
+    int fd = caller("/a/x", "");
+    ck_assert_int_eq(status_of(fd, answer), 503);
+    ck_assert_ptr_nonnull(strstr(answer, "Retry-After"));
+    ck_assert_int_eq(requests_at_target(), 0);
+    close(fd);
+    lead_targets(NULL, 0, 3);
+    fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    close(fd);
+    end();
+}
+END_TEST
+
+/* This host is the only one: it coordinates the target and has all of its rate. */
+START_TEST(a_cold_target_gets_no_more_than_it_bears) {
+    int fd[COLD_CALLS];
+    begin();
+    lead_targets(NULL, 60 * WG_USEC_PER_SEC, 2);
+    for (int i = 0; i < COLD_CALLS; i++) {
+        fd[i] = caller("/a/x", "");
+    }
+    turns(300);
+    ck_assert_int_eq(requests_at_target(), COLD_RATE);
+    for (int i = 0; i < COLD_CALLS; i++) {
+        close(fd[i]);
+    }
+    end();
+}
+END_TEST
+
+/* Status of an order to evacuate that has no body. */
+static int order_evacuation(const char* method, const char* path, const char* fields) {
+    char answer[1024];
+    char* orders = local_address(11, 18004);
+    int fd = connected_to(orders);
+    char* request = g_strdup_printf("%s %s HTTP/1.1\r\nHost: o\r\n%s\r\n", method, path, fields);
+    ck_assert_int_eq(send(fd, request, strlen(request), MSG_NOSIGNAL), (ssize_t)strlen(request));
+    int status = status_of(fd, answer);
+    close(fd);
+    g_free(request);
+    g_free(orders);
+    return status;
+}
+
+START_TEST(an_evacuation_is_passed_to_the_leader) {
+    static const char length[] = "Content-Length: 0\r\n";
+    begin();
+    lead_targets(NULL, 0, 2);
+    ck_assert_int_eq(order_evacuation("PUT", "/v1/evacuations/hall%20one", ""), 200);
+    ck_assert_str_eq(leader.evacuated, "hall one");
+    ck_assert(leader.evacuation_begins);
+    ck_assert_int_eq(order_evacuation("POST", "/v1/evacuations/dc", length), 200);
+    ck_assert_int_eq(order_evacuation("DELETE", "/v1/evacuations/dc", length), 200);
+    ck_assert_str_eq(leader.evacuated, "dc");
+    ck_assert(!leader.evacuation_begins);
+    ck_assert_uint_eq(leader.evacuation_cold_us, 3 * WG_USEC_PER_SEC);
+    ck_assert_int_eq(leader.evacuations, 3);
+    ck_assert_int_eq(order_evacuation("PUT", "/v1/evacuations/", length), 400);
+    ck_assert_int_eq(order_evacuation("PUT", "/v1/evacuations/a/b", length), 400);
+    ck_assert_int_eq(leader.evacuations, 3);
+    end();
+}
+END_TEST
+
 /* ---- descriptors ------------------------------------------------------------------------------
  */
 
@@ -409,4 +509,5 @@
              events_of_streams_do_not_try_waiting_requests, no_more_time_is_handed_on_than_is_left,
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
-             a_configuration_only_moves_forward)
+             a_configuration_only_moves_forward, an_evacuated_data_centre_gets_no_request,
+             a_cold_target_gets_no_more_than_it_bears, an_evacuation_is_passed_to_the_leader)
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -27,15 +27,20 @@
     }
 }
 
+static wgco_settings settings;
+
+static void start_control(void) {
+    GError* error = NULL;
+    control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
+    ck_assert_msg(control != NULL, "%s", error ? error->message : "");
+}
+
 static void begin(void) {
-    static wgco_settings settings;
     g_strlcpy(folder, "/tmp/wg-states-XXXXXX", sizeof folder);
     ck_assert_ptr_nonnull(mkdtemp(folder));
     listen_at = local_control_settings(&settings, folder);
     base = local_base();
-    GError* error = NULL;
-    control = wgco_setup(&(wgco_desc){.base = base, .settings = &settings}, &error);
-    ck_assert_msg(control != NULL, "%s", error ? error->message : "");
+    start_control();
 }
 
 static void end(void) {
@@ -190,5 +195,67 @@
 }
 END_TEST
 
+static void order_evacuation(local_entry* host, const char* data_centre, bool begins) {
+    Wgpb__Evacuation evacuation = WGPB__EVACUATION__INIT;
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    evacuation.data_centre = (char*)data_centre;
+    evacuation.begins = begins;
+    evacuation.cold_us = 3 * WG_USEC_PER_SEC;
+    order.ticket = 1;
+    order.evacuation = &evacuation;
+    host->outcome = -1;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ORDER, &order.base));
+    for (int i = 0; i < TURNS && host->outcome < 0; i++) {
+        local_turn(base);
+    }
+}
+
+static void expect_evacuated(const local_entry* host, int num) {
+    for (int i = 0; i < TURNS && host->evacuated != num; i++) {
+        local_turn(base);
+    }
+    ck_assert_int_eq(host->evacuated, num);
+}
+
+/* Acknowledged, told to every host, acknowledged again when it comes twice, and kept by a control
+   whose process ends: from its log, and from a snapshot. */
+START_TEST(an_evacuation_outlives_its_leader) {
+    begin();
+    settings.snapshot_entries = 8;
+    local_entry host;
+    local_entry other;
+    host_begin(&host, 1);
+    host_begin(&other, 2);
+    order_target(&host, 1, 1);
+    order_evacuation(&host, "dc", true);
+    ck_assert_int_eq(host.outcome, WG_ORDER_DONE);
+    expect_evacuated(&other, 1);
+    order_evacuation(&host, "dc", true);
+    ck_assert_int_eq(host.outcome, WG_ORDER_DONE);
+    order_evacuation(&host, "", true);
+    ck_assert_int_eq(host.outcome, WG_ORDER_INVALID);
+    for (int restart = 0; restart < 2; restart++) {
+        wgn_shutdown(host.net);
+        wgco_shutdown(control);
+        start_control();
+        host_begin(&host, 1);
+        expect_evacuated(&host, 1);
+        for (int i = 0; i < 10; i++) {
+            order_target(&host, 2 + i, (uint64_t)restart + 1);
+        }
+        turns(100);
+    }
+    host.cold = false;
+    order_evacuation(&host, "dc", false);
+    ck_assert_int_eq(host.outcome, WG_ORDER_DONE);
+    expect_evacuated(&host, 0);
+    ck_assert(host.cold);
+    wgn_shutdown(host.net);
+    wgn_shutdown(other.net);
+    end();
+}
+END_TEST
+
 WG_TEST_MAIN("leader states", a_configuration_goes_out_as_what_changed,
-             what_is_on_its_way_is_not_sent_again, changes_of_one_moment_go_out_together)
+             what_is_on_its_way_is_not_sent_again, changes_of_one_moment_go_out_together,
+             an_evacuation_outlives_its_leader)
