--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -125,6 +125,7 @@
     struct bufferevent* bev;
     wg_upstream_state state;
     wg_call* call;
+    bool far;     /* the target stands in another data centre */
     bool used;    /* it served a request before */
     bool written; /* a byte of the present request may have left */
     char* bytes;  /* of the answer's head */
@@ -185,6 +186,10 @@
     uint64_t retries;
     uint64_t resumes;
     uint64_t connects;
+    uint64_t target_bytes_out; /* to targets, and from them */
+    uint64_t target_bytes_in;
+    uint64_t target_far_bytes_out; /* the same, of targets in other data centres */
+    uint64_t target_far_bytes_in;
     uint64_t cold_denials;        /* requests that a cold target was not given */
     uint64_t callers_replaced;    /* idle ones closed to make room */
     uint64_t callers_turned_away; /* closed at once: none was idle */
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -17,6 +17,21 @@
 static void wg_upstream_on_read(struct bufferevent* bev, void* user_data);
 static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data);
 
+/* ---- helpers: counts ------------------------------------------------------------------------ */
+
+static void wg_upstream_count_out(const wg_upstream* up, size_t bytes) {
+    up->entry->counters.target_bytes_out += bytes;
+    up->entry->counters.target_far_bytes_out += up->far ? bytes : 0;
+}
+
+static void wg_upstream_count_in(struct evbuffer* buffer, const struct evbuffer_cb_info* info,
+                                 void* user_data) {
+    (void)buffer;
+    const wg_upstream* up = user_data;
+    up->entry->counters.target_bytes_in += info->n_added;
+    up->entry->counters.target_far_bytes_in += up->far ? info->n_added : 0;
+}
+
 /* ---- helpers: idle connections -------------------------------------------------------------- */
 
 static GQueue* wg_upstream_idle(wg_entry* e, uint32_t target) {
@@ -155,6 +170,7 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
+    wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
     evbuffer_free(out);
 }
@@ -314,6 +330,8 @@
     up->target = target->number;
     up->content = evbuffer_new();
     up->bev = bufferevent_socket_new(e->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    up->far = strcmp(target->data_centre, e->settings->data_centre) != 0;
+    evbuffer_add_cb(bufferevent_get_input(up->bev), wg_upstream_count_in, up);
     bufferevent_setcb(up->bev, wg_upstream_on_read, NULL, wg_upstream_on_event, up);
     bufferevent_enable(up->bev, EV_READ | EV_WRITE);
     struct timeval limit = {.tv_usec = WG_CONNECT_TIME};
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -113,6 +113,14 @@
     net->stats.links--;
 }
 
+/* Is the other end in another data centre? Not known before its hello came, nor where one end names
+   none. */
+static bool _wgn_is_far(const _wgn_link_t* l) {
+    const char* own = l->net->desc.self.data_centre;
+    const char* other = l->peer.data_centre;
+    return own[0] && other[0] && strcmp(own, other) != 0;
+}
+
 /* The head of a frame, and the counts. */
 static struct evbuffer* _wgn_write_head(_wgn_link_t* l, wgw_type type, size_t size) {
     uint8_t head[WGW_HEAD_SIZE];
@@ -124,6 +132,7 @@
     stats->bytes_sent += sizeof head + size;
     stats->frames_sent++;
     stats->sent[type].bytes += sizeof head + size;
+    stats->sent[type].far_bytes += _wgn_is_far(l) ? sizeof head + size : 0;
     stats->sent[type].frames++;
     return out;
 }
@@ -520,11 +529,12 @@
         const wgn_type_stats* sent = &stats.sent[type];
         if (sent->frames > 0) {
             const char* name = wgw_type_name((wgw_type)type);
-            g_string_append_printf(out,
-                                   "walnutgate_link_frames_total{type=\"%s\"} %" G_GUINT64_FORMAT
-                                   "\nwalnutgate_link_bytes_total{type=\"%s\"} %" G_GUINT64_FORMAT
-                                   "\n",
-                                   name, sent->frames, name, sent->bytes);
+            g_string_append_printf(
+                out,
+                "walnutgate_link_frames_total{type=\"%s\"} %" G_GUINT64_FORMAT
+                "\nwalnutgate_link_bytes_total{type=\"%s\"} %" G_GUINT64_FORMAT
+                "\nwalnutgate_link_far_bytes_total{type=\"%s\"} %" G_GUINT64_FORMAT "\n",
+                name, sent->frames, name, sent->bytes, name, sent->far_bytes);
         }
     }
     g_string_append_printf(out,
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -91,6 +91,7 @@
 typedef struct {
     uint64_t frames;
     uint64_t bytes;
+    uint64_t far_bytes; /* of them, to another data centre */
 } wgn_type_stats;
 
 typedef struct {
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -139,9 +139,11 @@
 }
 
 static wgn_net* reader_net(struct event_base* of, wgn_net** which) {
+    wgn_peer self = {.name = "n", .role = WGW_ROLE_ENTRY};
+    g_strlcpy(self.data_centre, which == &near_net ? "here" : "there", sizeof self.data_centre);
     return wgn_setup(&(wgn_desc){.base = of,
                                  .fleet_key = "key",
-                                 .self = {.name = "n", .role = WGW_ROLE_ENTRY},
+                                 .self = self,
                                  .waiting_max = WAITING_MAX,
                                  .on_up = on_reader_up,
                                  .on_frame = on_reader_frame,
@@ -200,7 +202,9 @@
     wgn_frame_unref(frame);
     event_base_loop(base, EVLOOP_NONBLOCK);
     ck_assert_uint_lt(wgn_query_stats(near_net).waiting, FRAME_SIZE + 100);
-    ck_assert_uint_eq(wgn_query_stats(near_net).sent[WGW_TYPE_CONFIGURATION].frames, READERS);
+    wgn_type_stats sent = wgn_query_stats(near_net).sent[WGW_TYPE_CONFIGURATION];
+    ck_assert_uint_eq(sent.frames, READERS);
+    ck_assert_uint_eq(sent.far_bytes, sent.bytes); /* the readers name another data centre */
     for (int i = 0; i < 20000 && documents < READERS; i++) {
         event_base_loop(base, EVLOOP_NONBLOCK);
         event_base_loop(far_base, EVLOOP_NONBLOCK);
