--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -1,5 +1,5 @@
 /* wg_balance.c -- see wg_balance.h */
-#include "wg_balance.h"
+#include "wg_balance_internal.h"
 
 #include <math.h>
 #include <string.h>
@@ -17,10 +17,8 @@
     WG_DRAWN_LEAST = 3,
     WG_DRAWN_HOSTS = 11, /* of every so many hosts one weighs a given target */
     WG_FAILURES_BEFORE_ASIDE = 2,
-    WG_RANKED = 6,          /* targets kept in a ranking: two homes, and some that fail or leave */
-    WG_RANKINGS_MAX = 8192, /* of one service; beyond, all are made anew */
-    WG_FAR_TOKENS = 400,    /* what another data centre costs, in tokens to read */
-    WG_RUNNING_TOKENS = 20, /* what each running request costs the next */
+    WG_FAR_TOKENS = 400,         /* what another data centre costs, in tokens to read */
+    WG_RUNNING_TOKENS = 20,      /* what each running request costs the next */
     WG_SECOND_HOME_TOKENS = 400, /* what the second home has to be better by */
     WG_READ_AGAIN_FACTOR = 12,   /* what a shared token read again counts beside its own reading */
     WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
@@ -35,42 +33,6 @@
 /* Of so many hosts each keeps 1/e of what others had from one report to the next. */
 static const double WG_FADE_HOSTS = 24;
 
-typedef struct {
-    uint32_t number;
-    uint64_t id_hash;
-    char service[WG_NAME_MAX];
-    bool ready;
-    bool draining;
-    bool moved;      /* another incarnation answers at its address */
-    uint64_t change; /* of its record */
-    bool near;
-    uint32_t slots;
-    uint32_t own_unread;
-    uint32_t own_running;
-    uint32_t other_unread;
-    uint32_t other_running;
-    uint32_t lately_unread; /* of others, fading */
-    wg_time told_at;        /* loads were told by the target's coordinator; 0: never */
-    double speed;
-    int failures;
-    wg_time aside_until;
-    GHashTable* cached; /* part -> wg_time* when it was last sent there */
-} wg_balance_target;
-
-/* The targets of a service that rank highest for one part, whatever their state. */
-typedef struct {
-    uint64_t part;
-    wg_balance_target* best[WG_RANKED]; /* highest rank first; NULL behind the last */
-} wg_balance_ranking;
-
-/* Targets of one service. */
-typedef struct {
-    char name[WG_NAME_MAX];
-    GPtrArray* targets;   /* wg_balance_target* */
-    int ready;            /* of them */
-    GHashTable* rankings; /* part -> wg_balance_ranking* */
-} wg_balance_service;
-
 struct wg_balance {
     wg_balance_desc desc;
     GHashTable* targets;  /* number -> wg_balance_target* */
@@ -89,13 +51,6 @@
     g_free(t);
 }
 
-static void wg_balance_service_free(void* data) {
-    wg_balance_service* service = data;
-    g_hash_table_unref(service->rankings);
-    g_ptr_array_unref(service->targets);
-    g_free(service);
-}
-
 static wg_balance_target* wg_balance_find(const wg_balance* b, uint32_t number) {
     return g_hash_table_lookup(b->targets, GUINT_TO_POINTER(number));
 }
@@ -121,15 +76,6 @@
     g_hash_table_insert(parts, pair, (wg_time*)(pair + 1));
 }
 
-static bool wg_need_tried(const wg_need* need, uint32_t number) {
-    for (int i = 0; i < need->tried_num; i++) {
-        if (need->tried[i] == number) {
-            return true;
-        }
-    }
-    return false;
-}
-
 /* Tokens of the prompt's shared parts that are expected to be cached at the target. */
 static uint32_t wg_balance_cached(const wg_balance* b, const wg_balance_target* t, wg_time now,
                                   const wg_prompt* prompt, bool home) {
@@ -153,70 +99,6 @@
     return false;
 }
 
-static uint64_t wg_balance_rank(uint64_t part, const wg_balance_target* t) {
-    return wg_hash(&part, sizeof part, t->id_hash);
-}
-
-static bool wg_balance_takes(const wg_balance_target* t, const wg_need* need) {
-    return t->ready && !t->moved && !wg_need_tried(need, t->number);
-}
-
-/* Homes of a prefix: the two targets of highest rank among those that are up, and one that drains,
-   whose rank is higher still. */
-typedef struct {
-    const wg_balance_target* first;
-    const wg_balance_target* second;
-    const wg_balance_target* leaving;
-} wg_balance_homes;
-
-static void wg_balance_rank_in(wg_balance_ranking* ranking, wg_balance_target* t) {
-    uint64_t rank = wg_balance_rank(ranking->part, t);
-    for (int i = 0; t && i < WG_RANKED; i++) {
-        wg_balance_target* other = ranking->best[i];
-        if (other && wg_balance_rank(ranking->part, other) >= rank) {
-            continue;
-        }
-        ranking->best[i] = t;
-        t = other;
-        rank = other ? wg_balance_rank(ranking->part, other) : 0;
-    }
-}
-
-static const wg_balance_ranking* wg_balance_ranking_of(wg_balance_service* service, uint64_t part) {
-    wg_balance_ranking* ranking = g_hash_table_lookup(service->rankings, &part);
-    if (ranking) {
-        return ranking;
-    }
-    if (g_hash_table_size(service->rankings) >= WG_RANKINGS_MAX) {
-        g_hash_table_remove_all(service->rankings);
-    }
-    ranking = g_new0(wg_balance_ranking, 1);
-    ranking->part = part;
-    for (guint i = 0; i < service->targets->len; i++) {
-        wg_balance_rank_in(ranking, service->targets->pdata[i]);
-    }
-    g_hash_table_insert(service->rankings, &ranking->part, ranking);
-    return ranking;
-}
-
-static wg_balance_homes wg_balance_find_homes(wg_balance_service* service, wg_time now,
-                                              const wg_need* need, uint64_t part) {
-    wg_balance_homes homes = {0};
-    const wg_balance_ranking* ranking = part ? wg_balance_ranking_of(service, part) : NULL;
-    for (int i = 0; ranking && i < WG_RANKED && ranking->best[i] && !homes.second; i++) {
-        const wg_balance_target* t = ranking->best[i];
-        bool takes = wg_balance_takes(t, need) && now >= t->aside_until;
-        if (takes && !homes.first) {
-            homes.first = t;
-        } else if (takes) {
-            homes.second = t;
-        } else if (t->draining && !homes.first && !homes.leaving) {
-            homes.leaving = t; /* it was the first home before */
-        }
-    }
-    return homes;
-}
-
 /* Where a new home finds what was read before it became one: at the home that is leaving, or at the
    one that is second now. */
 static uint32_t wg_balance_former_home(const wg_balance_homes* homes) {
--- /dev/null
+++ b/lib/balance/wg_balance_homes.c
@@ -0,0 +1,81 @@
+/* wg_balance_homes.c -- which targets hold a prefix: rendezvous hashing, the same on every host
+
+   A ranking of a service's targets is kept for each prefix that was asked for; who is up, put aside
+   or leaving is looked at with each request. */
+#include "wg_balance_internal.h"
+
+enum {
+    WG_RANKINGS_MAX = 8192 /* of one service; beyond, all are made anew */
+};
+
+static uint64_t wg_balance_rank(uint64_t part, const wg_balance_target* t) {
+    return wg_hash(&part, sizeof part, t->id_hash);
+}
+
+static bool wg_need_tried(const wg_need* need, uint32_t number) {
+    for (int i = 0; i < need->tried_num; i++) {
+        if (need->tried[i] == number) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool wg_balance_takes(const wg_balance_target* t, const wg_need* need) {
+    return t->ready && !t->moved && !wg_need_tried(need, t->number);
+}
+
+static void wg_balance_rank_in(wg_balance_ranking* ranking, wg_balance_target* t) {
+    uint64_t rank = wg_balance_rank(ranking->part, t);
+    for (int i = 0; t && i < WG_RANKED; i++) {
+        wg_balance_target* other = ranking->best[i];
+        if (other && wg_balance_rank(ranking->part, other) >= rank) {
+            continue;
+        }
+        ranking->best[i] = t;
+        t = other;
+        rank = other ? wg_balance_rank(ranking->part, other) : 0;
+    }
+}
+
+static const wg_balance_ranking* wg_balance_ranking_of(wg_balance_service* service, uint64_t part) {
+    wg_balance_ranking* ranking = g_hash_table_lookup(service->rankings, &part);
+    if (ranking) {
+        return ranking;
+    }
+    if (g_hash_table_size(service->rankings) >= WG_RANKINGS_MAX) {
+        g_hash_table_remove_all(service->rankings);
+    }
+    ranking = g_new0(wg_balance_ranking, 1);
+    ranking->part = part;
+    for (guint i = 0; i < service->targets->len; i++) {
+        wg_balance_rank_in(ranking, service->targets->pdata[i]);
+    }
+    g_hash_table_insert(service->rankings, &ranking->part, ranking);
+    return ranking;
+}
+
+wg_balance_homes wg_balance_find_homes(wg_balance_service* service, wg_time now,
+                                       const wg_need* need, uint64_t part) {
+    wg_balance_homes homes = {0};
+    const wg_balance_ranking* ranking = part ? wg_balance_ranking_of(service, part) : NULL;
+    for (int i = 0; ranking && i < WG_RANKED && ranking->best[i] && !homes.second; i++) {
+        const wg_balance_target* t = ranking->best[i];
+        bool takes = wg_balance_takes(t, need) && now >= t->aside_until;
+        if (takes && !homes.first) {
+            homes.first = t;
+        } else if (takes) {
+            homes.second = t;
+        } else if (t->draining && !homes.first && !homes.leaving) {
+            homes.leaving = t; /* it was the first home before */
+        }
+    }
+    return homes;
+}
+
+void wg_balance_service_free(void* data) {
+    wg_balance_service* service = data;
+    g_hash_table_unref(service->rankings);
+    g_ptr_array_unref(service->targets);
+    g_free(service);
+}
