A request without a prompt may wait at a busy target that still answers in time

Cause: a target without prompts counted as full when all of its slots were taken, whatever the work takes. The wait was estimated at 10 ms a round.

Ruled out: no bound at all (when two of three targets are gone everything would come late).

Change: the work of one request is learnt for each target from whole answers, less what it waited there; a target is full when the expected time to the answer is over 0.7 of the objective. Another data centre costs as much as one request's work.

Tests that fail before: test_balance a_plain_request_waits_at_a_target_that_answers_in_time (7th request held back), the_work_of_a_plain_request_is_learnt_without_its_wait.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -30,6 +30,12 @@
 static const double WG_SPEED_MAX = 0.080;
 static const double WG_SPEED_WEIGHT = 0.08; /* of a new sample */
 
+/* Work of a request without a prompt in microseconds, until a target shows it. */
+static const double WG_WORK_DEFAULT = 10 * WG_USEC_PER_MSEC;
+static const double WG_WORK_MIN = 500;
+static const double WG_WORK_MAX = 10.0 * WG_USEC_PER_SEC;
+static const double WG_WORK_WEIGHT = 0.05; /* of a new sample: single requests scatter widely */
+
 /* Of so many hosts each keeps 1/e of what others had from one report to the next. */
 static const double WG_FADE_HOSTS = 24;
 
@@ -139,15 +145,25 @@
     return c;
 }
 
+/* Requests that a target with slots for all would work on at once, by the one that has to wait. */
+static double wg_balance_rounds(const wg_balance_target* t, uint32_t running) {
+    uint32_t slots = t->slots ? t->slots : 1;
+    return MAX((running + 1.0) / slots, 1.0);
+}
+
+static wg_choice wg_balance_estimate_plain(const wg_balance_target* t, uint32_t running) {
+    return (wg_choice){.target = t->number,
+                       .plain = true,
+                       .running = running,
+                       .wait = (wg_time)(t->work * wg_balance_rounds(t, running))};
+}
+
 static wg_choice wg_balance_estimate(const wg_balance* b, const wg_balance_target* t, wg_time now,
                                      const wg_need* need, const wg_balance_homes* homes) {
     if (need->prompt) {
         return wg_balance_estimate_prompt(b, t, now, need, homes);
     }
-    uint32_t running = t->own_running + t->other_running;
-    uint32_t slots = t->slots ? t->slots : 1;
-    return (wg_choice){.target = t->number,
-                       .wait = (wg_time)running * WG_USEC_PER_MSEC * 10 / slots};
+    return wg_balance_estimate_plain(t, t->own_running + t->other_running);
 }
 
 /* ---- public functions ---------------------------------------------------------------------- */
@@ -203,6 +219,7 @@
             t->number = record->number;
             t->id_hash = wg_hash(record->id, strlen(record->id), 0);
             t->speed = WG_SPEED_DEFAULT;
+            t->work = WG_WORK_DEFAULT;
             t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
             g_hash_table_insert(b->targets, GUINT_TO_POINTER(t->number), t);
         }
@@ -250,6 +267,10 @@
     if (wg_need_denied(need, t->number)) {
         return true;
     }
+    if (!need->prompt && need->limit > 0) {
+        uint32_t running = t->own_running + t->other_running;
+        return running >= slots && wg_balance_estimate_plain(t, running).wait > need->limit;
+    }
     return slots > 0 && t->own_running + t->other_running >= slots * share;
 }
 
@@ -279,7 +300,10 @@
                              wg_candidate* best) {
     WG_ASSERT(t != NULL);
     wg_choice c = wg_balance_estimate(b, t, now, need, homes);
-    int64_t cost = c.wait + (int64_t)(wg_balance_extra(t, homes, &c, need) / t->speed);
+    double extra = need->prompt ? wg_balance_extra(t, homes, &c, need) / t->speed
+                   : t->near    ? 0
+                                : t->work;
+    int64_t cost = c.wait + (int64_t)extra;
     if (now < t->aside_until) {
         cost += WG_ASIDE_MAX; /* only when there is nothing else */
     }
@@ -373,6 +397,16 @@
     wg_balance_take_read(t, choice);
 }
 
+/* What the request waited for others is taken off, as far as it was known. */
+static void wg_balance_learn_work(wg_balance_target* t, wg_time now, const wg_choice* choice) {
+    if (!choice->plain) {
+        return;
+    }
+    double sample = (double)(now - choice->begun) / wg_balance_rounds(t, choice->running);
+    sample = CLAMP(sample, WG_WORK_MIN, WG_WORK_MAX);
+    t->work += WG_WORK_WEIGHT * (sample - t->work);
+}
+
 void wg_balance_end(wg_balance* b, wg_time now, wg_choice* choice, wg_result result) {
     wg_balance_target* t = wg_balance_find(b, choice->target);
     if (!t) {
@@ -383,6 +417,7 @@
     t->own_running--;
     t->moved = t->moved || result == WG_RESULT_MOVED;
     if (result == WG_RESULT_GOOD) {
+        wg_balance_learn_work(t, now, choice);
         t->failures = 0;
         t->aside_until = 0;
     } else if (result == WG_RESULT_FAILED && ++t->failures >= WG_FAILURES_BEFORE_ASIDE) {
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -17,8 +17,11 @@
         - the more hosts decide at once on the same old loads, the fewer targets each weighs beside
           the homes, drawn by lot, so that they do not all take the same one, and the longer what
           others had at a target counts on: one that was flooded a moment ago is about to be again
-        - the speed of each target is learnt from first events; a target that fails is put aside
-          for growing, jittered times
+        - the speed of each target is learnt from first events, the work that a request without a
+          prompt takes there from whole answers; a target that fails is put aside for growing,
+          jittered times
+        - a request without a prompt may wait in the queue of a busy target, as long as it would
+          still be answered within its limit
         - one request, one account: begin, read (first event), end
 
     USE
@@ -55,7 +58,8 @@
     int slots;               /* of one target, when it told none */
     bool copies;             /* targets can copy what they hold of a prompt to each other */
     double slots_share;      /* part of a target's slots that may be taken before; 0: all */
-    wg_time limit;           /* a target with a longer wait is chosen last; 0 or never: none */
+    wg_time limit; /* a target with a longer wait is chosen last, without a prompt not at all; 0 or
+                      never: none */
     uint32_t tried[WG_TRIED_MAX];
     int tried_num;
     uint32_t denied[WG_DENIED_MAX]; /* not now; they stay homes */
@@ -69,6 +73,8 @@
     uint32_t unread;    /* tokens that the target has to read for it */
     uint32_t ahead;     /* tokens that it reads before */
     uint32_t source;    /* number of the target that it copies the rest from; 0: none */
+    bool plain;         /* the request has no prompt */
+    uint32_t running;   /* requests that are under way there before it */
     bool is_fresh;      /* loads are as its coordinator told them a moment ago */
     uint32_t copied;    /* tokens from the start of the prompt that are sure to be there */
     wg_time wait;       /* estimate, to the first event */
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -22,7 +22,8 @@
     uint32_t other_running;
     uint32_t lately_unread; /* of others, fading */
     wg_time told_at;        /* loads were told by the target's coordinator; 0: never */
-    double speed;
+    double speed;           /* prompt tokens read in a microsecond */
+    double work; /* microseconds of one request without a prompt, when it need not wait */
     int failures;
     wg_time aside_until;
     GHashTable* cached; /* part -> wg_time* when it was last sent there */
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -296,7 +296,11 @@
     wg_policy_terms terms = wg_call_terms(call);
     call->next_try_at = now + wg_policy_try_gap(&terms);
     call->limit = wg_policy_limit(&terms, now);
-    call->need.limit = wg_policy_may_spill(&terms) ? call->limit : WG_TIME_NEVER;
+    if (!call->has_prompt) {
+        call->need.limit = wg_policy_plain_limit(&terms, now);
+    } else {
+        call->need.limit = wg_policy_may_spill(&terms) ? call->limit : WG_TIME_NEVER;
+    }
     call->need.slots_share = wg_policy_slots_share(&terms);
     call->asks = 0;
     call->relaxed = false;
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -15,6 +15,9 @@
 
 /* Share of the objective that the first event may be expected to take, for a send now. */
 static const double _WG_POLICY_LIMIT = 0.95;
+/* The same for the answer to a request without a prompt: what others send meanwhile is not known,
+   and work scatters. */
+static const double _WG_POLICY_PLAIN_LIMIT = 0.7;
 /* Part of that share which is left while estimates cannot be trusted at all. */
 static const double _WG_POLICY_TRUSTLESS = 0.6;
 /* How much longer than the limit a modest workspace's request may be expected to take. */
@@ -45,6 +48,11 @@
     return (wg_time)(limit * (double)MIN(left, t->tightest));
 }
 
+wg_time wg_policy_plain_limit(const wg_policy_terms* t, wg_time now) {
+    wg_time left = MAX(t->started + t->objective - now, t->objective / 2); /* late counts too */
+    return (wg_time)(_WG_POLICY_PLAIN_LIMIT * (double)left);
+}
+
 wg_admit_limits wg_policy_limits(const wg_policy_terms* t, wg_time now) {
     double whole = (double)wg_policy_limit(t, now);
     double patience = _wg_policy_patience(t);
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -41,6 +41,8 @@
 wg_time wg_policy_wait(wg_time objective);
 /* Longest expected wait for the first event at which the request is sent. */
 wg_time wg_policy_limit(const wg_policy_terms* terms, wg_time now);
+/* Longest expected time to the answer at which a request without a prompt is sent. */
+wg_time wg_policy_plain_limit(const wg_policy_terms* terms, wg_time now);
 wg_admit_limits wg_policy_limits(const wg_policy_terms* terms, wg_time now);
 /* Part of a target's slots that may be taken before this request. */
 double wg_policy_slots_share(const wg_policy_terms* terms);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -294,6 +294,75 @@
 }
 END_TEST
 
+enum {
+    WORK_MS = 60,
+    PLAIN_SLOTS = 6
+};
+
+static wg_choice choose_plain(wg_time now, wg_time limit) {
+    wg_need need = {.service = "m", .slots = PLAIN_SLOTS, .limit = limit};
+    return wg_balance_choose(balance, now, &need);
+}
+
+/* One target with PLAIN_SLOTS slots that has shown what a request takes there. */
+static void begin_plain(void) {
+    begin(1);
+    wg_target slots = *wg_registry_find(registry, 1);
+    slots.slots = PLAIN_SLOTS;
+    slots.sequence++;
+    wg_registry_apply(registry, 1, &slots);
+    wg_balance_sync(balance, 1, registry);
+    for (int i = 0; i < 200; i++) {
+        wg_choice c = choose_plain(0, SECOND);
+        wg_balance_begin(balance, 0, &c);
+        wg_balance_end(balance, WORK_MS * MSEC, &c, WG_RESULT_GOOD);
+    }
+}
+
+/* With 60 ms of work, six slots and 300 ms to answer in, 18 requests more than the slots hold can
+   wait there and be in time; before, the seventh was held back and refused after 54 ms. */
+START_TEST(a_plain_request_waits_at_a_target_that_answers_in_time) {
+    begin_plain();
+    wg_time limit = 4 * WORK_MS * MSEC;
+    int sent = 0;
+    for (; sent < 100; sent++) {
+        wg_choice c = choose_plain(SECOND, limit);
+        if (!c.target) {
+            break;
+        }
+        ck_assert_int_le(c.wait, limit + WORK_MS * MSEC / 2);
+        wg_balance_begin(balance, SECOND, &c);
+    }
+    ck_assert_int_ge(sent, 3 * PLAIN_SLOTS);
+    ck_assert_int_le(sent, 5 * PLAIN_SLOTS);
+    end();
+}
+END_TEST
+
+/* What requests took because others were before them is not taken for their own work. */
+START_TEST(the_work_of_a_plain_request_is_learnt_without_its_wait) {
+    enum {
+        AT_ONCE = 4 * PLAIN_SLOTS
+    };
+    begin_plain();
+    for (int round = 0; round < 20; round++) {
+        wg_choice c[AT_ONCE];
+        for (int i = 0; i < AT_ONCE; i++) {
+            c[i] = choose_plain(0, SECOND);
+            wg_balance_begin(balance, 0, &c[i]);
+        }
+        for (int i = 0; i < AT_ONCE; i++) {
+            wg_time took = (i / PLAIN_SLOTS + 1) * WORK_MS * MSEC;
+            wg_balance_end(balance, took, &c[i], WG_RESULT_GOOD);
+        }
+    }
+    wg_time alone = choose_plain(0, SECOND).wait;
+    ck_assert_int_ge(alone, WORK_MS * MSEC * 8 / 10);
+    ck_assert_int_le(alone, WORK_MS * MSEC * 12 / 10);
+    end();
+}
+END_TEST
+
 /* Whatever comes, in any order, the accounts end at nothing. */
 START_TEST(accounts_come_out_even) {
     for (uint64_t seed = 1; seed <= 30; seed++) {
@@ -513,6 +582,8 @@
              a_new_home_copies_from_the_former, a_denied_home_is_copied_from, newer_loads_count,
              what_others_had_fades, hosts_do_not_all_take_the_least_loaded,
              a_lost_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             a_plain_request_waits_at_a_target_that_answers_in_time,
+             the_work_of_a_plain_request_is_learnt_without_its_wait,
              targets_of_an_evacuated_data_centre_get_nothing, accounts_come_out_even,
              failing_targets_are_put_aside_and_come_back,
              a_target_that_moved_gets_nothing_until_its_record_changes,
