An order whose sender has left is not passed on to the leader

Cause: a host that stood still (stopped, or its processor taken) reads orders after their senders have sent them to another host, and perhaps the opposite order since: an old end of an evacuation would undo a newer beginning. Change: a look at the socket before an order is taken, as for requests of callers. Test: test_entry_promises an_order_whose_sender_has_left_is_not_passed_on fails before (the leader gets the order).

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -124,16 +124,15 @@
     return e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
 }
 
-/* Has the caller left while its request stood in line at a busy host? The loop would tell after the
-   request was sent to a target, which would work for nobody. */
-static bool wg_client_has_left(const wg_client* client) {
+bool wg_socket_peer_has_left(struct bufferevent* bev) {
     char byte;
-    return recv(bufferevent_getfd(client->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+    return recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
-/* The request is whole: begin its call, unless nobody waits for the answer. */
+/* The request is whole: begin its call, unless its caller left while it stood in line at a busy
+   host. The loop would tell after the request was sent to a target, which would work for nobody. */
 static void wg_client_start_call(wg_client* client) {
-    if (wg_client_has_left(client)) {
+    if (wg_socket_peer_has_left(client->bev)) {
         client->entry->counters.left++;
         wg_client_close(client);
         return;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -355,6 +355,9 @@
 /* Write as much as the socket takes now; the rest follows. Empties `bytes`. */
 void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
 
+/* Has the other end closed, with nothing left to read? */
+bool wg_socket_peer_has_left(struct bufferevent* bev);
+
 /* wg_entry_call.c */
 /* Takes over `bytes` and `body`. */
 void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body);
--- a/lib/entry/wg_entry_orders.c
+++ b/lib/entry/wg_entry_orders.c
@@ -37,8 +37,14 @@
     }
 }
 
+/* Whose sender has left was perhaps sent again elsewhere, and the opposite after it. */
+static bool wg_entry_order_is_stale(struct evhttp_request* request) {
+    struct evhttp_connection* connection = evhttp_request_get_connection(request);
+    return wg_socket_peer_has_left(evhttp_connection_get_bufferevent(connection));
+}
+
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* desc) {
-    if (e->orders.length >= WG_ORDERS_MAX) {
+    if (e->orders.length >= WG_ORDERS_MAX || wg_entry_order_is_stale(request)) {
         wg_entry_order_answer(request, WG_ORDER_NOT_LEADER, NULL);
         return;
     }
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -400,6 +400,23 @@
 }
 END_TEST
 
+/* A host that stood still reads orders whose senders have long gone elsewhere. */
+START_TEST(an_order_whose_sender_has_left_is_not_passed_on) {
+    static const char request[] = "PUT /v1/evacuations/dc HTTP/1.1\r\nHost: o\r\n\r\n";
+    begin();
+    lead_targets(NULL, 0, 2);
+    char* orders = local_address(11, 18004);
+    int fd = connected_to(orders);
+    ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
+    close(fd);
+    turns(200);
+    ck_assert_int_eq(leader.evacuations, 0);
+    ck_assert_int_eq(order_evacuation("PUT", "/v1/evacuations/dc", ""), 200);
+    g_free(orders);
+    end();
+}
+END_TEST
+
 /* ---- descriptors ------------------------------------------------------------------------------
  */
 
@@ -510,4 +527,5 @@
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
              a_configuration_only_moves_forward, an_evacuated_data_centre_gets_no_request,
-             a_cold_target_gets_no_more_than_it_bears, an_evacuation_is_passed_to_the_leader)
+             a_cold_target_gets_no_more_than_it_bears, an_evacuation_is_passed_to_the_leader,
+             an_order_whose_sender_has_left_is_not_passed_on)
