--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -271,22 +271,20 @@
     if (wg_need_denied(need, t->number)) {
         return true;
     }
+    uint32_t running = t->own_running + t->other_running;
     if (!need->prompt && need->limit > 0) {
-        uint32_t running = t->own_running + t->other_running;
-        return running >= slots && wg_balance_estimate_plain(t, running).wait > need->limit;
+        bool in_time = wg_balance_estimate_plain(t, running).wait <= need->limit;
+        return slots > 0 && running >= slots && !in_time;
     }
-    return slots > 0 && t->own_running + t->other_running >= slots * share;
+    return slots > 0 && running >= slots * share;
 }
 
-/* What a choice costs beside its wait, in tokens. */
+/* What a prompt's choice costs beside its wait, in tokens. */
 static uint32_t wg_balance_extra(const wg_balance_target* t, const wg_balance_homes* homes,
                                  const wg_choice* choice, const wg_need* need) {
     uint32_t far = homes->near ? WG_FAR_FROM_NEAR_HOME_TOKENS : WG_FAR_TOKENS;
     uint32_t extra = t->near ? 0 : far;
-    if (!need->prompt || !homes->first) {
-        return extra;
-    }
-    if (t == homes->near) {
+    if (!homes->first || t == homes->near) {
         return extra;
     }
     if (t == homes->second) {
@@ -297,6 +295,16 @@
     return extra + (t == homes->first ? 0 : WG_READ_AGAIN_FACTOR * again);
 }
 
+/* The same in microseconds, of any request. Without a prompt, another data centre costs as much as
+   one more request before this one. */
+static double wg_balance_extra_time(const wg_balance_target* t, const wg_balance_homes* homes,
+                                    const wg_choice* choice, const wg_need* need) {
+    if (need->prompt) {
+        return wg_balance_extra(t, homes, choice, need) / t->speed;
+    }
+    return t->near ? 0 : t->work;
+}
+
 /* A choice and what it costs; lower is better. */
 typedef struct {
     wg_choice choice;
@@ -308,10 +316,7 @@
                              wg_candidate* best) {
     WG_ASSERT(t != NULL);
     wg_choice c = wg_balance_estimate(b, t, now, need, homes);
-    double extra = need->prompt ? wg_balance_extra(t, homes, &c, need) / t->speed
-                   : t->near    ? 0
-                                : t->work;
-    int64_t cost = c.wait + (int64_t)extra;
+    int64_t cost = c.wait + (int64_t)wg_balance_extra_time(t, homes, &c, need);
     if (now < t->aside_until) {
         cost += WG_ASIDE_MAX; /* only when there is nothing else */
     }
--- a/tests/sim/soak_operator.c
+++ b/tests/sim/soak_operator.c
@@ -58,15 +58,21 @@
     g_free(o);
 }
 
-static void send_order(soak* s, bool put, int version) {
-    order* o = g_new0(order, 1);
+/* A connection to any host's orders address; it frees itself after one request. */
+static struct evhttp_connection* connect_to_orders(soak* s) {
     char ip[WG_ADDRESS_MAX];
     uint16_t port;
-    *o = (order){.s = s, .put = put, .version = version};
     wgn_split_address(soak_any_host(s)->orders, ip, &port);
     struct evhttp_connection* connection = evhttp_connection_base_new(s->base, NULL, ip, port);
     evhttp_connection_set_timeout(connection, 2);
     evhttp_connection_free_on_completion(connection);
+    return connection;
+}
+
+static void send_order(soak* s, bool put, int version) {
+    order* o = g_new0(order, 1);
+    *o = (order){.s = s, .put = put, .version = version};
+    struct evhttp_connection* connection = connect_to_orders(s);
     struct evhttp_request* request = evhttp_request_new(on_order, o);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
     if (put) {
@@ -98,12 +104,7 @@
 }
 
 static void send_evacuation(soak* s) {
-    char ip[WG_ADDRESS_MAX];
-    uint16_t port;
-    wgn_split_address(soak_any_host(s)->orders, ip, &port);
-    struct evhttp_connection* connection = evhttp_connection_base_new(s->base, NULL, ip, port);
-    evhttp_connection_set_timeout(connection, 2);
-    evhttp_connection_free_on_completion(connection);
+    struct evhttp_connection* connection = connect_to_orders(s);
     struct evhttp_request* request = evhttp_request_new(on_evacuation, s);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
     s->evacuation_open = true;
