A cold target is not asked what it holds

Two coordinators each granted 8, as they may; the other three were questions of new coordinators for its prompt parts, which wait for no grant. Ruled out: retries (each asks anew), arrivals held up by a proxy (both groups arrived as granted).

--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -366,6 +366,32 @@
 }
 END_TEST
 
+/* Seed 52022 of the fault soak: two coordinators granted a cold target what each may, and their
+   questions for its prompt parts came on top. */
+START_TEST(a_cold_target_is_not_asked_what_it_holds) {
+    static const char document[] =
+        "{\"version\":9,\"services\":[{\"name\":\"e\",\"cold_s\":3,\"cold_per_second\":3,"
+        "\"engine\":{\"slots\":4,\"memory_tokens\":100000}}],\"routes\":[],\"limits\":{},"
+        "\"workspaces\":[]}";
+    fake_word word = {.version = 9,
+                      .document = document,
+                      .target = target_at,
+                      .cold_us = 60 * WG_USEC_PER_SEC,
+                      .change = 2};
+    begin();
+    g_string_truncate(asked, 0);
+    word.target = target_at;
+    fake_control_leads(&leader, &word);
+    turns(300);
+    ck_assert_uint_eq(asked->len, 0);
+    word.cold_us = 0;
+    word.change = 3;
+    fake_control_leads(&leader, &word);
+    ck_assert(target_was_asked());
+    end();
+}
+END_TEST
+
 /* Status of an order to evacuate that has no body. */
 static int order_evacuation(const char* method, const char* path, const char* fields) {
     char answer[1024];
@@ -527,5 +553,5 @@
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
              a_configuration_only_moves_forward, an_evacuated_data_centre_gets_no_request,
-             a_cold_target_gets_no_more_than_it_bears, an_evacuation_is_passed_to_the_leader,
-             an_order_whose_sender_has_left_is_not_passed_on)
+             a_cold_target_gets_no_more_than_it_bears, a_cold_target_is_not_asked_what_it_holds,
+             an_evacuation_is_passed_to_the_leader, an_order_whose_sender_has_left_is_not_passed_on)
--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -47,6 +47,13 @@
 }
 END_TEST
 
+/* Seed 52022: a coordinator that was new asked a cold target what it holds, beside the requests
+   that two coordinators granted. */
+START_TEST(promises_hold_with_seeds_that_failed) {
+    run(52022, 12, 4, 3);
+}
+END_TEST
+
 WG_TEST_MAIN("hosts", a_calm_fleet_serves_all, promises_hold_while_targets_fail,
              drained_targets_get_nothing, promises_hold_under_faults,
-             promises_hold_with_an_even_core)
+             promises_hold_with_an_even_core, promises_hold_with_seeds_that_failed)
