A coordinator heeds that the asker knows a target as cold

Its coordinator had lost the leader 3.5 s before and did not know the target, so it had no rate for it and granted all. The askers knew, and said only that it is cold. Ruled out: hosts that disagree on who coordinates (all 30 were admitted by one), late arrivals.

Change: a question names the rate that the asker knows; the lower of both holds.

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -241,7 +241,7 @@
 
 /* Has a cold target had as many requests as it is granted in a second? */
 static bool wg_admit_is_over_rate(wg_admit_account* account, wg_time now, double rate) {
-    if (rate <= 0 || rate > WG_ADMIT_RATE_MAX) {
+    if (!(rate > 0) || rate > WG_ADMIT_RATE_MAX) {
         return false;
     }
     int most = wg_admit_cold_share(rate);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -203,7 +203,7 @@
     ask.ahead_us = (uint64_t)request->limits.ahead;
     ask.ahead_large_us = (uint64_t)request->limits.ahead_large;
     ask.spares_shared = request->limits.spares_shared;
-    ask.cold = request->rate_most > 0;
+    ask.cold_rate = request->rate_most;
     return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
 }
 
@@ -339,6 +339,16 @@
     c->up = false;
 }
 
+/* What the asker says counts too: a coordinator that has lost the leader may not know the target,
+   or not that it is cold. The lower of two rates holds. */
+static double wg_coordinator_cold_rate(const wg_entry* e, const Wgpb__AdmitAsk* ask) {
+    double own = wg_entry_cold_rate(e, ask->target);
+    if (own <= 0 || ask->cold_rate <= 0) {
+        return MAX(own, ask->cold_rate);
+    }
+    return MIN(own, ask->cold_rate);
+}
+
 /* A question of another host. False when it is malformed. */
 static bool wg_entry_admit_take_ask(wg_entry* e, wgn_link link, const wgw_frame* frame) {
     Wgpb__AdmitAsk* in = wgpb__admit_ask__unpack(NULL, frame->size, frame->payload);
@@ -356,8 +366,7 @@
                           .copied = in->copied,
                           .running_most = in->running_most,
                           .memory = service ? service->memory_tokens : 0,
-                          .rate_most = in->cold && service ? service->cold_rate
-                                                           : wg_entry_cold_rate(e, in->target),
+                          .rate_most = wg_coordinator_cold_rate(e, in),
                           .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
                                      (wg_time)in->ahead_large_us, in->spares_shared}};
     memcpy(r.parts, in->parts, sizeof *in->parts * in->n_parts);
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -870,9 +870,9 @@
   uint64_t ahead_large_us;
   protobuf_c_boolean spares_shared;
   /*
-   * the target is, as far as the asker knows
+   * requests a second that the target bears, as far as the asker knows; 0: any
    */
-  protobuf_c_boolean cold;
+  double cold_rate;
 };
 #define WGPB__ADMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_ask__descriptor) \
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -392,6 +392,74 @@
 }
 END_TEST
 
+/* ---- another entry host that asks for admissions ---- */
+
+static wgn_link asker_link;
+static int admissions_granted;
+static int admissions_answered;
+
+static void asker_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)peer;
+    (void)user_data;
+    asker_link = link;
+}
+
+static void asker_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    (void)link;
+    (void)user_data;
+    if (frame->type == WGW_TYPE_ADMIT_ANSWER) {
+        Wgpb__AdmitAnswer* in = wgpb__admit_answer__unpack(NULL, frame->size, frame->payload);
+        admissions_answered++;
+        admissions_granted += in->granted;
+        wgpb__admit_answer__free_unpacked(in, NULL);
+    }
+}
+
+static void asker_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    (void)user_data;
+}
+
+/* Seed 72010 of the fault soak: a coordinator that had lost the leader did not know a target that
+   had started since, nor that it was cold, and granted all that was asked for, 30 requests in 0.3
+   s. */
+START_TEST(a_coordinator_heeds_that_the_asker_knows_a_target_as_cold) {
+    wgn_peer self = {.name = "other", .role = WGW_ROLE_ENTRY, .address = "127.0.0.1:1"};
+    char* fleet = local_address(11, 18005);
+    begin();
+    wgn_net* net = wgn_setup(&(wgn_desc){.base = base,
+                                         .fleet_key = "a key for the fleet",
+                                         .self = self,
+                                         .on_up = asker_on_up,
+                                         .on_frame = asker_on_frame,
+                                         .on_down = asker_on_down},
+                             NULL);
+    wgn_dial(net, fleet);
+    for (int i = 0; i < TURNS && !asker_link.id; i++) {
+        local_turn(base);
+    }
+    ck_assert_uint_ne(asker_link.id, 0);
+    for (uint64_t ticket = 1; ticket <= COLD_CALLS; ticket++) {
+        Wgpb__AdmitAsk ask = WGPB__ADMIT_ASK__INIT;
+        ask.ticket = ticket;
+        ask.target = 77; /* not in this host's registry */
+        ask.tokens = 10;
+        ask.whole_us = ask.ahead_us = ask.ahead_large_us = 1000 * WG_USEC_PER_SEC;
+        ask.cold_rate = COLD_RATE;
+        ck_assert(wgn_send(net, asker_link, WGW_TYPE_ADMIT_ASK, &ask.base));
+    }
+    for (int i = 0; i < TURNS && admissions_answered < COLD_CALLS; i++) {
+        local_turn(base);
+    }
+    ck_assert_int_eq(admissions_answered, COLD_CALLS);
+    ck_assert_int_eq(admissions_granted, COLD_RATE);
+    wgn_shutdown(net);
+    g_free(fleet);
+    end();
+}
+END_TEST
+
 /* Status of an order to evacuate that has no body. */
 static int order_evacuation(const char* method, const char* path, const char* fields) {
     char answer[1024];
@@ -554,4 +622,5 @@
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
              a_configuration_only_moves_forward, an_evacuated_data_centre_gets_no_request,
              a_cold_target_gets_no_more_than_it_bears, a_cold_target_is_not_asked_what_it_holds,
+             a_coordinator_heeds_that_the_asker_knows_a_target_as_cold,
              an_evacuation_is_passed_to_the_leader, an_order_whose_sender_has_left_is_not_passed_on)
