--- a/tests/test_hosts.c
+++ b/tests/test_hosts.c
@@ -48,9 +48,12 @@
 END_TEST
 
 /* Seed 52022: a coordinator that was new asked a cold target what it holds, beside the requests
-   that two coordinators granted. */
+   that two coordinators granted. Seeds 72010 and 71016: a coordinator that had lost the leader, or
+   had just started, did not know that a target was cold. */
 START_TEST(promises_hold_with_seeds_that_failed) {
     run(52022, 12, 4, 3);
+    run(72010, 12, 4, 3);
+    run(71016, 12, 4, 3);
 }
 END_TEST
 
