A host that has just started leaves cold targets alone

Cause, found on reading: after all processes ended each host is told the entry hosts heard of so far, so their lists differ for up to 1.5 s, and many take themselves for the coordinator of one target; each grants its share. A coordinator that ends and starts again within a second grants it twice. Two of them keep the bound, more do not (FAILBACK counts all hosts, in touch or not).

Change: for 3 s after its start (cold_settle_ms: an election, and the 1.5 s after which a new leader tells all hosts, with some room) a host sends nothing to cold targets and grants none to others. Only services that name a cold rate are concerned. Test: test_entry_promises a_host_that_has_just_started_leaves_cold_targets_alone does not compile before.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -33,6 +33,10 @@
               "silence after which the link to a control is closed"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
               "wait for the leader's answer to an order"),
+    /* An election (0.5 s) and the 1.5 s after which a new leader tells all hosts, with some room.
+     */
+    WG_NUMBER("timing", cold_settle_ms, "3000", 0, 60000, "ms",
+              "after the start, before cold targets are sent anything or granted to others"),
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "of first sends that the fleet may send again"),
     WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends", "beyond, of the fleet in a window"),
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -152,6 +152,10 @@
     return service ? service->cold_rate : 0;
 }
 
+bool wg_entry_feeds_cold(const wg_entry* e, wg_time now) {
+    return now - e->started_at >= e->settings->cold_settle_ms * WG_USEC_PER_MSEC;
+}
+
 /* ---- helpers: questions ---------------------------------------------------------------------- */
 
 static wg_admit_request wg_call_admit_request(const wg_call* call, const wg_admit_limits* limits,
@@ -181,6 +185,9 @@
 
 /* Decide on a request of any host, this one (holder 0) too. */
 static wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request) {
+    if (request->rate_most > 0 && !wg_entry_feeds_cold(e, wg_now())) {
+        return (wg_admit_answer){.granted = false};
+    }
     wg_balance_load_of(e->balance, request->target, &request->floor_unread,
                        &request->floor_running);
     return wg_admit_ask(e->admit, wg_now(), request);
@@ -221,6 +228,10 @@
     wg_coordinator* c = wg_coordinator_of(e, call->proposed.target);
     uint64_t ticket = ++e->counter;
     wg_admit_request request = wg_call_admit_request(call, limits, ticket);
+    if (request.rate_most > 0 && !wg_entry_feeds_cold(e, now)) {
+        wg_call_admit_unanswered(call, now);
+        return;
+    }
     if (c && c->self) {
         wg_admit_answer answer = wg_entry_admit_decide(e, &request);
         wg_call_take_admission(call, c, ticket, &answer);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -315,6 +315,9 @@
 
 /* Requests a second that the target bears now, of all hosts together; 0: any, it is not cold. */
 double wg_entry_cold_rate(const wg_entry* e, uint32_t target);
+/* May this host send to cold targets, and grant them to others? After a start the lists of entry
+   hosts are not whole: many would take themselves for the coordinator of the same target. */
+bool wg_entry_feeds_cold(const wg_entry* e, wg_time now);
 /* Does this host coordinate the target? */
 bool wg_entry_admit_coordinates(wg_entry* e, uint32_t target);
 
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -92,6 +92,9 @@
 /* Descriptors of the next entry host; 0: not told. */
 static int64_t fake_entry_descriptors;
 
+/* How long the next entry host leaves cold targets alone, in milliseconds. */
+static int64_t fake_entry_cold_settle_ms;
+
 /* An entry host that knows these seeds. */
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
@@ -109,6 +112,7 @@
                                    .grace_s = 8,
                                    .link_silence_ms = 1200,
                                    .order_ms = 900,
+                                   .cold_settle_ms = fake_entry_cold_settle_ms,
                                    .retry_window_ms = 10000,
                                    .descriptors = fake_entry_descriptors,
                                    .callers_max = 1000};
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -366,6 +366,26 @@
 }
 END_TEST
 
+/* After a start the hosts' lists differ: each could take itself for the coordinator of every
+ * target. */
+START_TEST(a_host_that_has_just_started_leaves_cold_targets_alone) {
+    char answer[1024];
+    fake_entry_cold_settle_ms = 1000;
+    begin();
+    lead_targets(NULL, 60 * WG_USEC_PER_SEC, 2);
+    int fd = caller("/a/x", "");
+    ck_assert_int_eq(status_of(fd, answer), 503);
+    ck_assert_int_eq(requests_at_target(), 0);
+    close(fd);
+    turns(1000);
+    fd = caller("/a/x", "");
+    ck_assert(target_was_asked());
+    close(fd);
+    end();
+    fake_entry_cold_settle_ms = 0;
+}
+END_TEST
+
 /* Seed 52022 of the fault soak: two coordinators granted a cold target what each may, and their
    questions for its prompt parts came on top. */
 START_TEST(a_cold_target_is_not_asked_what_it_holds) {
@@ -622,5 +642,6 @@
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
              a_configuration_only_moves_forward, an_evacuated_data_centre_gets_no_request,
              a_cold_target_gets_no_more_than_it_bears, a_cold_target_is_not_asked_what_it_holds,
+             a_host_that_has_just_started_leaves_cold_targets_alone,
              a_coordinator_heeds_that_the_asker_knows_a_target_as_cold,
              an_evacuation_is_passed_to_the_leader, an_order_whose_sender_has_left_is_not_passed_on)
