Sight: who leads, who counts, who held a version, how late a loop turns

The record could not tell three hypotheses apart: nothing said which replicas were voters and which of them answered, that a host had no leader, or that a loop was late.

- WG3008, WG3009: a host lost its leader, still has none (after 1, 2, 4 s and so on)
- WG4010: no replica leads as far as this one knows, with the set and the voters that are up
- WG1010: a loop turned late, at most once a second, with a histogram beside it
- WG4006 names voters, learners and those that are down; WG5006 index, term and who holds it
- WG5010 at info: orders but heartbeats that went well, with leader and time
- WG2012 with the request's id, leader and age of the state
- links on which word is given to a seed were closed each 400 ms with a warning; they say nothing now

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -18,6 +18,7 @@
     X(1007, RELOAD_REFUSED, WARN, "settings are wrong, the earlier ones stay")                     \
     X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
     X(1009, FIRST_SERVED, INFO, "first request served since the start")                            \
+    X(1010, LOOP_LATE, WARN, "the loop turned late, what was due had to wait")                     \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
     X(2003, TARGET_ASIDE, WARN, "target put aside after failures")                                 \
@@ -33,6 +34,8 @@
     X(3005, TABLE_LEASE_LOST, WARN, "table lease ended, new work is refused")                      \
     X(3006, TABLE_LEASE_HELD, INFO, "table lease held, new work is taken")                         \
     X(3007, LINK_SLOW, WARN, "peer does not take what is sent, link closed")                       \
+    X(3008, LEADER_LOST, WARN, "this host has no leader, it goes on with what it has")             \
+    X(3009, LEADER_MISSING, WARN, "this host still has no leader")                                 \
     X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
     X(4002, STORE_FAILED, ERROR, "storage failed, process ends")                                   \
     X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log removed")                                  \
@@ -43,6 +46,7 @@
     X(4008, STORE_SUSPENDED, WARN,                                                                 \
       "disk takes no writes, this replica stands aside until it does")                             \
     X(4009, STORE_RESUMED, INFO, "disk takes writes again, this replica takes part again")         \
+    X(4010, MAJORITY_MISSING, WARN, "no replica leads as far as this one knows")                   \
     X(5001, EDIT_ACCEPTED, INFO, "table edit accepted")                                            \
     X(5002, EDIT_REFUSED, INFO, "table edit refused")                                              \
     X(5003, MEMBER_UP, INFO, "router is a member")                                                 \
@@ -52,7 +56,7 @@
     X(5007, CONFIGURATION_IN_FORCE, INFO, "configuration in force at this entry host")             \
     X(5008, CONFIGURATION_REFUSED, WARN, "configuration refused")                                  \
     X(5009, TARGET_AGREED, INFO, "target registered or changed")                                   \
-    X(5010, ORDER_ANSWERED, DEBUG, "order of an operator or a target answered")                    \
+    X(5010, ORDER_ANSWERED, INFO, "order of an operator or a target answered")                     \
     X(5011, EVACUATION_AGREED, INFO, "evacuation of a data centre begun or ended")                 \
     X(5012, EVACUATION_IN_FORCE, INFO, "evacuated data centres as this entry host has them")       \
     X(2009, REQUEST_ENDED, INFO, "request of a route ended")                                       \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -217,6 +217,9 @@
 
 void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wgco_control* c = user_data;
+    if (_wgco_discovery_is_word(c, link)) {
+        return; /* closed by this control, word was given */
+    }
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
         known->link = (wgn_link){0};
@@ -307,6 +310,7 @@
     if (c->failed) {
         return;
     }
+    _wgco_watch_tick(c, now);
     _wgco_follow_leadership(c, now);
     _wgco_log_role(c, now);
     _wgco_discovery_tick(c, now);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -3,6 +3,7 @@
 #include <event2/event.h>
 
 #include "wg_control.h"
+#include "wg_watch.h"
 
 enum {
     WG_CONTROL_SEEDS_MAX = 8,
@@ -156,6 +157,10 @@
     wg_time plan_cost;
     wg_time planned_at;
 
+    /* what is told of trouble that lasts (wg_control_watch.c) */
+    wg_pulse pulse;
+    wg_absence leaderless;
+
     /* counters */
     uint64_t edits;
     uint64_t claims_asked;
@@ -248,6 +253,17 @@
 /* An entry host tells of the controls that it knows. */
 void _wgco_discovery_take_word(wgco_control* c, const wgw_frame* frame);
 
+/* what this control sees of itself and of the set (wg_control_watch.c) */
+/* A line when the loop turned late, or when nobody has led for a while. */
+void _wgco_watch_tick(wgco_control* c, wg_time now);
+/* The set as a log line's detail: voters, learners, and those whose link is down; the caller frees
+   it. */
+char* _wgco_describe_set(const wgco_control* c);
+/* Names of the replicas that this leader knows to hold the log up to an index; the caller frees it.
+ */
+char* _wgco_describe_holders(const wgco_control* c, uint64_t index);
+void _wgco_watch_metrics(const wgco_control* c, GString* out);
+
 /* operators (wg_control_http.c) */
 bool _wgco_http_setup(wgco_control* c, GError** error);
 void _wgco_answer_edit(wgco_control* c, struct evhttp_request* request, const wgt_result* result);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -234,7 +234,10 @@
     if (entry->kind == WGR_ENTRY_DATA) {
         _wgco_apply_command(c, entry, waiter);
     } else if (entry->kind == WGR_ENTRY_REPLICAS) {
-        wg_log(WG_EVENT_REPLICA_CHANGE, "replicas=%d", wgr_query_set(c->node)->num);
+        char* set = _wgco_describe_set(c);
+        wg_log(WG_EVENT_REPLICA_CHANGE, "index=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT " %s",
+               entry->index, entry->term, set);
+        g_free(set);
     }
     g_free(waiter);
 }
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -117,12 +117,21 @@
     _wgco_answer_order(c, waiter->link, waiter->ticket, agreed ? WG_ORDER_DONE : WG_ORDER_UNKNOWN);
 }
 
+/* On which replicas it stands is known to the leader only, and not while a snapshot is read. */
+static void _wgco_log_agreed(const wgco_control* c) {
+    char* holders = c->node && c->leads ? _wgco_describe_holders(c, c->applied) : g_strdup("-");
+    wg_log(WG_EVENT_CONFIGURATION_AGREED,
+           "version=%" G_GUINT64_FORMAT " index=%" G_GUINT64_FORMAT " term=%" G_GUINT64_FORMAT
+           " holders=%s bytes=%zu packed=%zu",
+           c->documents.version, c->applied, c->applied_term, holders,
+           g_bytes_get_size(c->documents.document), g_bytes_get_size(c->documents.packed));
+    g_free(holders);
+}
+
 void _wgco_apply_configuration(wgco_control* c, const Wgpb__Configuration* in) {
     GError* error = NULL;
     if (_wgco_documents_apply(&c->documents, in, &error)) {
-        wg_log(WG_EVENT_CONFIGURATION_AGREED, "version=%" G_GUINT64_FORMAT " bytes=%zu packed=%zu",
-               in->version, g_bytes_get_size(c->documents.document),
-               g_bytes_get_size(c->documents.packed));
+        _wgco_log_agreed(c);
         _wgco_entry_push_soon(c);
     } else if (error) {
         wg_log(WG_EVENT_CONFIGURATION_REFUSED, "version=%" G_GUINT64_FORMAT " %s", in->version,
--- /dev/null
+++ b/lib/control/wg_control_watch.c
@@ -0,0 +1,122 @@
+/* wg_control_watch.c -- lines and figures about a control's own loop, the replica set, and a leader
+   that is missing */
+#include "wg_control_internal.h"
+
+#include <string.h>
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static bool _wgco_is_up(const wgco_control* c, const wgr_replica* replica) {
+    if (replica->id == wgs_query_content(c->store)->identity) {
+        return true;
+    }
+    for (int i = 0; i < c->peers_num; i++) {
+        if (c->peers[i].up && c->peers[i].identity == replica->id) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void _wgco_append_name(GString* list, const char* name) {
+    g_string_append_printf(list, "%s%s", list->len ? "," : "", name);
+}
+
+static const char* _wgco_or_dash(const GString* list) {
+    return list->len ? list->str : "-";
+}
+
+static int _wgco_voters_up(const wgco_control* c) {
+    const wgr_set* set = wgr_query_set(c->node);
+    int up = 0;
+    for (int i = 0; i < set->num; i++) {
+        up += set->replicas[i].voter && _wgco_is_up(c, &set->replicas[i]);
+    }
+    return up;
+}
+
+static const char* _wgco_role_name(wgr_role role) {
+    switch (role) {
+    case WGR_ROLE_LEADER:
+        return "leader";
+    case WGR_ROLE_PRE_CANDIDATE:
+    case WGR_ROLE_CANDIDATE:
+        return "candidate";
+    default:
+        return "follower";
+    }
+}
+
+static void _wgco_tell_missing_leader(wgco_control* c, wg_time now) {
+    wgr_stats stats = wgr_query_stats(c->node, now);
+    bool own = stats.role == WGR_ROLE_LEADER;
+    bool present = own ? wgr_leads(c->node, now) : stats.leader != 0;
+    if (!wg_absence_note(&c->leaderless, present, now)) {
+        return;
+    }
+    char* set = _wgco_describe_set(c);
+    wg_log(WG_EVENT_MAJORITY_MISSING,
+           "for_ms=%" G_GINT64_FORMAT " role=%s term=%" G_GUINT64_FORMAT " last=%" G_GUINT64_FORMAT
+           " commit=%" G_GUINT64_FORMAT " voters_up=%d elections=%" G_GUINT64_FORMAT " %s",
+           wg_absence_length(&c->leaderless, now) / WG_USEC_PER_MSEC, _wgco_role_name(stats.role),
+           stats.term, stats.last_index, stats.commit, _wgco_voters_up(c), stats.elections, set);
+    g_free(set);
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+char* _wgco_describe_set(const wgco_control* c) {
+    const wgr_set* set = wgr_query_set(c->node);
+    GString* voters = g_string_new(NULL);
+    GString* learners = g_string_new(NULL);
+    GString* down = g_string_new(NULL);
+    for (int i = 0; i < set->num; i++) {
+        const wgr_replica* replica = &set->replicas[i];
+        _wgco_append_name(replica->voter ? voters : learners, replica->name);
+        if (!_wgco_is_up(c, replica)) {
+            _wgco_append_name(down, replica->name);
+        }
+    }
+    char* text =
+        g_strdup_printf("replicas=%d voters=%s learners=%s down=%s", set->num,
+                        _wgco_or_dash(voters), _wgco_or_dash(learners), _wgco_or_dash(down));
+    g_string_free(voters, TRUE);
+    g_string_free(learners, TRUE);
+    g_string_free(down, TRUE);
+    return text;
+}
+
+char* _wgco_describe_holders(const wgco_control* c, uint64_t index) {
+    const wgr_set* set = wgr_query_set(c->node);
+    GString* holders = g_string_new(NULL);
+    for (int i = 0; i < set->num; i++) {
+        if (wgr_query_match(c->node, set->replicas[i].id) >= index) {
+            _wgco_append_name(holders, set->replicas[i].name);
+        }
+    }
+    return g_string_free(holders, FALSE);
+}
+
+void _wgco_watch_tick(wgco_control* c, wg_time now) {
+    wg_time late;
+    wg_time period = c->settings->tick_ms * WG_USEC_PER_MSEC;
+    if (wg_pulse_beat(&c->pulse, now, period, &late)) {
+        wg_log(WG_EVENT_LOOP_LATE, "late_ms=%" G_GINT64_FORMAT " leads=%d entries=%u",
+               late / WG_USEC_PER_MSEC, c->leads, g_hash_table_size(c->entries));
+    }
+    _wgco_tell_missing_leader(c, now);
+}
+
+void _wgco_watch_metrics(const wgco_control* c, GString* out) {
+    const wgr_set* set = wgr_query_set(c->node);
+    int voters = 0;
+    for (int i = 0; i < set->num; i++) {
+        voters += set->replicas[i].voter;
+    }
+    g_string_append_printf(out,
+                           "walnutgate_voters %d\nwalnutgate_voters_up %d\nwalnutgate_learners %d\n"
+                           "walnutgate_leaderless_seconds %.3f\n",
+                           voters, _wgco_voters_up(c), set->num - voters,
+                           (double)wg_absence_length(&c->leaderless, wg_now()) / WG_USEC_PER_SEC);
+    wg_hist_print(&c->pulse.late, "walnutgate_loop_late_seconds", "", 1e6, out);
+}
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -131,6 +131,11 @@
     (void)what;
     wg_entry* e = user_data;
     wg_time now = wg_now();
+    wg_time late;
+    if (wg_pulse_beat(&e->pulse, now, WG_TICK, &late)) {
+        wg_log(WG_EVENT_LOOP_LATE, "late_ms=%" G_GINT64_FORMAT " calls=%d callers=%u",
+               late / WG_USEC_PER_MSEC, e->calls_num, e->clients->len);
+    }
     wg_entry_link_tick(e, now);
     wg_entry_admit_tick(e, now);
     wg_entry_cache_tick(e, now);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -434,14 +434,29 @@
 
 /* ---- functions of the library ---------------------------------------------------------------- */
 
-static void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body, int status,
-                         const char* code) {
+static void wg_call_log_denial(wg_entry* e, const wg_message_head* head, int status,
+                               const char* code) {
+    enum {
+        ID_SHOWN = 64 /* bytes; ids longer than that are cut off in the log */
+    };
+    wg_time now = wg_now();
+    wg_text id = wg_message_field(head, e->names->request_id);
+    if (!wg_entry_may_log(e, now)) {
+        return;
+    }
+    wg_log(WG_EVENT_CONNECTION_REFUSED,
+           "id=%.*s status=%d code=%s version=%" G_GUINT64_FORMAT
+           " leader=%d state_age_ms=%" G_GINT64_FORMAT,
+           (int)MIN(id.size, (size_t)ID_SHOWN), id.text ? id.text : "", status, code,
+           e->config ? e->config->version : 0, e->leader_known,
+           (now - e->state_at) / WG_USEC_PER_MSEC);
+}
+
+static void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body,
+                         const wg_message_head* head, int status, const char* code) {
     wg_entry* e = client->entry;
     bool keep = client->keep && !e->stopping;
-    if (wg_entry_may_log(e, wg_now())) {
-        wg_log(WG_EVENT_CONNECTION_REFUSED, "status=%d code=%s version=%" G_GUINT64_FORMAT, status,
-               code, e->config ? e->config->version : 0);
-    }
+    wg_call_log_denial(e, head, status, code);
     wg_client_refuse(client, status, code, status == 503 ? 0.5 : 0, keep);
     evbuffer_free(body);
     g_free(bytes);
@@ -455,19 +470,19 @@
     WG_ASSERT(bad == 0);
     e->counters.requests++;
     if (!e->config || !e->registry_known) {
-        wg_call_deny(client, bytes, body, 503, "no_configuration_yet");
+        wg_call_deny(client, bytes, body, &head, 503, "no_configuration_yet");
         return;
     }
     const wg_route* route =
         wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
     if (!route) {
-        wg_call_deny(client, bytes, body, 404, "no_route");
+        wg_call_deny(client, bytes, body, &head, 404, "no_route");
         return;
     }
     const wg_workspace* workspace =
         wg_config_workspace(e->config, wg_message_field(&head, e->names->key));
     if (!workspace && !route->open && e->config->workspaces_num > 0) {
-        wg_call_deny(client, bytes, body, 401, "unknown_key");
+        wg_call_deny(client, bytes, body, &head, 401, "unknown_key");
         return;
     }
     wg_call* call = g_new0(wg_call, 1);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -14,6 +14,7 @@
 #include "wg_policy.h"
 #include "wg_retry.h"
 #include "wg_roster.h"
+#include "wg_watch.h"
 
 enum {
     WG_CONTROLS_MAX = 24,
@@ -165,6 +166,9 @@
     GByteArray* packed;             /* Order */
     bool sent;
     bool read;
+    bool of_target;   /* a heartbeat or a leave */
+    uint64_t version; /* of the configuration that it carries; 0: none */
+    wg_time since;
     wg_time until;
 } wg_entry_order;
 
@@ -242,6 +246,7 @@
     wg_time dial_at;
     wg_time report_at;
     wg_time state_at;      /* last word of a leader */
+    wg_absence leaderless; /* what is told of a leader that is missing */
     wg_time leaderless_at; /* the control at the other end knew no leader first then; 0: it does */
     wg_time report_gap;
     uint64_t report_seq;
@@ -260,6 +265,7 @@
     wgh_server orders_server;
 
     wg_entry_counters counters;
+    wg_pulse pulse;     /* how late the tick comes */
     wg_hist first_time; /* microseconds to the first byte of an answer */
     wg_hist total_time;
     wg_time log_second;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -244,6 +244,13 @@
 static void wg_entry_take_redirect(wg_entry* e, const char* leader_address, wg_time now) {
     const wgn_peer* peer = wgn_query_peer(e->net, e->link);
     bool elsewhere = leader_address[0] && !(peer && strcmp(peer->address, leader_address) == 0);
+    if (e->leader_known) {
+        wg_log(WG_EVENT_LEADER_LOST,
+               "control=%s leads no more, names=%s state_age_ms=%" G_GINT64_FORMAT
+               " version=%" G_GUINT64_FORMAT,
+               peer ? peer->name : "-", leader_address[0] ? leader_address : "-",
+               (now - e->state_at) / WG_USEC_PER_MSEC, e->config ? e->config->version : 0);
+    }
     e->leader_known = false;
     if (elsewhere) {
         wg_entry_relink(e, leader_address);
@@ -403,6 +410,18 @@
     wg_entry_orders_link_lost(e);
 }
 
+static void wg_entry_tell_missing_leader(wg_entry* e, wg_time now) {
+    if (!wg_absence_note(&e->leaderless, e->leader_known, now)) {
+        return;
+    }
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    wg_log(WG_EVENT_LEADER_MISSING,
+           "for_ms=%" G_GINT64_FORMAT " control=%s controls=%d asked=%d version=%" G_GUINT64_FORMAT
+           " orders=%u",
+           wg_absence_length(&e->leaderless, now) / WG_USEC_PER_MSEC, peer ? peer->name : "-",
+           e->controls.num, e->control_next, e->config ? e->config->version : 0, e->orders.length);
+}
+
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
     if (wg_entry_admit_on_frame(e, link, frame)) {
@@ -463,6 +482,7 @@
 
 void wg_entry_link_tick(wg_entry* e, wg_time now) {
     wg_entry_orders_tick(e, now);
+    wg_entry_tell_missing_leader(e, now);
     wg_entry_dial(e, now);
     wg_time quiet = now - e->state_at;
     bool leaderless = e->leaderless_at && now - e->leaderless_at > WG_LEADERLESS_TIME;
--- a/lib/entry/wg_entry_orders.c
+++ b/lib/entry/wg_entry_orders.c
@@ -37,6 +37,27 @@
     }
 }
 
+/* Heartbeats come by the hundred a second: of these only what was not done is told. */
+static void wg_entry_log_order(wg_entry* e, const wg_entry_order* order, wg_order_outcome outcome,
+                               wg_time now) {
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    bool plain = order->of_target && outcome == WG_ORDER_DONE;
+    if (plain || !wg_entry_may_log(e, now)) {
+        return;
+    }
+    wg_log(WG_EVENT_ORDER_ANSWERED,
+           "kind=%s version=%" G_GUINT64_FORMAT " outcome=%s after_ms=%" G_GINT64_FORMAT
+           " control=%s leader=%d leaderless_ms=%" G_GINT64_FORMAT " sender=%s",
+           order->of_target ? "target"
+           : order->read    ? "read"
+           : order->version ? "configuration"
+                            : "evacuation",
+           order->version, wgw_outcome_name(outcome), (now - order->since) / WG_USEC_PER_MSEC,
+           peer ? peer->name : "-", e->leader_known,
+           wg_absence_length(&e->leaderless, now) / WG_USEC_PER_MSEC,
+           order->request ? "waits" : "left");
+}
+
 /* Whose sender has left was perhaps sent again elsewhere, and the opposite after it. */
 static bool wg_entry_order_is_stale(struct evhttp_request* request) {
     struct evhttp_connection* connection = evhttp_request_get_connection(request);
@@ -54,8 +75,11 @@
     order->ticket = message.ticket;
     order->request = request;
     order->read = desc->read_configuration;
+    order->of_target = desc->target != NULL;
+    order->version = desc->configuration ? desc->configuration->version : 0;
     order->packed = wgw_pack(&message.base);
-    order->until = wg_now() + e->settings->order_ms * WG_USEC_PER_MSEC;
+    order->since = wg_now();
+    order->until = order->since + e->settings->order_ms * WG_USEC_PER_MSEC;
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), wg_entry_order_forget,
                                   order);
     g_queue_push_tail(&e->orders, order);
@@ -65,6 +89,7 @@
 static void wg_entry_order_end(wg_entry* e, GList* at, wg_order_outcome outcome, GBytes* document) {
     wg_entry_order* order = at->data;
     g_queue_delete_link(&e->orders, at);
+    wg_entry_log_order(e, order, outcome, wg_now());
     if (order->request) {
         evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
         wg_entry_order_answer(order->request, outcome, document);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -56,6 +56,18 @@
                      (json_int_t)e->counters.tries);
 }
 
+static void wg_pages_leader_metrics(wg_entry* e, GString* out) {
+    wg_time now = wg_now();
+    g_string_append_printf(out,
+                           "walnutgate_entry_leader_known %d\n"
+                           "walnutgate_entry_leaderless_seconds %.3f\n"
+                           "walnutgate_entry_configuration_version %" G_GUINT64_FORMAT "\n",
+                           e->leader_known,
+                           (double)wg_absence_length(&e->leaderless, now) / WG_USEC_PER_SEC,
+                           e->config ? e->config->version : 0);
+    wg_hist_print(&e->pulse.late, "walnutgate_loop_late_seconds", "", 1e6, out);
+}
+
 static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -89,6 +101,7 @@
                            "walnutgate_entry_evacuated_data_centres %u\n",
                            e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len);
     wgn_print_metrics(e->net, out);
+    wg_pages_leader_metrics(e, out);
     wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
     wgh_reply_text(request, 200, "text/plain", out->str);
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -16,6 +16,12 @@
     head[7] = 0;
 }
 
+const char* wgw_outcome_name(wg_order_outcome outcome) {
+    static const char* names[WG_ORDER_NUM] = {"none",    "done",    "not-leader",
+                                              "unknown", "invalid", "no-configuration"};
+    return outcome >= 0 && outcome < WG_ORDER_NUM ? names[outcome] : "unheard-of";
+}
+
 const char* wgw_type_name(wgw_type type) {
     static const char* const names[WGW_TYPE_NUM] = {[WGW_TYPE_DEFAULT] = "none",
                                                     [WGW_TYPE_HELLO] = "hello",
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -68,6 +68,9 @@
     WG_ORDER_NUM
 } wg_order_outcome;
 
+/* Name of an outcome, as logs show it. */
+const char* wgw_outcome_name(wg_order_outcome outcome);
+
 /* Who is at the other end of a link. */
 typedef enum {
     WGW_ROLE_DEFAULT = 0,
