Reproduced, failing: a replaced replica stays a voter, and a lost disk takes the majority

With real processes and the deployed waits: three hosts, the third replaced, then the second's disk lost; and the same with a planned replacement, where the newcomer joins first. Logs of the latter: voters_up=2 of 4 from the loss to the end, hosts without a leader, reads 503.

--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -23,6 +23,7 @@
     bool disk;
     pid_t entry;   /* 0: not running */
     pid_t replica; /* 0: not running, or no replica there */
+    bool back;     /* a test's note: it is to be started again */
     proxy* links;  /* of all who connect to the replica */
     char callers[WG_ADDRESS_MAX];
     char orders[WG_ADDRESS_MAX];
@@ -57,11 +58,14 @@
     host_target targets[HOST_TARGETS_MAX];
     int targets_num;
     bool started_before;
-    bool spoiled; /* targets cut, fail and refuse a part of their requests */
+    char* replica_timing; /* lines of the replicas' group timing */
+    bool spoiled;         /* targets cut, fail and refuse a part of their requests */
 } hosts;
 
 /* Fill in addresses and proxies; nothing is started. The first `disks` hosts have a disk. */
 void hosts_setup(hosts* h, struct event_base* base, int num, int disks, int targets);
+/* Replicas wait and beat as deploy/replica.ini says, read from the folder that the test runs in. */
+void hosts_use_deployed_timing(hosts* h);
 void hosts_start_entry(hosts* h, host* which);
 void hosts_start_replica(hosts* h, host* which);
 void hosts_start_target(hosts* h, host_target* which);
--- /dev/null
+++ b/tests/sim/hosts_operator.c
@@ -0,0 +1,116 @@
+/* hosts_operator.c -- see hosts_operator.h */
+#include "hosts_operator.h"
+
+#include <event2/buffer.h>
+#include <event2/event.h>
+#include <event2/http.h>
+#include <jansson.h>
+
+#include "wg_net.h"
+
+enum {
+    ORDER_SECONDS = 2,
+    AGAIN_MS = 100 /* between two tries */
+};
+
+typedef struct {
+    struct event_base* base;
+    bool over;
+    int status;
+    int version;
+} answer;
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static char* document(int version) {
+    return g_strdup_printf("{\"version\":%d,\"services\":[{\"name\":\"app\"}],\"routes\":[{"
+                           "\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"safe\","
+                           "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":2,"
+                           "\"service\":\"app\"}],\"limits\":{},\"workspaces\":[]}",
+                           version);
+}
+
+static void on_answer(struct evhttp_request* request, void* user_data) {
+    answer* a = user_data;
+    a->over = true;
+    a->status = request ? evhttp_request_get_response_code(request) : 0;
+    if (a->status == 200) {
+        struct evbuffer* in = evhttp_request_get_input_buffer(request);
+        size_t size = evbuffer_get_length(in);
+        json_t* json = json_loadb((const char*)evbuffer_pullup(in, -1), size, 0, NULL);
+        a->version = (int)json_integer_value(json_object_get(json, "version"));
+        json_decref(json);
+    }
+    event_base_loopbreak(a->base);
+}
+
+static answer ask(hosts* h, const host* at, enum evhttp_cmd_type method, char* body) {
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    answer a = {.base = h->base};
+    wgn_split_address(at->orders, ip, &port);
+    struct evhttp_connection* connection = evhttp_connection_base_new(h->base, NULL, ip, port);
+    evhttp_connection_set_timeout(connection, ORDER_SECONDS);
+    evhttp_connection_free_on_completion(connection);
+    struct evhttp_request* request = evhttp_request_new(on_answer, &a);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
+    if (body) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), body, strlen(body));
+    }
+    evhttp_make_request(connection, request, method, "/v1/configuration");
+    while (!a.over) {
+        event_base_loop(h->base, EVLOOP_ONCE);
+    }
+    g_free(body);
+    return a;
+}
+
+/* The next host, in turn, that has an entry process; NULL when none has. */
+static const host* next_host(const hosts* h, int turn) {
+    for (int i = 0; i < h->num; i++) {
+        const host* w = &h->hosts[(turn + i) % h->num];
+        if (w->entry > 0) {
+            return w;
+        }
+    }
+    return NULL;
+}
+
+/* ---- functions --------------------------------------------------------------------------------
+ */
+
+void hosts_run_for(hosts* h, int ms) {
+    struct timeval time = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
+    event_base_loopexit(h->base, &time);
+    event_base_dispatch(h->base);
+}
+
+int hosts_put_version(hosts* h, const host* at, int version) {
+    return ask(h, at, EVHTTP_REQ_PUT, document(version)).status;
+}
+
+int hosts_get_version(hosts* h, const host* at) {
+    return ask(h, at, EVHTTP_REQ_GET, NULL).version;
+}
+
+bool hosts_put_until(hosts* h, int version, int ms) {
+    wg_time until = wg_now() + (wg_time)ms * WG_USEC_PER_MSEC;
+    for (int turn = 0; wg_now() < until; turn++) {
+        if (hosts_put_version(h, next_host(h, turn), version) == 200) {
+            return true;
+        }
+        hosts_run_for(h, AGAIN_MS);
+    }
+    return false;
+}
+
+bool hosts_get_until(hosts* h, int version, int ms) {
+    wg_time until = wg_now() + (wg_time)ms * WG_USEC_PER_MSEC;
+    for (int turn = 0; wg_now() < until; turn++) {
+        if (hosts_get_version(h, next_host(h, turn)) >= version) {
+            return true;
+        }
+        hosts_run_for(h, AGAIN_MS);
+    }
+    return false;
+}
--- /dev/null
+++ b/tests/test_quorum_successor.c
@@ -0,0 +1,117 @@
+/* test_quorum_successor.c -- a replica that is gone for good weighs no more once another has come
+
+   What users saw: a change was acknowledged, then hosts kept the version before it, and reads of
+   the configuration got 503 until the end. Order of events: a host with a disk was replaced by an
+   empty one at another address; five seconds later, with the newcomer long caught up, another disk
+   was lost while the other hosts lost power. Cause: the newcomer had its vote beside the replica
+   that was gone, which stayed a voter for 8 s of silence. Three hosts had four voters; with one
+   gone and one lost, two were left of four, and no leader could ever be elected.
+
+   Evidence, from a played day of that order (logs of the replicas): "voters=10.1.0.32,10.2.0.23,
+   10.3.0.39,10.2.0.27 learners=- down=10.2.0.23" 0.02 s after the newcomer had come, nothing until
+   the loss 7 s later, then no role change to leader in any log. */
+#include "sim_quorum.h"
+#include "wg_test.h"
+
+enum {
+    SEEDS = 20,
+    SLOTS_MAX = 8
+};
+
+/* How a set is struck: so many are replaced, later so many disks are lost at once. */
+typedef struct {
+    int voters;
+    int replaced;
+    int lost;
+} strike;
+
+static simq_run* begin(const strike* k, int seed) {
+    /* The waits of deploy/replica.ini. */
+    simq_run* run = simq_setup(&(simq_desc){.seed = (uint64_t)seed,
+                                            .replicas = k->voters + k->replaced,
+                                            .voters = k->voters,
+                                            .election_min = 300 * MSEC,
+                                            .election_max = 500 * MSEC,
+                                            .heartbeat = 60 * MSEC});
+    simq_run_for(run, 2 * SECOND);
+    ck_assert_int_ge(simq_leader(run), 0);
+    return run;
+}
+
+/* Replicas that come are added as soon as the leader sees them. */
+static void run_and_add(simq_run* run, const strike* k, wg_time duration) {
+    for (wg_time until = simq_now(run) + duration; simq_now(run) < until;) {
+        for (int i = k->voters; i < k->voters + k->replaced; i++) {
+            simq_replace(run, i);
+        }
+        simq_tick(run);
+    }
+}
+
+/* `gone` of the first voters never come back; one second later as many empty ones stand elsewhere.
+ */
+static void replace(simq_run* run, const strike* k, int seed, bool gone[SLOTS_MAX]) {
+    int first = seed % 2 ? simq_leader(run) : seed % k->voters;
+    for (int i = 0; i < k->replaced; i++) {
+        int slot = (first + i) % k->voters;
+        gone[slot] = true;
+        simq_crash(run, slot);
+    }
+    run_and_add(run, k, SECOND);
+    for (int i = k->voters; i < k->voters + k->replaced; i++) {
+        simq_restart(run, i);
+    }
+}
+
+/* All lose power; `lost` of those that are there also their disks. */
+static void strike_all(simq_run* run, const strike* k, int seed, const bool gone[SLOTS_MAX]) {
+    int num = k->voters + k->replaced;
+    int lost = 0;
+    simq_crash_all(run);
+    for (int i = 0; i < num; i++) {
+        int slot = (i + seed) % num;
+        if (gone[slot]) {
+            continue;
+        }
+        if (lost < k->lost) {
+            simq_lose_disk(run, slot);
+            lost++;
+        } else {
+            simq_restart(run, slot);
+        }
+    }
+}
+
+static void check(const strike* k) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+        bool gone[SLOTS_MAX] = {false};
+        simq_run* run = begin(k, seed);
+        replace(run, k, seed, gone);
+        /* The time that a newcomer is given to catch up. */
+        run_and_add(run, k, 4 * SECOND);
+        uint64_t index = simq_edit(run, "w", 5, 0, 1);
+        ck_assert_uint_gt(index, 0);
+        simq_run_for(run, 200 * MSEC);
+        ck_assert_uint_ge(simq_answered(run), index);
+        strike_all(run, k, seed, gone);
+        simq_run_for(run, 3 * SECOND);
+        int leader = simq_leader(run);
+        ck_assert_msg(leader >= 0, "seed %d: %d of %d replaced, then %d disks lost: no leader",
+                      seed, k->replaced, k->voters, k->lost);
+        ck_assert_ptr_nonnull(wgt_find(simq_table(run, leader), WGT_KIND_WORKSPACE, "w"));
+        simq_shutdown(run);
+    }
+}
+
+START_TEST(a_replaced_replica_weighs_no_more) {
+    static const strike strikes[] = {{.voters = 3, .replaced = 1, .lost = 1},
+                                     {.voters = 4, .replaced = 1, .lost = 1},
+                                     {.voters = 5, .replaced = 1, .lost = 2},
+                                     {.voters = 6, .replaced = 2, .lost = 2}};
+    for (size_t i = 0; i < G_N_ELEMENTS(strikes); i++) {
+        check(&strikes[i]);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("quorum_successor", a_replaced_replica_weighs_no_more)
--- /dev/null
+++ b/tests/test_replaced_hosts.c
@@ -0,0 +1,107 @@
+/* test_replaced_hosts.c -- real processes: a host with a disk is replaced, then another disk is
+   lost
+
+   What users saw, and the evidence: see test_quorum_successor.c. Here the same order of events with
+   real processes and the waits of deploy/replica.ini, once with a host that ends without a word,
+   and once with one that is stopped in a planned way after its successor had come: then no time at
+   all may pass before another disk can be lost. */
+#include <errno.h>
+#include <signal.h>
+#include <sys/wait.h>
+
+#include "hosts_operator.h"
+#include "wg_test.h"
+
+enum {
+    FIRST = 3,           /* hosts at the start */
+    ALL = 4,             /* with the successor */
+    CATCH_UP_MS = 4000,  /* for a newcomer, from its start */
+    JOIN_MS = 2000,      /* for one beside others that are all up */
+    STOP_MS = 2000,      /* for a planned stop of a replica */
+    DOWN_MS = 1000,      /* without power */
+    RECOVERY_MS = 12000, /* until the configuration is read back */
+    FORM_MS = 30000
+};
+
+static void end(pid_t* pid, int signal) {
+    kill(*pid, signal);
+    while (waitpid(*pid, NULL, 0) < 0 && errno == EINTR) {
+    }
+    *pid = 0;
+}
+
+static void start(hosts* h, host* w) {
+    hosts_start_replica(h, w);
+    hosts_start_entry(h, w);
+}
+
+static void begin(hosts* h, struct event_base* base) {
+    hosts_setup(h, base, ALL, ALL, 0);
+    hosts_use_deployed_timing(h);
+    for (int i = 0; i < FIRST; i++) {
+        start(h, &h->hosts[i]);
+    }
+    h->started_before = true;
+    ck_assert(hosts_put_until(h, 1, FORM_MS));
+}
+
+/* All that run lose power, one of them its disk; they come back at once. */
+static void strike(hosts* h, host* lost) {
+    for (int i = 0; i < ALL; i++) {
+        host* w = &h->hosts[i];
+        if (w->replica > 0) {
+            end(&w->replica, SIGKILL);
+            end(&w->entry, SIGKILL);
+            w->back = true;
+        }
+    }
+    hosts_wipe(h, lost);
+    hosts_run_for(h, DOWN_MS);
+    for (int i = 0; i < ALL; i++) {
+        if (h->hosts[i].back) {
+            start(h, &h->hosts[i]);
+        }
+    }
+}
+
+static void finish(hosts* h, struct event_base* base, int version) {
+    bool back = hosts_get_until(h, version, RECOVERY_MS);
+    hosts_end(h, !back);
+    event_base_free(base);
+    ck_assert_msg(back, "version %d is not read back after a lost disk; logs in %s", version,
+                  h->folder);
+}
+
+START_TEST(a_disk_is_lost_after_a_host_was_replaced) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    end(&h.hosts[2].replica, SIGKILL);
+    end(&h.hosts[2].entry, SIGKILL);
+    hosts_run_for(&h, 1000);
+    start(&h, &h.hosts[3]);
+    hosts_run_for(&h, CATCH_UP_MS);
+    ck_assert(hosts_put_until(&h, 2, FORM_MS));
+    strike(&h, &h.hosts[1]);
+    finish(&h, base, 2);
+}
+END_TEST
+
+START_TEST(a_disk_is_lost_after_a_planned_replacement) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    start(&h, &h.hosts[3]);
+    hosts_run_for(&h, JOIN_MS);
+    kill(h.hosts[2].replica, SIGTERM);
+    hosts_run_for(&h, STOP_MS);
+    end(&h.hosts[2].replica, SIGKILL);
+    end(&h.hosts[2].entry, SIGKILL);
+    ck_assert(hosts_put_until(&h, 2, FORM_MS));
+    strike(&h, &h.hosts[1]);
+    finish(&h, base, 2);
+}
+END_TEST
+
+WG_TEST_MAIN("replaced_hosts", a_disk_is_lost_after_a_host_was_replaced,
+             a_disk_is_lost_after_a_planned_replacement)
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -1,7 +1,10 @@
 #!/usr/bin/env bash
 # Run every test program, all at once; print their output in order; the last line counts the tests.
+# Failures of tests that KNOWN-RED.txt lists are printed and passed over; each line there reads
+# "program:test | cause | issue".
 set -u
 build=${1:-build}
+red=KNOWN-RED.txt
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
 programs=()
@@ -14,6 +17,18 @@
 done
 wait
 passed=0 failed=0
+# How many of a program's failures are listed; a failure's line reads file:line:F or E:case:test:...
+known_in() {
+    local name=$1 count=0 test
+    [[ -s $red ]] || { echo 0; return; }
+    while read -r test; do
+        if grep -q "^$name:$test[[:space:]]*|" "$red"; then
+            echo "known red: $name:$test" >>"$out/known"
+            count=$((count + 1))
+        fi
+    done < <(sed -n 's/^[^:]*:[0-9]*:[FE]:[^:]*:\([^:]*\):.*/\1/p' "$out/$name")
+    echo "$count"
+}
 for program in "${programs[@]}"; do
     name=$(basename "$program")
     grep -v '^Running suite' "$out/$name" | sed "s/^\([0-9]*%: Checks\)/$name: \1/"
@@ -24,8 +39,14 @@
         continue
     fi
     read -r checks failures errors <<<"$counts"
-    failed=$((failed + failures + errors))
+    known=$(known_in "$name")
+    failed=$((failed + failures + errors - known))
     passed=$((passed + checks - failures - errors))
 done
+if [[ -s $red ]]; then
+    echo "listed in $red:"
+    cat "$red"
+    [[ -s $out/known ]] && cat "$out/known"
+fi
 echo "$passed passed, $failed failed"
 [[ $failed -eq 0 && $passed -gt 0 ]]
