A replica that is gone weighs no more once its successor has come

Cause: a newcomer under a new name got its vote beside the replica that it stands in for, and only 8 s of silence took the former out (counted anew by each new leader). Until then a set of three had four voters, and one lost disk left two of four: no leader ever again, hosts with the version they had, reads 503. After a planned replacement there was no time at all in which the next loss could be borne.

Now in lib/quorum, pure: in a set at full strength (2 * losses + 1) a learner that has caught up waits for its vote while a voter does not answer; after replica_gone_ms (1.6 s) of silence the voter goes first, then the learner votes. A silent voter goes without a learner too where 2 * losses + 1 others answer; never below that, also not where earlier three were left of five. A control that stops leaves the set first (LEAVE), where enough others answer, and the leader does not add it again while it stops. How many may be lost comes from the deployment's sheet ([control] losses). A learner that ended is taken out.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -24,6 +24,10 @@
     _NUMBER("control", fleet_port, "7100", 1, 65535, "", "with seeds: port of fleet_listen on all"),
     _NUMBER("control", entry_port, "7101", 1, 65535, "",
             "with seeds: port where entry hosts take the word of controls"),
+    _NUMBER(
+        "control", losses, "1", 0, 1000, "",
+        "with seeds: controls that may be lost at one time, with their disks; twice as many and "
+        "one have to answer before one is taken out; counts as 1 to 3"),
     _TEXT(TEXT, "control", first_start, "false",
           "with seeds: true when the whole fleet starts for the first time"),
     _TEXT(SECRET, "keys", fleet_key, NULL, "file with the key that all fleet processes share"),
@@ -41,8 +45,13 @@
     _NUMBER("timing", router_gone_ms, "3000", 500, 600000, "ms",
             "silence after which a router counts as gone"),
     _NUMBER("timing", plan_ms, "5", 1, 1000, "ms", "shortest time between two capacity plans"),
-    _NUMBER("timing", replica_gone_ms, "8000", 500, 3600000, "ms",
-            "with seeds: silence after which a replica is taken out, when enough others are up"),
+    /* Longer than a link that went silent takes to be closed and dialled again (0.6 s + 0.3 s with
+       short waits), and than the longest election wait; short beside the seconds that a newcomer
+       has until the next loss has to be borne, also when the leader changes meanwhile. */
+    _NUMBER(
+        "timing", replica_gone_ms, "1600", 500, 3600000, "ms",
+        "with seeds: silence after which a replica gives way to a newcomer, or is taken out when "
+        "enough others answer; at least election_max_ms"),
     _NUMBER("timing", target_silent_ms, "6000", 500, 600000, "ms",
             "silence after which a target that registers itself gets no more work"),
     _NUMBER("timing", tick_ms, "10", 1, 100, "ms", "how often timers are looked at"),
@@ -204,7 +213,6 @@
     if (known) {
         known->up = true;
         known->identity = peer->identity;
-        known->seen_at = wg_now();
         _wgco_note_gone(c, known);
     } else {
         if (c->discovers) {
@@ -223,7 +231,6 @@
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
         known->link = (wgn_link){0};
-        known->seen_at = known->up ? wg_now() : known->seen_at;
         known->up = false;
     } else if (peer && peer->role == WGW_ROLE_ENTRY) {
         _wgco_entry_down(c, link);
@@ -319,7 +326,6 @@
         _wgco_add_new_controls(c, now);
         _wgco_routers_tick(c, now);
         _wgco_entry_tick(c, now);
-        _wgco_discovery_prune(c, now);
         _wgco_pump(c);
     }
 }
@@ -330,14 +336,28 @@
     _wgco_plan(user_data);
 }
 
+/* A planned stop goes on until another control leads, and until this one is out of the set. Where
+   controls find each other, nobody knows whether it will come back; counted on as a voter it would
+   weigh beside a successor that is there already. */
+static bool _wgco_is_stop_over(const wgco_control* c) {
+    if (!c->node) {
+        return true;
+    }
+    /* A leader that is alone has nobody to wait for. */
+    bool leads = wgr_query_stats(c->node, wg_now()).role == WGR_ROLE_LEADER;
+    if (leads) {
+        return !c->handing_over;
+    }
+    return !c->discovers || wgr_has_left(c->node) || wg_now() - c->stop_at > _WGCO_STOP_MOST;
+}
+
 static void _wgco_on_stop(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
     wgco_control* c = user_data;
-    wgr_stats stats = c->node ? wgr_query_stats(c->node, wg_now()) : (wgr_stats){0};
-    /* A leader that is alone has nobody to wait for. */
-    if (stats.role != WGR_ROLE_LEADER || !c->handing_over) {
-        wg_log(WG_EVENT_STOP_DRAINED, "%s", "");
+    if (_wgco_is_stop_over(c)) {
+        wg_log(WG_EVENT_STOP_DRAINED, "after_ms=%" G_GINT64_FORMAT,
+               (wg_now() - c->stop_at) / WG_USEC_PER_MSEC);
         event_base_loopbreak(c->base);
     }
 }
@@ -387,12 +407,16 @@
         return;
     }
     c->stopping = true;
+    c->stop_at = wg_now();
     wg_log(WG_EVENT_STOP_BEGUN, "%s", "");
     if (!c->node) {
         event_base_loopbreak(c->base);
         return;
     }
     c->handing_over = wgr_hand_over(c->node, wg_now());
+    if (c->discovers) {
+        wgr_leave(c->node);
+    }
     _wgco_pump(c);
     struct timeval period = {.tv_usec = 20 * WG_USEC_PER_MSEC};
     event_add(c->stop_event, &period);
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -47,6 +47,7 @@
     char* first_start;
     int64_t fleet_port;
     int64_t entry_port;
+    int64_t losses;
     int64_t replica_gone_ms;
     int64_t target_silent_ms;
     int64_t tick_ms;
--- a/lib/control/wg_control_discovery.c
+++ b/lib/control/wg_control_discovery.c
@@ -9,9 +9,7 @@
 
 enum {
     /* How often one of the seeds is given word of this control. */
-    WG_WORD_GAP = 400 * WG_USEC_PER_MSEC,
-    /* Replicas that have to be up, beside those taken out. */
-    WG_REPLICAS_KEPT = 3
+    WG_WORD_GAP = 400 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers ------------------------------------------------------------------------------- */
@@ -73,7 +71,7 @@
     }
     _wgco_peer_t* peer = _wgco_peer_place(c);
     if (peer) {
-        *peer = (_wgco_peer_t){.seen_at = wg_now()};
+        *peer = (_wgco_peer_t){0};
         wg_copy_name(peer->name, sizeof peer->name, name);
         wg_copy_name(peer->address, sizeof peer->address, address);
     }
@@ -187,25 +185,3 @@
     }
     _wgco_give_word(c, now);
 }
-
-void _wgco_discovery_prune(wgco_control* c, wg_time now) {
-    if (!c->discovers) {
-        return;
-    }
-    const wgr_set* set = wgr_query_set(c->node);
-    int up = 1;
-    const wgr_replica* gone = NULL;
-    for (int i = 0; i < set->num; i++) {
-        const wgr_replica* replica = &set->replicas[i];
-        const _wgco_peer_t* peer = _wgco_find_peer(c, replica->name);
-        if (peer && peer->up) {
-            up += replica->voter && peer->identity == replica->id;
-        } else if (peer && now - MAX(peer->seen_at, c->led_since) >
-                               c->settings->replica_gone_ms * WG_USEC_PER_MSEC) {
-            gone = replica;
-        }
-    }
-    if (gone && up >= WG_REPLICAS_KEPT && wgr_remove(c->node, now, gone->id, NULL)) {
-        wg_log(WG_EVENT_REPLICA_CHANGE, "removed up=%d", up);
-    }
-}
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -12,6 +12,9 @@
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
     _WGCO_FAIRS_MAX = 2048,
     _WGCO_SHARES_DUMPED = 200,
+    /* Longest planned stop of a control: two elections of the default waits; at the shortest grace
+       time in use (8 s) nobody has to kill it. */
+    _WGCO_STOP_MOST = 3 * WG_USEC_PER_SEC,
     _WGCO_PLAN_AT_LEAST = 200 * WG_USEC_PER_MSEC /* time between plans when nothing changes */
 };
 
@@ -23,7 +26,6 @@
     bool up;
     uint64_t identity; /* 0 unknown */
     wg_time dial_at;
-    wg_time seen_at; /* when its link was last up */
 } _wgco_peer_t;
 
 /* A router's link to this control. */
@@ -125,6 +127,7 @@
     wg_time suspended_at; /* since when the disk takes no writes; 0: it does */
     struct event* disk_event; /* then: the next try */
     bool stopping;
+    wg_time stop_at;
     bool handing_over; /* to a successor, in a planned stop */
 
     /* entry hosts that serve routes (wg_control_entry.c) */
@@ -246,8 +249,6 @@
 void _wgco_discovery_learn(wgco_control* c, const char* name, const char* address);
 /* Know the replicas of the set; give the entry hosts at the seeds word of this control. */
 void _wgco_discovery_tick(wgco_control* c, wg_time now);
-/* As leader: take out replicas that are gone for good, once enough others are up. */
-void _wgco_discovery_prune(wgco_control* c, wg_time now);
 /* Is this a link on which word is given to a seed? */
 bool _wgco_discovery_is_word(const wgco_control* c, wgn_link link);
 /* An entry host tells of the controls that it knows. */
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -11,6 +11,7 @@
 #include <sys/random.h>
 
 enum {
+    _WGCO_LOSSES_MAX = (WGR_REPLICAS_MAX - 1) / 2, /* a larger set could not be agreed on */
     /* Between two tries to write: short beside what a change may take to be acknowledged (seconds),
        long beside a try (a few system calls). */
     WG_DISK_RETRY = 200 * WG_USEC_PER_MSEC
@@ -55,6 +56,13 @@
     return good;
 }
 
+/* With a fixed list of controls an operator decides who takes whose place. */
+static wg_time _wgco_gone_after(const wgco_control* c) {
+    const wgco_settings* s = c->settings;
+    int64_t gone_ms = MAX(s->replica_gone_ms, s->election_max_ms);
+    return c->discovers ? gone_ms * WG_USEC_PER_MSEC : 0;
+}
+
 static bool _wgco_open_state(wgco_control* c, GError** error) {
     const wgco_settings* s = c->settings;
     c->store = wgs_open(&(wgs_desc){.folder = s->data_folder,
@@ -86,6 +94,8 @@
                                     .election_min = s->election_min_ms * WG_USEC_PER_MSEC,
                                     .election_max = s->election_max_ms * WG_USEC_PER_MSEC,
                                     .heartbeat = s->heartbeat_ms * WG_USEC_PER_MSEC,
+                                    .gone_after = _wgco_gone_after(c),
+                                    .losses = (int)CLAMP(s->losses, 1, _WGCO_LOSSES_MAX),
                                     .log_keep = (int)s->log_keep},
                         error);
     wgs_forget_content(c->store);
--- a/lib/quorum/wg_quorum.c
+++ b/lib/quorum/wg_quorum.c
@@ -11,6 +11,7 @@
     d.election_max = d.election_max ? d.election_max : WGR_ELECTION_MAX_DEFAULT;
     d.heartbeat = d.heartbeat ? d.heartbeat : WGR_HEARTBEAT_DEFAULT;
     d.message_bytes = d.message_bytes ? d.message_bytes : WGR_MESSAGE_BYTES_DEFAULT;
+    d.losses = d.losses ? d.losses : WGR_LOSSES_DEFAULT;
     d.log_keep = d.log_keep ? d.log_keep : WGR_LOG_KEEP_DEFAULT;
     return d;
 }
@@ -295,6 +296,16 @@
     }
 }
 
+/* ---- leaving ------------------------------------------------------------------------------ */
+
+static void _wgr_ask_to_leave(wgr_node* n, wg_time now) {
+    if (!n->leaving || n->left || n->leader == 0 || now < n->leave_at) {
+        return;
+    }
+    n->leave_at = now + n->desc.heartbeat;
+    _wgr_send(n, WGR_MESSAGE_LEAVE, n->leader);
+}
+
 /* ---- functions of the library -------------------------------------------------------------- */
 
 wgr_message* _wgr_send(wgr_node* n, wgr_message_type type, uint64_t to) {
@@ -314,6 +325,10 @@
         wrong = "election_min/election_max";
     } else if (d.heartbeat <= 0 || d.heartbeat * 3 > d.election_min) {
         wrong = "heartbeat (at most a third of election_min)";
+    } else if (d.gone_after && d.gone_after < d.election_max) {
+        wrong = "gone_after (0, or at least election_max)";
+    } else if (d.losses < 0 || 2 * d.losses + 1 > WGR_REPLICAS_MAX) {
+        wrong = "losses";
     }
     if (wrong) {
         g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "wgr_desc.%s is missing or wrong", wrong);
@@ -356,6 +371,7 @@
         _wgr_campaign(n, now, WGR_CAMPAIGN_PRE);
     } else {
         _wgr_start_tick(n, now);
+        _wgr_ask_to_leave(n, now);
     }
 }
 
@@ -391,6 +407,12 @@
     case WGR_MESSAGE_START_REPLY:
         _wgr_on_start_reply(n, now, m);
         return;
+    case WGR_MESSAGE_LEAVE:
+        _wgr_on_leave(n, now, m);
+        return;
+    case WGR_MESSAGE_LEAVE_REPLY:
+        n->left = n->left || n->leaving;
+        return;
     default:
         break;
     }
@@ -408,6 +430,14 @@
     }
 }
 
+void wgr_leave(wgr_node* n) {
+    n->leaving = true;
+}
+
+bool wgr_has_left(const wgr_node* n) {
+    return n->left || !_wgr_is_voter(n, n->desc.self);
+}
+
 bool wgr_output_next(wgr_node* n, wgr_output* out) {
     WG_ASSERT(!n->output_open);
     *out = (wgr_output){0};
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -13,6 +13,10 @@
           identity, which cannot vote until the set was changed and it has caught up
         - replacement: add the new identity under the old name; the leader lets it catch up, takes
           the old one out, then gives the new one its vote. Any later leader carries on.
+        - succession (gone_after): a voter that has been silent for that long goes when a learner
+   has caught up to take its place, or when enough others answer. The two are never counted side by
+   side in a full set, so as many may be lost after a replacement as before.
+        - a voter that stops, for good or for a while, can leave the set first (wgr_leave)
         - wgr_leads(): true only while a majority has lately confirmed this leader. The lease counts
           from when a heartbeat was sent and is shorter than the shortest election wait, so that a
           frozen leader that wakes finds it ended.
@@ -42,7 +46,8 @@
     WGR_HEARTBEAT_DEFAULT = 150 * WG_USEC_PER_MSEC,
     WGR_LEASE_PERCENT = 80, /* of the shortest election wait; the rest covers clock drift */
     WGR_MESSAGE_BYTES_DEFAULT = 256 * 1024,
-    WGR_LOG_KEEP_DEFAULT = 1000 /* entries kept behind a snapshot for replicas that lag a little */
+    WGR_LOG_KEEP_DEFAULT = 1000, /* entries kept behind a snapshot for replicas that lag a little */
+    WGR_LOSSES_DEFAULT = 1
 };
 
 typedef enum {
@@ -75,6 +80,8 @@
     WGR_MESSAGE_TIMEOUT_NOW, /* the leader asks this replica to stand at once */
     WGR_MESSAGE_START_ASK,   /* has this replica heard a leader since it started? */
     WGR_MESSAGE_START_REPLY, /* refused: it has */
+    WGR_MESSAGE_LEAVE,       /* a voter is about to stop and asks to be taken out of the set */
+    WGR_MESSAGE_LEAVE_REPLY, /* it is out; refused: it stays a voter, too few others answer */
     WGR_MESSAGE_NUM
 } wgr_message_type;
 
@@ -140,7 +147,11 @@
     wg_time election_min;
     wg_time election_max;
     wg_time heartbeat;
-    int message_bytes; /* entries or snapshot bytes in one message */
+    wg_time gone_after; /* silence after which a voter may be taken out; 0: never, but for its
+                           successor of the same name */
+    int losses;         /* replicas that may be lost at one time, with their disks: so that this
+                           holds, a set of 2 * losses + 1 that answer is never made smaller */
+    int message_bytes;  /* entries or snapshot bytes in one message */
     int log_keep;
 } wgr_desc;
 
@@ -196,6 +207,11 @@
    replica does not lead, or no other voter was heard of lately: then nothing changes. */
 bool wgr_hand_over(wgr_node* node, wg_time now);
 
+/* Before a planned stop: ask the leader, again and again, to take this replica out of the set.
+   wgr_has_left() tells when that is settled: it is out, was never in, or has to stay a voter. */
+void wgr_leave(wgr_node* node);
+bool wgr_has_left(const wgr_node* node);
+
 /* The data folder of a replica is lost for good: another identity runs in its place, so whatever it
    promised or led is over. */
 void wgr_note_gone(wgr_node* node, uint64_t id);
--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -35,6 +35,12 @@
     uint64_t log_term;
 } _wgr_start_t;
 
+/* A replica that asked to leave the set, and when it last did. */
+typedef struct {
+    uint64_t id; /* 0: a free place */
+    wg_time at;
+} _wgr_leaver_t;
+
 /* Why a replica stands. */
 typedef enum {
     WGR_CAMPAIGN_DEFAULT = 0,
@@ -101,6 +107,12 @@
     uint64_t term_start; /* index of the empty entry of this term */
     bool handing_over;
     wg_time handing_over_until;
+    _wgr_leaver_t leavers[WGR_REPLICAS_MAX];
+
+    /* planned stop */
+    bool leaving;
+    bool left; /* the leader answered */
+    wg_time leave_at;
 
     /* snapshot being received */
     GByteArray* incoming;
@@ -142,6 +154,7 @@
 void _wgr_leader_set_changed(wgr_node* n);
 void _wgr_on_append_reply(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_on_snapshot_reply(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_on_leave(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_feed_all(wgr_node* n, wg_time now);
 void _wgr_advance_commit(wgr_node* n, wg_time now);
 wg_time _wgr_lease_until(const wgr_node* n);
--- a/tests/sim/sim_quorum.c
+++ b/tests/sim/sim_quorum.c
@@ -68,6 +68,8 @@
                                     .election_min = s->desc.election_min,
                                     .election_max = election_max(&s->desc),
                                     .heartbeat = s->desc.heartbeat,
+                                    .gone_after = s->desc.gone_after,
+                                    .losses = s->desc.losses,
                                     .log_keep = SIM_DISK_LOG_KEEP},
                         &error);
     WG_ASSERT(n->node && n->table && n->claims);
@@ -486,6 +488,14 @@
     pump(s, slot);
 }
 
+void simq_leave(simq_run* s, int slot) {
+    wgr_leave(s->nodes[slot].node);
+}
+
+bool simq_has_left(simq_run* s, int slot) {
+    return wgr_has_left(s->nodes[slot].node);
+}
+
 uint64_t simq_answered(const simq_run* s) {
     return s->answered;
 }
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -49,6 +49,8 @@
     wg_time election_min; /* 0: the library's waits */
     wg_time election_max;
     wg_time heartbeat;
+    wg_time gone_after; /* 0: never */
+    int losses;         /* 0: the library's */
 } simq_desc;
 
 typedef struct simq_run simq_run;
@@ -81,6 +83,9 @@
 void simq_tick(simq_run* run);
 wgr_stats simq_stats(simq_run* run, int slot);
 void simq_hand_over(simq_run* run, int slot);
+/* Begin to leave the set; has that been settled? */
+void simq_leave(simq_run* run, int slot);
+bool simq_has_left(simq_run* run, int slot);
 /* Highest index that was answered to an operator. */
 uint64_t simq_answered(const simq_run* run);
 wgt_table* simq_table(simq_run* run, int slot);
--- a/tests/test_quorum_successor.c
+++ b/tests/test_quorum_successor.c
@@ -32,7 +32,9 @@
                                             .voters = k->voters,
                                             .election_min = 300 * MSEC,
                                             .election_max = 500 * MSEC,
-                                            .heartbeat = 60 * MSEC});
+                                            .heartbeat = 60 * MSEC,
+                                            .gone_after = 1600 * MSEC,
+                                            .losses = k->lost});
     simq_run_for(run, 2 * SECOND);
     ck_assert_int_ge(simq_leader(run), 0);
     return run;
