--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -148,13 +148,18 @@
 /* The life in which a replica last answered; 0 when it did not. */
 uint64_t _wgr_start_life(const wgr_node* n, uint64_t id);
 
+/* the set, as a leader changes it */
+void _wgr_carry_on_change(wgr_node* n, wg_time now);
+void _wgr_on_leave(wgr_node* n, wg_time now, const wgr_message* m);
+
 /* leader */
+/* What the leader knows of another replica; NULL: not in the set, or itself. */
+_wgr_peer_t* _wgr_peer(wgr_node* n, uint64_t id);
 void _wgr_become_leader(wgr_node* n, wg_time now);
 void _wgr_leader_tick(wgr_node* n, wg_time now);
 void _wgr_leader_set_changed(wgr_node* n);
 void _wgr_on_append_reply(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_on_snapshot_reply(wgr_node* n, wg_time now, const wgr_message* m);
-void _wgr_on_leave(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_feed_all(wgr_node* n, wg_time now);
 void _wgr_advance_commit(wgr_node* n, wg_time now);
 wg_time _wgr_lease_until(const wgr_node* n);
--- a/lib/quorum/wg_quorum_leader.c
+++ b/lib/quorum/wg_quorum_leader.c
@@ -1,19 +1,10 @@
-/* wg_quorum_leader.c -- what only a leader does: feeding, commit, lease, set changes */
+/* wg_quorum_leader.c -- what only a leader does: feeding, commit, lease, handing over */
 #include "wg_quorum_internal.h"
 
 #include <string.h>
 
 /* ---- helpers ------------------------------------------------------------------------------ */
 
-static _wgr_peer_t* _wgr_peer(wgr_node* n, uint64_t id) {
-    for (int i = 0; i < n->peers_num; i++) {
-        if (n->peers[i].id == id) {
-            return &n->peers[i];
-        }
-    }
-    return NULL;
-}
-
 static void _wgr_feed_snapshot(wgr_node* n, wg_time now, _wgr_peer_t* peer) {
     if (!n->snapshot) {
         return;
@@ -106,232 +97,17 @@
     return (int64_t)peer->match;
 }
 
-static uint64_t _wgr_propose_set(wgr_node* n, wg_time now, const wgr_set* set) {
-    GBytes* data = wgr_set_pack(set);
-    _wgr_log_append(n, n->term, WGR_ENTRY_REPLICAS, data);
-    g_bytes_unref(data);
-    _wgr_leader_set_changed(n);
-    _wgr_feed_all(n, now);
-    return _wgr_last_index(n);
-}
-
-/* One change at a time, and only after an entry of this term is committed. */
-static bool _wgr_may_change_set(const wgr_node* n) {
-    return n->role == WGR_ROLE_LEADER && n->commit >= n->term_start && n->set_index <= n->commit;
-}
-
-static void _wgr_set_take_out(wgr_set* set, uint64_t id) {
-    int kept = 0;
-    for (int i = 0; i < set->num; i++) {
-        if (set->replicas[i].id != id) {
-            set->replicas[kept++] = set->replicas[i];
-        }
-    }
-    set->num = kept;
-}
-
-static void _wgr_propose_without(wgr_node* n, wg_time now, uint64_t id) {
-    wgr_set next = n->set;
-    _wgr_set_take_out(&next, id);
-    _wgr_propose_set(n, now, &next);
-}
-
-static void _wgr_propose_vote(wgr_node* n, wg_time now, uint64_t id) {
-    wgr_set next = n->set;
-    for (int i = 0; i < next.num; i++) {
-        next.replicas[i].voter = next.replicas[i].voter || next.replicas[i].id == id;
-    }
-    _wgr_propose_set(n, now, &next);
-}
-
-/* ---- helpers: who answers ------------------------------------------------------------------ */
-
-/* It answered this leader within the shortest election wait; a leader answers itself. */
-static bool _wgr_answers(wgr_node* n, wg_time now, uint64_t id) {
-    const _wgr_peer_t* peer = _wgr_peer(n, id);
-    return !peer || now - peer->acked_at < n->desc.election_min;
-}
-
-/* For how long a replica has said nothing to this leader. */
-static wg_time _wgr_silence(wgr_node* n, wg_time now, uint64_t id) {
-    const _wgr_peer_t* peer = _wgr_peer(n, id);
-    return peer ? now - MAX(peer->acked_at, n->led_since) : 0;
-}
-
-static int _wgr_answering_beside(wgr_node* n, wg_time now, uint64_t id) {
-    int num = 0;
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* voter = &n->set.replicas[i];
-        num += voter->voter && voter->id != id && _wgr_answers(n, now, voter->id);
-    }
-    return num;
-}
-
-/* The voter that has been silent longest, of those that do not answer; NULL when all do. */
-static const wgr_replica* _wgr_most_silent(wgr_node* n, wg_time now) {
-    const wgr_replica* most = NULL;
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* voter = &n->set.replicas[i];
-        if (!voter->voter || _wgr_answers(n, now, voter->id)) {
-            continue;
-        }
-        if (!most || _wgr_silence(n, now, voter->id) > _wgr_silence(n, now, most->id)) {
-            most = voter;
-        }
-    }
-    return most;
-}
-
-/* Voters of a set that bears the loss of as many as it has to. */
-static int _wgr_full(const wgr_node* n) {
-    return 2 * n->desc.losses + 1;
-}
-
-/* ---- helpers: replicas that stop ----------------------------------------------------------- */
-
-static const _wgr_leaver_t* _wgr_leaver(const wgr_node* n, uint64_t id) {
-    for (size_t i = 0; i < G_N_ELEMENTS(n->leavers); i++) {
-        if (n->leavers[i].id == id) {
-            return &n->leavers[i];
-        }
-    }
-    return NULL;
-}
-
-/* It asked a moment ago: it still asks, or ends now. Who has not ended after the longest wait may
-   come back under the same identity. */
-static bool _wgr_is_leaving(const wgr_node* n, wg_time now, uint64_t id) {
-    const _wgr_leaver_t* leaver = _wgr_leaver(n, id);
-    return leaver && now - leaver->at < n->desc.election_max;
-}
-
-/* In place of an earlier note about it, or of the oldest. */
-static void _wgr_note_leaver(wgr_node* n, wg_time now, uint64_t id) {
-    _wgr_leaver_t* place = &n->leavers[0];
-    for (size_t i = 0; i < G_N_ELEMENTS(n->leavers); i++) {
-        _wgr_leaver_t* leaver = &n->leavers[i];
-        if (leaver->id == id) {
-            place = leaver;
-            break;
-        }
-        if (leaver->id == 0 || leaver->at < place->at) {
-            place = leaver;
-        }
-    }
-    *place = (_wgr_leaver_t){.id = id, .at = now};
-}
-
-static bool _wgr_may_leave(wgr_node* n, wg_time now, uint64_t id) {
-    return _wgr_answering_beside(n, now, id) >= _wgr_full(n);
-}
-
-/* ---- helpers: one step of a change of the set ---------------------------------------------- */
+/* ---- functions of the library -------------------------------------------------------------- */
 
-/* Take out a voter that asked for it. Each step returns true when it proposed. */
-static bool _wgr_let_leave(wgr_node* n, wg_time now) {
+_wgr_peer_t* _wgr_peer(wgr_node* n, uint64_t id) {
     for (int i = 0; i < n->peers_num; i++) {
-        uint64_t id = n->peers[i].id;
-        bool asks = _wgr_is_voter(n, id) && _wgr_is_leaving(n, now, id);
-        if (asks && _wgr_may_leave(n, now, id)) {
-            _wgr_propose_without(n, now, id);
-            return true;
-        }
-    }
-    return false;
-}
-
-static bool _wgr_has_caught_up(wgr_node* n, wg_time now, const wgr_replica* learner) {
-    const _wgr_peer_t* peer = _wgr_peer(n, learner->id);
-    return peer && peer->feed == _WGR_FEED_STREAM && peer->match >= n->commit &&
-           now - peer->acked_at < n->desc.election_min;
-}
-
-static const wgr_replica* _wgr_learner(wgr_node* n, wg_time now) {
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* learner = &n->set.replicas[i];
-        if (!learner->voter && _wgr_has_caught_up(n, now, learner)) {
-            return learner;
-        }
-    }
-    return NULL;
-}
-
-static const wgr_replica* _wgr_former_self(const wgr_node* n, const wgr_replica* learner) {
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* other = &n->set.replicas[i];
-        if (other->voter && strcmp(other->name, learner->name) == 0) {
-            return other;
-        }
-    }
-    return NULL;
-}
-
-/* A learner that ended before it could vote only takes up a place. */
-static const wgr_replica* _wgr_gone_learner(wgr_node* n, wg_time now) {
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* learner = &n->set.replicas[i];
-        bool gone = _wgr_silence(n, now, learner->id) > n->desc.gone_after;
-        if (!learner->voter && gone && !_wgr_answers(n, now, learner->id)) {
-            return learner;
+        if (n->peers[i].id == id) {
+            return &n->peers[i];
         }
     }
     return NULL;
 }
 
-/* A voter that is gone raises the majority that the others have to bring together. Counted beside
-   its successor it leaves too few for ever when one more is lost (3 voters, one replaced, another
-   one's disk lost: 2 of 4), so it goes before the successor votes. */
-static bool _wgr_take_out_gone(wgr_node* n, wg_time now, const wgr_replica* learner) {
-    if (n->desc.gone_after == 0) {
-        return false;
-    }
-    const wgr_replica* gone = _wgr_gone_learner(n, now);
-    if (gone) {
-        _wgr_propose_without(n, now, gone->id);
-        return true;
-    }
-    const wgr_replica* silent = _wgr_most_silent(n, now);
-    if (!silent || _wgr_silence(n, now, silent->id) <= n->desc.gone_after) {
-        return false;
-    }
-    bool replaced = learner && _wgr_voters(n) >= _wgr_full(n);
-    if (!replaced && _wgr_answering_beside(n, now, silent->id) < _wgr_full(n)) {
-        return false;
-    }
-    _wgr_propose_without(n, now, silent->id);
-    return true;
-}
-
-/* A learner that has caught up votes once its former self is out and, in a full set, once all
-   voters answer: one that does not is perhaps the one whose place it takes. */
-static bool _wgr_promote(wgr_node* n, wg_time now, const wgr_replica* learner) {
-    const wgr_replica* former = _wgr_former_self(n, learner);
-    if (former) {
-        _wgr_propose_without(n, now, former->id);
-        return true;
-    }
-    bool waits = n->desc.gone_after && _wgr_voters(n) >= _wgr_full(n) && _wgr_most_silent(n, now);
-    if (waits) {
-        return false;
-    }
-    _wgr_propose_vote(n, now, learner->id);
-    return true;
-}
-
-/* The next step of changes that are under way. */
-static void _wgr_carry_on_change(wgr_node* n, wg_time now) {
-    if (!_wgr_may_change_set(n) || n->handing_over || _wgr_let_leave(n, now)) {
-        return;
-    }
-    const wgr_replica* learner = _wgr_learner(n, now);
-    bool proposed = learner && _wgr_promote(n, now, learner);
-    if (!proposed) {
-        _wgr_take_out_gone(n, now, learner);
-    }
-}
-
-/* ---- functions of the library -------------------------------------------------------------- */
-
 void _wgr_become_leader(wgr_node* n, wg_time now) {
     WG_ASSERT(_wgr_is_voter(n, n->desc.self));
     n->role = WGR_ROLE_LEADER;
@@ -368,23 +144,6 @@
     }
 }
 
-/* It is told only once the set without it is committed: until then it may be needed. */
-void _wgr_on_leave(wgr_node* n, wg_time now, const wgr_message* m) {
-    if (n->role != WGR_ROLE_LEADER) {
-        return; /* it asks again, whoever leads then */
-    }
-    bool votes = _wgr_is_voter(n, m->from);
-    bool stays = votes && !_wgr_may_leave(n, now, m->from);
-    if (!stays) {
-        _wgr_note_leaver(n, now, m->from);
-    }
-    bool settled = stays || (!votes && n->set_index <= n->commit);
-    if (settled) {
-        wgr_message* reply = _wgr_send(n, WGR_MESSAGE_LEAVE_REPLY, m->from);
-        reply->reject = stays;
-    }
-}
-
 void _wgr_feed_all(wgr_node* n, wg_time now) {
     n->heartbeat_at = now + n->desc.heartbeat;
     for (int i = 0; i < n->peers_num; i++) {
@@ -504,57 +263,6 @@
     return _wgr_last_index(n);
 }
 
-bool wgr_add(wgr_node* n, wg_time now, const wgr_replica* replica, GError** error) {
-    if (!_wgr_may_change_set(n)) {
-        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
-                    "not leading, or another change is under way");
-        return false;
-    }
-    if (replica->id == 0 || !replica->name[0] || wgr_set_find(&n->set, replica->id)) {
-        g_set_error(error, WG_ERROR, WG_ERROR_INVALID,
-                    "replica has no name or is in the set already");
-        return false;
-    }
-    if (_wgr_is_leaving(n, now, replica->id)) {
-        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT, "%s is about to stop", replica->name);
-        return false;
-    }
-    wgr_set next = n->set;
-    for (int i = 0; i < n->set.num; i++) {
-        const wgr_replica* other = &n->set.replicas[i];
-        bool same_name = strcmp(other->name, replica->name) == 0;
-        if (same_name && other->id == n->desc.self) {
-            g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "the leader cannot replace itself");
-            return false;
-        }
-        if (same_name && !other->voter) {
-            _wgr_set_take_out(&next, other->id); /* an older addition that never finished */
-        }
-    }
-    if (next.num == WGR_REPLICAS_MAX) {
-        g_set_error(error, WG_ERROR, WG_ERROR_FULL, "at most %d replicas", WGR_REPLICAS_MAX);
-        return false;
-    }
-    next.replicas[next.num] = *replica;
-    next.replicas[next.num++].voter = false;
-    _wgr_propose_set(n, now, &next);
-    return true;
-}
-
-bool wgr_remove(wgr_node* n, wg_time now, uint64_t id, GError** error) {
-    const wgr_replica* replica = wgr_set_find(&n->set, id);
-    bool last_voter = replica && replica->voter && _wgr_voters(n) == 1;
-    if (!_wgr_may_change_set(n) || !replica || last_voter) {
-        g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
-                    "not leading, another change is under way, or not a removable replica");
-        return false;
-    }
-    wgr_set next = n->set;
-    _wgr_set_take_out(&next, id);
-    _wgr_propose_set(n, now, &next);
-    return true;
-}
-
 bool wgr_hand_over(wgr_node* n, wg_time now) {
     if (n->role != WGR_ROLE_LEADER || n->handing_over) {
         return false;
