The fault soak: harsh runs, and a check that each host obeys the newest configuration

What the soak could not see: all its configurations had the same routes, a read without an answer counted as nothing, folders were lost only one at a time with the others running, no host was ever replaced, and it ran with the product's waits, not the deployed ones.

- each version has a route of its own; at the end every host must serve the newest one, answer 404 for the one before, and read the newest configuration back
- sets that change under random faults, leaving and succession: test_quorum_successor

Disks are now lost only a catch-up time after the last loss of power that struck a newcomer.

--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -68,10 +68,14 @@
     return pid;
 }
 
+/* Three hosts that are there now, the first ones. */
 static char* seeds(const hosts* h) {
     GString* list = g_string_new(NULL);
-    for (int i = 0; i < h->num && i < 3; i++) {
-        g_string_append_printf(list, "%s127.%d.1.%d:7200", i ? "," : "", h->part, i + 1);
+    int named = 0;
+    for (int i = 0; i < h->num && named < 3; i++) {
+        if (!h->hosts[i].away) {
+            g_string_append_printf(list, "%s127.%d.1.%d:7200", named++ ? "," : "", h->part, i + 1);
+        }
     }
     return g_string_free(list, FALSE);
 }
@@ -79,8 +83,18 @@
 /* ---- functions --------------------------------------------------------------------------------
  */
 
+void hosts_give_disk(hosts* h, host* w) {
+    char near[WG_ADDRESS_MAX];
+    char far[WG_ADDRESS_MAX];
+    w->disk = true;
+    g_snprintf(near, sizeof near, "127.%d.1.%d:7100", h->part, w->number);
+    g_snprintf(far, sizeof far, "127.%d.9.%d:7100", h->part, w->number);
+    w->links = proxy_start(h->base, near, far);
+}
+
 void hosts_setup(hosts* h, struct event_base* base, int num, int disks, int targets) {
     *h = (hosts){.base = base, .num = num, .targets_num = targets};
+    h->losses = 1;
     h->replica_timing = g_strdup("tick_ms=20\nlink_silence_ms=1200\n");
     WG_ASSERT(num <= HOSTS_MAX && targets <= HOST_TARGETS_MAX);
     h->part = take_part();
@@ -92,17 +106,12 @@
     for (int i = 0; i < num; i++) {
         host* w = &h->hosts[i];
         w->number = i + 1;
-        w->disk = i < disks;
         g_snprintf(w->callers, sizeof w->callers, "127.%d.1.%d:8000", h->part, i + 1);
         g_snprintf(w->ready, sizeof w->ready, "127.%d.1.%d:8001", h->part, i + 1);
         g_snprintf(w->entries, sizeof w->entries, "127.%d.1.%d:8002", h->part, i + 1);
         g_snprintf(w->orders, sizeof w->orders, "127.%d.1.%d:7200", h->part, i + 1);
-        if (w->disk) {
-            char near[WG_ADDRESS_MAX];
-            char far[WG_ADDRESS_MAX];
-            g_snprintf(near, sizeof near, "127.%d.1.%d:7100", h->part, i + 1);
-            g_snprintf(far, sizeof far, "127.%d.9.%d:7100", h->part, i + 1);
-            w->links = proxy_start(base, near, far);
+        if (i < disks) {
+            hosts_give_disk(h, w);
         }
     }
     for (int i = 0; i < targets; i++) {
@@ -161,11 +170,12 @@
     char* text = g_strdup_printf(
         "[control]\nname=127.%d.1.%d\nfleet_listen=127.%d.9.%d:7100\n"
         "fleet_address=127.%d.1.%d:7100\noperators_listen=127.%d.9.%d:7300\n"
-        "data_folder=data-%d\nseeds=%s\nfleet_port=7100\nentry_port=7101\nfirst_start=%s\n"
+        "data_folder=data-%d\nseeds=%s\nfleet_port=7100\nentry_port=7101\nlosses=%d\n"
+        "first_start=%s\n"
         "[keys]\nfleet_key=fleet.key\noperator_key=operator.key\n[log]\nlog_target=stdout\n"
         "[timing]\n%s[state]\nsnapshot_entries=20\nlog_keep=8\nclaims_max=1024\n",
         h->part, w->number, h->part, w->number, h->part, w->number, h->part, w->number, w->number,
-        list, h->started_before ? "false" : "true", h->replica_timing);
+        list, h->losses, h->started_before ? "false" : "true", h->replica_timing);
     g_snprintf(name, sizeof name, "replica-%d.ini", w->number);
     g_snprintf(log, sizeof log, "replica-%d.log", w->number);
     write_file(h, name, text);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -11,7 +11,7 @@
 #include "wg_base.h"
 
 enum {
-    HOSTS_MAX = 12,
+    HOSTS_MAX = 40,
     HOST_TARGETS_MAX = 12
 };
 
@@ -21,6 +21,7 @@
 typedef struct {
     int number; /* from 1 */
     bool disk;
+    bool away;     /* not yet, or no more, a part of the fleet */
     pid_t entry;   /* 0: not running */
     pid_t replica; /* 0: not running, or no replica there */
     bool back;     /* a test's note: it is to be started again */
@@ -58,12 +59,15 @@
     host_target targets[HOST_TARGETS_MAX];
     int targets_num;
     bool started_before;
+    int losses;           /* disks that may be lost at one time, as replicas are told */
     char* replica_timing; /* lines of the replicas' group timing */
     bool spoiled;         /* targets cut, fail and refuse a part of their requests */
 } hosts;
 
 /* Fill in addresses and proxies; nothing is started. The first `disks` hosts have a disk. */
 void hosts_setup(hosts* h, struct event_base* base, int num, int disks, int targets);
+/* A host is to have a replica too; before anything is started on it. */
+void hosts_give_disk(hosts* h, host* which);
 /* Replicas wait and beat as deploy/replica.ini says, read from the folder that the test runs in. */
 void hosts_use_deployed_timing(hosts* h);
 void hosts_start_entry(hosts* h, host* which);
--- a/tests/sim/sim_quorum.h
+++ b/tests/sim/sim_quorum.h
@@ -29,6 +29,7 @@
     uint64_t disks_lost;
     uint64_t replaced;
     uint64_t hand_overs;
+    uint64_t left; /* planned stops that were settled */
     uint64_t snapshots_sent;
     uint64_t elections;
     uint64_t edits_accepted;
--- a/tests/sim/sim_quorum_internal.h
+++ b/tests/sim/sim_quorum_internal.h
@@ -26,7 +26,8 @@
     uint64_t applied_term;
     wgt_table* table;
     wgk_claims* claims;
-    int crash_at; /* 1: before it syncs, 2: before it sends, 3: amid sending */
+    bool stopping; /* a planned stop is under way */
+    int crash_at;  /* 1: before it syncs, 2: before it sends, 3: amid sending */
 } node_t;
 
 typedef struct {
--- a/tests/sim/sim_quorum_random.c
+++ b/tests/sim/sim_quorum_random.c
@@ -131,6 +131,26 @@
     }
 }
 
+/* Planned stops, where the run has succession: begun now and then, ended once they are settled. */
+static void random_stop(simq_run* s) {
+    int slot = (int)(_simq_chance(s) % (uint64_t)s->desc.replicas);
+    if (s->nodes[slot].up && _simq_one_in(s, 200)) {
+        wgr_leave(s->nodes[slot].node);
+        s->nodes[slot].stopping = true;
+    }
+    for (int i = 0; i < s->desc.replicas; i++) {
+        node_t* n = &s->nodes[i];
+        bool settled = n->up && n->stopping && wgr_has_left(n->node);
+        if (settled || !n->up) {
+            s->counts.left += settled;
+            n->stopping = false;
+        }
+        if (settled) {
+            simq_crash(s, i);
+        }
+    }
+}
+
 /* ---- public functions ---------------------------------------------------------------------- */
 
 void simq_steps(simq_run* s, uint64_t steps) {
@@ -138,6 +158,9 @@
         if (s->desc.faults && _simq_one_in(s, 40)) {
             random_fault(s);
         }
+        if (s->desc.gone_after) {
+            random_stop(s);
+        }
         int leader = simq_leader(s);
         if (leader >= 0 && _simq_one_in(s, 3)) {
             random_edit(s, leader);
--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -6,16 +6,6 @@
 
 #include "soak_internal.h"
 
-typedef enum {
-    REPAIR_ENTRY = 0, /* start it again */
-    REPAIR_REPLICA,
-    REPAIR_TARGET,
-    REPAIR_CONTINUE_ENTRY, /* after SIGSTOP */
-    REPAIR_CONTINUE_REPLICA,
-    REPAIR_DISK,
-    REPAIR_LINKS
-} repair_kind;
-
 typedef struct {
     wg_time at;
     repair_kind kind;
@@ -30,7 +20,7 @@
     *pid = 0;
 }
 
-static void kill_now(pid_t* pid) {
+void soak_kill(pid_t* pid) {
     if (*pid > 0) {
         kill(*pid, SIGKILL);
         reap(pid);
@@ -46,7 +36,7 @@
     }
 }
 
-static void plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at) {
+void soak_plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at) {
     repair* r = g_new(repair, 1);
     *r = (repair){.at = wg_now() + (wg_time)ms * WG_USEC_PER_MSEC,
                   .kind = kind,
@@ -69,7 +59,7 @@
         hosts_start_replica(&s->h, w);
         break;
     case REPAIR_TARGET:
-        kill_now(&t->pid);
+        soak_kill(&t->pid);
         hosts_start_target(&s->h, t);
         break;
     case REPAIR_CONTINUE_ENTRY:
@@ -89,7 +79,7 @@
     s->last_fault = wg_now();
 }
 
-static bool is_repairing(const soak* s, int number, bool target) {
+bool soak_is_repairing(const soak* s, int number, bool target) {
     for (GList* at = s->repairs.head; at; at = at->next) {
         const repair* r = at->data;
         if (r->number == number && r->target == target) {
@@ -112,22 +102,23 @@
     }
 }
 
-static void fault_entry(soak* s, int number) {
+void soak_fault_entry(soak* s, int number) {
     host* w = &s->h.hosts[number];
     int at = soak_disturb(s);
     switch (soak_draw(s, 4)) {
     case 0:
-        kill_now(&w->entry);
-        plan_repair(s, REPAIR_ENTRY, number, false, 100 + (int)soak_draw(s, 1500), at);
+        soak_kill(&w->entry);
+        soak_plan_repair(s, REPAIR_ENTRY, number, false, 100 + (int)soak_draw(s, 1500), at);
         break;
     case 1: /* a planned stop; callers keep their connections until it is gone */
         kill(w->entry, SIGTERM);
-        plan_repair(s, REPAIR_ENTRY, number, false, 300, at);
+        soak_plan_repair(s, REPAIR_ENTRY, number, false, 300, at);
         ((repair*)s->repairs.tail->data)->at = wg_now() + 8500 * WG_USEC_PER_MSEC;
         break;
     case 2:
         kill(w->entry, SIGSTOP);
-        plan_repair(s, REPAIR_CONTINUE_ENTRY, number, false, 300 + (int)soak_draw(s, 3000), at);
+        soak_plan_repair(s, REPAIR_CONTINUE_ENTRY, number, false, 300 + (int)soak_draw(s, 3000),
+                         at);
         break;
     default:
         kill(w->entry, SIGHUP);
@@ -143,46 +134,48 @@
     bool may_wipe = wg_now() - s->wiped_at > 10 * WG_USEC_PER_SEC && s->repairs.length == 0;
     if (kind == 0) {
         kill(w->replica, SIGSTOP);
-        plan_repair(s, REPAIR_CONTINUE_REPLICA, number, false, 300 + (int)soak_draw(s, 3500), at);
+        soak_plan_repair(s, REPAIR_CONTINUE_REPLICA, number, false, 300 + (int)soak_draw(s, 3500),
+                         at);
         return;
     }
     if (kind == 1) {
         kill(w->replica, SIGTERM);
-        plan_repair(s, REPAIR_REPLICA, number, false, 1500, at);
+        soak_plan_repair(s, REPAIR_REPLICA, number, false, 1500, at);
         return;
     }
-    kill_now(&w->replica);
+    soak_kill(&w->replica);
     if (kind == 2 && may_wipe) {
         hosts_wipe(&s->h, w);
         s->wiped_at = wg_now();
     }
-    plan_repair(s, REPAIR_REPLICA, number, false, 100 + (int)soak_draw(s, 2500), at);
+    soak_plan_repair(s, REPAIR_REPLICA, number, false, 100 + (int)soak_draw(s, 2500), at);
 }
 
 static void fault_all_replicas(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
         host* w = &s->h.hosts[i];
-        if (w->disk && !is_repairing(s, i, false)) {
-            kill_now(&w->replica);
-            plan_repair(s, REPAIR_REPLICA, i, false, 50 + (int)soak_draw(s, 900), soak_disturb(s));
+        if (w->disk && !soak_is_repairing(s, i, false)) {
+            soak_kill(&w->replica);
+            soak_plan_repair(s, REPAIR_REPLICA, i, false, 50 + (int)soak_draw(s, 900),
+                             soak_disturb(s));
         }
     }
 }
 
 static void fault_disk(soak* s, int number) {
     set_disk_full(&s->h.hosts[number], true);
-    plan_repair(s, REPAIR_DISK, number, false, 300 + (int)soak_draw(s, 3500), soak_disturb(s));
+    soak_plan_repair(s, REPAIR_DISK, number, false, 300 + (int)soak_draw(s, 3500), soak_disturb(s));
 }
 
 static void fault_all_disks(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
-        if (s->h.hosts[i].disk && !is_repairing(s, i, false)) {
+        if (s->h.hosts[i].disk && !soak_is_repairing(s, i, false)) {
             fault_disk(s, i);
         }
     }
 }
 
-static void fault_links(soak* s, int number, bool target) {
+void soak_fault_links(soak* s, int number, bool target) {
     proxy* links = target ? s->h.targets[number].links : s->h.hosts[number].links;
     int at = soak_disturb(s);
     uint64_t kind = soak_draw(s, PROXY_MODES);
@@ -192,19 +185,19 @@
         return;
     }
     proxy_set(links, (proxy_mode)kind);
-    plan_repair(s, REPAIR_LINKS, number, target, 300 + (int)soak_draw(s, 3500), at);
+    soak_plan_repair(s, REPAIR_LINKS, number, target, 300 + (int)soak_draw(s, 3500), at);
 }
 
-static void fault_target(soak* s, int number) {
+void soak_fault_target(soak* s, int number) {
     host_target* t = &s->h.targets[number];
     int at = soak_disturb(s);
     if (s->desc.drains || soak_draw(s, 2)) {
         kill(t->pid, SIGHUP); /* it drains and leaves */
-        plan_repair(s, REPAIR_TARGET, number, true, 5500, at);
+        soak_plan_repair(s, REPAIR_TARGET, number, true, 5500, at);
         s->disturbances[at].planned = true;
     } else {
-        kill_now(&t->pid);
-        plan_repair(s, REPAIR_TARGET, number, true, 200 + (int)soak_draw(s, 2000), at);
+        soak_kill(&t->pid);
+        soak_plan_repair(s, REPAIR_TARGET, number, true, 200 + (int)soak_draw(s, 2000), at);
     }
 }
 
@@ -213,11 +206,15 @@
         return;
     }
     s->fault_at = now + (wg_time)(100 + soak_draw(s, 900)) * WG_USEC_PER_MSEC;
+    if (s->desc.harsh) {
+        soak_strike_harsh(s, now);
+        return;
+    }
     int number = (int)soak_draw(s, (uint64_t)s->h.num);
     int target = (int)soak_draw(s, (uint64_t)s->h.targets_num);
     if (s->desc.drains) {
-        if (!is_repairing(s, target, true)) {
-            fault_target(s, target);
+        if (!soak_is_repairing(s, target, true)) {
+            soak_fault_target(s, target);
         }
         return;
     }
@@ -226,17 +223,17 @@
         fault_all_replicas(s);
     } else if (kind == 10 && soak_draw(s, 4) == 0) {
         fault_all_disks(s);
-    } else if (kind >= 10 && s->h.hosts[number].disk && !is_repairing(s, number, false)) {
+    } else if (kind >= 10 && s->h.hosts[number].disk && !soak_is_repairing(s, number, false)) {
         fault_disk(s, number);
-    } else if (kind < 4 && !is_repairing(s, number, false)) {
-        fault_entry(s, number);
-    } else if (kind < 6 && s->h.hosts[number].disk && !is_repairing(s, number, false)) {
+    } else if (kind < 4 && !soak_is_repairing(s, number, false)) {
+        soak_fault_entry(s, number);
+    } else if (kind < 6 && s->h.hosts[number].disk && !soak_is_repairing(s, number, false)) {
         fault_replica(s, number);
-    } else if (kind < 8 && s->h.hosts[number].disk && !is_repairing(s, number, false)) {
-        fault_links(s, number, false);
-    } else if (kind == 8 && !is_repairing(s, target, true)) {
-        fault_target(s, target);
-    } else if (kind == 9 && !is_repairing(s, target, true)) {
-        fault_links(s, target, true);
+    } else if (kind < 8 && s->h.hosts[number].disk && !soak_is_repairing(s, number, false)) {
+        soak_fault_links(s, number, false);
+    } else if (kind == 8 && !soak_is_repairing(s, target, true)) {
+        soak_fault_target(s, target);
+    } else if (kind == 9 && !soak_is_repairing(s, target, true)) {
+        soak_fault_links(s, target, true);
     }
 }
--- /dev/null
+++ b/tests/sim/soak_harsh.c
@@ -0,0 +1,182 @@
+/* soak_harsh.c -- faults of a harsh run
+
+   Processes that stand still for tens to hundreds of milliseconds, again and again, as on a machine
+   that is busy or waits for its disk; losses of power on many at once, with as many lost disks as
+   the fleet has to bear; hosts that never come back, with an empty one in their place.
+
+   No more disks are lost than a fleet can bear: the next ones only CATCH_UP_TIME after the last
+   ones, or the host that was replaced, are back. Until then replicas have no faults but short
+   stalls and, now and then, a loss of power on all, after which the time begins anew. */
+#include <signal.h>
+
+#include "soak_internal.h"
+
+enum {
+    STALL_MS_MIN = 50,
+    STALL_MS_SPAN = 750,
+    STALLED_MOST = 6,
+    DOWN_MS_MIN = 300,
+    DOWN_MS_SPAN = 1500
+};
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static int draw_host(soak* s) {
+    int number;
+    do {
+        number = (int)soak_draw(s, (uint64_t)s->h.num);
+    } while (s->h.hosts[number].away);
+    return number;
+}
+
+static bool is_whole(const soak* s, wg_time now) {
+    return s->repairs.length == 0 && now >= s->lost_until;
+}
+
+static void stall_some(soak* s) {
+    int num = 1 + (int)soak_draw(s, STALLED_MOST);
+    for (int i = 0; i < num; i++) {
+        int number = draw_host(s);
+        host* w = &s->h.hosts[number];
+        int ms = STALL_MS_MIN + (int)soak_draw(s, STALL_MS_SPAN);
+        bool replica = w->disk && soak_draw(s, 2);
+        if (soak_is_repairing(s, number, false)) {
+            continue;
+        }
+        kill(replica ? w->replica : w->entry, SIGSTOP);
+        soak_plan_repair(s, replica ? REPAIR_CONTINUE_REPLICA : REPAIR_CONTINUE_ENTRY, number,
+                         false, ms, soak_disturb(s));
+    }
+}
+
+static int down_ms(soak* s) {
+    return DOWN_MS_MIN + (int)soak_draw(s, DOWN_MS_SPAN);
+}
+
+/* Whoever lost its disk, or stands in for another one, has its time from its next start. */
+static void begin_catch_up(soak* s) {
+    wg_time down = (DOWN_MS_MIN + DOWN_MS_SPAN) * (wg_time)WG_USEC_PER_MSEC;
+    s->lost_until = wg_now() + down + CATCH_UP_TIME;
+}
+
+static void power_off(soak* s, int number, bool entries) {
+    host* w = &s->h.hosts[number];
+    if (soak_is_repairing(s, number, false)) {
+        return;
+    }
+    int ms = down_ms(s);
+    if (w->disk) {
+        soak_kill(&w->replica);
+        soak_plan_repair(s, REPAIR_REPLICA, number, false, ms, soak_disturb(s));
+    }
+    if (entries) {
+        soak_kill(&w->entry);
+        soak_plan_repair(s, REPAIR_ENTRY, number, false, ms, soak_disturb(s));
+    }
+}
+
+/* All replicas, or all hosts, lose power; some of them their disks, when none counts as lost. */
+static void power_off_all(soak* s, wg_time now, bool entries) {
+    int lose = is_whole(s, now) ? (int)soak_draw(s, (uint64_t)s->h.losses + 1) : 0;
+    if (now < s->lost_until) {
+        begin_catch_up(s);
+    }
+    for (int i = 0; i < s->h.num; i++) {
+        if (!s->h.hosts[i].away && (entries || s->h.hosts[i].disk)) {
+            power_off(s, i, entries);
+        }
+    }
+    for (int tries = 0; lose > 0 && tries < 4 * HOSTS_MAX; tries++) {
+        host* w = &s->h.hosts[draw_host(s)];
+        if (w->disk && w->replica == 0 && !w->back) {
+            hosts_wipe(&s->h, w);
+            begin_catch_up(s);
+            w->back = true;
+            lose--;
+        }
+    }
+    for (int i = 0; i < s->h.num; i++) {
+        s->h.hosts[i].back = false;
+    }
+}
+
+/* A host with a disk ends for good; one that was a spare starts in its place. */
+static void replace_host(soak* s, wg_time now) {
+    int spare = -1;
+    for (int i = s->desc.hosts; i < s->h.num; i++) {
+        bool unused = s->h.hosts[i].away && s->h.hosts[i].entry == 0 && !s->h.hosts[i].back;
+        spare = spare < 0 && unused ? i : spare;
+    }
+    int number = draw_host(s);
+    host* w = &s->h.hosts[number];
+    if (spare < 0 || !w->disk || !is_whole(s, now)) {
+        return;
+    }
+    int at = soak_disturb(s);
+    bool planned = soak_draw(s, 2);
+    host* next = &s->h.hosts[spare];
+    next->away = false;
+    if (planned) {
+        hosts_start_replica(&s->h, next);
+        hosts_start_entry(&s->h, next);
+        s->disturbances[at].until = now;
+    } else {
+        soak_plan_repair(s, REPAIR_REPLICA, spare, false, 1000, at);
+        soak_plan_repair(s, REPAIR_ENTRY, spare, false, 1000, at);
+    }
+    soak_kill(&w->replica);
+    soak_kill(&w->entry);
+    w->away = true;
+    w->back = true; /* it was used */
+    begin_catch_up(s);
+}
+
+/* ---- functions of the soak --------------------------------------------------------------------
+ */
+
+void soak_strike_harsh(soak* s, wg_time now) {
+    enum {
+        KINDS = 12,
+        KINDS_OF_REPLICAS = 4, /* the first ones */
+        OVERLAP_ONE_IN = 6     /* of those that would strike a replica that catches up */
+    };
+    int number = draw_host(s);
+    int target = (int)soak_draw(s, (uint64_t)s->h.targets_num);
+    uint64_t kind = soak_draw(s, KINDS);
+    bool overlaps = now < s->lost_until && kind < KINDS_OF_REPLICAS;
+    if (overlaps && soak_draw(s, OVERLAP_ONE_IN)) {
+        stall_some(s);
+        return;
+    }
+    switch (kind) {
+    case 0:
+        power_off_all(s, now, false);
+        break;
+    case 1:
+        power_off_all(s, now, true);
+        break;
+    case 2:
+    case 3:
+        replace_host(s, now);
+        break;
+    case 4:
+        if (!soak_is_repairing(s, number, false)) {
+            soak_fault_entry(s, number);
+        }
+        break;
+    case 5:
+        if (now >= s->lost_until && s->h.hosts[number].disk &&
+            !soak_is_repairing(s, number, false)) {
+            soak_fault_links(s, number, false);
+        }
+        break;
+    case 6:
+        if (!soak_is_repairing(s, target, true)) {
+            soak_fault_target(s, target);
+        }
+        break;
+    default:
+        stall_some(s);
+        break;
+    }
+}
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -20,9 +20,21 @@
     CALM_TIME = 5 * WG_USEC_PER_SEC,        /* after a fault, before bounds in time hold again */
     FAULTS_AFTER = 1500 * WG_USEC_PER_MSEC, /* of the callers' begin */
     FORM_TIME = 60 * WG_USEC_PER_SEC,       /* for the fleet to serve for the first time */
-    SETTLE_TIME = 20 * WG_USEC_PER_SEC      /* after the last fault, to serve everywhere */
+    SETTLE_TIME = 20 * WG_USEC_PER_SEC,     /* after the last fault, to serve everywhere */
+    CATCH_UP_TIME = 4 * WG_USEC_PER_SEC,    /* for a replica that is back with an empty disk */
+    SPARES = 2                              /* hosts that may come in place of others */
 };
 
+/* What each host is asked at the end. */
+typedef enum {
+    PROBE_SERVICE = 0, /* a page of the plain service */
+    PROBE_ENGINE,
+    PROBE_NEWEST, /* a route that only the newest configuration has */
+    PROBE_FORMER, /* a route that only the one before it had */
+    PROBE_READ,   /* the configuration, read back */
+    PROBES
+} probe_kind;
+
 typedef enum {
     CALL_UNSAFE = 0,
     CALL_SAFE,
@@ -96,8 +108,10 @@
     struct event* tick;
     wg_time operator_at;
     wg_time fault_at;
-    GQueue repairs; /* repair*, by time */
-    uint32_t served_hosts;
+    GQueue repairs;                 /* repair*, by time */
+    bool passed[HOSTS_MAX][PROBES]; /* since the last fault, with the newest version */
+    int passed_version;
+    wg_time lost_until; /* a lost disk counts until then */
 };
 
 /* ---- soak_run.c ---- */
@@ -109,6 +123,17 @@
 /* A fault begins; its place among the disturbances. */
 int soak_disturb(soak* s);
 
+/* ---- soak_probe.c ---- */
+/* Ask each host what it has not passed yet. */
+void soak_probe(soak* s);
+bool soak_all_passed(const soak* s);
+/* What is missing, for the report of a broken run; the caller frees it. */
+char* soak_describe_probes(const soak* s);
+
+/* ---- soak_harsh.c ---- */
+/* One of the harsh faults; replicas and entry hosts are started again by soak_repair. */
+void soak_strike_harsh(soak* s, wg_time now);
+
 /* ---- soak_callers.c ---- */
 void soak_callers_make(soak* s);
 void soak_callers_start(soak* s);
@@ -123,3 +148,21 @@
 void soak_strike(soak* s, wg_time now);
 /* End the faults whose time is over. */
 void soak_repair(soak* s, wg_time now);
+typedef enum {
+    REPAIR_ENTRY = 0, /* start it again */
+    REPAIR_REPLICA,
+    REPAIR_TARGET,
+    REPAIR_CONTINUE_ENTRY, /* after SIGSTOP */
+    REPAIR_CONTINUE_REPLICA,
+    REPAIR_DISK,
+    REPAIR_LINKS
+} repair_kind;
+/* End a fault after so many milliseconds; `at`: its place among the disturbances. */
+void soak_plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at);
+bool soak_is_repairing(const soak* s, int number, bool target);
+/* SIGKILL, and wait for the end. */
+void soak_kill(pid_t* pid);
+/* The faults of a run that is not harsh, on one host or target. */
+void soak_fault_entry(soak* s, int number);
+void soak_fault_links(soak* s, int number, bool target);
+void soak_fault_target(soak* s, int number);
--- a/tests/sim/soak_operator.c
+++ b/tests/sim/soak_operator.c
@@ -20,9 +20,12 @@
         "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"service\":\"app\"},"
         "{\"name\":\"e\",\"host\":\"soak\",\"path_prefix\":\"/stream/\",\"kind\":\"stream\","
         "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"resumable\":true,"
-        "\"service\":\"engine\"}],\"limits\":{},"
+        "\"service\":\"engine\"},"
+        "{\"name\":\"n\",\"host\":\"soak\",\"path_prefix\":\"/only-%d/\",\"kind\":\"safe\","
+        "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"service\":\"app\"}],"
+        "\"limits\":{},"
         "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"key\"]}]}",
-        version, version);
+        version, version, version);
 }
 
 static void check_read(soak* s, const order* o, struct evhttp_request* request) {
--- /dev/null
+++ b/tests/sim/soak_probe.c
@@ -0,0 +1,124 @@
+/* soak_probe.c -- what each host is asked once the faults are over
+
+   Routes that one version alone has show which configuration a host obeys; a read shows whether it
+   finds a leader. */
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+
+#include "soak_internal.h"
+#include "wg_net.h"
+
+typedef struct {
+    soak* s;
+    int number; /* host */
+    probe_kind kind;
+    int version; /* the newest when it was asked */
+} probe;
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static int read_version(struct evhttp_request* request) {
+    struct evbuffer* in = evhttp_request_get_input_buffer(request);
+    size_t size = evbuffer_get_length(in);
+    json_t* json = json_loadb((const char*)evbuffer_pullup(in, -1), size, 0, NULL);
+    int version = (int)json_integer_value(json_object_get(json, "version"));
+    json_decref(json);
+    return version;
+}
+
+static bool is_passed(const probe* p, struct evhttp_request* request) {
+    int status = request ? evhttp_request_get_response_code(request) : 0;
+    switch (p->kind) {
+    case PROBE_FORMER:
+        return status == 404;
+    case PROBE_READ:
+        return status == 200 && read_version(request) >= p->version;
+    default:
+        return status == 200;
+    }
+}
+
+static void on_probe(struct evhttp_request* request, void* user_data) {
+    probe* p = user_data;
+    soak* s = p->s;
+    if (p->version == s->passed_version && is_passed(p, request)) {
+        s->passed[p->number][p->kind] = true;
+    }
+    g_free(p);
+}
+
+static char* path_of(probe_kind kind, int version) {
+    switch (kind) {
+    case PROBE_SERVICE:
+        return g_strdup("/safe/probe");
+    case PROBE_ENGINE:
+        return g_strdup("/stream/1");
+    case PROBE_NEWEST:
+        return g_strdup_printf("/only-%d/x", version);
+    case PROBE_FORMER:
+        return g_strdup_printf("/only-%d/x", version - 1);
+    default:
+        return g_strdup("/v1/configuration");
+    }
+}
+
+static void ask(soak* s, int number, probe_kind kind) {
+    const host* w = &s->h.hosts[number];
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    probe* p = g_new(probe, 1);
+    *p = (probe){s, number, kind, s->passed_version};
+    wgn_split_address(kind == PROBE_READ ? w->orders : w->callers, ip, &port);
+    struct evhttp_connection* connection = evhttp_connection_base_new(s->base, NULL, ip, port);
+    evhttp_connection_set_timeout(connection, 1);
+    evhttp_connection_free_on_completion(connection);
+    struct evhttp_request* request = evhttp_request_new(on_probe, p);
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Host", "soak");
+    evhttp_add_header(out, "Walnutgate-Key", "key");
+    char* path = path_of(kind, p->version);
+    evhttp_make_request(connection, request, EVHTTP_REQ_GET, path);
+    g_free(path);
+}
+
+/* ---- functions of the soak --------------------------------------------------------------------
+ */
+
+void soak_probe(soak* s) {
+    if (s->passed_version != s->acknowledged) {
+        memset(s->passed, 0, sizeof s->passed);
+        s->passed_version = s->acknowledged;
+    }
+    for (int i = 0; i < s->h.num; i++) {
+        for (int kind = 0; kind < PROBES && !s->h.hosts[i].away; kind++) {
+            if (!s->passed[i][kind]) {
+                ask(s, i, (probe_kind)kind);
+            }
+        }
+    }
+}
+
+bool soak_all_passed(const soak* s) {
+    bool all = s->acknowledged > 0 && s->acknowledged == s->version &&
+               s->acknowledged == s->passed_version;
+    for (int i = 0; i < s->h.num && all; i++) {
+        for (int kind = 0; kind < PROBES && !s->h.hosts[i].away; kind++) {
+            all = all && s->passed[i][kind];
+        }
+    }
+    return all;
+}
+
+char* soak_describe_probes(const soak* s) {
+    static const char* const names[PROBES] = {"service", "engine", "newest", "former", "read"};
+    GString* missing = g_string_new(NULL);
+    for (int i = 0; i < s->h.num; i++) {
+        for (int kind = 0; kind < PROBES && !s->h.hosts[i].away; kind++) {
+            if (!s->passed[i][kind]) {
+                g_string_append_printf(missing, " %d:%s", i + 1, names[kind]);
+            }
+        }
+    }
+    return g_string_free(missing, FALSE);
+}
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -3,14 +3,10 @@
 
 #include "soak_internal.h"
 
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
 
-#include "wg_net.h"
-
 /* ---- helpers ----------------------------------------------------------------------------------
  */
 
@@ -29,7 +25,11 @@
 }
 
 host* soak_any_host(soak* s) {
-    return &s->h.hosts[soak_draw(s, (uint64_t)s->h.num)];
+    host* w;
+    do {
+        w = &s->h.hosts[soak_draw(s, (uint64_t)s->h.num)];
+    } while (w->away);
+    return w;
 }
 
 int soak_disturb(soak* s) {
@@ -53,60 +53,20 @@
 /* ---- the end ------------------------------------------------------------------------------------
  */
 
-/* Each host is asked for a page of each service. */
-static const char* const probe_paths[] = {"/safe/probe", "/stream/1"};
-
-typedef struct {
-    soak* s;
-    uint32_t bit;
-} probe;
-
-static void on_probe(struct evhttp_request* request, void* user_data) {
-    probe* p = user_data;
-    if (request && evhttp_request_get_response_code(request) == 200) {
-        p->s->served_hosts |= p->bit;
-    }
-    g_free(p);
-}
-
-static void probe_hosts(soak* s) {
-    for (int i = 0; i < s->h.num * (int)G_N_ELEMENTS(probe_paths); i++) {
-        char ip[WG_ADDRESS_MAX];
-        uint16_t port;
-        if (s->served_hosts & (1u << i)) {
-            continue;
-        }
-        probe* p = g_new(probe, 1);
-        *p = (probe){s, 1u << i};
-        wgn_split_address(s->h.hosts[i % s->h.num].callers, ip, &port);
-        struct evhttp_connection* connection = evhttp_connection_base_new(s->base, NULL, ip, port);
-        evhttp_connection_set_timeout(connection, 1);
-        evhttp_connection_free_on_completion(connection);
-        struct evhttp_request* request = evhttp_request_new(on_probe, p);
-        struct evkeyvalq* out = evhttp_request_get_output_headers(request);
-        evhttp_add_header(out, "Host", "soak");
-        evhttp_add_header(out, "Walnutgate-Key", "key");
-        evhttp_make_request(connection, request, EVHTTP_REQ_GET, probe_paths[i / s->h.num]);
-    }
-}
-
-static bool all_served(const soak* s) {
-    uint32_t all = (1u << (s->h.num * (int)G_N_ELEMENTS(probe_paths))) - 1;
-    return s->served_hosts == all && s->acknowledged > 0 && s->acknowledged == s->version;
-}
-
 /* Callers and faults begin once the fleet serves everywhere, however long the machine takes. */
 static void await_fleet(soak* s, wg_time now) {
-    probe_hosts(s);
-    if (all_served(s)) {
+    soak_probe(s);
+    if (soak_all_passed(s)) {
         s->formed = true;
-        s->served_hosts = 0;
+        memset(s->passed, 0, sizeof s->passed);
         s->last_fault = now;
         s->fault_at = now + FAULTS_AFTER;
         s->faults_until = s->fault_at + (wg_time)s->desc.seconds * WG_USEC_PER_SEC;
         soak_callers_start(s);
     } else if (now - s->last_fault > FORM_TIME) {
-        soak_broken(s, "the fleet never served: %x of %d", s->served_hosts, s->h.num);
+        char* missing = soak_describe_probes(s);
+        soak_broken(s, "the fleet never served, host:what is missing:%s", missing);
+        g_free(missing);
         event_base_loopbreak(s->base);
     }
 }
@@ -130,13 +90,15 @@
     if (s->repairs.length > 0) {
         return;
     }
-    probe_hosts(s);
-    if (all_served(s)) {
+    soak_probe(s);
+    if (soak_all_passed(s)) {
         s->result.back = now - s->last_fault;
         event_base_loopbreak(s->base);
     } else if (now - MAX(s->last_fault, s->faults_until) > SETTLE_TIME) {
-        soak_broken(s, "hosts that serve again: %x of %d; version %d, acknowledged %d",
-                    s->served_hosts, s->h.num, s->version, s->acknowledged);
+        char* missing = soak_describe_probes(s);
+        soak_broken(s, "not all serve again; version %d, acknowledged %d, host:what is missing:%s",
+                    s->version, s->acknowledged, missing);
+        g_free(missing);
         event_base_loopbreak(s->base);
     }
 }
@@ -190,6 +152,9 @@
 
 static void start_all(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
+        if (s->h.hosts[i].away) {
+            continue;
+        }
         hosts_start_entry(&s->h, &s->h.hosts[i]);
         if (s->h.hosts[i].disk) {
             hosts_start_replica(&s->h, &s->h.hosts[i]);
@@ -201,6 +166,15 @@
     }
 }
 
+static void make_harsh(soak* s) {
+    hosts_use_deployed_timing(&s->h);
+    s->h.losses = MAX((s->desc.disks - 1) / 2, 1);
+    for (int i = s->desc.hosts; i < s->h.num; i++) {
+        s->h.hosts[i].away = true;
+        hosts_give_disk(&s->h, &s->h.hosts[i]);
+    }
+}
+
 soak_result soak_run(const soak_desc* desc) {
     soak* s = g_new0(soak, 1);
     signal(SIGPIPE, SIG_IGN);
@@ -214,7 +188,10 @@
     s->promised = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     s->unsafe_ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_queue_init(&s->repairs);
-    hosts_setup(&s->h, s->base, s->desc.hosts, s->desc.disks, 5);
+    hosts_setup(&s->h, s->base, s->desc.hosts + (desc->harsh ? SPARES : 0), s->desc.disks, 5);
+    if (desc->harsh) {
+        make_harsh(s);
+    }
     g_strlcpy(s->result.folder, s->h.folder, sizeof s->result.folder);
     s->h.spoiled = desc->spoiled;
     start_all(s);
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -16,7 +16,8 @@
         - no request reaches a target of an evacuated data centre from two seconds after the
           evacuation was acknowledged until its end is ordered, while no fault is near; also when
           all replicas ended meanwhile
-        - soon after the last fault every entry host serves again
+        - soon after the last fault every entry host serves again, obeys the newest configuration
+          that was acknowledged and no older one, and reads it back
 */
 #include "wg_base.h"
 
@@ -27,6 +28,8 @@
     int disks;    /* of them, default 3 */
     bool calm;    /* no faults at all */
     bool drains;  /* no faults but planned drains of targets */
+    bool harsh;   /* the deployed waits; processes that are late, losses of power with disks, hosts
+                     that are replaced for good */
     bool spoiled; /* targets cut off, fail and refuse a part of their requests */
     bool keep;    /* the folder with the logs, also after a good run */
 } soak_desc;
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -20,10 +20,12 @@
     struct arg_int* seconds = arg_int0(NULL, "seconds", "<n>", "of faults in a run, default 12");
     struct arg_int* hosts = arg_int0(NULL, "hosts", "<n>", "default 4");
     struct arg_int* disks = arg_int0(NULL, "disks", "<n>", "hosts with a disk, default 3");
+    struct arg_lit* harsh =
+        arg_lit0(NULL, "harsh", "the deployed waits; late processes, lost disks, replaced hosts");
     struct arg_lit* calm = arg_lit0(NULL, "calm", "no faults");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed, seeds, seconds, hosts, disks, calm, keep, end};
+    void* table[] = {seed, seeds, seconds, hosts, disks, harsh, calm, keep, end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -37,6 +39,7 @@
                           .seconds = seconds->count ? seconds->ival[0] : 0,
                           .hosts = hosts->count ? hosts->ival[0] : 0,
                           .disks = disks->count ? disks->ival[0] : 0,
+                          .harsh = harsh->count > 0,
                           .calm = calm->count > 0,
                           .spoiled = i % 2 == 1,
                           .keep = keep->count > 0};
--- a/tests/test_quorum_successor.c
+++ b/tests/test_quorum_successor.c
@@ -116,4 +116,138 @@
 }
 END_TEST
 
-WG_TEST_MAIN("quorum_successor", a_replaced_replica_weighs_no_more)
+static simq_run* begin_full(int voters, int seed) {
+    return begin(&(strike){.voters = voters, .replaced = 0, .lost = 1}, seed);
+}
+
+static int follower(simq_run* run, int seed, int voters) {
+    int slot = seed % voters;
+    return slot == simq_leader(run) ? (slot + 1) % voters : slot;
+}
+
+/* Four voters, of which one stops as planned, bear the loss of another one's disk at once. */
+START_TEST(a_voter_that_leaves_weighs_no_more_at_once) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+        simq_run* run = begin_full(4, seed);
+        int leaver = follower(run, seed, 4);
+        int leader = simq_leader(run);
+        simq_leave(run, leaver);
+        simq_run_for(run, 300 * MSEC);
+        ck_assert(simq_has_left(run, leaver));
+        ck_assert_int_eq(simq_set(run, leader)->num, 3);
+        ck_assert(!simq_replace(run, leaver)); /* not added again while it stops */
+        simq_crash(run, leaver);
+        uint64_t index = simq_edit(run, "w", 5, 0, 1);
+        simq_run_for(run, 200 * MSEC);
+        ck_assert_uint_ge(simq_answered(run), index);
+        bool gone[SLOTS_MAX] = {false};
+        gone[leaver] = true;
+        strike_all(run, &(strike){.voters = 4, .lost = 1}, seed, gone);
+        simq_run_for(run, 3 * SECOND);
+        ck_assert_int_ge(simq_leader(run), 0);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* It comes back under the same identity and has its vote again. */
+START_TEST(a_voter_that_left_comes_back) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+        simq_run* run = begin_full(4, seed);
+        int leaver = follower(run, seed, 4);
+        simq_leave(run, leaver);
+        simq_run_for(run, 300 * MSEC);
+        simq_crash(run, leaver);
+        simq_run_for(run, 300 * MSEC);
+        simq_restart(run, leaver);
+        for (wg_time until = simq_now(run) + SECOND; simq_now(run) < until;) {
+            simq_replace(run, leaver);
+            simq_tick(run);
+        }
+        const wgr_set* set = simq_set(run, simq_leader(run));
+        ck_assert_int_eq(set->num, 4);
+        for (int i = 0; i < set->num; i++) {
+            ck_assert(set->replicas[i].voter);
+        }
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* Of three, none may go: two could not bear a loss. It is told so and stops all the same. */
+START_TEST(a_voter_that_is_needed_stays) {
+    simq_run* run = begin_full(3, 1);
+    int leaver = follower(run, 1, 3);
+    simq_leave(run, leaver);
+    simq_run_for(run, 300 * MSEC);
+    ck_assert(simq_has_left(run, leaver));
+    ck_assert_int_eq(simq_set(run, simq_leader(run))->num, 3);
+    simq_shutdown(run);
+}
+END_TEST
+
+/* A silent voter goes where enough others answer, whoever has come or not; never below that. */
+START_TEST(a_set_never_gets_too_small) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+        simq_run* run = begin(&(strike){.voters = 6, .replaced = 0, .lost = 2}, seed);
+        int gone[2] = {follower(run, seed, 6), follower(run, seed + 1, 6)};
+        simq_crash(run, gone[0]);
+        simq_run_for(run, 3 * SECOND);
+        ck_assert_int_eq(simq_set(run, simq_leader(run))->num, 5);
+        gone[1] = gone[1] == gone[0] ? follower(run, seed + 2, 6) : gone[1];
+        gone[1] = gone[1] == gone[0] ? follower(run, seed + 3, 6) : gone[1];
+        simq_crash(run, gone[1]);
+        simq_run_for(run, 5 * SECOND);
+        ck_assert_int_ge(simq_leader(run), 0);
+        ck_assert_int_eq(simq_set(run, simq_leader(run))->num, 5);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* A voter that is silent for less than that keeps its place, and the newcomer gets its own. */
+START_TEST(a_short_silence_costs_no_place) {
+    for (int seed = 0; seed < SEEDS; seed++) {
+        static const strike k = {.voters = 3, .replaced = 1, .lost = 1};
+        simq_run* run = begin(&k, seed);
+        int slow = follower(run, seed, 3);
+        simq_freeze(run, slow, SECOND);
+        simq_run_for(run, 500 * MSEC);
+        simq_restart(run, 3);
+        run_and_add(run, &k, 3 * SECOND);
+        const wgr_set* set = simq_set(run, simq_leader(run));
+        ck_assert_int_eq(set->num, 4);
+        for (int i = 0; i < set->num; i++) {
+            ck_assert(set->replicas[i].voter);
+        }
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+/* Random faults of the whole list, with succession and planned stops beside them. */
+START_TEST(random_runs_hold_with_succession) {
+    for (uint64_t seed = 700; seed < 706; seed++) {
+        simq_run* run = simq_setup(&(simq_desc){.seed = seed,
+                                                .replicas = seed % 2 ? 4 : 6,
+                                                .faults = true,
+                                                .election_min = 300 * MSEC,
+                                                .election_max = 500 * MSEC,
+                                                .heartbeat = 60 * MSEC,
+                                                .gone_after = 1600 * MSEC,
+                                                .losses = seed % 2 ? 1 : 2});
+        simq_steps(run, 20000);
+        simq_settle(run, 30 * SECOND);
+        simq_counts counts = simq_query_counts(run);
+        ck_assert_uint_gt(counts.left, 0);
+        ck_assert_uint_gt(counts.replaced, 0);
+        ck_assert_uint_gt(counts.committed, 1000);
+        simq_shutdown(run);
+    }
+}
+END_TEST
+
+WG_TEST_MAIN("quorum_successor", a_replaced_replica_weighs_no_more,
+             a_voter_that_leaves_weighs_no_more_at_once, a_voter_that_left_comes_back,
+             a_voter_that_is_needed_stays, a_set_never_gets_too_small,
+             a_short_silence_costs_no_place, random_runs_hold_with_succession)
