An order that a leader refused is sent again while it still leads

Cause: a leader that was late finds its lease over and answers that it does not lead; the lease is back before its tick tells anybody. The entry host still takes it for the leader, and sent orders again only when a leader became known: the order waited for its whole 0.9 s and got 503. Now each tick sends what is not sent. Not seen in the record; found by reading, shown by a test that failed before (order_status 0 after 0.6 s) and passes now, with an order refused once.

--- a/lib/entry/wg_entry_orders.c
+++ b/lib/entry/wg_entry_orders.c
@@ -116,7 +116,7 @@
             continue;
         }
         if (in->outcome == WG_ORDER_NOT_LEADER || in->outcome == WG_ORDER_UNKNOWN) {
-            order->sent = false; /* the next leader is asked, until the time is over */
+            order->sent = false; /* the next tick asks again, whoever leads then */
         } else {
             wg_entry_take_outcome(e, at, in);
         }
@@ -124,12 +124,17 @@
     }
 }
 
+/* A leader that was late may refuse an order and have its lease again before anybody was told: no
+   word of another leader comes then, so what is not sent is sent with each tick. */
 void wg_entry_orders_tick(wg_entry* e, wg_time now) {
     GList* next;
     for (GList* at = e->orders.head; at; at = next) {
+        wg_entry_order* order = at->data;
         next = at->next;
-        if (now >= ((wg_entry_order*)at->data)->until) {
+        if (now >= order->until) {
             wg_entry_order_end(e, at, WG_ORDER_UNKNOWN, NULL);
+        } else if (!order->sent) {
+            wg_entry_send_order(e, order);
         }
     }
 }
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -13,6 +13,7 @@
     int ups;
     int downs;
     int reports;
+    int refusals;                /* so many orders to come are answered with "not the leader" */
     int evacuations;             /* orders to begin or end one */
     char evacuated[WG_NAME_MAX]; /* of the last one: the data centre */
     bool evacuation_begins;
@@ -37,7 +38,8 @@
         f->evacuation_begins = in->evacuation->begins;
         f->evacuation_cold_us = in->evacuation->cold_us;
         answer.ticket = in->ticket;
-        answer.outcome = WG_ORDER_DONE;
+        answer.outcome = f->refusals > 0 ? WG_ORDER_NOT_LEADER : WG_ORDER_DONE;
+        f->refusals -= f->refusals > 0;
         wgn_send(f->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
     }
     wgpb__order__free_unpacked(in, NULL);
--- a/tests/test_leader_links.c
+++ b/tests/test_leader_links.c
@@ -175,6 +175,60 @@
 }
 END_TEST
 
+/* ---- orders that a leader does not take ---------------------------------------------------------
+ */
+
+static int order_status;
+
+static void on_order_answer(struct evhttp_request* request, void* user_data) {
+    (void)user_data;
+    order_status = request ? evhttp_request_get_response_code(request) : -1;
+}
+
+/* A leader that was late finds its lease over, refuses an order, and has its lease again a moment
+   later, before it told anybody that it led no more. The host still takes it for the leader, so no
+   other word would have the order sent again: it was held for its whole time and answered 503, as
+   operators' changes were while every process of the fleet stood still now and then. */
+START_TEST(an_order_that_was_refused_is_sent_again) {
+    enum {
+        ORDER_TURNS = 600 /* of a millisecond; the order's own time is 900 */
+    };
+    fake_control leader;
+    begin();
+    fake_control_begin(base, &leader, 1);
+    char* seeds[] = {leader.address, NULL};
+    wg_entry* entry = fake_control_entry(base, seeds);
+    for (int i = 0; i < TURNS && leader.reports == 0; i++) {
+        turn();
+    }
+    fake_control_leads(&leader,
+                       &(fake_word){.version = 1, .document = "{}", .target = "127.0.0.1:9"});
+    for (int i = 0; i < 100; i++) {
+        turn();
+    }
+    leader.refusals = 1;
+    char* orders = local_address(11, 18004);
+    char ip[WG_ADDRESS_MAX];
+    uint16_t port;
+    ck_assert(wgn_split_address(orders, ip, &port));
+    struct evhttp_connection* connection = evhttp_connection_base_new(base, NULL, ip, port);
+    struct evhttp_request* request = evhttp_request_new(on_order_answer, NULL);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
+    order_status = 0;
+    evhttp_make_request(connection, request, EVHTTP_REQ_PUT, "/v1/evacuations/dc");
+    for (int i = 0; i < ORDER_TURNS && order_status == 0; i++) {
+        turn();
+    }
+    ck_assert_int_eq(order_status, 200);
+    ck_assert_int_eq(leader.evacuations, 2);
+    evhttp_connection_free(connection);
+    wg_entry_shutdown(entry);
+    fake_control_end(&leader);
+    event_base_free(base);
+    g_free(orders);
+}
+END_TEST
+
 START_TEST(lists_of_what_is_held_are_read_strictly) {
     static const char good[] =
         "{\"epoch\":3,\"held\":[[\"\",\"5c1e\",800,\"m\"],[\"\",\"aa\",0,\"m\"],[\"\",7,5],"
@@ -393,4 +447,4 @@
              a_coordinator_asks_its_targets_what_they_hold, lists_of_what_is_held_are_read_strictly,
              an_entry_host_waits_where_no_leader_is_known_yet,
              an_entry_host_does_not_wait_at_another_one, a_control_that_hears_of_no_leader_is_left,
-             hosts_that_know_no_others_are_told_at_once)
+             an_order_that_was_refused_is_sent_again, hosts_that_know_no_others_are_told_at_once)
