A process that stood still does not take that for silence of the others

Cause: the links' tick comes before what waits in the sockets is read, so a process that stood still for a silence deadline (0.6 s between controls, 1.2 s at hosts) closed every link that it had, and had to find leader and followers anew. Time in which the own tick was late is now taken off, at links and at a host's wait for word of its leader. Dead links are still found, after the deadline of time awake.

test_net: two ends that stand still for 0.8 s five times; both links closed the first time before, none now. Elections and a leader's own step-down still look at the clock only: open.

--- a/lib/base/wg_watch.c
+++ b/lib/base/wg_watch.c
@@ -8,6 +8,7 @@
         return false;
     }
     wg_time over = MAX(now - before - period, 0);
+    p->last = over;
     wg_hist_add(&p->late, over);
     p->worst = MAX(p->worst, over);
     if (p->worst < WG_PULSE_LATE || now - p->told_at < WG_USEC_PER_SEC) {
--- a/lib/base/wg_watch.h
+++ b/lib/base/wg_watch.h
@@ -32,6 +32,7 @@
 typedef struct {
     wg_time beat_at; /* 0: none yet */
     wg_time told_at;
+    wg_time last;  /* lateness of the last beat */
     wg_time worst; /* since the last line */
     wg_hist late;  /* microseconds */
 } wg_pulse;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -486,6 +486,11 @@
     wg_entry_dial(e, now);
     wg_time quiet = now - e->state_at;
     bool leaderless = e->leaderless_at && now - e->leaderless_at > WG_LEADERLESS_TIME;
+    /* What the leader said while this process stood still waits unread; the next tick judges. */
+    bool was_late = e->pulse.last > WG_PULSE_LATE;
+    if (was_late) {
+        quiet = 0;
+    }
     if (e->link.id && (leaderless || quiet > e->settings->link_silence_ms * WG_USEC_PER_MSEC)) {
         wg_entry_relink(e, "");
         return;
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -38,6 +38,7 @@
     _wgn_link_t* links;
     struct evconnlistener* listener;
     struct event* tick;
+    wg_time ticked_at; /* 0: not yet */
     _wgn_budget budget;
     wgn_stats stats;
 };
@@ -45,7 +46,10 @@
 enum {
     /* Payloads from this size on are shared by reference: a copy of fewer bytes costs less than the
        chain and the frame that a reference takes. */
-    _WGN_SHARED_MIN = 1024
+    _WGN_SHARED_MIN = 1024,
+    _WGN_TICK = 250 * WG_USEC_PER_MSEC,
+    /* A tick that comes so much too late means that this process stood still. */
+    _WGN_LATE = 100 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers ------------------------------------------------------------------------------ */
@@ -348,16 +352,29 @@
     }
 }
 
+/* For how long this process stood still before this tick; 0: it did not. */
+static wg_time _wgn_stood_still(wgn_net* net, wg_time now) {
+    wg_time over = net->ticked_at ? now - net->ticked_at - _WGN_TICK : 0;
+    net->ticked_at = now;
+    return over > _WGN_LATE ? over : 0;
+}
+
+/* The tick comes before what waits in the sockets is read. So time in which this process stood
+   still is no silence of others: without this, one that was late for a silence deadline (0.6 s
+   between controls) closed all its links, and had to find everybody anew. */
 static void _wgn_on_tick(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
     wgn_net* net = user_data;
     wg_time now = wg_now();
+    wg_time stood_still = _wgn_stood_still(net, now);
     for (int i = 0; i < net->pool.capacity; i++) {
         if (!net->pool.taken[i]) {
             continue;
         }
         _wgn_link_t* l = &net->links[i];
+        l->opened_at = MIN(l->opened_at + stood_still, now);
+        l->heard_at = MIN(l->heard_at + stood_still, now);
         bool late = !l->up && now - l->opened_at > net->desc.proof_deadline;
         bool silent = now - l->heard_at > l->silence_deadline;
         if (late || silent || l->slow) {
@@ -380,7 +397,7 @@
     net->links = g_new0(_wgn_link_t, net->desc.links_max);
     net->tick = event_new(net->desc.base, -1, EV_PERSIST, _wgn_on_tick, net);
     event_priority_set(net->tick, WGN_PRIORITY);
-    struct timeval period = {.tv_usec = 250 * WG_USEC_PER_MSEC};
+    struct timeval period = {.tv_usec = _WGN_TICK};
     event_add(net->tick, &period);
     return net;
 }
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -104,6 +104,69 @@
 }
 END_TEST
 
+/* ---- a process that is late --------------------------------------------------------------------
+ */
+
+static int late_ups;
+static int late_downs;
+
+static void on_late_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    (void)user_data;
+    late_ups++;
+}
+
+static void on_late_down(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)link;
+    (void)peer;
+    (void)user_data;
+    late_downs++;
+}
+
+static wgn_net* late_net(void) {
+    return wgn_setup(&(wgn_desc){.base = base,
+                                 .fleet_key = "key",
+                                 .self = {.name = "n", .role = WGW_ROLE_CONTROL},
+                                 .silence_deadline = 600 * MSEC,
+                                 .ping_interval = 150 * MSEC,
+                                 .on_up = on_late_up,
+                                 .on_frame = on_frame,
+                                 .on_down = on_late_down},
+                     NULL);
+}
+
+static void run_for(int ms) {
+    struct timeval time = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
+    event_base_loopexit(base, &time);
+    event_base_dispatch(base);
+}
+
+/* A process that stood still for longer than the silence deadline had closed every link that it
+   had, before it read what waited there, and was without a leader, or without its followers, until
+   all were dialled again. What it did not read is its own lateness, not silence of the others. */
+START_TEST(a_late_process_keeps_its_links) {
+    base = event_base_new();
+    event_base_priority_init(base, WGN_PRIORITIES);
+    wgn_net* near_end = late_net();
+    wgn_net* far_end = late_net();
+    char* address = g_strdup_printf("127.80.%d.1:%d", getpid() % 250 + 1, 18000 + getpid() % 9000);
+    ck_assert(wgn_listen(far_end, address, NULL));
+    ck_assert_uint_ne(wgn_dial(near_end, address).id, 0);
+    run_for(300);
+    ck_assert_int_eq(late_ups, 2);
+    for (int i = 0; i < 5; i++) {
+        g_usleep(800 * 1000);
+        run_for(700);
+        ck_assert_int_eq(late_downs, 0);
+    }
+    wgn_shutdown(near_end);
+    wgn_shutdown(far_end);
+    event_base_free(base);
+    g_free(address);
+}
+END_TEST
+
 /* ---- links that do not read -------------------------------------------------------------------
  */
 
@@ -233,5 +296,5 @@
 }
 END_TEST
 
-WG_TEST_MAIN("net", links_go_before_a_flood, a_frame_for_many_links_is_held_once,
-             links_that_do_not_read_are_closed_at_the_limit)
+WG_TEST_MAIN("net", links_go_before_a_flood, a_late_process_keeps_its_links,
+             a_frame_for_many_links_is_held_once, links_that_do_not_read_are_closed_at_the_limit)
