Reproduced, failing: a workspace is refused for as long as a host has no leader

The test has one idle target and no other caller; nine seconds after the leader's end no request of the workspace reached it.

--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -132,6 +132,8 @@
     const char* evacuated; /* a data centre, NULL none; the target stands in "dc" */
     uint64_t cold_us;      /* for so long the target is cold */
     uint64_t change;       /* of the registry; 0 counts as 1 */
+    Wgpb__WorkspaceUsage** usage;
+    size_t usage_num;
 } fake_word;
 
 static inline void fake_control_leads(fake_control* f, const fake_word* word) {
@@ -171,6 +173,13 @@
     state.members_reset = true;
     state.members_num = 1;
     state.report_ms = 100;
+    char* controls[] = {f->address};
+    if (word->usage_num > 0) { /* an answer to a report, which names controls too */
+        state.usage = word->usage;
+        state.n_usage = word->usage_num;
+        state.controls = controls;
+        state.n_controls = 1;
+    }
     ck_assert(wgn_send(f->net, f->link, WGW_TYPE_CONFIGURATION, &configuration.base));
     ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
     g_free(callers);
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -10,6 +10,7 @@
 #include <sys/socket.h>
 
 #include "fake_control.h"
+#include "wg_config.h"
 
 enum {
     TURNS = 3000, /* of the loop, a millisecond each, before something counts as missing */
@@ -654,7 +655,81 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry promises", connections_to_targets_leave_fewer_for_callers,
+/* ---- what a host without a leader goes by -------------------------------------------------------
+ */
+
+enum {
+    OTHERS = 4, /* workspaces beside the one that had most */
+    LEADERLESS_TURNS = 9000,
+    SENT_TURNS = 500
+};
+
+static const char shared_document[] =
+    "{\"version\":9,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":8,"
+    "\"memory_tokens\":100000}}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+    "\"path_prefix\":\"/a/\",\"kind\":\"stream\",\"timeout_ms\":2000,\"objective_ms\":1000,"
+    "\"attempts\":1,\"service\":\"e\",\"affinity\":true}],\"limits\":{},"
+    "\"workspaces\":[{\"name\":\"most\",\"keys\":[\"key-most\"]}]}";
+
+/* The leader's word: workspace "most" had more than three times the level of the others. */
+static void lead_with_usage(void) {
+    Wgpb__WorkspaceUsage items[OTHERS + 1];
+    Wgpb__WorkspaceUsage* usage[OTHERS + 1];
+    wg_config* config = wg_config_parse(shared_document, strlen(shared_document), NULL);
+    for (int i = 0; i <= OTHERS; i++) {
+        wgpb__workspace_usage__init(&items[i]);
+        items[i].workspace = i ? (uint64_t)i : config->workspaces[0].hash;
+        items[i].tokens = i ? 100000 : 800000;
+        items[i].asked = 800000;
+        usage[i] = &items[i];
+    }
+    wg_config_unref(config);
+    fake_control_leads(&leader, &(fake_word){.version = 9,
+                                             .document = shared_document,
+                                             .target = target_at,
+                                             .usage = usage,
+                                             .usage_num = OTHERS + 1});
+    turns(20);
+}
+
+static bool is_sent(const char* path) {
+    static const char fields[] = "Walnutgate-Key: key-most\r\n"
+                                 "Walnutgate-Prompt-Parts: 5c1e:800,91bd:410\r\n"
+                                 "Walnutgate-Prompt-Tokens: 1210,80\r\n";
+    int fd = caller(path, fields);
+    for (int i = 0; i < SENT_TURNS && !strstr(asked->str, path); i++) {
+        local_turn(base);
+    }
+    close(fd);
+    turns(20);
+    return strstr(asked->str, path) != NULL;
+}
+
+/* What users saw: after the replicas had lost their majority, one workspace got far less than its
+   share for as long as hosts served without a leader. Order of events: the workspace had more than
+   the others when the leader was lost; each host kept what it was told last. Cause: that word never
+   aged, so the workspace counted as far above the level, and was refused, until a leader would
+   come. Evidence: read in the code, and this test, in which no request of the workspace reached an
+   idle target nine seconds after the leader's end. */
+START_TEST(old_usage_fades_without_a_leader) {
+    begin();
+    lead_with_usage();
+    ck_assert(!is_sent("/a/while-led"));
+    wgn_shutdown(leader.net);
+    turns(LEADERLESS_TURNS);
+    ck_assert(is_sent("/a/without-a-leader"));
+    leader.net = NULL;
+    wg_entry_shutdown(entry);
+    g_free(leader.address);
+    evconnlistener_free(listener);
+    event_base_free(base);
+    g_string_free(asked, TRUE);
+    g_free(target_at);
+}
+END_TEST
+
+WG_TEST_MAIN("entry promises", old_usage_fades_without_a_leader,
+             connections_to_targets_leave_fewer_for_callers,
              events_of_streams_do_not_try_waiting_requests, no_more_time_is_handed_on_than_is_left,
              a_request_ends_at_the_timeout_of_its_route, a_caller_that_leaves_stops_its_work,
              a_request_of_a_caller_that_has_left_is_not_sent, a_planned_stop_cuts_nothing_off,
