Usage that a host was told fades without a leader

Without word for a second the copy now halves every 1.2 s, as the leader's own does, and what this host serves, times the number of hosts, stands for the whole fleet; after four half-lives the old word is dropped. The two tables and the levels of an entry host have become a book of their own (lib/fair/wg_usage, pure, test_usage).

Ruled out: fading alone (all shares fade alike, so a workspace stays above the level until nothing is left, 24 s in the test).

Traced: daemons inherited the listeners of the soak's proxies. They no longer do.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -7,6 +7,7 @@
    A host is told what changed since what it has. What was sent on a link counts as had: links keep
    the order, and a host that cannot use what came leaves the link and comes back. */
 #include "wg_control_internal.h"
+#include "wg_usage.h"
 
 #include <math.h>
 #include <string.h>
@@ -19,8 +20,7 @@
     WG_PUSH_GAP_PER_ENTRY = 100, /* microseconds */
     /* A new leader tells of members only once all that are up could report to it. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC,
-    WG_MEMBER_GONE = 1500 * WG_USEC_PER_MSEC,
-    WG_USAGE_HALF_LIFE = 1200 * WG_USEC_PER_MSEC
+    WG_MEMBER_GONE = 1500 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -137,6 +137,7 @@
                late / WG_USEC_PER_MSEC, e->calls_num, e->clients->len);
     }
     wg_entry_link_tick(e, now);
+    wg_entry_fade_usage(e, now);
     wg_entry_admit_tick(e, now);
     wg_entry_cache_tick(e, now);
     wg_client_tick(e, now);
@@ -170,8 +171,7 @@
     e->queues =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
     e->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
-    e->usage_own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-    e->usage_fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    e->usage = wg_usage_setup();
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->roster = wg_roster_setup();
     e->balance = wg_balance_setup(
@@ -236,7 +236,6 @@
     g_ptr_array_unref(e->clients);
     g_hash_table_unref(e->queues);
     g_hash_table_unref(e->retries);
-    g_hash_table_unref(e->usage_own);
-    g_hash_table_unref(e->usage_fleet);
+    wg_usage_shutdown(e->usage);
     g_free(e);
 }
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -57,20 +57,7 @@
 }
 
 double wg_call_usage(const wg_call* call) {
-    const wg_entry_usage* usage =
-        g_hash_table_lookup(call->entry->usage_fleet, &call->workspace->hash);
-    return usage ? (double)usage->tokens : 0;
-}
-
-wg_entry_usage* wg_call_own_usage(const wg_call* call) {
-    GHashTable* own = call->entry->usage_own;
-    wg_entry_usage* usage = g_hash_table_lookup(own, &call->workspace->hash);
-    if (!usage) {
-        usage = g_new0(wg_entry_usage, 1);
-        usage->workspace = call->workspace->hash;
-        g_hash_table_insert(own, &usage->workspace, usage);
-    }
-    return usage;
+    return wg_usage_of(call->entry->usage, call->workspace->hash);
 }
 
 bool wg_call_counts(const wg_call* call) {
@@ -83,7 +70,7 @@
     wg_time objective = call->route->objective;
     return (wg_policy_terms){.counts = counts,
                              .used = counts ? wg_call_usage(call) : 0,
-                             .levels = &e->levels,
+                             .levels = wg_usage_levels(e->usage),
                              .margin = &e->margin,
                              .has_prompt = call->has_prompt,
                              .sent_before = call->attempts > 0,
@@ -127,7 +114,7 @@
     if (call->attempts == 0) {
         wg_retry_first(wg_call_retry(call), &rules);
         if (wg_call_counts(call)) {
-            wg_call_own_usage(call)->tokens += wg_call_tokens(call);
+            wg_usage_serve(e->usage, call->workspace->hash, wg_call_tokens(call));
         }
     }
     call->attempts++;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -41,8 +41,9 @@
            (now - call->started) / WG_USEC_PER_MSEC, call->events,
            call->has_prompt ? wg_call_tokens(call) : 0, call->expected / WG_USEC_PER_MSEC,
            call->limit / WG_USEC_PER_MSEC, call->asks_all, (int)call->was_admitted,
-           call->workspace ? wg_call_usage(call) : 0, call->entry->levels.served,
-           call->entry->levels.owed, (now - call->entry->state_at) / WG_USEC_PER_MSEC);
+           call->workspace ? wg_call_usage(call) : 0, wg_usage_levels(call->entry->usage)->served,
+           wg_usage_levels(call->entry->usage)->owed,
+           (now - call->entry->state_at) / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -512,7 +513,7 @@
                            .slots = service->slots};
     wg_call_read_times(call);
     if (wg_call_counts(call)) {
-        wg_call_own_usage(call)->asked += wg_call_tokens(call);
+        wg_usage_ask(e->usage, call->workspace->hash, wg_call_tokens(call));
     }
     call->timer = evtimer_new(e->base, wg_call_on_timer, call);
     e->calls_num++;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -14,6 +14,7 @@
 #include "wg_policy.h"
 #include "wg_retry.h"
 #include "wg_roster.h"
+#include "wg_usage.h"
 #include "wg_watch.h"
 
 enum {
@@ -172,13 +173,6 @@
     wg_time until;
 } wg_entry_order;
 
-/* Tokens of a workspace: served, and asked for. */
-typedef struct {
-    uint64_t workspace;
-    uint64_t tokens;
-    uint64_t asked;
-} wg_entry_usage;
-
 typedef struct {
     uint64_t requests;
     uint64_t whole;
@@ -228,9 +222,7 @@
     wg_balance* balance;
     GHashTable* retries; /* name of a service -> wg_retry* */
     wg_roster* roster;
-    GHashTable* usage_own;   /* hash of a workspace -> wg_entry_usage*, so far */
-    GHashTable* usage_fleet; /* the same, lately, of all entry hosts */
-    wg_fair_levels levels;   /* of usage_fleet */
+    wg_usage_book* usage; /* of workspaces, here and in the whole fleet */
     wg_fair_margin margin;
 
     /* link to the leader */
@@ -285,6 +277,8 @@
 bool wg_entry_link_setup(wg_entry* e, GError** error);
 void wg_entry_link_tick(wg_entry* e, wg_time now);
 void wg_entry_report(wg_entry* e, wg_time now);
+/* Without word of a leader, what it said of usage fades. */
+void wg_entry_fade_usage(wg_entry* e, wg_time now);
 
 /* wg_entry_orders.c */
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
@@ -345,7 +339,6 @@
 uint32_t wg_call_tokens(const wg_call* call);
 /* Tokens that the call's workspace lately had in the whole fleet. */
 double wg_call_usage(const wg_call* call);
-wg_entry_usage* wg_call_own_usage(const wg_call* call);
 /* Is the request charged to a workspace? */
 bool wg_call_counts(const wg_call* call);
 void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -5,7 +5,8 @@
 
 #include <string.h>
 
-/* The leader halves usage every 1.2 s: a steady rate stands there as so many seconds of it. */
+/* Usage halves every WG_USAGE_HALF_LIFE: a steady rate stands there as so many seconds of it,
+   1.2 s / ln 2. */
 static const double WG_USAGE_SECONDS = 1.731;
 
 enum {
@@ -198,23 +199,24 @@
     wg_entry_admit_members(e);
 }
 
+/* Tokens that all workspaces together are owed in the time that usage stands for; 0: not known. */
+static double wg_entry_owed(const wg_entry* e) {
+    return e->config ? (double)e->config->limits.tokens_per_second * WG_USAGE_SECONDS : 0;
+}
+
 static void wg_entry_take_usage(wg_entry* e, const Wgpb__EntryState* in) {
-    double* asked = g_new(double, in->n_usage + 1);
-    double served = 0;
-    g_hash_table_remove_all(e->usage_fleet);
+    wg_usage* list = g_new(wg_usage, in->n_usage + 1);
     for (size_t i = 0; i < in->n_usage; i++) {
-        wg_entry_usage* usage = g_new(wg_entry_usage, 1);
-        usage->workspace = in->usage[i]->workspace;
-        usage->tokens = in->usage[i]->tokens;
-        usage->asked = in->usage[i]->asked;
-        asked[i] = (double)MAX(usage->asked, usage->tokens);
-        served += (double)usage->tokens;
-        g_hash_table_insert(e->usage_fleet, &usage->workspace, usage);
-    }
-    double owed = e->config ? (double)e->config->limits.tokens_per_second * WG_USAGE_SECONDS : 0;
-    e->levels.served = wg_fair_level(asked, (int)in->n_usage, served);
-    e->levels.owed = owed > 0 ? wg_fair_level(asked, (int)in->n_usage, owed) : 0;
-    g_free(asked);
+        list[i] = (wg_usage){.workspace = in->usage[i]->workspace,
+                             .tokens = in->usage[i]->tokens,
+                             .asked = in->usage[i]->asked};
+    }
+    wg_usage_hear(e->usage, wg_now(), list, in->n_usage, wg_entry_owed(e));
+    g_free(list);
+}
+
+void wg_entry_fade_usage(wg_entry* e, wg_time now) {
+    wg_usage_fade(e->usage, now, wg_roster_num(e->roster), wg_entry_owed(e));
 }
 
 static void wg_entry_take_loads(wg_entry* e, const Wgpb__EntryState* in) {
@@ -321,10 +323,10 @@
     wg_balance_load* loads = g_new(wg_balance_load, WG_LOADS_MAX);
     int loads_num = wg_balance_loads(e->balance, loads, WG_LOADS_MAX);
     Wgpb__TargetLoad* load_items = g_new(Wgpb__TargetLoad, loads_num + 1);
-    guint usage_num = g_hash_table_size(e->usage_own);
-    Wgpb__WorkspaceUsage* usage_items = g_new(Wgpb__WorkspaceUsage, usage_num + 1);
+    GPtrArray* own = wg_usage_own(e->usage);
+    Wgpb__WorkspaceUsage* usage_items = g_new(Wgpb__WorkspaceUsage, own->len + 1);
     report.loads = g_new(Wgpb__TargetLoad*, loads_num + 1);
-    report.usage = g_new(Wgpb__WorkspaceUsage*, usage_num + 1);
+    report.usage = g_new(Wgpb__WorkspaceUsage*, own->len + 1);
     report.seq = ++e->report_seq;
     report.configuration_version = e->config ? e->config->version : 0;
     report.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
@@ -339,11 +341,8 @@
         load_items[i].running = loads[i].running;
         report.loads[report.n_loads++] = &load_items[i];
     }
-    GHashTableIter iter;
-    gpointer value;
-    g_hash_table_iter_init(&iter, e->usage_own);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        const wg_entry_usage* usage = value;
+    for (guint i = 0; i < own->len; i++) {
+        const wg_usage* usage = own->pdata[i];
         Wgpb__WorkspaceUsage* item = &usage_items[report.n_usage];
         wgpb__workspace_usage__init(item);
         item->workspace = usage->workspace;
@@ -356,6 +355,7 @@
     g_free(report.loads);
     g_free(report.usage);
     g_free(load_items);
+    g_ptr_array_unref(own);
     g_free(usage_items);
     g_free(loads);
 }
--- /dev/null
+++ b/lib/fair/wg_usage.c
@@ -0,0 +1,182 @@
+/* wg_usage.c -- see wg_usage.h */
+#include "wg_usage.h"
+
+#include <math.h>
+
+enum {
+    /* Between two steps of fading, microseconds: short beside the half-life. */
+    WG_USAGE_STEP = 100 * WG_USEC_PER_MSEC
+};
+
+/* Doubles, as they fade in small steps. */
+typedef struct {
+    double tokens;
+    double asked;
+} wg_usage_amount;
+
+/* What is known of a workspace. */
+typedef struct {
+    uint64_t workspace;
+    wg_usage_amount told;      /* by the leader */
+    wg_usage_amount estimated; /* since then, from this host's own work */
+} wg_usage_copy;
+
+/* This host's totals, and what of them the copy holds already. */
+typedef struct {
+    wg_usage total;
+    uint64_t tokens_counted;
+    uint64_t asked_counted;
+} wg_usage_total;
+
+struct wg_usage_book {
+    GHashTable* fleet; /* workspace -> wg_usage_copy* */
+    GHashTable* own;   /* workspace -> wg_usage_total* */
+    wg_time heard_at;  /* 0: never */
+    wg_time faded_at;
+    wg_fair_levels levels;
+};
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static wg_usage_total* wg_usage_own_of(wg_usage_book* b, uint64_t workspace) {
+    wg_usage_total* own = g_hash_table_lookup(b->own, &workspace);
+    if (!own) {
+        own = g_new0(wg_usage_total, 1);
+        own->total.workspace = workspace;
+        g_hash_table_insert(b->own, &own->total.workspace, own);
+    }
+    return own;
+}
+
+static wg_usage_copy* wg_usage_copy_of(wg_usage_book* b, uint64_t workspace) {
+    wg_usage_copy* copy = g_hash_table_lookup(b->fleet, &workspace);
+    if (!copy) {
+        copy = g_new0(wg_usage_copy, 1);
+        copy->workspace = workspace;
+        g_hash_table_insert(b->fleet, &copy->workspace, copy);
+    }
+    return copy;
+}
+
+static void wg_usage_set_levels(wg_usage_book* b, double owed) {
+    guint num = g_hash_table_size(b->fleet);
+    double* asked = g_new(double, num + 1);
+    double served = 0;
+    int filled = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->fleet);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_usage_copy* copy = value;
+        double tokens = copy->told.tokens + copy->estimated.tokens;
+        asked[filled++] = MAX(copy->told.asked + copy->estimated.asked, tokens);
+        served += tokens;
+    }
+    b->levels.served = wg_fair_level(asked, filled, served);
+    b->levels.owed = owed > 0 ? wg_fair_level(asked, filled, owed) : 0;
+    g_free(asked);
+}
+
+static wg_usage_amount wg_usage_times(wg_usage_amount amount, double times) {
+    return (wg_usage_amount){amount.tokens * times, amount.asked * times};
+}
+
+static void wg_usage_fade_copy(wg_usage_book* b, double keep, bool drop) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->fleet);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_usage_copy* copy = value;
+        copy->told = wg_usage_times(copy->told, drop ? 0 : keep);
+        copy->estimated = wg_usage_times(copy->estimated, keep);
+        if (copy->told.asked + copy->estimated.asked < 1) {
+            g_hash_table_iter_remove(&iter);
+        }
+    }
+}
+
+/* What this host did since the copy was last brought up to date, `times` over. */
+static void wg_usage_count_own(wg_usage_book* b, double times) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->own);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_usage_total* own = value;
+        uint64_t tokens = own->total.tokens - own->tokens_counted;
+        uint64_t asked = own->total.asked - own->asked_counted;
+        own->tokens_counted = own->total.tokens;
+        own->asked_counted = own->total.asked;
+        if (times > 0 && (tokens > 0 || asked > 0)) {
+            wg_usage_copy* copy = wg_usage_copy_of(b, own->total.workspace);
+            copy->estimated.tokens += times * (double)tokens;
+            copy->estimated.asked += times * (double)asked;
+        }
+    }
+}
+
+/* ---- public functions ------------------------------------------------------------------------ */
+
+wg_usage_book* wg_usage_setup(void) {
+    wg_usage_book* b = g_new0(wg_usage_book, 1);
+    b->fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    b->own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return b;
+}
+
+void wg_usage_shutdown(wg_usage_book* b) {
+    g_hash_table_unref(b->fleet);
+    g_hash_table_unref(b->own);
+    g_free(b);
+}
+
+void wg_usage_ask(wg_usage_book* b, uint64_t workspace, uint64_t tokens) {
+    wg_usage_own_of(b, workspace)->total.asked += tokens;
+}
+
+void wg_usage_serve(wg_usage_book* b, uint64_t workspace, uint64_t tokens) {
+    wg_usage_own_of(b, workspace)->total.tokens += tokens;
+}
+
+void wg_usage_hear(wg_usage_book* b, wg_time now, const wg_usage* list, size_t num, double owed) {
+    g_hash_table_remove_all(b->fleet);
+    for (size_t i = 0; i < num; i++) {
+        wg_usage_copy* copy = wg_usage_copy_of(b, list[i].workspace);
+        copy->told = (wg_usage_amount){(double)list[i].tokens, (double)list[i].asked};
+    }
+    wg_usage_count_own(b, 0);
+    b->heard_at = now;
+    b->faded_at = now;
+    wg_usage_set_levels(b, owed);
+}
+
+void wg_usage_fade(wg_usage_book* b, wg_time now, int hosts, double owed) {
+    bool fresh = b->heard_at == 0 || now - b->heard_at < WG_USAGE_STALE;
+    if (fresh || now - b->faded_at < WG_USAGE_STEP) {
+        return;
+    }
+    double keep = exp2(-(double)(now - b->faded_at) / WG_USAGE_HALF_LIFE);
+    wg_usage_fade_copy(b, keep, now - b->heard_at > WG_USAGE_DROPPED);
+    wg_usage_count_own(b, MAX(hosts, 1));
+    b->faded_at = now;
+    wg_usage_set_levels(b, owed);
+}
+
+double wg_usage_of(const wg_usage_book* b, uint64_t workspace) {
+    const wg_usage_copy* copy = g_hash_table_lookup(b->fleet, &workspace);
+    return copy ? copy->told.tokens + copy->estimated.tokens : 0;
+}
+
+const wg_fair_levels* wg_usage_levels(const wg_usage_book* b) {
+    return &b->levels;
+}
+
+GPtrArray* wg_usage_own(const wg_usage_book* b) {
+    GPtrArray* list = g_ptr_array_new();
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->own);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        g_ptr_array_add(list, &((wg_usage_total*)value)->total);
+    }
+    return list;
+}
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -60,6 +60,9 @@
     posix_spawn_file_actions_addopen(&actions, 1, out, O_CREAT | O_WRONLY | O_APPEND, 0600);
     posix_spawn_file_actions_adddup2(&actions, 1, 2);
     posix_spawn_file_actions_addchdir_np(&actions, h->folder);
+    /* Else it would hold the proxies' listeners and connections: what these close would stay open,
+       and what outlives a run that was broken off would keep its addresses from others. */
+    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
     pid_t pid = 0;
     int failed = posix_spawn(&pid, path, &actions, NULL, argv, environ);
     posix_spawn_file_actions_destroy(&actions);
--- /dev/null
+++ b/tests/test_usage.c
@@ -0,0 +1,104 @@
+/* test_usage.c -- usage of workspaces as a host has it, with a leader and without */
+#include <math.h>
+
+#include "wg_test.h"
+#include "wg_usage.h"
+
+enum {
+    MOST = 1,
+    OTHER = 2,
+    HOSTS = 10
+};
+
+/* A leader's word: one workspace has eight times as much as the other, and both ask for more. */
+static wg_usage_book* told(wg_time now) {
+    static const wg_usage word[] = {{MOST, 800000, 900000}, {OTHER, 100000, 900000}};
+    wg_usage_book* book = wg_usage_setup();
+    wg_usage_hear(book, now, word, G_N_ELEMENTS(word), 0);
+    return book;
+}
+
+static void pass(wg_usage_book* book, wg_time* now, wg_time duration, uint64_t workspace,
+                 uint64_t tokens_per_tick) {
+    for (wg_time until = *now + duration; *now < until;) {
+        *now += 50 * MSEC;
+        wg_usage_ask(book, workspace, tokens_per_tick);
+        wg_usage_serve(book, workspace, tokens_per_tick);
+        wg_usage_fade(book, *now, HOSTS, 0);
+    }
+}
+
+START_TEST(fresh_word_is_taken_as_it_is) {
+    wg_time now = 100 * SECOND;
+    wg_usage_book* book = told(now);
+    pass(book, &now, 900 * MSEC, OTHER, 1000);
+    ck_assert(fabs(wg_usage_of(book, MOST) - 800000) < 1);
+    ck_assert(fabs(wg_usage_of(book, OTHER) - 100000) < 1);
+    ck_assert(fabs(wg_usage_levels(book)->served - 450000) < 1);
+    ck_assert(wg_fair_patience(wg_usage_of(book, MOST), wg_usage_levels(book)) <= 0);
+    wg_usage_shutdown(book);
+}
+END_TEST
+
+/* After 1.2 s half of it is left; after 5 s the workspace is as any other, though nobody was served
+   meanwhile. */
+START_TEST(old_word_fades_and_is_dropped) {
+    wg_time now = 100 * SECOND;
+    wg_usage_book* book = told(now);
+    pass(book, &now, 1200 * MSEC, OTHER, 0);
+    ck_assert(fabs(wg_usage_of(book, MOST) - 400000) < 4000);
+    ck_assert(wg_fair_patience(wg_usage_of(book, MOST), wg_usage_levels(book)) <= 0);
+    pass(book, &now, 3800 * MSEC, OTHER, 0);
+    ck_assert(wg_fair_patience(wg_usage_of(book, MOST), wg_usage_levels(book)) >= 1);
+    wg_usage_shutdown(book);
+}
+END_TEST
+
+/* Who is served now counts, and gives way to who was not: 20,000 tokens a second here stand for
+   200,000 of ten hosts, 346,000 in the time that usage stands for. */
+START_TEST(own_work_stands_for_that_of_others) {
+    wg_time now = 100 * SECOND;
+    wg_usage_book* book = told(now);
+    pass(book, &now, 15 * SECOND, OTHER, 1000);
+    ck_assert(fabs(wg_usage_of(book, OTHER) - 346000) < 20000);
+    wg_usage_ask(book, MOST, 100000);
+    pass(book, &now, 100 * MSEC, OTHER, 1000);
+    ck_assert(wg_fair_patience(wg_usage_of(book, MOST), wg_usage_levels(book)) >= 1);
+    ck_assert(wg_fair_patience(wg_usage_of(book, OTHER), wg_usage_levels(book)) < 1);
+    wg_usage_shutdown(book);
+}
+END_TEST
+
+/* A new leader's word replaces all; what was served before it is not counted again. */
+START_TEST(new_word_replaces_the_estimate) {
+    static const wg_usage word[] = {{OTHER, 5000, 6000}};
+    wg_time now = 100 * SECOND;
+    wg_usage_book* book = told(now);
+    pass(book, &now, 5 * SECOND, MOST, 1000);
+    wg_usage_hear(book, now, word, G_N_ELEMENTS(word), 0);
+    ck_assert(fabs(wg_usage_of(book, MOST)) < 1);
+    ck_assert(fabs(wg_usage_of(book, OTHER) - 5000) < 1);
+    pass(book, &now, 1050 * MSEC, OTHER, 0);
+    ck_assert(wg_usage_of(book, MOST) < 1);
+    wg_usage_shutdown(book);
+}
+END_TEST
+
+START_TEST(own_totals_only_grow) {
+    wg_time now = 100 * SECOND;
+    wg_usage_book* book = told(now);
+    pass(book, &now, 5 * SECOND, OTHER, 1000);
+    GPtrArray* own = wg_usage_own(book);
+    ck_assert_uint_eq(own->len, 1);
+    const wg_usage* total = own->pdata[0];
+    ck_assert_uint_eq(total->workspace, OTHER);
+    ck_assert_uint_eq(total->tokens, 100000);
+    ck_assert_uint_eq(total->asked, 100000);
+    g_ptr_array_unref(own);
+    wg_usage_shutdown(book);
+}
+END_TEST
+
+WG_TEST_MAIN("usage", fresh_word_is_taken_as_it_is, old_word_fades_and_is_dropped,
+             own_work_stands_for_that_of_others, new_word_replaces_the_estimate,
+             own_totals_only_grow)
