A newcomer waits until it shows whose place it takes; a learner has time to answer

And a new learner counted as silent since the leader began, was taken out and added again three times.

A learner of a full set now waits for replica_gone_ms in any case; silence counts from when a replica is in the set.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -46,8 +46,8 @@
             "silence after which a router counts as gone"),
     _NUMBER("timing", plan_ms, "5", 1, 1000, "ms", "shortest time between two capacity plans"),
     /* Longer than a link that went silent takes to be closed and dialled again (0.6 s + 0.3 s with
-       short waits), and than the longest election wait; short beside the seconds that a newcomer
-       has until the next loss has to be borne, also when the leader changes meanwhile. */
+       the deployed waits, which take 1 s here), and than the longest election wait; short beside
+       the 4 s that a newcomer has until the next loss has to be borne, also when leaders change. */
     _NUMBER(
         "timing", replica_gone_ms, "1600", 500, 3600000, "ms",
         "with seeds: silence after which a replica gives way to a newcomer, or is taken out when "
--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -23,6 +23,7 @@
     uint64_t offset;
     wg_time sent_at;  /* last message */
     wg_time acked_at; /* own time echoed by the newest reply in this term */
+    wg_time since;    /* it is in the set, or this replica leads */
 } _wgr_peer_t;
 
 /* What a replica answered while this one asks whether all have just started. */
@@ -157,7 +158,7 @@
 _wgr_peer_t* _wgr_peer(wgr_node* n, uint64_t id);
 void _wgr_become_leader(wgr_node* n, wg_time now);
 void _wgr_leader_tick(wgr_node* n, wg_time now);
-void _wgr_leader_set_changed(wgr_node* n);
+void _wgr_leader_set_changed(wgr_node* n, wg_time now);
 void _wgr_on_append_reply(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_on_snapshot_reply(wgr_node* n, wg_time now, const wgr_message* m);
 void _wgr_feed_all(wgr_node* n, wg_time now);
--- a/lib/quorum/wg_quorum_leader.c
+++ b/lib/quorum/wg_quorum_leader.c
@@ -116,13 +116,13 @@
     n->handing_over = false;
     n->led_since = now;
     n->peers_num = 0;
-    _wgr_leader_set_changed(n);
+    _wgr_leader_set_changed(n, now);
     _wgr_log_append(n, n->term, WGR_ENTRY_EMPTY, NULL);
     n->term_start = _wgr_last_index(n);
     _wgr_feed_all(n, now);
 }
 
-void _wgr_leader_set_changed(wgr_node* n) {
+void _wgr_leader_set_changed(wgr_node* n, wg_time now) {
     _wgr_peer_t old[WGR_REPLICAS_MAX];
     int old_num = n->peers_num;
     memcpy(old, n->peers, sizeof old);
@@ -136,6 +136,7 @@
         *peer = (_wgr_peer_t){.id = id, .feed = _WGR_FEED_PROBE, .next = _wgr_last_index(n) + 1};
         peer->acked_at = _WGR_NEVER_ACKED;
         peer->sent_at = _WGR_NEVER_ACKED;
+        peer->since = now;
         for (int j = 0; j < old_num; j++) {
             if (old[j].id == id) {
                 *peer = old[j];
--- a/lib/quorum/wg_quorum_set.c
+++ b/lib/quorum/wg_quorum_set.c
@@ -13,7 +13,7 @@
     GBytes* data = wgr_set_pack(set);
     _wgr_log_append(n, n->term, WGR_ENTRY_REPLICAS, data);
     g_bytes_unref(data);
-    _wgr_leader_set_changed(n);
+    _wgr_leader_set_changed(n, now);
     _wgr_feed_all(n, now);
     return _wgr_last_index(n);
 }
@@ -55,10 +55,10 @@
     return !peer || now - peer->acked_at < n->desc.election_min;
 }
 
-/* For how long a replica has said nothing to this leader. */
+/* For how long a replica has said nothing to this leader, though it could. */
 static wg_time _wgr_silence(wgr_node* n, wg_time now, uint64_t id) {
     const _wgr_peer_t* peer = _wgr_peer(n, id);
-    return peer ? now - MAX(peer->acked_at, n->led_since) : 0;
+    return peer ? now - MAX(peer->acked_at, peer->since) : 0;
 }
 
 static int _wgr_answering_beside(wgr_node* n, wg_time now, uint64_t id) {
@@ -205,16 +205,24 @@
     return true;
 }
 
-/* A learner that has caught up votes once its former self is out and, in a full set, once all
-   voters answer: one that does not is perhaps the one whose place it takes. */
+/* In a full set a learner waits until it shows whose place it takes: while a voter does not answer,
+   and for as long as one that ended just as the learner came would go on to count. There is no
+   hurry: such a set bears what it has to without it. */
+static bool _wgr_waits_for_place(wgr_node* n, wg_time now, const wgr_replica* learner) {
+    if (n->desc.gone_after == 0 || _wgr_voters(n) < _wgr_full(n)) {
+        return false;
+    }
+    return now - _wgr_peer(n, learner->id)->since < n->desc.gone_after || _wgr_most_silent(n, now);
+}
+
+/* A learner that has caught up votes once its former self is out, and its place is clear. */
 static bool _wgr_promote(wgr_node* n, wg_time now, const wgr_replica* learner) {
     const wgr_replica* former = _wgr_former_self(n, learner);
     if (former) {
         _wgr_propose_without(n, now, former->id);
         return true;
     }
-    bool waits = n->desc.gone_after && _wgr_voters(n) >= _wgr_full(n) && _wgr_most_silent(n, now);
-    if (waits) {
+    if (_wgr_waits_for_place(n, now, learner)) {
         return false;
     }
     _wgr_propose_vote(n, now, learner->id);
--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -89,6 +89,17 @@
     return false;
 }
 
+bool soak_is_repairing_replicas(const soak* s) {
+    for (GList* at = s->repairs.head; at; at = at->next) {
+        const repair* r = at->data;
+        bool of_entry = r->kind == REPAIR_ENTRY || r->kind == REPAIR_CONTINUE_ENTRY;
+        if (!r->target && !of_entry && s->h.hosts[r->number].disk) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void soak_repair(soak* s, wg_time now) {
     GList* next;
     for (GList* at = s->repairs.head; at; at = next) {
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -160,6 +160,8 @@
 /* End a fault after so many milliseconds; `at`: its place among the disturbances. */
 void soak_plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at);
 bool soak_is_repairing(const soak* s, int number, bool target);
+/* Is a replica down, standing still, or behind spoilt links now? */
+bool soak_is_repairing_replicas(const soak* s);
 /* SIGKILL, and wait for the end. */
 void soak_kill(pid_t* pid);
 /* The faults of a run that is not harsh, on one host or target. */
