--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -22,9 +22,9 @@
     int number; /* from 1 */
     bool disk;
     bool away;     /* not yet, or no more, a part of the fleet */
+    bool spent;    /* it was replaced for good */
     pid_t entry;   /* 0: not running */
     pid_t replica; /* 0: not running, or no replica there */
-    bool back;     /* a test's note: it is to be started again */
     proxy* links;  /* of all who connect to the replica */
     char callers[WG_ADDRESS_MAX];
     char orders[WG_ADDRESS_MAX];
--- a/tests/sim/soak_harsh.c
+++ b/tests/sim/soak_harsh.c
@@ -75,10 +75,28 @@
     }
 }
 
+/* Disks of some hosts that have just lost power. */
+static void lose_disks(soak* s, int num) {
+    enum {
+        TRIES = 4 * HOSTS_MAX
+    };
+    bool lost[HOSTS_MAX] = {false};
+    for (int tries = 0; num > 0 && tries < TRIES; tries++) {
+        int number = draw_host(s);
+        host* w = &s->h.hosts[number];
+        if (w->disk && w->replica == 0 && !lost[number]) {
+            lost[number] = true;
+            hosts_wipe(&s->h, w);
+            s->result.disks_lost++;
+            num--;
+        }
+    }
+}
+
 /* All replicas, or all hosts, lose power; some of them their disks, when none counts as lost. */
 static void power_off_all(soak* s, wg_time now, bool entries) {
     int lose = is_whole(s, now) ? (int)soak_draw(s, (uint64_t)s->h.losses + 1) : 0;
-    if (now < s->lost_until) {
+    if (now < s->lost_until || lose > 0) {
         begin_catch_up(s);
     }
     for (int i = 0; i < s->h.num; i++) {
@@ -86,49 +104,46 @@
             power_off(s, i, entries);
         }
     }
-    for (int tries = 0; lose > 0 && tries < 4 * HOSTS_MAX; tries++) {
-        host* w = &s->h.hosts[draw_host(s)];
-        if (w->disk && w->replica == 0 && !w->back) {
-            hosts_wipe(&s->h, w);
-            s->result.disks_lost++;
-            begin_catch_up(s);
-            w->back = true;
-            lose--;
+    lose_disks(s, lose);
+}
+
+/* A spare that was not used yet; -1: none. */
+static int find_spare(const soak* s) {
+    for (int i = s->desc.hosts; i < s->h.num; i++) {
+        if (s->h.hosts[i].away && !s->h.hosts[i].spent) {
+            return i;
         }
     }
-    for (int i = 0; i < s->h.num; i++) {
-        s->h.hosts[i].back = false;
+    return -1;
+}
+
+/* The successor starts beside the host that is to end, or a second after its end. */
+static void start_successor(soak* s, int number, bool beside) {
+    int at = soak_disturb(s);
+    host* w = &s->h.hosts[number];
+    w->away = false;
+    if (beside) {
+        hosts_start_replica(&s->h, w);
+        hosts_start_entry(&s->h, w);
+        s->disturbances[at].until = wg_now();
+    } else {
+        soak_plan_repair(s, REPAIR_REPLICA, number, false, 1000, at);
+        soak_plan_repair(s, REPAIR_ENTRY, number, false, 1000, at);
     }
 }
 
 /* A host with a disk ends for good; one that was a spare starts in its place. */
 static void replace_host(soak* s, wg_time now) {
-    int spare = -1;
-    for (int i = s->desc.hosts; i < s->h.num; i++) {
-        bool unused = s->h.hosts[i].away && s->h.hosts[i].entry == 0 && !s->h.hosts[i].back;
-        spare = spare < 0 && unused ? i : spare;
-    }
-    int number = draw_host(s);
-    host* w = &s->h.hosts[number];
+    int spare = find_spare(s);
+    host* w = &s->h.hosts[draw_host(s)];
     if (spare < 0 || !w->disk || !is_whole(s, now)) {
         return;
     }
-    int at = soak_disturb(s);
-    bool planned = soak_draw(s, 2);
-    host* next = &s->h.hosts[spare];
-    next->away = false;
-    if (planned) {
-        hosts_start_replica(&s->h, next);
-        hosts_start_entry(&s->h, next);
-        s->disturbances[at].until = now;
-    } else {
-        soak_plan_repair(s, REPAIR_REPLICA, spare, false, 1000, at);
-        soak_plan_repair(s, REPAIR_ENTRY, spare, false, 1000, at);
-    }
+    start_successor(s, spare, soak_draw(s, 2));
     soak_kill(&w->replica);
     soak_kill(&w->entry);
     w->away = true;
-    w->back = true; /* it was used */
+    w->spent = true;
     s->result.replaced++;
     begin_catch_up(s);
 }
--- a/tests/test_replaced_hosts.c
+++ b/tests/test_replaced_hosts.c
@@ -47,18 +47,19 @@
 
 /* All that run lose power, one of them its disk; they come back at once. */
 static void strike(hosts* h, host* lost) {
+    bool struck[ALL] = {false};
     for (int i = 0; i < ALL; i++) {
         host* w = &h->hosts[i];
-        if (w->replica > 0) {
+        struck[i] = w->replica > 0;
+        if (struck[i]) {
             end(&w->replica, SIGKILL);
             end(&w->entry, SIGKILL);
-            w->back = true;
         }
     }
     hosts_wipe(h, lost);
     hosts_run_for(h, DOWN_MS);
     for (int i = 0; i < ALL; i++) {
-        if (h->hosts[i].back) {
+        if (struck[i]) {
             start(h, &h->hosts[i]);
         }
     }
