--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -13,9 +13,9 @@
           identity, which cannot vote until the set was changed and it has caught up
         - replacement: add the new identity under the old name; the leader lets it catch up, takes
           the old one out, then gives the new one its vote. Any later leader carries on.
-        - succession (gone_after): a voter that has been silent for that long goes when a learner
-   has caught up to take its place, or when enough others answer. The two are never counted side by
-   side in a full set, so as many may be lost after a replacement as before.
+        - succession (gone_after): a voter that has been silent for so long goes when a learner has
+          caught up to take its place, or when enough others answer. In a full set the two never
+          count side by side, so as many may be lost after a replacement as before.
         - a voter that stops, for good or for a while, can leave the set first (wgr_leave)
         - wgr_leads(): true only while a majority has lately confirmed this leader. The lease counts
           from when a heartbeat was sent and is shorter than the shortest election wait, so that a
