--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -67,4 +67,7 @@
     X(2014, COORDINATOR_SILENT, WARN, "coordinator does not answer, this host decides alone")      \
     X(2015, CACHE_KNOWN, INFO, "target told which prompt parts it holds")                          \
     X(2016, CACHE_UNKNOWN, WARN, "target did not tell which prompt parts it holds")                \
+    X(2017, TARGET_ENDED, WARN, "target broke off and takes no connections: it has ended")         \
+    X(2018, TARGET_STAYS, INFO, "target broke off and takes connections: it goes on")              \
+    X(2019, CRASH_EVIDENCE, INFO, "request was under way at a target that ended")                  \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -165,6 +165,7 @@
     e->base = desc->base;
     e->names = desc->names ? desc->names : &wg_own_names;
     e->seed = wg_entry_random();
+    e->fingerprint_seed = wg_fingerprint_seed(e->settings->fleet_key);
     e->started_at = wg_now();
     e->clients = g_ptr_array_new();
     e->idle = g_hash_table_new(NULL, NULL);
@@ -179,6 +180,7 @@
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
     e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
+    wg_entry_check_setup(e);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_pages_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -226,6 +228,7 @@
         wgn_shutdown(e->net);
     }
     wg_entry_cache_shutdown(e);
+    wg_entry_check_shutdown(e);
     wg_admit_shutdown(e->admit);
     g_hash_table_unref(e->asks);
     wg_balance_shutdown(e->balance);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -118,6 +118,7 @@
         }
     }
     call->attempts++;
+    call->sent_at = now;
     if (call->need.tried_num < WG_TRIED_MAX) {
         call->need.tried[call->need.tried_num++] = target->number;
     }
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -414,6 +414,7 @@
 
 void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason) {
     bool written = up && up->written;
+    bool began = up && up->state == WG_UPSTREAM_BODY;
     uint32_t target = call->choice.target;
     call->may_have_run = call->may_have_run || written;
     call->unsent += !written;
@@ -423,8 +424,11 @@
         wg_upstream_close(up);
     }
     wg_call_settle(call, WG_RESULT_FAILED);
-    wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=%s written=%d events=%" G_GINT64_FORMAT,
-           call->id, target, reason, written, call->events);
+    wg_log(WG_EVENT_ATTEMPT_ENDED,
+           "id=%s target=%u reason=%s written=%d began=%d events=%" G_GINT64_FORMAT
+           " after_ms=%" G_GINT64_FORMAT " fingerprint=%016" G_GINT64_MODIFIER "x",
+           call->id, target, reason, written, began, call->events,
+           (wg_now() - call->sent_at) / WG_USEC_PER_MSEC, call->fingerprint);
     bool can_resume = !call->head_sent || (call->chunked && call->route->resumable &&
                                            call->last_event[0] && call->events > 0);
     if (can_resume && wg_call_again(call, !written)) {
@@ -500,6 +504,12 @@
     wg_text id = wg_message_field(&head, e->names->request_id);
     g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
+    call->fingerprint =
+        wg_fingerprint(&(wg_fingerprint_desc){.seed = e->fingerprint_seed,
+                                              .host = wg_message_field(&head, "Host"),
+                                              .path = head.target,
+                                              .workspace = workspace ? workspace->name : NULL,
+                                              .body = body});
     const wg_service* service = &call->config->services[call->service];
     wg_text parts = wg_message_field(&head, e->names->prompt_parts);
     call->has_prompt =
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -11,6 +11,7 @@
 #include "wg_entry.h"
 #include "wg_event_stream.h"
 #include "wg_fair.h"
+#include "wg_fingerprint.h"
 #include "wg_policy.h"
 #include "wg_retry.h"
 #include "wg_roster.h"
@@ -75,7 +76,8 @@
     wg_message_head head;
     struct evbuffer* body;
     char id[WG_NAME_MAX];
-    bool head_only; /* a HEAD request */
+    uint64_t fingerprint; /* the same for each copy of the request, at any host */
+    bool head_only;       /* a HEAD request */
     wg_time started;
     wg_time until;    /* final answer at the latest */
     wg_time deadline; /* of the caller, WG_TIME_NEVER when it named none */
@@ -96,6 +98,7 @@
     wg_time limit;    /* the longest at which it would have been sent */
     wg_upstream* upstream;
     int attempts;
+    wg_time sent_at;     /* the last of them */
     int unsent;          /* of them, no byte left this host */
     wg_time next_try_at; /* not earlier, while it waits in the queue */
     bool relaxed;        /* no target would answer in time: rather late than refused */
@@ -192,6 +195,9 @@
     uint64_t callers_replaced;    /* idle ones closed to make room */
     uint64_t callers_turned_away; /* closed at once: none was idle */
     uint64_t lines_left_out;
+    uint64_t targets_ended;  /* after they broke off a request of this host */
+    uint64_t targets_stayed; /* that broke off a request, but take connections */
+    uint64_t checks_left_out;
 } wg_entry_counters;
 
 struct wg_entry {
@@ -201,6 +207,7 @@
     struct event* tick;
     uint64_t seed;
     uint64_t counter;
+    uint64_t fingerprint_seed;
     wg_time started_at;
     bool served; /* a request, since the start */
     bool stopping;
@@ -252,6 +259,10 @@
     GHashTable* asks;       /* ticket -> wg_call* */
     GHashTable* cache_asks; /* target -> what wg_entry_cache.c knows of its list */
 
+    GHashTable* checks;   /* target -> what wg_entry_check.c has under way */
+    wg_time checks_since; /* start of the second that is counted */
+    int checks_num;       /* begun in it */
+
     wgh_server ready_server;
     wgh_server entry_server;
     wgh_server orders_server;
@@ -326,6 +337,13 @@
 void wg_entry_cache_shutdown(wg_entry* e);
 void wg_entry_cache_tick(wg_entry* e, wg_time now);
 
+/* wg_entry_check.c */
+void wg_entry_check_setup(wg_entry* e);
+void wg_entry_check_shutdown(wg_entry* e);
+/* The connection on which the call's request was sent has ended without a whole answer: find out
+   whether the target has ended too. */
+void wg_entry_check_broken(wg_entry* e, const wg_call* call, const wg_upstream* up);
+
 /* wg_entry_attempt.c */
 /* Choose a target and send, or wait for one. */
 void wg_call_try(wg_call* call);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -90,7 +90,10 @@
                     {"cold_denials", c->cold_denials},
                     {"callers_replaced", c->callers_replaced},
                     {"callers_turned_away", c->callers_turned_away},
-                    {"log_lines_left_out", c->lines_left_out}};
+                    {"log_lines_left_out", c->lines_left_out},
+                    {"targets_ended", c->targets_ended},
+                    {"targets_stayed", c->targets_stayed},
+                    {"target_checks_left_out", c->checks_left_out}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -298,6 +298,9 @@
         wg_call_answer_whole(up->call, up);
         return;
     }
+    if (up->call && up->written) {
+        wg_entry_check_broken(up->entry, up->call, up);
+    }
     wg_upstream_fail(up, up->state == WG_UPSTREAM_CONNECTING ? "no-connection"
                          : (what & BEV_EVENT_EOF)            ? "connection-closed"
                                                              : "connection-reset");
