--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -12,7 +12,7 @@
     wg_registry_desc desc;
     GPtrArray* evacuated; /* char*, names of data centres */
     GPtrArray* records;   /* wg_target*, by number, rising */
-    GHashTable* by_id;
+    GHashTable* by_id;    /* the last start of each id */
     uint64_t change;
     uint64_t floor; /* copies older than this lack a record that was dropped */
     uint32_t next_number;
@@ -37,6 +37,12 @@
     }
 }
 
+static void wg_registry_unlist(wg_registry* r, const wg_target* target) {
+    if (g_hash_table_lookup(r->by_id, target->id) == target) {
+        g_hash_table_remove(r->by_id, target->id);
+    }
+}
+
 /* Drop the longest ended records beyond the limit. */
 static void wg_registry_prune(wg_registry* r) {
     while (r->ended > r->desc.ended_max) {
@@ -52,7 +58,7 @@
         WG_ASSERT(oldest != G_MAXUINT);
         wg_target* target = r->records->pdata[oldest];
         r->floor = MAX(r->floor, target->change);
-        g_hash_table_remove(r->by_id, target->id);
+        wg_registry_unlist(r, target);
         g_ptr_array_remove_index(r->records, oldest);
         r->ended--;
     }
@@ -62,10 +68,23 @@
     wg_target* target = g_new(wg_target, 1);
     *target = *record;
     g_ptr_array_add(r->records, target);
-    g_hash_table_insert(r->by_id, target->id, target);
+    const wg_target* listed = g_hash_table_lookup(r->by_id, target->id);
+    if (!listed || listed->number < target->number) {
+        g_hash_table_replace(r->by_id, target->id, target);
+    }
     return target;
 }
 
+/* A later start under the same id knows nothing of this one. */
+static bool wg_target_is_successor(const wg_target* of, const wg_target* heard) {
+    return heard->born > of->born;
+}
+
+/* Said by an earlier start, or meant for one. Who does not say its start is taken at its word. */
+static bool wg_target_is_predecessor(const wg_target* of, const wg_target* heard) {
+    return heard->born != 0 && heard->born < of->born;
+}
+
 /* An address has one holder. */
 static void wg_registry_free_address(wg_registry* r, const wg_target* holder) {
     for (guint i = 0; i < r->records->len; i++) {
@@ -130,9 +149,12 @@
 
 wg_heard wg_registry_hear(wg_registry* r, wg_time now, const wg_target* heard) {
     wg_target* target = g_hash_table_lookup(r->by_id, heard->id);
-    if (!target) {
+    if (!target || wg_target_is_successor(target, heard)) {
         return WG_HEARD_CHANGE;
     }
+    if (wg_target_is_predecessor(target, heard)) {
+        return WG_HEARD_OLD;
+    }
     if (wg_target_ended(target)) {
         bool revive = heard->sequence > target->heard_sequence &&
                       wg_registry_may_revive(target, heard) &&
@@ -155,19 +177,32 @@
     return WG_HEARD_SAME;
 }
 
+static void wg_registry_begin(wg_registry* r, wg_time now, const wg_target* record) {
+    wg_target numbered = *record;
+    numbered.number = r->next_number++;
+    wg_target* target = wg_registry_add(r, &numbered);
+    target->heard_at = now;
+    target->heard_sequence = record->sequence;
+    r->ended += wg_target_ended(target);
+    wg_registry_note_change(r, target);
+    if (!wg_target_ended(target)) {
+        wg_registry_free_address(r, target);
+    }
+    wg_registry_prune(r);
+}
+
 void wg_registry_apply(wg_registry* r, wg_time now, const wg_target* record) {
     wg_target* target = g_hash_table_lookup(r->by_id, record->id);
+    if (target && wg_target_is_predecessor(target, record)) {
+        return;
+    }
+    if (target && wg_target_is_successor(target, record)) {
+        wg_registry_end(r, target);
+        target->replaced = false;
+        target = NULL;
+    }
     if (!target) {
-        target = wg_registry_add(r, record);
-        target->number = r->next_number++;
-        target->heard_at = now;
-        target->heard_sequence = record->sequence;
-        r->ended += wg_target_ended(target);
-        wg_registry_note_change(r, target);
-        if (!wg_target_ended(target)) {
-            wg_registry_free_address(r, target);
-        }
-        wg_registry_prune(r);
+        wg_registry_begin(r, now, record);
         return;
     }
     if (wg_target_ended(target) && !wg_registry_may_revive(target, record)) {
@@ -342,7 +377,7 @@
     if (!wg_target_unpack(record, now, &in) || in.number == 0) {
         return false;
     }
-    wg_target* target = g_hash_table_lookup(r->by_id, in.id);
+    wg_target* target = (wg_target*)wg_registry_find(r, in.number);
     if (target) {
         if (in.change > target->change) {
             r->ended += wg_target_ended(&in) - wg_target_ended(target);
@@ -376,6 +411,7 @@
     out->service = (char*)target->service;
     out->address = (char*)target->address;
     out->data_centre = (char*)target->data_centre;
+    out->born = target->born;
     out->slots = target->slots;
     out->state = target->state;
     out->sequence = target->sequence;
@@ -387,7 +423,8 @@
 
 bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_time now, wg_target* target) {
     wg_time cold = (wg_time)MIN(in->cold_us, (uint64_t)WG_TARGET_COLD_MAX);
-    *target = (wg_target){.slots = in->slots,
+    *target = (wg_target){.born = in->born,
+                          .slots = in->slots,
                           .state = (wg_target_state)in->state,
                           .sequence = in->sequence,
                           .number = in->number,
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -3,14 +3,17 @@
     wg_registry.h -- targets that register themselves, as replicated state
 
     WHAT IT DOES
-        Keeps one record for each incarnation of a target: where it is, what it serves, whether it
-        is ready, draining, silent or gone, and for how long it is cold. Keeps which data centres
-        are evacuated. Every change raises a number, so that a copy of the registry can be brought
-        up to date by what changed since.
+        Keeps one record for each incarnation of a target, one start of it: where it is, what it
+        serves, whether it is ready, draining, silent or gone, and for how long it is cold. Keeps
+        which data centres are evacuated. Every change raises a number, so that a copy of the
+   registry can be brought up to date by what changed since.
 
     FEATURES
         - heartbeats carry a sequence of the target's own: an older one changes nothing
         - draining and gone are final for an incarnation; only a silent one comes back
+        - a target may start again under its id: the later start is another incarnation with another
+          number and a sequence of its own, and ends the earlier one; what the earlier one said
+          and comes late changes nothing
         - a new incarnation at an address replaces the one that had it before; that one comes back
           only when it is heard of while the new one is not, since the first heartbeat of a target
           that crashed may arrive after those of its successor
@@ -55,13 +58,14 @@
 /* One incarnation of a target. */
 typedef struct {
     char id[WG_NAME_MAX];
+    uint64_t born; /* when it started, milliseconds of its own time of day; 0: it did not say */
     char service[WG_NAME_MAX];
     char address[WG_ADDRESS_MAX];
     char data_centre[WG_NAME_MAX];
     uint32_t slots;
     wg_target_state state;
     uint64_t sequence;
-    uint32_t number;         /* short for id, never 0 */
+    uint32_t number;         /* short for id and start, never 0 */
     uint64_t change;         /* of the registry, when this record last changed */
     wg_time cold_until;      /* until then it bears less work than usual; 0: it is not cold */
     bool replaced;           /* gone because another incarnation came to its address */
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -3709,7 +3709,7 @@
   (ProtobufCMessageInit) wgpb__configuration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[12] =
 {
   {
     "id",
@@ -3843,9 +3843,22 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "born",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__target_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
+  11,   /* field[11] = born */
   8,   /* field[8] = change */
   9,   /* field[9] = cold_us */
   3,   /* field[3] = data_centre */
@@ -3860,7 +3873,7 @@
 static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
 {
@@ -3870,7 +3883,7 @@
   "Wgpb__TargetRecord",
   "wgpb",
   sizeof(Wgpb__TargetRecord),
-  11,
+  12,
   wgpb__target_record__field_descriptors,
   wgpb__target_record__field_indices_by_name,
   1,  wgpb__target_record__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -388,10 +388,14 @@
    * gone because another incarnation came to its address, not by its own word
    */
   protobuf_c_boolean replaced;
+  /*
+   * when it started, as it says: milliseconds; 0: it did not say
+   */
+  uint64_t born;
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -261,10 +261,116 @@
 }
 END_TEST
 
+/* ---- a target that starts again under its id ---- */
+
+static wg_heard hear_born(wg_registry* r, wg_time now, uint64_t born, wg_target_state state,
+                          uint64_t sequence) {
+    wg_target t = record("a", state, sequence, "10.0.0.1:1");
+    t.born = born;
+    wg_heard heard = wg_registry_hear(r, now, &t);
+    if (heard == WG_HEARD_CHANGE) {
+        wg_registry_apply(r, now, &t);
+    }
+    return heard;
+}
+
+static const wg_target* last_record(const wg_registry* r) {
+    const wg_target* last = NULL;
+    const wg_target* t = NULL;
+    while ((t = wg_registry_next(r, t ? t->number : 0))) {
+        last = t;
+    }
+    return last;
+}
+
+/* Its count begins anew; before, it was never heard until it had passed the former one. */
+START_TEST(a_target_that_starts_again_is_another_incarnation) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear_born(r, 0, 1000, WG_TARGET_READY, 1);
+    hear_born(r, SECOND, 1000, WG_TARGET_READY, 501);
+    uint32_t former = last_record(r)->number;
+    ck_assert_int_eq(hear_born(r, 3 * SECOND, 2000, WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear_born(r, 4 * SECOND, 2000, WG_TARGET_READY, 2), WG_HEARD_SAME);
+    const wg_target* target = last_record(r);
+    ck_assert_uint_ne(target->number, former);
+    ck_assert_int_eq(target->state, WG_TARGET_READY);
+    ck_assert_int_eq(wg_registry_find(r, former)->state, WG_TARGET_GONE);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(what_a_former_start_said_changes_nothing) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear_born(r, 0, 1000, WG_TARGET_READY, 500);
+    hear_born(r, SECOND, 2000, WG_TARGET_READY, 1);
+    uint64_t change = wg_registry_change(r);
+    ck_assert_int_eq(hear_born(r, 2 * SECOND, 1000, WG_TARGET_READY, 501), WG_HEARD_OLD);
+    ck_assert_int_eq(hear_born(r, 2 * SECOND, 1000, WG_TARGET_DRAINING, 502), WG_HEARD_OLD);
+    ck_assert_int_eq(hear_born(r, 2 * SECOND, 1000, WG_TARGET_GONE, 0), WG_HEARD_OLD);
+    /* Agreed on after it was overtaken. */
+    wg_target silent = record("a", WG_TARGET_SILENT, 500, "10.0.0.1:1");
+    silent.born = 1000;
+    wg_registry_apply(r, 2 * SECOND, &silent);
+    ck_assert_uint_eq(wg_registry_change(r), change);
+    ck_assert_int_eq(last_record(r)->state, WG_TARGET_READY);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+START_TEST(a_target_that_left_may_start_again) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    hear_born(r, 0, 1000, WG_TARGET_DRAINING, 5);
+    hear_born(r, SECOND, 0, WG_TARGET_GONE, 0); /* a leave does not say its start */
+    ck_assert_int_eq(hear_born(r, 2 * SECOND, 1000, WG_TARGET_READY, 900), WG_HEARD_OLD);
+    ck_assert_int_eq(hear_born(r, 3 * SECOND, 2000, WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+    ck_assert_int_eq(last_record(r)->state, WG_TARGET_READY);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* Of two starts under one id, a copy and a snapshot keep both apart. */
+START_TEST(copies_and_snapshots_keep_starts_apart) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    wg_registry* loaded = wg_registry_setup(&(wg_registry_desc){0});
+    hear_born(r, 0, 1000, WG_TARGET_READY, 7);
+    hear_born(r, SECOND, 2000, WG_TARGET_READY, 1);
+    Wgpb__RegistryState* state = wg_registry_dump(r, SECOND);
+    ck_assert(wg_registry_load(loaded, SECOND, state));
+    wgpb__registry_state__free_unpacked(state, NULL);
+    ck_assert_int_eq(hear_born(loaded, 2 * SECOND, 1000, WG_TARGET_READY, 8), WG_HEARD_OLD);
+    ck_assert_int_eq(hear_born(loaded, 2 * SECOND, 2000, WG_TARGET_READY, 2), WG_HEARD_SAME);
+    ck_assert_int_eq(hear_born(loaded, 3 * SECOND, 3000, WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+    ck_assert_int_eq(hear_born(r, 3 * SECOND, 3000, WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+    ck_assert_uint_eq(last_record(loaded)->number, last_record(r)->number);
+    wg_registry_shutdown(loaded);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* Ended records are dropped one by one; the one that lives stays listed under the id. */
+START_TEST(many_starts_under_one_id_stay_bounded) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){.ended_max = 4});
+    for (uint64_t born = 1; born <= 50; born++) {
+        ck_assert_int_eq(hear_born(r, (wg_time)born, born, WG_TARGET_READY, 1), WG_HEARD_CHANGE);
+        ck_assert_int_eq(hear_born(r, (wg_time)born, born, WG_TARGET_READY, 2), WG_HEARD_SAME);
+    }
+    int num = 0;
+    for (const wg_target* t = NULL; (t = wg_registry_next(r, t ? t->number : 0));) {
+        num++;
+    }
+    ck_assert_int_eq(num, 5);
+    ck_assert_int_eq(last_record(r)->state, WG_TARGET_READY);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 WG_TEST_MAIN("registry", heartbeats_that_say_nothing_new_change_nothing,
              a_late_heartbeat_revives_nobody, what_was_not_agreed_on_is_no_old_heartbeat,
              a_leave_without_a_record_is_remembered, a_new_incarnation_ends_the_one_at_its_address,
              silent_ones_come_back_by_a_newer_heartbeat_only,
              a_first_heartbeat_that_comes_late_does_not_end_a_live_target,
              a_late_heartbeat_does_not_replace_the_successor, a_target_that_turns_cold_has_changed,
-             targets_of_an_evacuated_data_centre_take_nothing, copies_follow_past_the_kept_records)
+             targets_of_an_evacuated_data_centre_take_nothing, copies_follow_past_the_kept_records,
+             a_target_that_starts_again_is_another_incarnation,
+             what_a_former_start_said_changes_nothing, a_target_that_left_may_start_again,
+             copies_and_snapshots_keep_starts_apart, many_starts_under_one_id_stay_bounded)
