--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -64,6 +64,7 @@
     X(5015, QUARANTINE_ENDED, INFO, "request is let through again")                                \
     X(5016, QUARANTINE_DROPPED, WARN, "too many quarantined requests, the oldest is let through")  \
     X(5017, QUARANTINE_IN_FORCE, INFO, "quarantined requests as this entry host has them")         \
+    X(5018, TARGET_REFUSED, WARN, "what a target said of itself is refused")                       \
     X(2009, REQUEST_ENDED, INFO, "request of a route ended")                                       \
     X(2010, ATTEMPT_ENDED, INFO, "attempt of a routed request failed")                             \
     X(2011, STREAM_CONTINUED, INFO, "broken stream goes on at another target")                     \
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -2,6 +2,7 @@
 #include "wg_document.h"
 
 #include "wg_entry_internal.h"
+#include "wg_target_read.h"
 
 #include <stdlib.h>
 #include <string.h>
@@ -190,57 +191,70 @@
     wg_entry_order_begin(e, request, &order);
 }
 
-static bool wg_pages_read_target(const json_t* json, const char* id, wg_target* target) {
-    const char* state = json_string_value(json_object_get(json, "state"));
-    const char* service = json_string_value(json_object_get(json, "service"));
-    const char* address = json_string_value(json_object_get(json, "address"));
-    const char* place = json_string_value(json_object_get(json, "data_centre"));
-    struct sockaddr_storage storage;
-    int size;
-    *target = (wg_target){.state = state && strcmp(state, "draining") == 0 ? WG_TARGET_DRAINING
-                                                                           : WG_TARGET_READY};
-    target->slots = (uint32_t)json_integer_value(json_object_get(json, "slots"));
-    target->sequence = (uint64_t)json_integer_value(json_object_get(json, "sequence"));
-    double cold_ms = json_number_value(json_object_get(json, "cold_ms"));
-    if (cold_ms > 0) {
-        wg_time cold = (wg_time)MIN(cold_ms * WG_USEC_PER_MSEC, (double)WG_TARGET_COLD_MAX);
-        target->cold_until = wg_now() + cold;
+static void wg_pages_refuse_target(wg_entry* e, struct evhttp_request* request, const char* id,
+                                   const char* reason) {
+    if (wg_entry_may_log(e, wg_now())) {
+        wg_log(WG_EVENT_TARGET_REFUSED, "id=%.63s %s", id, reason);
     }
-    return id[0] && service && address && wgn_parse_address(address, &storage, &size) &&
-           wg_copy_name(target->id, sizeof target->id, id) &&
-           wg_copy_name(target->service, sizeof target->service, service) &&
-           wg_copy_name(target->address, sizeof target->address, address) &&
-           wg_copy_name(target->data_centre, sizeof target->data_centre, place ? place : "");
+    wg_pages_error(request, 400, "bad_request", reason);
 }
 
-static void wg_pages_put_target(wg_entry* e, struct evhttp_request* request, const char* id) {
-    char message[160] = "";
-    json_t* json = wgh_body_json(request, message, sizeof message);
-    wg_target target;
-    bool good = json && wg_pages_read_target(json, id, &target);
-    json_decref(json);
-    if (!good) {
-        wg_pages_error(request, 400, "bad_request", message[0] ? message : "a field is wrong");
-        return;
-    }
+static void wg_pages_order_target(wg_entry* e, struct evhttp_request* request,
+                                  const wg_target* target) {
     Wgpb__TargetRecord record;
-    wg_target_pack(&target, wg_now(), &record);
+    wg_target_pack(target, wg_now(), &record);
     Wgpb__Order order = WGPB__ORDER__INIT;
     order.target = &record;
     wg_entry_order_begin(e, request, &order);
 }
 
+/* Of a service that is in the configuration, or was when it came: its drain counts also later. */
+static bool wg_pages_knows_service(const wg_entry* e, const wg_target* heard) {
+    if (!e->config || wg_config_service(e->config, heard->service) >= 0) {
+        return true;
+    }
+    const wg_target* target = NULL;
+    while ((target = wg_registry_next(e->registry, target ? target->number : 0))) {
+        if (strcmp(target->id, heard->id) == 0 && strcmp(target->service, heard->service) == 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static void wg_pages_put_target(wg_entry* e, struct evhttp_request* request, const char* id) {
+    char message[160] = "";
+    GError* error = NULL;
+    wg_target target;
+    json_t* json = wgh_body_json(request, message, sizeof message);
+    if (!json) {
+        wg_pages_refuse_target(e, request, id, message);
+    } else if (!wg_target_read(json, id, wg_now(), &target, &error)) {
+        wg_pages_refuse_target(e, request, id, error->message);
+        g_error_free(error);
+    } else if (!wg_pages_knows_service(e, &target)) {
+        wg_pages_refuse_target(e, request, id, "service: not in the configuration");
+    } else {
+        wg_pages_order_target(e, request, &target);
+    }
+    json_decref(json);
+}
+
 static void wg_pages_delete_target(wg_entry* e, struct evhttp_request* request, const char* id) {
-    wg_target target = {.state = WG_TARGET_GONE};
-    if (!wg_copy_name(target.id, sizeof target.id, id)) {
-        wg_pages_error(request, 400, "bad_request", "the id is too long");
-        return;
+    char message[160] = "";
+    GError* error = NULL;
+    wg_target target;
+    bool empty = evbuffer_get_length(evhttp_request_get_input_buffer(request)) == 0;
+    json_t* json = empty ? NULL : wgh_body_json(request, message, sizeof message);
+    if (!empty && !json) {
+        wg_pages_refuse_target(e, request, id, message);
+    } else if (!wg_target_read_leave(json, id, &target, &error)) {
+        wg_pages_refuse_target(e, request, id, error->message);
+        g_error_free(error);
+    } else {
+        wg_pages_order_target(e, request, &target);
     }
-    Wgpb__TargetRecord record;
-    wg_target_pack(&target, wg_now(), &record);
-    Wgpb__Order order = WGPB__ORDER__INIT;
-    order.target = &record;
-    wg_entry_order_begin(e, request, &order);
+    json_decref(json);
 }
 
 /* Begin or end the evacuation of a data centre. */
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -23,6 +23,8 @@
     bool crash_was_early;      /* the same */
     uint64_t ended_well;       /* fingerprint that a report named as such; 0: none */
     uint64_t quarantine_ended; /* fingerprint that an order lets through; 0: none */
+    int target_orders;         /* heartbeats and leaves */
+    uint64_t target_born;      /* of the last one */
 } fake_control;
 
 static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -47,6 +49,13 @@
         f->refusals -= f->refusals > 0;
         wgn_send(f->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
     }
+    if (in && in->target) {
+        f->target_orders++;
+        f->target_born = in->target->born;
+        answer.ticket = in->ticket;
+        answer.outcome = WG_ORDER_DONE;
+        wgn_send(f->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+    }
     if (in && in->quarantine) {
         f->quarantine_ended = in->quarantine->fingerprint;
         answer.ticket = in->ticket;
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -42,6 +42,7 @@
 static char** orders;
 static int runs_fd = -1;
 static int64_t sequence;
+static int64_t born; /* milliseconds of the time of day */
 static guint orders_next;
 static bool draining;
 static bool drain_acked;
@@ -110,10 +111,12 @@
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
     evbuffer_add_printf(
         evhttp_request_get_output_buffer(request),
-        "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"slots\":%d,"
-        "\"state\":\"%s\",\"sequence\":%d,\"cold_ms\":%d}",
+        "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"version\":\"v1\","
+        "\"slots\":%d,\"state\":\"%s\",\"sequence\":%d,\"cold_ms\":%d,\"born\":%" G_GINT64_FORMAT
+        "}",
         target_service, advertised ? advertised : fake_address, data_centre, (int)fake.slots,
-        draining ? "draining" : "ready", (int)++sequence, (int)(cold_left() / WG_USEC_PER_MSEC));
+        draining ? "draining" : "ready", (int)++sequence, (int)(cold_left() / WG_USEC_PER_MSEC),
+        born);
     char path[96];
     g_snprintf(path, sizeof path, "/v1/targets/%s", target_id);
     evhttp_make_request(connection, request, EVHTTP_REQ_PUT, path);
@@ -262,6 +265,7 @@
 static void setup(struct event_base* base) {
     target_base = base;
     started_at = wg_now();
+    born = g_get_real_time() / WG_USEC_PER_MSEC;
     heartbeat = event_new(base, -1, EV_PERSIST, on_heartbeat, NULL);
     struct timeval period = {.tv_usec = HEARTBEAT_US};
     event_add(heartbeat, &period);
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -201,7 +201,7 @@
         g_string_append_printf(list, "%s%s", i ? "," : "", w->orders);
     }
     g_snprintf(address, sizeof address, "address=127.%d.6.%d:9000", h->part, t->number);
-    g_snprintf(id, sizeof id, "id=target-%d-%d", t->number, t->incarnation);
+    g_snprintf(id, sizeof id, "id=target-%d-%d", t->number, t->keeps_id ? 0 : t->incarnation);
     g_snprintf(service, sizeof service, "service=%s", t->service);
     g_snprintf(runs, sizeof runs, "runs=runs-%d", t->number);
     g_snprintf(log, sizeof log, "target-%d.log", t->number);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -39,6 +39,7 @@
     proxy* links;
     const char* service;
     const char* data_centre;
+    bool keeps_id; /* it starts again under its id */
 } host_target;
 
 /* What the targets noted, times of arrivals on this machine's steady clock. */
--- a/tests/test_crashing_request.c
+++ b/tests/test_crashing_request.c
@@ -152,6 +152,7 @@
     }
     f->h.started_before = true;
     for (int i = 0; i < TARGETS; i++) {
+        f->h.targets[i].keeps_id = i % 4 == 0; /* every other one that serves what is asked for */
         hosts_start_target(&f->h, &f->h.targets[i]);
     }
     ck_assert(hosts_put_until(&f->h, 1, FORM_MS));
