--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -29,6 +29,7 @@
 #define _WG_EVENT_ROW(number, name, level, text) {number, #name, _WG_LEVEL_##level, text},
 static const _wg_event_row_t _wg_events[] = {WG_EVENT_LIST(_WG_EVENT_ROW)};
 
+static wg_time _wg_skipped;
 static GLogLevelFlags _wg_level_limit = G_LOG_LEVEL_INFO;
 static FILE* _wg_log_file;
 
@@ -144,7 +145,11 @@
 wg_time wg_now(void) {
     struct timespec ts;
     clock_gettime(CLOCK_BOOTTIME, &ts);
-    return (wg_time)ts.tv_sec * WG_USEC_PER_SEC + ts.tv_nsec / 1000;
+    return (wg_time)ts.tv_sec * WG_USEC_PER_SEC + ts.tv_nsec / 1000 + _wg_skipped;
+}
+
+void wg_now_skip(wg_time time) {
+    _wg_skipped += time;
 }
 
 uint64_t wg_jitter(uint64_t seed, uint64_t counter) {
--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -110,6 +110,9 @@
 
 /* Current time of this host's clock that also counts while the host is suspended. */
 wg_time wg_now(void);
+/* For tests: from now on wg_now() is so much later, as if the host had been suspended for that
+   time. Timers of the loop count time awake only, and fire late by it. */
+void wg_now_skip(wg_time time);
 
 /* Deterministic pseudo-random 64 bits out of a seed and a counter (xxHash). */
 uint64_t wg_jitter(uint64_t seed, uint64_t counter);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -136,6 +136,10 @@
         wg_log(WG_EVENT_LOOP_LATE, "late_ms=%" G_GINT64_FORMAT " calls=%d callers=%u",
                late / WG_USEC_PER_MSEC, e->calls_num, e->clients->len);
     }
+    if (e->pulse.last > WG_PULSE_LATE) {
+        e->woke_at = now;
+        wg_call_wake_all(e, now);
+    }
     wg_entry_link_tick(e, now);
     wg_entry_fade_usage(e, now);
     wg_entry_admit_tick(e, now);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -545,6 +545,16 @@
     wg_call_queue_run(e);
 }
 
+/* Timers of the loop leave out time in which the host was suspended, and would fire late by it. */
+void wg_call_wake_all(wg_entry* e, wg_time now) {
+    for (guint i = 0; i < e->clients->len; i++) {
+        const wg_client* client = e->clients->pdata[i];
+        if (client->call) {
+            wg_call_set_timer(client->call, now);
+        }
+    }
+}
+
 void wg_call_cut_all(wg_entry* e) {
     for (guint i = e->clients->len; i > 0; i--) {
         wg_client_close(e->clients->pdata[i - 1]);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -285,6 +285,7 @@
 
     wg_entry_counters counters;
     wg_pulse pulse;     /* how late the tick comes */
+    wg_time woke_at;    /* the last tick before which this process stood still; 0: none */
     wg_hist first_time; /* microseconds to the first byte of an answer */
     wg_hist total_time;
     wg_time log_second;
@@ -428,6 +429,8 @@
 /* A final answer of ours, at once. */
 void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after);
 void wg_call_cut_all(wg_entry* e);
+/* The process stood still: what calls wait for may be over already. */
+void wg_call_wake_all(wg_entry* e, wg_time now);
 /* A refusal of ours, before there is a call. */
 void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
                       bool keep);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -488,13 +488,10 @@
     wg_entry_orders_tick(e, now);
     wg_entry_tell_missing_leader(e, now);
     wg_entry_dial(e, now);
-    wg_time quiet = now - e->state_at;
+    /* While this process stood still the leader was not silent, it was not listened to: its time
+       begins anew. */
+    wg_time quiet = now - MAX(e->state_at, e->woke_at);
     bool leaderless = e->leaderless_at && now - e->leaderless_at > WG_LEADERLESS_TIME;
-    /* What the leader said while this process stood still waits unread; the next tick judges. */
-    bool was_late = e->pulse.last > WG_PULSE_LATE;
-    if (was_late) {
-        quiet = 0;
-    }
     if (e->link.id && (leaderless || quiet > e->settings->link_silence_ms * WG_USEC_PER_MSEC)) {
         wg_entry_relink(e, "");
         return;
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -38,7 +38,7 @@
     _wgn_link_t* links;
     struct evconnlistener* listener;
     struct event* tick;
-    wg_time ticked_at; /* 0: not yet */
+    wg_time ticked_at; /* the last tick, or the set-up */
     _wgn_budget budget;
     wgn_stats stats;
 };
@@ -354,7 +354,7 @@
 
 /* For how long this process stood still before this tick; 0: it did not. */
 static wg_time _wgn_stood_still(wgn_net* net, wg_time now) {
-    wg_time over = net->ticked_at ? now - net->ticked_at - _WGN_TICK : 0;
+    wg_time over = now - net->ticked_at - _WGN_TICK;
     net->ticked_at = now;
     return over > _WGN_LATE ? over : 0;
 }
@@ -397,6 +397,7 @@
     net->links = g_new0(_wgn_link_t, net->desc.links_max);
     net->tick = event_new(net->desc.base, -1, EV_PERSIST, _wgn_on_tick, net);
     event_priority_set(net->tick, WGN_PRIORITY);
+    net->ticked_at = wg_now();
     struct timeval period = {.tv_usec = _WGN_TICK};
     event_add(net->tick, &period);
     return net;
