--- a/lib/entry/wg_entry_check.c
+++ b/lib/entry/wg_entry_check.c
@@ -1,10 +1,13 @@
 /* wg_entry_check.c -- has a target ended, or did it only drop a connection?
 
    A connection that ends while the target owes an answer says either. A new connection tells them
-   apart: where the process is gone it is refused. One that is taken and closed at once says
-   neither: a process that is about to go does so, but also a live one that has too many
-   connections, or a proxy; then the next connection tells. Requests that were under way at a target
-   that has ended may have ended it. */
+   apart where the process is gone: it is refused. One that is taken says nothing yet: a proxy or a
+   supervisor takes it for a process that is gone, a target that starts again fast takes it itself,
+   and a live one that has too many connections takes it and closes it at once. Then the registry
+   tells, for some seconds: this start of the target falls silent, or another one comes in its
+   place.
+
+   Requests that were under way at a target that has ended may have ended it. */
 #include "wg_entry_internal.h"
 
 #include <errno.h>
@@ -17,7 +20,13 @@
     /* Begun in one second: a target takes some tens of connections a second, and when all
        connections of a fleet are reset at once each host needs to know of a few targets only. */
     WG_CHECKS_PER_SECOND = 4,
-    WG_CHECK_TRIES = 2
+    WG_CHECK_TRIES = 2,
+    /* A connection that lasted so long was not one to a proxy before a target that had long ended.
+     */
+    WG_BROKEN_LASTED = 100 * WG_USEC_PER_MSEC,
+    /* For the registry to tell: a target is back after some seconds, and says so at once. */
+    WG_DOUBT_TIME = 5 * WG_USEC_PER_SEC,
+    WG_DOUBTS_MAX = 256
 };
 
 /* A request that was under way when its connection ended. */
@@ -26,6 +35,8 @@
     wg_crash crash; /* what it is evidence of, if the target has ended */
     int64_t events;
     wg_time sent_at;
+    wg_time broken_at;
+    bool was_served; /* the target was there when the request came to it, as its connection shows */
 } wg_broken;
 
 typedef struct {
@@ -54,15 +65,15 @@
     g_free(check);
 }
 
-static void _wg_check_take_evidence(const wg_check* check, const wg_broken* broken) {
+static void _wg_take_evidence(wg_entry* e, const wg_broken* broken) {
     const wg_crash* crash = &broken->crash;
     wg_log(WG_EVENT_CRASH_EVIDENCE,
            "id=%s fingerprint=%016" G_GINT64_MODIFIER
            "x workspace=%s path=%s target=%u early=%d events=%" G_GINT64_FORMAT
            " after_ms=%" G_GINT64_FORMAT,
            broken->id, crash->fingerprint, crash->workspace, crash->path, crash->target,
-           crash->early, broken->events, (check->since - broken->sent_at) / WG_USEC_PER_MSEC);
-    wg_entry_note_crash(check->entry, crash);
+           crash->early, broken->events, (broken->broken_at - broken->sent_at) / WG_USEC_PER_MSEC);
+    wg_entry_note_crash(e, crash);
 }
 
 static void _wg_check_target_ended(wg_check* check, const char* how) {
@@ -71,16 +82,30 @@
     wg_log(WG_EVENT_TARGET_ENDED, "target=%u id=%s address=%s how=%s broken=%u", check->target,
            target ? target->id : "-", target ? target->address : "-", how, check->broken->len);
     for (guint i = 0; i < check->broken->len; i++) {
-        _wg_check_take_evidence(check, &g_array_index(check->broken, wg_broken, i));
+        _wg_take_evidence(check->entry, &g_array_index(check->broken, wg_broken, i));
     }
     /* At once: until all hosts know, each copy of the request costs another target. */
     wg_entry_report(check->entry, wg_now());
 }
 
+/* Keep what may be evidence until the registry tells; the oldest gives way. */
+static void _wg_doubt(wg_entry* e, const wg_broken* broken) {
+    if (!broken->was_served) {
+        return;
+    }
+    if (e->doubts->len >= WG_DOUBTS_MAX) {
+        g_array_remove_index(e->doubts, 0);
+    }
+    g_array_append_val(e->doubts, *broken);
+}
+
 static void _wg_check_target_stays(wg_check* check, const char* how) {
     check->entry->counters.targets_stayed++;
     wg_log(WG_EVENT_TARGET_STAYS, "target=%u how=%s broken=%u", check->target, how,
            check->broken->len);
+    for (guint i = 0; i < check->broken->len; i++) {
+        _wg_doubt(check->entry, &g_array_index(check->broken, wg_broken, i));
+    }
 }
 
 static void _wg_check_over(wg_check* check, bool ended, const char* how) {
@@ -176,11 +201,14 @@
 
 static void _wg_check_add(wg_check* check, const wg_call* call, const wg_upstream* up) {
     bool began = up->state == WG_UPSTREAM_BODY;
+    wg_time now = wg_now();
     wg_broken broken = {.crash = {.fingerprint = call->fingerprint,
                                   .target = up->target,
                                   .early = began && call->events == 0},
                         .events = call->events,
-                        .sent_at = call->sent_at};
+                        .sent_at = call->sent_at,
+                        .broken_at = now};
+    broken.was_served = began || up->used || now - call->sent_at >= WG_BROKEN_LASTED;
     wg_crash* crash = &broken.crash;
     wg_copy_name(broken.id, sizeof broken.id, call->id);
     wg_copy_name(crash->workspace, sizeof crash->workspace,
@@ -194,10 +222,35 @@
 
 void wg_entry_check_setup(wg_entry* e) {
     e->checks = g_hash_table_new_full(NULL, NULL, NULL, _wg_check_free);
+    e->doubts = g_array_new(FALSE, FALSE, sizeof(wg_broken));
 }
 
 void wg_entry_check_shutdown(wg_entry* e) {
     g_hash_table_unref(e->checks);
+    g_array_unref(e->doubts);
+}
+
+void wg_entry_check_doubts(wg_entry* e, wg_time now) {
+    bool told = false;
+    for (guint i = 0; i < e->doubts->len;) {
+        wg_broken broken = g_array_index(e->doubts, wg_broken, i);
+        const wg_target* target = wg_registry_find(e->registry, broken.crash.target);
+        bool ended = target && (target->state == WG_TARGET_SILENT || target->replaced);
+        bool over = !target || target->state == WG_TARGET_DRAINING ||
+                    target->state == WG_TARGET_GONE || now - broken.broken_at >= WG_DOUBT_TIME;
+        if (!ended && !over) {
+            i++;
+            continue;
+        }
+        g_array_remove_index(e->doubts, i);
+        if (ended) {
+            _wg_take_evidence(e, &broken);
+            told = true;
+        }
+    }
+    if (told) {
+        wg_entry_report(e, now);
+    }
 }
 
 void wg_entry_check_broken(wg_entry* e, const wg_call* call, const wg_upstream* up) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -286,6 +286,7 @@
     wg_time suspects_at;       /* when the suspects were last looked through */
 
     GHashTable* checks;   /* target -> what wg_entry_check.c has under way */
+    GArray* doubts;       /* what broke off at targets of which that is not known yet */
     wg_time checks_since; /* start of the second that is counted */
     int checks_num;       /* begun in it */
 
@@ -375,6 +376,8 @@
 /* wg_entry_check.c */
 void wg_entry_check_setup(wg_entry* e);
 void wg_entry_check_shutdown(wg_entry* e);
+/* Look what the registry says of targets that broke off. */
+void wg_entry_check_doubts(wg_entry* e, wg_time now);
 /* The connection on which the call's request was sent has ended without a whole answer: find out
    whether the target has ended too. */
 void wg_entry_check_broken(wg_entry* e, const wg_call* call, const wg_upstream* up);
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -197,8 +197,8 @@
         return;
     }
     if (target && wg_target_is_successor(target, record)) {
+        target->replaced = target->state != WG_TARGET_DRAINING && !wg_target_ended(target);
         wg_registry_end(r, target);
-        target->replaced = false;
         target = NULL;
     }
     if (!target) {
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -68,7 +68,7 @@
     uint32_t number;         /* short for id and start, never 0 */
     uint64_t change;         /* of the registry, when this record last changed */
     wg_time cold_until;      /* until then it bears less work than usual; 0: it is not cold */
-    bool replaced;           /* gone because another incarnation came to its address */
+    bool replaced;           /* gone because another incarnation came in its place */
     wg_time heard_at;        /* not replicated */
     uint64_t heard_sequence; /* not replicated */
 } wg_target;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -171,6 +171,7 @@
     uint64_t change;       /* of the registry; 0 counts as 1 */
     Wgpb__WorkspaceUsage** usage;
     size_t usage_num;
+    uint32_t replaced_number;    /* of a target in whose place the other one came; 0: none */
     const char* other_member;    /* name of another entry host; NULL none */
     uint64_t members_change;     /* 0 counts as 1 */
     const uint64_t* quarantined; /* fingerprints */
@@ -183,7 +184,8 @@
     Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
     Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
     Wgpb__EntryMember member = WGPB__ENTRY_MEMBER__INIT;
-    Wgpb__TargetRecord* records[] = {&record};
+    Wgpb__TargetRecord replaced = WGPB__TARGET_RECORD__INIT;
+    Wgpb__TargetRecord* records[] = {&record, &replaced};
     Wgpb__EntryMember other = WGPB__ENTRY_MEMBER__INIT;
     Wgpb__EntryMember* members[] = {&member, &other};
     char* callers = local_address(11, 18001);
@@ -207,7 +209,12 @@
     state.term = 1;
     state.leader_address = f->address;
     state.targets = records;
-    state.n_targets = 1;
+    replaced = record;
+    replaced.number = word->replaced_number;
+    replaced.id = (char*)"t-replaced";
+    replaced.state = WG_TARGET_GONE;
+    replaced.replaced = true;
+    state.n_targets = word->replaced_number ? 2 : 1;
     state.registry_change = MAX(word->change, 1);
     state.registry_reset = true;
     state.evacuated = (char**)&word->evacuated;
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -108,6 +108,11 @@
     struct event* tick;
     wg_time operator_at;
     wg_time fault_at;
+    wg_time crash_at; /* when the request that ends targets comes next */
+    int crashes_sent;
+    wg_time third_crash_at;
+    wg_time last_crashes_at;        /* faults are over, the request still comes; 0: not yet */
+    int crashes_late;               /* targets that it ended when all hosts had to know */
     GQueue repairs;                 /* repair*, by time */
     bool passed[HOSTS_MAX][PROBES]; /* since the last fault, with the newest version */
     int passed_version;
@@ -134,6 +139,14 @@
 /* One of the harsh faults; replicas and entry hosts are started again by soak_repair. */
 void soak_strike_harsh(soak* s, wg_time now);
 
+/* ---- soak_crasher.c ---- */
+/* Note targets that ended by themselves; those that a request ended start again. */
+void soak_crash_watch(soak* s);
+/* Let the request come when it is due. */
+void soak_crash(soak* s, wg_time now);
+/* After all other faults: the request comes for some seconds more; true once that is over. */
+bool soak_crash_is_known(soak* s, wg_time now);
+
 /* ---- soak_callers.c ---- */
 void soak_callers_make(soak* s);
 void soak_callers_start(soak* s);
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -71,11 +71,18 @@
     }
 }
 
+static void finish_when_known(soak* s, wg_time now) {
+    if (soak_crash_is_known(s, now)) {
+        event_base_loopbreak(s->base);
+    }
+}
+
 static void on_tick(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
     soak* s = user_data;
     wg_time now = wg_now();
+    soak_crash_watch(s);
     soak_repair(s, now);
     soak_operate(s, now);
     if (!s->formed) {
@@ -84,16 +91,21 @@
     }
     if (!s->quiet) {
         soak_strike(s, now);
+        soak_crash(s, now);
         s->quiet = now >= s->faults_until;
         return;
     }
+    if (s->last_crashes_at > 0) {
+        finish_when_known(s, now);
+        return;
+    }
     if (s->repairs.length > 0) {
         return;
     }
     soak_probe(s);
     if (soak_all_passed(s)) {
         s->result.back = now - s->last_fault;
-        event_base_loopbreak(s->base);
+        finish_when_known(s, now);
     } else if (now - MAX(s->last_fault, s->faults_until) > SETTLE_TIME) {
         char* missing = soak_describe_probes(s);
         soak_broken(s, "not all serve again; version %d, acknowledged %d, host:what is missing:%s",
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -16,6 +16,8 @@
         - no request reaches a target of an evacuated data centre from two seconds after the
           evacuation was acknowledged until its end is ordered, while no fault is near; also when
           all replicas ended meanwhile
+        - a request under which three targets had ended is sent to three more at most once the
+   faults are over, by all hosts together
         - soon after the last fault every entry host serves again, obeys the newest configuration
           that was acknowledged and no older one, and reads it back
 */
@@ -30,6 +32,7 @@
     bool drains;  /* no faults but planned drains of targets */
     bool harsh;   /* the deployed waits; processes that are late, losses of power with disks, hosts
                      that are replaced for good */
+    bool crashes; /* a request that ends each target that runs it comes again and again */
     bool spoiled; /* targets cut off, fail and refuse a part of their requests */
     bool keep;    /* the folder with the logs, also after a good run */
 } soak_desc;
@@ -47,6 +50,7 @@
     int evacuations;  /* acknowledged */
     int replaced;     /* hosts, for good */
     int disks_lost;   /* in losses of power */
+    int crashes;      /* targets that a request ended */
     wg_time back;     /* from the last fault until all served again */
 } soak_result;
 
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -23,9 +23,11 @@
     struct arg_lit* harsh =
         arg_lit0(NULL, "harsh", "the deployed waits; late processes, lost disks, replaced hosts");
     struct arg_lit* calm = arg_lit0(NULL, "calm", "no faults");
+    struct arg_lit* crashes =
+        arg_lit0(NULL, "crashes", "a request that ends each target that runs it comes too");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed, seeds, seconds, hosts, disks, harsh, calm, keep, end};
+    void* table[] = {seed, seeds, seconds, hosts, disks, harsh, calm, crashes, keep, end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -41,17 +43,19 @@
                           .disks = disks->count ? disks->ival[0] : 0,
                           .harsh = harsh->count > 0,
                           .calm = calm->count > 0,
+                          .crashes = crashes->count > 0,
                           .spoiled = i % 2 == 1,
                           .keep = keep->count > 0};
         soak_result r = soak_run(&desc);
         failed += !r.good;
         printf("seed %" G_GUINT64_FORMAT ": %s%s%s; %d requests, %d whole, %d refused, %d failed, "
-               "%d faults, %d disks lost, %d hosts replaced, %d configurations, %d evacuations, "
+               "%d faults, %d targets crashed, %d disks lost, %d hosts replaced, %d "
+               "configurations, %d evacuations, "
                "back after %.1f s%s%s\n",
                desc.seed, r.good ? "good" : "BROKEN: ", r.good ? "" : r.reason, "", r.requests,
-               r.whole, r.refused, r.failed, r.faults, r.disks_lost, r.replaced, r.acknowledged,
-               r.evacuations, (double)r.back / WG_USEC_PER_SEC, r.good ? "" : ", logs in ",
-               r.good ? "" : r.folder);
+               r.whole, r.refused, r.failed, r.faults, r.crashes, r.disks_lost, r.replaced,
+               r.acknowledged, r.evacuations, (double)r.back / WG_USEC_PER_SEC,
+               r.good ? "" : ", logs in ", r.good ? "" : r.folder);
         fflush(stdout);
     }
     printf("%d runs, %d broken\n", runs, failed);
--- a/tests/test_entry_quarantine.c
+++ b/tests/test_entry_quarantine.c
@@ -88,6 +88,48 @@
 }
 END_TEST
 
+/* Something else takes connections for a target that is gone, or it is back at once: then another
+   start comes in its place. */
+START_TEST(a_target_that_is_replaced_after_it_broke_off_is_evidence) {
+    begin();
+    int fd = ask("/s/x");
+    target_says(stream_begins);
+    target_breaks_off();
+    turns(200);
+    ck_assert_int_eq(leader.crashes, 0);
+    fake_control_leads(&leader, &(fake_word){.version = 5,
+                                             .document = "",
+                                             .target = target_at,
+                                             .number = 2,
+                                             .replaced_number = 1,
+                                             .change = 2});
+    turns(200);
+    ck_assert_int_eq(leader.crashes, 1);
+    ck_assert_uint_eq(leader.crash_of, fingerprint_of("/s/x"));
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
+/* A request that a proxy took and closed at once was not there when the target ended. */
+START_TEST(a_request_that_came_to_a_target_that_was_gone_is_no_evidence) {
+    begin();
+    int fd = ask("/a/x"); /* closed after 20 ms, on a fresh connection, without a byte */
+    target_breaks_off();
+    turns(200);
+    fake_control_leads(&leader, &(fake_word){.version = 5,
+                                             .document = "",
+                                             .target = target_at,
+                                             .number = 2,
+                                             .replaced_number = 1,
+                                             .change = 2});
+    turns(200);
+    ck_assert_int_eq(leader.crashes, 0);
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
 START_TEST(a_new_link_is_told_all_evidence_again) {
     begin();
     int fd = ask("/a/x");
@@ -236,7 +278,10 @@
 
 WG_TEST_MAIN("entry quarantine", an_end_of_a_target_is_told_with_the_request_that_was_there,
              a_stream_that_had_just_begun_is_told_as_such,
-             a_target_that_only_breaks_off_is_no_evidence, a_new_link_is_told_all_evidence_again,
-             a_host_refuses_by_itself_what_ended_targets, a_quarantined_request_is_refused_at_once,
-             a_quarantine_stops_what_is_under_way, a_request_that_ends_well_is_told,
-             a_request_that_ended_well_before_is_told, an_operator_lists_and_lets_through)
+             a_target_that_only_breaks_off_is_no_evidence,
+             a_target_that_is_replaced_after_it_broke_off_is_evidence,
+             a_request_that_came_to_a_target_that_was_gone_is_no_evidence,
+             a_new_link_is_told_all_evidence_again, a_host_refuses_by_itself_what_ended_targets,
+             a_quarantined_request_is_refused_at_once, a_quarantine_stops_what_is_under_way,
+             a_request_that_ends_well_is_told, a_request_that_ended_well_before_is_told,
+             an_operator_lists_and_lets_through)
--- /dev/null
+++ b/tests/test_soak_crashes.c
@@ -0,0 +1,24 @@
+/* test_soak_crashes.c -- short seeded runs of the fault soak in which a request ends each target that
+   runs it, beside all other faults; test_crashing_request.c tells the story */
+#include "soak_run.h"
+#include "wg_test.h"
+
+static void run(uint64_t seed, bool harsh) {
+    soak_result r = soak_run(&(soak_desc){
+        .seed = seed, .seconds = 12, .hosts = 5, .disks = 3, .harsh = harsh, .crashes = true});
+    ck_assert_msg(r.good, "seed %d: %s; logs in %s", (int)seed, r.reason, r.folder);
+    ck_assert_int_gt(r.whole, 100);
+    ck_assert_int_ge(r.crashes, 1);
+}
+
+START_TEST(few_targets_end_under_faults) {
+    run(31002, false);
+}
+END_TEST
+
+START_TEST(few_targets_end_under_harsh_faults) {
+    run(31001, true);
+}
+END_TEST
+
+WG_TEST_MAIN("soak crashes", few_targets_end_under_faults, few_targets_end_under_harsh_faults)
