--- a/tests/test_entry_quarantine.c
+++ b/tests/test_entry_quarantine.c
@@ -28,6 +28,17 @@
     turns(20);
 }
 
+/* Another start of the target, at the same address; `replaced`: number of the former one that the
+   leader tells as replaced, 0: it is told no more. */
+static void target_starts_again(uint32_t number, uint32_t replaced) {
+    fake_control_leads(&leader, &(fake_word){.version = 5,
+                                             .document = "",
+                                             .target = target_at,
+                                             .number = number,
+                                             .replaced_number = replaced,
+                                             .change = number});
+}
+
 static void begin(void) {
     one_entry_begin();
     lead(NULL, 0, 0);
@@ -97,12 +108,7 @@
     target_breaks_off();
     turns(200);
     ck_assert_int_eq(leader.crashes, 0);
-    fake_control_leads(&leader, &(fake_word){.version = 5,
-                                             .document = "",
-                                             .target = target_at,
-                                             .number = 2,
-                                             .replaced_number = 1,
-                                             .change = 2});
+    target_starts_again(2, 1);
     turns(200);
     ck_assert_int_eq(leader.crashes, 1);
     ck_assert_uint_eq(leader.crash_of, fingerprint_of("/s/x"));
@@ -117,12 +123,7 @@
     int fd = ask("/a/x"); /* closed after 20 ms, on a fresh connection, without a byte */
     target_breaks_off();
     turns(200);
-    fake_control_leads(&leader, &(fake_word){.version = 5,
-                                             .document = "",
-                                             .target = target_at,
-                                             .number = 2,
-                                             .replaced_number = 1,
-                                             .change = 2});
+    target_starts_again(2, 1);
     turns(200);
     ck_assert_int_eq(leader.crashes, 0);
     close(fd);
@@ -159,12 +160,7 @@
         turns(200);
         close(fd);
         target_start();
-        /* Another start of a target, at the same address. */
-        fake_control_leads(&leader, &(fake_word){.version = 5,
-                                                 .document = "",
-                                                 .target = target_at,
-                                                 .number = (uint32_t)i + 2,
-                                                 .change = (uint64_t)i + 2});
+        target_starts_again((uint32_t)i + 2, 0);
         turns(1200);
     }
     int before = requests_at_target();
