--- a/tests/sim/soak_crasher.c
+++ b/tests/sim/soak_crasher.c
@@ -77,6 +77,8 @@
         t->pid = 0;
         if (WIFEXITED(status) && WEXITSTATUS(status) == CRASH_STATUS) {
             note_crash(s, wg_now());
+        }
+        if (!soak_is_repairing(s, i, true)) {
             soak_plan_repair(s, REPAIR_TARGET, i, true, DOWN_MS + (int)soak_draw(s, DOWN_SPAN_MS),
                              soak_disturb(s));
         }
--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -201,6 +201,9 @@
 
 void soak_fault_target(soak* s, int number) {
     host_target* t = &s->h.targets[number];
+    if (t->pid <= 0) {
+        return; /* it has just ended by itself; a signal to 0 would go to this process too */
+    }
     int at = soak_disturb(s);
     if (s->desc.drains || soak_draw(s, 2)) {
         kill(t->pid, SIGHUP); /* it drains and leaves */
