--- a/tests/sim/soak_crasher.c
+++ b/tests/sim/soak_crasher.c
@@ -19,8 +19,8 @@
     DOWN_SPAN_MS = 2000,
     ENDS_KNOWN = 3, /* so many ends are enough for all hosts to know */
     KNOWN_AFTER = 4 * WG_USEC_PER_SEC,
-    ENDS_LATE_MOST = 3, /* afterwards */
-    LAST_TIME = 8 * WG_USEC_PER_SEC,
+    ENDS_LATE_MOST = 3,               /* afterwards */
+    LAST_TIME = 14 * WG_USEC_PER_SEC, /* without the refusal two targets then end some ten times */
     LAST_GAP_MS = 250
 };
 
