Reproduced, failing: a replaced voter is never taken out while leaders change

Symptom: after one host was replaced and another disk lost 6.5 s later no replica could be elected any more, for good (harsh soak). Evidence: four leaders in those 6.5 s, each ended by its own loop being 0.6 to 1.6 s late; the newcomer had all entries 0.1 s after it came, and no change of the set followed.

--- /dev/null
+++ b/tests/test_quorum_leaders_change.c
@@ -0,0 +1,185 @@
+/* test_quorum_leaders_change.c -- a replica that is gone is replaced while leaders change
+
+   What users saw: every host refused everything, for good. Order of events: a host with a disk
+   ended without a word, and an empty one came in its place; for the next 6.5 s each leader stood
+   still for longer than an election takes, so that four led one after the other; then another disk
+   was lost. Cause: how long a voter had been silent was known to the leader alone, and counted anew
+   from the begin of each term. The newcomer had all entries 0.1 s after it had come, but no leader
+   lasted for the silence (1 s) after which a voter may be taken out. So the voter that was gone,
+   the one whose disk was lost and one that was whole were the three voters, and the newcomer had no
+   vote.
+
+   Evidence, from the replicas of that run: leaders of terms 5 to 8 from 43.9, 46.1, 47.7 and 49.3 s
+   on, each ending with "late_ms=761", 645, 686 and 1565 of its own loop; "voters=1,3,6 learners=7
+   down=6" at 46.35 s and no other set after it; then "MAJORITY_MISSING voters_up=1 elections=0" to
+   the end. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "sim_quorum.h"
+#include "wg_test.h"
+
+enum {
+    VOTERS = 3,
+    NEWCOMER = 3,
+    RUNS = 300,          /* for each test; RUNS=n in the environment plays more */
+    CONTACT_MS = 3000,   /* the bound: a whole set so long after the newcomer has caught up */
+    CATCH_UP_MS = 500,   /* for a newcomer to be added and fed, while leaders change */
+    STAND_MS_MIN = 550,  /* how long a leader stands still: longer than the longest election wait */
+    STAND_MS_SPAN = 350, /* 300..500 ms */
+    LEAD_MS_MIN = 500,   /* how long one leads */
+    LEAD_MS_SPAN = 1500
+};
+
+static int runs(void) {
+    const char* more = g_getenv("RUNS");
+    return more ? atoi(more) : RUNS;
+}
+
+/* One run: its random numbers, and when the next leader stands still. */
+typedef struct {
+    simq_run* run;
+    uint64_t seed;
+    uint64_t counter;
+    int gone;
+    char gone_name[WG_NAME_MAX];
+    wg_time strike_at;
+    uint64_t term; /* of the leader that it was last planned for */
+} play;
+
+static int draw(play* p, int below) {
+    return (int)(wg_jitter(p->seed, ++p->counter) % (uint64_t)below);
+}
+
+static play begin(int seed) {
+    play p = {.seed = (uint64_t)seed};
+    /* The waits of deploy/replica.ini. */
+    p.run = simq_setup(&(simq_desc){.seed = (uint64_t)seed,
+                                    .replicas = VOTERS + 1,
+                                    .voters = VOTERS,
+                                    .election_min = 300 * MSEC,
+                                    .election_max = 500 * MSEC,
+                                    .heartbeat = 60 * MSEC,
+                                    .gone_after = 1000 * MSEC,
+                                    .losses = 1});
+    simq_run_for(p.run, 2 * SECOND);
+    ck_assert_int_ge(simq_leader(p.run), 0);
+    p.gone = draw(&p, VOTERS);
+    g_snprintf(p.gone_name, sizeof p.gone_name, "c%d", p.gone);
+    return p;
+}
+
+/* Let time pass; no leader lasts. */
+static void go_on(play* p, wg_time duration) {
+    for (wg_time until = simq_now(p->run) + duration; simq_now(p->run) < until;) {
+        int leader = simq_leader(p->run);
+        uint64_t term = leader < 0 ? 0 : simq_stats(p->run, leader).term;
+        if (leader >= 0 && term != p->term) {
+            p->term = term;
+            p->strike_at = simq_now(p->run) + (LEAD_MS_MIN + draw(p, LEAD_MS_SPAN)) * MSEC;
+        }
+        if (leader >= 0 && simq_now(p->run) >= p->strike_at) {
+            simq_freeze(p->run, leader, (STAND_MS_MIN + draw(p, STAND_MS_SPAN)) * MSEC);
+        }
+        simq_replace(p->run, NEWCOMER);
+        simq_tick(p->run);
+    }
+}
+
+/* One voter is gone for good; an empty replica comes elsewhere, at once or up to a second later. */
+static void replace(play* p) {
+    simq_crash(p->run, p->gone);
+    go_on(p, draw(p, 1000) * MSEC);
+    simq_restart(p->run, NEWCOMER);
+}
+
+static bool is_whole(play* p) {
+    int leader = simq_leader(p->run);
+    if (leader < 0) {
+        return false;
+    }
+    const wgr_set* set = simq_set(p->run, leader);
+    bool whole = set->num == VOTERS;
+    for (int i = 0; i < set->num; i++) {
+        const wgr_replica* replica = &set->replicas[i];
+        whole = whole && replica->voter && strcmp(replica->name, p->gone_name) != 0;
+    }
+    return whole;
+}
+
+/* All that are left lose power, one of them its disk as well, and come back. */
+static bool survives_lost_disk(play* p) {
+    int lost;
+    do {
+        lost = draw(p, VOTERS + 1);
+    } while (lost == p->gone);
+    simq_crash_all(p->run);
+    for (int i = 0; i <= VOTERS; i++) {
+        if (i != p->gone && i != lost) {
+            simq_restart(p->run, i);
+        }
+    }
+    simq_lose_disk(p->run, lost);
+    simq_run_for(p->run, 4 * SECOND);
+    return simq_leader(p->run) >= 0;
+}
+
+static int count_lost_for_good(int seconds) {
+    int lost = 0;
+    for (int seed = 0; seed < runs(); seed++) {
+        play p = begin(seed);
+        replace(&p);
+        go_on(&p, seconds * SECOND);
+        lost += !survives_lost_disk(&p);
+        simq_shutdown(p.run);
+    }
+    return lost;
+}
+
+START_TEST(a_disk_may_be_lost_five_seconds_after_a_replacement) {
+    int lost = count_lost_for_good(5);
+    ck_assert_msg(lost == 0, "no majority for good in %d of %d runs", lost, runs());
+}
+END_TEST
+
+START_TEST(a_disk_may_be_lost_ten_seconds_after_a_replacement) {
+    int lost = count_lost_for_good(10);
+    ck_assert_msg(lost == 0, "no majority for good in %d of %d runs", lost, runs());
+}
+END_TEST
+
+/* The time from the newcomer's start to a whole set, in half seconds. */
+START_TEST(a_set_is_whole_within_a_bounded_time) {
+    enum {
+        STEP_MS = 500,
+        STEPS = 40
+    };
+    int took[STEPS + 1] = {0};
+    int late = 0;
+    for (int seed = 0; seed < runs(); seed++) {
+        play p = begin(seed);
+        replace(&p);
+        int step = 0;
+        while (step < STEPS && !is_whole(&p)) {
+            go_on(&p, STEP_MS * MSEC);
+            step++;
+        }
+        took[step]++;
+        late += step * STEP_MS > CATCH_UP_MS + CONTACT_MS;
+        simq_shutdown(p.run);
+    }
+    GString* histogram = g_string_new(NULL);
+    for (int step = 0; step <= STEPS; step++) {
+        if (took[step]) {
+            g_string_append_printf(histogram, " %.1f s: %d", step * STEP_MS / 1000.0, took[step]);
+        }
+    }
+    printf("whole after%s\n", histogram->str);
+    ck_assert_msg(late == 0, "%d of %d runs later than the bound;%s", late, runs(), histogram->str);
+    g_string_free(histogram, TRUE);
+}
+END_TEST
+
+WG_TEST_MAIN("quorum_leaders_change", a_disk_may_be_lost_five_seconds_after_a_replacement,
+             a_disk_may_be_lost_ten_seconds_after_a_replacement,
+             a_set_is_whole_within_a_bounded_time)
