How long a voter has been silent outlives the leader that heard it

Symptom: after one host was replaced and another disk lost 6.5 s later no replica could be elected any more, for good. Cause: a leader counts the silence of a voter from the begin of its own term. While no leader lasts for replica_gone_ms (1 s), the voter that is gone stays in the set and its successor, which has had all entries from 0.1 s on, has no vote. Change: heartbeats tell who does not answer and for how long; the next leader counts on from there, after giving everybody the shortest election wait to answer it. Nothing about votes or commits changes. Tried and dropped: a leader that ends notes only what it knew when it was last confirmed.

--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -57,6 +57,16 @@
         entries[i].data = _wgco_borrow(m->entries[i].data);
         out.entries[out.n_entries++] = &entries[i];
     }
+    Wgpb__Silence silences[WGR_REPLICAS_MAX];
+    Wgpb__Silence* silence_pointers[WGR_REPLICAS_MAX];
+    for (int i = 0; i < m->silences_num; i++) {
+        wgpb__silence__init(&silences[i]);
+        silences[i].id = m->silences[i].id;
+        silences[i].length = m->silences[i].length;
+        silence_pointers[i] = &silences[i];
+    }
+    out.silences = silence_pointers;
+    out.n_silences = (size_t)m->silences_num;
     if (m->type == WGR_MESSAGE_SNAPSHOT) {
         out.replicas = _wgco_pack_set(&m->set);
     }
@@ -94,6 +104,11 @@
                                     .kind = (wgr_entry_kind)entry->kind,
                                     .data = g_bytes_new(entry->data.data, entry->data.len)};
     }
+    for (size_t i = 0; i < in->n_silences && i < WGR_REPLICAS_MAX; i++) {
+        m->silences[i] =
+            (wgr_silence){.id = in->silences[i]->id, .length = in->silences[i]->length};
+        m->silences_num++;
+    }
     if (!in->replicas) {
         return true;
     }
--- a/lib/quorum/wg_quorum.c
+++ b/lib/quorum/wg_quorum.c
@@ -69,6 +69,7 @@
 /* ---- elections ---------------------------------------------------------------------------- */
 
 void _wgr_become_follower(wgr_node* n, wg_time now, uint64_t term, uint64_t leader) {
+    _wgr_silence_leave(n, now);
     _wgr_set_term(n, term);
     n->role = WGR_ROLE_FOLLOWER;
     n->leader = leader;
@@ -218,6 +219,7 @@
         reply->echo = 0;
         return;
     }
+    _wgr_silence_learn(n, now, m);
     bool below_commit = m->log_index <= n->commit;
     bool agrees =
         m->log_index <= _wgr_last_index(n) && _wgr_term_at(n, m->log_index) == m->log_term;
@@ -379,6 +381,7 @@
     if (m->to != n->desc.self || m->from == n->desc.self || m->from == 0) {
         return;
     }
+    _wgr_silence_is_broken(n, m->from);
     switch (m->type) {
     case WGR_MESSAGE_PRE_VOTE:
         _wgr_on_pre_vote(n, now, m);
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -15,7 +15,8 @@
           the old one out, then gives the new one its vote. Any later leader carries on.
         - succession (gone_after): a voter that has been silent for so long goes when a learner has
           caught up to take its place, or when enough others answer. In a full set the two never
-          count side by side, so as many may be lost after a replacement as before.
+          count side by side, so as many may be lost after a replacement as before. How long it has
+          been silent outlives a leader (wg_quorum_silence.c).
         - a voter that stops, for good or for a while, can leave the set first (wgr_leave)
         - wgr_leads(): true only while a majority has lately confirmed this leader. The lease counts
           from when a heartbeat was sent and is shorter than the shortest election wait, so that a
@@ -104,6 +105,12 @@
     GBytes* data; /* a reference; REPLICAS entries hold a wgr_set packed by wgr_set_pack() */
 } wgr_entry;
 
+/* For how long a replica has not answered. */
+typedef struct {
+    uint64_t id;
+    wg_time length; /* microseconds */
+} wgr_silence;
+
 typedef struct {
     wgr_message_type type;
     uint64_t from;
@@ -124,7 +131,9 @@
     uint64_t offset; /* of `chunk` in the snapshot; replies: bytes received */
     uint64_t total;
     GBytes* chunk;
-    wgr_set set; /* SNAPSHOT only */
+    wgr_set set;                            /* SNAPSHOT only */
+    wgr_silence silences[WGR_REPLICAS_MAX]; /* APPEND: who does not answer the leader */
+    int silences_num;
 } wgr_message;
 
 /* What a data folder held at start. */
--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -21,11 +21,18 @@
     uint64_t next;
     uint64_t snapshot_index; /* of the snapshot being fed */
     uint64_t offset;
-    wg_time sent_at;  /* last message */
-    wg_time acked_at; /* own time echoed by the newest reply in this term */
-    wg_time since;    /* it is in the set, or this replica leads */
+    wg_time sent_at;      /* last message */
+    wg_time acked_at;     /* own time echoed by the newest reply in this term */
+    wg_time since;        /* it is in the set, or this replica leads */
+    wg_time silent_since; /* if it never answers in this term: what an earlier leader knew */
 } _wgr_peer_t;
 
+/* A replica that did not answer the leader, as far as this one knows. */
+typedef struct {
+    uint64_t id;
+    wg_time since; /* own time */
+} _wgr_silent_t;
+
 /* What a replica answered while this one asks whether all have just started. */
 typedef struct {
     uint64_t id;
@@ -100,6 +107,10 @@
     uint64_t gone[4 * WGR_REPLICAS_MAX]; /* identities whose data folder is lost */
     int gone_num;
 
+    /* wg_quorum_silence.c; empty while this replica leads */
+    _wgr_silent_t silent[WGR_REPLICAS_MAX];
+    int silent_num;
+
     /* leader */
     _wgr_peer_t peers[WGR_REPLICAS_MAX];
     int peers_num;
@@ -142,6 +153,17 @@
 void _wgr_become_follower(wgr_node* n, wg_time now, uint64_t term, uint64_t leader);
 void _wgr_campaign(wgr_node* n, wg_time now, _wgr_campaign_kind kind);
 
+/* silence */
+/* As leader: tell who does not answer. */
+void _wgr_silence_tell(const wgr_node* n, wg_time now, wgr_message* m);
+/* As follower: take over what the leader tells. */
+void _wgr_silence_learn(wgr_node* n, wg_time now, const wgr_message* m);
+/* A message of this replica has come. */
+void _wgr_silence_is_broken(wgr_node* n, uint64_t id);
+/* A term as leader begins, or ends. */
+void _wgr_silence_inherit(wgr_node* n, wg_time now);
+void _wgr_silence_leave(wgr_node* n, wg_time now);
+
 /* start */
 void _wgr_start_tick(wgr_node* n, wg_time now);
 void _wgr_on_start_ask(wgr_node* n, const wgr_message* m);
--- a/lib/quorum/wg_quorum_leader.c
+++ b/lib/quorum/wg_quorum_leader.c
@@ -33,6 +33,7 @@
     m->log_term = _wgr_term_at(n, peer->next - 1);
     m->commit = n->commit;
     m->echo = now;
+    _wgr_silence_tell(n, now, m);
     uint64_t last = _wgr_last_index(n);
     size_t bytes = 0;
     uint64_t end = peer->next;
@@ -117,6 +118,7 @@
     n->led_since = now;
     n->peers_num = 0;
     _wgr_leader_set_changed(n, now);
+    _wgr_silence_inherit(n, now);
     _wgr_log_append(n, n->term, WGR_ENTRY_EMPTY, NULL);
     n->term_start = _wgr_last_index(n);
     _wgr_feed_all(n, now);
@@ -137,6 +139,7 @@
         peer->acked_at = _WGR_NEVER_ACKED;
         peer->sent_at = _WGR_NEVER_ACKED;
         peer->since = now;
+        peer->silent_since = now;
         for (int j = 0; j < old_num; j++) {
             if (old[j].id == id) {
                 *peer = old[j];
--- a/lib/quorum/wg_quorum_set.c
+++ b/lib/quorum/wg_quorum_set.c
@@ -55,10 +55,15 @@
     return !peer || now - peer->acked_at < n->desc.election_min;
 }
 
-/* For how long a replica has said nothing to this leader, though it could. */
+/* For how long a replica has said nothing to this leader or the ones before, though it could. */
 static wg_time _wgr_silence(wgr_node* n, wg_time now, uint64_t id) {
     const _wgr_peer_t* peer = _wgr_peer(n, id);
-    return peer ? now - MAX(peer->acked_at, peer->since) : 0;
+    return peer ? now - MAX(peer->acked_at, peer->silent_since) : 0;
+}
+
+/* A new leader gives everybody the time to answer, whatever the ones before knew. */
+static bool _wgr_has_asked(const wgr_node* n, wg_time now) {
+    return now - n->led_since >= n->desc.election_min;
 }
 
 static int _wgr_answering_beside(wgr_node* n, wg_time now, uint64_t id) {
@@ -185,7 +190,7 @@
    its successor it leaves too few for ever when one more is lost (3 voters, one replaced, another
    one's disk lost: 2 of 4), so it goes before the successor votes. */
 static bool _wgr_take_out_gone(wgr_node* n, wg_time now, const wgr_replica* learner) {
-    if (n->desc.gone_after == 0) {
+    if (n->desc.gone_after == 0 || !_wgr_has_asked(n, now)) {
         return false;
     }
     const wgr_replica* gone = _wgr_gone_learner(n, now);
--- /dev/null
+++ b/lib/quorum/wg_quorum_silence.c
@@ -0,0 +1,72 @@
+/* wg_quorum_silence.c -- for how long replicas have not answered, across changes of the leader
+
+   Only a leader hears whether the others answer. Each heartbeat tells the followers which do not,
+   and for how long; whoever leads next counts on from there. Counted anew in each term, a voter
+   that is gone stayed in the set for as long as no leader lasted for gone_after: with leaders that
+   stand still every 0.5 to 2 s and another disk lost 5 s after a replacement, 38 of 2,000 random
+   runs had no majority for good.
+
+   A follower's note is as old as the leader's, or younger by what the message took, never older.
+   It is dropped when the replica itself is heard of. A wrong note costs no safety: the set changes
+   by entries that a majority has. */
+#include "wg_quorum_internal.h"
+
+/* ---- helpers ------------------------------------------------------------------------------ */
+
+static const _wgr_silent_t* _wgr_silent(const wgr_node* n, uint64_t id) {
+    for (int i = 0; i < n->silent_num; i++) {
+        if (n->silent[i].id == id) {
+            return &n->silent[i];
+        }
+    }
+    return NULL;
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+void _wgr_silence_tell(const wgr_node* n, wg_time now, wgr_message* m) {
+    for (int i = 0; i < n->peers_num; i++) {
+        const _wgr_peer_t* peer = &n->peers[i];
+        wg_time length = now - MAX(peer->acked_at, peer->silent_since);
+        if (length >= n->desc.election_min) {
+            m->silences[m->silences_num++] = (wgr_silence){.id = peer->id, .length = length};
+        }
+    }
+}
+
+void _wgr_silence_learn(wgr_node* n, wg_time now, const wgr_message* m) {
+    n->silent_num = 0;
+    for (int i = 0; i < m->silences_num; i++) {
+        const wgr_silence* silence = &m->silences[i];
+        if (silence->id != n->desc.self && silence->length > 0) {
+            n->silent[n->silent_num++] =
+                (_wgr_silent_t){.id = silence->id, .since = now - silence->length};
+        }
+    }
+}
+
+void _wgr_silence_is_broken(wgr_node* n, uint64_t id) {
+    for (int i = 0; i < n->silent_num; i++) {
+        if (n->silent[i].id == id) {
+            n->silent[i] = n->silent[--n->silent_num];
+            return;
+        }
+    }
+}
+
+void _wgr_silence_inherit(wgr_node* n, wg_time now) {
+    for (int i = 0; i < n->peers_num; i++) {
+        const _wgr_silent_t* silent = _wgr_silent(n, n->peers[i].id);
+        n->peers[i].silent_since = silent ? MIN(silent->since, now) : now;
+    }
+    n->silent_num = 0;
+}
+
+void _wgr_silence_leave(wgr_node* n, wg_time now) {
+    if (n->role != WGR_ROLE_LEADER) {
+        return;
+    }
+    wgr_message kept = {0};
+    _wgr_silence_tell(n, now, &kept);
+    _wgr_silence_learn(n, now, &kept);
+}
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -277,6 +277,51 @@
   assert(message->base.descriptor == &wgpb__quorum__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__silence__init
+                     (Wgpb__Silence         *message)
+{
+  static const Wgpb__Silence init_value = WGPB__SILENCE__INIT;
+  *message = init_value;
+}
+size_t wgpb__silence__get_packed_size
+                     (const Wgpb__Silence *message)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__silence__pack
+                     (const Wgpb__Silence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__silence__pack_to_buffer
+                     (const Wgpb__Silence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Silence *
+       wgpb__silence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Silence *)
+     protobuf_c_message_unpack (&wgpb__silence__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__silence__free_unpacked
+                     (Wgpb__Silence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wgpb__hard_state__init
                      (Wgpb__HardState         *message)
 {
@@ -2526,7 +2571,7 @@
   (ProtobufCMessageInit) wgpb__log_entry__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[18] =
+static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[19] =
 {
   {
     "type",
@@ -2744,6 +2789,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "silences",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Quorum, n_silences),
+    offsetof(Wgpb__Quorum, silences),
+    &wgpb__silence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__quorum__field_indices_by_name[] = {
   15,   /* field[15] = chunk */
@@ -2758,6 +2815,7 @@
   13,   /* field[13] = offset */
   7,   /* field[7] = reject */
   16,   /* field[16] = replicas */
+  18,   /* field[18] = silences */
   11,   /* field[11] = snapshot_index */
   12,   /* field[12] = snapshot_term */
   3,   /* field[3] = term */
@@ -2768,7 +2826,7 @@
 static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 18 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wgpb__quorum__descriptor =
 {
@@ -2778,13 +2836,64 @@
   "Wgpb__Quorum",
   "wgpb",
   sizeof(Wgpb__Quorum),
-  18,
+  19,
   wgpb__quorum__field_descriptors,
   wgpb__quorum__field_indices_by_name,
   1,  wgpb__quorum__number_ranges,
   (ProtobufCMessageInit) wgpb__quorum__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__silence__field_descriptors[2] =
+{
+  {
+    "id",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Silence, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Silence, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__silence__field_indices_by_name[] = {
+  0,   /* field[0] = id */
+  1,   /* field[1] = length */
+};
+static const ProtobufCIntRange wgpb__silence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__silence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Silence",
+  "Silence",
+  "Wgpb__Silence",
+  "wgpb",
+  sizeof(Wgpb__Silence),
+  2,
+  wgpb__silence__field_descriptors,
+  wgpb__silence__field_indices_by_name,
+  1,  wgpb__silence__number_ranges,
+  (ProtobufCMessageInit) wgpb__silence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[4] =
 {
   {
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -21,6 +21,7 @@
 typedef struct Wgpb__ReplicaSet Wgpb__ReplicaSet;
 typedef struct Wgpb__LogEntry Wgpb__LogEntry;
 typedef struct Wgpb__Quorum Wgpb__Quorum;
+typedef struct Wgpb__Silence Wgpb__Silence;
 typedef struct Wgpb__HardState Wgpb__HardState;
 typedef struct Wgpb__SnapshotFile Wgpb__SnapshotFile;
 typedef struct Wgpb__Row Wgpb__Row;
@@ -165,10 +166,26 @@
   ProtobufCBinaryData chunk;
   Wgpb__ReplicaSet *replicas;
   uint64_t life;
+  size_t n_silences;
+  Wgpb__Silence **silences;
 };
 #define WGPB__QUORUM__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__quorum__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0, 0, 0, 0, {0,NULL}, NULL, 0, 0,NULL }
+
+
+/*
+ * A replica that does not answer the leader, and for how long by the leader's clock.
+ */
+struct  Wgpb__Silence
+{
+  ProtobufCMessage base;
+  uint64_t id;
+  int64_t length;
+};
+#define WGPB__SILENCE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__silence__descriptor) \
+    , 0, 0 }
 
 
 /*
@@ -1127,6 +1144,25 @@
 void   wgpb__quorum__free_unpacked
                      (Wgpb__Quorum *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__Silence methods */
+void   wgpb__silence__init
+                     (Wgpb__Silence         *message);
+size_t wgpb__silence__get_packed_size
+                     (const Wgpb__Silence   *message);
+size_t wgpb__silence__pack
+                     (const Wgpb__Silence   *message,
+                      uint8_t             *out);
+size_t wgpb__silence__pack_to_buffer
+                     (const Wgpb__Silence   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__Silence *
+       wgpb__silence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__silence__free_unpacked
+                     (Wgpb__Silence *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__HardState methods */
 void   wgpb__hard_state__init
                      (Wgpb__HardState         *message);
@@ -1945,6 +1981,9 @@
 typedef void (*Wgpb__Quorum_Closure)
                  (const Wgpb__Quorum *message,
                   void *closure_data);
+typedef void (*Wgpb__Silence_Closure)
+                 (const Wgpb__Silence *message,
+                  void *closure_data);
 typedef void (*Wgpb__HardState_Closure)
                  (const Wgpb__HardState *message,
                   void *closure_data);
@@ -2083,6 +2122,7 @@
 extern const ProtobufCMessageDescriptor wgpb__replica_set__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__log_entry__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__quorum__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__silence__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__hard_state__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__snapshot_file__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__row__descriptor;
