--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -219,6 +219,10 @@
     if (now < s->fault_at || s->desc.calm) {
         return;
     }
+    if (s->desc.successions) {
+        soak_strike_succession(s, now);
+        return;
+    }
     s->fault_at = now + (wg_time)(100 + soak_draw(s, 900)) * WG_USEC_PER_MSEC;
     if (s->desc.harsh) {
         soak_strike_harsh(s, now);
--- a/tests/sim/soak_harsh.c
+++ b/tests/sim/soak_harsh.c
@@ -99,12 +99,7 @@
     if (now < s->lost_until || lose > 0) {
         begin_catch_up(s);
     }
-    for (int i = 0; i < s->h.num; i++) {
-        if (!s->h.hosts[i].away && (entries || s->h.hosts[i].disk)) {
-            power_off(s, i, entries);
-        }
-    }
-    lose_disks(s, lose);
+    soak_power_off_all(s, entries, lose);
 }
 
 /* A spare that was not used yet; -1: none. */
@@ -132,12 +127,23 @@
     }
 }
 
-/* A host with a disk ends for good; one that was a spare starts in its place. */
-static void replace_host(soak* s, wg_time now) {
+/* ---- functions of the soak --------------------------------------------------------------------
+ */
+
+void soak_power_off_all(soak* s, bool entries, int lose) {
+    for (int i = 0; i < s->h.num; i++) {
+        if (!s->h.hosts[i].away && (entries || s->h.hosts[i].disk)) {
+            power_off(s, i, entries);
+        }
+    }
+    lose_disks(s, lose);
+}
+
+bool soak_replace_host(soak* s, int number, wg_time now) {
     int spare = find_spare(s);
-    host* w = &s->h.hosts[draw_host(s)];
-    if (spare < 0 || !w->disk || !is_whole(s, now)) {
-        return;
+    host* w = &s->h.hosts[number];
+    if (spare < 0 || !w->disk || w->away || !is_whole(s, now)) {
+        return false;
     }
     start_successor(s, spare, soak_draw(s, 2));
     soak_kill(&w->replica);
@@ -146,11 +152,9 @@
     w->spent = true;
     s->result.replaced++;
     begin_catch_up(s);
+    return true;
 }
 
-/* ---- functions of the soak --------------------------------------------------------------------
- */
-
 void soak_strike_harsh(soak* s, wg_time now) {
     enum {
         KINDS = 12,
@@ -174,7 +178,7 @@
         break;
     case 2:
     case 3:
-        replace_host(s, now);
+        soak_replace_host(s, draw_host(s), now);
         break;
     case 4:
         if (!soak_is_repairing(s, number, false)) {
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -117,6 +117,7 @@
     bool passed[HOSTS_MAX][PROBES]; /* since the last fault, with the newest version */
     int passed_version;
     wg_time lost_until; /* a lost disk counts until then */
+    wg_time lose_at;    /* successions: when a disk is lost; 0: nobody was replaced yet */
 };
 
 /* ---- soak_run.c ---- */
@@ -139,6 +140,15 @@
 /* One of the harsh faults; replicas and entry hosts are started again by soak_repair. */
 void soak_strike_harsh(soak* s, wg_time now);
 
+/* A host with a disk is replaced by a spare; false when none is left or may go now. */
+bool soak_replace_host(soak* s, int number, wg_time now);
+/* Short of power at once: all hosts; so many of them lose their disks too. */
+void soak_power_off_all(soak* s, bool entries, int lose);
+
+/* ---- soak_succession.c ---- */
+/* The next fault of a run that has successions only. */
+void soak_strike_succession(soak* s, wg_time now);
+
 /* ---- soak_crasher.c ---- */
 /* Note targets that ended by themselves; those that a request ended start again. */
 void soak_crash_watch(soak* s);
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -33,8 +33,10 @@
     bool harsh;   /* the deployed waits; processes that are late, losses of power with disks, hosts
                      that are replaced for good */
     bool crashes; /* a request that ends each target that runs it comes again and again */
-    bool spoiled; /* targets cut off, fail and refuse a part of their requests */
-    bool keep;    /* the folder with the logs, also after a good run */
+    bool successions; /* harsh, and no other faults: a host is replaced, leaders fall, and some
+                         seconds after the newcomer's start a disk is lost with all power */
+    bool spoiled;     /* targets cut off, fail and refuse a part of their requests */
+    bool keep;        /* the folder with the logs, also after a good run */
 } soak_desc;
 
 typedef struct {
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -25,9 +25,12 @@
     struct arg_lit* calm = arg_lit0(NULL, "calm", "no faults");
     struct arg_lit* crashes =
         arg_lit0(NULL, "crashes", "a request that ends each target that runs it comes too");
+    struct arg_lit* successions =
+        arg_lit0(NULL, "successions", "harsh; a replaced host, leaders that fall, a lost disk");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed, seeds, seconds, hosts, disks, harsh, calm, crashes, keep, end};
+    void* table[] = {seed, seeds,   seconds,     hosts, disks, harsh,
+                     calm, crashes, successions, keep,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -41,7 +44,8 @@
                           .seconds = seconds->count ? seconds->ival[0] : 0,
                           .hosts = hosts->count ? hosts->ival[0] : 0,
                           .disks = disks->count ? disks->ival[0] : 0,
-                          .harsh = harsh->count > 0,
+                          .harsh = harsh->count + successions->count > 0,
+                          .successions = successions->count > 0,
                           .calm = calm->count > 0,
                           .crashes = crashes->count > 0,
                           .spoiled = i % 2 == 1,
