Removed log files are synced one by one, before the log is cut back

Symptom: a replica whose host lost power while its log was cut back over several files refused to start, "a segment is missing", until its disk was emptied; with another one lost, no majority. Cause: the removals were synced last, after the cut of the file before them. A removal that was not synced may be undone, which leaves a gap. Change: newest first, each removal synced before the next step: what comes back joins what is there.

--- a/lib/store/wg_store.c
+++ b/lib/store/wg_store.c
@@ -557,8 +557,11 @@
     if (!_wgs_write_synced(s, MIN(s->synced_index, from - 1), true, error)) {
         return false;
     }
+    /* The newest first, each synced before the next step: a removal that power undid would else
+       stand behind a gap, and the folder would not open (2 of 48 combinations of lost steps). */
     while (s->segments->len > 0 && _wgs_last_segment(s)->first >= from) {
-        if (!_wgs_remove_segment(s, s->segments->len - 1, error)) {
+        if (!_wgs_remove_segment(s, s->segments->len - 1, error) ||
+            !_wgs_sync_folder(s->folder_fd, error)) {
             return false;
         }
     }
@@ -572,7 +575,7 @@
         s->stats.log_bytes -= segment->size - at;
         segment->size = at;
     }
-    return _wgs_sync_folder(s->folder_fd, error);
+    return true;
 }
 
 /* Remove log segments that the snapshot covers, but for the entries kept for replicas that lag. */
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -609,6 +609,51 @@
 }
 END_TEST
 
+/* A snapshot of entries that the log has, or one of the leader's in place of the log. */
+static bool take_snapshot(int step, int which, bool reset) {
+    enum {
+        ENTRIES = 40,
+        OWN = 36,
+        LEADERS = 100
+    };
+    power p = {.refuse = {.fail_at = step, .num = 1000, .failure = EIO}};
+    GError* error = NULL;
+    fresh_folder();
+    wgs_store* store = open_store(&error);
+    append(store, 1, ENTRIES, 1);
+    wgr_set set = {.num = 1, .replicas = {{.id = 42, .voter = true}}};
+    GBytes* state = g_bytes_new("state", 5);
+    _wgs_set_fault(lose_power, &p);
+    bool over = wgs_save_snapshot(store, reset ? LEADERS : OWN, 1, &set, state, reset, NULL);
+    _wgs_set_fault(NULL, NULL);
+    wgs_close(store);
+    g_bytes_unref(state);
+    bring_back(&p, which);
+    forget_removed(&p);
+    store = open_store(&error);
+    ck_assert_msg(store != NULL, "power lost at step %d, files %d back: %s", step, which,
+                  error ? error->message : "");
+    const wgr_restored* found = &wgs_query_content(store)->restored;
+    uint64_t last = found->entries_num ? found->entries[found->entries_num - 1].index : 0;
+    ck_assert_uint_ge(MAX(last, found->snapshot_index), ENTRIES);
+    wgs_close(store);
+    remove_folder();
+    return !over;
+}
+
+START_TEST(a_power_cut_while_a_snapshot_is_stored) {
+    enum {
+        COMBINATIONS = 16 /* of four files */
+    };
+    for (int which = 0; which < COMBINATIONS; which++) {
+        for (int step = 1; take_snapshot(step, which, false); step++) {
+        }
+        for (int step = 1; take_snapshot(step, which, true); step++) {
+        }
+    }
+}
+END_TEST
+
 /* Another process at the folder is no passing trouble of the disk. */
 START_TEST(a_folder_in_use_is_not_waited_for) {
     fresh_folder();
@@ -629,4 +674,4 @@
              truncation_and_new_entries, snapshot_bounds_the_log,
              snapshot_from_the_leader_replaces_the_log, full_disk_is_an_error,
              what_was_acknowledged_survives_each_refusal, a_power_cut_while_the_log_is_cut_back,
-             a_folder_in_use_is_not_waited_for)
+             a_power_cut_while_a_snapshot_is_stored, a_folder_in_use_is_not_waited_for)
