--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -37,6 +37,11 @@
      */
     WG_NUMBER("timing", cold_settle_ms, "3000", 0, 60000, "ms",
               "after the start, before cold targets are sent anything or granted to others"),
+    /* The fleet has to serve again within 12 s of the end of a fault: no leader for longer than that
+       means that none will come by itself. */
+    WG_NUMBER("timing", standby_ms, "15000", 0, 3600000, "ms",
+              "wait for a leader before a host serves by what a replica without one holds; 0: it "
+              "never does"),
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "of first sends that the fleet may send again"),
     WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends", "beyond, of the fleet in a window"),
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -47,6 +47,7 @@
     int64_t link_silence_ms;
     int64_t order_ms;
     int64_t cold_settle_ms;
+    int64_t standby_ms;
     int64_t retry_percent;
     int64_t retry_slack;
     int64_t retry_window_ms;
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -5915,7 +5915,7 @@
   (ProtobufCMessageInit) wgpb__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[13] =
 {
   {
     "seq",
@@ -6061,6 +6061,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "standby",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, standby),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_report__field_indices_by_name[] = {
   1,   /* field[1] = configuration_version */
@@ -6073,13 +6085,14 @@
   5,   /* field[5] = ready */
   2,   /* field[2] = registry_change */
   0,   /* field[0] = seq */
+  12,   /* field[12] = standby */
   8,   /* field[8] = state_seen */
   7,   /* field[7] = usage */
 };
 static const ProtobufCIntRange wgpb__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_report__descriptor =
 {
@@ -6089,7 +6102,7 @@
   "Wgpb__EntryReport",
   "wgpb",
   sizeof(Wgpb__EntryReport),
-  12,
+  13,
   wgpb__entry_report__field_descriptors,
   wgpb__entry_report__field_indices_by_name,
   1,  wgpb__entry_report__number_ranges,
@@ -6160,7 +6173,7 @@
   (ProtobufCMessageInit) wgpb__entry_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[20] =
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[21] =
 {
   {
     "leads",
@@ -6402,6 +6415,18 @@
     0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "standby",
+    22,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, standby),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_state__field_indices_by_name[] = {
   4,   /* field[4] = configuration_version */
@@ -6421,6 +6446,7 @@
   7,   /* field[7] = registry_reset */
   13,   /* field[13] = report_ms */
   14,   /* field[14] = seq */
+  20,   /* field[20] = standby */
   5,   /* field[5] = targets */
   1,   /* field[1] = term */
   12,   /* field[12] = usage */
@@ -6429,7 +6455,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 20 }
+  { 0, 21 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
@@ -6439,7 +6465,7 @@
   "Wgpb__EntryState",
   "wgpb",
   sizeof(Wgpb__EntryState),
-  20,
+  21,
   wgpb__entry_state__field_descriptors,
   wgpb__entry_state__field_indices_by_name,
   2,  wgpb__entry_state__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -829,10 +829,14 @@
   size_t n_ended_well;
   uint64_t *ended_well;
   uint64_t quarantine_change;
+  /*
+   * without a leader for so long that what a replica holds is better than nothing
+   */
+  protobuf_c_boolean standby;
 };
 #define WGPB__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
 
 
 struct  Wgpb__EntryMember
@@ -911,10 +915,14 @@
    */
   size_t n_quarantined;
   uint64_t *quarantined;
+  /*
+   * no leader's word, but what this replica has applied
+   */
+  protobuf_c_boolean standby;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -23,6 +23,7 @@
     bool crash_was_early;      /* the same */
     uint64_t ended_well;       /* fingerprint that a report named as such; 0: none */
     uint64_t quarantine_ended; /* fingerprint that an order lets through; 0: none */
+    int standby_asks;          /* reports of a host that takes what a replica holds */
     int target_orders;         /* heartbeats and leaves */
     uint64_t target_born;      /* of the last one */
 } fake_control;
@@ -73,6 +74,7 @@
         f->crash_of = in->crashes[in->n_crashes - 1]->fingerprint;
         f->crash_was_early = in->crashes[in->n_crashes - 1]->early;
     }
+    f->standby_asks += in->standby;
     if (in->n_ended_well > 0) {
         f->ended_well = in->ended_well[0];
     }
@@ -133,6 +135,9 @@
 /* How long the next entry host leaves cold targets alone, in milliseconds. */
 static int64_t fake_entry_cold_settle_ms;
 
+/* How long the next entry host waits for a leader before it takes what a replica holds. */
+static int64_t fake_entry_standby_ms;
+
 /* An entry host that knows these seeds. */
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
@@ -151,6 +156,7 @@
                                    .link_silence_ms = 1200,
                                    .order_ms = 900,
                                    .cold_settle_ms = fake_entry_cold_settle_ms,
+                                   .standby_ms = fake_entry_standby_ms,
                                    .retry_window_ms = 10000,
                                    .descriptors = fake_entry_descriptors,
                                    .callers_max = 1000};
@@ -179,7 +185,7 @@
     uint64_t quarantine_change;
 } fake_word;
 
-static inline void fake_control_leads(fake_control* f, const fake_word* word) {
+static inline void fake_control_tells(fake_control* f, const fake_word* word, bool leads) {
     Wgpb__Configuration configuration = WGPB__CONFIGURATION__INIT;
     Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
     Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
@@ -205,9 +211,10 @@
     configuration.version = word->version;
     configuration.document =
         (ProtobufCBinaryData){strlen(word->document), (uint8_t*)word->document};
-    state.leads = true;
+    state.leads = leads;
+    state.standby = !leads;
     state.term = 1;
-    state.leader_address = f->address;
+    state.leader_address = leads ? f->address : (char*)"";
     state.targets = records;
     replaced = record;
     replaced.number = word->replaced_number;
@@ -242,3 +249,12 @@
     ck_assert(wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base));
     g_free(callers);
 }
+
+static inline void fake_control_leads(fake_control* f, const fake_word* word) {
+    fake_control_tells(f, word, true);
+}
+
+/* It knows no leader and tells what it has applied itself. */
+static inline void fake_control_stands_by(fake_control* f, const fake_word* word) {
+    fake_control_tells(f, word, false);
+}
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -63,6 +63,7 @@
     bool started_before;
     int losses;           /* disks that may be lost at one time, as replicas are told */
     char* replica_timing; /* lines of the replicas' group timing */
+    int standby_ms;       /* as entry hosts are told; 0: as deployed */
     bool direct_targets;  /* hosts connect to targets themselves, not through proxies */
     bool spoiled;         /* targets cut, fail and refuse a part of their requests */
 } hosts;
--- a/tests/sim/hosts_operator.c
+++ b/tests/sim/hosts_operator.c
@@ -44,27 +44,43 @@
     event_base_loopbreak(a->base);
 }
 
-static answer ask(hosts* h, const host* at, enum evhttp_cmd_type method, char* body) {
+typedef struct {
+    const char* address;
+    const char* host; /* the field of that name */
+    const char* path;
+    enum evhttp_cmd_type method;
+    char* body; /* taken over; NULL: none */
+} question;
+
+static answer ask(hosts* h, const question* q) {
     char ip[WG_ADDRESS_MAX];
     uint16_t port;
     answer a = {.base = h->base};
-    wgn_split_address(at->orders, ip, &port);
+    wgn_split_address(q->address, ip, &port);
     struct evhttp_connection* connection = evhttp_connection_base_new(h->base, NULL, ip, port);
     evhttp_connection_set_timeout(connection, ORDER_SECONDS);
     evhttp_connection_free_on_completion(connection);
     struct evhttp_request* request = evhttp_request_new(on_answer, &a);
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
-    if (body) {
-        evbuffer_add(evhttp_request_get_output_buffer(request), body, strlen(body));
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", q->host);
+    if (q->body) {
+        evbuffer_add(evhttp_request_get_output_buffer(request), q->body, strlen(q->body));
     }
-    evhttp_make_request(connection, request, method, "/v1/configuration");
+    evhttp_make_request(connection, request, q->method, q->path);
     while (!a.over) {
         event_base_loop(h->base, EVLOOP_ONCE);
     }
-    g_free(body);
+    g_free(q->body);
     return a;
 }
 
+static answer order(hosts* h, const host* at, enum evhttp_cmd_type method, char* body) {
+    return ask(h, &(question){.address = at->orders,
+                              .host = "orders",
+                              .path = "/v1/configuration",
+                              .method = method,
+                              .body = body});
+}
+
 /* The next host, in turn, that has an entry process; NULL when none has. */
 static const host* next_host(const hosts* h, int turn) {
     for (int i = 0; i < h->num; i++) {
@@ -86,11 +102,11 @@
 }
 
 int hosts_put_version(hosts* h, const host* at, int version) {
-    return ask(h, at, EVHTTP_REQ_PUT, document(version)).status;
+    return order(h, at, EVHTTP_REQ_PUT, document(version)).status;
 }
 
 int hosts_get_version(hosts* h, const host* at) {
-    return ask(h, at, EVHTTP_REQ_GET, NULL).version;
+    return order(h, at, EVHTTP_REQ_GET, NULL).version;
 }
 
 bool hosts_put_until(hosts* h, int version, int ms) {
@@ -114,3 +130,16 @@
     }
     return false;
 }
+
+bool hosts_serves_until(hosts* h, const host* at, int ms) {
+    const question call = {
+        .address = at->callers, .host = "h", .path = "/safe/x", .method = EVHTTP_REQ_GET};
+    wg_time until = wg_now() + (wg_time)ms * WG_USEC_PER_MSEC;
+    while (wg_now() < until) {
+        if (ask(h, &call).status == 200) {
+            return true;
+        }
+        hosts_run_for(h, AGAIN_MS);
+    }
+    return false;
+}
--- a/tests/sim/hosts_operator.h
+++ b/tests/sim/hosts_operator.h
@@ -17,3 +17,5 @@
    least this version; false when none did within so many milliseconds. */
 bool hosts_put_until(hosts* h, int version, int ms);
 bool hosts_get_until(hosts* h, int version, int ms);
+/* The same for a request of a caller at this host, until it is answered with 200. */
+bool hosts_serves_until(hosts* h, const host* at, int ms);
--- /dev/null
+++ b/tests/test_entry_standby.c
@@ -0,0 +1,134 @@
+/* test_entry_standby.c -- an entry host that starts while no leader can be elected
+
+   What users saw: with the majority of the replicas gone for good, hosts that had started since
+   refused every request with no_configuration_yet, for 20 s to the end of the run (24,858 requests,
+   3,415 whole), though a replica and a learner with the configuration were up and the targets too.
+   Order of events: two of three voters were lost, then all hosts lost power and came back. Cause:
+   only a leader tells a host its configuration and targets.
+
+   Evidence: "MAJORITY_MISSING voters_up=1" once a second at the replicas, "LEADER_MISSING
+   version=0" and "CONNECTION_REFUSED code=no_configuration_yet version=0 leader=0" at each host, to
+   the end. */
+#include "one_entry.h"
+
+enum {
+    STANDBY_MS = 500
+};
+
+static const char document[] =
+    "{\"version\":5,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+    "\"path_prefix\":\"/\",\"kind\":\"safe\",\"timeout_ms\":2000,\"objective_ms\":500,"
+    "\"attempts\":1,\"service\":\"e\"}],\"limits\":{},"
+    "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"known\"]}]}";
+
+static fake_word word_of(uint64_t version, const char* text) {
+    return (fake_word){.version = version, .document = text, .target = target_at};
+}
+
+static void begin(int standby_ms) {
+    fake_entry_standby_ms = standby_ms;
+    one_entry_begin();
+    fake_control_says(&leader, NULL);
+}
+
+/* The control goes on knowing no leader; the host comes back to it again and again. */
+static void wait_without_leader(int ms) {
+    for (int i = 0; i < ms; i++) {
+        turns(1);
+    }
+}
+
+static bool is_asked_for_standby(int ms) {
+    for (int i = 0; i < ms && leader.standby_asks == 0; i++) {
+        turns(1);
+    }
+    return leader.standby_asks > 0;
+}
+
+static void stand_by(const fake_word* word) {
+    ck_assert(is_asked_for_standby(TURNS));
+    fake_control_stands_by(&leader, word);
+    turns(20);
+}
+
+START_TEST(a_host_without_a_leader_serves_by_what_a_replica_holds) {
+    begin(STANDBY_MS);
+    fake_word word = word_of(5, document);
+    stand_by(&word);
+    int fd = caller("/x", "Walnutgate-Key: known\r\n");
+    ck_assert(target_was_asked());
+    target_answer("whole");
+    char answer[1024];
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
+START_TEST(it_waits_for_a_leader_first) {
+    begin(10 * STANDBY_MS);
+    wait_without_leader(4 * STANDBY_MS);
+    ck_assert_int_eq(leader.standby_asks, 0);
+    one_entry_end();
+}
+END_TEST
+
+START_TEST(it_never_does_when_told_so) {
+    begin(0);
+    wait_without_leader(2 * STANDBY_MS);
+    ck_assert_int_eq(leader.standby_asks, 0);
+    one_entry_end();
+}
+END_TEST
+
+/* A newer configuration may have the key or the route: the request has not run and may come back.
+ */
+START_TEST(what_that_does_not_allow_is_no_denial) {
+    begin(STANDBY_MS);
+    fake_word word = word_of(5, document);
+    stand_by(&word);
+    char answer[1024];
+    int fd = caller("/x", "Walnutgate-Key: other\r\n");
+    ck_assert_int_eq(status_of(fd, answer), 503);
+    ck_assert_ptr_nonnull(strstr(answer, "Retry-After"));
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
+START_TEST(a_leader_that_comes_decides_again) {
+    begin(STANDBY_MS);
+    fake_word word = word_of(5, document);
+    stand_by(&word);
+    fake_control_leads(&leader, &word);
+    turns(20);
+    char answer[1024];
+    int fd = caller("/x", "Walnutgate-Key: other\r\n");
+    ck_assert_int_eq(status_of(fd, answer), 401);
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
+/* What a leader said last is newer than what a replica that lags holds. */
+START_TEST(an_older_configuration_is_not_taken) {
+    begin(STANDBY_MS);
+    fake_word word = word_of(5, document);
+    fake_control_leads(&leader, &word);
+    turns(20);
+    fake_control_says(&leader, NULL);
+    static const char older[] = "{\"version\":4,\"services\":[{\"name\":\"e\"}],\"routes\":[],"
+                                "\"limits\":{},\"workspaces\":[]}";
+    fake_word lag = word_of(4, older);
+    stand_by(&lag);
+    int fd = caller("/x", "Walnutgate-Key: known\r\n");
+    ck_assert(target_was_asked());
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry_standby", a_host_without_a_leader_serves_by_what_a_replica_holds,
+             it_waits_for_a_leader_first, it_never_does_when_told_so,
+             what_that_does_not_allow_is_no_denial, a_leader_that_comes_decides_again,
+             an_older_configuration_is_not_taken)
