Without a leader for 15 s, a host that has no configuration serves by what a replica holds

Symptom: with the majority of the replicas gone for good, every host that had started since refused all requests with no_configuration_yet. Cause: only a leader tells a host its configuration and targets. Change: after standby_ms without a leader a host says so in its reports; a replica that knows no leader either tells what it has applied. It is agreed on, there may be newer: a route or key that it does not have is 503, not 404 or 401, reads of the configuration stay 503, and a leader's word replaces it.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -36,6 +36,7 @@
     X(3007, LINK_SLOW, WARN, "peer does not take what is sent, link closed")                       \
     X(3008, LEADER_LOST, WARN, "this host has no leader, it goes on with what it has")             \
     X(3009, LEADER_MISSING, WARN, "this host still has no leader")                                 \
+    X(3010, STANDBY_TAKEN, WARN, "no leader for long, this host serves by what a replica holds")   \
     X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
     X(4002, STORE_FAILED, ERROR, "storage failed, process ends")                                   \
     X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log removed")                                  \
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -292,6 +292,12 @@
     }
 }
 
+/* May the host be told what this replica has applied, though nobody leads as far as it knows? It is
+   agreed on, but there may be newer. */
+static bool _wgco_stands_by(const wgco_control* c, const _wgco_entry_t* e, wg_time now) {
+    return e->standby && !c->leads && wgr_query_stats(c->node, now).leader == 0;
+}
+
 /* The state that `e` lacks, packed. */
 static wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, bool with_loads,
                                          wg_time now) {
@@ -306,15 +312,18 @@
     if (!e->reported || !s.message.leads || with_loads) {
         _wgco_fill_controls(&s, wgr_query_set(c->node));
     }
-    if (s.message.leads && e->reported) {
+    s.message.standby = _wgco_stands_by(c, e, now);
+    if ((s.message.leads && e->reported) || s.message.standby) {
         s.message.configuration_version = c->documents.version;
         _wgco_fill_targets(c, e, &s, now);
-        _wgco_fill_members(c, e, &s, now);
         _wgco_fill_quarantine(c, e, &s);
-        if (with_loads) {
-            _wgco_fill_loads(c, e, &s);
-            _wgco_fill_usage(c, &s, now);
-        }
+    }
+    if (s.message.leads && e->reported) {
+        _wgco_fill_members(c, e, &s, now);
+    }
+    if (s.message.leads && e->reported && with_loads) {
+        _wgco_fill_loads(c, e, &s);
+        _wgco_fill_usage(c, &s, now);
     }
     wgn_frame* frame = wgn_frame_pack(WGW_TYPE_ENTRY_STATE, &s.message.base);
     _wgco_state_clear(&s);
@@ -331,14 +340,15 @@
 /* Send a state and note what the host has then. */
 static void _wgco_send_frame(wgco_control* c, _wgco_entry_t* e, wgn_frame* state, wg_time now) {
     bool leads = c->leads && wgr_leads(c->node, now) && e->reported;
-    if (leads) {
+    bool tells = leads || _wgco_stands_by(c, e, now);
+    if (tells) {
         _wgco_send_configuration(c, e);
     }
     if (!wgn_send_frame(c->net, e->link, state)) {
         return;
     }
     e->state_seq = c->state_seq;
-    if (leads) {
+    if (tells) {
         e->registry_change = wg_registry_change(c->registry);
         e->quarantine_change = wg_quarantine_change(c->quarantine);
     }
@@ -470,6 +480,7 @@
         e->quarantine_change = in->quarantine_change;
     }
     e->ready = in->ready;
+    e->standby = in->standby;
     e->leaving = in->leaving;
     _wgco_take_loads(c, e, in);
     _wgco_take_usage(c, e, in);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -69,6 +69,7 @@
     bool knows_no_members;          /* as it came to this leader: any list is better than none */
     bool reported;
     bool ready;
+    bool standby; /* it takes what a replica without a leader holds */
     bool leaving;
     GHashTable* loads; /* target number -> Wgpb__TargetLoad* */
     GHashTable* usage; /* hash of a workspace -> _wgco_reported_t* */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -37,8 +37,8 @@
      */
     WG_NUMBER("timing", cold_settle_ms, "3000", 0, 60000, "ms",
               "after the start, before cold targets are sent anything or granted to others"),
-    /* The fleet has to serve again within 12 s of the end of a fault: no leader for longer than that
-       means that none will come by itself. */
+    /* The fleet has to serve again within 12 s of the end of a fault: no leader for longer than
+       that means that none will come by itself. */
     WG_NUMBER("timing", standby_ms, "15000", 0, 3600000, "ms",
               "wait for a leader before a host serves by what a replica without one holds; 0: it "
               "never does"),
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -469,6 +469,16 @@
     wg_client_call_over(client, keep);
 }
 
+/* The configuration has no such route or key; one that no leader vouched for may just be older. */
+static void wg_call_deny_unknown(wg_client* client, char* bytes, struct evbuffer* body,
+                                 const wg_message_head* head, int status, const char* code) {
+    if (client->entry->on_standby) {
+        wg_call_deny(client, bytes, body, head, 503, "configuration_unsure");
+    } else {
+        wg_call_deny(client, bytes, body, head, status, code);
+    }
+}
+
 void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body) {
     wg_entry* e = client->entry;
     wg_message_head head;
@@ -482,13 +492,13 @@
     const wg_route* route =
         wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
     if (!route) {
-        wg_call_deny(client, bytes, body, &head, 404, "no_route");
+        wg_call_deny_unknown(client, bytes, body, &head, 404, "no_route");
         return;
     }
     const wg_workspace* workspace =
         wg_config_workspace(e->config, wg_message_field(&head, e->names->key));
     if (!workspace && !route->open && e->config->workspaces_num > 0) {
-        wg_call_deny(client, bytes, body, &head, 401, "unknown_key");
+        wg_call_deny_unknown(client, bytes, body, &head, 401, "unknown_key");
         return;
     }
     wg_call* call = g_new0(wg_call, 1);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -253,6 +253,7 @@
     wgn_net* net;
     wgn_link link;
     bool link_up;
+    bool on_standby; /* configuration and targets are a replica's, no leader has vouched for them */
     bool leader_known;
     wg_addresses controls; /* replicas, as a leader or a follower named them */
     wg_addresses others;   /* seeds, and the entry hosts there: asked now and then */
@@ -319,6 +320,9 @@
 /* Without word of a leader, what it said of usage fades. */
 void wg_entry_fade_usage(wg_entry* e, wg_time now);
 
+/* Has this host been without a leader for so long that it takes what a replica holds? */
+bool wg_entry_takes_standby(const wg_entry* e, wg_time now);
+
 /* wg_entry_orders.c */
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
 /* A leader is known: send all that waits. */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -270,6 +270,32 @@
     }
 }
 
+/* ---- helpers: no leader for long ------------------------------------------------------------- */
+
+bool wg_entry_takes_standby(const wg_entry* e, wg_time now) {
+    wg_time wait = e->settings->standby_ms * WG_USEC_PER_MSEC;
+    return wait > 0 && !e->leader_known && wg_absence_length(&e->leaderless, now) >= wait;
+}
+
+/* A replica that knows no leader either tells what it has applied. What this host has from a leader
+   or from a replica that was further stays. */
+static void wg_entry_take_standby(wg_entry* e, const Wgpb__EntryState* in, wg_time now) {
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    bool newer = !e->registry_known || in->registry_change > wg_registry_change(e->registry);
+    if (!wg_entry_takes_standby(e, now) || !newer) {
+        return;
+    }
+    bool was_ready = wg_entry_is_ready(e);
+    wg_entry_take_targets(e, in);
+    wg_entry_take_quarantine(e, in);
+    e->on_standby = e->on_standby || !was_ready;
+    wg_log(WG_EVENT_STANDBY_TAKEN,
+           "control=%s leaderless_ms=%" G_GINT64_FORMAT " version=%" G_GUINT64_FORMAT
+           " registry=%" G_GUINT64_FORMAT " since_start=%d",
+           peer ? peer->name : "-", wg_absence_length(&e->leaderless, now) / WG_USEC_PER_MSEC,
+           e->config ? e->config->version : 0, in->registry_change, e->on_standby);
+}
+
 static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
     if (in->leads && in->n_controls > 0) {
@@ -279,10 +305,14 @@
         wg_entry_learn_control(e, in->controls[i]);
     }
     if (!in->leads) {
+        if (in->standby) {
+            wg_entry_take_standby(e, in, now);
+        }
         wg_entry_take_redirect(e, in->leader_address, now);
         return;
     }
     bool was_ready = wg_entry_is_ready(e);
+    e->on_standby = false;
     e->state_at = now;
     e->leaderless_at = 0;
     e->report_gap = in->report_ms * WG_USEC_PER_MSEC;
@@ -335,6 +365,7 @@
     report.state_seen = e->state_seen;
     report.leaving = e->stopping;
     report.ready = wg_entry_is_ready(e);
+    report.standby = wg_entry_takes_standby(e, now);
     for (int i = 0; i < loads_num; i++) {
         wgpb__target_load__init(&load_items[i]);
         load_items[i].target = loads[i].target;
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -61,9 +61,10 @@
     wg_time now = wg_now();
     g_string_append_printf(out,
                            "walnutgate_entry_leader_known %d\n"
+                           "walnutgate_entry_on_standby %d\n"
                            "walnutgate_entry_leaderless_seconds %.3f\n"
                            "walnutgate_entry_configuration_version %" G_GUINT64_FORMAT "\n",
-                           e->leader_known,
+                           e->leader_known, e->on_standby,
                            (double)wg_absence_length(&e->leaderless, now) / WG_USEC_PER_SEC,
                            e->config ? e->config->version : 0);
     wg_hist_print(&e->pulse.late, "walnutgate_loop_late_seconds", "", 1e6, out);
--- a/tests/test_lost_majority.c
+++ b/tests/test_lost_majority.c
@@ -15,6 +15,7 @@
     HOSTS = 3,
     TARGETS = 1,
     SERVE_MS = 12000, /* from the start of the hosts; they wait 3 s for a leader here */
+    LEASE_MS = 1000,  /* the replica that is left may lead for 0.4 s more */
     FORM_MS = 30000
 };
 
@@ -50,12 +51,16 @@
     struct event_base* base = event_base_new();
     hosts h;
     begin(&h, base);
-    /* Two disks are lost at once: more than three replicas bear. */
+    /* Two disks are lost at once: more than three replicas bear. One after the other, the first is
+       in the set again before the second one goes. */
     for (int i = 1; i < HOSTS; i++) {
         end(&h.hosts[i].replica);
         hosts_wipe(&h, &h.hosts[i]);
+    }
+    for (int i = 1; i < HOSTS; i++) {
         hosts_start_replica(&h, &h.hosts[i]);
     }
+    hosts_run_for(&h, LEASE_MS);
     for (int i = 0; i < HOSTS; i++) {
         end(&h.hosts[i].entry);
         hosts_start_entry(&h, &h.hosts[i]);
