Reproduced, failing: with a majority gone for good nothing brings the fleet back

Four tests with real processes of a command that forms the set anew from the replica that is left: it works, also with emptied replicas that were in touch before; it is refused while a majority may come back; a former majority that comes back all the same is kept out. There is no such command yet.

--- a/tests/sim/hosts_operator.c
+++ b/tests/sim/hosts_operator.c
@@ -49,7 +49,8 @@
     const char* host; /* the field of that name */
     const char* path;
     enum evhttp_cmd_type method;
-    char* body; /* taken over; NULL: none */
+    char* body;      /* taken over; NULL: none */
+    const char* key; /* of operators; NULL: none is sent */
 } question;
 
 static answer ask(hosts* h, const question* q) {
@@ -62,6 +63,11 @@
     evhttp_connection_free_on_completion(connection);
     struct evhttp_request* request = evhttp_request_new(on_answer, &a);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", q->host);
+    if (q->key) {
+        char* bearer = g_strdup_printf("Bearer %s", q->key);
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Authorization", bearer);
+        g_free(bearer);
+    }
     if (q->body) {
         evbuffer_add(evhttp_request_get_output_buffer(request), q->body, strlen(q->body));
     }
@@ -101,6 +107,19 @@
     event_base_dispatch(h->base);
 }
 
+int hosts_form_anew(hosts* h, const host* at, const char* gone) {
+    char address[WG_ADDRESS_MAX];
+    g_snprintf(address, sizeof address, "127.%d.9.%d:7300", h->part, at->number);
+    return ask(h, &(question){.address = address,
+                              .host = "replica",
+                              .path = "/v1/replicas",
+                              .method = EVHTTP_REQ_POST,
+                              .key = "operator-key-of-the-soak",
+                              .body = g_strdup_printf("{\"action\":\"form-anew\",\"gone\":\"%s\"}",
+                                                      gone)})
+        .status;
+}
+
 int hosts_put_version(hosts* h, const host* at, int version) {
     return order(h, at, EVHTTP_REQ_PUT, document(version)).status;
 }
--- a/tests/sim/hosts_operator.h
+++ b/tests/sim/hosts_operator.h
@@ -9,6 +9,9 @@
 
 /* Let the loop run for so many milliseconds. */
 void hosts_run_for(hosts* h, int ms);
+/* Ask the replica of a host to form the set anew, without the hosts whose names are given, "a,b";
+   the status, 0 when none came. */
+int hosts_form_anew(hosts* h, const host* at, const char* gone);
 /* Send a configuration of this version with two routes; the status, 0 when none came in 2 s. */
 int hosts_put_version(hosts* h, const host* at, int version);
 /* The version that a host reads back; 0 when it answers with anything but 200. */
--- a/tests/test_lost_majority.c
+++ b/tests/test_lost_majority.c
@@ -14,8 +14,11 @@
 enum {
     HOSTS = 3,
     TARGETS = 1,
-    SERVE_MS = 12000, /* from the start of the hosts; they wait 3 s for a leader here */
-    LEASE_MS = 1000,  /* the replica that is left may lead for 0.4 s more */
+    SERVE_MS = 12000,    /* from the start of the hosts; they wait 3 s for a leader here */
+    RECOVERY_MS = 12000, /* until the configuration is read back */
+    JOIN_MS = 4000,      /* for emptied replicas to get their votes */
+    AGAIN_MS = 300,
+    LEASE_MS = 1000, /* the replica that is left may lead for 0.4 s more */
     FORM_MS = 30000
 };
 
@@ -75,4 +78,117 @@
 }
 END_TEST
 
-WG_TEST_MAIN("lost_majority", hosts_that_start_without_a_majority_serve)
+/* ---- an operator forms the set anew -----------------------------------------------------------
+ */
+
+static char* names(const hosts* h, int first, int last) {
+    GString* list = g_string_new(NULL);
+    for (int i = first; i <= last; i++) {
+        g_string_append_printf(list, "%s127.%d.1.%d", i > first ? "," : "", h->part, i);
+    }
+    return g_string_free(list, FALSE);
+}
+
+static int form_anew(hosts* h, int first, int last) {
+    char* gone = names(h, first, last);
+    int status = hosts_form_anew(h, &h->hosts[0], gone);
+    g_free(gone);
+    return status;
+}
+
+/* The others end; `wiped`: without their disks. */
+static void lose_majority(hosts* h, bool wiped) {
+    for (int i = 1; i < HOSTS; i++) {
+        end(&h->hosts[i].replica);
+        if (wiped) {
+            hosts_wipe(h, &h->hosts[i]);
+        }
+    }
+    hosts_run_for(h, LEASE_MS);
+}
+
+/* All that was agreed on is there; the emptied ones join, so that the one that was left may go. */
+START_TEST(an_operator_forms_the_set_anew) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, true);
+    ck_assert_int_eq(form_anew(&h, 2, 3), 200);
+    bool good = hosts_get_until(&h, 1, RECOVERY_MS) && hosts_put_until(&h, 2, RECOVERY_MS);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts_start_replica(&h, &h.hosts[i]);
+    }
+    hosts_run_for(&h, JOIN_MS);
+    good = good && hosts_put_until(&h, 3, RECOVERY_MS);
+    end(&h.hosts[0].replica);
+    good = good && hosts_put_until(&h, 4, RECOVERY_MS);
+    finish(&h, base, good);
+    ck_assert_msg(good, "the set did not form; logs in %s", h.folder);
+}
+END_TEST
+
+/* Those that were emptied are there already when the set is formed, and came in touch before. */
+START_TEST(emptied_replicas_that_wait_join_the_new_set) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, true);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts_start_replica(&h, &h.hosts[i]);
+    }
+    hosts_run_for(&h, LEASE_MS);
+    ck_assert_int_eq(form_anew(&h, 2, 3), 200);
+    bool good = hosts_put_until(&h, 2, RECOVERY_MS);
+    hosts_run_for(&h, JOIN_MS);
+    end(&h.hosts[0].replica);
+    good = good && hosts_put_until(&h, 3, RECOVERY_MS);
+    finish(&h, base, good);
+    ck_assert_msg(good, "the set did not form; logs in %s", h.folder);
+}
+END_TEST
+
+START_TEST(a_set_is_not_formed_while_a_majority_may_come_back) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    int leads = form_anew(&h, 2, 3);
+    lose_majority(&h, false);
+    int one_named = form_anew(&h, 2, 2);
+    hosts_start_replica(&h, &h.hosts[1]);
+    bool back = hosts_put_until(&h, 2, RECOVERY_MS);
+    int one_is_up = form_anew(&h, 2, 3);
+    finish(&h, base, back);
+    ck_assert_int_eq(leads, 409);
+    ck_assert_int_eq(one_named, 409);
+    ck_assert_int_eq(one_is_up, 409);
+    ck_assert_msg(back, "the majority did not come back; logs in %s", h.folder);
+}
+END_TEST
+
+/* The operator was wrong: both that were named as gone come back with their disks. Nobody follows
+   them, and nothing that was agreed on since is undone. */
+START_TEST(a_former_majority_that_comes_back_is_kept_out) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, false);
+    ck_assert_int_eq(form_anew(&h, 2, 3), 200);
+    bool good = hosts_put_until(&h, 2, RECOVERY_MS);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts_start_replica(&h, &h.hosts[i]);
+    }
+    for (int ms = 0; ms < RECOVERY_MS && good; ms += AGAIN_MS) {
+        hosts_run_for(&h, AGAIN_MS);
+        int version = hosts_get_version(&h, &h.hosts[(ms / AGAIN_MS) % HOSTS]);
+        good = version == 0 || version >= 2;
+    }
+    good = good && hosts_put_until(&h, 3, RECOVERY_MS) && hosts_get_until(&h, 3, RECOVERY_MS);
+    finish(&h, base, good);
+    ck_assert_msg(good, "a former replica was followed; logs in %s", h.folder);
+}
+END_TEST
+
+WG_TEST_MAIN("lost_majority", hosts_that_start_without_a_majority_serve,
+             an_operator_forms_the_set_anew, emptied_replicas_that_wait_join_the_new_set,
+             a_set_is_not_formed_while_a_majority_may_come_back,
+             a_former_majority_that_comes_back_is_kept_out)
