An operator's command forms the set of replicas anew from the newest log that is left

Symptom: with a majority of the voters gone for good no leader can be elected, and nothing but emptying all disks helped. Change: walnutgatectl replica form-anew names the replicas that never come back; the survivor with the newest log (by term, then index) goes on alone, as a cluster of its own, in terms 2^30 beyond the former ones; emptied replicas join it. It is refused (409) while a replica leads, while a majority may still come back, and when one that is named as gone is up. A former majority that comes back all the same is kept out: links between clusters are refused, and entry hosts follow no leader of a term before the one they followed. A replica that holds nothing follows the others into another cluster.

--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -380,6 +380,56 @@
     return print_answer(&answer);
 }
 
+/* How far the log of a control goes; by term first, as elections have it. */
+typedef struct {
+    const char* control;
+    json_int_t term;
+    json_int_t last;
+    bool leads;
+} log_end_t;
+
+static bool read_log_end(const options_t* options, const char* control, log_end_t* end) {
+    answer_t answer = ask(control, options->key, "/debug/state", NULL);
+    json_t* json = json_loads(answer.body->str, 0, NULL);
+    json_t* log = json_object_get(json, "log");
+    bool good = answer.status == 200 && log;
+    *end = (log_end_t){.control = control,
+                       .term = json_integer_value(json_object_get(log, "last_term")),
+                       .last = json_integer_value(json_object_get(log, "last")),
+                       .leads = json_is_true(json_object_get(json, "leads"))};
+    json_decref(json);
+    g_string_free(answer.body, TRUE);
+    return good;
+}
+
+/* The survivor with the newest log goes on alone; the others have to start empty. */
+static int form_anew(const options_t* options, const char* gone) {
+    log_end_t best = {0};
+    for (int c = 0; options->controls[c]; c++) {
+        log_end_t end;
+        if (!read_log_end(options, options->controls[c], &end)) {
+            fprintf(stderr, "walnutgatectl: %s: no state; name only controls that are up\n",
+                    options->controls[c]);
+            return EXIT_NO_ANSWER;
+        }
+        if (end.leads) {
+            fprintf(stderr, "walnutgatectl: %s leads\n", end.control);
+            return EXIT_REFUSED;
+        }
+        bool newer = end.term > best.term || (end.term == best.term && end.last > best.last);
+        best = !best.control || newer ? end : best;
+    }
+    json_t* json = json_pack("{s:s,s:s}", "action", "form-anew", "gone", gone);
+    char* text = json_dumps(json, JSON_COMPACT);
+    printf("from %s, which holds the newest log (term %" JSON_INTEGER_FORMAT
+           ", entry %" JSON_INTEGER_FORMAT ")\n",
+           best.control, best.term, best.last);
+    answer_t answer = ask(best.control, options->key, "/v1/replicas", text);
+    free(text);
+    json_decref(json);
+    return print_answer(&answer);
+}
+
 static int key_hash(const char* key) {
     uint8_t hash[WG_KEY_HASH_SIZE];
     wg_key_hash(key, hash);
@@ -413,6 +463,9 @@
     if (strcmp(command, "dump") == 0 && num == 2) {
         return dump_one(options, words[1]);
     }
+    if (strcmp(command, "replica") == 0 && num == 3 && strcmp(words[1], "form-anew") == 0) {
+        return form_anew(options, words[2]);
+    }
     if (strcmp(command, "replica") == 0 && num == 3) {
         return replica_command(options, words[1], words[2]);
     }
@@ -434,6 +487,9 @@
            "  dump <ip:port>                      state of any daemon by its operators' address\n"
            "  replica replace <name>              a control with a new data folder joins\n"
            "  replica remove <name>               take a control out of the set\n"
+           "  replica form-anew <name,name,...>   with a majority lost for good: go on from the\n"
+           "                                      newest log of the controls that are left (all\n"
+           "                                      of them with -c), without the ones named here\n"
            "  key-hash <key>                      hash of a workspace key, as the table holds it\n"
            "\nExit status: 0 done, 1 refused, 2 bad usage, 3 no answer.\n");
 }
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -47,6 +47,7 @@
     X(4008, STORE_SUSPENDED, WARN, "disk takes no writes, this replica waits for it")              \
     X(4009, STORE_RESUMED, INFO, "disk takes writes again, this replica takes part again")         \
     X(4010, MAJORITY_MISSING, WARN, "no replica leads as far as this one knows")                   \
+    X(4011, SET_FORMED_ANEW, WARN, "an operator forms the set anew from this replica")             \
     X(5001, EDIT_ACCEPTED, INFO, "table edit accepted")                                            \
     X(5002, EDIT_REFUSED, INFO, "table edit refused")                                              \
     X(5003, MEMBER_UP, INFO, "router is a member")                                                 \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -128,14 +128,14 @@
     }
 }
 
-/* A control that knows no cluster yet takes the one it is first in touch with. */
+/* A control that knows no cluster yet, or holds nothing, takes the one it is in touch with. */
 static bool _wgco_join_cluster(wgco_control* c, const wgn_peer* peer) {
     uint64_t own = wgs_query_content(c->store)->cluster;
     if (peer->cluster == 0 || own == peer->cluster) {
         return true;
     }
-    if (own != 0) {
-        return false;
+    if (own != 0 && !wgs_is_blank(c->store)) {
+        return false; /* one that holds nothing goes where the others went */
     }
     GError* error = NULL;
     if (!wgs_save_cluster(c->store, peer->cluster, &error)) {
--- /dev/null
+++ b/lib/control/wg_control_form.c
@@ -0,0 +1,113 @@
+/* wg_control_form.c -- an operator forms the set of replicas anew from the one that is left
+
+   When more disks are lost than the set bears, no leader can be elected again, for good. The
+   operator names the replicas that never come back; the one with the newest log then goes on alone,
+   as another cluster, and others join it empty.
+
+   It is refused while a majority of the set could still come back: a second set beside that one
+   could acknowledge what the first one does not know. If replicas that were named as gone come back
+   all the same they are kept out twice: links between clusters are refused, and the new set's terms
+   begin so far above theirs that entry hosts do not follow them. */
+#include "wg_control_internal.h"
+
+#include <string.h>
+
+enum {
+    /* Elections that a former majority could hold without reaching the new term: years of them, at
+       two a second. */
+    _WGCO_TERMS_APART = 1 << 30,
+    /* For the answer to leave before the pages close. */
+    _WGCO_FORM_DELAY = 100 * WG_USEC_PER_MSEC
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static bool _wgco_refuse_form(GError** error, const char* why, const char* names) {
+    g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT, "%s%s", why, names);
+    return false;
+}
+
+/* Could a majority of the voters come back, if those that are named as gone do not? */
+static bool _wgco_check_majority(const wgco_control* c, char** gone, GError** error) {
+    const wgr_set* set = wgr_query_set(c->node);
+    GString* back = g_string_new(NULL);
+    int voters = 0;
+    int returning = 0;
+    bool good = true;
+    for (int i = 0; i < set->num && good; i++) {
+        const wgr_replica* replica = &set->replicas[i];
+        bool self = replica->id == wgs_query_content(c->store)->identity;
+        bool named = g_strv_contains((const char* const*)gone, replica->name);
+        if (!replica->voter) {
+            continue;
+        }
+        voters++;
+        if (named && (self || _wgco_is_up(c, replica))) {
+            good = _wgco_refuse_form(error, "named as gone, but up: ", replica->name);
+        } else if (!named && !wgr_is_known_gone(c->node, replica->id)) {
+            returning++;
+            g_string_append_printf(back, "%s%s", back->len ? "," : "", replica->name);
+        }
+    }
+    if (good && returning > voters / 2) {
+        good = _wgco_refuse_form(error, "a majority may still come back: ", back->str);
+    }
+    g_string_free(back, TRUE);
+    return good;
+}
+
+/* A cluster of its own and a term beyond those of the former one first: were power lost after that,
+   the former set still stands in the log and the command can be given again. */
+static bool _wgco_store_new_set(wgco_control* c, GError** error) {
+    wgr_stats stats = wgr_query_stats(c->node, wg_now());
+    const wgs_content* content = wgs_query_content(c->store);
+    wgr_set set = {.num = 1};
+    wgr_replica* self = &set.replicas[0];
+    self->id = content->identity;
+    self->voter = true;
+    bool fits = wg_copy_name(self->name, sizeof self->name, c->settings->name) &&
+                wg_copy_name(self->address, sizeof self->address,
+                             c->settings->fleet_address[0] ? c->settings->fleet_address
+                                                           : c->settings->fleet_listen);
+    WG_ASSERT(fits); /* they were taken at the start */
+    uint64_t term = stats.term + _WGCO_TERMS_APART;
+    uint64_t cluster = wg_hash(&content->cluster, sizeof content->cluster, term) | 1;
+    wgr_entry entry = {.index = stats.last_index + 1, .term = term, .kind = WGR_ENTRY_REPLICAS};
+    entry.data = wgr_set_pack(&set);
+    bool good =
+        wgs_leave_cluster(c->store, cluster, term, error) && wgs_append(c->store, &entry, 1, error);
+    g_bytes_unref(entry.data);
+    return good;
+}
+
+/* ---- functions of the library -------------------------------------------------------------- */
+
+bool _wgco_form_anew(wgco_control* c, char** gone, GError** error) {
+    wgr_stats stats = wgr_query_stats(c->node, wg_now());
+    if (stats.role == WGR_ROLE_LEADER || stats.leader != 0) {
+        return _wgco_refuse_form(error, "a replica leads", "");
+    }
+    if (stats.last_index == 0) {
+        return _wgco_refuse_form(error, "this replica holds nothing", "");
+    }
+    if (!_wgco_check_majority(c, gone, error)) {
+        return false;
+    }
+    char* former = _wgco_describe_set(c);
+    char* names = g_strjoinv(",", gone);
+    c->failed = true; /* this start is over: nothing more may be written by it */
+    GError* failure = NULL;
+    bool good = _wgco_store_new_set(c, &failure);
+    wg_log(WG_EVENT_SET_FORMED_ANEW,
+           "good=%d gone=%s last=%" G_GUINT64_FORMAT " commit=%" G_GUINT64_FORMAT
+           " term=%" G_GUINT64_FORMAT " former: %s",
+           good, names, stats.last_index, stats.commit, stats.term, former);
+    g_free(names);
+    g_free(former);
+    if (!good) {
+        g_propagate_error(error, failure);
+    }
+    struct timeval delay = {.tv_usec = _WGCO_FORM_DELAY};
+    event_add(c->disk_event, &delay);
+    return good;
+}
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -237,6 +237,25 @@
 
 /* ---- replicas ------------------------------------------------------------------------------ */
 
+/* For a replica that is left: without a leader, so this one decides. */
+static void _wgco_post_form_anew(wgco_control* c, struct evhttp_request* request,
+                                 const char* names) {
+    char** gone = g_strsplit(names, ",", -1);
+    GError* error = NULL;
+    if (_wgco_form_anew(c, gone, &error)) {
+        json_t* done = json_object();
+        json_object_set_new(done, "outcome", json_string("formed"));
+        wgh_reply_json(request, 200, done);
+    } else {
+        wgh_reply_error(request, &(wgh_error){.status = 409,
+                                              .code = "form_anew",
+                                              .verdict = WG_VERDICT_NOT_RUN,
+                                              .message = error->message});
+        g_error_free(error);
+    }
+    g_strfreev(gone);
+}
+
 static void _wgco_post_replica(wgco_control* c, struct evhttp_request* request) {
     char message[256] = "";
     json_t* json = wgh_body_json(request, message, sizeof message);
@@ -244,6 +263,12 @@
     const char* name = json_string_value(json_object_get(json, "name"));
     GError* error = NULL;
     bool good = false;
+    const char* gone = json_string_value(json_object_get(json, "gone"));
+    if (action && gone && strcmp(action, "form-anew") == 0) {
+        _wgco_post_form_anew(c, request, gone);
+        json_decref(json);
+        return;
+    }
     if (!json || !action || !name) {
         _wgco_refuse_bad(request, message[0] ? message : "want action and name");
         json_decref(json);
@@ -354,20 +379,20 @@
     wgs_stats s = wgs_query_stats(c->store);
     wgn_stats n = wgn_query_stats(c->net);
     json_t* json = json_pack(
-        "{s:s,s:b,s:s,s:{s:I,s:I,s:I,s:I,s:I,s:I},s:{s:I,s:i,s:i,s:i,s:I,s:I},s:{s:i,s:I,s:I},"
+        "{s:s,s:b,s:s,s:{s:I,s:I,s:I,s:I,s:I,s:I,s:I},s:{s:I,s:i,s:i,s:i,s:I,s:I},s:{s:i,s:I,s:I},"
         "s:{s:I,s:I,s:I,s:i},s:{s:I,s:I,s:i,s:I,s:I}}",
         "name", c->settings->name, "leads", (int)wgr_leads(c->node, now), "leader",
-        _wgco_leader_address(c), "log", "term", (json_int_t)q.term, "first",
-        (json_int_t)q.first_index, "last", (json_int_t)q.last_index, "commit", (json_int_t)q.commit,
-        "snapshot", (json_int_t)q.snapshot_index, "elections", (json_int_t)q.elections, "table",
-        "version", (json_int_t)t.version, "workspaces", t.workspaces, "services", t.services,
-        "targets", t.targets, "accepted", (json_int_t)t.accepted, "refused", (json_int_t)t.refused,
-        "claims", "kept", k.claims, "granted", (json_int_t)k.granted, "repeated",
-        (json_int_t)k.repeated, "store", "syncs", (json_int_t)s.syncs, "bytes_written",
-        (json_int_t)s.bytes_written, "log_bytes", (json_int_t)s.log_bytes, "segments", s.segments,
-        "links", "bytes_sent", (json_int_t)n.bytes_sent, "bytes_received",
-        (json_int_t)n.bytes_received, "links", n.links, "frames_bad", (json_int_t)n.frames_bad,
-        "proofs_bad", (json_int_t)n.proofs_bad);
+        _wgco_leader_address(c), "log", "term", (json_int_t)q.term, "last_term",
+        (json_int_t)q.last_term, "first", (json_int_t)q.first_index, "last",
+        (json_int_t)q.last_index, "commit", (json_int_t)q.commit, "snapshot",
+        (json_int_t)q.snapshot_index, "elections", (json_int_t)q.elections, "table", "version",
+        (json_int_t)t.version, "workspaces", t.workspaces, "services", t.services, "targets",
+        t.targets, "accepted", (json_int_t)t.accepted, "refused", (json_int_t)t.refused, "claims",
+        "kept", k.claims, "granted", (json_int_t)k.granted, "repeated", (json_int_t)k.repeated,
+        "store", "syncs", (json_int_t)s.syncs, "bytes_written", (json_int_t)s.bytes_written,
+        "log_bytes", (json_int_t)s.log_bytes, "segments", s.segments, "links", "bytes_sent",
+        (json_int_t)n.bytes_sent, "bytes_received", (json_int_t)n.bytes_received, "links", n.links,
+        "frames_bad", (json_int_t)n.frames_bad, "proofs_bad", (json_int_t)n.proofs_bad);
     json_object_set_new(json, "replicas", _wgco_dump_replicas(c));
     json_object_set_new(json, "routers", _wgco_dump_members(c));
     json_object_set_new(json, "quarantine", _wgco_quarantine_dump(c));
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -187,6 +187,11 @@
 /* Something could not be stored; takes over `error`. */
 void _wgco_storage_failed(wgco_control* c, GError* error);
 
+/* operators (wg_control_form.c) */
+/* Go on alone, without the voters of these names, NULL at the end; the replica opens its folder
+   again a moment later. False with the reason when a majority may still come back. */
+bool _wgco_form_anew(wgco_control* c, char** gone, GError** error);
+
 /* links (wg_control.c) */
 void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data);
 void _wgco_on_down(wgn_link link, const wgn_peer* peer, void* user_data);
@@ -276,6 +281,7 @@
 void _wgco_watch_tick(wgco_control* c, wg_time now);
 /* The set as a log line's detail: voters, learners, and those whose link is down; the caller frees
    it. */
+bool _wgco_is_up(const wgco_control* c, const wgr_replica* replica);
 char* _wgco_describe_set(const wgco_control* c);
 /* Names of the replicas that this leader knows to hold the log up to an index; the caller frees it.
  */
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -179,6 +179,9 @@
     }
     GError* error = NULL;
     if (_wgco_open(c, &error)) {
+        if (c->suspended_at == 0) {
+            return; /* opened again for another reason */
+        }
         wg_log(WG_EVENT_STORE_RESUMED, "after_ms=%" G_GINT64_FORMAT,
                (wg_now() - c->suspended_at) / WG_USEC_PER_MSEC);
         c->suspended_at = 0;
--- a/lib/control/wg_control_watch.c
+++ b/lib/control/wg_control_watch.c
@@ -4,9 +4,9 @@
 
 #include <string.h>
 
-/* ---- helpers ------------------------------------------------------------------------------- */
+/* ---- functions of the library -------------------------------------------------------------- */
 
-static bool _wgco_is_up(const wgco_control* c, const wgr_replica* replica) {
+bool _wgco_is_up(const wgco_control* c, const wgr_replica* replica) {
     if (replica->id == wgs_query_content(c->store)->identity) {
         return true;
     }
@@ -18,6 +18,8 @@
     return false;
 }
 
+/* ---- helpers ------------------------------------------------------------------------------- */
+
 static void _wgco_append_name(GString* list, const char* name) {
     g_string_append_printf(list, "%s%s", list->len ? "," : "", name);
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -254,6 +254,7 @@
     wgn_link link;
     bool link_up;
     bool on_standby; /* configuration and targets are a replica's, no leader has vouched for them */
+    uint64_t term_followed; /* of the last leader */
     bool leader_known;
     wg_addresses controls; /* replicas, as a leader or a follower named them */
     wg_addresses others;   /* seeds, and the entry hosts there: asked now and then */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -296,8 +296,27 @@
            e->config ? e->config->version : 0, in->registry_change, e->on_standby);
 }
 
+/* A leader of a term before the one that this host followed is over. Replicas that were given up
+   for gone and come back as a majority would lead in such terms. */
+static bool wg_entry_is_former_leader(const wg_entry* e, const Wgpb__EntryState* in) {
+    return in->leads && in->term < e->term_followed;
+}
+
+static void wg_entry_leave_former_leader(wg_entry* e, const Wgpb__EntryState* in) {
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    wg_log(WG_EVENT_LEADER_LOST,
+           "control=%s leads in a term that is over: term=%" G_GUINT64_FORMAT
+           " followed=%" G_GUINT64_FORMAT,
+           peer ? peer->name : "-", in->term, e->term_followed);
+    wg_entry_relink(e, "");
+}
+
 static void wg_entry_take_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
+    if (wg_entry_is_former_leader(e, in)) {
+        wg_entry_leave_former_leader(e, in);
+        return;
+    }
     if (in->leads && in->n_controls > 0) {
         e->controls.num = 0; /* the leader knows all that there are */
     }
@@ -313,6 +332,7 @@
     }
     bool was_ready = wg_entry_is_ready(e);
     e->on_standby = false;
+    e->term_followed = in->term;
     e->state_at = now;
     e->leaderless_at = 0;
     e->report_gap = in->report_ms * WG_USEC_PER_MSEC;
--- a/lib/quorum/wg_quorum.c
+++ b/lib/quorum/wg_quorum.c
@@ -511,6 +511,7 @@
                        .leader = n->leader,
                        .first_index = n->first_index,
                        .last_index = _wgr_last_index(n),
+                       .last_term = _wgr_term_at(n, _wgr_last_index(n)),
                        .commit = n->commit,
                        .snapshot_index = n->snapshot_index,
                        .lease_until = _wgr_lease_until(n),
--- a/lib/quorum/wg_quorum.h
+++ b/lib/quorum/wg_quorum.h
@@ -188,6 +188,7 @@
     uint64_t leader; /* identity, 0 unknown */
     uint64_t first_index;
     uint64_t last_index;
+    uint64_t last_term; /* of the entry there */
     uint64_t commit;
     uint64_t snapshot_index;
     wg_time lease_until; /* 0 unless leader */
@@ -224,6 +225,7 @@
 /* The data folder of a replica is lost for good: another identity runs in its place, so whatever it
    promised or led is over. */
 void wgr_note_gone(wgr_node* node, uint64_t id);
+bool wgr_is_known_gone(const wgr_node* node, uint64_t id);
 
 /* Fill in the next batch of work; false when there is none. */
 bool wgr_output_next(wgr_node* node, wgr_output* output);
--- a/lib/quorum/wg_quorum_start.c
+++ b/lib/quorum/wg_quorum_start.c
@@ -175,3 +175,7 @@
         }
     }
 }
+
+bool wgr_is_known_gone(const wgr_node* n, uint64_t id) {
+    return _wgr_start_is_gone(n, id);
+}
--- a/lib/store/wg_store.c
+++ b/lib/store/wg_store.c
@@ -509,11 +509,23 @@
 }
 
 bool wgs_save_cluster(wgs_store* s, uint64_t cluster, GError** error) {
-    WG_ASSERT(s->content.cluster == 0 || s->content.cluster == cluster);
+    WG_ASSERT(s->content.cluster == 0 || s->content.cluster == cluster || wgs_is_blank(s));
     s->content.cluster = cluster;
     return _wgs_write_state(s, error);
 }
 
+bool wgs_leave_cluster(wgs_store* s, uint64_t cluster, uint64_t term, GError** error) {
+    WG_ASSERT(term > s->term);
+    s->content.cluster = cluster;
+    s->term = term;
+    s->voted_for = 0;
+    return _wgs_write_state(s, error);
+}
+
+bool wgs_is_blank(const wgs_store* s) {
+    return s->snapshot_index == 0 && s->segments->len == 0;
+}
+
 bool wgs_append(wgs_store* s, const wgr_entry* entries, int num, GError** error) {
     if (num == 0) {
         return true;
--- a/lib/store/wg_store.h
+++ b/lib/store/wg_store.h
@@ -68,7 +68,12 @@
 void wgs_forget_content(wgs_store* store);
 
 bool wgs_save_hard_state(wgs_store* store, uint64_t term, uint64_t voted_for, GError** error);
+/* The cluster that this replica belongs to from now on; it has none yet, or holds nothing. */
 bool wgs_save_cluster(wgs_store* store, uint64_t cluster, GError** error);
+/* Go on in another cluster with what is held, from this later term on. */
+bool wgs_leave_cluster(wgs_store* store, uint64_t cluster, uint64_t term, GError** error);
+/* Neither a log nor a snapshot is held. */
+bool wgs_is_blank(const wgs_store* store);
 /* Append entries and sync them. */
 bool wgs_append(wgs_store* store, const wgr_entry* entries, int num, GError** error);
 /* Remove stored entries from `from` on. */
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -2,6 +2,7 @@
 #include "hosts.h"
 
 #include "folder.h"
+#include "wg_net.h"
 
 #include <errno.h>
 #include <fcntl.h>
@@ -12,6 +13,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/file.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -25,13 +27,38 @@
     g_free(path);
 }
 
+/* Processes that a run left behind when it was broken off still hold its addresses. */
+static bool is_bindable(const char* address) {
+    struct sockaddr_storage at;
+    int size = 0;
+    WG_ASSERT(wgn_parse_address(address, &at, &size));
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    bool free = bind(fd, (struct sockaddr*)&at, (socklen_t)size) == 0;
+    close(fd);
+    return free;
+}
+
+/* Are an entry host's, a replica's and a target's first addresses free? */
+static bool is_free_part(int part) {
+    static const char* const first[] = {"127.%d.1.1:7101", "127.%d.9.1:7100", "127.%d.6.1:9000"};
+    bool free = true;
+    for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
+        char address[WG_ADDRESS_MAX];
+        g_snprintf(address, sizeof address, first[i], part);
+        free = is_bindable(address);
+    }
+    return free;
+}
+
 static int take_part(void) {
     for (int i = 0; i < 240; i++) {
         int part = 2 + (getpid() + i) % 240;
         char path[48];
         g_snprintf(path, sizeof path, "/tmp/wg-fleet-host-%d.lock", part);
         int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) {
+        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0 && is_free_part(part)) {
             return part;
         }
         close(fd);
@@ -230,6 +257,17 @@
     g_string_free(list, TRUE);
 }
 
+int hosts_run_program(hosts* h, const char* program, const char* log, char** arguments) {
+    struct timeval turn = {.tv_usec = 10 * 1000};
+    pid_t pid = start(h, program, log, arguments);
+    int status = 0;
+    while (waitpid(pid, &status, WNOHANG) == 0) {
+        event_base_loopexit(h->base, &turn);
+        event_base_dispatch(h->base);
+    }
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
 void hosts_wipe(hosts* h, host* w) {
     char* folder = g_strdup_printf("%s/data-%d", h->folder, w->number);
     WG_ASSERT(w->replica == 0);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -77,6 +77,8 @@
 void hosts_start_entry(hosts* h, host* which);
 void hosts_start_replica(hosts* h, host* which);
 void hosts_start_target(hosts* h, host_target* which);
+/* Run a program beside them to its end, output in `log`; its exit status. */
+int hosts_run_program(hosts* h, const char* program, const char* log, char** arguments);
 /* Remove the data folder of a replica that is not running. */
 void hosts_wipe(hosts* h, host* which);
 /* End everything that was started, by its id, and remove the folder unless `keep`. */
--- a/tests/test_lost_majority.c
+++ b/tests/test_lost_majority.c
@@ -147,6 +147,29 @@
 }
 END_TEST
 
+/* By the command of an operator, who names two controls that are up; the newest log goes on. */
+START_TEST(the_command_finds_the_newest_log) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, true);
+    hosts_start_replica(&h, &h.hosts[1]);
+    hosts_run_for(&h, LEASE_MS);
+    char* gone = names(&h, 2, 3);
+    char controls[2 * WG_ADDRESS_MAX];
+    g_snprintf(controls, sizeof controls, "--controls=127.%d.9.2:7300,127.%d.9.1:7300", h.part,
+               h.part);
+    char* arguments[] = {
+        controls, (char*)"--key-file=operator.key", (char*)"replica", (char*)"form-anew", gone,
+        NULL};
+    int status = hosts_run_program(&h, "walnutgatectl", "ctl.log", arguments);
+    bool good = status == 0 && hosts_put_until(&h, 2, RECOVERY_MS);
+    g_free(gone);
+    finish(&h, base, good);
+    ck_assert_msg(good, "exit status %d; logs in %s", status, h.folder);
+}
+END_TEST
+
 START_TEST(a_set_is_not_formed_while_a_majority_may_come_back) {
     struct event_base* base = event_base_new();
     hosts h;
@@ -190,5 +213,5 @@
 
 WG_TEST_MAIN("lost_majority", hosts_that_start_without_a_majority_serve,
              an_operator_forms_the_set_anew, emptied_replicas_that_wait_join_the_new_set,
-             a_set_is_not_formed_while_a_majority_may_come_back,
+             the_command_finds_the_newest_log, a_set_is_not_formed_while_a_majority_may_come_back,
              a_former_majority_that_comes_back_is_kept_out)
