--- a/tests/test_lost_majority.c
+++ b/tests/test_lost_majority.c
@@ -211,7 +211,32 @@
 }
 END_TEST
 
+/* As above, and the replica that went on stands still meanwhile: the former ones have a majority
+   and elect a leader, which looks for hosts. */
+START_TEST(a_former_majority_finds_no_host_to_follow_it) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, false);
+    ck_assert_int_eq(form_anew(&h, 2, 3), 200);
+    bool good = hosts_put_until(&h, 2, RECOVERY_MS);
+    kill(h.hosts[0].replica, SIGSTOP);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts_start_replica(&h, &h.hosts[i]);
+    }
+    for (int ms = 0; ms < JOIN_MS; ms += AGAIN_MS) {
+        hosts_run_for(&h, AGAIN_MS);
+        good = good && hosts_get_version(&h, &h.hosts[(ms / AGAIN_MS) % HOSTS]) != 1;
+    }
+    kill(h.hosts[0].replica, SIGCONT);
+    good = good && hosts_get_until(&h, 2, RECOVERY_MS) && hosts_put_until(&h, 3, RECOVERY_MS);
+    finish(&h, base, good);
+    ck_assert_msg(good, "a former replica was followed; logs in %s", h.folder);
+}
+END_TEST
+
 WG_TEST_MAIN("lost_majority", hosts_that_start_without_a_majority_serve,
              an_operator_forms_the_set_anew, emptied_replicas_that_wait_join_the_new_set,
              the_command_finds_the_newest_log, a_set_is_not_formed_while_a_majority_may_come_back,
-             a_former_majority_that_comes_back_is_kept_out)
+             a_former_majority_that_comes_back_is_kept_out,
+             a_former_majority_finds_no_host_to_follow_it)
