A missing majority is told voter by voter: up, down and for how long, or its disk lost

MAJORITY_MISSING listed who is in the set and who is down; an operator who has to decide whether a majority can come back could not see which disks are known to be lost, nor since when a replica is gone. It stands in the line as each=.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -235,6 +235,7 @@
     _wgco_peer_t* known = _wgco_peer_of_link(c, link);
     if (known) {
         known->link = (wgn_link){0};
+        known->down_at = known->up ? wg_now() : known->down_at;
         known->up = false;
     } else if (peer && peer->role == WGW_ROLE_ENTRY) {
         _wgco_entry_down(c, link);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -27,6 +27,7 @@
     bool up;
     uint64_t identity; /* 0 unknown */
     wg_time dial_at;
+    wg_time down_at; /* when it was last in touch; 0: never */
 } _wgco_peer_t;
 
 /* A router's link to this control. */
--- a/lib/control/wg_control_watch.c
+++ b/lib/control/wg_control_watch.c
@@ -37,6 +37,43 @@
     return up;
 }
 
+static void _wgco_append_voter(const wgco_control* c, const wgr_replica* voter, wg_time now,
+                               GString* list) {
+    _wgco_append_name(list, voter->name);
+    if (wgr_is_known_gone(c->node, voter->id)) {
+        g_string_append(list, ":disk-lost");
+        return;
+    }
+    if (_wgco_is_up(c, voter)) {
+        g_string_append(list, ":up");
+        return;
+    }
+    wg_time down_at = 0;
+    for (int i = 0; i < c->peers_num; i++) {
+        if (strcmp(c->peers[i].name, voter->name) == 0) {
+            down_at = c->peers[i].down_at;
+        }
+    }
+    if (down_at) {
+        g_string_append_printf(list, ":down-for-%" G_GINT64_FORMAT "-ms",
+                               (now - down_at) / WG_USEC_PER_MSEC);
+    } else {
+        g_string_append(list, ":never-seen");
+    }
+}
+
+/* Each voter and how it stands: up, down and for how long, or its disk known to be lost. */
+static char* _wgco_describe_voters(const wgco_control* c, wg_time now) {
+    const wgr_set* set = wgr_query_set(c->node);
+    GString* list = g_string_new(NULL);
+    for (int i = 0; i < set->num; i++) {
+        if (set->replicas[i].voter) {
+            _wgco_append_voter(c, &set->replicas[i], now, list);
+        }
+    }
+    return g_string_free(list, FALSE);
+}
+
 static const char* _wgco_role_name(wgr_role role) {
     switch (role) {
     case WGR_ROLE_LEADER:
@@ -57,11 +94,14 @@
         return;
     }
     char* set = _wgco_describe_set(c);
+    char* voters = _wgco_describe_voters(c, now);
     wg_log(WG_EVENT_MAJORITY_MISSING,
            "for_ms=%" G_GINT64_FORMAT " role=%s term=%" G_GUINT64_FORMAT " last=%" G_GUINT64_FORMAT
-           " commit=%" G_GUINT64_FORMAT " voters_up=%d elections=%" G_GUINT64_FORMAT " %s",
+           " commit=%" G_GUINT64_FORMAT " voters_up=%d elections=%" G_GUINT64_FORMAT " %s each=%s",
            wg_absence_length(&c->leaderless, now) / WG_USEC_PER_MSEC, _wgco_role_name(stats.role),
-           stats.term, stats.last_index, stats.commit, _wgco_voters_up(c), stats.elections, set);
+           stats.term, stats.last_index, stats.commit, _wgco_voters_up(c), stats.elections, set,
+           voters);
+    g_free(voters);
     g_free(set);
 }
 
