A leader that stood still counts nobody's silence from before it listened again

Symptom: a leader that was late by more than a second took a learner out of the set when it went on, added it again, and did so once more; no majority was left when the next host was replaced. Cause: silence was measured over the time in which the leader itself stood still. Change: who answered until the leader stood still is silent from its return on.

--- a/lib/quorum/wg_quorum.c
+++ b/lib/quorum/wg_quorum.c
@@ -308,9 +308,13 @@
    too few to replace fell each time (40 of 40 random runs each). Promises and leases are in real
    time all the same: what others may have begun meanwhile is not touched. */
 static void _wgr_note_stall(wgr_node* n, wg_time now) {
-    wg_time stood = now - n->ticked_at;
+    wg_time before = n->ticked_at;
     n->ticked_at = now;
-    if (n->spared || stood < n->desc.election_min) {
+    if (now - before < n->desc.election_min) {
+        return;
+    }
+    _wgr_silence_begin_anew(n, before, now);
+    if (n->spared) {
         return;
     }
     wg_time read = 2 * n->desc.heartbeat;
--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -161,6 +161,8 @@
 void _wgr_silence_tell(const wgr_node* n, wg_time now, wgr_message* m);
 /* As follower: take over what the leader tells. */
 void _wgr_silence_learn(wgr_node* n, wg_time now, const wgr_message* m);
+/* As leader: it did not listen between these times, so who answered before is not silent. */
+void _wgr_silence_begin_anew(wgr_node* n, wg_time before, wg_time now);
 /* Without a leader: a question to this voter leaves now. */
 void _wgr_silence_ask(wgr_node* n, wg_time now, uint64_t id);
 /* A message of this replica has come. */
--- a/lib/quorum/wg_quorum_silence.c
+++ b/lib/quorum/wg_quorum_silence.c
@@ -49,6 +49,15 @@
     }
 }
 
+void _wgr_silence_begin_anew(wgr_node* n, wg_time before, wg_time now) {
+    for (int i = 0; n->role == WGR_ROLE_LEADER && i < n->peers_num; i++) {
+        _wgr_peer_t* peer = &n->peers[i];
+        if (before - MAX(peer->acked_at, peer->silent_since) < n->desc.election_min) {
+            peer->silent_since = now;
+        }
+    }
+}
+
 void _wgr_silence_ask(wgr_node* n, wg_time now, uint64_t id) {
     if (_wgr_is_voter(n, id) && !_wgr_silent(n, id) && n->silent_num < WGR_REPLICAS_MAX) {
         n->silent[n->silent_num++] = (_wgr_silent_t){.id = id, .since = now};
