--- a/tests/test_roster.c
+++ b/tests/test_roster.c
@@ -75,6 +75,39 @@
 END_TEST
 
 /* Copies of different ages, some out of touch for long, leaders that change. */
+/* A leader that lost its lease for a moment and has it again in the same term lists hosts anew.
+   What would happen: a host that had been told of h0 to h4 would keep h4, which has gone, and never
+   hear of h5, since the new list had come to the same number of changes. Found by reading, after
+   leaders that stood still had begun to go on in their term; it could happen before, with a lease
+   lost for less than an election wait. */
+START_TEST(a_list_begun_again_in_one_term_is_told_anew) {
+    enum {
+        TERM = 3,
+        KNOWN = 5
+    };
+    wg_roster* leader = wg_roster_setup();
+    wg_roster* copy = wg_roster_setup();
+    wg_roster_begin(leader, TERM);
+    for (int i = 0; i < KNOWN; i++) {
+        wg_roster_host h = host(i, 0);
+        wg_roster_hear(leader, SECOND, &h);
+    }
+    tell(leader, copy);
+    wg_roster_begin(leader, TERM);
+    for (int i = 0; i < KNOWN - 1; i++) {
+        wg_roster_host h = host(i, 0);
+        wg_roster_hear(leader, 2 * SECOND, &h);
+    }
+    wg_roster_host came = host(KNOWN, 0);
+    wg_roster_hear(leader, 2 * SECOND, &came);
+    ck_assert_uint_ne(wg_roster_change(leader), wg_roster_change(copy));
+    tell(leader, copy);
+    expect_equal(leader, copy);
+    wg_roster_shutdown(copy);
+    wg_roster_shutdown(leader);
+}
+END_TEST
+
 START_TEST(copies_always_come_to_the_same_list) {
     enum {
         COPIES = 6
@@ -193,6 +226,7 @@
 }
 END_TEST
 
-WG_TEST_MAIN("roster", one_change_is_told_alone, copies_always_come_to_the_same_list,
-             every_host_is_named_to_somebody, a_caller_is_named_the_same_hosts_again,
+WG_TEST_MAIN("roster", one_change_is_told_alone, a_list_begun_again_in_one_term_is_told_anew,
+             copies_always_come_to_the_same_list, every_host_is_named_to_somebody,
+             a_caller_is_named_the_same_hosts_again,
              few_hosts_are_all_named_and_far_ones_where_none_is_near)
