A list of hosts that is begun again goes on beyond its own numbers

Symptom, found by reading: a leader that loses its lease for a moment and has it again in the same term lists hosts anew; a host that had been told of the former list at an equal number would keep a member that has gone, and never hear of one that came, until the next change, and then of that alone. Cause: numbers of changes begin at the term. Other terms cannot meet them, the same one can. Change: it goes on beyond the last number that it had itself. Looked at elsewhere: members of routers are told anew on each link; the registry and the quarantine number by what is agreed on.

--- a/lib/roster/wg_roster.c
+++ b/lib/roster/wg_roster.c
@@ -100,7 +100,9 @@
 
 void wg_roster_begin(wg_roster* r, uint64_t term) {
     wg_roster_clear(r);
-    r->change = MAX(term, 1) << WG_ROSTER_TERM_SHIFT;
+    /* Beyond its own numbers too: a lease that was lost for a moment comes back in the same term,
+       and a copy with an equal number would never be told. */
+    r->change = MAX(r->change + 1, MAX(term, 1) << WG_ROSTER_TERM_SHIFT);
     r->floor = r->change;
 }
 
--- a/lib/roster/wg_roster.h
+++ b/lib/roster/wg_roster.h
@@ -10,7 +10,8 @@
 
     FEATURES
         - bytes for one change do not grow with the number of hosts
-        - numbers of different leaders never meet: each begins at its term
+        - numbers of different leaders never meet: each begins at its term, or beyond what it had in
+   it
         - a caller is named the same hosts from answer to answer
         - pure: no clock, socket or file of its own
 
