--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -43,6 +43,11 @@
     failed=$((failed + failures + errors - known))
     passed=$((passed + checks - failures - errors))
 done
+# Failures once more, whole and at the end: what keeps only an output's last lines still names them.
+for program in "${programs[@]}"; do
+    name=$(basename "$program")
+    grep -E '^[^ ]+:[0-9]+:[FE]:' "$out/$name" | sed "s/^/failed: $name: /"
+done
 if [[ -s $red ]]; then
     echo "listed in $red:"
     cat "$red"
