An entry host tells how long what callers send waits for its turn

Cause to be told apart: on apfho a flooded host answers after seconds and lets work run on for callers that have left (GONE), yet no LOOP_LATE line appears there. The tick and the links go before callers in the loop, so its lateness says nothing of theirs. Change: an event that stands in line with callers' events, once a tick: histogram walnutgate_loop_behind_seconds, and WG1011 LOOP_BEHIND above 100 ms, once a second at most.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -19,6 +19,7 @@
     X(1008, STOP_DRAINED, INFO, "all work finished, stopping")                                     \
     X(1009, FIRST_SERVED, INFO, "first request served since the start")                            \
     X(1010, LOOP_LATE, WARN, "the loop turned late, what was due had to wait")                     \
+    X(1011, LOOP_BEHIND, WARN, "what callers sent waits for its turn in the loop")                 \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
     X(2003, TARGET_ASIDE, WARN, "target put aside after failures")                                 \
--- a/lib/base/wg_watch.c
+++ b/lib/base/wg_watch.c
@@ -8,6 +8,10 @@
         return false;
     }
     wg_time over = MAX(now - before - period, 0);
+    return wg_pulse_note(p, now, over, late);
+}
+
+bool wg_pulse_note(wg_pulse* p, wg_time now, wg_time over, wg_time* late) {
     p->last = over;
     wg_hist_add(&p->late, over);
     p->worst = MAX(p->worst, over);
--- a/lib/base/wg_watch.h
+++ b/lib/base/wg_watch.h
@@ -40,6 +40,8 @@
 /* The timer fired. True at most once a second: it was late by more than WG_PULSE_LATE since the
    last line, at worst by `*late` microseconds. */
 bool wg_pulse_beat(wg_pulse* pulse, wg_time now, wg_time period, wg_time* late);
+/* The same for something that was late by `over` microseconds and has no period. */
+bool wg_pulse_note(wg_pulse* pulse, wg_time now, wg_time over, wg_time* late);
 
 typedef struct {
     wg_time since;  /* missing since; 0: it is there */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -131,6 +131,27 @@
     event_base_loopbreak(e->base);
 }
 
+static void wg_entry_on_turn(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wg_entry* e = user_data;
+    wg_time now = wg_now();
+    wg_time waited;
+    if (wg_pulse_note(&e->behind, now, now - e->turn_since, &waited)) {
+        wg_log(WG_EVENT_LOOP_BEHIND, "waited_ms=%" G_GINT64_FORMAT " calls=%d callers=%u",
+               waited / WG_USEC_PER_MSEC, e->calls_num, e->clients->len);
+    }
+    e->turn_since = 0;
+}
+
+/* Ticks and links go first, so they tell nothing of how long a caller waits. */
+static void wg_entry_stand_in_line(wg_entry* e, wg_time now) {
+    if (!e->turn_since) {
+        e->turn_since = now;
+        event_active(e->turn, EV_TIMEOUT, 1);
+    }
+}
+
 static void wg_entry_on_tick(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
@@ -155,6 +176,7 @@
     wg_upstream_tick(e, now);
     wg_entry_pass_retries(e);
     wg_call_queue_run(e);
+    wg_entry_stand_in_line(e, now);
     if (e->stopping) {
         wg_entry_stop_tick(e, now);
     }
@@ -199,6 +221,7 @@
         wg_entry_shutdown(e);
         return NULL;
     }
+    e->turn = event_new(e->base, -1, 0, wg_entry_on_turn, e);
     e->tick = event_new(e->base, -1, EV_PERSIST, wg_entry_on_tick, e);
     event_priority_set(e->tick, WGN_PRIORITY);
     struct timeval period = {.tv_usec = WG_TICK};
@@ -227,6 +250,7 @@
     wg_call_cut_all(e);
     if (e->tick) {
         event_free(e->tick);
+        event_free(e->turn);
     }
     if (e->listener) {
         evconnlistener_free(e->listener);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -298,6 +298,9 @@
 
     wg_entry_counters counters;
     wg_pulse pulse;     /* how late the tick comes */
+    struct event* turn; /* stands in line with what callers send, to tell how long that waits */
+    wg_time turn_since; /* 0: it stands in no line */
+    wg_pulse behind;    /* how long it waited */
     wg_time woke_at;    /* the last tick before which this process stood still; 0: none */
     wg_hist first_time; /* microseconds to the first byte of an answer */
     wg_hist total_time;
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -68,6 +68,7 @@
                            (double)wg_absence_length(&e->leaderless, now) / WG_USEC_PER_SEC,
                            e->config ? e->config->version : 0);
     wg_hist_print(&e->pulse.late, "walnutgate_loop_late_seconds", "", 1e6, out);
+    wg_hist_print(&e->behind.late, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
 
 static void wg_pages_metrics(wg_entry* e, struct evhttp_request* request) {
