Test processes lock the part of the loopback addresses that they use

Change: one way for all test programs to take a part, locked until the process ends (tests/sim/loopback); the two copies of it in hosts.c and proc.c are gone. Looked for elsewhere: bench and fakes take addresses from who starts them.

--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include "loopback.h"
 #include "wg_control.h"
 #include "wg_test.h"
 
@@ -27,7 +28,7 @@
 
 /* A loopback address of this process's own. */
 static inline char* local_address(int number, int port) {
-    return g_strdup_printf("127.78.%d.%d:%d", getpid() % 250 + 1, number, port);
+    return g_strdup_printf("127.78.%d.%d:%d", loopback_part(), number, port);
 }
 
 /* Settings of a control that is the only seed of a first start; returns where it listens. */
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -2,6 +2,7 @@
 #include "hosts.h"
 
 #include "folder.h"
+#include "loopback.h"
 #include "wg_net.h"
 
 #include <errno.h>
@@ -12,7 +13,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -52,20 +52,6 @@
     return free;
 }
 
-static int take_part(void) {
-    for (int i = 0; i < 240; i++) {
-        int part = 2 + (getpid() + i) % 240;
-        char path[48];
-        g_snprintf(path, sizeof path, "/tmp/wg-fleet-host-%d.lock", part);
-        int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0 && is_free_part(part)) {
-            return part;
-        }
-        close(fd);
-    }
-    wg_assert_failed("a free part of the loopback addresses", __FILE__, __LINE__);
-}
-
 static void find_programs(hosts* h) {
     char self[256] = "";
     WG_ASSERT(readlink("/proc/self/exe", self, sizeof self - 1) > 0);
@@ -127,7 +113,7 @@
     h->losses = 1;
     h->replica_timing = g_strdup("tick_ms=20\nlink_silence_ms=1200\n");
     WG_ASSERT(num <= HOSTS_MAX && targets <= HOST_TARGETS_MAX);
-    h->part = take_part();
+    h->part = loopback_take(is_free_part);
     find_programs(h);
     g_strlcpy(h->folder, "/tmp/wg-hosts-XXXXXX", sizeof h->folder);
     WG_ASSERT(mkdtemp(h->folder) != NULL);
--- /dev/null
+++ b/tests/sim/loopback.c
@@ -0,0 +1,37 @@
+/* loopback.c -- see loopback.h */
+#include "loopback.h"
+
+#include "wg_base.h"
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+enum {
+    PART_FIRST = 2,
+    PARTS = 240
+};
+
+int loopback_take(bool (*is_free)(int part)) {
+    for (int i = 0; i < PARTS; i++) {
+        int part = PART_FIRST + (getpid() + i) % PARTS;
+        char path[48];
+        g_snprintf(path, sizeof path, "/tmp/wg-fleet-host-%d.lock", part);
+        int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
+        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0 && (!is_free || is_free(part))) {
+            return part; /* the lock is held until this process ends */
+        }
+        close(fd);
+    }
+    wg_assert_failed("a free part of the loopback addresses", __FILE__, __LINE__);
+}
+
+int loopback_part(void) {
+    static int part;
+    static pid_t owner; /* a child of the process takes one for itself */
+    if (owner != getpid()) {
+        owner = getpid();
+        part = loopback_take(NULL);
+    }
+    return part;
+}
--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -2,6 +2,7 @@
 #include "proc.h"
 
 #include "folder.h"
+#include "loopback.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -15,7 +16,6 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <sys/file.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -275,27 +275,12 @@
     g_free(folder);
 }
 
-/* A part of the loopback addresses that no other fleet uses now; held until this process ends. */
-static int take_host(void) {
-    for (int i = 0; i < 240; i++) {
-        int host = 2 + (getpid() + i) % 240;
-        char path[48];
-        g_snprintf(path, sizeof path, "/tmp/wg-fleet-host-%d.lock", host);
-        int fd = open(path, O_RDWR | O_CREAT | O_CLOEXEC, 0600);
-        if (fd >= 0 && flock(fd, LOCK_EX | LOCK_NB) == 0) {
-            return host;
-        }
-        close(fd);
-    }
-    wg_assert_failed("a free part of the loopback addresses", __FILE__, __LINE__);
-}
-
 void proc_fleet_start(proc_fleet* f, const proc_desc* desc) {
     *f = (proc_fleet){.desc = *desc};
     f->desc.engine_slots = desc->engine_slots ? desc->engine_slots : 8;
     f->desc.engine_pace_us = desc->engine_pace_us ? desc->engine_pace_us : 2000;
     f->desc.workspaces = desc->workspaces ? desc->workspaces : 3;
-    f->host = take_host();
+    f->host = loopback_take(NULL);
     signal(SIGPIPE, SIG_IGN);
     find_programs(f);
     g_strlcpy(f->folder, "/tmp/wg-fleet-XXXXXX", sizeof f->folder);
--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -6,6 +6,7 @@
 
 #include <event2/event.h>
 
+#include "loopback.h"
 #include "wg_entry.h"
 #include "wg_test.h"
 
@@ -19,7 +20,7 @@
 static uint16_t port;
 
 static char* address(int number) {
-    return g_strdup_printf("127.77.%d.%d:%d", getpid() % 250 + 1, number, 18000 + getpid() % 9000);
+    return g_strdup_printf("127.77.%d.%d:%d", loopback_part(), number, 18000 + getpid() % 9000);
 }
 
 static void begin(int64_t callers_max, int64_t descriptors) {
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -2,6 +2,7 @@
 #include <event2/event.h>
 #include <unistd.h>
 
+#include "loopback.h"
 #include "wg_net.h"
 #include "wg_test.h"
 
@@ -83,7 +84,7 @@
     event_base_priority_init(base, WGN_PRIORITIES);
     near_net = net(&near_net);
     far_net = net(&far_net);
-    char* address = g_strdup_printf("127.78.%d.1:%d", getpid() % 250 + 1, 18000 + getpid() % 9000);
+    char* address = g_strdup_printf("127.78.%d.1:%d", loopback_part(), 18000 + getpid() % 9000);
     ck_assert(wgn_listen(far_net, address, NULL));
     ck_assert_uint_ne(wgn_dial(near_net, address).id, 0);
     for (int i = 0; i < FLOOD; i++) {
@@ -150,7 +151,7 @@
     event_base_priority_init(base, WGN_PRIORITIES);
     wgn_net* near_end = late_net();
     wgn_net* far_end = late_net();
-    char* address = g_strdup_printf("127.80.%d.1:%d", getpid() % 250 + 1, 18000 + getpid() % 9000);
+    char* address = g_strdup_printf("127.80.%d.1:%d", loopback_part(), 18000 + getpid() % 9000);
     ck_assert(wgn_listen(far_end, address, NULL));
     ck_assert_uint_ne(wgn_dial(near_end, address).id, 0);
     run_for(300);
@@ -223,7 +224,7 @@
     near_net = reader_net(base, &near_net);
     far_net = reader_net(far_base, &far_net);
     links_num = links_closed = documents = 0;
-    char* address = g_strdup_printf("127.78.%d.2:%d", getpid() % 250 + 1, 18000 + getpid() % 9000);
+    char* address = g_strdup_printf("127.78.%d.2:%d", loopback_part(), 18000 + getpid() % 9000);
     ck_assert(wgn_listen(far_net, address, NULL));
     for (int i = 0; i < READERS; i++) {
         ck_assert_uint_ne(wgn_dial(near_net, address).id, 0);
