What is under way goes before new requests in the loop of an entry host

Cause: the end of a caller's connection stood in line with all new requests, twice (test_entry_flooded). Change: lib/net/wg_loop makes the loop, for daemons and tests alike: links and ticks, then connections with a request under way, then all else; 64 callbacks, not 512, before it looks for earlier work. Ruled out: the loop's lateness (WG1010); closing the connection to the target, which does not wait in line (with its priority taken away 30 of 480 went before, not 480).

--- a/daemons/wg_daemon.c
+++ b/daemons/wg_daemon.c
@@ -7,13 +7,12 @@
 #include <stdlib.h>
 #include <sys/resource.h>
 
-#include "wg_net.h"
+#include "wg_loop.h"
 #include "wg_version.h"
 
 /* ---- types -------------------------------------------------------------------------------- */
 
 enum {
-    WG_LOOP_CALLBACKS = 512,
     _WGD_EXIT_FAILED = 1,
     _WGD_EXIT_NOT_STARTED = 2
 };
@@ -126,13 +125,7 @@
 
 static int _wgd_run(const wgd_desc* desc) {
     GError* error = NULL;
-    struct event_config* config = event_config_new();
-    event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
-    /* After so many callbacks of callers' traffic the fleet's links are looked at. */
-    event_config_set_max_dispatch_interval(config, NULL, WG_LOOP_CALLBACKS, WGN_PRIORITIES - 1);
-    struct event_base* base = event_base_new_with_config(config);
-    event_config_free(config);
-    event_base_priority_init(base, WGN_PRIORITIES);
+    struct event_base* base = wg_loop_setup();
     if (!desc->start(base, &error)) {
         event_base_free(base);
         return _wgd_not_started(desc, error);
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -72,6 +72,7 @@
     client->state = state;
     client->since = wg_now();
     client->begun = false;
+    wg_loop_put_first(client->bev, state == WG_CLIENT_BUSY); /* for the end of its connection */
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
     } else {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -12,6 +12,7 @@
 #include "wg_event_stream.h"
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
+#include "wg_loop.h"
 #include "wg_policy.h"
 #include "wg_quarantine.h"
 #include "wg_retry.h"
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -345,5 +345,6 @@
         wg_upstream_close(up);
         return NULL;
     }
+    wg_loop_put_first(up->bev, true); /* only now: connecting sets it back */
     return up;
 }
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -8,6 +8,7 @@
 
 #include "loopback.h"
 #include "wg_control.h"
+#include "wg_loop.h"
 #include "wg_test.h"
 
 enum {
@@ -15,9 +16,7 @@
 };
 
 static inline struct event_base* local_base(void) {
-    struct event_base* base = event_base_new();
-    event_base_priority_init(base, WGN_PRIORITY + 2); /* as the daemons do */
-    return base;
+    return wg_loop_setup(); /* as the daemons do */
 }
 
 /* One millisecond of the loop. */
