Reproduced, failing: a host that is behind closes connections whose requests it has not read

Causes, read in the code and shown by three tests: the idle time of a connection runs on while its next request waits unread (closed), the time for a request that is half read too (408), and for a new caller the connection that rested longest gives way though a request is on it (closed). One class: a host takes its own lateness for the caller's silence.

--- a/tests/test_entry.c
+++ b/tests/test_entry.c
@@ -147,6 +147,38 @@
 }
 END_TEST
 
+/* Nor does one whose request has come and was not read yet: at a busy host that takes a while. It
+   was closed with the request on it, without an answer, for a connection that came before. */
+START_TEST(a_caller_whose_request_is_unread_does_not_give_way) {
+    static const char request[] = "GET /x/ HTTP/1.1\r\nHost: h\r\n\r\n";
+    int callers[CALLERS_MAX];
+    char answer[512] = "";
+    begin(CALLERS_MAX, 0);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        callers[i] = caller();
+        ck_assert_int_eq(ask(callers[i]), 503);
+    }
+    struct sockaddr_in host;
+    socklen_t size = sizeof host;
+    ck_assert_int_eq(getpeername(callers[0], (struct sockaddr*)&host, &size), 0);
+    int late = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ck_assert(connect(late, (struct sockaddr*)&host, size) == 0 || errno == EINPROGRESS);
+    ck_assert_int_gt(send(callers[0], request, sizeof request - 1, MSG_NOSIGNAL), 0);
+    for (int i = 0; i < 50; i++) {
+        turn();
+    }
+    ck_assert_int_gt(recv(callers[0], answer, sizeof answer - 1, 0), 0);
+    ck_assert_int_eq(strtol(answer + strlen("HTTP/1.1 "), NULL, 10), 503);
+    ck_assert(is_closed(callers[1])); /* the next one, which rests */
+    ck_assert_int_eq(ask(late), 503);
+    for (int i = 0; i < CALLERS_MAX; i++) {
+        close(callers[i]);
+    }
+    close(late);
+    end();
+}
+END_TEST
+
 START_TEST(descriptors_bound_the_callers) {
     int first;
     begin(1000, 10); /* seven for callers */
@@ -167,4 +199,4 @@
 END_TEST
 
 WG_TEST_MAIN("entry", the_longest_idle_caller_gives_way, a_caller_that_sends_does_not_give_way,
-             descriptors_bound_the_callers)
+             a_caller_whose_request_is_unread_does_not_give_way, descriptors_bound_the_callers)
--- a/tests/test_entry_flooded.c
+++ b/tests/test_entry_flooded.c
@@ -13,6 +13,7 @@
 enum {
     FLOOD = 480, /* callers; the listener's queue holds 512 */
     TIMEOUT_MS = 5000,
+    IDLE_MS = 400,
     /* Of the flood, before the work of a caller that has left is stopped: what the loop may take
        between two looks at what goes first, for each of the two steps that lead there. */
     BEFORE_MOST = 2 * 64
@@ -28,8 +29,8 @@
     char* document = g_strdup_printf(
         "{\"version\":5,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
         "\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_ms\":%d,\"objective_ms\":500,"
-        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{},\"workspaces\":[]}",
-        TIMEOUT_MS);
+        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{\"idle_ms\":%d},\"workspaces\":[]}",
+        TIMEOUT_MS, IDLE_MS);
     fake_control_leads(&leader,
                        &(fake_word){.version = 5, .document = document, .target = target_at});
     g_free(document);
@@ -130,4 +131,60 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry flooded", work_for_a_caller_that_left_stops_before_new_requests_are_taken)
+/* A connection that rests for too long is closed, and the time of its rest ends when the host reads
+   the next request. What waited unread at a host that is behind counted as rest: the connection was
+   closed with the request on it, without an answer. Seen beside a change that shortened the idle
+   time, at a host with "LOOP_BEHIND: waited_ms=1677": a request was sent, and 1.8 s later its
+   connection closed. Here the host turns its loop 400 ms after the request came, which is 150 ms
+   after the connection began to rest. */
+START_TEST(a_request_that_waits_unread_keeps_its_connection) {
+    static const char request[] = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n";
+    char answer[1024];
+    begin();
+    char* callers = local_address(11, CALLERS_PORT);
+    int fd = connected_to(callers);
+    turns(150);
+    ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
+    g_usleep(IDLE_MS * WG_USEC_PER_MSEC);
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    close(fd);
+    g_free(callers);
+    one_entry_end();
+}
+END_TEST
+
+/* The same of a request that is half read: its caller is not slow, the host is. */
+START_TEST(the_rest_of_a_request_that_waits_unread_is_not_too_slow) {
+    static const char first[] = "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab";
+    char answer[1024];
+    begin();
+    char* callers = local_address(11, CALLERS_PORT);
+    int fd = connected_to(callers);
+    ck_assert_int_eq(send(fd, first, sizeof first - 1, MSG_NOSIGNAL), sizeof first - 1);
+    turns(150);
+    ck_assert_int_eq(send(fd, "cd", 2, MSG_NOSIGNAL), 2);
+    g_usleep(IDLE_MS * WG_USEC_PER_MSEC);
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    close(fd);
+    g_free(callers);
+    one_entry_end();
+}
+END_TEST
+
+START_TEST(a_connection_that_rests_is_closed) {
+    char byte;
+    begin();
+    char* callers = local_address(11, CALLERS_PORT);
+    int fd = connected_to(callers);
+    turns(IDLE_MS + 200);
+    ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+    close(fd);
+    g_free(callers);
+    one_entry_end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry flooded", work_for_a_caller_that_left_stops_before_new_requests_are_taken,
+             a_request_that_waits_unread_keeps_its_connection,
+             the_rest_of_a_request_that_waits_unread_is_not_too_slow,
+             a_connection_that_rests_is_closed)
