A connection is neither resting nor slow while what it sent waits unread

Change: before a connection is closed for its rest, refused as too slow, or gives way to a new one, the host looks whether bytes wait in the socket or in its own buffer; for half a request twice the limit stays the most. One more system call for each connection at its limit. Ruled out: a limit of its own for late hosts (a host knows exactly what it has not read).

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -72,6 +72,7 @@
     client->state = state;
     client->since = wg_now();
     client->begun = false;
+    client->looked_at = 0;
     wg_loop_put_first(client->bev, state == WG_CLIENT_BUSY); /* for the end of its connection */
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
@@ -125,6 +126,15 @@
     return e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
 }
 
+/* Has the caller sent something that this host has not looked at? At a host that is behind it waits
+   for its turn, and the caller is neither resting nor slow: closing such connections left requests
+   without an answer, and refused as too slow who had sent all in time. */
+static bool wg_client_has_unread(const wg_client* client) {
+    char byte;
+    return evbuffer_get_length(bufferevent_get_input(client->bev)) > client->looked_at ||
+           recv(bufferevent_getfd(client->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+}
+
 bool wg_socket_peer_has_left(struct bufferevent* bev) {
     char byte;
     return recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
@@ -192,6 +202,7 @@
     const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
     size_t size = wg_message_head_size(bytes, look);
     if (size == 0 || size > max) {
+        client->looked_at = have;
         if (have > max) {
             wg_client_reject(client, 431, "head_too_large");
         }
@@ -291,8 +302,11 @@
     if (e->clients->len < wg_client_most(e)) {
         return true;
     }
-    wg_client* oldest = g_queue_peek_head(&e->idle_clients);
-    if (!oldest || evbuffer_get_length(bufferevent_get_input(oldest->bev)) > 0) {
+    wg_client* oldest;
+    while ((oldest = g_queue_peek_head(&e->idle_clients)) && wg_client_has_unread(oldest)) {
+        wg_client_leave_idle(oldest);
+    }
+    if (!oldest) {
         e->counters.callers_turned_away++;
         return false;
     }
@@ -363,16 +377,31 @@
     return 0;
 }
 
+static bool wg_client_is_sending(const wg_client* client) {
+    return client->state == WG_CLIENT_BODY || (client->state == WG_CLIENT_HEAD && client->begun);
+}
+
+/* Has it been in its state for too long? Not while what it sent waits unread, but for half a
+   request twice the limit is the most: bytes that come one by one do not hold a connection for
+   ever. */
+static bool wg_client_is_over(const wg_client* client, wg_time now) {
+    wg_time limit = wg_client_limit(client);
+    wg_time spent = now - client->since;
+    if (limit == 0 || spent < limit) {
+        return false;
+    }
+    bool may_wait =
+        wg_client_is_sending(client) ? spent < 2 * limit : client->state == WG_CLIENT_HEAD;
+    return !may_wait || !wg_client_has_unread(client);
+}
+
 void wg_client_tick(wg_entry* e, wg_time now) {
     for (guint i = e->clients->len; i > 0; i--) {
         wg_client* client = e->clients->pdata[i - 1];
-        wg_time limit = wg_client_limit(client);
-        if (limit == 0 || now - client->since < limit) {
+        if (!wg_client_is_over(client, now)) {
             continue;
         }
-        bool late =
-            client->state == WG_CLIENT_BODY || (client->state == WG_CLIENT_HEAD && client->begun);
-        if (late) {
+        if (wg_client_is_sending(client)) {
             wg_client_reject(client, 408, "request_too_slow");
         } else {
             wg_client_close(client);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -51,12 +51,13 @@
     char* head_bytes; /* of the request that is being read */
     size_t head_size;
     struct evbuffer* body_bytes;
-    bool keep;     /* the connection may be used again after the present answer */
-    bool answered; /* it has had an answer before */
-    wg_time since; /* start of the present state, or first byte of a head */
-    bool begun;    /* some bytes of a head came */
-    guint at;      /* place in entry->clients */
-    bool idle;     /* it stands in entry->idle_clients */
+    bool keep;        /* the connection may be used again after the present answer */
+    bool answered;    /* it has had an answer before */
+    wg_time since;    /* start of the present state, or first byte of a head */
+    bool begun;       /* some bytes of a head came */
+    size_t looked_at; /* of the bytes that came, part of a head */
+    guint at;         /* place in entry->clients */
+    bool idle;        /* it stands in entry->idle_clients */
     GList idle_link;
 };
 
