A planned stop waits for requests that are unread or half read

Symptom: LOST at a planned stop of a flooded host. Cause: the stop counted calls only, and at a host that is behind a request is no call yet. Change: it ends once no caller has one on its way, within the bound of the stop as before.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -117,12 +117,13 @@
     }
 }
 
-/* Leave when nobody is served and no caller can still hold an answer that names this host. */
+/* Leave when nobody is served, no request waits unread, and no caller can still hold an answer that
+   names this host. */
 static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
     wg_time most = wg_entry_stop_time(e);
     wg_time least = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_LATE_CLOSE;
     wg_time since = now - e->stop_at;
-    bool over = since >= most || (since >= least && e->calls_num == 0);
+    bool over = since >= most || (since >= least && e->calls_num == 0 && !wg_client_any_sends(e));
     if (!over) {
         return;
     }
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -395,6 +395,17 @@
     return !may_wait || !wg_client_has_unread(client);
 }
 
+bool wg_client_any_sends(const wg_entry* e) {
+    for (guint i = 0; i < e->clients->len; i++) {
+        const wg_client* client = e->clients->pdata[i];
+        bool waits = client->state == WG_CLIENT_HEAD && wg_client_has_unread(client);
+        if (waits || wg_client_is_sending(client)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 void wg_client_tick(wg_entry* e, wg_time now) {
     for (guint i = e->clients->len; i > 0; i--) {
         wg_client* client = e->clients->pdata[i - 1];
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -436,6 +436,8 @@
 /* wg_entry_client.c */
 bool wg_client_listen(wg_entry* e, GError** error);
 void wg_client_tick(wg_entry* e, wg_time now);
+/* Is a request on its way from any caller, also one that is not read yet? */
+bool wg_client_any_sends(const wg_entry* e);
 /* The call of the connection is over; `keep` false: close once all is written. */
 void wg_client_call_over(wg_client* client, bool keep);
 /* Close at once, also in the middle of an answer. */
