Reproduced, failing: the time of a request begins when the host comes to read it

Cause, from the trace in the test: requests are read two seconds after they came, and get their whole deadline and objective anew.

--- a/tests/test_entry_flooded.c
+++ b/tests/test_entry_flooded.c
@@ -10,10 +10,14 @@
    to "waited_ms=488" for one turn of the line, two of which are 0.5 to 1 s. */
 #include "one_entry.h"
 
+#include <signal.h>
+
 enum {
     FLOOD = 480, /* callers; the listener's queue holds 512 */
     TIMEOUT_MS = 5000,
     IDLE_MS = 400,
+    BUSY_NUM = 200,
+    BUSY_MS = 2,
     STOP_LEAST_MS =
         3300, /* of a planned stop: callers keep an answer for 1 s, or three times that */
     /* Of the flood, before the work of a caller that has left is stopped: what the loop may take
@@ -23,6 +27,12 @@
 
 static int flood[FLOOD];
 
+static void run_for(int ms) {
+    struct timeval time = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
+    event_base_loopexit(base, &time);
+    event_base_dispatch(base);
+}
+
 /* ---- helpers ----------------------------------------------------------------------------------
  */
 
@@ -39,17 +49,22 @@
     turns(20);
 }
 
-static void flood_connect(void) {
+/* A connection that the host need not have taken yet: the loop does not turn. */
+static int connect_only(void) {
     struct sockaddr_storage to;
     int size;
     char* callers = local_address(11, CALLERS_PORT);
     ck_assert(wgn_parse_address(callers, &to, &size));
+    g_free(callers);
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
+    return fd;
+}
+
+static void flood_connect(void) {
     for (int i = 0; i < FLOOD; i++) {
-        flood[i] = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-        ck_assert(connect(flood[i], (struct sockaddr*)&to, (socklen_t)size) == 0 ||
-                  errno == EINPROGRESS);
+        flood[i] = connect_only();
     }
-    g_free(callers);
     turns(50);
 }
 
@@ -143,14 +158,12 @@
     static const char request[] = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n";
     char answer[1024];
     begin();
-    char* callers = local_address(11, CALLERS_PORT);
-    int fd = connected_to(callers);
+    int fd = connect_only();
     turns(150);
     ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
     g_usleep(IDLE_MS * WG_USEC_PER_MSEC);
     ck_assert_int_eq(status_of(fd, answer), 404);
     close(fd);
-    g_free(callers);
     one_entry_end();
 }
 END_TEST
@@ -160,15 +173,13 @@
     static const char first[] = "POST /none HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nab";
     char answer[1024];
     begin();
-    char* callers = local_address(11, CALLERS_PORT);
-    int fd = connected_to(callers);
+    int fd = connect_only();
     ck_assert_int_eq(send(fd, first, sizeof first - 1, MSG_NOSIGNAL), sizeof first - 1);
     turns(150);
     ck_assert_int_eq(send(fd, "cd", 2, MSG_NOSIGNAL), 2);
     g_usleep(IDLE_MS * WG_USEC_PER_MSEC);
     ck_assert_int_eq(status_of(fd, answer), 404);
     close(fd);
-    g_free(callers);
     one_entry_end();
 }
 END_TEST
@@ -176,12 +187,10 @@
 START_TEST(a_connection_that_rests_is_closed) {
     char byte;
     begin();
-    char* callers = local_address(11, CALLERS_PORT);
-    int fd = connected_to(callers);
+    int fd = connect_only();
     turns(IDLE_MS + 200);
     ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
     close(fd);
-    g_free(callers);
     one_entry_end();
 }
 END_TEST
@@ -195,13 +204,12 @@
     static const char request[] = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n";
     char byte;
     begin();
-    char* callers = local_address(11, CALLERS_PORT);
-    int fd = connected_to(callers);
+    int fd = connect_only();
     wg_time since = wg_now();
     wg_entry_stop(entry);
     while (wg_now() - since < (STOP_LEAST_MS - 200) * (wg_time)WG_USEC_PER_MSEC) {
         close(fd);
-        fd = connected_to(callers); /* one that does not rest for long */
+        fd = connect_only(); /* one that does not rest for long */
         turns(50);
     }
     ck_assert(!event_base_got_break(base));
@@ -213,7 +221,46 @@
     ck_assert(event_base_got_break(base));
     ck_assert_int_gt(recv(fd, &byte, 1, 0), 0);
     close(fd);
-    g_free(callers);
+    one_entry_end();
+}
+END_TEST
+
+/* Something else that takes the loop's time: one round of it takes BUSY_NUM * BUSY_MS. */
+static void on_busy(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    g_usleep(BUSY_MS * WG_USEC_PER_MSEC);
+    event_active(*(struct event**)user_data, EV_TIMEOUT, 1);
+}
+
+/* A request's time began when the host came to read it. A host that was two seconds behind read
+   requests that had 0.4 s left, told targets 2.4 s, and these worked for callers whose time was
+   over: 39 of 49 runs ("request sent 20.718 s, reaches server 22.856 s, the client's deadline
+   passes 23.118 s, its run ends 23.992 s"). It also gave each the whole objective from then on, and
+   so had all of them late. Here a request waits for
+   at least one round of a loop that takes 400 ms for each. */
+START_TEST(the_time_of_a_request_begins_before_it_is_read) {
+    static const char request[] =
+        "GET /a/x HTTP/1.1\r\nHost: h\r\nWalnutgate-Deadline-Ms: 3000\r\n\r\n";
+    struct event* busy[BUSY_NUM];
+    signal(SIGPIPE, SIG_IGN); /* as the daemons do */
+    begin();
+    for (int i = 0; i < BUSY_NUM; i++) {
+        busy[i] = event_new(base, -1, 0, on_busy, &busy[i]);
+        event_active(busy[i], EV_TIMEOUT, 1);
+    }
+    run_for(1000);
+    int fd = connect_only();
+    ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
+    run_for(2500);
+    const char* told = strstr(asked->str, "Walnutgate-Deadline-Ms: ");
+    ck_assert_ptr_nonnull(told);
+    int64_t ms = strtol(told + strlen("Walnutgate-Deadline-Ms: "), NULL, 10);
+    ck_assert_int_le(ms, 3000 - BUSY_NUM * BUSY_MS);
+    for (int i = 0; i < BUSY_NUM; i++) {
+        event_free(busy[i]);
+    }
+    close(fd);
     one_entry_end();
 }
 END_TEST
@@ -221,4 +268,5 @@
 WG_TEST_MAIN("entry flooded", work_for_a_caller_that_left_stops_before_new_requests_are_taken,
              a_request_that_waits_unread_keeps_its_connection,
              the_rest_of_a_request_that_waits_unread_is_not_too_slow,
-             a_connection_that_rests_is_closed, a_planned_stop_answers_what_waits_unread)
+             a_connection_that_rests_is_closed, a_planned_stop_answers_what_waits_unread,
+             the_time_of_a_request_begins_before_it_is_read)
