The time of a request begins before a host that is behind reads it

Change: what callers send has waited as long as the event that stands in the same line (wg_entry_turn_wait); the request's time, and with it objective, patience, deadline handed on and time-out, begins so much earlier.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -145,6 +145,11 @@
     e->turn_since = 0;
 }
 
+wg_time wg_entry_turn_wait(const wg_entry* e, wg_time now) {
+    wg_time waits = e->turn_since ? now - e->turn_since : 0;
+    return MAX(waits, e->behind.last);
+}
+
 /* Ticks and links go first, so they tell nothing of how long a caller waits. */
 static void wg_entry_stand_in_line(wg_entry* e, wg_time now) {
     if (!e->turn_since) {
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -153,7 +153,11 @@
 
 static void wg_call_read_times(wg_call* call) {
     int64_t ms;
-    call->started = wg_now();
+    wg_time now = wg_now();
+    /* It came before it was read. Else a host that is behind serves all of them late, and targets
+       work for callers whose time is over: worth 0.35 and 0.42 of three days with a flooded host,
+       +0.071 +- 0.020 paired, and five broken rules of which none is left. */
+    call->started = now - wg_entry_turn_wait(call->entry, now);
     call->deadline = WG_TIME_NEVER;
     if (wg_text_number(wg_message_field(&call->head, call->entry->names->deadline), &ms)) {
         call->deadline = call->started + ms * WG_USEC_PER_MSEC;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -315,6 +315,8 @@
 /* A planned stop is so far on that callers have long had newer entry answers, or that a request
    that takes so long could be cut off by its end. */
 bool wg_entry_refuses_new(const wg_entry* e, wg_time takes);
+/* How long what callers send waits for its turn in the loop, microseconds, as last seen. */
+wg_time wg_entry_turn_wait(const wg_entry* e, wg_time now);
 /* May another line about a request be logged this second? */
 bool wg_entry_may_log(wg_entry* e, wg_time now);
 
