A connection keeps its class in the loop for life; the end of a waiting caller has an event of its own

Cause: the class of a caller's connection was changed with each request, also while a callback of it waited in the line of the former class. Change: connections to targets have their class from the start; of a caller's connection nothing is changed, while a request is under way its end is waited for by an event of its own, and its bytes are left for later. Ruled out: changing the class only when no callback waits (libevent does not tell). Elsewhere: links set the same class twice, which is sound.

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -50,6 +50,7 @@
     wg_client* last = clients->pdata[clients->len - 1];
     last->at = client->at;
     g_ptr_array_remove_index_fast(clients, client->at);
+    event_free(client->watch);
     bufferevent_free(client->bev);
     g_free(client->head_bytes);
     if (client->body_bytes) {
@@ -68,12 +69,39 @@
     wg_client_free(client);
 }
 
+/* While a request is under way only the end of the caller's connection is waited for, before all
+   new requests. Bytes are left for later. */
+static void wg_client_watch(wg_client* client, bool busy) {
+    if (busy && !client->watched) {
+        event_add(client->watch, NULL);
+        bufferevent_disable(client->bev, EV_READ);
+    } else if (!busy && client->watched) {
+        bufferevent_enable(client->bev, EV_READ);
+        event_del(client->watch);
+    }
+    client->watched = busy;
+}
+
+/* The caller of a request that is under way has left, or has sent its next request already. After
+   that its end can only be read behind the request. */
+static void wg_client_on_watch(evutil_socket_t fd, short what, void* user_data) {
+    (void)what;
+    wg_client* client = user_data;
+    char byte;
+    ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (got == 0 || (got < 0 && errno != EAGAIN && errno != EINTR)) {
+        wg_client_close(client);
+        return;
+    }
+    wg_client_watch(client, false);
+}
+
 static void wg_client_enter(wg_client* client, wg_client_state state) {
     client->state = state;
     client->since = wg_now();
     client->begun = false;
     client->looked_at = 0;
-    wg_loop_put_first(client->bev, state == WG_CLIENT_BUSY); /* for the end of its connection */
+    wg_client_watch(client, state == WG_CLIENT_BUSY);
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
     } else {
@@ -337,6 +365,8 @@
         bufferevent_socket_new(e->base, fd, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
     bufferevent_setcb(client->bev, wg_client_on_read, wg_client_on_write, wg_client_on_event,
                       client);
+    client->watch = event_new(e->base, fd, EV_READ, wg_client_on_watch, client);
+    wg_loop_put_event_first(client->watch);
     client->at = e->clients->len;
     g_ptr_array_add(e->clients, client);
     wg_client_enter(client, WG_CLIENT_HEAD);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -45,6 +45,8 @@
 struct wg_client {
     wg_entry* entry;
     struct bufferevent* bev;
+    struct event* watch; /* for the end of the connection while a request is under way */
+    bool watched;
     wg_client_state state;
     wg_call* call;
     wg_body body;
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -333,6 +333,7 @@
     up->target = target->number;
     up->content = evbuffer_new();
     up->bev = bufferevent_socket_new(e->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+    wg_loop_put_connection_first(up->bev);
     up->far = strcmp(target->data_centre, e->settings->data_centre) != 0;
     evbuffer_add_cb(bufferevent_get_input(up->bev), wg_upstream_count_in, up);
     bufferevent_setcb(up->bev, wg_upstream_on_read, NULL, wg_upstream_on_event, up);
@@ -345,6 +346,6 @@
         wg_upstream_close(up);
         return NULL;
     }
-    wg_loop_put_first(up->bev, true); /* only now: connecting sets it back */
+    wg_loop_put_connection_first(up->bev); /* connecting has set it back */
     return up;
 }
--- a/lib/net/wg_loop.c
+++ b/lib/net/wg_loop.c
@@ -14,8 +14,18 @@
     return base;
 }
 
-void wg_loop_put_first(struct bufferevent* bev, bool under_way) {
-    if (event_base_get_npriorities(bufferevent_get_base(bev)) == WG_LOOP_CLASSES) {
-        bufferevent_priority_set(bev, under_way ? WG_LOOP_UNDER_WAY : WG_LOOP_CLASSES / 2);
+static bool _wg_loop_has_classes(struct event_base* base) {
+    return event_base_get_npriorities(base) == WG_LOOP_CLASSES;
+}
+
+void wg_loop_put_connection_first(struct bufferevent* bev) {
+    if (_wg_loop_has_classes(bufferevent_get_base(bev))) {
+        bufferevent_priority_set(bev, WG_LOOP_UNDER_WAY);
+    }
+}
+
+void wg_loop_put_event_first(struct event* event) {
+    if (_wg_loop_has_classes(event_get_base(event))) {
+        event_priority_set(event, WG_LOOP_UNDER_WAY);
     }
 }
--- a/lib/net/wg_loop.h
+++ b/lib/net/wg_loop.h
@@ -14,11 +14,12 @@
 
     USE
         1. struct event_base* base = wg_loop_setup();
-        2. wg_loop_put_first(bev, true) while a request is under way on that connection.
+        2. wg_loop_put_connection_first(bev) before the connection is used, and after connecting;
+           wg_loop_put_event_first(event) before the event is added.
 
     THE CALLER OWNS
-        the loop; event_base_free() ends it. On a loop made another way wg_loop_put_first() does
-        nothing.
+        the loop; event_base_free() ends it. On a loop made another way the other functions do
+   nothing.
 */
 #include <event2/bufferevent.h>
 #include <event2/event.h>
@@ -39,5 +40,9 @@
 
 struct event_base* wg_loop_setup(void);
 
-/* Is a request under way on the connection, so that it goes before new ones? */
-void wg_loop_put_first(struct bufferevent* bev, bool under_way);
+/* The connection's events go before new requests. Its class is set once and again after connecting,
+   which sets it back, and is the same each time: were it changed while a callback waits, the
+   callback would be taken out of the wrong line, and what comes next in either would be lost. */
+void wg_loop_put_connection_first(struct bufferevent* bev);
+/* The same of an event that is not added yet. */
+void wg_loop_put_event_first(struct event* event);
