--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -146,6 +146,33 @@
     g_free(target_at);
 }
 
+/* A route to service "e", whose target is the one here; requests that may be repeated, one attempt.
+ */
+typedef struct {
+    uint64_t version; /* of the configuration that holds it */
+    const char* prefix;
+    int timeout_ms;
+    int idle_ms; /* 0: the default */
+} one_route;
+
+/* The leader tells a configuration of this route alone. */
+static void one_entry_lead(const one_route* route) {
+    char* limits =
+        route->idle_ms ? g_strdup_printf("\"idle_ms\":%d", route->idle_ms) : g_strdup("");
+    char* document = g_strdup_printf(
+        "{\"version\":%d,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":"
+        "\"h\","
+        "\"path_prefix\":\"%s\",\"kind\":\"safe\",\"timeout_ms\":%d,\"objective_ms\":500,"
+        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{%s},\"workspaces\":[]}",
+        (int)route->version, route->prefix, route->timeout_ms, limits);
+    fake_control_leads(
+        &leader,
+        &(fake_word){.version = route->version, .document = document, .target = target_at});
+    g_free(document);
+    g_free(limits);
+    turns(20);
+}
+
 /* ---- callers ----------------------------------------------------------------------------------
  */
 
--- a/tests/test_entry_flooded.c
+++ b/tests/test_entry_flooded.c
@@ -40,15 +40,8 @@
 
 static void begin(void) {
     one_entry_begin();
-    char* document = g_strdup_printf(
-        "{\"version\":5,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
-        "\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_ms\":%d,\"objective_ms\":500,"
-        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{\"idle_ms\":%d},\"workspaces\":[]}",
-        TIMEOUT_MS, IDLE_MS);
-    fake_control_leads(&leader,
-                       &(fake_word){.version = 5, .document = document, .target = target_at});
-    g_free(document);
-    turns(20);
+    one_entry_lead(
+        &(one_route){.version = 5, .prefix = "/a/", .timeout_ms = TIMEOUT_MS, .idle_ms = IDLE_MS});
 }
 
 /* A connection that the host need not have taken yet: the loop does not turn. */
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -13,16 +13,7 @@
 
 /* A configuration with one route, to service "e". */
 static void lead(uint64_t version, const char* prefix) {
-    char* document = g_strdup_printf(
-        "{\"version\":%d,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":"
-        "\"h\","
-        "\"path_prefix\":\"%s\",\"kind\":\"safe\",\"timeout_ms\":%d,\"objective_ms\":500,"
-        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{},\"workspaces\":[]}",
-        (int)version, prefix, TIMEOUT_MS);
-    fake_control_leads(&leader,
-                       &(fake_word){.version = version, .document = document, .target = target_at});
-    g_free(document);
-    turns(20);
+    one_entry_lead(&(one_route){.version = version, .prefix = prefix, .timeout_ms = TIMEOUT_MS});
 }
 
 static void begin(void) {
--- a/tests/test_suspended_host.c
+++ b/tests/test_suspended_host.c
@@ -12,14 +12,8 @@
 };
 
 static void begin(void) {
-    static const char document[] =
-        "{\"version\":5,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
-        "\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_ms\":2000,\"objective_ms\":500,"
-        "\"attempts\":1,\"service\":\"e\"}],\"limits\":{},\"workspaces\":[]}";
     one_entry_begin();
-    fake_control_leads(&leader,
-                       &(fake_word){.version = 5, .document = document, .target = target_at});
-    turns(20);
+    one_entry_lead(&(one_route){.version = 5, .prefix = "/a/", .timeout_ms = 2000});
 }
 
 START_TEST(a_request_whose_time_is_over_is_answered_at_once) {
