Sight: what a target asks for in an answer is read, remembered and logged; nothing heeds it yet

Callers got 503 from targets that had asked the host for rest. The logs could not tell three hypotheses apart: nobody reads the wish, what was chosen before it arrives after it, or it is forgotten. Now WG2023 TARGET_RESTS names the target and the time asked for, WG2005 a target that says in an answer that it leaves, WG2024 a Retry-After that cannot be read (once a target), and WG2010 of a refused attempt says rest_ms (asked for now) and rest_left_ms (of an earlier rest, when the request was sent). Counters: target_rests, sends_in_rest, targets_leaving_told; gauge targets_resting.

lib/backoff keeps it by one start of a target (id and born), so that a new list of targets, another leader or a new configuration does not lose it. Answers to questions for cached prompts are read as well. No decision has changed.

--- /dev/null
+++ b/lib/backoff/wg_backoff.c
@@ -0,0 +1,213 @@
+/* wg_backoff.c -- see wg_backoff.h */
+#include "wg_backoff.h"
+
+#include <math.h>
+#include <string.h>
+#include <time.h>
+
+/* ---- types ----------------------------------------------------------------------------------- */
+
+typedef struct {
+    uint64_t target;
+    wg_time until; /* of its rest */
+    wg_time noted_at;
+    bool leaving;
+    bool unreadable; /* it was told that its wish cannot be read */
+} _wg_backoff_target;
+
+struct wg_backoff {
+    wg_backoff_desc desc;
+    GHashTable* targets; /* key -> _wg_backoff_target* */
+};
+
+/* ---- helpers: fields of an answer ------------------------------------------------------------ */
+
+enum {
+    _WG_FIELD_MAX = 64,   /* bytes of a Retry-After that are looked at; a date takes 29 */
+    _WG_UNAVAILABLE = 503 /* the status that turns a request away */
+};
+
+/* Digits with a fraction or without; the time may be infinite. */
+static bool _wg_read_seconds(const char* text, double* seconds) {
+    size_t digits = strspn(text, "0123456789");
+    size_t size = digits;
+    if (text[size] == '.') {
+        size += 1 + strspn(text + size + 1, "0123456789");
+    }
+    if (digits == 0 || text[size] != 0) {
+        return false;
+    }
+    *seconds = g_ascii_strtod(text, NULL);
+    return true;
+}
+
+/* A date in one of the three forms of HTTP (RFC 9110, 5.6.7), Unix seconds. */
+static bool _wg_read_date(const char* text, int64_t* unix_time) {
+    static const char* const forms[] = {"%a, %d %b %Y %H:%M:%S GMT", "%A, %d-%b-%y %H:%M:%S GMT",
+                                        "%a %b %d %H:%M:%S %Y"};
+    for (size_t i = 0; i < G_N_ELEMENTS(forms); i++) {
+        struct tm parts = {0};
+        const char* end = strptime(text, forms[i], &parts);
+        if (end && *end == 0) {
+            *unix_time = timegm(&parts);
+            return *unix_time > 0;
+        }
+    }
+    return false;
+}
+
+/* Microseconds of some seconds, as far as a time can hold them. */
+static wg_time _wg_time_of(double seconds) {
+    double most = (double)(WG_TIME_NEVER / 2);
+    return (wg_time)fmin(seconds * (double)WG_USEC_PER_SEC, most);
+}
+
+static void _wg_read_rest(wg_backoff_wish* wish, const char* text) {
+    double seconds;
+    int64_t date;
+    if (_wg_read_seconds(text, &seconds)) {
+        wish->rest = MAX(wish->rest, _wg_time_of(seconds));
+    } else if (_wg_read_date(text, &date)) {
+        wish->until = MAX(wish->until, date);
+    } else {
+        wish->unreadable = true;
+    }
+}
+
+/* ---- helpers: targets ------------------------------------------------------------------------ */
+
+static _wg_backoff_target* _wg_backoff_find(const wg_backoff* b, uint64_t target) {
+    return g_hash_table_lookup(b->targets, &target);
+}
+
+static gboolean _wg_backoff_is_over(gpointer key, gpointer value, gpointer now) {
+    (void)key;
+    const _wg_backoff_target* t = value;
+    return !t->leaving && t->until <= *(const wg_time*)now;
+}
+
+static void _wg_backoff_drop_oldest(wg_backoff* b) {
+    GHashTableIter iter;
+    gpointer value;
+    const _wg_backoff_target* oldest = NULL;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const _wg_backoff_target* t = value;
+        oldest = !oldest || t->noted_at < oldest->noted_at ? t : oldest;
+    }
+    if (oldest) {
+        uint64_t key = oldest->target;
+        g_hash_table_remove(b->targets, &key);
+    }
+}
+
+static _wg_backoff_target* _wg_backoff_get(wg_backoff* b, wg_time now, uint64_t target) {
+    _wg_backoff_target* t = _wg_backoff_find(b, target);
+    if (t) {
+        t->noted_at = now;
+        return t;
+    }
+    guint most = (guint)b->desc.targets_max;
+    if (g_hash_table_size(b->targets) >= most) {
+        g_hash_table_foreach_remove(b->targets, _wg_backoff_is_over, &now);
+    }
+    if (g_hash_table_size(b->targets) >= most) {
+        _wg_backoff_drop_oldest(b);
+    }
+    t = g_new0(_wg_backoff_target, 1);
+    t->target = target;
+    t->noted_at = now;
+    g_hash_table_insert(b->targets, &t->target, t);
+    return t;
+}
+
+/* ---- public functions ------------------------------------------------------------------------ */
+
+void wg_backoff_read_field(wg_backoff_wish* wish, const char* leaving, wg_text name,
+                           wg_text value) {
+    char text[_WG_FIELD_MAX];
+    bool whole = value.size < sizeof text;
+    g_snprintf(text, sizeof text, "%.*s", (int)MIN(value.size, sizeof text - 1), value.text);
+    g_strstrip(text);
+    if (wg_text_is(name, "Retry-After")) {
+        _wg_read_rest(wish, whole ? text : "");
+    } else if (wg_text_is(name, "Date")) {
+        _wg_read_date(text, &wish->date);
+    } else if (wg_text_is(name, leaving)) {
+        wish->leaving = wish->leaving || strcmp(text, "1") == 0;
+    }
+}
+
+/* Only a request that was turned away says anything of those to come: elsewhere the field is meant
+   for the caller. */
+wg_time wg_backoff_wish_rest(const wg_backoff_wish* wish, int64_t unix_time, wg_time most) {
+    if (wish->status != _WG_UNAVAILABLE) {
+        return 0;
+    }
+    wg_time rest = wish->rest;
+    if (wish->until > 0) {
+        int64_t since = wish->date > 0 ? wish->date : unix_time;
+        rest = MAX(rest, _wg_time_of((double)(wish->until - since)));
+    }
+    return CLAMP(rest, 0, most);
+}
+
+wg_backoff* wg_backoff_setup(const wg_backoff_desc* desc) {
+    wg_backoff* b = g_new0(wg_backoff, 1);
+    b->desc = *desc;
+    b->desc.targets_max = desc->targets_max ? desc->targets_max : WG_BACKOFF_TARGETS_MAX_DEFAULT;
+    b->desc.rest_max =
+        desc->rest_max ? desc->rest_max : WG_BACKOFF_REST_MAX_DEFAULT_S * (wg_time)WG_USEC_PER_SEC;
+    b->targets = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    return b;
+}
+
+void wg_backoff_shutdown(wg_backoff* b) {
+    g_hash_table_unref(b->targets);
+    g_free(b);
+}
+
+wg_backoff_news wg_backoff_note(wg_backoff* b, wg_time now, uint64_t target,
+                                const wg_backoff_wish* wish, int64_t unix_time) {
+    wg_backoff_news news = {.rest = wg_backoff_wish_rest(wish, unix_time, b->desc.rest_max)};
+    bool unreadable = wish->unreadable && wish->status == _WG_UNAVAILABLE;
+    if (news.rest == 0 && !wish->leaving && !unreadable) {
+        return news;
+    }
+    _wg_backoff_target* t = _wg_backoff_get(b, now, target);
+    news.rests = news.rest > 0 && t->until <= now;
+    news.leaves = wish->leaving && !t->leaving;
+    news.unreadable = unreadable && !t->unreadable;
+    t->until = news.rest > 0 ? MAX(t->until, now + news.rest) : t->until;
+    t->leaving = t->leaving || wish->leaving;
+    t->unreadable = t->unreadable || unreadable;
+    WG_ASSERT(g_hash_table_size(b->targets) <= (guint)b->desc.targets_max);
+    return news;
+}
+
+wg_time wg_backoff_free_at(const wg_backoff* b, wg_time now, uint64_t target) {
+    const _wg_backoff_target* t = _wg_backoff_find(b, target);
+    if (!t) {
+        return 0;
+    }
+    if (t->leaving) {
+        return WG_TIME_NEVER;
+    }
+    return t->until > now ? t->until : 0;
+}
+
+bool wg_backoff_is_leaving(const wg_backoff* b, uint64_t target) {
+    const _wg_backoff_target* t = _wg_backoff_find(b, target);
+    return t && t->leaving;
+}
+
+int wg_backoff_resting_num(const wg_backoff* b, wg_time now) {
+    int num = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, b->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        num += ((const _wg_backoff_target*)value)->until > now;
+    }
+    return num;
+}
--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -81,4 +81,7 @@
     X(2020, SUSPECT_CLEARED, INFO, "request is no suspect: a copy of it ended well")               \
     X(2021, REQUEST_DUE, WARN, "request ended targets, this host refuses it by itself")            \
     X(2022, REQUEST_QUARANTINED, INFO, "request refused: targets end under it")                    \
+    X(2023, TARGET_RESTS, INFO, "target asked this host to send nothing for a while")              \
+    X(2024, RETRY_AFTER_UNREADABLE, WARN,                                                          \
+      "Retry-After of a target cannot be read, it counts as none")                                 \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router lapsed")
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -65,6 +65,7 @@
                                             .expect = "Walnutgate-Expect-Target",
                                             .copy_from = "Walnutgate-Copy-From",
                                             .not_run = "Target-Not-Run",
+                                            .leaving = "Target-Leaving",
                                             .cache_list = "/v1/cache",
                                             .query_place = "data_centre"};
 
@@ -216,6 +217,7 @@
     e->roster = wg_roster_setup();
     e->balance = wg_balance_setup(
         &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
+    e->backoff = wg_backoff_setup(&(wg_backoff_desc){0});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
     e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
@@ -273,6 +275,7 @@
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
     wg_admit_shutdown(e->admit);
+    wg_backoff_shutdown(e->backoff);
     g_hash_table_unref(e->asks);
     wg_balance_shutdown(e->balance);
     wg_registry_shutdown(e->registry);
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -71,6 +71,7 @@
     const char* expect;        /* id of the target that is meant */
     const char* copy_from;     /* ip:port of the target that holds a part of the prompt */
     const char* not_run;       /* of a target that did not run a request */
+    const char* leaving;       /* `1`: of a target that leaves, in all its answers */
     const char* cache_list;    /* path where a target lists the prompt parts it holds; NULL: none */
     const char* query_place;   /* data centre of a caller that asks for entry hosts */
     /* Further fields that only this system may set, NULL at the end; NULL: none. Callers' are not
--- /dev/null
+++ b/lib/entry/wg_entry_backoff.c
@@ -0,0 +1,34 @@
+/* wg_entry_backoff.c -- what targets ask of this host in their answers, and where it is heeded */
+#include "wg_entry_internal.h"
+
+wg_time wg_entry_note_answer(wg_entry* e, uint32_t number, const wg_backoff_wish* wish,
+                             const char* id) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    if (!target) {
+        return 0;
+    }
+    int64_t unix_time = g_get_real_time() / WG_USEC_PER_SEC;
+    wg_backoff_news news =
+        wg_backoff_note(e->backoff, wg_now(), wg_target_key(target), wish, unix_time);
+    e->counters.rests += news.rests;
+    e->counters.leaves_told += news.leaves;
+    if (news.rests) {
+        wg_log(WG_EVENT_TARGET_RESTS, "target=%u id=%s rest_ms=%" G_GINT64_FORMAT " request=%s",
+               number, target->id, news.rest / WG_USEC_PER_MSEC, id);
+    }
+    if (news.leaves) {
+        wg_log(WG_EVENT_TARGET_LEAVING, "source=answer target=%u id=%s request=%s", number,
+               target->id, id);
+    }
+    if (news.unreadable) {
+        wg_log(WG_EVENT_RETRY_AFTER_UNREADABLE, "target=%u id=%s request=%s", number, target->id,
+               id);
+    }
+    return news.rest;
+}
+
+wg_time wg_entry_rest_left(const wg_entry* e, uint32_t number, wg_time now) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    wg_time free_at = target ? wg_backoff_free_at(e->backoff, now, wg_target_key(target)) : 0;
+    return free_at == WG_TIME_NEVER ? WG_TIME_NEVER : MAX(free_at - now, 0);
+}
--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -7,6 +7,8 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
+#include <string.h>
+
 #include "wg_cache_list.h"
 #include "wg_entry_internal.h"
 
@@ -62,10 +64,25 @@
     g_array_unref(parts);
 }
 
+/* A target that turns the question away may ask for rest as it does with requests. */
+static void wg_cache_take_wish(const wg_cache_ask* ask, struct evhttp_request* request) {
+    wg_entry* e = ask->entry;
+    wg_backoff_wish wish = {.status = evhttp_request_get_response_code(request)};
+    const struct evkeyvalq* fields = evhttp_request_get_input_headers(request);
+    for (const struct evkeyval* f = fields->tqh_first; f; f = f->next.tqe_next) {
+        wg_backoff_read_field(&wish, e->names->leaving, (wg_text){f->key, strlen(f->key)},
+                              (wg_text){f->value, strlen(f->value)});
+    }
+    wg_entry_note_answer(e, ask->target, &wish, "-");
+}
+
 static void wg_cache_on_answer(struct evhttp_request* request, void* user_data) {
     wg_cache_ask* ask = user_data;
     int status = request ? evhttp_request_get_response_code(request) : 0;
     ask->connection = NULL; /* it frees itself */
+    if (status > 0) {
+        wg_cache_take_wish(ask, request);
+    }
     if (status == HTTP_OK) {
         wg_cache_take(ask, request);
     } else if (status == HTTP_NOTFOUND) {
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -215,8 +215,11 @@
 /* The answer says that the request did not run: try elsewhere, or refuse. */
 static void wg_call_take_refusal(wg_call* call, wg_upstream* up) {
     int status = up->head.status;
-    wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=refused status=%d", call->id, up->target,
-           up->head.status);
+    wg_log(WG_EVENT_ATTEMPT_ENDED,
+           "id=%s target=%u reason=refused status=%d rest_ms=%" G_GINT64_FORMAT
+           " rest_left_ms=%" G_GINT64_FORMAT,
+           call->id, up->target, up->head.status, up->rest / WG_USEC_PER_MSEC,
+           call->rest_left / WG_USEC_PER_MSEC);
     call->upstream = NULL;
     up->call = NULL;
     wg_upstream_close(up);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include "wg_admit.h"
+#include "wg_backoff.h"
 #include "wg_balance.h"
 #include "wg_config.h"
 #include "wg_entry.h"
@@ -105,6 +106,7 @@
     wg_upstream* upstream;
     int attempts;
     wg_time sent_at;     /* the last of them */
+    wg_time rest_left;   /* of a rest that the target had asked for, when it was sent; 0: none */
     int unsent;          /* of them, no byte left this host */
     wg_time next_try_at; /* not earlier, while it waits in the queue */
     bool relaxed;        /* no target would answer in time: rather late than refused */
@@ -141,6 +143,7 @@
     bool written; /* a byte of the present request may have left */
     char* bytes;  /* of the answer's head */
     wg_message_head head;
+    wg_time rest; /* that the answer asks for, microseconds; 0: none */
     wg_body body;
     struct evbuffer* content; /* of the answer, not passed on yet */
     bool events;              /* the answer is a stream of events */
@@ -212,6 +215,9 @@
     uint64_t targets_stayed; /* that broke off a request, but take connections */
     uint64_t checks_left_out;
     uint64_t quarantine_refusals;
+    uint64_t rests;         /* that targets asked this host for */
+    uint64_t sends_in_rest; /* requests sent to a target within one */
+    uint64_t leaves_told;   /* targets that said in an answer that they leave */
 } wg_entry_counters;
 
 /* Evidence within a report; the arrays are the reporter's. */
@@ -248,6 +254,7 @@
     wg_registry* registry;
     bool registry_known;
     wg_balance* balance;
+    wg_backoff* backoff;
     GHashTable* retries; /* name of a service -> wg_retry* */
     wg_roster* roster;
     wg_usage_book* usage; /* of workspaces, here and in the whole fleet */
@@ -396,6 +403,15 @@
    whether the target has ended too. */
 void wg_entry_check_broken(wg_entry* e, const wg_call* call, const wg_upstream* up);
 
+/* wg_entry_backoff.c */
+/* A target has answered: take in what it asks of this host. `id`: of the request. Returns the
+   microseconds of rest that it asks for; 0: none. */
+wg_time wg_entry_note_answer(wg_entry* e, uint32_t target, const wg_backoff_wish* wish,
+                             const char* id);
+/* Microseconds for which the target has asked this host to send nothing; 0: it may. WG_TIME_NEVER:
+   the target leaves. */
+wg_time wg_entry_rest_left(const wg_entry* e, uint32_t target, wg_time now);
+
 /* wg_entry_quarantine.c */
 void wg_entry_quarantine_setup(wg_entry* e);
 void wg_entry_quarantine_shutdown(wg_entry* e);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -97,7 +97,10 @@
                     {"targets_ended", c->targets_ended},
                     {"targets_stayed", c->targets_stayed},
                     {"target_checks_left_out", c->checks_left_out},
-                    {"quarantine_refusals", c->quarantine_refusals}};
+                    {"quarantine_refusals", c->quarantine_refusals},
+                    {"target_rests", c->rests},
+                    {"sends_in_rest", c->sends_in_rest},
+                    {"targets_leaving_told", c->leaves_told}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
@@ -106,9 +109,11 @@
     g_string_append_printf(out,
                            "walnutgate_entry_calls %d\nwalnutgate_entry_callers %u\n"
                            "walnutgate_entry_evacuated_data_centres %u\n"
-                           "walnutgate_entry_quarantined %d\nwalnutgate_entry_suspects %d\n",
+                           "walnutgate_entry_quarantined %d\nwalnutgate_entry_suspects %d\n"
+                           "walnutgate_entry_targets_resting %d\n",
                            e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len,
-                           wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects));
+                           wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects),
+                           wg_backoff_resting_num(e->backoff, wg_now()));
     wgn_print_metrics(e->net, out);
     wg_pages_leader_metrics(e, out);
     wg_hist_print(&e->first_time, "walnutgate_entry_first_seconds", "", 1e6, out);
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -170,6 +170,8 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
+    call->rest_left = wg_entry_rest_left(e, target->number, wg_now());
+    e->counters.sends_in_rest += call->rest_left > 0;
     wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
     evbuffer_free(out);
@@ -205,6 +207,17 @@
             memcmp(echoed.text, up->call->id, echoed.size) == 0);
 }
 
+/* What the target asks of this host, whichever request the answer belongs to. */
+static void wg_upstream_take_wish(wg_upstream* up) {
+    wg_entry* e = up->entry;
+    wg_backoff_wish wish = {.status = up->head.status};
+    for (int i = 0; i < up->head.fields_num; i++) {
+        const wg_message_pair* f = &up->head.fields[i];
+        wg_backoff_read_field(&wish, e->names->leaving, f->name, f->value);
+    }
+    up->rest = wg_entry_note_answer(e, up->target, &wish, up->call->id);
+}
+
 /* False when there is no whole head yet, or the connection is gone. */
 static bool wg_upstream_read_head(wg_upstream* up) {
     struct evbuffer* in = bufferevent_get_input(up->bev);
@@ -229,6 +242,7 @@
             break;
         }
     }
+    wg_upstream_take_wish(up);
     if (!wg_upstream_is_for_call(up)) {
         wg_upstream_fail(up, "answer-of-another-request");
         return false;
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -342,6 +342,10 @@
     return target && target->number == number ? target : NULL;
 }
 
+uint64_t wg_target_key(const wg_target* target) {
+    return wg_hash(target->id, strlen(target->id), target->born);
+}
+
 uint64_t wg_registry_change(const wg_registry* r) {
     return r->change;
 }
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -115,6 +115,8 @@
 /* Next record, in the order of their numbers, after number `after` (0: the first); or NULL. */
 const wg_target* wg_registry_next(const wg_registry* registry, uint32_t after);
 const wg_target* wg_registry_find(const wg_registry* registry, uint32_t number);
+/* Stands for one start of a target; unlike its number the same in every registry. */
+uint64_t wg_target_key(const wg_target* target);
 uint64_t wg_registry_change(const wg_registry* registry);
 /* Records that changed after `since`; `reset` is set when a copy at `since` has to be emptied
    first. The caller frees the array, not what it points to. */
