--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -29,6 +29,7 @@
     int64_t late_us;   /* wait before the first byte of an answer */
     int64_t no_marker; /* percent of streams that end without their end marker */
     int64_t leaving;   /* 1: answers say so */
+    int64_t rest_ms;   /* refusals ask the host for so long a rest; 0: for none */
     int64_t seed;
 } fake_faults;
 
@@ -45,7 +46,7 @@
         {"slots", &fake.slots},     {"pace_us", &fake.pace_us}, {"work_us", &fake.work_us},
         {"refuse", &fake.refuse},   {"fail", &fake.fail},       {"cut", &fake.cut},
         {"stall", &fake.stall},     {"late_us", &fake.late_us}, {"no_marker", &fake.no_marker},
-        {"leaving", &fake.leaving}, {"seed", &fake.seed}};
+        {"leaving", &fake.leaving}, {"rest_ms", &fake.rest_ms}, {"seed", &fake.seed}};
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         if (strcmp(fields[i].name, name) == 0) {
             return fields[i].field;
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -5,12 +5,15 @@
    "run ID" in the file, followed by its data centre and when it began ("NAME TIME"), each
    acknowledged drain "drained", so that whoever watches knows what ran even after this process was
    killed. A second with more requests than a cold target may get is a line "cold", and the most
-   that any cold second has had so far a line "cold-most N". SIGHUP drains it. A request whose body
+   that any cold second has had so far a line "cold-most N". A request that comes although its host
+   was asked for rest, or was told that the target leaves, is a line "in-rest" or "after-leaving"
+   with host and times. SIGHUP drains it. A request whose body
    begins with CRASH_BODY ends the process soon after its answer began. */
 #include <fcntl.h>
 #include <unistd.h>
 
 #include "fake.h"
+#include "fake_asker.h"
 
 #define CRASH_BODY "ends the target"
 
@@ -159,6 +162,7 @@
     (void)what;
     (void)user_data;
     draining = true;
+    fake.leaving = 1;
     beat();
 }
 
@@ -234,6 +238,30 @@
     job_end(job);
 }
 
+static void note_broken(const char* what, const char* host, wg_time since) {
+    char text[96];
+    g_snprintf(text, sizeof text, "%s %" G_GINT64_FORMAT " %" G_GINT64_FORMAT, host, since,
+               wg_now());
+    note(what, text);
+}
+
+/* Does the host keep to what it was asked for? */
+static void check_host(struct evhttp_request* request) {
+    const char* host = field(request, ASKER_FIELD);
+    asker* a = asker_find(host);
+    asker_broken broken = asker_note_arrival(a, wg_now());
+    if (broken.in_rest) {
+        note_broken("in-rest", host, broken.since);
+    }
+    if (broken.after_leaving) {
+        note_broken("after-leaving", host, broken.since);
+    }
+    if (fake.leaving) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Leaving", "1");
+        asker_tell_leaving(a, wg_now());
+    }
+}
+
 static bool ends_the_target(struct evhttp_request* request) {
     struct evbuffer* body = evhttp_request_get_input_buffer(request);
     char begin[sizeof CRASH_BODY - 1];
@@ -242,7 +270,15 @@
 }
 
 static void refuse(struct evhttp_request* request, int status) {
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Not-Run", "1");
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Target-Not-Run", "1");
+    if (status == 503 && fake.rest_ms > 0) {
+        char seconds[32];
+        g_snprintf(seconds, sizeof seconds, "%.3f", (double)fake.rest_ms / 1000);
+        evhttp_add_header(out, "Retry-After", seconds);
+        asker_ask_for_rest(asker_find(field(request, ASKER_FIELD)), wg_now(),
+                           fake.rest_ms * WG_USEC_PER_MSEC);
+    }
     evhttp_send_reply(request, status, "Not run", NULL);
 }
 
@@ -262,6 +298,7 @@
         return;
     }
     count_arrival();
+    check_host(request);
     if (fake_strikes(fake.refuse)) {
         refuse(request, 503);
         return;
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -3,6 +3,7 @@
 
 #include "folder.h"
 #include "loopback.h"
+#include "proc.h"
 #include "wg_net.h"
 
 #include <errno.h>
@@ -254,6 +255,16 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
+void hosts_set_target(hosts* h, const host_target* t, const char* faults) {
+    char address[WG_ADDRESS_MAX];
+    char* path = g_strdup_printf("/fake/set?%s", faults);
+    g_snprintf(address, sizeof address, "127.%d.6.%d:9000", h->part, t->number);
+    proc_answer answer = proc_ask(address, "POST", path, NULL, NULL, NULL);
+    WG_ASSERT(answer.status == 200);
+    proc_answer_clear(&answer);
+    g_free(path);
+}
+
 void hosts_wipe(hosts* h, host* w) {
     char* folder = g_strdup_printf("%s/data-%d", h->folder, w->number);
     WG_ASSERT(w->replica == 0);
@@ -303,7 +314,18 @@
     g_array_append_val(times, at);
 }
 
-static void add_note(hosts_notes* notes, const char* line) {
+static void add_unheeded(hosts_notes* notes, int target, const char* value, bool leaving) {
+    hosts_unheeded u = {.target = target, .leaving = leaving};
+    long long since = 0;
+    long long at = 0;
+    if (sscanf(value, "%d %lld %lld", &u.host, &since, &at) == 3) {
+        u.since = since;
+        u.at = at;
+        g_array_append_val(notes->unheeded, u);
+    }
+}
+
+static void add_note(hosts_notes* notes, int target, const char* line) {
     const char* value = strchr(line, ' ');
     if (!value) {
         return;
@@ -318,6 +340,10 @@
         add_time(notes->cold, value);
     } else if (g_str_has_prefix(line, "cold-most ")) {
         notes->cold_most = MAX(notes->cold_most, atoi(value));
+    } else if (g_str_has_prefix(line, "in-rest ")) {
+        add_unheeded(notes, target, value, false);
+    } else if (g_str_has_prefix(line, "after-leaving ")) {
+        add_unheeded(notes, target, value, true);
     } else if (g_str_has_prefix(line, HOSTS_EVACUABLE " ")) {
         add_time(notes->evacuable, value);
     }
@@ -327,14 +353,15 @@
     hosts_notes notes = {.runs = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL),
                          .late = g_array_new(FALSE, FALSE, sizeof(wg_time)),
                          .cold = g_array_new(FALSE, FALSE, sizeof(wg_time)),
-                         .evacuable = g_array_new(FALSE, FALSE, sizeof(wg_time))};
+                         .evacuable = g_array_new(FALSE, FALSE, sizeof(wg_time)),
+                         .unheeded = g_array_new(FALSE, FALSE, sizeof(hosts_unheeded))};
     for (int i = 0; i < h->targets_num; i++) {
         char* path = g_strdup_printf("%s/runs-%d", h->folder, i + 1);
         char* text = NULL;
         g_file_get_contents(path, &text, NULL, NULL);
         char** lines = g_strsplit(text ? text : "", "\n", 0);
         for (int l = 0; lines[l]; l++) {
-            add_note(&notes, lines[l]);
+            add_note(&notes, i + 1, lines[l]);
         }
         g_strfreev(lines);
         g_free(text);
@@ -348,4 +375,5 @@
     g_array_unref(notes->late);
     g_array_unref(notes->cold);
     g_array_unref(notes->evacuable);
+    g_array_unref(notes->unheeded);
 }
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -49,8 +49,19 @@
     GArray* cold;      /* the same, beyond what a cold target may get in a second */
     int cold_most;     /* requests that a cold target got in a second */
     GArray* evacuable; /* the same, all that came to targets in HOSTS_EVACUABLE */
+    GArray* unheeded;  /* hosts_unheeded */
 } hosts_notes;
 
+/* A request that came to a target although its host was asked for rest, or told that the target
+   leaves. */
+typedef struct {
+    int target;   /* number */
+    int host;     /* number */
+    bool leaving; /* the target leaves; else it rests */
+    wg_time since;
+    wg_time at;
+} hosts_unheeded;
+
 typedef struct {
     struct event_base* base;
     int part; /* of the loopback addresses */
@@ -79,6 +90,8 @@
 void hosts_start_target(hosts* h, host_target* which);
 /* Run a program beside them to its end, output in `log`; its exit status. */
 int hosts_run_program(hosts* h, const char* program, const char* log, char** arguments);
+/* Set faults of a target that runs, "name=value&name=value"; see tests/fakes/fake.h. */
+void hosts_set_target(hosts* h, const host_target* which, const char* faults);
 /* Remove the data folder of a replica that is not running. */
 void hosts_wipe(hosts* h, host* which);
 /* End everything that was started, by its id, and remove the folder unless `keep`. */
--- /dev/null
+++ b/tests/test_resting_targets.c
@@ -0,0 +1,185 @@
+/* test_resting_targets.c -- real processes: targets that turn requests away and ask for rest, and
+   targets that say that they leave
+
+   What callers saw: five of eighteen targets of a service turned away all that came, each with a
+   wish for three seconds without requests. Callers got 503 within 5 to 8 ms, again and again; of
+   two kinds of request 0.98 and 0.99 were in time before, 0.63 and 0.78 meanwhile.
+
+   The order of events: a target answered a host 503 with the time that it wanted to rest. The host
+   gave the request's place back and chose among all targets for the next one. The one that had
+   refused in 2 ms had nothing under way, so it was the emptiest, and got eight times as much as
+   those that worked: 54 requests from one host within one rest. */
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+
+#include "hosts_operator.h"
+#include "wg_net.h"
+#include "wg_test.h"
+
+enum {
+    HOSTS = 3,
+    DISKS = 3,
+    TARGETS = 4, /* every other one serves what is asked for */
+    FORM_MS = 30000,
+    TURN_MS = 16, /* between two requests */
+    RUN_MS = 5000,
+    ANSWER_S = 4,
+    WHOLE_PERCENT = 95
+};
+
+typedef struct {
+    int sent;
+    int whole;
+    int refused; /* 503 */
+    int failed;
+} answers;
+
+typedef struct {
+    struct event_base* base;
+    hosts h;
+    int asked;
+    answers got;
+} fleet;
+
+/* ---- callers ----------------------------------------------------------------------------------
+ */
+
+static void on_answer(struct evhttp_request* request, void* user_data) {
+    answers* got = user_data;
+    int status = request ? evhttp_request_get_response_code(request) : 0;
+    got->whole += status == 200;
+    got->refused += status == 503;
+    got->failed += status != 200 && status != 503;
+}
+
+static void ask(fleet* f, int host_number) {
+    const host* w = &f->h.hosts[host_number - 1];
+    char ip[WG_ADDRESS_MAX];
+    char text[32];
+    uint16_t port;
+    f->got.sent++;
+    f->asked++;
+    wgn_split_address(w->callers, ip, &port);
+    struct evhttp_connection* connection = evhttp_connection_base_new(f->base, NULL, ip, port);
+    evhttp_connection_set_timeout(connection, ANSWER_S);
+    evhttp_connection_set_retries(connection, 0);
+    evhttp_connection_free_on_completion(connection);
+    struct evhttp_request* request = evhttp_request_new(on_answer, &f->got);
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Host", "h");
+    g_snprintf(text, sizeof text, "q%d", f->asked);
+    evhttp_add_header(out, "Walnutgate-Request", text);
+    g_snprintf(text, sizeof text, "%d", host_number);
+    evhttp_add_header(out, "Asked-Host", text);
+    evhttp_make_request(connection, request, EVHTTP_REQ_GET, "/work");
+}
+
+/* Requests at the first `num` hosts, in turn. */
+static void ask_for(fleet* f, int num, int ms) {
+    wg_time until = wg_now() + ms * MSEC;
+    while (wg_now() < until) {
+        ask(f, 1 + f->asked % num);
+        hosts_run_for(&f->h, TURN_MS);
+    }
+}
+
+/* ---- the fleet --------------------------------------------------------------------------------
+ */
+
+static host_target* first_target(fleet* f) {
+    return &f->h.targets[0];
+}
+
+static host_target* second_target(fleet* f) {
+    return &f->h.targets[2];
+}
+
+static void begin(fleet* f) {
+    *f = (fleet){.base = event_base_new()};
+    hosts_setup(&f->h, f->base, HOSTS, DISKS, TARGETS);
+    hosts_use_deployed_timing(&f->h);
+    f->h.direct_targets = true;
+    for (int i = 0; i < HOSTS; i++) {
+        hosts_start_entry(&f->h, &f->h.hosts[i]);
+        hosts_start_replica(&f->h, &f->h.hosts[i]);
+    }
+    f->h.started_before = true;
+    for (int i = 0; i < TARGETS; i++) {
+        hosts_start_target(&f->h, &f->h.targets[i]);
+    }
+    ck_assert(hosts_put_until(&f->h, 1, FORM_MS));
+    for (int i = 0; i < HOSTS; i++) {
+        ck_assert(hosts_serves_until(&f->h, &f->h.hosts[i], FORM_MS));
+    }
+    hosts_set_target(&f->h, first_target(f), "refuse=0&fail=0");
+    hosts_set_target(&f->h, second_target(f), "refuse=0&fail=0&work_us=60000");
+    ask_for(f, HOSTS, 500);
+    hosts_run_for(&f->h, 200);
+    f->got = (answers){0};
+}
+
+/* Requests that came to targets against their wish. */
+static int unheeded(fleet* f) {
+    hosts_notes notes = hosts_read_notes(&f->h);
+    int num = (int)notes.unheeded->len;
+    hosts_notes_clear(&notes);
+    return num;
+}
+
+static void tell(const char* what, const fleet* f, int num) {
+    printf("%s: %d sent, %d whole, %d refused, %d failed; %d against a target's wish\n", what,
+           f->got.sent, f->got.whole, f->got.refused, f->got.failed, num);
+    fflush(stdout);
+}
+
+static void end(fleet* f, bool good) {
+    hosts_end(&f->h, !good);
+    event_base_free(f->base);
+}
+
+/* ---- tests ------------------------------------------------------------------------------------
+ */
+
+static void check_rest(const char* what, int hosts_num) {
+    fleet f;
+    begin(&f);
+    hosts_set_target(&f.h, first_target(&f), "refuse=100&rest_ms=3000");
+    ask_for(&f, hosts_num, RUN_MS);
+    hosts_run_for(&f.h, 300);
+    int num = unheeded(&f);
+    bool good = num == 0 && f.got.whole >= f.got.sent * WHOLE_PERCENT / 100;
+    tell(what, &f, num);
+    end(&f, good);
+    ck_assert_msg(good, "%d rests got more than two requests, %d of %d whole; logs in %s", num,
+                  f.got.whole, f.got.sent, f.h.folder);
+}
+
+START_TEST(a_resting_target_is_left_alone_by_one_host) {
+    check_rest("one host", 1);
+}
+END_TEST
+
+START_TEST(a_resting_target_is_left_alone_by_all_hosts) {
+    check_rest("three hosts", HOSTS);
+}
+END_TEST
+
+/* It serves on meanwhile and tells nobody but those that it answers. */
+START_TEST(a_target_that_says_it_leaves_gets_no_more) {
+    fleet f;
+    begin(&f);
+    hosts_set_target(&f.h, first_target(&f), "leaving=1");
+    ask_for(&f, HOSTS, RUN_MS);
+    hosts_run_for(&f.h, 300);
+    int num = unheeded(&f);
+    bool good = num == 0 && f.got.whole >= f.got.sent * WHOLE_PERCENT / 100;
+    tell("leaving", &f, num);
+    end(&f, good);
+    ck_assert_msg(good, "%d requests came later than 2.2 s after it had told; logs in %s", num,
+                  f.h.folder);
+}
+END_TEST
+
+WG_TEST_MAIN("resting_targets", a_resting_target_is_left_alone_by_one_host,
+             a_resting_target_is_left_alone_by_all_hosts, a_target_that_says_it_leaves_gets_no_more)
