A target that asked for rest or says that it leaves is sent nothing by the host that was told

Callers got 503 within 5 to 8 ms, again and again, from targets that had asked for a time without requests, while others had room. Cause: an answer that turns a request away was an answer to that request alone; what it says of the requests to come was read by nobody, and a target that refuses in 2 ms has nothing under way, so the choice by load gave it the next request too. Ruled out: requests that were promised the target before it refused (310 of 311 refused attempts were sent with 2.5 s or more of a rest left); a wish that is forgotten with a list or configuration (none changed in the test).

Why it holds: one gate, wg_backoff_free_at by the start of a target (id and born), is asked by the choice of a target (homes too), before a send, when a connection comes up, and by questions for cached prompts. The end of a connection attempt that came up in a rest is no failure of the target. What is passed over in wg_call_go is passed over for that try, so that gate and choice cannot call each other without end.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -231,6 +231,8 @@
             t = g_new0(wg_balance_target, 1);
             t->number = record->number;
             t->id_hash = wg_hash(record->id, strlen(record->id), 0);
+            t->key = wg_target_key(record);
+            t->backoff = b->desc.backoff;
             t->speed = WG_SPEED_DEFAULT;
             t->work = WG_WORK_DEFAULT;
             t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
@@ -352,7 +354,7 @@
         guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % b->drawn->len);
         const wg_balance_target* t = b->drawn->pdata[at];
         g_ptr_array_remove_index_fast(b->drawn, at);
-        if (wg_balance_takes(t, need) && !wg_balance_is_full(t, need)) {
+        if (wg_balance_takes(t, now, need) && !wg_balance_is_full(t, need)) {
             wg_balance_weigh(b, t, now, need, homes, best);
             left--;
         }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -23,6 +23,8 @@
         - the speed of each target is learnt from first events, the work that a request without a
           prompt takes there from whole answers; a target that fails is put aside for growing,
           jittered times
+        - a target that asked this host for rest, or said that it leaves, is not there meanwhile:
+          it is no home and is not drawn, however little it has to do
         - a request without a prompt may wait in the queue of a busy target, as long as it would
           still be answered within its limit
         - one request, one account: begin, read (first event), end
@@ -37,6 +39,7 @@
     THE CALLER OWNS
         the registry and the prompt. Choices are plain values.
 */
+#include "wg_backoff.h"
 #include "wg_registry.h"
 
 enum {
@@ -100,6 +103,7 @@
 typedef struct {
     const char* data_centre; /* of this host; kept by reference */
     uint64_t seed;
+    const wg_backoff* backoff; /* what targets ask of this host; by reference; NULL: nothing */
 } wg_balance_desc;
 
 /* What this host has under way at a target. */
--- a/lib/balance/wg_balance_homes.c
+++ b/lib/balance/wg_balance_homes.c
@@ -28,8 +28,15 @@
     return false;
 }
 
-bool wg_balance_takes(const wg_balance_target* t, const wg_need* need) {
-    return t->ready && !t->moved && !wg_need_tried(need, t->number);
+/* A target that turns requests away at once has nothing under way: without the last of these it
+   would look the emptiest of all, and draw every request. */
+bool wg_balance_takes(const wg_balance_target* t, wg_time now, const wg_need* need) {
+    return t->ready && !t->moved && !wg_need_tried(need, t->number) &&
+           (!t->backoff || wg_backoff_free_at(t->backoff, now, t->key) == 0);
+}
+
+static bool wg_balance_is_leaving(const wg_balance_target* t) {
+    return t->draining || (t->backoff && wg_backoff_is_leaving(t->backoff, t->key));
 }
 
 static void wg_balance_rank_in(uint64_t part, wg_balance_target** best, wg_balance_target* t) {
@@ -84,7 +91,7 @@
                                                      const wg_need* need) {
     for (int i = 0; i < WG_RANKED && ranking->near[i]; i++) {
         const wg_balance_target* t = ranking->near[i];
-        if (wg_balance_takes(t, need) && now >= t->aside_until) {
+        if (wg_balance_takes(t, now, need) && now >= t->aside_until) {
             return t;
         }
     }
@@ -97,12 +104,12 @@
     const wg_balance_ranking* ranking = part ? wg_balance_ranking_of(service, part) : NULL;
     for (int i = 0; ranking && i < WG_RANKED && ranking->best[i] && !homes.second; i++) {
         const wg_balance_target* t = ranking->best[i];
-        bool takes = wg_balance_takes(t, need) && now >= t->aside_until;
+        bool takes = wg_balance_takes(t, now, need) && now >= t->aside_until;
         if (takes && !homes.first) {
             homes.first = t;
         } else if (takes) {
             homes.second = t;
-        } else if (t->draining && !homes.first && !homes.leaving) {
+        } else if (wg_balance_is_leaving(t) && !homes.first && !homes.leaving) {
             homes.leaving = t; /* it was the first home before */
         }
     }
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -9,6 +9,8 @@
 typedef struct {
     uint32_t number;
     uint64_t id_hash;
+    const wg_backoff* backoff; /* of the desc */
+    uint64_t key;              /* of this start, for `backoff` */
     char service[WG_NAME_MAX];
     bool ready;
     bool draining;
@@ -55,7 +57,7 @@
 } wg_balance_homes;
 
 /* May the target be sent the request at all? */
-bool wg_balance_takes(const wg_balance_target* target, const wg_need* need);
+bool wg_balance_takes(const wg_balance_target* target, wg_time now, const wg_need* need);
 void wg_balance_service_free(void* service);
 /* Homes of the prefix that ends with `part`; none when it is 0. */
 wg_balance_homes wg_balance_find_homes(wg_balance_service* service, wg_time now,
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -48,6 +48,8 @@
     WG_NUMBER("retry", retry_window_ms, "10000", 100, 600000, "ms", "window of the retry budget"),
     WG_NUMBER("limits", callers_max, "3000", 1, 1000000, "",
               "connections of callers at once; the longest idle one gives way to a new one"),
+    WG_NUMBER("limits", target_rest_max_s, "3600", 1, 86400, "s",
+              "longest rest that a target may ask for by Retry-After; a longer one counts as this"),
     WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
               "that the process may have open; bounds callers_max; 0: not told"),
     WG_NUMBER("limits", memory_mb, "0", 0, 1000000, "MB",
@@ -215,9 +217,10 @@
     e->usage = wg_usage_setup();
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->roster = wg_roster_setup();
-    e->balance = wg_balance_setup(
-        &(wg_balance_desc){.data_centre = e->settings->data_centre, .seed = e->seed});
-    e->backoff = wg_backoff_setup(&(wg_backoff_desc){0});
+    e->backoff = wg_backoff_setup(
+        &(wg_backoff_desc){.rest_max = e->settings->target_rest_max_s * WG_USEC_PER_SEC});
+    e->balance = wg_balance_setup(&(wg_balance_desc){
+        .data_centre = e->settings->data_centre, .seed = e->seed, .backoff = e->backoff});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
     e->asks = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -136,12 +136,21 @@
     wg_upstream_send(up, call);
 }
 
+/* Not the target that was chosen, in this try. */
+static void wg_call_pass_over(wg_call* call) {
+    wg_need* need = &call->need;
+    if (need->denied_num < WG_DENIED_MAX) {
+        need->denied[need->denied_num++] = call->proposed.target;
+    }
+}
+
 /* Send to the target that was chosen, if it still takes work. */
 static void wg_call_go(wg_call* call, wg_time now) {
     wg_entry* e = call->entry;
     const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
-    if (!target || !wg_registry_takes(e->registry, target)) {
+    if (!wg_entry_may_send(e, target, now)) {
         wg_entry_admit_end(call, false);
+        wg_call_pass_over(call);
         wg_call_choose(call, now);
         return;
     }
@@ -180,9 +189,7 @@
         need->source = call->proposed.target;
         need->source_tokens = answer->held;
     }
-    if (need->denied_num < WG_DENIED_MAX) {
-        need->denied[need->denied_num++] = call->proposed.target;
-    }
+    wg_call_pass_over(call);
     wg_policy_terms terms = wg_call_terms(call);
     if (!wg_policy_may_spill(&terms) && need->source_tokens < wg_prompt_shared(&call->prompt) / 2) {
         wg_call_enqueue(call, now);
--- a/lib/entry/wg_entry_backoff.c
+++ b/lib/entry/wg_entry_backoff.c
@@ -27,8 +27,12 @@
     return news.rest;
 }
 
-wg_time wg_entry_rest_left(const wg_entry* e, uint32_t number, wg_time now) {
-    const wg_target* target = wg_registry_find(e->registry, number);
-    wg_time free_at = target ? wg_backoff_free_at(e->backoff, now, wg_target_key(target)) : 0;
-    return free_at == WG_TIME_NEVER ? WG_TIME_NEVER : MAX(free_at - now, 0);
+bool wg_entry_may_send(const wg_entry* e, const wg_target* target, wg_time now) {
+    return target && wg_registry_takes(e->registry, target) &&
+           wg_backoff_free_at(e->backoff, now, wg_target_key(target)) == 0;
+}
+
+bool wg_entry_may_keep(const wg_entry* e, const wg_target* target) {
+    return target && wg_registry_takes(e->registry, target) &&
+           !wg_backoff_is_leaving(e->backoff, wg_target_key(target));
 }
--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -139,7 +139,8 @@
         !ask->known && !ask->connection && ask->tries < WG_CACHE_TRIES && now >= ask->next_at;
     /* What a cold target bears in a second is left to requests; it rarely holds anything. */
     bool cold = wg_entry_cold_rate(e, target->number) > 0;
-    if (due && !cold && wg_cache_asks_under_way(e) < WG_CACHE_ASKS_MAX &&
+    bool may = wg_entry_may_send(e, target, now);
+    if (due && may && !cold && wg_cache_asks_under_way(e) < WG_CACHE_ASKS_MAX &&
         wg_cache_is_engine(e, target)) {
         wg_cache_send(ask, target, now);
     }
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -217,9 +217,9 @@
     int status = up->head.status;
     wg_log(WG_EVENT_ATTEMPT_ENDED,
            "id=%s target=%u reason=refused status=%d rest_ms=%" G_GINT64_FORMAT
-           " rest_left_ms=%" G_GINT64_FORMAT,
+           " after_ms=%" G_GINT64_FORMAT,
            call->id, up->target, up->head.status, up->rest / WG_USEC_PER_MSEC,
-           call->rest_left / WG_USEC_PER_MSEC);
+           (wg_now() - call->sent_at) / WG_USEC_PER_MSEC);
     call->upstream = NULL;
     up->call = NULL;
     wg_upstream_close(up);
@@ -420,7 +420,8 @@
     wg_call_finish(call, up);
 }
 
-void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason) {
+static void wg_call_attempt_over(wg_call* call, wg_upstream* up, const char* reason,
+                                 wg_result result) {
     bool written = up && up->written;
     bool began = up && up->state == WG_UPSTREAM_BODY;
     uint32_t target = call->choice.target;
@@ -431,7 +432,7 @@
         up->call = NULL;
         wg_upstream_close(up);
     }
-    wg_call_settle(call, WG_RESULT_FAILED);
+    wg_call_settle(call, result);
     wg_log(WG_EVENT_ATTEMPT_ENDED,
            "id=%s target=%u reason=%s written=%d began=%d events=%" G_GINT64_FORMAT
            " after_ms=%" G_GINT64_FORMAT " fingerprint=%016" G_GINT64_MODIFIER "x",
@@ -445,6 +446,14 @@
     wg_call_refuse(call, call->may_have_run ? 502 : 503, reason, wg_call_retry_after(call));
 }
 
+void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason) {
+    wg_call_attempt_over(call, up, reason, WG_RESULT_FAILED);
+}
+
+void wg_call_attempt_withdrawn(wg_call* call, wg_upstream* up, const char* reason) {
+    wg_call_attempt_over(call, up, reason, WG_RESULT_LEFT);
+}
+
 /* ---- functions of the library ---------------------------------------------------------------- */
 
 static void wg_call_log_denial(wg_entry* e, const wg_message_head* head, int status,
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -106,7 +106,6 @@
     wg_upstream* upstream;
     int attempts;
     wg_time sent_at;     /* the last of them */
-    wg_time rest_left;   /* of a rest that the target had asked for, when it was sent; 0: none */
     int unsent;          /* of them, no byte left this host */
     wg_time next_try_at; /* not earlier, while it waits in the queue */
     bool relaxed;        /* no target would answer in time: rather late than refused */
@@ -215,9 +214,8 @@
     uint64_t targets_stayed; /* that broke off a request, but take connections */
     uint64_t checks_left_out;
     uint64_t quarantine_refusals;
-    uint64_t rests;         /* that targets asked this host for */
-    uint64_t sends_in_rest; /* requests sent to a target within one */
-    uint64_t leaves_told;   /* targets that said in an answer that they leave */
+    uint64_t rests;       /* that targets asked this host for */
+    uint64_t leaves_told; /* targets that said in an answer that they leave */
 } wg_entry_counters;
 
 /* Evidence within a report; the arrays are the reporter's. */
@@ -408,9 +406,11 @@
    microseconds of rest that it asks for; 0: none. */
 wg_time wg_entry_note_answer(wg_entry* e, uint32_t target, const wg_backoff_wish* wish,
                              const char* id);
-/* Microseconds for which the target has asked this host to send nothing; 0: it may. WG_TIME_NEVER:
-   the target leaves. */
-wg_time wg_entry_rest_left(const wg_entry* e, uint32_t target, wg_time now);
+/* May the target be sent requests now? Whatever sends one asks this first: requests, those that go
+   on or are sent again, and questions for cached prompts. */
+bool wg_entry_may_send(const wg_entry* e, const wg_target* target, wg_time now);
+/* May connections to it be kept for later? */
+bool wg_entry_may_keep(const wg_entry* e, const wg_target* target);
 
 /* wg_entry_quarantine.c */
 void wg_entry_quarantine_setup(wg_entry* e);
@@ -475,6 +475,8 @@
 void wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
 void wg_call_answer_whole(wg_call* call, wg_upstream* up);
+/* The connection is up, but the target takes nothing any more: it is not to blame for that. */
+void wg_call_attempt_withdrawn(wg_call* call, wg_upstream* up, const char* reason);
 /* The attempt is over without a whole answer. */
 void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason);
 void wg_call_queue_run(wg_entry* e);
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -99,7 +99,6 @@
                     {"target_checks_left_out", c->checks_left_out},
                     {"quarantine_refusals", c->quarantine_refusals},
                     {"target_rests", c->rests},
-                    {"sends_in_rest", c->sends_in_rest},
                     {"targets_leaving_told", c->leaves_told}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -70,8 +70,8 @@
     struct evbuffer* in = bufferevent_get_input(up->bev);
     const wg_target* target = wg_registry_find(up->entry->registry, up->target);
     bool reusable = up->head.keep_alive && evbuffer_get_length(in) == 0 &&
-                    evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 && target &&
-                    wg_registry_takes(up->entry->registry, target) && !up->entry->stopping;
+                    evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 &&
+                    wg_entry_may_keep(up->entry, target) && !up->entry->stopping;
     wg_time limit = up->head.keep_time >= 0 ? up->head.keep_time * WG_USEC_PER_SEC - WG_IDLE_MARGIN
                                             : WG_IDLE_TIME;
     up->call = NULL;
@@ -131,7 +131,7 @@
     g_hash_table_iter_init(&iter, e->idle);
     while (g_hash_table_iter_next(&iter, &key, &value)) {
         const wg_target* target = wg_registry_find(e->registry, GPOINTER_TO_UINT(key));
-        if (!target || !wg_registry_takes(e->registry, target)) {
+        if (!wg_entry_may_keep(e, target)) {
             wg_upstream_close_queue(value);
         }
         if (!target || target->state == WG_TARGET_GONE) {
@@ -170,8 +170,6 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
-    call->rest_left = wg_entry_rest_left(e, target->number, wg_now());
-    e->counters.sends_in_rest += call->rest_left > 0;
     wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
     evbuffer_free(out);
@@ -299,8 +297,12 @@
         setsockopt(bufferevent_getfd(up->bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
         bufferevent_set_timeouts(up->bev, NULL, NULL);
         const wg_target* target = wg_registry_find(up->entry->registry, up->target);
-        if (!up->call || !target || !wg_registry_takes(up->entry->registry, target)) {
-            wg_upstream_fail(up, "target-left-while-connecting");
+        if (!up->call) {
+            wg_upstream_close(up);
+            return;
+        }
+        if (!wg_entry_may_send(up->entry, target, wg_now())) {
+            wg_call_attempt_withdrawn(up->call, up, "target-takes-no-more");
             return;
         }
         up->state = WG_UPSTREAM_HEAD;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -158,6 +158,7 @@
                                    .cold_settle_ms = fake_entry_cold_settle_ms,
                                    .standby_ms = fake_entry_standby_ms,
                                    .retry_window_ms = 10000,
+                                   .target_rest_max_s = 3600,
                                    .descriptors = fake_entry_descriptors,
                                    .callers_max = 1000};
     GError* error = NULL;
@@ -173,6 +174,8 @@
     const char* target;    /* ip:port */
     const char* evacuated; /* a data centre, NULL none; the target stands in "dc" */
     uint32_t number;       /* of the target; 0 counts as 1 */
+    const char* id;        /* of the target; NULL: made of its number */
+    uint64_t born;         /* of the target */
     uint64_t cold_us;      /* for so long the target is cold */
     uint64_t change;       /* of the registry; 0 counts as 1 */
     Wgpb__WorkspaceUsage** usage;
@@ -198,7 +201,8 @@
     char id[16];
     record.number = MAX(word->number, 1);
     g_snprintf(id, sizeof id, "t-%u", record.number);
-    record.id = id;
+    record.id = word->id ? (char*)word->id : id;
+    record.born = word->born;
     record.service = (char*)"e";
     record.address = (char*)word->target;
     record.data_centre = (char*)"dc";
--- a/tests/test_resting_targets.c
+++ b/tests/test_resting_targets.c
@@ -8,7 +8,15 @@
    The order of events: a target answered a host 503 with the time that it wanted to rest. The host
    gave the request's place back and chose among all targets for the next one. The one that had
    refused in 2 ms had nothing under way, so it was the emptiest, and got eight times as much as
-   those that worked: 54 requests from one host within one rest. */
+   those that worked: 54 requests from one host within one rest.
+
+   The cause: an answer that turns a request away was an answer to that request alone. Its fields
+   that speak of the requests to come, Retry-After and the one that says that the target leaves,
+   were read by nobody.
+
+   The evidence: with the wish noted and logged, but not heeded, 310 of 311 refused attempts here
+   were sent with 2.5 s or more of a rest left, so they were chosen after it had begun; and each of
+   them was refused although the other target had room. */
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
