Reproduced, failing: while all targets of a service rest, callers wait in vain and are called back at once

A host that knows that no target takes anything for three seconds lets each request wait for its turn (55 ms of an objective of 500) and then tells its caller to come back within 0.1 to 0.3 s.

--- a/tests/test_entry_rest.c
+++ b/tests/test_entry_rest.c
@@ -152,6 +152,48 @@
 }
 END_TEST
 
+/* Seconds after which a refused caller may come back; 0: it is not told. */
+static double retry_after(const char* answer) {
+    static const char name[] = "Retry-After: ";
+    const char* at = strstr(answer, name);
+    return at ? g_ascii_strtod(at + sizeof name - 1, NULL) : 0;
+}
+
+static void ck_refused_at_once(const char* fields, double least, double most) {
+    char answer[1024];
+    int fd = caller("/x", fields);
+    ck_assert_int_eq(status_within(fd, answer, 20), 503);
+    ck_assert(strstr(answer, "not-run"));
+    ck_assert_double_ge(retry_after(answer), least);
+    ck_assert_double_le(retry_after(answer), most);
+    close(fd);
+}
+
+/* What callers saw while all targets of a service rested: each request waited 55 ms in vain, and
+   its caller was told to come back within 0.1 to 0.3 s, to the same. No target was there for three
+   seconds, and the host knew it. A caller heeds a third of the time that it has. */
+START_TEST(while_all_targets_rest_callers_are_refused_at_once) {
+    begin();
+    rest_begins();
+    ck_refused_at_once("Walnutgate-Deadline-Ms: 30000\r\n", 2.5, 3.5);
+    ck_refused_at_once("Walnutgate-Deadline-Ms: 3000\r\n", 0.7, 1.0);
+    ck_refused_at_once("", 0.4, 0.67); /* the route's 2 s are all that is known */
+    one_entry_end();
+}
+END_TEST
+
+/* It ends before a request that waits would be refused. */
+START_TEST(a_short_rest_is_waited_for) {
+    begin();
+    int fd = asked_caller();
+    target_says("HTTP/1.1 503 Busy\r\nTarget-Not-Run: 1\r\nRetry-After: 0.04\r\n"
+                "Content-Length: 0\r\n\r\n");
+    ck_assert_int_eq(status_and_close(fd), 503);
+    ck_target_serves();
+    one_entry_end();
+}
+END_TEST
+
 /* A host that begins to coordinate a target asks it what it holds, up to three times. */
 START_TEST(questions_for_cached_prompts_heed_it_and_tell_of_it) {
     one_entry_begin();
@@ -179,4 +221,5 @@
 WG_TEST_MAIN("entry rest", a_rest_ends_after_its_time, a_503_that_may_have_run_asks_for_rest_too,
              other_statuses_ask_for_no_rest, a_rest_outlives_lists_and_configurations,
              another_start_of_the_target_asked_for_nothing, a_target_that_leaves_gets_nothing_more,
+             while_all_targets_rest_callers_are_refused_at_once, a_short_rest_is_waited_for,
              questions_for_cached_prompts_heed_it_and_tell_of_it)
