What no target takes in time is refused at once, with the time when one is back

While all targets of a service rested, each request waited for its turn in vain (11% of its objective), and its caller was told to come back within 0.1 to 0.3 s, to be refused again. Cause: the queue knew limits and loads, not that no target takes anything. Now a request is refused at once if the first target is back later than the request may wait, and each refusal names that time, spread by 0.1 to 0.3 s since all wait for the same moment, or a third of the time that the caller has, which is all that callers heed. What targets take in time still waits.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -500,7 +500,19 @@
     return num;
 }
 
-bool wg_balance_has_target(const wg_balance* b, const char* service) {
-    const wg_balance_service* s = g_hash_table_lookup(b->services, service);
-    return s && s->ready > 0;
+wg_time wg_balance_back_at(const wg_balance* b, wg_time now, const wg_need* need) {
+    const wg_balance_service* service = g_hash_table_lookup(b->services, need->service);
+    wg_time back_at = WG_TIME_NEVER;
+    for (guint i = 0; service && b->desc.backoff && i < service->targets->len; i++) {
+        const wg_balance_target* t = service->targets->pdata[i];
+        if (!wg_balance_is_there(t, need)) {
+            continue;
+        }
+        wg_time free_at = wg_backoff_free_at(b->desc.backoff, now, t->key);
+        back_at = MIN(back_at, free_at);
+        if (free_at == 0) {
+            return 0;
+        }
+    }
+    return back_at == WG_TIME_NEVER ? 0 : back_at;
 }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -145,5 +145,6 @@
 void wg_balance_end(wg_balance* balance, wg_time now, wg_choice* choice, wg_result result);
 /* Own loads that are not 0; at most `max`. */
 int wg_balance_loads(const wg_balance* balance, wg_balance_load* loads, int max);
-/* Does any target of the service take work? */
-bool wg_balance_has_target(const wg_balance* balance, const char* service);
+/* When a target is back for the request, if all that it may be sent to rest; 0: one does not, or
+   there is none, also none that rests. */
+wg_time wg_balance_back_at(const wg_balance* balance, wg_time now, const wg_need* need);
--- a/lib/balance/wg_balance_homes.c
+++ b/lib/balance/wg_balance_homes.c
@@ -28,10 +28,14 @@
     return false;
 }
 
-/* A target that turns requests away at once has nothing under way: without the last of these it
+bool wg_balance_is_there(const wg_balance_target* t, const wg_need* need) {
+    return t->ready && !t->moved && !wg_need_tried(need, t->number);
+}
+
+/* A target that turns requests away at once has nothing under way: if its rest did not count it
    would look the emptiest of all, and draw every request. */
 bool wg_balance_takes(const wg_balance_target* t, wg_time now, const wg_need* need) {
-    return t->ready && !t->moved && !wg_need_tried(need, t->number) &&
+    return wg_balance_is_there(t, need) &&
            (!t->backoff || wg_backoff_free_at(t->backoff, now, t->key) == 0);
 }
 
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -56,6 +56,8 @@
     uint32_t near_extra; /* what it costs, in tokens, that the near one often lacks the prefix */
 } wg_balance_homes;
 
+/* Could the target be sent the request if it does not rest? */
+bool wg_balance_is_there(const wg_balance_target* target, const wg_need* need);
 /* May the target be sent the request at all? */
 bool wg_balance_takes(const wg_balance_target* target, wg_time now, const wg_need* need);
 void wg_balance_service_free(void* service);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -83,16 +83,33 @@
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
-/* Seconds after which a refused request may come back. */
+/* Seconds after which a refused request may come back. Where it comes back it is a new one, also to
+   targets that were tried. */
 double wg_call_retry_after(const wg_call* call) {
     wg_entry* e = call->entry;
-    return (double)wg_policy_retry_after(e->seed, ++e->counter) / WG_USEC_PER_SEC;
+    wg_time now = wg_now();
+    wg_need again = call->need;
+    again.tried_num = 0;
+    wg_time back_at = wg_balance_back_at(e->balance, now, &again);
+    wg_time left = (call->deadline == WG_TIME_NEVER ? call->until : call->deadline) - now;
+    wg_time after = back_at ? wg_policy_retry_after_rest(e->seed, ++e->counter, back_at - now, left)
+                            : wg_policy_retry_after(e->seed, ++e->counter);
+    return (double)after / WG_USEC_PER_SEC;
 }
 
+/* Wait for a target; what none can take in time is refused at once. */
 static void wg_call_enqueue(wg_call* call, wg_time now) {
+    wg_time wait_until = call->started + wg_policy_wait(call->route->objective);
+    wg_time back_at = wg_balance_back_at(call->entry->balance, now, &call->need);
+    if (back_at > wait_until) {
+        call->entry->counters.rest_refusals++;
+        wg_call_refuse(call, call->may_have_run ? 502 : 503, "targets_rest",
+                       wg_call_retry_after(call));
+        return;
+    }
     if (!call->queued) {
         call->queued = true;
-        call->queued_until = call->started + wg_policy_wait(call->route->objective);
+        call->queued_until = wait_until;
         call->queue_link = (GList){.data = call};
         g_queue_push_tail_link(wg_call_queue(call), &call->queue_link);
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -214,8 +214,9 @@
     uint64_t targets_stayed; /* that broke off a request, but take connections */
     uint64_t checks_left_out;
     uint64_t quarantine_refusals;
-    uint64_t rests;       /* that targets asked this host for */
-    uint64_t leaves_told; /* targets that said in an answer that they leave */
+    uint64_t rests;         /* that targets asked this host for */
+    uint64_t leaves_told;   /* targets that said in an answer that they leave */
+    uint64_t rest_refusals; /* requests refused because all targets rest */
 } wg_entry_counters;
 
 /* Evidence within a report; the arrays are the reporter's. */
--- a/lib/entry/wg_entry_pages.c
+++ b/lib/entry/wg_entry_pages.c
@@ -99,7 +99,8 @@
                     {"target_checks_left_out", c->checks_left_out},
                     {"quarantine_refusals", c->quarantine_refusals},
                     {"target_rests", c->rests},
-                    {"targets_leaving_told", c->leaves_told}};
+                    {"targets_leaving_told", c->leaves_told},
+                    {"rest_refusals", c->rest_refusals}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -10,6 +10,8 @@
        0.6251, 0.6205 on 96 hosts), 11% +0.0065 +- 0.0022 more than 18. */
     _WG_POLICY_WAIT_PERCENT = 11,
     _WG_POLICY_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
+    _WG_POLICY_HONOURED_PART =
+        3, /* callers wait for one part of so many of the time that they have */
     _WG_POLICY_ASKS = 3,
     _WG_POLICY_ASKS_IMPATIENT = 2 /* the same, of a workspace without full patience */
 };
@@ -100,3 +102,12 @@
 wg_time wg_policy_retry_after(uint64_t seed, uint64_t counter) {
     return wg_jitter_range(seed, counter, _WG_POLICY_RETRY_AFTER_MIN, _WG_POLICY_RETRY_AFTER_MAX);
 }
+
+/* Who came back sooner would be refused again. All of them wait for the same moment, so each comes
+   a little later than it, and at the latest when it can still be served. */
+wg_time wg_policy_retry_after_rest(uint64_t seed, uint64_t counter, wg_time rest, wg_time left) {
+    wg_time most = MAX(left, 0) / _WG_POLICY_HONOURED_PART;
+    wg_time apart = wg_policy_retry_after(seed, counter);
+    wg_time spread = wg_jitter_range(seed, counter, most * 4 / 5, most);
+    return rest + apart <= most ? rest + apart : spread;
+}
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -56,3 +56,5 @@
 wg_time wg_policy_try_gap(const wg_policy_terms* terms);
 /* Microseconds after which a refused request may come back, drawn anew for each. */
 wg_time wg_policy_retry_after(uint64_t seed, uint64_t counter);
+/* The same while all targets rest for `rest` microseconds, of a caller who has `left` of them. */
+wg_time wg_policy_retry_after_rest(uint64_t seed, uint64_t counter, wg_time rest, wg_time left);
--- a/tests/test_entry_rest.c
+++ b/tests/test_entry_rest.c
@@ -43,12 +43,22 @@
     return status;
 }
 
+/* Seconds after which a refused caller may come back; 0: it is not told. */
+static double retry_after(const char* answer) {
+    static const char name[] = "Retry-After: ";
+    const char* at = strstr(answer, name);
+    return at ? g_ascii_strtod(at + sizeof name - 1, NULL) : 0;
+}
+
 /* The target turns a request away and asks for rest. */
 static void rest_begins(void) {
+    char answer[1024];
     int fd = asked_caller();
     target_says("HTTP/1.1 503 Busy\r\nTarget-Not-Run: 1\r\nRetry-After: 3\r\n"
                 "Content-Length: 0\r\n\r\n");
-    ck_assert_int_eq(status_and_close(fd), 503);
+    ck_assert_int_eq(status_of(fd, answer), 503);
+    ck_assert_double_ge(retry_after(answer), 0.4); /* a third of the route's 2 s, drawn apart */
+    close(fd);
 }
 
 static void ck_target_is_left_alone(void) {
@@ -152,13 +162,6 @@
 }
 END_TEST
 
-/* Seconds after which a refused caller may come back; 0: it is not told. */
-static double retry_after(const char* answer) {
-    static const char name[] = "Retry-After: ";
-    const char* at = strstr(answer, name);
-    return at ? g_ascii_strtod(at + sizeof name - 1, NULL) : 0;
-}
-
 static void ck_refused_at_once(const char* fields, double least, double most) {
     char answer[1024];
     int fd = caller("/x", fields);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -88,6 +88,24 @@
 }
 END_TEST
 
+/* After the rest and apart from each other; at the latest when the caller still heeds it. */
+START_TEST(callers_come_back_after_a_rest_and_apart) {
+    wg_time least = WG_TIME_NEVER;
+    wg_time most = 0;
+    for (uint64_t i = 0; i < 200; i++) {
+        wg_time after = wg_policy_retry_after_rest(7, i, 2 * SECOND, 30 * SECOND);
+        least = MIN(least, after);
+        most = MAX(most, after);
+        ck_assert_int_gt(after, 2 * SECOND);
+        ck_assert_int_le(wg_policy_retry_after_rest(7, i, 9 * SECOND, 3 * SECOND), SECOND);
+        ck_assert_int_ge(wg_policy_retry_after_rest(7, i, 9 * SECOND, 3 * SECOND), SECOND / 2);
+        ck_assert_int_eq(wg_policy_retry_after_rest(7, i, 9 * SECOND, -SECOND), 0);
+    }
+    ck_assert_int_ge(most - least, 150 * MSEC);
+}
+END_TEST
+
 WG_TEST_MAIN("policy", the_tightest_objective_bounds_all, whoever_has_more_gives_way,
              a_second_attempt_is_tried_in_full, the_modest_are_sent_late_rather_than_refused,
-             open_routes_wait_like_anybody, a_refusal_comes_within_a_quarter_of_the_objective)
+             open_routes_wait_like_anybody, a_refusal_comes_within_a_quarter_of_the_objective,
+             callers_come_back_after_a_rest_and_apart)
