Hosts that a target asked for rest in one moment come back one after the other

What would follow: a target that is full turns all hosts away within milliseconds, each for the same time, and all of them come back within milliseconds too; it has to turn most of them away again. Each host adds a share of an eighth of the rest, a second at most, drawn by its seed; never less than was asked.

--- a/lib/backoff/wg_backoff.c
+++ b/lib/backoff/wg_backoff.c
@@ -15,8 +15,14 @@
     bool unreadable; /* it was told that its wish cannot be read */
 } _wg_backoff_target;
 
+enum {
+    _WG_SPREAD_PART = 8,                 /* of a rest, in which hosts come back */
+    _WG_SPREAD_MAX = 1 * WG_USEC_PER_SEC /* and no longer than that */
+};
+
 struct wg_backoff {
     wg_backoff_desc desc;
+    uint64_t counter;
     GHashTable* targets; /* key -> _wg_backoff_target* */
 };
 
@@ -101,6 +107,12 @@
     }
 }
 
+/* When the host comes back: not all of those that were asked in this moment at once. */
+static wg_time _wg_backoff_end(wg_backoff* b, wg_time now, wg_time rest) {
+    wg_time spread = MIN(rest / _WG_SPREAD_PART, (wg_time)_WG_SPREAD_MAX);
+    return now + rest + wg_jitter_range(b->desc.seed, ++b->counter, 0, spread);
+}
+
 static _wg_backoff_target* _wg_backoff_get(wg_backoff* b, wg_time now, uint64_t target) {
     _wg_backoff_target* t = _wg_backoff_find(b, target);
     if (t) {
@@ -178,7 +190,9 @@
     news.rests = news.rest > 0 && t->until <= now;
     news.leaves = wish->leaving && !t->leaving;
     news.unreadable = unreadable && !t->unreadable;
-    t->until = news.rest > 0 ? MAX(t->until, now + news.rest) : t->until;
+    if (news.rest > 0) {
+        t->until = MAX(t->until, _wg_backoff_end(b, now, news.rest));
+    }
     t->leaving = t->leaving || wish->leaving;
     t->unreadable = t->unreadable || unreadable;
     WG_ASSERT(g_hash_table_size(b->targets) <= (guint)b->desc.targets_max);
--- a/lib/backoff/wg_backoff.h
+++ b/lib/backoff/wg_backoff.h
@@ -14,6 +14,7 @@
         - a date counts from the answer's own date where it has one, so that clocks that differ do
           not matter
         - a rest never becomes shorter, and nothing but its end ends it
+        - hosts that were asked in one moment come back one after the other
         - leaving is final
         - bounded: rests that are over give way first, then what was noted longest ago
 
@@ -48,6 +49,7 @@
 typedef struct {
     int targets_max;  /* remembered at once; default WG_BACKOFF_TARGETS_MAX_DEFAULT */
     wg_time rest_max; /* microseconds, a longer wish counts as this; default 3600 s */
+    uint64_t seed;    /* of the ends of rests; another one on each host */
 } wg_backoff_desc;
 
 /* What a wish has changed. */
@@ -72,7 +74,8 @@
 /* A target has answered. */
 wg_backoff_news wg_backoff_note(wg_backoff* backoff, wg_time now, uint64_t target,
                                 const wg_backoff_wish* wish, int64_t unix_time);
-/* From when on the target may be sent requests; 0: now, WG_TIME_NEVER: it leaves. */
+/* From when on the target is sent requests, up to an eighth of its rest after that; 0: now,
+ * WG_TIME_NEVER: it leaves. */
 wg_time wg_backoff_free_at(const wg_backoff* backoff, wg_time now, uint64_t target);
 bool wg_backoff_is_leaving(const wg_backoff* backoff, uint64_t target);
 /* Targets that rest now. */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -217,8 +217,8 @@
     e->usage = wg_usage_setup();
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->roster = wg_roster_setup();
-    e->backoff = wg_backoff_setup(
-        &(wg_backoff_desc){.rest_max = e->settings->target_rest_max_s * WG_USEC_PER_SEC});
+    e->backoff = wg_backoff_setup(&(wg_backoff_desc){
+        .rest_max = e->settings->target_rest_max_s * WG_USEC_PER_SEC, .seed = e->seed});
     e->balance = wg_balance_setup(&(wg_balance_desc){
         .data_centre = e->settings->data_centre, .seed = e->seed, .backoff = e->backoff});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
