--- a/tests/fakes/fake_asker.h
+++ b/tests/fakes/fake_asker.h
@@ -6,10 +6,7 @@
     for rest may send two requests from half a second after the answer until the rest is over; one
     that was told that the target leaves may send none later than ASKER_LEAVES_US afterwards.
 */
-#include <glib.h>
-#include <stdbool.h>
-
-#include "wg_base.h"
+#include "fake.h"
 
 #define ASKER_FIELD "Asked-Host"
 
@@ -96,3 +93,34 @@
     }
     return broken;
 }
+
+static asker* asker_of(struct evhttp_request* request) {
+    const char* name = evhttp_find_header(evhttp_request_get_input_headers(request), ASKER_FIELD);
+    return asker_find(name ? name : "");
+}
+
+/* A request has come: does its host keep to what it was asked for? Where the target leaves, the
+   answer says so. */
+static asker_broken asker_check(struct evhttp_request* request) {
+    wg_time now = wg_now();
+    asker* a = asker_of(request);
+    asker_broken broken = asker_note_arrival(a, now);
+    if (fake.leaving) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Leaving", "1");
+        asker_tell_leaving(a, now);
+    }
+    return broken;
+}
+
+/* Turn a request away as not run; a 503 asks for rest, as the faults say. */
+static void asker_refuse(struct evhttp_request* request, int status) {
+    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
+    evhttp_add_header(out, "Target-Not-Run", "1");
+    if (status == 503 && fake.rest_ms > 0) {
+        char seconds[32];
+        g_snprintf(seconds, sizeof seconds, "%.3f", (double)fake.rest_ms / 1000);
+        evhttp_add_header(out, "Retry-After", seconds);
+        asker_ask_for_rest(asker_of(request), wg_now(), fake.rest_ms * WG_USEC_PER_MSEC);
+    }
+    wgh_reply_text(request, status, "text/plain", "not run\n");
+}
--- a/tests/fakes/fake_service.c
+++ b/tests/fakes/fake_service.c
@@ -1,6 +1,6 @@
 /* fake_service.c -- stand-in for a plain service: lookups that may be repeated, and calls that may
    not (POST /confirm, POST /alert), each of which it counts by the request's own id. */
-#include "fake.h"
+#include "fake_asker.h"
 
 typedef struct {
     struct evhttp_request* request;
@@ -12,6 +12,7 @@
 static GHashTable* runs_by_id; /* X-Request-Id -> number of runs */
 static uint64_t lookups;
 static uint64_t actions;
+static uint64_t unheeded; /* requests within a rest, or after it was told that this target leaves */
 
 /* Also the platform's host list, as POST /fake/hosts last set it. */
 static char* hosts_text;
@@ -31,10 +32,6 @@
 static void answer(job_t* job) {
     struct evhttp_request* request = job->request;
     evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
-    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
-    if (fake.leaving) {
-        evhttp_add_header(out, "Target-Leaving", "1");
-    }
     const char* id = evhttp_find_header(evhttp_request_get_input_headers(request), "X-Request-Id");
     json_t* json = json_object();
     json_object_set_new(json, "path", json_string(evhttp_request_get_uri(request)));
@@ -84,9 +81,10 @@
 }
 
 static void on_call(struct evhttp_request* request) {
+    asker_broken broken = asker_check(request);
+    unheeded += broken.in_rest || broken.after_leaving;
     if (fake_strikes(fake.refuse)) {
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Not-Run", "1");
-        wgh_reply_text(request, 503, "text/plain", "not run\n");
+        asker_refuse(request, 503);
         return;
     }
     bool action = evhttp_request_get_command(request) == EVHTTP_REQ_POST;
@@ -116,8 +114,9 @@
         json_object_set_new(ids, id, json_integer(GPOINTER_TO_INT(num)));
         most = MAX(most, GPOINTER_TO_INT(num));
     }
-    json_t* json = json_pack("{s:I,s:I,s:i,s:o}", "lookups", (json_int_t)lookups, "actions",
-                             (json_int_t)actions, "most_runs", most, "runs", ids);
+    json_t* json = json_pack("{s:I,s:I,s:I,s:i,s:o}", "lookups", (json_int_t)lookups, "actions",
+                             (json_int_t)actions, "unheeded", (json_int_t)unheeded, "most_runs",
+                             most, "runs", ids);
     wgh_reply_json(request, 200, json);
 }
 
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -12,7 +12,6 @@
 #include <fcntl.h>
 #include <unistd.h>
 
-#include "fake.h"
 #include "fake_asker.h"
 
 #define CRASH_BODY "ends the target"
@@ -245,21 +244,15 @@
     note(what, text);
 }
 
-/* Does the host keep to what it was asked for? */
 static void check_host(struct evhttp_request* request) {
     const char* host = field(request, ASKER_FIELD);
-    asker* a = asker_find(host);
-    asker_broken broken = asker_note_arrival(a, wg_now());
+    asker_broken broken = asker_check(request);
     if (broken.in_rest) {
         note_broken("in-rest", host, broken.since);
     }
     if (broken.after_leaving) {
         note_broken("after-leaving", host, broken.since);
     }
-    if (fake.leaving) {
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Leaving", "1");
-        asker_tell_leaving(a, wg_now());
-    }
 }
 
 static bool ends_the_target(struct evhttp_request* request) {
@@ -269,19 +262,6 @@
            memcmp(begin, CRASH_BODY, sizeof begin) == 0;
 }
 
-static void refuse(struct evhttp_request* request, int status) {
-    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
-    evhttp_add_header(out, "Target-Not-Run", "1");
-    if (status == 503 && fake.rest_ms > 0) {
-        char seconds[32];
-        g_snprintf(seconds, sizeof seconds, "%.3f", (double)fake.rest_ms / 1000);
-        evhttp_add_header(out, "Retry-After", seconds);
-        asker_ask_for_rest(asker_find(field(request, ASKER_FIELD)), wg_now(),
-                           fake.rest_ms * WG_USEC_PER_MSEC);
-    }
-    evhttp_send_reply(request, status, "Not run", NULL);
-}
-
 static void on_request(struct evhttp_request* request, void* user_data) {
     (void)user_data;
     const char* uri = evhttp_request_get_uri(request);
@@ -294,13 +274,13 @@
     struct evkeyvalq* out = evhttp_request_get_output_headers(request);
     evhttp_add_header(out, "Walnutgate-Request", id);
     if (expected[0] && strcmp(expected, target_id) != 0) {
-        refuse(request, 421);
+        asker_refuse(request, 421);
         return;
     }
     count_arrival();
     check_host(request);
     if (fake_strikes(fake.refuse)) {
-        refuse(request, 503);
+        asker_refuse(request, 503);
         return;
     }
     note("run", id);
--- /dev/null
+++ b/tests/test_router_rest.c
@@ -0,0 +1,80 @@
+/* test_router_rest.c -- real processes: targets of a router that turn requests away and ask for
+   rest
+
+   What callers saw: with two targets, one of which turned all away and asked for three seconds
+   without requests, a request was tried there, waited, and was tried again; one in several ended
+   with the target's refusal though the other target had room.
+
+   The cause: of what a target says in its answers a router heeded its load and its leaving, not the
+   rest that it asks for. A target was put aside only after three failures, and a refusal that says
+   that nothing ran is no failure. */
+#include "fleet_common.h"
+
+enum {
+    CALLERS = 8, /* at once, each without a pause */
+    REST_S = 3,
+    AT_ONCE_MS = 100 /* of an answer that needs no target */
+};
+
+/* Callers for so long; all that went wrong is counted. */
+static load_result ask_for(int seconds) {
+    load_desc desc = callers(LOAD_KIND_DEFAULT, CALLERS, seconds * SECOND);
+    load_result result;
+    load_run(&desc, &result);
+    return result;
+}
+
+static int64_t lookups_at(const char* service) {
+    return proc_journal(proc_find(&fleet, service), "lookups");
+}
+
+START_TEST(a_resting_target_is_left_alone) {
+    start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 2});
+    load_result result = ask_for(1);
+    ck_clean(&result);
+    load_clear(&result);
+    proc_process* resting = proc_find(&fleet, "service1");
+    ck_assert_int_gt(lookups_at("service1"), 0);
+    proc_faults(resting, "refuse=100&rest_ms=3000");
+    result = ask_for(2 * REST_S);
+    int64_t num = proc_journal(resting, "unheeded");
+    printf("%lu whole, %lu failed; %d rests got more than two requests\n", result.whole,
+           result.failed, (int)num);
+    fflush(stdout);
+    ck_clean(&result);
+    load_clear(&result);
+    ck_assert_int_eq(num, 0);
+    proc_faults(resting, "refuse=0");
+    proc_sleep(REST_S * 1000 + 500);
+    int64_t before = lookups_at("service1");
+    result = ask_for(1);
+    load_clear(&result);
+    ck_assert_int_gt(lookups_at("service1"), before); /* it is back */
+    proc_fleet_stop(&fleet);
+}
+END_TEST
+
+START_TEST(while_all_targets_rest_callers_are_refused_at_once) {
+    start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 2});
+    for (int i = 1; i <= 2; i++) {
+        char name[16];
+        g_snprintf(name, sizeof name, "service%d", i);
+        proc_faults(proc_find(&fleet, name), "refuse=100&rest_ms=20000");
+    }
+    load_result result = ask_for(1); /* both have asked for rest */
+    load_clear(&result);
+    wg_time at = wg_now();
+    proc_answer answer =
+        proc_ask(proc_find(&fleet, "r1")->address, "GET", "/v1/app/app/x", "key-w0", NULL, NULL);
+    int64_t took = (wg_now() - at) / MSEC;
+    ck_assert_int_eq(answer.status, 503);
+    ck_assert_str_eq(answer.verdict, "not-run");
+    ck_assert_int_ge(answer.retry_after, 10);
+    ck_assert_int_lt(took, AT_ONCE_MS);
+    proc_answer_clear(&answer);
+    proc_fleet_stop(&fleet);
+}
+END_TEST
+
+WG_TEST_MAIN("router rest", a_resting_target_is_left_alone,
+             while_all_targets_rest_callers_are_refused_at_once)
