Routers too send nothing to a target that asked for rest, and refuse at once what none takes in time

Callers got 502 (not run) while another target had free slots: a refusal that says that nothing ran was no failure, so the target was not put aside, and its wish was read by nobody; the same class as at entry hosts. The router keeps what a target asks for by its row and address (lib/backoff), as entry hosts do; a target that rests is not chosen, gets nothing that was placed before, gives its slots but one back, and is reported like one that is put aside, so that the leader leases its slots to others. Afterwards that one slot is its trial. What fails at it meanwhile is not its fault. Calls that no target takes before their wait for a slot is over end within a tick, 503 or, if they may have run, 502.

Not gated: a request whose connection is still being made when the target begins to rest (evhttp writes it as soon as it is up); it is on its way for milliseconds, and half a second is allowed.

--- a/lib/call/wg_call.c
+++ b/lib/call/wg_call.c
@@ -173,6 +173,10 @@
         bool never_sent = c->attempt == 0;
         return _wgc_give_up(c, never_sent ? WGC_CODE_NO_CAPACITY : WGC_CODE_DEADLINE);
     }
+    case WGC_EVENT_NO_TARGET: {
+        bool not_run = c->attempt == 0 || c->verdict == WG_VERDICT_NOT_RUN;
+        return _wgc_give_up(c, not_run ? WGC_CODE_NO_CAPACITY : WGC_CODE_TARGET_FAILED);
+    }
     case WGC_EVENT_CALLER_GONE:
         return _wgc_end(c, WGC_ACTION_CANCEL, WGC_CODE_DEFAULT);
     default:
--- a/lib/call/wg_call.h
+++ b/lib/call/wg_call.h
@@ -66,6 +66,7 @@
     WGC_EVENT_NOT_RUN_SAID,  /* the target itself said that it did not run it */
     WGC_EVENT_WAITED,        /* the wait before the next attempt is over */
     WGC_EVENT_DEADLINE,      /* the whole request's time is up, or the queue gave it up */
+    WGC_EVENT_NO_TARGET,     /* no target will take it before its wait for a slot is over */
     WGC_EVENT_CALLER_GONE,
     WGC_EVENT_NUM
 } wgc_event_type;
--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -31,6 +31,7 @@
     _wgp_target_t* targets;
     int targets_num;
     GHashTable* by_id;
+    wg_backoff* backoff;     /* what targets asked for */
     _wgp_prefix_t* prefixes; /* direct-mapped by hash: a newer prefix takes an older one's place */
     wg_time lease_until;
     struct {
@@ -65,8 +66,21 @@
     return t->row_leaving || t->said_leaving;
 }
 
-static bool _wgp_usable(const _wgp_target_t* t, wg_time now) {
-    if (!t->live || _wgp_is_leaving(t)) {
+/* Stands for the target at its address: what is there after an edit asked for nothing. */
+static uint64_t _wgp_key(const _wgp_target_t* t) {
+    return wg_hash(t->info.address, strlen(t->info.address), t->info.id);
+}
+
+static wg_time _wgp_rest_until(const wgp_place* p, const _wgp_target_t* t, wg_time now) {
+    return wg_backoff_free_at(p->backoff, now, _wgp_key(t));
+}
+
+static bool _wgp_may_send(const wgp_place* p, const _wgp_target_t* t, wg_time now) {
+    return t->live && !_wgp_is_leaving(t) && _wgp_rest_until(p, t, now) == 0;
+}
+
+static bool _wgp_usable(const wgp_place* p, const _wgp_target_t* t, wg_time now) {
+    if (!_wgp_may_send(p, t, now)) {
         return false;
     }
     if (t->info.aside_until == 0) {
@@ -116,7 +130,7 @@
         return NULL;
     }
     _wgp_target_t* t = _wgp_find(p, entry->target);
-    bool fits = t && _wgp_usable(t, now) && (over || _wgp_has_slot(t)) &&
+    bool fits = t && _wgp_usable(p, t, now) && (over || _wgp_has_slot(t)) &&
                 t->info.service == request->service && t->info.id != request->not_target;
     if (!fits) {
         p->stats.prefix_overruled++;
@@ -143,7 +157,7 @@
     int ties = 0;
     for (int i = 0; i < p->targets_num; i++) {
         _wgp_target_t* t = &p->targets[i];
-        bool fits = t->info.service == request->service && _wgp_usable(t, now) &&
+        bool fits = t->info.service == request->service && _wgp_usable(p, t, now) &&
                     (over || _wgp_has_slot(t));
         if (!fits) {
             continue;
@@ -188,7 +202,8 @@
             continue;
         }
         /* One slot stays for the request that will find out whether the target is well again. */
-        int kept = !t->live || _wgp_is_leaving(t) ? 0 : t->info.aside_until != 0 ? 1 : INT_MAX;
+        bool waits = t->info.aside_until != 0 || t->info.rested;
+        int kept = !t->live || _wgp_is_leaving(t) ? 0 : waits ? 1 : INT_MAX;
         if (_wgp_idle(t) > kept) {
             _wgp_give_one(p, t, _wgp_idle(t) - kept);
         }
@@ -238,6 +253,7 @@
         {"wgp_desc.prefixes_max", desc->prefixes_max, 0},
         {"wgp_desc.aside_min", desc->aside_min, 0},
         {"wgp_desc.aside_max", desc->aside_max, 0},
+        {"wgp_desc.rest_max", desc->rest_max, 0},
         {"wgp_desc.failures", desc->failures, 0},
         {"wgp_desc.reserve", desc->reserve, 0},
     };
@@ -249,11 +265,14 @@
     p->targets = g_new0(_wgp_target_t, p->desc.targets_max);
     p->prefixes = g_new0(_wgp_prefix_t, p->desc.prefixes_max);
     p->by_id = g_hash_table_new(g_direct_hash, g_direct_equal);
+    p->backoff = wg_backoff_setup(&(wg_backoff_desc){
+        .targets_max = p->desc.targets_max, .rest_max = p->desc.rest_max, .seed = p->desc.seed});
     return p;
 }
 
 void wgp_shutdown(wgp_place* p) {
     g_hash_table_unref(p->by_id);
+    wg_backoff_shutdown(p->backoff);
     g_free(p->targets);
     g_free(p->prefixes);
     g_free(p);
@@ -364,7 +383,7 @@
     bool over = reserve && _wgp_reserve_free(p, service);
     for (int i = 0; i < p->targets_num; i++) {
         const _wgp_target_t* t = &p->targets[i];
-        if (t->info.service == service && _wgp_usable(t, now) && (over || _wgp_has_slot(t))) {
+        if (t->info.service == service && _wgp_usable(p, t, now) && (over || _wgp_has_slot(t))) {
             return true;
         }
     }
@@ -419,12 +438,15 @@
     t->sent_since_report = MAX(t->sent_since_report - 1, 0);
     bool was_probing = t->probing;
     t->probing = false;
-    if (result == WGP_RESULT_CANCELLED) {
+    /* What fails in a rest was on its way, or kept back: the target is not to blame. */
+    bool rests = _wgp_rest_until(p, t, now) > 0;
+    if (result == WGP_RESULT_CANCELLED || (result == WGP_RESULT_BAD && rests)) {
         return WGP_EVENT_DEFAULT;
     }
     if (result == WGP_RESULT_GOOD) {
         bool was_aside = t->info.aside_until != 0;
-        p->given_back = p->given_back || was_aside;
+        p->given_back = p->given_back || was_aside || (t->info.rested && !rests);
+        t->info.rested = t->info.rested && rests;
         t->failures_in_row = 0;
         t->info.aside_until = 0;
         t->aside_times = was_aside ? t->aside_times : 0;
@@ -452,6 +474,24 @@
     return t ? _wgp_say_leaving(p, t) : WGP_EVENT_DEFAULT;
 }
 
+wgp_event wgp_note_answer(wgp_place* p, wg_time now, uint32_t target, const wg_backoff_wish* wish,
+                          int64_t unix_time) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (!t) {
+        return WGP_EVENT_DEFAULT;
+    }
+    wg_backoff_wish rest_only = *wish;
+    rest_only.leaving = false; /* rows and host lists can take that back: wgp_note_leaving() */
+    wg_backoff_news news = wg_backoff_note(p->backoff, now, _wgp_key(t), &rest_only, unix_time);
+    if (!news.rests) {
+        return WGP_EVENT_DEFAULT;
+    }
+    t->info.rested = true;
+    p->given_back = true; /* worth a report: slots there are of no use to this router */
+    _wgp_give_back(p, t->info.service);
+    return WGP_EVENT_RESTS;
+}
+
 wgp_event wgp_note_host(wgp_place* p, const char* address, bool leaving, uint64_t list_version) {
     wgp_event event = WGP_EVENT_DEFAULT;
     for (int i = 0; i < p->targets_num; i++) {
@@ -484,9 +524,25 @@
     }
 }
 
+bool wgp_may_send(const wgp_place* p, wg_time now, uint32_t target) {
+    const _wgp_target_t* t = _wgp_find(p, target);
+    return t && _wgp_may_send(p, t, now);
+}
+
 bool wgp_is_usable(const wgp_place* p, wg_time now, uint32_t target) {
     const _wgp_target_t* t = _wgp_find(p, target);
-    return t && _wgp_usable(t, now);
+    return t && _wgp_usable(p, t, now);
+}
+
+wg_time wgp_back_at(const wgp_place* p, wg_time now, uint32_t service) {
+    wg_time back_at = WG_TIME_NEVER;
+    for (int i = 0; i < p->targets_num; i++) {
+        const _wgp_target_t* t = &p->targets[i];
+        if (t->info.service == service && t->live && !_wgp_is_leaving(t)) {
+            back_at = MIN(back_at, _wgp_rest_until(p, t, now));
+        }
+    }
+    return back_at == WG_TIME_NEVER ? 0 : back_at;
 }
 
 static void _wgp_fill_info(const _wgp_target_t* t, wgp_target_info* info) {
@@ -514,7 +570,7 @@
     int num = 0;
     for (int i = 0; i < p->targets_num && _wgp_lease_holds(p, now); i++) {
         const _wgp_target_t* t = &p->targets[i];
-        if (t->info.service == service && _wgp_usable(t, now)) {
+        if (t->info.service == service && _wgp_usable(p, t, now)) {
             num += MAX(t->info.leased - t->info.in_use, 0);
         }
     }
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -12,6 +12,7 @@
           reserve beyond
         - reported load lags: what was sent since the report is added
         - a target that fails is put aside for growing, jittered times and let back by one request
+        - a target that asked for rest is left alone until it is over; its slots but one go back
         - leaving once seen is not unseen by an older host list; a list that vanishes changes
    nothing
         - prefix affinity is a hint: it gives way to load beyond a tolerance
@@ -27,7 +28,7 @@
     THE CALLER OWNS
         everything passed in. Targets are named by their row id.
 */
-#include "wg_base.h"
+#include "wg_backoff.h"
 
 enum {
     WGP_TARGETS_DEFAULT = 1024,
@@ -47,6 +48,7 @@
     int failures;
     wg_time aside_min;
     wg_time aside_max;
+    wg_time rest_max; /* longest rest that a target may ask for; 0: wg_backoff's default */
     int reserve;
     char data_centre[WG_NAME_MAX];
 } wgp_desc;
@@ -78,6 +80,7 @@
     WGP_EVENT_ASIDE,
     WGP_EVENT_BACK,
     WGP_EVENT_LEAVING,
+    WGP_EVENT_RESTS,
     WGP_EVENT_NUM
 } wgp_event;
 
@@ -90,6 +93,7 @@
     int reported; /* its own count when it last said */
     bool leaving;
     wg_time aside_until; /* 0: healthy */
+    bool rested;         /* it asked for rest and has served nothing here since it was over */
     uint64_t requests;
     uint64_t failures;
     char name[WG_NAME_MAX];
@@ -139,14 +143,22 @@
 void wgp_note_load(wgp_place* place, uint32_t target, int running);
 /* The target said that it leaves (in an answer of its own). */
 wgp_event wgp_note_leaving(wgp_place* place, uint32_t target);
+/* The target has answered; `unix_time` in seconds. Only the rest that it asks for counts here. */
+wgp_event wgp_note_answer(wgp_place* place, wg_time now, uint32_t target,
+                          const wg_backoff_wish* wish, int64_t unix_time);
 /* One line of the platform's host list, of version `list_version`. */
 wgp_event wgp_note_host(wgp_place* place, const char* address, bool leaving, uint64_t list_version);
 /* A prefix was worked on at a target; or the target said that it dropped it. */
 void wgp_note_prefix(wgp_place* place, uint64_t prefix, uint32_t target);
 void wgp_forget_prefix(wgp_place* place, uint64_t prefix, uint32_t target);
 
-/* Whether a target takes new work: known, not leaving, not aside. */
+/* Whether a request that is placed may still go to the target: it neither leaves nor rests. */
+bool wgp_may_send(const wgp_place* place, wg_time now, uint32_t target);
+/* Whether a target takes new work: known, not leaving, not resting, not aside. */
 bool wgp_is_usable(const wgp_place* place, wg_time now, uint32_t target);
+/* When the first target of a service is back, if all of them that do not leave rest; 0: one does
+   not, or there is none. */
+wg_time wgp_back_at(const wgp_place* place, wg_time now, uint32_t service);
 /* Target at position 0..n-1; false past the end. */
 bool wgp_query_target(const wgp_place* place, int i, wgp_target_info* info);
 bool wgp_query_target_id(const wgp_place* place, uint32_t id, wgp_target_info* info);
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -28,6 +28,8 @@
           "without a table lease: refuse new work, or serve on by a table that may be old"),
     _TEXT(TEXT, "platform", hosts_url, "", "http:// address of the list of live and leaving hosts"),
     _NUMBER("platform", hosts_ms, "1000", 100, 60000, "ms", "time between two looks at the list"),
+    _NUMBER("limits", target_rest_max_s, "3600", 1, 86400, "s",
+            "longest rest that a target may ask for by Retry-After; a longer one counts as this"),
     _NUMBER("limits", calls_max, "4096", 16, 60000, "requests", "requests at work at once"),
     _NUMBER("limits", head_max, "16384", 1024, 1048576, "bytes", "request line and headers"),
     _NUMBER("limits", body_max, "4194304", 1024, 1073741824, "bytes", "body of a request"),
@@ -163,6 +165,7 @@
     _wgro_link_tick(r, now);
     _wgro_follow_lease(r, now);
     _wgro_expire(r, now);
+    _wgro_give_up_resting(r, now);
     _wgro_parked_tick(r, now);
     _wgro_hosts_tick(r, now);
     wgh_guard(&r->callers, r->settings->files_max);
@@ -197,7 +200,9 @@
 
 static bool _wgro_setup_parts(wgro_router* r, GError** error) {
     const wgro_settings* s = r->settings;
-    wgp_desc place = {.seed = r->seed, .reserve = (int)s->urgent_reserve};
+    wgp_desc place = {.seed = r->seed,
+                      .rest_max = s->target_rest_max_s * WG_USEC_PER_SEC,
+                      .reserve = (int)s->urgent_reserve};
     wg_copy_name(place.data_centre, sizeof place.data_centre, s->data_centre);
     r->table = wgt_setup(&(wgt_desc){0}, error);
     r->members = wgm_setup(&(wgm_desc){0}, error);
--- a/lib/router/wg_router.h
+++ b/lib/router/wg_router.h
@@ -49,6 +49,7 @@
     int64_t head_max;
     int64_t body_max;
     int64_t idle_s;
+    int64_t target_rest_max_s;
     int64_t files_max;
     int64_t report_ms;
     int64_t report_gap_ms;
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -173,6 +173,26 @@
 
 /* ---- answers of targets --------------------------------------------------------------------- */
 
+/* What the target asks of this router beside leaving: a time without requests. */
+static void _wgro_take_wish(const _wgro_attempt_t* attempt, const struct evkeyvalq* in) {
+    wgro_router* r = attempt->router;
+    wg_backoff_wish wish = {.status = attempt->status};
+    for (const struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
+        wg_backoff_read_field(&wish, "", (wg_text){h->key, strlen(h->key)},
+                              (wg_text){h->value, strlen(h->value)});
+    }
+    int64_t unix_time = g_get_real_time() / WG_USEC_PER_SEC;
+    if (wgp_note_answer(r->place, wg_now(), attempt->target, &wish, unix_time) == WGP_EVENT_RESTS) {
+        wgp_target_info info;
+        wgp_query_target_id(r->place, attempt->target, &info);
+        r->counters.rests++;
+        wg_log(WG_EVENT_TARGET_RESTS, "target=%s rest_ms=%" G_GINT64_FORMAT, info.name,
+               wg_backoff_wish_rest(&wish, unix_time,
+                                    r->settings->target_rest_max_s * WG_USEC_PER_SEC) /
+                   WG_USEC_PER_MSEC);
+    }
+}
+
 static void _wgro_note_target_headers(wgro_router* r, _wgro_attempt_t* attempt) {
     struct evkeyvalq* in = evhttp_request_get_input_headers(attempt->request);
     const char* running = evhttp_find_header(in, "Target-Running");
@@ -189,6 +209,7 @@
         wgp_forget_prefix(r->place, number, attempt->target);
     }
     attempt->said_not_run = evhttp_find_header(in, "Target-Not-Run") != NULL;
+    _wgro_take_wish(attempt, in);
 }
 
 static int _wgro_on_head(struct evhttp_request* request, void* user_data) {
@@ -344,6 +365,9 @@
     /* A kept connection may just have been closed by the target; what may not be repeated gets a
        fresh one, so that this cannot leave its verdict open. */
     bool fresh = !call->machine.desc.repeatable;
+    if (!wgp_may_send(r->place, wg_now(), call->choice.target)) {
+        return false; /* it has asked for rest since it was chosen */
+    }
     _wgro_conn_t* conn = _wgro_conn_open(r, call->choice.target, fresh);
     if (!conn || !call->request) {
         if (conn) {
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -91,8 +91,20 @@
 }
 
 static wg_time _wgro_retry_after(_wgro_call_t* call) {
-    wg_time wait = wgq_expected_wait(_wgro_service_of(call)->queue, wg_now(), call->workspace);
-    return MAX(wait, 200 * WG_USEC_PER_MSEC);
+    enum {
+        SOONEST = 200 * WG_USEC_PER_MSEC
+    };
+    wg_time now = wg_now();
+    const _wgro_service_t* service = _wgro_service_of(call);
+    wg_time wait = wgq_expected_wait(service->queue, now, call->workspace);
+    wg_time back_at = wgp_back_at(call->router->place, now, service->row.id);
+    return MAX(MAX(wait, back_at - now), SOONEST);
+}
+
+/* How long the call may wait for a slot from now on. */
+static wg_time _wgro_wait_until(_wgro_call_t* call, wg_time now) {
+    wg_time most = _wgro_service_of(call)->row.service.queue_ms * WG_USEC_PER_MSEC;
+    return MIN(now + most, call->deadline);
 }
 
 static void _wgro_answer_error(_wgro_call_t* call, const wgc_action* action) {
@@ -221,13 +233,13 @@
 static bool _wgro_push(_wgro_call_t* call, bool again, wgq_refusal* refusal) {
     _wgro_service_t* service = _wgro_service_of(call);
     wg_time now = wg_now();
-    wg_time wait_until = now + service->row.service.queue_ms * WG_USEC_PER_MSEC;
+    call->wait_until = _wgro_wait_until(call, now);
     call->queued = wgq_push(service->queue, now,
                             &(wgq_request){.workspace = call->workspace,
                                            .limits = call->limits,
                                            .urgent = call->urgent,
                                            .again = again,
-                                           .wait_until = MIN(wait_until, call->deadline),
+                                           .wait_until = call->wait_until,
                                            .deadline = call->deadline,
                                            .user_data = call},
                             refusal);
@@ -518,6 +530,27 @@
     }
 }
 
+static void _wgro_give_up_before(wgro_router* r, int service, wg_time back_at) {
+    for (int i = 0; i < r->calls_pool.capacity; i++) {
+        _wgro_call_t* call = &r->calls[i];
+        if (r->calls_pool.taken[i] && call->service == service &&
+            call->machine.state == WGC_STATE_QUEUED && back_at > call->wait_until) {
+            _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_NO_TARGET});
+        }
+    }
+}
+
+void _wgro_give_up_resting(wgro_router* r, wg_time now) {
+    for (int i = 0; i < r->services_num; i++) {
+        _wgro_service_t* service = &r->services[i];
+        bool waits = service->live && wgq_query_stats(service->queue).queued > 0;
+        wg_time back_at = waits ? wgp_back_at(r->place, now, service->row.id) : 0;
+        if (back_at > 0) {
+            _wgro_give_up_before(r, i, back_at);
+        }
+    }
+}
+
 void _wgro_give_up_queued(wgro_router* r) {
     for (int i = 0; i < r->calls_pool.capacity; i++) {
         if (r->calls_pool.taken[i] && r->calls[i].machine.state == WGC_STATE_QUEUED) {
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -73,6 +73,7 @@
     int64_t tokens;
     wg_time started;
     wg_time deadline;
+    wg_time wait_until; /* for a slot */
     wg_time picked_at;
     struct event* timer;
     wgc_event_type timer_event;
@@ -112,6 +113,7 @@
     uint64_t lease_refusals;
     uint64_t reports;
     uint64_t row_queries;
+    uint64_t rests; /* that targets asked this router for */
 } _wgro_counters_t;
 
 struct wgro_router {
@@ -215,6 +217,8 @@
 void _wgro_expire(wgro_router* r, wg_time now);
 /* Answer all waiting requests with a refusal: another entry host can serve them. */
 void _wgro_give_up_queued(wgro_router* r);
+/* Calls that wait for targets which all rest for longer than they may wait. */
+void _wgro_give_up_resting(wgro_router* r, wg_time now);
 void _wgro_cut_off_all(wgro_router* r);
 
 /* wg_router_attempt.c */
--- a/lib/router/wg_router_link.c
+++ b/lib/router/wg_router_link.c
@@ -78,7 +78,7 @@
     wgp_target_info info;
     for (int i = 0; wgp_query_target(r->place, i, &info) && i < WGP_TARGETS_DEFAULT; i++) {
         gpointer id = GUINT_TO_POINTER(info.id);
-        bool aside = info.aside_until != 0;
+        bool aside = info.aside_until != 0 || info.rested;
         guint now = (guint)info.leased << 1 | (aside ? 1 : 0);
         if (GPOINTER_TO_UINT(g_hash_table_lookup(r->held_reported, id)) == now) {
             continue;
--- a/lib/router/wg_router_pages.c
+++ b/lib/router/wg_router_pages.c
@@ -35,11 +35,11 @@
     wgp_target_info t;
     for (int i = 0; wgp_query_target(r->place, i, &t); i++) {
         json_array_append_new(
-            list, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:I,s:I}", "name", t.name, "address",
-                            t.address, "slots", t.slots, "leased", t.leased, "in_use", t.in_use,
-                            "reported", t.reported, "leaving", (int)t.leaving, "aside",
-                            (int)(t.aside_until > now), "requests", (json_int_t)t.requests,
-                            "failures", (json_int_t)t.failures));
+            list, json_pack("{s:s,s:s,s:i,s:i,s:i,s:i,s:b,s:b,s:b,s:I,s:I}", "name", t.name,
+                            "address", t.address, "slots", t.slots, "leased", t.leased, "in_use",
+                            t.in_use, "reported", t.reported, "leaving", (int)t.leaving, "aside",
+                            (int)(t.aside_until > now), "rested", (int)t.rested, "requests",
+                            (json_int_t)t.requests, "failures", (json_int_t)t.failures));
     }
     return list;
 }
@@ -87,6 +87,7 @@
                     {"walnutgate_retries_total", c->retries},
                     {"walnutgate_resumes_total", c->resumes},
                     {"walnutgate_callers_left_total", c->callers_left},
+                    {"walnutgate_target_rests_total", c->rests},
                     {"walnutgate_lease_refusals_total", c->lease_refusals},
                     {"walnutgate_reports_total", c->reports},
                     {"walnutgate_reports_held_back_total", r->pacer.held_back},
--- a/tests/test_call.c
+++ b/tests/test_call.c
@@ -35,6 +35,32 @@
 }
 END_TEST
 
+/* The code says what became of it: nothing ran anywhere, or a target may have run it. */
+START_TEST(a_call_that_no_target_takes_in_time_ends_at_once) {
+    begin(true, false, false);
+    wgc_action end = step(WGC_EVENT_NO_TARGET);
+    ck_assert_int_eq(end.type, WGC_ACTION_ANSWER);
+    ck_assert_int_eq(end.code, WGC_CODE_NO_CAPACITY);
+    ck_assert_int_eq(end.verdict, WG_VERDICT_NOT_RUN);
+    begin(true, false, false);
+    step(WGC_EVENT_SLOT);
+    step(WGC_EVENT_WRITTEN);
+    step(WGC_EVENT_NOT_RUN_SAID);
+    step(WGC_EVENT_WAITED);
+    end = step(WGC_EVENT_NO_TARGET);
+    ck_assert_int_eq(end.code, WGC_CODE_NO_CAPACITY);
+    ck_assert_int_eq(end.verdict, WG_VERDICT_NOT_RUN);
+    begin(true, false, false);
+    step(WGC_EVENT_SLOT);
+    step(WGC_EVENT_WRITTEN);
+    step(WGC_EVENT_FAILED);
+    step(WGC_EVENT_WAITED);
+    end = step(WGC_EVENT_NO_TARGET);
+    ck_assert_int_eq(end.code, WGC_CODE_TARGET_FAILED);
+    ck_assert_int_eq(end.verdict, WG_VERDICT_MAY_HAVE_RUN);
+}
+END_TEST
+
 START_TEST(a_byte_ends_retries_of_what_may_not_be_repeated) {
     begin(false, false, false);
     step(WGC_EVENT_SLOT);
@@ -202,6 +228,7 @@
 END_TEST
 
 WG_TEST_MAIN("call", refused_connection_is_not_run_and_tried_again,
+             a_call_that_no_target_takes_in_time_ends_at_once,
              a_byte_ends_retries_of_what_may_not_be_repeated, target_may_say_that_it_did_not_run,
              budget_bounds_retries, events_of_an_attempt_given_up_do_nothing,
              broken_stream_resumes_after_its_last_token, given_up_in_the_queue_is_not_run,
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -341,6 +341,42 @@
 }
 END_TEST
 
+START_TEST(a_resting_target_gets_nothing_and_keeps_one_slot) {
+    wgp_place* p = place_with(2, 4);
+    wgp_choice one = {.target = 1};
+    wgp_choice choice;
+    wg_backoff_wish wish = {.status = 503, .rest = 3 * SECOND, .leaving = true};
+    wgp_sent(p, &one);
+    ck_assert_int_eq(wgp_note_answer(p, SECOND, 1, &wish, 0), WGP_EVENT_RESTS);
+    ck_assert_int_eq(wgp_note_answer(p, SECOND, 1, &wish, 0), WGP_EVENT_DEFAULT);
+    ck_assert_int_eq(wgp_done(p, SECOND, &one, WGP_RESULT_BAD), WGP_EVENT_DEFAULT);
+    wgp_target_info info;
+    wgp_query_target_id(p, 1, &info);
+    ck_assert(info.rested && !info.leaving);
+    ck_assert_int_eq(info.leased, 1);
+    ck_assert(wgp_take_given_back(p));
+    ck_assert(!wgp_is_usable(p, 3 * SECOND, 1));
+    ck_assert(!wgp_may_send(p, 3 * SECOND, 1));
+    ck_assert_int_eq(wgp_back_at(p, 3 * SECOND, 7), 0);
+    wgp_note_prefix(p, 99, 1);
+    ck_assert(wgp_pick(p, 3 * SECOND, &(wgp_request){.service = 7, .prefix = 99}, &choice));
+    ck_assert_uint_eq(choice.target, 2);
+    /* Both rest; the first of them is back first. */
+    wish.rest = 9 * SECOND;
+    wgp_note_answer(p, SECOND, 2, &wish, 0);
+    ck_assert(!wgp_has_room(p, 3 * SECOND, 7, true));
+    ck_assert_int_ge(wgp_back_at(p, 3 * SECOND, 7), 4 * SECOND);
+    ck_assert_int_lt(wgp_back_at(p, 3 * SECOND, 7), 5 * SECOND);
+    ck_assert(wgp_is_usable(p, 5 * SECOND, 1));
+    wgp_sent(p, &one);
+    wgp_done(p, 5 * SECOND, &one, WGP_RESULT_GOOD);
+    ck_assert(wgp_take_given_back(p)); /* more slots may come */
+    wgp_query_target_id(p, 1, &info);
+    ck_assert(!info.rested);
+    wgp_shutdown(p);
+}
+END_TEST
+
 START_TEST(prefix_is_a_hint_that_gives_way) {
     wgp_place* p = place_with(4, 8);
     wgp_choice choice;
@@ -391,5 +427,7 @@
              bad_frames_are_refused, proof_depends_on_key_label_and_hellos,
              bad_settings_name_file_group_and_key, claims_are_granted_once, members_come_and_go,
              entry_hosts_are_few_near_and_steady, only_leased_slots_are_used,
-             leaving_is_not_unseen_by_an_older_list, failing_target_is_put_aside_and_probed,
-             prefix_is_a_hint_that_gives_way, bad_descs_name_the_field)
+             leaving_is_not_unseen_by_an_older_list,
+             a_resting_target_gets_nothing_and_keeps_one_slot,
+             failing_target_is_put_aside_and_probed, prefix_is_a_hint_that_gives_way,
+             bad_descs_name_the_field)
--- a/tests/test_router_rest.c
+++ b/tests/test_router_rest.c
@@ -7,7 +7,10 @@
 
    The cause: of what a target says in its answers a router heeded its load and its leaving, not the
    rest that it asks for. A target was put aside only after three failures, and a refusal that says
-   that nothing ran is no failure. */
+   that nothing ran is no failure.
+
+   The evidence: with eight callers here 11,450 of 18,990 requests ended with that refusal while the
+   other target had free slots. */
 #include "fleet_common.h"
 
 enum {
