A 421 says nothing of the target that was meant; the soak has targets that ask for rest

A target at an address that another one had before answers 421, and may say that it leaves: it speaks for itself. Without this the host kept the one that was meant as leaving for good (test_entry_rest, failing before).

Each counts by the host that a request was sent to; a host is excused only by a fault of its own process or of the links to that target.

--- a/lib/entry/wg_entry_backoff.c
+++ b/lib/entry/wg_entry_backoff.c
@@ -3,8 +3,11 @@
 
 wg_time wg_entry_note_answer(wg_entry* e, uint32_t number, const wg_backoff_wish* wish,
                              const char* id) {
+    enum {
+        MISDIRECTED = 421 /* another start, or another target, answers at its address */
+    };
     const wg_target* target = wg_registry_find(e->registry, number);
-    if (!target) {
+    if (!target || wish->status == MISDIRECTED) {
         return 0;
     }
     int64_t unix_time = g_get_real_time() / WG_USEC_PER_SEC;
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -255,14 +255,15 @@
     return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-void hosts_set_target(hosts* h, const host_target* t, const char* faults) {
+bool hosts_set_target(hosts* h, const host_target* t, const char* faults) {
     char address[WG_ADDRESS_MAX];
     char* path = g_strdup_printf("/fake/set?%s", faults);
     g_snprintf(address, sizeof address, "127.%d.6.%d:9000", h->part, t->number);
     proc_answer answer = proc_ask(address, "POST", path, NULL, NULL, NULL);
-    WG_ASSERT(answer.status == 200);
+    bool set = answer.status == 200;
     proc_answer_clear(&answer);
     g_free(path);
+    return set;
 }
 
 void hosts_wipe(hosts* h, host* w) {
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -90,8 +90,9 @@
 void hosts_start_target(hosts* h, host_target* which);
 /* Run a program beside them to its end, output in `log`; its exit status. */
 int hosts_run_program(hosts* h, const char* program, const char* log, char** arguments);
-/* Set faults of a target that runs, "name=value&name=value"; see tests/fakes/fake.h. */
-void hosts_set_target(hosts* h, const host_target* which, const char* faults);
+/* Set faults of a target that runs, "name=value&name=value"; see tests/fakes/fake.h. False when it
+   does not answer. */
+bool hosts_set_target(hosts* h, const host_target* which, const char* faults);
 /* Remove the data folder of a replica that is not running. */
 void hosts_wipe(hosts* h, host* which);
 /* End everything that was started, by its id, and remove the folder unless `keep`. */
--- a/tests/sim/soak_callers.c
+++ b/tests/sim/soak_callers.c
@@ -134,7 +134,9 @@
     if (!c->bev) {
         struct sockaddr_storage address;
         int size;
-        WG_ASSERT(wgn_parse_address(soak_any_host(s)->callers, &address, &size));
+        const host* w = soak_any_host(s);
+        c->host = w->number;
+        WG_ASSERT(wgn_parse_address(w->callers, &address, &size));
         c->bev =
             bufferevent_socket_new(s->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
         bufferevent_setcb(c->bev, caller_on_read, NULL, caller_on_event, c);
@@ -161,8 +163,8 @@
     evbuffer_add_printf(bufferevent_get_output(c->bev),
                         "%s HTTP/1.1\r\nHost: soak\r\nWalnutgate-Request: %s\r\n"
                         "Walnutgate-Key: key\r\nWalnutgate-Deadline-Ms: 3000\r\n"
-                        "%sContent-Length: 0\r\n\r\n",
-                        lines[c->kind], c->id, prompt);
+                        "Asked-Host: %d\r\n%sContent-Length: 0\r\n\r\n",
+                        lines[c->kind], c->id, c->host, prompt);
     struct timeval wait = {.tv_sec = CALL_TIME / WG_USEC_PER_SEC};
     event_add(c->timer, &wait);
 }
--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -44,6 +44,9 @@
                   .target = target,
                   .disturbance = at};
     g_queue_push_tail(&s->repairs, r);
+    disturbance* d = &s->disturbances[at];
+    d->entry = kind == REPAIR_ENTRY || kind == REPAIR_CONTINUE_ENTRY ? number + 1 : 0;
+    d->target_links = kind == REPAIR_LINKS && target ? number + 1 : 0;
 }
 
 static void repair_one(soak* s, const repair* r) {
@@ -72,6 +75,9 @@
     case REPAIR_DISK:
         set_disk_full(w, false);
         break;
+    case REPAIR_BUSY:
+        soak_end_busy(s, r->number);
+        break;
     case REPAIR_LINKS:
         proxy_set(r->target ? t->links : w->links, PROXY_PASS);
         break;
@@ -194,6 +200,7 @@
     if (kind == 0) {
         proxy_reset(links);
         s->disturbances[at].until = wg_now();
+        s->disturbances[at].target_links = target ? number + 1 : 0;
         return;
     }
     proxy_set(links, (proxy_mode)kind);
@@ -217,9 +224,15 @@
 }
 
 void soak_strike(soak* s, wg_time now) {
+    enum {
+        BUSY_ONE_IN = 3 /* of the faults of a run with rests */
+    };
     if (now < s->fault_at || s->desc.calm) {
         return;
     }
+    if (s->desc.rests && soak_draw(s, BUSY_ONE_IN) == 0) {
+        soak_make_busy(s, (int)soak_draw(s, (uint64_t)s->h.targets_num));
+    }
     if (s->desc.successions) {
         soak_strike_succession(s, now);
         return;
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -49,6 +49,7 @@
 typedef struct {
     soak* s;
     int number;
+    int host; /* number of the one that it is connected to */
     struct bufferevent* bev;
     struct event* timer; /* next step: start, or give up */
     bool busy;
@@ -65,8 +66,10 @@
 
 typedef struct {
     wg_time from;
-    wg_time until; /* 0: goes on */
-    bool planned;  /* bounds in time hold all the same */
+    wg_time until;    /* 0: goes on */
+    bool planned;     /* bounds in time hold all the same */
+    int entry;        /* number of the host whose entry process it concerns; 0: of none */
+    int target_links; /* number of the target whose links it spoils; 0: of none */
 } disturbance;
 
 /* From the acknowledgement of an evacuation until its end was ordered first. */
@@ -166,6 +169,13 @@
 /* After all other faults: the request comes for some seconds more; true once that is over. */
 bool soak_crash_is_known(soak* s, wg_time now);
 
+/* ---- soak_rest.c ---- */
+/* A target turns requests away for a while and asks for rest; false when it cannot now. */
+bool soak_make_busy(soak* s, int number);
+void soak_end_busy(soak* s, int number);
+/* What came to targets against their wish. */
+void soak_check_unheeded(soak* s, const hosts_notes* notes);
+
 /* ---- soak_callers.c ---- */
 void soak_callers_make(soak* s);
 void soak_callers_start(soak* s);
@@ -187,7 +197,8 @@
     REPAIR_CONTINUE_ENTRY, /* after SIGSTOP */
     REPAIR_CONTINUE_REPLICA,
     REPAIR_DISK,
-    REPAIR_LINKS
+    REPAIR_LINKS,
+    REPAIR_BUSY /* a target turns requests away */
 } repair_kind;
 /* End a fault after so many milliseconds; `at`: its place among the disturbances. */
 void soak_plan_repair(soak* s, repair_kind kind, int number, bool target, int ms, int at);
--- /dev/null
+++ b/tests/sim/soak_rest.c
@@ -0,0 +1,73 @@
+/* soak_rest.c -- targets of the fault soak that turn requests away and ask for rest, and what came
+   to them against their wish
+
+   Each target counts by the host that a request was sent to. What excuses a host is looked up for
+   each single case: its process ended, stood still or started meanwhile, or the links to the target
+   were spoilt, so that the wish may not have come. Nothing else does: no lost leader, no
+   configuration, no list of targets, no SIGHUP. */
+#include <inttypes.h>
+
+#include "soak_internal.h"
+
+enum {
+    REFUSE_PERCENT_MIN = 30,
+    REFUSE_PERCENT_SPAN = 71,
+    REST_MS_MIN = 600,
+    REST_MS_SPAN = 3000,
+    BUSY_MS_MIN = 500,
+    BUSY_MS_SPAN = 4000,
+    /* From the answer until the wish counts, and for what a fault held up to arrive. */
+    ON_ITS_WAY = 600 * WG_USEC_PER_MSEC,
+    AFTER_FAULT = 1 * WG_USEC_PER_SEC
+};
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static bool is_excused(const soak* s, const hosts_unheeded* u) {
+    for (int i = 0; i < s->disturbances_num; i++) {
+        const disturbance* d = &s->disturbances[i];
+        bool concerns = d->entry == u->host || d->target_links == u->target;
+        bool over = d->until != 0 && d->until + AFTER_FAULT < u->since - ON_ITS_WAY;
+        if (concerns && !over && d->from <= u->at) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* ---- functions of the soak ------------------------------------------------------------------- */
+
+bool soak_make_busy(soak* s, int number) {
+    host_target* t = &s->h.targets[number];
+    char faults[64];
+    int percent = REFUSE_PERCENT_MIN + (int)soak_draw(s, REFUSE_PERCENT_SPAN);
+    int rest = REST_MS_MIN + (int)soak_draw(s, REST_MS_SPAN);
+    int busy = BUSY_MS_MIN + (int)soak_draw(s, BUSY_MS_SPAN);
+    if (t->pid <= 0 || soak_is_repairing(s, number, true)) {
+        return false;
+    }
+    g_snprintf(faults, sizeof faults, "refuse=%d&rest_ms=%d", percent, rest);
+    if (!hosts_set_target(&s->h, t, faults)) {
+        return false;
+    }
+    s->result.busy++;
+    soak_plan_repair(s, REPAIR_BUSY, number, true, busy, soak_disturb(s));
+    return true;
+}
+
+void soak_end_busy(soak* s, int number) {
+    hosts_set_target(&s->h, &s->h.targets[number], "refuse=6&rest_ms=0");
+}
+
+void soak_check_unheeded(soak* s, const hosts_notes* notes) {
+    for (guint i = 0; i < notes->unheeded->len; i++) {
+        const hosts_unheeded* u = &g_array_index(notes->unheeded, hosts_unheeded, i);
+        if (is_excused(s, u)) {
+            s->result.excused++;
+            continue;
+        }
+        soak_broken(
+            s, "host %d sent target %d a request %s at %" PRId64 ", not allowed since %" PRId64,
+            u->host, u->target, u->leaving ? "though it leaves" : "in its rest", u->at, u->since);
+    }
+}
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -179,6 +179,7 @@
         }
     }
     check_arrivals(s, &notes);
+    soak_check_unheeded(s, &notes);
     hosts_notes_clear(&notes);
 }
 
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -16,6 +16,9 @@
         - no request reaches a target of an evacuated data centre from two seconds after the
           evacuation was acknowledged until its end is ordered, while no fault is near; also when
           all replicas ended meanwhile
+        - more than two requests reach a target from a host within a rest that it had asked that
+          host for, or one later than two seconds after it had told that host that it leaves, only
+          where that host's process or the links to the target were disturbed meanwhile
         - a request under which three targets had ended is sent to three more at most once the
    faults are over, by all hosts together
         - soon after the last fault every entry host serves again, obeys the newest configuration
@@ -37,6 +40,7 @@
                          seconds after the newcomer's start a disk is lost with all power */
     bool colds; /* harsh, and no other faults: targets start again, cold, while the hosts that grant
 them requests come and go */
+    bool rests; /* targets turn requests away and ask for rest, beside all other faults */
     bool spoiled; /* targets cut off, fail and refuse a part of their requests */
     bool keep;    /* the folder with the logs, also after a good run */
 } soak_desc;
@@ -56,6 +60,8 @@
     int disks_lost;   /* in losses of power */
     int cold_most;    /* requests that a cold target got in a second */
     int crashes;      /* targets that a request ended */
+    int busy;         /* times that a target turned requests away */
+    int excused;      /* requests against a target's wish, each for a fault of that moment */
     int late_ms;      /* at most, of this process itself */
     wg_time back;     /* from the last fault until all served again */
 } soak_result;
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -29,10 +29,11 @@
         arg_lit0(NULL, "successions", "harsh; a replaced host, leaders that fall, a lost disk");
     struct arg_lit* colds =
         arg_lit0(NULL, "colds", "harsh; cold targets, while the hosts that grant them change");
+    struct arg_lit* rests = arg_lit0(NULL, "rests", "targets turn requests away and ask for rest");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed, seeds,   seconds,     hosts, disks, harsh,
-                     calm, crashes, successions, colds, keep,  end};
+    void* table[] = {seed,    seeds,       seconds, hosts, disks, harsh, calm,
+                     crashes, successions, colds,   rests, keep,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -51,19 +52,20 @@
                           .successions = successions->count > 0,
                           .calm = calm->count > 0,
                           .crashes = crashes->count > 0,
+                          .rests = rests->count > 0,
                           .spoiled = i % 2 == 1,
                           .keep = keep->count > 0};
         soak_result r = soak_run(&desc);
         failed += !r.good;
         printf(
             "seed %" G_GUINT64_FORMAT ": %s%s%s; %d requests, %d whole, %d refused, %d failed, "
-            "%d faults, %d a cold second, %d targets crashed, %d disks lost, %d hosts replaced, %d "
-            "configurations, %d evacuations, "
+            "%d faults, %d a cold second, %d targets crashed, %d busy, %d excused, %d disks lost, "
+            "%d hosts replaced, %d configurations, %d evacuations, "
             "late by %d ms, back after %.1f s%s%s\n",
             desc.seed, r.good ? "good" : "BROKEN: ", r.good ? "" : r.reason, "", r.requests,
-            r.whole, r.refused, r.failed, r.faults, r.cold_most, r.crashes, r.disks_lost,
-            r.replaced, r.acknowledged, r.evacuations, r.late_ms, (double)r.back / WG_USEC_PER_SEC,
-            r.good ? "" : ", logs in ", r.good ? "" : r.folder);
+            r.whole, r.refused, r.failed, r.faults, r.cold_most, r.crashes, r.busy, r.excused,
+            r.disks_lost, r.replaced, r.acknowledged, r.evacuations, r.late_ms,
+            (double)r.back / WG_USEC_PER_SEC, r.good ? "" : ", logs in ", r.good ? "" : r.folder);
         fflush(stdout);
     }
     printf("%d runs, %d broken\n", runs, failed);
--- a/tests/test_entry_rest.c
+++ b/tests/test_entry_rest.c
@@ -148,6 +148,20 @@
 END_TEST
 
 /* It serves what is under way, and its word holds without a leader too. */
+/* 421: whoever answers at the address is not the target that was meant, and speaks for itself. */
+START_TEST(what_another_one_at_its_address_says_is_not_its_word) {
+    begin();
+    int fd = asked_caller();
+    target_says("HTTP/1.1 421 Other\r\nTarget-Leaving: 1\r\nContent-Length: 0\r\n\r\n");
+    ck_assert_int_eq(status_and_close(fd), 503);
+    fake_word word = first_start;
+    word.change = 2; /* it says of itself that it is there */
+    lead(word);
+    ck_target_serves();
+    one_entry_end();
+}
+END_TEST
+
 START_TEST(a_target_that_leaves_gets_nothing_more) {
     begin();
     int fd = asked_caller();
@@ -224,6 +238,8 @@
 
 WG_TEST_MAIN("entry rest", a_rest_ends_after_its_time, a_503_that_may_have_run_asks_for_rest_too,
              other_statuses_ask_for_no_rest, a_rest_outlives_lists_and_configurations,
-             another_start_of_the_target_asked_for_nothing, a_target_that_leaves_gets_nothing_more,
+             another_start_of_the_target_asked_for_nothing,
+             what_another_one_at_its_address_says_is_not_its_word,
+             a_target_that_leaves_gets_nothing_more,
              while_all_targets_rest_callers_are_refused_at_once, a_short_rest_is_waited_for,
              questions_for_cached_prompts_heed_it_and_tell_of_it)
--- a/tests/test_resting_targets.c
+++ b/tests/test_resting_targets.c
@@ -120,8 +120,8 @@
     for (int i = 0; i < HOSTS; i++) {
         ck_assert(hosts_serves_until(&f->h, &f->h.hosts[i], FORM_MS));
     }
-    hosts_set_target(&f->h, first_target(f), "refuse=0&fail=0");
-    hosts_set_target(&f->h, second_target(f), "refuse=0&fail=0&work_us=60000");
+    ck_assert(hosts_set_target(&f->h, first_target(f), "refuse=0&fail=0"));
+    ck_assert(hosts_set_target(&f->h, second_target(f), "refuse=0&fail=0&work_us=60000"));
     ask_for(f, HOSTS, 500);
     hosts_run_for(&f->h, 200);
     f->got = (answers){0};
@@ -152,7 +152,7 @@
 static void check_rest(const char* what, int hosts_num) {
     fleet f;
     begin(&f);
-    hosts_set_target(&f.h, first_target(&f), "refuse=100&rest_ms=3000");
+    ck_assert(hosts_set_target(&f.h, first_target(&f), "refuse=100&rest_ms=3000"));
     ask_for(&f, hosts_num, RUN_MS);
     hosts_run_for(&f.h, 300);
     int num = unheeded(&f);
@@ -177,7 +177,7 @@
 START_TEST(a_target_that_says_it_leaves_gets_no_more) {
     fleet f;
     begin(&f);
-    hosts_set_target(&f.h, first_target(&f), "leaving=1");
+    ck_assert(hosts_set_target(&f.h, first_target(&f), "leaving=1"));
     ask_for(&f, HOSTS, RUN_MS);
     hosts_run_for(&f.h, 300);
     int num = unheeded(&f);
--- /dev/null
+++ b/tests/test_soak_rests.c
@@ -0,0 +1,25 @@
+/* test_soak_rests.c -- short seeded runs of the fault soak in which targets turn requests away and
+   ask for rest, or say that they leave, beside all other faults; test_resting_targets.c tells the
+   story */
+#include "soak_run.h"
+#include "wg_test.h"
+
+static void run(uint64_t seed, bool harsh) {
+    soak_result r = soak_run(&(soak_desc){
+        .seed = seed, .seconds = 12, .hosts = 5, .disks = 3, .harsh = harsh, .rests = true});
+    ck_assert_msg(r.good, "seed %d: %s; logs in %s", (int)seed, r.reason, r.folder);
+    ck_assert_int_gt(r.whole, 100);
+    ck_assert_int_ge(r.busy, 1);
+}
+
+START_TEST(wishes_are_heeded_under_faults) {
+    run(41001, false);
+}
+END_TEST
+
+START_TEST(wishes_are_heeded_under_harsh_faults) {
+    run(41002, true);
+}
+END_TEST
+
+WG_TEST_MAIN("soak rests", wishes_are_heeded_under_faults, wishes_are_heeded_under_harsh_faults)
