A leader that stood still does not count that time as silence of others

What callers saw: after a machine had stood still for seconds, hosts sent nothing to targets that were there all the time. Cause: targets (6 s), entry hosts (1.5 s) and routers (3 s) that a leader has not heard of are taken for gone, and time in which the leader itself stood still counted as their silence; its tick comes before it reads what they sent.

Now lateness of the tick beyond 300 ms (three reports of a host) is taken off the silence of all. A new leader begins anew as before; a real silence counts as before (same test). Ruled out: sparing from 100 ms on, by which a loop that is always late would hardly ever find a silent target.

test_leader_states: 33 of 40 targets told again, as silent, within 300 ms before; none now.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -328,6 +328,7 @@
     _wgco_discovery_tick(c, now);
     _wgco_dial_peers(c, now);
     if (c->leads) {
+        _wgco_watch_spare(c, now);
         _wgco_add_new_controls(c, now);
         _wgco_routers_tick(c, now);
         _wgco_entry_tick(c, now);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -280,6 +280,8 @@
 /* what this control sees of itself and of the set (wg_control_watch.c) */
 /* A line when the loop turned late, or when nobody has led for a while. */
 void _wgco_watch_tick(wgco_control* c, wg_time now);
+/* A leader that stood still before this tick has heard nobody meanwhile. */
+void _wgco_watch_spare(wgco_control* c, wg_time now);
 /* The set as a log line's detail: voters, learners, and those whose link is down; the caller frees
    it. */
 bool _wgco_is_up(const wgco_control* c, const wgr_replica* replica);
--- a/lib/control/wg_control_watch.c
+++ b/lib/control/wg_control_watch.c
@@ -139,6 +139,20 @@
     return g_string_free(holders, FALSE);
 }
 
+/* Counted as silence, time in which nobody listened would end targets, entry hosts and routers that
+   were there all the time, before what they sent meanwhile is read. */
+void _wgco_watch_spare(wgco_control* c, wg_time now) {
+    enum {
+        STOOD_STILL = 300 * WG_USEC_PER_MSEC /* three reports of an entry host */
+    };
+    wg_time stood = c->pulse.last;
+    if (stood > STOOD_STILL) {
+        wg_registry_spare(c->registry, now, stood);
+        wg_roster_spare(c->roster, now, stood);
+        wgm_spare(c->members, now, stood);
+    }
+}
+
 void _wgco_watch_tick(wgco_control* c, wg_time now) {
     wg_time late;
     wg_time period = c->settings->tick_ms * WG_USEC_PER_MSEC;
--- a/lib/member/wg_member.c
+++ b/lib/member/wg_member.c
@@ -121,6 +121,13 @@
     return event;
 }
 
+void wgm_spare(wgm_members* m, wg_time now, wg_time time) {
+    for (int i = 0; i < m->num; i++) {
+        wgm_member* member = &m->items[i];
+        member->heard_at = MIN(member->heard_at + time, now);
+    }
+}
+
 const wgm_member* wgm_tick(wgm_members* m, wg_time now) {
     for (int i = 0; i < m->num; i++) {
         wgm_member* member = &m->items[i];
--- a/lib/member/wg_member.h
+++ b/lib/member/wg_member.h
@@ -79,6 +79,8 @@
 void wgm_shutdown(wgm_members* members);
 /* Leader: a router was heard. Uses name, address, data_centre, incarnation and state. */
 wgm_event wgm_heard(wgm_members* members, wg_time now, const wgm_member* heard);
+/* Leader: for so long, until `now`, it did not listen: that time is no silence of a router. */
+void wgm_spare(wgm_members* members, wg_time now, wg_time time);
 /* Leader: take silent routers as gone. Returns one of them per call, or NULL. */
 const wgm_member* wgm_tick(wgm_members* members, wg_time now);
 /* Copy: install what the leader said. */
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -305,6 +305,13 @@
     }
 }
 
+void wg_registry_spare(wg_registry* r, wg_time now, wg_time time) {
+    for (guint i = 0; i < r->records->len; i++) {
+        wg_target* target = r->records->pdata[i];
+        target->heard_at = MIN(target->heard_at + time, now);
+    }
+}
+
 const wg_target* wg_registry_silent(const wg_registry* r, wg_time now, wg_time limit) {
     for (guint i = 0; i < r->records->len; i++) {
         const wg_target* target = r->records->pdata[i];
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -108,6 +108,8 @@
 bool wg_registry_takes(const wg_registry* registry, const wg_target* target);
 /* Count every target as heard of at `now`: a new leader has not listened before. */
 void wg_registry_hear_all(wg_registry* registry, wg_time now);
+/* For so long, until `now`, nobody listened: that time is no silence of a target. */
+void wg_registry_spare(wg_registry* registry, wg_time now, wg_time time);
 /* A ready or draining target not heard of for `limit` microseconds, or NULL. */
 const wg_target* wg_registry_silent(const wg_registry* registry, wg_time now, wg_time limit);
 /* Ask about a silent target again only after another `limit`. */
--- a/lib/roster/wg_roster.c
+++ b/lib/roster/wg_roster.c
@@ -133,6 +133,13 @@
     return true;
 }
 
+void wg_roster_spare(wg_roster* r, wg_time now, wg_time time) {
+    for (guint i = 0; i < r->hosts->len; i++) {
+        wg_roster_host* host = r->hosts->pdata[i];
+        host->heard_at = MIN(host->heard_at + time, now);
+    }
+}
+
 bool wg_roster_drop_silent(wg_roster* r, wg_time now, wg_time limit, char name[WG_NAME_MAX]) {
     for (guint i = 0; i < r->hosts->len; i++) {
         const wg_roster_host* host = r->hosts->pdata[i];
--- a/lib/roster/wg_roster.h
+++ b/lib/roster/wg_roster.h
@@ -66,6 +66,8 @@
 bool wg_roster_hear(wg_roster* roster, wg_time now, const wg_roster_host* host);
 /* It takes none any more; true when it was listed. */
 bool wg_roster_leave(wg_roster* roster, const char* name);
+/* For so long, until `now`, nobody listened: that time is no silence of a host. */
+void wg_roster_spare(wg_roster* roster, wg_time now, wg_time time);
 /* Take one host out that was silent for longer than `limit` (microseconds); its name goes to
    `name`. False: there is none. */
 bool wg_roster_drop_silent(wg_roster* roster, wg_time now, wg_time limit, char name[WG_NAME_MAX]);
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -196,6 +196,43 @@
 }
 END_TEST
 
+/* What callers saw: a machine stood still for seconds, and after it hosts sent nothing to targets
+   that were there all the time, until each had been heard of again.
+
+   The order of events: the leader stood still for longer than a target may be silent. As it went on
+   its tick came before it had read anything, found that nobody had been heard of for so long, and
+   took one target after the other for silent, one a tick; its hosts were told.
+
+   The cause: silence was counted while nobody listened. The evidence: here 33 of 40 targets were
+   told again, as silent, within 300 ms of the leader's going on. */
+START_TEST(a_leader_that_stood_still_takes_no_target_for_silent) {
+    begin();
+    local_entry host;
+    host_begin(&host, 1);
+    for (int i = 1; i <= TARGETS; i++) {
+        order_target(&host, i, 1);
+    }
+    for (int i = 0; i < TURNS && host.targets < TARGETS; i++) {
+        local_turn(base);
+    }
+    ck_assert_int_eq(host.targets, TARGETS);
+    wg_now_skip((settings.target_silent_ms + 1000) * MSEC);
+    turns(300);
+    ck_assert_int_eq(host.targets, TARGETS);
+    /* A silence that it listens to counts. */
+    for (int ms = 0; ms < settings.target_silent_ms; ms += 200) {
+        wg_now_skip(200 * MSEC);
+        turns(10);
+    }
+    for (int i = 0; i < TURNS && host.targets < 2 * TARGETS; i++) {
+        local_turn(base);
+    }
+    ck_assert_int_eq(host.targets, 2 * TARGETS);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
 static void order_evacuation(local_entry* host, const char* data_centre, bool begins) {
     Wgpb__Evacuation evacuation = WGPB__EVACUATION__INIT;
     Wgpb__Order order = WGPB__ORDER__INIT;
@@ -381,4 +418,6 @@
 WG_TEST_MAIN("leader states", evidence_of_two_hosts_is_put_together,
              a_quarantine_outlives_its_leader, a_quarantine_ends_with_its_time,
              a_configuration_goes_out_as_what_changed, what_is_on_its_way_is_not_sent_again,
-             changes_of_one_moment_go_out_together, an_evacuation_outlives_its_leader)
+             changes_of_one_moment_go_out_together,
+             a_leader_that_stood_still_takes_no_target_for_silent,
+             an_evacuation_outlives_its_leader)
