--- a/lib/backoff/wg_backoff.c
+++ b/lib/backoff/wg_backoff.c
@@ -33,6 +33,13 @@
     _WG_UNAVAILABLE = 503 /* the status that turns a request away */
 };
 
+/* The value without blanks around it; false when it is too long to be one of these. */
+static bool _wg_field_text(wg_text value, char text[_WG_FIELD_MAX]) {
+    g_snprintf(text, _WG_FIELD_MAX, "%.*s", (int)MIN(value.size, _WG_FIELD_MAX - 1), value.text);
+    g_strstrip(text);
+    return value.size < _WG_FIELD_MAX;
+}
+
 /* Digits with a fraction or without; the time may be infinite. */
 static bool _wg_read_seconds(const char* text, double* seconds) {
     size_t digits = strspn(text, "0123456789");
@@ -138,14 +145,13 @@
 void wg_backoff_read_field(wg_backoff_wish* wish, const char* leaving, wg_text name,
                            wg_text value) {
     char text[_WG_FIELD_MAX];
-    bool whole = value.size < sizeof text;
-    g_snprintf(text, sizeof text, "%.*s", (int)MIN(value.size, sizeof text - 1), value.text);
-    g_strstrip(text);
     if (wg_text_is(name, "Retry-After")) {
-        _wg_read_rest(wish, whole ? text : "");
+        _wg_read_rest(wish, _wg_field_text(value, text) ? text : "");
     } else if (wg_text_is(name, "Date")) {
+        _wg_field_text(value, text);
         _wg_read_date(text, &wish->date);
     } else if (wg_text_is(name, leaving)) {
+        _wg_field_text(value, text);
         wish->leaving = wish->leaving || strcmp(text, "1") == 0;
     }
 }
