--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -153,7 +153,7 @@
     wg_upstream_send(up, call);
 }
 
-/* Not the target that was chosen, in this try. */
+/* The proposed target is not asked for again in this try. */
 static void wg_call_pass_over(wg_call* call) {
     wg_need* need = &call->need;
     if (need->denied_num < WG_DENIED_MAX) {
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -366,7 +366,7 @@
        fresh one, so that this cannot leave its verdict open. */
     bool fresh = !call->machine.desc.repeatable;
     if (!wgp_may_send(r->place, wg_now(), call->choice.target)) {
-        return false; /* it has asked for rest since it was chosen */
+        return false; /* it has asked for rest meanwhile */
     }
     _wgro_conn_t* conn = _wgro_conn_open(r, call->choice.target, fresh);
     if (!conn || !call->request) {
