--- a/tests/test_resting_targets.c
+++ b/tests/test_resting_targets.c
@@ -173,6 +173,21 @@
 }
 END_TEST
 
+/* Not every target asks for rest. One that turns all away in no time has nothing under way, so it
+   looked the emptiest and drew every request, as in the story above. */
+START_TEST(a_target_that_turns_all_away_does_not_draw_requests) {
+    fleet f;
+    begin(&f);
+    ck_assert(hosts_set_target(&f.h, first_target(&f), "refuse=100"));
+    ask_for(&f, HOSTS, RUN_MS);
+    hosts_run_for(&f.h, 300);
+    bool good = f.got.whole >= f.got.sent * WHOLE_PERCENT / 100;
+    tell("turned away", &f, 0);
+    end(&f, good);
+    ck_assert_msg(good, "%d of %d whole; logs in %s", f.got.whole, f.got.sent, f.h.folder);
+}
+END_TEST
+
 /* It serves on meanwhile and tells nobody but those that it answers. */
 START_TEST(a_target_that_says_it_leaves_gets_no_more) {
     fleet f;
@@ -190,4 +205,6 @@
 END_TEST
 
 WG_TEST_MAIN("resting_targets", a_resting_target_is_left_alone_by_one_host,
-             a_resting_target_is_left_alone_by_all_hosts, a_target_that_says_it_leaves_gets_no_more)
+             a_resting_target_is_left_alone_by_all_hosts,
+             a_target_that_turns_all_away_does_not_draw_requests,
+             a_target_that_says_it_leaves_gets_no_more)
--- a/tests/test_router_rest.c
+++ b/tests/test_router_rest.c
@@ -57,6 +57,23 @@
 }
 END_TEST
 
+/* Not every target asks for rest. */
+START_TEST(a_target_that_turns_all_away_does_not_draw_requests) {
+    enum {
+        WHOLE_PERCENT = 95
+    };
+    start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 2});
+    proc_faults(proc_find(&fleet, "service1"), "refuse=100");
+    load_result result = ask_for(6);
+    uint64_t all = result.whole + result.failed;
+    printf("%lu whole, %lu failed\n", result.whole, result.failed);
+    fflush(stdout);
+    ck_assert_uint_ge(result.whole, all * WHOLE_PERCENT / 100);
+    load_clear(&result);
+    proc_fleet_stop(&fleet);
+}
+END_TEST
+
 START_TEST(while_all_targets_rest_callers_are_refused_at_once) {
     start(&(proc_desc){.controls = 1, .routers = 1, .engines = 1, .services = 2});
     for (int i = 1; i <= 2; i++) {
@@ -80,4 +97,5 @@
 END_TEST
 
 WG_TEST_MAIN("router rest", a_resting_target_is_left_alone,
+             a_target_that_turns_all_away_does_not_draw_requests,
              while_all_targets_rest_callers_are_refused_at_once)
