--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -43,7 +43,8 @@
 
 /* Are an entry host's, a replica's and a target's first addresses free? */
 static bool is_free_part(int part) {
-    static const char* const first[] = {"127.%d.1.1:7101", "127.%d.9.1:7100", "127.%d.6.1:9000"};
+    static const char* const first[] = {"127.%d.1.1:7100", "127.%d.1.1:7101", "127.%d.9.1:7100",
+                                        "127.%d.6.1:9000"};
     bool free = true;
     for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
         char address[WG_ADDRESS_MAX];
