Reproduced, failing: at a host whose loop is slow a request that no target takes waits until its deadline

Callers of a flooded host that cannot be served wait until their time is over, in place of 11% of their objective.

Cause, by reading and by this test (no answer within 5 s, 55 ms are allowed): a tick comes before a call's timer and has the call tried again; the timer looks at that before the end of the wait; trying finds no target and puts the call back. With rounds of the loop longer than a tick that repeats without end.

--- a/tests/test_entry_flooded.c
+++ b/tests/test_entry_flooded.c
@@ -268,6 +268,41 @@
 }
 END_TEST
 
+/* A request that no target takes waits for a share of its objective, 55 ms here, and is then
+   refused. At a host whose loop takes longer than a tick (50 ms) for a round it waits until its
+   deadline: each tick has it tried again, the time to try is looked at before the time to refuse,
+   and trying begins its wait anew. Evidence: a process that stood still for 0.5 s as it connected
+   to the target, and then calls=1 in each line for the 20 s of the caller's deadline. */
+START_TEST(a_request_that_waits_in_vain_is_refused_in_time) {
+    static const char request[] =
+        "GET /a/x HTTP/1.1\r\nHost: h\r\nWalnutgate-Deadline-Ms: 20000\r\n\r\n";
+    struct event* busy[BUSY_NUM];
+    char byte;
+    signal(SIGPIPE, SIG_IGN); /* as the daemons do */
+    begin();
+    evconnlistener_free(listener);
+    listener = NULL;
+    for (int i = 0; i < BUSY_NUM; i++) {
+        busy[i] = event_new(base, -1, 0, on_busy, &busy[i]);
+        event_active(busy[i], EV_TIMEOUT, 1);
+    }
+    run_for(1000);
+    int fd = connect_only();
+    ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
+    ssize_t got = -1;
+    for (int i = 0; i < 20 && got < 0; i++) {
+        run_for(250);
+        got = recv(fd, &byte, 1, 0);
+    }
+    ck_assert_int_eq(got, 1);
+    for (int i = 0; i < BUSY_NUM; i++) {
+        event_free(busy[i]);
+    }
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
 /* The answer to one request and the caller's next one come in the same moment. The class of a
    connection was changed when its answer was passed on, while the callback for the next request
    stood in the line of the former class: libevent took it out of the wrong one, and what came next
@@ -301,5 +336,6 @@
              a_request_that_waits_unread_keeps_its_connection,
              the_rest_of_a_request_that_waits_unread_is_not_too_slow,
              a_connection_that_rests_is_closed, a_planned_stop_answers_what_waits_unread,
+             a_request_that_waits_in_vain_is_refused_in_time,
              the_time_of_a_request_begins_before_it_is_read,
              an_answer_and_the_next_request_at_once_lose_nothing)
