Routers: a refusal that says that nothing ran is no failure of the target, as before

A router puts a target aside whole, also a service's only one, and with refusals counted one that cuts off a fifth and refuses a tenth of its requests is put aside after three in a row for up to 30 s. At entry hosts being put aside is only a cost, so there it stays. Rests at routers are as they were.

--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -87,7 +87,7 @@
     if (action->type == WGC_ACTION_FINISH && call->attempt->status < 500) {
         return WGP_RESULT_GOOD;
     }
-    return WGP_RESULT_BAD; /* also when it says that nothing ran: it would draw every request */
+    return call->attempt->said_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_BAD;
 }
 
 static wg_time _wgro_retry_after(_wgro_call_t* call) {
@@ -268,7 +268,9 @@
     call->router->counters.retries++;
     wg_log(WG_EVENT_ATTEMPT_FAILED, "attempt=%d wait_us=%" G_GINT64_FORMAT, action->attempt,
            action->wait);
-    _wgro_release(call, _wgro_cost(call), WGP_RESULT_BAD);
+    wgp_result result =
+        call->attempt && call->attempt->said_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_BAD;
+    _wgro_release(call, _wgro_cost(call), result);
     _wgro_abort_attempt(call);
     _wgro_arm(call, wg_now() + action->wait, WGC_EVENT_WAITED);
 }
