--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -459,14 +459,11 @@
     WG_ASSERT(t->own_running > 0);
     t->own_running--;
     t->moved = t->moved || result == WG_RESULT_MOVED;
-    /* A target that turns requests away at once has nothing under way and looks the emptiest of
-       all: unless refusals count as failures it draws every request. */
-    bool useless = result == WG_RESULT_FAILED || result == WG_RESULT_REFUSED;
     if (result == WG_RESULT_GOOD) {
         wg_balance_learn_work(t, now, choice);
         t->failures = 0;
         t->aside_until = 0;
-    } else if (useless && ++t->failures >= WG_FAILURES_BEFORE_ASIDE) {
+    } else if (result == WG_RESULT_FAILED && ++t->failures >= WG_FAILURES_BEFORE_ASIDE) {
         wg_time most = MIN((wg_time)WG_ASIDE_MIN << MIN(t->failures, 6), (wg_time)WG_ASIDE_MAX);
         t->aside_until = now + wg_jitter_range(b->desc.seed, ++b->counter, most / 2, most);
     }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -21,8 +21,8 @@
           the homes, drawn by lot, so that they do not all take the same one, and the longer what
           others had at a target counts on: one that was flooded a moment ago is about to be again
         - the speed of each target is learnt from first events, the work that a request without a
-          prompt takes there from whole answers; a target that fails or refuses is put aside for
-          growing, jittered times
+          prompt takes there from whole answers; a target that fails is put aside for growing,
+          jittered times
         - a target that asked this host for rest, or said that it leaves, is not there meanwhile:
           it is no home and is not drawn, however little it has to do
         - a request without a prompt may wait in the queue of a busy target, as long as it would
