Forced recovery: hosts, restarted ones too, no longer follow the replaced majority

Callers saw routes and keys of before a forced recovery, after a newer configuration had been acknowledged, when the replicas named as lost came back with their disks.

The same by any restart: what a host knew of a recovery was the term it had followed, in memory. Nobody told the former leader. Found on the way: a host applied a configuration before the state that says whether its sender may lead.

The high bits of a term now count recoveries (wg_term.h). A leader of a recovered set holds acknowledgements until the hosts in the rosters it was told know of the recovery, 3 s at most. Hosts refuse replaced sets, ask the entry hosts on their seeds when they start, and tell controls; a replica that is told records it and ends. Without a recovery nothing is sent but the term in the greeting between entry hosts, and three short links after the start of a host.

Ruled out: a lost write (the recovered replica read version 2 after it went on).

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -38,6 +38,8 @@
     X(3008, LEADER_LOST, WARN, "leader lost, continuing with the last known state")                \
     X(3009, LEADER_MISSING, WARN, "still without a leader")                                        \
     X(3010, STANDBY_TAKEN, WARN, "without a leader for long, serving from the state of a replica") \
+    X(3011, RECOVERY_KNOWN, WARN,                                                                  \
+      "forced recovery of the replica set, leaders of earlier sets are refused")                   \
     X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
     X(4002, STORE_FAILED, ERROR, "storage failed, process exits")                                  \
     X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log truncated")                                \
@@ -49,6 +51,8 @@
     X(4009, STORE_RESUMED, INFO, "disk is writable again, this replica resumes")                   \
     X(4010, MAJORITY_MISSING, WARN, "no leader known to this replica")                             \
     X(4011, SET_FORMED_ANEW, WARN, "forced recovery of the set from this replica by an operator")  \
+    X(4012, REPLICA_SUPERSEDED, ERROR, "forced recovery removed this replica, process exits")      \
+    X(4013, RECOVERY_CONFIRMED, WARN, "acknowledgements after a forced recovery begin")            \
     X(5001, EDIT_ACCEPTED, INFO, "table edit accepted")                                            \
     X(5002, EDIT_REFUSED, INFO, "table edit refused")                                              \
     X(5003, MEMBER_UP, INFO, "router became a member")                                             \
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -433,6 +433,7 @@
     c->entries = g_hash_table_new_full(NULL, NULL, NULL, _wgco_entry_free);
     c->roster = wg_roster_setup();
     _wgco_documents_setup(&c->documents);
+    _wgco_confirm_setup(c);
     c->load_totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     c->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
@@ -441,6 +442,7 @@
     g_clear_pointer(&c->entries, g_hash_table_unref);
     g_clear_pointer(&c->roster, wg_roster_shutdown);
     _wgco_documents_clear(&c->documents);
+    _wgco_confirm_shutdown(c);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
     g_clear_pointer(&c->usage, g_hash_table_unref);
     g_clear_pointer(&c->registry, wg_registry_shutdown);
@@ -473,6 +475,11 @@
         wg_log(WG_EVENT_FRAME_BAD, "reason=entry-report");
         return;
     }
+    if (_wgco_check_superseded(c, in->recovery, wgn_query_peer(c->net, link))) {
+        wgpb__entry_report__free_unpacked(in, NULL);
+        return;
+    }
+    _wgco_confirm_receive_report(c, e, in);
     e->has_no_members = e->has_no_members || (!e->reported && in->members_change == 0);
     e->reported = true;
     if (in->state_seen == e->state_seq) { /* otherwise a newer state is in transit */
@@ -510,16 +517,19 @@
     wg_roster_begin(c->roster, wgr_query_stats(c->node, now).term);
     g_hash_table_remove_all(c->usage);
     wg_registry_reset_contacts(c->registry, now);
+    _wgco_confirm_lead_begin(c, now);
     _wgco_push(c, true);
 }
 
 void _wgco_entry_lead_end(wgco_control* c) {
+    _wgco_confirm_lead_end(c);
     _wgco_push(c, true);
 }
 
 void _wgco_entry_tick(wgco_control* c, wg_time now) {
     _wgco_remove_unresponsive_members(c, now);
     _wgco_quarantine_tick(c, now);
+    _wgco_confirm_tick(c, now);
     _wgco_push_if_due(c, now);
     const wg_target* unresponsive = wg_registry_find_unresponsive(
         c->registry, now, c->settings->target_silent_ms * WG_USEC_PER_MSEC);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -107,6 +107,16 @@
     double asked;       /* demand, in tokens */
 } _wgco_usage_t;
 
+/* Entry hosts that have to confirm a forced recovery (wg_control_confirm.c). */
+typedef struct {
+    bool pending; /* this leader holds acknowledgements */
+    wg_time begun_at;
+    bool any_roster;       /* a host has reported which hosts there are */
+    GHashTable* confirmed; /* names of the hosts that know of the recovery */
+    GHashTable* missing;   /* names of the hosts that others know and that have not confirmed */
+    GQueue held;           /* _wgco_held_answer_t*, oldest first */
+} _wgco_confirm_t;
+
 struct wgco_control {
     wgco_desc desc;
     const wgco_settings* settings;
@@ -150,6 +160,7 @@
     GHashTable* usage;       /* hash of a workspace -> _wgco_usage_t* */
     wg_time usage_at;
     wg_time led_since;
+    _wgco_confirm_t confirm;
     char announced_leader[WG_ADDRESS_MAX]; /* leader address last sent to entry hosts; "": none */
     wgn_link announce_link;                /* to the entry host on a seed */
     int announce_next;                     /* index of the next seed to contact */
@@ -195,6 +206,23 @@
    will not come back, NULL-terminated. The data folder is reopened shortly afterwards. False
    with an error if a majority may still come back. */
 bool _wgco_recover_set(wgco_control* c, char** lost, GError** error);
+/* Compares the last forced recovery that `reporter` knows with that of this replica's set. If this
+   replica was removed by a recovery, records it in the data folder, ends the process, and returns
+   true. */
+bool _wgco_check_superseded(wgco_control* c, uint64_t recovery, const wgn_peer* reporter);
+/* False with an error if a forced recovery removed the replica of this data folder. */
+bool _wgco_may_open_folder(const wgs_content* content, GError** error);
+
+/* acknowledgements after a forced recovery (wg_control_confirm.c) */
+void _wgco_confirm_setup(wgco_control* c);
+void _wgco_confirm_shutdown(wgco_control* c);
+void _wgco_confirm_lead_begin(wgco_control* c, wg_time now);
+void _wgco_confirm_lead_end(wgco_control* c);
+void _wgco_confirm_receive_report(wgco_control* c, const _wgco_entry_t* e,
+                                  const Wgpb__EntryReport* in);
+void _wgco_confirm_tick(wgco_control* c, wg_time now);
+/* Sends an answer to an order, or holds it until the entry hosts have confirmed the recovery. */
+void _wgco_confirm_send_answer(wgco_control* c, wgn_link link, const Wgpb__OrderAnswer* answer);
 
 /* links (wg_control.c) */
 void _wgco_on_up(wgn_link link, const wgn_peer* peer, void* user_data);
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -15,7 +15,7 @@
     Wgpb__OrderAnswer answer = WGPB__ORDER_ANSWER__INIT;
     answer.ticket = ticket;
     answer.outcome = outcome;
-    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+    _wgco_confirm_send_answer(c, link, &answer);
 }
 
 static void _wgco_answer_configuration(wgco_control* c, wgn_link link, uint64_t ticket) {
@@ -28,7 +28,7 @@
     answer.ticket = ticket;
     answer.outcome = WG_ORDER_DONE;
     answer.configuration = &configuration;
-    wgn_send(c->net, link, WGW_TYPE_ORDER_ANSWER, &answer.base);
+    _wgco_confirm_send_answer(c, link, &answer);
 }
 
 static void _wgco_propose_order(wgco_control* c, wgn_link link, uint64_t ticket,
--- a/lib/control/wg_control_recovery.c
+++ b/lib/control/wg_control_recovery.c
@@ -5,17 +5,16 @@
    new cluster, and others join it with empty data folders.
 
    Recovery is refused while a majority of the set may still come back, because two sets could
-   then acknowledge conflicting changes. If replicas named as lost do come back, two things keep
-   them out: links between clusters are refused, and the recovered set's terms are so much higher
-   that entry hosts do not follow the previous set. */
+   then acknowledge conflicting changes. If replicas named as lost do come back, three things keep
+   them out: links between clusters are refused, entry hosts that know of the recovery (wg_term.h)
+   do not follow the previous set, and a replica that any of these hosts contacts records that it
+   was superseded and ends. */
 #include "wg_control_internal.h"
+#include "wg_term.h"
 
 #include <string.h>
 
 enum {
-    /* Term increase of the recovered set; the previous set cannot hold this many elections in
-       years. */
-    _WGCO_RECOVERY_TERM_GAP = 1 << 30,
     /* Time for the HTTP answer to be sent before the endpoints close. */
     _WGCO_RECOVERY_REOPEN_DELAY = 100 * WG_USEC_PER_MSEC
 };
@@ -72,7 +71,7 @@
                              c->settings->fleet_address[0] ? c->settings->fleet_address
                                                            : c->settings->fleet_listen);
     WG_ASSERT(fits); /* checked at startup */
-    uint64_t term = stats.term + _WGCO_RECOVERY_TERM_GAP;
+    uint64_t term = wg_recovery_first_term(wg_term_recovery(stats.term) + 1);
     uint64_t cluster = wg_hash(&content->cluster, sizeof content->cluster, term) | 1;
     wgr_entry entry = {.index = stats.last_index + 1, .term = term, .kind = WGR_ENTRY_REPLICAS};
     entry.data = wgr_set_pack(&set);
@@ -113,3 +112,34 @@
     event_add(c->reopen_event, &delay);
     return good;
 }
+
+bool _wgco_check_superseded(wgco_control* c, uint64_t recovery, const wgn_peer* reporter) {
+    wgr_stats stats = wgr_query_stats(c->node, wg_now());
+    bool joins = stats.last_index == 0; /* with an empty folder, after the recovery */
+    if (joins || recovery <= wg_term_recovery(stats.term)) {
+        return false;
+    }
+    GError* error = NULL;
+    bool saved = wgs_save_superseded(c->store, recovery, &error);
+    wg_log(WG_EVENT_REPLICA_SUPERSEDED,
+           "recovery=%" G_GUINT64_FORMAT " told_by=%s term=%" G_GUINT64_FORMAT
+           " led=%d last=%" G_GUINT64_FORMAT " saved=%d%s%s",
+           recovery, reporter->name, stats.term, c->leads, stats.last_index, saved,
+           error ? " " : "", error ? error->message : "");
+    g_clear_error(&error);
+    c->failed = true;
+    c->unrecoverable = true;
+    event_base_loopbreak(c->base);
+    return true;
+}
+
+bool _wgco_may_open_folder(const wgs_content* content, GError** error) {
+    if (content->superseded_by <= wg_term_recovery(content->restored.term)) {
+        return true;
+    }
+    g_set_error(error, WG_ERROR, WG_ERROR_CONFLICT,
+                "forced recovery %" G_GUINT64_FORMAT
+                " of the replica set removed this replica; empty its data folder to let it join",
+                content->superseded_by);
+    return false;
+}
--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -390,6 +390,10 @@
     if (!in) {
         return;
     }
+    if (_wgco_check_superseded(c, in->recovery, wgn_query_peer(c->net, link))) {
+        wgpb__report__free_unpacked(in, NULL);
+        return;
+    }
     wg_time now = wg_now();
     c->reports++;
     bool first = s->report_seq == 0;
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -77,6 +77,9 @@
     if (content->tail_truncated) {
         wg_log(WG_EVENT_STORE_TAIL_CUT, "%s", "");
     }
+    if (!_wgco_may_open_folder(content, error)) {
+        return false;
+    }
     c->registry = wg_registry_setup(&(wg_registry_desc){0});
     c->table = wgt_setup(&(wgt_desc){0}, error);
     c->claims = wgk_setup(
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -282,6 +282,7 @@
     if (e->net) {
         wgn_shutdown(e->net);
     }
+    wg_entry_recovery_shutdown(e);
     wg_entry_cache_shutdown(e);
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -23,6 +23,7 @@
 
 enum {
     WG_CONTROLS_MAX = 24,
+    WG_RECOVERY_QUERIES_MAX = 4,
     WG_HEAD_BYTES_START = 16 * 1024, /* limit of a request head before a configuration is known */
     WG_BUFFERED_ANSWER_MAX = 64 * 1024, /* answers up to this size are relayed only when complete */
     WG_OUTPUT_HIGH_WATER = 256 * 1024,  /* unsent bytes at which reading from the target pauses */
@@ -33,6 +34,16 @@
     WG_PREVIOUS_COORDINATORS_MAX = 16
 };
 
+/* What this host knows of forced recoveries of the replica set (wg_entry_recovery.c). */
+typedef struct {
+    uint64_t known;  /* highest recovery heard of, see wg_term.h */
+    bool roster_due; /* the next report to a leader has to contain the roster */
+    wgn_link queries[WG_RECOVERY_QUERIES_MAX]; /* to other entry hosts, after the start */
+    int queries_num;
+    wg_time queries_expire_at; /* until then no leader is followed while queries are pending */
+    GQueue delayed;            /* wg_delayed_frame*, from the control, oldest first */
+} wg_entry_recovery;
+
 typedef struct wg_call wg_call;
 typedef struct wg_client wg_client;
 typedef struct wg_upstream wg_upstream;
@@ -267,6 +278,7 @@
     bool link_up;
     bool on_standby;        /* state was taken from a replica without a leader */
     uint64_t term_followed; /* term of the last leader followed */
+    wg_entry_recovery recovery;
     bool leader_known;
     wg_addresses controls;       /* replicas named by other processes */
     wg_addresses seed_addresses; /* controls and entry hosts at the seeds */
@@ -341,6 +353,37 @@
 /* Whether the leader has been missing long enough to accept state from a replica. */
 bool wg_entry_accepts_standby(const wg_entry* e, wg_time now);
 
+/* Closes the link to the control; dials `address`, or the next known one if it is empty. */
+void wg_entry_reconnect(wg_entry* e, const char* address);
+/* Handles a frame from the control: processes it now, or puts it aside until a leader is known. */
+void wg_entry_receive_frame(wg_entry* e, const wgw_frame* frame);
+void wg_entry_apply_frame(wg_entry* e, const wgw_frame* frame);
+/* Writes the address at which the entry host on a seed, "ip:port", listens for fleet processes. */
+bool wg_entry_host_address(const wg_entry* e, const char* seed, char* out, size_t size);
+
+/* wg_entry_recovery.c */
+/* Asks the entry hosts on the seeds whether they know of a recovery. */
+void wg_entry_recovery_setup(wg_entry* e);
+void wg_entry_recovery_shutdown(wg_entry* e);
+void wg_entry_recovery_tick(wg_entry* e, wg_time now);
+/* Records a recovery; leaves a leader of a set before it. `source` is named in the log. */
+void wg_entry_recovery_record(wg_entry* e, uint64_t recovery, const char* source);
+/* Whether the sender belongs to a replica set that a known recovery replaced, or leads in an
+   earlier term than the last leader followed. */
+bool wg_entry_is_outdated_leader(const wg_entry* e, const Wgpb__EntryState* in);
+/* Processes the state that an entry host sends when a link to it comes up. */
+void wg_entry_recovery_on_hello(wg_entry* e, wgn_link link, const Wgpb__EntryState* in);
+void wg_entry_recovery_on_down(wg_entry* e, wgn_link link);
+/* Whether a frame from the control was put aside: queries are pending, or it is a configuration and
+   the control has not been accepted as leader. */
+bool wg_entry_recovery_delays(wg_entry* e, const wgw_frame* frame);
+/* Applies the configurations that were put aside, as their sender has been accepted. */
+void wg_entry_recovery_accept_configurations(wg_entry* e);
+/* Drops the frames that were put aside; called when the link to the control is closed. */
+void wg_entry_recovery_drop_delayed(wg_entry* e);
+/* Term that tells other entry hosts what this host knows; 0: it has followed no leader yet. */
+uint64_t wg_entry_recovery_hello_term(const wg_entry* e);
+
 /* wg_entry_orders.c */
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
 /* Sends all pending orders to the leader; called when one becomes known. */
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -1,5 +1,6 @@
 /* wg_entry_link.c -- link to the leader: fleet state, reports, redirects */
 #include "wg_document.h"
+#include "wg_term.h"
 
 #include "wg_entry_internal.h"
 
@@ -36,10 +37,20 @@
     wg_addresses_add(&e->controls, address, ++e->counter);
 }
 
-bool wg_entry_add_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error) {
+bool wg_entry_host_address(const wg_entry* e, const char* seed, char* out, size_t size) {
+    char ip[WG_ADDRESS_MAX];
     char own_ip[WG_ADDRESS_MAX];
-    uint16_t entry_port = 0;
-    wgn_split_address(settings->fleet_listen, own_ip, &entry_port);
+    uint16_t port;
+    uint16_t entry_port;
+    if (!wgn_split_address(seed, ip, &port) ||
+        !wgn_split_address(e->settings->fleet_listen, own_ip, &entry_port)) {
+        return false;
+    }
+    g_snprintf(out, size, "%.56s:%d", ip, entry_port);
+    return true;
+}
+
+bool wg_entry_add_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error) {
     for (int i = 0; settings->seeds[i]; i++) {
         char ip[WG_ADDRESS_MAX];
         char address[WG_ADDRESS_MAX + 8];
@@ -52,8 +63,8 @@
         g_snprintf(address, sizeof address, "%s:%d", ip, (int)e->settings->fleet_port);
         wg_addresses_add(&e->seed_addresses, address, ++e->counter);
         /* An entry host at the seed's address knows controls too. */
-        g_snprintf(address, sizeof address, "%s:%d", ip, entry_port);
-        if (strcmp(address, settings->fleet_listen) != 0) {
+        if (wg_entry_host_address(e, settings->seeds[i], address, sizeof address) &&
+            strcmp(address, settings->fleet_listen) != 0) {
             wg_addresses_add(&e->seed_addresses, address, ++e->counter);
         }
     }
@@ -233,7 +244,7 @@
     }
 }
 
-static void wg_entry_reconnect(wg_entry* e, const char* address) {
+void wg_entry_reconnect(wg_entry* e, const char* address) {
     wg_copy_name(e->dial_address, sizeof e->dial_address, address);
     e->dial_at = wg_now() + (address[0] ? 0 : WG_DIAL_INTERVAL);
     wgn_close(e->net, e->link);
@@ -285,6 +296,7 @@
         return;
     }
     bool was_ready = wg_entry_is_ready(e);
+    wg_entry_recovery_accept_configurations(e);
     wg_entry_apply_targets(e, in);
     wg_entry_apply_quarantine(e, in);
     e->on_standby = e->on_standby || !was_ready;
@@ -295,27 +307,23 @@
            e->config ? e->config->version : 0, in->registry_change, e->on_standby);
 }
 
-/* Whether the sender leads in an earlier term than the last leader followed. Guards against a
-   removed majority of replicas that comes back after a forced recovery. */
-static bool wg_entry_is_previous_leader(const wg_entry* e, const Wgpb__EntryState* in) {
-    return in->leads && in->term < e->term_followed;
-}
-
-static void wg_entry_leave_previous_leader(wg_entry* e, const Wgpb__EntryState* in) {
+static void wg_entry_leave_outdated_leader(wg_entry* e, const Wgpb__EntryState* in) {
     const wgn_peer* peer = wgn_query_peer(e->net, e->link);
     wg_log(WG_EVENT_LEADER_LOST,
            "control=%s leads in an outdated term: term=%" G_GUINT64_FORMAT
-           " followed=%" G_GUINT64_FORMAT,
-           peer ? peer->name : "-", in->term, e->term_followed);
+           " followed=%" G_GUINT64_FORMAT " recovery=%" G_GUINT64_FORMAT,
+           peer ? peer->name : "-", in->term, e->term_followed, e->recovery.known);
     wg_entry_reconnect(e, "");
 }
 
 static void wg_entry_apply_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
-    if (wg_entry_is_previous_leader(e, in)) {
-        wg_entry_leave_previous_leader(e, in);
+    if (wg_entry_is_outdated_leader(e, in)) {
+        wg_entry_leave_outdated_leader(e, in);
         return;
     }
+    const wgn_peer* peer = wgn_query_peer(e->net, e->link);
+    wg_entry_recovery_record(e, wg_term_recovery(in->term), peer ? peer->name : "-");
     if (in->leads && in->n_controls > 0) {
         e->controls.num = 0; /* the leader's list is complete */
     }
@@ -329,6 +337,10 @@
         wg_entry_follow_redirect(e, in->leader_address, now);
         return;
     }
+    wg_entry_recovery_accept_configurations(e);
+    if (!e->link_up) {
+        return; /* a configuration could not be applied */
+    }
     bool was_ready = wg_entry_is_ready(e);
     e->on_standby = false;
     e->term_followed = in->term;
@@ -348,6 +360,9 @@
     if (!e->leader_known) {
         e->leader_known = true;
         wg_log(WG_EVENT_LINK_UP, "leader term=%" G_GUINT64_FORMAT, in->term);
+        if (e->recovery.roster_due) {
+            wg_entry_report(e, now); /* before orders, whose acknowledgement depends on it */
+        }
         wg_entry_orders_send(e);
     }
     wg_entry_report_if_ready_now(e, was_ready, now);
@@ -365,6 +380,21 @@
 
 /* ---- reports --------------------------------------------------------------------------------- */
 
+/* Adds the names in the roster if a leader of a recovered set has to learn them. The returned list
+   has to outlive the report. */
+static GPtrArray* wg_entry_fill_roster(wg_entry* e, Wgpb__EntryReport* report) {
+    GPtrArray* names = g_ptr_array_new();
+    if (e->recovery.roster_due && e->leader_known) {
+        for (int i = 0; i < wg_roster_num(e->roster); i++) {
+            g_ptr_array_add(names, (char*)wg_roster_at(e->roster, i)->name);
+        }
+        e->recovery.roster_due = false;
+    }
+    report->members = (char**)names->pdata;
+    report->n_members = names->len;
+    return names;
+}
+
 void wg_entry_report(wg_entry* e, wg_time now) {
     if (!e->link_up) {
         return;
@@ -385,6 +415,8 @@
     report.leaving = e->stopping;
     report.ready = wg_entry_is_ready(e);
     report.standby = wg_entry_accepts_standby(e, now);
+    report.recovery = e->recovery.known;
+    GPtrArray* roster = wg_entry_fill_roster(e, &report);
     for (int i = 0; i < loads_num; i++) {
         wgpb__target_load__init(&load_items[i]);
         load_items[i].target = loads[i].target;
@@ -409,6 +441,7 @@
     g_free(report.usage);
     g_free(load_items);
     g_ptr_array_unref(own);
+    g_ptr_array_unref(roster);
     g_free(usage_items);
     g_free(loads);
 }
@@ -428,6 +461,7 @@
     }
     state.controls = controls;
     state.n_controls = (size_t)e->controls.num;
+    state.term = wg_entry_recovery_hello_term(e);
     wgn_send(e->net, link, WGW_TYPE_ENTRY_STATE, &state.base);
 }
 
@@ -443,6 +477,7 @@
     }
     e->link_up = true;
     e->state_at = wg_now();
+    e->recovery.roster_due = e->recovery.known > 0;
     wg_entry_requeue_crashes(e);
     wg_entry_report(e, e->state_at);
 }
@@ -450,9 +485,11 @@
 static void wg_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
     wg_entry_admit_on_down(e, link);
+    wg_entry_recovery_on_down(e, link);
     if (link.id != e->link.id) {
         return;
     }
+    wg_entry_recovery_drop_delayed(e);
     if (peer && e->leader_known) {
         wg_log(WG_EVENT_LINK_DOWN, "leader=%s state_age_ms=%" G_GINT64_FORMAT, peer->name,
                (wg_now() - e->state_at) / WG_USEC_PER_MSEC);
@@ -477,14 +514,12 @@
            e->controls.num, e->next_control, e->config ? e->config->version : 0, e->orders.length);
 }
 
-static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
-    wg_entry* e = user_data;
-    if (wg_entry_admit_on_frame(e, link, frame)) {
-        return;
-    }
-    if (link.id != e->link.id) {
-        return; /* other processes only request the list of controls */
-    }
+static void wg_entry_refuse_frame(wg_entry* e, wgn_link link) {
+    wg_log(WG_EVENT_FRAME_BAD, "reason=not-for-an-entry-host");
+    wgn_close(e->net, link);
+}
+
+void wg_entry_apply_frame(wg_entry* e, const wgw_frame* frame) {
     if (frame->type == WGW_TYPE_ENTRY_STATE) {
         Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
         if (in) {
@@ -507,8 +542,34 @@
             return;
         }
     }
-    wg_log(WG_EVENT_FRAME_BAD, "reason=not-for-an-entry-host");
-    wgn_close(e->net, link);
+    wg_entry_refuse_frame(e, e->link);
+}
+
+void wg_entry_receive_frame(wg_entry* e, const wgw_frame* frame) {
+    if (!wg_entry_recovery_delays(e, frame)) {
+        wg_entry_apply_frame(e, frame);
+    }
+}
+
+/* An entry host sends one state on each new link. */
+static void wg_entry_apply_hello(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    Wgpb__EntryState* in = wgpb__entry_state__unpack(NULL, frame->size, frame->payload);
+    if (in) {
+        wg_entry_recovery_on_hello(e, link, in);
+        wgpb__entry_state__free_unpacked(in, NULL);
+    }
+}
+
+static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    wg_entry* e = user_data;
+    if (wg_entry_admit_on_frame(e, link, frame)) {
+        return;
+    }
+    if (link.id == e->link.id) {
+        wg_entry_receive_frame(e, frame);
+    } else if (frame->type == WGW_TYPE_ENTRY_STATE) {
+        wg_entry_apply_hello(e, link, frame);
+    }
 }
 
 bool wg_entry_link_setup(wg_entry* e, GError** error) {
@@ -531,11 +592,16 @@
                               .on_down = wg_entry_on_down,
                               .user_data = e},
                   error);
-    return e->net && wgn_listen(e->net, e->settings->fleet_listen, error) &&
-           wg_entry_add_seeds(e, e->settings, error);
+    bool good = e->net && wgn_listen(e->net, e->settings->fleet_listen, error) &&
+                wg_entry_add_seeds(e, e->settings, error);
+    if (good) {
+        wg_entry_recovery_setup(e);
+    }
+    return good;
 }
 
 void wg_entry_link_tick(wg_entry* e, wg_time now) {
+    wg_entry_recovery_tick(e, now);
     wg_entry_orders_tick(e, now);
     wg_entry_log_missing_leader(e, now);
     wg_entry_dial(e, now);
--- a/lib/router/wg_router_link.c
+++ b/lib/router/wg_router_link.c
@@ -1,5 +1,6 @@
 /* wg_router_link.c -- the link to the leader: reports, replies, rows, claims */
 #include "wg_router_internal.h"
+#include "wg_term.h"
 
 #include <string.h>
 
@@ -105,6 +106,7 @@
     out->report.table_version = r->table_complete ? wgt_version(r->table) : 0;
     out->report.member_version = wgm_version(r->members);
     out->report.leaving = r->stopping;
+    out->report.recovery = wg_term_recovery(r->term);
     out->report.full = r->report_full;
     r->full_seq = r->report_full ? r->report_seq : r->full_seq;
     out->report.all_rows = strcmp(r->settings->rows, "all") == 0;
--- a/lib/store/wg_store.c
+++ b/lib/store/wg_store.c
@@ -93,6 +93,7 @@
     state.identity = s->content.identity;
     state.term = s->term;
     state.voted_for = s->voted_for;
+    state.superseded_by = s->content.superseded_by;
     GByteArray* packed = wgw_pack(&state.base);
     GByteArray* file = g_byte_array_new();
     _wgs_record_append(file, packed->data, packed->len);
@@ -135,6 +136,7 @@
     }
     s->content.identity = state->identity;
     s->content.cluster = state->cluster;
+    s->content.superseded_by = state->superseded_by;
     s->term = state->term;
     s->voted_for = state->voted_for;
     wgpb__hard_state__free_unpacked(state, NULL);
@@ -517,6 +519,12 @@
     return _wgs_write_state(s, error);
 }
 
+bool wgs_save_superseded(wgs_store* s, uint64_t recovery, GError** error) {
+    WG_ASSERT(recovery > s->content.superseded_by);
+    s->content.superseded_by = recovery;
+    return _wgs_write_state(s, error);
+}
+
 bool wgs_switch_cluster(wgs_store* s, uint64_t cluster, uint64_t term, GError** error) {
     WG_ASSERT(term > s->term);
     s->content.cluster = cluster;
--- a/lib/store/wg_store.h
+++ b/lib/store/wg_store.h
@@ -46,8 +46,9 @@
 typedef struct {
     uint64_t identity;
     uint64_t cluster;
-    bool fresh;          /* the folder was empty */
-    bool tail_truncated; /* a torn record at the end of the log was removed */
+    uint64_t superseded_by; /* forced recovery that removed this replica; 0: none */
+    bool fresh;             /* the folder was empty */
+    bool tail_truncated;    /* a torn record at the end of the log was removed */
     wgr_restored restored;
 } wgs_content;
 
@@ -77,6 +78,8 @@
 /* Switches to another cluster, keeping log and snapshot. `term` must exceed the current term; the
    vote is cleared. */
 bool wgs_switch_cluster(wgs_store* store, uint64_t cluster, uint64_t term, GError** error);
+/* Records that a forced recovery, numbered as in wg_term.h, removed this replica from the set. */
+bool wgs_save_superseded(wgs_store* store, uint64_t recovery, GError** error);
 /* Whether the store has neither a log nor a snapshot. */
 bool wgs_is_empty(const wgs_store* store);
 /* Appends entries and syncs them. Their indexes must continue the log. */
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -2894,7 +2894,7 @@
   (ProtobufCMessageInit) wgpb__silence__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[4] =
+static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[5] =
 {
   {
     "cluster",
@@ -2944,17 +2944,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "superseded_by",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, superseded_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__hard_state__field_indices_by_name[] = {
   0,   /* field[0] = cluster */
   1,   /* field[1] = identity */
+  4,   /* field[4] = superseded_by */
   2,   /* field[2] = term */
   3,   /* field[3] = voted_for */
 };
 static const ProtobufCIntRange wgpb__hard_state__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 4 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wgpb__hard_state__descriptor =
 {
@@ -2964,7 +2977,7 @@
   "Wgpb__HardState",
   "wgpb",
   sizeof(Wgpb__HardState),
-  4,
+  5,
   wgpb__hard_state__field_descriptors,
   wgpb__hard_state__field_indices_by_name,
   1,  wgpb__hard_state__number_ranges,
@@ -4693,7 +4706,7 @@
   (ProtobufCMessageInit) wgpb__held__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[11] =
+static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[12] =
 {
   {
     "seq",
@@ -4827,6 +4840,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recovery",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, recovery),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__report__field_indices_by_name[] = {
   7,   /* field[7] = accounts */
@@ -4837,6 +4862,7 @@
   5,   /* field[5] = leaving */
   9,   /* field[9] = load_permille */
   4,   /* field[4] = member_version */
+  11,   /* field[11] = recovery */
   1,   /* field[1] = sent_at */
   0,   /* field[0] = seq */
   3,   /* field[3] = table_version */
@@ -4844,7 +4870,7 @@
 static const ProtobufCIntRange wgpb__report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 11 }
+  { 0, 12 }
 };
 const ProtobufCMessageDescriptor wgpb__report__descriptor =
 {
@@ -4854,7 +4880,7 @@
   "Wgpb__Report",
   "wgpb",
   sizeof(Wgpb__Report),
-  11,
+  12,
   wgpb__report__field_descriptors,
   wgpb__report__field_indices_by_name,
   1,  wgpb__report__number_ranges,
@@ -5915,7 +5941,7 @@
   (ProtobufCMessageInit) wgpb__crash__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[15] =
 {
   {
     "seq",
@@ -6073,6 +6099,30 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "recovery",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, recovery),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryReport, n_members),
+    offsetof(Wgpb__EntryReport, members),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_report__field_indices_by_name[] = {
   1,   /* field[1] = configuration_version */
@@ -6080,9 +6130,11 @@
   10,   /* field[10] = ended_well */
   4,   /* field[4] = leaving */
   6,   /* field[6] = loads */
+  14,   /* field[14] = members */
   3,   /* field[3] = members_change */
   11,   /* field[11] = quarantine_change */
   5,   /* field[5] = ready */
+  13,   /* field[13] = recovery */
   2,   /* field[2] = registry_change */
   0,   /* field[0] = seq */
   12,   /* field[12] = standby */
@@ -6092,7 +6144,7 @@
 static const ProtobufCIntRange wgpb__entry_report__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 15 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_report__descriptor =
 {
@@ -6102,7 +6154,7 @@
   "Wgpb__EntryReport",
   "wgpb",
   sizeof(Wgpb__EntryReport),
-  13,
+  15,
   wgpb__entry_report__field_descriptors,
   wgpb__entry_report__field_indices_by_name,
   1,  wgpb__entry_report__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -72,7 +72,7 @@
 /* --- messages --- */
 
 /*
- * First frame in each direction. `nonce` is fresh random bytes.
+ * First frame in each direction. `nonce` is random for each link.
  */
 struct  Wgpb__Hello
 {
@@ -175,7 +175,8 @@
 
 
 /*
- * A replica that does not answer the leader, and for how long by the leader's clock.
+ * A replica that does not respond to the leader, and the time since its last contact by the leader's
+ * clock.
  */
 struct  Wgpb__Silence
 {
@@ -198,10 +199,14 @@
   uint64_t identity;
   uint64_t term;
   uint64_t voted_for;
+  /*
+   * forced recovery that removed this replica; 0: none
+   */
+  uint64_t superseded_by;
 };
 #define WGPB__HARD_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__hard_state__descriptor) \
-    , 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0 }
 
 
 struct  Wgpb__SnapshotFile
@@ -219,7 +224,7 @@
 
 /*
  * ---- the table ----
- * Values stand in the order of the columns of lib/table, numbers and texts apart.
+ * Values are in the column order of lib/table, with numbers and texts in separate lists.
  */
 struct  Wgpb__Row
 {
@@ -348,23 +353,23 @@
 
 
 /*
- * ---- whole configurations, and targets that register themselves ----
- * A document of the operator's, kept and read back byte for byte; the highest version holds.
+ * ---- configuration documents and the registry of targets ----
+ * A configuration document of an operator, stored byte for byte; the highest version is in force.
  */
 struct  Wgpb__Configuration
 {
   ProtobufCMessage base;
   uint64_t version;
   /*
-   * as it is: in logs and snapshots of earlier releases only
+   * uncompressed; only in logs and snapshots of earlier releases
    */
   ProtobufCBinaryData document;
   /*
-   * of lib/document, in place of `document`
+   * compressed by lib/document, replaces `document`
    */
   ProtobufCBinaryData packed;
   /*
-   * of the document that `packed` is the difference to; 0: none
+   * version of the document that `packed` is a difference to; 0: none
    */
   uint64_t base_version;
 };
@@ -374,7 +379,7 @@
 
 
 /*
- * One incarnation of a target, as it last said of itself.
+ * One incarnation of a target, as it last reported itself.
  */
 struct  Wgpb__TargetRecord
 {
@@ -386,27 +391,27 @@
   uint32_t slots;
   uint32_t state;
   /*
-   * of the target's own heartbeats
+   * sequence number of the target's heartbeats
    */
   uint64_t sequence;
   /*
-   * given by the registry, short for `id`
+   * assigned by the registry, short form of `id`
    */
   uint32_t number;
   /*
-   * of the registry, at which this record last changed
+   * change number of the registry when this record last changed
    */
   uint64_t change;
   /*
-   * for so long from when this was sent it is cold
+   * time for which it stays cold after this was sent
    */
   uint64_t cold_us;
   /*
-   * gone because another incarnation came to its address, not by its own word
+   * removed because another incarnation registered at its address
    */
   protobuf_c_boolean replaced;
   /*
-   * when it started, as it says: milliseconds; 0: it did not say
+   * start time that the target reported, milliseconds; 0: not reported
    */
   uint64_t born;
 };
@@ -416,7 +421,7 @@
 
 
 /*
- * Nothing more is to be sent to the targets of a data centre, or it may be sent again.
+ * Begins or ends the evacuation of a data centre, whose targets get no new requests meanwhile.
  */
 struct  Wgpb__Evacuation
 {
@@ -424,7 +429,7 @@
   char *data_centre;
   protobuf_c_boolean begins;
   /*
-   * at its end its targets count as cold for so long
+   * time for which its targets count as cold after the end
    */
   uint64_t cold_us;
 };
@@ -441,7 +446,7 @@
   uint64_t change;
   uint32_t next_number;
   /*
-   * data centres
+   * names of evacuated data centres
    */
   size_t n_evacuated;
   char **evacuated;
@@ -452,7 +457,8 @@
 
 
 /*
- * A request that ended targets is refused from now on, or it is let through again.
+ * Begins or ends the quarantine of a request that crashed targets. Hosts refuse a request while it
+ * is quarantined.
  */
 struct  Wgpb__Quarantine
 {
@@ -462,15 +468,15 @@
   char *workspace;
   char *path;
   /*
-   * targets that ended under it
+   * number of targets that crashed while they ran it
    */
   uint32_t ends;
   /*
-   * it ends after that, from when this was sent
+   * time until it expires after this was sent
    */
   uint64_t life_us;
   /*
-   * of its end
+   * why the quarantine ended
    */
   uint32_t reason;
 };
@@ -537,7 +543,7 @@
   uint32_t running;
   uint32_t pending;
   /*
-   * in full reports only
+   * only in full reports
    */
   uint64_t virtual_time;
 };
@@ -547,7 +553,7 @@
 
 
 /*
- * Slots that a router holds at a target; the router alone lowers them.
+ * Slots that a router holds at a target. Only the router reduces the number.
  */
 struct  Wgpb__Held
 {
@@ -555,7 +561,7 @@
   uint32_t target;
   uint32_t slots;
   /*
-   * it failed for this router, which gives it no work for now
+   * ejected by this router after failures
    */
   protobuf_c_boolean aside;
 };
@@ -580,10 +586,14 @@
   Wgpb__Held **held;
   uint32_t load_permille;
   protobuf_c_boolean all_rows;
+  /*
+   * last forced recovery of the replica set known to the router
+   */
+  uint64_t recovery;
 };
 #define WGPB__REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0, 0 }
 
 
 struct  Wgpb__Fair
@@ -600,7 +610,7 @@
 
 
 /*
- * Slots that the leader adds.
+ * Slots that the leader grants in addition.
  */
 struct  Wgpb__Grant
 {
@@ -614,7 +624,7 @@
 
 
 /*
- * A router gives back what it holds of a service beyond this, as it falls idle.
+ * Maximum of slots that a router keeps of a service. It releases the excess as slots become idle.
  */
 struct  Wgpb__Quota
 {
@@ -672,7 +682,7 @@
   size_t n_quotas;
   Wgpb__Quota **quotas;
   /*
-   * the leases of this router ended: it has to report everything
+   * the leases of this router expired; it has to send a full report
    */
   protobuf_c_boolean want_full;
 };
@@ -730,8 +740,8 @@
 
 
 /*
- * ---- entry hosts that serve routes, and the leader ----
- * What an entry host has under way at a target.
+ * ---- entry host and leader ----
+ * Requests in progress from an entry host at a target.
  */
 struct  Wgpb__TargetLoad
 {
@@ -741,11 +751,11 @@
    */
   uint32_t target;
   /*
-   * prompt tokens sent to it and not yet read
+   * prompt tokens sent and not yet processed
    */
   uint32_t unread;
   /*
-   * requests under way
+   * requests in progress
    */
   uint32_t running;
 };
@@ -755,7 +765,7 @@
 
 
 /*
- * Tokens that a workspace was served, a running total since the entry host's start.
+ * Tokens of a workspace, as running totals since the entry host's start.
  */
 struct  Wgpb__WorkspaceUsage
 {
@@ -764,9 +774,12 @@
    * hash of its name
    */
   uint64_t workspace;
+  /*
+   * tokens served
+   */
   uint64_t tokens;
   /*
-   * the same, of all that it asked for, refused or not
+   * demand: tokens of all its requests, including refused ones
    */
   uint64_t asked;
 };
@@ -776,13 +789,13 @@
 
 
 /*
- * A target that ended while an entry host had a request there.
+ * A target that crashed while it ran a request of an entry host.
  */
 struct  Wgpb__Crash
 {
   ProtobufCMessage base;
   /*
-   * of the request
+   * fingerprint of the request that ran there
    */
   uint64_t fingerprint;
   /*
@@ -790,7 +803,7 @@
    */
   uint32_t target;
   /*
-   * it had begun to answer, and had sent no event
+   * the answer had begun, but no event was received
    */
   protobuf_c_boolean early;
   char *workspace;
@@ -819,24 +832,33 @@
    */
   uint64_t state_seen;
   /*
-   * not told on this link yet
+   * crashes not reported on this link yet
    */
   size_t n_crashes;
   Wgpb__Crash **crashes;
   /*
-   * fingerprints that are quarantined, though a copy ended well
+   * quarantined fingerprints of which a request completed
    */
   size_t n_ended_well;
   uint64_t *ended_well;
   uint64_t quarantine_change;
   /*
-   * without a leader for so long that what a replica holds is better than nothing
+   * no leader for long: accepts the state of any replica
    */
   protobuf_c_boolean standby;
+  /*
+   * last forced recovery of the replica set known to the host
+   */
+  uint64_t recovery;
+  /*
+   * names in the host's roster, sent once on each link after a forced recovery
+   */
+  size_t n_members;
+  char **members;
 };
 #define WGPB__ENTRY_REPORT__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_report__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0,NULL, 0,NULL, 0, 0,NULL, 0,NULL, 0, 0, 0, 0,NULL }
 
 
 struct  Wgpb__EntryMember
@@ -844,7 +866,7 @@
   ProtobufCMessage base;
   char *name;
   /*
-   * where callers connect
+   * address for callers
    */
   char *address;
   char *data_centre;
@@ -870,53 +892,53 @@
   Wgpb__TargetRecord **targets;
   uint64_t registry_change;
   /*
-   * `targets` is all there is
+   * `targets` is complete, not a difference
    */
   protobuf_c_boolean registry_reset;
   /*
-   * that came or changed
+   * new or changed members
    */
   size_t n_members;
   Wgpb__EntryMember **members;
   uint64_t members_change;
   uint32_t members_num;
   /*
-   * of all other entry hosts together
+   * sums over all other entry hosts
    */
   size_t n_loads;
   Wgpb__TargetLoad **loads;
   /*
-   * tokens lately served by the whole fleet
+   * recent usage of the whole fleet
    */
   size_t n_usage;
   Wgpb__WorkspaceUsage **usage;
   uint32_t report_ms;
   /*
-   * of the states on this link
+   * sequence number of states on this link
    */
   uint64_t seq;
   /*
-   * names
+   * names of removed members
    */
   size_t n_members_left;
   char **members_left;
   /*
-   * `members` is all there are
+   * `members` is complete, not a difference
    */
   protobuf_c_boolean members_reset;
   /*
-   * data centres, as of `registry_change`
+   * names of evacuated data centres, as of `registry_change`
    */
   size_t n_evacuated;
   char **evacuated;
   uint64_t quarantine_change;
   /*
-   * fingerprints, all there are, when the host lacks the change
+   * all quarantined fingerprints, sent if the host lacks the change
    */
   size_t n_quarantined;
   uint64_t *quarantined;
   /*
-   * no leader's word, but what this replica has applied
+   * not from a leader: the state that this replica has applied
    */
   protobuf_c_boolean standby;
 };
@@ -926,7 +948,7 @@
 
 
 /*
- * An order for the leader, taken by any entry host.
+ * An order for the leader, accepted by any entry host.
  */
 struct  Wgpb__Order
 {
@@ -937,7 +959,7 @@
   Wgpb__TargetRecord *target;
   Wgpb__Evacuation *evacuation;
   /*
-   * an operator's: its end only
+   * from an operator; can only end a quarantine
    */
   Wgpb__Quarantine *quarantine;
 };
@@ -959,7 +981,7 @@
 
 
 /*
- * ---- between entry hosts: the coordinator of a target admits prompts to it ----
+ * ---- entry host and coordinator: admission of prompts to a target ----
  */
 struct  Wgpb__AdmitAsk
 {
@@ -970,31 +992,49 @@
    */
   uint32_t target;
   /*
-   * ids of the shared parts, in order
+   * ids of the shared prompt parts, in order
    */
   size_t n_parts;
   uint64_t *parts;
   /*
-   * tokens of each
+   * tokens of each part
    */
   size_t n_sizes;
   uint32_t *sizes;
   /*
-   * of the whole prompt
+   * tokens of the complete prompt
    */
   uint32_t tokens;
+  /*
+   * maximum number of answer tokens
+   */
   uint32_t answer;
+  /*
+   * tokens at the start of the prompt that another target copies
+   */
   uint32_t copied;
+  /*
+   * requests that may be in progress there before this one; 0: any
+   */
   uint32_t running_most;
   /*
-   * limits of waits, microseconds
+   * limits of waits: until the first event
    */
   uint64_t whole_us;
+  /*
+   * the part caused by prompts of other requests
+   */
   uint64_t ahead_us;
+  /*
+   * replaces `ahead_us` if the own prompt alone exceeds `whole_us`
+   */
   uint64_t ahead_large_us;
+  /*
+   * shared parts that the target lacks count towards `ahead_us`
+   */
   protobuf_c_boolean spares_shared;
   /*
-   * requests a second that the target bears, as far as the asker knows; 0: any
+   * requests per second that the target accepts while cold; 0: no limit
    */
   double cold_rate;
 };
@@ -1008,11 +1048,29 @@
   ProtobufCMessage base;
   uint64_t ticket;
   protobuf_c_boolean granted;
+  /*
+   * expected wait until the first event
+   */
   uint64_t wait_us;
+  /*
+   * the part caused by prompts of other requests
+   */
   uint64_t wait_ahead_us;
+  /*
+   * prompt tokens that the target has to process
+   */
   uint32_t unread;
+  /*
+   * tokens at the start of the prompt that the target holds
+   */
   uint32_t held;
+  /*
+   * unprocessed prompt tokens of other requests
+   */
   uint32_t ahead;
+  /*
+   * requests in progress before this one
+   */
   uint32_t running;
 };
 #define WGPB__ADMIT_ANSWER__INIT \
@@ -1021,7 +1079,7 @@
 
 
 /*
- * The prompt of an admission was read, or the request is over.
+ * The prompt of an admission was processed, or its request ended.
  */
 struct  Wgpb__AdmitNote
 {
@@ -1029,7 +1087,7 @@
   uint64_t ticket;
   protobuf_c_boolean ended;
   /*
-   * the target broke off or could not be reached
+   * the target closed the connection or was unreachable
    */
   protobuf_c_boolean failed;
 };
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -23,6 +23,8 @@
     bool crash_was_early;          /* early flag of the last crash reported */
     uint64_t ended_well;           /* last fingerprint reported as ended well; 0: none */
     uint64_t released_fingerprint; /* fingerprint that an order released; 0: none */
+    uint64_t recovery;             /* forced recovery in the last report */
+    int roster_names;              /* names of entry hosts in all reports so far */
     int standby_requests; /* reports that request the state of a replica without a leader */
     int target_orders;    /* heartbeats and deregistrations */
     uint64_t target_born; /* incarnation in the last target order */
@@ -76,6 +78,8 @@
         f->crash_was_early = in->crashes[in->n_crashes - 1]->early;
     }
     f->standby_requests += in->standby;
+    f->recovery = in->recovery;
+    f->roster_names += (int)in->n_members;
     if (in->n_ended_well > 0) {
         f->ended_well = in->ended_well[0];
     }
@@ -172,6 +176,7 @@
 typedef struct {
     uint64_t version;
     const char* document;
+    uint64_t term;         /* term of the sender; 0 counts as 1 */
     const char* target;    /* ip:port */
     const char* evacuated; /* evacuated data centre, NULL: none; the target is in "dc" */
     uint32_t number;       /* number of the target; 0 counts as 1 */
@@ -218,7 +223,7 @@
         (ProtobufCBinaryData){strlen(update->document), (uint8_t*)update->document};
     state.leads = leads;
     state.standby = !leads;
-    state.term = 1;
+    state.term = MAX(update->term, 1);
     state.leader_address = leads ? f->address : (char*)"";
     state.targets = records;
     replaced = record;
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -82,6 +82,9 @@
     uint64_t configuration_version;
     uint64_t configuration_base; /* base version of the last configuration; 0: sent complete */
     size_t configuration_bytes;  /* packed size of the last configuration */
+    uint64_t recovery;           /* forced recovery that reports tell of */
+    char** roster;               /* names of entry hosts in reports; NULL: none */
+    size_t roster_num;
     uint64_t state_seen;
     int states_received;         /* state messages received */
     int targets;                 /* target records received */
@@ -104,6 +107,9 @@
     report.configuration_version = entry->configuration_version;
     report.registry_change = entry->registry_change;
     report.state_seen = entry->state_seen;
+    report.recovery = entry->recovery;
+    report.members = entry->roster;
+    report.n_members = entry->roster_num;
     report.quarantine_change = entry->quarantine_change;
     wgn_send(entry->net, entry->link, WGW_TYPE_ENTRY_REPORT, &report.base);
 }
--- a/tests/test_lost_majority.c
+++ b/tests/test_lost_majority.c
@@ -238,7 +238,37 @@
 }
 END_TEST
 
+/* A host that restarts after a forced recovery, and so remembers no leader, does not follow the
+   previous majority. */
+START_TEST(restarted_host_does_not_follow_previous_majority) {
+    struct event_base* base = event_base_new();
+    hosts h;
+    begin(&h, base);
+    lose_majority(&h, false);
+    ck_assert_int_eq(recover_set(&h, 2, 3), 200);
+    bool good = hosts_put_until(&h, 2, RECOVERY_MS);
+    for (int i = 0; i < HOSTS; i++) {
+        good = good && hosts_serves_until(&h, &h.hosts[i], SERVE_MS);
+    }
+    kill(h.hosts[0].replica, SIGSTOP);
+    for (int i = 1; i < HOSTS; i++) {
+        hosts_start_replica(&h, &h.hosts[i]);
+    }
+    host* restarted = &h.hosts[HOSTS - 1];
+    kill_and_wait(&restarted->entry);
+    hosts_start_entry(&h, restarted);
+    for (int ms = 0; ms < JOIN_MS; ms += POLL_MS) {
+        hosts_run_for(&h, POLL_MS);
+        good = good && hosts_get_version(&h, restarted) != 1;
+    }
+    kill(h.hosts[0].replica, SIGCONT);
+    good = good && hosts_get_until(&h, 2, RECOVERY_MS) && hosts_put_until(&h, 3, RECOVERY_MS);
+    finish(&h, base, good);
+    ck_assert_msg(good, "a host followed a previous replica; logs in %s", h.folder);
+}
+END_TEST
+
 WG_TEST_MAIN("lost_majority", hosts_that_start_without_a_majority_serve, operator_recovers_the_set,
              wiped_replicas_join_the_recovered_set, recovery_command_finds_the_newest_log,
              recovery_is_refused_while_a_majority_may_return, previous_majority_is_kept_out,
-             previous_majority_is_not_followed)
+             previous_majority_is_not_followed, restarted_host_does_not_follow_previous_majority)
