A target that refuses everything no longer draws the requests, at hosts and at routers

Callers: 60 of 303 requests answered beside a target that serves (hosts), 6,837 answered and 10,004 failed (a router), since a target that refuses at once has nothing in progress and looks idle.

Cause: a refusal was no evidence at all on either path; shown by a pure run (all requests go to the refusing target while six run at the other) and by the two tests. Ruled out: a learned service time (only successes are learned from).

lib/acceptance estimates the chance that a target accepts, from its last answers, recovering with time. At hosts the rest is a price of up to 1 s, so homes and the members of a service stay; at routers it counts as load, and a target that mostly refuses is left out while another one of its service accepts. A sole target is still asked.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -14,6 +14,9 @@
     WG_EJECTION_MAX = 4 * WG_USEC_PER_SEC,
     WG_FRESH_TIME = 25 * WG_USEC_PER_MSEC, /* how long a coordinator's report is fresh */
     WG_OVER_LIMIT_PENALTY = 10 * WG_USEC_PER_SEC,
+    /* Penalty of a target that refuses every request: about the time after which a refused caller
+       returns. */
+    WG_REFUSAL_PENALTY = 1 * WG_USEC_PER_SEC,
     WG_SAMPLED_MIN = 3,
     WG_SAMPLED_HOSTS = 11, /* expected number of hosts that sample a given target */
     WG_FAILURES_BEFORE_EJECTION = 2,
@@ -337,6 +340,7 @@
     WG_ASSERT(t != NULL);
     wg_balance_choice c = wg_balance_estimate(b, t, now, request, homes);
     int64_t cost = c.wait + (int64_t)wg_balance_penalty_time(t, homes, &c, request);
+    cost += (int64_t)((1 - wg_acceptance_chance(&t->acceptance, now)) * WG_REFUSAL_PENALTY);
     if (now < t->ejected_until) {
         cost += WG_EJECTION_MAX; /* last resort */
     }
@@ -467,6 +471,9 @@
     WG_ASSERT(t->own_running > 0);
     t->own_running--;
     t->replaced = t->replaced || result == WG_RESULT_REPLACED;
+    if (result == WG_RESULT_SUCCESS || result == WG_RESULT_REFUSED) {
+        wg_acceptance_record(&t->acceptance, now, result == WG_RESULT_SUCCESS);
+    }
     if (result == WG_RESULT_SUCCESS) {
         wg_balance_update_service_time(t, now, choice);
         t->failures = 0;
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -1,5 +1,6 @@
 #pragma once
 /* wg_balance_internal.h -- state shared by the files of lib/balance; not installed */
+#include "wg_acceptance.h"
 #include "wg_balance.h"
 
 enum {
@@ -26,6 +27,7 @@
     wg_time reported_at;    /* when the coordinator last reported the load; 0: never */
     double speed;           /* prompt tokens processed per microsecond */
     double service_time;    /* microseconds for one request without a prompt that does not queue */
+    wg_acceptance acceptance;
     int failures;
     wg_time ejected_until;
     GHashTable* cached; /* part id -> wg_time*, when the part was last sent to the target */
--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -1,11 +1,17 @@
 /* wg_place.c -- see wg_place.h */
 #include "wg_place.h"
 
+#include "wg_acceptance.h"
+
 #include <limits.h>
 #include <string.h>
 
 /* ---- types -------------------------------------------------------------------------------- */
 
+enum {
+    _WGP_REFUSAL_LOAD = 1000 /* a target that refuses all counts as fully loaded, per mille */
+};
+
 typedef struct {
     wgp_target_info info;
     bool live;
@@ -18,6 +24,7 @@
     int in_reserve; /* running requests beyond the leased slots */
     int consecutive_failures;
     int ejections;
+    wg_acceptance acceptance;
     bool probing; /* a probe request is running */
 } _wgp_target_t;
 
@@ -90,6 +97,18 @@
     return now >= t->info.ejected_until && !t->probing;
 }
 
+/* Whether a usable target of the service is expected to accept requests. */
+static bool _wgp_any_accepts(const wgp_place* p, uint32_t service, wg_time now) {
+    for (int i = 0; i < p->targets_num; i++) {
+        const _wgp_target_t* t = &p->targets[i];
+        if (t->info.service == service && _wgp_is_usable(p, t, now) &&
+            !wg_acceptance_is_refusing(&t->acceptance, now)) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static bool _wgp_lease_holds(const wgp_place* p, wg_time now) {
     return now < p->lease_until;
 }
@@ -123,6 +142,15 @@
     return &p->prefixes[prefix % (uint64_t)p->desc.prefixes_max];
 }
 
+/* Whether the target can be sent a request of the service. `any_accepts`: another target of the
+   service is expected to accept requests, so that a refusing one is left out. */
+static bool _wgp_fits(const wgp_place* p, const _wgp_target_t* t, wg_time now, uint32_t service,
+                      bool use_reserve, bool any_accepts) {
+    return t->info.service == service && _wgp_is_usable(p, t, now) &&
+           (use_reserve || _wgp_has_slot(t)) &&
+           !(any_accepts && wg_acceptance_is_refusing(&t->acceptance, now));
+}
+
 /* The target that may have the prefix cached, if it can accept the request; else NULL. */
 static _wgp_target_t* _wgp_cached_target(wgp_place* p, wg_time now, const wgp_request* request,
                                          bool use_reserve) {
@@ -131,17 +159,21 @@
         return NULL;
     }
     _wgp_target_t* t = _wgp_find(p, entry->target);
-    bool fits = t && _wgp_is_usable(p, t, now) && (use_reserve || _wgp_has_slot(t)) &&
-                t->info.service == request->service && t->info.id != request->not_target;
+    bool any_accepts = _wgp_any_accepts(p, request->service, now);
+    bool fits = t && _wgp_fits(p, t, now, request->service, use_reserve, any_accepts) &&
+                t->info.id != request->not_target;
     if (!fits) {
         p->stats.prefix_overruled++;
     }
     return fits ? t : NULL;
 }
 
-/* Smaller is better. Targets in other data centres get a penalty; ties are broken at random. */
-static int64_t _wgp_score(const wgp_place* p, const _wgp_target_t* t, uint32_t not_target) {
-    int64_t score = (int64_t)_wgp_load(t) * 16;
+/* Smaller is better. Targets in other data centres, and those that refuse, get a penalty; ties are
+   broken at random. */
+static int64_t _wgp_score(const wgp_place* p, const _wgp_target_t* t, wg_time now,
+                          uint32_t not_target) {
+    double refusal = 1 - wg_acceptance_chance(&t->acceptance, now);
+    int64_t score = ((int64_t)_wgp_load(t) + (int64_t)(refusal * _WGP_REFUSAL_LOAD)) * 16;
     if (strcmp(t->info.data_centre, p->desc.data_centre) != 0) {
         score += 16 * 20;
     }
@@ -156,14 +188,13 @@
     _wgp_target_t* best = NULL;
     int64_t best_score = 0;
     int ties = 0;
+    bool any_accepts = _wgp_any_accepts(p, request->service, now);
     for (int i = 0; i < p->targets_num; i++) {
         _wgp_target_t* t = &p->targets[i];
-        bool fits = t->info.service == request->service && _wgp_is_usable(p, t, now) &&
-                    (use_reserve || _wgp_has_slot(t));
-        if (!fits) {
+        if (!_wgp_fits(p, t, now, request->service, use_reserve, any_accepts)) {
             continue;
         }
-        int64_t score = _wgp_score(p, t, request->not_target);
+        int64_t score = _wgp_score(p, t, now, request->not_target);
         ties = best && score == best_score ? ties + 1 : 1;
         bool wins_tie = wg_jitter(p->desc.seed, p->counter + (uint64_t)i) % (uint64_t)ties == 0;
         if (!best || score < best_score || (score == best_score && wins_tie)) {
@@ -383,10 +414,9 @@
         return false;
     }
     bool use_reserve = reserve && _wgp_reserve_free(p, service);
+    bool any_accepts = _wgp_any_accepts(p, service, now);
     for (int i = 0; i < p->targets_num; i++) {
-        const _wgp_target_t* t = &p->targets[i];
-        if (t->info.service == service && _wgp_is_usable(p, t, now) &&
-            (use_reserve || _wgp_has_slot(t))) {
+        if (_wgp_fits(p, &p->targets[i], now, service, use_reserve, any_accepts)) {
             return true;
         }
     }
@@ -444,7 +474,11 @@
     /* A request that fails during a backoff period was sent before it, or held back: it does not
        count against the target. */
     bool in_backoff = _wgp_backoff_until(p, t, now) > 0;
-    if (result == WGP_RESULT_CANCELLED || (result == WGP_RESULT_FAILED && in_backoff)) {
+    if (result == WGP_RESULT_SUCCESS || result == WGP_RESULT_REFUSED) {
+        wg_acceptance_record(&t->acceptance, now, result == WGP_RESULT_SUCCESS);
+    }
+    if (result == WGP_RESULT_CANCELLED || result == WGP_RESULT_REFUSED ||
+        (result == WGP_RESULT_FAILED && in_backoff)) {
         return WGP_EVENT_DEFAULT;
     }
     if (result == WGP_RESULT_SUCCESS) {
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -11,7 +11,9 @@
         - uses only leased slots, and only until the lease ends; urgent requests may exceed them by
           a reserve per service
         - the reported load lags, so requests sent since the last report are added to it
-        - ejects a target after consecutive failures, for growing, jittered times; a single probe
+        - a target that recently refused most requests is tried again by a few only, unless all
+   targets of its service do
+    - ejects a target after consecutive failures, for growing, jittered times; a single probe
           request decides whether it returns
         - sends nothing to a target in a backoff period, and releases its idle slots but one
         - an older host list cannot revoke draining, and a host list that is unavailable changes
@@ -71,6 +73,7 @@
     WGP_RESULT_DEFAULT = 0,
     WGP_RESULT_SUCCESS,
     WGP_RESULT_FAILED,    /* connection refused or aborted, timeout, or 5xx from the target */
+    WGP_RESULT_REFUSED,   /* the target reported that it did not run the request */
     WGP_RESULT_CANCELLED, /* ended by the router; no evidence of the target's health */
     WGP_RESULT_NUM
 } wgp_result;
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -90,7 +90,7 @@
     if (action->type == WGC_ACTION_FINISH && call->attempt->status < 500) {
         return WGP_RESULT_SUCCESS;
     }
-    return call->attempt->reported_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_FAILED;
+    return call->attempt->reported_not_run ? WGP_RESULT_REFUSED : WGP_RESULT_FAILED;
 }
 
 static wg_time _wgro_retry_after(_wgro_call_t* call) {
@@ -274,7 +274,7 @@
     wg_log(WG_EVENT_ATTEMPT_FAILED, "attempt=%d wait_us=%" G_GINT64_FORMAT, action->attempt,
            action->wait);
     wgp_result result =
-        call->attempt && call->attempt->reported_not_run ? WGP_RESULT_CANCELLED : WGP_RESULT_FAILED;
+        call->attempt && call->attempt->reported_not_run ? WGP_RESULT_REFUSED : WGP_RESULT_FAILED;
     _wgro_release(call, _wgro_cost(call), result);
     _wgro_abort_attempt(call);
     _wgro_set_timer(call, wg_now() + action->wait, WGC_EVENT_WAITED);
