A request whose time in the queue is over is refused, also on a host that is late

Callers of a busy host waited up to their deadline for a certain refusal: no answer within 5 s where 55 ms are the time in the queue.

Cause: the call's timer looks at the next selection before the end of the queue time; each tick schedules a selection, and wg_call_enqueue took the request back without looking at the time. A loop round that takes longer than a tick (150 ms in the test) makes this permanent. Now wg_call_enqueue refuses it; its last selection still comes first.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -98,10 +98,15 @@
     return (double)after / WG_USEC_PER_SEC;
 }
 
-/* Queues the request, or refuses it at once if every target stays in backoff for longer than it may
-   be queued. */
+/* Queues the request, or refuses it at once if its time in the queue is over, or if every target
+   stays in backoff until then. Decided here and not only at the timer: on a host that is late, each
+   tick schedules the next selection before the timer is processed. */
 static void wg_call_enqueue(wg_call* call, wg_time now) {
     wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
+    if (now >= wait_until) {
+        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        return;
+    }
     wg_time backoff_end = wg_balance_backoff_ends_at(call->entry->balance, now, &call->selection);
     if (backoff_end > wait_until) {
         call->entry->counters.backoff_refusals++;
