Tests of real processes start programs in one place, which ignores SIGPIPE

Two tests of crashing requests were ended by SIGPIPE, once each: the fixture of the host tests did not ignore it, as the daemons and the other fixture do, and a write to a host just killed met it.

tests/sim/program.c replaces the two copies in proc.c and hosts.c: working directory, log, closed descriptors, SIGPIPE, optional environment.

--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -4,6 +4,7 @@
 #include "folder.h"
 #include "loopback.h"
 #include "proc.h"
+#include "program.h"
 #include "wg_net.h"
 
 #include <errno.h>
@@ -18,8 +19,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-extern char** environ;
-
 /* ---- helpers --------------------------------------------------------------------------------- */
 
 static void write_file(const hosts* h, const char* name, const char* text) {
@@ -28,19 +27,6 @@
     g_free(path);
 }
 
-/* Processes left over from an aborted run still hold their addresses. */
-static bool is_bindable(const char* address) {
-    struct sockaddr_storage at;
-    int size = 0;
-    WG_ASSERT(wgn_parse_address(address, &at, &size));
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    int on = 1;
-    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    bool free = bind(fd, (struct sockaddr*)&at, (socklen_t)size) == 0;
-    close(fd);
-    return free;
-}
-
 /* Are the first addresses of entry processes, replicas and targets free? */
 static bool is_free_part(int part) {
     static const char* const first[] = {"127.%d.1.1:7100", "127.%d.1.1:7101", "127.%d.9.1:7100",
@@ -49,41 +35,17 @@
     for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
         char address[WG_ADDRESS_MAX];
         g_snprintf(address, sizeof address, first[i], part);
-        free = is_bindable(address);
+        free = loopback_is_bindable(address);
     }
     return free;
 }
 
-static void find_programs(hosts* h) {
-    char self[256] = "";
-    WG_ASSERT(readlink("/proc/self/exe", self, sizeof self - 1) > 0);
-    char* folder = g_path_get_dirname(self);
-    g_strlcpy(h->bin, folder, sizeof h->bin);
-    g_free(folder);
-}
-
 static pid_t start_program(const hosts* h, const char* program, const char* log, char** arguments) {
-    char path[320];
-    char* argv[24] = {path};
-    g_snprintf(path, sizeof path, "%s/%s", h->bin, program);
-    for (int i = 0; arguments[i]; i++) {
-        argv[i + 1] = arguments[i];
-    }
-    char* out = g_build_filename(h->folder, log, NULL);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, out, O_CREAT | O_WRONLY | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    posix_spawn_file_actions_addchdir_np(&actions, h->folder);
-    /* An inherited descriptor of a proxy would keep connections open that the proxy closes, and
-       addresses in use after an aborted run. */
-    posix_spawn_file_actions_addclosefrom_np(&actions, 3);
-    pid_t pid = 0;
-    int failed = posix_spawn(&pid, path, &actions, NULL, argv, environ);
-    posix_spawn_file_actions_destroy(&actions);
-    g_free(out);
-    WG_ASSERT(failed == 0);
-    return pid;
+    return program_start(&(program_desc){.bin = h->bin,
+                                         .program = program,
+                                         .arguments = arguments,
+                                         .folder = h->folder,
+                                         .log = log});
 }
 
 /* Addresses of the first three hosts that are part of the fleet. */
@@ -118,7 +80,7 @@
     h->replica_timing = g_strdup("tick_ms=20\nlink_silence_ms=1200\n");
     WG_ASSERT(num <= HOSTS_MAX && targets <= HOST_TARGETS_MAX);
     h->loopback_part_number = loopback_reserve(is_free_part);
-    find_programs(h);
+    program_find_folder(h->bin, sizeof h->bin);
     g_strlcpy(h->folder, "/tmp/wg-hosts-XXXXXX", sizeof h->folder);
     WG_ASSERT(mkdtemp(h->folder) != NULL);
     write_file(h, "fleet.key", "fleet-key-of-the-soak\n");
--- a/tests/sim/loopback.c
+++ b/tests/sim/loopback.c
@@ -1,10 +1,11 @@
 /* loopback.c -- see loopback.h */
 #include "loopback.h"
 
-#include "wg_base.h"
+#include "wg_net.h"
 
 #include <fcntl.h>
 #include <sys/file.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 enum {
@@ -12,6 +13,18 @@
     PARTS_NUM = 240
 };
 
+bool loopback_is_bindable(const char* address) {
+    struct sockaddr_storage at;
+    int size = 0;
+    WG_ASSERT(wgn_parse_address(address, &at, &size));
+    int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    int on = 1;
+    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    bool free = bind(fd, (struct sockaddr*)&at, (socklen_t)size) == 0;
+    close(fd);
+    return free;
+}
+
 int loopback_reserve(bool (*is_free)(int part)) {
     for (int i = 0; i < PARTS_NUM; i++) {
         int part = PART_MIN + (getpid() + i) % PARTS_NUM;
--- a/tests/sim/loopback.h
+++ b/tests/sim/loopback.h
@@ -16,5 +16,9 @@
    left. */
 int loopback_reserve(bool (*is_free)(int part));
 
+/* Whether a socket can listen at "ip:port". Processes left over from an aborted run still hold
+   their addresses. */
+bool loopback_is_bindable(const char* address);
+
 /* The part of this process; the first call takes it. */
 int loopback_part(void);
--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -3,6 +3,7 @@
 
 #include "folder.h"
 #include "loopback.h"
+#include "program.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -104,6 +105,17 @@
                i);
 }
 
+/* Aborts with the command's output if it fails. */
+static void put_rows(proc_fleet* f, const char* kind, const char* file) {
+    char* out = NULL;
+    int status = proc_run_ctl(f, &out, "table", "put", kind, file, NULL);
+    if (status != 0) {
+        fprintf(stderr, "table put %s: exit status %d: %s", kind, status, out ? out : "");
+    }
+    WG_ASSERT(status == 0);
+    g_free(out);
+}
+
 static void put_table(proc_fleet* f) {
     GString* csv = g_string_new("name,version,kind,repeatable,resume,over_percent,deadline_ms\n");
     g_string_append_printf(csv, "model,0,model,,1,%d,30000\n", f->desc.over_percent);
@@ -133,9 +145,9 @@
     }
     write_file(f, "workspaces.csv", csv->str);
     g_string_free(csv, TRUE);
-    WG_ASSERT(proc_run_ctl(f, NULL, "table", "put", "services", "services.csv", NULL) == 0);
-    WG_ASSERT(proc_run_ctl(f, NULL, "table", "put", "targets", "targets.csv", NULL) == 0);
-    WG_ASSERT(proc_run_ctl(f, NULL, "table", "put", "workspaces", "workspaces.csv", NULL) == 0);
+    put_rows(f, "services", "services.csv");
+    put_rows(f, "targets", "targets.csv");
+    put_rows(f, "workspaces", "workspaces.csv");
 }
 
 static bool router_serves(void* user_data) {
@@ -170,46 +182,47 @@
 
 /* ---- processes ------------------------------------------------------------------------------ */
 
-static pid_t spawn(const proc_fleet* f, const char* out_name, char* const* argv) {
-    char* out = g_build_filename(f->folder, out_name, NULL);
-    posix_spawn_file_actions_t actions;
-    posix_spawn_file_actions_init(&actions);
-    posix_spawn_file_actions_addopen(&actions, 1, out, O_CREAT | O_WRONLY | O_APPEND, 0600);
-    posix_spawn_file_actions_adddup2(&actions, 1, 2);
-    posix_spawn_file_actions_addchdir_np(&actions, f->folder);
-    pid_t pid = 0;
-    int failed = posix_spawn(&pid, argv[0], &actions, NULL, argv, environ);
-    posix_spawn_file_actions_destroy(&actions);
-    g_free(out);
-    WG_ASSERT(failed == 0);
+/* Controls sync through slow_sync.c, which takes the delay from the file that is named here. */
+static pid_t spawn(const proc_fleet* f, const char* program, const char* log, char* const* argv) {
+    char* preload = g_strdup_printf("LD_PRELOAD=%s/libslow_sync.so", f->bin);
+    char* file = g_strdup_printf("WG_SLOW_SYNC_FILE=%s/sync_delay", f->folder);
+    char* environment[] = {preload, file, NULL};
+    bool slow = f->desc.slow_syncs && strcmp(program, "walnutgate-controld") == 0;
+    pid_t pid = program_start(&(program_desc){.bin = f->bin,
+                                              .program = program,
+                                              .arguments = argv,
+                                              .folder = f->folder,
+                                              .log = log,
+                                              .environment = slow ? environment : NULL});
+    g_free(file);
+    g_free(preload);
     return pid;
 }
 
+void proc_set_sync_delay(const proc_fleet* f, int ms) {
+    char* text = g_strdup_printf("%d\n", ms);
+    write_file(f, "sync_delay", text);
+    g_free(text);
+}
+
 void proc_start(proc_fleet* f, proc_process* p) {
-    char program[320];
     char address[96];
     char pace[48];
     char slots[48];
-    char* argv[6] = {program, NULL};
+    char out[48];
+    g_snprintf(out, sizeof out, "%s.out", p->name);
     if (is_kind(p, "engine") || is_kind(p, "service")) {
         bool engine = is_kind(p, "engine");
-        g_snprintf(program, sizeof program, "%s/%s", f->bin,
-                   engine ? "fake_engine" : "fake_service");
         g_snprintf(address, sizeof address, "address=%s", p->address);
         g_snprintf(pace, sizeof pace, "pace_us=%d", f->desc.engine_pace_us);
         g_snprintf(slots, sizeof slots, "slots=%d", f->desc.engine_slots);
-        argv[1] = address;
-        argv[2] = pace;
-        argv[3] = slots;
+        char* argv[] = {address, pace, slots, NULL};
+        p->pid = spawn(f, engine ? "fake_engine" : "fake_service", out, argv);
     } else {
-        g_snprintf(program, sizeof program, "%s/walnutgate-%s", f->bin,
-                   is_kind(p, "c") ? "controld" : "routerd");
-        argv[1] = (char*)"--settings";
-        argv[2] = p->settings;
+        char* argv[] = {(char*)"--settings", p->settings, NULL};
+        p->pid =
+            spawn(f, is_kind(p, "c") ? "walnutgate-controld" : "walnutgate-routerd", out, argv);
     }
-    char out[48];
-    g_snprintf(out, sizeof out, "%s.out", p->name);
-    p->pid = spawn(f, out, argv);
 }
 
 void proc_signal(proc_process* p, int signal) {
@@ -219,19 +232,11 @@
 }
 
 int proc_wait(proc_process* p) {
-    int status = 0;
-    WG_ASSERT(p->pid > 0);
-    while (waitpid(p->pid, &status, 0) < 0 && errno == EINTR) {
-    }
-    p->pid = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return program_wait(&p->pid);
 }
 
 void proc_kill(proc_process* p) {
-    if (p->pid > 0) {
-        kill(p->pid, SIGKILL);
-        proc_wait(p);
-    }
+    program_kill(&p->pid);
 }
 
 void proc_wipe_disk(proc_fleet* f, proc_process* p) {
@@ -268,13 +273,17 @@
     wg_assert_failed("a control leads", __FILE__, __LINE__);
 }
 
-static void find_programs(proc_fleet* f) {
-    char self[256] = "";
-    ssize_t size = readlink("/proc/self/exe", self, sizeof self - 1);
-    WG_ASSERT(size > 0);
-    char* folder = g_path_get_dirname(self);
-    g_strlcpy(f->bin, folder, sizeof f->bin);
-    g_free(folder);
+/* Are the first addresses of controls, routers and targets free? */
+static bool is_free_part(int part) {
+    static const char* const first[] = {"127.%d.1.1:7100", "127.%d.2.1:8000", "127.%d.3.1:9000",
+                                        "127.%d.4.1:9000"};
+    bool free = true;
+    for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
+        char address[WG_ADDRESS_MAX];
+        g_snprintf(address, sizeof address, first[i], part);
+        free = loopback_is_bindable(address);
+    }
+    return free;
 }
 
 void proc_fleet_start(proc_fleet* f, const proc_desc* desc) {
@@ -282,9 +291,8 @@
     f->desc.engine_slots = desc->engine_slots ? desc->engine_slots : 8;
     f->desc.engine_pace_us = desc->engine_pace_us ? desc->engine_pace_us : 2000;
     f->desc.workspaces = desc->workspaces ? desc->workspaces : 3;
-    f->loopback_part_number = loopback_reserve(NULL);
-    signal(SIGPIPE, SIG_IGN);
-    find_programs(f);
+    f->loopback_part_number = loopback_reserve(is_free_part);
+    program_find_folder(f->bin, sizeof f->bin);
     g_strlcpy(f->folder, "/tmp/wg-fleet-XXXXXX", sizeof f->folder);
     WG_ASSERT(mkdtemp(f->folder) != NULL);
     g_snprintf(f->operator_key, sizeof f->operator_key, "operator-key-of-the-tests");
@@ -302,10 +310,8 @@
     for (int i = 1; i <= desc->services; i++) {
         add_target(f, "service", i, 4);
     }
-    char program[320];
-    g_snprintf(program, sizeof program, "%s/walnutgate-controld", f->bin);
-    char* argv[] = {program, (char*)"--settings", f->processes[0].settings, (char*)"--init", NULL};
-    proc_process init = {.pid = spawn(f, "init.out", argv)};
+    char* argv[] = {(char*)"--settings", f->processes[0].settings, (char*)"--init", NULL};
+    proc_process init = {.pid = spawn(f, "walnutgate-controld", "init.out", argv)};
     WG_ASSERT(proc_wait(&init) == 0);
     for (int i = 0; i < f->num; i++) {
         proc_start(f, &f->processes[i]);
@@ -462,7 +468,6 @@
 
 int proc_run_ctl(proc_fleet* f, char** out, const char* first, ...) {
     GPtrArray* argv = g_ptr_array_new_with_free_func(g_free);
-    g_ptr_array_add(argv, g_strdup_printf("%s/walnutgatectl", f->bin));
     g_ptr_array_add(argv, g_strdup("--controls"));
     g_ptr_array_add(argv, control_addresses(f, true));
     g_ptr_array_add(argv, g_strdup("--key-file"));
@@ -476,7 +481,7 @@
     g_ptr_array_add(argv, NULL);
     char* path = g_build_filename(f->folder, "ctl.out", NULL);
     g_unlink(path);
-    proc_process ctl = {.pid = spawn(f, "ctl.out", (char* const*)argv->pdata)};
+    proc_process ctl = {.pid = spawn(f, "walnutgatectl", "ctl.out", (char* const*)argv->pdata)};
     int status = proc_wait(&ctl);
     if (out) {
         g_file_get_contents(path, out, NULL, NULL);
--- a/tests/sim/proc.h
+++ b/tests/sim/proc.h
@@ -28,6 +28,7 @@
     const char* control_extra;
     int workspaces; /* number of workspaces w0, w1, ... with keys key-w0, ...; default 3 */
     int over_percent;
+    bool slow_syncs; /* disk syncs of controls can be delayed, see proc_set_sync_delay() */
 } proc_desc;
 
 typedef struct {
@@ -69,6 +70,8 @@
 int proc_wait(proc_process* process);
 /* Sends SIGKILL and waits until the process exits. */
 void proc_kill(proc_process* process);
+/* Delays all disk syncs of controls that begin from now on; needs `slow_syncs`. */
+void proc_set_sync_delay(const proc_fleet* fleet, int ms);
 /* Empties a control's data folder. */
 void proc_wipe_disk(proc_fleet* fleet, proc_process* process);
 /* The control that leads; waits for one, aborts if none does. */
