Controls store the input of one loop round with one sync; a late lease fails no edit

Callers of a fleet whose controls' disks are busy got next to nothing: 15 and 41 keyed actions in 6 s where more than 100 are expected (actions_run_at_most_once); operators' edits ended with "no response".

Cause: one sync for each proposal and each message, in the control's only thread. Evidence: delays injected into the syncs give the same failure: 9 and 11 answers at 30 ms a sync, 5 and 8 at 50 ms, 0 and 2 at 100 ms. And a lease that runs out for a moment, while leader and follower sync, failed the edits under way, which were committed just after (SIGABRT in the set-up of one_key_through_three_routers_runs_once at 400 ms).

Proposals and messages now schedule one pump at the end of the loop's input; waiting senders are failed only when the leader's role ends.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -311,6 +311,10 @@
     } else if (!leads && c->leads) {
         _wgco_lead_end(c);
     }
+    /* A leader whose lease has expired may still commit its entries, so their senders wait. */
+    if (wgr_query_stats(c->node, now).role != WGR_ROLE_LEADER) {
+        _wgco_fail_waiters(c);
+    }
     _wgco_announce_leader(c);
 }
 
@@ -341,6 +345,15 @@
     }
 }
 
+static void _wgco_on_pump(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    wgco_control* c = user_data;
+    if (c->node) {
+        _wgco_pump(c);
+    }
+}
+
 static void _wgco_on_plan(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
@@ -390,6 +403,8 @@
     }
     c->tick = event_new(c->base, -1, EV_PERSIST, _wgco_on_tick, c);
     c->plan_event = evtimer_new(c->base, _wgco_on_plan, c);
+    c->pump_event = event_new(c->base, -1, 0, _wgco_on_pump, c);
+    event_priority_set(c->pump_event, WGN_PRIORITY); /* as the links that schedule it */
     c->stop_event = event_new(c->base, -1, EV_PERSIST, _wgco_on_stop, c);
     struct timeval period = {.tv_usec = c->settings->tick_ms * WG_USEC_PER_MSEC};
     event_add(c->tick, &period);
@@ -405,6 +420,7 @@
     if (c->tick) {
         event_free(c->tick);
         event_free(c->plan_event);
+        event_free(c->pump_event);
         event_free(c->stop_event);
     }
     g_free(c->sessions);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -123,6 +123,7 @@
     struct event_base* base;
     struct event* tick;
     struct event* plan_event;
+    struct event* pump_event; /* active while messages or proposals wait for the next pump */
     struct event* stop_event;
     wgn_net* net;
     wgh_server http;
@@ -230,7 +231,11 @@
 void _wgco_on_frame(wgn_link link, const wgw_frame* frame, void* user_data);
 
 /* replication (wg_control_log.c) */
+/* Stores, sends and applies what the replicated log has ready. */
 void _wgco_pump(wgco_control* c);
+/* Pumps once the input that the event loop has ready is processed, so that all of it is stored with
+   one disk sync. */
+void _wgco_schedule_pump(wgco_control* c);
 void _wgco_receive_quorum(wgco_control* c, const wgw_frame* frame);
 bool _wgco_propose(wgco_control* c, const ProtobufCMessage* command, _wgco_waiter_t* waiter);
 void _wgco_fail_waiters(wgco_control* c);
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -335,6 +335,10 @@
     c->pumping = false;
 }
 
+void _wgco_schedule_pump(wgco_control* c) {
+    event_active(c->pump_event, EV_TIMEOUT, 1);
+}
+
 void _wgco_receive_quorum(wgco_control* c, const wgw_frame* frame) {
     Wgpb__Quorum* in = wgpb__quorum__unpack(NULL, frame->size, frame->payload);
     if (!in) {
@@ -347,7 +351,7 @@
     }
     wgr_message_clear(&m);
     wgpb__quorum__free_unpacked(in, NULL);
-    _wgco_pump(c);
+    _wgco_schedule_pump(c);
 }
 
 bool _wgco_propose(wgco_control* c, const ProtobufCMessage* command, _wgco_waiter_t* waiter) {
@@ -363,7 +367,7 @@
         waiter->term = wgr_query_stats(c->node, wg_now()).term;
         g_queue_push_tail(&c->waiters, waiter);
     }
-    _wgco_pump(c);
+    _wgco_schedule_pump(c);
     return true;
 }
 
--- a/lib/control/wg_control_routers.c
+++ b/lib/control/wg_control_routers.c
@@ -308,7 +308,6 @@
     c->members = NULL;
     event_del(c->plan_event);
     c->plan_due = false;
-    _wgco_fail_waiters(c);
     _wgco_entry_lead_end(c);
     for (int i = 0; i < _WGCO_ROUTERS_MAX; i++) {
         if (c->sessions[i].live) {
