Retry-After during a backoff is spread once, not by host and caller both

The backoff keeps the requested end beside the host's; callers return after the requested end plus their jitter, or shortly after the host, whichever is later: 3.475 s at most. The bound follows from the constants; test_policy:jitter_of_host_and_callers_does_not_add_up shows it for the latest host.

--- a/lib/backoff/wg_backoff.c
+++ b/lib/backoff/wg_backoff.c
@@ -9,7 +9,8 @@
 
 typedef struct {
     uint64_t target;
-    wg_time until; /* end of the backoff period */
+    wg_time requested_until; /* end of the requested backoff period */
+    wg_time until;           /* the same with this host's jitter */
     wg_time updated_at;
     bool draining;
     bool unreadable; /* an unreadable Retry-After was reported */
@@ -200,6 +201,7 @@
     update.draining_started = hint->draining && !t->draining;
     update.unreadable = unreadable && !t->unreadable;
     if (update.period > 0) {
+        t->requested_until = MAX(t->requested_until, now + update.period);
         t->until = MAX(t->until, _wg_backoff_end(b, now, update.period));
     }
     t->draining = t->draining || hint->draining;
@@ -208,15 +210,19 @@
     return update;
 }
 
-wg_time wg_backoff_ends_at(const wg_backoff* b, wg_time now, uint64_t target) {
+wg_backoff_period wg_backoff_period_of(const wg_backoff* b, wg_time now, uint64_t target) {
     const _wg_backoff_target* t = _wg_backoff_find(b, target);
-    if (!t) {
-        return 0;
+    if (t && t->draining) {
+        return (wg_backoff_period){WG_TIME_NEVER, WG_TIME_NEVER};
     }
-    if (t->draining) {
-        return WG_TIME_NEVER;
+    if (!t || t->until <= now) {
+        return (wg_backoff_period){0};
     }
-    return t->until > now ? t->until : 0;
+    return (wg_backoff_period){.requested_until = t->requested_until, .ends_at = t->until};
+}
+
+wg_time wg_backoff_ends_at(const wg_backoff* b, wg_time now, uint64_t target) {
+    return wg_backoff_period_of(b, now, target).ends_at;
 }
 
 bool wg_backoff_is_draining(const wg_backoff* b, uint64_t target) {
--- a/lib/backoff/wg_backoff.h
+++ b/lib/backoff/wg_backoff.h
@@ -60,6 +60,12 @@
     wg_time period;        /* requested backoff period, microseconds; 0: none */
 } wg_backoff_update;
 
+/* The current backoff period of a target. */
+typedef struct {
+    wg_time requested_until; /* end of the requested period; 0: not in backoff */
+    wg_time ends_at;         /* end for this host, with its jitter */
+} wg_backoff_period;
+
 typedef struct wg_backoff wg_backoff;
 
 /* Parses one header field of an answer. `draining_field` is the name of the field that announces
@@ -78,6 +84,8 @@
 /* Returns when the target's backoff period ends, including jitter of up to an eighth of the
    period; 0: not in backoff, WG_TIME_NEVER: draining. */
 wg_time wg_backoff_ends_at(const wg_backoff* backoff, wg_time now, uint64_t target);
+/* Like wg_backoff_ends_at(), with the end that the target requested. */
+wg_backoff_period wg_backoff_period_of(const wg_backoff* backoff, wg_time now, uint64_t target);
 bool wg_backoff_is_draining(const wg_backoff* backoff, uint64_t target);
 /* Returns the number of targets in backoff. */
 int wg_backoff_active_num(const wg_backoff* backoff, wg_time now);
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -517,20 +517,20 @@
     return num;
 }
 
-wg_time wg_balance_backoff_ends_at(const wg_balance* b, wg_time now,
-                                   const wg_balance_request* request) {
+wg_backoff_period wg_balance_backoff(const wg_balance* b, wg_time now,
+                                     const wg_balance_request* request) {
     const wg_balance_service* service = g_hash_table_lookup(b->services, request->service);
-    wg_time backoff_end = WG_TIME_NEVER;
+    wg_backoff_period first = {.ends_at = WG_TIME_NEVER};
     for (guint i = 0; service && b->desc.backoff && i < service->targets->len; i++) {
         const wg_balance_target* t = service->targets->pdata[i];
         if (!wg_balance_is_eligible(t, request)) {
             continue;
         }
-        wg_time ends_at = wg_backoff_ends_at(b->desc.backoff, now, t->key);
-        backoff_end = MIN(backoff_end, ends_at);
-        if (ends_at == 0) {
-            return 0;
+        wg_backoff_period period = wg_backoff_period_of(b->desc.backoff, now, t->key);
+        first = period.ends_at < first.ends_at ? period : first;
+        if (period.ends_at == 0) {
+            return first;
         }
     }
-    return backoff_end == WG_TIME_NEVER ? 0 : backoff_end;
+    return first.ends_at == WG_TIME_NEVER ? (wg_backoff_period){0} : first;
 }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -163,7 +163,7 @@
 void wg_balance_end(wg_balance* balance, wg_time now, wg_balance_choice* choice, wg_result result);
 /* Writes the nonzero loads of this host to `loads`, at most `max`; returns their number. */
 int wg_balance_loads(const wg_balance* balance, wg_balance_load* loads, int max);
-/* Returns the earliest end of a backoff period if all eligible targets are in backoff; 0 if one
+/* Returns the backoff period that ends first if all eligible targets are in backoff; all 0 if one
    target is not, or if there are no eligible targets. */
-wg_time wg_balance_backoff_ends_at(const wg_balance* balance, wg_time now,
-                                   const wg_balance_request* request);
+wg_backoff_period wg_balance_backoff(const wg_balance* balance, wg_time now,
+                                     const wg_balance_request* request);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -90,11 +90,14 @@
     wg_time now = wg_now();
     wg_balance_request again = call->selection;
     again.tried_num = 0;
-    wg_time backoff_end = wg_balance_backoff_ends_at(e->balance, now, &again);
+    wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &again);
     wg_time left = (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
-    wg_time after =
-        backoff_end ? wg_policy_retry_after_backoff(e->seed, ++e->counter, backoff_end - now, left)
-                    : wg_policy_retry_after(e->seed, ++e->counter);
+    wg_time requested = MAX(backoff.requested_until - now, 0);
+    wg_time after = wg_policy_retry_after(e->seed, ++e->counter);
+    if (backoff.ends_at) {
+        after = wg_policy_retry_after_backoff(e->seed, e->counter, requested, left);
+        after = wg_policy_return_after_host(after, requested, backoff.ends_at - now);
+    }
     return (double)after / WG_USEC_PER_SEC;
 }
 
@@ -107,8 +110,8 @@
         wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
         return;
     }
-    wg_time backoff_end = wg_balance_backoff_ends_at(call->entry->balance, now, &call->selection);
-    if (backoff_end > wait_until) {
+    wg_backoff_period backoff = wg_balance_backoff(call->entry->balance, now, &call->selection);
+    if (backoff.ends_at > wait_until) {
         call->entry->counters.backoff_refusals++;
         wg_call_refuse(call, call->may_have_run ? 502 : 503, "targets_rest",
                        wg_call_retry_after(call));
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -31,6 +31,9 @@
 
 /* Range of Retry-After times. Short, since targets have capacity again within tenths of a
    second. */
+enum {
+    _WG_POLICY_HOST_JITTER_DIVISOR = 3 /* of a caller's jitter that is added to the host's */
+};
 static const wg_time _WG_POLICY_RETRY_AFTER_MIN = 100 * WG_USEC_PER_MSEC;
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
 
@@ -112,3 +115,12 @@
     wg_time spread = wg_jitter_range(seed, counter, max_wait * 4 / 5, max_wait);
     return backoff_time + jitter <= max_wait ? backoff_time + jitter : spread;
 }
+
+/* The host's jitter already separates its callers from those of other hosts; the rest only has to
+   separate the callers of this host. */
+wg_time wg_policy_return_after_host(wg_time after, wg_time backoff_time, wg_time host_time) {
+    if (after < backoff_time || after >= host_time) {
+        return after;
+    }
+    return host_time + (after - backoff_time) / _WG_POLICY_HOST_JITTER_DIVISOR;
+}
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -61,3 +61,6 @@
    for a caller that has `left` microseconds until its deadline. */
 wg_time wg_policy_retry_after_backoff(uint64_t seed, uint64_t counter, wg_time backoff_time,
                                       wg_time left);
+/* Moves `after`, a time beyond `backoff_time`, past the time at which this host ends its backoff,
+   which includes a jitter of its own; all in microseconds from now. */
+wg_time wg_policy_return_after_host(wg_time after, wg_time backoff_time, wg_time host_time);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -107,8 +107,29 @@
 }
 END_TEST
 
+/* The jitter of the host's backoff (here 0.37 of 3 s) and that of the callers do not add up:
+   callers return after the host, spread, and at most a tenth of a second later. */
+START_TEST(jitter_of_host_and_callers_does_not_add_up) {
+    const wg_time requested = 3 * SECOND;
+    const wg_time host = 3370 * MSEC;
+    wg_time min = WG_TIME_NEVER;
+    wg_time max = 0;
+    for (uint64_t i = 0; i < 200; i++) {
+        wg_time after = wg_policy_retry_after_backoff(7, i, requested, 30 * SECOND);
+        wg_time moved = wg_policy_return_after_host(after, requested, host);
+        min = MIN(min, moved);
+        max = MAX(max, moved);
+        ck_assert_int_eq(wg_policy_return_after_host(after, requested, requested), after);
+        ck_assert_int_eq(wg_policy_return_after_host(SECOND, requested, host), SECOND);
+    }
+    ck_assert_int_gt(min, host);
+    ck_assert_int_le(max, host + 100 * MSEC);
+    ck_assert_int_ge(max - min, 50 * MSEC);
+}
+END_TEST
+
 WG_TEST_MAIN("policy", tightest_objective_limits_all_waits, workspaces_above_the_level_wait_less,
              retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
              uncharged_requests_have_full_wait_tolerance,
              refusal_comes_within_a_quarter_of_the_objective,
-             retry_after_is_past_the_backoff_and_spread)
+             retry_after_is_past_the_backoff_and_spread, jitter_of_host_and_callers_does_not_add_up)
