A stall of the host does not count as time that a target takes to connect

Cause: the limit for connecting (250 ms) runs on in a stall; where the handshake is not done at its end, the attempt fails and the target is left out for the request. Ruled out: a stall after a finished handshake, 12 of 0.3 s in a row do no harm. A limit that ends after a stall starts anew.

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -150,10 +150,11 @@
     struct bufferevent* bev;
     wg_upstream_state state;
     wg_call* call;
-    bool remote;  /* the target is in another data centre */
-    bool used;    /* connection served an earlier request */
-    bool written; /* bytes of the current request may have left this host */
-    char* bytes;  /* storage that `head` points into */
+    bool remote;              /* the target is in another data centre */
+    wg_time connecting_since; /* start of the time limit for connecting */
+    bool used;                /* connection served an earlier request */
+    bool written;             /* bytes of the current request may have left this host */
+    char* bytes;              /* storage that `head` points into */
     wg_message_head head;
     wg_time backoff_time; /* backoff period requested by the answer; 0: none */
     wg_body body;
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -15,6 +15,20 @@
 };
 
 static void wg_upstream_on_read(struct bufferevent* bev, void* user_data);
+/* Starts the time limit for connecting. */
+static void wg_upstream_limit_connecting(wg_upstream* up) {
+    struct timeval limit = {.tv_usec = WG_CONNECT_TIMEOUT};
+    up->connecting_since = wg_now();
+    bufferevent_enable(up->bev, EV_READ | EV_WRITE);
+    bufferevent_set_timeouts(up->bev, &limit, &limit);
+}
+
+/* Whether connecting took too long only because this process, or its host, stood still. */
+static bool wg_upstream_stalled_while_connecting(const wg_upstream* up, short what) {
+    return up->state == WG_UPSTREAM_CONNECTING && (what & BEV_EVENT_TIMEOUT) &&
+           up->entry->stall_ended_at > up->connecting_since;
+}
+
 static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data);
 
 /* ---- helpers: counts ------------------------------------------------------------------------ */
@@ -311,6 +325,10 @@
         wg_upstream_write_request(up, up->call, target);
         return;
     }
+    if (wg_upstream_stalled_while_connecting(up, what)) {
+        wg_upstream_limit_connecting(up);
+        return;
+    }
     if ((what & BEV_EVENT_EOF) && up->state == WG_UPSTREAM_BODY && up->call &&
         up->body.framing == WG_FRAMING_CLOSE) {
         wg_call_answer_complete(up->call, up);
@@ -355,9 +373,7 @@
     up->remote = strcmp(target->data_centre, e->settings->data_centre) != 0;
     evbuffer_add_cb(bufferevent_get_input(up->bev), wg_upstream_count_in, up);
     bufferevent_setcb(up->bev, wg_upstream_on_read, NULL, wg_upstream_on_event, up);
-    bufferevent_enable(up->bev, EV_READ | EV_WRITE);
-    struct timeval limit = {.tv_usec = WG_CONNECT_TIMEOUT};
-    bufferevent_set_timeouts(up->bev, &limit, &limit);
+    wg_upstream_limit_connecting(up);
     e->counters.connects++;
     e->upstreams_num++;
     if (bufferevent_socket_connect(up->bev, (struct sockaddr*)&address, size) != 0) {
