--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -197,6 +197,35 @@
 }
 END_TEST
 
+/* A stall among changes that arrive together sends no change twice: targets registered before it
+   are not reported as unresponsive beside those registered after it. */
+START_TEST(stall_among_changes_sends_none_twice) {
+    enum {
+        BEFORE_NUM = 8
+    };
+    begin();
+    local_entry host;
+    local_entry other;
+    connect_host(&host, 1);
+    connect_host(&other, 2);
+    for (int i = 1; i <= BEFORE_NUM; i++) {
+        order_target(&host, i, 1);
+    }
+    for (int i = 0; i < TURNS && other.targets < BEFORE_NUM; i++) {
+        local_run_loop(base);
+    }
+    wg_now_skip((settings.target_silent_ms + 1000) * MSEC);
+    for (int i = BEFORE_NUM + 1; i <= TARGETS; i++) {
+        order_target(&host, i, 1);
+    }
+    run_turns(300);
+    ck_assert_int_eq(other.targets, TARGETS);
+    wgn_shutdown(host.net);
+    wgn_shutdown(other.net);
+    end();
+}
+END_TEST
+
 /* The leader's own stall does not count as time without contact: it must not report running targets
    as unresponsive after it. */
 START_TEST(stalled_leader_reports_no_target_unresponsive) {
@@ -413,5 +442,6 @@
 WG_TEST_MAIN("leader states", crashes_reported_by_two_hosts_add_up,
              quarantine_survives_restarts_of_the_control, quarantine_expires,
              configuration_is_sent_as_a_difference, configuration_in_flight_is_not_resent,
-             simultaneous_changes_are_sent_together, stalled_leader_reports_no_target_unresponsive,
+             simultaneous_changes_are_sent_together, stall_among_changes_sends_none_twice,
+             stalled_leader_reports_no_target_unresponsive,
              evacuation_survives_restarts_of_the_control)
