--- a/lib/quorum/wg_quorum_internal.h
+++ b/lib/quorum/wg_quorum_internal.h
@@ -158,8 +158,21 @@
 
 /* messages */
 wgr_message* _wgr_send(wgr_node* n, wgr_message_type type, uint64_t to);
+
+/* elections */
+/* Starts a new, random election timeout. */
+void _wgr_reset_election(wgr_node* n, wg_time now);
 void _wgr_become_follower(wgr_node* n, wg_time now, uint64_t term, uint64_t leader);
 void _wgr_campaign(wgr_node* n, wg_time now, _wgr_campaign_kind kind);
+void _wgr_on_pre_vote(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_on_vote(wgr_node* n, wg_time now, const wgr_message* m);
+/* `pre`: reply to a pre-vote. */
+void _wgr_on_vote_reply(wgr_node* n, wg_time now, const wgr_message* m, bool pre);
+
+/* followers */
+void _wgr_on_append(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_on_snapshot(wgr_node* n, wg_time now, const wgr_message* m);
+void _wgr_on_timeout_now(wgr_node* n, wg_time now, const wgr_message* m);
 
 /* unresponsive replicas */
 /* As leader: adds the unresponsive replicas to an APPEND message. */
