wg_entry_link.c: applying the leader's state in a file of its own

Moved as it was: what a host takes over from states and configurations to wg_entry_state.c; links, dialling and reports stay.

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -348,12 +348,6 @@
 bool wg_entry_link_setup(wg_entry* e, GError** error);
 void wg_entry_link_tick(wg_entry* e, wg_time now);
 void wg_entry_report(wg_entry* e, wg_time now);
-/* Decays the fleet usage last received, while there is no contact with a leader. */
-void wg_entry_decay_usage(wg_entry* e, wg_time now);
-
-/* Whether the leader has been missing long enough to accept state from a replica. */
-bool wg_entry_accepts_standby(const wg_entry* e, wg_time now);
-
 /* Closes the link to the control; dials `address`, or the next known one if it is empty. */
 void wg_entry_reconnect(wg_entry* e, const char* address);
 /* Handles a frame from the control: processes it now, or puts it aside until a leader is known. */
@@ -362,6 +356,19 @@
 /* Writes the address at which the entry host on a seed, "ip:port", listens for fleet processes. */
 bool wg_entry_host_address(const wg_entry* e, const char* seed, char* out, size_t size);
 
+/* Adds the address of a control to those that are dialled. */
+void wg_entry_add_control(wg_entry* e, const char* address);
+
+/* wg_entry_state.c */
+/* Applies a state from the control: follows its sender, or the leader that it names. */
+void wg_entry_apply_state(wg_entry* e, const Wgpb__EntryState* in);
+/* Reconnects if the update cannot be applied, as a new link sends the full configuration. */
+void wg_entry_handle_configuration(wg_entry* e, const Wgpb__Configuration* in);
+/* Decays the fleet usage last received, while there is no contact with a leader. */
+void wg_entry_decay_usage(wg_entry* e, wg_time now);
+/* Whether the leader has been missing long enough to accept state from a replica. */
+bool wg_entry_accepts_standby(const wg_entry* e, wg_time now);
+
 /* wg_entry_recovery.c */
 /* Asks the entry hosts on the seeds whether they know of a recovery. */
 void wg_entry_recovery_setup(wg_entry* e);
