Entry recovery: queries end without relying on a callback; nothing is processed at shutdown

Read again: a query link that had failed while it was dialled would have kept the loop that closes all queries from ending, and frames put aside were processed while the links were shut down. Neither was seen in a run. test_entry_recovery, test_entry and test_entry_standby pass.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -279,10 +279,11 @@
     wgh_close(&e->ready_server);
     wgh_close(&e->entry_server);
     wgh_close(&e->orders_server);
+    wg_entry_recovery_shutdown(e);
     if (e->net) {
         wgn_shutdown(e->net);
     }
-    wg_entry_recovery_shutdown(e);
+    wg_entry_recovery_drop_delayed(e);
     wg_entry_cache_shutdown(e);
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
--- a/lib/entry/wg_entry_recovery.c
+++ b/lib/entry/wg_entry_recovery.c
@@ -59,12 +59,9 @@
 static void wg_entry_end_queries(wg_entry* e) {
     wg_entry_recovery* r = &e->recovery;
     while (r->queries_num > 0) {
-        wgn_close(e->net, r->queries[r->queries_num - 1]); /* ends in on_down */
+        wgn_close(e->net, r->queries[--r->queries_num]);
     }
-}
-
-static void wg_entry_remove_query(wg_entry_recovery* r, int at) {
-    r->queries[at] = r->queries[--r->queries_num];
+    wg_entry_apply_delayed_frames(e);
 }
 
 static bool wg_entry_is_query(const wg_entry* e, wgn_link link) {
@@ -101,6 +98,7 @@
 }
 
 void wg_entry_recovery_shutdown(wg_entry* e) {
+    e->recovery.queries_num = 0; /* closing the links must process nothing more */
     wg_entry_recovery_drop_delayed(e);
 }
 
@@ -146,7 +144,7 @@
     wg_entry_recovery* r = &e->recovery;
     for (int i = 0; i < r->queries_num; i++) {
         if (r->queries[i].id == link.id) {
-            wg_entry_remove_query(r, i);
+            r->queries[i] = r->queries[--r->queries_num];
             if (r->queries_num == 0) {
                 wg_entry_apply_delayed_frames(e);
             }
