--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -8,6 +8,7 @@
 
 #include "loopback.h"
 #include "wg_control.h"
+#include "wg_document.h"
 #include "wg_loop.h"
 #include "wg_test.h"
 
@@ -198,3 +199,31 @@
                            NULL);
     entry->link = wgn_dial(entry->net, control);
 }
+
+/* Connects a host and waits until the control reports itself as leader, for at most `turns` loop
+   turns of 1 ms; returns whether it did. */
+static inline bool local_entry_connect(local_entry* entry, int number, const char* control,
+                                       int turns) {
+    local_entry_setup(entry, number, control);
+    for (int i = 0; i < turns && !entry->leads; i++) {
+        local_run_loop(entry->base);
+        if (i % 100 == 99) {
+            local_entry_report(entry);
+        }
+    }
+    return entry->leads;
+}
+
+/* Sends an order for a configuration; its version is the ticket. */
+static inline void local_entry_order_configuration(local_entry* entry, int version,
+                                                   GBytes* document) {
+    GBytes* packed = wg_document_pack(document, NULL);
+    Wgpb__Configuration configuration;
+    Wgpb__Order order = WGPB__ORDER__INIT;
+    wg_document_fill_message(&configuration, (uint64_t)version, packed);
+    order.ticket = (uint64_t)version;
+    order.configuration = &configuration;
+    entry->outcome = -1;
+    ck_assert(wgn_send(entry->net, entry->link, WGW_TYPE_ORDER, &order.base));
+    g_bytes_unref(packed);
+}
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -31,13 +31,7 @@
 static bool is_free_part(int part) {
     static const char* const first[] = {"127.%d.1.1:7100", "127.%d.1.1:7101", "127.%d.9.1:7100",
                                         "127.%d.6.1:9000"};
-    bool free = true;
-    for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
-        char address[WG_ADDRESS_MAX];
-        g_snprintf(address, sizeof address, first[i], part);
-        free = loopback_is_bindable(address);
-    }
-    return free;
+    return loopback_are_bindable(part, first, G_N_ELEMENTS(first));
 }
 
 static pid_t start_program(const hosts* h, const char* program, const char* log, char** arguments) {
--- a/tests/sim/loopback.c
+++ b/tests/sim/loopback.c
@@ -25,6 +25,17 @@
     return free;
 }
 
+bool loopback_are_bindable(int part, const char* const* patterns, int num) {
+    for (int i = 0; i < num; i++) {
+        char address[WG_ADDRESS_MAX];
+        g_snprintf(address, sizeof address, patterns[i], part);
+        if (!loopback_is_bindable(address)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 int loopback_reserve(bool (*is_free)(int part)) {
     for (int i = 0; i < PARTS_NUM; i++) {
         int part = PART_MIN + (getpid() + i) % PARTS_NUM;
--- a/tests/sim/loopback.h
+++ b/tests/sim/loopback.h
@@ -19,6 +19,8 @@
 /* Whether a socket can listen at "ip:port". Processes left over from an aborted run still hold
    their addresses. */
 bool loopback_is_bindable(const char* address);
+/* The same for all addresses of a part; `patterns` as in "127.%d.1.1:7100". */
+bool loopback_are_bindable(int part, const char* const* patterns, int num);
 
 /* The part of this process; the first call takes it. */
 int loopback_part(void);
--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -277,13 +277,7 @@
 static bool is_free_part(int part) {
     static const char* const first[] = {"127.%d.1.1:7100", "127.%d.2.1:8000", "127.%d.3.1:9000",
                                         "127.%d.4.1:9000"};
-    bool free = true;
-    for (size_t i = 0; i < G_N_ELEMENTS(first) && free; i++) {
-        char address[WG_ADDRESS_MAX];
-        g_snprintf(address, sizeof address, first[i], part);
-        free = loopback_is_bindable(address);
-    }
-    return free;
+    return loopback_are_bindable(part, first, G_N_ELEMENTS(first));
 }
 
 void proc_fleet_start(proc_fleet* f, const proc_desc* desc) {
--- a/tests/test_control_recovery.c
+++ b/tests/test_control_recovery.c
@@ -67,29 +67,14 @@
 
 static void connect_host(local_entry* host, int number) {
     host->base = base;
-    local_entry_setup(host, number, listen_at);
-    for (int i = 0; i < TURNS && !host->leads; i++) {
-        local_run_loop(base);
-        if (i % 100 == 99) {
-            local_entry_report(host);
-        }
-    }
-    ck_assert(host->leads);
+    ck_assert(local_entry_connect(host, number, listen_at, TURNS));
     local_entry_report(host);
 }
 
 static void order_configuration(local_entry* host, int version) {
     char* text = g_strdup_printf("{\"version\":%d,\"routes\":[]}", version);
     GBytes* complete = g_bytes_new_take(text, strlen(text));
-    GBytes* packed = wg_document_pack(complete, NULL);
-    Wgpb__Configuration configuration;
-    Wgpb__Order order = WGPB__ORDER__INIT;
-    wg_document_fill_message(&configuration, (uint64_t)version, packed);
-    order.ticket = (uint64_t)version;
-    order.configuration = &configuration;
-    host->outcome = -1;
-    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ORDER, &order.base));
-    g_bytes_unref(packed);
+    local_entry_order_configuration(host, version, complete);
     g_bytes_unref(complete);
 }
 
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -52,17 +52,9 @@
     g_rmdir(folder);
 }
 
-/* Connects a host and waits until the control reports itself as leader. */
 static void connect_host(local_entry* host, int number) {
     *host = (local_entry){.base = base};
-    local_entry_setup(host, number, listen_at);
-    for (int i = 0; i < TURNS && !host->leads; i++) {
-        local_run_loop(base);
-        if (i % 100 == 99) {
-            local_entry_report(host);
-        }
-    }
-    ck_assert(host->leads);
+    ck_assert(local_entry_connect(host, number, listen_at, TURNS));
 }
 
 static GBytes* document(int version, int changed) {
@@ -81,15 +73,7 @@
 
 static void order_configuration(local_entry* host, int version, int changed) {
     GBytes* complete = document(version, changed);
-    GBytes* packed = wg_document_pack(complete, NULL);
-    Wgpb__Configuration configuration;
-    Wgpb__Order order = WGPB__ORDER__INIT;
-    wg_document_fill_message(&configuration, (uint64_t)version, packed);
-    order.ticket = (uint64_t)version;
-    order.configuration = &configuration;
-    host->outcome = -1;
-    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ORDER, &order.base));
-    g_bytes_unref(packed);
+    local_entry_order_configuration(host, version, complete);
     g_bytes_unref(complete);
 }
 
