Settings: bounds and limits may be fractions

Callers saw: nothing is served on the small twin of the whole fleet. Its budget's slack is 33.684..., and each of its processes ended with "retry_slack is not an integer".

Cause: WGI_TYPE_NUMBER is the only type of number, and takes integers only; the values that a deployment fills into the templates are whole numbers or fractions.

Change: WGI_TYPE_REAL, a decimal fraction within a range; retry_slack, grace_s and memory_mb of both programs are of that type. Counts (ports, descriptors, losses) stay integers. Looked for elsewhere: configuration documents read every number but the version as a fraction already.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -7,6 +7,8 @@
 
 #define _NUMBER(group, field, def, min, max, unit, help)                                           \
     WGI_NUMBER(wgco_settings, group, field, def, min, max, unit, help)
+#define _REAL(group, field, def, min, max, unit, help)                                             \
+    WGI_REAL(wgco_settings, group, field, def, min, max, unit, help)
 #define _TEXT(kind, group, field, def, help) WGI_TEXT(wgco_settings, kind, group, field, def, help)
 
 const wgi_key wgco_keys[] = {
@@ -63,7 +65,7 @@
             "log entries kept behind a snapshot for lagging replicas"),
     _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
             "log entries between two snapshots"),
-    _NUMBER("limits", memory_mb, "0", 0, 1000000, "MB",
+    _REAL("limits", memory_mb, "0", 0, 1000000, "MB",
             "memory limit of the process; bounds data queued on links; 0: unknown"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims",
             "maximum number of run-once claims kept"),
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -8,6 +8,8 @@
 
 #define WG_NUMBER(group, field, def, min, max, unit, help)                                         \
     WGI_NUMBER(wg_entry_settings, group, field, def, min, max, unit, help)
+#define WG_REAL(group, field, def, min, max, unit, help)                                           \
+    WGI_REAL(wg_entry_settings, group, field, def, min, max, unit, help)
 #define WG_TEXT(kind, group, field, def, help)                                                     \
     WGI_TEXT(wg_entry_settings, kind, group, field, def, help)
 
@@ -30,7 +32,7 @@
     WG_TEXT(TEXT, "log", log_target, "stderr", "stderr, stdout or a file"),
     WG_NUMBER("timing", entry_keep_s, "1", 1, 3600, "s",
               "how long callers may cache an answer about entry hosts"),
-    WG_NUMBER("timing", grace_s, "8", 1, 3600, "s",
+    WG_REAL("timing", grace_s, "8", 1, 3600, "s",
               "longest planned stop; requests still running shortly before its end are aborted"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "time without contact after which the link to a control is closed"),
@@ -47,7 +49,7 @@
               "either; 0: never"),
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "retries of the whole fleet, relative to first sends"),
-    WG_NUMBER("retry", retry_slack, "20", 0, 1000000, "sends",
+    WG_REAL("retry", retry_slack, "20", 0, 1000000, "sends",
               "additional retries of the whole fleet per window"),
     WG_NUMBER("retry", retry_window_ms, "10000", 100, 600000, "ms", "window of the retry budget"),
     WG_NUMBER(
@@ -57,7 +59,7 @@
               "longest backoff that a target may request by Retry-After; longer ones are clamped"),
     WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
               "descriptor limit of the process; bounds callers_max; 0: unknown"),
-    WG_NUMBER("limits", memory_mb, "0", 0, 1000000, "MB",
+    WG_REAL("limits", memory_mb, "0", 0, 1000000, "MB",
               "memory limit of the process; bounds data queued on links; 0: unknown"),
 };
 const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
@@ -91,7 +93,7 @@
 }
 
 static wg_time wg_entry_stop_time(const wg_entry* e) {
-    return e->settings->grace_s * WG_USEC_PER_SEC - WG_STOP_MARGIN;
+    return (wg_time)(e->settings->grace_s * WG_USEC_PER_SEC) - WG_STOP_MARGIN;
 }
 
 bool wg_entry_refuses_new(const wg_entry* e, wg_time duration) {
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -44,18 +44,18 @@
     char* log_level;
     char* log_target;
     int64_t entry_keep_s;
-    int64_t grace_s;
+    double grace_s;
     int64_t link_silence_ms;
     int64_t order_ms;
     int64_t cold_settle_ms;
     int64_t standby_ms;
     int64_t retry_percent;
-    int64_t retry_slack;
+    double retry_slack;
     int64_t retry_window_ms;
     int64_t callers_max;
     int64_t target_rest_max_s;
     int64_t descriptors;
-    int64_t memory_mb;
+    double memory_mb;
 } wg_entry_settings;
 
 extern const wgi_key wg_entry_keys[];
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -109,8 +109,8 @@
 
 /* Value of wgn_desc.waiting_max for a process with this memory limit in MB; 0 (the default) for an
    unknown limit. */
-static inline size_t wgn_waiting_max(int64_t memory_mb) {
-    return (size_t)memory_mb * (1 << 20) / WGN_WAITING_MEMORY_DIVISOR;
+static inline size_t wgn_waiting_max(double memory_mb) {
+    return (size_t)(memory_mb * (1 << 20) / WGN_WAITING_MEMORY_DIVISOR);
 }
 /* Returns NULL with an error if the desc is invalid. */
 wgn_net* wgn_setup(const wgn_desc* desc, GError** error);
--- a/lib/retry/wg_retry.c
+++ b/lib/retry/wg_retry.c
@@ -9,7 +9,7 @@
 static const double WG_RETRY_REFILL = 0.35; /* fraction of the slack, refilled per window */
 
 static double wg_retry_cap(const wg_retry_rules* rules) {
-    double cap = WG_RETRY_CAP * (double)rules->slack / MAX(rules->hosts, 1);
+    double cap = WG_RETRY_CAP * rules->slack / MAX(rules->hosts, 1);
     return MAX(cap, 1.0);
 }
 
@@ -31,7 +31,7 @@
 
 void wg_retry_refill(wg_retry* r, wg_time time, const wg_retry_rules* rules) {
     wg_retry_init(r, rules);
-    double part = WG_RETRY_REFILL * (double)rules->slack / MAX(rules->hosts, 1);
+    double part = WG_RETRY_REFILL * rules->slack / MAX(rules->hosts, 1);
     wg_retry_add(r, part * (double)time / (double)rules->window, rules);
 }
 
--- a/lib/retry/wg_retry.h
+++ b/lib/retry/wg_retry.h
@@ -15,7 +15,7 @@
 
 typedef struct {
     int64_t percent; /* retries per 100 first sends */
-    int64_t slack;   /* additional retries of all hosts together in one window */
+    double slack;    /* additional retries of all hosts together in one window */
     wg_time window;
     int hosts; /* number of hosts that share the slack */
 } wg_retry_rules;
--- a/lib/settings/wg_settings.c
+++ b/lib/settings/wg_settings.c
@@ -12,6 +12,10 @@
     return (char*)settings + key->offset;
 }
 
+static bool _wgi_has_range(const wgi_key* key) {
+    return key->type == WGI_TYPE_NUMBER || key->type == WGI_TYPE_REAL;
+}
+
 static bool _wgi_fail(GError** error, const char* path, const wgi_key* key, const char* why) {
     g_set_error(error, WG_ERROR, WG_ERROR_INVALID, "%s: [%s] %s: %s", path, key->group, key->key,
                 why);
@@ -32,6 +36,23 @@
     return true;
 }
 
+static bool _wgi_parse_real(const char* path, const wgi_key* key, const char* text, void* settings,
+                            GError** error) {
+    char* end;
+    double value = g_ascii_strtod(text, &end);
+    bool complete = text[0] && *end == 0;
+    /* The comparison is false for a value that is not a number. */
+    if (!complete || !(value >= (double)key->min && value <= (double)key->max)) {
+        char why[128];
+        g_snprintf(why, sizeof why,
+                   "\"%.40s\" is not a number within %" G_GINT64_FORMAT "..%" G_GINT64_FORMAT, text,
+                   key->min, key->max);
+        return _wgi_fail(error, path, key, why);
+    }
+    *(double*)_wgi_field(key, settings) = value;
+    return true;
+}
+
 static bool _wgi_is_address_valid(const char* text) {
     struct sockaddr_storage storage;
     int size = sizeof storage;
@@ -75,6 +96,8 @@
     switch (key->type) {
     case WGI_TYPE_NUMBER:
         return _wgi_parse_number(path, key, text, settings, error);
+    case WGI_TYPE_REAL:
+        return _wgi_parse_real(path, key, text, settings, error);
     case WGI_TYPE_ADDRESS:
         if (text[0] && !_wgi_is_address_valid(text)) {
             return _wgi_fail(error, path, key, "want ip:port");
@@ -152,6 +175,8 @@
         const void* field = _wgi_field(&keys[i], settings);
         if (keys[i].type == WGI_TYPE_NUMBER) {
             printf("%s=%" G_GINT64_FORMAT "\n", keys[i].key, *(const int64_t*)field);
+        } else if (keys[i].type == WGI_TYPE_REAL) {
+            printf("%s=%.15g\n", keys[i].key, *(const double*)field);
         } else if (keys[i].type == WGI_TYPE_LIST) {
             char* joined = g_strjoinv(" ", *(char** const*)field);
             printf("%s=%s\n", keys[i].key, joined);
@@ -168,7 +193,7 @@
     printf("| group | key | default | range | unit | meaning |\n|---|---|---|---|---|---|\n");
     for (int i = 0; i < num; i++) {
         char range[64] = "";
-        if (keys[i].type == WGI_TYPE_NUMBER) {
+        if (_wgi_has_range(&keys[i])) {
             g_snprintf(range, sizeof range, "%" G_GINT64_FORMAT "..%" G_GINT64_FORMAT, keys[i].min,
                        keys[i].max);
         }
@@ -184,7 +209,7 @@
         if (keys[i].type == WGI_TYPE_LIST) {
             g_strfreev(*(char***)field);
             *(char***)field = NULL;
-        } else if (keys[i].type != WGI_TYPE_NUMBER) {
+        } else if (!_wgi_has_range(&keys[i])) {
             g_free(*(char**)field);
             *(char**)field = NULL;
         }
--- a/lib/settings/wg_settings.h
+++ b/lib/settings/wg_settings.h
@@ -8,7 +8,8 @@
         errors name file, group and key.
 
     FEATURES
-        - numbers with ranges, texts, addresses, lists, and secrets that are read from a file
+        - integers and decimal fractions with ranges, texts, addresses, lists, and secrets that are
+          read from a file
         - prints the effective settings, and the list of keys as a Markdown table for
           docs/SETTINGS.md
 
@@ -26,6 +27,7 @@
 typedef enum {
     WGI_TYPE_DEFAULT = 0,
     WGI_TYPE_NUMBER,  /* int64_t */
+    WGI_TYPE_REAL,    /* double, decimal fractions allowed */
     WGI_TYPE_TEXT,    /* char* */
     WGI_TYPE_ADDRESS, /* char*, "ip:port" */
     WGI_TYPE_LIST,    /* char**, items separated by spaces, tabs or commas */
@@ -38,8 +40,8 @@
     const char* key;
     wgi_type type;
     size_t offset;   /* of the field in the settings struct */
-    int64_t min;     /* numbers only */
-    int64_t max;     /* numbers only */
+    int64_t min;     /* numbers and reals only */
+    int64_t max;     /* numbers and reals only */
     const char* def; /* default as text; NULL: the key is required */
     const char* unit;
     const char* help;
@@ -51,6 +53,11 @@
         .group = group_, .key = #field, .type = WGI_TYPE_NUMBER, .offset = offsetof(type_, field), \
         .min = min_, .max = max_, .def = def_, .unit = unit_, .help = help_                        \
     }
+#define WGI_REAL(type_, group_, field, def_, min_, max_, unit_, help_)                             \
+    {                                                                                              \
+        .group = group_, .key = #field, .type = WGI_TYPE_REAL, .offset = offsetof(type_, field),   \
+        .min = min_, .max = max_, .def = def_, .unit = unit_, .help = help_                        \
+    }
 #define WGI_TEXT(type_, kind_, group_, field, def_, help_)                                         \
     {                                                                                              \
         .group = group_, .key = #field, .type = WGI_TYPE_##kind_,                                  \
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -83,6 +83,7 @@
     char** list;
     char* secret;
     int64_t limit;
+    double share;
 } sample_settings;
 
 static const wgi_key sample_keys[] = {
@@ -91,6 +92,7 @@
     WGI_TEXT(sample_settings, LIST, "one", list, "a b", ""),
     WGI_TEXT(sample_settings, SECRET, "one", secret, "", ""),
     WGI_NUMBER(sample_settings, "two", limit, "5", 1, 10, "", ""),
+    WGI_REAL(sample_settings, "two", share, "2.5", 0, 10, "", ""),
 };
 
 static void check_settings(const char* text, const char* reason) {
@@ -109,6 +111,7 @@
     } else {
         ck_assert(good);
         ck_assert_int_eq(settings.limit, 7);
+        ck_assert_double_eq(settings.share, 0.25);
         ck_assert_str_eq(settings.list[1], "y");
     }
     wgi_clear(sample_keys, G_N_ELEMENTS(sample_keys), &settings);
@@ -116,12 +119,19 @@
 }
 
 START_TEST(bad_settings_name_file_group_and_key) {
-    check_settings("[one]\nname=x\nlist=x, y\n[two]\nlimit=7\n", NULL);
+    check_settings("[one]\nname=x\nlist=x, y\n[two]\nlimit=7\nshare=0.25\n", NULL);
     check_settings("[one]\nlisten=127.0.0.1:1\n", "[one] name: required");
     check_settings("[one]\nname=x\nother=1\n", "[one] other: no such key");
     check_settings("[one]\nname=x\n[two]\nlimit=11\n", "[two] limit: \"11\" is not");
     check_settings("[one]\nname=x\n[two]\nlimit=many\n", "[two] limit");
     check_settings("[one]\nname=x\n[two]\nlimit=-1\n", "[two] limit");
+    check_settings("[one]\nname=x\n[two]\nlimit=7.5\n", "[two] limit: \"7.5\" is not");
+    check_settings("[one]\nname=x\n[two]\nshare=10.5\n", "[two] share: \"10.5\" is not");
+    check_settings("[one]\nname=x\n[two]\nshare=-0.5\n", "[two] share");
+    check_settings("[one]\nname=x\n[two]\nshare=3,5\n", "[two] share");
+    check_settings("[one]\nname=x\n[two]\nshare=nan\n", "[two] share");
+    check_settings("[one]\nname=x\n[two]\nshare=inf\n", "[two] share");
+    check_settings("[one]\nname=x\n[two]\nshare=\n", "[two] share");
     check_settings("[one]\nname=x\nlisten=nowhere\n", "[one] listen: want ip:port");
     check_settings("[one]\nname=x\nsecret=/does/not/exist\n", "[one] secret");
     check_settings("name=x\n", "");
