Registry, target selection, cache queries: one change among many targets costs as among few

Callers saw: at 300 hosts and 3,000 targets nothing was served for 8.5 s after all processes had been killed (1.5 s at 100). Late hosts in general: each host spent seconds of processor time on its copy of the targets, on 0.12 of a core.

Cause, by what grows: a host sorted its whole list once for each record that it took over (t x t log t for a new host); each change rebuilt the list of every service and emptied all cached rankings of homes (t per change); every host went through all targets, and hashed each one with every coordinator, twenty times a second (t per tick), though 16 hosts coordinate; a replica compared the address of each registering target with all others (t x t at a start); the leader searched all targets for silent ones a hundred times a second.

Change: records are inserted at their place; an index of addresses; ended records in order of their end; no search before the oldest contact is due. wg_balance_sync_target() takes over one target and keeps the rankings that do not list it. Cache queries look at targets that changed, and at all of them when the coordinators change; hosts that coordinate nothing do not look.

--- a/bench/bench_balance.c
+++ b/bench/bench_balance.c
@@ -28,7 +28,7 @@
     for (int i = 0; i < PLAIN_TARGETS; i++) {
         add_target(registry, targets + i, "a-plain-service");
     }
-    wg_balance_sync(b, 0, registry);
+    wg_balance_sync(b, registry);
     wg_balance_set_hosts(b, HOSTS);
     double begin = bench_cpu_us();
     for (int i = 0; i < CHOICES; i++) {
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -203,54 +203,95 @@
     g_free(b);
 }
 
-static void wg_balance_add_to_service(wg_balance* b, wg_balance_target* t) {
-    wg_balance_service* service = g_hash_table_lookup(b->services, t->service);
+static wg_balance_service* wg_balance_service_of(wg_balance* b, const char* name) {
+    wg_balance_service* service = g_hash_table_lookup(b->services, name);
     if (!service) {
         service = g_new0(wg_balance_service, 1);
-        wg_copy_name(service->name, sizeof service->name, t->service);
+        wg_copy_name(service->name, sizeof service->name, name);
         service->targets = g_ptr_array_new();
         service->rankings = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
         g_hash_table_insert(b->services, service->name, service);
     }
-    g_ptr_array_add(service->targets, t);
-    service->ready += t->ready;
+    return service;
+}
+
+static wg_balance_target* wg_balance_target_new(const wg_balance* b, const wg_target* record) {
+    wg_balance_target* t = g_new0(wg_balance_target, 1);
+    t->number = record->number;
+    t->id_hash = wg_hash(record->id, strlen(record->id), 0);
+    t->key = wg_target_key(record);
+    t->backoff = b->desc.backoff;
+    t->speed = WG_SPEED_DEFAULT;
+    t->service_time = WG_SERVICE_TIME_DEFAULT;
+    t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+    return t;
+}
+
+static void wg_balance_leave_service(wg_balance* b, wg_balance_target* t) {
+    wg_balance_service* service = g_hash_table_lookup(b->services, t->service);
+    if (service && g_ptr_array_remove(service->targets, t)) {
+        service->ready -= t->ready;
+        wg_balance_rankings_remove(service, t);
+    }
+}
+
+static void wg_balance_drop(wg_balance* b, uint32_t number) {
+    wg_balance_target* t = wg_balance_find(b, number);
+    if (t) {
+        wg_balance_leave_service(b, t);
+        g_hash_table_remove(b->targets, GUINT_TO_POINTER(number));
+    }
 }
 
-static gboolean wg_balance_is_removed(gpointer key, gpointer value, gpointer registry) {
-    (void)value;
-    const wg_target* target = wg_registry_find(registry, GPOINTER_TO_UINT(key));
-    return !target || target->state == WG_TARGET_REMOVED;
+/* Adds the target, or moves it if its service or data centre changed. */
+static wg_balance_target* wg_balance_place(wg_balance* b, const wg_target* record) {
+    wg_balance_target* t = wg_balance_find(b, record->number);
+    bool local = strcmp(record->data_centre, b->desc.data_centre) == 0;
+    if (t && t->local == local && strcmp(t->service, record->service) == 0) {
+        return t;
+    }
+    if (t) {
+        wg_balance_leave_service(b, t);
+    } else {
+        t = wg_balance_target_new(b, record);
+        g_hash_table_insert(b->targets, GUINT_TO_POINTER(t->number), t);
+    }
+    wg_balance_service* service = wg_balance_service_of(b, record->service);
+    wg_copy_name(t->service, sizeof t->service, record->service);
+    t->local = local;
+    t->ready = false;
+    g_ptr_array_add(service->targets, t);
+    wg_balance_rankings_add(service, t);
+    return t;
 }
 
-void wg_balance_sync(wg_balance* b, wg_time now, const wg_registry* registry) {
-    (void)now;
-    g_hash_table_remove_all(b->services);
-    g_hash_table_foreach_remove(b->targets, wg_balance_is_removed, (gpointer)registry);
+void wg_balance_sync_target(wg_balance* b, const wg_registry* registry, uint32_t number) {
+    const wg_target* record = wg_registry_find(registry, number);
+    if (!record || record->state == WG_TARGET_REMOVED) {
+        wg_balance_drop(b, number);
+        return;
+    }
+    wg_balance_target* t = wg_balance_place(b, record);
+    bool ready = wg_registry_accepts(registry, record);
+    wg_balance_service_of(b, t->service)->ready += ready - t->ready;
+    t->ready = ready;
+    t->draining = record->state == WG_TARGET_DRAINING;
+    t->replaced = t->replaced && t->change == record->change;
+    t->change = record->change;
+    t->slots = record->slots;
+}
+
+void wg_balance_sync(wg_balance* b, const wg_registry* registry) {
+    GList* numbers = g_hash_table_get_keys(b->targets);
+    for (const GList* at = numbers; at; at = at->next) {
+        if (!wg_registry_find(registry, GPOINTER_TO_UINT(at->data))) {
+            wg_balance_drop(b, GPOINTER_TO_UINT(at->data));
+        }
+    }
+    g_list_free(numbers);
     const wg_target* record = NULL;
     while ((record = wg_registry_next(registry, record ? record->number : 0))) {
-        if (record->state == WG_TARGET_REMOVED) {
-            continue;
-        }
-        wg_balance_target* t = wg_balance_find(b, record->number);
-        if (!t) {
-            t = g_new0(wg_balance_target, 1);
-            t->number = record->number;
-            t->id_hash = wg_hash(record->id, strlen(record->id), 0);
-            t->key = wg_target_key(record);
-            t->backoff = b->desc.backoff;
-            t->speed = WG_SPEED_DEFAULT;
-            t->service_time = WG_SERVICE_TIME_DEFAULT;
-            t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
-            g_hash_table_insert(b->targets, GUINT_TO_POINTER(t->number), t);
-        }
-        wg_copy_name(t->service, sizeof t->service, record->service);
-        t->local = strcmp(record->data_centre, b->desc.data_centre) == 0;
-        t->ready = wg_registry_accepts(registry, record);
-        t->draining = record->state == WG_TARGET_DRAINING;
-        t->replaced = t->replaced && t->change == record->change;
-        t->change = record->change;
-        t->slots = record->slots;
-        wg_balance_add_to_service(b, t);
+        wg_balance_sync_target(b, registry, record->number);
     }
 }
 
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -33,7 +33,8 @@
 
     USE
         1. wg_balance* b = wg_balance_setup(&(wg_balance_desc){.data_centre = dc, .seed = s});
-        2. wg_balance_sync(b, now, registry);            // after each change of the registry
+        2. wg_balance_sync_target(b, registry, number);  // after each change of a target
+           wg_balance_sync(b, registry);                 // after a change that concerns all of them
         3. wg_balance_set_others_load(b, number, unread, running);
         4. wg_balance_choice c = wg_balance_choose(b, now, &request);
         5. wg_balance_begin(b, now, &c);                 // the request is sent
@@ -130,8 +131,12 @@
 
 wg_balance* wg_balance_setup(const wg_balance_desc* desc);
 void wg_balance_shutdown(wg_balance* balance);
-/* Takes over the targets of the registry; loads and estimates of known targets are kept. */
-void wg_balance_sync(wg_balance* balance, wg_time now, const wg_registry* registry);
+/* Takes over one target of the registry, or drops it if it was removed there. Loads and estimates of
+   a known target are kept. The cost does not grow with the number of targets but for moving
+   pointers. */
+void wg_balance_sync_target(wg_balance* balance, const wg_registry* registry, uint32_t number);
+/* Takes over all targets of the registry. */
+void wg_balance_sync(wg_balance* balance, const wg_registry* registry);
 /* Resets the loads of other hosts. Targets not set again count as 0. */
 void wg_balance_clear_others_load(wg_balance* balance);
 /* Sets the number of hosts, including this one, that decide on the same loads; 1 by default. */
--- a/lib/balance/wg_balance_homes.c
+++ b/lib/balance/wg_balance_homes.c
@@ -52,6 +52,37 @@
     }
 }
 
+static void wg_balance_ranking_add(wg_balance_ranking* ranking, wg_balance_target* t) {
+    wg_balance_rank_in(ranking->part, ranking->best, t);
+    if (t->local) {
+        wg_balance_rank_in(ranking->part, ranking->local, t);
+    }
+}
+
+static gboolean wg_balance_ranking_lists(gpointer key, gpointer value, gpointer target) {
+    (void)key;
+    const wg_balance_ranking* ranking = value;
+    for (int i = 0; i < WG_RANKED_MAX; i++) {
+        if (ranking->best[i] == target || ranking->local[i] == target) {
+            return TRUE;
+        }
+    }
+    return FALSE;
+}
+
+void wg_balance_rankings_add(wg_balance_service* service, wg_balance_target* target) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, service->rankings);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_balance_ranking_add(value, target);
+    }
+}
+
+void wg_balance_rankings_remove(wg_balance_service* service, wg_balance_target* target) {
+    g_hash_table_foreach_remove(service->rankings, wg_balance_ranking_lists, target);
+}
+
 static const wg_balance_ranking* wg_balance_ranking_of(wg_balance_service* service, uint64_t part) {
     wg_balance_ranking* ranking = g_hash_table_lookup(service->rankings, &part);
     if (ranking) {
@@ -63,11 +94,7 @@
     ranking = g_new0(wg_balance_ranking, 1);
     ranking->part = part;
     for (guint i = 0; i < service->targets->len; i++) {
-        wg_balance_target* t = service->targets->pdata[i];
-        wg_balance_rank_in(part, ranking->best, t);
-        if (t->local) {
-            wg_balance_rank_in(part, ranking->local, t);
-        }
+        wg_balance_ranking_add(ranking, service->targets->pdata[i]);
     }
     g_hash_table_insert(service->rankings, &ranking->part, ranking);
     return ranking;
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -65,6 +65,10 @@
 bool wg_balance_accepts(const wg_balance_target* target, wg_time now,
                         const wg_balance_request* request);
 void wg_balance_service_free(void* service);
+/* Enters a new target of the service into its cached rankings. */
+void wg_balance_rankings_add(wg_balance_service* service, wg_balance_target* target);
+/* Drops the cached rankings that list a target which leaves the service. */
+void wg_balance_rankings_remove(wg_balance_service* service, wg_balance_target* target);
 /* Finds the homes of the prefix that ends with `part`; none if `part` is 0. */
 wg_balance_homes wg_balance_find_homes(wg_balance_service* service, wg_time now,
                                        const wg_balance_request* request, uint64_t part);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -60,6 +60,15 @@
     return c && c->self;
 }
 
+bool wg_entry_admit_is_coordinator(const wg_entry* e) {
+    for (int i = 0; i < e->coordinators_num; i++) {
+        if (e->coordinators[i].self) {
+            return true;
+        }
+    }
+    return false;
+}
+
 static wg_coordinator wg_coordinator_new(const wg_entry* e, const wg_roster_host* member) {
     wg_coordinator c = {.rank = wg_member_rank(member),
                         .self = strcmp(member->name, e->settings->name) == 0};
@@ -116,7 +125,9 @@
             dropped[dropped_num++] = c->link;
         }
     }
-    wg_entry_record_coordinators(e, picked, num, wg_now());
+    if (wg_entry_record_coordinators(e, picked, num, wg_now())) {
+        e->cache_outdated = true;
+    }
     memcpy(e->coordinators, picked, sizeof *picked * (size_t)num);
     e->coordinators_num = num;
     for (int i = 0; i < dropped_num; i++) {
--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -3,7 +3,8 @@
    A coordinator tracks the cached prompt parts of a target from its own admissions. After a
    restart, or when it takes over a target from another coordinator, it knows none and would assume
    that every prompt has to be processed completely. So it queries the target for its cached parts,
-   at most WG_CACHE_TRIES times. */
+   at most WG_CACHE_TRIES times. Only targets that changed are looked at, and all of them when the
+   coordinators do: most hosts coordinate none of many targets. */
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
@@ -123,47 +124,90 @@
     return service >= 0 && e->config->services[service].engine;
 }
 
-static void wg_cache_check_target(wg_entry* e, const wg_target* target, wg_time now) {
-    gpointer key = GUINT_TO_POINTER(target->number);
-    wg_cache_query* query = g_hash_table_lookup(e->cache_queries, key);
-    if (!wg_registry_accepts(e->registry, target) ||
-        !wg_entry_admit_coordinates(e, target->number)) {
-        g_hash_table_remove(e->cache_queries, key);
+static void wg_cache_send_if_due(wg_cache_query* query, wg_time now) {
+    wg_entry* e = query->entry;
+    const wg_target* target = wg_registry_find(e->registry, query->target);
+    if (!target || query->connection || now < query->next_at) {
         return;
     }
-    if (!query) {
-        query = g_new0(wg_cache_query, 1);
-        query->entry = e;
-        query->target = target->number;
-        g_hash_table_insert(e->cache_queries, key, query);
-    }
-    bool due = !query->known && !query->connection && query->tries < WG_CACHE_TRIES &&
-               now >= query->next_at;
     /* The request rate of a cold target is left to callers' requests; its cache is mostly empty. */
     bool cold = wg_entry_cold_rate(e, target->number) > 0;
-    bool may = wg_entry_may_send(e, target, now);
-    if (due && may && !cold && wg_cache_queries_active(e) < WG_CACHE_QUERIES_MAX &&
-        wg_cache_is_engine(e, target)) {
+    if (!cold && wg_entry_may_send(e, target, now) && wg_cache_is_engine(e, target)) {
         wg_cache_send(query, target, now);
     }
 }
 
+static bool wg_cache_is_finished(const wg_cache_query* query) {
+    return !query->connection && (query->known || query->tries >= WG_CACHE_TRIES);
+}
+
+/* Sends the queries that are due, and forgets those that are finished or were dropped. */
+static void wg_cache_send_pending(wg_entry* e, wg_time now) {
+    guint kept = 0;
+    int active = wg_cache_queries_active(e);
+    for (guint i = 0; i < e->cache_pending->len; i++) {
+        uint32_t number = g_array_index(e->cache_pending, uint32_t, i);
+        wg_cache_query* query = g_hash_table_lookup(e->cache_queries, GUINT_TO_POINTER(number));
+        if (!query || wg_cache_is_finished(query)) {
+            continue;
+        }
+        g_array_index(e->cache_pending, uint32_t, kept++) = number;
+        if (active < WG_CACHE_QUERIES_MAX && !query->connection) {
+            wg_cache_send_if_due(query, now);
+            active += query->connection != NULL;
+        }
+    }
+    g_array_set_size(e->cache_pending, kept);
+}
+
+/* Begins with the targets anew: other targets may be this host's to coordinate. */
+static void wg_cache_update_all(wg_entry* e) {
+    e->cache_outdated = false;
+    if (!wg_entry_admit_is_coordinator(e)) {
+        g_hash_table_remove_all(e->cache_queries);
+        return;
+    }
+    const wg_target* target = NULL;
+    while ((target = wg_registry_next(e->registry, target ? target->number : 0))) {
+        wg_entry_cache_update_target(e, target->number);
+    }
+}
+
 /* ---- functions of the library ---------------------------------------------------------------- */
 
 void wg_entry_cache_setup(wg_entry* e) {
     e->cache_queries = g_hash_table_new_full(NULL, NULL, NULL, wg_cache_query_free);
+    e->cache_pending = g_array_new(FALSE, FALSE, sizeof(uint32_t));
 }
 
 void wg_entry_cache_shutdown(wg_entry* e) {
     g_hash_table_unref(e->cache_queries);
+    g_array_unref(e->cache_pending);
+}
+
+void wg_entry_cache_update_target(wg_entry* e, uint32_t number) {
+    gpointer key = GUINT_TO_POINTER(number);
+    const wg_target* target = wg_registry_find(e->registry, number);
+    if (!target || !wg_registry_accepts(e->registry, target) ||
+        !wg_entry_admit_coordinates(e, number)) {
+        g_hash_table_remove(e->cache_queries, key);
+        return;
+    }
+    if (!g_hash_table_contains(e->cache_queries, key)) {
+        wg_cache_query* query = g_new0(wg_cache_query, 1);
+        query->entry = e;
+        query->target = number;
+        g_hash_table_insert(e->cache_queries, key, query);
+        g_array_append_val(e->cache_pending, number);
+    }
 }
 
 void wg_entry_cache_tick(wg_entry* e, wg_time now) {
     if (!e->names->cache_list || !e->config) {
         return;
     }
-    const wg_target* target = NULL;
-    while ((target = wg_registry_next(e->registry, target ? target->number : 0))) {
-        wg_cache_check_target(e, target, now);
+    if (e->cache_outdated) {
+        wg_cache_update_all(e);
     }
+    wg_cache_send_pending(e, now);
 }
--- a/lib/entry/wg_entry_cold.c
+++ b/lib/entry/wg_entry_cold.c
@@ -72,9 +72,9 @@
     return now - e->started_at >= e->settings->cold_settle_ms * WG_USEC_PER_MSEC;
 }
 
-void wg_entry_record_coordinators(wg_entry* e, const wg_coordinator* list, int num, wg_time now) {
+bool wg_entry_record_coordinators(wg_entry* e, const wg_coordinator* list, int num, wg_time now) {
     if (_wg_is_same_list(e, list, num)) {
-        return;
+        return false;
     }
     int over = 0;
     while (over < e->previous_coordinators_num &&
@@ -90,6 +90,7 @@
     for (int i = 0; i < e->coordinators_num; i++) {
         previous->ranks[i] = e->coordinators[i].rank;
     }
+    return true;
 }
 
 bool wg_entry_may_grant_cold(const wg_entry* e, uint32_t target, wg_time now) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -304,6 +304,8 @@
     int previous_coordinators_num;
     GHashTable* pending_admissions; /* ticket -> wg_call* */
     GHashTable* cache_queries;      /* target -> private data of wg_entry_cache.c */
+    GArray* cache_pending;          /* uint32_t, targets whose query is not finished */
+    bool cache_outdated;            /* all targets have to be looked at again */
 
     /* requests that crash targets: wg_entry_quarantine.c */
     wg_quarantine* quarantine;   /* copy of the leader's list */
@@ -429,6 +431,8 @@
 bool wg_entry_admit_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
 
 bool wg_entry_admit_coordinates(wg_entry* e, uint32_t target);
+/* Whether this host coordinates any targets. */
+bool wg_entry_admit_is_coordinator(const wg_entry* e);
 
 /* wg_entry_cold.c */
 /* Requests per second that all hosts together may send to a cold target; 0 if it is not cold. */
@@ -438,8 +442,9 @@
 bool wg_entry_may_use_cold(const wg_entry* e, wg_time now);
 /* Whether this host may admit requests to a cold target. */
 bool wg_entry_may_grant_cold(const wg_entry* e, uint32_t target, wg_time now);
-/* Keeps the current list of coordinators before it is replaced by `list`. */
-void wg_entry_record_coordinators(wg_entry* e, const wg_coordinator* list, int num, wg_time now);
+/* Keeps the current list of coordinators before it is replaced by `list`. False if both are the
+   same. */
+bool wg_entry_record_coordinators(wg_entry* e, const wg_coordinator* list, int num, wg_time now);
 /* NULL if the target or its service is unknown. */
 const wg_service* wg_entry_service_of(const wg_entry* e, uint32_t target);
 
@@ -447,6 +452,8 @@
 void wg_entry_cache_setup(wg_entry* e);
 void wg_entry_cache_shutdown(wg_entry* e);
 void wg_entry_cache_tick(wg_entry* e, wg_time now);
+/* Takes over a changed target: this host queries it if it coordinates it. */
+void wg_entry_cache_update_target(wg_entry* e, uint32_t number);
 
 /* wg_entry_check.c */
 void wg_entry_check_setup(wg_entry* e);
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -64,9 +64,10 @@
     return same;
 }
 
-static void wg_entry_apply_evacuated(wg_entry* e, const Wgpb__EntryState* in) {
+/* False if the evacuated data centres stay the same. */
+static bool wg_entry_apply_evacuated(wg_entry* e, const Wgpb__EntryState* in) {
     if (wg_entry_evacuated_matches(e, in)) {
-        return;
+        return false;
     }
     wg_registry_set_evacuated(e->registry, in->evacuated, in->n_evacuated);
     GString* names = g_string_new(NULL);
@@ -76,6 +77,20 @@
     wg_log(WG_EVENT_EVACUATION_IN_FORCE, "data_centres=%s registry=%" G_GUINT64_FORMAT,
            names->len ? names->str : "-", in->registry_change);
     g_string_free(names, TRUE);
+    return true;
+}
+
+/* Passes the changed targets on to what depends on them. `all`: any target may have changed. */
+static void wg_entry_pass_on_targets(wg_entry* e, const Wgpb__EntryState* in, bool all) {
+    if (all) {
+        wg_balance_sync(e->balance, e->registry);
+        e->cache_outdated = true;
+        return;
+    }
+    for (size_t i = 0; i < in->n_targets; i++) {
+        wg_balance_sync_target(e->balance, e->registry, in->targets[i]->number);
+        wg_entry_cache_update_target(e, in->targets[i]->number);
+    }
 }
 
 static void wg_entry_apply_targets(wg_entry* e, const Wgpb__EntryState* in) {
@@ -88,10 +103,10 @@
     for (size_t i = 0; i < in->n_targets; i++) {
         wg_registry_merge(e->registry, wg_now(), in->targets[i]);
     }
-    wg_entry_apply_evacuated(e, in);
+    bool evacuated = wg_entry_apply_evacuated(e, in);
     wg_registry_set_change(e->registry, in->registry_change);
     e->registry_known = true;
-    wg_balance_sync(e->balance, wg_now(), e->registry);
+    wg_entry_pass_on_targets(e, in, in->registry_reset || evacuated);
     wg_upstream_drop_unusable(e);
 }
 
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -13,11 +13,14 @@
     GPtrArray* evacuated; /* char*, names of data centres */
     GPtrArray* records;   /* wg_target*, in ascending order of numbers */
     GHashTable* by_id;    /* id -> wg_target*, latest incarnation */
+    /* address -> wg_target* that has not ended; an applied change leaves one at an address */
+    GHashTable* by_address;
+    GQueue ended; /* wg_target*, ended records in ascending order of change numbers */
     uint64_t change;
     /* copies older than this change number may lack the removal of a dropped record */
     uint64_t floor;
     uint32_t next_number;
-    int ended;
+    wg_time oldest_contact_at; /* no target in use had its last contact before this */
 };
 
 /* ---- helpers ------------------------------------------------------------------------------- */
@@ -30,11 +33,40 @@
     target->change = ++r->change;
 }
 
+/* Enters a record that is complete into the indexes. Records that end in order are appended; only a
+   copy that is loaded may have to search. */
+static void wg_registry_index(wg_registry* r, wg_target* target) {
+    if (!wg_target_ended(target)) {
+        g_hash_table_replace(r->by_address, target->address, target);
+        r->oldest_contact_at = MIN(r->oldest_contact_at, target->last_contact_at);
+        return;
+    }
+    GList* before = r->ended.tail;
+    while (before && ((wg_target*)before->data)->change > target->change) {
+        before = before->prev;
+    }
+    if (before) {
+        g_queue_insert_after(&r->ended, before, target);
+    } else {
+        g_queue_push_head(&r->ended, target);
+    }
+}
+
+/* Has to be called before the address or the state of a record changes. */
+static void wg_registry_unindex(wg_registry* r, wg_target* target) {
+    if (wg_target_ended(target)) {
+        g_queue_remove(&r->ended, target);
+    } else if (g_hash_table_lookup(r->by_address, target->address) == target) {
+        g_hash_table_remove(r->by_address, target->address);
+    }
+}
+
 static void wg_registry_end(wg_registry* r, wg_target* target) {
     if (!wg_target_ended(target)) {
+        wg_registry_unindex(r, target);
         target->state = WG_TARGET_REMOVED;
-        r->ended++;
         wg_registry_record_change(r, target);
+        wg_registry_index(r, target);
     }
 }
 
@@ -44,31 +76,35 @@
     }
 }
 
+/* Position of the first record with a number above `after`. */
+static guint wg_registry_position(const wg_registry* r, uint32_t after) {
+    guint low = 0;
+    guint high = r->records->len;
+    while (low < high) {
+        guint middle = (low + high) / 2;
+        if (((wg_target*)r->records->pdata[middle])->number <= after) {
+            low = middle + 1;
+        } else {
+            high = middle;
+        }
+    }
+    return low;
+}
+
 /* Drops the records that ended first, beyond the limit. */
 static void wg_registry_prune(wg_registry* r) {
-    while (r->ended > r->desc.ended_max) {
-        guint oldest = G_MAXUINT;
-        for (guint i = 0; i < r->records->len; i++) {
-            const wg_target* target = r->records->pdata[i];
-            bool older = oldest == G_MAXUINT ||
-                         target->change < ((wg_target*)r->records->pdata[oldest])->change;
-            if (wg_target_ended(target) && older) {
-                oldest = i;
-            }
-        }
-        WG_ASSERT(oldest != G_MAXUINT);
-        wg_target* target = r->records->pdata[oldest];
+    while (r->ended.length > (guint)r->desc.ended_max) {
+        wg_target* target = g_queue_pop_head(&r->ended);
         r->floor = MAX(r->floor, target->change);
         wg_registry_remove_id(r, target);
-        g_ptr_array_remove_index(r->records, oldest);
-        r->ended--;
+        g_ptr_array_remove_index(r->records, wg_registry_position(r, target->number - 1));
     }
 }
 
 static wg_target* wg_registry_add(wg_registry* r, const wg_target* record) {
     wg_target* target = g_new(wg_target, 1);
     *target = *record;
-    g_ptr_array_add(r->records, target);
+    g_ptr_array_insert(r->records, (gint)wg_registry_position(r, target->number), target);
     const wg_target* listed = g_hash_table_lookup(r->by_id, target->id);
     if (!listed || listed->number < target->number) {
         g_hash_table_replace(r->by_id, target->id, target);
@@ -87,30 +123,20 @@
     return received->born != 0 && received->born < current->born;
 }
 
-/* Ends all other targets at the holder's address. */
+/* Ends another target at the address of `holder`, which is not indexed yet. */
 static void wg_registry_free_address(wg_registry* r, const wg_target* holder) {
-    for (guint i = 0; i < r->records->len; i++) {
-        wg_target* other = r->records->pdata[i];
-        bool same = other != holder && strcmp(other->address, holder->address) == 0;
-        if (same && !wg_target_ended(other)) {
-            other->replaced = other->state != WG_TARGET_DRAINING;
-            wg_registry_end(r, other);
-        }
+    wg_target* other = g_hash_table_lookup(r->by_address, holder->address);
+    if (other && other != holder) {
+        other->replaced = other->state != WG_TARGET_DRAINING;
+        wg_registry_end(r, other);
     }
 }
 
 /* True if another target at the address of the replaced one had contact recently. */
 static bool wg_registry_holder_is_live(const wg_registry* r, wg_time now,
                                        const wg_target* replaced) {
-    for (guint i = 0; i < r->records->len; i++) {
-        const wg_target* other = r->records->pdata[i];
-        bool holds = other != replaced && !wg_target_ended(other) &&
-                     strcmp(other->address, replaced->address) == 0;
-        if (holds && now - other->last_contact_at <= r->desc.holder_timeout) {
-            return true;
-        }
-    }
-    return false;
+    const wg_target* holder = g_hash_table_lookup(r->by_address, replaced->address);
+    return holder && now - holder->last_contact_at <= r->desc.holder_timeout;
 }
 
 /* A replaced target may have been ended wrongly. Depends on replicated fields only, for
@@ -140,12 +166,17 @@
     r->evacuated = g_ptr_array_new_with_free_func(g_free);
     r->records = g_ptr_array_new_with_free_func(g_free);
     r->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+    r->by_address = g_hash_table_new(g_str_hash, g_str_equal);
+    g_queue_init(&r->ended);
+    r->oldest_contact_at = WG_TIME_NEVER;
     r->next_number = 1;
     return r;
 }
 
 void wg_registry_shutdown(wg_registry* r) {
     g_hash_table_unref(r->by_id);
+    g_hash_table_unref(r->by_address);
+    g_queue_clear(&r->ended);
     g_ptr_array_unref(r->records);
     g_ptr_array_unref(r->evacuated);
     g_free(r);
@@ -187,11 +218,11 @@
     wg_target* target = wg_registry_add(r, &numbered);
     target->last_contact_at = now;
     target->received_sequence = record->sequence;
-    r->ended += wg_target_ended(target);
     wg_registry_record_change(r, target);
     if (!wg_target_ended(target)) {
         wg_registry_free_address(r, target);
     }
+    wg_registry_index(r, target);
     wg_registry_prune(r);
 }
 
@@ -236,7 +267,7 @@
     }
     wg_target_state state =
         target->state == WG_TARGET_DRAINING ? WG_TARGET_DRAINING : record->state;
-    r->ended -= wg_target_ended(target);
+    wg_registry_unindex(r, target);
     target->replaced = false;
     wg_copy_name(target->service, sizeof target->service, record->service);
     wg_copy_name(target->address, sizeof target->address, record->address);
@@ -249,6 +280,7 @@
     target->last_contact_at = now;
     wg_registry_record_change(r, target);
     wg_registry_free_address(r, target);
+    wg_registry_index(r, target);
     wg_registry_prune(r);
 }
 
@@ -308,6 +340,7 @@
     for (guint i = 0; i < r->records->len; i++) {
         ((wg_target*)r->records->pdata[i])->last_contact_at = now;
     }
+    r->oldest_contact_at = now;
 }
 
 void wg_registry_extend_deadlines(wg_registry* r, wg_time now, wg_time time) {
@@ -317,15 +350,25 @@
     }
 }
 
-const wg_target* wg_registry_find_unresponsive(const wg_registry* r, wg_time now, wg_time limit) {
+static bool wg_target_is_in_use(const wg_target* target) {
+    return target->state == WG_TARGET_READY || target->state == WG_TARGET_DRAINING;
+}
+
+/* Contacts only become newer, so nothing is searched until the oldest one is due. */
+const wg_target* wg_registry_find_unresponsive(wg_registry* r, wg_time now, wg_time limit) {
+    if (r->oldest_contact_at == WG_TIME_NEVER || now - r->oldest_contact_at <= limit) {
+        return NULL;
+    }
+    const wg_target* oldest = NULL;
     for (guint i = 0; i < r->records->len; i++) {
         const wg_target* target = r->records->pdata[i];
-        bool live = target->state == WG_TARGET_READY || target->state == WG_TARGET_DRAINING;
-        if (live && now - target->last_contact_at > limit) {
-            return target;
+        if (wg_target_is_in_use(target) &&
+            (!oldest || target->last_contact_at < oldest->last_contact_at)) {
+            oldest = target;
         }
     }
-    return NULL;
+    r->oldest_contact_at = oldest ? oldest->last_contact_at : WG_TIME_NEVER;
+    return oldest && now - oldest->last_contact_at > limit ? oldest : NULL;
 }
 
 void wg_registry_record_proposal(wg_registry* r, uint32_t number, wg_time now) {
@@ -336,17 +379,8 @@
 }
 
 const wg_target* wg_registry_next(const wg_registry* r, uint32_t after) {
-    guint low = 0;
-    guint high = r->records->len;
-    while (low < high) {
-        guint middle = (low + high) / 2;
-        if (((wg_target*)r->records->pdata[middle])->number <= after) {
-            low = middle + 1;
-        } else {
-            high = middle;
-        }
-    }
-    return low < r->records->len ? r->records->pdata[low] : NULL;
+    guint at = wg_registry_position(r, after);
+    return at < r->records->len ? r->records->pdata[at] : NULL;
 }
 
 const wg_target* wg_registry_find(const wg_registry* r, uint32_t number) {
@@ -378,14 +412,10 @@
 
 void wg_registry_clear(wg_registry* r) {
     g_hash_table_remove_all(r->by_id);
+    g_hash_table_remove_all(r->by_address);
+    g_queue_clear(&r->ended);
     g_ptr_array_set_size(r->records, 0);
-    r->ended = 0;
-}
-
-static int wg_compare_numbers(const void* a, const void* b) {
-    uint32_t first = (*(wg_target* const*)a)->number;
-    uint32_t second = (*(wg_target* const*)b)->number;
-    return first < second ? -1 : first > second;
+    r->oldest_contact_at = WG_TIME_NEVER;
 }
 
 bool wg_registry_merge(wg_registry* r, wg_time now, const Wgpb__TargetRecord* record) {
@@ -394,15 +424,12 @@
         return false;
     }
     wg_target* target = (wg_target*)wg_registry_find(r, in.number);
-    if (target) {
-        if (in.change > target->change) {
-            r->ended += wg_target_ended(&in) - wg_target_ended(target);
-            *target = in;
-        }
-    } else {
-        wg_registry_add(r, &in);
-        r->ended += wg_target_ended(&in);
-        g_ptr_array_sort(r->records, wg_compare_numbers);
+    if (!target) {
+        wg_registry_index(r, wg_registry_add(r, &in));
+    } else if (in.change > target->change) {
+        wg_registry_unindex(r, target);
+        *target = in;
+        wg_registry_index(r, target);
     }
     wg_registry_prune(r);
     return true;
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -113,10 +113,9 @@
 void wg_registry_reset_contacts(wg_registry* registry, wg_time now);
 /* Extends the deadlines of all targets by `time` microseconds, for a stall that ended at `now`. */
 void wg_registry_extend_deadlines(wg_registry* registry, wg_time now, wg_time time);
-/* Returns a ready or draining target without contact for more than `limit` microseconds, or
-   NULL. */
-const wg_target* wg_registry_find_unresponsive(const wg_registry* registry, wg_time now,
-                                               wg_time limit);
+/* Returns the ready or draining target with the oldest contact, if that is more than `limit`
+   microseconds ago; else NULL. */
+const wg_target* wg_registry_find_unresponsive(wg_registry* registry, wg_time now, wg_time limit);
 /* Skips the target in wg_registry_find_unresponsive() for another limit, after a change of its
    state was proposed. */
 void wg_registry_record_proposal(wg_registry* registry, uint32_t number, wg_time now);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -19,7 +19,7 @@
         wg_registry_apply(registry, 0, &t);
     }
     balance = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 3});
-    wg_balance_sync(balance, 0, registry);
+    wg_balance_sync(balance, registry);
 }
 
 static void end(void) {
@@ -44,7 +44,7 @@
 START_TEST(hosts_agree_on_the_homes_of_a_prefix) {
     begin(18);
     wg_balance* other = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 99});
-    wg_balance_sync(other, 0, registry);
+    wg_balance_sync(other, registry);
     int used[19] = {0};
     for (uint64_t part = 1000; part < 1300; part++) {
         wg_prompt p = prompt(part, part + 5000);
@@ -132,14 +132,14 @@
     draining.state = WG_TARGET_DRAINING;
     draining.sequence++;
     wg_registry_apply(registry, 1, &draining);
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     wg_balance_choice after = wg_balance_choose(balance, 1, &need);
     ck_assert_uint_ne(after.target, first.target);
     ck_assert_uint_eq(after.source, first.target);
     draining.state = WG_TARGET_REMOVED;
     draining.sequence++;
     wg_registry_apply(registry, 2, &draining);
-    wg_balance_sync(balance, 2, registry);
+    wg_balance_sync(balance, registry);
     wg_balance_choice removed = wg_balance_choose(balance, 2, &need);
     ck_assert_uint_eq(removed.target, after.target);
     ck_assert_uint_ne(removed.source, first.target);
@@ -197,7 +197,7 @@
     wg_target removed = *wg_registry_find(registry, 7);
     removed.state = WG_TARGET_REMOVED;
     wg_registry_apply(registry, 1, &removed);
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     for (uint64_t i = 0; i < G_N_ELEMENTS(before); i++) {
         wg_prompt p = prompt(i + 1, i + 9000);
         uint32_t now = choose(&p, 1).target;
@@ -213,7 +213,7 @@
     int sent[91] = {0};
     for (uint64_t h = 0; h < 69; h++) {
         wg_balance* other = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = h + 7});
-        wg_balance_sync(other, 0, registry);
+        wg_balance_sync(other, registry);
         wg_balance_set_hosts(other, 69);
         for (uint32_t t = 1; t <= 90; t++) {
             wg_balance_set_others_load(other, t, 3000 + 40 * t, 5);
@@ -261,7 +261,7 @@
     drain.state = WG_TARGET_DRAINING;
     drain.sequence++;
     wg_registry_apply(registry, 1, &drain);
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     for (uint64_t i = 0; i < 50; i++) {
         wg_prompt p = prompt(i + 1, i + 100);
         ck_assert_uint_eq(choose(&p, 1).target, 2);
@@ -279,13 +279,13 @@
     moved.sequence++;
     wg_registry_apply(registry, 1, &moved);
     wg_registry_evacuate(registry, 1, &(wg_evacuation){.data_centre = "left", .begins = true});
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     for (uint64_t i = 0; i < 50; i++) {
         wg_prompt p = prompt(i + 1, i + 100);
         ck_assert_uint_eq(choose(&p, 1).target, 2);
     }
     wg_registry_evacuate(registry, 2, &(wg_evacuation){.data_centre = "left"});
-    wg_balance_sync(balance, 2, registry);
+    wg_balance_sync(balance, registry);
     bool used = false;
     for (uint64_t i = 0; i < 50; i++) {
         wg_prompt p = prompt(i + 1, i + 100);
@@ -313,7 +313,7 @@
     slots.slots = PLAIN_SLOTS;
     slots.sequence++;
     wg_registry_apply(registry, 1, &slots);
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     for (int i = 0; i < 200; i++) {
         wg_balance_choice c = choose_plain(0, SECOND);
         wg_balance_begin(balance, 0, &c);
@@ -376,7 +376,7 @@
     }
     wg_balance_shutdown(balance);
     balance = wg_balance_setup(&(wg_balance_desc){.data_centre = "here", .seed = 3});
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
 }
 
 static int chosen_local_num(uint32_t bytes) {
@@ -500,14 +500,14 @@
     for (int i = 0; i < 50; i++) {
         ck_assert_uint_eq(wg_balance_choose(balance, 20 * SECOND, &need).target, 2);
     }
-    wg_balance_sync(balance, 0, registry);
+    wg_balance_sync(balance, registry);
     need.tried[need.tried_num++] = 2;
     ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).target, 0);
     wg_target again = *wg_registry_find(registry, 1);
     again.sequence++;
     again.slots++;
     wg_registry_apply(registry, 1, &again);
-    wg_balance_sync(balance, 1, registry);
+    wg_balance_sync(balance, registry);
     ck_assert_uint_eq(wg_balance_choose(balance, 1, &need).target, 1);
     end();
 }
--- a/tests/test_refusing_targets.c
+++ b/tests/test_refusing_targets.c
@@ -47,7 +47,7 @@
         wg_registry_apply(registry, 0, &t);
     }
     balance = wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 3});
-    wg_balance_sync(balance, 0, registry);
+    wg_balance_sync(balance, registry);
 }
 
 static void end_balance(void) {
