Contact between hosts and leader: time-outs follow the interval between reports

Callers saw (at 996 hosts; worked out and shown at 800): hosts vanish from the list of entry hosts and return, all the time, and with them the coordinators of targets; workspaces are taken for a thousand times as busy as they are.

Cause: hosts report each 2 ms x hosts, so each 1.99 s at 996. The leader counted a host as failed 1.5 s after its last report (more than 750 hosts), a host closed its link to the leader 1.2 s after the last state (more than 600), and counted the fleet's usage as outdated after 1 s, from when on it takes its own usage times the number of hosts for that of the fleet (more than 500). Each removal and return is told to every other host, so the roster's messages grew with the square of the fleet.

Change: lib/contact derives the interval from the number of hosts, a second at most, and every time-out that waits for a report or its answer from the interval. Below 300 hosts nothing changes.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -7,6 +7,7 @@
    A host receives the changes since the versions it holds. Whatever was sent on a link counts as
    held: links preserve order, and a host that cannot apply a message closes the link and
    reconnects. */
+#include "wg_contact.h"
 #include "wg_control_internal.h"
 #include "wg_usage.h"
 
@@ -14,14 +15,11 @@
 #include <string.h>
 
 enum {
-    WG_REPORT_MS_MIN = 100,
-    WG_REPORT_MS_PER_ENTRY = 2, /* scales the report interval with the number of entry hosts */
     /* Interval between pushes per connected entry host, so that changes made together are sent
        together. */
     WG_PUSH_INTERVAL_PER_ENTRY = 100, /* microseconds */
     /* Time for running hosts to report to a new leader before it distributes the roster. */
-    WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC,
-    WG_MEMBER_TIMEOUT = 1500 * WG_USEC_PER_MSEC
+    WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
@@ -147,9 +145,14 @@
     }
 }
 
+static wg_time _wgco_report_interval(const wgco_control* c) {
+    return wg_contact_report_interval((int)g_hash_table_size(c->entries));
+}
+
 static void _wgco_remove_unresponsive_members(wgco_control* c, wg_time now) {
     char name[WG_NAME_MAX];
-    while (wg_roster_remove_unresponsive(c->roster, now, WG_MEMBER_TIMEOUT, name)) {
+    wg_time timeout = wg_contact_host_timeout(_wgco_report_interval(c));
+    while (wg_roster_remove_unresponsive(c->roster, now, timeout, name)) {
         wg_log(WG_EVENT_MEMBER_GONE, "entry=%s", name);
         _wgco_entry_schedule_push(c);
     }
@@ -308,8 +311,7 @@
     s.message.term = wgr_query_stats(c->node, now).term;
     s.message.leader_address = (char*)_wgco_leader_address(c);
     s.message.leads = c->leads && wgr_leads(c->node, now);
-    s.message.report_ms =
-        MAX(WG_REPORT_MS_MIN, WG_REPORT_MS_PER_ENTRY * g_hash_table_size(c->entries));
+    s.message.report_ms = (uint32_t)(_wgco_report_interval(c) / WG_USEC_PER_MSEC);
     if (!e->reported || !s.message.leads || with_loads) {
         _wgco_fill_controls(&s, wgr_query_set(c->node));
     }
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -1,4 +1,5 @@
 /* wg_entry_link.c -- links to controls and other entry hosts, reports to the leader */
+#include "wg_contact.h"
 #include "wg_entry_internal.h"
 
 #include <string.h>
@@ -330,8 +331,9 @@
     /* A stall of this process does not count as time since last contact with the leader. */
     wg_time since_contact = now - MAX(e->state_at, e->stall_ended_at);
     bool leaderless = e->leaderless_at && now - e->leaderless_at > WG_LEADERLESS_TIMEOUT;
-    if (e->link.id &&
-        (leaderless || since_contact > e->settings->link_silence_ms * WG_USEC_PER_MSEC)) {
+    wg_time timeout = wg_contact_leader_timeout(e->report_interval,
+                                                e->settings->link_silence_ms * WG_USEC_PER_MSEC);
+    if (e->link.id && (leaderless || since_contact > timeout)) {
         wg_entry_reconnect(e, "");
         return;
     }
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -1,4 +1,5 @@
 /* wg_entry_state.c -- fleet state received from the leader, or from a replica without one */
+#include "wg_contact.h"
 #include "wg_document.h"
 #include "wg_term.h"
 
@@ -149,6 +150,7 @@
                              .demand = in->usage[i]->asked};
     }
     wg_usage_apply_report(e->usage, wg_now(), list, in->n_usage, wg_entry_total_share(e));
+    wg_usage_set_lifetime(e->usage, wg_contact_usage_lifetime(e->report_interval));
     g_free(list);
 }
 
--- a/lib/fair/wg_usage.c
+++ b/lib/fair/wg_usage.c
@@ -32,6 +32,7 @@
     GHashTable* fleet;   /* workspace -> wg_usage_copy* */
     GHashTable* own;     /* workspace -> wg_usage_total* */
     wg_time reported_at; /* 0: never */
+    wg_time lifetime;    /* since `reported_at`, until the copy decays */
     wg_time decayed_at;
     wg_fair_levels levels;
 };
@@ -118,6 +119,7 @@
 
 wg_usage_ledger* wg_usage_setup(void) {
     wg_usage_ledger* ledger = g_new0(wg_usage_ledger, 1);
+    ledger->lifetime = WG_USAGE_LIFETIME_DEFAULT;
     ledger->fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     ledger->own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     return ledger;
@@ -150,8 +152,12 @@
     wg_usage_set_levels(ledger, total_share);
 }
 
+void wg_usage_set_lifetime(wg_usage_ledger* ledger, wg_time lifetime) {
+    ledger->lifetime = lifetime;
+}
+
 void wg_usage_decay(wg_usage_ledger* ledger, wg_time now, int hosts, double total_share) {
-    bool fresh = ledger->reported_at == 0 || now - ledger->reported_at < WG_USAGE_STALE_AFTER;
+    bool fresh = ledger->reported_at == 0 || now - ledger->reported_at < ledger->lifetime;
     if (fresh || now - ledger->decayed_at < WG_USAGE_DECAY_STEP) {
         return;
     }
--- a/lib/fair/wg_usage.h
+++ b/lib/fair/wg_usage.h
@@ -28,9 +28,8 @@
 enum {
     /* Half-life of usage in microseconds, at the leader and here. */
     WG_USAGE_HALF_LIFE = 1200 * WG_USEC_PER_MSEC,
-    /* Microseconds since the last report until a copy decays. Longer than an election and than
-       the interval between reports in a large fleet. */
-    WG_USAGE_STALE_AFTER = WG_USEC_PER_SEC,
+    /* Microseconds since the last report until a copy decays, by default. */
+    WG_USAGE_LIFETIME_DEFAULT = WG_USEC_PER_SEC,
     /* Microseconds since the last report until the leader's part of a copy is dropped. Decay
        alone keeps the proportions between workspaces, so the highest usage would go on to limit its
        workspace even where little else is served. */
@@ -56,6 +55,9 @@
    the time that usage covers; 0: not known. */
 void wg_usage_apply_report(wg_usage_ledger* ledger, wg_time now, const wg_usage* list, size_t num,
                            double total_share);
+/* Sets the time since the last report until the copy decays, in microseconds: longer than the
+   interval between two reports. */
+void wg_usage_set_lifetime(wg_usage_ledger* ledger, wg_time lifetime);
 /* Decays the copy; does nothing while the last report is fresh. `hosts`: number of entry hosts
    that share the load. */
 void wg_usage_decay(wg_usage_ledger* ledger, wg_time now, int hosts, double total_share);
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -80,6 +80,8 @@
     bool connected;
     uint64_t members_change;
     int members; /* entry hosts in the last list received; -1: no list received yet */
+    int members_left;   /* entry hosts reported as gone */
+    uint32_t report_ms; /* interval between reports, as told by the control */
     uint64_t configuration_version;
     uint64_t configuration_base; /* base version of the last configuration; 0: sent complete */
     size_t configuration_bytes;  /* packed size of the last configuration */
@@ -122,7 +124,9 @@
         entry->members_change = in->members_change;
         entry->members = in->members_reset ? 0 : MAX(entry->members, 0);
         entry->members += (int)in->n_members - (int)in->n_members_left;
+        entry->members_left += (int)in->n_members_left;
     }
+    entry->report_ms = in->report_ms;
     entry->state_seen = in->seq;
     entry->states_received++;
     entry->targets += (int)in->n_targets;
@@ -192,6 +196,7 @@
     entry->net = wgn_setup(&(wgn_desc){.base = entry->base,
                                        .fleet_key = "a key for the fleet",
                                        .self = self,
+                                       .links_max = 4,
                                        .on_up = local_entry_on_up,
                                        .on_frame = local_entry_on_frame,
                                        .on_down = local_entry_on_down,
