Usage of workspaces: first requests count; reports and answers hold what matters

Callers saw (expected, worked out): with many hosts the fleet's usage is close to zero for nearly all workspaces, so that fairness knows nothing.

Cause: the first report of a workspace by a host was the base line from which its usage counts. At 996 hosts with 1.5 requests a second each nearly every report of a workspace is the first one of that host. And reports and answers listed every workspace (6.3 KB at 333; hosts x workspaces, each way).

Change: only the first report on a link is the base line, as it lists all that the host has counted; a workspace that appears later counts from zero. Later reports list what changed. Answers list the workspaces from 1/256 of the largest demand on, and the sum of the others, which is all that the max-min levels need of them.

Evidence: test_leader_states (first usage at a host: 0 tokens of 1,000 known before; 500 workspaces: all listed before, 1 and a sum after), test_usage (levels are the same with the sum). Ruled out that small fleets change: the levels are equal, a workspace below 1/256 is far below any tolerance.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -18,6 +18,8 @@
     /* Interval between pushes per connected entry host, so that changes made together are sent
        together. */
     WG_PUSH_INTERVAL_PER_ENTRY = 100, /* microseconds */
+    /* A workspace is listed to hosts from this fraction of the largest demand on. */
+    WG_USAGE_LISTED_DIVISOR = 256,
     /* Time for running hosts to report to a new leader before it distributes the roster. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC
 };
@@ -107,17 +109,21 @@
     usage->asked += (double)asked;
 }
 
-static void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in) {
+/* Adds what the workspaces used since their last report. The first report on a link lists all that
+   the host has counted, which is where counting begins; a workspace that appears later starts from
+   zero. In a large fleet most workspaces send a host one request only. */
+static void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in,
+                               bool first) {
     for (size_t i = 0; i < in->n_usage; i++) {
         const Wgpb__WorkspaceUsage* now = in->usage[i];
         uint64_t workspace = now->workspace;
         _wgco_reported_t* before = g_hash_table_lookup(e->usage, &workspace);
         if (!before) {
-            /* The first report to this leader is the baseline. */
             before = g_new0(_wgco_reported_t, 1);
             before->workspace = workspace;
             g_hash_table_insert(e->usage, &before->workspace, before);
-        } else if (now->tokens >= before->tokens && now->asked >= before->asked) {
+        }
+        if (!first && now->tokens >= before->tokens && now->asked >= before->asked) {
             _wgco_add_usage(c, workspace, now->tokens - before->tokens, now->asked - before->asked);
         }
         before->tokens = now->tokens;
@@ -245,9 +251,25 @@
     }
 }
 
+static double _wgco_largest_demand(const wgco_control* c) {
+    double largest = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, c->usage);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        largest = MAX(largest, ((const _wgco_usage_t*)value)->asked);
+    }
+    return largest;
+}
+
+/* Lists the workspaces whose usage decides anything, and the sum of the others: of thousands of
+   workspaces few use a notable part of the fleet. */
 static void _wgco_fill_usage(wgco_control* c, _wgco_state_t* s, wg_time now) {
     _wgco_decay_usage(c, now);
     guint num = g_hash_table_size(c->usage);
+    double small_tokens = 0;
+    double small_asked = 0;
+    double listed_from = _wgco_largest_demand(c) / WG_USAGE_LISTED_DIVISOR;
     s->usage = g_new(Wgpb__WorkspaceUsage, num + 1);
     s->message.usage = g_new(Wgpb__WorkspaceUsage*, num + 1);
     GHashTableIter iter;
@@ -255,6 +277,12 @@
     g_hash_table_iter_init(&iter, c->usage);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const _wgco_usage_t* usage = value;
+        if (usage->asked < listed_from) {
+            s->message.usage_small_num++;
+            small_tokens += usage->tokens;
+            small_asked += usage->asked;
+            continue;
+        }
         Wgpb__WorkspaceUsage* out = &s->usage[s->message.n_usage];
         wgpb__workspace_usage__init(out);
         out->workspace = usage->workspace;
@@ -262,6 +290,8 @@
         out->asked = (uint64_t)usage->asked;
         s->message.usage[s->message.n_usage++] = out;
     }
+    s->message.usage_small_tokens = (uint64_t)small_tokens;
+    s->message.usage_small_asked = (uint64_t)small_asked;
 }
 
 static void _wgco_fill_quarantine(const wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
@@ -482,7 +512,8 @@
         return;
     }
     _wgco_confirm_receive_report(c, e, in);
-    e->has_no_members = e->has_no_members || (!e->reported && in->members_change == 0);
+    bool first = !e->reported;
+    e->has_no_members = e->has_no_members || (first && in->members_change == 0);
     e->reported = true;
     if (in->state_seen == e->state_seq) { /* otherwise a newer state is in transit */
         e->configuration_version = in->configuration_version;
@@ -494,7 +525,7 @@
     e->standby = in->standby;
     e->leaving = in->leaving;
     _wgco_replace_loads(c, e, in);
-    _wgco_update_usage(c, e, in);
+    _wgco_update_usage(c, e, in, first);
     _wgco_quarantine_receive_report(c, e, in);
     if (c->leads) {
         _wgco_update_member(c, e, wg_now());
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -126,7 +126,7 @@
     wg_balance_load* loads = g_new(wg_balance_load, WG_LOADS_MAX);
     int loads_num = wg_balance_loads(e->balance, loads, WG_LOADS_MAX);
     Wgpb__TargetLoad* load_items = g_new(Wgpb__TargetLoad, loads_num + 1);
-    GPtrArray* own = wg_usage_own(e->usage);
+    GPtrArray* own = wg_usage_take_changed(e->usage);
     Wgpb__WorkspaceUsage* usage_items = g_new(Wgpb__WorkspaceUsage, own->len + 1);
     report.loads = g_new(Wgpb__TargetLoad*, loads_num + 1);
     report.usage = g_new(Wgpb__WorkspaceUsage*, own->len + 1);
@@ -202,6 +202,7 @@
     e->state_at = wg_now();
     e->recovery.roster_due = e->recovery.known > 0;
     wg_entry_requeue_crashes(e);
+    wg_usage_take_again(e->usage);
     wg_entry_report(e, e->state_at);
 }
 
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -7,6 +7,10 @@
 
 #include <string.h>
 
+enum {
+    WG_USAGE_SMALL_MAX = 1000000 /* workspaces; a larger number in a message is not believed */
+};
+
 /* Seconds of a steady rate that decayed usage amounts to: WG_USAGE_HALF_LIFE / ln 2. */
 static const double WG_USAGE_SECONDS = 1.731;
 
@@ -149,7 +153,12 @@
                              .tokens = in->usage[i]->tokens,
                              .demand = in->usage[i]->asked};
     }
-    wg_usage_apply_report(e->usage, wg_now(), list, in->n_usage, wg_entry_total_share(e));
+    wg_usage_report report = {
+        .list = list,
+        .num = in->n_usage,
+        .small = {.tokens = in->usage_small_tokens, .demand = in->usage_small_asked},
+        .small_num = MIN(in->usage_small_num, (uint32_t)WG_USAGE_SMALL_MAX)};
+    wg_usage_apply_report(e->usage, wg_now(), &report, wg_entry_total_share(e));
     wg_usage_set_lifetime(e->usage, wg_contact_usage_lifetime(e->report_interval));
     g_free(list);
 }
--- a/lib/fair/wg_usage.c
+++ b/lib/fair/wg_usage.c
@@ -26,6 +26,7 @@
     wg_usage total;
     uint64_t tokens_counted;
     uint64_t demand_counted;
+    bool changed; /* since it was last taken for a report */
 } wg_usage_total;
 
 struct wg_usage_ledger {
@@ -34,6 +35,8 @@
     wg_time reported_at; /* 0: never */
     wg_time lifetime;    /* since `reported_at`, until the copy decays */
     wg_time decayed_at;
+    wg_usage_amount small; /* of the workspaces that the leader did not list, together */
+    size_t small_num;
     wg_fair_levels levels;
 };
 
@@ -60,9 +63,9 @@
 }
 
 static void wg_usage_set_levels(wg_usage_ledger* ledger, double total_share) {
-    guint num = g_hash_table_size(ledger->fleet);
+    size_t num = g_hash_table_size(ledger->fleet) + ledger->small_num;
     double* demand = g_new(double, num + 1);
-    double served = 0;
+    double served = ledger->small.tokens;
     int filled = 0;
     GHashTableIter iter;
     gpointer value;
@@ -73,6 +76,9 @@
         demand[filled++] = MAX(copy->reported.demand + copy->estimated.demand, tokens);
         served += tokens;
     }
+    for (size_t i = 0; i < ledger->small_num; i++) {
+        demand[filled++] = ledger->small.demand / (double)ledger->small_num;
+    }
     ledger->levels.served = wg_fair_level(demand, filled, served);
     ledger->levels.fair_share = total_share > 0 ? wg_fair_level(demand, filled, total_share) : 0;
     g_free(demand);
@@ -83,6 +89,8 @@
 }
 
 static void wg_usage_decay_copy(wg_usage_ledger* ledger, double keep, bool drop) {
+    ledger->small = wg_usage_scale(ledger->small, drop ? 0 : keep);
+    ledger->small_num = drop ? 0 : ledger->small_num;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, ledger->fleet);
@@ -132,20 +140,30 @@
 }
 
 void wg_usage_record_demand(wg_usage_ledger* ledger, uint64_t workspace, uint64_t tokens) {
-    wg_usage_own_of(ledger, workspace)->total.demand += tokens;
+    wg_usage_total* own = wg_usage_own_of(ledger, workspace);
+    own->total.demand += tokens;
+    own->changed = true;
 }
 
 void wg_usage_record_served(wg_usage_ledger* ledger, uint64_t workspace, uint64_t tokens) {
-    wg_usage_own_of(ledger, workspace)->total.tokens += tokens;
+    wg_usage_total* own = wg_usage_own_of(ledger, workspace);
+    own->total.tokens += tokens;
+    own->changed = true;
+}
+
+static wg_usage_amount wg_usage_amount_of(const wg_usage* usage) {
+    return (wg_usage_amount){(double)usage->tokens, (double)usage->demand};
 }
 
-void wg_usage_apply_report(wg_usage_ledger* ledger, wg_time now, const wg_usage* list, size_t num,
+void wg_usage_apply_report(wg_usage_ledger* ledger, wg_time now, const wg_usage_report* report,
                            double total_share) {
     g_hash_table_remove_all(ledger->fleet);
-    for (size_t i = 0; i < num; i++) {
-        wg_usage_copy* copy = wg_usage_copy_of(ledger, list[i].workspace);
-        copy->reported = (wg_usage_amount){(double)list[i].tokens, (double)list[i].demand};
+    for (size_t i = 0; i < report->num; i++) {
+        wg_usage_copy* copy = wg_usage_copy_of(ledger, report->list[i].workspace);
+        copy->reported = wg_usage_amount_of(&report->list[i]);
     }
+    ledger->small = wg_usage_amount_of(&report->small);
+    ledger->small_num = report->small_num;
     wg_usage_count_own(ledger, 0);
     ledger->reported_at = now;
     ledger->decayed_at = now;
@@ -170,20 +188,36 @@
 
 double wg_usage_of(const wg_usage_ledger* ledger, uint64_t workspace) {
     const wg_usage_copy* copy = g_hash_table_lookup(ledger->fleet, &workspace);
-    return copy ? copy->reported.tokens + copy->estimated.tokens : 0;
+    if (copy) {
+        return copy->reported.tokens + copy->estimated.tokens;
+    }
+    return ledger->small_num > 0 ? ledger->small.tokens / (double)ledger->small_num : 0;
 }
 
 const wg_fair_levels* wg_usage_levels(const wg_usage_ledger* ledger) {
     return &ledger->levels;
 }
 
-GPtrArray* wg_usage_own(const wg_usage_ledger* ledger) {
+GPtrArray* wg_usage_take_changed(wg_usage_ledger* ledger) {
     GPtrArray* list = g_ptr_array_new();
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, ledger->own);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        g_ptr_array_add(list, &((wg_usage_total*)value)->total);
+        wg_usage_total* own = value;
+        if (own->changed) {
+            own->changed = false;
+            g_ptr_array_add(list, &own->total);
+        }
     }
     return list;
 }
+
+void wg_usage_take_again(wg_usage_ledger* ledger) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, ledger->own);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        ((wg_usage_total*)value)->changed = true;
+    }
+}
--- a/lib/fair/wg_usage.h
+++ b/lib/fair/wg_usage.h
@@ -19,6 +19,7 @@
         3. wg_usage_apply_report(l, now, list, num, total_share);  // a report of the leader
         4. wg_usage_decay(l, now, hosts, total_share);             // each tick
         5. wg_usage_of(l, workspace); wg_usage_levels(l);
+        6. wg_usage_take_changed(l);                               // for a report to the leader
 
     THE CALLER OWNS
         everything passed in; returned lists stay owned by the ledger.
@@ -51,9 +52,17 @@
 void wg_usage_record_demand(wg_usage_ledger* ledger, uint64_t workspace, uint64_t tokens);
 /* Records a request that this host sent to a target. */
 void wg_usage_record_served(wg_usage_ledger* ledger, uint64_t workspace, uint64_t tokens);
+/* Usage of the whole fleet, as the leader reports it. */
+typedef struct {
+    const wg_usage* list;
+    size_t num;
+    wg_usage small;   /* sums over the workspaces that are not listed; `workspace` is unused */
+    size_t small_num; /* number of these workspaces */
+} wg_usage_report;
+
 /* Replaces the copy with the leader's report. `total_share`: tokens of the configured capacity in
    the time that usage covers; 0: not known. */
-void wg_usage_apply_report(wg_usage_ledger* ledger, wg_time now, const wg_usage* list, size_t num,
+void wg_usage_apply_report(wg_usage_ledger* ledger, wg_time now, const wg_usage_report* report,
                            double total_share);
 /* Sets the time since the last report until the copy decays, in microseconds: longer than the
    interval between two reports. */
@@ -64,6 +73,8 @@
 /* Returns the recent usage of the workspace in the whole fleet, tokens. */
 double wg_usage_of(const wg_usage_ledger* ledger, uint64_t workspace);
 const wg_fair_levels* wg_usage_levels(const wg_usage_ledger* ledger);
-/* Returns this host's own totals, wg_usage*, in no particular order; the caller frees the list
-   only. */
-GPtrArray* wg_usage_own(const wg_usage_ledger* ledger);
+/* Returns this host's own totals that changed since they were last taken, wg_usage*, in no
+   particular order; the caller frees the list only. */
+GPtrArray* wg_usage_take_changed(wg_usage_ledger* ledger);
+/* Lets wg_usage_take_changed() return all totals again, as the next leader knows none. */
+void wg_usage_take_again(wg_usage_ledger* ledger);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -6225,7 +6225,7 @@
   (ProtobufCMessageInit) wgpb__entry_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[21] =
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[24] =
 {
   {
     "leads",
@@ -6479,6 +6479,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "usage_small_num",
+    23,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, usage_small_num),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_small_tokens",
+    24,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, usage_small_tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage_small_asked",
+    25,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, usage_small_asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_state__field_indices_by_name[] = {
   4,   /* field[4] = configuration_version */
@@ -6502,12 +6538,15 @@
   5,   /* field[5] = targets */
   1,   /* field[1] = term */
   12,   /* field[12] = usage */
+  23,   /* field[23] = usage_small_asked */
+  21,   /* field[21] = usage_small_num */
+  22,   /* field[22] = usage_small_tokens */
 };
 static const ProtobufCIntRange wgpb__entry_state__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 21 }
+  { 0, 24 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
@@ -6517,7 +6556,7 @@
   "Wgpb__EntryState",
   "wgpb",
   sizeof(Wgpb__EntryState),
-  21,
+  24,
   wgpb__entry_state__field_descriptors,
   wgpb__entry_state__field_indices_by_name,
   2,  wgpb__entry_state__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -825,6 +825,9 @@
   protobuf_c_boolean ready;
   size_t n_loads;
   Wgpb__TargetLoad **loads;
+  /*
+   * complete in the first report on a link, then what changed
+   */
   size_t n_usage;
   Wgpb__WorkspaceUsage **usage;
   /*
@@ -903,12 +906,12 @@
   uint64_t members_change;
   uint32_t members_num;
   /*
-   * sums over all other entry hosts
+   * sums over all other entry hosts, of the most loaded targets
    */
   size_t n_loads;
   Wgpb__TargetLoad **loads;
   /*
-   * recent usage of the whole fleet
+   * recent usage of the whole fleet, without small ones
    */
   size_t n_usage;
   Wgpb__WorkspaceUsage **usage;
@@ -941,10 +944,16 @@
    * not from a leader: the state that this replica has applied
    */
   protobuf_c_boolean standby;
+  /*
+   * Workspaces whose usage is too small to be listed: their number and the sums of their usage.
+   */
+  uint32_t usage_small_num;
+  uint64_t usage_small_tokens;
+  uint64_t usage_small_asked;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -99,6 +99,8 @@
     bool leads;                  /* the control reported itself as leader */
     char leader[WG_ADDRESS_MAX]; /* leader address in the last state */
     int outcome;                 /* outcome of the last answered order; -1: no answer yet */
+    double tokens_known;         /* usage of all workspaces in the last state that lists any */
+    size_t usage_listed;         /* workspaces in that list */
     uint64_t read_version;       /* configuration version in the last order answer; 0: none */
 } local_entry;
 
@@ -133,6 +135,11 @@
     for (size_t i = 0; i < in->n_targets; i++) {
         entry->cold_reported = entry->cold_reported || in->targets[i]->cold_us > 0;
     }
+    for (size_t i = 0; i < in->n_usage; i++) {
+        entry->tokens_known = (i == 0 ? (double)in->usage_small_tokens : entry->tokens_known) +
+                              (double)in->usage[i]->tokens;
+        entry->usage_listed = in->n_usage;
+    }
     if (in->leads && in->quarantine_change != entry->quarantine_change) {
         entry->quarantine_change = in->quarantine_change;
         entry->quarantined = (int)in->n_quarantined;
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -301,6 +301,60 @@
 }
 END_TEST
 
+/* ---- usage of workspaces ---- */
+
+static void report_usage(local_entry* host, int workspaces, uint64_t tokens) {
+    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
+    Wgpb__WorkspaceUsage* usage = g_new(Wgpb__WorkspaceUsage, workspaces);
+    report.usage = g_new(Wgpb__WorkspaceUsage*, workspaces);
+    for (int i = 0; i < workspaces; i++) {
+        wgpb__workspace_usage__init(&usage[i]);
+        usage[i].workspace = (uint64_t)i + 1;
+        usage[i].tokens = usage[i].asked = i == 0 ? 1000 * tokens : tokens;
+        report.usage[report.n_usage++] = &usage[i];
+    }
+    report.ready = true;
+    report.state_seen = host->state_seen;
+    report.members_change = host->members_change;
+    report.registry_change = host->registry_change;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ENTRY_REPORT, &report.base));
+    g_free(report.usage);
+    g_free(usage);
+}
+
+/* The first request of a workspace at a host counts: with many hosts most workspaces send each of
+   them few. */
+START_TEST(first_usage_at_a_host_counts) {
+    begin();
+    local_entry host;
+    connect_host(&host, 1);
+    report_usage(&host, 1, 1);
+    for (int i = 0; i < TURNS && host.tokens_known < 1; i++) {
+        local_run_loop(base);
+    }
+    ck_assert_double_gt(host.tokens_known, 800);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
+/* What a host is told about usage does not grow with the number of workspaces that hardly use
+   anything; their sum is told. */
+START_TEST(small_usage_is_told_as_a_sum) {
+    begin();
+    local_entry host;
+    connect_host(&host, 1);
+    report_usage(&host, 500, 100);
+    for (int i = 0; i < TURNS && host.tokens_known < 1; i++) {
+        local_run_loop(base);
+    }
+    ck_assert_uint_eq(host.usage_listed, 1);
+    ck_assert_double_gt(host.tokens_known, 0.9 * 149900);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
 /* ---- requests that crash targets ---- */
 
 /* Reports that a target crashed soon after it began the request, or that a copy of the request
@@ -428,4 +482,5 @@
              configuration_is_sent_as_a_difference, configuration_in_flight_is_not_resent,
              simultaneous_changes_are_sent_together, stall_among_changes_sends_none_twice,
              stalled_leader_reports_no_target_unresponsive,
-             evacuation_survives_restarts_of_the_control)
+             evacuation_survives_restarts_of_the_control,
+             first_usage_at_a_host_counts, small_usage_is_told_as_a_sum)
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -10,11 +10,16 @@
     HOSTS = 10
 };
 
+static void apply(wg_usage_ledger* ledger, wg_time now, const wg_usage* list, size_t num) {
+    wg_usage_report report = {.list = list, .num = num};
+    wg_usage_apply_report(ledger, now, &report, 0);
+}
+
 /* A ledger with a report: HEAVY has eight times the usage of OTHER, both demand more. */
 static wg_usage_ledger* ledger_with_report(wg_time now) {
     static const wg_usage report[] = {{HEAVY, 800000, 900000}, {OTHER, 100000, 900000}};
     wg_usage_ledger* ledger = wg_usage_setup();
-    wg_usage_apply_report(ledger, now, report, G_N_ELEMENTS(report), 0);
+    apply(ledger, now, report, G_N_ELEMENTS(report));
     return ledger;
 }
 
@@ -74,7 +79,7 @@
     wg_time now = 100 * SECOND;
     wg_usage_ledger* ledger = ledger_with_report(now);
     advance(ledger, &now, 5 * SECOND, HEAVY, 1000);
-    wg_usage_apply_report(ledger, now, report, G_N_ELEMENTS(report), 0);
+    apply(ledger, now, report, G_N_ELEMENTS(report));
     ck_assert(fabs(wg_usage_of(ledger, HEAVY)) < 1);
     ck_assert(fabs(wg_usage_of(ledger, OTHER) - 5000) < 1);
     advance(ledger, &now, 1050 * MSEC, OTHER, 0);
@@ -87,7 +92,7 @@
     wg_time now = 100 * SECOND;
     wg_usage_ledger* ledger = ledger_with_report(now);
     advance(ledger, &now, 5 * SECOND, OTHER, 1000);
-    GPtrArray* own = wg_usage_own(ledger);
+    GPtrArray* own = wg_usage_take_changed(ledger);
     ck_assert_uint_eq(own->len, 1);
     const wg_usage* total = own->pdata[0];
     ck_assert_uint_eq(total->workspace, OTHER);
@@ -98,6 +103,55 @@
 }
 END_TEST
 
-WG_TEST_MAIN("usage", fresh_report_is_used_unchanged, old_report_decays_and_is_dropped,
+static guint count_changed(wg_usage_ledger* ledger) {
+    GPtrArray* changed = wg_usage_take_changed(ledger);
+    guint num = changed->len;
+    g_ptr_array_unref(changed);
+    return num;
+}
+
+/* A report holds what changed since the last one, however many workspaces the host has seen, and
+   all of them for the next leader. */
+START_TEST(only_changed_totals_are_taken) {
+    wg_usage_ledger* ledger = wg_usage_setup();
+    for (uint64_t workspace = 1; workspace <= 100; workspace++) {
+        wg_usage_record_demand(ledger, workspace, 10);
+    }
+    ck_assert_uint_eq(count_changed(ledger), 100);
+    ck_assert_uint_eq(count_changed(ledger), 0);
+    wg_usage_record_served(ledger, 7, 10);
+    ck_assert_uint_eq(count_changed(ledger), 1);
+    wg_usage_take_again(ledger);
+    ck_assert_uint_eq(count_changed(ledger), 100);
+    wg_usage_shutdown(ledger);
+}
+END_TEST
+
+/* Workspaces that the leader sums up count for the levels as if they were listed. */
+START_TEST(small_workspaces_count_without_being_listed) {
+    wg_usage all[11] = {{HEAVY, 500000, 900000}};
+    for (uint64_t i = 1; i < G_N_ELEMENTS(all); i++) {
+        all[i] = (wg_usage){100 + i, 1000, 1000};
+    }
+    wg_usage_ledger* listed = wg_usage_setup();
+    wg_usage_ledger* summed = wg_usage_setup();
+    wg_usage_report report = {.list = all, .num = G_N_ELEMENTS(all)};
+    wg_usage_apply_report(listed, 0, &report, 300000);
+    report = (wg_usage_report){.list = all,
+                               .num = 1,
+                               .small = {.tokens = 10000, .demand = 10000},
+                               .small_num = G_N_ELEMENTS(all) - 1};
+    wg_usage_apply_report(summed, 0, &report, 300000);
+    const wg_fair_levels* expected = wg_usage_levels(listed);
+    const wg_fair_levels* levels = wg_usage_levels(summed);
+    ck_assert_double_eq_tol(levels->served, expected->served, 1);
+    ck_assert_double_eq_tol(levels->fair_share, expected->fair_share, 1);
+    ck_assert_double_eq_tol(wg_usage_of(summed, 101), wg_usage_of(listed, 101), 1);
+    wg_usage_shutdown(listed);
+    wg_usage_shutdown(summed);
+}
+END_TEST
+
+WG_TEST_MAIN("usage", only_changed_totals_are_taken, small_workspaces_count_without_being_listed, fresh_report_is_used_unchanged, old_report_decays_and_is_dropped,
              own_usage_is_extrapolated_to_all_hosts, new_report_replaces_the_estimate,
              own_totals_only_grow)
