Loads told to hosts: the fullest targets, at most 256

Cause: each answer to a report listed the load of every target in use (hosts x targets in use; 8 KB at 1,000). Most of them have a request or two of 64, which decides nothing.

Change: beyond 256 targets in use the leader tells the 256 fullest ones (running requests by slots, and prompt tokens not processed), from a sixteenth on, selected anew each 100 ms.

Evidence: test_leader_states, 1,000 targets in use: 1,000 loads in an answer before, 256 after, the fullest one among them.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -18,12 +18,20 @@
     /* Interval between pushes per connected entry host, so that changes made together are sent
        together. */
     WG_PUSH_INTERVAL_PER_ENTRY = 100, /* microseconds */
+    /* Loads told to a host at once. Beyond this number the fullest targets are told. */
+    WG_LOADS_TOLD_MAX = 256,
+    WG_LOADS_TOLD_INTERVAL = 100 * WG_USEC_PER_MSEC, /* until they are selected again */
+    WG_SLOTS_UNKNOWN = 16,  /* assumed for a target that reports no slots */
+    WG_UNREAD_FULL = 20000, /* prompt tokens that keep a target busy for about an objective */
     /* A workspace is listed to hosts from this fraction of the largest demand on. */
     WG_USAGE_LISTED_DIVISOR = 256,
     /* Time for running hosts to report to a new leader before it distributes the roster. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC
 };
 
+/* Fullness from which a load is told when there are too many. */
+static const double WG_FULLNESS_TOLD_MIN = 1.0 / 16;
+
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
 
 static void _wgco_entry_free(void* data) {
@@ -228,16 +236,83 @@
     s->message.members_change = s->roster.change;
 }
 
-/* Fills in the loads of all other hosts: the totals less the host's own report. */
-static void _wgco_fill_loads(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
-    guint num = g_hash_table_size(c->load_totals);
-    s->loads = g_new(Wgpb__TargetLoad, num + 1);
-    s->message.loads = g_new(Wgpb__TargetLoad*, num + 1);
+/* How far the known load fills a target; 1: about as much as it takes. */
+static double _wgco_fullness(const wgco_control* c, const Wgpb__TargetLoad* total) {
+    const wg_target* target = wg_registry_find(c->registry, total->target);
+    uint32_t slots = target && target->slots ? target->slots : WG_SLOTS_UNKNOWN;
+    return (double)total->running / slots + (double)total->unread / WG_UNREAD_FULL;
+}
+
+typedef struct {
+    uint32_t target;
+    double fullness;
+} _wgco_loaded_t;
+
+static int _wgco_compare_loaded(const void* a, const void* b) {
+    double first = ((const _wgco_loaded_t*)a)->fullness;
+    double second = ((const _wgco_loaded_t*)b)->fullness;
+    return first > second ? -1 : first < second;
+}
+
+/* Selects the targets whose loads are told to hosts: all, or of very many the fullest ones. The
+   others have room, whoever sends to them. */
+static void _wgco_select_loads(wgco_control* c, wg_time now) {
+    if (c->loads_told->len > 0 && now - c->loads_told_at < WG_LOADS_TOLD_INTERVAL) {
+        return;
+    }
+    GArray* loaded = g_array_new(FALSE, FALSE, sizeof(_wgco_loaded_t));
+    bool all = g_hash_table_size(c->load_totals) <= WG_LOADS_TOLD_MAX;
     GHashTableIter iter;
     gpointer value;
     g_hash_table_iter_init(&iter, c->load_totals);
-    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+    while (!all && g_hash_table_iter_next(&iter, NULL, &value)) {
         const Wgpb__TargetLoad* total = value;
+        _wgco_loaded_t item = {total->target, _wgco_fullness(c, total)};
+        if (item.fullness >= WG_FULLNESS_TOLD_MIN) {
+            g_array_append_val(loaded, item);
+        }
+    }
+    g_array_sort(loaded, _wgco_compare_loaded);
+    g_array_set_size(c->loads_told, 0);
+    for (guint i = 0; i < MIN(loaded->len, (guint)WG_LOADS_TOLD_MAX); i++) {
+        uint32_t number = g_array_index(loaded, _wgco_loaded_t, i).target;
+        g_array_append_val(c->loads_told, number);
+    }
+    c->loads_told_at = now;
+    g_array_unref(loaded);
+}
+
+/* The loads that are told, const Wgpb__TargetLoad*; the caller frees the array only. */
+static GPtrArray* _wgco_told_loads(wgco_control* c, wg_time now) {
+    GPtrArray* list = g_ptr_array_new();
+    if (g_hash_table_size(c->load_totals) <= WG_LOADS_TOLD_MAX) {
+        GHashTableIter iter;
+        gpointer total;
+        g_hash_table_iter_init(&iter, c->load_totals);
+        while (g_hash_table_iter_next(&iter, NULL, &total)) {
+            g_ptr_array_add(list, total);
+        }
+        return list;
+    }
+    _wgco_select_loads(c, now);
+    for (guint i = 0; i < c->loads_told->len; i++) {
+        gpointer key = GUINT_TO_POINTER(g_array_index(c->loads_told, uint32_t, i));
+        Wgpb__TargetLoad* total = g_hash_table_lookup(c->load_totals, key);
+        if (total) {
+            g_ptr_array_add(list, total);
+        }
+    }
+    return list;
+}
+
+/* Fills in the loads of all other hosts: the totals less the host's own report. */
+static void _wgco_fill_loads(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
+                             wg_time now) {
+    GPtrArray* told = _wgco_told_loads(c, now);
+    s->loads = g_new(Wgpb__TargetLoad, told->len + 1);
+    s->message.loads = g_new(Wgpb__TargetLoad*, told->len + 1);
+    for (guint i = 0; i < told->len; i++) {
+        const Wgpb__TargetLoad* total = told->pdata[i];
         const Wgpb__TargetLoad* own =
             g_hash_table_lookup(e->loads, GUINT_TO_POINTER(total->target));
         Wgpb__TargetLoad* out = &s->loads[s->message.n_loads];
@@ -249,6 +324,7 @@
             s->message.loads[s->message.n_loads++] = out;
         }
     }
+    g_ptr_array_unref(told);
 }
 
 static double _wgco_largest_demand(const wgco_control* c) {
@@ -355,7 +431,7 @@
         _wgco_fill_members(c, e, &s, now);
     }
     if (s.message.leads && e->reported && with_loads) {
-        _wgco_fill_loads(c, e, &s);
+        _wgco_fill_loads(c, e, &s, now);
         _wgco_fill_usage(c, &s, now);
     }
     wgn_frame* frame = wgn_frame_pack(WGW_TYPE_ENTRY_STATE, &s.message.base);
@@ -467,6 +543,7 @@
     _wgco_documents_setup(&c->documents);
     _wgco_confirm_setup(c);
     c->load_totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+    c->loads_told = g_array_new(FALSE, FALSE, sizeof(uint32_t));
     c->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
@@ -476,6 +553,7 @@
     _wgco_documents_clear(&c->documents);
     _wgco_confirm_shutdown(c);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
+    g_clear_pointer(&c->loads_told, g_array_unref);
     g_clear_pointer(&c->usage, g_hash_table_unref);
     g_clear_pointer(&c->registry, wg_registry_shutdown);
 }
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -158,6 +158,8 @@
     bool push_due;       /* some entry hosts lack a change */
     wg_time pushed_at;
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
+    GArray* loads_told;      /* uint32_t, numbers of the targets whose load is told to hosts */
+    wg_time loads_told_at;   /* when they were selected */
     GHashTable* usage;       /* hash of a workspace -> _wgco_usage_t* */
     wg_time usage_at;
     wg_time led_since;
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -99,6 +99,8 @@
     bool leads;                  /* the control reported itself as leader */
     char leader[WG_ADDRESS_MAX]; /* leader address in the last state */
     int outcome;                 /* outcome of the last answered order; -1: no answer yet */
+    size_t loads_told;           /* loads of targets in the last state that lists any */
+    uint32_t load_max;           /* most requests running at one target in that list */
     double tokens_known;         /* usage of all workspaces in the last state that lists any */
     size_t usage_listed;         /* workspaces in that list */
     uint64_t read_version;       /* configuration version in the last order answer; 0: none */
@@ -135,6 +137,10 @@
     for (size_t i = 0; i < in->n_targets; i++) {
         entry->cold_reported = entry->cold_reported || in->targets[i]->cold_us > 0;
     }
+    for (size_t i = 0; i < in->n_loads; i++) {
+        entry->loads_told = in->n_loads;
+        entry->load_max = MAX(i == 0 ? 0 : entry->load_max, in->loads[i]->running);
+    }
     for (size_t i = 0; i < in->n_usage; i++) {
         entry->tokens_known = (i == 0 ? (double)in->usage_small_tokens : entry->tokens_known) +
                               (double)in->usage[i]->tokens;
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -355,6 +355,58 @@
 }
 END_TEST
 
+/* ---- loads of targets ---- */
+
+/* Reports `targets` targets with one request each, and one with many. */
+static void report_loads(local_entry* host, int targets, uint32_t most) {
+    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
+    Wgpb__TargetLoad* loads = g_new(Wgpb__TargetLoad, targets);
+    report.loads = g_new(Wgpb__TargetLoad*, targets);
+    for (int i = 0; i < targets; i++) {
+        wgpb__target_load__init(&loads[i]);
+        loads[i].target = (uint32_t)i + 1;
+        loads[i].running = i == targets / 2 ? most : 1;
+        report.loads[report.n_loads++] = &loads[i];
+    }
+    report.ready = true;
+    report.state_seen = host->state_seen;
+    report.members_change = host->members_change;
+    report.registry_change = host->registry_change;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ENTRY_REPORT, &report.base));
+    g_free(report.loads);
+    g_free(loads);
+}
+
+/* What a host is told about loads does not grow with the number of targets; the loads that matter
+   are among what it is told. */
+START_TEST(fullest_targets_are_told) {
+    enum {
+        FEW = 200,
+        MANY = 1000,
+        BUSY = 60
+    };
+    begin();
+    local_entry host;
+    local_entry other;
+    connect_host(&host, 1);
+    connect_host(&other, 2);
+    report_loads(&host, FEW, BUSY);
+    run_turns(50);
+    local_entry_report(&other);
+    run_turns(50);
+    ck_assert_uint_eq(other.loads_told, FEW);
+    report_loads(&host, MANY, BUSY);
+    run_turns(150);
+    local_entry_report(&other);
+    run_turns(50);
+    ck_assert_uint_le(other.loads_told, 256);
+    ck_assert_uint_eq(other.load_max, BUSY);
+    wgn_shutdown(host.net);
+    wgn_shutdown(other.net);
+    end();
+}
+END_TEST
+
 /* ---- requests that crash targets ---- */
 
 /* Reports that a target crashed soon after it began the request, or that a copy of the request
@@ -483,4 +535,4 @@
              simultaneous_changes_are_sent_together, stall_among_changes_sends_none_twice,
              stalled_leader_reports_no_target_unresponsive,
              evacuation_survives_restarts_of_the_control,
-             first_usage_at_a_host_counts, small_usage_is_told_as_a_sum)
+             fullest_targets_are_told, first_usage_at_a_host_counts, small_usage_is_told_as_a_sum)
