--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -66,7 +66,7 @@
     _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
             "log entries between two snapshots"),
     _REAL("limits", memory_mb, "0", 0, 1000000, "MB",
-            "memory limit of the process; bounds data queued on links; 0: unknown"),
+          "memory limit of the process; bounds data queued on links; 0: unknown"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims",
             "maximum number of run-once claims kept"),
     _NUMBER("state", claim_keep_s, "86400", 1, 31536000, "s", "how long a claim is kept"),
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -273,6 +273,34 @@
 /* On a follower: sends the leader's address to all entry hosts that have reported. */
 void _wgco_entry_redirect(wgco_control* c);
 
+/* Time between two reports of one host. */
+wg_time _wgco_report_interval(const wgco_control* c);
+
+/* state messages for entry hosts (wg_control_state.c) */
+/* Packs the state that `e` lacks; `with_loads`: and the loads and usage of the fleet. */
+wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, bool with_loads,
+                                  wg_time now);
+/* True if the host should receive roster changes. An incomplete roster would turn callers away from
+   hosts that are up, so it is withheld while a new leader waits for reports. */
+bool _wgco_sends_members(const wgco_control* c, const _wgco_entry_t* e, wg_time now);
+/* True if a replica without a known leader may send its applied state to the host. That state is
+   committed but may be outdated. */
+bool _wgco_serves_standby(const wgco_control* c, const _wgco_entry_t* e, wg_time now);
+
+/* loads and usage reported by entry hosts (wg_control_usage.c) */
+void _wgco_remove_loads(wgco_control* c, _wgco_entry_t* e);
+void _wgco_replace_loads(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in);
+/* Returns the loads that are told to hosts, const Wgpb__TargetLoad*: all, or of very many the
+   fullest ones. The caller frees the array only. */
+GPtrArray* _wgco_told_loads(wgco_control* c, wg_time now);
+/* Adds what the workspaces used since their last report. The first report on a link lists all that
+   the host has counted, which is where counting begins; a workspace that appears later starts from
+   zero. In a large fleet most workspaces send a host one request only. */
+void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in, bool first);
+void _wgco_decay_usage(wgco_control* c, wg_time now);
+/* Demand from which a workspace is listed to hosts, in tokens. */
+double _wgco_usage_listed_from(const wgco_control* c);
+
 /* orders forwarded by entry hosts (wg_control_orders.c) */
 void _wgco_receive_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
 void _wgco_complete_order(wgco_control* c, const _wgco_waiter_t* waiter, bool committed);
