States for hosts that lack the same: packed once, compressed, also for hosts that start together

Callers saw: after all processes had been killed, hosts wait for their targets (8.5 s at 300 hosts).

Cause: pushes shared a packed state, answers to reports did not. After a restart every host's first answer held all targets, packed for it alone: 0.9 MB at 10,000 targets, 0.9 GB for 996 hosts, more than the quarter of the leader's memory that may wait on links, so that links were closed and the same was sent again.

Change: an answer goes after a state with the changed targets, shared by all hosts that lack the same (it leaves out the roster, which changes with each host that comes). Frames for many links are compressed once; a flag in the frame's header says so. Mixed releases: a process of an earlier release refuses such frames, so controls are replaced last.

--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -131,8 +131,8 @@
 
 wg_balance* wg_balance_setup(const wg_balance_desc* desc);
 void wg_balance_shutdown(wg_balance* balance);
-/* Takes over one target of the registry, or drops it if it was removed there. Loads and estimates of
-   a known target are kept. The cost does not grow with the number of targets but for moving
+/* Takes over one target of the registry, or drops it if it was removed there. Loads and estimates
+   of a known target are kept. The cost does not grow with the number of targets but for moving
    pointers. */
 void wg_balance_sync_target(wg_balance* balance, const wg_registry* registry, uint32_t number);
 /* Takes over all targets of the registry. */
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -74,7 +74,8 @@
 }
 
 /* Sends a state and records what the host then holds. */
-static void _wgco_send_frame(wgco_control* c, _wgco_entry_t* e, wgn_frame* state, wg_time now) {
+static void _wgco_send_frame(wgco_control* c, _wgco_entry_t* e, wgn_frame* state, uint64_t seq,
+                             _wgco_content content, wg_time now) {
     bool leads = c->leads && wgr_leads(c->node, now) && e->reported;
     bool sends_state = leads || _wgco_serves_standby(c, e, now);
     if (sends_state) {
@@ -83,42 +84,39 @@
     if (!wgn_send_frame(c->net, e->link, state)) {
         return;
     }
-    e->state_seq = c->state_seq;
+    c->states_sent++;
+    e->state_seq = seq;
     if (sends_state) {
         e->registry_change = wg_registry_change(c->registry);
         e->quarantine_change = wg_quarantine_change(c->quarantine);
     }
-    if (leads && _wgco_sends_members(c, e, now)) {
+    if (leads && content != _WGCO_CONTENT_TARGETS && _wgco_sends_members(c, e, now)) {
         e->roster_change = wg_roster_change(c->roster);
     }
 }
 
+static void _wgco_send_shared_state(wgco_control* c, _wgco_entry_t* e, _wgco_content content,
+                                    wg_time now) {
+    const _wgco_shared_state_t* shared = _wgco_shared_state(c, e, content, now);
+    _wgco_send_frame(c, e, shared->frame, shared->seq, content, now);
+}
+
+/* Changes of targets go first, in a state that is shared: after a restart of the fleet all hosts
+   lack all targets. */
 static void _wgco_answer_report(wgco_control* c, _wgco_entry_t* e) {
     wg_time now = wg_now();
+    bool leads = c->leads && wgr_leads(c->node, now);
+    if (leads && e->registry_change != wg_registry_change(c->registry)) {
+        _wgco_send_shared_state(c, e, _WGCO_CONTENT_TARGETS, now);
+    }
     c->state_seq++;
-    wgn_frame* state = _wgco_pack_entry_state(c, e, true, now);
-    _wgco_send_frame(c, e, state, now);
+    wgn_frame* state = _wgco_pack_entry_state(c, e, _WGCO_CONTENT_ANSWER, now);
+    _wgco_send_frame(c, e, state, c->state_seq, _WGCO_CONTENT_ANSWER, now);
     wgn_frame_unref(state);
 }
 
 /* ---- helpers: pushes ----------------------------------------------------------------------- */
 
-/* A state packed for one host and shared with others that hold the same versions. */
-typedef struct {
-    wgn_frame* state; /* NULL: not packed yet */
-    uint64_t registry_change;
-    uint64_t roster_change;
-    uint64_t quarantine_change;
-    bool has_no_members;
-} _wgco_shared_t;
-
-static bool _wgco_can_share_state(const _wgco_shared_t* shared, const _wgco_entry_t* e) {
-    return shared->state && shared->registry_change == e->registry_change &&
-           shared->roster_change == e->roster_change &&
-           shared->quarantine_change == e->quarantine_change &&
-           shared->has_no_members == e->has_no_members;
-}
-
 static bool _wgco_is_outdated(const wgco_control* c, const _wgco_entry_t* e, wg_time now) {
     return e->configuration_version < c->documents.version ||
            e->registry_change != wg_registry_change(c->registry) ||
@@ -130,29 +128,17 @@
    leader. */
 static void _wgco_push(wgco_control* c, bool all) {
     wg_time now = wg_now();
-    _wgco_shared_t shared = {0};
     GHashTableIter iter;
     gpointer value;
     c->push_due = false;
     c->pushed_at = now;
-    c->state_seq++;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         _wgco_entry_t* e = value;
-        if (!e->reported || (!all && !_wgco_is_outdated(c, e, now))) {
-            continue;
-        }
-        if (!_wgco_can_share_state(&shared, e)) {
-            wgn_frame_unref(shared.state);
-            shared = (_wgco_shared_t){.state = _wgco_pack_entry_state(c, e, false, now),
-                                      .registry_change = e->registry_change,
-                                      .roster_change = e->roster_change,
-                                      .quarantine_change = e->quarantine_change,
-                                      .has_no_members = e->has_no_members};
+        if (e->reported && (all || _wgco_is_outdated(c, e, now))) {
+            _wgco_send_shared_state(c, e, _WGCO_CONTENT_CHANGES, now);
         }
-        _wgco_send_frame(c, e, shared.state, now);
     }
-    wgn_frame_unref(shared.state);
 }
 
 static void _wgco_push_if_due(wgco_control* c, wg_time now) {
@@ -179,6 +165,7 @@
     g_clear_pointer(&c->roster, wg_roster_shutdown);
     _wgco_documents_clear(&c->documents);
     _wgco_confirm_shutdown(c);
+    _wgco_shared_states_clear(c);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
     g_clear_pointer(&c->loads_told, g_array_unref);
     g_clear_pointer(&c->usage, g_hash_table_unref);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -9,6 +9,8 @@
 enum {
     WG_CONTROL_SEEDS_MAX = 8,
     _WGCO_ROUTERS_MAX = 512,
+    /* States kept for hosts that lack the same: new hosts, those of a restart, the others. */
+    _WGCO_SHARED_STATES_MAX = 4,
     _WGCO_PEERS_MAX = 16,
     _WGCO_ROWS_PER_REPLY = WGT_EDIT_ROWS_MAX + 1,
     _WGCO_VIRTUAL_TIMES_MAX = 2048,
@@ -84,6 +86,43 @@
     uint64_t asked;     /* demand: tokens of all its requests, including refused ones */
 } _wgco_reported_t;
 
+/* What a state for an entry host holds. */
+typedef enum {
+    _WGCO_CONTENT_DEFAULT = 0,
+    _WGCO_CONTENT_TARGETS, /* changed targets and quarantines */
+    _WGCO_CONTENT_CHANGES, /* these, and changes of the roster */
+    _WGCO_CONTENT_ANSWER,  /* all changes, and the loads and usage of the fleet */
+    _WGCO_CONTENT_NUM
+} _wgco_content;
+
+/* Versions that a state without loads depends on: what its receiver has, and what there is.
+   Compared byte by byte, so padding has to be zero. */
+typedef struct {
+    uint64_t has_registry_change;
+    uint64_t has_roster_change;
+    uint64_t has_quarantine_change;
+    uint64_t registry_change;
+    uint64_t roster_change;
+    uint64_t quarantine_change;
+    uint64_t configuration_version;
+    uint64_t term;
+    uint64_t leader;
+    uint64_t hosts;
+    uint64_t leads;
+    uint64_t sends_members;
+    uint64_t reported;
+    uint64_t standby;
+    uint64_t content;
+} _wgco_state_key_t;
+
+/* A state packed for one host and shared with others that lack the same. */
+typedef struct {
+    wgn_frame* frame; /* NULL: none */
+    uint64_t seq;     /* sequence number in the state */
+    wg_time packed_at;
+    _wgco_state_key_t key;
+} _wgco_shared_state_t;
+
 /* A previous configuration that hosts may still hold. */
 typedef struct {
     uint64_t version;
@@ -156,6 +195,8 @@
     GHashTable* entries; /* link id -> _wgco_entry_t* */
     uint64_t state_seq;  /* sequence number of the last state sent to any entry host */
     bool push_due;       /* some entry hosts lack a change */
+    _wgco_shared_state_t shared_states[_WGCO_SHARED_STATES_MAX];
+    unsigned shared_next; /* index of the one that is replaced next, modulo their number */
     wg_time pushed_at;
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
     GArray* loads_told;      /* uint32_t, numbers of the targets whose load is told to hosts */
@@ -191,6 +232,9 @@
     uint64_t claims_asked;
     uint64_t reports;
     uint64_t replies;
+    uint64_t states_packed; /* states for entry hosts, without and with loads */
+    uint64_t states_sent;
+    uint64_t targets_packed; /* records of targets in packed states */
     wg_hist commit_time; /* microseconds from proposal to application of edits */
     wg_time started_at;
 };
@@ -277,9 +321,14 @@
 wg_time _wgco_report_interval(const wgco_control* c);
 
 /* state messages for entry hosts (wg_control_state.c) */
-/* Packs the state that `e` lacks; `with_loads`: and the loads and usage of the fleet. */
-wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, bool with_loads,
+/* Packs the state that `e` lacks. */
+wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, _wgco_content content,
                                   wg_time now);
+/* Returns the state without loads that `e` lacks, valid until the next call. It is packed once for
+   all hosts that lack the same. */
+const _wgco_shared_state_t* _wgco_shared_state(wgco_control* c, const _wgco_entry_t* e,
+                                               _wgco_content content, wg_time now);
+void _wgco_shared_states_clear(wgco_control* c);
 /* True if the host should receive roster changes. An incomplete roster would turn callers away from
    hosts that are up, so it is withheld while a new leader waits for reports. */
 bool _wgco_sends_members(const wgco_control* c, const _wgco_entry_t* e, wg_time now);
--- a/lib/control/wg_control_state.c
+++ b/lib/control/wg_control_state.c
@@ -2,10 +2,13 @@
 
    A host receives the changes since the versions it holds. Hosts that lack the same share one
    packed message. */
-#include "wg_contact.h"
 #include "wg_control_internal.h"
 
+#include <string.h>
+
 enum {
+    /* A state tells how long targets stay cold, which must not be told long afterwards. */
+    WG_SHARED_STATE_LIFETIME = 100 * WG_USEC_PER_MSEC,
     /* Time for running hosts to report to a new leader before it distributes the roster. */
     WG_MEMBERS_SETTLE = 1500 * WG_USEC_PER_MSEC
 };
@@ -36,6 +39,7 @@
         wg_target_pack(s->targets->pdata[i], now, &s->records[i]);
         s->message.targets[s->message.n_targets++] = &s->records[i];
     }
+    c->targets_packed += s->message.n_targets;
     const GPtrArray* evacuated = wg_registry_evacuated(c->registry);
     s->message.evacuated = (char**)evacuated->pdata;
     s->message.n_evacuated = evacuated->len;
@@ -47,10 +51,10 @@
 }
 
 static void _wgco_fill_members(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
-                               wg_time now) {
+                               bool with_changes, wg_time now) {
     s->message.members_num = (uint32_t)wg_roster_num(c->roster);
     s->message.members_change = e->roster_change;
-    if (!_wgco_sends_members(c, e, now)) {
+    if (!with_changes || !_wgco_sends_members(c, e, now)) {
         return;
     }
     s->roster = wg_roster_since(c->roster, e->roster_change);
@@ -160,8 +164,9 @@
     return e->standby && !c->leads && wgr_query_stats(c->node, now).leader == 0;
 }
 
-wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, bool with_loads,
+wgn_frame* _wgco_pack_entry_state(wgco_control* c, const _wgco_entry_t* e, _wgco_content content,
                                   wg_time now) {
+    bool with_loads = content == _WGCO_CONTENT_ANSWER;
     _wgco_state_t s = {0};
     wgpb__entry_state__init(&s.message);
     s.message.seq = c->state_seq;
@@ -179,13 +184,69 @@
         _wgco_fill_quarantine(c, e, &s);
     }
     if (s.message.leads && e->reported) {
-        _wgco_fill_members(c, e, &s, now);
+        _wgco_fill_members(c, e, &s, content != _WGCO_CONTENT_TARGETS, now);
     }
     if (s.message.leads && e->reported && with_loads) {
         _wgco_fill_loads(c, e, &s, now);
         _wgco_fill_usage(c, &s, now);
     }
-    wgn_frame* frame = wgn_frame_pack(WGW_TYPE_ENTRY_STATE, &s.message.base);
+    bool shared = !with_loads;
+    c->states_packed++;
+    wgn_frame* frame = shared ? wgn_frame_pack_compressed(WGW_TYPE_ENTRY_STATE, &s.message.base)
+                              : wgn_frame_pack(WGW_TYPE_ENTRY_STATE, &s.message.base);
     _wgco_state_clear(&s);
     return frame;
 }
+
+/* ---- shared states --------------------------------------------------------------------------- */
+
+/* All that a state without loads depends on, but for the time that targets stay cold. While many
+   hosts start, the roster changes with each of them, but not what is told of targets. */
+static _wgco_state_key_t _wgco_state_key(const wgco_control* c, const _wgco_entry_t* e,
+                                         _wgco_content content, wg_time now) {
+    wgr_stats stats = wgr_query_stats(c->node, now);
+    bool members = content != _WGCO_CONTENT_TARGETS;
+    return (_wgco_state_key_t){
+        .has_registry_change = e->registry_change,
+        .has_roster_change = e->roster_change,
+        .has_quarantine_change = e->quarantine_change,
+        .registry_change = wg_registry_change(c->registry),
+        .roster_change = members ? wg_roster_change(c->roster) : 0,
+        .quarantine_change = wg_quarantine_change(c->quarantine),
+        .configuration_version = c->documents.version,
+        .term = stats.term,
+        .leader = stats.leader,
+        .hosts = members ? g_hash_table_size(c->entries) : 0,
+        .leads = c->leads && wgr_leads(c->node, now),
+        .sends_members = members && _wgco_sends_members(c, e, now),
+        .reported = e->reported,
+        .standby = _wgco_serves_standby(c, e, now),
+        .content = content,
+    };
+}
+
+const _wgco_shared_state_t* _wgco_shared_state(wgco_control* c, const _wgco_entry_t* e,
+                                               _wgco_content content, wg_time now) {
+    _wgco_state_key_t key = _wgco_state_key(c, e, content, now);
+    for (int i = 0; i < _WGCO_SHARED_STATES_MAX; i++) {
+        const _wgco_shared_state_t* shared = &c->shared_states[i];
+        if (shared->frame && now - shared->packed_at < WG_SHARED_STATE_LIFETIME &&
+            memcmp(&shared->key, &key, sizeof key) == 0) {
+            return shared;
+        }
+    }
+    _wgco_shared_state_t* shared = &c->shared_states[c->shared_next++ % _WGCO_SHARED_STATES_MAX];
+    wgn_frame_unref(shared->frame);
+    c->state_seq++;
+    shared->frame = _wgco_pack_entry_state(c, e, content, now);
+    shared->seq = c->state_seq;
+    shared->packed_at = now;
+    shared->key = key;
+    return shared;
+}
+
+void _wgco_shared_states_clear(wgco_control* c) {
+    for (int i = 0; i < _WGCO_SHARED_STATES_MAX; i++) {
+        g_clear_pointer(&c->shared_states[i].frame, wgn_frame_unref);
+    }
+}
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -33,7 +33,7 @@
     WG_NUMBER("timing", entry_keep_s, "1", 1, 3600, "s",
               "how long callers may cache an answer about entry hosts"),
     WG_REAL("timing", grace_s, "8", 1, 3600, "s",
-              "longest planned stop; requests still running shortly before its end are aborted"),
+            "longest planned stop; requests still running shortly before its end are aborted"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "time without contact after which the link to a control is closed"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
@@ -50,7 +50,7 @@
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "retries of the whole fleet, relative to first sends"),
     WG_REAL("retry", retry_slack, "20", 0, 1000000, "sends",
-              "additional retries of the whole fleet per window"),
+            "additional retries of the whole fleet per window"),
     WG_NUMBER("retry", retry_window_ms, "10000", 100, 600000, "ms", "window of the retry budget"),
     WG_NUMBER(
         "limits", callers_max, "3000", 1, 1000000, "",
@@ -60,7 +60,7 @@
     WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
               "descriptor limit of the process; bounds callers_max; 0: unknown"),
     WG_REAL("limits", memory_mb, "0", 0, 1000000, "MB",
-              "memory limit of the process; bounds data queued on links; 0: unknown"),
+            "memory limit of the process; bounds data queued on links; 0: unknown"),
 };
 const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
 
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -126,10 +126,14 @@
 }
 
 /* Writes the header of a frame and updates the counters. Returns the output buffer. */
-static struct evbuffer* _wgn_write_header(_wgn_link_t* l, wgw_type type, size_t size) {
+static struct evbuffer* _wgn_write_header(_wgn_link_t* l, wgw_type type, size_t size,
+                                          bool compressed) {
     uint8_t head[WGW_HEADER_SIZE];
     wgn_stats* stats = &l->net->stats;
     wgw_frame_header_pack(head, type, size);
+    if (compressed) {
+        wgw_frame_header_mark_compressed(head);
+    }
     struct evbuffer* out = bufferevent_get_output(l->bev);
     evbuffer_add(out, head, sizeof head);
     l->sent_at = wg_now();
@@ -142,7 +146,7 @@
 }
 
 static void _wgn_write(_wgn_link_t* l, wgw_type type, const uint8_t* payload, size_t size) {
-    evbuffer_add(_wgn_write_header(l, type, size), payload, size);
+    evbuffer_add(_wgn_write_header(l, type, size, false), payload, size);
 }
 
 /* True if `size` more bytes may be queued on the link. Otherwise marks the link as slow, which
@@ -245,15 +249,36 @@
     return true;
 }
 
+/* Hands a frame of a link that is up to the owner. False if it cannot be decompressed. */
+static bool _wgn_deliver(_wgn_link_t* l, const wgw_frame* frame) {
+    const wgn_desc* desc = &l->net->desc;
+    if (!frame->compressed) {
+        desc->on_frame(_wgn_id(l), frame, desc->user_data);
+        return true;
+    }
+    GByteArray* bytes = _wgn_decompress(frame->payload, frame->size, desc->frame_max);
+    if (!bytes) {
+        wg_log(WG_EVENT_FRAME_BAD, "peer=%s reason=compressed-payload", l->peer.name);
+        return false;
+    }
+    wgw_frame whole = {.type = frame->type, .payload = bytes->data, .size = bytes->len};
+    desc->on_frame(_wgn_id(l), &whole, desc->user_data);
+    g_byte_array_unref(bytes);
+    return true;
+}
+
 /* Handles one frame. False if the link has to be closed. */
 static bool _wgn_handle_frame(_wgn_link_t* l, const wgw_frame* frame) {
     l->net->stats.frames_received++;
     if (l->up) {
         bool handshake = frame->type == WGW_TYPE_HELLO || frame->type == WGW_TYPE_PROOF;
-        if (!handshake && frame->type != WGW_TYPE_PING) {
-            l->net->desc.on_frame(_wgn_id(l), frame, l->net->desc.user_data);
+        if (handshake || frame->type == WGW_TYPE_PING) {
+            return !handshake;
         }
-        return !handshake;
+        return _wgn_deliver(l, frame);
+    }
+    if (frame->compressed) {
+        return false;
     }
     if (frame->type == WGW_TYPE_HELLO && !l->peer_hello) {
         return _wgn_receive_hello(l, frame);
@@ -505,10 +530,11 @@
     if (!l) {
         return false;
     }
+    struct evbuffer* out = _wgn_write_header(l, frame->type, frame->size, frame->compressed);
     if (frame->size < _WGN_SHARED_MIN) {
-        _wgn_write(l, frame->type, frame->payload, frame->size);
+        evbuffer_add(out, frame->payload, frame->size);
     } else {
-        _wgn_frame_append(frame, _wgn_write_header(l, frame->type, frame->size), &net->budget);
+        _wgn_frame_append(frame, out, &net->budget);
     }
     return true;
 }
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -12,7 +12,7 @@
           network failure is detected without a TCP reset
         - a link whose peer does not read is closed when its unsent bytes reach a limit, or when the
           queued bytes of all links together do
-        - a message for many links is packed once, and the links share its bytes
+        - a message for many links is packed and compressed once, and the links share its bytes
         - links have the highest priority where the event base has priorities, so an overloaded host
           still receives the leader's messages
         - counters of frames and bytes by type, for the limits on control traffic
@@ -125,6 +125,9 @@
 bool wgn_send(wgn_net* net, wgn_link link, wgw_type type, const ProtobufCMessage* message);
 /* Packs a message. The caller owns the returned reference. */
 wgn_frame* wgn_frame_pack(wgw_type type, const ProtobufCMessage* message);
+/* Like wgn_frame_pack(), compressed if that makes it shorter. For a message that is sent on many
+   links, since compressing it costs more than sending it once. */
+wgn_frame* wgn_frame_pack_compressed(wgw_type type, const ProtobufCMessage* message);
 wgn_frame* wgn_frame_ref(wgn_frame* frame);
 /* Accepts NULL. */
 void wgn_frame_unref(wgn_frame* frame);
--- a/lib/net/wg_net_internal.h
+++ b/lib/net/wg_net_internal.h
@@ -14,6 +14,7 @@
     int links_pending;   /* links that have not written the frame yet */
     _wgn_budget* budget; /* set while `links_pending` is not 0 */
     wgw_type type;
+    bool compressed;
     size_t size; /* bytes of payload */
     uint8_t* payload;
 };
@@ -21,3 +22,6 @@
 /* Appends a frame by reference. It counts in the budget until all links have written it; the budget
    has to outlive the links. */
 void _wgn_frame_append(wgn_frame* frame, struct evbuffer* out, _wgn_budget* budget);
+/* Unpacks a compressed payload of at most `max` bytes; NULL if it is damaged or longer. The caller
+   frees it. */
+GByteArray* _wgn_decompress(const uint8_t* payload, size_t size, size_t max);
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -3,6 +3,10 @@
 
 #include <string.h>
 
+enum {
+    WGW_FLAG_COMPRESSED = 1 /* in the last byte of a header */
+};
+
 /* ---- public functions --------------------------------------------------------------------- */
 
 void wgw_frame_header_pack(uint8_t head[WGW_HEADER_SIZE], wgw_type type, size_t payload_size) {
@@ -16,6 +20,10 @@
     head[7] = 0;
 }
 
+void wgw_frame_header_mark_compressed(uint8_t head[WGW_HEADER_SIZE]) {
+    head[7] |= WGW_FLAG_COMPRESSED;
+}
+
 const char* wgw_outcome_name(wg_order_outcome outcome) {
     static const char* names[WG_ORDER_NUM] = {"none",    "done",    "not-leader",
                                               "unknown", "invalid", "no-configuration"};
@@ -57,7 +65,8 @@
         frame->reason = "wrong magic";
     } else if (bytes[5] != WGW_VERSION) {
         frame->reason = "wrong version";
-    } else if (bytes[6] == WGW_TYPE_DEFAULT || bytes[6] >= WGW_TYPE_NUM || bytes[7] != 0) {
+    } else if (bytes[6] == WGW_TYPE_DEFAULT || bytes[6] >= WGW_TYPE_NUM ||
+               (bytes[7] & ~WGW_FLAG_COMPRESSED) != 0) {
         frame->reason = "wrong type";
     } else if (length > (max ? max : WGW_FRAME_MAX_DEFAULT)) {
         frame->reason = "payload too long";
@@ -70,6 +79,7 @@
         return WGW_PARSE_MORE;
     }
     frame->type = (wgw_type)bytes[6];
+    frame->compressed = (bytes[7] & WGW_FLAG_COMPRESSED) != 0;
     frame->payload = bytes + WGW_HEADER_SIZE;
     frame->size = length;
     return WGW_PARSE_COMPLETE;
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -90,6 +90,7 @@
 
 typedef struct {
     wgw_type type;
+    bool compressed; /* the payload is a zstd frame */
     const uint8_t* payload;
     size_t size;
     const char* reason;
@@ -97,6 +98,8 @@
 
 /* Writes the header of a frame. */
 void wgw_frame_header_pack(uint8_t head[WGW_HEADER_SIZE], wgw_type type, size_t payload_size);
+/* Marks the payload after a header as compressed. */
+void wgw_frame_header_mark_compressed(uint8_t head[WGW_HEADER_SIZE]);
 /* Parses the frame at the start of `bytes`. `max` limits the payload; 0 means
    WGW_FRAME_MAX_DEFAULT. If the header is complete, frame.size is set even for WGW_PARSE_MORE. */
 wgw_parse wgw_frame_parse(const uint8_t* bytes, size_t size, size_t max, wgw_frame* frame);
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -79,7 +79,7 @@
     wgn_link link;
     bool connected;
     uint64_t members_change;
-    int members; /* entry hosts in the last list received; -1: no list received yet */
+    int members;        /* entry hosts in the last list received; -1: no list received yet */
     int members_left;   /* entry hosts reported as gone */
     uint32_t report_ms; /* interval between reports, as told by the control */
     uint64_t configuration_version;
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -534,5 +534,5 @@
              configuration_is_sent_as_a_difference, configuration_in_flight_is_not_resent,
              simultaneous_changes_are_sent_together, stall_among_changes_sends_none_twice,
              stalled_leader_reports_no_target_unresponsive,
-             evacuation_survives_restarts_of_the_control,
-             fullest_targets_are_told, first_usage_at_a_host_counts, small_usage_is_told_as_a_sum)
+             evacuation_survives_restarts_of_the_control, fullest_targets_are_told,
+             first_usage_at_a_host_counts, small_usage_is_told_as_a_sum)
--- a/tests/test_net.c
+++ b/tests/test_net.c
@@ -280,6 +280,85 @@
 }
 END_TEST
 
+static size_t received_size;
+static uint32_t received_sum;
+
+static void on_compressed_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
+    (void)link;
+    (void)user_data;
+    received_size = frame->size;
+    for (size_t i = 0; i < frame->size; i++) {
+        received_sum += frame->payload[i];
+    }
+    ck_assert(!frame->compressed);
+}
+
+static void on_any_up(wgn_link link, const wgn_peer* peer, void* user_data) {
+    (void)peer;
+    if (user_data == &client_net) {
+        links[links_num++] = link;
+    }
+}
+
+static wgn_net* compressing_net(wgn_net** which) {
+    wgn_peer self = {.name = "n", .role = WGW_ROLE_ENTRY};
+    return wgn_setup(&(wgn_desc){.base = base,
+                                 .fleet_key = "key",
+                                 .self = self,
+                                 .frame_max = FRAME_SIZE + 100,
+                                 .on_up = on_any_up,
+                                 .on_frame = on_compressed_frame,
+                                 .on_down = on_reader_down,
+                                 .user_data = which},
+                     NULL);
+}
+
+/* A compressed message arrives as it was packed; one that unpacks to more than a frame may hold
+   closes the link and is not delivered. */
+START_TEST(compressed_frame_arrives_whole) {
+    static uint8_t bytes[2 * FRAME_SIZE];
+    base = event_base_new();
+    event_base_priority_init(base, WGN_PRIORITIES);
+    client_net = compressing_net(&client_net);
+    server_net = compressing_net(&server_net);
+    links_num = links_closed = 0;
+    received_size = received_sum = 0;
+    char* address = g_strdup_printf("127.78.%d.3:%d", loopback_part(), 18000 + getpid() % 9000);
+    ck_assert(wgn_listen(server_net, address, NULL));
+    ck_assert_uint_ne(wgn_dial(client_net, address).id, 0);
+    run_for(200);
+    ck_assert_int_eq(links_num, 1);
+    memset(bytes, 1, sizeof bytes);
+    Wgpb__Configuration message = WGPB__CONFIGURATION__INIT;
+    message.document = (ProtobufCBinaryData){FRAME_SIZE, bytes};
+    wgn_frame* plain = wgn_frame_pack(WGW_TYPE_CONFIGURATION, &message.base);
+    wgn_frame* frame = wgn_frame_pack_compressed(WGW_TYPE_CONFIGURATION, &message.base);
+    ck_assert(wgn_send_frame(client_net, links[0], frame));
+    run_for(200);
+    size_t size = received_size;
+    uint32_t sum = received_sum;
+    ck_assert_uint_gt(size, FRAME_SIZE);
+    ck_assert_uint_lt(wgn_query_stats(client_net).sent[WGW_TYPE_CONFIGURATION].bytes, 10000);
+    ck_assert(wgn_send_frame(client_net, links[0], plain));
+    run_for(200);
+    ck_assert_uint_eq(received_size, size);
+    ck_assert_uint_eq(received_sum, 2 * sum);
+    wgn_frame_unref(plain);
+    wgn_frame_unref(frame);
+    message.document.len = sizeof bytes;
+    frame = wgn_frame_pack_compressed(WGW_TYPE_CONFIGURATION, &message.base);
+    ck_assert(wgn_send_frame(client_net, links[0], frame));
+    wgn_frame_unref(frame);
+    run_for(200);
+    ck_assert_uint_eq(received_sum, 2 * sum);
+    ck_assert_int_eq(links_closed, 1);
+    wgn_shutdown(client_net);
+    wgn_shutdown(server_net);
+    event_base_free(base);
+    g_free(address);
+}
+END_TEST
+
 /* Links whose peers do not read are closed before they exceed the process's memory limit. */
 START_TEST(links_that_are_not_read_are_closed_at_the_limit) {
     readers_setup();
@@ -299,4 +378,5 @@
 END_TEST
 
 WG_TEST_MAIN("net", links_have_priority_over_a_flood, stalled_process_keeps_its_links,
-             frame_for_many_links_is_stored_once, links_that_are_not_read_are_closed_at_the_limit)
+             frame_for_many_links_is_stored_once, links_that_are_not_read_are_closed_at_the_limit,
+             compressed_frame_arrives_whole)
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -152,6 +152,7 @@
 }
 END_TEST
 
-WG_TEST_MAIN("usage", only_changed_totals_are_taken, small_workspaces_count_without_being_listed, fresh_report_is_used_unchanged, old_report_decays_and_is_dropped,
+WG_TEST_MAIN("usage", only_changed_totals_are_taken, small_workspaces_count_without_being_listed,
+             fresh_report_is_used_unchanged, old_report_decays_and_is_dropped,
              own_usage_is_extrapolated_to_all_hosts, new_report_replaces_the_estimate,
              own_totals_only_grow)
