--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -175,6 +175,8 @@
     GQueue waiters; /* _wgco_waiter_t*, in index order */
     uint64_t applied;
     uint64_t applied_term;
+    size_t log_bytes;      /* of the entries applied since the last snapshot */
+    size_t snapshot_bytes; /* of the last snapshot; 0: none yet */
     wgr_role role_logged;
     bool pumping;
     bool failed;                /* this run of the replica may write nothing more */
@@ -235,6 +237,8 @@
     uint64_t states_packed; /* states for entry hosts, without and with loads */
     uint64_t states_sent;
     uint64_t targets_packed; /* records of targets in packed states */
+    uint64_t snapshots;
+    uint64_t snapshot_bytes_total;
     wg_hist commit_time; /* microseconds from proposal to application of edits */
     wg_time started_at;
 };
--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -240,6 +240,7 @@
     WG_ASSERT(entry->index == c->applied + 1);
     c->applied = entry->index;
     c->applied_term = entry->term;
+    c->log_bytes += entry->data ? g_bytes_get_size(entry->data) : 0;
     _wgco_waiter_t* waiter = _wgco_pop_waiter(c, entry->index);
     if (waiter && waiter->term != entry->term) {
         /* Another leader's entry has this index; the waiter's own entry may still be committed. */
@@ -278,6 +279,8 @@
         }
         c->applied = out->snapshot_index;
         c->applied_term = out->snapshot_term;
+        c->log_bytes = 0;
+        c->snapshot_bytes = g_bytes_get_size(out->snapshot);
         wg_log(WG_EVENT_SNAPSHOT_TAKEN, "index=%" G_GUINT64_FORMAT, out->snapshot_index);
     }
     if (out->truncate_from && !wgs_truncate(c->store, out->truncate_from, error)) {
@@ -289,9 +292,23 @@
     return !out->hard_state || wgs_save_hard_state(c->store, out->term, out->voted_for, error);
 }
 
-static void _wgco_compact_if_due(wgco_control* c) {
+/* A snapshot is due after a number of entries, but not before the log has grown as large as the
+   last snapshot: otherwise each change would cost as much as the state is large. */
+static bool _wgco_is_snapshot_due(const wgco_control* c) {
     wgr_stats stats = wgr_query_stats(c->node, wg_now());
-    if (c->applied < stats.snapshot_index + (uint64_t)c->settings->snapshot_entries) {
+    return c->applied >= stats.snapshot_index + (uint64_t)c->settings->snapshot_entries &&
+           c->log_bytes >= c->snapshot_bytes;
+}
+
+static void _wgco_record_snapshot(wgco_control* c, GBytes* state) {
+    c->snapshots++;
+    c->log_bytes = 0;
+    c->snapshot_bytes = g_bytes_get_size(state);
+    c->snapshot_bytes_total += c->snapshot_bytes;
+}
+
+static void _wgco_compact_if_due(wgco_control* c) {
+    if (!_wgco_is_snapshot_due(c)) {
         return;
     }
     GBytes* state = _wgco_pack_state(c);
@@ -303,6 +320,7 @@
     if (!wgs_save_snapshot(c->store, c->applied, c->applied_term, &set, state, false, &error)) {
         _wgco_storage_failed(c, error);
     } else {
+        _wgco_record_snapshot(c, state);
         wg_log(WG_EVENT_SNAPSHOT_SAVED, "index=%" G_GUINT64_FORMAT " bytes=%zu", c->applied,
                g_bytes_get_size(state));
     }
--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -85,6 +85,9 @@
     c->claims = wgk_setup(
         &(wgk_desc){.claims_max = (int)s->claims_max, .keep_seconds = (int)s->claim_keep_s}, error);
     c->applied = content->restored.snapshot_index;
+    c->log_bytes = 0;
+    c->snapshot_bytes =
+        content->restored.snapshot ? g_bytes_get_size(content->restored.snapshot) : 0;
     if (content->restored.snapshot && !_wgco_load_state(c, content->restored.snapshot)) {
         g_set_error(error, WG_ERROR, WG_ERROR_CORRUPT, "the snapshot's state cannot be read");
         return false;
--- a/tests/test_large_fleet.c
+++ b/tests/test_large_fleet.c
@@ -150,6 +150,17 @@
     ck_assert_int_eq(hosts[0].targets, TARGETS);
 }
 
+/* Snapshots of a growing state cost in all a few times the state, not the state once more for every
+   few changes. */
+START_TEST(snapshots_cost_a_few_times_the_state) {
+    start_control();
+    register_targets();
+    ck_assert_uint_gt(control->snapshots, 0);
+    ck_assert_uint_le(control->snapshot_bytes_total, 4 * control->snapshot_bytes);
+    end();
+}
+END_TEST
+
 /* Hosts that start together get all targets in a message that is packed once, and compressed. */
 START_TEST(hosts_that_start_together_share_one_state) {
     start_control();
@@ -172,4 +183,4 @@
 END_TEST
 
 WG_TEST_MAIN("large fleet", hosts_that_report_in_time_stay_listed,
-             hosts_that_start_together_share_one_state)
+             snapshots_cost_a_few_times_the_state, hosts_that_start_together_share_one_state)
