Links: bounded by the descriptors of the process, not by 1,024

Cause: the table of links had 1,024 places, in a control and in an entry host. 996 hosts and the links between replicas fill it; of 2,000 hosts the leader would have refused half, without a line.

Change: as many links as the process may open descriptors (`[limits] descriptors`, new for controls), at least 1,024, at most what a link's handle can tell apart. Places are touched when they are used, so an unused one costs no memory.

--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -65,6 +65,8 @@
             "log entries kept behind a snapshot for lagging replicas"),
     _NUMBER("state", snapshot_entries, "1000", 10, 1000000, "entries",
             "log entries between two snapshots"),
+    _NUMBER("limits", descriptors, "0", 0, 1000000, "",
+            "descriptor limit of the process; bounds links to other processes; 0: unknown"),
     _REAL("limits", memory_mb, "0", 0, 1000000, "MB",
           "memory limit of the process; bounds data queued on links; 0: unknown"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims",
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -67,6 +67,7 @@
     int64_t router_gone_ms;
     int64_t plan_ms;
     int64_t snapshot_entries;
+    int64_t descriptors;
     double memory_mb;
     int64_t claims_max;
     int64_t claim_keep_s;
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -12,7 +12,6 @@
     /* Wait for a control without a leader to find one, before another control is dialled. Shorter
        than an election timeout, as the control may be partitioned from the others. */
     WG_LEADERLESS_TIMEOUT = 300 * WG_USEC_PER_MSEC,
-    WG_LINKS_MAX = 1024, /* every entry host may connect to this one */
     WG_LOADS_MAX = 2048
 };
 
@@ -306,7 +305,7 @@
         wgn_setup(&(wgn_desc){.base = e->base,
                               .fleet_key = e->settings->fleet_key,
                               .self = self,
-                              .links_max = WG_LINKS_MAX,
+                              .links_max = wgn_links_max(e->settings->descriptors),
                               .waiting_max = wgn_waiting_max(e->settings->memory_mb),
                               .proof_deadline = WG_PROOF_TIMEOUT,
                               .receive_deadline = e->settings->link_silence_ms * WG_USEC_PER_MSEC,
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -37,6 +37,7 @@
     WGN_PRIORITY = 0,   /* highest priority of the event loop, for links and their tick */
     WGN_PRIORITIES = 2, /* minimum of an event loop with priorities: links, then all other events */
     WGN_LINKS_DEFAULT = 1024,
+    WGN_LINKS_LIMIT = 65000, /* what handles of links can tell apart */
     WGN_PROOF_DEADLINE_DEFAULT = 2 * WG_USEC_PER_SEC,
     WGN_RECEIVE_DEADLINE_DEFAULT = 4 * WG_USEC_PER_SEC,
     WGN_PING_INTERVAL_DEFAULT = 1 * WG_USEC_PER_SEC,
@@ -107,6 +108,12 @@
     wgn_type_stats sent[WGW_TYPE_NUM];
 } wgn_stats;
 
+/* Value of wgn_desc.links_max for a process with this descriptor limit; 0 for an unknown limit.
+   Every process of the fleet may connect to this one, so only the process's own limit bounds their
+   number. */
+static inline int wgn_links_max(int64_t descriptors) {
+    return (int)CLAMP(descriptors, (int64_t)WGN_LINKS_DEFAULT, (int64_t)WGN_LINKS_LIMIT);
+}
 /* Value of wgn_desc.waiting_max for a process with this memory limit in MB; 0 (the default) for an
    unknown limit. */
 static inline size_t wgn_waiting_max(double memory_mb) {
