No workspace yields while at least half of a service's targets are idle

Cause: a workspace above its fair share of the configured capacity yields, whether or not anybody waits: its requests count the shared parts that a target lacks as work put before others, spill over to no target without them, and get two tries. On small fleets the shared parts (123 of the longest kind) are held within seconds. Here there are 2,337 of them among 10,000 targets, so what the largest workspace asks for is held nowhere, is refused for that, and so is never held.

Change: wg_balance_has_room(): at least half of the ready targets of the service have nothing in progress, as far as the host knows; then the wait tolerance is full.

Evidence: test_policy, test_balance (new tests). Ruled out: overloaded homes (busiest target 14 times the mean of 0.08 requests/s).

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -17,6 +17,7 @@
     /* Penalty of a target that refuses every request: about the time after which a refused caller
        returns. */
     WG_REFUSAL_PENALTY = 1 * WG_USEC_PER_SEC,
+    WG_ROOM_INTERVAL = 50 * WG_USEC_PER_MSEC, /* until idle targets are counted again */
     WG_SAMPLED_MIN = 3,
     WG_SAMPLED_HOSTS = 11, /* expected number of hosts that sample a given target */
     WG_FAILURES_BEFORE_EJECTION = 2,
@@ -444,6 +445,28 @@
     return best.choice;
 }
 
+static bool wg_balance_is_idle(const wg_balance_target* t) {
+    return t->own_running + t->other_running == 0 && t->own_unread + t->other_unread == 0;
+}
+
+static bool wg_balance_count_room(const wg_balance_service* service) {
+    int idle = 0;
+    for (guint i = 0; i < service->targets->len; i++) {
+        const wg_balance_target* t = service->targets->pdata[i];
+        idle += t->ready && wg_balance_is_idle(t);
+    }
+    return idle > 0 && idle >= service->ready - idle;
+}
+
+bool wg_balance_has_room(wg_balance* b, wg_time now, const char* name) {
+    wg_balance_service* service = g_hash_table_lookup(b->services, name);
+    if (service && (service->room_at == 0 || now - service->room_at >= WG_ROOM_INTERVAL)) {
+        service->has_room = wg_balance_count_room(service);
+        service->room_at = now;
+    }
+    return service && service->has_room;
+}
+
 void wg_balance_record_third_home(wg_balance* b, bool held) {
     b->third_hit_rate += WG_THIRD_HIT_RATE_WEIGHT * ((held ? 1 : 0) - b->third_hit_rate);
 }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -153,6 +153,9 @@
                             uint32_t running);
 wg_balance_choice wg_balance_choose(wg_balance* balance, wg_time now,
                                     const wg_balance_request* request);
+/* True if at least half of the service's ready targets have nothing in progress, as far as this
+   host knows. */
+bool wg_balance_has_room(wg_balance* balance, wg_time now, const char* service);
 /* Records that the prompt was sent to the target: its shared parts count as cached there for
    WG_CACHED_TIME. */
 void wg_balance_record_prompt(wg_balance* balance, wg_time now, uint32_t target,
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -45,6 +45,8 @@
     char name[WG_NAME_MAX];
     GPtrArray* targets;   /* wg_balance_target* */
     int ready;            /* targets in this list that are ready */
+    bool has_room;        /* at `room_at`, at least half of them had nothing in progress */
+    wg_time room_at;      /* 0: not counted yet */
     GHashTable* rankings; /* part id -> wg_balance_ranking* */
 } wg_balance_service;
 
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -65,7 +65,7 @@
 }
 
 static wg_policy_terms wg_call_terms(const wg_call* call) {
-    const wg_entry* e = call->entry;
+    wg_entry* e = call->entry;
     bool counts = wg_call_is_charged(call);
     wg_time objective = call->route->objective;
     return (wg_policy_terms){
@@ -74,6 +74,7 @@
         .levels = wg_usage_levels(e->usage),
         .margin = &e->margin,
         .has_prompt = call->has_prompt,
+        .has_room = wg_balance_has_room(e->balance, wg_now(), call->selection.service),
         .sent_before = call->attempts > 0,
         .relaxed = call->relaxed,
         .started = call->started,
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -38,7 +38,7 @@
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
 
 static double _wg_policy_tolerance(const wg_policy_terms* t) {
-    if (!t->counts) {
+    if (!t->counts || t->has_room) {
         return 1;
     }
     double tolerance = wg_fair_wait_tolerance(t->used, t->levels);
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -9,7 +9,8 @@
     FEATURES
         - no workspace may fill targets beyond the tightest objective of the service
         - a workspace above its fair share yields: its requests accept less queueing and fewer
-          slots, are tried less often, and do not cause shared parts to be computed again
+          slots, are tried less often, and do not cause shared parts to be computed again; none
+          yields while many targets have nothing to do
         - requests of a workspace with little usage are sent late rather than refused
 
     USE
@@ -29,6 +30,7 @@
     const wg_fair_levels* levels;
     const wg_fair_margin* margin;
     bool has_prompt;
+    bool has_room; /* many targets have nothing in progress */
     /* an earlier attempt was sent; the wait tolerance no longer limits admission requests */
     bool sent_before;
     /* no target would answer in time, and the request is sent late rather than refused */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -648,12 +648,32 @@
 }
 END_TEST
 
-WG_TEST_MAIN("balance", hosts_agree_on_the_homes_of_a_prefix, loaded_home_spills_over_to_the_second,
-             missing_parts_are_copied_from_a_home, second_home_copies_missing_parts,
-             new_home_copies_from_the_previous, denied_home_is_a_copy_source,
-             newer_load_replaces_the_reported_one, load_of_other_hosts_decays,
-             hosts_do_not_all_choose_the_least_loaded, removed_target_moves_only_its_own_prefixes,
-             draining_targets_get_nothing, small_prefix_has_a_home_in_each_data_centre,
+/* Room means that at least half of the ready targets are idle: with other hosts' requests on the
+   others, and not only with this host's. */
+START_TEST(room_is_half_of_the_targets_idle) {
+    begin(10);
+    wg_time now = SECOND;
+    ck_assert(wg_balance_has_room(balance, now, "m"));
+    for (uint32_t i = 1; i <= 5; i++) {
+        wg_balance_set_others_load(balance, i, 0, 1);
+    }
+    now += SECOND;
+    ck_assert(wg_balance_has_room(balance, now, "m"));
+    wg_balance_set_others_load(balance, 6, 4000, 1);
+    now += SECOND;
+    ck_assert(!wg_balance_has_room(balance, now, "m"));
+    ck_assert(!wg_balance_has_room(balance, now, "unknown"));
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("balance", room_is_half_of_the_targets_idle, hosts_agree_on_the_homes_of_a_prefix,
+             loaded_home_spills_over_to_the_second, missing_parts_are_copied_from_a_home,
+             second_home_copies_missing_parts, new_home_copies_from_the_previous,
+             denied_home_is_a_copy_source, newer_load_replaces_the_reported_one,
+             load_of_other_hosts_decays, hosts_do_not_all_choose_the_least_loaded,
+             removed_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             small_prefix_has_a_home_in_each_data_centre,
              third_homes_without_their_prefixes_are_given_up,
              plain_request_queues_at_a_target_that_answers_in_time,
              service_time_excludes_queue_time, targets_of_an_evacuated_data_centre_get_nothing,
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -52,6 +52,20 @@
 }
 END_TEST
 
+/* While many targets have nothing to do nobody waits for what a workspace uses, however much that
+   is, and shared parts that no target holds yet have to be computed by one. */
+START_TEST(no_workspace_yields_while_there_is_room) {
+    wg_policy_terms t = terms(5000);
+    t.has_room = true;
+    wg_admit_limits limits = wg_policy_limits(&t, 0);
+    ck_assert_int_eq(limits.ahead, limits.total);
+    ck_assert(!limits.counts_missing);
+    ck_assert(wg_policy_may_spill_over(&t));
+    ck_assert_int_eq(wg_policy_admission_requests_max(&t), 3);
+    ck_assert_double_eq(wg_policy_slots_share(&t), 1);
+}
+END_TEST
+
 /* A retry may request the maximum number of admissions, whatever the usage of its workspace. */
 START_TEST(retry_has_all_admission_requests) {
     wg_policy_terms far_above = terms(5000);
@@ -128,8 +142,8 @@
 }
 END_TEST
 
-WG_TEST_MAIN("policy", tightest_objective_limits_all_waits, workspaces_above_the_level_wait_less,
-             retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
-             uncharged_requests_have_full_wait_tolerance,
+WG_TEST_MAIN("policy", no_workspace_yields_while_there_is_room, tightest_objective_limits_all_waits,
+             workspaces_above_the_level_wait_less, retry_has_all_admission_requests,
+             workspaces_below_their_share_may_be_late, uncharged_requests_have_full_wait_tolerance,
              refusal_comes_within_a_quarter_of_the_objective,
              retry_after_is_past_the_backoff_and_spread, jitter_of_host_and_callers_does_not_add_up)
