Test of usage without a leader: the target has work of others, as the rule on room asks

usage_decays_without_a_leader expected that a workspace far above the level is refused at a target with nothing to do, which is what the rule on room ended on purpose. The test guards against usage that does not decay without a leader, for which the workspace has to yield before the leader is lost; so now the target has a request of another host. A new test checks the other side: with nothing at the target the same workspace is served.

--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -192,6 +192,7 @@
     const uint64_t* quarantined; /* fingerprints */
     size_t quarantined_num;
     uint64_t quarantine_change;
+    uint32_t running; /* requests of other hosts at the target; told with the usage */
 } fake_update;
 
 static inline void fake_control_send_state(fake_control* f, const fake_update* update, bool leads) {
@@ -249,9 +250,15 @@
     state.n_quarantined = update->quarantined_num;
     state.quarantine_change = update->quarantine_change;
     char* controls[] = {f->address};
+    Wgpb__TargetLoad load = WGPB__TARGET_LOAD__INIT;
+    Wgpb__TargetLoad* loads[] = {&load};
+    load.target = record.number;
+    load.running = update->running;
     if (update->usage_num > 0) { /* an answer to a report, which lists the controls too */
         state.usage = update->usage;
         state.n_usage = update->usage_num;
+        state.loads = loads;
+        state.n_loads = update->running ? 1 : 0;
         state.controls = controls;
         state.n_controls = 1;
     }
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -429,8 +429,9 @@
     "\"attempts\":1,\"service\":\"e\",\"affinity\":true}],\"limits\":{},"
     "\"workspaces\":[{\"name\":\"most\",\"keys\":[\"key-most\"]}]}";
 
-/* Sends usage in which workspace "most" is far above the level of the others. */
-static void lead_with_usage(void) {
+/* Sends usage in which workspace "most" is far above the level of the others, while the target has
+   `running` requests of other hosts. */
+static void lead_with_usage(uint32_t running) {
     Wgpb__WorkspaceUsage items[OTHER_WORKSPACES + 1];
     Wgpb__WorkspaceUsage* usage[OTHER_WORKSPACES + 1];
     wg_config* config = wg_config_parse(shared_document, strlen(shared_document), NULL);
@@ -446,6 +447,7 @@
                                                            .document = shared_document,
                                                            .target = target_address,
                                                            .usage = usage,
+                                                           .running = running,
                                                            .usage_num = OTHER_WORKSPACES + 1});
     run_turns(20);
 }
@@ -464,10 +466,10 @@
 }
 
 /* Usage reported by a leader must decay during an outage; otherwise a workspace that was above its
-   fair share is refused until there is a leader again. */
+   fair share is refused until there is a leader again, while others have work at the targets. */
 START_TEST(usage_decays_without_a_leader) {
     begin();
-    lead_with_usage();
+    lead_with_usage(1);
     ck_assert(!reaches_target("/a/while-led"));
     wgn_shutdown(leader.net);
     run_turns(LEADERLESS_TURNS);
@@ -482,7 +484,16 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry promises", usage_decays_without_a_leader,
+/* The same workspace is served while the target has nothing to do. */
+START_TEST(no_workspace_yields_to_an_idle_target) {
+    begin();
+    lead_with_usage(0);
+    ck_assert(reaches_target("/a/while-idle"));
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry promises", usage_decays_without_a_leader, no_workspace_yields_to_an_idle_target,
              target_connections_reduce_the_caller_limit,
              events_of_streams_do_not_try_waiting_requests, target_deadline_is_the_remaining_time,
              request_ends_at_the_timeout_of_its_route, caller_disconnect_cancels_the_target_request,
