Usage: a workspace's first report at a host is the base line again

Counting it was right for what is counted, and cost worth on busy deployments, whose policy was set on usage without it.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -212,8 +212,7 @@
         return;
     }
     _wgco_confirm_receive_report(c, e, in);
-    bool first = !e->reported;
-    e->has_no_members = e->has_no_members || (first && in->members_change == 0);
+    e->has_no_members = e->has_no_members || (!e->reported && in->members_change == 0);
     e->reported = true;
     if (in->state_seen == e->state_seq) { /* otherwise a newer state is in transit */
         e->configuration_version = in->configuration_version;
@@ -225,7 +224,7 @@
     e->standby = in->standby;
     e->leaving = in->leaving;
     _wgco_replace_loads(c, e, in);
-    _wgco_update_usage(c, e, in, first);
+    _wgco_update_usage(c, e, in);
     _wgco_quarantine_receive_report(c, e, in);
     if (c->leads) {
         _wgco_update_member(c, e, wg_now());
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -350,10 +350,8 @@
 /* Returns the loads that are told to hosts, const Wgpb__TargetLoad*: all, or of very many the
    fullest ones. The caller frees the array only. */
 GPtrArray* _wgco_told_loads(wgco_control* c, wg_time now);
-/* Adds what the workspaces used since their last report. The first report on a link lists all that
-   the host has counted, which is where counting begins; a workspace that appears later starts from
-   zero. In a large fleet most workspaces send a host one request only. */
-void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in, bool first);
+/* Adds what the workspaces used since their last report on this link. */
+void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in);
 void _wgco_decay_usage(wgco_control* c, wg_time now);
 /* Demand from which a workspace is listed to hosts, in tokens. */
 double _wgco_usage_listed_from(const wgco_control* c);
--- a/lib/control/wg_control_usage.c
+++ b/lib/control/wg_control_usage.c
@@ -164,18 +164,17 @@
     usage->asked += (double)asked;
 }
 
-void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in,
-                        bool first) {
+void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in) {
     for (size_t i = 0; i < in->n_usage; i++) {
         const Wgpb__WorkspaceUsage* now = in->usage[i];
         uint64_t workspace = now->workspace;
         _wgco_reported_t* before = g_hash_table_lookup(e->usage, &workspace);
         if (!before) {
+            /* The first report to this leader is the baseline. */
             before = g_new0(_wgco_reported_t, 1);
             before->workspace = workspace;
             g_hash_table_insert(e->usage, &before->workspace, before);
-        }
-        if (!first && now->tokens >= before->tokens && now->asked >= before->asked) {
+        } else if (now->tokens >= before->tokens && now->asked >= before->asked) {
             _wgco_add_usage(c, workspace, now->tokens - before->tokens, now->asked - before->asked);
         }
         before->tokens = now->tokens;
