--- a/tests/test_quorum_late_loops.c
+++ b/tests/test_quorum_late_loops.c
@@ -11,7 +11,8 @@
     LATE_MIN_MS = 200,
     LATE_MAX_MS = 600, /* longer than the longest election timeout, 500 ms */
     AWAKE_MS = 30,     /* between two stalls */
-    WITHIN_MS = 6000   /* a host may be without a leader for this long and still count as in contact */
+    WITHIN_MS =
+        6000 /* a host may be without a leader for this long and still count as in contact */
 };
 
 static simq_run* begin(int seed) {
