--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -381,7 +381,42 @@
 }
 END_TEST
 
-WG_TEST_MAIN("registry", unchanged_heartbeats_change_nothing,
+/* A copy finds a record by its number in whatever order the records came, also after some of them
+   ended and were dropped. */
+START_TEST(copy_takes_records_in_any_order) {
+    enum {
+        RECORDS = 40,
+        KEPT_ENDED = 4
+    };
+    wg_registry* copy = wg_registry_setup(&(wg_registry_desc){.ended_max = KEPT_ENDED});
+    for (int i = RECORDS; i > 0; i--) {
+        char id[16];
+        Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
+        g_snprintf(id, sizeof id, "t-%d", i);
+        record.id = id;
+        record.service = (char*)"s";
+        record.address = (char*)"10.0.0.1:80";
+        record.data_centre = (char*)"dc";
+        record.number = (uint32_t)i;
+        record.change = (uint64_t)i;
+        record.state = i % 2 ? WG_TARGET_REMOVED : WG_TARGET_READY;
+        ck_assert(wg_registry_merge(copy, 0, &record));
+    }
+    uint32_t last = 0;
+    int num = 0;
+    for (const wg_target* t = NULL; (t = wg_registry_next(copy, t ? t->number : 0)); num++) {
+        ck_assert_uint_gt(t->number, last);
+        ck_assert_ptr_eq(wg_registry_find(copy, t->number), t);
+        last = t->number;
+    }
+    ck_assert_int_eq(num, RECORDS / 2 + KEPT_ENDED);
+    ck_assert_ptr_null(wg_registry_find(copy, 1)); /* ended first */
+    ck_assert_ptr_nonnull(wg_registry_find(copy, RECORDS - 1));
+    wg_registry_shutdown(copy);
+}
+END_TEST
+
+WG_TEST_MAIN("registry", copy_takes_records_in_any_order, unchanged_heartbeats_change_nothing,
              late_heartbeat_does_not_revive_a_target, uncommitted_change_is_proposed_again,
              deregistration_without_a_record_is_kept, new_incarnation_ends_the_one_at_its_address,
              unresponsive_target_returns_by_a_newer_heartbeat_only,
