--- a/lib/control/wg_control_log.c
+++ b/lib/control/wg_control_log.c
@@ -3,6 +3,12 @@
 
 #include <string.h>
 
+enum {
+    /* Part of the last snapshot that the log may grow to. All snapshots of a growing state are then
+       9 times as large as the last one, together. */
+    _WGCO_SNAPSHOT_LOG_DIVISOR = 8
+};
+
 /* ---- helpers: messages --------------------------------------------------------------------- */
 
 static Wgpb__ReplicaSet* _wgco_pack_set(const wgr_set* set) {
@@ -292,12 +298,12 @@
     return !out->hard_state || wgs_save_hard_state(c->store, out->term, out->voted_for, error);
 }
 
-/* A snapshot is due after a number of entries, but not before the log has grown as large as the
+/* A snapshot is due after a number of entries, but not before the log has grown to a part of the
    last snapshot: otherwise each change would cost as much as the state is large. */
 static bool _wgco_is_snapshot_due(const wgco_control* c) {
     wgr_stats stats = wgr_query_stats(c->node, wg_now());
     return c->applied >= stats.snapshot_index + (uint64_t)c->settings->snapshot_entries &&
-           c->log_bytes >= c->snapshot_bytes;
+           c->log_bytes >= c->snapshot_bytes / _WGCO_SNAPSHOT_LOG_DIVISOR;
 }
 
 static void _wgco_record_snapshot(wgco_control* c, GBytes* state) {
