--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -16,11 +16,7 @@
     /* Interval between pushes per connected entry host, so that changes made together are sent
        together. At 300 hosts this is 30 ms, short compared to the seconds within which a change has
        to be in force. */
-    WG_PUSH_INTERVAL_PER_ENTRY = 100, /* microseconds */
-    /* New targets may wait for this many intervals: records that are sent together compress
-       better. */
-    WG_LATER_PUSH_FACTOR = 10,
-    WG_LATER_PUSH_MAX = WG_USEC_PER_SEC
+    WG_PUSH_INTERVAL_PER_ENTRY = 100 /* microseconds */
 };
 
 /* ---- helpers: entry hosts ------------------------------------------------------------------ */
@@ -136,7 +132,6 @@
     GHashTableIter iter;
     gpointer value;
     c->push_due = false;
-    c->later_push_due = false;
     c->pushed_at = now;
     g_hash_table_iter_init(&iter, c->entries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
@@ -149,9 +144,7 @@
 
 static void _wgco_push_if_due(wgco_control* c, wg_time now) {
     wg_time gap = WG_PUSH_INTERVAL_PER_ENTRY * (wg_time)g_hash_table_size(c->entries);
-    wg_time later_gap = MIN(WG_LATER_PUSH_FACTOR * gap, (wg_time)WG_LATER_PUSH_MAX);
-    wg_time since = now - c->pushed_at;
-    if ((c->push_due && since >= gap) || (c->later_push_due && since >= later_gap)) {
+    if (c->push_due && now >= c->pushed_at + gap) {
         _wgco_push(c, false);
     }
 }
@@ -237,10 +230,6 @@
     c->push_due = true;
 }
 
-void _wgco_entry_schedule_later_push(wgco_control* c) {
-    c->later_push_due = true;
-}
-
 void _wgco_entry_redirect(wgco_control* c) {
     _wgco_push(c, true);
 }
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -197,7 +197,6 @@
     GHashTable* entries; /* link id -> _wgco_entry_t* */
     uint64_t state_seq;  /* sequence number of the last state sent to any entry host */
     bool push_due;       /* some entry hosts lack a change */
-    bool later_push_due; /* they lack one that may wait */
     _wgco_shared_state_t shared_states[_WGCO_SHARED_STATES_MAX];
     unsigned shared_next; /* index of the one that is replaced next, modulo their number */
     wg_time pushed_at;
@@ -319,9 +318,6 @@
 void _wgco_entry_tick(wgco_control* c, wg_time now);
 /* Schedules a push of changes to the entry hosts that lack them. */
 void _wgco_entry_schedule_push(wgco_control* c);
-/* Schedules a push of changes without which hosts do nothing wrong, such as a new target. It waits
-   for longer, so that more such changes go out together. */
-void _wgco_entry_schedule_later_push(wgco_control* c);
 /* On a follower: sends the leader's address to all entry hosts that have reported. */
 void _wgco_entry_redirect(wgco_control* c);
 
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -168,14 +168,7 @@
                " cold_ms=%" G_GUINT64_FORMAT,
                record.id, record.address, record.state, record.sequence,
                in->cold_us / WG_USEC_PER_MSEC);
-        /* Else a target holds less than before, or another one ended. */
-        bool only_adds = record.state == WG_TARGET_READY && in->cold_us == 0 &&
-                         wg_registry_change(c->registry) == before + 1;
-        if (only_adds) {
-            _wgco_entry_schedule_later_push(c);
-        } else {
-            _wgco_entry_schedule_push(c);
-        }
+        _wgco_entry_schedule_push(c);
     }
 }
 
