--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -87,4 +87,10 @@
     X(2022, REQUEST_QUARANTINED, INFO, "quarantined request refused, it crashes targets")          \
     X(2023, TARGET_RESTS, INFO, "target is in backoff, as it asked this host")                     \
     X(2024, RETRY_AFTER_UNREADABLE, WARN, "malformed Retry-After of a target ignored")             \
+    X(2025, TARGET_STALLED, INFO, "target processes prompts later than expected")                  \
+    X(2026, TARGET_RECOVERED, INFO, "target processes prompts as expected again")                  \
+    X(2027, OVERLOAD_BEGUN, WARN, "overloaded, requests are refused on arrival")                   \
+    X(2028, OVERLOAD_ENDED, INFO, "no longer overloaded, all requests are read")                   \
+    X(2029, CALLER_CUT, WARN, "caller does not read its answer, connection closed")                \
+    X(2030, TARGET_CUT, WARN, "target does not read its request, connection closed")               \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router expired")
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -77,6 +77,9 @@
        each expiry may cost a few more targets. */
     _NUMBER("state", quarantine_s, "600", 1, 604800, "s",
             "how long a request that crashes targets is refused"),
+    _NUMBER("admission", room_wait_ms, "0", 0, 60000, "ms",
+            "reading time up to which a target with free slots has room, as told to entry hosts; "
+            "0: nothing is told"),
 };
 const int wgco_keys_num = G_N_ELEMENTS(wgco_keys);
 
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -72,6 +72,7 @@
     int64_t claims_max;
     int64_t claim_keep_s;
     int64_t quarantine_s;
+    int64_t room_wait_ms;
 } wgco_settings;
 
 extern const wgi_key wgco_keys[];
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -62,6 +62,22 @@
               "descriptor limit of the process; bounds callers_max; 0: unknown"),
     WG_REAL("limits", memory_mb, "0", 0, 1000000, "MB",
             "memory limit of the process; bounds data queued on links; 0: unknown"),
+    WG_NUMBER("admission", learn_base, "0", 0, 1, "",
+              "1: learn the time to a target's first event besides reading, and any speed; 0: a "
+              "fixed time and a bounded speed"),
+    WG_NUMBER("admission", room_wait_ms, "0", 0, 60000, "ms",
+              "reading time up to which a target with free slots has room; 0: only idle targets "
+              "have"),
+    WG_NUMBER("admission", route_limits, "0", 0, 1, "",
+              "1: a prompt may take its own route's objective; 0: the tightest one of the service"),
+    WG_NUMBER("admission", hold_percent, "0", 0, 90, "%",
+              "longest wait for room at a coordinator, relative to the objective; 0: none"),
+    WG_NUMBER("overload", input_delay_ms, "0", 0, 60000, "ms",
+              "delay of callers' input above which requests are refused on arrival; 0: never"),
+    WG_REAL("limits", held_mb, "0", 0, 1000000, "MB",
+            "maximum size of data held for callers and targets that do not read; 0: not limited"),
+    WG_NUMBER("limits", unread_ms, "0", 0, 600000, "ms",
+              "time without reading after which a caller or target may be disconnected; 0: never"),
 };
 const int wg_entry_keys_num = G_N_ELEMENTS(wg_entry_keys);
 
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -56,6 +56,13 @@
     int64_t target_rest_max_s;
     int64_t descriptors;
     double memory_mb;
+    int64_t learn_base;
+    int64_t room_wait_ms;
+    int64_t route_limits;
+    int64_t hold_percent;
+    int64_t input_delay_ms;
+    double held_mb;
+    int64_t unread_ms;
 } wg_entry_settings;
 
 extern const wgi_key wg_entry_keys[];
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -1987,6 +1987,51 @@
   assert(message->base.descriptor == &wgpb__entry_state__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__service_room__init
+                     (Wgpb__ServiceRoom         *message)
+{
+  static const Wgpb__ServiceRoom init_value = WGPB__SERVICE_ROOM__INIT;
+  *message = init_value;
+}
+size_t wgpb__service_room__get_packed_size
+                     (const Wgpb__ServiceRoom *message)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__service_room__pack
+                     (const Wgpb__ServiceRoom *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__service_room__pack_to_buffer
+                     (const Wgpb__ServiceRoom *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ServiceRoom *
+       wgpb__service_room__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ServiceRoom *)
+     protobuf_c_message_unpack (&wgpb__service_room__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__service_room__free_unpacked
+                     (Wgpb__ServiceRoom *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wgpb__order__init
                      (Wgpb__Order         *message)
 {
@@ -5723,7 +5768,7 @@
   (ProtobufCMessageInit) wgpb__claim_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__target_load__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__target_load__field_descriptors[4] =
 {
   {
     "target",
@@ -5761,8 +5806,21 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "read_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetLoad, read_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__target_load__field_indices_by_name[] = {
+  3,   /* field[3] = read_us */
   2,   /* field[2] = running */
   0,   /* field[0] = target */
   1,   /* field[1] = unread */
@@ -5770,7 +5828,7 @@
 static const ProtobufCIntRange wgpb__target_load__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 4 }
 };
 const ProtobufCMessageDescriptor wgpb__target_load__descriptor =
 {
@@ -5780,7 +5838,7 @@
   "Wgpb__TargetLoad",
   "wgpb",
   sizeof(Wgpb__TargetLoad),
-  3,
+  4,
   wgpb__target_load__field_descriptors,
   wgpb__target_load__field_indices_by_name,
   1,  wgpb__target_load__number_ranges,
@@ -6225,7 +6283,7 @@
   (ProtobufCMessageInit) wgpb__entry_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[24] =
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[25] =
 {
   {
     "leads",
@@ -6515,6 +6573,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "rooms",
+    26,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_rooms),
+    offsetof(Wgpb__EntryState, rooms),
+    &wgpb__service_room__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_state__field_indices_by_name[] = {
   4,   /* field[4] = configuration_version */
@@ -6533,6 +6603,7 @@
   6,   /* field[6] = registry_change */
   7,   /* field[7] = registry_reset */
   13,   /* field[13] = report_ms */
+  24,   /* field[24] = rooms */
   14,   /* field[14] = seq */
   20,   /* field[20] = standby */
   5,   /* field[5] = targets */
@@ -6546,7 +6617,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 24 }
+  { 0, 25 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
@@ -6556,13 +6627,77 @@
   "Wgpb__EntryState",
   "wgpb",
   sizeof(Wgpb__EntryState),
-  24,
+  25,
   wgpb__entry_state__field_descriptors,
   wgpb__entry_state__field_indices_by_name,
   2,  wgpb__entry_state__number_ranges,
   (ProtobufCMessageInit) wgpb__entry_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__service_room__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ServiceRoom, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ServiceRoom, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "with_room",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ServiceRoom, with_room),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__service_room__field_indices_by_name[] = {
+  0,   /* field[0] = name */
+  1,   /* field[1] = ready */
+  2,   /* field[2] = with_room */
+};
+static const ProtobufCIntRange wgpb__service_room__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__service_room__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ServiceRoom",
+  "ServiceRoom",
+  "Wgpb__ServiceRoom",
+  "wgpb",
+  sizeof(Wgpb__ServiceRoom),
+  3,
+  wgpb__service_room__field_descriptors,
+  wgpb__service_room__field_indices_by_name,
+  1,  wgpb__service_room__number_ranges,
+  (ProtobufCMessageInit) wgpb__service_room__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wgpb__order__field_descriptors[6] =
 {
   {
@@ -6730,7 +6865,7 @@
   (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[19] =
 {
   {
     "ticket",
@@ -6888,27 +7023,105 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, base_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_per_ms",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, tokens_per_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hold_us",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, hold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    19,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rank",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, rank),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__admit_ask__field_indices_by_name[] = {
   10,   /* field[10] = ahead_large_us */
   9,   /* field[9] = ahead_us */
   5,   /* field[5] = answer */
+  13,   /* field[13] = base_us */
   12,   /* field[12] = cold_rate */
   6,   /* field[6] = copied */
+  16,   /* field[16] = hold_us */
   2,   /* field[2] = parts */
+  18,   /* field[18] = rank */
   7,   /* field[7] = running_most */
+  15,   /* field[15] = samples */
   3,   /* field[3] = sizes */
   11,   /* field[11] = spares_shared */
   1,   /* field[1] = target */
   0,   /* field[0] = ticket */
   4,   /* field[4] = tokens */
+  14,   /* field[14] = tokens_per_ms */
   8,   /* field[8] = whole_us */
+  17,   /* field[17] = workspace */
 };
 static const ProtobufCIntRange wgpb__admit_ask__number_ranges[2 + 1] =
 {
   { 1, 0 },
   { 14, 12 },
-  { 0, 13 }
+  { 0, 19 }
 };
 const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor =
 {
@@ -6918,14 +7131,14 @@
   "Wgpb__AdmitAsk",
   "wgpb",
   sizeof(Wgpb__AdmitAsk),
-  13,
+  19,
   wgpb__admit_ask__field_descriptors,
   wgpb__admit_ask__field_indices_by_name,
   2,  wgpb__admit_ask__number_ranges,
   (ProtobufCMessageInit) wgpb__admit_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__admit_answer__field_descriptors[8] =
+static const ProtobufCFieldDescriptor wgpb__admit_answer__field_descriptors[13] =
 {
   {
     "ticket",
@@ -7023,13 +7236,78 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "base_us",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, base_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens_per_ms",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, tokens_per_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "late_us",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, late_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "room_us",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, room_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "samples",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAnswer, samples),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__admit_answer__field_indices_by_name[] = {
   6,   /* field[6] = ahead */
+  8,   /* field[8] = base_us */
   1,   /* field[1] = granted */
   5,   /* field[5] = held */
+  10,   /* field[10] = late_us */
+  11,   /* field[11] = room_us */
   7,   /* field[7] = running */
+  12,   /* field[12] = samples */
   0,   /* field[0] = ticket */
+  9,   /* field[9] = tokens_per_ms */
   4,   /* field[4] = unread */
   3,   /* field[3] = wait_ahead_us */
   2,   /* field[2] = wait_us */
@@ -7037,7 +7315,7 @@
 static const ProtobufCIntRange wgpb__admit_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 8 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wgpb__admit_answer__descriptor =
 {
@@ -7047,7 +7325,7 @@
   "Wgpb__AdmitAnswer",
   "wgpb",
   sizeof(Wgpb__AdmitAnswer),
-  8,
+  13,
   wgpb__admit_answer__field_descriptors,
   wgpb__admit_answer__field_indices_by_name,
   1,  wgpb__admit_answer__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -59,6 +59,7 @@
 typedef struct Wgpb__EntryReport Wgpb__EntryReport;
 typedef struct Wgpb__EntryMember Wgpb__EntryMember;
 typedef struct Wgpb__EntryState Wgpb__EntryState;
+typedef struct Wgpb__ServiceRoom Wgpb__ServiceRoom;
 typedef struct Wgpb__Order Wgpb__Order;
 typedef struct Wgpb__OrderAnswer Wgpb__OrderAnswer;
 typedef struct Wgpb__AdmitAsk Wgpb__AdmitAsk;
@@ -758,10 +759,14 @@
    * requests in progress
    */
   uint32_t running;
+  /*
+   * expected time to process the unread tokens
+   */
+  uint64_t read_us;
 };
 #define WGPB__TARGET_LOAD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_load__descriptor) \
-    , 0, 0, 0 }
+    , 0, 0, 0, 0 }
 
 
 /*
@@ -950,10 +955,30 @@
   uint32_t usage_small_num;
   uint64_t usage_small_tokens;
   uint64_t usage_small_asked;
+  /*
+   * from the leader; empty: not known
+   */
+  size_t n_rooms;
+  Wgpb__ServiceRoom **rooms;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+
+
+/*
+ * Ready targets of a service, and how many of them have room for further prompts.
+ */
+struct  Wgpb__ServiceRoom
+{
+  ProtobufCMessage base;
+  char *name;
+  uint32_t ready;
+  uint32_t with_room;
+};
+#define WGPB__SERVICE_ROOM__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__service_room__descriptor) \
+    , (char *)protobuf_c_empty_string, 0, 0 }
 
 
 /*
@@ -1046,10 +1071,34 @@
    * requests per second that the target accepts while cold; 0: no limit
    */
   double cold_rate;
+  /*
+   * Speed of the target as this host last heard it; a new account starts from it.
+   */
+  /*
+   * time to the first event besides reading
+   */
+  uint64_t base_us;
+  double tokens_per_ms;
+  /*
+   * 0: not known
+   */
+  uint32_t samples;
+  /*
+   * longest wait for room at the coordinator; 0: answer at once
+   */
+  uint64_t hold_us;
+  /*
+   * hash of the workspace; 0: none
+   */
+  uint64_t workspace;
+  /*
+   * priority of the route; 0 is first
+   */
+  uint32_t rank;
 };
 #define WGPB__ADMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_ask__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wgpb__AdmitAnswer
@@ -1081,10 +1130,27 @@
    * requests in progress before this one
    */
   uint32_t running;
+  /*
+   * learned speed of the target; see AdmitAsk
+   */
+  uint64_t base_us;
+  double tokens_per_ms;
+  /*
+   * lateness of the oldest unread prompt
+   */
+  uint64_t late_us;
+  /*
+   * denied: time after which room is expected; 0: not known
+   */
+  uint64_t room_us;
+  /*
+   * behind the learned speed
+   */
+  uint32_t samples;
 };
 #define WGPB__ADMIT_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_answer__descriptor) \
-    , 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 /*
@@ -1941,6 +2007,25 @@
 void   wgpb__entry_state__free_unpacked
                      (Wgpb__EntryState *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__ServiceRoom methods */
+void   wgpb__service_room__init
+                     (Wgpb__ServiceRoom         *message);
+size_t wgpb__service_room__get_packed_size
+                     (const Wgpb__ServiceRoom   *message);
+size_t wgpb__service_room__pack
+                     (const Wgpb__ServiceRoom   *message,
+                      uint8_t             *out);
+size_t wgpb__service_room__pack_to_buffer
+                     (const Wgpb__ServiceRoom   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__ServiceRoom *
+       wgpb__service_room__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__service_room__free_unpacked
+                     (Wgpb__ServiceRoom *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__Order methods */
 void   wgpb__order__init
                      (Wgpb__Order         *message);
@@ -2170,6 +2255,9 @@
 typedef void (*Wgpb__EntryState_Closure)
                  (const Wgpb__EntryState *message,
                   void *closure_data);
+typedef void (*Wgpb__ServiceRoom_Closure)
+                 (const Wgpb__ServiceRoom *message,
+                  void *closure_data);
 typedef void (*Wgpb__Order_Closure)
                  (const Wgpb__Order *message,
                   void *closure_data);
@@ -2235,6 +2323,7 @@
 extern const ProtobufCMessageDescriptor wgpb__entry_report__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__entry_member__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__entry_state__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__service_room__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor;
