Tests: a simulated host keeps the names of the list, not a count

Cause: the leader, late itself, removed some hosts and listed them again before it told the others. These are then among the added ones although the copy has them; the simulated host added them to its count and never came back to 800. The product's copy goes by name. The check is as strict: every host has to know exactly 800 others by name.

--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -79,7 +79,8 @@
     wgn_link link;
     bool connected;
     uint64_t members_change;
-    int members;        /* entry hosts in the last list received; -1: no list received yet */
+    int members;        /* entry hosts in the copy of the list; -1: no list received yet */
+    GHashTable* names;  /* hashes of their names, as pointers; created with the first list */
     int members_left;   /* entry hosts reported as gone */
     uint32_t report_ms; /* interval between reports, as told by the control */
     uint64_t configuration_version;
@@ -121,14 +122,35 @@
     wgn_send(entry->net, entry->link, WGW_TYPE_ENTRY_REPORT, &report.base);
 }
 
+static inline gpointer local_entry_name_key(const char* name) {
+    return GSIZE_TO_POINTER(wg_hash(name, strlen(name), 0));
+}
+
+/* Applies changes to the copy of the list by name: a host that failed and is listed again between
+   two states is among the added ones although the copy has it. */
+static inline void local_entry_apply_members(local_entry* entry, const Wgpb__EntryState* in) {
+    entry->members_change = in->members_change;
+    if (!entry->names) {
+        entry->names = g_hash_table_new(NULL, NULL);
+    }
+    if (in->members_reset) {
+        g_hash_table_remove_all(entry->names);
+    }
+    for (size_t i = 0; i < in->n_members_left; i++) {
+        g_hash_table_remove(entry->names, local_entry_name_key(in->members_left[i]));
+    }
+    for (size_t i = 0; i < in->n_members; i++) {
+        g_hash_table_add(entry->names, local_entry_name_key(in->members[i]->name));
+    }
+    entry->members = (int)g_hash_table_size(entry->names);
+    entry->members_left += (int)in->n_members_left;
+}
+
 static inline void local_entry_apply_state(local_entry* entry, const Wgpb__EntryState* in) {
     entry->leads = in->leads;
     wg_copy_name(entry->leader, sizeof entry->leader, in->leader_address);
     if (in->leads && in->members_change != entry->members_change) {
-        entry->members_change = in->members_change;
-        entry->members = in->members_reset ? 0 : MAX(entry->members, 0);
-        entry->members += (int)in->n_members - (int)in->n_members_left;
-        entry->members_left += (int)in->n_members_left;
+        local_entry_apply_members(entry, in);
     }
     entry->report_ms = in->report_ms;
     entry->state_seen = in->seq;
