Leader: count the targets of each service that have room, and tell hosts

Hosts decide on room from the loads that they are told, 256 at most, and take every other target for idle. Only the leader knows all loads.

With [admission] room_wait_ms the leader sums up the expected prefill time that hosts report with their loads, counts ready targets with room at most each 50 ms, and tells the counts in its answers to reports. A load reported without a time counts at 30 tokens per ms, as lib/balance assumes for a new target. A new leader tells nothing until running hosts have had the time to connect, and all connected and listed hosts have reported. With the setting at 0 states are as before.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -158,6 +158,7 @@
     _wgco_confirm_setup(c);
     c->load_totals = g_hash_table_new_full(NULL, NULL, NULL, g_free);
     c->loads_told = g_array_new(FALSE, FALSE, sizeof(uint32_t));
+    c->rooms = g_array_new(FALSE, FALSE, sizeof(_wgco_room_t));
     c->usage = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 }
 
@@ -169,6 +170,7 @@
     _wgco_shared_states_clear(c);
     g_clear_pointer(&c->load_totals, g_hash_table_unref);
     g_clear_pointer(&c->loads_told, g_array_unref);
+    g_clear_pointer(&c->rooms, g_array_unref);
     g_clear_pointer(&c->usage, g_hash_table_unref);
     g_clear_pointer(&c->registry, wg_registry_shutdown);
 }
@@ -239,6 +241,7 @@
 void _wgco_entry_lead_begin(wgco_control* c, wg_time now) {
     c->led_since = now;
     c->usage_at = now;
+    _wgco_rooms_lead_begin(c);
     wg_roster_begin(c->roster, wgr_query_stats(c->node, now).term);
     g_hash_table_remove_all(c->usage);
     wg_registry_reset_contacts(c->registry, now);
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -4,6 +4,7 @@
 
 #include "wg_control.h"
 #include "wg_quarantine.h"
+#include "wg_room.h"
 #include "wg_watch.h"
 
 enum {
@@ -146,6 +147,12 @@
     double asked;       /* demand, in tokens */
 } _wgco_usage_t;
 
+/* Targets of a service, as last counted (wg_control_room.c). */
+typedef struct {
+    char service[WG_NAME_MAX];
+    wg_room_count count;
+} _wgco_room_t;
+
 /* Entry hosts that have to confirm a forced recovery (wg_control_confirm.c). */
 typedef struct {
     bool pending; /* this leader holds acknowledgements */
@@ -203,7 +210,10 @@
     GHashTable* load_totals; /* target number -> Wgpb__TargetLoad* */
     GArray* loads_told;      /* uint32_t, numbers of the targets whose load is told to hosts */
     wg_time loads_told_at;   /* when they were selected */
-    GHashTable* usage;       /* hash of a workspace -> _wgco_usage_t* */
+    wg_room_lead room_lead;
+    GArray* rooms;     /* _wgco_room_t */
+    wg_time rooms_at;  /* when they were counted; 0: not counted by this leader */
+    GHashTable* usage; /* hash of a workspace -> _wgco_usage_t* */
     wg_time usage_at;
     wg_time led_since;
     _wgco_confirm_t confirm;
@@ -336,6 +346,8 @@
 /* True if the host should receive roster changes. An incomplete roster would turn callers away from
    hosts that are up, so it is withheld while a new leader waits for reports. */
 bool _wgco_sends_members(const wgco_control* c, const _wgco_entry_t* e, wg_time now);
+/* True while running hosts may not have reported to this leader yet. */
+bool _wgco_is_settling(const wgco_control* c, wg_time now);
 /* True if a replica without a known leader may send its applied state to the host. That state is
    committed but may be outdated. */
 bool _wgco_serves_standby(const wgco_control* c, const _wgco_entry_t* e, wg_time now);
@@ -346,12 +358,19 @@
 /* Returns the loads that are told to hosts, const Wgpb__TargetLoad*: all, or of very many the
    fullest ones. The caller frees the array only. */
 GPtrArray* _wgco_told_loads(wgco_control* c, wg_time now);
+/* Requests that the target processes at a time; an assumption if it reports none. */
+uint32_t _wgco_target_slots(const wg_target* target);
 /* Adds what the workspaces used since their last report on this link. */
 void _wgco_update_usage(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in);
 void _wgco_decay_usage(wgco_control* c, wg_time now);
 /* Demand from which a workspace is listed to hosts, in tokens. */
 double _wgco_usage_listed_from(const wgco_control* c);
 
+/* room of services (wg_control_room.c) */
+/* Returns what hosts are told, _wgco_room_t, valid until the next call; NULL: nothing. */
+const GArray* _wgco_rooms(wgco_control* c, wg_time now);
+void _wgco_rooms_lead_begin(wgco_control* c);
+
 /* orders forwarded by entry hosts (wg_control_orders.c) */
 void _wgco_receive_order(wgco_control* c, wgn_link link, const wgw_frame* frame);
 void _wgco_complete_order(wgco_control* c, const _wgco_waiter_t* waiter, bool committed);
--- a/lib/control/wg_control_state.c
+++ b/lib/control/wg_control_state.c
@@ -22,6 +22,7 @@
     Wgpb__EntryMember* members;
     Wgpb__TargetLoad* loads;
     Wgpb__WorkspaceUsage* usage;
+    Wgpb__ServiceRoom* rooms;
 } _wgco_state_t;
 
 static void _wgco_fill_targets(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
@@ -45,9 +46,13 @@
     s->message.n_evacuated = evacuated->len;
 }
 
+bool _wgco_is_settling(const wgco_control* c, wg_time now) {
+    return now - c->led_since < WG_MEMBERS_SETTLE;
+}
+
 bool _wgco_sends_members(const wgco_control* c, const _wgco_entry_t* e, wg_time now) {
-    bool settling = now - c->led_since < WG_MEMBERS_SETTLE;
-    return e->roster_change != wg_roster_change(c->roster) && (!settling || e->has_no_members);
+    bool complete = !_wgco_is_settling(c, now) || e->has_no_members;
+    return e->roster_change != wg_roster_change(c->roster) && complete;
 }
 
 static void _wgco_fill_members(wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s,
@@ -128,6 +133,24 @@
     s->message.usage_small_asked = (uint64_t)small_asked;
 }
 
+static void _wgco_fill_rooms(wgco_control* c, _wgco_state_t* s, wg_time now) {
+    const GArray* rooms = _wgco_rooms(c, now);
+    if (!rooms) {
+        return;
+    }
+    s->rooms = g_new(Wgpb__ServiceRoom, rooms->len + 1);
+    s->message.rooms = g_new(Wgpb__ServiceRoom*, rooms->len + 1);
+    for (guint i = 0; i < rooms->len; i++) {
+        const _wgco_room_t* room = &g_array_index(rooms, _wgco_room_t, i);
+        Wgpb__ServiceRoom* out = &s->rooms[i];
+        wgpb__service_room__init(out);
+        out->name = (char*)room->service;
+        out->ready = room->count.ready;
+        out->with_room = room->count.with_room;
+        s->message.rooms[s->message.n_rooms++] = out;
+    }
+}
+
 static void _wgco_fill_quarantine(const wgco_control* c, const _wgco_entry_t* e, _wgco_state_t* s) {
     s->message.quarantine_change = wg_quarantine_change(c->quarantine);
     if (e->quarantine_change != s->message.quarantine_change) {
@@ -150,6 +173,8 @@
     g_free(s->message.loads);
     g_free(s->usage);
     g_free(s->message.usage);
+    g_free(s->rooms);
+    g_free(s->message.rooms);
     g_free(s->message.quarantined);
 }
 
@@ -189,6 +214,7 @@
     if (s.message.leads && e->reported && with_loads) {
         _wgco_fill_loads(c, e, &s, now);
         _wgco_fill_usage(c, &s, now);
+        _wgco_fill_rooms(c, &s, now);
     }
     bool shared = !with_loads;
     c->states_packed++;
--- a/lib/control/wg_control_usage.c
+++ b/lib/control/wg_control_usage.c
@@ -13,6 +13,11 @@
     WG_LOADS_TOLD_INTERVAL = 100 * WG_USEC_PER_MSEC, /* until they are selected again */
     WG_SLOTS_UNKNOWN = 16,  /* assumed for a target that reports no slots */
     WG_UNREAD_FULL = 20000, /* prompt tokens that keep a target busy for about an objective */
+    /* Longest time to process prompts that a host's report is believed to contain. */
+    WG_READ_TIME_MAX = 600 * WG_USEC_PER_SEC,
+    /* Prompt tokens per millisecond assumed for loads reported without a time, by hosts that do not
+       use room. As lib/balance assumes for a new target. */
+    WG_TOKENS_PER_MS_UNKNOWN = 30,
     /* A workspace is listed to hosts from this fraction of the largest demand on. */
     WG_USAGE_LISTED_DIVISOR = 256
 };
@@ -34,6 +39,7 @@
     WG_ASSERT(sign > 0 || (total->unread >= load->unread && total->running >= load->running));
     total->unread += (uint32_t)sign * load->unread;
     total->running += (uint32_t)sign * load->running;
+    total->read_us += (uint64_t)(int64_t)sign * load->read_us;
     if (total->unread == 0 && total->running == 0) {
         g_hash_table_remove(c->load_totals, GUINT_TO_POINTER(load->target));
     }
@@ -49,6 +55,15 @@
     g_hash_table_remove_all(e->loads);
 }
 
+/* Expected microseconds to process the unread tokens of one host. */
+static uint64_t _wgco_read_time(const Wgpb__TargetLoad* in) {
+    uint64_t unknown = (uint64_t)in->unread * WG_USEC_PER_MSEC / WG_TOKENS_PER_MS_UNKNOWN;
+    if (in->unread == 0) {
+        return 0; /* totals are dropped once their tokens and requests are 0 */
+    }
+    return MIN(in->read_us ? in->read_us : unknown, (uint64_t)WG_READ_TIME_MAX);
+}
+
 void _wgco_replace_loads(wgco_control* c, _wgco_entry_t* e, const Wgpb__EntryReport* in) {
     _wgco_remove_loads(c, e);
     for (size_t i = 0; i < in->n_loads; i++) {
@@ -61,15 +76,20 @@
         load->target = in->loads[i]->target;
         load->unread = in->loads[i]->unread;
         load->running = in->loads[i]->running;
+        load->read_us = _wgco_read_time(in->loads[i]);
         g_hash_table_insert(e->loads, key, load);
         _wgco_add_load(c, load, 1);
     }
 }
 
+uint32_t _wgco_target_slots(const wg_target* target) {
+    return target->slots ? target->slots : WG_SLOTS_UNKNOWN;
+}
+
 /* How far the known load fills a target; 1: about as much as it takes. */
 static double _wgco_fullness(const wgco_control* c, const Wgpb__TargetLoad* total) {
     const wg_target* target = wg_registry_find(c->registry, total->target);
-    uint32_t slots = target && target->slots ? target->slots : WG_SLOTS_UNKNOWN;
+    uint32_t slots = target ? _wgco_target_slots(target) : WG_SLOTS_UNKNOWN;
     return (double)total->running / slots + (double)total->unread / WG_UNREAD_FULL;
 }
 
--- a/tests/local_control.h
+++ b/tests/local_control.h
@@ -104,6 +104,10 @@
     double tokens_known;         /* usage of all workspaces in the last state that lists any */
     size_t usage_listed;         /* workspaces in that list */
     uint64_t read_version;       /* configuration version in the last order answer; 0: none */
+    bool silent;                 /* does not report when the link comes up */
+    size_t rooms_told;           /* services in the last answer to a report that tell of room */
+    uint32_t room_ready;         /* ready targets of the first of them */
+    uint32_t room_targets;       /* those of them that have room */
 } local_entry;
 
 static inline void local_entry_report(local_entry* entry) {
@@ -121,6 +125,12 @@
     wgn_send(entry->net, entry->link, WGW_TYPE_ENTRY_REPORT, &report.base);
 }
 
+static inline void local_entry_apply_rooms(local_entry* entry, const Wgpb__EntryState* in) {
+    entry->rooms_told = in->n_rooms;
+    entry->room_ready = in->n_rooms ? in->rooms[0]->ready : 0;
+    entry->room_targets = in->n_rooms ? in->rooms[0]->with_room : 0;
+}
+
 static inline void local_entry_apply_state(local_entry* entry, const Wgpb__EntryState* in) {
     entry->leads = in->leads;
     wg_copy_name(entry->leader, sizeof entry->leader, in->leader_address);
@@ -130,6 +140,9 @@
         entry->members += (int)in->n_members - (int)in->n_members_left;
         entry->members_left += (int)in->n_members_left;
     }
+    if (in->n_controls > 0) { /* an answer to a report */
+        local_entry_apply_rooms(entry, in);
+    }
     entry->report_ms = in->report_ms;
     entry->state_seen = in->seq;
     entry->states_received++;
@@ -187,7 +200,9 @@
     (void)peer;
     local_entry* entry = user_data;
     entry->connected = true;
-    local_entry_report(entry);
+    if (!entry->silent) {
+        local_entry_report(entry);
+    }
 }
 
 static inline void local_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -146,7 +146,7 @@
     Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
     Wgpb__Order order = WGPB__ORDER__INIT;
     g_snprintf(id, sizeof id, "t-%d", number);
-    g_snprintf(address, sizeof address, "10.9.0.%d:80", number);
+    g_snprintf(address, sizeof address, "10.9.%d.%d:80", number / 256, number % 256);
     record.id = id;
     record.service = (char*)"s";
     record.address = address;
@@ -392,6 +392,175 @@
 }
 END_TEST
 
+/* ---- room of services ---- */
+
+enum {
+    ROOM_WAIT_MS = 40,
+    SLOTS = 16, /* that the leader assumes of targets that report none */
+    SETTLE_TURNS = 2500
+};
+
+static void begin_with_room(void) {
+    begin();
+    wgco_shutdown(control);
+    settings.room_wait_ms = ROOM_WAIT_MS;
+    settings.target_silent_ms = 60000;
+    start_control();
+}
+
+/* Reports the same load at the targets 1..`num`. */
+static void report_same_load(local_entry* host, int num, uint32_t running, uint32_t unread,
+                             uint64_t read_us) {
+    Wgpb__EntryReport report = WGPB__ENTRY_REPORT__INIT;
+    Wgpb__TargetLoad* loads = g_new(Wgpb__TargetLoad, num + 1);
+    report.loads = g_new(Wgpb__TargetLoad*, num + 1);
+    for (int i = 0; i < num; i++) {
+        wgpb__target_load__init(&loads[i]);
+        loads[i].target = (uint32_t)i + 1;
+        loads[i].running = running;
+        loads[i].unread = unread;
+        loads[i].read_us = read_us;
+        report.loads[report.n_loads++] = &loads[i];
+    }
+    report.ready = true;
+    report.state_seen = host->state_seen;
+    report.members_change = host->members_change;
+    report.registry_change = host->registry_change;
+    ck_assert(wgn_send(host->net, host->link, WGW_TYPE_ENTRY_REPORT, &report.base));
+    g_free(report.loads);
+    g_free(loads);
+}
+
+static void order_targets(local_entry* host, int num) {
+    for (int i = 1; i <= num; i++) {
+        order_target(host, i, 1);
+    }
+    for (int i = 0; i < TURNS && host->targets < num; i++) {
+        local_run_loop(base);
+    }
+    ck_assert_int_eq(host->targets, num);
+}
+
+/* Reports without loads until the leader tells of room, or for SETTLE_TURNS. */
+static bool is_told_room(local_entry* host) {
+    for (int i = 0; i < SETTLE_TURNS && host->rooms_told == 0; i++) {
+        local_run_loop(base);
+        if (i % 50 == 0) {
+            local_entry_report(host);
+        }
+    }
+    return host->rooms_told > 0;
+}
+
+/* Waits until the leader counts again, reports without loads, and checks what is told. */
+static void expect_room(local_entry* host, uint32_t ready, uint32_t with_room) {
+    run_turns(60);
+    local_entry_report(host);
+    run_turns(30);
+    ck_assert_uint_eq(host->rooms_told, 1);
+    ck_assert_uint_eq(host->room_ready, ready);
+    ck_assert_uint_eq(host->room_targets, with_room);
+}
+
+/* Guards against loads that hosts are not told counting as room: 512 busy targets of 600 are twice
+   what hosts are told. */
+START_TEST(room_is_counted_over_all_targets) {
+    enum {
+        MANY = 600,
+        BUSY = 512
+    };
+    begin_with_room();
+    local_entry host;
+    local_entry other;
+    connect_host(&host, 1);
+    connect_host(&other, 2);
+    order_targets(&host, MANY);
+    ck_assert(is_told_room(&other));
+    expect_room(&other, MANY, MANY);
+    report_same_load(&host, BUSY, SLOTS / 2 + 1, 0, 0);
+    expect_room(&other, MANY, MANY - BUSY);
+    ck_assert_uint_le(other.loads_told, 256);
+    report_same_load(&host, BUSY, SLOTS / 2, 0, 0);
+    expect_room(&other, MANY, MANY);
+    wgn_shutdown(host.net);
+    wgn_shutdown(other.net);
+    end();
+}
+END_TEST
+
+/* Guards against the prefill time of single hosts being compared with the limit: that of all hosts
+   adds up. A host that reports none, and one whose link closes, count for what is known. */
+START_TEST(prefill_time_of_all_hosts_adds_up) {
+    enum {
+        FEW = 10
+    };
+    begin_with_room();
+    local_entry host;
+    local_entry other;
+    connect_host(&host, 1);
+    connect_host(&other, 2);
+    order_targets(&host, FEW);
+    ck_assert(is_told_room(&host));
+    report_same_load(&other, FEW, 1, 3000, 25 * MSEC);
+    expect_room(&host, FEW, FEW);
+    report_same_load(&host, 4, 1, 3000, 25 * MSEC);
+    run_turns(60);
+    report_same_load(&host, 4, 1, 3000, 25 * MSEC);
+    run_turns(30);
+    ck_assert_uint_eq(host.room_targets, FEW - 4);
+    report_same_load(&other, 7, 1, 3000, 0); /* 100 ms at 30 tokens per ms */
+    expect_room(&host, FEW, FEW - 7);
+    wgn_shutdown(other.net);
+    run_turns(30);
+    expect_room(&host, FEW, FEW);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
+/* Guards against a new leader that takes unreported loads for room: it tells nothing while a
+   connected host has not reported, nor right after it was elected. */
+START_TEST(new_leader_tells_no_room_before_all_reports) {
+    begin_with_room();
+    local_entry host;
+    local_entry silent = {.base = base, .silent = true};
+    connect_host(&host, 1);
+    order_targets(&host, 1);
+    local_entry_setup(&silent, 2, listen_at);
+    ck_assert(!is_told_room(&host));
+    ck_assert(silent.connected);
+    local_entry_report(&silent);
+    ck_assert(is_told_room(&host));
+    wgn_shutdown(silent.net);
+    expect_room(&host, 1, 1);
+    wgn_shutdown(host.net);
+    wgco_shutdown(control);
+    start_control();
+    connect_host(&host, 1);
+    run_turns(60);
+    local_entry_report(&host);
+    run_turns(30);
+    ck_assert_uint_eq(host.rooms_told, 0);
+    ck_assert(is_told_room(&host));
+    expect_room(&host, 1, 1);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
+/* Guards against a change on the wire without the setting. */
+START_TEST(no_room_is_told_by_default) {
+    begin();
+    local_entry host;
+    connect_host(&host, 1);
+    order_targets(&host, 1);
+    report_same_load(&host, 1, 1, 3000, 25 * MSEC);
+    ck_assert(!is_told_room(&host));
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
 /* ---- requests that crash targets ---- */
 
 /* Reports that a target crashed soon after it began the request, or that a copy of the request
@@ -520,4 +689,6 @@
              simultaneous_changes_are_sent_together, stall_among_changes_sends_none_twice,
              stalled_leader_reports_no_target_unresponsive,
              evacuation_survives_restarts_of_the_control, fullest_targets_are_told,
-             small_usage_is_told_as_a_sum)
+             small_usage_is_told_as_a_sum, room_is_counted_over_all_targets,
+             prefill_time_of_all_hosts_adds_up, new_leader_tells_no_room_before_all_reports,
+             no_room_is_told_by_default)
