Policy: limits by route

The limit of all waits is the tightest objective of the service, so prompts of routes with a longer objective are refused although they would be in time.

With [admission] route_limits the whole expected wait of a prompt may take 0.95 of its own route's objective. The part that prompts of others cause stays within 0.95 of the tightest objective, so that no request joins a queue which would make the tightest class late. Both parts scale with confidence and wait tolerance as before. With the setting at 0, and for requests without a prompt, limits are as before.

test_policy: 12 tests pass, 3 of them new.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -75,6 +75,7 @@
         .margin = &e->margin,
         .has_prompt = call->has_prompt,
         .has_room = wg_balance_has_room(e->balance, wg_now(), call->selection.service),
+        .route_limits = e->settings->route_limits != 0,
         .sent_before = call->attempts > 0,
         .relaxed = call->relaxed,
         .started = call->started,
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -49,12 +49,29 @@
     return MAX(objective * _WG_POLICY_WAIT_PERCENT / 100, _WG_POLICY_WAIT_MIN);
 }
 
-wg_time wg_policy_limit(const wg_policy_terms* t, wg_time now) {
-    wg_time left = t->started + t->objective - now;
+/* Returns the limit of a wait that has to end within `time`. */
+static wg_time _wg_policy_limit_of(const wg_policy_terms* t, wg_time time) {
     double confidence = wg_fair_confidence(t->margin);
     double limit = _WG_POLICY_LIMIT * (_WG_POLICY_NO_CONFIDENCE_FACTOR +
                                        (1 - _WG_POLICY_NO_CONFIDENCE_FACTOR) * confidence);
-    return (wg_time)(limit * (double)MIN(left, t->tightest_objective));
+    return (wg_time)(limit * (double)time);
+}
+
+static wg_time _wg_policy_time_left(const wg_policy_terms* t, wg_time now) {
+    return t->started + t->objective - now;
+}
+
+/* Limit of the part of the wait that prompts of others cause. A queue that is longer would make
+   requests of the tightest class late. */
+static wg_time _wg_policy_shared_limit(const wg_policy_terms* t, wg_time now) {
+    return _wg_policy_limit_of(t, MIN(_wg_policy_time_left(t, now), t->tightest_objective));
+}
+
+wg_time wg_policy_limit(const wg_policy_terms* t, wg_time now) {
+    if (t->route_limits && t->has_prompt) {
+        return _wg_policy_limit_of(t, _wg_policy_time_left(t, now));
+    }
+    return _wg_policy_shared_limit(t, now);
 }
 
 wg_time wg_policy_plain_limit(const wg_policy_terms* t, wg_time now) {
@@ -65,12 +82,13 @@
 
 wg_admit_limits wg_policy_limits(const wg_policy_terms* t, wg_time now) {
     double total = (double)wg_policy_limit(t, now);
+    double shared = (double)_wg_policy_shared_limit(t, now);
     double tolerance = _wg_policy_tolerance(t);
     double factor = t->relaxed ? _WG_POLICY_RELAXED_FACTOR : 1;
     double large = _WG_POLICY_LARGE_LIMIT * (double)t->tightest_objective;
     bool behind = t->counts && wg_fair_is_behind(t->used, t->levels);
     return (wg_admit_limits){.total = (wg_time)(factor * total),
-                             .ahead = (wg_time)(factor * tolerance * total),
+                             .ahead = (wg_time)(factor * tolerance * shared),
                              .ahead_large = (wg_time)(factor * tolerance * large),
                              .counts_missing = tolerance < 1 && !behind};
 }
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -7,10 +7,12 @@
         the request's workspace, its fair share, and the time that the request has left.
 
     FEATURES
-        - no workspace may fill targets beyond the tightest objective of the service
+        - no workspace may fill targets beyond the tightest objective of the service; with limits by
+          route a long prompt may still take its own route's objective, as long as the prompts
+          before it do not
         - a workspace above its fair share yields: its requests accept less queueing and fewer
           slots, are tried less often, and do not cause shared parts to be computed again; none
-          yields while many targets have nothing to do
+          yields while the service has room
         - requests of a workspace with little usage are sent late rather than refused
 
     USE
@@ -30,7 +32,10 @@
     const wg_fair_levels* levels;
     const wg_fair_margin* margin;
     bool has_prompt;
-    bool has_room; /* many targets have nothing in progress */
+    bool has_room; /* the service has room for further prompts */
+    /* the whole wait of a prompt is limited by its own route's objective, and only the part caused
+       by prompts of others by the tightest one */
+    bool route_limits;
     /* an earlier attempt was sent; the wait tolerance no longer limits admission requests */
     bool sent_before;
     /* no target would answer in time, and the request is sent late rather than refused */
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -26,6 +26,64 @@
 }
 END_TEST
 
+/* With limits by route, the class with the longer objective may take that objective; its part of
+   the queue stays within the tightest one, so that the other class is still in time behind it. */
+START_TEST(own_objective_limits_the_wait_with_limits_by_route) {
+    wg_policy_terms loose = terms(0);
+    wg_policy_terms tight = terms(0);
+    loose.route_limits = true;
+    tight.route_limits = true;
+    tight.objective = tight.tightest_objective;
+    ck_assert_int_eq(wg_policy_limit(&loose, 0), 760 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&loose, 0).total, 760 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&loose, 0).ahead, 380 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&tight, 0).total, 380 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&tight, 0).ahead, 380 * MSEC);
+    /* A request that has waited has less left, for both parts. */
+    ck_assert_int_eq(wg_policy_limits(&loose, 200 * MSEC).total, 570 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&loose, 200 * MSEC).ahead, 380 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&loose, 600 * MSEC).total, 190 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&loose, 600 * MSEC).ahead, 190 * MSEC);
+    ck_assert_int_eq(wg_policy_limits(&tight, 200 * MSEC).ahead, 190 * MSEC);
+}
+END_TEST
+
+/* Guards against limits by route that bypass confidence, tolerance or the part for large prompts.
+ */
+START_TEST(limits_by_route_scale_as_others_do) {
+    wg_policy_terms one = terms(0);
+    wg_policy_terms each = terms(0);
+    each.route_limits = true;
+    wg_fair_margin low_confidence = {.value = 0.12};
+    one.margin = each.margin = &low_confidence;
+    ck_assert_int_eq(wg_policy_limits(&each, 0).total, 2 * wg_policy_limits(&one, 0).total);
+    ck_assert_int_eq(wg_policy_limits(&each, 0).ahead, wg_policy_limits(&one, 0).ahead);
+    one.used = each.used = 1100; /* above the level */
+    ck_assert_int_lt(wg_policy_limits(&each, 0).ahead, wg_policy_limits(&each, 0).total / 4);
+    ck_assert_int_eq(wg_policy_limits(&each, 0).ahead, wg_policy_limits(&one, 0).ahead);
+    ck_assert_int_eq(wg_policy_limits(&each, 0).ahead_large, wg_policy_limits(&one, 0).ahead_large);
+    ck_assert(wg_policy_limits(&each, 0).counts_missing);
+    one.used = each.used = 1400; /* far above the level */
+    ck_assert_int_eq(wg_policy_limits(&each, 0).ahead, 0);
+    one.used = each.used = 400;
+    one.relaxed = each.relaxed = true;
+    ck_assert_int_eq(wg_policy_limits(&each, 0).total, 2 * wg_policy_limits(&one, 0).total);
+    ck_assert_int_eq(wg_policy_limits(&each, 0).ahead, wg_policy_limits(&one, 0).ahead);
+}
+END_TEST
+
+/* A request without a prompt reads nothing at the target; its limits stay. */
+START_TEST(limits_by_route_concern_prompts_only) {
+    wg_policy_terms one = terms(0);
+    one.has_prompt = false;
+    wg_policy_terms each = one;
+    each.route_limits = true;
+    ck_assert_int_eq(wg_policy_limit(&each, 0), wg_policy_limit(&one, 0));
+    ck_assert_int_eq(wg_policy_limits(&each, 0).total, wg_policy_limits(&one, 0).total);
+    ck_assert_int_eq(wg_policy_plain_limit(&each, 0), wg_policy_plain_limit(&one, 0));
+}
+END_TEST
+
 /* Wait tolerance is full below the level, reduced above it, none far above it. */
 START_TEST(workspaces_above_the_level_wait_less) {
     wg_policy_terms below = terms(900);
@@ -143,7 +201,9 @@
 END_TEST
 
 WG_TEST_MAIN("policy", no_workspace_yields_while_there_is_room, tightest_objective_limits_all_waits,
-             workspaces_above_the_level_wait_less, retry_has_all_admission_requests,
-             workspaces_below_their_share_may_be_late, uncharged_requests_have_full_wait_tolerance,
+             own_objective_limits_the_wait_with_limits_by_route, limits_by_route_scale_as_others_do,
+             limits_by_route_concern_prompts_only, workspaces_above_the_level_wait_less,
+             retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
+             uncharged_requests_have_full_wait_tolerance,
              refusal_comes_within_a_quarter_of_the_objective,
              retry_after_is_past_the_backoff_and_spread, jitter_of_host_and_callers_does_not_add_up)
