Host: use the room that the leader tells

Hosts decide from idle targets among those that they know, see the library and the leader's part.

With [admission] room_wait_ms a host reports the expected prefill time with each load, keeps a copy of the counts that the leader answers with, and decides from them while they are younger than three report intervals; else by idle targets as before. An answer without counts, of a new leader, drops the copy at once. With the setting at 0 reports and decisions are as before.

This repairs, with the setting on, that targets beyond the 256 loads that hosts are told count as idle.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -568,6 +568,11 @@
     }
 }
 
+wg_time wg_balance_read_time(const wg_balance* b, uint32_t target, uint32_t tokens) {
+    const wg_balance_target* t = wg_balance_find(b, target);
+    return t ? (wg_time)(tokens / t->speed) : 0;
+}
+
 int wg_balance_loads(const wg_balance* b, wg_balance_load* loads, int max) {
     int num = 0;
     GHashTableIter iter;
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -153,6 +153,9 @@
                             uint32_t running);
 wg_balance_choice wg_balance_choose(wg_balance* balance, wg_time now,
                                     const wg_balance_request* request);
+/* Returns the expected time, microseconds, in which the target processes `tokens` prompt tokens; 0
+   if the target is not known. */
+wg_time wg_balance_read_time(const wg_balance* balance, uint32_t target, uint32_t tokens);
 /* True if at least half of the service's ready targets have nothing in progress, as far as this
    host knows. */
 bool wg_balance_has_room(wg_balance* balance, wg_time now, const char* service);
--- a/lib/contact/wg_contact.c
+++ b/lib/contact/wg_contact.c
@@ -27,3 +27,7 @@
 wg_time wg_contact_usage_lifetime(wg_time report_interval) {
     return MAX(WG_INTERVALS_LOST * report_interval, WG_USAGE_LIFETIME_MIN);
 }
+
+wg_time wg_contact_room_lifetime(wg_time report_interval) {
+    return (WG_INTERVALS_LOST + 1) * report_interval;
+}
--- a/lib/contact/wg_contact.h
+++ b/lib/contact/wg_contact.h
@@ -11,7 +11,8 @@
     USE
         leader: wg_contact_report_interval(hosts), told to the hosts with each state;
                 wg_contact_host_timeout(interval)
-        host:   wg_contact_leader_timeout(interval, silence), wg_contact_usage_lifetime(interval)
+        host:   wg_contact_leader_timeout(interval, silence), wg_contact_usage_lifetime(interval),
+                wg_contact_room_lifetime(interval)
 
     All times are in microseconds.
 */
@@ -28,3 +29,6 @@
 wg_time wg_contact_leader_timeout(wg_time report_interval, wg_time silence);
 /* Time since the last answer to a report until its usage counts as outdated. */
 wg_time wg_contact_usage_lifetime(wg_time report_interval);
+/* Time since the last answer to a report until the room that it tells of counts as outdated. Not
+   longer than needed for one lost or late answer, as room changes within tenths of a second. */
+wg_time wg_contact_room_lifetime(wg_time report_interval);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -66,8 +66,8 @@
               "1: learn the time to a target's first event besides reading, and any speed; 0: a "
               "fixed time and a bounded speed"),
     WG_NUMBER("admission", room_wait_ms, "0", 0, 60000, "ms",
-              "reading time up to which a target with free slots has room; 0: only idle targets "
-              "have"),
+              "not 0: room of services as the leader tells it, which counts by its own setting of "
+              "this name; 0: only idle targets have room"),
     WG_NUMBER("admission", route_limits, "0", 0, 1, "",
               "1: a prompt may take its own route's objective; 0: the tightest one of the service"),
     WG_NUMBER("admission", hold_percent, "0", 0, 90, "%",
@@ -242,6 +242,7 @@
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
     e->retries = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
     e->usage = wg_usage_setup();
+    e->room = wg_room_copy_setup();
     e->registry = wg_registry_setup(&(wg_registry_desc){0});
     e->roster = wg_roster_setup();
     e->backoff = wg_backoff_setup(&(wg_backoff_desc){
@@ -318,5 +319,6 @@
     g_hash_table_unref(e->queues);
     g_hash_table_unref(e->retries);
     wg_usage_shutdown(e->usage);
+    wg_room_copy_shutdown(e->room);
     g_free(e);
 }
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -74,7 +74,7 @@
         .levels = wg_usage_levels(e->usage),
         .margin = &e->margin,
         .has_prompt = call->has_prompt,
-        .has_room = wg_balance_has_room(e->balance, wg_now(), call->selection.service),
+        .has_room = wg_entry_has_room(e, wg_now(), call->selection.service),
         .route_limits = e->settings->route_limits != 0,
         .sent_before = call->attempts > 0,
         .relaxed = call->relaxed,
@@ -320,6 +320,7 @@
     }
     call->entry->counters.tries++;
     wg_policy_terms terms = wg_call_terms(call);
+    call->room = terms.has_room ? WG_ROOM_FREE : WG_ROOM_NONE;
     call->next_try_at = now + wg_policy_try_gap(&terms);
     call->limit = wg_policy_limit(&terms, now);
     if (!call->has_prompt) {
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -23,6 +23,13 @@
     wg_entry_admit_end(call, result == WG_RESULT_FAILED);
 }
 
+/* Room of the service at the last selection; "-" if there was none. */
+static const char* wg_call_room_name(const wg_call* call) {
+    static const char* const names[] = {
+        [WG_ROOM_UNKNOWN] = "-", [WG_ROOM_NONE] = "no", [WG_ROOM_FREE] = "yes"};
+    return names[call->room];
+}
+
 static void wg_call_log_end(const wg_call* call, const wg_call_end* end, wg_time now) {
     if (!wg_entry_may_log(call->entry, now)) {
         return;
@@ -33,7 +40,7 @@
            " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
            " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
-           " state_age_ms=%" G_GINT64_FORMAT,
+           " state_age_ms=%" G_GINT64_FORMAT " room=%s",
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -44,7 +51,7 @@
            call->limit / WG_USEC_PER_MSEC, call->admit_requests_total, (int)call->was_admitted,
            call->workspace ? wg_call_usage(call) : 0, wg_usage_levels(call->entry->usage)->served,
            wg_usage_levels(call->entry->usage)->fair_share,
-           (now - call->entry->state_at) / WG_USEC_PER_MSEC);
+           (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call));
 }
 
 static void wg_call_free(wg_call* call) {
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -71,6 +71,24 @@
     wg_hist_print(&e->input_lag.lag_hist, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
 
+/* Room of each service as this host sees it, and what the leader tells of it. */
+static void wg_endpoint_room_metrics(wg_entry* e, GString* out) {
+    wg_time now = wg_now();
+    int services = e->config && e->settings->room_wait_ms > 0 ? e->config->services_num : 0;
+    for (int i = 0; i < services; i++) {
+        const char* name = e->config->services[i].name;
+        wg_room_count count;
+        bool told = wg_room_copy_query(e->room, now, name, &count) != WG_ROOM_UNKNOWN;
+        g_string_append_printf(out,
+                               "walnutgate_entry_room{service=\"%s\"} %d\n"
+                               "walnutgate_entry_room_told{service=\"%s\"} %d\n"
+                               "walnutgate_entry_room_targets_ready{service=\"%s\"} %u\n"
+                               "walnutgate_entry_room_targets{service=\"%s\"} %u\n",
+                               name, wg_entry_has_room(e, now, name), name, told, name, count.ready,
+                               name, count.with_room);
+    }
+}
+
 static void wg_endpoint_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -116,6 +134,7 @@
                            wg_backoff_active_num(e->backoff, wg_now()));
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
+    wg_endpoint_room_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
     wgh_reply_text(request, 200, "text/plain", out->str);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -17,6 +17,7 @@
 #include "wg_policy.h"
 #include "wg_quarantine.h"
 #include "wg_retry.h"
+#include "wg_room.h"
 #include "wg_roster.h"
 #include "wg_usage.h"
 #include "wg_watch.h"
@@ -122,6 +123,7 @@
     int unsent;          /* attempts of which no byte left this host */
     wg_time next_try_at; /* earliest time of the next selection while queued */
     bool relaxed;        /* wait limits widened, as no target meets them */
+    wg_room_answer room; /* room of the service at the last selection */
     bool may_have_run;
     bool was_offered;
     bool queued; /* waits in the service's queue for a target */
@@ -272,6 +274,7 @@
     wg_roster* roster;
     wg_usage_ledger* usage; /* usage of workspaces on this host and in the fleet */
     wg_fair_margin margin;
+    wg_room_copy* room; /* room of services, as told by the leader; empty if not used */
 
     /* link to the leader */
     wgn_net* net;
@@ -368,6 +371,9 @@
 void wg_entry_handle_configuration(wg_entry* e, const Wgpb__Configuration* in);
 /* Decays the fleet usage last received, while there is no contact with a leader. */
 void wg_entry_decay_usage(wg_entry* e, wg_time now);
+/* Whether the service has room, as told by the leader, else as far as this host knows. While it
+   has, no workspace yields to others. */
+bool wg_entry_has_room(wg_entry* e, wg_time now, const char* service);
 /* Whether the leader has been missing long enough to accept state from a replica. */
 bool wg_entry_accepts_standby(const wg_entry* e, wg_time now);
 
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -118,6 +118,12 @@
     return names;
 }
 
+/* Sent only where room is used, so that reports are otherwise as small as before. */
+static uint64_t wg_entry_read_us(const wg_entry* e, const wg_balance_load* load) {
+    bool sent = e->settings->room_wait_ms > 0;
+    return sent ? (uint64_t)wg_balance_read_time(e->balance, load->target, load->unread) : 0;
+}
+
 void wg_entry_report(wg_entry* e, wg_time now) {
     if (!e->link_up) {
         return;
@@ -145,6 +151,7 @@
         load_items[i].target = loads[i].target;
         load_items[i].unread = loads[i].unread;
         load_items[i].running = loads[i].running;
+        load_items[i].read_us = wg_entry_read_us(e, &loads[i]);
         report.loads[report.n_loads++] = &load_items[i];
     }
     for (guint i = 0; i < own->len; i++) {
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -175,6 +175,28 @@
     }
 }
 
+/* A leader that tells of no service does not know the loads of all hosts yet, or has the setting
+   off: what its predecessor told is outdated. */
+static void wg_entry_apply_rooms(wg_entry* e, const Wgpb__EntryState* in) {
+    if (e->settings->room_wait_ms == 0) {
+        return;
+    }
+    wg_room_report* list = g_new(wg_room_report, in->n_rooms + 1);
+    for (size_t i = 0; i < in->n_rooms; i++) {
+        const Wgpb__ServiceRoom* room = in->rooms[i];
+        list[i] = (wg_room_report){room->name, {room->ready, room->with_room}};
+    }
+    wg_room_copy_set_lifetime(e->room, wg_contact_room_lifetime(e->report_interval));
+    wg_room_copy_apply(e->room, wg_now(), list, in->n_rooms);
+    g_free(list);
+}
+
+bool wg_entry_has_room(wg_entry* e, wg_time now, const char* service) {
+    wg_room_answer told = wg_room_copy_query(e->room, now, service, NULL);
+    return told == WG_ROOM_UNKNOWN ? wg_balance_has_room(e->balance, now, service)
+                                   : told == WG_ROOM_FREE;
+}
+
 /* members_num is valid also without the list of members. */
 static void wg_entry_update_hosts_num(wg_entry* e, const Wgpb__EntryState* in) {
     if (in->members_num > 0) {
@@ -286,6 +308,7 @@
     if (in->n_controls > 0) {
         wg_entry_apply_loads(e, in);
         wg_entry_apply_usage(e, in);
+        wg_entry_apply_rooms(e, in);
         wg_call_queue_run(e);
     }
     if (!e->leader_known) {
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -28,6 +28,8 @@
     int standby_requests; /* reports that request the state of a replica without a leader */
     int target_orders;    /* heartbeats and deregistrations */
     uint64_t target_born; /* incarnation in the last target order */
+    uint32_t unread_max;  /* most unread tokens at one target in any report */
+    uint64_t read_us;     /* time to process them, as reported with them */
 } fake_control;
 
 static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -80,6 +82,12 @@
     f->standby_requests += in->standby;
     f->recovery = in->recovery;
     f->roster_names += (int)in->n_members;
+    for (size_t i = 0; i < in->n_loads; i++) {
+        if (in->loads[i]->unread > f->unread_max) {
+            f->unread_max = in->loads[i]->unread;
+            f->read_us = in->loads[i]->read_us;
+        }
+    }
     if (in->n_ended_well > 0) {
         f->ended_well = in->ended_well[0];
     }
@@ -143,6 +151,10 @@
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
+/* Settings of the next entry host: use of room as told by the leader, and limits by route. */
+static int64_t fake_entry_room_wait_ms;
+static int64_t fake_entry_route_limits;
+
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
     settings = (wg_entry_settings){.name = "here",
@@ -164,6 +176,8 @@
                                    .retry_window_ms = 10000,
                                    .target_rest_max_s = 3600,
                                    .descriptors = fake_entry_descriptors,
+                                   .room_wait_ms = fake_entry_room_wait_ms,
+                                   .route_limits = fake_entry_route_limits,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
@@ -193,6 +207,11 @@
     size_t quarantined_num;
     uint64_t quarantine_change;
     uint32_t running; /* requests of other hosts at the target; told with the usage */
+    uint32_t unread;  /* prompt tokens of these requests */
+    /* Room of service "e", told with the usage; 0 ready targets: nothing is told. */
+    uint32_t room_ready;
+    uint32_t room_targets;
+    uint32_t report_ms; /* interval between reports; 0 counts as 100 */
 } fake_update;
 
 static inline void fake_control_send_state(fake_control* f, const fake_update* update, bool leads) {
@@ -245,7 +264,7 @@
     state.members_change = MAX(update->members_change, 1);
     state.members_reset = true;
     state.members_num = 1;
-    state.report_ms = 100;
+    state.report_ms = update->report_ms ? update->report_ms : 100;
     state.quarantined = (uint64_t*)update->quarantined;
     state.n_quarantined = update->quarantined_num;
     state.quarantine_change = update->quarantine_change;
@@ -254,11 +273,19 @@
     Wgpb__TargetLoad* loads[] = {&load};
     load.target = record.number;
     load.running = update->running;
+    load.unread = update->unread;
+    Wgpb__ServiceRoom room = WGPB__SERVICE_ROOM__INIT;
+    Wgpb__ServiceRoom* rooms[] = {&room};
+    room.name = (char*)"e";
+    room.ready = update->room_ready;
+    room.with_room = update->room_targets;
     if (update->usage_num > 0) { /* an answer to a report, which lists the controls too */
         state.usage = update->usage;
         state.n_usage = update->usage_num;
         state.loads = loads;
         state.n_loads = update->running ? 1 : 0;
+        state.rooms = rooms;
+        state.n_rooms = update->room_ready ? 1 : 0;
         state.controls = controls;
         state.n_controls = 1;
     }
--- a/tests/test_contact.c
+++ b/tests/test_contact.c
@@ -16,6 +16,7 @@
         ck_assert_int_ge(wg_contact_host_timeout(interval), 2 * interval);
         ck_assert_int_ge(wg_contact_leader_timeout(interval, SILENCE), 2 * interval);
         ck_assert_int_ge(wg_contact_usage_lifetime(interval), 2 * interval);
+        ck_assert_int_eq(wg_contact_room_lifetime(interval), 3 * interval);
     }
 }
 END_TEST
