--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -91,5 +91,19 @@
 }
 END_TEST
 
+/* Guards against room that is used at hosts and told by no control, or told and not used. */
+START_TEST(room_is_on_at_hosts_and_controls) {
+    wg_entry_settings entry = {0};
+    wgco_settings control = {0};
+    ck_assert(load_template("deploy/entry.ini", wg_entry_keys, wg_entry_keys_num, &entry));
+    ck_assert(load_template("deploy/replica.ini", wgco_keys, wgco_keys_num, &control));
+    ck_assert_int_eq(entry.room_wait_ms, 40);
+    ck_assert_int_eq(control.room_wait_ms, entry.room_wait_ms);
+    ck_assert_int_eq(entry.route_limits, 1);
+    wgi_clear(wg_entry_keys, wg_entry_keys_num, &entry);
+    wgi_clear(wgco_keys, wgco_keys_num, &control);
+}
+END_TEST
+
 WG_TEST_MAIN("platform", callers_data_centre_is_read_under_its_renamed_field,
-             bounds_and_limits_may_be_fractions)
+             bounds_and_limits_may_be_fractions, room_is_on_at_hosts_and_controls)
