Leader: count room once in a quarter of the report interval

With 1,000 hosts, whose loads are up to a second old, targets are now counted four times a second; up to 100 hosts nothing changes.

--- a/lib/control/wg_control_room.c
+++ b/lib/control/wg_control_room.c
@@ -5,11 +5,19 @@
 #include "wg_control_internal.h"
 
 enum {
-    /* Microseconds until targets are counted again. Half of the shortest report interval: no host
+    /* Shortest time until targets are counted again. Half of the shortest report interval: no host
        is told a count that misses more than one of its reports. */
-    WG_ROOMS_COUNT_INTERVAL = 50 * WG_USEC_PER_MSEC
+    WG_ROOMS_COUNT_INTERVAL_MIN = 50 * WG_USEC_PER_MSEC,
+    /* Part of the report interval in which targets are counted once. In a large fleet loads are as
+       old as the interval, and counting all targets more often costs the leader time. */
+    WG_ROOMS_COUNTS_PER_REPORT = 4
 };
 
+static wg_time _wgco_rooms_count_interval(const wgco_control* c) {
+    wg_time interval = _wgco_report_interval(c) / WG_ROOMS_COUNTS_PER_REPORT;
+    return MAX(interval, (wg_time)WG_ROOMS_COUNT_INTERVAL_MIN);
+}
+
 /* Number of hosts, connected or listed, whose loads this leader does not know. */
 static int _wgco_hosts_missing(const wgco_control* c) {
     int missing = 0;
@@ -72,7 +80,7 @@
     if (c->settings->room_wait_ms == 0) {
         return NULL;
     }
-    if (c->rooms_at > 0 && now - c->rooms_at < WG_ROOMS_COUNT_INTERVAL) {
+    if (c->rooms_at > 0 && now - c->rooms_at < _wgco_rooms_count_interval(c)) {
         return c->rooms;
     }
     int missing = c->room_lead.complete ? 0 : _wgco_hosts_missing(c);
