Admission requests without shared parts: no memcpy() from NULL

Cause: an AdmitAsk without parts is unpacked with NULL arrays, and memcpy() with NULL is undefined behaviour even for 0 bytes. The undefined-behaviour sanitizer reports it.

Change: the arrays are copied by a loop.

--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -373,8 +373,10 @@
                           .rate_max = wg_coordinator_cold_rate(e, in),
                           .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
                                      (wg_time)in->ahead_large_us, in->spares_shared}};
-    memcpy(r.parts, in->parts, sizeof *in->parts * in->n_parts);
-    memcpy(r.sizes, in->sizes, sizeof *in->sizes * in->n_sizes);
+    for (int i = 0; i < r.parts_num; i++) {
+        r.parts[i] = in->parts[i];
+        r.sizes[i] = in->sizes[i];
+    }
     wgpb__admit_ask__free_unpacked(in, NULL);
     wg_admit_answer answer = wg_entry_admit_decide(e, &r);
     Wgpb__AdmitAnswer out = WGPB__ADMIT_ANSWER__INIT;
