Coordinators and hosts estimate with learned speeds, and see targets that stall

Cause: lib/admit and lib/balance each had their own speed with the fixed base time, and a target that stopped reading looked as fast as before.

Change: both use lib/speed in place of their fields. With learn_base an account also - continues from the values that a request states, if they have more samples, and starts from the mean of its service otherwise; - adds the lateness of its oldest unread prompt to all expected waits, and tells when a target begins to stall and when it has recovered; an overtaken prompt, or one more than 3 s late, does not count; - counts only the tokens before a prompt that the target has yet to read. A host uses what coordinators report, and learns itself only until then. With learn_base off nothing changes.

Without the part on tokens left to read, load_does_not_distort_the_speed fails.

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -8,16 +8,27 @@
 enum {
     /* An account newer than this may lack requests that the target already has. */
     WG_ADMIT_FRESH_TIME = 1500 * WG_USEC_PER_MSEC,
-    WG_ADMIT_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC,
     WG_ADMIT_RUNNING_COST_TOKENS = 20,     /* cost of each running request to the next */
-    WG_ADMIT_SAMPLE_TOKENS_MIN = 1500,     /* smaller samples are too noisy to estimate the speed */
     WG_ADMIT_FAILURES_BEFORE_EJECTION = 3, /* consecutive, over all hosts */
     WG_ADMIT_EJECTION_MIN = 300 * WG_USEC_PER_MSEC,
     WG_ADMIT_EJECTION_DOUBLINGS_MAX = 4,
     WG_ADMIT_PARTS_HELD_MAX = 8192,
     WG_ADMIT_MEMORY_DEFAULT = 200000,       /* capacity of a target's cache in tokens */
     WG_ADMIT_RATE_WINDOW = WG_USEC_PER_SEC, /* period over which a cold target's rate is enforced */
-    WG_ADMIT_RATE_MAX = 4096                /* higher rates are not enforced */
+    WG_ADMIT_RATE_MAX = 4096,               /* higher rates are not enforced */
+    /* Samples from which the values of an account count: for the mean of its service, and to call a
+       prompt late. */
+    WG_ADMIT_SAMPLES_MIN = 10,
+    /* An answer that ends within this time after its first event came at once, not as a stream. */
+    WG_ADMIT_AT_ONCE_TIME = 2 * WG_USEC_PER_MSEC,
+    /* A prompt that is later than this does not count: the target may have lost it, and without
+       new prompts nothing would show that it reads again. */
+    WG_ADMIT_LATE_MAX = 3 * WG_USEC_PER_SEC,
+    /* Lateness from which a target counts as stalled, and below which it recovers. */
+    WG_ADMIT_STALL_LATE = 100 * WG_USEC_PER_MSEC,
+    WG_ADMIT_RECOVERED_LATE = 50 * WG_USEC_PER_MSEC,
+    WG_ADMIT_RECOVERY_TIME = 200 * WG_USEC_PER_MSEC, /* until a target has recovered */
+    WG_ADMIT_STALL_INTERVAL = WG_USEC_PER_SEC /* least time between two stalls or two recoveries */
 };
 
 /* Fraction of a target's cache assumed to hold recently used parts; the rest is for running
@@ -29,40 +40,57 @@
 static const double WG_ADMIT_COLD_SHARE = 0.75;
 static const double WG_ADMIT_COLD_EXTRA = 2.5;
 
-/* Prompt tokens processed per microsecond, initial value for a target. */
-static const double WG_ADMIT_SPEED_DEFAULT = 0.030;
-static const double WG_ADMIT_SPEED_MIN = 0.002;
-static const double WG_ADMIT_SPEED_MAX = 0.080;
-static const double WG_ADMIT_SPEED_WEIGHT = 0.05; /* weight of a new sample */
+/* Weight of a new sample of the speed, without `learn_base`. */
+static const double WG_ADMIT_SPEED_WEIGHT = 0.05;
+
+typedef struct {
+    uint64_t holder;
+    uint64_t ticket;
+} wg_admit_key;
+
+/* Whether a target counts as stalled. */
+typedef struct {
+    bool active;
+    wg_time began_at;     /* of the last stall */
+    wg_time recovered_at; /* from the last stall */
+    wg_time timely_since; /* when the lateness fell below the limit; WG_TIME_NEVER: it has not */
+} wg_admit_stall_state;
 
 /* The load of the fleet at one target. */
 typedef struct {
     uint32_t number;
+    uint64_t service; /* hash of its name; 0: not known */
     wg_time created_at;
     uint64_t unread;
     uint32_t running;
     uint64_t admitted; /* total tokens admitted; the clock by which parts are evicted */
     int failures;      /* since the last success */
     wg_time ejected_until;
-    double speed;
+    wg_speed speed;
+    wg_speed speed_before; /* without the last sample */
+    wg_admit_key sampled;  /* admission of the last sample */
+    wg_time sampled_at;
+    wg_time read_until; /* when the target will have read `unread`, by its speed */
+    /* admissions of prompts that no later one has overtaken, in order of their grants */
+    GQueue unread_order;
+    wg_admit_stall_state stall;
     wg_time* grant_times; /* ring of the times of the last `grant_times_num` grants */
     int grant_times_num;
     int oldest_grant;  /* index of the oldest grant in `grant_times` */
     GHashTable* parts; /* part id -> uint64_t*, value of `admitted` when the part was last used */
 } wg_admit_account;
 
-typedef struct {
-    uint64_t holder;
-    uint64_t ticket;
-} wg_admit_key;
-
 /* One granted request. */
 typedef struct {
     wg_admit_key key;
     uint32_t target;
     uint32_t unread;   /* prompt tokens not yet processed; 0 after the first event */
     uint32_t expected; /* tokens to be processed until the first event, as of the grant */
+    wg_time wait;      /* expected at the grant */
     wg_time granted_at;
+    bool is_sample;   /* the time to its first event is to be recorded */
+    bool is_in_order; /* linked in `unread_order` */
+    GList order_link;
 } wg_admission;
 
 struct wg_admit {
@@ -109,7 +137,11 @@
     account = g_new0(wg_admit_account, 1);
     account->number = target;
     account->created_at = now;
-    account->speed = WG_ADMIT_SPEED_DEFAULT;
+    account->stall = (wg_admit_stall_state){.began_at = now - WG_ADMIT_STALL_INTERVAL,
+                                            .recovered_at = now - WG_ADMIT_STALL_INTERVAL,
+                                            .timely_since = WG_TIME_NEVER};
+    wg_speed_setup(&account->speed, &(wg_speed_desc){.learn_base = a->desc.learn_base,
+                                                     .weight = WG_ADMIT_SPEED_WEIGHT});
     account->parts = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     g_hash_table_insert(a->accounts, GUINT_TO_POINTER(target), account);
     return account;
@@ -159,6 +191,71 @@
     return shared > available ? shared - available : 0;
 }
 
+/* Starts a new account of the service from the mean of the others, which are more alike than the
+   default values. */
+static void wg_admit_start_speed(const wg_admit* a, wg_admit_account* account) {
+    wg_speed_values sum = {0};
+    int num = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_admit_account* other = value;
+        wg_speed_values values = wg_speed_values_of(&other->speed);
+        if (other->service == account->service && values.samples >= WG_ADMIT_SAMPLES_MIN) {
+            sum.base += values.base;
+            sum.speed += values.speed;
+            num++;
+        }
+    }
+    if (num > 0) {
+        wg_speed_start(&account->speed, &(wg_speed_values){sum.base / num, sum.speed / num, 0});
+    }
+}
+
+/* Takes over what the request states about the target, if it is based on more samples. */
+static void wg_admit_update_speed(const wg_admit* a, wg_admit_account* account,
+                                  const wg_admit_request* request) {
+    if (!a->desc.learn_base) {
+        return;
+    }
+    if (account->service == 0 && request->service != 0) {
+        account->service = request->service;
+        wg_admit_start_speed(a, account);
+    }
+    if (request->speed.samples > wg_speed_values_of(&account->speed).samples) {
+        wg_speed_adopt(&account->speed, &request->speed);
+    }
+}
+
+/* Lateness of the oldest unread prompt, compared to the wait expected at its grant. A target that
+   reads later prompts first does not stall, so an overtaken prompt does not count. */
+static wg_time wg_admit_late(const wg_admit_account* account, wg_time now) {
+    if (wg_speed_values_of(&account->speed).samples < WG_ADMIT_SAMPLES_MIN) {
+        return 0;
+    }
+    for (const GList* at = account->unread_order.head; at; at = at->next) {
+        const wg_admission* oldest = at->data;
+        wg_time late = now - oldest->granted_at - oldest->wait;
+        if (late <= WG_ADMIT_LATE_MAX) {
+            return MAX(late, 0);
+        }
+    }
+    return 0;
+}
+
+/* Part of the `ahead` tokens that the target still has to read. Prompts count as unread until their
+   first event, which comes some time after they were read; taken as a whole they would make the
+   target look faster than it is. Without learn_base they count as a whole. */
+static uint32_t wg_admit_queued(const wg_admit_account* account, wg_time now, uint32_t ahead) {
+    if (!account->speed.desc.learn_base) {
+        return ahead;
+    }
+    double left = (double)(account->read_until - now) * wg_speed_values_of(&account->speed).speed;
+    uint32_t read = (uint32_t)(account->unread - CLAMP(left, 0, (double)account->unread));
+    return ahead - MIN(read, ahead);
+}
+
 static wg_admit_answer wg_admit_estimate(const wg_admit_account* account, wg_time now,
                                          const wg_admit_request* request) {
     bool fresh = now - account->created_at < WG_ADMIT_FRESH_TIME;
@@ -170,25 +267,57 @@
     answer.held = wg_admit_held(account, request);
     uint32_t available = MIN(MAX(answer.held, request->copied), request->tokens);
     answer.unread = request->tokens - available;
-    uint32_t tokens = answer.ahead + answer.unread + answer.running * WG_ADMIT_RUNNING_COST_TOKENS;
-    answer.wait = WG_ADMIT_FIRST_EVENT_MIN + (wg_time)(tokens / account->speed);
-    uint32_t before = answer.ahead;
+    uint32_t queued = wg_admit_queued(account, now, answer.ahead);
+    uint32_t tokens = queued + answer.unread + answer.running * WG_ADMIT_RUNNING_COST_TOKENS;
+    answer.late = wg_admit_late(account, now);
+    answer.wait = wg_speed_wait(&account->speed, tokens) + answer.late;
+    uint32_t before = queued;
     if (request->limits.counts_missing) {
         before += wg_admit_missing(request, available);
     }
-    answer.wait_ahead = (wg_time)(before / account->speed);
+    answer.wait_ahead = wg_speed_read_time(&account->speed, before) + answer.late;
+    answer.speed = wg_speed_values_of(&account->speed);
     return answer;
 }
 
+static void wg_admit_enter_order(wg_admit_account* account, wg_admission* admission) {
+    admission->is_in_order = true;
+    admission->order_link = (GList){.data = admission};
+    g_queue_push_tail_link(&account->unread_order, &admission->order_link);
+}
+
+static void wg_admit_leave_order(wg_admit_account* account, wg_admission* admission) {
+    if (admission->is_in_order) {
+        g_queue_unlink(&account->unread_order, &admission->order_link);
+        admission->is_in_order = false;
+    }
+}
+
+/* Removes an admission whose prompt was read, and all that it has overtaken. */
+static void wg_admit_advance_order(wg_admit_account* account, wg_admission* read) {
+    while (read->is_in_order) {
+        wg_admit_leave_order(account, g_queue_peek_head(&account->unread_order));
+    }
+}
+
 static void wg_admit_grant(wg_admit* a, wg_admit_account* account, wg_time now,
                            const wg_admit_request* request, const wg_admit_answer* answer) {
     wg_admission* admission = g_new0(wg_admission, 1);
     admission->key = (wg_admit_key){request->holder, request->ticket};
     admission->target = request->target;
     admission->unread = answer->unread;
-    admission->expected = answer->ahead + answer->unread;
+    admission->expected = wg_admit_queued(account, now, answer->ahead) + answer->unread;
+    admission->wait = answer->wait;
     admission->granted_at = now;
+    /* When a request without a prompt gets its first event depends on the request. */
+    admission->is_sample = !a->desc.learn_base || request->tokens > 0;
+    if (a->desc.learn_base && request->tokens > 0) {
+        admission->expected += answer->running * WG_ADMIT_RUNNING_COST_TOKENS;
+        wg_admit_enter_order(account, admission);
+    }
     account->unread += answer->unread;
+    account->read_until =
+        MAX(account->read_until, now) + wg_speed_read_time(&account->speed, answer->unread);
     account->running++;
     account->admitted += answer->unread + request->answer;
     wg_admit_record_parts(account, request);
@@ -200,7 +329,9 @@
     wg_admit_account* account = wg_admit_find(a, admission->target);
     WG_ASSERT(account && account->unread >= admission->unread);
     account->unread -= admission->unread;
+    account->read_until -= wg_speed_read_time(&account->speed, admission->unread);
     admission->unread = 0;
+    wg_admit_leave_order(account, admission);
 }
 
 static void wg_admit_settle(wg_admit* a, wg_admission* admission) {
@@ -265,6 +396,64 @@
     }
 }
 
+/* Records the time to the first event of a prompt, once. */
+static void wg_admit_record_sample(wg_admit_account* account, wg_time now,
+                                   wg_admission* admission) {
+    if (!admission->is_sample) {
+        return;
+    }
+    admission->is_sample = false;
+    account->speed_before = account->speed;
+    account->sampled = admission->key;
+    account->sampled_at = now;
+    wg_speed_record(&account->speed, admission->expected, now - admission->granted_at);
+}
+
+/* Withdraws the sample of an answer that came at once: its time contains the complete answer. */
+static void wg_admit_withdraw_sample(const wg_admit* a, wg_admit_account* account, wg_time now,
+                                     const wg_admission* admission) {
+    bool was_last = wg_admit_key_equal(&account->sampled, &admission->key);
+    if (a->desc.learn_base && was_last && now - account->sampled_at < WG_ADMIT_AT_ONCE_TIME) {
+        account->speed = account->speed_before;
+        account->sampled = (wg_admit_key){0};
+    }
+}
+
+static bool wg_admit_is_timely(wg_admit_stall_state* stall, wg_time now, wg_time late) {
+    if (late >= WG_ADMIT_RECOVERED_LATE) {
+        stall->timely_since = WG_TIME_NEVER;
+    } else if (stall->timely_since == WG_TIME_NEVER) {
+        stall->timely_since = now;
+    }
+    return stall->timely_since != WG_TIME_NEVER &&
+           now - stall->timely_since >= WG_ADMIT_RECOVERY_TIME;
+}
+
+/* True if the target began to stall or has recovered. */
+static bool wg_admit_update_stall(wg_admit_stall_state* stall, wg_time now, wg_time late) {
+    bool timely = wg_admit_is_timely(stall, now, late);
+    if (!stall->active && late > WG_ADMIT_STALL_LATE &&
+        now - stall->began_at >= WG_ADMIT_STALL_INTERVAL) {
+        stall->active = true;
+        stall->began_at = now;
+        return true;
+    }
+    if (stall->active && timely && now - stall->recovered_at >= WG_ADMIT_STALL_INTERVAL) {
+        stall->active = false;
+        stall->recovered_at = now;
+        return true;
+    }
+    return false;
+}
+
+/* The target has read a prompt and goes on with the next one. Some targets do so before the base
+   time of the first one is over, others afterwards; half of it is assumed. */
+static void wg_admit_update_read_until(wg_admit_account* account, wg_time now) {
+    wg_time base = (wg_time)wg_speed_values_of(&account->speed).base;
+    wg_time left = wg_speed_read_time(&account->speed, (double)account->unread);
+    account->read_until = now - base / 2 + left;
+}
+
 static wg_admission* wg_admit_admission(const wg_admit* a, uint64_t holder, uint64_t ticket) {
     wg_admit_key key = {holder, ticket};
     return g_hash_table_lookup(a->admissions, &key);
@@ -300,6 +489,7 @@
 
 wg_admit_answer wg_admit_decide(wg_admit* a, wg_time now, const wg_admit_request* request) {
     wg_admit_account* account = wg_admit_account_of(a, now, request->target);
+    wg_admit_update_speed(a, account, request);
     wg_admit_answer answer = wg_admit_estimate(account, now, request);
     bool full = request->running_max > 0 && answer.running >= request->running_max;
     bool known = wg_admit_admission(a, request->holder, request->ticket) != NULL;
@@ -320,23 +510,21 @@
         return;
     }
     wg_admit_account* account = wg_admit_find(a, admission->target);
-    wg_time took = now - admission->granted_at - WG_ADMIT_FIRST_EVENT_MIN / 2;
-    if (admission->expected >= WG_ADMIT_SAMPLE_TOKENS_MIN && took > WG_ADMIT_FIRST_EVENT_MIN / 2) {
-        double sample = admission->expected / (double)took;
-        sample = CLAMP(sample, WG_ADMIT_SPEED_MIN, WG_ADMIT_SPEED_MAX);
-        account->speed += WG_ADMIT_SPEED_WEIGHT * (sample - account->speed);
-    }
-    admission->expected = 0;
+    wg_admit_record_sample(account, now, admission);
+    wg_admit_advance_order(account, admission);
     account->failures = 0;
     account->ejected_until = 0;
     wg_admit_settle_read(a, admission);
+    wg_admit_update_read_until(account, now);
 }
 
 void wg_admit_end(wg_admit* a, wg_time now, uint64_t holder, uint64_t ticket, bool failed) {
     wg_admission* admission = wg_admit_admission(a, holder, ticket);
     if (admission) {
+        wg_admit_account* account = wg_admit_find(a, admission->target);
+        wg_admit_withdraw_sample(a, account, now, admission);
         if (failed) {
-            wg_admit_record_failure(wg_admit_find(a, admission->target), now);
+            wg_admit_record_failure(account, now);
         }
         wg_admit_settle(a, admission);
         g_hash_table_remove(a->admissions, &admission->key);
@@ -364,6 +552,38 @@
     }
 }
 
+int wg_admit_check_stalls(wg_admit* a, wg_time now, wg_admit_stall* changes, int max) {
+    int num = 0;
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->accounts);
+    while (num < max && g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_admit_account* account = value;
+        wg_time late = wg_admit_late(account, now);
+        wg_time began_at = account->stall.began_at;
+        if (wg_admit_update_stall(&account->stall, now, late)) {
+            bool stalled = account->stall.active;
+            changes[num++] = (wg_admit_stall){account->number, stalled, late, now - began_at};
+        }
+    }
+    return num;
+}
+
+void wg_admit_summarize(const wg_admit* a, wg_admit_summary* summary) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, a->accounts);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_admit_account* account = value;
+        wg_speed_values values = wg_speed_values_of(&account->speed);
+        summary->stalled += account->stall.active;
+        if (values.samples > 0) {
+            wg_hist_add(&summary->bases, (int64_t)values.base);
+            wg_hist_add(&summary->speeds, (int64_t)(values.speed * WG_USEC_PER_SEC));
+        }
+    }
+}
+
 int wg_admit_num(const wg_admit* a) {
     return (int)g_hash_table_size(a->admissions);
 }
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -13,6 +13,9 @@
     WG_EJECTION_MIN = 300 * WG_USEC_PER_MSEC,
     WG_EJECTION_MAX = 4 * WG_USEC_PER_SEC,
     WG_FRESH_TIME = 25 * WG_USEC_PER_MSEC, /* how long a coordinator's report is fresh */
+    /* How long a reported lateness counts. Longer than a report is fresh: a late target is asked
+       for less often, and a stall lasts some tenths of a second. */
+    WG_LATE_TIME = 100 * WG_USEC_PER_MSEC,
     WG_OVER_LIMIT_PENALTY = 10 * WG_USEC_PER_SEC,
     /* Penalty of a target that refuses every request: about the time after which a refused caller
        returns. */
@@ -28,15 +31,11 @@
     WG_REMOTE_PENALTY_LOCAL_HOME_TOKENS = 4000,
     WG_RUNNING_COST_TOKENS = 20,         /* cost of each running request to the next */
     WG_SECOND_HOME_PENALTY_TOKENS = 400, /* penalty of the second home */
-    WG_RECOMPUTE_PENALTY_FACTOR = 12,    /* penalty per shared token that is computed again */
-    WG_FIRST_EVENT_MIN = 12 * WG_USEC_PER_MSEC
+    WG_RECOMPUTE_PENALTY_FACTOR = 12     /* penalty per shared token that is computed again */
 };
 
-/* Prompt tokens processed per microsecond, initial value for a target. */
-static const double WG_SPEED_DEFAULT = 0.030;
-static const double WG_SPEED_MIN = 0.002;
-static const double WG_SPEED_MAX = 0.080;
-static const double WG_SPEED_WEIGHT = 0.08; /* weight of a new sample */
+/* Weight of a new sample of the prompt speed, without `learn_base`. */
+static const double WG_BALANCE_SPEED_WEIGHT = 0.08;
 
 /* Service time in microseconds of a request without a prompt, initial value for a target. */
 static const double WG_SERVICE_TIME_DEFAULT = 10 * WG_USEC_PER_MSEC;
@@ -140,13 +139,17 @@
     return homes->first ? homes->first->number : 0;
 }
 
+static wg_time wg_balance_late(const wg_balance_target* t, wg_time now) {
+    return now - t->late_at < WG_LATE_TIME ? t->late : 0;
+}
+
 static wg_balance_choice wg_balance_estimate_prompt(const wg_balance* b, const wg_balance_target* t,
                                                     wg_time now, const wg_balance_request* request,
                                                     const wg_balance_homes* homes) {
     bool home = t == homes->first || t == homes->second || t == homes->local;
     uint32_t running = t->own_running + t->other_running;
     uint32_t cached = wg_balance_cached(b, t, now, request->prompt, home);
-    wg_balance_choice c = {.target = t->number};
+    wg_balance_choice c = {.target = t->number, .running = running};
     c.is_fresh = t->reported_at > 0 && now - t->reported_at < WG_FRESH_TIME;
     if (request->copies && request->source_tokens > cached && request->source != t->number) {
         c.source = request->source;
@@ -157,8 +160,9 @@
     c.unread = request->prompt->tokens - MAX(cached, c.copied);
     c.ahead = t->own_unread + MAX(t->other_unread, t->recent_unread);
     uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_COST_TOKENS;
-    c.wait = WG_FIRST_EVENT_MIN + (wg_time)(tokens / t->speed);
-    c.wait_ahead = (wg_time)(c.ahead / t->speed);
+    c.late = wg_balance_late(t, now);
+    c.wait = wg_speed_wait(&t->speed, tokens) + c.late;
+    c.wait_ahead = wg_speed_read_time(&t->speed, c.ahead) + c.late;
     return c;
 }
 
@@ -223,7 +227,8 @@
     t->id_hash = wg_hash(record->id, strlen(record->id), 0);
     t->key = wg_target_key(record);
     t->backoff = b->desc.backoff;
-    t->speed = WG_SPEED_DEFAULT;
+    wg_speed_setup(&t->speed, &(wg_speed_desc){.learn_base = b->desc.learn_base,
+                                               .weight = WG_BALANCE_SPEED_WEIGHT});
     t->service_time = WG_SERVICE_TIME_DEFAULT;
     t->cached = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
     return t;
@@ -366,7 +371,8 @@
                                       const wg_balance_choice* choice,
                                       const wg_balance_request* request) {
     if (request->prompt) {
-        return wg_balance_penalty_tokens(t, homes, choice, request) / t->speed;
+        uint32_t penalty = wg_balance_penalty_tokens(t, homes, choice, request);
+        return penalty / wg_speed_values_of(&t->speed).speed;
     }
     return t->local ? 0 : t->service_time;
 }
@@ -504,15 +510,13 @@
     if (!t) {
         return;
     }
-    enum {
-        SAMPLE_TOKENS_MIN = 1500 /* smaller samples are too noisy to estimate the speed */
-    };
     uint32_t tokens = choice->ahead + choice->unread;
-    if (tokens >= SAMPLE_TOKENS_MIN && took > WG_FIRST_EVENT_MIN) {
-        double sample = tokens / ((double)took - WG_FIRST_EVENT_MIN / 2.0);
-        sample = CLAMP(sample, WG_SPEED_MIN, WG_SPEED_MAX);
-        t->speed += WG_SPEED_WEIGHT * (sample - t->speed);
+    if (!b->desc.learn_base) {
+        wg_speed_record(&t->speed, tokens, took);
+    } else if (!choice->plain && !choice->is_read && !t->speed_reported) {
+        wg_speed_record(&t->speed, tokens + choice->running * WG_RUNNING_COST_TOKENS, took);
     }
+    choice->is_read = true;
     wg_balance_settle_unread(t, choice);
 }
 
@@ -557,6 +561,22 @@
     *running = t ? t->own_running + t->other_running : 0;
 }
 
+void wg_balance_update_speed(wg_balance* b, wg_time now, uint32_t target,
+                             const wg_speed_values* values, wg_time late) {
+    wg_balance_target* t = wg_balance_find(b, target);
+    if (!t || !b->desc.learn_base) {
+        return;
+    }
+    t->speed_reported = wg_speed_adopt(&t->speed, values) || t->speed_reported;
+    t->late = late;
+    t->late_at = now;
+}
+
+wg_speed_values wg_balance_speed_of(const wg_balance* b, uint32_t target) {
+    const wg_balance_target* t = wg_balance_find(b, target);
+    return t ? wg_speed_values_of(&t->speed) : (wg_speed_values){0};
+}
+
 void wg_balance_update_load(wg_balance* b, wg_time now, uint32_t target, uint32_t unread,
                             uint32_t running) {
     wg_balance_target* t = wg_balance_find(b, target);
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -22,7 +22,8 @@
           host samples at random, so that they do not all pick the same one, and the more slowly
           the load that other hosts reported for a target decays, since a target that was just
           overloaded is likely to be overloaded again
-        - prompt speed is learned from times to the first event, the service time of requests
+        - prompt speed is learned from times to the first event (lib/speed) until the target's
+          coordinator reports its own values, the service time of requests
           without a prompt from complete answers; a failing target is ejected for jittered periods
           that grow with each failure
         - a target that asked this host to back off, or that is draining, is no home and is not
@@ -46,6 +47,7 @@
 */
 #include "wg_backoff.h"
 #include "wg_registry.h"
+#include "wg_speed.h"
 
 enum {
     WG_PROMPT_PARTS_MAX = 16,
@@ -93,10 +95,12 @@
     bool plain;         /* the request has no prompt */
     bool is_third_home; /* the target is the third home of the prefix, in this data centre */
     uint32_t running;   /* requests in progress at the target before this one */
+    bool is_read;       /* the first event was received */
     bool is_fresh;      /* the estimate uses a recent report of the target's coordinator */
     uint32_t copied;    /* tokens at the start of the prompt that `source` is known to hold */
     wg_time wait;       /* estimated time to the first event, without a prompt to the answer */
     wg_time wait_ahead; /* the part of `wait` caused by prompts of other requests */
+    wg_time late;       /* lateness of the target, a part of both waits */
     wg_time started_at; /* set by wg_balance_begin() */
     uint64_t prefix;    /* id of the last shared part of the prompt; 0: none */
 } wg_balance_choice;
@@ -115,6 +119,7 @@
     const char* data_centre; /* of this host; borrowed */
     uint64_t seed;
     const wg_backoff* backoff; /* backoff state of targets; borrowed; NULL: none */
+    bool learn_base;           /* see wg_speed_desc */
 } wg_balance_desc;
 
 /* Load that this host has in progress at a target. */
@@ -151,6 +156,12 @@
    one. */
 void wg_balance_update_load(wg_balance* balance, wg_time now, uint32_t target, uint32_t unread,
                             uint32_t running);
+/* Updates the speed and the lateness of a target with a report of its coordinator. From then on
+   this host learns no values itself. Does nothing without `learn_base`. */
+void wg_balance_update_speed(wg_balance* balance, wg_time now, uint32_t target,
+                             const wg_speed_values* values, wg_time late);
+/* Returns the last known values of a target; no samples: not known. */
+wg_speed_values wg_balance_speed_of(const wg_balance* balance, uint32_t target);
 wg_balance_choice wg_balance_choose(wg_balance* balance, wg_time now,
                                     const wg_balance_request* request);
 /* True if at least half of the service's ready targets have nothing in progress, as far as this
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -25,8 +25,11 @@
     uint32_t other_running;
     uint32_t recent_unread; /* recent prompt tokens of other hosts, decaying with each report */
     wg_time reported_at;    /* when the coordinator last reported the load; 0: never */
-    double speed;           /* prompt tokens processed per microsecond */
-    double service_time;    /* microseconds for one request without a prompt that does not queue */
+    wg_speed speed;         /* of processing prompts */
+    bool speed_reported;    /* `speed` was reported by the coordinator */
+    wg_time late;           /* lateness that the coordinator reported at `late_at` */
+    wg_time late_at;
+    double service_time; /* microseconds for one request without a prompt that does not queue */
     wg_acceptance acceptance;
     int failures;
     wg_time ejected_until;
--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -276,10 +276,337 @@
 }
 END_TEST
 
+/* ---- with learn_base: base time and speed are learned, stalls are detected ---- */
+
+/* What the target of the first deployment needs, in microseconds. */
+static wg_time first_event_time(uint32_t tokens) {
+    return 47 * MSEC + (wg_time)(tokens / 0.112);
+}
+
+static void begin_learning(void) {
+    admit = wg_admit_setup(&(wg_admit_desc){.learn_base = true});
+}
+
+static wg_admit_request plain_prompt(uint64_t ticket, uint32_t target, uint32_t tokens) {
+    return (wg_admit_request){.holder = 1,
+                              .ticket = ticket,
+                              .target = target,
+                              .service = 5,
+                              .tokens = tokens,
+                              .limits = {WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false}};
+}
+
+static uint64_t last_ticket;
+
+static wg_admit_answer admit_prompt(wg_time now, uint32_t target, uint32_t tokens) {
+    wg_admit_request r = plain_prompt(++last_ticket, target, tokens);
+    return wg_admit_decide(admit, now, &r);
+}
+
+/* Lets the target read `num` prompts of different sizes, one after the other, until before `now`.
+ */
+static void learn(wg_time now, uint32_t target, int num) {
+    static const uint32_t sizes[] = {830, 12000, 2400};
+    for (int i = 0; i < num; i++) {
+        wg_time at = now - (num - i) * SECOND;
+        uint32_t tokens = sizes[i % 3];
+        ck_assert(admit_prompt(at, target, tokens).granted);
+        wg_admit_first_event(admit, at + first_event_time(tokens), 1, last_ticket);
+        wg_admit_end(admit, at + SECOND, 1, last_ticket, false);
+    }
+}
+
+/* Expected wait of a prompt that is not admitted. */
+static wg_admit_answer ask(wg_time now, uint32_t target, uint32_t tokens) {
+    wg_admit_request r = plain_prompt(0, target, tokens);
+    r.limits = (wg_admit_limits){0};
+    return wg_admit_decide(admit, now, &r);
+}
+
+static void check_wait(wg_time wait, wg_time expected) {
+    ck_assert_int_ge(wait, expected - expected / 8);
+    ck_assert_int_le(wait, expected + expected / 8);
+}
+
+/* With a fixed base time, short prompts were expected 31 ms too early and long ones 137 ms too
+   late. */
+START_TEST(base_time_and_speed_are_learned) {
+    begin_learning();
+    learn(100 * SECOND, 7, 21);
+    check_wait(ask(100 * SECOND, 7, 830).wait, first_event_time(830));
+    check_wait(ask(100 * SECOND, 7, 12000).wait, first_event_time(12000));
+    ck_assert_uint_eq(ask(100 * SECOND, 7, 830).speed.samples, 21);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* Under load each prompt waits for those before it. Without their tokens a target under load would
+   look as if it had a long base time. */
+START_TEST(samples_include_the_prompts_ahead) {
+    begin_learning();
+    wg_time at = 0;
+    for (int round = 0; round < 30; round++, at += 2 * SECOND) {
+        uint64_t first = last_ticket + 1;
+        for (uint32_t i = 1; i <= 4; i++) {
+            ck_assert_uint_eq(admit_prompt(at, 7, 2400).ahead, (i - 1) * 2400);
+        }
+        for (uint32_t i = 1; i <= 4; i++) {
+            wg_admit_first_event(admit, at + first_event_time(i * 2400), 1, first + i - 1);
+        }
+        for (uint32_t i = 1; i <= 4; i++) {
+            wg_admit_end(admit, at + SECOND, 1, first + i - 1, false);
+        }
+    }
+    check_wait(ask(at, 7, 830).wait, first_event_time(830));
+    check_wait(ask(at, 7, 12000).wait, first_event_time(12000));
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A prompt that the target has read in part counts with the rest only. */
+START_TEST(partly_read_prompts_count_in_part) {
+    begin_learning();
+    wg_time now = 100 * SECOND;
+    learn(now, 7, 60);
+    ck_assert(admit_prompt(now, 7, 12000).granted);
+    wg_admit_answer answer = ask(now + 60 * MSEC, 7, 830);
+    ck_assert_uint_eq(answer.ahead, 12000);
+    check_wait(answer.wait, first_event_time(12000 + 830) - 60 * MSEC);
+    check_wait(answer.wait_ahead, first_event_time(12000) - 107 * MSEC);
+    /* Read, but the first event is not there yet. */
+    check_wait(ask(now + 110 * MSEC, 7, 830).wait, first_event_time(830));
+    /* The caller leaves: the prompt is not read any more. */
+    wg_admit_end(admit, now + 10 * MSEC, 1, last_ticket, false);
+    check_wait(ask(now + 10 * MSEC, 7, 830).wait, first_event_time(830));
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+enum {
+    QUEUE_MAX = 2000
+};
+
+/* Half of the target's capacity arrives at random times, and it reads one prompt after the other.
+   Without regard to what it has read already, it looked 1.7 times as fast as it is, and long
+   prompts were expected up to 70 ms too early. */
+START_TEST(load_does_not_distort_the_speed) {
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        static const uint32_t sizes[] = {830, 830, 2400, 20000};
+        static wg_time events_at[QUEUE_MAX];
+        wg_time now = SECOND;
+        wg_time free_at = 0;
+        uint64_t counter = 0;
+        int next = 0;
+        begin_learning();
+        for (int i = 0; i < QUEUE_MAX; i++) {
+            now += wg_jitter_range(seed, ++counter, 0, 215 * MSEC); /* 107 ms in the mean */
+            for (; next < i && events_at[next] <= now; next++) {
+                wg_admit_first_event(admit, events_at[next], 1, (uint64_t)next);
+                wg_admit_end(admit, events_at[next] + 3 * MSEC, 1, (uint64_t)next, false);
+            }
+            uint32_t tokens = sizes[wg_jitter_range(seed, ++counter, 0, 3)];
+            wg_admit_request r = plain_prompt((uint64_t)i, 7, tokens);
+            ck_assert(wg_admit_decide(admit, now, &r).granted);
+            free_at = MAX(free_at, now) + (wg_time)(tokens / 0.112);
+            events_at[i] = free_at + 47 * MSEC;
+            if (i > 100) {
+                wg_speed_values values = ask(now, 7, 1).speed;
+                ck_assert_double_le(values.speed, 0.112 * 1.25);
+                ck_assert_double_ge(values.speed, 0.112 * 0.8);
+                ck_assert_double_le(values.base, 70 * MSEC);
+                ck_assert_double_ge(values.base, 30 * MSEC);
+            }
+        }
+        wg_admit_shutdown(admit);
+    }
+}
+END_TEST
+
+/* The time of an answer that comes at once contains its generation. Taken for reading, it would
+   make the target look slow, and its prompts late. */
+START_TEST(answers_at_once_are_no_samples) {
+    begin_learning();
+    learn(100 * SECOND, 7, 21);
+    wg_admit_answer before = ask(100 * SECOND, 7, 2400);
+    for (int i = 0; i < 50; i++) {
+        wg_time at = (200 + 10 * i) * SECOND;
+        ck_assert(admit_prompt(at, 7, 2400).granted);
+        wg_admit_first_event(admit, at + 2 * SECOND, 1, last_ticket);
+        wg_admit_end(admit, at + 2 * SECOND + 100, 1, last_ticket, false);
+    }
+    wg_admit_answer after = ask(1000 * SECOND, 7, 2400);
+    ck_assert_int_eq(after.wait, before.wait);
+    ck_assert_uint_eq(after.speed.samples, before.speed.samples);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A coordinator is lost: the next one starts from what hosts were told, and not from the default
+   values, with which half of the long prompts were refused. */
+START_TEST(change_of_coordinator_keeps_the_speed) {
+    begin_learning();
+    learn(100 * SECOND, 7, 60);
+    wg_admit_answer told = ask(100 * SECOND, 7, 12000);
+    wg_admit_shutdown(admit);
+    begin_learning();
+    wg_admit_request r = plain_prompt(++last_ticket, 7, 12000);
+    r.speed = told.speed;
+    wg_admit_answer first = wg_admit_decide(admit, 0, &r);
+    ck_assert_int_eq(first.wait, told.wait);
+    ck_assert_uint_eq(first.speed.samples, told.speed.samples);
+    /* A host that knows less, or nothing, changes nothing. */
+    r.speed.samples--;
+    r.speed.base *= 2;
+    ck_assert_int_eq(wg_admit_decide(admit, 0, &r).speed.base, first.speed.base);
+    r.speed = (wg_speed_values){0};
+    ck_assert_int_eq(wg_admit_decide(admit, 0, &r).speed.base, first.speed.base);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+START_TEST(new_target_starts_from_the_mean_of_its_service) {
+    begin_learning();
+    learn(100 * SECOND, 7, 60);
+    learn(100 * SECOND, 8, 60);
+    check_wait(ask(100 * SECOND, 9, 12000).wait, first_event_time(12000));
+    wg_admit_request other = plain_prompt(++last_ticket, 10, 3000);
+    other.service = 6;
+    ck_assert_int_eq(wg_admit_decide(admit, 100 * SECOND, &other).wait, 112 * MSEC);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A target that stops reading was only noticed once its prompts had failed. */
+START_TEST(stall_adds_to_every_expected_wait) {
+    wg_admit_stall changes[4];
+    wg_time now = 100 * SECOND;
+    begin_learning();
+    learn(now, 7, 30);
+    learn(now, 8, 30);
+    wg_admit_answer before = ask(now, 7, 830);
+    ck_assert_int_eq(before.late, 0);
+    wg_time wait = admit_prompt(now, 7, 2400).wait;
+    uint64_t oldest = last_ticket;
+    admit_prompt(now, 8, 2400);
+    wg_admit_first_event(admit, now + wait, 1, last_ticket);
+    ck_assert_int_eq(ask(now + wait, 7, 830).late, 0);
+    ck_assert_int_eq(wg_admit_check_stalls(admit, now + wait + 100 * MSEC, changes, 4), 0);
+    now += wait + 200 * MSEC;
+    wg_admit_request late = plain_prompt(0, 7, 830);
+    late.limits = (wg_admit_limits){240 * MSEC, 240 * MSEC, 240 * MSEC, false};
+    wg_admit_answer answer = wg_admit_decide(admit, now, &late);
+    ck_assert(!answer.granted);
+    ck_assert_int_eq(answer.late, 200 * MSEC);
+    ck_assert_int_ge(answer.wait_ahead, 200 * MSEC);
+    ck_assert_int_ge(answer.wait, before.wait + 200 * MSEC);
+    ck_assert_int_eq(ask(now, 8, 830).late, 0); /* the other target is not affected */
+    ck_assert_int_eq(wg_admit_check_stalls(admit, now, changes, 4), 1);
+    ck_assert_uint_eq(changes[0].target, 7);
+    ck_assert(changes[0].stalled);
+    ck_assert_int_eq(changes[0].late, 200 * MSEC);
+    wg_admit_first_event(admit, now, 1, oldest);
+    late.ticket = ++last_ticket;
+    ck_assert(wg_admit_decide(admit, now, &late).granted);
+    ck_assert_int_eq(wg_admit_check_stalls(admit, now, changes, 4), 0);
+    wg_admit_end(admit, now, 1, late.ticket, false);
+    ck_assert_int_eq(wg_admit_check_stalls(admit, now + 199 * MSEC, changes, 4), 0);
+    ck_assert_int_eq(wg_admit_check_stalls(admit, now + 200 * MSEC, changes, 4), 1);
+    ck_assert(!changes[0].stalled);
+    ck_assert_int_eq(changes[0].duration, 200 * MSEC);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A target that stalls again and again must not flood the log. */
+START_TEST(stalls_are_reported_once_a_second) {
+    enum {
+        PERIOD = 700 * WG_USEC_PER_MSEC /* between the starts of two stalls */
+    };
+    wg_admit_stall changes[4];
+    begin_learning();
+    learn(100 * SECOND, 7, 60);
+    int stalls = 0;
+    int recoveries = 0;
+    for (wg_time now = 100 * SECOND; now < 108 * SECOND; now += PERIOD) {
+        wg_time read_at = admit_prompt(now, 7, 830).wait + 250 * MSEC;
+        uint64_t ticket = last_ticket;
+        for (wg_time at = 0; at < PERIOD; at += 50 * MSEC) {
+            if (at >= read_at) {
+                wg_admit_end(admit, now + at, 1, ticket, false);
+            }
+            int num = wg_admit_check_stalls(admit, now + at, changes, 4);
+            stalls += num > 0 && changes[0].stalled;
+            recoveries += num > 0 && !changes[0].stalled;
+        }
+    }
+    ck_assert_int_ge(stalls, 4);
+    ck_assert_int_le(stalls, 8);
+    ck_assert_int_ge(recoveries, stalls - 1);
+    ck_assert_int_le(recoveries, stalls);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* One prompt that the target lost, or whose host stands still, must not take the target out of
+   use. */
+START_TEST(single_late_prompt_is_no_stall) {
+    begin_learning();
+    learn(100 * SECOND, 7, 30);
+    wg_time now = 100 * SECOND;
+    wg_time wait = admit_prompt(now, 7, 2400).wait;
+    uint64_t lost = last_ticket;
+    admit_prompt(now, 7, 830);
+    wg_admit_first_event(admit, now + 100 * MSEC, 1, last_ticket);
+    ck_assert_int_eq(ask(now + SECOND, 7, 830).late, 0); /* overtaken */
+    wg_admit_end(admit, now + SECOND, 1, lost, false);
+    now += 2 * SECOND;
+    wait = admit_prompt(now, 7, 830).wait;
+    ck_assert_int_eq(ask(now + wait + 3 * SECOND, 7, 830).late, 3 * SECOND);
+    ck_assert_int_eq(ask(now + wait + 3 * SECOND + 1, 7, 830).late, 0);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* A prompt is not late while the speed is not known, and a request without a prompt never is. */
+START_TEST(lateness_needs_samples_and_a_prompt) {
+    begin_learning();
+    admit_prompt(0, 7, 830);
+    ck_assert_int_eq(ask(SECOND, 7, 830).late, 0);
+    learn(100 * SECOND, 8, 30);
+    admit_prompt(100 * SECOND, 8, 0);
+    ck_assert_int_eq(ask(101 * SECOND, 8, 830).late, 0);
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
+/* Without learn_base nothing is learned but the speed of large prompts, and nothing stalls. */
+START_TEST(fixed_base_ignores_lateness_and_stated_values) {
+    wg_admit_stall changes[4];
+    admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_admit_request r = plain_prompt(++last_ticket, 7, 1400);
+    r.speed = (wg_speed_values){47000, 0.112, 100};
+    ck_assert_int_eq(wg_admit_decide(admit, 0, &r).wait, 12 * MSEC + (wg_time)(1400 / 0.030));
+    wg_admit_answer answer = ask(SECOND, 7, 0);
+    ck_assert_int_eq(answer.late, 0);
+    ck_assert_uint_eq(answer.speed.samples, 0);
+    ck_assert_int_eq(wg_admit_check_stalls(admit, SECOND, changes, 4), 0);
+    wg_admit_first_event(admit, SECOND, 1, last_ticket);
+    wg_admit_end(admit, SECOND, 1, last_ticket, false);
+    for (int i = 0; i < 300; i++) {
+        admit_prompt(2 * SECOND, 7, 15000);
+        wg_admit_first_event(admit, 2 * SECOND + 20 * MSEC, 1, last_ticket);
+        wg_admit_end(admit, 2 * SECOND + 20 * MSEC, 1, last_ticket, false);
+    }
+    ck_assert_int_ge(ask(3 * SECOND, 7, 8000).wait, 112 * MSEC); /* 80 tokens per ms at most */
+    wg_admit_shutdown(admit);
+}
+END_TEST
+
 /* After random requests, ends and closed links, accounts contain running requests only. */
 START_TEST(accounts_return_to_zero) {
     for (uint64_t seed = 1; seed <= 50; seed++) {
-        admit = wg_admit_setup(&(wg_admit_desc){0});
+        admit = wg_admit_setup(&(wg_admit_desc){.learn_base = seed % 2});
+        wg_admit_stall changes[5];
         uint64_t counter = 0;
         for (int step = 0; step < 3000; step++) {
             uint64_t holder = wg_jitter(seed, ++counter) % 9 + 1;
@@ -303,6 +630,7 @@
                 wg_admit_decide(admit, step * 10 * MSEC, &r);
                 break;
             }
+            wg_admit_check_stalls(admit, step * 10 * MSEC, changes, 5);
         }
         for (uint64_t holder = 1; holder <= 9; holder++) {
             wg_admit_release_holder(admit, holder);
@@ -314,6 +642,7 @@
             wg_admit_answer answer = wg_admit_decide(admit, 100 * SECOND, &r);
             ck_assert_uint_eq(answer.ahead, 0);
             ck_assert_uint_eq(answer.running, 0);
+            ck_assert_int_eq(answer.late, 0);
             wg_admit_end(admit, 0, 1, 1, false);
         }
         wg_admit_shutdown(admit);
@@ -327,4 +656,10 @@
              copied_parts_are_not_read, refusal_reserves_nothing, shared_parts_can_count_as_ahead,
              large_prompts_have_a_limit_of_their_own, failing_target_is_ejected,
              no_target_is_ejected_if_all_fail, slots_limit_running_requests,
-             fresh_account_uses_the_given_floor, reading_speed_is_learnt, accounts_return_to_zero)
+             fresh_account_uses_the_given_floor, reading_speed_is_learnt, accounts_return_to_zero,
+             base_time_and_speed_are_learned, samples_include_the_prompts_ahead,
+             partly_read_prompts_count_in_part, load_does_not_distort_the_speed,
+             answers_at_once_are_no_samples, change_of_coordinator_keeps_the_speed,
+             new_target_starts_from_the_mean_of_its_service, stall_adds_to_every_expected_wait,
+             stalls_are_reported_once_a_second, single_late_prompt_is_no_stall,
+             lateness_needs_samples_and_a_prompt, fixed_base_ignores_lateness_and_stated_values)
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -648,6 +648,81 @@
 }
 END_TEST
 
+/* ---- with learn_base: values and lateness that the coordinator reports ---- */
+
+static void begin_learning(int targets) {
+    begin(targets);
+    wg_balance_shutdown(balance);
+    balance =
+        wg_balance_setup(&(wg_balance_desc){.data_centre = "", .seed = 3, .learn_base = true});
+    wg_balance_sync(balance, registry);
+}
+
+/* A host keeps the last values of a coordinator that is lost, and its own first events do not
+   change them: it does not know what other hosts sent there. */
+START_TEST(reported_speed_is_kept) {
+    begin_learning(1);
+    wg_prompt p = prompt(5, 6);
+    wg_balance_choice c = choose(&p, 0);
+    wg_balance_begin(balance, 0, &c);
+    wg_balance_first_event(balance, SECOND, &c);
+    wg_balance_first_event(balance, 2 * SECOND, &c); /* the next event of the stream */
+    wg_balance_end(balance, 2 * SECOND, &c, WG_RESULT_SUCCESS);
+    ck_assert_uint_eq(wg_balance_speed_of(balance, 1).samples, 1);
+    const wg_speed_values values = {47000, 0.112, 60};
+    wg_balance_update_speed(balance, 2 * SECOND, 1, &values, 0);
+    for (int i = 0; i < 50; i++) {
+        c = choose(&p, (3 + i) * SECOND);
+        ck_assert_int_eq(c.wait, 47 * MSEC + (wg_time)((c.unread + c.ahead) / 0.112));
+        wg_balance_begin(balance, (3 + i) * SECOND, &c);
+        wg_balance_first_event(balance, (4 + i) * SECOND, &c);
+        wg_balance_end(balance, (4 + i) * SECOND, &c, WG_RESULT_SUCCESS);
+    }
+    ck_assert_uint_eq(wg_balance_speed_of(balance, 1).samples, 60);
+    ck_assert_double_eq(wg_balance_speed_of(balance, 1).base, 47000);
+    /* A coordinator that knows nothing yet does not replace them. */
+    wg_balance_update_speed(balance, 60 * SECOND, 1, &(wg_speed_values){0}, 0);
+    ck_assert_uint_eq(wg_balance_speed_of(balance, 1).samples, 60);
+    end();
+}
+END_TEST
+
+/* Prompts avoid a home that stalls and come back to it: the homes of their prefixes stay. */
+START_TEST(stalled_home_is_avoided_and_stays_home) {
+    begin_learning(18);
+    const wg_speed_values values = {47000, 0.112, 60};
+    for (uint32_t target = 1; target <= 18; target++) {
+        wg_balance_update_speed(balance, 0, target, &values, 0);
+    }
+    wg_prompt p = prompt(5, 6);
+    wg_balance_choice home = choose(&p, 0);
+    wg_balance_record_prompt(balance, 0, home.target, &p);
+    ck_assert_uint_eq(choose(&p, 4 * SECOND).target, home.target);
+    wg_balance_update_speed(balance, 4 * SECOND, home.target, &values, 300 * MSEC);
+    wg_balance_choice other = choose(&p, 4 * SECOND + 90 * MSEC);
+    ck_assert_uint_ne(other.target, home.target);
+    ck_assert_int_eq(other.late, 0);
+    ck_assert_uint_eq(choose(&p, 4 * SECOND + 100 * MSEC).target, home.target);
+    wg_balance_update_speed(balance, 5 * SECOND, home.target, &values, 300 * MSEC);
+    wg_balance_update_speed(balance, 5 * SECOND, home.target, &values, 0);
+    ck_assert_uint_eq(choose(&p, 5 * SECOND).target, home.target);
+    end();
+}
+END_TEST
+
+/* Without learn_base a host keeps to its own samples, as for earlier deployments. */
+START_TEST(reports_of_speed_are_ignored_when_off) {
+    begin(1);
+    wg_prompt p = prompt(5, 6);
+    wg_time wait = choose(&p, 0).wait;
+    ck_assert_int_eq(wait, 12 * MSEC + (wg_time)(9200 / 0.030));
+    wg_balance_update_speed(balance, 0, 1, &(wg_speed_values){47000, 0.112, 60}, SECOND);
+    ck_assert_int_eq(choose(&p, 0).wait, wait);
+    ck_assert_uint_eq(wg_balance_speed_of(balance, 1).samples, 0);
+    end();
+}
+END_TEST
+
 /* Room means that at least half of the ready targets are idle: with other hosts' requests on the
    others, and not only with this host's. */
 START_TEST(room_is_half_of_the_targets_idle) {
@@ -681,4 +756,6 @@
              replaced_target_gets_nothing_until_its_record_changes,
              slots_are_reserved_for_workspaces_within_their_share,
              homes_count_as_cached_after_warm_up_only, fair_level_is_max_min,
-             confidence_follows_timely_first_events, fleet_stays_within_its_retry_budget)
+             confidence_follows_timely_first_events, fleet_stays_within_its_retry_budget,
+             reported_speed_is_kept, stalled_home_is_avoided_and_stays_home,
+             reports_of_speed_are_ignored_when_off)
