Speeds of targets pass between hosts and coordinators, [admission] learn_base

Cause: what one coordinator learned was lost with it, and hosts did not know it.

Change: AdmitAnswer carries base time, speed, samples and lateness of the target, AdmitAsk the values that the host was told last. Log events TARGET_STALLED and TARGET_RECOVERED, late_ms in REQUEST_ENDED, metrics for stalls and learned values on the ready address.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -246,9 +246,11 @@
     e->roster = wg_roster_setup();
     e->backoff = wg_backoff_setup(&(wg_backoff_desc){
         .backoff_max = e->settings->target_rest_max_s * WG_USEC_PER_SEC, .seed = e->seed});
-    e->balance = wg_balance_setup(&(wg_balance_desc){
-        .data_centre = e->settings->data_centre, .seed = e->seed, .backoff = e->backoff});
-    e->admit = wg_admit_setup(&(wg_admit_desc){0});
+    e->balance = wg_balance_setup(&(wg_balance_desc){.data_centre = e->settings->data_centre,
+                                                     .seed = e->seed,
+                                                     .backoff = e->backoff,
+                                                     .learn_base = e->settings->learn_base});
+    e->admit = wg_admit_setup(&(wg_admit_desc){.learn_base = e->settings->learn_base});
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -14,7 +14,8 @@
     WG_COORDINATOR_UNRESPONSIVE_TIME = 500 * WG_USEC_PER_MSEC,
     WG_COORDINATOR_DIAL_INTERVAL = 60 * WG_USEC_PER_MSEC,
     WG_COORDINATOR_PING = 2 * WG_USEC_PER_SEC,
-    WG_COORDINATOR_TIMEOUT = 7 * WG_USEC_PER_SEC
+    WG_COORDINATOR_TIMEOUT = 7 * WG_USEC_PER_SEC,
+    WG_STALLS_MAX = 16 /* changes of stalled targets that one tick logs; the others follow */
 };
 
 /* ---- helpers: who coordinates ---------------------------------------------------------------- */
@@ -135,7 +136,25 @@
     }
 }
 
+static void wg_entry_log_stalls(wg_entry* e, wg_time now) {
+    wg_admit_stall changes[WG_STALLS_MAX];
+    int num = wg_admit_check_stalls(e->admit, now, changes, WG_STALLS_MAX);
+    for (int i = 0; i < num; i++) {
+        const wg_target* target = wg_registry_find(e->registry, changes[i].target);
+        const char* id = target ? target->id : "-";
+        e->counters.target_stalls += changes[i].stalled;
+        if (changes[i].stalled) {
+            wg_log(WG_EVENT_TARGET_STALLED, "target=%u id=%s late_ms=%" G_GINT64_FORMAT,
+                   changes[i].target, id, changes[i].late / WG_USEC_PER_MSEC);
+        } else {
+            wg_log(WG_EVENT_TARGET_RECOVERED, "target=%u id=%s stalled_ms=%" G_GINT64_FORMAT,
+                   changes[i].target, id, changes[i].duration / WG_USEC_PER_MSEC);
+        }
+    }
+}
+
 void wg_entry_admit_tick(wg_entry* e, wg_time now) {
+    wg_entry_log_stalls(e, now);
     for (int i = 0; i < e->coordinators_num; i++) {
         wg_coordinator* c = &e->coordinators[i];
         if (c->self || c->link.id || now < c->dial_at) {
@@ -149,6 +168,10 @@
 
 /* ---- helpers: admission requests ------------------------------------------------------------- */
 
+static wg_speed_values wg_speed_of_wire(uint64_t base_us, double tokens_per_ms, uint32_t samples) {
+    return (wg_speed_values){(double)base_us, tokens_per_ms / WG_USEC_PER_MSEC, samples};
+}
+
 static wg_admit_request wg_call_admit_request(const wg_call* call, const wg_admit_limits* limits,
                                               uint64_t ticket) {
     const wg_prompt* prompt = &call->prompt;
@@ -160,6 +183,7 @@
                           .answer = prompt->answer,
                           .copied = call->proposed.copied,
                           .memory = service->memory_tokens,
+                          .speed = wg_balance_speed_of(call->entry->balance, call->proposed.target),
                           .limits = *limits};
     const wg_target* target = wg_registry_find(call->entry->registry, r.target);
     uint32_t slots = target && target->slots ? target->slots : (uint32_t)MAX(selection->slots, 0);
@@ -176,8 +200,10 @@
 
 /* Decides on a request of any host; holder 0 is this host. */
 static wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request) {
+    const wg_target* target = wg_registry_find(e->registry, request->target);
     wg_balance_load_of(e->balance, request->target, &request->floor_unread,
                        &request->floor_running);
+    request->service = target ? wg_hash(target->service, strlen(target->service), 0) : 0;
     if (request->rate_max > 0 && !wg_entry_may_grant_cold(e, request->target, wg_now())) {
         return (wg_admit_answer){.ahead = request->floor_unread, .running = request->floor_running};
     }
@@ -202,6 +228,11 @@
     ask.ahead_large_us = (uint64_t)request->limits.ahead_large;
     ask.spares_shared = request->limits.counts_missing;
     ask.cold_rate = request->rate_max;
+    if (request->speed.samples > 0) {
+        ask.base_us = (uint64_t)request->speed.base;
+        ask.tokens_per_ms = request->speed.speed * WG_USEC_PER_MSEC;
+        ask.samples = request->speed.samples;
+    }
     return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
 }
 
@@ -364,6 +395,7 @@
     wg_admit_request r = {.holder = link.id,
                           .ticket = in->ticket,
                           .target = in->target,
+                          .speed = wg_speed_of_wire(in->base_us, in->tokens_per_ms, in->samples),
                           .parts_num = (int)in->n_parts,
                           .tokens = in->tokens,
                           .answer = in->answer,
@@ -388,6 +420,12 @@
     out.held = answer.held;
     out.ahead = answer.ahead;
     out.running = answer.running;
+    out.late_us = (uint64_t)answer.late;
+    if (answer.speed.samples > 0) {
+        out.base_us = (uint64_t)answer.speed.base;
+        out.tokens_per_ms = answer.speed.speed * WG_USEC_PER_MSEC;
+        out.samples = answer.speed.samples;
+    }
     wgn_send(e->net, link, WGW_TYPE_ADMIT_ANSWER, &out.base);
     return true;
 }
@@ -420,7 +458,9 @@
                               .unread = in->unread,
                               .held = in->held,
                               .ahead = in->ahead,
-                              .running = in->running};
+                              .running = in->running,
+                              .late = (wg_time)in->late_us};
+    answer.speed = wg_speed_of_wire(in->base_us, in->tokens_per_ms, in->samples);
     wgpb__admit_answer__free_unpacked(in, NULL);
     wg_call* call = g_hash_table_lookup(e->pending_admissions, &ticket);
     c->timeouts_num = 0;
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -196,10 +196,13 @@
     wg_balance_choice* choice = &call->proposed;
     wg_balance_update_load(call->entry->balance, wg_now(), choice->target, answer->ahead,
                            answer->running);
+    wg_balance_update_speed(call->entry->balance, wg_now(), choice->target, &answer->speed,
+                            answer->late);
     choice->unread = answer->unread;
     choice->ahead = answer->ahead;
     choice->wait = answer->wait;
     choice->wait_ahead = answer->wait_ahead;
+    choice->late = answer->late;
     call->expected = answer->wait;
     if (choice->is_third_home) {
         wg_balance_record_third_home(call->entry->balance,
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -31,8 +31,8 @@
            "id=%s status=%d verdict=%s reason=%s route=%s version=%" G_GUINT64_FORMAT
            " workspace=%s target=%u attempts=%d first_ms=%" G_GINT64_FORMAT
            " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT
-           " tokens=%u expected_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
-           " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
+           " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
+           " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
@@ -41,7 +41,8 @@
            call->first_event_at ? (call->first_event_at - call->started) / WG_USEC_PER_MSEC : -1,
            (now - call->started) / WG_USEC_PER_MSEC, call->events,
            call->has_prompt ? wg_call_tokens(call) : 0, call->expected / WG_USEC_PER_MSEC,
-           call->limit / WG_USEC_PER_MSEC, call->admit_requests_total, (int)call->was_admitted,
+           call->proposed.late / WG_USEC_PER_MSEC, call->limit / WG_USEC_PER_MSEC,
+           call->admit_requests_total, (int)call->was_admitted,
            call->workspace ? wg_call_usage(call) : 0, wg_usage_levels(call->entry->usage)->served,
            wg_usage_levels(call->entry->usage)->fair_share,
            (now - call->entry->state_at) / WG_USEC_PER_MSEC);
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -71,6 +71,16 @@
     wg_hist_print(&e->input_lag.lag_hist, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
 
+/* Speed of the targets that this host coordinates. */
+static void wg_endpoint_speed_metrics(const wg_entry* e, GString* out) {
+    wg_admit_summary* summary = g_new0(wg_admit_summary, 1);
+    wg_admit_summarize(e->admit, summary);
+    g_string_append_printf(out, "walnutgate_entry_targets_stalled %d\n", summary->stalled);
+    wg_hist_print(&summary->bases, "walnutgate_entry_target_base_seconds", "", 1e6, out);
+    wg_hist_print(&summary->speeds, "walnutgate_entry_target_tokens_per_second", "", 1, out);
+    g_free(summary);
+}
+
 static void wg_endpoint_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -100,7 +110,8 @@
                     {"quarantine_refusals", c->quarantine_refusals},
                     {"target_rests", c->backoffs},
                     {"targets_leaving_told", c->drains_reported},
-                    {"rest_refusals", c->backoff_refusals}};
+                    {"rest_refusals", c->backoff_refusals},
+                    {"target_stalls", c->target_stalls}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
@@ -114,6 +125,7 @@
                            e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len,
                            wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects),
                            wg_backoff_active_num(e->backoff, wg_now()));
+    wg_endpoint_speed_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -231,6 +231,7 @@
     uint64_t backoffs;         /* backoff periods requested by targets */
     uint64_t drains_reported;  /* targets that reported in an answer that they are draining */
     uint64_t backoff_refusals; /* requests refused because all targets are in backoff */
+    uint64_t target_stalls;    /* stalls of targets that this host coordinates */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
