Room: what a host has sent itself ends room before the leader's next count

Cause: the leader's counts are as old as a report interval (172 ms at 86 hosts). Callers that press one host get all targets filled in that time, since no workspace yields while room is told. A host now also counts the targets that have room by its own loads, which it knows at once, and by those it was told.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -474,6 +474,21 @@
     return service && service->has_room;
 }
 
+wg_room_count wg_balance_count_with_room(const wg_balance* b, const char* name, wg_time wait_max) {
+    const wg_balance_service* service = g_hash_table_lookup(b->services, name);
+    wg_room_count count = {0};
+    for (guint i = 0; service && i < service->targets->len; i++) {
+        const wg_balance_target* t = service->targets->pdata[i];
+        uint32_t unread = t->own_unread + MAX(t->other_unread, t->recent_unread);
+        wg_room_target load = {.ready = t->ready,
+                               .slots = t->slots ? t->slots : WG_ROOM_SLOTS_DEFAULT,
+                               .running = t->own_running + t->other_running,
+                               .read_time = wg_speed_read_time(&t->speed, unread)};
+        wg_room_add(&count, &load, wait_max);
+    }
+    return count;
+}
+
 void wg_balance_record_third_home(wg_balance* b, bool held) {
     b->third_hit_rate += WG_THIRD_HIT_RATE_WEIGHT * ((held ? 1 : 0) - b->third_hit_rate);
 }
--- a/lib/control/wg_control_usage.c
+++ b/lib/control/wg_control_usage.c
@@ -11,7 +11,6 @@
     /* Loads told to a host at once. Beyond this number the fullest targets are told. */
     WG_LOADS_TOLD_MAX = 256,
     WG_LOADS_TOLD_INTERVAL = 100 * WG_USEC_PER_MSEC, /* until they are selected again */
-    WG_SLOTS_UNKNOWN = 16,  /* assumed for a target that reports no slots */
     WG_UNREAD_FULL = 20000, /* prompt tokens that keep a target busy for about an objective */
     /* Longest time to process prompts that a host's report is believed to contain. */
     WG_READ_TIME_MAX = 600 * WG_USEC_PER_SEC,
@@ -83,13 +82,13 @@
 }
 
 uint32_t _wgco_target_slots(const wg_target* target) {
-    return target->slots ? target->slots : WG_SLOTS_UNKNOWN;
+    return target->slots ? target->slots : WG_ROOM_SLOTS_DEFAULT;
 }
 
 /* How far the known load fills a target; 1: about as much as it takes. */
 static double _wgco_fullness(const wgco_control* c, const Wgpb__TargetLoad* total) {
     const wg_target* target = wg_registry_find(c->registry, total->target);
-    uint32_t slots = target ? _wgco_target_slots(target) : WG_SLOTS_UNKNOWN;
+    uint32_t slots = target ? _wgco_target_slots(target) : WG_ROOM_SLOTS_DEFAULT;
     return (double)total->running / slots + (double)total->unread / WG_UNREAD_FULL;
 }
 
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -66,8 +66,8 @@
               "1: learn the time to a target's first event besides reading, and any speed; 0: a "
               "fixed time and a bounded speed"),
     WG_NUMBER("admission", room_wait_ms, "0", 0, 60000, "ms",
-              "not 0: room of services as the leader tells it, which counts by its own setting of "
-              "this name; 0: only idle targets have room"),
+              "reading time up to which a target with free slots has room; the leader has to tell "
+              "room as well, by its own setting of this name; 0: only idle targets have room"),
     WG_NUMBER("admission", route_limits, "0", 0, 1, "",
               "1: a prompt may take its own route's objective; 0: the tightest one of the service"),
     WG_NUMBER("admission", hold_percent, "0", 0, 90, "%",
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -191,10 +191,20 @@
     g_free(list);
 }
 
+/* What this host has sent since its last report is not in the leader's counts: callers that press
+   one host would fill all targets before the next report. */
+static bool wg_entry_leaves_room(const wg_entry* e, const char* service) {
+    wg_time wait_max = e->settings->room_wait_ms * WG_USEC_PER_MSEC;
+    wg_room_count count = wg_balance_count_with_room(e->balance, service, wait_max);
+    return 2 * count.with_room >= count.ready;
+}
+
 bool wg_entry_has_room(wg_entry* e, wg_time now, const char* service) {
     wg_room_answer told = wg_room_copy_query(e->room, now, service, NULL);
-    return told == WG_ROOM_UNKNOWN ? wg_balance_has_room(e->balance, now, service)
-                                   : told == WG_ROOM_FREE;
+    if (told == WG_ROOM_UNKNOWN) {
+        return wg_balance_has_room(e->balance, now, service);
+    }
+    return told == WG_ROOM_FREE && wg_entry_leaves_room(e, service);
 }
 
 /* members_num is valid also without the list of members. */
--- a/lib/room/wg_room.h
+++ b/lib/room/wg_room.h
@@ -35,7 +35,9 @@
 enum {
     /* Microseconds for which half of the ready targets must have had room until a service regains
        it. Two report intervals of a small fleet: one favourable count is noise. */
-    WG_ROOM_REGAIN_TIME = 200 * WG_USEC_PER_MSEC
+    WG_ROOM_REGAIN_TIME = 200 * WG_USEC_PER_MSEC,
+    /* Slots assumed for a target that reports none. */
+    WG_ROOM_SLOTS_DEFAULT = 16
 };
 
 /* Load of one target, from all hosts. */
