Error answers to HEAD requests have no body

wg_client_refuse() wrote a body also when the request was a HEAD. A caller that keeps the connection took it for the start of the next answer. A refusal on arrival uses the same function.

Evidence: test_entry_promises error_answer_to_head_has_no_body fails on the code before and passes now; test_entry_promises (17) and test_entry (4) pass.

--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -482,7 +482,12 @@
     wg_entry* e = client->entry;
     bool keep = client->keep && !e->stopping;
     wg_call_log_denial(e, head, status, code);
-    wg_client_refuse(client, status, code, status == 503 ? 0.5 : 0, keep);
+    wg_client_refuse(
+        client, &(wg_client_refusal){.status = status,
+                                     .code = code,
+                                     .retry_after = status == 503 ? 0.5 : 0,
+                                     .keep = keep,
+                                     .head_only = wg_text_equals_nocase(head->method, "HEAD")});
     evbuffer_free(body);
     g_free(bytes);
     wg_client_call_ended(client, keep);
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -117,21 +117,20 @@
     }
 }
 
-void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
-                      bool keep) {
-    wg_entry* e = client->entry;
+void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal) {
     struct evbuffer* out = evbuffer_new();
     char body[128];
-    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", code,
+    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", refusal->code,
                           wg_verdict_name(WG_VERDICT_NOT_RUN));
-    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
-                        wgh_reason(status));
-    if (retry_after > 0) {
-        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
+    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n",
+                        refusal->status, wgh_reason(refusal->status));
+    if (refusal->retry_after > 0) {
+        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", refusal->retry_after);
     }
     evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                        keep ? "" : "Connection: close\r\n", body);
-    e->counters.refused++;
+                        refusal->keep ? "" : "Connection: close\r\n",
+                        refusal->head_only ? "" : body);
+    client->entry->counters.refused++;
     wg_socket_write(client->bev, out);
     evbuffer_free(out);
 }
@@ -140,7 +139,7 @@
     if (wg_entry_may_log(client->entry, wg_now())) {
         wg_log(WG_EVENT_CONNECTION_REFUSED, "status=%d code=%s", status, code);
     }
-    wg_client_refuse(client, status, code, 0, false);
+    wg_client_refuse(client, &(wg_client_refusal){.status = status, .code = code});
     wg_client_end(client);
 }
 
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -524,6 +524,16 @@
 void wg_client_call_ended(wg_client* client, bool keep);
 /* Closes at once, also in the middle of an answer. */
 void wg_client_close(wg_client* client);
+/* Error answer of this host while there is no call. */
+typedef struct {
+    int status;
+    const char* code;
+    double retry_after; /* seconds; 0: none */
+    bool keep;          /* the connection stays open */
+    bool head_only;     /* method is HEAD: an answer without a body */
+} wg_client_refusal;
+
+void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal);
 /* Writes what the socket accepts now and buffers the remainder. Empties `bytes`. */
 void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
 
@@ -548,9 +558,6 @@
 void wg_call_abort_all(wg_entry* e);
 /* Sets all calls' timers anew after a stall. */
 void wg_call_reset_timers(wg_entry* e, wg_time now);
-/* Answers with an error of this host while there is no call. */
-void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
-                      bool keep);
 
 /* wg_entry_upstream.c */
 wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh);
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -493,8 +493,25 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry promises", usage_decays_without_a_leader, no_workspace_yields_to_an_idle_target,
-             target_connections_reduce_the_caller_limit,
+/* An answer to HEAD has no body: a caller that keeps the connection would take one for the head of
+   the next answer. */
+START_TEST(error_answer_to_head_has_no_body) {
+    static const char next[] = "GET /none HTTP/1.1\r\nHost: h\r\n\r\n";
+    char answer[1024];
+    begin();
+    int fd = send_request(CALLERS_PORT, "HEAD", "/none", "");
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    ck_assert(g_str_has_suffix(answer, "\r\n\r\n"));
+    ck_assert_int_eq(send(fd, next, sizeof next - 1, MSG_NOSIGNAL), sizeof next - 1);
+    ck_assert_int_eq(status_of(fd, answer), 404);
+    ck_assert(g_str_has_suffix(answer, "}"));
+    close(fd);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("entry promises", error_answer_to_head_has_no_body, usage_decays_without_a_leader,
+             no_workspace_yields_to_an_idle_target, target_connections_reduce_the_caller_limit,
              events_of_streams_do_not_try_waiting_requests, target_deadline_is_the_remaining_time,
              request_ends_at_the_timeout_of_its_route, caller_disconnect_cancels_the_target_request,
              request_of_a_disconnected_caller_is_not_sent, planned_stop_aborts_no_request,
