An overloaded host refuses requests on arrival

A host whose input waits too long refuses requests right after their heads were parsed, as lib/overload decides: 503 with a Retry-After, no call, timer, selection or admission question. The body that follows is decoded and dropped, and the connection serves the next request; only a caller that may omit the body (Expect: 100-continue, nothing sent yet) gets Connection: close. While a limit is in force, requests whose callers have closed are dropped. A planned stop takes precedence: its answer is given, and it does not wait for bodies of answered requests.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -171,6 +171,7 @@
         wg_log(WG_EVENT_LOOP_BEHIND, "waited_ms=%" G_GINT64_FORMAT " calls=%d callers=%u",
                waited / WG_USEC_PER_MSEC, e->calls_num, e->clients->len);
     }
+    e->last_probe_since = e->probe_since;
     e->probe_since = 0;
 }
 
@@ -212,6 +213,7 @@
     wg_upstream_tick(e, now);
     wg_entry_advance_retries(e);
     wg_call_queue_run(e);
+    wg_entry_overload_tick(e, now);
     wg_entry_queue_delay_probe(e, now);
     if (e->stopping) {
         wg_entry_stop_tick(e, now);
@@ -253,6 +255,7 @@
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
     wg_entry_quarantine_setup(e);
+    wg_entry_overload_setup(e);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_endpoints_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -306,6 +309,7 @@
     wg_entry_cache_shutdown(e);
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
+    wg_entry_overload_shutdown(e);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
     g_hash_table_unref(e->pending_admissions);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -9,9 +9,6 @@
     WG_ANSWER_TOKEN_BYTES = 8                     /* upper estimate per token on the wire */
 };
 
-/* Seconds. Short, as other entry hosts can accept the request at once. */
-static const double WG_STOPPING_RETRY_AFTER = 0.02;
-
 /* ---- helpers: the end of a call -------------------------------------------------------------- */
 
 /* Releases the load accounted to the target, and the admission. */
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -101,6 +102,7 @@
     client->state_since = wg_now();
     client->head_started = false;
     client->bytes_examined = 0;
+    client->dropping = false;
     wg_client_watch(client, state == WG_CLIENT_BUSY);
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
@@ -167,6 +169,12 @@
     return recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/* Whether the peer has closed, or does not send any more, also if input is left to read. */
+static bool wg_client_caller_has_left(const wg_client* client) {
+    struct pollfd state = {.fd = bufferevent_getfd(client->bev), .events = POLLRDHUP};
+    return poll(&state, 1, 0) > 0;
+}
+
 /* Starts the call of a complete request, unless the caller has closed meanwhile. The event loop
    would report that only after the request was sent to a target. */
 static void wg_client_start_call(wg_client* client) {
@@ -212,6 +220,70 @@
     wg_client_set_state(client, WG_CLIENT_BODY);
 }
 
+/* Drops the body of a refused request as far as it has arrived. The request was answered, so a
+   malformed body closes the connection without another answer. */
+static void wg_client_drop_body(wg_client* client) {
+    struct evbuffer* dropped = client->entry->dropped_bytes;
+    wg_body_state state = wg_body_read(&client->body, bufferevent_get_input(client->bev), dropped);
+    evbuffer_drain(dropped, evbuffer_get_length(dropped));
+    if (state == WG_BODY_BAD || client->body.decoded > wg_client_body_max(client->entry)) {
+        wg_client_end(client);
+    } else if (state == WG_BODY_COMPLETE) {
+        wg_client_call_ended(client, !client->entry->stopping);
+    }
+}
+
+/* A caller that has not sent the body yet, as it waits for "100 Continue", may omit it after an
+   error. Whether it does cannot be told from what follows. */
+static bool wg_client_may_omit_body(const wg_client* client, const wg_message_head* head) {
+    return head->framing != WG_FRAMING_NONE &&
+           wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue") &&
+           evbuffer_get_length(bufferevent_get_input(client->bev)) == 0;
+}
+
+/* Answers before the body has arrived. The body is dropped; then the connection can be reused. */
+static void wg_client_refuse_on_arrival(wg_client* client, const wg_message_head* head) {
+    wg_entry* e = client->entry;
+    wg_time now = wg_now();
+    size_t unsent = evbuffer_get_length(bufferevent_get_output(client->bev));
+    wg_client_refusal refusal = {.status = 503,
+                                 .code = e->stopping ? "stopping" : "overloaded",
+                                 .retry_after = wg_entry_overload_retry_after(e, head, now),
+                                 .keep = head->keep_alive && !e->stopping &&
+                                         !wg_client_may_omit_body(client, head) &&
+                                         unsent <= WG_OUTPUT_HIGH_WATER,
+                                 .head_only = wg_text_equals_nocase(head->method, "HEAD")};
+    e->counters.requests++;
+    wg_entry_overload_log(e, head, refusal.retry_after, now);
+    wg_client_refuse(client, &refusal);
+    if (!refusal.keep) {
+        wg_client_end(client);
+        return;
+    }
+    wg_body_begin(&client->body, head);
+    wg_client_set_state(client, WG_CLIENT_BODY);
+    client->dropping = true;
+    wg_client_drop_body(client);
+}
+
+/* Whether this host reads the request. Otherwise it was refused, or its caller has left. */
+static bool wg_client_is_admitted(wg_client* client, const wg_message_head* head) {
+    wg_entry* e = client->entry;
+    if (!e->overload) {
+        return true;
+    }
+    if (wg_overload_is_limited(e->overload) && wg_client_caller_has_left(client)) {
+        e->counters.caller_disconnects++;
+        wg_client_close(client);
+        return false;
+    }
+    if (!wg_entry_overload_admits(e, head, wg_now())) {
+        wg_client_refuse_on_arrival(client, head);
+        return false;
+    }
+    return true;
+}
+
 /* False if the head is incomplete or was refused. */
 static bool wg_client_read_head(wg_client* client) {
     struct evbuffer* in = bufferevent_get_input(client->bev);
@@ -249,12 +321,19 @@
         wg_client_reject(client, 413, "body_too_large");
         return false;
     }
+    if (!wg_client_is_admitted(client, &head)) {
+        return false;
+    }
     wg_client_begin_body(client, &head);
     return true;
 }
 
 /* Advances the connection with the input received. */
 static void wg_client_process_input(wg_client* client) {
+    if (client->dropping) {
+        wg_client_drop_body(client);
+        return;
+    }
     if (client->state == WG_CLIENT_ENDING) {
         struct evbuffer* in = bufferevent_get_input(client->bev);
         evbuffer_drain(in, evbuffer_get_length(in));
@@ -403,8 +482,9 @@
     return 0;
 }
 
+/* Whether a caller is sending a request that was not answered yet. */
 static bool wg_client_is_sending(const wg_client* client) {
-    return client->state == WG_CLIENT_BODY ||
+    return (client->state == WG_CLIENT_BODY && !client->dropping) ||
            (client->state == WG_CLIENT_HEAD && client->head_started);
 }
 
@@ -425,7 +505,8 @@
 bool wg_client_any_sending(const wg_entry* e) {
     for (guint i = 0; i < e->clients->len; i++) {
         const wg_client* client = e->clients->pdata[i];
-        bool waits = client->state == WG_CLIENT_HEAD && wg_client_has_unread(client);
+        bool may_wait = client->state == WG_CLIENT_HEAD || client->dropping;
+        bool waits = may_wait && wg_client_has_unread(client);
         if (waits || wg_client_is_sending(client)) {
             return true;
         }
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -71,6 +71,15 @@
     wg_hist_print(&e->input_lag.lag_hist, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
 
+static void wg_endpoint_overload_metrics(const wg_entry* e, GString* out) {
+    wg_overload_stats stats =
+        e->overload ? wg_overload_query_stats(e->overload) : (wg_overload_stats){0};
+    g_string_append_printf(out,
+                           "walnutgate_entry_refused_on_arrival_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_arrival_limit_per_second %.0f\n",
+                           stats.refused, stats.limit);
+}
+
 static void wg_endpoint_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -116,6 +125,7 @@
                            wg_backoff_active_num(e->backoff, wg_now()));
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
+    wg_endpoint_overload_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
     wgh_reply_text(request, 200, "text/plain", out->str);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -14,6 +14,7 @@
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
 #include "wg_loop.h"
+#include "wg_overload.h"
 #include "wg_policy.h"
 #include "wg_quarantine.h"
 #include "wg_retry.h"
@@ -34,6 +35,9 @@
     WG_PREVIOUS_COORDINATORS_MAX = 16
 };
 
+/* Seconds. Short, as other entry hosts can accept the request at once. */
+#define WG_STOPPING_RETRY_AFTER 0.02
+
 /* What this host knows of forced recoveries of the replica set (wg_entry_recovery.c). */
 typedef struct {
     uint64_t known;  /* highest recovery heard of, see wg_term.h */
@@ -67,6 +71,7 @@
     char* head_bytes; /* head of the request being read */
     size_t head_size;
     struct evbuffer* body_bytes;
+    bool dropping;         /* the request was refused; its body is read and dropped */
     bool keep;             /* connection may be reused after the current answer */
     bool answered;         /* at least one answer was sent */
     wg_time state_since;   /* start of the current state, or arrival of the first byte of a head */
@@ -327,9 +332,18 @@
     wg_lag_monitor tick_lag;   /* event-loop delay of the tick */
     struct event* delay_probe; /* queued behind callers' input to measure its delay */
     wg_time probe_since;       /* 0: the probe is not queued */
+    wg_time last_probe_since;  /* time at which the last measured probe was queued */
     wg_lag_monitor input_lag;  /* delay of callers' input in the event loop */
     wg_time stall_ended_at;    /* first tick after the last stall of this process; 0: none */
-    wg_hist first_byte_time;   /* microseconds to the first byte of the answer */
+
+    /* refusals on arrival: wg_entry_overload.c */
+    wg_overload* overload;          /* NULL: off */
+    struct evbuffer* dropped_bytes; /* bodies of refused requests pass through it */
+    uint64_t refused_before_overload;
+    wg_time overload_log_second;
+    int overload_log_lines;
+
+    wg_hist first_byte_time; /* microseconds to the first byte of the answer */
     wg_hist total_time;
     wg_time log_second;
     int log_lines;
@@ -448,6 +462,18 @@
 /* NULL if the target or its service is unknown. */
 const wg_service* wg_entry_service_of(const wg_entry* e, uint32_t target);
 
+/* wg_entry_overload.c; all but setup, shutdown and tick only if e->overload is set */
+void wg_entry_overload_setup(wg_entry* e);
+void wg_entry_overload_shutdown(wg_entry* e);
+void wg_entry_overload_tick(wg_entry* e, wg_time now);
+/* Counts a request whose head was read. False: it has to be refused. */
+bool wg_entry_overload_admits(wg_entry* e, const wg_message_head* head, wg_time now);
+/* Seconds after which the caller of a refused request may send it again. */
+double wg_entry_overload_retry_after(wg_entry* e, const wg_message_head* head, wg_time now);
+/* Logs a refusal, within the limit of lines per second. */
+void wg_entry_overload_log(wg_entry* e, const wg_message_head* head, double retry_after,
+                           wg_time now);
+
 /* wg_entry_cache.c */
 void wg_entry_cache_setup(wg_entry* e);
 void wg_entry_cache_shutdown(wg_entry* e);
