Look-up of a field determines the length of its name once

wg_message_field(), wg_message_field_num() and the search for list items called strlen() on the name that is looked for at each field of the head.

Evidence (callgrind, entry host, heads of 12 fields; instructions per request in the event loop): refused on arrival 23,439 -> 21,847, stream of 50 events 446,005 -> 442,272. test_message passes (9).

--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -5,9 +5,13 @@
 
 /* ---- texts --------------------------------------------------------------------------------- */
 
+/* `size`: length of `word`, so that a search determines it once. */
+static bool wg_text_equals_sized(wg_text text, const char* word, size_t size) {
+    return text.size == size && text.text && g_ascii_strncasecmp(text.text, word, size) == 0;
+}
+
 bool wg_text_equals_nocase(wg_text text, const char* word) {
-    return text.text && text.size == strlen(word) &&
-           g_ascii_strncasecmp(text.text, word, text.size) == 0;
+    return wg_text_equals_sized(text, word, strlen(word));
 }
 
 bool wg_text_number(wg_text text, int64_t* number) {
@@ -91,8 +95,9 @@
 }
 
 wg_text wg_message_field(const wg_message_head* head, const char* name) {
+    size_t size = strlen(name);
     for (int i = 0; i < head->fields_num; i++) {
-        if (wg_text_equals_nocase(head->fields[i].name, name)) {
+        if (wg_text_equals_sized(head->fields[i].name, name, size)) {
             return head->fields[i].value;
         }
     }
@@ -101,8 +106,9 @@
 
 int wg_message_field_num(const wg_message_head* head, const char* name) {
     int num = 0;
+    size_t size = strlen(name);
     for (int i = 0; i < head->fields_num; i++) {
-        num += wg_text_equals_nocase(head->fields[i].name, name);
+        num += wg_text_equals_sized(head->fields[i].name, name, size);
     }
     return num;
 }
@@ -146,8 +152,9 @@
 }
 
 static bool wg_field_has_item(const wg_message_head* head, const char* field, const char* word) {
+    size_t size = strlen(field);
     for (int i = 0; i < head->fields_num; i++) {
-        if (!wg_text_equals_nocase(head->fields[i].name, field)) {
+        if (!wg_text_equals_sized(head->fields[i].name, field, size)) {
             continue;
         }
         wg_text list = head->fields[i].value;
