End of a head is searched by lines

memmem() looks at each byte; memchr() for line ends does not. Evidence (callgrind, entry host; instructions per request in the event loop): refused on arrival 21,847 -> 20,919, stream of 50 events 442,272 -> 437,300. test_message passes (9).

--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -90,8 +90,15 @@
 /* ---- heads --------------------------------------------------------------------------------- */
 
 size_t wg_message_head_size(const char* bytes, size_t size) {
-    const char* end = size >= 4 ? memmem(bytes, size, "\r\n\r\n", 4) : NULL;
-    return end ? (size_t)(end - bytes) + 4 : 0;
+    const char* end = bytes + size;
+    const char* at = bytes;
+    while ((at = memchr(at, '\n', (size_t)(end - at)))) {
+        at++;
+        if (at - bytes >= 4 && memcmp(at - 4, "\r\n\r\n", 4) == 0) {
+            return (size_t)(at - bytes);
+        }
+    }
+    return 0;
 }
 
 wg_text wg_message_field(const wg_message_head* head, const char* name) {
