--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -65,7 +65,7 @@
 
 /* tchar of RFC 9110, 5.6.2 */
 static bool wg_is_token_char(char c) {
-    return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+    return g_ascii_isalnum(c) || c == '-' || (c && strchr("!#$%&'*+.^_`|~", c));
 }
 
 static bool wg_is_token(wg_text text) {
