Error answers without a call are written without printf

Three printf calls took a fifth of the instructions of a refusal on arrival. The answer is the same, byte by byte.

Evidence (callgrind, entry host; instructions per request in the event loop): refused on arrival 20,242 -> 15,613. System calls stay at 4.2 per refusal (ioctl, readv, poll, writev). test_entry_overload (12) and test_entry_promises (17) pass.

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -119,19 +119,73 @@
     }
 }
 
-void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal) {
-    struct evbuffer* out = evbuffer_new();
-    char body[128];
-    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", refusal->code,
-                          wg_verdict_name(WG_VERDICT_NOT_RUN));
-    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n",
-                        refusal->status, wgh_reason(refusal->status));
+enum {
+    WG_REFUSAL_MAX = 512, /* bytes of an error answer */
+    WG_REFUSAL_CODE_MAX = 64
+};
+
+/* Appends decimal digits, at least `digits`; returns the end. */
+static char* wg_put_number(char* at, unsigned number, int digits) {
+    char reversed[16];
+    int num = 0;
+    do {
+        reversed[num++] = (char)('0' + number % 10);
+        number /= 10;
+    } while (number > 0 || num < digits);
+    while (num > 0) {
+        *at++ = reversed[--num];
+    }
+    return at;
+}
+
+static char* wg_put_retry_after(char* at, double seconds) {
+    enum {
+        HUNDREDTHS = 100 /* per second */
+    };
+    unsigned hundredths = (unsigned)(seconds * HUNDREDTHS + 0.5);
+    at = g_stpcpy(at, "Retry-After: ");
+    at = wg_put_number(at, hundredths / HUNDREDTHS, 1);
+    *at++ = '.';
+    at = wg_put_number(at, hundredths % HUNDREDTHS, 2);
+    return g_stpcpy(at, "\r\n");
+}
+
+/* Writes the answer to `out`, which holds WG_REFUSAL_MAX bytes; returns its size. Formatted without
+   printf, which would take most of the time of a refusal on arrival. */
+static size_t wg_client_write_refusal(const wg_client_refusal* refusal, char* out) {
+    static const char body_start[] = "{\"code\":\"";
+    static const char body_middle[] = "\",\"verdict\":\"";
+    static const char body_end[] = "\"}";
+    const char* verdict = wg_verdict_name(WG_VERDICT_NOT_RUN);
+    size_t size = strlen(body_start) + strlen(refusal->code) + strlen(body_middle) +
+                  strlen(verdict) + strlen(body_end);
+    WG_ASSERT(strlen(refusal->code) <= WG_REFUSAL_CODE_MAX);
+    char* at = g_stpcpy(out, "HTTP/1.1 ");
+    at = wg_put_number(at, (unsigned)refusal->status, 1);
+    *at++ = ' ';
+    at = g_stpcpy(at, wgh_reason(refusal->status));
+    at = g_stpcpy(at, "\r\nContent-Type: application/json\r\n");
     if (refusal->retry_after > 0) {
-        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", refusal->retry_after);
+        at = wg_put_retry_after(at, refusal->retry_after);
     }
-    evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                        refusal->keep ? "" : "Connection: close\r\n",
-                        refusal->head_only ? "" : body);
+    at = g_stpcpy(at, "Content-Length: ");
+    at = wg_put_number(at, (unsigned)size, 1);
+    at = g_stpcpy(at, refusal->keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+    if (!refusal->head_only) {
+        at = g_stpcpy(at, body_start);
+        at = g_stpcpy(at, refusal->code);
+        at = g_stpcpy(at, body_middle);
+        at = g_stpcpy(at, verdict);
+        at = g_stpcpy(at, body_end);
+    }
+    return (size_t)(at - out);
+}
+
+void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal) {
+    char answer[WG_REFUSAL_MAX];
+    size_t size = wg_client_write_refusal(refusal, answer);
+    struct evbuffer* out = evbuffer_new();
+    evbuffer_add(out, answer, size);
     client->entry->counters.refused++;
     wg_socket_write(client->bev, out);
     evbuffer_free(out);
