--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -239,6 +239,8 @@
     e->fingerprint_seed = wg_fingerprint_seed(e->settings->fleet_key);
     e->started_at = wg_now();
     e->clients = g_ptr_array_new();
+    e->relayed_events = evbuffer_new();
+    e->relayed_bytes = evbuffer_new();
     e->idle = g_hash_table_new(NULL, NULL);
     e->queues =
         g_hash_table_new_full(g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_queue_free);
@@ -319,6 +321,8 @@
     wg_config_unref(e->config);
     g_clear_pointer(&e->document, g_bytes_unref);
     g_ptr_array_unref(e->clients);
+    evbuffer_free(e->relayed_events);
+    evbuffer_free(e->relayed_bytes);
     g_hash_table_unref(e->queues);
     g_hash_table_unref(e->retries);
     wg_usage_shutdown(e->usage);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -296,23 +296,21 @@
 
 /* Relays complete events. False if the stream is malformed. */
 static bool wg_call_relay_events(wg_call* call, wg_upstream* up) {
-    struct evbuffer* data = evbuffer_new();
+    struct evbuffer* data = call->entry->relayed_events;
     wg_event_stream_result result;
     while ((result = wg_event_stream_next(up->content, data, call->last_event,
                                           sizeof call->last_event)) == WG_EVENT_STREAM_EVENT) {
         call->events++;
     }
     if (evbuffer_get_length(data) > 0) {
-        struct evbuffer* out = evbuffer_new();
+        struct evbuffer* out = call->entry->relayed_bytes;
         wg_call_record_first_byte(call);
         if (!call->head_sent) {
             wg_call_write_head(call, up, -1, out);
         }
         wg_call_add_chunk(out, data);
         wg_call_write(call, out);
-        evbuffer_free(out);
     }
-    evbuffer_free(data);
     return result != WG_EVENT_STREAM_BAD;
 }
 
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -265,6 +265,8 @@
     GHashTable* queues;  /* name of a service -> GQueue of wg_call */
     int calls_num;
     int upstreams_num;
+    struct evbuffer* relayed_events; /* empty between events: one allocation for all streams */
+    struct evbuffer* relayed_bytes;  /* likewise */
 
     /* copy of the fleet state */
     wg_config* config;
