Lines of chunked bodies are searched in contiguous memory

evbuffer_search_eol() and two drains took most of the decoding of a chunk; the line, of 256 bytes at most, is nearly always contiguous.

--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -368,19 +368,38 @@
     return i > 0 && terminated ? value : -1;
 }
 
+/* First line ending in `bytes`, NULL if there is none. */
+static const char* wg_line_end(const char* bytes, size_t size) {
+    const char* end = bytes + size;
+    const char* at = bytes;
+    while (at < end && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        if (at > bytes && at[-1] == '\r') {
+            return at - 1;
+        }
+        at++;
+    }
+    return NULL;
+}
+
 /* Reads one line of a chunked body. Returns 1 for a line, 0 if more bytes are needed, -1 if it is
    malformed. */
 static int wg_chunk_line(struct evbuffer* in, char* line, size_t* size) {
-    struct evbuffer_ptr end = evbuffer_search_eol(in, NULL, size, EVBUFFER_EOL_CRLF_STRICT);
-    if (end.pos < 0) {
-        return evbuffer_get_length(in) > WG_CHUNK_LINE_MAX ? -1 : 0;
-    }
-    if (end.pos >= WG_CHUNK_LINE_MAX) {
-        return -1;
-    }
-    evbuffer_remove(in, line, (size_t)end.pos);
-    evbuffer_drain(in, 2);
-    *size = (size_t)end.pos;
+    enum {
+        LOOK_MAX = WG_CHUNK_LINE_MAX + 1 /* the longest line and its ending */
+    };
+    size_t available = evbuffer_get_length(in);
+    size_t look = MIN(available, (size_t)LOOK_MAX);
+    if (look == 0) {
+        return 0;
+    }
+    const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
+    const char* end = wg_line_end(bytes, look);
+    if (!end) {
+        return available > WG_CHUNK_LINE_MAX ? -1 : 0;
+    }
+    *size = (size_t)(end - bytes);
+    memcpy(line, bytes, *size);
+    evbuffer_drain(in, *size + 2);
     return 1;
 }
 
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -171,6 +171,33 @@
 }
 END_TEST
 
+/* The longest line of a chunked body is accepted, however it arrives; a longer one is refused as
+   soon as that is certain, so that a sender cannot make a host hold more. */
+START_TEST(chunk_lines_have_a_limit) {
+    for (size_t size = WG_CHUNK_LINE_MAX - 3; size <= WG_CHUNK_LINE_MAX + 3; size++) {
+        wg_body_state expected = size < WG_CHUNK_LINE_MAX ? WG_BODY_MORE : WG_BODY_BAD;
+        for (size_t piece = 1; piece <= size + 2; piece++) {
+            struct evbuffer* in = evbuffer_new();
+            struct evbuffer* out = evbuffer_new();
+            wg_body body;
+            char* line = g_strdup_printf("4;%0*d\r\n", (int)size - 2, 0);
+            wg_body_begin(&body, &(wg_message_head){.framing = WG_FRAMING_CHUNKED});
+            wg_body_state state = WG_BODY_MORE;
+            for (size_t at = 0; at < size + 2 && state == WG_BODY_MORE; at += piece) {
+                ck_assert_uint_le(evbuffer_get_length(in), WG_CHUNK_LINE_MAX);
+                evbuffer_add(in, line + at, MIN(piece, size + 2 - at));
+                state = wg_body_read(&body, in, out);
+            }
+            ck_assert_int_eq(state, expected);
+            ck_assert_int_eq(body.remaining, expected == WG_BODY_MORE ? 4 : 0);
+            g_free(line);
+            evbuffer_free(in);
+            evbuffer_free(out);
+        }
+    }
+}
+END_TEST
+
 START_TEST(events_end_at_blank_lines) {
     static const char wire[] = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata";
     struct evbuffer* in = evbuffer_new();
@@ -194,4 +221,4 @@
              too_many_fields_are_refused, head_is_complete_only_with_its_empty_line,
              answers_have_one_framing, hop_by_hop_fields_are_recognised,
              chunks_decode_in_pieces_of_any_size, malformed_chunks_are_rejected,
-             events_end_at_blank_lines)
+             chunk_lines_have_a_limit, events_end_at_blank_lines)
