Forwarded fields are written without printf

Evidence (callgrind, entry host, requests with 12 fields; instructions per request): reading and forwarding a request 51,370 -> 44,100. test_forward (4), test_entry (4) and test_entry_promises (17) pass.

--- a/lib/entry/wg_forward.c
+++ b/lib/entry/wg_forward.c
@@ -1,6 +1,8 @@
 /* wg_forward.c -- see wg_forward.h */
 #include "wg_forward.h"
 
+#include <string.h>
+
 static bool _wg_forward_is_reserved(const wg_entry_names* names, wg_text name) {
     for (const char* const* at = names->reserved; at && *at; at++) {
         if (wg_text_equals_nocase(name, *at)) {
@@ -21,6 +23,25 @@
            _wg_forward_is_reserved(names, name);
 }
 
+/* Adds one field. Without printf, as this runs for each field of each request. */
+static void _wg_forward_add_field(struct evbuffer* out, const wg_message_pair* pair) {
+    size_t size = pair->name.size + 2 + pair->value.size + 2;
+    struct evbuffer_iovec space;
+    int extents = evbuffer_reserve_space(out, (ev_ssize_t)size, &space, 1);
+    WG_ASSERT(extents == 1);
+    char* at = space.iov_base;
+    memcpy(at, pair->name.text, pair->name.size);
+    at += pair->name.size;
+    *at++ = ':';
+    *at++ = ' ';
+    memcpy(at, pair->value.text, pair->value.size);
+    at += pair->value.size;
+    *at++ = '\r';
+    *at = '\n';
+    space.iov_len = size;
+    evbuffer_commit_space(out, &space, 1);
+}
+
 static void _wg_forward_fields(const wg_entry_names* names, const wg_forward* f,
                                struct evbuffer* out) {
     const wg_message_head* head = f->head;
@@ -28,8 +49,7 @@
     for (int i = 0; i < head->fields_num; i++) {
         const wg_message_pair* pair = &head->fields[i];
         if (!wg_forward_removes_field(names, head, pair->name, resumes)) {
-            evbuffer_add_printf(out, "%.*s: %.*s\r\n", (int)pair->name.size, pair->name.text,
-                                (int)pair->value.size, pair->value.text);
+            _wg_forward_add_field(out, pair);
         }
     }
 }
