The head of a request is parsed once

It was parsed when it was read and again when its body was complete. The parsed head is kept with the connection while the body is read.

Evidence (callgrind, entry host, requests with 12 fields; instructions per request): reading and forwarding a request 44,100 -> 38,200. test_entry (4), test_entry_promises (17), test_entry_overload (12), test_entry_flooded (9), test_entry_targets (2) and test_entry_quarantine (12) pass.

--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -508,26 +508,24 @@
     }
 }
 
-void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body) {
+void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
+                   struct evbuffer* body) {
     wg_entry* e = client->entry;
-    wg_message_head head;
-    int bad = wg_message_parse_request(bytes, size, &head);
-    WG_ASSERT(bad == 0);
     e->counters.requests++;
     if (!e->config || !e->registry_known) {
-        wg_call_deny(client, bytes, body, &head, 503, "no_configuration_yet");
+        wg_call_deny(client, bytes, body, head, 503, "no_configuration_yet");
         return;
     }
     const wg_route* route =
-        wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
+        wg_config_route(e->config, wg_message_field(head, "Host"), head->target);
     if (!route) {
-        wg_call_deny_unknown(client, bytes, body, &head, 404, "no_route");
+        wg_call_deny_unknown(client, bytes, body, head, 404, "no_route");
         return;
     }
     const wg_workspace* workspace =
-        wg_config_workspace(e->config, wg_message_field(&head, e->names->key));
+        wg_config_workspace(e->config, wg_message_field(head, e->names->key));
     if (!workspace && !route->open && e->config->workspaces_num > 0) {
-        wg_call_deny_unknown(client, bytes, body, &head, 401, "unknown_key");
+        wg_call_deny_unknown(client, bytes, body, head, 401, "unknown_key");
         return;
     }
     wg_call* call = g_new0(wg_call, 1);
@@ -538,23 +536,23 @@
     call->route = route;
     call->workspace = workspace;
     call->bytes = bytes;
-    call->head = head;
+    call->head = *head;
     call->body = body;
-    call->head_only = wg_text_equals_nocase(head.method, "HEAD");
-    wg_text id = wg_message_field(&head, e->names->request_id);
+    call->head_only = wg_text_equals_nocase(head->method, "HEAD");
+    wg_text id = wg_message_field(head, e->names->request_id);
     g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
     call->fingerprint =
         wg_fingerprint(&(wg_fingerprint_desc){.seed = e->fingerprint_seed,
-                                              .host = wg_message_field(&head, "Host"),
-                                              .path = head.target,
+                                              .host = wg_message_field(head, "Host"),
+                                              .path = head->target,
                                               .workspace = workspace ? workspace->name : NULL,
                                               .body = body});
     const wg_service* service = &call->config->services[call->service];
-    wg_text parts = wg_message_field(&head, e->names->prompt_parts);
+    wg_text parts = wg_message_field(head, e->names->prompt_parts);
     call->has_prompt =
         service->engine && parts.text &&
-        wg_parse_prompt(parts, wg_message_field(&head, e->names->prompt_tokens), &call->prompt);
+        wg_parse_prompt(parts, wg_message_field(head, e->names->prompt_tokens), &call->prompt);
     call->selection = (wg_balance_request){.service = service->name,
                                            .prompt = call->has_prompt ? &call->prompt : NULL,
                                            .copies = service->copies,
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -54,6 +54,7 @@
     event_free(client->watch);
     bufferevent_free(client->bev);
     g_free(client->head_bytes);
+    g_free(client->head);
     if (client->body_bytes) {
         evbuffer_free(client->body_bytes);
     }
@@ -238,12 +239,14 @@
         return;
     }
     char* bytes = client->head_bytes;
-    size_t size = client->head_size;
+    wg_message_head* head = client->head;
     struct evbuffer* body = client->body_bytes;
     client->head_bytes = NULL;
+    client->head = NULL;
     client->body_bytes = NULL;
     wg_client_set_state(client, WG_CLIENT_BUSY);
-    wg_call_begin(client, bytes, size, body);
+    wg_call_begin(client, bytes, head, body);
+    g_free(head);
 }
 
 /* False if the body is incomplete or was refused. */
@@ -263,6 +266,8 @@
 
 static void wg_client_begin_body(wg_client* client, const wg_message_head* head) {
     wg_body_begin(&client->body, head);
+    client->head = g_new(wg_message_head, 1);
+    *client->head = *head;
     client->body_bytes = evbuffer_new();
     client->keep = head->keep_alive;
     if (wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue")) {
@@ -363,7 +368,6 @@
     }
     g_free(client->head_bytes);
     client->head_bytes = g_malloc(size);
-    client->head_size = size;
     evbuffer_remove(in, client->head_bytes, size);
     wg_message_head head;
     int status = wg_message_parse_request(client->head_bytes, size, &head);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -68,8 +68,8 @@
     wg_client_state state;
     wg_call* call;
     wg_body body;
-    char* head_bytes; /* head of the request being read */
-    size_t head_size;
+    char* head_bytes;      /* head of the request being read */
+    wg_message_head* head; /* parsed `head_bytes`, while a body is read that is not dropped */
     struct evbuffer* body_bytes;
     bool dropping;         /* the request was refused; its body is read and dropped */
     bool keep;             /* connection may be reused after the current answer */
@@ -569,8 +569,9 @@
 bool wg_socket_peer_has_closed(struct bufferevent* bev);
 
 /* wg_entry_call.c */
-/* Takes ownership of `bytes` and `body`. */
-void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body);
+/* Takes ownership of `bytes`, which `head` points into, and of `body`. */
+void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
+                   struct evbuffer* body);
 void wg_call_caller_disconnected(wg_call* call);
 void wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
