--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -9,9 +9,6 @@
     WG_ANSWER_TOKEN_BYTES = 8                     /* upper estimate per token on the wire */
 };
 
-/* Seconds. Short, as other entry hosts can accept the request at once. */
-static const double WG_STOPPING_RETRY_AFTER = 0.02;
-
 /* ---- helpers: the end of a call -------------------------------------------------------------- */
 
 /* Releases the load accounted to the target, and the admission. */
@@ -271,9 +268,18 @@
     }
 }
 
-/* Moves `data` to `out` as one chunk. */
+/* Moves `data` to `out` as one chunk. Formatted without printf, as this runs for each event. */
 static void wg_call_add_chunk(struct evbuffer* out, struct evbuffer* data) {
-    evbuffer_add_printf(out, "%zx\r\n", evbuffer_get_length(data));
+    static const char digits[] = "0123456789abcdef";
+    char line[2 * sizeof(size_t) + 2];
+    char* at = line + sizeof line;
+    WG_ASSERT(evbuffer_get_length(data) > 0); /* an empty chunk would end the answer */
+    *--at = '\n';
+    *--at = '\r';
+    for (size_t size = evbuffer_get_length(data); size > 0; size /= 16) {
+        *--at = digits[size % 16];
+    }
+    evbuffer_add(out, at, (size_t)(line + sizeof line - at));
     evbuffer_add_buffer(out, data);
     evbuffer_add(out, "\r\n", 2);
 }
@@ -298,23 +304,21 @@
 
 /* Relays complete events. False if the stream is malformed. */
 static bool wg_call_relay_events(wg_call* call, wg_upstream* up) {
-    struct evbuffer* data = evbuffer_new();
+    struct evbuffer* data = call->entry->relayed_events;
     wg_event_stream_result result;
     while ((result = wg_event_stream_next(up->content, data, call->last_event,
                                           sizeof call->last_event)) == WG_EVENT_STREAM_EVENT) {
         call->events++;
     }
     if (evbuffer_get_length(data) > 0) {
-        struct evbuffer* out = evbuffer_new();
+        struct evbuffer* out = call->entry->relayed_bytes;
         wg_call_record_first_byte(call);
         if (!call->head_sent) {
             wg_call_write_head(call, up, -1, out);
         }
         wg_call_add_chunk(out, data);
         wg_call_write(call, out);
-        evbuffer_free(out);
     }
-    evbuffer_free(data);
     return result != WG_EVENT_STREAM_BAD;
 }
 
@@ -490,7 +494,12 @@
     wg_entry* e = client->entry;
     bool keep = client->keep && !e->stopping;
     wg_call_log_denial(e, head, status, code);
-    wg_client_refuse(client, status, code, status == 503 ? 0.5 : 0, keep);
+    wg_client_refuse(
+        client, &(wg_client_refusal){.status = status,
+                                     .code = code,
+                                     .retry_after = status == 503 ? 0.5 : 0,
+                                     .keep = keep,
+                                     .head_only = wg_text_equals_nocase(head->method, "HEAD")});
     evbuffer_free(body);
     g_free(bytes);
     wg_client_call_ended(client, keep);
@@ -507,26 +516,24 @@
     }
 }
 
-void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body) {
+void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
+                   struct evbuffer* body) {
     wg_entry* e = client->entry;
-    wg_message_head head;
-    int bad = wg_message_parse_request(bytes, size, &head);
-    WG_ASSERT(bad == 0);
     e->counters.requests++;
     if (!e->config || !e->registry_known) {
-        wg_call_deny(client, bytes, body, &head, 503, "no_configuration_yet");
+        wg_call_deny(client, bytes, body, head, 503, "no_configuration_yet");
         return;
     }
     const wg_route* route =
-        wg_config_route(e->config, wg_message_field(&head, "Host"), head.target);
+        wg_config_route(e->config, wg_message_field(head, "Host"), head->target);
     if (!route) {
-        wg_call_deny_unknown(client, bytes, body, &head, 404, "no_route");
+        wg_call_deny_unknown(client, bytes, body, head, 404, "no_route");
         return;
     }
     const wg_workspace* workspace =
-        wg_config_workspace(e->config, wg_message_field(&head, e->names->key));
+        wg_config_workspace(e->config, wg_message_field(head, e->names->key));
     if (!workspace && !route->open && e->config->workspaces_num > 0) {
-        wg_call_deny_unknown(client, bytes, body, &head, 401, "unknown_key");
+        wg_call_deny_unknown(client, bytes, body, head, 401, "unknown_key");
         return;
     }
     wg_call* call = g_new0(wg_call, 1);
@@ -537,23 +544,23 @@
     call->route = route;
     call->workspace = workspace;
     call->bytes = bytes;
-    call->head = head;
+    call->head = *head;
     call->body = body;
-    call->head_only = wg_text_equals_nocase(head.method, "HEAD");
-    wg_text id = wg_message_field(&head, e->names->request_id);
+    call->head_only = wg_text_equals_nocase(head->method, "HEAD");
+    wg_text id = wg_message_field(head, e->names->request_id);
     g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
     call->fingerprint =
         wg_fingerprint(&(wg_fingerprint_desc){.seed = e->fingerprint_seed,
-                                              .host = wg_message_field(&head, "Host"),
-                                              .path = head.target,
+                                              .host = wg_message_field(head, "Host"),
+                                              .path = head->target,
                                               .workspace = workspace ? workspace->name : NULL,
                                               .body = body});
     const wg_service* service = &call->config->services[call->service];
-    wg_text parts = wg_message_field(&head, e->names->prompt_parts);
+    wg_text parts = wg_message_field(head, e->names->prompt_parts);
     call->has_prompt =
         service->engine && parts.text &&
-        wg_parse_prompt(parts, wg_message_field(&head, e->names->prompt_tokens), &call->prompt);
+        wg_parse_prompt(parts, wg_message_field(head, e->names->prompt_tokens), &call->prompt);
     call->selection = (wg_balance_request){.service = service->name,
                                            .prompt = call->has_prompt ? &call->prompt : NULL,
                                            .copies = service->copies,
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -4,6 +4,7 @@
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -53,6 +54,7 @@
     event_free(client->watch);
     bufferevent_free(client->bev);
     g_free(client->head_bytes);
+    g_free(client->head);
     if (client->body_bytes) {
         evbuffer_free(client->body_bytes);
     }
@@ -101,6 +103,7 @@
     client->state_since = wg_now();
     client->head_started = false;
     client->bytes_examined = 0;
+    client->dropping = false;
     wg_client_watch(client, state == WG_CLIENT_BUSY);
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
@@ -117,21 +120,74 @@
     }
 }
 
-void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
-                      bool keep) {
-    wg_entry* e = client->entry;
+enum {
+    WG_REFUSAL_MAX = 512, /* bytes of an error answer */
+    WG_REFUSAL_CODE_MAX = 64
+};
+
+/* Appends decimal digits, at least `digits`; returns the end. */
+static char* wg_put_number(char* at, unsigned number, int digits) {
+    char reversed[16];
+    int num = 0;
+    do {
+        reversed[num++] = (char)('0' + number % 10);
+        number /= 10;
+    } while (number > 0 || num < digits);
+    while (num > 0) {
+        *at++ = reversed[--num];
+    }
+    return at;
+}
+
+static char* wg_put_retry_after(char* at, double seconds) {
+    enum {
+        HUNDREDTHS = 100 /* per second */
+    };
+    unsigned hundredths = (unsigned)(seconds * HUNDREDTHS + 0.5);
+    at = g_stpcpy(at, "Retry-After: ");
+    at = wg_put_number(at, hundredths / HUNDREDTHS, 1);
+    *at++ = '.';
+    at = wg_put_number(at, hundredths % HUNDREDTHS, 2);
+    return g_stpcpy(at, "\r\n");
+}
+
+/* Writes the answer to `out`, which holds WG_REFUSAL_MAX bytes; returns its size. Formatted without
+   printf, which would take most of the time of a refusal on arrival. */
+static size_t wg_client_write_refusal(const wg_client_refusal* refusal, char* out) {
+    static const char body_start[] = "{\"code\":\"";
+    static const char body_middle[] = "\",\"verdict\":\"";
+    static const char body_end[] = "\"}";
+    const char* verdict = wg_verdict_name(WG_VERDICT_NOT_RUN);
+    size_t size = strlen(body_start) + strlen(refusal->code) + strlen(body_middle) +
+                  strlen(verdict) + strlen(body_end);
+    WG_ASSERT(strlen(refusal->code) <= WG_REFUSAL_CODE_MAX);
+    char* at = g_stpcpy(out, "HTTP/1.1 ");
+    at = wg_put_number(at, (unsigned)refusal->status, 1);
+    *at++ = ' ';
+    at = g_stpcpy(at, wgh_reason(refusal->status));
+    at = g_stpcpy(at, "\r\nContent-Type: application/json\r\n");
+    if (refusal->retry_after > 0) {
+        at = wg_put_retry_after(at, refusal->retry_after);
+    }
+    at = g_stpcpy(at, "Content-Length: ");
+    at = wg_put_number(at, (unsigned)size, 1);
+    at = g_stpcpy(at, refusal->keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+    if (!refusal->head_only) {
+        at = g_stpcpy(at, body_start);
+        at = g_stpcpy(at, refusal->code);
+        at = g_stpcpy(at, body_middle);
+        at = g_stpcpy(at, verdict);
+        at = g_stpcpy(at, body_end);
+    }
+    return (size_t)(at - out);
+}
+
+void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal) {
+    char answer[WG_REFUSAL_MAX];
+    size_t size = wg_client_write_refusal(refusal, answer);
     struct evbuffer* out = evbuffer_new();
-    char body[128];
-    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", code,
-                          wg_verdict_name(WG_VERDICT_NOT_RUN));
-    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
-                        wgh_reason(status));
-    if (retry_after > 0) {
-        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
-    }
-    evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                        keep ? "" : "Connection: close\r\n", body);
-    e->counters.refused++;
+    evbuffer_add(out, answer, size);
+    client->entry->counters.refused++;
     wg_socket_write(client->bev, out);
     evbuffer_free(out);
 }
@@ -140,7 +196,7 @@
     if (wg_entry_may_log(client->entry, wg_now())) {
         wg_log(WG_EVENT_CONNECTION_REFUSED, "status=%d code=%s", status, code);
     }
-    wg_client_refuse(client, status, code, 0, false);
+    wg_client_refuse(client, &(wg_client_refusal){.status = status, .code = code});
     wg_client_end(client);
 }
 
@@ -168,6 +224,12 @@
     return recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
 }
 
+/* Whether the peer has closed, or does not send any more, also if input is left to read. */
+static bool wg_client_caller_has_left(const wg_client* client) {
+    struct pollfd state = {.fd = bufferevent_getfd(client->bev), .events = POLLRDHUP};
+    return poll(&state, 1, 0) > 0;
+}
+
 /* Starts the call of a complete request, unless the caller has closed meanwhile. The event loop
    would report that only after the request was sent to a target. */
 static void wg_client_start_call(wg_client* client) {
@@ -177,12 +239,14 @@
         return;
     }
     char* bytes = client->head_bytes;
-    size_t size = client->head_size;
+    wg_message_head* head = client->head;
     struct evbuffer* body = client->body_bytes;
     client->head_bytes = NULL;
+    client->head = NULL;
     client->body_bytes = NULL;
     wg_client_set_state(client, WG_CLIENT_BUSY);
-    wg_call_begin(client, bytes, size, body);
+    wg_call_begin(client, bytes, head, body);
+    g_free(head);
 }
 
 /* False if the body is incomplete or was refused. */
@@ -202,6 +266,8 @@
 
 static void wg_client_begin_body(wg_client* client, const wg_message_head* head) {
     wg_body_begin(&client->body, head);
+    client->head = g_new(wg_message_head, 1);
+    *client->head = *head;
     client->body_bytes = evbuffer_new();
     client->keep = head->keep_alive;
     if (wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue")) {
@@ -213,6 +279,70 @@
     wg_client_set_state(client, WG_CLIENT_BODY);
 }
 
+/* Drops the body of a refused request as far as it has arrived. The request was answered, so a
+   malformed body closes the connection without another answer. */
+static void wg_client_drop_body(wg_client* client) {
+    struct evbuffer* dropped = client->entry->dropped_bytes;
+    wg_body_state state = wg_body_read(&client->body, bufferevent_get_input(client->bev), dropped);
+    evbuffer_drain(dropped, evbuffer_get_length(dropped));
+    if (state == WG_BODY_BAD || client->body.decoded > wg_client_body_max(client->entry)) {
+        wg_client_end(client);
+    } else if (state == WG_BODY_COMPLETE) {
+        wg_client_call_ended(client, !client->entry->stopping);
+    }
+}
+
+/* A caller that has not sent the body yet, as it waits for "100 Continue", may omit it after an
+   error. Whether it does cannot be told from what follows. */
+static bool wg_client_may_omit_body(const wg_client* client, const wg_message_head* head) {
+    return head->framing != WG_FRAMING_NONE &&
+           wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue") &&
+           evbuffer_get_length(bufferevent_get_input(client->bev)) == 0;
+}
+
+/* Answers before the body has arrived. The body is dropped; then the connection can be reused. */
+static void wg_client_refuse_on_arrival(wg_client* client, const wg_message_head* head) {
+    wg_entry* e = client->entry;
+    wg_time now = wg_now();
+    size_t unsent = evbuffer_get_length(bufferevent_get_output(client->bev));
+    wg_client_refusal refusal = {.status = 503,
+                                 .code = e->stopping ? "stopping" : "overloaded",
+                                 .retry_after = wg_entry_overload_retry_after(e, head, now),
+                                 .keep = head->keep_alive && !e->stopping &&
+                                         !wg_client_may_omit_body(client, head) &&
+                                         unsent <= WG_OUTPUT_HIGH_WATER,
+                                 .head_only = wg_text_equals_nocase(head->method, "HEAD")};
+    e->counters.requests++;
+    wg_entry_overload_log(e, head, refusal.retry_after, now);
+    wg_client_refuse(client, &refusal);
+    if (!refusal.keep) {
+        wg_client_end(client);
+        return;
+    }
+    wg_body_begin(&client->body, head);
+    wg_client_set_state(client, WG_CLIENT_BODY);
+    client->dropping = true;
+    wg_client_drop_body(client);
+}
+
+/* Whether this host reads the request. Otherwise it was refused, or its caller has left. */
+static bool wg_client_is_admitted(wg_client* client, const wg_message_head* head) {
+    wg_entry* e = client->entry;
+    if (!e->overload) {
+        return true;
+    }
+    if (wg_overload_is_limited(e->overload) && wg_client_caller_has_left(client)) {
+        e->counters.caller_disconnects++;
+        wg_client_close(client);
+        return false;
+    }
+    if (!wg_entry_overload_admits(e, head, wg_now())) {
+        wg_client_refuse_on_arrival(client, head);
+        return false;
+    }
+    return true;
+}
+
 /* False if the head is incomplete or was refused. */
 static bool wg_client_read_head(wg_client* client) {
     struct evbuffer* in = bufferevent_get_input(client->bev);
@@ -238,7 +368,6 @@
     }
     g_free(client->head_bytes);
     client->head_bytes = g_malloc(size);
-    client->head_size = size;
     evbuffer_remove(in, client->head_bytes, size);
     wg_message_head head;
     int status = wg_message_parse_request(client->head_bytes, size, &head);
@@ -250,12 +379,19 @@
         wg_client_reject(client, 413, "body_too_large");
         return false;
     }
+    if (!wg_client_is_admitted(client, &head)) {
+        return false;
+    }
     wg_client_begin_body(client, &head);
     return true;
 }
 
 /* Advances the connection with the input received. */
 static void wg_client_process_input(wg_client* client) {
+    if (client->dropping) {
+        wg_client_drop_body(client);
+        return;
+    }
     if (client->state == WG_CLIENT_ENDING) {
         struct evbuffer* in = bufferevent_get_input(client->bev);
         evbuffer_drain(in, evbuffer_get_length(in));
@@ -404,8 +540,9 @@
     return 0;
 }
 
+/* Whether a caller is sending a request that was not answered yet. */
 static bool wg_client_is_sending(const wg_client* client) {
-    return client->state == WG_CLIENT_BODY ||
+    return (client->state == WG_CLIENT_BODY && !client->dropping) ||
            (client->state == WG_CLIENT_HEAD && client->head_started);
 }
 
@@ -426,7 +563,8 @@
 bool wg_client_any_sending(const wg_entry* e) {
     for (guint i = 0; i < e->clients->len; i++) {
         const wg_client* client = e->clients->pdata[i];
-        bool waits = client->state == WG_CLIENT_HEAD && wg_client_has_unread(client);
+        bool may_wait = client->state == WG_CLIENT_HEAD || client->dropping;
+        bool waits = may_wait && wg_client_has_unread(client);
         if (waits || wg_client_is_sending(client)) {
             return true;
         }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -14,6 +14,7 @@
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
 #include "wg_loop.h"
+#include "wg_overload.h"
 #include "wg_policy.h"
 #include "wg_quarantine.h"
 #include "wg_retry.h"
@@ -35,6 +36,9 @@
     WG_PREVIOUS_COORDINATORS_MAX = 16
 };
 
+/* Seconds. Short, as other entry hosts can accept the request at once. */
+#define WG_STOPPING_RETRY_AFTER 0.02
+
 /* What this host knows of forced recoveries of the replica set (wg_entry_recovery.c). */
 typedef struct {
     uint64_t known;  /* highest recovery heard of, see wg_term.h */
@@ -65,9 +69,10 @@
     wg_client_state state;
     wg_call* call;
     wg_body body;
-    char* head_bytes; /* head of the request being read */
-    size_t head_size;
+    char* head_bytes;      /* head of the request being read */
+    wg_message_head* head; /* parsed `head_bytes`, while a body is read that is not dropped */
     struct evbuffer* body_bytes;
+    bool dropping;         /* the request was refused; its body is read and dropped */
     bool keep;             /* connection may be reused after the current answer */
     bool answered;         /* at least one answer was sent */
     wg_time state_since;   /* start of the current state, or arrival of the first byte of a head */
@@ -263,6 +268,8 @@
     GHashTable* queues;  /* name of a service -> GQueue of wg_call */
     int calls_num;
     int upstreams_num;
+    struct evbuffer* relayed_events; /* empty between events: one allocation for all streams */
+    struct evbuffer* relayed_bytes;  /* likewise */
 
     /* copy of the fleet state */
     wg_config* config;
@@ -331,9 +338,18 @@
     wg_lag_monitor tick_lag;   /* event-loop delay of the tick */
     struct event* delay_probe; /* queued behind callers' input to measure its delay */
     wg_time probe_since;       /* 0: the probe is not queued */
+    wg_time last_probe_since;  /* time at which the last measured probe was queued */
     wg_lag_monitor input_lag;  /* delay of callers' input in the event loop */
     wg_time stall_ended_at;    /* first tick after the last stall of this process; 0: none */
-    wg_hist first_byte_time;   /* microseconds to the first byte of the answer */
+
+    /* refusals on arrival: wg_entry_overload.c */
+    wg_overload* overload;          /* NULL: off */
+    struct evbuffer* dropped_bytes; /* bodies of refused requests pass through it */
+    uint64_t refused_before_overload;
+    wg_time overload_log_second;
+    int overload_log_lines;
+
+    wg_hist first_byte_time; /* microseconds to the first byte of the answer */
     wg_hist total_time;
     wg_time log_second;
     int log_lines;
@@ -455,6 +471,18 @@
 /* NULL if the target or its service is unknown. */
 const wg_service* wg_entry_service_of(const wg_entry* e, uint32_t target);
 
+/* wg_entry_overload.c; all but setup, shutdown and tick only if e->overload is set */
+void wg_entry_overload_setup(wg_entry* e);
+void wg_entry_overload_shutdown(wg_entry* e);
+void wg_entry_overload_tick(wg_entry* e, wg_time now);
+/* Counts a request whose head was read. False: it has to be refused. */
+bool wg_entry_overload_admits(wg_entry* e, const wg_message_head* head, wg_time now);
+/* Seconds after which the caller of a refused request may send it again. */
+double wg_entry_overload_retry_after(wg_entry* e, const wg_message_head* head, wg_time now);
+/* Logs a refusal, within the limit of lines per second. */
+void wg_entry_overload_log(wg_entry* e, const wg_message_head* head, double retry_after,
+                           wg_time now);
+
 /* wg_entry_cache.c */
 void wg_entry_cache_setup(wg_entry* e);
 void wg_entry_cache_shutdown(wg_entry* e);
@@ -531,6 +559,16 @@
 void wg_client_call_ended(wg_client* client, bool keep);
 /* Closes at once, also in the middle of an answer. */
 void wg_client_close(wg_client* client);
+/* Error answer of this host while there is no call. */
+typedef struct {
+    int status;
+    const char* code;
+    double retry_after; /* seconds; 0: none */
+    bool keep;          /* the connection stays open */
+    bool head_only;     /* method is HEAD: an answer without a body */
+} wg_client_refusal;
+
+void wg_client_refuse(wg_client* client, const wg_client_refusal* refusal);
 /* Writes what the socket accepts now and buffers the remainder. Empties `bytes`. */
 void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
 
@@ -538,8 +576,9 @@
 bool wg_socket_peer_has_closed(struct bufferevent* bev);
 
 /* wg_entry_call.c */
-/* Takes ownership of `bytes` and `body`. */
-void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body);
+/* Takes ownership of `bytes`, which `head` points into, and of `body`. */
+void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
+                   struct evbuffer* body);
 void wg_call_caller_disconnected(wg_call* call);
 void wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
@@ -555,9 +594,6 @@
 void wg_call_abort_all(wg_entry* e);
 /* Sets all calls' timers anew after a stall. */
 void wg_call_reset_timers(wg_entry* e, wg_time now);
-/* Answers with an error of this host while there is no call. */
-void wg_client_refuse(wg_client* client, int status, const char* code, double retry_after,
-                      bool keep);
 
 /* wg_entry_upstream.c */
 wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh);
--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -5,9 +5,13 @@
 
 /* ---- texts --------------------------------------------------------------------------------- */
 
+/* `size`: length of `word`, so that a search determines it once. */
+static bool wg_text_equals_sized(wg_text text, const char* word, size_t size) {
+    return text.size == size && text.text && g_ascii_strncasecmp(text.text, word, size) == 0;
+}
+
 bool wg_text_equals_nocase(wg_text text, const char* word) {
-    return text.text && text.size == strlen(word) &&
-           g_ascii_strncasecmp(text.text, word, text.size) == 0;
+    return wg_text_equals_sized(text, word, strlen(word));
 }
 
 bool wg_text_number(wg_text text, int64_t* number) {
@@ -61,7 +65,7 @@
 
 /* tchar of RFC 9110, 5.6.2 */
 static bool wg_is_token_char(char c) {
-    return g_ascii_isalnum(c) || (c && strchr("!#$%&'*+-.^_`|~", c));
+    return g_ascii_isalnum(c) || c == '-' || (c && strchr("!#$%&'*+.^_`|~", c));
 }
 
 static bool wg_is_token(wg_text text) {
@@ -86,13 +90,21 @@
 /* ---- heads --------------------------------------------------------------------------------- */
 
 size_t wg_message_head_size(const char* bytes, size_t size) {
-    const char* end = size >= 4 ? memmem(bytes, size, "\r\n\r\n", 4) : NULL;
-    return end ? (size_t)(end - bytes) + 4 : 0;
+    const char* end = bytes + size;
+    const char* at = bytes;
+    while ((at = memchr(at, '\n', (size_t)(end - at)))) {
+        at++;
+        if (at - bytes >= 4 && memcmp(at - 4, "\r\n\r\n", 4) == 0) {
+            return (size_t)(at - bytes);
+        }
+    }
+    return 0;
 }
 
 wg_text wg_message_field(const wg_message_head* head, const char* name) {
+    size_t size = strlen(name);
     for (int i = 0; i < head->fields_num; i++) {
-        if (wg_text_equals_nocase(head->fields[i].name, name)) {
+        if (wg_text_equals_sized(head->fields[i].name, name, size)) {
             return head->fields[i].value;
         }
     }
@@ -101,8 +113,9 @@
 
 int wg_message_field_num(const wg_message_head* head, const char* name) {
     int num = 0;
+    size_t size = strlen(name);
     for (int i = 0; i < head->fields_num; i++) {
-        num += wg_text_equals_nocase(head->fields[i].name, name);
+        num += wg_text_equals_sized(head->fields[i].name, name, size);
     }
     return num;
 }
@@ -146,8 +159,9 @@
 }
 
 static bool wg_field_has_item(const wg_message_head* head, const char* field, const char* word) {
+    size_t size = strlen(field);
     for (int i = 0; i < head->fields_num; i++) {
-        if (!wg_text_equals_nocase(head->fields[i].name, field)) {
+        if (!wg_text_equals_sized(head->fields[i].name, field, size)) {
             continue;
         }
         wg_text list = head->fields[i].value;
@@ -354,19 +368,38 @@
     return i > 0 && terminated ? value : -1;
 }
 
+/* First line ending in `bytes`, NULL if there is none. */
+static const char* wg_line_end(const char* bytes, size_t size) {
+    const char* end = bytes + size;
+    const char* at = bytes;
+    while (at < end && (at = memchr(at, '\n', (size_t)(end - at)))) {
+        if (at > bytes && at[-1] == '\r') {
+            return at - 1;
+        }
+        at++;
+    }
+    return NULL;
+}
+
 /* Reads one line of a chunked body. Returns 1 for a line, 0 if more bytes are needed, -1 if it is
    malformed. */
 static int wg_chunk_line(struct evbuffer* in, char* line, size_t* size) {
-    struct evbuffer_ptr end = evbuffer_search_eol(in, NULL, size, EVBUFFER_EOL_CRLF_STRICT);
-    if (end.pos < 0) {
-        return evbuffer_get_length(in) > WG_CHUNK_LINE_MAX ? -1 : 0;
-    }
-    if (end.pos >= WG_CHUNK_LINE_MAX) {
-        return -1;
-    }
-    evbuffer_remove(in, line, (size_t)end.pos);
-    evbuffer_drain(in, 2);
-    *size = (size_t)end.pos;
+    enum {
+        LOOK_MAX = WG_CHUNK_LINE_MAX + 1 /* the longest line and its ending */
+    };
+    size_t available = evbuffer_get_length(in);
+    size_t look = MIN(available, (size_t)LOOK_MAX);
+    if (look == 0) {
+        return 0;
+    }
+    const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
+    const char* end = wg_line_end(bytes, look);
+    if (!end) {
+        return available > WG_CHUNK_LINE_MAX ? -1 : 0;
+    }
+    *size = (size_t)(end - bytes);
+    memcpy(line, bytes, *size);
+    evbuffer_drain(in, *size + 2);
     return 1;
 }
 
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -158,6 +158,9 @@
 static int64_t fake_entry_room_wait_ms;
 static int64_t fake_entry_route_limits;
 
+/* Input delay above which the next entry host refuses requests on arrival; 0: never. */
+static int64_t fake_entry_input_delay_ms;
+
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
     settings = (wg_entry_settings){.name = "here",
@@ -182,6 +185,7 @@
                                    .descriptors = fake_entry_descriptors,
                                    .room_wait_ms = fake_entry_room_wait_ms,
                                    .route_limits = fake_entry_route_limits,
+                                   .input_delay_ms = fake_entry_input_delay_ms,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
