lib/hold: one call decides on a question or keeps it; answers tell when there may be room

Cause: the coordinator needs the decision at once, the rule that a waiting request must not be delayed, and the rule on hopeless waits as one step, and hosts have to tell a denial for lack of room from one for an ejected target.

Change: wg_hold_ask(), wg_hold_denies_for_wait() and wg_hold_notify_all(); a field for the time until room in wg_admit_answer; wg_admit_target() for the target of an admission. Requests without limits, which are retries, never wait.

--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -364,6 +364,11 @@
     }
 }
 
+uint32_t wg_admit_target(const wg_admit* a, uint64_t holder, uint64_t ticket) {
+    const wg_admission* admission = wg_admit_admission(a, holder, ticket);
+    return admission ? admission->target : 0;
+}
+
 int wg_admit_num(const wg_admit* a) {
     return (int)g_hash_table_size(a->admissions);
 }
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -75,6 +75,7 @@
     uint32_t held;      /* tokens at the start of the prompt that the target holds */
     uint32_t ahead;     /* unprocessed prompt tokens of all hosts before this request */
     uint32_t running;   /* requests of all hosts in progress before this one */
+    wg_time room;       /* denied: time after which room is expected (lib/hold); 0: not known */
 } wg_admit_answer;
 
 typedef struct {
@@ -101,5 +102,7 @@
                                 const uint64_t* parts, int num);
 /* Releases all admissions of the holder. */
 void wg_admit_release_holder(wg_admit* admit, uint64_t holder);
+/* Returns the target of an admission that has not ended; 0 if it is unknown. */
+uint32_t wg_admit_target(const wg_admit* admit, uint64_t holder, uint64_t ticket);
 /* Returns the number of admissions that have not ended. */
 int wg_admit_num(const wg_admit* admit);
--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -25,6 +25,9 @@
     _WG_HOLD_SIZES_MAX = 8
 };
 
+/* Longest wait and limit that are kept, so that sums of times do not overflow. */
+static const wg_time _WG_HOLD_TIME_MAX = 3600 * (wg_time)WG_USEC_PER_SEC;
+
 /* Buckets of a group are marked in a word of 32 bits. */
 _Static_assert(_WG_HOLD_RANKS_MAX* _WG_HOLD_SIZES_MAX <= 32, "buckets of a group");
 
@@ -392,8 +395,8 @@
                                .holder = entry->key.holder,
                                .ticket = entry->key.ticket,
                                .answer = *answer,
-                               .room = wg_hold_room_after(limits, answer),
                                .waited = now - entry->since};
+    action->answer.room = wg_hold_room_after(limits, answer);
     h->counters.expired++;
     _wg_hold_entry_free(h, entry);
 }
@@ -596,17 +599,19 @@
     return limits->ahead > 0 ? MAX(_wg_hold_excess(limits, answer), 0) : 0;
 }
 
+bool wg_hold_denies_for_wait(const wg_admit_request* request, const wg_admit_answer* answer) {
+    bool full = request->running_max > 0 && answer->running >= request->running_max;
+    bool fits = wg_admit_fits(&request->limits, answer->wait, answer->wait_ahead);
+    return request->rate_max <= 0 && (full || !fits || answer->room > 0);
+}
+
 bool wg_hold_is_hopeless(const wg_admit_request* request, const wg_admit_answer* answer,
                          wg_time hold) {
-    const wg_admit_limits* limits = &request->limits;
-    if (hold <= 0 || limits->ahead <= 0 || request->rate_max > 0) {
+    if (hold <= 0 || request->limits.ahead <= 0) {
         return true;
     }
-    if (wg_admit_fits(limits, answer->wait, answer->wait_ahead)) {
-        bool full = request->running_max > 0 && answer->running >= request->running_max;
-        return !full;
-    }
-    return _wg_hold_excess(limits, answer) > hold;
+    return !wg_hold_denies_for_wait(request, answer) ||
+           _wg_hold_excess(&request->limits, answer) > hold;
 }
 
 wg_hold* wg_hold_setup(const wg_hold_desc* desc) {
@@ -644,10 +649,12 @@
     _wg_hold_entry* entry = g_new0(_wg_hold_entry, 1);
     entry->key = (_wg_hold_key){admit->holder, admit->ticket};
     entry->request = *request;
+    entry->request.hold = CLAMP(request->hold, 0, _WG_HOLD_TIME_MAX);
+    entry->request.admit.limits.total = MIN(admit->limits.total, _WG_HOLD_TIME_MAX);
     entry->number = ++h->counter;
     entry->due = (_wg_hold_due){.number = entry->number, .entry = entry};
     entry->since = now;
-    entry->expires_at = now + request->hold;
+    entry->expires_at = now + entry->request.hold;
     wg_admit_answer answer = _wg_hold_estimate(h, entry, now);
     entry->latest = _wg_hold_is_large(&admit->limits, &answer) ? WG_TIME_NEVER
                                                                : _wg_hold_latest(entry, &answer);
@@ -666,8 +673,8 @@
     const _wg_hold_target* target =
         g_hash_table_lookup(h->targets, GUINT_TO_POINTER(request->admit.target));
     const _wg_hold_entry* barrier = target ? target->barrier : NULL;
-    if (!barrier) {
-        return false;
+    if (!barrier || request->admit.limits.total >= _WG_HOLD_TIME_MAX) {
+        return false; /* a request without limits is a retry, which has waited before */
     }
     const _wg_hold_workspace* first = barrier->bucket->group->workspace;
     const _wg_hold_workspace* own = _wg_hold_workspace_of(h, now, request->workspace);
@@ -681,6 +688,31 @@
     return barrier->since + barrier->request.admit.limits.total < now + request->admit.limits.total;
 }
 
+bool wg_hold_ask(wg_hold* h, wg_time now, const wg_hold_request* request, wg_admit_answer* answer) {
+    wg_admit_request admit = request->admit;
+    bool must_wait = wg_hold_must_wait(h, now, request);
+    if (must_wait) {
+        admit.limits.ahead = 0; /* an estimate only */
+    }
+    *answer = h->desc.decide(&admit, now, h->desc.user_data);
+    if (answer->granted) {
+        wg_hold_charge(h, now, request->workspace, request->charge);
+        return false;
+    }
+    bool fits = wg_admit_fits(&request->admit.limits, answer->wait, answer->wait_ahead);
+    bool may_wait = must_wait && fits
+                        ? request->hold > 0 && request->admit.rate_max <= 0
+                        : !wg_hold_is_hopeless(&request->admit, answer, request->hold);
+    if (may_wait && wg_hold_add(h, now, request)) {
+        return true;
+    }
+    answer->room = wg_hold_room_after(&request->admit.limits, answer);
+    if (must_wait) {
+        answer->room = MAX(answer->room, (wg_time)_WG_HOLD_LOOK_GAP_MIN);
+    }
+    return false;
+}
+
 void wg_hold_charge(wg_hold* h, wg_time now, uint64_t id, uint32_t tokens) {
     if (id == 0) {
         return;
@@ -716,6 +748,15 @@
     }
 }
 
+void wg_hold_notify_all(wg_hold* h) {
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, h->targets);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        _wg_hold_notify(h, value);
+    }
+}
+
 bool wg_hold_next(wg_hold* h, wg_time now, wg_hold_action* action) {
     while (!g_sequence_is_empty(h->dues)) {
         _wg_hold_due* due = g_sequence_get(g_sequence_get_begin_iter(h->dues));
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -19,7 +19,7 @@
 
     USE
         1. wg_hold* h = wg_hold_setup(&(wg_hold_desc){.decide = decide, .usage = usage});
-        2. if (!wg_hold_is_hopeless(&request.admit, &answer, request.hold)) wg_hold_add(...);
+        2. if (!wg_hold_ask(h, now, &request, &answer)) send `answer`; else it waits
         3. wg_hold_notify_room(h, target);          // a prompt was read, or a request ended
         4. while (wg_hold_next(h, now, &action)) send the answer of `action`;
         5. a timer at wg_hold_look_at(h), then step 4
@@ -54,7 +54,6 @@
     uint64_t holder;
     uint64_t ticket;
     wg_admit_answer answer;
-    wg_time room;   /* denied: as wg_hold_room_after() */
     wg_time waited; /* microseconds */
 } wg_hold_action;
 
@@ -76,29 +75,38 @@
 
 typedef struct wg_hold wg_hold;
 
-/* True if a denied request should not wait: the target denies it for other reasons than prompts to
-   be read and requests in progress, or the wait that is too long will not have shrunk to its limit
+/* True if a denied request should not wait: it is denied for other reasons than those of
+   wg_hold_denies_for_wait(), or the wait that is too long will not have shrunk to its limit
    within `hold` microseconds. */
 bool wg_hold_is_hopeless(const wg_admit_request* request, const wg_admit_answer* answer,
                          wg_time hold);
+/* True if a denied request is denied for prompts to be read, requests in progress or requests that
+   wait before it, all of which pass with time. */
+bool wg_hold_denies_for_wait(const wg_admit_request* request, const wg_admit_answer* answer);
 /* Microseconds until the wait in a denial has shrunk to its limits at the speed of the target; 0:
    not known. */
 wg_time wg_hold_room_after(const wg_admit_limits* limits, const wg_admit_answer* answer);
 
 wg_hold* wg_hold_setup(const wg_hold_desc* desc);
 void wg_hold_shutdown(wg_hold* hold);
+/* Decides on a request at once, or adds it to the queue. Returns true if it waits; otherwise
+   `answer` is the answer. */
+bool wg_hold_ask(wg_hold* hold, wg_time now, const wg_hold_request* request,
+                 wg_admit_answer* answer);
 /* Adds a request that was denied. False if the queue is full or contains it already. */
 bool wg_hold_add(wg_hold* hold, wg_time now, const wg_hold_request* request);
-/* True if a waiting request that precedes this one at its target must not be delayed: this one has
-   to be added or denied without a decision. */
+/* True if a waiting request that precedes this one at its target must not be delayed: this one must
+   not be granted now. */
 bool wg_hold_must_wait(wg_hold* hold, wg_time now, const wg_hold_request* request);
-/* Counts a grant to a workspace until reports of usage contain it. Grants of the queue count by
-   themselves. */
+/* Counts a grant to a workspace until reports of usage contain it. Grants by wg_hold_ask() and
+   wg_hold_next() count by themselves. */
 void wg_hold_charge(wg_hold* hold, wg_time now, uint64_t workspace, uint32_t tokens);
 /* Reads the reported usage of all waiting workspaces again; for each report, or periodically. */
 void wg_hold_update_usage(wg_hold* hold, wg_time now);
 /* The target may have room: wg_hold_next() examines the requests that wait for it. */
 void wg_hold_notify_room(wg_hold* hold, uint32_t target);
+/* As wg_hold_notify_room() for all targets. */
+void wg_hold_notify_all(wg_hold* hold);
 /* Returns the next grant or denial in `action`; false: none for now. */
 bool wg_hold_next(wg_hold* hold, wg_time now, wg_hold_action* action);
 /* Time at which wg_hold_next() is due; 0: at once; WG_TIME_NEVER: not before another call. */
