Admission requests wait at the coordinator for room

Which request finds room is chance, and refused callers come back late.

Change: with [admission] hold_percent set, a host whose questions were all denied asks once more at the target with the smallest expected wait, and states how long the request may wait. The coordinator keeps the question (lib/hold) and answers when there is room or the time is over. Hopeless requests are refused at once, with a Retry-After that begins when room is expected. A question that is no longer needed is dropped by AdmitNote (ended); late grants are given back; when the link to the coordinator closes, or 30 ms after the stated time, the host decides alone. With the setting off, the default, decisions and messages are as before. The parts of a question are copied one by one, as memcpy() from the NULL of an empty list is undefined.

Evidence: test_entry_hold, 18 tests with one host, its coordinator, the other side and the target over the wire, also under the address and undefined-behaviour sanitizers (without leak detection: the played target does not close its connection). test_entry, test_entry_promises, test_entry_rest, test_cold_coordinators, test_fleet_requests, test_entry_recovery, test_entry_standby, test_entry_quarantine, test_entry_targets, test_suspended_host and test_leader_links pass.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -205,6 +205,7 @@
     wg_entry_link_tick(e, now);
     wg_entry_decay_usage(e, now);
     wg_entry_admit_tick(e, now);
+    wg_entry_hold_tick(e, now);
     wg_entry_cache_tick(e, now);
     wg_entry_check_unresolved(e, now);
     wg_entry_quarantine_tick(e, now);
@@ -249,6 +250,7 @@
     e->balance = wg_balance_setup(&(wg_balance_desc){
         .data_centre = e->settings->data_centre, .seed = e->seed, .backoff = e->backoff});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
+    wg_entry_hold_setup(e);
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
@@ -306,6 +308,7 @@
     wg_entry_cache_shutdown(e);
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
+    wg_entry_hold_shutdown(e);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
     g_hash_table_unref(e->pending_admissions);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -10,6 +10,7 @@
 
 enum {
     WG_ADMIT_TIMEOUT = 30 * WG_USEC_PER_MSEC, /* wait for a coordinator's answer */
+    WG_ADMIT_HOLD_MAX = 60 * WG_USEC_PER_SEC, /* longer times in messages are clamped */
     WG_ADMIT_TIMEOUTS_MAX = 2, /* consecutive, until a coordinator counts as unresponsive */
     WG_COORDINATOR_UNRESPONSIVE_TIME = 500 * WG_USEC_PER_MSEC,
     WG_COORDINATOR_DIAL_INTERVAL = 60 * WG_USEC_PER_MSEC,
@@ -149,13 +150,11 @@
 
 /* ---- helpers: admission requests ------------------------------------------------------------- */
 
-static wg_admit_request wg_call_admit_request(const wg_call* call, const wg_admit_limits* limits,
-                                              uint64_t ticket) {
+wg_admit_request wg_entry_admit_request_of(const wg_call* call, const wg_admit_limits* limits) {
     const wg_prompt* prompt = &call->prompt;
     const wg_service* service = &call->config->services[call->service];
     const wg_balance_request* selection = &call->selection;
-    wg_admit_request r = {.ticket = ticket,
-                          .target = call->proposed.target,
+    wg_admit_request r = {.target = call->proposed.target,
                           .tokens = prompt->tokens,
                           .answer = prompt->answer,
                           .copied = call->proposed.copied,
@@ -174,8 +173,21 @@
     return r;
 }
 
-/* Decides on a request of any host; holder 0 is this host. */
-static wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request) {
+static wg_hold_request wg_call_hold_request(const wg_call* call, const wg_admit_limits* limits,
+                                            uint64_t ticket, wg_time hold) {
+    const wg_workspace* workspace = call->workspace;
+    bool own_priority = workspace && workspace->priority >= 0;
+    wg_hold_request r = {
+        .admit = wg_entry_admit_request_of(call, limits),
+        .workspace = workspace ? workspace->hash : 0,
+        .rank = (uint32_t)MAX(own_priority ? workspace->priority : call->route->priority, 0),
+        .charge = wg_call_tokens(call),
+        .hold = hold};
+    r.admit.ticket = ticket;
+    return r;
+}
+
+wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request) {
     wg_balance_load_of(e->balance, request->target, &request->floor_unread,
                        &request->floor_running);
     if (request->rate_max > 0 && !wg_entry_may_grant_cold(e, request->target, wg_now())) {
@@ -185,7 +197,8 @@
 }
 
 static bool wg_coordinator_send_request(wg_entry* e, const wg_coordinator* c,
-                                        wg_admit_request* request) {
+                                        wg_hold_request* hold_request) {
+    wg_admit_request* request = &hold_request->admit;
     Wgpb__AdmitAsk ask = WGPB__ADMIT_ASK__INIT;
     ask.ticket = request->ticket;
     ask.target = request->target;
@@ -202,6 +215,11 @@
     ask.ahead_large_us = (uint64_t)request->limits.ahead_large;
     ask.spares_shared = request->limits.counts_missing;
     ask.cold_rate = request->rate_max;
+    if (e->settings->hold_percent > 0) {
+        ask.hold_us = (uint64_t)hold_request->hold;
+        ask.workspace = hold_request->workspace;
+        ask.rank = hold_request->rank;
+    }
     return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
 }
 
@@ -214,30 +232,37 @@
     wg_call_admit_answered(call, answer);
 }
 
-void wg_entry_admit_request(wg_call* call, const wg_admit_limits* limits, wg_time now) {
+static void wg_call_begin_admit_request(wg_call* call, const wg_coordinator* c, uint64_t ticket,
+                                        wg_time expires_at) {
+    call->admit_ticket = ticket;
+    call->admit_expires_at = expires_at;
+    call->coordinator_rank = c->rank;
+    g_hash_table_insert(call->entry->pending_admissions, &call->admit_ticket, call);
+    wg_call_set_timer(call, wg_now());
+}
+
+void wg_entry_admit_request(wg_call* call, const wg_admit_limits* limits, wg_time hold,
+                            wg_time now) {
     wg_entry* e = call->entry;
     wg_coordinator* c = wg_coordinator_of(e, call->proposed.target);
     uint64_t ticket = ++e->counter;
-    wg_admit_request request = wg_call_admit_request(call, limits, ticket);
-    if (request.rate_max > 0 && !wg_entry_may_use_cold(e, now)) {
+    wg_hold_request request = wg_call_hold_request(call, limits, ticket, hold);
+    if (request.admit.rate_max > 0 && !wg_entry_may_use_cold(e, now)) {
         wg_call_admit_unanswered(call, now);
         return;
     }
     if (c && c->self) {
-        wg_admit_answer answer = wg_entry_admit_decide(e, &request);
-        wg_call_apply_admission(call, c, ticket, &answer);
-        return;
-    }
-    if (!c || !c->up || now < c->unresponsive_until ||
-        !wg_coordinator_send_request(e, c, &request)) {
+        wg_admit_answer answer;
+        if (!wg_entry_hold_ask(e, &request, &answer)) {
+            wg_call_apply_admission(call, c, ticket, &answer);
+            return;
+        }
+    } else if (!c || !c->up || now < c->unresponsive_until ||
+               !wg_coordinator_send_request(e, c, &request)) {
         wg_call_admit_unanswered(call, now);
         return;
     }
-    call->admit_ticket = ticket;
-    call->admit_expires_at = now + WG_ADMIT_TIMEOUT;
-    call->coordinator_rank = c->rank;
-    g_hash_table_insert(e->pending_admissions, &call->admit_ticket, call);
-    wg_call_set_timer(call, now);
+    wg_call_begin_admit_request(call, c, ticket, now + hold + WG_ADMIT_TIMEOUT);
 }
 
 static void wg_call_end_admit_request(wg_call* call) {
@@ -245,17 +270,13 @@
     call->admit_ticket = 0;
 }
 
-void wg_entry_admit_unanswered(wg_call* call, wg_time now) {
-    wg_entry* e = call->entry;
-    wg_coordinator* c = wg_coordinator_by_rank(e, call->coordinator_rank);
-    wg_call_end_admit_request(call);
-    if (c && ++c->timeouts_num >= WG_ADMIT_TIMEOUTS_MAX) {
+static void wg_coordinator_record_timeout(wg_coordinator* c, const wg_call* call, wg_time now) {
+    if (++c->timeouts_num >= WG_ADMIT_TIMEOUTS_MAX) {
         c->timeouts_num = 0;
         c->unresponsive_until = now + WG_COORDINATOR_UNRESPONSIVE_TIME;
         wg_log(WG_EVENT_COORDINATOR_SILENT, "coordinator=%s target=%u id=%s", c->name,
                call->proposed.target, call->id);
     }
-    wg_call_admit_unanswered(call, now);
 }
 
 /* ---- helpers: notifications ------------------------------------------------------------------ */
@@ -274,9 +295,9 @@
     bool ended = what != WG_NOTE_READ;
     bool failed = what == WG_NOTE_FAILED;
     if (c->self && ended) {
-        wg_admit_end(e->admit, wg_now(), 0, ticket, failed);
+        wg_entry_hold_end(e, 0, ticket, failed);
     } else if (c->self) {
-        wg_admit_first_event(e->admit, wg_now(), 0, ticket);
+        wg_entry_hold_read(e, 0, ticket);
     } else {
         Wgpb__AdmitNote note = WGPB__ADMIT_NOTE__INIT;
         note.ticket = ticket;
@@ -303,9 +324,29 @@
     }
 }
 
+/* Drops the pending request. A coordinator that keeps it until there is room is notified, so that
+   it grants it to nobody. */
+static void wg_call_drop_admit_request(wg_call* call) {
+    if (call->held_since) {
+        wg_coordinator_notify(call->entry, call->coordinator_rank, call->admit_ticket,
+                              WG_NOTE_ENDED);
+    }
+    wg_call_end_admit_request(call);
+}
+
+void wg_entry_admit_unanswered(wg_call* call, wg_time now) {
+    wg_entry* e = call->entry;
+    wg_coordinator* c = wg_coordinator_by_rank(e, call->coordinator_rank);
+    wg_call_drop_admit_request(call);
+    if (c && !c->self) {
+        wg_coordinator_record_timeout(c, call, now);
+    }
+    wg_call_admit_unanswered(call, now);
+}
+
 void wg_entry_admit_cancel(wg_call* call) {
     if (call->admit_ticket) {
-        wg_call_end_admit_request(call);
+        wg_call_drop_admit_request(call);
     }
     wg_entry_admit_end(call, false);
 }
@@ -330,17 +371,91 @@
     }
 }
 
+/* Whether the call waits for room at a coordinator to which there is no link any more. */
+static bool wg_call_has_lost_coordinator(const wg_call* call) {
+    const wg_coordinator* c = wg_coordinator_by_rank(call->entry, call->coordinator_rank);
+    return call->held_since && (!c || (!c->self && !c->up));
+}
+
+/* This host decides at once about its requests that waited at a coordinator whose link closed. */
+static void wg_entry_admit_leave_lost_coordinators(wg_entry* e) {
+    GArray* tickets = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, e->pending_admissions);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        const wg_call* call = value;
+        if (wg_call_has_lost_coordinator(call)) {
+            g_array_append_val(tickets, call->admit_ticket);
+        }
+    }
+    for (guint i = 0; i < tickets->len; i++) {
+        uint64_t ticket = g_array_index(tickets, uint64_t, i);
+        wg_call* call = g_hash_table_lookup(e->pending_admissions, &ticket);
+        if (call) {
+            wg_call_end_admit_request(call);
+            wg_call_admit_unanswered(call, wg_now());
+        }
+    }
+    g_array_unref(tickets);
+}
+
 void wg_entry_admit_on_down(wg_entry* e, wgn_link link) {
     wg_coordinator* c = wg_coordinator_by_link(e, link);
-    wg_admit_release_holder(e->admit, link.id);
-    if (!c) {
+    wg_entry_hold_release_holder(e, link.id);
+    if (c && c->up) {
+        wg_log(WG_EVENT_LINK_DOWN, "coordinator=%s", c->name);
+    }
+    if (c) {
+        c->link = (wgn_link){0};
+        c->up = false;
+    }
+    wg_entry_admit_leave_lost_coordinators(e);
+}
+
+static void wg_entry_admit_send_answer(wg_entry* e, wgn_link link, uint64_t ticket,
+                                       const wg_admit_answer* answer) {
+    Wgpb__AdmitAnswer out = WGPB__ADMIT_ANSWER__INIT;
+    out.ticket = ticket;
+    out.granted = answer->granted;
+    out.wait_us = (uint64_t)answer->wait;
+    out.wait_ahead_us = (uint64_t)answer->wait_ahead;
+    out.unread = answer->unread;
+    out.held = answer->held;
+    out.ahead = answer->ahead;
+    out.running = answer->running;
+    out.room_us = (uint64_t)answer->room;
+    wgn_send(e->net, link, WGW_TYPE_ADMIT_ANSWER, &out.base);
+}
+
+/* Applies an answer of coordinator `c` to the call that requested it. */
+static void wg_entry_admit_apply_answer(wg_entry* e, const wg_coordinator* c, uint64_t ticket,
+                                        const wg_admit_answer* answer) {
+    wg_call* call = g_hash_table_lookup(e->pending_admissions, &ticket);
+    if (call) {
+        wg_call_end_admit_request(call);
+        wg_call_apply_admission(call, c, ticket, answer);
+    } else if (answer->granted) {
+        wg_coordinator_notify(e, c->rank, ticket, WG_NOTE_ENDED); /* received after the timeout */
+    }
+}
+
+void wg_entry_admit_answer(wg_entry* e, uint64_t holder, uint64_t ticket,
+                           const wg_admit_answer* answer) {
+    if (holder) {
+        wg_entry_admit_send_answer(e, (wgn_link){.id = (uint32_t)holder}, ticket, answer);
         return;
     }
-    if (c->up) {
-        wg_log(WG_EVENT_LINK_DOWN, "coordinator=%s", c->name);
+    for (int i = 0; i < e->coordinators_num; i++) {
+        if (e->coordinators[i].self) {
+            wg_entry_admit_apply_answer(e, &e->coordinators[i], ticket, answer);
+            return;
+        }
+    }
+    if (answer->granted) {
+        /* This host is no longer a coordinator; the call decides alone at its time limit. */
+        wg_entry_hold_end(e, 0, ticket, false);
     }
-    c->link = (wgn_link){0};
-    c->up = false;
 }
 
 /* Combines the requester's rate with this host's, as a coordinator without a leader may not know
@@ -361,32 +476,31 @@
         return false;
     }
     const wg_service* service = wg_entry_service_of(e, in->target);
-    wg_admit_request r = {.holder = link.id,
-                          .ticket = in->ticket,
-                          .target = in->target,
-                          .parts_num = (int)in->n_parts,
-                          .tokens = in->tokens,
-                          .answer = in->answer,
-                          .copied = in->copied,
-                          .running_max = in->running_most,
-                          .memory = service ? service->memory_tokens : 0,
-                          .rate_max = wg_coordinator_cold_rate(e, in),
-                          .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
-                                     (wg_time)in->ahead_large_us, in->spares_shared}};
-    memcpy(r.parts, in->parts, sizeof *in->parts * in->n_parts);
-    memcpy(r.sizes, in->sizes, sizeof *in->sizes * in->n_sizes);
+    wg_hold_request r = {.admit = {.holder = link.id,
+                                   .ticket = in->ticket,
+                                   .target = in->target,
+                                   .parts_num = (int)in->n_parts,
+                                   .tokens = in->tokens,
+                                   .answer = in->answer,
+                                   .copied = in->copied,
+                                   .running_max = in->running_most,
+                                   .memory = service ? service->memory_tokens : 0,
+                                   .rate_max = wg_coordinator_cold_rate(e, in),
+                                   .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
+                                              (wg_time)in->ahead_large_us, in->spares_shared}},
+                         .workspace = in->workspace,
+                         .rank = in->rank,
+                         .charge = wg_charged_tokens(in->tokens, in->answer),
+                         .hold = (wg_time)MIN(in->hold_us, (uint64_t)WG_ADMIT_HOLD_MAX)};
+    for (size_t i = 0; i < in->n_parts; i++) {
+        r.admit.parts[i] = in->parts[i];
+        r.admit.sizes[i] = in->sizes[i];
+    }
     wgpb__admit_ask__free_unpacked(in, NULL);
-    wg_admit_answer answer = wg_entry_admit_decide(e, &r);
-    Wgpb__AdmitAnswer out = WGPB__ADMIT_ANSWER__INIT;
-    out.ticket = r.ticket;
-    out.granted = answer.granted;
-    out.wait_us = (uint64_t)answer.wait;
-    out.wait_ahead_us = (uint64_t)answer.wait_ahead;
-    out.unread = answer.unread;
-    out.held = answer.held;
-    out.ahead = answer.ahead;
-    out.running = answer.running;
-    wgn_send(e->net, link, WGW_TYPE_ADMIT_ANSWER, &out.base);
+    wg_admit_answer answer;
+    if (!wg_entry_hold_ask(e, &r, &answer)) {
+        wg_entry_admit_answer(e, link.id, r.admit.ticket, &answer);
+    }
     return true;
 }
 
@@ -396,9 +510,9 @@
         return false;
     }
     if (in->ended) {
-        wg_admit_end(e->admit, wg_now(), link.id, in->ticket, in->failed);
+        wg_entry_hold_end(e, link.id, in->ticket, in->failed);
     } else {
-        wg_admit_first_event(e->admit, wg_now(), link.id, in->ticket);
+        wg_entry_hold_read(e, link.id, in->ticket);
     }
     wgpb__admit_note__free_unpacked(in, NULL);
     return true;
@@ -418,16 +532,11 @@
                               .unread = in->unread,
                               .held = in->held,
                               .ahead = in->ahead,
-                              .running = in->running};
+                              .running = in->running,
+                              .room = (wg_time)MIN(in->room_us, (uint64_t)WG_ADMIT_HOLD_MAX)};
     wgpb__admit_answer__free_unpacked(in, NULL);
-    wg_call* call = g_hash_table_lookup(e->pending_admissions, &ticket);
     c->timeouts_num = 0;
-    if (call) {
-        wg_call_end_admit_request(call);
-        wg_call_apply_admission(call, c, ticket, &answer);
-    } else if (answer.granted) {
-        wg_coordinator_notify(e, c->rank, ticket, WG_NOTE_ENDED); /* received after the timeout */
-    }
+    wg_entry_admit_apply_answer(e, c, ticket, &answer);
     return true;
 }
 
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -52,8 +52,12 @@
 
 /* ---- helpers: usage of workspaces ------------------------------------------------------------ */
 
+uint32_t wg_charged_tokens(uint32_t prompt, uint32_t answer) {
+    return prompt + WG_ANSWER_TOKENS_FACTOR * answer;
+}
+
 uint32_t wg_call_tokens(const wg_call* call) {
-    return call->prompt.tokens + WG_ANSWER_TOKENS_FACTOR * call->prompt.answer;
+    return wg_charged_tokens(call->prompt.tokens, call->prompt.answer);
 }
 
 double wg_call_usage(const wg_call* call) {
@@ -98,14 +102,100 @@
     if (backoff.ends_at) {
         after = wg_policy_retry_after_backoff(e->seed, e->counter, requested, left);
         after = wg_policy_return_after_host(after, requested, backoff.ends_at - now);
+    } else if (call->room_at > now) {
+        after = wg_policy_retry_after_backoff(e->seed, e->counter, call->room_at - now, left);
     }
     return (double)after / WG_USEC_PER_SEC;
 }
 
+/* ---- helpers: waiting for room at a coordinator ---------------------------------------------- */
+
+/* Time for which the request may still wait for room at a coordinator; 0: none. */
+static wg_time wg_call_hold_left(const wg_call* call, wg_time now) {
+    wg_time hold_max = call->route->objective * call->entry->settings->hold_percent / 100;
+    return MAX(MIN(call->started + hold_max, call->expires_at) - now, 0);
+}
+
+static bool wg_call_may_hold(const wg_call* call) {
+    bool first = call->attempts == 0 && !call->held;
+    return first && call->has_prompt && call->entry->settings->hold_percent > 0;
+}
+
+/* Records the denial of the proposed target. */
+static void wg_call_record_denial(wg_call* call, const wg_admit_answer* answer, wg_time now) {
+    if (!wg_call_may_hold(call)) {
+        return;
+    }
+    wg_policy_terms terms = wg_call_terms(call);
+    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_admit_request request = wg_entry_admit_request_of(call, &limits);
+    if (wg_hold_denies_for_wait(&request, answer)) {
+        call->denied_for_wait = true;
+    }
+    wg_time room = answer->room > 0 ? answer->room : wg_hold_room_after(&limits, answer);
+    if (room > 0 && (!call->room_at || now + room < call->room_at)) {
+        call->room_at = now + room;
+    }
+    bool least = !call->least_busy.target || answer->wait < call->least_busy.wait;
+    if (least && !wg_hold_is_hopeless(&request, answer, wg_call_hold_left(call, now))) {
+        call->least_busy = call->proposed;
+    }
+}
+
+/* Records a target that would deny the request by its last answer. */
+static void wg_call_record_skipped(wg_call* call, const wg_balance_choice* choice, wg_time now) {
+    if (wg_call_may_hold(call)) {
+        wg_admit_answer answer = {.wait = choice->wait, .wait_ahead = choice->wait_ahead};
+        call->proposed = *choice;
+        wg_call_record_denial(call, &answer, now);
+    }
+}
+
+/* Once all questions were denied, waits at the target with the smallest expected wait. Refuses at
+   once if that is hopeless. False if the request was not denied for lack of room. */
+static bool wg_call_hold(wg_call* call, wg_time now) {
+    if (!wg_call_may_hold(call)) {
+        return false;
+    }
+    wg_policy_terms terms = wg_call_terms(call);
+    bool yields = wg_policy_admission_requests_max(&terms) == 0;
+    if (!call->denied_for_wait && !yields) {
+        return false;
+    }
+    wg_time hold = wg_call_hold_left(call, now);
+    if (!call->least_busy.target || yields || hold == 0) {
+        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        return true;
+    }
+    wg_call_unqueue(call);
+    call->held = true;
+    call->held_since = now;
+    call->proposed = call->least_busy;
+    call->admit_requests_total++;
+    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_entry_admit_request(call, &limits, hold, now);
+    return true;
+}
+
+wg_time wg_call_held_time(const wg_call* call, wg_time now) {
+    return call->held_since ? call->held_time + now - call->held_since : call->held_time;
+}
+
+/* The wait at the coordinator is over. Returns whether there was one. */
+static bool wg_call_end_hold(wg_call* call, wg_time now) {
+    bool held = call->held_since != 0;
+    call->held_time = wg_call_held_time(call, now);
+    call->held_since = 0;
+    return held;
+}
+
 /* Queues the request, or refuses it at once if its time in the queue is over, or if every target
    stays in backoff until then. Decided here and not only at the timer: on a host that is late, each
    tick schedules the next selection before the timer is processed. */
 static void wg_call_enqueue(wg_call* call, wg_time now) {
+    if (wg_call_hold(call, now)) {
+        return;
+    }
     wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
     if (now >= wait_until) {
         wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
@@ -213,6 +303,7 @@
     wg_balance_request* selection = &call->selection;
     call->entry->counters.cold_denials +=
         wg_entry_cold_rate(call->entry, call->proposed.target) > 0;
+    wg_call_record_denial(call, answer, now);
     if (answer->held > selection->source_tokens) {
         selection->source = call->proposed.target;
         selection->source_tokens = answer->held;
@@ -229,10 +320,14 @@
 
 void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer) {
     wg_time now = wg_now();
+    bool waited = wg_call_end_hold(call, now);
     wg_call_apply_admit_answer(call, answer);
     if (answer->granted) {
         call->was_admitted = true;
         wg_call_dispatch(call, now);
+    } else if (waited) {
+        call->room_at = answer->room > 0 ? now + answer->room : call->room_at;
+        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
     } else {
         wg_call_handle_denial(call, answer, now);
     }
@@ -241,6 +336,7 @@
 /* Without a coordinator's answer this host decides alone, except for a cold target, whose request
    rate is limited across all hosts. */
 void wg_call_admit_unanswered(wg_call* call, wg_time now) {
+    wg_call_end_hold(call, now);
     if (wg_entry_cold_rate(call->entry, call->proposed.target) > 0) {
         wg_call_handle_denial(call, &(wg_admit_answer){0}, now);
     } else if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
@@ -257,7 +353,7 @@
     wg_admit_limits limits = first ? wg_policy_limits(&terms, now) : no_limits;
     call->admit_requests++;
     call->admit_requests_total++;
-    wg_entry_admit_request(call, &limits, now);
+    wg_entry_admit_request(call, &limits, 0, now);
 }
 
 /* Skips targets that were recently reported as too busy to meet the limits. */
@@ -270,6 +366,7 @@
             return choice;
         }
         call->expected = choice.wait;
+        wg_call_record_skipped(call, &choice, now);
         selection->denied[selection->denied_num++] = choice.target;
     }
     return (wg_balance_choice){0};
@@ -332,6 +429,9 @@
     call->selection.denied_num = 0;
     call->selection.source = 0;
     call->selection.source_tokens = 0;
+    call->least_busy = (wg_balance_choice){0};
+    call->denied_for_wait = false;
+    call->room_at = 0;
     wg_call_choose(call, now);
 }
 
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -71,6 +71,17 @@
     wg_hist_print(&e->input_lag.lag_hist, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
 
+/* Admission requests of all hosts that wait, or waited, for room at this coordinator. */
+static void wg_endpoint_hold_metrics(const wg_entry* e, GString* out) {
+    const wg_hold_counters* c = wg_hold_count(e->hold);
+    g_string_append_printf(out,
+                           "walnutgate_entry_hold_waiting %d\n"
+                           "walnutgate_entry_hold_granted_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_hold_expired_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_hold_dropped_total %" G_GUINT64_FORMAT "\n",
+                           wg_hold_num(e->hold), c->granted, c->expired, c->dropped);
+}
+
 static void wg_endpoint_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -114,6 +125,7 @@
                            e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len,
                            wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects),
                            wg_backoff_active_num(e->backoff, wg_now()));
+    wg_endpoint_hold_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -13,6 +13,7 @@
 #include "wg_event_stream.h"
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
+#include "wg_hold.h"
 #include "wg_loop.h"
 #include "wg_policy.h"
 #include "wg_quarantine.h"
@@ -114,8 +115,15 @@
     int admit_requests;        /* admission requests of the current selection */
     int admit_requests_total;  /* admission requests of all selections */
     bool was_admitted;
-    wg_time expected; /* expected time to the first event, as of the last selection */
-    wg_time limit;    /* longest expected time at which the request may be sent */
+    /* denied target with the smallest expected wait that is not hopeless; target 0: none */
+    wg_balance_choice least_busy;
+    bool denied_for_wait; /* a target denied the request for lack of room */
+    bool held;            /* has waited for room at a coordinator, or waits there now */
+    wg_time held_since;   /* start of the wait for room at a coordinator; 0: does not wait */
+    wg_time held_time;    /* time that it waited there, once that is over */
+    wg_time room_at;      /* earliest time at which a target expects room; 0: not known */
+    wg_time expected;     /* expected time to the first event, as of the last selection */
+    wg_time limit;        /* longest expected time at which the request may be sent */
     wg_upstream* upstream;
     int attempts;
     wg_time sent_at;     /* time of the last attempt */
@@ -298,6 +306,8 @@
 
     /* admission: wg_entry_admit.c */
     wg_admit* admit; /* admission to targets that this host coordinates */
+    wg_hold* hold;   /* requests of all hosts that wait for these targets */
+    struct event* hold_timer;
     wg_coordinator coordinators[WG_COORDINATORS_MAX]; /* highest rank first */
     int coordinators_num;
     wg_previous_coordinators previous_coordinators[WG_PREVIOUS_COORDINATORS_MAX]; /* oldest first */
@@ -412,8 +422,17 @@
 void wg_entry_admit_update_members(wg_entry* e);
 void wg_entry_admit_tick(wg_entry* e, wg_time now);
 /* Requests an admission from the coordinator of call->proposed.target. Ends in
-   wg_call_admit_answered() or wg_call_admit_unanswered(), possibly before this returns. */
-void wg_entry_admit_request(wg_call* call, const wg_admit_limits* limits, wg_time now);
+   wg_call_admit_answered() or wg_call_admit_unanswered(), possibly before this returns. `hold`:
+   longest wait for room at the coordinator; 0: the coordinator answers at once. */
+void wg_entry_admit_request(wg_call* call, const wg_admit_limits* limits, wg_time hold,
+                            wg_time now);
+/* The request as wg_entry_admit_request() would send it for call->proposed.target. */
+wg_admit_request wg_entry_admit_request_of(const wg_call* call, const wg_admit_limits* limits);
+/* Decides at once on a request of any host; holder 0 is this host. */
+wg_admit_answer wg_entry_admit_decide(wg_entry* e, wg_admit_request* request);
+/* Passes the coordinator's answer to the host that requested it; holder 0 is this host. */
+void wg_entry_admit_answer(wg_entry* e, uint64_t holder, uint64_t ticket,
+                           const wg_admit_answer* answer);
 /* The pending admission request timed out. */
 void wg_entry_admit_unanswered(wg_call* call, wg_time now);
 /* Notifies the coordinator that the target has processed the prompt. */
@@ -434,6 +453,20 @@
 /* Whether this host coordinates any targets. */
 bool wg_entry_admit_is_coordinator(const wg_entry* e);
 
+/* wg_entry_hold.c */
+void wg_entry_hold_setup(wg_entry* e);
+void wg_entry_hold_shutdown(wg_entry* e);
+/* Decides as coordinator on a request, or keeps it until there is room. Returns true if it waits;
+   wg_entry_admit_answer() follows. */
+bool wg_entry_hold_ask(wg_entry* e, wg_hold_request* request, wg_admit_answer* answer);
+/* The prompt of an admission was processed. */
+void wg_entry_hold_read(wg_entry* e, uint64_t holder, uint64_t ticket);
+/* An admission ended, or a waiting request is no longer needed. */
+void wg_entry_hold_end(wg_entry* e, uint64_t holder, uint64_t ticket, bool failed);
+/* The link of the holder closed. */
+void wg_entry_hold_release_holder(wg_entry* e, uint64_t holder);
+void wg_entry_hold_tick(wg_entry* e, wg_time now);
+
 /* wg_entry_cold.c */
 /* Requests per second that all hosts together may send to a cold target; 0 if it is not cold. */
 double wg_entry_cold_rate(const wg_entry* e, uint32_t target);
@@ -505,6 +538,9 @@
 double wg_call_retry_after(const wg_call* call);
 /* Prompt tokens and weighted answer tokens charged to the workspace. */
 uint32_t wg_call_tokens(const wg_call* call);
+uint32_t wg_charged_tokens(uint32_t prompt, uint32_t answer);
+/* Microseconds that the request has waited for room at coordinators. */
+wg_time wg_call_held_time(const wg_call* call, wg_time now);
 /* Recent tokens of the call's workspace in the fleet. */
 double wg_call_usage(const wg_call* call);
 /* Whether the request is charged to a workspace. */
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -140,6 +140,9 @@
 /* Time after its start in which the next entry host sends nothing to cold targets. */
 static int64_t fake_entry_cold_settle_ms;
 
+/* Setting hold_percent of the next entry host. */
+static int64_t fake_entry_hold_percent;
+
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
@@ -163,6 +166,7 @@
                                    .standby_ms = fake_entry_standby_ms,
                                    .retry_window_ms = 10000,
                                    .target_rest_max_s = 3600,
+                                   .hold_percent = fake_entry_hold_percent,
                                    .descriptors = fake_entry_descriptors,
                                    .callers_max = 1000};
     GError* error = NULL;
@@ -188,6 +192,7 @@
     size_t usage_num;
     uint32_t replaced_number;    /* number of the target that this one replaced; 0: none */
     const char* other_member;    /* name of another entry host; NULL none */
+    const char* other_address;   /* its address for callers; NULL: one where nothing listens */
     uint64_t members_change;     /* change number of the members; 0 counts as 1 */
     const uint64_t* quarantined; /* fingerprints */
     size_t quarantined_num;
@@ -239,7 +244,7 @@
     state.n_evacuated = update->evacuated ? 1 : 0;
     state.members = members;
     other.name = (char*)update->other_member;
-    other.address = (char*)"127.0.0.1:1";
+    other.address = (char*)(update->other_address ? update->other_address : "127.0.0.1:1");
     other.data_centre = (char*)"dc";
     state.n_members = update->other_member ? 2 : 1;
     state.members_change = MAX(update->members_change, 1);
