Waiting requests: timer after a suspension; tests for targets that become cold or take nothing

Cause: event-loop timers are late after a suspension of the host, and waiting requests would be answered late. Two changes of the registry during a wait had no test.

Change: the tick sets the timer anew. A test that requests that waited keep to the rate of a target that has become cold meanwhile, and one that a grant for a target that takes nothing is not used.

The timer after a suspension has no test of its own.

--- a/lib/entry/wg_entry_hold.c
+++ b/lib/entry/wg_entry_hold.c
@@ -101,5 +101,6 @@
 void wg_entry_hold_tick(wg_entry* e, wg_time now) {
     if (wg_entry_holds(e)) {
         wg_hold_update_usage(e->hold, now);
+        wg_entry_hold_schedule(e); /* event-loop timers are late after a suspension of the host */
     }
 }
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -209,6 +209,33 @@
 }
 END_TEST
 
+/* The registry may change while a request waits: a grant must not reach a target that takes
+ * nothing.
+ */
+START_TEST(grant_for_a_target_that_takes_nothing_is_not_used) {
+    char answer[1024];
+    begin_with_known_target(LONG_HOLD_PERCENT);
+    int first = send_get("/first", prompt_of_400_ms);
+    ck_assert(target_got("/first", TURNS_MAX));
+    int second = send_get("/second", prompt_of_100_ms);
+    run_turns(30);
+    ck_assert_int_eq(metric("hold_waiting"), 1);
+    fake_control_send_leader_state(&leader, &(fake_update){.version = 1,
+                                                           .document = document,
+                                                           .target = target_address,
+                                                           .change = 2,
+                                                           .evacuated = "dc"});
+    run_turns(20);
+    target_answer("x");
+    ck_assert_int_eq(status_within(second, answer, 200), 503);
+    ck_assert(!target_got("/second", 20));
+    ck_assert_int_eq(metric("hold_granted_total"), 1);
+    close(first);
+    close(second);
+    end();
+}
+END_TEST
+
 START_TEST(nothing_waits_while_the_setting_is_off) {
     char answer[1024];
     begin(0);
@@ -431,6 +458,34 @@
 }
 END_TEST
 
+/* Requests that waited must not exceed the rate of a target that has become cold meanwhile. */
+START_TEST(target_that_becomes_cold_gets_no_more_than_its_rate) {
+    static const char cold_document[] =
+        "{\"version\":2,\"services\":[{\"name\":\"e\",\"cold_s\":3,\"cold_per_second\":1,"
+        "\"engine\":{\"slots\":4,\"memory_tokens\":1000000}}],\"routes\":[],\"limits\":{},"
+        "\"workspaces\":[]}";
+    begin_with_requester(HOLD_PERCENT);
+    ask(1, 12000, 0);
+    ask(2, 3000, 2000);
+    ask(3, 3000, 2000);
+    ck_assert(got_answers(1, TURNS_MAX));
+    run_turns(20);
+    ck_assert_int_eq(metric("hold_waiting"), 2);
+    fake_control_send_leader_state(&leader, &(fake_update){.version = 2,
+                                                           .document = cold_document,
+                                                           .target = target_address,
+                                                           .change = 2,
+                                                           .cold_us = 60 * WG_USEC_PER_SEC});
+    run_turns(20);
+    send_note(1, true);
+    ck_assert(got_answers(2, 50));
+    ck_assert(answers[1].granted);
+    ck_assert(!got_answers(3, 200));
+    wgn_shutdown(other);
+    end();
+}
+END_TEST
+
 START_TEST(coordinator_with_the_setting_off_answers_at_once) {
     begin_with_requester(0);
     ask(1, 12000, 0);
@@ -643,11 +698,14 @@
 WG_TEST_MAIN("entry hold", request_waits_until_the_target_has_read,
              request_is_refused_after_the_longest_wait,
              hopeless_request_is_refused_at_once_until_there_is_room,
-             request_of_a_caller_that_leaves_is_dropped, nothing_waits_while_the_setting_is_off,
-             coordinator_grants_when_a_prompt_was_read, coordinator_denies_after_the_stated_time,
+             request_of_a_caller_that_leaves_is_dropped,
+             grant_for_a_target_that_takes_nothing_is_not_used,
+             nothing_waits_while_the_setting_is_off, coordinator_grants_when_a_prompt_was_read,
+             coordinator_denies_after_the_stated_time,
              coordinator_drops_a_request_that_is_no_longer_needed,
              coordinator_drops_the_requests_of_a_host_whose_link_closes,
              room_of_a_lost_host_is_granted_at_once,
+             target_that_becomes_cold_gets_no_more_than_its_rate,
              coordinator_with_the_setting_off_answers_at_once,
              host_asks_again_with_the_time_that_the_request_may_wait,
              host_with_the_setting_off_sends_none_of_it, denial_after_the_wait_refuses_the_request,
