--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -650,7 +650,7 @@
     entry->key = (_wg_hold_key){admit->holder, admit->ticket};
     entry->request = *request;
     entry->request.hold = CLAMP(request->hold, 0, _WG_HOLD_TIME_MAX);
-    entry->request.admit.limits.total = MIN(admit->limits.total, _WG_HOLD_TIME_MAX);
+    entry->request.admit.limits.total = CLAMP(admit->limits.total, 0, _WG_HOLD_TIME_MAX);
     entry->number = ++h->counter;
     entry->due = (_wg_hold_due){.number = entry->number, .entry = entry};
     entry->since = now;
