--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -83,6 +83,7 @@
     uint32_t running;      /* requests of all hosts in progress before this one */
     wg_time late;          /* lateness of the target, a part of both waits */
     wg_speed_values speed; /* learned values of the target; no samples: not known */
+    wg_time room;          /* denied: time after which room is expected (lib/hold); 0: not known */
 } wg_admit_answer;
 
 /* A target that begins to stall, or has recovered. */
@@ -131,5 +132,7 @@
 int wg_admit_check_stalls(wg_admit* admit, wg_time now, wg_admit_stall* changes, int max);
 /* Adds the learned values of all targets to an empty summary. */
 void wg_admit_summarize(const wg_admit* admit, wg_admit_summary* summary);
+/* Returns the target of an admission that has not ended; 0 if it is unknown. */
+uint32_t wg_admit_target(const wg_admit* admit, uint64_t holder, uint64_t ticket);
 /* Returns the number of admissions that have not ended. */
 int wg_admit_num(const wg_admit* admit);
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -108,6 +108,17 @@
                            stats.refused, stats.limit);
 }
 
+/* Admission requests of all hosts that wait, or waited, for room at this coordinator. */
+static void wg_endpoint_hold_metrics(const wg_entry* e, GString* out) {
+    const wg_hold_counters* c = wg_hold_count(e->hold);
+    g_string_append_printf(out,
+                           "walnutgate_entry_hold_waiting %d\n"
+                           "walnutgate_entry_hold_granted_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_hold_expired_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_hold_dropped_total %" G_GUINT64_FORMAT "\n",
+                           wg_hold_num(e->hold), c->granted, c->expired, c->dropped);
+}
+
 static void wg_endpoint_metrics(wg_entry* e, struct evhttp_request* request) {
     const wg_entry_counters* c = &e->counters;
     const struct {
@@ -153,6 +164,7 @@
                            wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects),
                            wg_backoff_active_num(e->backoff, wg_now()));
     wg_endpoint_speed_metrics(e, out);
+    wg_endpoint_hold_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_endpoint_room_metrics(e, out);
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -151,6 +151,9 @@
 /* Whether the next entry host learns base times of targets. */
 static bool fake_entry_learn_base;
 
+/* Setting hold_percent of the next entry host. */
+static int64_t fake_entry_hold_percent;
+
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
@@ -182,6 +185,7 @@
                                    .retry_window_ms = 10000,
                                    .learn_base = fake_entry_learn_base,
                                    .target_rest_max_s = 3600,
+                                   .hold_percent = fake_entry_hold_percent,
                                    .descriptors = fake_entry_descriptors,
                                    .room_wait_ms = fake_entry_room_wait_ms,
                                    .route_limits = fake_entry_route_limits,
