Connections are looked at only when one can have expired

wg_client_tick() looked at all connections in each tick of 50 ms. It now notes the earliest time at which one of them can exceed its limit; states that begin later last for the shortest limit at least. A new configuration, which may shorten limits, is noticed in the next tick.

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -522,16 +522,22 @@
     return e->listener != NULL;
 }
 
+static wg_time wg_client_head_timeout(const wg_entry* e) {
+    return e->config ? e->config->limits.head_time : WG_HEAD_TIMEOUT_START;
+}
+
+static wg_time wg_client_idle_timeout(const wg_entry* e) {
+    return e->config ? e->config->limits.idle_time : WG_IDLE_TIMEOUT_START;
+}
+
 /* Maximum time in the current state; 0: not limited. */
 static wg_time wg_client_state_timeout(const wg_client* client) {
-    const wg_config* config = client->entry->config;
-    wg_time head = config ? config->limits.head_time : WG_HEAD_TIMEOUT_START;
-    wg_time idle = config ? config->limits.idle_time : WG_IDLE_TIMEOUT_START;
     switch (client->state) {
     case WG_CLIENT_HEAD:
-        return client->head_started ? head : idle;
+        return client->head_started ? wg_client_head_timeout(client->entry)
+                                    : wg_client_idle_timeout(client->entry);
     case WG_CLIENT_BODY:
-        return idle;
+        return wg_client_idle_timeout(client->entry);
     case WG_CLIENT_ENDING:
         return WG_ENDING_TIMEOUT;
     case WG_CLIENT_BUSY:
@@ -572,10 +578,27 @@
     return false;
 }
 
+/* Earliest time at which a connection that is not expired can expire. One whose limit is over, but
+   whose input was not read yet, is looked at in the next tick. */
+static wg_time wg_client_due_at(const wg_client* client, wg_time now) {
+    wg_time limit = wg_client_state_timeout(client);
+    return limit > 0 ? MAX(client->state_since + limit, now) : WG_TIME_NEVER;
+}
+
+/* Looks at all connections only when one of them can have exceeded its limit. States that begin
+   later last for the shortest limit at least. */
 void wg_client_tick(wg_entry* e, wg_time now) {
+    uint64_t version = e->config ? e->config->version : 0;
+    if (now < e->clients_due_at && version == e->clients_due_version) {
+        return;
+    }
+    wg_time shortest = MIN(wg_client_head_timeout(e), wg_client_idle_timeout(e));
+    e->clients_due_at = now + MIN(shortest, (wg_time)WG_ENDING_TIMEOUT);
+    e->clients_due_version = version;
     for (guint i = e->clients->len; i > 0; i--) {
         wg_client* client = e->clients->pdata[i - 1];
         if (!wg_client_is_expired(client, now)) {
+            e->clients_due_at = MIN(e->clients_due_at, wg_client_due_at(client, now));
             continue;
         }
         if (wg_client_is_sending(client)) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -260,9 +260,11 @@
 
     struct evconnlistener* listener;
     GPtrArray* clients;
-    GQueue idle_clients; /* wg_client waiting for a request; longest idle first */
-    GHashTable* idle;    /* target -> GQueue of wg_upstream */
-    GHashTable* queues;  /* name of a service -> GQueue of wg_call */
+    wg_time clients_due_at;       /* no connection exceeds its time limit before */
+    uint64_t clients_due_version; /* configuration that `clients_due_at` follows from */
+    GQueue idle_clients;          /* wg_client waiting for a request; longest idle first */
+    GHashTable* idle;             /* target -> GQueue of wg_upstream */
+    GHashTable* queues;           /* name of a service -> GQueue of wg_call */
     int calls_num;
     int upstreams_num;
     struct evbuffer* relayed_events; /* empty between events: one allocation for all streams */
--- a/tests/test_entry_flooded.c
+++ b/tests/test_entry_flooded.c
@@ -190,6 +190,25 @@
 }
 END_TEST
 
+/* A shorter limit of a new configuration applies to connections that are open already. */
+START_TEST(idle_connection_is_closed_after_a_shorter_limit) {
+    enum {
+        SHORTER_MS = 1000
+    };
+    char byte;
+    begin();
+    int fd = connect_only();
+    run_turns(100); /* more than one tick */
+    one_entry_lead(&(one_route){
+        .version = 6, .prefix = "/a/", .timeout_ms = TIMEOUT_MS, .idle_ms = SHORTER_MS});
+    advance_clock(SHORTER_MS);
+    run_turns(200);
+    ck_assert_int_eq(recv(fd, &byte, 1, 0), 0);
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
 /* A planned stop must not end while a request waits unread: its connection would close without an
    answer. */
 START_TEST(planned_stop_answers_unread_requests) {
@@ -349,6 +368,7 @@
 WG_TEST_MAIN("entry flooded", caller_disconnect_is_handled_before_new_requests,
              unread_request_keeps_its_connection_open,
              unread_remainder_of_a_request_does_not_time_out, idle_connection_is_closed,
-             planned_stop_answers_unread_requests, request_without_a_target_is_refused_in_time,
-             deadline_includes_time_unread, stall_does_not_count_as_time_to_connect,
+             idle_connection_is_closed_after_a_shorter_limit, planned_stop_answers_unread_requests,
+             request_without_a_target_is_refused_in_time, deadline_includes_time_unread,
+             stall_does_not_count_as_time_to_connect,
              answer_and_next_request_at_once_are_both_handled)
