--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -70,13 +70,16 @@
             message = fields[i].value;
         }
     }
-    GDateTime* now = g_date_time_new_now_utc();
-    char* stamp = g_date_time_format(now, "%Y-%m-%dT%H:%M:%S.%fZ");
+    struct timespec now;
+    struct tm utc;
+    char stamp[32];
+    clock_gettime(CLOCK_REALTIME, &now);
+    gmtime_r(&now.tv_sec, &utc);
+    strftime(stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
     FILE* out = _wg_log_file ? _wg_log_file : stderr;
-    fprintf(out, "%s %c %s\n", stamp, _wg_level_letter(severity), message);
+    fprintf(out, "%s.%06ldZ %c %s\n", stamp, now.tv_nsec / 1000, _wg_level_letter(severity),
+            message);
     fflush(out);
-    g_free(stamp);
-    g_date_time_unref(now);
     return G_LOG_WRITER_HANDLED;
 }
 
