--- a/tests/test_overload.c
+++ b/tests/test_overload.c
@@ -9,9 +9,9 @@
     DELAY_MAX_MS = 60,
     WORKSPACES_MAX = 400,
     QUEUE_MAX = 200000,
-    BUSY = 1, /* workspace with the load that exceeds the host */
-    ADMITTED_COST = 400,
-    REFUSED_COST = 10, /* microseconds */
+    BUSY = 1,            /* workspace with the load that exceeds the host */
+    ADMITTED_COST = 400, /* microseconds */
+    REFUSED_COST = 10,   /* microseconds */
     HOST_RATE = WG_USEC_PER_SEC / ADMITTED_COST,
     PROBE = -1 /* entry of the queue that measures its delay */
 };
@@ -30,6 +30,7 @@
     wg_overload* overload;
     wg_time now;
     wg_time busy_until;
+    wg_time refused_cost;
     wg_time tick_at;
     wg_time freeze; /* the host stands still for this time after the next tick */
     wg_time frozen_until;
@@ -50,7 +51,7 @@
 } model;
 
 static void model_begin(model* m, int callers_num, double rate) {
-    *m = (model){.now = 1000 * SECOND, .callers_num = callers_num};
+    *m = (model){.now = 1000 * SECOND, .callers_num = callers_num, .refused_cost = REFUSED_COST};
     m->busy_until = m->now;
     m->tick_at = m->now;
     m->queue = g_new0(int, QUEUE_MAX);
@@ -119,7 +120,7 @@
         m->run = admits ? m->run + 1 : 0;
         m->run_max = MAX(m->run_max, m->run);
     }
-    m->busy_until += admits ? ADMITTED_COST : REFUSED_COST;
+    m->busy_until += admits ? ADMITTED_COST : m->refused_cost;
 }
 
 static void model_run(model* m, wg_time duration) {
@@ -208,6 +209,23 @@
 }
 END_TEST
 
+/* Refusals that take half of the host at this load leave less time for the backlog, not less for
+   small workspaces. */
+START_TEST(small_workspaces_lose_nothing_while_refusals_are_costly) {
+    model m;
+    model_begin(&m, 10, 40);
+    m.refused_cost = 2 * REFUSED_COST;
+    model_run(&m, 2 * SECOND);
+    m.callers[BUSY].rate = 10 * HOST_RATE;
+    ck_assert_int_le(model_time_until_in_time(&m, 5000), 2000);
+    m.delay_max = 0;
+    model_run(&m, 18 * SECOND);
+    ck_assert_int_eq(model_refused(&m), m.callers[BUSY].refused);
+    ck_assert_int_le(m.delay_max, DELAY_MAX_MS * MSEC + 2 * WG_OVERLOAD_PERIOD);
+    model_end(&m);
+}
+END_TEST
+
 /* After a peak the limit must not keep refusing what the host can read. */
 START_TEST(rate_recovers_after_a_peak) {
     model m;
@@ -358,7 +376,8 @@
 END_TEST
 
 WG_TEST_MAIN("overload", small_workspaces_lose_nothing_beside_a_large_one,
-             rate_recovers_after_a_peak, host_that_stood_still_refuses_nothing,
-             host_that_lags_all_the_time_refuses, equal_workspaces_get_equal_shares,
-             requests_without_a_workspace_count_as_one, burst_of_a_small_workspace_is_admitted,
-             limit_begins_and_ends_at_most_once_a_second, retry_after_grows_with_the_load)
+             small_workspaces_lose_nothing_while_refusals_are_costly, rate_recovers_after_a_peak,
+             host_that_stood_still_refuses_nothing, host_that_lags_all_the_time_refuses,
+             equal_workspaces_get_equal_shares, requests_without_a_workspace_count_as_one,
+             burst_of_a_small_workspace_is_admitted, limit_begins_and_ends_at_most_once_a_second,
+             retry_after_grows_with_the_load)
