Entry: a refused request is not used after it was freed

When a target refuses a request and no retry is left, wg_call_answer_head() ends the call and frees it. Its caller then read call->upstream to find out. wg_call_answer_head() now says whether the attempt goes on.

AddressSanitizer reported the use after free in at least five tests of test_entry_rest; with the change test_entry_rest passes under it (10 checks).

--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -315,16 +315,18 @@
            !call->head_only;
 }
 
-void wg_call_answer_head(wg_call* call, wg_upstream* up) {
+bool wg_call_answer_head(wg_call* call, wg_upstream* up) {
     if (wg_call_was_not_run(call, up)) {
         wg_call_handle_refusal(call, up);
-        return;
+        return false;
     }
     call->may_have_run = true;
     if (call->head_sent && !wg_call_is_stream(call, up)) {
         /* A resumed event stream can only be continued with events. */
         wg_call_attempt_failed(call, up, "resume-failed");
+        return false;
     }
+    return true;
 }
 
 void wg_call_answer_data(wg_call* call, wg_upstream* up) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -534,7 +534,8 @@
 /* Takes ownership of `bytes` and `body`. */
 void wg_call_begin(wg_client* client, char* bytes, size_t size, struct evbuffer* body);
 void wg_call_caller_disconnected(wg_call* call);
-void wg_call_answer_head(wg_call* call, wg_upstream* up);
+/* False if the attempt has ended: `up` is closed, and `call` may be freed. */
+bool wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
 void wg_call_answer_complete(wg_call* call, wg_upstream* up);
 /* The target stopped accepting work before the request was sent; not counted as its failure. */
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -281,10 +281,8 @@
         if (!wg_upstream_read_head(up)) {
             return;
         }
-        wg_call* call = up->call;
-        wg_call_answer_head(call, up);
-        if (call->upstream != up) {
-            return; /* the call was retried or refused; `up` is closed or idle */
+        if (!wg_call_answer_head(up->call, up)) {
+            return;
         }
     }
     if (up->state != WG_UPSTREAM_BODY) {
