Entry: bound on the bytes held for callers and targets that read slowly

With [limits] held_mb, answers are paused by the levels of lib/buffers, and with unread_ms callers that read nothing are cut off while the host is full (CALLER_CUT), and targets that read no body at any time (TARGET_CUT). A cut-off connection is reset, so its answer does not look complete; the target's connection is closed at once. A target that is cut off counts as failed, and the request may have run. Both settings are off by default.

Request bodies count from the first byte until the request ends, in the queue, while it waits for an admission, and during retries. A body that would exceed the bound is refused with 503 as not run; one larger than the bound with 413. Incomplete events and answers that are relayed when complete count as well. A caller's next request waits while more than its limit is unread. A connection whose caller still reads its last answer is not closed as idle.

Before a cut-off the socket is polled, so that a peer is not blamed for a host that writes late.

--- a/lib/buffers/wg_buffers.c
+++ b/lib/buffers/wg_buffers.c
@@ -14,13 +14,13 @@
         waiting[WG_BUFFERS_KINDS_NUM]; /* peers with bytes unread; longest without reading first */
     int64_t unread[WG_BUFFERS_KINDS_NUM];
     int64_t kept;
-    wg_time counted_from; /* end of the host's last stall */
+    wg_time stalled; /* duration of all stalls of the host */
 };
 
 /* ---- helpers --------------------------------------------------------------------------------- */
 
 static void _wg_buffers_enqueue(wg_buffers* b, wg_time now, wg_buffers_peer* peer) {
-    peer->read_at = now;
+    peer->read_at = now - b->stalled;
     peer->link = (GList){.data = peer};
     g_queue_push_tail_link(&b->waiting[peer->kind], &peer->link);
 }
@@ -102,14 +102,20 @@
     }
 }
 
+void wg_buffers_record_ready(wg_buffers* b, wg_time now, wg_buffers_peer* peer) {
+    WG_ASSERT(peer->unread > 0);
+    g_queue_unlink(&b->waiting[peer->kind], &peer->link);
+    _wg_buffers_enqueue(b, now, peer);
+}
+
 void wg_buffers_set_kept(wg_buffers* b, wg_buffers_peer* peer, int64_t bytes) {
     WG_ASSERT(bytes >= 0);
     b->kept += bytes - peer->kept;
     peer->kept = bytes;
 }
 
-void wg_buffers_record_stall(wg_buffers* b, wg_time now) {
-    b->counted_from = now;
+void wg_buffers_record_stall(wg_buffers* b, wg_time duration) {
+    b->stalled += duration;
 }
 
 wg_buffers_level wg_buffers_level_of(const wg_buffers* b) {
@@ -147,7 +153,7 @@
 }
 
 wg_time wg_buffers_unread_time(const wg_buffers* b, wg_time now, const wg_buffers_peer* peer) {
-    return now - MAX(peer->read_at, b->counted_from);
+    return now - b->stalled - peer->read_at;
 }
 
 int64_t wg_buffers_unread(const wg_buffers* b, wg_buffers_kind kind) {
--- a/lib/buffers/wg_buffers.h
+++ b/lib/buffers/wg_buffers.h
@@ -58,7 +58,7 @@
     wg_buffers_kind kind;
     int64_t unread;  /* bytes that wait to be read by the peer */
     int64_t kept;    /* other bytes that the host keeps for requests of this connection */
-    wg_time read_at; /* last read, or when bytes began to wait */
+    wg_time read_at; /* last read, or when bytes began to wait; without stalls of the host */
     void* user_data;
     GList link; /* in the list of its kind while `unread` is above 0 */
 } wg_buffers_peer;
@@ -83,10 +83,13 @@
 void wg_buffers_record_held(wg_buffers* buffers, wg_time now, wg_buffers_peer* peer, int64_t bytes);
 /* The peer read bytes that were queued for it. */
 void wg_buffers_record_read(wg_buffers* buffers, wg_time now, wg_buffers_peer* peer, int64_t bytes);
+/* The peer can take bytes, which the host has not written yet: the time without reading starts
+   anew. */
+void wg_buffers_record_ready(wg_buffers* buffers, wg_time now, wg_buffers_peer* peer);
 /* Sets the other bytes kept: a request body until its request ends, an incomplete answer. */
 void wg_buffers_set_kept(wg_buffers* buffers, wg_buffers_peer* peer, int64_t bytes);
-/* The host stood still until `now`; peers are not blamed for the time before. */
-void wg_buffers_record_stall(wg_buffers* buffers, wg_time now);
+/* The host stood still for `duration` microseconds, which do not count as time without reading. */
+void wg_buffers_record_stall(wg_buffers* buffers, wg_time duration);
 
 wg_buffers_level wg_buffers_level_of(const wg_buffers* buffers);
 /* Whether reading from the target of this caller has to pause now. A pause ends when everything is
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -200,6 +200,7 @@
     }
     if (e->tick_lag.lag_last > WG_LAG_LOG_MIN) {
         e->stall_ended_at = now;
+        wg_buffers_record_stall(e->buffers, e->tick_lag.lag_last);
         wg_call_reset_timers(e, now);
     }
     wg_entry_link_tick(e, now);
@@ -210,6 +211,7 @@
     wg_entry_quarantine_tick(e, now);
     wg_client_tick(e, now);
     wg_upstream_tick(e, now);
+    wg_entry_buffers_tick(e, now);
     wg_entry_advance_retries(e);
     wg_call_queue_run(e);
     wg_entry_queue_delay_probe(e, now);
@@ -250,6 +252,7 @@
         .data_centre = e->settings->data_centre, .seed = e->seed, .backoff = e->backoff});
     e->admit = wg_admit_setup(&(wg_admit_desc){0});
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
+    wg_entry_buffers_setup(e);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
     wg_entry_quarantine_setup(e);
@@ -306,6 +309,7 @@
     wg_entry_cache_shutdown(e);
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
+    wg_buffers_shutdown(e->buffers);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
     g_hash_table_unref(e->pending_admissions);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -23,6 +23,12 @@
     wg_entry_admit_end(call, result == WG_RESULT_FAILED);
 }
 
+/* Time for which reading the answer was paused as the caller did not read it. */
+static wg_time wg_call_paused_time(const wg_call* call, wg_time now) {
+    const wg_upstream* up = call->upstream;
+    return call->paused_time + (up && up->paused ? now - up->paused_at : 0);
+}
+
 static void wg_call_log_end(const wg_call* call, const wg_call_end* end, wg_time now) {
     if (!wg_entry_may_log(call->entry, now)) {
         return;
@@ -33,7 +39,7 @@
            " total_ms=%" G_GINT64_FORMAT " events=%" G_GINT64_FORMAT
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " limit_ms=%" G_GINT64_FORMAT
            " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
-           " state_age_ms=%" G_GINT64_FORMAT,
+           " state_age_ms=%" G_GINT64_FORMAT " paused_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -44,7 +50,8 @@
            call->limit / WG_USEC_PER_MSEC, call->admit_requests_total, (int)call->was_admitted,
            call->workspace ? wg_call_usage(call) : 0, wg_usage_levels(call->entry->usage)->served,
            wg_usage_levels(call->entry->usage)->fair_share,
-           (now - call->entry->state_at) / WG_USEC_PER_MSEC);
+           (now - call->entry->state_at) / WG_USEC_PER_MSEC,
+           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -254,13 +261,8 @@
 }
 
 static void wg_call_write(wg_call* call, struct evbuffer* out) {
-    struct bufferevent* bev = call->client->bev;
-    wg_socket_write(bev, out);
-    bool full = evbuffer_get_length(bufferevent_get_output(bev)) > WG_OUTPUT_HIGH_WATER;
-    if (full && call->upstream && !call->upstream->paused) {
-        call->upstream->paused = true;
-        bufferevent_disable(call->upstream->bev, EV_READ);
-    }
+    wg_socket_write(call->client->bev, out);
+    wg_entry_buffers_control(call->client);
 }
 
 /* Moves `data` to `out` as one chunk. */
@@ -434,6 +436,7 @@
     call->unsent += !written;
     call->upstream = NULL;
     if (up) {
+        wg_upstream_end_pause(up);
         up->call = NULL;
         wg_upstream_close(up);
     }
@@ -536,6 +539,7 @@
     call->head_only = wg_text_equals_nocase(head.method, "HEAD");
     wg_text id = wg_message_field(&head, e->names->request_id);
     g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
+    g_strlcpy(client->last_id, call->id, sizeof client->last_id);
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
     call->fingerprint =
         wg_fingerprint(&(wg_fingerprint_desc){.seed = e->fingerprint_seed,
@@ -571,8 +575,8 @@
 void wg_call_caller_disconnected(wg_call* call) {
     wg_entry* e = call->entry;
     wg_call_end end = {0, wg_call_may_have_run(call) ? WG_VERDICT_MAY_HAVE_RUN : WG_VERDICT_NOT_RUN,
-                       "caller-left"};
-    e->counters.caller_disconnects++;
+                       call->caller_cut ? "caller-cut" : "caller-left"};
+    e->counters.caller_disconnects += !call->caller_cut;
     wg_call_log_and_free(call, &end);
     wg_call_queue_run(e);
 }
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -14,6 +14,9 @@
     WG_LISTEN_BACKLOG = 512
 };
 
+/* Seconds. Callers that read nothing are cut off after some seconds; other hosts have room. */
+static const double WG_BUFFERS_RETRY_AFTER = 0.5;
+
 static void wg_client_process_input(wg_client* client);
 
 /* ---- helpers -------------------------------------------------------------------------------- */
@@ -51,6 +54,7 @@
     last->index = client->index;
     g_ptr_array_remove_index_fast(clients, client->index);
     event_free(client->watch);
+    wg_entry_buffers_remove_client(client);
     bufferevent_free(client->bev);
     g_free(client->head_bytes);
     if (client->body_bytes) {
@@ -151,7 +155,8 @@
 }
 
 static int64_t wg_client_body_max(const wg_entry* e) {
-    return e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
+    int64_t limit = e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
+    return MIN(limit, wg_entry_buffers_body_max(e));
 }
 
 /* Whether there is input that was not examined yet. On an overloaded host such a connection must be
@@ -185,6 +190,21 @@
     wg_call_begin(client, bytes, size, body);
 }
 
+/* Refuses a request whose body would take the host above its bound on held bytes. */
+static void wg_client_refuse_body(wg_client* client) {
+    static const char code[] = "buffers_full";
+    wg_entry* e = client->entry;
+    e->counters.bodies_refused++;
+    if (wg_entry_may_log(e, wg_now())) {
+        wg_log(WG_EVENT_CONNECTION_REFUSED, "status=503 code=%s held=%" G_GINT64_FORMAT, code,
+               wg_buffers_held(e->buffers));
+    }
+    evbuffer_drain(client->body_bytes, evbuffer_get_length(client->body_bytes));
+    wg_buffers_set_kept(e->buffers, &client->held, 0);
+    wg_client_refuse(client, 503, code, WG_BUFFERS_RETRY_AFTER, false);
+    wg_client_end(client);
+}
+
 /* False if the body is incomplete or was refused. */
 static bool wg_client_read_body(wg_client* client) {
     wg_body_state state =
@@ -197,6 +217,12 @@
         wg_client_reject(client, 413, "body_too_large");
         return false;
     }
+    wg_buffers_set_kept(client->entry->buffers, &client->held,
+                        (int64_t)evbuffer_get_length(client->body_bytes));
+    if (wg_buffers_exceeded(client->entry->buffers)) {
+        wg_client_refuse_body(client);
+        return false;
+    }
     return state == WG_BODY_COMPLETE;
 }
 
@@ -254,6 +280,23 @@
     return true;
 }
 
+/* Whether the next request waits until the caller has read its earlier answers. Its input then
+   stays in the socket. */
+static bool wg_client_delays_request(wg_client* client) {
+    client->delayed = wg_entry_buffers_delays_request(client);
+    if (client->delayed) {
+        bufferevent_disable(client->bev, EV_READ);
+    }
+    return client->delayed;
+}
+
+/* The caller has read its answers: continues with its next request. */
+static void wg_client_end_delay(wg_client* client) {
+    client->delayed = false;
+    bufferevent_enable(client->bev, EV_READ);
+    bufferevent_trigger(client->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
+}
+
 /* Advances the connection with the input received. */
 static void wg_client_process_input(wg_client* client) {
     if (client->state == WG_CLIENT_ENDING) {
@@ -261,6 +304,9 @@
         evbuffer_drain(in, evbuffer_get_length(in));
         return;
     }
+    if (client->state == WG_CLIENT_HEAD && wg_client_delays_request(client)) {
+        return;
+    }
     if (client->state == WG_CLIENT_HEAD && !wg_client_read_head(client)) {
         return;
     }
@@ -281,6 +327,8 @@
         shutdown(bufferevent_getfd(client->bev), SHUT_WR);
     } else if (client->call && client->call->upstream) {
         wg_upstream_resume(client->call->upstream);
+    } else if (client->delayed) {
+        wg_client_end_delay(client);
     }
 }
 
@@ -295,6 +343,7 @@
 void wg_client_call_ended(wg_client* client, bool keep) {
     client->call = NULL;
     client->answered = true;
+    wg_buffers_set_kept(client->entry->buffers, &client->held, 0);
     if (!keep) {
         wg_client_end(client);
         return;
@@ -364,6 +413,7 @@
                       client);
     client->watch = event_new(e->base, fd, EV_READ, wg_client_on_watch, client);
     wg_loop_prioritize_event(client->watch);
+    wg_entry_buffers_add_client(client);
     client->index = e->clients->len;
     g_ptr_array_add(e->clients, client);
     wg_client_set_state(client, WG_CLIENT_HEAD);
@@ -418,6 +468,10 @@
     if (limit == 0 || spent < limit) {
         return false;
     }
+    if (!wg_client_is_sending(client) &&
+        wg_buffers_is_reading(client->entry->buffers, now, &client->held)) {
+        return false; /* it still reads its last answer */
+    }
     bool may_wait =
         wg_client_is_sending(client) ? spent < 2 * limit : client->state == WG_CLIENT_HEAD;
     return !may_wait || !wg_client_has_unread(client);
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -100,7 +100,10 @@
                     {"quarantine_refusals", c->quarantine_refusals},
                     {"target_rests", c->backoffs},
                     {"targets_leaving_told", c->drains_reported},
-                    {"rest_refusals", c->backoff_refusals}};
+                    {"rest_refusals", c->backoff_refusals},
+                    {"callers_cut", c->callers_cut},
+                    {"targets_cut", c->targets_cut},
+                    {"bodies_refused", c->bodies_refused}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
@@ -114,6 +117,7 @@
                            e->calls_num, e->clients->len, wg_registry_evacuated(e->registry)->len,
                            wg_quarantine_num(e->quarantine), wg_suspects_num(e->suspects),
                            wg_backoff_active_num(e->backoff, wg_now()));
+    wg_entry_buffers_print_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -8,6 +8,7 @@
 #include "wg_admit.h"
 #include "wg_backoff.h"
 #include "wg_balance.h"
+#include "wg_buffers.h"
 #include "wg_config.h"
 #include "wg_entry.h"
 #include "wg_event_stream.h"
@@ -26,7 +27,6 @@
     WG_RECOVERY_QUERIES_MAX = 4,
     WG_HEAD_BYTES_START = 16 * 1024, /* limit of a request head before a configuration is known */
     WG_BUFFERED_ANSWER_MAX = 64 * 1024, /* answers up to this size are relayed only when complete */
-    WG_OUTPUT_HIGH_WATER = 256 * 1024,  /* unsent bytes at which reading from the target pauses */
     WG_EVENT_ID_MAX = 32,
     WG_COORDINATORS_MAX = 16,
     /* Previous lists that are kept. Hosts that start together join one by one, each with a new
@@ -75,6 +75,9 @@
     guint index;           /* index in entry->clients */
     bool idle;             /* linked in entry->idle_clients */
     GList idle_link;
+    wg_buffers_peer held;      /* answers not read yet, and the body of the request */
+    bool delayed;              /* its next request is read when earlier answers are read */
+    char last_id[WG_NAME_MAX]; /* id of its last request */
 };
 
 /* Outcome of a call, as logged at its end. */
@@ -130,6 +133,8 @@
     wg_time retry_at; /* time of the next attempt; 0: none scheduled */
     bool head_sent;
     bool chunked;                     /* answer is sent with chunked encoding */
+    bool caller_cut;                  /* the caller was cut off, as it did not read its answer */
+    wg_time paused_time;              /* time for which reading the answer was paused, until now */
     char last_event[WG_EVENT_ID_MAX]; /* id of the last event relayed; "": none */
     int64_t events;
     struct event* timer;
@@ -160,7 +165,9 @@
     wg_body body;
     struct evbuffer* content; /* answer body not relayed yet */
     bool is_event_stream;
-    bool paused;
+    bool paused; /* reading waits until the caller has read */
+    wg_time paused_at;
+    wg_buffers_peer held; /* request not read yet, and content not relayed yet */
     wg_time idle_since;
     wg_time idle_limit;
     GList idle_link;
@@ -231,6 +238,9 @@
     uint64_t backoffs;         /* backoff periods requested by targets */
     uint64_t drains_reported;  /* targets that reported in an answer that they are draining */
     uint64_t backoff_refusals; /* requests refused because all targets are in backoff */
+    uint64_t callers_cut;      /* connections closed as the caller did not read its answer */
+    uint64_t targets_cut;      /* connections closed as the target did not read the request */
+    uint64_t bodies_refused;   /* requests refused as the host holds too many bytes */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
@@ -319,6 +329,11 @@
     wg_time checks_window_start; /* start of the current one-second window */
     int checks_num;              /* checks started in the current window */
 
+    /* bytes held for callers and targets: wg_entry_buffers.c */
+    wg_buffers* buffers;
+    wg_buffers_level buffers_level; /* level last applied to the answers in progress */
+    int paused_num;                 /* answers whose reading is paused */
+
     wgh_server ready_server;
     wgh_server entry_server;
     wgh_server orders_server;
@@ -494,6 +509,27 @@
 wg_crash_report wg_entry_fill_crashes(wg_entry* e, Wgpb__EntryReport* report);
 void wg_entry_crashes_reported(wg_entry* e, wg_crash_report* report);
 
+/* wg_entry_buffers.c */
+void wg_entry_buffers_setup(wg_entry* e);
+/* Cuts off connections that are due, and applies pauses. */
+void wg_entry_buffers_tick(wg_entry* e, wg_time now);
+void wg_entry_buffers_print_metrics(const wg_entry* e, GString* out);
+/* Starts and ends the account of a connection. */
+void wg_entry_buffers_add_client(wg_client* client);
+void wg_entry_buffers_remove_client(wg_client* client);
+void wg_entry_buffers_add_upstream(wg_upstream* up);
+void wg_entry_buffers_remove_upstream(wg_upstream* up);
+/* The connection is established. */
+void wg_entry_buffers_connected(const wg_upstream* up);
+/* A request is about to be written to an established connection. */
+void wg_entry_buffers_begin_request(const wg_upstream* up);
+/* A part of the answer to the client's call was written: pauses reading from targets as needed. */
+void wg_entry_buffers_control(wg_client* client);
+/* Largest request body that the host can hold. */
+int64_t wg_entry_buffers_body_max(const wg_entry* e);
+/* Whether the client's next request has to wait until it has read earlier answers. */
+bool wg_entry_buffers_delays_request(const wg_client* client);
+
 /* wg_entry_attempt.c */
 /* Selects a target and sends the request, or queues it. */
 void wg_call_try(wg_call* call);
@@ -559,6 +595,10 @@
 void wg_upstream_close(wg_upstream* up);
 void wg_upstream_release(wg_upstream* up);
 void wg_upstream_tick(wg_entry* e, wg_time now);
+/* Stops reading the answer; nothing if it is paused already. */
+void wg_upstream_pause(wg_upstream* up);
 void wg_upstream_resume(wg_upstream* up);
+/* Ends the time of a pause that is over; reading is not enabled. */
+void wg_upstream_end_pause(wg_upstream* up);
 void wg_upstream_drop_unusable(wg_entry* e);
 void wg_upstream_shutdown(wg_entry* e);
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -61,7 +61,7 @@
     g_free(up->bytes);
     up->bytes = NULL;
     up->is_event_stream = false;
-    up->paused = false;
+    wg_upstream_end_pause(up);
     evbuffer_drain(up->content, evbuffer_get_length(up->content));
 }
 
@@ -73,6 +73,8 @@
         up->call->upstream = NULL;
     }
     up->entry->upstreams_num--;
+    wg_upstream_end_pause(up);
+    wg_entry_buffers_remove_upstream(up);
     bufferevent_free(up->bev);
     evbuffer_free(up->content);
     g_free(up->bytes);
@@ -185,6 +187,7 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
+    wg_entry_buffers_begin_request(up);
     wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
     evbuffer_free(out);
@@ -309,6 +312,7 @@
     if (what & BEV_EVENT_CONNECTED) {
         int on = 1;
         setsockopt(bufferevent_getfd(up->bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        wg_entry_buffers_connected(up);
         bufferevent_set_timeouts(up->bev, NULL, NULL);
         const wg_target* target = wg_registry_find(up->entry->registry, up->target);
         if (!up->call) {
@@ -342,9 +346,28 @@
 
 /* ---- functions of the library --------------------------------------------------------------- */
 
-void wg_upstream_resume(wg_upstream* up) {
+void wg_upstream_pause(wg_upstream* up) {
+    if (!up->paused) {
+        up->paused = true;
+        up->paused_at = wg_now();
+        up->entry->paused_num++;
+        bufferevent_disable(up->bev, EV_READ);
+    }
+}
+
+void wg_upstream_end_pause(wg_upstream* up) {
     if (up->paused) {
         up->paused = false;
+        up->entry->paused_num--;
+        if (up->call) {
+            up->call->paused_time += wg_now() - up->paused_at;
+        }
+    }
+}
+
+void wg_upstream_resume(wg_upstream* up) {
+    if (up->paused) {
+        wg_upstream_end_pause(up);
         bufferevent_enable(up->bev, EV_READ);
     }
 }
@@ -370,6 +393,7 @@
     wg_loop_prioritize_connection(up->bev);
     up->remote = strcmp(target->data_centre, e->settings->data_centre) != 0;
     evbuffer_add_cb(bufferevent_get_input(up->bev), wg_upstream_count_in, up);
+    wg_entry_buffers_add_upstream(up);
     bufferevent_setcb(up->bev, wg_upstream_on_read, NULL, wg_upstream_on_event, up);
     wg_upstream_limit_connecting(up);
     e->counters.connects++;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -143,6 +143,11 @@
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
+/* Bound on held bytes of the next entry host, and its limit of the time without reading; 0: none.
+ */
+static double fake_entry_held_mb;
+static int64_t fake_entry_unread_ms;
+
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
     settings = (wg_entry_settings){.name = "here",
@@ -164,6 +169,8 @@
                                    .retry_window_ms = 10000,
                                    .target_rest_max_s = 3600,
                                    .descriptors = fake_entry_descriptors,
+                                   .held_mb = fake_entry_held_mb,
+                                   .unread_ms = fake_entry_unread_ms,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -29,6 +29,8 @@
 static GString* target_received;
 static struct bufferevent* target_connection;
 static bool target_disconnected;
+static bool target_reads = true; /* new connections of the target read */
+static int target_connections;   /* connections that the target accepted */
 
 static void run_turns(int num) {
     for (int i = 0; i < num; i++) {
@@ -65,7 +67,9 @@
     (void)user_data;
     struct bufferevent* bev = bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE);
     bufferevent_setcb(bev, target_on_read, NULL, target_on_event, NULL);
-    bufferevent_enable(bev, EV_READ | EV_WRITE);
+    bufferevent_enable(bev, target_reads ? EV_READ | EV_WRITE : EV_WRITE);
+    target_connection = target_reads ? target_connection : bev;
+    target_connections++;
 }
 
 static void target_start(void) {
@@ -125,6 +129,7 @@
     target_received = g_string_new(NULL);
     target_connection = NULL;
     target_disconnected = false;
+    target_connections = 0;
     target_address = local_address(31, 18007);
     target_start();
     fake_control_begin(base, &leader, 1);
--- a/tests/test_buffers.c
+++ b/tests/test_buffers.c
@@ -293,6 +293,23 @@
     ck_assert_int_eq(wg_buffers_unread_time(b, 12 * SECOND, &peer), 2 * SECOND);
     ck_assert_ptr_null(wg_buffers_next_cut(b, 15 * SECOND - 1));
     ck_assert_ptr_eq(wg_buffers_next_cut(b, 15 * SECOND), &peer);
+    wg_buffers_record_read(b, 15 * SECOND, &peer, 1);
+    ck_assert_ptr_null(wg_buffers_next_cut(b, 20 * SECOND - 1));
+    ck_assert_ptr_eq(wg_buffers_next_cut(b, 20 * SECOND), &peer);
+    wg_buffers_remove(b, &peer);
+    wg_buffers_shutdown(b);
+}
+END_TEST
+
+/* On an overloaded host, a peer that reads may wait for the host to write. */
+START_TEST(peer_that_can_take_bytes_is_not_cut_off) {
+    wg_buffers_peer peer = {0};
+    wg_buffers* b = buffers_of(80 * KB, 5 * SECOND);
+    wg_buffers_add(b, &peer, WG_BUFFERS_CALLER);
+    wg_buffers_record_held(b, 0, &peer, 79 * KB);
+    wg_buffers_record_ready(b, 6 * SECOND, &peer);
+    ck_assert_ptr_null(wg_buffers_next_cut(b, 11 * SECOND - 1));
+    ck_assert_ptr_eq(wg_buffers_next_cut(b, 11 * SECOND), &peer);
     wg_buffers_remove(b, &peer);
     wg_buffers_shutdown(b);
 }
@@ -320,4 +337,4 @@
              steady_reader_is_not_cut_off_on_a_full_host,
              target_is_cut_off_on_a_host_that_is_not_full,
              time_in_which_the_host_stood_still_does_not_count,
-             nothing_is_cut_off_without_a_time_limit)
+             peer_that_can_take_bytes_is_not_cut_off, nothing_is_cut_off_without_a_time_limit)
