Fault soak: callers that read large answers slowly or not at all

Entry hosts have a bound of 0.1 MB and a time limit of 400 ms, so that two or three such callers fill them. Each whole answer is compared byte for byte. In every run, an entry process that ends without a fault of the soak is now a violation.

--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -3,7 +3,8 @@
    Arguments: address=ip:port id=NAME service=NAME orders=ip:port,... (where it registers)
    advertise=ip:port (the address that it registers, by default its own) runs=FILE data_centre=NAME
    cold_ms=N (how long after its start it is cold) and the faults of fake.h. SIGHUP drains it. A
-   request whose body begins with CRASH_BODY ends the process when its work_us are over.
+   request whose body begins with CRASH_BODY ends the process when its work_us are over. A request
+   for .../large/N is answered with N further bytes, see large_byte().
 
    Events are appended to the file `runs`, which outlives a killed process, one line each:
      run ID              a request ran; the next line is its data centre and time, "NAME TIME"
@@ -190,6 +191,21 @@
     return value ? value : "";
 }
 
+/* Byte of a large answer; the callers of the soak expect the same. */
+static char large_byte(int at) {
+    return (char)('a' + (at + at / 251) % 26);
+}
+
+static void add_large_answer(struct evhttp_request* request, struct evbuffer* out) {
+    static const char large[] = "/large/";
+    const char* path = strstr(evhttp_request_get_uri(request), large);
+    int size = path ? atoi(path + sizeof large - 1) : 0;
+    for (int i = 0; i < size; i++) {
+        char byte = large_byte(i);
+        evbuffer_add(out, &byte, 1);
+    }
+}
+
 static void abort_answer(job_t* job) {
     struct evhttp_connection* connection = evhttp_request_get_connection(job->request);
     evhttp_connection_set_closecb(connection, NULL, NULL);
@@ -226,6 +242,7 @@
         evhttp_connection_set_closecb(evhttp_request_get_connection(job->request), NULL, NULL);
         struct evbuffer* out = evbuffer_new();
         evbuffer_add_printf(out, "whole %s", field(job->request, "Walnutgate-Request"));
+        add_large_answer(job->request, out);
         evhttp_send_reply(job->request, fails ? 500 : 200, fails ? "Error" : "OK", out);
         evbuffer_free(out);
         job_end(job);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -74,9 +74,11 @@
     bool started_before;
     int losses;           /* setting `losses` of replicas: disks that may be lost at one time */
     char* replica_timing; /* settings of the replicas' group [timing] */
-    int standby_ms;       /* setting `standby_ms` of entry processes; 0: the default */
-    bool direct_targets;  /* hosts connect to targets without proxies */
-    bool target_faults;   /* targets abort, fail and refuse a part of their requests */
+    double held_mb; /* settings `held_mb` and `unread_ms` of entry processes; 0: the defaults */
+    int unread_ms;
+    int standby_ms;      /* setting `standby_ms` of entry processes; 0: the default */
+    bool direct_targets; /* hosts connect to targets without proxies */
+    bool target_faults;  /* targets abort, fail and refuse a part of their requests */
 } hosts;
 
 /* Sets up addresses and proxies; starts no process. The first `disks` hosts have a disk. */
--- a/tests/sim/soak_callers.c
+++ b/tests/sim/soak_callers.c
@@ -1,10 +1,16 @@
 /* soak_callers.c -- callers of the fault soak; each checks its answers */
 #include <string.h>
+#include <sys/socket.h>
 
 #include "soak_internal.h"
 #include "wg_event_stream.h"
 #include "wg_net.h"
 
+enum {
+    LARGE_BYTES = 400 * 1000,        /* more than the kernel buffers at both ends of a connection */
+    SMALL_RECEIVE_BUFFER = 16 * 1024 /* of callers in a run with slow callers */
+};
+
 static void caller_schedule(caller* c, int ms) {
     struct timeval wait = {.tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000};
     event_add(c->timer, &wait);
@@ -12,6 +18,8 @@
 
 static void caller_done(caller* c, bool keep) {
     c->busy = false;
+    keep = keep && c->pace == PACE_NORMAL;
+    event_del(c->reader);
     g_free(c->bytes);
     c->bytes = NULL;
     if (!keep && c->bev) {
@@ -23,6 +31,7 @@
 
 static void caller_fail(caller* c) {
     c->s->result.failed++;
+    c->s->result.slow_broken += c->pace == PACE_SLOW;
     caller_done(c, false);
 }
 
@@ -44,6 +53,13 @@
     evbuffer_free(event);
 }
 
+/* The same bytes as large_byte() of the targets. */
+static void add_large_answer(GString* out, int size) {
+    for (int i = 0; i < size; i++) {
+        g_string_append_c(out, (char)('a' + (i + i / 251) % 26));
+    }
+}
+
 static void check_answer(caller* c) {
     soak* s = c->s;
     int status = c->head.status;
@@ -59,12 +75,16 @@
                                   c->events_seen);
         }
     } else if (status == 200) {
-        char expected[64];
-        int size = g_snprintf(expected, sizeof expected, "whole %s", c->id);
+        GString* expected = g_string_new("whole ");
+        g_string_append(expected, c->id);
+        add_large_answer(expected, c->large);
         size_t have = evbuffer_get_length(c->content);
-        if (have != (size_t)size || memcmp(evbuffer_pullup(c->content, -1), expected, have) != 0) {
+        if (have != expected->len ||
+            memcmp(evbuffer_pullup(c->content, -1), expected->str, have) != 0) {
             soak_record_violation(s, "%s: wrong body of %zu bytes", c->id, have);
         }
+        g_string_free(expected, TRUE);
+        s->result.slow_complete += c->pace == PACE_SLOW;
     } else if (status == 429 || status == 503) {
         if (c->kind == CALL_UNSAFE) {
             g_hash_table_add(s->refused_ids, g_strdup(c->id));
@@ -115,6 +135,46 @@
     }
 }
 
+/* Reads a little, then waits. */
+static void caller_on_slow_read(struct bufferevent* bev, void* user_data) {
+    caller* c = user_data;
+    caller_on_read(bev, user_data);
+    if (c->busy && c->pace == PACE_SLOW) {
+        struct timeval wait = {.tv_usec = 1000 + (suseconds_t)soak_random(c->s, 8000)};
+        bufferevent_disable(bev, EV_READ);
+        event_add(c->reader, &wait);
+    }
+}
+
+static void caller_on_reader(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    caller* c = user_data;
+    if (c->bev) {
+        bufferevent_enable(c->bev, EV_READ);
+    }
+}
+
+/* Decides by the seed whether the answer is large, and how it is read. */
+static void caller_choose_pace(caller* c) {
+    c->pace = PACE_NORMAL;
+    c->large = 0;
+    if (c->s->desc.slow_callers && c->kind == CALL_SAFE) {
+        c->large = LARGE_BYTES;
+        c->pace = (caller_pace)soak_random(c->s, PACE_SILENT + 1);
+    }
+}
+
+static evutil_socket_t caller_socket(const soak* s) {
+    int receive = SMALL_RECEIVE_BUFFER;
+    if (!s->desc.slow_callers) {
+        return -1; /* libevent creates it */
+    }
+    evutil_socket_t fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
+    return fd;
+}
+
 static void caller_on_event(struct bufferevent* bev, short what, void* user_data) {
     (void)bev;
     caller* c = user_data;
@@ -139,9 +199,9 @@
         const host* w = soak_random_host(s);
         c->host = w->number;
         WG_ASSERT(wgn_parse_address(w->callers, &address, &size));
-        c->bev =
-            bufferevent_socket_new(s->base, -1, BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
-        bufferevent_setcb(c->bev, caller_on_read, NULL, caller_on_event, c);
+        c->bev = bufferevent_socket_new(s->base, caller_socket(s),
+                                        BEV_OPT_CLOSE_ON_FREE | BEV_OPT_DEFER_CALLBACKS);
+        bufferevent_setcb(c->bev, caller_on_slow_read, NULL, caller_on_event, c);
         bufferevent_enable(c->bev, EV_READ | EV_WRITE);
         bufferevent_socket_connect(c->bev, (struct sockaddr*)&address, size);
     }
@@ -150,6 +210,14 @@
     c->events_seen = 0;
     evbuffer_drain(c->content, evbuffer_get_length(c->content));
     c->kind = (call_kind)soak_random(s, CALL_KINDS_NUM);
+    caller_choose_pace(c);
+    if (c->pace == PACE_SILENT) {
+        bufferevent_disable(c->bev, EV_READ);
+    }
+    char large[32] = "";
+    if (c->large > 0) {
+        g_snprintf(large, sizeof large, "/large/%d", c->large);
+    }
     g_snprintf(c->id, sizeof c->id, "q%d-%d", c->number, ++s->result.requests);
     if (c->kind == CALL_UNSAFE) {
         g_hash_table_add(s->unsafe_ids, g_strdup(c->id));
@@ -163,12 +231,12 @@
             (int)soak_random(s, PROMPT_PARTS), c->id, STREAM_EVENTS);
     }
     evbuffer_add_printf(bufferevent_get_output(c->bev),
-                        "%s HTTP/1.1\r\nHost: soak\r\nWalnutgate-Request: %s\r\n"
+                        "%s%s HTTP/1.1\r\nHost: soak\r\nWalnutgate-Request: %s\r\n"
                         "Walnutgate-Key: key\r\nWalnutgate-Deadline-Ms: 3000\r\n"
                         "Asked-Host: %d\r\n%sContent-Length: 0\r\n\r\n",
-                        lines[c->kind], c->id, c->host, prompt);
-    struct timeval wait = {.tv_sec = CALL_TIMEOUT / WG_USEC_PER_SEC};
-    event_add(c->timer, &wait);
+                        lines[c->kind], large, c->id, c->host, prompt);
+    caller_schedule(c, c->pace == PACE_SILENT ? 800 + (int)soak_random(s, 1500)
+                                              : CALL_TIMEOUT / WG_USEC_PER_MSEC);
 }
 
 static void caller_on_timer(evutil_socket_t fd, short what, void* user_data) {
@@ -191,6 +259,7 @@
         c->number = i;
         c->content = evbuffer_new();
         c->timer = evtimer_new(s->base, caller_on_timer, c);
+        c->reader = evtimer_new(s->base, caller_on_reader, c);
     }
 }
 
@@ -201,6 +270,7 @@
             bufferevent_free(c->bev);
         }
         event_free(c->timer);
+        event_free(c->reader);
         evbuffer_free(c->content);
         g_free(c->bytes);
     }
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -43,6 +43,13 @@
     CALL_KINDS_NUM
 } call_kind;
 
+/* How a caller reads its answer. */
+typedef enum {
+    PACE_NORMAL = 0,
+    PACE_SLOW,  /* a little at a time */
+    PACE_SILENT /* nothing, then it disconnects */
+} caller_pace;
+
 typedef struct soak soak;
 
 /* A caller with at most one request in flight. */
@@ -62,6 +69,9 @@
     struct evbuffer* content;
     struct evbuffer* events;
     int events_seen;
+    caller_pace pace;
+    int large;            /* bytes of a large answer after its usual text; 0: not large */
+    struct event* reader; /* continues reading at PACE_SLOW */
 } caller;
 
 typedef struct {
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -6,11 +6,16 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/wait.h>
 
 enum {
-    TICK = 20 * WG_USEC_PER_MSEC
+    TICK = 20 * WG_USEC_PER_MSEC,
+    SLOW_UNREAD_MS = 400
 };
 
+/* Two or three callers that read nothing fill a host. */
+static const double SLOW_HELD_MB = 0.1;
+
 /* ---- helpers --------------------------------------------------------------------------------- */
 
 uint64_t soak_random(soak* s, uint64_t below) {
@@ -82,6 +87,33 @@
 
 /* A failed run reports the event-loop delay of this process: on a machine that stalls, faults last
    longer than planned. */
+/* An entry process that ended by itself, for lack of memory or after a fault of its own. */
+static void check_entries(soak* s) {
+    for (int i = 0; i < s->h.num; i++) {
+        const host* w = &s->h.hosts[i];
+        siginfo_t ended = {0};
+        if (w->entry > 0 && !soak_is_repairing(s, i, false) &&
+            waitid(P_PID, (id_t)w->entry, &ended, WEXITED | WNOHANG | WNOWAIT) == 0 &&
+            ended.si_pid != 0) {
+            soak_record_violation(s, "the entry process of host %d ended: code %d, status %d",
+                                  w->number, ended.si_code, ended.si_status);
+        }
+    }
+}
+
+static void count_cut_callers(soak* s) {
+    for (int i = 0; i < s->h.num; i++) {
+        char* path = g_strdup_printf("%s/entry-%d.log", s->h.folder, i + 1);
+        char* text = NULL;
+        g_file_get_contents(path, &text, NULL, NULL);
+        for (const char* at = text; at && (at = strstr(at, "CALLER_CUT")); at++) {
+            s->result.cut++;
+        }
+        g_free(text);
+        g_free(path);
+    }
+}
+
 static void report_loop_lag(soak* s) {
     s->result.loop_lag_ms = (int)(s->lag_monitor.lag_hist.max / WG_USEC_PER_MSEC);
     if (!s->result.good) {
@@ -100,6 +132,7 @@
     wg_time lag;
     wg_lag_monitor_tick(&s->lag_monitor, now, TICK, &lag);
     soak_reap_targets(s);
+    check_entries(s);
     soak_repair(s, now);
     soak_run_operator(s, now);
     if (!s->formed) {
@@ -229,6 +262,10 @@
     }
     g_strlcpy(s->result.folder, s->h.folder, sizeof s->result.folder);
     s->h.target_faults = desc->target_faults;
+    if (desc->slow_callers) {
+        s->h.held_mb = SLOW_HELD_MB;
+        s->h.unread_ms = SLOW_UNREAD_MS;
+    }
     start_processes(s);
     soak_callers_create(s);
     wg_time now = wg_now();
@@ -241,6 +278,7 @@
     event_base_dispatch(s->base);
     s->ended = true;
     check_runs(s);
+    count_cut_callers(s);
     if (s->result.complete == 0) {
         soak_record_violation(s, "no request was served");
     }
