--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -149,7 +149,10 @@
                     {"target_rests", c->backoffs},
                     {"targets_leaving_told", c->drains_reported},
                     {"rest_refusals", c->backoff_refusals},
-                    {"target_stalls", c->target_stalls}};
+                    {"target_stalls", c->target_stalls},
+                    {"callers_cut", c->callers_cut},
+                    {"targets_cut", c->targets_cut},
+                    {"bodies_refused", c->bodies_refused}};
     GString* out = g_string_new(NULL);
     for (size_t i = 0; i < G_N_ELEMENTS(counters); i++) {
         g_string_append_printf(out, "walnutgate_entry_%s_total %" G_GUINT64_FORMAT "\n",
@@ -165,6 +168,7 @@
                            wg_backoff_active_num(e->backoff, wg_now()));
     wg_endpoint_speed_metrics(e, out);
     wg_endpoint_hold_metrics(e, out);
+    wg_entry_buffers_print_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_endpoint_room_metrics(e, out);
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -164,6 +164,11 @@
 /* Input delay above which the next entry host refuses requests on arrival; 0: never. */
 static int64_t fake_entry_input_delay_ms;
 
+/* Bound on held bytes of the next entry host, and its limit of the time without reading; 0: none.
+ */
+static double fake_entry_held_mb;
+static int64_t fake_entry_unread_ms;
+
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
     settings = (wg_entry_settings){.name = "here",
@@ -190,6 +195,8 @@
                                    .room_wait_ms = fake_entry_room_wait_ms,
                                    .route_limits = fake_entry_route_limits,
                                    .input_delay_ms = fake_entry_input_delay_ms,
+                                   .held_mb = fake_entry_held_mb,
+                                   .unread_ms = fake_entry_unread_ms,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
