--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -124,6 +124,13 @@
     h->replica_timing = g_string_free(lines, FALSE);
 }
 
+/* Settings of all parts that decide by load. The input delay is short, so that busy processes of a
+   run refuse requests on arrival. */
+static const char ENTRY_LOAD_CONTROL[] =
+    "[admission]\nlearn_base=1\nroom_wait_ms=20\nroute_limits=1\nhold_percent=25\n"
+    "[overload]\ninput_delay_ms=10\n";
+static const char REPLICA_LOAD_CONTROL[] = "[admission]\nroom_wait_ms=20\n";
+
 void hosts_start_entry(hosts* h, host* w) {
     char name[32];
     char log[32];
@@ -132,10 +139,10 @@
         "[entry]\nname=127.%d.1.%d\ndata_centre=dc\ncallers_listen=%s\nready_listen=%s\n"
         "entry_listen=%s\norders_listen=%s\nseeds=%s\nfleet_port=7100\n"
         "fleet_listen=127.%d.1.%d:7101\n[keys]\nfleet_key=fleet.key\n[log]\nlog_target=stdout\n"
-        "[timing]\ngrace_s=8\nstandby_ms=%d\n[limits]\nheld_mb=%.3f\nunread_ms=%d\n",
+        "[timing]\ngrace_s=8\nstandby_ms=%d\n[limits]\nheld_mb=%.3f\nunread_ms=%d\n%s",
         h->loopback_part_number, w->number, w->callers, w->ready, w->entries, w->orders, list,
         h->loopback_part_number, w->number, h->standby_ms ? h->standby_ms : 15000, h->held_mb,
-        h->unread_ms);
+        h->unread_ms, h->load_control ? ENTRY_LOAD_CONTROL : "");
     g_snprintf(name, sizeof name, "entry-%d.ini", w->number);
     g_snprintf(log, sizeof log, "entry-%d.log", w->number);
     write_file(h, name, text);
@@ -155,10 +162,11 @@
         "data_folder=data-%d\nseeds=%s\nfleet_port=7100\nentry_port=7101\nlosses=%d\n"
         "first_start=%s\n"
         "[keys]\nfleet_key=fleet.key\noperator_key=operator.key\n[log]\nlog_target=stdout\n"
-        "[timing]\n%s[state]\nsnapshot_entries=20\nlog_keep=8\nclaims_max=1024\n",
+        "[timing]\n%s[state]\nsnapshot_entries=20\nlog_keep=8\nclaims_max=1024\n%s",
         h->loopback_part_number, w->number, h->loopback_part_number, w->number,
         h->loopback_part_number, w->number, h->loopback_part_number, w->number, w->number, list,
-        h->losses, h->started_before ? "false" : "true", h->replica_timing);
+        h->losses, h->started_before ? "false" : "true", h->replica_timing,
+        h->load_control ? REPLICA_LOAD_CONTROL : "");
     g_snprintf(name, sizeof name, "replica-%d.ini", w->number);
     g_snprintf(log, sizeof log, "replica-%d.log", w->number);
     write_file(h, name, text);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -76,6 +76,7 @@
     char* replica_timing; /* settings of the replicas' group [timing] */
     double held_mb; /* settings `held_mb` and `unread_ms` of entry processes; 0: the defaults */
     int unread_ms;
+    bool load_control;   /* admission and overload control are on, see their groups of settings */
     int standby_ms;      /* setting `standby_ms` of entry processes; 0: the default */
     bool direct_targets; /* hosts connect to targets without proxies */
     bool target_faults;  /* targets abort, fail and refuse a part of their requests */
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -262,6 +262,7 @@
     }
     g_strlcpy(s->result.folder, s->h.folder, sizeof s->result.folder);
     s->h.target_faults = desc->target_faults;
+    s->h.load_control = desc->load_control;
     if (desc->slow_callers) {
         s->h.held_mb = SLOW_HELD_MB;
         s->h.unread_ms = SLOW_UNREAD_MS;
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -45,6 +45,7 @@
     bool overloads; /* targets refuse requests with backoff hints, beside all other faults */
     bool
         slow_callers; /* a part of the callers read slowly or nothing, with a bound on held bytes */
+    bool load_control;  /* admission and overload control are on */
     bool target_faults; /* targets abort, fail and refuse a part of their requests */
     bool keep;          /* keep the folder with the logs after a good run too */
 } soak_desc;
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -34,10 +34,12 @@
     struct arg_lit* rests = arg_lit0(NULL, "rests", "targets refuse requests with backoff hints");
     struct arg_lit* slow =
         arg_lit0(NULL, "slow", "callers read slowly or nothing, with a bound on held bytes");
+    struct arg_lit* load_control =
+        arg_lit0(NULL, "load-control", "admission and overload control are on");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed,    seeds,       seconds, hosts, disks, harsh, calm,
-                     crashes, successions, colds,   rests, slow,  keep,  end};
+    void* table[] = {seed,        seeds, seconds, hosts, disks,        harsh, calm, crashes,
+                     successions, colds, rests,   slow,  load_control, keep,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -58,6 +60,7 @@
                           .crashes = crashes->count > 0,
                           .overloads = rests->count > 0,
                           .slow_callers = slow->count > 0,
+                          .load_control = load_control->count > 0,
                           .target_faults = i % 2 == 1,
                           .keep = keep->count > 0};
         soak_result r = soak_run(&desc);
