--- a/lib/entry/wg_entry_buffers.c
+++ b/lib/entry/wg_entry_buffers.c
@@ -17,41 +17,43 @@
 
 /* ---- helpers --------------------------------------------------------------------------------- */
 
-static void wg_buffers_count(wg_entry* e, wg_buffers_peer* peer,
-                             const struct evbuffer_cb_info* info) {
+static void wg_entry_buffers_count(wg_entry* e, wg_buffers_peer* peer,
+                                   const struct evbuffer_cb_info* info) {
     wg_time now = wg_now();
     wg_buffers_record_held(e->buffers, now, peer, (int64_t)info->n_added);
     wg_buffers_record_read(e->buffers, now, peer, (int64_t)info->n_deleted);
 }
 
-static void wg_buffers_on_client_output(struct evbuffer* buffer,
-                                        const struct evbuffer_cb_info* info, void* user_data) {
+static void wg_entry_buffers_on_client_output(struct evbuffer* buffer,
+                                              const struct evbuffer_cb_info* info,
+                                              void* user_data) {
     (void)buffer;
     wg_client* client = user_data;
-    wg_buffers_count(client->entry, &client->held, info);
+    wg_entry_buffers_count(client->entry, &client->held, info);
 }
 
-static void wg_buffers_on_upstream_output(struct evbuffer* buffer,
-                                          const struct evbuffer_cb_info* info, void* user_data) {
+static void wg_entry_buffers_on_upstream_output(struct evbuffer* buffer,
+                                                const struct evbuffer_cb_info* info,
+                                                void* user_data) {
     (void)buffer;
     wg_upstream* up = user_data;
-    wg_buffers_count(up->entry, &up->held, info);
+    wg_entry_buffers_count(up->entry, &up->held, info);
 }
 
 /* Content of an answer that is not relayed yet. */
-static void wg_buffers_on_content(struct evbuffer* buffer, const struct evbuffer_cb_info* info,
-                                  void* user_data) {
+static void wg_entry_buffers_on_content(struct evbuffer* buffer,
+                                        const struct evbuffer_cb_info* info, void* user_data) {
     (void)info;
     wg_upstream* up = user_data;
     wg_buffers_set_kept(up->entry->buffers, &up->held, (int64_t)evbuffer_get_length(buffer));
 }
 
-static void wg_buffers_limit_portion(const wg_upstream* up) {
+static void wg_entry_buffers_limit_portion(const wg_upstream* up) {
     bufferevent_set_max_single_read(up->bev, (size_t)wg_buffers_portion(up->entry->buffers));
 }
 
 /* Applies the present level to all answers in progress. */
-static void wg_buffers_apply_level(wg_entry* e) {
+static void wg_entry_buffers_apply_level(wg_entry* e) {
     e->buffers_level = wg_buffers_level_of(e->buffers);
     for (guint i = 0; i < e->clients->len; i++) {
         const wg_client* client = e->clients->pdata[i];
@@ -59,7 +61,7 @@
         if (!up) {
             continue;
         }
-        wg_buffers_limit_portion(up);
+        wg_entry_buffers_limit_portion(up);
         if (wg_buffers_pauses(e->buffers, &client->held)) {
             wg_upstream_pause(up);
         }
@@ -67,13 +69,13 @@
 }
 
 /* Makes the close of a connection reset it, so that the kernel drops what the peer has not read. */
-static void wg_buffers_reset_on_close(struct bufferevent* bev) {
+static void wg_entry_buffers_reset_on_close(struct bufferevent* bev) {
     struct linger reset = {.l_onoff = 1, .l_linger = 0};
     setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
 }
 
-static void wg_buffers_log_cut(wg_entry* e, wg_time now, wg_event event, const char* id,
-                               const wg_buffers_peer* peer) {
+static void wg_entry_buffers_log_cut(wg_entry* e, wg_time now, wg_event event, const char* id,
+                                     const wg_buffers_peer* peer) {
     if (wg_entry_may_log(e, now)) {
         wg_log(event,
                "id=%s held=%" G_GINT64_FORMAT " unread_ms=%" G_GINT64_FORMAT
@@ -85,33 +87,33 @@
 
 /* Whether the kernel takes more bytes for the peer: on an overloaded host a peer that reads may
    wait for the loop to write. */
-static bool wg_buffers_is_ready(struct bufferevent* bev) {
+static bool wg_entry_buffers_is_ready(struct bufferevent* bev) {
     struct pollfd fd = {.fd = bufferevent_getfd(bev), .events = POLLOUT};
     return poll(&fd, 1, 0) == 1 && fd.revents == POLLOUT;
 }
 
-static struct bufferevent* wg_buffers_connection(const wg_buffers_peer* peer) {
+static struct bufferevent* wg_entry_buffers_connection(const wg_buffers_peer* peer) {
     const wg_client* client = peer->user_data;
     const wg_upstream* up = peer->user_data;
     return peer->kind == WG_BUFFERS_CALLER ? client->bev : up->bev;
 }
 
-static void wg_buffers_cut_caller(wg_client* client, wg_time now) {
+static void wg_entry_buffers_cut_caller(wg_client* client, wg_time now) {
     wg_entry* e = client->entry;
-    wg_buffers_log_cut(e, now, WG_EVENT_CALLER_CUT, client->last_id, &client->held);
+    wg_entry_buffers_log_cut(e, now, WG_EVENT_CALLER_CUT, client->last_id, &client->held);
     e->counters.callers_cut++;
     if (client->call) {
         client->call->caller_cut = true;
     }
-    wg_buffers_reset_on_close(client->bev);
+    wg_entry_buffers_reset_on_close(client->bev);
     wg_client_close(client);
 }
 
-static void wg_buffers_cut_target(wg_upstream* up, wg_time now) {
+static void wg_entry_buffers_cut_target(wg_upstream* up, wg_time now) {
     wg_entry* e = up->entry;
-    wg_buffers_log_cut(e, now, WG_EVENT_TARGET_CUT, up->call ? up->call->id : "", &up->held);
+    wg_entry_buffers_log_cut(e, now, WG_EVENT_TARGET_CUT, up->call ? up->call->id : "", &up->held);
     e->counters.targets_cut++;
-    wg_buffers_reset_on_close(up->bev);
+    wg_entry_buffers_reset_on_close(up->bev);
     if (up->call) {
         wg_call_attempt_failed(up->call, up, "request-unread");
     } else {
@@ -119,11 +121,11 @@
     }
 }
 
-static int64_t wg_buffers_bound(const wg_entry* e) {
+static int64_t wg_entry_buffers_bound(const wg_entry* e) {
     return (int64_t)(e->settings->held_mb * WG_BYTES_PER_MB);
 }
 
-static void wg_buffers_limit_kernel(const wg_entry* e, evutil_socket_t fd) {
+static void wg_entry_buffers_limit_kernel(const wg_entry* e, evutil_socket_t fd) {
     int unsent_max = WG_UNSENT_IN_KERNEL_MAX;
     if (e->settings->held_mb > 0 || e->settings->unread_ms > 0) {
         setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_max, sizeof unsent_max);
@@ -133,55 +135,57 @@
 /* ---- functions of the library ---------------------------------------------------------------- */
 
 void wg_entry_buffers_setup(wg_entry* e) {
-    e->buffers = wg_buffers_setup(&(wg_buffers_desc){
-        .bytes_max = wg_buffers_bound(e), .unread_max = e->settings->unread_ms * WG_USEC_PER_MSEC});
+    e->buffers = wg_buffers_setup(
+        &(wg_buffers_desc){.bytes_max = wg_entry_buffers_bound(e),
+                           .unread_max = e->settings->unread_ms * WG_USEC_PER_MSEC});
 }
 
 void wg_entry_buffers_add_client(wg_client* client) {
     wg_entry* e = client->entry;
     client->held.user_data = client;
     wg_buffers_add(e->buffers, &client->held, WG_BUFFERS_CALLER);
-    wg_buffers_limit_kernel(e, bufferevent_getfd(client->bev));
-    evbuffer_add_cb(bufferevent_get_output(client->bev), wg_buffers_on_client_output, client);
+    wg_entry_buffers_limit_kernel(e, bufferevent_getfd(client->bev));
+    evbuffer_add_cb(bufferevent_get_output(client->bev), wg_entry_buffers_on_client_output, client);
 }
 
 void wg_entry_buffers_remove_client(wg_client* client) {
-    evbuffer_remove_cb(bufferevent_get_output(client->bev), wg_buffers_on_client_output, client);
+    evbuffer_remove_cb(bufferevent_get_output(client->bev), wg_entry_buffers_on_client_output,
+                       client);
     wg_buffers_remove(client->entry->buffers, &client->held);
 }
 
 void wg_entry_buffers_add_upstream(wg_upstream* up) {
     up->held.user_data = up;
     wg_buffers_add(up->entry->buffers, &up->held, WG_BUFFERS_TARGET);
-    evbuffer_add_cb(bufferevent_get_output(up->bev), wg_buffers_on_upstream_output, up);
-    evbuffer_add_cb(up->content, wg_buffers_on_content, up);
+    evbuffer_add_cb(bufferevent_get_output(up->bev), wg_entry_buffers_on_upstream_output, up);
+    evbuffer_add_cb(up->content, wg_entry_buffers_on_content, up);
 }
 
 void wg_entry_buffers_remove_upstream(wg_upstream* up) {
-    evbuffer_remove_cb(bufferevent_get_output(up->bev), wg_buffers_on_upstream_output, up);
-    evbuffer_remove_cb(up->content, wg_buffers_on_content, up);
+    evbuffer_remove_cb(bufferevent_get_output(up->bev), wg_entry_buffers_on_upstream_output, up);
+    evbuffer_remove_cb(up->content, wg_entry_buffers_on_content, up);
     wg_buffers_remove(up->entry->buffers, &up->held);
 }
 
 void wg_entry_buffers_connected(const wg_upstream* up) {
-    wg_buffers_limit_kernel(up->entry, bufferevent_getfd(up->bev));
+    wg_entry_buffers_limit_kernel(up->entry, bufferevent_getfd(up->bev));
 }
 
 void wg_entry_buffers_begin_request(const wg_upstream* up) {
-    wg_buffers_limit_portion(up);
+    wg_entry_buffers_limit_portion(up);
 }
 
 void wg_entry_buffers_control(wg_client* client) {
     wg_entry* e = client->entry;
     if (wg_buffers_level_of(e->buffers) != e->buffers_level) {
-        wg_buffers_apply_level(e);
+        wg_entry_buffers_apply_level(e);
     } else if (client->call->upstream && wg_buffers_pauses(e->buffers, &client->held)) {
         wg_upstream_pause(client->call->upstream);
     }
 }
 
 int64_t wg_entry_buffers_body_max(const wg_entry* e) {
-    int64_t bound = wg_buffers_bound(e);
+    int64_t bound = wg_entry_buffers_bound(e);
     return bound > 0 ? bound : INT64_MAX;
 }
 
@@ -193,17 +197,17 @@
 void wg_entry_buffers_tick(wg_entry* e, wg_time now) {
     wg_buffers_peer* peer;
     while ((peer = wg_buffers_next_cut(e->buffers, now))) {
-        if (wg_buffers_is_ready(wg_buffers_connection(peer))) {
+        if (wg_entry_buffers_is_ready(wg_entry_buffers_connection(peer))) {
             wg_buffers_record_ready(e->buffers, now, peer);
         } else if (peer->kind == WG_BUFFERS_CALLER) {
-            wg_buffers_cut_caller(peer->user_data, now);
+            wg_entry_buffers_cut_caller(peer->user_data, now);
         } else {
-            wg_buffers_cut_target(peer->user_data, now);
+            wg_entry_buffers_cut_target(peer->user_data, now);
         }
     }
     wg_buffers_level level = wg_buffers_level_of(e->buffers);
     if (level != WG_BUFFERS_NORMAL || level != e->buffers_level) {
-        wg_buffers_apply_level(e);
+        wg_entry_buffers_apply_level(e);
     }
 }
 
