--- a/lib/buffers/wg_buffers.c
+++ b/lib/buffers/wg_buffers.c
@@ -10,8 +10,8 @@
 
 struct wg_buffers {
     wg_buffers_desc desc;
-    GQueue
-        waiting[WG_BUFFERS_KINDS_NUM]; /* peers with bytes unread; longest without reading first */
+    /* Peers with bytes unread; longest without reading first. */
+    GQueue waiting[WG_BUFFERS_KINDS_NUM];
     int64_t unread[WG_BUFFERS_KINDS_NUM];
     int64_t kept;
     wg_time stalled; /* duration of all stalls of the host */
--- a/lib/buffers/wg_buffers.h
+++ b/lib/buffers/wg_buffers.h
@@ -18,7 +18,7 @@
           until the host is no longer full
         - a target that has not read for the time limit is cut off whatever the host holds
         - time in which the host itself stood still does not count
-        - with the desc at 0, only the pause at 256 KB remains
+        - with bytes_max and unread_max at 0, only the pause at 256 KB remains
 
     USE
         1. wg_buffers* b = wg_buffers_setup(&(wg_buffers_desc){.bytes_max = bytes});
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -152,8 +152,8 @@
     }
 }
 
-/* Once all questions were denied, waits at the target with the smallest expected wait. Refuses at
-   once if that is hopeless. False if the request was not denied for lack of room. */
+/* Once all admission requests were denied, waits at the target with the smallest expected wait.
+   Refuses at once if that is hopeless. False if the request was not denied for lack of room. */
 static bool wg_call_hold(wg_call* call, wg_time now) {
     if (!wg_call_may_hold(call)) {
         return false;
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -15,7 +15,8 @@
     WG_LISTEN_BACKLOG = 512
 };
 
-/* Seconds. Callers that read nothing are cut off after some seconds; other hosts have room. */
+/* Seconds; for a body that does not fit. Short, as other hosts may have room. This host has room
+   again when bodies were answered or callers that read nothing were cut off. */
 static const double WG_BUFFERS_RETRY_AFTER = 0.5;
 
 static void wg_client_process_input(wg_client* client);
@@ -125,8 +126,8 @@
 }
 
 enum {
-    WG_REFUSAL_MAX = 512, /* bytes of an error answer */
-    WG_REFUSAL_CODE_MAX = 64
+    WG_REFUSAL_MAX = 512,    /* bytes of an error answer */
+    WG_REFUSAL_CODE_MAX = 64 /* bytes of its code; leaves room for the other fields */
 };
 
 /* Appends decimal digits, at least `digits`; returns the end. */
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -609,9 +609,10 @@
 bool wg_call_schedule_retry(wg_call* call, bool unsent);
 /* Seconds after which the caller may send a refused request again. */
 double wg_call_retry_after(const wg_call* call);
-/* Prompt tokens and weighted answer tokens charged to the workspace. */
-uint32_t wg_call_tokens(const wg_call* call);
+/* Tokens charged to a workspace: prompt tokens and weighted answer tokens. */
 uint32_t wg_charged_tokens(uint32_t prompt, uint32_t answer);
+/* Tokens charged to the call's workspace. */
+uint32_t wg_call_tokens(const wg_call* call);
 /* Microseconds that the request has waited for room at coordinators. */
 wg_time wg_call_held_time(const wg_call* call, wg_time now);
 /* Recent tokens of the call's workspace in the fleet. */
--- a/lib/entry/wg_entry_overload.c
+++ b/lib/entry/wg_entry_overload.c
@@ -1,5 +1,4 @@
-/* wg_entry_overload.c -- overload control of this host: what lib/overload gets to see, and its
-   events */
+/* wg_entry_overload.c -- overload control of this host: measurements for lib/overload, log lines */
 #include "wg_entry_internal.h"
 
 enum {
@@ -69,8 +68,8 @@
     }
 }
 
-/* Workspaces are known from the head already. Unknown keys count as no workspace: they may be
-   invented without limit. */
+/* Workspace of a request, from its head; NULL: none. Requests with unknown keys count together as
+   those of no workspace, as a caller can send any number of different keys. */
 static const wg_workspace* wg_entry_workspace_of(const wg_entry* e, const wg_message_head* head) {
     return e->config ? wg_config_workspace(e->config, wg_message_field(head, e->names->key)) : NULL;
 }
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -191,8 +191,8 @@
     g_free(list);
 }
 
-/* What this host has sent since its last report is not in the leader's counts: callers that press
-   one host would fill all targets before the next report. */
+/* What this host has sent since its last report is not in the leader's counts: callers that all
+   use one host would fill all targets before the next report. */
 static bool wg_entry_leaves_room(const wg_entry* e, const char* service) {
     wg_time wait_max = e->settings->room_wait_ms * WG_USEC_PER_MSEC;
     wg_room_count count = wg_balance_count_with_room(e->balance, service, wait_max);
--- a/lib/overload/wg_overload.c
+++ b/lib/overload/wg_overload.c
@@ -15,8 +15,8 @@
     _WG_OVERLOAD_HIGH_MIN = 2,
     /* Ticks of its share that a workspace below its share may send at once. */
     _WG_OVERLOAD_BURST_TICKS = 2,
-    /* Retry-After while the requests just reach the limit, microseconds. It is multiplied by
-       requests read / limit. */
+    /* Shortest and longest Retry-After while the requests just reach the limit, microseconds. Both
+       are multiplied by requests read / limit. */
     _WG_OVERLOAD_RETRY_FROM = 100 * WG_USEC_PER_MSEC,
     _WG_OVERLOAD_RETRY_TO = 400 * WG_USEC_PER_MSEC,
     /* Callers honour a Retry-After up to the time left until their deadline divided by this. */
@@ -59,7 +59,7 @@
     double share;         /* of one workspace, requests per second */
     int high_num;         /* samples in a row above the maximum */
     int dropped_num;      /* samples in a row dropped because of a stall */
-    bool is_falling;      /* the delay, without another decrease */
+    bool is_falling;      /* the delay falls without another decrease */
     wg_overload_sample last;
     double capacity;    /* highest rate that the host coped with lately, requests per second */
     wg_time high_at;    /* last sample above the maximum */
