--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -87,7 +87,7 @@
 
 /* A failed run reports the event-loop delay of this process: on a machine that stalls, faults last
    longer than planned. */
-/* An entry process that ended by itself, for lack of memory or after a fault of its own. */
+/* Reports entry processes that ended by themselves, for lack of memory or after a fault. */
 static void check_entries(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
         const host* w = &s->h.hosts[i];
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -20,7 +20,7 @@
           asked it for, and none later than two seconds after the target notified it of draining,
           unless the host's process or the links to the target were disturbed
         - no entry process ends unless a fault ends it; in a run with slow callers, answers to
-   callers that read slowly are right too
+          callers that read slowly are right too
         - once the fault phase is over, a request that crashed three targets is sent to at most
           three more by all hosts together
         - within a bounded time after the last fault every entry host serves, applies the newest
@@ -40,11 +40,10 @@
     bool crashes; /* a request that crashes each target that runs it is sent repeatedly */
     bool host_replacements; /* harsh, these faults only: a host is replaced, leaders stall, and all
                                power and one disk are lost seconds after the replacement started */
-    bool colds;     /* harsh, these faults only: targets restart cold while their coordinators
-                         change */
-    bool overloads; /* targets refuse requests with backoff hints, beside all other faults */
-    bool
-        slow_callers; /* a part of the callers read slowly or nothing, with a bound on held bytes */
+    bool colds;         /* harsh, these faults only: targets restart cold while their coordinators
+                             change */
+    bool overloads;     /* targets refuse requests with backoff hints, beside all other faults */
+    bool slow_callers;  /* some callers read slowly or nothing; hosts have a bound on held bytes */
     bool target_faults; /* targets abort, fail and refuse a part of their requests */
     bool keep;          /* keep the folder with the logs after a good run too */
 } soak_desc;
--- a/tests/test_buffers.c
+++ b/tests/test_buffers.c
@@ -1,4 +1,7 @@
-/* test_buffers.c -- bound on the bytes held for callers and targets that read slowly */
+/* test_buffers.c -- bound on the bytes held for callers and targets that read slowly
+
+   Guards against a host that ends for lack of memory, and against pauses and cut-offs of peers that
+   read. */
 #include "wg_buffers.h"
 #include "wg_test.h"
 
@@ -148,6 +151,7 @@
 
 /* ---- single rules ---------------------------------------------------------------------------- */
 
+/* With the settings off, nothing but the limit of a caller may pause or cut off. */
 START_TEST(without_a_bound_only_the_limit_of_a_caller_pauses) {
     wg_buffers_peer peer = {0};
     wg_buffers* b = buffers_of(0, 0);
@@ -167,7 +171,8 @@
 }
 END_TEST
 
-/* Callers that hold more than their share pause, however little they may hold together before. */
+/* Above three quarters of the bound, callers above their equal share must pause, and no others:
+   otherwise one caller takes the memory of all. */
 START_TEST(above_three_quarters_callers_pause_at_equal_shares) {
     enum {
         NUM = 6
@@ -198,6 +203,8 @@
 }
 END_TEST
 
+/* If a full host read as before, callers that begin to fall behind would take it above its bound;
+   if it read nothing, callers that read would wait for the others. */
 START_TEST(full_host_reads_small_portions_and_only_for_callers_that_read) {
     wg_buffers_peer silent = {0};
     wg_buffers_peer reader = {0};
--- a/tests/test_entry_buffers.c
+++ b/tests/test_entry_buffers.c
@@ -1,4 +1,7 @@
-/* test_entry_buffers.c -- callers and targets that read slowly, at one entry host */
+/* test_entry_buffers.c -- callers and targets that read slowly, at one entry host
+
+   Guards against a host that holds more than its bound, and against answers that are lost, closed
+   or complete by mistake because their callers read slowly. */
 #include "one_entry.h"
 #include "wg_buffers.h"
 
@@ -258,6 +261,7 @@
     end();
 }
 
+/* Pauses and portions on a host with a bound must not lose or reorder bytes. */
 START_TEST(slow_caller_gets_everything_with_the_bound) {
     slow_caller_gets_everything(HELD_MB, UNREAD_MS, 3 * 1024 * KB, KB);
 }
@@ -270,12 +274,13 @@
 }
 END_TEST
 
+/* With the settings off, a slow caller must get all as before. */
 START_TEST(slow_caller_gets_everything_without_a_bound) {
     slow_caller_gets_everything(0, 0, 3 * 1024 * KB, 4 * KB);
 }
 END_TEST
 
-/* Off: a caller may stop reading for any time within its route's timeout, as before. */
+/* With the settings off, a caller may stop reading for any time within its route's timeout. */
 START_TEST(caller_is_not_cut_off_by_default) {
     begin_with(0, 0, "safe");
     GString* stream = bytes_of(STREAM_BYTES);
@@ -392,7 +397,7 @@
 }
 END_TEST
 
-/* Off: the target may read as late as it likes, and gets the whole body. */
+/* With the settings off, a target may start to read at any time, and gets the whole body. */
 START_TEST(target_is_not_cut_off_by_default) {
     char answer[1024];
     GString* body = bytes_of(3 * 1024 * KB);
--- a/tests/test_entry_overload.c
+++ b/tests/test_entry_overload.c
@@ -16,13 +16,12 @@
     BUSY_NUM = 150,
     BUSY_MS = 1,
     CAPACITY_PER_TICK = 5,
-    FLOOD_ON_PAPER = 2000, /* a multiple of the capacity per tick */
-    BODY_SIZE = 3 << 20,   /* more than the sockets hold */
-    STOP_MIN_MS = 3300     /* minimum length of a planned stop */
+    COUNTED_NUM = 2000,  /* a multiple of the capacity per tick */
+    BODY_SIZE = 3 << 20, /* more than the sockets hold */
+    STOP_MIN_MS = 3300   /* minimum length of a planned stop */
 };
 
-/* ---- helpers ----------------------------------------------------------------------------------
- */
+/* ---- helpers --------------------------------------------------------------------------------- */
 
 static void begin_with_delay(int delay_ms) {
     signal(SIGPIPE, SIG_IGN); /* as the daemons do */
@@ -39,9 +38,10 @@
     }
 }
 
-/* No further request is admitted until the next tick. */
-static void flood_on_paper(void) {
-    count_requests(FLOOD_ON_PAPER);
+/* Uses up the share of requests without a workspace: the next ones are refused until the next
+   tick. */
+static void use_up_share(void) {
+    count_requests(COUNTED_NUM);
 }
 
 /* Starts a host whose limit is in force, without a load that would slow the test down. */
@@ -55,7 +55,7 @@
                          &(wg_overload_sample){.delay = 2 * DELAY_MAX_MS * MSEC, .since = now});
     }
     ck_assert(wg_overload_is_limited(entry->overload));
-    flood_on_paper();
+    use_up_share();
 }
 
 static void end(void) {
@@ -91,7 +91,7 @@
 }
 
 static int refused_status(int fd, char answer[1024]) {
-    flood_on_paper();
+    use_up_share();
     return status_of(fd, answer);
 }
 
@@ -129,8 +129,7 @@
     event_active(*(struct event**)user_data, EV_TIMEOUT, 1);
 }
 
-/* ---- tests ------------------------------------------------------------------------------------
- */
+/* ---- tests ----------------------------------------------------------------------------------- */
 
 /* A refused request must not run, and the connection must serve the next one. */
 START_TEST(refused_request_has_not_run_and_keeps_the_connection) {
@@ -194,7 +193,7 @@
     send_text(fd, "POST /a/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n");
     ck_assert_int_eq(refused_status(fd, answer), 503);
     for (size_t i = 0; i < sizeof body - 1; i++) {
-        flood_on_paper();
+        use_up_share();
         ck_assert_int_eq(send(fd, &body[i], 1, MSG_NOSIGNAL), 1);
         run_turns(1);
     }
@@ -249,7 +248,7 @@
     int fd = connect_caller();
     send_text(fd, requests);
     for (int i = 0; i < TURNS_MAX && got != 0; i++) {
-        flood_on_paper();
+        use_up_share();
         local_run_loop(base);
         got = recv(fd, bytes, sizeof bytes, 0);
         g_string_append_len(answers, bytes, MAX(got, 0));
@@ -337,10 +336,10 @@
     wg_entry_stop(entry);
     send_text(fd, "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n");
     wg_now_skip(STOP_MIN_MS * MSEC);
-    flood_on_paper();
+    use_up_share();
     g_usleep(60 * WG_USEC_PER_MSEC); /* the next tick is due before any read */
     for (int i = 0; i < TURNS_MAX && !event_base_got_break(base); i++) {
-        flood_on_paper();
+        use_up_share();
         local_run_loop(base);
     }
     ck_assert(event_base_got_break(base));
@@ -375,8 +374,8 @@
     return strtoull(at + strlen(name), NULL, 10);
 }
 
-/* Floods a host whose loop is busy. Returns the number of answers 503 "overloaded"; all other
-   requests have to reach the target. */
+/* Floods a host whose loop is busy. Returns the number of answers 503 "overloaded", which the
+   metrics have to tell. */
 static int flood_busy_host(int delay_ms) {
     struct event* busy[BUSY_NUM];
     int fds[FLOOD_NUM];
@@ -416,7 +415,7 @@
     return refused;
 }
 
-/* The measured delay of the loop starts and bounds the refusals. */
+/* The measured delay of the loop must cause refusals; the other tests set the delay themselves. */
 START_TEST(flooded_host_refuses_on_arrival) {
     ck_assert_int_gt(flood_busy_host(DELAY_MAX_MS), 0);
 }
