--- a/lib/buffers/wg_buffers.h
+++ b/lib/buffers/wg_buffers.h
@@ -97,7 +97,7 @@
 bool wg_buffers_pauses(const wg_buffers* buffers, const wg_buffers_peer* peer);
 /* Largest read from a target, bytes; 0: not limited. */
 int64_t wg_buffers_portion(const wg_buffers* buffers);
-/* Whether the host holds more than its bound, so that no more request bodies are accepted. */
+/* Whether the host holds more than its bound, so that no more requests are accepted. */
 bool wg_buffers_exceeded(const wg_buffers* buffers);
 /* Whether the peer still reads what waits for it: there is a time limit, and it has not passed. A
    connection must then not be closed as idle. */
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -255,7 +255,8 @@
     g_free(head);
 }
 
-/* Refuses a request whose body would take the host above its bound on held bytes. */
+/* Refuses a request because the host is above its bound on held bytes: with the body read so far,
+   or for another reason. */
 static void wg_client_refuse_body(wg_client* client) {
     static const char code[] = "buffers_full";
     wg_entry* e = client->entry;
