--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -152,6 +152,19 @@
     }
 }
 
+/* Asks the coordinator of the denied target with the smallest expected wait again, which keeps the
+   request for at most `hold`. */
+static void wg_call_begin_hold(wg_call* call, const wg_policy_terms* terms, wg_time hold,
+                               wg_time now) {
+    wg_call_unqueue(call);
+    call->held = true;
+    call->held_since = now;
+    call->proposed = call->least_busy;
+    call->admit_requests_total++;
+    wg_admit_limits limits = wg_policy_limits(terms, now);
+    wg_entry_admit_request(call, &limits, hold, now);
+}
+
 /* Once all admission requests were denied, waits at the target with the smallest expected wait.
    Refuses at once if that is hopeless. False if the request was not denied for lack of room. */
 static bool wg_call_hold(wg_call* call, wg_time now) {
@@ -168,13 +181,7 @@
         wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
         return true;
     }
-    wg_call_unqueue(call);
-    call->held = true;
-    call->held_since = now;
-    call->proposed = call->least_busy;
-    call->admit_requests_total++;
-    wg_admit_limits limits = wg_policy_limits(&terms, now);
-    wg_entry_admit_request(call, &limits, hold, now);
+    wg_call_begin_hold(call, &terms, hold, now);
     return true;
 }
 
