--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -10,7 +10,7 @@
 
 enum {
     WG_ADMIT_TIMEOUT = 30 * WG_USEC_PER_MSEC, /* wait for a coordinator's answer */
-    WG_ADMIT_HOLD_MAX = 60 * WG_USEC_PER_SEC, /* longer times in messages are clamped */
+    WG_ADMIT_HOLD_MAX = 60 * WG_USEC_PER_SEC, /* largest wait that a message may state */
     WG_ADMIT_TIMEOUTS_MAX = 2, /* consecutive, until a coordinator counts as unresponsive */
     WG_COORDINATOR_UNRESPONSIVE_TIME = 500 * WG_USEC_PER_MSEC,
     WG_COORDINATOR_DIAL_INTERVAL = 60 * WG_USEC_PER_MSEC,
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -180,8 +180,8 @@
     wg_body body;
     struct evbuffer* content; /* answer body not relayed yet */
     bool is_event_stream;
-    bool paused; /* reading waits until the caller has read */
-    wg_time paused_at;
+    bool paused;          /* reading waits until the caller has read */
+    wg_time paused_at;    /* start of the pause, if `paused` */
     wg_buffers_peer held; /* request not read yet, and content not relayed yet */
     wg_time idle_since;
     wg_time idle_limit;
@@ -370,11 +370,11 @@
     wg_time stall_ended_at;    /* first tick after the last stall of this process; 0: none */
 
     /* refusals on arrival: wg_entry_overload.c */
-    wg_overload* overload;          /* NULL: off */
-    struct evbuffer* dropped_bytes; /* bodies of refused requests pass through it */
-    uint64_t refused_before_overload;
-    wg_time overload_log_second;
-    int overload_log_lines;
+    wg_overload* overload;            /* NULL: off */
+    struct evbuffer* dropped_bytes;   /* bodies of refused requests pass through it */
+    uint64_t refused_before_overload; /* refusals until the limit in force began */
+    wg_time overload_log_second;      /* start of the second that overload_log_lines counts */
+    int overload_log_lines;           /* also those left out */
 
     wg_hist first_byte_time; /* microseconds to the first byte of the answer */
     wg_hist total_time;
