--- a/lib/buffers/wg_buffers.h
+++ b/lib/buffers/wg_buffers.h
@@ -18,7 +18,7 @@
           until the host is no longer full
         - a target that has not read for the time limit is cut off whatever the host holds
         - time in which the host itself stood still does not count
-        - with the desc at 0, only the pause at 256 KB remains
+        - with bytes_max and unread_max at 0, only the pause at 256 KB remains
 
     USE
         1. wg_buffers* b = wg_buffers_setup(&(wg_buffers_desc){.bytes_max = bytes});
@@ -97,7 +97,7 @@
 bool wg_buffers_pauses(const wg_buffers* buffers, const wg_buffers_peer* peer);
 /* Largest read from a target, bytes; 0: not limited. */
 int64_t wg_buffers_portion(const wg_buffers* buffers);
-/* Whether the host holds more than its bound, so that no more request bodies are accepted. */
+/* Whether the host holds more than its bound, so that no more requests are accepted. */
 bool wg_buffers_exceeded(const wg_buffers* buffers);
 /* Whether the peer still reads what waits for it: there is a time limit, and it has not passed. A
    connection must then not be closed as idle. */
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -15,7 +15,8 @@
     WG_LISTEN_BACKLOG = 512
 };
 
-/* Seconds. Callers that read nothing are cut off after some seconds; other hosts have room. */
+/* Seconds; for a body that does not fit. Short, as other hosts may have room. This host has room
+   again when bodies were answered or callers that read nothing were cut off. */
 static const double WG_BUFFERS_RETRY_AFTER = 0.5;
 
 static void wg_client_process_input(wg_client* client);
@@ -125,8 +126,8 @@
 }
 
 enum {
-    WG_REFUSAL_MAX = 512, /* bytes of an error answer */
-    WG_REFUSAL_CODE_MAX = 64
+    WG_REFUSAL_MAX = 512,    /* bytes of an error answer */
+    WG_REFUSAL_CODE_MAX = 64 /* bytes of its code; leaves room for the other fields */
 };
 
 /* Appends decimal digits, at least `digits`; returns the end. */
@@ -254,7 +255,8 @@
     g_free(head);
 }
 
-/* Refuses a request whose body would take the host above its bound on held bytes. */
+/* Refuses a request because the host is above its bound on held bytes: with the body read so far,
+   or for another reason. */
 static void wg_client_refuse_body(wg_client* client) {
     static const char code[] = "buffers_full";
     wg_entry* e = client->entry;
