Balance: bound the lateness that a coordinator reports

The value comes from the wire as 64 bits without a sign. A negative one made expected waits negative, so that all prompts went to the target; a huge one overflowed sums.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -16,6 +16,9 @@
     /* How long a reported lateness counts. Longer than a report is fresh: a late target is asked
        for less often, and a stall lasts some tenths of a second. */
     WG_LATE_TIME = 100 * WG_USEC_PER_MSEC,
+    /* Highest lateness that a coordinator reports (WG_ADMIT_LATE_MAX). Reports are bounded by it,
+       as they come from the wire. */
+    WG_LATE_MAX = 3 * WG_USEC_PER_SEC,
     WG_OVER_LIMIT_PENALTY = 10 * WG_USEC_PER_SEC,
     /* Penalty of a target that refuses every request: about the time after which a refused caller
        returns. */
@@ -583,7 +586,7 @@
         return;
     }
     t->speed_reported = wg_speed_adopt(&t->speed, values) || t->speed_reported;
-    t->late = late;
+    t->late = CLAMP(late, 0, WG_LATE_MAX);
     t->late_at = now;
 }
 
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -157,8 +157,9 @@
    one. */
 void wg_balance_update_load(wg_balance* balance, wg_time now, uint32_t target, uint32_t unread,
                             uint32_t running);
-/* Updates the speed and the lateness of a target with a report of its coordinator. From then on
-   this host learns no values itself. Does nothing without `learn_base`. */
+/* Updates the speed and the lateness of a target with a report of its coordinator; neither has to
+   be valid. After a valid speed this host learns no values itself. Does nothing without
+   `learn_base`. */
 void wg_balance_update_speed(wg_balance* balance, wg_time now, uint32_t target,
                              const wg_speed_values* values, wg_time late);
 /* Returns the last known values of a target; no samples: not known. */
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -710,6 +710,22 @@
 }
 END_TEST
 
+/* Guards against a lateness from the wire that no coordinator computes: a negative one would
+   attract all prompts to the target, and sums with a huge one overflow. */
+START_TEST(absurd_lateness_is_bounded) {
+    begin_learning(1);
+    const wg_speed_values values = {47000, 0.112, 60};
+    wg_prompt p = prompt(5, 6);
+    wg_balance_update_speed(balance, SECOND, 1, &values, 0);
+    wg_time wait = choose(&p, SECOND).wait;
+    wg_balance_update_speed(balance, SECOND, 1, &values, -SECOND);
+    ck_assert_int_eq(choose(&p, SECOND).wait, wait);
+    wg_balance_update_speed(balance, SECOND, 1, &values, G_MAXINT64);
+    ck_assert_int_eq(choose(&p, SECOND).wait, wait + 3 * SECOND);
+    end();
+}
+END_TEST
+
 /* Without learn_base a host keeps to its own samples, as for earlier deployments. */
 START_TEST(reports_of_speed_are_ignored_when_off) {
     begin(1);
@@ -758,4 +774,4 @@
              homes_count_as_cached_after_warm_up_only, fair_level_is_max_min,
              confidence_follows_timely_first_events, fleet_stays_within_its_retry_budget,
              reported_speed_is_kept, stalled_home_is_avoided_and_stays_home,
-             reports_of_speed_are_ignored_when_off)
+             absurd_lateness_is_bounded, reports_of_speed_are_ignored_when_off)
