Hold: look at a target when an added request expects room

Only a target that had been examined was looked at again by time. A request that was just added waited for a message or for half of its time, although its target reads on in between (learn_base).

--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -569,6 +569,17 @@
     return g_hash_table_lookup(h->entries, &key);
 }
 
+/* Looks at the target at the latest when the wait of the denial has shrunk to the limits; no
+   message has to come until then. */
+static void _wg_hold_expect_room(wg_hold* h, _wg_hold_target* target, wg_time now,
+                                 const wg_admit_limits* limits, const wg_admit_answer* answer) {
+    wg_time excess = _wg_hold_excess(limits, answer);
+    wg_time at = now + MAX(excess, (wg_time)_WG_HOLD_LOOK_GAP_MIN);
+    if (excess > 0 && (!target->due.place || at < target->due.at)) {
+        _wg_hold_set_due(h, &target->due, at);
+    }
+}
+
 /* Removes the requests of a holder, or all if `holder` is NULL. Returns their number. */
 static guint _wg_hold_remove_all(wg_hold* h, const uint64_t* holder) {
     GPtrArray* found = g_ptr_array_new();
@@ -666,6 +677,7 @@
         g_sequence_insert_sorted(entry->bucket->entries, entry, _wg_hold_compare_entries, h);
     g_hash_table_insert(h->entries, &entry->key, entry);
     _wg_hold_schedule(h, entry);
+    _wg_hold_expect_room(h, group->target, now, &entry->request.admit.limits, &answer);
     return true;
 }
 
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -299,6 +299,21 @@
 }
 END_TEST
 
+/* Guards against a request that waits for half of its time although the target has read enough, as
+   no message comes that would cause a look. */
+START_TEST(added_request_is_looked_at_when_room_is_expected) {
+    begin(40);
+    add(0, 1, 1, 900);
+    ck_assert_int_eq(wg_hold_look_at(hold), 20 * MSEC);
+    /* One that expects room later does not delay the look. */
+    wg_hold_request later = question(2, 1, 900);
+    later.admit.limits.ahead = 5 * MSEC;
+    ck_assert(wg_hold_add(hold, 0, &later));
+    ck_assert_int_eq(wg_hold_look_at(hold), 20 * MSEC);
+    end();
+}
+END_TEST
+
 START_TEST(removed_requests_are_not_granted) {
     begin(100);
     add(0, 1, 1, 900);
@@ -813,7 +828,8 @@
              wait_ends_with_a_denial_that_tells_when_there_is_room,
              request_that_cannot_be_in_time_is_denied_at_once, limits_shrink_by_the_time_waited,
              prompt_beyond_its_limit_waits_for_little_ahead,
-             target_is_looked_at_when_room_is_expected, removed_requests_are_not_granted,
+             target_is_looked_at_when_room_is_expected,
+             added_request_is_looked_at_when_room_is_expected, removed_requests_are_not_granted,
              removal_of_a_request_that_others_waited_for_lets_them_in,
              request_without_limits_does_not_wait, queue_is_bounded, hopeless_waits,
              cost_of_a_decision_is_logarithmic, look_without_a_grant_examines_a_bounded_number,
