--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -142,6 +142,17 @@
     return homes->first ? homes->first->number : 0;
 }
 
+/* Requests of all hosts in progress at the target, as far as this host knows. */
+static uint32_t wg_balance_running(const wg_balance_target* t) {
+    return t->own_running + t->other_running;
+}
+
+/* Prompt tokens that the target processes before a new prompt, as far as this host knows. */
+static uint32_t wg_balance_ahead(const wg_balance_target* t) {
+    return t->own_unread + MAX(t->other_unread, t->recent_unread);
+}
+
+/* Lateness that the coordinator reported; 0 once the report is too old. */
 static wg_time wg_balance_late(const wg_balance_target* t, wg_time now) {
     return now - t->late_at < WG_LATE_TIME ? t->late : 0;
 }
@@ -150,7 +161,7 @@
                                                     wg_time now, const wg_balance_request* request,
                                                     const wg_balance_homes* homes) {
     bool home = t == homes->first || t == homes->second || t == homes->local;
-    uint32_t running = t->own_running + t->other_running;
+    uint32_t running = wg_balance_running(t);
     uint32_t cached = wg_balance_cached(b, t, now, request->prompt, home);
     wg_balance_choice c = {.target = t->number, .running = running};
     c.is_fresh = t->reported_at > 0 && now - t->reported_at < WG_FRESH_TIME;
@@ -161,7 +172,7 @@
         c.source = wg_balance_source(t, homes);
     }
     c.unread = request->prompt->tokens - MAX(cached, c.copied);
-    c.ahead = t->own_unread + MAX(t->other_unread, t->recent_unread);
+    c.ahead = wg_balance_ahead(t);
     uint32_t tokens = c.unread + c.ahead + running * WG_RUNNING_COST_TOKENS;
     c.late = wg_balance_late(t, now);
     c.wait = wg_speed_wait(&t->speed, tokens) + c.late;
@@ -189,7 +200,7 @@
     if (request->prompt) {
         return wg_balance_estimate_prompt(b, t, now, request, homes);
     }
-    return wg_balance_estimate_plain(t, t->own_running + t->other_running);
+    return wg_balance_estimate_plain(t, wg_balance_running(t));
 }
 
 /* ---- public functions ---------------------------------------------------------------------- */
@@ -339,7 +350,7 @@
     if (wg_balance_is_denied(request, t->number)) {
         return true;
     }
-    uint32_t running = t->own_running + t->other_running;
+    uint32_t running = wg_balance_running(t);
     if (!request->prompt && request->wait_max > 0) {
         bool in_time = wg_balance_estimate_plain(t, running).wait <= request->wait_max;
         return slots > 0 && running >= slots && !in_time;
@@ -456,7 +467,7 @@
 }
 
 static bool wg_balance_is_idle(const wg_balance_target* t) {
-    return t->own_running + t->other_running == 0 && t->own_unread + t->other_unread == 0;
+    return wg_balance_running(t) == 0 && t->own_unread + t->other_unread == 0;
 }
 
 static bool wg_balance_count_room(const wg_balance_service* service) {
@@ -482,10 +493,10 @@
     wg_room_count count = {0};
     for (guint i = 0; service && i < service->targets->len; i++) {
         const wg_balance_target* t = service->targets->pdata[i];
-        uint32_t unread = t->own_unread + MAX(t->other_unread, t->recent_unread);
+        uint32_t unread = wg_balance_ahead(t);
         wg_room_target load = {.ready = t->ready,
                                .slots = t->slots ? t->slots : WG_ROOM_SLOTS_DEFAULT,
-                               .running = t->own_running + t->other_running,
+                               .running = wg_balance_running(t),
                                .read_time = wg_speed_read_time(&t->speed, unread)};
         wg_room_add(&count, &load, wait_max);
     }
@@ -576,7 +587,7 @@
 void wg_balance_load_of(const wg_balance* b, uint32_t target, uint32_t* unread, uint32_t* running) {
     const wg_balance_target* t = wg_balance_find(b, target);
     *unread = t ? t->own_unread + t->other_unread : 0;
-    *running = t ? t->own_running + t->other_running : 0;
+    *running = t ? wg_balance_running(t) : 0;
 }
 
 void wg_balance_update_speed(wg_balance* b, wg_time now, uint32_t target,
