Hold and its tests: names in usual terms

wg_hold_due_at() replaces wg_hold_look_at(), which read as an action; it returns a time. The tests simulate hosts and load, they do not play them; the second copy of decide() is gone.

--- a/lib/entry/wg_entry_hold.c
+++ b/lib/entry/wg_entry_hold.c
@@ -29,7 +29,7 @@
 }
 
 static void wg_entry_hold_schedule(wg_entry* e) {
-    wg_time at = wg_hold_look_at(e->hold);
+    wg_time at = wg_hold_due_at(e->hold);
     if (at == WG_TIME_NEVER) {
         event_del(e->hold_timer);
         return;
--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -793,7 +793,7 @@
     return false;
 }
 
-wg_time wg_hold_look_at(const wg_hold* h) {
+wg_time wg_hold_due_at(const wg_hold* h) {
     if (h->with_room.head) {
         return 0;
     }
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -22,7 +22,7 @@
         2. if (!wg_hold_ask(h, now, &request, &answer)) send `answer`; else it waits
         3. wg_hold_notify_room(h, target);          // a prompt was read, or a request ended
         4. while (wg_hold_next(h, now, &action)) send the answer of `action`;
-        5. a timer at wg_hold_look_at(h), then step 4
+        5. a timer at wg_hold_due_at(h), then step 4
         6. wg_hold_remove(h, holder, ticket);       // the holder no longer needs it
            wg_hold_remove_holder(h, holder);        // the holder's link closed
 
@@ -110,7 +110,7 @@
 /* Returns the next grant or denial in `action`; false: none for now. */
 bool wg_hold_next(wg_hold* hold, wg_time now, wg_hold_action* action);
 /* Time at which wg_hold_next() is due; 0: at once; WG_TIME_NEVER: not before another call. */
-wg_time wg_hold_look_at(const wg_hold* hold);
+wg_time wg_hold_due_at(const wg_hold* hold);
 /* Removes a request. False if it does not wait. */
 bool wg_hold_remove(wg_hold* hold, uint64_t holder, uint64_t ticket);
 /* Removes all requests of a holder. */
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -1,8 +1,8 @@
 /* test_entry_hold.c -- admission requests that wait for room at a coordinator
 
-   One entry host as coordinator, for its own callers and for another host that the test plays; and
-   one entry host that asks a coordinator that the test plays. Leader, target, callers and the other
-   host run in the process of the test. */
+   One entry host as coordinator, for its own callers and for another host that the test simulates;
+   and one entry host that asks a coordinator that the test simulates. Leader, target, callers and
+   the other host run in the process of the test. */
 #include "one_entry.h"
 
 enum {
@@ -498,7 +498,7 @@
 }
 END_TEST
 
-/* ---- a coordinator that the test plays ------------------------------------------------------- */
+/* ---- a coordinator that the test simulates --------------------------------------------------- */
 
 /* The first target of which `there` is the coordinator. */
 static uint32_t target_coordinated_by_there(void) {
--- a/tests/test_entry_speed.c
+++ b/tests/test_entry_speed.c
@@ -1,7 +1,7 @@
 /* test_entry_speed.c -- learned speeds pass between an entry host and the coordinator of a target
 
    If they were lost with a coordinator, the next one would refuse long prompts until it has learned
-   again. The test plays the other entry host, "there". */
+   again. The test simulates the other entry host, "there". */
 #include "one_entry.h"
 
 enum {
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -238,7 +238,7 @@
     ck_assert_int_eq(action.waited, 100 * MSEC);
     ck_assert_int_eq(wg_hold_num(hold), 0);
     ck_assert_uint_eq(wg_hold_count(hold)->expired, 1);
-    ck_assert_int_eq(wg_hold_look_at(hold), WG_TIME_NEVER);
+    ck_assert_int_eq(wg_hold_due_at(hold), WG_TIME_NEVER);
     end();
 }
 END_TEST
@@ -250,7 +250,7 @@
     request.admit.limits.total = 350 * MSEC;
     ck_assert(wg_hold_add(hold, 0, &request));
     ck_assert_uint_eq(granted(30 * MSEC), 0);
-    ck_assert_int_le(wg_hold_look_at(hold), 40 * MSEC);
+    ck_assert_int_le(wg_hold_due_at(hold), 40 * MSEC);
     wg_hold_action action;
     ck_assert(wg_hold_next(hold, 40 * MSEC, &action));
     ck_assert_int_eq(action.outcome, WG_HOLD_LATE);
@@ -292,9 +292,9 @@
     begin(40);
     add(0, 1, 1, 900);
     wg_hold_notify_room(hold, TARGET);
-    ck_assert_int_eq(wg_hold_look_at(hold), 0);
+    ck_assert_int_eq(wg_hold_due_at(hold), 0);
     ck_assert_uint_eq(granted(0), 0);
-    ck_assert_int_eq(wg_hold_look_at(hold), 20 * MSEC);
+    ck_assert_int_eq(wg_hold_due_at(hold), 20 * MSEC);
     end();
 }
 END_TEST
@@ -304,12 +304,12 @@
 START_TEST(added_request_is_looked_at_when_room_is_expected) {
     begin(40);
     add(0, 1, 1, 900);
-    ck_assert_int_eq(wg_hold_look_at(hold), 20 * MSEC);
+    ck_assert_int_eq(wg_hold_due_at(hold), 20 * MSEC);
     /* One that expects room later does not delay the look. */
     wg_hold_request later = question(2, 1, 900);
     later.admit.limits.ahead = 5 * MSEC;
     ck_assert(wg_hold_add(hold, 0, &later));
-    ck_assert_int_eq(wg_hold_look_at(hold), 20 * MSEC);
+    ck_assert_int_eq(wg_hold_due_at(hold), 20 * MSEC);
     end();
 }
 END_TEST
@@ -520,20 +520,15 @@
     int late; /* first events beyond the objective */
 } load;
 
-static load* play;
-
-static wg_admit_answer load_decide(wg_admit_request* request, wg_time now, void* user_data) {
-    (void)user_data;
-    return wg_admit_decide(admit, now, request);
-}
+static load* sim; /* the simulation that runs */
 
 static double load_usage(uint64_t workspace, void* user_data) {
     (void)user_data;
-    return wg_usage_of(play->usage, workspace);
+    return wg_usage_of(sim->usage, workspace);
 }
 
 static double load_random(void) {
-    return (double)(wg_jitter(42, ++play->counter) >> 11) / (double)(1ULL << 53);
+    return (double)(wg_jitter(42, ++sim->counter) >> 11) / (double)(1ULL << 53);
 }
 
 static int load_size(void) {
@@ -567,12 +562,12 @@
 
 static void load_grant(load_prompt* prompt, wg_time now) {
     int workspace = load_workspace_of(prompt);
-    play->granted++;
-    play->served[now / MSEC][workspace] += prompt->tokens;
-    play->recent[workspace].tokens += prompt->tokens;
-    play->size_served[load_size_of(prompt)] += prompt->tokens;
+    sim->granted++;
+    sim->served[now / MSEC][workspace] += prompt->tokens;
+    sim->recent[workspace].tokens += prompt->tokens;
+    sim->size_served[load_size_of(prompt)] += prompt->tokens;
     prompt->ready_at = now + 2 * LOAD_MESSAGE_MS * MSEC;
-    g_queue_push_tail(&play->unread, prompt);
+    g_queue_push_tail(&sim->unread, prompt);
 }
 
 /* A host asks, as wg_entry_attempt.c does: it waits when the request was denied and the wait is not
@@ -581,13 +576,13 @@
     int size = load_size();
     uint32_t tokens = load_tokens[size];
     uint64_t id = (uint64_t)workspace + 1;
-    play->offered[now / MSEC][workspace] += tokens;
-    play->recent[workspace].demand += tokens;
-    play->size_offered[size] += tokens;
+    sim->offered[now / MSEC][workspace] += tokens;
+    sim->recent[workspace].demand += tokens;
+    sim->size_offered[size] += tokens;
     wg_fair_margin margin = {0};
     wg_policy_terms terms = {.counts = true,
-                             .used = wg_usage_of(play->usage, id),
-                             .levels = wg_usage_levels(play->usage),
+                             .used = wg_usage_of(sim->usage, id),
+                             .levels = wg_usage_levels(sim->usage),
                              .margin = &margin,
                              .has_prompt = true,
                              .started = now,
@@ -596,7 +591,7 @@
     if (wg_policy_admission_requests_max(&terms) == 0) {
         return;
     }
-    uint64_t number = ++play->counter;
+    uint64_t number = ++sim->counter;
     wg_hold_request request = {
         .admit = {.holder = 1 + wg_jitter(1, number) % LOAD_HOSTS,
                   .ticket = number * LOAD_WORKSPACES_MAX + (uint64_t)workspace,
@@ -614,7 +609,7 @@
                             .asked_at = now};
     wg_admit_answer answer;
     if (wg_hold_ask(hold, now, &request, &answer)) {
-        g_hash_table_insert(play->asked, &prompt->ticket, prompt);
+        g_hash_table_insert(sim->asked, &prompt->ticket, prompt);
     } else if (answer.granted) {
         load_grant(prompt, now);
     } else {
@@ -624,8 +619,8 @@
 
 static void load_arrivals(wg_time now) {
     double prompts_per_ms = LOAD_DEMAND * LOAD_SPEED / load_mean_tokens();
-    for (int i = 0; i < play->workspaces; i++) {
-        double left = prompts_per_ms * play->weights[i];
+    for (int i = 0; i < sim->workspaces; i++) {
+        double left = prompts_per_ms * sim->weights[i];
         while (load_random() < left) {
             load_ask(i, now);
             left -= 1;
@@ -637,26 +632,26 @@
 static void load_read(wg_time now) {
     int budget = LOAD_SPEED;
     load_prompt* prompt;
-    while (budget > 0 && (prompt = g_queue_peek_head(&play->unread)) && prompt->ready_at <= now) {
+    while (budget > 0 && (prompt = g_queue_peek_head(&sim->unread)) && prompt->ready_at <= now) {
         int part = MIN(budget, prompt->left);
         prompt->left -= part;
         budget -= part;
         if (prompt->left == 0) {
-            g_queue_pop_head(&play->unread);
+            g_queue_pop_head(&sim->unread);
             prompt->read_at = now + (LOAD_FIRST_EVENT_MS + LOAD_MESSAGE_MS) * MSEC;
-            play->late += prompt->read_at - prompt->asked_at > LOAD_OBJECTIVE_MS * MSEC;
-            g_queue_push_tail(&play->read, prompt);
+            sim->late += prompt->read_at - prompt->asked_at > LOAD_OBJECTIVE_MS * MSEC;
+            g_queue_push_tail(&sim->read, prompt);
         }
     }
     if (now >= LOAD_WARM_UP_MS * MSEC) {
-        play->busy_ms += budget < LOAD_SPEED;
+        sim->busy_ms += budget < LOAD_SPEED;
     }
 }
 
 static void load_notes(wg_time now) {
     load_prompt* prompt;
-    while ((prompt = g_queue_peek_head(&play->read)) && prompt->read_at <= now) {
-        g_queue_pop_head(&play->read);
+    while ((prompt = g_queue_peek_head(&sim->read)) && prompt->read_at <= now) {
+        g_queue_pop_head(&sim->read);
         wg_admit_first_event(admit, now, prompt->holder, prompt->ticket);
         wg_admit_end(admit, now, prompt->holder, prompt->ticket, false);
         wg_hold_notify_room(hold, TARGET);
@@ -667,12 +662,12 @@
 static void load_answers(wg_time now) {
     wg_hold_action action;
     while (wg_hold_next(hold, now, &action)) {
-        load_prompt* prompt = g_hash_table_lookup(play->asked, &action.ticket);
+        load_prompt* prompt = g_hash_table_lookup(sim->asked, &action.ticket);
         ck_assert_ptr_nonnull(prompt);
-        g_hash_table_remove(play->asked, &action.ticket);
-        play->waited_max = MAX(play->waited_max, action.waited);
+        g_hash_table_remove(sim->asked, &action.ticket);
+        sim->waited_max = MAX(sim->waited_max, action.waited);
         if (action.outcome == WG_HOLD_GRANTED) {
-            play->granted_after_wait++;
+            sim->granted_after_wait++;
             load_grant(prompt, now);
         } else {
             g_free(prompt);
@@ -689,20 +684,20 @@
         memset(tokens, 0, sizeof tokens);
         memset(demand, 0, sizeof demand);
     }
-    for (int i = 0; i < play->workspaces; i++) {
-        tokens[i] = tokens[i] * keep + (double)play->recent[i].tokens;
-        demand[i] = demand[i] * keep + (double)play->recent[i].demand;
-        play->recent[i] = (wg_usage){0};
+    for (int i = 0; i < sim->workspaces; i++) {
+        tokens[i] = tokens[i] * keep + (double)sim->recent[i].tokens;
+        demand[i] = demand[i] * keep + (double)sim->recent[i].demand;
+        sim->recent[i] = (wg_usage){0};
     }
     if (now % (LOAD_REPORT_MS * MSEC) != 0) {
         return;
     }
     double share = LOAD_SPEED * (double)WG_USAGE_HALF_LIFE / MSEC / G_LN2;
-    wg_usage_report report = {.list = play->report, .num = (size_t)play->workspaces};
-    wg_usage_apply_report(play->usage, now, &report, share);
+    wg_usage_report report = {.list = sim->report, .num = (size_t)sim->workspaces};
+    wg_usage_apply_report(sim->usage, now, &report, share);
     wg_hold_update_usage(hold, now);
-    for (int i = 0; i < play->workspaces; i++) {
-        play->report[i] = (wg_usage){(uint64_t)i + 1, (uint64_t)tokens[i], (uint64_t)demand[i]};
+    for (int i = 0; i < sim->workspaces; i++) {
+        sim->report[i] = (wg_usage){(uint64_t)i + 1, (uint64_t)tokens[i], (uint64_t)demand[i]};
     }
 }
 
@@ -719,9 +714,9 @@
 /* Sums up from the start, so that a window is a difference. */
 static void load_accumulate(void) {
     for (int ms = 1; ms < LOAD_MS; ms++) {
-        for (int i = 0; i < play->workspaces; i++) {
-            play->served[ms][i] += play->served[ms - 1][i];
-            play->offered[ms][i] += play->offered[ms - 1][i];
+        for (int i = 0; i < sim->workspaces; i++) {
+            sim->served[ms][i] += sim->served[ms - 1][i];
+            sim->offered[ms][i] += sim->offered[ms - 1][i];
         }
     }
 }
@@ -733,14 +728,14 @@
     for (int ms = LOAD_WARM_UP_MS; ms + LOAD_WINDOW_MS < LOAD_MS; ms += 20) {
         double demand[LOAD_WORKSPACES_MAX] = {0};
         double served = 0;
-        for (int i = 0; i < play->workspaces; i++) {
-            demand[i] = play->offered[ms + LOAD_WINDOW_MS][i] - play->offered[ms][i];
-            served += play->served[ms + LOAD_WINDOW_MS][i] - play->served[ms][i];
+        for (int i = 0; i < sim->workspaces; i++) {
+            demand[i] = sim->offered[ms + LOAD_WINDOW_MS][i] - sim->offered[ms][i];
+            served += sim->served[ms + LOAD_WINDOW_MS][i] - sim->served[ms][i];
         }
-        double level = wg_fair_level(demand, play->workspaces, served);
-        for (int i = 0; i < play->workspaces; i++) {
+        double level = wg_fair_level(demand, sim->workspaces, served);
+        for (int i = 0; i < sim->workspaces; i++) {
             double share = MIN(level, demand[i]);
-            double got = play->served[ms + LOAD_WINDOW_MS][i] - play->served[ms][i];
+            double got = sim->served[ms + LOAD_WINDOW_MS][i] - sim->served[ms][i];
             worst = MAX(worst, fabs(1 - got / share));
         }
     }
@@ -753,70 +748,71 @@
     g_free(value);
 }
 
-/* `large`: number of workspaces that make `large_part` of the demand. */
-static void load_play(int workspaces, int large, double large_part) {
-    play = g_new0(load, 1);
-    play->workspaces = workspaces;
+/* Simulates the load and checks what was served. `large`: number of workspaces that make
+   `large_part` of the demand. */
+static void load_simulate(int workspaces, int large, double large_part) {
+    sim = g_new0(load, 1);
+    sim->workspaces = workspaces;
     for (int i = 0; i < workspaces; i++) {
-        play->weights[i] = i < large ? large_part / large : (1 - large_part) / (workspaces - large);
+        sim->weights[i] = i < large ? large_part / large : (1 - large_part) / (workspaces - large);
     }
-    play->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
-    play->usage = wg_usage_setup();
+    sim->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
+    sim->usage = wg_usage_setup();
     admit = wg_admit_setup(&(wg_admit_desc){0});
-    hold = wg_hold_setup(&(wg_hold_desc){.decide = load_decide, .usage = load_usage});
+    hold = wg_hold_setup(&(wg_hold_desc){.decide = decide, .usage = load_usage});
     load_run();
     load_accumulate();
     double unfairness = load_unfairness();
-    double busy = (double)play->busy_ms / (LOAD_MS - LOAD_WARM_UP_MS);
+    double busy = (double)sim->busy_ms / (LOAD_MS - LOAD_WARM_UP_MS);
     double served[LOAD_SIZES];
     for (int i = 0; i < LOAD_SIZES; i++) {
-        served[i] = play->size_served[i] / play->size_offered[i];
+        served[i] = sim->size_served[i] / sim->size_offered[i];
     }
     char* seen = g_strdup_printf("%d workspaces, %d large: busy %.3f, unfairness %.3f, served by "
                                  "size %.2f %.2f %.2f, waited "
                                  "%d ms at most, %d granted, %d of them after a wait, %d late",
                                  workspaces, large, busy, unfairness, served[0], served[1],
-                                 served[2], (int)(play->waited_max / MSEC), play->granted,
-                                 play->granted_after_wait, play->late);
+                                 served[2], (int)(sim->waited_max / MSEC), sim->granted,
+                                 sim->granted_after_wait, sim->late);
     g_print("%s\n", seen);
     ck_assert_msg(busy > 0.95, "%s", seen);
     ck_assert_msg(unfairness < 0.1, "%s", seen);
     ck_assert_msg(served[0] > 0.1 && served[1] > 0.1 && served[2] > 0.1, "%s", seen);
-    ck_assert_msg(play->waited_max <= LOAD_HOLD_MS * MSEC, "%s", seen);
-    ck_assert_msg(play->late < play->granted / 20, "%s", seen);
+    ck_assert_msg(sim->waited_max <= LOAD_HOLD_MS * MSEC, "%s", seen);
+    ck_assert_msg(sim->late < sim->granted / 20, "%s", seen);
     g_free(seen);
     end();
-    g_hash_table_foreach(play->asked, load_free_prompt, NULL);
-    g_hash_table_unref(play->asked);
-    g_queue_clear_full(&play->unread, g_free);
-    g_queue_clear_full(&play->read, g_free);
-    wg_usage_shutdown(play->usage);
-    g_free(play);
+    g_hash_table_foreach(sim->asked, load_free_prompt, NULL);
+    g_hash_table_unref(sim->asked);
+    g_queue_clear_full(&sim->unread, g_free);
+    g_queue_clear_full(&sim->read, g_free);
+    wg_usage_shutdown(sim->usage);
+    g_free(sim);
 }
 
 /* Load at which hosts that ask again at intervals leave the order of grants to chance. */
 START_TEST(one_workspace_keeps_the_target_busy) {
-    load_play(1, 0, 0);
+    load_simulate(1, 0, 0);
 }
 END_TEST
 
 START_TEST(ten_equal_workspaces_get_equal_shares) {
-    load_play(10, 0, 0);
+    load_simulate(10, 0, 0);
 }
 END_TEST
 
 START_TEST(thirty_equal_workspaces_get_equal_shares) {
-    load_play(30, 0, 0);
+    load_simulate(30, 0, 0);
 }
 END_TEST
 
 START_TEST(ten_workspaces_of_which_one_is_large) {
-    load_play(10, 1, 0.8);
+    load_simulate(10, 1, 0.8);
 }
 END_TEST
 
 START_TEST(thirty_workspaces_of_which_three_are_large) {
-    load_play(30, 3, 0.8);
+    load_simulate(30, 3, 0.8);
 }
 END_TEST
 
