--- a/tests/test_admit.c
+++ b/tests/test_admit.c
@@ -464,6 +464,8 @@
 }
 END_TEST
 
+/* Guards against default values where the speed of similar targets is known, and against the mean
+   of another service. */
 START_TEST(new_target_starts_from_the_mean_of_its_service) {
     begin_learning();
     learn(100 * SECOND, 7, 60);
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -133,6 +133,7 @@
 
 /* ---- callers of the coordinator -------------------------------------------------------------- */
 
+/* Guards against a refusal of a request for which there is room within its longest wait. */
 START_TEST(request_waits_until_the_target_has_read) {
     char answer[1024];
     begin_with_known_target(HOLD_PERCENT);
@@ -154,6 +155,7 @@
 }
 END_TEST
 
+/* Guards against a wait without an end, and a refusal without the time of room. */
 START_TEST(request_is_refused_after_the_longest_wait) {
     char answer[1024];
     begin(HOLD_PERCENT);
@@ -191,6 +193,7 @@
 }
 END_TEST
 
+/* Guards against a prompt that is sent for a caller that has left. */
 START_TEST(request_of_a_caller_that_leaves_is_dropped) {
     begin(LONG_HOLD_PERCENT);
     int first = send_get("/first", prompt_of_400_ms);
@@ -236,6 +239,7 @@
 }
 END_TEST
 
+/* Guards against a change of behaviour without the setting. */
 START_TEST(nothing_waits_while_the_setting_is_off) {
     char answer[1024];
     begin(0);
@@ -380,6 +384,7 @@
     return answers_num >= num;
 }
 
+/* Guards against waiting requests that are not examined when room appears. */
 START_TEST(coordinator_grants_when_a_prompt_was_read) {
     begin_with_requester(HOLD_PERCENT);
     ask(1, 12000, 0);
@@ -396,6 +401,7 @@
 }
 END_TEST
 
+/* Guards against a question that the coordinator leaves without an answer. */
 START_TEST(coordinator_denies_after_the_stated_time) {
     begin_with_requester(HOLD_PERCENT);
     ask(1, 12000, 0);
@@ -411,6 +417,7 @@
 }
 END_TEST
 
+/* Guards against a grant of room to a request that has ended. */
 START_TEST(coordinator_drops_a_request_that_is_no_longer_needed) {
     begin_with_requester(HOLD_PERCENT);
     ask(1, 12000, 0);
@@ -428,6 +435,7 @@
 }
 END_TEST
 
+/* Guards against requests of lost hosts that fill the queue. */
 START_TEST(coordinator_drops_the_requests_of_a_host_whose_link_closes) {
     begin_with_requester(HOLD_PERCENT);
     ask(1, 12000, 0);
@@ -486,6 +494,7 @@
 }
 END_TEST
 
+/* Guards against a coordinator that keeps questions without the setting. */
 START_TEST(coordinator_with_the_setting_off_answers_at_once) {
     begin_with_requester(0);
     ask(1, 12000, 0);
@@ -576,6 +585,7 @@
     return fd;
 }
 
+/* Guards against a wait at a coordinator that does not know its end, workspace or rank. */
 START_TEST(host_asks_again_with_the_time_that_the_request_may_wait) {
     char answer[1024];
     begin_with_coordinator(HOLD_PERCENT);
@@ -598,6 +608,7 @@
 }
 END_TEST
 
+/* Guards against a change on the wire without the setting. */
 START_TEST(host_with_the_setting_off_sends_none_of_it) {
     begin_with_coordinator(0);
     int fd = send_get("/waiting", prompt_of_100_ms);
@@ -615,6 +626,7 @@
 }
 END_TEST
 
+/* Guards against a request that waits on, or is sent, after its wait ended with a denial. */
 START_TEST(denial_after_the_wait_refuses_the_request) {
     char answer[1024];
     begin_with_coordinator(HOLD_PERCENT);
@@ -654,6 +666,7 @@
 }
 END_TEST
 
+/* Guards against requests that wait for the answer of a lost coordinator. */
 START_TEST(host_decides_alone_at_once_when_the_link_closes) {
     begin_with_coordinator(LONG_HOLD_PERCENT);
     int fd = begin_wait(SLOTS, 0);
@@ -678,6 +691,7 @@
 }
 END_TEST
 
+/* Guards against a grant that stays counted for a caller that has left. */
 START_TEST(coordinator_is_told_when_the_caller_leaves) {
     begin_with_coordinator(LONG_HOLD_PERCENT);
     int fd = begin_wait(0, 400);
--- a/tests/test_entry_room.c
+++ b/tests/test_entry_room.c
@@ -308,6 +308,7 @@
 }
 END_TEST
 
+/* Guards against a change of limits without the setting. */
 START_TEST(tightest_objective_limits_long_prompts_by_default) {
     begin(LONG_ROOM_MS);
     ck_assert(!long_prompt_reaches_target("/a/behind-200", 200));
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -91,6 +91,7 @@
     return order;
 }
 
+/* Guards against grants in order of arrival: a workspace that asks most would get most. */
 START_TEST(least_used_workspace_is_granted_first) {
     begin(100);
     usages[1] = 5000;
@@ -119,6 +120,7 @@
 }
 END_TEST
 
+/* Guards against an order by the usage as of the time at which the requests were added. */
 START_TEST(changed_usage_changes_the_order) {
     begin(100);
     usages[1] = 100;
@@ -132,6 +134,7 @@
 }
 END_TEST
 
+/* Guards against requests of a workspace that become late behind less urgent ones. */
 START_TEST(within_a_workspace_rank_then_time_left_decide) {
     begin(100);
     wg_hold_request request = question(1, 1, 900);
@@ -226,6 +229,7 @@
 }
 END_TEST
 
+/* Guards against requests that wait beyond their time, and denials without the time of room. */
 START_TEST(wait_ends_with_a_denial_that_tells_when_there_is_room) {
     begin(100);
     add(0, 1, 1, 900);
@@ -314,6 +318,7 @@
 }
 END_TEST
 
+/* Guards against room reserved for requests whose caller or host is gone. */
 START_TEST(removed_requests_are_not_granted) {
     begin(100);
     add(0, 1, 1, 900);
@@ -334,6 +339,7 @@
 }
 END_TEST
 
+/* Guards against a removed request that still blocks those behind it. */
 START_TEST(removal_of_a_request_that_others_waited_for_lets_them_in) {
     begin(15);
     usages[2] = 100;
@@ -367,6 +373,7 @@
 }
 END_TEST
 
+/* Guards against unbounded memory, and against a request that is in the queue twice. */
 START_TEST(queue_is_bounded) {
     begin(100);
     wg_hold_shutdown(hold);
@@ -437,6 +444,7 @@
     return per_decision;
 }
 
+/* Guards against decisions that examine all waiting requests. */
 START_TEST(cost_of_a_decision_is_logarithmic) {
     const int workspaces[] = {1, 30, 1000};
     for (size_t i = 0; i < G_N_ELEMENTS(workspaces); i++) {
@@ -790,7 +798,9 @@
     g_free(sim);
 }
 
-/* Load at which hosts that ask again at intervals leave the order of grants to chance. */
+/* The tests of load guard against an idle target, shares that depend on chance, sizes that are
+   never granted, and grants that come too late. At this load, hosts that ask again at intervals
+   would leave the order of grants to chance. */
 START_TEST(one_workspace_keeps_the_target_busy) {
     load_simulate(1, 0, 0);
 }
--- a/tests/test_speed.c
+++ b/tests/test_speed.c
@@ -137,6 +137,7 @@
 }
 END_TEST
 
+/* Guards against a lasting speed change that is taken for outliers or a stall. */
 START_TEST(change_of_speed_is_followed) {
     for (uint64_t seed = 1; seed <= 30; seed++) {
         wg_speed s = setup(true);
@@ -185,6 +186,7 @@
 }
 END_TEST
 
+/* Guards against values from the wire without samples, out of bounds or not a number. */
 START_TEST(invalid_values_are_not_adopted) {
     static const wg_speed_values invalid[] = {
         {47000, 0.112, 0}, {-1, 0.112, 10},  {200001, 0.112, 10},   {47000, 0, 10},
