--- a/lib/admit/wg_admit.c
+++ b/lib/admit/wg_admit.c
@@ -16,18 +16,19 @@
     WG_ADMIT_MEMORY_DEFAULT = 200000,       /* capacity of a target's cache in tokens */
     WG_ADMIT_RATE_WINDOW = WG_USEC_PER_SEC, /* period over which a cold target's rate is enforced */
     WG_ADMIT_RATE_MAX = 4096,               /* higher rates are not enforced */
-    /* Samples from which the values of an account count: for the mean of its service, and to call a
-       prompt late. */
+    /* Samples that an account needs before its values are used for the mean of its service and to
+       detect late prompts. */
     WG_ADMIT_SAMPLES_MIN = 10,
     /* An answer that ends within this time after its first event came at once, not as a stream. */
     WG_ADMIT_AT_ONCE_TIME = 2 * WG_USEC_PER_MSEC,
     /* A prompt that is later than this does not count: the target may have lost it, and without
        new prompts nothing would show that it reads again. */
     WG_ADMIT_LATE_MAX = 3 * WG_USEC_PER_SEC,
-    /* Lateness from which a target counts as stalled, and below which it recovers. */
+    /* Lateness above which a target counts as stalled, and below which it recovers. They differ,
+       and the second has to last, so that a lateness around one value does not alternate events. */
     WG_ADMIT_STALL_LATE = 100 * WG_USEC_PER_MSEC,
     WG_ADMIT_RECOVERED_LATE = 50 * WG_USEC_PER_MSEC,
-    WG_ADMIT_RECOVERY_TIME = 200 * WG_USEC_PER_MSEC, /* until a target has recovered */
+    WG_ADMIT_RECOVERY_TIME = 200 * WG_USEC_PER_MSEC, /* for which the lateness has to stay low */
     WG_ADMIT_STALL_INTERVAL = WG_USEC_PER_SEC /* least time between two stalls or two recoveries */
 };
 
--- a/lib/admit/wg_admit.h
+++ b/lib/admit/wg_admit.h
@@ -29,7 +29,7 @@
         3. wg_admit_first_event(a, now, holder, ticket);
            wg_admit_end(a, now, holder, ticket, failed);
         4. wg_admit_release_holder(a, holder);      // the holder's link closed
-    5. num = wg_admit_check_stalls(a, now, changes, max);  // each tick
+        5. num = wg_admit_check_stalls(a, now, changes, max);  // each tick
 
     THE CALLER OWNS
         links, tickets and the choice of coordinators. Requests and answers are plain values.
--- a/lib/control/wg_control_room.c
+++ b/lib/control/wg_control_room.c
@@ -8,8 +8,8 @@
     /* Shortest time until targets are counted again. Half of the shortest report interval: no host
        is told a count that misses more than one of its reports. */
     WG_ROOMS_COUNT_INTERVAL_MIN = 50 * WG_USEC_PER_MSEC,
-    /* Part of the report interval in which targets are counted once. In a large fleet loads are as
-       old as the interval, and counting all targets more often costs the leader time. */
+    /* Counts in each report interval. In a large fleet loads are as old as the interval, and
+       counting all targets more often costs the leader time. */
     WG_ROOMS_COUNTS_PER_REPORT = 4
 };
 
--- a/lib/control/wg_control_usage.c
+++ b/lib/control/wg_control_usage.c
@@ -12,10 +12,11 @@
     WG_LOADS_TOLD_MAX = 256,
     WG_LOADS_TOLD_INTERVAL = 100 * WG_USEC_PER_MSEC, /* until they are selected again */
     WG_UNREAD_FULL = 20000, /* prompt tokens that keep a target busy for about an objective */
-    /* Longest time to process prompts that a host's report is believed to contain. */
+    /* Longer times to process prompts in a host's report are cut to this, so that sums of absurd
+       values do not overflow. */
     WG_READ_TIME_MAX = 600 * WG_USEC_PER_SEC,
     /* Prompt tokens per millisecond assumed for loads reported without a time, by hosts that do not
-       use room. As lib/balance assumes for a new target. */
+       use room. The start value of lib/speed. */
     WG_TOKENS_PER_MS_UNKNOWN = 30,
     /* A workspace is listed to hosts from this fraction of the largest demand on. */
     WG_USAGE_LISTED_DIVISOR = 256
--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -14,12 +14,14 @@
     /* Time constant with which a charged grant gives way to reported usage: hosts and the leader
        report each 100 to 140 ms, so a grant is reported after some 150 ms in the mean. */
     _WG_HOLD_CHARGE_TIME = 150 * WG_USEC_PER_MSEC,
-    /* A target is looked at again this long after a look at the earliest; room that appears with a
-       message is not delayed by it. */
+    /* Shortest time from one look at a target (an examination of its requests) to the next one that
+       is due by time, so that small differences do not cause many looks. Looks caused by messages
+       are not delayed. */
     _WG_HOLD_LOOK_GAP_MIN = 10 * WG_USEC_PER_MSEC,
-    _WG_HOLD_DECISIONS_MAX = 32,    /* calls of `decide` for one action */
-    _WG_HOLD_EXAMINED_MAX = 512,    /* requests examined for one action */
-    _WG_HOLD_RANKS_MAX = 4,         /* ranks with buckets of their own */
+    /* Bounds of one look, as it takes time of the event loop. */
+    _WG_HOLD_DECISIONS_MAX = 32,    /* calls of `decide` */
+    _WG_HOLD_EXAMINED_MAX = 512,    /* requests examined */
+    _WG_HOLD_RANKS_MAX = 4,         /* lower priorities share the last rank */
     _WG_HOLD_SIZE_TOKENS_MIN = 512, /* upper bound of the first size class */
     _WG_HOLD_SIZE_FACTOR = 4,       /* ratio of the bounds of two size classes */
     _WG_HOLD_SIZES_MAX = 8
@@ -353,6 +355,7 @@
     return answer->wait - answer->wait_ahead;
 }
 
+/* True for a prompt that alone takes longer than its limit. */
 static bool _wg_hold_is_large(const wg_admit_limits* limits, const wg_admit_answer* answer) {
     return _wg_hold_own_time(answer) > limits->total;
 }
@@ -371,7 +374,8 @@
     wg_time waited = now - entry->since;
     request.limits.total = MAX(request.limits.total - waited, 0);
     if (entry->latest != WG_TIME_NEVER) {
-        /* It was to be in time: a shrunk limit does not make it a request that is always late. */
+        /* The request was not large when it was added. The shrunk limit must not make it one, to
+           which the limit for large prompts would apply. */
         request.limits.ahead_large = -1;
     }
     return request;
@@ -428,6 +432,7 @@
     _WG_HOLD_BLOCKS  /* does not fit now, and requests behind it have to wait */
 } _wg_hold_result;
 
+/* Records that a request does not fit for the time `gap`. Returns whether it blocks others. */
 static _wg_hold_result _wg_hold_passed(_wg_hold_scan* scan, _wg_hold_entry* entry, wg_time gap) {
     scan->look_gap = MIN(scan->look_gap, MAX(gap, 0));
     if (entry->aged && scan->now <= entry->latest) {
@@ -461,6 +466,7 @@
     }
     scan->running = scan->answer.running;
     if (!limits->counts_missing) {
+        /* Otherwise it contains tokens of this request, which do not delay others. */
         scan->ahead = scan->answer.wait_ahead;
     }
     if (wg_admit_fits(limits, scan->answer.wait, scan->answer.wait_ahead)) {
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -14,8 +14,9 @@
           for prompts to be read makes all requests behind it wait as well.
         - usage includes the grants of this coordinator that reports of usage do not contain yet
         - the limit of the complete wait shrinks by the time waited
-        - bounded number of requests, and a bounded number of requests examined per decision; all
-          other costs are logarithmic
+        - bounded number of requests, and a bounded number of requests examined per decision;
+          additions and single removals cost logarithmic time. The removal of a holder passes over
+          all requests, an update of usage over all workspaces.
 
     USE
         1. wg_hold* h = wg_hold_setup(&(wg_hold_desc){.decide = decide, .usage = usage});
--- a/lib/speed/wg_speed.c
+++ b/lib/speed/wg_speed.c
@@ -115,7 +115,8 @@
     }
 }
 
-/* Takes the complete time for reading, but for half of the fixed base time. */
+/* With a fixed base time: learns the speed alone, as if all of the time except half of the base
+   time was spent on reading. */
 static void wg_speed_record_fixed(wg_speed* s, double tokens, wg_time time) {
     if (tokens < WG_SPEED_FIXED_TOKENS_MIN || time <= WG_SPEED_BASE_DEFAULT) {
         return;
