--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -536,6 +536,33 @@
     return _WG_HOLD_PASSED;
 }
 
+/* Schedules the next look at a target at which nothing fits now. */
+static void _wg_hold_schedule_look(const _wg_hold_scan* scan) {
+    _wg_hold_due* due = &scan->target->due;
+    if (scan->look_gap == WG_TIME_NEVER) {
+        _wg_hold_cancel_due(due);
+    } else {
+        wg_time gap = MAX(scan->look_gap, (wg_time)_WG_HOLD_LOOK_GAP_MIN);
+        _wg_hold_set_due(scan->hold, due, scan->now + gap);
+    }
+}
+
+/* Removes a request that `decide` has granted, and charges its workspace. */
+static void _wg_hold_grant(const _wg_hold_scan* scan, _wg_hold_entry* entry,
+                           wg_hold_action* action) {
+    wg_hold* h = scan->hold;
+    *action = (wg_hold_action){.outcome = WG_HOLD_GRANTED,
+                               .holder = entry->key.holder,
+                               .ticket = entry->key.ticket,
+                               .answer = scan->answer,
+                               .waited = scan->now - entry->since};
+    h->counters.granted++;
+    uint64_t workspace = entry->request.workspace;
+    uint32_t charge = entry->request.charge;
+    _wg_hold_entry_free(h, entry);
+    wg_hold_charge(h, scan->now, workspace, charge);
+}
+
 /* Grants the first request that fits; false: none does. */
 static bool _wg_hold_examine_target(wg_hold* h, _wg_hold_target* target, wg_time now,
                                     wg_hold_action* action) {
@@ -549,24 +576,10 @@
         result = _wg_hold_examine_group(&scan, g_sequence_get(at), &entry);
     }
     if (result != _WG_HOLD_FITS) {
-        wg_time gap = MAX(scan.look_gap, (wg_time)_WG_HOLD_LOOK_GAP_MIN);
-        if (scan.look_gap == WG_TIME_NEVER) {
-            _wg_hold_cancel_due(&target->due);
-        } else {
-            _wg_hold_set_due(h, &target->due, now + gap);
-        }
+        _wg_hold_schedule_look(&scan);
         return false;
     }
-    *action = (wg_hold_action){.outcome = WG_HOLD_GRANTED,
-                               .holder = entry->key.holder,
-                               .ticket = entry->key.ticket,
-                               .answer = scan.answer,
-                               .waited = now - entry->since};
-    h->counters.granted++;
-    uint64_t workspace = entry->request.workspace;
-    uint32_t charge = entry->request.charge;
-    _wg_hold_entry_free(h, entry);
-    wg_hold_charge(h, now, workspace, charge);
+    _wg_hold_grant(&scan, entry, action);
     return true;
 }
 
