Control: bound the loads in a host's report

Sums of 32 bits wrapped when hosts reported more than 2^32 tokens at one target, and the next report failed the check of the totals: the leader terminated. Callers state the tokens of prompts.

--- a/lib/control/wg_control_usage.c
+++ b/lib/control/wg_control_usage.c
@@ -12,6 +12,9 @@
     WG_LOADS_TOLD_MAX = 256,
     WG_LOADS_TOLD_INTERVAL = 100 * WG_USEC_PER_MSEC, /* until they are selected again */
     WG_UNREAD_FULL = 20000, /* prompt tokens that keep a target busy for about an objective */
+    /* More tokens or requests at one target in a host's report are cut to this. Callers state the
+       tokens of prompts, so they may be absurd; the sum of 4,096 hosts fits into 32 bits. */
+    WG_LOAD_MAX = (1 << 20) - 1,
     /* Longer times to process prompts in a host's report are cut to this, so that sums of absurd
        values do not overflow. */
     WG_READ_TIME_MAX = 600 * WG_USEC_PER_SEC,
@@ -74,8 +77,8 @@
         Wgpb__TargetLoad* load = g_new(Wgpb__TargetLoad, 1);
         wgpb__target_load__init(load);
         load->target = in->loads[i]->target;
-        load->unread = in->loads[i]->unread;
-        load->running = in->loads[i]->running;
+        load->unread = MIN(in->loads[i]->unread, WG_LOAD_MAX);
+        load->running = MIN(in->loads[i]->running, WG_LOAD_MAX);
         load->read_us = _wgco_read_time(in->loads[i]);
         g_hash_table_insert(e->loads, key, load);
         _wgco_add_load(c, load, 1);
--- a/tests/test_leader_states.c
+++ b/tests/test_leader_states.c
@@ -518,6 +518,27 @@
 }
 END_TEST
 
+/* Guards against a leader that terminates when absurd loads of hosts exceed 32 bits in their sum.
+ */
+START_TEST(absurd_loads_do_not_overflow) {
+    begin_with_room();
+    local_entry host;
+    local_entry other;
+    connect_host(&host, 1);
+    connect_host(&other, 2);
+    order_targets(&host, 1);
+    ck_assert(is_told_room(&host));
+    report_same_load(&other, 1, UINT32_MAX, UINT32_MAX, UINT64_MAX);
+    report_same_load(&host, 1, UINT32_MAX, UINT32_MAX, UINT64_MAX);
+    expect_room(&host, 1, 0);
+    wgn_shutdown(other.net);
+    run_turns(30);
+    expect_room(&host, 1, 1);
+    wgn_shutdown(host.net);
+    end();
+}
+END_TEST
+
 /* Guards against a new leader that takes unreported loads for room: it tells nothing while a
    connected host has not reported, nor right after it was elected. */
 START_TEST(new_leader_tells_no_room_before_all_reports) {
@@ -690,5 +711,5 @@
              stalled_leader_reports_no_target_unresponsive,
              evacuation_survives_restarts_of_the_control, fullest_targets_are_told,
              small_usage_is_told_as_a_sum, room_is_counted_over_all_targets,
-             prefill_time_of_all_hosts_adds_up, new_leader_tells_no_room_before_all_reports,
-             no_room_is_told_by_default)
+             prefill_time_of_all_hosts_adds_up, absurd_loads_do_not_overflow,
+             new_leader_tells_no_room_before_all_reports, no_room_is_told_by_default)
