Entry: bound the prompt sizes that callers state

Sizes were read as 32 bits and summed: a second prompt at a target wrapped the sum, and the host terminated at the end of either (wg_balance_settle_unread). A negative size now counts as 0, a larger one than 2^20 - 1 as that. The test aborts without the bound.

--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -52,6 +52,9 @@
 
 enum {
     WG_PROMPT_PARTS_MAX = 16,
+    /* More tokens stated for a prompt or an answer are cut to this. 4,096 such prompts at one
+       target fit into 32 bits, in which their sum is kept. */
+    WG_PROMPT_TOKENS_MAX = (1 << 20) - 1,
     WG_TRIED_MAX = 16,
     WG_DENIED_MAX = 8
 };
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -136,6 +136,14 @@
 
 /* ---- helpers: reading the request ------------------------------------------------------------ */
 
+/* Returns a number of tokens as stated by a caller, at most `max`; 0 if it is negative or no
+ * number.
+ */
+static uint32_t wg_parse_tokens(const char* text, uint32_t max) {
+    int64_t tokens = g_ascii_strtoll(text, NULL, 10);
+    return (uint32_t)CLAMP(tokens, 0, (int64_t)max);
+}
+
 static bool wg_parse_prompt(wg_text parts, wg_text tokens, wg_prompt* prompt) {
     *prompt = (wg_prompt){0};
     char* list = wg_text_dup(parts);
@@ -149,7 +157,7 @@
         *colon = 0;
         char* id = g_strstrip(items[i]);
         prompt->parts[prompt->num] = wg_hash(id, strlen(id), 0);
-        prompt->sizes[prompt->num] = (uint32_t)strtoul(colon + 1, NULL, 10);
+        prompt->sizes[prompt->num] = wg_parse_tokens(colon + 1, WG_PROMPT_TOKENS_MAX - sum);
         sum += prompt->sizes[prompt->num];
         prompt->num++;
     }
@@ -159,8 +167,8 @@
     if (tokens.text) {
         char* text = wg_text_dup(tokens);
         char* comma = strchr(text, ',');
-        prompt->tokens = MAX(sum, (uint32_t)strtoul(text, NULL, 10));
-        prompt->answer = comma ? (uint32_t)strtoul(comma + 1, NULL, 10) : 0;
+        prompt->tokens = MAX(sum, wg_parse_tokens(text, WG_PROMPT_TOKENS_MAX));
+        prompt->answer = comma ? wg_parse_tokens(comma + 1, WG_PROMPT_TOKENS_MAX) : 0;
         g_free(text);
     }
     return prompt->num > 0;
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -259,6 +259,25 @@
 }
 END_TEST
 
+/* Guards against a host that terminates when the sizes that callers state exceed 32 bits in their
+   sum. */
+START_TEST(absurd_prompt_sizes_do_not_overflow) {
+    begin(0);
+    int first = send_get("/first", prompt_of_100_ms);
+    ck_assert(target_got("/first", TURNS_MAX));
+    int absurd = send_get("/absurd", "Walnutgate-Key: k\r\n"
+                                     "Walnutgate-Prompt-Parts: d4:-1,e5:99999999999999999999\r\n"
+                                     "Walnutgate-Prompt-Tokens: -1,-1\r\n");
+    ck_assert(target_got("/absurd", TURNS_MAX));
+    close(first);
+    run_turns(50);
+    close(absurd);
+    run_turns(50);
+    ck_assert_int_eq(metric("hold_waiting"), 0); /* the host still answers */
+    end();
+}
+END_TEST
+
 /* ---- another entry host ---------------------------------------------------------------------- */
 
 enum {
@@ -714,8 +733,8 @@
              hopeless_request_is_refused_at_once_until_there_is_room,
              request_of_a_caller_that_leaves_is_dropped,
              grant_for_a_target_that_takes_nothing_is_not_used,
-             nothing_waits_while_the_setting_is_off, coordinator_grants_when_a_prompt_was_read,
-             coordinator_denies_after_the_stated_time,
+             nothing_waits_while_the_setting_is_off, absurd_prompt_sizes_do_not_overflow,
+             coordinator_grants_when_a_prompt_was_read, coordinator_denies_after_the_stated_time,
              coordinator_drops_a_request_that_is_no_longer_needed,
              coordinator_drops_the_requests_of_a_host_whose_link_closes,
              room_of_a_lost_host_is_granted_at_once,
