--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -52,6 +52,9 @@
 
 enum {
     WG_PROMPT_PARTS_MAX = 16,
+    /* More tokens stated for a prompt or an answer are cut to this. 4,096 such prompts at one
+       target fit into 32 bits, in which their sum is kept. */
+    WG_PROMPT_TOKENS_MAX = (1 << 20) - 1,
     WG_TRIED_MAX = 16,
     WG_DENIED_MAX = 8
 };
@@ -157,8 +160,9 @@
    one. */
 void wg_balance_update_load(wg_balance* balance, wg_time now, uint32_t target, uint32_t unread,
                             uint32_t running);
-/* Updates the speed and the lateness of a target with a report of its coordinator. From then on
-   this host learns no values itself. Does nothing without `learn_base`. */
+/* Updates the speed and the lateness of a target with a report of its coordinator; neither has to
+   be valid. After a valid speed this host learns no values itself. Does nothing without
+   `learn_base`. */
 void wg_balance_update_speed(wg_balance* balance, wg_time now, uint32_t target,
                              const wg_speed_values* values, wg_time late);
 /* Returns the last known values of a target; no samples: not known. */
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -14,15 +14,16 @@
           for prompts to be read makes all requests behind it wait as well.
         - usage includes the grants of this coordinator that reports of usage do not contain yet
         - the limit of the complete wait shrinks by the time waited
-        - bounded number of requests, and a bounded number of requests examined per decision; all
-          other costs are logarithmic
+        - bounded number of requests, and a bounded number of requests examined per decision;
+          additions and single removals cost logarithmic time. The removal of a holder passes over
+          all requests, an update of usage over all workspaces.
 
     USE
         1. wg_hold* h = wg_hold_setup(&(wg_hold_desc){.decide = decide, .usage = usage});
         2. if (!wg_hold_ask(h, now, &request, &answer)) send `answer`; else it waits
         3. wg_hold_notify_room(h, target);          // a prompt was read, or a request ended
         4. while (wg_hold_next(h, now, &action)) send the answer of `action`;
-        5. a timer at wg_hold_look_at(h), then step 4
+        5. a timer at wg_hold_due_at(h), then step 4
         6. wg_hold_remove(h, holder, ticket);       // the holder no longer needs it
            wg_hold_remove_holder(h, holder);        // the holder's link closed
 
@@ -110,7 +111,7 @@
 /* Returns the next grant or denial in `action`; false: none for now. */
 bool wg_hold_next(wg_hold* hold, wg_time now, wg_hold_action* action);
 /* Time at which wg_hold_next() is due; 0: at once; WG_TIME_NEVER: not before another call. */
-wg_time wg_hold_look_at(const wg_hold* hold);
+wg_time wg_hold_due_at(const wg_hold* hold);
 /* Removes a request. False if it does not wait. */
 bool wg_hold_remove(wg_hold* hold, uint64_t holder, uint64_t ticket);
 /* Removes all requests of a holder. */
