--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -80,7 +80,6 @@
         .has_prompt = call->has_prompt,
         .has_room = wg_entry_has_room(e, wg_now(), call->selection.service),
         .route_limits = e->settings->route_limits != 0,
-        .bounds_gap = e->settings->room_wait_ms > 0,
         .sent_before = call->attempts > 0,
         .relaxed = call->relaxed,
         .started = call->started,
--- a/lib/entry/wg_entry_overload.c
+++ b/lib/entry/wg_entry_overload.c
@@ -1,8 +1,6 @@
 /* wg_entry_overload.c -- overload control of this host: measurements for lib/overload, log lines */
 #include "wg_entry_internal.h"
 
-#include <stdlib.h>
-
 enum {
     /* Log lines per second about requests refused on arrival. Writing one costs more than a
        refusal. */
@@ -76,33 +74,10 @@
     return e->config ? wg_config_workspace(e->config, wg_message_field(head, e->names->key)) : NULL;
 }
 
-/* A workspace whose requests are refused on arrival still waits for more: without its demand it
-   would not count as backlogged, and others would get what it cannot reach. */
-static void wg_entry_record_refused_demand(wg_entry* e, const wg_workspace* workspace,
-                                           const wg_message_head* head) {
-    enum {
-        FIELD_MAX = 32 /* bytes of "PROMPT,ANSWER" */
-    };
-    wg_text field = wg_message_field(head, e->names->prompt_tokens);
-    if (!workspace || !field.text || field.size >= FIELD_MAX) {
-        return;
-    }
-    char text[FIELD_MAX];
-    char* rest = NULL;
-    g_snprintf(text, sizeof text, "%.*s", (int)field.size, field.text);
-    uint32_t prompt = (uint32_t)strtoul(text, &rest, 10);
-    uint32_t answer = *rest == ',' ? (uint32_t)strtoul(rest + 1, NULL, 10) : 0;
-    wg_usage_record_demand(e->usage, workspace->hash, wg_charged_tokens(prompt, answer));
-}
-
 bool wg_entry_overload_admits(wg_entry* e, const wg_message_head* head, wg_time now) {
     const wg_workspace* workspace = wg_entry_workspace_of(e, head);
-    uint64_t key = workspace ? workspace->hash : WG_OVERLOAD_NO_WORKSPACE;
-    bool admits = wg_overload_admits(e->overload, now, key);
-    if (!admits) {
-        wg_entry_record_refused_demand(e, workspace, head);
-    }
-    return admits;
+    return wg_overload_admits(e->overload, now,
+                              workspace ? workspace->hash : WG_OVERLOAD_NO_WORKSPACE);
 }
 
 double wg_entry_overload_retry_after(wg_entry* e, const wg_message_head* head, wg_time now) {
--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -46,22 +46,6 @@
     return level;
 }
 
-/* Demand divided by the served level from which a workspace counts as backlogged. */
-static const double WG_FAIR_BACKLOGGED = 1.5;
-/* Fraction of the served level that a backlogged workspace counts with at least: one whose callers
-   cannot reach their host must not keep others from free capacity. */
-static const double WG_FAIR_BACKLOGGED_FLOOR = 0.25;
-
-double wg_fair_backlogged_min(const double* used, const double* demand, int num, double level) {
-    double least = 0;
-    for (int i = 0; i < num; i++) {
-        if (demand[i] > WG_FAIR_BACKLOGGED * level && (least == 0 || used[i] < least)) {
-            least = MAX(used[i], WG_FAIR_BACKLOGGED_FLOOR * level);
-        }
-    }
-    return least;
-}
-
 static double wg_fair_tolerance_at(const wg_fair_slope* slope, double used, double level) {
     double ratio = level > 0 ? used / level : 0;
     if (ratio >= slope->zero_from) {
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -28,14 +28,8 @@
 typedef struct {
     double fair_share; /* fair share of the configured capacity; 0: not known */
     double served;     /* fair share of the capacity that was served; 0: not known */
-    /* lowest usage of a workspace that demands far more than `served`, at least a quarter of
-       `served`; 0: there is none */
-    double backlogged_min;
 } wg_fair_levels;
 
-/* Returns `backlogged_min` of the workspaces with these usages and demands. */
-double wg_fair_backlogged_min(const double* used, const double* demand, int num, double level);
-
 /* True if the workspace was served about half of what others were, or less. It may still be
    above its fair share. */
 bool wg_fair_is_behind(double used, const wg_fair_levels* levels);
--- a/lib/fair/wg_usage.c
+++ b/lib/fair/wg_usage.c
@@ -65,7 +65,6 @@
 static void wg_usage_set_levels(wg_usage_ledger* ledger, double total_share) {
     size_t num = g_hash_table_size(ledger->fleet) + ledger->small_num;
     double* demand = g_new(double, num + 1);
-    double* used = g_new(double, num + 1);
     double served = ledger->small.tokens;
     int filled = 0;
     GHashTableIter iter;
@@ -74,19 +73,14 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wg_usage_copy* copy = value;
         double tokens = copy->reported.tokens + copy->estimated.tokens;
-        used[filled] = tokens;
         demand[filled++] = MAX(copy->reported.demand + copy->estimated.demand, tokens);
         served += tokens;
     }
-    int listed = filled;
     for (size_t i = 0; i < ledger->small_num; i++) {
         demand[filled++] = ledger->small.demand / (double)ledger->small_num;
     }
     ledger->levels.served = wg_fair_level(demand, filled, served);
     ledger->levels.fair_share = total_share > 0 ? wg_fair_level(demand, filled, total_share) : 0;
-    ledger->levels.backlogged_min =
-        wg_fair_backlogged_min(used, demand, listed, ledger->levels.served);
-    g_free(used);
     g_free(demand);
 }
 
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -37,34 +37,11 @@
 static const wg_time _WG_POLICY_RETRY_AFTER_MIN = 100 * WG_USEC_PER_MSEC;
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
 
-/* Usage up to which a workspace is not ahead of a backlogged one; 0: not bounded. Callers of a
-   workspace may all be at one host that cannot take more of them. Others must not use the capacity
-   that this leaves without bound, or the gap between workspaces grows with it. Wait tolerance ends
-   at 1.3 times the level, which leaves the others at most about twice as much. */
-static double _wg_policy_usage_bound(const wg_policy_terms* t) {
-    return t->bounds_gap ? t->levels->backlogged_min : 0;
-}
-
-static wg_fair_levels _wg_policy_levels(const wg_policy_terms* t) {
-    wg_fair_levels levels = *t->levels;
-    double bound = _wg_policy_usage_bound(t);
-    if (bound > 0) {
-        levels.served = MIN(levels.served, bound);
-    }
-    return levels;
-}
-
-static bool _wg_policy_may_use_room(const wg_policy_terms* t) {
-    double bound = _wg_policy_usage_bound(t);
-    return t->has_room && (bound <= 0 || t->used <= bound);
-}
-
 static double _wg_policy_tolerance(const wg_policy_terms* t) {
-    if (!t->counts || _wg_policy_may_use_room(t)) {
+    if (!t->counts || t->has_room) {
         return 1;
     }
-    wg_fair_levels levels = _wg_policy_levels(t);
-    double tolerance = wg_fair_wait_tolerance(t->used, &levels);
+    double tolerance = wg_fair_wait_tolerance(t->used, t->levels);
     return tolerance < 1 ? tolerance * wg_fair_confidence(t->margin) : 1;
 }
 
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -33,8 +33,6 @@
     const wg_fair_margin* margin;
     bool has_prompt;
     bool has_room; /* the service has room for further prompts */
-    /* a workspace far ahead of a backlogged one yields, also while there is room */
-    bool bounds_gap;
     /* the whole wait of a prompt is limited by its own route's objective, and only the part caused
        by prompts of others by the tightest one */
     bool route_limits;
--- a/tests/test_entry_room.c
+++ b/tests/test_entry_room.c
@@ -26,10 +26,6 @@
     "\"workspaces\":[{\"name\":\"most\",\"keys\":[\"key-most\"]},"
     "{\"name\":\"least\",\"keys\":[\"key-least\"]}]}";
 
-enum {
-    OTHERS_ASKED = 300000 /* tokens; below 1.5 times the served level: not backlogged */
-};
-
 /* Answers reports with the fields set in `update`. */
 static void lead(fake_update update) {
     Wgpb__WorkspaceUsage items[WORKSPACES];
@@ -40,7 +36,7 @@
         wgpb__workspace_usage__init(&items[i]);
         items[i].workspace = i ? (uint64_t)i : config->workspaces[0].hash;
         items[i].tokens = i ? 100000 : 800000;
-        items[i].asked = i ? OTHERS_ASKED : 800000;
+        items[i].asked = 800000;
         usage[i] = &items[i];
     }
     wg_config_unref(config);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -200,27 +200,7 @@
 }
 END_TEST
 
-/* Load: one workspace's callers are all at a host that cannot take more of them, and there is room.
-   Guards against others that then get more than twice of what this workspace gets. */
-START_TEST(room_does_not_widen_the_gap_between_workspaces) {
-    static const wg_fair_levels gap = {.fair_share = 1000, .served = 1000, .backlogged_min = 600};
-    wg_policy_terms within = terms(599);
-    wg_policy_terms ahead = terms(1400);
-    within.levels = &gap;
-    within.has_room = true;
-    within.bounds_gap = true;
-    ahead.levels = &gap;
-    ahead.has_room = true;
-    ck_assert(wg_policy_may_spill_over(&ahead)); /* without a bound */
-    ahead.bounds_gap = true;
-    ck_assert(!wg_policy_may_spill_over(&ahead));
-    ck_assert_int_eq(wg_policy_admission_requests_max(&ahead), 0);
-    ck_assert(wg_policy_may_spill_over(&within));
-}
-END_TEST
-
-WG_TEST_MAIN("policy", no_workspace_yields_while_there_is_room,
-             room_does_not_widen_the_gap_between_workspaces, tightest_objective_limits_all_waits,
+WG_TEST_MAIN("policy", no_workspace_yields_while_there_is_room, tightest_objective_limits_all_waits,
              own_objective_limits_the_wait_with_limits_by_route, limits_by_route_scale_as_others_do,
              limits_by_route_concern_prompts_only, workspaces_above_the_level_wait_less,
              retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
--- a/tests/test_usage.c
+++ b/tests/test_usage.c
@@ -45,19 +45,6 @@
 }
 END_TEST
 
-/* Guards against a gap between backlogged workspaces that nobody sees: OTHER waits for more while
-   HEAVY gets eight times as much. */
-START_TEST(least_served_backlogged_workspace_is_known) {
-    wg_usage_ledger* ledger = ledger_with_report(100 * SECOND);
-    const wg_fair_levels* levels = wg_usage_levels(ledger);
-    ck_assert(fabs(levels->backlogged_min - 112500) < 1); /* not below a quarter of the level */
-    static const wg_usage satisfied[] = {{HEAVY, 800000, 800000}, {OTHER, 100000, 100000}};
-    apply(ledger, 101 * SECOND, satisfied, G_N_ELEMENTS(satisfied));
-    ck_assert(fabs(levels->backlogged_min) < 1);
-    wg_usage_shutdown(ledger);
-}
-END_TEST
-
 /* A report decays without a leader, so that a workspace above the level does not stay refused. */
 START_TEST(old_report_decays_and_is_dropped) {
     wg_time now = 100 * SECOND;
@@ -165,7 +152,7 @@
 }
 END_TEST
 
-WG_TEST_MAIN("usage", least_served_backlogged_workspace_is_known, only_changed_totals_are_taken,
-             small_workspaces_count_without_being_listed, fresh_report_is_used_unchanged,
-             old_report_decays_and_is_dropped, own_usage_is_extrapolated_to_all_hosts,
-             new_report_replaces_the_estimate, own_totals_only_grow)
+WG_TEST_MAIN("usage", only_changed_totals_are_taken, small_workspaces_count_without_being_listed,
+             fresh_report_is_used_unchanged, old_report_decays_and_is_dropped,
+             own_usage_is_extrapolated_to_all_hosts, new_report_replaces_the_estimate,
+             own_totals_only_grow)
