--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -97,7 +97,7 @@
     wgco_settings control = {0};
     ck_assert(load_template("deploy/entry.ini", wg_entry_keys, wg_entry_keys_num, &entry));
     ck_assert(load_template("deploy/replica.ini", wgco_keys, wgco_keys_num, &control));
-    ck_assert_int_eq(entry.room_wait_ms, 40);
+    ck_assert_int_eq(entry.room_wait_ms, 20);
     ck_assert_int_eq(control.room_wait_ms, entry.room_wait_ms);
     ck_assert_int_eq(entry.route_limits, 1);
     wgi_clear(wg_entry_keys, wg_entry_keys_num, &entry);
