Comments: what a probe and a sample are, without the word measured

Four comments read as if they told of a measurement of the project; they describe the delay of input that the program observes. No code is changed; test_overload passes.

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -365,7 +365,7 @@
     wg_lag_monitor tick_lag;   /* event-loop delay of the tick */
     struct event* delay_probe; /* queued behind callers' input to measure its delay */
     wg_time probe_since;       /* 0: the probe is not queued */
-    wg_time last_probe_since;  /* time at which the last measured probe was queued */
+    wg_time last_probe_since;  /* time at which the last probe that ran was queued */
     wg_lag_monitor input_lag;  /* delay of callers' input in the event loop */
     wg_time stall_ended_at;    /* first tick after the last stall of this process; 0: none */
 
@@ -387,7 +387,7 @@
 /* Whether a planned stop refuses a new request that is expected to take `duration` microseconds:
    callers have newer entry answers by now, or the stop would abort the request. */
 bool wg_entry_refuses_new(const wg_entry* e, wg_time duration);
-/* Last measured event-loop delay of callers' input, microseconds. */
+/* Current event-loop delay of callers' input, microseconds. */
 wg_time wg_entry_input_delay(const wg_entry* e, wg_time now);
 /* Whether another log line about a request is allowed in this second; counts it. */
 bool wg_entry_may_log(wg_entry* e, wg_time now);
--- a/lib/overload/wg_overload.c
+++ b/lib/overload/wg_overload.c
@@ -25,7 +25,7 @@
     _WG_OVERLOAD_STEP_MIN = 1
 };
 
-/* Fraction of the capacity below which the limit does not fall at once. Input that is measured was
+/* Fraction of the capacity below which the limit does not fall at once. Input that waits was
    sent before the limit fell, so the effect of a decrease shows late; without a minimum the share
    falls below what small workspaces send. */
 static const double _WG_OVERLOAD_CAPACITY_KEPT = 0.25;
@@ -119,7 +119,7 @@
 
 /* ---- helpers: limit ------------------------------------------------------------------------- */
 
-/* Whether the sample is unusable because the process stood still while it was measured. */
+/* Whether the sample is unusable because the process stood still while the probe waited. */
 static bool _wg_overload_is_stalled(wg_overload* o, const wg_overload_sample* sample) {
     bool stalled = sample->stall_ended_at > 0 && sample->since < sample->stall_ended_at;
     o->dropped_num = stalled ? o->dropped_num + 1 : 0;
