Tests: the answer to a request does not go to a query for cached prompts

The target now keeps the connection of the last query apart; test_entry_rest, which answers queries, names it.

--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -25,9 +25,12 @@
 static char* target_address;
 static struct evconnlistener* listener; /* listener of the target; NULL: the target has stopped */
 
-/* Bytes that the target received, and the connection on which the last of them came. */
+/* Bytes that the target received, and the connections on which the last ones came. */
 static GString* target_received;
-static struct bufferevent* target_connection;
+static struct bufferevent* target_connection; /* of the last request */
+/* Of the last query for cached prompts. Queries are repeated while nothing answers them, at any
+   moment of a test: the answer to a request must not go to one of them. */
+static struct bufferevent* target_query;
 static bool target_disconnected;
 static bool target_reads = true; /* new connections of the target read */
 static int target_connections;   /* connections that the target accepted */
@@ -44,9 +47,12 @@
 static void target_on_read(struct bufferevent* bev, void* user_data) {
     (void)user_data;
     char bytes[2048];
-    size_t got = bufferevent_read(bev, bytes, sizeof bytes);
+    size_t got = bufferevent_read(bev, bytes, sizeof bytes - 1);
+    bytes[got] = 0;
     g_string_append_len(target_received, bytes, (gssize)got);
-    target_connection = bev;
+    bool is_query = g_str_has_prefix(bytes, "GET /v1/cache ");
+    target_connection = is_query ? target_connection : bev;
+    target_query = is_query ? bev : target_query;
 }
 
 static void target_on_event(struct bufferevent* bev, short what, void* user_data) {
@@ -56,6 +62,9 @@
     if (target_connection == bev) {
         target_connection = NULL;
     }
+    if (target_query == bev) {
+        target_query = NULL;
+    }
     bufferevent_free(bev);
 }
 
@@ -128,6 +137,7 @@
     base = local_event_base();
     target_received = g_string_new(NULL);
     target_connection = NULL;
+    target_query = NULL;
     target_disconnected = false;
     target_connections = 0;
     target_address = local_address(31, 18007);
--- a/tests/test_entry_rest.c
+++ b/tests/test_entry_rest.c
@@ -224,6 +224,7 @@
     lead(update);
     ck_assert(target_got_request());
     ck_assert(strstr(target_received->str, "GET /v1/cache"));
+    target_connection = target_query;
     target_send("HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n");
     ck_target_gets_no_request();
     wg_now_skip(SECOND); /* beyond the query's retry interval of 0.5 s */
