Tests: as many programs at once as half of the processors; waits that a busy machine stretched

Cause: run-tests.sh started all programs at once, some of them whole fleets.

Change: at most half of the processors' number of programs run at once. The first test checks the time of the answer itself, which is stricter; the second uses the longer wait; in the third the host's wait is a setting (recovery_query_ms).

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -48,6 +48,10 @@
     WG_NUMBER("timing", standby_ms, "15000", 0, 3600000, "ms",
               "wait for a leader before this host uses the state of a replica that has no leader "
               "either; 0: never"),
+    /* Longer than a handshake between data centres. */
+    WG_NUMBER("timing", recovery_query_ms, "150", 1, 60000, "ms",
+              "wait after the start for other entry hosts to tell of a forced recovery, before a "
+              "leader is followed; a seed that is down delays a start by this"),
     WG_NUMBER("retry", retry_percent, "20", 0, 100, "%",
               "retries of the whole fleet, relative to first sends"),
     WG_REAL("retry", retry_slack, "20", 0, 1000000, "sends",
@@ -202,6 +206,7 @@
     if (e->tick_lag.lag_last > WG_LAG_LOG_MIN) {
         e->stall_ended_at = now;
         wg_buffers_record_stall(e->buffers, e->tick_lag.lag_last);
+        wg_entry_recovery_record_stall(e, e->tick_lag.lag_last);
         wg_call_reset_timers(e, now);
     }
     wg_entry_link_tick(e, now);
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -52,6 +52,7 @@
     int64_t retry_percent;
     double retry_slack;
     int64_t retry_window_ms;
+    int64_t recovery_query_ms;
     int64_t callers_max;
     int64_t target_rest_max_s;
     int64_t descriptors;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -426,6 +426,8 @@
 void wg_entry_recovery_setup(wg_entry* e);
 void wg_entry_recovery_shutdown(wg_entry* e);
 void wg_entry_recovery_tick(wg_entry* e, wg_time now);
+/* This process stood still for `duration` microseconds. */
+void wg_entry_recovery_record_stall(wg_entry* e, wg_time duration);
 /* Records a recovery; leaves a leader of a set before it. `source` is named in the log. */
 void wg_entry_recovery_record(wg_entry* e, uint64_t recovery, const char* source);
 /* Whether the sender belongs to a replica set that a known recovery replaced, or leads in an
--- a/lib/entry/wg_entry_recovery.c
+++ b/lib/entry/wg_entry_recovery.c
@@ -6,16 +6,12 @@
 
    A host learns of a recovery from the leader of the recovered set and from other entry hosts. A
    host that has just started knows nothing: it asks the entry hosts on the seeds, and follows no
-   leader until one that has followed a leader, or all of them, have answered, for at most
-   WG_RECOVERY_QUERY_TIMEOUT. */
+   leader until one that has followed a leader, or all of them, have answered, for at most the
+   setting recovery_query_ms. Time in which this process stood still does not count: answers that
+   arrived meanwhile were not read. */
 #include "wg_entry_internal.h"
 #include "wg_term.h"
 
-enum {
-    /* Longer than a handshake between data centres; a seed that is down delays a start by this. */
-    WG_RECOVERY_QUERY_TIMEOUT = 150 * WG_USEC_PER_MSEC
-};
-
 /* A frame from the control that is processed once its leader may be followed. */
 typedef struct {
     wgw_type type;
@@ -91,7 +87,7 @@
 
 void wg_entry_recovery_setup(wg_entry* e) {
     g_queue_init(&e->recovery.delayed);
-    e->recovery.queries_expire_at = wg_now() + WG_RECOVERY_QUERY_TIMEOUT;
+    e->recovery.queries_expire_at = wg_now() + e->settings->recovery_query_ms * WG_USEC_PER_MSEC;
     for (int i = 0; e->settings->seeds[i]; i++) {
         wg_entry_query(e, e->settings->seeds[i]);
     }
@@ -102,6 +98,10 @@
     wg_entry_recovery_drop_delayed(e);
 }
 
+void wg_entry_recovery_record_stall(wg_entry* e, wg_time duration) {
+    e->recovery.queries_expire_at += duration;
+}
+
 void wg_entry_recovery_tick(wg_entry* e, wg_time now) {
     if (e->recovery.queries_num > 0 && now >= e->recovery.queries_expire_at) {
         wg_entry_end_queries(e);
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -157,6 +157,9 @@
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
+/* Time after its start in which the next entry host waits for the answers of other hosts. */
+static int64_t fake_entry_recovery_query_ms = 150;
+
 /* Settings of the next entry host: use of room as told by the leader, and limits by route. */
 static int64_t fake_entry_room_wait_ms;
 static int64_t fake_entry_route_limits;
@@ -187,6 +190,7 @@
                                    .order_ms = 900,
                                    .cold_settle_ms = fake_entry_cold_settle_ms,
                                    .standby_ms = fake_entry_standby_ms,
+                                   .recovery_query_ms = fake_entry_recovery_query_ms,
                                    .retry_window_ms = 10000,
                                    .learn_base = fake_entry_learn_base,
                                    .target_rest_max_s = 3600,
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -136,7 +136,8 @@
 /* Guards against a refusal of a request for which there is room within its longest wait. */
 START_TEST(request_waits_until_the_target_has_read) {
     char answer[1024];
-    begin_with_known_target(HOLD_PERCENT);
+    /* The wait ends 450 ms after the request: turns of 1 ms take longer on a busy machine. */
+    begin_with_known_target(LONG_HOLD_PERCENT);
     int first = send_get("/first", prompt_of_400_ms);
     ck_assert(target_got("/first", TURNS_MAX));
     int second = send_get("/second", prompt_of_100_ms);
@@ -422,12 +423,16 @@
 
 /* Guards against a question that the coordinator leaves without an answer. */
 START_TEST(coordinator_denies_after_the_stated_time) {
+    enum {
+        STATED_MS = 100
+    };
     begin_with_requester(HOLD_PERCENT);
     ask(1, 12000, 0);
-    ask(2, 3000, 100);
-    ck_assert(got_answers(1, TURNS_MAX));
-    ck_assert(!got_answers(2, 60));
+    wg_time before = wg_now();
+    ask(2, 3000, STATED_MS);
     ck_assert(got_answers(2, TURNS_MAX));
+    ck_assert_int_ge(wg_now() - before, STATED_MS * MSEC);
+    ck_assert_uint_eq(answers[0].ticket, 1);
     ck_assert_uint_eq(answers[1].ticket, 2);
     ck_assert(!answers[1].granted);
     ck_assert_uint_gt(answers[1].room_us, 0);
--- a/tests/test_entry_recovery.c
+++ b/tests/test_entry_recovery.c
@@ -7,7 +7,9 @@
 
 enum {
     ENTRY_PORT = 18005,
-    QUERY_MS = 1000 /* longer than a host waits for the answers of other hosts */
+    QUERY_MS = 150,        /* for which a host waits for the answers of other hosts */
+    QUERY_MS_LONG = 20000, /* longer than a test takes, also on a busy machine */
+    QUERY_MS_STALL = 2000
 };
 
 static char document[512];
@@ -79,7 +81,8 @@
 /* A host at the same address as the control, which answers when this host has just started. */
 static fake_control other_host;
 
-static void begin_beside_other_host(void) {
+/* `query_ms`: time for which the entry host waits for the answer of the other one. */
+static void begin_beside_other_host(int query_ms) {
     one_entry_begin();
     wg_entry_shutdown(entry);
     char ip[WG_ADDRESS_MAX];
@@ -90,7 +93,9 @@
     ck_assert(wgn_listen(other_host.net, address, NULL));
     char* seeds[] = {leader.address, NULL};
     leader.links_up = 0;
+    fake_entry_recovery_query_ms = query_ms;
     entry = fake_control_entry(base, seeds);
+    fake_entry_recovery_query_ms = QUERY_MS;
     wait_for_link(1);
     for (int i = 0; i < TURNS_MAX && other_host.links_up == 0; i++) {
         run_turns(1);
@@ -113,7 +118,7 @@
 }
 
 START_TEST(restarted_host_learns_of_a_recovery_from_other_hosts) {
-    begin_beside_other_host();
+    begin_beside_other_host(QUERY_MS_LONG);
     lead(9, 7);
     ck_assert_int_eq(status_of_path("/v9"), 503);
     other_host_sends_hello(wg_recovery_first_term(1) + 4);
@@ -126,7 +131,7 @@
 END_TEST
 
 START_TEST(restarted_host_follows_once_another_host_has_answered) {
-    begin_beside_other_host();
+    begin_beside_other_host(QUERY_MS_LONG);
     lead(9, 7);
     other_host_sends_hello(6);
     ck_assert_int_eq(status_of_path("/other"), 404);
@@ -135,16 +140,32 @@
 END_TEST
 
 START_TEST(restarted_host_follows_without_an_answer_after_a_wait) {
-    begin_beside_other_host();
+    begin_beside_other_host(QUERY_MS);
     lead(9, 7);
-    run_turns(QUERY_MS);
+    run_turns(1000);
     ck_assert_int_eq(status_of_path("/other"), 404);
     end_beside_other_host();
 }
 END_TEST
 
+/* Guards against a host that stood still while others answered: it must read their answers before
+   it follows a leader of a replaced set. */
+START_TEST(time_in_which_the_host_stood_still_is_no_wait) {
+    begin_beside_other_host(QUERY_MS_STALL);
+    lead(9, 7);
+    g_usleep((QUERY_MS_STALL + 500) * 1000);
+    ck_assert_int_eq(status_of_path("/v9"), 503);
+    other_host_sends_hello(wg_recovery_first_term(1) + 4);
+    wait_for_link(2);
+    run_turns(50);
+    ck_assert_int_eq(status_of_path("/v9"), 503);
+    end_beside_other_host();
+}
+END_TEST
+
 WG_TEST_MAIN("entry_recovery", reports_tell_of_a_recovery,
              configuration_of_a_replaced_set_is_not_applied,
              restarted_host_learns_of_a_recovery_from_other_hosts,
              restarted_host_follows_once_another_host_has_answered,
-             restarted_host_follows_without_an_answer_after_a_wait)
+             restarted_host_follows_without_an_answer_after_a_wait,
+             time_in_which_the_host_stood_still_is_no_wait)
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -1,9 +1,12 @@
 #!/usr/bin/env bash
-# Runs all test programs concurrently, prints their output in order, and the totals in the last line.
+# Runs the test programs, as many at once as half of the processors, prints their output in order, and the
+# totals in the last line. Many programs measure time or run a fleet of processes: all at once they delay
+# each other by more than the bounds that they check.
 # Failures of tests listed in KNOWN-RED.txt are printed but do not fail the run. Each line there reads
 # "program:test | cause | issue".
 set -u
 build=${1:-build}
+at_once=$(( ($(nproc) + 1) / 2 ))
 red=KNOWN-RED.txt
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
@@ -13,6 +16,7 @@
 done
 for program in "${programs[@]}"; do
     name=$(basename "$program")
+    while (( $(jobs -rp | wc -l) >= at_once )); do wait -n; done
     (CK_FORK=yes "$program" >"$out/$name" 2>&1; echo $? >"$out/$name.status") &
 done
 wait
