--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -93,4 +93,9 @@
     X(2028, OVERLOAD_ENDED, INFO, "no longer overloaded, all requests are read")                   \
     X(2029, CALLER_CUT, WARN, "caller does not read its answer, connection closed")                \
     X(2030, TARGET_CUT, WARN, "target does not read its request, connection closed")               \
+    X(2031, HANDOFF_BEGUN, WARN, "short of capacity, requests are handed off to other hosts")      \
+    X(2032, HANDOFF_ENDED, INFO, "all requests are kept again")                                    \
+    X(2033, REQUEST_HANDED_OFF, INFO, "handed-off request ended")                                  \
+    X(2034, DESCRIPTORS_SHORT, WARN, "few descriptors are left, idle connections are closed")      \
+    X(2035, DESCRIPTORS_FREED, INFO, "enough descriptors are free again")                          \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router expired")
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -64,6 +64,9 @@
               "longest backoff that a target may request by Retry-After; longer ones are clamped"),
     WG_NUMBER("limits", descriptors, "0", 0, 1000000, "",
               "descriptor limit of the process; bounds callers_max; 0: unknown"),
+    WG_NUMBER("limits", spare_descriptors, "0", 0, 1, "",
+              "1: idle connections are closed and requests refused before descriptors run out; 0: "
+              "only callers' connections are bounded"),
     WG_REAL("limits", memory_mb, "0", 0, 1000000, "MB",
             "memory limit of the process; bounds data queued on links; 0: unknown"),
     WG_NUMBER("admission", learn_base, "0", 0, 1, "",
@@ -76,6 +79,12 @@
               "1: a prompt may take its own route's objective; 0: the tightest one of the service"),
     WG_NUMBER("admission", hold_percent, "0", 0, 90, "%",
               "longest wait for room at a coordinator, relative to the objective; 0: none"),
+    WG_NUMBER("admission", refuse_over_share, "0", 0, 1, "",
+              "1: a workspace that is far above its share is refused at once, with the time after "
+              "which it may send again; 0: its requests wait in the queue first"),
+    WG_NUMBER("handoff", handoff_delay_ms, "0", 0, 60000, "ms",
+              "delay of callers' input above which requests are handed off to other hosts of the "
+              "data centre; 0: never"),
     WG_NUMBER("overload", input_delay_ms, "0", 0, 60000, "ms",
               "delay of callers' input above which requests are refused on arrival; 0: never"),
     WG_REAL("limits", held_mb, "0", 0, 1000000, "MB",
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -64,6 +64,9 @@
     int64_t input_delay_ms;
     double held_mb;
     int64_t unread_ms;
+    int64_t refuse_over_share;
+    int64_t handoff_delay_ms;
+    int64_t spare_descriptors;
 } wg_entry_settings;
 
 extern const wgi_key wg_entry_keys[];
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -2257,6 +2257,141 @@
   assert(message->base.descriptor == &wgpb__admit_note__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__handoff_request__init
+                     (Wgpb__HandoffRequest         *message)
+{
+  static const Wgpb__HandoffRequest init_value = WGPB__HANDOFF_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_request__get_packed_size
+                     (const Wgpb__HandoffRequest *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_request__pack
+                     (const Wgpb__HandoffRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_request__pack_to_buffer
+                     (const Wgpb__HandoffRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffRequest *
+       wgpb__handoff_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffRequest *)
+     protobuf_c_message_unpack (&wgpb__handoff_request__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_request__free_unpacked
+                     (Wgpb__HandoffRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__handoff_answer__init
+                     (Wgpb__HandoffAnswer         *message)
+{
+  static const Wgpb__HandoffAnswer init_value = WGPB__HANDOFF_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_answer__get_packed_size
+                     (const Wgpb__HandoffAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_answer__pack
+                     (const Wgpb__HandoffAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_answer__pack_to_buffer
+                     (const Wgpb__HandoffAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffAnswer *
+       wgpb__handoff_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffAnswer *)
+     protobuf_c_message_unpack (&wgpb__handoff_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_answer__free_unpacked
+                     (Wgpb__HandoffAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__handoff_note__init
+                     (Wgpb__HandoffNote         *message)
+{
+  static const Wgpb__HandoffNote init_value = WGPB__HANDOFF_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_note__get_packed_size
+                     (const Wgpb__HandoffNote *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_note__pack
+                     (const Wgpb__HandoffNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_note__pack_to_buffer
+                     (const Wgpb__HandoffNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffNote *
+       wgpb__handoff_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffNote *)
+     protobuf_c_message_unpack (&wgpb__handoff_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_note__free_unpacked
+                     (Wgpb__HandoffNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] =
 {
   {
@@ -6865,7 +7000,7 @@
   (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[19] =
+static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[20] =
 {
   {
     "ticket",
@@ -7095,6 +7230,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "weight",
+    21,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_DOUBLE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__AdmitAsk, weight),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__admit_ask__field_indices_by_name[] = {
   10,   /* field[10] = ahead_large_us */
@@ -7114,6 +7261,7 @@
   0,   /* field[0] = ticket */
   4,   /* field[4] = tokens */
   14,   /* field[14] = tokens_per_ms */
+  19,   /* field[19] = weight */
   8,   /* field[8] = whole_us */
   17,   /* field[17] = workspace */
 };
@@ -7121,7 +7269,7 @@
 {
   { 1, 0 },
   { 14, 12 },
-  { 0, 19 }
+  { 0, 20 }
 };
 const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor =
 {
@@ -7131,7 +7279,7 @@
   "Wgpb__AdmitAsk",
   "wgpb",
   sizeof(Wgpb__AdmitAsk),
-  19,
+  20,
   wgpb__admit_ask__field_descriptors,
   wgpb__admit_ask__field_indices_by_name,
   2,  wgpb__admit_ask__number_ranges,
@@ -7396,3 +7544,272 @@
   (ProtobufCMessageInit) wgpb__admit_note__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__handoff_request__field_descriptors[5] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffRequest, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "head",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffRequest, head),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffRequest, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "waited_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffRequest, waited_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffRequest, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__handoff_request__field_indices_by_name[] = {
+  2,   /* field[2] = body */
+  1,   /* field[1] = head */
+  0,   /* field[0] = ticket */
+  4,   /* field[4] = version */
+  3,   /* field[3] = waited_us */
+};
+static const ProtobufCIntRange wgpb__handoff_request__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__handoff_request__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.HandoffRequest",
+  "HandoffRequest",
+  "Wgpb__HandoffRequest",
+  "wgpb",
+  sizeof(Wgpb__HandoffRequest),
+  5,
+  wgpb__handoff_request__field_descriptors,
+  wgpb__handoff_request__field_indices_by_name,
+  1,  wgpb__handoff_request__number_ranges,
+  (ProtobufCMessageInit) wgpb__handoff_request__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__handoff_answer__field_descriptors[3] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "bytes",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffAnswer, bytes),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffAnswer, end),
+    &wgpb__handoff_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__handoff_answer__field_indices_by_name[] = {
+  1,   /* field[1] = bytes */
+  2,   /* field[2] = end */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__handoff_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__handoff_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.HandoffAnswer",
+  "HandoffAnswer",
+  "Wgpb__HandoffAnswer",
+  "wgpb",
+  sizeof(Wgpb__HandoffAnswer),
+  3,
+  wgpb__handoff_answer__field_descriptors,
+  wgpb__handoff_answer__field_indices_by_name,
+  1,  wgpb__handoff_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__handoff_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__handoff_note__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffNote, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "what",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_ENUM,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HandoffNote, what),
+    &wgpb__handoff_what__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__handoff_note__field_indices_by_name[] = {
+  0,   /* field[0] = ticket */
+  1,   /* field[1] = what */
+};
+static const ProtobufCIntRange wgpb__handoff_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__handoff_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.HandoffNote",
+  "HandoffNote",
+  "Wgpb__HandoffNote",
+  "wgpb",
+  sizeof(Wgpb__HandoffNote),
+  2,
+  wgpb__handoff_note__field_descriptors,
+  wgpb__handoff_note__field_indices_by_name,
+  1,  wgpb__handoff_note__number_ranges,
+  (ProtobufCMessageInit) wgpb__handoff_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCEnumValue wgpb__handoff_end__enum_values_by_number[5] =
+{
+  { "HANDOFF_END_MORE", "WGPB__HANDOFF_END__HANDOFF_END_MORE", 0 },
+  { "HANDOFF_END_COMPLETE", "WGPB__HANDOFF_END__HANDOFF_END_COMPLETE", 1 },
+  { "HANDOFF_END_COMPLETE_CLOSE", "WGPB__HANDOFF_END__HANDOFF_END_COMPLETE_CLOSE", 2 },
+  { "HANDOFF_END_CUT", "WGPB__HANDOFF_END__HANDOFF_END_CUT", 3 },
+  { "HANDOFF_END_DECLINED", "WGPB__HANDOFF_END__HANDOFF_END_DECLINED", 4 },
+};
+static const ProtobufCIntRange wgpb__handoff_end__value_ranges[] = {
+{0, 0},{0, 5}
+};
+static const ProtobufCEnumValueIndex wgpb__handoff_end__enum_values_by_name[5] =
+{
+  { "HANDOFF_END_COMPLETE", 1 },
+  { "HANDOFF_END_COMPLETE_CLOSE", 2 },
+  { "HANDOFF_END_CUT", 3 },
+  { "HANDOFF_END_DECLINED", 4 },
+  { "HANDOFF_END_MORE", 0 },
+};
+const ProtobufCEnumDescriptor wgpb__handoff_end__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wgpb.HandoffEnd",
+  "HandoffEnd",
+  "Wgpb__HandoffEnd",
+  "wgpb",
+  5,
+  wgpb__handoff_end__enum_values_by_number,
+  5,
+  wgpb__handoff_end__enum_values_by_name,
+  1,
+  wgpb__handoff_end__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
+static const ProtobufCEnumValue wgpb__handoff_what__enum_values_by_number[3] =
+{
+  { "HANDOFF_WHAT_CALLER_LEFT", "WGPB__HANDOFF_WHAT__HANDOFF_WHAT_CALLER_LEFT", 0 },
+  { "HANDOFF_WHAT_PAUSE", "WGPB__HANDOFF_WHAT__HANDOFF_WHAT_PAUSE", 1 },
+  { "HANDOFF_WHAT_RESUME", "WGPB__HANDOFF_WHAT__HANDOFF_WHAT_RESUME", 2 },
+};
+static const ProtobufCIntRange wgpb__handoff_what__value_ranges[] = {
+{0, 0},{0, 3}
+};
+static const ProtobufCEnumValueIndex wgpb__handoff_what__enum_values_by_name[3] =
+{
+  { "HANDOFF_WHAT_CALLER_LEFT", 0 },
+  { "HANDOFF_WHAT_PAUSE", 1 },
+  { "HANDOFF_WHAT_RESUME", 2 },
+};
+const ProtobufCEnumDescriptor wgpb__handoff_what__descriptor =
+{
+  PROTOBUF_C__ENUM_DESCRIPTOR_MAGIC,
+  "wgpb.HandoffWhat",
+  "HandoffWhat",
+  "Wgpb__HandoffWhat",
+  "wgpb",
+  3,
+  wgpb__handoff_what__enum_values_by_number,
+  3,
+  wgpb__handoff_what__enum_values_by_name,
+  1,
+  wgpb__handoff_what__value_ranges,
+  NULL,NULL,NULL,NULL   /* reserved[1234] */
+};
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -65,10 +65,45 @@
 typedef struct Wgpb__AdmitAsk Wgpb__AdmitAsk;
 typedef struct Wgpb__AdmitAnswer Wgpb__AdmitAnswer;
 typedef struct Wgpb__AdmitNote Wgpb__AdmitNote;
+typedef struct Wgpb__HandoffRequest Wgpb__HandoffRequest;
+typedef struct Wgpb__HandoffAnswer Wgpb__HandoffAnswer;
+typedef struct Wgpb__HandoffNote Wgpb__HandoffNote;
 
 
 /* --- enums --- */
 
+typedef enum _Wgpb__HandoffEnd {
+  /*
+   * more bytes follow
+   */
+  WGPB__HANDOFF_END__HANDOFF_END_MORE = 0,
+  /*
+   * the caller's connection may be kept
+   */
+  WGPB__HANDOFF_END__HANDOFF_END_COMPLETE = 1,
+  /*
+   * the caller's connection has to close
+   */
+  WGPB__HANDOFF_END__HANDOFF_END_COMPLETE_CLOSE = 2,
+  /*
+   * the answer ends early
+   */
+  WGPB__HANDOFF_END__HANDOFF_END_CUT = 3,
+  /*
+   * not taken; nothing has run
+   */
+  WGPB__HANDOFF_END__HANDOFF_END_DECLINED = 4
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WGPB__HANDOFF_END)
+} Wgpb__HandoffEnd;
+typedef enum _Wgpb__HandoffWhat {
+  WGPB__HANDOFF_WHAT__HANDOFF_WHAT_CALLER_LEFT = 0,
+  /*
+   * the caller does not read its answer
+   */
+  WGPB__HANDOFF_WHAT__HANDOFF_WHAT_PAUSE = 1,
+  WGPB__HANDOFF_WHAT__HANDOFF_WHAT_RESUME = 2
+    PROTOBUF_C__FORCE_ENUM_TO_BE_INT_SIZE(WGPB__HANDOFF_WHAT)
+} Wgpb__HandoffWhat;
 
 /* --- messages --- */
 
@@ -1095,10 +1130,14 @@
    * priority of the route; 0 is first
    */
   uint32_t rank;
+  /*
+   * weight of the workspace; 0 counts as 1
+   */
+  double weight;
 };
 #define WGPB__ADMIT_ASK__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__admit_ask__descriptor) \
-    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , 0, 0, 0,NULL, 0,NULL, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0 }
 
 
 struct  Wgpb__AdmitAnswer
@@ -1171,6 +1210,64 @@
     , 0, 0, 0 }
 
 
+/*
+ * ---- entry hosts of one data centre: requests that one hands off to another ----
+ */
+struct  Wgpb__HandoffRequest
+{
+  ProtobufCMessage base;
+  /*
+   * identifies the request on this link
+   */
+  uint64_t ticket;
+  /*
+   * as the caller sent it
+   */
+  ProtobufCBinaryData head;
+  /*
+   * decoded
+   */
+  ProtobufCBinaryData body;
+  /*
+   * since the request arrived, including the time it was unread
+   */
+  uint64_t waited_us;
+  /*
+   * configuration in force at the sender
+   */
+  uint64_t version;
+};
+#define WGPB__HANDOFF_REQUEST__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__handoff_request__descriptor) \
+    , 0, {0,NULL}, {0,NULL}, 0, 0 }
+
+
+struct  Wgpb__HandoffAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  /*
+   * next bytes of the HTTP answer
+   */
+  ProtobufCBinaryData bytes;
+  Wgpb__HandoffEnd end;
+};
+#define WGPB__HANDOFF_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__handoff_answer__descriptor) \
+    , 0, {0,NULL}, WGPB__HANDOFF_END__HANDOFF_END_MORE }
+
+
+struct  Wgpb__HandoffNote
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  Wgpb__HandoffWhat what;
+};
+#define WGPB__HANDOFF_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__handoff_note__descriptor) \
+    , 0, WGPB__HANDOFF_WHAT__HANDOFF_WHAT_CALLER_LEFT }
+
+
 /* Wgpb__Hello methods */
 void   wgpb__hello__init
                      (Wgpb__Hello         *message);
@@ -2121,6 +2218,63 @@
 void   wgpb__admit_note__free_unpacked
                      (Wgpb__AdmitNote *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__HandoffRequest methods */
+void   wgpb__handoff_request__init
+                     (Wgpb__HandoffRequest         *message);
+size_t wgpb__handoff_request__get_packed_size
+                     (const Wgpb__HandoffRequest   *message);
+size_t wgpb__handoff_request__pack
+                     (const Wgpb__HandoffRequest   *message,
+                      uint8_t             *out);
+size_t wgpb__handoff_request__pack_to_buffer
+                     (const Wgpb__HandoffRequest   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__HandoffRequest *
+       wgpb__handoff_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__handoff_request__free_unpacked
+                     (Wgpb__HandoffRequest *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__HandoffAnswer methods */
+void   wgpb__handoff_answer__init
+                     (Wgpb__HandoffAnswer         *message);
+size_t wgpb__handoff_answer__get_packed_size
+                     (const Wgpb__HandoffAnswer   *message);
+size_t wgpb__handoff_answer__pack
+                     (const Wgpb__HandoffAnswer   *message,
+                      uint8_t             *out);
+size_t wgpb__handoff_answer__pack_to_buffer
+                     (const Wgpb__HandoffAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__HandoffAnswer *
+       wgpb__handoff_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__handoff_answer__free_unpacked
+                     (Wgpb__HandoffAnswer *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__HandoffNote methods */
+void   wgpb__handoff_note__init
+                     (Wgpb__HandoffNote         *message);
+size_t wgpb__handoff_note__get_packed_size
+                     (const Wgpb__HandoffNote   *message);
+size_t wgpb__handoff_note__pack
+                     (const Wgpb__HandoffNote   *message,
+                      uint8_t             *out);
+size_t wgpb__handoff_note__pack_to_buffer
+                     (const Wgpb__HandoffNote   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__HandoffNote *
+       wgpb__handoff_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__handoff_note__free_unpacked
+                     (Wgpb__HandoffNote *message,
+                      ProtobufCAllocator *allocator);
 /* --- per-message closures --- */
 
 typedef void (*Wgpb__Hello_Closure)
@@ -2273,12 +2427,23 @@
 typedef void (*Wgpb__AdmitNote_Closure)
                  (const Wgpb__AdmitNote *message,
                   void *closure_data);
+typedef void (*Wgpb__HandoffRequest_Closure)
+                 (const Wgpb__HandoffRequest *message,
+                  void *closure_data);
+typedef void (*Wgpb__HandoffAnswer_Closure)
+                 (const Wgpb__HandoffAnswer *message,
+                  void *closure_data);
+typedef void (*Wgpb__HandoffNote_Closure)
+                 (const Wgpb__HandoffNote *message,
+                  void *closure_data);
 
 /* --- services --- */
 
 
 /* --- descriptors --- */
 
+extern const ProtobufCEnumDescriptor    wgpb__handoff_end__descriptor;
+extern const ProtobufCEnumDescriptor    wgpb__handoff_what__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__hello__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__proof__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__replica__descriptor;
@@ -2329,6 +2494,9 @@
 extern const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_note__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__handoff_request__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__handoff_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__handoff_note__descriptor;
 
 PROTOBUF_C__END_DECLS
 
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -49,7 +49,10 @@
                                                     [WGW_TYPE_ADMIT_ASK] = "admit_ask",
                                                     [WGW_TYPE_ADMIT_ANSWER] = "admit_answer",
                                                     [WGW_TYPE_ADMIT_NOTE] = "admit_note",
-                                                    [WGW_TYPE_CONFIGURATION] = "configuration"};
+                                                    [WGW_TYPE_CONFIGURATION] = "configuration",
+                                                    [WGW_TYPE_HANDOFF_REQUEST] = "handoff_request",
+                                                    [WGW_TYPE_HANDOFF_ANSWER] = "handoff_answer",
+                                                    [WGW_TYPE_HANDOFF_NOTE] = "handoff_note"};
     WG_ASSERT(type >= 0 && type < WGW_TYPE_NUM);
     return names[type];
 }
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -51,6 +51,9 @@
     WGW_TYPE_ADMIT_ANSWER,
     WGW_TYPE_ADMIT_NOTE,
     WGW_TYPE_CONFIGURATION, /* from the leader, in full or as a difference */
+    WGW_TYPE_HANDOFF_REQUEST,
+    WGW_TYPE_HANDOFF_ANSWER,
+    WGW_TYPE_HANDOFF_NOTE,
     WGW_TYPE_NUM
 } wgw_type;
 
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -167,6 +167,14 @@
 /* Input delay above which the next entry host refuses requests on arrival; 0: never. */
 static int64_t fake_entry_input_delay_ms;
 
+/* Input delay above which the next entry host hands requests off; 0: never. */
+static int64_t fake_entry_handoff_delay_ms;
+
+/* Settings of the next entry host: whether idle connections give way when descriptors run short,
+   and whether a workspace far above its share is refused at once. */
+static int64_t fake_entry_spare_descriptors;
+static int64_t fake_entry_refuse_over_share;
+
 /* Bound on held bytes of the next entry host, and its limit of the time without reading; 0: none.
  */
 static double fake_entry_held_mb;
@@ -201,6 +209,9 @@
                                    .input_delay_ms = fake_entry_input_delay_ms,
                                    .held_mb = fake_entry_held_mb,
                                    .unread_ms = fake_entry_unread_ms,
+                                   .handoff_delay_ms = fake_entry_handoff_delay_ms,
+                                   .spare_descriptors = fake_entry_spare_descriptors,
+                                   .refuse_over_share = fake_entry_refuse_over_share,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
