Refused callers return while they can still be answered in time

Cause: Retry-After was 100 to 300 ms whatever the objective.

Change: setting retry_after_percent (deployed 20): between a third of and the whole of that part of what is left of the objective. Without it as before.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -79,6 +79,10 @@
               "1: a prompt may take its own route's objective; 0: the tightest one of the service"),
     WG_NUMBER("admission", hold_percent, "0", 0, 90, "%",
               "longest wait for room at a coordinator, relative to the objective; 0: none"),
+    WG_NUMBER(
+        "admission", retry_after_percent, "0", 0, 100, "%",
+        "longest time after which a refused caller is asked to retry, relative to what is left "
+        "of the objective; 0: 100 to 300 ms"),
     WG_NUMBER("admission", refuse_over_share, "0", 0, 1, "",
               "1: a workspace that is far above its share is refused at once, with the time after "
               "which it may send again; 0: its requests wait in the queue first"),
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -65,6 +65,7 @@
     double held_mb;
     int64_t unread_ms;
     int64_t refuse_over_share;
+    int64_t retry_after_percent;
     int64_t handoff_delay_ms;
     int64_t spare_descriptors;
 } wg_entry_settings;
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -99,7 +99,9 @@
     wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &again);
     wg_time left = (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
     wg_time requested = MAX(backoff.requested_until - now, 0);
-    wg_time after = wg_policy_retry_after(e->seed, ++e->counter);
+    wg_time objective_left = call->started + call->route->objective - now;
+    wg_time after = wg_policy_retry_within(e->seed, ++e->counter, objective_left,
+                                           e->settings->retry_after_percent);
     if (backoff.ends_at) {
         after = wg_policy_retry_after_backoff(e->seed, e->counter, requested, left);
         after = wg_policy_return_after_host(after, requested, backoff.ends_at - now);
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -32,7 +32,10 @@
 /* Range of Retry-After times. Short, since targets have capacity again within tenths of a
    second. */
 enum {
-    _WG_POLICY_HOST_JITTER_DIVISOR = 3 /* of a caller's jitter that is added to the host's */
+    _WG_POLICY_HOST_JITTER_DIVISOR = 3, /* of a caller's jitter that is added to the host's */
+    /* With less time, the answer to the next request would be late in any case. */
+    _WG_POLICY_RETRY_WITHIN_MIN = 5 * WG_USEC_PER_MSEC,
+    _WG_POLICY_RETRY_WITHIN_SPREAD = 3 /* longest time divided by the shortest one */
 };
 static const wg_time _WG_POLICY_RETRY_AFTER_MIN = 100 * WG_USEC_PER_MSEC;
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
@@ -123,6 +126,14 @@
     return wg_jitter_range(seed, counter, _WG_POLICY_RETRY_AFTER_MIN, _WG_POLICY_RETRY_AFTER_MAX);
 }
 
+wg_time wg_policy_retry_within(uint64_t seed, uint64_t counter, wg_time left, int64_t percent) {
+    wg_time max = left * percent / 100;
+    if (max < _WG_POLICY_RETRY_WITHIN_MIN) {
+        return wg_policy_retry_after(seed, counter);
+    }
+    return wg_jitter_range(seed, counter, max / _WG_POLICY_RETRY_WITHIN_SPREAD, max);
+}
+
 /* Callers that return before the end of the backoff period would be refused again. All of them
    wait for the same moment, so each gets a random offset, limited so that the caller can still be
    served. */
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -64,6 +64,10 @@
 wg_time wg_policy_try_gap(const wg_policy_terms* terms);
 /* Returns a random time in microseconds after which a refused caller may retry. */
 wg_time wg_policy_retry_after(uint64_t seed, uint64_t counter);
+/* Like wg_policy_retry_after(), for a request that has `left` microseconds until its objective: at
+   most `percent` of that time, so that the next request can still be answered within the objective.
+ */
+wg_time wg_policy_retry_within(uint64_t seed, uint64_t counter, wg_time left, int64_t percent);
 /* Like wg_policy_retry_after() while all targets are in backoff for `backoff_time` microseconds,
    for a caller that has `left` microseconds until its deadline. */
 wg_time wg_policy_retry_after_backoff(uint64_t seed, uint64_t counter, wg_time backoff_time,
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -175,6 +175,9 @@
 static int64_t fake_entry_spare_descriptors;
 static int64_t fake_entry_refuse_over_share;
 
+/* Setting retry_after_percent of the next entry host. */
+static int64_t fake_entry_retry_after_percent;
+
 /* Bound on held bytes of the next entry host, and its limit of the time without reading; 0: none.
  */
 static double fake_entry_held_mb;
@@ -212,6 +215,7 @@
                                    .handoff_delay_ms = fake_entry_handoff_delay_ms,
                                    .spare_descriptors = fake_entry_spare_descriptors,
                                    .refuse_over_share = fake_entry_refuse_over_share,
+                                   .retry_after_percent = fake_entry_retry_after_percent,
                                    .callers_max = 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -260,6 +260,27 @@
 }
 END_TEST
 
+/* Guards against a refused caller that is told to return when its answer can only be late. */
+START_TEST(refused_caller_is_told_to_return_within_its_objective) {
+    enum {
+        PERCENT = 20
+    };
+    char answer[1024];
+    fake_entry_retry_after_percent = PERCENT;
+    begin(0);
+    int first = send_get("/first", prompt_of_400_ms);
+    ck_assert(target_got("/first", TURNS_MAX));
+    int second = send_get("/second", prompt_of_100_ms);
+    ck_assert_int_eq(status_of(second, answer), 503);
+    ck_assert_int_gt(retry_after_ms(answer), 0);
+    ck_assert_int_le(retry_after_ms(answer), OBJECTIVE_MS * PERCENT / 100);
+    close(first);
+    close(second);
+    end();
+    fake_entry_retry_after_percent = 0;
+}
+END_TEST
+
 /* Guards against a host that terminates when the sizes that callers state exceed 32 bits in their
    sum. */
 START_TEST(absurd_prompt_sizes_do_not_overflow) {
@@ -733,20 +754,19 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry hold", request_waits_until_the_target_has_read,
-             request_is_refused_after_the_longest_wait,
-             hopeless_request_is_refused_at_once_until_there_is_room,
-             request_of_a_caller_that_leaves_is_dropped,
-             grant_for_a_target_that_takes_nothing_is_not_used,
-             nothing_waits_while_the_setting_is_off, absurd_prompt_sizes_do_not_overflow,
-             coordinator_grants_when_a_prompt_was_read, coordinator_denies_after_the_stated_time,
-             coordinator_drops_a_request_that_is_no_longer_needed,
-             coordinator_drops_the_requests_of_a_host_whose_link_closes,
-             room_of_a_lost_host_is_granted_at_once,
-             target_that_becomes_cold_gets_no_more_than_its_rate,
-             coordinator_with_the_setting_off_answers_at_once,
-             host_asks_again_with_the_time_that_the_request_may_wait,
-             host_with_the_setting_off_sends_none_of_it, denial_after_the_wait_refuses_the_request,
-             host_decides_alone_after_the_stated_time_and_gives_a_late_grant_back,
-             host_decides_alone_at_once_when_the_link_closes,
-             host_refuses_alone_when_the_link_closes, coordinator_is_told_when_the_caller_leaves)
+WG_TEST_MAIN(
+    "entry hold", request_waits_until_the_target_has_read,
+    request_is_refused_after_the_longest_wait,
+    hopeless_request_is_refused_at_once_until_there_is_room,
+    request_of_a_caller_that_leaves_is_dropped, grant_for_a_target_that_takes_nothing_is_not_used,
+    nothing_waits_while_the_setting_is_off, refused_caller_is_told_to_return_within_its_objective,
+    absurd_prompt_sizes_do_not_overflow, coordinator_grants_when_a_prompt_was_read,
+    coordinator_denies_after_the_stated_time, coordinator_drops_a_request_that_is_no_longer_needed,
+    coordinator_drops_the_requests_of_a_host_whose_link_closes,
+    room_of_a_lost_host_is_granted_at_once, target_that_becomes_cold_gets_no_more_than_its_rate,
+    coordinator_with_the_setting_off_answers_at_once,
+    host_asks_again_with_the_time_that_the_request_may_wait,
+    host_with_the_setting_off_sends_none_of_it, denial_after_the_wait_refuses_the_request,
+    host_decides_alone_after_the_stated_time_and_gives_a_late_grant_back,
+    host_decides_alone_at_once_when_the_link_closes, host_refuses_alone_when_the_link_closes,
+    coordinator_is_told_when_the_caller_leaves)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -163,6 +163,45 @@
 END_TEST
 
 /* Retry-After is past the backoff, spread at random, and at most a third of the caller's time. */
+/* Load: more is asked than targets process, and callers with an objective of 300 ms are refused
+   after 33 ms. One that returns within the rest of its objective can still be served in time; after
+   100 to 300 ms most cannot. */
+START_TEST(refused_callers_return_within_their_objective) {
+    enum {
+        OBJECTIVE = 300 * MSEC,
+        REFUSED_AFTER = 33 * MSEC,
+        SERVICE_TIME = 86 * MSEC, /* until the first event, once admitted */
+        CALLERS = 1000
+    };
+    int in_time = 0;
+    int in_time_before = 0;
+    wg_time earliest = OBJECTIVE;
+    wg_time latest = 0;
+    for (uint64_t i = 0; i < CALLERS; i++) {
+        wg_time after = wg_policy_retry_within(7, i, OBJECTIVE - REFUSED_AFTER, 20);
+        wg_time before = wg_policy_retry_within(7, i, OBJECTIVE - REFUSED_AFTER, 0);
+        ck_assert_int_eq(before, wg_policy_retry_after(7, i));
+        in_time += REFUSED_AFTER + after + SERVICE_TIME <= OBJECTIVE;
+        in_time_before += REFUSED_AFTER + before + SERVICE_TIME <= OBJECTIVE;
+        earliest = MIN(earliest, after);
+        latest = MAX(latest, after);
+    }
+    ck_assert_int_eq(in_time, CALLERS);
+    ck_assert_int_lt(in_time_before, CALLERS / 2);
+    /* They do not return all at once. */
+    ck_assert_int_gt(latest, 2 * earliest);
+}
+END_TEST
+
+/* Guards against a caller that is told to return at once, again and again, after its objective. */
+START_TEST(late_callers_return_after_the_usual_time) {
+    ck_assert_int_eq(wg_policy_retry_within(7, 1, 0, 20), wg_policy_retry_after(7, 1));
+    ck_assert_int_eq(wg_policy_retry_within(7, 1, -SECOND, 20), wg_policy_retry_after(7, 1));
+    ck_assert_int_eq(wg_policy_retry_within(7, 1, 20 * MSEC, 20), wg_policy_retry_after(7, 1));
+    ck_assert_int_ge(wg_policy_retry_within(7, 1, 25 * MSEC, 20), MSEC);
+}
+END_TEST
+
 START_TEST(retry_after_is_past_the_backoff_and_spread) {
     wg_time min = WG_TIME_NEVER;
     wg_time max = 0;
@@ -206,4 +245,6 @@
              retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
              uncharged_requests_have_full_wait_tolerance,
              refusal_comes_within_a_quarter_of_the_objective,
-             retry_after_is_past_the_backoff_and_spread, jitter_of_host_and_callers_does_not_add_up)
+             refused_callers_return_within_their_objective,
+             late_callers_return_after_the_usual_time, retry_after_is_past_the_backoff_and_spread,
+             jitter_of_host_and_callers_does_not_add_up)
