Entry host: the callers' listener pauses for 20 ms after a failed accept()

Cause: with the descriptor limit reached, accept() fails with EMFILE, the listener stays readable, and the loop calls it again at once, with a warning of libevent each time.

Change: an error callback disables the listener; a timer enables it again. One log line (WG2034) per second, metric walnutgate_entry_accept_pauses_total. A planned stop does not end while the listener is paused, as callers may wait in the backlog.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -158,14 +158,15 @@
     }
 }
 
-/* Ends the loop when no call is in progress, no request is unread, and no caller can still have an
-   entry answer that names this host; at the latest at the end of the grace period. */
+/* Ends the loop when no call is in progress, no request is unread, no caller waits to be accepted,
+   and no caller can still have an entry answer that names this host; at the latest at the end of
+   the grace period. */
 static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
     wg_time stop_max = wg_entry_stop_time(e);
     wg_time stop_min = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_STOP_CLOSE_DELAY;
     wg_time since = now - e->stop_at;
-    bool over =
-        since >= stop_max || (since >= stop_min && e->calls_num == 0 && !wg_client_any_sending(e));
+    bool over = since >= stop_max || (since >= stop_min && e->calls_num == 0 &&
+                                      wg_entry_accepts(e) && !wg_client_any_sending(e));
     if (!over) {
         return;
     }
@@ -280,6 +281,7 @@
     wg_entry_check_setup(e);
     wg_entry_quarantine_setup(e);
     wg_entry_overload_setup(e);
+    wg_entry_descriptors_setup(e);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_endpoints_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -334,6 +336,7 @@
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
     wg_entry_overload_shutdown(e);
+    wg_entry_descriptors_shutdown(e);
     wg_entry_hold_shutdown(e);
     wg_buffers_shutdown(e->buffers);
     wg_admit_shutdown(e->admit);
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -572,8 +572,10 @@
     if (!e->listener) {
         g_set_error(error, WG_ERROR, WG_ERROR_IO, "cannot listen on %s: %s", text,
                     g_strerror(errno));
+        return false;
     }
-    return e->listener != NULL;
+    wg_entry_descriptors_watch_listener(e);
+    return true;
 }
 
 static wg_time wg_client_head_timeout(const wg_entry* e) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -257,6 +257,7 @@
     uint64_t callers_cut;      /* connections closed as the caller did not read its answer */
     uint64_t targets_cut;      /* connections closed as the target did not read the request */
     uint64_t bodies_refused;   /* requests refused as the host holds too many bytes */
+    uint64_t accept_pauses;    /* pauses of the callers' listener */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
@@ -357,6 +358,11 @@
     wg_buffers_level buffers_level; /* level last applied to the answers in progress */
     int paused_num;                 /* answers whose reading is paused */
 
+    /* file descriptors: wg_entry_descriptors.c */
+    struct event* accept_timer; /* ends a pause of the callers' listener */
+    wg_time accept_paused_at;   /* start of the pause of the listener; 0: it accepts */
+    wg_time accept_logged_at;   /* last log line about a failed accept(); 0: none */
+
     wgh_server ready_server;
     wgh_server entry_server;
     wgh_server orders_server;
@@ -602,6 +608,15 @@
 /* Whether the client's next request has to wait until it has read earlier answers. */
 bool wg_entry_buffers_delays_request(const wg_client* client);
 
+/* wg_entry_descriptors.c */
+void wg_entry_descriptors_setup(wg_entry* e);
+void wg_entry_descriptors_shutdown(wg_entry* e);
+/* Pauses e->listener after each failed accept(). */
+void wg_entry_descriptors_watch_listener(wg_entry* e);
+/* Whether the callers' listener is not paused. */
+bool wg_entry_accepts(const wg_entry* e);
+void wg_entry_descriptors_print_metrics(const wg_entry* e, GString* out);
+
 /* wg_entry_attempt.c */
 /* Selects a target and sends the request, or queues it. */
 void wg_call_try(wg_call* call);
