Entry host: idle connections give way, and requests are refused, before descriptors run out

With spare_descriptors = 1 and a known limit, lib/descriptors decides on each new connection. The longest idle connection to a target or of a caller is closed for it; a request whose connection to a target would use the last descriptors gets 503 no_descriptors with a Retry-After, before an admission is requested and without an attempt; the listener is paused while callers are at their limit and nothing is idle, and comes back by a timer and with each closed connection. wg_entry_descriptors() gives the number in use and the limit.

Idle connections to targets are also kept in one queue for the host, longest idle first. The hook for closed callers' connections is in wg_entry_buffers_remove_client(), which ends the account of each.

--- a/lib/descriptors/wg_descriptors.c
+++ b/lib/descriptors/wg_descriptors.c
@@ -47,25 +47,27 @@
     }
     /* Replacing leaves the number in use as it is, also above the maximum. */
     wg_descriptors_verdict replace = _wg_descriptors_replace(counts);
-    int max = _wg_descriptors_percent(counts, is_caller ? WG_DESCRIPTORS_MAX_PERCENT
-                                                        : WG_DESCRIPTORS_TARGETS_MAX_PERCENT);
+    int max = _wg_descriptors_percent(counts, kind == WG_DESCRIPTORS_TARGET
+                                                  ? WG_DESCRIPTORS_TARGETS_MAX_PERCENT
+                                                  : WG_DESCRIPTORS_MAX_PERCENT);
     return replace == WG_DESCRIPTORS_REFUSE && used <= max ? WG_DESCRIPTORS_OPEN : replace;
 }
 
 wg_descriptors_change wg_descriptors_observe(wg_descriptors_watch* watch, wg_time now,
-                                             const wg_descriptors_counts* counts) {
+                                             const wg_descriptors_counts* counts, bool refuses) {
     int used = wg_descriptors_used(counts);
     if (counts->limit == 0) {
         return WG_DESCRIPTORS_UNCHANGED;
     }
     if (!watch->is_short) {
         /* Replacing keeps the use at the limit itself, which is a shortage too. */
-        watch->is_short = used >= _wg_descriptors_percent(counts, WG_DESCRIPTORS_SHORT_PERCENT);
+        watch->is_short =
+            refuses || used >= _wg_descriptors_percent(counts, WG_DESCRIPTORS_SHORT_PERCENT);
         watch->short_since = now;
         watch->low_since = 0;
         return watch->is_short ? WG_DESCRIPTORS_BEGUN : WG_DESCRIPTORS_UNCHANGED;
     }
-    if (used > _wg_descriptors_percent(counts, WG_DESCRIPTORS_FREED_PERCENT)) {
+    if (refuses || used > _wg_descriptors_percent(counts, WG_DESCRIPTORS_FREED_PERCENT)) {
         watch->low_since = 0;
         return WG_DESCRIPTORS_UNCHANGED;
     }
--- a/lib/descriptors/wg_descriptors.h
+++ b/lib/descriptors/wg_descriptors.h
@@ -21,7 +21,7 @@
                OPEN: open it
                CLOSE_TARGET, CLOSE_CALLER: close the longest idle connection of that kind; open it
                REFUSE: refuse the request, or let callers wait in the backlog }
-        3. periodically: wg_descriptors_observe(&watch, now, &counts)
+        3. periodically: wg_descriptors_observe(&watch, now, &counts, paused)
 
     THE CALLER OWNS
         everything passed in.
@@ -68,7 +68,8 @@
 /* Kind of a new connection. */
 typedef enum {
     WG_DESCRIPTORS_CALLER = 0,
-    WG_DESCRIPTORS_TARGET
+    WG_DESCRIPTORS_TARGET,      /* for the first attempt of a request */
+    WG_DESCRIPTORS_TARGET_AGAIN /* for a later attempt, whose earlier connection has closed */
 } wg_descriptors_kind;
 
 typedef enum {
@@ -100,7 +101,8 @@
 /* Whether one more connection of the kind may be opened. With an unknown limit always OPEN. */
 wg_descriptors_verdict wg_descriptors_decide(const wg_descriptors_counts* counts,
                                              wg_descriptors_kind kind);
+/* `refuses`: new connections are refused, whatever the counts say. */
 wg_descriptors_change wg_descriptors_observe(wg_descriptors_watch* watch, wg_time now,
-                                             const wg_descriptors_counts* counts);
+                                             const wg_descriptors_counts* counts, bool refuses);
 /* Retry-After of a request that is refused for lack of descriptors, microseconds. */
 wg_time wg_descriptors_retry_after(uint64_t seed, uint64_t counter);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -232,6 +232,7 @@
     wg_entry_advance_retries(e);
     wg_call_queue_run(e);
     wg_entry_overload_tick(e, now);
+    wg_entry_descriptors_tick(e, now);
     wg_entry_queue_delay_probe(e, now);
     if (e->stopping) {
         wg_entry_stop_tick(e, now);
@@ -283,6 +284,7 @@
     wg_entry_overload_setup(e);
     wg_entry_descriptors_setup(e);
     g_queue_init(&e->orders);
+    g_queue_init(&e->idle_upstreams);
     if (!wg_entry_link_setup(e, error) || !wg_entry_endpoints_setup(e, error) ||
         !wg_client_listen(e, error)) {
         wg_entry_shutdown(e);
@@ -321,6 +323,7 @@
     }
     if (e->listener) {
         evconnlistener_free(e->listener);
+        e->listener = NULL; /* connections that close from here on do not resume it */
     }
     wg_entry_orders_drop(e);
     wg_upstream_shutdown(e);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -234,6 +234,30 @@
     return wg_admit_fits(&limits, choice->wait, choice->wait_ahead);
 }
 
+/* ---- helpers: sending ------------------------------------------------------------------------ */
+
+/* Whether the attempt, 1 for the first one, has to use a new connection. */
+static bool wg_call_needs_fresh(const wg_call* call, int attempt) {
+    return !wg_route_is_repeatable(call->route) && attempt > 1;
+}
+
+/* Refuses the request if it cannot be sent to the target for lack of descriptors. Returns whether
+   it did. No other target is tried: any idle connection would have been closed for a new one, so
+   none of them can be reached either. */
+static bool wg_call_refuse_without_descriptor(wg_call* call, const wg_target* target) {
+    wg_entry* e = call->entry;
+    bool fresh = wg_call_needs_fresh(call, call->attempts + 1);
+    wg_descriptors_kind kind =
+        call->attempts > 0 ? WG_DESCRIPTORS_TARGET_AGAIN : WG_DESCRIPTORS_TARGET;
+    if ((!fresh && wg_upstream_has_idle(e, target)) || wg_entry_may_open(e, kind)) {
+        return false;
+    }
+    e->counters.descriptor_refusals++;
+    wg_call_refuse(call, call->may_have_run ? 502 : 503, "no_descriptors",
+                   wg_entry_descriptors_retry_after(e));
+    return true;
+}
+
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
     wg_entry* e = call->entry;
     wg_retry_rules rules = wg_call_retry_rules(e);
@@ -252,8 +276,7 @@
     if (call->has_prompt) {
         wg_balance_record_prompt(e->balance, now, target->number, &call->prompt);
     }
-    bool careful = !wg_route_is_repeatable(call->route);
-    wg_upstream* up = wg_upstream_open(e, target, careful && call->attempts > 1);
+    wg_upstream* up = wg_upstream_open(e, target, wg_call_needs_fresh(call, call->attempts));
     if (!up) {
         wg_call_attempt_failed(call, NULL, "no-connection");
         return;
@@ -280,6 +303,9 @@
         wg_call_choose(call, now);
         return;
     }
+    if (wg_call_refuse_without_descriptor(call, target)) {
+        return;
+    }
     bool waited = call->queued;
     wg_call_unqueue(call);
     call->choice = call->proposed;
@@ -408,6 +434,10 @@
     }
     call->expected = choice.wait;
     call->proposed = choice;
+    const wg_target* target = wg_registry_find(call->entry->registry, choice.target);
+    if (target && wg_call_refuse_without_descriptor(call, target)) {
+        return; /* before an admission is requested */
+    }
     if (call->has_prompt || wg_entry_cold_rate(call->entry, choice.target) > 0) {
         wg_call_request_admission(call, now);
     } else {
--- a/lib/entry/wg_entry_buffers.c
+++ b/lib/entry/wg_entry_buffers.c
@@ -152,6 +152,7 @@
     evbuffer_remove_cb(bufferevent_get_output(client->bev), wg_entry_buffers_on_client_output,
                        client);
     wg_buffers_remove(client->entry->buffers, &client->held);
+    wg_entry_descriptors_closed(client->entry);
 }
 
 void wg_entry_buffers_add_upstream(wg_upstream* up) {
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -12,6 +12,9 @@
     WG_HEAD_TIMEOUT_START = 3 * WG_USEC_PER_SEC,  /* before a configuration is known */
     WG_IDLE_TIMEOUT_START = 15 * WG_USEC_PER_SEC, /* before a configuration is known */
     WG_ENDING_TIMEOUT = 2 * WG_USEC_PER_SEC,      /* to flush the last answer */
+    /* A connection that waits for a request for a shorter time is not closed for lack of
+       descriptors: the first request of a new caller, or the next one, may be on its way. */
+    WG_IDLE_MIN = 100 * WG_USEC_PER_MSEC,
     WG_LISTEN_BACKLOG = 512
 };
 
@@ -494,8 +497,9 @@
     }
 }
 
-/* Maximum number of callers' connections. Reserves descriptors for connections to targets and other
-   hosts: without free descriptors accept() fails and the listener wakes the loop continuously. */
+/* Maximum number of callers' connections, unless the host spares descriptors. Reserves descriptors
+   for connections to targets and other hosts: without free descriptors accept() fails and the
+   listener wakes the loop continuously. */
 static guint wg_client_connections_max(const wg_entry* e) {
     enum {
         CALLERS_MAX_PERCENT = 70,
@@ -511,8 +515,23 @@
     return (guint)MAX(limit_num, 1);
 }
 
-/* Closes the longest idle connection if the limit is reached. False if no connection is idle. */
+wg_client* wg_client_longest_idle(wg_entry* e, wg_time now) {
+    wg_client* oldest;
+    while ((oldest = g_queue_peek_head(&e->idle_clients)) &&
+           (wg_client_has_unread(oldest) ||
+            evbuffer_get_length(bufferevent_get_output(oldest->bev)) > 0)) {
+        wg_client_leave_idle(oldest); /* it sends a request, or reads its last answer */
+    }
+    return oldest && now - oldest->state_since >= WG_IDLE_MIN ? oldest : NULL;
+}
+
+/* Closes the longest idle connection if the limit is reached. False if no connection is idle. A
+   host that spares descriptors keeps the connection in any case, as it stops to accept before. */
 static bool wg_client_make_room(wg_entry* e) {
+    if (e->spares_descriptors) {
+        wg_entry_make_room(e, WG_DESCRIPTORS_CALLER);
+        return true;
+    }
     if (e->clients->len < wg_client_connections_max(e)) {
         return true;
     }
@@ -558,6 +577,7 @@
     g_ptr_array_add(e->clients, client);
     wg_client_set_state(client, WG_CLIENT_HEAD);
     bufferevent_enable(client->bev, EV_READ | EV_WRITE);
+    wg_entry_descriptors_accepted(e);
 }
 
 bool wg_client_listen(wg_entry* e, GError** error) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -10,6 +10,7 @@
 #include "wg_balance.h"
 #include "wg_buffers.h"
 #include "wg_config.h"
+#include "wg_descriptors.h"
 #include "wg_entry.h"
 #include "wg_event_stream.h"
 #include "wg_fair.h"
@@ -185,7 +186,8 @@
     wg_buffers_peer held; /* request not read yet, and content not relayed yet */
     wg_time idle_since;
     wg_time idle_limit;
-    GList idle_link;
+    GList idle_link;  /* in the queue of its target */
+    GList idle_order; /* in entry->idle_upstreams */
 };
 
 /* Addresses of processes that may know the leader, each at most once. */
@@ -250,14 +252,16 @@
     uint64_t targets_alive; /* targets that aborted a request, but accept connections */
     uint64_t checks_skipped;
     uint64_t quarantine_refusals;
-    uint64_t backoffs;         /* backoff periods requested by targets */
-    uint64_t drains_reported;  /* targets that reported in an answer that they are draining */
-    uint64_t backoff_refusals; /* requests refused because all targets are in backoff */
-    uint64_t target_stalls;    /* stalls of targets that this host coordinates */
-    uint64_t callers_cut;      /* connections closed as the caller did not read its answer */
-    uint64_t targets_cut;      /* connections closed as the target did not read the request */
-    uint64_t bodies_refused;   /* requests refused as the host holds too many bytes */
-    uint64_t accept_pauses;    /* pauses of the callers' listener */
+    uint64_t backoffs;            /* backoff periods requested by targets */
+    uint64_t drains_reported;     /* targets that reported in an answer that they are draining */
+    uint64_t backoff_refusals;    /* requests refused because all targets are in backoff */
+    uint64_t target_stalls;       /* stalls of targets that this host coordinates */
+    uint64_t callers_cut;         /* connections closed as the caller did not read its answer */
+    uint64_t targets_cut;         /* connections closed as the target did not read the request */
+    uint64_t bodies_refused;      /* requests refused as the host holds too many bytes */
+    uint64_t accept_pauses;       /* pauses of the callers' listener */
+    uint64_t descriptor_refusals; /* requests refused for lack of descriptors */
+    uint64_t idle_targets_closed; /* idle connections to targets closed for new connections */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
@@ -359,9 +363,13 @@
     int paused_num;                 /* answers whose reading is paused */
 
     /* file descriptors: wg_entry_descriptors.c */
-    struct event* accept_timer; /* ends a pause of the callers' listener */
-    wg_time accept_paused_at;   /* start of the pause of the listener; 0: it accepts */
-    wg_time accept_logged_at;   /* last log line about a failed accept(); 0: none */
+    bool spares_descriptors; /* the setting is on and the limit is known */
+    GQueue idle_upstreams;   /* wg_upstream of all targets, longest idle first */
+    wg_descriptors_watch descriptors_watch;
+    uint64_t refused_before_shortage; /* descriptor_refusals until the last shortage began */
+    struct event* accept_timer;       /* ends a pause of the callers' listener */
+    wg_time accept_paused_at;         /* start of the pause of the listener; 0: it accepts */
+    wg_time accept_logged_at;         /* last log line about a failed accept(); 0: none */
 
     wgh_server ready_server;
     wgh_server entry_server;
@@ -615,6 +623,21 @@
 void wg_entry_descriptors_watch_listener(wg_entry* e);
 /* Whether the callers' listener is not paused. */
 bool wg_entry_accepts(const wg_entry* e);
+/* Descriptors in use: connections of callers and to targets, and links. `max` receives the limit of
+   the process; 0: unknown. */
+int wg_entry_descriptors(const wg_entry* e, int* max);
+/* Whether one more connection of the kind may be opened, possibly in place of an idle one. Always
+   true if the host does not spare descriptors. */
+bool wg_entry_may_open(wg_entry* e, wg_descriptors_kind kind);
+/* Closes the idle connection that gives way to a new one of the kind, if there has to be one. */
+void wg_entry_make_room(wg_entry* e, wg_descriptors_kind kind);
+/* A caller's connection was accepted: pauses the listener if there must be no further one. */
+void wg_entry_descriptors_accepted(wg_entry* e);
+/* A connection closes, and is no longer counted. */
+void wg_entry_descriptors_closed(wg_entry* e);
+/* Seconds after which the caller of a request that was refused may send it again. */
+double wg_entry_descriptors_retry_after(wg_entry* e);
+void wg_entry_descriptors_tick(wg_entry* e, wg_time now);
 void wg_entry_descriptors_print_metrics(const wg_entry* e, GString* out);
 
 /* wg_entry_attempt.c */
@@ -651,6 +674,9 @@
 void wg_client_call_ended(wg_client* client, bool keep);
 /* Closes at once, also in the middle of an answer. */
 void wg_client_close(wg_client* client);
+/* The caller's connection that has waited longest for a request and may be closed in favour of
+   another one; NULL: none. Only for a host that spares descriptors. */
+wg_client* wg_client_longest_idle(wg_entry* e, wg_time now);
 /* Error answer of this host while there is no call. */
 typedef struct {
     int status;
@@ -689,7 +715,10 @@
 void wg_call_reset_timers(wg_entry* e, wg_time now);
 
 /* wg_entry_upstream.c */
+/* Uses an idle connection unless `fresh`, or opens one. NULL if that fails. */
 wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh);
+/* Whether there is an idle connection to the target. */
+bool wg_upstream_has_idle(wg_entry* e, const wg_target* target);
 void wg_upstream_send(wg_upstream* up, wg_call* call);
 void wg_upstream_close(wg_upstream* up);
 void wg_upstream_release(wg_upstream* up);
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -65,20 +65,37 @@
     evbuffer_drain(up->content, evbuffer_get_length(up->content));
 }
 
+/* Removes the connection from the idle ones, for use or to be closed. */
+static void wg_upstream_leave_idle(wg_upstream* up) {
+    g_queue_unlink(wg_upstream_idle(up->entry, up->target), &up->idle_link);
+    g_queue_unlink(&up->entry->idle_upstreams, &up->idle_order);
+    up->state = WG_UPSTREAM_HEAD;
+}
+
+static void wg_upstream_enter_idle(wg_upstream* up) {
+    up->state = WG_UPSTREAM_IDLE;
+    up->idle_link = (GList){.data = up};
+    up->idle_order = (GList){.data = up};
+    g_queue_push_head_link(wg_upstream_idle(up->entry, up->target), &up->idle_link);
+    g_queue_push_tail_link(&up->entry->idle_upstreams, &up->idle_order);
+}
+
 void wg_upstream_close(wg_upstream* up) {
+    wg_entry* e = up->entry;
     if (up->state == WG_UPSTREAM_IDLE) {
-        g_queue_unlink(wg_upstream_idle(up->entry, up->target), &up->idle_link);
+        wg_upstream_leave_idle(up);
     }
     if (up->call) {
         up->call->upstream = NULL;
     }
-    up->entry->upstreams_num--;
+    e->upstreams_num--;
     wg_upstream_end_pause(up);
     wg_entry_buffers_remove_upstream(up);
     bufferevent_free(up->bev);
     evbuffer_free(up->content);
     g_free(up->bytes);
     g_free(up);
+    wg_entry_descriptors_closed(e);
 }
 
 void wg_upstream_release(wg_upstream* up) {
@@ -97,28 +114,16 @@
         return;
     }
     wg_upstream_clear_answer(up);
-    up->state = WG_UPSTREAM_IDLE;
     up->used = true;
     up->written = false;
     up->idle_since = now;
     up->idle_limit = limit;
     bufferevent_enable(up->bev, EV_READ);
-    up->idle_link = (GList){.data = up};
-    g_queue_push_head_link(wg_upstream_idle(up->entry, up->target), &up->idle_link);
-}
-
-/* Removes the longest idle connection from `queue`; NULL if there is none. */
-static wg_upstream* wg_upstream_pop_oldest(GQueue* queue) {
-    GList* link = g_queue_pop_tail_link(queue);
-    wg_upstream* up = link ? link->data : NULL;
-    if (up) {
-        up->state = WG_UPSTREAM_HEAD;
-    }
-    return up;
+    wg_upstream_enter_idle(up);
 }
 
 static void wg_upstream_close_queue(GQueue* queue) {
-    for (wg_upstream* up; (up = wg_upstream_pop_oldest(queue));) {
+    for (wg_upstream* up; (up = g_queue_peek_tail(queue));) {
         wg_upstream_close(up);
     }
 }
@@ -135,7 +140,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         GQueue* queue = value;
         while (wg_upstream_is_stale(queue, now)) {
-            wg_upstream_close(wg_upstream_pop_oldest(queue));
+            wg_upstream_close(g_queue_peek_tail(queue));
         }
     }
 }
@@ -372,12 +377,15 @@
     }
 }
 
+bool wg_upstream_has_idle(wg_entry* e, const wg_target* target) {
+    return wg_upstream_idle(e, target->number)->head != NULL;
+}
+
 wg_upstream* wg_upstream_open(wg_entry* e, const wg_target* target, bool fresh) {
     GQueue* queue = wg_upstream_idle(e, target->number);
     if (!fresh && queue->head) {
         wg_upstream* up = queue->head->data;
-        g_queue_unlink(queue, &up->idle_link);
-        up->state = WG_UPSTREAM_HEAD;
+        wg_upstream_leave_idle(up);
         return up;
     }
     struct sockaddr_storage address;
@@ -385,6 +393,7 @@
     if (!wgn_parse_address(target->address, &address, &size)) {
         return NULL;
     }
+    wg_entry_make_room(e, WG_DESCRIPTORS_TARGET);
     wg_upstream* up = g_new0(wg_upstream, 1);
     up->entry = e;
     up->target = target->number;
--- a/tests/test_descriptors.c
+++ b/tests/test_descriptors.c
@@ -70,6 +70,17 @@
 }
 END_TEST
 
+/* A request, or a stream in progress, whose connection broke must not fail because other callers
+   took the descriptor meanwhile. */
+START_TEST(further_attempt_may_use_the_part_for_answers) {
+    wg_descriptors_counts counts = counts_of(460, MAX_USED - LINKS - 460 - 1);
+    ck_assert_int_eq(decide(counts, WG_DESCRIPTORS_TARGET), WG_DESCRIPTORS_REFUSE);
+    ck_assert_int_eq(decide(counts, WG_DESCRIPTORS_TARGET_AGAIN), WG_DESCRIPTORS_OPEN);
+    counts.targets++;
+    ck_assert_int_eq(decide(counts, WG_DESCRIPTORS_TARGET_AGAIN), WG_DESCRIPTORS_REFUSE);
+}
+END_TEST
+
 /* A new connection in place of an idle one takes nothing from the reserve, however many links the
    host has by now. */
 START_TEST(replacing_is_possible_above_the_limit) {
@@ -122,7 +133,8 @@
     counts.limit = 0;
     ck_assert_int_eq(decide(counts, WG_DESCRIPTORS_TARGET), WG_DESCRIPTORS_OPEN);
     ck_assert_int_eq(decide(counts, WG_DESCRIPTORS_CALLER), WG_DESCRIPTORS_OPEN);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, SECOND, &counts), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, SECOND, &counts, false),
+                     WG_DESCRIPTORS_UNCHANGED);
 }
 END_TEST
 
@@ -230,17 +242,35 @@
     wg_descriptors_counts low = counts_of(100, 100);
     wg_descriptors_counts high = counts_of(400, SHORT - LINKS - 400);
     wg_descriptors_counts between = counts_of(400, SHORT - LINKS - 400 - 1);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 1, &between), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 2, &high), WG_DESCRIPTORS_BEGUN);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 3, &high), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 1, &between, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 2, &high, false), WG_DESCRIPTORS_BEGUN);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 3, &high, false), WG_DESCRIPTORS_UNCHANGED);
     ck_assert_int_eq(watch.short_since, 2);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 10, &low), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 11, &between), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 12, &low), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 11 + SECOND, &low), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 12 + SECOND, &low), WG_DESCRIPTORS_ENDED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 13 + SECOND, &low), WG_DESCRIPTORS_UNCHANGED);
-    ck_assert_int_eq(wg_descriptors_observe(&watch, 14 + SECOND, &high), WG_DESCRIPTORS_BEGUN);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 10, &low, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 11, &between, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 12, &low, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 11 + SECOND, &low, false),
+                     WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 12 + SECOND, &low, false),
+                     WG_DESCRIPTORS_ENDED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 13 + SECOND, &low, false),
+                     WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 14 + SECOND, &high, false),
+                     WG_DESCRIPTORS_BEGUN);
+}
+END_TEST
+
+/* A host whose callers are at their limit, or whose accept() fails, is short whatever is in use. */
+START_TEST(refusing_is_a_shortage) {
+    wg_descriptors_watch watch = {0};
+    wg_descriptors_counts low = counts_of(100, 100);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 1, &low, true), WG_DESCRIPTORS_BEGUN);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 2, &low, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 3, &low, true), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 4, &low, false), WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 3 + SECOND, &low, false),
+                     WG_DESCRIPTORS_UNCHANGED);
+    ck_assert_int_eq(wg_descriptors_observe(&watch, 4 + SECOND, &low, false), WG_DESCRIPTORS_ENDED);
 }
 END_TEST
 
@@ -261,7 +291,7 @@
 
 WG_TEST_MAIN("descriptors", nothing_is_closed_while_enough_is_free,
              connections_to_targets_give_way_first, nothing_idle_refuses_at_the_limit_of_each_kind,
-             replacing_is_possible_above_the_limit, callers_leave_a_part_to_targets,
-             setting_limits_callers_too, unknown_limit_refuses_nothing,
-             neither_callers_nor_targets_starve, shortage_is_reported_once,
-             retry_after_is_within_its_bounds)
+             further_attempt_may_use_the_part_for_answers, replacing_is_possible_above_the_limit,
+             callers_leave_a_part_to_targets, setting_limits_callers_too,
+             unknown_limit_refuses_nothing, neither_callers_nor_targets_starve,
+             shortage_is_reported_once, refusing_is_a_shortage, retry_after_is_within_its_bounds)
