Tests of descriptors: the target frees its idle connections

Cause: with sanitizers, the connections of the test's target that were still idle at the end were reported as leaks.

Run: test_entry_descriptors passes, also with address and undefined-behaviour sanitizers (11 cases).

--- a/tests/test_entry_descriptors.c
+++ b/tests/test_entry_descriptors.c
@@ -13,11 +13,12 @@
     FAILURES_MAX = 30,   /* one each 20 ms, and some for a late loop */
     WAITING_CALLERS = 3, /* in the backlog while accept() fails */
 
-    DESCRIPTORS = 40, /* with one link: idle connections give way above 32 */
-    STREAMS_MAX = 17, /* 35 with the link; an 18th would need 37, and targets stop at 36 */
-    CALLERS_MAX = 18, /* then: half of 37 */
-    ROOMY = 60,       /* descriptors; idle connections give way above 48 */
-    IDLE_MIN_MS = 100 /* a younger connection counts as used */
+    DESCRIPTORS = 40,      /* with one link: idle connections give way above 32 */
+    STREAMS_MAX = 17,      /* 35 with the link; an 18th would need 37, and targets stop at 36 */
+    CALLERS_MAX = 18,      /* then: half of 37 */
+    ROOMY = 60,            /* descriptors; idle connections give way above 48 */
+    IDLE_MIN_MS = 100,     /* a younger connection counts as used */
+    IDLE_TIMEOUT_MS = 5000 /* idle connections to targets are closed before */
 };
 
 static int accepts_failed; /* accept4() calls of the process that failed for lack of descriptors */
@@ -162,11 +163,6 @@
     one_entry_lead(&(one_route){.version = 1, .prefix = "/a/", .timeout_ms = 20000});
 }
 
-static void end_sparing(void) {
-    one_entry_end();
-    g_string_free(log_lines, TRUE);
-}
-
 /* Value of a metric of the entry host. */
 static int metric(const char* name) {
     GString* text = g_string_new(NULL);
@@ -189,6 +185,16 @@
     return value;
 }
 
+static void end_sparing(void) {
+    /* The target frees its connections when the entry host closes them. */
+    wg_time limit = wg_now() + IDLE_TIMEOUT_MS * MSEC;
+    while (wg_now() < limit && metric("descriptors") > 1) {
+        run_turns(50);
+    }
+    one_entry_end();
+    g_string_free(log_lines, TRUE);
+}
+
 static bool is_closed(int fd) {
     char byte;
     return recv(fd, &byte, 1, MSG_PEEK) == 0;
