--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -101,6 +101,7 @@
     ck_assert_int_eq(control.room_wait_ms, entry.room_wait_ms);
     ck_assert_int_eq(entry.route_limits, 1);
     ck_assert_int_eq(entry.retry_after_percent, 20);
+    ck_assert_int_eq(entry.spare_descriptors, 1);
     wgi_clear(wg_entry_keys, wg_entry_keys_num, &entry);
     wgi_clear(wgco_keys, wgco_keys_num, &control);
 }
