Policy: time until a workspace far above its share may be served

A request of a workspace with wait tolerance 0 waits in the queue and is refused with a Retry-After of 0.1 to 0.3 s, whatever its usage, and is refused again when it returns.

wg_policy_yield_time() is the time until the tolerance is above 0. It assumes that the usage of the workspace decays and that the level stays: a service without room serves as much as it can, so others take what the workspace leaves. The result is not used yet. wg_policy_retry_after_yield() spreads callers over a third of it.

build/test_policy: 16 checks pass, 4 of them new. One workspace at 1.3 to 3 times the others: the time is within 30 ms + 5% of the simulated one if the others take over, and 60 to 100% of it if they are served as before.

--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -79,6 +79,15 @@
     return fair_share * served;
 }
 
+static double wg_fair_excess_at(const wg_fair_slope* slope, double used, double level) {
+    return level > 0 ? used / (slope->zero_from * level) : 0;
+}
+
+double wg_fair_excess(double used, const wg_fair_levels* levels) {
+    double fair_share = wg_fair_excess_at(&WG_FAIR_SHARE_SLOPE, used, levels->fair_share);
+    return MAX(fair_share, wg_fair_excess_at(&WG_FAIR_SERVED_SLOPE, used, levels->served));
+}
+
 wg_time wg_fair_try_gap(double tolerance) {
     enum {
         TRY_GAP = 60 * WG_USEC_PER_MSEC
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -52,6 +52,10 @@
    others that are refused. */
 double wg_fair_wait_tolerance(double used, const wg_fair_levels* levels);
 
+/* Returns the usage divided by the usage from which on the wait tolerance is 0; below 1 the
+   tolerance is above 0. 0 without a known level. */
+double wg_fair_excess(double used, const wg_fair_levels* levels);
+
 /* Returns the microseconds between two tries of a queued request. Workspaces above their fair
    share retry at intervals, so that their share does not depend on how many requests their host has
    queued. */
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -1,6 +1,10 @@
 /* wg_policy.c -- see wg_policy.h */
 #include "wg_policy.h"
 
+#include <math.h>
+
+#include "wg_usage.h"
+
 enum {
     /* Percentage of the objective that a request may be queued before it is refused. Low, since
        requests that are not placed soon rarely succeed. */
@@ -8,6 +12,9 @@
     _WG_POLICY_WAIT_MIN = 5 * WG_USEC_PER_MSEC,
     /* Callers honour a Retry-After of up to their remaining time divided by this. */
     _WG_POLICY_HONOURED_DIVISOR = 3,
+    /* Part of the yield time up to which a Retry-After is later, so that callers that were refused
+       together do not return together. */
+    _WG_POLICY_YIELD_JITTER_DIVISOR = 3,
     _WG_POLICY_ADMISSIONS_MAX = 3,
     _WG_POLICY_ADMISSIONS_MAX_LIMITED = 2 /* for a wait tolerance below 1 */
 };
@@ -36,6 +43,9 @@
 };
 static const wg_time _WG_POLICY_RETRY_AFTER_MIN = 100 * WG_USEC_PER_MSEC;
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
+/* Longest yield time. Beyond the deadline of any caller; keeps the result finite if the level is
+   almost 0. */
+static const wg_time _WG_POLICY_YIELD_MAX = 60 * WG_USEC_PER_SEC;
 
 static double _wg_policy_tolerance(const wg_policy_terms* t) {
     if (!t->counts || t->has_room) {
@@ -115,6 +125,16 @@
     return tolerance < 1 ? _WG_POLICY_ADMISSIONS_MAX_LIMITED : _WG_POLICY_ADMISSIONS_MAX;
 }
 
+/* Only the usage of the workspace is assumed to change. A service without room serves as much as it
+   can, so others take what the workspace leaves, and the level stays. */
+wg_time wg_policy_yield_time(const wg_policy_terms* t) {
+    if (wg_policy_admission_requests_max(t) > 0) {
+        return 0;
+    }
+    double time = WG_USAGE_HALF_LIFE * log2(MAX(wg_fair_excess(t->used, t->levels), 1));
+    return MIN((wg_time)MIN(time, (double)_WG_POLICY_YIELD_MAX) + 1, _WG_POLICY_YIELD_MAX);
+}
+
 wg_time wg_policy_try_gap(const wg_policy_terms* t) {
     return wg_fair_try_gap(_wg_policy_tolerance(t));
 }
@@ -123,15 +143,28 @@
     return wg_jitter_range(seed, counter, _WG_POLICY_RETRY_AFTER_MIN, _WG_POLICY_RETRY_AFTER_MAX);
 }
 
+/* Returns `after`, or a random time that leaves the caller enough of its `left` microseconds to be
+   served. */
+static wg_time _wg_policy_honoured(uint64_t seed, uint64_t counter, wg_time after, wg_time left) {
+    wg_time max_wait = MAX(left, 0) / _WG_POLICY_HONOURED_DIVISOR;
+    wg_time spread = wg_jitter_range(seed, counter, max_wait * 4 / 5, max_wait);
+    return after <= max_wait ? after : spread;
+}
+
 /* Callers that return before the end of the backoff period would be refused again. All of them
    wait for the same moment, so each gets a random offset, limited so that the caller can still be
    served. */
 wg_time wg_policy_retry_after_backoff(uint64_t seed, uint64_t counter, wg_time backoff_time,
                                       wg_time left) {
-    wg_time max_wait = MAX(left, 0) / _WG_POLICY_HONOURED_DIVISOR;
-    wg_time jitter = wg_policy_retry_after(seed, counter);
-    wg_time spread = wg_jitter_range(seed, counter, max_wait * 4 / 5, max_wait);
-    return backoff_time + jitter <= max_wait ? backoff_time + jitter : spread;
+    wg_time after = backoff_time + wg_policy_retry_after(seed, counter);
+    return _wg_policy_honoured(seed, counter, after, left);
+}
+
+wg_time wg_policy_retry_after_yield(uint64_t seed, uint64_t counter, wg_time yield_time,
+                                    wg_time left) {
+    wg_time jitter =
+        wg_jitter_range(seed, counter, 0, yield_time / _WG_POLICY_YIELD_JITTER_DIVISOR);
+    return _wg_policy_honoured(seed, counter, yield_time + jitter, left);
 }
 
 /* The host's jitter already separates its callers from those of other hosts; the rest only has to
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -14,6 +14,7 @@
           slots, are tried less often, and do not cause shared parts to be computed again; none
           yields while the service has room
         - requests of a workspace with little usage are sent late rather than refused
+        - tells when a workspace far above its share may be served again
 
     USE
         wg_policy_terms t = {.counts = true, .used = used, .levels = &levels, ...};
@@ -60,6 +61,9 @@
 bool wg_policy_may_be_late(const wg_policy_terms* terms);
 /* Maximum number of admissions requested in one try; 0: the request is not sent. */
 int wg_policy_admission_requests_max(const wg_policy_terms* terms);
+/* Microseconds until the wait tolerance of a workspace that no target may be asked for is above 0,
+   if the workspace gets nothing more and the level stays; 0: targets may be asked now. */
+wg_time wg_policy_yield_time(const wg_policy_terms* terms);
 /* Microseconds between two tries of a queued request. */
 wg_time wg_policy_try_gap(const wg_policy_terms* terms);
 /* Returns a random time in microseconds after which a refused caller may retry. */
@@ -68,6 +72,11 @@
    for a caller that has `left` microseconds until its deadline. */
 wg_time wg_policy_retry_after_backoff(uint64_t seed, uint64_t counter, wg_time backoff_time,
                                       wg_time left);
+/* Returns a random time in microseconds after which a caller refused because of `yield_time` may
+   retry: up to a third longer, and at most a third of the `left` microseconds until its deadline.
+ */
+wg_time wg_policy_retry_after_yield(uint64_t seed, uint64_t counter, wg_time yield_time,
+                                    wg_time left);
 /* Moves `after`, a time beyond `backoff_time`, past the time at which this host ends its backoff,
    which includes a jitter of its own; all in microseconds from now. */
 wg_time wg_policy_return_after_host(wg_time after, wg_time backoff_time, wg_time host_time);
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -1,6 +1,10 @@
 /* test_policy.c -- wait limits of requests by objective, fair share and confidence */
 #include "wg_policy.h"
+
+#include <math.h>
+
 #include "wg_test.h"
+#include "wg_usage.h"
 
 static const wg_fair_levels levels = {.fair_share = 1000, .served = 1000};
 static const wg_fair_margin full_confidence = {.value = 1};
@@ -200,10 +204,153 @@
 }
 END_TEST
 
+/* ---- time until a workspace far above its share may be served again ------------------------ */
+
+enum {
+    OTHERS = 4,               /* workspaces beside the one that yields */
+    OTHERS_USAGE = 1000,      /* of each, at first */
+    LOAD_STEP = 10 * MSEC,    /* of the simulated load */
+    DEMAND_FACTOR = 10,       /* all ask for more than they get */
+    YIELD_MARGIN = 30 * MSEC, /* three steps */
+    YIELD_MARGIN_PERCENT = 5
+};
+
+/* Usage of one workspace, `most`, and of others that are served on, with the levels that follow. */
+typedef struct {
+    double most;
+    double other;
+    bool others_take_over; /* the others are served what `most` leaves; else the same as before */
+    wg_fair_levels levels;
+} load;
+
+static void load_set_levels(load* l) {
+    double demand[OTHERS + 1];
+    for (int i = 0; i <= OTHERS; i++) {
+        demand[i] = DEMAND_FACTOR * OTHERS_USAGE;
+    }
+    l->levels.served = wg_fair_level(demand, OTHERS + 1, l->most + OTHERS * l->other);
+}
+
+static load load_begin(double ratio, bool others_take_over) {
+    load l = {
+        .most = ratio * OTHERS_USAGE, .other = OTHERS_USAGE, .others_take_over = others_take_over};
+    load_set_levels(&l);
+    return l;
+}
+
+/* Usage that decays is replaced by what is served in the same time. */
+static void load_step(load* l) {
+    double lost = l->most * (1 - exp2(-(double)LOAD_STEP / WG_USAGE_HALF_LIFE));
+    l->most -= lost;
+    l->other += l->others_take_over ? lost / OTHERS : 0;
+    load_set_levels(l);
+}
+
+static wg_policy_terms load_terms(const load* l) {
+    wg_policy_terms t = terms(l->most);
+    t.levels = &l->levels;
+    return t;
+}
+
+/* Time until targets may be asked for requests of `most`, which is not served until then. */
+static wg_time load_yield_time(load* l) {
+    wg_time time = 0;
+    wg_policy_terms t = load_terms(l);
+    while (wg_policy_admission_requests_max(&t) == 0) {
+        load_step(l);
+        time += LOAD_STEP;
+        t = load_terms(l);
+    }
+    return time;
+}
+
+/* Guards against callers that return to be refused again, or that stay away although they could be
+   served: one workspace at 1.3 to 3 times the others, which are served what it leaves. */
+START_TEST(yield_time_is_the_time_until_targets_may_be_asked) {
+    for (int percent = 130; percent <= 300; percent += 5) {
+        load l = load_begin(percent / 100.0, true);
+        wg_policy_terms t = load_terms(&l);
+        wg_time told = wg_policy_yield_time(&t);
+        wg_time real = load_yield_time(&l);
+        ck_assert_int_le(ABS(told - real), YIELD_MARGIN + real * YIELD_MARGIN_PERCENT / 100);
+    }
+}
+END_TEST
+
+/* If the others do not take what the workspace leaves, the level falls with its usage. The time is
+   then too short by less than 40% of the real one, never too long. */
+START_TEST(yield_time_is_never_too_long_while_others_are_served) {
+    for (int percent = 130; percent <= 300; percent += 5) {
+        load l = load_begin(percent / 100.0, false);
+        wg_policy_terms t = load_terms(&l);
+        wg_time told = wg_policy_yield_time(&t);
+        wg_time real = load_yield_time(&l);
+        ck_assert_int_le(told, real + YIELD_MARGIN);
+        ck_assert_int_ge(told, real * 60 / 100 - YIELD_MARGIN);
+    }
+}
+END_TEST
+
+/* Guards against a time for requests that may be sent now, and against one that is not finite. */
+START_TEST(only_a_workspace_far_above_its_share_has_a_yield_time) {
+    wg_policy_terms t = terms(1290);
+    ck_assert_int_eq(wg_policy_yield_time(&t), 0);
+    t.used = 1300;
+    ck_assert_int_gt(wg_policy_yield_time(&t), 0);
+    ck_assert_int_lt(wg_policy_yield_time(&t), MSEC);
+    t.used = 2 * 1300;
+    ck_assert_int_eq(wg_policy_yield_time(&t) / MSEC, WG_USAGE_HALF_LIFE / MSEC);
+    t.has_room = true;
+    ck_assert_int_eq(wg_policy_yield_time(&t), 0);
+    t.has_room = false;
+    t.sent_before = true;
+    ck_assert_int_eq(wg_policy_yield_time(&t), 0);
+    t.sent_before = false;
+    t.counts = false;
+    ck_assert_int_eq(wg_policy_yield_time(&t), 0);
+    wg_fair_levels unknown = {0};
+    t.counts = true;
+    t.levels = &unknown;
+    ck_assert_int_eq(wg_policy_yield_time(&t), 0);
+    wg_fair_levels tiny = {.served = 5e-324};
+    t.levels = &tiny;
+    ck_assert_int_eq(wg_policy_yield_time(&t), 60 * SECOND);
+}
+END_TEST
+
+/* Guards against callers that return together, before the time, or later than they can be served.
+ */
+START_TEST(retry_after_yield_is_spread_and_honoured) {
+    wg_time min = WG_TIME_NEVER;
+    wg_time max = 0;
+    wg_time min_honoured = WG_TIME_NEVER;
+    wg_time max_honoured = 0;
+    for (uint64_t i = 0; i < 200; i++) {
+        wg_time after = wg_policy_retry_after_yield(7, i, 1200 * MSEC, 30 * SECOND);
+        min = MIN(min, after);
+        max = MAX(max, after);
+        wg_time honoured = wg_policy_retry_after_yield(7, i, 1200 * MSEC, 3 * SECOND);
+        min_honoured = MIN(min_honoured, honoured);
+        max_honoured = MAX(max_honoured, honoured);
+        ck_assert_int_eq(wg_policy_retry_after_yield(7, i, 1200 * MSEC, -SECOND), 0);
+    }
+    ck_assert_int_ge(min, 1200 * MSEC);
+    ck_assert_int_le(max, 1600 * MSEC);
+    ck_assert_int_ge(max - min, 300 * MSEC);
+    ck_assert_int_ge(min_honoured, 800 * MSEC);
+    ck_assert_int_le(max_honoured, SECOND);
+    ck_assert_int_ge(max_honoured - min_honoured, 150 * MSEC);
+}
+END_TEST
+
 WG_TEST_MAIN("policy", no_workspace_yields_while_there_is_room, tightest_objective_limits_all_waits,
              own_objective_limits_the_wait_with_limits_by_route, limits_by_route_scale_as_others_do,
              limits_by_route_concern_prompts_only, workspaces_above_the_level_wait_less,
              retry_has_all_admission_requests, workspaces_below_their_share_may_be_late,
              uncharged_requests_have_full_wait_tolerance,
              refusal_comes_within_a_quarter_of_the_objective,
-             retry_after_is_past_the_backoff_and_spread, jitter_of_host_and_callers_does_not_add_up)
+             yield_time_is_the_time_until_targets_may_be_asked,
+             yield_time_is_never_too_long_while_others_are_served,
+             only_a_workspace_far_above_its_share_has_a_yield_time,
+             retry_after_yield_is_spread_and_honoured, retry_after_is_past_the_backoff_and_spread,
+             jitter_of_host_and_callers_does_not_add_up)
