Entry: refuse requests of a workspace far above its share at once

With wait tolerance 0 and no room, no target may be asked for a request. It stayed in the queue for 0.11 of its objective, was selected again every 60 ms, and its caller was told to return after 0.1 to 0.3 s, to be refused again.

With [admission] refuse_over_share = 1, the first try of such a request ends with 503 over_share if the yield time exceeds its time in the queue. Retry-After is the yield time (or the backoff of all targets, if longer) and up to a third more, at most a third of the time left. Requests that wait already and requests that an earlier attempt was sent for are treated as before. REQUEST_ENDED gets yield_ms; walnutgate_entry_over_share_refusals_total counts. Default 0: as before.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -90,6 +90,11 @@
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
+/* Time until the caller's deadline. */
+static wg_time wg_call_time_left(const wg_call* call, wg_time now) {
+    return (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
+}
+
 /* Tried targets are considered again, as the caller's next request is a new one. */
 double wg_call_retry_after(const wg_call* call) {
     wg_entry* e = call->entry;
@@ -97,7 +102,7 @@
     wg_balance_request again = call->selection;
     again.tried_num = 0;
     wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &again);
-    wg_time left = (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
+    wg_time left = wg_call_time_left(call, now);
     wg_time requested = MAX(backoff.requested_until - now, 0);
     wg_time after = wg_policy_retry_after(e->seed, ++e->counter);
     if (backoff.ends_at) {
@@ -225,6 +230,30 @@
     wg_call_set_timer(call, now);
 }
 
+/* Refuses the request on its first try if no target may be asked for it within its time in the
+   queue, as its workspace is far above its share. Not later: known usage does not decay between two
+   reports, so each request that waits would be refused before its time is over. A request that an
+   earlier attempt was sent for has no yield time. False: it is not refused. */
+static bool wg_call_refuse_over_share(wg_call* call, const wg_policy_terms* terms, wg_time now) {
+    wg_entry* e = call->entry;
+    if (!e->settings->refuse_over_share || call->queued) {
+        return false;
+    }
+    call->yield_time = wg_policy_yield_time(terms);
+    wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
+    if (call->yield_time == 0 || now + call->yield_time <= wait_until) {
+        return false;
+    }
+    /* Targets that are all in backoff may be so for longer. */
+    wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &call->selection);
+    wg_time time = MAX(call->yield_time, backoff.ends_at - now);
+    wg_time after =
+        wg_policy_retry_after_yield(e->seed, ++e->counter, time, wg_call_time_left(call, now));
+    e->counters.over_share_refusals++;
+    wg_call_refuse(call, 503, "over_share", (double)after / WG_USEC_PER_SEC);
+    return true;
+}
+
 static bool wg_call_fits(const wg_call* call, const wg_balance_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
@@ -430,6 +459,9 @@
     call->room = terms.has_room ? WG_ROOM_FREE : WG_ROOM_NONE;
     call->next_try_at = now + wg_policy_try_gap(&terms);
     call->limit = wg_policy_limit(&terms, now);
+    if (wg_call_refuse_over_share(call, &terms, now)) {
+        return;
+    }
     if (!call->has_prompt) {
         call->selection.wait_max = wg_policy_plain_limit(&terms, now);
     } else {
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -44,7 +44,7 @@
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
            " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT " room=%s held_ms=%" G_GINT64_FORMAT
-           " paused_ms=%" G_GINT64_FORMAT,
+           " paused_ms=%" G_GINT64_FORMAT " yield_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -58,7 +58,7 @@
            wg_usage_levels(call->entry->usage)->fair_share,
            (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
            wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
-           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC);
+           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, call->yield_time / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -149,6 +149,7 @@
                     {"target_rests", c->backoffs},
                     {"targets_leaving_told", c->drains_reported},
                     {"rest_refusals", c->backoff_refusals},
+                    {"over_share_refusals", c->over_share_refusals},
                     {"target_stalls", c->target_stalls},
                     {"callers_cut", c->callers_cut},
                     {"targets_cut", c->targets_cut},
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -140,6 +140,7 @@
     wg_time next_try_at; /* earliest time of the next selection while queued */
     bool relaxed;        /* wait limits widened, as no target meets them */
     wg_room_answer room; /* room of the service at the last selection */
+    wg_time yield_time;  /* of its workspace at the first try; 0: none, or the setting is off */
     bool may_have_run;
     bool was_offered;
     bool queued; /* waits in the service's queue for a target */
@@ -250,13 +251,14 @@
     uint64_t targets_alive; /* targets that aborted a request, but accept connections */
     uint64_t checks_skipped;
     uint64_t quarantine_refusals;
-    uint64_t backoffs;         /* backoff periods requested by targets */
-    uint64_t drains_reported;  /* targets that reported in an answer that they are draining */
-    uint64_t backoff_refusals; /* requests refused because all targets are in backoff */
-    uint64_t target_stalls;    /* stalls of targets that this host coordinates */
-    uint64_t callers_cut;      /* connections closed as the caller did not read its answer */
-    uint64_t targets_cut;      /* connections closed as the target did not read the request */
-    uint64_t bodies_refused;   /* requests refused as the host holds too many bytes */
+    uint64_t backoffs;            /* backoff periods requested by targets */
+    uint64_t drains_reported;     /* targets that reported in an answer that they are draining */
+    uint64_t backoff_refusals;    /* requests refused because all targets are in backoff */
+    uint64_t over_share_refusals; /* requests refused as their workspace is far above its share */
+    uint64_t target_stalls;       /* stalls of targets that this host coordinates */
+    uint64_t callers_cut;         /* connections closed as the caller did not read its answer */
+    uint64_t targets_cut;         /* connections closed as the target did not read the request */
+    uint64_t bodies_refused;      /* requests refused as the host holds too many bytes */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -162,9 +162,9 @@
 
 wg_time wg_policy_retry_after_yield(uint64_t seed, uint64_t counter, wg_time yield_time,
                                     wg_time left) {
-    wg_time jitter =
-        wg_jitter_range(seed, counter, 0, yield_time / _WG_POLICY_YIELD_JITTER_DIVISOR);
-    return _wg_policy_honoured(seed, counter, yield_time + jitter, left);
+    wg_time time = MIN(yield_time, _WG_POLICY_YIELD_MAX);
+    wg_time jitter = wg_jitter_range(seed, counter, 0, time / _WG_POLICY_YIELD_JITTER_DIVISOR);
+    return _wg_policy_honoured(seed, counter, time + jitter, left);
 }
 
 /* The host's jitter already separates its callers from those of other hosts; the rest only has to
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -175,6 +175,9 @@
 static int64_t fake_entry_spare_descriptors;
 static int64_t fake_entry_refuse_over_share;
 
+/* Retries of the next entry host per window of 10 s; 0: none. */
+static double fake_entry_retry_slack;
+
 /* Bound on held bytes of the next entry host, and its limit of the time without reading; 0: none.
  */
 static double fake_entry_held_mb;
@@ -200,6 +203,7 @@
                                    .standby_ms = fake_entry_standby_ms,
                                    .recovery_query_ms = fake_entry_recovery_query_ms,
                                    .retry_window_ms = 10000,
+                                   .retry_slack = fake_entry_retry_slack,
                                    .learn_base = fake_entry_learn_base,
                                    .target_rest_max_s = 3600,
                                    .hold_percent = fake_entry_hold_percent,
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -333,6 +333,8 @@
         min_honoured = MIN(min_honoured, honoured);
         max_honoured = MAX(max_honoured, honoured);
         ck_assert_int_eq(wg_policy_retry_after_yield(7, i, 1200 * MSEC, -SECOND), 0);
+        ck_assert_int_le(wg_policy_retry_after_yield(7, i, WG_TIME_NEVER, 3 * SECOND), SECOND);
+        ck_assert_int_ge(wg_policy_retry_after_yield(7, i, WG_TIME_NEVER, 3 * SECOND), SECOND / 2);
     }
     ck_assert_int_ge(min, 1200 * MSEC);
     ck_assert_int_le(max, 1600 * MSEC);
