Entry: no 503 for a request that may have run and ends in the queue

A repeatable request whose target closed the connection is tried again. With no other target, the retry waits in the queue, and ended there with 503 no_capacity, although 503 promises that the request has not run. The verdict in the body and the log said may-have-run. It ends with 502 now, as with targets_rest and targets_refused. This does not depend on a setting.

build/test_entry_share: two checks failed before the change (503 instead of 502); 6 pass after it, three runs.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -202,6 +202,10 @@
     return held;
 }
 
+void wg_call_refuse_queued(wg_call* call) {
+    wg_call_refuse(call, call->may_have_run ? 502 : 503, "no_capacity", wg_call_retry_after(call));
+}
+
 /* Queues the request, or refuses it at once if its time in the queue is over, or if every target
    stays in backoff until then. Decided here and not only at the timer: on a host that is late, each
    tick schedules the next selection before the timer is processed. */
@@ -211,7 +215,7 @@
     }
     wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
     if (now >= wait_until) {
-        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        wg_call_refuse_queued(call);
         return;
     }
     wg_backoff_period backoff = wg_balance_backoff(call->entry->balance, now, &call->selection);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -221,7 +221,7 @@
     } else if (call->retry_at && now >= call->retry_at) {
         wg_call_try(call);
     } else if (call->queued && !call->admit_ticket && now >= call->queued_until) {
-        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        wg_call_refuse_queued(call);
     } else {
         wg_call_set_timer(call, now);
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -608,6 +608,8 @@
 /* Selects a target and sends the request, or queues it. */
 void wg_call_try(wg_call* call);
 void wg_call_unqueue(wg_call* call);
+/* Ends a request whose time in the queue is over: 503, or 502 if a target may have started it. */
+void wg_call_refuse_queued(wg_call* call);
 /* Schedules a retry if the route and the retry budget allow it. `unsent`: no byte of the last
    attempt left this host. False: the call has to end. */
 bool wg_call_schedule_retry(wg_call* call, bool unsent);
--- a/tests/test_entry_share.c
+++ b/tests/test_entry_share.c
@@ -236,8 +236,9 @@
     lead(FAR, 1);
     run_turns(ROOM_TURNS);
     target_close_connection();
-    ck_assert_int_ne(status_of(fd, answer), 0);
-    /* There is no other target, so that the retry ends in the queue. */
+    /* There is no other target, so that the retry ends in the queue. 503 would promise that the
+       request has not run. */
+    ck_assert_int_eq(status_of(fd, answer), 502);
     ck_assert_ptr_nonnull(strstr(ended_line, "verdict=may-have-run reason=no_capacity"));
     ck_assert_ptr_null(strstr(answer, "Retry-After"));
     ck_assert(metrics_contain("walnutgate_entry_retries_total 1\n"));
@@ -247,7 +248,27 @@
 }
 END_TEST
 
+/* Guards against 503 for a request that may have run, whose retry waits in the queue until its time
+   there is over. */
+START_TEST(end_in_the_queue_of_a_request_that_may_have_run_is_502) {
+    g_log_set_writer_func(record_line, NULL, NULL);
+    char answer[1024];
+    fake_entry_retry_slack = RETRIES;
+    begin(0);
+    lead(OTHERS, 0);
+    int fd = send_get("/a/sent", prompt);
+    ck_assert(arrives_at_target("/a/sent"));
+    target_close_connection();
+    ck_assert_int_eq(status_within(fd, answer, AT_ONCE_MS), 0);
+    ck_assert_int_eq(status_of(fd, answer), 502);
+    ck_assert_ptr_nonnull(strstr(ended_line, "verdict=may-have-run reason=no_capacity"));
+    close(fd);
+    one_entry_end();
+}
+END_TEST
+
 WG_TEST_MAIN("entry share", request_far_above_the_share_is_refused_at_once,
              refused_callers_return_spread_within_their_time, request_waits_in_the_queue_by_default,
              request_that_may_be_sent_in_time_is_not_refused,
-             request_that_was_sent_is_not_refused_for_its_share)
+             request_that_was_sent_is_not_refused_for_its_share,
+             end_in_the_queue_of_a_request_that_may_have_run_is_502)
