--- a/tests/test_entry_share.c
+++ b/tests/test_entry_share.c
@@ -6,6 +6,7 @@
  */
 #include "one_entry.h"
 #include "wg_config.h"
+#include "wg_usage.h"
 
 enum {
     WORKSPACES = 5,   /* "most" and those that it is compared with */
@@ -18,6 +19,7 @@
     CALLERS = 40,
     RETRIES = 1000,
     ROOM_TURNS = 100, /* until the host determines room again */
+    DROPPED_TURNS = WG_USAGE_DROPPED_AFTER / MSEC + 1000,
     VERSION = 9
 };
 
@@ -267,8 +269,35 @@
 }
 END_TEST
 
+/* Guards against refusals by outdated usage for as long as there is no leader: its part of the copy
+   is dropped, and the host's own usage decides. */
+START_TEST(lost_leader_leaves_the_decision_to_the_host) {
+    char answer[1024];
+    begin(1);
+    lead(FAR, 1);
+    wgn_shutdown(leader.net);
+    run_turns(ROOM_TURNS);
+    int fd = send_get("/a/at-once", prompt);
+    ck_assert_int_eq(status_within(fd, answer, AT_ONCE_MS), 503);
+    ck_assert_ptr_nonnull(strstr(answer, "over_share"));
+    close(fd);
+    run_turns(DROPPED_TURNS);
+    fd = send_get("/a/later", prompt);
+    ck_assert(arrives_at_target("/a/later"));
+    close(fd);
+    leader.net = NULL;
+    wg_entry_shutdown(entry);
+    g_free(leader.address);
+    evconnlistener_free(listener);
+    event_base_free(base);
+    g_string_free(target_received, TRUE);
+    g_free(target_address);
+}
+END_TEST
+
 WG_TEST_MAIN("entry share", request_far_above_the_share_is_refused_at_once,
              refused_callers_return_spread_within_their_time, request_waits_in_the_queue_by_default,
              request_that_may_be_sent_in_time_is_not_refused,
              request_that_was_sent_is_not_refused_for_its_share,
+             lost_leader_leaves_the_decision_to_the_host,
              end_in_the_queue_of_a_request_that_may_have_run_is_502)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -278,7 +278,7 @@
 END_TEST
 
 /* If the others do not take what the workspace leaves, the level falls with its usage. The time is
-   then too short by less than 40% of the real one, never too long. */
+   then too short by at most 34% of the real one, never too long. */
 START_TEST(yield_time_is_never_too_long_while_others_are_served) {
     for (int percent = 130; percent <= 300; percent += 5) {
         load l = load_begin(percent / 100.0, false);
@@ -286,7 +286,7 @@
         wg_time told = wg_policy_yield_time(&t);
         wg_time real = load_yield_time(&l);
         ck_assert_int_le(told, real + YIELD_MARGIN);
-        ck_assert_int_ge(told, real * 60 / 100 - YIELD_MARGIN);
+        ck_assert_int_ge(told, real * 66 / 100 - YIELD_MARGIN);
     }
 }
 END_TEST
