Message: cheaper search for a field by name

The last character is compared first, then the bytes as they are, and only names that are written differently are compared without case. Lengths are compared inline.

--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -5,9 +5,22 @@
 
 /* ---- texts --------------------------------------------------------------------------------- */
 
+static char wg_lower(char c) {
+    return c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
+}
+
+/* Compares the last character first: names of the same length often begin alike. Equal names are
+   mostly written alike. */
+static bool wg_matches_nocase(const char* text, const char* word, size_t size) {
+    if (size > 0 && wg_lower(text[size - 1]) != wg_lower(word[size - 1])) {
+        return false;
+    }
+    return memcmp(text, word, size) == 0 || g_ascii_strncasecmp(text, word, size) == 0;
+}
+
 /* `size`: length of `word`, so that a search determines it once. */
-static bool wg_text_equals_sized(wg_text text, const char* word, size_t size) {
-    return text.size == size && text.text && g_ascii_strncasecmp(text.text, word, size) == 0;
+static inline bool wg_text_equals_sized(wg_text text, const char* word, size_t size) {
+    return text.size == size && text.text && wg_matches_nocase(text.text, word, size);
 }
 
 bool wg_text_equals_nocase(wg_text text, const char* word) {
