Entry: parse the prompt header in place

The header was copied, split into a list of copies, and read with strtoll() for each number, for refused requests too.

--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -176,40 +176,67 @@
 
 /* ---- helpers: reading the request ------------------------------------------------------------ */
 
-/* Returns a number of tokens as stated by a caller, at most `max`; 0 if it is negative or no
- * number.
- */
-static uint32_t wg_parse_tokens(const char* text, uint32_t max) {
-    int64_t tokens = g_ascii_strtoll(text, NULL, 10);
-    return (uint32_t)CLAMP(tokens, 0, (int64_t)max);
+/* Returns a number of tokens as stated by a caller at the start of `text`, at most `max`; 0 if it
+   is negative or no number. Blanks and a sign may precede it, and anything may follow. */
+static uint32_t wg_parse_tokens(wg_text text, uint32_t max) {
+    size_t at = 0;
+    uint64_t tokens = 0;
+    while (at < text.size && g_ascii_isspace(text.text[at])) {
+        at++;
+    }
+    bool negative = at < text.size && text.text[at] == '-';
+    at += at < text.size && (text.text[at] == '-' || text.text[at] == '+');
+    while (at < text.size && g_ascii_isdigit(text.text[at]) && tokens < max) {
+        tokens = 10 * tokens + (uint64_t)(text.text[at] - '0');
+        at++;
+    }
+    return negative ? 0 : (uint32_t)MIN(tokens, max);
+}
+
+/* Takes the text before the next `separator`, or all of it, off `rest`. False if `separator` does
+   not occur. */
+static bool wg_text_take(wg_text* rest, char separator, wg_text* taken) {
+    const char* end = rest->size ? memchr(rest->text, separator, rest->size) : NULL;
+    size_t size = end ? (size_t)(end - rest->text) : rest->size;
+    size_t step = end ? size + 1 : size;
+    *taken = (wg_text){rest->text, size};
+    *rest = (wg_text){rest->text + step, rest->size - step};
+    return end != NULL;
+}
+
+static wg_text wg_text_strip(wg_text text) {
+    while (text.size && g_ascii_isspace(text.text[0])) {
+        text = (wg_text){text.text + 1, text.size - 1};
+    }
+    while (text.size && g_ascii_isspace(text.text[text.size - 1])) {
+        text.size--;
+    }
+    return text;
 }
 
+/* Reads the texts in place, as this runs for each request, also for those that are refused. */
 static bool wg_parse_prompt(wg_text parts, wg_text tokens, wg_prompt* prompt) {
     *prompt = (wg_prompt){0};
-    char* list = wg_text_dup(parts);
-    char** items = g_strsplit(list, ",", WG_PROMPT_PARTS_MAX + 1);
     uint32_t sum = 0;
-    for (int i = 0; items[i] && i < WG_PROMPT_PARTS_MAX; i++) {
-        char* colon = strchr(items[i], ':');
-        if (!colon) {
+    for (int i = 0; parts.size > 0 && i < WG_PROMPT_PARTS_MAX; i++) {
+        wg_text size;
+        wg_text id;
+        wg_text_take(&parts, ',', &size);
+        if (!wg_text_take(&size, ':', &id)) {
             continue;
         }
-        *colon = 0;
-        char* id = g_strstrip(items[i]);
-        prompt->parts[prompt->num] = wg_hash(id, strlen(id), 0);
-        prompt->sizes[prompt->num] = wg_parse_tokens(colon + 1, WG_PROMPT_TOKENS_MAX - sum);
+        id = wg_text_strip(id);
+        prompt->parts[prompt->num] = wg_hash(id.text, id.size, 0);
+        prompt->sizes[prompt->num] = wg_parse_tokens(size, WG_PROMPT_TOKENS_MAX - sum);
         sum += prompt->sizes[prompt->num];
         prompt->num++;
     }
-    g_strfreev(items);
-    g_free(list);
     prompt->tokens = sum;
     if (tokens.text) {
-        char* text = wg_text_dup(tokens);
-        char* comma = strchr(text, ',');
-        prompt->tokens = MAX(sum, wg_parse_tokens(text, WG_PROMPT_TOKENS_MAX));
-        prompt->answer = comma ? wg_parse_tokens(comma + 1, WG_PROMPT_TOKENS_MAX) : 0;
-        g_free(text);
+        wg_text total;
+        wg_text_take(&tokens, ',', &total);
+        prompt->tokens = MAX(sum, wg_parse_tokens(total, WG_PROMPT_TOKENS_MAX));
+        prompt->answer = wg_parse_tokens(tokens, WG_PROMPT_TOKENS_MAX);
     }
     return prompt->num > 0;
 }
