Balance: cheaper sampling of targets

On a busy fleet most targets are full, so a selection goes through nearly all of them. Each cost a look-up in the table of backoffs, which is empty nearly always, a call to remove it from the list, and its refusal rate was decayed with exp2() even if it was 0. A selection for a refused request happens up to three times per try.

Fullness is checked before backoff, an empty table of backoffs is not searched, the list is shortened in place, and a refusal rate of 0 stays 0. The random numbers drawn are the same.

--- a/lib/acceptance/wg_acceptance.c
+++ b/lib/acceptance/wg_acceptance.c
@@ -12,6 +12,9 @@
 static const double WG_ACCEPTED_WEIGHT = 0.5;
 
 static double wg_refusal_rate(const wg_acceptance* a, wg_time now) {
+    if (a->refusal_rate == 0) {
+        return 0;
+    }
     double rate = a->refusal_rate * exp2(-(double)(now - a->updated_at) / WG_REFUSAL_HALF_LIFE);
     return rate < WG_REFUSAL_RATE_MIN ? 0 : rate;
 }
--- a/lib/backoff/wg_backoff.c
+++ b/lib/backoff/wg_backoff.c
@@ -92,7 +92,7 @@
 /* ---- helpers: targets ------------------------------------------------------------------------ */
 
 static _wg_backoff_target* _wg_backoff_find(const wg_backoff* b, uint64_t target) {
-    return g_hash_table_lookup(b->targets, &target);
+    return g_hash_table_size(b->targets) > 0 ? g_hash_table_lookup(b->targets, &target) : NULL;
 }
 
 static gboolean _wg_backoff_is_expired(gpointer key, gpointer value, gpointer now) {
--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -423,11 +423,14 @@
     int left = MAX(WG_SAMPLED_MIN, service->ready * WG_SAMPLED_HOSTS / b->hosts);
     g_ptr_array_set_size(b->unsampled, 0);
     g_ptr_array_extend(b->unsampled, service->targets, NULL, NULL);
-    while (left > 0 && b->unsampled->len > 0) {
-        guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % b->unsampled->len);
-        const wg_balance_target* t = b->unsampled->pdata[at];
-        g_ptr_array_remove_index_fast(b->unsampled, at);
-        if (wg_balance_accepts(t, now, request) && !wg_balance_is_full(t, request)) {
+    gpointer* unsampled = b->unsampled->pdata;
+    guint num = b->unsampled->len;
+    while (left > 0 && num > 0) {
+        guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % num);
+        const wg_balance_target* t = unsampled[at];
+        unsampled[at] = unsampled[--num];
+        /* Backoff is looked up last: on a busy fleet, most targets are full. */
+        if (!wg_balance_is_full(t, request) && wg_balance_accepts(t, now, request)) {
             wg_balance_consider(b, t, now, request, homes, best);
             left--;
         }
