Entry: determine the terms of a request once per event

A selection determined the terms of its request for the try, for the choice, for the admission request and for each candidate whose load was fresh. They are determined once now and passed on; nothing that they depend on changes in between. After a denial they are determined again, as before.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -8,7 +8,7 @@
     WG_UNSENT_ATTEMPTS_MAX = 4                 /* attempts per request that reached no target */
 };
 
-static void wg_call_choose(wg_call* call, wg_time now);
+static void wg_call_choose(wg_call* call, const wg_policy_terms* terms, wg_time now);
 
 /* ---- helpers: retries ------------------------------------------------------------------------ */
 
@@ -128,12 +128,12 @@
 }
 
 /* Records the denial of the proposed target. */
-static void wg_call_record_denial(wg_call* call, const wg_admit_answer* answer, wg_time now) {
+static void wg_call_record_denial(wg_call* call, const wg_policy_terms* terms,
+                                  const wg_admit_answer* answer, wg_time now) {
     if (!wg_call_may_hold(call)) {
         return;
     }
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_admit_limits limits = wg_policy_limits(terms, now);
     wg_admit_request request = wg_entry_admit_request_of(call, &limits);
     if (wg_hold_denies_for_wait(&request, answer)) {
         call->denied_for_wait = true;
@@ -149,11 +149,12 @@
 }
 
 /* Records a target that would deny the request by its last answer. */
-static void wg_call_record_skipped(wg_call* call, const wg_balance_choice* choice, wg_time now) {
+static void wg_call_record_skipped(wg_call* call, const wg_policy_terms* terms,
+                                   const wg_balance_choice* choice, wg_time now) {
     if (wg_call_may_hold(call)) {
         wg_admit_answer answer = {.wait = choice->wait, .wait_ahead = choice->wait_ahead};
         call->proposed = *choice;
-        wg_call_record_denial(call, &answer, now);
+        wg_call_record_denial(call, terms, &answer, now);
     }
 }
 
@@ -258,15 +259,20 @@
     return true;
 }
 
-static bool wg_call_fits(const wg_call* call, const wg_balance_choice* choice, wg_time now) {
+static bool wg_call_fits(const wg_call* call, const wg_policy_terms* terms,
+                         const wg_balance_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
     }
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_admit_limits limits = wg_policy_limits(terms, now);
     return wg_admit_fits(&limits, choice->wait, choice->wait_ahead);
 }
 
+static bool wg_call_proposed_fits(const wg_call* call, wg_time now) {
+    wg_policy_terms terms = wg_call_terms(call);
+    return wg_call_fits(call, &terms, &call->proposed, now);
+}
+
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
     wg_entry* e = call->entry;
     wg_retry_rules rules = wg_call_retry_rules(e);
@@ -310,7 +316,8 @@
     if (!wg_entry_may_send(e, target, now)) {
         wg_entry_admit_end(call, false);
         wg_call_exclude_proposed(call);
-        wg_call_choose(call, now);
+        wg_policy_terms terms = wg_call_terms(call);
+        wg_call_choose(call, &terms, now);
         return;
     }
     bool waited = call->queued;
@@ -347,19 +354,19 @@
     wg_balance_request* selection = &call->selection;
     call->entry->counters.cold_denials +=
         wg_entry_cold_rate(call->entry, call->proposed.target) > 0;
-    wg_call_record_denial(call, answer, now);
+    wg_policy_terms terms = wg_call_terms(call);
+    wg_call_record_denial(call, &terms, answer, now);
     if (answer->held > selection->source_tokens) {
         selection->source = call->proposed.target;
         selection->source_tokens = answer->held;
     }
     wg_call_exclude_proposed(call);
-    wg_policy_terms terms = wg_call_terms(call);
     if (!wg_policy_may_spill_over(&terms) &&
         selection->source_tokens < wg_prompt_shared(&call->prompt) / 2) {
         wg_call_enqueue(call, now);
         return;
     }
-    wg_call_choose(call, now);
+    wg_call_choose(call, &terms, now);
 }
 
 void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer) {
@@ -383,56 +390,58 @@
     wg_call_end_hold(call, now);
     if (wg_entry_cold_rate(call->entry, call->proposed.target) > 0) {
         wg_call_handle_denial(call, &(wg_admit_answer){0}, now);
-    } else if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
+    } else if (call->attempts == 0 && !wg_call_proposed_fits(call, now)) {
         wg_call_enqueue(call, now);
     } else {
         wg_call_dispatch(call, now);
     }
 }
 
-static void wg_call_request_admission(wg_call* call, wg_time now) {
+static void wg_call_request_admission(wg_call* call, const wg_policy_terms* terms, wg_time now) {
     bool first = call->attempts == 0;
     wg_admit_limits no_limits = {WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = first ? wg_policy_limits(&terms, now) : no_limits;
+    wg_admit_limits limits = first ? wg_policy_limits(terms, now) : no_limits;
     call->admit_requests++;
     call->admit_requests_total++;
     wg_entry_admit_request(call, &limits, 0, now);
 }
 
 /* Skips targets that were recently reported as too busy to meet the limits. */
-static wg_balance_choice wg_call_next_choice(wg_call* call, wg_time now) {
+static wg_balance_choice wg_call_next_choice(wg_call* call, const wg_policy_terms* terms,
+                                             wg_time now) {
     wg_balance_request* selection = &call->selection;
     while (selection->denied_num < WG_CANDIDATES_MAX) {
         wg_balance_choice choice = wg_balance_choose(call->entry->balance, now, selection);
         if (!choice.target || !choice.is_fresh || call->attempts > 0 ||
-            wg_call_fits(call, &choice, now)) {
+            wg_call_fits(call, terms, &choice, now)) {
             return choice;
         }
         call->expected = choice.wait;
-        wg_call_record_skipped(call, &choice, now);
+        wg_call_record_skipped(call, terms, &choice, now);
         selection->denied[selection->denied_num++] = choice.target;
     }
     return (wg_balance_choice){0};
 }
 
 /* Selects again with wider wait limits, as no target meets the normal ones. */
-static void wg_call_relax(wg_call* call, wg_time now) {
+static void wg_call_relax(wg_call* call, const wg_policy_terms* terms, wg_time now) {
+    wg_policy_terms relaxed = *terms;
+    relaxed.relaxed = true;
     call->relaxed = true;
     call->admit_requests = 0;
     call->selection.denied_num = 0;
-    wg_call_choose(call, now);
+    wg_call_choose(call, &relaxed, now);
 }
 
-/* Selects a target, then sends, requests an admission from its coordinator, or queues. */
-static void wg_call_choose(wg_call* call, wg_time now) {
+/* Selects a target, then sends, requests an admission from its coordinator, or queues. `terms`:
+   determined once per event, as that counts the targets with room. */
+static void wg_call_choose(wg_call* call, const wg_policy_terms* terms, wg_time now) {
     wg_balance_choice choice = {0};
-    wg_policy_terms terms = wg_call_terms(call);
-    if (call->admit_requests < wg_policy_admission_requests_max(&terms)) {
-        choice = wg_call_next_choice(call, now);
+    if (call->admit_requests < wg_policy_admission_requests_max(terms)) {
+        choice = wg_call_next_choice(call, terms, now);
     }
-    if (!choice.target && !call->relaxed && wg_policy_may_be_late(&terms)) {
-        wg_call_relax(call, now);
+    if (!choice.target && !call->relaxed && wg_policy_may_be_late(terms)) {
+        wg_call_relax(call, terms, now);
         return;
     }
     if (!choice.target) {
@@ -442,7 +451,7 @@
     call->expected = choice.wait;
     call->proposed = choice;
     if (call->has_prompt || wg_entry_cold_rate(call->entry, choice.target) > 0) {
-        wg_call_request_admission(call, now);
+        wg_call_request_admission(call, terms, now);
     } else {
         wg_call_dispatch(call, now);
     }
@@ -459,6 +468,7 @@
         return;
     }
     call->entry->counters.tries++;
+    call->relaxed = false;
     wg_policy_terms terms = wg_call_terms(call);
     call->room = terms.has_room ? WG_ROOM_FREE : WG_ROOM_NONE;
     call->next_try_at = now + wg_policy_try_gap(&terms);
@@ -473,14 +483,13 @@
     }
     call->selection.slots_share = wg_policy_slots_share(&terms);
     call->admit_requests = 0;
-    call->relaxed = false;
     call->selection.denied_num = 0;
     call->selection.source = 0;
     call->selection.source_tokens = 0;
     call->least_busy = (wg_balance_choice){0};
     call->denied_for_wait = false;
     call->room_at = 0;
-    wg_call_choose(call, now);
+    wg_call_choose(call, &terms, now);
 }
 
 /* An attempt that reached no target counts neither against the route's attempts nor against the
