Balance: stop counting targets with room at half

Only whether half of the ready targets have room is asked. The count is replaced by wg_balance_leaves_room(), which stops there; a service keeps its number of ready targets. The answers are the same.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -491,19 +491,20 @@
     return service && service->has_room;
 }
 
-wg_room_count wg_balance_count_with_room(const wg_balance* b, const char* name, wg_time wait_max) {
+/* Stops at half: this runs for each selection while the leader tells room. */
+bool wg_balance_leaves_room(const wg_balance* b, const char* name, wg_time wait_max) {
     const wg_balance_service* service = g_hash_table_lookup(b->services, name);
-    wg_room_count count = {0};
-    for (guint i = 0; service && i < service->targets->len; i++) {
+    int with_room = 0;
+    for (guint i = 0; service && 2 * with_room < service->ready && i < service->targets->len; i++) {
         const wg_balance_target* t = service->targets->pdata[i];
         uint32_t unread = wg_balance_ahead(t);
         wg_room_target load = {.ready = t->ready,
                                .slots = t->slots ? t->slots : WG_ROOM_SLOTS_DEFAULT,
                                .running = wg_balance_running(t),
                                .read_time = wg_speed_read_time(&t->speed, unread)};
-        wg_room_add(&count, &load, wait_max);
+        with_room += wg_room_target_has_room(&load, wait_max);
     }
-    return count;
+    return !service || 2 * with_room >= service->ready;
 }
 
 void wg_balance_record_third_home(wg_balance* b, bool held) {
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -175,10 +175,10 @@
 /* True if at least half of the service's ready targets have nothing in progress, as far as this
    host knows. */
 bool wg_balance_has_room(wg_balance* balance, wg_time now, const char* service);
-/* Counts the service's ready targets that have room, as far as this host knows: the loads of other
-   hosts may be older, its own are not. `wait_max`: see wg_room_target_has_room(). */
-wg_room_count wg_balance_count_with_room(const wg_balance* balance, const char* service,
-                                         wg_time wait_max);
+/* True if at least half of the service's ready targets have room, as far as this host knows: the
+   loads of other hosts may be older, its own are not. `wait_max`: see wg_room_target_has_room().
+   Also true for a service without ready targets. */
+bool wg_balance_leaves_room(const wg_balance* balance, const char* service, wg_time wait_max);
 /* Records that the prompt was sent to the target: its shared parts count as cached there for
    WG_CACHED_TIME. */
 void wg_balance_record_prompt(wg_balance* balance, wg_time now, uint32_t target,
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -195,8 +195,7 @@
    use one host would fill all targets before the next report. */
 static bool wg_entry_leaves_room(const wg_entry* e, const char* service) {
     wg_time wait_max = e->settings->room_wait_ms * WG_USEC_PER_MSEC;
-    wg_room_count count = wg_balance_count_with_room(e->balance, service, wait_max);
-    return 2 * count.with_room >= count.ready;
+    return wg_balance_leaves_room(e->balance, service, wait_max);
 }
 
 bool wg_entry_has_room(wg_entry* e, wg_time now, const char* service) {
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -758,13 +758,42 @@
 }
 END_TEST
 
-WG_TEST_MAIN("balance", room_is_half_of_the_targets_idle, hosts_agree_on_the_homes_of_a_prefix,
-             loaded_home_spills_over_to_the_second, missing_parts_are_copied_from_a_home,
-             second_home_copies_missing_parts, new_home_copies_from_the_previous,
-             denied_home_is_a_copy_source, newer_load_replaces_the_reported_one,
-             load_of_other_hosts_decays, hosts_do_not_all_choose_the_least_loaded,
-             removed_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
-             small_prefix_has_a_home_in_each_data_centre,
+/* Guards against a count that ends too early or too late: an odd number of targets, of which some
+   drain, and targets that lack slots or have too much to read. */
+START_TEST(half_of_the_ready_targets_leaves_room) {
+    enum {
+        WAIT_MAX = 40 * MSEC,
+        TOKENS = 2000 /* 67 ms at the speed assumed at first */
+    };
+    begin(7);
+    ck_assert(wg_balance_leaves_room(balance, "m", WAIT_MAX));
+    ck_assert(wg_balance_leaves_room(balance, "unknown", WAIT_MAX));
+    wg_balance_set_others_load(balance, 1, TOKENS, 1);
+    wg_balance_set_others_load(balance, 7, 0, 33); /* of 64 slots */
+    wg_balance_set_others_load(balance, 4, TOKENS, 1);
+    ck_assert(wg_balance_leaves_room(balance, "m", WAIT_MAX)); /* 4 of 7 */
+    wg_balance_set_others_load(balance, 5, TOKENS, 1);
+    ck_assert(!wg_balance_leaves_room(balance, "m", WAIT_MAX));    /* 3 of 7 */
+    ck_assert(wg_balance_leaves_room(balance, "m", 2 * WAIT_MAX)); /* 6 of 7 */
+    wg_target t = *wg_registry_find(registry, 5);
+    t.state = WG_TARGET_DRAINING;
+    t.sequence++;
+    wg_registry_apply(registry, 0, &t);
+    wg_balance_sync(balance, registry);
+    ck_assert(wg_balance_leaves_room(balance, "m", WAIT_MAX)); /* 3 of 6 */
+    wg_balance_set_others_load(balance, 2, TOKENS, 1);
+    ck_assert(!wg_balance_leaves_room(balance, "m", WAIT_MAX)); /* 2 of 6 */
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("balance", half_of_the_ready_targets_leaves_room, room_is_half_of_the_targets_idle,
+             hosts_agree_on_the_homes_of_a_prefix, loaded_home_spills_over_to_the_second,
+             missing_parts_are_copied_from_a_home, second_home_copies_missing_parts,
+             new_home_copies_from_the_previous, denied_home_is_a_copy_source,
+             newer_load_replaces_the_reported_one, load_of_other_hosts_decays,
+             hosts_do_not_all_choose_the_least_loaded, removed_target_moves_only_its_own_prefixes,
+             draining_targets_get_nothing, small_prefix_has_a_home_in_each_data_centre,
              third_homes_without_their_prefixes_are_given_up,
              plain_request_queues_at_a_target_that_answers_in_time,
              service_time_excludes_queue_time, targets_of_an_evacuated_data_centre_get_nothing,
