Net: pack a frame without an array

Each frame was packed into a byte array that was allocated, grown and released. Instructions per frame of an admission request with 3 parts (callgrind, 2,000 frames): 3,590 before, 3,090 after. build/test_net passes.

--- a/lib/net/wg_net_frame.c
+++ b/lib/net/wg_net_frame.c
@@ -53,11 +53,11 @@
 
 wgn_frame* wgn_frame_pack(wgw_type type, const ProtobufCMessage* message) {
     wgn_frame* frame = g_new0(wgn_frame, 1);
-    GByteArray* packed = wgw_pack(message);
     frame->ref_count = 1;
     frame->type = type;
-    frame->size = packed->len;
-    frame->payload = g_byte_array_free(packed, FALSE);
+    frame->size = protobuf_c_message_get_packed_size(message);
+    frame->payload = g_malloc(frame->size);
+    protobuf_c_message_pack(message, frame->payload);
     return frame;
 }
 
