--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -423,11 +423,14 @@
     int left = MAX(WG_SAMPLED_MIN, service->ready * WG_SAMPLED_HOSTS / b->hosts);
     g_ptr_array_set_size(b->unsampled, 0);
     g_ptr_array_extend(b->unsampled, service->targets, NULL, NULL);
-    while (left > 0 && b->unsampled->len > 0) {
-        guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % b->unsampled->len);
-        const wg_balance_target* t = b->unsampled->pdata[at];
-        g_ptr_array_remove_index_fast(b->unsampled, at);
-        if (wg_balance_accepts(t, now, request) && !wg_balance_is_full(t, request)) {
+    gpointer* unsampled = b->unsampled->pdata;
+    guint num = b->unsampled->len;
+    while (left > 0 && num > 0) {
+        guint at = (guint)(wg_jitter(b->desc.seed, ++b->counter) % num);
+        const wg_balance_target* t = unsampled[at];
+        unsampled[at] = unsampled[--num];
+        /* Backoff is looked up last: on a busy fleet, most targets are full. */
+        if (!wg_balance_is_full(t, request) && wg_balance_accepts(t, now, request)) {
             wg_balance_consider(b, t, now, request, homes, best);
             left--;
         }
@@ -488,19 +491,20 @@
     return service && service->has_room;
 }
 
-wg_room_count wg_balance_count_with_room(const wg_balance* b, const char* name, wg_time wait_max) {
+/* Stops at half: this runs for each selection while the leader tells room. */
+bool wg_balance_leaves_room(const wg_balance* b, const char* name, wg_time wait_max) {
     const wg_balance_service* service = g_hash_table_lookup(b->services, name);
-    wg_room_count count = {0};
-    for (guint i = 0; service && i < service->targets->len; i++) {
+    int with_room = 0;
+    for (guint i = 0; service && 2 * with_room < service->ready && i < service->targets->len; i++) {
         const wg_balance_target* t = service->targets->pdata[i];
         uint32_t unread = wg_balance_ahead(t);
         wg_room_target load = {.ready = t->ready,
                                .slots = t->slots ? t->slots : WG_ROOM_SLOTS_DEFAULT,
                                .running = wg_balance_running(t),
                                .read_time = wg_speed_read_time(&t->speed, unread)};
-        wg_room_add(&count, &load, wait_max);
+        with_room += wg_room_target_has_room(&load, wait_max);
     }
-    return count;
+    return !service || 2 * with_room >= service->ready;
 }
 
 void wg_balance_record_third_home(wg_balance* b, bool held) {
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -8,7 +8,7 @@
     WG_UNSENT_ATTEMPTS_MAX = 4                 /* attempts per request that reached no target */
 };
 
-static void wg_call_choose(wg_call* call, wg_time now);
+static void wg_call_choose(wg_call* call, const wg_policy_terms* terms, wg_time now);
 
 /* ---- helpers: retries ------------------------------------------------------------------------ */
 
@@ -90,6 +90,11 @@
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
+/* Time until the caller's deadline. */
+static wg_time wg_call_time_left(const wg_call* call, wg_time now) {
+    return (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
+}
+
 /* Tried targets are considered again, as the caller's next request is a new one. */
 double wg_call_retry_after(const wg_call* call) {
     wg_entry* e = call->entry;
@@ -97,7 +102,7 @@
     wg_balance_request again = call->selection;
     again.tried_num = 0;
     wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &again);
-    wg_time left = (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
+    wg_time left = wg_call_time_left(call, now);
     wg_time requested = MAX(backoff.requested_until - now, 0);
     wg_time objective_left = call->started + call->route->objective - now;
     wg_time after = wg_policy_retry_within(e->seed, ++e->counter, objective_left,
@@ -125,12 +130,12 @@
 }
 
 /* Records the denial of the proposed target. */
-static void wg_call_record_denial(wg_call* call, const wg_admit_answer* answer, wg_time now) {
+static void wg_call_record_denial(wg_call* call, const wg_policy_terms* terms,
+                                  const wg_admit_answer* answer, wg_time now) {
     if (!wg_call_may_hold(call)) {
         return;
     }
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_admit_limits limits = wg_policy_limits(terms, now);
     wg_admit_request request = wg_entry_admit_request_of(call, &limits);
     if (wg_hold_denies_for_wait(&request, answer)) {
         call->denied_for_wait = true;
@@ -146,11 +151,12 @@
 }
 
 /* Records a target that would deny the request by its last answer. */
-static void wg_call_record_skipped(wg_call* call, const wg_balance_choice* choice, wg_time now) {
+static void wg_call_record_skipped(wg_call* call, const wg_policy_terms* terms,
+                                   const wg_balance_choice* choice, wg_time now) {
     if (wg_call_may_hold(call)) {
         wg_admit_answer answer = {.wait = choice->wait, .wait_ahead = choice->wait_ahead};
         call->proposed = *choice;
-        wg_call_record_denial(call, &answer, now);
+        wg_call_record_denial(call, terms, &answer, now);
     }
 }
 
@@ -199,6 +205,10 @@
     return held;
 }
 
+void wg_call_refuse_queued(wg_call* call) {
+    wg_call_refuse(call, call->may_have_run ? 502 : 503, "no_capacity", wg_call_retry_after(call));
+}
+
 /* Queues the request, or refuses it at once if its time in the queue is over, or if every target
    stays in backoff until then. Decided here and not only at the timer: on a host that is late, each
    tick schedules the next selection before the timer is processed. */
@@ -208,7 +218,7 @@
     }
     wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
     if (now >= wait_until) {
-        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        wg_call_refuse_queued(call);
         return;
     }
     wg_backoff_period backoff = wg_balance_backoff(call->entry->balance, now, &call->selection);
@@ -227,12 +237,36 @@
     wg_call_set_timer(call, now);
 }
 
-static bool wg_call_fits(const wg_call* call, const wg_balance_choice* choice, wg_time now) {
+/* Refuses the request on its first try if no target may be asked for it within its time in the
+   queue, as its workspace is far above its share. Not later: known usage does not decay between two
+   reports, so each request that waits would be refused before its time is over. A request that an
+   earlier attempt was sent for has no yield time. False: it is not refused. */
+static bool wg_call_refuse_over_share(wg_call* call, const wg_policy_terms* terms, wg_time now) {
+    wg_entry* e = call->entry;
+    if (!e->settings->refuse_over_share || call->queued) {
+        return false;
+    }
+    call->yield_time = wg_policy_yield_time(terms);
+    wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
+    if (call->yield_time == 0 || now + call->yield_time <= wait_until) {
+        return false;
+    }
+    /* Targets that are all in backoff may be so for longer. */
+    wg_backoff_period backoff = wg_balance_backoff(e->balance, now, &call->selection);
+    wg_time time = MAX(call->yield_time, backoff.ends_at - now);
+    wg_time after =
+        wg_policy_retry_after_yield(e->seed, ++e->counter, time, wg_call_time_left(call, now));
+    e->counters.over_share_refusals++;
+    wg_call_refuse(call, 503, "over_share", (double)after / WG_USEC_PER_SEC);
+    return true;
+}
+
+static bool wg_call_fits(const wg_call* call, const wg_policy_terms* terms,
+                         const wg_balance_choice* choice, wg_time now) {
     if (!call->has_prompt) {
         return true;
     }
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = wg_policy_limits(&terms, now);
+    wg_admit_limits limits = wg_policy_limits(terms, now);
     return wg_admit_fits(&limits, choice->wait, choice->wait_ahead);
 }
 
@@ -260,6 +294,11 @@
     return true;
 }
 
+static bool wg_call_proposed_fits(const wg_call* call, wg_time now) {
+    wg_policy_terms terms = wg_call_terms(call);
+    return wg_call_fits(call, &terms, &call->proposed, now);
+}
+
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
     wg_entry* e = call->entry;
     wg_retry_rules rules = wg_call_retry_rules(e);
@@ -302,7 +341,8 @@
     if (!wg_entry_may_send(e, target, now)) {
         wg_entry_admit_end(call, false);
         wg_call_exclude_proposed(call);
-        wg_call_choose(call, now);
+        wg_policy_terms terms = wg_call_terms(call);
+        wg_call_choose(call, &terms, now);
         return;
     }
     if (wg_call_refuse_without_descriptor(call, target)) {
@@ -342,19 +382,19 @@
     wg_balance_request* selection = &call->selection;
     call->entry->counters.cold_denials +=
         wg_entry_cold_rate(call->entry, call->proposed.target) > 0;
-    wg_call_record_denial(call, answer, now);
+    wg_policy_terms terms = wg_call_terms(call);
+    wg_call_record_denial(call, &terms, answer, now);
     if (answer->held > selection->source_tokens) {
         selection->source = call->proposed.target;
         selection->source_tokens = answer->held;
     }
     wg_call_exclude_proposed(call);
-    wg_policy_terms terms = wg_call_terms(call);
     if (!wg_policy_may_spill_over(&terms) &&
         selection->source_tokens < wg_prompt_shared(&call->prompt) / 2) {
         wg_call_enqueue(call, now);
         return;
     }
-    wg_call_choose(call, now);
+    wg_call_choose(call, &terms, now);
 }
 
 void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer) {
@@ -378,56 +418,58 @@
     wg_call_end_hold(call, now);
     if (wg_entry_cold_rate(call->entry, call->proposed.target) > 0) {
         wg_call_handle_denial(call, &(wg_admit_answer){0}, now);
-    } else if (call->attempts == 0 && !wg_call_fits(call, &call->proposed, now)) {
+    } else if (call->attempts == 0 && !wg_call_proposed_fits(call, now)) {
         wg_call_enqueue(call, now);
     } else {
         wg_call_dispatch(call, now);
     }
 }
 
-static void wg_call_request_admission(wg_call* call, wg_time now) {
+static void wg_call_request_admission(wg_call* call, const wg_policy_terms* terms, wg_time now) {
     bool first = call->attempts == 0;
     wg_admit_limits no_limits = {WG_TIME_NEVER, WG_TIME_NEVER, WG_TIME_NEVER, false};
-    wg_policy_terms terms = wg_call_terms(call);
-    wg_admit_limits limits = first ? wg_policy_limits(&terms, now) : no_limits;
+    wg_admit_limits limits = first ? wg_policy_limits(terms, now) : no_limits;
     call->admit_requests++;
     call->admit_requests_total++;
     wg_entry_admit_request(call, &limits, 0, now);
 }
 
 /* Skips targets that were recently reported as too busy to meet the limits. */
-static wg_balance_choice wg_call_next_choice(wg_call* call, wg_time now) {
+static wg_balance_choice wg_call_next_choice(wg_call* call, const wg_policy_terms* terms,
+                                             wg_time now) {
     wg_balance_request* selection = &call->selection;
     while (selection->denied_num < WG_CANDIDATES_MAX) {
         wg_balance_choice choice = wg_balance_choose(call->entry->balance, now, selection);
         if (!choice.target || !choice.is_fresh || call->attempts > 0 ||
-            wg_call_fits(call, &choice, now)) {
+            wg_call_fits(call, terms, &choice, now)) {
             return choice;
         }
         call->expected = choice.wait;
-        wg_call_record_skipped(call, &choice, now);
+        wg_call_record_skipped(call, terms, &choice, now);
         selection->denied[selection->denied_num++] = choice.target;
     }
     return (wg_balance_choice){0};
 }
 
 /* Selects again with wider wait limits, as no target meets the normal ones. */
-static void wg_call_relax(wg_call* call, wg_time now) {
+static void wg_call_relax(wg_call* call, const wg_policy_terms* terms, wg_time now) {
+    wg_policy_terms relaxed = *terms;
+    relaxed.relaxed = true;
     call->relaxed = true;
     call->admit_requests = 0;
     call->selection.denied_num = 0;
-    wg_call_choose(call, now);
+    wg_call_choose(call, &relaxed, now);
 }
 
-/* Selects a target, then sends, requests an admission from its coordinator, or queues. */
-static void wg_call_choose(wg_call* call, wg_time now) {
+/* Selects a target, then sends, requests an admission from its coordinator, or queues. `terms`:
+   determined once per event, as that counts the targets with room. */
+static void wg_call_choose(wg_call* call, const wg_policy_terms* terms, wg_time now) {
     wg_balance_choice choice = {0};
-    wg_policy_terms terms = wg_call_terms(call);
-    if (call->admit_requests < wg_policy_admission_requests_max(&terms)) {
-        choice = wg_call_next_choice(call, now);
+    if (call->admit_requests < wg_policy_admission_requests_max(terms)) {
+        choice = wg_call_next_choice(call, terms, now);
     }
-    if (!choice.target && !call->relaxed && wg_policy_may_be_late(&terms)) {
-        wg_call_relax(call, now);
+    if (!choice.target && !call->relaxed && wg_policy_may_be_late(terms)) {
+        wg_call_relax(call, terms, now);
         return;
     }
     if (!choice.target) {
@@ -441,7 +483,7 @@
         return; /* before an admission is requested */
     }
     if (call->has_prompt || wg_entry_cold_rate(call->entry, choice.target) > 0) {
-        wg_call_request_admission(call, now);
+        wg_call_request_admission(call, terms, now);
     } else {
         wg_call_dispatch(call, now);
     }
@@ -458,10 +500,14 @@
         return;
     }
     call->entry->counters.tries++;
+    call->relaxed = false;
     wg_policy_terms terms = wg_call_terms(call);
     call->room = terms.has_room ? WG_ROOM_FREE : WG_ROOM_NONE;
     call->next_try_at = now + wg_policy_try_gap(&terms);
     call->limit = wg_policy_limit(&terms, now);
+    if (wg_call_refuse_over_share(call, &terms, now)) {
+        return;
+    }
     if (!call->has_prompt) {
         call->selection.wait_max = wg_policy_plain_limit(&terms, now);
     } else {
@@ -469,14 +515,13 @@
     }
     call->selection.slots_share = wg_policy_slots_share(&terms);
     call->admit_requests = 0;
-    call->relaxed = false;
     call->selection.denied_num = 0;
     call->selection.source = 0;
     call->selection.source_tokens = 0;
     call->least_busy = (wg_balance_choice){0};
     call->denied_for_wait = false;
     call->room_at = 0;
-    wg_call_choose(call, now);
+    wg_call_choose(call, &terms, now);
 }
 
 /* An attempt that reached no target counts neither against the route's attempts nor against the
@@ -514,6 +559,9 @@
         if (call->admit_ticket || now < call->next_try_at) {
             continue;
         }
+        if (best && call->workspace == best->workspace) {
+            continue; /* younger, with the same usage */
+        }
         double usage = call->workspace ? wg_call_usage(call) : 0;
         if (!best || usage < best_usage) {
             best = call;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -44,7 +44,7 @@
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
            " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT " room=%s held_ms=%" G_GINT64_FORMAT
-           " paused_ms=%" G_GINT64_FORMAT,
+           " paused_ms=%" G_GINT64_FORMAT " yield_ms=%" G_GINT64_FORMAT,
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -58,7 +58,7 @@
            wg_usage_levels(call->entry->usage)->fair_share,
            (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
            wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
-           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC);
+           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, call->yield_time / WG_USEC_PER_MSEC);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -98,6 +98,56 @@
     return call->may_have_run || (call->upstream && call->upstream->written);
 }
 
+static void wg_append_number(GString* text, size_t number) {
+    char digits[3 * sizeof number];
+    char* at = digits + sizeof digits;
+    do {
+        *--at = (char)('0' + number % 10);
+        number /= 10;
+    } while (number > 0);
+    g_string_append_len(text, at, digits + sizeof digits - at);
+}
+
+/* Text of an error answer; the caller frees it. An overloaded host sends hundreds per second, so it
+   is formatted without printf, except for the fraction. */
+static GString* wg_call_refusal_text(const wg_call* call, const wg_call_end* end,
+                                     double retry_after, bool keep) {
+    enum {
+        TEXT_SIZE = 320,  /* bytes, of most answers */
+        SECONDS_SIZE = 64 /* bytes */
+    };
+    GString* text = g_string_sized_new(TEXT_SIZE);
+    const char* verdict = wg_verdict_name(end->verdict);
+    static const char empty_body[] = "{\"code\":\"\",\"verdict\":\"\"}";
+    g_string_append(text, "HTTP/1.1 ");
+    wg_append_number(text, (size_t)end->status);
+    g_string_append_c(text, ' ');
+    g_string_append(text, wgh_reason(end->status));
+    g_string_append(text, "\r\nContent-Type: application/json\r\n");
+    if (call->id[0]) {
+        g_string_append(text, call->entry->names->request_id);
+        g_string_append(text, ": ");
+        g_string_append(text, call->id);
+        g_string_append(text, "\r\n");
+    }
+    if (retry_after > 0) {
+        char field[SECONDS_SIZE];
+        g_snprintf(field, sizeof field, "Retry-After: %.2f\r\n", retry_after);
+        g_string_append(text, field);
+    }
+    g_string_append(text, "Content-Length: ");
+    wg_append_number(text, strlen(empty_body) + strlen(end->reason) + strlen(verdict));
+    g_string_append(text, keep ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n");
+    if (!call->head_only) {
+        g_string_append(text, "{\"code\":\"");
+        g_string_append(text, end->reason);
+        g_string_append(text, "\",\"verdict\":\"");
+        g_string_append(text, verdict);
+        g_string_append(text, "\"}");
+    }
+    return text;
+}
+
 void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after) {
     wg_client* client = call->client;
     bool may_have_run = wg_call_may_have_run(call);
@@ -111,19 +161,9 @@
     } else if (client) {
         bool keep = wg_call_keeps_connection(call);
         struct evbuffer* out = evbuffer_new();
-        char body[160];
-        int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", reason,
-                              wg_verdict_name(verdict));
-        evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
-                            wgh_reason(status));
-        if (call->id[0]) {
-            evbuffer_add_printf(out, "%s: %s\r\n", call->entry->names->request_id, call->id);
-        }
-        if (retry_after > 0 && !may_have_run) {
-            evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
-        }
-        evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                            keep ? "" : "Connection: close\r\n", call->head_only ? "" : body);
+        GString* text = wg_call_refusal_text(call, &end, may_have_run ? 0 : retry_after, keep);
+        evbuffer_add(out, text->str, text->len);
+        g_string_free(text, TRUE);
         wg_socket_write(client->bev, out);
         evbuffer_free(out);
         call->entry->counters.refused += status == 503 || status == 429;
@@ -136,40 +176,67 @@
 
 /* ---- helpers: reading the request ------------------------------------------------------------ */
 
-/* Returns a number of tokens as stated by a caller, at most `max`; 0 if it is negative or no
- * number.
- */
-static uint32_t wg_parse_tokens(const char* text, uint32_t max) {
-    int64_t tokens = g_ascii_strtoll(text, NULL, 10);
-    return (uint32_t)CLAMP(tokens, 0, (int64_t)max);
+/* Returns a number of tokens as stated by a caller at the start of `text`, at most `max`; 0 if it
+   is negative or no number. Blanks and a sign may precede it, and anything may follow. */
+static uint32_t wg_parse_tokens(wg_text text, uint32_t max) {
+    size_t at = 0;
+    uint64_t tokens = 0;
+    while (at < text.size && g_ascii_isspace(text.text[at])) {
+        at++;
+    }
+    bool negative = at < text.size && text.text[at] == '-';
+    at += at < text.size && (text.text[at] == '-' || text.text[at] == '+');
+    while (at < text.size && g_ascii_isdigit(text.text[at]) && tokens < max) {
+        tokens = 10 * tokens + (uint64_t)(text.text[at] - '0');
+        at++;
+    }
+    return negative ? 0 : (uint32_t)MIN(tokens, max);
+}
+
+/* Takes the text before the next `separator`, or all of it, off `rest`. False if `separator` does
+   not occur. */
+static bool wg_text_take(wg_text* rest, char separator, wg_text* taken) {
+    const char* end = rest->size ? memchr(rest->text, separator, rest->size) : NULL;
+    size_t size = end ? (size_t)(end - rest->text) : rest->size;
+    size_t step = end ? size + 1 : size;
+    *taken = (wg_text){rest->text, size};
+    *rest = (wg_text){rest->text + step, rest->size - step};
+    return end != NULL;
+}
+
+static wg_text wg_text_strip(wg_text text) {
+    while (text.size && g_ascii_isspace(text.text[0])) {
+        text = (wg_text){text.text + 1, text.size - 1};
+    }
+    while (text.size && g_ascii_isspace(text.text[text.size - 1])) {
+        text.size--;
+    }
+    return text;
 }
 
+/* Reads the texts in place, as this runs for each request, also for those that are refused. */
 static bool wg_parse_prompt(wg_text parts, wg_text tokens, wg_prompt* prompt) {
     *prompt = (wg_prompt){0};
-    char* list = wg_text_dup(parts);
-    char** items = g_strsplit(list, ",", WG_PROMPT_PARTS_MAX + 1);
     uint32_t sum = 0;
-    for (int i = 0; items[i] && i < WG_PROMPT_PARTS_MAX; i++) {
-        char* colon = strchr(items[i], ':');
-        if (!colon) {
+    for (int i = 0; parts.size > 0 && i < WG_PROMPT_PARTS_MAX; i++) {
+        wg_text size;
+        wg_text id;
+        wg_text_take(&parts, ',', &size);
+        if (!wg_text_take(&size, ':', &id)) {
             continue;
         }
-        *colon = 0;
-        char* id = g_strstrip(items[i]);
-        prompt->parts[prompt->num] = wg_hash(id, strlen(id), 0);
-        prompt->sizes[prompt->num] = wg_parse_tokens(colon + 1, WG_PROMPT_TOKENS_MAX - sum);
+        id = wg_text_strip(id);
+        prompt->parts[prompt->num] = wg_hash(id.text, id.size, 0);
+        prompt->sizes[prompt->num] = wg_parse_tokens(size, WG_PROMPT_TOKENS_MAX - sum);
         sum += prompt->sizes[prompt->num];
         prompt->num++;
     }
-    g_strfreev(items);
-    g_free(list);
     prompt->tokens = sum;
     if (tokens.text) {
-        char* text = wg_text_dup(tokens);
-        char* comma = strchr(text, ',');
-        prompt->tokens = MAX(sum, wg_parse_tokens(text, WG_PROMPT_TOKENS_MAX));
-        prompt->answer = comma ? wg_parse_tokens(comma + 1, WG_PROMPT_TOKENS_MAX) : 0;
-        g_free(text);
+        wg_text total;
+        wg_text_take(&tokens, ',', &total);
+        prompt->tokens = MAX(sum, wg_parse_tokens(total, WG_PROMPT_TOKENS_MAX));
+        prompt->answer = wg_parse_tokens(tokens, WG_PROMPT_TOKENS_MAX);
     }
     return prompt->num > 0;
 }
@@ -221,7 +288,7 @@
     } else if (call->retry_at && now >= call->retry_at) {
         wg_call_try(call);
     } else if (call->queued && !call->admit_ticket && now >= call->queued_until) {
-        wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
+        wg_call_refuse_queued(call);
     } else {
         wg_call_set_timer(call, now);
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -141,6 +141,7 @@
     wg_time next_try_at; /* earliest time of the next selection while queued */
     bool relaxed;        /* wait limits widened, as no target meets them */
     wg_room_answer room; /* room of the service at the last selection */
+    wg_time yield_time;  /* of its workspace at the first try; 0: none, or the setting is off */
     bool may_have_run;
     bool was_offered;
     bool queued; /* waits in the service's queue for a target */
@@ -255,6 +256,7 @@
     uint64_t backoffs;            /* backoff periods requested by targets */
     uint64_t drains_reported;     /* targets that reported in an answer that they are draining */
     uint64_t backoff_refusals;    /* requests refused because all targets are in backoff */
+    uint64_t over_share_refusals; /* requests refused as their workspace is far above its share */
     uint64_t target_stalls;       /* stalls of targets that this host coordinates */
     uint64_t callers_cut;         /* connections closed as the caller did not read its answer */
     uint64_t targets_cut;         /* connections closed as the target did not read the request */
@@ -644,6 +646,8 @@
 /* Selects a target and sends the request, or queues it. */
 void wg_call_try(wg_call* call);
 void wg_call_unqueue(wg_call* call);
+/* Ends a request whose time in the queue is over: 503, or 502 if a target may have started it. */
+void wg_call_refuse_queued(wg_call* call);
 /* Schedules a retry if the route and the retry budget allow it. `unsent`: no byte of the last
    attempt left this host. False: the call has to end. */
 bool wg_call_schedule_retry(wg_call* call, bool unsent);
