Handoff: a limit for each peer that declined keeps work from swinging

Cause: what a peer takes shows in its delay only while it answers. A peer that is set aside finishes its work meanwhile, and was then sent all that fitted, declined again, and so on; its neighbours got what it declined.

Change: when a peer declines or is late, the requests in progress there are limited to 0.9 of their number; while the limit is used, it rises by 1 per tick.

--- a/lib/handoff/wg_handoff.c
+++ b/lib/handoff/wg_handoff.c
@@ -20,6 +20,10 @@
     _WG_HANDOFF_LATE_ASIDE = 500 * WG_USEC_PER_MSEC,
     /* Late first bytes in a row after which a peer is set aside. */
     _WG_HANDOFF_LATE_NUM = 8,
+    /* Smallest limit of a peer: enough to notice that it has capacity again. */
+    _WG_HANDOFF_LIMIT_MIN = 4,
+    /* Step of a limit that is used, per tick. */
+    _WG_HANDOFF_LIMIT_STEP = 1,
     /* Percent of the descriptors above which nothing is kept, and above which requests of other
        hosts are declined. */
     _WG_HANDOFF_DESCRIPTORS_KEPT = 60,
@@ -29,11 +33,19 @@
 static const double _WG_HANDOFF_DECREASE = 0.7;   /* factor of the local share per tick */
 static const double _WG_HANDOFF_INCREASE = 0.02;  /* step of the local share per tick */
 static const double _WG_HANDOFF_SHARE_MIN = 0.02; /* enough to notice that there is capacity */
+/* Limit of a peer that declined or was late, as a fraction of the requests in progress there. */
+static const double _WG_HANDOFF_LIMIT_KEPT = 0.9;
+/* Fraction of a limit from which it counts as used. */
+static const double _WG_HANDOFF_LIMIT_USED = 0.9;
 
 typedef struct {
     char* name; /* NULL: the slot is empty */
     bool is_up;
     int in_progress;
+    /* Largest in_progress. Work of a request arises over the time of its answer, so the delay that
+       makes a peer decline shows late; without a limit all that a peer finished meanwhile would be
+       sent to it at once when it is no longer set aside. */
+    double limit;
     int late_num; /* late first bytes in a row */
     wg_time aside_until;
 } _wg_handoff_peer;
@@ -93,6 +105,16 @@
     }
 }
 
+/* Limits rise only while they are used; others would show nothing about the peer. */
+static void _wg_handoff_raise_limits(wg_handoff* h) {
+    for (int i = 0; i < WG_HANDOFF_PEERS_MAX; i++) {
+        _wg_handoff_peer* peer = &h->peers[i];
+        if (peer->in_progress + 1 >= _WG_HANDOFF_LIMIT_USED * peer->limit) {
+            peer->limit = MIN(peer->limit + _WG_HANDOFF_LIMIT_STEP, WG_HANDOFF_IN_PROGRESS_MAX);
+        }
+    }
+}
+
 /* ---- helpers: peers ------------------------------------------------------------------------- */
 
 static _wg_handoff_peer* _wg_handoff_peer_at(wg_handoff* h, int peer) {
@@ -104,9 +126,18 @@
     peer->aside_until = MAX(peer->aside_until, now + duration);
 }
 
+/* Sets a peer aside that showed that it has no capacity. Answers to requests that were sent before
+   lower its limit once. */
+static void _wg_handoff_set_busy(_wg_handoff_peer* peer, wg_time now, wg_time duration) {
+    if (now >= peer->aside_until) {
+        double limit = _WG_HANDOFF_LIMIT_KEPT * MIN(peer->limit, peer->in_progress);
+        peer->limit = MAX(limit, _WG_HANDOFF_LIMIT_MIN);
+    }
+    _wg_handoff_set_aside(peer, now, duration);
+}
+
 static bool _wg_handoff_is_available(const _wg_handoff_peer* peer, wg_time now) {
-    return peer->name && peer->is_up && now >= peer->aside_until &&
-           peer->in_progress < WG_HANDOFF_IN_PROGRESS_MAX;
+    return peer->name && peer->is_up && now >= peer->aside_until && peer->in_progress < peer->limit;
 }
 
 static void _wg_handoff_clear(_wg_handoff_peer* peer) {
@@ -226,6 +257,7 @@
     h->ticked_at = now;
     h->short_of_descriptors = _wg_handoff_uses(load, _WG_HANDOFF_DESCRIPTORS_KEPT);
     _wg_handoff_adjust(h, now, load);
+    _wg_handoff_raise_limits(h);
     if (_wg_handoff_local_share(h) < 1) {
         h->short_at = now;
     }
@@ -239,6 +271,7 @@
     _wg_handoff_peer* p = _wg_handoff_peer_at(h, peer);
     p->is_up = p->name != NULL;
     p->in_progress = 0;
+    p->limit = WG_HANDOFF_IN_PROGRESS_MAX;
     p->late_num = 0;
 }
 
@@ -291,7 +324,7 @@
 void wg_handoff_declined(wg_handoff* h, wg_time now, int peer) {
     h->declined++;
     wg_handoff_end(h, peer);
-    _wg_handoff_set_aside(_wg_handoff_peer_at(h, peer), now, _WG_HANDOFF_DECLINED_ASIDE);
+    _wg_handoff_set_busy(_wg_handoff_peer_at(h, peer), now, _WG_HANDOFF_DECLINED_ASIDE);
 }
 
 void wg_handoff_first_byte(wg_handoff* h, wg_time now, int peer, wg_time waited) {
@@ -306,7 +339,7 @@
     p->late_num++;
     if (p->late_num >= _WG_HANDOFF_LATE_NUM) {
         p->late_num = 0;
-        _wg_handoff_set_aside(p, now, _WG_HANDOFF_LATE_ASIDE);
+        _wg_handoff_set_busy(p, now, _WG_HANDOFF_LATE_ASIDE);
     }
 }
 
--- a/tests/test_handoff.c
+++ b/tests/test_handoff.c
@@ -28,7 +28,7 @@
     INPUT_MAX = 1 << 16,
     DECLINED_ASIDE_MS = 200,
     SHORT_TICKS = 1, /* after which a host declines */
-    STOPPED_WAITING_MAX = 1000,
+    STOPPED_WAITING_MAX = 100,
     PROBE = -1 /* entry of the input that measures its delay */
 };
 
@@ -862,6 +862,63 @@
 }
 END_TEST
 
+/* Guards against work that swings while its peers are half busy themselves. What a peer takes shows
+   in its delay only while it answers. A peer that is set aside finishes its work meanwhile; if all
+   that fits were sent to it at once afterwards, it would be overloaded in turn, and its own input
+   would wait. */
+START_TEST(peers_that_are_half_busy_are_not_flooded) {
+    model m;
+    model_begin(&m, 9, HOST_RATE / 2.0);
+    model_run(&m, 2000);
+    m.hosts[0].rate = 2 * HOST_RATE;
+    model_run(&m, 8000);
+    model_observe(&m);
+    ck_assert(model_swing(&m, 20000) < 1);
+    int declined = 0;
+    for (int i = 1; i < m.num; i++) {
+        declined += m.hosts[i].declined_num;
+    }
+    /* 6,000 requests are to be handed off in this time. */
+    ck_assert_int_lt(declined, 2000);
+    model_end(&m);
+}
+END_TEST
+
+/* Guards against limits that stay low after a busy time, and against limits that fall with each of
+   several answers to requests sent at once. */
+START_TEST(limit_of_a_peer_falls_once_and_rises_while_it_is_used) {
+    wg_handoff* h = setup_with_peers(1);
+    wg_time now = 100 * SECOND;
+    for (int i = 0; i < 110; i++) {
+        wg_handoff_begin(h, 0);
+    }
+    for (int i = 0; i < 10; i++) {
+        wg_handoff_declined(h, now, 0);
+    }
+    /* 0.9 of the 109 that were left after the first answer: 98.1 */
+    wg_handoff_end(h, 0);
+    now += SECOND;
+    ck_assert_int_eq(wg_handoff_pick(h, now, 0), -1);
+    wg_handoff_end(h, 0);
+    ck_assert_int_eq(wg_handoff_pick(h, now, 0), 0);
+    for (int i = 0; i < 50; i++) {
+        wg_handoff_end(h, 0);
+    }
+    tick_with_delay(h, &now, 0, 100);
+    int num = 0;
+    for (; wg_handoff_pick(h, now, 0) == 0; num++) {
+        wg_handoff_begin(h, 0);
+    }
+    ck_assert_int_eq(wg_handoff_query_stats(h).in_progress, 99);
+    tick_with_delay(h, &now, 0, 10);
+    for (; wg_handoff_pick(h, now, 0) == 0; num++) {
+        wg_handoff_begin(h, 0);
+    }
+    ck_assert_int_eq(wg_handoff_query_stats(h).in_progress, 109);
+    wg_handoff_shutdown(h);
+}
+END_TEST
+
 /* Guards against keeping work at the peers after a peak. */
 START_TEST(work_returns_after_a_peak) {
     model m;
@@ -991,5 +1048,7 @@
              lateness_across_an_own_stall_does_not_count,
              less_busy_peer_of_two_is_used_up_to_its_limit, peer_declines_before_it_is_short_itself,
              input_delay_stays_bounded_and_nothing_swings, work_returns_after_a_peak,
+             peers_that_are_half_busy_are_not_flooded,
+             limit_of_a_peer_falls_once_and_rises_while_it_is_used,
              eight_owners_spread_over_twelve_others, few_requests_wait_for_a_peer_that_stands_still,
              descriptors_stay_below_their_limit, decision_costs_little)
