Handoff: the local share does not rise while the host refuses requests

Cause: refusals make the delay of input short, so the share rose, and the host served requests at three times the cost of handing them off. Then input waited again and it refused more.

Change: wg_handoff_load.refuses (new field, false by default); the caller passes wg_overload_is_limited().

The model sets up links at its beginning; a test for a host whose processor time is granted each 100 ms; comments of the header.

--- a/lib/handoff/wg_handoff.c
+++ b/lib/handoff/wg_handoff.c
@@ -103,7 +103,7 @@
     }
     if (load->input_delay >= h->desc.delay_max) {
         h->share = MAX(_WG_HANDOFF_DECREASE * h->share, _WG_HANDOFF_SHARE_MIN);
-    } else {
+    } else if (!load->refuses) {
         h->share = MIN(h->share + _WG_HANDOFF_INCREASE, 1);
     }
 }
--- a/lib/handoff/wg_handoff.h
+++ b/lib/handoff/wg_handoff.h
@@ -1,7 +1,7 @@
 #pragma once
 /*
     wg_handoff.h -- which requests an overloaded host hands off to other hosts, as a pure state
-   machine
+    machine
 
     WHAT IT DOES
         A host whose callers' input waits too long, or that runs short of descriptors, keeps only a
@@ -10,12 +10,14 @@
 
     FEATURES
         - the part that is kept falls quickly while input waits, and rises slowly afterwards, so
-   that a peak is handed off within half a second and work does not swing back at once
+          that a peak is handed off within half a second and work does not swing back at once
+        - it does not rise while this host refuses requests: a request that is handed off leaves
+          more capacity for others than one that is served here
         - requests that are kept are spaced evenly
         - peers are selected by rendezvous hashing of the names of both hosts, so that overloaded
           hosts spread over different peers
         - of two peers at random the less busy one is used; one that declines, whose link closed, or
-          that answers late is set aside for a while
+          that answers late is set aside for a while, and gets fewer requests at once afterwards
 
     USE
         1. wg_handoff* h = wg_handoff_setup(&(wg_handoff_desc){.name = name, .delay_max = max});
@@ -31,7 +33,7 @@
 
     THE CALLER OWNS
         the clock, the links and the requests. Peers are slots, 0 to WG_HANDOFF_PEERS_MAX - 1; a
-   slot keeps its host until wg_handoff_set_hosts() replaces it.
+        slot keeps its host until wg_handoff_set_hosts() replaces it.
 */
 #include "wg_base.h"
 
@@ -44,7 +46,8 @@
 
 typedef struct {
     const char* name;  /* of this host; borrowed */
-    wg_time delay_max; /* input delay, microseconds, from which requests are handed off */
+    wg_time delay_max; /* input delay, microseconds, from which requests are handed off; 0: never,
+                          and no requests of others are taken */
     uint64_t seed;
 } wg_handoff_desc;
 
@@ -52,6 +55,7 @@
 typedef struct {
     wg_time input_delay; /* microseconds that callers' input waits until it is read */
     bool stalled;        /* the process stood still since the last tick; the delay shows nothing */
+    bool refuses;        /* requests are refused on arrival, see lib/overload */
     int descriptors;     /* in use */
     int descriptors_max; /* limit of the process; 0: unknown */
 } wg_handoff_load;
@@ -59,9 +63,9 @@
 typedef struct {
     double local_share; /* fraction of new requests that this host keeps */
     int peers_up;
-    int in_progress; /* handed off and not ended */
-    uint64_t handed_off;
-    uint64_t kept; /* while less than all requests were kept */
+    int in_progress;     /* handed off and not ended */
+    uint64_t handed_off; /* sent to peers, including those that were declined */
+    uint64_t kept;       /* while less than all requests were kept */
     uint64_t declined;
 } wg_handoff_stats;
 
@@ -69,11 +73,15 @@
 
 wg_handoff* wg_handoff_setup(const wg_handoff_desc* desc);
 void wg_handoff_shutdown(wg_handoff* handoff);
-/* Selects the peers among the hosts of this data centre; this host is ignored. A slot whose host is
-   no longer selected becomes empty; wg_handoff_peer_down() has to follow for its link. */
+/* Selects the peers among the hosts of this data centre; this host and repeated names are ignored.
+   A slot whose host is no longer selected becomes empty or gets another host at once, without
+   requests in progress; wg_handoff_peer_down() has to follow for the link of the earlier host, and
+   wg_handoff_end() is not called for its requests. */
 void wg_handoff_set_hosts(wg_handoff* handoff, const char* const* names, int num);
-/* Name of the host in a slot; NULL: the slot is empty. Valid until the next set_hosts(). */
+/* Name of the host in a slot; NULL: the slot is empty. Valid until the next
+   wg_handoff_set_hosts(). */
 const char* wg_handoff_peer_name(const wg_handoff* handoff, int peer);
+/* Adjusts the local share by one step, however late the tick is. */
 void wg_handoff_tick(wg_handoff* handoff, wg_time now, const wg_handoff_load* load);
 /* Whether links to the peers are needed: less than all requests are kept, or were a short while
    ago. */
--- a/tests/test_handoff.c
+++ b/tests/test_handoff.c
@@ -14,6 +14,7 @@
 enum {
     HOSTS_MAX = 24,
     DELAY_MAX_MS = 10,
+    REFUSE_DELAY_MS = 60, /* delay above which requests are refused */
     TICK_MS = 50,
     /* Costs, microseconds. */
     SERVE_COST = 5000,
@@ -64,7 +65,6 @@
     guint frames_head[2];
     int tick_at;
     int stopped_until;
-    int stopped_at;
     int probe_since; /* -1: not queued */
     int probe_last_since;
     int delay_last; /* ms */
@@ -103,41 +103,33 @@
     }
 }
 
-static void model_set_hosts(model* m, int num) {
-    char names[HOSTS_MAX][16];
-    const char* list[HOSTS_MAX];
+/* Names of the hosts. */
+static char names[HOSTS_MAX][WG_NAME_MAX];
+static const char* list[HOSTS_MAX];
+
+static void model_begin(model* m, int num, double rate) {
+    *m = (model){.hosts = g_new0(model_host, num), .num = num};
     for (int i = 0; i < num; i++) {
         g_snprintf(names[i], sizeof names[i], "entry-%d", i);
         list[i] = names[i];
     }
-    for (int i = 0; i < m->num; i++) {
-        model_host* host = &m->hosts[i];
-        wg_handoff_set_hosts(host->handoff, list, num);
-        for (int slot = 0; slot < WG_HANDOFF_PEERS_MAX; slot++) {
-            const char* name = wg_handoff_peer_name(host->handoff, slot);
-            host->hosts_of[slot] = name ? atoi(name + strlen("entry-")) : -1;
-        }
-    }
-}
-
-static void model_begin(model* m, int num, double rate) {
-    *m = (model){.hosts = g_new0(model_host, num), .num = num};
     for (int i = 0; i < num; i++) {
         model_host* host = &m->hosts[i];
-        char name[16];
-        g_snprintf(name, sizeof name, "entry-%d", i);
         host->handoff = wg_handoff_setup(&(wg_handoff_desc){
-            .name = name, .delay_max = DELAY_MAX_MS * MSEC, .seed = (uint64_t)i + 1});
+            .name = names[i], .delay_max = DELAY_MAX_MS * MSEC, .seed = (uint64_t)i + 1});
+        wg_handoff_set_hosts(host->handoff, list, num);
+        for (int k = 0; k < WG_HANDOFF_PEERS_MAX; k++) {
+            const char* name = wg_handoff_peer_name(host->handoff, k);
+            host->hosts_of[k] = name ? atoi(name + strlen("entry-")) : -1;
+            wg_handoff_peer_up(host->handoff, k);
+        }
         host->rate = rate;
         host->cost_factor = 1;
         host->probe_since = -1;
-        host->stopped_at = -1;
         host->tick_at = i * 7 % TICK_MS;
-        for (int k = 0; k < 2; k++) {
-            host->frames[k] = g_array_new(FALSE, FALSE, sizeof(model_frame));
-        }
+        host->frames[0] = g_array_new(FALSE, FALSE, sizeof(model_frame));
+        host->frames[1] = g_array_new(FALSE, FALSE, sizeof(model_frame));
     }
-    model_set_hosts(m, num);
     model_observe(m);
 }
 
@@ -296,22 +288,12 @@
     }
 }
 
-static void model_links(model* m, model_host* host) {
-    bool needed = wg_handoff_needs_links(host->handoff, model_time(m));
-    int up = wg_handoff_query_stats(host->handoff).peers_up;
-    for (int slot = 0; slot < WG_HANDOFF_PEERS_MAX && needed && up == 0; slot++) {
-        if (host->hosts_of[slot] >= 0) {
-            wg_handoff_peer_up(host->handoff, slot);
-        }
-    }
-}
-
 static void model_tick(model* m, model_host* host) {
     wg_handoff_load load = model_load(m, host);
     load.stalled = m->now - host->tick_at > 100;
+    load.refuses = host->overload && wg_overload_is_limited(host->overload);
     host->tick_at = m->now + TICK_MS;
     wg_handoff_tick(host->handoff, model_time(m), &load);
-    model_links(m, host);
     if (host->overload) {
         int since = host->probe_since >= 0 ? host->probe_since : host->probe_last_since;
         wg_overload_tick(host->overload, model_time(m),
@@ -633,20 +615,20 @@
     enum {
         HOSTS = 61
     };
-    char names[HOSTS][16];
-    const char* list[HOSTS];
+    char all[HOSTS][16];
+    const char* hosts[HOSTS];
     int used[HOSTS] = {0};
     for (int i = 0; i < HOSTS; i++) {
-        g_snprintf(names[i], sizeof names[i], "entry-%d", i);
-        list[i] = names[i];
+        g_snprintf(all[i], sizeof all[i], "entry-%d", i);
+        hosts[i] = all[i];
     }
     for (int i = 0; i < HOSTS; i++) {
-        wg_handoff* h = wg_handoff_setup(&(wg_handoff_desc){.name = names[i], .delay_max = MSEC});
-        wg_handoff_set_hosts(h, list, HOSTS);
+        wg_handoff* h = wg_handoff_setup(&(wg_handoff_desc){.name = all[i], .delay_max = MSEC});
+        wg_handoff_set_hosts(h, hosts, HOSTS);
         for (int slot = 0; slot < WG_HANDOFF_PEERS_MAX; slot++) {
             const char* name = wg_handoff_peer_name(h, slot);
             ck_assert_ptr_nonnull(name);
-            ck_assert_str_ne(name, names[i]);
+            ck_assert_str_ne(name, all[i]);
             used[atoi(name + strlen("entry-"))]++;
         }
         wg_handoff_shutdown(h);
@@ -665,14 +647,14 @@
     static const char* const after[] = {"e", "d", "c", "c", "owner", "f", "a"};
     wg_handoff* h = setup_alone();
     wg_handoff_set_hosts(h, before, G_N_ELEMENTS(before));
-    char* names[WG_HANDOFF_PEERS_MAX];
+    char* kept[WG_HANDOFF_PEERS_MAX];
     int vacated = -1;
     for (int i = 0; i < WG_HANDOFF_PEERS_MAX; i++) {
-        names[i] = g_strdup(wg_handoff_peer_name(h, i));
-        if (names[i]) {
+        kept[i] = g_strdup(wg_handoff_peer_name(h, i));
+        if (kept[i]) {
             wg_handoff_peer_up(h, i);
             wg_handoff_begin(h, i);
-            vacated = strcmp(names[i], "b") == 0 ? i : vacated;
+            vacated = strcmp(kept[i], "b") == 0 ? i : vacated;
         }
     }
     ck_assert_int_eq(wg_handoff_query_stats(h).peers_up, 4);
@@ -682,10 +664,10 @@
     for (int i = 0; i < WG_HANDOFF_PEERS_MAX; i++) {
         const char* name = wg_handoff_peer_name(h, i);
         num += name != NULL;
-        if (names[i] && i != vacated) {
-            ck_assert_str_eq(name, names[i]);
+        if (kept[i] && i != vacated) {
+            ck_assert_str_eq(name, kept[i]);
         }
-        g_free(names[i]);
+        g_free(kept[i]);
     }
     ck_assert_int_eq(num, 5);
     ck_assert_str_ne(wg_handoff_peer_name(h, vacated), "b");
@@ -864,6 +846,46 @@
 }
 END_TEST
 
+/* Ten times the load of one host, more than it can hand off: it refuses the rest, as lib/overload
+   does. Guards against a share that rises whenever refusals make the delay short: the host then
+   serves what it could hand off at a third of the cost, and has to refuse more. */
+START_TEST(host_that_refuses_hands_off_what_it_does_not_refuse) {
+    model m;
+    model_begin(&m, 9, HOST_RATE / 20.0);
+    m.hosts[0].overload =
+        wg_overload_setup(&(wg_overload_desc){.delay_max = REFUSE_DELAY_MS * MSEC, .seed = 7});
+    model_run(&m, 2000);
+    m.hosts[0].rate = 10 * HOST_RATE;
+    model_run(&m, 5000);
+    model_observe(&m);
+    model_run(&m, 20000);
+    ck_assert_int_le(m.hosts[0].delay_max, 500);
+    ck_assert_int_gt(model_peers_took(&m), 20 * HOST_RATE * 3 / 2);
+    ck_assert(m.hosts[0].share_max < 0.1);
+    ck_assert_int_lt(model_peers_delay(&m, 1), 2 * DELAY_MAX_MS);
+    m.hosts[0].rate = HOST_RATE / 2.0;
+    model_run(&m, 5000);
+    ck_assert(share_of(m.hosts[0].handoff) >= 1 - 1e-9);
+    model_end(&m);
+}
+END_TEST
+
+/* Processor time is granted each 100 ms, and is used up at once: the delay is either 0 or long. */
+START_TEST(host_with_a_processor_quota_does_not_swing) {
+    model m;
+    model_begin(&m, 9, HOST_RATE / 2.0);
+    m.quota_ms = 100;
+    model_run(&m, 2000);
+    m.hosts[0].rate = 2 * HOST_RATE;
+    model_run(&m, 8000);
+    model_observe(&m);
+    ck_assert(model_swing(&m, 20000) < 0.7);
+    ck_assert_int_le(m.hosts[0].delay_max, 350);
+    ck_assert_int_gt(model_peers_took(&m) + m.hosts[0].served, 20 * HOST_RATE * 19 / 10);
+    model_end(&m);
+}
+END_TEST
+
 /* Guards against work that swings while its peers are half busy themselves. What a peer takes shows
    in its delay only while it answers. A peer that is set aside finishes its work meanwhile; if all
    that fits were sent to it at once afterwards, it would be overloaded in turn, and its own input
@@ -1052,7 +1074,8 @@
              lateness_across_an_own_stall_does_not_count,
              less_busy_peer_of_two_is_used_up_to_its_limit, peer_declines_before_it_is_short_itself,
              input_delay_stays_bounded_and_nothing_swings, work_returns_after_a_peak,
-             peers_that_are_half_busy_are_not_flooded,
+             host_that_refuses_hands_off_what_it_does_not_refuse,
+             host_with_a_processor_quota_does_not_swing, peers_that_are_half_busy_are_not_flooded,
              limit_of_a_peer_falls_once_and_rises_while_it_is_used,
              eight_owners_spread_over_twelve_others, few_requests_wait_for_a_peer_that_stands_still,
              descriptors_stay_below_their_limit, decision_costs_little)
