--- a/tests/test_handoff.c
+++ b/tests/test_handoff.c
@@ -910,6 +910,37 @@
 }
 END_TEST
 
+/* Guards against owners that move from peer to peer together: 8 of 20 hosts, 1.8 times their load,
+   processor time granted each 100 ms, 12 peers that have hardly enough capacity. An owner has 4 to
+   7 of them among its own 8 peers, so its input may wait. */
+START_TEST(owners_do_not_flood_one_peer_after_the_other) {
+    enum {
+        OWNERS = 8,
+        HOSTS = 20
+    };
+    model m;
+    model_begin(&m, HOSTS, HOST_RATE / 20.0);
+    m.quota_ms = 100;
+    model_run(&m, 2000);
+    for (int i = 0; i < OWNERS; i++) {
+        m.hosts[i].rate = 1.8 * HOST_RATE;
+    }
+    model_run(&m, 8000);
+    model_observe(&m);
+    ck_assert(model_swing(&m, 20000) < 0.5);
+    int declined = 0;
+    for (int i = OWNERS; i < HOSTS; i++) {
+        declined += m.hosts[i].declined_num;
+    }
+    /* 38,000 requests are to be handed off in this time. */
+    ck_assert_int_lt(declined, 10000);
+    for (int i = 0; i < OWNERS; i++) {
+        ck_assert_int_le(m.hosts[i].delay_max, 2000);
+    }
+    model_end(&m);
+}
+END_TEST
+
 /* Guards against limits that stay low after a busy time, and against limits that fall with each of
    several answers to requests sent at once. */
 START_TEST(limit_of_a_peer_falls_once_and_rises_while_it_is_used) {
@@ -1076,6 +1107,7 @@
              input_delay_stays_bounded_and_nothing_swings, work_returns_after_a_peak,
              host_that_refuses_hands_off_what_it_does_not_refuse,
              host_with_a_processor_quota_does_not_swing, peers_that_are_half_busy_are_not_flooded,
+             owners_do_not_flood_one_peer_after_the_other,
              limit_of_a_peer_falls_once_and_rises_while_it_is_used,
              eight_owners_spread_over_twelve_others, few_requests_wait_for_a_peer_that_stands_still,
              descriptors_stay_below_their_limit, decision_costs_little)
