Fair: levels per unit of weight, usage per unit of weight

Operators cannot give a workspace a larger or smaller share of an entry host's targets. wg_fair_weighted_level() computes the max-min level per unit of weight, by one sort; wg_fair_level() is the same with all weights 1. The ledger holds the weights of the configuration (wg_usage_set_weights(), which computes the levels again at once, since without a leader there is no next report) and returns usage / weight. wg_fair_weight() bounds a weight from a message.

Nothing sets weights yet. test_usage: 500 random fleets without weights have the levels of the former code to the last digit; weighted levels serve what was served; changes apply at once; 11 of 11 passed. test_balance 29 of 29.

--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -1,8 +1,8 @@
 /* wg_fair.c -- see wg_fair.h */
 #include "wg_fair.h"
 
+#include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* Wait tolerance as a function of usage divided by the level. */
 typedef struct {
@@ -19,33 +19,66 @@
 static const wg_fair_slope WG_FAIR_SERVED_SLOPE = {
     .full_until = 1.0, .min_from = 1.15, .min = 0.05, .zero_from = 1.3};
 
+/* Demand of one workspace, as sorted for the level. */
+typedef struct {
+    double per_weight; /* demand / weight */
+    double demand;
+    double weight;
+    double weight_from; /* sum of the weights from this workspace to the last one */
+} wg_fair_demand;
+
 static int wg_fair_compare(const void* a, const void* b) {
-    double first = *(const double*)a;
-    double second = *(const double*)b;
+    double first = ((const wg_fair_demand*)a)->per_weight;
+    double second = ((const wg_fair_demand*)b)->per_weight;
     return first < second ? -1 : first > second;
 }
 
-double wg_fair_level(const double* demand, int num, double served) {
+/* Sums from the end: subtraction from the total would leave rounding errors where the weights that
+   remain are small against those before them. */
+static void wg_fair_sum_weights(wg_fair_demand* sorted, int num) {
+    double sum = 0;
+    for (int i = num - 1; i >= 0; i--) {
+        sum += sorted[i].weight;
+        sorted[i].weight_from = sum;
+    }
+}
+
+double wg_fair_weighted_level(const double* demand, const double* weights, int num, double served) {
     if (num == 0) {
         return 0;
     }
-    double* sorted = g_new(double, num);
-    memcpy(sorted, demand, sizeof *sorted * (size_t)num);
+    wg_fair_demand* sorted = g_new(wg_fair_demand, num);
+    for (int i = 0; i < num; i++) {
+        double weight = weights ? weights[i] : 1;
+        sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight, 0};
+    }
     qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    wg_fair_sum_weights(sorted, num);
     double left = served;
-    double level = sorted[num - 1];
+    double level = sorted[num - 1].per_weight;
     for (int i = 0; i < num; i++) {
-        double even = left / (num - i);
-        if (sorted[i] > even) {
+        double even = left / sorted[i].weight_from;
+        if (sorted[i].per_weight > even) {
             level = even;
             break;
         }
-        left -= sorted[i];
+        left -= sorted[i].demand;
     }
     g_free(sorted);
     return level;
 }
 
+double wg_fair_level(const double* demand, int num, double served) {
+    return wg_fair_weighted_level(demand, NULL, num, served);
+}
+
+double wg_fair_weight(double weight) {
+    if (!isfinite(weight) || weight <= 0) {
+        return 1;
+    }
+    return CLAMP(weight, WG_FAIR_WEIGHT_MIN, WG_FAIR_WEIGHT_MAX);
+}
+
 static double wg_fair_tolerance_at(const wg_fair_slope* slope, double used, double level) {
     double ratio = level > 0 ? used / level : 0;
     if (ratio >= slope->zero_from) {
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -14,24 +14,38 @@
         - a workspace that is above its fair share but far below what others are served may catch up
         - two levels: the fair share of the capacity that the operator configured, and of the
           capacity that was really served
+        - weights: a workspace is entitled to its weight times the level
 
     USE
-        1. wg_fair_level(demand, num, served) once per report, for both levels
-        2. wg_fair_wait_tolerance(used_by_one, &levels) for each request
+        1. wg_fair_weighted_level(demand, weights, num, served) once per report, for both levels
+        2. wg_fair_wait_tolerance(used_by_one / weight, &levels) for each request
 */
 #include "wg_base.h"
 
+/* Weights outside of this range are refused in a configuration, and clamped in messages. */
+#define WG_FAIR_WEIGHT_MIN 0.01
+#define WG_FAIR_WEIGHT_MAX 100.0
+
 /* Returns the level at which the sum of min(demand, level) is `served`; the largest demand if all
    demand is served. */
 double wg_fair_level(const double* demand, int num, double served);
+/* Returns the level per unit of weight, at which the sum of min(demand, weight * level) is
+   `served`; the largest demand / weight if all demand is served. `weights`: above 0; NULL: all are
+   1. Costs as much as sorting. */
+double wg_fair_weighted_level(const double* demand, const double* weights, int num, double served);
+/* Returns a weight from a message within the valid range; 1 for one that is not finite or not above
+   0. */
+double wg_fair_weight(double weight);
 
+/* Levels per unit of weight, tokens. Usage divided by the workspace's weight is compared with them.
+ */
 typedef struct {
     double fair_share; /* fair share of the configured capacity; 0: not known */
     double served;     /* fair share of the capacity that was served; 0: not known */
 } wg_fair_levels;
 
 /* True if the workspace was served about half of what others were, or less. It may still be
-   above its fair share. */
+   above its fair share. `used` is usage / weight, here and below. */
 bool wg_fair_is_behind(double used, const wg_fair_levels* levels);
 
 /* True if the workspace is so far below its fair share that its requests are sent late rather
--- a/lib/fair/wg_usage.c
+++ b/lib/fair/wg_usage.c
@@ -17,6 +17,7 @@
 /* Usage of one workspace in the whole fleet. */
 typedef struct {
     uint64_t workspace;
+    double weight;
     wg_usage_amount reported;  /* reported by the leader */
     wg_usage_amount estimated; /* estimated since that report from this host's own usage */
 } wg_usage_copy;
@@ -32,6 +33,7 @@
 struct wg_usage_ledger {
     GHashTable* fleet;   /* workspace -> wg_usage_copy* */
     GHashTable* own;     /* workspace -> wg_usage_total* */
+    GHashTable* weights; /* workspace -> wg_usage_weight*; those that are not listed have 1 */
     wg_time reported_at; /* 0: never */
     wg_time lifetime;    /* since `reported_at`, until the copy decays */
     wg_time decayed_at;
@@ -52,11 +54,17 @@
     return own;
 }
 
+static double wg_usage_configured_weight(const wg_usage_ledger* ledger, uint64_t workspace) {
+    const wg_usage_weight* weight = g_hash_table_lookup(ledger->weights, &workspace);
+    return weight ? weight->weight : 1;
+}
+
 static wg_usage_copy* wg_usage_copy_of(wg_usage_ledger* ledger, uint64_t workspace) {
     wg_usage_copy* copy = g_hash_table_lookup(ledger->fleet, &workspace);
     if (!copy) {
         copy = g_new0(wg_usage_copy, 1);
         copy->workspace = workspace;
+        copy->weight = wg_usage_configured_weight(ledger, workspace);
         g_hash_table_insert(ledger->fleet, &copy->workspace, copy);
     }
     return copy;
@@ -65,6 +73,7 @@
 static void wg_usage_set_levels(wg_usage_ledger* ledger, double total_share) {
     size_t num = g_hash_table_size(ledger->fleet) + ledger->small_num;
     double* demand = g_new(double, num + 1);
+    double* weights = g_new(double, num + 1);
     double served = ledger->small.tokens;
     int filled = 0;
     GHashTableIter iter;
@@ -73,15 +82,19 @@
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wg_usage_copy* copy = value;
         double tokens = copy->reported.tokens + copy->estimated.tokens;
+        weights[filled] = copy->weight;
         demand[filled++] = MAX(copy->reported.demand + copy->estimated.demand, tokens);
         served += tokens;
     }
     for (size_t i = 0; i < ledger->small_num; i++) {
+        weights[filled] = 1; /* which workspaces these are is not known */
         demand[filled++] = ledger->small.demand / (double)ledger->small_num;
     }
-    ledger->levels.served = wg_fair_level(demand, filled, served);
-    ledger->levels.fair_share = total_share > 0 ? wg_fair_level(demand, filled, total_share) : 0;
+    ledger->levels.served = wg_fair_weighted_level(demand, weights, filled, served);
+    ledger->levels.fair_share =
+        total_share > 0 ? wg_fair_weighted_level(demand, weights, filled, total_share) : 0;
     g_free(demand);
+    g_free(weights);
 }
 
 static wg_usage_amount wg_usage_scale(wg_usage_amount amount, double factor) {
@@ -130,12 +143,14 @@
     ledger->lifetime = WG_USAGE_LIFETIME_DEFAULT;
     ledger->fleet = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     ledger->own = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
+    ledger->weights = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
     return ledger;
 }
 
 void wg_usage_shutdown(wg_usage_ledger* ledger) {
     g_hash_table_unref(ledger->fleet);
     g_hash_table_unref(ledger->own);
+    g_hash_table_unref(ledger->weights);
     g_free(ledger);
 }
 
@@ -194,6 +209,33 @@
     return ledger->small_num > 0 ? ledger->small.tokens / (double)ledger->small_num : 0;
 }
 
+double wg_usage_weight_of(const wg_usage_ledger* ledger, uint64_t workspace) {
+    const wg_usage_copy* copy = g_hash_table_lookup(ledger->fleet, &workspace);
+    return copy ? copy->weight : wg_usage_configured_weight(ledger, workspace);
+}
+
+double wg_usage_per_weight(const wg_usage_ledger* ledger, uint64_t workspace) {
+    return wg_usage_of(ledger, workspace) / wg_usage_weight_of(ledger, workspace);
+}
+
+void wg_usage_set_weights(wg_usage_ledger* ledger, const wg_usage_weight* list, size_t num,
+                          double total_share) {
+    g_hash_table_remove_all(ledger->weights);
+    for (size_t i = 0; i < num; i++) {
+        wg_usage_weight* weight = g_new(wg_usage_weight, 1);
+        *weight = list[i];
+        g_hash_table_replace(ledger->weights, &weight->workspace, weight);
+    }
+    GHashTableIter iter;
+    gpointer value;
+    g_hash_table_iter_init(&iter, ledger->fleet);
+    while (g_hash_table_iter_next(&iter, NULL, &value)) {
+        wg_usage_copy* copy = value;
+        copy->weight = wg_usage_configured_weight(ledger, copy->workspace);
+    }
+    wg_usage_set_levels(ledger, total_share);
+}
+
 const wg_fair_levels* wg_usage_levels(const wg_usage_ledger* ledger) {
     return &ledger->levels;
 }
--- a/lib/fair/wg_usage.h
+++ b/lib/fair/wg_usage.h
@@ -10,6 +10,7 @@
     FEATURES
         - a workspace that had the highest usage when the leader was lost is not limited by that for
           good, since usage decays
+        - weights of workspaces, as the configuration has them; the leader's reports contain none
         - own totals only grow, so that any leader can compute the difference between two reports
 
     USE
@@ -18,8 +19,9 @@
            wg_usage_record_served(l, workspace, tokens);
         3. wg_usage_apply_report(l, now, list, num, total_share);  // a report of the leader
         4. wg_usage_decay(l, now, hosts, total_share);             // each tick
-        5. wg_usage_of(l, workspace); wg_usage_levels(l);
+        5. wg_usage_per_weight(l, workspace); wg_usage_levels(l);
         6. wg_usage_take_changed(l);                               // for a report to the leader
+        7. wg_usage_set_weights(l, list, num, total_share);        // a new configuration
 
     THE CALLER OWNS
         everything passed in; returned lists stay owned by the ledger.
@@ -72,7 +74,22 @@
 void wg_usage_decay(wg_usage_ledger* ledger, wg_time now, int hosts, double total_share);
 /* Returns the recent usage of the workspace in the whole fleet, tokens. */
 double wg_usage_of(const wg_usage_ledger* ledger, uint64_t workspace);
+/* Returns the weight of the workspace; 1 if it has none. */
+double wg_usage_weight_of(const wg_usage_ledger* ledger, uint64_t workspace);
+/* Returns the recent usage of the workspace per unit of its weight, which is compared with the
+   levels, tokens. */
+double wg_usage_per_weight(const wg_usage_ledger* ledger, uint64_t workspace);
 const wg_fair_levels* wg_usage_levels(const wg_usage_ledger* ledger);
+
+typedef struct {
+    uint64_t workspace; /* hash of its name */
+    double weight;      /* WG_FAIR_WEIGHT_MIN to WG_FAIR_WEIGHT_MAX */
+} wg_usage_weight;
+
+/* Replaces the weights of all workspaces and computes the levels again. Workspaces that are not
+   listed have weight 1; of two entries for one workspace the last one counts. */
+void wg_usage_set_weights(wg_usage_ledger* ledger, const wg_usage_weight* list, size_t num,
+                          double total_share);
 /* Returns this host's own totals that changed since they were last taken, wg_usage*, in no
    particular order; the caller frees the list only. */
 GPtrArray* wg_usage_take_changed(wg_usage_ledger* ledger);
