Hold: waiting workspaces are ordered by usage per unit of weight

A request states the weight of its workspace; 0 and values that no configuration can have count as 1 or as the nearest valid weight. The latest stated weight applies to all requests of the workspace that wait, so that a changed configuration is obeyed as soon as one host has it.

--- a/lib/hold/wg_hold.c
+++ b/lib/hold/wg_hold.c
@@ -5,6 +5,8 @@
    looks at the heads of a few buckets, however many requests wait. */
 #include "wg_hold.h"
 
+#include "wg_fair.h"
+
 #include <math.h>
 #include <string.h>
 
@@ -76,6 +78,7 @@
 
 typedef struct {
     uint64_t id;
+    double weight;
     double reported; /* usage as last reported, tokens */
     double charge;   /* granted since, as of `charged_at` */
     wg_time charged_at;
@@ -214,6 +217,7 @@
     if (!workspace) {
         workspace = g_new0(_wg_hold_workspace, 1);
         workspace->id = id;
+        workspace->weight = 1;
         workspace->reported = h->desc.usage ? h->desc.usage(id, h->desc.user_data) : 0;
         workspace->charged_at = now;
         workspace->groups = g_ptr_array_new();
@@ -228,9 +232,9 @@
     workspace->charged_at = now;
 }
 
-/* Requests without a workspace come first among those without usage. */
+/* Usage per unit of weight. Requests without a workspace come first among those without usage. */
 static double _wg_hold_usage(const _wg_hold_workspace* workspace) {
-    return workspace->id ? workspace->reported + workspace->charge : 0;
+    return workspace->id ? (workspace->reported + workspace->charge) / workspace->weight : 0;
 }
 
 static void _wg_hold_sort_groups(wg_hold* h, _wg_hold_workspace* workspace) {
@@ -241,6 +245,19 @@
     }
 }
 
+/* The workspace of a request, with the weight that the request states: hosts may have a newer
+   configuration than this one. */
+static _wg_hold_workspace* _wg_hold_workspace_for(wg_hold* h, wg_time now,
+                                                  const wg_hold_request* request) {
+    _wg_hold_workspace* workspace = _wg_hold_workspace_of(h, now, request->workspace);
+    double weight = wg_fair_weight(request->weight);
+    if (workspace->weight != weight) {
+        workspace->weight = weight;
+        _wg_hold_sort_groups(h, workspace);
+    }
+    return workspace;
+}
+
 /* ---- helpers: groups and buckets ----------------------------------------------------------- */
 
 static _wg_hold_target* _wg_hold_target_of(wg_hold* h, uint32_t number) {
@@ -688,7 +705,7 @@
     wg_admit_answer answer = _wg_hold_estimate(h, entry, now);
     entry->latest = _wg_hold_is_large(&admit->limits, &answer) ? WG_TIME_NEVER
                                                                : _wg_hold_latest(entry, &answer);
-    _wg_hold_workspace* workspace = _wg_hold_workspace_of(h, now, request->workspace);
+    _wg_hold_workspace* workspace = _wg_hold_workspace_for(h, now, request);
     _wg_hold_group* group = _wg_hold_group_of(h, _wg_hold_target_of(h, admit->target), workspace);
     entry->bucket =
         _wg_hold_bucket_of(group, _wg_hold_rank(request), _wg_hold_size_class(answer.unread));
@@ -708,7 +725,7 @@
         return false; /* a request without limits is a retry, which has waited before */
     }
     const _wg_hold_workspace* first = barrier->bucket->group->workspace;
-    const _wg_hold_workspace* own = _wg_hold_workspace_of(h, now, request->workspace);
+    const _wg_hold_workspace* own = _wg_hold_workspace_for(h, now, request);
     if (first != own) {
         return _wg_hold_usage(first) < _wg_hold_usage(own);
     }
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -12,6 +12,7 @@
           workspace by rank, then by the least time left
         - requests that do not fit now are passed over. After half of its wait, a request that waits
           for prompts to be read makes all requests behind it wait as well.
+        - usage counts per unit of the workspace's weight, as last stated by a request
         - usage includes the grants of this coordinator that reports of usage do not contain yet
         - the limit of the complete wait shrinks by the time waited
         - bounded number of requests, and a bounded number of requests examined per decision;
@@ -39,6 +40,7 @@
 typedef struct {
     wg_admit_request admit; /* its limits apply at the time of wg_hold_add() */
     uint64_t workspace;     /* hash of the workspace; 0: none */
+    double weight;          /* of the workspace; 0: 1; bounded by wg_fair_weight() */
     uint32_t rank;          /* priority; 0 first */
     uint32_t charge;        /* tokens charged to the workspace when the request is granted */
     wg_time hold;           /* longest wait for room, microseconds */
--- a/tests/test_hold.c
+++ b/tests/test_hold.c
@@ -106,6 +106,68 @@
 }
 END_TEST
 
+static void add_weighted(uint64_t ticket, uint64_t workspace, double weight) {
+    wg_hold_request request = question(ticket, workspace, 900);
+    request.weight = weight;
+    ck_assert(wg_hold_add(hold, 0, &request));
+}
+
+/* Guards against an order by usage alone, and a charge that ignores the weight: the second grant to
+   workspace 1 comes while the first one counts 900 / 4. */
+START_TEST(usage_counts_per_unit_of_weight) {
+    begin(100);
+    usages[1] = 3000;
+    usages[2] = 1000;
+    add_weighted(1, 1, 4);
+    add_weighted(2, 2, 1);
+    add_weighted(3, 1, 4);
+    ck_assert_uint_eq(grant_order(1 * MSEC), 132);
+    end();
+}
+END_TEST
+
+/* Guards against the weight of an older configuration that stays in force for requests that wait
+   already. */
+START_TEST(weight_of_the_latest_request_applies) {
+    begin(100);
+    usages[1] = 3000;
+    usages[2] = 1000;
+    add_weighted(1, 1, 0);
+    add_weighted(2, 2, 0);
+    wg_hold_request changed = question(3, 1, 900);
+    changed.weight = 4;
+    changed.admit.limits.ahead = 0;
+    ck_assert(wg_hold_add(hold, 0, &changed));
+    ck_assert_uint_eq(grant_order(1 * MSEC) / 10, 1);
+    end();
+}
+END_TEST
+
+/* Guards against an order that is undefined (usage that is not a number) or upside down, because
+   another host states a weight that no configuration can have. */
+START_TEST(stated_weights_are_bounded) {
+    static const double absurd[] = {NAN, INFINITY, -INFINITY, -4, 0};
+    for (size_t i = 0; i < G_N_ELEMENTS(absurd); i++) {
+        begin(100);
+        usages[1] = 3000;
+        usages[2] = 1000;
+        usages[3] = 5000;
+        add_weighted(1, 1, absurd[i]); /* counts as 1 */
+        add_weighted(2, 2, 1);
+        add_weighted(3, 3, 1);
+        ck_assert_uint_eq(grant_order(1 * MSEC), 213);
+        end();
+    }
+    begin(100);
+    usages[1] = 300000;
+    usages[2] = 1000;
+    add_weighted(1, 1, 1e300); /* counts as 100 */
+    add_weighted(2, 2, 1);
+    ck_assert_uint_eq(grant_order(1 * MSEC), 21);
+    end();
+}
+END_TEST
+
 /* Reports of usage are older than the last grants: without the coordinator's own count, all room
    between two reports would go to one workspace. */
 START_TEST(grants_count_before_they_are_reported) {
@@ -509,7 +571,8 @@
 
 typedef struct {
     int workspaces;
-    double weights[LOAD_WORKSPACES_MAX]; /* parts of the demand, sum 1 */
+    double parts[LOAD_WORKSPACES_MAX];   /* of the demand, sum 1 */
+    double weights[LOAD_WORKSPACES_MAX]; /* of the workspaces in the configuration */
     uint64_t counter;
     GQueue unread;     /* load_prompt*, at the target */
     GQueue read;       /* load_prompt*, note on its way */
@@ -589,7 +652,7 @@
     sim->size_offered[size] += tokens;
     wg_fair_margin margin = {0};
     wg_policy_terms terms = {.counts = true,
-                             .used = wg_usage_of(sim->usage, id),
+                             .used = wg_usage_per_weight(sim->usage, id),
                              .levels = wg_usage_levels(sim->usage),
                              .margin = &margin,
                              .has_prompt = true,
@@ -607,6 +670,7 @@
                   .tokens = tokens,
                   .limits = wg_policy_limits(&terms, now)},
         .workspace = id,
+        .weight = sim->weights[workspace],
         .charge = tokens,
         .hold = LOAD_HOLD_MS * MSEC};
     load_prompt* prompt = g_new0(load_prompt, 1);
@@ -628,7 +692,7 @@
 static void load_arrivals(wg_time now) {
     double prompts_per_ms = LOAD_DEMAND * LOAD_SPEED / load_mean_tokens();
     for (int i = 0; i < sim->workspaces; i++) {
-        double left = prompts_per_ms * sim->weights[i];
+        double left = prompts_per_ms * sim->parts[i];
         while (load_random() < left) {
             load_ask(i, now);
             left -= 1;
@@ -729,7 +793,8 @@
     }
 }
 
-/* Largest difference of any workspace from its max-min share in any window, as a part of the share.
+/* Largest difference of any workspace from its weighted max-min share in any window, as a part of
+ * the share.
  */
 static double load_unfairness(void) {
     double worst = 0;
@@ -740,9 +805,9 @@
             demand[i] = sim->offered[ms + LOAD_WINDOW_MS][i] - sim->offered[ms][i];
             served += sim->served[ms + LOAD_WINDOW_MS][i] - sim->served[ms][i];
         }
-        double level = wg_fair_level(demand, sim->workspaces, served);
+        double level = wg_fair_weighted_level(demand, sim->weights, sim->workspaces, served);
         for (int i = 0; i < sim->workspaces; i++) {
-            double share = MIN(level, demand[i]);
+            double share = MIN(sim->weights[i] * level, demand[i]);
             double got = sim->served[ms + LOAD_WINDOW_MS][i] - sim->served[ms][i];
             worst = MAX(worst, fabs(1 - got / share));
         }
@@ -757,15 +822,20 @@
 }
 
 /* Simulates the load and checks what was served. `large`: number of workspaces that make
-   `large_part` of the demand. */
-static void load_simulate(int workspaces, int large, double large_part) {
+   `large_part` of the demand. `weights_num` weights are given to the workspaces in turn. */
+static void load_simulate_weighted(int workspaces, int large, double large_part,
+                                   const double* weights, int weights_num) {
     sim = g_new0(load, 1);
     sim->workspaces = workspaces;
-    for (int i = 0; i < workspaces; i++) {
-        sim->weights[i] = i < large ? large_part / large : (1 - large_part) / (workspaces - large);
-    }
     sim->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
     sim->usage = wg_usage_setup();
+    wg_usage_weight configured[LOAD_WORKSPACES_MAX];
+    for (int i = 0; i < workspaces; i++) {
+        sim->parts[i] = i < large ? large_part / large : (1 - large_part) / (workspaces - large);
+        sim->weights[i] = weights[i % weights_num];
+        configured[i] = (wg_usage_weight){(uint64_t)i + 1, sim->weights[i]};
+    }
+    wg_usage_set_weights(sim->usage, configured, (size_t)workspaces, 0);
     admit = wg_admit_setup(&(wg_admit_desc){0});
     hold = wg_hold_setup(&(wg_hold_desc){.decide = decide, .usage = load_usage});
     load_run();
@@ -798,6 +868,10 @@
     g_free(sim);
 }
 
+static void load_simulate(int workspaces, int large, double large_part) {
+    load_simulate_weighted(workspaces, large, large_part, (const double[]){1}, 1);
+}
+
 /* The tests of load guard against an idle target, shares that depend on chance, sizes that are
    never granted, and grants that come too late. At this load, hosts that ask again at intervals
    would leave the order of grants to chance. */
@@ -826,6 +900,23 @@
 }
 END_TEST
 
+/* Weights 1, 2 and 4. Guards against levels, wait tolerances or an order of grants that ignore
+   them: each of the three alone leaves shares more than a tenth off. */
+START_TEST(ten_equal_workspaces_get_shares_by_weight) {
+    load_simulate_weighted(10, 0, 0, (const double[]){1, 2, 4}, 3);
+}
+END_TEST
+
+START_TEST(ten_workspaces_of_which_one_is_large_get_shares_by_weight) {
+    load_simulate_weighted(10, 1, 0.8, (const double[]){4, 1, 2}, 3);
+}
+END_TEST
+
+START_TEST(ten_workspaces_of_which_three_are_large_get_shares_by_weight) {
+    load_simulate_weighted(10, 3, 0.8, (const double[]){1, 2, 4}, 3);
+}
+END_TEST
+
 WG_TEST_MAIN("hold", least_used_workspace_is_granted_first, grants_count_before_they_are_reported,
              changed_usage_changes_the_order, within_a_workspace_rank_then_time_left_decide,
              prompt_that_does_not_fit_is_passed_over,
@@ -841,4 +932,8 @@
              cost_of_a_decision_is_logarithmic, look_without_a_grant_examines_a_bounded_number,
              one_workspace_keeps_the_target_busy, ten_equal_workspaces_get_equal_shares,
              thirty_equal_workspaces_get_equal_shares, ten_workspaces_of_which_one_is_large,
-             thirty_workspaces_of_which_three_are_large)
+             thirty_workspaces_of_which_three_are_large, usage_counts_per_unit_of_weight,
+             weight_of_the_latest_request_applies, stated_weights_are_bounded,
+             ten_equal_workspaces_get_shares_by_weight,
+             ten_workspaces_of_which_one_is_large_get_shares_by_weight,
+             ten_workspaces_of_which_three_are_large_get_shares_by_weight)
