Configuration: weight and queue_ms of a workspace

weight: a number from 0.01 to 100, default 1; queue_ms: a whole number from 0 to 600,000, default none. A document with any other value is refused with a message that names workspace and member. null counts as a value, so it is refused.

--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -1,6 +1,8 @@
 /* wg_config.c -- see wg_config.h */
 #include "wg_config.h"
 
+#include "wg_fair.h"
+
 #include <jansson.h>
 #include <string.h>
 
@@ -15,7 +17,8 @@
     WG_EVENT_TOKENS_DEFAULT = 1,
     WG_CONNECTIONS_DEFAULT = 256,
     WG_PRIORITY_DEFAULT = 1,
-    WG_COLD_SECONDS_MAX = 300 /* longer cold times are refused as mistakes */
+    WG_COLD_SECONDS_MAX = 300, /* longer cold times are refused as mistakes */
+    WG_QUEUE_MS_MAX = 600000
 };
 
 static bool wg_config_fail(GError** error, const char* where, const char* name, const char* what) {
@@ -232,6 +235,31 @@
 
 /* ---- workspaces ---------------------------------------------------------------------------- */
 
+static bool wg_parse_weight(const json_t* json, wg_workspace* workspace, GError** error) {
+    const json_t* value = json_object_get(json, "weight");
+    workspace->weight = value ? json_number_value(value) : 1;
+    if (workspace->weight >= WG_FAIR_WEIGHT_MIN && workspace->weight <= WG_FAIR_WEIGHT_MAX) {
+        return true;
+    }
+    return wg_config_fail(error, "workspace", workspace->name,
+                          "weight must be a number from 0.01 to 100");
+}
+
+static bool wg_parse_queue_max(const json_t* json, wg_workspace* workspace, GError** error) {
+    const json_t* value = json_object_get(json, "queue_ms");
+    workspace->queue_max = WG_TIME_NEVER;
+    if (!value) {
+        return true;
+    }
+    json_int_t queue_ms = json_integer_value(value);
+    if (!json_is_integer(value) || queue_ms < 0 || queue_ms > WG_QUEUE_MS_MAX) {
+        return wg_config_fail(error, "workspace", workspace->name,
+                              "queue_ms must be a whole number from 0 to 600000");
+    }
+    workspace->queue_max = queue_ms * WG_USEC_PER_MSEC;
+    return true;
+}
+
 static bool wg_parse_workspace(wg_config* c, const json_t* json, wg_workspace* workspace,
                                GError** error) {
     const char* name = wg_json_text(json, "name");
@@ -242,6 +270,9 @@
     workspace->name = g_strdup(name);
     workspace->hash = wg_hash(name, strlen(name), 0);
     workspace->priority = (int)wg_json_number(json, "priority", -1);
+    if (!wg_parse_weight(json, workspace, error) || !wg_parse_queue_max(json, workspace, error)) {
+        return false;
+    }
     for (size_t i = 0; i < json_array_size(keys); i++) {
         const char* key = json_string_value(json_array_get(keys, i));
         if (!key || !key[0]) {
--- a/tests/test_config.c
+++ b/tests/test_config.c
@@ -35,8 +35,8 @@
     "\"timeout_ms\":6000,\"objective_ms\":600,\"pause_ms\":250,\"split\":[{\"service\":\"m\","
     "\"weight\":90},{\"service\":\"p\",\"weight\":10}],\"resumable\":true}],"
     "\"limits\":{\"head_bytes\":99,\"idle_ms\":15000,\"tokens_per_second\":440000},"
-    "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k1\",\"k2\"],\"priority\":1},"
-    "{\"name\":\"v\",\"keys\":[\"k3\"]}]}";
+    "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k1\",\"k2\"],\"priority\":1,\"weight\":2.5,"
+    "\"queue_ms\":40},{\"name\":\"v\",\"keys\":[\"k3\"]}]}";
 
 START_TEST(complete_configuration_is_read) {
     char reason[200];
@@ -63,6 +63,10 @@
     /* A path prefix does not match within the query. */
     ck_assert_ptr_null(wg_config_route(c, text_of("a.example"), text_of("/?/x/")));
     ck_assert_str_eq(wg_config_workspace(c, text_of("k2"))->name, "w");
+    ck_assert_double_eq(wg_config_workspace(c, text_of("k2"))->weight, 2.5);
+    ck_assert_int_eq(wg_config_workspace(c, text_of("k2"))->queue_max, 40 * MSEC);
+    ck_assert_double_eq(wg_config_workspace(c, text_of("k3"))->weight, 1);
+    ck_assert_int_eq(wg_config_workspace(c, text_of("k3"))->queue_max, WG_TIME_NEVER);
     ck_assert_ptr_null(wg_config_workspace(c, text_of("k")));
     ck_assert_ptr_null(wg_config_workspace(c, (wg_text){0}));
     wg_config_unref(c);
@@ -133,6 +137,45 @@
 }
 END_TEST
 
+/* Parses a document with one workspace "a" that has the member. */
+static wg_config* parse_member(const char* member, char* reason, size_t size) {
+    char* text = g_strdup_printf("{\"version\":1," SERVICES ",\"routes\":[],\"workspaces\":["
+                                 "{\"name\":\"a\",\"keys\":[\"k\"],%s}]}",
+                                 member);
+    wg_config* config = parse(text, reason, size);
+    g_free(text);
+    return config;
+}
+
+/* Guards against a weight that lets a workspace have everything or nothing, and a value that is
+   taken for the default: the reason has to name the workspace and the member. */
+START_TEST(weights_and_longest_waits_out_of_range_are_refused) {
+    static const char* const bad_weights[] = {"0",     "-1",   "0.009", "100.5", "1e300",
+                                              "\"2\"", "null", "true",  "[1]",   "{}"};
+    static const char* const bad_waits[] = {
+        "-1", "600001", "0.5", "1e3", "9223372036854775807", "\"10\"", "null", "true", "[]"};
+    char reason[200];
+    char member[80];
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_weights); i++) {
+        g_snprintf(member, sizeof member, "\"weight\":%s", bad_weights[i]);
+        ck_assert_msg(!parse_member(member, reason, sizeof reason), "%s", member);
+        ck_assert_msg(strstr(reason, "\"a\": weight") != NULL, "%s: %s", member, reason);
+    }
+    for (size_t i = 0; i < G_N_ELEMENTS(bad_waits); i++) {
+        g_snprintf(member, sizeof member, "\"queue_ms\":%s", bad_waits[i]);
+        ck_assert_msg(!parse_member(member, reason, sizeof reason), "%s", member);
+        ck_assert_msg(strstr(reason, "\"a\": queue_ms") != NULL, "%s: %s", member, reason);
+    }
+    static const char* const good[] = {"\"weight\":0.01", "\"weight\":100", "\"queue_ms\":0",
+                                       "\"queue_ms\":600000"};
+    for (size_t i = 0; i < G_N_ELEMENTS(good); i++) {
+        wg_config* c = parse_member(good[i], reason, sizeof reason);
+        ck_assert_msg(c != NULL, "%s: %s", good[i], reason);
+        wg_config_unref(c);
+    }
+}
+END_TEST
+
 /* A document truncated at any byte is refused, never applied in part. */
 START_TEST(truncated_document_is_refused) {
     for (size_t size = 0; size < strlen(complete); size++) {
@@ -144,4 +187,5 @@
 END_TEST
 
 WG_TEST_MAIN("config", complete_configuration_is_read, weights_split_requests,
-             invalid_configurations_are_refused_with_the_reason, truncated_document_is_refused)
+             invalid_configurations_are_refused_with_the_reason,
+             weights_and_longest_waits_out_of_range_are_refused, truncated_document_is_refused)
