Entry: weights and longest waits of workspaces from the configuration

The host passes the weights of a configuration to lib/fair when it comes into force; usage / weight goes into wait tolerance, into the order of the host's queue and into `used` of REQUEST_ENDED, which has weight= when it is not 1. AdmitAsk.weight tells coordinators the weight (not sent for 1, so that bytes stay the same without weights). queue_ms bounds the wait in the host's queue (wg_policy_queue_time_max()) and at a coordinator; 0 refuses at once if no target takes the request.

--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -204,6 +204,7 @@
     wg_hold_request r = {
         .admit = wg_entry_admit_request_of(call, limits),
         .workspace = workspace ? workspace->hash : 0,
+        .weight = wg_call_weight(call),
         .rank = (uint32_t)MAX(own_priority ? workspace->priority : call->route->priority, 0),
         .charge = wg_call_tokens(call),
         .hold = hold};
@@ -250,6 +251,7 @@
         ask.hold_us = (uint64_t)hold_request->hold;
         ask.workspace = hold_request->workspace;
         ask.rank = hold_request->rank;
+        ask.weight = hold_request->weight == 1 ? 0 : hold_request->weight;
     }
     return wgn_send(e->net, c->link, WGW_TYPE_ADMIT_ASK, &ask.base);
 }
@@ -528,6 +530,7 @@
                   .limits = {(wg_time)in->whole_us, (wg_time)in->ahead_us,
                              (wg_time)in->ahead_large_us, in->spares_shared}},
         .workspace = in->workspace,
+        .weight = in->weight,
         .rank = in->rank,
         .charge = wg_charged_tokens(in->tokens, in->answer),
         .hold = (wg_time)MIN(in->hold_us, (uint64_t)WG_ADMIT_HOLD_MAX)};
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -61,7 +61,16 @@
 }
 
 double wg_call_usage(const wg_call* call) {
-    return wg_usage_of(call->entry->usage, call->workspace->hash);
+    return wg_usage_per_weight(call->entry->usage, call->workspace->hash);
+}
+
+double wg_call_weight(const wg_call* call) {
+    return call->workspace ? wg_usage_weight_of(call->entry->usage, call->workspace->hash) : 1;
+}
+
+/* Longest wait for a target by the workspace's queue_ms. */
+static wg_time wg_call_queue_max(const wg_call* call) {
+    return call->workspace ? call->workspace->queue_max : WG_TIME_NEVER;
 }
 
 bool wg_call_is_charged(const wg_call* call) {
@@ -114,6 +123,7 @@
 /* Time for which the request may still wait for room at a coordinator; 0: none. */
 static wg_time wg_call_hold_left(const wg_call* call, wg_time now) {
     wg_time hold_max = call->route->objective * call->entry->settings->hold_percent / 100;
+    hold_max = MIN(hold_max, wg_call_queue_max(call));
     return MAX(MIN(call->started + hold_max, call->expires_at) - now, 0);
 }
 
@@ -204,7 +214,8 @@
     if (wg_call_hold(call, now)) {
         return;
     }
-    wg_time wait_until = call->started + wg_policy_queue_time_max(call->route->objective);
+    wg_time queue_max = wg_policy_queue_time_max(call->route->objective, wg_call_queue_max(call));
+    wg_time wait_until = call->started + queue_max;
     if (now >= wait_until) {
         wg_call_refuse(call, 503, "no_capacity", wg_call_retry_after(call));
         return;
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -33,10 +33,21 @@
     return call->paused_time + (up && up->paused ? now - up->paused_at : 0);
 }
 
+/* Writes the field `weight` with a leading space; nothing for weight 1. */
+static void wg_call_write_weight(const wg_call* call, char* text, size_t size) {
+    double weight = wg_call_weight(call);
+    text[0] = 0;
+    if (weight != 1) {
+        g_snprintf(text, size, " weight=%g", weight);
+    }
+}
+
 static void wg_call_log_end(const wg_call* call, const wg_call_end* end, wg_time now) {
     if (!wg_entry_may_log(call->entry, now)) {
         return;
     }
+    char weight[32];
+    wg_call_write_weight(call, weight, sizeof weight);
     wg_log(WG_EVENT_REQUEST_ENDED,
            "id=%s status=%d verdict=%s reason=%s route=%s version=%" G_GUINT64_FORMAT
            " workspace=%s target=%u attempts=%d first_ms=%" G_GINT64_FORMAT
@@ -44,7 +55,7 @@
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
            " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT " room=%s held_ms=%" G_GINT64_FORMAT
-           " paused_ms=%" G_GINT64_FORMAT,
+           " paused_ms=%" G_GINT64_FORMAT "%s",
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -58,7 +69,7 @@
            wg_usage_levels(call->entry->usage)->fair_share,
            (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
            wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
-           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC);
+           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, weight);
 }
 
 static void wg_call_free(wg_call* call) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -617,8 +617,10 @@
 uint32_t wg_call_tokens(const wg_call* call);
 /* Microseconds that the request has waited for room at coordinators. */
 wg_time wg_call_held_time(const wg_call* call, wg_time now);
-/* Recent tokens of the call's workspace in the fleet. */
+/* Recent tokens of the call's workspace in the fleet, per unit of its weight. */
 double wg_call_usage(const wg_call* call);
+/* Weight of the call's workspace by the configuration in force; 1 without a workspace. */
+double wg_call_weight(const wg_call* call);
 /* Whether the request is charged to a workspace. */
 bool wg_call_is_charged(const wg_call* call);
 void wg_call_admit_answered(wg_call* call, const wg_admit_answer* answer);
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -24,6 +24,24 @@
     g_error_free(error);
 }
 
+/* Tokens available to all workspaces together in the period that usage covers; 0: unknown. */
+static double wg_entry_total_share(const wg_entry* e) {
+    return e->config ? (double)e->config->limits.tokens_per_second * WG_USAGE_SECONDS : 0;
+}
+
+static void wg_entry_apply_weights(wg_entry* e) {
+    wg_usage_weight* list = g_new(wg_usage_weight, e->config->workspaces_num + 1);
+    size_t num = 0;
+    for (int i = 0; i < e->config->workspaces_num; i++) {
+        const wg_workspace* workspace = &e->config->workspaces[i];
+        if (workspace->weight != 1) {
+            list[num++] = (wg_usage_weight){workspace->hash, workspace->weight};
+        }
+    }
+    wg_usage_set_weights(e->usage, list, num, wg_entry_total_share(e));
+    g_free(list);
+}
+
 /* Applies a configuration document, or refuses it if it cannot be parsed. */
 static void wg_entry_apply_document(wg_entry* e, const Wgpb__Configuration* in, GBytes* document) {
     GError* error = NULL;
@@ -38,6 +56,7 @@
     g_clear_pointer(&e->document, g_bytes_unref);
     e->config = config;
     e->document = g_bytes_ref(document);
+    wg_entry_apply_weights(e);
     wg_log(WG_EVENT_CONFIGURATION_IN_FORCE, "version=%" G_GUINT64_FORMAT " routes=%d bytes=%zu",
            config->version, config->routes_num, in->packed.len);
 }
@@ -141,11 +160,6 @@
     wg_entry_admit_update_members(e);
 }
 
-/* Tokens available to all workspaces together in the period that usage covers; 0: unknown. */
-static double wg_entry_total_share(const wg_entry* e) {
-    return e->config ? (double)e->config->limits.tokens_per_second * WG_USAGE_SECONDS : 0;
-}
-
 static void wg_entry_apply_usage(wg_entry* e, const Wgpb__EntryState* in) {
     wg_usage* list = g_new(wg_usage, in->n_usage + 1);
     for (size_t i = 0; i < in->n_usage; i++) {
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -45,8 +45,9 @@
     return tolerance < 1 ? tolerance * wg_fair_confidence(t->margin) : 1;
 }
 
-wg_time wg_policy_queue_time_max(wg_time objective) {
-    return MAX(objective * _WG_POLICY_WAIT_PERCENT / 100, _WG_POLICY_WAIT_MIN);
+wg_time wg_policy_queue_time_max(wg_time objective, wg_time queue_max) {
+    wg_time own = MAX(objective * _WG_POLICY_WAIT_PERCENT / 100, _WG_POLICY_WAIT_MIN);
+    return MIN(own, queue_max);
 }
 
 /* Returns the limit of a wait that has to end within `time`. */
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -28,7 +28,7 @@
 /* The inputs of a policy decision for one request. */
 typedef struct {
     bool counts; /* the request has a prompt and is charged to a workspace */
-    double used; /* recent usage of the workspace in the whole fleet, tokens */
+    double used; /* recent usage of the workspace in the whole fleet, tokens per unit of weight */
     const wg_fair_levels* levels;
     const wg_fair_margin* margin;
     bool has_prompt;
@@ -45,8 +45,9 @@
     wg_time tightest_objective; /* the tightest objective of any route of the service */
 } wg_policy_terms;
 
-/* Longest time that a request may be queued on this host before it is refused. */
-wg_time wg_policy_queue_time_max(wg_time objective);
+/* Longest time that a request may be queued on this host before it is refused. `queue_max`: limit
+   of its workspace; WG_TIME_NEVER: none. */
+wg_time wg_policy_queue_time_max(wg_time objective, wg_time queue_max);
 /* Longest expected wait for the first event at which the request is sent. */
 wg_time wg_policy_limit(const wg_policy_terms* terms, wg_time now);
 /* Longest expected time to the answer at which a request without a prompt is sent. */
--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -3,6 +3,8 @@
    One entry host as coordinator, for its own callers and for another host that the test simulates;
    and one entry host that asks a coordinator that the test simulates. Leader, target, callers and
    the other host run in the process of the test. */
+#include <math.h>
+
 #include "one_entry.h"
 
 enum {
@@ -14,11 +16,14 @@
     SLOTS = 4
 };
 
-static const char document[] =
-    "{\"version\":1,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,\"memory_tokens\":"
+/* Version, and further members of the workspace with a leading comma. */
+static const char document_format[] =
+    "{\"version\":%d,\"services\":[{\"name\":\"e\",\"engine\":{\"slots\":4,\"memory_tokens\":"
     "1000000}}],\"routes\":[{\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":"
     "\"safe\",\"timeout_ms\":3000,\"objective_ms\":500,\"attempts\":1,\"priority\":2,"
-    "\"service\":\"e\"}],\"limits\":{},\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k\"]}]}";
+    "\"service\":\"e\"}],\"limits\":{},\"workspaces\":[{\"name\":\"w\",\"keys\":[\"k\"]%s}]}";
+static char document[sizeof document_format + 64];
+static const char* workspace_members = ""; /* of the next test's first document */
 
 /* Limits of the host are 475 ms, at 30 tokens per ms and 12 ms per prompt. */
 static const char prompt_of_400_ms[] = "Walnutgate-Key: k\r\n"
@@ -33,16 +38,24 @@
 
 /* ---- set-up ---------------------------------------------------------------------------------- */
 
-static char* last_ended; /* details of the last REQUEST_ENDED */
+static char* last_ended;   /* details of the last REQUEST_ENDED */
+static char* last_refused; /* of the last CONFIGURATION_REFUSED */
+
+static void record_line(const char* line, const char* event, char** last) {
+    if (strstr(line, event)) {
+        g_free(*last);
+        *last = g_strdup(line);
+    }
+}
 
 static GLogWriterOutput record_log(GLogLevelFlags level, const GLogField* fields, gsize num,
                                    gpointer user_data) {
     (void)level;
     (void)user_data;
     for (gsize i = 0; i < num; i++) {
-        if (strcmp(fields[i].key, "MESSAGE") == 0 && strstr(fields[i].value, "REQUEST_ENDED")) {
-            g_free(last_ended);
-            last_ended = g_strdup(fields[i].value);
+        if (strcmp(fields[i].key, "MESSAGE") == 0) {
+            record_line(fields[i].value, "REQUEST_ENDED", &last_ended);
+            record_line(fields[i].value, "CONFIGURATION_REFUSED", &last_refused);
         }
     }
     return G_LOG_WRITER_HANDLED;
@@ -54,6 +67,10 @@
     return (int)strtol(at + strlen("held_ms="), NULL, 10);
 }
 
+static void make_document(int version, const char* members) {
+    g_snprintf(document, sizeof document, document_format, version, members);
+}
+
 static void begin(int hold_percent) {
     static bool logs;
     if (!logs) {
@@ -61,6 +78,7 @@
         logs = true;
     }
     fake_entry_hold_percent = hold_percent;
+    make_document(1, workspace_members);
     one_entry_begin();
     fake_control_send_leader_state(
         &leader, &(fake_update){.version = 1, .document = document, .target = target_address});
@@ -102,6 +120,7 @@
 static void end(void) {
     one_entry_end();
     fake_entry_hold_percent = 0;
+    workspace_members = "";
 }
 
 /* Value of a metric of the entry host. */
@@ -260,6 +279,68 @@
 }
 END_TEST
 
+/* ---- longest wait of a workspace (queue_ms) -------------------------------------------------- */
+
+enum {
+    AT_ONCE_TURNS = 20 /* turns of 1 ms take longer on a busy machine */
+};
+
+/* Time until a request that finds no room is refused, microseconds; within `turns` of the loop. */
+static wg_time time_to_refusal(int hold_percent, const char* members, int turns) {
+    char answer[1024];
+    workspace_members = members;
+    begin(hold_percent);
+    int first = send_get("/first", prompt_of_400_ms);
+    ck_assert(target_got("/first", TURNS_MAX));
+    wg_time before = wg_now();
+    int second = send_get("/second", prompt_of_100_ms);
+    ck_assert_int_eq(status_within(second, answer, turns), 503);
+    wg_time time = wg_now() - before;
+    ck_assert_int_gt(retry_after_ms(answer), 0);
+    ck_assert(!target_got("/second", 20));
+    close(first);
+    close(second);
+    end();
+    return time;
+}
+
+/* The queue of the host ends after 55 ms by the policy. Guards against a limit that is ignored, and
+   one that makes waits longer. */
+START_TEST(workspace_limits_the_wait_in_the_queue_of_the_host) {
+    time_to_refusal(0, ",\"queue_ms\":0", AT_ONCE_TURNS);
+    ck_assert_int_ge(time_to_refusal(0, ",\"queue_ms\":30", TURNS_MAX), 30 * MSEC);
+    wg_time longer = time_to_refusal(0, ",\"queue_ms\":600000", TURNS_MAX);
+    ck_assert_int_ge(longer, 55 * MSEC);
+    ck_assert_int_lt(longer, 300 * MSEC);
+}
+END_TEST
+
+/* The wait at the coordinator ends after 363 ms, when the request could no longer be in time (475
+   ms less 112 ms for its own prompt). */
+START_TEST(workspace_limits_the_wait_at_the_coordinator) {
+    time_to_refusal(LONG_HOLD_PERCENT, ",\"queue_ms\":0", AT_ONCE_TURNS);
+    wg_time shorter = time_to_refusal(LONG_HOLD_PERCENT, ",\"queue_ms\":100", TURNS_MAX);
+    ck_assert_int_ge(shorter, 100 * MSEC);
+    ck_assert_int_lt(shorter, 300 * MSEC);
+    wg_time longer = time_to_refusal(LONG_HOLD_PERCENT, ",\"queue_ms\":600000", TURNS_MAX);
+    ck_assert_int_ge(longer, 350 * MSEC);
+}
+END_TEST
+
+/* Guards against a refusal although a target can take the request. */
+START_TEST(request_that_may_not_wait_is_sent_if_there_is_room) {
+    char answer[1024];
+    workspace_members = ",\"queue_ms\":0";
+    begin_with_known_target(HOLD_PERCENT);
+    int fd = send_get("/first", prompt_of_100_ms);
+    ck_assert(target_got("/first", TURNS_MAX));
+    target_answer("x");
+    ck_assert_int_eq(status_of(fd, answer), 200);
+    close(fd);
+    end();
+}
+END_TEST
+
 /* Guards against a host that terminates when the sizes that callers state exceed 32 bits in their
    sum. */
 START_TEST(absurd_prompt_sizes_do_not_overflow) {
@@ -300,6 +381,7 @@
     uint64_t hold_us;
     uint64_t workspace;
     uint32_t rank;
+    double weight;
 } questions[OTHER_FRAMES_MAX];
 static int questions_num;
 static struct {
@@ -330,6 +412,7 @@
         questions[questions_num].target = in->target;
         questions[questions_num].hold_us = in->hold_us;
         questions[questions_num].workspace = in->workspace;
+        questions[questions_num].weight = in->weight;
         questions[questions_num++].rank = in->rank;
         wgpb__admit_ask__free_unpacked(in, NULL);
     } else if (frame->type == WGW_TYPE_ADMIT_NOTE && notes_num < OTHER_FRAMES_MAX) {
@@ -378,17 +461,23 @@
 }
 
 /* Asks for target 1 with limits of 475 ms. */
-static void ask(uint64_t ticket, uint32_t tokens, int hold_ms_max) {
+static void ask_for(uint64_t ticket, uint32_t tokens, int hold_ms_max, uint64_t workspace,
+                    double weight) {
     Wgpb__AdmitAsk out = WGPB__ADMIT_ASK__INIT;
     out.ticket = ticket;
     out.target = 1;
     out.tokens = tokens;
     out.whole_us = out.ahead_us = out.ahead_large_us = 475 * MSEC;
     out.hold_us = (uint64_t)(hold_ms_max * MSEC);
-    out.workspace = 77;
+    out.workspace = workspace;
+    out.weight = weight;
     ck_assert(wgn_send(other, other_link, WGW_TYPE_ADMIT_ASK, &out.base));
 }
 
+static void ask(uint64_t ticket, uint32_t tokens, int hold_ms_max) {
+    ask_for(ticket, tokens, hold_ms_max, 77, 0);
+}
+
 static void send_note(uint64_t ticket, bool ended) {
     Wgpb__AdmitNote out = WGPB__ADMIT_NOTE__INIT;
     out.ticket = ticket;
@@ -421,6 +510,36 @@
 }
 END_TEST
 
+/* Order in which two waiting requests are granted: ticket 3 of workspace 77, which was granted
+   8,000 tokens, and ticket 4 of workspace 78, which was granted 300. */
+static uint64_t first_granted(double weight) {
+    begin_with_requester(LONG_HOLD_PERCENT);
+    ask_for(1, 8000, 0, 77, weight);
+    ask_for(2, 300, 0, 78, 0);
+    ask_for(3, 6000, 400, 77, weight);
+    ask_for(4, 6000, 400, 78, 0);
+    ck_assert(got_answers(2, TURNS_MAX));
+    ck_assert(answers[0].granted && answers[1].granted);
+    run_turns(20);
+    ck_assert_int_eq(metric("hold_waiting"), 2);
+    send_note(1, false);
+    ck_assert(got_answers(3, 50));
+    ck_assert(answers[2].granted);
+    uint64_t ticket = answers[2].ticket;
+    wgn_shutdown(other);
+    end();
+    return ticket;
+}
+
+/* Guards against a coordinator that does not read the weight, and one that believes any. */
+START_TEST(coordinator_orders_requests_by_usage_per_unit_of_weight) {
+    ck_assert_uint_eq(first_granted(0), 4);
+    ck_assert_uint_eq(first_granted(100), 3);
+    ck_assert_uint_eq(first_granted(NAN), 4);
+    ck_assert_uint_eq(first_granted(-100), 4);
+}
+END_TEST
+
 /* Guards against a question that the coordinator leaves without an answer. */
 START_TEST(coordinator_denies_after_the_stated_time) {
     enum {
@@ -544,14 +663,11 @@
     return target;
 }
 
-/* The entry host is linked to the coordinator `there`. */
-static void begin_with_coordinator(int hold_percent) {
-    begin(hold_percent);
-    char* fleet = local_address(12, 18005);
+/* The leader sends a document, and that `there` is another entry host. */
+static void send_document(int version, const char* members) {
     char* callers = local_address(12, CALLERS_PORT);
-    other_setup("there");
-    ck_assert(wgn_listen(other, fleet, NULL));
-    fake_control_send_leader_state(&leader, &(fake_update){.version = 1,
+    make_document(version, members);
+    fake_control_send_leader_state(&leader, &(fake_update){.version = (uint64_t)version,
                                                            .document = document,
                                                            .target = target_address,
                                                            .number = target_coordinated_by_there(),
@@ -559,10 +675,20 @@
                                                            .other_member = "there",
                                                            .other_address = callers,
                                                            .members_change = 2});
+    run_turns(30);
+    g_free(callers);
+}
+
+/* The entry host is linked to the coordinator `there`. */
+static void begin_with_coordinator(int hold_percent) {
+    begin(hold_percent);
+    char* fleet = local_address(12, 18005);
+    other_setup("there");
+    ck_assert(wgn_listen(other, fleet, NULL));
+    send_document(1, workspace_members);
     other_wait_for_link();
     run_turns(20);
     g_free(fleet);
-    g_free(callers);
 }
 
 static bool got_questions(int num, int ms) {
@@ -632,6 +758,39 @@
 }
 END_TEST
 
+/* Weight that the coordinator is told with the request's wait. */
+static double stated_weight(void) {
+    questions_num = 0;
+    int fd = begin_wait(0, 400);
+    double weight = questions[1].weight;
+    close(fd);
+    run_turns(30);
+    return weight;
+}
+
+/* Guards against a weight that is not in force with its configuration, or stays after it; and
+   against a document with a bad one that replaces the configuration in force. */
+START_TEST(weight_holds_from_the_configuration_that_has_it) {
+    begin_with_coordinator(HOLD_PERCENT);
+    ck_assert_double_eq(stated_weight(), 0); /* not sent: 1 */
+    ck_assert_ptr_null(strstr(last_ended, "weight="));
+    send_document(2, ",\"weight\":4");
+    ck_assert_double_eq(stated_weight(), 4);
+    ck_assert_ptr_nonnull(strstr(last_ended, " weight=4"));
+    send_document(3, ",\"weight\":0");
+    ck_assert_ptr_nonnull(last_refused);
+    ck_assert_ptr_nonnull(strstr(last_refused, "workspace \"w\": weight"));
+    ck_assert_double_eq(stated_weight(), 4);
+    send_document(4, ",\"queue_ms\":-1");
+    ck_assert_ptr_nonnull(strstr(last_refused, "workspace \"w\": queue_ms"));
+    ck_assert_double_eq(stated_weight(), 4);
+    send_document(5, "");
+    ck_assert_double_eq(stated_weight(), 0);
+    wgn_shutdown(other);
+    end();
+}
+END_TEST
+
 /* Guards against a change on the wire without the setting. */
 START_TEST(host_with_the_setting_off_sends_none_of_it) {
     begin_with_coordinator(0);
@@ -733,20 +892,23 @@
 }
 END_TEST
 
-WG_TEST_MAIN("entry hold", request_waits_until_the_target_has_read,
-             request_is_refused_after_the_longest_wait,
-             hopeless_request_is_refused_at_once_until_there_is_room,
-             request_of_a_caller_that_leaves_is_dropped,
-             grant_for_a_target_that_takes_nothing_is_not_used,
-             nothing_waits_while_the_setting_is_off, absurd_prompt_sizes_do_not_overflow,
-             coordinator_grants_when_a_prompt_was_read, coordinator_denies_after_the_stated_time,
-             coordinator_drops_a_request_that_is_no_longer_needed,
-             coordinator_drops_the_requests_of_a_host_whose_link_closes,
-             room_of_a_lost_host_is_granted_at_once,
-             target_that_becomes_cold_gets_no_more_than_its_rate,
-             coordinator_with_the_setting_off_answers_at_once,
-             host_asks_again_with_the_time_that_the_request_may_wait,
-             host_with_the_setting_off_sends_none_of_it, denial_after_the_wait_refuses_the_request,
-             host_decides_alone_after_the_stated_time_and_gives_a_late_grant_back,
-             host_decides_alone_at_once_when_the_link_closes,
-             host_refuses_alone_when_the_link_closes, coordinator_is_told_when_the_caller_leaves)
+WG_TEST_MAIN(
+    "entry hold", request_waits_until_the_target_has_read,
+    request_is_refused_after_the_longest_wait,
+    hopeless_request_is_refused_at_once_until_there_is_room,
+    request_of_a_caller_that_leaves_is_dropped, grant_for_a_target_that_takes_nothing_is_not_used,
+    nothing_waits_while_the_setting_is_off, workspace_limits_the_wait_in_the_queue_of_the_host,
+    workspace_limits_the_wait_at_the_coordinator,
+    request_that_may_not_wait_is_sent_if_there_is_room, absurd_prompt_sizes_do_not_overflow,
+    coordinator_grants_when_a_prompt_was_read,
+    coordinator_orders_requests_by_usage_per_unit_of_weight,
+    coordinator_denies_after_the_stated_time, coordinator_drops_a_request_that_is_no_longer_needed,
+    coordinator_drops_the_requests_of_a_host_whose_link_closes,
+    room_of_a_lost_host_is_granted_at_once, target_that_becomes_cold_gets_no_more_than_its_rate,
+    coordinator_with_the_setting_off_answers_at_once,
+    host_asks_again_with_the_time_that_the_request_may_wait,
+    weight_holds_from_the_configuration_that_has_it, host_with_the_setting_off_sends_none_of_it,
+    denial_after_the_wait_refuses_the_request,
+    host_decides_alone_after_the_stated_time_and_gives_a_late_grant_back,
+    host_decides_alone_at_once_when_the_link_closes, host_refuses_alone_when_the_link_closes,
+    coordinator_is_told_when_the_caller_leaves)
--- a/tests/test_policy.c
+++ b/tests/test_policy.c
@@ -157,8 +157,12 @@
 END_TEST
 
 START_TEST(refusal_comes_within_a_quarter_of_the_objective) {
-    ck_assert_int_eq(wg_policy_queue_time_max(1000 * MSEC), 110 * MSEC);
-    ck_assert_int_eq(wg_policy_queue_time_max(10 * MSEC), 5 * MSEC);
+    ck_assert_int_eq(wg_policy_queue_time_max(1000 * MSEC, WG_TIME_NEVER), 110 * MSEC);
+    ck_assert_int_eq(wg_policy_queue_time_max(10 * MSEC, WG_TIME_NEVER), 5 * MSEC);
+    /* The shorter one of the policy's time and the workspace's applies, below the minimum too. */
+    ck_assert_int_eq(wg_policy_queue_time_max(1000 * MSEC, 40 * MSEC), 40 * MSEC);
+    ck_assert_int_eq(wg_policy_queue_time_max(1000 * MSEC, 600 * SECOND), 110 * MSEC);
+    ck_assert_int_eq(wg_policy_queue_time_max(10 * MSEC, 0), 0);
 }
 END_TEST
 
