--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -23,7 +23,6 @@
 typedef struct {
     double per_weight; /* demand / weight */
     double demand;
-    double weight;
     double weight_from; /* sum of the weights from this workspace to the last one */
 } wg_fair_demand;
 
@@ -33,37 +32,39 @@
     return first < second ? -1 : first > second;
 }
 
-/* Sums from the end: subtraction from the total would leave rounding errors where the weights that
-   remain are small against those before them. */
-static void wg_fair_sum_weights(wg_fair_demand* sorted, int num) {
-    double sum = 0;
-    for (int i = num - 1; i >= 0; i--) {
-        sum += sorted[i].weight;
-        sorted[i].weight_from = sum;
-    }
-}
-
-double wg_fair_weighted_level(const double* demand, const double* weights, int num, double served) {
-    if (num == 0) {
-        return 0;
-    }
+/* Returns the demands in order; the caller frees them. Weights are summed up from the end:
+   subtraction from the total would leave rounding errors where the weights that remain are small
+   against those before them. */
+static wg_fair_demand* wg_fair_sort(const double* demand, const double* weights, int num) {
     wg_fair_demand* sorted = g_new(wg_fair_demand, num);
     for (int i = 0; i < num; i++) {
         double weight = weights ? weights[i] : 1;
-        sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight, 0};
+        sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight};
+    }
+    if (num > 0) {
+        qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    }
+    for (int i = num - 2; i >= 0; i--) {
+        sorted[i].weight_from += sorted[i + 1].weight_from;
     }
-    qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
-    wg_fair_sum_weights(sorted, num);
+    return sorted;
+}
+
+static double wg_fair_level_of(const wg_fair_demand* sorted, int num, double served) {
     double left = served;
-    double level = sorted[num - 1].per_weight;
     for (int i = 0; i < num; i++) {
         double even = left / sorted[i].weight_from;
         if (sorted[i].per_weight > even) {
-            level = even;
-            break;
+            return even;
         }
         left -= sorted[i].demand;
     }
+    return num > 0 ? sorted[num - 1].per_weight : 0;
+}
+
+double wg_fair_weighted_level(const double* demand, const double* weights, int num, double served) {
+    wg_fair_demand* sorted = wg_fair_sort(demand, weights, num);
+    double level = wg_fair_level_of(sorted, num, served);
     g_free(sorted);
     return level;
 }
@@ -72,6 +73,16 @@
     return wg_fair_weighted_level(demand, NULL, num, served);
 }
 
+wg_fair_levels wg_fair_weighted_levels(const double* demand, const double* weights, int num,
+                                       double served, double total_share) {
+    wg_fair_demand* sorted = wg_fair_sort(demand, weights, num);
+    wg_fair_levels levels = {.fair_share =
+                                 total_share > 0 ? wg_fair_level_of(sorted, num, total_share) : 0,
+                             .served = wg_fair_level_of(sorted, num, served)};
+    g_free(sorted);
+    return levels;
+}
+
 double wg_fair_weight(double weight) {
     if (!isfinite(weight) || weight <= 0) {
         return 1;
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -17,7 +17,7 @@
         - weights: a workspace is entitled to its weight times the level
 
     USE
-        1. wg_fair_weighted_level(demand, weights, num, served) once per report, for both levels
+        1. wg_fair_weighted_levels(demand, weights, num, served, total_share) once per report
         2. wg_fair_wait_tolerance(used_by_one / weight, &levels) for each request
 */
 #include "wg_base.h"
@@ -44,6 +44,11 @@
     double served;     /* fair share of the capacity that was served; 0: not known */
 } wg_fair_levels;
 
+/* Returns both levels of wg_fair_weighted_level(), for what was served and for the configured
+   capacity (0: not known), with one sort. */
+wg_fair_levels wg_fair_weighted_levels(const double* demand, const double* weights, int num,
+                                       double served, double total_share);
+
 /* True if the workspace was served about half of what others were, or less. It may still be
    above its fair share. `used` is usage / weight, here and below. */
 bool wg_fair_is_behind(double used, const wg_fair_levels* levels);
--- a/lib/fair/wg_usage.c
+++ b/lib/fair/wg_usage.c
@@ -90,9 +90,7 @@
         weights[filled] = 1; /* which workspaces these are is not known */
         demand[filled++] = ledger->small.demand / (double)ledger->small_num;
     }
-    ledger->levels.served = wg_fair_weighted_level(demand, weights, filled, served);
-    ledger->levels.fair_share =
-        total_share > 0 ? wg_fair_weighted_level(demand, weights, filled, total_share) : 0;
+    ledger->levels = wg_fair_weighted_levels(demand, weights, filled, served, total_share);
     g_free(demand);
     g_free(weights);
 }
