Bench: admission decisions of a coordinator

`bench_capacity admission` (also part of `make bench-capacity`): cost of wg_admit_decide(), of additions and grants of lib/hold at 40 targets and 4,096 waiting requests up to 1,000 and 100,000, with 30 and 25,000 workspaces, and of the fair levels at up to 25,000 workspaces.

--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -8,10 +8,12 @@
 #include "proc.h"
 #include "sim_fleet.h"
 #include "wg_claim.h"
+#include "wg_hold.h"
 #include "wg_queue.h"
 #include "wg_share.h"
 #include "wg_store.h"
 #include "wg_table.h"
+#include "wg_usage.h"
 
 /* ---- the leader's plan ---------------------------------------------------------------------- */
 
@@ -452,6 +454,235 @@
     bench_fit("fit: leader's control under load, x = routers", x, leader, 3, "bytes/s");
 }
 
+/* ---- admission decisions of a coordinator ---------------------------------------------------- */
+
+enum {
+    ADMIT_SIZES = 4,
+    ADMIT_PARTS = 4,                     /* shared parts of a prompt */
+    ADMIT_TOKENS_PER_MS = 30,            /* speed that lib/speed assumes without samples */
+    ADMIT_CYCLE_US = 50,                 /* from one request to the next: 20,000 per second */
+    ADMIT_HOLD_US = 60 * WG_USEC_PER_SEC /* nothing expires during a measurement */
+};
+
+/* Targets that are full, and requests that wait for them at one coordinator. Prompts have the size
+   that the targets together read at the rate of requests. */
+typedef struct {
+    wg_admit* admit;
+    wg_hold* hold;
+    int targets;
+    int workspaces;
+    uint64_t tickets;
+    GQueue* reads; /* by target: tickets of the prompts that it reads, as pointers */
+    wg_time now;
+} admission_bench;
+
+static wg_admit_answer admission_decide(wg_admit_request* request, wg_time now, void* user_data) {
+    return wg_admit_decide(((admission_bench*)user_data)->admit, now, request);
+}
+
+static double admission_usage(uint64_t workspace, void* user_data) {
+    (void)user_data;
+    return (double)(wg_jitter(workspace, 1) % 100000);
+}
+
+static wg_hold_request admission_request(admission_bench* b, uint32_t target) {
+    uint64_t ticket = ++b->tickets;
+    uint64_t workspace = 1 + wg_jitter(ticket, 2) % (uint64_t)b->workspaces;
+    wg_time read_time = (wg_time)b->targets * ADMIT_CYCLE_US;
+    uint32_t tokens = (uint32_t)(read_time * ADMIT_TOKENS_PER_MS / WG_USEC_PER_MSEC);
+    wg_hold_request r = {
+        .admit = {.holder = 1,
+                  .ticket = ticket,
+                  .target = target,
+                  .tokens = tokens,
+                  .parts_num = ADMIT_PARTS,
+                  .limits = {.total = 10 * (wg_time)WG_USEC_PER_SEC, .ahead = read_time / 2}},
+        .workspace = workspace,
+        .weight = 1 + (double)(workspace % 4),
+        .charge = tokens,
+        .hold = ADMIT_HOLD_US};
+    for (int i = 0; i < ADMIT_PARTS; i++) {
+        r.admit.parts[i] = 1 + wg_jitter(ticket, 3 + (uint64_t)i) % 1000;
+        r.admit.sizes[i] = tokens / 10;
+    }
+    return r;
+}
+
+static void admission_begin_read(admission_bench* b, uint32_t target, uint64_t ticket) {
+    g_queue_push_tail(&b->reads[target - 1], GSIZE_TO_POINTER(ticket));
+}
+
+/* Asks for an admission, as a host does. */
+static void admission_ask(admission_bench* b, uint32_t target) {
+    wg_hold_request request = admission_request(b, target);
+    wg_admit_answer answer;
+    if (!wg_hold_ask(b->hold, b->now, &request, &answer)) {
+        WG_ASSERT(answer.granted);
+        admission_begin_read(b, target, request.admit.ticket);
+    }
+}
+
+static void admission_setup(admission_bench* b, int targets, int waiting, int workspaces) {
+    *b = (admission_bench){.targets = targets, .workspaces = workspaces, .now = WG_USEC_PER_SEC};
+    b->admit = wg_admit_setup(&(wg_admit_desc){.targets_max = targets});
+    b->hold = wg_hold_setup(&(wg_hold_desc){.decide = admission_decide,
+                                            .usage = admission_usage,
+                                            .user_data = b,
+                                            .waiting_max = 2 * waiting});
+    b->reads = g_new0(GQueue, targets);
+    for (int t = 1; t <= targets; t++) {
+        admission_ask(b, (uint32_t)t);
+    }
+}
+
+static void admission_shutdown(admission_bench* b) {
+    wg_hold_shutdown(b->hold);
+    wg_admit_shutdown(b->admit);
+    for (int t = 0; t < b->targets; t++) {
+        g_queue_clear(&b->reads[t]);
+    }
+    g_free(b->reads);
+}
+
+/* A target has read its oldest prompt, and the requests that fit now are granted. Returns their
+   number. */
+static int admission_read(admission_bench* b, uint32_t target) {
+    uint64_t ticket = GPOINTER_TO_SIZE(g_queue_pop_head(&b->reads[target - 1]));
+    wg_admit_first_event(b->admit, b->now, 1, ticket);
+    wg_admit_end(b->admit, b->now, 1, ticket, false);
+    wg_hold_notify_room(b->hold, target);
+    wg_hold_action action;
+    int grants = 0;
+    while (wg_hold_next(b->hold, b->now, &action)) {
+        uint32_t granted = wg_admit_target(b->admit, action.holder, action.ticket);
+        admission_begin_read(b, granted, action.ticket);
+        grants++;
+    }
+    return grants;
+}
+
+/* Microseconds of processor time by step. */
+typedef struct {
+    double operations; /* comparisons and examined requests of a grant, as wg_hold_operations() */
+    double decide;     /* estimate of one admission */
+    double add;        /* decision, and addition to the queue */
+    double grant;      /* end of a prompt, and the grant that follows */
+    double usage;      /* reading the usage of all waiting workspaces */
+} admission_costs;
+
+static admission_costs admission_measure(int targets, int waiting, int workspaces) {
+    enum {
+        DECISIONS = 100000,
+        CYCLES = 20000 /* one second */
+    };
+    admission_bench b;
+    admission_costs costs = {0};
+    admission_setup(&b, targets, waiting, workspaces);
+    double begin = bench_cpu_us();
+    for (int i = 0; i < waiting; i++) {
+        admission_ask(&b, 1 + (uint32_t)(i % targets));
+    }
+    costs.add = (bench_cpu_us() - begin) / waiting;
+    begin = bench_cpu_us();
+    for (uint64_t i = 0; i < DECISIONS; i++) {
+        wg_hold_request request = admission_request(&b, 1 + (uint32_t)(i * 7 % (uint64_t)targets));
+        request.admit.limits.ahead = 0; /* an estimate only */
+        wg_admit_decide(b.admit, b.now, &request.admit);
+    }
+    costs.decide = (bench_cpu_us() - begin) / DECISIONS;
+    int grants = 0;
+    for (int i = 0; i < CYCLES; i++) {
+        uint32_t target = 1 + (uint32_t)(i % targets);
+        b.now += ADMIT_CYCLE_US;
+        uint64_t operations = wg_hold_operations(b.hold);
+        begin = bench_cpu_us();
+        grants += admission_read(&b, target);
+        costs.grant += bench_cpu_us() - begin;
+        costs.operations += (double)(wg_hold_operations(b.hold) - operations);
+        while (wg_hold_num(b.hold) < waiting) {
+            admission_ask(&b, target);
+        }
+    }
+    WG_ASSERT(grants > CYCLES / 2);
+    costs.grant /= grants;
+    costs.operations /= grants;
+    begin = bench_cpu_us();
+    wg_hold_update_usage(b.hold, b.now);
+    costs.usage = bench_cpu_us() - begin;
+    admission_shutdown(&b);
+    return costs;
+}
+
+static void admission_slopes(int workspaces) {
+    static const int targets[ADMIT_SIZES] = {40, 100, 300, 1000};
+    static const int waiting[ADMIT_SIZES] = {WG_HOLD_WAITING_MAX_DEFAULT, 10000, 30000, 100000};
+    double x[ADMIT_SIZES];
+    double y[ADMIT_SIZES];
+    for (int i = 0; i < ADMIT_SIZES; i++) {
+        admission_costs costs = admission_measure(targets[i], waiting[i], workspaces);
+        x[i] = waiting[i];
+        y[i] = costs.add + costs.grant;
+        char line[100];
+        char size[60];
+        g_snprintf(size, sizeof size, "%d targets, %d waiting, %d workspaces", targets[i],
+                   waiting[i], workspaces);
+        g_snprintf(line, sizeof line, "admission: decision, %s", size);
+        bench_print(line, costs.decide, "us");
+        g_snprintf(line, sizeof line, "admission: addition, %s", size);
+        bench_print(line, costs.add, "us");
+        g_snprintf(line, sizeof line, "admission: grant, %s", size);
+        bench_print(line, costs.grant, "us");
+        g_snprintf(line, sizeof line, "admission: operations of a grant, %s", size);
+        bench_print(line, costs.operations, "");
+        g_snprintf(line, sizeof line, "admission: addition and grant, %s", size);
+        bench_print(line, 1e6 / y[i], "requests/s of one core");
+        g_snprintf(line, sizeof line, "admission: update of usage, %s", size);
+        bench_print(line, costs.usage / 1000, "ms");
+    }
+    bench_fit("fit: addition and grant, x = waiting requests", x, y, ADMIT_SIZES, "us");
+}
+
+/* A report of the leader, and the two levels that follow; each second workspace has a weight. */
+static void level_slopes(void) {
+    static const int sizes[] = {1000, 5000, 25000};
+    double x[3];
+    double y[3];
+    for (int i = 0; i < 3; i++) {
+        enum {
+            REPORTS = 20
+        };
+        wg_usage* list = g_new(wg_usage, sizes[i]);
+        wg_usage_weight* weights = g_new(wg_usage_weight, sizes[i]);
+        for (int w = 0; w < sizes[i]; w++) {
+            uint64_t demand = wg_jitter((uint64_t)w, 6) % 1000000;
+            list[w] = (wg_usage){(uint64_t)w + 1, demand / 3, demand};
+            weights[w] = (wg_usage_weight){(uint64_t)w + 1, 1 + w % 2};
+        }
+        wg_usage_ledger* ledger = wg_usage_setup();
+        wg_usage_set_weights(ledger, weights, (size_t)sizes[i], 1e9);
+        wg_usage_report report = {.list = list, .num = (size_t)sizes[i]};
+        double begin = bench_cpu_us();
+        for (int r = 0; r < REPORTS; r++) {
+            wg_usage_apply_report(ledger, WG_USEC_PER_SEC, &report, 1e9);
+        }
+        x[i] = sizes[i];
+        y[i] = (bench_cpu_us() - begin) / REPORTS;
+        char line[80];
+        g_snprintf(line, sizeof line, "fair levels: report with %d workspaces", sizes[i]);
+        bench_print(line, y[i] / 1000, "ms");
+        wg_usage_shutdown(ledger);
+        g_free(list);
+        g_free(weights);
+    }
+    bench_fit("fit: report and levels, x = workspaces", x, y, 3, "us");
+}
+
+static void admission_all(void) {
+    admission_slopes(30);
+    admission_slopes(25000);
+    level_slopes();
+}
+
 /* ---- memory ---------------------------------------------------------------------------------- */
 
 static void queue_memory(int workspaces) {
@@ -499,6 +730,11 @@
         fleet_slopes();
         return 0;
     }
+    if (argc > 1 && strcmp(argv[1], "admission") == 0) {
+        admission_all();
+        return 0;
+    }
+    admission_all();
     plan_slopes();
     exchange_slopes();
     plan_by_workspaces();
