--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -1,8 +1,8 @@
 /* wg_fair.c -- see wg_fair.h */
 #include "wg_fair.h"
 
+#include <math.h>
 #include <stdlib.h>
-#include <string.h>
 
 /* Wait tolerance as a function of usage divided by the level. */
 typedef struct {
@@ -19,33 +19,77 @@
 static const wg_fair_slope WG_FAIR_SERVED_SLOPE = {
     .full_until = 1.0, .min_from = 1.15, .min = 0.05, .zero_from = 1.3};
 
+/* Demand of one workspace, as sorted for the level. */
+typedef struct {
+    double per_weight; /* demand / weight */
+    double demand;
+    double weight_from; /* sum of the weights from this workspace to the last one */
+} wg_fair_demand;
+
 static int wg_fair_compare(const void* a, const void* b) {
-    double first = *(const double*)a;
-    double second = *(const double*)b;
+    double first = ((const wg_fair_demand*)a)->per_weight;
+    double second = ((const wg_fair_demand*)b)->per_weight;
     return first < second ? -1 : first > second;
 }
 
-double wg_fair_level(const double* demand, int num, double served) {
-    if (num == 0) {
-        return 0;
+/* Returns the demands in order; the caller frees them. Weights are summed up from the end:
+   subtraction from the total would leave rounding errors where the weights that remain are small
+   against those before them. */
+static wg_fair_demand* wg_fair_sort(const double* demand, const double* weights, int num) {
+    wg_fair_demand* sorted = g_new(wg_fair_demand, num);
+    for (int i = 0; i < num; i++) {
+        double weight = weights ? weights[i] : 1;
+        sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight};
     }
-    double* sorted = g_new(double, num);
-    memcpy(sorted, demand, sizeof *sorted * (size_t)num);
-    qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    if (num > 0) {
+        qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    }
+    for (int i = num - 2; i >= 0; i--) {
+        sorted[i].weight_from += sorted[i + 1].weight_from;
+    }
+    return sorted;
+}
+
+static double wg_fair_level_of(const wg_fair_demand* sorted, int num, double served) {
     double left = served;
-    double level = sorted[num - 1];
     for (int i = 0; i < num; i++) {
-        double even = left / (num - i);
-        if (sorted[i] > even) {
-            level = even;
-            break;
+        double even = left / sorted[i].weight_from;
+        if (sorted[i].per_weight > even) {
+            return even;
         }
-        left -= sorted[i];
+        left -= sorted[i].demand;
     }
+    return num > 0 ? sorted[num - 1].per_weight : 0;
+}
+
+double wg_fair_weighted_level(const double* demand, const double* weights, int num, double served) {
+    wg_fair_demand* sorted = wg_fair_sort(demand, weights, num);
+    double level = wg_fair_level_of(sorted, num, served);
     g_free(sorted);
     return level;
 }
 
+double wg_fair_level(const double* demand, int num, double served) {
+    return wg_fair_weighted_level(demand, NULL, num, served);
+}
+
+wg_fair_levels wg_fair_weighted_levels(const double* demand, const double* weights, int num,
+                                       double served, double total_share) {
+    wg_fair_demand* sorted = wg_fair_sort(demand, weights, num);
+    wg_fair_levels levels = {.fair_share =
+                                 total_share > 0 ? wg_fair_level_of(sorted, num, total_share) : 0,
+                             .served = wg_fair_level_of(sorted, num, served)};
+    g_free(sorted);
+    return levels;
+}
+
+double wg_fair_weight(double weight) {
+    if (!isfinite(weight) || weight <= 0) {
+        return 1;
+    }
+    return CLAMP(weight, WG_FAIR_WEIGHT_MIN, WG_FAIR_WEIGHT_MAX);
+}
+
 static double wg_fair_tolerance_at(const wg_fair_slope* slope, double used, double level) {
     double ratio = level > 0 ? used / level : 0;
     if (ratio >= slope->zero_from) {
