Wire, net: answers of handed-off requests without a copy; unsent bytes of a link

Cause: a host that is short of processor time receives one HandoffAnswer for each part of an answer. Unpacking it by protobuf-c allocates twice and copies the bytes. And a sender that bounds what waits on a link has to know its size.

Change: wgw_handoff_answer_parse() returns a pointer into the payload, skips unknown fields and refuses malformed ones. wgn_query_unsent() returns the bytes queued on a link.

--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -559,6 +559,11 @@
     return l && l->up ? &l->peer : NULL;
 }
 
+size_t wgn_query_unsent(const wgn_net* net, wgn_link link) {
+    const _wgn_link_t* l = _wgn_find(net, link);
+    return l ? evbuffer_get_length(bufferevent_get_output(l->bev)) : 0;
+}
+
 wgn_stats wgn_query_stats(const wgn_net* net) {
     wgn_stats stats = net->stats;
     stats.waiting = net->budget.waiting;
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -147,6 +147,8 @@
 void wgn_close(wgn_net* net, wgn_link link);
 /* The peer of the link, or NULL if the link is not up. */
 const wgn_peer* wgn_query_peer(const wgn_net* net, wgn_link link);
+/* Bytes queued on the link that the kernel has not taken yet; 0 if the link is closed. */
+size_t wgn_query_unsent(const wgn_net* net, wgn_link link);
 wgn_stats wgn_query_stats(const wgn_net* net);
 /* Appends metrics of sent frames by type and of queued bytes, in Prometheus text format. */
 void wgn_print_metrics(const wgn_net* net, GString* out);
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -7,6 +7,56 @@
     WGW_FLAG_COMPRESSED = 1 /* in the last byte of a header */
 };
 
+/* ---- helpers: protobuf -------------------------------------------------------------------- */
+
+/* Wire types of protobuf. */
+enum {
+    _WGW_WIRE_VARINT = 0,
+    _WGW_WIRE_64 = 1,
+    _WGW_WIRE_BYTES = 2,
+    _WGW_WIRE_32 = 5
+};
+
+typedef struct {
+    const uint8_t* at;
+    const uint8_t* end;
+} _wgw_reader;
+
+static bool _wgw_read_varint(_wgw_reader* r, uint64_t* value) {
+    *value = 0;
+    for (int shift = 0; shift < 64 && r->at < r->end; shift += 7) {
+        uint8_t byte = *r->at++;
+        *value |= (uint64_t)(byte & 0x7f) << shift;
+        if (!(byte & 0x80)) {
+            return true;
+        }
+    }
+    return false;
+}
+
+static bool _wgw_read_bytes(_wgw_reader* r, uint64_t size, const uint8_t** bytes) {
+    if (size > (size_t)(r->end - r->at)) {
+        return false;
+    }
+    *bytes = r->at;
+    r->at += size;
+    return true;
+}
+
+/* Skips a field that a later release may have added. */
+static bool _wgw_skip_field(_wgw_reader* r, uint64_t wire) {
+    uint64_t size = wire == _WGW_WIRE_64 ? 8 : 4;
+    const uint8_t* bytes;
+    if (wire == _WGW_WIRE_VARINT) {
+        return _wgw_read_varint(r, &size);
+    }
+    if (wire == _WGW_WIRE_BYTES && !_wgw_read_varint(r, &size)) {
+        return false;
+    }
+    return (wire == _WGW_WIRE_BYTES || wire == _WGW_WIRE_64 || wire == _WGW_WIRE_32) &&
+           _wgw_read_bytes(r, size, &bytes);
+}
+
 /* ---- public functions --------------------------------------------------------------------- */
 
 void wgw_frame_header_pack(uint8_t head[WGW_HEADER_SIZE], wgw_type type, size_t payload_size) {
@@ -108,6 +158,37 @@
     return difference == 0;
 }
 
+bool wgw_handoff_answer_parse(const uint8_t* payload, size_t size, wgw_handoff_answer* answer) {
+    enum {
+        TICKET = 1 << 3 | _WGW_WIRE_VARINT,
+        BYTES = 2 << 3 | _WGW_WIRE_BYTES,
+        END = 3 << 3 | _WGW_WIRE_VARINT
+    };
+    _wgw_reader r = {payload, payload + size};
+    uint64_t end = 0;
+    *answer = (wgw_handoff_answer){0};
+    while (r.at < r.end) {
+        uint64_t tag;
+        uint64_t length;
+        bool good = _wgw_read_varint(&r, &tag);
+        if (good && tag == TICKET) {
+            good = _wgw_read_varint(&r, &answer->ticket);
+        } else if (good && tag == END) {
+            good = _wgw_read_varint(&r, &end);
+        } else if (good && tag == BYTES) {
+            good = _wgw_read_varint(&r, &length) && _wgw_read_bytes(&r, length, &answer->bytes);
+            answer->size = good ? (size_t)length : 0;
+        } else if (good) {
+            good = _wgw_skip_field(&r, tag & 7);
+        }
+        if (!good) {
+            return false;
+        }
+    }
+    answer->end = (Wgpb__HandoffEnd)end;
+    return end <= WGPB__HANDOFF_END__HANDOFF_END_DECLINED;
+}
+
 GByteArray* wgw_pack(const ProtobufCMessage* message) {
     GByteArray* bytes = g_byte_array_new();
     g_byte_array_set_size(bytes, (guint)protobuf_c_message_get_packed_size(message));
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -114,5 +114,17 @@
 /* Compares two proofs in constant time. */
 bool wgw_proof_equal(const uint8_t* a, const uint8_t* b);
 
+/* A HandoffAnswer. `bytes` points into the payload that it was parsed from. */
+typedef struct {
+    uint64_t ticket;
+    const uint8_t* bytes;
+    size_t size;
+    Wgpb__HandoffEnd end;
+} wgw_handoff_answer;
+
+/* Parses a packed HandoffAnswer without a copy of its bytes: an overloaded host receives one for
+   each part of an answer that it relays. False if it is malformed. */
+bool wgw_handoff_answer_parse(const uint8_t* payload, size_t size, wgw_handoff_answer* answer);
+
 /* Packs a protobuf-c message into a new GByteArray, which the caller unrefs. */
 GByteArray* wgw_pack(const ProtobufCMessage* message);
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -61,6 +61,59 @@
 }
 END_TEST
 
+/* Guards against a parser of answers that reads beyond its payload, or something else than what
+   protobuf-c packed. */
+START_TEST(handoff_answers_parse_as_they_were_packed) {
+    static uint8_t bytes[300] = "HTTP/1.1 200 OK";
+    for (int i = 0; i < 16; i++) {
+        Wgpb__HandoffAnswer out = WGPB__HANDOFF_ANSWER__INIT;
+        out.ticket = i & 1 ? UINT64_MAX - 1 : 0;
+        out.bytes = (ProtobufCBinaryData){i & 2 ? sizeof bytes : 0, bytes};
+        out.end = i & 4 ? WGPB__HANDOFF_END__HANDOFF_END_DECLINED : 0;
+        GByteArray* packed = wgw_pack(&out.base);
+        static const uint8_t later[] = {0x20, 0x81, 0x01, 0x2a, 1, 'x', 0x35, 1, 2, 3,
+                                        4,    0x39, 1,    2,    3, 4,   5,    6, 7, 8};
+        if (i & 8) {
+            g_byte_array_append(packed, later, sizeof later); /* fields of a later release */
+        }
+        wgw_handoff_answer answer;
+        ck_assert(wgw_handoff_answer_parse(packed->data, packed->len, &answer));
+        ck_assert_uint_eq(answer.ticket, out.ticket);
+        ck_assert_uint_eq(answer.size, out.bytes.len);
+        ck_assert_int_eq(answer.end, out.end);
+        ck_assert(answer.size == 0 || memcmp(answer.bytes, bytes, answer.size) == 0);
+        for (guint size = 0; size < packed->len; size++) {
+            /* An allocation of its own, so that the sanitizer detects a read beyond its end. */
+            uint8_t* part = g_memdup2(packed->data, size);
+            wgw_handoff_answer_parse(part, size, &answer);
+            ck_assert(answer.size == 0 ||
+                      (answer.bytes >= part && answer.bytes + answer.size <= part + size));
+            g_free(part);
+        }
+        g_byte_array_unref(packed);
+    }
+}
+END_TEST
+
+START_TEST(malformed_handoff_answers_are_refused) {
+    static const struct {
+        uint8_t bytes[12];
+        size_t size;
+    } bad[] = {{{0x08}, 1},
+               {{0x08, 0x80}, 2},
+               {{0x12, 2, 'x'}, 3},
+               {{0x12, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01}, 11},
+               {{0x18, 5}, 2},
+               {{0x18, 0x80, 0x80, 0x80, 0x80, 0x10}, 6},
+               {{0x23}, 1},
+               {{0x39, 1, 2, 3}, 4}};
+    wgw_handoff_answer answer;
+    for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
+        ck_assert(!wgw_handoff_answer_parse(bad[i].bytes, bad[i].size, &answer));
+    }
+}
+END_TEST
+
 START_TEST(proof_depends_on_key_label_and_hellos) {
     uint8_t proofs[5][WGW_MAC_SIZE];
     const uint8_t a[] = "hello a";
@@ -435,7 +488,8 @@
 END_TEST
 
 WG_TEST_MAIN("parts", stale_handles_are_detected, histogram_quantiles_are_close,
-             bad_frames_are_refused, proof_depends_on_key_label_and_hellos,
+             bad_frames_are_refused, handoff_answers_parse_as_they_were_packed,
+             malformed_handoff_answers_are_refused, proof_depends_on_key_label_and_hellos,
              bad_settings_name_file_group_and_key, claims_are_granted_once, members_join_and_leave,
              entry_hosts_are_few_local_and_stable, only_leased_slots_are_used,
              older_list_does_not_undo_draining,
