Handoff: transport between entry hosts

Cause: an overloaded host refuses requests while the other hosts of its data centre are idle (docs/entry-load.md). The decision (lib/handoff) needs a way to pass a request on and to relay the answer.

Change: the owner sends head and body of a request on a link that it dialled, keeps them until the peer acknowledges, and then writes the bytes of the answer to the caller's socket without parsing them. The peer serves the request as a wg_client without a connection, whose output goes back in frames; time at the owner counts as time spent. A peer that begins a planned stop tells its owners with an answer for ticket 0, as a request that is under way when its process ends would be lost. Off by default.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -164,8 +164,8 @@
     wg_time stop_max = wg_entry_stop_time(e);
     wg_time stop_min = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_STOP_CLOSE_DELAY;
     wg_time since = now - e->stop_at;
-    bool over =
-        since >= stop_max || (since >= stop_min && e->calls_num == 0 && !wg_client_any_sending(e));
+    bool over = since >= stop_max || (since >= stop_min && e->calls_num == 0 &&
+                                      !wg_client_any_sending(e) && wg_entry_handoff_is_drained(e));
     if (!over) {
         return;
     }
@@ -231,6 +231,7 @@
     wg_entry_advance_retries(e);
     wg_call_queue_run(e);
     wg_entry_overload_tick(e, now);
+    wg_entry_handoff_tick(e, now);
     wg_entry_queue_delay_probe(e, now);
     if (e->stopping) {
         wg_entry_stop_tick(e, now);
@@ -256,6 +257,7 @@
     e->fingerprint_seed = wg_fingerprint_seed(e->settings->fleet_key);
     e->started_at = wg_now();
     e->clients = g_ptr_array_new();
+    e->taken_clients = g_ptr_array_new();
     e->relayed_events = evbuffer_new();
     e->relayed_bytes = evbuffer_new();
     e->idle = g_hash_table_new(NULL, NULL);
@@ -280,6 +282,7 @@
     wg_entry_check_setup(e);
     wg_entry_quarantine_setup(e);
     wg_entry_overload_setup(e);
+    wg_entry_handoff_setup(e);
     g_queue_init(&e->orders);
     if (!wg_entry_link_setup(e, error) || !wg_entry_endpoints_setup(e, error) ||
         !wg_client_listen(e, error)) {
@@ -308,6 +311,7 @@
     e->stopping = true;
     e->stop_at = now;
     wg_log(WG_EVENT_STOP_BEGUN, "calls=%d", e->calls_num);
+    wg_entry_handoff_stop(e);
     wg_entry_report(e, now);
 }
 
@@ -334,6 +338,7 @@
     wg_entry_check_shutdown(e);
     wg_entry_quarantine_shutdown(e);
     wg_entry_overload_shutdown(e);
+    wg_entry_handoff_shutdown(e);
     wg_entry_hold_shutdown(e);
     wg_buffers_shutdown(e->buffers);
     wg_admit_shutdown(e->admit);
@@ -345,6 +350,7 @@
     wg_config_unref(e->config);
     g_clear_pointer(&e->document, g_bytes_unref);
     g_ptr_array_unref(e->clients);
+    g_ptr_array_unref(e->taken_clients);
     evbuffer_free(e->relayed_events);
     evbuffer_free(e->relayed_bytes);
     g_hash_table_unref(e->queues);
--- a/lib/entry/wg_entry_buffers.c
+++ b/lib/entry/wg_entry_buffers.c
@@ -52,26 +52,32 @@
     bufferevent_set_max_single_read(up->bev, (size_t)wg_buffers_portion(up->entry->buffers));
 }
 
-/* Applies the present level to all answers in progress. */
-static void wg_entry_buffers_apply_level(wg_entry* e) {
-    e->buffers_level = wg_buffers_level_of(e->buffers);
-    for (guint i = 0; i < e->clients->len; i++) {
-        const wg_client* client = e->clients->pdata[i];
-        wg_upstream* up = client->call ? client->call->upstream : NULL;
-        if (!up) {
-            continue;
-        }
-        wg_entry_buffers_limit_portion(up);
-        if (wg_buffers_pauses(e->buffers, &client->held)) {
-            wg_upstream_pause(up);
+/* Pauses the answer to the client as needed. */
+static void wg_entry_buffers_check_pause(const wg_client* client) {
+    wg_upstream* up = client->call ? client->call->upstream : NULL;
+    bool pauses = wg_buffers_pauses(client->entry->buffers, &client->held);
+    if (client->handed && pauses) {
+        wg_entry_handoff_pause(client);
+    } else if (up && (pauses || wg_entry_handoff_is_paused(client))) {
+        wg_upstream_pause(up);
+    }
+}
+
+static void wg_entry_buffers_apply_level_to(const GPtrArray* clients) {
+    for (guint i = 0; i < clients->len; i++) {
+        const wg_client* client = clients->pdata[i];
+        if (client->call && client->call->upstream) {
+            wg_entry_buffers_limit_portion(client->call->upstream);
         }
+        wg_entry_buffers_check_pause(client);
     }
 }
 
-/* Makes the close of a connection reset it, so that the kernel drops what the peer has not read. */
-static void wg_entry_buffers_reset_on_close(struct bufferevent* bev) {
-    struct linger reset = {.l_onoff = 1, .l_linger = 0};
-    setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+/* Applies the present level to all answers in progress. */
+static void wg_entry_buffers_apply_level(wg_entry* e) {
+    e->buffers_level = wg_buffers_level_of(e->buffers);
+    wg_entry_buffers_apply_level_to(e->clients);
+    wg_entry_buffers_apply_level_to(e->taken_clients);
 }
 
 static void wg_entry_buffers_log_cut(wg_entry* e, wg_time now, wg_event event, const char* id,
@@ -92,6 +98,7 @@
     return poll(&fd, 1, 0) == 1 && fd.revents == POLLOUT;
 }
 
+/* NULL for a caller that is connected to another host. */
 static struct bufferevent* wg_entry_buffers_connection(const wg_buffers_peer* peer) {
     const wg_client* client = peer->user_data;
     const wg_upstream* up = peer->user_data;
@@ -105,7 +112,12 @@
     if (client->call) {
         client->call->caller_cut = true;
     }
-    wg_entry_buffers_reset_on_close(client->bev);
+    if (client->handed) {
+        wg_entry_handoff_caller_left(client, "caller-cut");
+    }
+    if (client->bev) {
+        wg_entry_buffers_reset_on_close(client->bev);
+    }
     wg_client_close(client);
 }
 
@@ -132,8 +144,17 @@
     }
 }
 
+static struct evbuffer* wg_entry_buffers_output(const wg_client* client) {
+    return client->bev ? bufferevent_get_output(client->bev) : wg_entry_handoff_output(client);
+}
+
 /* ---- functions of the library ---------------------------------------------------------------- */
 
+void wg_entry_buffers_reset_on_close(struct bufferevent* bev) {
+    struct linger reset = {.l_onoff = 1, .l_linger = 0};
+    setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+}
+
 void wg_entry_buffers_setup(wg_entry* e) {
     e->buffers = wg_buffers_setup(
         &(wg_buffers_desc){.bytes_max = wg_entry_buffers_bound(e),
@@ -144,13 +165,14 @@
     wg_entry* e = client->entry;
     client->held.user_data = client;
     wg_buffers_add(e->buffers, &client->held, WG_BUFFERS_CALLER);
-    wg_entry_buffers_limit_kernel(e, bufferevent_getfd(client->bev));
-    evbuffer_add_cb(bufferevent_get_output(client->bev), wg_entry_buffers_on_client_output, client);
+    if (client->bev) {
+        wg_entry_buffers_limit_kernel(e, bufferevent_getfd(client->bev));
+    }
+    evbuffer_add_cb(wg_entry_buffers_output(client), wg_entry_buffers_on_client_output, client);
 }
 
 void wg_entry_buffers_remove_client(wg_client* client) {
-    evbuffer_remove_cb(bufferevent_get_output(client->bev), wg_entry_buffers_on_client_output,
-                       client);
+    evbuffer_remove_cb(wg_entry_buffers_output(client), wg_entry_buffers_on_client_output, client);
     wg_buffers_remove(client->entry->buffers, &client->held);
 }
 
@@ -179,8 +201,8 @@
     wg_entry* e = client->entry;
     if (wg_buffers_level_of(e->buffers) != e->buffers_level) {
         wg_entry_buffers_apply_level(e);
-    } else if (client->call->upstream && wg_buffers_pauses(e->buffers, &client->held)) {
-        wg_upstream_pause(client->call->upstream);
+    } else {
+        wg_entry_buffers_check_pause(client);
     }
 }
 
@@ -197,7 +219,8 @@
 void wg_entry_buffers_tick(wg_entry* e, wg_time now) {
     wg_buffers_peer* peer;
     while ((peer = wg_buffers_next_cut(e->buffers, now))) {
-        if (wg_entry_buffers_is_ready(wg_entry_buffers_connection(peer))) {
+        struct bufferevent* connection = wg_entry_buffers_connection(peer);
+        if (connection && wg_entry_buffers_is_ready(connection)) {
             wg_buffers_record_ready(e->buffers, now, peer);
         } else if (peer->kind == WG_BUFFERS_CALLER) {
             wg_entry_buffers_cut_caller(peer->user_data, now);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -44,7 +44,7 @@
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
            " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT " room=%s held_ms=%" G_GINT64_FORMAT
-           " paused_ms=%" G_GINT64_FORMAT,
+           " paused_ms=%" G_GINT64_FORMAT " owner=%s",
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -58,7 +58,7 @@
            wg_usage_levels(call->entry->usage)->fair_share,
            (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
            wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
-           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC);
+           wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, call->owner);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -82,8 +82,9 @@
     e->calls_num--;
 }
 
+/* The connection of another host's caller does not depend on this host's planned stop. */
 static bool wg_call_keeps_connection(const wg_call* call) {
-    return call->client->keep && !call->entry->stopping;
+    return call->client->keep && (call->client->taken || !call->entry->stopping);
 }
 
 static void wg_call_log_and_free(wg_call* call, const wg_call_end* end) {
@@ -98,6 +99,25 @@
     return call->may_have_run || (call->upstream && call->upstream->written);
 }
 
+void wg_call_write_error(wg_client* client, const wg_call_error* error) {
+    struct evbuffer* out = evbuffer_new();
+    char body[160];
+    int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", error->reason,
+                          wg_verdict_name(error->verdict));
+    evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", error->status,
+                        wgh_reason(error->status));
+    if (error->id[0]) {
+        evbuffer_add_printf(out, "%s: %s\r\n", client->entry->names->request_id, error->id);
+    }
+    if (error->retry_after > 0) {
+        evbuffer_add_printf(out, "Retry-After: %.2f\r\n", error->retry_after);
+    }
+    evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
+                        error->keep ? "" : "Connection: close\r\n", error->head_only ? "" : body);
+    wg_client_write(client, out);
+    evbuffer_free(out);
+}
+
 void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after) {
     wg_client* client = call->client;
     bool may_have_run = wg_call_may_have_run(call);
@@ -110,22 +130,13 @@
         wg_client_close(client); /* a truncated answer must not look complete */
     } else if (client) {
         bool keep = wg_call_keeps_connection(call);
-        struct evbuffer* out = evbuffer_new();
-        char body[160];
-        int size = g_snprintf(body, sizeof body, "{\"code\":\"%s\",\"verdict\":\"%s\"}", reason,
-                              wg_verdict_name(verdict));
-        evbuffer_add_printf(out, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n", status,
-                            wgh_reason(status));
-        if (call->id[0]) {
-            evbuffer_add_printf(out, "%s: %s\r\n", call->entry->names->request_id, call->id);
-        }
-        if (retry_after > 0 && !may_have_run) {
-            evbuffer_add_printf(out, "Retry-After: %.2f\r\n", retry_after);
-        }
-        evbuffer_add_printf(out, "Content-Length: %d\r\n%s\r\n%s", size,
-                            keep ? "" : "Connection: close\r\n", call->head_only ? "" : body);
-        wg_socket_write(client->bev, out);
-        evbuffer_free(out);
+        wg_call_write_error(client, &(wg_call_error){.status = status,
+                                                     .reason = reason,
+                                                     .verdict = verdict,
+                                                     .id = call->id,
+                                                     .retry_after = may_have_run ? 0 : retry_after,
+                                                     .keep = keep,
+                                                     .head_only = call->head_only});
         call->entry->counters.refused += status == 503 || status == 429;
         call->entry->counters.failed += status >= 500 && status != 503;
         call->client = NULL;
@@ -174,16 +185,19 @@
     return prompt->num > 0;
 }
 
-static void wg_call_read_times(wg_call* call) {
+wg_time wg_call_deadline(const wg_entry* e, const wg_message_head* head, wg_time arrived_at) {
     int64_t ms;
+    bool has_deadline = wg_text_number(wg_message_field(head, e->names->deadline), &ms);
+    return has_deadline ? arrived_at + ms * WG_USEC_PER_MSEC : WG_TIME_NEVER;
+}
+
+static void wg_call_read_times(wg_call* call) {
     wg_time now = wg_now();
+    wg_time arrived_at = call->client->arrived_at;
     /* Counted from arrival, not from when it is read: otherwise an overloaded host would forward
        requests whose callers have already timed out. */
-    call->started = now - wg_entry_input_delay(call->entry, now);
-    call->deadline = WG_TIME_NEVER;
-    if (wg_text_number(wg_message_field(&call->head, call->entry->names->deadline), &ms)) {
-        call->deadline = call->started + ms * WG_USEC_PER_MSEC;
-    }
+    call->started = arrived_at ? arrived_at : now - wg_entry_input_delay(call->entry, now);
+    call->deadline = wg_call_deadline(call->entry, &call->head, call->started);
     call->expires_at = MIN(call->started + call->route->timeout, call->deadline);
 }
 
@@ -276,7 +290,7 @@
 }
 
 static void wg_call_write(wg_call* call, struct evbuffer* out) {
-    wg_socket_write(call->client->bev, out);
+    wg_client_write(call->client, out);
     wg_entry_buffers_control(call->client);
 }
 
@@ -415,7 +429,7 @@
     } else {
         evbuffer_add_buffer(out, up->content);
     }
-    wg_socket_write(client->bev, out);
+    wg_client_write(client, out);
     evbuffer_free(out);
     call->entry->counters.completed += good;
     if (good) {
@@ -486,6 +500,15 @@
 
 /* ---- functions of the library ---------------------------------------------------------------- */
 
+wg_time wg_call_answer_time(const wg_entry* e, const wg_message_head* head) {
+    wg_text tokens = wg_message_field(head, e->names->prompt_tokens);
+    wg_text parts = wg_message_field(head, e->names->prompt_parts);
+    wg_prompt prompt;
+    return parts.text && wg_parse_prompt(parts, tokens, &prompt)
+               ? WG_ANSWER_TOKEN_TIME * prompt.answer
+               : 0;
+}
+
 static void wg_call_log_denial(wg_entry* e, const wg_message_head* head, int status,
                                const char* code) {
     enum {
@@ -565,6 +588,7 @@
     wg_text id = wg_message_field(head, e->names->request_id);
     g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
     g_strlcpy(client->last_id, call->id, sizeof client->last_id);
+    g_strlcpy(call->owner, wg_entry_handoff_owner(client), sizeof call->owner);
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
     call->fingerprint =
         wg_fingerprint(&(wg_fingerprint_desc){.seed = e->fingerprint_seed,
@@ -593,7 +617,7 @@
         wg_call_refuse(call, 503, "stopping", WG_STOPPING_RETRY_AFTER);
         return;
     }
-    wg_call_set_timer(call, call->started);
+    wg_call_set_timer(call, wg_now());
     wg_call_try(call);
 }
 
@@ -606,18 +630,28 @@
     wg_call_queue_run(e);
 }
 
-/* Event-loop timers do not advance while the host is suspended and would fire late. */
-void wg_call_reset_timers(wg_entry* e, wg_time now) {
-    for (guint i = 0; i < e->clients->len; i++) {
-        const wg_client* client = e->clients->pdata[i];
+static void wg_call_reset_timers_of(const GPtrArray* clients, wg_time now) {
+    for (guint i = 0; i < clients->len; i++) {
+        const wg_client* client = clients->pdata[i];
         if (client->call) {
             wg_call_set_timer(client->call, now);
         }
     }
 }
 
-void wg_call_abort_all(wg_entry* e) {
-    for (guint i = e->clients->len; i > 0; i--) {
-        wg_client_close(e->clients->pdata[i - 1]);
+/* Event-loop timers do not advance while the host is suspended and would fire late. */
+void wg_call_reset_timers(wg_entry* e, wg_time now) {
+    wg_call_reset_timers_of(e->clients, now);
+    wg_call_reset_timers_of(e->taken_clients, now);
+}
+
+static void wg_call_abort_all_of(const GPtrArray* clients) {
+    for (guint i = clients->len; i > 0; i--) {
+        wg_client_close(clients->pdata[i - 1]);
     }
 }
+
+void wg_call_abort_all(wg_entry* e) {
+    wg_call_abort_all_of(e->clients);
+    wg_call_abort_all_of(e->taken_clients);
+}
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -35,6 +35,27 @@
     }
 }
 
+void wg_socket_write_bytes(struct bufferevent* bev, const void* bytes, size_t size) {
+    struct evbuffer* out = bufferevent_get_output(bev);
+    evutil_socket_t fd = bufferevent_getfd(bev);
+    size_t sent = 0;
+    if (evbuffer_get_length(out) == 0 && fd >= 0) {
+        ssize_t result = send(fd, bytes, size, MSG_NOSIGNAL | MSG_DONTWAIT);
+        sent = result > 0 ? (size_t)result : 0;
+    }
+    if (sent < size) {
+        evbuffer_add(out, (const char*)bytes + sent, size - sent);
+    }
+}
+
+void wg_client_write(wg_client* client, struct evbuffer* bytes) {
+    if (client->taken) {
+        wg_entry_handoff_write(client, bytes);
+    } else {
+        wg_socket_write(client->bev, bytes);
+    }
+}
+
 static void wg_client_leave_idle(wg_client* client) {
     if (client->idle) {
         g_queue_unlink(&client->entry->idle_clients, &client->idle_link);
@@ -67,13 +88,20 @@
 }
 
 void wg_client_close(wg_client* client) {
+    if (client->handed) {
+        wg_entry_handoff_caller_left(client, "caller-left");
+    }
     if (client->call) {
         wg_call* call = client->call;
         client->call = NULL;
         call->client = NULL;
         wg_call_caller_disconnected(call);
     }
-    wg_client_free(client);
+    if (client->taken) {
+        wg_entry_handoff_cut(client);
+    } else {
+        wg_client_free(client);
+    }
 }
 
 /* While a call is in progress, only watches for the end of the caller's connection, at a higher
@@ -109,6 +137,7 @@
     client->head_started = false;
     client->bytes_examined = 0;
     client->dropping = false;
+    client->arrived_at = 0;
     wg_client_watch(client, state == WG_CLIENT_BUSY);
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
@@ -193,7 +222,7 @@
     struct evbuffer* out = evbuffer_new();
     evbuffer_add(out, answer, size);
     client->entry->counters.refused++;
-    wg_socket_write(client->bev, out);
+    wg_client_write(client, out);
     evbuffer_free(out);
 }
 
@@ -251,6 +280,9 @@
     client->head = NULL;
     client->body_bytes = NULL;
     wg_client_set_state(client, WG_CLIENT_BUSY);
+    if (wg_entry_handoff_begin(client, bytes, head, body)) {
+        return;
+    }
     wg_call_begin(client, bytes, head, body);
     g_free(head);
 }
@@ -398,6 +430,7 @@
     }
     g_free(client->head_bytes);
     client->head_bytes = g_malloc(size);
+    client->head_size = size;
     evbuffer_remove(in, client->head_bytes, size);
     wg_message_head head;
     int status = wg_message_parse_request(client->head_bytes, size, &head);
@@ -467,6 +500,8 @@
         shutdown(bufferevent_getfd(client->bev), SHUT_WR);
     } else if (client->call && client->call->upstream) {
         wg_upstream_resume(client->call->upstream);
+    } else if (client->handed) {
+        wg_entry_handoff_resume(client);
     } else if (client->delayed) {
         wg_client_end_delay(client);
     }
@@ -484,6 +519,10 @@
     client->call = NULL;
     client->answered = true;
     wg_buffers_set_kept(client->entry->buffers, &client->held, 0);
+    if (client->taken) {
+        wg_entry_handoff_answered(client, keep);
+        return;
+    }
     if (!keep) {
         wg_client_end(client);
         return;
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -173,6 +173,7 @@
     wg_endpoint_leader_metrics(e, out);
     wg_endpoint_room_metrics(e, out);
     wg_endpoint_overload_metrics(e, out);
+    wg_entry_handoff_print_metrics(e, out);
     wg_hist_print(&e->first_byte_time, "walnutgate_entry_first_seconds", "", 1e6, out);
     wg_hist_print(&e->total_time, "walnutgate_entry_total_seconds", "", 1e6, out);
     wgh_reply_text(request, 200, "text/plain", out->str);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -14,6 +14,7 @@
 #include "wg_event_stream.h"
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
+#include "wg_handoff.h"
 #include "wg_hold.h"
 #include "wg_loop.h"
 #include "wg_overload.h"
@@ -53,24 +54,31 @@
 typedef struct wg_call wg_call;
 typedef struct wg_client wg_client;
 typedef struct wg_upstream wg_upstream;
+typedef struct wg_handed wg_handed;               /* wg_entry_handoff.c */
+typedef struct wg_taken wg_taken;                 /* wg_entry_handoff.c */
+typedef struct wg_entry_handoff wg_entry_handoff; /* wg_entry_handoff.c */
 
 typedef enum {
     WG_CLIENT_HEAD = 0, /* waits for a request head */
     WG_CLIENT_BODY,     /* reads a request body */
-    WG_CLIENT_BUSY,     /* a call is in progress */
+    WG_CLIENT_BUSY,     /* a call is in progress, or its request is at another host */
     WG_CLIENT_ENDING    /* flushes the last answer, then closes */
 } wg_client_state;
 
-/* A caller's connection. */
+/* A caller's connection, or a caller of another host whose request this host took (`taken`). */
 struct wg_client {
     wg_entry* entry;
-    struct bufferevent* bev;
-    struct event* watch; /* detects that the caller closed while a call is in progress */
+    struct bufferevent* bev; /* NULL if `taken` */
+    struct event* watch;     /* detects that the caller closed while a call is in progress */
     bool watched;
     wg_client_state state;
     wg_call* call;
+    wg_handed* handed;  /* its request is at another host; NULL: it is not */
+    wg_taken* taken;    /* the caller is connected to another host; NULL: it is connected here */
+    wg_time arrived_at; /* arrival of the request; 0: by the delay of input */
     wg_body body;
     char* head_bytes;      /* head of the request being read */
+    size_t head_size;      /* bytes of `head_bytes` */
     wg_message_head* head; /* parsed `head_bytes`, while a body is read that is not dropped */
     struct evbuffer* body_bytes;
     bool dropping;         /* the request was refused; its body is read and dropped */
@@ -79,7 +87,7 @@
     wg_time state_since;   /* start of the current state, or arrival of the first byte of a head */
     bool head_started;     /* part of a head was received */
     size_t bytes_examined; /* bytes of an incomplete head that were examined */
-    guint index;           /* index in entry->clients */
+    guint index;           /* index in entry->clients or entry->taken_clients */
     bool idle;             /* linked in entry->idle_clients */
     GList idle_link;
     wg_buffers_peer held;      /* answers not read yet, and the body of the request */
@@ -106,8 +114,9 @@
     wg_message_head head;
     struct evbuffer* body;
     char id[WG_NAME_MAX];
-    uint64_t fingerprint; /* equal for identical requests on all hosts */
-    bool head_only;       /* method is HEAD */
+    char owner[WG_NAME_MAX]; /* host that the caller is connected to; "-": this host */
+    uint64_t fingerprint;    /* equal for identical requests on all hosts */
+    bool head_only;          /* method is HEAD */
     wg_time started;
     wg_time expires_at; /* the call ends at this time at the latest */
     wg_time deadline;   /* deadline set by the caller, or WG_TIME_NEVER */
@@ -257,6 +266,9 @@
     uint64_t callers_cut;      /* connections closed as the caller did not read its answer */
     uint64_t targets_cut;      /* connections closed as the target did not read the request */
     uint64_t bodies_refused;   /* requests refused as the host holds too many bytes */
+    uint64_t handed_off;       /* requests that ended at another host */
+    uint64_t handoffs_failed;  /* those of them whose answer did not arrive complete */
+    uint64_t handoffs_taken;   /* requests of other hosts that this host took */
 } wg_entry_counters;
 
 /* Crash evidence in a report. The arrays are released by wg_entry_crashes_reported(). */
@@ -281,6 +293,7 @@
 
     struct evconnlistener* listener;
     GPtrArray* clients;
+    GPtrArray* taken_clients;     /* wg_client, callers of other hosts whose requests were taken */
     wg_time clients_due_at;       /* no connection exceeds its time limit before */
     uint64_t clients_due_version; /* configuration that `clients_due_at` follows from */
     GQueue idle_clients;          /* wg_client waiting for a request; longest idle first */
@@ -369,6 +382,8 @@
     wg_lag_monitor input_lag;  /* delay of callers' input in the event loop */
     wg_time stall_ended_at;    /* first tick after the last stall of this process; 0: none */
 
+    wg_entry_handoff* handoff; /* NULL: off */
+
     /* refusals on arrival: wg_entry_overload.c */
     wg_overload* overload;            /* NULL: off */
     struct evbuffer* dropped_bytes;   /* bodies of refused requests pass through it */
@@ -535,6 +550,43 @@
 void wg_entry_overload_log(wg_entry* e, const wg_message_head* head, double retry_after,
                            wg_time now);
 
+/* wg_entry_handoff.c */
+void wg_entry_handoff_setup(wg_entry* e);
+void wg_entry_handoff_shutdown(wg_entry* e);
+void wg_entry_handoff_tick(wg_entry* e, wg_time now);
+/* A planned stop begins: other hosts are told to hand off nothing more to this one. */
+void wg_entry_handoff_stop(wg_entry* e);
+/* Whether no request is at another host, and all answers to other hosts were sent. */
+bool wg_entry_handoff_is_drained(const wg_entry* e);
+void wg_entry_handoff_print_metrics(const wg_entry* e, GString* out);
+/* Hands a complete request off to another host, and takes ownership of the arguments. False: the
+   request is kept, and nothing was done. */
+bool wg_entry_handoff_begin(wg_client* client, char* bytes, wg_message_head* head,
+                            struct evbuffer* body);
+/* The caller closed its connection, or was cut off, while its request is at another host. */
+void wg_entry_handoff_caller_left(wg_client* client, const char* reason);
+/* Stops and resumes the answer of a request that is at another host, or of another host's. */
+void wg_entry_handoff_pause(const wg_client* client);
+void wg_entry_handoff_resume(const wg_client* client);
+/* The functions below are for clients with `taken`. */
+/* Sends a part of the answer to the caller's host. Empties `bytes`. */
+void wg_entry_handoff_write(wg_client* client, struct evbuffer* bytes);
+/* The answer is complete. `keep`: the caller's connection may be kept. Frees the client once
+   everything is sent. */
+void wg_entry_handoff_answered(wg_client* client, bool keep);
+/* The answer ends early. Frees the client. */
+void wg_entry_handoff_cut(wg_client* client);
+/* Whether the caller's host asked to pause the answer. */
+bool wg_entry_handoff_is_paused(const wg_client* client);
+/* Part of the answer that is not sent yet. */
+struct evbuffer* wg_entry_handoff_output(const wg_client* client);
+/* Name of the caller's host; "-" for a caller of this host. */
+const char* wg_entry_handoff_owner(const wg_client* client);
+/* The functions that return bool return false if the link or frame does not concern handoff. */
+bool wg_entry_handoff_on_up(wg_entry* e, wgn_link link, const wgn_peer* peer);
+void wg_entry_handoff_on_down(wg_entry* e, wgn_link link);
+bool wg_entry_handoff_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
+
 /* wg_entry_cache.c */
 void wg_entry_cache_setup(wg_entry* e);
 void wg_entry_cache_shutdown(wg_entry* e);
@@ -597,6 +649,8 @@
 void wg_entry_buffers_begin_request(const wg_upstream* up);
 /* A part of the answer to the client's call was written: pauses reading from targets as needed. */
 void wg_entry_buffers_control(wg_client* client);
+/* Makes the close of a connection reset it, so that the kernel drops what the peer has not read. */
+void wg_entry_buffers_reset_on_close(struct bufferevent* bev);
 /* Largest request body that the host can hold. */
 int64_t wg_entry_buffers_body_max(const wg_entry* e);
 /* Whether the client's next request has to wait until it has read earlier answers. */
@@ -649,6 +703,11 @@
 /* Writes what the socket accepts now and buffers the remainder. Empties `bytes`. */
 void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
 
+/* The same with bytes that the caller keeps. Copies only what the socket does not accept now. */
+void wg_socket_write_bytes(struct bufferevent* bev, const void* bytes, size_t size);
+/* Writes a part of an answer to the caller. Empties `bytes`. */
+void wg_client_write(wg_client* client, struct evbuffer* bytes);
+
 /* Whether the peer has closed and nothing is left to read. */
 bool wg_socket_peer_has_closed(struct bufferevent* bev);
 
@@ -667,6 +726,22 @@
 void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason);
 void wg_call_queue_run(wg_entry* e);
 void wg_call_set_timer(wg_call* call, wg_time now);
+/* Time that the answer to a request takes at most once it has begun, estimated from its head. */
+wg_time wg_call_answer_time(const wg_entry* e, const wg_message_head* head);
+/* Deadline set by the caller of a request that arrived at `arrived_at`, or WG_TIME_NEVER. */
+wg_time wg_call_deadline(const wg_entry* e, const wg_message_head* head, wg_time arrived_at);
+/* Error answer of this host to a request. */
+typedef struct {
+    int status;
+    const char* reason;
+    wg_verdict verdict;
+    const char* id;     /* of the request; "": none */
+    double retry_after; /* seconds; 0: none */
+    bool keep;          /* the connection stays open */
+    bool head_only;     /* method is HEAD: an answer without a body */
+} wg_call_error;
+
+void wg_call_write_error(wg_client* client, const wg_call_error* error);
 /* Answers with an error of this host and ends the call. */
 void wg_call_refuse(wg_call* call, int status, const char* reason, double retry_after);
 void wg_call_abort_all(wg_entry* e);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -197,7 +197,7 @@
 
 static void wg_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
-    if (wg_entry_admit_on_up(e, link)) {
+    if (wg_entry_admit_on_up(e, link) || wg_entry_handoff_on_up(e, link, peer)) {
         return;
     }
     if (link.id != e->link.id) {
@@ -216,6 +216,7 @@
 static void wg_entry_on_down(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
     wg_entry_admit_on_down(e, link);
+    wg_entry_handoff_on_down(e, link);
     wg_entry_recovery_on_down(e, link);
     if (link.id != e->link.id) {
         return;
@@ -293,7 +294,7 @@
 
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
-    if (wg_entry_admit_on_frame(e, link, frame)) {
+    if (wg_entry_admit_on_frame(e, link, frame) || wg_entry_handoff_on_frame(e, link, frame)) {
         return;
     }
     if (link.id == e->link.id) {
