Handoff: HANDOFF_ENDED after a second of keeping everything; slots that change hands

Cause: a host at the limit of its descriptors logged HANDOFF_BEGUN and HANDOFF_ENDED several times a second (seen in the soak: 14 pairs in 20 s). And lib/handoff was told of a lost slot only if no other host had got it.

Change: the end is logged once all requests were kept for a second; after_ms counts until that second began. wg_handoff_peer_down() follows for each slot that lost its host.

Run: test_entry_handoff (51 of 51).

--- a/lib/entry/wg_entry_handoff.c
+++ b/lib/entry/wg_entry_handoff.c
@@ -14,6 +14,9 @@
     /* Time after the end of a request's time in which the peer's own answer may still arrive. Below
        the 0.5 s by which a request may exceed its time, with room for a tick. */
     WG_HANDED_MARGIN = 250 * WG_USEC_PER_MSEC,
+    /* Time for which all requests are kept until HANDOFF_ENDED is logged. Without it, a host at the
+       limit of a shortage logs several lines a second. */
+    WG_HANDOFF_END_DELAY = WG_USEC_PER_SEC,
     WG_HANDED_DIAL_INTERVAL = 250 * WG_USEC_PER_MSEC,
     /* Bytes that wait on the link to a peer above which it gets no further request. Bounds the
        copies of request bodies if a peer stands still. */
@@ -88,13 +91,14 @@
     uint64_t roster_change;
     GPtrArray* peers; /* wg_handed_peer */
     wg_handed_peer* slots[WG_HANDOFF_PEERS_MAX];
-    GHashTable* handed;    /* ticket -> wg_handed */
-    GQueue handed_list;    /* the same, in the order in which they were handed off */
-    GHashTable* owners;    /* id of a link -> wg_taken_owner */
-    GQueue waiting;        /* wg_taken whose output waits for room on a link */
-    struct event* retry;   /* looks at `waiting` */
-    bool begun;            /* HANDOFF_BEGUN was logged */
-    wg_time begun_at;      /* this and the next are valid if `begun` */
+    GHashTable* handed;  /* ticket -> wg_handed */
+    GQueue handed_list;  /* the same, in the order in which they were handed off */
+    GHashTable* owners;  /* id of a link -> wg_taken_owner */
+    GQueue waiting;      /* wg_taken whose output waits for room on a link */
+    struct event* retry; /* looks at `waiting` */
+    bool begun;          /* HANDOFF_BEGUN was logged; the next three are valid */
+    wg_time begun_at;
+    wg_time short_at;      /* last tick at which not all requests were kept */
     wg_handoff_stats then; /* when it was logged */
 };
 
@@ -111,6 +115,9 @@
 static void wg_entry_handoff_log_change(wg_entry* e, wg_time now, const wg_handoff_load* load) {
     wg_entry_handoff* h = e->handoff;
     wg_handoff_stats stats = wg_handoff_query_stats(h->decision);
+    if (stats.local_share < 1) {
+        h->short_at = now;
+    }
     if (!h->begun && stats.local_share < 1) {
         int peers = 0;
         for (int i = 0; i < WG_HANDOFF_PEERS_MAX; i++) {
@@ -123,12 +130,13 @@
         h->begun = true;
         h->begun_at = now;
         h->then = stats;
-    } else if (h->begun && stats.local_share >= 1) {
+    } else if (h->begun && now - h->short_at >= WG_HANDOFF_END_DELAY) {
         wg_log(WG_EVENT_HANDOFF_ENDED,
                "after_ms=%" G_GINT64_FORMAT " handed_off=%" G_GUINT64_FORMAT
                " kept=%" G_GUINT64_FORMAT " declined=%" G_GUINT64_FORMAT,
-               (now - h->begun_at) / WG_USEC_PER_MSEC, stats.handed_off - h->then.handed_off,
-               stats.kept - h->then.kept, stats.declined - h->then.declined);
+               (h->short_at - h->begun_at) / WG_USEC_PER_MSEC,
+               stats.handed_off - h->then.handed_off, stats.kept - h->then.kept,
+               stats.declined - h->then.declined);
         h->begun = false;
     }
 }
@@ -163,10 +171,8 @@
     for (guint i = 0; i < h->peers->len; i++) {
         wg_handed_peer* peer = h->peers->pdata[i];
         const char* name = peer->slot >= 0 ? wg_handoff_peer_name(h->decision, peer->slot) : NULL;
-        if (peer->slot >= 0 && !name) {
+        if (peer->slot >= 0 && (!name || strcmp(name, peer->name) != 0)) {
             wg_handoff_peer_down(h->decision, now, peer->slot);
-        }
-        if (!name || strcmp(name, peer->name) != 0) {
             peer->slot = -1;
         }
     }
