--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -129,6 +129,18 @@
 static const char ENTRY_LOAD_CONTROL[] =
     "[admission]\nlearn_base=1\nroom_wait_ms=20\nroute_limits=1\nhold_percent=25\n"
     "[overload]\ninput_delay_ms=10\n";
+/* The delay is short, so that requests are handed off whenever a process is busy for a moment. */
+static const char ENTRY_HANDOFF[] = "[handoff]\nhandoff_delay_ms=1\n";
+
+/* Every other host is short of descriptors most of the time. The others do not know their limit, so
+   they take requests. */
+static int entry_descriptors(const hosts* h, const host* w) {
+    enum {
+        SHORT = 40 /* links and idle connections to targets alone use more than 60% */
+    };
+    return h->handoff && w->number % 2 == 1 ? SHORT : 0;
+}
+
 static const char REPLICA_LOAD_CONTROL[] = "[admission]\nroom_wait_ms=20\n";
 
 void hosts_start_entry(hosts* h, host* w) {
@@ -139,10 +151,12 @@
         "[entry]\nname=127.%d.1.%d\ndata_centre=dc\ncallers_listen=%s\nready_listen=%s\n"
         "entry_listen=%s\norders_listen=%s\nseeds=%s\nfleet_port=7100\n"
         "fleet_listen=127.%d.1.%d:7101\n[keys]\nfleet_key=fleet.key\n[log]\nlog_target=stdout\n"
-        "[timing]\ngrace_s=8\nstandby_ms=%d\n[limits]\nheld_mb=%.3f\nunread_ms=%d\n%s",
+        "[timing]\ngrace_s=8\nstandby_ms=%d\n[limits]\nheld_mb=%.3f\nunread_ms=%d\ndescriptors=%"
+        "d\n%s%s",
         h->loopback_part_number, w->number, w->callers, w->ready, w->entries, w->orders, list,
         h->loopback_part_number, w->number, h->standby_ms ? h->standby_ms : 15000, h->held_mb,
-        h->unread_ms, h->load_control ? ENTRY_LOAD_CONTROL : "");
+        h->unread_ms, entry_descriptors(h, w), h->load_control ? ENTRY_LOAD_CONTROL : "",
+        h->handoff ? ENTRY_HANDOFF : "");
     g_snprintf(name, sizeof name, "entry-%d.ini", w->number);
     g_snprintf(log, sizeof log, "entry-%d.log", w->number);
     write_file(h, name, text);
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -101,14 +101,21 @@
     }
 }
 
-static void count_cut_callers(soak* s) {
+static int count_in(const char* text, const char* word) {
+    int num = 0;
+    for (const char* at = text; at && (at = strstr(at, word)); at++) {
+        num++;
+    }
+    return num;
+}
+
+static void count_in_logs(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
         char* path = g_strdup_printf("%s/entry-%d.log", s->h.folder, i + 1);
         char* text = NULL;
         g_file_get_contents(path, &text, NULL, NULL);
-        for (const char* at = text; at && (at = strstr(at, "CALLER_CUT")); at++) {
-            s->result.cut++;
-        }
+        s->result.cut += count_in(text, "CALLER_CUT");
+        s->result.handed_off += count_in(text, "REQUEST_HANDED_OFF");
         g_free(text);
         g_free(path);
     }
@@ -263,6 +270,7 @@
     g_strlcpy(s->result.folder, s->h.folder, sizeof s->result.folder);
     s->h.target_faults = desc->target_faults;
     s->h.load_control = desc->load_control;
+    s->h.handoff = desc->handoff;
     if (desc->slow_callers) {
         s->h.held_mb = SLOW_HELD_MB;
         s->h.unread_ms = SLOW_UNREAD_MS;
@@ -279,7 +287,7 @@
     event_base_dispatch(s->base);
     s->ended = true;
     check_runs(s);
-    count_cut_callers(s);
+    count_in_logs(s);
     if (s->result.complete == 0) {
         soak_record_violation(s, "no request was served");
     }
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -45,6 +45,7 @@
     bool overloads;     /* targets refuse requests with backoff hints, beside all other faults */
     bool slow_callers;  /* some callers read slowly or nothing; hosts have a bound on held bytes */
     bool load_control;  /* admission and overload control are on */
+    bool handoff;       /* entry hosts hand requests off to each other */
     bool target_faults; /* targets abort, fail and refuse a part of their requests */
     bool keep;          /* keep the folder with the logs after a good run too */
 } soak_desc;
@@ -69,6 +70,7 @@
     int slow_complete;     /* whole answers to callers that read slowly */
     int slow_broken;       /* answers to such callers that broke off */
     int cut;               /* callers that hosts cut off, as far as their logs tell */
+    int handed_off;        /* handed-off requests that ended, as far as logs tell */
     int loop_lag_ms;       /* max event-loop delay of the soak process, milliseconds */
     wg_time recovery_time; /* from the last fault until all hosts served again */
 } soak_result;
