Handoff: load from the count of descriptors, and whether requests are refused; deployed at 10 ms

The count leaves out nothing that takes a descriptor, and the local share does not rise while overload control refuses.

--- a/lib/entry/wg_entry_handoff.c
+++ b/lib/entry/wg_entry_handoff.c
@@ -105,11 +105,13 @@
 /* ---- helpers: load --------------------------------------------------------------------------- */
 
 static wg_handoff_load wg_entry_handoff_load(const wg_entry* e, wg_time now) {
-    int descriptors = (int)e->clients->len + e->upstreams_num + wgn_query_stats(e->net).links;
+    int descriptors_max;
+    int descriptors = wg_entry_descriptors(e, &descriptors_max);
     return (wg_handoff_load){.input_delay = wg_entry_input_delay(e, now),
                              .stalled = e->stall_ended_at == now,
+                             .refuses = e->overload && wg_overload_is_limited(e->overload),
                              .descriptors = descriptors,
-                             .descriptors_max = (int)e->settings->descriptors};
+                             .descriptors_max = descriptors_max};
 }
 
 static void wg_entry_handoff_log_change(wg_entry* e, wg_time now, const wg_handoff_load* load) {
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -102,6 +102,7 @@
     ck_assert_int_eq(entry.route_limits, 1);
     ck_assert_int_eq(entry.retry_after_percent, 20);
     ck_assert_int_eq(entry.spare_descriptors, 1);
+    ck_assert_int_eq(entry.handoff_delay_ms, 10);
     wgi_clear(wg_entry_keys, wg_entry_keys_num, &entry);
     wgi_clear(wgco_keys, wgco_keys_num, &control);
 }
