Handoff: only with the same configuration, and only with a leader

Cause, found by reading: a peer with a newer configuration took requests, so callers saw its effect at a host that went on with the older one, for longer than the 250 ms that are allowed if that host was cut off from the leader.

Change: a peer declines unless the versions are equal; a host without a leader hands nothing off. Two tests that failed before (a request told with version 0 was taken; a host without a leader handed off). The inputs of malformed_requests_close_the_link now tell the version in force, as others are declined before their head is parsed.

--- a/lib/entry/wg_entry_handoff.c
+++ b/lib/entry/wg_entry_handoff.c
@@ -483,12 +483,14 @@
     }
 }
 
-/* Whether the request may be handed off at all. Writes the end of its time to `expires_at`. */
+/* Whether the request may be handed off at all: not without a leader, since peers may then have
+   configurations that this host does not get. Writes the end of its time to `expires_at`. */
 static bool wg_handed_is_eligible(const wg_client* client, const wg_message_head* head,
                                   const struct evbuffer* body, wg_time now, wg_time arrived_at,
                                   wg_time* expires_at) {
     const wg_entry* e = client->entry;
-    if (!e->config || !e->registry_known || evbuffer_get_length(body) > WG_HANDED_BODY_MAX ||
+    if (!e->config || !e->registry_known || !e->leader_known ||
+        evbuffer_get_length(body) > WG_HANDED_BODY_MAX ||
         (e->stopping && wg_entry_refuses_new(e, wg_call_answer_time(e, head)))) {
         return false;
     }
@@ -637,11 +639,12 @@
     }
 }
 
-/* Whether this host takes the request. Nothing has run if it does not. */
+/* Whether this host takes the request. Nothing has run if it does not. It does not with a newer
+   configuration either: the owner would handle later requests by its older one. */
 static bool wg_taken_is_accepted(const wg_entry* e, const Wgpb__HandoffRequest* in) {
     const wg_entry_handoff* h = e->handoff;
     if (!h || e->stopping || !e->leader_known || e->on_standby || !e->registry_known ||
-        !e->config || e->config->version < in->version) {
+        !e->config || e->config->version != in->version) {
         return false;
     }
     const wg_config_limits* limits = &e->config->limits;
--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -1264,16 +1264,33 @@
     ck_assert_int_eq(entry->taken_clients->len, 0);
 }
 
-/* A host that has shown a configuration must not have its requests handled by an older one. */
-START_TEST(peer_with_an_older_configuration_declines) {
+/* A host that has shown a configuration must not have its requests handled by an older one: neither
+   by a peer that has an older one, nor by itself after a peer that has a newer one. */
+START_TEST(peer_with_another_configuration_declines) {
     begin_peer(DELAY_MS);
     check_declined(1, 2);
-    owner_sends(&(sent_request){.ticket = 2, .version = 0});
+    check_declined(2, 0);
+    owner_sends(&(sent_request){.ticket = 3, .version = 1});
     ck_assert(target_got_request());
     end();
 }
 END_TEST
 
+/* Guards against a configuration that callers see through a peer, while their host, cut off from
+   the leader, does not get it. */
+START_TEST(host_without_a_leader_keeps_its_requests) {
+    begin_owner(1);
+    fake_control_send_leader(&leader, NULL);
+    ck_assert(BECOMES(!entry->leader_known));
+    int fd = connect_caller(11);
+    send_text(fd, "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    ck_assert(target_got_request());
+    ck_assert_int_eq(there.requests_num, 0);
+    close(fd);
+    end_owner();
+}
+END_TEST
+
 START_TEST(peer_without_a_leader_declines) {
     begin_peer(DELAY_MS);
     fake_control_send_leader(&leader, NULL);
@@ -1337,15 +1354,18 @@
 /* The peer must not trust what another process read as one request. */
 START_TEST(malformed_requests_close_the_link) {
     static const sent_request bad[] = {
-        {.ticket = 1, .head = "nonsense\r\n\r\n"},
-        {.ticket = 1, .head = "GET /a/x HTTP/1.1\r\nHost: h\r\n"},
-        {.ticket = 1, .head = "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\nGET /a/y HTTP/1.1\r\n\r\n"},
-        {.ticket = 1, .body = "a body without a length"},
+        {.ticket = 1, .version = 1, .head = "nonsense\r\n\r\n"},
+        {.ticket = 1, .version = 1, .head = "GET /a/x HTTP/1.1\r\nHost: h\r\n"},
+        {.ticket = 1,
+         .version = 1,
+         .head = "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\nGET /a/y HTTP/1.1\r\n\r\n"},
+        {.ticket = 1, .version = 1, .body = "a body without a length"},
         {.ticket = 1,
+         .version = 1,
          .head = "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n\r\n",
          .body = "four"},
-        {.ticket = 0},
-        {.ticket = 1, .head = ""}};
+        {.ticket = 0, .version = 1},
+        {.ticket = 1, .version = 1, .head = ""}};
     for (size_t i = 0; i < G_N_ELEMENTS(bad); i++) {
         begin_peer(DELAY_MS);
         owner_sends(&bad[i]);
@@ -1652,11 +1672,12 @@
     peer_passes_the_body_on_and_closes_as_asked, peer_sends_events_of_a_stream_at_once,
     peer_collects_events_for_a_short_time, peer_cuts_off_what_breaks_off,
     peer_answers_errors_of_its_own, time_at_the_owner_counts_at_the_peer,
-    peer_with_an_older_configuration_declines, peer_without_a_leader_declines,
-    peer_that_is_short_itself_declines, peer_that_holds_many_bytes_declines,
-    peer_with_the_setting_off_declines, request_beyond_the_limits_of_the_peer_is_declined,
-    malformed_requests_close_the_link, second_request_of_a_ticket_closes_the_link,
-    work_stops_when_the_caller_or_the_owner_leaves, peer_stops_reading_while_the_answer_is_paused,
+    peer_with_another_configuration_declines, host_without_a_leader_keeps_its_requests,
+    peer_without_a_leader_declines, peer_that_is_short_itself_declines,
+    peer_that_holds_many_bytes_declines, peer_with_the_setting_off_declines,
+    request_beyond_the_limits_of_the_peer_is_declined, malformed_requests_close_the_link,
+    second_request_of_a_ticket_closes_the_link, work_stops_when_the_caller_or_the_owner_leaves,
+    peer_stops_reading_while_the_answer_is_paused,
     answers_for_an_owner_that_stands_still_are_bounded,
     planned_stop_of_the_peer_finishes_what_it_took, owner_that_connects_to_a_stopping_peer_is_told,
     request_passes_through_two_hosts, caller_that_leaves_stops_the_target_through_two_hosts,
