Test of handoff by input delay: the leader keeps its link

delay_of_input_hands_requests_off failed once beside a build: its busy loop takes a second, near the 1.2 s after which a silent leader counts as lost, and a host without a leader now hands nothing off. The leader's state is sent again every 50 turns.

--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -902,12 +902,16 @@
 
 /* The delay of callers' input has to reach the decision. */
 START_TEST(delay_of_input_hands_requests_off) {
+    static const char* const names[] = {"there"};
     int fds[8];
     begin_with_peers(2, 1);
     struct event* busy = event_new(base, -1, 0, on_busy, NULL);
     for (int i = 0; i < 200; i++) {
         event_active(busy, EV_TIMEOUT, 1); /* runs before the probe of the delay */
         local_run_loop(base);
+        if (i % 50 == 0) {
+            lead_members(&leader, names, 1, 2); /* keeps the link to the leader */
+        }
     }
     ck_assert_int_eq(there.links_up, 2);
     ck_assert_ptr_nonnull(strstr(log_text->str, "HANDOFF_BEGUN"));
