Handoff, descriptors, shares: units and results in doc comments, reasons of shortcuts

- Percentages of lib/handoff are named _PERCENT.
The pause of the listener starts in one place.
- handoff_delay_ms: requests are handed off from this delay, not above it (lib/handoff compares with >=).
- A part of a prompt header is no longer kept in a variable called size.

--- a/lib/acceptance/wg_acceptance.c
+++ b/lib/acceptance/wg_acceptance.c
@@ -12,7 +12,7 @@
 static const double WG_ACCEPTED_WEIGHT = 0.5;
 
 static double wg_refusal_rate(const wg_acceptance* a, wg_time now) {
-    if (a->refusal_rate == 0) {
+    if (a->refusal_rate == 0) { /* most targets refuse nothing, and exp2() is expensive */
         return 0;
     }
     double rate = a->refusal_rate * exp2(-(double)(now - a->updated_at) / WG_REFUSAL_HALF_LIFE);
--- a/lib/backoff/wg_backoff.c
+++ b/lib/backoff/wg_backoff.c
@@ -91,6 +91,7 @@
 
 /* ---- helpers: targets ------------------------------------------------------------------------ */
 
+/* Called for each target that a selection considers; most of the time no target is in backoff. */
 static _wg_backoff_target* _wg_backoff_find(const wg_backoff* b, uint64_t target) {
     return g_hash_table_size(b->targets) > 0 ? g_hash_table_lookup(b->targets, &target) : NULL;
 }
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -18,7 +18,7 @@
     WG_CONNECTIONS_DEFAULT = 256,
     WG_PRIORITY_DEFAULT = 1,
     WG_COLD_SECONDS_MAX = 300, /* longer cold times are refused as mistakes */
-    WG_QUEUE_MS_MAX = 600000
+    WG_QUEUE_MS_MAX = 600000   /* longer waits are refused as mistakes */
 };
 
 static bool wg_config_fail(GError** error, const char* where, const char* name, const char* what) {
--- a/lib/config/wg_config.h
+++ b/lib/config/wg_config.h
@@ -77,8 +77,9 @@
     char* name;
     uint64_t hash;     /* hash of the name */
     int priority;      /* -1: the priority of the route applies */
-    double weight;     /* its share is this times that of a workspace with weight 1 */
-    wg_time queue_max; /* longest wait of a request for a target; WG_TIME_NEVER: not limited */
+    double weight;     /* its share is this times that of a workspace with weight 1; 0.01 to 100 */
+    wg_time queue_max; /* longest wait of a request for a target, microseconds; WG_TIME_NEVER: not
+                          limited */
 } wg_workspace;
 
 typedef struct {
--- a/lib/descriptors/wg_descriptors.c
+++ b/lib/descriptors/wg_descriptors.c
@@ -7,7 +7,7 @@
     return (int)((int64_t)counts->limit * percent / 100);
 }
 
-/* Connection to be replaced by a new one; REFUSE: none. */
+/* Which idle connection a new one replaces; REFUSE: none is idle. */
 static wg_descriptors_verdict _wg_descriptors_replace(const wg_descriptors_counts* counts) {
     if (counts->idle_targets > 0) {
         return WG_DESCRIPTORS_CLOSE_TARGET;
--- a/lib/descriptors/wg_descriptors.h
+++ b/lib/descriptors/wg_descriptors.h
@@ -31,7 +31,9 @@
 enum {
     /* Percentages of the limit. */
     WG_DESCRIPTORS_SHORT_PERCENT = 80, /* above: idle connections are replaced */
-    WG_DESCRIPTORS_FREED_PERCENT = 75, /* up to this, a shortage ends */
+    /* Up to this, a shortage ends; lower than the above, so that use near one bound is one
+     * shortage. */
+    WG_DESCRIPTORS_FREED_PERCENT = 75,
     /* Remainder: operators' endpoints, connections that are being closed, and descriptors that are
        not counted, such as listeners. */
     WG_DESCRIPTORS_MAX_PERCENT = 95,
@@ -72,6 +74,7 @@
     WG_DESCRIPTORS_TARGET_AGAIN /* for a later attempt, whose earlier connection has closed */
 } wg_descriptors_kind;
 
+/* What to do for a new connection. */
 typedef enum {
     WG_DESCRIPTORS_OPEN = 0,     /* the connection may be opened */
     WG_DESCRIPTORS_CLOSE_TARGET, /* also, once the longest idle connection to a target is closed */
@@ -82,10 +85,11 @@
 /* Begin and end of shortages. Zero-initialise it. */
 typedef struct {
     bool is_short;
-    wg_time short_since;
-    wg_time low_since; /* start of the time of low use during a shortage; 0: use is not low */
+    wg_time short_since; /* start of the shortage, or the last observation without one */
+    wg_time low_since;   /* start of the time of low use during a shortage; 0: use is not low */
 } wg_descriptors_watch;
 
+/* Change of a shortage, to be logged. */
 typedef enum {
     WG_DESCRIPTORS_UNCHANGED = 0,
     WG_DESCRIPTORS_BEGUN,
@@ -101,7 +105,8 @@
 /* Whether one more connection of the kind may be opened. With an unknown limit always OPEN. */
 wg_descriptors_verdict wg_descriptors_decide(const wg_descriptors_counts* counts,
                                              wg_descriptors_kind kind);
-/* `refuses`: new connections are refused, whatever the counts say. */
+/* Returns whether a shortage begins or ends with these counts. `refuses`: new connections are
+   refused, whatever the counts say. */
 wg_descriptors_change wg_descriptors_observe(wg_descriptors_watch* watch, wg_time now,
                                              const wg_descriptors_counts* counts, bool refuses);
 /* Retry-After of a request that is refused for lack of descriptors, microseconds. */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -87,7 +87,7 @@
               "1: a workspace that is far above its share is refused at once, with the time after "
               "which it may send again; 0: its requests wait in the queue first"),
     WG_NUMBER("handoff", handoff_delay_ms, "0", 0, 60000, "ms",
-              "delay of callers' input above which requests are handed off to other hosts of the "
+              "delay of callers' input from which requests are handed off to other hosts of the "
               "data centre; 0: never"),
     WG_NUMBER("overload", input_delay_ms, "0", 0, 60000, "ms",
               "delay of callers' input above which requests are refused on arrival; 0: never"),
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -68,7 +68,7 @@
     return call->workspace ? wg_usage_weight_of(call->entry->usage, call->workspace->hash) : 1;
 }
 
-/* Longest wait for a target by the workspace's queue_ms. */
+/* Longest wait for a target by the workspace's queue_ms, microseconds. */
 static wg_time wg_call_queue_max(const wg_call* call) {
     return call->workspace ? call->workspace->queue_max : WG_TIME_NEVER;
 }
@@ -99,7 +99,7 @@
 
 /* ---- helpers: attempts ----------------------------------------------------------------------- */
 
-/* Time until the caller's deadline. */
+/* Microseconds until the caller's deadline; without one, until the time-out of the route. */
 static wg_time wg_call_time_left(const wg_call* call, wg_time now) {
     return (call->deadline == WG_TIME_NEVER ? call->expires_at : call->deadline) - now;
 }
@@ -310,6 +310,7 @@
     return true;
 }
 
+/* Whether the proposed target is expected to meet the limits of the request. */
 static bool wg_call_proposed_fits(const wg_call* call, wg_time now) {
     wg_policy_terms terms = wg_call_terms(call);
     return wg_call_fits(call, &terms, &call->proposed, now);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -236,20 +236,21 @@
     return text;
 }
 
-/* Reads the texts in place, as this runs for each request, also for those that are refused. */
+/* `parts`: "id:tokens", separated by commas; `tokens`: "prompt,answer". Reads them in place, as
+   this runs for each request, also for those that are refused. */
 static bool wg_parse_prompt(wg_text parts, wg_text tokens, wg_prompt* prompt) {
     *prompt = (wg_prompt){0};
     uint32_t sum = 0;
     for (int i = 0; parts.size > 0 && i < WG_PROMPT_PARTS_MAX; i++) {
-        wg_text size;
+        wg_text part;
         wg_text id;
-        wg_text_take(&parts, ',', &size);
-        if (!wg_text_take(&size, ':', &id)) {
+        wg_text_take(&parts, ',', &part);
+        if (!wg_text_take(&part, ':', &id)) {
             continue;
         }
         id = wg_text_strip(id);
         prompt->parts[prompt->num] = wg_hash(id.text, id.size, 0);
-        prompt->sizes[prompt->num] = wg_parse_tokens(size, WG_PROMPT_TOKENS_MAX - sum);
+        prompt->sizes[prompt->num] = wg_parse_tokens(part, WG_PROMPT_TOKENS_MAX - sum);
         sum += prompt->sizes[prompt->num];
         prompt->num++;
     }
--- a/lib/entry/wg_entry_descriptors.c
+++ b/lib/entry/wg_entry_descriptors.c
@@ -3,8 +3,8 @@
 #include "wg_entry_internal.h"
 
 enum {
-    /* Shortest pause of the callers' listener. While accept() fails, the listener stays readable
-       and would wake the loop without an end. */
+    /* Shortest pause of the callers' listener, microseconds. While accept() fails, the listener
+       stays readable and would wake the loop without an end. */
     WG_ACCEPT_PAUSE = 20 * WG_USEC_PER_MSEC
 };
 
@@ -21,7 +21,8 @@
                                    .idle_targets = (int)e->idle_upstreams.length};
 }
 
-/* `oldest` receives the connection to close if the verdict is CLOSE_CALLER. */
+/* Decides by the present counts. `oldest` receives the connection to close if the verdict is
+   CLOSE_CALLER. Decides again if that verdict names a connection that is in use after all. */
 static wg_descriptors_verdict wg_descriptors_decide_now(wg_entry* e, wg_descriptors_kind kind,
                                                         wg_client** oldest) {
     wg_descriptors_counts counts = wg_descriptors_counts_of(e);
@@ -37,13 +38,17 @@
 
 /* ---- helpers: the listener ------------------------------------------------------------------- */
 
-static void wg_accept_pause(wg_entry* e, wg_time now) {
+static void wg_accept_start_timer(wg_entry* e) {
     struct timeval pause = {.tv_usec = WG_ACCEPT_PAUSE};
+    event_add(e->accept_timer, &pause);
+}
+
+static void wg_accept_pause(wg_entry* e, wg_time now) {
     if (wg_entry_accepts(e)) {
         e->accept_paused_at = now;
         e->counters.accept_pauses++;
         evconnlistener_disable(e->listener);
-        event_add(e->accept_timer, &pause);
+        wg_accept_start_timer(e);
     }
 }
 
@@ -60,11 +65,10 @@
 static void wg_accept_on_timer(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
-    struct timeval pause = {.tv_usec = WG_ACCEPT_PAUSE};
     wg_entry* e = user_data;
     wg_accept_resume(e, wg_now());
     if (!wg_entry_accepts(e)) {
-        event_add(e->accept_timer, &pause);
+        wg_accept_start_timer(e);
     }
 }
 
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -76,7 +76,7 @@
     wg_call* call;
     wg_handed* handed;  /* its request is at another host; NULL: it is not */
     wg_taken* taken;    /* the caller is connected to another host; NULL: it is connected here */
-    wg_time arrived_at; /* arrival of the request; 0: by the delay of input */
+    wg_time arrived_at; /* arrival of the request; 0: unknown, estimated by the delay of input */
     wg_body body;
     char* head_bytes;      /* head of the request being read */
     size_t head_size;      /* bytes of `head_bytes` */
@@ -150,7 +150,8 @@
     wg_time next_try_at; /* earliest time of the next selection while queued */
     bool relaxed;        /* wait limits widened, as no target meets them */
     wg_room_answer room; /* room of the service at the last selection */
-    wg_time yield_time;  /* of its workspace at the first try; 0: none, or the setting is off */
+    wg_time yield_time;  /* of its workspace at the first try, see wg_policy_yield_time(); 0: none,
+                            or the setting is off */
     bool may_have_run;
     bool was_offered;
     bool queued; /* waits in the service's queue for a target */
@@ -773,7 +774,8 @@
 void wg_call_attempt_failed(wg_call* call, wg_upstream* up, const char* reason);
 void wg_call_queue_run(wg_entry* e);
 void wg_call_set_timer(wg_call* call, wg_time now);
-/* Time that the answer to a request takes at most once it has begun, estimated from its head. */
+/* Microseconds that the answer to a request takes at most once it has begun, by the tokens that its
+   head states; 0 without a prompt. */
 wg_time wg_call_answer_time(const wg_entry* e, const wg_message_head* head);
 /* Deadline set by the caller of a request that arrived at `arrived_at`, or WG_TIME_NEVER. */
 wg_time wg_call_deadline(const wg_entry* e, const wg_message_head* head, wg_time arrived_at);
--- a/lib/fair/wg_fair.h
+++ b/lib/fair/wg_fair.h
@@ -44,8 +44,8 @@
     double served;     /* fair share of the capacity that was served; 0: not known */
 } wg_fair_levels;
 
-/* Returns both levels of wg_fair_weighted_level(), for what was served and for the configured
-   capacity (0: not known), with one sort. */
+/* Returns both levels of wg_fair_weighted_level(), for what was `served` and for the configured
+   capacity `total_share` (0: not known), with one sort. All amounts are tokens. */
 wg_fair_levels wg_fair_weighted_levels(const double* demand, const double* weights, int num,
                                        double served, double total_share);
 
@@ -71,8 +71,8 @@
    others that are refused. */
 double wg_fair_wait_tolerance(double used, const wg_fair_levels* levels);
 
-/* Returns the usage divided by the usage from which on the wait tolerance is 0; below 1 the
-   tolerance is above 0. 0 without a known level. */
+/* Returns the usage divided by the usage from which on the wait tolerance is 0 (a ratio; 1 or more:
+   the tolerance is 0). 0 without a known level. */
 double wg_fair_excess(double used, const wg_fair_levels* levels);
 
 /* Returns the microseconds between two tries of a queued request. Workspaces above their fair
--- a/lib/fair/wg_usage.h
+++ b/lib/fair/wg_usage.h
@@ -81,13 +81,15 @@
 double wg_usage_per_weight(const wg_usage_ledger* ledger, uint64_t workspace);
 const wg_fair_levels* wg_usage_levels(const wg_usage_ledger* ledger);
 
+/* Weight of one workspace. */
 typedef struct {
     uint64_t workspace; /* hash of its name */
     double weight;      /* WG_FAIR_WEIGHT_MIN to WG_FAIR_WEIGHT_MAX */
 } wg_usage_weight;
 
 /* Replaces the weights of all workspaces and computes the levels again. Workspaces that are not
-   listed have weight 1; of two entries for one workspace the last one counts. */
+   listed have weight 1; of two entries for one workspace the last one counts. `total_share`: as in
+   wg_usage_apply_report(). */
 void wg_usage_set_weights(wg_usage_ledger* ledger, const wg_usage_weight* list, size_t num,
                           double total_share);
 /* Returns this host's own totals that changed since they were last taken, wg_usage*, in no
--- a/lib/handoff/wg_handoff.c
+++ b/lib/handoff/wg_handoff.c
@@ -26,8 +26,8 @@
     _WG_HANDOFF_LIMIT_STEP = 1,
     /* Percent of the descriptors above which nothing is kept, and above which requests of other
        hosts are declined. */
-    _WG_HANDOFF_DESCRIPTORS_KEPT = 60,
-    _WG_HANDOFF_DESCRIPTORS_TAKEN = 50
+    _WG_HANDOFF_KEPT_PERCENT = 60,
+    _WG_HANDOFF_TAKEN_PERCENT = 50
 };
 
 static const double _WG_HANDOFF_DECREASE = 0.7;   /* factor of the local share per tick */
@@ -49,10 +49,11 @@
        makes a peer decline shows late; without a limit all that a peer finished meanwhile would be
        sent to it at once when it is no longer set aside. */
     double limit;
-    int late_num; /* late first bytes in a row */
-    wg_time aside_until;
+    int late_num;        /* late first bytes in a row */
+    wg_time aside_until; /* gets no requests until then */
 } _wg_handoff_peer;
 
+/* A host in the rendezvous order; the highest rank comes first. */
 typedef struct {
     const char* name;
     uint64_t rank;
@@ -65,7 +66,7 @@
     wg_time ticked_at; /* 0: not yet */
     double share;      /* fraction of new requests that is kept, without regard to descriptors */
     bool short_of_descriptors;
-    double due;             /* fraction of the next request to hand off */
+    double due;             /* accumulator of 1 - local share; at 1, a request is handed off */
     int dropped_num;        /* samples in a row dropped because of a stall */
     wg_time stall_ended_at; /* 0: none */
     wg_time short_at;       /* last tick at which not all requests were kept; 0: none */
@@ -77,6 +78,7 @@
 
 /* ---- helpers: load -------------------------------------------------------------------------- */
 
+/* Whether more than `percent` of the descriptors are in use. */
 static bool _wg_handoff_uses(const wg_handoff_load* load, int percent) {
     return load->descriptors_max > 0 &&
            (int64_t)load->descriptors * 100 > (int64_t)load->descriptors_max * percent;
@@ -161,7 +163,7 @@
     return strcmp(first->name, second->name);
 }
 
-/* All other hosts, each once, in this host's rendezvous order. */
+/* The first hosts in this host's rendezvous order, at most one for each slot; the caller unrefs. */
 static GArray* _wg_handoff_rank(const wg_handoff* h, const char* const* names, int num) {
     GArray* ranked = g_array_new(FALSE, FALSE, sizeof(_wg_handoff_ranked));
     GHashTable* known = g_hash_table_new(g_str_hash, g_str_equal);
@@ -197,6 +199,7 @@
     return -1;
 }
 
+/* Puts the host into an empty slot. */
 static void _wg_handoff_fill(wg_handoff* h, const char* name) {
     for (int i = 0; i < WG_HANDOFF_PEERS_MAX; i++) {
         if (!h->peers[i].name) {
@@ -258,7 +261,7 @@
         return;
     }
     h->ticked_at = now;
-    h->short_of_descriptors = _wg_handoff_uses(load, _WG_HANDOFF_DESCRIPTORS_KEPT);
+    h->short_of_descriptors = _wg_handoff_uses(load, _WG_HANDOFF_KEPT_PERCENT);
     _wg_handoff_adjust(h, now, load);
     _wg_handoff_raise_limits(h);
     if (_wg_handoff_local_share(h) < 1) {
@@ -354,7 +357,7 @@
 bool wg_handoff_accepts(const wg_handoff* h, const wg_handoff_load* load, int taken) {
     bool is_short = _wg_handoff_local_share(h) < _WG_HANDOFF_SHARE_TAKEN ||
                     load->input_delay >= h->desc.delay_max / 2 ||
-                    _wg_handoff_uses(load, _WG_HANDOFF_DESCRIPTORS_TAKEN);
+                    _wg_handoff_uses(load, _WG_HANDOFF_TAKEN_PERCENT);
     return h->desc.delay_max > 0 && !is_short && taken < WG_HANDOFF_TAKEN_MAX;
 }
 
--- a/lib/handoff/wg_handoff.h
+++ b/lib/handoff/wg_handoff.h
@@ -38,14 +38,15 @@
 #include "wg_base.h"
 
 enum {
-    WG_HANDOFF_PEERS_MAX = 8,
-    WG_HANDOFF_IN_PROGRESS_MAX = 512,        /* requests of this host at one peer */
-    WG_HANDOFF_TAKEN_MAX = 2048,             /* requests of other hosts at this one */
-    WG_HANDOFF_LATE = 250 * WG_USEC_PER_MSEC /* a first byte after this time is late */
+    WG_HANDOFF_PEERS_MAX = 8,         /* hosts to which one host hands off */
+    WG_HANDOFF_IN_PROGRESS_MAX = 512, /* requests of this host at one peer */
+    WG_HANDOFF_TAKEN_MAX = 2048,      /* requests of other hosts at this one */
+    /* A first byte after this time is late, microseconds. */
+    WG_HANDOFF_LATE = 250 * WG_USEC_PER_MSEC
 };
 
 typedef struct {
-    const char* name;  /* of this host; borrowed */
+    const char* name;  /* of this host; copied */
     wg_time delay_max; /* input delay, microseconds, from which requests are handed off; 0: never,
                           and no requests of others are taken */
     uint64_t seed;
@@ -64,9 +65,11 @@
     double local_share; /* fraction of new requests that this host keeps */
     int peers_up;
     int in_progress;     /* handed off and not ended */
-    uint64_t handed_off; /* sent to peers, including those that were declined */
-    uint64_t kept;       /* while less than all requests were kept */
-    uint64_t declined;
+    uint64_t handed_off; /* sent to peers, including those that were declined; a request that is
+                            sent to several peers counts for each */
+    uint64_t kept;       /* while less than all requests were kept; one each time that
+                            wg_handoff_wants() is false or wg_handoff_pick() finds no peer */
+    uint64_t declined;   /* by peers; a request that several peers decline counts for each */
 } wg_handoff_stats;
 
 typedef struct wg_handoff wg_handoff;
@@ -81,15 +84,17 @@
 /* Name of the host in a slot; NULL: the slot is empty. Valid until the next
    wg_handoff_set_hosts(). */
 const char* wg_handoff_peer_name(const wg_handoff* handoff, int peer);
-/* Adjusts the local share by one step, however late the tick is. */
+/* Adjusts the local share by one step, however late the tick is. To be called each 50 ms; a tick
+   within 25 ms of the last one is ignored. */
 void wg_handoff_tick(wg_handoff* handoff, wg_time now, const wg_handoff_load* load);
 /* Whether links to the peers are needed: less than all requests are kept, or were a short while
    ago. */
 bool wg_handoff_needs_links(const wg_handoff* handoff, wg_time now);
+/* The link to the peer is up; no request is in progress there. */
 void wg_handoff_peer_up(wg_handoff* handoff, int peer);
 /* The link to the peer closed, or could not be opened; its requests have ended. */
 void wg_handoff_peer_down(wg_handoff* handoff, wg_time now, int peer);
-/* Decides on one new request; each call counts as one. */
+/* Returns whether to hand one new request off; each call counts as one request. */
 bool wg_handoff_wants(wg_handoff* handoff);
 /* Returns the peer for a request; -1: none is available, and the request is kept. `tried`: bit set
    of peers that declined this request. */
--- a/lib/hold/wg_hold.h
+++ b/lib/hold/wg_hold.h
@@ -40,7 +40,7 @@
 typedef struct {
     wg_admit_request admit; /* its limits apply at the time of wg_hold_add() */
     uint64_t workspace;     /* hash of the workspace; 0: none */
-    double weight;          /* of the workspace; 0: 1; bounded by wg_fair_weight() */
+    double weight;          /* of the workspace; 0 counts as 1; bounded by wg_fair_weight() */
     uint32_t rank;          /* priority; 0 first */
     uint32_t charge;        /* tokens charged to the workspace when the request is granted */
     wg_time hold;           /* longest wait for room, microseconds */
--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -5,6 +5,7 @@
 
 /* ---- texts --------------------------------------------------------------------------------- */
 
+/* Inlined, unlike g_ascii_tolower(), as each name of a head is compared. */
 static char wg_lower(char c) {
     return c >= 'A' && c <= 'Z' ? (char)(c - 'A' + 'a') : c;
 }
--- a/lib/policy/wg_policy.c
+++ b/lib/policy/wg_policy.c
@@ -40,14 +40,14 @@
    second. */
 enum {
     _WG_POLICY_HOST_JITTER_DIVISOR = 3, /* of a caller's jitter that is added to the host's */
-    /* With less time, the answer to the next request would be late in any case. */
+    /* Microseconds. With less time, the answer to the next request would be late in any case. */
     _WG_POLICY_RETRY_WITHIN_MIN = 5 * WG_USEC_PER_MSEC,
     _WG_POLICY_RETRY_WITHIN_SPREAD = 3 /* longest time divided by the shortest one */
 };
 static const wg_time _WG_POLICY_RETRY_AFTER_MIN = 100 * WG_USEC_PER_MSEC;
 static const wg_time _WG_POLICY_RETRY_AFTER_MAX = 300 * WG_USEC_PER_MSEC;
-/* Longest yield time. Beyond the deadline of any caller; keeps the result finite if the level is
-   almost 0. */
+/* Longest yield time, microseconds. Callers honour only a part of their remaining time in any case;
+   keeps the result finite if the level is almost 0. */
 static const wg_time _WG_POLICY_YIELD_MAX = 60 * WG_USEC_PER_SEC;
 
 static double _wg_policy_tolerance(const wg_policy_terms* t) {
--- a/lib/policy/wg_policy.h
+++ b/lib/policy/wg_policy.h
@@ -46,8 +46,8 @@
     wg_time tightest_objective; /* the tightest objective of any route of the service */
 } wg_policy_terms;
 
-/* Longest time that a request may be queued on this host before it is refused. `queue_max`: limit
-   of its workspace; WG_TIME_NEVER: none. */
+/* Longest time that a request may be queued on this host before it is refused, microseconds.
+   `queue_max`: limit of its workspace, microseconds; WG_TIME_NEVER: none. */
 wg_time wg_policy_queue_time_max(wg_time objective, wg_time queue_max);
 /* Longest expected wait for the first event at which the request is sent. */
 wg_time wg_policy_limit(const wg_policy_terms* terms, wg_time now);
@@ -71,7 +71,7 @@
 wg_time wg_policy_retry_after(uint64_t seed, uint64_t counter);
 /* Like wg_policy_retry_after(), for a request that has `left` microseconds until its objective: at
    most `percent` of that time, so that the next request can still be answered within the objective.
- */
+   Exactly as wg_policy_retry_after() if that is less than 5 ms, as with `percent` 0. */
 wg_time wg_policy_retry_within(uint64_t seed, uint64_t counter, wg_time left, int64_t percent);
 /* Like wg_policy_retry_after() while all targets are in backoff for `backoff_time` microseconds,
    for a caller that has `left` microseconds until its deadline. */
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -9,12 +9,12 @@
 
 /* ---- helpers: protobuf -------------------------------------------------------------------- */
 
-/* Wire types of protobuf. */
+/* Wire types of the protobuf encoding, the low three bits of a field's tag. */
 enum {
     _WGW_WIRE_VARINT = 0,
-    _WGW_WIRE_64 = 1,
-    _WGW_WIRE_BYTES = 2,
-    _WGW_WIRE_32 = 5
+    _WGW_WIRE_64 = 1,    /* 8 bytes */
+    _WGW_WIRE_BYTES = 2, /* length as a varint, then that many bytes */
+    _WGW_WIRE_32 = 5     /* 4 bytes */
 };
 
 typedef struct {
--- a/lib/wire/wg_wire.h
+++ b/lib/wire/wg_wire.h
@@ -116,9 +116,9 @@
 
 /* A HandoffAnswer. `bytes` points into the payload that it was parsed from. */
 typedef struct {
-    uint64_t ticket;
-    const uint8_t* bytes;
-    size_t size;
+    uint64_t ticket;      /* of the owner's request, unique on its link */
+    const uint8_t* bytes; /* next part of the HTTP answer; NULL: none */
+    size_t size;          /* of `bytes` */
     Wgpb__HandoffEnd end;
 } wgw_handoff_answer;
 
