--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -232,3 +232,40 @@
 static int status_of(int fd, char answer[1024]) {
     return status_within(fd, answer, TURNS_MAX);
 }
+
+/* ---- metrics --------------------------------------------------------------------------------- */
+
+/* Metrics of the entry host; the caller frees them. */
+static GString* one_entry_metrics(void) {
+    GString* text = g_string_new(NULL);
+    char part[8 * 1024];
+    int fd = send_request(READY_PORT, "GET", "/metrics", "Connection: close\r\n");
+    ssize_t got = -1;
+    for (int i = 0; i < TURNS_MAX && got != 0; i++) {
+        local_run_loop(base);
+        while ((got = recv(fd, part, sizeof part, 0)) > 0) {
+            g_string_append_len(text, part, got);
+        }
+    }
+    close(fd);
+    return text;
+}
+
+static bool one_entry_metrics_contain(const char* line) {
+    GString* text = one_entry_metrics();
+    bool found = strstr(text->str, line) != NULL;
+    g_string_free(text, TRUE);
+    return found;
+}
+
+/* Value of a metric, whose full name is given. Fails if it is missing. */
+static int64_t one_entry_metric(const char* name) {
+    GString* text = one_entry_metrics();
+    char* line = g_strdup_printf("\n%s ", name);
+    const char* at = strstr(text->str, line);
+    ck_assert_msg(at != NULL, "%s is missing", name);
+    int64_t value = g_ascii_strtoll(at + strlen(line), NULL, 10);
+    g_free(line);
+    g_string_free(text, TRUE);
+    return value;
+}
--- a/tests/test_descriptors.c
+++ b/tests/test_descriptors.c
@@ -117,6 +117,7 @@
 }
 END_TEST
 
+/* The setting callers_max must not be raised by what the descriptors allow. */
 START_TEST(setting_limits_callers_too) {
     wg_descriptors_counts counts = counts_of(100, 0);
     counts.callers_max = 100;
@@ -274,6 +275,7 @@
 }
 END_TEST
 
+/* Refused callers must not return at once, all together, or later than short requests take. */
 START_TEST(retry_after_is_within_its_bounds) {
     wg_time least = WG_TIME_NEVER;
     wg_time most = 0;
--- a/tests/test_entry_buffers.c
+++ b/tests/test_entry_buffers.c
@@ -121,28 +121,6 @@
     g_string_truncate(target_received, 0);
 }
 
-/* Value of a metric of the entry host. */
-static int64_t metric(const char* name) {
-    GString* text = g_string_new(NULL);
-    char part[8 * KB];
-    int fd = send_request(READY_PORT, "GET", "/metrics", "Connection: close\r\n");
-    ssize_t got = -1;
-    for (int i = 0; i < TURNS_MAX && got != 0; i++) {
-        local_run_loop(base);
-        while ((got = recv(fd, part, sizeof part, 0)) > 0) {
-            g_string_append_len(text, part, got);
-        }
-    }
-    close(fd);
-    char* line = g_strdup_printf("\n%s ", name);
-    const char* at = strstr(text->str, line);
-    ck_assert_msg(at != NULL, "%s is missing", name);
-    int64_t value = g_ascii_strtoll(at + strlen(line), NULL, 10);
-    g_free(line);
-    g_string_free(text, TRUE);
-    return value;
-}
-
 /* Content of a chunked answer, without its head; the answer must be complete. */
 static GString* content_of(const GString* answer) {
     GString* content = g_string_new(NULL);
@@ -197,7 +175,8 @@
 static void run_within_bound(int turns) {
     for (int i = 0; i < turns; i += 50) {
         run_turns(50);
-        ck_assert_int_le(metric("walnutgate_entry_held_bytes{for=\"callers\"}"), HELD_BYTES);
+        ck_assert_int_le(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"),
+                         HELD_BYTES);
     }
 }
 
@@ -211,19 +190,20 @@
     GString* answer = g_string_new(NULL);
     int fds[SILENT_NUM];
     request_unread_streams(stream, fds);
-    for (int i = 0; i < 100 && metric("walnutgate_entry_answers_paused") < SILENT_NUM; i++) {
+    for (int i = 0; i < 100 && one_entry_metric("walnutgate_entry_answers_paused") < SILENT_NUM;
+         i++) {
         run_turns(5);
     }
-    ck_assert_int_eq(metric("walnutgate_entry_answers_paused"), SILENT_NUM);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_answers_paused"), SILENT_NUM);
     ck_assert(!target_disconnected);
     run_within_bound(2 * UNREAD_MS);
-    int64_t cut_num = metric("walnutgate_entry_callers_cut_total");
+    int64_t cut_num = one_entry_metric("walnutgate_entry_callers_cut_total");
     ck_assert_int_gt(cut_num, 0);
     ck_assert_int_lt(cut_num, SILENT_NUM); /* the others fit */
     ck_assert(target_disconnected);
-    ck_assert_int_eq(metric("walnutgate_entry_caller_left_total"), 0);
-    ck_assert_int_eq(metric("walnutgate_entry_calls"), SILENT_NUM - cut_num);
-    ck_assert_int_eq(metric("walnutgate_entry_answers_paused"), SILENT_NUM - cut_num);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_caller_left_total"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_calls"), SILENT_NUM - cut_num);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_answers_paused"), SILENT_NUM - cut_num);
     /* The first began to wait first. The last goes on when it reads. */
     ck_assert(!read_answer(fds[0], STREAM_BYTES, answer));
     ck_assert_int_lt(answer->len, STREAM_BYTES);
@@ -234,8 +214,8 @@
         close(fds[i]);
     }
     run_turns(50);
-    ck_assert_int_eq(metric("walnutgate_entry_held_bytes{for=\"callers\"}"), 0);
-    ck_assert_int_eq(metric("walnutgate_entry_answers_paused"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_answers_paused"), 0);
     g_string_free(stream, TRUE);
     g_string_free(answer, TRUE);
     end();
@@ -253,8 +233,8 @@
     target_stream(stream);
     ck_assert(read_answer(fd, portion, answer));
     check_whole(answer, stream);
-    ck_assert_int_eq(metric("walnutgate_entry_callers_cut_total"), 0);
-    ck_assert_int_eq(metric("walnutgate_entry_whole_total"), 1);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_callers_cut_total"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_whole_total"), 1);
     close(fd);
     g_string_free(stream, TRUE);
     g_string_free(answer, TRUE);
@@ -289,11 +269,11 @@
     target_stream(stream);
     run_turns(2 * UNREAD_MS);
     ck_assert(!target_disconnected);
-    ck_assert_int_eq(metric("walnutgate_entry_answers_paused"), 1);
-    ck_assert_int_gt(metric("walnutgate_entry_held_bytes{for=\"callers\"}"), HELD_BYTES);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_answers_paused"), 1);
+    ck_assert_int_gt(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"), HELD_BYTES);
     ck_assert(read_answer(fd, STREAM_BYTES, answer));
     check_whole(answer, stream);
-    ck_assert_int_eq(metric("walnutgate_entry_held_bytes{for=\"callers\"}"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"), 0);
     close(fd);
     g_string_free(stream, TRUE);
     g_string_free(answer, TRUE);
@@ -310,12 +290,13 @@
     int silent[SILENT_NUM];
     request_unread_streams(stream, silent);
     run_within_bound(200);
-    ck_assert_int_ge(metric("walnutgate_entry_held_bytes{for=\"callers\"}"), HELD_BYTES / 8 * 7);
+    ck_assert_int_ge(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"),
+                     HELD_BYTES / 8 * 7);
     int fd = request_stream();
     target_stream(small);
     ck_assert(read_answer(fd, 64 * KB, answer));
     check_whole(answer, small);
-    ck_assert_int_eq(metric("walnutgate_entry_callers_cut_total"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_callers_cut_total"), 0);
     close(fd);
     for (int i = 0; i < SILENT_NUM; i++) {
         close(silent[i]);
@@ -351,7 +332,7 @@
             target_answer(body->str);
         }
         if (i % 100 == 0) {
-            ck_assert_int_le(metric("walnutgate_entry_held_bytes{for=\"callers\"}"),
+            ck_assert_int_le(one_entry_metric("walnutgate_entry_held_bytes{for=\"callers\"}"),
                              WG_BUFFERS_UNREAD_MAX + ANSWER);
         }
         ssize_t got = i < 2000 ? 0 : recv(fd, bytes, sizeof bytes, 0);
@@ -359,11 +340,11 @@
             g_string_append_len(answers, bytes, got);
         }
         if (i == 1999) { /* the caller has read nothing until now */
-            ck_assert_int_lt(metric("walnutgate_entry_whole_total"), REQUESTS);
+            ck_assert_int_lt(one_entry_metric("walnutgate_entry_whole_total"), REQUESTS);
         }
     }
     run_turns(50);
-    ck_assert_int_eq(metric("walnutgate_entry_whole_total"), REQUESTS);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_whole_total"), REQUESTS);
     close(fd);
     g_string_free(body, TRUE);
     g_string_free(answers, TRUE);
@@ -382,15 +363,16 @@
     begin_with(4, UNREAD_MS, "unsafe");
     int fd = send_post(body->len, body);
     ck_assert_int_eq(target_connections, 1);
-    ck_assert_int_gt(metric("walnutgate_entry_held_bytes{for=\"targets\"}"), 0);
-    ck_assert_int_ge(metric("walnutgate_entry_held_bytes{for=\"requests\"}"), (int64_t)body->len);
+    ck_assert_int_gt(one_entry_metric("walnutgate_entry_held_bytes{for=\"targets\"}"), 0);
+    ck_assert_int_ge(one_entry_metric("walnutgate_entry_held_bytes{for=\"requests\"}"),
+                     (int64_t)body->len);
     ck_assert_int_eq(status_of(fd, answer), 502);
     ck_assert_ptr_nonnull(strstr(answer, "may-have-run"));
     ck_assert_ptr_nonnull(strstr(answer, "request-unread"));
     ck_assert_int_eq(target_connections, 1);
-    ck_assert_int_eq(metric("walnutgate_entry_targets_cut_total"), 1);
-    ck_assert_int_eq(metric("walnutgate_entry_held_bytes{for=\"targets\"}"), 0);
-    ck_assert_int_eq(metric("walnutgate_entry_held_bytes{for=\"requests\"}"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_targets_cut_total"), 1);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"targets\"}"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"requests\"}"), 0);
     close(fd);
     g_string_free(body, TRUE);
     end();
@@ -436,10 +418,10 @@
     ck_assert_ptr_nonnull(strstr(answer, "buffers_full"));
     ck_assert_ptr_nonnull(strstr(answer, "not-run"));
     ck_assert_ptr_nonnull(strstr(answer, "Retry-After"));
-    ck_assert_int_eq(metric("walnutgate_entry_bodies_refused_total"), 1);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_bodies_refused_total"), 1);
     target_answer("done");
     ck_assert_int_eq(status_of(first, answer), 200);
-    ck_assert_int_eq(metric("walnutgate_entry_held_bytes{for=\"requests\"}"), 0);
+    ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"requests\"}"), 0);
     /* A body that never fits is refused for good, as one above the configured limit. */
     int third = connect_slow_caller();
     static const char head[] = "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n";
--- a/tests/test_entry_descriptors.c
+++ b/tests/test_entry_descriptors.c
@@ -163,26 +163,11 @@
     one_entry_lead(&(one_route){.version = 1, .prefix = "/a/", .timeout_ms = 20000});
 }
 
-/* Value of a metric of the entry host. */
 static int metric(const char* name) {
-    GString* text = g_string_new(NULL);
-    char part[8 * 1024];
-    int fd = send_request(READY_PORT, "GET", "/metrics", "Connection: close\r\n");
-    ssize_t got = -1;
-    for (int i = 0; i < TURNS_MAX && got != 0; i++) {
-        local_run_loop(base);
-        while ((got = recv(fd, part, sizeof part, 0)) > 0) {
-            g_string_append_len(text, part, got);
-        }
-    }
-    close(fd);
-    char* line = g_strdup_printf("\nwalnutgate_entry_%s ", name);
-    const char* at = strstr(text->str, line);
-    ck_assert_msg(at != NULL, "%s is missing", name);
-    int value = (int)g_ascii_strtoll(at + strlen(line), NULL, 10);
-    g_free(line);
-    g_string_free(text, TRUE);
-    return value;
+    char* full = g_strdup_printf("walnutgate_entry_%s", name);
+    int64_t value = one_entry_metric(full);
+    g_free(full);
+    return (int)value;
 }
 
 static void end_sparing(void) {
@@ -459,6 +444,7 @@
 }
 END_TEST
 
+/* Guards against a shortage that operators cannot see, or that fills the log. */
 START_TEST(shortage_is_logged) {
     stream streams[STREAMS_MAX];
     begin_sparing(DESCRIPTORS);
--- a/tests/test_entry_room.c
+++ b/tests/test_entry_room.c
@@ -81,39 +81,15 @@
     return arrived;
 }
 
-/* Metrics of the host; the caller frees the string. */
-static GString* metrics(void) {
-    GString* text = g_string_new(NULL);
-    int fd = send_request(READY_PORT, "GET", "/metrics", "Connection: close\r\n");
-    for (int i = 0; i < TURNS_MAX; i++) {
-        char bytes[4096];
-        local_run_loop(base);
-        ssize_t got = recv(fd, bytes, sizeof bytes, 0);
-        if (got == 0) {
-            break;
-        }
-        g_string_append_len(text, bytes, MAX(got, 0));
-    }
-    close(fd);
-    return text;
-}
-
-static bool metrics_contain(const char* line) {
-    GString* text = metrics();
-    bool found = strstr(text->str, line) != NULL;
-    g_string_free(text, TRUE);
-    return found;
-}
-
 /* Guards against deciding by idle targets: the only target that the host knows is in use, but the
    leader tells that the service has room. */
 START_TEST(no_workspace_yields_while_the_leader_tells_room) {
     begin(ROOM_WAIT_MS);
     lead((fake_update){.running = 1, .room_ready = TARGETS, .room_targets = TARGETS / 2});
-    ck_assert(metrics_contain("walnutgate_entry_room{service=\"e\"} 1\n"
-                              "walnutgate_entry_room_told{service=\"e\"} 1\n"
-                              "walnutgate_entry_room_targets_ready{service=\"e\"} 60\n"
-                              "walnutgate_entry_room_targets{service=\"e\"} 30\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room{service=\"e\"} 1\n"
+                                        "walnutgate_entry_room_told{service=\"e\"} 1\n"
+                                        "walnutgate_entry_room_targets_ready{service=\"e\"} 60\n"
+                                        "walnutgate_entry_room_targets{service=\"e\"} 30\n"));
     ck_assert(reaches_target("/a/room"));
     one_entry_end();
 }
@@ -124,7 +100,7 @@
 START_TEST(workspace_yields_while_the_leader_tells_no_room) {
     begin(ROOM_WAIT_MS);
     lead((fake_update){.room_ready = TARGETS, .room_targets = TARGETS / 2 - 1});
-    ck_assert(metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
     ck_assert(!reaches_target("/a/none"));
     /* Once lost, room is not regained by one count of half, but by one of two thirds. */
     lead((fake_update){.room_ready = TARGETS, .room_targets = TARGETS / 2});
@@ -142,7 +118,7 @@
     lead((fake_update){.room_ready = TARGETS, .room_targets = 0});
     ck_assert(!reaches_target("/a/none"));
     run_turns(LIFETIME_TURNS);
-    ck_assert(metrics_contain("walnutgate_entry_room_told{service=\"e\"} 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room_told{service=\"e\"} 0\n"));
     ck_assert(reaches_target("/a/idle"));
     lead((fake_update){.running = 1, .room_ready = TARGETS, .room_targets = TARGETS});
     ck_assert(reaches_target("/a/room"));
@@ -161,9 +137,9 @@
     run_turns(20);
     ck_assert(reaches_target("/a/last-count"));
     run_turns(LIFETIME_TURNS);
-    ck_assert(metrics_contain("walnutgate_entry_leader_known 0\n"));
-    ck_assert(metrics_contain("walnutgate_entry_room_told{service=\"e\"} 0\n"));
-    ck_assert(metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_leader_known 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room_told{service=\"e\"} 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
     leader.net = NULL;
     wg_entry_shutdown(entry);
     g_free(leader.address);
@@ -193,7 +169,7 @@
     begin(0);
     lead((fake_update){.running = 1, .room_ready = TARGETS, .room_targets = TARGETS});
     ck_assert(!reaches_target("/a/busy"));
-    ck_assert(!metrics_contain("walnutgate_entry_room"));
+    ck_assert(!one_entry_metrics_contain("walnutgate_entry_room"));
     lead((fake_update){.room_ready = TARGETS, .room_targets = 0});
     int fd = send_prompt("/a/idle", "key-most", 1210);
     ck_assert(arrives_at_target("/a/idle"));
@@ -270,7 +246,7 @@
                        .unread = 2 * ROOM_WAIT_MS * TOKENS_PER_MS,
                        .room_ready = TARGETS,
                        .room_targets = TARGETS});
-    ck_assert(metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_room{service=\"e\"} 0\n"));
     ck_assert(!reaches_target("/a/filled"));
     one_entry_end();
 }
--- a/tests/test_entry_share.c
+++ b/tests/test_entry_share.c
@@ -70,24 +70,6 @@
     return field ? strtod(field + strlen("Retry-After: "), NULL) : -1;
 }
 
-static bool metrics_contain(const char* line) {
-    GString* text = g_string_new(NULL);
-    int fd = send_request(READY_PORT, "GET", "/metrics", "Connection: close\r\n");
-    for (int i = 0; i < TURNS_MAX; i++) {
-        char bytes[4096];
-        local_run_loop(base);
-        ssize_t got = recv(fd, bytes, sizeof bytes, 0);
-        if (got == 0) {
-            break;
-        }
-        g_string_append_len(text, bytes, MAX(got, 0));
-    }
-    close(fd);
-    bool found = strstr(text->str, line) != NULL;
-    g_string_free(text, TRUE);
-    return found;
-}
-
 /* ---- the log -------------------------------------------------------------------------------- */
 
 static char ended_line[1024]; /* last REQUEST_ENDED */
@@ -149,8 +131,8 @@
     ck_assert_int_eq(send(fd, again, strlen(again), MSG_NOSIGNAL), (ssize_t)strlen(again));
     g_free(again);
     ck_assert_int_eq(status_within(fd, answer, AT_ONCE_MS), 503);
-    ck_assert(metrics_contain("walnutgate_entry_over_share_refusals_total 2\n"));
-    ck_assert(metrics_contain("walnutgate_entry_refused_total 2\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_over_share_refusals_total 2\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_refused_total 2\n"));
     ck_assert_ptr_null(strstr(target_received->str, "GET /a/"));
     close(fd);
     one_entry_end();
@@ -195,7 +177,7 @@
     ck_assert_ptr_nonnull(strstr(answer, "no_capacity"));
     ck_assert_double_le(retry_after_of(answer), 0.3);
     ck_assert_int_eq(yield_ms(), 0);
-    ck_assert(metrics_contain("walnutgate_entry_over_share_refusals_total 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_over_share_refusals_total 0\n"));
     close(fd);
     one_entry_end();
 }
@@ -243,8 +225,8 @@
     ck_assert_int_eq(status_of(fd, answer), 502);
     ck_assert_ptr_nonnull(strstr(ended_line, "verdict=may-have-run reason=no_capacity"));
     ck_assert_ptr_null(strstr(answer, "Retry-After"));
-    ck_assert(metrics_contain("walnutgate_entry_retries_total 1\n"));
-    ck_assert(metrics_contain("walnutgate_entry_over_share_refusals_total 0\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_retries_total 1\n"));
+    ck_assert(one_entry_metrics_contain("walnutgate_entry_over_share_refusals_total 0\n"));
     close(fd);
     one_entry_end();
 }
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -95,6 +95,8 @@
 }
 END_TEST
 
+/* Guards against an answer whose end is taken for another one because its frame is cut short, a
+   length is too large, a number overflows or the end is unknown. */
 START_TEST(malformed_handoff_answers_are_refused) {
     static const struct {
         uint8_t bytes[12];
