--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -41,9 +41,10 @@
         double weight = weights ? weights[i] : 1;
         sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight};
     }
-    if (num > 0) {
-        qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    if (num <= 0) {
+        return sorted;
     }
+    qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
     for (int i = num - 2; i >= 0; i--) {
         sorted[i].weight_from += sorted[i + 1].weight_from;
     }
