--- a/bench/bench_capacity.c
+++ b/bench/bench_capacity.c
@@ -561,9 +561,10 @@
     return grants;
 }
 
-/* Microseconds of processor time by step. */
+/* Microseconds of processor time by step, but for `operations`. */
 typedef struct {
-    double operations; /* comparisons and examined requests of a grant, as wg_hold_operations() */
+    double operations; /* number of comparisons and examined requests of a grant, as
+                          wg_hold_operations() */
     double decide;     /* estimate of one admission */
     double add;        /* decision, and addition to the queue */
     double grant;      /* end of a prompt, and the grant that follows */
@@ -613,6 +614,13 @@
     return costs;
 }
 
+/* `step`: what was measured, in a run of the `size`. */
+static void admission_print(const char* step, const char* size, double value, const char* unit) {
+    char line[100];
+    g_snprintf(line, sizeof line, "admission: %s, %s", step, size);
+    bench_print(line, value, unit);
+}
+
 static void admission_slopes(int workspaces) {
     static const int targets[ADMIT_SIZES] = {40, 100, 300, 1000};
     static const int waiting[ADMIT_SIZES] = {WG_HOLD_WAITING_MAX_DEFAULT, 10000, 30000, 100000};
@@ -622,22 +630,15 @@
         admission_costs costs = admission_measure(targets[i], waiting[i], workspaces);
         x[i] = waiting[i];
         y[i] = costs.add + costs.grant;
-        char line[100];
         char size[60];
         g_snprintf(size, sizeof size, "%d targets, %d waiting, %d workspaces", targets[i],
                    waiting[i], workspaces);
-        g_snprintf(line, sizeof line, "admission: decision, %s", size);
-        bench_print(line, costs.decide, "us");
-        g_snprintf(line, sizeof line, "admission: addition, %s", size);
-        bench_print(line, costs.add, "us");
-        g_snprintf(line, sizeof line, "admission: grant, %s", size);
-        bench_print(line, costs.grant, "us");
-        g_snprintf(line, sizeof line, "admission: operations of a grant, %s", size);
-        bench_print(line, costs.operations, "");
-        g_snprintf(line, sizeof line, "admission: addition and grant, %s", size);
-        bench_print(line, 1e6 / y[i], "requests/s of one core");
-        g_snprintf(line, sizeof line, "admission: update of usage, %s", size);
-        bench_print(line, costs.usage / 1000, "ms");
+        admission_print("decision", size, costs.decide, "us");
+        admission_print("addition", size, costs.add, "us");
+        admission_print("grant", size, costs.grant, "us");
+        admission_print("operations of a grant", size, costs.operations, "");
+        admission_print("addition and grant", size, 1e6 / y[i], "requests/s of one core");
+        admission_print("update of usage", size, costs.usage / 1000, "ms");
     }
     bench_fit("fit: addition and grant, x = waiting requests", x, y, ADMIT_SIZES, "us");
 }
