--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -131,7 +131,9 @@
 }
 
 static inline void fake_control_end(fake_control* f) {
-    wgn_shutdown(f->net);
+    if (f->net) { /* NULL: a test has shut it down */
+        wgn_shutdown(f->net);
+    }
     g_free(f->address);
 }
 
--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -269,3 +269,24 @@
     g_string_free(text, TRUE);
     return value;
 }
+
+/* ---- the log --------------------------------------------------------------------------------- */
+
+static char one_entry_ended[1024]; /* last REQUEST_ENDED line since one_entry_record_ended() */
+
+static GLogWriterOutput one_entry_on_log(GLogLevelFlags level, const GLogField* fields, gsize num,
+                                         gpointer user_data) {
+    (void)level;
+    (void)user_data;
+    for (gsize i = 0; i < num; i++) {
+        if (strcmp(fields[i].key, "MESSAGE") == 0 && strstr(fields[i].value, "REQUEST_ENDED")) {
+            g_strlcpy(one_entry_ended, fields[i].value, sizeof one_entry_ended);
+        }
+    }
+    return G_LOG_WRITER_HANDLED;
+}
+
+/* Keeps the last REQUEST_ENDED line and writes no log. Only once per process. */
+static void one_entry_record_ended(void) {
+    g_log_set_writer_func(one_entry_on_log, NULL, NULL);
+}
--- a/tests/test_entry_promises.c
+++ b/tests/test_entry_promises.c
@@ -475,12 +475,7 @@
     run_turns(LEADERLESS_TURNS);
     ck_assert(reaches_target("/a/without-a-leader"));
     leader.net = NULL;
-    wg_entry_shutdown(entry);
-    g_free(leader.address);
-    evconnlistener_free(listener);
-    event_base_free(base);
-    g_string_free(target_received, TRUE);
-    g_free(target_address);
+    end();
 }
 END_TEST
 
--- a/tests/test_entry_room.c
+++ b/tests/test_entry_room.c
@@ -201,28 +201,14 @@
 
 /* ---- the log -------------------------------------------------------------------------------- */
 
-static char ended_line[1024]; /* last REQUEST_ENDED */
-
-static GLogWriterOutput record_line(GLogLevelFlags level, const GLogField* fields, gsize num,
-                                    gpointer user_data) {
-    (void)level;
-    (void)user_data;
-    for (gsize i = 0; i < num; i++) {
-        if (strcmp(fields[i].key, "MESSAGE") == 0 && strstr(fields[i].value, "REQUEST_ENDED")) {
-            g_strlcpy(ended_line, fields[i].value, sizeof ended_line);
-        }
-    }
-    return G_LOG_WRITER_HANDLED;
-}
-
 static bool ended_with(const char* text) {
     run_turns(150); /* longer than the time in the queue */
-    return strstr(ended_line, text) != NULL;
+    return strstr(one_entry_ended, text) != NULL;
 }
 
 /* The log line of a request tells the room on which it was decided. */
 START_TEST(end_of_a_request_is_logged_with_room) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     begin(ROOM_WAIT_MS);
     lead((fake_update){.running = 1, .room_ready = TARGETS, .room_targets = TARGETS});
     ck_assert(reaches_target("/a/room"));
--- a/tests/test_entry_share.c
+++ b/tests/test_entry_share.c
@@ -72,22 +72,8 @@
 
 /* ---- the log -------------------------------------------------------------------------------- */
 
-static char ended_line[1024]; /* last REQUEST_ENDED */
-
-static GLogWriterOutput record_line(GLogLevelFlags level, const GLogField* fields, gsize num,
-                                    gpointer user_data) {
-    (void)level;
-    (void)user_data;
-    for (gsize i = 0; i < num; i++) {
-        if (strcmp(fields[i].key, "MESSAGE") == 0 && strstr(fields[i].value, "REQUEST_ENDED")) {
-            g_strlcpy(ended_line, fields[i].value, sizeof ended_line);
-        }
-    }
-    return G_LOG_WRITER_HANDLED;
-}
-
 static int yield_ms(void) {
-    const char* at = strstr(ended_line, " yield_ms=");
+    const char* at = strstr(one_entry_ended, " yield_ms=");
     ck_assert_ptr_nonnull(at);
     return (int)strtol(at + strlen(" yield_ms="), NULL, 10);
 }
@@ -102,10 +88,10 @@
 
 /* Waits until the host has noticed that the caller left. */
 static bool ends_without_caller(void) {
-    for (int i = 0; i < TURNS_MAX && !strstr(ended_line, "reason=caller-left"); i++) {
+    for (int i = 0; i < TURNS_MAX && !strstr(one_entry_ended, "reason=caller-left"); i++) {
         local_run_loop(base);
     }
-    return strstr(ended_line, "reason=caller-left") != NULL;
+    return strstr(one_entry_ended, "reason=caller-left") != NULL;
 }
 
 /* ---- tests ---------------------------------------------------------------------------------- */
@@ -113,7 +99,7 @@
 /* Guards against requests that wait for a target that may not be asked, and against callers that
    are told to return before they can be served. */
 START_TEST(request_far_above_the_share_is_refused_at_once) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     char answer[1024];
     begin(1);
     lead(FAR, 1);
@@ -122,7 +108,7 @@
     ck_assert_ptr_nonnull(strstr(answer, "{\"code\":\"over_share\",\"verdict\":\"not-run\"}"));
     ck_assert_double_ge(retry_after_of(answer), FAR_YIELD / 1000.0 - 0.01);
     ck_assert_double_le(retry_after_of(answer), FAR_YIELD * 4 / 3000.0 + 0.01);
-    ck_assert_ptr_nonnull(strstr(ended_line, "verdict=not-run reason=over_share"));
+    ck_assert_ptr_nonnull(strstr(one_entry_ended, "verdict=not-run reason=over_share"));
     ck_assert_int_ge(yield_ms(), FAR_YIELD - 10);
     ck_assert_int_le(yield_ms(), FAR_YIELD + 10);
     /* The connection serves the next request. */
@@ -167,7 +153,7 @@
 /* Guards against a change without the setting: the request waits in the queue, and its caller is
    told the usual time. */
 START_TEST(request_waits_in_the_queue_by_default) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     char answer[1024];
     begin(0);
     lead(FAR, 1);
@@ -185,7 +171,7 @@
 
 /* Guards against refusing what can be sent within its time in the queue, or while there is room. */
 START_TEST(request_that_may_be_sent_in_time_is_not_refused) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     char answer[1024];
     begin(1);
     /* 1.33 times the level of (usage + 4 * OTHERS) / 5: 40 ms until 1.3 times. */
@@ -193,7 +179,7 @@
     int fd = send_get("/a/near", prompt);
     ck_assert_int_eq(status_within(fd, answer, AT_ONCE_MS), 0);
     ck_assert_int_eq(status_of(fd, answer), 503);
-    ck_assert_ptr_nonnull(strstr(ended_line, "reason=no_capacity"));
+    ck_assert_ptr_nonnull(strstr(one_entry_ended, "reason=no_capacity"));
     ck_assert_int_gt(yield_ms(), 0);
     ck_assert_int_le(yield_ms(), NEAR_YIELD);
     close(fd);
@@ -210,7 +196,7 @@
 /* Guards against a verdict for a request that a target has had: its workspace is far above its
    share only when the first target refuses it. */
 START_TEST(request_that_was_sent_is_not_refused_for_its_share) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     char answer[1024];
     fake_entry_retry_slack = RETRIES;
     begin(1);
@@ -223,7 +209,7 @@
     /* There is no other target, so that the retry ends in the queue. 503 would promise that the
        request has not run. */
     ck_assert_int_eq(status_of(fd, answer), 502);
-    ck_assert_ptr_nonnull(strstr(ended_line, "verdict=may-have-run reason=no_capacity"));
+    ck_assert_ptr_nonnull(strstr(one_entry_ended, "verdict=may-have-run reason=no_capacity"));
     ck_assert_ptr_null(strstr(answer, "Retry-After"));
     ck_assert(one_entry_metrics_contain("walnutgate_entry_retries_total 1\n"));
     ck_assert(one_entry_metrics_contain("walnutgate_entry_over_share_refusals_total 0\n"));
@@ -235,7 +221,7 @@
 /* Guards against 503 for a request that may have run, whose retry waits in the queue until its time
    there is over. */
 START_TEST(end_in_the_queue_of_a_request_that_may_have_run_is_502) {
-    g_log_set_writer_func(record_line, NULL, NULL);
+    one_entry_record_ended();
     char answer[1024];
     fake_entry_retry_slack = RETRIES;
     begin(0);
@@ -245,7 +231,7 @@
     target_close_connection();
     ck_assert_int_eq(status_within(fd, answer, AT_ONCE_MS), 0);
     ck_assert_int_eq(status_of(fd, answer), 502);
-    ck_assert_ptr_nonnull(strstr(ended_line, "verdict=may-have-run reason=no_capacity"));
+    ck_assert_ptr_nonnull(strstr(one_entry_ended, "verdict=may-have-run reason=no_capacity"));
     close(fd);
     one_entry_end();
 }
@@ -296,12 +282,7 @@
     ck_assert(arrives_at_target("/a/later"));
     close(fd);
     leader.net = NULL;
-    wg_entry_shutdown(entry);
-    g_free(leader.address);
-    evconnlistener_free(listener);
-    event_base_free(base);
-    g_string_free(target_received, TRUE);
-    g_free(target_address);
+    one_entry_end();
 }
 END_TEST
 
