--- a/tests/test_entry_hold.c
+++ b/tests/test_entry_hold.c
@@ -336,8 +336,8 @@
 }
 END_TEST
 
-/* The wait at the coordinator ends after 363 ms, when the request could no longer be in time (475
-   ms less 112 ms for its own prompt). */
+/* Guards against a limit that holds at the host only. The wait at the coordinator would end after
+   363 ms, when the request could no longer be in time (475 ms less 112 ms for its own prompt). */
 START_TEST(workspace_limits_the_wait_at_the_coordinator) {
     time_to_refusal(LONG_HOLD_PERCENT, ",\"queue_ms\":0", AT_ONCE_TURNS);
     wg_time shorter = time_to_refusal(LONG_HOLD_PERCENT, ",\"queue_ms\":100", TURNS_MAX);
