Entry: split handoff into the owner's side, the peer's side, and what both share

wg_entry_handoff.c had 1,060 lines and two modules. wg_entry_handed.c has the requests of this host's callers that are at a peer, wg_entry_taken.c those of other hosts that this one took. No logic changed.

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -55,8 +55,8 @@
 typedef struct wg_call wg_call;
 typedef struct wg_client wg_client;
 typedef struct wg_upstream wg_upstream;
-typedef struct wg_handed wg_handed;               /* wg_entry_handoff.c */
-typedef struct wg_taken wg_taken;                 /* wg_entry_handoff.c */
+typedef struct wg_handed wg_handed;               /* wg_entry_handed.c */
+typedef struct wg_taken wg_taken;                 /* wg_entry_taken.c */
 typedef struct wg_entry_handoff wg_entry_handoff; /* wg_entry_handoff.c */
 
 typedef enum {
