Entry, handoff: names and comments

The timer that sends waiting output is flush_timer rather than retry, since nothing is tried again. wg_handed_free_request, wg_handed_update_peers, wg_taken_enter_waiting, abandoned, begun_stats and last_short_at say what the former names did not. Constants state their unit and reason. The doc comment of wg_entry_handoff_pause and _resume said that they serve other hosts' requests, too; they do not. No change of behaviour.

--- a/lib/entry/wg_entry_handed.c
+++ b/lib/entry/wg_entry_handed.c
@@ -7,14 +7,18 @@
 #include <string.h>
 
 enum {
-    WG_HANDED_BODY_MAX = 256 * 1024, /* larger requests are kept */
-    WG_HANDED_SENDS_MAX = 3,         /* peers that may decline a request before it is kept */
+    /* Bytes. Sending a larger body costs the owner more than the handoff saves, so the request is
+       kept. */
+    WG_HANDED_BODY_MAX = 256 * 1024,
+    WG_HANDED_SENDS_MAX = 3, /* peers that may decline a request before it is kept */
     /* Time after the end of a request's time in which the peer's own answer may still arrive. Below
        the 0.5 s by which a request may exceed its time, with room for a tick. */
     WG_HANDED_MARGIN = 250 * WG_USEC_PER_MSEC,
+    /* Minimum time between two attempts to open a link; up to twice that, by jitter, so that owners
+       do not dial a restarted peer all at once. */
     WG_HANDED_DIAL_INTERVAL = 250 * WG_USEC_PER_MSEC,
     /* Bytes that wait on the link to a peer above which it gets no further request. Bounds the
-       copies of request bodies if a peer stands still. */
+       copies of request bodies if a peer stalls. */
     WG_HANDED_UNSENT_MAX = 1024 * 1024,
 };
 
@@ -71,8 +75,7 @@
     }
 }
 
-/* Selects the peers anew after a change of the roster. */
-void wg_handed_update_hosts(wg_entry* e, wg_time now) {
+void wg_handed_update_peers(wg_entry* e, wg_time now) {
     wg_entry_handoff* h = e->handoff;
     uint64_t change = wg_roster_change(e->roster);
     if (change == h->roster_change) {
@@ -101,7 +104,6 @@
     }
 }
 
-/* Opens the links that are needed. Closes others once they have no requests. */
 void wg_handed_update_links(wg_entry* e, wg_time now) {
     wg_entry_handoff* h = e->handoff;
     for (guint i = h->peers->len; i > 0; i--) {
@@ -129,7 +131,7 @@
 }
 
 /* Releases what is needed to send the request again or to keep it. */
-static void wg_handed_forget_request(wg_handed* handed) {
+static void wg_handed_free_request(wg_handed* handed) {
     g_clear_pointer(&handed->head_bytes, g_free);
     g_clear_pointer(&handed->head, g_free);
     g_clear_pointer(&handed->body, evbuffer_free);
@@ -145,7 +147,7 @@
 }
 
 static void wg_handed_free(wg_handed* handed) {
-    wg_handed_forget_request(handed);
+    wg_handed_free_request(handed);
     handed->client->handed = NULL;
     g_free(handed);
 }
@@ -162,7 +164,6 @@
            (now - handed->arrived_at) / WG_USEC_PER_MSEC, handed->bytes);
 }
 
-/* Ends the handoff; the caller's connection is up to the caller of this function. */
 void wg_handed_end(wg_handed* handed, const char* end) {
     wg_entry* e = handed->client->entry;
     e->counters.handed_off++;
@@ -226,7 +227,7 @@
     return true;
 }
 
-/* Sends the request to a peer that was not tried yet. False: there is none. */
+/* Sends the request to a peer that was not tried yet. False if there is none. */
 static bool wg_handed_send(wg_handed* handed, wg_time now) {
     wg_entry_handoff* h = handed->client->entry->handoff;
     int slot;
@@ -239,7 +240,7 @@
     return false;
 }
 
-/* This host serves the request itself. */
+/* Serves the request at this host. Frees `handed`. */
 static void wg_handed_keep(wg_handed* handed) {
     wg_client* client = handed->client;
     char* bytes = g_steal_pointer(&handed->head_bytes);
@@ -275,7 +276,7 @@
 static void wg_handed_acknowledged(wg_handed* handed) {
     wg_handed_record_wait(handed, wg_now());
     handed->acknowledged = true;
-    wg_handed_forget_request(handed);
+    wg_handed_free_request(handed);
 }
 
 static void wg_handed_relay(wg_handed* handed, const wgw_handoff_answer* answer) {
@@ -327,7 +328,6 @@
     }
 }
 
-/* False if the frame is malformed. */
 bool wg_handed_on_answer(wg_entry* e, wgn_link link, const wgw_frame* frame) {
     wgw_handoff_answer answer;
     wg_handed_peer* peer = wg_handed_peer_of(e, link);
@@ -342,7 +342,7 @@
     if (handed && handed->peer == peer) {
         wg_handed_apply(handed, &answer);
     }
-    return true; /* also if the request has ended here: the answer was under way */
+    return true; /* also if the request has ended here: the answer was in flight */
 }
 
 /* The link to a peer closed: its requests may have run. */
--- a/lib/entry/wg_entry_handoff.c
+++ b/lib/entry/wg_entry_handoff.c
@@ -26,7 +26,7 @@
     wg_entry_handoff* h = e->handoff;
     wg_handoff_stats stats = wg_handoff_query_stats(h->decision);
     if (stats.local_share < 1) {
-        h->short_at = now;
+        h->last_short_at = now;
     }
     if (!h->begun && stats.local_share < 1) {
         int peers = 0;
@@ -39,14 +39,14 @@
                peers, e->clients->len);
         h->begun = true;
         h->begun_at = now;
-        h->then = stats;
-    } else if (h->begun && now - h->short_at >= WG_HANDOFF_END_DELAY) {
+        h->begun_stats = stats;
+    } else if (h->begun && now - h->last_short_at >= WG_HANDOFF_END_DELAY) {
         wg_log(WG_EVENT_HANDOFF_ENDED,
                "after_ms=%" G_GINT64_FORMAT " handed_off=%" G_GUINT64_FORMAT
                " kept=%" G_GUINT64_FORMAT " declined=%" G_GUINT64_FORMAT,
-               (h->short_at - h->begun_at) / WG_USEC_PER_MSEC,
-               stats.handed_off - h->then.handed_off, stats.kept - h->then.kept,
-               stats.declined - h->then.declined);
+               (h->last_short_at - h->begun_at) / WG_USEC_PER_MSEC,
+               stats.handed_off - h->begun_stats.handed_off, stats.kept - h->begun_stats.kept,
+               stats.declined - h->begun_stats.declined);
         h->begun = false;
     }
 }
@@ -60,7 +60,8 @@
     }
     peer->up = true;
     peer->stopping = false;
-    wg_entry_admit_on_peer_up(e, link, other); /* the same timing at both ends */
+    /* The peer sets this timing at its end, too. */
+    wg_entry_admit_on_peer_up(e, link, other);
     if (peer->slot >= 0) {
         wg_handoff_peer_up(e->handoff->decision, peer->slot);
     }
@@ -115,8 +116,8 @@
     h->peers = g_ptr_array_new();
     h->handed = g_hash_table_new(g_int64_hash, g_int64_equal);
     h->owners = g_hash_table_new_full(NULL, NULL, NULL, wg_taken_owner_free);
-    h->retry = evtimer_new(e->base, wg_taken_on_retry, e);
-    wg_loop_prioritize_event(h->retry);
+    h->flush_timer = evtimer_new(e->base, wg_taken_on_flush_timer, e);
+    wg_loop_prioritize_event(h->flush_timer);
     e->handoff = h;
 }
 
@@ -131,7 +132,7 @@
     g_ptr_array_unref(h->peers);
     g_hash_table_unref(h->handed);
     g_hash_table_unref(h->owners);
-    event_free(h->retry);
+    event_free(h->flush_timer);
     wg_handoff_shutdown(h->decision);
     g_free(h);
     e->handoff = NULL;
@@ -145,7 +146,7 @@
     wg_handoff_load load = wg_entry_handoff_load(e, now);
     wg_handoff_tick(h->decision, now, &load);
     h->active = wg_handoff_needs_links(h->decision, now);
-    wg_handed_update_hosts(e, now);
+    wg_handed_update_peers(e, now);
     wg_entry_handoff_log_change(e, now, &load);
     for (GList* at = h->handed_list.head; at;) {
         GList* next = at->next;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -76,7 +76,7 @@
     wg_call* call;
     wg_handed* handed;  /* its request is at another host; NULL: it is not */
     wg_taken* taken;    /* the caller is connected to another host; NULL: it is connected here */
-    wg_time arrived_at; /* arrival of the request; 0: by the delay of input */
+    wg_time arrived_at; /* arrival of the request; 0: now less the delay of input */
     wg_body body;
     char* head_bytes;      /* head of the request being read */
     size_t head_size;      /* bytes of `head_bytes` */
@@ -567,6 +567,8 @@
                            wg_time now);
 
 /* wg_entry_handoff.c */
+
+/* Leaves `handoff` NULL if handoff_delay_ms is 0. */
 void wg_entry_handoff_setup(wg_entry* e);
 void wg_entry_handoff_shutdown(wg_entry* e);
 void wg_entry_handoff_tick(wg_entry* e, wg_time now);
@@ -579,12 +581,13 @@
    request is kept, and nothing was done. */
 bool wg_entry_handoff_begin(wg_client* client, char* bytes, wg_message_head* head,
                             struct evbuffer* body);
-/* The caller closed its connection, or was cut off, while its request is at another host. */
+/* The caller closed its connection, or was cut off, while its request is at another host. Logs
+   `reason` as the end of the handoff. */
 void wg_entry_handoff_caller_left(wg_client* client, const char* reason);
-/* Stops and resumes the answer of a request that is at another host, or of another host's. */
+/* Asks the other host to pause, or to resume, the answer of a request that is there. */
 void wg_entry_handoff_pause(const wg_client* client);
 void wg_entry_handoff_resume(const wg_client* client);
-/* The functions below are for clients with `taken`. */
+/* The functions up to wg_entry_handoff_output() are for clients with `taken`. */
 /* Sends a part of the answer to the caller's host. Empties `bytes`. */
 void wg_entry_handoff_write(wg_client* client, struct evbuffer* bytes);
 /* The answer is complete. `keep`: the caller's connection may be kept. Frees the client once
@@ -592,13 +595,14 @@
 void wg_entry_handoff_answered(wg_client* client, bool keep);
 /* The answer ends early. Frees the client. */
 void wg_entry_handoff_cut(wg_client* client);
-/* Whether the caller's host asked to pause the answer. */
+/* Whether the caller's host asked to pause the answer; false for a caller of this host. */
 bool wg_entry_handoff_is_paused(const wg_client* client);
 /* Part of the answer that is not sent yet. */
 struct evbuffer* wg_entry_handoff_output(const wg_client* client);
 /* Name of the caller's host; "-" for a caller of this host. */
 const char* wg_entry_handoff_owner(const wg_client* client);
-/* The functions that return bool return false if the link or frame does not concern handoff. */
+/* Links and frames. Those that return bool return false if the link or frame does not concern
+   handoff. */
 bool wg_entry_handoff_on_up(wg_entry* e, wgn_link link, const wgn_peer* peer);
 void wg_entry_handoff_on_down(wg_entry* e, wgn_link link);
 bool wg_entry_handoff_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
--- a/lib/entry/wg_entry_taken.c
+++ b/lib/entry/wg_entry_taken.c
@@ -12,7 +12,9 @@
     /* Time between two frames of an answer, unless they are full. Each frame costs the owner, which
        is short of processor time, a write to its caller. */
     WG_TAKEN_FRAME_INTERVAL = 10 * WG_USEC_PER_MSEC,
-    WG_TAKEN_WAITED_MAX = 600 * WG_USEC_PER_SEC /* largest wait that a message may state */
+    /* A message that states a longer wait counts as this one, so that no value of another process
+       overflows the arithmetic of times. */
+    WG_TAKEN_WAITED_MAX = 600 * WG_USEC_PER_SEC,
 };
 
 static bool wg_taken_send_answer(const wg_entry* e, wgn_link link, uint64_t ticket,
@@ -66,20 +68,20 @@
     }
 }
 
-static void wg_taken_schedule_retry(wg_entry_handoff* h) {
+static void wg_taken_schedule_flush(wg_entry_handoff* h) {
     struct timeval interval = {.tv_usec = WG_TAKEN_FRAME_INTERVAL};
-    if (h->waiting.length > 0 && !event_pending(h->retry, EV_TIMEOUT, NULL)) {
-        event_add(h->retry, &interval);
+    if (h->waiting.length > 0 && !event_pending(h->flush_timer, EV_TIMEOUT, NULL)) {
+        event_add(h->flush_timer, &interval);
     }
 }
 
-static void wg_taken_wait(wg_taken* taken) {
+static void wg_taken_enter_waiting(wg_taken* taken) {
     wg_entry_handoff* h = taken->client.entry->handoff;
     if (!taken->waiting) {
         taken->waiting = true;
         taken->link = (GList){.data = taken};
         g_queue_push_tail_link(&h->waiting, &taken->link);
-        wg_taken_schedule_retry(h);
+        wg_taken_schedule_flush(h);
     }
 }
 
@@ -100,7 +102,7 @@
         if (left < before) {
             wg_taken_leave_waiting(taken);
         }
-        wg_taken_wait(taken);
+        wg_taken_enter_waiting(taken);
         return;
     }
     wg_taken_leave_waiting(taken);
@@ -112,7 +114,7 @@
     }
 }
 
-void wg_taken_on_retry(evutil_socket_t fd, short what, void* user_data) {
+void wg_taken_on_flush_timer(evutil_socket_t fd, short what, void* user_data) {
     (void)fd;
     (void)what;
     const wg_entry* e = user_data;
@@ -123,7 +125,7 @@
         wg_taken_flush(at->data);
         at = next;
     }
-    wg_taken_schedule_retry(h);
+    wg_taken_schedule_flush(h);
 }
 
 wg_taken_owner* wg_taken_owner_of(const wg_entry* e, wgn_link link) {
@@ -139,8 +141,8 @@
     return owner;
 }
 
-/* Tells the owner to hand nothing more off on this link, whether it knows from the roster or not.
-   A request that is under way when this process exits would count as one that may have run. */
+/* Sent whether the owner knows of the stop from the roster or not: without a leader it does not. A
+   request that is in flight when this process exits would count as one that may have run. */
 void wg_taken_owner_tell_stopping(const wg_entry* e, wg_taken_owner* owner) {
     if (!owner->told_stopping) {
         owner->told_stopping = true;
@@ -242,7 +244,7 @@
 
 /* The owner no longer waits for the answer: the work for it stops. */
 static void wg_taken_abandon(wg_taken* taken) {
-    taken->gone = true;
+    taken->abandoned = true;
     wg_client_close(&taken->client);
 }
 
@@ -305,7 +307,7 @@
         return;
     }
     evbuffer_add_buffer(taken->output, bytes);
-    wg_taken_wait(taken);
+    wg_taken_enter_waiting(taken);
     if (evbuffer_get_length(taken->output) >= WG_TAKEN_FRAME_MAX) {
         wg_taken_flush(taken);
     }
@@ -319,7 +321,7 @@
 }
 
 void wg_taken_cut(wg_taken* taken) {
-    if (!taken->gone) {
+    if (!taken->abandoned) {
         wg_taken_send_end(taken, WGPB__HANDOFF_END__HANDOFF_END_CUT);
     }
     wg_taken_free(taken);
