--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -11,17 +11,17 @@
 #include <unistd.h>
 
 enum {
-    TIMEOUT_MS = 2000, /* of the route */
-    LONG_TIMEOUT_MS = 60000,
-    STOP_MIN_MS = 3300, /* minimum length of a planned stop */
-    REPORT_MS = 20000,  /* interval of reports, so that a silent leader counts as present */
-    DELAY_MS = 1000,    /* handoff_delay_ms; more than the turns of a test take */
+    TIMEOUT_MS = 2000,       /* of the route */
+    LONG_TIMEOUT_MS = 60000, /* of the route, where the test skips time */
+    STOP_MIN_MS = 3300,      /* minimum length of a planned stop */
+    REPORT_MS = 20000,       /* interval of reports, so that a silent leader counts as present */
+    DELAY_MS = 1000,         /* handoff_delay_ms; more than the turns of a test take */
     KB = 1024,
-    RECORDED_MAX = 16, /* requests that a simulated peer records */
-    TICKETS_MAX = 8,   /* tickets of a simulated owner, from 1 */
-    SHORT_BY = 1000,   /* descriptors that a host seems to use when it is short of them */
-    SHORT_LIMIT = 1500,
-    SMALL_RECEIVE_BUFFER = 16 * KB
+    RECORDED_MAX = 16,  /* requests that a simulated peer records */
+    TICKETS_MAX = 8,    /* tickets of a simulated owner, from 1 */
+    SHORT_BY = 1000,    /* descriptors that a host seems to use when it is short of them */
+    SHORT_LIMIT = 1500, /* limit of descriptors then: more than 60% are in use */
+    SMALL_RECEIVE_BUFFER = 16 * KB /* of a slow caller, so that answers wait at the owner */
 };
 
 #define MORE WGPB__HANDOFF_END__HANDOFF_END_MORE
@@ -523,7 +523,8 @@
 }
 END_TEST
 
-/* The caller must not see that all peers declined. */
+/* Guards against a request that is lost or refused because all peers declined it: its head and body
+   must still be complete, and the target gets them once. */
 START_TEST(request_that_all_peers_decline_is_kept) {
     static const char body[] = "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\n12345";
     char answer[1024];
@@ -550,7 +551,8 @@
 }
 END_TEST
 
-/* Time at a peer that declines counts for the caller's deadline. */
+/* Guards against a deadline that starts anew when a peer declines: the target would work beyond the
+   time for which the caller waits. */
 START_TEST(time_at_a_peer_that_declines_counts) {
     enum {
         WAIT_MS = 300,
@@ -589,7 +591,7 @@
 }
 END_TEST
 
-/* Large bodies cost the owner more than they save. */
+/* Guards against large bodies in frames: they cost the owner more than the handoff saves. */
 START_TEST(request_with_a_large_body_is_kept) {
     enum {
         SIZE = 256 * KB + 1
@@ -665,6 +667,8 @@
 }
 END_TEST
 
+/* Guards against a truncated answer that looks complete: it is 502 before its first byte, and a
+   reset later. */
 START_TEST(answer_that_the_peer_cuts_off_is_not_complete) {
     static const char part[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab";
     char answer[1024];
@@ -686,7 +690,7 @@
 }
 END_TEST
 
-/* An end without an answer would leave the caller waiting. */
+/* Guards against a caller that waits until its timeout when a peer ends an answer without bytes. */
 START_TEST(end_without_an_answer_is_502) {
     char answer[1024];
     begin_owner(1);
@@ -698,8 +702,8 @@
 }
 END_TEST
 
-/* A caller waits no longer than its deadline or the route's timeout for a peer that stands still,
-   and the peer is told to stop the work. */
+/* A caller waits no longer than its deadline or the route's timeout for a peer that stalls, and
+   the peer is told to stop the work. */
 START_TEST(silent_peer_is_504_at_the_end_of_the_time) {
     static const struct {
         const char* fields;
@@ -724,7 +728,7 @@
         ck_assert(BECOMES(there.notes_num == 1));
         ck_assert_int_eq(there.notes[0], CALLER_LEFT);
         ck_assert_uint_eq(there.note_tickets[0], last_ticket());
-        send_answer(&there, last_ticket(), answer_of_5, COMPLETE); /* was under way */
+        send_answer(&there, last_ticket(), answer_of_5, COMPLETE); /* was in flight */
         check_answer(fd, "");
         close(fd);
         end_owner();
@@ -732,7 +736,8 @@
 }
 END_TEST
 
-/* The answer is in progress when the time ends. */
+/* Guards against a caller that waits beyond its deadline for the remainder of an answer, and
+   against a truncated answer that looks complete. */
 START_TEST(peer_that_falls_silent_in_the_answer_resets_the_connection) {
     static const char part[] = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab";
     begin_owner(1);
@@ -790,7 +795,7 @@
         ck_assert(BECOMES_WITHIN(there.notes_num == 1, 50));
         ck_assert_int_eq(there.notes[0], CALLER_LEFT);
         ck_assert_uint_eq(there.note_tickets[0], last_ticket());
-        send_answer(&there, last_ticket(), answer_of_5, COMPLETE); /* was under way */
+        send_answer(&there, last_ticket(), answer_of_5, COMPLETE); /* was in flight */
         send_answer(&there, last_ticket(), "", DECLINED);
         run_turns(20);
         ck_assert_int_eq(there.requests_num, 1);
@@ -838,7 +843,7 @@
     ck_assert_int_eq(there.notes[0], PAUSE);
     ck_assert_uint_eq(there.note_tickets[0], last_ticket());
     ck_assert_int_lt(wg_buffers_held(entry->buffers), 1024 * KB);
-    send_answer(&there, last_ticket(), "more", MORE); /* was under way */
+    send_answer(&there, last_ticket(), "more", MORE); /* was in flight */
     g_string_append(sent, "more");
     run_turns(50);
     ck_assert_int_eq(there.notes_num, 1);
@@ -1125,6 +1130,8 @@
 }
 END_TEST
 
+/* Guards against a body that is lost, or framed by a header of the caller that no longer applies,
+   and against an answer that keeps a connection open which the caller asked to close. */
 START_TEST(peer_passes_the_body_on_and_closes_as_asked) {
     static const char head[] = "POST /a/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n"
                                "Transfer-Encoding: chunked\r\n\r\n";
@@ -1213,7 +1220,8 @@
 }
 END_TEST
 
-/* An error of the peer is an answer, too. */
+/* Guards against an error answer of the peer that is sent as a decline or as a cut-off: the owner
+   would run the request again, or reset the caller's connection. */
 START_TEST(peer_answers_errors_of_its_own) {
     begin_peer(DELAY_MS);
     owner_sends(&(sent_request){
@@ -1283,7 +1291,7 @@
     fake_control_send_leader(&leader, NULL);
     ck_assert(BECOMES(!entry->leader_known));
     int fd = connect_caller(11);
-    send_text(fd, "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n");
+    send_text(fd, get_request);
     ck_assert(target_got_request());
     ck_assert_int_eq(there.requests_num, 0);
     close(fd);
@@ -1291,6 +1299,7 @@
 }
 END_TEST
 
+/* Guards against a peer that decides by targets and usage that no leader updates. */
 START_TEST(peer_without_a_leader_declines) {
     begin_peer(DELAY_MS);
     fake_control_send_leader(&leader, NULL);
@@ -1310,6 +1319,8 @@
 }
 END_TEST
 
+/* Guards against answers of other hosts that fill the memory of a peer above 3/4 of `held_mb`, and
+   against a peer that goes on declining once it holds less. */
 START_TEST(peer_that_holds_many_bytes_declines) {
     wg_buffers_peer filler = {0};
     fake_entry_held_mb = 1;
@@ -1324,7 +1335,8 @@
 }
 END_TEST
 
-/* A host with the setting off takes part in nothing. */
+/* Guards against a host that takes requests although its setting is off, and against a link that
+   closes because of its frames. */
 START_TEST(peer_with_the_setting_off_declines) {
     begin_peer(0);
     check_declined(1, 1);
@@ -1351,10 +1363,11 @@
 }
 END_TEST
 
-/* The peer must not trust what another process read as one request. */
+/* Guards against request smuggling: the peer must not trust what another process read as one
+   request. */
 START_TEST(malformed_requests_close_the_link) {
     static const sent_request bad[] = {
-        {.ticket = 1, .version = 1, .head = "nonsense\r\n\r\n"},
+        {.ticket = 1, .version = 1, .head = "not a request\r\n\r\n"},
         {.ticket = 1, .version = 1, .head = "GET /a/x HTTP/1.1\r\nHost: h\r\n"},
         {.ticket = 1,
          .version = 1,
@@ -1446,9 +1459,9 @@
 }
 END_TEST
 
-/* An owner that stands still reads nothing. What waits for it at the peer must be bounded, counted,
+/* An owner that stalls reads nothing. What waits for it at the peer must be bounded, counted,
    and arrive once it reads again. */
-START_TEST(answers_for_an_owner_that_stands_still_are_bounded) {
+START_TEST(answers_for_an_owner_that_stalls_are_bounded) {
     enum {
         SIZE = 24 * 1024 * KB,
         HELD_MAX = 1024 * KB
@@ -1491,7 +1504,7 @@
 END_TEST
 
 /* A planned stop of the peer must cut off nothing, and the owner must learn of it before it ends:
-   a request that is under way then would be lost. */
+   a request that is in flight then would be lost. */
 START_TEST(planned_stop_of_the_peer_finishes_what_it_took) {
     route_timeout_ms = LONG_TIMEOUT_MS;
     begin_peer(DELAY_MS);
@@ -1567,7 +1580,8 @@
     end();
 }
 
-/* Both halves have to agree. */
+/* Guards against an owner and a peer that each pass their tests with a simulated host, but do not
+   interoperate. */
 START_TEST(request_passes_through_two_hosts) {
     begin_two();
     int fd = connect_caller(11);
@@ -1593,7 +1607,8 @@
 }
 END_TEST
 
-/* 500 ms is the limit for the whole way. */
+/* Work has to stop within 500 ms of the close. The test allows 50 turns of 1 ms, so that a step
+   that waits for a tick (50 ms) fails it. */
 START_TEST(caller_that_leaves_stops_the_target_through_two_hosts) {
     begin_two();
     int fd = connect_caller(11);
@@ -1635,7 +1650,8 @@
 }
 END_TEST
 
-/* The end of the owner's process ends the work of its callers. */
+/* Guards against targets that go on with answers whose callers were connected to a process that has
+   ended. */
 START_TEST(end_of_the_owner_stops_the_target) {
     begin_two();
     int fd = connect_caller(11);
@@ -1677,8 +1693,7 @@
     peer_that_holds_many_bytes_declines, peer_with_the_setting_off_declines,
     request_beyond_the_limits_of_the_peer_is_declined, malformed_requests_close_the_link,
     second_request_of_a_ticket_closes_the_link, work_stops_when_the_caller_or_the_owner_leaves,
-    peer_stops_reading_while_the_answer_is_paused,
-    answers_for_an_owner_that_stands_still_are_bounded,
+    peer_stops_reading_while_the_answer_is_paused, answers_for_an_owner_that_stalls_are_bounded,
     planned_stop_of_the_peer_finishes_what_it_took, owner_that_connects_to_a_stopping_peer_is_told,
     request_passes_through_two_hosts, caller_that_leaves_stops_the_target_through_two_hosts,
     slow_caller_gets_everything_through_two_hosts, end_of_the_owner_stops_the_target)
