--- a/lib/fair/wg_fair.c
+++ b/lib/fair/wg_fair.c
@@ -32,20 +32,23 @@
     return first < second ? -1 : first > second;
 }
 
-/* Returns the demands in order; the caller frees them. Weights are summed up from the end:
-   subtraction from the total would leave rounding errors where the weights that remain are small
-   against those before them. */
+/* Returns the demands in order, NULL without any; the caller frees them. Weights are summed up from
+   the end: subtraction from the total would leave rounding errors where the weights that remain are
+   small against those before them. */
 static wg_fair_demand* wg_fair_sort(const double* demand, const double* weights, int num) {
+    if (num <= 0) {
+        return NULL;
+    }
     wg_fair_demand* sorted = g_new(wg_fair_demand, num);
     for (int i = 0; i < num; i++) {
         double weight = weights ? weights[i] : 1;
         sorted[i] = (wg_fair_demand){demand[i] / weight, demand[i], weight};
     }
-    if (num > 0) {
-        qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
-    }
-    for (int i = num - 2; i >= 0; i--) {
-        sorted[i].weight_from += sorted[i + 1].weight_from;
+    qsort(sorted, (size_t)num, sizeof *sorted, wg_fair_compare);
+    double sum = 0;
+    for (int i = num - 1; i >= 0; i--) {
+        sum += sorted[i].weight_from;
+        sorted[i].weight_from = sum;
     }
     return sorted;
 }
