--- a/lib/handoff/wg_handoff.c
+++ b/lib/handoff/wg_handoff.c
@@ -88,7 +88,7 @@
     return h->short_of_descriptors ? 0 : h->share;
 }
 
-/* Whether the delay was measured across a stall. The measurement began at least the delay ago. */
+/* Whether the sample of the delay spans a stall. It began at least the delay ago. */
 static bool _wg_handoff_is_stalled(wg_handoff* h, wg_time now, const wg_handoff_load* load) {
     if (load->stalled) {
         h->stall_ended_at = now;
