--- a/lib/descriptors/wg_descriptors.h
+++ b/lib/descriptors/wg_descriptors.h
@@ -43,9 +43,7 @@
     /* Left to targets however few they use. Callers may then use 70%, as without this library. */
     WG_DESCRIPTORS_TARGETS_MIN_PERCENT = 25,
     /* Left to targets beyond those in use, so that their number can grow while callers are at their
-       limit. Without it, each descriptor that a refused caller frees goes to another caller: under
-       four times the load that fits (tests/test_descriptors.c), 320 of 440 possible streams are in
-       progress on average instead of 407. */
+       limit. Without it, each descriptor that a refused caller frees goes to another caller. */
     WG_DESCRIPTORS_TARGETS_MORE_PERCENT = 10,
 
     /* A shortage ends once use has been low for this time, microseconds: at most one pair of log
