Entry hosts: versions of targets' software in the registry, in log lines and metrics

The version of a heartbeat, dropped before, is kept in the registry and all its copies. WG5009, WG2009 and WG2010 name it. WG2011, which nothing wrote, is written for each attempt that continues a stream, with the version that made the first event. Two counters: streams that callers take up, and streams in which two versions met. No decision changes. test_registry: version_of_a_target_reaches_all_copies.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -73,7 +73,7 @@
     X(5018, TARGET_REFUSED, WARN, "report of a target about itself refused")                       \
     X(2009, REQUEST_ENDED, INFO, "routed request ended")                                           \
     X(2010, ATTEMPT_ENDED, INFO, "attempt of a routed request failed")                             \
-    X(2011, STREAM_CONTINUED, INFO, "interrupted stream continued at another target")              \
+    X(2011, STREAM_CONTINUED, INFO, "attempt continues a stream that an earlier one began")        \
     X(2012, CONNECTION_REFUSED, INFO, "request refused before routing")                            \
     X(2013, LOG_SHORTENED, WARN, "log lines dropped by the rate limit")                            \
     X(2014, COORDINATOR_SILENT, WARN, "coordinator is unresponsive, this host decides alone")      \
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -165,9 +165,9 @@
     if (wg_registry_change(c->registry) != before) {
         wg_log(WG_EVENT_TARGET_AGREED,
                "target=%s address=%s state=%d sequence=%" G_GUINT64_FORMAT
-               " cold_ms=%" G_GUINT64_FORMAT,
+               " cold_ms=%" G_GUINT64_FORMAT " target_version=%s",
                record.id, record.address, record.state, record.sequence,
-               in->cold_us / WG_USEC_PER_MSEC);
+               in->cold_us / WG_USEC_PER_MSEC, record.version);
         _wgco_entry_schedule_push(c);
     }
 }
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -104,6 +104,7 @@
                                                 .prompt_parts = "Walnutgate-Prompt-Parts",
                                                 .prompt_tokens = "Walnutgate-Prompt-Tokens",
                                                 .last_event = "Last-Event-ID",
+                                                .resumes = "Walnutgate-Resumes",
                                                 .workspace = "Walnutgate-Workspace",
                                                 .expected_target = "Walnutgate-Expect-Target",
                                                 .copy_from = "Walnutgate-Copy-From",
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -81,6 +81,7 @@
     const char* prompt_parts;      /* ID:TOKENS, comma-separated */
     const char* prompt_tokens;     /* PROMPT TOKENS,MAXIMUM ANSWER TOKENS */
     const char* last_event;        /* id of the last event received by the caller */
+    const char* resumes;           /* id of the caller's request that brought the first event */
     const char* workspace;         /* name of the workspace, set for targets */
     const char* expected_target;   /* id of the intended target */
     const char* copy_from;         /* ip:port of a target that has a part of the prompt cached */
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -316,6 +316,20 @@
     return wg_call_fits(call, &terms, &call->proposed, now);
 }
 
+/* Logs that the attempt continues a stream, inside this answer or of another request. */
+static void wg_call_log_continuation(const wg_call* call, const wg_target* target, wg_time now) {
+    bool inside = call->events > 0;
+    if ((!inside && !call->resumes[0]) || !wg_entry_may_log(call->entry, now)) {
+        return;
+    }
+    wg_log(WG_EVENT_STREAM_CONTINUED,
+           "id=%s resumes=%s inside=%d events=%" G_GINT64_FORMAT
+           " began_version=%s target=%u target_id=%s target_version=%s attempt=%d",
+           call->id, call->resumes[0] ? call->resumes : "-", inside, call->events,
+           call->version ? call->version : "?", target->number, target->id, target->version,
+           call->attempts);
+}
+
 static void wg_call_send(wg_call* call, const wg_target* target, wg_time now) {
     wg_entry* e = call->entry;
     wg_retry_rules rules = wg_call_retry_rules(e);
@@ -327,6 +341,8 @@
     }
     call->attempts++;
     call->sent_at = now;
+    wg_copy_name(call->sent_version, sizeof call->sent_version, target->version);
+    wg_call_log_continuation(call, target, now);
     if (call->selection.tried_num < WG_TRIED_MAX) {
         call->selection.tried[call->selection.tried_num++] = target->number;
     }
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -55,7 +55,8 @@
            " tokens=%u expected_ms=%" G_GINT64_FORMAT " late_ms=%" G_GINT64_FORMAT
            " limit_ms=%" G_GINT64_FORMAT " asks=%d admitted=%d used=%.0f level=%.0f owed=%.0f"
            " state_age_ms=%" G_GINT64_FORMAT " room=%s held_ms=%" G_GINT64_FORMAT
-           " paused_ms=%" G_GINT64_FORMAT " yield_ms=%" G_GINT64_FORMAT " owner=%s%s",
+           " paused_ms=%" G_GINT64_FORMAT " yield_ms=%" G_GINT64_FORMAT
+           " owner=%s target_version=%s%s",
            call->id, end->status, wg_verdict_name(end->verdict), end->reason, call->route->name,
            call->config->version, call->workspace ? call->workspace->name : "-",
            call->selection.tried_num ? call->selection.tried[call->selection.tried_num - 1] : 0,
@@ -70,7 +71,7 @@
            (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
            wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
            wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, call->yield_time / WG_USEC_PER_MSEC,
-           call->owner, weight);
+           call->owner, call->sent_version, weight);
 }
 
 static void wg_call_free(wg_call* call) {
@@ -270,6 +271,11 @@
     return has_deadline ? arrived_at + ms * WG_USEC_PER_MSEC : WG_TIME_NEVER;
 }
 
+static void wg_call_copy_field(const wg_call* call, const char* name, char* out, size_t size) {
+    wg_text value = wg_message_field(&call->head, name);
+    g_snprintf(out, size, "%.*s", (int)value.size, value.text ? value.text : "");
+}
+
 static void wg_call_read_times(wg_call* call) {
     wg_time now = wg_now();
     wg_time arrived_at = call->client->arrived_at;
@@ -407,6 +413,16 @@
     }
 }
 
+/* The first event binds the stream to the software version of its target. */
+static void wg_call_bind_version(wg_call* call) {
+    if (!call->version) {
+        wg_copy_name(call->version_text, sizeof call->version_text, call->sent_version);
+        call->version = call->version_text;
+    } else if (strcmp(call->version, call->sent_version) != 0) {
+        call->entry->counters.versions_joined++;
+    }
+}
+
 /* Relays complete events. False if the stream is malformed. */
 static bool wg_call_relay_events(wg_call* call, wg_upstream* up) {
     struct evbuffer* data = call->entry->relayed_events;
@@ -418,6 +434,7 @@
     if (evbuffer_get_length(data) > 0) {
         struct evbuffer* out = call->entry->relayed_bytes;
         wg_call_record_first_byte(call);
+        wg_call_bind_version(call);
         if (!call->head_sent) {
             wg_call_write_head(call, up, -1, out);
         }
@@ -558,9 +575,10 @@
     wg_call_release_target(call, result);
     wg_log(WG_EVENT_ATTEMPT_ENDED,
            "id=%s target=%u reason=%s written=%d began=%d events=%" G_GINT64_FORMAT
-           " after_ms=%" G_GINT64_FORMAT " fingerprint=%016" G_GINT64_MODIFIER "x",
+           " after_ms=%" G_GINT64_FORMAT " fingerprint=%016" G_GINT64_MODIFIER
+           "x target_version=%s",
            call->id, target, reason, written, began, call->events,
-           (wg_now() - call->sent_at) / WG_USEC_PER_MSEC, call->fingerprint);
+           (wg_now() - call->sent_at) / WG_USEC_PER_MSEC, call->fingerprint, call->sent_version);
     bool can_resume = !call->head_sent || (call->chunked && call->route->resumable &&
                                            call->last_event[0] && call->events > 0);
     if (can_resume && wg_call_schedule_retry(call, !written)) {
@@ -664,8 +682,9 @@
     call->head = *head;
     call->body = body;
     call->head_only = wg_text_equals_nocase(head->method, "HEAD");
-    wg_text id = wg_message_field(head, e->names->request_id);
-    g_snprintf(call->id, sizeof call->id, "%.*s", (int)id.size, id.text ? id.text : "");
+    wg_call_copy_field(call, e->names->request_id, call->id, sizeof call->id);
+    wg_call_copy_field(call, e->names->resumes, call->resumes, sizeof call->resumes);
+    e->counters.streams_taken_up += call->resumes[0] != 0;
     g_strlcpy(client->last_id, call->id, sizeof client->last_id);
     g_strlcpy(call->owner, wg_entry_handoff_owner(client), sizeof call->owner);
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -133,6 +133,8 @@
                     {"tries", c->tries},
                     {"retries", c->retries},
                     {"resumes", c->resumes},
+                    {"streams_taken_up", c->streams_taken_up},
+                    {"versions_joined", c->versions_joined},
                     {"connects", c->connects},
                     {"target_bytes_out", c->target_bytes_out},
                     {"target_bytes_in", c->target_bytes_in},
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -115,9 +115,10 @@
     wg_message_head head;
     struct evbuffer* body;
     char id[WG_NAME_MAX];
-    char owner[WG_NAME_MAX]; /* host that the caller is connected to; "-": this host */
-    uint64_t fingerprint;    /* equal for identical requests on all hosts */
-    bool head_only;          /* method is HEAD */
+    char resumes[WG_NAME_MAX]; /* id of the request whose stream the caller takes up; "": none */
+    char owner[WG_NAME_MAX];   /* host that the caller is connected to; "-": this host */
+    uint64_t fingerprint;      /* equal for identical requests on all hosts */
+    bool head_only;            /* method is HEAD */
     wg_time started;
     wg_time expires_at; /* the call ends at this time at the latest */
     wg_time deadline;   /* deadline set by the caller, or WG_TIME_NEVER */
@@ -164,6 +165,11 @@
     wg_time paused_time;              /* time for which reading the answer was paused, until now */
     char last_event[WG_EVENT_ID_MAX]; /* id of the last event relayed; "": none */
     int64_t events;
+    char sent_version[WG_NAME_MAX]; /* software version of the last attempt's target */
+    /* Software version that the stream began at; NULL: no event has reached the caller, or not
+       known. Points to `version_text`. */
+    const char* version;
+    char version_text[WG_NAME_MAX];
     struct event* timer;
     GList queue_link;
 };
@@ -250,6 +256,8 @@
     uint64_t tries; /* target selections, also those without a result */
     uint64_t retries;
     uint64_t resumes;
+    uint64_t streams_taken_up; /* requests whose caller takes up a stream */
+    uint64_t versions_joined;  /* streams continued at another software version */
     uint64_t connects;
     uint64_t target_bytes_out;        /* bytes sent to targets */
     uint64_t target_bytes_in;         /* bytes received from targets */
--- a/lib/entry/wg_target_read.c
+++ b/lib/entry/wg_target_read.c
@@ -86,7 +86,6 @@
 
 bool wg_target_read(const json_t* json, const char* id, wg_time now, wg_target* target,
                     GError** error) {
-    char version[WG_NAME_MAX];
     uint64_t slots = 0;
     *target = (wg_target){0};
     bool good = _wg_read_id(id, target, error) &&
@@ -94,7 +93,7 @@
                 _wg_read_address(json, target, error) &&
                 _wg_read_text(json, "data_centre", 0, target->data_centre,
                               sizeof target->data_centre, error) &&
-                _wg_read_text(json, "version", 0, version, sizeof version, error) &&
+                _wg_read_text(json, "version", 0, target->version, sizeof target->version, error) &&
                 _wg_read_integer(json, "slots", WG_TARGET_SLOTS_MAX, &slots, error) &&
                 _wg_read_integer(json, "sequence", G_MAXINT64, &target->sequence, error) &&
                 _wg_read_state(json, &target->state, error) &&
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -152,7 +152,8 @@
 
 static bool wg_target_is_unchanged(const wg_target* a, const wg_target* b) {
     return a->state == b->state && a->slots == b->slots && strcmp(a->service, b->service) == 0 &&
-           strcmp(a->address, b->address) == 0 && strcmp(a->data_centre, b->data_centre) == 0;
+           strcmp(a->address, b->address) == 0 && strcmp(a->data_centre, b->data_centre) == 0 &&
+           strcmp(a->version, b->version) == 0;
 }
 
 /* ---- public functions ---------------------------------------------------------------------- */
@@ -272,6 +273,7 @@
     wg_copy_name(target->service, sizeof target->service, record->service);
     wg_copy_name(target->address, sizeof target->address, record->address);
     wg_copy_name(target->data_centre, sizeof target->data_centre, record->data_centre);
+    wg_copy_name(target->version, sizeof target->version, record->version);
     target->slots = record->slots;
     target->cold_until = MAX(target->cold_until, record->cold_until);
     target->state = state;
@@ -454,6 +456,7 @@
     out->service = (char*)target->service;
     out->address = (char*)target->address;
     out->data_centre = (char*)target->data_centre;
+    out->version = (char*)target->version;
     out->born = target->born;
     out->slots = target->slots;
     out->state = target->state;
@@ -478,7 +481,8 @@
            wg_copy_name(target->id, sizeof target->id, in->id) &&
            wg_copy_name(target->service, sizeof target->service, in->service) &&
            wg_copy_name(target->address, sizeof target->address, in->address) &&
-           wg_copy_name(target->data_centre, sizeof target->data_centre, in->data_centre);
+           wg_copy_name(target->data_centre, sizeof target->data_centre, in->data_centre) &&
+           wg_copy_name(target->version, sizeof target->version, in->version);
 }
 
 Wgpb__RegistryState* wg_registry_dump(const wg_registry* r, wg_time now) {
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -62,6 +62,7 @@
     char service[WG_NAME_MAX];
     char address[WG_ADDRESS_MAX];
     char data_centre[WG_NAME_MAX];
+    char version[WG_NAME_MAX]; /* of the target's software; "": not reported */
     uint32_t slots;
     wg_target_state state;
     uint64_t sequence;
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -4011,7 +4011,7 @@
   (ProtobufCMessageInit) wgpb__configuration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[12] =
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[13] =
 {
   {
     "id",
@@ -4157,6 +4157,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__target_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4171,11 +4183,12 @@
   1,   /* field[1] = service */
   4,   /* field[4] = slots */
   5,   /* field[5] = state */
+  12,   /* field[12] = version */
 };
 static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 12 }
+  { 0, 13 }
 };
 const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
 {
@@ -4185,7 +4198,7 @@
   "Wgpb__TargetRecord",
   "wgpb",
   sizeof(Wgpb__TargetRecord),
-  12,
+  13,
   wgpb__target_record__field_descriptors,
   wgpb__target_record__field_indices_by_name,
   1,  wgpb__target_record__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -450,10 +450,14 @@
    * start time that the target reported, milliseconds; 0: not reported
    */
   uint64_t born;
+  /*
+   * of the target's software
+   */
+  char *version;
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
 
 
 /*
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -44,6 +44,27 @@
 }
 END_TEST
 
+/* Guards against hosts that cannot tell software versions apart: a copy, also from a snapshot, has
+   the version of each target, and a changed one is a change. */
+START_TEST(version_of_a_target_reaches_all_copies) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    wg_registry* copy = wg_registry_setup(&(wg_registry_desc){0});
+    wg_target t = record("a", WG_TARGET_READY, 1, "10.0.0.1:1");
+    wg_copy_name(t.version, sizeof t.version, "v1");
+    wg_registry_apply(r, 0, &t);
+    t.sequence = 2;
+    wg_copy_name(t.version, sizeof t.version, "v2");
+    ck_assert_int_eq(wg_registry_receive(r, 1, &t), WG_HEARTBEAT_CHANGED);
+    wg_registry_apply(r, 1, &t);
+    Wgpb__RegistryState* state = wg_registry_dump(r, 1);
+    ck_assert(wg_registry_load(copy, 1, state));
+    ck_assert_str_eq(wg_registry_next(copy, 0)->version, "v2");
+    wgpb__registry_state__free_unpacked(state, NULL);
+    wg_registry_shutdown(copy);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 /* A heartbeat sent before the target began to drain and received later must not revive it. */
 START_TEST(late_heartbeat_does_not_revive_a_target) {
     wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
@@ -417,8 +438,9 @@
 END_TEST
 
 WG_TEST_MAIN("registry", copy_takes_records_in_any_order, unchanged_heartbeats_change_nothing,
-             late_heartbeat_does_not_revive_a_target, uncommitted_change_is_proposed_again,
-             deregistration_without_a_record_is_kept, new_incarnation_ends_the_one_at_its_address,
+             version_of_a_target_reaches_all_copies, late_heartbeat_does_not_revive_a_target,
+             uncommitted_change_is_proposed_again, deregistration_without_a_record_is_kept,
+             new_incarnation_ends_the_one_at_its_address,
              unresponsive_target_returns_by_a_newer_heartbeat_only,
              late_first_heartbeat_does_not_end_a_live_target,
              late_heartbeat_does_not_replace_the_replacement, transition_to_cold_is_a_change,
