--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -190,6 +190,12 @@
     g_free(list);
 }
 
+static void add_arguments(GPtrArray* arguments, char** more, size_t num) {
+    for (size_t i = 0; i < num; i++) {
+        g_ptr_array_add(arguments, more[i]);
+    }
+}
+
 void hosts_start_target(hosts* h, host_target* t) {
     char address[64];
     char id[48];
@@ -213,22 +219,27 @@
                h->loopback_part_number, h->direct_targets ? 6 : 5, t->number);
     char place[48];
     g_snprintf(place, sizeof place, "data_centre=%s", t->data_centre);
-    char* arguments[] = {address,
-                         place,
-                         t->incarnation > 1 ? (char*)"cold_ms=2000" : (char*)"cold_ms=0",
-                         advertised,
-                         id,
-                         service,
-                         runs,
-                         list->str,
-                         (char*)"slots=16",
-                         (char*)"work_us=3000",
-                         (char*)"pace_us=4000",
-                         h->target_faults ? (char*)"cut=2" : NULL,
-                         (char*)"fail=10",
-                         (char*)"refuse=6",
-                         NULL};
-    t->pid = start_program(h, "fake_target", log, arguments);
+    char version[48];
+    g_snprintf(version, sizeof version, "version=%s", t->version ? t->version : "");
+    GPtrArray* arguments = g_ptr_array_new();
+    char* always[] = {address,
+                      place,
+                      t->incarnation > 1 ? (char*)"cold_ms=2000" : (char*)"cold_ms=0",
+                      advertised,
+                      id,
+                      service,
+                      runs,
+                      list->str,
+                      (char*)"slots=16",
+                      (char*)"work_us=3000",
+                      (char*)"pace_us=4000"};
+    char* faults[] = {(char*)"cut=2", (char*)"fail=10", (char*)"refuse=6"};
+    add_arguments(arguments, always, G_N_ELEMENTS(always));
+    add_arguments(arguments, faults, h->target_faults ? G_N_ELEMENTS(faults) : 0);
+    add_arguments(arguments, (char*[]){version}, t->version ? 1 : 0);
+    g_ptr_array_add(arguments, NULL);
+    t->pid = start_program(h, "fake_target", log, (char**)arguments->pdata);
+    g_ptr_array_unref(arguments);
     g_string_free(list, TRUE);
 }
 
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -39,7 +39,8 @@
     proxy* links;
     const char* service;
     const char* data_centre;
-    bool reuses_id; /* restarts under the same id */
+    const char* version; /* of its software; NULL: not given */
+    bool reuses_id;      /* restarts under the same id */
 } host_target;
 
 /* Events recorded by the targets; times are those of arrival, on the monotonic clock. */
--- a/tests/sim/hosts_operator.c
+++ b/tests/sim/hosts_operator.c
@@ -26,7 +26,11 @@
     return g_strdup_printf("{\"version\":%d,\"services\":[{\"name\":\"app\"}],\"routes\":[{"
                            "\"name\":\"r\",\"host\":\"h\",\"path_prefix\":\"/\",\"kind\":\"safe\","
                            "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":2,"
-                           "\"service\":\"app\"}],\"limits\":{},\"workspaces\":[]}",
+                           "\"service\":\"app\"},{\"name\":\"s\",\"host\":\"h\","
+                           "\"path_prefix\":\"/stream/\",\"kind\":\"stream\","
+                           "\"timeout_ms\":5000,\"objective_ms\":500,\"attempts\":3,"
+                           "\"resumable\":true,\"service\":\"app\"}],\"limits\":{},"
+                           "\"workspaces\":[]}",
                            version);
 }
 
