Entry hosts: a stream goes on inside its answer only at the version that began it

Cause: the selection for the next attempt took any target of the service; the registry knew no versions. Change: the first event that reaches the caller binds the request to the version of its target. Later selections, as home or sampled, the check before the request is written, and the backoff of all targets look at targets of this version only. Without one the request ends at once (version_gone), with a Retry-After only if a target of the version may come back. A target may state its version in answers (Target-Version); its word goes before the registry, which learns of a restart later. An attempt without an event binds nothing, so a retry before it is as free as before.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -300,6 +300,7 @@
     t->replaced = t->replaced && t->change == record->change;
     t->change = record->change;
     t->slots = record->slots;
+    wg_copy_name(t->version, sizeof t->version, record->version);
 }
 
 void wg_balance_sync(wg_balance* b, const wg_registry* registry) {
@@ -469,6 +470,23 @@
     return best.choice;
 }
 
+wg_version_presence wg_balance_version_presence(const wg_balance* b, const char* name,
+                                                const char* version) {
+    const wg_balance_service* service = g_hash_table_lookup(b->services, name);
+    wg_version_presence presence = WG_VERSION_GONE;
+    for (guint i = 0; service && i < service->targets->len; i++) {
+        const wg_balance_target* t = service->targets->pdata[i];
+        if (strcmp(t->version, version) != 0 || t->draining) {
+            continue;
+        }
+        if (t->ready && !t->replaced) {
+            return WG_VERSION_SERVES;
+        }
+        presence = WG_VERSION_AWAY;
+    }
+    return presence;
+}
+
 static bool wg_balance_is_idle(const wg_balance_target* t) {
     return wg_balance_running(t) == 0 && t->own_unread + t->other_unread == 0;
 }
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -28,6 +28,8 @@
           that grow with each failure
         - a target that asked this host to back off, or that is draining, is no home and is not
           sampled, however little load it has
+        - a stream that an earlier request began is restricted to targets with the software version
+          that began it, wherever these are homes or sampled
         - a request without a prompt may queue at a busy target if it would still be answered within
           its limit
         - each request is accounted for by three calls: begin, first event, end
@@ -80,6 +82,7 @@
        that is not 0. */
     wg_time wait_max;
     uint32_t bytes;               /* estimated size of the request and its answer; 0: not known */
+    const char* version;          /* only targets with this software version; NULL: any */
     uint32_t tried[WG_TRIED_MAX]; /* targets that the request was sent to before; not eligible */
     int tried_num;
     /* targets excluded from this selection, mostly by a denial of their coordinator; they still
@@ -90,6 +93,13 @@
     uint32_t source_tokens; /* length of the start of the prompt that `source` holds */
 } wg_balance_request;
 
+/* Whether targets of a software version serve. */
+typedef enum {
+    WG_VERSION_GONE = 0, /* no target is left, or only draining ones */
+    WG_VERSION_AWAY,     /* its targets accept no requests now, but may again */
+    WG_VERSION_SERVES
+} wg_version_presence;
+
 /* The target selected for a request, with the estimates that led to it. */
 typedef struct {
     uint32_t target;    /* number in the registry; 0: no target can take the request */
@@ -169,6 +179,8 @@
 wg_speed_values wg_balance_speed_of(const wg_balance* balance, uint32_t target);
 wg_balance_choice wg_balance_choose(wg_balance* balance, wg_time now,
                                     const wg_balance_request* request);
+wg_version_presence wg_balance_version_presence(const wg_balance* balance, const char* service,
+                                                const char* version);
 /* Returns the expected time, microseconds, in which the target processes `tokens` prompt tokens; 0
    if the target is not known. */
 wg_time wg_balance_read_time(const wg_balance* balance, uint32_t target, uint32_t tokens);
--- a/lib/balance/wg_balance_homes.c
+++ b/lib/balance/wg_balance_homes.c
@@ -3,6 +3,8 @@
    checked for each request. */
 #include "wg_balance_internal.h"
 
+#include <string.h>
+
 enum {
     WG_RANKINGS_MAX = 8192 /* per service; the cache is emptied when full */
 };
@@ -25,7 +27,8 @@
 }
 
 bool wg_balance_is_eligible(const wg_balance_target* t, const wg_balance_request* request) {
-    return t->ready && !t->replaced && !wg_balance_is_tried(request, t->number);
+    bool suits = !request->version || strcmp(t->version, request->version) == 0;
+    return suits && t->ready && !t->replaced && !wg_balance_is_tried(request, t->number);
 }
 
 /* Checks the backoff too: a target that refuses everything has nothing in progress, would look idle
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -13,6 +13,7 @@
     const wg_backoff* backoff; /* borrowed from wg_balance_desc; may be NULL */
     uint64_t key;              /* key of this incarnation in `backoff` */
     char service[WG_NAME_MAX];
+    char version[WG_NAME_MAX]; /* of its software */
     bool ready;
     bool draining;
     bool replaced;   /* another incarnation answers at this target's address */
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -110,6 +110,7 @@
                                                 .copy_from = "Walnutgate-Copy-From",
                                                 .not_run = "Target-Not-Run",
                                                 .draining = "Target-Leaving",
+                                                .target_version = "Target-Version",
                                                 .cache_list = "/v1/cache",
                                                 .query_data_centre = "data_centre"};
 
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -341,7 +341,6 @@
     }
     call->attempts++;
     call->sent_at = now;
-    wg_copy_name(call->sent_version, sizeof call->sent_version, target->version);
     wg_call_log_continuation(call, target, now);
     if (call->selection.tried_num < WG_TRIED_MAX) {
         call->selection.tried[call->selection.tried_num++] = target->number;
@@ -371,7 +370,7 @@
 static void wg_call_dispatch(wg_call* call, wg_time now) {
     wg_entry* e = call->entry;
     const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
-    if (!wg_entry_may_send(e, target, now)) {
+    if (!wg_call_may_send(call, target, now)) {
         wg_entry_admit_end(call, false);
         wg_call_exclude_proposed(call);
         wg_policy_terms terms = wg_call_terms(call);
@@ -522,10 +521,28 @@
     }
 }
 
+/* Refuses a stream that goes on if no target of the version that began it serves. Returns whether
+   it did. */
+static bool wg_call_refuse_without_version(wg_call* call) {
+    if (!call->version) {
+        return false;
+    }
+    wg_entry* e = call->entry;
+    wg_version_presence presence =
+        wg_balance_version_presence(e->balance, call->selection.service, call->version);
+    if (presence == WG_VERSION_SERVES) {
+        return false;
+    }
+    e->counters.versions_gone++;
+    wg_call_refuse(call, call->may_have_run ? 502 : 503, "version_gone",
+                   presence == WG_VERSION_AWAY ? wg_call_retry_after(call) : 0);
+    return true;
+}
+
 void wg_call_try(wg_call* call) {
     wg_time now = wg_now();
     call->retry_at = 0;
-    if (call->admit_ticket) {
+    if (call->admit_ticket || wg_call_refuse_without_version(call)) {
         return;
     }
     if (wg_entry_is_quarantined(call->entry, call->fingerprint)) {
--- a/lib/entry/wg_entry_backoff.c
+++ b/lib/entry/wg_entry_backoff.c
@@ -1,6 +1,8 @@
 /* wg_entry_backoff.c -- applies backoff hints of targets' answers */
 #include "wg_entry_internal.h"
 
+#include <string.h>
+
 wg_time wg_entry_record_answer(wg_entry* e, uint32_t number, const wg_backoff_hint* hint,
                                const char* id) {
     enum {
@@ -35,6 +37,11 @@
            wg_backoff_ends_at(e->backoff, now, wg_target_key(target)) == 0;
 }
 
+bool wg_call_may_send(const wg_call* call, const wg_target* target, wg_time now) {
+    return wg_entry_may_send(call->entry, target, now) &&
+           (!call->version || strcmp(call->version, target->version) == 0);
+}
+
 bool wg_entry_may_keep(const wg_entry* e, const wg_target* target) {
     return target && wg_registry_accepts(e->registry, target) &&
            !wg_backoff_is_draining(e->backoff, wg_target_key(target));
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -413,11 +413,16 @@
     }
 }
 
+static void wg_call_set_version(wg_call* call, const char* version) {
+    wg_copy_name(call->version_text, sizeof call->version_text, version);
+    call->version = call->version_text;
+    call->selection.version = call->version;
+}
+
 /* The first event binds the stream to the software version of its target. */
 static void wg_call_bind_version(wg_call* call) {
     if (!call->version) {
-        wg_copy_name(call->version_text, sizeof call->version_text, call->sent_version);
-        call->version = call->version_text;
+        wg_call_set_version(call, call->sent_version);
     } else if (strcmp(call->version, call->sent_version) != 0) {
         call->entry->counters.versions_joined++;
     }
@@ -449,12 +454,28 @@
            !call->head_only;
 }
 
+/* The target's own word goes before the registry, which may not yet know that it restarted with
+   another version. */
+static void wg_call_read_version(wg_call* call, const wg_upstream* up) {
+    const char* name = call->entry->names->target_version;
+    wg_text version = name ? wg_message_field(&up->head, name) : (wg_text){0};
+    if (version.text) {
+        g_snprintf(call->sent_version, sizeof call->sent_version, "%.*s", (int)version.size,
+                   version.text);
+    }
+}
+
 bool wg_call_answer_head(wg_call* call, wg_upstream* up) {
     if (wg_call_was_not_run(call, up)) {
         wg_call_handle_refusal(call, up);
         return false;
     }
     call->may_have_run = true;
+    wg_call_read_version(call, up);
+    if (call->version && strcmp(call->version, call->sent_version) != 0) {
+        wg_call_attempt_withdrawn(call, up, "other-version");
+        return false;
+    }
     if (call->head_sent && !wg_call_is_stream(call, up)) {
         /* A resumed event stream can only be continued with events. */
         wg_call_attempt_failed(call, up, "resume-failed");
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -135,6 +135,7 @@
                     {"resumes", c->resumes},
                     {"streams_taken_up", c->streams_taken_up},
                     {"versions_joined", c->versions_joined},
+                    {"versions_gone", c->versions_gone},
                     {"connects", c->connects},
                     {"target_bytes_out", c->target_bytes_out},
                     {"target_bytes_in", c->target_bytes_in},
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -257,7 +257,8 @@
     uint64_t retries;
     uint64_t resumes;
     uint64_t streams_taken_up; /* requests whose caller takes up a stream */
-    uint64_t versions_joined;  /* streams continued at another software version */
+    uint64_t versions_joined;  /* streams continued at another software version; always 0 */
+    uint64_t versions_gone;    /* streams refused as no target of their version serves */
     uint64_t connects;
     uint64_t target_bytes_out;        /* bytes sent to targets */
     uint64_t target_bytes_in;         /* bytes received from targets */
@@ -639,6 +640,8 @@
 /* Whether the target accepts requests now. Checked before every request to a target: first
    attempts, retries, resumed streams, and cache queries. */
 bool wg_entry_may_send(const wg_entry* e, const wg_target* target, wg_time now);
+/* The same for this request: a stream may go on only at the version that began it. */
+bool wg_call_may_send(const wg_call* call, const wg_target* target, wg_time now);
 /* Whether idle connections to the target may be kept. */
 bool wg_entry_may_keep(const wg_entry* e, const wg_target* target);
 
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -178,6 +178,7 @@
 
 static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
     wg_entry* e = up->entry;
+    wg_copy_name(call->sent_version, sizeof call->sent_version, target->version);
     const wg_target* source =
         call->choice.source ? wg_registry_find(e->registry, call->choice.source) : NULL;
     wg_time left = MIN(call->expires_at, call->deadline) - wg_now();
@@ -324,7 +325,7 @@
             wg_upstream_close(up);
             return;
         }
-        if (!wg_entry_may_send(up->entry, target, wg_now())) {
+        if (!wg_call_may_send(up->call, target, wg_now())) {
             wg_call_attempt_withdrawn(up->call, up, "target-takes-no-more");
             return;
         }
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -301,6 +301,9 @@
     }
     struct evkeyvalq* out = evhttp_request_get_output_headers(request);
     evhttp_add_header(out, "Walnutgate-Request", id);
+    if (version) {
+        evhttp_add_header(out, "Target-Version", version);
+    }
     if (expected[0] && strcmp(expected, target_id) != 0) {
         sender_refuse(request, 421);
         return;
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -22,6 +22,17 @@
     wg_balance_sync(balance, registry);
 }
 
+/* The target reports a software version, and the balance takes it over. */
+static void set_version(int number, wg_target_state state, const char* version) {
+    static uint64_t sequence = 1;
+    wg_target t = *wg_registry_find(registry, (uint32_t)number);
+    t.state = state;
+    t.sequence = ++sequence;
+    wg_copy_name(t.version, sizeof t.version, version);
+    wg_registry_apply(registry, 0, &t);
+    wg_balance_sync_target(balance, registry, (uint32_t)number);
+}
+
 static void end(void) {
     wg_balance_shutdown(balance);
     wg_registry_shutdown(registry);
@@ -787,13 +798,69 @@
 }
 END_TEST
 
-WG_TEST_MAIN("balance", half_of_the_ready_targets_leaves_room, room_is_half_of_the_targets_idle,
-             hosts_agree_on_the_homes_of_a_prefix, loaded_home_spills_over_to_the_second,
-             missing_parts_are_copied_from_a_home, second_home_copies_missing_parts,
-             new_home_copies_from_the_previous, denied_home_is_a_copy_source,
-             newer_load_replaces_the_reported_one, load_of_other_hosts_decays,
-             hosts_do_not_all_choose_the_least_loaded, removed_target_moves_only_its_own_prefixes,
-             draining_targets_get_nothing, small_prefix_has_a_home_in_each_data_centre,
+/* Guards against a stream that goes on at another version, and against one that finds none of the
+   few targets that a release has left of its version, as home or sampled. */
+START_TEST(stream_is_sent_only_to_targets_of_its_version) {
+    enum {
+        TARGETS = 300,
+        OLD = 17 /* the only target of the old version */
+    };
+    begin(TARGETS);
+    wg_balance_set_hosts(balance, 300);
+    for (int i = 1; i <= TARGETS; i++) {
+        set_version(i, WG_TARGET_READY, i == OLD ? "v1" : "v2");
+    }
+    for (uint64_t part = 1000; part < 1100; part++) {
+        wg_prompt p = prompt(part, part + 5000);
+        wg_balance_request need = {.service = "m", .prompt = &p, .slots = 64, .version = "v1"};
+        ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).target, OLD);
+        need.prompt = NULL;
+        ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).target, OLD);
+        need.version = "v2";
+        ck_assert_uint_ne(wg_balance_choose(balance, 0, &need).target, OLD);
+    }
+    wg_balance_request need = {.service = "m", .slots = 64, .version = "v1", .tried = {OLD}};
+    need.tried_num = 1;
+    ck_assert_uint_eq(wg_balance_choose(balance, 0, &need).target, 0);
+    end();
+}
+END_TEST
+
+/* Guards against a caller that is told to come back for a version that never serves again, and
+   against one that is sent away for good while its targets are only silent. */
+START_TEST(version_is_gone_once_its_targets_drain) {
+    begin(3);
+    set_version(1, WG_TARGET_READY, "v1");
+    set_version(2, WG_TARGET_READY, "v2");
+    set_version(3, WG_TARGET_READY, "v2");
+    ck_assert_int_eq(wg_balance_version_presence(balance, "m", "v1"), WG_VERSION_SERVES);
+    ck_assert_int_eq(wg_balance_version_presence(balance, "m", "v3"), WG_VERSION_GONE);
+    ck_assert_int_eq(wg_balance_version_presence(balance, "n", "v1"), WG_VERSION_GONE);
+    set_version(1, WG_TARGET_DRAINING, "v1");
+    ck_assert_int_eq(wg_balance_version_presence(balance, "m", "v1"), WG_VERSION_GONE);
+    wg_target silent = *wg_registry_find(registry, 2);
+    silent.state = WG_TARGET_UNRESPONSIVE;
+    wg_registry_apply(registry, 0, &silent);
+    wg_balance_sync_target(balance, registry, 2);
+    ck_assert_int_eq(wg_balance_version_presence(balance, "m", "v2"), WG_VERSION_SERVES);
+    silent = *wg_registry_find(registry, 3);
+    silent.state = WG_TARGET_UNRESPONSIVE;
+    wg_registry_apply(registry, 0, &silent);
+    wg_balance_sync_target(balance, registry, 3);
+    ck_assert_int_eq(wg_balance_version_presence(balance, "m", "v2"), WG_VERSION_AWAY);
+    end();
+}
+END_TEST
+
+WG_TEST_MAIN("balance", stream_is_sent_only_to_targets_of_its_version,
+             version_is_gone_once_its_targets_drain, half_of_the_ready_targets_leaves_room,
+             room_is_half_of_the_targets_idle, hosts_agree_on_the_homes_of_a_prefix,
+             loaded_home_spills_over_to_the_second, missing_parts_are_copied_from_a_home,
+             second_home_copies_missing_parts, new_home_copies_from_the_previous,
+             denied_home_is_a_copy_source, newer_load_replaces_the_reported_one,
+             load_of_other_hosts_decays, hosts_do_not_all_choose_the_least_loaded,
+             removed_target_moves_only_its_own_prefixes, draining_targets_get_nothing,
+             small_prefix_has_a_home_in_each_data_centre,
              third_homes_without_their_prefixes_are_given_up,
              plain_request_queues_at_a_target_that_answers_in_time,
              service_time_excludes_queue_time, targets_of_an_evacuated_data_centre_get_nothing,
