--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -98,4 +98,5 @@
     X(2033, REQUEST_HANDED_OFF, INFO, "handed-off request ended")                                  \
     X(2034, DESCRIPTORS_SHORT, WARN, "few descriptors are left, idle connections are closed")      \
     X(2035, DESCRIPTORS_FREED, INFO, "enough descriptors are free again")                          \
+    X(2036, STREAM_TAKEN_UP, INFO, "caller takes up a stream that an earlier request began")       \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router expired")
--- a/lib/config/wg_config.c
+++ b/lib/config/wg_config.c
@@ -229,6 +229,9 @@
         if (!wg_parse_route(c, json_array_get(list, i), route, error)) {
             return false;
         }
+        if (route->kind == WG_ROUTE_KIND_STREAM) {
+            c->stream_timeout_max = MAX(c->stream_timeout_max, route->timeout);
+        }
     }
     return wg_index_routes(c, error);
 }
--- a/lib/config/wg_config.h
+++ b/lib/config/wg_config.h
@@ -95,6 +95,7 @@
     uint64_t version;
     wg_route* routes;
     int routes_num;
+    wg_time stream_timeout_max; /* longest timeout of a route for streams; 0: there is none */
     wg_service* services;
     int services_num;
     wg_workspace* workspaces;
--- a/lib/control/wg_control_state.c
+++ b/lib/control/wg_control_state.c
@@ -32,7 +32,7 @@
     if (e->registry_change == s->message.registry_change) {
         return;
     }
-    s->targets = wg_registry_changes(c->registry, e->registry_change, &reset);
+    s->targets = wg_registry_changes(c->registry, now, e->registry_change, &reset);
     s->message.registry_reset = reset;
     s->records = g_new(Wgpb__TargetRecord, s->targets->len + 1);
     s->message.targets = g_new(Wgpb__TargetRecord*, s->targets->len + 1);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -230,6 +230,7 @@
     wg_entry_decay_usage(e, now);
     wg_entry_admit_tick(e, now);
     wg_entry_hold_tick(e, now);
+    wg_entry_origins_tick(e, now);
     wg_entry_cache_tick(e, now);
     wg_entry_check_unresolved(e, now);
     wg_entry_quarantine_tick(e, now);
@@ -286,6 +287,7 @@
     e->admit = wg_admit_setup(&(wg_admit_desc){.learn_base = e->settings->learn_base});
     wg_entry_hold_setup(e);
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
+    wg_entry_origins_setup(e);
     wg_entry_buffers_setup(e);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
@@ -353,6 +355,7 @@
     wg_entry_descriptors_shutdown(e);
     wg_entry_handoff_shutdown(e);
     wg_entry_hold_shutdown(e);
+    wg_entry_origins_shutdown(e);
     wg_buffers_shutdown(e->buffers);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -542,7 +542,7 @@
 void wg_call_try(wg_call* call) {
     wg_time now = wg_now();
     call->retry_at = 0;
-    if (call->admit_ticket || wg_call_refuse_without_version(call)) {
+    if (call->admit_ticket || call->origin_ticket || wg_call_refuse_without_version(call)) {
         return;
     }
     if (wg_entry_is_quarantined(call->entry, call->fingerprint)) {
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -78,6 +78,7 @@
     wg_entry* e = call->entry;
     wg_call_unqueue(call);
     wg_entry_admit_cancel(call);
+    wg_entry_origin_cancel(call);
     wg_call_release_target(call, WG_RESULT_CALLER_DISCONNECTED);
     if (call->upstream) {
         wg_upstream_close(call->upstream);
@@ -276,6 +277,22 @@
     g_snprintf(out, size, "%.*s", (int)value.size, value.text ? value.text : "");
 }
 
+/* Whether the caller takes up a stream that another request began. */
+static bool wg_call_takes_up(const wg_call* call) {
+    bool stream = call->route->kind == WG_ROUTE_KIND_STREAM;
+    wg_text last = wg_message_field(&call->head, call->entry->names->last_event);
+    return stream && (call->resumes[0] || last.size > 0);
+}
+
+/* Id under which callers may take the stream up: that of the request that brought its first
+   event. */
+static void wg_call_read_stream(wg_call* call, bool takes_up) {
+    const char* id = takes_up ? call->resumes : call->id;
+    if (call->route->resumable && id[0]) {
+        call->stream = wg_origin_stream(id, call->workspace ? call->workspace->hash : 0);
+    }
+}
+
 static void wg_call_read_times(wg_call* call) {
     wg_time now = wg_now();
     wg_time arrived_at = call->client->arrived_at;
@@ -291,6 +308,9 @@
     if (call->admit_ticket) {
         at = MIN(at, call->admit_expires_at);
     }
+    if (call->origin_ticket) {
+        at = MIN(at, call->origin_lookup.expires_at);
+    }
     if (call->queued) {
         at = MIN(at, call->queued_until);
     }
@@ -317,6 +337,8 @@
         }
     } else if (call->admit_ticket && now >= call->admit_expires_at) {
         wg_entry_admit_unanswered(call, now);
+    } else if (call->origin_ticket && now >= call->origin_lookup.expires_at) {
+        wg_entry_origin_expired(call);
     } else if (call->retry_at && now >= call->retry_at) {
         wg_call_try(call);
     } else if (call->queued && !call->admit_ticket && now >= call->queued_until) {
@@ -413,7 +435,7 @@
     }
 }
 
-static void wg_call_set_version(wg_call* call, const char* version) {
+void wg_call_set_version(wg_call* call, const char* version) {
     wg_copy_name(call->version_text, sizeof call->version_text, version);
     call->version = call->version_text;
     call->selection.version = call->version;
@@ -441,6 +463,7 @@
         wg_call_record_first_byte(call);
         wg_call_bind_version(call);
         if (!call->head_sent) {
+            wg_entry_origin_record(call);
             wg_call_write_head(call, up, -1, out);
         }
         wg_call_add_chunk(out, data);
@@ -705,7 +728,6 @@
     call->head_only = wg_text_equals_nocase(head->method, "HEAD");
     wg_call_copy_field(call, e->names->request_id, call->id, sizeof call->id);
     wg_call_copy_field(call, e->names->resumes, call->resumes, sizeof call->resumes);
-    e->counters.streams_taken_up += call->resumes[0] != 0;
     g_strlcpy(client->last_id, call->id, sizeof client->last_id);
     g_strlcpy(call->owner, wg_entry_handoff_owner(client), sizeof call->owner);
     call->service = wg_route_pick(route, wg_jitter(e->seed, ++e->counter));
@@ -737,7 +759,14 @@
         return;
     }
     wg_call_set_timer(call, wg_now());
-    wg_call_try(call);
+    bool takes_up = wg_call_takes_up(call);
+    wg_call_read_stream(call, takes_up);
+    e->counters.streams_taken_up += takes_up;
+    if (takes_up) {
+        wg_entry_origin_find(call);
+    } else {
+        wg_call_try(call);
+    }
 }
 
 void wg_call_caller_disconnected(wg_call* call) {
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -172,6 +172,7 @@
                            wg_backoff_active_num(e->backoff, wg_now()));
     wg_endpoint_speed_metrics(e, out);
     wg_endpoint_hold_metrics(e, out);
+    wg_entry_origins_print_metrics(e, out);
     wg_entry_buffers_print_metrics(e, out);
     wg_entry_descriptors_print_metrics(e, out);
     wgn_print_metrics(e->net, out);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -18,6 +18,7 @@
 #include "wg_handoff.h"
 #include "wg_hold.h"
 #include "wg_loop.h"
+#include "wg_origin.h"
 #include "wg_overload.h"
 #include "wg_policy.h"
 #include "wg_quarantine.h"
@@ -170,6 +171,10 @@
        known. Points to `version_text`. */
     const char* version;
     char version_text[WG_NAME_MAX];
+    uint64_t stream;  /* identifies it on all hosts, see lib/origin; 0: it cannot be taken up */
+    bool origin_told; /* other hosts were told of its version */
+    uint64_t origin_ticket; /* of the pending round of `origin_lookup`; 0: none */
+    wg_origin_lookup origin_lookup;
     struct event* timer;
     GList queue_link;
 };
@@ -259,6 +264,11 @@
     uint64_t streams_taken_up; /* requests whose caller takes up a stream */
     uint64_t versions_joined;  /* streams continued at another software version; always 0 */
     uint64_t versions_gone;    /* streams refused as no target of their version serves */
+    uint64_t origins_told;     /* streams of this host that others were told of */
+    uint64_t origins_here;     /* streams taken up whose version this host knew */
+    uint64_t origins_asked;    /* those whose version another host knew */
+    uint64_t origins_only;     /* those that nobody knew, of services with one version */
+    uint64_t origins_unknown;  /* those refused, as their version is not known */
     uint64_t connects;
     uint64_t target_bytes_out;        /* bytes sent to targets */
     uint64_t target_bytes_in;         /* bytes received from targets */
@@ -370,6 +380,10 @@
     GArray* cache_pending;          /* uint32_t, targets whose query is not finished */
     bool cache_outdated;            /* all targets have to be looked at again */
 
+    /* streams that callers take up: wg_entry_origins.c */
+    wg_origins* origins;
+    GHashTable* pending_origins; /* ticket -> wg_call* */
+
     /* requests that crash targets: wg_entry_quarantine.c */
     wg_quarantine* quarantine;   /* copy of the leader's list */
     wg_suspects* suspects;       /* evidence seen by this host */
@@ -550,6 +564,27 @@
 void wg_entry_hold_release_holder(wg_entry* e, uint64_t holder);
 void wg_entry_hold_tick(wg_entry* e, wg_time now);
 
+/* wg_entry_origins.c */
+void wg_entry_origins_setup(wg_entry* e);
+void wg_entry_origins_shutdown(wg_entry* e);
+void wg_entry_origins_tick(wg_entry* e, wg_time now);
+void wg_entry_origins_print_metrics(const wg_entry* e, GString* out);
+/* Tells other hosts of the version that a stream began at, once, if its service has had several.
+   Called before its first event leaves. */
+void wg_entry_origin_record(wg_call* call);
+/* Takes over a changed target: if its service now has several versions, other hosts are told of the
+   streams in progress. */
+void wg_entry_origins_update_target(wg_entry* e, uint32_t number);
+/* Finds out at which version the stream began that the caller takes up, then goes on with the
+   request, or refuses it. May free the call. */
+void wg_entry_origin_find(wg_call* call);
+/* The round of the lookup is over. */
+void wg_entry_origin_expired(wg_call* call);
+/* Drops a pending lookup. */
+void wg_entry_origin_cancel(wg_call* call);
+/* False if the frame does not concern origins. */
+bool wg_entry_origins_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
+
 /* wg_entry_cold.c */
 /* Requests per second that all hosts together may send to a cold target; 0 if it is not cold. */
 double wg_entry_cold_rate(const wg_entry* e, uint32_t target);
@@ -779,6 +814,8 @@
 void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
                    struct evbuffer* body);
 void wg_call_caller_disconnected(wg_call* call);
+/* Restricts the request to targets of this software version. */
+void wg_call_set_version(wg_call* call, const char* version);
 /* False if the attempt has ended: `up` is closed, and `call` may be freed. */
 bool wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
--- /dev/null
+++ b/lib/entry/wg_entry_origins.c
@@ -0,0 +1,337 @@
+/* wg_entry_origins.c -- streams that callers take up: at which software version they began
+
+   A host that relays the first event of a stream tells a few coordinators (lib/origin) at which
+   version it began, before the event leaves, if the service has had several versions. A host at
+   which a caller takes up a stream that it does not know asks them. */
+#include "wg_entry_internal.h"
+
+#include <string.h>
+
+enum {
+    /* How long callers may take a stream up, at least: deadlines are their own, and a configuration
+       may shorten the timeouts of its routes meanwhile. */
+    WG_STREAM_LIFE_MIN = 30 * WG_USEC_PER_SEC,
+    WG_STREAM_LIFE_TIMEOUTS = 2, /* the same, in timeouts of the slowest route for streams */
+};
+
+/* ---- helpers --------------------------------------------------------------------------------- */
+
+static wg_time wg_entry_stream_life(const wg_entry* e) {
+    wg_time life = WG_STREAM_LIFE_TIMEOUTS * e->config->stream_timeout_max;
+    return CLAMP(life, (wg_time)WG_STREAM_LIFE_MIN, (wg_time)WG_REGISTRY_ENDED_TIME);
+}
+
+/* The version of the service's targets if no other one can have begun a stream that a caller may
+   still take up, as far as this host knows; or NULL. */
+static const char* wg_entry_only_version(const wg_entry* e, const char* service) {
+    return wg_registry_only_version(e->registry, wg_now(), service, wg_entry_stream_life(e));
+}
+
+/* Writes the indexes of the coordinators that keep the stream; returns their number. */
+static int wg_entry_origin_keepers(const wg_entry* e, uint64_t stream,
+                                   int keepers[WG_ORIGIN_KEEPERS]) {
+    uint64_t hosts[WG_COORDINATORS_MAX];
+    for (int i = 0; i < e->coordinators_num; i++) {
+        hosts[i] = e->coordinators[i].rank;
+    }
+    return wg_origin_select(stream, hosts, e->coordinators_num, keepers);
+}
+
+static void wg_entry_origin_keep(wg_entry* e, uint64_t stream, const char* version, wg_time life) {
+    wg_origins_record(e->origins, wg_now(), stream, version, life);
+}
+
+/* ---- telling other hosts --------------------------------------------------------------------- */
+
+static void wg_call_tell_origin(wg_call* call) {
+    wg_entry* e = call->entry;
+    wg_time life = wg_entry_stream_life(e);
+    int keepers[WG_ORIGIN_KEEPERS];
+    Wgpb__OriginNote note = WGPB__ORIGIN_NOTE__INIT;
+    note.stream = call->stream;
+    note.version = call->version_text;
+    note.life_us = (uint64_t)life;
+    call->origin_told = true;
+    e->counters.origins_told++;
+    wg_entry_origin_keep(e, call->stream, call->version, life);
+    int num = wg_entry_origin_keepers(e, call->stream, keepers);
+    for (int i = 0; i < num; i++) {
+        const wg_coordinator* c = &e->coordinators[keepers[i]];
+        if (!c->self && c->up) {
+            wgn_send(e->net, c->link, WGW_TYPE_ORIGIN_NOTE, &note.base);
+        }
+    }
+}
+
+void wg_entry_origin_record(wg_call* call) {
+    if (call->stream && call->version && !call->origin_told &&
+        !wg_entry_only_version(call->entry, call->selection.service)) {
+        wg_call_tell_origin(call);
+    }
+}
+
+static void wg_entry_origins_record_of(const GPtrArray* clients, const char* service) {
+    for (guint i = 0; i < clients->len; i++) {
+        const wg_client* client = clients->pdata[i];
+        wg_call* call = client->call;
+        bool open = call && call->stream && call->version && !call->origin_told;
+        if (open && strcmp(call->selection.service, service) == 0) {
+            wg_call_tell_origin(call);
+        }
+    }
+}
+
+void wg_entry_origins_update_target(wg_entry* e, uint32_t number) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    if (target && e->config && !wg_entry_only_version(e, target->service)) {
+        wg_entry_origins_record_of(e->clients, target->service);
+        wg_entry_origins_record_of(e->taken_clients, target->service);
+    }
+}
+
+/* ---- finding out ----------------------------------------------------------------------------- */
+
+static void wg_call_log_origin(const wg_call* call, const char* outcome) {
+    if (!wg_entry_may_log(call->entry, wg_now())) {
+        return;
+    }
+    wg_log(
+        WG_EVENT_STREAM_TAKEN_UP,
+        "id=%s resumes=%s origin=%s began_version=%s answers=%d all=%d after_ms=%" G_GINT64_FORMAT
+        " service=%s",
+        call->id, call->resumes[0] ? call->resumes : "-", outcome,
+        call->version ? call->version : "?", call->origin_lookup.answered,
+        call->origin_lookup.asked_all, (wg_now() - call->started) / WG_USEC_PER_MSEC,
+        call->selection.service);
+}
+
+static void wg_call_end_lookup(wg_call* call) {
+    if (call->origin_ticket) {
+        g_hash_table_remove(call->entry->pending_origins, &call->origin_ticket);
+        call->origin_ticket = 0;
+    }
+}
+
+/* Goes on with the request, at this version only. */
+static void wg_call_continue(wg_call* call, const char* version, const char* outcome) {
+    wg_call_end_lookup(call);
+    wg_call_set_version(call, version);
+    wg_call_log_origin(call, outcome);
+    wg_call_try(call);
+}
+
+/* Whether no host can know of a version that this one does not know. Without a leader, this host
+   may be cut off from hosts that have one: then most of them have to have answered, none with a
+   newer registry. */
+static bool wg_call_knows_versions(const wg_call* call) {
+    const wg_entry* e = call->entry;
+    const wg_origin_lookup* lookup = &call->origin_lookup;
+    bool alone = e->coordinators_num == 0 || (e->coordinators_num == 1 && e->coordinators[0].self);
+    if (e->leader_known && !e->on_standby) {
+        return alone || lookup->answered > 0;
+    }
+    return 2 * (lookup->answered + 1) > e->coordinators_num &&
+           lookup->registry_change_max <= wg_registry_change(e->registry);
+}
+
+/* Without a record, the only version that has served will do. Another one is never the answer. */
+static bool wg_call_continue_at_only(wg_call* call) {
+    const char* only = wg_entry_only_version(call->entry, call->selection.service);
+    if (!only || !wg_call_knows_versions(call)) {
+        return false;
+    }
+    call->entry->counters.origins_only++;
+    wg_call_continue(call, only, "only");
+    return true;
+}
+
+static void wg_call_refuse_unknown(wg_call* call) {
+    wg_call_end_lookup(call);
+    call->entry->counters.origins_unknown++;
+    wg_call_log_origin(call, "unknown");
+    wg_call_refuse(call, 503, "version_unknown", wg_call_retry_after(call));
+}
+
+static void wg_call_ask(const wg_call* call, const wg_coordinator* c) {
+    if (!c->self && c->up) {
+        Wgpb__OriginAsk ask = WGPB__ORIGIN_ASK__INIT;
+        ask.ticket = call->origin_ticket;
+        ask.stream = call->stream;
+        wgn_send(call->entry->net, c->link, WGW_TYPE_ORIGIN_ASK, &ask.base);
+    }
+}
+
+/* Starts a round. Its answers have a ticket of their own, so that those of an earlier one do not
+   end it. */
+static void wg_call_begin_round(wg_call* call) {
+    wg_entry* e = call->entry;
+    wg_call_end_lookup(call);
+    call->origin_ticket = ++e->counter;
+    g_hash_table_insert(e->pending_origins, &call->origin_ticket, call);
+}
+
+static void wg_call_ask_keepers(wg_call* call) {
+    const wg_entry* e = call->entry;
+    int keepers[WG_ORIGIN_KEEPERS];
+    int asked = 0;
+    int num = wg_entry_origin_keepers(e, call->stream, keepers);
+    wg_call_begin_round(call);
+    for (int i = 0; i < num; i++) {
+        const wg_coordinator* c = &e->coordinators[keepers[i]];
+        wg_call_ask(call, c);
+        asked += !c->self;
+    }
+    wg_origin_lookup_begin(&call->origin_lookup, wg_now(), asked);
+}
+
+static void wg_call_ask_all(wg_call* call) {
+    const wg_entry* e = call->entry;
+    int asked = 0;
+    wg_call_begin_round(call);
+    for (int i = 0; i < e->coordinators_num; i++) {
+        wg_call_ask(call, &e->coordinators[i]);
+        asked += !e->coordinators[i].self;
+    }
+    wg_origin_lookup_ask_all(&call->origin_lookup, wg_now(), asked);
+}
+
+/* Goes on as far as the answers until now allow. May free the call. */
+static void wg_call_step_lookup(wg_call* call) {
+    wg_time now = wg_now();
+    wg_origin_step step = wg_origin_lookup_step(&call->origin_lookup, now);
+    if (step != WG_ORIGIN_WAIT && wg_call_continue_at_only(call)) {
+        return;
+    }
+    if (step == WG_ORIGIN_ASK_ALL) {
+        wg_call_ask_all(call);
+        step = wg_origin_lookup_step(&call->origin_lookup, now);
+    }
+    if (step == WG_ORIGIN_UNKNOWN) {
+        wg_call_refuse_unknown(call);
+    } else {
+        wg_call_set_timer(call, now);
+    }
+}
+
+void wg_entry_origin_find(wg_call* call) {
+    wg_entry* e = call->entry;
+    const char* version = call->stream ? wg_origins_find(e->origins, wg_now(), call->stream) : NULL;
+    if (version) {
+        e->counters.origins_here++;
+        wg_call_continue(call, version, "here");
+        return;
+    }
+    wg_call_ask_keepers(call);
+    wg_call_step_lookup(call);
+}
+
+void wg_entry_origin_expired(wg_call* call) {
+    wg_call_step_lookup(call);
+}
+
+void wg_entry_origin_cancel(wg_call* call) {
+    wg_call_end_lookup(call);
+}
+
+/* ---- frames ---------------------------------------------------------------------------------- */
+
+static bool wg_entry_origin_on_note(wg_entry* e, const wgw_frame* frame) {
+    Wgpb__OriginNote* in = wgpb__origin_note__unpack(NULL, frame->size, frame->payload);
+    bool good = in && in->stream && strlen(in->version) < WG_NAME_MAX;
+    if (good) {
+        wg_time life = (wg_time)MIN(in->life_us, (uint64_t)WG_REGISTRY_ENDED_TIME);
+        wg_entry_origin_keep(e, in->stream, in->version, life);
+    }
+    wgpb__origin_note__free_unpacked(in, NULL);
+    return good;
+}
+
+static bool wg_entry_origin_on_ask(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    Wgpb__OriginAsk* in = wgpb__origin_ask__unpack(NULL, frame->size, frame->payload);
+    bool good = in != NULL;
+    if (good) {
+        const char* version = wg_origins_find(e->origins, wg_now(), in->stream);
+        Wgpb__OriginAnswer answer = WGPB__ORIGIN_ANSWER__INIT;
+        answer.ticket = in->ticket;
+        answer.known = version != NULL;
+        answer.version = (char*)(version ? version : "");
+        answer.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
+        wgn_send(e->net, link, WGW_TYPE_ORIGIN_ANSWER, &answer.base);
+    }
+    wgpb__origin_ask__free_unpacked(in, NULL);
+    return good;
+}
+
+static void wg_call_apply_origin_answer(wg_call* call, const Wgpb__OriginAnswer* in) {
+    wg_origin_lookup_answer(&call->origin_lookup, in->registry_change);
+    if (in->known) {
+        wg_entry_origin_keep(call->entry, call->stream, in->version,
+                             wg_entry_stream_life(call->entry));
+        call->entry->counters.origins_asked++;
+        wg_call_continue(call, in->version, "asked");
+    } else {
+        wg_call_step_lookup(call);
+    }
+}
+
+static bool wg_entry_origin_on_answer(wg_entry* e, const wgw_frame* frame) {
+    Wgpb__OriginAnswer* in = wgpb__origin_answer__unpack(NULL, frame->size, frame->payload);
+    bool good = in && strlen(in->version) < WG_NAME_MAX;
+    wg_call* call = good ? g_hash_table_lookup(e->pending_origins, &in->ticket) : NULL;
+    if (call) {
+        wg_call_apply_origin_answer(call, in);
+    }
+    wgpb__origin_answer__free_unpacked(in, NULL);
+    return good;
+}
+
+bool wg_entry_origins_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame) {
+    bool good = true;
+    switch (frame->type) {
+    case WGW_TYPE_ORIGIN_NOTE:
+        good = wg_entry_origin_on_note(e, frame);
+        break;
+    case WGW_TYPE_ORIGIN_ASK:
+        good = wg_entry_origin_on_ask(e, link, frame);
+        break;
+    case WGW_TYPE_ORIGIN_ANSWER:
+        good = wg_entry_origin_on_answer(e, frame);
+        break;
+    default:
+        return false;
+    }
+    if (!good) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=origin-malformed");
+        wgn_close(e->net, link);
+    }
+    return true;
+}
+
+/* ---- set-up ---------------------------------------------------------------------------------- */
+
+void wg_entry_origins_setup(wg_entry* e) {
+    e->origins = wg_origins_setup(&(wg_origins_desc){0});
+    e->pending_origins = g_hash_table_new(g_int64_hash, g_int64_equal);
+}
+
+void wg_entry_origins_shutdown(wg_entry* e) {
+    g_hash_table_unref(e->pending_origins);
+    wg_origins_shutdown(e->origins);
+}
+
+void wg_entry_origins_tick(wg_entry* e, wg_time now) {
+    wg_origins_expire(e->origins, now);
+}
+
+void wg_entry_origins_print_metrics(const wg_entry* e, GString* out) {
+    const wg_entry_counters* c = &e->counters;
+    g_string_append_printf(out,
+                           "walnutgate_entry_origins %d\n"
+                           "walnutgate_entry_origins_told_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_origins_known_here_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_origins_known_elsewhere_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_origins_only_version_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_origins_unknown_total %" G_GUINT64_FORMAT "\n",
+                           wg_origins_num(e->origins), c->origins_told, c->origins_here,
+                           c->origins_asked, c->origins_only, c->origins_unknown);
+}
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -109,11 +109,14 @@
     if (all) {
         wg_balance_sync(e->balance, e->registry);
         e->cache_outdated = true;
-        return;
     }
     for (size_t i = 0; i < in->n_targets; i++) {
-        wg_balance_sync_target(e->balance, e->registry, in->targets[i]->number);
-        wg_entry_cache_update_target(e, in->targets[i]->number);
+        uint32_t number = in->targets[i]->number;
+        if (!all) {
+            wg_balance_sync_target(e->balance, e->registry, number);
+            wg_entry_cache_update_target(e, number);
+        }
+        wg_entry_origins_update_target(e, number);
     }
 }
 
--- /dev/null
+++ b/lib/origin/wg_origin.c
@@ -0,0 +1,134 @@
+/* wg_origin.c -- see wg_origin.h */
+#include "wg_origin.h"
+
+#include <string.h>
+
+typedef struct {
+    uint64_t stream;
+    char* version; /* GRefString, shared by all records of the version */
+    wg_time expires_at;
+    GList link;
+} wg_origin_record;
+
+struct wg_origins {
+    wg_origins_desc desc;
+    GHashTable* records; /* stream -> wg_origin_record* */
+    GQueue order;        /* the same, by their last change, oldest first */
+};
+
+/* ---- helpers ------------------------------------------------------------------------------- */
+
+static void _wg_origin_record_free(void* data) {
+    wg_origin_record* record = data;
+    g_ref_string_release(record->version);
+    g_free(record);
+}
+
+static void _wg_origins_drop(wg_origins* o, wg_origin_record* record) {
+    g_queue_unlink(&o->order, &record->link);
+    g_hash_table_remove(o->records, &record->stream);
+}
+
+/* ---- records ------------------------------------------------------------------------------- */
+
+wg_origins* wg_origins_setup(const wg_origins_desc* desc) {
+    wg_origins* o = g_new0(wg_origins, 1);
+    o->desc = *desc;
+    o->desc.max = desc->max ? desc->max : WG_ORIGINS_MAX_DEFAULT;
+    o->records = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, _wg_origin_record_free);
+    g_queue_init(&o->order);
+    return o;
+}
+
+void wg_origins_shutdown(wg_origins* o) {
+    g_hash_table_unref(o->records);
+    g_free(o);
+}
+
+void wg_origins_record(wg_origins* o, wg_time now, uint64_t stream, const char* version,
+                       wg_time life) {
+    wg_origin_record* record = g_hash_table_lookup(o->records, &stream);
+    if (record) {
+        _wg_origins_drop(o, record);
+    } else if (o->order.length >= (guint)o->desc.max) {
+        _wg_origins_drop(o, o->order.head->data);
+    }
+    record = g_new0(wg_origin_record, 1);
+    record->stream = stream;
+    record->version = g_ref_string_new_intern(version);
+    record->expires_at = now + life;
+    record->link = (GList){.data = record};
+    g_hash_table_insert(o->records, &record->stream, record);
+    g_queue_push_tail_link(&o->order, &record->link);
+}
+
+const char* wg_origins_find(const wg_origins* o, wg_time now, uint64_t stream) {
+    const wg_origin_record* record = g_hash_table_lookup(o->records, &stream);
+    return record && now < record->expires_at ? record->version : NULL;
+}
+
+/* Lives differ little, so a record that has not expired yet hides others for a short time only. */
+void wg_origins_expire(wg_origins* o, wg_time now) {
+    wg_origin_record* oldest;
+    while ((oldest = o->order.head ? o->order.head->data : NULL) && now >= oldest->expires_at) {
+        _wg_origins_drop(o, oldest);
+    }
+}
+
+int wg_origins_num(const wg_origins* o) {
+    return (int)o->order.length;
+}
+
+/* ---- who keeps a stream -------------------------------------------------------------------- */
+
+uint64_t wg_origin_stream(const char* id, uint64_t workspace) {
+    return MAX(wg_hash(id, strlen(id), workspace), 1);
+}
+
+int wg_origin_select(uint64_t stream, const uint64_t* hosts, int num,
+                     int keepers[WG_ORIGIN_KEEPERS]) {
+    uint64_t ranks[WG_ORIGIN_KEEPERS];
+    int found = 0;
+    for (int i = 0; i < num; i++) {
+        uint64_t rank = wg_hash(&stream, sizeof stream, hosts[i]);
+        int at = found;
+        for (; at > 0 && ranks[at - 1] < rank; at--) {
+            if (at < WG_ORIGIN_KEEPERS) {
+                ranks[at] = ranks[at - 1];
+                keepers[at] = keepers[at - 1];
+            }
+        }
+        if (at < WG_ORIGIN_KEEPERS) {
+            ranks[at] = rank;
+            keepers[at] = i;
+            found = MIN(found + 1, WG_ORIGIN_KEEPERS);
+        }
+    }
+    return found;
+}
+
+/* ---- lookups ------------------------------------------------------------------------------- */
+
+void wg_origin_lookup_begin(wg_origin_lookup* l, wg_time now, int asked) {
+    *l = (wg_origin_lookup){.pending = asked, .expires_at = now + WG_ORIGIN_ROUND_TIME};
+}
+
+void wg_origin_lookup_ask_all(wg_origin_lookup* l, wg_time now, int asked) {
+    l->asked_all = true;
+    l->pending = asked;
+    l->answered = 0;
+    l->expires_at = now + WG_ORIGIN_ROUND_TIME;
+}
+
+void wg_origin_lookup_answer(wg_origin_lookup* l, uint64_t registry_change) {
+    l->pending -= l->pending > 0;
+    l->answered++;
+    l->registry_change_max = MAX(l->registry_change_max, registry_change);
+}
+
+wg_origin_step wg_origin_lookup_step(const wg_origin_lookup* l, wg_time now) {
+    if (l->pending > 0 && now < l->expires_at) {
+        return WG_ORIGIN_WAIT;
+    }
+    return l->asked_all ? WG_ORIGIN_UNKNOWN : WG_ORIGIN_ASK_ALL;
+}
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -61,10 +61,11 @@
     }
 }
 
-static void wg_registry_end(wg_registry* r, wg_target* target) {
+static void wg_registry_end(wg_registry* r, wg_time now, wg_target* target) {
     if (!wg_target_ended(target)) {
         wg_registry_unindex(r, target);
         target->state = WG_TARGET_REMOVED;
+        target->ended_at = now;
         wg_registry_record_change(r, target);
         wg_registry_index(r, target);
     }
@@ -124,11 +125,11 @@
 }
 
 /* Ends another target at the address of `holder`, which is not indexed yet. */
-static void wg_registry_free_address(wg_registry* r, const wg_target* holder) {
+static void wg_registry_free_address(wg_registry* r, wg_time now, const wg_target* holder) {
     wg_target* other = g_hash_table_lookup(r->by_address, holder->address);
     if (other && other != holder) {
         other->replaced = other->state != WG_TARGET_DRAINING;
-        wg_registry_end(r, other);
+        wg_registry_end(r, now, other);
     }
 }
 
@@ -216,12 +217,13 @@
 static void wg_registry_create(wg_registry* r, wg_time now, const wg_target* record) {
     wg_target numbered = *record;
     numbered.number = r->next_number++;
+    numbered.ended_at = wg_target_ended(record) ? now : 0;
     wg_target* target = wg_registry_add(r, &numbered);
     target->last_contact_at = now;
     target->received_sequence = record->sequence;
     wg_registry_record_change(r, target);
     if (!wg_target_ended(target)) {
-        wg_registry_free_address(r, target);
+        wg_registry_free_address(r, now, target);
     }
     wg_registry_index(r, target);
     wg_registry_prune(r);
@@ -234,7 +236,7 @@
     }
     if (target && wg_target_is_later_incarnation(target, record)) {
         target->replaced = target->state != WG_TARGET_DRAINING && !wg_target_ended(target);
-        wg_registry_end(r, target);
+        wg_registry_end(r, now, target);
         target = NULL;
     }
     if (!target) {
@@ -246,7 +248,7 @@
         return;
     }
     if (record->state == WG_TARGET_REMOVED) {
-        wg_registry_end(r, target);
+        wg_registry_end(r, now, target);
         wg_registry_prune(r);
         return;
     }
@@ -255,7 +257,7 @@
         if (record->sequence == target->sequence && target->state != WG_TARGET_UNRESPONSIVE) {
             bool draining = target->state == WG_TARGET_DRAINING;
             if (draining) {
-                wg_registry_end(r, target);
+                wg_registry_end(r, now, target);
             } else {
                 target->state = WG_TARGET_UNRESPONSIVE;
                 wg_registry_record_change(r, target);
@@ -277,11 +279,12 @@
     target->slots = record->slots;
     target->cold_until = MAX(target->cold_until, record->cold_until);
     target->state = state;
+    target->ended_at = 0;
     target->sequence = MAX(target->sequence, record->sequence);
     target->received_sequence = MAX(target->received_sequence, target->sequence);
     target->last_contact_at = now;
     wg_registry_record_change(r, target);
-    wg_registry_free_address(r, target);
+    wg_registry_free_address(r, now, target);
     wg_registry_index(r, target);
     wg_registry_prune(r);
 }
@@ -398,12 +401,34 @@
     return r->change;
 }
 
-GPtrArray* wg_registry_changes(const wg_registry* r, uint64_t since, bool* reset) {
+/* Whether the target serves, or has served within the last `time` microseconds. */
+static bool wg_target_served(const wg_target* target, wg_time now, wg_time time) {
+    return !wg_target_ended(target) || now - target->ended_at <= time;
+}
+
+const char* wg_registry_only_version(const wg_registry* r, wg_time now, const char* service,
+                                     wg_time time) {
+    const char* only = NULL;
+    for (guint i = 0; i < r->records->len; i++) {
+        const wg_target* target = r->records->pdata[i];
+        if (strcmp(target->service, service) != 0 || !wg_target_served(target, now, time)) {
+            continue;
+        }
+        if (only && strcmp(only, target->version) != 0) {
+            return NULL;
+        }
+        only = target->version;
+    }
+    return only;
+}
+
+GPtrArray* wg_registry_changes(const wg_registry* r, wg_time now, uint64_t since, bool* reset) {
     *reset = since < r->floor || since > r->change;
     GPtrArray* list = g_ptr_array_new();
     for (guint i = 0; i < r->records->len; i++) {
         wg_target* target = r->records->pdata[i];
-        if (*reset ? !wg_target_ended(target) : target->change > since) {
+        bool served = wg_target_served(target, now, WG_REGISTRY_ENDED_TIME);
+        if (*reset ? served : target->change > since) {
             g_ptr_array_add(list, target);
         }
     }
@@ -465,10 +490,12 @@
     out->change = target->change;
     out->cold_us = (uint64_t)MAX(target->cold_until - now, 0);
     out->replaced = target->replaced;
+    out->ended_us = wg_target_ended(target) ? (uint64_t)MAX(now - target->ended_at, 0) : 0;
 }
 
 bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_time now, wg_target* target) {
     wg_time cold = (wg_time)MIN(in->cold_us, (uint64_t)WG_TARGET_COLD_MAX);
+    wg_time ended = (wg_time)MIN(in->ended_us, 2 * (uint64_t)WG_REGISTRY_ENDED_TIME);
     *target = (wg_target){.born = in->born,
                           .slots = in->slots,
                           .state = (wg_target_state)in->state,
@@ -476,6 +503,7 @@
                           .number = in->number,
                           .change = in->change,
                           .cold_until = cold > 0 ? now + cold : 0,
+                          .ended_at = in->state == WG_TARGET_REMOVED ? now - ended : 0,
                           .replaced = in->replaced};
     return in->id[0] && in->state > WG_TARGET_DEFAULT && in->state <= WG_TARGET_REMOVED &&
            wg_copy_name(target->id, sizeof target->id, in->id) &&
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -42,6 +42,9 @@
        two heartbeat intervals of targets that send one each 1.2 s. Microseconds. */
     WG_REGISTRY_HOLDER_TIMEOUT_DEFAULT = 2500 * WG_USEC_PER_MSEC,
     WG_REGISTRY_EVACUATED_MAX = 64, /* data centres */
+    /* How long a removed target counts as one that served: new copies are told of it, and
+       wg_registry_only_version() looks back no further. Microseconds. */
+    WG_REGISTRY_ENDED_TIME = 600 * WG_USEC_PER_SEC,
     /* Upper limit of the cold time in a message, microseconds. */
     WG_TARGET_COLD_MAX = 300 * WG_USEC_PER_SEC
 };
@@ -70,6 +73,7 @@
     uint64_t change;         /* change number of the registry at the last change of this record */
     wg_time cold_until;      /* end of the period with reduced load; 0: not cold */
     bool replaced;           /* removed because another incarnation took its id or address */
+    wg_time ended_at;        /* of a removed one: when; 0: not removed */
     wg_time last_contact_at; /* not replicated */
     uint64_t received_sequence; /* not replicated */
 } wg_target;
@@ -120,6 +124,11 @@
 /* Skips the target in wg_registry_find_unresponsive() for another limit, after a change of its
    state was proposed. */
 void wg_registry_record_proposal(wg_registry* registry, uint32_t number, wg_time now);
+/* Returns the software version of the service's targets if no other one has served within the last
+   `time` microseconds, at most WG_REGISTRY_ENDED_TIME; NULL: several have, or there was no target.
+   Valid until the next change. */
+const char* wg_registry_only_version(const wg_registry* registry, wg_time now, const char* service,
+                                     wg_time time);
 /* Returns the record with the lowest number above `after` (0: the first), or NULL. */
 const wg_target* wg_registry_next(const wg_registry* registry, uint32_t after);
 const wg_target* wg_registry_find(const wg_registry* registry, uint32_t number);
@@ -127,8 +136,10 @@
 uint64_t wg_target_key(const wg_target* target);
 uint64_t wg_registry_change(const wg_registry* registry);
 /* Returns the records that changed after `since`. Sets `reset` if a copy at `since` has to be
-   cleared first. The caller frees the array only. */
-GPtrArray* wg_registry_changes(const wg_registry* registry, uint64_t since, bool* reset);
+   cleared first; it then gets the removed targets of the last WG_REGISTRY_ENDED_TIME too. The
+   caller frees the array only. */
+GPtrArray* wg_registry_changes(const wg_registry* registry, wg_time now, uint64_t since,
+                               bool* reset);
 
 /* ---- copies ---- */
 void wg_registry_clear(wg_registry* registry);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -2122,6 +2122,141 @@
   assert(message->base.descriptor == &wgpb__order_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__origin_note__init
+                     (Wgpb__OriginNote         *message)
+{
+  static const Wgpb__OriginNote init_value = WGPB__ORIGIN_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_note__get_packed_size
+                     (const Wgpb__OriginNote *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_note__pack
+                     (const Wgpb__OriginNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_note__pack_to_buffer
+                     (const Wgpb__OriginNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginNote *
+       wgpb__origin_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginNote *)
+     protobuf_c_message_unpack (&wgpb__origin_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_note__free_unpacked
+                     (Wgpb__OriginNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_ask__init
+                     (Wgpb__OriginAsk         *message)
+{
+  static const Wgpb__OriginAsk init_value = WGPB__ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_ask__get_packed_size
+                     (const Wgpb__OriginAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_ask__pack
+                     (const Wgpb__OriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_ask__pack_to_buffer
+                     (const Wgpb__OriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginAsk *
+       wgpb__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginAsk *)
+     protobuf_c_message_unpack (&wgpb__origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_ask__free_unpacked
+                     (Wgpb__OriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_answer__init
+                     (Wgpb__OriginAnswer         *message)
+{
+  static const Wgpb__OriginAnswer init_value = WGPB__ORIGIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_answer__get_packed_size
+                     (const Wgpb__OriginAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_answer__pack
+                     (const Wgpb__OriginAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_answer__pack_to_buffer
+                     (const Wgpb__OriginAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginAnswer *
+       wgpb__origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginAnswer *)
+     protobuf_c_message_unpack (&wgpb__origin_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_answer__free_unpacked
+                     (Wgpb__OriginAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wgpb__admit_ask__init
                      (Wgpb__AdmitAsk         *message)
 {
@@ -4011,7 +4146,7 @@
   (ProtobufCMessageInit) wgpb__configuration__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[13] =
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[14] =
 {
   {
     "id",
@@ -4169,6 +4304,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "ended_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, ended_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__target_record__field_indices_by_name[] = {
   2,   /* field[2] = address */
@@ -4176,6 +4323,7 @@
   8,   /* field[8] = change */
   9,   /* field[9] = cold_us */
   3,   /* field[3] = data_centre */
+  13,   /* field[13] = ended_us */
   0,   /* field[0] = id */
   7,   /* field[7] = number */
   10,   /* field[10] = replaced */
@@ -4188,7 +4336,7 @@
 static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 13 }
+  { 0, 14 }
 };
 const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
 {
@@ -4198,7 +4346,7 @@
   "Wgpb__TargetRecord",
   "wgpb",
   sizeof(Wgpb__TargetRecord),
-  13,
+  14,
   wgpb__target_record__field_descriptors,
   wgpb__target_record__field_indices_by_name,
   1,  wgpb__target_record__number_ranges,
@@ -7013,6 +7161,198 @@
   (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__origin_note__field_descriptors[3] =
+{
+  {
+    "stream",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, life_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__origin_note__field_indices_by_name[] = {
+  2,   /* field[2] = life_us */
+  0,   /* field[0] = stream */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange wgpb__origin_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__origin_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.OriginNote",
+  "OriginNote",
+  "Wgpb__OriginNote",
+  "wgpb",
+  sizeof(Wgpb__OriginNote),
+  3,
+  wgpb__origin_note__field_descriptors,
+  wgpb__origin_note__field_indices_by_name,
+  1,  wgpb__origin_note__number_ranges,
+  (ProtobufCMessageInit) wgpb__origin_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__origin_ask__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "stream",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAsk, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__origin_ask__field_indices_by_name[] = {
+  1,   /* field[1] = stream */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__origin_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__origin_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.OriginAsk",
+  "OriginAsk",
+  "Wgpb__OriginAsk",
+  "wgpb",
+  sizeof(Wgpb__OriginAsk),
+  2,
+  wgpb__origin_ask__field_descriptors,
+  wgpb__origin_ask__field_indices_by_name,
+  1,  wgpb__origin_ask__number_ranges,
+  (ProtobufCMessageInit) wgpb__origin_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__origin_answer__field_descriptors[4] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "known",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, known),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry_change",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, registry_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__origin_answer__field_indices_by_name[] = {
+  1,   /* field[1] = known */
+  3,   /* field[3] = registry_change */
+  0,   /* field[0] = ticket */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wgpb__origin_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__origin_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.OriginAnswer",
+  "OriginAnswer",
+  "Wgpb__OriginAnswer",
+  "wgpb",
+  sizeof(Wgpb__OriginAnswer),
+  4,
+  wgpb__origin_answer__field_descriptors,
+  wgpb__origin_answer__field_indices_by_name,
+  1,  wgpb__origin_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__origin_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wgpb__admit_ask__field_descriptors[20] =
 {
   {
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -62,6 +62,9 @@
 typedef struct Wgpb__ServiceRoom Wgpb__ServiceRoom;
 typedef struct Wgpb__Order Wgpb__Order;
 typedef struct Wgpb__OrderAnswer Wgpb__OrderAnswer;
+typedef struct Wgpb__OriginNote Wgpb__OriginNote;
+typedef struct Wgpb__OriginAsk Wgpb__OriginAsk;
+typedef struct Wgpb__OriginAnswer Wgpb__OriginAnswer;
 typedef struct Wgpb__AdmitAsk Wgpb__AdmitAsk;
 typedef struct Wgpb__AdmitAnswer Wgpb__AdmitAnswer;
 typedef struct Wgpb__AdmitNote Wgpb__AdmitNote;
@@ -454,10 +457,14 @@
    * of the target's software
    */
   char *version;
+  /*
+   * time since it was removed
+   */
+  uint64_t ended_us;
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
@@ -1053,6 +1060,55 @@
     , 0, 0, NULL }
 
 
+/*
+ * ---- between entry hosts: software versions at which streams began ----
+ * A stream began at this version; sent to the hosts that keep it.
+ */
+struct  Wgpb__OriginNote
+{
+  ProtobufCMessage base;
+  /*
+   * hash of the id of the request that began it, and of the workspace
+   */
+  uint64_t stream;
+  char *version;
+  /*
+   * how long its caller may take it up
+   */
+  uint64_t life_us;
+};
+#define WGPB__ORIGIN_NOTE__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_note__descriptor) \
+    , 0, (char *)protobuf_c_empty_string, 0 }
+
+
+struct  Wgpb__OriginAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  uint64_t stream;
+};
+#define WGPB__ORIGIN_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_ask__descriptor) \
+    , 0, 0 }
+
+
+struct  Wgpb__OriginAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  protobuf_c_boolean known;
+  char *version;
+  /*
+   * of the host that answers; 0: it has no registry yet
+   */
+  uint64_t registry_change;
+};
+#define WGPB__ORIGIN_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_answer__descriptor) \
+    , 0, 0, (char *)protobuf_c_empty_string, 0 }
+
+
 /*
  * ---- entry host and coordinator: admission of prompts to a target ----
  */
@@ -2165,6 +2221,63 @@
 void   wgpb__order_answer__free_unpacked
                      (Wgpb__OrderAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__OriginNote methods */
+void   wgpb__origin_note__init
+                     (Wgpb__OriginNote         *message);
+size_t wgpb__origin_note__get_packed_size
+                     (const Wgpb__OriginNote   *message);
+size_t wgpb__origin_note__pack
+                     (const Wgpb__OriginNote   *message,
+                      uint8_t             *out);
+size_t wgpb__origin_note__pack_to_buffer
+                     (const Wgpb__OriginNote   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__OriginNote *
+       wgpb__origin_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__origin_note__free_unpacked
+                     (Wgpb__OriginNote *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__OriginAsk methods */
+void   wgpb__origin_ask__init
+                     (Wgpb__OriginAsk         *message);
+size_t wgpb__origin_ask__get_packed_size
+                     (const Wgpb__OriginAsk   *message);
+size_t wgpb__origin_ask__pack
+                     (const Wgpb__OriginAsk   *message,
+                      uint8_t             *out);
+size_t wgpb__origin_ask__pack_to_buffer
+                     (const Wgpb__OriginAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__OriginAsk *
+       wgpb__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__origin_ask__free_unpacked
+                     (Wgpb__OriginAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__OriginAnswer methods */
+void   wgpb__origin_answer__init
+                     (Wgpb__OriginAnswer         *message);
+size_t wgpb__origin_answer__get_packed_size
+                     (const Wgpb__OriginAnswer   *message);
+size_t wgpb__origin_answer__pack
+                     (const Wgpb__OriginAnswer   *message,
+                      uint8_t             *out);
+size_t wgpb__origin_answer__pack_to_buffer
+                     (const Wgpb__OriginAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__OriginAnswer *
+       wgpb__origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__origin_answer__free_unpacked
+                     (Wgpb__OriginAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__AdmitAsk methods */
 void   wgpb__admit_ask__init
                      (Wgpb__AdmitAsk         *message);
@@ -2422,6 +2535,15 @@
 typedef void (*Wgpb__OrderAnswer_Closure)
                  (const Wgpb__OrderAnswer *message,
                   void *closure_data);
+typedef void (*Wgpb__OriginNote_Closure)
+                 (const Wgpb__OriginNote *message,
+                  void *closure_data);
+typedef void (*Wgpb__OriginAsk_Closure)
+                 (const Wgpb__OriginAsk *message,
+                  void *closure_data);
+typedef void (*Wgpb__OriginAnswer_Closure)
+                 (const Wgpb__OriginAnswer *message,
+                  void *closure_data);
 typedef void (*Wgpb__AdmitAsk_Closure)
                  (const Wgpb__AdmitAsk *message,
                   void *closure_data);
@@ -2495,6 +2617,9 @@
 extern const ProtobufCMessageDescriptor wgpb__service_room__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__origin_note__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__origin_ask__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_note__descriptor;
--- a/lib/wire/wg_wire.c
+++ b/lib/wire/wg_wire.c
@@ -102,7 +102,10 @@
                                                     [WGW_TYPE_CONFIGURATION] = "configuration",
                                                     [WGW_TYPE_HANDOFF_REQUEST] = "handoff_request",
                                                     [WGW_TYPE_HANDOFF_ANSWER] = "handoff_answer",
-                                                    [WGW_TYPE_HANDOFF_NOTE] = "handoff_note"};
+                                                    [WGW_TYPE_HANDOFF_NOTE] = "handoff_note",
+                                                    [WGW_TYPE_ORIGIN_NOTE] = "origin_note",
+                                                    [WGW_TYPE_ORIGIN_ASK] = "origin_ask",
+                                                    [WGW_TYPE_ORIGIN_ANSWER] = "origin_answer"};
     WG_ASSERT(type >= 0 && type < WGW_TYPE_NUM);
     return names[type];
 }
--- a/tests/test_large_registry.c
+++ b/tests/test_large_registry.c
@@ -44,7 +44,7 @@
 
 static void copy_changes(wg_registry* from, wg_registry* to, wg_balance* balance) {
     bool reset;
-    GPtrArray* changes = wg_registry_changes(from, wg_registry_change(to), &reset);
+    GPtrArray* changes = wg_registry_changes(from, 0, wg_registry_change(to), &reset);
     ck_assert(!reset);
     for (guint i = 0; i < changes->len; i++) {
         Wgpb__TargetRecord packed;
--- /dev/null
+++ b/tests/test_origin.c
@@ -0,0 +1,104 @@
+/* test_origin.c -- records of the versions at which streams began, and whom a host asks for them */
+#include <string.h>
+
+#include "wg_origin.h"
+#include "wg_test.h"
+
+/* Guards against a stream that goes on at the version of an earlier one under the same id. */
+START_TEST(later_record_of_a_stream_wins) {
+    wg_origins* o = wg_origins_setup(&(wg_origins_desc){0});
+    wg_origins_record(o, 0, 7, "v1", 10 * SECOND);
+    ck_assert_str_eq(wg_origins_find(o, 1, 7), "v1");
+    ck_assert_ptr_null(wg_origins_find(o, 1, 8));
+    wg_origins_record(o, 2, 7, "v2", 10 * SECOND);
+    ck_assert_str_eq(wg_origins_find(o, 3, 7), "v2");
+    ck_assert_int_eq(wg_origins_num(o), 1);
+    wg_origins_shutdown(o);
+}
+END_TEST
+
+/* Guards against records that outlive their streams, or fill the memory of a host. */
+START_TEST(records_are_bounded_in_time_and_number) {
+    wg_origins* o = wg_origins_setup(&(wg_origins_desc){.max = 3});
+    for (uint64_t stream = 1; stream <= 5; stream++) {
+        wg_origins_record(o, (wg_time)stream, stream, "", SECOND);
+    }
+    ck_assert_int_eq(wg_origins_num(o), 3);
+    ck_assert_ptr_null(wg_origins_find(o, 6, 2));
+    ck_assert_str_eq(wg_origins_find(o, 6, 3), "");
+    ck_assert_ptr_null(wg_origins_find(o, SECOND + 3, 3));
+    wg_origins_expire(o, SECOND + 4);
+    ck_assert_int_eq(wg_origins_num(o), 1);
+    wg_origins_shutdown(o);
+}
+END_TEST
+
+/* Guards against hosts that look for a stream at other keepers than those that were told of it: the
+   order of the list does not matter, and a host that left moves only its own streams. */
+START_TEST(all_hosts_select_the_same_keepers) {
+    enum {
+        HOSTS = 9
+    };
+    uint64_t hosts[HOSTS];
+    uint64_t reversed[HOSTS];
+    int used[HOSTS] = {0};
+    for (int i = 0; i < HOSTS; i++) {
+        hosts[i] = wg_jitter(5, (uint64_t)i);
+        reversed[HOSTS - 1 - i] = hosts[i];
+    }
+    for (uint64_t n = 0; n < 900; n++) {
+        uint64_t stream = wg_origin_stream("id", n);
+        int a[WG_ORIGIN_KEEPERS];
+        int b[WG_ORIGIN_KEEPERS];
+        int c[WG_ORIGIN_KEEPERS];
+        ck_assert_int_eq(wg_origin_select(stream, hosts, HOSTS, a), WG_ORIGIN_KEEPERS);
+        wg_origin_select(stream, reversed, HOSTS, b);
+        wg_origin_select(stream, hosts + 1, HOSTS - 1, c); /* the first host has left */
+        int left = 0;
+        for (int i = 0; i < WG_ORIGIN_KEEPERS; i++) {
+            ck_assert_uint_eq(hosts[a[i]], reversed[b[i]]);
+            used[a[i]]++;
+            left += a[i] == 0;
+        }
+        for (int i = 0, at = 0; i < WG_ORIGIN_KEEPERS; i++) {
+            if (a[i] != 0) {
+                ck_assert_int_eq(a[i], c[at++] + 1);
+            }
+        }
+        ck_assert_int_le(left, 1);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+        ck_assert_int_gt(used[i], 200); /* of 300 */
+        ck_assert_int_lt(used[i], 400);
+    }
+    int keepers[WG_ORIGIN_KEEPERS];
+    ck_assert_int_eq(wg_origin_select(1, hosts, 2, keepers), 2);
+    ck_assert_int_eq(wg_origin_select(1, hosts, 0, keepers), 0);
+}
+END_TEST
+
+/* Guards against a caller that waits for hosts that are down, and against a stream that is given up
+   although a host beside the keepers knows it. */
+START_TEST(lookup_asks_the_keepers_then_all_hosts) {
+    wg_origin_lookup l;
+    wg_origin_lookup_begin(&l, 0, 3);
+    wg_origin_lookup_answer(&l, 5);
+    wg_origin_lookup_answer(&l, 4);
+    ck_assert_int_eq(wg_origin_lookup_step(&l, 1), WG_ORIGIN_WAIT);
+    ck_assert_int_eq(wg_origin_lookup_step(&l, WG_ORIGIN_ROUND_TIME), WG_ORIGIN_ASK_ALL);
+    wg_origin_lookup_answer(&l, 3);
+    ck_assert_int_eq(wg_origin_lookup_step(&l, 1), WG_ORIGIN_ASK_ALL);
+    wg_origin_lookup_ask_all(&l, 10, 2);
+    ck_assert_int_eq(l.answered, 0);
+    ck_assert_int_eq(wg_origin_lookup_step(&l, 11), WG_ORIGIN_WAIT);
+    wg_origin_lookup_answer(&l, 1);
+    wg_origin_lookup_answer(&l, 2);
+    ck_assert_int_eq(wg_origin_lookup_step(&l, 12), WG_ORIGIN_UNKNOWN);
+    ck_assert_uint_eq(l.registry_change_max, 5);
+    wg_origin_lookup_begin(&l, 0, 0); /* no host to ask */
+    ck_assert_int_eq(wg_origin_lookup_step(&l, 0), WG_ORIGIN_ASK_ALL);
+}
+END_TEST
+
+WG_TEST_MAIN("origin", later_record_of_a_stream_wins, records_are_bounded_in_time_and_number,
+             all_hosts_select_the_same_keepers, lookup_asks_the_keepers_then_all_hosts)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -44,6 +44,58 @@
 }
 END_TEST
 
+static void receive_version(wg_registry* r, wg_time now, const char* id, wg_target_state state,
+                            const char* version) {
+    static uint64_t sequence = 1;
+    char address[WG_ADDRESS_MAX];
+    g_snprintf(address, sizeof address, "10.0.0.%d:1", (int)id[0]);
+    wg_target t = record(id, state, ++sequence, address);
+    wg_copy_name(t.version, sizeof t.version, version);
+    wg_registry_apply(r, now, &t);
+}
+
+/* Guards against a host that takes the version that serves now for the one that began a stream: a
+   version counts until its last target has been gone for long, also in a copy that is made later
+   and in one loaded from a snapshot. */
+START_TEST(version_counts_for_some_time_after_its_last_target) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    wg_registry* copy = wg_registry_setup(&(wg_registry_desc){0});
+    wg_registry* loaded = wg_registry_setup(&(wg_registry_desc){0});
+    wg_time life = 30 * SECOND;
+    ck_assert_ptr_null(wg_registry_only_version(r, 0, "app", life));
+    receive_version(r, 0, "a", WG_TARGET_READY, "v1");
+    receive_version(r, 0, "b", WG_TARGET_READY, "v1");
+    ck_assert_str_eq(wg_registry_only_version(r, 0, "app", life), "v1");
+    ck_assert_ptr_null(wg_registry_only_version(r, 0, "other", life));
+    receive_version(r, 1 * SECOND, "c", WG_TARGET_READY, "v2");
+    receive_version(r, 1 * SECOND, "a", WG_TARGET_DRAINING, "v1");
+    ck_assert_ptr_null(wg_registry_only_version(r, 1 * SECOND, "app", life));
+    receive_version(r, 2 * SECOND, "a", WG_TARGET_REMOVED, "");
+    receive_version(r, 2 * SECOND, "b", WG_TARGET_REMOVED, "");
+    Wgpb__RegistryState* state = wg_registry_dump(r, 12 * SECOND);
+    bool reset = false;
+    GPtrArray* changes = wg_registry_changes(r, 12 * SECOND, UINT64_MAX, &reset);
+    ck_assert(reset);
+    for (guint i = 0; i < changes->len; i++) {
+        Wgpb__TargetRecord packed;
+        wg_target_pack(changes->pdata[i], 12 * SECOND, &packed);
+        ck_assert(wg_registry_merge(copy, 1012 * SECOND, &packed)); /* by another clock */
+    }
+    ck_assert(wg_registry_load(loaded, 12 * SECOND, state));
+    ck_assert_ptr_null(wg_registry_only_version(r, 32 * SECOND, "app", life));
+    ck_assert_ptr_null(wg_registry_only_version(loaded, 32 * SECOND, "app", life));
+    ck_assert_ptr_null(wg_registry_only_version(copy, 1032 * SECOND, "app", life));
+    ck_assert_str_eq(wg_registry_only_version(r, 33 * SECOND, "app", life), "v2");
+    ck_assert_str_eq(wg_registry_only_version(loaded, 33 * SECOND, "app", life), "v2");
+    ck_assert_str_eq(wg_registry_only_version(copy, 1033 * SECOND, "app", life), "v2");
+    g_ptr_array_unref(changes);
+    wgpb__registry_state__free_unpacked(state, NULL);
+    wg_registry_shutdown(loaded);
+    wg_registry_shutdown(copy);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 /* Guards against hosts that cannot tell software versions apart: a copy, also from a snapshot, has
    the version of each target, and a changed one is a change. */
 START_TEST(version_of_a_target_reaches_all_copies) {
@@ -227,7 +279,7 @@
 
 static void copy_changes(const wg_registry* from, wg_registry* to, uint64_t since) {
     bool reset = false;
-    GPtrArray* changes = wg_registry_changes(from, since, &reset);
+    GPtrArray* changes = wg_registry_changes(from, 0, since, &reset);
     if (reset) {
         wg_registry_clear(to);
     }
@@ -438,9 +490,10 @@
 END_TEST
 
 WG_TEST_MAIN("registry", copy_takes_records_in_any_order, unchanged_heartbeats_change_nothing,
-             version_of_a_target_reaches_all_copies, late_heartbeat_does_not_revive_a_target,
-             uncommitted_change_is_proposed_again, deregistration_without_a_record_is_kept,
-             new_incarnation_ends_the_one_at_its_address,
+             version_of_a_target_reaches_all_copies,
+             version_counts_for_some_time_after_its_last_target,
+             late_heartbeat_does_not_revive_a_target, uncommitted_change_is_proposed_again,
+             deregistration_without_a_record_is_kept, new_incarnation_ends_the_one_at_its_address,
              unresponsive_target_returns_by_a_newer_heartbeat_only,
              late_first_heartbeat_does_not_end_a_live_target,
              late_heartbeat_does_not_replace_the_replacement, transition_to_cold_is_a_change,
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -386,8 +386,32 @@
 }
 END_TEST
 
+/* Guards against refusals while the hosts have no leader: most of them say that they know of no
+   other version. */
+START_TEST(stream_of_the_only_version_continues_without_a_leader) {
+    static const char* const one[] = {"v1", "v1", "v1", "v1", NULL};
+    fleet f;
+    begin(&f, one);
+    start_streams(&f);
+    hosts_run_for(&f.h, BREAK_MS);
+    for (int i = 0; i < DISKS; i++) {
+        kill_process(&f.h.hosts[i].replica);
+    }
+    for (f.first_host = 0; f.first_host < 2; f.first_host++) {
+        kill_entry(&f, f.first_host);
+    }
+    run_until_done(&f);
+    outcome o = outcome_of(&f);
+    bool good = o.taken_up >= 12 && 2 * o.taken_up_whole >= o.taken_up;
+    end(&f, good);
+    ck_assert_int_ge(o.taken_up, 12);
+    ck_assert_int_ge(2 * o.taken_up_whole, o.taken_up);
+}
+END_TEST
+
 WG_TEST_MAIN("stream_versions", stream_that_breaks_off_continues_at_its_version,
              stream_taken_up_at_another_host_continues_at_its_version,
              stream_that_began_before_a_release_continues_at_its_version,
              stream_whose_version_has_gone_is_refused, stream_that_no_host_knows_is_refused,
-             stream_of_the_only_version_continues_although_no_host_knows_it)
+             stream_of_the_only_version_continues_although_no_host_knows_it,
+             stream_of_the_only_version_continues_without_a_leader)
