Routers: a stream goes on only at a target of the version that began it

Cause: the same as at entry hosts, in the second request path: the pick for a further attempt took any target. Change: a target may state its version in answers (Target-Version). The first events relayed bind the stream to it; an answer of another version is dropped before anything of it is relayed, and the attempt counts for nothing against the target. lib/place prefers targets that have stated the same version, or none yet; where only others have a free slot, the request waits for its next attempt. The stand-ins state a version if they are given one.

--- a/lib/place/wg_place.c
+++ b/lib/place/wg_place.c
@@ -26,6 +26,8 @@
     int ejections;
     wg_acceptance acceptance;
     bool probing; /* a probe request is running */
+    bool version_known;
+    char version[WG_NAME_MAX]; /* of its software, by its last answer */
 } _wgp_target_t;
 
 typedef struct {
@@ -83,6 +85,10 @@
     return wg_backoff_ends_at(p->backoff, now, _wgp_backoff_key(t));
 }
 
+static bool _wgp_has_version(const _wgp_target_t* t, const char* version) {
+    return !version || !t->version_known || strcmp(t->version, version) == 0;
+}
+
 static bool _wgp_may_send(const wgp_place* p, const _wgp_target_t* t, wg_time now) {
     return t->live && !_wgp_is_draining(t) && _wgp_backoff_until(p, t, now) == 0;
 }
@@ -161,7 +167,7 @@
     _wgp_target_t* t = _wgp_find(p, entry->target);
     bool any_accepts = _wgp_any_accepts(p, request->service, now);
     bool fits = t && _wgp_fits(p, t, now, request->service, use_reserve, any_accepts) &&
-                t->info.id != request->not_target;
+                t->info.id != request->not_target && _wgp_has_version(t, request->version);
     if (!fits) {
         p->stats.prefix_overruled++;
     }
@@ -171,15 +177,18 @@
 /* Smaller is better. Targets in other data centres, and those that refuse, get a penalty; ties are
    broken at random. */
 static int64_t _wgp_score(const wgp_place* p, const _wgp_target_t* t, wg_time now,
-                          uint32_t not_target) {
+                          const wgp_request* request) {
     double refusal = 1 - wg_acceptance_chance(&t->acceptance, now);
     int64_t score = ((int64_t)_wgp_load(t) + (int64_t)(refusal * _WGP_REFUSAL_LOAD)) * 16;
     if (strcmp(t->info.data_centre, p->desc.data_centre) != 0) {
         score += 16 * 20;
     }
-    if (t->info.id == not_target) {
+    if (t->info.id == request->not_target) {
         score += 16 * 100000; /* only without alternative */
     }
+    if (!_wgp_has_version(t, request->version)) {
+        score += 16 * 1000000; /* rather the target of the last attempt */
+    }
     return score;
 }
 
@@ -194,7 +203,7 @@
         if (!_wgp_fits(p, t, now, request->service, use_reserve, any_accepts)) {
             continue;
         }
-        int64_t score = _wgp_score(p, t, now, request->not_target);
+        int64_t score = _wgp_score(p, t, now, request);
         ties = best && score == best_score ? ties + 1 : 1;
         bool wins_tie = wg_jitter(p->desc.seed, p->counter + (uint64_t)i) % (uint64_t)ties == 0;
         if (!best || score < best_score || (score == best_score && wins_tie)) {
@@ -354,6 +363,7 @@
     t->live = t->seen = true;
     t->row_version = version;
     t->row_draining = draining;
+    t->version_known = t->version_known && strcmp(t->info.address, address) == 0;
     t->info.service = service;
     t->info.slots = slots;
     wg_copy_name(t->info.name, sizeof t->info.name, name);
@@ -507,6 +517,19 @@
     }
 }
 
+void wgp_record_version(wgp_place* p, uint32_t target, const char* version) {
+    _wgp_target_t* t = _wgp_find(p, target);
+    if (t) {
+        t->version_known = true;
+        wg_copy_name(t->version, sizeof t->version, version);
+    }
+}
+
+bool wgp_has_version(const wgp_place* p, uint32_t target, const char* version) {
+    const _wgp_target_t* t = _wgp_find(p, target);
+    return t && _wgp_has_version(t, version);
+}
+
 wgp_event wgp_record_draining(wgp_place* p, uint32_t target) {
     _wgp_target_t* t = _wgp_find(p, target);
     return t ? _wgp_set_draining(p, t) : WGP_EVENT_DEFAULT;
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -19,6 +19,8 @@
         - an older host list cannot revoke draining, and a host list that is unavailable changes
           nothing
         - prefix affinity is a preference: it yields to load beyond a tolerance
+        - a stream that goes on prefers targets of the software version that began it, as far as
+          their answers have told theirs
 
     USE
         1. wgp_place* p = wgp_setup(&(wgp_desc){.seed = s}, &error);
@@ -61,6 +63,7 @@
     bool urgent;
     uint64_t prefix;     /* hash of the prompt's first bytes; 0: none */
     uint32_t not_target; /* target of the last attempt, picked only without alternative; 0: none */
+    const char* version; /* software version at which the stream began; NULL: none has begun */
 } wgp_request;
 
 /* Result of a pick. */
@@ -147,6 +150,11 @@
 wgp_event wgp_done(wgp_place* place, wg_time now, const wgp_choice* choice, wgp_result result);
 /* Updates the number of requests that the target reports as running, for all routers. */
 void wgp_update_load(wgp_place* place, uint32_t target, int running);
+/* Records the software version that the target stated in an answer; "": it stated none. */
+void wgp_record_version(wgp_place* place, uint32_t target, const char* version);
+/* Whether a stream that began at `version`, NULL: none has begun, may go on at the target, as far
+   as is known. */
+bool wgp_has_version(const wgp_place* place, uint32_t target, const char* version);
 /* Records that the target announced in an answer that it is draining. */
 wgp_event wgp_record_draining(wgp_place* place, uint32_t target);
 /* Applies the backoff hint of an answer; `unix_time` in seconds. Its draining flag is ignored. */
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -210,6 +210,9 @@
         wgp_forget_prefix(r->place, number, attempt->target);
     }
     attempt->reported_not_run = evhttp_find_header(in, "Target-Not-Run") != NULL;
+    const char* version = evhttp_find_header(in, "Target-Version");
+    g_strlcpy(attempt->version, version ? version : "", sizeof attempt->version);
+    wgp_record_version(r->place, attempt->target, attempt->version);
     _wgro_apply_backoff_hint(attempt, in);
 }
 
@@ -264,9 +267,30 @@
     }
 }
 
+/* The first events that are relayed bind the stream to the software version of their target. */
+static void _wgro_bind_version(_wgro_call_t* call, const _wgro_attempt_t* attempt) {
+    if (!call->version) {
+        g_strlcpy(call->version_text, attempt->version, sizeof call->version_text);
+        call->version = call->version_text;
+    }
+}
+
+/* Whether the stream began at another software version: what two versions write does not fit
+   together. */
+static bool _wgro_began_elsewhere(_wgro_call_t* call, const _wgro_attempt_t* attempt) {
+    call->other_version = call->version && strcmp(call->version, attempt->version) != 0;
+    return call->other_version;
+}
+
 static void _wgro_on_stream_data(_wgro_call_t* call, _wgro_attempt_t* attempt) {
+    if (_wgro_began_elsewhere(call, attempt)) {
+        evbuffer_drain(attempt->buffered, evbuffer_get_length(attempt->buffered));
+        _wgro_fail_attempt(attempt);
+        return;
+    }
     bool valid = _wgro_read_events(call, attempt);
     if (evbuffer_get_length(attempt->ready) > 0) {
+        _wgro_bind_version(call, attempt);
         if (call->machine.head_relayed) {
             _wgro_relay(call);
         } else {
@@ -372,6 +396,10 @@
     if (!wgp_may_send(r->place, wg_now(), call->choice.target)) {
         return false; /* the target has started draining or requested backoff since the pick */
     }
+    call->other_version = !wgp_has_version(r->place, call->choice.target, call->version);
+    if (call->other_version) {
+        return false; /* none of the stream's version has a free slot; tried again after a wait */
+    }
     _wgro_conn_t* conn = _wgro_conn_open(r, call->choice.target, fresh);
     if (!conn || !call->request) {
         if (conn) {
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -84,7 +84,7 @@
 }
 
 static wgp_result _wgro_result_of(const wgc_action* action, const _wgro_call_t* call) {
-    if (action->type == WGC_ACTION_CANCEL || !call->attempt) {
+    if (action->type == WGC_ACTION_CANCEL || !call->attempt || call->other_version) {
         return WGP_RESULT_CANCELLED;
     }
     if (action->type == WGC_ACTION_FINISH && call->attempt->status < 500) {
@@ -261,7 +261,8 @@
 static void _wgro_do_send(_wgro_call_t* call, const wgc_action* action) {
     if (action->attempt > 1 && action->resume_from > 0) {
         call->router->counters.resumes++;
-        wg_log(WG_EVENT_STREAM_RESUMED, "token=%" G_GINT64_FORMAT, action->resume_from);
+        wg_log(WG_EVENT_STREAM_RESUMED, "token=%" G_GINT64_FORMAT " began_version=%s target=%u",
+               action->resume_from, call->version ? call->version : "?", call->choice.target);
     }
     _wgro_set_timer(call, call->deadline, WGC_EVENT_DEADLINE);
     if (!_wgro_attempt_begin(call, action->attempt, action->resume_from)) {
@@ -273,8 +274,10 @@
     call->router->counters.retries++;
     wg_log(WG_EVENT_ATTEMPT_FAILED, "attempt=%d wait_us=%" G_GINT64_FORMAT, action->attempt,
            action->wait);
-    wgp_result result =
-        call->attempt && call->attempt->reported_not_run ? WGP_RESULT_REFUSED : WGP_RESULT_FAILED;
+    bool refused = call->attempt && call->attempt->reported_not_run;
+    wgp_result result = refused               ? WGP_RESULT_REFUSED
+                        : call->other_version ? WGP_RESULT_CANCELLED
+                                              : WGP_RESULT_FAILED;
     _wgro_release(call, _wgro_cost(call), result);
     _wgro_abort_attempt(call);
     _wgro_set_timer(call, wg_now() + action->wait, WGC_EVENT_WAITED);
@@ -494,7 +497,8 @@
                            &(wgp_request){.service = service->row.id,
                                           .urgent = reserve,
                                           .prefix = call->prefix,
-                                          .not_target = call->last_target},
+                                          .not_target = call->last_target,
+                                          .version = call->version},
                            &call->choice);
     WG_ASSERT(placed);
     wgp_sent(r->place, &call->choice);
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -46,8 +46,9 @@
     bool done_seen;
     bool reported_not_run;
     bool aborted;
-    bool paused;   /* reading from the target is stopped */
-    int64_t usage; /* tokens reported by the target; -1: unknown */
+    bool paused;               /* reading from the target is stopped */
+    char version[WG_NAME_MAX]; /* of the target's software; "": not stated */
+    int64_t usage;             /* tokens reported by the target; -1: unknown */
 };
 
 struct _wgro_call_t {
@@ -71,6 +72,9 @@
     uint64_t claim_ticket;
     uint64_t prefix;
     bool head_sent;
+    const char* version; /* of the software that began the stream; NULL: no event was relayed */
+    char version_text[WG_NAME_MAX];
+    bool other_version; /* the last attempt met a target of another version */
     int64_t tokens;
     wg_time started;
     wg_time deadline;
--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -31,6 +31,7 @@
     int64_t no_marker; /* percent of streams that end without their end marker */
     int64_t leaving;   /* 1: answers report that the target is draining */
     int64_t rest_ms;   /* backoff hint in Retry-After of 503 answers; 0: none */
+    int64_t version;   /* of the software, stated in answers and in each event; 0: not stated */
     int64_t seed;
 } fake_faults;
 
@@ -47,7 +48,8 @@
         {"slots", &fake.slots},     {"pace_us", &fake.pace_us}, {"work_us", &fake.work_us},
         {"refuse", &fake.refuse},   {"fail", &fake.fail},       {"cut", &fake.cut},
         {"stall", &fake.stall},     {"late_us", &fake.late_us}, {"no_marker", &fake.no_marker},
-        {"leaving", &fake.leaving}, {"rest_ms", &fake.rest_ms}, {"seed", &fake.seed}};
+        {"leaving", &fake.leaving}, {"rest_ms", &fake.rest_ms}, {"seed", &fake.seed},
+        {"version", &fake.version}};
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         if (strcmp(fields[i].name, name) == 0) {
             return fields[i].field;
@@ -64,6 +66,22 @@
     return field != NULL;
 }
 
+/* States the version in the head of an answer. */
+static void fake_add_version_header(struct evhttp_request* request) {
+    char text[24];
+    g_snprintf(text, sizeof text, "v%" G_GINT64_FORMAT, fake.version);
+    if (fake.version > 0) {
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Version", text);
+    }
+}
+
+/* States the version in an event. */
+static void fake_add_version_line(struct evbuffer* out) {
+    if (fake.version > 0) {
+        evbuffer_add_printf(out, "event: v%" G_GINT64_FORMAT "\n", fake.version);
+    }
+}
+
 static void fake_parse_arguments(int argc, char** argv) {
     for (int i = 1; i < argc; i++) {
         char** parts = g_strsplit(argv[i], "=", 2);
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -82,6 +82,7 @@
 
 static void send_event(job_t* job, const char* text) {
     struct evbuffer* out = evbuffer_new();
+    fake_add_version_line(out);
     evbuffer_add(out, text, strlen(text));
     evhttp_send_reply_chunk(job->request, out);
     evbuffer_free(out);
@@ -126,6 +127,7 @@
     if (job->stream && !job->started) {
         job->started = true;
         add_load_headers(job->request);
+        fake_add_version_header(job->request);
         evhttp_add_header(evhttp_request_get_output_headers(job->request), "Content-Type",
                           "text/event-stream");
         evhttp_send_reply_start(job->request, 200, "OK");
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -2,8 +2,7 @@
 
    Arguments: address=ip:port id=NAME service=NAME orders=ip:port,... (where it registers)
    advertise=ip:port (the address that it registers, by default its own) runs=FILE data_centre=NAME
-   cold_ms=N (how long after its start it is cold) version=NAME (of its software; each event names
-   it in a line "event: NAME" if this is given) and the faults of fake.h. SIGHUP drains it. A
+   cold_ms=N (how long after its start it is cold) and the faults of fake.h. SIGHUP drains it. A
    request whose body begins with CRASH_BODY ends the process when its work_us are over. A request
    for .../large/N is answered with N further bytes, see large_byte().
 
@@ -44,7 +43,6 @@
 static const char* target_id = "t";
 static const char* target_service = "app";
 static const char* data_centre = "dc";
-static const char* version; /* NULL: not given */
 static wg_time cold_time;
 static wg_time started_at;
 static wg_time arrival_times[ARRIVALS_MAX]; /* a ring */
@@ -146,12 +144,12 @@
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
     evbuffer_add_printf(
         evhttp_request_get_output_buffer(request),
-        "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"version\":\"%s\","
+        "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"version\":\"v%d\","
         "\"slots\":%d,\"state\":\"%s\",\"sequence\":%d,\"cold_ms\":%d,\"born\":%" G_GINT64_FORMAT
         "}",
         target_service, registered_address ? registered_address : fake_address, data_centre,
-        version ? version : "v1", (int)fake.slots, draining ? "draining" : "ready", (int)++sequence,
-        (int)(cold_time_left() / WG_USEC_PER_MSEC), incarnation);
+        (int)MAX(fake.version, 1), (int)fake.slots, draining ? "draining" : "ready",
+        (int)++sequence, (int)(cold_time_left() / WG_USEC_PER_MSEC), incarnation);
     char path[96];
     g_snprintf(path, sizeof path, "/v1/targets/%s", target_id);
     evhttp_make_request(connection, request, EVHTTP_REQ_PUT, path);
@@ -218,9 +216,7 @@
 static void send_event(job_t* job) {
     struct evbuffer* out = evbuffer_new();
     evbuffer_add_printf(out, "id: %d\n", (int)job->next);
-    if (version) {
-        evbuffer_add_printf(out, "event: %s\n", version);
-    }
+    fake_add_version_line(out);
     evbuffer_add_printf(out, "data: %s-%d\n\n", field(job->request, "Walnutgate-Request"),
                         (int)job->next);
     job->next++;
@@ -301,9 +297,7 @@
     }
     struct evkeyvalq* out = evhttp_request_get_output_headers(request);
     evhttp_add_header(out, "Walnutgate-Request", id);
-    if (version) {
-        evhttp_add_header(out, "Target-Version", version);
-    }
+    fake_add_version_header(request);
     if (expected[0] && strcmp(expected, target_id) != 0) {
         sender_refuse(request, 421);
         return;
@@ -362,8 +356,6 @@
             registered_address = argv[i] + strlen("advertise=");
         } else if (g_str_has_prefix(argv[i], "data_centre=")) {
             data_centre = argv[i] + strlen("data_centre=");
-        } else if (g_str_has_prefix(argv[i], "version=")) {
-            version = argv[i] + strlen("version=");
         } else if (g_str_has_prefix(argv[i], "cold_ms=")) {
             cold_time = atoi(argv[i] + strlen("cold_ms=")) * (wg_time)WG_USEC_PER_MSEC;
         } else if (g_str_has_prefix(argv[i], "runs=")) {
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -39,8 +39,8 @@
     proxy* links;
     const char* service;
     const char* data_centre;
-    const char* version; /* of its software; NULL: not given */
-    bool reuses_id;      /* restarts under the same id */
+    int version;    /* of its software, stated as "vN"; 0: not stated */
+    bool reuses_id; /* restarts under the same id */
 } host_target;
 
 /* Events recorded by the targets; times are those of arrival, on the monotonic clock. */
--- a/tests/test_parts.c
+++ b/tests/test_parts.c
@@ -489,12 +489,37 @@
 }
 END_TEST
 
-WG_TEST_MAIN("parts", stale_handles_are_detected, histogram_quantiles_are_close,
-             bad_frames_are_refused, handoff_answers_parse_as_they_were_packed,
-             malformed_handoff_answers_are_refused, proof_depends_on_key_label_and_hellos,
-             bad_settings_name_file_group_and_key, claims_are_granted_once, members_join_and_leave,
-             entry_hosts_are_few_local_and_stable, only_leased_slots_are_used,
-             older_list_does_not_undo_draining,
+/* Guards against a stream that goes on at a target that is known to have another version, although
+   one of its version, or one that has not answered yet, has a free slot. */
+START_TEST(stream_prefers_targets_of_its_version) {
+    wgp_choice choice;
+    wgp_place* p = setup_place(3, 1);
+    wgp_request stream = {.service = 7, .version = "v1"};
+    wgp_record_version(p, 1, "v1");
+    wgp_record_version(p, 2, "v2");
+    ck_assert(wgp_has_version(p, 1, "v1"));
+    ck_assert(!wgp_has_version(p, 2, "v1"));
+    ck_assert(wgp_has_version(p, 3, "v1")); /* not known yet */
+    ck_assert(wgp_has_version(p, 2, NULL));
+    for (int i = 0; i < 2; i++) {
+        ck_assert(wgp_pick(p, 0, &stream, &choice));
+        ck_assert_uint_ne(choice.target, 2);
+        wgp_sent(p, &choice);
+    }
+    ck_assert(wgp_pick(p, 0, &stream, &choice));
+    ck_assert(!wgp_has_version(p, choice.target, "v1")); /* the caller does not send there */
+    wgp_record_version(p, 2, "v1");
+    ck_assert(wgp_has_version(p, 2, "v1"));
+    wgp_shutdown(p);
+}
+END_TEST
+
+WG_TEST_MAIN("parts", stream_prefers_targets_of_its_version, stale_handles_are_detected,
+             histogram_quantiles_are_close, bad_frames_are_refused,
+             handoff_answers_parse_as_they_were_packed, malformed_handoff_answers_are_refused,
+             proof_depends_on_key_label_and_hellos, bad_settings_name_file_group_and_key,
+             claims_are_granted_once, members_join_and_leave, entry_hosts_are_few_local_and_stable,
+             only_leased_slots_are_used, older_list_does_not_undo_draining,
              target_in_backoff_gets_no_requests_and_keeps_one_slot,
              failing_target_is_ejected_and_probed, prefix_preference_yields_to_load,
              bad_descs_name_the_field)
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -22,8 +22,7 @@
     ATTEMPTS_MAX = 8, /* of a caller for one stream */
     RETURN_MS = 50,   /* until a caller whose stream broke off takes it up */
     DONE_MS = 8000,   /* until all callers are done */
-    ANSWER_S = 4,
-    VERSIONS_MAX = 4
+    ANSWER_S = 4
 };
 
 /* Four targets have as many slots as there are streams, so that all of them are used. */
@@ -56,8 +55,6 @@
     int refused; /* answers 503 */
 };
 
-static const char* const versions[VERSIONS_MAX] = {"v1", "v2", "v3", "v4"};
-
 /* ---- callers --------------------------------------------------------------------------------- */
 
 static void stream_send(stream* s);
@@ -86,10 +83,8 @@
         s->last_event = id;
         g_strlcpy(s->first_id, s->first_id[0] ? s->first_id : s->last_id, sizeof s->first_id);
     }
-    for (int v = 0; v < VERSIONS_MAX; v++) {
-        bool named =
-            g_str_has_prefix(line, "event: ") && strcmp(line + strlen("event: "), versions[v]) == 0;
-        s->versions |= named ? 1U << v : 0;
+    if (g_str_has_prefix(line, "event: v")) {
+        s->versions |= 1U << atoi(line + strlen("event: v"));
     }
 }
 
@@ -197,7 +192,7 @@
 
 /* ---- the fleet ------------------------------------------------------------------------------- */
 
-static void target_start(fleet* f, int number, const char* version) {
+static void target_start(fleet* f, int number, int version) {
     host_target* t = &f->h.targets[number];
     t->version = version;
     hosts_start_target(&f->h, t);
@@ -207,8 +202,8 @@
     }
 }
 
-/* `list`: versions of the targets, then NULL. */
-static void begin(fleet* f, const char* const* list) {
+/* `list`: versions of the targets, then 0. */
+static void begin(fleet* f, const int* list) {
     *f = (fleet){.base = event_base_new()};
     hosts_setup(&f->h, f->base, HOSTS, DISKS, HOST_TARGETS_MAX);
     hosts_use_deployed_timing(&f->h);
@@ -269,7 +264,7 @@
 
 /* ---- tests ----------------------------------------------------------------------------------- */
 
-static const char* const two_each[] = {"v1", "v1", "v2", "v2", NULL};
+static const int two_each[] = {1, 1, 2, 2, 0};
 
 /* Guards against a host that continues a stream inside an answer at another version. */
 START_TEST(stream_that_breaks_off_continues_at_its_version) {
@@ -311,13 +306,13 @@
 /* Guards against streams that began before the second version served, and that no host has told
    the others of. */
 START_TEST(stream_that_began_before_a_release_continues_at_its_version) {
-    static const char* const before[] = {"v1", "v1", NULL}; /* full */
+    static const int before[] = {1, 1, 0}; /* full */
     fleet f;
     begin(&f, before);
     start_streams(&f);
     hosts_run_for(&f.h, SPREAD_MS);
-    target_start(&f, 4, "v2");
-    target_start(&f, 5, "v2");
+    target_start(&f, 4, 2);
+    target_start(&f, 5, 2);
     hosts_run_for(&f.h, BREAK_MS - SPREAD_MS);
     for (f.first_host = 0; f.first_host < 2; f.first_host++) {
         kill_entry(&f, f.first_host);
@@ -334,17 +329,17 @@
 /* Guards against a host that sends a stream to another version because the one that began it has
    no target left, or its only target restarted under the same id with another version. */
 START_TEST(stream_whose_version_has_gone_is_refused) {
-    static const char* const one_of_two[] = {"v1", "v1", "v2", "v1", NULL};
+    static const int one_of_two[] = {1, 1, 2, 1, 0};
     fleet f;
     begin(&f, one_of_two);
     f.h.targets[2].reuses_id = true;
     kill_process(&f.h.targets[2].pid);
-    target_start(&f, 2, "v2");
+    target_start(&f, 2, 2);
     hosts_run_for(&f.h, 500);
     start_streams(&f);
     hosts_run_for(&f.h, BREAK_MS);
     kill_process(&f.h.targets[2].pid);
-    target_start(&f, 2, "v1");
+    target_start(&f, 2, 1);
     run_until_done(&f);
     outcome o = outcome_of(&f);
     end(&f, o.joined == 0);
@@ -371,7 +366,7 @@
 
 /* Guards against refusals where only one version has served: any of its targets will do. */
 START_TEST(stream_of_the_only_version_continues_although_no_host_knows_it) {
-    static const char* const one[] = {"v1", "v1", "v1", "v1", NULL};
+    static const int one[] = {1, 1, 1, 1, 0};
     fleet f;
     begin(&f, one);
     start_streams(&f);
@@ -389,7 +384,7 @@
 /* Guards against refusals while the hosts have no leader: most of them say that they know of no
    other version. */
 START_TEST(stream_of_the_only_version_continues_without_a_leader) {
-    static const char* const one[] = {"v1", "v1", "v1", "v1", NULL};
+    static const int one[] = {1, 1, 1, 1, 0};
     fleet f;
     begin(&f, one);
     start_streams(&f);
