--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -21,17 +21,18 @@
 
 typedef struct {
     int64_t slots;
-    int64_t pace_us;   /* time between two tokens */
-    int64_t work_us;   /* run time of an application call */
-    int64_t refuse;    /* percent of requests refused as not run */
-    int64_t fail;      /* percent of requests that run, then answer 500 */
-    int64_t cut;       /* percent of answers aborted in the middle */
-    int64_t stall;     /* 1: answers nothing */
-    int64_t late_us;   /* delay before the first byte of an answer */
-    int64_t no_marker; /* percent of streams that end without their end marker */
-    int64_t leaving;   /* 1: answers report that the target is draining */
-    int64_t rest_ms;   /* backoff hint in Retry-After of 503 answers; 0: none */
-    int64_t version;   /* of the software, stated in answers and in each event; 0: not stated */
+    int64_t pace_us;       /* time between two tokens */
+    int64_t work_us;       /* run time of an application call */
+    int64_t refuse;        /* percent of requests refused as not run */
+    int64_t fail;          /* percent of requests that run, then answer 500 */
+    int64_t cut;           /* percent of answers aborted in the middle */
+    int64_t stall;         /* 1: answers nothing */
+    int64_t late_us;       /* delay before the first byte of an answer */
+    int64_t no_marker;     /* percent of streams that end without their end marker */
+    int64_t leaving;       /* 1: answers report that the target is draining */
+    int64_t rest_ms;       /* backoff hint in Retry-After of 503 answers; 0: none */
+    int64_t version;       /* of the software, named in each event; 0: not named */
+    int64_t state_version; /* 1: heads of answers state the version too */
     int64_t seed;
 } fake_faults;
 
@@ -44,12 +45,13 @@
     static const struct {
         const char* name;
         int64_t* field;
-    } fields[] = {
-        {"slots", &fake.slots},     {"pace_us", &fake.pace_us}, {"work_us", &fake.work_us},
-        {"refuse", &fake.refuse},   {"fail", &fake.fail},       {"cut", &fake.cut},
-        {"stall", &fake.stall},     {"late_us", &fake.late_us}, {"no_marker", &fake.no_marker},
-        {"leaving", &fake.leaving}, {"rest_ms", &fake.rest_ms}, {"seed", &fake.seed},
-        {"version", &fake.version}};
+    } fields[] = {{"slots", &fake.slots},         {"pace_us", &fake.pace_us},
+                  {"work_us", &fake.work_us},     {"refuse", &fake.refuse},
+                  {"fail", &fake.fail},           {"cut", &fake.cut},
+                  {"stall", &fake.stall},         {"late_us", &fake.late_us},
+                  {"no_marker", &fake.no_marker}, {"leaving", &fake.leaving},
+                  {"rest_ms", &fake.rest_ms},     {"seed", &fake.seed},
+                  {"version", &fake.version},     {"state_version", &fake.state_version}};
     for (size_t i = 0; i < G_N_ELEMENTS(fields); i++) {
         if (strcmp(fields[i].name, name) == 0) {
             return fields[i].field;
@@ -70,7 +72,7 @@
 static void fake_add_version_header(struct evhttp_request* request) {
     char text[24];
     g_snprintf(text, sizeof text, "v%" G_GINT64_FORMAT, fake.version);
-    if (fake.version > 0) {
+    if (fake.state_version) {
         evhttp_add_header(evhttp_request_get_output_headers(request), "Target-Version", text);
     }
 }
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -220,7 +220,9 @@
     char place[48];
     g_snprintf(place, sizeof place, "data_centre=%s", t->data_centre);
     char version[48];
+    char state_version[48];
     g_snprintf(version, sizeof version, "version=%d", t->version);
+    g_snprintf(state_version, sizeof state_version, "state_version=%d", t->states_version);
     GPtrArray* arguments = g_ptr_array_new();
     char* always[] = {address,
                       place,
@@ -236,7 +238,7 @@
     char* faults[] = {(char*)"cut=2", (char*)"fail=10", (char*)"refuse=6"};
     add_arguments(arguments, always, G_N_ELEMENTS(always));
     add_arguments(arguments, faults, h->target_faults ? G_N_ELEMENTS(faults) : 0);
-    add_arguments(arguments, (char*[]){version}, t->version > 0 ? 1 : 0);
+    add_arguments(arguments, (char*[]){version, state_version}, t->version > 0 ? 2 : 0);
     g_ptr_array_add(arguments, NULL);
     t->pid = start_program(h, "fake_target", log, (char**)arguments->pdata);
     g_ptr_array_unref(arguments);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -39,8 +39,9 @@
     proxy* links;
     const char* service;
     const char* data_centre;
-    int version;    /* of its software, stated as "vN"; 0: not stated */
-    bool reuses_id; /* restarts under the same id */
+    int version;         /* of its software, named "vN"; 0: not named in events */
+    bool states_version; /* heads of answers state it too */
+    bool reuses_id;      /* restarts under the same id */
 } host_target;
 
 /* Events recorded by the targets; times are those of arrival, on the monotonic clock. */
--- a/tests/sim/soak_callers.c
+++ b/tests/sim/soak_callers.c
@@ -16,13 +16,20 @@
     event_add(c->timer, &wait);
 }
 
+/* Whether the caller takes up the stream that has just ended. */
+static bool caller_takes_up(const caller* c) {
+    return c->s->desc.releases && c->kind == CALL_STREAM && c->events_seen > 0 &&
+           c->events_seen < STREAM_EVENTS && c->take_ups < TAKE_UPS_MAX;
+}
+
 static void caller_done(caller* c, bool keep) {
     c->busy = false;
+    c->takes_up = caller_takes_up(c);
     keep = keep && c->pace == PACE_NORMAL;
     event_del(c->reader);
     g_free(c->bytes);
     c->bytes = NULL;
-    if (!keep && c->bev) {
+    if ((!keep || c->takes_up) && c->bev) {
         bufferevent_free(c->bev);
         c->bev = NULL;
     }
@@ -35,18 +42,40 @@
     caller_done(c, false);
 }
 
+/* Version named in an event, "event: vN"; 0: none. */
+static int event_version(const char* event, size_t size) {
+    static const char line[] = "\nevent: v";
+    const char* at = g_strstr_len(event, (gssize)size, line);
+    return at ? atoi(at + sizeof line - 1) : 0;
+}
+
+static void check_version(caller* c, int version) {
+    if (c->events_seen == 1) {
+        c->stream_version = version;
+        g_strlcpy(c->stream_id, c->id, sizeof c->stream_id);
+    } else if (version != c->stream_version) {
+        soak_record_violation(c->s, "%s: event %d of version %d in stream %s of version %d", c->id,
+                              c->events_seen, version, c->stream_id, c->stream_version);
+    }
+}
+
 static void check_events(caller* c) {
     char id[16] = "";
     struct evbuffer* event = evbuffer_new();
     while (wg_event_stream_next(c->content, event, id, sizeof id) == WG_EVENT_STREAM_EVENT) {
         char expected[96];
+        char named[24] = "";
         int number = ++c->events_seen;
-        int size =
-            g_snprintf(expected, sizeof expected, "id: %d\ndata: %s-%d\n\n", number, c->id, number);
         size_t have = evbuffer_get_length(event);
-        if (have != (size_t)size || memcmp(evbuffer_pullup(event, -1), expected, have) != 0) {
+        const char* text = (const char*)evbuffer_pullup(event, -1);
+        int version = event_version(text, have);
+        check_version(c, version);
+        g_snprintf(named, sizeof named, "event: v%d\n", version);
+        int size = g_snprintf(expected, sizeof expected, "id: %d\n%sdata: %s-%d\n\n", number,
+                              version ? named : "", c->id, number);
+        if (have != (size_t)size || memcmp(text, expected, have) != 0) {
             soak_record_violation(c->s, "%s: unexpected event %d: \"%.*s\"", c->id, number,
-                                  (int)have, (const char*)evbuffer_pullup(event, -1));
+                                  (int)have, text);
         }
         evbuffer_drain(event, have);
     }
@@ -74,6 +103,7 @@
             soak_record_violation(s, "%s: stream ended as complete after %d events", c->id,
                                   c->events_seen);
         }
+        s->result.taken_up_complete += c->take_ups > 0;
     } else if (status == 200) {
         GString* expected = g_string_new("whole ");
         g_string_append(expected, c->id);
@@ -207,10 +237,18 @@
     }
     c->busy = true;
     c->head_read = false;
-    c->events_seen = 0;
     evbuffer_drain(c->content, evbuffer_get_length(c->content));
-    c->kind = (call_kind)soak_random(s, CALL_KINDS_NUM);
-    caller_choose_pace(c);
+    char resumes[96] = "";
+    if (c->takes_up) {
+        s->result.taken_up += c->take_ups++ == 0;
+        g_snprintf(resumes, sizeof resumes, "Walnutgate-Resumes: %s\r\nLast-Event-ID: %d\r\n",
+                   c->stream_id, c->events_seen);
+    } else {
+        c->events_seen = 0;
+        c->take_ups = 0;
+        c->kind = (call_kind)soak_random(s, CALL_KINDS_NUM);
+        caller_choose_pace(c);
+    }
     if (c->pace == PACE_SILENT) {
         bufferevent_disable(c->bev, EV_READ);
     }
@@ -233,8 +271,8 @@
     evbuffer_add_printf(bufferevent_get_output(c->bev),
                         "%s%s HTTP/1.1\r\nHost: soak\r\nWalnutgate-Request: %s\r\n"
                         "Walnutgate-Key: key\r\nWalnutgate-Deadline-Ms: 3000\r\n"
-                        "Asked-Host: %d\r\n%sContent-Length: 0\r\n\r\n",
-                        lines[c->kind], large, c->id, c->host, prompt);
+                        "Asked-Host: %d\r\n%s%sContent-Length: 0\r\n\r\n",
+                        lines[c->kind], large, c->id, c->host, resumes, prompt);
     caller_schedule(c, c->pace == PACE_SILENT ? 800 + (int)soak_random(s, 1500)
                                               : CALL_TIMEOUT / WG_USEC_PER_MSEC);
 }
--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -64,7 +64,7 @@
         break;
     case REPAIR_TARGET:
         soak_kill(&t->pid);
-        hosts_start_target(&s->h, t);
+        soak_start_target(s, t);
         break;
     case REPAIR_CONTINUE_ENTRY:
         kill(w->entry, SIGCONT);
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -23,7 +23,10 @@
     FORM_TIMEOUT = 60 * WG_USEC_PER_SEC,     /* from the start until all hosts serve */
     RECOVERY_TIMEOUT = 20 * WG_USEC_PER_SEC, /* from the last fault until all hosts serve */
     CATCH_UP_TIME = 4 * WG_USEC_PER_SEC,     /* for a replica that restarted with an empty disk */
-    SPARE_HOSTS_NUM = 2                      /* hosts that replace others during a run */
+    SPARE_HOSTS_NUM = 2,                     /* hosts that replace others during a run */
+    TARGETS_NUM = 5,
+    RELEASE_TARGETS_NUM = 9, /* targets of a run with releases */
+    TAKE_UPS_MAX = 4         /* requests that take up one stream */
 };
 
 /* Requests that check each host before the first and after the last fault. */
@@ -69,6 +72,11 @@
     struct evbuffer* content;
     struct evbuffer* events;
     int events_seen;
+    /* The next two are valid while `events_seen` is above 0. */
+    char stream_id[40]; /* id of the request that brought the first event */
+    int stream_version; /* version of the target that made it; 0: not named */
+    int take_ups;       /* requests that have taken the stream up; 0: none */
+    bool takes_up;      /* the next request takes the stream up */
     caller_pace pace;
     int large;            /* bytes of a large answer after its usual text; 0: not large */
     struct event* reader; /* continues reading at PACE_SLOW */
@@ -143,6 +151,8 @@
 void soak_record_violation(soak* s, const char* format, ...) G_GNUC_PRINTF(2, 3);
 /* A random host that is part of the fleet. */
 host* soak_random_host(soak* s);
+/* Starts a target, in a run with releases with a version drawn by the seed. */
+void soak_start_target(soak* s, host_target* target);
 /* Records the start of a fault; returns its index in `disturbances`. */
 int soak_begin_disturbance(soak* s);
 
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -224,6 +224,13 @@
     hosts_events_clear(&events);
 }
 
+void soak_start_target(soak* s, host_target* target) {
+    if (s->desc.releases) {
+        target->version = 1 + (int)soak_random(s, 2);
+    }
+    hosts_start_target(&s->h, target);
+}
+
 static void start_processes(soak* s) {
     for (int i = 0; i < s->h.num; i++) {
         if (s->h.hosts[i].absent) {
@@ -236,7 +243,7 @@
     }
     s->h.started_before = true;
     for (int i = 0; i < s->h.targets_num; i++) {
-        hosts_start_target(&s->h, &s->h.targets[i]);
+        soak_start_target(s, &s->h.targets[i]);
     }
 }
 
@@ -263,7 +270,7 @@
     s->unsafe_ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
     g_queue_init(&s->repairs);
     hosts_setup(&s->h, s->base, s->desc.hosts + (desc->harsh ? SPARE_HOSTS_NUM : 0), s->desc.disks,
-                5);
+                desc->releases ? RELEASE_TARGETS_NUM : TARGETS_NUM);
     if (desc->harsh) {
         set_up_harsh(s);
     }
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -19,6 +19,8 @@
         - a host sends at most two requests to a target within a backoff period that the target
           asked it for, and none later than two seconds after the target notified it of draining,
           unless the host's process or the links to the target were disturbed
+        - in a run with releases, all events of a stream are of one software version, also if its
+          caller takes it up at another host
         - no entry process ends unless a fault ends it; in a run with slow callers, answers to
           callers that read slowly are right too
         - once the fault phase is over, a request that crashed three targets is sent to at most
@@ -46,6 +48,8 @@
     bool slow_callers;  /* some callers read slowly or nothing; hosts have a bound on held bytes */
     bool load_control;  /* admission and overload control are on */
     bool handoff;       /* entry hosts hand requests off to each other */
+    bool releases;      /* targets of two software versions; a restarted one may have the other.
+                           Callers take up streams that broke off */
     bool target_faults; /* targets abort, fail and refuse a part of their requests */
     bool keep;          /* keep the folder with the logs after a good run too */
 } soak_desc;
@@ -70,6 +74,8 @@
     int slow_complete;     /* whole answers to callers that read slowly */
     int slow_broken;       /* answers to such callers that broke off */
     int cut;               /* callers that hosts cut off, as far as their logs tell */
+    int taken_up;          /* streams that callers took up */
+    int taken_up_complete; /* those of them that went on to their end */
     int handed_off;        /* handed-off requests that ended, as far as logs tell */
     int loop_lag_ms;       /* max event-loop delay of the soak process, milliseconds */
     wg_time recovery_time; /* from the last fault until all hosts served again */
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -38,10 +38,13 @@
         arg_lit0(NULL, "load-control", "admission and overload control are on");
     struct arg_lit* handoff =
         arg_lit0(NULL, "handoff", "entry hosts hand requests off to each other");
+    struct arg_lit* releases =
+        arg_lit0(NULL, "releases", "targets of two software versions; callers take up streams");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed,        seeds, seconds, hosts, disks,        harsh,   calm, crashes,
-                     successions, colds, rests,   slow,  load_control, handoff, keep, end};
+    void* table[] = {seed,         seeds,   seconds,     hosts, disks, harsh,
+                     calm,         crashes, successions, colds, rests, slow,
+                     load_control, handoff, releases,    keep,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -64,20 +67,22 @@
                           .slow_callers = slow->count > 0,
                           .load_control = load_control->count > 0,
                           .handoff = handoff->count > 0,
-                          .target_faults = i % 2 == 1,
+                          .releases = releases->count > 0,
+                          .target_faults = i % 2 == 1 || releases->count > 0,
                           .keep = keep->count > 0};
         soak_result r = soak_run(&desc);
         failed += !r.good;
         printf(
             "seed %" G_GUINT64_FORMAT ": %s%s%s; %d requests, %d complete, %d refused, %d failed, "
             "%d faults, %d max per second at a cold target, %d targets crashed, %d overloads, %d "
-            "excused, %d slow complete, %d slow broken, %d cut off, %d handed off, %d disks lost, "
+            "excused, %d slow complete, %d slow broken, %d cut off, %d handed off, "
+            "%d of %d streams complete that were taken up, %d disks lost, "
             "%d hosts replaced, %d configurations, %d evacuations, "
             "max event-loop delay %d ms, recovered in %.1f s%s%s\n",
             desc.seed, r.good ? "good" : "BROKEN: ", r.good ? "" : r.reason, "", r.requests,
             r.complete, r.refused, r.failed, r.faults, r.cold_max, r.crashes, r.overloads,
-            r.excused, r.slow_complete, r.slow_broken, r.cut, r.handed_off, r.disks_lost,
-            r.replaced, r.acknowledged, r.evacuations, r.loop_lag_ms,
+            r.excused, r.slow_complete, r.slow_broken, r.cut, r.handed_off, r.taken_up_complete,
+            r.taken_up, r.disks_lost, r.replaced, r.acknowledged, r.evacuations, r.loop_lag_ms,
             (double)r.recovery_time / WG_USEC_PER_SEC, r.good ? "" : ", logs in ",
             r.good ? "" : r.folder);
         fflush(stdout);
--- a/tests/test_router_versions.c
+++ b/tests/test_router_versions.c
@@ -38,7 +38,7 @@
         char name[16];
         char faults[48];
         g_snprintf(name, sizeof name, "engine%d", i + 1);
-        g_snprintf(faults, sizeof faults, "version=%d&cut=20", 1 + i % 2);
+        g_snprintf(faults, sizeof faults, "version=%d&state_version=1&cut=20", 1 + i % 2);
         proc_set_faults(proc_find(&fleet, name), faults);
     }
     for (int i = 0; i < STREAMS; i++) {
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -333,6 +333,7 @@
     fleet f;
     begin(&f, one_of_two);
     f.h.targets[2].reuses_id = true;
+    f.h.targets[2].states_version = true;
     kill_process(&f.h.targets[2].pid);
     target_start(&f, 2, 2);
     hosts_run_for(&f.h, 500);
