Entry hosts: a host without requests does not look for several versions

A host that starts gets the whole registry; for each target in it the versions of its service were compared, though no stream is in progress. Same decisions.

--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -83,7 +83,8 @@
 
 void wg_entry_origins_update_target(wg_entry* e, uint32_t number) {
     const wg_target* target = wg_registry_find(e->registry, number);
-    if (target && e->config && !wg_entry_only_version(e, target->service)) {
+    bool in_use = target && e->config && e->calls_num > 0;
+    if (in_use && !wg_entry_only_version(e, target->service)) {
         wg_entry_origins_record_of(e->clients, target->service);
         wg_entry_origins_record_of(e->taken_clients, target->service);
     }
