Entry hosts: without a leader for long, hosts tell others of all their streams

What callers saw: taken up after their hosts had ended, streams that began while there was no leader were refused (0 of 30 went on), although their version served. Cause: hosts are told of a stream only if its service has several versions as far as the relaying host knows; one that is cut off from the leader misses a second version, and the host at which the caller arrives cannot infer anything. Change: after 1.5 s without a leader, longer than an election, a host tells of new streams and of those in progress.

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -383,6 +383,7 @@
     /* streams that callers take up: wg_entry_origins.c */
     wg_origins* origins;
     GHashTable* pending_origins; /* ticket -> wg_call* */
+    bool tells_all_origins;      /* there has been no leader for long */
 
     /* requests that crash targets: wg_entry_quarantine.c */
     wg_quarantine* quarantine;   /* copy of the leader's list */
--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -12,6 +12,9 @@
        may shorten the timeouts of its routes meanwhile. */
     WG_STREAM_LIFE_MIN = 30 * WG_USEC_PER_SEC,
     WG_STREAM_LIFE_TIMEOUTS = 2, /* the same, in timeouts of the slowest route for streams */
+    /* Without a leader for this time, longer than an election, a host may be cut off and miss that
+       a second version serves. */
+    WG_LEADERLESS_TIME = 1500 * WG_USEC_PER_MSEC
 };
 
 /* ---- helpers --------------------------------------------------------------------------------- */
@@ -27,6 +30,11 @@
     return wg_registry_only_version(e->registry, wg_now(), service, wg_entry_stream_life(e));
 }
 
+/* Whether other hosts may know of several versions of the service. */
+static bool wg_entry_may_have_versions(const wg_entry* e, const char* service) {
+    return e->tells_all_origins || !wg_entry_only_version(e, service);
+}
+
 /* Writes the indexes of the coordinators that keep the stream; returns their number. */
 static int wg_entry_origin_keepers(const wg_entry* e, uint64_t stream,
                                    int keepers[WG_ORIGIN_KEEPERS]) {
@@ -65,17 +73,18 @@
 
 void wg_entry_origin_record(wg_call* call) {
     if (call->stream && call->version && !call->origin_told &&
-        !wg_entry_only_version(call->entry, call->selection.service)) {
+        wg_entry_may_have_versions(call->entry, call->selection.service)) {
         wg_call_tell_origin(call);
     }
 }
 
+/* `service` NULL: of all services. */
 static void wg_entry_origins_record_of(const GPtrArray* clients, const char* service) {
     for (guint i = 0; i < clients->len; i++) {
         const wg_client* client = clients->pdata[i];
         wg_call* call = client->call;
         bool open = call && call->stream && call->version && !call->origin_told;
-        if (open && strcmp(call->selection.service, service) == 0) {
+        if (open && (!service || strcmp(call->selection.service, service) == 0)) {
             wg_call_tell_origin(call);
         }
     }
@@ -90,6 +99,17 @@
     }
 }
 
+/* Tells of all streams from now on, and of those in progress, while there is no leader for long. */
+static void wg_entry_origins_update_leaderless(wg_entry* e, wg_time now) {
+    bool before = e->tells_all_origins;
+    e->tells_all_origins =
+        !e->leader_known && wg_outage_duration(&e->leaderless, now) >= WG_LEADERLESS_TIME;
+    if (e->tells_all_origins && !before && e->config) {
+        wg_entry_origins_record_of(e->clients, NULL);
+        wg_entry_origins_record_of(e->taken_clients, NULL);
+    }
+}
+
 /* ---- finding out ----------------------------------------------------------------------------- */
 
 static void wg_call_log_origin(const wg_call* call, const char* outcome) {
@@ -322,6 +342,7 @@
 
 void wg_entry_origins_tick(wg_entry* e, wg_time now) {
     wg_origins_expire(e->origins, now);
+    wg_entry_origins_update_leaderless(e, now);
 }
 
 void wg_entry_origins_print_metrics(const wg_entry* e, GString* out) {
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -405,9 +405,37 @@
 }
 END_TEST
 
+/* Guards against a host that is cut off from the leader, misses that a second version serves, and
+   tells nobody of its streams: here no answers of most hosts make up for it. */
+START_TEST(stream_that_began_without_a_leader_is_known_to_other_hosts) {
+    enum {
+        LEADERLESS_MS = 2500 /* the hosts are sure that there is no leader */
+    };
+    static const int one[] = {1, 1, 1, 1, 0};
+    fleet f;
+    begin(&f, one);
+    for (int i = 0; i < DISKS; i++) {
+        kill_process(&f.h.hosts[i].replica);
+    }
+    hosts_run_for(&f.h, LEADERLESS_MS);
+    start_streams(&f);
+    hosts_run_for(&f.h, BREAK_MS);
+    for (f.first_host = 0; f.first_host < 3; f.first_host++) {
+        kill_entry(&f, f.first_host);
+    }
+    run_until_done(&f);
+    outcome o = outcome_of(&f);
+    bool good = o.taken_up >= 12 && 2 * o.taken_up_whole >= o.taken_up;
+    end(&f, good);
+    ck_assert_int_ge(o.taken_up, 12);
+    ck_assert_int_ge(2 * o.taken_up_whole, o.taken_up);
+}
+END_TEST
+
 WG_TEST_MAIN("stream_versions", stream_that_breaks_off_continues_at_its_version,
              stream_taken_up_at_another_host_continues_at_its_version,
              stream_that_began_before_a_release_continues_at_its_version,
              stream_whose_version_has_gone_is_refused, stream_that_no_host_knows_is_refused,
              stream_of_the_only_version_continues_although_no_host_knows_it,
-             stream_of_the_only_version_continues_without_a_leader)
+             stream_of_the_only_version_continues_without_a_leader,
+             stream_that_began_without_a_leader_is_known_to_other_hosts)
