--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -12,7 +12,9 @@
         - strict parsing of request heads; ambiguous ones are refused
         - at-most-once delivery of requests that are not repeatable; others are retried on other
           targets within the route's attempts and the fleet's retry budget
-        - event streams of resumable routes continue on another target within one answer
+        - event streams of resumable routes continue on another target within one answer, and where
+          their callers take them up at any host; only on targets of the software version that
+          began them
         - configuration versions only increase; without a configuration requests get 503
         - planned stop: removed from entry answers at once, completes running requests, then exits
 
--- a/lib/place/wg_place.h
+++ b/lib/place/wg_place.h
@@ -12,8 +12,8 @@
           a reserve per service
         - the reported load lags, so requests sent since the last report are added to it
         - a target that recently refused most requests is tried again by a few only, unless all
-   targets of its service do
-    - ejects a target after consecutive failures, for growing, jittered times; a single probe
+          targets of its service do
+        - ejects a target after consecutive failures, for growing, jittered times; a single probe
           request decides whether it returns
         - sends nothing to a target in a backoff period, and releases its idle slots but one
         - an older host list cannot revoke draining, and a host list that is unavailable changes
--- a/lib/router/wg_router.h
+++ b/lib/router/wg_router.h
@@ -10,7 +10,7 @@
     FEATURES
         - one wgc_call per request; one wgq_queue and one retry budget per service
         - streams are relayed event by event with bounded memory, and a stream that its target
-          aborted is resumed at another target
+          aborted is resumed at another target of the same software version
         - reports to the leader are sent on change, at most at an interval and within a byte budget
         - planned stop: reports that it is leaving, and serves until every entry-host answer that
           names it has expired
