--- a/tests/sim/proc.c
+++ b/tests/sim/proc.c
@@ -275,8 +275,8 @@
 
 /* Are the first addresses of controls, routers and targets free? */
 static bool is_free_part(int part) {
-    static const char* const first[] = {"127.%d.1.1:7100", "127.%d.2.1:8000", "127.%d.3.1:9000",
-                                        "127.%d.4.1:9000"};
+    static const char* const first[] = {"127.%d.1.1:7100", "127.%d.1.1:7200", "127.%d.2.1:8000",
+                                        "127.%d.3.1:9000", "127.%d.4.1:9000"};
     return loopback_are_bindable(part, first, G_N_ELEMENTS(first));
 }
 
--- a/tests/test_router_versions.c
+++ b/tests/test_router_versions.c
@@ -33,7 +33,7 @@
 /* Guards against a router that continues a stream at an engine of another version. */
 START_TEST(stream_that_breaks_off_continues_at_its_version) {
     outcome o = {0};
-    start_fleet(&(proc_desc){.controls = 1, .routers = 1, .engines = ENGINES});
+    start_fleet(&(proc_desc){.controls = 1, .routers = 1, .services = 1, .engines = ENGINES});
     for (int i = 0; i < ENGINES; i++) {
         char name[16];
         char faults[48];
