--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -1,7 +1,7 @@
 /* wg_entry_call.c -- lifecycle of a request: routing, waiting, attempts, answer */
 #include "wg_entry_internal.h"
+#include "wg_prompt_read.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 enum {
@@ -200,72 +200,6 @@
 
 /* ---- helpers: reading the request ------------------------------------------------------------ */
 
-/* Returns a number of tokens as stated by a caller at the start of `text`, at most `max`; 0 if it
-   is negative or no number. Blanks and a sign may precede it, and anything may follow. */
-static uint32_t wg_parse_tokens(wg_text text, uint32_t max) {
-    size_t at = 0;
-    uint64_t tokens = 0;
-    while (at < text.size && g_ascii_isspace(text.text[at])) {
-        at++;
-    }
-    bool negative = at < text.size && text.text[at] == '-';
-    at += at < text.size && (text.text[at] == '-' || text.text[at] == '+');
-    while (at < text.size && g_ascii_isdigit(text.text[at]) && tokens < max) {
-        tokens = 10 * tokens + (uint64_t)(text.text[at] - '0');
-        at++;
-    }
-    return negative ? 0 : (uint32_t)MIN(tokens, max);
-}
-
-/* Takes the text before the next `separator`, or all of it, off `rest`. False if `separator` does
-   not occur. */
-static bool wg_text_take(wg_text* rest, char separator, wg_text* taken) {
-    const char* end = rest->size ? memchr(rest->text, separator, rest->size) : NULL;
-    size_t size = end ? (size_t)(end - rest->text) : rest->size;
-    size_t step = end ? size + 1 : size;
-    *taken = (wg_text){rest->text, size};
-    *rest = (wg_text){rest->text + step, rest->size - step};
-    return end != NULL;
-}
-
-static wg_text wg_text_strip(wg_text text) {
-    while (text.size && g_ascii_isspace(text.text[0])) {
-        text = (wg_text){text.text + 1, text.size - 1};
-    }
-    while (text.size && g_ascii_isspace(text.text[text.size - 1])) {
-        text.size--;
-    }
-    return text;
-}
-
-/* `parts`: "id:tokens", separated by commas; `tokens`: "prompt,answer". Reads them in place, as
-   this runs for each request, also for those that are refused. */
-static bool wg_parse_prompt(wg_text parts, wg_text tokens, wg_prompt* prompt) {
-    *prompt = (wg_prompt){0};
-    uint32_t sum = 0;
-    for (int i = 0; parts.size > 0 && i < WG_PROMPT_PARTS_MAX; i++) {
-        wg_text part;
-        wg_text id;
-        wg_text_take(&parts, ',', &part);
-        if (!wg_text_take(&part, ':', &id)) {
-            continue;
-        }
-        id = wg_text_strip(id);
-        prompt->parts[prompt->num] = wg_hash(id.text, id.size, 0);
-        prompt->sizes[prompt->num] = wg_parse_tokens(part, WG_PROMPT_TOKENS_MAX - sum);
-        sum += prompt->sizes[prompt->num];
-        prompt->num++;
-    }
-    prompt->tokens = sum;
-    if (tokens.text) {
-        wg_text total;
-        wg_text_take(&tokens, ',', &total);
-        prompt->tokens = MAX(sum, wg_parse_tokens(total, WG_PROMPT_TOKENS_MAX));
-        prompt->answer = wg_parse_tokens(tokens, WG_PROMPT_TOKENS_MAX);
-    }
-    return prompt->num > 0;
-}
-
 wg_time wg_call_deadline(const wg_entry* e, const wg_message_head* head, wg_time arrived_at) {
     int64_t ms;
     bool has_deadline = wg_text_number(wg_message_field(head, e->names->deadline), &ms);
@@ -645,7 +579,7 @@
     wg_text tokens = wg_message_field(head, e->names->prompt_tokens);
     wg_text parts = wg_message_field(head, e->names->prompt_parts);
     wg_prompt prompt;
-    return parts.text && wg_parse_prompt(parts, tokens, &prompt)
+    return parts.text && wg_prompt_read(parts, tokens, &prompt)
                ? WG_ANSWER_TOKEN_TIME * prompt.answer
                : 0;
 }
@@ -741,7 +675,7 @@
     wg_text parts = wg_message_field(head, e->names->prompt_parts);
     call->has_prompt =
         service->engine && parts.text &&
-        wg_parse_prompt(parts, wg_message_field(head, e->names->prompt_tokens), &call->prompt);
+        wg_prompt_read(parts, wg_message_field(head, e->names->prompt_tokens), &call->prompt);
     call->selection = (wg_balance_request){.service = service->name,
                                            .prompt = call->has_prompt ? &call->prompt : NULL,
                                            .copies = service->copies,
