--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A worker ends and is back under its id with another software version; its heartbeat is late."""
+"""A machine freezes just before a worker of a second software version comes: its streams."""
 import os
 import sys
 import time
@@ -8,39 +8,42 @@
 import fleet as f  # noqa: E402
 import streams  # noqa: E402
 
-STREAMS = 24
-AWAY_S = 0.3       # for which the worker is down
-LATE_S = 1.5       # after its start, its first heartbeat comes
+STREAMS = 24       # at the machine that freezes, and later elsewhere
+CONTACT_S = 3.0    # contactMs
+FREEZE_S = 6.0
 
 
 def case(fleet, trouble):
     streams.workers(fleet)
     fleet.begin(streams.configuration())
-    time.sleep(2.0)
-    old = fleet.workers[0]
-    if trouble:
-        old.close()
-        fleet.record.add("worker %s (%s) ends" % (old.id, old.version))
-        time.sleep(AWAY_S)
-        new = f.Worker(fleet, "llm", streams.serve, zone=old.zone, version="v2", ident=old.id,
-                       port=old.port)
-        new.beats_from = time.monotonic() + LATE_S
-        new.start()
-        fleet.record.add("worker %s is back, with version %s" % (new.id, new.version))
-    time.sleep(0.1)
+    frozen = fleet.machines[3]  # has no disk, so it counts as no loss
+    others = [m for m in fleet.machines if m is not frozen]
+    time.sleep(CONTACT_S)
     clients = [streams.Client(fleet, i) for i in range(STREAMS)]
-    threads = streams.start(clients, fleet.machines, fleet.machines)
-    time.sleep(3.0)
+    threads = streams.start(clients, [frozen], others)
+    time.sleep(1.5)
+    fleet.record.add("%d streams have begun" % sum(bool(c.events) for c in clients))
+    if trouble:
+        frozen.freeze()
+    time.sleep(0.3)
+    new = f.Worker(fleet, "llm", streams.serve, zone="plateau", version="v2")
+    new.start()
+    fleet.until("the new worker registered", lambda: new.acknowledged)
+    fleet.record.add("worker %s (v2) is acknowledged" % new.id)
+    time.sleep(streams.SILENCE_S)
+    fresh = [streams.Client(fleet, 100 + i) for i in range(STREAMS)]
+    threads += streams.start(fresh, others, others)
     if trouble:
-        if not new.acknowledged:
-            raise f.CannotRun("the heartbeat of the worker was not taken")
-        new.close()
-        fleet.record.add("worker %s (%s) ends" % (new.id, new.version))
+        time.sleep(FREEZE_S - streams.SILENCE_S - 0.4)
+        frozen.thaw()
     for t in threads:
         t.join()
-    mixed = [c for c in clients if len(c.versions) > 1]
-    return len(mixed) > 2, "%d of %d streams hold events of two software versions" % (
-        len(mixed), len(clients))
+    taken = [c for c in clients if c.taken_up]
+    on = sum(c.went_on for c in taken)
+    begun = sum(bool(c.events) for c in fresh)
+    text = "%d streams were taken up again, %d went on; %d of %d new streams began" % (
+        len(taken), on, begun, len(fresh))
+    return len(taken) >= 12 and on / len(taken) < begun / len(fresh) / 2, text
 
 
-f.run_case(HERE, case)
+f.run_case(HERE, case, disks=3, plain=3)
