--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,6 +3,7 @@
 import signal
 import socket
 import sys
+import threading
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
@@ -12,6 +13,7 @@
 SIZE = 300 * 1000      # bytes of the worker's answer
 RATE = 40 * 1000       # bytes a second that the caller reads
 CALLERS = 3
+CONTACT_S = 3.0        # contactMs: the start of the machines must not count as a disruption
 
 
 def serve(worker, connection, request):
@@ -55,11 +57,10 @@
 
 
 def case(fleet, trouble):
-    fleet.workers = []
     f.Worker(fleet, "app", serve)
     fleet.begin(f.configuration(1, [f.route("report", "/report/", "app")], [f.service("app")]))
     machine = fleet.machines[0]
-    import threading
+    time.sleep(CONTACT_S + 0.5)
     results = []
 
     def caller():
