Streams are told to their keepers when they begin, not when a second version comes

Cause: a host told the keepers of a stream's version only if the service had had several versions, or once a second one came. A host that cannot speak at that moment has told nobody, and what all could derive before ("the only version") can no longer be derived.

Change: each stream that can be taken up is told to its three keepers before its first event leaves; the case of a host without a leader needs no code of its own any more. This works for any way to lose a host, as nothing is left to be told later. Two things that would have turned refusals into wrong streams, or lost the note after all: - a record now names the target and the time of the first event, and counts as not known if that target restarted under its id with another version around then (the registry of the lost host may not have known); - keepers are selected among coordinators with a link, and streams in progress are told again when a link to a keeper is lost: what was handed to the link's buffer has perhaps not arrived. The leader is still told only beside several versions, then of streams in progress too.

Looked at: streams by handoff (the serving peer runs the same code), routers (bind within an answer, drop Last-Event-ID), crash evidence, usage and loads (told from the first on, again on each link), drain and backoff stated in answers (each host for itself).

--- a/lib/control/wg_control_origins.c
+++ b/lib/control/wg_control_origins.c
@@ -62,11 +62,10 @@
         wg_log(WG_EVENT_FRAME_BAD, "reason=origin-ask");
         return;
     }
-    const char* version = wg_origins_find(c->origins, wg_now(), in->stream);
+    wg_time now = wg_now();
     Wgpb__OriginAnswer answer = WGPB__ORIGIN_ANSWER__INIT;
+    wg_origin_fill_answer(&answer, now, wg_origins_find(c->origins, now, in->stream));
     answer.ticket = in->ticket;
-    answer.known = version != NULL;
-    answer.version = (char*)(version ? version : "");
     answer.replica = true;
     wgn_send(c->net, link, WGW_TYPE_ORIGIN_ANSWER, &answer.base);
     wgpb__origin_ask__free_unpacked(in, NULL);
--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -135,6 +135,7 @@
     for (int i = 0; i < dropped_num; i++) {
         wgn_close(e->net, dropped[i]);
     }
+    wg_entry_origins_update_keepers(e);
 }
 
 static void wg_entry_log_stalls(wg_entry* e, wg_time now) {
@@ -395,6 +396,7 @@
     c->timeouts_num = 0;
     wgn_set_timing(e->net, link, WG_COORDINATOR_PING, WG_COORDINATOR_TIMEOUT);
     wg_log(WG_EVENT_LINK_UP, "coordinator=%s", c->name);
+    wg_entry_origins_update_keepers(e);
     return true;
 }
 
@@ -442,6 +444,7 @@
     if (c) {
         c->link = (wgn_link){0};
         c->up = false;
+        wg_entry_origins_update_keepers(e);
     }
     wg_entry_admit_leave_lost_coordinators(e);
 }
--- a/lib/entry/wg_entry_answer.c
+++ b/lib/entry/wg_entry_answer.c
@@ -99,7 +99,7 @@
 /* The first event binds the stream to the software version of its target. */
 static void wg_call_bind_version(wg_call* call) {
     if (!call->version) {
-        wg_call_set_version(call, call->sent_version);
+        wg_call_set_origin(call, &(wg_origin){call->sent_version, call->sent_target, wg_now()});
     } else if (strcmp(call->version, call->sent_version) != 0) {
         call->entry->counters.versions_joined++;
     }
@@ -140,6 +140,7 @@
     if (version.text) {
         g_snprintf(call->sent_version, sizeof call->sent_version, "%.*s", (int)version.size,
                    version.text);
+        call->sent_target = 0;
     }
 }
 
@@ -344,8 +345,10 @@
 
 /* ---- functions of the library ---------------------------------------------------------------- */
 
-void wg_call_set_version(wg_call* call, const char* version) {
-    wg_copy_name(call->version_text, sizeof call->version_text, version);
+void wg_call_set_origin(wg_call* call, const wg_origin* origin) {
+    wg_copy_name(call->version_text, sizeof call->version_text, origin->version);
+    call->began_target = origin->target;
+    call->began_at = origin->began_at;
     call->version = call->version_text;
     call->selection.version = call->version;
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -172,12 +172,17 @@
     int64_t events;
     int64_t events_before;          /* events relayed before the last attempt */
     char sent_version[WG_NAME_MAX]; /* software version of the last attempt's target */
+    uint32_t sent_target;           /* its number; 0: it stated the version itself */
     /* Software version that the stream began at; NULL: no event has reached the caller, or not
        known. Points to `version_text`. */
     const char* version;
     char version_text[WG_NAME_MAX];
-    uint64_t stream;  /* identifies it on all hosts, see lib/origin; 0: it cannot be taken up */
-    bool origin_told; /* other hosts were told of its version */
+    uint32_t began_target; /* target that it began at, see wg_origin */
+    wg_time began_at;
+    uint64_t stream; /* identifies it on all hosts, see lib/origin; 0: it cannot be taken up */
+    uint64_t keepers[WG_ORIGIN_KEEPERS]; /* ranks of the coordinators that were told of it */
+    int keepers_num;
+    bool origin_reported;   /* to the leader, or waits for the next report */
     uint64_t origin_ticket; /* of the pending round of `origin_lookup`; 0: none */
     wg_origin_lookup origin_lookup;
     struct event* timer;
@@ -402,7 +407,6 @@
     wg_origins* origins;
     wg_origins* unreported_origins; /* for the next report to the leader */
     GHashTable* pending_origins;    /* ticket -> wg_call* */
-    bool tells_all_origins;         /* there has been no leader for long */
 
     /* requests that crash targets: wg_entry_quarantine.c */
     wg_quarantine* quarantine;   /* copy of the leader's list */
@@ -594,10 +598,12 @@
 /* Adds streams that the leader has not been told of to the report, which borrows them until the
    caller frees the message; NULL: none. */
 Wgpb__OriginNotes* wg_entry_fill_origins(wg_entry* e, Wgpb__EntryReport* report);
-/* Tells other hosts of the version that a stream began at, once, if its service has had several.
-   Called before its first event leaves. */
+/* Tells other hosts of the version that a stream began at. Called before its first event leaves. */
 void wg_entry_origin_record(wg_call* call);
-/* Takes over a changed target: if its service now has several versions, other hosts are told of the
+/* Coordinators have changed, or a link to one: streams in progress whose keepers may not have their
+   record are told of again. */
+void wg_entry_origins_update_keepers(wg_entry* e);
+/* Takes over a changed target: if its service now has several versions, the leader is told of the
    streams in progress. */
 void wg_entry_origins_update_target(wg_entry* e, uint32_t number);
 /* Finds out at which version the stream began that the caller takes up, then goes on with the
@@ -893,8 +899,8 @@
 void wg_call_reset_timers(wg_entry* e, wg_time now);
 
 /* wg_entry_answer.c */
-/* Restricts the request to targets of this software version. */
-void wg_call_set_version(wg_call* call, const char* version);
+/* Restricts the request to targets of the software version that its stream began at. */
+void wg_call_set_origin(wg_call* call, const wg_origin* origin);
 /* False if the attempt has ended: `up` is closed, and `call` may be freed. */
 bool wg_call_answer_head(wg_call* call, wg_upstream* up);
 void wg_call_answer_data(wg_call* call, wg_upstream* up);
--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -1,9 +1,10 @@
 /* wg_entry_origins.c -- streams that callers take up: at which software version they began
 
    A host that relays the first event of a stream tells a few coordinators (lib/origin) at which
-   version it began, before the event leaves, if the service has had several versions; the leader
-   learns of it with the next report. A host at which a caller takes up a stream that it does not
-   know asks the coordinators, then also the replica to which it has a link. */
+   version it began, before the event leaves: it may be lost before a second version serves. If the
+   service has several versions, the leader learns of it with the next report. A host at which a
+   caller takes up a stream that it does not know asks the coordinators, then also the replica to
+   which it has a link. */
 #include "wg_entry_internal.h"
 
 #include <string.h>
@@ -13,9 +14,6 @@
        may shorten the timeouts of its routes meanwhile. */
     WG_STREAM_LIFE_MIN = 30 * WG_USEC_PER_SEC,
     WG_STREAM_LIFE_TIMEOUTS = 2, /* the same, in timeouts of the slowest route for streams */
-    /* Without a leader for this time, longer than an election, a host may be cut off and miss that
-       a second version serves. */
-    WG_LEADERLESS_TIME = 1500 * WG_USEC_PER_MSEC,
     WG_ORIGINS_UNREPORTED_MAX = 4096,
     WG_ORIGINS_REPORTED_MAX = 1024 /* in one report, 30 KB; the remainder follows in the next one */
 };
@@ -33,63 +31,132 @@
     return wg_registry_only_version(e->registry, wg_now(), service, wg_entry_stream_life(e));
 }
 
-/* Whether other hosts may know of several versions of the service. */
-static bool wg_entry_may_have_versions(const wg_entry* e, const char* service) {
-    return e->tells_all_origins || !wg_entry_only_version(e, service);
+static void wg_entry_origin_keep(wg_entry* e, uint64_t stream, const wg_origin* origin) {
+    wg_origins_record(e->origins, wg_now(), stream, origin, wg_entry_stream_life(e));
 }
 
-/* Writes the indexes of the coordinators that keep the stream; returns their number. */
+static wg_origin wg_call_origin(const wg_call* call) {
+    return (wg_origin){call->version, call->began_target, call->began_at};
+}
+
+/* ---- telling other hosts --------------------------------------------------------------------- */
+
+static bool wg_call_was_told(const wg_call* call, const wg_coordinator* c) {
+    for (int i = 0; i < call->keepers_num; i++) {
+        if (call->keepers[i] == c->rank) {
+            return true;
+        }
+    }
+    return false;
+}
+
+/* Writes the indexes of the coordinators that keep the stream, of those that can be told now;
+   returns their number. */
 static int wg_entry_origin_keepers(const wg_entry* e, uint64_t stream,
                                    int keepers[WG_ORIGIN_KEEPERS]) {
     uint64_t hosts[WG_COORDINATORS_MAX];
+    int indexes[WG_COORDINATORS_MAX];
+    int hosts_num = 0;
     for (int i = 0; i < e->coordinators_num; i++) {
-        hosts[i] = e->coordinators[i].rank;
+        if (e->coordinators[i].self || e->coordinators[i].up) {
+            indexes[hosts_num] = i;
+            hosts[hosts_num++] = e->coordinators[i].rank;
+        }
     }
-    return wg_origin_select(stream, hosts, e->coordinators_num, keepers);
-}
-
-static void wg_entry_origin_keep(wg_entry* e, uint64_t stream, const char* version, wg_time life) {
-    wg_origins_record(e->origins, wg_now(), stream, version, life);
+    int num = wg_origin_select(stream, hosts, hosts_num, keepers);
+    for (int i = 0; i < num; i++) {
+        keepers[i] = indexes[keepers[i]];
+    }
+    return num;
 }
 
-/* ---- telling other hosts --------------------------------------------------------------------- */
-
-static void wg_call_tell_origin(wg_call* call) {
+/* Tells the stream's keepers, but those that were told already. */
+static void wg_call_tell_keepers(wg_call* call) {
     wg_entry* e = call->entry;
-    wg_time life = wg_entry_stream_life(e);
     int keepers[WG_ORIGIN_KEEPERS];
+    uint64_t told[WG_ORIGIN_KEEPERS];
     Wgpb__OriginNote note = WGPB__ORIGIN_NOTE__INIT;
     note.stream = call->stream;
     note.version = call->version_text;
-    note.life_us = (uint64_t)life;
-    call->origin_told = true;
-    e->counters.origins_told++;
-    wg_entry_origin_keep(e, call->stream, call->version, life);
-    wg_origins_record(e->unreported_origins, wg_now(), call->stream, call->version, life);
+    note.life_us = (uint64_t)wg_entry_stream_life(e);
+    note.target = call->began_target;
+    note.age_us = (uint64_t)MAX(wg_now() - call->began_at, 0);
     int num = wg_entry_origin_keepers(e, call->stream, keepers);
     for (int i = 0; i < num; i++) {
         const wg_coordinator* c = &e->coordinators[keepers[i]];
-        if (!c->self && c->up) {
+        if (!c->self && !wg_call_was_told(call, c)) {
             wgn_send(e->net, c->link, WGW_TYPE_ORIGIN_NOTE, &note.base);
         }
+        told[i] = c->rank;
     }
+    memcpy(call->keepers, told, sizeof *told * (size_t)num);
+    call->keepers_num = num;
+}
+
+/* The leader commits what it learns, so it is told only of what matters to those who come back
+   after all processes have ended. Without a leader, this host may miss that another version
+   serves. */
+static void wg_call_report_origin(wg_call* call) {
+    wg_entry* e = call->entry;
+    if (e->leader_known && wg_entry_only_version(e, call->selection.service)) {
+        return;
+    }
+    wg_origin origin = wg_call_origin(call);
+    call->origin_reported = true;
+    wg_origins_record(e->unreported_origins, wg_now(), call->stream, &origin,
+                      wg_entry_stream_life(e));
+}
+
+static bool wg_call_has_origin(const wg_call* call) {
+    return call && call->stream && call->version;
 }
 
 void wg_entry_origin_record(wg_call* call) {
-    if (call->stream && call->version && !call->origin_told &&
-        wg_entry_may_have_versions(call->entry, call->selection.service)) {
-        wg_call_tell_origin(call);
+    if (!wg_call_has_origin(call)) {
+        return;
     }
+    wg_origin origin = wg_call_origin(call);
+    call->entry->counters.origins_told++;
+    wg_entry_origin_keep(call->entry, call->stream, &origin);
+    wg_call_tell_keepers(call);
+    wg_call_report_origin(call);
 }
 
-/* `service` NULL: of all services. */
-static void wg_entry_origins_record_of(const GPtrArray* clients, const char* service) {
+/* Whether a keeper that was told of the stream may have lost the record, or not received it. */
+static bool wg_call_lacks_keepers(const wg_call* call) {
+    const wg_entry* e = call->entry;
+    int left = 0;
+    for (int i = 0; i < e->coordinators_num; i++) {
+        const wg_coordinator* c = &e->coordinators[i];
+        left += (c->self || c->up) && wg_call_was_told(call, c);
+    }
+    return left < MIN(WG_ORIGIN_KEEPERS, e->coordinators_num);
+}
+
+static void wg_entry_origins_tell_again_of(const GPtrArray* clients) {
+    for (guint i = 0; i < clients->len; i++) {
+        const wg_client* client = clients->pdata[i];
+        wg_call* call = client->call;
+        if (wg_call_has_origin(call) && call->head_sent && wg_call_lacks_keepers(call)) {
+            wg_call_tell_keepers(call);
+        }
+    }
+}
+
+void wg_entry_origins_update_keepers(wg_entry* e) {
+    if (e->config && e->calls_num > 0) {
+        wg_entry_origins_tell_again_of(e->clients);
+        wg_entry_origins_tell_again_of(e->taken_clients);
+    }
+}
+
+static void wg_entry_origins_report_of(const GPtrArray* clients, const char* service) {
     for (guint i = 0; i < clients->len; i++) {
         const wg_client* client = clients->pdata[i];
         wg_call* call = client->call;
-        bool open = call && call->stream && call->version && !call->origin_told;
-        if (open && (!service || strcmp(call->selection.service, service) == 0)) {
-            wg_call_tell_origin(call);
+        if (wg_call_has_origin(call) && !call->origin_reported &&
+            strcmp(call->selection.service, service) == 0) {
+            wg_call_report_origin(call);
         }
     }
 }
@@ -98,19 +165,8 @@
     const wg_target* target = wg_registry_find(e->registry, number);
     bool in_use = target && e->config && e->calls_num > 0;
     if (in_use && !wg_entry_only_version(e, target->service)) {
-        wg_entry_origins_record_of(e->clients, target->service);
-        wg_entry_origins_record_of(e->taken_clients, target->service);
-    }
-}
-
-/* Tells of all streams from now on, and of those in progress, while there is no leader for long. */
-static void wg_entry_origins_update_leaderless(wg_entry* e, wg_time now) {
-    bool before = e->tells_all_origins;
-    e->tells_all_origins =
-        !e->leader_known && wg_outage_duration(&e->leaderless, now) >= WG_LEADERLESS_TIME;
-    if (e->tells_all_origins && !before && e->config) {
-        wg_entry_origins_record_of(e->clients, NULL);
-        wg_entry_origins_record_of(e->taken_clients, NULL);
+        wg_entry_origins_report_of(e->clients, target->service);
+        wg_entry_origins_report_of(e->taken_clients, target->service);
     }
 }
 
@@ -148,10 +204,10 @@
     }
 }
 
-/* Goes on with the request, at this version only. */
-static void wg_call_continue(wg_call* call, const char* version, const char* outcome) {
+/* Goes on with the request, at the version of this origin only. */
+static void wg_call_continue(wg_call* call, const wg_origin* origin, const char* outcome) {
     wg_call_end_lookup(call);
-    wg_call_set_version(call, version);
+    wg_call_set_origin(call, origin);
     wg_call_log_origin(call, outcome);
     wg_call_try(call);
 }
@@ -170,6 +226,14 @@
            lookup->registry_change_max <= wg_registry_change(e->registry);
 }
 
+/* Whether the version of a record is that of the process that began the stream: the target may have
+   restarted with another one before this was known to the host that relayed the stream. */
+static bool wg_entry_origin_is_sure(const wg_entry* e, const wg_origin* origin) {
+    return origin->target == 0 ||
+           (wg_registry_find(e->registry, origin->target) &&
+            !wg_registry_may_have_restarted(e->registry, origin->target, origin->began_at));
+}
+
 /* Without a record, the only version that has served will do. Another one is never the answer. */
 static bool wg_call_continue_at_only(wg_call* call) {
     const char* only = wg_entry_only_version(call->entry, call->selection.service);
@@ -177,7 +241,7 @@
         return false;
     }
     call->entry->counters.origins_only++;
-    wg_call_continue(call, only, "only");
+    wg_call_continue(call, &(wg_origin){only, 0, wg_now()}, "only");
     return true;
 }
 
@@ -263,12 +327,19 @@
     }
 }
 
+/* Where the stream began as this host has recorded it; NULL: not known, or its target may already
+   have restarted with another version. */
+static const wg_origin* wg_entry_origin_recorded(const wg_entry* e, uint64_t stream) {
+    const wg_origin* origin = stream ? wg_origins_find(e->origins, wg_now(), stream) : NULL;
+    return origin && wg_entry_origin_is_sure(e, origin) ? origin : NULL;
+}
+
 void wg_entry_origin_find(wg_call* call) {
     wg_entry* e = call->entry;
-    const char* version = call->stream ? wg_origins_find(e->origins, wg_now(), call->stream) : NULL;
-    if (version) {
+    const wg_origin* origin = wg_entry_origin_recorded(e, call->stream);
+    if (origin) {
         e->counters.origins_here++;
-        wg_call_continue(call, version, "here");
+        wg_call_continue(call, origin, "here");
         return;
     }
     wg_call_ask_keepers(call);
@@ -296,11 +367,9 @@
     Wgpb__OriginAsk* in = wgpb__origin_ask__unpack(NULL, frame->size, frame->payload);
     bool good = in != NULL;
     if (good) {
-        const char* version = wg_origins_find(e->origins, wg_now(), in->stream);
         Wgpb__OriginAnswer answer = WGPB__ORIGIN_ANSWER__INIT;
+        wg_origin_fill_answer(&answer, wg_now(), wg_entry_origin_recorded(e, in->stream));
         answer.ticket = in->ticket;
-        answer.known = version != NULL;
-        answer.version = (char*)(version ? version : "");
         answer.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
         wgn_send(e->net, link, WGW_TYPE_ORIGIN_ANSWER, &answer.base);
     }
@@ -314,11 +383,11 @@
     } else {
         wg_origin_lookup_answer(&call->origin_lookup, in->registry_change);
     }
-    if (in->known) {
-        wg_entry_origin_keep(call->entry, call->stream, in->version,
-                             wg_entry_stream_life(call->entry));
+    wg_origin origin = {in->version, in->target, wg_origin_began_at(wg_now(), in->age_us)};
+    if (in->known && wg_entry_origin_is_sure(call->entry, &origin)) {
+        wg_entry_origin_keep(call->entry, call->stream, &origin);
         call->entry->counters.origins_asked++;
-        wg_call_continue(call, in->version, "asked");
+        wg_call_continue(call, &origin, "asked");
     } else {
         wg_call_step_lookup(call);
     }
@@ -374,7 +443,6 @@
 void wg_entry_origins_tick(wg_entry* e, wg_time now) {
     wg_origins_expire(e->origins, now);
     wg_origins_expire(e->unreported_origins, now);
-    wg_entry_origins_update_leaderless(e, now);
 }
 
 void wg_entry_origins_print_metrics(const wg_entry* e, GString* out) {
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -180,6 +180,7 @@
 static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
     wg_entry* e = up->entry;
     wg_copy_name(call->sent_version, sizeof call->sent_version, target->version);
+    call->sent_target = target->number;
     const wg_target* source =
         call->choice.source ? wg_registry_find(e->registry, call->choice.source) : NULL;
     wg_time left = MIN(call->expires_at, call->deadline) - wg_now();
--- a/lib/origin/wg_origin.c
+++ b/lib/origin/wg_origin.c
@@ -5,7 +5,7 @@
 
 typedef struct {
     uint64_t stream;
-    char* version; /* GRefString, shared by all records of the version */
+    wg_origin origin; /* its version is a GRefString, shared by all records of the version */
     wg_time expires_at;
     GList link;
 } wg_origin_record;
@@ -20,7 +20,7 @@
 
 static void _wg_origin_record_free(void* data) {
     wg_origin_record* record = data;
-    g_ref_string_release(record->version);
+    g_ref_string_release((char*)record->origin.version);
     g_free(record);
 }
 
@@ -45,7 +45,7 @@
     g_free(o);
 }
 
-void wg_origins_record(wg_origins* o, wg_time now, uint64_t stream, const char* version,
+void wg_origins_record(wg_origins* o, wg_time now, uint64_t stream, const wg_origin* origin,
                        wg_time life) {
     wg_origin_record* record = g_hash_table_lookup(o->records, &stream);
     if (record) {
@@ -55,16 +55,17 @@
     }
     record = g_new0(wg_origin_record, 1);
     record->stream = stream;
-    record->version = g_ref_string_new_intern(version);
+    record->origin = *origin;
+    record->origin.version = g_ref_string_new_intern(origin->version);
     record->expires_at = now + life;
     record->link = (GList){.data = record};
     g_hash_table_insert(o->records, &record->stream, record);
     g_queue_push_tail_link(&o->order, &record->link);
 }
 
-const char* wg_origins_find(const wg_origins* o, wg_time now, uint64_t stream) {
+const wg_origin* wg_origins_find(const wg_origins* o, wg_time now, uint64_t stream) {
     const wg_origin_record* record = g_hash_table_lookup(o->records, &stream);
-    return record && now < record->expires_at ? record->version : NULL;
+    return record && now < record->expires_at ? &record->origin : NULL;
 }
 
 /* Lives differ little, so a record that has not expired yet hides others for a short time only. */
@@ -81,6 +82,10 @@
 
 /* ---- messages -------------------------------------------------------------------------------- */
 
+wg_time wg_origin_began_at(wg_time now, uint64_t age_us) {
+    return now - (wg_time)MIN(age_us, (uint64_t)WG_ORIGIN_LIFE_MAX);
+}
+
 int wg_origins_record_notes(wg_origins* o, wg_time now, Wgpb__OriginNote* const* notes,
                             size_t num) {
     int malformed = 0;
@@ -91,11 +96,21 @@
             continue;
         }
         wg_time life = (wg_time)MIN(note->life_us, (uint64_t)WG_ORIGIN_LIFE_MAX);
-        wg_origins_record(o, now, note->stream, note->version, life);
+        wg_origin origin = {note->version, note->target, wg_origin_began_at(now, note->age_us)};
+        wg_origins_record(o, now, note->stream, &origin, life);
     }
     return malformed;
 }
 
+void wg_origin_fill_answer(Wgpb__OriginAnswer* answer, wg_time now, const wg_origin* origin) {
+    answer->known = origin != NULL;
+    if (origin) {
+        answer->version = (char*)origin->version;
+        answer->target = origin->target;
+        answer->age_us = (uint64_t)MAX(now - origin->began_at, 0);
+    }
+}
+
 Wgpb__OriginNotes* wg_origins_dump(const wg_origins* o, wg_time now, int max) {
     size_t num = MIN((guint)max, o->order.length);
     Wgpb__OriginNotes* out = g_new(Wgpb__OriginNotes, 1);
@@ -106,7 +121,9 @@
         Wgpb__OriginNote* note = g_new(Wgpb__OriginNote, 1);
         wgpb__origin_note__init(note);
         note->stream = record->stream;
-        note->version = g_strdup(record->version);
+        note->version = g_strdup(record->origin.version);
+        note->target = record->origin.target;
+        note->age_us = (uint64_t)MAX(now - record->origin.began_at, 0);
         note->life_us = (uint64_t)MAX(record->expires_at - now, 0);
         out->notes[out->n_notes++] = note;
     }
--- a/lib/origin/wg_origin.h
+++ b/lib/origin/wg_origin.h
@@ -19,15 +19,15 @@
 
     USE
         1. wg_origins* o = wg_origins_setup(&(wg_origins_desc){0});
-        2. wg_origins_record(o, now, wg_origin_stream(id, workspace), version, life);
-        3. wg_origins_find(o, now, stream);          // NULL: ask other hosts
+        2. wg_origins_record(o, now, wg_origin_stream(id, workspace), &origin, life);
+        3. wg_origins_find(o, now, stream);       // NULL: ask other hosts
         4. wg_origin_lookup l; wg_origin_lookup_begin(&l, now, asked);
            wg_origin_lookup_answer(&l, change);      // for each host that does not know it
            wg_origin_lookup_step(&l, now);           // whom to ask next, or that nobody knows it
         5. wg_origins_shutdown(o);
 
     THE CALLER OWNS
-        all arguments. A version that is returned is valid until the next change.
+        all arguments. An origin that is returned is valid until the next change.
 */
 #include "walnutgate.pb-c.h"
 #include "wg_base.h"
@@ -45,19 +45,33 @@
     int max; /* records; default WG_ORIGINS_MAX_DEFAULT */
 } wg_origins_desc;
 
+/* Where and when a stream began. */
+typedef struct {
+    const char* version; /* of its target's software */
+    /* Number of the target in the registry, if the version is that of the registry; 0: the target
+       itself stated the version. */
+    uint32_t target;
+    wg_time began_at;
+} wg_origin;
+
 typedef struct wg_origins wg_origins;
 
 wg_origins* wg_origins_setup(const wg_origins_desc* desc);
 void wg_origins_shutdown(wg_origins* origins);
-/* Records that the stream began at `version`, for `life` microseconds. A later record of the stream
-   replaces an earlier one. */
-void wg_origins_record(wg_origins* origins, wg_time now, uint64_t stream, const char* version,
+/* Records where the stream began, for `life` microseconds. A later record of the stream replaces an
+   earlier one. */
+void wg_origins_record(wg_origins* origins, wg_time now, uint64_t stream, const wg_origin* origin,
                        wg_time life);
 /* NULL if the stream is not known. */
-const char* wg_origins_find(const wg_origins* origins, wg_time now, uint64_t stream);
+const wg_origin* wg_origins_find(const wg_origins* origins, wg_time now, uint64_t stream);
+/* When a stream began whose first event was `age_us` ago, as a message states it. */
+wg_time wg_origin_began_at(wg_time now, uint64_t age_us);
 /* Records all notes but malformed ones; returns the number of these. */
 int wg_origins_record_notes(wg_origins* origins, wg_time now, Wgpb__OriginNote* const* notes,
                             size_t num);
+/* States in an answer where a stream began, or that it is not known (NULL). The answer borrows the
+   version. */
+void wg_origin_fill_answer(Wgpb__OriginAnswer* answer, wg_time now, const wg_origin* origin);
 /* The oldest `max` records, with the lives that are left to them. The caller frees the message. */
 Wgpb__OriginNotes* wg_origins_dump(const wg_origins* origins, wg_time now, int max);
 /* The same, and removes them. */
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -422,6 +422,21 @@
     return only;
 }
 
+bool wg_registry_may_have_restarted(const wg_registry* r, uint32_t number, wg_time at) {
+    const wg_target* target = wg_registry_find(r, number);
+    if (!target || !wg_target_ended(target) ||
+        at < target->ended_at - WG_REGISTRY_RESTART_UNNOTICED_MAX) {
+        return false;
+    }
+    const wg_target* later = target;
+    while ((later = wg_registry_next(r, later->number))) {
+        if (strcmp(later->id, target->id) == 0 && strcmp(later->version, target->version) != 0) {
+            return true;
+        }
+    }
+    return false;
+}
+
 GPtrArray* wg_registry_changes(const wg_registry* r, wg_time now, uint64_t since, bool* reset) {
     *reset = since < r->floor || since > r->change;
     GPtrArray* list = g_ptr_array_new();
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -45,6 +45,8 @@
     /* How long a removed target counts as one that served: new copies are told of it, and
        wg_registry_only_version() looks back no further. Microseconds. */
     WG_REGISTRY_ENDED_TIME = 600 * WG_USEC_PER_SEC,
+    /* A target that restarts sends its first heartbeat within this time. Microseconds. */
+    WG_REGISTRY_RESTART_UNNOTICED_MAX = 5 * WG_USEC_PER_SEC,
     /* Upper limit of the cold time in a message, microseconds. */
     WG_TARGET_COLD_MAX = 300 * WG_USEC_PER_SEC
 };
@@ -129,6 +131,9 @@
    Valid until the next change. */
 const char* wg_registry_only_version(const wg_registry* registry, wg_time now, const char* service,
                                      wg_time time);
+/* Whether at `at` another version than this incarnation's may have served under its id: the target
+   restarted with it, and the registry learned of a restart only from a later heartbeat. */
+bool wg_registry_may_have_restarted(const wg_registry* registry, uint32_t number, wg_time at);
 /* Returns the record with the lowest number above `after` (0: the first), or NULL. */
 const wg_target* wg_registry_next(const wg_registry* registry, uint32_t after);
 const wg_target* wg_registry_find(const wg_registry* registry, uint32_t number);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -4706,7 +4706,7 @@
   (ProtobufCMessageInit) wgpb__quarantine_state__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__origin_note__field_descriptors[3] =
+static const ProtobufCFieldDescriptor wgpb__origin_note__field_descriptors[5] =
 {
   {
     "stream",
@@ -4744,16 +4744,42 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__origin_note__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
   2,   /* field[2] = life_us */
   0,   /* field[0] = stream */
+  3,   /* field[3] = target */
   1,   /* field[1] = version */
 };
 static const ProtobufCIntRange wgpb__origin_note__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 3 }
+  { 0, 5 }
 };
 const ProtobufCMessageDescriptor wgpb__origin_note__descriptor =
 {
@@ -4763,7 +4789,7 @@
   "Wgpb__OriginNote",
   "wgpb",
   sizeof(Wgpb__OriginNote),
-  3,
+  5,
   wgpb__origin_note__field_descriptors,
   wgpb__origin_note__field_indices_by_name,
   1,  wgpb__origin_note__number_ranges,
@@ -7398,7 +7424,7 @@
   (ProtobufCMessageInit) wgpb__origin_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__origin_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wgpb__origin_answer__field_descriptors[7] =
 {
   {
     "ticket",
@@ -7460,18 +7486,44 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "target",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__origin_answer__field_indices_by_name[] = {
+  6,   /* field[6] = age_us */
   1,   /* field[1] = known */
   3,   /* field[3] = registry_change */
   4,   /* field[4] = replica */
+  5,   /* field[5] = target */
   0,   /* field[0] = ticket */
   2,   /* field[2] = version */
 };
 static const ProtobufCIntRange wgpb__origin_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 7 }
 };
 const ProtobufCMessageDescriptor wgpb__origin_answer__descriptor =
 {
@@ -7481,7 +7533,7 @@
   "Wgpb__OriginAnswer",
   "wgpb",
   sizeof(Wgpb__OriginAnswer),
-  5,
+  7,
   wgpb__origin_answer__field_descriptors,
   wgpb__origin_answer__field_indices_by_name,
   1,  wgpb__origin_answer__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -563,10 +563,18 @@
    * how long its caller may take it up
    */
   uint64_t life_us;
+  /*
+   * number of the target that began it; 0: the target itself stated the version
+   */
+  uint32_t target;
+  /*
+   * since its first event
+   */
+  uint64_t age_us;
 };
 #define WGPB__ORIGIN_NOTE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_note__descriptor) \
-    , 0, (char *)protobuf_c_empty_string, 0 }
+    , 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 struct  Wgpb__OriginNotes
@@ -948,7 +956,7 @@
   size_t n_members;
   char **members;
   /*
-   * streams that began since the last report, if several versions serve
+   * streams not reported yet, if several versions serve
    */
   size_t n_origins;
   Wgpb__OriginNote **origins;
@@ -1131,10 +1139,15 @@
    * not a host: a replica answers
    */
   protobuf_c_boolean replica;
+  /*
+   * as in OriginNote
+   */
+  uint32_t target;
+  uint64_t age_us;
 };
 #define WGPB__ORIGIN_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -2,10 +2,10 @@
 
    Arguments: address=ip:port id=NAME service=NAME orders=ip:port,... (where it registers)
    advertise=ip:port (the address that it registers, by default its own) runs=FILE data_centre=NAME
-   cold_ms=N (how long after its start it is cold) and the faults of fake.h. SIGHUP drains it. A
-   request whose body begins with CRASH_BODY ends the process when its work_us are over. A request
-   with the part CRASH_PART in its prompt, but not as its last one, ends it after 0 to 3 events. It
-   keeps no cache list. A request
+   cold_ms=N (how long after its start it is cold) first_heartbeat_ms=N (when it first registers,
+   after its start) and the faults of fake.h. SIGHUP drains it. A request whose body begins with
+   CRASH_BODY ends the process when its work_us are over. A request with the part CRASH_PART in its
+   prompt, but not as its last one, ends it after 0 to 3 events. It keeps no cache list. A request
    for .../large/N is answered with N further bytes, see large_byte().
 
    Events are appended to the file `runs`, which outlives a killed process, one line each:
@@ -52,6 +52,7 @@
 static const char* target_service = "app";
 static const char* data_centre = "dc";
 static wg_time cold_time;
+static wg_time first_heartbeat_time; /* after the start */
 static wg_time started_at;
 static wg_time arrival_times[ARRIVALS_MAX]; /* a ring */
 static int newest_arrival;                  /* index of the newest arrival */
@@ -139,6 +140,9 @@
 }
 
 static void send_heartbeat(void) {
+    if (wg_now() < started_at + first_heartbeat_time) {
+        return;
+    }
     char ip[64];
     g_strlcpy(ip, order_addresses[order_address_next % g_strv_length(order_addresses)], sizeof ip);
     char* colon = strchr(ip, ':');
@@ -448,6 +452,9 @@
             data_centre = argv[i] + strlen("data_centre=");
         } else if (g_str_has_prefix(argv[i], "cold_ms=")) {
             cold_time = atoi(argv[i] + strlen("cold_ms=")) * (wg_time)WG_USEC_PER_MSEC;
+        } else if (g_str_has_prefix(argv[i], "first_heartbeat_ms=")) {
+            first_heartbeat_time =
+                atoi(argv[i] + strlen("first_heartbeat_ms=")) * (wg_time)WG_USEC_PER_MSEC;
         } else if (g_str_has_prefix(argv[i], "runs=")) {
             runs_fd = open(argv[i] + 5, O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0600);
         } else {
--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -229,8 +229,11 @@
     g_snprintf(place, sizeof place, "data_centre=%s", t->data_centre);
     char version[48];
     char state_version[48];
+    char first_heartbeat[48];
     g_snprintf(version, sizeof version, "version=%d", t->version);
     g_snprintf(state_version, sizeof state_version, "state_version=%d", t->states_version);
+    g_snprintf(first_heartbeat, sizeof first_heartbeat, "first_heartbeat_ms=%d",
+               t->first_heartbeat_ms);
     GPtrArray* arguments = g_ptr_array_new();
     char* always[] = {address,
                       place,
@@ -239,6 +242,7 @@
                       id,
                       service,
                       runs,
+                      first_heartbeat,
                       list->str,
                       (char*)"slots=16",
                       (char*)"work_us=3000",
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -39,9 +39,10 @@
     proxy* links;
     const char* service;
     const char* data_centre;
-    int version;         /* of its software, named "vN"; 0: not named in events */
-    bool states_version; /* heads of answers state it too */
-    bool reuses_id;      /* restarts under the same id */
+    int version;            /* of its software, named "vN"; 0: not named in events */
+    bool states_version;    /* heads of answers state it too */
+    bool reuses_id;         /* restarts under the same id */
+    int first_heartbeat_ms; /* after its start */
 } host_target;
 
 /* Events recorded by the targets; times are those of arrival, on the monotonic clock. */
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -4,14 +4,24 @@
 #include "wg_origin.h"
 #include "wg_test.h"
 
+static void record(wg_origins* o, wg_time now, uint64_t stream, const char* version, wg_time life) {
+    wg_origins_record(o, now, stream, &(wg_origin){version, (uint32_t)stream, now}, life);
+}
+
+/* NULL: the stream is not known. */
+static const char* version_of(const wg_origins* o, wg_time now, uint64_t stream) {
+    const wg_origin* origin = wg_origins_find(o, now, stream);
+    return origin ? origin->version : NULL;
+}
+
 /* Guards against a stream that goes on at the version of an earlier one under the same id. */
 START_TEST(later_record_of_a_stream_wins) {
     wg_origins* o = wg_origins_setup(&(wg_origins_desc){0});
-    wg_origins_record(o, 0, 7, "v1", 10 * SECOND);
-    ck_assert_str_eq(wg_origins_find(o, 1, 7), "v1");
-    ck_assert_ptr_null(wg_origins_find(o, 1, 8));
-    wg_origins_record(o, 2, 7, "v2", 10 * SECOND);
-    ck_assert_str_eq(wg_origins_find(o, 3, 7), "v2");
+    record(o, 0, 7, "v1", 10 * SECOND);
+    ck_assert_str_eq(version_of(o, 1, 7), "v1");
+    ck_assert_ptr_null(version_of(o, 1, 8));
+    record(o, 2, 7, "v2", 10 * SECOND);
+    ck_assert_str_eq(version_of(o, 3, 7), "v2");
     ck_assert_int_eq(wg_origins_num(o), 1);
     wg_origins_shutdown(o);
 }
@@ -21,12 +31,12 @@
 START_TEST(records_are_bounded_in_time_and_number) {
     wg_origins* o = wg_origins_setup(&(wg_origins_desc){.max = 3});
     for (uint64_t stream = 1; stream <= 5; stream++) {
-        wg_origins_record(o, (wg_time)stream, stream, "", SECOND);
+        record(o, (wg_time)stream, stream, "", SECOND);
     }
     ck_assert_int_eq(wg_origins_num(o), 3);
-    ck_assert_ptr_null(wg_origins_find(o, 6, 2));
-    ck_assert_str_eq(wg_origins_find(o, 6, 3), "");
-    ck_assert_ptr_null(wg_origins_find(o, SECOND + 3, 3));
+    ck_assert_ptr_null(version_of(o, 6, 2));
+    ck_assert_str_eq(version_of(o, 6, 3), "");
+    ck_assert_ptr_null(version_of(o, SECOND + 3, 3));
     wg_origins_expire(o, SECOND + 4);
     ck_assert_int_eq(wg_origins_num(o), 1);
     wg_origins_shutdown(o);
@@ -38,7 +48,7 @@
     wg_origins* o = wg_origins_setup(&(wg_origins_desc){0});
     wg_origins* copy = wg_origins_setup(&(wg_origins_desc){0});
     for (uint64_t stream = 1; stream <= 5; stream++) {
-        wg_origins_record(o, 0, stream, stream == 5 ? "" : "v1", SECOND);
+        record(o, 0, stream, stream == 5 ? "" : "v1", SECOND);
     }
     Wgpb__OriginNotes* first = wg_origins_take(o, SECOND / 2, 3);
     Wgpb__OriginNotes* rest = wg_origins_dump(o, SECOND / 2, 3);
@@ -48,9 +58,11 @@
     ck_assert_int_eq(wg_origins_record_notes(copy, SECOND, first->notes, first->n_notes), 0);
     ck_assert_int_eq(wg_origins_record_notes(copy, SECOND, rest->notes, rest->n_notes), 0);
     ck_assert_int_eq(wg_origins_num(copy), 5);
-    ck_assert_str_eq(wg_origins_find(copy, SECOND, 1), "v1");
-    ck_assert_str_eq(wg_origins_find(copy, SECOND, 5), "");
-    ck_assert_ptr_null(wg_origins_find(copy, SECOND + SECOND / 2, 1));
+    ck_assert_str_eq(version_of(copy, SECOND, 1), "v1");
+    ck_assert_str_eq(version_of(copy, SECOND, 5), "");
+    ck_assert_uint_eq(wg_origins_find(copy, SECOND, 5)->target, 5);
+    ck_assert_int_eq(wg_origins_find(copy, SECOND, 5)->began_at, SECOND / 2);
+    ck_assert_ptr_null(version_of(copy, SECOND + SECOND / 2, 1));
     wgpb__origin_notes__free_unpacked(first, NULL);
     wgpb__origin_notes__free_unpacked(rest, NULL);
     wg_origins_shutdown(o);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -377,6 +377,50 @@
 }
 END_TEST
 
+/* Guards against a version that is taken for sure although the target had already restarted with
+   another one, which only a later heartbeat told. */
+START_TEST(version_is_in_doubt_around_a_restart_that_came_to_be_known_late) {
+    enum {
+        KNOWN_AT = 20 * SECOND, /* when the later start registers */
+        FIRST_IN_DOUBT = KNOWN_AT - WG_REGISTRY_RESTART_UNNOTICED_MAX
+    };
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    wg_registry* copy = wg_registry_setup(&(wg_registry_desc){0});
+    const uint64_t starts[] = {1000, 2000, 3000};
+    const char* versions[] = {"v1", "v2", "v1"};
+    for (int i = 0; i < 3; i++) {
+        wg_target t = record("a", WG_TARGET_READY, 1, "10.0.0.1:1");
+        t.born = starts[i];
+        wg_copy_name(t.version, sizeof t.version, versions[i]);
+        wg_registry_apply(r, i * KNOWN_AT, &t);
+        ck_assert(!wg_registry_may_have_restarted(r, last_record(r)->number, i * KNOWN_AT));
+    }
+    uint32_t first = wg_registry_next(r, 0)->number;
+    Wgpb__RegistryState* state = wg_registry_dump(r, 2 * KNOWN_AT);
+    ck_assert(wg_registry_load(copy, 2 * KNOWN_AT, state));
+    wgpb__registry_state__free_unpacked(state, NULL);
+    wg_registry* both[] = {r, copy};
+    for (int i = 0; i < 2; i++) {
+        ck_assert(!wg_registry_may_have_restarted(both[i], first, FIRST_IN_DOUBT - 1));
+        ck_assert(wg_registry_may_have_restarted(both[i], first, FIRST_IN_DOUBT));
+        ck_assert(wg_registry_may_have_restarted(both[i], first, 2 * KNOWN_AT));
+    }
+    wg_registry_shutdown(copy);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* Guards against doubt where a target restarts with the version that it had. */
+START_TEST(version_is_sure_if_the_target_restarts_with_it) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    receive_incarnation(r, 0, 1000, WG_TARGET_READY, 1);
+    uint32_t first = last_record(r)->number;
+    receive_incarnation(r, SECOND, 2000, WG_TARGET_READY, 1);
+    ck_assert(!wg_registry_may_have_restarted(r, first, SECOND));
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 START_TEST(messages_of_a_previous_incarnation_are_ignored) {
     wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
     receive_incarnation(r, 0, 1000, WG_TARGET_READY, 500);
@@ -499,5 +543,7 @@
              late_heartbeat_does_not_replace_the_replacement, transition_to_cold_is_a_change,
              evacuated_targets_accept_nothing, copies_match_after_ended_records_are_dropped,
              restarted_target_is_another_incarnation,
+             version_is_in_doubt_around_a_restart_that_came_to_be_known_late,
+             version_is_sure_if_the_target_restarts_with_it,
              messages_of_a_previous_incarnation_are_ignored, deregistered_target_may_register_again,
              snapshots_distinguish_incarnations, records_of_incarnations_are_bounded)
--- a/tests/test_stream_versions.c
+++ b/tests/test_stream_versions.c
@@ -108,6 +108,35 @@
 }
 END_TEST
 
+/* Guards against streams in progress of which the leader is not told when a second version
+   comes. */
+START_TEST(stream_that_began_before_a_release_continues_after_all_processes_were_killed) {
+    enum {
+        KNOWN_MS = 900, /* until the hosts know the second version, and replicas their streams */
+        TARGETS = 2
+    };
+    static const int before[] = {1, 1, 0};
+    fleet f;
+    begin(&f, before);
+    for (int i = 0; i < TARGETS; i++) {
+        ck_assert(hosts_set_faults(&f.h, &f.h.targets[i], "pace_us=40000&slots=24"));
+    }
+    start_streams(&f);
+    hosts_run_for(&f.h, SPREAD_MS);
+    target_start(&f, 4, 2);
+    hosts_run_for(&f.h, KNOWN_MS);
+    kill_replicas(&f);
+    restart_entries(&f);
+    run_until_done(&f);
+    outcome o = outcome_of(&f);
+    bool good = o.joined == 0 && o.taken_up >= 12 && 2 * o.taken_up_whole >= o.taken_up;
+    end(&f, good);
+    ck_assert_int_eq(o.joined, 0);
+    ck_assert_int_ge(o.taken_up, 12);
+    ck_assert_int_ge(2 * o.taken_up_whole, o.taken_up);
+}
+END_TEST
+
 /* Guards against a host that takes any version for a stream of which no host knows anything. */
 START_TEST(stream_that_no_host_knows_is_refused) {
     fleet f;
@@ -194,6 +223,7 @@
              stream_that_began_before_a_release_continues_at_its_version,
              stream_whose_version_has_gone_is_refused,
              stream_continues_at_its_version_after_all_processes_were_killed,
+             stream_that_began_before_a_release_continues_after_all_processes_were_killed,
              stream_that_no_host_knows_is_refused,
              stream_of_the_only_version_continues_although_no_host_knows_it,
              stream_of_the_only_version_continues_without_a_leader,
