The end of a planned stop logs what callers have not received

That does not tell apart whether the process ended with bytes in its own buffers, or whether the kernel threw away what it held (a reset by unread input). undelivered= counts both.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -177,8 +177,8 @@
     if (!over) {
         return;
     }
-    wg_log(WG_EVENT_STOP_DRAINED, "calls=%d callers=%u after_ms=%" G_GINT64_FORMAT, e->calls_num,
-           e->clients->len, since / WG_USEC_PER_MSEC);
+    wg_log(WG_EVENT_STOP_DRAINED, "calls=%d callers=%u undelivered=%zu after_ms=%" G_GINT64_FORMAT,
+           e->calls_num, e->clients->len, wg_client_undelivered(e), since / WG_USEC_PER_MSEC);
     event_base_loopbreak(e->base);
 }
 
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -654,6 +654,16 @@
     return false;
 }
 
+size_t wg_client_undelivered(const wg_entry* e) {
+    size_t bytes = 0;
+    for (guint i = 0; i < e->clients->len; i++) {
+        const wg_client* client = e->clients->pdata[i];
+        bytes += evbuffer_get_length(bufferevent_get_output(client->bev)) +
+                 wgn_socket_unacknowledged(bufferevent_getfd(client->bev));
+    }
+    return bytes;
+}
+
 /* Earliest time at which a connection that is not expired can expire. One whose limit is over, but
    whose input was not read yet, is looked at in the next tick. */
 static wg_time wg_client_due_at(const wg_client* client, wg_time now) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -846,6 +846,8 @@
 void wg_client_tick(wg_entry* e, wg_time now);
 /* Whether any caller is sending a request, including unread ones. */
 bool wg_client_any_sending(const wg_entry* e);
+/* Bytes of answers that callers have not received yet: buffered, or held by the kernel. */
+size_t wg_client_undelivered(const wg_entry* e);
 /* The connection's call has ended. `keep` false: closes once the output is flushed. */
 void wg_client_call_ended(wg_client* client, bool keep);
 /* Closes at once, also in the middle of an answer. */
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -149,12 +149,19 @@
 const wgn_peer* wgn_query_peer(const wgn_net* net, wgn_link link);
 /* Bytes queued on the link that the kernel has not taken yet; 0 if the link is closed. */
 size_t wgn_query_unsent(const wgn_net* net, wgn_link link);
+/* Bytes that the peer of the link has not received yet, as far as is known here: queued on the
+   link, or held by the kernel; 0 if the link is closed. */
+size_t wgn_query_undelivered(const wgn_net* net, wgn_link link);
 wgn_stats wgn_query_stats(const wgn_net* net);
 /* Appends metrics of sent frames by type and of queued bytes, in Prometheus text format. */
 void wgn_print_metrics(const wgn_net* net, GString* out);
 /* Sets the cluster id of later hellos. A process learns it on first contact with the cluster. */
 void wgn_set_cluster(wgn_net* net, uint64_t cluster);
 
+/* Bytes that the kernel holds for the peer of a TCP socket: not sent, or not acknowledged yet. 0 if
+   it does not tell. */
+size_t wgn_socket_unacknowledged(evutil_socket_t socket);
+
 /* Parses "ip:port" or "[v6]:port" into a socket address. False if malformed. */
 bool wgn_parse_address(const char* text, struct sockaddr_storage* out, int* out_size);
 /* Splits "ip:port"; `ip` has WG_ADDRESS_MAX bytes. False if malformed. */
