Planned stop of an entry host: waits until callers have received their answers

Cause: the stop ends once no call is in progress, and a call ends when its answer is in the buffer of the caller's connection. What was handed to a buffer counted as delivered. Ruled out: connections that time out during the stop (callers=3 at its end), a reset by unread input.

Change: the stop waits until no connection has bytes in its buffer, and the kernel holds none that are not acknowledged (SIOCOUTQ): the kernel is a buffer too, lost with the machine. The same for the links to owners of handed-off requests, which counted the process's buffer only. It works because nothing else is left that can lose a byte after the exit but the caller itself. The end of the grace period still ends the stop, whatever callers read.

Looked at: answers handed back by a peer (owner: the same connections; peer: the link), bodies in all framings, second answers of kept connections (same buffer).

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -165,15 +165,16 @@
 }
 
 /* Ends the loop when no call is in progress, no request is unread, no caller waits to be accepted,
-   and no caller can still have an entry answer that names this host; at the latest at the end of
-   the grace period. */
+   all answers are received, and no caller can still have an entry answer that names this host; at
+   the latest at the end of the grace period, for callers that do not read. */
 static void wg_entry_stop_tick(wg_entry* e, wg_time now) {
     wg_time stop_max = wg_entry_stop_time(e);
     wg_time stop_min = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_STOP_CLOSE_DELAY;
     wg_time since = now - e->stop_at;
     bool over =
         since >= stop_max || (since >= stop_min && e->calls_num == 0 && wg_entry_accepts(e) &&
-                              !wg_client_any_sending(e) && wg_entry_handoff_is_drained(e));
+                              !wg_client_any_sending(e) && wg_client_undelivered(e) == 0 &&
+                              wg_entry_handoff_is_drained(e));
     if (!over) {
         return;
     }
--- a/lib/entry/wg_entry_handoff.c
+++ b/lib/entry/wg_entry_handoff.c
@@ -180,7 +180,7 @@
     g_hash_table_iter_init(&iter, e->handoff->owners);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
         const wg_taken_owner* owner = value;
-        if (wgn_query_unsent(e->net, owner->link) > 0) {
+        if (wgn_query_undelivered(e->net, owner->link) > 0) {
             return false;
         }
     }
--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -1079,6 +1079,38 @@
 }
 END_TEST
 
+/* Guards against a stop that takes the answer of a peer for delivered when the owner has it. */
+START_TEST(planned_stop_of_the_owner_waits_for_callers_that_still_read) {
+    enum {
+        ANSWER_BYTES = 200 * KB /* the owner does not pause it */
+    };
+    route_timeout_ms = LONG_TIMEOUT_MS;
+    fake_entry_unread_ms = STOP_MIN_MS + 2000;
+    begin_owner(1);
+    int fd = connect_slow_caller();
+    send_text(fd, get_request);
+    ck_assert(BECOMES(there.requests_num == 1));
+    GString* sent = g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 204800\r\n\r\n");
+    for (size_t i = 0; i < ANSWER_BYTES; i++) {
+        g_string_append_c(sent, byte_at(i));
+    }
+    send_answer_bytes(&there, last_ticket(), sent->str, sent->len, COMPLETE);
+    run_turns(50);
+    wg_entry_stop(entry);
+    wg_now_skip(STOP_MIN_MS * MSEC + SECOND);
+    ck_assert(!BECOMES_WITHIN(event_base_got_break(base), 200)); /* valid for one turn */
+    GString* got = g_string_new(NULL);
+    ck_assert_int_eq(read_some(fd, got, sent->len, TURNS_MAX), READ_MORE);
+    ck_assert(g_string_equal(got, sent));
+    ck_assert(BECOMES(event_base_got_break(base)));
+    g_string_free(got, TRUE);
+    g_string_free(sent, TRUE);
+    close(fd);
+    end_owner();
+    fake_entry_unread_ms = 0;
+}
+END_TEST
+
 /* What the owner will not be there to relay, it refuses as it would its own. */
 START_TEST(stopping_owner_hands_off_only_what_it_can_finish) {
     char answer[1024];
@@ -1758,6 +1790,7 @@
     links_are_kept_for_a_while, link_stays_while_a_request_is_in_progress,
     lost_link_is_opened_again, peer_that_stops_finishes_its_requests_and_gets_no_more,
     planned_stop_of_the_owner_waits_for_its_answers,
+    planned_stop_of_the_owner_waits_for_callers_that_still_read,
     stopping_owner_hands_off_only_what_it_can_finish, peer_answers_as_it_would_its_own_caller,
     peer_passes_the_body_on_and_closes_as_asked, peer_sends_events_of_a_stream_at_once,
     peer_collects_events_for_a_short_time, peer_cuts_off_what_breaks_off,
