Planned stop of a router: waits for callers that still read, within its grace period

Callers saw: a planned stop of a router cuts off an answer of which it still holds bytes (test before the change: 2,004,992 of 12,000,000 bytes, then the end of the connection).

It needs more than the kernel takes: with the defaults a router pauses its target at 256 KB and so keeps the call, so only answers whose last 256 KB or less wait in the router were cut; the test raises high_water to make that come always.

Change: evhttp's own callbacks tell when a reply is written whole, or its connection closed; the stop waits until none is left, at most grace_ms (new setting, 8000 as grace_s of entry hosts) for callers that do not read. Calls in progress are waited for as before. STOP_DRAINED logs replies_unsent=.

Tests, red before: test_router_stop, a slow caller gets all and the router exits right after; a caller that reads nothing holds it no longer than grace_ms.

--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -52,6 +52,8 @@
             "longest wait for the claim of an idempotency key"),
     _NUMBER("control", stop_wait_ms, "1000", 0, 600000, "ms",
             "planned stop: time to keep serving after entry_keep_ms"),
+    _NUMBER("control", grace_ms, "8000", 0, 3600000, "ms",
+            "planned stop: longest time to wait for callers that still read their answers"),
     _NUMBER("control", urgent_reserve, "1", 1, 1000, "requests",
             "urgent requests beyond the leased slots, per service"),
 };
@@ -150,15 +152,21 @@
     }
 }
 
-/* Leaves the event loop once every entry-host answer that names this router has expired and no
-   call, claim or parked request remains. */
+/* Whether callers have taken their answers. Those that do not read are waited for until the end of
+   the grace period. */
+static bool _wgro_replies_are_sent(const wgro_router* r, wg_time now) {
+    return r->replies_unsent == 0 || now >= r->stop_at + r->settings->grace_ms * WG_USEC_PER_MSEC;
+}
+
+/* Leaves the event loop once every entry-host answer that names this router has expired, no call,
+   claim or parked request remains, and callers have taken their answers. */
 static void _wgro_stop_tick(wgro_router* r, wg_time now) {
     wg_time kept = (r->settings->entry_keep_ms + r->settings->stop_wait_ms) * WG_USEC_PER_MSEC;
     if (now < r->stop_at + kept || r->calls_pool.used > 0 || g_hash_table_size(r->claim_ends) > 0 ||
-        r->parked.length > 0) {
+        r->parked.length > 0 || !_wgro_replies_are_sent(r, now)) {
         return;
     }
-    wg_log(WG_EVENT_STOP_DRAINED, "%s", "");
+    wg_log(WG_EVENT_STOP_DRAINED, "replies_unsent=%d", r->replies_unsent);
     event_base_loopbreak(r->base);
 }
 
--- a/lib/router/wg_router.h
+++ b/lib/router/wg_router.h
@@ -61,6 +61,7 @@
     int64_t entry_keep_ms;
     int64_t claim_wait_ms;
     int64_t stop_wait_ms;
+    int64_t grace_ms;
     int64_t urgent_reserve;
     int64_t high_water;
 } wgro_settings;
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -36,6 +36,26 @@
     }
 }
 
+static void _wgro_on_reply_closed(struct evhttp_connection* connection, void* user_data) {
+    (void)connection;
+    wgro_router* r = user_data;
+    r->replies_unsent--;
+}
+
+static void _wgro_on_reply_sent(struct evhttp_request* request, void* user_data) {
+    wgro_router* r = user_data;
+    r->replies_unsent--;
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+}
+
+/* Call it before the last part of a reply is written: counts the reply until its caller has taken
+   it, or has closed. */
+static void _wgro_await_reply_sent(wgro_router* r, struct evhttp_request* request) {
+    r->replies_unsent++;
+    evhttp_request_set_on_complete_cb(request, _wgro_on_reply_sent, r);
+    evhttp_connection_set_closecb(evhttp_request_get_connection(request), _wgro_on_reply_closed, r);
+}
+
 static void _wgro_free_call(_wgro_call_t* call) {
     wgro_router* r = call->router;
     if (call->attempt) {
@@ -121,6 +141,7 @@
     };
     call->router->counters.failed++;
     _wgro_detach_caller(call);
+    _wgro_await_reply_sent(call->router, call->request);
     wgh_reply_error(call->request, &(wgh_error){.status = wgc_code_status(action->code),
                                                 .code = wgc_code_name(action->code),
                                                 .verdict = action->verdict,
@@ -209,6 +230,7 @@
     wgro_router* r = call->router;
     r->counters.complete++;
     _wgro_detach_caller(call);
+    _wgro_await_reply_sent(r, call->request);
     if (call->head_sent) {
         _wgro_relay(call);
         evhttp_send_reply_end(call->request);
@@ -593,6 +615,7 @@
 static void _wgro_replay_answer(_wgro_call_t* call, const Wgpb__ClaimEnd* end) {
     call->router->counters.complete++;
     _wgro_detach_caller(call);
+    _wgro_await_reply_sent(call->router, call->request);
     bool ran = end && end->verdict == WG_VERDICT_RAN;
     if (!ran || end->body.len == 0) {
         wgh_reply_error(
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -155,6 +155,7 @@
     wg_time slot_lease_until; /* 0: no slots are leased */
     wg_time table_lease_until;
     bool table_in_force;
+    int replies_unsent;     /* replies that their callers have not taken yet */
     GHashTable* claim_ends; /* ticket -> packed ClaimAsk, until the leader confirms it */
 
     wgt_table* table;
