Entry hosts: a connection that closes stays open while its caller reads its last answer

Callers saw: an answer on a connection that closes after it (Connection: close, HTTP/1.0, a planned stop) is cut off 2 s after its target has finished, though the caller reads, on a host without unread_ms. A kept connection likewise at the end of its idle time. Deployed hosts set unread_ms, so that this was to be seen with the defaults only.

Cause: the limit of a connection's state counted from the end of the call, at which the answer is in a buffer, not read.

Change: while bytes wait, the limit counts from when the caller last took some. A caller that reads nothing is closed as before.

Test, red before: test_entry_buffers caller_that_still_reads_its_last_answer_is_not_cut_off.

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -624,6 +624,14 @@
            (client->state == WG_CLIENT_HEAD && client->head_started);
 }
 
+/* Whether the caller still reads its last answer: the time limit counts from when it last did. */
+static bool wg_client_is_reading(const wg_client* client, wg_time now, wg_time limit) {
+    const wg_buffers* buffers = client->entry->buffers;
+    const wg_buffers_peer* held = &client->held;
+    return wg_buffers_is_reading(buffers, now, held) ||
+           (held->unread > 0 && wg_buffers_unread_time(buffers, now, held) < limit);
+}
+
 /* Whether the connection exceeded the timeout of its state. Unread input extends the timeout, for
    an incomplete request at most to twice its length, so that a slow sender cannot hold a
    connection indefinitely. */
@@ -633,9 +641,8 @@
     if (limit == 0 || spent < limit) {
         return false;
     }
-    if (!wg_client_is_sending(client) &&
-        wg_buffers_is_reading(client->entry->buffers, now, &client->held)) {
-        return false; /* it still reads its last answer */
+    if (!wg_client_is_sending(client) && wg_client_is_reading(client, now, limit)) {
+        return false;
     }
     bool may_wait =
         wg_client_is_sending(client) ? spent < 2 * limit : client->state == WG_CLIENT_HEAD;
--- a/tests/test_entry_buffers.c
+++ b/tests/test_entry_buffers.c
@@ -254,6 +254,26 @@
 }
 END_TEST
 
+/* Guards against a connection that is cut off some time after its last answer although its caller
+   reads, on a host without a limit on reading. */
+START_TEST(caller_that_still_reads_its_last_answer_is_not_cut_off) {
+    static const char request[] = "GET /a/x HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+    begin_with(4, 0, "safe");
+    GString* stream = bytes_of(240 * KB);
+    GString* answer = g_string_new(NULL);
+    int fd = connect_slow_caller();
+    send_all(fd, request, sizeof request - 1);
+    ck_assert(target_got_request());
+    target_stream(stream);
+    ck_assert(read_answer(fd, 60, answer));
+    check_whole(answer, stream);
+    close(fd);
+    g_string_free(stream, TRUE);
+    g_string_free(answer, TRUE);
+    end();
+}
+END_TEST
+
 /* With the settings off, a slow caller must get all as before. */
 START_TEST(slow_caller_gets_everything_without_a_bound) {
     slow_caller_gets_everything(0, 0, 3 * 1024 * KB, 4 * KB);
@@ -438,6 +458,7 @@
 WG_TEST_MAIN("entry buffers", caller_that_reads_nothing_is_cut_off_on_a_full_host,
              slow_caller_gets_everything_with_the_bound,
              caller_that_still_reads_is_not_closed_as_idle,
+             caller_that_still_reads_its_last_answer_is_not_cut_off,
              slow_caller_gets_everything_without_a_bound, caller_is_not_cut_off_by_default,
              caller_that_reads_is_served_beside_one_that_reads_nothing,
              next_request_waits_until_answers_are_read, target_that_reads_no_body_fails_the_request,
