Entry hosts: a connection whose caller reads its answer does not give way to a new one

Callers saw: at the limit of connections (callers_max, descriptors) the connection that waited longest for a request is closed, also if its caller still reads its last answer, which is cut off.

The variant for hosts that spare descriptors (deployed) looked at unsent bytes, this one did not.

Change: one function selects the connection for both. A connection passed over is a candidate again once its caller has read everything; before, it was none until its next request.

Test, red before: test_entry_buffers caller_that_still_reads_does_not_give_way_to_a_new_one.

--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -451,6 +451,8 @@
         wg_entry_handoff_resume(client);
     } else if (client->delayed) {
         wg_client_end_delay(client);
+    } else if (client->state == WG_CLIENT_HEAD && !client->head_started && !client->idle) {
+        wg_client_enter_idle(client); /* it has read its last answer */
     }
 }
 
@@ -511,13 +513,20 @@
     return (guint)MAX(limit_num, 1);
 }
 
-wg_client* wg_client_longest_idle(wg_entry* e, wg_time now) {
+/* The caller's connection that has waited longest for a request, or NULL: none that neither sends
+   one nor reads its last answer. */
+static wg_client* wg_client_oldest_idle(wg_entry* e) {
     wg_client* oldest;
     while ((oldest = g_queue_peek_head(&e->idle_clients)) &&
            (wg_client_has_unread(oldest) ||
             evbuffer_get_length(bufferevent_get_output(oldest->bev)) > 0)) {
-        wg_client_leave_idle(oldest); /* it sends a request, or reads its last answer */
+        wg_client_leave_idle(oldest);
     }
+    return oldest;
+}
+
+wg_client* wg_client_longest_idle(wg_entry* e, wg_time now) {
+    wg_client* oldest = wg_client_oldest_idle(e);
     return oldest && now - oldest->state_since >= WG_IDLE_MIN ? oldest : NULL;
 }
 
@@ -531,10 +540,7 @@
     if (e->clients->len < wg_client_connections_max(e)) {
         return true;
     }
-    wg_client* oldest;
-    while ((oldest = g_queue_peek_head(&e->idle_clients)) && wg_client_has_unread(oldest)) {
-        wg_client_leave_idle(oldest);
-    }
+    wg_client* oldest = wg_client_oldest_idle(e);
     if (!oldest) {
         e->counters.callers_refused++;
         return false;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -188,41 +188,45 @@
 static double fake_entry_held_mb;
 static int64_t fake_entry_unread_ms;
 
+/* Connections of callers that the next entry host accepts; 0: 1000. */
+static int64_t fake_entry_callers_max;
+
 static inline wg_entry* fake_control_entry(struct event_base* base, char** seeds) {
     static wg_entry_settings settings;
-    settings = (wg_entry_settings){.name = "here",
-                                   .data_centre = "dc",
-                                   .callers_listen = local_address(11, 18001),
-                                   .ready_listen = local_address(11, 18002),
-                                   .entry_listen = local_address(11, 18003),
-                                   .orders_listen = local_address(11, 18004),
-                                   .fleet_listen = local_address(11, 18005),
-                                   .seeds = seeds,
-                                   .fleet_port = LOCAL_FLEET_PORT,
-                                   .fleet_key = "a key for the fleet",
-                                   .entry_keep_s = 1,
-                                   .grace_s = 8,
-                                   .link_silence_ms = 1200,
-                                   .order_ms = 900,
-                                   .cold_settle_ms = fake_entry_cold_settle_ms,
-                                   .standby_ms = fake_entry_standby_ms,
-                                   .recovery_query_ms = fake_entry_recovery_query_ms,
-                                   .retry_window_ms = 10000,
-                                   .retry_slack = fake_entry_retry_slack,
-                                   .learn_base = fake_entry_learn_base,
-                                   .target_rest_max_s = 3600,
-                                   .hold_percent = fake_entry_hold_percent,
-                                   .descriptors = fake_entry_descriptors,
-                                   .room_wait_ms = fake_entry_room_wait_ms,
-                                   .route_limits = fake_entry_route_limits,
-                                   .input_delay_ms = fake_entry_input_delay_ms,
-                                   .held_mb = fake_entry_held_mb,
-                                   .unread_ms = fake_entry_unread_ms,
-                                   .handoff_delay_ms = fake_entry_handoff_delay_ms,
-                                   .spare_descriptors = fake_entry_spare_descriptors,
-                                   .refuse_over_share = fake_entry_refuse_over_share,
-                                   .retry_after_percent = fake_entry_retry_after_percent,
-                                   .callers_max = 1000};
+    settings =
+        (wg_entry_settings){.name = "here",
+                            .data_centre = "dc",
+                            .callers_listen = local_address(11, 18001),
+                            .ready_listen = local_address(11, 18002),
+                            .entry_listen = local_address(11, 18003),
+                            .orders_listen = local_address(11, 18004),
+                            .fleet_listen = local_address(11, 18005),
+                            .seeds = seeds,
+                            .fleet_port = LOCAL_FLEET_PORT,
+                            .fleet_key = "a key for the fleet",
+                            .entry_keep_s = 1,
+                            .grace_s = 8,
+                            .link_silence_ms = 1200,
+                            .order_ms = 900,
+                            .cold_settle_ms = fake_entry_cold_settle_ms,
+                            .standby_ms = fake_entry_standby_ms,
+                            .recovery_query_ms = fake_entry_recovery_query_ms,
+                            .retry_window_ms = 10000,
+                            .retry_slack = fake_entry_retry_slack,
+                            .learn_base = fake_entry_learn_base,
+                            .target_rest_max_s = 3600,
+                            .hold_percent = fake_entry_hold_percent,
+                            .descriptors = fake_entry_descriptors,
+                            .room_wait_ms = fake_entry_room_wait_ms,
+                            .route_limits = fake_entry_route_limits,
+                            .input_delay_ms = fake_entry_input_delay_ms,
+                            .held_mb = fake_entry_held_mb,
+                            .unread_ms = fake_entry_unread_ms,
+                            .handoff_delay_ms = fake_entry_handoff_delay_ms,
+                            .spare_descriptors = fake_entry_spare_descriptors,
+                            .refuse_over_share = fake_entry_refuse_over_share,
+                            .retry_after_percent = fake_entry_retry_after_percent,
+                            .callers_max = fake_entry_callers_max ? fake_entry_callers_max : 1000};
     GError* error = NULL;
     wg_entry* entry = wg_entry_setup(&(wg_entry_desc){.base = base, .settings = &settings}, &error);
     ck_assert_msg(entry != NULL, "%s", error ? error->message : "");
--- a/tests/test_entry_buffers.c
+++ b/tests/test_entry_buffers.c
@@ -274,6 +274,35 @@
 }
 END_TEST
 
+/* Guards against an answer that is cut off because its connection, idle for longest, gives way to a
+   new one at the limit of connections. */
+START_TEST(caller_that_still_reads_does_not_give_way_to_a_new_one) {
+    char answer_text[1024];
+    fake_entry_callers_max = 2;
+    begin_with(4, 0, "safe");
+    GString* stream = bytes_of(240 * KB);
+    GString* answer = g_string_new(NULL);
+    int slow = request_stream();
+    target_stream(stream);
+    run_turns(50);
+    g_string_truncate(target_received, 0);
+    int idle = send_get("/none", "");
+    ck_assert_int_eq(status_of(idle, answer_text), 404);
+    int last = send_get("/none", "");
+    ck_assert_int_eq(status_of(last, answer_text), 404);
+    ck_assert_int_eq(recv(idle, answer_text, sizeof answer_text, 0), 0); /* gave way */
+    ck_assert(read_answer(slow, 4 * KB, answer));
+    check_whole(answer, stream);
+    close(slow);
+    close(idle);
+    close(last);
+    g_string_free(stream, TRUE);
+    g_string_free(answer, TRUE);
+    end();
+    fake_entry_callers_max = 0;
+}
+END_TEST
+
 /* With the settings off, a slow caller must get all as before. */
 START_TEST(slow_caller_gets_everything_without_a_bound) {
     slow_caller_gets_everything(0, 0, 3 * 1024 * KB, 4 * KB);
@@ -459,6 +488,7 @@
              slow_caller_gets_everything_with_the_bound,
              caller_that_still_reads_is_not_closed_as_idle,
              caller_that_still_reads_its_last_answer_is_not_cut_off,
+             caller_that_still_reads_does_not_give_way_to_a_new_one,
              slow_caller_gets_everything_without_a_bound, caller_is_not_cut_off_by_default,
              caller_that_reads_is_served_beside_one_that_reads_nothing,
              next_request_waits_until_answers_are_read, target_that_reads_no_body_fails_the_request,
