Streams are not continued at the version that their target had before it restarted unnoticed

Streams that began there meanwhile count as begun at v1; when it ends they go on at targets of v1 inside the same answers: 8 of 24 streams held both versions.

Cause: the version was taken from the registry at the send and then kept as a fact of the stream. The registry takes it back when it learns of the later start, and nobody looked again. Evidence: WG5009 names the later start 1.6 s before the continuations, whose WG2011 still say began_version=v1.

Change: before a stream goes on, the host asks the registry whether the target at which it began may have restarted around then; if so it goes on at neither version (the caller may take it up). A connection that still brings events 500 ms after the restart came to be known is one to the later start, as those of the earlier one ended with it: the stream then counts as begun there, keepers and leader are told again (WG2038), and it goes on at the right version.

Looked at: routers (bind to the version that each answer states, no registry), streams by handoff (the same code at the peer), records at keepers and in the log (in doubt by the same function).

--- a/lib/entry/wg_entry_answer.c
+++ b/lib/entry/wg_entry_answer.c
@@ -117,6 +117,7 @@
         struct evbuffer* out = call->entry->relayed_bytes;
         wg_call_record_first_byte(call);
         wg_call_bind_version(call);
+        wg_entry_origin_on_events(call, up);
         if (!call->head_sent) {
             wg_entry_origin_record(call);
             wg_call_write_head(call, up, -1, out);
--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -522,20 +522,26 @@
     }
 }
 
-/* Refuses a stream that goes on if no target of the version that began it serves. Returns whether
-   it did. */
+/* Refuses a stream that goes on if the version that began it is in doubt, or no target of it
+   serves. Returns whether it did. */
 static bool wg_call_refuse_without_version(wg_call* call) {
     if (!call->version) {
         return false;
     }
     wg_entry* e = call->entry;
+    int status = call->may_have_run ? 502 : 503;
+    if (!wg_entry_origin_is_certain(call)) {
+        e->counters.versions_doubted++;
+        wg_call_refuse(call, status, "version_unknown", wg_call_retry_after(call));
+        return true;
+    }
     wg_version_presence presence =
         wg_balance_version_presence(e->balance, call->selection.service, call->version);
     if (presence == WG_VERSION_SERVES) {
         return false;
     }
     e->counters.versions_gone++;
-    wg_call_refuse(call, call->may_have_run ? 502 : 503, "version_gone",
+    wg_call_refuse(call, status, "version_gone",
                    presence == WG_VERSION_AWAY ? wg_call_retry_after(call) : 0);
     return true;
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -179,7 +179,8 @@
     char version_text[WG_NAME_MAX];
     uint32_t began_target; /* target that it began at, see wg_origin */
     wg_time began_at;
-    uint64_t stream; /* identifies it on all hosts, see lib/origin; 0: it cannot be taken up */
+    wg_time doubted_at; /* since when `version` is in doubt; 0: it is not */
+    uint64_t stream;    /* identifies it on all hosts, see lib/origin; 0: it cannot be taken up */
     uint64_t keepers[WG_ORIGIN_KEEPERS]; /* ranks of the coordinators that were told of it */
     int keepers_num;
     bool origin_reported;   /* to the leader, or waits for the next report */
@@ -279,6 +280,7 @@
     uint64_t streams_taken_up;      /* requests whose caller takes up a stream */
     uint64_t versions_joined;       /* streams continued at another software version; always 0 */
     uint64_t versions_gone;         /* streams refused as no target of their version serves */
+    uint64_t versions_doubted;      /* streams given up as their target had restarted unnoticed */
     uint64_t origins_told;          /* streams of this host that others were told of */
     uint64_t origins_here;          /* streams taken up whose version this host knew */
     uint64_t origins_asked;         /* those whose version another host knew */
@@ -598,6 +600,12 @@
 /* Adds streams that the leader has not been told of to the report, which borrows them until the
    caller frees the message; NULL: none. */
 Wgpb__OriginNotes* wg_entry_fill_origins(wg_entry* e, Wgpb__EntryReport* report);
+/* Whether the version that the call's stream began at is certain: its target has not restarted
+   unnoticed with another one. */
+bool wg_entry_origin_is_certain(const wg_call* call);
+/* Events of the stream have come from the target. If the version is in doubt because that target
+   has restarted, it turns out to be that of the later start if the connection lasts. */
+void wg_entry_origin_on_events(wg_call* call, const wg_upstream* up);
 /* Tells other hosts of the version that a stream began at. Called before its first event leaves. */
 void wg_entry_origin_record(wg_call* call);
 /* Coordinators have changed, or a link to one: streams in progress whose keepers may not have their
--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -14,6 +14,10 @@
        may shorten the timeouts of its routes meanwhile. */
     WG_STREAM_LIFE_MIN = 30 * WG_USEC_PER_SEC,
     WG_STREAM_LIFE_TIMEOUTS = 2, /* the same, in timeouts of the slowest route for streams */
+    /* A connection that still brings events this long after its target is known to have restarted
+       is one to the later start: those of the earlier one ended with it, and bytes that were on
+       their way have arrived. */
+    WG_RESTART_SETTLE_TIME = 500 * WG_USEC_PER_MSEC,
     WG_ORIGINS_UNREPORTED_MAX = 4096,
     WG_ORIGINS_REPORTED_MAX = 1024 /* in one report, 30 KB; the remainder follows in the next one */
 };
@@ -39,6 +43,19 @@
     return (wg_origin){call->version, call->began_target, call->began_at};
 }
 
+/* Whether the version of a record is that of the process that began the stream: the target may have
+   restarted with another one before this was known to the host that relayed the stream. */
+static bool wg_entry_origin_is_sure(const wg_entry* e, const wg_origin* origin) {
+    return origin->target == 0 ||
+           (wg_registry_find(e->registry, origin->target) &&
+            !wg_registry_may_have_restarted(e->registry, origin->target, origin->began_at));
+}
+
+bool wg_entry_origin_is_certain(const wg_call* call) {
+    wg_origin origin = wg_call_origin(call);
+    return wg_entry_origin_is_sure(call->entry, &origin);
+}
+
 /* ---- telling other hosts --------------------------------------------------------------------- */
 
 static bool wg_call_was_told(const wg_call* call, const wg_coordinator* c) {
@@ -122,6 +139,33 @@
     wg_call_report_origin(call);
 }
 
+/* The stream began at this later start of its target. */
+static void wg_call_correct_origin(wg_call* call, const wg_target* latest) {
+    wg_log(WG_EVENT_STREAM_VERSION_CORRECTED,
+           "id=%s began_version=%s target=%u corrected=%s corrected_target=%u", call->id,
+           call->version, call->began_target, latest->version, latest->number);
+    wg_call_set_origin(call, &(wg_origin){latest->version, latest->number, call->began_at});
+    wg_copy_name(call->sent_version, sizeof call->sent_version, latest->version);
+    call->sent_target = latest->number;
+    call->doubted_at = 0;
+    call->keepers_num = 0;
+    wg_entry_origin_record(call);
+}
+
+void wg_entry_origin_on_events(wg_call* call, const wg_upstream* up) {
+    wg_time now = wg_now();
+    if (!call->version || up->target != call->began_target || wg_entry_origin_is_certain(call)) {
+        return;
+    }
+    const wg_target* latest = wg_registry_latest(call->entry->registry, call->began_target);
+    if (!call->doubted_at) {
+        call->doubted_at = now;
+    } else if (latest && latest->state != WG_TARGET_REMOVED &&
+               now - call->doubted_at >= WG_RESTART_SETTLE_TIME) {
+        wg_call_correct_origin(call, latest);
+    }
+}
+
 /* Whether a keeper that was told of the stream may have lost the record, or not received it. */
 static bool wg_call_lacks_keepers(const wg_call* call) {
     const wg_entry* e = call->entry;
@@ -226,14 +270,6 @@
            lookup->registry_change_max <= wg_registry_change(e->registry);
 }
 
-/* Whether the version of a record is that of the process that began the stream: the target may have
-   restarted with another one before this was known to the host that relayed the stream. */
-static bool wg_entry_origin_is_sure(const wg_entry* e, const wg_origin* origin) {
-    return origin->target == 0 ||
-           (wg_registry_find(e->registry, origin->target) &&
-            !wg_registry_may_have_restarted(e->registry, origin->target, origin->began_at));
-}
-
 /* Without a record, the only version that has served will do. Another one is never the answer. */
 static bool wg_call_continue_at_only(wg_call* call) {
     const char* only = wg_entry_only_version(call->entry, call->selection.service);
@@ -453,7 +489,9 @@
                            "walnutgate_entry_origins_known_here_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_origins_known_elsewhere_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_origins_only_version_total %" G_GUINT64_FORMAT "\n"
-                           "walnutgate_entry_origins_unknown_total %" G_GUINT64_FORMAT "\n",
+                           "walnutgate_entry_origins_unknown_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_versions_doubted_total %" G_GUINT64_FORMAT "\n",
                            wg_origins_num(e->origins), c->origins_told, c->origins_here,
-                           c->origins_asked, c->origins_only, c->origins_unknown);
+                           c->origins_asked, c->origins_only, c->origins_unknown,
+                           c->versions_doubted);
 }
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -422,6 +422,11 @@
     return only;
 }
 
+const wg_target* wg_registry_latest(const wg_registry* r, uint32_t number) {
+    const wg_target* target = wg_registry_find(r, number);
+    return target ? g_hash_table_lookup(r->by_id, target->id) : NULL;
+}
+
 bool wg_registry_may_have_restarted(const wg_registry* r, uint32_t number, wg_time at) {
     const wg_target* target = wg_registry_find(r, number);
     if (!target || !wg_target_ended(target) ||
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -134,6 +134,8 @@
 /* Whether at `at` another version than this incarnation's may have served under its id: the target
    restarted with it, and the registry learned of a restart only from a later heartbeat. */
 bool wg_registry_may_have_restarted(const wg_registry* registry, uint32_t number, wg_time at);
+/* Returns the latest incarnation of the target under its id; NULL if the number is not known. */
+const wg_target* wg_registry_latest(const wg_registry* registry, uint32_t number);
 /* Returns the record with the lowest number above `after` (0: the first), or NULL. */
 const wg_target* wg_registry_next(const wg_registry* registry, uint32_t after);
 const wg_target* wg_registry_find(const wg_registry* registry, uint32_t number);
