Versions in doubt: a target whose record was dropped is in no doubt

Reading the diff: a stream counted as in doubt if the registry did not know its target. That is right for a copy that is behind, but a registry keeps 512 ended records only: in a release of thousands of targets within half a minute, streams of targets that left long ago would have been refused.

Change: wg_registry_may_have_restarted() itself decides; only a number above all known ones is in doubt, and no longer any that is not found. Names: one function for records, one for calls.

Tests in test_registry: an unknown newer number (not looked at before: the function said no, its caller refused any unknown number), a target whose record was dropped.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -530,7 +530,7 @@
     }
     wg_entry* e = call->entry;
     int status = call->may_have_run ? 502 : 503;
-    if (!wg_entry_origin_is_certain(call)) {
+    if (!wg_call_origin_is_certain(call)) {
         e->counters.versions_doubted++;
         wg_call_refuse(call, status, "version_unknown", wg_call_retry_after(call));
         return true;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -602,7 +602,7 @@
 Wgpb__OriginNotes* wg_entry_fill_origins(wg_entry* e, Wgpb__EntryReport* report);
 /* Whether the version that the call's stream began at is certain: its target has not restarted
    unnoticed with another one. */
-bool wg_entry_origin_is_certain(const wg_call* call);
+bool wg_call_origin_is_certain(const wg_call* call);
 /* Events of the stream have come from the target. If the version is in doubt because that target
    has restarted, it turns out to be that of the later start if the connection lasts. */
 void wg_entry_origin_on_events(wg_call* call, const wg_upstream* up);
--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -45,15 +45,14 @@
 
 /* Whether the version of a record is that of the process that began the stream: the target may have
    restarted with another one before this was known to the host that relayed the stream. */
-static bool wg_entry_origin_is_sure(const wg_entry* e, const wg_origin* origin) {
+static bool wg_entry_origin_is_certain(const wg_entry* e, const wg_origin* origin) {
     return origin->target == 0 ||
-           (wg_registry_find(e->registry, origin->target) &&
-            !wg_registry_may_have_restarted(e->registry, origin->target, origin->began_at));
+           !wg_registry_may_have_restarted(e->registry, origin->target, origin->began_at);
 }
 
-bool wg_entry_origin_is_certain(const wg_call* call) {
+bool wg_call_origin_is_certain(const wg_call* call) {
     wg_origin origin = wg_call_origin(call);
-    return wg_entry_origin_is_sure(call->entry, &origin);
+    return wg_entry_origin_is_certain(call->entry, &origin);
 }
 
 /* ---- telling other hosts --------------------------------------------------------------------- */
@@ -154,7 +153,7 @@
 
 void wg_entry_origin_on_events(wg_call* call, const wg_upstream* up) {
     wg_time now = wg_now();
-    if (!call->version || up->target != call->began_target || wg_entry_origin_is_certain(call)) {
+    if (!call->version || up->target != call->began_target || wg_call_origin_is_certain(call)) {
         return;
     }
     const wg_target* latest = wg_registry_latest(call->entry->registry, call->began_target);
@@ -367,7 +366,7 @@
    have restarted with another version. */
 static const wg_origin* wg_entry_origin_recorded(const wg_entry* e, uint64_t stream) {
     const wg_origin* origin = stream ? wg_origins_find(e->origins, wg_now(), stream) : NULL;
-    return origin && wg_entry_origin_is_sure(e, origin) ? origin : NULL;
+    return origin && wg_entry_origin_is_certain(e, origin) ? origin : NULL;
 }
 
 void wg_entry_origin_find(wg_call* call) {
@@ -420,7 +419,7 @@
         wg_origin_lookup_answer(&call->origin_lookup, in->registry_change);
     }
     wg_origin origin = {in->version, in->target, wg_origin_began_at(wg_now(), in->age_us)};
-    if (in->known && wg_entry_origin_is_sure(call->entry, &origin)) {
+    if (in->known && wg_entry_origin_is_certain(call->entry, &origin)) {
         wg_entry_origin_keep(call->entry, call->stream, &origin);
         call->entry->counters.origins_asked++;
         wg_call_continue(call, &origin, "asked");
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -429,8 +429,11 @@
 
 bool wg_registry_may_have_restarted(const wg_registry* r, uint32_t number, wg_time at) {
     const wg_target* target = wg_registry_find(r, number);
-    if (!target || !wg_target_ended(target) ||
-        at < target->ended_at - WG_REGISTRY_RESTART_UNNOTICED_MAX) {
+    if (!target) {
+        return !wg_registry_next(
+            r, number); /* newer than this registry; else its record was dropped */
+    }
+    if (!wg_target_ended(target) || at < target->ended_at - WG_REGISTRY_RESTART_UNNOTICED_MAX) {
         return false;
     }
     const wg_target* later = target;
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -132,7 +132,8 @@
 const char* wg_registry_only_version(const wg_registry* registry, wg_time now, const char* service,
                                      wg_time time);
 /* Whether at `at` another version than this incarnation's may have served under its id: the target
-   restarted with it, and the registry learned of a restart only from a later heartbeat. */
+   restarted with it, and the registry learned of a restart only from a later heartbeat. Also true
+   of an incarnation that this registry, a copy that is behind, does not know yet. */
 bool wg_registry_may_have_restarted(const wg_registry* registry, uint32_t number, wg_time at);
 /* Returns the latest incarnation of the target under its id; NULL if the number is not known. */
 const wg_target* wg_registry_latest(const wg_registry* registry, uint32_t number);
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -401,6 +401,8 @@
     wgpb__registry_state__free_unpacked(state, NULL);
     wg_registry* both[] = {r, copy};
     for (int i = 0; i < 2; i++) {
+        uint32_t unknown = last_record(both[i])->number + 1;
+        ck_assert(wg_registry_may_have_restarted(both[i], unknown, 0));
         ck_assert(!wg_registry_may_have_restarted(both[i], first, FIRST_IN_DOUBT - 1));
         ck_assert(wg_registry_may_have_restarted(both[i], first, FIRST_IN_DOUBT));
         ck_assert(wg_registry_may_have_restarted(both[i], first, 2 * KNOWN_AT));
@@ -410,6 +412,18 @@
 }
 END_TEST
 
+/* Guards against doubt about targets whose records were dropped, as after a release of many. */
+START_TEST(version_of_a_target_whose_record_was_dropped_is_sure) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){.ended_max = 1});
+    for (uint64_t born = 1; born <= 4; born++) {
+        receive_incarnation(r, SECOND, born, WG_TARGET_READY, 1);
+    }
+    ck_assert_ptr_null(wg_registry_find(r, 1));
+    ck_assert(!wg_registry_may_have_restarted(r, 1, SECOND));
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 /* Guards against doubt where a target restarts with the version that it had. */
 START_TEST(version_is_sure_if_the_target_restarts_with_it) {
     wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
@@ -544,6 +558,7 @@
              evacuated_targets_accept_nothing, copies_match_after_ended_records_are_dropped,
              restarted_target_is_another_incarnation,
              version_is_in_doubt_around_a_restart_that_came_to_be_known_late,
+             version_of_a_target_whose_record_was_dropped_is_sure,
              version_is_sure_if_the_target_restarts_with_it,
              messages_of_a_previous_incarnation_are_ignored, deregistered_target_may_register_again,
              snapshots_distinguish_incarnations, records_of_incarnations_are_bounded)
