Test of an unnoticed restart: the target ends while the version is still in doubt

At 600 ms after its first heartbeat the host had corrected the version already (500 ms), so the test did not see a stream that goes on while in doubt: the mutant without that check was missed.

--- a/tests/test_streams_of_lost_hosts.c
+++ b/tests/test_streams_of_lost_hosts.c
@@ -177,7 +177,7 @@
 
 /* Guards against the same right after the first heartbeat, while the version is in doubt. */
 START_TEST(stream_of_a_target_that_ends_after_its_first_heartbeat_never_joins_two_versions) {
-    restarted_outcome o = play_restart(600);
+    restarted_outcome o = play_restart(400);
     ck_assert_int_eq(o.joined, 0);
     ck_assert_int_ge(o.num, RESTARTED_MIN);
 }
