Refusals tell as of when the configuration was confirmed; lost log lines are counted

The record has no line of the refusing host that names a refused id, and the lines could not have told the hypotheses apart: lines on denials shared the bound of 200 a second with those of served requests; a line that the pipe did not take was counted nowhere; state_age_ms was the age of the last dial, or of the machine's start, where no state had come, and the time of arrival of a state elsewhere.

A leader's answer now repeats the number of the report that it answers (EntryState.report_seq), so a host knows as of when it knew all that was acknowledged: when it sent that report (lib/lease). WG2012 adds confirmed_ms, control, term, delay_ms, since_stall_ms and owner. Denials have a bound of their own. WG1012 and a counter tell of lost lines, others count denied routes and keys. No decision changes.

Reports grow by nothing, answers by the number of a report (3 to 5 bytes).

--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -32,6 +32,10 @@
 static wg_time _wg_clock_offset;
 static GLogLevelFlags _wg_level_limit = G_LOG_LEVEL_INFO;
 static FILE* _wg_log_file;
+static bool _wg_log_may_lose;     /* the log does not wait for its reader */
+static bool _wg_log_torn;         /* the last line was written in part */
+static int _wg_log_lost;          /* lines lost since the last one that was written */
+static uint64_t _wg_log_lost_all; /* since the start */
 
 /* ---- helpers ------------------------------------------------------------------------------ */
 
@@ -57,6 +61,33 @@
     }
 }
 
+static void _wg_log_append(GString* out, const char* stamp, char level, const char* message) {
+    g_string_append_printf(out, "%s %c %s\n", stamp, level, message);
+}
+
+/* Writes a line, after a line on those lost before it. What the reader does not accept is lost. */
+static void _wg_log_write_or_lose(const char* stamp, char level, const char* message) {
+    GString* out = g_string_new(_wg_log_torn ? "\n" : "");
+    if (_wg_log_lost > 0) {
+        const _wg_event_row_t* row = _wg_event_find(WG_EVENT_LOG_LOST);
+        char* notice = g_strdup_printf("WG%d %s: %s: lines=%d", row->number, row->name, row->text,
+                                       _wg_log_lost);
+        _wg_log_append(out, stamp, _wg_level_letter(row->level), notice);
+        g_free(notice);
+    }
+    _wg_log_append(out, stamp, level, message);
+    ssize_t written = write(fileno(_wg_log_file), out->str, out->len);
+    if (written == (ssize_t)out->len) {
+        _wg_log_torn = false;
+        _wg_log_lost = 0;
+    } else {
+        _wg_log_torn = _wg_log_torn || written > 0;
+        _wg_log_lost++;
+        _wg_log_lost_all++;
+    }
+    g_string_free(out, TRUE);
+}
+
 static GLogWriterOutput _wg_log_writer(GLogLevelFlags level, const GLogField* fields, gsize count,
                                        gpointer user_data) {
     (void)user_data;
@@ -72,13 +103,18 @@
     }
     struct timespec now;
     struct tm utc;
-    char stamp[32];
+    char second[32];
+    char stamp[48];
     clock_gettime(CLOCK_REALTIME, &now);
     gmtime_r(&now.tv_sec, &utc);
-    strftime(stamp, sizeof stamp, "%Y-%m-%dT%H:%M:%S", &utc);
+    strftime(second, sizeof second, "%Y-%m-%dT%H:%M:%S", &utc);
+    g_snprintf(stamp, sizeof stamp, "%s.%06ldZ", second, now.tv_nsec / 1000);
+    if (_wg_log_may_lose) {
+        _wg_log_write_or_lose(stamp, _wg_level_letter(severity), message);
+        return G_LOG_WRITER_HANDLED;
+    }
     FILE* out = _wg_log_file ? _wg_log_file : stderr;
-    fprintf(out, "%s.%06ldZ %c %s\n", stamp, now.tv_nsec / 1000, _wg_level_letter(severity),
-            message);
+    fprintf(out, "%s %c %s\n", stamp, _wg_level_letter(severity), message);
     fflush(out);
     return G_LOG_WRITER_HANDLED;
 }
@@ -132,8 +168,8 @@
     if (strcmp(target, "stdout") == 0) {
         /* A slow reader of a pipe must not block the process: lines that do not fit are dropped. */
         fcntl(STDOUT_FILENO, F_SETFL, fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
-        setvbuf(stdout, NULL, _IOLBF, 0);
         _wg_log_file = stdout;
+        _wg_log_may_lose = true;
     } else if (strcmp(target, "stderr") != 0) {
         _wg_log_file = fopen(target, "a");
         if (!_wg_log_file) {
@@ -145,6 +181,10 @@
     return true;
 }
 
+uint64_t wg_log_lost(void) {
+    return _wg_log_lost_all;
+}
+
 wg_time wg_now(void) {
     struct timespec ts;
     clock_gettime(CLOCK_BOOTTIME, &ts);
--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -106,6 +106,8 @@
 /* Sets the level ("debug", "info", "warn" or "error") and the target ("stderr", "stdout" or a file
    path) of the log. False with an error if the level is unknown or the file cannot be opened. */
 bool wg_log_setup(const char* level, const char* target, GError** error);
+/* Log lines lost since the start, as the reader of standard output did not keep up. */
+uint64_t wg_log_lost(void);
 
 /* Current time of CLOCK_BOOTTIME, which continues while the host is suspended. */
 wg_time wg_now(void);
--- a/lib/base/wg_watch.c
+++ b/lib/base/wg_watch.c
@@ -24,6 +24,15 @@
     return true;
 }
 
+bool wg_log_limit_take(wg_log_limit* limit, wg_time now, int max, int* left_out) {
+    *left_out = 0;
+    if (limit->second == 0 || now - limit->second >= WG_USEC_PER_SEC) {
+        *left_out = MAX(limit->lines - max, 0);
+        *limit = (wg_log_limit){.second = now};
+    }
+    return ++limit->lines <= max;
+}
+
 bool wg_outage_update(wg_outage* outage, bool present, wg_time now) {
     if (present) {
         *outage = (wg_outage){0};
--- a/lib/base/wg_watch.h
+++ b/lib/base/wg_watch.h
@@ -9,15 +9,17 @@
     FEATURES
         - wg_lag_monitor: lag of a periodic timer, as a histogram and a maximum; at most one
           log line a second
+        - wg_log_limit: at most so many lines of a kind a second, and how many were left out
         - wg_outage: a log line after WG_OUTAGE_LOG_DELAY of outage, then each time its length has
           doubled
 
     USE
         1. if (wg_lag_monitor_tick(&monitor, now, period, &lag)) { log(lag); }
         2. if (wg_outage_update(&outage, present, now)) { log(now - outage.since); }
+        3. if (wg_log_limit_take(&limit, now, 200, &left_out)) { log(...); }
 
     THE CALLER OWNS
-        both structs; zero-initialise them.
+        the structs; zero-initialise them.
 */
 #include "wg_base.h"
 
@@ -43,6 +45,16 @@
    wg_lag_monitor_tick(). */
 bool wg_lag_monitor_record(wg_lag_monitor* monitor, wg_time now, wg_time lag, wg_time* max_lag);
 
+/* Lines of one kind in the current second. */
+typedef struct {
+    wg_time second; /* start of the second; 0: no line yet */
+    int lines;      /* also those left out */
+} wg_log_limit;
+
+/* Counts a line; false if it has to be left out. `*left_out`: lines left out in the second before,
+   if that has just ended, else 0. */
+bool wg_log_limit_take(wg_log_limit* limit, wg_time now, int max, int* left_out);
+
 typedef struct {
     wg_time since;  /* start of the outage; 0: none */
     wg_time log_at; /* time of the next log line */
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -209,6 +209,7 @@
     _wgco_confirm_receive_report(c, e, in);
     e->has_no_members = e->has_no_members || (!e->reported && in->members_change == 0);
     e->reported = true;
+    e->report_seq = in->seq;
     if (in->state_seen == e->state_seq) { /* otherwise a newer state is in transit */
         e->configuration_version = in->configuration_version;
         e->registry_change = in->registry_change;
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -77,8 +77,9 @@
     bool ready;
     bool standby; /* accepts the state of a replica that knows no leader */
     bool leaving;
-    GHashTable* loads; /* target number -> Wgpb__TargetLoad* */
-    GHashTable* usage; /* hash of a workspace -> _wgco_reported_t* */
+    uint64_t report_seq; /* of its last report */
+    GHashTable* loads;   /* target number -> Wgpb__TargetLoad* */
+    GHashTable* usage;   /* hash of a workspace -> _wgco_reported_t* */
 } _wgco_entry_t;
 
 /* Cumulative usage of a workspace as last reported by an entry host. */
--- a/lib/control/wg_control_state.c
+++ b/lib/control/wg_control_state.c
@@ -212,6 +212,7 @@
         _wgco_fill_members(c, e, &s, content != _WGCO_CONTENT_TARGETS, now);
     }
     if (s.message.leads && e->reported && with_loads) {
+        s.message.report_seq = e->report_seq;
         _wgco_fill_loads(c, e, &s, now);
         _wgco_fill_usage(c, &s, now);
         _wgco_fill_rooms(c, &s, now);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -116,7 +116,8 @@
 
 enum {
     WG_TICK = 50 * WG_USEC_PER_MSEC,
-    WG_LOG_LINES_MAX = 200, /* lines about requests, per second */
+    WG_LOG_LINES_MAX = 200,    /* lines about requests, per second */
+    WG_DENIAL_LINES_MAX = 100, /* lines about denied requests, per second */
     WG_STOP_CLOSE_DELAY = 300 * WG_USEC_PER_MSEC,
     WG_STOP_REFUSE_AFTER = 2800 * WG_USEC_PER_MSEC,
     WG_STOP_MARGIN = 250 * WG_USEC_PER_MSEC /* time to exit before the grace period ends */
@@ -138,19 +139,34 @@
            (since > WG_STOP_REFUSE_AFTER || since + duration > wg_entry_stop_time(e));
 }
 
-bool wg_entry_may_log(wg_entry* e, wg_time now) {
-    if (now - e->log_second >= WG_USEC_PER_SEC) {
-        if (e->log_lines > WG_LOG_LINES_MAX) {
-            wg_log(WG_EVENT_LOG_SHORTENED, "left_out=%d", e->log_lines - WG_LOG_LINES_MAX);
-        }
-        e->log_second = now;
-        e->log_lines = 0;
+static bool wg_entry_take_log_line(wg_entry* e, wg_log_limit* limit, wg_time now, int max,
+                                   const char* kind) {
+    int left_out;
+    bool may = wg_log_limit_take(limit, now, max, &left_out);
+    if (left_out > 0) {
+        wg_log(WG_EVENT_LOG_SHORTENED, "left_out=%d kind=%s", left_out, kind);
     }
-    bool may = ++e->log_lines <= WG_LOG_LINES_MAX;
     e->counters.log_lines_dropped += !may;
     return may;
 }
 
+bool wg_entry_may_log(wg_entry* e, wg_time now) {
+    return wg_entry_take_log_line(e, &e->log_limit, now, WG_LOG_LINES_MAX, "requests");
+}
+
+bool wg_entry_may_log_denial(wg_entry* e, wg_time now) {
+    return wg_entry_take_log_line(e, &e->denial_log_limit, now, WG_DENIAL_LINES_MAX, "denials");
+}
+
+int64_t wg_entry_state_age_ms(const wg_entry* e, wg_time now) {
+    return e->heard_at ? (now - e->heard_at) / WG_USEC_PER_MSEC : -1;
+}
+
+int64_t wg_entry_confirmed_ms(const wg_entry* e, wg_time now) {
+    wg_time age = wg_lease_age(&e->lease, now);
+    return age < 0 ? -1 : age / WG_USEC_PER_MSEC;
+}
+
 static void wg_entry_advance_retries(wg_entry* e) {
     wg_retry_rules rules = {.percent = e->settings->retry_percent,
                             .slack = e->settings->retry_slack,
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -66,9 +66,8 @@
            call->proposed.late / WG_USEC_PER_MSEC, call->limit / WG_USEC_PER_MSEC,
            call->admit_requests_total, (int)call->was_admitted,
            call->workspace ? wg_call_usage(call) : 0, wg_usage_levels(call->entry->usage)->served,
-           wg_usage_levels(call->entry->usage)->fair_share,
-           (now - call->entry->state_at) / WG_USEC_PER_MSEC, wg_call_room_name(call),
-           wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
+           wg_usage_levels(call->entry->usage)->fair_share, wg_entry_state_age_ms(call->entry, now),
+           wg_call_room_name(call), wg_call_held_time(call, now) / WG_USEC_PER_MSEC,
            wg_call_paused_time(call, now) / WG_USEC_PER_MSEC, call->yield_time / WG_USEC_PER_MSEC,
            call->owner, call->sent_version, weight);
 }
@@ -237,29 +236,36 @@
                : 0;
 }
 
-static void wg_call_log_denial(wg_entry* e, const wg_message_head* head, int status,
+static void wg_call_log_denial(const wg_client* client, const wg_message_head* head, int status,
                                const char* code) {
     enum {
         ID_SHOWN = 64 /* bytes; longer ids are truncated in the log */
     };
+    wg_entry* e = client->entry;
     wg_time now = wg_now();
     wg_text id = wg_message_field(head, e->names->request_id);
-    if (!wg_entry_may_log(e, now)) {
+    if (!wg_entry_may_log_denial(e, now)) {
         return;
     }
+    const wgn_peer* control = wgn_query_peer(e->net, e->link);
     wg_log(WG_EVENT_CONNECTION_REFUSED,
            "id=%.*s status=%d code=%s version=%" G_GUINT64_FORMAT
-           " leader=%d state_age_ms=%" G_GINT64_FORMAT,
+           " leader=%d control=%s term=%" G_GUINT64_FORMAT " confirmed_ms=%" G_GINT64_FORMAT
+           " state_age_ms=%" G_GINT64_FORMAT " delay_ms=%" G_GINT64_FORMAT
+           " since_stall_ms=%" G_GINT64_FORMAT " owner=%s",
            (int)MIN(id.size, (size_t)ID_SHOWN), id.text ? id.text : "", status, code,
-           e->config ? e->config->version : 0, e->leader_known,
-           (now - e->state_at) / WG_USEC_PER_MSEC);
+           e->config ? e->config->version : 0, e->leader_known, control ? control->name : "-",
+           e->term_followed, wg_entry_confirmed_ms(e, now), wg_entry_state_age_ms(e, now),
+           wg_entry_input_delay(e, now) / WG_USEC_PER_MSEC,
+           e->stall_ended_at ? (now - e->stall_ended_at) / WG_USEC_PER_MSEC : -1,
+           wg_entry_handoff_owner(client));
 }
 
 static void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body,
                          const wg_message_head* head, int status, const char* code) {
     wg_entry* e = client->entry;
     bool keep = client->keep && !e->stopping;
-    wg_call_log_denial(e, head, status, code);
+    wg_call_log_denial(client, head, status, code);
     wg_client_refuse(client,
                      &(wg_error_answer){.status = status,
                                         .verdict = WG_VERDICT_NOT_RUN,
@@ -276,9 +282,13 @@
    outdated, so the answer is then a retryable 503. */
 static void wg_call_deny_unknown(wg_client* client, char* bytes, struct evbuffer* body,
                                  const wg_message_head* head, int status, const char* code) {
+    wg_entry_counters* counters = &client->entry->counters;
     if (client->entry->on_standby) {
+        counters->denied_unsure++;
         wg_call_deny(client, bytes, body, head, 503, "configuration_unsure");
     } else {
+        counters->denied_routes += status == 404;
+        counters->denied_keys += status == 401;
         wg_call_deny(client, bytes, body, head, status, code);
     }
 }
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -53,20 +53,23 @@
                      (json_int_t)wg_registry_change(e->registry), "members",
                      wg_roster_num(e->roster), "calls", e->calls_num, "callers",
                      (int)e->clients->len, "leader_known", (int)e->leader_known, "state_age_ms",
-                     (json_int_t)((now - e->state_at) / WG_USEC_PER_MSEC), "tries",
+                     (json_int_t)wg_entry_state_age_ms(e, now), "tries",
                      (json_int_t)e->counters.tries);
 }
 
 static void wg_endpoint_leader_metrics(wg_entry* e, GString* out) {
     wg_time now = wg_now();
-    g_string_append_printf(out,
-                           "walnutgate_entry_leader_known %d\n"
-                           "walnutgate_entry_on_standby %d\n"
-                           "walnutgate_entry_leaderless_seconds %.3f\n"
-                           "walnutgate_entry_configuration_version %" G_GUINT64_FORMAT "\n",
-                           e->leader_known, e->on_standby,
-                           (double)wg_outage_duration(&e->leaderless, now) / WG_USEC_PER_SEC,
-                           e->config ? e->config->version : 0);
+    g_string_append_printf(
+        out,
+        "walnutgate_entry_leader_known %d\n"
+        "walnutgate_entry_on_standby %d\n"
+        "walnutgate_entry_leaderless_seconds %.3f\n"
+        "walnutgate_entry_confirmed_seconds %.3f\n"
+        "walnutgate_entry_configuration_version %" G_GUINT64_FORMAT "\n",
+        e->leader_known, e->on_standby,
+        (double)wg_outage_duration(&e->leaderless, now) / WG_USEC_PER_SEC,
+        e->lease.confirmed_at ? (double)wg_lease_age(&e->lease, now) / WG_USEC_PER_SEC : -1,
+        e->config ? e->config->version : 0);
     wg_hist_print(&e->tick_lag.lag_hist, "walnutgate_loop_late_seconds", "", 1e6, out);
     wg_hist_print(&e->input_lag.lag_hist, "walnutgate_loop_behind_seconds", "", 1e6, out);
 }
@@ -147,6 +150,10 @@
                     {"callers_replaced", c->callers_replaced},
                     {"callers_turned_away", c->callers_refused},
                     {"log_lines_left_out", c->log_lines_dropped},
+                    {"log_lines_lost", wg_log_lost()},
+                    {"denied_routes", c->denied_routes},
+                    {"denied_keys", c->denied_keys},
+                    {"denied_unsure", c->denied_unsure},
                     {"targets_ended", c->targets_ended},
                     {"targets_stayed", c->targets_alive},
                     {"target_checks_left_out", c->checks_skipped},
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -17,6 +17,7 @@
 #include "wg_fingerprint.h"
 #include "wg_handoff.h"
 #include "wg_hold.h"
+#include "wg_lease.h"
 #include "wg_loop.h"
 #include "wg_origin.h"
 #include "wg_overload.h"
@@ -297,6 +298,9 @@
     uint64_t callers_replaced;        /* idle connections closed in favour of new ones */
     uint64_t callers_refused;         /* connections refused because none was idle */
     uint64_t log_lines_dropped;
+    uint64_t denied_routes; /* requests denied as their route is not known */
+    uint64_t denied_keys;   /* requests denied as their key is not known */
+    uint64_t denied_unsure; /* requests denied as the configuration may be outdated */
     uint64_t targets_ended; /* targets found ended after they aborted a request */
     uint64_t targets_alive; /* targets that aborted a request, but accept connections */
     uint64_t checks_skipped;
@@ -384,7 +388,9 @@
     char dial_address[WG_ADDRESS_MAX];
     wg_time dial_at;
     wg_time report_at;
-    wg_time state_at;      /* last state from a leader, or start of the link if later */
+    wg_time state_at; /* last state from a leader, or start of the link if later */
+    wg_time heard_at; /* last state from a leader; 0: none since the start */
+    wg_lease lease;
     wg_outage leaderless;  /* outage without a leader */
     wg_time leaderless_at; /* when the linked control first reported no leader; 0: it knows one */
     wg_time report_interval;
@@ -461,8 +467,8 @@
 
     wg_hist first_byte_time; /* microseconds to the first byte of the answer */
     wg_hist total_time;
-    wg_time log_second;
-    int log_lines;
+    wg_log_limit log_limit;        /* lines about requests */
+    wg_log_limit denial_log_limit; /* lines about denied requests */
 };
 
 /* wg_entry.c */
@@ -474,6 +480,12 @@
 wg_time wg_entry_input_delay(const wg_entry* e, wg_time now);
 /* Whether another log line about a request is allowed in this second; counts it. */
 bool wg_entry_may_log(wg_entry* e, wg_time now);
+/* The same for a request that is denied by the configuration: served ones do not crowd it out. */
+bool wg_entry_may_log_denial(wg_entry* e, wg_time now);
+/* Milliseconds since the last state from a leader; -1: there was none since the start. */
+int64_t wg_entry_state_age_ms(const wg_entry* e, wg_time now);
+/* Milliseconds since the host knew all that was acknowledged; -1: it never did. */
+int64_t wg_entry_confirmed_ms(const wg_entry* e, wg_time now);
 
 /* wg_entry_link.c */
 bool wg_entry_add_seeds(wg_entry* e, const wg_entry_settings* settings, GError** error);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -137,6 +137,7 @@
     report.loads = g_new(Wgpb__TargetLoad*, loads_num + 1);
     report.usage = g_new(Wgpb__WorkspaceUsage*, own->len + 1);
     report.seq = ++e->report_seq;
+    wg_lease_report_sent(&e->lease, now, report.seq);
     report.configuration_version = e->config ? e->config->version : 0;
     report.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
     report.members_change = wg_roster_change(e->roster);
@@ -228,7 +229,7 @@
     wg_entry_recovery_drop_delayed(e);
     if (peer && e->leader_known) {
         wg_log(WG_EVENT_LINK_DOWN, "leader=%s state_age_ms=%" G_GINT64_FORMAT, peer->name,
-               (wg_now() - e->state_at) / WG_USEC_PER_MSEC);
+               wg_entry_state_age_ms(e, wg_now()));
     }
     e->link = (wgn_link){0};
     e->link_up = false;
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -241,7 +241,7 @@
                "control=%s is no longer the leader, names=%s state_age_ms=%" G_GINT64_FORMAT
                " version=%" G_GUINT64_FORMAT,
                peer ? peer->name : "-", leader_address[0] ? leader_address : "-",
-               (now - e->state_at) / WG_USEC_PER_MSEC, e->config ? e->config->version : 0);
+               wg_entry_state_age_ms(e, now), e->config ? e->config->version : 0);
     }
     e->leader_known = false;
     if (elsewhere) {
@@ -324,7 +324,11 @@
     e->on_standby = false;
     e->term_followed = in->term;
     e->state_at = now;
+    e->heard_at = now;
     e->leaderless_at = 0;
+    if (in->configuration_version <= (e->config ? e->config->version : 0)) {
+        wg_lease_report_answered(&e->lease, in->report_seq);
+    }
     e->report_interval = in->report_ms * WG_USEC_PER_MSEC;
     e->state_seen = in->seq;
     wg_entry_apply_targets(e, in);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -6791,7 +6791,7 @@
   (ProtobufCMessageInit) wgpb__entry_member__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[25] =
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[26] =
 {
   {
     "leads",
@@ -7093,6 +7093,18 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "report_seq",
+    27,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, report_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__entry_state__field_indices_by_name[] = {
   4,   /* field[4] = configuration_version */
@@ -7111,6 +7123,7 @@
   6,   /* field[6] = registry_change */
   7,   /* field[7] = registry_reset */
   13,   /* field[13] = report_ms */
+  25,   /* field[25] = report_seq */
   24,   /* field[24] = rooms */
   14,   /* field[14] = seq */
   20,   /* field[20] = standby */
@@ -7125,7 +7138,7 @@
 {
   { 1, 0 },
   { 6, 4 },
-  { 0, 25 }
+  { 0, 26 }
 };
 const ProtobufCMessageDescriptor wgpb__entry_state__descriptor =
 {
@@ -7135,7 +7148,7 @@
   "Wgpb__EntryState",
   "wgpb",
   sizeof(Wgpb__EntryState),
-  25,
+  26,
   wgpb__entry_state__field_descriptors,
   wgpb__entry_state__field_indices_by_name,
   2,  wgpb__entry_state__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -1057,10 +1057,14 @@
    */
   size_t n_rooms;
   Wgpb__ServiceRoom **rooms;
+  /*
+   * of the report that a leader answers with this state; 0: it answers none
+   */
+  uint64_t report_seq;
 };
 #define WGPB__ENTRY_STATE__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__entry_state__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL }
+    , 0, 0, (char *)protobuf_c_empty_string, 0,NULL, 0, 0,NULL, 0, 0, 0,NULL, 0, 0, 0,NULL, 0,NULL, 0, 0, 0,NULL, 0, 0,NULL, 0, 0,NULL, 0, 0, 0, 0, 0,NULL, 0 }
 
 
 /*
--- a/tests/test_watch.c
+++ b/tests/test_watch.c
@@ -53,6 +53,22 @@
 }
 END_TEST
 
-WG_TEST_MAIN("watch", loop_without_lag_logs_nothing,
+START_TEST(lines_of_one_kind_are_limited_each_second) {
+    wg_log_limit limit = {0};
+    int left_out;
+    int written = 0;
+    for (int i = 0; i < 30; i++) {
+        written += wg_log_limit_take(&limit, SECOND + i * MSEC, 20, &left_out);
+        ck_assert_int_eq(left_out, 0);
+    }
+    ck_assert_int_eq(written, 20);
+    ck_assert(wg_log_limit_take(&limit, 2 * SECOND, 20, &left_out));
+    ck_assert_int_eq(left_out, 10);
+    ck_assert(wg_log_limit_take(&limit, 3 * SECOND, 20, &left_out));
+    ck_assert_int_eq(left_out, 0);
+}
+END_TEST
+
+WG_TEST_MAIN("watch", lines_of_one_kind_are_limited_each_second, loop_without_lag_logs_nothing,
              loop_lag_is_logged_once_a_second_with_its_maximum,
              outage_is_logged_at_doubling_intervals, outage_ends_on_return)
