--- a/tests/sim/hosts_operator.c
+++ b/tests/sim/hosts_operator.c
@@ -129,8 +129,12 @@
         .status;
 }
 
+int hosts_put_document(hosts* h, const host* at, char* document) {
+    return request_configuration(h, at, EVHTTP_REQ_PUT, document).status;
+}
+
 int hosts_put_version(hosts* h, const host* at, int version) {
-    return request_configuration(h, at, EVHTTP_REQ_PUT, make_configuration(h, version)).status;
+    return hosts_put_document(h, at, make_configuration(h, version));
 }
 
 int hosts_get_version(hosts* h, const host* at) {
--- a/tests/sim/hosts_operator.h
+++ b/tests/sim/hosts_operator.h
@@ -16,6 +16,8 @@
    streams at "/stream/" and one for other streams at "/once/", all to service "app"; returns the
    HTTP status, 0 without an answer in time. */
 int hosts_put_version(hosts* h, const host* at, int version);
+/* Sends a whole configuration; takes ownership of `document`. */
+int hosts_put_document(hosts* h, const host* at, char* document);
 /* Reads the configuration version at a host; 0 when the status is not 200. */
 int hosts_get_version(hosts* h, const host* at);
 /* Retries at each host with an entry process in turn until one acknowledges the version, or reads
