Entry hosts decide by a configuration only as long as it is known to be the newest

What callers saw: 404 and 401 for routes and keys, or the former service, 2 s and more after a version was acknowledged, at hosts that had stood still, or had no word of a leader.

Cause: a host decided by what it had last heard, whatever its age. The leader does not wait for hosts with an acknowledgement; that a host obeys in time rested on it finding the leader again within the bound, and on nothing when it stood still itself: requests that had come meanwhile were read before the leader's word, and a leader that stood still with the host counted as one until it was heard to say otherwise.

Change: a lease. A host knows what was acknowledged before it sent the last report that a leader answered (report_seq). For three quarters of the new setting configuration_ms it decides by that. Half-way it asks all controls at once who leads (LeaderAsk on links of their own); one that leads and has nothing newer confirms, one that has is followed. If nobody leads and nobody who answers has anything newer, the host goes on for as long again: known routes are served, unknown routes and keys get 503 with Retry-After, as nobody can say that they are not there. Without either, a request waits for the search, 0.5 s at most, then 503. A request is handed off to hosts with a lease from a leader only.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -41,6 +41,7 @@
     X(3010, STANDBY_TAKEN, WARN, "without a leader for long, serving from the state of a replica") \
     X(3011, RECOVERY_KNOWN, WARN,                                                                  \
       "forced recovery of the replica set, leaders of earlier sets are refused")                   \
+    X(3012, BASIS_CHANGED, INFO, "what decisions by the configuration are based on has changed")   \
     X(4001, ROLE_CHANGED, INFO, "replication role changed")                                        \
     X(4002, STORE_FAILED, ERROR, "storage failed, process exits")                                  \
     X(4003, STORE_TAIL_CUT, WARN, "torn tail of the log truncated")                                \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -275,6 +275,8 @@
         _wgco_entry_receive_report(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORIGIN_ASK) {
         _wgco_receive_origin_ask(c, link, frame);
+    } else if (entry && frame->type == WGW_TYPE_LEADER_ASK) {
+        _wgco_receive_leader_ask(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORDER) {
         _wgco_receive_order(c, link, frame);
     } else if (router && frame->type == WGW_TYPE_REPORT) {
--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -230,6 +230,23 @@
     _wgco_answer_report(c, e);
 }
 
+void _wgco_receive_leader_ask(wgco_control* c, wgn_link link, const wgw_frame* frame) {
+    Wgpb__LeaderAsk* in = wgpb__leader_ask__unpack(NULL, frame->size, frame->payload);
+    if (!in) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=leader-ask");
+        return;
+    }
+    wg_time now = wg_now();
+    Wgpb__LeaderAnswer answer = WGPB__LEADER_ANSWER__INIT;
+    answer.ticket = in->ticket;
+    answer.leads = c->leads && wgr_leads(c->node, now);
+    answer.term = wgr_query_stats(c->node, now).term;
+    answer.configuration_version = c->documents.version;
+    answer.leader_address = (char*)_wgco_leader_address(c);
+    wgn_send(c->net, link, WGW_TYPE_LEADER_ANSWER, &answer.base);
+    wgpb__leader_ask__free_unpacked(in, NULL);
+}
+
 void _wgco_entry_schedule_push(wgco_control* c) {
     c->push_due = true;
 }
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -36,6 +36,10 @@
             "longest planned stop; requests still running shortly before its end are aborted"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "time without contact after which the link to a control is closed"),
+    WG_NUMBER("timing", configuration_ms, "2000", 0, 60000, "ms",
+              "time after the acknowledgement of a configuration within which each host in contact "
+              "obeys it; a host without word of a leader for most of it looks for one before it "
+              "decides; 0: it decides by what it has"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
               "longest wait for the leader's answer to an order"),
     /* Covers an election (0.5 s) and the 1.5 s after which a new leader distributes the roster,
@@ -188,9 +192,9 @@
     wg_time stop_min = 3 * e->settings->entry_keep_s * WG_USEC_PER_SEC + WG_STOP_CLOSE_DELAY;
     wg_time since = now - e->stop_at;
     bool over =
-        since >= stop_max || (since >= stop_min && e->calls_num == 0 && wg_entry_accepts(e) &&
-                              !wg_client_any_sending(e) && wg_client_undelivered(e) == 0 &&
-                              wg_entry_handoff_is_drained(e));
+        since >= stop_max || (since >= stop_min && e->calls_num == 0 && e->unsure.length == 0 &&
+                              wg_entry_accepts(e) && !wg_client_any_sending(e) &&
+                              wg_client_undelivered(e) == 0 && wg_entry_handoff_is_drained(e));
     if (!over) {
         return;
     }
@@ -241,9 +245,11 @@
         e->stall_ended_at = now;
         wg_buffers_record_stall(e->buffers, e->tick_lag.lag_last);
         wg_entry_recovery_record_stall(e, e->tick_lag.lag_last);
+        wg_lease_record_stall(&e->lease, now);
         wg_call_reset_timers(e, now);
     }
     wg_entry_link_tick(e, now);
+    wg_entry_lease_tick(e, now);
     wg_entry_decay_usage(e, now);
     wg_entry_admit_tick(e, now);
     wg_entry_hold_tick(e, now);
@@ -311,6 +317,7 @@
     wg_entry_check_setup(e);
     wg_entry_ends_setup(e);
     wg_entry_quarantine_setup(e);
+    wg_entry_lease_setup(e);
     wg_entry_overload_setup(e);
     wg_entry_descriptors_setup(e);
     wg_entry_handoff_setup(e);
--- a/lib/entry/wg_entry_call.c
+++ b/lib/entry/wg_entry_call.c
@@ -250,19 +250,20 @@
     const wgn_peer* control = wgn_query_peer(e->net, e->link);
     wg_log(WG_EVENT_CONNECTION_REFUSED,
            "id=%.*s status=%d code=%s version=%" G_GUINT64_FORMAT
-           " leader=%d control=%s term=%" G_GUINT64_FORMAT " confirmed_ms=%" G_GINT64_FORMAT
-           " state_age_ms=%" G_GINT64_FORMAT " delay_ms=%" G_GINT64_FORMAT
-           " since_stall_ms=%" G_GINT64_FORMAT " owner=%s",
+           " basis=%s leader=%d control=%s term=%" G_GUINT64_FORMAT
+           " confirmed_ms=%" G_GINT64_FORMAT " state_age_ms=%" G_GINT64_FORMAT
+           " delay_ms=%" G_GINT64_FORMAT " since_stall_ms=%" G_GINT64_FORMAT " owner=%s",
            (int)MIN(id.size, (size_t)ID_SHOWN), id.text ? id.text : "", status, code,
-           e->config ? e->config->version : 0, e->leader_known, control ? control->name : "-",
-           e->term_followed, wg_entry_confirmed_ms(e, now), wg_entry_state_age_ms(e, now),
+           e->config ? e->config->version : 0, wg_lease_basis_name(wg_entry_basis(e, now)),
+           e->leader_known, control ? control->name : "-", e->term_followed,
+           wg_entry_confirmed_ms(e, now), wg_entry_state_age_ms(e, now),
            wg_entry_input_delay(e, now) / WG_USEC_PER_MSEC,
            e->stall_ended_at ? (now - e->stall_ended_at) / WG_USEC_PER_MSEC : -1,
            wg_entry_handoff_owner(client));
 }
 
-static void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body,
-                         const wg_message_head* head, int status, const char* code) {
+void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body,
+                  const wg_message_head* head, int status, const char* code) {
     wg_entry* e = client->entry;
     bool keep = client->keep && !e->stopping;
     wg_call_log_denial(client, head, status, code);
@@ -278,12 +279,13 @@
     wg_client_call_ended(client, keep);
 }
 
-/* Denies an unknown route or key. A configuration taken from a replica without a leader may be
-   outdated, so the answer is then a retryable 503. */
+/* Denies an unknown route or key. Without a leader the configuration may be outdated, so the answer
+   is then a retryable 503. */
 static void wg_call_deny_unknown(wg_client* client, char* bytes, struct evbuffer* body,
                                  const wg_message_head* head, int status, const char* code) {
     wg_entry_counters* counters = &client->entry->counters;
-    if (client->entry->on_standby) {
+    bool sure = wg_entry_basis(client->entry, wg_now()) == WG_BASIS_LEADER;
+    if (client->entry->on_standby || !sure) {
         counters->denied_unsure++;
         wg_call_deny(client, bytes, body, head, 503, "configuration_unsure");
     } else {
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -94,6 +94,9 @@
     if (client->handed) {
         wg_entry_handoff_caller_left(client, "caller-left");
     }
+    if (client->unsure) {
+        wg_entry_lease_forget(client);
+    }
     if (client->call) {
         wg_call* call = client->call;
         client->call = NULL;
@@ -225,11 +228,7 @@
     client->head = NULL;
     client->body_bytes = NULL;
     wg_client_set_state(client, WG_CLIENT_BUSY);
-    if (wg_entry_handoff_begin(client, bytes, head, body)) {
-        return;
-    }
-    wg_call_begin(client, bytes, head, body);
-    g_free(head);
+    wg_entry_lease_begin_call(client, bytes, head, body);
 }
 
 /* Refuses a request because the host is above its bound on held bytes: with the body read so far,
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -184,6 +184,7 @@
     wg_entry_origins_print_metrics(e, out);
     wg_entry_buffers_print_metrics(e, out);
     wg_entry_descriptors_print_metrics(e, out);
+    wg_entry_lease_print_metrics(e, out);
     wgn_print_metrics(e->net, out);
     wg_endpoint_leader_metrics(e, out);
     wg_endpoint_room_metrics(e, out);
--- a/lib/entry/wg_entry_handed.c
+++ b/lib/entry/wg_entry_handed.c
@@ -249,8 +249,7 @@
     client->arrived_at = handed->arrived_at;
     client->handed = NULL;
     g_free(handed);
-    wg_call_begin(client, bytes, head, body);
-    g_free(head);
+    wg_entry_lease_begin_call(client, bytes, head, body);
 }
 
 static void wg_handed_declined(wg_handed* handed, wg_time now) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -58,13 +58,14 @@
 typedef struct wg_client wg_client;
 typedef struct wg_upstream wg_upstream;
 typedef struct wg_handed wg_handed;               /* wg_entry_handed.c */
+typedef struct wg_unsure wg_unsure;               /* wg_entry_lease.c */
 typedef struct wg_taken wg_taken;                 /* wg_entry_taken.c */
 typedef struct wg_entry_handoff wg_entry_handoff; /* wg_entry_handoff.c */
 
 typedef enum {
     WG_CLIENT_HEAD = 0, /* waits for a request head */
     WG_CLIENT_BODY,     /* reads a request body */
-    WG_CLIENT_BUSY,     /* a call is in progress, or its request is at another host */
+    WG_CLIENT_BUSY,     /* a call is in progress, or its request waits or is at another host */
     WG_CLIENT_ENDING    /* flushes the last answer, then closes */
 } wg_client_state;
 
@@ -77,6 +78,7 @@
     wg_client_state state;
     wg_call* call;
     wg_handed* handed;  /* its request is at another host; NULL: it is not */
+    wg_unsure* unsure;  /* its request waits for a sure configuration; NULL: it does not */
     wg_taken* taken;    /* the caller is connected to another host; NULL: it is connected here */
     wg_time arrived_at; /* arrival of the request; 0: unknown, estimated by the delay of input */
     wg_body body;
@@ -255,6 +257,14 @@
     wg_time replaced_at;
 } wg_previous_coordinators;
 
+/* Links of a search for a leader, one to each control that is asked. */
+typedef struct {
+    wgn_link links[WG_CONTROLS_MAX];
+    char addresses[WG_CONTROLS_MAX][WG_ADDRESS_MAX];
+    int num;
+    uint64_t ticket;
+} wg_leader_search;
+
 /* Order that waits for the leader's answer. */
 typedef struct {
     uint64_t ticket;
@@ -300,6 +310,8 @@
     uint64_t log_lines_dropped;
     uint64_t denied_routes; /* requests denied as their route is not known */
     uint64_t denied_keys;   /* requests denied as their key is not known */
+    uint64_t unsure_waits;  /* requests that waited for a sure configuration */
+    uint64_t leader_searches;
     uint64_t denied_unsure; /* requests denied as the configuration may be outdated */
     uint64_t targets_ended; /* targets found ended after they aborted a request */
     uint64_t targets_alive; /* targets that aborted a request, but accept connections */
@@ -377,6 +389,7 @@
     wgn_net* net;
     wgn_link link;
     bool link_up;
+    bool link_confirms;     /* the control repeats the numbers of reports */
     bool on_standby;        /* state was taken from a replica without a leader */
     uint64_t term_followed; /* term of the last leader followed */
     wg_entry_recovery recovery;
@@ -388,9 +401,8 @@
     char dial_address[WG_ADDRESS_MAX];
     wg_time dial_at;
     wg_time report_at;
-    wg_time state_at; /* last state from a leader, or start of the link if later */
-    wg_time heard_at; /* last state from a leader; 0: none since the start */
-    wg_lease lease;
+    wg_time state_at;      /* last state from a leader, or start of the link if later */
+    wg_time heard_at;      /* last state from a leader; 0: none since the start */
     wg_outage leaderless;  /* outage without a leader */
     wg_time leaderless_at; /* when the linked control first reported no leader; 0: it knows one */
     wg_time report_interval;
@@ -398,6 +410,12 @@
     uint64_t state_seen; /* sequence of the last state received on this link */
     GQueue orders;       /* wg_entry_order* */
 
+    /* what decisions are based on: wg_entry_lease.c */
+    wg_lease lease;
+    wg_lease_basis basis_logged;
+    wg_leader_search search;
+    GQueue unsure; /* wg_unsure*, requests that wait, oldest first */
+
     /* admission: wg_entry_admit.c */
     wg_admit* admit; /* admission to targets that this host coordinates */
     wg_hold* hold;   /* requests of all hosts that wait for these targets */
@@ -541,6 +559,25 @@
 /* Term that tells other entry hosts what this host knows; 0: it has followed no leader yet. */
 uint64_t wg_entry_recovery_hello_term(const wg_entry* e);
 
+/* wg_entry_lease.c */
+void wg_entry_lease_setup(wg_entry* e);
+void wg_entry_lease_tick(wg_entry* e, wg_time now);
+/* What decisions by the configuration and the registry are based on now. */
+wg_lease_basis wg_entry_basis(const wg_entry* e, wg_time now);
+/* Begins a call, here or at another host, once the configuration is sure: now, or soon. Takes
+   ownership of `bytes`, which `head` points into, of `head` and of `body`. */
+void wg_entry_lease_begin_call(wg_client* client, char* bytes, wg_message_head* head,
+                               struct evbuffer* body);
+/* The configuration may have become sure: begins the calls that wait. */
+void wg_entry_lease_resume(wg_entry* e);
+/* The caller of a waiting request has left. */
+void wg_entry_lease_forget(wg_client* client);
+/* The functions that return bool return false if the link or frame does not concern a search. */
+bool wg_entry_lease_on_up(wg_entry* e, wgn_link link, const wgn_peer* peer);
+void wg_entry_lease_on_down(wg_entry* e, wgn_link link);
+bool wg_entry_lease_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
+void wg_entry_lease_print_metrics(const wg_entry* e, GString* out);
+
 /* wg_entry_orders.c */
 void wg_entry_order_begin(wg_entry* e, struct evhttp_request* request, const Wgpb__Order* order);
 /* Sends all pending orders to the leader; called when one becomes known. */
@@ -899,6 +936,9 @@
 /* Takes ownership of `bytes`, which `head` points into, and of `body`. */
 void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
                    struct evbuffer* body);
+/* Refuses a request that has no call; takes ownership like wg_call_begin(). */
+void wg_call_deny(wg_client* client, char* bytes, struct evbuffer* body,
+                  const wg_message_head* head, int status, const char* code);
 void wg_call_caller_disconnected(wg_call* call);
 /* Releases the load accounted to the target, and the admission. */
 void wg_call_release_target(wg_call* call, wg_result result);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -202,7 +202,8 @@
 
 static void wg_entry_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     wg_entry* e = user_data;
-    if (wg_entry_admit_on_up(e, link) || wg_entry_handoff_on_up(e, link, peer)) {
+    if (wg_entry_admit_on_up(e, link) || wg_entry_handoff_on_up(e, link, peer) ||
+        wg_entry_lease_on_up(e, link, peer)) {
         return;
     }
     if (link.id != e->link.id) {
@@ -223,6 +224,7 @@
     wg_entry_admit_on_down(e, link);
     wg_entry_handoff_on_down(e, link);
     wg_entry_recovery_on_down(e, link);
+    wg_entry_lease_on_down(e, link);
     if (link.id != e->link.id) {
         return;
     }
@@ -233,6 +235,7 @@
     }
     e->link = (wgn_link){0};
     e->link_up = false;
+    e->link_confirms = false;
     e->leaderless_at = 0;
     e->leader_known = false;
     e->state_seen = 0;
@@ -300,7 +303,7 @@
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
     if (wg_entry_admit_on_frame(e, link, frame) || wg_entry_handoff_on_frame(e, link, frame) ||
-        wg_entry_origins_on_frame(e, link, frame)) {
+        wg_entry_origins_on_frame(e, link, frame) || wg_entry_lease_on_frame(e, link, frame)) {
         return;
     }
     if (link.id == e->link.id) {
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -295,6 +295,15 @@
     wg_entry_reconnect(e, "");
 }
 
+/* The state is applied: this host knows what the leader had acknowledged as it answered. */
+static void wg_entry_apply_confirmation(wg_entry* e, const Wgpb__EntryState* in) {
+    uint64_t version = e->config ? e->config->version : 0;
+    e->link_confirms = e->link_confirms || in->report_seq > 0;
+    if (version >= in->configuration_version) {
+        wg_lease_report_answered(&e->lease, in->report_seq);
+    }
+}
+
 void wg_entry_apply_state(wg_entry* e, const Wgpb__EntryState* in) {
     wg_time now = wg_now();
     if (wg_entry_is_outdated_leader(e, in)) {
@@ -326,15 +335,13 @@
     e->state_at = now;
     e->heard_at = now;
     e->leaderless_at = 0;
-    if (in->configuration_version <= (e->config ? e->config->version : 0)) {
-        wg_lease_report_answered(&e->lease, in->report_seq);
-    }
     e->report_interval = in->report_ms * WG_USEC_PER_MSEC;
     e->state_seen = in->seq;
     wg_entry_apply_targets(e, in);
     wg_entry_apply_members(e, in);
     wg_entry_apply_quarantine(e, in);
     wg_entry_update_hosts_num(e, in);
+    wg_entry_apply_confirmation(e, in);
     if (in->n_controls > 0) {
         wg_entry_apply_loads(e, in);
         wg_entry_apply_usage(e, in);
@@ -350,6 +357,7 @@
         wg_entry_orders_send(e);
     }
     wg_entry_report_if_ready_now(e, was_ready, now);
+    wg_entry_lease_resume(e);
 }
 
 void wg_entry_handle_configuration(wg_entry* e, const Wgpb__Configuration* in) {
--- a/lib/entry/wg_entry_taken.c
+++ b/lib/entry/wg_entry_taken.c
@@ -158,10 +158,12 @@
 }
 
 /* Whether this host takes the request. Nothing has run if it does not. It does not with a newer
-   configuration either: the owner would handle later requests by its older one. */
+   configuration either: the owner would handle later requests by its older one. Nor does it wait
+   until its configuration is sure. */
 static bool wg_taken_is_accepted(const wg_entry* e, const Wgpb__HandoffRequest* in) {
     const wg_entry_handoff* h = e->handoff;
-    if (!h || e->stopping || !e->leader_known || e->on_standby || !e->registry_known ||
+    bool sure = wg_entry_basis(e, wg_now()) == WG_BASIS_LEADER;
+    if (!h || e->stopping || !sure || !e->leader_known || e->on_standby || !e->registry_known ||
         !e->config || e->config->version != in->version) {
         return false;
     }
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -2212,6 +2212,96 @@
   assert(message->base.descriptor == &wgpb__order_answer__descriptor);
   protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
 }
+void   wgpb__leader_ask__init
+                     (Wgpb__LeaderAsk         *message)
+{
+  static const Wgpb__LeaderAsk init_value = WGPB__LEADER_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__leader_ask__get_packed_size
+                     (const Wgpb__LeaderAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__leader_ask__pack
+                     (const Wgpb__LeaderAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__leader_ask__pack_to_buffer
+                     (const Wgpb__LeaderAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__LeaderAsk *
+       wgpb__leader_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__LeaderAsk *)
+     protobuf_c_message_unpack (&wgpb__leader_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__leader_ask__free_unpacked
+                     (Wgpb__LeaderAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__leader_answer__init
+                     (Wgpb__LeaderAnswer         *message)
+{
+  static const Wgpb__LeaderAnswer init_value = WGPB__LEADER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__leader_answer__get_packed_size
+                     (const Wgpb__LeaderAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__leader_answer__pack
+                     (const Wgpb__LeaderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__leader_answer__pack_to_buffer
+                     (const Wgpb__LeaderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__LeaderAnswer *
+       wgpb__leader_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__LeaderAnswer *)
+     protobuf_c_message_unpack (&wgpb__leader_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__leader_answer__free_unpacked
+                     (Wgpb__LeaderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
 void   wgpb__origin_ask__init
                      (Wgpb__OriginAsk         *message)
 {
@@ -7386,6 +7476,134 @@
   (ProtobufCMessageInit) wgpb__order_answer__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
+static const ProtobufCFieldDescriptor wgpb__leader_ask__field_descriptors[1] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__leader_ask__field_indices_by_name[] = {
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__leader_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__leader_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.LeaderAsk",
+  "LeaderAsk",
+  "Wgpb__LeaderAsk",
+  "wgpb",
+  sizeof(Wgpb__LeaderAsk),
+  1,
+  wgpb__leader_ask__field_descriptors,
+  wgpb__leader_ask__field_indices_by_name,
+  1,  wgpb__leader_ask__number_ranges,
+  (ProtobufCMessageInit) wgpb__leader_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__leader_answer__field_descriptors[5] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, configuration_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_address",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, leader_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__leader_answer__field_indices_by_name[] = {
+  3,   /* field[3] = configuration_version */
+  4,   /* field[4] = leader_address */
+  1,   /* field[1] = leads */
+  2,   /* field[2] = term */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__leader_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__leader_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.LeaderAnswer",
+  "LeaderAnswer",
+  "Wgpb__LeaderAnswer",
+  "wgpb",
+  sizeof(Wgpb__LeaderAnswer),
+  5,
+  wgpb__leader_answer__field_descriptors,
+  wgpb__leader_answer__field_indices_by_name,
+  1,  wgpb__leader_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__leader_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
 static const ProtobufCFieldDescriptor wgpb__origin_ask__field_descriptors[2] =
 {
   {
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -64,6 +64,8 @@
 typedef struct Wgpb__ServiceRoom Wgpb__ServiceRoom;
 typedef struct Wgpb__Order Wgpb__Order;
 typedef struct Wgpb__OrderAnswer Wgpb__OrderAnswer;
+typedef struct Wgpb__LeaderAsk Wgpb__LeaderAsk;
+typedef struct Wgpb__LeaderAnswer Wgpb__LeaderAnswer;
 typedef struct Wgpb__OriginAsk Wgpb__OriginAsk;
 typedef struct Wgpb__OriginAnswer Wgpb__OriginAnswer;
 typedef struct Wgpb__AdmitAsk Wgpb__AdmitAsk;
@@ -1115,6 +1117,39 @@
     , 0, 0, NULL }
 
 
+/*
+ * ---- between entry host and replica: search for a leader ----
+ */
+struct  Wgpb__LeaderAsk
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+};
+#define WGPB__LEADER_ASK__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__leader_ask__descriptor) \
+    , 0 }
+
+
+struct  Wgpb__LeaderAnswer
+{
+  ProtobufCMessage base;
+  uint64_t ticket;
+  protobuf_c_boolean leads;
+  uint64_t term;
+  /*
+   * last one applied at this replica
+   */
+  uint64_t configuration_version;
+  /*
+   * of the leader that it follows; empty: none
+   */
+  char *leader_address;
+};
+#define WGPB__LEADER_ANSWER__INIT \
+ { PROTOBUF_C_MESSAGE_INIT (&wgpb__leader_answer__descriptor) \
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+
+
 /*
  * ---- between entry hosts, and entry host and replica: versions at which streams began ----
  */
@@ -2308,6 +2343,44 @@
 void   wgpb__order_answer__free_unpacked
                      (Wgpb__OrderAnswer *message,
                       ProtobufCAllocator *allocator);
+/* Wgpb__LeaderAsk methods */
+void   wgpb__leader_ask__init
+                     (Wgpb__LeaderAsk         *message);
+size_t wgpb__leader_ask__get_packed_size
+                     (const Wgpb__LeaderAsk   *message);
+size_t wgpb__leader_ask__pack
+                     (const Wgpb__LeaderAsk   *message,
+                      uint8_t             *out);
+size_t wgpb__leader_ask__pack_to_buffer
+                     (const Wgpb__LeaderAsk   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__LeaderAsk *
+       wgpb__leader_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__leader_ask__free_unpacked
+                     (Wgpb__LeaderAsk *message,
+                      ProtobufCAllocator *allocator);
+/* Wgpb__LeaderAnswer methods */
+void   wgpb__leader_answer__init
+                     (Wgpb__LeaderAnswer         *message);
+size_t wgpb__leader_answer__get_packed_size
+                     (const Wgpb__LeaderAnswer   *message);
+size_t wgpb__leader_answer__pack
+                     (const Wgpb__LeaderAnswer   *message,
+                      uint8_t             *out);
+size_t wgpb__leader_answer__pack_to_buffer
+                     (const Wgpb__LeaderAnswer   *message,
+                      ProtobufCBuffer     *buffer);
+Wgpb__LeaderAnswer *
+       wgpb__leader_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data);
+void   wgpb__leader_answer__free_unpacked
+                     (Wgpb__LeaderAnswer *message,
+                      ProtobufCAllocator *allocator);
 /* Wgpb__OriginAsk methods */
 void   wgpb__origin_ask__init
                      (Wgpb__OriginAsk         *message);
@@ -2609,6 +2682,12 @@
 typedef void (*Wgpb__OrderAnswer_Closure)
                  (const Wgpb__OrderAnswer *message,
                   void *closure_data);
+typedef void (*Wgpb__LeaderAsk_Closure)
+                 (const Wgpb__LeaderAsk *message,
+                  void *closure_data);
+typedef void (*Wgpb__LeaderAnswer_Closure)
+                 (const Wgpb__LeaderAnswer *message,
+                  void *closure_data);
 typedef void (*Wgpb__OriginAsk_Closure)
                  (const Wgpb__OriginAsk *message,
                   void *closure_data);
@@ -2690,6 +2769,8 @@
 extern const ProtobufCMessageDescriptor wgpb__service_room__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__order_answer__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__leader_ask__descriptor;
+extern const ProtobufCMessageDescriptor wgpb__leader_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__origin_ask__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__origin_answer__descriptor;
 extern const ProtobufCMessageDescriptor wgpb__admit_ask__descriptor;
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -30,12 +30,15 @@
     uint64_t target_born; /* incarnation in the last target order */
     uint32_t unread_max;  /* most unread tokens at one target in any report */
     uint64_t read_us;     /* time to process them, as reported with them */
+    bool confirms;        /* answers each report, as leader of the first term */
+    bool answers_search;  /* answers entry hosts that search for a leader */
+    uint64_t version;     /* configuration in these answers */
 } fake_control;
 
 static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
     fake_control* f = user_data;
     if (peer->role == WGW_ROLE_ENTRY) {
-        f->link = link;
+        f->link = wgn_query_peer(f->net, f->link) ? f->link : link; /* not that of a search */
         f->links_up++;
     }
 }
@@ -71,6 +74,32 @@
     wgpb__order__free_unpacked(in, NULL);
 }
 
+/* Answers a report as a leader that has nothing new. */
+static inline void fake_control_confirm(fake_control* f, const Wgpb__EntryReport* in) {
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    state.leads = true;
+    state.term = 1;
+    state.report_seq = in->seq;
+    state.configuration_version = in->configuration_version;
+    state.registry_change = in->registry_change;
+    state.members_change = in->members_change;
+    state.quarantine_change = in->quarantine_change;
+    state.report_ms = 100;
+    wgn_send(f->net, f->link, WGW_TYPE_ENTRY_STATE, &state.base);
+}
+
+static inline void fake_control_handle_search(fake_control* f, wgn_link link,
+                                              const wgw_frame* frame) {
+    Wgpb__LeaderAsk* in = wgpb__leader_ask__unpack(NULL, frame->size, frame->payload);
+    Wgpb__LeaderAnswer answer = WGPB__LEADER_ANSWER__INIT;
+    answer.ticket = in->ticket;
+    answer.leads = f->confirms;
+    answer.term = 1;
+    answer.configuration_version = f->version;
+    wgn_send(f->net, link, WGW_TYPE_LEADER_ANSWER, &answer.base);
+    wgpb__leader_ask__free_unpacked(in, NULL);
+}
+
 static inline void fake_control_handle_report(fake_control* f, const wgw_frame* frame) {
     Wgpb__EntryReport* in = wgpb__entry_report__unpack(NULL, frame->size, frame->payload);
     f->reports++;
@@ -91,14 +120,21 @@
     if (in->n_ended_well > 0) {
         f->ended_well = in->ended_well[0];
     }
+    if (f->confirms) {
+        fake_control_confirm(f, in);
+    }
     wgpb__entry_report__free_unpacked(in, NULL);
 }
 
 static inline void fake_control_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     fake_control* f = user_data;
     if (frame->type == WGW_TYPE_ENTRY_REPORT) {
+        f->link = link;
         fake_control_handle_report(f, frame);
     }
+    if (frame->type == WGW_TYPE_LEADER_ASK && f->answers_search) {
+        fake_control_handle_search(f, link, frame);
+    }
     if (frame->type == WGW_TYPE_ORDER) {
         fake_control_handle_order(f, link, frame);
     }
@@ -159,6 +195,10 @@
 /* Time for which the next entry host waits for a leader before it takes the state of a replica. */
 static int64_t fake_entry_standby_ms;
 
+/* Time after its acknowledgement within which the next entry host obeys a configuration; 0: it
+   decides by what it has. */
+static int64_t fake_entry_configuration_ms;
+
 /* Time after its start in which the next entry host waits for the answers of other hosts. */
 static int64_t fake_entry_recovery_query_ms = 150;
 
@@ -208,6 +248,7 @@
                             .grace_s = 8,
                             .link_silence_ms = 1200,
                             .order_ms = 900,
+                            .configuration_ms = fake_entry_configuration_ms,
                             .cold_settle_ms = fake_entry_cold_settle_ms,
                             .standby_ms = fake_entry_standby_ms,
                             .recovery_query_ms = fake_entry_recovery_query_ms,
