Entry hosts: a request that waits is not sent by a registry of unknown age

A request that waited, for its retry, in the queue or for an admission, while the host stood still was sent on by the registry of before: to a target that had drained or left meanwhile, acknowledged. Now it waits for the lease like a new request does, 0.5 s at most, then 503 targets_unsure, or 502 if it may have run.

test_entry_lease:retry_after_a_standstill_waits_for_word_of_the_targets: the second attempt was sent at once before (red), after the search now. Not covered: a connection that is being opened as the host stands still carries its request once it is there.

--- a/lib/entry/wg_entry_attempt.c
+++ b/lib/entry/wg_entry_attempt.c
@@ -5,7 +5,9 @@
     WG_RETRY_TIME_MIN = 15 * WG_USEC_PER_MSEC, /* minimum time left for a retry */
     WG_ANSWER_TOKENS_FACTOR = 2,               /* cost of a generated token in prompt tokens */
     WG_CANDIDATES_MAX = 6,                     /* targets considered per selection */
-    WG_UNSENT_ATTEMPTS_MAX = 4                 /* attempts per request that reached no target */
+    /* Between two looks whether the targets are sure again. */
+    WG_UNSURE_RETRY_INTERVAL = 10 * WG_USEC_PER_MSEC,
+    WG_UNSENT_ATTEMPTS_MAX = 4 /* attempts per request that reached no target */
 };
 
 static void wg_call_choose(wg_call* call, const wg_policy_terms* terms, wg_time now);
@@ -367,9 +369,32 @@
     }
 }
 
+/* Whether the request waits, or was refused, because the registry may be outdated: targets may have
+   left since. */
+static bool wg_call_waits_for_targets(wg_call* call, wg_time now) {
+    if (wg_entry_basis(call->entry, now) != WG_BASIS_NONE) {
+        call->unsure_since = 0;
+        return false;
+    }
+    call->unsure_since = call->unsure_since ? call->unsure_since : now;
+    if (now - call->unsure_since >= WG_UNSURE_WAIT_MAX) {
+        wg_call_refuse(call, call->may_have_run ? 502 : 503, "targets_unsure",
+                       wg_call_retry_after(call));
+        return true;
+    }
+    call->retry_at = now + WG_UNSURE_RETRY_INTERVAL;
+    wg_call_set_timer(call, now);
+    return true;
+}
+
 /* Sends the request to the proposed target, or selects another one if it no longer accepts work. */
 static void wg_call_dispatch(wg_call* call, wg_time now) {
     wg_entry* e = call->entry;
+    if (wg_entry_basis(e, now) == WG_BASIS_NONE) {
+        wg_entry_admit_end(call, false);
+        wg_call_waits_for_targets(call, now);
+        return;
+    }
     const wg_target* target = wg_registry_find(e->registry, call->proposed.target);
     if (!wg_call_may_send(call, target, now)) {
         wg_entry_admit_end(call, false);
@@ -549,7 +574,8 @@
 void wg_call_try(wg_call* call) {
     wg_time now = wg_now();
     call->retry_at = 0;
-    if (call->admit_ticket || call->origin_ticket || wg_call_refuse_without_version(call)) {
+    if (call->admit_ticket || call->origin_ticket || wg_call_waits_for_targets(call, now) ||
+        wg_call_refuse_without_version(call)) {
         return;
     }
     if (wg_call_is_quarantined(call, NULL)) {
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -57,8 +57,13 @@
 typedef struct wg_call wg_call;
 typedef struct wg_client wg_client;
 typedef struct wg_upstream wg_upstream;
-typedef struct wg_handed wg_handed;               /* wg_entry_handed.c */
-typedef struct wg_unsure wg_unsure;               /* wg_entry_lease.c */
+typedef struct wg_handed wg_handed; /* wg_entry_handed.c */
+typedef struct wg_unsure wg_unsure; /* wg_entry_lease.c */
+enum {
+    /* Longest wait of a request for a sure configuration, or for sure targets: a search that gets
+       no answer, and the first state of a leader that is found. */
+    WG_UNSURE_WAIT_MAX = 500 * WG_USEC_PER_MSEC
+};
 typedef struct wg_taken wg_taken;                 /* wg_entry_taken.c */
 typedef struct wg_entry_handoff wg_entry_handoff; /* wg_entry_handoff.c */
 
@@ -166,7 +171,8 @@
     bool queued; /* waits in the service's queue for a target */
     wg_time queued_until;
     wg_time first_event_at;
-    wg_time retry_at; /* time of the next attempt; 0: none scheduled */
+    wg_time retry_at;     /* time of the next attempt; 0: none scheduled */
+    wg_time unsure_since; /* since when it waits for sure targets; 0: it does not */
     bool head_sent;
     wg_framing framing;               /* of the answer to the caller, once `head_sent` */
     bool caller_cut;                  /* the caller was cut off, as it did not read its answer */
--- a/lib/entry/wg_entry_lease.c
+++ b/lib/entry/wg_entry_lease.c
@@ -12,10 +12,7 @@
     /* Part of `configuration_ms` for which a host decides without further word of a leader. The
        rest covers what lies between a decision and the moment at which its caller sent the
        request. */
-    WG_LEASE_PERCENT = 75,
-    /* Longest wait of a request for a sure configuration: a search that gets no answer, and the
-       first state of a leader that is found. */
-    WG_UNSURE_WAIT_MAX = 500 * WG_USEC_PER_MSEC
+    WG_LEASE_PERCENT = 75
 };
 
 /* A request that waits for a sure configuration. */
--- a/tests/test_entry_lease.c
+++ b/tests/test_entry_lease.c
@@ -141,6 +141,55 @@
 }
 END_TEST
 
+/* Adds a second target of the service, at the same address. */
+static void add_target(void) {
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
+    Wgpb__TargetRecord* records[] = {&record};
+    record.number = 2;
+    record.id = (char*)"t-2";
+    record.service = (char*)"e";
+    record.address = target_address;
+    record.data_centre = (char*)"dc";
+    record.state = WG_TARGET_READY;
+    record.change = 2;
+    state.leads = true;
+    state.term = 1;
+    state.targets = records;
+    state.n_targets = 1;
+    state.registry_change = 2;
+    state.members_change = 1;
+    state.report_ms = 100;
+    ck_assert(wgn_send(leader.net, leader.link, WGW_TYPE_ENTRY_STATE, &state.base));
+}
+
+/* Guards against a request that is sent to a target which left during a standstill, by a registry
+   that is as old. */
+START_TEST(retry_after_a_standstill_waits_for_word_of_the_targets) {
+    static const char document[] =
+        "{\"version\":6,\"services\":[{\"name\":\"e\"}],\"routes\":[{\"name\":\"r\",\"host\":\"h\","
+        "\"path_prefix\":\"/a/\",\"kind\":\"safe\",\"timeout_ms\":8000,\"objective_ms\":500,"
+        "\"attempts\":3,\"service\":\"e\"}],\"limits\":{},\"workspaces\":[]}";
+    fake_entry_retry_slack = 100;
+    begin();
+    fake_control_send_leader_state(
+        &leader, &(fake_update){.version = 6, .document = document, .target = target_address});
+    add_target();
+    run_turns(150);
+    int fd = send_get("/a/x", "");
+    ck_assert(target_got_request());
+    fall_silent();
+    target_close_connection();
+    wg_now_skip(5 * SECOND);
+    run_turns(100);
+    ck_assert_int_eq(requests_at_target(), 1);
+    run_turns(SOON_MS); /* no leader is found: the targets known are used */
+    ck_assert_int_eq(requests_at_target(), 2);
+    close(fd);
+    end();
+}
+END_TEST
+
 START_TEST(caller_that_leaves_while_its_request_waits_is_forgotten) {
     begin();
     fall_silent();
@@ -161,4 +210,5 @@
              request_after_a_standstill_without_a_leader_is_not_held_long,
              host_that_misses_a_version_known_to_a_replica_serves_nothing_by_its_own,
              leader_is_found_although_the_one_followed_is_silent,
+             retry_after_a_standstill_waits_for_word_of_the_targets,
              caller_that_leaves_while_its_request_waits_is_forgotten)
