Entry hosts: informational answers and trailers without end are given up

What callers saw: a target that sent either stopped the whole host until it ended: no request was answered, no timer of a request ran. Cause: each informational answer and each trailer line was read and dropped, without a bound on all of them; the connection had priority over new requests and always had more to read. Change: all heads of one answer together are bounded as one was (16 KB), and so are all trailers; then 502 and the connection is closed. Trailers of requests are bounded by the same code (400).

--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -222,6 +222,7 @@
     bool used;                /* connection served an earlier request */
     bool written;             /* bytes of the current request may have left this host */
     char* bytes;              /* storage that `head` points into */
+    size_t heads_size;        /* of the answer's heads so far, informational ones included */
     wg_message_head head;
     wg_time backoff_time; /* backoff period requested by the answer; 0: none */
     wg_body body;
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -195,6 +195,7 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
+    up->heads_size = 0;
     wg_entry_buffers_begin_request(up);
     wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
@@ -249,12 +250,14 @@
         size_t have = evbuffer_get_length(in);
         const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)have);
         size_t size = bytes ? wg_message_head_size(bytes, have) : 0;
+        if (up->heads_size + (size ? size : have) > WG_HEAD_BYTES_START) {
+            wg_upstream_fail(up, "answer-head-too-long");
+            return false;
+        }
         if (size == 0) {
-            if (have > WG_HEAD_BYTES_START) {
-                wg_upstream_fail(up, "answer-head-too-long");
-            }
             return false;
         }
+        up->heads_size += size;
         g_free(up->bytes);
         up->bytes = g_malloc(size);
         evbuffer_remove(in, up->bytes, size);
--- a/lib/message/wg_message.c
+++ b/lib/message/wg_message.c
@@ -442,6 +442,10 @@
             if (size == 0) {
                 return WG_BODY_COMPLETE;
             }
+            body->trailers += (int64_t)size;
+            if (body->trailers > WG_TRAILERS_MAX) {
+                return WG_BODY_BAD;
+            }
         } else {
             body->remaining = wg_chunk_size(line, size);
             if (body->remaining < 0) {
--- a/lib/message/wg_message.h
+++ b/lib/message/wg_message.h
@@ -26,7 +26,8 @@
 
 enum {
     WG_MESSAGE_FIELDS_MAX = 64,
-    WG_CHUNK_LINE_MAX = 256 /* bytes of a chunk size line or a trailer line */
+    WG_CHUNK_LINE_MAX = 256,    /* bytes of a chunk size line or a trailer line */
+    WG_TRAILERS_MAX = 16 * 1024 /* bytes of all trailer lines of a body */
 };
 
 /* Slice of the caller's bytes, not zero-terminated. */
@@ -90,6 +91,7 @@
     int64_t remaining; /* bytes left of the body or of the current chunk */
     int step;          /* position within a chunked body */
     int64_t decoded;   /* bytes of body decoded so far */
+    int64_t trailers;  /* bytes of trailer lines read so far */
 } wg_body;
 
 void wg_body_begin(wg_body* body, const wg_message_head* head);
--- a/tests/test_message.c
+++ b/tests/test_message.c
@@ -198,6 +198,29 @@
 }
 END_TEST
 
+START_TEST(trailers_have_a_limit) {
+    static const char line[] = "A: b\r\n";
+    struct evbuffer* in = evbuffer_new();
+    struct evbuffer* out = evbuffer_new();
+    wg_message_head head = {.framing = WG_FRAMING_CHUNKED};
+    wg_body body;
+    wg_body_begin(&body, &head);
+    evbuffer_add_printf(in, "0\r\n");
+    ck_assert_int_eq(wg_body_read(&body, in, out), WG_BODY_MORE);
+    int lines = 0;
+    wg_body_state state = WG_BODY_MORE;
+    while (state == WG_BODY_MORE && lines < WG_TRAILERS_MAX) {
+        evbuffer_add(in, line, strlen(line));
+        state = wg_body_read(&body, in, out);
+        lines++;
+    }
+    ck_assert_int_eq(state, WG_BODY_BAD);
+    ck_assert_int_eq(lines, WG_TRAILERS_MAX / (int)strlen("A: b") + 1);
+    evbuffer_free(in);
+    evbuffer_free(out);
+}
+END_TEST
+
 START_TEST(events_end_at_blank_lines) {
     static const char wire[] = "id: 1\ndata: a\n\nid:2\r\ndata: b\r\n\r\ndata: c\n\nid: 4\ndata";
     struct evbuffer* in = evbuffer_new();
@@ -236,5 +259,5 @@
              too_many_fields_are_refused, head_is_complete_only_with_its_empty_line,
              answers_have_one_framing, hop_by_hop_fields_are_recognised,
              chunks_decode_in_pieces_of_any_size, malformed_chunks_are_rejected,
-             chunk_lines_have_a_limit, events_end_at_blank_lines,
+             chunk_lines_have_a_limit, trailers_have_a_limit, events_end_at_blank_lines,
              bytes_after_the_last_event_may_begin_another)
