Entry hosts: a target that sends without end leaves time for other requests

What callers saw: while one caller read a large or endless answer as fast as its target sent it, the host took no new requests, and timers of requests did not run: neither the route's time-out nor anything else. Cause: answers of targets have priority over new requests, and libevent runs events of a lower priority only when none of a higher one is ready. A connection that is always ready never leaves the turn to others. Change: after 64 KB a connection to a target is not read until the events of lower priority that were pending have run.

Not covered: a peer that relays such an answer of a handed-off request sends it on a link, which has a higher priority still.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -313,6 +313,7 @@
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_origins_setup(e);
     wg_entry_buffers_setup(e);
+    wg_entry_turns_setup(e);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
     wg_entry_ends_setup(e);
@@ -366,6 +367,7 @@
     }
     wg_entry_orders_drop(e);
     wg_upstream_shutdown(e);
+    wg_entry_turns_shutdown(e);
     wgh_close(&e->ready_server);
     wgh_close(&e->entry_server);
     wgh_close(&e->orders_server);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -231,7 +231,10 @@
     wg_end_check* end_check; /* that the end of the answer waits for, if `state` is ENDED */
     bool paused;             /* reading waits until the caller has read */
     wg_time paused_at;       /* start of the pause, if `paused` */
-    wg_buffers_peer held;    /* request not read yet, and content not relayed yet */
+    size_t turn_bytes;       /* received since its last turn began */
+    bool waits_turn;         /* linked in entry->turns: not read until events of others have run */
+    GList turn_link;
+    wg_buffers_peer held; /* request not read yet, and content not relayed yet */
     wg_time idle_since;
     wg_time idle_limit;
     GList idle_link;  /* in the queue of its target */
@@ -460,6 +463,9 @@
     wg_buffers_level buffers_level; /* level last applied to the answers in progress */
     int paused_num;                 /* answers whose reading is paused */
 
+    GQueue turns;       /* wg_upstream that wait for their next turn: wg_entry_turns.c */
+    struct event* turn; /* has the priority of new requests */
+
     /* file descriptors: wg_entry_descriptors.c */
     bool spares_descriptors; /* the setting is on and the limit is known */
     GQueue idle_upstreams;   /* wg_upstream of all targets, longest idle first */
@@ -838,6 +844,15 @@
 /* Whether the client's next request has to wait until it has read earlier answers. */
 bool wg_entry_buffers_delays_request(const wg_client* client);
 
+/* wg_entry_turns.c */
+void wg_entry_turns_setup(wg_entry* e);
+void wg_entry_turns_shutdown(wg_entry* e);
+/* Ends the connection's turn if it has received much: it is not read until its next turn. */
+void wg_upstream_count_turn(wg_upstream* up);
+/* The connection does not wait for a turn any more, as it begins one, is idle or closes. Reading is
+   not enabled. */
+void wg_upstream_end_turn(wg_upstream* up);
+
 /* wg_entry_descriptors.c */
 void wg_entry_descriptors_setup(wg_entry* e);
 void wg_entry_descriptors_shutdown(wg_entry* e);
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -41,7 +41,8 @@
 static void wg_upstream_count_in(struct evbuffer* buffer, const struct evbuffer_cb_info* info,
                                  void* user_data) {
     (void)buffer;
-    const wg_upstream* up = user_data;
+    wg_upstream* up = user_data;
+    up->turn_bytes += info->n_added;
     up->entry->counters.target_bytes_in += info->n_added;
     up->entry->counters.target_remote_bytes_in += up->remote ? info->n_added : 0;
 }
@@ -91,6 +92,7 @@
     e->upstreams_num--;
     wg_entry_ends_forget(up);
     wg_upstream_end_pause(up);
+    wg_upstream_end_turn(up);
     wg_entry_buffers_remove_upstream(up);
     bufferevent_free(up->bev);
     evbuffer_free(up->content);
@@ -119,6 +121,7 @@
     up->written = false;
     up->idle_since = now;
     up->idle_limit = limit;
+    wg_upstream_end_turn(up);
     bufferevent_enable(up->bev, EV_READ);
     wg_upstream_enter_idle(up);
 }
@@ -291,6 +294,7 @@
         wg_upstream_close(up); /* unsolicited data */
         return;
     }
+    wg_upstream_count_turn(up);
     if (up->state == WG_UPSTREAM_HEAD) {
         if (!wg_upstream_read_head(up)) {
             return;
@@ -421,7 +425,9 @@
 void wg_upstream_resume(wg_upstream* up) {
     if (up->paused) {
         wg_upstream_end_pause(up);
-        bufferevent_enable(up->bev, EV_READ);
+        if (!up->waits_turn) {
+            bufferevent_enable(up->bev, EV_READ);
+        }
     }
 }
 
