Entry hosts: lists of cached parts are bounded while they arrive

A host that coordinates a target asks it for its cached parts. What came was bounded only once it was a body with a known size: a head, header lines, informational answers or a line of a chunk without end were kept (memory +1370 and +1652 MB within 5 s; the limit is 110 MB) or read for ever, and a target that sent a byte a second kept the query open for good, one of four. Change: wgh_bound_answers(): the head and the trailers 16 KB, what evhttp has not understood yet 1 MB; no informational answers; a query takes 3 s at most.

--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -15,10 +15,12 @@
 
 enum {
     WG_CACHE_QUERIES_MAX = 4, /* concurrent, since a list may have tens of kilobytes */
-    WG_CACHE_TIMEOUT_S = 1,
+    WG_CACHE_TIMEOUT_S = 1,   /* without a byte */
+    WG_CACHE_TIME_MAX = 3 * WG_USEC_PER_SEC, /* of the whole query */
     WG_CACHE_TRIES = 3,
     WG_CACHE_RETRY_INTERVAL = 500 * WG_USEC_PER_MSEC,
-    WG_CACHE_BYTES_MAX = 1 << 20
+    WG_CACHE_BYTES_MAX = 1 << 20,
+    WG_CACHE_HEAD_MAX = 16 * 1024 /* bytes */
 };
 
 /* State of the query for a target that this host coordinates. */
@@ -26,6 +28,8 @@
     wg_entry* entry;
     uint32_t target;
     struct evhttp_connection* connection; /* NULL if no query is in progress */
+    wgh_answer_bounds bounds;
+    wg_time sent_at;
     bool known;
     int tries;
     wg_time next_at;
@@ -106,8 +110,13 @@
     query->connection = evhttp_connection_base_new(e->base, NULL, ip, port);
     evhttp_connection_set_timeout(query->connection, WG_CACHE_TIMEOUT_S);
     evhttp_connection_set_max_body_size(query->connection, WG_CACHE_BYTES_MAX);
+    wgh_bound_answers(&query->bounds, query->connection,
+                      &(wgh_answer_limits){.head_max = WG_CACHE_HEAD_MAX,
+                                           .unparsed_max = WG_CACHE_BYTES_MAX + WG_CACHE_HEAD_MAX});
+    query->sent_at = now;
     evhttp_connection_free_on_completion(query->connection);
     struct evhttp_request* request = evhttp_request_new(wg_cache_on_answer, query);
+    evhttp_request_set_header_cb(request, wgh_refuse_informational);
     struct evkeyvalq* out = evhttp_request_get_output_headers(request);
     evhttp_add_header(out, "Host", target->address);
     evhttp_add_header(out, "Connection", "close");
@@ -119,6 +128,20 @@
     }
 }
 
+/* A target that sends a little now and then never exceeds the timeout without a byte. */
+static void wg_cache_end_if_due(wg_cache_query* query, wg_time now) {
+    if (!query->connection) {
+        return;
+    }
+    bool slow = now - query->sent_at >= WG_CACHE_TIME_MAX;
+    if (slow || query->bounds.exceeded) {
+        wg_log(WG_EVENT_CACHE_UNKNOWN, "target=%u reason=%s try=%d", query->target,
+               slow ? "too-slow" : "too-long", query->tries);
+        evhttp_connection_free(query->connection);
+        query->connection = NULL;
+    }
+}
+
 static bool wg_cache_is_engine(const wg_entry* e, const wg_target* target) {
     int service = wg_config_service(e->config, target->service);
     return service >= 0 && e->config->services[service].engine;
@@ -148,6 +171,9 @@
     for (guint i = 0; i < e->cache_pending->len; i++) {
         uint32_t number = g_array_index(e->cache_pending, uint32_t, i);
         wg_cache_query* query = g_hash_table_lookup(e->cache_queries, GUINT_TO_POINTER(number));
+        if (query) {
+            wg_cache_end_if_due(query, now);
+        }
         if (!query || wg_cache_is_finished(query)) {
             continue;
         }
--- a/lib/http/wg_http.c
+++ b/lib/http/wg_http.c
@@ -3,6 +3,7 @@
 
 #include <errno.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 #include <event2/listener.h>
 #include <string.h>
@@ -32,8 +33,36 @@
     evbuffer_free(body);
 }
 
+static void _wgh_on_input(struct evbuffer* in, const struct evbuffer_cb_info* info,
+                          void* user_data) {
+    wgh_answer_bounds* bounds = user_data;
+    bool exceeds = evbuffer_get_length(in) > bounds->limits.unparsed_max;
+    if (info->n_added == 0 || !exceeds || bounds->exceeded) {
+        return;
+    }
+    bounds->exceeded = true;
+    bufferevent_disable(bounds->bev, EV_READ);
+    if (bounds->limits.on_exceeded) {
+        bounds->limits.on_exceeded(bounds->limits.user_data);
+    }
+}
+
 /* ---- public functions --------------------------------------------------------------------- */
 
+void wgh_bound_answers(wgh_answer_bounds* bounds, struct evhttp_connection* connection,
+                       const wgh_answer_limits* limits) {
+    *bounds = (wgh_answer_bounds){.bev = evhttp_connection_get_bufferevent(connection),
+                                  .limits = *limits};
+    evhttp_connection_set_max_headers_size(connection, (ev_ssize_t)limits->head_max);
+    evbuffer_add_cb(bufferevent_get_input(bounds->bev), _wgh_on_input, bounds);
+}
+
+int wgh_refuse_informational(struct evhttp_request* request, void* user_data) {
+    (void)user_data;
+    int status = evhttp_request_get_response_code(request);
+    return status >= 100 && status < 200 ? -1 : 0;
+}
+
 bool wgh_listen(wgh_server* server, struct event_base* base, const char* address,
                 const wgh_limits* limits, GError** error) {
     char ip[WG_ADDRESS_MAX];
