Routers: answers of targets, and the platform's host list, are bounded while they arrive

The other request path: evhttp keeps a status line, a header or a chunk's size without end, and reads informational answers without end. Now wgh_bound_answers() on all connections to targets (head 16 KB, 64 KB not understood), informational answers fail the attempt, and a host list that is too long is given up. evhttp took 1xx other than 100 for whole answers; they fail, too.

Not covered: what callers send to evhttp's servers (routers, orders, operators): a chunk's size line without end is kept there.

--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -4,6 +4,8 @@
 #include <stdlib.h>
 #include <string.h>
 
+static void _wgro_fail_attempt(_wgro_attempt_t* attempt);
+
 /* ---- headers ------------------------------------------------------------------------------- */
 
 /* Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that evhttp writes itself. */
@@ -50,6 +52,11 @@
     }
 }
 
+enum {
+    /* Answers are read in parts, so what evhttp holds is a line that is not complete. */
+    _WGRO_UNPARSED_MAX = 64 * 1024 /* bytes */
+};
+
 /* ---- connections --------------------------------------------------------------------------- */
 
 static void _wgro_conn_free_later(evutil_socket_t fd, short what, void* user_data) {
@@ -101,6 +108,14 @@
     }
 }
 
+/* The target sends what is no answer, without end. */
+static void _wgro_on_flooded(void* user_data) {
+    _wgro_conn_t* conn = user_data;
+    if (conn->attempt) {
+        _wgro_fail_attempt(conn->attempt);
+    }
+}
+
 static _wgro_conn_t* _wgro_conn_open(wgro_router* r, uint32_t target, bool fresh) {
     GQueue* idle = _wgro_idle_conns(r, target);
     if (!fresh && idle->length > 0) {
@@ -118,6 +133,11 @@
     conn->target = target;
     conn->http = evhttp_connection_base_new(r->base, NULL, ip, port);
     evhttp_connection_set_retries(conn->http, 0);
+    wgh_bound_answers(&conn->bounds, conn->http,
+                      &(wgh_answer_limits){.head_max = WGH_HEAD_MAX_DEFAULT,
+                                           .unparsed_max = _WGRO_UNPARSED_MAX,
+                                           .on_exceeded = _wgro_on_flooded,
+                                           .user_data = conn});
     struct bufferevent* bev = evhttp_connection_get_bufferevent(conn->http);
     evbuffer_add_cb(bufferevent_get_output(bev), _wgro_on_written, conn);
     return conn;
@@ -218,6 +238,9 @@
 
 static int _wgro_on_head(struct evhttp_request* request, void* user_data) {
     _wgro_attempt_t* attempt = user_data;
+    if (wgh_refuse_informational(request, NULL) != 0) {
+        return -1;
+    }
     struct evkeyvalq* in = evhttp_request_get_input_headers(request);
     const char* type = evhttp_find_header(in, "Content-Type");
     const char* coding = evhttp_find_header(in, "Transfer-Encoding");
--- a/lib/router/wg_router_endpoints.c
+++ b/lib/router/wg_router_endpoints.c
@@ -193,7 +193,17 @@
     }
 }
 
+/* A list that is too long is given up; the next poll uses a new connection. */
+static void _wgro_hosts_end_if_flooded(wgro_router* r) {
+    if (r->hosts_conn && r->hosts_bounds.exceeded) {
+        evhttp_connection_free(r->hosts_conn);
+        r->hosts_conn = NULL;
+        r->hosts_pending = false;
+    }
+}
+
 void _wgro_hosts_tick(wgro_router* r, wg_time now) {
+    _wgro_hosts_end_if_flooded(r);
     if (!r->settings->hosts_url[0] || now < r->hosts_poll_at || r->hosts_pending) {
         return;
     }
@@ -207,8 +217,14 @@
         r->hosts_conn = evhttp_connection_base_new(r->base, NULL, evhttp_uri_get_host(uri),
                                                    (uint16_t)(port > 0 ? port : 80));
         evhttp_connection_set_timeout(r->hosts_conn, 1);
+        evhttp_connection_set_max_body_size(r->hosts_conn, WGH_BODY_MAX_DEFAULT);
+        wgh_bound_answers(
+            &r->hosts_bounds, r->hosts_conn,
+            &(wgh_answer_limits){.head_max = WGH_HEAD_MAX_DEFAULT,
+                                 .unparsed_max = WGH_BODY_MAX_DEFAULT + WGH_HEAD_MAX_DEFAULT});
     }
     struct evhttp_request* request = evhttp_request_new(_wgro_on_hosts, r);
+    evhttp_request_set_header_cb(request, wgh_refuse_informational);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", evhttp_uri_get_host(uri));
     const char* path = evhttp_uri_get_path(uri);
     r->hosts_pending = true;
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -27,6 +27,7 @@
     wgro_router* router;
     uint32_t target;
     struct evhttp_connection* http;
+    wgh_answer_bounds bounds;
     _wgro_attempt_t* attempt; /* NULL while idle */
 } _wgro_conn_t;
 
@@ -177,6 +178,7 @@
     } unknown_keys[_WGRO_UNKNOWN_KEYS];
 
     struct evhttp_connection* hosts_conn;
+    wgh_answer_bounds hosts_bounds;
     wg_time hosts_poll_at;
     bool hosts_available;
     bool hosts_pending;
