Entry hosts: a connection that came up after a standstill carries a request only to sure targets

Now the attempt is withdrawn and another one waits for the lease. By reading; the tests of the lease and of suspended hosts pass.

--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -356,7 +356,9 @@
             wg_upstream_close(up);
             return;
         }
-        if (!wg_call_may_send(up->call, target, wg_now())) {
+        wg_time now = wg_now();
+        bool sure = wg_entry_basis(up->entry, now) != WG_BASIS_NONE;
+        if (!sure || !wg_call_may_send(up->call, target, now)) {
             wg_call_attempt_withdrawn(up->call, up, "target-takes-no-more");
             return;
         }
