Soak: hosts that stand still, replicas that answer nothing, and routes that were added long ago

And what no run checked under faults: all the time, in every run, each host is asked for a route that was acknowledged more than 2 s before; 401, 403 and 404 break the run. (Until now only the last version of a run was looked at, after the last fault.)

--- a/tests/sim/soak_faults.c
+++ b/tests/sim/soak_faults.c
@@ -242,6 +242,10 @@
         soak_inject_cold_fault(s, now);
         return;
     }
+    if (s->desc.standstills) {
+        soak_inject_standstill_fault(s, now);
+        return;
+    }
     s->next_fault_at = now + (wg_time)(100 + soak_random(s, 900)) * WG_USEC_PER_MSEC;
     if (s->desc.harsh) {
         soak_inject_harsh_fault(s, now);
--- a/tests/sim/soak_internal.h
+++ b/tests/sim/soak_internal.h
@@ -25,8 +25,10 @@
     CATCH_UP_TIME = 4 * WG_USEC_PER_SEC,     /* for a replica that restarted with an empty disk */
     SPARE_HOSTS_NUM = 2,                     /* hosts that replace others during a run */
     TARGETS_NUM = 5,
-    RELEASE_TARGETS_NUM = 9, /* targets of a run with releases */
-    TAKE_UPS_MAX = 4         /* requests that take up one stream */
+    RELEASE_TARGETS_NUM = 9,           /* targets of a run with releases */
+    ERA_VERSIONS = 4,                  /* versions after which another route is added for good */
+    CHANGE_TIME = 2 * WG_USEC_PER_SEC, /* from an acknowledgement until all hosts obey */
+    TAKE_UPS_MAX = 4                   /* requests that take up one stream */
 };
 
 /* Requests that check each host before the first and after the last fault. */
@@ -116,6 +118,9 @@
     GHashTable* unsafe_ids;  /* ids of requests that must run at most once */
     int version;             /* newest configuration version sent */
     int acknowledged;
+    /* when the first version of each era was acknowledged; 0: not yet */
+    wg_time eras[VERSIONS_MAX / ERA_VERSIONS + 1];
+    wg_time next_era_check_at;
     bool put_in_flight;
     bool evacuating; /* the operator wants the data centre evacuated */
     bool evacuation_acknowledged;
@@ -180,6 +185,16 @@
 /* Injects the next fault of a run with `host_replacements`. */
 void soak_inject_replacement_fault(soak* s, wg_time now);
 
+/* ---- soak_eras.c ---- */
+/* A version was acknowledged. */
+void soak_record_era(soak* s, int version);
+/* Checks that no host refuses a route that was added long ago, whatever happens to it. */
+void soak_check_eras(soak* s, wg_time now);
+
+/* ---- soak_standstill.c ---- */
+/* Injects the next fault of a run with `standstills`. */
+void soak_inject_standstill_fault(soak* s, wg_time now);
+
 /* ---- soak_cold.c ---- */
 /* Injects the next fault of a run with `colds`. */
 void soak_inject_cold_fault(soak* s, wg_time now);
--- a/tests/sim/soak_operator.c
+++ b/tests/sim/soak_operator.c
@@ -7,8 +7,23 @@
 #include "soak_internal.h"
 #include "wg_net.h"
 
+/* Routes that stay: one more every ERA_VERSIONS versions. */
+static char* make_eras(int version) {
+    GString* routes = g_string_new(NULL);
+    for (int era = 1; era <= version / ERA_VERSIONS; era++) {
+        g_string_append_printf(
+            routes,
+            ",{\"name\":\"era-%d\",\"host\":\"soak\",\"path_prefix\":\"/era-%d/"
+            "\",\"kind\":\"safe\","
+            "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"service\":\"app\"}",
+            era, era);
+    }
+    return g_string_free(routes, FALSE);
+}
+
 static char* make_configuration(int version) {
-    return g_strdup_printf(
+    char* eras = make_eras(version);
+    char* text = g_strdup_printf(
         "{\"version\":%d,\"note\":\"made-as-%d\",\"services\":[{\"name\":\"app\",\"cold_s\":2,"
         "\"cold_per_second\":8},"
         "{\"name\":\"engine\",\"cold_s\":2,\"cold_per_second\":8,\"engine\":{\"slots\":64,\"memory_"
@@ -22,10 +37,12 @@
         "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"resumable\":true,"
         "\"service\":\"engine\"},"
         "{\"name\":\"n\",\"host\":\"soak\",\"path_prefix\":\"/only-%d/\",\"kind\":\"safe\","
-        "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"service\":\"app\"}],"
+        "\"timeout_ms\":2500,\"objective_ms\":500,\"attempts\":3,\"service\":\"app\"}%s],"
         "\"limits\":{},"
         "\"workspaces\":[{\"name\":\"w\",\"keys\":[\"key\"]}]}",
-        version, version, version);
+        version, version, version, eras);
+    g_free(eras);
+    return text;
 }
 
 static void check_read(soak* s, const operator_request* o, struct evhttp_request* request) {
@@ -55,6 +72,7 @@
         if (status == 200) {
             s->acknowledged = MAX(s->acknowledged, o->version);
             s->result.acknowledged++;
+            soak_record_era(s, o->version);
         } else if (status >= 400 && status < 500) {
             soak_record_violation(s, "configuration version %d was refused with status %d",
                                   o->version, status);
--- a/tests/sim/soak_run.c
+++ b/tests/sim/soak_run.c
@@ -142,6 +142,7 @@
     check_entries(s);
     soak_repair(s, now);
     soak_run_operator(s, now);
+    soak_check_eras(s, now);
     if (!s->formed) {
         await_fleet(s, now);
         return;
--- a/tests/sim/soak_run.h
+++ b/tests/sim/soak_run.h
@@ -25,6 +25,8 @@
           callers that read slowly are right too
         - once the fault phase is over, a request that crashed three targets is sent to at most
           three more by all hosts together
+        - no host refuses a route for good (401, 403, 404) that was added more than two seconds
+          before the request was sent, whatever faults there are
         - within a bounded time after the last fault every entry host serves, applies the newest
           acknowledged configuration and no older one, and reads it back
 */
@@ -44,6 +46,8 @@
     bool crash_parts;
     bool host_replacements; /* harsh, these faults only: a host is replaced, leaders stall, and all
                                power and one disk are lost seconds after the replacement started */
+    bool standstills;       /* these faults only: hosts with all their processes stand still for
+                               seconds, replicas answer nothing, or both at once */
     bool colds;         /* harsh, these faults only: targets restart cold while their coordinators
                              change */
     bool overloads;     /* targets refuse requests with backoff hints, beside all other faults */
--- a/tests/soak_hosts.c
+++ b/tests/soak_hosts.c
@@ -33,6 +33,8 @@
         arg_lit0(NULL, "successions", "harsh; a replaced host, stalled leaders, a lost disk");
     struct arg_lit* colds =
         arg_lit0(NULL, "colds", "harsh; cold targets while their coordinators change");
+    struct arg_lit* standstills =
+        arg_lit0(NULL, "standstills", "hosts stand still for seconds, replicas answer nothing");
     struct arg_lit* rests = arg_lit0(NULL, "rests", "targets refuse requests with backoff hints");
     struct arg_lit* slow =
         arg_lit0(NULL, "slow", "callers read slowly or nothing, with a bound on held bytes");
@@ -44,9 +46,9 @@
         arg_lit0(NULL, "releases", "targets of two software versions; callers take up streams");
     struct arg_lit* keep = arg_lit0(NULL, "keep", "keep the folder with the logs");
     struct arg_end* end = arg_end(8);
-    void* table[] = {seed, seeds,        seconds,     hosts,       disks, harsh,
-                     calm, crashes,      crash_parts, successions, colds, rests,
-                     slow, load_control, handoff,     releases,    keep,  end};
+    void* table[] = {seed,         seeds,       seconds,     hosts, disks,       harsh, calm,
+                     crashes,      crash_parts, successions, colds, standstills, rests, slow,
+                     load_control, handoff,     releases,    keep,  end};
     if (arg_parse(argc, argv, table) > 0) {
         arg_print_errors(stderr, end, argv[0]);
         arg_print_glossary(stderr, table, "  %-20s %s\n");
@@ -55,24 +57,25 @@
     int failed = 0;
     int runs = seeds->count ? seeds->ival[0] : 1;
     for (int i = 0; i < runs; i++) {
-        soak_desc desc = {.seed =
-                              seed->count ? (uint64_t)seed->ival[0] + (uint64_t)i : random_seed(),
-                          .seconds = seconds->count ? seconds->ival[0] : 0,
-                          .hosts = hosts->count ? hosts->ival[0] : 0,
-                          .disks = disks->count ? disks->ival[0] : 0,
-                          .harsh = harsh->count + successions->count + colds->count > 0,
-                          .colds = colds->count > 0,
-                          .host_replacements = successions->count > 0,
-                          .calm = calm->count > 0,
-                          .crashes = crashes->count + crash_parts->count > 0,
-                          .crash_parts = crash_parts->count > 0,
-                          .overloads = rests->count > 0,
-                          .slow_callers = slow->count > 0,
-                          .load_control = load_control->count > 0,
-                          .handoff = handoff->count > 0,
-                          .releases = releases->count > 0,
-                          .target_faults = i % 2 == 1 || releases->count > 0,
-                          .keep = keep->count > 0};
+        soak_desc desc = {
+            .seed = seed->count ? (uint64_t)seed->ival[0] + (uint64_t)i : random_seed(),
+            .seconds = seconds->count ? seconds->ival[0] : 0,
+            .hosts = hosts->count ? hosts->ival[0] : 0,
+            .disks = disks->count ? disks->ival[0] : 0,
+            .harsh = harsh->count + successions->count + colds->count + standstills->count > 0,
+            .colds = colds->count > 0,
+            .standstills = standstills->count > 0,
+            .host_replacements = successions->count > 0,
+            .calm = calm->count > 0,
+            .crashes = crashes->count + crash_parts->count > 0,
+            .crash_parts = crash_parts->count > 0,
+            .overloads = rests->count > 0,
+            .slow_callers = slow->count > 0,
+            .load_control = load_control->count > 0,
+            .handoff = handoff->count > 0,
+            .releases = releases->count > 0,
+            .target_faults = i % 2 == 1 || releases->count > 0,
+            .keep = keep->count > 0};
         soak_result r = soak_run(&desc);
         failed += !r.good;
         printf(
