--- a/lib/entry/wg_entry_lease.c
+++ b/lib/entry/wg_entry_lease.c
@@ -182,8 +182,8 @@
 
 /* ---- helpers: requests that wait ------------------------------------------------------------- */
 
+/* Frees a request that was taken out of the queue. */
 static void wg_unsure_free(wg_unsure* unsure) {
-    g_queue_unlink(&unsure->client->entry->unsure, &unsure->link);
     unsure->client->unsure = NULL;
     g_clear_pointer(&unsure->bytes, g_free);
     g_clear_pointer(&unsure->head, g_free);
@@ -221,7 +221,7 @@
 
 /* Ends the wait of the oldest request: begins its call, or refuses it. */
 static void wg_unsure_end(wg_entry* e, bool sure) {
-    wg_unsure* unsure = e->unsure.head->data;
+    wg_unsure* unsure = g_queue_pop_head_link(&e->unsure)->data;
     wg_client* client = unsure->client;
     char* bytes = g_steal_pointer(&unsure->bytes);
     wg_message_head* head = g_steal_pointer(&unsure->head);
@@ -304,6 +304,7 @@
 
 void wg_entry_lease_forget(wg_client* client) {
     client->entry->counters.caller_disconnects++;
+    g_queue_unlink(&client->entry->unsure, &client->unsure->link);
     wg_unsure_free(client->unsure);
 }
 
--- a/tests/test_entry_lease.c
+++ b/tests/test_entry_lease.c
@@ -30,6 +30,17 @@
     leader.answers_search = false;
 }
 
+/* State of a leader in whose registry this is the last change. */
+static Wgpb__EntryState make_state(uint64_t registry_change) {
+    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    state.leads = true;
+    state.term = 1;
+    state.registry_change = registry_change;
+    state.members_change = 1;
+    state.report_ms = 100;
+    return state;
+}
+
 static void expect_served(int fd) {
     char answer[1024];
     ck_assert(target_got_request());
@@ -118,15 +129,10 @@
     fake_control_begin(base, &other, 2);
     other.confirms = true;
     other.answers_search = true;
-    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
     char* controls[] = {leader.address, other.address};
-    state.leads = true;
-    state.term = 1;
+    Wgpb__EntryState state = make_state(1);
     state.controls = controls;
     state.n_controls = 2;
-    state.registry_change = 1;
-    state.members_change = 1;
-    state.report_ms = 100;
     ck_assert(wgn_send(leader.net, leader.link, WGW_TYPE_ENTRY_STATE, &state.base));
     run_turns(50);
     fall_silent();
@@ -143,7 +149,7 @@
 
 /* Adds a second target of the service, at the same address. */
 static void add_target(void) {
-    Wgpb__EntryState state = WGPB__ENTRY_STATE__INIT;
+    Wgpb__EntryState state = make_state(2);
     Wgpb__TargetRecord record = WGPB__TARGET_RECORD__INIT;
     Wgpb__TargetRecord* records[] = {&record};
     record.number = 2;
@@ -153,13 +159,8 @@
     record.data_centre = (char*)"dc";
     record.state = WG_TARGET_READY;
     record.change = 2;
-    state.leads = true;
-    state.term = 1;
     state.targets = records;
     state.n_targets = 1;
-    state.registry_change = 2;
-    state.members_change = 1;
-    state.report_ms = 100;
     ck_assert(wgn_send(leader.net, leader.link, WGW_TYPE_ENTRY_STATE, &state.base));
 }
 
