Entry hosts: a leader that a search finds confirms targets only if it has no newer ones

A search confirmed by the leader's configuration alone. After a standstill a host could so begin calls by a registry from before, though the leader knew of targets that had left. The answer now tells the last change of the registry as well.

test_entry_lease:leader_with_newer_targets_does_not_confirm_older_ones: red without the comparison.

--- a/lib/control/wg_control_entry.c
+++ b/lib/control/wg_control_entry.c
@@ -244,6 +244,7 @@
     answer.leads = c->leads && wgr_leads(c->node, now);
     answer.term = wgr_query_stats(c->node, now).term;
     answer.configuration_version = c->documents.version;
+    answer.registry_change = wg_registry_change(c->registry);
     answer.leader_address = (char*)_wgco_leader_address(c);
     wgn_send(c->net, link, WGW_TYPE_LEADER_ANSWER, &answer.base);
     wgpb__leader_ask__free_unpacked(in, NULL);
--- a/lib/entry/wg_entry_lease.c
+++ b/lib/entry/wg_entry_lease.c
@@ -138,7 +138,7 @@
 static void wg_search_follow(wg_entry* e, wgn_link link, bool newer) {
     if (link.id == e->link.id) {
         if (newer) {
-            wg_entry_report(e, wg_now()); /* the answer brings the configuration */
+            wg_entry_report(e, wg_now()); /* the answer brings what is newer */
         }
         return;
     }
@@ -152,13 +152,21 @@
     }
 }
 
+/* Whether the control has what this host lacks. Targets change all the time: only what a leader has
+   of them counts, as its state brings them at once. */
+static bool wg_search_is_newer(const wg_entry* e, const Wgpb__LeaderAnswer* in, bool leads) {
+    uint64_t version = e->config ? e->config->version : 0;
+    bool targets = leads && in->registry_change > wg_registry_change(e->registry);
+    return in->configuration_version > version || targets;
+}
+
 static void wg_search_apply_answer(wg_entry* e, wgn_link link, const Wgpb__LeaderAnswer* in) {
     if (in->ticket != e->search.ticket || !e->lease.searching) {
         return;
     }
     bool replaced = wg_term_recovery(in->term) < e->recovery.known;
     bool leads = in->leads && !replaced && in->term >= e->term_followed;
-    bool newer = !replaced && e->config && in->configuration_version > e->config->version;
+    bool newer = wg_search_is_newer(e, in, leads) && !replaced;
     const char* leader = in->leader_address;
     if (!leads && !e->search.wide) {
         wg_lease_search_widen(&e->lease, wg_now(), wg_search_ask_all(e));
--- a/lib/lease/wg_lease.h
+++ b/lib/lease/wg_lease.h
@@ -60,7 +60,7 @@
 /* Answer of a control to a search. */
 typedef struct {
     bool leads;
-    bool newer; /* it has a newer configuration than this host */
+    bool newer; /* it has a newer configuration than this host, or a leader newer targets */
 } wg_lease_answer;
 
 typedef struct {
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -7514,7 +7514,7 @@
   (ProtobufCMessageInit) wgpb__leader_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__leader_answer__field_descriptors[5] =
+static const ProtobufCFieldDescriptor wgpb__leader_answer__field_descriptors[6] =
 {
   {
     "ticket",
@@ -7576,18 +7576,31 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "registry_change",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LeaderAnswer, registry_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__leader_answer__field_indices_by_name[] = {
   3,   /* field[3] = configuration_version */
   4,   /* field[4] = leader_address */
   1,   /* field[1] = leads */
+  5,   /* field[5] = registry_change */
   2,   /* field[2] = term */
   0,   /* field[0] = ticket */
 };
 static const ProtobufCIntRange wgpb__leader_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 5 }
+  { 0, 6 }
 };
 const ProtobufCMessageDescriptor wgpb__leader_answer__descriptor =
 {
@@ -7597,7 +7610,7 @@
   "Wgpb__LeaderAnswer",
   "wgpb",
   sizeof(Wgpb__LeaderAnswer),
-  5,
+  6,
   wgpb__leader_answer__field_descriptors,
   wgpb__leader_answer__field_indices_by_name,
   1,  wgpb__leader_answer__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -1144,10 +1144,14 @@
    * of the leader that it follows; empty: none
    */
   char *leader_address;
+  /*
+   * last one applied at this replica
+   */
+  uint64_t registry_change;
 };
 #define WGPB__LEADER_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__leader_answer__descriptor) \
-    , 0, 0, 0, 0, (char *)protobuf_c_empty_string }
+    , 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
 
 
 /*
--- a/tests/fake_control.h
+++ b/tests/fake_control.h
@@ -25,14 +25,16 @@
     uint64_t released_fingerprint; /* fingerprint that an order released; 0: none */
     uint64_t recovery;             /* forced recovery in the last report */
     int roster_names;              /* names of entry hosts in all reports so far */
-    int standby_requests; /* reports that request the state of a replica without a leader */
-    int target_orders;    /* heartbeats and deregistrations */
-    uint64_t target_born; /* incarnation in the last target order */
-    uint32_t unread_max;  /* most unread tokens at one target in any report */
-    uint64_t read_us;     /* time to process them, as reported with them */
-    bool confirms;        /* answers each report, as leader of the first term */
-    bool answers_search;  /* answers entry hosts that search for a leader */
-    uint64_t version;     /* configuration in these answers */
+    int standby_requests;     /* reports that request the state of a replica without a leader */
+    int target_orders;        /* heartbeats and deregistrations */
+    uint64_t target_born;     /* incarnation in the last target order */
+    uint32_t unread_max;      /* most unread tokens at one target in any report */
+    uint64_t read_us;         /* time to process them, as reported with them */
+    bool confirms;            /* leads, in the first term */
+    bool answers_reports;     /* as leader that has nothing new */
+    bool answers_search;      /* answers entry hosts that search for a leader */
+    uint64_t version;         /* configuration in these answers */
+    uint64_t registry_change; /* and targets */
 } fake_control;
 
 static inline void fake_control_on_up(wgn_link link, const wgn_peer* peer, void* user_data) {
@@ -96,6 +98,7 @@
     answer.leads = f->confirms;
     answer.term = 1;
     answer.configuration_version = f->version;
+    answer.registry_change = f->registry_change;
     wgn_send(f->net, link, WGW_TYPE_LEADER_ANSWER, &answer.base);
     wgpb__leader_ask__free_unpacked(in, NULL);
 }
@@ -120,7 +123,7 @@
     if (in->n_ended_well > 0) {
         f->ended_well = in->ended_well[0];
     }
-    if (f->confirms) {
+    if (f->confirms && f->answers_reports) {
         fake_control_confirm(f, in);
     }
     wgpb__entry_report__free_unpacked(in, NULL);
--- a/tests/test_entry_lease.c
+++ b/tests/test_entry_lease.c
@@ -16,6 +16,7 @@
     fake_entry_configuration_ms = CONFIGURATION_MS;
     one_entry_begin();
     leader.confirms = true;
+    leader.answers_reports = true;
     leader.answers_search = true;
     lead(5, "/a/");
     run_turns(150); /* a report and its answer */
@@ -128,6 +129,7 @@
     begin();
     fake_control_begin(base, &other, 2);
     other.confirms = true;
+    other.answers_reports = true;
     other.answers_search = true;
     char* controls[] = {leader.address, other.address};
     Wgpb__EntryState state = make_state(1);
@@ -191,6 +193,24 @@
 }
 END_TEST
 
+/* Guards against a search that confirms the targets of before a standstill although the leader has
+   others. */
+START_TEST(leader_with_newer_targets_does_not_confirm_older_ones) {
+    begin();
+    leader.confirms = false;
+    run_turns(150);
+    leader.confirms = true;
+    leader.registry_change = 2;
+    leader.answers_reports = false;
+    wg_now_skip(5 * SECOND);
+    int fd = send_get("/a/x", "");
+    run_turns(100);
+    ck_assert_int_eq(requests_at_target(), 0);
+    close(fd);
+    end();
+}
+END_TEST
+
 START_TEST(caller_that_leaves_while_its_request_waits_is_forgotten) {
     begin();
     fall_silent();
@@ -212,4 +232,5 @@
              host_that_misses_a_version_known_to_a_replica_serves_nothing_by_its_own,
              leader_is_found_although_the_one_followed_is_silent,
              retry_after_a_standstill_waits_for_word_of_the_targets,
+             leader_with_newer_targets_does_not_confirm_older_ones,
              caller_that_leaves_while_its_request_waits_is_forgotten)
