--- a/tests/one_entry.h
+++ b/tests/one_entry.h
@@ -190,16 +190,33 @@
 /* ---- callers ----------------------------------------------------------------------------------
  */
 
-static int connect_to(const char* address) {
+/* `receive_buffer`: bytes that the caller's kernel takes before the caller reads; 0: the default.
+ */
+static int connect_with_buffer(const char* address, int receive_buffer) {
     struct sockaddr_storage to;
     int size;
     ck_assert(wgn_parse_address(address, &to, &size));
     int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+    if (receive_buffer > 0) {
+        setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_buffer, sizeof receive_buffer);
+    }
     ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
     run_turns(2);
     return fd;
 }
 
+static int connect_to(const char* address) {
+    return connect_with_buffer(address, 0);
+}
+
+/* A caller whose kernel takes little of an answer that the caller does not read. */
+static int connect_slow_caller(int receive_buffer) {
+    char* address = local_address(11, CALLERS_PORT);
+    int fd = connect_with_buffer(address, receive_buffer);
+    g_free(address);
+    return fd;
+}
+
 /* Sends a request to a port of the entry host; returns the connection. */
 static int send_request(int port, const char* method, const char* path, const char* fields) {
     char* address = local_address(11, port);
--- a/tests/test_entry_buffers.c
+++ b/tests/test_entry_buffers.c
@@ -60,20 +60,6 @@
 }
 
 /* A caller whose kernel buffers little, so that bytes wait at the entry host. */
-static int connect_slow_caller(void) {
-    char* address = local_address(11, CALLERS_PORT);
-    struct sockaddr_storage to;
-    int size;
-    int receive = SMALL_RECEIVE_BUFFER;
-    ck_assert(wgn_parse_address(address, &to, &size));
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
-    ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
-    g_free(address);
-    run_turns(2);
-    return fd;
-}
-
 static void send_all(int fd, const char* bytes, size_t size) {
     for (size_t at = 0; at < size;) {
         ssize_t sent = send(fd, bytes + at, size - at, MSG_NOSIGNAL);
@@ -85,7 +71,7 @@
 
 static int request_stream(void) {
     static const char request[] = "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n";
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_all(fd, request, sizeof request - 1);
     ck_assert(target_got_request());
     return fd;
@@ -95,7 +81,7 @@
     char head[160];
     int head_size = g_snprintf(
         head, sizeof head, "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n", size);
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_all(fd, head, (size_t)head_size);
     send_all(fd, body->str, size);
     return fd;
@@ -261,7 +247,7 @@
     begin_with(4, 0, "safe");
     GString* stream = bytes_of(240 * KB);
     GString* answer = g_string_new(NULL);
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_all(fd, request, sizeof request - 1);
     ck_assert(target_got_request());
     target_stream(stream);
@@ -369,7 +355,7 @@
     GString* body = bytes_of(ANSWER);
     GString* answers = g_string_new(NULL);
     char bytes[64 * KB];
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     for (int i = 0; i < REQUESTS; i++) {
         send_all(fd, request, sizeof request - 1);
     }
@@ -472,7 +458,7 @@
     ck_assert_int_eq(status_of(first, answer), 200);
     ck_assert_int_eq(one_entry_metric("walnutgate_entry_held_bytes{for=\"requests\"}"), 0);
     /* A body that never fits is refused for good, as one above the configured limit. */
-    int third = connect_slow_caller();
+    int third = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     static const char head[] = "POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\n";
     send_all(third, head, sizeof head - 1);
     ck_assert_int_eq(status_of(third, answer), 413);
--- a/tests/test_entry_descriptors.c
+++ b/tests/test_entry_descriptors.c
@@ -9,9 +9,10 @@
 #include <unistd.h>
 
 enum {
-    FAILURE_MS = 500,    /* time for which accept() fails */
-    FAILURES_MAX = 30,   /* one each 20 ms, and some for a late loop */
-    WAITING_CALLERS = 3, /* in the backlog while accept() fails */
+    SMALL_RECEIVE_BUFFER = 16 * 1024, /* so that the answer waits at the entry host */
+    FAILURE_MS = 500,                 /* time for which accept() fails */
+    FAILURES_MAX = 30,                /* one each 20 ms, and some for a late loop */
+    WAITING_CALLERS = 3,              /* in the backlog while accept() fails */
 
     DESCRIPTORS = 40,      /* with one link: idle connections give way above 32 */
     STREAMS_MAX = 17,      /* 35 with the link; an 18th would need 37, and targets stop at 36 */
@@ -387,16 +388,6 @@
 }
 END_TEST
 
-/* A caller whose kernel buffers little, so that its answer waits at the entry host. */
-static int connect_slow_caller(void) {
-    int receive = 16 * 1024;
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
-    connect_socket(fd);
-    run_turns(2);
-    return fd;
-}
-
 /* Bytes of the answer, with its head; fewer than there are if the connection ended before. */
 static size_t read_all(int fd, size_t size) {
     char part[16 * 1024];
@@ -423,7 +414,7 @@
     char* body = g_strnfill(LONG, 'x');
     fake_entry_held_mb = 4; /* limits what the kernel buffers */
     begin_sparing(DESCRIPTORS);
-    int reader = connect_slow_caller();
+    int reader = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_on(reader, "/a/x");
     ck_assert(target_got_request());
     target_answer(body);
--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -854,20 +854,6 @@
 }
 END_TEST
 
-static int connect_slow_caller(void) {
-    char* address = local_address(11, CALLERS_PORT);
-    struct sockaddr_storage to;
-    int size;
-    int receive = SMALL_RECEIVE_BUFFER;
-    ck_assert(wgn_parse_address(address, &to, &size));
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
-    ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
-    g_free(address);
-    run_turns(2);
-    return fd;
-}
-
 /* Without a pause, a caller that does not read fills the memory of the owner. */
 START_TEST(answer_pauses_while_the_caller_does_not_read) {
     enum {
@@ -875,7 +861,7 @@
         ANSWER_MAX = 64 * 1024 * KB
     };
     begin_owner(1);
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_text(fd, get_request);
     ck_assert(BECOMES(there.requests_num == 1));
     GString* sent = g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n");
@@ -1087,7 +1073,7 @@
     route_timeout_ms = LONG_TIMEOUT_MS;
     fake_entry_unread_ms = STOP_MIN_MS + 2000;
     begin_owner(1);
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_text(fd, get_request);
     ck_assert(BECOMES(there.requests_num == 1));
     GString* sent = g_string_new("HTTP/1.1 200 OK\r\nContent-Length: 204800\r\n\r\n");
@@ -1731,7 +1717,7 @@
         SIZE = 12 * 1024 * KB
     };
     begin_two();
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     send_text(fd, get_request);
     ck_assert(target_got_request());
     GString* sent = g_string_new(NULL);
--- a/tests/test_planned_stop.c
+++ b/tests/test_planned_stop.c
@@ -38,20 +38,6 @@
 }
 
 /* The kernel of this caller buffers little. */
-static int connect_slow_caller(void) {
-    char* address = local_address(11, CALLERS_PORT);
-    struct sockaddr_storage to;
-    int size;
-    int receive = SMALL_RECEIVE_BUFFER;
-    ck_assert(wgn_parse_address(address, &to, &size));
-    int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
-    ck_assert(connect(fd, (struct sockaddr*)&to, (socklen_t)size) == 0 || errno == EINPROGRESS);
-    g_free(address);
-    run_turns(2);
-    return fd;
-}
-
 static GString* body_of(size_t size, char first) {
     GString* body = g_string_sized_new(size);
     for (size_t i = 0; i < size; i++) {
@@ -79,7 +65,7 @@
 /* Sends a request whose answer the target ends, and of which the caller reads nothing yet. */
 static int request_answer(framing how, const GString* body) {
     static const char request[] = "GET /a/x HTTP/1.1\r\nHost: h\r\n\r\n";
-    int fd = connect_slow_caller();
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     g_string_truncate(target_received, 0);
     ck_assert_int_eq(send(fd, request, sizeof request - 1, MSG_NOSIGNAL), sizeof request - 1);
     ck_assert(target_got_request());
@@ -221,7 +207,7 @@
     GString* body = body_of(ANSWER_BYTES, 'A');
     int fd = request_answer(BY_LENGTH, body);
     check_answer_is_whole(fd, body, &stopped);
-    int idle = connect_slow_caller();
+    int idle = connect_slow_caller(SMALL_RECEIVE_BUFFER);
     wg_entry_stop(entry);
     wg_now_skip(STOP_MIN_MS * MSEC + 100 * MSEC);
     ck_assert(stop_ends_within(200));
