--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -36,10 +36,10 @@
             "longest planned stop; requests still running shortly before its end are aborted"),
     WG_NUMBER("timing", link_silence_ms, "1200", 300, 60000, "ms",
               "time without contact after which the link to a control is closed"),
-    WG_NUMBER("timing", configuration_ms, "2000", 0, 60000, "ms",
-              "time after the acknowledgement of a configuration within which each host in contact "
-              "obeys it; a host without word of a leader for most of it looks for one before it "
-              "decides; 0: it decides by what it has"),
+    WG_REAL("timing", configuration_ms, "2000", 0, 60000, "ms",
+            "time after the acknowledgement of a configuration within which each host in contact "
+            "obeys it; a host without word of a leader for most of it looks for one before it "
+            "decides; 0: it decides by what it has"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
               "longest wait for the leader's answer to an order"),
     /* Covers an election (0.5 s) and the 1.5 s after which a new leader distributes the roster,
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -48,7 +48,7 @@
     int64_t entry_keep_s;
     double grace_s;
     int64_t link_silence_ms;
-    int64_t configuration_ms;
+    double configuration_ms;
     int64_t order_ms;
     int64_t cold_settle_ms;
     int64_t standby_ms;
--- a/lib/entry/wg_entry_lease.c
+++ b/lib/entry/wg_entry_lease.c
@@ -269,8 +269,8 @@
 
 void wg_entry_lease_setup(wg_entry* e) {
     g_queue_init(&e->unsure);
-    wg_lease_begin(&e->lease,
-                   e->settings->configuration_ms * WG_USEC_PER_MSEC * WG_LEASE_PERCENT / 100);
+    wg_time bound = (wg_time)(e->settings->configuration_ms * WG_USEC_PER_MSEC);
+    wg_lease_begin(&e->lease, bound * WG_LEASE_PERCENT / 100);
 }
 
 wg_lease_basis wg_entry_basis(const wg_entry* e, wg_time now) {
