--- a/review/stage-2/stage.c
+++ b/review/stage-2/stage.c
@@ -27,6 +27,8 @@
     READY_PORT = 8780,
     CONTROL_PORT = 8785,
     DIRECTORY_PORT = 8789,
+    WORKER_PORT = 9470,
+    PART_WORKERS = 16,
     RANGE_FIRST = 7400,
     RANGE_SECOND = 7401,
     LIMIT_S = 115, /* of a whole case */
@@ -681,7 +683,7 @@
     snprintf(w->id, sizeof w->id, "%s", id);
     snprintf(w->service, sizeof w->service, "%s", service);
     snprintf(w->zone, sizeof w->zone, "zone-%d", 1 + (host - 1) % STAGE_MACHINES);
-    snprintf(w->address, sizeof w->address, "127.%d.5.%d:9470", s->part, host);
+    snprintf(w->address, sizeof w->address, "127.%d.5.%d:%d", s->part, host, WORKER_PORT);
 }
 
 int worker_beat(const stage* s, stage_worker* w, int machine) {
@@ -816,14 +818,39 @@
     return false;
 }
 
+static bool is_free(const char* address) {
+    int fd = listen_at(address);
+    if (fd >= 0) {
+        close(fd);
+    }
+    return fd >= 0;
+}
+
+/* Whether all addresses that a case may use in a part of the loopback network are free. */
+static bool part_is_free(int part) {
+    const int ports[] = {FRONT_PORT, READY_PORT, DIRECTORY_PORT, CONTROL_PORT, 7400, 7401};
+    char address[64];
+    for (int host = 1; host <= STAGE_MACHINES; host++) {
+        for (size_t i = 0; i < sizeof ports / sizeof ports[0]; i++) {
+            snprintf(address, sizeof address, "127.%d.1.%d:%d", part, host, ports[i]);
+            if (!is_free(address)) {
+                return false;
+            }
+        }
+    }
+    for (int host = 1; host <= PART_WORKERS; host++) {
+        snprintf(address, sizeof address, "127.%d.5.%d:%d", part, host, WORKER_PORT);
+        if (!is_free(address)) {
+            return false;
+        }
+    }
+    return true;
+}
+
 static int pick_part(void) {
     for (int i = 0; i < 200; i++) {
         int part = 20 + (int)((getpid() + i) % 200);
-        char address[64];
-        snprintf(address, sizeof address, "127.%d.1.1:%d", part, FRONT_PORT);
-        int fd = listen_at(address);
-        if (fd >= 0) {
-            close(fd);
+        if (part_is_free(part)) {
             return part;
         }
     }
