Entry hosts: a target's load is kept until its last request has ended

Cause: the load of a target was kept in a record that was freed as soon as the registry removed the target, and made anew, without load, when the same incarnation came back under its number. The request that ran there all the time was then counted out of nothing. Evidence: WG2039 (new) names target, state and requests of this host when a target goes or comes back while they run. Ruled out: a request counted out twice; a call clears its choice when it releases its target. Change: a removed target leaves its service at once, its load stays until its last request has ended. A request counts at the incarnation at which it began, as a registry that was built anew may use a number again.

--- a/lib/balance/wg_balance.c
+++ b/lib/balance/wg_balance.c
@@ -252,23 +252,44 @@
     wg_balance_service* service = g_hash_table_lookup(b->services, t->service);
     if (service && g_ptr_array_remove(service->targets, t)) {
         service->ready -= t->ready;
+        t->ready = false;
+        t->listed = false;
         wg_balance_rankings_remove(service, t);
     }
 }
 
+static void wg_balance_forget(wg_balance* b, wg_balance_target* t) {
+    wg_balance_leave_service(b, t);
+    g_hash_table_remove(b->targets, GUINT_TO_POINTER(t->number));
+}
+
+/* The target is not selected any more. Its load is kept while requests run there: the same
+   incarnation may come back, and they still run at it then. */
 static void wg_balance_drop(wg_balance* b, uint32_t number) {
     wg_balance_target* t = wg_balance_find(b, number);
-    if (t) {
+    if (t && t->own_running > 0) {
         wg_balance_leave_service(b, t);
-        g_hash_table_remove(b->targets, GUINT_TO_POINTER(number));
+    } else if (t) {
+        wg_balance_forget(b, t);
     }
 }
 
+/* Returns the record of the target's incarnation; NULL: none. A registry that was built anew may
+   use the number of another target again, at which none of this host's requests run. */
+static wg_balance_target* wg_balance_find_incarnation(wg_balance* b, const wg_target* record) {
+    wg_balance_target* t = wg_balance_find(b, record->number);
+    if (t && t->key != wg_target_key(record)) {
+        wg_balance_forget(b, t);
+        return NULL;
+    }
+    return t;
+}
+
 /* Adds the target, or moves it if its service or data centre changed. */
 static wg_balance_target* wg_balance_place(wg_balance* b, const wg_target* record) {
-    wg_balance_target* t = wg_balance_find(b, record->number);
+    wg_balance_target* t = wg_balance_find_incarnation(b, record);
     bool local = strcmp(record->data_centre, b->desc.data_centre) == 0;
-    if (t && t->local == local && strcmp(t->service, record->service) == 0) {
+    if (t && t->listed && t->local == local && strcmp(t->service, record->service) == 0) {
         return t;
     }
     if (t) {
@@ -280,7 +301,7 @@
     wg_balance_service* service = wg_balance_service_of(b, record->service);
     wg_copy_name(t->service, sizeof t->service, record->service);
     t->local = local;
-    t->ready = false;
+    t->listed = true;
     g_ptr_array_add(service->targets, t);
     wg_balance_rankings_add(service, t);
     return t;
@@ -532,12 +553,20 @@
 void wg_balance_begin(wg_balance* b, wg_time now, wg_balance_choice* choice) {
     wg_balance_target* t = wg_balance_find(b, choice->target);
     choice->started_at = now;
+    choice->incarnation = t ? t->key : 0;
     if (t) {
         t->own_unread += choice->unread;
         t->own_running++;
     }
 }
 
+/* The target at whose load the request counts; NULL: it is not known any more. */
+static wg_balance_target* wg_balance_counted_at(const wg_balance* b,
+                                                const wg_balance_choice* choice) {
+    wg_balance_target* t = wg_balance_find(b, choice->target);
+    return t && t->key == choice->incarnation ? t : NULL;
+}
+
 static void wg_balance_settle_unread(wg_balance_target* t, wg_balance_choice* choice) {
     WG_ASSERT(t->own_unread >= choice->unread);
     t->own_unread -= choice->unread;
@@ -556,7 +585,7 @@
 }
 
 void wg_balance_first_event(wg_balance* b, wg_time now, wg_balance_choice* choice) {
-    wg_balance_target* t = wg_balance_find(b, choice->target);
+    wg_balance_target* t = wg_balance_counted_at(b, choice);
     wg_time took = now - choice->started_at;
     if (!t) {
         return;
@@ -582,14 +611,8 @@
     t->service_time += WG_SERVICE_TIME_WEIGHT * (sample - t->service_time);
 }
 
-void wg_balance_end(wg_balance* b, wg_time now, wg_balance_choice* choice, wg_result result) {
-    wg_balance_target* t = wg_balance_find(b, choice->target);
-    if (!t) {
-        return;
-    }
-    wg_balance_settle_unread(t, choice);
-    WG_ASSERT(t->own_running > 0);
-    t->own_running--;
+static void wg_balance_record_result(wg_balance* b, wg_balance_target* t, wg_time now,
+                                     const wg_balance_choice* choice, wg_result result) {
     t->replaced = t->replaced || result == WG_RESULT_REPLACED;
     if (result == WG_RESULT_SUCCESS || result == WG_RESULT_REFUSED) {
         wg_acceptance_record(&t->acceptance, now, result == WG_RESULT_SUCCESS);
@@ -606,12 +629,32 @@
     }
 }
 
+void wg_balance_end(wg_balance* b, wg_time now, wg_balance_choice* choice, wg_result result) {
+    wg_balance_target* t = wg_balance_counted_at(b, choice);
+    if (!t) {
+        return;
+    }
+    wg_balance_settle_unread(t, choice);
+    WG_ASSERT(t->own_running > 0);
+    t->own_running--;
+    if (!t->listed && t->own_running == 0) {
+        wg_balance_forget(b, t);
+        return;
+    }
+    wg_balance_record_result(b, t, now, choice, result);
+}
+
 void wg_balance_load_of(const wg_balance* b, uint32_t target, uint32_t* unread, uint32_t* running) {
     const wg_balance_target* t = wg_balance_find(b, target);
     *unread = t ? t->own_unread + t->other_unread : 0;
     *running = t ? wg_balance_running(t) : 0;
 }
 
+uint32_t wg_balance_own_running(const wg_balance* b, uint32_t target) {
+    const wg_balance_target* t = wg_balance_find(b, target);
+    return t ? t->own_running : 0;
+}
+
 void wg_balance_update_speed(wg_balance* b, wg_time now, uint32_t target,
                              const wg_speed_values* values, wg_time late) {
     wg_balance_target* t = wg_balance_find(b, target);
--- a/lib/balance/wg_balance.h
+++ b/lib/balance/wg_balance.h
@@ -116,7 +116,9 @@
     wg_time wait_ahead; /* the part of `wait` caused by prompts of other requests */
     wg_time late;       /* lateness of the target, a part of both waits */
     wg_time started_at; /* set by wg_balance_begin() */
-    uint64_t prefix;    /* id of the last shared part of the prompt; 0: none */
+    /* Incarnation at whose load the request counts, set by wg_balance_begin(); 0: at none. */
+    uint64_t incarnation;
+    uint64_t prefix; /* id of the last shared part of the prompt; 0: none */
 } wg_balance_choice;
 
 typedef enum {
@@ -151,8 +153,8 @@
 wg_balance* wg_balance_setup(const wg_balance_desc* desc);
 void wg_balance_shutdown(wg_balance* balance);
 /* Takes over one target of the registry, or drops it if it was removed there. Loads and estimates
-   of a known target are kept. The cost does not grow with the number of targets but for moving
-   pointers. */
+   of a known target are kept, and those of a removed one while requests run there. The cost does
+   not grow with the number of targets but for moving pointers. */
 void wg_balance_sync_target(wg_balance* balance, const wg_registry* registry, uint32_t number);
 /* Takes over all targets of the registry. */
 void wg_balance_sync(wg_balance* balance, const wg_registry* registry);
@@ -166,6 +168,8 @@
    requests. */
 void wg_balance_load_of(const wg_balance* balance, uint32_t target, uint32_t* unread,
                         uint32_t* running);
+/* Returns the requests of this host in progress at a target. */
+uint32_t wg_balance_own_running(const wg_balance* balance, uint32_t target);
 /* Updates the load of a target with a newer report of the total over all hosts, including this
    one. */
 void wg_balance_update_load(wg_balance* balance, wg_time now, uint32_t target, uint32_t unread,
--- a/lib/balance/wg_balance_internal.h
+++ b/lib/balance/wg_balance_internal.h
@@ -14,6 +14,7 @@
     uint64_t key;              /* key of this incarnation in `backoff` */
     char service[WG_NAME_MAX];
     char version[WG_NAME_MAX]; /* of its software */
+    bool listed; /* in the list of its service; false: only requests in progress are left */
     bool ready;
     bool draining;
     bool replaced;   /* another incarnation answers at this target's address */
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -120,6 +120,22 @@
     }
 }
 
+static bool wg_entry_target_is_removed(const wg_entry* e, uint32_t number) {
+    const wg_target* target = wg_registry_find(e->registry, number);
+    return target && target->state == WG_TARGET_REMOVED;
+}
+
+static void wg_entry_merge_target(wg_entry* e, const Wgpb__TargetRecord* in) {
+    bool was_removed = wg_entry_target_is_removed(e, in->number);
+    wg_registry_merge(e->registry, wg_now(), in);
+    bool removed = wg_entry_target_is_removed(e, in->number);
+    uint32_t running = wg_balance_own_running(e->balance, in->number);
+    if (running > 0 && removed != was_removed) {
+        wg_log(WG_EVENT_TARGET_GONE_BUSY, "target=%u id=%s removed=%d replaced=%d running=%u",
+               in->number, in->id, removed, in->replaced, running);
+    }
+}
+
 static void wg_entry_apply_targets(wg_entry* e, const Wgpb__EntryState* in) {
     if (e->registry_known && in->registry_change == wg_registry_change(e->registry)) {
         return;
@@ -128,7 +144,7 @@
         wg_registry_clear(e->registry);
     }
     for (size_t i = 0; i < in->n_targets; i++) {
-        wg_registry_merge(e->registry, wg_now(), in->targets[i]);
+        wg_entry_merge_target(e, in->targets[i]);
     }
     bool evacuated = wg_entry_apply_evacuated(e, in);
     wg_registry_set_change(e->registry, in->registry_change);
--- a/tests/test_balance.c
+++ b/tests/test_balance.c
@@ -501,6 +501,103 @@
 }
 END_TEST
 
+/* The registry removes the target, or makes it ready again under its number. */
+static void set_state(uint32_t number, wg_target_state state) {
+    static uint64_t sequence = 1000;
+    Wgpb__TargetRecord packed;
+    wg_target t = *wg_registry_find(registry, number);
+    t.state = state;
+    t.sequence = ++sequence;
+    t.change = sequence;
+    wg_target_pack(&t, 0, &packed);
+    ck_assert(wg_registry_merge(registry, 0, &packed));
+    wg_balance_sync_target(balance, registry, number);
+}
+
+/* Guards against an abort of the process, and a target that seems idle: its record was removed and
+   came back while a request ran there all the time. */
+START_TEST(requests_at_a_target_that_was_removed_and_came_back_still_count) {
+    begin(2);
+    wg_prompt p = prompt(1, 2);
+    wg_balance_choice c = choose(&p, 0);
+    uint32_t target = c.target;
+    wg_balance_begin(balance, 0, &c);
+    uint32_t unread = c.unread;
+    set_state(target, WG_TARGET_REMOVED);
+    ck_assert_uint_ne(choose(&p, 1).target, target);
+    set_state(target, WG_TARGET_READY);
+    uint32_t unread_there;
+    uint32_t running_there;
+    wg_balance_load_of(balance, target, &unread_there, &running_there);
+    ck_assert_uint_eq(running_there, 1);
+    ck_assert_uint_eq(unread_there, unread);
+    wg_balance_end(balance, SECOND, &c, WG_RESULT_SUCCESS);
+    ck_assert_uint_eq(wg_balance_own_running(balance, target), 0);
+    end();
+}
+END_TEST
+
+/* Guards against requests of an earlier registry that count at another target with the number of
+   theirs. */
+START_TEST(requests_do_not_count_at_another_target_with_the_number_of_theirs) {
+    begin(1);
+    wg_balance_choice c = {.target = 1, .unread = 7};
+    wg_balance_begin(balance, 0, &c);
+    wg_registry_clear(registry);
+    Wgpb__TargetRecord packed;
+    wg_target other = {.state = WG_TARGET_READY, .sequence = 1, .number = 1, .change = 1};
+    g_strlcpy(other.id, "other", sizeof other.id);
+    g_strlcpy(other.service, "m", sizeof other.service);
+    wg_target_pack(&other, 0, &packed);
+    ck_assert(wg_registry_merge(registry, 0, &packed));
+    wg_balance_sync(balance, registry);
+    ck_assert_uint_eq(wg_balance_own_running(balance, 1), 0);
+    wg_balance_choice at_other = {.target = 1};
+    wg_balance_begin(balance, 0, &at_other);
+    wg_balance_first_event(balance, 1, &c);
+    wg_balance_end(balance, 1, &c, WG_RESULT_FAILED);
+    ck_assert_uint_eq(wg_balance_own_running(balance, 1), 1);
+    wg_balance_end(balance, 2, &at_other, WG_RESULT_SUCCESS);
+    ck_assert_uint_eq(wg_balance_own_running(balance, 1), 0);
+    end();
+}
+END_TEST
+
+/* Guards against counts that are lost in any order of removals, returns, begins and ends. */
+START_TEST(counts_are_right_in_any_order_of_removals_and_returns) {
+    enum {
+        TARGETS = 3,
+        STEPS = 3000,
+        OPEN_MAX = 12
+    };
+    for (uint64_t seed = 1; seed <= 10; seed++) {
+        begin(TARGETS);
+        wg_balance_choice open[OPEN_MAX] = {0};
+        uint32_t expected[TARGETS + 1] = {0};
+        for (uint64_t step = 0; step < STEPS; step++) {
+            uint64_t random = wg_jitter(seed, step);
+            uint32_t number = 1 + (uint32_t)(random / 16 % TARGETS);
+            wg_balance_choice* c = &open[random / 64 % OPEN_MAX];
+            if (random % 4 == 0) {
+                set_state(number, random / 8 % 2 ? WG_TARGET_REMOVED : WG_TARGET_READY);
+            } else if (c->target) {
+                expected[c->target]--;
+                wg_balance_end(balance, (wg_time)step, c, WG_RESULT_SUCCESS);
+                *c = (wg_balance_choice){0};
+            } else if (wg_registry_find(registry, number)->state == WG_TARGET_READY) {
+                *c = (wg_balance_choice){.target = number, .unread = 10};
+                wg_balance_begin(balance, (wg_time)step, c);
+                expected[number]++;
+            }
+            for (uint32_t i = 1; i <= TARGETS; i++) {
+                ck_assert_uint_eq(wg_balance_own_running(balance, i), expected[i]);
+            }
+        }
+        end();
+    }
+}
+END_TEST
+
 /* The address of a crashed target was reused before a leader could report it. */
 START_TEST(replaced_target_gets_nothing_until_its_record_changes) {
     begin(2);
@@ -865,6 +962,9 @@
              plain_request_queues_at_a_target_that_answers_in_time,
              service_time_excludes_queue_time, targets_of_an_evacuated_data_centre_get_nothing,
              accounts_return_to_zero, failing_targets_are_ejected_and_return,
+             requests_at_a_target_that_was_removed_and_came_back_still_count,
+             requests_do_not_count_at_another_target_with_the_number_of_theirs,
+             counts_are_right_in_any_order_of_removals_and_returns,
              replaced_target_gets_nothing_until_its_record_changes,
              slots_are_reserved_for_workspaces_within_their_share,
              homes_count_as_cached_after_warm_up_only, fair_level_is_max_min,
