Registry: of two processes at one address the later start holds it

Cause: a heartbeat of an id that was never heard of, or of a later start of a known one, was believed whatever was known of the address: the order of arrival decided who holds it. Both said when they had started (`born`). Change: an earlier start changes nothing while a later one at the address is heard of; a later start that was displaced in silence is back with its next heartbeat. Without start times as before. WG5019 and walnutgate_heartbeats_superseded_total show it.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -73,6 +73,7 @@
     X(5016, QUARANTINE_DROPPED, WARN, "too many quarantined requests, the oldest is released")     \
     X(5017, QUARANTINE_IN_FORCE, INFO, "quarantined requests known to this entry host")            \
     X(5018, TARGET_REFUSED, WARN, "report of a target about itself refused")                       \
+    X(5019, TARGET_SUPERSEDED, INFO, "late heartbeat ignored, a later process is at its address")  \
     X(2009, REQUEST_ENDED, INFO, "routed request ended")                                           \
     X(2010, ATTEMPT_ENDED, INFO, "attempt of a routed request failed")                             \
     X(2011, STREAM_CONTINUED, INFO, "attempt continues a stream that an earlier one began")        \
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -435,6 +435,7 @@
                     {"walnutgate_entry_states_packed_total", c->states_packed},
                     {"walnutgate_entry_states_sent_total", c->states_sent},
                     {"walnutgate_entry_targets_packed_total", c->targets_packed},
+                    {"walnutgate_heartbeats_superseded_total", c->heartbeats_superseded},
                     {"walnutgate_snapshots_total", c->snapshots},
                     {"walnutgate_snapshot_bytes_total", c->snapshot_bytes_total},
                     {"walnutgate_store_syncs_total", s.syncs},
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -58,13 +58,29 @@
     _wgco_propose_order(c, link, in->ticket, &command);
 }
 
+/* A heartbeat of a process that ended before the one at its address started. */
+static void _wgco_log_superseded(wgco_control* c, const wg_target* update) {
+    const wg_target* holder = wg_registry_holder(c->registry, update->address);
+    c->heartbeats_superseded++;
+    wg_log(WG_EVENT_TARGET_SUPERSEDED,
+           "target=%s born=%" G_GUINT64_FORMAT " sequence=%" G_GUINT64_FORMAT
+           " address=%s holder=%s holder_born=%" G_GUINT64_FORMAT
+           " holder_silent_ms=%" G_GINT64_FORMAT,
+           update->id, update->born, update->sequence, update->address, holder->id, holder->born,
+           (wg_now() - holder->last_contact_at) / WG_USEC_PER_MSEC);
+}
+
 static void _wgco_order_target(wgco_control* c, wgn_link link, const Wgpb__Order* in) {
     wg_target update;
     if (!wg_target_unpack(in->target, wg_now(), &update)) {
         _wgco_answer_order(c, link, in->ticket, WG_ORDER_INVALID);
         return;
     }
-    if (wg_registry_receive(c->registry, wg_now(), &update) != WG_HEARTBEAT_CHANGED) {
+    wg_heartbeat_result result = wg_registry_receive(c->registry, wg_now(), &update);
+    if (result == WG_HEARTBEAT_SUPERSEDED) {
+        _wgco_log_superseded(c, &update);
+    }
+    if (result != WG_HEARTBEAT_CHANGED) {
         _wgco_answer_order(c, link, in->ticket, WG_ORDER_DONE);
         return;
     }
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -133,11 +133,31 @@
     }
 }
 
-/* True if another target at the address of the replaced one had contact recently. */
-static bool wg_registry_holder_is_live(const wg_registry* r, wg_time now,
+/* True if the process of `a` is known to have started before that of `b`. Of two processes at one
+   address, the earlier one has ended. */
+static bool wg_target_started_before(const wg_target* a, const wg_target* b) {
+    return a->born != 0 && a->born < b->born;
+}
+
+/* True if another target at this one's address had contact recently. */
+static bool wg_registry_holder_is_live(const wg_registry* r, wg_time now, const wg_target* target) {
+    const wg_target* holder = wg_registry_holder(r, target->address);
+    return holder && strcmp(holder->id, target->id) != 0 &&
+           now - holder->last_contact_at <= r->desc.holder_timeout;
+}
+
+/* True if a later process than that of `received` sends heartbeats from its address. */
+static bool wg_registry_is_superseded(const wg_registry* r, wg_time now,
+                                      const wg_target* received) {
+    return received->state != WG_TARGET_REMOVED && wg_registry_holder_is_live(r, now, received) &&
+           wg_target_started_before(received, wg_registry_holder(r, received->address));
+}
+
+/* True if the replaced target gave way to a target that is still at its address. */
+static bool wg_registry_stays_replaced(const wg_registry* r, wg_time now,
                                        const wg_target* replaced) {
-    const wg_target* holder = g_hash_table_lookup(r->by_address, replaced->address);
-    return holder && now - holder->last_contact_at <= r->desc.holder_timeout;
+    return wg_registry_holder_is_live(r, now, replaced) &&
+           !wg_target_started_before(wg_registry_holder(r, replaced->address), replaced);
 }
 
 /* A replaced target may have been ended wrongly. Depends on replicated fields only, for
@@ -184,8 +204,15 @@
     g_free(r);
 }
 
+const wg_target* wg_registry_holder(const wg_registry* r, const char* address) {
+    return g_hash_table_lookup(r->by_address, address);
+}
+
 wg_heartbeat_result wg_registry_receive(wg_registry* r, wg_time now, const wg_target* received) {
     wg_target* target = g_hash_table_lookup(r->by_id, received->id);
+    if (wg_registry_is_superseded(r, now, received)) {
+        return WG_HEARTBEAT_SUPERSEDED;
+    }
     if (!target || wg_target_is_later_incarnation(target, received)) {
         return WG_HEARTBEAT_CHANGED;
     }
@@ -195,7 +222,7 @@
     if (wg_target_ended(target)) {
         bool revive = received->sequence > target->received_sequence &&
                       wg_registry_may_revive(target, received) &&
-                      !wg_registry_holder_is_live(r, now, target);
+                      !wg_registry_stays_replaced(r, now, target);
         return revive ? WG_HEARTBEAT_CHANGED : WG_HEARTBEAT_OUTDATED;
     }
     bool leave = received->state == WG_TARGET_REMOVED;
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -13,9 +13,11 @@
         - draining and removed are final for an incarnation; only an unresponsive one comes back
         - a target may restart under the same id: the later start is a new incarnation with its own
           number and sequence and ends the earlier one, whose late messages change nothing
-        - a new incarnation at an address replaces the previous holder. The previous one comes back
-          only if it sends heartbeats while the new one does not, since the first heartbeat of a
-          target that crashed may arrive after those of its replacement
+        - a new incarnation at an address replaces the previous holder. The first heartbeat of a
+          target that crashed may arrive after those of its replacement: the later start holds the
+          address as long as it sends heartbeats, and takes it back with its next one. Where start
+          times are not reported, the previous holder comes back only if it sends heartbeats while
+          the new one does not
         - targets of an evacuated data centre accept no work; when the evacuation ends they count as
           cold, since they may have lost their caches meanwhile
         - a bounded number of ended records is kept, so that late heartbeats do not revive them
@@ -82,8 +84,10 @@
 
 typedef enum {
     WG_HEARTBEAT_OUTDATED = 0, /* outdated, or of an ended incarnation: only acknowledge it */
-    WG_HEARTBEAT_UNCHANGED,    /* a newer heartbeat without changes */
-    WG_HEARTBEAT_CHANGED       /* a change that has to be agreed on before it is acknowledged */
+    /* Of a process that has ended, as a later one sends heartbeats from its address: the same. */
+    WG_HEARTBEAT_SUPERSEDED,
+    WG_HEARTBEAT_UNCHANGED, /* a newer heartbeat without changes */
+    WG_HEARTBEAT_CHANGED    /* a change that has to be agreed on before it is acknowledged */
 } wg_heartbeat_result;
 
 typedef struct {
@@ -105,6 +109,8 @@
 /* Classifies a heartbeat or a deregistration, and updates the target's last contact. */
 wg_heartbeat_result wg_registry_receive(wg_registry* registry, wg_time now,
                                         const wg_target* received);
+/* Returns the target at an address that has not ended, or NULL. */
+const wg_target* wg_registry_holder(const wg_registry* registry, const char* address);
 /* Applies an agreed change; deterministic on every replica. */
 void wg_registry_apply(wg_registry* registry, wg_time now, const wg_target* record);
 /* Applies an agreed evacuation; false if it changes nothing or exceeds
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -456,6 +456,56 @@
 }
 END_TEST
 
+/* ---- processes that follow each other at one address ---- */
+
+static wg_heartbeat_result receive_started(wg_registry* r, wg_time now, const char* id,
+                                           uint64_t born, uint64_t sequence) {
+    wg_target t = record(id, WG_TARGET_READY, sequence, "10.0.0.1:1");
+    t.born = born;
+    wg_heartbeat_result result = wg_registry_receive(r, now, &t);
+    if (result == WG_HEARTBEAT_CHANGED) {
+        wg_registry_apply(r, now, &t);
+    }
+    return result;
+}
+
+/* Guards against the end of a target that serves, for a first heartbeat that was delayed until
+   after its sender had crashed: of an id that was never heard of, or of a later start of one. */
+START_TEST(late_first_heartbeat_does_not_end_the_target_that_holds_its_address) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    receive_started(r, 0, "earlier", 1000, 1);
+    receive_started(r, 0, "serves", 3000, 1);
+    for (uint64_t i = 2; i < 8; i++) {
+        wg_time now = (wg_time)i * SECOND;
+        ck_assert_int_eq(receive_started(r, now, "never-heard", 2000, i), WG_HEARTBEAT_SUPERSEDED);
+        ck_assert_int_eq(receive_started(r, now, "earlier", 2500, i), WG_HEARTBEAT_SUPERSEDED);
+        ck_assert_int_eq(receive_started(r, now, "serves", 3000, i), WG_HEARTBEAT_UNCHANGED);
+        ck_assert_int_eq(state_of(r, "serves"), WG_TARGET_READY);
+    }
+    ck_assert_int_eq(state_of(r, "never-heard"), WG_TARGET_DEFAULT);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
+/* Guards against a replacement that has to wait until its predecessor counts as silent, and against
+   an address that stays with a target that sends no heartbeats. */
+START_TEST(later_start_takes_the_address_at_once_and_silence_gives_it_to_any) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    receive_started(r, 0, "first", 1000, 1);
+    ck_assert_int_eq(receive_started(r, 1, "second", 2000, 1), WG_HEARTBEAT_CHANGED);
+    ck_assert_int_eq(state_of(r, "first"), WG_TARGET_REMOVED);
+    wg_time late = 1 + WG_REGISTRY_HOLDER_TIMEOUT_DEFAULT;
+    ck_assert_int_eq(receive_started(r, late, "delayed", 1500, 1), WG_HEARTBEAT_SUPERSEDED);
+    ck_assert_int_eq(receive_started(r, late + 1, "delayed", 1500, 2), WG_HEARTBEAT_CHANGED);
+    ck_assert_int_eq(state_of(r, "delayed"), WG_TARGET_READY);
+    /* It was alive all the time, and only its heartbeats were held up. */
+    ck_assert_int_eq(receive_started(r, late + 2, "second", 2000, 2), WG_HEARTBEAT_CHANGED);
+    ck_assert_int_eq(state_of(r, "second"), WG_TARGET_READY);
+    ck_assert_int_eq(state_of(r, "delayed"), WG_TARGET_REMOVED);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 START_TEST(deregistered_target_may_register_again) {
     wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
     receive_incarnation(r, 0, 1000, WG_TARGET_DRAINING, 5);
@@ -556,6 +606,8 @@
              late_first_heartbeat_does_not_end_a_live_target,
              late_heartbeat_does_not_replace_the_replacement, transition_to_cold_is_a_change,
              evacuated_targets_accept_nothing, copies_match_after_ended_records_are_dropped,
+             late_first_heartbeat_does_not_end_the_target_that_holds_its_address,
+             later_start_takes_the_address_at_once_and_silence_gives_it_to_any,
              restarted_target_is_another_incarnation,
              version_is_in_doubt_around_a_restart_that_came_to_be_known_late,
              version_of_a_target_whose_record_was_dropped_is_sure,
