Entry hosts: a draining target that ends before it has drained, or without deregistering, has crashed

Cause: an answer that ends with its connection is checked by a new connection, but the check was left out for any draining or removed target, "as it ends as planned". A planned end comes after the drain and after a deregistration; neither was kept. Change: the registry keeps since when a target leaves and whether it deregistered, and decides what an end shows. Only answers of a draining target that refuses connections after its drain wait, 1.5 s at most, for its deregistration. The same decision for evidence against requests. Setting drain_ms; the template's 0 before the gap stands for "not known" where the platform states none.

--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -40,6 +40,10 @@
             "time after the acknowledgement of a configuration within which each host in contact "
             "obeys it; a host without word of a leader for most of it looks for one before it "
             "decides; 0: it decides by what it has"),
+    WG_REAL(
+        "timing", drain_ms, "0", 0, 600000, "ms",
+        "how long targets serve on at least after their leaving was acknowledged: one that ends "
+        "before has crashed; 0: not known, each target that has deregistered ends as planned"),
     WG_NUMBER("timing", order_ms, "900", 50, 60000, "ms",
               "longest wait for the leader's answer to an order"),
     /* Covers an election (0.5 s) and the 1.5 s after which a new leader distributes the roster,
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -49,6 +49,7 @@
     double grace_s;
     int64_t link_silence_ms;
     double configuration_ms;
+    double drain_ms;
     int64_t order_ms;
     int64_t cold_settle_ms;
     int64_t standby_ms;
--- a/lib/entry/wg_entry_check.c
+++ b/lib/entry/wg_entry_check.c
@@ -285,11 +285,8 @@
 }
 
 void wg_entry_check_target(wg_entry* e, const wg_call* call, const wg_upstream* up) {
-    const wg_target* target = wg_registry_find(e->registry, up->target);
-    bool expected =
-        target && target->state != WG_TARGET_DRAINING && target->state != WG_TARGET_REMOVED;
-    if (!expected) {
-        return; /* draining or removed: its end is no evidence against the request */
+    if (wg_entry_end_kind(e, up->target, wg_now()) != WG_END_UNPLANNED) {
+        return; /* it may have ended as planned, which is no evidence against the request */
     }
     wg_check* check = g_hash_table_lookup(e->checks, GUINT_TO_POINTER(up->target));
     if (!check) {
--- a/lib/entry/wg_entry_ends.c
+++ b/lib/entry/wg_entry_ends.c
@@ -4,6 +4,9 @@
    connection: if it is refused, the target has ended, and the answer is not complete. Otherwise its
    end is as sure as its target made it.
 
+   A target that ends as planned has finished its answers. It has deregistered before, which this
+   host may learn a little later than that it refuses connections: only then is that waited for.
+
    The request of such an answer counts as one that ended well only once its target has outlived the
    answer for some seconds. */
 #include "wg_entry_internal.h"
@@ -18,6 +21,10 @@
     WG_END_CHECK_SHARED = 2 * WG_USEC_PER_MSEC,
     WG_END_CHECK_TIMEOUT = 250 * WG_USEC_PER_MSEC, /* to connect; the same as for requests */
     WG_END_CHECK_TRIES = 2,
+    /* For the deregistration of a draining target that refuses connections: a commit, and the
+       interval at which a large fleet tells its hosts of changes. */
+    WG_DEREGISTRATION_WAIT = 1500 * WG_USEC_PER_MSEC,
+    WG_DEREGISTRATION_INTERVAL = 50 * WG_USEC_PER_MSEC, /* between two looks at the registry */
     /* As long as the registry may take to report that a target ended or was replaced. */
     WG_OUTLIVED_TIME = 5 * WG_USEC_PER_SEC,
     /* Requests and parts of prompts, 128 KB; beyond it the oldest are not cleared. */
@@ -31,7 +38,8 @@
     struct bufferevent* bev; /* NULL: waits before it connects */
     struct event* timer;
     int tries;
-    GPtrArray* ended; /* wg_upstream whose answers wait for the result */
+    wg_time refused_at; /* since when it waits for a deregistration; 0: it does not */
+    GPtrArray* ended;   /* wg_upstream whose answers wait for the result */
 };
 
 /* Request whose answer ended with its connection, or a part of its prompt. */
@@ -73,6 +81,24 @@
     g_ptr_array_remove_fast(e->end_checks, check);
 }
 
+/* The target has ended: whether as planned may not be known yet. */
+static void _wg_end_check_refused(wg_end_check* check) {
+    static const char* const kinds[] = {[WG_END_UNPLANNED] = "unplanned",
+                                        [WG_END_UNDECIDED] = "undecided",
+                                        [WG_END_PLANNED] = "planned"};
+    wg_time now = wg_now();
+    wg_end_kind kind = wg_entry_end_kind(check->entry, check->target, now);
+    check->refused_at = check->refused_at ? check->refused_at : now;
+    if (kind == WG_END_UNDECIDED && now - check->refused_at < WG_DEREGISTRATION_WAIT) {
+        _wg_end_check_wait(check, WG_DEREGISTRATION_INTERVAL);
+        return;
+    }
+    wg_log(WG_EVENT_ANSWERS_CUT, "target=%u end=%s answers=%u waited_ms=%" G_GINT64_FORMAT,
+           check->target, kinds[kind], check->ended->len,
+           (now - check->refused_at) / WG_USEC_PER_MSEC);
+    _wg_end_check_finish(check, kind != WG_END_PLANNED);
+}
+
 /* The connection takes the place of those that ended with their answers, so that checks open none
    beyond those of requests. */
 static void _wg_end_check_connected(wg_end_check* check) {
@@ -88,8 +114,10 @@
     wg_end_check* check = user_data;
     if (what & BEV_EVENT_CONNECTED) {
         _wg_end_check_connected(check);
+    } else if (EVUTIL_SOCKET_ERROR() == ECONNREFUSED) {
+        _wg_end_check_refused(check);
     } else {
-        _wg_end_check_finish(check, EVUTIL_SOCKET_ERROR() == ECONNREFUSED);
+        _wg_end_check_finish(check, false);
     }
 }
 
@@ -114,7 +142,9 @@
     (void)fd;
     (void)what;
     wg_end_check* check = user_data;
-    if (check->tries == WG_END_CHECK_TRIES || !_wg_end_check_connect(check)) {
+    if (check->refused_at) {
+        _wg_end_check_refused(check);
+    } else if (check->tries == WG_END_CHECK_TRIES || !_wg_end_check_connect(check)) {
         _wg_end_check_finish(check, false);
     }
 }
@@ -142,12 +172,6 @@
     return NULL;
 }
 
-/* Whether an end of the target shows anything: a draining or removed one ends as planned. */
-static bool _wg_end_check_is_useful(const wg_entry* e, uint32_t number) {
-    const wg_target* target = wg_registry_find(e->registry, number);
-    return target && target->state != WG_TARGET_DRAINING && target->state != WG_TARGET_REMOVED;
-}
-
 /* ---- functions of the library ---------------------------------------------------------------- */
 
 void wg_entry_ends_setup(wg_entry* e) {
@@ -160,9 +184,14 @@
     g_array_unref(e->unsure_ends);
 }
 
+wg_end_kind wg_entry_end_kind(const wg_entry* e, uint32_t number, wg_time now) {
+    wg_time drain_time = (wg_time)(e->settings->drain_ms * WG_USEC_PER_MSEC);
+    return wg_target_end_kind(wg_registry_find(e->registry, number), now, drain_time);
+}
+
 bool wg_entry_ends_check(wg_entry* e, wg_upstream* up) {
     wg_time now = wg_now();
-    if (!_wg_end_check_is_useful(e, up->target)) {
+    if (wg_entry_end_kind(e, up->target, now) == WG_END_PLANNED) {
         return false;
     }
     wg_end_check* check = _wg_end_check_find(e, up->target, now);
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -773,6 +773,8 @@
 void wg_entry_ends_setup(wg_entry* e);
 void wg_entry_ends_shutdown(wg_entry* e);
 void wg_entry_ends_tick(wg_entry* e, wg_time now);
+/* What it shows that the process of a target has ended. */
+wg_end_kind wg_entry_end_kind(const wg_entry* e, uint32_t target, wg_time now);
 /* Checks whether a target has ended after it closed the connection that delimits its answer, and
    calls wg_call_answer_checked(). False: there is no check. */
 bool wg_entry_ends_check(wg_entry* e, wg_upstream* up);
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -5,7 +5,9 @@
 
 enum {
     /* Tolerates delayed heartbeats, which report a cold time that ends later than it does. */
-    WG_COLD_TOLERANCE = 100 * WG_USEC_PER_MSEC
+    WG_COLD_TOLERANCE = 100 * WG_USEC_PER_MSEC,
+    /* Tolerates that a host learns of a target's leaving later than the target itself. */
+    WG_LEAVING_TOLERANCE = 500 * WG_USEC_PER_MSEC
 };
 
 struct wg_registry {
@@ -29,6 +31,10 @@
     return target->state == WG_TARGET_REMOVED;
 }
 
+static bool wg_target_is_leaving(wg_target_state state) {
+    return state == WG_TARGET_DRAINING || state == WG_TARGET_REMOVED;
+}
+
 static void wg_registry_record_change(wg_registry* r, wg_target* target) {
     target->change = ++r->change;
 }
@@ -61,11 +67,20 @@
     }
 }
 
+/* Takes over the state of a record, and notes since when the target is leaving. */
+static void wg_target_set_state(wg_target* target, wg_time now, wg_target_state state) {
+    bool leaving = wg_target_is_leaving(state);
+    bool was_leaving = wg_target_is_leaving(target->state);
+    target->leaving_at = !leaving ? 0 : was_leaving ? target->leaving_at : now;
+    target->ended_at = state == WG_TARGET_REMOVED ? now : 0;
+    target->deregistered = target->deregistered && leaving;
+    target->state = state;
+}
+
 static void wg_registry_end(wg_registry* r, wg_time now, wg_target* target) {
     if (!wg_target_ended(target)) {
         wg_registry_unindex(r, target);
-        target->state = WG_TARGET_REMOVED;
-        target->ended_at = now;
+        wg_target_set_state(target, now, WG_TARGET_REMOVED);
         wg_registry_record_change(r, target);
         wg_registry_index(r, target);
     }
@@ -244,7 +259,9 @@
 static void wg_registry_create(wg_registry* r, wg_time now, const wg_target* record) {
     wg_target numbered = *record;
     numbered.number = r->next_number++;
-    numbered.ended_at = wg_target_ended(record) ? now : 0;
+    numbered.deregistered = wg_target_ended(record);
+    numbered.state = WG_TARGET_DEFAULT;
+    wg_target_set_state(&numbered, now, record->state);
     wg_target* target = wg_registry_add(r, &numbered);
     target->last_contact_at = now;
     target->received_sequence = record->sequence;
@@ -275,6 +292,7 @@
         return;
     }
     if (record->state == WG_TARGET_REMOVED) {
+        target->deregistered = true;
         wg_registry_end(r, now, target);
         wg_registry_prune(r);
         return;
@@ -305,8 +323,7 @@
     wg_copy_name(target->version, sizeof target->version, record->version);
     target->slots = record->slots;
     target->cold_until = MAX(target->cold_until, record->cold_until);
-    target->state = state;
-    target->ended_at = 0;
+    wg_target_set_state(target, now, state);
     target->sequence = MAX(target->sequence, record->sequence);
     target->received_sequence = MAX(target->received_sequence, target->sequence);
     target->last_contact_at = now;
@@ -382,6 +399,22 @@
     }
 }
 
+wg_end_kind wg_target_end_kind(const wg_target* target, wg_time now, wg_time drain_time) {
+    if (!target) {
+        return WG_END_PLANNED;
+    }
+    if (!wg_target_is_leaving(target->state) || target->replaced) {
+        return WG_END_UNPLANNED;
+    }
+    if (drain_time > 0 && now - target->leaving_at < drain_time - WG_LEAVING_TOLERANCE) {
+        return WG_END_UNPLANNED;
+    }
+    if (target->deregistered) {
+        return WG_END_PLANNED;
+    }
+    return target->state == WG_TARGET_DRAINING ? WG_END_UNDECIDED : WG_END_UNPLANNED;
+}
+
 static bool wg_target_is_in_use(const wg_target* target) {
     return target->state == WG_TARGET_READY || target->state == WG_TARGET_DRAINING;
 }
@@ -541,11 +574,15 @@
     out->cold_us = (uint64_t)MAX(target->cold_until - now, 0);
     out->replaced = target->replaced;
     out->ended_us = wg_target_ended(target) ? (uint64_t)MAX(now - target->ended_at, 0) : 0;
+    out->leaving_us = target->leaving_at ? (uint64_t)MAX(now - target->leaving_at, 0) : 0;
+    out->deregistered = target->deregistered;
 }
 
 bool wg_target_unpack(const Wgpb__TargetRecord* in, wg_time now, wg_target* target) {
     wg_time cold = (wg_time)MIN(in->cold_us, (uint64_t)WG_TARGET_COLD_MAX);
     wg_time ended = (wg_time)MIN(in->ended_us, 2 * (uint64_t)WG_REGISTRY_ENDED_TIME);
+    wg_time leaving = (wg_time)MIN(in->leaving_us, 2 * (uint64_t)WG_REGISTRY_ENDED_TIME);
+    bool leaves = wg_target_is_leaving((wg_target_state)in->state);
     *target = (wg_target){.born = in->born,
                           .slots = in->slots,
                           .state = (wg_target_state)in->state,
@@ -554,6 +591,8 @@
                           .change = in->change,
                           .cold_until = cold > 0 ? now + cold : 0,
                           .ended_at = in->state == WG_TARGET_REMOVED ? now - ended : 0,
+                          .leaving_at = leaves ? now - leaving : 0,
+                          .deregistered = in->deregistered,
                           .replaced = in->replaced};
     return in->id[0] && in->state > WG_TARGET_DEFAULT && in->state <= WG_TARGET_REMOVED &&
            wg_copy_name(target->id, sizeof target->id, in->id) &&
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -18,6 +18,8 @@
           address as long as it sends heartbeats, and takes it back with its next one. Where start
           times are not reported, the previous holder comes back only if it sends heartbeats while
           the new one does not
+        - tells the planned end of a target's process from any other: a target serves on for some
+   time after its leaving was acknowledged, and deregisters before it ends
         - targets of an evacuated data centre accept no work; when the evacuation ends they count as
           cold, since they may have lost their caches meanwhile
         - a bounded number of ended records is kept, so that late heartbeats do not revive them
@@ -78,6 +80,8 @@
     wg_time cold_until;      /* end of the period with reduced load; 0: not cold */
     bool replaced;           /* removed because another incarnation took its id or address */
     wg_time ended_at;        /* of a removed one: when; 0: not removed */
+    wg_time leaving_at;      /* when it became draining or removed; 0: neither */
+    bool deregistered;       /* removed by its own word */
     wg_time last_contact_at; /* not replicated */
     uint64_t received_sequence; /* not replicated */
 } wg_target;
@@ -90,11 +94,23 @@
     WG_HEARTBEAT_CHANGED    /* a change that has to be agreed on before it is acknowledged */
 } wg_heartbeat_result;
 
+/* What it shows that a target's process has ended. */
+typedef enum {
+    WG_END_UNPLANNED = 0, /* the target crashed: what it was sending is not whole */
+    WG_END_UNDECIDED,     /* planned if its deregistration is on its way to this host */
+    WG_END_PLANNED
+} wg_end_kind;
+
 typedef struct {
     int ended_max;          /* default WG_REGISTRY_ENDED_DEFAULT */
     wg_time holder_timeout; /* microseconds; default WG_REGISTRY_HOLDER_TIMEOUT_DEFAULT */
 } wg_registry_desc;
 
+/* Tells what it shows that the target's process has ended by `now`. `drain_time`: how long targets
+   serve on at least after their leaving was acknowledged, microseconds; 0: not known. `target` may
+   be NULL, a record that was dropped. */
+wg_end_kind wg_target_end_kind(const wg_target* target, wg_time now, wg_time drain_time);
+
 /* Begins or ends the evacuation of a data centre, whose targets accept no requests meanwhile. */
 typedef struct {
     const char* data_centre;
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -464,10 +464,18 @@
    * time since it was removed
    */
   uint64_t ended_us;
+  /*
+   * time since it was first known to be draining or removed
+   */
+  uint64_t leaving_us;
+  /*
+   * removed by its own word, which precedes a planned end
+   */
+  protobuf_c_boolean deregistered;
 };
 #define WGPB__TARGET_RECORD__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__target_record__descriptor) \
-    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0 }
+    , (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0, 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0 }
 
 
 /*
--- a/tests/fakes/fake_target.c
+++ b/tests/fakes/fake_target.c
@@ -3,10 +3,11 @@
    Arguments: address=ip:port id=NAME service=NAME orders=ip:port,... (where it registers)
    advertise=ip:port (the address that it registers, by default its own) runs=FILE data_centre=NAME
    cold_ms=N (how long after its start it is cold) first_heartbeat_ms=N (when it first registers,
-   after its start) and the faults of fake.h. SIGHUP drains it. A request whose body begins with
-   CRASH_BODY ends the process when its work_us are over. A request with the part CRASH_PART in its
-   prompt, but not as its last one, ends it after 0 to 3 events. It keeps no cache list. A request
-   for .../large/N is answered with N further bytes, see large_byte().
+   after its start) and the faults of fake.h. SIGHUP drains it: it serves on for
+   DRAIN_SERVE_TIME_US, deregisters, and ends with its last request. A request whose body begins
+   with CRASH_BODY ends the process when its work_us are over. A request with the part CRASH_PART in
+   its prompt, but not as its last one, ends it after 0 to 3 events. It keeps no cache list. A
+   request for .../large/N is answered with N further bytes, see large_byte().
 
    Events are appended to the file `runs`, which outlives a killed process, one line each:
      run ID              a request ran; the next line is its data centre and time, "NAME TIME"
@@ -67,6 +68,8 @@
 static bool drain_acked;
 static wg_time drain_acked_at;
 static struct event* heartbeat;
+static int jobs_num;
+static bool deregistered; /* ends with its last request */
 
 static void write_record(const char* what, const char* id) {
     char line[160];
@@ -124,6 +127,43 @@
 
 static void send_heartbeat(void);
 
+static void end_if_done(void) {
+    if (deregistered && jobs_num == 0) {
+        event_base_loopbreak(target_base);
+    }
+}
+
+/* Sends a message about this target to the next host. */
+static void send_order(struct evhttp_request* request, enum evhttp_cmd_type method) {
+    char ip[64];
+    char path[96];
+    g_strlcpy(ip, order_addresses[order_address_next % g_strv_length(order_addresses)], sizeof ip);
+    char* colon = strchr(ip, ':');
+    *colon = 0;
+    struct evhttp_connection* connection =
+        evhttp_connection_base_new(target_base, NULL, ip, (ev_uint16_t)atoi(colon + 1));
+    evhttp_connection_set_timeout(connection, 1);
+    evhttp_connection_free_on_completion(connection);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
+    g_snprintf(path, sizeof path, "/v1/targets/%s", target_id);
+    evhttp_make_request(connection, request, method, path);
+}
+
+static void on_deregistered(struct evhttp_request* request, void* user_data) {
+    (void)request;
+    (void)user_data;
+    deregistered = true;
+    end_if_done();
+}
+
+static void on_serve_time_over(evutil_socket_t fd, short what, void* user_data) {
+    (void)fd;
+    (void)what;
+    (void)user_data;
+    event_del(heartbeat);
+    send_order(evhttp_request_new(on_deregistered, NULL), EVHTTP_REQ_DELETE);
+}
+
 static void on_heartbeat_done(struct evhttp_request* request, void* user_data) {
     bool drain = user_data != NULL;
     bool good = request && evhttp_request_get_response_code(request) == 200;
@@ -135,7 +175,7 @@
         write_record("drained", target_id);
         struct timeval wait = {.tv_sec = DRAIN_SERVE_TIME_US / 1000000,
                                .tv_usec = DRAIN_SERVE_TIME_US % 1000000};
-        event_base_loopexit(target_base, &wait);
+        event_base_once(target_base, -1, EV_TIMEOUT, on_serve_time_over, NULL, &wait);
     }
 }
 
@@ -143,17 +183,8 @@
     if (wg_now() < started_at + first_heartbeat_time) {
         return;
     }
-    char ip[64];
-    g_strlcpy(ip, order_addresses[order_address_next % g_strv_length(order_addresses)], sizeof ip);
-    char* colon = strchr(ip, ':');
-    *colon = 0;
-    struct evhttp_connection* connection =
-        evhttp_connection_base_new(target_base, NULL, ip, (ev_uint16_t)atoi(colon + 1));
-    evhttp_connection_set_timeout(connection, 1);
-    evhttp_connection_free_on_completion(connection);
     struct evhttp_request* request =
         evhttp_request_new(on_heartbeat_done, draining ? &draining : NULL);
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", "orders");
     evbuffer_add_printf(
         evhttp_request_get_output_buffer(request),
         "{\"service\":\"%s\",\"address\":\"%s\",\"data_centre\":\"%s\",\"version\":\"v%d\","
@@ -162,9 +193,7 @@
         target_service, registered_address ? registered_address : fake_address, data_centre,
         (int)MAX(fake.version, 1), (int)fake.slots, draining ? "draining" : "ready",
         (int)++sequence, (int)(cold_time_left() / WG_USEC_PER_MSEC), incarnation);
-    char path[96];
-    g_snprintf(path, sizeof path, "/v1/targets/%s", target_id);
-    evhttp_make_request(connection, request, EVHTTP_REQ_PUT, path);
+    send_order(request, EVHTTP_REQ_PUT);
 }
 
 static void on_heartbeat(evutil_socket_t fd, short what, void* user_data) {
@@ -189,6 +218,8 @@
 static void job_end(job_t* job) {
     event_free(job->timer);
     g_free(job);
+    jobs_num--;
+    end_if_done();
 }
 
 static void on_caller_disconnected(struct evhttp_connection* connection, void* user_data) {
@@ -397,6 +428,7 @@
         write_time_record("late");
     }
     job_t* job = g_new0(job_t, 1);
+    jobs_num++;
     job->request = request;
     job->timer = evtimer_new(target_base, on_job, job);
     job->crashes = has_crash_body(request) || has_crash_part(request);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -83,6 +83,7 @@
     bool load_control;   /* admission and overload control are on, see their groups of settings */
     bool handoff;        /* entry processes hand requests off to each other */
     int retry_slack;     /* setting `retry_slack` of entry processes; 0: the default */
+    int drain_ms;        /* setting `drain_ms` of entry processes; 0: the default */
     int standby_ms;      /* setting `standby_ms` of entry processes; 0: the default */
     bool engines;        /* service "app" takes prompts, see hosts_put_version() */
     bool direct_targets; /* hosts connect to targets without proxies */
--- a/tests/test_answer_ends.c
+++ b/tests/test_answer_ends.c
@@ -22,6 +22,7 @@
     EVENTS = 20,     /* of a stream */
     DONE_MS = 8000,  /* until all callers have their answers */
     LARGE = 200000,  /* bytes of a large answer */
+    DRAIN_MS = 2000, /* for which a target serves on after it said that it leaves */
     RETRIES = 2000,  /* budget of the fleet: it must not be what ends a stream */
     ID_SIZE = 32
 };
@@ -218,9 +219,10 @@
     }
 }
 
-static void begin(fleet* f) {
+static void begin_with_drain_time(fleet* f, int drain_ms) {
     *f = (fleet){.base = event_base_new()};
     hosts_setup(&f->h, f->base, HOSTS, DISKS, TARGETS);
+    f->h.drain_ms = drain_ms;
     hosts_use_deployed_timing(&f->h);
     f->h.retry_slack = RETRIES;
     f->h.direct_targets = true; /* a proxy would accept connections for a target that has ended */
@@ -243,6 +245,10 @@
     }
 }
 
+static void begin(fleet* f) {
+    begin_with_drain_time(f, 0);
+}
+
 static void begin_with(fleet* f, const char* faults) {
     begin(f);
     for (int i = 0; i < TARGETS; i++) {
@@ -250,6 +256,14 @@
     }
 }
 
+/* Streams end with their connections, and last long enough for a target to drain meanwhile. */
+static void begin_draining(fleet* f, int drain_ms) {
+    begin_with_drain_time(f, drain_ms);
+    for (int i = 0; i < TARGETS; i++) {
+        set_faults(f, i, "framing=1&ends=0&pace_us=60000");
+    }
+}
+
 /* Targets that have ended. */
 static int crashed_targets(fleet* f) {
     int num = 0;
@@ -411,6 +425,90 @@
 }
 END_TEST
 
+/* The target that has received the most requests. */
+static host_target* busiest_target(fleet* f) {
+    gsize most = 0;
+    host_target* busiest = &f->h.targets[0];
+    for (int i = 0; i < TARGETS; i++) {
+        char* path = g_strdup_printf("%s/runs-%d", f->h.folder, f->h.targets[i].number);
+        char* runs = NULL;
+        gsize size = 0;
+        g_file_get_contents(path, &runs, &size, NULL);
+        busiest = size > most ? &f->h.targets[i] : busiest;
+        most = MAX(size, most);
+        g_free(runs);
+        g_free(path);
+    }
+    return busiest;
+}
+
+/* Streams are at a target that drains; it crashes before it has drained. */
+static outcome ask_as_a_draining_target_crashes(fleet* f, const char* prefix) {
+    char* path = g_strdup_printf("%s%d", prefix, EVENTS);
+    callers_start(f, path, 0);
+    hosts_run_for(&f->h, SPREAD_MS + 200);
+    host_target* t = busiest_target(f);
+    kill(t->pid, SIGHUP);
+    hosts_run_for(&f->h, 500); /* all hosts know */
+    kill(t->pid, SIGKILL);
+    waitpid(t->pid, NULL, 0);
+    t->pid = 0;
+    callers_wait(f);
+    outcome o = outcome_of(f);
+    g_free(path);
+    return o;
+}
+
+/* Guards against a host that takes any end of a draining target for a planned one. `drain_ms`: 0:
+   the host does not know how long targets serve on, and waits for the deregistration. */
+static void check_crash_of_a_draining_target(int drain_ms) {
+    fleet f;
+    begin_draining(&f, drain_ms);
+    outcome o = ask_as_a_draining_target_crashes(&f, "/stream/");
+    end(&f, o.whole == CALLERS);
+    ck_assert_int_eq(o.whole, CALLERS);
+    begin_draining(&f, drain_ms);
+    o = ask_as_a_draining_target_crashes(&f, "/once/stream/");
+    end(&f, o.open_short == 0);
+    ck_assert_int_eq(o.open_short, 0);
+    ck_assert_int_gt(o.failed, 0); /* streams were there */
+}
+
+START_TEST(streams_of_a_draining_target_that_crashes_go_on) {
+    check_crash_of_a_draining_target(DRAIN_MS);
+}
+END_TEST
+
+START_TEST(streams_of_a_draining_target_that_ends_without_a_word_go_on) {
+    check_crash_of_a_draining_target(0);
+}
+END_TEST
+
+/* Guards against a host that takes a planned end for a crash: the target ends with the last of its
+   streams, so that its address refuses connections right after them. */
+START_TEST(last_streams_of_a_target_that_ends_as_planned_are_whole) {
+    fleet f;
+    begin_draining(&f, DRAIN_MS);
+    char* path = g_strdup_printf("/once/stream/%d", EVENTS);
+    for (int i = 0; i < TARGETS; i++) {
+        set_faults(&f, i, "pace_us=210000"); /* longer than the target drains */
+    }
+    callers_start(&f, path, 0);
+    hosts_run_for(&f.h, SPREAD_MS + 200);
+    host_target* t = busiest_target(&f);
+    kill(t->pid, SIGHUP);
+    callers_wait(&f);
+    outcome o = outcome_of(&f);
+    g_free(path);
+    hosts_run_for(&f.h, 100);
+    bool ended = waitpid(t->pid, NULL, WNOHANG) == t->pid;
+    t->pid = ended ? 0 : t->pid;
+    end(&f, o.whole == CALLERS);
+    ck_assert_int_eq(o.whole, CALLERS);
+    ck_assert(ended);
+}
+END_TEST
+
 /* Guards against a host's own end that closes answers which are delimited by their connection. */
 START_TEST(answers_cut_by_the_end_of_a_host_are_not_complete) {
     fleet f;
@@ -441,4 +539,7 @@
              whole_answers_that_end_with_their_connection_are_delivered,
              streams_of_a_target_that_crashes_go_on,
              answers_of_a_target_that_crashes_are_asked_for_again,
+             streams_of_a_draining_target_that_crashes_go_on,
+             streams_of_a_draining_target_that_ends_without_a_word_go_on,
+             last_streams_of_a_target_that_ends_as_planned_are_whole,
              answers_cut_by_the_end_of_a_host_are_not_complete)
--- a/tests/test_registry.c
+++ b/tests/test_registry.c
@@ -506,6 +506,77 @@
 }
 END_TEST
 
+/* Guards against the end of a target that is taken for planned because the target was leaving, and
+   against a planned one that is taken for a crash; in a copy, too. */
+START_TEST(planned_end_is_one_after_a_drain_and_a_deregistration) {
+    enum {
+        DRAIN = 2 * SECOND,
+        SOON = DRAIN / 4,
+        LATER = 2 * DRAIN,
+        BEGIN = SECOND
+    };
+    static const struct {
+        wg_target_state states[2]; /* that the target reports one after the other */
+        bool silent;               /* it counts as unresponsive at the end */
+        wg_end_kind soon;          /* it ends before it has drained */
+        wg_end_kind later;
+        wg_end_kind soon_unknown; /* the host does not know how long targets drain */
+    } cases[] = {
+        {{WG_TARGET_READY, WG_TARGET_READY},
+         false,
+         WG_END_UNPLANNED,
+         WG_END_UNPLANNED,
+         WG_END_UNPLANNED},
+        {{WG_TARGET_DRAINING, 0}, false, WG_END_UNPLANNED, WG_END_UNDECIDED, WG_END_UNDECIDED},
+        {{WG_TARGET_REMOVED, 0}, false, WG_END_UNPLANNED, WG_END_PLANNED, WG_END_PLANNED},
+        {{WG_TARGET_DRAINING, WG_TARGET_REMOVED},
+         false,
+         WG_END_UNPLANNED,
+         WG_END_PLANNED,
+         WG_END_PLANNED},
+        {{WG_TARGET_DRAINING, 0}, true, WG_END_UNPLANNED, WG_END_UNPLANNED, WG_END_UNPLANNED},
+    };
+    for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+        wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+        wg_registry* copy = wg_registry_setup(&(wg_registry_desc){0});
+        receive(r, 0, "a", WG_TARGET_READY, 1);
+        for (uint64_t s = 0; s < 2 && cases[i].states[s]; s++) {
+            receive(r, BEGIN + (wg_time)s, "a", cases[i].states[s], 2 + s);
+        }
+        if (cases[i].silent) {
+            wg_target unresponsive = record("a", WG_TARGET_UNRESPONSIVE, 2, "10.0.0.1:1");
+            wg_registry_apply(r, BEGIN + 1, &unresponsive);
+        }
+        wg_time copied_at = BEGIN + SOON / 2;
+        Wgpb__RegistryState* state = wg_registry_dump(r, copied_at);
+        ck_assert(wg_registry_load(copy, copied_at, state));
+        wgpb__registry_state__free_unpacked(state, NULL);
+        const wg_registry* both[] = {r, copy};
+        for (int c = 0; c < 2; c++) {
+            const wg_target* t = wg_registry_find(both[c], 1);
+            ck_assert_int_eq(wg_target_end_kind(t, BEGIN + SOON, DRAIN), cases[i].soon);
+            ck_assert_int_eq(wg_target_end_kind(t, BEGIN + LATER, DRAIN), cases[i].later);
+            ck_assert_int_eq(wg_target_end_kind(t, BEGIN + SOON, 0), cases[i].soon_unknown);
+        }
+        wg_registry_shutdown(copy);
+        wg_registry_shutdown(r);
+    }
+}
+END_TEST
+
+/* Guards against a target that was replaced, so that its process has ended, and counts as one that
+   ended as planned. */
+START_TEST(end_of_a_replaced_target_is_not_planned) {
+    wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
+    receive_started(r, 0, "first", 1000, 1);
+    receive_started(r, SECOND, "second", 2000, 1);
+    const wg_target* first = wg_registry_find(r, 1);
+    ck_assert_int_eq(first->state, WG_TARGET_REMOVED);
+    ck_assert_int_eq(wg_target_end_kind(first, 20 * SECOND, 2 * SECOND), WG_END_UNPLANNED);
+    wg_registry_shutdown(r);
+}
+END_TEST
+
 START_TEST(deregistered_target_may_register_again) {
     wg_registry* r = wg_registry_setup(&(wg_registry_desc){0});
     receive_incarnation(r, 0, 1000, WG_TARGET_DRAINING, 5);
@@ -608,7 +679,8 @@
              evacuated_targets_accept_nothing, copies_match_after_ended_records_are_dropped,
              late_first_heartbeat_does_not_end_the_target_that_holds_its_address,
              later_start_takes_the_address_at_once_and_silence_gives_it_to_any,
-             restarted_target_is_another_incarnation,
+             planned_end_is_one_after_a_drain_and_a_deregistration,
+             end_of_a_replaced_target_is_not_planned, restarted_target_is_another_incarnation,
              version_is_in_doubt_around_a_restart_that_came_to_be_known_late,
              version_of_a_target_whose_record_was_dropped_is_sure,
              version_is_sure_if_the_target_restarts_with_it,
