--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -106,4 +106,5 @@
     X(2038, STREAM_VERSION_CORRECTED, INFO, "stream began at a later start of its target")         \
     X(2039, TARGET_GONE_BUSY, INFO, "target was removed, or came back, as requests ran there")     \
     X(2040, ANSWERS_CUT, INFO, "target has ended as answers ended with their connections")         \
+    X(2041, TARGET_IDENTITY, WARN, "target did not say that it is the process that is registered") \
     X(6001, LEASES_LAPSED, WARN, "capacity leases of a router expired")
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -275,6 +275,8 @@
         _wgco_entry_receive_report(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORIGIN_ASK) {
         _wgco_receive_origin_ask(c, link, frame);
+    } else if (entry && frame->type == WGW_TYPE_TARGET_ASK) {
+        _wgco_receive_target_ask(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_LEADER_ASK) {
         _wgco_receive_leader_ask(c, link, frame);
     } else if (entry && frame->type == WGW_TYPE_ORDER) {
--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -406,6 +406,8 @@
 /* On the leader: proposes what hosts have reported. */
 void _wgco_origins_tick(wgco_control* c, wg_time now);
 void _wgco_apply_origins(wgco_control* c, const Wgpb__OriginNotes* in);
+/* A host asks when a target was last heard of. */
+void _wgco_receive_target_ask(wgco_control* c, wgn_link link, const wgw_frame* frame);
 void _wgco_receive_origin_ask(wgco_control* c, wgn_link link, const wgw_frame* frame);
 Wgpb__OriginNotes* _wgco_origins_dump(const wgco_control* c);
 void _wgco_origins_metrics(const wgco_control* c, GString* out);
--- a/lib/control/wg_control_orders.c
+++ b/lib/control/wg_control_orders.c
@@ -198,3 +198,24 @@
         _wgco_entry_schedule_push(c);
     }
 }
+
+void _wgco_receive_target_ask(wgco_control* c, wgn_link link, const wgw_frame* frame) {
+    Wgpb__TargetAsk* in = wgpb__target_ask__unpack(NULL, frame->size, frame->payload);
+    if (!in) {
+        wg_log(WG_EVENT_FRAME_BAD, "reason=target-ask");
+        return;
+    }
+    wg_time now = wg_now();
+    const wg_target* target = wg_registry_find(c->registry, in->target);
+    bool leads = c->leads && wgr_leads(c->node, now);
+    Wgpb__TargetAnswer answer = WGPB__TARGET_ANSWER__INIT;
+    answer.ticket = in->ticket;
+    answer.target = in->target;
+    if (leads && target && target->heard_interval > 0) {
+        answer.heard = true;
+        answer.silent_us = (uint64_t)MAX(now - target->heard_at, 0);
+        answer.interval_us = (uint64_t)target->heard_interval;
+    }
+    wgn_send(c->net, link, WGW_TYPE_TARGET_ANSWER, &answer.base);
+    wgpb__target_ask__free_unpacked(in, NULL);
+}
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -120,6 +120,7 @@
                                                 .draining = "Target-Leaving",
                                                 .target_version = "Target-Version",
                                                 .cache_list = "/v1/cache",
+                                                .state = "/v1/state",
                                                 .query_data_centre = "data_centre"};
 
 enum {
@@ -250,6 +251,7 @@
         wg_buffers_record_stall(e->buffers, e->tick_lag.lag_last);
         wg_entry_recovery_record_stall(e, e->tick_lag.lag_last);
         wg_lease_record_stall(&e->lease, now);
+        wg_entry_incarnations_record_stall(e, e->tick_lag.lag_last);
         wg_call_reset_timers(e, now);
     }
     wg_entry_link_tick(e, now);
@@ -316,6 +318,7 @@
     wg_entry_hold_setup(e);
     e->pending_admissions = g_hash_table_new(g_int64_hash, g_int64_equal);
     wg_entry_origins_setup(e);
+    wg_entry_incarnations_setup(e);
     wg_entry_buffers_setup(e);
     wg_entry_turns_setup(e);
     wg_entry_cache_setup(e);
@@ -389,6 +392,7 @@
     wg_entry_handoff_shutdown(e);
     wg_entry_hold_shutdown(e);
     wg_entry_origins_shutdown(e);
+    wg_entry_incarnations_shutdown(e);
     wg_buffers_shutdown(e->buffers);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -92,6 +92,7 @@
     const char* not_run;           /* set by a target that did not run the request */
     const char* draining;          /* `1`: set by a draining target in all answers */
     const char* target_version;    /* software version, set by a target in answers; NULL: none */
+    const char* state;             /* path at which a target tells when it started; NULL: none */
     const char* cache_list;        /* path of a target's list of cached prompt parts; NULL: none */
     const char* query_data_centre; /* data centre of a caller that requests entry hosts */
     /* NULL-terminated list of further fields that only entry hosts may set; removed from callers'
--- a/lib/entry/wg_entry_backoff.c
+++ b/lib/entry/wg_entry_backoff.c
@@ -39,7 +39,8 @@
 
 bool wg_call_may_send(const wg_call* call, const wg_target* target, wg_time now) {
     return wg_entry_may_send(call->entry, target, now) &&
-           (!call->version || strcmp(call->version, target->version) == 0);
+           (!call->version || strcmp(call->version, target->version) == 0) &&
+           wg_call_may_choose_incarnation(call, target, now);
 }
 
 bool wg_entry_may_keep(const wg_entry* e, const wg_target* target) {
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -162,6 +162,8 @@
                     {"targets_leaving_told", c->drains_reported},
                     {"rest_refusals", c->backoff_refusals},
                     {"over_share_refusals", c->over_share_refusals},
+                    {"incarnation_questions", c->incarnation_questions},
+                    {"incarnations_other", c->incarnations_other},
                     {"target_stalls", c->target_stalls},
                     {"callers_cut", c->callers_cut},
                     {"targets_cut", c->targets_cut},
--- a/lib/entry/wg_entry_ends.c
+++ b/lib/entry/wg_entry_ends.c
@@ -96,6 +96,7 @@
     wg_log(WG_EVENT_ANSWERS_CUT, "target=%u end=%s answers=%u waited_ms=%" G_GINT64_FORMAT,
            check->target, kinds[kind], check->ended->len,
            (now - check->refused_at) / WG_USEC_PER_MSEC);
+    wg_entry_doubt_target(check->entry, check->target);
     _wg_end_check_finish(check, kind != WG_END_PLANNED);
 }
 
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -17,6 +17,7 @@
 #include "wg_fingerprint.h"
 #include "wg_handoff.h"
 #include "wg_hold.h"
+#include "wg_incarnation.h"
 #include "wg_lease.h"
 #include "wg_loop.h"
 #include "wg_origin.h"
@@ -181,7 +182,8 @@
     int64_t events;
     int64_t events_before;          /* events relayed before the last attempt */
     char sent_version[WG_NAME_MAX]; /* software version of the last attempt's target */
-    uint32_t sent_target;           /* its number; 0: it stated the version itself */
+    /* its number; 0: it stated the version, or that it is the process of that version, itself */
+    uint32_t sent_target;
     /* Software version that the stream began at; NULL: no event has reached the caller, or not
        known. Points to `version_text`. */
     const char* version;
@@ -224,7 +226,11 @@
     char* bytes;              /* storage that `head` points into */
     size_t heads_size;        /* of the answer's heads so far, informational ones included */
     wg_message_head head;
-    wg_time backoff_time; /* backoff period requested by the answer; 0: none */
+    wg_time backoff_time;   /* backoff period requested by the answer; 0: none */
+    wg_time established_at; /* when the connection came up, or a little later */
+    bool asking;            /* the target was asked when it started, the request follows */
+    wg_time asked_at;       /* when, if `asking` */
+    uint64_t leader_ticket; /* of the question to the leader about the target; 0: none */
     wg_body body;
     struct evbuffer* content; /* answer body not relayed yet */
     bool is_event_stream;
@@ -328,20 +334,22 @@
     uint64_t targets_alive; /* targets that aborted a request, but accept connections */
     uint64_t checks_skipped;
     uint64_t quarantine_refusals;
-    uint64_t backoffs;            /* backoff periods requested by targets */
-    uint64_t drains_reported;     /* targets that reported in an answer that they are draining */
-    uint64_t backoff_refusals;    /* requests refused because all targets are in backoff */
-    uint64_t over_share_refusals; /* requests refused as their workspace is far above its share */
-    uint64_t target_stalls;       /* stalls of targets that this host coordinates */
-    uint64_t callers_cut;         /* connections closed as the caller did not read its answer */
-    uint64_t targets_cut;         /* connections closed as the target did not read the request */
-    uint64_t bodies_refused;      /* requests refused as the host holds too many bytes */
-    uint64_t accept_pauses;       /* pauses of the callers' listener */
-    uint64_t descriptor_refusals; /* requests refused for lack of descriptors */
-    uint64_t idle_targets_closed; /* idle connections to targets closed for new connections */
-    uint64_t handed_off;          /* requests that ended at another host */
-    uint64_t handoffs_failed;     /* those of them whose answer did not arrive complete */
-    uint64_t handoffs_taken;      /* requests of other hosts that this host took */
+    uint64_t backoffs;              /* backoff periods requested by targets */
+    uint64_t drains_reported;       /* targets that reported in an answer that they are draining */
+    uint64_t backoff_refusals;      /* requests refused because all targets are in backoff */
+    uint64_t over_share_refusals;   /* requests refused as their workspace is far above its share */
+    uint64_t incarnation_questions; /* to targets, when they started */
+    uint64_t incarnations_other;    /* answers of another process than the registry names */
+    uint64_t target_stalls;         /* stalls of targets that this host coordinates */
+    uint64_t callers_cut;           /* connections closed as the caller did not read its answer */
+    uint64_t targets_cut;           /* connections closed as the target did not read the request */
+    uint64_t bodies_refused;        /* requests refused as the host holds too many bytes */
+    uint64_t accept_pauses;         /* pauses of the callers' listener */
+    uint64_t descriptor_refusals;   /* requests refused for lack of descriptors */
+    uint64_t idle_targets_closed;   /* idle connections to targets closed for new connections */
+    uint64_t handed_off;            /* requests that ended at another host */
+    uint64_t handoffs_failed;       /* those of them whose answer did not arrive complete */
+    uint64_t handoffs_taken;        /* requests of other hosts that this host took */
 } wg_entry_counters;
 
 /* A complete answer to a request, or on a part of its prompt. */
@@ -442,6 +450,8 @@
 
     /* streams that callers take up: wg_entry_origins.c */
     wg_origins* origins;
+    wg_incarnations* incarnations;
+    GHashTable* target_asks;        /* ticket -> wg_upstream* that waits for the leader's answer */
     wg_origins* unreported_origins; /* for the next report to the leader */
     GHashTable* pending_origins;    /* ticket -> wg_call* */
 
@@ -769,6 +779,33 @@
 /* Checks whether a target has ended after it closed the connection of `call` mid-request. */
 void wg_entry_check_target(wg_entry* e, const wg_call* call, const wg_upstream* up);
 
+/* wg_entry_incarnation.c */
+void wg_entry_incarnations_setup(wg_entry* e);
+void wg_entry_incarnations_shutdown(wg_entry* e);
+/* Any target may have restarted while this process stood still for `duration`. */
+void wg_entry_incarnations_record_stall(wg_entry* e, wg_time duration);
+/* A connection to the target broke off or was refused: it may have restarted. */
+void wg_entry_doubt_target(wg_entry* e, uint32_t target);
+/* Whether the request may be sent to this target, as far as it matters which process is there. */
+bool wg_call_may_choose_incarnation(const wg_call* call, const wg_target* target, wg_time now);
+/* What to do before the request of the connection's call is sent on it. */
+wg_incarnation_step wg_upstream_incarnation_step(const wg_upstream* up, const wg_target* target);
+/* Asks the target on this connection when it started. */
+void wg_upstream_ask(wg_upstream* up, const wg_target* target);
+/* Asks the leader when it heard of the target. May close `up` and free its call. */
+void wg_upstream_ask_leader(wg_upstream* up);
+/* The connection closes: it waits for no answer of the leader. */
+void wg_upstream_forget_ask(wg_upstream* up);
+/* False: the frame is of another type. */
+bool wg_entry_incarnations_on_frame(wg_entry* e, const wgw_frame* frame);
+/* Writes the request on an established connection, or first a question to its target if it matters
+   which process is there. May close `up` and free its call. */
+void wg_upstream_begin_exchange(wg_upstream* up);
+/* Whether the answer to the question is too long. */
+bool wg_upstream_is_told_too_much(const wg_upstream* up);
+/* The answer to the question is complete. False: the connection cannot be used for the request. */
+bool wg_upstream_told(wg_upstream* up);
+
 /* wg_entry_ends.c */
 void wg_entry_ends_setup(wg_entry* e);
 void wg_entry_ends_shutdown(wg_entry* e);
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -303,7 +303,8 @@
 static void wg_entry_on_frame(wgn_link link, const wgw_frame* frame, void* user_data) {
     wg_entry* e = user_data;
     if (wg_entry_admit_on_frame(e, link, frame) || wg_entry_handoff_on_frame(e, link, frame) ||
-        wg_entry_origins_on_frame(e, link, frame) || wg_entry_lease_on_frame(e, link, frame)) {
+        wg_entry_origins_on_frame(e, link, frame) || wg_entry_incarnations_on_frame(e, frame) ||
+        wg_entry_lease_on_frame(e, link, frame)) {
         return;
     }
     if (link.id == e->link.id) {
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -126,9 +126,15 @@
 }
 
 static void wg_entry_merge_target(wg_entry* e, const Wgpb__TargetRecord* in) {
+    bool was_known = wg_registry_find(e->registry, in->number) != NULL;
     bool was_removed = wg_entry_target_is_removed(e, in->number);
     wg_registry_merge(e->registry, wg_now(), in);
     bool removed = wg_entry_target_is_removed(e, in->number);
+    if (removed) {
+        wg_incarnations_forget(e->incarnations, in->number);
+    } else if (!was_known || was_removed) {
+        wg_entry_doubt_target(e, in->number);
+    }
     uint32_t running = wg_balance_own_running(e->balance, in->number);
     if (running > 0 && removed != was_removed) {
         wg_log(WG_EVENT_TARGET_GONE_BUSY, "target=%u id=%s removed=%d replaced=%d running=%u",
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -91,6 +91,7 @@
     }
     e->upstreams_num--;
     wg_entry_ends_forget(up);
+    wg_upstream_forget_ask(up);
     wg_upstream_end_pause(up);
     wg_upstream_end_turn(up);
     wg_entry_buffers_remove_upstream(up);
@@ -183,7 +184,9 @@
 static void wg_upstream_write_request(wg_upstream* up, wg_call* call, const wg_target* target) {
     wg_entry* e = up->entry;
     wg_copy_name(call->sent_version, sizeof call->sent_version, target->version);
-    call->sent_target = target->number;
+    bool confirmed =
+        wg_incarnations_is_confirmed(e->incarnations, target->number, up->established_at);
+    call->sent_target = confirmed ? 0 : target->number;
     const wg_target* source =
         call->choice.source ? wg_registry_find(e->registry, call->choice.source) : NULL;
     wg_time left = MIN(call->expires_at, call->deadline) - wg_now();
@@ -205,15 +208,31 @@
     evbuffer_free(out);
 }
 
+void wg_upstream_begin_exchange(wg_upstream* up) {
+    const wg_target* target = wg_registry_find(up->entry->registry, up->target);
+    switch (wg_upstream_incarnation_step(up, target)) {
+    case WG_INCARNATION_ASK:
+        wg_upstream_ask(up, target);
+        break;
+    case WG_INCARNATION_ASK_LEADER:
+        wg_upstream_ask_leader(up);
+        break;
+    case WG_INCARNATION_AVOID:
+        wg_call_attempt_withdrawn(up->call, up, "target-may-have-restarted");
+        break;
+    default:
+        up->state = WG_UPSTREAM_HEAD;
+        wg_upstream_write_request(up, up->call, target);
+        break;
+    }
+}
+
 void wg_upstream_send(wg_upstream* up, wg_call* call) {
     up->call = call;
     call->upstream = up;
-    if (up->state == WG_UPSTREAM_CONNECTING) {
-        return; /* sent when the connection is established */
+    if (up->state != WG_UPSTREAM_CONNECTING) { /* else when the connection is established */
+        wg_upstream_begin_exchange(up);
     }
-    const wg_target* target = wg_registry_find(up->entry->registry, up->target);
-    up->state = WG_UPSTREAM_HEAD;
-    wg_upstream_write_request(up, call, target);
 }
 
 /* ---- helpers: answers ----------------------------------------------------------------------- */
@@ -246,6 +265,31 @@
     up->backoff_time = wg_entry_record_answer(e, up->target, &hint, up->call->id);
 }
 
+/* The target's answer to a question is complete: the request follows. */
+static void wg_upstream_on_told(wg_upstream* up) {
+    wg_entry* e = up->entry;
+    bool is_usable = wg_upstream_told(up);
+    const wg_target* target = wg_registry_find(e->registry, up->target);
+    wg_time now = wg_now();
+    wg_upstream_clear_answer(up);
+    if (!is_usable || wg_entry_basis(e, now) == WG_BASIS_NONE ||
+        !wg_call_may_send(up->call, target, now)) {
+        wg_call_attempt_withdrawn(up->call, up, "target-may-have-restarted");
+        return;
+    }
+    wg_upstream_begin_exchange(up);
+}
+
+/* Reads the answer to a question about the target. */
+static void wg_upstream_read_state(wg_upstream* up) {
+    wg_body_state state = wg_body_read(&up->body, bufferevent_get_input(up->bev), up->content);
+    if (state == WG_BODY_BAD || wg_upstream_is_told_too_much(up)) {
+        wg_upstream_fail(up, "state-malformed");
+    } else if (state == WG_BODY_COMPLETE) {
+        wg_upstream_on_told(up);
+    }
+}
+
 /* False if the head is incomplete, or `up` was closed. */
 static bool wg_upstream_read_head(wg_upstream* up) {
     struct evbuffer* in = bufferevent_get_input(up->bev);
@@ -264,7 +308,8 @@
         g_free(up->bytes);
         up->bytes = g_malloc(size);
         evbuffer_remove(in, up->bytes, size);
-        if (!wg_message_parse_answer(up->bytes, size, up->call->head_only, &up->head)) {
+        bool head_only = up->call->head_only && !up->asking;
+        if (!wg_message_parse_answer(up->bytes, size, head_only, &up->head)) {
             wg_upstream_fail(up, "answer-malformed");
             return false;
         }
@@ -273,7 +318,7 @@
         }
     }
     wg_upstream_record_hint(up);
-    if (!wg_upstream_matches_call(up)) {
+    if (!up->asking && !wg_upstream_matches_call(up)) {
         wg_upstream_fail(up, "answer-of-another-request");
         return false;
     }
@@ -299,13 +344,17 @@
         if (!wg_upstream_read_head(up)) {
             return;
         }
-        if (!wg_call_answer_head(up->call, up)) {
+        if (!up->asking && !wg_call_answer_head(up->call, up)) {
             return;
         }
     }
     if (up->state != WG_UPSTREAM_BODY) {
         return;
     }
+    if (up->asking) {
+        wg_upstream_read_state(up);
+        return;
+    }
     wg_body_state state = wg_body_read(&up->body, bufferevent_get_input(up->bev), up->content);
     wg_call* call = up->call;
     if (state == WG_BODY_BAD) {
@@ -339,11 +388,12 @@
     return up;
 }
 
-static void wg_upstream_set_up_socket(const wg_upstream* up) {
+static void wg_upstream_set_up_socket(wg_upstream* up) {
     int on = 1;
     setsockopt(bufferevent_getfd(up->bev), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     wg_entry_buffers_connected(up);
     bufferevent_set_timeouts(up->bev, NULL, NULL);
+    up->established_at = wg_now();
 }
 
 static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data) {
@@ -362,8 +412,7 @@
             wg_call_attempt_withdrawn(up->call, up, "target-takes-no-more");
             return;
         }
-        up->state = WG_UPSTREAM_HEAD;
-        wg_upstream_write_request(up, up->call, target);
+        wg_upstream_begin_exchange(up);
         return;
     }
     if (wg_upstream_stalled_while_connecting(up, what)) {
@@ -373,11 +422,12 @@
     if (up->state == WG_UPSTREAM_ENDED) {
         return;
     }
-    if ((what & BEV_EVENT_EOF) && up->state == WG_UPSTREAM_BODY && up->call &&
+    if ((what & BEV_EVENT_EOF) && up->state == WG_UPSTREAM_BODY && up->call && !up->asking &&
         up->body.framing == WG_FRAMING_CLOSE) {
         wg_call_answer_closed(up->call, up);
         return;
     }
+    wg_entry_doubt_target(up->entry, up->target);
     if (up->call && up->written) {
         wg_entry_check_target(up->entry, up->call, up);
     }
@@ -434,7 +484,7 @@
 }
 
 bool wg_upstream_has_begun(const wg_upstream* up) {
-    return up->state == WG_UPSTREAM_BODY || up->state == WG_UPSTREAM_ENDED;
+    return (up->state == WG_UPSTREAM_BODY && !up->asking) || up->state == WG_UPSTREAM_ENDED;
 }
 
 bool wg_upstream_has_idle(wg_entry* e, const wg_target* target) {
--- a/lib/origin/wg_origin.h
+++ b/lib/origin/wg_origin.h
@@ -49,7 +49,7 @@
 typedef struct {
     const char* version; /* of its target's software */
     /* Number of the target in the registry, if the version is that of the registry; 0: the target
-       itself stated the version. */
+       itself stated the version, or that it is the process that the registry names. */
     uint32_t target;
     wg_time began_at;
 } wg_origin;
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -246,6 +246,8 @@
         return WG_HEARTBEAT_OUTDATED;
     }
     target->last_contact_at = now;
+    target->heard_interval = target->heard_at ? now - target->heard_at : 0;
+    target->heard_at = now;
     bool reverted = target->state == WG_TARGET_DRAINING && received->state == WG_TARGET_READY;
     bool is_changed =
         !wg_target_is_unchanged(target, received) || wg_target_became_cold(target, received, now);
@@ -261,6 +263,8 @@
     numbered.number = r->next_number++;
     numbered.deregistered = wg_target_ended(record);
     numbered.state = WG_TARGET_DEFAULT;
+    numbered.heard_at = 0;
+    numbered.heard_interval = 0;
     wg_target_set_state(&numbered, now, record->state);
     wg_target* target = wg_registry_add(r, &numbered);
     target->last_contact_at = now;
@@ -387,7 +391,10 @@
 
 void wg_registry_reset_contacts(wg_registry* r, wg_time now) {
     for (guint i = 0; i < r->records->len; i++) {
-        ((wg_target*)r->records->pdata[i])->last_contact_at = now;
+        wg_target* target = r->records->pdata[i];
+        target->last_contact_at = now;
+        target->heard_at = 0;
+        target->heard_interval = 0;
     }
     r->oldest_contact_at = now;
 }
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -84,6 +84,9 @@
     bool deregistered;       /* removed by its own word */
     wg_time last_contact_at; /* not replicated */
     uint64_t received_sequence; /* not replicated */
+    wg_time heard_at; /* last heartbeat of this incarnation that this process received; 0: none;
+                         not replicated */
+    wg_time heard_interval; /* between the last two of them; 0: fewer; not replicated */
 } wg_target;
 
 typedef enum {
@@ -137,8 +140,8 @@
 const GPtrArray* wg_registry_evacuated(const wg_registry* registry);
 /* True if the target may be sent requests: it is ready, and its data centre is not evacuated. */
 bool wg_registry_accepts(const wg_registry* registry, const wg_target* target);
-/* Sets the last contact of all targets to `now`, for a new leader that has received no
-   heartbeats yet. */
+/* Sets the last contact of all targets to `now`, for a new leader that has received no heartbeats
+   yet: none of them counts as heard. */
 void wg_registry_reset_contacts(wg_registry* registry, wg_time now);
 /* Extends the deadlines of all targets by `time` microseconds, for a stall that ended at `now`. */
 void wg_registry_extend_deadlines(wg_registry* registry, wg_time now, wg_time time);
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -7,5073 +7,8863 @@
 #endif
 
 #include "walnutgate.pb-c.h"
-void wgpb__hello__init(Wgpb__Hello* message) {
-    static const Wgpb__Hello init_value = WGPB__HELLO__INIT;
-    *message = init_value;
-}
-size_t wgpb__hello__get_packed_size(const Wgpb__Hello* message) {
-    assert(message->base.descriptor == &wgpb__hello__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__hello__pack(const Wgpb__Hello* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__hello__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__hello__pack_to_buffer(const Wgpb__Hello* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__hello__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Hello* wgpb__hello__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Hello*)protobuf_c_message_unpack(&wgpb__hello__descriptor, allocator, len, data);
-}
-void wgpb__hello__free_unpacked(Wgpb__Hello* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__hello__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__proof__init(Wgpb__Proof* message) {
-    static const Wgpb__Proof init_value = WGPB__PROOF__INIT;
-    *message = init_value;
-}
-size_t wgpb__proof__get_packed_size(const Wgpb__Proof* message) {
-    assert(message->base.descriptor == &wgpb__proof__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__proof__pack(const Wgpb__Proof* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__proof__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__proof__pack_to_buffer(const Wgpb__Proof* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__proof__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Proof* wgpb__proof__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Proof*)protobuf_c_message_unpack(&wgpb__proof__descriptor, allocator, len, data);
-}
-void wgpb__proof__free_unpacked(Wgpb__Proof* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__proof__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__replica__init(Wgpb__Replica* message) {
-    static const Wgpb__Replica init_value = WGPB__REPLICA__INIT;
-    *message = init_value;
-}
-size_t wgpb__replica__get_packed_size(const Wgpb__Replica* message) {
-    assert(message->base.descriptor == &wgpb__replica__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__replica__pack(const Wgpb__Replica* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__replica__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__replica__pack_to_buffer(const Wgpb__Replica* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__replica__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Replica* wgpb__replica__unpack(ProtobufCAllocator* allocator, size_t len,
-                                     const uint8_t* data) {
-    return (Wgpb__Replica*)protobuf_c_message_unpack(&wgpb__replica__descriptor, allocator, len,
-                                                     data);
-}
-void wgpb__replica__free_unpacked(Wgpb__Replica* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__replica__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__replica_set__init(Wgpb__ReplicaSet* message) {
-    static const Wgpb__ReplicaSet init_value = WGPB__REPLICA_SET__INIT;
-    *message = init_value;
-}
-size_t wgpb__replica_set__get_packed_size(const Wgpb__ReplicaSet* message) {
-    assert(message->base.descriptor == &wgpb__replica_set__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__replica_set__pack(const Wgpb__ReplicaSet* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__replica_set__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__replica_set__pack_to_buffer(const Wgpb__ReplicaSet* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__replica_set__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ReplicaSet* wgpb__replica_set__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__ReplicaSet*)protobuf_c_message_unpack(&wgpb__replica_set__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__replica_set__free_unpacked(Wgpb__ReplicaSet* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__replica_set__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__log_entry__init(Wgpb__LogEntry* message) {
-    static const Wgpb__LogEntry init_value = WGPB__LOG_ENTRY__INIT;
-    *message = init_value;
-}
-size_t wgpb__log_entry__get_packed_size(const Wgpb__LogEntry* message) {
-    assert(message->base.descriptor == &wgpb__log_entry__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__log_entry__pack(const Wgpb__LogEntry* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__log_entry__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__log_entry__pack_to_buffer(const Wgpb__LogEntry* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__log_entry__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__LogEntry* wgpb__log_entry__unpack(ProtobufCAllocator* allocator, size_t len,
-                                        const uint8_t* data) {
-    return (Wgpb__LogEntry*)protobuf_c_message_unpack(&wgpb__log_entry__descriptor, allocator, len,
-                                                      data);
-}
-void wgpb__log_entry__free_unpacked(Wgpb__LogEntry* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__log_entry__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__quorum__init(Wgpb__Quorum* message) {
-    static const Wgpb__Quorum init_value = WGPB__QUORUM__INIT;
-    *message = init_value;
-}
-size_t wgpb__quorum__get_packed_size(const Wgpb__Quorum* message) {
-    assert(message->base.descriptor == &wgpb__quorum__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__quorum__pack(const Wgpb__Quorum* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__quorum__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__quorum__pack_to_buffer(const Wgpb__Quorum* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__quorum__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Quorum* wgpb__quorum__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Quorum*)protobuf_c_message_unpack(&wgpb__quorum__descriptor, allocator, len,
-                                                    data);
-}
-void wgpb__quorum__free_unpacked(Wgpb__Quorum* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__quorum__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__silence__init(Wgpb__Silence* message) {
-    static const Wgpb__Silence init_value = WGPB__SILENCE__INIT;
-    *message = init_value;
-}
-size_t wgpb__silence__get_packed_size(const Wgpb__Silence* message) {
-    assert(message->base.descriptor == &wgpb__silence__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__silence__pack(const Wgpb__Silence* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__silence__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__silence__pack_to_buffer(const Wgpb__Silence* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__silence__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Silence* wgpb__silence__unpack(ProtobufCAllocator* allocator, size_t len,
-                                     const uint8_t* data) {
-    return (Wgpb__Silence*)protobuf_c_message_unpack(&wgpb__silence__descriptor, allocator, len,
-                                                     data);
-}
-void wgpb__silence__free_unpacked(Wgpb__Silence* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__silence__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__hard_state__init(Wgpb__HardState* message) {
-    static const Wgpb__HardState init_value = WGPB__HARD_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__hard_state__get_packed_size(const Wgpb__HardState* message) {
-    assert(message->base.descriptor == &wgpb__hard_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__hard_state__pack(const Wgpb__HardState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__hard_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__hard_state__pack_to_buffer(const Wgpb__HardState* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__hard_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__HardState* wgpb__hard_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                          const uint8_t* data) {
-    return (Wgpb__HardState*)protobuf_c_message_unpack(&wgpb__hard_state__descriptor, allocator,
-                                                       len, data);
-}
-void wgpb__hard_state__free_unpacked(Wgpb__HardState* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__hard_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__snapshot_file__init(Wgpb__SnapshotFile* message) {
-    static const Wgpb__SnapshotFile init_value = WGPB__SNAPSHOT_FILE__INIT;
-    *message = init_value;
-}
-size_t wgpb__snapshot_file__get_packed_size(const Wgpb__SnapshotFile* message) {
-    assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__snapshot_file__pack(const Wgpb__SnapshotFile* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__snapshot_file__pack_to_buffer(const Wgpb__SnapshotFile* message,
-                                           ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__SnapshotFile* wgpb__snapshot_file__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                const uint8_t* data) {
-    return (Wgpb__SnapshotFile*)protobuf_c_message_unpack(&wgpb__snapshot_file__descriptor,
-                                                          allocator, len, data);
-}
-void wgpb__snapshot_file__free_unpacked(Wgpb__SnapshotFile* message,
-                                        ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__row__init(Wgpb__Row* message) {
-    static const Wgpb__Row init_value = WGPB__ROW__INIT;
-    *message = init_value;
-}
-size_t wgpb__row__get_packed_size(const Wgpb__Row* message) {
-    assert(message->base.descriptor == &wgpb__row__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__row__pack(const Wgpb__Row* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__row__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__row__pack_to_buffer(const Wgpb__Row* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__row__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Row* wgpb__row__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Row*)protobuf_c_message_unpack(&wgpb__row__descriptor, allocator, len, data);
-}
-void wgpb__row__free_unpacked(Wgpb__Row* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__row__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__edit_row__init(Wgpb__EditRow* message) {
-    static const Wgpb__EditRow init_value = WGPB__EDIT_ROW__INIT;
-    *message = init_value;
-}
-size_t wgpb__edit_row__get_packed_size(const Wgpb__EditRow* message) {
-    assert(message->base.descriptor == &wgpb__edit_row__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__edit_row__pack(const Wgpb__EditRow* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__edit_row__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__edit_row__pack_to_buffer(const Wgpb__EditRow* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__edit_row__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__EditRow* wgpb__edit_row__unpack(ProtobufCAllocator* allocator, size_t len,
-                                      const uint8_t* data) {
-    return (Wgpb__EditRow*)protobuf_c_message_unpack(&wgpb__edit_row__descriptor, allocator, len,
-                                                     data);
-}
-void wgpb__edit_row__free_unpacked(Wgpb__EditRow* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__edit_row__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__edit__init(Wgpb__Edit* message) {
-    static const Wgpb__Edit init_value = WGPB__EDIT__INIT;
-    *message = init_value;
-}
-size_t wgpb__edit__get_packed_size(const Wgpb__Edit* message) {
-    assert(message->base.descriptor == &wgpb__edit__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__edit__pack(const Wgpb__Edit* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__edit__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__edit__pack_to_buffer(const Wgpb__Edit* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__edit__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Edit* wgpb__edit__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Edit*)protobuf_c_message_unpack(&wgpb__edit__descriptor, allocator, len, data);
-}
-void wgpb__edit__free_unpacked(Wgpb__Edit* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__edit__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__edit_result__init(Wgpb__EditResult* message) {
-    static const Wgpb__EditResult init_value = WGPB__EDIT_RESULT__INIT;
-    *message = init_value;
-}
-size_t wgpb__edit_result__get_packed_size(const Wgpb__EditResult* message) {
-    assert(message->base.descriptor == &wgpb__edit_result__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__edit_result__pack(const Wgpb__EditResult* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__edit_result__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__edit_result__pack_to_buffer(const Wgpb__EditResult* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__edit_result__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__EditResult* wgpb__edit_result__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__EditResult*)protobuf_c_message_unpack(&wgpb__edit_result__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__edit_result__free_unpacked(Wgpb__EditResult* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__edit_result__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__table_state__init(Wgpb__TableState* message) {
-    static const Wgpb__TableState init_value = WGPB__TABLE_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__table_state__get_packed_size(const Wgpb__TableState* message) {
-    assert(message->base.descriptor == &wgpb__table_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__table_state__pack(const Wgpb__TableState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__table_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__table_state__pack_to_buffer(const Wgpb__TableState* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__table_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__TableState* wgpb__table_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__TableState*)protobuf_c_message_unpack(&wgpb__table_state__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__table_state__free_unpacked(Wgpb__TableState* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__table_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim__init(Wgpb__Claim* message) {
-    static const Wgpb__Claim init_value = WGPB__CLAIM__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim__get_packed_size(const Wgpb__Claim* message) {
-    assert(message->base.descriptor == &wgpb__claim__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim__pack(const Wgpb__Claim* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim__pack_to_buffer(const Wgpb__Claim* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Claim* wgpb__claim__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Claim*)protobuf_c_message_unpack(&wgpb__claim__descriptor, allocator, len, data);
-}
-void wgpb__claim__free_unpacked(Wgpb__Claim* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim_end__init(Wgpb__ClaimEnd* message) {
-    static const Wgpb__ClaimEnd init_value = WGPB__CLAIM_END__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim_end__get_packed_size(const Wgpb__ClaimEnd* message) {
-    assert(message->base.descriptor == &wgpb__claim_end__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim_end__pack(const Wgpb__ClaimEnd* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim_end__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim_end__pack_to_buffer(const Wgpb__ClaimEnd* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim_end__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ClaimEnd* wgpb__claim_end__unpack(ProtobufCAllocator* allocator, size_t len,
-                                        const uint8_t* data) {
-    return (Wgpb__ClaimEnd*)protobuf_c_message_unpack(&wgpb__claim_end__descriptor, allocator, len,
-                                                      data);
-}
-void wgpb__claim_end__free_unpacked(Wgpb__ClaimEnd* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim_end__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim_record__init(Wgpb__ClaimRecord* message) {
-    static const Wgpb__ClaimRecord init_value = WGPB__CLAIM_RECORD__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim_record__get_packed_size(const Wgpb__ClaimRecord* message) {
-    assert(message->base.descriptor == &wgpb__claim_record__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim_record__pack(const Wgpb__ClaimRecord* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim_record__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim_record__pack_to_buffer(const Wgpb__ClaimRecord* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim_record__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ClaimRecord* wgpb__claim_record__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__ClaimRecord*)protobuf_c_message_unpack(&wgpb__claim_record__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__claim_record__free_unpacked(Wgpb__ClaimRecord* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim_record__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim_state__init(Wgpb__ClaimState* message) {
-    static const Wgpb__ClaimState init_value = WGPB__CLAIM_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim_state__get_packed_size(const Wgpb__ClaimState* message) {
-    assert(message->base.descriptor == &wgpb__claim_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim_state__pack(const Wgpb__ClaimState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim_state__pack_to_buffer(const Wgpb__ClaimState* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ClaimState* wgpb__claim_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__ClaimState*)protobuf_c_message_unpack(&wgpb__claim_state__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__claim_state__free_unpacked(Wgpb__ClaimState* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__configuration__init(Wgpb__Configuration* message) {
-    static const Wgpb__Configuration init_value = WGPB__CONFIGURATION__INIT;
-    *message = init_value;
-}
-size_t wgpb__configuration__get_packed_size(const Wgpb__Configuration* message) {
-    assert(message->base.descriptor == &wgpb__configuration__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__configuration__pack(const Wgpb__Configuration* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__configuration__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__configuration__pack_to_buffer(const Wgpb__Configuration* message,
-                                           ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__configuration__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Configuration* wgpb__configuration__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                 const uint8_t* data) {
-    return (Wgpb__Configuration*)protobuf_c_message_unpack(&wgpb__configuration__descriptor,
-                                                           allocator, len, data);
-}
-void wgpb__configuration__free_unpacked(Wgpb__Configuration* message,
-                                        ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__configuration__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__target_record__init(Wgpb__TargetRecord* message) {
-    static const Wgpb__TargetRecord init_value = WGPB__TARGET_RECORD__INIT;
-    *message = init_value;
-}
-size_t wgpb__target_record__get_packed_size(const Wgpb__TargetRecord* message) {
-    assert(message->base.descriptor == &wgpb__target_record__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__target_record__pack(const Wgpb__TargetRecord* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__target_record__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__target_record__pack_to_buffer(const Wgpb__TargetRecord* message,
-                                           ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__target_record__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__TargetRecord* wgpb__target_record__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                const uint8_t* data) {
-    return (Wgpb__TargetRecord*)protobuf_c_message_unpack(&wgpb__target_record__descriptor,
-                                                          allocator, len, data);
-}
-void wgpb__target_record__free_unpacked(Wgpb__TargetRecord* message,
-                                        ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__target_record__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__evacuation__init(Wgpb__Evacuation* message) {
-    static const Wgpb__Evacuation init_value = WGPB__EVACUATION__INIT;
-    *message = init_value;
-}
-size_t wgpb__evacuation__get_packed_size(const Wgpb__Evacuation* message) {
-    assert(message->base.descriptor == &wgpb__evacuation__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__evacuation__pack(const Wgpb__Evacuation* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__evacuation__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__evacuation__pack_to_buffer(const Wgpb__Evacuation* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__evacuation__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Evacuation* wgpb__evacuation__unpack(ProtobufCAllocator* allocator, size_t len,
-                                           const uint8_t* data) {
-    return (Wgpb__Evacuation*)protobuf_c_message_unpack(&wgpb__evacuation__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__evacuation__free_unpacked(Wgpb__Evacuation* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__evacuation__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__registry_state__init(Wgpb__RegistryState* message) {
-    static const Wgpb__RegistryState init_value = WGPB__REGISTRY_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__registry_state__get_packed_size(const Wgpb__RegistryState* message) {
-    assert(message->base.descriptor == &wgpb__registry_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__registry_state__pack(const Wgpb__RegistryState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__registry_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__registry_state__pack_to_buffer(const Wgpb__RegistryState* message,
-                                            ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__registry_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__RegistryState* wgpb__registry_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                  const uint8_t* data) {
-    return (Wgpb__RegistryState*)protobuf_c_message_unpack(&wgpb__registry_state__descriptor,
-                                                           allocator, len, data);
-}
-void wgpb__registry_state__free_unpacked(Wgpb__RegistryState* message,
-                                         ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__registry_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__quarantine__init(Wgpb__Quarantine* message) {
-    static const Wgpb__Quarantine init_value = WGPB__QUARANTINE__INIT;
-    *message = init_value;
-}
-size_t wgpb__quarantine__get_packed_size(const Wgpb__Quarantine* message) {
-    assert(message->base.descriptor == &wgpb__quarantine__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__quarantine__pack(const Wgpb__Quarantine* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__quarantine__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__quarantine__pack_to_buffer(const Wgpb__Quarantine* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__quarantine__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Quarantine* wgpb__quarantine__unpack(ProtobufCAllocator* allocator, size_t len,
-                                           const uint8_t* data) {
-    return (Wgpb__Quarantine*)protobuf_c_message_unpack(&wgpb__quarantine__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__quarantine__free_unpacked(Wgpb__Quarantine* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__quarantine__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__quarantine_state__init(Wgpb__QuarantineState* message) {
-    static const Wgpb__QuarantineState init_value = WGPB__QUARANTINE_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__quarantine_state__get_packed_size(const Wgpb__QuarantineState* message) {
-    assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__quarantine_state__pack(const Wgpb__QuarantineState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__quarantine_state__pack_to_buffer(const Wgpb__QuarantineState* message,
-                                              ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__QuarantineState* wgpb__quarantine_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                      const uint8_t* data) {
-    return (Wgpb__QuarantineState*)protobuf_c_message_unpack(&wgpb__quarantine_state__descriptor,
-                                                             allocator, len, data);
-}
-void wgpb__quarantine_state__free_unpacked(Wgpb__QuarantineState* message,
-                                           ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__origin_note__init(Wgpb__OriginNote* message) {
-    static const Wgpb__OriginNote init_value = WGPB__ORIGIN_NOTE__INIT;
-    *message = init_value;
-}
-size_t wgpb__origin_note__get_packed_size(const Wgpb__OriginNote* message) {
-    assert(message->base.descriptor == &wgpb__origin_note__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__origin_note__pack(const Wgpb__OriginNote* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__origin_note__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__origin_note__pack_to_buffer(const Wgpb__OriginNote* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__origin_note__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__OriginNote* wgpb__origin_note__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__OriginNote*)protobuf_c_message_unpack(&wgpb__origin_note__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__origin_note__free_unpacked(Wgpb__OriginNote* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__origin_note__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__origin_notes__init(Wgpb__OriginNotes* message) {
-    static const Wgpb__OriginNotes init_value = WGPB__ORIGIN_NOTES__INIT;
-    *message = init_value;
-}
-size_t wgpb__origin_notes__get_packed_size(const Wgpb__OriginNotes* message) {
-    assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__origin_notes__pack(const Wgpb__OriginNotes* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__origin_notes__pack_to_buffer(const Wgpb__OriginNotes* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__OriginNotes* wgpb__origin_notes__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__OriginNotes*)protobuf_c_message_unpack(&wgpb__origin_notes__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__origin_notes__free_unpacked(Wgpb__OriginNotes* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__command__init(Wgpb__Command* message) {
-    static const Wgpb__Command init_value = WGPB__COMMAND__INIT;
-    *message = init_value;
-}
-size_t wgpb__command__get_packed_size(const Wgpb__Command* message) {
-    assert(message->base.descriptor == &wgpb__command__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__command__pack(const Wgpb__Command* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__command__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__command__pack_to_buffer(const Wgpb__Command* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__command__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Command* wgpb__command__unpack(ProtobufCAllocator* allocator, size_t len,
-                                     const uint8_t* data) {
-    return (Wgpb__Command*)protobuf_c_message_unpack(&wgpb__command__descriptor, allocator, len,
-                                                     data);
-}
-void wgpb__command__free_unpacked(Wgpb__Command* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__command__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__state__init(Wgpb__State* message) {
-    static const Wgpb__State init_value = WGPB__STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__state__get_packed_size(const Wgpb__State* message) {
-    assert(message->base.descriptor == &wgpb__state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__state__pack(const Wgpb__State* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__state__pack_to_buffer(const Wgpb__State* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__State* wgpb__state__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__State*)protobuf_c_message_unpack(&wgpb__state__descriptor, allocator, len, data);
-}
-void wgpb__state__free_unpacked(Wgpb__State* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__account__init(Wgpb__Account* message) {
-    static const Wgpb__Account init_value = WGPB__ACCOUNT__INIT;
-    *message = init_value;
-}
-size_t wgpb__account__get_packed_size(const Wgpb__Account* message) {
-    assert(message->base.descriptor == &wgpb__account__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__account__pack(const Wgpb__Account* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__account__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__account__pack_to_buffer(const Wgpb__Account* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__account__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Account* wgpb__account__unpack(ProtobufCAllocator* allocator, size_t len,
-                                     const uint8_t* data) {
-    return (Wgpb__Account*)protobuf_c_message_unpack(&wgpb__account__descriptor, allocator, len,
-                                                     data);
-}
-void wgpb__account__free_unpacked(Wgpb__Account* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__account__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__held__init(Wgpb__Held* message) {
-    static const Wgpb__Held init_value = WGPB__HELD__INIT;
-    *message = init_value;
-}
-size_t wgpb__held__get_packed_size(const Wgpb__Held* message) {
-    assert(message->base.descriptor == &wgpb__held__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__held__pack(const Wgpb__Held* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__held__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__held__pack_to_buffer(const Wgpb__Held* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__held__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Held* wgpb__held__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Held*)protobuf_c_message_unpack(&wgpb__held__descriptor, allocator, len, data);
-}
-void wgpb__held__free_unpacked(Wgpb__Held* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__held__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__report__init(Wgpb__Report* message) {
-    static const Wgpb__Report init_value = WGPB__REPORT__INIT;
-    *message = init_value;
-}
-size_t wgpb__report__get_packed_size(const Wgpb__Report* message) {
-    assert(message->base.descriptor == &wgpb__report__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__report__pack(const Wgpb__Report* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__report__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__report__pack_to_buffer(const Wgpb__Report* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__report__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Report* wgpb__report__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Report*)protobuf_c_message_unpack(&wgpb__report__descriptor, allocator, len,
-                                                    data);
-}
-void wgpb__report__free_unpacked(Wgpb__Report* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__report__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__fair__init(Wgpb__Fair* message) {
-    static const Wgpb__Fair init_value = WGPB__FAIR__INIT;
-    *message = init_value;
-}
-size_t wgpb__fair__get_packed_size(const Wgpb__Fair* message) {
-    assert(message->base.descriptor == &wgpb__fair__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__fair__pack(const Wgpb__Fair* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__fair__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__fair__pack_to_buffer(const Wgpb__Fair* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__fair__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Fair* wgpb__fair__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Fair*)protobuf_c_message_unpack(&wgpb__fair__descriptor, allocator, len, data);
-}
-void wgpb__fair__free_unpacked(Wgpb__Fair* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__fair__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__grant__init(Wgpb__Grant* message) {
-    static const Wgpb__Grant init_value = WGPB__GRANT__INIT;
-    *message = init_value;
-}
-size_t wgpb__grant__get_packed_size(const Wgpb__Grant* message) {
-    assert(message->base.descriptor == &wgpb__grant__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__grant__pack(const Wgpb__Grant* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__grant__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__grant__pack_to_buffer(const Wgpb__Grant* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__grant__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Grant* wgpb__grant__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Grant*)protobuf_c_message_unpack(&wgpb__grant__descriptor, allocator, len, data);
-}
-void wgpb__grant__free_unpacked(Wgpb__Grant* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__grant__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__quota__init(Wgpb__Quota* message) {
-    static const Wgpb__Quota init_value = WGPB__QUOTA__INIT;
-    *message = init_value;
-}
-size_t wgpb__quota__get_packed_size(const Wgpb__Quota* message) {
-    assert(message->base.descriptor == &wgpb__quota__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__quota__pack(const Wgpb__Quota* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__quota__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__quota__pack_to_buffer(const Wgpb__Quota* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__quota__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Quota* wgpb__quota__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Quota*)protobuf_c_message_unpack(&wgpb__quota__descriptor, allocator, len, data);
-}
-void wgpb__quota__free_unpacked(Wgpb__Quota* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__quota__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__member__init(Wgpb__Member* message) {
-    static const Wgpb__Member init_value = WGPB__MEMBER__INIT;
-    *message = init_value;
-}
-size_t wgpb__member__get_packed_size(const Wgpb__Member* message) {
-    assert(message->base.descriptor == &wgpb__member__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__member__pack(const Wgpb__Member* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__member__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__member__pack_to_buffer(const Wgpb__Member* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__member__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Member* wgpb__member__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Member*)protobuf_c_message_unpack(&wgpb__member__descriptor, allocator, len,
-                                                    data);
-}
-void wgpb__member__free_unpacked(Wgpb__Member* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__member__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__reply__init(Wgpb__Reply* message) {
-    static const Wgpb__Reply init_value = WGPB__REPLY__INIT;
-    *message = init_value;
-}
-size_t wgpb__reply__get_packed_size(const Wgpb__Reply* message) {
-    assert(message->base.descriptor == &wgpb__reply__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__reply__pack(const Wgpb__Reply* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__reply__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__reply__pack_to_buffer(const Wgpb__Reply* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__reply__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Reply* wgpb__reply__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Reply*)protobuf_c_message_unpack(&wgpb__reply__descriptor, allocator, len, data);
-}
-void wgpb__reply__free_unpacked(Wgpb__Reply* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__reply__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__row_query__init(Wgpb__RowQuery* message) {
-    static const Wgpb__RowQuery init_value = WGPB__ROW_QUERY__INIT;
-    *message = init_value;
-}
-size_t wgpb__row_query__get_packed_size(const Wgpb__RowQuery* message) {
-    assert(message->base.descriptor == &wgpb__row_query__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__row_query__pack(const Wgpb__RowQuery* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__row_query__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__row_query__pack_to_buffer(const Wgpb__RowQuery* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__row_query__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__RowQuery* wgpb__row_query__unpack(ProtobufCAllocator* allocator, size_t len,
-                                        const uint8_t* data) {
-    return (Wgpb__RowQuery*)protobuf_c_message_unpack(&wgpb__row_query__descriptor, allocator, len,
-                                                      data);
-}
-void wgpb__row_query__free_unpacked(Wgpb__RowQuery* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__row_query__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__row_answer__init(Wgpb__RowAnswer* message) {
-    static const Wgpb__RowAnswer init_value = WGPB__ROW_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__row_answer__get_packed_size(const Wgpb__RowAnswer* message) {
-    assert(message->base.descriptor == &wgpb__row_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__row_answer__pack(const Wgpb__RowAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__row_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__row_answer__pack_to_buffer(const Wgpb__RowAnswer* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__row_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__RowAnswer* wgpb__row_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                          const uint8_t* data) {
-    return (Wgpb__RowAnswer*)protobuf_c_message_unpack(&wgpb__row_answer__descriptor, allocator,
-                                                       len, data);
-}
-void wgpb__row_answer__free_unpacked(Wgpb__RowAnswer* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__row_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim_ask__init(Wgpb__ClaimAsk* message) {
-    static const Wgpb__ClaimAsk init_value = WGPB__CLAIM_ASK__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim_ask__get_packed_size(const Wgpb__ClaimAsk* message) {
-    assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim_ask__pack(const Wgpb__ClaimAsk* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim_ask__pack_to_buffer(const Wgpb__ClaimAsk* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ClaimAsk* wgpb__claim_ask__unpack(ProtobufCAllocator* allocator, size_t len,
-                                        const uint8_t* data) {
-    return (Wgpb__ClaimAsk*)protobuf_c_message_unpack(&wgpb__claim_ask__descriptor, allocator, len,
-                                                      data);
-}
-void wgpb__claim_ask__free_unpacked(Wgpb__ClaimAsk* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__claim_answer__init(Wgpb__ClaimAnswer* message) {
-    static const Wgpb__ClaimAnswer init_value = WGPB__CLAIM_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__claim_answer__get_packed_size(const Wgpb__ClaimAnswer* message) {
-    assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__claim_answer__pack(const Wgpb__ClaimAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__claim_answer__pack_to_buffer(const Wgpb__ClaimAnswer* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ClaimAnswer* wgpb__claim_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__ClaimAnswer*)protobuf_c_message_unpack(&wgpb__claim_answer__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__claim_answer__free_unpacked(Wgpb__ClaimAnswer* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__target_load__init(Wgpb__TargetLoad* message) {
-    static const Wgpb__TargetLoad init_value = WGPB__TARGET_LOAD__INIT;
-    *message = init_value;
-}
-size_t wgpb__target_load__get_packed_size(const Wgpb__TargetLoad* message) {
-    assert(message->base.descriptor == &wgpb__target_load__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__target_load__pack(const Wgpb__TargetLoad* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__target_load__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__target_load__pack_to_buffer(const Wgpb__TargetLoad* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__target_load__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__TargetLoad* wgpb__target_load__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__TargetLoad*)protobuf_c_message_unpack(&wgpb__target_load__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__target_load__free_unpacked(Wgpb__TargetLoad* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__target_load__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__workspace_usage__init(Wgpb__WorkspaceUsage* message) {
-    static const Wgpb__WorkspaceUsage init_value = WGPB__WORKSPACE_USAGE__INIT;
-    *message = init_value;
-}
-size_t wgpb__workspace_usage__get_packed_size(const Wgpb__WorkspaceUsage* message) {
-    assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__workspace_usage__pack(const Wgpb__WorkspaceUsage* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__workspace_usage__pack_to_buffer(const Wgpb__WorkspaceUsage* message,
-                                             ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__WorkspaceUsage* wgpb__workspace_usage__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                    const uint8_t* data) {
-    return (Wgpb__WorkspaceUsage*)protobuf_c_message_unpack(&wgpb__workspace_usage__descriptor,
-                                                            allocator, len, data);
-}
-void wgpb__workspace_usage__free_unpacked(Wgpb__WorkspaceUsage* message,
-                                          ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__crash__init(Wgpb__Crash* message) {
-    static const Wgpb__Crash init_value = WGPB__CRASH__INIT;
-    *message = init_value;
-}
-size_t wgpb__crash__get_packed_size(const Wgpb__Crash* message) {
-    assert(message->base.descriptor == &wgpb__crash__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__crash__pack(const Wgpb__Crash* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__crash__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__crash__pack_to_buffer(const Wgpb__Crash* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__crash__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Crash* wgpb__crash__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Crash*)protobuf_c_message_unpack(&wgpb__crash__descriptor, allocator, len, data);
-}
-void wgpb__crash__free_unpacked(Wgpb__Crash* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__crash__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__entry_report__init(Wgpb__EntryReport* message) {
-    static const Wgpb__EntryReport init_value = WGPB__ENTRY_REPORT__INIT;
-    *message = init_value;
-}
-size_t wgpb__entry_report__get_packed_size(const Wgpb__EntryReport* message) {
-    assert(message->base.descriptor == &wgpb__entry_report__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__entry_report__pack(const Wgpb__EntryReport* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__entry_report__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__entry_report__pack_to_buffer(const Wgpb__EntryReport* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__entry_report__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__EntryReport* wgpb__entry_report__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__EntryReport*)protobuf_c_message_unpack(&wgpb__entry_report__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__entry_report__free_unpacked(Wgpb__EntryReport* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__entry_report__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__entry_member__init(Wgpb__EntryMember* message) {
-    static const Wgpb__EntryMember init_value = WGPB__ENTRY_MEMBER__INIT;
-    *message = init_value;
-}
-size_t wgpb__entry_member__get_packed_size(const Wgpb__EntryMember* message) {
-    assert(message->base.descriptor == &wgpb__entry_member__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__entry_member__pack(const Wgpb__EntryMember* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__entry_member__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__entry_member__pack_to_buffer(const Wgpb__EntryMember* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__entry_member__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__EntryMember* wgpb__entry_member__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__EntryMember*)protobuf_c_message_unpack(&wgpb__entry_member__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__entry_member__free_unpacked(Wgpb__EntryMember* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__entry_member__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__entry_state__init(Wgpb__EntryState* message) {
-    static const Wgpb__EntryState init_value = WGPB__ENTRY_STATE__INIT;
-    *message = init_value;
-}
-size_t wgpb__entry_state__get_packed_size(const Wgpb__EntryState* message) {
-    assert(message->base.descriptor == &wgpb__entry_state__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__entry_state__pack(const Wgpb__EntryState* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__entry_state__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__entry_state__pack_to_buffer(const Wgpb__EntryState* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__entry_state__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__EntryState* wgpb__entry_state__unpack(ProtobufCAllocator* allocator, size_t len,
-                                            const uint8_t* data) {
-    return (Wgpb__EntryState*)protobuf_c_message_unpack(&wgpb__entry_state__descriptor, allocator,
-                                                        len, data);
-}
-void wgpb__entry_state__free_unpacked(Wgpb__EntryState* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__entry_state__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__service_room__init(Wgpb__ServiceRoom* message) {
-    static const Wgpb__ServiceRoom init_value = WGPB__SERVICE_ROOM__INIT;
-    *message = init_value;
-}
-size_t wgpb__service_room__get_packed_size(const Wgpb__ServiceRoom* message) {
-    assert(message->base.descriptor == &wgpb__service_room__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__service_room__pack(const Wgpb__ServiceRoom* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__service_room__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__service_room__pack_to_buffer(const Wgpb__ServiceRoom* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__service_room__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__ServiceRoom* wgpb__service_room__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__ServiceRoom*)protobuf_c_message_unpack(&wgpb__service_room__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__service_room__free_unpacked(Wgpb__ServiceRoom* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__service_room__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__order__init(Wgpb__Order* message) {
-    static const Wgpb__Order init_value = WGPB__ORDER__INIT;
-    *message = init_value;
-}
-size_t wgpb__order__get_packed_size(const Wgpb__Order* message) {
-    assert(message->base.descriptor == &wgpb__order__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__order__pack(const Wgpb__Order* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__order__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__order__pack_to_buffer(const Wgpb__Order* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__order__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__Order* wgpb__order__unpack(ProtobufCAllocator* allocator, size_t len, const uint8_t* data) {
-    return (Wgpb__Order*)protobuf_c_message_unpack(&wgpb__order__descriptor, allocator, len, data);
-}
-void wgpb__order__free_unpacked(Wgpb__Order* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__order__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__order_answer__init(Wgpb__OrderAnswer* message) {
-    static const Wgpb__OrderAnswer init_value = WGPB__ORDER_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__order_answer__get_packed_size(const Wgpb__OrderAnswer* message) {
-    assert(message->base.descriptor == &wgpb__order_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__order_answer__pack(const Wgpb__OrderAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__order_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__order_answer__pack_to_buffer(const Wgpb__OrderAnswer* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__order_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__OrderAnswer* wgpb__order_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__OrderAnswer*)protobuf_c_message_unpack(&wgpb__order_answer__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__order_answer__free_unpacked(Wgpb__OrderAnswer* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__order_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__leader_ask__init(Wgpb__LeaderAsk* message) {
-    static const Wgpb__LeaderAsk init_value = WGPB__LEADER_ASK__INIT;
-    *message = init_value;
-}
-size_t wgpb__leader_ask__get_packed_size(const Wgpb__LeaderAsk* message) {
-    assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__leader_ask__pack(const Wgpb__LeaderAsk* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__leader_ask__pack_to_buffer(const Wgpb__LeaderAsk* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__LeaderAsk* wgpb__leader_ask__unpack(ProtobufCAllocator* allocator, size_t len,
-                                          const uint8_t* data) {
-    return (Wgpb__LeaderAsk*)protobuf_c_message_unpack(&wgpb__leader_ask__descriptor, allocator,
-                                                       len, data);
-}
-void wgpb__leader_ask__free_unpacked(Wgpb__LeaderAsk* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__leader_answer__init(Wgpb__LeaderAnswer* message) {
-    static const Wgpb__LeaderAnswer init_value = WGPB__LEADER_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__leader_answer__get_packed_size(const Wgpb__LeaderAnswer* message) {
-    assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__leader_answer__pack(const Wgpb__LeaderAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__leader_answer__pack_to_buffer(const Wgpb__LeaderAnswer* message,
-                                           ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__LeaderAnswer* wgpb__leader_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                const uint8_t* data) {
-    return (Wgpb__LeaderAnswer*)protobuf_c_message_unpack(&wgpb__leader_answer__descriptor,
-                                                          allocator, len, data);
-}
-void wgpb__leader_answer__free_unpacked(Wgpb__LeaderAnswer* message,
-                                        ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__origin_ask__init(Wgpb__OriginAsk* message) {
-    static const Wgpb__OriginAsk init_value = WGPB__ORIGIN_ASK__INIT;
-    *message = init_value;
-}
-size_t wgpb__origin_ask__get_packed_size(const Wgpb__OriginAsk* message) {
-    assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__origin_ask__pack(const Wgpb__OriginAsk* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__origin_ask__pack_to_buffer(const Wgpb__OriginAsk* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__OriginAsk* wgpb__origin_ask__unpack(ProtobufCAllocator* allocator, size_t len,
-                                          const uint8_t* data) {
-    return (Wgpb__OriginAsk*)protobuf_c_message_unpack(&wgpb__origin_ask__descriptor, allocator,
-                                                       len, data);
-}
-void wgpb__origin_ask__free_unpacked(Wgpb__OriginAsk* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__origin_answer__init(Wgpb__OriginAnswer* message) {
-    static const Wgpb__OriginAnswer init_value = WGPB__ORIGIN_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__origin_answer__get_packed_size(const Wgpb__OriginAnswer* message) {
-    assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__origin_answer__pack(const Wgpb__OriginAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__origin_answer__pack_to_buffer(const Wgpb__OriginAnswer* message,
-                                           ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__OriginAnswer* wgpb__origin_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                const uint8_t* data) {
-    return (Wgpb__OriginAnswer*)protobuf_c_message_unpack(&wgpb__origin_answer__descriptor,
-                                                          allocator, len, data);
-}
-void wgpb__origin_answer__free_unpacked(Wgpb__OriginAnswer* message,
-                                        ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__admit_ask__init(Wgpb__AdmitAsk* message) {
-    static const Wgpb__AdmitAsk init_value = WGPB__ADMIT_ASK__INIT;
-    *message = init_value;
-}
-size_t wgpb__admit_ask__get_packed_size(const Wgpb__AdmitAsk* message) {
-    assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__admit_ask__pack(const Wgpb__AdmitAsk* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__admit_ask__pack_to_buffer(const Wgpb__AdmitAsk* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__AdmitAsk* wgpb__admit_ask__unpack(ProtobufCAllocator* allocator, size_t len,
-                                        const uint8_t* data) {
-    return (Wgpb__AdmitAsk*)protobuf_c_message_unpack(&wgpb__admit_ask__descriptor, allocator, len,
-                                                      data);
-}
-void wgpb__admit_ask__free_unpacked(Wgpb__AdmitAsk* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__admit_answer__init(Wgpb__AdmitAnswer* message) {
-    static const Wgpb__AdmitAnswer init_value = WGPB__ADMIT_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__admit_answer__get_packed_size(const Wgpb__AdmitAnswer* message) {
-    assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__admit_answer__pack(const Wgpb__AdmitAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__admit_answer__pack_to_buffer(const Wgpb__AdmitAnswer* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__AdmitAnswer* wgpb__admit_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__AdmitAnswer*)protobuf_c_message_unpack(&wgpb__admit_answer__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__admit_answer__free_unpacked(Wgpb__AdmitAnswer* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__admit_note__init(Wgpb__AdmitNote* message) {
-    static const Wgpb__AdmitNote init_value = WGPB__ADMIT_NOTE__INIT;
-    *message = init_value;
-}
-size_t wgpb__admit_note__get_packed_size(const Wgpb__AdmitNote* message) {
-    assert(message->base.descriptor == &wgpb__admit_note__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__admit_note__pack(const Wgpb__AdmitNote* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__admit_note__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__admit_note__pack_to_buffer(const Wgpb__AdmitNote* message, ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__admit_note__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__AdmitNote* wgpb__admit_note__unpack(ProtobufCAllocator* allocator, size_t len,
-                                          const uint8_t* data) {
-    return (Wgpb__AdmitNote*)protobuf_c_message_unpack(&wgpb__admit_note__descriptor, allocator,
-                                                       len, data);
-}
-void wgpb__admit_note__free_unpacked(Wgpb__AdmitNote* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__admit_note__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__handoff_request__init(Wgpb__HandoffRequest* message) {
-    static const Wgpb__HandoffRequest init_value = WGPB__HANDOFF_REQUEST__INIT;
-    *message = init_value;
-}
-size_t wgpb__handoff_request__get_packed_size(const Wgpb__HandoffRequest* message) {
-    assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__handoff_request__pack(const Wgpb__HandoffRequest* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__handoff_request__pack_to_buffer(const Wgpb__HandoffRequest* message,
-                                             ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__HandoffRequest* wgpb__handoff_request__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                    const uint8_t* data) {
-    return (Wgpb__HandoffRequest*)protobuf_c_message_unpack(&wgpb__handoff_request__descriptor,
-                                                            allocator, len, data);
-}
-void wgpb__handoff_request__free_unpacked(Wgpb__HandoffRequest* message,
-                                          ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__handoff_answer__init(Wgpb__HandoffAnswer* message) {
-    static const Wgpb__HandoffAnswer init_value = WGPB__HANDOFF_ANSWER__INIT;
-    *message = init_value;
-}
-size_t wgpb__handoff_answer__get_packed_size(const Wgpb__HandoffAnswer* message) {
-    assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__handoff_answer__pack(const Wgpb__HandoffAnswer* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__handoff_answer__pack_to_buffer(const Wgpb__HandoffAnswer* message,
-                                            ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__HandoffAnswer* wgpb__handoff_answer__unpack(ProtobufCAllocator* allocator, size_t len,
-                                                  const uint8_t* data) {
-    return (Wgpb__HandoffAnswer*)protobuf_c_message_unpack(&wgpb__handoff_answer__descriptor,
-                                                           allocator, len, data);
-}
-void wgpb__handoff_answer__free_unpacked(Wgpb__HandoffAnswer* message,
-                                         ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-void wgpb__handoff_note__init(Wgpb__HandoffNote* message) {
-    static const Wgpb__HandoffNote init_value = WGPB__HANDOFF_NOTE__INIT;
-    *message = init_value;
-}
-size_t wgpb__handoff_note__get_packed_size(const Wgpb__HandoffNote* message) {
-    assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
-    return protobuf_c_message_get_packed_size((const ProtobufCMessage*)(message));
-}
-size_t wgpb__handoff_note__pack(const Wgpb__HandoffNote* message, uint8_t* out) {
-    assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
-    return protobuf_c_message_pack((const ProtobufCMessage*)message, out);
-}
-size_t wgpb__handoff_note__pack_to_buffer(const Wgpb__HandoffNote* message,
-                                          ProtobufCBuffer* buffer) {
-    assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
-    return protobuf_c_message_pack_to_buffer((const ProtobufCMessage*)message, buffer);
-}
-Wgpb__HandoffNote* wgpb__handoff_note__unpack(ProtobufCAllocator* allocator, size_t len,
-                                              const uint8_t* data) {
-    return (Wgpb__HandoffNote*)protobuf_c_message_unpack(&wgpb__handoff_note__descriptor, allocator,
-                                                         len, data);
-}
-void wgpb__handoff_note__free_unpacked(Wgpb__HandoffNote* message, ProtobufCAllocator* allocator) {
-    if (!message)
-        return;
-    assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
-    protobuf_c_message_free_unpacked((ProtobufCMessage*)message, allocator);
-}
-static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] = {
-    {
-        "name", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,    /* quantifier_offset */
-        offsetof(Wgpb__Hello, name), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "role", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, role), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "cluster", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, cluster), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "identity", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, identity), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "incarnation", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, incarnation), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "nonce", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, nonce), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "address", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,    /* quantifier_offset */
-        offsetof(Wgpb__Hello, address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "data_centre", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__Hello, data_centre), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+void   wgpb__hello__init
+                     (Wgpb__Hello         *message)
+{
+  static const Wgpb__Hello init_value = WGPB__HELLO__INIT;
+  *message = init_value;
+}
+size_t wgpb__hello__get_packed_size
+                     (const Wgpb__Hello *message)
+{
+  assert(message->base.descriptor == &wgpb__hello__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__hello__pack
+                     (const Wgpb__Hello *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__hello__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__hello__pack_to_buffer
+                     (const Wgpb__Hello *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__hello__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Hello *
+       wgpb__hello__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Hello *)
+     protobuf_c_message_unpack (&wgpb__hello__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__hello__free_unpacked
+                     (Wgpb__Hello *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__hello__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__proof__init
+                     (Wgpb__Proof         *message)
+{
+  static const Wgpb__Proof init_value = WGPB__PROOF__INIT;
+  *message = init_value;
+}
+size_t wgpb__proof__get_packed_size
+                     (const Wgpb__Proof *message)
+{
+  assert(message->base.descriptor == &wgpb__proof__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__proof__pack
+                     (const Wgpb__Proof *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__proof__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__proof__pack_to_buffer
+                     (const Wgpb__Proof *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__proof__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Proof *
+       wgpb__proof__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Proof *)
+     protobuf_c_message_unpack (&wgpb__proof__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__proof__free_unpacked
+                     (Wgpb__Proof *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__proof__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__replica__init
+                     (Wgpb__Replica         *message)
+{
+  static const Wgpb__Replica init_value = WGPB__REPLICA__INIT;
+  *message = init_value;
+}
+size_t wgpb__replica__get_packed_size
+                     (const Wgpb__Replica *message)
+{
+  assert(message->base.descriptor == &wgpb__replica__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__replica__pack
+                     (const Wgpb__Replica *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__replica__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__replica__pack_to_buffer
+                     (const Wgpb__Replica *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__replica__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Replica *
+       wgpb__replica__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Replica *)
+     protobuf_c_message_unpack (&wgpb__replica__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__replica__free_unpacked
+                     (Wgpb__Replica *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__replica__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__replica_set__init
+                     (Wgpb__ReplicaSet         *message)
+{
+  static const Wgpb__ReplicaSet init_value = WGPB__REPLICA_SET__INIT;
+  *message = init_value;
+}
+size_t wgpb__replica_set__get_packed_size
+                     (const Wgpb__ReplicaSet *message)
+{
+  assert(message->base.descriptor == &wgpb__replica_set__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__replica_set__pack
+                     (const Wgpb__ReplicaSet *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__replica_set__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__replica_set__pack_to_buffer
+                     (const Wgpb__ReplicaSet *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__replica_set__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ReplicaSet *
+       wgpb__replica_set__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ReplicaSet *)
+     protobuf_c_message_unpack (&wgpb__replica_set__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__replica_set__free_unpacked
+                     (Wgpb__ReplicaSet *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__replica_set__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__log_entry__init
+                     (Wgpb__LogEntry         *message)
+{
+  static const Wgpb__LogEntry init_value = WGPB__LOG_ENTRY__INIT;
+  *message = init_value;
+}
+size_t wgpb__log_entry__get_packed_size
+                     (const Wgpb__LogEntry *message)
+{
+  assert(message->base.descriptor == &wgpb__log_entry__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__log_entry__pack
+                     (const Wgpb__LogEntry *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__log_entry__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__log_entry__pack_to_buffer
+                     (const Wgpb__LogEntry *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__log_entry__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__LogEntry *
+       wgpb__log_entry__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__LogEntry *)
+     protobuf_c_message_unpack (&wgpb__log_entry__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__log_entry__free_unpacked
+                     (Wgpb__LogEntry *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__log_entry__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__quorum__init
+                     (Wgpb__Quorum         *message)
+{
+  static const Wgpb__Quorum init_value = WGPB__QUORUM__INIT;
+  *message = init_value;
+}
+size_t wgpb__quorum__get_packed_size
+                     (const Wgpb__Quorum *message)
+{
+  assert(message->base.descriptor == &wgpb__quorum__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__quorum__pack
+                     (const Wgpb__Quorum *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__quorum__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__quorum__pack_to_buffer
+                     (const Wgpb__Quorum *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__quorum__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Quorum *
+       wgpb__quorum__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Quorum *)
+     protobuf_c_message_unpack (&wgpb__quorum__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__quorum__free_unpacked
+                     (Wgpb__Quorum *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__quorum__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__silence__init
+                     (Wgpb__Silence         *message)
+{
+  static const Wgpb__Silence init_value = WGPB__SILENCE__INIT;
+  *message = init_value;
+}
+size_t wgpb__silence__get_packed_size
+                     (const Wgpb__Silence *message)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__silence__pack
+                     (const Wgpb__Silence *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__silence__pack_to_buffer
+                     (const Wgpb__Silence *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Silence *
+       wgpb__silence__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Silence *)
+     protobuf_c_message_unpack (&wgpb__silence__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__silence__free_unpacked
+                     (Wgpb__Silence *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__silence__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__hard_state__init
+                     (Wgpb__HardState         *message)
+{
+  static const Wgpb__HardState init_value = WGPB__HARD_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__hard_state__get_packed_size
+                     (const Wgpb__HardState *message)
+{
+  assert(message->base.descriptor == &wgpb__hard_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__hard_state__pack
+                     (const Wgpb__HardState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__hard_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__hard_state__pack_to_buffer
+                     (const Wgpb__HardState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__hard_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HardState *
+       wgpb__hard_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HardState *)
+     protobuf_c_message_unpack (&wgpb__hard_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__hard_state__free_unpacked
+                     (Wgpb__HardState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__hard_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__snapshot_file__init
+                     (Wgpb__SnapshotFile         *message)
+{
+  static const Wgpb__SnapshotFile init_value = WGPB__SNAPSHOT_FILE__INIT;
+  *message = init_value;
+}
+size_t wgpb__snapshot_file__get_packed_size
+                     (const Wgpb__SnapshotFile *message)
+{
+  assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__snapshot_file__pack
+                     (const Wgpb__SnapshotFile *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__snapshot_file__pack_to_buffer
+                     (const Wgpb__SnapshotFile *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__SnapshotFile *
+       wgpb__snapshot_file__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__SnapshotFile *)
+     protobuf_c_message_unpack (&wgpb__snapshot_file__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__snapshot_file__free_unpacked
+                     (Wgpb__SnapshotFile *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__snapshot_file__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__row__init
+                     (Wgpb__Row         *message)
+{
+  static const Wgpb__Row init_value = WGPB__ROW__INIT;
+  *message = init_value;
+}
+size_t wgpb__row__get_packed_size
+                     (const Wgpb__Row *message)
+{
+  assert(message->base.descriptor == &wgpb__row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__row__pack
+                     (const Wgpb__Row *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__row__pack_to_buffer
+                     (const Wgpb__Row *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Row *
+       wgpb__row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Row *)
+     protobuf_c_message_unpack (&wgpb__row__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__row__free_unpacked
+                     (Wgpb__Row *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__edit_row__init
+                     (Wgpb__EditRow         *message)
+{
+  static const Wgpb__EditRow init_value = WGPB__EDIT_ROW__INIT;
+  *message = init_value;
+}
+size_t wgpb__edit_row__get_packed_size
+                     (const Wgpb__EditRow *message)
+{
+  assert(message->base.descriptor == &wgpb__edit_row__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__edit_row__pack
+                     (const Wgpb__EditRow *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__edit_row__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__edit_row__pack_to_buffer
+                     (const Wgpb__EditRow *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__edit_row__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EditRow *
+       wgpb__edit_row__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EditRow *)
+     protobuf_c_message_unpack (&wgpb__edit_row__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__edit_row__free_unpacked
+                     (Wgpb__EditRow *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__edit_row__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__edit__init
+                     (Wgpb__Edit         *message)
+{
+  static const Wgpb__Edit init_value = WGPB__EDIT__INIT;
+  *message = init_value;
+}
+size_t wgpb__edit__get_packed_size
+                     (const Wgpb__Edit *message)
+{
+  assert(message->base.descriptor == &wgpb__edit__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__edit__pack
+                     (const Wgpb__Edit *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__edit__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__edit__pack_to_buffer
+                     (const Wgpb__Edit *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__edit__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Edit *
+       wgpb__edit__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Edit *)
+     protobuf_c_message_unpack (&wgpb__edit__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__edit__free_unpacked
+                     (Wgpb__Edit *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__edit__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__edit_result__init
+                     (Wgpb__EditResult         *message)
+{
+  static const Wgpb__EditResult init_value = WGPB__EDIT_RESULT__INIT;
+  *message = init_value;
+}
+size_t wgpb__edit_result__get_packed_size
+                     (const Wgpb__EditResult *message)
+{
+  assert(message->base.descriptor == &wgpb__edit_result__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__edit_result__pack
+                     (const Wgpb__EditResult *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__edit_result__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__edit_result__pack_to_buffer
+                     (const Wgpb__EditResult *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__edit_result__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EditResult *
+       wgpb__edit_result__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EditResult *)
+     protobuf_c_message_unpack (&wgpb__edit_result__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__edit_result__free_unpacked
+                     (Wgpb__EditResult *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__edit_result__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__table_state__init
+                     (Wgpb__TableState         *message)
+{
+  static const Wgpb__TableState init_value = WGPB__TABLE_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__table_state__get_packed_size
+                     (const Wgpb__TableState *message)
+{
+  assert(message->base.descriptor == &wgpb__table_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__table_state__pack
+                     (const Wgpb__TableState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__table_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__table_state__pack_to_buffer
+                     (const Wgpb__TableState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__table_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TableState *
+       wgpb__table_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TableState *)
+     protobuf_c_message_unpack (&wgpb__table_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__table_state__free_unpacked
+                     (Wgpb__TableState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__table_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim__init
+                     (Wgpb__Claim         *message)
+{
+  static const Wgpb__Claim init_value = WGPB__CLAIM__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim__get_packed_size
+                     (const Wgpb__Claim *message)
+{
+  assert(message->base.descriptor == &wgpb__claim__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim__pack
+                     (const Wgpb__Claim *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim__pack_to_buffer
+                     (const Wgpb__Claim *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Claim *
+       wgpb__claim__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Claim *)
+     protobuf_c_message_unpack (&wgpb__claim__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim__free_unpacked
+                     (Wgpb__Claim *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim_end__init
+                     (Wgpb__ClaimEnd         *message)
+{
+  static const Wgpb__ClaimEnd init_value = WGPB__CLAIM_END__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim_end__get_packed_size
+                     (const Wgpb__ClaimEnd *message)
+{
+  assert(message->base.descriptor == &wgpb__claim_end__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim_end__pack
+                     (const Wgpb__ClaimEnd *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim_end__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim_end__pack_to_buffer
+                     (const Wgpb__ClaimEnd *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim_end__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ClaimEnd *
+       wgpb__claim_end__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ClaimEnd *)
+     protobuf_c_message_unpack (&wgpb__claim_end__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim_end__free_unpacked
+                     (Wgpb__ClaimEnd *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim_end__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim_record__init
+                     (Wgpb__ClaimRecord         *message)
+{
+  static const Wgpb__ClaimRecord init_value = WGPB__CLAIM_RECORD__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim_record__get_packed_size
+                     (const Wgpb__ClaimRecord *message)
+{
+  assert(message->base.descriptor == &wgpb__claim_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim_record__pack
+                     (const Wgpb__ClaimRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim_record__pack_to_buffer
+                     (const Wgpb__ClaimRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ClaimRecord *
+       wgpb__claim_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ClaimRecord *)
+     protobuf_c_message_unpack (&wgpb__claim_record__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim_record__free_unpacked
+                     (Wgpb__ClaimRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim_state__init
+                     (Wgpb__ClaimState         *message)
+{
+  static const Wgpb__ClaimState init_value = WGPB__CLAIM_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim_state__get_packed_size
+                     (const Wgpb__ClaimState *message)
+{
+  assert(message->base.descriptor == &wgpb__claim_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim_state__pack
+                     (const Wgpb__ClaimState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim_state__pack_to_buffer
+                     (const Wgpb__ClaimState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ClaimState *
+       wgpb__claim_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ClaimState *)
+     protobuf_c_message_unpack (&wgpb__claim_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim_state__free_unpacked
+                     (Wgpb__ClaimState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__configuration__init
+                     (Wgpb__Configuration         *message)
+{
+  static const Wgpb__Configuration init_value = WGPB__CONFIGURATION__INIT;
+  *message = init_value;
+}
+size_t wgpb__configuration__get_packed_size
+                     (const Wgpb__Configuration *message)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__configuration__pack
+                     (const Wgpb__Configuration *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__configuration__pack_to_buffer
+                     (const Wgpb__Configuration *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Configuration *
+       wgpb__configuration__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Configuration *)
+     protobuf_c_message_unpack (&wgpb__configuration__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__configuration__free_unpacked
+                     (Wgpb__Configuration *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__configuration__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__target_record__init
+                     (Wgpb__TargetRecord         *message)
+{
+  static const Wgpb__TargetRecord init_value = WGPB__TARGET_RECORD__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_record__get_packed_size
+                     (const Wgpb__TargetRecord *message)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_record__pack
+                     (const Wgpb__TargetRecord *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_record__pack_to_buffer
+                     (const Wgpb__TargetRecord *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetRecord *
+       wgpb__target_record__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TargetRecord *)
+     protobuf_c_message_unpack (&wgpb__target_record__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_record__free_unpacked
+                     (Wgpb__TargetRecord *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_record__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__evacuation__init
+                     (Wgpb__Evacuation         *message)
+{
+  static const Wgpb__Evacuation init_value = WGPB__EVACUATION__INIT;
+  *message = init_value;
+}
+size_t wgpb__evacuation__get_packed_size
+                     (const Wgpb__Evacuation *message)
+{
+  assert(message->base.descriptor == &wgpb__evacuation__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__evacuation__pack
+                     (const Wgpb__Evacuation *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__evacuation__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__evacuation__pack_to_buffer
+                     (const Wgpb__Evacuation *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__evacuation__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Evacuation *
+       wgpb__evacuation__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Evacuation *)
+     protobuf_c_message_unpack (&wgpb__evacuation__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__evacuation__free_unpacked
+                     (Wgpb__Evacuation *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__evacuation__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__registry_state__init
+                     (Wgpb__RegistryState         *message)
+{
+  static const Wgpb__RegistryState init_value = WGPB__REGISTRY_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__registry_state__get_packed_size
+                     (const Wgpb__RegistryState *message)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__registry_state__pack
+                     (const Wgpb__RegistryState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__registry_state__pack_to_buffer
+                     (const Wgpb__RegistryState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__RegistryState *
+       wgpb__registry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__RegistryState *)
+     protobuf_c_message_unpack (&wgpb__registry_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__registry_state__free_unpacked
+                     (Wgpb__RegistryState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__registry_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__quarantine__init
+                     (Wgpb__Quarantine         *message)
+{
+  static const Wgpb__Quarantine init_value = WGPB__QUARANTINE__INIT;
+  *message = init_value;
+}
+size_t wgpb__quarantine__get_packed_size
+                     (const Wgpb__Quarantine *message)
+{
+  assert(message->base.descriptor == &wgpb__quarantine__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__quarantine__pack
+                     (const Wgpb__Quarantine *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__quarantine__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__quarantine__pack_to_buffer
+                     (const Wgpb__Quarantine *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__quarantine__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Quarantine *
+       wgpb__quarantine__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Quarantine *)
+     protobuf_c_message_unpack (&wgpb__quarantine__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__quarantine__free_unpacked
+                     (Wgpb__Quarantine *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__quarantine__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__quarantine_state__init
+                     (Wgpb__QuarantineState         *message)
+{
+  static const Wgpb__QuarantineState init_value = WGPB__QUARANTINE_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__quarantine_state__get_packed_size
+                     (const Wgpb__QuarantineState *message)
+{
+  assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__quarantine_state__pack
+                     (const Wgpb__QuarantineState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__quarantine_state__pack_to_buffer
+                     (const Wgpb__QuarantineState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__QuarantineState *
+       wgpb__quarantine_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__QuarantineState *)
+     protobuf_c_message_unpack (&wgpb__quarantine_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__quarantine_state__free_unpacked
+                     (Wgpb__QuarantineState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__quarantine_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_note__init
+                     (Wgpb__OriginNote         *message)
+{
+  static const Wgpb__OriginNote init_value = WGPB__ORIGIN_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_note__get_packed_size
+                     (const Wgpb__OriginNote *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_note__pack
+                     (const Wgpb__OriginNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_note__pack_to_buffer
+                     (const Wgpb__OriginNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginNote *
+       wgpb__origin_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginNote *)
+     protobuf_c_message_unpack (&wgpb__origin_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_note__free_unpacked
+                     (Wgpb__OriginNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_notes__init
+                     (Wgpb__OriginNotes         *message)
+{
+  static const Wgpb__OriginNotes init_value = WGPB__ORIGIN_NOTES__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_notes__get_packed_size
+                     (const Wgpb__OriginNotes *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_notes__pack
+                     (const Wgpb__OriginNotes *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_notes__pack_to_buffer
+                     (const Wgpb__OriginNotes *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginNotes *
+       wgpb__origin_notes__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginNotes *)
+     protobuf_c_message_unpack (&wgpb__origin_notes__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_notes__free_unpacked
+                     (Wgpb__OriginNotes *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_notes__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__command__init
+                     (Wgpb__Command         *message)
+{
+  static const Wgpb__Command init_value = WGPB__COMMAND__INIT;
+  *message = init_value;
+}
+size_t wgpb__command__get_packed_size
+                     (const Wgpb__Command *message)
+{
+  assert(message->base.descriptor == &wgpb__command__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__command__pack
+                     (const Wgpb__Command *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__command__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__command__pack_to_buffer
+                     (const Wgpb__Command *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__command__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Command *
+       wgpb__command__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Command *)
+     protobuf_c_message_unpack (&wgpb__command__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__command__free_unpacked
+                     (Wgpb__Command *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__command__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__state__init
+                     (Wgpb__State         *message)
+{
+  static const Wgpb__State init_value = WGPB__STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__state__get_packed_size
+                     (const Wgpb__State *message)
+{
+  assert(message->base.descriptor == &wgpb__state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__state__pack
+                     (const Wgpb__State *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__state__pack_to_buffer
+                     (const Wgpb__State *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__State *
+       wgpb__state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__State *)
+     protobuf_c_message_unpack (&wgpb__state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__state__free_unpacked
+                     (Wgpb__State *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__account__init
+                     (Wgpb__Account         *message)
+{
+  static const Wgpb__Account init_value = WGPB__ACCOUNT__INIT;
+  *message = init_value;
+}
+size_t wgpb__account__get_packed_size
+                     (const Wgpb__Account *message)
+{
+  assert(message->base.descriptor == &wgpb__account__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__account__pack
+                     (const Wgpb__Account *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__account__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__account__pack_to_buffer
+                     (const Wgpb__Account *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__account__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Account *
+       wgpb__account__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Account *)
+     protobuf_c_message_unpack (&wgpb__account__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__account__free_unpacked
+                     (Wgpb__Account *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__account__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__held__init
+                     (Wgpb__Held         *message)
+{
+  static const Wgpb__Held init_value = WGPB__HELD__INIT;
+  *message = init_value;
+}
+size_t wgpb__held__get_packed_size
+                     (const Wgpb__Held *message)
+{
+  assert(message->base.descriptor == &wgpb__held__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__held__pack
+                     (const Wgpb__Held *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__held__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__held__pack_to_buffer
+                     (const Wgpb__Held *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__held__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Held *
+       wgpb__held__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Held *)
+     protobuf_c_message_unpack (&wgpb__held__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__held__free_unpacked
+                     (Wgpb__Held *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__held__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__report__init
+                     (Wgpb__Report         *message)
+{
+  static const Wgpb__Report init_value = WGPB__REPORT__INIT;
+  *message = init_value;
+}
+size_t wgpb__report__get_packed_size
+                     (const Wgpb__Report *message)
+{
+  assert(message->base.descriptor == &wgpb__report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__report__pack
+                     (const Wgpb__Report *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__report__pack_to_buffer
+                     (const Wgpb__Report *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Report *
+       wgpb__report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Report *)
+     protobuf_c_message_unpack (&wgpb__report__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__report__free_unpacked
+                     (Wgpb__Report *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__fair__init
+                     (Wgpb__Fair         *message)
+{
+  static const Wgpb__Fair init_value = WGPB__FAIR__INIT;
+  *message = init_value;
+}
+size_t wgpb__fair__get_packed_size
+                     (const Wgpb__Fair *message)
+{
+  assert(message->base.descriptor == &wgpb__fair__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__fair__pack
+                     (const Wgpb__Fair *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__fair__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__fair__pack_to_buffer
+                     (const Wgpb__Fair *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__fair__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Fair *
+       wgpb__fair__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Fair *)
+     protobuf_c_message_unpack (&wgpb__fair__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__fair__free_unpacked
+                     (Wgpb__Fair *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__fair__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__grant__init
+                     (Wgpb__Grant         *message)
+{
+  static const Wgpb__Grant init_value = WGPB__GRANT__INIT;
+  *message = init_value;
+}
+size_t wgpb__grant__get_packed_size
+                     (const Wgpb__Grant *message)
+{
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__grant__pack
+                     (const Wgpb__Grant *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__grant__pack_to_buffer
+                     (const Wgpb__Grant *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Grant *
+       wgpb__grant__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Grant *)
+     protobuf_c_message_unpack (&wgpb__grant__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__grant__free_unpacked
+                     (Wgpb__Grant *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__grant__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__quota__init
+                     (Wgpb__Quota         *message)
+{
+  static const Wgpb__Quota init_value = WGPB__QUOTA__INIT;
+  *message = init_value;
+}
+size_t wgpb__quota__get_packed_size
+                     (const Wgpb__Quota *message)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__quota__pack
+                     (const Wgpb__Quota *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__quota__pack_to_buffer
+                     (const Wgpb__Quota *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Quota *
+       wgpb__quota__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Quota *)
+     protobuf_c_message_unpack (&wgpb__quota__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__quota__free_unpacked
+                     (Wgpb__Quota *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__quota__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__member__init
+                     (Wgpb__Member         *message)
+{
+  static const Wgpb__Member init_value = WGPB__MEMBER__INIT;
+  *message = init_value;
+}
+size_t wgpb__member__get_packed_size
+                     (const Wgpb__Member *message)
+{
+  assert(message->base.descriptor == &wgpb__member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__member__pack
+                     (const Wgpb__Member *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__member__pack_to_buffer
+                     (const Wgpb__Member *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Member *
+       wgpb__member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Member *)
+     protobuf_c_message_unpack (&wgpb__member__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__member__free_unpacked
+                     (Wgpb__Member *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__reply__init
+                     (Wgpb__Reply         *message)
+{
+  static const Wgpb__Reply init_value = WGPB__REPLY__INIT;
+  *message = init_value;
+}
+size_t wgpb__reply__get_packed_size
+                     (const Wgpb__Reply *message)
+{
+  assert(message->base.descriptor == &wgpb__reply__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__reply__pack
+                     (const Wgpb__Reply *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__reply__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__reply__pack_to_buffer
+                     (const Wgpb__Reply *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__reply__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Reply *
+       wgpb__reply__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Reply *)
+     protobuf_c_message_unpack (&wgpb__reply__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__reply__free_unpacked
+                     (Wgpb__Reply *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__reply__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__row_query__init
+                     (Wgpb__RowQuery         *message)
+{
+  static const Wgpb__RowQuery init_value = WGPB__ROW_QUERY__INIT;
+  *message = init_value;
+}
+size_t wgpb__row_query__get_packed_size
+                     (const Wgpb__RowQuery *message)
+{
+  assert(message->base.descriptor == &wgpb__row_query__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__row_query__pack
+                     (const Wgpb__RowQuery *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__row_query__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__row_query__pack_to_buffer
+                     (const Wgpb__RowQuery *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__row_query__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__RowQuery *
+       wgpb__row_query__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__RowQuery *)
+     protobuf_c_message_unpack (&wgpb__row_query__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__row_query__free_unpacked
+                     (Wgpb__RowQuery *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__row_query__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__row_answer__init
+                     (Wgpb__RowAnswer         *message)
+{
+  static const Wgpb__RowAnswer init_value = WGPB__ROW_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__row_answer__get_packed_size
+                     (const Wgpb__RowAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__row_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__row_answer__pack
+                     (const Wgpb__RowAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__row_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__row_answer__pack_to_buffer
+                     (const Wgpb__RowAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__row_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__RowAnswer *
+       wgpb__row_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__RowAnswer *)
+     protobuf_c_message_unpack (&wgpb__row_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__row_answer__free_unpacked
+                     (Wgpb__RowAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__row_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim_ask__init
+                     (Wgpb__ClaimAsk         *message)
+{
+  static const Wgpb__ClaimAsk init_value = WGPB__CLAIM_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim_ask__get_packed_size
+                     (const Wgpb__ClaimAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim_ask__pack
+                     (const Wgpb__ClaimAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim_ask__pack_to_buffer
+                     (const Wgpb__ClaimAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ClaimAsk *
+       wgpb__claim_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ClaimAsk *)
+     protobuf_c_message_unpack (&wgpb__claim_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim_ask__free_unpacked
+                     (Wgpb__ClaimAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__claim_answer__init
+                     (Wgpb__ClaimAnswer         *message)
+{
+  static const Wgpb__ClaimAnswer init_value = WGPB__CLAIM_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__claim_answer__get_packed_size
+                     (const Wgpb__ClaimAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__claim_answer__pack
+                     (const Wgpb__ClaimAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__claim_answer__pack_to_buffer
+                     (const Wgpb__ClaimAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ClaimAnswer *
+       wgpb__claim_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ClaimAnswer *)
+     protobuf_c_message_unpack (&wgpb__claim_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__claim_answer__free_unpacked
+                     (Wgpb__ClaimAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__claim_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__target_load__init
+                     (Wgpb__TargetLoad         *message)
+{
+  static const Wgpb__TargetLoad init_value = WGPB__TARGET_LOAD__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_load__get_packed_size
+                     (const Wgpb__TargetLoad *message)
+{
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_load__pack
+                     (const Wgpb__TargetLoad *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_load__pack_to_buffer
+                     (const Wgpb__TargetLoad *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetLoad *
+       wgpb__target_load__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TargetLoad *)
+     protobuf_c_message_unpack (&wgpb__target_load__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_load__free_unpacked
+                     (Wgpb__TargetLoad *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_load__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__workspace_usage__init
+                     (Wgpb__WorkspaceUsage         *message)
+{
+  static const Wgpb__WorkspaceUsage init_value = WGPB__WORKSPACE_USAGE__INIT;
+  *message = init_value;
+}
+size_t wgpb__workspace_usage__get_packed_size
+                     (const Wgpb__WorkspaceUsage *message)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__workspace_usage__pack
+                     (const Wgpb__WorkspaceUsage *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__workspace_usage__pack_to_buffer
+                     (const Wgpb__WorkspaceUsage *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__WorkspaceUsage *
+       wgpb__workspace_usage__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__WorkspaceUsage *)
+     protobuf_c_message_unpack (&wgpb__workspace_usage__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__workspace_usage__free_unpacked
+                     (Wgpb__WorkspaceUsage *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__workspace_usage__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__crash__init
+                     (Wgpb__Crash         *message)
+{
+  static const Wgpb__Crash init_value = WGPB__CRASH__INIT;
+  *message = init_value;
+}
+size_t wgpb__crash__get_packed_size
+                     (const Wgpb__Crash *message)
+{
+  assert(message->base.descriptor == &wgpb__crash__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__crash__pack
+                     (const Wgpb__Crash *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__crash__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__crash__pack_to_buffer
+                     (const Wgpb__Crash *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__crash__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Crash *
+       wgpb__crash__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Crash *)
+     protobuf_c_message_unpack (&wgpb__crash__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__crash__free_unpacked
+                     (Wgpb__Crash *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__crash__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_report__init
+                     (Wgpb__EntryReport         *message)
+{
+  static const Wgpb__EntryReport init_value = WGPB__ENTRY_REPORT__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_report__get_packed_size
+                     (const Wgpb__EntryReport *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_report__pack
+                     (const Wgpb__EntryReport *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_report__pack_to_buffer
+                     (const Wgpb__EntryReport *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryReport *
+       wgpb__entry_report__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryReport *)
+     protobuf_c_message_unpack (&wgpb__entry_report__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_report__free_unpacked
+                     (Wgpb__EntryReport *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_report__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_member__init
+                     (Wgpb__EntryMember         *message)
+{
+  static const Wgpb__EntryMember init_value = WGPB__ENTRY_MEMBER__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_member__get_packed_size
+                     (const Wgpb__EntryMember *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_member__pack
+                     (const Wgpb__EntryMember *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_member__pack_to_buffer
+                     (const Wgpb__EntryMember *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryMember *
+       wgpb__entry_member__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryMember *)
+     protobuf_c_message_unpack (&wgpb__entry_member__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_member__free_unpacked
+                     (Wgpb__EntryMember *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_member__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__entry_state__init
+                     (Wgpb__EntryState         *message)
+{
+  static const Wgpb__EntryState init_value = WGPB__ENTRY_STATE__INIT;
+  *message = init_value;
+}
+size_t wgpb__entry_state__get_packed_size
+                     (const Wgpb__EntryState *message)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__entry_state__pack
+                     (const Wgpb__EntryState *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__entry_state__pack_to_buffer
+                     (const Wgpb__EntryState *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__EntryState *
+       wgpb__entry_state__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__EntryState *)
+     protobuf_c_message_unpack (&wgpb__entry_state__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__entry_state__free_unpacked
+                     (Wgpb__EntryState *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__entry_state__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__service_room__init
+                     (Wgpb__ServiceRoom         *message)
+{
+  static const Wgpb__ServiceRoom init_value = WGPB__SERVICE_ROOM__INIT;
+  *message = init_value;
+}
+size_t wgpb__service_room__get_packed_size
+                     (const Wgpb__ServiceRoom *message)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__service_room__pack
+                     (const Wgpb__ServiceRoom *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__service_room__pack_to_buffer
+                     (const Wgpb__ServiceRoom *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__ServiceRoom *
+       wgpb__service_room__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__ServiceRoom *)
+     protobuf_c_message_unpack (&wgpb__service_room__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__service_room__free_unpacked
+                     (Wgpb__ServiceRoom *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__service_room__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__order__init
+                     (Wgpb__Order         *message)
+{
+  static const Wgpb__Order init_value = WGPB__ORDER__INIT;
+  *message = init_value;
+}
+size_t wgpb__order__get_packed_size
+                     (const Wgpb__Order *message)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__order__pack
+                     (const Wgpb__Order *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__order__pack_to_buffer
+                     (const Wgpb__Order *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__Order *
+       wgpb__order__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__Order *)
+     protobuf_c_message_unpack (&wgpb__order__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__order__free_unpacked
+                     (Wgpb__Order *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__order__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__order_answer__init
+                     (Wgpb__OrderAnswer         *message)
+{
+  static const Wgpb__OrderAnswer init_value = WGPB__ORDER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__order_answer__get_packed_size
+                     (const Wgpb__OrderAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__order_answer__pack
+                     (const Wgpb__OrderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__order_answer__pack_to_buffer
+                     (const Wgpb__OrderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OrderAnswer *
+       wgpb__order_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OrderAnswer *)
+     protobuf_c_message_unpack (&wgpb__order_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__order_answer__free_unpacked
+                     (Wgpb__OrderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__order_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__leader_ask__init
+                     (Wgpb__LeaderAsk         *message)
+{
+  static const Wgpb__LeaderAsk init_value = WGPB__LEADER_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__leader_ask__get_packed_size
+                     (const Wgpb__LeaderAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__leader_ask__pack
+                     (const Wgpb__LeaderAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__leader_ask__pack_to_buffer
+                     (const Wgpb__LeaderAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__LeaderAsk *
+       wgpb__leader_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__LeaderAsk *)
+     protobuf_c_message_unpack (&wgpb__leader_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__leader_ask__free_unpacked
+                     (Wgpb__LeaderAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__leader_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__leader_answer__init
+                     (Wgpb__LeaderAnswer         *message)
+{
+  static const Wgpb__LeaderAnswer init_value = WGPB__LEADER_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__leader_answer__get_packed_size
+                     (const Wgpb__LeaderAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
