+size_t wgpb__leader_answer__pack
+                     (const Wgpb__LeaderAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__leader_answer__pack_to_buffer
+                     (const Wgpb__LeaderAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__LeaderAnswer *
+       wgpb__leader_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__LeaderAnswer *)
+     protobuf_c_message_unpack (&wgpb__leader_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__leader_answer__free_unpacked
+                     (Wgpb__LeaderAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__leader_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_ask__init
+                     (Wgpb__OriginAsk         *message)
+{
+  static const Wgpb__OriginAsk init_value = WGPB__ORIGIN_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_ask__get_packed_size
+                     (const Wgpb__OriginAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_ask__pack
+                     (const Wgpb__OriginAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_ask__pack_to_buffer
+                     (const Wgpb__OriginAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginAsk *
+       wgpb__origin_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginAsk *)
+     protobuf_c_message_unpack (&wgpb__origin_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_ask__free_unpacked
+                     (Wgpb__OriginAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__origin_answer__init
+                     (Wgpb__OriginAnswer         *message)
+{
+  static const Wgpb__OriginAnswer init_value = WGPB__ORIGIN_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__origin_answer__get_packed_size
+                     (const Wgpb__OriginAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__origin_answer__pack
+                     (const Wgpb__OriginAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__origin_answer__pack_to_buffer
+                     (const Wgpb__OriginAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__OriginAnswer *
+       wgpb__origin_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__OriginAnswer *)
+     protobuf_c_message_unpack (&wgpb__origin_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__origin_answer__free_unpacked
+                     (Wgpb__OriginAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__origin_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__target_ask__init
+                     (Wgpb__TargetAsk         *message)
+{
+  static const Wgpb__TargetAsk init_value = WGPB__TARGET_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_ask__get_packed_size
+                     (const Wgpb__TargetAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__target_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_ask__pack
+                     (const Wgpb__TargetAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__target_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_ask__pack_to_buffer
+                     (const Wgpb__TargetAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__target_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetAsk *
+       wgpb__target_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TargetAsk *)
+     protobuf_c_message_unpack (&wgpb__target_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_ask__free_unpacked
+                     (Wgpb__TargetAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__target_answer__init
+                     (Wgpb__TargetAnswer         *message)
+{
+  static const Wgpb__TargetAnswer init_value = WGPB__TARGET_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__target_answer__get_packed_size
+                     (const Wgpb__TargetAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__target_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__target_answer__pack
+                     (const Wgpb__TargetAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__target_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__target_answer__pack_to_buffer
+                     (const Wgpb__TargetAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__target_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__TargetAnswer *
+       wgpb__target_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__TargetAnswer *)
+     protobuf_c_message_unpack (&wgpb__target_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__target_answer__free_unpacked
+                     (Wgpb__TargetAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__target_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__admit_ask__init
+                     (Wgpb__AdmitAsk         *message)
+{
+  static const Wgpb__AdmitAsk init_value = WGPB__ADMIT_ASK__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_ask__get_packed_size
+                     (const Wgpb__AdmitAsk *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_ask__pack
+                     (const Wgpb__AdmitAsk *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_ask__pack_to_buffer
+                     (const Wgpb__AdmitAsk *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitAsk *
+       wgpb__admit_ask__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitAsk *)
+     protobuf_c_message_unpack (&wgpb__admit_ask__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_ask__free_unpacked
+                     (Wgpb__AdmitAsk *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_ask__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__admit_answer__init
+                     (Wgpb__AdmitAnswer         *message)
+{
+  static const Wgpb__AdmitAnswer init_value = WGPB__ADMIT_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_answer__get_packed_size
+                     (const Wgpb__AdmitAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_answer__pack
+                     (const Wgpb__AdmitAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_answer__pack_to_buffer
+                     (const Wgpb__AdmitAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitAnswer *
+       wgpb__admit_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitAnswer *)
+     protobuf_c_message_unpack (&wgpb__admit_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_answer__free_unpacked
+                     (Wgpb__AdmitAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__admit_note__init
+                     (Wgpb__AdmitNote         *message)
+{
+  static const Wgpb__AdmitNote init_value = WGPB__ADMIT_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__admit_note__get_packed_size
+                     (const Wgpb__AdmitNote *message)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__admit_note__pack
+                     (const Wgpb__AdmitNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__admit_note__pack_to_buffer
+                     (const Wgpb__AdmitNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__AdmitNote *
+       wgpb__admit_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__AdmitNote *)
+     protobuf_c_message_unpack (&wgpb__admit_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__admit_note__free_unpacked
+                     (Wgpb__AdmitNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__admit_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__handoff_request__init
+                     (Wgpb__HandoffRequest         *message)
+{
+  static const Wgpb__HandoffRequest init_value = WGPB__HANDOFF_REQUEST__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_request__get_packed_size
+                     (const Wgpb__HandoffRequest *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_request__pack
+                     (const Wgpb__HandoffRequest *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_request__pack_to_buffer
+                     (const Wgpb__HandoffRequest *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffRequest *
+       wgpb__handoff_request__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffRequest *)
+     protobuf_c_message_unpack (&wgpb__handoff_request__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_request__free_unpacked
+                     (Wgpb__HandoffRequest *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_request__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__handoff_answer__init
+                     (Wgpb__HandoffAnswer         *message)
+{
+  static const Wgpb__HandoffAnswer init_value = WGPB__HANDOFF_ANSWER__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_answer__get_packed_size
+                     (const Wgpb__HandoffAnswer *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_answer__pack
+                     (const Wgpb__HandoffAnswer *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_answer__pack_to_buffer
+                     (const Wgpb__HandoffAnswer *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffAnswer *
+       wgpb__handoff_answer__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffAnswer *)
+     protobuf_c_message_unpack (&wgpb__handoff_answer__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_answer__free_unpacked
+                     (Wgpb__HandoffAnswer *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_answer__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+void   wgpb__handoff_note__init
+                     (Wgpb__HandoffNote         *message)
+{
+  static const Wgpb__HandoffNote init_value = WGPB__HANDOFF_NOTE__INIT;
+  *message = init_value;
+}
+size_t wgpb__handoff_note__get_packed_size
+                     (const Wgpb__HandoffNote *message)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_get_packed_size ((const ProtobufCMessage*)(message));
+}
+size_t wgpb__handoff_note__pack
+                     (const Wgpb__HandoffNote *message,
+                      uint8_t       *out)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_pack ((const ProtobufCMessage*)message, out);
+}
+size_t wgpb__handoff_note__pack_to_buffer
+                     (const Wgpb__HandoffNote *message,
+                      ProtobufCBuffer *buffer)
+{
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  return protobuf_c_message_pack_to_buffer ((const ProtobufCMessage*)message, buffer);
+}
+Wgpb__HandoffNote *
+       wgpb__handoff_note__unpack
+                     (ProtobufCAllocator  *allocator,
+                      size_t               len,
+                      const uint8_t       *data)
+{
+  return (Wgpb__HandoffNote *)
+     protobuf_c_message_unpack (&wgpb__handoff_note__descriptor,
+                                allocator, len, data);
+}
+void   wgpb__handoff_note__free_unpacked
+                     (Wgpb__HandoffNote *message,
+                      ProtobufCAllocator *allocator)
+{
+  if(!message)
+    return;
+  assert(message->base.descriptor == &wgpb__handoff_note__descriptor);
+  protobuf_c_message_free_unpacked ((ProtobufCMessage*)message, allocator);
+}
+static const ProtobufCFieldDescriptor wgpb__hello__field_descriptors[8] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "role",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, role),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cluster",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, cluster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "nonce",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, nonce),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Hello, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__hello__field_indices_by_name[] = {
-    6, /* field[6] = address */
-    2, /* field[2] = cluster */
-    7, /* field[7] = data_centre */
-    3, /* field[3] = identity */
-    4, /* field[4] = incarnation */
-    0, /* field[0] = name */
-    5, /* field[5] = nonce */
-    1, /* field[1] = role */
-};
-static const ProtobufCIntRange wgpb__hello__number_ranges[1 + 1] = {{1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor wgpb__hello__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Hello",
-    "Hello",
-    "Wgpb__Hello",
-    "wgpb",
-    sizeof(Wgpb__Hello),
-    8,
-    wgpb__hello__field_descriptors,
-    wgpb__hello__field_indices_by_name,
+  6,   /* field[6] = address */
+  2,   /* field[2] = cluster */
+  7,   /* field[7] = data_centre */
+  3,   /* field[3] = identity */
+  4,   /* field[4] = incarnation */
+  0,   /* field[0] = name */
+  5,   /* field[5] = nonce */
+  1,   /* field[1] = role */
+};
+static const ProtobufCIntRange wgpb__hello__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wgpb__hello__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Hello",
+  "Hello",
+  "Wgpb__Hello",
+  "wgpb",
+  sizeof(Wgpb__Hello),
+  8,
+  wgpb__hello__field_descriptors,
+  wgpb__hello__field_indices_by_name,
+  1,  wgpb__hello__number_ranges,
+  (ProtobufCMessageInit) wgpb__hello__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__proof__field_descriptors[1] =
+{
+  {
+    "mac",
     1,
-    wgpb__hello__number_ranges,
-    (ProtobufCMessageInit)wgpb__hello__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Proof, mac),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__proof__field_descriptors[1] = {
-    {
-        "mac", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Proof, mac), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__proof__field_indices_by_name[] = {
-    0, /* field[0] = mac */
-};
-static const ProtobufCIntRange wgpb__proof__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor wgpb__proof__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Proof",
-    "Proof",
-    "Wgpb__Proof",
-    "wgpb",
-    sizeof(Wgpb__Proof),
-    1,
-    wgpb__proof__field_descriptors,
-    wgpb__proof__field_indices_by_name,
+  0,   /* field[0] = mac */
+};
+static const ProtobufCIntRange wgpb__proof__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__proof__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Proof",
+  "Proof",
+  "Wgpb__Proof",
+  "wgpb",
+  sizeof(Wgpb__Proof),
+  1,
+  wgpb__proof__field_descriptors,
+  wgpb__proof__field_indices_by_name,
+  1,  wgpb__proof__number_ranges,
+  (ProtobufCMessageInit) wgpb__proof__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__replica__field_descriptors[4] =
+{
+  {
+    "id",
     1,
-    wgpb__proof__number_ranges,
-    (ProtobufCMessageInit)wgpb__proof__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__replica__field_descriptors[4] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Replica, id), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "name", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(Wgpb__Replica, name), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,      /* quantifier_offset */
-        offsetof(Wgpb__Replica, address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "voter", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Replica, voter), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__replica__field_indices_by_name[] = {
-    2, /* field[2] = address */
-    0, /* field[0] = id */
-    1, /* field[1] = name */
-    3, /* field[3] = voter */
-};
-static const ProtobufCIntRange wgpb__replica__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__replica__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Replica",
-    "Replica",
-    "Wgpb__Replica",
-    "wgpb",
-    sizeof(Wgpb__Replica),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voter",
     4,
-    wgpb__replica__field_descriptors,
-    wgpb__replica__field_indices_by_name,
-    1,
-    wgpb__replica__number_ranges,
-    (ProtobufCMessageInit)wgpb__replica__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Replica, voter),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor wgpb__replica_set__field_descriptors[1] = {
-    {
-        "replicas", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__ReplicaSet, n_replicas), offsetof(Wgpb__ReplicaSet, replicas),
-        &wgpb__replica__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                        /* reserved1,reserved2, etc */
-    },
+static const unsigned wgpb__replica__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  0,   /* field[0] = id */
+  1,   /* field[1] = name */
+  3,   /* field[3] = voter */
+};
+static const ProtobufCIntRange wgpb__replica__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__replica__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Replica",
+  "Replica",
+  "Wgpb__Replica",
+  "wgpb",
+  sizeof(Wgpb__Replica),
+  4,
+  wgpb__replica__field_descriptors,
+  wgpb__replica__field_indices_by_name,
+  1,  wgpb__replica__number_ranges,
+  (ProtobufCMessageInit) wgpb__replica__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__replica_set__field_descriptors[1] =
+{
+  {
+    "replicas",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__ReplicaSet, n_replicas),
+    offsetof(Wgpb__ReplicaSet, replicas),
+    &wgpb__replica__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__replica_set__field_indices_by_name[] = {
-    0, /* field[0] = replicas */
-};
-static const ProtobufCIntRange wgpb__replica_set__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor wgpb__replica_set__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.ReplicaSet",
-    "ReplicaSet",
-    "Wgpb__ReplicaSet",
-    "wgpb",
-    sizeof(Wgpb__ReplicaSet),
+  0,   /* field[0] = replicas */
+};
+static const ProtobufCIntRange wgpb__replica_set__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__replica_set__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ReplicaSet",
+  "ReplicaSet",
+  "Wgpb__ReplicaSet",
+  "wgpb",
+  sizeof(Wgpb__ReplicaSet),
+  1,
+  wgpb__replica_set__field_descriptors,
+  wgpb__replica_set__field_indices_by_name,
+  1,  wgpb__replica_set__number_ranges,
+  (ProtobufCMessageInit) wgpb__replica_set__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__log_entry__field_descriptors[4] =
+{
+  {
+    "index",
     1,
-    wgpb__replica_set__field_descriptors,
-    wgpb__replica_set__field_indices_by_name,
-    1,
-    wgpb__replica_set__number_ranges,
-    (ProtobufCMessageInit)wgpb__replica_set__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__log_entry__field_descriptors[4] = {
-    {
-        "index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__LogEntry, index), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__LogEntry, term), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "kind", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__LogEntry, kind), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "data", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__LogEntry, data), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "kind",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__LogEntry, data),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__log_entry__field_indices_by_name[] = {
-    3, /* field[3] = data */
-    0, /* field[0] = index */
-    2, /* field[2] = kind */
-    1, /* field[1] = term */
-};
-static const ProtobufCIntRange wgpb__log_entry__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__log_entry__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.LogEntry",
-    "LogEntry",
-    "Wgpb__LogEntry",
-    "wgpb",
-    sizeof(Wgpb__LogEntry),
-    4,
-    wgpb__log_entry__field_descriptors,
-    wgpb__log_entry__field_indices_by_name,
+  3,   /* field[3] = data */
+  0,   /* field[0] = index */
+  2,   /* field[2] = kind */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wgpb__log_entry__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__log_entry__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.LogEntry",
+  "LogEntry",
+  "Wgpb__LogEntry",
+  "wgpb",
+  sizeof(Wgpb__LogEntry),
+  4,
+  wgpb__log_entry__field_descriptors,
+  wgpb__log_entry__field_indices_by_name,
+  1,  wgpb__log_entry__number_ranges,
+  (ProtobufCMessageInit) wgpb__log_entry__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[19] =
+{
+  {
+    "type",
     1,
-    wgpb__log_entry__number_ranges,
-    (ProtobufCMessageInit)wgpb__log_entry__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__quorum__field_descriptors[19] = {
-    {
-        "type", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, type), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "from", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, from), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "to", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, to), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "term", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, term), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "log_index", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, log_index), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "log_term", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, log_term), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "commit", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, commit), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "reject", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, reject), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "hint", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, hint), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "echo", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, echo), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "entries", 11, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__Quorum, n_entries), offsetof(Wgpb__Quorum, entries),
-        &wgpb__log_entry__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                          /* reserved1,reserved2, etc */
-    },
-    {
-        "snapshot_index", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                     /* quantifier_offset */
-        offsetof(Wgpb__Quorum, snapshot_index), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                          /* reserved1,reserved2, etc */
-    },
-    {
-        "snapshot_term", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                    /* quantifier_offset */
-        offsetof(Wgpb__Quorum, snapshot_term), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                         /* reserved1,reserved2, etc */
-    },
-    {
-        "offset", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, offset), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "total", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, total), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "chunk", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, chunk), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "replicas", 17, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, replicas), &wgpb__replica_set__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "life", 18, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quorum, life), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "silences", 19, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__Quorum, n_silences), offsetof(Wgpb__Quorum, silences),
-        &wgpb__silence__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                        /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, type),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "from",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "to",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, to),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_index",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, log_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "log_term",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, log_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "commit",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, commit),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reject",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, reject),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "hint",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, hint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "entries",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Quorum, n_entries),
+    offsetof(Wgpb__Quorum, entries),
+    &wgpb__log_entry__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_index",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, snapshot_index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "snapshot_term",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, snapshot_term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "offset",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, offset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "total",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, total),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "chunk",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, chunk),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, replicas),
+    &wgpb__replica_set__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quorum, life),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "silences",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Quorum, n_silences),
+    offsetof(Wgpb__Quorum, silences),
+    &wgpb__silence__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__quorum__field_indices_by_name[] = {
-    15, /* field[15] = chunk */
-    6,  /* field[6] = commit */
-    9,  /* field[9] = echo */
-    10, /* field[10] = entries */
-    1,  /* field[1] = from */
-    8,  /* field[8] = hint */
-    17, /* field[17] = life */
-    4,  /* field[4] = log_index */
-    5,  /* field[5] = log_term */
-    13, /* field[13] = offset */
-    7,  /* field[7] = reject */
-    16, /* field[16] = replicas */
-    18, /* field[18] = silences */
-    11, /* field[11] = snapshot_index */
-    12, /* field[12] = snapshot_term */
-    3,  /* field[3] = term */
-    2,  /* field[2] = to */
-    14, /* field[14] = total */
-    0,  /* field[0] = type */
-};
-static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] = {{1, 0}, {0, 19}};
-const ProtobufCMessageDescriptor wgpb__quorum__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Quorum",
-    "Quorum",
-    "Wgpb__Quorum",
-    "wgpb",
-    sizeof(Wgpb__Quorum),
-    19,
-    wgpb__quorum__field_descriptors,
-    wgpb__quorum__field_indices_by_name,
+  15,   /* field[15] = chunk */
+  6,   /* field[6] = commit */
+  9,   /* field[9] = echo */
+  10,   /* field[10] = entries */
+  1,   /* field[1] = from */
+  8,   /* field[8] = hint */
+  17,   /* field[17] = life */
+  4,   /* field[4] = log_index */
+  5,   /* field[5] = log_term */
+  13,   /* field[13] = offset */
+  7,   /* field[7] = reject */
+  16,   /* field[16] = replicas */
+  18,   /* field[18] = silences */
+  11,   /* field[11] = snapshot_index */
+  12,   /* field[12] = snapshot_term */
+  3,   /* field[3] = term */
+  2,   /* field[2] = to */
+  14,   /* field[14] = total */
+  0,   /* field[0] = type */
+};
+static const ProtobufCIntRange wgpb__quorum__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 19 }
+};
+const ProtobufCMessageDescriptor wgpb__quorum__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Quorum",
+  "Quorum",
+  "Wgpb__Quorum",
+  "wgpb",
+  sizeof(Wgpb__Quorum),
+  19,
+  wgpb__quorum__field_descriptors,
+  wgpb__quorum__field_indices_by_name,
+  1,  wgpb__quorum__number_ranges,
+  (ProtobufCMessageInit) wgpb__quorum__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__silence__field_descriptors[2] =
+{
+  {
+    "id",
     1,
-    wgpb__quorum__number_ranges,
-    (ProtobufCMessageInit)wgpb__quorum__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Silence, id),
     NULL,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__silence__field_descriptors[2] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Silence, id), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "length", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Silence, length), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "length",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Silence, length),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__silence__field_indices_by_name[] = {
-    0, /* field[0] = id */
-    1, /* field[1] = length */
-};
-static const ProtobufCIntRange wgpb__silence__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor wgpb__silence__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Silence",
-    "Silence",
-    "Wgpb__Silence",
-    "wgpb",
-    sizeof(Wgpb__Silence),
-    2,
-    wgpb__silence__field_descriptors,
-    wgpb__silence__field_indices_by_name,
+  0,   /* field[0] = id */
+  1,   /* field[1] = length */
+};
+static const ProtobufCIntRange wgpb__silence__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__silence__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Silence",
+  "Silence",
+  "Wgpb__Silence",
+  "wgpb",
+  sizeof(Wgpb__Silence),
+  2,
+  wgpb__silence__field_descriptors,
+  wgpb__silence__field_indices_by_name,
+  1,  wgpb__silence__number_ranges,
+  (ProtobufCMessageInit) wgpb__silence__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[5] =
+{
+  {
+    "cluster",
     1,
-    wgpb__silence__number_ranges,
-    (ProtobufCMessageInit)wgpb__silence__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__hard_state__field_descriptors[5] = {
-    {
-        "cluster", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__HardState, cluster), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "identity", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__HardState, identity), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "term", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__HardState, term), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "voted_for", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__HardState, voted_for), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "superseded_by", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                       /* quantifier_offset */
-        offsetof(Wgpb__HardState, superseded_by), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                            /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, cluster),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "identity",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, identity),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "voted_for",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, voted_for),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "superseded_by",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__HardState, superseded_by),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__hard_state__field_indices_by_name[] = {
-    0, /* field[0] = cluster */
-    1, /* field[1] = identity */
-    4, /* field[4] = superseded_by */
-    2, /* field[2] = term */
-    3, /* field[3] = voted_for */
-};
-static const ProtobufCIntRange wgpb__hard_state__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor wgpb__hard_state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.HardState",
-    "HardState",
-    "Wgpb__HardState",
-    "wgpb",
-    sizeof(Wgpb__HardState),
-    5,
-    wgpb__hard_state__field_descriptors,
-    wgpb__hard_state__field_indices_by_name,
+  0,   /* field[0] = cluster */
+  1,   /* field[1] = identity */
+  4,   /* field[4] = superseded_by */
+  2,   /* field[2] = term */
+  3,   /* field[3] = voted_for */
+};
+static const ProtobufCIntRange wgpb__hard_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__hard_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.HardState",
+  "HardState",
+  "Wgpb__HardState",
+  "wgpb",
+  sizeof(Wgpb__HardState),
+  5,
+  wgpb__hard_state__field_descriptors,
+  wgpb__hard_state__field_indices_by_name,
+  1,  wgpb__hard_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__hard_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__snapshot_file__field_descriptors[4] =
+{
+  {
+    "index",
     1,
-    wgpb__hard_state__number_ranges,
-    (ProtobufCMessageInit)wgpb__hard_state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__snapshot_file__field_descriptors[4] = {
-    {
-        "index", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__SnapshotFile, index), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "term", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__SnapshotFile, term), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "replicas", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__SnapshotFile, replicas), &wgpb__replica_set__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "state", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__SnapshotFile, state), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, index),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replicas",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, replicas),
+    &wgpb__replica_set__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__SnapshotFile, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__snapshot_file__field_indices_by_name[] = {
-    0, /* field[0] = index */
-    2, /* field[2] = replicas */
-    3, /* field[3] = state */
-    1, /* field[1] = term */
-};
-static const ProtobufCIntRange wgpb__snapshot_file__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__snapshot_file__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.SnapshotFile",
-    "SnapshotFile",
-    "Wgpb__SnapshotFile",
-    "wgpb",
-    sizeof(Wgpb__SnapshotFile),
-    4,
-    wgpb__snapshot_file__field_descriptors,
-    wgpb__snapshot_file__field_indices_by_name,
+  0,   /* field[0] = index */
+  2,   /* field[2] = replicas */
+  3,   /* field[3] = state */
+  1,   /* field[1] = term */
+};
+static const ProtobufCIntRange wgpb__snapshot_file__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__snapshot_file__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.SnapshotFile",
+  "SnapshotFile",
+  "Wgpb__SnapshotFile",
+  "wgpb",
+  sizeof(Wgpb__SnapshotFile),
+  4,
+  wgpb__snapshot_file__field_descriptors,
+  wgpb__snapshot_file__field_indices_by_name,
+  1,  wgpb__snapshot_file__number_ranges,
+  (ProtobufCMessageInit) wgpb__snapshot_file__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__row__field_descriptors[7] =
+{
+  {
+    "kind",
     1,
-    wgpb__snapshot_file__number_ranges,
-    (ProtobufCMessageInit)wgpb__snapshot_file__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__row__field_descriptors[7] = {
-    {
-        "kind", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Row, kind), NULL, NULL, 0,                    /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "name", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,  /* quantifier_offset */
-        offsetof(Wgpb__Row, name), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Row, version), NULL, NULL, 0,                    /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "deleted", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Row, deleted), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "id", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Row, id), NULL, NULL, 0,                    /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "numbers", 6, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_SINT64,
-        offsetof(Wgpb__Row, n_numbers), offsetof(Wgpb__Row, numbers), NULL, NULL,
-        0 | PROTOBUF_C_FIELD_FLAG_PACKED, /* flags */
-        0, NULL, NULL                     /* reserved1,reserved2, etc */
-    },
-    {
-        "texts", 7, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING, offsetof(Wgpb__Row, n_texts),
-        offsetof(Wgpb__Row, texts), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, kind),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "name",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deleted",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, deleted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "id",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Row, id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "numbers",
+    6,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_SINT64,
+    offsetof(Wgpb__Row, n_numbers),
+    offsetof(Wgpb__Row, numbers),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "texts",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__Row, n_texts),
+    offsetof(Wgpb__Row, texts),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__row__field_indices_by_name[] = {
-    3, /* field[3] = deleted */
-    4, /* field[4] = id */
-    0, /* field[0] = kind */
-    1, /* field[1] = name */
-    5, /* field[5] = numbers */
-    6, /* field[6] = texts */
-    2, /* field[2] = version */
-};
-static const ProtobufCIntRange wgpb__row__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor wgpb__row__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Row",
-    "Row",
-    "Wgpb__Row",
-    "wgpb",
-    sizeof(Wgpb__Row),
-    7,
-    wgpb__row__field_descriptors,
-    wgpb__row__field_indices_by_name,
+  3,   /* field[3] = deleted */
+  4,   /* field[4] = id */
+  0,   /* field[0] = kind */
+  1,   /* field[1] = name */
+  5,   /* field[5] = numbers */
+  6,   /* field[6] = texts */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wgpb__row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Row",
+  "Row",
+  "Wgpb__Row",
+  "wgpb",
+  sizeof(Wgpb__Row),
+  7,
+  wgpb__row__field_descriptors,
+  wgpb__row__field_indices_by_name,
+  1,  wgpb__row__number_ranges,
+  (ProtobufCMessageInit) wgpb__row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit_row__field_descriptors[2] =
+{
+  {
+    "row",
     1,
-    wgpb__row__number_ranges,
-    (ProtobufCMessageInit)wgpb__row__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditRow, row),
+    &wgpb__row__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditRow, base_version),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__edit_row__field_descriptors[2] = {
-    {
-        "row", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0,   /* quantifier_offset */
-        offsetof(Wgpb__EditRow, row), &wgpb__row__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "base_version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__EditRow, base_version), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__edit_row__field_indices_by_name[] = {
-    1, /* field[1] = base_version */
-    0, /* field[0] = row */
-};
-static const ProtobufCIntRange wgpb__edit_row__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor wgpb__edit_row__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.EditRow",
-    "EditRow",
-    "Wgpb__EditRow",
-    "wgpb",
-    sizeof(Wgpb__EditRow),
-    2,
-    wgpb__edit_row__field_descriptors,
-    wgpb__edit_row__field_indices_by_name,
+  1,   /* field[1] = base_version */
+  0,   /* field[0] = row */
+};
+static const ProtobufCIntRange wgpb__edit_row__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__edit_row__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EditRow",
+  "EditRow",
+  "Wgpb__EditRow",
+  "wgpb",
+  sizeof(Wgpb__EditRow),
+  2,
+  wgpb__edit_row__field_descriptors,
+  wgpb__edit_row__field_indices_by_name,
+  1,  wgpb__edit_row__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit_row__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit__field_descriptors[3] =
+{
+  {
+    "edit_id",
     1,
-    wgpb__edit_row__number_ranges,
-    (ProtobufCMessageInit)wgpb__edit_row__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__edit__field_descriptors[3] = {
-    {
-        "edit_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Edit, edit_id), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "editor", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,   /* quantifier_offset */
-        offsetof(Wgpb__Edit, editor), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "rows", 3, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE, offsetof(Wgpb__Edit, n_rows),
-        offsetof(Wgpb__Edit, rows), &wgpb__edit_row__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Edit, edit_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "editor",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Edit, editor),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    3,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Edit, n_rows),
+    offsetof(Wgpb__Edit, rows),
+    &wgpb__edit_row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__edit__field_indices_by_name[] = {
-    0, /* field[0] = edit_id */
-    1, /* field[1] = editor */
-    2, /* field[2] = rows */
-};
-static const ProtobufCIntRange wgpb__edit__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor wgpb__edit__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Edit",
-    "Edit",
-    "Wgpb__Edit",
-    "wgpb",
-    sizeof(Wgpb__Edit),
-    3,
-    wgpb__edit__field_descriptors,
-    wgpb__edit__field_indices_by_name,
+  0,   /* field[0] = edit_id */
+  1,   /* field[1] = editor */
+  2,   /* field[2] = rows */
+};
+static const ProtobufCIntRange wgpb__edit__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__edit__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Edit",
+  "Edit",
+  "Wgpb__Edit",
+  "wgpb",
+  sizeof(Wgpb__Edit),
+  3,
+  wgpb__edit__field_descriptors,
+  wgpb__edit__field_indices_by_name,
+  1,  wgpb__edit__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__edit_result__field_descriptors[4] =
+{
+  {
+    "edit_id",
     1,
-    wgpb__edit__number_ranges,
-    (ProtobufCMessageInit)wgpb__edit__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__edit_result__field_descriptors[4] = {
-    {
-        "edit_id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__EditResult, edit_id), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__EditResult, version), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "outcome", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__EditResult, outcome), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "reason", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__EditResult, reason), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, edit_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EditResult, reason),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__edit_result__field_indices_by_name[] = {
-    0, /* field[0] = edit_id */
-    2, /* field[2] = outcome */
-    3, /* field[3] = reason */
-    1, /* field[1] = version */
-};
-static const ProtobufCIntRange wgpb__edit_result__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__edit_result__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.EditResult",
-    "EditResult",
-    "Wgpb__EditResult",
-    "wgpb",
-    sizeof(Wgpb__EditResult),
-    4,
-    wgpb__edit_result__field_descriptors,
-    wgpb__edit_result__field_indices_by_name,
+  0,   /* field[0] = edit_id */
+  2,   /* field[2] = outcome */
+  3,   /* field[3] = reason */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange wgpb__edit_result__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__edit_result__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EditResult",
+  "EditResult",
+  "Wgpb__EditResult",
+  "wgpb",
+  sizeof(Wgpb__EditResult),
+  4,
+  wgpb__edit_result__field_descriptors,
+  wgpb__edit_result__field_indices_by_name,
+  1,  wgpb__edit_result__number_ranges,
+  (ProtobufCMessageInit) wgpb__edit_result__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__table_state__field_descriptors[5] =
+{
+  {
+    "rows",
     1,
-    wgpb__edit_result__number_ranges,
-    (ProtobufCMessageInit)wgpb__edit_result__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__table_state__field_descriptors[5] = {
-    {
-        "rows", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__TableState, n_rows), offsetof(Wgpb__TableState, rows),
-        &wgpb__row__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                    /* reserved1,reserved2, etc */
-    },
-    {
-        "results", 2, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__TableState, n_results), offsetof(Wgpb__TableState, results),
-        &wgpb__edit_result__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                            /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TableState, version), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "next_id", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__TableState, next_id), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "tombstone_floor", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                          /* quantifier_offset */
-        offsetof(Wgpb__TableState, tombstone_floor), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__TableState, n_rows),
+    offsetof(Wgpb__TableState, rows),
+    &wgpb__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "results",
+    2,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__TableState, n_results),
+    offsetof(Wgpb__TableState, results),
+    &wgpb__edit_result__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TableState, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_id",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TableState, next_id),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tombstone_floor",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TableState, tombstone_floor),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__table_state__field_indices_by_name[] = {
-    3, /* field[3] = next_id */
-    1, /* field[1] = results */
-    0, /* field[0] = rows */
-    4, /* field[4] = tombstone_floor */
-    2, /* field[2] = version */
-};
-static const ProtobufCIntRange wgpb__table_state__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor wgpb__table_state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.TableState",
-    "TableState",
-    "Wgpb__TableState",
-    "wgpb",
-    sizeof(Wgpb__TableState),
-    5,
-    wgpb__table_state__field_descriptors,
-    wgpb__table_state__field_indices_by_name,
+  3,   /* field[3] = next_id */
+  1,   /* field[1] = results */
+  0,   /* field[0] = rows */
+  4,   /* field[4] = tombstone_floor */
+  2,   /* field[2] = version */
+};
+static const ProtobufCIntRange wgpb__table_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__table_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.TableState",
+  "TableState",
+  "Wgpb__TableState",
+  "wgpb",
+  sizeof(Wgpb__TableState),
+  5,
+  wgpb__table_state__field_descriptors,
+  wgpb__table_state__field_indices_by_name,
+  1,  wgpb__table_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__table_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim__field_descriptors[4] =
+{
+  {
+    "workspace",
     1,
-    wgpb__table_state__number_ranges,
-    (ProtobufCMessageInit)wgpb__table_state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim__field_descriptors[4] = {
-    {
-        "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,    /* quantifier_offset */
-        offsetof(Wgpb__Claim, workspace), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Claim, key), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "attempt", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Claim, attempt), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "now_seconds", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Claim, now_seconds), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Claim, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Claim, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Claim, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "now_seconds",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Claim, now_seconds),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__claim__field_indices_by_name[] = {
-    2, /* field[2] = attempt */
-    1, /* field[1] = key */
-    3, /* field[3] = now_seconds */
-    0, /* field[0] = workspace */
-};
-static const ProtobufCIntRange wgpb__claim__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__claim__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Claim",
-    "Claim",
-    "Wgpb__Claim",
-    "wgpb",
-    sizeof(Wgpb__Claim),
-    4,
-    wgpb__claim__field_descriptors,
-    wgpb__claim__field_indices_by_name,
+  2,   /* field[2] = attempt */
+  1,   /* field[1] = key */
+  3,   /* field[3] = now_seconds */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange wgpb__claim__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__claim__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Claim",
+  "Claim",
+  "Wgpb__Claim",
+  "wgpb",
+  sizeof(Wgpb__Claim),
+  4,
+  wgpb__claim__field_descriptors,
+  wgpb__claim__field_indices_by_name,
+  1,  wgpb__claim__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_end__field_descriptors[7] =
+{
+  {
+    "workspace",
     1,
-    wgpb__claim__number_ranges,
-    (ProtobufCMessageInit)wgpb__claim__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim_end__field_descriptors[7] = {
-    {
-        "workspace", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, workspace), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "key", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, key), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "attempt", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, attempt), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "verdict", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, verdict), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "status", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, status), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "content_type", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, content_type), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "body", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimEnd, body), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, key),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "attempt",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, attempt),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "verdict",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, verdict),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "status",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, status),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "content_type",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, content_type),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "body",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimEnd, body),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__claim_end__field_indices_by_name[] = {
-    2, /* field[2] = attempt */
-    6, /* field[6] = body */
-    5, /* field[5] = content_type */
-    1, /* field[1] = key */
-    4, /* field[4] = status */
-    3, /* field[3] = verdict */
-    0, /* field[0] = workspace */
-};
-static const ProtobufCIntRange wgpb__claim_end__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor wgpb__claim_end__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.ClaimEnd",
-    "ClaimEnd",
-    "Wgpb__ClaimEnd",
-    "wgpb",
-    sizeof(Wgpb__ClaimEnd),
-    7,
-    wgpb__claim_end__field_descriptors,
-    wgpb__claim_end__field_indices_by_name,
+  2,   /* field[2] = attempt */
+  6,   /* field[6] = body */
+  5,   /* field[5] = content_type */
+  1,   /* field[1] = key */
+  4,   /* field[4] = status */
+  3,   /* field[3] = verdict */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange wgpb__claim_end__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_end__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimEnd",
+  "ClaimEnd",
+  "Wgpb__ClaimEnd",
+  "wgpb",
+  sizeof(Wgpb__ClaimEnd),
+  7,
+  wgpb__claim_end__field_descriptors,
+  wgpb__claim_end__field_indices_by_name,
+  1,  wgpb__claim_end__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_end__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_record__field_descriptors[2] =
+{
+  {
+    "claim",
     1,
-    wgpb__claim_end__number_ranges,
-    (ProtobufCMessageInit)wgpb__claim_end__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimRecord, claim),
+    &wgpb__claim__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimRecord, end),
+    &wgpb__claim_end__descriptor,
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim_record__field_descriptors[2] = {
-    {
-        "claim", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimRecord, claim), &wgpb__claim__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "end", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimRecord, end), &wgpb__claim_end__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__claim_record__field_indices_by_name[] = {
-    0, /* field[0] = claim */
-    1, /* field[1] = end */
-};
-static const ProtobufCIntRange wgpb__claim_record__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor wgpb__claim_record__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.ClaimRecord",
-    "ClaimRecord",
-    "Wgpb__ClaimRecord",
-    "wgpb",
-    sizeof(Wgpb__ClaimRecord),
-    2,
-    wgpb__claim_record__field_descriptors,
-    wgpb__claim_record__field_indices_by_name,
+  0,   /* field[0] = claim */
+  1,   /* field[1] = end */
+};
+static const ProtobufCIntRange wgpb__claim_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimRecord",
+  "ClaimRecord",
+  "Wgpb__ClaimRecord",
+  "wgpb",
+  sizeof(Wgpb__ClaimRecord),
+  2,
+  wgpb__claim_record__field_descriptors,
+  wgpb__claim_record__field_indices_by_name,
+  1,  wgpb__claim_record__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_state__field_descriptors[2] =
+{
+  {
+    "records",
     1,
-    wgpb__claim_record__number_ranges,
-    (ProtobufCMessageInit)wgpb__claim_record__init,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__ClaimState, n_records),
+    offsetof(Wgpb__ClaimState, records),
+    &wgpb__claim_record__descriptor,
     NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "now_seconds",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimState, now_seconds),
     NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__claim_state__field_descriptors[2] = {
-    {
-        "records", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__ClaimState, n_records), offsetof(Wgpb__ClaimState, records),
-        &wgpb__claim_record__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                             /* reserved1,reserved2, etc */
-    },
-    {
-        "now_seconds", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__ClaimState, now_seconds), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__claim_state__field_indices_by_name[] = {
-    1, /* field[1] = now_seconds */
-    0, /* field[0] = records */
-};
-static const ProtobufCIntRange wgpb__claim_state__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor wgpb__claim_state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.ClaimState",
-    "ClaimState",
-    "Wgpb__ClaimState",
-    "wgpb",
-    sizeof(Wgpb__ClaimState),
-    2,
-    wgpb__claim_state__field_descriptors,
-    wgpb__claim_state__field_indices_by_name,
-    1,
-    wgpb__claim_state__number_ranges,
-    (ProtobufCMessageInit)wgpb__claim_state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__configuration__field_descriptors[4] = {
-    {
-        "version", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Configuration, version), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "document", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Configuration, document), NULL, NULL, 0,         /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "packed", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BYTES, 0, /* quantifier_offset */
-        offsetof(Wgpb__Configuration, packed), NULL, NULL, 0,         /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "base_version", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Configuration, base_version), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__configuration__field_indices_by_name[] = {
-    3, /* field[3] = base_version */
-    1, /* field[1] = document */
-    2, /* field[2] = packed */
-    0, /* field[0] = version */
-};
-static const ProtobufCIntRange wgpb__configuration__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__configuration__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Configuration",
-    "Configuration",
-    "Wgpb__Configuration",
-    "wgpb",
-    sizeof(Wgpb__Configuration),
-    4,
-    wgpb__configuration__field_descriptors,
-    wgpb__configuration__field_indices_by_name,
-    1,
-    wgpb__configuration__number_ranges,
-    (ProtobufCMessageInit)wgpb__configuration__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[16] = {
-    {
-        "id", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,           /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, id), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "service", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, service), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "address", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, address), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "data_centre", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, data_centre), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "slots", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, slots), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "state", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, state), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "sequence", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, sequence), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "number", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, number), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "change", 9, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, change), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "cold_us", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, cold_us), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "replaced", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, replaced), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "born", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, born), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 13, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, version), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "ended_us", 14, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, ended_us), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "leaving_us", 15, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, leaving_us), NULL, NULL, 0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "deregistered", 16, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__TargetRecord, deregistered), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__target_record__field_indices_by_name[] = {
-    2,  /* field[2] = address */
-    11, /* field[11] = born */
-    8,  /* field[8] = change */
-    9,  /* field[9] = cold_us */
-    3,  /* field[3] = data_centre */
-    15, /* field[15] = deregistered */
-    13, /* field[13] = ended_us */
-    0,  /* field[0] = id */
-    14, /* field[14] = leaving_us */
-    7,  /* field[7] = number */
-    10, /* field[10] = replaced */
-    6,  /* field[6] = sequence */
-    1,  /* field[1] = service */
-    4,  /* field[4] = slots */
-    5,  /* field[5] = state */
-    12, /* field[12] = version */
-};
-static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] = {{1, 0}, {0, 16}};
-const ProtobufCMessageDescriptor wgpb__target_record__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.TargetRecord",
-    "TargetRecord",
-    "Wgpb__TargetRecord",
-    "wgpb",
-    sizeof(Wgpb__TargetRecord),
-    16,
-    wgpb__target_record__field_descriptors,
-    wgpb__target_record__field_indices_by_name,
+  1,   /* field[1] = now_seconds */
+  0,   /* field[0] = records */
+};
+static const ProtobufCIntRange wgpb__claim_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimState",
+  "ClaimState",
+  "Wgpb__ClaimState",
+  "wgpb",
+  sizeof(Wgpb__ClaimState),
+  2,
+  wgpb__claim_state__field_descriptors,
+  wgpb__claim_state__field_indices_by_name,
+  1,  wgpb__claim_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__configuration__field_descriptors[4] =
+{
+  {
+    "version",
     1,
-    wgpb__target_record__number_ranges,
-    (ProtobufCMessageInit)wgpb__target_record__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__evacuation__field_descriptors[3] = {
-    {
-        "data_centre", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__Evacuation, data_centre), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "begins", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Evacuation, begins), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "cold_us", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Evacuation, cold_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__evacuation__field_indices_by_name[] = {
-    1, /* field[1] = begins */
-    2, /* field[2] = cold_us */
-    0, /* field[0] = data_centre */
-};
-static const ProtobufCIntRange wgpb__evacuation__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor wgpb__evacuation__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Evacuation",
-    "Evacuation",
-    "Wgpb__Evacuation",
-    "wgpb",
-    sizeof(Wgpb__Evacuation),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "document",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, document),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "packed",
     3,
-    wgpb__evacuation__field_descriptors,
-    wgpb__evacuation__field_indices_by_name,
-    1,
-    wgpb__evacuation__number_ranges,
-    (ProtobufCMessageInit)wgpb__evacuation__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__registry_state__field_descriptors[4] = {
-    {
-        "targets", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__RegistryState, n_targets), offsetof(Wgpb__RegistryState, targets),
-        &wgpb__target_record__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                              /* reserved1,reserved2, etc */
-    },
-    {
-        "change", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__RegistryState, change), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "next_number", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__RegistryState, next_number), NULL, NULL, 0,          /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "evacuated", 4, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_STRING,
-        offsetof(Wgpb__RegistryState, n_evacuated), offsetof(Wgpb__RegistryState, evacuated), NULL,
-        &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL                /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__registry_state__field_indices_by_name[] = {
-    1, /* field[1] = change */
-    3, /* field[3] = evacuated */
-    2, /* field[2] = next_number */
-    0, /* field[0] = targets */
-};
-static const ProtobufCIntRange wgpb__registry_state__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__registry_state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.RegistryState",
-    "RegistryState",
-    "Wgpb__RegistryState",
-    "wgpb",
-    sizeof(Wgpb__RegistryState),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, packed),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "base_version",
     4,
-    wgpb__registry_state__field_descriptors,
-    wgpb__registry_state__field_indices_by_name,
-    1,
-    wgpb__registry_state__number_ranges,
-    (ProtobufCMessageInit)wgpb__registry_state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__quarantine__field_descriptors[7] = {
-    {
-        "fingerprint", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, fingerprint), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "begins", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, begins), NULL, NULL, 0,           /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "workspace", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, workspace), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "path", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0,         /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, path), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "ends", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, ends), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL                                                /* reserved1,reserved2, etc */
-    },
-    {
-        "life_us", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, life_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "reason", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Quarantine, reason), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Configuration, base_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wgpb__quarantine__field_indices_by_name[] = {
-    1, /* field[1] = begins */
-    4, /* field[4] = ends */
-    0, /* field[0] = fingerprint */
-    5, /* field[5] = life_us */
-    3, /* field[3] = path */
-    6, /* field[6] = reason */
-    2, /* field[2] = workspace */
-};
-static const ProtobufCIntRange wgpb__quarantine__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor wgpb__quarantine__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Quarantine",
-    "Quarantine",
-    "Wgpb__Quarantine",
-    "wgpb",
-    sizeof(Wgpb__Quarantine),
-    7,
-    wgpb__quarantine__field_descriptors,
-    wgpb__quarantine__field_indices_by_name,
+static const unsigned wgpb__configuration__field_indices_by_name[] = {
+  3,   /* field[3] = base_version */
+  1,   /* field[1] = document */
+  2,   /* field[2] = packed */
+  0,   /* field[0] = version */
+};
+static const ProtobufCIntRange wgpb__configuration__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__configuration__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Configuration",
+  "Configuration",
+  "Wgpb__Configuration",
+  "wgpb",
+  sizeof(Wgpb__Configuration),
+  4,
+  wgpb__configuration__field_descriptors,
+  wgpb__configuration__field_indices_by_name,
+  1,  wgpb__configuration__number_ranges,
+  (ProtobufCMessageInit) wgpb__configuration__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__target_record__field_descriptors[16] =
+{
+  {
+    "id",
     1,
-    wgpb__quarantine__number_ranges,
-    (ProtobufCMessageInit)wgpb__quarantine__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__quarantine_state__field_descriptors[2] = {
-    {
-        "quarantined", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__QuarantineState, n_quarantined),
-        offsetof(Wgpb__QuarantineState, quarantined), &wgpb__quarantine__descriptor, NULL,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "change", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__QuarantineState, change), NULL, NULL, 0,        /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__quarantine_state__field_indices_by_name[] = {
-    1, /* field[1] = change */
-    0, /* field[0] = quarantined */
-};
-static const ProtobufCIntRange wgpb__quarantine_state__number_ranges[1 + 1] = {{1, 0}, {0, 2}};
-const ProtobufCMessageDescriptor wgpb__quarantine_state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.QuarantineState",
-    "QuarantineState",
-    "Wgpb__QuarantineState",
-    "wgpb",
-    sizeof(Wgpb__QuarantineState),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, id),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "service",
     2,
-    wgpb__quarantine_state__field_descriptors,
-    wgpb__quarantine_state__field_indices_by_name,
-    1,
-    wgpb__quarantine_state__number_ranges,
-    (ProtobufCMessageInit)wgpb__quarantine_state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__origin_note__field_descriptors[5] = {
-    {
-        "stream", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_FIXED64, 0, /* quantifier_offset */
-        offsetof(Wgpb__OriginNote, stream), NULL, NULL, 0,              /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "version", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_STRING, 0, /* quantifier_offset */
-        offsetof(Wgpb__OriginNote, version), NULL, &protobuf_c_empty_string, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "life_us", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__OriginNote, life_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "target", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__OriginNote, target), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "age_us", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__OriginNote, age_us), NULL, NULL, 0,             /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-};
-static const unsigned wgpb__origin_note__field_indices_by_name[] = {
-    4, /* field[4] = age_us */
-    2, /* field[2] = life_us */
-    0, /* field[0] = stream */
-    3, /* field[3] = target */
-    1, /* field[1] = version */
-};
-static const ProtobufCIntRange wgpb__origin_note__number_ranges[1 + 1] = {{1, 0}, {0, 5}};
-const ProtobufCMessageDescriptor wgpb__origin_note__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.OriginNote",
-    "OriginNote",
-    "Wgpb__OriginNote",
-    "wgpb",
-    sizeof(Wgpb__OriginNote),
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, service),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
     5,
-    wgpb__origin_note__field_descriptors,
-    wgpb__origin_note__field_indices_by_name,
-    1,
-    wgpb__origin_note__number_ranges,
-    (ProtobufCMessageInit)wgpb__origin_note__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, slots),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sequence",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, sequence),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "number",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_us",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, cold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "replaced",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, replaced),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "born",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, born),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_us",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, ended_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving_us",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, leaving_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "deregistered",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetRecord, deregistered),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const ProtobufCFieldDescriptor wgpb__origin_notes__field_descriptors[1] = {
-    {
-        "notes", 1, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__OriginNotes, n_notes), offsetof(Wgpb__OriginNotes, notes),
-        &wgpb__origin_note__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                            /* reserved1,reserved2, etc */
-    },
+static const unsigned wgpb__target_record__field_indices_by_name[] = {
+  2,   /* field[2] = address */
+  11,   /* field[11] = born */
+  8,   /* field[8] = change */
+  9,   /* field[9] = cold_us */
+  3,   /* field[3] = data_centre */
+  15,   /* field[15] = deregistered */
+  13,   /* field[13] = ended_us */
+  0,   /* field[0] = id */
+  14,   /* field[14] = leaving_us */
+  7,   /* field[7] = number */
+  10,   /* field[10] = replaced */
+  6,   /* field[6] = sequence */
+  1,   /* field[1] = service */
+  4,   /* field[4] = slots */
+  5,   /* field[5] = state */
+  12,   /* field[12] = version */
+};
+static const ProtobufCIntRange wgpb__target_record__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor wgpb__target_record__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.TargetRecord",
+  "TargetRecord",
+  "Wgpb__TargetRecord",
+  "wgpb",
+  sizeof(Wgpb__TargetRecord),
+  16,
+  wgpb__target_record__field_descriptors,
+  wgpb__target_record__field_indices_by_name,
+  1,  wgpb__target_record__number_ranges,
+  (ProtobufCMessageInit) wgpb__target_record__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__evacuation__field_descriptors[3] =
+{
+  {
+    "data_centre",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Evacuation, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Evacuation, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "cold_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Evacuation, cold_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wgpb__origin_notes__field_indices_by_name[] = {
-    0, /* field[0] = notes */
-};
-static const ProtobufCIntRange wgpb__origin_notes__number_ranges[1 + 1] = {{1, 0}, {0, 1}};
-const ProtobufCMessageDescriptor wgpb__origin_notes__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.OriginNotes",
-    "OriginNotes",
-    "Wgpb__OriginNotes",
-    "wgpb",
-    sizeof(Wgpb__OriginNotes),
+static const unsigned wgpb__evacuation__field_indices_by_name[] = {
+  1,   /* field[1] = begins */
+  2,   /* field[2] = cold_us */
+  0,   /* field[0] = data_centre */
+};
+static const ProtobufCIntRange wgpb__evacuation__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__evacuation__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Evacuation",
+  "Evacuation",
+  "Wgpb__Evacuation",
+  "wgpb",
+  sizeof(Wgpb__Evacuation),
+  3,
+  wgpb__evacuation__field_descriptors,
+  wgpb__evacuation__field_indices_by_name,
+  1,  wgpb__evacuation__number_ranges,
+  (ProtobufCMessageInit) wgpb__evacuation__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__registry_state__field_descriptors[4] =
+{
+  {
+    "targets",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__RegistryState, n_targets),
+    offsetof(Wgpb__RegistryState, targets),
+    &wgpb__target_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RegistryState, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "next_number",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RegistryState, next_number),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__RegistryState, n_evacuated),
+    offsetof(Wgpb__RegistryState, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__registry_state__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  3,   /* field[3] = evacuated */
+  2,   /* field[2] = next_number */
+  0,   /* field[0] = targets */
+};
+static const ProtobufCIntRange wgpb__registry_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__registry_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.RegistryState",
+  "RegistryState",
+  "Wgpb__RegistryState",
+  "wgpb",
+  sizeof(Wgpb__RegistryState),
+  4,
+  wgpb__registry_state__field_descriptors,
+  wgpb__registry_state__field_indices_by_name,
+  1,  wgpb__registry_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__registry_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quarantine__field_descriptors[7] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "begins",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, begins),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ends",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, ends),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_us",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, life_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reason",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quarantine, reason),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__quarantine__field_indices_by_name[] = {
+  1,   /* field[1] = begins */
+  4,   /* field[4] = ends */
+  0,   /* field[0] = fingerprint */
+  5,   /* field[5] = life_us */
+  3,   /* field[3] = path */
+  6,   /* field[6] = reason */
+  2,   /* field[2] = workspace */
+};
+static const ProtobufCIntRange wgpb__quarantine__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__quarantine__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Quarantine",
+  "Quarantine",
+  "Wgpb__Quarantine",
+  "wgpb",
+  sizeof(Wgpb__Quarantine),
+  7,
+  wgpb__quarantine__field_descriptors,
+  wgpb__quarantine__field_indices_by_name,
+  1,  wgpb__quarantine__number_ranges,
+  (ProtobufCMessageInit) wgpb__quarantine__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quarantine_state__field_descriptors[2] =
+{
+  {
+    "quarantined",
     1,
-    wgpb__origin_notes__field_descriptors,
-    wgpb__origin_notes__field_indices_by_name,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__QuarantineState, n_quarantined),
+    offsetof(Wgpb__QuarantineState, quarantined),
+    &wgpb__quarantine__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "change",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__QuarantineState, change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__quarantine_state__field_indices_by_name[] = {
+  1,   /* field[1] = change */
+  0,   /* field[0] = quarantined */
+};
+static const ProtobufCIntRange wgpb__quarantine_state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__quarantine_state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.QuarantineState",
+  "QuarantineState",
+  "Wgpb__QuarantineState",
+  "wgpb",
+  sizeof(Wgpb__QuarantineState),
+  2,
+  wgpb__quarantine_state__field_descriptors,
+  wgpb__quarantine_state__field_indices_by_name,
+  1,  wgpb__quarantine_state__number_ranges,
+  (ProtobufCMessageInit) wgpb__quarantine_state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__origin_note__field_descriptors[5] =
+{
+  {
+    "stream",
     1,
-    wgpb__origin_notes__number_ranges,
-    (ProtobufCMessageInit)wgpb__origin_notes__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__command__field_descriptors[8] = {
-    {
-        "edit", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0,    /* quantifier_offset */
-        offsetof(Wgpb__Command, edit), &wgpb__edit__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "claim", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0,     /* quantifier_offset */
-        offsetof(Wgpb__Command, claim), &wgpb__claim__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "claim_end", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Command, claim_end), &wgpb__claim_end__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "configuration", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-        0, /* quantifier_offset */
-        offsetof(Wgpb__Command, configuration), &wgpb__configuration__descriptor, NULL,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "target", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Command, target), &wgpb__target_record__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "evacuation", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Command, evacuation), &wgpb__evacuation__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "quarantine", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Command, quarantine), &wgpb__quarantine__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "origins", 8, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__Command, origins), &wgpb__origin_notes__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, stream),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, version),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "life_us",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, life_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "age_us",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginNote, age_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
-static const unsigned wgpb__command__field_indices_by_name[] = {
-    1, /* field[1] = claim */
-    2, /* field[2] = claim_end */
-    3, /* field[3] = configuration */
-    0, /* field[0] = edit */
-    5, /* field[5] = evacuation */
-    7, /* field[7] = origins */
-    6, /* field[6] = quarantine */
-    4, /* field[4] = target */
-};
-static const ProtobufCIntRange wgpb__command__number_ranges[1 + 1] = {{1, 0}, {0, 8}};
-const ProtobufCMessageDescriptor wgpb__command__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Command",
-    "Command",
-    "Wgpb__Command",
-    "wgpb",
-    sizeof(Wgpb__Command),
+static const unsigned wgpb__origin_note__field_indices_by_name[] = {
+  4,   /* field[4] = age_us */
+  2,   /* field[2] = life_us */
+  0,   /* field[0] = stream */
+  3,   /* field[3] = target */
+  1,   /* field[1] = version */
+};
+static const ProtobufCIntRange wgpb__origin_note__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__origin_note__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.OriginNote",
+  "OriginNote",
+  "Wgpb__OriginNote",
+  "wgpb",
+  sizeof(Wgpb__OriginNote),
+  5,
+  wgpb__origin_note__field_descriptors,
+  wgpb__origin_note__field_indices_by_name,
+  1,  wgpb__origin_note__number_ranges,
+  (ProtobufCMessageInit) wgpb__origin_note__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__origin_notes__field_descriptors[1] =
+{
+  {
+    "notes",
+    1,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__OriginNotes, n_notes),
+    offsetof(Wgpb__OriginNotes, notes),
+    &wgpb__origin_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__origin_notes__field_indices_by_name[] = {
+  0,   /* field[0] = notes */
+};
+static const ProtobufCIntRange wgpb__origin_notes__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 1 }
+};
+const ProtobufCMessageDescriptor wgpb__origin_notes__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.OriginNotes",
+  "OriginNotes",
+  "Wgpb__OriginNotes",
+  "wgpb",
+  sizeof(Wgpb__OriginNotes),
+  1,
+  wgpb__origin_notes__field_descriptors,
+  wgpb__origin_notes__field_indices_by_name,
+  1,  wgpb__origin_notes__number_ranges,
+  (ProtobufCMessageInit) wgpb__origin_notes__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__command__field_descriptors[8] =
+{
+  {
+    "edit",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, edit),
+    &wgpb__edit__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, claim),
+    &wgpb__claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim_end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, claim_end),
+    &wgpb__claim_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, configuration),
+    &wgpb__configuration__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, target),
+    &wgpb__target_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuation",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, evacuation),
+    &wgpb__evacuation__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantine",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, quarantine),
+    &wgpb__quarantine__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins",
     8,
-    wgpb__command__field_descriptors,
-    wgpb__command__field_indices_by_name,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Command, origins),
+    &wgpb__origin_notes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__command__field_indices_by_name[] = {
+  1,   /* field[1] = claim */
+  2,   /* field[2] = claim_end */
+  3,   /* field[3] = configuration */
+  0,   /* field[0] = edit */
+  5,   /* field[5] = evacuation */
+  7,   /* field[7] = origins */
+  6,   /* field[6] = quarantine */
+  4,   /* field[4] = target */
+};
+static const ProtobufCIntRange wgpb__command__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 8 }
+};
+const ProtobufCMessageDescriptor wgpb__command__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Command",
+  "Command",
+  "Wgpb__Command",
+  "wgpb",
+  sizeof(Wgpb__Command),
+  8,
+  wgpb__command__field_descriptors,
+  wgpb__command__field_indices_by_name,
+  1,  wgpb__command__number_ranges,
+  (ProtobufCMessageInit) wgpb__command__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__state__field_descriptors[6] =
+{
+  {
+    "table",
     1,
-    wgpb__command__number_ranges,
-    (ProtobufCMessageInit)wgpb__command__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__state__field_descriptors[6] = {
-    {
-        "table", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__State, table), &wgpb__table_state__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "claims", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__State, claims), &wgpb__claim_state__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "configuration", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE,
-        0, /* quantifier_offset */
-        offsetof(Wgpb__State, configuration), &wgpb__configuration__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "registry", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__State, registry), &wgpb__registry_state__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "quarantine", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__State, quarantine), &wgpb__quarantine_state__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "origins", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_MESSAGE, 0, /* quantifier_offset */
-        offsetof(Wgpb__State, origins), &wgpb__origin_notes__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, table),
+    &wgpb__table_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claims",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, claims),
+    &wgpb__claim_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, configuration),
+    &wgpb__configuration__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, registry),
+    &wgpb__registry_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantine",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, quarantine),
+    &wgpb__quarantine_state__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__State, origins),
+    &wgpb__origin_notes__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__state__field_indices_by_name[] = {
-    1, /* field[1] = claims */
-    2, /* field[2] = configuration */
-    5, /* field[5] = origins */
-    4, /* field[4] = quarantine */
-    3, /* field[3] = registry */
-    0, /* field[0] = table */
-};
-static const ProtobufCIntRange wgpb__state__number_ranges[1 + 1] = {{1, 0}, {0, 6}};
-const ProtobufCMessageDescriptor wgpb__state__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.State",
-    "State",
-    "Wgpb__State",
-    "wgpb",
-    sizeof(Wgpb__State),
-    6,
-    wgpb__state__field_descriptors,
-    wgpb__state__field_indices_by_name,
+  1,   /* field[1] = claims */
+  2,   /* field[2] = configuration */
+  5,   /* field[5] = origins */
+  4,   /* field[4] = quarantine */
+  3,   /* field[3] = registry */
+  0,   /* field[0] = table */
+};
+static const ProtobufCIntRange wgpb__state__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 6 }
+};
+const ProtobufCMessageDescriptor wgpb__state__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.State",
+  "State",
+  "Wgpb__State",
+  "wgpb",
+  sizeof(Wgpb__State),
+  6,
+  wgpb__state__field_descriptors,
+  wgpb__state__field_indices_by_name,
+  1,  wgpb__state__number_ranges,
+  (ProtobufCMessageInit) wgpb__state__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__account__field_descriptors[7] =
+{
+  {
+    "service",
     1,
-    wgpb__state__number_ranges,
-    (ProtobufCMessageInit)wgpb__state__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__account__field_descriptors[7] = {
-    {
-        "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, service), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "workspace", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, workspace), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "served", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, served), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "queued", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, queued), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "running", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, running), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "pending", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, pending), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "virtual_time", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Account, virtual_time), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "served",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, served),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "queued",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, queued),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "pending",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, pending),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "virtual_time",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Account, virtual_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__account__field_indices_by_name[] = {
-    5, /* field[5] = pending */
-    3, /* field[3] = queued */
-    4, /* field[4] = running */
-    2, /* field[2] = served */
-    0, /* field[0] = service */
-    6, /* field[6] = virtual_time */
-    1, /* field[1] = workspace */
-};
-static const ProtobufCIntRange wgpb__account__number_ranges[1 + 1] = {{1, 0}, {0, 7}};
-const ProtobufCMessageDescriptor wgpb__account__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Account",
-    "Account",
-    "Wgpb__Account",
-    "wgpb",
-    sizeof(Wgpb__Account),
-    7,
-    wgpb__account__field_descriptors,
-    wgpb__account__field_indices_by_name,
+  5,   /* field[5] = pending */
+  3,   /* field[3] = queued */
+  4,   /* field[4] = running */
+  2,   /* field[2] = served */
+  0,   /* field[0] = service */
+  6,   /* field[6] = virtual_time */
+  1,   /* field[1] = workspace */
+};
+static const ProtobufCIntRange wgpb__account__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__account__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Account",
+  "Account",
+  "Wgpb__Account",
+  "wgpb",
+  sizeof(Wgpb__Account),
+  7,
+  wgpb__account__field_descriptors,
+  wgpb__account__field_indices_by_name,
+  1,  wgpb__account__number_ranges,
+  (ProtobufCMessageInit) wgpb__account__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] =
+{
+  {
+    "target",
     1,
-    wgpb__account__number_ranges,
-    (ProtobufCMessageInit)wgpb__account__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__held__field_descriptors[3] = {
-    {
-        "target", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Held, target), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "slots", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Held, slots), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "aside", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Held, aside), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Held, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slots",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Held, slots),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "aside",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Held, aside),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__held__field_indices_by_name[] = {
-    2, /* field[2] = aside */
-    1, /* field[1] = slots */
-    0, /* field[0] = target */
-};
-static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] = {{1, 0}, {0, 3}};
-const ProtobufCMessageDescriptor wgpb__held__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Held",
-    "Held",
-    "Wgpb__Held",
-    "wgpb",
-    sizeof(Wgpb__Held),
-    3,
-    wgpb__held__field_descriptors,
-    wgpb__held__field_indices_by_name,
+  2,   /* field[2] = aside */
+  1,   /* field[1] = slots */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange wgpb__held__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__held__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Held",
+  "Held",
+  "Wgpb__Held",
+  "wgpb",
+  sizeof(Wgpb__Held),
+  3,
+  wgpb__held__field_descriptors,
+  wgpb__held__field_indices_by_name,
+  1,  wgpb__held__number_ranges,
+  (ProtobufCMessageInit) wgpb__held__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[12] =
+{
+  {
+    "seq",
     1,
-    wgpb__held__number_ranges,
-    (ProtobufCMessageInit)wgpb__held__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__report__field_descriptors[12] = {
-    {
-        "seq", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, seq), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL                                               /* reserved1,reserved2, etc */
-    },
-    {
-        "sent_at", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_INT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, sent_at), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "applied", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, applied), NULL, NULL, 0,                 /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "table_version", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                    /* quantifier_offset */
-        offsetof(Wgpb__Report, table_version), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                         /* reserved1,reserved2, etc */
-    },
-    {
-        "member_version", 5, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64,
-        0,                                                     /* quantifier_offset */
-        offsetof(Wgpb__Report, member_version), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                          /* reserved1,reserved2, etc */
-    },
-    {
-        "leaving", 6, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, leaving), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
-    {
-        "full", 7, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, full), NULL, NULL, 0,               /* flags */
-        0, NULL, NULL                                              /* reserved1,reserved2, etc */
-    },
-    {
-        "accounts", 8, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__Report, n_accounts), offsetof(Wgpb__Report, accounts),
-        &wgpb__account__descriptor, NULL, 0, /* flags */
-        0, NULL, NULL                        /* reserved1,reserved2, etc */
-    },
-    {
-        "held", 9, PROTOBUF_C_LABEL_REPEATED, PROTOBUF_C_TYPE_MESSAGE,
-        offsetof(Wgpb__Report, n_held), offsetof(Wgpb__Report, held), &wgpb__held__descriptor, NULL,
-        0,            /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "load_permille", 10, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32,
-        0,                                                    /* quantifier_offset */
-        offsetof(Wgpb__Report, load_permille), NULL, NULL, 0, /* flags */
-        0, NULL, NULL                                         /* reserved1,reserved2, etc */
-    },
-    {
-        "all_rows", 11, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_BOOL, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, all_rows), NULL, NULL, 0,                /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "recovery", 12, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Report, recovery), NULL, NULL, 0,                  /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "sent_at",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, sent_at),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "applied",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, applied),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_version",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, member_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "full",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "accounts",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Report, n_accounts),
+    offsetof(Wgpb__Report, accounts),
+    &wgpb__account__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "held",
+    9,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Report, n_held),
+    offsetof(Wgpb__Report, held),
+    &wgpb__held__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_permille",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, load_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "all_rows",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, all_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recovery",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Report, recovery),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__report__field_indices_by_name[] = {
-    7,  /* field[7] = accounts */
-    10, /* field[10] = all_rows */
-    2,  /* field[2] = applied */
-    6,  /* field[6] = full */
-    8,  /* field[8] = held */
-    5,  /* field[5] = leaving */
-    9,  /* field[9] = load_permille */
-    4,  /* field[4] = member_version */
-    11, /* field[11] = recovery */
-    1,  /* field[1] = sent_at */
-    0,  /* field[0] = seq */
-    3,  /* field[3] = table_version */
-};
-static const ProtobufCIntRange wgpb__report__number_ranges[1 + 1] = {{1, 0}, {0, 12}};
-const ProtobufCMessageDescriptor wgpb__report__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Report",
-    "Report",
-    "Wgpb__Report",
-    "wgpb",
-    sizeof(Wgpb__Report),
-    12,
-    wgpb__report__field_descriptors,
-    wgpb__report__field_indices_by_name,
+  7,   /* field[7] = accounts */
+  10,   /* field[10] = all_rows */
+  2,   /* field[2] = applied */
+  6,   /* field[6] = full */
+  8,   /* field[8] = held */
+  5,   /* field[5] = leaving */
+  9,   /* field[9] = load_permille */
+  4,   /* field[4] = member_version */
+  11,   /* field[11] = recovery */
+  1,   /* field[1] = sent_at */
+  0,   /* field[0] = seq */
+  3,   /* field[3] = table_version */
+};
+static const ProtobufCIntRange wgpb__report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 12 }
+};
+const ProtobufCMessageDescriptor wgpb__report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Report",
+  "Report",
+  "Wgpb__Report",
+  "wgpb",
+  sizeof(Wgpb__Report),
+  12,
+  wgpb__report__field_descriptors,
+  wgpb__report__field_indices_by_name,
+  1,  wgpb__report__number_ranges,
+  (ProtobufCMessageInit) wgpb__report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__fair__field_descriptors[4] =
+{
+  {
+    "service",
     1,
-    wgpb__report__number_ranges,
-    (ProtobufCMessageInit)wgpb__report__init,
-    NULL,
-    NULL,
-    NULL /* reserved[123] */
-};
-static const ProtobufCFieldDescriptor wgpb__fair__field_descriptors[4] = {
-    {
-        "service", 1, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Fair, service), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "workspace", 2, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT32, 0, /* quantifier_offset */
-        offsetof(Wgpb__Fair, workspace), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "virtual_time", 3, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Fair, virtual_time), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL /* reserved1,reserved2, etc */
-    },
-    {
-        "acked", 4, PROTOBUF_C_LABEL_NONE, PROTOBUF_C_TYPE_UINT64, 0, /* quantifier_offset */
-        offsetof(Wgpb__Fair, acked), NULL, NULL, 0,                   /* flags */
-        0, NULL, NULL                                                 /* reserved1,reserved2, etc */
-    },
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Fair, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Fair, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "virtual_time",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Fair, virtual_time),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "acked",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Fair, acked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__fair__field_indices_by_name[] = {
-    3, /* field[3] = acked */
-    0, /* field[0] = service */
-    2, /* field[2] = virtual_time */
-    1, /* field[1] = workspace */
-};
-static const ProtobufCIntRange wgpb__fair__number_ranges[1 + 1] = {{1, 0}, {0, 4}};
-const ProtobufCMessageDescriptor wgpb__fair__descriptor = {
-    PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
-    "wgpb.Fair",
-    "Fair",
-    "Wgpb__Fair",
-    "wgpb",
-    sizeof(Wgpb__Fair),
+  3,   /* field[3] = acked */
+  0,   /* field[0] = service */
+  2,   /* field[2] = virtual_time */
+  1,   /* field[1] = workspace */
+};
+static const ProtobufCIntRange wgpb__fair__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__fair__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Fair",
+  "Fair",
+  "Wgpb__Fair",
+  "wgpb",
+  sizeof(Wgpb__Fair),
+  4,
+  wgpb__fair__field_descriptors,
+  wgpb__fair__field_indices_by_name,
+  1,  wgpb__fair__number_ranges,
+  (ProtobufCMessageInit) wgpb__fair__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__grant__field_descriptors[2] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Grant, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "add",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Grant, add),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__grant__field_indices_by_name[] = {
+  1,   /* field[1] = add */
+  0,   /* field[0] = target */
+};
+static const ProtobufCIntRange wgpb__grant__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__grant__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Grant",
+  "Grant",
+  "Wgpb__Grant",
+  "wgpb",
+  sizeof(Wgpb__Grant),
+  2,
+  wgpb__grant__field_descriptors,
+  wgpb__grant__field_indices_by_name,
+  1,  wgpb__grant__number_ranges,
+  (ProtobufCMessageInit) wgpb__grant__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__quota__field_descriptors[2] =
+{
+  {
+    "service",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quota, service),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "most",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Quota, most),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__quota__field_indices_by_name[] = {
+  1,   /* field[1] = most */
+  0,   /* field[0] = service */
+};
+static const ProtobufCIntRange wgpb__quota__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__quota__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Quota",
+  "Quota",
+  "Wgpb__Quota",
+  "wgpb",
+  sizeof(Wgpb__Quota),
+  2,
+  wgpb__quota__field_descriptors,
+  wgpb__quota__field_indices_by_name,
+  1,  wgpb__quota__number_ranges,
+  (ProtobufCMessageInit) wgpb__quota__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__member__field_descriptors[7] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "incarnation",
     4,
-    wgpb__fair__field_descriptors,
-    wgpb__fair__field_indices_by_name,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, incarnation),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, state),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "load_permille",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Member, load_permille),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = data_centre */
+  3,   /* field[3] = incarnation */
+  6,   /* field[6] = load_permille */
+  0,   /* field[0] = name */
+  4,   /* field[4] = state */
+  5,   /* field[5] = version */
+};
+static const ProtobufCIntRange wgpb__member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 7 }
+};
+const ProtobufCMessageDescriptor wgpb__member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Member",
+  "Member",
+  "Wgpb__Member",
+  "wgpb",
+  sizeof(Wgpb__Member),
+  7,
+  wgpb__member__field_descriptors,
+  wgpb__member__field_indices_by_name,
+  1,  wgpb__member__number_ranges,
+  (ProtobufCMessageInit) wgpb__member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__reply__field_descriptors[20] =
+{
+  {
+    "seq",
     1,
-    wgpb__fair__number_ranges,
-    (ProtobufCMessageInit)wgpb__fair__init,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_seq",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, report_seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "echo",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, echo),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leads",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, leads),
     NULL,
     NULL,
-    NULL /* reserved[123] */
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_address",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, leader_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_lease",
+    7,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, table_lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "slot_lease",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_INT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, slot_lease),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "reset",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    10,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "rows",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_rows),
+    offsetof(Wgpb__Reply, rows),
+    &wgpb__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "more_rows",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, more_rows),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fairs",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_fairs),
+    offsetof(Wgpb__Reply, fairs),
+    &wgpb__fair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "fleet",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_fleet),
+    offsetof(Wgpb__Reply, fleet),
+    &wgpb__fair__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "grants",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_grants),
+    offsetof(Wgpb__Reply, grants),
+    &wgpb__grant__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_members),
+    offsetof(Wgpb__Reply, members),
+    &wgpb__member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "member_version",
+    17,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, member_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_reset",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, members_reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quotas",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__Reply, n_quotas),
+    offsetof(Wgpb__Reply, quotas),
+    &wgpb__quota__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "want_full",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Reply, want_full),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__reply__field_indices_by_name[] = {
+  2,   /* field[2] = echo */
+  12,   /* field[12] = fairs */
+  13,   /* field[13] = fleet */
+  14,   /* field[14] = grants */
+  5,   /* field[5] = leader_address */
+  4,   /* field[4] = leads */
+  16,   /* field[16] = member_version */
+  15,   /* field[15] = members */
+  17,   /* field[17] = members_reset */
+  11,   /* field[11] = more_rows */
+  18,   /* field[18] = quotas */
+  1,   /* field[1] = report_seq */
+  8,   /* field[8] = reset */
+  10,   /* field[10] = rows */
+  0,   /* field[0] = seq */
+  7,   /* field[7] = slot_lease */
+  6,   /* field[6] = table_lease */
+  9,   /* field[9] = table_version */
+  3,   /* field[3] = term */
+  19,   /* field[19] = want_full */
+};
+static const ProtobufCIntRange wgpb__reply__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 20 }
+};
+const ProtobufCMessageDescriptor wgpb__reply__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Reply",
+  "Reply",
+  "Wgpb__Reply",
+  "wgpb",
+  sizeof(Wgpb__Reply),
+  20,
+  wgpb__reply__field_descriptors,
+  wgpb__reply__field_indices_by_name,
+  1,  wgpb__reply__number_ranges,
+  (ProtobufCMessageInit) wgpb__reply__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__row_query__field_descriptors[2] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowQuery, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "key_hash",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BYTES,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowQuery, key_hash),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__row_query__field_indices_by_name[] = {
+  1,   /* field[1] = key_hash */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__row_query__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 2 }
+};
+const ProtobufCMessageDescriptor wgpb__row_query__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.RowQuery",
+  "RowQuery",
+  "Wgpb__RowQuery",
+  "wgpb",
+  sizeof(Wgpb__RowQuery),
+  2,
+  wgpb__row_query__field_descriptors,
+  wgpb__row_query__field_indices_by_name,
+  1,  wgpb__row_query__number_ranges,
+  (ProtobufCMessageInit) wgpb__row_query__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__row_answer__field_descriptors[4] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowAnswer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "row",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowAnswer, row),
+    &wgpb__row__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "table_version",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__RowAnswer, table_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__row_answer__field_indices_by_name[] = {
+  1,   /* field[1] = outcome */
+  2,   /* field[2] = row */
+  3,   /* field[3] = table_version */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__row_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__row_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.RowAnswer",
+  "RowAnswer",
+  "Wgpb__RowAnswer",
+  "wgpb",
+  sizeof(Wgpb__RowAnswer),
+  4,
+  wgpb__row_answer__field_descriptors,
+  wgpb__row_answer__field_indices_by_name,
+  1,  wgpb__row_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__row_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_ask__field_descriptors[3] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAsk, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "claim",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAsk, claim),
+    &wgpb__claim__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAsk, end),
+    &wgpb__claim_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__claim_ask__field_indices_by_name[] = {
+  1,   /* field[1] = claim */
+  2,   /* field[2] = end */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__claim_ask__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_ask__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimAsk",
+  "ClaimAsk",
+  "Wgpb__ClaimAsk",
+  "wgpb",
+  sizeof(Wgpb__ClaimAsk),
+  3,
+  wgpb__claim_ask__field_descriptors,
+  wgpb__claim_ask__field_indices_by_name,
+  1,  wgpb__claim_ask__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_ask__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__claim_answer__field_descriptors[3] =
+{
+  {
+    "ticket",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAnswer, ticket),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "outcome",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAnswer, outcome),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "end",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_MESSAGE,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__ClaimAnswer, end),
+    &wgpb__claim_end__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__claim_answer__field_indices_by_name[] = {
+  2,   /* field[2] = end */
+  1,   /* field[1] = outcome */
+  0,   /* field[0] = ticket */
+};
+static const ProtobufCIntRange wgpb__claim_answer__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__claim_answer__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.ClaimAnswer",
+  "ClaimAnswer",
+  "Wgpb__ClaimAnswer",
+  "wgpb",
+  sizeof(Wgpb__ClaimAnswer),
+  3,
+  wgpb__claim_answer__field_descriptors,
+  wgpb__claim_answer__field_indices_by_name,
+  1,  wgpb__claim_answer__number_ranges,
+  (ProtobufCMessageInit) wgpb__claim_answer__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__target_load__field_descriptors[4] =
+{
+  {
+    "target",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetLoad, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "unread",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetLoad, unread),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "running",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetLoad, running),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "read_us",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__TargetLoad, read_us),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__target_load__field_indices_by_name[] = {
+  3,   /* field[3] = read_us */
+  2,   /* field[2] = running */
+  0,   /* field[0] = target */
+  1,   /* field[1] = unread */
+};
+static const ProtobufCIntRange wgpb__target_load__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 4 }
+};
+const ProtobufCMessageDescriptor wgpb__target_load__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.TargetLoad",
+  "TargetLoad",
+  "Wgpb__TargetLoad",
+  "wgpb",
+  sizeof(Wgpb__TargetLoad),
+  4,
+  wgpb__target_load__field_descriptors,
+  wgpb__target_load__field_indices_by_name,
+  1,  wgpb__target_load__number_ranges,
+  (ProtobufCMessageInit) wgpb__target_load__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__workspace_usage__field_descriptors[3] =
+{
+  {
+    "workspace",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__WorkspaceUsage, workspace),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "tokens",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__WorkspaceUsage, tokens),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "asked",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__WorkspaceUsage, asked),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__workspace_usage__field_indices_by_name[] = {
+  2,   /* field[2] = asked */
+  1,   /* field[1] = tokens */
+  0,   /* field[0] = workspace */
+};
+static const ProtobufCIntRange wgpb__workspace_usage__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__workspace_usage__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.WorkspaceUsage",
+  "WorkspaceUsage",
+  "Wgpb__WorkspaceUsage",
+  "wgpb",
+  sizeof(Wgpb__WorkspaceUsage),
+  3,
+  wgpb__workspace_usage__field_descriptors,
+  wgpb__workspace_usage__field_indices_by_name,
+  1,  wgpb__workspace_usage__number_ranges,
+  (ProtobufCMessageInit) wgpb__workspace_usage__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__crash__field_descriptors[5] =
+{
+  {
+    "fingerprint",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_FIXED64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Crash, fingerprint),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "target",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Crash, target),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "early",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Crash, early),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "workspace",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Crash, workspace),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "path",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__Crash, path),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__crash__field_indices_by_name[] = {
+  2,   /* field[2] = early */
+  0,   /* field[0] = fingerprint */
+  4,   /* field[4] = path */
+  1,   /* field[1] = target */
+  3,   /* field[3] = workspace */
+};
+static const ProtobufCIntRange wgpb__crash__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 5 }
+};
+const ProtobufCMessageDescriptor wgpb__crash__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.Crash",
+  "Crash",
+  "Wgpb__Crash",
+  "wgpb",
+  sizeof(Wgpb__Crash),
+  5,
+  wgpb__crash__field_descriptors,
+  wgpb__crash__field_indices_by_name,
+  1,  wgpb__crash__number_ranges,
+  (ProtobufCMessageInit) wgpb__crash__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__entry_report__field_descriptors[16] =
+{
+  {
+    "seq",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_version",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, configuration_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry_change",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, registry_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_change",
+    4,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, members_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leaving",
+    5,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, leaving),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ready",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, ready),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_loads),
+    offsetof(Wgpb__EntryReport, loads),
+    &wgpb__target_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    8,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_usage),
+    offsetof(Wgpb__EntryReport, usage),
+    &wgpb__workspace_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "state_seen",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, state_seen),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "crashes",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_crashes),
+    offsetof(Wgpb__EntryReport, crashes),
+    &wgpb__crash__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "ended_well",
+    11,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_FIXED64,
+    offsetof(Wgpb__EntryReport, n_ended_well),
+    offsetof(Wgpb__EntryReport, ended_well),
+    NULL,
+    NULL,
+    0 | PROTOBUF_C_FIELD_FLAG_PACKED,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantine_change",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, quarantine_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "standby",
+    13,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, standby),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "recovery",
+    14,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryReport, recovery),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    15,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryReport, n_members),
+    offsetof(Wgpb__EntryReport, members),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "origins",
+    16,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryReport, n_origins),
+    offsetof(Wgpb__EntryReport, origins),
+    &wgpb__origin_note__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__entry_report__field_indices_by_name[] = {
+  1,   /* field[1] = configuration_version */
+  9,   /* field[9] = crashes */
+  10,   /* field[10] = ended_well */
+  4,   /* field[4] = leaving */
+  6,   /* field[6] = loads */
+  14,   /* field[14] = members */
+  3,   /* field[3] = members_change */
+  15,   /* field[15] = origins */
+  11,   /* field[11] = quarantine_change */
+  5,   /* field[5] = ready */
+  13,   /* field[13] = recovery */
+  2,   /* field[2] = registry_change */
+  0,   /* field[0] = seq */
+  12,   /* field[12] = standby */
+  8,   /* field[8] = state_seen */
+  7,   /* field[7] = usage */
+};
+static const ProtobufCIntRange wgpb__entry_report__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 16 }
+};
+const ProtobufCMessageDescriptor wgpb__entry_report__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EntryReport",
+  "EntryReport",
+  "Wgpb__EntryReport",
+  "wgpb",
+  sizeof(Wgpb__EntryReport),
+  16,
+  wgpb__entry_report__field_descriptors,
+  wgpb__entry_report__field_indices_by_name,
+  1,  wgpb__entry_report__number_ranges,
+  (ProtobufCMessageInit) wgpb__entry_report__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__entry_member__field_descriptors[3] =
+{
+  {
+    "name",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryMember, name),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "address",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryMember, address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "data_centre",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryMember, data_centre),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+};
+static const unsigned wgpb__entry_member__field_indices_by_name[] = {
+  1,   /* field[1] = address */
+  2,   /* field[2] = data_centre */
+  0,   /* field[0] = name */
+};
+static const ProtobufCIntRange wgpb__entry_member__number_ranges[1 + 1] =
+{
+  { 1, 0 },
+  { 0, 3 }
+};
+const ProtobufCMessageDescriptor wgpb__entry_member__descriptor =
+{
+  PROTOBUF_C__MESSAGE_DESCRIPTOR_MAGIC,
+  "wgpb.EntryMember",
+  "EntryMember",
+  "Wgpb__EntryMember",
+  "wgpb",
+  sizeof(Wgpb__EntryMember),
+  3,
+  wgpb__entry_member__field_descriptors,
+  wgpb__entry_member__field_indices_by_name,
+  1,  wgpb__entry_member__number_ranges,
+  (ProtobufCMessageInit) wgpb__entry_member__init,
+  NULL,NULL,NULL    /* reserved[123] */
+};
+static const ProtobufCFieldDescriptor wgpb__entry_state__field_descriptors[26] =
+{
+  {
+    "leads",
+    1,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, leads),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "term",
+    2,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, term),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "leader_address",
+    3,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_STRING,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, leader_address),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "controls",
+    4,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryState, n_controls),
+    offsetof(Wgpb__EntryState, controls),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "configuration_version",
+    6,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, configuration_version),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "targets",
+    7,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_targets),
+    offsetof(Wgpb__EntryState, targets),
+    &wgpb__target_record__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry_change",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, registry_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "registry_reset",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, registry_reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members",
+    10,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_members),
+    offsetof(Wgpb__EntryState, members),
+    &wgpb__entry_member__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_change",
+    11,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, members_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_num",
+    12,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, members_num),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "loads",
+    13,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_loads),
+    offsetof(Wgpb__EntryState, loads),
+    &wgpb__target_load__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "usage",
+    14,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_MESSAGE,
+    offsetof(Wgpb__EntryState, n_usage),
+    offsetof(Wgpb__EntryState, usage),
+    &wgpb__workspace_usage__descriptor,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "report_ms",
+    15,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, report_ms),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "seq",
+    16,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, seq),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_left",
+    17,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryState, n_members_left),
+    offsetof(Wgpb__EntryState, members_left),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "members_reset",
+    18,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, members_reset),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "evacuated",
+    19,
+    PROTOBUF_C_LABEL_REPEATED,
+    PROTOBUF_C_TYPE_STRING,
+    offsetof(Wgpb__EntryState, n_evacuated),
+    offsetof(Wgpb__EntryState, evacuated),
+    NULL,
+    &protobuf_c_empty_string,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantine_change",
+    20,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT64,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__EntryState, quarantine_change),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "quarantined",
+    21,
+    PROTOBUF_C_LABEL_REPEATED,
