Entry hosts: the end of a connection ends an answer only after the whole request was received

Cause: the host's failed write took the error of the reset, the read after it saw a plain end, and the two came in one callback, of which only the end was looked at. Nothing looked at what of the request had been written.

--- a/lib/entry/wg_entry_answer.c
+++ b/lib/entry/wg_entry_answer.c
@@ -9,10 +9,10 @@
    last chunk would claim that an answer is complete which only ended with its connection. */
 static wg_framing wg_call_choose_framing(const wg_call* call, const wg_upstream* up,
                                          int64_t length) {
-    if (call->head_only || up->head.status == 204 || up->head.status == 304) {
+    if (call->head_only || up->answer.head.status == 204 || up->answer.head.status == 304) {
         return WG_FRAMING_NONE;
     }
-    if (up->body.framing == WG_FRAMING_CLOSE) {
+    if (up->answer.body.framing == WG_FRAMING_CLOSE) {
         return WG_FRAMING_CLOSE;
     }
     bool takes_chunks = call->head.minor >= 1;
@@ -22,7 +22,7 @@
 /* `length` < 0: not known. */
 static void wg_call_write_head(wg_call* call, const wg_upstream* up, int64_t length,
                                struct evbuffer* out) {
-    const wg_message_head* head = &up->head;
+    const wg_message_head* head = &up->answer.head;
     bool head_length = call->head_only && length >= 0;
     call->framing = wg_call_choose_framing(call, up, length);
     if (call->framing == WG_FRAMING_CLOSE) {
@@ -129,7 +129,7 @@
 }
 
 static bool wg_call_is_stream(const wg_call* call, const wg_upstream* up) {
-    return up->is_event_stream && up->head.status >= 200 && up->head.status < 300 &&
+    return up->is_event_stream && up->answer.head.status >= 200 && up->answer.head.status < 300 &&
            !call->head_only;
 }
 
@@ -137,7 +137,7 @@
    another version. */
 static void wg_call_read_version(wg_call* call, const wg_upstream* up) {
     const char* name = call->entry->names->target_version;
-    wg_text version = name ? wg_message_field(&up->head, name) : (wg_text){0};
+    wg_text version = name ? wg_message_field(&up->answer.head, name) : (wg_text){0};
     if (version.text) {
         g_snprintf(call->sent_version, sizeof call->sent_version, "%.*s", (int)version.size,
                    version.text);
@@ -148,17 +148,17 @@
 /* ---- helpers: the end of an answer ----------------------------------------------------------- */
 
 static bool wg_call_was_not_run(const wg_call* call, const wg_upstream* up) {
-    return up->head.status == 421 ||
-           wg_message_field(&up->head, call->entry->names->not_run).text != NULL;
+    return up->answer.head.status == 421 ||
+           wg_message_field(&up->answer.head, call->entry->names->not_run).text != NULL;
 }
 
 /* The target did not run the request: retry on another target, or refuse. */
 static void wg_call_handle_refusal(wg_call* call, wg_upstream* up) {
-    int status = up->head.status;
+    int status = up->answer.head.status;
     wg_log(WG_EVENT_ATTEMPT_ENDED,
            "id=%s target=%u reason=refused status=%d rest_ms=%" G_GINT64_FORMAT
            " after_ms=%" G_GINT64_FORMAT,
-           call->id, up->target, up->head.status, up->backoff_time / WG_USEC_PER_MSEC,
+           call->id, up->target, up->answer.head.status, up->backoff_time / WG_USEC_PER_MSEC,
            (wg_now() - call->sent_at) / WG_USEC_PER_MSEC);
     call->upstream = NULL;
     up->call = NULL;
@@ -172,7 +172,7 @@
 
 /* Whether an error answer may be discarded and the request retried. */
 static bool wg_call_may_retry_answer(const wg_call* call, const wg_upstream* up) {
-    return up->head.status >= 500 && !call->head_sent && wg_route_is_repeatable(call->route);
+    return up->answer.head.status >= 500 && !call->head_sent && wg_route_is_repeatable(call->route);
 }
 
 static void wg_call_record_first_served(wg_entry* e) {
@@ -186,7 +186,8 @@
 /* Length of the answer's body, of which nothing was relayed; -1: not known. */
 static int64_t wg_call_body_length(const wg_call* call, const wg_upstream* up) {
     if (call->head_only) {
-        return wg_message_field(&up->head, "Content-Length").text ? up->head.length : -1;
+        return wg_message_field(&up->answer.head, "Content-Length").text ? up->answer.head.length
+                                                                         : -1;
     }
     return wg_call_is_stream(call, up) ? -1 : (int64_t)evbuffer_get_length(up->content);
 }
@@ -207,15 +208,15 @@
 }
 
 static const char* wg_call_end_reason(const wg_upstream* up) {
-    if (up->head.status >= 500) {
+    if (up->answer.head.status >= 500) {
         return "target-error";
     }
-    return up->body.framing == WG_FRAMING_CLOSE ? "by-connection" : "whole";
+    return up->answer.body.framing == WG_FRAMING_CLOSE ? "by-connection" : "whole";
 }
 
 static void wg_call_record_completion(const wg_call* call, const wg_upstream* up,
                                       wg_completion completion) {
-    if (up->body.framing == WG_FRAMING_CLOSE) {
+    if (up->answer.body.framing == WG_FRAMING_CLOSE) {
         wg_entry_ends_record(call->entry, up->target, completion);
     } else {
         wg_entry_record_completion(call->entry, completion);
@@ -224,18 +225,18 @@
 
 /* A target that turns a request down has not written on the parts of its prompt. */
 static void wg_call_record_good_end(const wg_call* call, const wg_upstream* up) {
-    call->entry->counters.completed += up->body.framing != WG_FRAMING_CLOSE;
+    call->entry->counters.completed += up->answer.body.framing != WG_FRAMING_CLOSE;
     wg_call_record_completion(call, up, (wg_completion){.fingerprint = call->fingerprint});
     bool is_short = wg_call_is_stream(call, up) && wg_call_is_at_beginning(call);
-    for (int i = 0; up->head.status < 300 && i < call->parts_num; i++) {
+    for (int i = 0; up->answer.head.status < 300 && i < call->parts_num; i++) {
         wg_call_record_completion(call, up, (wg_completion){call->parts[i], is_short});
     }
 }
 
 static void wg_call_finish(wg_call* call, wg_upstream* up) {
     wg_client* client = call->client;
-    bool good = up->head.status < 500;
-    wg_call_end end = {up->head.status, WG_VERDICT_RAN, wg_call_end_reason(up)};
+    bool good = up->answer.head.status < 500;
+    wg_call_end end = {up->answer.head.status, WG_VERDICT_RAN, wg_call_end_reason(up)};
     wg_call_write_end(call, up);
     bool keep = wg_call_keeps_connection(call);
     call->entry->counters.failed += !good;
@@ -269,7 +270,7 @@
                                            [WG_FRAMING_CHUNKED] = "chunks",
                                            [WG_FRAMING_CLOSE] = "connection"};
     wg_entry* e = call->entry;
-    bool by_connection = up->body.framing == WG_FRAMING_CLOSE;
+    bool by_connection = up->answer.body.framing == WG_FRAMING_CLOSE;
     size_t rest = wg_call_open_event(call, up);
     e->counters.answers_by_connection += by_connection;
     e->counters.answers_in_event += rest > 0;
@@ -277,8 +278,9 @@
         wg_log(WG_EVENT_ANSWER_END_UNSURE,
                "id=%s target=%u status=%d framing=%s bytes=%" G_GINT64_FORMAT
                " events=%" G_GINT64_FORMAT " rest=%zu after_ms=%" G_GINT64_FORMAT,
-               call->id, up->target, up->head.status, framings[up->body.framing], up->body.decoded,
-               call->events, rest, (wg_now() - call->sent_at) / WG_USEC_PER_MSEC);
+               call->id, up->target, up->answer.head.status, framings[up->answer.body.framing],
+               up->answer.body.decoded, call->events, rest,
+               (wg_now() - call->sent_at) / WG_USEC_PER_MSEC);
     }
 }
 
@@ -320,7 +322,7 @@
     if (wg_call_open_event(call, up) == 0) {
         return true;
     }
-    if (up->body.framing == WG_FRAMING_CLOSE) {
+    if (up->answer.body.framing == WG_FRAMING_CLOSE) {
         wg_entry_check_target(call->entry, call, up);
     }
     wg_call_attempt_failed(call, up, "event-incomplete");
@@ -331,11 +333,11 @@
 static void wg_call_end_answer(wg_call* call, wg_upstream* up) {
     if (wg_call_may_retry_answer(call, up) && wg_call_schedule_retry(call, false)) {
         wg_log(WG_EVENT_ATTEMPT_ENDED, "id=%s target=%u reason=target-error status=%d", call->id,
-               up->target, up->head.status);
+               up->target, up->answer.head.status);
         call->upstream = NULL;
         wg_call_release_target(call, WG_RESULT_FAILED);
         wg_upstream_release(up);
-    } else if (up->body.framing == WG_FRAMING_CLOSE && call->head_sent &&
+    } else if (up->answer.body.framing == WG_FRAMING_CLOSE && call->head_sent &&
                call->framing == WG_FRAMING_CHUNKED) {
         /* The last chunk would claim an end that the target's connection does not show. */
         wg_call_attempt_withdrawn(call, up, "end-unknown");
@@ -386,8 +388,9 @@
         struct evbuffer* out = evbuffer_new();
         if (!call->head_sent) {
             wg_call_record_first_byte(call);
-            wg_call_write_head(call, up,
-                               up->body.framing == WG_FRAMING_LENGTH ? up->head.length : -1, out);
+            wg_call_write_head(
+                call, up,
+                up->answer.body.framing == WG_FRAMING_LENGTH ? up->answer.head.length : -1, out);
         }
         wg_call_add_body(call, out, up->content);
         wg_call_write(call, out);
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -26,31 +26,6 @@
 
 /* ---- helpers -------------------------------------------------------------------------------- */
 
-void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes) {
-    struct evbuffer* out = bufferevent_get_output(bev);
-    evutil_socket_t fd = bufferevent_getfd(bev);
-    if (evbuffer_get_length(out) == 0 && fd >= 0) {
-        while (evbuffer_get_length(bytes) > 0 && evbuffer_write(bytes, fd) > 0) {
-        }
-    }
-    if (evbuffer_get_length(bytes) > 0) {
-        evbuffer_add_buffer(out, bytes); /* errors are reported when the loop writes */
-    }
-}
-
-void wg_socket_write_bytes(struct bufferevent* bev, const void* bytes, size_t size) {
-    struct evbuffer* out = bufferevent_get_output(bev);
-    evutil_socket_t fd = bufferevent_getfd(bev);
-    size_t sent = 0;
-    if (evbuffer_get_length(out) == 0 && fd >= 0) {
-        ssize_t result = send(fd, bytes, size, MSG_NOSIGNAL | MSG_DONTWAIT);
-        sent = result > 0 ? (size_t)result : 0;
-    }
-    if (sent < size) {
-        evbuffer_add(out, (const char*)bytes + sent, size - sent);
-    }
-}
-
 void wg_client_write(wg_client* client, struct evbuffer* bytes) {
     if (client->taken) {
         wg_entry_handoff_write(client, bytes);
@@ -202,11 +177,6 @@
            recv(bufferevent_getfd(client->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-bool wg_socket_peer_has_closed(struct bufferevent* bev) {
-    char byte;
-    return recv(bufferevent_getfd(bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
-}
-
 /* Whether the peer has closed, or does not send any more, also if input is left to read. */
 static bool wg_client_caller_has_left(const wg_client* client) {
     struct pollfd state = {.fd = bufferevent_getfd(client->bev), .events = POLLRDHUP};
@@ -463,11 +433,6 @@
 
 /* ---- functions of the library --------------------------------------------------------------- */
 
-void wg_socket_reset_on_close(struct bufferevent* bev, bool reset) {
-    struct linger linger = {.l_onoff = reset, .l_linger = 0};
-    setsockopt(bufferevent_getfd(bev), SOL_SOCKET, SO_LINGER, &linger, sizeof linger);
-}
-
 void wg_client_delimit_by_connection(wg_client* client) {
     client->by_connection = true;
     client->keep = false;
@@ -671,7 +636,7 @@
     for (guint i = 0; i < e->clients->len; i++) {
         const wg_client* client = e->clients->pdata[i];
         bytes += evbuffer_get_length(bufferevent_get_output(client->bev)) +
-                 wgn_socket_unacknowledged(bufferevent_getfd(client->bev));
+                 wg_socket_unacknowledged(bufferevent_getfd(client->bev));
     }
     return bytes;
 }
--- a/lib/entry/wg_entry_incarnation.c
+++ b/lib/entry/wg_entry_incarnation.c
@@ -31,12 +31,12 @@
     enum {
         MISDIRECTED = 421 /* it is not the target that was asked for */
     };
-    if (up->head.status == MISDIRECTED) {
+    if (up->answer.head.status == MISDIRECTED) {
         return WG_INCARNATION_OTHER;
     }
     size_t size = evbuffer_get_length(up->content);
     const char* text = (const char*)evbuffer_pullup(up->content, -1);
-    json_t* json = up->head.status == 200 && text ? json_loadb(text, size, 0, NULL) : NULL;
+    json_t* json = up->answer.head.status == 200 && text ? json_loadb(text, size, 0, NULL) : NULL;
     json_t* born = json_object_get(json, "born");
     wg_incarnation_answer answer = WG_INCARNATION_UNTOLD;
     if (json_is_integer(born)) {
@@ -55,7 +55,8 @@
     if (answer != WG_INCARNATION_SAME && wg_entry_may_log(up->entry, wg_now())) {
         wg_log(WG_EVENT_TARGET_IDENTITY,
                "target=%u id=%s born=%" G_GUINT64_FORMAT " answer=%s status=%d request=%s",
-               up->target, target->id, target->born, names[answer], up->head.status, up->call->id);
+               up->target, target->id, target->born, names[answer], up->answer.head.status,
+               up->call->id);
     }
 }
 
@@ -108,10 +109,9 @@
     wg_entry* e = up->entry;
     struct timeval limit = {.tv_usec = WG_STATE_TIMEOUT};
     struct evbuffer* out = evbuffer_new();
-    up->state = WG_UPSTREAM_HEAD;
+    wg_upstream_expect_answer(up, false);
     up->asking = true;
     up->asked_at = wg_now();
-    up->heads_size = 0;
     e->counters.incarnation_questions++;
     evbuffer_add_printf(out, "GET %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n\r\n", e->names->state,
                         target->address, e->names->expected_target, target->id);
@@ -180,14 +180,14 @@
     wg_entry* e = up->entry;
     const wg_target* target = wg_registry_find(e->registry, up->target);
     bool is_reusable =
-        up->head.keep_alive && evbuffer_get_length(bufferevent_get_input(up->bev)) == 0;
+        up->answer.head.keep_alive && evbuffer_get_length(bufferevent_get_input(up->bev)) == 0;
     up->asking = false;
     bufferevent_set_timeouts(up->bev, NULL, NULL);
-    if (target && up->head.status < 500) {
+    if (target && up->answer.head.status < 500) {
         wg_incarnation_answer answer = wg_upstream_read_born(up, target);
         wg_upstream_log_answer(up, target, answer);
         e->counters.incarnations_other += answer == WG_INCARNATION_OTHER;
         wg_incarnations_answer(e->incarnations, wg_now(), up->target, up->asked_at, answer);
     }
-    return target && up->head.status < 500 && is_reusable;
+    return target && up->answer.head.status < 500 && is_reusable;
 }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -6,6 +6,7 @@
 #include <event2/listener.h>
 
 #include "wg_admit.h"
+#include "wg_answer.h"
 #include "wg_backoff.h"
 #include "wg_balance.h"
 #include "wg_buffers.h"
@@ -27,6 +28,7 @@
 #include "wg_retry.h"
 #include "wg_room.h"
 #include "wg_roster.h"
+#include "wg_socket.h"
 #include "wg_usage.h"
 #include "wg_watch.h"
 
@@ -223,15 +225,12 @@
     wg_time connecting_since; /* start of the time limit for connecting */
     bool used;                /* connection served an earlier request */
     bool written;             /* bytes of the current request may have left this host */
-    char* bytes;              /* storage that `head` points into */
-    size_t heads_size;        /* of the answer's heads so far, informational ones included */
-    wg_message_head head;
+    wg_answer answer;
     wg_time backoff_time;   /* backoff period requested by the answer; 0: none */
     wg_time established_at; /* when the connection came up, or a little later */
     bool asking;            /* the target was asked when it started, the request follows */
-    wg_time asked_at;       /* when, if `asking` */
+    wg_time asked_at;       /* until the request is sent; 0: it was not asked since the last one */
     uint64_t leader_ticket; /* of the question to the leader about the target; 0: none */
-    wg_body body;
     struct evbuffer* content; /* answer body not relayed yet */
     bool is_event_stream;
     wg_end_check* end_check; /* that the end of the answer waits for, if `state` is ENDED */
@@ -980,20 +979,9 @@
 wg_client* wg_client_longest_idle(wg_entry* e, wg_time now);
 /* Refuses a request that has no call: writes the answer, and counts it. */
 void wg_client_refuse(wg_client* client, const wg_error_answer* refusal);
-/* Writes what the socket accepts now and buffers the remainder. Empties `bytes`. */
-void wg_socket_write(struct bufferevent* bev, struct evbuffer* bytes);
-
-/* The same with bytes that the caller keeps. Copies only what the socket does not accept now. */
-void wg_socket_write_bytes(struct bufferevent* bev, const void* bytes, size_t size);
 /* Writes a part of an answer to the caller. Empties `bytes`. */
 void wg_client_write(wg_client* client, struct evbuffer* bytes);
 
-/* Selects whether a close resets the connection; the kernel then drops what the peer has not
-   received. */
-void wg_socket_reset_on_close(struct bufferevent* bev, bool reset);
-/* Whether the peer has closed and nothing is left to read. */
-bool wg_socket_peer_has_closed(struct bufferevent* bev);
-
 /* wg_entry_call.c */
 /* Takes ownership of `bytes`, which `head` points into, and of `body`. */
 void wg_call_begin(wg_client* client, char* bytes, const wg_message_head* head,
@@ -1048,6 +1036,8 @@
    Takes ownership of `bev`. */
 void wg_upstream_adopt(wg_entry* e, uint32_t number, struct bufferevent* bev);
 void wg_upstream_send(wg_upstream* up, wg_call* call);
+/* Begins to wait for an answer. */
+void wg_upstream_expect_answer(wg_upstream* up, bool bodiless);
 /* Whether the head of the answer was received. */
 bool wg_upstream_has_begun(const wg_upstream* up);
 void wg_upstream_close(wg_upstream* up);
--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -59,8 +59,7 @@
 }
 
 static void wg_upstream_clear_answer(wg_upstream* up) {
-    g_free(up->bytes);
-    up->bytes = NULL;
+    wg_answer_clear(&up->answer);
     up->is_event_stream = false;
     wg_upstream_end_pause(up);
     evbuffer_drain(up->content, evbuffer_get_length(up->content));
@@ -97,7 +96,7 @@
     wg_entry_buffers_remove_upstream(up);
     bufferevent_free(up->bev);
     evbuffer_free(up->content);
-    g_free(up->bytes);
+    wg_answer_clear(&up->answer);
     g_free(up);
     wg_entry_descriptors_closed(e);
 }
@@ -106,11 +105,11 @@
     wg_time now = wg_now();
     struct evbuffer* in = bufferevent_get_input(up->bev);
     const wg_target* target = wg_registry_find(up->entry->registry, up->target);
-    bool reusable = up->head.keep_alive && evbuffer_get_length(in) == 0 &&
+    bool reusable = up->answer.head.keep_alive && evbuffer_get_length(in) == 0 &&
                     evbuffer_get_length(bufferevent_get_output(up->bev)) == 0 &&
                     wg_entry_may_keep(up->entry, target) && !up->entry->stopping;
-    wg_time limit = up->head.keep_alive_seconds >= 0
-                        ? up->head.keep_alive_seconds * WG_USEC_PER_SEC - WG_IDLE_MARGIN
+    wg_time limit = up->answer.head.keep_alive_seconds >= 0
+                        ? up->answer.head.keep_alive_seconds * WG_USEC_PER_SEC - WG_IDLE_MARGIN
                         : WG_IDLE_TIMEOUT;
     up->call = NULL;
     if (!reusable || limit <= 0) {
@@ -201,11 +200,14 @@
     wg_forward_write(e->names, &forward, out);
     evbuffer_add_buffer_reference(out, call->body);
     up->written = true;
-    up->heads_size = 0;
     wg_entry_buffers_begin_request(up);
     wg_upstream_count_out(up, evbuffer_get_length(out));
     wg_socket_write(up->bev, out);
     evbuffer_free(out);
+    if (up->asked_at) {
+        wg_socket_acknowledge_at_once(up->bev);
+        up->asked_at = 0;
+    }
 }
 
 void wg_upstream_begin_exchange(wg_upstream* up) {
@@ -221,7 +223,7 @@
         wg_call_attempt_withdrawn(up->call, up, "target-may-have-restarted");
         break;
     default:
-        up->state = WG_UPSTREAM_HEAD;
+        wg_upstream_expect_answer(up, up->call->head_only);
         wg_upstream_write_request(up, up->call, target);
         break;
     }
@@ -248,7 +250,7 @@
 
 /* Targets echo the request id; with a different id, the answer belongs to an earlier request. */
 static bool wg_upstream_matches_call(const wg_upstream* up) {
-    wg_text echoed = wg_message_field(&up->head, up->entry->names->request_id);
+    wg_text echoed = wg_message_field(&up->answer.head, up->entry->names->request_id);
     return !echoed.text || !up->call->id[0] ||
            (echoed.size == strlen(up->call->id) &&
             memcmp(echoed.text, up->call->id, echoed.size) == 0);
@@ -257,9 +259,9 @@
 /* Backoff hints apply whichever request the answer belongs to. */
 static void wg_upstream_record_hint(wg_upstream* up) {
     wg_entry* e = up->entry;
-    wg_backoff_hint hint = {.status = up->head.status};
-    for (int i = 0; i < up->head.fields_num; i++) {
-        const wg_message_pair* f = &up->head.fields[i];
+    wg_backoff_hint hint = {.status = up->answer.head.status};
+    for (int i = 0; i < up->answer.head.fields_num; i++) {
+        const wg_message_pair* f = &up->answer.head.fields[i];
         wg_backoff_read_field(&hint, e->names->draining, f->name, f->value);
     }
     up->backoff_time = wg_entry_record_answer(e, up->target, &hint, up->call->id);
@@ -282,52 +284,45 @@
 
 /* Reads the answer to a question about the target. */
 static void wg_upstream_read_state(wg_upstream* up) {
-    wg_body_state state = wg_body_read(&up->body, bufferevent_get_input(up->bev), up->content);
-    if (state == WG_BODY_BAD || wg_upstream_is_told_too_much(up)) {
+    wg_answer_state state =
+        wg_answer_read_body(&up->answer, bufferevent_get_input(up->bev), up->content);
+    if (state == WG_ANSWER_MALFORMED || wg_upstream_is_told_too_much(up)) {
         wg_upstream_fail(up, "state-malformed");
-    } else if (state == WG_BODY_COMPLETE) {
+    } else if (state == WG_ANSWER_COMPLETE) {
         wg_upstream_on_told(up);
     }
 }
 
+/* Begins to wait for an answer. */
+void wg_upstream_expect_answer(wg_upstream* up, bool bodiless) {
+    up->state = WG_UPSTREAM_HEAD;
+    wg_answer_begin(&up->answer, &(wg_answer_desc){.bodiless = bodiless});
+}
+
 /* False if the head is incomplete, or `up` was closed. */
 static bool wg_upstream_read_head(wg_upstream* up) {
-    struct evbuffer* in = bufferevent_get_input(up->bev);
-    for (;;) {
-        size_t have = evbuffer_get_length(in);
-        const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)have);
-        size_t size = bytes ? wg_message_head_size(bytes, have) : 0;
-        if (up->heads_size + (size ? size : have) > WG_HEAD_BYTES_START) {
-            wg_upstream_fail(up, "answer-head-too-long");
-            return false;
-        }
-        if (size == 0) {
-            return false;
-        }
-        up->heads_size += size;
-        g_free(up->bytes);
-        up->bytes = g_malloc(size);
-        evbuffer_remove(in, up->bytes, size);
-        bool head_only = up->call->head_only && !up->asking;
-        if (!wg_message_parse_answer(up->bytes, size, head_only, &up->head)) {
-            wg_upstream_fail(up, "answer-malformed");
-            return false;
-        }
-        if (up->head.status >= 200) {
-            break;
-        }
+    switch (wg_answer_read_head(&up->answer, bufferevent_get_input(up->bev))) {
+    case WG_ANSWER_MORE:
+        return false;
+    case WG_ANSWER_TOO_LONG:
+        wg_upstream_fail(up, "answer-head-too-long");
+        return false;
+    case WG_ANSWER_MALFORMED:
+        wg_upstream_fail(up, "answer-malformed");
+        return false;
+    default:
+        break;
     }
     wg_upstream_record_hint(up);
     if (!up->asking && !wg_upstream_matches_call(up)) {
         wg_upstream_fail(up, "answer-of-another-request");
         return false;
     }
-    wg_text type = wg_message_field(&up->head, "Content-Type");
+    wg_text type = wg_message_field(&up->answer.head, "Content-Type");
     static const char event_stream[] = "text/event-stream";
     up->is_event_stream =
         type.size >= sizeof event_stream - 1 &&
         g_ascii_strncasecmp(type.text, event_stream, sizeof event_stream - 1) == 0;
-    wg_body_begin(&up->body, &up->head);
     up->state = WG_UPSTREAM_BODY;
     return true;
 }
@@ -355,13 +350,14 @@
         wg_upstream_read_state(up);
         return;
     }
-    wg_body_state state = wg_body_read(&up->body, bufferevent_get_input(up->bev), up->content);
+    wg_answer_state state =
+        wg_answer_read_body(&up->answer, bufferevent_get_input(up->bev), up->content);
     wg_call* call = up->call;
-    if (state == WG_BODY_BAD) {
+    if (state == WG_ANSWER_MALFORMED) {
         wg_upstream_fail(up, "answer-body-malformed");
         return;
     }
-    if (state == WG_BODY_COMPLETE) {
+    if (state == WG_ANSWER_COMPLETE) {
         wg_call_answer_complete(call, up);
         return;
     }
@@ -396,8 +392,17 @@
     up->established_at = wg_now();
 }
 
+static const char* wg_upstream_end_reason(const wg_upstream* up, const wg_socket_end* end) {
+    if (up->state == WG_UPSTREAM_CONNECTING) {
+        return "no-connection";
+    }
+    if (!end->orderly) {
+        return "connection-reset";
+    }
+    return end->received ? "connection-closed" : "closed-before-the-request";
+}
+
 static void wg_upstream_on_event(struct bufferevent* bev, short what, void* user_data) {
-    (void)bev;
     wg_upstream* up = user_data;
     if (what & BEV_EVENT_CONNECTED) {
         wg_upstream_set_up_socket(up);
@@ -415,6 +420,7 @@
         wg_upstream_begin_exchange(up);
         return;
     }
+    wg_socket_end end = wg_socket_end_of(bev, what);
     if (wg_upstream_stalled_while_connecting(up, what)) {
         wg_upstream_limit_connecting(up);
         return;
@@ -422,8 +428,8 @@
     if (up->state == WG_UPSTREAM_ENDED) {
         return;
     }
-    if ((what & BEV_EVENT_EOF) && up->state == WG_UPSTREAM_BODY && up->call && !up->asking &&
-        up->body.framing == WG_FRAMING_CLOSE) {
+    if (up->state == WG_UPSTREAM_BODY && up->call && !up->asking &&
+        wg_answer_is_ended_by(&up->answer, end.orderly, end.received)) {
         wg_call_answer_closed(up->call, up);
         return;
     }
@@ -431,9 +437,7 @@
     if (up->call && up->written) {
         wg_entry_check_target(up->entry, up->call, up);
     }
-    wg_upstream_fail(up, up->state == WG_UPSTREAM_CONNECTING ? "no-connection"
-                         : (what & BEV_EVENT_EOF)            ? "connection-closed"
-                                                             : "connection-reset");
+    wg_upstream_fail(up, wg_upstream_end_reason(up, &end));
 }
 
 /* ---- functions of the library --------------------------------------------------------------- */
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -1,5 +1,6 @@
 /* wg_net.c -- see wg_net.h */
 #include "wg_net_internal.h"
+#include "wg_socket.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
@@ -7,11 +8,9 @@
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
 #include <event2/util.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
-#include <sys/ioctl.h>
 #include <sys/random.h>
 
 /* ---- types -------------------------------------------------------------------------------- */
@@ -568,15 +567,10 @@
 
 size_t wgn_query_undelivered(const wgn_net* net, wgn_link link) {
     const _wgn_link_t* l = _wgn_find(net, link);
-    return l ? wgn_query_unsent(net, link) + wgn_socket_unacknowledged(bufferevent_getfd(l->bev))
+    return l ? wgn_query_unsent(net, link) + wg_socket_unacknowledged(bufferevent_getfd(l->bev))
              : 0;
 }
 
-size_t wgn_socket_unacknowledged(evutil_socket_t socket) {
-    int bytes = 0;
-    return ioctl(socket, SIOCOUTQ, &bytes) == 0 && bytes > 0 ? (size_t)bytes : 0;
-}
-
 wgn_stats wgn_query_stats(const wgn_net* net) {
     wgn_stats stats = net->stats;
     stats.waiting = net->budget.waiting;
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -158,10 +158,6 @@
 /* Sets the cluster id of later hellos. A process learns it on first contact with the cluster. */
 void wgn_set_cluster(wgn_net* net, uint64_t cluster);
 
-/* Bytes that the kernel holds for the peer of a TCP socket: not sent, or not acknowledged yet. 0 if
-   it does not tell. */
-size_t wgn_socket_unacknowledged(evutil_socket_t socket);
-
 /* Parses "ip:port" or "[v6]:port" into a socket address. False if malformed. */
 bool wgn_parse_address(const char* text, struct sockaddr_storage* out, int* out_size);
 /* Splits "ip:port"; `ip` has WG_ADDRESS_MAX bytes. False if malformed. */
