All answers are read by one strict reader, at routers too

What callers of routers saw: 17 of 21 heads that are none as answers: statuses 099, 600, 999, -20, 20, 0200, 200x; names with a blank, a tab, a control byte, a high byte, none; a folded line; a value cut at a NUL; of two lengths the first, with the rest left on the connection for the next caller. Cause: routers read answers of targets by evhttp, entry hosts by lib/message: two parsers that differ. Change: lib/exchange, the client side of HTTP on one connection, reads with wg_answer. Routers' attempts, lists of cached parts, the platform's host list and walnutgatectl use it in place of evhttp. A router's connection is used again only if nothing came after the answer, and bytes between two exchanges close it.

--- a/daemons/ctl.c
+++ b/daemons/ctl.c
@@ -7,6 +7,7 @@
 #include <string.h>
 #include <sys/random.h>
 
+#include "wg_exchange.h"
 #include "wg_http.h"
 #include "wg_net.h"
 #include "wg_table.h"
@@ -18,8 +19,8 @@
     EXIT_REFUSED = 1, /* a control refused the command: conflict, invalid, not found */
     EXIT_USAGE = 2,   /* nothing was sent: bad command line or unreadable file */
     EXIT_NO_RESPONSE = 3,
-    RESPONSE_TIMEOUT_S = 5,
-    ROUNDS_MAX = 40, /* rounds over all controls until the leader answers */
+    RESPONSE_TIMEOUT = 5 * WG_USEC_PER_SEC, /* without a byte */
+    ROUNDS_MAX = 40,                        /* rounds over all controls until the leader answers */
     ROUND_DELAY_MS = 250
 };
 
@@ -31,17 +32,18 @@
 
 typedef struct {
     struct event_base* base;
+    wg_exchange* exchange;
     int status; /* 0: no response */
     GString* body;
 } response_t;
 
 /* ---- HTTP ---------------------------------------------------------------------------------- */
 
-static void on_done(struct evhttp_request* request, void* user_data) {
+static void on_done(wg_exchange_result result, void* user_data) {
     response_t* response = user_data;
-    if (request) {
-        response->status = evhttp_request_get_response_code(request);
-        struct evbuffer* body = evhttp_request_get_input_buffer(request);
+    if (result != WG_EXCHANGE_FAILED) {
+        response->status = wg_exchange_head(response->exchange)->status;
+        struct evbuffer* body = wg_exchange_body(response->exchange);
         size_t size = evbuffer_get_length(body);
         if (size > 0) {
             g_string_append_len(response->body, (const char*)evbuffer_pullup(body, -1),
@@ -54,27 +56,27 @@
 /* Sends one request to one address. The caller frees the body of the response. */
 static response_t send_request(const char* address, const char* key, const char* path,
                                const char* body) {
+    static const wg_exchange_handler handler = {.on_done = on_done};
     response_t response = {.base = event_base_new(), .body = g_string_new(NULL)};
-    char ip[WG_ADDRESS_MAX];
-    uint16_t port;
-    if (wgn_split_address(address, ip, &port)) {
-        struct evhttp_connection* connection =
-            evhttp_connection_base_new(response.base, NULL, ip, port);
-        evhttp_connection_set_timeout(connection, RESPONSE_TIMEOUT_S);
-        struct evhttp_request* request = evhttp_request_new(on_done, &response);
-        struct evkeyvalq* headers = evhttp_request_get_output_headers(request);
-        char* bearer = g_strdup_printf("Bearer %s", key);
-        evhttp_add_header(headers, "Authorization", bearer);
-        evhttp_add_header(headers, "Host", address);
-        g_free(bearer);
-        if (body) {
-            evbuffer_add(evhttp_request_get_output_buffer(request), body, strlen(body));
-        }
-        enum evhttp_cmd_type method = body ? EVHTTP_REQ_POST : EVHTTP_REQ_GET;
-        if (evhttp_make_request(connection, request, method, path) == 0) {
-            event_base_dispatch(response.base);
-        }
-        evhttp_connection_free(connection);
+    response.exchange =
+        wg_exchange_open(&(wg_exchange_desc){.base = response.base, .address = address});
+    if (response.exchange) {
+        struct evbuffer* fields = evbuffer_new();
+        struct evbuffer* content = evbuffer_new();
+        evbuffer_add_printf(fields, "Authorization: Bearer %s\r\nHost: %s\r\n", key, address);
+        evbuffer_add(content, body ? body : "", body ? strlen(body) : 0);
+        wg_exchange_send(response.exchange,
+                         &(wg_exchange_request){.method = body ? "POST" : "GET",
+                                                .target = path,
+                                                .fields = fields,
+                                                .body = content,
+                                                .idle_timeout = RESPONSE_TIMEOUT},
+                         &handler, &response);
+        event_base_dispatch(response.base);
+        wg_exchange_close(response.exchange);
+        response.exchange = NULL;
+        evbuffer_free(fields);
+        evbuffer_free(content);
     }
     event_base_free(response.base);
     response.base = NULL;
--- a/lib/entry/wg_entry_cache.c
+++ b/lib/entry/wg_entry_cache.c
@@ -5,31 +5,26 @@
    that every prompt has to be processed completely. So it queries the target for its cached parts,
    at most WG_CACHE_TRIES times. Only targets that changed are looked at, and all of them when the
    coordinators do: most hosts coordinate none of many targets. */
-#include <event2/http.h>
-#include <event2/keyvalq_struct.h>
-
 #include <string.h>
 
 #include "wg_cache_list.h"
 #include "wg_entry_internal.h"
+#include "wg_exchange.h"
 
 enum {
     WG_CACHE_QUERIES_MAX = 4, /* concurrent, since a list may have tens of kilobytes */
-    WG_CACHE_TIMEOUT_S = 1,   /* without a byte */
-    WG_CACHE_TIME_MAX = 3 * WG_USEC_PER_SEC, /* of the whole query */
+    WG_CACHE_IDLE_TIMEOUT = 1 * WG_USEC_PER_SEC, /* without a byte */
+    WG_CACHE_TIME_MAX = 3 * WG_USEC_PER_SEC,     /* of the whole query */
     WG_CACHE_TRIES = 3,
     WG_CACHE_RETRY_INTERVAL = 500 * WG_USEC_PER_MSEC,
-    WG_CACHE_BYTES_MAX = 1 << 20,
-    WG_CACHE_HEAD_MAX = 16 * 1024 /* bytes */
+    WG_CACHE_BYTES_MAX = 1 << 20
 };
 
 /* State of the query for a target that this host coordinates. */
 typedef struct {
     wg_entry* entry;
     uint32_t target;
-    struct evhttp_connection* connection; /* NULL if no query is in progress */
-    wgh_answer_bounds bounds;
-    wg_time sent_at;
+    wg_exchange* exchange; /* NULL if no query is in progress */
     bool known;
     int tries;
     wg_time next_at;
@@ -37,8 +32,8 @@
 
 static void wg_cache_query_free(void* data) {
     wg_cache_query* query = data;
-    if (query->connection) {
-        evhttp_connection_free(query->connection);
+    if (query->exchange) {
+        wg_exchange_close(query->exchange);
     }
     g_free(query);
 }
@@ -49,13 +44,13 @@
     gpointer value;
     g_hash_table_iter_init(&iter, e->cache_queries);
     while (g_hash_table_iter_next(&iter, NULL, &value)) {
-        num += ((wg_cache_query*)value)->connection != NULL;
+        num += ((wg_cache_query*)value)->exchange != NULL;
     }
     return num;
 }
 
-static void wg_cache_apply_list(wg_cache_query* query, struct evhttp_request* request) {
-    struct evbuffer* in = evhttp_request_get_input_buffer(request);
+static void wg_cache_apply_list(wg_cache_query* query) {
+    struct evbuffer* in = wg_exchange_body(query->exchange);
     size_t size = evbuffer_get_length(in);
     GArray* parts = wg_cache_list_parse((const char*)evbuffer_pullup(in, -1), size);
     if (!parts) {
@@ -70,76 +65,62 @@
 }
 
 /* Answers to cache queries carry backoff hints as answers to requests do. */
-static void wg_cache_record_hint(const wg_cache_query* query, struct evhttp_request* request) {
+static bool wg_cache_on_head(const wg_message_head* head, void* user_data) {
+    const wg_cache_query* query = user_data;
     wg_entry* e = query->entry;
-    wg_backoff_hint hint = {.status = evhttp_request_get_response_code(request)};
-    const struct evkeyvalq* fields = evhttp_request_get_input_headers(request);
-    for (const struct evkeyval* f = fields->tqh_first; f; f = f->next.tqe_next) {
-        wg_backoff_read_field(&hint, e->names->draining, (wg_text){f->key, strlen(f->key)},
-                              (wg_text){f->value, strlen(f->value)});
+    wg_backoff_hint hint = {.status = head->status};
+    for (int i = 0; i < head->fields_num; i++) {
+        const wg_message_pair* f = &head->fields[i];
+        wg_backoff_read_field(&hint, e->names->draining, f->name, f->value);
     }
     wg_entry_record_answer(e, query->target, &hint, "-");
+    return true;
 }
 
-static void wg_cache_on_answer(struct evhttp_request* request, void* user_data) {
+static void wg_cache_on_done(wg_exchange_result result, void* user_data) {
+    enum {
+        OK = 200,
+        NOT_FOUND = 404
+    };
     wg_cache_query* query = user_data;
-    int status = request ? evhttp_request_get_response_code(request) : 0;
-    query->connection = NULL; /* freed by libevent on completion */
-    if (status > 0) {
-        wg_cache_record_hint(query, request);
-    }
-    if (status == HTTP_OK) {
-        wg_cache_apply_list(query, request);
-    } else if (status == HTTP_NOTFOUND) {
+    int status = result == WG_EXCHANGE_FAILED ? 0 : wg_exchange_head(query->exchange)->status;
+    if (status == OK) {
+        wg_cache_apply_list(query);
+    } else if (status == NOT_FOUND) {
         query->known = true; /* the target does not provide a list */
     } else {
         wg_log(WG_EVENT_CACHE_UNKNOWN, "target=%u status=%d try=%d", query->target, status,
                query->tries);
     }
+    wg_exchange_close(query->exchange);
+    query->exchange = NULL;
 }
 
+static const wg_exchange_handler wg_cache_handler = {.on_head = wg_cache_on_head,
+                                                     .on_done = wg_cache_on_done};
+
 static void wg_cache_send(wg_cache_query* query, const wg_target* target, wg_time now) {
     wg_entry* e = query->entry;
-    char ip[WG_ADDRESS_MAX];
-    uint16_t port;
     query->tries++;
     query->next_at = now + WG_CACHE_RETRY_INTERVAL;
-    if (!wgn_split_address(target->address, ip, &port)) {
-        return;
-    }
-    query->connection = evhttp_connection_base_new(e->base, NULL, ip, port);
-    evhttp_connection_set_timeout(query->connection, WG_CACHE_TIMEOUT_S);
-    evhttp_connection_set_max_body_size(query->connection, WG_CACHE_BYTES_MAX);
-    wgh_bound_answers(&query->bounds, query->connection,
-                      &(wgh_answer_limits){.head_max = WG_CACHE_HEAD_MAX,
-                                           .unparsed_max = WG_CACHE_BYTES_MAX + WG_CACHE_HEAD_MAX});
-    query->sent_at = now;
-    evhttp_connection_free_on_completion(query->connection);
-    struct evhttp_request* request = evhttp_request_new(wg_cache_on_answer, query);
-    evhttp_request_set_header_cb(request, wgh_refuse_informational);
-    struct evkeyvalq* out = evhttp_request_get_output_headers(request);
-    evhttp_add_header(out, "Host", target->address);
-    evhttp_add_header(out, "Connection", "close");
-    evhttp_add_header(out, e->names->expected_target, target->id);
-    if (evhttp_make_request(query->connection, request, EVHTTP_REQ_GET, e->names->cache_list) !=
-        0) {
-        evhttp_connection_free(query->connection);
-        query->connection = NULL;
-    }
-}
-
-/* A target that sends a little now and then never exceeds the timeout without a byte. */
-static void wg_cache_end_if_due(wg_cache_query* query, wg_time now) {
-    if (!query->connection) {
+    query->exchange =
+        wg_exchange_open(&(wg_exchange_desc){.base = e->base, .address = target->address});
+    if (!query->exchange) {
         return;
     }
-    bool slow = now - query->sent_at >= WG_CACHE_TIME_MAX;
-    if (slow || query->bounds.exceeded) {
-        wg_log(WG_EVENT_CACHE_UNKNOWN, "target=%u reason=%s try=%d", query->target,
-               slow ? "too-slow" : "too-long", query->tries);
-        evhttp_connection_free(query->connection);
-        query->connection = NULL;
-    }
+    struct evbuffer* fields = evbuffer_new();
+    wg_exchange_add_field(fields, "Host", target->address);
+    wg_exchange_add_field(fields, "Connection", "close");
+    wg_exchange_add_field(fields, e->names->expected_target, target->id);
+    wg_exchange_send(query->exchange,
+                     &(wg_exchange_request){.method = "GET",
+                                            .target = e->names->cache_list,
+                                            .fields = fields,
+                                            .body_max = WG_CACHE_BYTES_MAX,
+                                            .timeout = WG_CACHE_TIME_MAX,
+                                            .idle_timeout = WG_CACHE_IDLE_TIMEOUT},
+                     &wg_cache_handler, query);
+    evbuffer_free(fields);
 }
 
 static bool wg_cache_is_engine(const wg_entry* e, const wg_target* target) {
@@ -150,7 +131,7 @@
 static void wg_cache_send_if_due(wg_cache_query* query, wg_time now) {
     wg_entry* e = query->entry;
     const wg_target* target = wg_registry_find(e->registry, query->target);
-    if (!target || query->connection || now < query->next_at) {
+    if (!target || query->exchange || now < query->next_at) {
         return;
     }
     /* The request rate of a cold target is left to callers' requests; its cache is mostly empty. */
@@ -161,7 +142,7 @@
 }
 
 static bool wg_cache_is_finished(const wg_cache_query* query) {
-    return !query->connection && (query->known || query->tries >= WG_CACHE_TRIES);
+    return !query->exchange && (query->known || query->tries >= WG_CACHE_TRIES);
 }
 
 /* Sends the queries that are due, and forgets those that are finished or were dropped. */
@@ -171,16 +152,13 @@
     for (guint i = 0; i < e->cache_pending->len; i++) {
         uint32_t number = g_array_index(e->cache_pending, uint32_t, i);
         wg_cache_query* query = g_hash_table_lookup(e->cache_queries, GUINT_TO_POINTER(number));
-        if (query) {
-            wg_cache_end_if_due(query, now);
-        }
         if (!query || wg_cache_is_finished(query)) {
             continue;
         }
         g_array_index(e->cache_pending, uint32_t, kept++) = number;
-        if (active < WG_CACHE_QUERIES_MAX && !query->connection) {
+        if (active < WG_CACHE_QUERIES_MAX && !query->exchange) {
             wg_cache_send_if_due(query, now);
-            active += query->connection != NULL;
+            active += query->exchange != NULL;
         }
     }
     g_array_set_size(e->cache_pending, kept);
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -262,8 +262,8 @@
     }
     wgh_close(&r->callers);
     wgh_close(&r->operators);
-    if (r->hosts_conn) {
-        evhttp_connection_free(r->hosts_conn);
+    if (r->hosts_exchange) {
+        wg_exchange_close(r->hosts_exchange);
     }
     if (r->net) {
         r->link = (wgn_link){0};
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -1,4 +1,4 @@
-/* wg_router_attempt.c -- sends attempts to targets over evhttp and relays their answers */
+/* wg_router_attempt.c -- sends attempts to targets and relays their answers */
 #include "wg_router_internal.h"
 
 #include <stdlib.h>
@@ -8,7 +8,7 @@
 
 /* ---- headers ------------------------------------------------------------------------------- */
 
-/* Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that evhttp writes itself. */
+/* Hop-by-hop headers (RFC 9110, section 7.6.1), and headers that are written anew. */
 bool _wgro_is_hop_header(const char* name) {
     static const char* hop[] = {
         "Connection", "Keep-Alive", "Proxy-Authenticate", "Transfer-Encoding",   "TE",
@@ -24,38 +24,46 @@
            g_ascii_strncasecmp(name, "Target-", 7) == 0;
 }
 
-static void _wgro_add_headers(_wgro_call_t* call, _wgro_attempt_t* attempt, int64_t resume_from) {
-    struct evkeyvalq* out = evhttp_request_get_output_headers(attempt->request);
+static void _wgro_add_headers(_wgro_call_t* call, const _wgro_attempt_t* attempt,
+                              int64_t resume_from, struct evbuffer* out) {
     struct evkeyvalq* in = evhttp_request_get_input_headers(call->request);
     for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
         bool key = g_ascii_strcasecmp(h->key, "Authorization") == 0;
         bool resume = g_ascii_strcasecmp(h->key, "Last-Event-ID") == 0;
         if (!key && !resume && !_wgro_is_hop_header(h->key)) {
-            evhttp_add_header(out, h->key, h->value);
+            wg_exchange_add_field(out, h->key, h->value);
         }
     }
     wgp_target_info info;
     wgp_query_target_id(call->router->place, call->choice.target, &info);
-    evhttp_add_header(out, "Host", info.address);
+    wg_exchange_add_field(out, "Host", info.address);
     const wgt_row* workspace = wgt_find_id(call->router->table, call->workspace);
-    evhttp_add_header(out, "Walnutgate-Workspace", workspace ? workspace->name : "");
+    wg_exchange_add_field(out, "Walnutgate-Workspace", workspace ? workspace->name : "");
     char text[32];
     g_snprintf(text, sizeof text, "%d", attempt->number);
-    evhttp_add_header(out, "Walnutgate-Attempt", text);
+    wg_exchange_add_field(out, "Walnutgate-Attempt", text);
     if (call->prefix) {
         g_snprintf(text, sizeof text, "%016" G_GINT64_MODIFIER "x", call->prefix);
-        evhttp_add_header(out, "Walnutgate-Prefix", text);
+        wg_exchange_add_field(out, "Walnutgate-Prefix", text);
     }
     if (resume_from > 0) {
         g_snprintf(text, sizeof text, "%" G_GINT64_FORMAT, resume_from);
-        evhttp_add_header(out, "Last-Event-ID", text);
+        wg_exchange_add_field(out, "Last-Event-ID", text);
     }
 }
 
-enum {
-    /* Answers are read in parts, so what evhttp holds is a line that is not complete. */
-    _WGRO_UNPARSED_MAX = 64 * 1024 /* bytes */
-};
+/* Fields of a target's answer that callers get; the caller's answer states its length anew. */
+void _wgro_copy_fields(const wg_message_head* head, struct evkeyvalq* out) {
+    for (int i = 0; i < head->fields_num; i++) {
+        char* name = wg_text_dup(head->fields[i].name);
+        char* value = wg_text_dup(head->fields[i].value);
+        if (!_wgro_is_hop_header(name) && !wg_message_is_hop_field(head, head->fields[i].name)) {
+            evhttp_add_header(out, name, value);
+        }
+        g_free(name);
+        g_free(value);
+    }
+}
 
 /* ---- connections --------------------------------------------------------------------------- */
 
@@ -63,11 +71,11 @@
     (void)fd;
     (void)what;
     _wgro_conn_t* conn = user_data;
-    evhttp_connection_free(conn->http);
+    wg_exchange_close(conn->exchange);
     g_free(conn);
 }
 
-/* Deferred to the event loop: evhttp does not allow freeing a connection in its own callbacks. */
+/* Deferred to the event loop: what is called as an exchange goes on may still use it. */
 static void _wgro_conn_close(_wgro_conn_t* conn) {
     struct timeval no_delay = {0};
     conn->attempt = NULL;
@@ -86,63 +94,52 @@
 static void _wgro_conn_release(_wgro_conn_t* conn) {
     GQueue* idle = _wgro_idle_conns(conn->router, conn->target);
     conn->attempt = NULL;
-    if (idle->length >= _WGRO_CONNS_PER_TARGET) {
+    if (idle->length >= _WGRO_CONNS_PER_TARGET || !wg_exchange_is_usable(conn->exchange)) {
         _wgro_conn_close(conn);
     } else {
         g_queue_push_head(idle, conn);
     }
 }
 
-/* Bytes removed from the output buffer were handed to the kernel: the target may act on them. */
-static void _wgro_on_written(struct evbuffer* buffer, const struct evbuffer_cb_info* info,
-                             void* user_data) {
-    (void)buffer;
-    _wgro_conn_t* conn = user_data;
-    if (info->n_deleted == 0 || !conn->attempt) {
-        return;
-    }
-    _wgro_attempt_t* attempt = conn->attempt;
-    _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
-    if (call) {
-        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_WRITTEN, .attempt = attempt->number});
-    }
-}
-
-/* The target sends what is no answer, without end. */
-static void _wgro_on_flooded(void* user_data) {
-    _wgro_conn_t* conn = user_data;
-    if (conn->attempt) {
-        _wgro_fail_attempt(conn->attempt);
+/* Returns an idle connection that can be used, or NULL. */
+static _wgro_conn_t* _wgro_conn_take_idle(wgro_router* r, uint32_t target) {
+    GQueue* idle = _wgro_idle_conns(r, target);
+    for (_wgro_conn_t* conn; (conn = g_queue_pop_head(idle));) {
+        if (wg_exchange_is_usable(conn->exchange)) {
+            return conn;
+        }
+        _wgro_conn_close(conn);
     }
+    return NULL;
 }
 
 static _wgro_conn_t* _wgro_conn_open(wgro_router* r, uint32_t target, bool fresh) {
-    GQueue* idle = _wgro_idle_conns(r, target);
-    if (!fresh && idle->length > 0) {
-        return g_queue_pop_head(idle);
-    }
+    _wgro_conn_t* conn = fresh ? NULL : _wgro_conn_take_idle(r, target);
     wgp_target_info info;
-    char ip[WG_ADDRESS_MAX];
-    uint16_t port;
-    if (!wgp_query_target_id(r->place, target, &info) ||
-        !wgn_split_address(info.address, ip, &port)) {
+    if (conn || !wgp_query_target_id(r->place, target, &info)) {
+        return conn;
+    }
+    wg_exchange* exchange =
+        wg_exchange_open(&(wg_exchange_desc){.base = r->base, .address = info.address});
+    if (!exchange) {
         return NULL;
     }
-    _wgro_conn_t* conn = g_new0(_wgro_conn_t, 1);
+    conn = g_new0(_wgro_conn_t, 1);
     conn->router = r;
     conn->target = target;
-    conn->http = evhttp_connection_base_new(r->base, NULL, ip, port);
-    evhttp_connection_set_retries(conn->http, 0);
-    wgh_bound_answers(&conn->bounds, conn->http,
-                      &(wgh_answer_limits){.head_max = WGH_HEAD_MAX_DEFAULT,
-                                           .unparsed_max = _WGRO_UNPARSED_MAX,
-                                           .on_exceeded = _wgro_on_flooded,
-                                           .user_data = conn});
-    struct bufferevent* bev = evhttp_connection_get_bufferevent(conn->http);
-    evbuffer_add_cb(bufferevent_get_output(bev), _wgro_on_written, conn);
+    conn->exchange = exchange;
     return conn;
 }
 
+/* The target may act on the request. */
+static void _wgro_on_written(void* user_data) {
+    _wgro_attempt_t* attempt = user_data;
+    _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
+    if (call) {
+        _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_WRITTEN, .attempt = attempt->number});
+    }
+}
+
 /* ---- relaying ------------------------------------------------------------------------------ */
 
 static void _wgro_resume_reading(struct evhttp_connection* connection, void* user_data) {
@@ -150,21 +147,21 @@
     _wgro_call_t* call = user_data;
     if (call->attempt && call->attempt->paused && call->attempt->conn) {
         call->attempt->paused = false;
-        bufferevent_enable(evhttp_connection_get_bufferevent(call->attempt->conn->http), EV_READ);
+        wg_exchange_resume(call->attempt->conn->exchange);
     }
 }
 
 static void _wgro_send_head(_wgro_call_t* call) {
-    struct evkeyvalq* in = evhttp_request_get_input_headers(call->attempt->request);
+    const _wgro_attempt_t* attempt = call->attempt;
     struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
-    for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
-        bool length = g_ascii_strcasecmp(h->key, "Content-Length") == 0 && !call->attempt->stream;
-        if (length || !_wgro_is_hop_header(h->key)) {
-            evhttp_add_header(out, h->key, h->value);
-        }
-    }
-    evhttp_send_reply_start(call->request, call->attempt->status,
-                            wgh_reason(call->attempt->status));
+    _wgro_copy_fields(attempt->head, out);
+    wg_text length = wg_message_field(attempt->head, "Content-Length");
+    if (length.text && !attempt->stream) {
+        char* text = wg_text_dup(length);
+        evhttp_add_header(out, "Content-Length", text);
+        g_free(text);
+    }
+    evhttp_send_reply_start(call->request, attempt->status, wgh_reason(attempt->status));
     call->head_sent = true;
 }
 
@@ -187,19 +184,19 @@
     bool over = evbuffer_get_length(unsent) > (size_t)call->router->settings->high_water;
     if (over && !attempt->paused && attempt->conn) {
         attempt->paused = true;
-        bufferevent_disable(evhttp_connection_get_bufferevent(attempt->conn->http), EV_READ);
+        wg_exchange_pause(attempt->conn->exchange);
     }
 }
 
 /* ---- answers of targets --------------------------------------------------------------------- */
 
 /* Applies the backoff that the answer requests from this router. Draining is handled separately. */
-static void _wgro_apply_backoff_hint(const _wgro_attempt_t* attempt, const struct evkeyvalq* in) {
+static void _wgro_apply_backoff_hint(const _wgro_attempt_t* attempt) {
     wgro_router* r = attempt->router;
     wg_backoff_hint hint = {.status = attempt->status};
-    for (const struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
-        wg_backoff_read_field(&hint, "", (wg_text){h->key, strlen(h->key)},
-                              (wg_text){h->value, strlen(h->value)});
+    for (int i = 0; i < attempt->head->fields_num; i++) {
+        const wg_message_pair* f = &attempt->head->fields[i];
+        wg_backoff_read_field(&hint, "", f->name, f->value);
     }
     int64_t unix_time = g_get_real_time() / WG_USEC_PER_SEC;
     if (wgp_record_answer(r->place, wg_now(), attempt->target, &hint, unix_time) ==
@@ -214,42 +211,50 @@
     }
 }
 
+static bool _wgro_has_field(const wg_message_head* head, const char* name) {
+    return wg_message_field(head, name).text != NULL;
+}
+
+/* Reads a number in a field. False if there is none within the limits. */
+static bool _wgro_read_number(const wg_message_head* head, const char* name, guint base,
+                              guint64 min, guint64 max, guint64* number) {
+    char* text = wg_text_dup(wg_message_field(head, name));
+    bool good = text && g_ascii_string_to_unsigned(text, base, min, max, number, NULL);
+    g_free(text);
+    return good;
+}
+
 static void _wgro_apply_target_headers(wgro_router* r, _wgro_attempt_t* attempt) {
-    struct evkeyvalq* in = evhttp_request_get_input_headers(attempt->request);
-    const char* running = evhttp_find_header(in, "Target-Running");
+    const wg_message_head* head = attempt->head;
     guint64 number;
-    if (running && g_ascii_string_to_unsigned(running, 10, 0, 1000000, &number, NULL)) {
+    if (_wgro_read_number(head, "Target-Running", 10, 0, 1000000, &number)) {
         wgp_update_load(r->place, attempt->target, (int)number);
     }
-    if (evhttp_find_header(in, "Target-Leaving") &&
+    if (_wgro_has_field(head, "Target-Leaving") &&
         wgp_record_draining(r->place, attempt->target) == WGP_EVENT_DRAINING) {
         wg_log(WG_EVENT_TARGET_LEAVING, "source=answer");
     }
-    const char* dropped = evhttp_find_header(in, "Target-Dropped-Prefix");
-    if (dropped && g_ascii_string_to_unsigned(dropped, 16, 1, UINT64_MAX, &number, NULL)) {
+    if (_wgro_read_number(head, "Target-Dropped-Prefix", 16, 1, UINT64_MAX, &number)) {
         wgp_forget_prefix(r->place, number, attempt->target);
     }
-    attempt->reported_not_run = evhttp_find_header(in, "Target-Not-Run") != NULL;
-    const char* version = evhttp_find_header(in, "Target-Version");
-    g_strlcpy(attempt->version, version ? version : "", sizeof attempt->version);
+    attempt->reported_not_run = _wgro_has_field(head, "Target-Not-Run");
+    wg_text version = wg_message_field(head, "Target-Version");
+    g_snprintf(attempt->version, sizeof attempt->version, "%.*s", (int)version.size,
+               version.text ? version.text : "");
     wgp_record_version(r->place, attempt->target, attempt->version);
-    _wgro_apply_backoff_hint(attempt, in);
+    _wgro_apply_backoff_hint(attempt);
 }
 
-static int _wgro_on_head(struct evhttp_request* request, void* user_data) {
+static bool _wgro_on_head(const wg_message_head* head, void* user_data) {
     _wgro_attempt_t* attempt = user_data;
-    if (wgh_refuse_informational(request, NULL) != 0) {
-        return -1;
-    }
-    struct evkeyvalq* in = evhttp_request_get_input_headers(request);
-    const char* type = evhttp_find_header(in, "Content-Type");
-    const char* coding = evhttp_find_header(in, "Transfer-Encoding");
-    attempt->status = evhttp_request_get_response_code(request);
-    attempt->stream = type && g_ascii_strncasecmp(type, "text/event-stream", 17) == 0;
-    attempt->length_known = evhttp_find_header(in, "Content-Length") ||
-                            (coding && g_ascii_strcasecmp(coding, "chunked") == 0);
+    static const char event_stream[] = "text/event-stream";
+    wg_text type = wg_message_field(head, "Content-Type");
+    attempt->head = head;
+    attempt->status = head->status;
+    attempt->stream = type.size >= sizeof event_stream - 1 &&
+                      g_ascii_strncasecmp(type.text, event_stream, sizeof event_stream - 1) == 0;
     _wgro_apply_target_headers(attempt->router, attempt);
-    return 0;
+    return true;
 }
 
 static void _wgro_fail_attempt(_wgro_attempt_t* attempt) {
@@ -330,10 +335,9 @@
     }
 }
 
-static void _wgro_on_chunk(struct evhttp_request* request, void* user_data) {
+static void _wgro_on_body(struct evbuffer* in, void* user_data) {
     _wgro_attempt_t* attempt = user_data;
     _wgro_call_t* call = _wgro_call_find(attempt->router, attempt->call);
-    struct evbuffer* in = evhttp_request_get_input_buffer(request);
     if (!call) {
         evbuffer_drain(in, evbuffer_get_length(in));
         return;
@@ -352,11 +356,14 @@
     }
 }
 
-static bool _wgro_is_complete(const _wgro_attempt_t* attempt) {
+/* A stream says itself that it is complete. Another answer that only ended with its connection may
+   have been cut off. */
+static bool _wgro_is_complete(const _wgro_attempt_t* attempt, wg_exchange_result result) {
     if (attempt->stream) {
-        return attempt->done_seen && evbuffer_get_length(attempt->buffered) == 0;
+        return result != WG_EXCHANGE_FAILED && attempt->done_seen &&
+               evbuffer_get_length(attempt->buffered) == 0;
     }
-    return attempt->length_known;
+    return result == WG_EXCHANGE_WHOLE;
 }
 
 static void _wgro_read_usage(_wgro_call_t* call, _wgro_attempt_t* attempt) {
@@ -374,25 +381,20 @@
     g_free(attempt);
 }
 
-/* The exchange with the target has ended; `request` is NULL or has no status when it failed. */
-static void _wgro_on_done(struct evhttp_request* request, void* user_data) {
+/* The exchange with the target has ended. */
+static void _wgro_on_done(wg_exchange_result result, void* user_data) {
     _wgro_attempt_t* attempt = user_data;
     if (attempt->aborted) {
         return; /* _wgro_abort_later() frees the connection and the attempt */
     }
     wgro_router* r = attempt->router;
     _wgro_call_t* call = _wgro_call_find(r, attempt->call);
-    bool answered = request && evhttp_request_get_response_code(request) != 0;
-    bool complete = answered && _wgro_is_complete(attempt);
+    bool complete = _wgro_is_complete(attempt, result);
     _wgro_conn_t* conn = attempt->conn;
     attempt->conn = NULL;
-    /* After a complete answer the connection is idle; otherwise it is closed below. */
-    if (answered && complete) {
-        conn->attempt = NULL;
-    }
     if (call) {
         wgc_event event = {.type = WGC_EVENT_FAILED, .attempt = attempt->number};
-        if (answered && attempt->reported_not_run) {
+        if (result != WG_EXCHANGE_FAILED && attempt->reported_not_run) {
             event.type = WGC_EVENT_NOT_RUN_REPORTED;
         } else if (complete) {
             event.type = WGC_EVENT_COMPLETE;
@@ -409,8 +411,26 @@
     _wgro_attempt_free(attempt);
 }
 
+static const wg_exchange_handler _wgro_attempt_handler = {.on_written = _wgro_on_written,
+                                                          .on_head = _wgro_on_head,
+                                                          .on_body = _wgro_on_body,
+                                                          .on_done = _wgro_on_done};
+
 /* ---- internal functions -------------------------------------------------------------------- */
 
+static void _wgro_attempt_send(_wgro_call_t* call, _wgro_attempt_t* attempt, int64_t resume_from) {
+    struct evbuffer* fields = evbuffer_new();
+    _wgro_add_headers(call, attempt, resume_from, fields);
+    wg_time remaining = MAX(call->deadline - wg_now(), WG_USEC_PER_MSEC) + WG_USEC_PER_SEC;
+    wg_exchange_request request = {.method = wgh_method(call->request),
+                                   .target = call->uri,
+                                   .fields = fields,
+                                   .body = call->body,
+                                   .timeout = remaining};
+    wg_exchange_send(attempt->conn->exchange, &request, &_wgro_attempt_handler, attempt);
+    evbuffer_free(fields);
+}
+
 bool _wgro_attempt_begin(_wgro_call_t* call, int number, int64_t resume_from) {
     wgro_router* r = call->router;
     /* The target may just have closed an idle connection, and then it is unknown whether the
@@ -439,26 +459,9 @@
     attempt->usage = -1;
     attempt->buffered = evbuffer_new();
     attempt->ready = evbuffer_new();
-    attempt->request = evhttp_request_new(_wgro_on_done, attempt);
-    evhttp_request_set_chunked_cb(attempt->request, _wgro_on_chunk);
-    evhttp_request_set_header_cb(attempt->request, _wgro_on_head);
-    _wgro_add_headers(call, attempt, resume_from);
-    evbuffer_add_buffer_reference(evhttp_request_get_output_buffer(attempt->request), call->body);
-    wg_time remaining = MAX(call->deadline - wg_now(), WG_USEC_PER_MSEC) + WG_USEC_PER_SEC;
-    struct timeval timeout = {.tv_sec = remaining / WG_USEC_PER_SEC,
-                              .tv_usec = remaining % WG_USEC_PER_SEC};
-    evhttp_connection_set_timeout_tv(conn->http, &timeout);
     conn->attempt = attempt;
     call->attempt = attempt;
-    enum evhttp_cmd_type command = evhttp_request_get_command(call->request);
-    if (evhttp_make_request(conn->http, attempt->request, command, call->uri) != 0) {
-        /* evhttp has freed the request and will not invoke its callbacks. */
-        conn->attempt = NULL;
-        call->attempt = NULL;
-        _wgro_conn_close(conn);
-        _wgro_attempt_free(attempt);
-        return false;
-    }
+    _wgro_attempt_send(call, attempt, resume_from);
     return true;
 }
 
@@ -466,7 +469,7 @@
     (void)fd;
     (void)what;
     _wgro_attempt_t* attempt = user_data;
-    evhttp_connection_free(attempt->conn->http);
+    wg_exchange_close(attempt->conn->exchange);
     g_free(attempt->conn);
     _wgro_attempt_free(attempt);
 }
@@ -490,7 +493,7 @@
     while (g_hash_table_iter_next(&iter, NULL, &idle)) {
         _wgro_conn_t* conn;
         while ((conn = g_queue_pop_head(idle))) {
-            evhttp_connection_free(conn->http);
+            wg_exchange_close(conn->exchange);
             g_free(conn);
         }
         g_queue_free(idle);
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -214,13 +214,8 @@
 }
 
 static void _wgro_copy_headers(_wgro_call_t* call) {
-    struct evkeyvalq* in = evhttp_request_get_input_headers(call->attempt->request);
     struct evkeyvalq* out = evhttp_request_get_output_headers(call->request);
-    for (struct evkeyval* h = in->tqh_first; h; h = h->next.tqe_next) {
-        if (!_wgro_is_hop_header(h->key)) {
-            evhttp_add_header(out, h->key, h->value);
-        }
-    }
+    _wgro_copy_fields(call->attempt->head, out);
     char attempts[16];
     g_snprintf(attempts, sizeof attempts, "%d", call->machine.attempt);
     evhttp_add_header(out, WGH_HEADER_ATTEMPTS, attempts);
@@ -248,16 +243,16 @@
     if (!action->end_claim) {
         return;
     }
-    const char* type = NULL;
+    char* type = NULL;
     struct evbuffer* body = NULL;
     int status = 0;
     if (action->verdict == WG_VERDICT_RAN && call->attempt) {
         status = call->attempt->status;
-        type = evhttp_find_header(evhttp_request_get_input_headers(call->attempt->request),
-                                  "Content-Type");
+        type = wg_text_dup(wg_message_field(call->attempt->head, "Content-Type"));
         body = call->head_sent ? NULL : call->attempt->buffered;
     }
     _wgro_end_claim(call->router, call, action->verdict, status, type, body);
+    g_free(type);
 }
 
 /* ---- helpers: actions ---------------------------------------------------------------------- */
--- a/lib/router/wg_router_endpoints.c
+++ b/lib/router/wg_router_endpoints.c
@@ -2,9 +2,15 @@
  */
 #include "wg_router_internal.h"
 
+#include <arpa/inet.h>
 #include <event2/http.h>
+#include <event2/util.h>
 #include <string.h>
 
+enum {
+    _WGRO_HOSTS_TIMEOUT = 1 * WG_USEC_PER_SEC /* of a poll of the host list */
+};
+
 /* ---- state dump ---------------------------------------------------------------------------- */
 
 static json_t* _wgro_dump_services(wgro_router* r) {
@@ -175,13 +181,15 @@
     }
 }
 
-static void _wgro_on_hosts(struct evhttp_request* request, void* user_data) {
+static void _wgro_on_hosts(wg_exchange_result result, void* user_data) {
     wgro_router* r = user_data;
     r->hosts_pending = false;
     json_t* json = NULL;
-    char message[128];
-    if (request && evhttp_request_get_response_code(request) == 200) {
-        json = wgh_body_json(request, message, sizeof message);
+    if (result != WG_EXCHANGE_FAILED && wg_exchange_head(r->hosts_exchange)->status == 200) {
+        struct evbuffer* body = wg_exchange_body(r->hosts_exchange);
+        size_t size = evbuffer_get_length(body);
+        const char* text = size ? (const char*)evbuffer_pullup(body, -1) : "";
+        json = json_loadb(text, size, 0, NULL);
     }
     if (json) {
         _wgro_apply_hosts(r, json);
@@ -193,43 +201,61 @@
     }
 }
 
-/* A list that is too long is given up; the next poll uses a new connection. */
-static void _wgro_hosts_end_if_flooded(wgro_router* r) {
-    if (r->hosts_conn && r->hosts_bounds.exceeded) {
-        evhttp_connection_free(r->hosts_conn);
-        r->hosts_conn = NULL;
-        r->hosts_pending = false;
+static const wg_exchange_handler _wgro_hosts_handler = {.on_done = _wgro_on_hosts};
+
+/* Makes sure that there is a connection to the list's server. A name is resolved by the system's
+   resolver, which may block for a moment. */
+static bool _wgro_hosts_connect(wgro_router* r, const struct evhttp_uri* uri) {
+    if (r->hosts_exchange && wg_exchange_is_usable(r->hosts_exchange)) {
+        return true;
     }
+    if (r->hosts_exchange) {
+        wg_exchange_close(r->hosts_exchange);
+        r->hosts_exchange = NULL;
+    }
+    char port[8];
+    char address[WG_ADDRESS_MAX];
+    struct evutil_addrinfo* found = NULL;
+    struct evutil_addrinfo hints = {.ai_family = AF_INET, .ai_socktype = SOCK_STREAM};
+    g_snprintf(port, sizeof port, "%d",
+               evhttp_uri_get_port(uri) > 0 ? evhttp_uri_get_port(uri) : 80);
+    if (evutil_getaddrinfo(evhttp_uri_get_host(uri), port, &hints, &found) != 0) {
+        return false;
+    }
+    char ip[INET_ADDRSTRLEN];
+    const struct sockaddr_in* at = (const struct sockaddr_in*)(const void*)found->ai_addr;
+    evutil_inet_ntop(AF_INET, &at->sin_addr, ip, sizeof ip);
+    g_snprintf(address, sizeof address, "%s:%s", ip, port);
+    evutil_freeaddrinfo(found);
+    r->hosts_exchange = wg_exchange_open(&(wg_exchange_desc){.base = r->base, .address = address});
+    return r->hosts_exchange != NULL;
+}
+
+static void _wgro_hosts_ask(wgro_router* r, const struct evhttp_uri* uri) {
+    const char* path = evhttp_uri_get_path(uri);
+    struct evbuffer* fields = evbuffer_new();
+    wg_exchange_add_field(fields, "Host", evhttp_uri_get_host(uri));
+    r->hosts_pending = true;
+    wg_exchange_send(r->hosts_exchange,
+                     &(wg_exchange_request){.method = "GET",
+                                            .target = path && path[0] ? path : "/",
+                                            .fields = fields,
+                                            .body_max = WGH_BODY_MAX_DEFAULT,
+                                            .timeout = _WGRO_HOSTS_TIMEOUT},
+                     &_wgro_hosts_handler, r);
+    evbuffer_free(fields);
 }
 
 void _wgro_hosts_tick(wgro_router* r, wg_time now) {
-    _wgro_hosts_end_if_flooded(r);
     if (!r->settings->hosts_url[0] || now < r->hosts_poll_at || r->hosts_pending) {
         return;
     }
     r->hosts_poll_at = now + r->settings->hosts_ms * WG_USEC_PER_MSEC;
     struct evhttp_uri* uri = evhttp_uri_parse(r->settings->hosts_url);
-    if (!uri || !evhttp_uri_get_host(uri)) {
-        return;
+    if (uri && evhttp_uri_get_host(uri) && _wgro_hosts_connect(r, uri)) {
+        _wgro_hosts_ask(r, uri);
     }
-    if (!r->hosts_conn) {
-        int port = evhttp_uri_get_port(uri);
-        r->hosts_conn = evhttp_connection_base_new(r->base, NULL, evhttp_uri_get_host(uri),
-                                                   (uint16_t)(port > 0 ? port : 80));
-        evhttp_connection_set_timeout(r->hosts_conn, 1);
-        evhttp_connection_set_max_body_size(r->hosts_conn, WGH_BODY_MAX_DEFAULT);
-        wgh_bound_answers(
-            &r->hosts_bounds, r->hosts_conn,
-            &(wgh_answer_limits){.head_max = WGH_HEAD_MAX_DEFAULT,
-                                 .unparsed_max = WGH_BODY_MAX_DEFAULT + WGH_HEAD_MAX_DEFAULT});
-    }
-    struct evhttp_request* request = evhttp_request_new(_wgro_on_hosts, r);
-    evhttp_request_set_header_cb(request, wgh_refuse_informational);
-    evhttp_add_header(evhttp_request_get_output_headers(request), "Host", evhttp_uri_get_host(uri));
-    const char* path = evhttp_uri_get_path(uri);
-    r->hosts_pending = true;
-    if (evhttp_make_request(r->hosts_conn, request, EVHTTP_REQ_GET, path && path[0] ? path : "/")) {
-        r->hosts_pending = false;
+    if (uri) {
+        evhttp_uri_free(uri);
     }
-    evhttp_uri_free(uri);
 }
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -6,6 +6,7 @@
 #include <event2/keyvalq_struct.h>
 
 #include "wg_claim.h"
+#include "wg_exchange.h"
 #include "wg_pacer.h"
 #include "wg_router.h"
 #include "wg_sse.h"
@@ -26,8 +27,7 @@
 typedef struct {
     wgro_router* router;
     uint32_t target;
-    struct evhttp_connection* http;
-    wgh_answer_bounds bounds;
+    wg_exchange* exchange;
     _wgro_attempt_t* attempt; /* NULL while idle */
 } _wgro_conn_t;
 
@@ -38,12 +38,11 @@
     int number;
     uint32_t target;
     _wgro_conn_t* conn;
-    struct evhttp_request* request;
-    struct evbuffer* buffered; /* bytes of the answer that are not relayed yet */
-    struct evbuffer* ready;    /* complete events to relay */
+    const wg_message_head* head; /* of the answer; NULL before it came */
+    struct evbuffer* buffered;   /* bytes of the answer that are not relayed yet */
+    struct evbuffer* ready;      /* complete events to relay */
     int status;
-    bool stream;       /* server-sent events */
-    bool length_known; /* a truncated answer can be detected */
+    bool stream; /* server-sent events */
     bool done_seen;
     bool reported_not_run;
     bool aborted;
@@ -177,8 +176,7 @@
         uint64_t version;
     } unknown_keys[_WGRO_UNKNOWN_KEYS];
 
-    struct evhttp_connection* hosts_conn;
-    wgh_answer_bounds hosts_bounds;
+    wg_exchange* hosts_exchange; /* NULL: none is open */
     wg_time hosts_poll_at;
     bool hosts_available;
     bool hosts_pending;
@@ -230,6 +228,8 @@
 void _wgro_abort_all(wgro_router* r);
 
 /* wg_router_attempt.c */
+/* Adds the fields of a target's answer that callers get. */
+void _wgro_copy_fields(const wg_message_head* head, struct evkeyvalq* out);
 bool _wgro_attempt_begin(_wgro_call_t* call, int number, int64_t resume_from);
 void _wgro_attempt_abort(_wgro_attempt_t* attempt);
 void _wgro_conns_shutdown(wgro_router* r);
