Servers over evhttp give up a line of a chunk without end

What happened: a caller that sent the size line of a chunk, or its extension, without end was read as long as it sent, and all was kept: 16 MB in 2 s, at routers, orders, operators' interfaces and replicas alike. Cause: evhttp bounds heads and bodies, but waits for the end of a chunk's line. Change: what a connection holds before evhttp has understood it is bounded at 256 KB; beyond that it fails as a broken connection does. The bounds for evhttp as a client go, as nothing uses it so any more.

--- a/lib/http/wg_http.c
+++ b/lib/http/wg_http.c
@@ -9,6 +9,12 @@
 #include <string.h>
 #include <unistd.h>
 
+enum {
+    /* Bytes that a connection may hold before evhttp understands them: more than it reads at once,
+       and than a head or a line of a chunk needs. */
+    _WGH_UNPARSED_MAX = 256 * 1024
+};
+
 /* ---- helpers ------------------------------------------------------------------------------ */
 
 static bool _wgh_split_address(const char* address, char* ip, size_t size, uint16_t* port) {
@@ -33,36 +39,32 @@
     evbuffer_free(body);
 }
 
+/* evhttp bounds heads and bodies, but keeps a line of a chunk until it ends. */
 static void _wgh_on_input(struct evbuffer* in, const struct evbuffer_cb_info* info,
                           void* user_data) {
-    wgh_answer_bounds* bounds = user_data;
-    bool exceeds = evbuffer_get_length(in) > bounds->limits.unparsed_max;
-    if (info->n_added == 0 || !exceeds || bounds->exceeded) {
-        return;
-    }
-    bounds->exceeded = true;
-    bufferevent_disable(bounds->bev, EV_READ);
-    if (bounds->limits.on_exceeded) {
-        bounds->limits.on_exceeded(bounds->limits.user_data);
+    struct bufferevent* bev = user_data;
+    bool exceeds = evbuffer_get_length(in) > _WGH_UNPARSED_MAX;
+    bool reads = (bufferevent_get_enabled(bev) & EV_READ) != 0;
+    if (info->n_added > 0 && exceeds && reads) {
+        bufferevent_disable(bev, EV_READ);
+        /* Deferred: evhttp reads from this buffer now, and frees the connection on an error. */
+        bufferevent_trigger_event(bev, BEV_EVENT_READING | BEV_EVENT_ERROR,
+                                  BEV_TRIG_DEFER_CALLBACKS);
     }
 }
 
-/* ---- public functions --------------------------------------------------------------------- */
-
-void wgh_bound_answers(wgh_answer_bounds* bounds, struct evhttp_connection* connection,
-                       const wgh_answer_limits* limits) {
-    *bounds = (wgh_answer_bounds){.bev = evhttp_connection_get_bufferevent(connection),
-                                  .limits = *limits};
-    evhttp_connection_set_max_headers_size(connection, (ev_ssize_t)limits->head_max);
-    evbuffer_add_cb(bufferevent_get_input(bounds->bev), _wgh_on_input, bounds);
-}
-
-int wgh_refuse_informational(struct evhttp_request* request, void* user_data) {
+/* Creates the buffered connection of a new caller, as evhttp does. */
+static struct bufferevent* _wgh_new_connection(struct event_base* base, void* user_data) {
     (void)user_data;
-    int status = evhttp_request_get_response_code(request);
-    return status >= 100 && status < 200 ? -1 : 0;
+    struct bufferevent* bev = bufferevent_socket_new(base, -1, 0);
+    if (bev) {
+        evbuffer_add_cb(bufferevent_get_input(bev), _wgh_on_input, bev);
+    }
+    return bev;
 }
 
+/* ---- public functions --------------------------------------------------------------------- */
+
 bool wgh_listen(wgh_server* server, struct event_base* base, const char* address,
                 const wgh_limits* limits, GError** error) {
     char ip[WG_ADDRESS_MAX];
@@ -84,6 +86,7 @@
     evhttp_set_max_headers_size(http, head_max);
     evhttp_set_max_body_size(http, body_max);
     evhttp_set_timeout(http, (int)idle);
+    evhttp_set_bevcb(http, _wgh_new_connection, NULL);
     evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
     *server = (wgh_server){.http = http, .listener = evhttp_bound_socket_get_listener(bound)};
--- a/lib/http/wg_http.h
+++ b/lib/http/wg_http.h
@@ -9,8 +9,8 @@
     FEATURES
         - every error answer is JSON with code, verdict, message and an optional retry_after_ms,
           together with a Retry-After header in whole seconds, rounded up
-        - limits on connections and sizes
-        - bounds on answers: a server that sends what is no answer, without end, is cut off
+        - limits on connections and sizes, also on what a caller sends that is no request, without
+   end
 
     USE
         1. wgh_listen(&server, base, "127.0.0.1:8080", &(wgh_limits){0}, &error);
@@ -57,31 +57,6 @@
     json_t* extra; /* additional members; ownership is transferred; may be NULL */
 } wgh_error;
 
-typedef struct {
-    size_t head_max;     /* bytes of an answer's head, and of its trailers */
-    size_t unparsed_max; /* bytes that evhttp may hold before it understands them: a body with a
-                            length that is not read in parts, or a line without end */
-    /* Reading has stopped, as `unparsed_max` was exceeded. The connection must not be freed here;
-       NULL: the owner looks at `exceeded`. */
-    void (*on_exceeded)(void* user_data);
-    void* user_data;
-} wgh_answer_limits;
-
-/* Bounds on what a server may send on one connection. */
-typedef struct {
-    struct bufferevent* bev;
-    wgh_answer_limits limits;
-    bool exceeded;
-} wgh_answer_bounds;
-
-/* Bounds the answers on a connection to a server. A head that is too long fails its request.
-   `bounds` has to live as long as the connection. */
-void wgh_bound_answers(wgh_answer_bounds* bounds, struct evhttp_connection* connection,
-                       const wgh_answer_limits* limits);
-/* Header callback of a request that expects no informational answers, which evhttp would read
-   without end. Its result is that of evhttp_request_set_header_cb(). */
-int wgh_refuse_informational(struct evhttp_request* request, void* user_data);
-
 /* False with an error if the address cannot be bound. */
 bool wgh_listen(wgh_server* server, struct event_base* base, const char* address,
                 const wgh_limits* limits, GError** error);
