Routers: a planned stop refuses requests that come late, and ends

What callers would see: a router that stops took requests as long as any came, and never came to rest; at the end of the grace period the platform's SIGKILL cut off what was in progress, requests that may not be repeated among it. Cause: the stop waited for no call to be in progress, without a time from which nothing new is taken. Change: from 35% of grace_ms on requests get 503, not run, with a short Retry-After; 0.25 s before its end the router leaves in any case.

--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -53,7 +53,7 @@
     _NUMBER("control", stop_wait_ms, "1000", 0, 600000, "ms",
             "planned stop: time to keep serving after entry_keep_ms"),
     _NUMBER("control", grace_ms, "8000", 0, 3600000, "ms",
-            "planned stop: longest time to wait for callers that still read their answers"),
+            "planned stop: it ends by then; requests are refused after 35% of it; 0: no limit"),
     _NUMBER("control", urgent_reserve, "1", 1, 1000, "requests",
             "urgent requests beyond the leased slots, per service"),
 };
@@ -138,6 +138,13 @@
     return now < r->table_lease_until || serve_on;
 }
 
+enum {
+    /* Requests that come later in a planned stop are refused: of the grace period, enough is left
+       for most of those that were taken. */
+    _WGRO_STOP_TAKES_PERCENT = 35,
+    _WGRO_STOP_MARGIN = 250 * WG_USEC_PER_MSEC /* to exit before the grace period ends */
+};
+
 /* ---- tick and stop -------------------------------------------------------------------------- */
 
 static void _wgro_update_lease_state(wgro_router* r, wg_time now) {
@@ -158,9 +165,27 @@
     return r->replies_unsent == 0 || now >= r->stop_at + r->settings->grace_ms * WG_USEC_PER_MSEC;
 }
 
+/* Microseconds of a planned stop that are left, at least 0. */
+static wg_time _wgro_stop_time_left(const wgro_router* r, wg_time now) {
+    wg_time end = r->stop_at + r->settings->grace_ms * WG_USEC_PER_MSEC - _WGRO_STOP_MARGIN;
+    return MAX(end - now, 0);
+}
+
+bool _wgro_refuses_new(const wgro_router* r, wg_time now) {
+    wg_time grace = r->settings->grace_ms * WG_USEC_PER_MSEC;
+    wg_time taken = grace * _WGRO_STOP_TAKES_PERCENT / 100;
+    return r->stopping && grace > 0 && now - r->stop_at > taken;
+}
+
 /* Leaves the event loop once every entry-host answer that names this router has expired, no call,
-   claim or parked request remains, and callers have taken their answers. */
+   claim or parked request remains, and callers have taken their answers; at the end of the grace
+   period in any case. */
 static void _wgro_stop_tick(wgro_router* r, wg_time now) {
+    if (r->settings->grace_ms > 0 && _wgro_stop_time_left(r, now) == 0) {
+        wg_log(WG_EVENT_STOP_HURRIED, "cut_off=%d", r->calls_pool.used);
+        event_base_loopbreak(r->base);
+        return;
+    }
     wg_time kept = (r->settings->entry_keep_ms + r->settings->stop_wait_ms) * WG_USEC_PER_MSEC;
     if (now < r->stop_at + kept || r->calls_pool.used > 0 || g_hash_table_size(r->claim_ends) > 0 ||
         r->parked.length > 0 || !_wgro_replies_are_sent(r, now)) {
--- a/lib/router/wg_router_accept.c
+++ b/lib/router/wg_router_accept.c
@@ -16,6 +16,11 @@
 
 /* ---- helpers: refusals --------------------------------------------------------------------- */
 
+enum {
+    /* Short, as other routers can take the request at once. */
+    _WGRO_STOPPING_RETRY_AFTER = 20 * WG_USEC_PER_MSEC
+};
+
 static void _wgro_refuse(wgro_router* r, struct evhttp_request* request, int status,
                          const char* code, wg_time retry_after, const char* message) {
     r->counters.refused++;
@@ -277,6 +282,8 @@
         _wgro_entry(r, request);
     } else if (strcmp(path, "/healthz") == 0) {
         wgh_reply_text(request, 200, "text/plain", "ok\n");
+    } else if (_wgro_is_service_path(path) && _wgro_refuses_new(r, wg_now())) {
+        _wgro_refuse(r, request, 503, "stopping", _WGRO_STOPPING_RETRY_AFTER, "this router stops");
     } else if (_wgro_is_service_path(path)) {
         r->counters.requests++;
         _wgro_admit(r, request);
--- a/lib/router/wg_router_internal.h
+++ b/lib/router/wg_router_internal.h
@@ -189,6 +189,8 @@
 /* wg_router.c */
 void _wgro_configure(wgro_router* r);
 int _wgro_find_service(const wgro_router* r, const char* name);
+/* Whether a planned stop has gone on for so long that requests are refused. */
+bool _wgro_refuses_new(const wgro_router* r, wg_time now);
 bool _wgro_in_force(wgro_router* r, wg_time now);
 
 /* wg_router_link.c */
