Entry hosts: an answer without an id belongs to no request if its target echoes ids

Cause: what a target sends too much after a whole answer, once the next request was sent on that connection, was taken for its answer, as an answer without an id was taken for one of a target that echoes none. Change: a target that has echoed an id on a connection does so in each answer on it; one without fails the attempt.

--- a/lib/entry/wg_entry_upstream.c
+++ b/lib/entry/wg_entry_upstream.c
@@ -248,12 +248,20 @@
     wg_call_attempt_failed(call, up, reason);
 }
 
-/* Targets echo the request id; with a different id, the answer belongs to an earlier request. */
-static bool wg_upstream_matches_call(const wg_upstream* up) {
+/* Targets echo the request id; with a different id, the answer belongs to an earlier request.
+   Without one, it belongs to none if the target has echoed ids on this connection before: bytes
+   that came after an earlier answer. */
+static bool wg_upstream_matches_call(wg_upstream* up) {
     wg_text echoed = wg_message_field(&up->answer.head, up->entry->names->request_id);
-    return !echoed.text || !up->call->id[0] ||
-           (echoed.size == strlen(up->call->id) &&
-            memcmp(echoed.text, up->call->id, echoed.size) == 0);
+    if (!up->call->id[0]) {
+        return true;
+    }
+    if (!echoed.text) {
+        return !up->echoes;
+    }
+    up->echoes =
+        echoed.size == strlen(up->call->id) && memcmp(echoed.text, up->call->id, echoed.size) == 0;
+    return up->echoes;
 }
 
 /* Backoff hints apply whichever request the answer belongs to. */
