Entry hosts: a stream that nobody knows began before versions that registered after all records begin

Cause: records of streams are in memory; beside two versions a stream that nobody knows was refused whatever was known of when the second one came. Change: hosts say which targets were registered when their records begin. If all coordinators answered and none has a record in doubt, the stream did not begin at a later target; if one version served among the others, it began there. Numbers of targets, not times: the replicated log is replayed after a start.

--- a/lib/entry/wg_entry_admit.c
+++ b/lib/entry/wg_entry_admit.c
@@ -120,10 +120,15 @@
     wg_coordinator picked[WG_COORDINATORS_MAX + 1];
     wgn_link dropped[WG_COORDINATORS_MAX];
     int dropped_num = 0;
+    int left = 0;
     int num = wg_coordinators_pick(e, picked);
     for (int i = 0; i < e->coordinators_num; i++) {
         const wg_coordinator* c = &e->coordinators[i];
-        if (c->link.id && !wg_coordinator_is_among(picked, num, c->rank)) {
+        if (wg_coordinator_is_among(picked, num, c->rank)) {
+            continue;
+        }
+        left++;
+        if (c->link.id) {
             dropped[dropped_num++] = c->link;
         }
     }
@@ -135,6 +140,9 @@
     for (int i = 0; i < dropped_num; i++) {
         wgn_close(e->net, dropped[i]);
     }
+    if (left > 0) {
+        wg_entry_origins_begin_records(e);
+    }
     wg_entry_origins_update_keepers(e);
 }
 
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -305,15 +305,16 @@
     uint64_t tries; /* target selections, also those without a result */
     uint64_t retries;
     uint64_t resumes;
-    uint64_t streams_taken_up;      /* requests whose caller takes up a stream */
-    uint64_t versions_joined;       /* streams continued at another software version; always 0 */
-    uint64_t versions_gone;         /* streams refused as no target of their version serves */
-    uint64_t versions_doubted;      /* streams given up as their target had restarted unnoticed */
-    uint64_t origins_told;          /* streams of this host that others were told of */
-    uint64_t origins_here;          /* streams taken up whose version this host knew */
-    uint64_t origins_asked;         /* those whose version another host knew */
-    uint64_t origins_only;          /* those that nobody knew, of services with one version */
-    uint64_t origins_unknown;       /* those refused, as their version is not known */
+    uint64_t streams_taken_up; /* requests whose caller takes up a stream */
+    uint64_t versions_joined;  /* streams continued at another software version; always 0 */
+    uint64_t versions_gone;    /* streams refused as no target of their version serves */
+    uint64_t versions_doubted; /* streams given up as their target had restarted unnoticed */
+    uint64_t origins_told;     /* streams of this host that others were told of */
+    uint64_t origins_here;     /* streams taken up whose version this host knew */
+    uint64_t origins_asked;    /* those whose version another host knew */
+    uint64_t origins_earlier;  /* those that nobody knew, as they began before other versions */
+    uint64_t origins_only;     /* those that nobody knew, of services with one version */
+    uint64_t origins_unknown;  /* those refused, as their version is not known */
     uint64_t answers_by_connection; /* answers of targets that ended with their connection */
     uint64_t answers_in_event;      /* answers of targets that ended within an event */
     uint64_t connects;
@@ -450,6 +451,10 @@
 
     /* streams that callers take up: wg_entry_origins.c */
     wg_origins* origins;
+    /* Number of the last target that was registered when the records of streams begin: when this
+       host got its first registry, or a coordinator left, with what it kept. */
+    uint32_t origins_from;
+    bool origins_from_known;
     wg_incarnations* incarnations;
     GHashTable* target_asks;        /* ticket -> wg_upstream* that waits for the leader's answer */
     wg_origins* unreported_origins; /* for the next report to the leader */
@@ -695,6 +700,9 @@
 /* Drops a pending lookup. */
 void wg_entry_origin_cancel(wg_call* call);
 /* False if the frame does not concern origins. */
+/* From now on, records of streams are complete: this host has its first registry, or a coordinator
+   has left with what it kept. */
+void wg_entry_origins_begin_records(wg_entry* e);
 bool wg_entry_origins_on_frame(wg_entry* e, wgn_link link, const wgw_frame* frame);
 
 /* wg_entry_cold.c */
--- a/lib/entry/wg_entry_origins.c
+++ b/lib/entry/wg_entry_origins.c
@@ -280,6 +280,28 @@
     return true;
 }
 
+/* A stream that no coordinator knows did not begin at a target that registered after the records of
+   all of them begin: one was told. If only one version served before, it began there. Not if a
+   coordinator did not answer, or a record is in doubt. */
+static bool wg_call_continue_at_earlier(wg_call* call) {
+    const wg_entry* e = call->entry;
+    const wg_origin_lookup* lookup = &call->origin_lookup;
+    int others = e->coordinators_num - wg_entry_admit_is_coordinator(e);
+    bool sure = e->leader_known && !e->on_standby && e->origins_from_known &&
+                lookup->answered >= others && !lookup->doubted;
+    uint32_t from = MAX(lookup->records_from, e->origins_from);
+    const char* version =
+        sure ? wg_registry_only_version_to(e->registry, wg_now(), call->selection.service,
+                                           wg_entry_stream_life(e), from)
+             : NULL;
+    if (!version) {
+        return false;
+    }
+    call->entry->counters.origins_earlier++;
+    wg_call_continue(call, &(wg_origin){version, 0, wg_now()}, "earlier");
+    return true;
+}
+
 static void wg_call_refuse_unknown(wg_call* call) {
     wg_call_end_lookup(call);
     call->entry->counters.origins_unknown++;
@@ -356,7 +378,9 @@
         step = wg_origin_lookup_step(&call->origin_lookup, now);
     }
     if (step == WG_ORIGIN_UNKNOWN) {
-        wg_call_refuse_unknown(call);
+        if (!wg_call_continue_at_earlier(call)) {
+            wg_call_refuse_unknown(call);
+        }
     } else {
         wg_call_set_timer(call, now);
     }
@@ -369,6 +393,16 @@
     return origin && wg_entry_origin_is_certain(e, origin) ? origin : NULL;
 }
 
+/* This host's own record of the stream is in doubt. */
+static bool wg_call_origin_is_doubted(const wg_call* call) {
+    return call->stream && wg_origins_find(call->entry->origins, wg_now(), call->stream) != NULL;
+}
+
+void wg_entry_origins_begin_records(wg_entry* e) {
+    e->origins_from = wg_registry_last_number(e->registry);
+    e->origins_from_known = true;
+}
+
 void wg_entry_origin_find(wg_call* call) {
     wg_entry* e = call->entry;
     const wg_origin* origin = wg_entry_origin_recorded(e, call->stream);
@@ -378,6 +412,7 @@
         return;
     }
     wg_call_ask_keepers(call);
+    call->origin_lookup.doubted = wg_call_origin_is_doubted(call);
     wg_call_step_lookup(call);
 }
 
@@ -403,7 +438,10 @@
     bool good = in != NULL;
     if (good) {
         Wgpb__OriginAnswer answer = WGPB__ORIGIN_ANSWER__INIT;
+        const wg_origin* kept = wg_origins_find(e->origins, wg_now(), in->stream);
         wg_origin_fill_answer(&answer, wg_now(), wg_entry_origin_recorded(e, in->stream));
+        answer.doubted = kept && !answer.known;
+        answer.records_from = e->origins_from_known ? e->origins_from + 1 : 0;
         answer.ticket = in->ticket;
         answer.registry_change = e->registry_known ? wg_registry_change(e->registry) : 0;
         wgn_send(e->net, link, WGW_TYPE_ORIGIN_ANSWER, &answer.base);
@@ -416,7 +454,9 @@
     if (in->replica) {
         wg_origin_lookup_replica_answer(&call->origin_lookup);
     } else {
-        wg_origin_lookup_answer(&call->origin_lookup, in->registry_change);
+        uint32_t records_from = in->records_from ? in->records_from - 1 : UINT32_MAX;
+        wg_origin_host_answer answer = {in->registry_change, records_from, in->doubted};
+        wg_origin_lookup_answer(&call->origin_lookup, &answer);
     }
     wg_origin origin = {in->version, in->target, wg_origin_began_at(wg_now(), in->age_us)};
     if (in->known && wg_entry_origin_is_certain(call->entry, &origin)) {
@@ -488,9 +528,10 @@
                            "walnutgate_entry_origins_known_here_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_origins_known_elsewhere_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_origins_only_version_total %" G_GUINT64_FORMAT "\n"
+                           "walnutgate_entry_origins_earlier_version_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_origins_unknown_total %" G_GUINT64_FORMAT "\n"
                            "walnutgate_entry_versions_doubted_total %" G_GUINT64_FORMAT "\n",
                            wg_origins_num(e->origins), c->origins_told, c->origins_here,
-                           c->origins_asked, c->origins_only, c->origins_unknown,
-                           c->versions_doubted);
+                           c->origins_asked, c->origins_only, c->origins_earlier,
+                           c->origins_unknown, c->versions_doubted);
 }
--- a/lib/entry/wg_entry_state.c
+++ b/lib/entry/wg_entry_state.c
@@ -154,6 +154,9 @@
     }
     bool evacuated = wg_entry_apply_evacuated(e, in);
     wg_registry_set_change(e->registry, in->registry_change);
+    if (!e->registry_known) {
+        wg_entry_origins_begin_records(e);
+    }
     e->registry_known = true;
     wg_entry_pass_on_targets(e, in, in->registry_reset || evacuated);
     wg_upstream_drop_unusable(e);
--- a/lib/origin/wg_origin.c
+++ b/lib/origin/wg_origin.c
@@ -179,10 +179,12 @@
     l->expires_at = now + WG_ORIGIN_ROUND_TIME;
 }
 
-void wg_origin_lookup_answer(wg_origin_lookup* l, uint64_t registry_change) {
+void wg_origin_lookup_answer(wg_origin_lookup* l, const wg_origin_host_answer* answer) {
     l->pending -= l->pending > 0;
     l->answered++;
-    l->registry_change_max = MAX(l->registry_change_max, registry_change);
+    l->registry_change_max = MAX(l->registry_change_max, answer->registry_change);
+    l->records_from = MAX(l->records_from, answer->records_from);
+    l->doubted = l->doubted || answer->doubted;
 }
 
 void wg_origin_lookup_replica_answer(wg_origin_lookup* l) {
--- a/lib/origin/wg_origin.h
+++ b/lib/origin/wg_origin.h
@@ -102,13 +102,24 @@
     int answered;                 /* answers of hosts in this round */
     wg_time expires_at;           /* end of this round */
     uint64_t registry_change_max; /* newest registry of a host that answered, as a change number */
+    uint32_t records_from; /* highest number of hosts that answered, see wg_origin_host_answer */
+    bool doubted;          /* a host has a record that is in doubt */
 } wg_origin_lookup;
 
+/* What a host says that does not know a stream. */
+typedef struct {
+    uint64_t registry_change; /* change number of its registry */
+    /* Number of the last target that was registered when the host's records begin: it was told of
+       streams at later ones, if it was to keep them. */
+    uint32_t records_from;
+    bool doubted; /* it has a record, but the target may have restarted around then */
+} wg_origin_host_answer;
+
 /* `asked`: number of keepers that were asked. */
 void wg_origin_lookup_begin(wg_origin_lookup* lookup, wg_time now, int asked);
 void wg_origin_lookup_ask_all(wg_origin_lookup* lookup, wg_time now, int asked);
-/* A host, whose registry has this change number, answered that it does not know the stream. */
-void wg_origin_lookup_answer(wg_origin_lookup* lookup, uint64_t registry_change);
+/* A host answered that it does not know the stream. */
+void wg_origin_lookup_answer(wg_origin_lookup* lookup, const wg_origin_host_answer* answer);
 /* A replica answered that it does not know the stream. It says nothing of what hosts know. */
 void wg_origin_lookup_replica_answer(wg_origin_lookup* lookup);
 wg_origin_step wg_origin_lookup_step(const wg_origin_lookup* lookup, wg_time now);
--- a/lib/registry/wg_registry.c
+++ b/lib/registry/wg_registry.c
@@ -475,9 +475,21 @@
 
 const char* wg_registry_only_version(const wg_registry* r, wg_time now, const char* service,
                                      wg_time time) {
+    return wg_registry_only_version_to(r, now, service, time, UINT32_MAX);
+}
+
+uint32_t wg_registry_last_number(const wg_registry* r) {
+    return r->records->len ? ((wg_target*)r->records->pdata[r->records->len - 1])->number : 0;
+}
+
+const char* wg_registry_only_version_to(const wg_registry* r, wg_time now, const char* service,
+                                        wg_time time, uint32_t number) {
     const char* only = NULL;
     for (guint i = 0; i < r->records->len; i++) {
         const wg_target* target = r->records->pdata[i];
+        if (target->number > number) {
+            break;
+        }
         if (strcmp(target->service, service) != 0 || !wg_target_served(target, now, time)) {
             continue;
         }
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -156,6 +156,11 @@
    Valid until the next change. */
 const char* wg_registry_only_version(const wg_registry* registry, wg_time now, const char* service,
                                      wg_time time);
+/* The same among the targets up to this number, so among those that registered first. */
+const char* wg_registry_only_version_to(const wg_registry* registry, wg_time now,
+                                        const char* service, wg_time time, uint32_t number);
+/* Returns the highest number of a target that this registry has known; 0: none. */
+uint32_t wg_registry_last_number(const wg_registry* registry);
 /* Whether at `at` another version than this incarnation's may have served under its id: the target
    restarted with it, and the registry learned of a restart only from a later heartbeat. Also true
    of an incarnation that this registry, a copy that is behind, does not know yet. */
--- a/lib/wire/walnutgate.pb-c.c
+++ b/lib/wire/walnutgate.pb-c.c
@@ -7784,7 +7784,7 @@
   (ProtobufCMessageInit) wgpb__origin_ask__init,
   NULL,NULL,NULL    /* reserved[123] */
 };
-static const ProtobufCFieldDescriptor wgpb__origin_answer__field_descriptors[7] =
+static const ProtobufCFieldDescriptor wgpb__origin_answer__field_descriptors[9] =
 {
   {
     "ticket",
@@ -7870,10 +7870,36 @@
     0,             /* flags */
     0,NULL,NULL    /* reserved1,reserved2, etc */
   },
+  {
+    "records_from",
+    8,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_UINT32,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, records_from),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
+  {
+    "doubted",
+    9,
+    PROTOBUF_C_LABEL_NONE,
+    PROTOBUF_C_TYPE_BOOL,
+    0,   /* quantifier_offset */
+    offsetof(Wgpb__OriginAnswer, doubted),
+    NULL,
+    NULL,
+    0,             /* flags */
+    0,NULL,NULL    /* reserved1,reserved2, etc */
+  },
 };
 static const unsigned wgpb__origin_answer__field_indices_by_name[] = {
   6,   /* field[6] = age_us */
+  8,   /* field[8] = doubted */
   1,   /* field[1] = known */
+  7,   /* field[7] = records_from */
   3,   /* field[3] = registry_change */
   4,   /* field[4] = replica */
   5,   /* field[5] = target */
@@ -7883,7 +7909,7 @@
 static const ProtobufCIntRange wgpb__origin_answer__number_ranges[1 + 1] =
 {
   { 1, 0 },
-  { 0, 7 }
+  { 0, 9 }
 };
 const ProtobufCMessageDescriptor wgpb__origin_answer__descriptor =
 {
@@ -7893,7 +7919,7 @@
   "Wgpb__OriginAnswer",
   "wgpb",
   sizeof(Wgpb__OriginAnswer),
-  7,
+  9,
   wgpb__origin_answer__field_descriptors,
   wgpb__origin_answer__field_indices_by_name,
   1,  wgpb__origin_answer__number_ranges,
--- a/lib/wire/walnutgate.pb-c.h
+++ b/lib/wire/walnutgate.pb-c.h
@@ -1197,10 +1197,18 @@
    */
   uint32_t target;
   uint64_t age_us;
+  /*
+   * of a host: it was told of streams at targets with this number or a higher one; 0: it does not say
+   */
+  uint32_t records_from;
+  /*
+   * it has a record, but the target may have restarted around then
+   */
+  protobuf_c_boolean doubted;
 };
 #define WGPB__ORIGIN_ANSWER__INIT \
  { PROTOBUF_C_MESSAGE_INIT (&wgpb__origin_answer__descriptor) \
-    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0 }
+    , 0, 0, (char *)protobuf_c_empty_string, 0, 0, 0, 0, 0, 0 }
 
 
 /*
--- a/tests/test_origin.c
+++ b/tests/test_origin.c
@@ -114,35 +114,54 @@
 }
 END_TEST
 
+static void answer_with(wg_origin_lookup* l, uint64_t registry_change) {
+    wg_origin_lookup_answer(l, &(wg_origin_host_answer){.registry_change = registry_change});
+}
+
 /* Guards against a caller that waits for hosts that are down, and against a stream that is given up
    although a host beside the keepers knows it. */
 START_TEST(lookup_asks_the_keepers_then_all_hosts) {
     wg_origin_lookup l;
     wg_origin_lookup_begin(&l, 0, 3);
-    wg_origin_lookup_answer(&l, 5);
-    wg_origin_lookup_answer(&l, 4);
+    answer_with(&l, 5);
+    answer_with(&l, 4);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 1), WG_ORIGIN_WAIT);
     ck_assert_int_eq(wg_origin_lookup_step(&l, WG_ORIGIN_ROUND_TIME), WG_ORIGIN_ASK_ALL);
-    wg_origin_lookup_answer(&l, 3);
+    answer_with(&l, 3);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 1), WG_ORIGIN_ASK_ALL);
     wg_origin_lookup_ask_all(&l, 10, 2);
     ck_assert_int_eq(l.answered, 0);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 11), WG_ORIGIN_WAIT);
-    wg_origin_lookup_answer(&l, 1);
-    wg_origin_lookup_answer(&l, 2);
+    answer_with(&l, 1);
+    answer_with(&l, 2);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 12), WG_ORIGIN_UNKNOWN);
     ck_assert_uint_eq(l.registry_change_max, 5);
     wg_origin_lookup_ask_all(&l, 10, 2);
     wg_origin_lookup_replica_answer(&l); /* ends no wait for hosts, and stands for none */
     ck_assert_int_eq(l.answered, 0);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 11), WG_ORIGIN_WAIT);
-    wg_origin_lookup_answer(&l, 1);
+    answer_with(&l, 1);
     ck_assert_int_eq(wg_origin_lookup_step(&l, 11), WG_ORIGIN_UNKNOWN);
     wg_origin_lookup_begin(&l, 0, 0); /* no host to ask */
     ck_assert_int_eq(wg_origin_lookup_step(&l, 0), WG_ORIGIN_ASK_ALL);
 }
 END_TEST
 
+/* Guards against a conclusion from hosts of which one has not kept records for long enough, or has
+   one that is in doubt. */
+START_TEST(lookup_keeps_the_shortest_records_and_any_doubt) {
+    wg_origin_lookup l;
+    wg_origin_lookup_begin(&l, 0, 1);
+    wg_origin_lookup_answer(&l, &(wg_origin_host_answer){.records_from = 9});
+    wg_origin_lookup_ask_all(&l, 0, 2);
+    wg_origin_lookup_answer(&l, &(wg_origin_host_answer){.records_from = 4, .doubted = true});
+    wg_origin_lookup_answer(&l, &(wg_origin_host_answer){.records_from = 7});
+    ck_assert_uint_eq(l.records_from, 9);
+    ck_assert(l.doubted);
+}
+END_TEST
+
 WG_TEST_MAIN("origin", later_record_of_a_stream_wins, records_are_bounded_in_time_and_number,
              records_survive_a_message, all_hosts_select_the_same_keepers,
-             lookup_asks_the_keepers_then_all_hosts)
+             lookup_asks_the_keepers_then_all_hosts,
+             lookup_keeps_the_shortest_records_and_any_doubt)
--- a/tests/test_returned_targets.c
+++ b/tests/test_returned_targets.c
@@ -14,12 +14,13 @@
 
 /* What happens while the streams of all callers have broken off. */
 typedef struct {
-    int targets;   /* of the first version, at the begin */
-    int restarted; /* of them, under their ids with the second version */
-    int later;     /* targets of the second version under ids of their own */
-    bool kills;    /* all processes of the hosts are killed and start again */
-    bool told;     /* the restarted targets' heartbeats are not late */
-    bool untold;   /* targets do not say when they started */
+    int targets;     /* of the first version, at the begin */
+    int restarted;   /* of them, under their ids with the second version */
+    int later;       /* targets of the second version under ids of their own */
+    bool kills;      /* all processes of the hosts are killed and start again */
+    bool comes_late; /* the later targets start once all hosts serve again */
+    bool told;       /* the restarted targets' heartbeats are not late */
+    bool untold;     /* targets do not say when they started */
 } play;
 
 static void kill_all_hosts(fleet* f) {
@@ -55,6 +56,9 @@
         target_start(f, i, 2);
         set_untold(f, p, i);
     }
+}
+
+static void start_later_targets(fleet* f, const play* p) {
     for (int i = 0; i < p->later; i++) {
         target_start(f, p->targets + i, 2);
         set_untold(f, p, p->targets + i);
@@ -82,9 +86,16 @@
         kill_all_hosts(&f);
         hosts_run_for(&f.h, DOWN_MS);
         restart_targets(&f, p);
+        if (!p->comes_late) {
+            start_later_targets(&f, p);
+        }
         start_all_hosts(&f);
+        if (p->comes_late) {
+            start_later_targets(&f, p);
+        }
     } else {
         restart_targets(&f, p);
+        start_later_targets(&f, p);
         for (f.first_host = 0; f.first_host < 2; f.first_host++) {
             kill_entry(&f, f.first_host);
         }
@@ -141,6 +152,13 @@
 }
 END_TEST
 
+/* Guards against refusals of streams that all hosts have forgotten, where the second version
+   registered only after they had started: the streams began at the first one. */
+START_TEST(second_version_comes_after_all_hosts_have_started) {
+    check_most_go_on(&(play){.targets = 3, .later = 1, .kills = true, .comes_late = true});
+}
+END_TEST
+
 /* Guards against trust in targets that do not say when they started: hosts that saw one end, or
    that started a moment ago, cannot tell. */
 START_TEST(one_target_is_back_and_does_not_say_when_it_started) {
@@ -155,4 +173,5 @@
              one_of_two_targets_is_back_with_another_version,
              targets_are_back_beside_others_of_their_version,
              one_target_is_back_and_says_so_at_once,
+             second_version_comes_after_all_hosts_have_started,
              one_target_is_back_and_does_not_say_when_it_started)
