Entry hosts: what follows a target's answer about itself is no answer to the request

A target that sends more after a whole answer could do so after the answer to a question, too; on a connection that was fresh until then, bytes without an id would have passed for the answer to the request that follows. A target that tells when it started echoes ids, so an answer without one is refused on such a connection. test_returned_targets and test_surplus_answers are good.

--- a/lib/entry/wg_entry_incarnation.c
+++ b/lib/entry/wg_entry_incarnation.c
@@ -186,6 +186,8 @@
     if (target && up->answer.head.status < 500) {
         wg_incarnation_answer answer = wg_upstream_read_born(up, target);
         wg_upstream_log_answer(up, target, answer);
+        /* What came after this answer must not pass for the answer to the request. */
+        up->echoes = up->echoes || answer == WG_INCARNATION_SAME;
         e->counters.incarnations_other += answer == WG_INCARNATION_OTHER;
         wg_incarnations_answer(e->incarnations, wg_now(), up->target, up->asked_at, answer);
     }
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -224,7 +224,7 @@
     bool remote;              /* the target is in another data centre */
     wg_time connecting_since; /* start of the time limit for connecting */
     bool used;                /* connection served an earlier request */
-    bool echoes;              /* its last answer echoed the id of its request */
+    bool echoes;              /* the target echoes ids of requests on this connection */
     bool written;             /* bytes of the current request may have left this host */
     wg_answer answer;
     wg_time backoff_time;   /* backoff period requested by the answer; 0: none */
