--- a/lib/control/wg_control_internal.h
+++ b/lib/control/wg_control_internal.h
@@ -251,9 +251,8 @@
     uint64_t replies;
     uint64_t states_packed; /* states for entry hosts, without and with loads */
     uint64_t states_sent;
-    uint64_t targets_packed; /* records of targets in packed states */
-    uint64_t
-        heartbeats_superseded; /* of processes that ended before a later one at their address */
+    uint64_t targets_packed;        /* records of targets in packed states */
+    uint64_t heartbeats_superseded; /* of processes that a later one replaced */
     uint64_t snapshots;
     uint64_t snapshot_bytes_total;
     wg_hist commit_time; /* microseconds from proposal to application of edits */
--- a/lib/exchange/wg_exchange.h
+++ b/lib/exchange/wg_exchange.h
@@ -4,16 +4,16 @@
 
     WHAT IT DOES
         Connects, writes a request, and reads its answer with wg_answer.h: strictly, and bounded
-   while it arrives. For all that asks over HTTP, but for the requests of an entry host's callers,
-   whose connections do more (lib/entry).
+        while it arrives. For all that asks over HTTP, but for the requests of an entry host's
+        callers, whose connections do more (lib/entry).
 
     FEATURES
         - the head and each part of the body are passed on as they come; reading can be paused
         - tells when bytes of the request have left, after which the server may act on it
         - an answer is whole only if its framing says so, or, with neither a length nor chunks, if
-   its connection was closed in order after the server had received the whole request
-        - a connection is used again only if the answer was whole, the server keeps it, and nothing
-   came after the answer; bytes that come between two exchanges close it
+          its connection was closed in order after the server had received the whole request
+        - a connection is used again only if the answer was whole, the server keeps it, and
+          nothing came after the answer; bytes that come between two exchanges close it
 
     USE
         1. wg_exchange* x = wg_exchange_open(&(wg_exchange_desc){.base = b, .address = "ip:port"});
@@ -22,7 +22,7 @@
 
     THE CALLER OWNS
         the loop, the buffers of a request until wg_exchange_send() returns, and the connection,
-   which it closes at any time, also in a callback.
+        which it closes at any time, also in a callback.
 */
 #include "wg_answer.h"
 
--- a/lib/http/wg_http.h
+++ b/lib/http/wg_http.h
@@ -10,7 +10,7 @@
         - every error answer is JSON with code, verdict, message and an optional retry_after_ms,
           together with a Retry-After header in whole seconds, rounded up
         - limits on connections and sizes, also on what a caller sends that is no request, without
-   end
+          end
 
     USE
         1. wgh_listen(&server, base, "127.0.0.1:8080", &(wgh_limits){0}, &error);
--- a/lib/message/wg_answer.h
+++ b/lib/message/wg_answer.h
@@ -4,17 +4,18 @@
 
     WHAT IT DOES
         Reads the head and the body of an answer as they arrive, with the parsers of wg_message.h,
-   and decides whether the answer is whole. All answers that the project reads are read by this.
+        and decides whether the answer is whole. All answers that the project reads are read by
+        this.
 
     FEATURES
-        - what is no answer is malformed: a status out of 100 to 599 or not of three digits, a name
-          with a blank, a control byte or a high byte, a folded line, two lengths, a length with a
-   sign
-        - informational answers are passed over and count to the size of the head; 101 is malformed,
-   as nothing asks to switch protocols
-        - an answer with neither a length nor chunks is ended by its connection only if that closed
-   in order and the peer had received the whole request: a peer that leaves before that has not
-          answered it, whatever it sent
+        - what is no answer is malformed: a status out of 100 to 599 or not of three digits, a
+          name with a blank, a control byte or a high byte, a folded line, two lengths, a length
+          with a sign
+        - informational answers are passed over and count to the size of the head; 101 is
+          malformed, as nothing asks to switch protocols
+        - an answer with neither a length nor chunks is ended by its connection only if that
+          closed in order and the peer had received the whole request: a peer that leaves before
+          that has not answered it, whatever it sent
 
     USE
         1. wg_answer_begin(&answer, &(wg_answer_desc){.bodiless = false});
--- a/lib/net/wg_socket.h
+++ b/lib/net/wg_socket.h
@@ -4,7 +4,7 @@
 
     WHAT IT DOES
         Writes at once what the kernel takes, selects whether a close resets the connection, and
-   tells how a connection has ended.
+        tells how a connection has ended.
 
     FEATURES
         - an end is orderly only if neither direction had an error: after a failed write took the
--- a/lib/registry/wg_registry.h
+++ b/lib/registry/wg_registry.h
@@ -19,7 +19,7 @@
           times are not reported, the previous holder comes back only if it sends heartbeats while
           the new one does not
         - tells the planned end of a target's process from any other: a target serves on for some
-   time after its leaving was acknowledged, and deregisters before it ends
+          time after its leaving was acknowledged, and deregisters before it ends
         - targets of an evacuated data centre accept no work; when the evacuation ends they count as
           cold, since they may have lost their caches meanwhile
         - a bounded number of ended records is kept, so that late heartbeats do not revive them
