--- a/tests/sim/hosts.c
+++ b/tests/sim/hosts.c
@@ -160,11 +160,12 @@
         "fleet_listen=127.%d.1.%d:7101\n[keys]\nfleet_key=fleet.key\n[log]\nlog_target=stdout\n"
         "[timing]\ngrace_s=8\ndrain_ms=%d\nstandby_ms=%d\n[limits]\nheld_mb=%.3f\nunread_ms=%"
         "d\ndescriptors=%"
-        "d\n%s%s%s",
+        "d\n%s%s%s%s",
         h->loopback_part_number, w->number, w->callers, w->ready, w->entries, w->orders, list,
         h->loopback_part_number, w->number, h->drain_ms, h->standby_ms ? h->standby_ms : 15000,
         h->held_mb, h->unread_ms, entry_descriptors(h, w),
-        h->load_control ? ENTRY_LOAD_CONTROL : "", h->handoff ? ENTRY_HANDOFF : "", retry);
+        h->load_control ? ENTRY_LOAD_CONTROL : "", h->handoff ? ENTRY_HANDOFF : "", retry,
+        h->entry_extra ? h->entry_extra : "");
     g_snprintf(name, sizeof name, "entry-%d.ini", w->number);
     g_snprintf(log, sizeof log, "entry-%d.log", w->number);
     write_file(h, name, text);
--- a/tests/sim/hosts.h
+++ b/tests/sim/hosts.h
@@ -80,14 +80,15 @@
     char* replica_timing; /* settings of the replicas' group [timing] */
     double held_mb; /* settings `held_mb` and `unread_ms` of entry processes; 0: the defaults */
     int unread_ms;
-    bool load_control;   /* admission and overload control are on, see their groups of settings */
-    bool handoff;        /* entry processes hand requests off to each other */
-    int retry_slack;     /* setting `retry_slack` of entry processes; 0: the default */
-    int drain_ms;        /* setting `drain_ms` of entry processes; 0: the default */
-    int standby_ms;      /* setting `standby_ms` of entry processes; 0: the default */
-    bool engines;        /* service "app" takes prompts, see hosts_put_version() */
-    bool direct_targets; /* hosts connect to targets without proxies */
-    bool target_faults;  /* targets abort, fail and refuse a part of their requests */
+    bool load_control; /* admission and overload control are on, see their groups of settings */
+    bool handoff;      /* entry processes hand requests off to each other */
+    const char* entry_extra; /* further settings of entry processes, with their groups */
+    int retry_slack;         /* setting `retry_slack` of entry processes; 0: the default */
+    int drain_ms;            /* setting `drain_ms` of entry processes; 0: the default */
+    int standby_ms;          /* setting `standby_ms` of entry processes; 0: the default */
+    bool engines;            /* service "app" takes prompts, see hosts_put_version() */
+    bool direct_targets;     /* hosts connect to targets without proxies */
+    bool target_faults;      /* targets abort, fail and refuse a part of their requests */
 } hosts;
 
 /* Sets up addresses and proxies; starts no process. The first `disks` hosts have a disk. */
--- a/tools/run-tests.sh
+++ b/tools/run-tests.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Runs the test programs, as many at once as half of the processors, prints their output in order, and the
 # totals in the last line. Many programs measure time or run a fleet of processes: all at once they delay
-# each other by more than the bounds that they check.
+# each other by more than the bounds that they check. The programs test_crowd_* fill a process as far as it
+# lets them: they run last, one at a time.
 # Failures of tests listed in KNOWN-RED.txt are printed but do not fail the run. Each line there reads
 # "program:test | cause | issue".
 set -u
@@ -14,12 +15,22 @@
 for program in "$build"/test_*; do
     [[ -x $program && -f $program ]] && programs+=("$program")
 done
+run() {
+    local name
+    name=$(basename "$1")
+    CK_FORK=yes "$1" >"$out/$name" 2>&1
+    echo $? >"$out/$name.status"
+}
+is_crowd() { [[ $(basename "$1") == test_crowd_* ]]; }
 for program in "${programs[@]}"; do
-    name=$(basename "$program")
+    is_crowd "$program" && continue
     while (( $(jobs -rp | wc -l) >= at_once )); do wait -n; done
-    (CK_FORK=yes "$program" >"$out/$name" 2>&1; echo $? >"$out/$name.status") &
+    run "$program" &
 done
 wait
+for program in "${programs[@]}"; do
+    if is_crowd "$program"; then run "$program"; fi
+done
 passed=0 failed=0
 # Prints the number of a program's failures that are listed. A failure reads
 # file:line:F:case:test:... or file:line:E:case:test:...
