Entry hosts read no more of a connection than the request needs that is due

What callers saw: nothing at first; the host held all that a caller sent ahead (240 of 241 MB of 40 connections, 9 GB where nothing limited the crowd), and ended for lack of memory.

Cause: reading served to find the end of a connection. While a request ran, the first byte of the next one switched reading on again, since 'the end can only be detected by reading that request', and nothing bounded what was read. Between requests each turn of the loop read up to 16 KB and answered one request of 50 bytes. Input and heads were in no account.

Now: a connection reads a portion of 4 KB (a head as far as its limit, a body by portions of 16 KB), nothing while a request runs or answers wait unread; the rest stays in the socket, whose window holds the caller up. lib/net/wg_hangup looks for the ends of connections with bytes waiting, without reading. Input and heads count as held. Answers unread delay the next request without held_mb too. Above the bound the largest request that is being received is refused (503, has not run), not the one that is read next; one below 8 KB never, so neighbours get in.

--- a/lib/buffers/wg_buffers.c
+++ b/lib/buffers/wg_buffers.c
@@ -14,7 +14,9 @@
     GQueue waiting[WG_BUFFERS_KINDS_NUM];
     int64_t unread[WG_BUFFERS_KINDS_NUM];
     int64_t kept;
-    wg_time stalled; /* duration of all stalls of the host */
+    int64_t ahead;
+    GQueue receiving; /* callers whose requests are being received */
+    wg_time stalled;  /* duration of all stalls of the host */
 };
 
 /* ---- helpers --------------------------------------------------------------------------------- */
@@ -62,6 +64,7 @@
     for (int kind = 0; kind < WG_BUFFERS_KINDS_NUM; kind++) {
         g_queue_init(&b->waiting[kind]);
     }
+    g_queue_init(&b->receiving);
     return b;
 }
 
@@ -71,13 +74,15 @@
 
 void wg_buffers_add(wg_buffers* b, wg_buffers_peer* peer, wg_buffers_kind kind) {
     (void)b;
-    WG_ASSERT(peer->unread == 0 && peer->kept == 0);
+    WG_ASSERT(peer->unread == 0 && peer->kept == 0 && peer->ahead == 0);
     peer->kind = kind;
 }
 
 void wg_buffers_remove(wg_buffers* b, wg_buffers_peer* peer) {
     wg_buffers_record_read(b, 0, peer, peer->unread);
     wg_buffers_set_kept(b, peer, 0);
+    wg_buffers_record_ahead(b, peer, -peer->ahead);
+    wg_buffers_set_receiving(b, peer, false);
 }
 
 void wg_buffers_record_held(wg_buffers* b, wg_time now, wg_buffers_peer* peer, int64_t bytes) {
@@ -114,6 +119,22 @@
     peer->kept = bytes;
 }
 
+void wg_buffers_record_ahead(wg_buffers* b, wg_buffers_peer* peer, int64_t change) {
+    WG_ASSERT(peer->ahead + change >= 0);
+    peer->ahead += change;
+    b->ahead += change;
+}
+
+void wg_buffers_set_receiving(wg_buffers* b, wg_buffers_peer* peer, bool receiving) {
+    if (receiving && !peer->receiving) {
+        peer->receiving_link = (GList){.data = peer};
+        g_queue_push_tail_link(&b->receiving, &peer->receiving_link);
+    } else if (!receiving && peer->receiving) {
+        g_queue_unlink(&b->receiving, &peer->receiving_link);
+    }
+    peer->receiving = receiving;
+}
+
 void wg_buffers_record_stall(wg_buffers* b, wg_time duration) {
     b->stalled += duration;
 }
@@ -144,6 +165,22 @@
            wg_buffers_unread_time(b, now, peer) < b->desc.unread_max;
 }
 
+wg_buffers_peer* wg_buffers_next_refused(const wg_buffers* b) {
+    wg_buffers_peer* largest = NULL;
+    int64_t most = WG_BUFFERS_SMALL;
+    if (!wg_buffers_exceeded(b)) {
+        return NULL;
+    }
+    for (const GList* at = b->receiving.head; at; at = at->next) {
+        wg_buffers_peer* peer = at->data;
+        if (peer->kept + peer->ahead > most) {
+            most = peer->kept + peer->ahead;
+            largest = peer;
+        }
+    }
+    return largest;
+}
+
 wg_buffers_peer* wg_buffers_next_cut(const wg_buffers* b, wg_time now) {
     wg_buffers_peer* target = _wg_buffers_overdue(b, now, WG_BUFFERS_TARGET);
     if (target || wg_buffers_level_of(b) != WG_BUFFERS_FULL) {
@@ -164,6 +201,10 @@
     return b->kept;
 }
 
+int64_t wg_buffers_ahead(const wg_buffers* b) {
+    return b->ahead;
+}
+
 int64_t wg_buffers_held(const wg_buffers* b) {
-    return b->unread[WG_BUFFERS_CALLER] + b->kept;
+    return b->unread[WG_BUFFERS_CALLER] + b->kept + b->ahead;
 }
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -320,6 +320,7 @@
     wg_entry_origins_setup(e);
     wg_entry_incarnations_setup(e);
     wg_entry_buffers_setup(e);
+    e->hangups = wg_hangups_setup(e->base);
     wg_entry_turns_setup(e);
     wg_entry_cache_setup(e);
     wg_entry_check_setup(e);
@@ -394,6 +395,7 @@
     wg_entry_origins_shutdown(e);
     wg_entry_incarnations_shutdown(e);
     wg_buffers_shutdown(e->buffers);
+    wg_hangups_shutdown(e->hangups);
     wg_admit_shutdown(e->admit);
     wg_backoff_shutdown(e->backoff);
     g_hash_table_unref(e->pending_admissions);
--- a/lib/entry/wg_entry_buffers.c
+++ b/lib/entry/wg_entry_buffers.c
@@ -32,6 +32,14 @@
     wg_entry_buffers_count(client->entry, &client->held, info);
 }
 
+static void wg_entry_buffers_on_client_input(struct evbuffer* buffer,
+                                             const struct evbuffer_cb_info* info, void* user_data) {
+    (void)buffer;
+    wg_client* client = user_data;
+    wg_buffers_record_ahead(client->entry->buffers, &client->held,
+                            (int64_t)info->n_added - (int64_t)info->n_deleted);
+}
+
 static void wg_entry_buffers_on_upstream_output(struct evbuffer* buffer,
                                                 const struct evbuffer_cb_info* info,
                                                 void* user_data) {
@@ -162,12 +170,18 @@
     wg_buffers_add(e->buffers, &client->held, WG_BUFFERS_CALLER);
     if (client->bev) {
         wg_entry_buffers_limit_kernel(e, bufferevent_getfd(client->bev));
+        evbuffer_add_cb(bufferevent_get_input(client->bev), wg_entry_buffers_on_client_input,
+                        client);
     }
     evbuffer_add_cb(wg_entry_buffers_output(client), wg_entry_buffers_on_client_output, client);
 }
 
 void wg_entry_buffers_remove_client(wg_client* client) {
     evbuffer_remove_cb(wg_entry_buffers_output(client), wg_entry_buffers_on_client_output, client);
+    if (client->bev) {
+        evbuffer_remove_cb(bufferevent_get_input(client->bev), wg_entry_buffers_on_client_input,
+                           client);
+    }
     wg_buffers_remove(client->entry->buffers, &client->held);
     wg_entry_descriptors_closed(client->entry);
 }
@@ -208,8 +222,7 @@
 }
 
 bool wg_entry_buffers_delays_request(const wg_client* client) {
-    const wg_entry* e = client->entry;
-    return e->settings->held_mb > 0 && wg_buffers_pauses(e->buffers, &client->held);
+    return wg_buffers_pauses(client->entry->buffers, &client->held);
 }
 
 void wg_entry_buffers_tick(wg_entry* e, wg_time now) {
@@ -235,8 +248,10 @@
                            "walnutgate_entry_held_bytes{for=\"callers\"} %" G_GINT64_FORMAT "\n"
                            "walnutgate_entry_held_bytes{for=\"targets\"} %" G_GINT64_FORMAT "\n"
                            "walnutgate_entry_held_bytes{for=\"requests\"} %" G_GINT64_FORMAT "\n"
+                           "walnutgate_entry_held_bytes{for=\"input\"} %" G_GINT64_FORMAT "\n"
                            "walnutgate_entry_answers_paused %d\n",
                            wg_buffers_unread(e->buffers, WG_BUFFERS_CALLER),
                            wg_buffers_unread(e->buffers, WG_BUFFERS_TARGET),
-                           wg_buffers_kept(e->buffers), e->paused_num);
+                           wg_buffers_kept(e->buffers), wg_buffers_ahead(e->buffers),
+                           e->paused_num);
 }
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -1,10 +1,9 @@
-/* wg_entry_client.c -- callers' connections: strict parsing of requests, limits, timeouts */
-#include "wg_entry_internal.h"
+/* wg_entry_client.c -- callers' connections: how they begin and end, limits, timeouts */
+#include "wg_entry_client_internal.h"
 
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -18,12 +17,6 @@
     WG_LISTEN_BACKLOG = 512
 };
 
-/* Seconds; for a body that does not fit. Short, as other hosts may have room. This host has room
-   again when bodies were answered or callers that read nothing were cut off. */
-static const double WG_BUFFERS_RETRY_AFTER = 0.5;
-
-static void wg_client_process_input(wg_client* client);
-
 /* ---- helpers -------------------------------------------------------------------------------- */
 
 void wg_client_write(wg_client* client, struct evbuffer* bytes) {
@@ -34,7 +27,7 @@
     }
 }
 
-static void wg_client_leave_idle(wg_client* client) {
+void wg_client_leave_idle(wg_client* client) {
     if (client->idle) {
         g_queue_unlink(&client->entry->idle_clients, &client->idle_link);
         client->idle = false;
@@ -55,6 +48,7 @@
     last->index = client->index;
     g_ptr_array_remove_index_fast(clients, client->index);
     event_free(client->watch);
+    wg_hangups_forget(&client->hangup);
     wg_entry_buffers_remove_client(client);
     bufferevent_free(client->bev);
     g_free(client->head_bytes);
@@ -94,12 +88,17 @@
     } else if (!busy && client->watched) {
         bufferevent_enable(client->bev, EV_READ);
         event_del(client->watch);
+        wg_hangups_forget(&client->hangup);
     }
     client->watched = busy;
 }
 
-/* The caller closed the connection, or sent its next request already. In the latter case the end of
-   the connection can only be detected by reading that request. */
+static void wg_client_on_hangup(void* user_data) {
+    wg_client_close(user_data);
+}
+
+/* The caller closed the connection, or sent its next request already. That stays in the socket, and
+   the end of the connection is looked for without reading it. */
 static void wg_client_on_watch(evutil_socket_t fd, short what, void* user_data) {
     (void)what;
     wg_client* client = user_data;
@@ -109,10 +108,15 @@
         wg_client_close(client);
         return;
     }
-    wg_client_watch(client, false);
+    wg_hangups_watch(client->entry->hangups, &client->hangup);
 }
 
-static void wg_client_set_state(wg_client* client, wg_client_state state) {
+void wg_client_set_input_max(wg_client* client, size_t bytes) {
+    client->input_max = bytes;
+    bufferevent_setwatermark(client->bev, EV_READ, 0, bytes);
+}
+
+void wg_client_set_state(wg_client* client, wg_client_state state) {
     client->state = state;
     client->state_since = wg_now();
     client->head_started = false;
@@ -120,6 +124,10 @@
     client->dropping = false;
     client->arrived_at = 0;
     wg_client_watch(client, state == WG_CLIENT_BUSY);
+    wg_client_set_input_max(client,
+                            state == WG_CLIENT_HEAD ? WG_INPUT_PORTION : WG_INPUT_BODY_PORTION);
+    wg_buffers_set_receiving(client->entry->buffers, &client->held,
+                             state == WG_CLIENT_HEAD || state == WG_CLIENT_BODY);
     if (state == WG_CLIENT_HEAD) {
         wg_client_enter_idle(client);
     } else {
@@ -135,8 +143,7 @@
     shutdown(bufferevent_getfd(client->bev), SHUT_WR);
 }
 
-/* Closes once the output is flushed. */
-static void wg_client_end(wg_client* client) {
+void wg_client_end(wg_client* client) {
     wg_client_set_state(client, WG_CLIENT_ENDING);
     if (evbuffer_get_length(bufferevent_get_output(client->bev)) == 0) {
         wg_client_end_output(client);
@@ -148,7 +155,7 @@
     wg_client_write_error(client, refusal);
 }
 
-static void wg_client_reject(wg_client* client, int status, const char* code) {
+void wg_client_reject(wg_client* client, int status, const char* code) {
     if (wg_entry_may_log(client->entry, wg_now())) {
         wg_log(WG_EVENT_CONNECTION_REFUSED, "status=%d code=%s", status, code);
     }
@@ -157,17 +164,6 @@
     wg_client_end(client);
 }
 
-/* ---- reading -------------------------------------------------------------------------------- */
-
-static size_t wg_client_head_max(const wg_entry* e) {
-    return e->config ? (size_t)e->config->limits.head_bytes : WG_HEAD_BYTES_START;
-}
-
-static int64_t wg_client_body_max(const wg_entry* e) {
-    int64_t limit = e->config ? e->config->limits.body_bytes : WGH_BODY_MAX_DEFAULT;
-    return MIN(limit, wg_entry_buffers_body_max(e));
-}
-
 /* Whether there is input that was not examined yet. On an overloaded host such a connection must be
    treated neither as idle nor as slow: a request that was sent in time would get no answer or be
    refused as too slow. */
@@ -177,203 +173,7 @@
            recv(bufferevent_getfd(client->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
-/* Whether the peer has closed, or does not send any more, also if input is left to read. */
-static bool wg_client_caller_has_left(const wg_client* client) {
-    struct pollfd state = {.fd = bufferevent_getfd(client->bev), .events = POLLRDHUP};
-    return poll(&state, 1, 0) > 0;
-}
-
-/* Starts the call of a complete request, unless the caller has closed meanwhile. The event loop
-   would report that only after the request was sent to a target. */
-static void wg_client_start_call(wg_client* client) {
-    if (wg_socket_peer_has_closed(client->bev)) {
-        client->entry->counters.caller_disconnects++;
-        wg_client_close(client);
-        return;
-    }
-    char* bytes = client->head_bytes;
-    wg_message_head* head = client->head;
-    struct evbuffer* body = client->body_bytes;
-    client->head_bytes = NULL;
-    client->head = NULL;
-    client->body_bytes = NULL;
-    wg_client_set_state(client, WG_CLIENT_BUSY);
-    wg_entry_lease_begin_call(client, bytes, head, body);
-}
-
-/* Refuses a request because the host is above its bound on held bytes: with the body read so far,
-   or for another reason. */
-static void wg_client_refuse_body(wg_client* client) {
-    static const char code[] = "buffers_full";
-    wg_entry* e = client->entry;
-    e->counters.bodies_refused++;
-    if (wg_entry_may_log(e, wg_now())) {
-        wg_log(WG_EVENT_CONNECTION_REFUSED, "status=503 code=%s held=%" G_GINT64_FORMAT, code,
-               wg_buffers_held(e->buffers));
-    }
-    evbuffer_drain(client->body_bytes, evbuffer_get_length(client->body_bytes));
-    wg_buffers_set_kept(e->buffers, &client->held, 0);
-    wg_client_refuse(client, &(wg_error_answer){.status = 503,
-                                                .code = code,
-                                                .verdict = WG_VERDICT_NOT_RUN,
-                                                .retry_after = WG_BUFFERS_RETRY_AFTER});
-    wg_client_end(client);
-}
-
-/* False if the body is incomplete or was refused. */
-static bool wg_client_read_body(wg_client* client) {
-    wg_body_state state =
-        wg_body_read(&client->body, bufferevent_get_input(client->bev), client->body_bytes);
-    if (state == WG_BODY_BAD) {
-        wg_client_reject(client, 400, "body_malformed");
-        return false;
-    }
-    if (client->body.decoded > wg_client_body_max(client->entry)) {
-        wg_client_reject(client, 413, "body_too_large");
-        return false;
-    }
-    wg_buffers_set_kept(client->entry->buffers, &client->held,
-                        (int64_t)evbuffer_get_length(client->body_bytes));
-    if (wg_buffers_exceeded(client->entry->buffers)) {
-        wg_client_refuse_body(client);
-        return false;
-    }
-    return state == WG_BODY_COMPLETE;
-}
-
-static void wg_client_begin_body(wg_client* client, const wg_message_head* head) {
-    wg_body_begin(&client->body, head);
-    client->head = g_new(wg_message_head, 1);
-    *client->head = *head;
-    client->body_bytes = evbuffer_new();
-    client->keep = head->keep_alive;
-    if (wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue")) {
-        struct evbuffer* out = evbuffer_new();
-        evbuffer_add_printf(out, "HTTP/1.1 100 Continue\r\n\r\n");
-        wg_socket_write(client->bev, out);
-        evbuffer_free(out);
-    }
-    wg_client_set_state(client, WG_CLIENT_BODY);
-}
-
-/* Drops the body of a refused request as far as it has arrived. The request was answered, so a
-   malformed body closes the connection without another answer. */
-static void wg_client_drop_body(wg_client* client) {
-    struct evbuffer* dropped = client->entry->dropped_bytes;
-    wg_body_state state = wg_body_read(&client->body, bufferevent_get_input(client->bev), dropped);
-    evbuffer_drain(dropped, evbuffer_get_length(dropped));
-    if (state == WG_BODY_BAD || client->body.decoded > wg_client_body_max(client->entry)) {
-        wg_client_end(client);
-    } else if (state == WG_BODY_COMPLETE) {
-        wg_client_call_ended(client, !client->entry->stopping);
-    }
-}
-
-/* A caller that has not sent the body yet, as it waits for "100 Continue", may omit it after an
-   error. Whether it does cannot be told from what follows. */
-static bool wg_client_may_omit_body(const wg_client* client, const wg_message_head* head) {
-    return head->framing != WG_FRAMING_NONE &&
-           wg_text_equals_nocase(wg_message_field(head, "Expect"), "100-continue") &&
-           evbuffer_get_length(bufferevent_get_input(client->bev)) == 0;
-}
-
-/* Answers before the body has arrived. The body is dropped; then the connection can be reused. */
-static void wg_client_refuse_on_arrival(wg_client* client, const wg_message_head* head) {
-    wg_entry* e = client->entry;
-    wg_time now = wg_now();
-    size_t unsent = evbuffer_get_length(bufferevent_get_output(client->bev));
-    wg_error_answer refusal = {.status = 503,
-                               .verdict = WG_VERDICT_NOT_RUN,
-                               .code = e->stopping ? "stopping" : "overloaded",
-                               .retry_after = wg_entry_overload_retry_after(e, head, now),
-                               .keep = head->keep_alive && !e->stopping &&
-                                       !wg_client_may_omit_body(client, head) &&
-                                       unsent <= WG_BUFFERS_UNREAD_MAX,
-                               .head_only = wg_text_equals_nocase(head->method, "HEAD")};
-    e->counters.requests++;
-    wg_entry_overload_log(e, head, refusal.retry_after, now);
-    wg_client_refuse(client, &refusal);
-    if (!refusal.keep) {
-        wg_client_end(client);
-        return;
-    }
-    wg_body_begin(&client->body, head);
-    wg_client_set_state(client, WG_CLIENT_BODY);
-    client->dropping = true;
-    wg_client_drop_body(client);
-}
-
-/* Whether this host reads the request. Otherwise it was refused, or its caller has left. */
-static bool wg_client_is_admitted(wg_client* client, const wg_message_head* head) {
-    wg_entry* e = client->entry;
-    if (!e->overload) {
-        return true;
-    }
-    if (wg_overload_is_limited(e->overload) && wg_client_caller_has_left(client)) {
-        e->counters.caller_disconnects++;
-        wg_client_close(client);
-        return false;
-    }
-    if (!wg_entry_overload_admits(e, head, wg_now())) {
-        wg_client_refuse_on_arrival(client, head);
-        return false;
-    }
-    return true;
-}
-
-/* False if the head is incomplete or was refused. */
-static bool wg_client_read_head(wg_client* client) {
-    struct evbuffer* in = bufferevent_get_input(client->bev);
-    size_t max = wg_client_head_max(client->entry);
-    size_t have = evbuffer_get_length(in);
-    if (have == 0) {
-        return false;
-    }
-    if (!client->head_started) {
-        client->head_started = true;
-        client->state_since = wg_now();
-        wg_client_leave_idle(client);
-    }
-    size_t look = MIN(have, max + 1);
-    const char* bytes = (const char*)evbuffer_pullup(in, (ev_ssize_t)look);
-    size_t size = wg_message_head_size(bytes, look);
-    if (size == 0 || size > max) {
-        client->bytes_examined = have;
-        if (have > max) {
-            wg_client_reject(client, 431, "head_too_large");
-        }
-        return false;
-    }
-    g_free(client->head_bytes);
-    client->head_bytes = g_malloc(size);
-    client->head_size = size;
-    evbuffer_remove(in, client->head_bytes, size);
-    wg_message_head head;
-    int status = wg_message_parse_request(client->head_bytes, size, &head);
-    if (status) {
-        wg_client_reject(client, status, "head_malformed");
-        return false;
-    }
-    if (head.framing == WG_FRAMING_LENGTH && head.length > wg_client_body_max(client->entry)) {
-        wg_client_reject(client, 413, "body_too_large");
-        return false;
-    }
-    if (!wg_client_is_admitted(client, &head)) {
-        return false;
-    }
-    wg_client_begin_body(client, &head);
-    return true;
-}
-
-/* Whether the next request waits until the caller has read its earlier answers. Its input then
-   stays in the socket. */
-static bool wg_client_delays_request(wg_client* client) {
-    client->delayed = wg_entry_buffers_delays_request(client);
-    if (client->delayed) {
-        bufferevent_disable(client->bev, EV_READ);
-    }
-    return client->delayed;
-}
+/* ---- events ---------------------------------------------------------------------------------- */
 
 /* The caller has read its answers: continues with its next request. */
 static void wg_client_end_delay(wg_client* client) {
@@ -382,31 +182,9 @@
     bufferevent_trigger(client->bev, EV_READ, BEV_TRIG_DEFER_CALLBACKS);
 }
 
-/* Advances the connection with the input received. */
-static void wg_client_process_input(wg_client* client) {
-    if (client->dropping) {
-        wg_client_drop_body(client);
-        return;
-    }
-    if (client->state == WG_CLIENT_ENDING) {
-        struct evbuffer* in = bufferevent_get_input(client->bev);
-        evbuffer_drain(in, evbuffer_get_length(in));
-        return;
-    }
-    if (client->state == WG_CLIENT_HEAD && wg_client_delays_request(client)) {
-        return;
-    }
-    if (client->state == WG_CLIENT_HEAD && !wg_client_read_head(client)) {
-        return;
-    }
-    if (client->state == WG_CLIENT_BODY && wg_client_read_body(client)) {
-        wg_client_start_call(client);
-    }
-}
-
 static void wg_client_on_read(struct bufferevent* bev, void* user_data) {
     (void)bev;
-    wg_client_process_input(user_data);
+    wg_client_receive(user_data);
 }
 
 static void wg_client_on_write(struct bufferevent* bev, void* user_data) {
@@ -537,6 +315,7 @@
     bufferevent_setcb(client->bev, wg_client_on_read, wg_client_on_write, wg_client_on_event,
                       client);
     client->watch = event_new(e->base, fd, EV_READ, wg_client_on_watch, client);
+    client->hangup = (wg_hangup){.fd = fd, .on_hangup = wg_client_on_hangup, .user_data = client};
     wg_loop_prioritize_event(client->watch);
     wg_entry_buffers_add_client(client);
     client->index = e->clients->len;
--- a/lib/entry/wg_entry_internal.h
+++ b/lib/entry/wg_entry_internal.h
@@ -17,6 +17,7 @@
 #include "wg_fair.h"
 #include "wg_fingerprint.h"
 #include "wg_handoff.h"
+#include "wg_hangup.h"
 #include "wg_hold.h"
 #include "wg_incarnation.h"
 #include "wg_lease.h"
@@ -83,6 +84,8 @@
     struct bufferevent* bev; /* NULL if `taken` */
     struct event* watch;     /* detects that the caller closed while a call is in progress */
     bool watched;
+    wg_hangup hangup; /* does the same while input waits in the socket */
+    size_t input_max; /* bytes of input that are read before they are examined */
     wg_client_state state;
     wg_call* call;
     wg_handed* handed;  /* its request is at another host; NULL: it is not */
@@ -104,8 +107,8 @@
     guint index;           /* index in entry->clients or entry->taken_clients */
     bool idle;             /* linked in entry->idle_clients */
     GList idle_link;
-    wg_buffers_peer held;      /* answers not read yet, and the body of the request */
-    bool delayed;              /* its next request is read when earlier answers are read */
+    wg_buffers_peer held; /* answers not read yet, input, and the head and body of the request */
+    bool delayed;         /* its next request is read when earlier answers are read */
     char last_id[WG_NAME_MAX]; /* id of its last request */
 };
 
@@ -380,6 +383,7 @@
     wg_time stop_at;
 
     struct evconnlistener* listener;
+    wg_hangups* hangups;
     GPtrArray* clients;
     GPtrArray* taken_clients;     /* wg_client, callers of other hosts whose requests were taken */
     wg_time clients_due_at;       /* no connection exceeds its time limit before */
--- a/lib/entry/wg_entry_taken.c
+++ b/lib/entry/wg_entry_taken.c
@@ -215,7 +215,7 @@
     wg_client* client = &wg_taken_add(e, owner, in->ticket)->client;
     struct evbuffer* body = evbuffer_new();
     evbuffer_add(body, in->body.data, in->body.len);
-    wg_buffers_set_kept(e->buffers, &client->held, (int64_t)in->body.len);
+    wg_buffers_set_kept(e->buffers, &client->held, (int64_t)(in->head.len + in->body.len));
     client->keep = head.keep_alive;
     client->arrived_at = wg_now() - (wg_time)MIN(in->waited_us, (uint64_t)WG_TAKEN_WAITED_MAX);
     e->counters.handoffs_taken++;
--- a/tests/test_buffers.c
+++ b/tests/test_buffers.c
@@ -336,6 +336,57 @@
 }
 END_TEST
 
+/* ---- requests that are being received -------------------------------------------------------- */
+
+/* A caller that sends much gives way, not its neighbours; one that is passed on is not refused. */
+START_TEST(largest_request_that_is_received_is_refused_first) {
+    enum {
+        PEERS = 3
+    };
+    wg_buffers_peer peers[PEERS] = {0};
+    wg_buffers* b = buffers_of(100 * KB, 0);
+    for (int i = 0; i < PEERS; i++) {
+        wg_buffers_add(b, &peers[i], WG_BUFFERS_CALLER);
+        wg_buffers_set_receiving(b, &peers[i], true);
+    }
+    wg_buffers_set_kept(b, &peers[0], 60 * KB);
+    wg_buffers_set_receiving(b, &peers[0], false);
+    wg_buffers_record_ahead(b, &peers[1], 10 * KB);
+    wg_buffers_set_kept(b, &peers[1], 10 * KB);
+    ck_assert_int_eq(wg_buffers_ahead(b), 10 * KB);
+    ck_assert_ptr_null(wg_buffers_next_refused(b));
+    wg_buffers_set_kept(b, &peers[2], 30 * KB);
+    ck_assert(wg_buffers_exceeded(b));
+    ck_assert_ptr_eq(wg_buffers_next_refused(b), &peers[2]);
+    wg_buffers_remove(b, &peers[2]);
+    ck_assert_ptr_null(wg_buffers_next_refused(b));
+    wg_buffers_remove(b, &peers[0]);
+    wg_buffers_remove(b, &peers[1]);
+    ck_assert_int_eq(wg_buffers_held(b), 0);
+    wg_buffers_shutdown(b);
+}
+END_TEST
+
+/* An ordinary request gets in although others fill the host. */
+START_TEST(small_request_is_received_on_a_full_host) {
+    wg_buffers_peer large = {0};
+    wg_buffers_peer small = {0};
+    wg_buffers* b = buffers_of(100 * KB, 0);
+    wg_buffers_add(b, &large, WG_BUFFERS_CALLER);
+    wg_buffers_add(b, &small, WG_BUFFERS_CALLER);
+    wg_buffers_record_held(b, 0, &large, 101 * KB);
+    wg_buffers_set_receiving(b, &small, true);
+    wg_buffers_set_kept(b, &small, WG_BUFFERS_SMALL);
+    ck_assert(wg_buffers_exceeded(b));
+    ck_assert_ptr_null(wg_buffers_next_refused(b));
+    wg_buffers_set_kept(b, &small, WG_BUFFERS_SMALL + 1);
+    ck_assert_ptr_eq(wg_buffers_next_refused(b), &small);
+    wg_buffers_remove(b, &small);
+    wg_buffers_remove(b, &large);
+    wg_buffers_shutdown(b);
+}
+END_TEST
+
 WG_TEST_MAIN("buffers", bound_holds_while_a_thousand_callers_read_nothing,
              without_a_bound_only_the_limit_of_a_caller_pauses,
              above_three_quarters_callers_pause_at_equal_shares,
@@ -344,4 +395,6 @@
              steady_reader_is_not_cut_off_on_a_full_host,
              target_is_cut_off_on_a_host_that_is_not_full,
              time_in_which_the_host_stood_still_does_not_count,
-             peer_that_can_take_bytes_is_not_cut_off, nothing_is_cut_off_without_a_time_limit)
+             peer_that_can_take_bytes_is_not_cut_off, nothing_is_cut_off_without_a_time_limit,
+             largest_request_that_is_received_is_refused_first,
+             small_request_is_received_on_a_full_host)
