Entry hosts: memory and descriptors that no account showed

Three ways in which a crowd took more than the account said; each is a line of the process's own account or limit now.

- Small answers that wait to be read kept the whole allocation of the buffer that they were written in: 40 callers with 404s of 200 bytes held 56 MB where 8 were counted.
- The kernel kept 64 KB of unsent answers, and what it liked of unread input, for each caller, only where held_mb or unread_ms was set.

held_mb has a default that bounds: a quarter of memory_mb, or of the machine's memory.

--- a/lib/base/wg_base.c
+++ b/lib/base/wg_base.c
@@ -185,6 +185,13 @@
     return _wg_log_lost_all;
 }
 
+int64_t wg_memory_bytes(double memory_mb) {
+    if (memory_mb > 0) {
+        return (int64_t)(memory_mb * 1e6);
+    }
+    return (int64_t)sysconf(_SC_PHYS_PAGES) * sysconf(_SC_PAGESIZE);
+}
+
 wg_time wg_now(void) {
     struct timespec ts;
     clock_gettime(CLOCK_BOOTTIME, &ts);
--- a/lib/base/wg_base.h
+++ b/lib/base/wg_base.h
@@ -111,6 +111,9 @@
 
 /* Current time of CLOCK_BOOTTIME, which continues while the host is suspended. */
 wg_time wg_now(void);
+/* Bytes of memory that the process may use: `memory_mb` from its settings, or, if that is 0, the
+   memory of the machine. */
+int64_t wg_memory_bytes(double memory_mb);
 /* For tests: advances wg_now() as if the host had been suspended for that time. Timers of the event
    loop do not count suspended time, so they fire late. */
 void wg_now_skip(wg_time time);
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -100,7 +100,8 @@
     WG_NUMBER("overload", input_delay_ms, "0", 0, 60000, "ms",
               "delay of callers' input above which requests are refused on arrival; 0: never"),
     WG_REAL("limits", held_mb, "0", 0, 1000000, "MB",
-            "maximum size of data held for callers and targets that do not read; 0: not limited"),
+            "maximum size of what is held for callers: answers not read, input, heads and bodies; "
+            "0: a quarter of memory_mb, or of the machine's memory"),
     WG_NUMBER("limits", unread_ms, "0", 0, 600000, "ms",
               "time without reading after which a caller or target may be disconnected; 0: never"),
 };
--- a/lib/entry/wg_entry_buffers.c
+++ b/lib/entry/wg_entry_buffers.c
@@ -2,17 +2,15 @@
    cut-offs */
 #include "wg_entry_internal.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
-#include <sys/socket.h>
 
 enum {
     WG_BYTES_PER_MB = 1000 * 1000,
-    /* Bytes of a connection that the kernel takes before it sends them. Without a limit it buffers
-       megabytes for each peer that reads nothing, and reports progress of a slow peer only after
-       as much again. */
-    WG_UNSENT_IN_KERNEL_MAX = 64 * 1024
+    /* Without the setting `held_mb`, the bound is this part of the memory. */
+    WG_HELD_MEMORY_DIVISOR = 4,
+    /* What the first callers' connections may make the kernel keep in one direction, as a part of
+       the memory, see wg_socket_share(). */
+    WG_KERNEL_MEMORY_DIVISOR = 16
 };
 
 /* ---- helpers --------------------------------------------------------------------------------- */
@@ -141,14 +139,24 @@
     }
 }
 
+/* Bound on the bytes held, see the setting `held_mb`. */
 static int64_t wg_entry_buffers_bound(const wg_entry* e) {
-    return (int64_t)(e->settings->held_mb * WG_BYTES_PER_MB);
+    const wg_entry_settings* s = e->settings;
+    if (s->held_mb > 0) {
+        return (int64_t)(s->held_mb * WG_BYTES_PER_MB);
+    }
+    return wg_memory_bytes(s->memory_mb) / WG_HELD_MEMORY_DIVISOR;
 }
 
+/* Bounds what the kernel keeps of a caller's connection. New ones have the listener's bound, which
+   is lowered where there are many. */
 static void wg_entry_buffers_limit_kernel(const wg_entry* e, evutil_socket_t fd) {
-    int unsent_max = WG_UNSENT_IN_KERNEL_MAX;
-    if (e->settings->held_mb > 0 || e->settings->unread_ms > 0) {
-        setsockopt(fd, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &unsent_max, sizeof unsent_max);
+    int64_t memory = wg_memory_bytes(e->settings->memory_mb);
+    int64_t share =
+        wg_socket_share(memory / WG_KERNEL_MEMORY_DIVISOR, (int64_t)e->clients->len + 1);
+    wg_socket_limit_unsent(fd, share);
+    if (share < WG_RECEIVE_BUFFER_MAX) {
+        wg_socket_limit_received(fd, share);
     }
 }
 
@@ -200,7 +208,7 @@
 }
 
 void wg_entry_buffers_connected(const wg_upstream* up) {
-    wg_entry_buffers_limit_kernel(up->entry, bufferevent_getfd(up->bev));
+    wg_socket_limit_unsent(bufferevent_getfd(up->bev), WG_RECEIVE_BUFFER_MAX);
 }
 
 void wg_entry_buffers_begin_request(const wg_upstream* up) {
@@ -217,8 +225,7 @@
 }
 
 int64_t wg_entry_buffers_body_max(const wg_entry* e) {
-    int64_t bound = wg_entry_buffers_bound(e);
-    return bound > 0 ? bound : INT64_MAX;
+    return wg_entry_buffers_bound(e);
 }
 
 bool wg_entry_buffers_delays_request(const wg_client* client) {
--- a/lib/entry/wg_entry_client.c
+++ b/lib/entry/wg_entry_client.c
@@ -50,7 +50,7 @@
     event_free(client->watch);
     wg_hangups_forget(&client->hangup);
     wg_entry_buffers_remove_client(client);
-    bufferevent_free(client->bev);
+    wg_socket_close_and_free(client->bev);
     g_free(client->head_bytes);
     g_free(client->head);
     if (client->body_bytes) {
@@ -339,6 +339,7 @@
                     g_strerror(errno));
         return false;
     }
+    wg_socket_limit_received(evconnlistener_get_fd(e->listener), WG_RECEIVE_BUFFER_MAX);
     wg_entry_descriptors_watch_listener(e);
     return true;
 }
--- a/lib/entry/wg_entry_taken.c
+++ b/lib/entry/wg_entry_taken.c
@@ -313,7 +313,7 @@
     if (evbuffer_get_length(bytes) == 0) {
         return;
     }
-    evbuffer_add_buffer(taken->output, bytes);
+    wg_buffer_append(taken->output, bytes);
     wg_taken_enter_waiting(taken);
     if (evbuffer_get_length(taken->output) >= WG_TAKEN_FRAME_MAX) {
         wg_taken_flush(taken);
