Servers over evhttp read one request at a time, and bound what all connections hold

Ordinary callers: every body, or chunk, of more than 256 KB was cut, so a configuration of 1.2 MB got no answer.

Cause: evhttp keeps what a connection sends until it is understood, a whole body in its input, each field of a head in three allocations; and it reads on while it answers. The only bound, 256 KB of input, was too large for what is sent ahead and too small for a body.

Now each connection is created with callbacks that count input, what evhttp took of the request, fields and answer (lib/http/wg_http_guard.c). Read ahead: a portion of a head, a body as far as its limit, one byte while a request runs; its caller's end is found by lib/net/wg_hangup. For all connections of a port: a bound on bytes, above which those that hold most are closed (503 for a request that is just whole), and a number, above which the longest idle, then the slowest, give way. Both have settings (held_mb, ports_held_mb, port_connections; of routers files_max), metrics, and a log line a second (WG1013).

The stand-ins for targets are plain evhttp servers now, so that they take large bodies too. Callbacks for ends of connections and replies are set through lib/http, as evhttp has one of each.

--- a/lib/base/wg_events.h
+++ b/lib/base/wg_events.h
@@ -21,6 +21,7 @@
     X(1010, LOOP_LATE, WARN, "event loop lag, timers fired late")                                  \
     X(1011, LOOP_BEHIND, WARN, "event loop lag, caller requests were delayed")                     \
     X(1012, LOG_LOST, WARN, "log lines lost, as the reader of the log did not keep up")            \
+    X(1013, PORT_CROWDED, WARN, "connections closed, too many or holding too much")                \
     X(2001, REQUEST_REFUSED, DEBUG, "request refused")                                             \
     X(2002, ATTEMPT_FAILED, INFO, "attempt failed")                                                \
     X(2003, TARGET_ASIDE, WARN, "target ejected after failures")                                   \
--- a/lib/control/wg_control.c
+++ b/lib/control/wg_control.c
@@ -70,6 +70,9 @@
             "descriptor limit of the process; bounds links to other processes; 0: unknown"),
     _REAL("limits", memory_mb, "0", 0, 1000000, "MB",
           "memory limit of the process; bounds data queued on links; 0: unknown"),
+    _REAL("limits", held_mb, "0", 0, 1000000, "MB",
+          "maximum size of what connections of operators hold, at least one edit of the largest "
+          "size; 0: a quarter of memory_mb, or of the machine's memory"),
     _NUMBER("state", claims_max, "65536", 16, 1000000, "claims",
             "maximum number of run-once claims kept"),
     _NUMBER("state", claim_keep_s, "86400", 1, 31536000, "s", "how long a claim is kept"),
--- a/lib/control/wg_control.h
+++ b/lib/control/wg_control.h
@@ -69,6 +69,7 @@
     int64_t snapshot_entries;
     int64_t descriptors;
     double memory_mb;
+    double held_mb;
     int64_t claims_max;
     int64_t claim_keep_s;
     int64_t quarantine_s;
--- a/lib/control/wg_control_http.c
+++ b/lib/control/wg_control_http.c
@@ -167,10 +167,9 @@
     command.edit = &edit;
     _wgco_waiter_t* waiter = g_new0(_wgco_waiter_t, 1);
     waiter->request = request;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), _wgco_detach_request,
-                                  waiter);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), _wgco_detach_request, waiter);
     if (!_wgco_propose(c, &command.base, waiter)) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+        wgh_set_closed_cb(evhttp_request_get_connection(request), NULL, NULL);
         _wgco_refuse_not_leader(c, request);
     }
     g_free(edit.rows);
@@ -205,7 +204,7 @@
 }
 
 void _wgco_answer_edit(wgco_control* c, struct evhttp_request* request, const wgt_result* result) {
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), NULL, NULL);
     json_t* json = json_object();
     json_object_set_new(json, "outcome", json_string(_wgco_outcome_name(result->outcome)));
     json_object_set_new(json, "version", json_integer((json_int_t)result->version));
@@ -229,7 +228,7 @@
 }
 
 void _wgco_answer_unknown(struct evhttp_request* request) {
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), NULL, NULL);
     wgh_reply_error(request,
                     &(wgh_error){.status = 503,
                                  .code = "outcome_unknown",
@@ -449,6 +448,7 @@
     _wgco_watch_metrics(c, out);
     _wgco_quarantine_metrics(c, out);
     _wgco_origins_metrics(c, out);
+    wgh_print_metrics(&c->http, "operators", out);
     wgh_reply_text(request, 200, "text/plain; version=0.0.4", out->str);
     g_string_free(out, TRUE);
 }
@@ -499,10 +499,20 @@
 }
 
 bool _wgco_http_setup(wgco_control* c, GError** error) {
-    wgh_limits limits = {.body_max = 16 << 20};
+    enum {
+        BODY_MAX = 16 << 20,
+        HELD_MEMORY_DIVISOR = 4
+    };
+    const wgco_settings* s = c->settings;
+    int64_t held_max = s->held_mb > 0 ? wg_memory_bytes(s->held_mb)
+                                      : wg_memory_bytes(s->memory_mb) / HELD_MEMORY_DIVISOR;
+    wgh_limits limits = {.body_max = BODY_MAX,
+                         .connections_max = wgh_connections_of(s->descriptors),
+                         .held_max = held_max,
+                         .name = "operators"};
     if (!wgh_listen(&c->http, c->base, c->settings->operators_listen, &limits, error)) {
         return false;
     }
-    evhttp_set_gencb(c->http.http, _wgco_on_request, c);
+    wgh_handle(&c->http, _wgco_on_request, c);
     return true;
 }
--- a/lib/entry/wg_entry.c
+++ b/lib/entry/wg_entry.c
@@ -102,6 +102,13 @@
     WG_REAL("limits", held_mb, "0", 0, 1000000, "MB",
             "maximum size of what is held for callers: answers not read, input, heads and bodies; "
             "0: a quarter of memory_mb, or of the machine's memory"),
+    WG_REAL("limits", ports_held_mb, "0", 0, 1000000, "MB",
+            "maximum size of what connections to each of ready_listen, entry_listen and "
+            "orders_listen hold, at least one order of the largest size; 0: a sixteenth of "
+            "memory_mb, or of the machine's memory"),
+    WG_NUMBER("limits", port_connections, "0", 0, 1000000, "",
+              "maximum number of connections to each of these; the longest idle one is closed for "
+              "a new one; 0: an eighth of descriptors, at least 64, or 1024 if that is not known"),
     WG_NUMBER("limits", unread_ms, "0", 0, 600000, "ms",
               "time without reading after which a caller or target may be disconnected; 0: never"),
 };
--- a/lib/entry/wg_entry.h
+++ b/lib/entry/wg_entry.h
@@ -67,6 +67,8 @@
     int64_t hold_percent;
     int64_t input_delay_ms;
     double held_mb;
+    double ports_held_mb;
+    int64_t port_connections;
     int64_t unread_ms;
     int64_t refuse_over_share;
     int64_t retry_after_percent;
--- a/lib/entry/wg_entry_descriptors.c
+++ b/lib/entry/wg_entry_descriptors.c
@@ -5,18 +5,23 @@
 enum {
     /* Shortest pause of the callers' listener, microseconds. While accept() fails, the listener
        stays readable and would wake the loop without an end. */
-    WG_ACCEPT_PAUSE = 20 * WG_USEC_PER_MSEC
+    WG_ACCEPT_PAUSE = 20 * WG_USEC_PER_MSEC,
+    /* Connections to the other ports that the part of the descriptors which is left free is for. */
+    WG_PORTS_RESERVED = 16
 };
 
 /* ---- helpers: counts ------------------------------------------------------------------------- */
 
 /* `idle_callers` is an upper bound, as some of these connections may have input that is unread. */
 static wg_descriptors_counts wg_descriptors_counts_of(const wg_entry* e) {
+    int ports = wgh_connections_num(&e->ready_server) + wgh_connections_num(&e->entry_server) +
+                wgh_connections_num(&e->orders_server);
+    int beyond = MAX(ports - WG_PORTS_RESERVED, 0);
     return (wg_descriptors_counts){.limit = (int)e->settings->descriptors,
                                    .callers = (int)e->clients->len,
                                    .callers_max = (int)e->settings->callers_max,
                                    .targets = e->upstreams_num,
-                                   .links = wgn_query_stats(e->net).links,
+                                   .links = wgn_query_stats(e->net).links + beyond,
                                    .idle_callers = (int)e->idle_clients.length,
                                    .idle_targets = (int)e->idle_upstreams.length};
 }
--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -9,7 +9,9 @@
 #include <string.h>
 
 enum {
-    WG_ORDER_BODY_MAX = 16 << 20
+    WG_ORDER_BODY_MAX = 16 << 20,
+    WG_PORT_BODY_MAX = 64 * 1024, /* of what no order is sent to */
+    WG_PORT_MEMORY_DIVISOR = 16   /* see the setting `ports_held_mb` */
 };
 
 /* ---- helpers --------------------------------------------------------------------------------- */
@@ -185,6 +187,9 @@
     wg_endpoint_hold_metrics(e, out);
     wg_entry_origins_print_metrics(e, out);
     wg_entry_buffers_print_metrics(e, out);
+    wgh_print_metrics(&e->ready_server, "ready", out);
+    wgh_print_metrics(&e->entry_server, "entry", out);
+    wgh_print_metrics(&e->orders_server, "orders", out);
     wg_entry_descriptors_print_metrics(e, out);
     wg_entry_lease_print_metrics(e, out);
     wgn_print_metrics(e->net, out);
@@ -245,8 +250,8 @@
 static void wg_endpoint_put_configuration(wg_entry* e, struct evhttp_request* request) {
     struct evbuffer* in = evhttp_request_get_input_buffer(request);
     size_t size = evbuffer_get_length(in);
-    uint8_t* bytes = evbuffer_pullup(in, -1);
     GError* error = NULL;
+    uint8_t* bytes = evbuffer_pullup(in, -1);
     wg_config* config = wg_config_parse(bytes ? bytes : (uint8_t*)"", size, &error);
     if (!config) {
         wg_log(WG_EVENT_CONFIGURATION_REFUSED, "%s", error->message);
@@ -433,20 +438,37 @@
     }
 }
 
-static bool wg_endpoint_listen(wg_entry* e, wgh_server* server, const char* address,
+typedef struct {
+    const char* name;
+    const char* address;
+    int64_t body_max;
+} wg_port;
+
+static bool wg_endpoint_listen(wg_entry* e, wgh_server* server, const wg_port* port,
                                GError** error) {
-    wgh_limits limits = {.body_max = WG_ORDER_BODY_MAX};
-    if (!wgh_listen(server, e->base, address, &limits, error)) {
+    const wg_entry_settings* s = e->settings;
+    wgh_limits limits = {
+        .name = port->name,
+        .body_max = port->body_max,
+        .connections_max =
+            s->port_connections ? (int)s->port_connections : wgh_connections_of(s->descriptors),
+        .held_max = s->ports_held_mb > 0 ? wg_memory_bytes(s->ports_held_mb)
+                                         : wg_memory_bytes(s->memory_mb) / WG_PORT_MEMORY_DIVISOR};
+    if (!wgh_listen(server, e->base, port->address, &limits, error)) {
         return false;
     }
     evhttp_set_allowed_methods(server->http, EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_POST |
                                                  EVHTTP_REQ_DELETE);
-    evhttp_set_gencb(server->http, wg_endpoint_on_request, e);
+    wgh_handle(server, wg_endpoint_on_request, e);
     return true;
 }
 
 bool wg_entry_endpoints_setup(wg_entry* e, GError** error) {
-    return wg_endpoint_listen(e, &e->ready_server, e->settings->ready_listen, error) &&
-           wg_endpoint_listen(e, &e->entry_server, e->settings->entry_listen, error) &&
-           wg_endpoint_listen(e, &e->orders_server, e->settings->orders_listen, error);
+    const wg_entry_settings* s = e->settings;
+    const wg_port ready = {"ready", s->ready_listen, WG_PORT_BODY_MAX};
+    const wg_port entry = {"entry", s->entry_listen, WG_PORT_BODY_MAX};
+    const wg_port orders = {"orders", s->orders_listen, WG_ORDER_BODY_MAX};
+    return wg_endpoint_listen(e, &e->ready_server, &ready, error) &&
+           wg_endpoint_listen(e, &e->entry_server, &entry, error) &&
+           wg_endpoint_listen(e, &e->orders_server, &orders, error);
 }
--- a/lib/entry/wg_entry_orders.c
+++ b/lib/entry/wg_entry_orders.c
@@ -80,8 +80,8 @@
     order->packed = wgw_pack(&message.base);
     order->received_at = wg_now();
     order->expires_at = order->received_at + e->settings->order_ms * WG_USEC_PER_MSEC;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request),
-                                  wg_entry_order_on_sender_closed, order);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), wg_entry_order_on_sender_closed,
+                      order);
     g_queue_push_tail(&e->orders, order);
     wg_entry_send_order(e, order);
 }
@@ -91,7 +91,7 @@
     g_queue_delete_link(&e->orders, at);
     wg_entry_log_order(e, order, outcome, wg_now());
     if (order->request) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(order->request), NULL, NULL);
+        wgh_set_closed_cb(evhttp_request_get_connection(order->request), NULL, NULL);
         wg_entry_order_answer(order->request, outcome, document);
     }
     wg_entry_order_free(order);
--- a/lib/http/wg_http.c
+++ b/lib/http/wg_http.c
@@ -1,5 +1,5 @@
 /* wg_http.c -- see wg_http.h */
-#include "wg_http.h"
+#include "wg_http_internal.h"
 
 #include <errno.h>
 #include <event2/buffer.h>
@@ -9,12 +9,6 @@
 #include <string.h>
 #include <unistd.h>
 
-enum {
-    /* Bytes that a connection may hold before evhttp understands them: more than it reads at once,
-       and than a head or a line of a chunk needs. */
-    _WGH_UNPARSED_MAX = 256 * 1024
-};
-
 /* ---- helpers ------------------------------------------------------------------------------ */
 
 static bool _wgh_split_address(const char* address, char* ip, size_t size, uint16_t* port) {
@@ -39,28 +33,16 @@
     evbuffer_free(body);
 }
 
-/* evhttp bounds heads and bodies, but keeps a line of a chunk until it ends. */
-static void _wgh_on_input(struct evbuffer* in, const struct evbuffer_cb_info* info,
-                          void* user_data) {
-    struct bufferevent* bev = user_data;
-    bool exceeds = evbuffer_get_length(in) > _WGH_UNPARSED_MAX;
-    bool reads = (bufferevent_get_enabled(bev) & EV_READ) != 0;
-    if (info->n_added > 0 && exceeds && reads) {
-        bufferevent_disable(bev, EV_READ);
-        /* Deferred: evhttp reads from this buffer now, and frees the connection on an error. */
-        bufferevent_trigger_event(bev, BEV_EVENT_READING | BEV_EVENT_ERROR,
-                                  BEV_TRIG_DEFER_CALLBACKS);
-    }
-}
-
-/* Creates the buffered connection of a new caller, as evhttp does. */
-static struct bufferevent* _wgh_new_connection(struct event_base* base, void* user_data) {
-    (void)user_data;
-    struct bufferevent* bev = bufferevent_socket_new(base, -1, 0);
-    if (bev) {
-        evbuffer_add_cb(bufferevent_get_input(bev), _wgh_on_input, bev);
-    }
-    return bev;
+/* Fills in the defaults. */
+static wgh_limits _wgh_limits_def(const wgh_limits* limits, const char* name) {
+    wgh_limits l = *limits;
+    l.head_max = l.head_max ? l.head_max : WGH_HEAD_MAX_DEFAULT;
+    l.body_max = l.body_max ? l.body_max : WGH_BODY_MAX_DEFAULT;
+    l.idle_seconds = l.idle_seconds ? l.idle_seconds : WGH_IDLE_SECONDS_DEFAULT;
+    l.connections_max = l.connections_max ? l.connections_max : WGH_CONNECTIONS_DEFAULT;
+    l.held_max = MAX(l.held_max ? l.held_max : WGH_HELD_DEFAULT, l.body_max + 4 * l.head_max);
+    l.name = name;
+    return l;
 }
 
 /* ---- public functions --------------------------------------------------------------------- */
@@ -80,41 +62,58 @@
         evhttp_free(http);
         return false;
     }
-    int64_t head_max = limits->head_max ? limits->head_max : WGH_HEAD_MAX_DEFAULT;
-    int64_t body_max = limits->body_max ? limits->body_max : WGH_BODY_MAX_DEFAULT;
-    int64_t idle = limits->idle_seconds ? limits->idle_seconds : WGH_IDLE_SECONDS_DEFAULT;
-    evhttp_set_max_headers_size(http, head_max);
-    evhttp_set_max_body_size(http, body_max);
-    evhttp_set_timeout(http, (int)idle);
-    evhttp_set_bevcb(http, _wgh_new_connection, NULL);
+    char* name = g_strdup(limits->name ? limits->name : address);
+    wgh_limits l = _wgh_limits_def(limits, name);
+    evhttp_set_max_headers_size(http, l.head_max);
+    evhttp_set_max_body_size(http, l.body_max);
+    evhttp_set_timeout(http, (int)l.idle_seconds);
     evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
                                          EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
-    *server = (wgh_server){.http = http, .listener = evhttp_bound_socket_get_listener(bound)};
+    struct evconnlistener* listener = evhttp_bound_socket_get_listener(bound);
+    *server = (wgh_server){
+        .http = http, .guard = _wgh_guard_setup(base, http, listener, &l), .name = name};
     return true;
 }
 
 void wgh_close(wgh_server* server) {
     if (server->http) {
         evhttp_free(server->http);
+        _wgh_guard_shutdown(server->guard);
+        g_free(server->name);
     }
     *server = (wgh_server){0};
 }
 
+void wgh_handle(wgh_server* server, wgh_request_cb handler, void* user_data) {
+    _wgh_guard_handle(server->guard, handler, user_data);
+}
+
+int wgh_connections_of(int64_t descriptors) {
+    enum {
+        DIVISOR = 8,
+        MIN_NUM = 64
+    };
+    return descriptors > 0 ? (int)MAX(descriptors / DIVISOR, (int64_t)MIN_NUM)
+                           : WGH_CONNECTIONS_DEFAULT;
+}
+
+int wgh_connections_num(const wgh_server* server) {
+    return server->guard ? _wgh_guard_connections(server->guard) : 0;
+}
+
+void wgh_print_metrics(const wgh_server* server, const char* port, GString* out) {
+    if (server->guard) {
+        _wgh_guard_print_metrics(server->guard, port, out);
+    }
+}
+
 void wgh_update_accepting(wgh_server* server, int64_t files_max) {
     /* The lowest free descriptor, which the kernel assigns, approximates the open files. */
     int lowest_free = dup(STDERR_FILENO);
     if (lowest_free >= 0) {
         close(lowest_free);
     }
-    bool full = lowest_free < 0 || lowest_free >= files_max;
-    if (full != server->paused) {
-        server->paused = full;
-        if (full) {
-            evconnlistener_disable(server->listener);
-        } else {
-            evconnlistener_enable(server->listener);
-        }
-    }
+    _wgh_guard_set_paused(server->guard, lowest_free < 0 || lowest_free >= files_max);
 }
 
 void wgh_reply_json(struct evhttp_request* request, int status, json_t* json) {
--- a/lib/router/wg_router.c
+++ b/lib/router/wg_router.c
@@ -42,6 +42,9 @@
     _NUMBER("limits", idle_s, "60", 1, 3600, "s", "idle timeout of a caller's connection"),
     _NUMBER("limits", high_water, "262144", 4096, 67108864, "bytes",
             "unsent bytes of an answer above which reading from the target pauses"),
+    WGI_REAL(wgro_settings, "limits", held_mb, "0", 0, 1000000, "MB",
+             "maximum size of what all connections of callers hold; 0: a quarter of the machine's "
+             "memory"),
     _NUMBER("control", report_ms, "200", 20, 1000, "ms", "time between two reports to the leader"),
     _NUMBER("control", report_gap_ms, "20", 1, 1000, "ms", "shortest time between two reports"),
     _NUMBER("control", budget_bytes, "6000", 500, 100000000, "bytes/s",
--- a/lib/router/wg_router.h
+++ b/lib/router/wg_router.h
@@ -64,6 +64,7 @@
     int64_t grace_ms;
     int64_t urgent_reserve;
     int64_t high_water;
+    double held_mb;
 } wgro_settings;
 
 extern const wgi_key wgro_keys[];
--- a/lib/router/wg_router_accept.c
+++ b/lib/router/wg_router_accept.c
@@ -9,7 +9,8 @@
 enum {
     _WGRO_PARK_TIME = 1500 * WG_USEC_PER_MSEC,
     _WGRO_PARKED_MAX = 1024,
-    _WGRO_PREFIX_BYTES = 1024 /* leading bytes of a prompt that are hashed as its prefix */
+    _WGRO_HELD_MEMORY_DIVISOR = 4, /* of the machine's memory: for all connections of callers */
+    _WGRO_PREFIX_BYTES = 1024      /* leading bytes of a prompt that are hashed as its prefix */
 };
 
 static void _wgro_serve(wgro_router* r, struct evhttp_request* request, const wgt_row* workspace);
@@ -116,8 +117,7 @@
     parked->request = request;
     parked->until = now + _WGRO_PARK_TIME;
     memcpy(parked->key_hash, hash, WG_KEY_HASH_SIZE);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), _wgro_on_parked_closed,
-                                  parked);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), _wgro_on_parked_closed, parked);
     g_queue_push_tail(&r->parked, parked);
 }
 
@@ -126,7 +126,7 @@
     g_queue_delete_link(&r->parked, link);
     struct evhttp_request* request = parked->request;
     if (request) {
-        evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+        wgh_set_closed_cb(evhttp_request_get_connection(request), NULL, NULL);
         const wgt_row* row = wgt_find_key(r->table, parked->key_hash);
         if (row && _wgro_in_force(r, wg_now())) {
             _wgro_serve(r, request, row);
@@ -294,14 +294,29 @@
 
 /* ---- internal functions -------------------------------------------------------------------- */
 
+/* Files are left for connections to targets, one for each call, and for links and operators. */
+static int _wgro_callers_max(const wgro_settings* s) {
+    int64_t for_targets = MIN(s->calls_max, s->files_max / 2);
+    return (int)(s->files_max - for_targets - s->files_max / 5);
+}
+
+static int64_t _wgro_held_max(const wgro_settings* s) {
+    return s->held_mb > 0 ? wg_memory_bytes(s->held_mb)
+                          : wg_memory_bytes(0) / _WGRO_HELD_MEMORY_DIVISOR;
+}
+
 bool _wgro_accept_setup(wgro_router* r, GError** error) {
     const wgro_settings* s = r->settings;
-    wgh_limits limits = {
-        .head_max = s->head_max, .body_max = s->body_max, .idle_seconds = s->idle_s};
+    wgh_limits limits = {.head_max = s->head_max,
+                         .body_max = s->body_max,
+                         .idle_seconds = s->idle_s,
+                         .connections_max = _wgro_callers_max(s),
+                         .held_max = _wgro_held_max(s),
+                         .name = "callers"};
     if (!wgh_listen(&r->callers, r->base, s->callers_listen, &limits, error)) {
         return false;
     }
-    evhttp_set_gencb(r->callers.http, _wgro_on_request, r);
+    wgh_handle(&r->callers, _wgro_on_request, r);
     return true;
 }
 
--- a/lib/router/wg_router_attempt.c
+++ b/lib/router/wg_router_attempt.c
@@ -165,6 +165,14 @@
     call->head_sent = true;
 }
 
+/* Bytes of the answer that are not written yet count for the caller's connection. */
+static void _wgro_count_answer(const _wgro_call_t* call, const _wgro_attempt_t* attempt) {
+    if (call->request) {
+        wgh_set_kept(call->request, (int64_t)(evbuffer_get_length(attempt->buffered) +
+                                              evbuffer_get_length(attempt->ready)));
+    }
+}
+
 void _wgro_relay(_wgro_call_t* call) {
     _wgro_attempt_t* attempt = call->attempt;
     if (!call->request || !attempt) {
@@ -178,6 +186,7 @@
         return;
     }
     evhttp_send_reply_chunk_with_cb(call->request, ready, _wgro_resume_reading, call);
+    _wgro_count_answer(call, attempt);
     /* Backpressure: stop reading from the target until the caller has drained its buffer. */
     struct evhttp_connection* caller = evhttp_request_get_connection(call->request);
     struct evbuffer* unsent = bufferevent_get_output(evhttp_connection_get_bufferevent(caller));
@@ -343,6 +352,7 @@
         return;
     }
     evbuffer_add_buffer(attempt->buffered, in);
+    _wgro_count_answer(call, attempt);
     if (attempt->stream) {
         _wgro_on_stream_data(call, attempt);
     } else if (evbuffer_get_length(attempt->buffered) > _WGRO_BUFFERED_ANSWER_MAX ||
--- a/lib/router/wg_router_call.c
+++ b/lib/router/wg_router_call.c
@@ -31,7 +31,7 @@
 static void _wgro_detach_caller(_wgro_call_t* call) {
     if (call->request) {
         struct evhttp_connection* connection = evhttp_request_get_connection(call->request);
-        evhttp_connection_set_closecb(connection, NULL, NULL);
+        wgh_set_closed_cb(connection, NULL, NULL);
         evhttp_connection_set_timeout(connection, (int)call->router->settings->idle_s);
     }
 }
@@ -45,15 +45,15 @@
 static void _wgro_on_reply_sent(struct evhttp_request* request, void* user_data) {
     wgro_router* r = user_data;
     r->replies_unsent--;
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), NULL, NULL);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), NULL, NULL);
 }
 
 /* Call it before the last part of a reply is written: counts the reply until its caller has taken
    it, or has closed. */
 static void _wgro_await_reply_sent(wgro_router* r, struct evhttp_request* request) {
     r->replies_unsent++;
-    evhttp_request_set_on_complete_cb(request, _wgro_on_reply_sent, r);
-    evhttp_connection_set_closecb(evhttp_request_get_connection(request), _wgro_on_reply_closed, r);
+    wgh_set_replied_cb(request, _wgro_on_reply_sent, r);
+    wgh_set_closed_cb(evhttp_request_get_connection(request), _wgro_on_reply_closed, r);
 }
 
 static void _wgro_free_call(_wgro_call_t* call) {
@@ -162,7 +162,7 @@
     (void)what;
     _wgro_deferred_close_t* deferred = user_data;
     if (deferred->connection) {
-        evhttp_connection_set_closecb(deferred->connection, NULL, NULL);
+        wgh_set_closed_cb(deferred->connection, NULL, NULL);
         evhttp_connection_free(deferred->connection);
     }
     g_free(deferred);
@@ -200,7 +200,7 @@
     _wgro_deferred_close_t* deferred = g_new0(_wgro_deferred_close_t, 1);
     deferred->base = call->router->base;
     deferred->connection = evhttp_request_get_connection(call->request);
-    evhttp_connection_set_closecb(deferred->connection, _wgro_on_deferred_closed, deferred);
+    wgh_set_closed_cb(deferred->connection, _wgro_on_deferred_closed, deferred);
     if (!call->attempt || !call->attempt->stream) {
         _wgro_schedule_close(deferred);
         return;
@@ -399,23 +399,14 @@
     _wgro_call_event(call, &(wgc_event){.type = WGC_EVENT_CALLER_DISCONNECTED});
 }
 
-/* Keeps reading from the caller's connection so that a close is noticed while the request runs.
-   evhttp expects no data at that time, so its read callback is removed; bytes of a pipelined
-   request stay in the input buffer. */
+/* Notices a close while the request waits and runs. */
 static void _wgro_watch_caller(_wgro_call_t* call) {
     struct evhttp_connection* connection = evhttp_request_get_connection(call->request);
     wg_time deadline_s = _wgro_service_of(call)->row.service.deadline_ms / 1000;
-    evhttp_connection_set_closecb(connection, _wgro_on_caller_closed, call);
+    wgh_set_closed_cb(connection, _wgro_on_caller_closed, call);
     evhttp_connection_set_timeout(connection,
                                   (int)deadline_s + (int)call->router->settings->idle_s);
-    struct bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-    bufferevent_data_cb read_cb;
-    bufferevent_data_cb write_cb;
-    bufferevent_event_cb event_cb;
-    void* arg;
-    bufferevent_getcb(bev, &read_cb, &write_cb, &event_cb, &arg);
-    bufferevent_setcb(bev, NULL, write_cb, event_cb, arg);
-    bufferevent_enable(bev, EV_READ);
+    wgh_watch_closed(connection);
 }
 
 static void _wgro_read_key(_wgro_call_t* call) {
--- a/lib/router/wg_router_endpoints.c
+++ b/lib/router/wg_router_endpoints.c
@@ -114,6 +114,8 @@
         wg_hist_print(&r->services[i].wait_time, "walnutgate_wait_seconds", label, 1e6, out);
         wg_hist_print(&r->services[i].total_time, "walnutgate_request_seconds", label, 1e6, out);
     }
+    wgh_print_metrics(&r->callers, "callers", out);
+    wgh_print_metrics(&r->operators, "operators", out);
     wgh_reply_text(request, 200, "text/plain; version=0.0.4", out->str);
     g_string_free(out, TRUE);
 }
@@ -154,11 +156,18 @@
 }
 
 bool _wgro_operators_setup(wgro_router* r, GError** error) {
-    if (!wgh_listen(&r->operators, r->base, r->settings->operators_listen, &(wgh_limits){0},
-                    error)) {
+    enum {
+        FILES_DIVISOR = 10, /* of files_max: for connections of operators */
+        BODY_MAX = 64 * 1024
+    };
+    wgh_limits limits = {.body_max = BODY_MAX,
+                         .connections_max = (int)(r->settings->files_max / FILES_DIVISOR),
+                         .held_max = WGH_HELD_DEFAULT / FILES_DIVISOR,
+                         .name = "operators"};
+    if (!wgh_listen(&r->operators, r->base, r->settings->operators_listen, &limits, error)) {
         return false;
     }
-    evhttp_set_gencb(r->operators.http, _wgro_on_operator_request, r);
+    wgh_handle(&r->operators, _wgro_on_operator_request, r);
     return true;
 }
 
--- a/tests/fakes/fake.h
+++ b/tests/fakes/fake.h
@@ -144,14 +144,20 @@
     event_config_set_flag(config, EVENT_BASE_FLAG_PRECISE_TIMER);
     struct event_base* base = event_base_new_with_config(config);
     event_config_free(config);
-    GError* error = NULL;
-    wgh_server server;
-    if (!wgh_listen(&server, base, fake_address, &(wgh_limits){.body_max = 64 << 20}, &error)) {
-        fprintf(stderr, "%s\n", error->message);
+    struct evhttp* http = evhttp_new(base);
+    char* ip = g_strndup(fake_address, strcspn(fake_address, ":"));
+    int port = atoi(fake_address + strlen(ip) + 1);
+    evhttp_set_max_headers_size(http, 64 << 10);
+    evhttp_set_max_body_size(http, 64 << 20);
+    evhttp_set_allowed_methods(http, EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_HEAD |
+                                         EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE | EVHTTP_REQ_PATCH);
+    if (evhttp_bind_socket(http, ip, (ev_uint16_t)port) != 0) {
+        fprintf(stderr, "cannot listen on %s\n", fake_address);
         return 2;
     }
+    g_free(ip);
     setup(base);
-    evhttp_set_gencb(server.http, on_request, NULL);
+    evhttp_set_gencb(http, on_request, NULL);
     struct event* stop = evsignal_new(base, SIGTERM, fake_on_stop, base);
     event_add(stop, NULL);
     event_base_dispatch(base);
@@ -159,7 +165,7 @@
     if (fake_own_event) {
         event_free(fake_own_event);
     }
-    wgh_close(&server);
+    evhttp_free(http);
     event_base_free(base);
     return 0;
 }
