Documents of more values than a parser should keep are refused before they are parsed

Cause: a value takes two bytes on the wire, and up to 260 in memory; the limits are in bytes.

Values are counted before a document is parsed, 400,000 at most, twice what 25,000 workspaces take: 400 (413 for a configuration).

--- a/lib/entry/wg_entry_endpoints.c
+++ b/lib/entry/wg_entry_endpoints.c
@@ -251,6 +251,11 @@
     struct evbuffer* in = evhttp_request_get_input_buffer(request);
     size_t size = evbuffer_get_length(in);
     GError* error = NULL;
+    if (!wgh_body_is_small_json(request)) {
+        wg_log(WG_EVENT_CONFIGURATION_REFUSED, "more than %d values", WGH_JSON_VALUES_MAX);
+        wg_endpoint_error(request, 413, "too_many_values", "the document has too many values");
+        return;
+    }
     uint8_t* bytes = evbuffer_pullup(in, -1);
     wg_config* config = wg_config_parse(bytes ? bytes : (uint8_t*)"", size, &error);
     if (!config) {
--- a/lib/http/wg_http.c
+++ b/lib/http/wg_http.c
@@ -45,6 +45,23 @@
     return l;
 }
 
+/* Values of a JSON text, or more: what separates or opens them outside strings. */
+typedef struct {
+    int64_t values;
+    bool in_string;
+    bool escaped;
+} _wgh_json_count;
+
+static void _wgh_count_byte(_wgh_json_count* count, char byte) {
+    if (count->in_string) {
+        count->in_string = count->escaped || byte != '"';
+        count->escaped = byte == '\\' && !count->escaped;
+    } else {
+        count->in_string = byte == '"';
+        count->values += byte == ',' || byte == ':' || byte == '[' || byte == '{';
+    }
+}
+
 /* ---- public functions --------------------------------------------------------------------- */
 
 bool wgh_listen(wgh_server* server, struct event_base* base, const char* address,
@@ -215,9 +232,29 @@
     }
 }
 
+bool wgh_body_is_small_json(struct evhttp_request* request) {
+    struct evbuffer* body = evhttp_request_get_input_buffer(request);
+    int num = evbuffer_peek(body, -1, NULL, NULL, 0);
+    struct evbuffer_iovec* parts = g_new0(struct evbuffer_iovec, (gsize)MAX(num, 1));
+    _wgh_json_count count = {0};
+    evbuffer_peek(body, -1, NULL, parts, num);
+    for (int i = 0; i < num; i++) {
+        const char* bytes = parts[i].iov_base;
+        for (size_t at = 0; at < parts[i].iov_len; at++) {
+            _wgh_count_byte(&count, bytes[at]);
+        }
+    }
+    g_free(parts);
+    return count.values <= WGH_JSON_VALUES_MAX;
+}
+
 json_t* wgh_body_json(struct evhttp_request* request, char* message, size_t size) {
     struct evbuffer* body = evhttp_request_get_input_buffer(request);
     size_t length = evbuffer_get_length(body);
+    if (!wgh_body_is_small_json(request)) {
+        g_snprintf(message, size, "body has more than %d values", WGH_JSON_VALUES_MAX);
+        return NULL;
+    }
     const char* text = (const char*)evbuffer_pullup(body, -1);
     json_error_t error;
     json_t* json = json_loadb(text ? text : "", length, JSON_REJECT_DUPLICATES, &error);
--- a/lib/http/wg_http.h
+++ b/lib/http/wg_http.h
@@ -13,6 +13,7 @@
           make the process hold: input, heads, bodies, answers not read, and what evhttp keeps.
           Nothing is read ahead of the request that is due; above the bound the connections that
           hold most are closed, above the number those that are idle for longest
+        - documents of more values than a parser should keep are refused before they are parsed
 
     USE
         1. wgh_listen(&server, base, "127.0.0.1:8080", &(wgh_limits){0}, &error);
@@ -39,7 +40,9 @@
     WGH_BODY_MAX_DEFAULT = 4 << 20,
     WGH_IDLE_SECONDS_DEFAULT = 60,
     WGH_CONNECTIONS_DEFAULT = 1024,
-    WGH_HELD_DEFAULT = 64 << 20
+    WGH_HELD_DEFAULT = 64 << 20,
+    /* Values of a JSON document. One takes two bytes on the wire and up to 260 in memory. */
+    WGH_JSON_VALUES_MAX = 400 * 1000
 };
 
 typedef void (*wgh_request_cb)(struct evhttp_request* request, void* user_data);
@@ -108,7 +111,9 @@
 /* Value of a query parameter, or NULL; free it with g_free(). */
 char* wgh_query(struct evhttp_request* request, const char* name);
 const char* wgh_method(struct evhttp_request* request);
-/* Parses the body as JSON. NULL with a message if it is malformed. */
+/* Whether the body has few enough values to be parsed as JSON. */
+bool wgh_body_is_small_json(struct evhttp_request* request);
+/* Parses the body as JSON. NULL with a message if it is malformed, or has too many values. */
 json_t* wgh_body_json(struct evhttp_request* request, char* message, size_t size);
 /* Frees a request whose connection was closed before it was answered. For close callbacks: evhttp
    leaves the ownership of such a request to the caller. */
