Links whose peers do not prove the fleet key have a bound on their number

Cause: only links_max bounded accepted links, which is at least 1,024 whatever the process may open.

Now at most half of the descriptors (512 where they are unknown) are for peers that have not proved the key. The oldest without a hello gives way, then the oldest without a proof; a peer whose bytes wait to be read by a busy process does not count as silent. Sockets are closed at once. WG1013, walnutgate_links_replaced_total.

--- a/lib/control/wg_control_start.c
+++ b/lib/control/wg_control_start.c
@@ -126,6 +126,7 @@
                                    .fleet_key = s->fleet_key,
                                    .self = self,
                                    .links_max = wgn_links_max(s->descriptors),
+                                   .unproven_max = wgn_unproven_max(s->descriptors),
                                    .waiting_max = wgn_waiting_max(s->memory_mb),
                                    .receive_deadline = s->link_silence_ms * WG_USEC_PER_MSEC,
                                    .ping_interval = s->link_silence_ms * WG_USEC_PER_MSEC / 4,
--- a/lib/entry/wg_entry_link.c
+++ b/lib/entry/wg_entry_link.c
@@ -325,6 +325,7 @@
                               .fleet_key = e->settings->fleet_key,
                               .self = self,
                               .links_max = wgn_links_max(e->settings->descriptors),
+                              .unproven_max = wgn_unproven_max(e->settings->descriptors),
                               .waiting_max = wgn_waiting_max(e->settings->memory_mb),
                               .proof_deadline = WG_PROOF_TIMEOUT,
                               .receive_deadline = e->settings->link_silence_ms * WG_USEC_PER_MSEC,
--- a/lib/net/wg_net.c
+++ b/lib/net/wg_net.c
@@ -39,6 +39,8 @@
     _wgn_link_t* links;
     struct evconnlistener* listener;
     struct event* tick;
+    int unproven; /* accepted links that are not up */
+    wg_time replaced_logged_at;
     wg_time ticked_at; /* time of the last tick, at first of the setup */
     _wgn_budget budget;
     wgn_stats stats;
@@ -49,6 +51,10 @@
        evbuffer chain that a reference needs. */
     _WGN_SHARED_MIN = 1024,
     _WGN_TICK = 250 * WG_USEC_PER_MSEC,
+    /* Time after which an accepted link without a hello, or without a proof, may give way. */
+    _WGN_SILENT_MIN = 250 * WG_USEC_PER_MSEC,
+    _WGN_UNPROVEN_MIN = WG_USEC_PER_SEC,
+    _WGN_LOG_INTERVAL = WG_USEC_PER_SEC,
     /* Delay of a tick from which this process counts as stalled. */
     _WGN_STALL_MIN = 100 * WG_USEC_PER_MSEC
 };
@@ -58,6 +64,7 @@
 static wgn_desc _wgn_desc_def(const wgn_desc* desc) {
     wgn_desc d = *desc;
     d.links_max = d.links_max ? d.links_max : WGN_LINKS_DEFAULT;
+    d.unproven_max = d.unproven_max ? d.unproven_max : d.links_max / 2;
     d.frame_max = d.frame_max ? d.frame_max : WGW_FRAME_MAX_DEFAULT;
     d.unsent_max = d.unsent_max ? d.unsent_max : WGN_UNSENT_MAX_DEFAULT;
     d.waiting_max = d.waiting_max ? d.waiting_max : WGN_WAITING_MAX_DEFAULT;
@@ -107,9 +114,10 @@
     }
     l->closing = true;
     wgn_net* net = l->net;
+    net->unproven -= !l->dialer && !l->up;
     net->desc.on_down(_wgn_id(l), l->up ? &l->peer : NULL, net->desc.user_data);
     _wgn_discard_unsent(l);
-    bufferevent_free(l->bev);
+    wg_socket_close_and_free(l->bev);
     g_byte_array_unref(l->own_hello);
     if (l->peer_hello) {
         g_byte_array_unref(l->peer_hello);
@@ -246,6 +254,7 @@
         return false;
     }
     l->up = true;
+    l->net->unproven -= !l->dialer;
     l->net->desc.on_up(_wgn_id(l), &l->peer, l->net->desc.user_data);
     return true;
 }
@@ -360,6 +369,7 @@
     bufferevent_setcb(l->bev, _wgn_on_read, NULL, _wgn_on_event, l);
     bufferevent_enable(l->bev, EV_READ | EV_WRITE);
     net->stats.links++;
+    net->unproven += !dialer;
     _wgn_send_hello(l);
     return l;
 }
@@ -369,13 +379,61 @@
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
 }
 
+/* Whether the peer sent nothing that waits to be read: a busy process has not read all hellos. */
+static bool _wgn_is_silent(const _wgn_link_t* l) {
+    char byte;
+    return !l->peer_hello && recv(bufferevent_getfd(l->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0;
+}
+
+/* The accepted link that gives way to a new one: the oldest of those without a hello, else without
+   a proof, for longer than a peer takes. NULL: there is none. */
+static _wgn_link_t* _wgn_oldest_unproven(const wgn_net* net, wg_time now) {
+    _wgn_link_t* oldest = NULL;
+    bool silent = false;
+    for (int i = 0; i < net->pool.capacity; i++) {
+        _wgn_link_t* l = &net->links[i];
+        if (!net->pool.taken[i] || l->dialer || l->up || now - l->opened_at < _WGN_SILENT_MIN) {
+            continue;
+        }
+        bool is_silent = _wgn_is_silent(l);
+        bool overdue = is_silent || now - l->opened_at >= _WGN_UNPROVEN_MIN;
+        bool before = !oldest || is_silent > silent ||
+                      (is_silent == silent && l->opened_at < oldest->opened_at);
+        if (overdue && before) {
+            oldest = l;
+            silent = is_silent;
+        }
+    }
+    return oldest;
+}
+
+/* Makes room for one more accepted link. False if it has to be refused. */
+static bool _wgn_make_room(wgn_net* net) {
+    wg_time now = wg_now();
+    if (net->unproven < net->desc.unproven_max) {
+        return true;
+    }
+    _wgn_link_t* oldest = _wgn_oldest_unproven(net, now);
+    net->stats.links_replaced++;
+    if (!net->replaced_logged_at || now - net->replaced_logged_at >= _WGN_LOG_INTERVAL) {
+        net->replaced_logged_at = now;
+        wg_log(WG_EVENT_PORT_CROWDED,
+               "port=fleet unproven=%d of=%d links=%d replaced=%" G_GUINT64_FORMAT, net->unproven,
+               net->desc.unproven_max, net->stats.links, net->stats.links_replaced);
+    }
+    if (oldest) {
+        _wgn_drop(oldest);
+    }
+    return oldest != NULL;
+}
+
 static void _wgn_on_accept(struct evconnlistener* listener, evutil_socket_t fd,
                            struct sockaddr* address, int size, void* user_data) {
     (void)listener;
     (void)address;
     (void)size;
     _wgn_no_delay(fd);
-    if (!_wgn_open(user_data, fd, false)) {
+    if (!_wgn_make_room(user_data) || !_wgn_open(user_data, fd, false)) {
         evutil_closesocket(fd);
     }
 }
@@ -598,6 +656,7 @@
     g_string_append_printf(out,
                            "walnutgate_link_waiting_bytes %" G_GUINT64_FORMAT
                            "\nwalnutgate_links_slow_total %" G_GUINT64_FORMAT
+                           "\nwalnutgate_links_replaced_total %" G_GUINT64_FORMAT
                            "\nwalnutgate_links %d\n",
-                           stats.waiting, stats.links_slow, stats.links);
+                           stats.waiting, stats.links_slow, stats.links_replaced, stats.links);
 }
--- a/lib/net/wg_net.h
+++ b/lib/net/wg_net.h
@@ -37,6 +37,7 @@
     WGN_PRIORITY = 0,   /* highest priority of the event loop, for links and their tick */
     WGN_PRIORITIES = 2, /* minimum of an event loop with priorities: links, then all other events */
     WGN_LINKS_DEFAULT = 1024,
+    WGN_UNPROVEN_MIN = 64,   /* smallest value of wgn_desc.unproven_max for a known limit */
     WGN_LINKS_LIMIT = 65000, /* what handles of links can tell apart */
     WGN_PROOF_DEADLINE_DEFAULT = 2 * WG_USEC_PER_SEC,
     WGN_RECEIVE_DEADLINE_DEFAULT = 4 * WG_USEC_PER_SEC,
@@ -73,6 +74,8 @@
     const char* fleet_key;   /* required; not copied */
     wgn_peer self;
     int links_max;            /* default WGN_LINKS_DEFAULT */
+    int unproven_max;         /* accepted links whose peers have not proved the fleet key; default:
+                                 half of links_max */
     size_t frame_max;         /* bytes of payload, default WGW_FRAME_MAX_DEFAULT */
     size_t unsent_max;        /* unsent bytes of one link, default WGN_UNSENT_MAX_DEFAULT */
     size_t waiting_max;       /* unsent bytes of shared frames on all links together, each frame
@@ -102,8 +105,9 @@
     uint64_t frames_received;
     uint64_t frames_bad;
     uint64_t proofs_bad;
-    uint64_t links_slow; /* links closed because the peer did not read fast enough */
-    uint64_t waiting;    /* unsent bytes of shared frames, each frame counted once */
+    uint64_t links_replaced; /* unproven links closed or refused as there were too many */
+    uint64_t links_slow;     /* links closed because the peer did not read fast enough */
+    uint64_t waiting;        /* unsent bytes of shared frames, each frame counted once */
     int links;
     wgn_type_stats sent[WGW_TYPE_NUM];
 } wgn_stats;
@@ -114,6 +118,13 @@
 static inline int wgn_links_max(int64_t descriptors) {
     return (int)CLAMP(descriptors, (int64_t)WGN_LINKS_DEFAULT, (int64_t)WGN_LINKS_LIMIT);
 }
+/* Value of wgn_desc.unproven_max for a process with this descriptor limit; 0 (the default) for an
+   unknown limit. */
+static inline int wgn_unproven_max(int64_t descriptors) {
+    return descriptors > 0 ? (int)CLAMP(descriptors / 2, (int64_t)WGN_UNPROVEN_MIN,
+                                        (int64_t)WGN_LINKS_LIMIT / 2)
+                           : 0;
+}
 /* Value of wgn_desc.waiting_max for a process with this memory limit in MB; 0 (the default) for an
    unknown limit. */
 static inline size_t wgn_waiting_max(double memory_mb) {
