Entry hosts: an answer whose peer heeds no pause is cut

Cause: the owner asks the peer to pause above 256 KB, and relied on it.

Above 2 MB unread, more than is under way when a peer pauses, the answer is cut and its caller's connection reset, so that it does not look complete.

--- a/lib/entry/wg_entry_handed.c
+++ b/lib/entry/wg_entry_handed.c
@@ -20,6 +20,9 @@
     /* Bytes that wait on the link to a peer above which it gets no further request. Bounds the
        copies of request bodies if a peer stalls. */
     WG_HANDED_UNSENT_MAX = 1024 * 1024,
+    /* Bytes of an answer unread by its caller above which the peer has heeded no pause: more than was
+       under way when it was asked to. */
+    WG_HANDED_UNREAD_MAX = 2 * 1024 * 1024,
 };
 
 /* ---- peers of this host ---------------------------------------------------------------------- */
@@ -278,7 +281,8 @@
     wg_handed_free_request(handed);
 }
 
-static void wg_handed_relay(wg_handed* handed, const wgw_handoff_answer* answer) {
+/* False if the answer was cut. */
+static bool wg_handed_relay(wg_handed* handed, const wgw_handoff_answer* answer) {
     if (!handed->first_at) {
         handed->first_at = wg_now();
     }
@@ -287,7 +291,13 @@
         wg_client_delimit_by_connection(handed->client);
     }
     wg_socket_write_bytes(handed->client->bev, answer->bytes, answer->size);
+    if (handed->client->held.unread > WG_HANDED_UNREAD_MAX) {
+        wg_handed_notify(handed, WGPB__HANDOFF_WHAT__HANDOFF_WHAT_CALLER_LEFT);
+        wg_handed_fail(handed, 502, "peer_heeds_no_pause");
+        return false;
+    }
     wg_entry_buffers_control(handed->client);
+    return true;
 }
 
 static void wg_handed_answered(wg_handed* handed, Wgpb__HandoffEnd end) {
@@ -314,8 +324,8 @@
     if (!handed->acknowledged) {
         wg_handed_acknowledged(handed);
     }
-    if (answer->size > 0) {
-        wg_handed_relay(handed, answer);
+    if (answer->size > 0 && !wg_handed_relay(handed, answer)) {
+        return;
     }
     if (answer->end != WGPB__HANDOFF_END__HANDOFF_END_MORE) {
         wg_handed_answered(handed, answer->end);
--- a/tests/test_entry_handoff.c
+++ b/tests/test_entry_handoff.c
@@ -899,6 +899,38 @@
 }
 END_TEST
 
+/* Guards against a peer that goes on although it was asked to pause: what it sends must not be kept
+   without a bound. */
+START_TEST(answer_of_a_peer_that_heeds_no_pause_is_cut) {
+    enum {
+        PART = 32 * KB,
+        ANSWER_MAX = 16 * 1024 * KB,
+        HELD_MAX = 4 * 1024 * KB
+    };
+    static char part[PART];
+    begin_owner(1);
+    int fd = connect_slow_caller(SMALL_RECEIVE_BUFFER);
+    send_text(fd, get_request);
+    ck_assert(BECOMES(there.requests_num == 1));
+    send_answer(&there, last_ticket(), "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", MORE);
+    memset(part, 'a', sizeof part);
+    int64_t most = 0;
+    for (int at = 0; at < ANSWER_MAX; at += PART) {
+        send_answer_bytes(&there, last_ticket(), part, PART, MORE);
+        run_turns(2);
+        most = MAX(most, wg_buffers_held(entry->buffers));
+    }
+    ck_assert_int_lt(most, HELD_MAX);
+    ck_assert(BECOMES(wg_buffers_held(entry->buffers) == 0));
+    GString* got = g_string_new(NULL);
+    ck_assert_int_eq(read_some(fd, got, SIZE_MAX, TURNS_MAX), READ_RESET);
+    ck_assert_uint_lt(got->len, ANSWER_MAX);
+    g_string_free(got, TRUE);
+    close(fd);
+    end_owner();
+}
+END_TEST
+
 /* ---- the owner: links and planned stops ------------------------------------------------------ */
 
 /* With the setting at its default, nothing may change: no link, no frame. */
@@ -1771,10 +1803,11 @@
     silent_peer_is_504_at_the_end_of_the_time,
     peer_that_falls_silent_in_the_answer_resets_the_connection,
     malformed_or_unknown_answers_harm_no_caller, peer_is_told_when_the_caller_leaves,
-    answer_pauses_while_the_caller_does_not_read, nothing_is_handed_off_by_default,
-    host_with_capacity_opens_no_links, delay_of_input_hands_requests_off,
-    links_are_kept_for_a_while, link_stays_while_a_request_is_in_progress,
-    lost_link_is_opened_again, peer_that_stops_finishes_its_requests_and_gets_no_more,
+    answer_pauses_while_the_caller_does_not_read, answer_of_a_peer_that_heeds_no_pause_is_cut,
+    nothing_is_handed_off_by_default, host_with_capacity_opens_no_links,
+    delay_of_input_hands_requests_off, links_are_kept_for_a_while,
+    link_stays_while_a_request_is_in_progress, lost_link_is_opened_again,
+    peer_that_stops_finishes_its_requests_and_gets_no_more,
     planned_stop_of_the_owner_waits_for_its_answers,
     planned_stop_of_the_owner_waits_for_callers_that_still_read,
     stopping_owner_hands_off_only_what_it_can_finish, peer_answers_as_it_would_its_own_caller,
