--- a/lib/entry/wg_entry_handed.c
+++ b/lib/entry/wg_entry_handed.c
@@ -20,8 +20,8 @@
     /* Bytes that wait on the link to a peer above which it gets no further request. Bounds the
        copies of request bodies if a peer stalls. */
     WG_HANDED_UNSENT_MAX = 1024 * 1024,
-    /* Bytes of an answer unread by its caller above which the peer has heeded no pause: more than was
-       under way when it was asked to. */
+    /* Bytes of an answer unread by its caller above which the peer has heeded no pause: more than
+       was under way when it was asked to. */
     WG_HANDED_UNREAD_MAX = 2 * 1024 * 1024,
 };
 
--- a/lib/net/wg_hangup.c
+++ b/lib/net/wg_hangup.c
@@ -39,13 +39,13 @@
     if (poll((struct pollfd*)(void*)h->polled->data, h->polled->len, 0) <= 0) {
         return;
     }
-    GList* at = h->watched.head;
-    for (guint i = 0; i < h->polled->len; i++) {
-        GList* next = at->next;
-        if (g_array_index(h->polled, struct pollfd, i).revents) {
+    GList* next;
+    guint i = 0;
+    for (GList* at = h->watched.head; at; at = next) {
+        next = at->next;
+        if (g_array_index(h->polled, struct pollfd, i++).revents) {
             _wg_hangup_move(at->data, &h->ended);
         }
-        at = next;
     }
 }
 
