Hangups: a process that ends with watches does not abort

By reading: an entry host whose planned stop ends while a request is at another host, or waits for a sure configuration, with bytes ahead, still has a watch; shutdown asserted that there is none.

--- a/lib/net/wg_hangup.c
+++ b/lib/net/wg_hangup.c
@@ -75,7 +75,9 @@
 }
 
 void wg_hangups_shutdown(wg_hangups* h) {
-    WG_ASSERT(h->watched.length == 0 && h->ended.length == 0);
+    while (h->watched.head) {
+        wg_hangups_forget(h->watched.head->data);
+    }
     event_free(h->timer);
     g_array_unref(h->polled);
     g_free(h);
--- a/lib/net/wg_hangup.h
+++ b/lib/net/wg_hangup.h
@@ -41,6 +41,7 @@
 typedef struct wg_hangups wg_hangups;
 
 wg_hangups* wg_hangups_setup(struct event_base* base);
+/* Not from a callback. Ends all watches. */
 void wg_hangups_shutdown(wg_hangups* hangups);
 /* Nothing if it is watched already. */
 void wg_hangups_watch(wg_hangups* hangups, wg_hangup* watch);
