--- a/tests/test_crowd_router.c
+++ b/tests/test_crowd_router.c
@@ -50,9 +50,13 @@
                              .control_extra = control_settings});
 }
 
-static bool play_router(const crowd_kind* kind) {
+/* At the router's port for callers. `answers`: the service answers requests. */
+static bool play_callers(const crowd_kind* kind, bool answers) {
     begin(router_settings);
     const proc_process* router = proc_find(&fleet, "r1");
+    if (!answers) {
+        proc_set_faults(proc_find(&fleet, "service1"), "work_us=600000000");
+    }
     bool good = crowd_holds(kind, router->address, router->pid, NULL,
                             &(crowd_bounds){.ask_address = router->address,
                                             .ask = ORDINARY,
@@ -62,18 +66,12 @@
     return good;
 }
 
-/* Requests to the service are not answered. */
+static bool play_router(const crowd_kind* kind) {
+    return play_callers(kind, true);
+}
+
 static bool play_slow(const crowd_kind* kind) {
-    begin(router_settings);
-    const proc_process* router = proc_find(&fleet, "r1");
-    proc_set_faults(proc_find(&fleet, "service1"), "work_us=600000000");
-    bool good = crowd_holds(kind, router->address, router->pid, NULL,
-                            &(crowd_bounds){.ask_address = router->address,
-                                            .ask = ORDINARY,
-                                            .memory_mb = ROUTER_MB,
-                                            .descriptors = FILES_MAX});
-    proc_fleet_kill(&fleet);
-    return good;
+    return play_callers(kind, false);
 }
 
 /* At the router's port for operators. */
